Add design page, workspace, model and RPC transport

Cause: nothing existed; the parts need one contract before they are written in parallel. Change: design page, six packages, pinned dependencies, test runner, core data classes, framed Thrift transport that multiplexes calls by sequence id. TCyMemoryBuffer allocated 2 GiB for a 38-byte malformed frame; the buffered transport fails at once, and a test covers it.

--- /dev/null
+++ b/packages/core/src/sassafrasway_core/__init__.py
@@ -0,0 +1,1 @@
+"""Model and steering decisions of sassafrasway."""
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/clock.py
@@ -0,0 +1,49 @@
+"""Time source that decision modules receive instead of reading the system clock."""
+
+import abc
+import time
+
+
+class Clock(abc.ABC):
+    """Source of time in seconds."""
+
+    @abc.abstractmethod
+    def monotonic(self) -> float:
+        """Returns seconds that never go back; only differences are meaningful."""
+
+    @abc.abstractmethod
+    def wall(self) -> float:
+        """Returns seconds since the Unix epoch."""
+
+
+class SystemClock(Clock):
+    """Clock of the operating system."""
+
+    def monotonic(self) -> float:
+        """See base class."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """See base class."""
+        return time.time()
+
+
+class ManualClock(Clock):
+    """Clock for tests that moves only when told to."""
+
+    def __init__(self, *, start_s: float = 1000.0):
+        self._now_s = start_s
+
+    def monotonic(self) -> float:
+        """See base class."""
+        return self._now_s
+
+    def wall(self) -> float:
+        """See base class."""
+        return self._now_s
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock forward by ``seconds``."""
+        if seconds < 0:
+            raise ValueError("a clock cannot go back")
+        self._now_s += seconds
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/errors.py
@@ -0,0 +1,57 @@
+"""Exception hierarchy of sassafrasway.
+
+Every error carries the step in which it arose and the peer that was involved, so that a log line
+or an error answer can name both without parsing the message.
+"""
+
+
+class SassafraswayError(Exception):
+    """Base class of all errors that sassafrasway raises on purpose.
+
+    Attributes:
+        step: What the process was doing, for example ``"config.apply"``.
+        peer: The other side as ``host:port`` or a name; empty when there is none.
+    """
+
+    def __init__(self, message: str, *, step: str, peer: str = ""):
+        super().__init__(message)
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        message = super().__str__()
+        where = f"{self.step} with {self.peer}" if self.peer else self.step
+        return f"{message} (in {where})"
+
+    @property
+    def message(self) -> str:
+        """The message without step and peer."""
+        return super().__str__()
+
+
+class ValidationError(SassafraswayError):
+    """Input from a caller, an operator or a settings file is invalid."""
+
+
+class ConflictError(SassafraswayError):
+    """A change is based on a revision that is no longer current."""
+
+
+class NotFoundError(SassafraswayError):
+    """A named object does not exist."""
+
+
+class UnavailableError(SassafraswayError):
+    """A peer or an outside system did not answer."""
+
+
+class NotRunError(SassafraswayError):
+    """The request was not dispatched and can no longer be dispatched."""
+
+
+class OutcomeUnknownError(SassafraswayError):
+    """The request was dispatched, but its result did not arrive."""
+
+
+class InvariantViolation(SassafraswayError):
+    """An internal invariant does not hold."""
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/invariants.py
@@ -0,0 +1,68 @@
+"""Run-time checks of rules that must always hold.
+
+Tests run with mode ``raise``; production counts violations, because stopping an instance would
+cost more requests than the violation itself.
+"""
+
+import collections
+import enum
+from collections.abc import Callable
+
+from sassafrasway_core import errors
+
+
+class Mode(enum.Enum):
+    """What a violation does."""
+
+    RAISE = "raise"
+    COUNT = "count"
+
+
+class Rule(enum.Enum):
+    """Names of the checked rules."""
+
+    SLOTS_NOT_EXCEEDED = "slots_not_exceeded"
+    CAP_NOT_EXCEEDED = "cap_not_exceeded"
+    REVISION_NEVER_DECREASES = "revision_never_decreases"
+    ONE_DISPATCH_PER_KEY = "one_dispatch_per_key"
+    NOT_RUN_NEVER_AFTER_DISPATCH = "not_run_never_after_dispatch"
+    NO_DISPATCH_TO_LEAVING_SERVER = "no_dispatch_to_leaving_server"
+    EPOCH_NEVER_DECREASES = "epoch_never_decreases"
+
+
+class Invariants:
+    """Checks rules and either raises or counts violations.
+
+    Args:
+        mode: What a violation does.
+        on_violation: Called with the rule and a detail text on every violation.
+    """
+
+    def __init__(
+        self,
+        *,
+        mode: Mode = Mode.COUNT,
+        on_violation: Callable[[Rule, str], None] | None = None,
+    ):
+        self._mode = mode
+        self._on_violation = on_violation
+        self._violations: collections.Counter[Rule] = collections.Counter()
+
+    @property
+    def violations(self) -> dict[Rule, int]:
+        """Number of violations of each rule so far."""
+        return dict(self._violations)
+
+    def check(self, rule: Rule, holds: bool, detail: str) -> None:
+        """Records a violation when ``holds`` is false.
+
+        Raises:
+            errors.InvariantViolation: The rule does not hold and the mode is ``RAISE``.
+        """
+        if holds:
+            return
+        self._violations[rule] += 1
+        if self._on_violation is not None:
+            self._on_violation(rule, detail)
+        if self._mode is Mode.RAISE:
+            raise errors.InvariantViolation(f"{rule.value}: {detail}", step="invariant")
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -0,0 +1,170 @@
+"""Data classes of the steering domain: policy, pools and instances."""
+
+import dataclasses
+import enum
+import math
+from collections.abc import Mapping
+
+import xxhash
+
+
+class AtMostOnceMode(enum.Enum):
+    """Which idempotency keys a service accepts besides tickets."""
+
+    TICKET = "ticket"
+    CLAIM = "claim"
+
+
+class ServerState(enum.Enum):
+    """Whether a backend server may receive new work."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class InstanceId:
+    """One run of one entry instance; a restart has a new incarnation."""
+
+    name: str
+    incarnation: str
+
+    def __str__(self) -> str:
+        return f"{self.name}/{self.incarnation}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
+class PoolKey:
+    """Names the backend servers of a service in a region that share one owner."""
+
+    service: str
+    region: str
+    shard: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.service}/{self.region}/{self.shard}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Region:
+    """A region and the highest rate of requests that its servers may receive, requests/s."""
+
+    name: str
+    cap_rps: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Link:
+    """The network between two regions; the cap holds in each direction."""
+
+    source: str
+    target: str
+    cap_mbit_s: float
+    delay_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Service:
+    """A service that callers can address.
+
+    Attributes:
+        max_pool_slots: A region's pool is split into shards when it has more slots than this,
+            because one instance owns a pool and must carry all of its requests.
+    """
+
+    name: str
+    idempotent: bool
+    may_wait: bool = False
+    at_most_once: AtMostOnceMode = AtMostOnceMode.TICKET
+    deadline_ms: int = 2000
+    max_pool_slots: int = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendServer:
+    """A server that runs requests of one service, at most ``slots`` at a time."""
+
+    name: str
+    service: str
+    region: str
+    failure_domain: str
+    url: str
+    slots: int
+    connections: int
+    state: ServerState = ServerState.ACTIVE
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClientBlock:
+    """A block of client addresses and its home region."""
+
+    cidr: str
+    region: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Shift:
+    """Moves requests of a service from the source region to the target region.
+
+    Attributes:
+        cap_rps: Highest rate of moved requests in any one-second window, requests/s.
+        fraction: Final fraction of the source's requests to move, 0 to 1.
+        pace_per_s: Growth of the moved fraction per second, 1/s.
+    """
+
+    name: str
+    service: str
+    source: str
+    target: str
+    cap_rps: float
+    fraction: float = 1.0
+    pace_per_s: float = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Policy:
+    """One revision of the steering policy; every mapping is keyed by name.
+
+    Links are keyed by ``"a/b"`` with the region names in alphabetical order.
+    """
+
+    revision: int
+    regions: Mapping[str, Region]
+    links: Mapping[str, Link]
+    services: Mapping[str, Service]
+    servers: Mapping[str, BackendServer]
+    blocks: Mapping[str, ClientBlock]
+    shifts: Mapping[str, Shift]
+
+    def pools(self) -> dict[PoolKey, tuple[BackendServer, ...]]:
+        """Returns the servers of every pool, leaving ones included, in order of name."""
+        groups: dict[tuple[str, str], list[BackendServer]] = {}
+        for server in self.servers.values():
+            groups.setdefault((server.service, server.region), []).append(server)
+        pools: dict[PoolKey, list[BackendServer]] = {}
+        for (service, region), servers in groups.items():
+            shards = self._shard_count(service, servers)
+            for server in sorted(servers, key=lambda each: each.name):
+                shard = xxhash.xxh32_intdigest(server.name) % shards
+                key = PoolKey(service=service, region=region, shard=shard)
+                pools.setdefault(key, []).append(server)
+        return {key: tuple(servers) for key, servers in pools.items()}
+
+    def link(self, one: str, other: str) -> Link | None:
+        """Returns the link between two regions, or None when the policy has none."""
+        return self.links.get("/".join(sorted((one, other))))
+
+    def regions_by_distance(self, origin: str) -> list[str]:
+        """Returns all regions, nearest first, starting with ``origin`` itself."""
+
+        def distance(region: str) -> tuple[float, str]:
+            if region == origin:
+                return (-1.0, region)
+            link = self.link(origin, region)
+            return (link.delay_ms if link else math.inf, region)
+
+        return sorted(self.regions, key=distance)
+
+    def _shard_count(self, service: str, servers: list[BackendServer]) -> int:
+        slots = sum(server.slots for server in servers)
+        return max(1, math.ceil(slots / self.services[service].max_pool_slots))
--- /dev/null
+++ b/packages/ctl/src/sassafrasway_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The sassafrasctl command for operators."""
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The sassafrasway entry instance."""
--- /dev/null
+++ b/packages/platform/src/sassafrasway_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients for the platform services that sassafrasway uses."""
--- /dev/null
+++ b/packages/rpc/src/sassafrasway_rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Thrift schema and asyncio transport of sassafrasway."""
--- /dev/null
+++ b/packages/rpc/src/sassafrasway_rpc/codec.py
@@ -0,0 +1,73 @@
+"""Encoding of Thrift messages in the strict binary protocol."""
+
+import dataclasses
+from typing import Any
+
+from thriftpy2.protocol import cybin
+from thriftpy2.transport import buffered, memory
+
+from sassafrasway_core import errors
+
+FRAME_HEADER_BYTES = 4
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MessageHead:
+    """Name, type and sequence id of a message."""
+
+    name: str
+    kind: int
+    sequence_id: int
+
+
+def encode(*, head: MessageHead, payload: Any) -> bytes:
+    """Returns one frame: its length and the message."""
+    buffer = memory.TCyMemoryBuffer()
+    protocol = cybin.TCyBinaryProtocol(buffer, strict_write=True)
+    protocol.write_message_begin(head.name, head.kind, head.sequence_id)
+    protocol.write_struct(payload)
+    protocol.write_message_end()
+    body = buffer.getvalue()
+    return len(body).to_bytes(FRAME_HEADER_BYTES, "big") + body
+
+
+class Decoder:
+    """Reads one message from the body of a frame."""
+
+    def __init__(self, *, body: bytes, peer: str):
+        self._peer = peer
+        # A TCyMemoryBuffer trusts the lengths in a message and allocates up to 2 GiB for a short
+        # malformed one; the buffered transport fails on a length behind the end of the frame.
+        transport = buffered.TCyBufferedTransport(memory.TMemoryBuffer(body))
+        self._protocol = cybin.TCyBinaryProtocol(transport, strict_read=True)
+
+    def read_head(self) -> MessageHead:
+        """Returns the head of the message.
+
+        Raises:
+            errors.ValidationError: The frame is not a strict binary Thrift message.
+        """
+        try:
+            name, kind, sequence_id = self._protocol.read_message_begin()
+        except Exception as error:
+            raise errors.ValidationError(
+                f"malformed message head: {error}", step="rpc.decode", peer=self._peer
+            ) from error
+        return MessageHead(name=name, kind=kind, sequence_id=sequence_id)
+
+    def read_struct(self, struct_type: type) -> Any:
+        """Returns the payload as an object of ``struct_type``.
+
+        Raises:
+            errors.ValidationError: The payload does not match the schema.
+        """
+        payload = struct_type()
+        try:
+            self._protocol.read_struct(payload)
+            self._protocol.read_message_end()
+        except Exception as error:
+            raise errors.ValidationError(
+                f"malformed {struct_type.__name__}: {error}", step="rpc.decode", peer=self._peer
+            ) from error
+        return payload
--- /dev/null
+++ b/packages/rpc/src/sassafrasway_rpc/common.thrift
@@ -0,0 +1,25 @@
+// Types that several services share. Field numbers are never reused.
+
+struct Header {
+  1: string name
+  2: string value
+}
+
+// One entry instance. A restart of the same name has a new incarnation.
+struct Instance {
+  1: string name
+  2: string incarnation
+  3: string rpc_address      // host:port of the RPC server
+  4: string caller_url       // base URL that callers use
+  5: string region
+  6: string failure_domain
+  7: string state            // live or leaving
+}
+
+// Any error that the called side reports on purpose.
+exception RpcError {
+  1: string code             // validation, conflict, not_found, unavailable, not_owner, internal
+  2: string message
+  3: string step
+  4: string peer
+}
--- /dev/null
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -0,0 +1,51 @@
+// Requests of callers on their way between entry instances.
+
+include "common.thrift"
+
+enum Outcome {
+  RAN = 1
+  NOT_RUN = 2
+  UNKNOWN = 3
+}
+
+enum Stage {
+  GATEKEEP = 1               // the receiver is the incarnation that the ticket names
+  EXECUTE = 2                // the receiver owns the pool
+  ROUTE = 3                  // the receiver serves the request as if a caller had sent it
+}
+
+struct ForwardRequest {
+  1: string request_id
+  2: Stage stage
+  3: string service_name
+  4: string region           // region of the pool, for EXECUTE
+  5: i32 shard
+  6: string method
+  7: string path             // path and query behind the service name
+  8: list<common.Header> headers
+  9: binary body
+  10: i32 deadline_ms        // remaining time
+  11: string key             // idempotency key, empty when there is none
+  12: string home_region
+  13: string shift           // name of the shift that moved the request, or empty
+  14: bool may_queue
+  15: string sender          // name/incarnation
+  16: string fingerprint
+}
+
+struct ForwardReply {
+  1: Outcome outcome
+  2: i32 status
+  3: list<common.Header> headers
+  4: binary body
+  5: string reason           // machine-readable cause when outcome is not RAN
+  6: string owner            // name of the current pool owner when reason is not_owner
+  7: string server           // backend server that ran the request
+  8: i32 retry_after_ms
+}
+
+service Forward {
+  ForwardReply forward(1: ForwardRequest request) throws (1: common.RpcError error)
+  // Stops a forwarded request whose caller went away.
+  oneway void cancel(1: string request_id)
+}
--- /dev/null
+++ b/packages/rpc/tests/test_rpc.py
@@ -0,0 +1,127 @@
+"""Tests of the framed Thrift transport."""
+
+import asyncio
+import unittest
+
+from thriftpy2 import thrift
+
+from sassafrasway_core import errors
+from sassafrasway_rpc import client, codec, schema, server
+
+
+class _Handler:
+    """Answers after a delay given in the deadline field."""
+
+    def __init__(self):
+        self.cancelled = []
+
+    async def forward(self, request):
+        if request.service_name == "missing":
+            raise errors.NotFoundError("no such service", step="test", peer="p")
+        if request.service_name == "broken":
+            raise ValueError("bug")
+        await asyncio.sleep(request.deadline_ms / 1000)
+        return schema.forward.ForwardReply(
+            outcome=schema.forward.Outcome.RAN, status=200, body=request.body
+        )
+
+    async def cancel(self, request_id):
+        self.cancelled.append(request_id)
+
+
+def _request(**fields):
+    return schema.forward.ForwardRequest(**{"deadline_ms": 0, "body": b"", **fields})
+
+
+class RpcTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.handler = _Handler()
+        self.server = server.RpcServer(
+            handlers=[(schema.forward.Forward, self.handler)], host="127.0.0.1", port=0
+        )
+        await self.server.start()
+        self.client = client.RpcClient(
+            address=self.server.address, service=schema.forward.Forward, timeout_s=5
+        )
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.server.stop()
+
+    async def test_replies_out_of_order_reach_their_calls(self):
+        """Guards against giving a caller the answer of another call on the same connection."""
+        slow = asyncio.create_task(
+            self.client.call("forward", request=_request(deadline_ms=50, body=b"slow"))
+        )
+        await asyncio.sleep(0)
+        fast = await self.client.call("forward", request=_request(body=b"fast"))
+        self.assertFalse(slow.done())
+        self.assertEqual((fast.body, (await slow).body), (b"fast", b"slow"))
+
+    async def test_error_keeps_class_step_and_peer(self):
+        """Guards against losing the cause of an error between processes."""
+        with self.assertRaises(errors.NotFoundError) as caught:
+            await self.client.call("forward", request=_request(service_name="missing"))
+        self.assertEqual((caught.exception.step, caught.exception.peer), ("test", "p"))
+
+    async def test_bug_in_handler_keeps_connection(self):
+        """Guards against one failing call taking other calls down."""
+        with self.assertRaises(errors.SassafraswayError):
+            await self.client.call("forward", request=_request(service_name="broken"))
+        reply = await self.client.call("forward", request=_request(body=b"x"))
+        self.assertEqual(reply.body, b"x")
+
+    async def test_late_reply_is_dropped(self):
+        """Guards against a late answer being taken for the answer of a later call."""
+        with self.assertRaises(errors.UnavailableError):
+            await self.client.call(
+                "forward", request=_request(deadline_ms=30, body=b"old"), timeout_s=0.001
+            )
+        reply = await self.client.call("forward", request=_request(deadline_ms=60, body=b"new"))
+        self.assertEqual(reply.body, b"new")
+
+    async def test_refused_connection_is_told_apart(self):
+        """Guards against taking a dead process for one that may have seen the call."""
+        await self.client.close()
+        await self.server.stop()
+        lost = client.RpcClient(address=self.server.address, service=schema.forward.Forward)
+        with self.assertRaises(client.ConnectionRefusedByPeerError):
+            await lost.call("forward", request=_request())
+
+    async def test_malformed_frames(self):
+        """Guards against malformed frames that stop the server or take memory."""
+        host, _, port = self.server.address.rpartition(":")
+        huge_name = b"\x80\x01\x00\x01\x7f\xff\xff\xff" + b"a" * 30
+        bad_struct = b"\x80\x01\x00\x01\x00\x00\x00\x07forward\x00\x00\x00\x01\x0b\x00\x01\x7f"
+        for body in (b"garbage", huge_name, bad_struct, b"\x00"):
+            with self.subTest(body=body):
+                _, writer = await asyncio.open_connection(host, int(port))
+                writer.write(len(body).to_bytes(4, "big") + body)
+                await writer.drain()
+                writer.close()
+                reply = await self.client.call("forward", request=_request(body=b"alive"))
+                self.assertEqual(reply.body, b"alive")
+
+    async def test_oversized_frame_closes_connection(self):
+        """Guards against a frame length that would fill the memory."""
+        host, _, port = self.server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write((codec.MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+    async def test_unknown_method(self):
+        """Guards against an unanswered call when the peer is of another version."""
+        host, _, port = self.server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = codec.MessageHead(name="absent", kind=thrift.TMessageType.CALL, sequence_id=9)
+        payload = schema.forward.Forward.forward_args(request=_request())
+        writer.write(codec.encode(head=head, payload=payload))
+        body = await server.read_frame(reader, peer="test")
+        reply = codec.Decoder(body=body, peer="test").read_head()
+        self.assertEqual((reply.kind, reply.sequence_id), (thrift.TMessageType.EXCEPTION, 9))
+        writer.close()
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, load tool, history checker and benchmarks."""
--- /dev/null
+++ b/tools/run_tests.py
@@ -0,0 +1,72 @@
+"""Runs the unittest suites of all packages and prints one closing line.
+
+Tests listed in KNOWN-RED.txt are passed over and printed, so that a known fault stays visible
+without hiding new failures.
+"""
+
+import argparse
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+
+
+def read_known_red(path):
+    """Returns the ids of the tests that KNOWN-RED.txt lists."""
+    ids = set()
+    for line in path.read_text(encoding="utf-8").splitlines():
+        if line.startswith("test:"):
+            ids.add(line.partition(":")[2].strip())
+    return ids
+
+
+def flatten(suite):
+    """Yields the single tests of a nested suite."""
+    for item in suite:
+        if isinstance(item, unittest.TestSuite):
+            yield from flatten(item)
+        else:
+            yield item
+
+
+def collect(pattern, packages):
+    """Returns all tests of the packages, each discovered from its own test directory."""
+    tests = []
+    for directory in sorted(ROOT.glob("packages/*/tests")):
+        if packages and directory.parent.name not in packages:
+            continue
+        loader = unittest.TestLoader()
+        tests.extend(flatten(loader.discover(str(directory), pattern=pattern)))
+    return tests
+
+
+def main():
+    """Runs the tests and returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--pattern", default="test_*.py")
+    parser.add_argument("--package", action="append", default=[])
+    options = parser.parse_args()
+    known_red = read_known_red(KNOWN_RED)
+    tests = collect(options.pattern, options.package)
+    found_red = sorted(test.id() for test in tests if test.id() in known_red)
+    suite = unittest.TestSuite(test for test in tests if test.id() not in known_red)
+    result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
+    for test_id in found_red:
+        print(f"known red, not run: {test_id}")
+    missing = sorted(known_red - set(found_red))
+    if not options.package and options.pattern == "test_*.py":
+        for test_id in missing:
+            print(f"KNOWN-RED.txt names a test that does not exist: {test_id}")
+    else:
+        missing = []
+    failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
+    skipped = len(result.skipped) + len(found_red)
+    passed = max(0, result.testsRun - failed - len(result.skipped))
+    print(f"{passed} passed, {failed} failed, {skipped} skipped")
+    return 1 if failed or missing or not result.testsRun else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
