--- /dev/null
+++ b/packages/platform/src/sassafrasway_platform/instances.py
@@ -0,0 +1,38 @@
+"""Abstract client of the platform's list of instances."""
+
+import abc
+import dataclasses
+import enum
+
+
+class ListedState(enum.Enum):
+    """State of an instance according to the platform."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ListedInstance:
+    """One entry of the list.
+
+    Attributes:
+        address: ``host:port`` of the instance's RPC server.
+    """
+
+    name: str
+    address: str
+    failure_domain: str
+    state: ListedState = ListedState.LIVE
+
+
+class InstanceList(abc.ABC):
+    """List of instances; it lags behind reality."""
+
+    @abc.abstractmethod
+    async def fetch(self) -> list[ListedInstance]:
+        """Returns the current list.
+
+        Raises:
+            table.StoreUnavailable: The list did not answer.
+        """
