--- /dev/null
+++ b/packages/core/src/sassafrasway_core/policy_checks.py
@@ -0,0 +1,155 @@
+"""Checks of a policy that involve several of its objects."""
+
+import collections
+import dataclasses
+import itertools
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from typing import Any
+
+from sassafrasway_core import errors
+
+# An operator fixes the first problems first; one bad region can be referenced by 250,000 blocks.
+MAX_REPORTED_PROBLEMS = 100
+# Fractions are decimal numbers in the document, so their binary sum can exceed 1 by rounding.
+FRACTION_TOLERANCE = 1e-9
+
+_REFERENCES = {
+    "servers": (("service", "services"), ("region", "regions")),
+    "blocks": (("region", "regions"),),
+    "shifts": (("service", "services"), ("source", "regions"), ("target", "regions")),
+    "links": (("source", "regions"), ("target", "regions")),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """One problem of a document; empty parts do not apply."""
+
+    section: str = ""
+    name: str = ""
+    key: str = ""
+    detail: str
+
+    def __str__(self) -> str:
+        where = " ".join(
+            f"{label} {value!r}"
+            for label, value in (("section", self.section), ("name", self.name), ("key", self.key))
+            if value
+        )
+        return f"{where}: {self.detail}" if where else self.detail
+
+
+def raise_problems(problems: Iterable[Problem], *, step: str) -> None:
+    """Raises one error that lists all problems; does nothing when there are none.
+
+    Raises:
+        errors.ValidationError: There is a problem.
+    """
+    texts = [str(problem) for problem in problems]
+    if not texts:
+        return
+    shown = texts[:MAX_REPORTED_PROBLEMS]
+    if len(texts) > len(shown):
+        shown.append(f"and {len(texts) - len(shown)} more problems")
+    raise errors.ValidationError("\n".join(shown), step=step)
+
+
+def find_problems(
+    sections: Mapping[str, Mapping[str, Any]],
+    *,
+    known: Mapping[str, Collection[str]],
+    touched: Mapping[str, Collection[str]] | None = None,
+) -> Iterator[Problem]:
+    """Yields the problems between objects of a policy.
+
+    Args:
+        sections: Model objects by section and name.
+        known: Names that count as existing, by section.
+        touched: Names by section that a change set or deleted; None checks everything. A deleted
+            region or service causes a check of everything that can refer to it.
+    """
+    deleted = _has_deletion(sections, touched)
+    for section, references in _REFERENCES.items():
+        objects = sections[section]
+        for name in objects if deleted else _names(section, objects, touched):
+            yield from _unknown_references(section, name, objects[name], references, known)
+    if touched is None or touched.get("servers"):
+        yield from _shared_urls(sections["servers"])
+    if touched is None or touched.get("shifts"):
+        yield from _shift_problems(sections["shifts"])
+
+
+def _has_deletion(
+    sections: Mapping[str, Mapping[str, Any]], touched: Mapping[str, Collection[str]] | None
+) -> bool:
+    if touched is None:
+        return False
+    return any(
+        name not in sections[section]
+        for section in ("regions", "services")
+        for name in touched.get(section, ())
+    )
+
+
+def _names(
+    section: str, objects: Mapping[str, Any], touched: Mapping[str, Collection[str]] | None
+) -> Iterable[str]:
+    if touched is None:
+        return objects
+    return [name for name in touched.get(section, ()) if name in objects]
+
+
+def _unknown_references(
+    section: str,
+    name: str,
+    item: Any,
+    references: tuple[tuple[str, str], ...],
+    known: Mapping[str, Collection[str]],
+) -> Iterator[Problem]:
+    for key, target in references:
+        value = getattr(item, key)
+        if value not in known[target]:
+            yield Problem(
+                section=section,
+                name=name,
+                key="" if section == "links" else key,
+                detail=f"unknown {target[:-1]} {value!r}; expected a name in section {target!r}",
+            )
+
+
+def _shared_urls(servers: Mapping[str, Any]) -> Iterator[Problem]:
+    by_url = collections.defaultdict(list)
+    for name, server in servers.items():
+        by_url[server.url].append(name)
+    for url, names in by_url.items():
+        for name in names[1:]:
+            yield Problem(
+                section="servers",
+                name=name,
+                key="url",
+                detail=f"{url!r} is also the url of server {names[0]!r}; expected a url of its own",
+            )
+
+
+def _shift_problems(shifts: Mapping[str, Any]) -> Iterator[Problem]:
+    for name, shift in shifts.items():
+        if shift.source == shift.target:
+            yield Problem(
+                section="shifts",
+                name=name,
+                key="target",
+                detail=f"{shift.target!r} is also the source; expected another region",
+            )
+    ordered = sorted(shifts.items(), key=lambda item: (item[1].service, item[1].source))
+    for _, group in itertools.groupby(ordered, key=lambda item: (item[1].service, item[1].source)):
+        members = list(group)
+        total = sum(shift.fraction for _, shift in members)
+        if total > 1 + FRACTION_TOLERANCE:
+            name, shift = members[-1]
+            yield Problem(
+                section="shifts",
+                name=name,
+                key="fraction",
+                detail=f"the shifts of service {shift.service!r} from {shift.source!r} add up to"
+                f" {total:g}; expected at most 1 (share of requests)",
+            )
--- /dev/null
+++ b/packages/core/tests/test_lookup.py
@@ -0,0 +1,81 @@
+"""Tests of the client block table against the ipaddress module."""
+
+import ipaddress
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from sassafrasway_core import errors, lookup, model
+
+_SETTINGS = hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+
+
+@strategies.composite
+def _networks(draw):
+    """Draws networks of few distinct high bits, so that many of them are nested or adjacent."""
+    version, bits = draw(strategies.sampled_from([(4, 32), (6, 128)]))
+    length = draw(strategies.sampled_from([0, 1, 2, 3, 8, bits // 2, bits // 2 + 1, bits]))
+    top = draw(strategies.integers(0, 7)) << (bits - 3)
+    low = draw(strategies.sampled_from([0, 1, (1 << (bits // 2)) - 1, (1 << (bits - 3)) - 1]))
+    shift = bits - length
+    value = (top | low) >> shift << shift
+    network = ipaddress.IPv4Network if version == 4 else ipaddress.IPv6Network
+    return network((value, length))
+
+
+def _expected(networks, address):
+    matching = [each for each in networks if each.version == address.version and address in each]
+    return f"r{max(each.prefixlen for each in matching) % 5}" if matching else None
+
+
+class BlockTableTest(unittest.TestCase):
+    @_SETTINGS
+    @hypothesis.given(strategies.sets(_networks(), max_size=12))
+    def test_longest_prefix_match(self, networks):
+        """Guards against wrong regions with nested or adjacent blocks and at range borders."""
+        networks = {each for each in networks if getattr(each[0], "ipv4_mapped", None) is None}
+        blocks = [model.ClientBlock(cidr=str(n), region=f"r{n.prefixlen % 5}") for n in networks]
+        table = lookup.BlockTable(blocks=blocks)
+        for network in networks:
+            bits = network.max_prefixlen
+            first, last = int(network[0]), int(network[-1])
+            for value in {first - 1, first, first + 1, last - 1, last, last + 1}:
+                if not 0 <= value < 2**bits:
+                    continue
+                address = type(network[0])(value)
+                if getattr(address, "ipv4_mapped", None) is None:
+                    self.assertEqual(table.region_of(str(address)), _expected(networks, address))
+
+    def test_size_per_block(self):
+        """Guards against a table that takes more memory than a small instance can spare."""
+        blocks = [
+            model.ClientBlock(cidr=f"2001:db8:{2 * i:x}::/48", region="r") for i in range(1, 1001)
+        ]
+        table = lookup.BlockTable(blocks=blocks)
+        self.assertLessEqual(table.size_bytes, 40 * len(blocks))
+
+    def test_mapped_address_is_ipv4(self):
+        """Guards against clients of a dual-stack socket that match no block."""
+        table = lookup.BlockTable(blocks=[model.ClientBlock(cidr="10.0.0.0/8", region="bkk")])
+        self.assertEqual(table.region_of("::ffff:10.1.2.3"), "bkk")
+        self.assertIsNone(table.region_of("::1"))
+
+    def test_bad_input(self):
+        """Guards against two spellings of one block and against untyped errors."""
+        for cidr in (
+            "10.0.0.1/8",
+            "10.0.0.0/255.0.0.0",
+            "x",
+            "2001:DB8::/32",
+            "::ffff:0:0/96",
+            "10.0.0.0",
+        ):
+            with self.subTest(cidr=cidr), self.assertRaises(errors.ValidationError):
+                lookup.parse_network(cidr)
+        with self.assertRaises(errors.ValidationError):
+            lookup.BlockTable(blocks=[]).region_of("10.0.0.256")
+
+
+if __name__ == "__main__":
+    unittest.main()
