--- /dev/null
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -0,0 +1,97 @@
+"""The policy in force and the recent changes that led to it."""
+
+import collections
+from collections.abc import Mapping
+
+from sassafrasway_core import documents, invariants, model
+
+
+class ConfigLog:
+    """Keeps the newest known revision; the revision never decreases.
+
+    Revision 0 is the empty policy before the first change.
+
+    Args:
+        invariants: Checks that the revision never decreases.
+        keep: Number of changes and of change ids to keep.
+    """
+
+    def __init__(self, *, invariants: invariants.Invariants, keep: int = 256):
+        self._invariants = invariants
+        self._keep = keep
+        self._policy: model.Policy | None = None
+        self._changes: collections.deque[documents.Change] = collections.deque(maxlen=keep)
+        self._revisions: dict[str, int] = {}
+
+    @property
+    def policy(self) -> model.Policy | None:
+        """The policy in force, or None when none is known yet."""
+        return self._policy
+
+    @property
+    def revision(self) -> int:
+        """Revision of the policy in force; 0 when none is known yet."""
+        return self._policy.revision if self._policy else 0
+
+    @property
+    def change_ids(self) -> dict[str, int]:
+        """Revisions by the ids of the recent changes that produced them, oldest first."""
+        return dict(self._revisions)
+
+    def install(self, policy: model.Policy, *, change_ids: Mapping[str, int] | None = None) -> bool:
+        """Puts a full policy in force and returns whether it is newer than the current one.
+
+        Args:
+            policy: The policy.
+            change_ids: Revisions by the ids of the changes that led to the policy.
+        """
+        if not self._may_follow(policy.revision):
+            return False
+        if self._policy is not None and policy.revision == self.revision:
+            return False
+        self._policy = policy
+        self._changes.clear()
+        self._remember(change_ids or {})
+        return True
+
+    def append(self, change: documents.Change) -> bool:
+        """Puts a change in force; returns False when its base is not the current revision.
+
+        Raises:
+            errors.ValidationError: The result would be invalid.
+        """
+        if change.base_revision != self.revision:
+            return False
+        policy = documents.apply_change(self._policy or documents.EMPTY_POLICY, change)
+        if not self._may_follow(policy.revision):
+            return False
+        self._policy = policy
+        self._changes.append(change)
+        self._remember({change.change_id: change.revision})
+        return True
+
+    def since(self, revision: int) -> list[documents.Change] | None:
+        """Returns the changes after a revision, or None when the log does not reach back."""
+        if revision >= self.revision:
+            return []
+        changes = [change for change in self._changes if change.base_revision >= revision]
+        reaches_back = bool(changes) and changes[0].base_revision == revision
+        return changes if reaches_back else None
+
+    def find(self, change_id: str) -> int | None:
+        """Returns the revision that a recent change produced, or None."""
+        return self._revisions.get(change_id)
+
+    def _may_follow(self, revision: int) -> bool:
+        holds = revision >= self.revision
+        self._invariants.check(
+            invariants.Rule.REVISION_NEVER_DECREASES,
+            holds,
+            f"revision {revision} would follow revision {self.revision}",
+        )
+        return holds
+
+    def _remember(self, change_ids: Mapping[str, int]) -> None:
+        self._revisions.update(change_ids)
+        for change_id in list(self._revisions)[: -self._keep]:
+            del self._revisions[change_id]
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -2,6 +2,7 @@
 
 import array
 import bisect
+import re
 import socket
 from collections.abc import Iterable, Iterator
 from typing import NamedTuple
@@ -38,7 +39,7 @@
     text, _, length_text = cidr.partition("/")
     version, address = _parse(text)
     family, bits = _FAMILIES[version]
-    length = int(length_text) if length_text.isascii() and length_text.isdigit() else -1
+    length = int(length_text) if re.fullmatch("[0-9]{1,3}", length_text) else -1
     if not 0 <= length <= bits:
         raise _invalid(f"{cidr!r} has no prefix length from 0 to {bits}")
     host_mask = (1 << (bits - length)) - 1
