--- a/packages/rpc/src/sassafrasway_rpc/schema.py
+++ b/packages/rpc/src/sassafrasway_rpc/schema.py
@@ -15,4 +15,5 @@
 
 
 common = _load("common")
+config = _load("config")
 forward = _load("forward")
