--- a/packages/core/src/sassafrasway_core/documents.py
+++ b/packages/core/src/sassafrasway_core/documents.py
@@ -175,14 +175,6 @@
     return dataclasses.replace(policy, revision=revision, **changed)
 
 
-def inverse(policy: model.Policy, sections: Sections) -> Sections:
-    """Returns the sections that undo a change of ``policy``."""
-    return {
-        section: {name: getattr(policy, section).get(name) for name in objects}
-        for section, objects in sections.items()
-    }
-
-
 def difference(old: model.Policy, new: model.Policy) -> Sections:
     """Returns the sections of the change that turns ``old`` into ``new``."""
     sections = {}
--- a/packages/core/tests/test_documents.py
+++ b/packages/core/tests/test_documents.py
@@ -132,7 +132,7 @@
     def setUp(self):
         self.policy = documents.parse_policy(_POLICY, revision=1)
 
-    def test_apply_and_inverse(self):
+    def test_apply_and_difference(self):
         """Guards against a rollback that does not restore the old content."""
         change = _change(
             servers={"crew-1": {**_SERVER, "state": "leaving"}}, shifts={"festival": None}
@@ -141,7 +141,7 @@
         self.assertEqual((result.revision, result.shifts), (2, {}))
         self.assertIs(result.blocks, self.policy.blocks)
         undo = documents.parse_sections(
-            documents.dump_sections(documents.inverse(self.policy, change.sections))
+            documents.dump_sections(documents.difference(result, self.policy))
         )
         self.assertEqual(documents.patch(result, undo, revision=1), self.policy)
         self.assertEqual(documents.difference(self.policy, result), change.sections)
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/config_service.py
@@ -0,0 +1,61 @@
+"""RPC handler of the Thrift service Config: changes from and to peers."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+
+from sassafrasway_core import documents, errors, model
+from sassafrasway_entry import config_task
+from sassafrasway_rpc import schema
+
+
+class ConfigService:
+    """Answers peers.
+
+    Args:
+        me: This incarnation.
+        config: Configuration of this instance.
+        leave: Starts the graceful stop of this instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: model.InstanceId,
+        config: config_task.ConfigTask,
+        leave: Callable[[], None],
+    ):
+        self._me = me
+        self._config = config
+        self._leave = leave
+        self._logger = structlog.get_logger("config.peers").bind(instance=str(me))
+
+    async def push_change(self, change_json: str | None, sender_address: str | None) -> int:
+        """Takes a change and returns the revision in force."""
+        change = documents.parse_change(documents.parse_json(change_json or ""))
+        return await self._config.receive(change, sender=sender_address or "")
+
+    async def changes_since(self, revision: int | None) -> Any:
+        """Returns the changes after a revision, or the full policy."""
+        changes = self._config.changes_since(revision or 0)
+        if changes is not None:
+            return schema.config.ChangesReply(
+                revision=self._config.revision,
+                changes_json=[json.dumps(documents.dump_change(change)) for change in changes],
+            )
+        revision, document_json, change_ids = await self._config.full_policy()
+        return schema.config.ChangesReply(
+            revision=revision, policy_json=document_json, change_ids=change_ids
+        )
+
+    async def drain_instance(self, instance_name: str | None, author: str | None) -> None:
+        """Starts the graceful stop of this instance."""
+        if instance_name != self._me.name:
+            raise errors.NotFoundError(
+                f"this instance is {self._me.name!r}, not {instance_name!r}",
+                step="config.drain_instance",
+            )
+        self._logger.info("drain requested", author=author)
+        self._leave()
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/config_store.py
@@ -0,0 +1,206 @@
+"""Policy revisions in the table service.
+
+The row ``config/head`` names the current revision and the ids of recent changes. The row
+``config/history/<revision>`` has the change that produced a revision. Every
+``DOCUMENT_INTERVAL`` revisions, ``config/document/<revision>`` has the full document. The head does
+not contain the document, because every instance reads the head again after each change and the
+document of the design size has 10 MB.
+"""
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+import pydantic
+
+from sassafrasway_core import documents, errors, model
+from sassafrasway_platform import table
+
+HEAD_KEY = "config/head"
+HISTORY_PREFIX = "config/history/"
+DOCUMENT_PREFIX = "config/document/"
+# A reader without a policy reads one document and at most this many changes.
+DOCUMENT_INTERVAL = 32
+KEPT_CHANGE_IDS = 256
+CONCURRENT_READS = 8
+
+_AnyDocument = TypeVar("_AnyDocument", bound=pydantic.BaseModel)
+
+
+class MalformedRowError(errors.SassafraswayError):
+    """A row of the configuration does not have the expected content."""
+
+
+class _HeadDocument(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+    revision: int = pydantic.Field(ge=1)
+    change_ids: dict[str, int]
+
+
+class _RecordDocument(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+    change: dict[str, Any]
+    accepted_at_s: float
+    accepted_by: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Head:
+    """The newest accepted revision; revision 0 without a row before the first change."""
+
+    row: table.Row | None = None
+    revision: int = 0
+    change_ids: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Record:
+    """An accepted change.
+
+    Attributes:
+        accepted_at_s: Seconds since the Unix epoch, by the clock of the accepting instance.
+        accepted_by: The accepting instance as name/incarnation.
+    """
+
+    change: documents.Change
+    accepted_at_s: float
+    accepted_by: str
+
+
+class ConfigStore:
+    """Reads and writes the rows of the configuration.
+
+    All methods raise ``table.StoreUnavailable`` when the store does not answer and
+    ``MalformedRowError`` when a row is malformed.
+    """
+
+    def __init__(self, *, table: table.TableService):
+        self._table = table
+
+    async def read_head(self, *, known: Head | None = None) -> Head:
+        """Returns the current head, or ``known`` itself when it has not changed."""
+        known_row = known.row if known else None
+        row = await self._table.get(HEAD_KEY, known=known_row)
+        if row is None:
+            return Head()
+        if known is not None and row is known_row:
+            return known
+        document = _read(row, _HeadDocument)
+        return Head(row=row, revision=document.revision, change_ids=document.change_ids)
+
+    async def read_records(self, *, first: int, last: int) -> list[Record]:
+        """Returns the changes that produced the revisions ``first`` to ``last``.
+
+        Raises:
+            errors.NotFoundError: One of the changes is not in the table.
+        """
+        limit = asyncio.Semaphore(CONCURRENT_READS)
+
+        async def read(revision: int) -> Record:
+            async with limit:
+                return _parse_record(await self._row(f"{HISTORY_PREFIX}{revision}"))
+
+        return list(await asyncio.gather(*map(read, range(first, last + 1))))
+
+    async def load_policy(self, revision: int) -> model.Policy:
+        """Returns the policy of any accepted revision.
+
+        Raises:
+            errors.NotFoundError: The revision is not in the table.
+        """
+        start = revision - revision % DOCUMENT_INTERVAL
+        policy = documents.EMPTY_POLICY
+        if start:
+            row = await self._row(f"{DOCUMENT_PREFIX}{start}")
+            policy = await asyncio.to_thread(_parse_policy, row.value, start)
+        for record in await self.read_records(first=start + 1, last=revision):
+            policy = documents.apply_change(policy, record.change)
+        return policy
+
+    async def accept(self, *, head: Head, record: Record, policy: model.Policy) -> Head:
+        """Makes a change the newest one, on condition that ``head`` is still current.
+
+        Args:
+            head: The head that the change is based on.
+            record: The change.
+            policy: The policy after the change.
+
+        Raises:
+            table.PreconditionFailed: Another change was accepted; nothing was written.
+            table.StoreUnavailable: The change may or may not have been accepted.
+        """
+        revision = record.change.revision
+        change_ids = {**head.change_ids, record.change.change_id: revision}
+        for change_id in list(change_ids)[:-KEPT_CHANGE_IDS]:
+            del change_ids[change_id]
+        head_value = {"revision": revision, "change_ids": change_ids}
+        writes = [
+            table.Write(
+                key=HEAD_KEY,
+                value=_encode(head_value),
+                if_version=head.row.version if head.row else table.ABSENT,
+            ),
+            _creation(f"{HISTORY_PREFIX}{revision}", _encode(_dump_record(record))),
+        ]
+        if revision % DOCUMENT_INTERVAL == 0:
+            document = await asyncio.to_thread(dump_policy_json, policy)
+            writes.append(_creation(f"{DOCUMENT_PREFIX}{revision}", document.encode()))
+        rows = await self._table.transact(writes)
+        return Head(row=rows[0], revision=revision, change_ids=change_ids)
+
+    async def _row(self, key: str) -> table.Row:
+        row = await self._table.get(key)
+        if row is None:
+            raise errors.NotFoundError(f"the table has no row {key}", step="config.read")
+        return row
+
+
+def dump_policy_json(policy: model.Policy) -> str:
+    """Returns the JSON text of a policy document."""
+    return json.dumps(documents.dump_policy(policy))
+
+
+def _parse_policy(text: bytes, revision: int) -> model.Policy:
+    return documents.parse_policy(documents.parse_json(text), revision=revision)
+
+
+def _dump_record(record: Record) -> dict[str, Any]:
+    return {
+        "change": documents.dump_change(record.change),
+        "accepted_at_s": record.accepted_at_s,
+        "accepted_by": record.accepted_by,
+    }
+
+
+def _parse_record(row: table.Row) -> Record:
+    document = _read(row, _RecordDocument)
+    try:
+        change = documents.parse_change(document.change)
+    except errors.ValidationError as error:
+        raise _malformed(row, error.message) from error
+    return Record(
+        change=change,
+        accepted_at_s=document.accepted_at_s,
+        accepted_by=document.accepted_by,
+    )
+
+
+def _read(row: table.Row, document: type[_AnyDocument]) -> _AnyDocument:
+    try:
+        return document.model_validate_json(row.value)
+    except pydantic.ValidationError as error:
+        raise _malformed(row, str(error)) from error
+
+
+def _malformed(row: table.Row, reason: str) -> MalformedRowError:
+    return MalformedRowError(f"row {row.key} is malformed: {reason}", step="config.read")
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value).encode()
+
+
+def _creation(key: str, value: bytes) -> table.Write:
+    return table.Write(key=key, value=value, if_version=table.ABSENT)
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -0,0 +1,416 @@
+"""The policy in force: accepts changes, passes them on, and catches up with others."""
+
+import asyncio
+import dataclasses
+import json
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import structlog
+
+from sassafrasway_core import clock as clock_module
+from sassafrasway_core import config_log, documents, errors, invariants, lookup, model
+from sassafrasway_entry import config_store
+from sassafrasway_platform import table as table_module
+
+POLL_INTERVAL_S = 2.0
+POLL_JITTER = 0.25
+WRITE_ATTEMPTS = 3
+# Peers that an instance asks for the policy in one attempt while the store is down.
+PULL_ATTEMPTS = 3
+
+CallPeer = Callable[..., Awaitable[Any]]
+Addresses = Callable[[], Sequence[str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """Result of a change.
+
+    Attributes:
+        already_applied: The change id was recorded before.
+    """
+
+    revision: int
+    already_applied: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Seen:
+    """Message: a peer has a newer revision."""
+
+    revision: int
+    source: str
+
+
+def _no_addresses() -> Sequence[str]:
+    return ()
+
+
+class ConfigTask:
+    """Owns the configuration log of one entry instance.
+
+    Changes arrive from operators (``apply``), from peers (``receive``, ``pull``) and from the table
+    service (``refresh``). None of them can replace a policy by an older one.
+
+    Args:
+        me: This incarnation.
+        clock: Time source.
+        invariants: Checks that the revision never decreases.
+        table: Table service.
+        push_targets: Returns the RPC addresses to push an accepted change to: the coordinators of
+            all regions.
+        call_peer: ``await call_peer(address, method, **arguments)`` calls a peer.
+        on_policy: Called with each new policy.
+        relay_targets: Returns the RPC addresses to pass a received change on to: the members of
+            the region on its coordinator, nothing elsewhere.
+        pull_sources: Returns the RPC addresses to ask for the policy while the store is down; the
+            push targets by default.
+        own_address: Returns the RPC address of this instance, for peers that miss changes.
+        rng: Random source for poll times and the choice of peers.
+        poll_interval_s: Mean time between polls of the table in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: model.InstanceId,
+        clock: clock_module.Clock,
+        invariants: invariants.Invariants,
+        table: table_module.TableService,
+        push_targets: Addresses,
+        call_peer: CallPeer,
+        on_policy: Callable[[model.Policy], None],
+        relay_targets: Addresses = _no_addresses,
+        pull_sources: Addresses | None = None,
+        own_address: Callable[[], str] = lambda: "",
+        rng: random.Random | None = None,
+        poll_interval_s: float = POLL_INTERVAL_S,
+    ):
+        self._me = me
+        self._clock = clock
+        self._store = config_store.ConfigStore(table=table)
+        self._push_targets = push_targets
+        self._relay_targets = relay_targets
+        self._pull_sources = pull_sources or push_targets
+        self._own_address = own_address
+        self._call_peer = call_peer
+        self._on_policy = on_policy
+        self._rng = rng or random.Random()
+        self._poll_interval_s = poll_interval_s
+        self._log = config_log.ConfigLog(invariants=invariants)
+        self._blocks = lookup.BlockTable(blocks=())
+        self._head: config_store.Head | None = None
+        self._store_read_at_s: float | None = None
+        self._document: tuple[int, str] = (-1, "")
+        self._applying = asyncio.Lock()
+        self._inbox: asyncio.Queue[_Seen] = asyncio.Queue()
+        self._pushes: set[asyncio.Task] = set()
+        self._logger = structlog.get_logger("config").bind(instance=str(me))
+
+    @property
+    def policy(self) -> model.Policy | None:
+        """The policy in force, or None when none is known yet."""
+        return self._log.policy
+
+    @property
+    def revision(self) -> int:
+        """Revision of the policy in force; 0 when none is known yet."""
+        return self._log.revision
+
+    @property
+    def blocks(self) -> lookup.BlockTable:
+        """Client blocks of the policy in force."""
+        return self._blocks
+
+    def state(self) -> dict[str, Any]:
+        """Returns the state for status and dump as a JSON-able dict."""
+        read_at_s = self._store_read_at_s
+        return {
+            "revision": self.revision,
+            "has_policy": self.policy is not None,
+            "head_revision": self._head.revision if self._head else None,
+            "store_read_age_s": None if read_at_s is None else self._clock.monotonic() - read_at_s,
+            "pushes_in_flight": len(self._pushes),
+        }
+
+    async def run(self) -> None:
+        """Polls the table and catches up with peers until cancelled."""
+        while True:
+            await self._guarded(self.refresh())
+            jitter = self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
+            next_poll = asyncio.get_running_loop().time() + self._poll_interval_s * jitter
+            while (seen := await self._next_seen(next_poll)) is not None:
+                await self._catch_up(seen)
+
+    async def settle(self) -> None:
+        """Waits until the pushes in flight have ended; called before the process stops."""
+        while self._pushes:
+            await asyncio.gather(*self._pushes, return_exceptions=True)
+
+    def observe_revision(self, revision: int, *, source: str) -> None:
+        """Notes that the peer at RPC address ``source`` has a revision."""
+        if revision > self.revision:
+            self._inbox.put_nowait(_Seen(revision=revision, source=source))
+
+    async def refresh(self) -> None:
+        """Reads the head once; asks peers when the store does not answer.
+
+        Raises:
+            errors.SassafraswayError: A row is malformed or missing.
+        """
+        try:
+            await self._sync()
+        except table_module.StoreUnavailable as error:
+            self._logger.info("store does not answer", reason=str(error))
+            await self._pull_any()
+
+    async def apply(self, change: documents.Change) -> Applied:
+        """Accepts a change and puts it in force.
+
+        Raises:
+            errors.ConflictError: The change is not based on the current revision.
+            errors.ValidationError: The result would be invalid.
+            errors.UnavailableError: The store does not answer; the change may or may not have been
+                accepted, and sending it again is safe.
+        """
+        async with self._applying:
+            head = await self._sync()
+            recorded = head.change_ids.get(change.change_id)
+            if recorded is not None:
+                return Applied(revision=recorded, already_applied=True)
+            policy = documents.apply_change(self._require_policy(), change)
+            record = config_store.Record(
+                change=change, accepted_at_s=self._clock.wall(), accepted_by=str(self._me)
+            )
+            self._head = await self._accept(head, record, policy)
+        self._adopt(change)
+        self._logger.info(
+            "change accepted",
+            revision=change.revision,
+            change_id=change.change_id,
+            author=change.author,
+        )
+        self._push(change, [*self._push_targets(), *self._relay_targets()])
+        return Applied(revision=change.revision)
+
+    async def find_change(self, change_id: str) -> int | None:
+        """Returns the revision that a recent change produced, or None.
+
+        Raises:
+            errors.UnavailableError: The store does not answer and the change is not known here.
+        """
+        known = self._log.find(change_id)
+        return known if known is not None else (await self._sync()).change_ids.get(change_id)
+
+    async def records(self, *, limit: int, before: int = 0) -> list[config_store.Record]:
+        """Returns accepted changes below revision ``before``, newest first.
+
+        Raises:
+            errors.UnavailableError: The store does not answer.
+        """
+        newest = (await self._sync()).revision
+        last = min(newest, before - 1) if before else newest
+        first = max(1, last - limit + 1)
+        return (await self._store.read_records(first=first, last=last))[::-1]
+
+    async def policy_at(self, revision: int) -> model.Policy:
+        """Returns the policy of a revision.
+
+        Raises:
+            errors.NotFoundError: There is no such revision.
+            errors.UnavailableError: The store does not answer, or no policy is known.
+        """
+        current = self._require_policy()
+        if revision == current.revision:
+            return current
+        if not 0 <= revision <= current.revision:
+            raise errors.NotFoundError(
+                f"there is no revision {revision}; the newest is {current.revision}",
+                step="config.policy_at",
+            )
+        return await self._store.load_policy(revision)
+
+    async def receive(self, change: documents.Change, *, sender: str) -> int:
+        """Takes a change that a peer pushes and returns the revision that is now in force.
+
+        Raises:
+            errors.ValidationError: The change does not fit the policy.
+        """
+        if self._adopt(change):
+            self._push(change, self._relay_targets())
+        else:
+            self.observe_revision(change.revision, source=sender)
+        return self.revision
+
+    async def pull(self, address: str) -> None:
+        """Asks a peer for the changes that are missing here.
+
+        Raises:
+            errors.SassafraswayError: The peer does not answer, or its answer is invalid.
+        """
+        reply = await self._call_peer(address, "changes_since", revision=self.revision)
+        if reply.revision <= self.revision:
+            return
+        if reply.policy_json:
+            data = await asyncio.to_thread(documents.parse_json, reply.policy_json)
+            await self._install(data, reply.revision, dict(reply.change_ids or {}))
+            return
+        for text in reply.changes_json or ():
+            self._adopt(documents.parse_change(documents.parse_json(text)))
+
+    def changes_since(self, revision: int) -> list[documents.Change] | None:
+        """Returns the changes after a revision, or None when the log does not reach back.
+
+        Raises:
+            errors.UnavailableError: No policy is known yet.
+        """
+        self._require_policy()
+        return self._log.since(revision)
+
+    async def full_policy(self) -> tuple[int, str, dict[str, int]]:
+        """Returns revision, JSON document and recent change ids of the policy in force.
+
+        Raises:
+            errors.UnavailableError: No policy is known yet.
+        """
+        policy = self._require_policy()
+        change_ids = self._log.change_ids
+        if self._document[0] != policy.revision:
+            text = await asyncio.to_thread(config_store.dump_policy_json, policy)
+            self._document = (policy.revision, text)
+            return policy.revision, text, change_ids
+        return (*self._document, change_ids)
+
+    async def _sync(self) -> config_store.Head:
+        """Reads the head and puts newer revisions in force.
+
+        Raises:
+            table.StoreUnavailable: The store does not answer, or shows an older revision than the
+                one in force.
+        """
+        head = await self._store.read_head(known=self._head)
+        self._store_read_at_s = self._clock.monotonic()
+        if head.revision < self.revision:
+            raise table_module.StoreUnavailable(
+                f"the table shows revision {head.revision}, but revision {self.revision} is in"
+                " force here",
+                step="config.read_head",
+            )
+        self._head = head
+        if head.revision > self.revision or self.policy is None:
+            await self._load(head)
+        return head
+
+    async def _load(self, head: config_store.Head) -> None:
+        behind = head.revision - self.revision
+        if self.policy is not None and behind <= config_store.DOCUMENT_INTERVAL:
+            records = await self._store.read_records(first=self.revision + 1, last=head.revision)
+            for record in records:
+                self._adopt(record.change)
+            return
+        policy = await self._store.load_policy(head.revision)
+        await self._install_policy(policy, dict(head.change_ids))
+
+    async def _accept(
+        self, head: config_store.Head, record: config_store.Record, policy: model.Policy
+    ) -> config_store.Head:
+        """Writes a change; after a lost answer, looks for its change id in the head.
+
+        The write is conditional on the version of the head. Therefore it can be repeated while the
+        version is unchanged, and it can no longer take effect once the version has changed.
+        """
+        failure: errors.SassafraswayError | None = None
+        for _ in range(WRITE_ATTEMPTS):
+            try:
+                return await self._store.accept(head=head, record=record, policy=policy)
+            except (table_module.PreconditionFailed, table_module.StoreUnavailable) as error:
+                failure = error
+            current = await self._store.read_head()
+            if record.change.change_id in current.change_ids:
+                return current
+            if current.row != head.row:
+                raise errors.ConflictError(
+                    f"revision {current.revision} was accepted meanwhile", step="config.apply"
+                )
+        raise table_module.StoreUnavailable(
+            f"the store does not confirm the change: {failure}", step="config.apply"
+        )
+
+    async def _pull_any(self) -> None:
+        """Asks peers in random order until one answers."""
+        sources = [address for address in self._pull_sources() if address != self._own_address()]
+        for address in self._rng.sample(sources, min(PULL_ATTEMPTS, len(sources))):
+            try:
+                await self.pull(address)
+            except errors.SassafraswayError as error:
+                self._logger.info("peer gave no policy", peer=address, reason=str(error))
+                continue
+            return
+
+    async def _next_seen(self, until: float) -> _Seen | None:
+        """Returns the next message, or None at the event loop time ``until``."""
+        try:
+            async with asyncio.timeout_at(until):
+                return await self._inbox.get()
+        except TimeoutError:
+            return None
+
+    async def _catch_up(self, seen: _Seen) -> None:
+        if seen.revision <= self.revision:
+            return
+        if seen.source:
+            await self._guarded(self.pull(seen.source))
+        if seen.revision > self.revision:
+            await self._guarded(self.refresh())
+
+    async def _guarded(self, work: Awaitable[None]) -> None:
+        try:
+            await work
+        except errors.SassafraswayError as error:
+            self._logger.warning("configuration not updated", reason=str(error))
+
+    def _adopt(self, change: documents.Change) -> bool:
+        """Puts a change in force; returns False when it does not follow the current revision."""
+        if not self._log.append(change):
+            return False
+        if "blocks" in change.sections:
+            self._blocks = self._blocks.updated(change.sections["blocks"])
+        self._on_policy(self._require_policy())
+        return True
+
+    async def _install(self, data: Any, revision: int, change_ids: dict[str, int]) -> None:
+        policy = await asyncio.to_thread(documents.parse_policy, data, revision=revision)
+        await self._install_policy(policy, change_ids)
+
+    async def _install_policy(self, policy: model.Policy, change_ids: dict[str, int]) -> None:
+        """Puts a full policy in force unless a newer one is by the time that it is prepared."""
+        blocks = await asyncio.to_thread(lookup.BlockTable, blocks=policy.blocks.values())
+        if self.policy is not None and policy.revision <= self.revision:
+            return
+        if self._log.install(policy, change_ids=change_ids):
+            self._blocks = blocks
+            self._on_policy(policy)
+
+    def _push(self, change: documents.Change, addresses: Sequence[str]) -> None:
+        text = json.dumps(documents.dump_change(change))
+        for address in dict.fromkeys(addresses):
+            if address != self._own_address():
+                task = asyncio.create_task(self._push_to(address, text))
+                self._pushes.add(task)
+                task.add_done_callback(self._pushes.discard)
+
+    async def _push_to(self, address: str, text: str) -> None:
+        try:
+            await self._call_peer(
+                address, "push_change", change_json=text, sender_address=self._own_address()
+            )
+        except errors.SassafraswayError as error:
+            # The peer learns of the revision from a heartbeat or its own poll.
+            self._logger.info("push failed", peer=address, reason=str(error))
+
+    def _require_policy(self) -> model.Policy:
+        if self.policy is None:
+            raise errors.UnavailableError("no policy is known yet", step="config.policy")
+        return self.policy
--- a/packages/platform/src/sassafrasway_platform/http.py
+++ b/packages/platform/src/sassafrasway_platform/http.py
@@ -97,7 +97,7 @@
         return table.StoreUnavailable(message, step=step, peer=self.peer)
 
 
-class HttpTable(table.TableService):
+class HttpTableService(table.TableService):
     """Table service over HTTP."""
 
     def __init__(self, *, client: HttpClient):
@@ -164,7 +164,7 @@
             ) from error
 
 
-class HttpObjects(objects.ObjectStore):
+class HttpObjectStore(objects.ObjectStore):
     """Object store over HTTP."""
 
     def __init__(self, *, client: HttpClient):
@@ -184,7 +184,7 @@
         )
 
 
-class HttpInstances(instances.InstanceList):
+class HttpInstanceList(instances.InstanceList):
     """Instance list over HTTP."""
 
     def __init__(self, *, client: HttpClient):
--- a/packages/platform/tests/test_platform_clients.py
+++ b/packages/platform/tests/test_platform_clients.py
@@ -40,9 +40,9 @@
         client = http.HttpClient(
             base_url=f"http://127.0.0.1:{self.server.port}", session=self.session
         )
-        self.table = http.HttpTable(client=client)
-        self.objects = http.HttpObjects(client=client)
-        self.instances = http.HttpInstances(client=client)
+        self.table = http.HttpTableService(client=client)
+        self.objects = http.HttpObjectStore(client=client)
+        self.instances = http.HttpInstanceList(client=client)
 
     async def asyncTearDown(self):
         await self.session.close()
