--- /dev/null
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -0,0 +1,236 @@
+"""At-most-once execution: tickets, and the registry of keys that one incarnation has seen.
+
+A ticket names the only incarnation that may run the request. The registry of that incarnation
+decides alone, from its own memory and its own clock, whether a key may start.
+"""
+
+import dataclasses
+import enum
+import random
+import re
+from typing import Any
+
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import errors, invariants, model
+
+TICKET_START_S = 5.0  # time after its issue in which a ticket may start a run
+TICKET_SKEW_S = 5.0  # tolerated difference between the clocks of issuer and runner
+RETENTION_S = 120.0  # time for which a finished key is answered from memory
+NONCE_BITS = 64
+
+_TICKET_PATTERN = re.compile(
+    r"t1\.(?P<instance>[A-Za-z0-9_-]{1,64})\.(?P<incarnation>[A-Za-z0-9]{1,32})"
+    r"\.(?P<issued>\d{1,12})\.(?P<nonce>[0-9a-f]{16})"
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """Idempotency key that binds a request to one incarnation.
+
+    Attributes:
+        issued_s: Time of issue in whole seconds since the Unix epoch.
+    """
+
+    holder: model.InstanceId
+    issued_s: int
+    nonce: str
+
+    def __str__(self) -> str:
+        return f"t1.{self.holder.name}.{self.holder.incarnation}.{self.issued_s}.{self.nonce}"
+
+    @classmethod
+    def mint(
+        cls, *, holder: model.InstanceId, clock: clock_lib.Clock, rng: random.Random
+    ) -> "Ticket":
+        """Returns a new ticket for ``holder``."""
+        nonce = f"{rng.getrandbits(NONCE_BITS):016x}"
+        return cls(holder=holder, issued_s=int(clock.wall()), nonce=nonce)
+
+    @classmethod
+    def parse(cls, key: str) -> "Ticket | None":
+        """Returns the ticket that ``key`` encodes, or None when it is another kind of key."""
+        match = _TICKET_PATTERN.fullmatch(key)
+        if match is None:
+            return None
+        holder = model.InstanceId(name=match["instance"], incarnation=match["incarnation"])
+        return cls(holder=holder, issued_s=int(match["issued"]), nonce=match["nonce"])
+
+
+class Begin(enum.Enum):
+    """What the registry says about a key that arrives."""
+
+    START = "start"  # the caller of begin() may run the request now
+    RUNNING = "running"  # another attempt under this key runs
+    DONE = "done"  # the outcome is recorded
+    EXPIRED = "expired"  # the ticket can no longer start and has not run
+    FORGOTTEN = "forgotten"  # too old to say from memory whether it ran
+
+
+class KeyState(enum.Enum):
+    """Progress of a key."""
+
+    STARTED = "started"
+    DISPATCHED = "dispatched"
+    FINISHED = "finished"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class KeyRecord:
+    """What is known about a key.
+
+    Attributes:
+        outcome: Result given to ``finish``; None while the key runs.
+        updated_s: Monotonic time of the last change in seconds.
+        attempts: Number of dispatches that may have reached a backend server.
+    """
+
+    key: str
+    state: KeyState
+    updated_s: float
+    outcome: Any = None
+    attempts: int = 0
+
+
+class KeyRegistry:
+    """Keys that this incarnation runs or has run.
+
+    Args:
+        me: The incarnation that owns the registry.
+        clock: Time source. The wall clock is read once, so that a clock that is set back cannot
+            make an expired ticket valid again.
+        invariants: Checks one dispatch per key, and "not run" only without a dispatch.
+        retention_s: Time for which finished keys are kept in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: model.InstanceId,
+        clock: clock_lib.Clock,
+        invariants: invariants.Invariants,
+        retention_s: float = RETENTION_S,
+    ):
+        self._me = me
+        self._clock = clock
+        self._invariants = invariants
+        self._retention_s = retention_s
+        self._epoch_offset_s = clock.wall() - clock.monotonic()
+        self._started_wall_s = clock.wall()
+        self._records: dict[str, KeyRecord] = {}
+        self._finished: dict[str, float] = {}
+
+    @property
+    def running(self) -> int:
+        """Number of keys without an outcome."""
+        return len(self._records) - len(self._finished)
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def record(self, key: str) -> KeyRecord | None:
+        """Returns what is known about a key."""
+        return self._records.get(key)
+
+    def begin(self, key: str) -> Begin:
+        """Decides whether a key may start, and if so, marks it as started."""
+        self._forget_old()
+        record = self._records.get(key)
+        if record is not None:
+            return Begin.DONE if record.state is KeyState.FINISHED else Begin.RUNNING
+        ticket = Ticket.parse(key)
+        if ticket is not None:
+            verdict = self._check_ticket(ticket)
+            if verdict is not None:
+                return verdict
+        self._records[key] = KeyRecord(
+            key=key, state=KeyState.STARTED, updated_s=self._clock.monotonic()
+        )
+        return Begin.START
+
+    def dispatched(self, key: str) -> None:
+        """Notes that the request is about to leave for a backend server or pool owner.
+
+        Raises:
+            errors.InvariantViolation: The key has a dispatch that was not taken back.
+        """
+        record = self._require(key)
+        self._invariants.check(
+            invariants.Rule.ONE_DISPATCH_PER_KEY,
+            record.attempts == 0 and record.state is KeyState.STARTED,
+            f"{key} has {record.attempts} dispatches, state {record.state.value}",
+        )
+        record.attempts += 1
+        record.state = KeyState.DISPATCHED
+        record.updated_s = self._clock.monotonic()
+
+    def refused(self, key: str) -> None:
+        """Takes the last dispatch back after the receiver certainly refused it."""
+        record = self._require(key)
+        record.attempts = 0
+        record.state = KeyState.STARTED
+
+    def finish(self, key: str, outcome: Any, *, not_run: bool) -> None:
+        """Records the outcome of a key.
+
+        Raises:
+            errors.InvariantViolation: ``not_run`` is claimed for a dispatched key.
+        """
+        record = self._require(key)
+        self._invariants.check(
+            invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
+            not (not_run and record.attempts),
+            f"{key} is answered as not run after a dispatch",
+        )
+        record.state = KeyState.FINISHED
+        record.outcome = outcome
+        record.updated_s = self._clock.monotonic()
+        self._finished[key] = record.updated_s
+
+    def abandon(self, key: str) -> None:
+        """Removes a key that was not dispatched, so that it may start again later."""
+        record = self._require(key)
+        self._invariants.check(
+            invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
+            record.attempts == 0,
+            f"{key} is abandoned after a dispatch",
+        )
+        del self._records[key]
+
+    def startable_until_s(self, *, issued_before_s: float) -> float:
+        """Returns the monotonic time after which no ticket issued before then can start."""
+        limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
+        return limit_wall_s - self._epoch_offset_s
+
+    def _check_ticket(self, ticket: Ticket) -> Begin | None:
+        if ticket.holder != self._me:
+            raise errors.ValidationError(
+                f"ticket names {ticket.holder}", step="at_most_once.begin", peer=str(self._me)
+            )
+        age_s = self._now_wall_s() - ticket.issued_s
+        if age_s > self._retention_s:
+            return Begin.FORGOTTEN
+        # A start time is in whole seconds, so a ticket may look up to one second older.
+        if age_s > TICKET_START_S + 1.0 or age_s < -TICKET_SKEW_S:
+            return Begin.EXPIRED
+        return None
+
+    def _now_wall_s(self) -> float:
+        return self._clock.monotonic() + self._epoch_offset_s
+
+    def _require(self, key: str) -> KeyRecord:
+        record = self._records.get(key)
+        if record is None:
+            raise errors.NotFoundError(f"unknown key {key}", step="at_most_once", peer="")
+        return record
+
+    def _forget_old(self) -> None:
+        # A finished key is kept past the time in which its ticket can start: dropping it earlier
+        # would let a late duplicate start a second run.
+        limit_s = self._clock.monotonic() - self._retention_s - TICKET_START_S - TICKET_SKEW_S - 1.0
+        while self._finished:
+            key, finished_s = next(iter(self._finished.items()))
+            if finished_s > limit_s:
+                return
+            del self._finished[key]
+            self._records.pop(key, None)
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -0,0 +1,222 @@
+"""HTTP client for backend servers: connections, deadlines, cancellation, silent connections."""
+
+import asyncio
+import dataclasses
+import enum
+import time
+
+import aiohttp
+import structlog
+
+from sassafrasway_core import model
+from sassafrasway_entry import messages
+
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 5.0
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# A connection that stays without an answer this long is taken for silent when the request may be
+# repeated; the deadline is the only limit for other requests.
+SILENCE_TIMEOUT_S = 2.0
+
+DEADLINE_HEADER = "Sassafras-Deadline-Ms"
+REQUEST_ID_HEADER = "Sassafras-Request-Id"
+SHED_HEADER = "Sassafras-Shed"
+LOAD_HEADER = "Sassafras-Load"
+STATE_HEADER = "Sassafras-State"
+
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "host",
+        "content-length",
+        "content-encoding",
+        "date",
+        "server",
+    )
+)
+
+
+class CallResult(enum.Enum):
+    """How a call to a backend server ended."""
+
+    OK = "ok"
+    SHED = "shed"
+    NOT_SENT = "not_sent"  # no connection, so the server has not seen the request
+    LOST = "lost"  # the connection broke before the whole answer
+    TIMEOUT = "timeout"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendAnswer:
+    """Result of a call; status, headers and body are set when the result is ``OK``."""
+
+    result: CallResult
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    load: int | None = None
+    leaving: bool = False
+    detail: str = ""
+
+
+class BackendClient:
+    """Calls backend servers, with a connection pool for each.
+
+    Requests that may be repeated reuse connections. A non-idempotent request gets a connection of
+    its own: a reused one may have been closed or gone silent, which would leave an unknown outcome.
+
+    Args:
+        local_host: IP address to connect from.
+    """
+
+    def __init__(self, *, local_host: str):
+        self._local_host = local_host
+        self._reused: dict[str, aiohttp.ClientSession] = {}
+        self._fresh: dict[str, aiohttp.ClientSession] = {}
+        self._log = structlog.get_logger("backend_client")
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        sessions = [*self._reused.values(), *self._fresh.values()]
+        self._reused.clear()
+        self._fresh.clear()
+        for session in sessions:
+            await session.close()
+
+    async def call(
+        self,
+        server: model.BackendServer,
+        request: messages.Request,
+        *,
+        idempotent: bool,
+        timeout_s: float,
+    ) -> BackendAnswer:
+        """Sends a request and returns the whole answer."""
+        session = self._session(server, reuse=idempotent)
+        started_s = time.monotonic()
+        sent = asyncio.Event()
+        limit_s = min(timeout_s, SILENCE_TIMEOUT_S) if idempotent else timeout_s
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._exchange(session, server, request, timeout_s, sent)
+        except TimeoutError:
+            self._drop_idle(server, waited_s=time.monotonic() - started_s)
+            result = CallResult.TIMEOUT if sent.is_set() else CallResult.NOT_SENT
+            return BackendAnswer(result=result, detail=f"no answer within {limit_s:.3f} s")
+        except aiohttp.ClientConnectorError as error:
+            return BackendAnswer(result=CallResult.NOT_SENT, detail=str(error))
+        except aiohttp.ClientError as error:
+            return BackendAnswer(result=CallResult.LOST, detail=repr(error))
+        except OSError as error:
+            result = CallResult.LOST if sent.is_set() else CallResult.NOT_SENT
+            return BackendAnswer(result=result, detail=repr(error))
+
+    async def probe(self, server: model.BackendServer, *, timeout_s: float) -> bool:
+        """Returns whether the server answers its health check on a new connection."""
+        session = self._session(server, reuse=False)
+        try:
+            timeout = aiohttp.ClientTimeout(total=timeout_s)
+            async with session.get(f"{server.url}/healthz", timeout=timeout) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+
+    async def _exchange(
+        self,
+        session: aiohttp.ClientSession,
+        server: model.BackendServer,
+        request: messages.Request,
+        timeout_s: float,
+        sent: asyncio.Event,
+    ) -> BackendAnswer:
+        headers = [pair for pair in request.headers if pair[0].lower() not in _HOP_BY_HOP]
+        headers.append((DEADLINE_HEADER, str(max(1, int(timeout_s * 1000)))))
+        headers.append((REQUEST_ID_HEADER, request.request_id))
+        async with session.request(
+            request.method,
+            server.url + request.path,
+            data=request.body or None,
+            headers=headers,
+            allow_redirects=False,
+            trace_request_ctx=sent,
+        ) as response:
+            body = await response.content.read(MAX_RESPONSE_BYTES + 1)
+            while not response.content.at_eof():
+                body += await response.content.read(MAX_RESPONSE_BYTES + 1 - len(body))
+                if len(body) > MAX_RESPONSE_BYTES:
+                    response.close()
+                    return BackendAnswer(
+                        result=CallResult.LOST,
+                        detail=f"answer is larger than {MAX_RESPONSE_BYTES} bytes",
+                    )
+            return self._read_answer(response, body)
+
+    def _read_answer(self, response: aiohttp.ClientResponse, body: bytes) -> BackendAnswer:
+        load = response.headers.get(LOAD_HEADER, "")
+        shed = response.status == 503 and response.headers.get(SHED_HEADER) == "1"
+        return BackendAnswer(
+            result=CallResult.SHED if shed else CallResult.OK,
+            status=response.status,
+            headers=tuple(
+                pair for pair in response.headers.items() if pair[0].lower() not in _HOP_BY_HOP
+            ),
+            body=body,
+            load=int(load) if load.isdecimal() else None,
+            leaving=response.headers.get(STATE_HEADER) == "leaving",
+        )
+
+    def _session(self, server: model.BackendServer, *, reuse: bool) -> aiohttp.ClientSession:
+        sessions = self._reused if reuse else self._fresh
+        session = sessions.get(server.url)
+        if session is None:
+            session = self._new_session(server, reuse=reuse)
+            sessions[server.url] = session
+        return session
+
+    def _new_session(self, server: model.BackendServer, *, reuse: bool) -> aiohttp.ClientSession:
+        connections = {"force_close": True} if not reuse else {"keepalive_timeout": IDLE_TIMEOUT_S}
+        connector = aiohttp.TCPConnector(
+            limit=server.connections,
+            local_addr=(self._local_host, 0),
+            **connections,
+        )
+        trace = aiohttp.TraceConfig()
+        trace.on_request_headers_sent.append(_mark_sent)
+        session = aiohttp.ClientSession(
+            connector=connector,
+            auto_decompress=False,
+            trace_configs=[trace],
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+        )
+        # aiohttp repeats a GET, PUT or DELETE once when a reused connection breaks. That would run
+        # a request twice without the retry budget and hide a crash of the server.
+        session._retry_connection = False
+        return session
+
+    def _drop_idle(self, server: model.BackendServer, *, waited_s: float) -> None:
+        """Replaces the connections to a server after one of them stayed without an answer."""
+        session = self._reused.pop(server.url, None)
+        if session is None:
+            return
+        self._log.info("connections replaced", server=server.name, waited_s=round(waited_s, 3))
+        task = asyncio.create_task(_close_later(session))
+        task.add_done_callback(lambda done: done.exception())
+
+
+async def _close_later(session: aiohttp.ClientSession) -> None:
+    # Requests on the other connections may still get their answers.
+    await asyncio.sleep(SILENCE_TIMEOUT_S)
+    await session.close()
+
+
+async def _mark_sent(session, context, params) -> None:
+    event = context.trace_request_ctx
+    if event is not None:
+        event.set()
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -0,0 +1,361 @@
+"""HTTP interface for callers: look-up and requests."""
+
+import asyncio
+import ipaddress
+import itertools
+import json
+import random
+import time
+
+import structlog
+from aiohttp import web
+
+from sassafrasway_core import at_most_once, model, quarantine, retry
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_entry import (
+    dispatcher,
+    gatekeeper,
+    messages,
+    recorder,
+    settings,
+    steering,
+    telemetry,
+)
+
+KEY_HEADER = "Idempotency-Key"
+DEADLINE_HEADER = "Sassafras-Deadline-Ms"
+CLIENT_HEADER = "Sassafras-Client"
+OUTCOME_HEADER = "Sassafras-Outcome"
+SERVED_BY_HEADER = "Sassafras-Served-By"
+REASON_HEADER = "Sassafras-Reason"
+
+MAX_KEY_CHARS = 255
+MAX_DEADLINE_MS = 600_000
+LOOKUP_ALTERNATES = 3  # instances in a look-up answer besides the owner of the home pool
+# aiohttp closes the connection on a larger header line before a handler runs.
+AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
+
+_OWN_HEADERS = frozenset(
+    name.lower() for name in (KEY_HEADER, DEADLINE_HEADER, CLIENT_HEADER, "Host")
+)
+
+
+class CallerApi:
+    """Serves callers over HTTP.
+
+    Args:
+        me: This incarnation.
+        clock: Time source.
+        rng: Random source for tickets and alternates.
+        limits: Largest header and body.
+        steering: Policy questions.
+        directory: Other instances.
+        dispatcher: Runs idempotent requests.
+        gatekeeper: Runs non-idempotent requests.
+        metrics: Metric instruments.
+        record: Record of answers.
+        ready: Returns whether this instance may serve.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: model.InstanceId,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        limits: settings.LimitsSection,
+        steering: steering.Steering,
+        directory: dispatcher.Directory,
+        dispatcher: dispatcher.Dispatcher,
+        gatekeeper: gatekeeper.Gatekeeper,
+        metrics: telemetry.Metrics,
+        record: recorder.Recorder,
+        ready,
+    ):
+        self._me = me
+        self._clock = clock
+        self._rng = rng
+        self._limits = limits
+        self._steering = steering
+        self._directory = directory
+        self._dispatcher = dispatcher
+        self._gatekeeper = gatekeeper
+        self._metrics = metrics
+        self._record = record
+        self._ready = ready
+        self._request_ids = itertools.count(1)
+        self._in_flight = 0
+        self._runner: web.AppRunner | None = None
+        self._log = structlog.get_logger("caller_api")
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests that are being answered."""
+        return self._in_flight
+
+    def build(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(
+            client_max_size=self._limits.max_body_bytes, middlewares=[self._answer_errors]
+        )
+        app.router.add_get("/v1/lookup", self._lookup)
+        app.router.add_route("*", "/v1/services/{service}", self._request)
+        app.router.add_route("*", "/v1/services/{service}/{path:.*}", self._request)
+        return app
+
+    async def start(self, address: str) -> None:
+        """Starts to listen on ``host:port``."""
+        host, _, port = address.rpartition(":")
+        self._runner = web.AppRunner(
+            self.build(),
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=AIOHTTP_HEADER_LIMIT_BYTES,
+            max_field_size=AIOHTTP_HEADER_LIMIT_BYTES,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, int(port), backlog=1024).start()
+
+    async def stop(self) -> None:
+        """Stops to listen and closes the connections."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _answer_errors(self, request: web.Request, handler) -> web.StreamResponse:
+        """Gives every error answer an outcome."""
+        try:
+            size = sum(len(name) + len(value) for name, value in request.raw_headers)
+            if size > self._limits.max_header_bytes:
+                return self._respond(
+                    messages.not_run(
+                        431,
+                        messages.Reason.HEADER_TOO_LARGE,
+                        f"headers have {size} bytes, allowed are {self._limits.max_header_bytes}",
+                    )
+                )
+            return await handler(request)
+        except web.HTTPRequestEntityTooLarge:
+            return self._respond(
+                messages.not_run(
+                    413,
+                    messages.Reason.BODY_TOO_LARGE,
+                    f"allowed are {self._limits.max_body_bytes} bytes",
+                )
+            )
+        except web.HTTPException as error:
+            return self._respond(
+                messages.not_run(error.status, messages.Reason.BAD_REQUEST, error.reason)
+            )
+
+    async def _lookup(self, request: web.Request) -> web.Response:
+        service = request.query.get("service", "")
+        client = request.query.get("client", "")
+        problem = self._check_lookup(service, client)
+        if problem is not None:
+            self._metrics.lookups.add(1, {"status": problem.status})
+            return self._respond(problem)
+        route = self._steering.route(service=service, client=client, spread=client)
+        instances = self._instances(route)
+        if not instances:
+            return self._respond(
+                messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
+            )
+        answer = {
+            "service": service,
+            "region": route.pools[0].region if route.pools else route.home_region,
+            "instances": [{"name": each.name, "url": each.caller_url} for each in instances],
+            "ttl_s": self._limits.lookup_ttl_s,
+        }
+        if not self._steering.policy.services[service].idempotent:
+            answer["ticket"] = str(self._mint(instances[0]))
+        self._metrics.lookups.add(1, {"status": 200})
+        return web.Response(
+            body=json.dumps(answer).encode(),
+            content_type="application/json",
+            headers={"Cache-Control": f"max-age={int(self._limits.lookup_ttl_s)}"}
+            if "ticket" not in answer
+            else {"Cache-Control": "no-store"},
+        )
+
+    def _check_lookup(self, service: str, client: str) -> messages.Answer | None:
+        if not self._ready() or self._steering.policy is None:
+            return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
+        if service not in self._steering.policy.services:
+            return messages.not_run(
+                404, messages.Reason.UNKNOWN_SERVICE, f"no service {service!r} in the policy"
+            )
+        if not _is_ip(client):
+            return messages.not_run(
+                400, messages.Reason.BAD_REQUEST, "client: expected an IP address"
+            )
+        if self._steering.region_of(client) is None:
+            return messages.not_run(
+                404, messages.Reason.UNKNOWN_CLIENT_BLOCK, f"no client block contains {client}"
+            )
+        return None
+
+    def _instances(self, route: steering.Route) -> list:
+        """Returns the owner of the home pool first, then owners of other pools and others."""
+        found = {}
+        for key in route.pools:
+            owner = self._directory.owner(key)
+            if owner is not None:
+                found.setdefault(owner.name, owner)
+        others = [
+            each
+            for each in self._directory.instances()
+            if each.state == "live" and each.name not in found
+        ]
+        others.sort(key=lambda each: each.region != route.home_region)
+        near = [each for each in others if each.region == route.home_region] or others
+        self._rng.shuffle(near)
+        return (list(found.values()) + near)[: 1 + LOOKUP_ALTERNATES]
+
+    def _mint(self, instance) -> at_most_once.Ticket:
+        holder = model.InstanceId(name=instance.name, incarnation=instance.incarnation)
+        return at_most_once.Ticket.mint(holder=holder, clock=self._clock, rng=self._rng)
+
+    async def _request(self, request: web.Request) -> web.Response:
+        started_s = time.monotonic()
+        service = request.match_info["service"]
+        self._in_flight += 1
+        try:
+            answer = await self._serve(request, service)
+        finally:
+            self._in_flight -= 1
+        known = self._steering.policy is not None and service in self._steering.policy.services
+        attributes = {"service": service if known else "", "outcome": answer.outcome.value}
+        self._metrics.requests.add(1, attributes)
+        self._metrics.latency.record(time.monotonic() - started_s, attributes)
+        return self._respond(answer)
+
+    async def _serve(self, http: web.Request, service: str) -> messages.Answer:
+        policy = self._steering.policy
+        if policy is None or not self._ready():
+            return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
+        if service not in policy.services:
+            return messages.not_run(
+                404, messages.Reason.UNKNOWN_SERVICE, f"no service {service!r} in the policy"
+            )
+        parsed = await self._parse(http, policy.services[service])
+        if isinstance(parsed, messages.Answer):
+            return parsed
+        if parsed.deadline.expired:
+            return messages.not_run(504, messages.Reason.DEADLINE, "deadline passed on arrival")
+        if policy.services[service].idempotent:
+            answer = await self._run_idempotent(parsed)
+        else:
+            answer = await asyncio.shield(asyncio.ensure_future(self._gatekeeper.handle(parsed)))
+        self._record.record(
+            "answer",
+            request_id=parsed.request_id,
+            key=parsed.key,
+            service=service,
+            outcome=answer.outcome.value,
+            status=answer.status,
+            reason=answer.reason.value,
+        )
+        return answer
+
+    async def _run_idempotent(self, request: messages.Request) -> messages.Answer:
+        try:
+            limit_s = request.deadline.remaining_s + 0.05
+            return await asyncio.wait_for(self._dispatcher.run(request), limit_s)
+        except TimeoutError:
+            return messages.unknown(504, messages.Reason.DEADLINE)
+
+    async def _parse(
+        self, http: web.Request, service: model.Service
+    ) -> messages.Request | messages.Answer:
+        key = http.headers.get(KEY_HEADER, "")
+        if len(key) > MAX_KEY_CHARS:
+            return messages.not_run(
+                400,
+                messages.Reason.BAD_REQUEST,
+                f"{KEY_HEADER}: has {len(key)} characters, allowed are {MAX_KEY_CHARS}",
+            )
+        if not service.idempotent and not key:
+            return messages.not_run(
+                400, messages.Reason.KEY_REQUIRED, f"{service.name} requires {KEY_HEADER}"
+            )
+        deadline_ms = _deadline_ms(http, service)
+        if deadline_ms is None:
+            return messages.not_run(
+                400,
+                messages.Reason.BAD_REQUEST,
+                f"{DEADLINE_HEADER}: expected whole milliseconds up to {MAX_DEADLINE_MS}",
+            )
+        client = http.headers.get(CLIENT_HEADER, "") or http.remote or ""
+        if not _is_ip(client):
+            return messages.not_run(
+                400, messages.Reason.BAD_REQUEST, f"{CLIENT_HEADER}: expected an IP address"
+            )
+        deadline = retry.Deadline(clock=self._clock, remaining_s=deadline_ms / 1000)
+        body = await http.read()
+        path = _backend_path(http, service.name)
+        return messages.Request(
+            request_id=f"{self._me}/{next(self._request_ids)}",
+            service=service.name,
+            method=http.method,
+            path=path,
+            headers=tuple(
+                (name, value)
+                for name, value in http.headers.items()
+                if name.lower() not in _OWN_HEADERS or name.lower() == KEY_HEADER.lower()
+            ),
+            body=body,
+            deadline=deadline,
+            key=key if not service.idempotent else "",
+            client=client,
+            fingerprint=quarantine.fingerprint(
+                service=service.name, method=http.method, path=path, body=body
+            ),
+        )
+
+    def _respond(self, answer: messages.Answer) -> web.Response:
+        headers = [(OUTCOME_HEADER, answer.outcome.value), (SERVED_BY_HEADER, self._me.name)]
+        if answer.outcome is messages.Outcome.RAN:
+            own = {OUTCOME_HEADER.lower(), SERVED_BY_HEADER.lower()}
+            headers += [pair for pair in answer.headers if pair[0].lower() not in own]
+            return web.Response(status=answer.status, headers=headers, body=answer.body)
+        headers.append((REASON_HEADER, answer.reason.value))
+        if answer.retry_after_ms:
+            headers.append(("Retry-After", str(max(1, -(-answer.retry_after_ms // 1000)))))
+        body = {
+            "outcome": answer.outcome.value,
+            "reason": answer.reason.value,
+            "detail": answer.detail,
+            "retry_after_ms": answer.retry_after_ms,
+        }
+        return web.Response(
+            status=answer.status,
+            headers=headers,
+            body=json.dumps(body).encode(),
+            content_type="application/json",
+        )
+
+
+def _deadline_ms(http: web.Request, service: model.Service) -> int | None:
+    text = http.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return service.deadline_ms
+    try:
+        value = int(text)
+    except ValueError:
+        return None
+    return value if value <= MAX_DEADLINE_MS else None
+
+
+def _backend_path(http: web.Request, service: str) -> str:
+    prefix = f"/v1/services/{service}"
+    path = http.raw_path
+    return (path[len(prefix) :] if path.startswith(prefix) else path) or "/"
+
+
+def _is_ip(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -0,0 +1,106 @@
+"""Conversion between the messages of the entry's tasks and the Thrift messages of peers."""
+
+import dataclasses
+
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import model, retry
+from sassafrasway_entry import messages
+from sassafrasway_rpc import schema
+
+_OUTCOMES = {
+    messages.Outcome.RAN: schema.forward.Outcome.RAN,
+    messages.Outcome.NOT_RUN: schema.forward.Outcome.NOT_RUN,
+    messages.Outcome.UNKNOWN: schema.forward.Outcome.UNKNOWN,
+}
+_FROM_OUTCOMES = {value: key for key, value in _OUTCOMES.items()}
+
+
+def with_route(request: messages.Request, *, home_region: str, shift: str) -> messages.Request:
+    """Returns the request with its home region and shift set."""
+    return dataclasses.replace(request, home_region=home_region, shift=shift)
+
+
+def to_forward(
+    request: messages.Request,
+    *,
+    stage: int,
+    key: model.PoolKey | None,
+    may_queue: bool,
+    sender: str,
+):
+    """Returns the Thrift message that carries a request to a peer."""
+    return schema.forward.ForwardRequest(
+        request_id=request.request_id,
+        stage=stage,
+        service_name=request.service,
+        region=key.region if key else "",
+        shard=key.shard if key else 0,
+        method=request.method,
+        path=request.path,
+        headers=_to_headers(request.headers),
+        body=request.body,
+        deadline_ms=int(request.deadline.remaining_s * 1000),
+        key=request.key,
+        client=request.client,
+        home_region=request.home_region,
+        shift=request.shift,
+        may_queue=may_queue,
+        sender=sender,
+        fingerprint=request.fingerprint,
+    )
+
+
+def from_forward(message, *, clock: clock_lib.Clock) -> messages.Request:
+    """Returns the request that a Thrift message carries."""
+    return messages.Request(
+        request_id=message.request_id,
+        service=message.service_name,
+        method=message.method,
+        path=message.path,
+        headers=_from_headers(message.headers),
+        body=message.body or b"",
+        deadline=retry.Deadline(clock=clock, remaining_s=message.deadline_ms / 1000),
+        key=message.key or "",
+        client=message.client or "",
+        home_region=message.home_region or "",
+        shift=message.shift or "",
+        fingerprint=message.fingerprint or "",
+    )
+
+
+def to_reply(answer: messages.Answer):
+    """Returns the Thrift message that carries an answer."""
+    return schema.forward.ForwardReply(
+        outcome=_OUTCOMES[answer.outcome],
+        status=answer.status,
+        headers=_to_headers(answer.headers),
+        body=answer.body,
+        reason=answer.reason.value,
+        detail=answer.detail,
+        owner=answer.owner,
+        server=answer.server,
+        retry_after_ms=answer.retry_after_ms,
+    )
+
+
+def from_reply(reply) -> messages.Answer:
+    """Returns the answer that a Thrift message carries."""
+    return messages.Answer(
+        outcome=_FROM_OUTCOMES[reply.outcome],
+        status=reply.status,
+        headers=_from_headers(reply.headers),
+        body=reply.body or b"",
+        reason=messages.Reason(reply.reason or ""),
+        detail=reply.detail or "",
+        owner=reply.owner or "",
+        server=reply.server or "",
+        retry_after_ms=reply.retry_after_ms or 0,
+    )
+
+
+def _to_headers(pairs: tuple[tuple[str, str], ...]) -> list:
+    return [schema.common.Header(name=name, value=value) for name, value in pairs]
+
+
+def _from_headers(headers) -> tuple[tuple[str, str], ...]:
+    return tuple((header.name, header.value) for header in headers or ())
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -0,0 +1,190 @@
+"""Carries a request to a pool that has a free slot: own pools directly, others through peers."""
+
+import asyncio
+from typing import Any, Protocol
+
+import structlog
+
+from sassafrasway_core import errors, model, retry
+from sassafrasway_entry import conversion, messages, pools, steering
+from sassafrasway_rpc import client as rpc_client
+from sassafrasway_rpc import schema
+
+# An idempotent request leaves a peer that does not answer in this time, so that a connection that
+# went silent does not use up the whole deadline.
+PEER_SILENCE_TIMEOUT_S = 2.5
+
+_TRY_NEXT = frozenset(
+    (
+        messages.Reason.NO_SLOT,
+        messages.Reason.NO_SERVER,
+        messages.Reason.NOT_OWNER,
+        messages.Reason.NOT_READY,
+        messages.Reason.REGION_CAP,
+        messages.Reason.SHIFT_CAP,
+        messages.Reason.LINK_CAP,
+        messages.Reason.PEER_UNREACHABLE,
+    )
+)
+
+
+class Directory(Protocol):
+    """What this instance knows about the others."""
+
+    def owner(self, key: model.PoolKey) -> Any:
+        """Returns the instance that owns a pool, or None."""
+
+    def instance(self, name: str) -> Any:
+        """Returns an instance by name, or None."""
+
+    def instances(self, region: str | None = None) -> list[Any]:
+        """Returns the instances of a region, or all."""
+
+    def is_gone(self, name: str, incarnation: str) -> bool:
+        """Returns whether an incarnation is known to have ended."""
+
+
+class Peers(Protocol):
+    """Calls to other entry instances."""
+
+    async def call(self, address: str, method: str, *, timeout_s: float, **arguments: Any) -> Any:
+        """Calls a method of a peer."""
+
+
+class Dispatcher:
+    """Finds a pool for a request and runs it there.
+
+    Args:
+        me: This incarnation.
+        steering: Policy questions.
+        pools: Pools that this instance owns.
+        directory: Owners of the other pools.
+        peers: Calls to other instances.
+        budget: Limits how often an idempotent request is repeated after a peer did not answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: model.InstanceId,
+        steering: steering.Steering,
+        pools: pools.PoolManager,
+        directory: Directory,
+        peers: Peers,
+        budget: retry.RetryBudget,
+    ):
+        self._me = me
+        self._steering = steering
+        self._pools = pools
+        self._directory = directory
+        self._peers = peers
+        self._budget = budget
+        self._log = structlog.get_logger("dispatcher")
+
+    async def run(self, request: messages.Request) -> messages.Answer:
+        """Tries the pools of the service, home pool first, then queues at the home pool."""
+        policy = self._steering.policy
+        if policy is None:
+            return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
+        service = policy.services[request.service]
+        spread = request.key or request.request_id
+        route = self._steering.route(service=request.service, client=request.client, spread=spread)
+        if not route.pools:
+            return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
+        request = conversion.with_route(request, home_region=route.home_region, shift=route.shift)
+        self._budget.on_request()
+        answer = messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
+        unsure: messages.Answer | None = None
+        for key in route.pools:
+            answer = await self.execute(key, request, may_queue=False)
+            if answer.outcome is messages.Outcome.UNKNOWN and self._may_repeat(service, answer):
+                unsure = answer
+                continue
+            if answer.outcome is not messages.Outcome.NOT_RUN or answer.reason not in _TRY_NEXT:
+                return answer
+        if service.may_wait and not request.deadline.expired:
+            answer = await self._queue(route, request)
+        if answer.outcome is messages.Outcome.NOT_RUN and unsure is not None:
+            return unsure
+        return answer
+
+    async def execute(
+        self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
+    ) -> messages.Answer:
+        """Runs a request at one pool, here or at the pool's owner."""
+        if request.deadline.expired:
+            return messages.not_run(504, messages.Reason.DEADLINE)
+        owner = self._directory.owner(key)
+        if owner is None or (owner.name == self._me.name and not self._pools.owns(key)):
+            return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=200)
+        if owner.name == self._me.name:
+            return await self._pools.execute(key, request, may_queue=may_queue)
+        answer = await self.forward(
+            owner, request, stage=schema.forward.Stage.EXECUTE, key=key, may_queue=may_queue
+        )
+        if answer.reason is messages.Reason.NOT_OWNER and answer.owner:
+            current = self._directory.instance(answer.owner)
+            if current is not None and current.name not in (owner.name, self._me.name):
+                return await self.forward(
+                    current,
+                    request,
+                    stage=schema.forward.Stage.EXECUTE,
+                    key=key,
+                    may_queue=may_queue,
+                )
+        return answer
+
+    async def forward(
+        self,
+        peer: Any,
+        request: messages.Request,
+        *,
+        stage: int,
+        key: model.PoolKey | None = None,
+        may_queue: bool = False,
+    ) -> messages.Answer:
+        """Sends a request to another instance and returns its answer."""
+        policy = self._steering.policy
+        idempotent = policy is not None and policy.services[request.service].idempotent
+        message = conversion.to_forward(
+            request, stage=stage, key=key, may_queue=may_queue, sender=str(self._me)
+        )
+        limit_s = request.deadline.remaining_s
+        if idempotent and not may_queue:
+            limit_s = min(limit_s, PEER_SILENCE_TIMEOUT_S)
+        try:
+            reply = await self._peers.call(
+                peer.rpc_address, "forward", timeout_s=limit_s, request=message
+            )
+        except rpc_client.CallNotSentError as error:
+            return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
+        except errors.UnavailableError as error:
+            return messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
+        except errors.SassafraswayError as error:
+            self._log.warning("peer reported an error", peer=peer.name, error=str(error))
+            return messages.unknown(502, messages.Reason.INTERNAL, str(error))
+        except asyncio.CancelledError:
+            await self._cancel(peer, request.request_id)
+            raise
+        return conversion.from_reply(reply)
+
+    async def _queue(self, route: steering.Route, request: messages.Request) -> messages.Answer:
+        answer = messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
+        for key in route.pools:
+            answer = await self.execute(key, request, may_queue=True)
+            if answer.outcome is not messages.Outcome.NOT_RUN or request.deadline.expired:
+                return answer
+        return answer
+
+    def _may_repeat(self, service: model.Service, answer: messages.Answer) -> bool:
+        return (
+            service.idempotent
+            and answer.reason is messages.Reason.PEER_UNREACHABLE
+            and self._budget.try_retry()
+        )
+
+    async def _cancel(self, peer: Any, request_id: str) -> None:
+        try:
+            await self._peers.call(peer.rpc_address, "cancel", timeout_s=0.5, request_id=request_id)
+        except errors.SassafraswayError as error:
+            self._log.debug("cancel not delivered", peer=peer.name, error=str(error))
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -0,0 +1,263 @@
+"""At-most-once execution of non-idempotent requests.
+
+The holder of a key decides whether it may start: for a ticket the incarnation that it names, for
+any other key whoever created the claim row in the table.
+"""
+
+import asyncio
+import dataclasses
+import json
+import urllib.parse
+
+import structlog
+
+from sassafrasway_core import at_most_once, errors, model
+from sassafrasway_entry import dispatcher, messages, outcomes
+from sassafrasway_platform import table
+from sassafrasway_rpc import schema
+
+CLAIM_RETRY_S = 0.1
+CLAIM_UPDATE_INTERVAL_S = 0.5
+CLAIM_UPDATE_WAIT_S = 0.5  # time that an answer waits for its outcome to be stored
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """Contents of a claim row.
+
+    Attributes:
+        attempt: Request id of the attempt that created the row.
+    """
+
+    holder: str
+    attempt: str
+    answer: messages.Answer | None = None
+
+    def encode(self) -> bytes:
+        """Returns the value of the row."""
+        document = outcomes.to_document(self.answer) if self.answer else None
+        return json.dumps(
+            {"holder": self.holder, "attempt": self.attempt, "answer": document}
+        ).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> "Claim":
+        """Returns the claim that a row holds."""
+        data = json.loads(value)
+        answer = outcomes.from_document(data["answer"]) if data["answer"] else None
+        return cls(holder=data["holder"], attempt=data["attempt"], answer=answer)
+
+
+class Gatekeeper:
+    """Runs non-idempotent requests at most once.
+
+    Args:
+        me: This incarnation.
+        registry: Keys that this incarnation has seen.
+        dispatcher: Runs requests on pools.
+        directory: Other instances.
+        store: Outcomes in the table.
+        claims: Table service for claim rows.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: model.InstanceId,
+        registry: at_most_once.KeyRegistry,
+        dispatcher: dispatcher.Dispatcher,
+        directory: dispatcher.Directory,
+        store: outcomes.OutcomeStore,
+        claims: table.TableService,
+    ):
+        self._me = me
+        self._registry = registry
+        self._dispatcher = dispatcher
+        self._directory = directory
+        self._store = store
+        self._claims = claims
+        self._running: dict[str, asyncio.Task] = {}
+        self._updates: set[asyncio.Task] = set()
+        self._log = structlog.get_logger("gatekeeper")
+
+    @property
+    def running(self) -> int:
+        """Number of keys that run now."""
+        return len(self._running)
+
+    @property
+    def pending_updates(self) -> int:
+        """Number of claim rows whose outcome is not written yet."""
+        return len(self._updates)
+
+    async def handle(self, request: messages.Request) -> messages.Answer:
+        """Runs a request that a caller sent to this instance."""
+        ticket = at_most_once.Ticket.parse(request.key)
+        if ticket is None:
+            return await self._handle_claim(request)
+        if ticket.holder == self._me:
+            return await self.run_held(request)
+        peer = self._directory.instance(ticket.holder.name)
+        if peer is not None and peer.incarnation == ticket.holder.incarnation:
+            answer = await self._dispatcher.forward(
+                peer, request, stage=schema.forward.Stage.GATEKEEP
+            )
+            if answer.reason is not messages.Reason.PEER_UNREACHABLE:
+                return answer
+        return await self._recorded_outcome(ticket, request)
+
+    async def run_forwarded(self, request: messages.Request) -> messages.Answer:
+        """Runs a request that another instance sent because this incarnation holds its key."""
+        ticket = at_most_once.Ticket.parse(request.key)
+        if ticket is None and self._registry.record(request.key) is None:
+            return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
+        if ticket is not None and ticket.holder != self._me:
+            return await self._recorded_outcome(ticket, request)
+        return await self.run_held(request)
+
+    async def run_held(self, request: messages.Request) -> messages.Answer:
+        """Runs a request whose key this incarnation holds, or joins its earlier attempt."""
+        key = request.key
+        state = self._registry.begin(key)
+        if state is at_most_once.Begin.EXPIRED:
+            return messages.not_run(409, messages.Reason.TICKET_EXPIRED)
+        if state is at_most_once.Begin.DONE:
+            return self._registry.record(key).outcome
+        if state is at_most_once.Begin.FORGOTTEN:
+            return await self._recorded_outcome(at_most_once.Ticket.parse(key), request)
+        if state is at_most_once.Begin.START:
+            self._start(request)
+        return await self._join(key, request)
+
+    def _start(self, request: messages.Request) -> None:
+        # The run is a task of its own: a caller that goes away must not stop a dispatched request,
+        # and its outcome must be recorded.
+        task = asyncio.create_task(self._run(request))
+        self._running[request.key] = task
+        task.add_done_callback(lambda _: self._running.pop(request.key, None))
+
+    async def _join(self, key: str, request: messages.Request) -> messages.Answer:
+        task = self._running[key]
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(task), max(0.001, request.deadline.remaining_s + 0.05)
+            )
+        except TimeoutError:
+            return messages.unknown(504, messages.Reason.DEADLINE)
+
+    async def _run(self, request: messages.Request) -> messages.Answer:
+        key = request.key
+        self._registry.dispatched(key)
+        try:
+            answer = await self._dispatcher.run(request)
+        except Exception:
+            self._log.exception("request failed", request=request.request_id)
+            answer = messages.unknown(502, messages.Reason.INTERNAL)
+        not_run = answer.outcome is messages.Outcome.NOT_RUN
+        if not_run:
+            self._registry.refused(key)
+        self._registry.finish(key, answer, not_run=not_run)
+        ticket = at_most_once.Ticket.parse(key)
+        if ticket is not None:
+            self._store.add(ticket, answer)
+        return answer
+
+    async def _recorded_outcome(
+        self, ticket: at_most_once.Ticket, request: messages.Request
+    ) -> messages.Answer:
+        """Answers for a ticket whose holder cannot be asked."""
+        try:
+            found = await asyncio.wait_for(
+                self._store.find(ticket), max(0.001, request.deadline.remaining_s)
+            )
+        except (errors.UnavailableError, TimeoutError):
+            return messages.unknown(503, messages.Reason.STORE_UNAVAILABLE)
+        if found.answer is not None:
+            return found.answer
+        if found.closed:
+            return await self._handle_claim(request)
+        return messages.unknown(503, messages.Reason.TICKET_HOLDER_GONE)
+
+    async def _handle_claim(self, request: messages.Request) -> messages.Answer:
+        """Runs a request after creating its claim row."""
+        row_key = f"claims/{request.service}/{urllib.parse.quote(request.key, safe='')}"
+        mine = Claim(holder=str(self._me), attempt=request.request_id)
+        while not request.deadline.expired:
+            try:
+                row = await self._claims.put(row_key, mine.encode(), if_version=table.ABSENT)
+            except table.PreconditionFailed:
+                answer = await self._handle_existing_claim(row_key, request)
+            except errors.UnavailableError:
+                answer = None
+            else:
+                return await self._run_claimed(row_key, row, request)
+            if answer is not None:
+                return answer
+            await asyncio.sleep(min(CLAIM_RETRY_S, request.deadline.remaining_s))
+        return self._give_up_claim(request.key)
+
+    def _give_up_claim(self, key: str) -> messages.Answer:
+        """Records that a key was not run, as the row may exist although its answer was lost."""
+        answer = messages.not_run(504, messages.Reason.STORE_UNAVAILABLE)
+        state = self._registry.begin(key)
+        if state is at_most_once.Begin.START:
+            self._registry.finish(key, answer, not_run=True)
+            return answer
+        if state is at_most_once.Begin.DONE:
+            return self._registry.record(key).outcome
+        return messages.unknown(504, messages.Reason.DEADLINE)
+
+    async def _handle_existing_claim(
+        self, row_key: str, request: messages.Request
+    ) -> messages.Answer | None:
+        try:
+            row = await self._claims.get(row_key)
+        except errors.UnavailableError:
+            return None
+        if row is None:
+            return None
+        claim = Claim.decode(row.value)
+        if claim.answer is not None:
+            return claim.answer
+        if claim.holder != str(self._me):
+            return await self._ask_holder(claim, request)
+        if self._registry.record(request.key) is not None:
+            return await self.run_held(request)
+        if claim.attempt == request.request_id:
+            # The answer to this attempt's own write was lost.
+            return await self._run_claimed(row_key, row, request)
+        # An earlier attempt may have run and been forgotten.
+        return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
+
+    async def _ask_holder(self, claim: Claim, request: messages.Request) -> messages.Answer:
+        name, _, incarnation = claim.holder.partition("/")
+        peer = self._directory.instance(name)
+        if peer is None or peer.incarnation != incarnation:
+            return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
+        answer = await self._dispatcher.forward(peer, request, stage=schema.forward.Stage.GATEKEEP)
+        if answer.reason is messages.Reason.PEER_UNREACHABLE:
+            return messages.unknown(503, answer.reason, answer.detail)
+        return answer
+
+    async def _run_claimed(
+        self, row_key: str, row: table.Row, request: messages.Request
+    ) -> messages.Answer:
+        answer = await self.run_held(request)
+        task = asyncio.create_task(self._update_claim(row_key, row, answer))
+        self._updates.add(task)
+        task.add_done_callback(self._updates.discard)
+        await asyncio.wait({task}, timeout=CLAIM_UPDATE_WAIT_S)
+        return answer
+
+    async def _update_claim(self, row_key: str, row: table.Row, answer: messages.Answer) -> None:
+        """Stores the outcome in the claim row, however long the table is down."""
+        claim = Claim(holder=str(self._me), attempt="", answer=answer)
+        while True:
+            try:
+                await self._claims.put(row_key, claim.encode(), if_version=row.version)
+            except table.PreconditionFailed:
+                return  # an earlier try took effect although its answer was lost
+            except errors.UnavailableError:
+                await asyncio.sleep(CLAIM_UPDATE_INTERVAL_S)
+            else:
+                return
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -0,0 +1,107 @@
+"""Typed messages between the tasks of an entry instance."""
+
+import dataclasses
+import enum
+
+from sassafrasway_core import retry
+
+
+class Outcome(enum.Enum):
+    """Whether a request ran, as told to the caller."""
+
+    RAN = "ran"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.Enum):
+    """Machine-readable cause of an answer that no backend server gave."""
+
+    NONE = ""
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_CLIENT_BLOCK = "unknown_client_block"
+    HEADER_TOO_LARGE = "header_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_REQUIRED = "key_required"
+    NOT_READY = "not_ready"
+    NO_SLOT = "no_slot"
+    REGION_CAP = "region_cap"
+    LINK_CAP = "link_cap"
+    SHIFT_CAP = "shift_cap"
+    NO_SERVER = "no_server"
+    NOT_OWNER = "not_owner"
+    PEER_UNREACHABLE = "peer_unreachable"
+    DEADLINE = "deadline"
+    CONNECTION_LOST = "connection_lost"
+    QUARANTINED = "quarantined"
+    TICKET_EXPIRED = "ticket_expired"
+    TICKET_HOLDER_GONE = "ticket_holder_gone"
+    CLAIM_HOLDER_GONE = "claim_holder_gone"
+    STORE_UNAVAILABLE = "store_unavailable"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Request:
+    """A caller's request.
+
+    Attributes:
+        path: Path and query behind the service name.
+        key: Idempotency key; empty when the caller gave none.
+        client: Address of the client that the caller acts for; empty when unknown.
+        home_region: Region of the client's block, or of the receiving instance.
+        fingerprint: Digest that recognises the same request sent again.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    deadline: retry.Deadline
+    key: str = ""
+    client: str = ""
+    home_region: str = ""
+    shift: str = ""
+    fingerprint: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answer:
+    """The answer to a caller's request."""
+
+    outcome: Outcome
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    reason: Reason = Reason.NONE
+    detail: str = ""
+    server: str = ""
+    owner: str = ""
+    retry_after_ms: int = 0
+
+
+def not_run(
+    status: int, reason: Reason, detail: str = "", *, retry_after_ms: int = 0, owner: str = ""
+) -> Answer:
+    """Returns an answer that says that the request was not dispatched."""
+    return Answer(
+        outcome=Outcome.NOT_RUN,
+        status=status,
+        reason=reason,
+        detail=detail or reason.value.replace("_", " "),
+        retry_after_ms=retry_after_ms,
+        owner=owner,
+    )
+
+
+def unknown(status: int, reason: Reason, detail: str = "") -> Answer:
+    """Returns an answer that says that the request may have run."""
+    return Answer(
+        outcome=Outcome.UNKNOWN,
+        status=status,
+        reason=reason,
+        detail=detail or reason.value.replace("_", " "),
+    )
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -0,0 +1,391 @@
+"""Pools that this instance owns: admission, dispatch to backend servers, retries."""
+
+import asyncio
+import dataclasses
+import itertools
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+import structlog
+
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import invariants, model, pool, quarantine, retry, window
+from sassafrasway_entry import backend_client, messages, recorder
+
+MAX_SHED_RETRIES = 2
+RAMP_S = 2.0  # time in which a new or idle server reaches all of its slots
+PROBE_TIMEOUT_S = 1.0
+PROBE_INTERVAL_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PoolGrant:
+    """Right to use a pool.
+
+    Attributes:
+        expires_s: Monotonic time at which the right shrinks to the offline share.
+        region_cap_rps: Part of the region's cap that this pool may use, requests/s.
+    """
+
+    key: model.PoolKey
+    epoch: int
+    share: pool.Share
+    expires_s: float
+    region_cap_rps: float | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class OwnedPool:
+    """State of a pool that this instance owns."""
+
+    grant: PoolGrant
+    slots: pool.SlotPool
+    region_window: window.SlidingWindow | None
+    shift_windows: dict[str, window.SlidingWindow]
+    waiters: dict[int, asyncio.Future]
+    requests: int = 0
+
+
+class PoolManager:
+    """Runs requests on the servers of the pools that this instance owns.
+
+    Args:
+        clock: Time source.
+        rng: Random source for ties.
+        invariants: Checks slots and caps.
+        client: Client for backend servers.
+        record: Record of dispatches.
+        report_crash: Tells the owners of the service's other pools that a request crashed a
+            server; arguments are service, fingerprint and server.
+        queue_limit: Longest queue of a pool.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        invariants: invariants.Invariants,
+        client: backend_client.BackendClient,
+        record: recorder.Recorder,
+        report_crash: Callable[[str, str, str], Awaitable[None]],
+        queue_limit: int,
+    ):
+        self._clock = clock
+        self._rng = rng
+        self._invariants = invariants
+        self._client = client
+        self._record = record
+        self._report_crash = report_crash
+        self._queue_limit = queue_limit
+        self._pools: dict[model.PoolKey, OwnedPool] = {}
+        self._policy: model.Policy | None = None
+        self._servers: dict[model.PoolKey, tuple[model.BackendServer, ...]] = {}
+        self._budgets: dict[str, retry.RetryBudget] = {}
+        self._quarantine = quarantine.Quarantine(clock=clock)
+        self._waiter_ids = itertools.count(1)
+        self._log = structlog.get_logger("pools")
+
+    @property
+    def owned(self) -> dict[model.PoolKey, OwnedPool]:
+        """The pools that this instance owns."""
+        return self._pools
+
+    @property
+    def quarantine(self) -> quarantine.Quarantine:
+        """Requests that crashed servers."""
+        return self._quarantine
+
+    def set_policy(self, policy: model.Policy) -> None:
+        """Applies a new policy revision to all pools."""
+        self._policy = policy
+        self._servers = policy.pools()
+        for key, owned in self._pools.items():
+            owned.slots.set_servers(self._servers.get(key, ()))
+            self._set_limits(owned)
+
+    def set_grants(self, grants: Iterable[PoolGrant]) -> None:
+        """Takes the full list of pools that this instance may use."""
+        by_key = {grant.key: grant for grant in grants}
+        for key in [key for key in self._pools if key not in by_key]:
+            self._drop(key)
+        for key, grant in by_key.items():
+            owned = self._pools.get(key)
+            if owned is None:
+                owned = self._add(grant)
+            owned.grant = grant
+            owned.slots.set_share(grant.share)
+            self._set_limits(owned)
+
+    def inherit(self, key: model.PoolKey, counts: dict[str, int], *, expires_s: float) -> None:
+        """Takes over the slots that the previous owner of a pool still uses."""
+        owned = self._pools.get(key)
+        if owned is not None:
+            owned.slots.inherit(counts, expires_s=expires_s)
+
+    def release_inherited(self, key: model.PoolKey, server: str, count: int) -> None:
+        """Frees slots after the previous owner's requests ended."""
+        owned = self._pools.get(key)
+        if owned is not None:
+            self._wake(owned, owned.slots.release_inherited(server, count))
+
+    def owns(self, key: model.PoolKey) -> bool:
+        """Returns whether this instance holds the pool, if only with the offline share."""
+        return key in self._pools
+
+    async def execute(
+        self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
+    ) -> messages.Answer:
+        """Runs a request on one of the pool's servers."""
+        owned = self._pools.get(key)
+        if owned is None or self._policy is None:
+            return messages.not_run(503, messages.Reason.NOT_OWNER)
+        refusal = self._admit(owned, request)
+        if refusal is not None:
+            return refusal
+        lease = await self._acquire(owned, request, may_queue=may_queue)
+        if lease is None:
+            if request.deadline.expired:
+                return messages.not_run(504, messages.Reason.DEADLINE)
+            return messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
+        limited = self._take_limits(owned, request)
+        if limited is not None:
+            self._release(owned, lease, pool.ServerResult.CANCELLED)
+            return limited
+        return await self._run(owned, lease, request)
+
+    async def probe_loop(self) -> None:
+        """Probes ejected servers until cancelled."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            for owned in list(self._pools.values()):
+                for server in owned.slots.servers_to_probe():
+                    healthy = await self._client.probe(server, timeout_s=PROBE_TIMEOUT_S)
+                    self._wake(owned, owned.slots.probed(server.name, healthy=healthy))
+
+    def _add(self, grant: PoolGrant) -> OwnedPool:
+        slots = pool.SlotPool(
+            key=grant.key,
+            servers=self._servers.get(grant.key, ()),
+            clock=self._clock,
+            rng=self._rng,
+            invariants=self._invariants,
+            queue_limit=self._queue_limit,
+            ramp_s=RAMP_S,
+        )
+        owned = OwnedPool(
+            grant=grant, slots=slots, region_window=None, shift_windows={}, waiters={}
+        )
+        self._pools[grant.key] = owned
+        self._log.info("pool acquired", pool=str(grant.key), epoch=grant.epoch)
+        return owned
+
+    def _drop(self, key: model.PoolKey) -> None:
+        owned = self._pools.pop(key)
+        for waiter in owned.waiters.values():
+            if not waiter.done():
+                waiter.set_result(None)
+        self._log.info("pool released", pool=str(key))
+
+    def _set_limits(self, owned: OwnedPool) -> None:
+        if self._policy is None:
+            return
+        owned.region_window = self._window(owned.region_window, owned.grant.region_cap_rps)
+        key = owned.grant.key
+        wanted = {
+            shift.source: shift.cap_rps
+            for shift in self._policy.shifts.values()
+            if shift.service == key.service and shift.target == key.region
+        }
+        owned.shift_windows = {
+            source: self._window(owned.shift_windows.get(source), cap_rps)
+            for source, cap_rps in wanted.items()
+        }
+
+    def _window(
+        self, current: window.SlidingWindow | None, limit: float | None
+    ) -> window.SlidingWindow | None:
+        if limit is None:
+            return None
+        if current is None:
+            # The previous owner may have used the whole limit in the last second.
+            return window.SlidingWindow(limit=limit, clock=self._clock, start_full=True)
+        current.set_limit(limit)
+        return current
+
+    def _admit(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
+        if request.deadline.expired:
+            return messages.not_run(504, messages.Reason.DEADLINE)
+        if self._quarantine.is_quarantined(request.fingerprint):
+            return messages.not_run(422, messages.Reason.QUARANTINED)
+        if owned.grant.expires_s <= self._clock.monotonic():
+            owned.slots.set_share(pool.Share.OFFLINE)
+        return None
+
+    def _take_limits(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
+        """Takes the request from the caps after it has a slot, so that waiting costs no cap."""
+        shift_window = owned.shift_windows.get(request.home_region)
+        region_window = owned.region_window
+        if shift_window is not None and shift_window.retry_after_s(1.0) > 0:
+            wait_ms = int(shift_window.retry_after_s(1.0) * 1000)
+            return messages.not_run(429, messages.Reason.SHIFT_CAP, retry_after_ms=wait_ms)
+        if region_window is not None and not region_window.try_take(1.0):
+            wait_ms = int(region_window.retry_after_s(1.0) * 1000)
+            return messages.not_run(429, messages.Reason.REGION_CAP, retry_after_ms=wait_ms)
+        if shift_window is not None:
+            shift_window.try_take(1.0)
+        return None
+
+    async def _acquire(
+        self, owned: OwnedPool, request: messages.Request, *, may_queue: bool
+    ) -> pool.SlotLease | None:
+        if not may_queue or owned.slots.queue_length() == 0:
+            lease = owned.slots.try_acquire()
+            if lease is not None or not may_queue:
+                return lease
+        waiter_id = next(self._waiter_ids)
+        expires_s = self._clock.monotonic() + request.deadline.remaining_s
+        if not owned.slots.enqueue(waiter_id, expires_s=expires_s):
+            return None
+        future = asyncio.get_running_loop().create_future()
+        owned.waiters[waiter_id] = future
+        try:
+            return await asyncio.wait_for(future, request.deadline.remaining_s)
+        except TimeoutError:
+            return None
+        finally:
+            owned.waiters.pop(waiter_id, None)
+            owned.slots.abandon(waiter_id)
+
+    async def _run(
+        self, owned: OwnedPool, lease: pool.SlotLease, request: messages.Request
+    ) -> messages.Answer:
+        service = self._policy.services[request.service]
+        budget = self._budget(request.service)
+        budget.on_request()
+        owned.requests += 1
+        tried: set[str] = set()
+        dispatched = False
+        while True:
+            tried.add(lease.server.name)
+            answer = await self._call(owned, lease, request, idempotent=service.idempotent)
+            result = answer.result
+            if result is backend_client.CallResult.OK:
+                return self._ran(lease.server, answer)
+            dispatched |= result in (
+                backend_client.CallResult.LOST,
+                backend_client.CallResult.TIMEOUT,
+            )
+            if result is backend_client.CallResult.LOST:
+                await self._note_crash(request, lease.server)
+                if self._quarantine.is_quarantined(request.fingerprint):
+                    return messages.unknown(422, messages.Reason.QUARANTINED)
+            if dispatched and not service.idempotent:
+                return self._unknown(result)
+            certain = result is backend_client.CallResult.SHED
+            if request.deadline.expired or not self._may_retry(budget, tried, certain=certain):
+                break
+            next_lease = owned.slots.try_acquire(exclude=frozenset(tried))
+            if next_lease is None:
+                break
+            lease = next_lease
+        if dispatched:
+            return self._unknown(result)
+        if request.deadline.expired:
+            return messages.not_run(504, messages.Reason.DEADLINE)
+        return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=100)
+
+    def _may_retry(self, budget: retry.RetryBudget, tried: set[str], *, certain: bool) -> bool:
+        if certain:
+            return len(tried) <= MAX_SHED_RETRIES
+        return budget.try_retry()
+
+    async def _call(
+        self,
+        owned: OwnedPool,
+        lease: pool.SlotLease,
+        request: messages.Request,
+        *,
+        idempotent: bool,
+    ) -> backend_client.BackendAnswer:
+        remaining_s = request.deadline.remaining_s
+        self._record.record(
+            "dispatch",
+            request_id=request.request_id,
+            key=request.key,
+            service=request.service,
+            server=lease.server.name,
+            home_region=request.home_region,
+            region=lease.server.region,
+        )
+        result = pool.ServerResult.CANCELLED
+        held_until_s = 0.0
+        try:
+            answer = await self._client.call(
+                lease.server, request, idempotent=idempotent, timeout_s=remaining_s
+            )
+            result = _SERVER_RESULTS[answer.result]
+            if answer.leaving:
+                result = pool.ServerResult.LEAVING
+            if answer.load is not None:
+                owned.slots.report_load(lease.server.name, answer.load)
+            if answer.result is backend_client.CallResult.TIMEOUT:
+                # The server may still run the request until its deadline.
+                held_until_s = request.deadline.remaining_s
+            return answer
+        finally:
+            if held_until_s > 0:
+                loop = asyncio.get_running_loop()
+                loop.call_later(held_until_s, self._release, owned, lease, result)
+            else:
+                self._release(owned, lease, result)
+
+    def _release(self, owned: OwnedPool, lease: pool.SlotLease, result: pool.ServerResult) -> None:
+        self._wake(owned, owned.slots.release(lease, result))
+
+    def _wake(self, owned: OwnedPool, grants: Iterable[pool.Grant]) -> None:
+        for grant in grants:
+            future = owned.waiters.get(grant.waiter_id)
+            if future is not None and not future.done():
+                future.set_result(grant.lease)
+            else:
+                self._release(owned, grant.lease, pool.ServerResult.CANCELLED)
+
+    async def _note_crash(self, request: messages.Request, server: model.BackendServer) -> None:
+        self._quarantine.record_crash(request.fingerprint, server.name)
+        self._log.warning(
+            "connection lost before the answer", server=server.name, request=request.request_id
+        )
+        await self._report_crash(request.service, request.fingerprint, server.name)
+
+    def _budget(self, service: str) -> retry.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = retry.RetryBudget(clock=self._clock)
+            self._budgets[service] = budget
+        return budget
+
+    def _ran(
+        self, server: model.BackendServer, answer: backend_client.BackendAnswer
+    ) -> messages.Answer:
+        return messages.Answer(
+            outcome=messages.Outcome.RAN,
+            status=answer.status,
+            headers=answer.headers,
+            body=answer.body,
+            server=server.name,
+        )
+
+    def _unknown(self, result: backend_client.CallResult) -> messages.Answer:
+        if result is backend_client.CallResult.TIMEOUT:
+            return messages.unknown(504, messages.Reason.DEADLINE)
+        return messages.unknown(502, messages.Reason.CONNECTION_LOST)
+
+
+_SERVER_RESULTS = {
+    backend_client.CallResult.OK: pool.ServerResult.OK,
+    backend_client.CallResult.SHED: pool.ServerResult.SHED,
+    backend_client.CallResult.NOT_SENT: pool.ServerResult.FAILED,
+    backend_client.CallResult.LOST: pool.ServerResult.CRASHED,
+    backend_client.CallResult.TIMEOUT: pool.ServerResult.TIMEOUT,
+}
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -0,0 +1,84 @@
+"""Where requests go: home regions, shifts and the order in which pools are tried."""
+
+import dataclasses
+import random
+
+import xxhash
+
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import lookup, model, shift
+
+_HASH_RANGE = 2**32
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """Pools to try for a request, home pool first.
+
+    Attributes:
+        shift: Name of the shift that moved the request, or empty.
+    """
+
+    pools: tuple[model.PoolKey, ...]
+    home_region: str
+    shift: str
+
+
+class Steering:
+    """Answers steering questions from the current policy.
+
+    Args:
+        region: Region of this instance; home of requests without a client block.
+        clock: Time source.
+        rng: Random source.
+    """
+
+    def __init__(self, *, region: str, clock: clock_lib.Clock, rng: random.Random):
+        self._region = region
+        self._policy: model.Policy | None = None
+        self._blocks = lookup.BlockTable(blocks=())
+        self._shifts = shift.ShiftController(clock=clock, rng=rng)
+        self._pools: dict[str, dict[str, list[model.PoolKey]]] = {}
+        self._distances: dict[str, list[str]] = {}
+
+    @property
+    def policy(self) -> model.Policy | None:
+        """The current policy, or None before the first one."""
+        return self._policy
+
+    def set_policy(self, policy: model.Policy) -> None:
+        """Replaces the policy."""
+        previous = self._policy
+        self._policy = policy
+        if previous is None or previous.blocks != policy.blocks:
+            self._blocks = lookup.BlockTable(blocks=policy.blocks.values())
+        self._shifts.set_shifts(policy)
+        self._pools = {}
+        for key in sorted(policy.pools()):
+            self._pools.setdefault(key.service, {}).setdefault(key.region, []).append(key)
+        self._distances = {region: policy.regions_by_distance(region) for region in policy.regions}
+
+    def region_of(self, client: str) -> str | None:
+        """Returns the home region of a client address, or None for an unknown block."""
+        return self._blocks.region_of(client) if client else None
+
+    def route(self, *, service: str, client: str, spread: str) -> Route:
+        """Returns the pools to try for a request.
+
+        Args:
+            service: Name of the service.
+            client: Address of the client, or empty.
+            spread: Text that spreads requests over shards and over a shift's fraction.
+        """
+        home = self.region_of(client) or self._region
+        weight = xxhash.xxh32_intdigest(f"{client}|{spread}") / _HASH_RANGE
+        decision = self._shifts.home_pool(service, home, weight)
+        by_region = self._pools.get(service, {})
+        order = [decision.region]
+        order += [each for each in self._distances.get(home, ()) if each != decision.region]
+        pools = []
+        for region in order:
+            shards = by_region.get(region, ())
+            if shards:
+                pools.append(shards[int(weight * len(shards))])
+        return Route(pools=tuple(pools), home_region=home, shift=decision.shift_name or "")
--- a/packages/rpc/src/sassafrasway_rpc/client.py
+++ b/packages/rpc/src/sassafrasway_rpc/client.py
@@ -42,6 +42,7 @@
         self._writer: asyncio.StreamWriter | None = None
         self._reader_task: asyncio.Task | None = None
         self._connecting = asyncio.Lock()
+        self._frames_received = 0
 
     @property
     def address(self) -> str:
@@ -70,10 +71,15 @@
             return None
         future = asyncio.get_running_loop().create_future()
         self._waiting[sequence_id] = future
+        frames_before = self._frames_received
         try:
             writer.write(frame)
             body = await asyncio.wait_for(future, limit_s)
         except TimeoutError:
+            if self._frames_received == frames_before and self._writer is writer:
+                # Nothing came back for the whole time: the connection may have gone silent while
+                # new ones work.
+                self._disconnect("connection is silent")
             raise errors.UnavailableError(
                 f"no answer within {limit_s:.3f} s", step=f"rpc.{method}", peer=self._address
             ) from None
@@ -124,6 +130,7 @@
                 self._disconnect(reason)
 
     def _dispatch(self, body: bytes) -> None:
+        self._frames_received += 1
         head = codec.Decoder(body=body, peer=self._address).read_head()
         future = self._waiting.get(head.sequence_id)
         if future is not None and not future.done():
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -30,7 +30,8 @@
   13: string shift           // name of the shift that moved the request, or empty
   14: bool may_queue
   15: string sender          // name/incarnation
-  16: string fingerprint
+  16: string fingerprint     // recognises the same request sent again
+  17: string client          // address of the client that the caller acts for
 }
 
 struct ForwardReply {
@@ -42,6 +43,7 @@
   6: string owner            // name of the current pool owner when reason is not_owner
   7: string server           // backend server that ran the request
   8: i32 retry_after_ms
+  9: string detail           // text for people
 }
 
 service Forward {
