--- /dev/null
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -0,0 +1,135 @@
+"""Health of the servers of a pool, from the pool owner's own observations."""
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import pool_types
+
+# Ejecting more would move more load to the rest than it can be expected to carry.
+EJECTABLE_DIVISOR = 3
+FAILURES_TO_EJECT = 3
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 60.0
+
+# Spreads the probes of servers that failed together.
+EJECTION_JITTER = 0.1
+
+_FAILURES = frozenset(
+    {
+        pool_types.ServerResult.FAILED,
+        pool_types.ServerResult.TIMEOUT,
+        pool_types.ServerResult.CRASHED,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Record:
+    failures: int = 0
+    ejections: int = 0
+    ejected: bool = False
+    until_s: float = 0.0
+
+
+class ServerHealth:
+    """Ejects servers that fail repeatedly and says when to probe them.
+
+    Only own results and probes count. At most a third of the servers, rounded down, is ejected at
+    a time, so small pools keep all of their servers. An ejected server returns when a probe after
+    its ejection time succeeds; a failed probe ejects it for twice as long.
+
+    Args:
+        clock: Time source.
+        rng: Random source for the jitter of ejection times.
+        failures_to_eject: Consecutive failures after which a server is ejected.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        failures_to_eject: int = FAILURES_TO_EJECT,
+    ):
+        self._clock = clock
+        self._rng = rng
+        self._failures_to_eject = failures_to_eject
+        self._records: dict[str, _Record] = {}
+
+    def is_ejected(self, server: str) -> bool:
+        """Returns whether the server gets no requests."""
+        record = self._records.get(server)
+        return record is not None and record.ejected
+
+    def is_failing(self, server: str) -> bool:
+        """Returns whether the last result was a failure, so that other servers come first."""
+        record = self._records.get(server)
+        return record is not None and record.failures > 0
+
+    def ejected(self) -> frozenset[str]:
+        """Returns the names of all ejected servers."""
+        return frozenset(name for name, record in self._records.items() if record.ejected)
+
+    def probes_due(self) -> list[str]:
+        """Returns the ejected servers whose ejection time has passed, longest ago first."""
+        now_s = self._clock.monotonic()
+        due = [
+            (record.until_s, name)
+            for name, record in self._records.items()
+            if record.ejected and record.until_s <= now_s
+        ]
+        return [name for _, name in sorted(due)]
+
+    def set_servers(self, servers: Iterable[str]) -> None:
+        """Replaces the servers of the pool; leaving ones must not be among them."""
+        self._records = {name: self._records.get(name) or _Record() for name in servers}
+        by_return = sorted(self.ejected(), key=lambda name: self._records[name].until_s)
+        for name in by_return[: max(0, len(by_return) - self._ejectable())]:
+            self._records[name].ejected = False
+
+    def record(self, server: str, result: pool_types.ServerResult) -> None:
+        """Counts the result of a request."""
+        record = self._records.get(server)
+        if record is None:
+            return
+        if result is pool_types.ServerResult.OK:
+            self._record_success(record)
+        elif result in _FAILURES:
+            record.failures += 1
+            if record.failures >= self._failures_to_eject and not record.ejected:
+                self._eject(record)
+
+    def record_probe(self, server: str, *, succeeded: bool) -> None:
+        """Counts the result of a probe of an ejected server."""
+        record = self._records.get(server)
+        if record is None or not record.ejected:
+            return
+        if succeeded:
+            record.ejected = False
+            record.failures = 0
+            record.until_s = self._clock.monotonic()
+        else:
+            self._extend(record)
+
+    def _record_success(self, record: _Record) -> None:
+        record.failures = 0
+        # A late answer to an old request does not end an ejection; only a probe does.
+        in_service_s = self._clock.monotonic() - record.until_s
+        if not record.ejected and in_service_s > LONGEST_EJECTION_S:
+            record.ejections = 0
+
+    def _eject(self, record: _Record) -> None:
+        if len(self.ejected()) < self._ejectable():
+            record.ejected = True
+            self._extend(record)
+
+    def _extend(self, record: _Record) -> None:
+        ejection_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2.0**record.ejections)
+        jitter = 1.0 + EJECTION_JITTER * self._rng.random()
+        record.ejections = min(record.ejections + 1, 32)
+        record.until_s = self._clock.monotonic() + ejection_s * jitter
+
+    def _ejectable(self) -> int:
+        return len(self._records) // EJECTABLE_DIVISOR
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -0,0 +1,117 @@
+"""Slots of one backend server as seen by the pool that dispatches to it."""
+
+import math
+
+from sassafrasway_core import model, pool_types
+
+# Well above the gaps between requests of a quiet pool, so that a quiet hour does not throttle it.
+IDLE_AFTER_S = 300.0
+
+# A server that has just shed has fewer free slots than its pool counts; others come first until
+# its running requests have had time to end.
+SHED_PAUSE_S = 0.5
+
+# Reports older than this say nothing about slots that are held for a few hundred milliseconds.
+LOAD_REPORT_TTL_S = 1.0
+
+
+class ServerSlots:
+    """Counts the leases of one server and computes how many it may have.
+
+    Args:
+        server: The server as the policy states it.
+        ramp_s: Seconds over which the slots of a cold server become usable.
+        now_s: Monotonic time.
+        cold: Whether the server is new, so that its first request starts a ramp.
+    """
+
+    def __init__(self, server: model.BackendServer, *, ramp_s: float, now_s: float, cold: bool):
+        self.server = server
+        self.removed = False
+        self.reported_leaving = False
+        self._in_use = 0
+        self._ramp_s = ramp_s
+        self._cold = cold
+        self._ramp_from_s = -math.inf
+        self._last_used_s = now_s
+        self._shed_s = -math.inf
+        self._load = 0
+        self._load_s = -math.inf
+
+    @property
+    def in_use(self) -> int:
+        """Slots held by leases."""
+        return self._in_use
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the server may get no new work."""
+        return (
+            self.removed
+            or self.reported_leaving
+            or self.server.state is not model.ServerState.ACTIVE
+        )
+
+    def limit(self, share: pool_types.Share, now_s: float) -> int:
+        """Returns the slots usable now under ``share`` and the ramp."""
+        return min(share.slots_of(self.server.slots), self._ramp_limit(now_s))
+
+    def shed_recently(self, now_s: float) -> bool:
+        """Returns whether the server refused a request a short time ago."""
+        return now_s - self._shed_s < SHED_PAUSE_S
+
+    def reported_load(self, now_s: float) -> int | None:
+        """Returns the slots in use by the server's last report, None when it is too old."""
+        return self._load if now_s - self._load_s < LOAD_REPORT_TTL_S else None
+
+    def update(self, server: model.BackendServer) -> None:
+        """Applies the policy's current statement about the server."""
+        returned = self.removed or (
+            self.server.state is model.ServerState.LEAVING
+            and server.state is model.ServerState.ACTIVE
+        )
+        if returned or server.url != self.server.url:
+            self._cold = True
+            self.reported_leaving = False
+        self.server = server
+        self.removed = False
+
+    def start(self, now_s: float) -> None:
+        """Counts a new lease."""
+        if self._starts_cold(now_s):
+            self._ramp_from_s = now_s
+            self._cold = False
+        self._in_use += 1
+        self._last_used_s = now_s
+
+    def end(self, now_s: float) -> None:
+        """Counts the end of a lease."""
+        self._in_use -= 1
+        self._last_used_s = now_s
+
+    def restart_ramp(self) -> None:
+        """Treats the server as new at its next request."""
+        self._cold = True
+
+    def record_shed(self, now_s: float) -> None:
+        """Remembers that the server refused a request."""
+        self._shed_s = now_s
+
+    def record_load(self, slots_in_use: int, now_s: float) -> None:
+        """Remembers the server's load report."""
+        self._load = slots_in_use
+        self._load_s = now_s
+
+    def _ramp_limit(self, now_s: float) -> int:
+        slots = self.server.slots
+        if self._ramp_s <= 0:
+            return slots
+        if self._starts_cold(now_s):
+            return min(1, slots)
+        elapsed_s = now_s - self._ramp_from_s
+        if elapsed_s >= self._ramp_s:
+            return slots
+        return min(slots, max(1, int(slots * elapsed_s / self._ramp_s)))
+
+    def _starts_cold(self, now_s: float) -> bool:
+        return self._cold or (self._in_use == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
