--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -0,0 +1,497 @@
+"""Stand-in for backend servers: one process serves many servers, each on its own address.
+
+A file (TOML or JSON) lists the servers. ``POST /control`` on the control address changes what they
+do; ``GET /control/stats`` counts what they did. Each run, shed and cancellation is written as one
+JSON line to the record file.
+"""
+
+import asyncio
+import dataclasses
+import functools
+import hashlib
+import itertools
+import json
+import pathlib
+import random
+import time
+import tomllib
+from collections.abc import Callable, Mapping
+from typing import Any, TextIO
+
+import click
+import uvloop
+from aiohttp import web
+
+from sassafrasway_standins import network
+
+CRASH_MARKER = b"crash-server"
+MAX_BODY_BYTES = 16 * 1024 * 1024
+KEEPALIVE_S = 600.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServerSettings:
+    """One backend server.
+
+    Attributes:
+        address: ``host:port`` to listen on.
+        mean_ms: Mean service time of a warm server.
+        distribution: ``exponential`` or ``fixed``.
+        cold_factor: Factor on the service time right after the start; declines to 1.
+        cold_s: Time from the first request until the server is warm.
+        idle_cold_s: A server without requests for this long is cold again.
+        connection_ms: Server time that a new connection takes.
+        probe_ms: Server time that a probe takes.
+        restart_s: Time without service after a crash.
+    """
+
+    name: str
+    service: str
+    address: str
+    slots: int
+    connections: int = 660
+    mean_ms: float = 200.0
+    distribution: str = "exponential"
+    cold_factor: float = 1.0
+    cold_s: float = 2.0
+    idle_cold_s: float = 60.0
+    connection_ms: float = 1.0
+    probe_ms: float = 0.0
+    restart_s: float = 2.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Behaviour:
+    """What the control endpoint sets for a server.
+
+    Attributes:
+        leaving: Answers carry ``Sassafras-State: leaving``.
+        slow: Factor on the service time.
+        load_report: Number reported as load instead of the true one.
+        blocked_sources: Prefixes of source addresses whose requests are never answered.
+    """
+
+    leaving: bool = False
+    slow: float = 1.0
+    load_report: int | None = None
+    blocked_sources: tuple[str, ...] = ()
+
+
+class Recorder:
+    """Writes JSON lines; a line is on its way to the file as soon as it is written."""
+
+    def __init__(self, *, stream: TextIO | None):
+        self._stream = stream
+
+    def write(self, **fields: Any) -> None:
+        """Writes one line."""
+        if self._stream is not None:
+            self._stream.write(json.dumps(fields, separators=(",", ":")) + "\n")
+
+
+class _Refuse(asyncio.Protocol):
+    """Closes a connection above the connection limit."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.abort()
+
+
+class _HttpServer(web.Server):
+    """aiohttp server that knows which connections are new and which do not respond any more."""
+
+    def __init__(self, handler: Callable[[web.BaseRequest], Any]):
+        super().__init__(
+            handler,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+        )
+        self._used: set[Any] = set()
+        self._silent: set[Any] = set()
+
+    def connection_lost(self, handler: Any, exc: BaseException | None = None) -> None:
+        """See base class."""
+        super().connection_lost(handler, exc)
+        self._used.discard(handler)
+        self._silent.discard(handler)
+
+    def silence(self) -> None:
+        """Makes the present connections silent for good."""
+        self._silent.update(self.connections)
+
+    def is_silent(self, connection: Any) -> bool:
+        """Whether a connection does not respond any more."""
+        return connection in self._silent
+
+    def is_new(self, connection: Any) -> bool:
+        """Whether a connection has not carried a request yet."""
+        return connection not in self._used
+
+    def mark_used(self, connection: Any) -> None:
+        """Records that a connection has carried a request."""
+        self._used.add(connection)
+
+    def abort_connections(self) -> None:
+        """Drops the present connections."""
+        for connection in self.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    def _make_request(
+        self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+    ) -> web.BaseRequest:
+        loop = asyncio.get_running_loop()
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
+        )
+
+
+class BackendServer:
+    """One server with its slots, connections and faults."""
+
+    def __init__(
+        self,
+        *,
+        settings: ServerSettings,
+        recorder: Recorder,
+        delays: network.Delays,
+        rng: random.Random,
+    ):
+        self._settings = settings
+        self._recorder = recorder
+        self._delays = delays
+        self._rng = rng
+        self._behaviour = Behaviour()
+        self._leaving_since_s: float | None = None
+        self._crashes = 0
+        self._in_use = 0
+        self._busy_until_s = 0.0
+        self._warm_since_s: float | None = None
+        self._last_request_s = 0.0
+        self._stats = dict.fromkeys(
+            ("runs", "sheds", "probes", "accepted", "refused_connections", "max_in_use"), 0
+        )
+        self._web = _HttpServer(self._handle)
+        self._listener: asyncio.Server | None = None
+        self._restarting: asyncio.Task[None] | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of the server."""
+        return self._settings.name
+
+    @property
+    def stats(self) -> dict[str, Any]:
+        """Counters and the present state."""
+        connections = len(self._web.connections)
+        present = {"in_use": self._in_use, "connections": connections, "crashes": self._crashes}
+        return self._stats | present | {"leaving": self._behaviour.leaving}
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        host, port = network.split_address(self._settings.address)
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._accept, host, port, backlog=1024, reuse_address=True
+        )
+
+    async def stop(self) -> None:
+        """Closes the listening socket and all connections."""
+        if self._restarting is not None:
+            self._restarting.cancel()
+        if self._listener is not None:
+            self._listener.close()
+        self._web.abort_connections()
+        await self._web.shutdown(0)
+
+    def change(self, data: Mapping[str, Any]) -> None:
+        """Applies one control request.
+
+        Raises:
+            ValueError: A name is unknown.
+        """
+        for name, value in data.items():
+            if name == "crash":
+                self.crash()
+            elif name == "silent":
+                self._web.silence()
+            elif name == "blocked_sources":
+                self._behaviour.blocked_sources = tuple(value)
+            elif name in Behaviour.__slots__:
+                setattr(self._behaviour, name, value)
+            else:
+                raise ValueError(f"unknown behaviour {name!r}")
+        if not self._behaviour.leaving:
+            self._leaving_since_s = None
+        elif self._leaving_since_s is None:
+            self._leaving_since_s = time.monotonic()
+
+    def crash(self) -> None:
+        """Drops all connections and refuses service for the restart time."""
+        if self._restarting is not None:
+            return
+        self._crashes += 1
+        self._listener.close()
+        self._web.abort_connections()
+        self._restarting = asyncio.create_task(self._restart())
+
+    async def _restart(self) -> None:
+        await asyncio.sleep(self._settings.restart_s)
+        self._warm_since_s = None
+        self._restarting = None
+        await self.start()
+
+    def _accept(self) -> asyncio.Protocol:
+        if len(self._web.connections) >= self._settings.connections:
+            self._stats["refused_connections"] += 1
+            return _Refuse()
+        self._stats["accepted"] += 1
+        return self._web()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serves one request with the network delay of its source."""
+        source = request.remote or ""
+        host, _ = network.split_address(self._settings.address)
+        delay_ms = self._delays.one_way_ms(source, host)
+        await network.pause(delay_ms, self._rng)
+        await self._wait_if_silent(request)
+        if self._web.is_new(request.protocol):
+            self._web.mark_used(request.protocol)
+            self._occupy(self._settings.connection_ms)
+        if request.path == "/healthz":
+            response = await self._probe()
+        else:
+            response = await self._request(request)
+        await network.pause(delay_ms, self._rng)
+        await self._wait_if_silent(request)
+        return response
+
+    async def _wait_if_silent(self, request: web.BaseRequest) -> None:
+        """Never returns for a connection that does not respond any more."""
+        blocked = self._behaviour.blocked_sources
+        is_blocked = bool(blocked) and (request.remote or "").startswith(blocked)
+        if self._web.is_silent(request.protocol) or is_blocked:
+            await asyncio.Event().wait()
+
+    def _occupy(self, cost_ms: float) -> None:
+        """Takes server time, during which no request makes progress at its start."""
+        now_s = time.monotonic()
+        self._busy_until_s = max(now_s, self._busy_until_s) + cost_ms / 1000
+
+    async def _wait_until_not_busy(self) -> None:
+        wait_s = self._busy_until_s - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+
+    async def _probe(self) -> web.Response:
+        self._stats["probes"] += 1
+        self._occupy(self._settings.probe_ms)
+        await self._wait_until_not_busy()
+        return web.Response(text="ok", headers=self._headers())
+
+    async def _request(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.read()
+        run = _Run(server=self, request=request, body=body, in_use=self._in_use)
+        if self._in_use >= self._settings.slots:
+            self._stats["sheds"] += 1
+            run.record("shed")
+            return web.Response(status=503, headers=self._headers() | {"Sassafras-Shed": "1"})
+        deadline_s = _deadline_s(request)
+        if deadline_s is not None and deadline_s <= 0:
+            run.record("expired")
+            return web.Response(status=504, headers=self._headers())
+        self._in_use += 1
+        self._stats["runs"] += 1
+        self._stats["max_in_use"] = max(self._stats["max_in_use"], self._in_use)
+        try:
+            is_complete = await self._run(run, deadline_s)
+        except asyncio.CancelledError:
+            run.record("crashed" if run.crashes != self._crashes else "cancelled")
+            raise
+        finally:
+            self._in_use -= 1
+        headers = self._headers()
+        return run.answer(headers) if is_complete else web.Response(status=504, headers=headers)
+
+    async def _run(self, run: "_Run", deadline_s: float | None) -> bool:
+        """Runs a request; returns False when its deadline passed."""
+        if CRASH_MARKER in run.body:
+            run.record("crashed")
+            self.crash()
+            await asyncio.Event().wait()
+        service_s = self._service_time_s()
+        await self._wait_until_not_busy()
+        if deadline_s is not None and service_s > deadline_s:
+            await asyncio.sleep(deadline_s)
+            run.record("deadline")
+            return False
+        await asyncio.sleep(service_s)
+        run.record("ok")
+        return True
+
+    def _service_time_s(self) -> float:
+        now_s = time.monotonic()
+        if self._warm_since_s is None or now_s - self._last_request_s > self._settings.idle_cold_s:
+            self._warm_since_s = now_s
+        self._last_request_s = now_s
+        mean_s = self._settings.mean_ms / 1000
+        if self._settings.distribution == "exponential":
+            mean_s = self._rng.expovariate(1 / mean_s) if mean_s > 0 else 0.0
+        warmth = min(1.0, (now_s - self._warm_since_s) / max(self._settings.cold_s, 1e-9))
+        cold = 1 + (self._settings.cold_factor - 1) * (1 - warmth)
+        return mean_s * cold * self._behaviour.slow
+
+    def _headers(self) -> dict[str, str]:
+        load = self._behaviour.load_report
+        headers = {"Sassafras-Load": str(self._in_use if load is None else load)}
+        if self._behaviour.leaving:
+            headers["Sassafras-State"] = "leaving"
+        return headers
+
+
+class _Run:
+    """One request at a server, from its arrival to its record."""
+
+    def __init__(
+        self, *, server: BackendServer, request: web.BaseRequest, body: bytes, in_use: int
+    ):
+        self.body = body
+        self.crashes = server._crashes
+        self._server = server
+        self._request = request
+        self._in_use = in_use
+        self._start_s = time.monotonic()
+        self._digest = hashlib.sha256(body).hexdigest()
+        self._is_recorded = False
+
+    def record(self, outcome: str) -> None:
+        """Writes the record; a run has one record only."""
+        if self._is_recorded:
+            return
+        self._is_recorded = True
+        settings = self._server._settings
+        leaving_since_s = self._server._leaving_since_s
+        self._server._recorder.write(
+            server=settings.name,
+            service=settings.service,
+            request_id=self._request.headers.get("Sassafras-Request-Id", ""),
+            key=self._request.headers.get("Idempotency-Key", ""),
+            method=self._request.method,
+            path=self._request.path_qs,
+            start_s=self._start_s,
+            end_s=time.monotonic(),
+            outcome=outcome,
+            ran=outcome not in ("shed", "expired"),
+            digest=self._digest,
+            source=self._request.remote or "",
+            in_use=self._in_use,
+            slots=settings.slots,
+            leaving_since_s=leaving_since_s,
+        )
+
+    def answer(self, headers: dict[str, str]) -> web.Response:
+        """Returns the answer, padded to the size that the query asks for."""
+        content = {
+            "digest": self._digest,
+            "request_id": self._request.headers.get("Sassafras-Request-Id", ""),
+            "key": self._request.headers.get("Idempotency-Key", ""),
+            "path": self._request.path_qs,
+            "server": self._server.name,
+            "padding": "",
+        }
+        size = int(self._request.query.get("size", "0"))
+        missing = size - len(json.dumps(content))
+        content["padding"] = "x" * max(0, min(missing, MAX_BODY_BYTES))
+        return web.json_response(content, headers=headers)
+
+
+def _deadline_s(request: web.BaseRequest) -> float | None:
+    value = request.headers.get("Sassafras-Deadline-Ms")
+    return None if value is None else float(value) / 1000
+
+
+class Control:
+    """Control endpoint of all servers of the process."""
+
+    def __init__(self, *, servers: Mapping[str, BackendServer]):
+        self._servers = servers
+
+    def application(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/healthz", self._health),
+                web.post("/control", self._change),
+                web.get("/control/stats", self._stats),
+            ]
+        )
+        return app
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok")
+
+    async def _change(self, request: web.Request) -> web.Response:
+        """Takes ``{"servers": [names] or "all", <behaviour>: value, ...}``."""
+        data = await request.json()
+        names = data.pop("servers")
+        try:
+            for name in self._servers if names == "all" else names:
+                self._servers[name].change(data)
+        except (ValueError, KeyError) as error:
+            return web.Response(status=400, text=str(error))
+        return web.Response(status=204)
+
+    async def _stats(self, request: web.Request) -> web.Response:
+        return web.json_response({name: each.stats for name, each in self._servers.items()})
+
+
+def load_file(path: pathlib.Path) -> dict[str, Any]:
+    """Reads a TOML or JSON file."""
+    text = path.read_text(encoding="utf-8")
+    return tomllib.loads(text) if path.suffix == ".toml" else json.loads(text)
+
+
+def build_servers(data: Mapping[str, Any], *, recorder: Recorder) -> dict[str, BackendServer]:
+    """Returns the servers of a settings file by name."""
+    delays = network.Delays.parse(data.get("delays", {}))
+    seeds = itertools.count(int(data.get("seed", 0)))
+    servers = {}
+    for entry in data["servers"]:
+        server = BackendServer(
+            settings=ServerSettings(**entry),
+            recorder=recorder,
+            delays=delays,
+            rng=random.Random(f"{next(seeds)}/{entry['name']}"),
+        )
+        servers[server.name] = server
+    return servers
+
+
+async def _serve(data: Mapping[str, Any], recorder: Recorder) -> None:
+    servers = build_servers(data, recorder=recorder)
+    for server in servers.values():
+        await server.start()
+    runner = web.AppRunner(Control(servers=servers).application(), access_log=None)
+    await runner.setup()
+    host, port = network.split_address(data["control"])
+    await web.TCPSite(runner, host, port).start()
+    await asyncio.Event().wait()
+
+
+@click.command()
+@click.option(
+    "--config",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    help="TOML or JSON file with control, records, delays, seed and servers.",
+)
+def command(config: pathlib.Path) -> None:
+    """Runs the backend servers of a file."""
+    data = load_file(config)
+    open_records: Callable[[], Any] = functools.partial(
+        open, data.get("records") or "/dev/null", "a", buffering=1, encoding="utf-8"
+    )
+    with open_records() as stream:
+        uvloop.run(_serve(data, Recorder(stream=stream)))
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/main.py
@@ -0,0 +1,54 @@
+"""The command ``sassafrasway-standins``."""
+
+import importlib
+
+import click
+
+# Module of each subcommand; every module has a click command named ``command``.
+_MODULES = {
+    "store": "store",
+    "backend": "backend",
+    "link": "link",
+    "load": "load",
+    "bench": "bench",
+    "check": "check",
+    "capacity": "capacity",
+    "demo": "demo",
+}
+
+
+class _LazyGroup(click.Group):
+    """Group that imports the module of a subcommand only when it is used."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted(_MODULES)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        module_name = _MODULES.get(cmd_name)
+        if module_name is None:
+            return None
+        full_name = f"sassafrasway_standins.{module_name}"
+        try:
+            module = importlib.import_module(full_name)
+        except ModuleNotFoundError as error:
+            if error.name != full_name:
+                raise
+            return _missing(cmd_name)
+        return module.command
+
+
+def _missing(name: str) -> click.Command:
+    @click.command(name, help="Not part of this build.")
+    def command() -> None:
+        raise click.ClickException(f"subcommand {name} is not part of this build")
+
+    return command
+
+
+@click.group(cls=_LazyGroup)
+def cli() -> None:
+    """Stand-ins for outside systems, load tool, history checker, demo and benchmarks."""
+
+
+if __name__ == "__main__":
+    cli()
