--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -0,0 +1,247 @@
+"""Records of a run, written as JSON lines by callers, backend servers, links and the bench.
+
+All times are seconds of the machine's monotonic clock, which all processes of one machine share.
+Each record is one line, ``{"kind": ..., ...}``, so that a process that dies loses at most its last
+line.
+"""
+
+import dataclasses
+import json
+import pathlib
+from collections.abc import Iterable, Iterator
+from typing import Any, ClassVar, TextIO
+
+RAN = "ran"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+
+
+class HistoryError(Exception):
+    """A line of a history file is not a valid record."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Record:
+    """Base of all records.
+
+    Attributes:
+        at_s: Monotonic time of the event, s.
+    """
+
+    kind: ClassVar[str] = ""
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Intent(Record):
+    """A caller intends to send a request; ``at_s`` is the intended time."""
+
+    kind: ClassVar[str] = "intent"
+    request: str
+    service: str
+    region: str
+    client: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt(Record):
+    """One exchange with an entry instance; ``at_s`` is when the caller started it.
+
+    Attributes:
+        outcome: ``ran``, ``not-run`` or ``unknown``; empty when no connection was made, so that
+            the request cannot have been received.
+        status: HTTP status; 0 when no answer arrived.
+    """
+
+    kind: ClassVar[str] = "attempt"
+    request: str
+    number: int
+    instance: str
+    ended_s: float
+    outcome: str
+    status: int = 0
+    key: str = ""
+    served_by: str = ""
+    reason: str = ""
+    error: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Verdict(Record):
+    """What the caller finally learned about a request.
+
+    Attributes:
+        whole: The answer's body matches the digest that it states.
+        own: The answer echoes the request's id and the digest of the request's body.
+    """
+
+    kind: ClassVar[str] = "verdict"
+    request: str
+    outcome: str
+    status: int
+    attempts: int
+    whole: bool = True
+    own: bool = True
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunStart(Record):
+    """A backend server starts to run a request, so the request holds one of its slots."""
+
+    kind: ClassVar[str] = "run_start"
+    run: str
+    request: str
+    server: str
+    key: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunEnd(Record):
+    """A backend server frees the slot of a run.
+
+    Attributes:
+        completed: False when the run was cancelled or crashed.
+    """
+
+    kind: ClassVar[str] = "run_end"
+    run: str
+    server: str
+    completed: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Shed(Record):
+    """A backend server refused a request because it had no free slot."""
+
+    kind: ClassVar[str] = "shed"
+    request: str
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Leaving(Record):
+    """A backend server announced that it is leaving, or an operator drained it."""
+
+    kind: ClassVar[str] = "leaving"
+    server: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LinkBytes(Record):
+    """The link relay passed bytes from one region to another."""
+
+    kind: ClassVar[str] = "link_bytes"
+    source: str
+    target: str
+    bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RevisionSeen(Record):
+    """An entry instance reported its policy revision."""
+
+    kind: ClassVar[str] = "revision"
+    instance: str
+    incarnation: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PolicyInForce(Record):
+    """The store accepted a policy; ``document`` is the policy document."""
+
+    kind: ClassVar[str] = "policy"
+    document: dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FaultEvent(Record):
+    """The bench injected a fault or ended it."""
+
+    kind: ClassVar[str] = "fault"
+    fault: str
+    phase: str
+    target: str = ""
+
+
+RECORD_TYPES: dict[str, type[Record]] = {
+    each.kind: each
+    for each in (
+        Intent,
+        Attempt,
+        Verdict,
+        RunStart,
+        RunEnd,
+        Shed,
+        Leaving,
+        LinkBytes,
+        RevisionSeen,
+        PolicyInForce,
+        FaultEvent,
+    )
+}
+
+
+def encode(record: Record) -> str:
+    """Returns the record as one JSON line without the line end."""
+    fields = {"kind": record.kind}
+    for field in dataclasses.fields(record):
+        fields[field.name] = getattr(record, field.name)
+    return json.dumps(fields, separators=(",", ":"))
+
+
+def decode(line: str) -> Record:
+    """Returns the record of one JSON line.
+
+    Raises:
+        HistoryError: The line is not JSON, or its kind or its fields are unknown.
+    """
+    try:
+        fields = json.loads(line)
+        return RECORD_TYPES[fields.pop("kind")](**fields)
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise HistoryError(f"invalid record {line[:200]!r}: {error!r}") from error
+
+
+class Writer:
+    """Appends records to a file; use as a context manager."""
+
+    def __init__(self, *, path: pathlib.Path):
+        self._path = path
+        self._file: TextIO | None = None
+
+    def __enter__(self) -> "Writer":
+        self._path.parent.mkdir(parents=True, exist_ok=True)
+        self._file = self._path.open("a", encoding="utf-8")
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self._file:
+            self._file.close()
+            self._file = None
+
+    def write(self, record: Record) -> None:
+        """Appends one record; the file is flushed when it is closed."""
+        if self._file is None:
+            raise HistoryError(f"{self._path} is not open")
+        self._file.write(encode(record) + "\n")
+
+
+def read(paths: Iterable[pathlib.Path]) -> Iterator[Record]:
+    """Yields the records of several files; the order is that of the files.
+
+    The last line of a file may be cut off when its writer was killed; such a line is left out.
+
+    Raises:
+        HistoryError: A line other than a cut-off last one is invalid.
+    """
+    for path in paths:
+        with path.open(encoding="utf-8") as lines:
+            for number, line in enumerate(lines, start=1):
+                if not line.endswith("\n"):
+                    break
+                try:
+                    yield decode(line)
+                except HistoryError as error:
+                    raise HistoryError(f"{path}:{number}: {error}") from error
--- /dev/null
+++ b/packages/standins/tests/test_check.py
@@ -0,0 +1,229 @@
+"""Tests of the history checker: each rule finds its seeded violation, valid histories pass."""
+
+import contextlib
+import dataclasses
+import pathlib
+import tempfile
+import unittest
+
+from click import testing as click_testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sassafrasway_standins import check, history
+
+POLICY = {
+    "services": {"crew-desk": {"idempotent": False}, "quote-archive": {"idempotent": True}},
+    "servers": {
+        "crew-1": {"service": "crew-desk", "region": "bkk", "slots": 1},
+        "crew-2": {"service": "crew-desk", "region": "hkt", "slots": 2},
+        "quote-1": {"service": "quote-archive", "region": "bkk", "slots": 3},
+    },
+    "regions": {"bkk": {"cap_rps": 4}, "hkt": {"cap_rps": None}},
+    "links": {"bkk/hkt": {"cap_mbit_s": 8.0}},
+    "shifts": {
+        "move": {"service": "crew-desk", "source": "bkk", "target": "hkt", "cap_rps": 2},
+    },
+}
+
+
+def exchange(
+    request,
+    *,
+    at_s,
+    server="crew-1",
+    region="bkk",
+    outcome=history.RAN,
+    starts=1,
+    length_s=0.1,
+):
+    """Returns the records of one request that its caller sent once."""
+    records = [
+        history.Intent(at_s=at_s, request=request, service="any", region=region),
+        history.Attempt(
+            at_s=at_s,
+            request=request,
+            number=1,
+            instance="e1",
+            ended_s=at_s + length_s,
+            outcome=outcome,
+        ),
+        history.Verdict(
+            at_s=at_s + length_s, request=request, outcome=outcome, status=200, attempts=1
+        ),
+    ]
+    for number in range(starts):
+        run = f"{request}/{number}"
+        begin = at_s + (0.1 + 0.4 * number) * length_s
+        records.append(
+            history.RunStart(
+                at_s=begin, run=run, request=request, server=server, key=f"k.{request}"
+            )
+        )
+        records.append(history.RunEnd(at_s=begin + 0.3 * length_s, run=run, server=server))
+    return records
+
+
+def changed(records, record_type, **changes):
+    """Returns the records with fields of all records of one type replaced."""
+    return [
+        dataclasses.replace(each, **changes) if isinstance(each, record_type) else each
+        for each in records
+    ]
+
+
+def without(records, record_type):
+    """Returns the records without those of one type."""
+    return [each for each in records if not isinstance(each, record_type)]
+
+
+def revision(number, *, at_s):
+    """Returns a sighting of a revision at one instance."""
+    return history.RevisionSeen(at_s=at_s, instance="e1", incarnation="i1", revision=number)
+
+
+CLEAN = [
+    history.PolicyInForce(at_s=0.0, document=POLICY),
+    *exchange("a", at_s=10.0),
+    *exchange("b", at_s=10.2, server="quote-1", starts=2),
+    *exchange("c", at_s=10.4, outcome=history.NOT_RUN, starts=0),
+    history.LinkBytes(at_s=10.0, source="bkk", target="hkt", bytes=1_000_000),
+    revision(1, at_s=9.0),
+    revision(2, at_s=10.0),
+    history.Leaving(at_s=8.0, server="crew-1"),
+]
+
+SEEDED = {
+    "at-most-once": exchange("x", at_s=10.6, server="crew-2", starts=2),
+    "not-run-is-true": exchange("x", at_s=10.6, server="crew-2", outcome=history.NOT_RUN),
+    "whole-and-own": changed(
+        exchange("x", at_s=10.6, server="crew-2"), history.Verdict, whole=False
+    ),
+    "none-lost": without(exchange("x", at_s=10.6, server="crew-2"), history.Verdict),
+    "region-cap": [
+        record
+        for number in range(3)
+        for record in exchange(f"x{number}", at_s=10.6, server="quote-1")
+    ],
+    "shift-cap": [
+        record
+        for number in range(3)
+        for record in exchange(f"x{number}", at_s=10.6 + 0.2 * number, server="crew-2")
+    ],
+    "link-cap": [history.LinkBytes(at_s=10.9, source="bkk", target="hkt", bytes=1_000)],
+    "slots": [
+        record
+        for number in range(3)
+        for record in exchange(f"x{number}", at_s=10.6, server="crew-2", region="hkt")
+    ],
+    "no-work-after-leaving": exchange("x", at_s=11.2),
+    "revisions-in-order": [revision(1, at_s=10.1)],
+}
+
+
+class SeededViolationTest(unittest.TestCase):
+    """Guards against a rule that no longer finds what it exists for."""
+
+    def test_clean_history_passes(self):
+        """Guards against false alarms, for example on retried idempotent requests."""
+        self.assertEqual(check.check(CLEAN), [])
+
+    def test_every_rule_has_a_seeded_violation(self):
+        """Guards against a rule that is added without proof that it works."""
+        self.assertEqual(set(SEEDED), set(check.RULES))
+
+    def test_each_rule_finds_exactly_its_violation(self):
+        """Guards against rules that miss their breach or report that of another rule."""
+        for name, records in SEEDED.items():
+            with self.subTest(rule=name):
+                found = check.check([*CLEAN, *records])
+                self.assertEqual({each.rule for each in found}, {name})
+
+    def test_foreign_answer_is_found(self):
+        """Guards against an answer that is complete but belongs to another request."""
+        records = changed(exchange("x", at_s=20.0, server="crew-2"), history.Verdict, own=False)
+        self.assertEqual([each.rule for each in check.check([*CLEAN, *records])], ["whole-and-own"])
+
+    def test_late_run_after_not_run_is_found(self):
+        """Guards against a request that runs after its caller was told that it never will."""
+        records = exchange("x", at_s=20.0, server="crew-2", outcome=history.NOT_RUN)
+        late = changed(records, history.RunStart, at_s=25.0)
+        found = check.check([*CLEAN, *changed(late, history.RunEnd, at_s=25.1)])
+        self.assertEqual([each.rule for each in found], ["not-run-is-true"])
+
+    def test_key_shared_by_two_requests_is_found(self):
+        """Guards against a ticket that is used for two requests."""
+        records = [
+            *exchange("x", at_s=20.0, server="crew-2"),
+            *exchange("y", at_s=21.0, server="crew-2"),
+        ]
+        found = check.check([*CLEAN, *changed(records, history.RunStart, key="same")])
+        self.assertIn("at-most-once", {each.rule for each in found})
+
+    def test_lowered_cap_counts_only_after_it_settled(self):
+        """Guards against reports on windows in which the previous, higher cap still counted."""
+        lower = POLICY | {"regions": {"bkk": {"cap_rps": 0}, "hkt": {"cap_rps": 0}}}
+        policy = history.PolicyInForce(at_s=20.0, document=lower)
+        early = exchange("x", at_s=22.0, server="quote-1")
+        late = exchange("y", at_s=27.0, server="quote-1")
+        self.assertEqual(check.check([*CLEAN, policy, *early]), [])
+        found = check.check([*CLEAN, policy, *early, *late])
+        self.assertEqual([each.rule for each in found], ["region-cap"])
+
+
+class CommandTest(unittest.TestCase):
+    """Guards against a checker that reports success whatever it finds."""
+
+    def run_command(self, records):
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory)
+            with contextlib.ExitStack() as stack:
+                for index in range(2):
+                    file = path / "records" / f"{index}.jsonl"
+                    writer = stack.enter_context(history.Writer(path=file))
+                    for record in records[index::2]:
+                        writer.write(record)
+            return click_testing.CliRunner().invoke(check.command, [directory])
+
+    def test_exit_code_follows_the_violations(self):
+        """Guards against an exit code of 0 for a bad run, and of 1 for a good one."""
+        self.assertEqual(self.run_command(CLEAN).exit_code, 0)
+        result = self.run_command([*CLEAN, *SEEDED["slots"]])
+        self.assertEqual(result.exit_code, 1)
+        self.assertIn("slots: crew-2", result.output)
+
+    def test_cut_off_last_line_is_left_out_and_garbage_is_not(self):
+        """Guards against losing a whole file to a killed writer, and against ignoring damage."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "a.jsonl"
+            line = history.encode(revision(1, at_s=1.0))
+            path.write_text(f"{line}\n{line[:20]}", encoding="utf-8")
+            self.assertEqual(list(history.read([path])), [revision(1, at_s=1.0)])
+            path.write_text(f"{line[:20]}\n{line}\n", encoding="utf-8")
+            with self.assertRaises(history.HistoryError):
+                list(history.read([path]))
+
+
+@st.composite
+def valid_histories(draw):
+    """Draws histories of a correct system: one server with one slot, runs one after another."""
+    records = [history.PolicyInForce(at_s=0.0, document=POLICY)]
+    at_s = 10.0
+    for number in range(draw(st.integers(0, 20))):
+        # At most four starts per second keep the region cap; runs last a tenth of the gap.
+        at_s += draw(st.floats(0.26, 3.0))
+        outcome = draw(st.sampled_from([history.RAN, history.NOT_RUN, history.UNKNOWN]))
+        starts = {history.RAN: 1, history.NOT_RUN: 0, history.UNKNOWN: draw(st.integers(0, 1))}
+        records += exchange(f"r{number}", at_s=at_s, outcome=outcome, starts=starts[outcome])
+        records.append(revision(number // 3, at_s=at_s))
+    return draw(st.permutations(records))
+
+
+class ValidHistoryTest(unittest.TestCase):
+    """Guards against rules that depend on the order of records in the files."""
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(valid_histories())
+    def test_random_valid_histories_pass(self, records):
+        """Guards against false alarms on histories that a correct system can produce."""
+        self.assertEqual(check.check(records), [])
