--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -143,11 +143,21 @@
             verdict = self._check_ticket(ticket)
             if verdict is not None:
                 return verdict
-        self._records[key] = KeyRecord(
-            key=key, state=KeyState.STARTED, updated_s=self._clock.monotonic()
-        )
+        self._add(key)
         return Begin.START
 
+    def begin_claimed(self, key: str) -> bool:
+        """Starts a key that this incarnation has claimed in the table.
+
+        Returns:
+            False when the key is known already and must not start again.
+        """
+        self._forget_old()
+        if key in self._records:
+            return False
+        self._add(key)
+        return True
+
     def dispatched(self, key: str) -> None:
         """Notes that the request is about to leave for a backend server or pool owner.
 
@@ -202,6 +212,11 @@
         limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
         return limit_wall_s - self._epoch_offset_s
 
+    def _add(self, key: str) -> None:
+        self._records[key] = KeyRecord(
+            key=key, state=KeyState.STARTED, updated_s=self._clock.monotonic()
+        )
+
     def _check_ticket(self, ticket: Ticket) -> Begin | None:
         if ticket.holder != self._me:
             raise errors.ValidationError(
--- /dev/null
+++ b/packages/core/tests/test_at_most_once.py
@@ -0,0 +1,139 @@
+"""Tests of tickets and of the registry of keys."""
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from sassafrasway_core import at_most_once, clock, errors, invariants, model
+
+_ME = model.InstanceId(name="bkk-a-1", incarnation="0a1b")
+_OTHER = model.InstanceId(name="bkk-a-1", incarnation="ffff")
+
+
+class _Fixture:
+    def __init__(self):
+        self.clock = clock.ManualClock()
+        self.invariants = invariants.Invariants(mode=invariants.Mode.RAISE)
+        self.registry = at_most_once.KeyRegistry(
+            me=_ME, clock=self.clock, invariants=self.invariants
+        )
+        self.rng = random.Random(1)
+
+    def mint(self, holder=_ME):
+        return str(at_most_once.Ticket.mint(holder=holder, clock=self.clock, rng=self.rng))
+
+
+class TicketTest(unittest.TestCase):
+    def test_round_trip(self):
+        """Guards against a ticket that names another holder after parsing."""
+        text = _Fixture().mint()
+        ticket = at_most_once.Ticket.parse(text)
+        self.assertEqual((str(ticket), ticket.holder), (text, _ME))
+
+    def test_free_keys_are_not_tickets(self):
+        """Guards against taking a caller's own key for a ticket."""
+        for key in ("", "order-17", "t1.a.b", "t1.a.b.1.xyz", "t2.a.b.1.0123456789abcdef"):
+            self.assertIsNone(at_most_once.Ticket.parse(key))
+
+
+class KeyRegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.fixture = _Fixture()
+        self.registry = self.fixture.registry
+
+    def test_second_attempt_joins_and_later_reads(self):
+        """Guards against a second run when a caller sends the same key again."""
+        key = self.fixture.mint()
+        self.assertIs(self.registry.begin(key), at_most_once.Begin.START)
+        self.assertIs(self.registry.begin(key), at_most_once.Begin.RUNNING)
+        self.registry.dispatched(key)
+        self.registry.finish(key, "answer", not_run=False)
+        self.assertIs(self.registry.begin(key), at_most_once.Begin.DONE)
+        self.assertEqual(self.registry.record(key).outcome, "answer")
+
+    def test_ticket_of_another_incarnation(self):
+        """Guards against a restarted instance running the tickets of its predecessor."""
+        with self.assertRaises(errors.ValidationError):
+            self.registry.begin(self.fixture.mint(_OTHER))
+
+    def test_expired_ticket_never_starts(self):
+        """Guards against a late duplicate that starts after the outcome was given as not run."""
+        key = self.fixture.mint()
+        self.fixture.clock.advance(at_most_once.TICKET_START_S + 1.1)
+        self.assertIs(self.registry.begin(key), at_most_once.Begin.EXPIRED)
+
+    def test_very_old_ticket_is_not_called_not_run(self):
+        """Guards against "not run" for a key whose record was dropped."""
+        key = self.fixture.mint()
+        self.fixture.clock.advance(at_most_once.RETENTION_S + 1)
+        self.assertIs(self.registry.begin(key), at_most_once.Begin.FORGOTTEN)
+
+    def test_not_run_after_dispatch_violates(self):
+        """Guards against telling a caller "not run" while a dispatch may still run."""
+        key = self.fixture.mint()
+        self.registry.begin(key)
+        self.registry.dispatched(key)
+        with self.assertRaises(errors.InvariantViolation):
+            self.registry.finish(key, "answer", not_run=True)
+
+    def test_two_dispatches_violate(self):
+        """Guards against a second dispatch while the first is in doubt."""
+        key = self.fixture.mint()
+        self.registry.begin(key)
+        self.registry.dispatched(key)
+        with self.assertRaises(errors.InvariantViolation):
+            self.registry.dispatched(key)
+
+    def test_refused_dispatch_may_be_not_run(self):
+        """A shed is a certain refusal, so the answer may be "not run"."""
+        key = self.fixture.mint()
+        self.registry.begin(key)
+        self.registry.dispatched(key)
+        self.registry.refused(key)
+        self.registry.finish(key, "shed", not_run=True)
+        self.assertIs(self.registry.begin(key), at_most_once.Begin.DONE)
+
+
+_STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("send"), st.integers(0, 5)),
+        st.tuples(st.just("finish"), st.integers(0, 5)),
+        st.tuples(st.just("advance"), st.floats(0, 200)),
+    ),
+    max_size=40,
+)
+
+
+class RandomisedTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
+    @hypothesis.given(steps=_STEPS)
+    def test_every_key_starts_at_most_once(self, steps):
+        """Guards against a second start under duplicates, delays and dropped records."""
+        fixture = _Fixture()
+        keys = [fixture.mint() for _ in range(6)]
+        starts = dict.fromkeys(keys, 0)
+        not_run = set()
+        for step, argument in steps:
+            if step == "advance":
+                fixture.clock.advance(argument)
+            elif step == "send":
+                key = keys[argument]
+                verdict = fixture.registry.begin(key)
+                if verdict is at_most_once.Begin.START:
+                    starts[key] += 1
+                    fixture.registry.dispatched(key)
+                    self.assertNotIn(key, not_run)
+                elif verdict is at_most_once.Begin.EXPIRED:
+                    self.assertEqual(starts[key], 0)
+                    not_run.add(key)
+            else:
+                record = fixture.registry.record(keys[argument])
+                if record is not None and record.state is at_most_once.KeyState.DISPATCHED:
+                    fixture.registry.finish(keys[argument], "done", not_run=False)
+        self.assertLessEqual(max(starts.values()), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import dataclasses
+import hashlib
 import json
-import urllib.parse
 
 import structlog
 
@@ -48,6 +48,11 @@
         return cls(holder=data["holder"], attempt=data["attempt"], answer=answer)
 
 
+def claim_row(service: str, key: str) -> str:
+    """Returns the row of a claim; keys are hashed because callers choose them freely."""
+    return f"claims/{service}/{hashlib.sha256(key.encode()).hexdigest()}"
+
+
 class Gatekeeper:
     """Runs non-idempotent requests at most once.
 
@@ -78,6 +83,7 @@
         self._claims = claims
         self._running: dict[str, asyncio.Task] = {}
         self._updates: set[asyncio.Task] = set()
+        self._closed = False
         self._log = structlog.get_logger("gatekeeper")
 
     @property
@@ -90,6 +96,10 @@
         """Number of claim rows whose outcome is not written yet."""
         return len(self._updates)
 
+    def close(self) -> None:
+        """Starts no more tickets, so that the mark of a closed incarnation can be written."""
+        self._closed = True
+
     async def handle(self, request: messages.Request) -> messages.Answer:
         """Runs a request that a caller sent to this instance."""
         ticket = at_most_once.Ticket.parse(request.key)
@@ -118,6 +128,9 @@
     async def run_held(self, request: messages.Request) -> messages.Answer:
         """Runs a request whose key this incarnation holds, or joins its earlier attempt."""
         key = request.key
+        if self._closed and self._registry.record(key) is None:
+            # From here on a new key needs a claim, as it will after this incarnation has ended.
+            return await self._handle_claim(request)
         state = self._registry.begin(key)
         if state is at_most_once.Begin.EXPIRED:
             return messages.not_run(409, messages.Reason.TICKET_EXPIRED)
@@ -137,7 +150,9 @@
         task.add_done_callback(lambda _: self._running.pop(request.key, None))
 
     async def _join(self, key: str, request: messages.Request) -> messages.Answer:
-        task = self._running[key]
+        task = self._running.get(key)
+        if task is None:
+            return self._registry.record(key).outcome
         try:
             return await asyncio.wait_for(
                 asyncio.shield(task), max(0.001, request.deadline.remaining_s + 0.05)
@@ -180,7 +195,7 @@
 
     async def _handle_claim(self, request: messages.Request) -> messages.Answer:
         """Runs a request after creating its claim row."""
-        row_key = f"claims/{request.service}/{urllib.parse.quote(request.key, safe='')}"
+        row_key = claim_row(request.service, request.key)
         mine = Claim(holder=str(self._me), attempt=request.request_id)
         while not request.deadline.expired:
             try:
@@ -199,13 +214,10 @@
     def _give_up_claim(self, key: str) -> messages.Answer:
         """Records that a key was not run, as the row may exist although its answer was lost."""
         answer = messages.not_run(504, messages.Reason.STORE_UNAVAILABLE)
-        state = self._registry.begin(key)
-        if state is at_most_once.Begin.START:
+        if self._registry.begin_claimed(key):
             self._registry.finish(key, answer, not_run=True)
             return answer
-        if state is at_most_once.Begin.DONE:
-            return self._registry.record(key).outcome
-        return messages.unknown(504, messages.Reason.DEADLINE)
+        return self._registry.record(key).outcome or messages.unknown(504, messages.Reason.DEADLINE)
 
     async def _handle_existing_claim(
         self, row_key: str, request: messages.Request
@@ -222,7 +234,7 @@
         if claim.holder != str(self._me):
             return await self._ask_holder(claim, request)
         if self._registry.record(request.key) is not None:
-            return await self.run_held(request)
+            return await self._join(request.key, request)
         if claim.attempt == request.request_id:
             # The answer to this attempt's own write was lost.
             return await self._run_claimed(row_key, row, request)
@@ -242,7 +254,9 @@
     async def _run_claimed(
         self, row_key: str, row: table.Row, request: messages.Request
     ) -> messages.Answer:
-        answer = await self.run_held(request)
+        if self._registry.begin_claimed(request.key):
+            self._start(request)
+        answer = await self._join(request.key, request)
         task = asyncio.create_task(self._update_claim(row_key, row, answer))
         self._updates.add(task)
         task.add_done_callback(self._updates.discard)
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -9,36 +9,22 @@
 import structlog
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_core import invariants, model, pool, quarantine, retry, window
+from sassafrasway_core import invariants, model, pool, quarantine, region, retry, share, window
 from sassafrasway_entry import backend_client, messages, recorder
 
 MAX_SHED_RETRIES = 2
 RAMP_S = 2.0  # time in which a new or idle server reaches all of its slots
 PROBE_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PoolGrant:
-    """Right to use a pool.
-
-    Attributes:
-        expires_s: Monotonic time at which the right shrinks to the offline share.
-        region_cap_rps: Part of the region's cap that this pool may use, requests/s.
-    """
-
-    key: model.PoolKey
-    epoch: int
-    share: pool.Share
-    expires_s: float
-    region_cap_rps: float | None = None
+WAKE_INTERVAL_S = 0.02
+INHERITED_S = 10.0  # longest time for which slots of a previous owner count as used
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OwnedPool:
     """State of a pool that this instance owns."""
 
-    grant: PoolGrant
+    grant: region.PoolGrant
     slots: pool.SlotPool
     region_window: window.SlidingWindow | None
     shift_windows: dict[str, window.SlidingWindow]
@@ -57,6 +43,7 @@
         record: Record of dispatches.
         report_crash: Tells the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
+        share_of: Returns the share of a pool that may be used now.
         queue_limit: Longest queue of a pool.
     """
 
@@ -69,6 +56,7 @@
         client: backend_client.BackendClient,
         record: recorder.Recorder,
         report_crash: Callable[[str, str, str], Awaitable[None]],
+        share_of: Callable[[model.PoolKey], share.Share],
         queue_limit: int,
     ):
         self._clock = clock
@@ -77,6 +65,7 @@
         self._client = client
         self._record = record
         self._report_crash = report_crash
+        self._share_of = share_of
         self._queue_limit = queue_limit
         self._pools: dict[model.PoolKey, OwnedPool] = {}
         self._policy: model.Policy | None = None
@@ -104,25 +93,22 @@
             owned.slots.set_servers(self._servers.get(key, ()))
             self._set_limits(owned)
 
-    def set_grants(self, grants: Iterable[PoolGrant]) -> None:
+    def set_grants(self, grants: Iterable[region.PoolGrant]) -> None:
         """Takes the full list of pools that this instance may use."""
-        by_key = {grant.key: grant for grant in grants}
+        by_key = {grant.pool: grant for grant in grants}
         for key in [key for key in self._pools if key not in by_key]:
             self._drop(key)
         for key, grant in by_key.items():
             owned = self._pools.get(key)
             if owned is None:
                 owned = self._add(grant)
+            if grant.inherited and owned.grant.previous != grant.previous:
+                expires_s = self._clock.monotonic() + INHERITED_S
+                owned.slots.inherit(grant.inherited, expires_s=expires_s)
             owned.grant = grant
-            owned.slots.set_share(grant.share)
+            self._apply_share(owned)
             self._set_limits(owned)
 
-    def inherit(self, key: model.PoolKey, counts: dict[str, int], *, expires_s: float) -> None:
-        """Takes over the slots that the previous owner of a pool still uses."""
-        owned = self._pools.get(key)
-        if owned is not None:
-            owned.slots.inherit(counts, expires_s=expires_s)
-
     def release_inherited(self, key: model.PoolKey, server: str, count: int) -> None:
         """Frees slots after the previous owner's requests ended."""
         owned = self._pools.get(key)
@@ -159,14 +145,30 @@
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
             for owned in list(self._pools.values()):
-                for server in owned.slots.servers_to_probe():
-                    healthy = await self._client.probe(server, timeout_s=PROBE_TIMEOUT_S)
-                    self._wake(owned, owned.slots.probed(server.name, healthy=healthy))
+                await self._probe_pool(owned)
 
-    def _add(self, grant: PoolGrant) -> OwnedPool:
+    async def wake_loop(self) -> None:
+        """Gives slots that became free by the passage of time to waiting requests."""
+        while True:
+            await asyncio.sleep(WAKE_INTERVAL_S)
+            for owned in list(self._pools.values()):
+                if owned.slots.queue_length():
+                    self._apply_share(owned)
+                    owned.slots.expire()
+                    self._wake(owned, owned.slots.grant_waiting())
+
+    async def _probe_pool(self, owned: OwnedPool) -> None:
+        servers = {server.name: server for server in self._servers.get(owned.grant.pool, ())}
+        for name in owned.slots.health.probes_due():
+            if name not in servers:
+                continue
+            healthy = await self._client.probe(servers[name], timeout_s=PROBE_TIMEOUT_S)
+            owned.slots.record_probe(name, succeeded=healthy)
+
+    def _add(self, grant: region.PoolGrant) -> OwnedPool:
         slots = pool.SlotPool(
-            key=grant.key,
-            servers=self._servers.get(grant.key, ()),
+            key=grant.pool,
+            servers=self._servers.get(grant.pool, ()),
             clock=self._clock,
             rng=self._rng,
             invariants=self._invariants,
@@ -176,8 +178,8 @@
         owned = OwnedPool(
             grant=grant, slots=slots, region_window=None, shift_windows={}, waiters={}
         )
-        self._pools[grant.key] = owned
-        self._log.info("pool acquired", pool=str(grant.key), epoch=grant.epoch)
+        self._pools[grant.pool] = owned
+        self._log.info("pool acquired", pool=str(grant.pool), share=grant.share.value)
         return owned
 
     def _drop(self, key: model.PoolKey) -> None:
@@ -190,8 +192,8 @@
     def _set_limits(self, owned: OwnedPool) -> None:
         if self._policy is None:
             return
-        owned.region_window = self._window(owned.region_window, owned.grant.region_cap_rps)
-        key = owned.grant.key
+        key = owned.grant.pool
+        owned.region_window = self._window(owned.region_window, self._region_limit(key))
         wanted = {
             shift.source: shift.cap_rps
             for shift in self._policy.shifts.values()
@@ -202,6 +204,18 @@
             for source, cap_rps in wanted.items()
         }
 
+    def _region_limit(self, key: model.PoolKey) -> float | None:
+        """Returns the pool's part of the region's cap, by its part of the region's slots."""
+        cap_rps = self._policy.regions[key.region].cap_rps
+        if cap_rps is None:
+            return None
+        slots = {
+            each: sum(server.slots for server in servers)
+            for each, servers in self._servers.items()
+            if each.region == key.region
+        }
+        return cap_rps * slots.get(key, 0) / max(1, sum(slots.values()))
+
     def _window(
         self, current: window.SlidingWindow | None, limit: float | None
     ) -> window.SlidingWindow | None:
@@ -218,10 +232,13 @@
             return messages.not_run(504, messages.Reason.DEADLINE)
         if self._quarantine.is_quarantined(request.fingerprint):
             return messages.not_run(422, messages.Reason.QUARANTINED)
-        if owned.grant.expires_s <= self._clock.monotonic():
-            owned.slots.set_share(pool.Share.OFFLINE)
+        self._apply_share(owned)
         return None
 
+    def _apply_share(self, owned: OwnedPool) -> None:
+        """Reads the share at the moment of dispatch: the grant may have expired since."""
+        owned.slots.set_share(self._share_of(owned.grant.pool))
+
     def _take_limits(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
         """Takes the request from the caps after it has a slot, so that waiting costs no cap."""
         shift_window = owned.shift_windows.get(request.home_region)
