--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -142,8 +142,9 @@
 
     def record_probe(self, server: str, *, succeeded: bool) -> None:
         """Counts the probe of an ejected server; a returning server is ramped up."""
+        was_ejected = self._health.is_ejected(server)
         self._health.record_probe(server, succeeded=succeeded)
-        if succeeded and server in self._servers:
+        if was_ejected and succeeded:
             self._servers[server].restart_ramp()
 
     def report_load(self, server: str, slots_in_use: int) -> None:
--- a/packages/core/src/sassafrasway_core/pool_queue.py
+++ b/packages/core/src/sassafrasway_core/pool_queue.py
@@ -14,7 +14,8 @@
         # A heap entry is stale when its waiter has left the queue or waits with another deadline.
         self._by_deadline: list[tuple[float, int, Hashable]] = []
         self._sequence = itertools.count()
-        self._dropped: list[Hashable] = []
+        # A dict keeps the order and lets an abandoned entry be removed.
+        self._dropped: dict[Hashable, None] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -35,8 +36,9 @@
         return True
 
     def remove(self, waiter_id: Hashable) -> None:
-        """Removes an entry; does nothing when it no longer waits."""
+        """Removes an entry, also one that has expired; does nothing when there is none."""
         self._entries.pop(waiter_id, None)
+        self._dropped.pop(waiter_id, None)
 
     def pop(self, *, now_s: float) -> Hashable | None:
         """Removes and returns the longest-waiting entry that is in time, None without one."""
@@ -50,12 +52,12 @@
     def take_expired(self, *, now_s: float) -> list[Hashable]:
         """Removes and returns every entry whose deadline passed since the last call."""
         self._drop_expired(now_s)
-        dropped, self._dropped = self._dropped, []
-        return dropped
+        dropped, self._dropped = self._dropped, {}
+        return list(dropped)
 
     def _drop_expired(self, now_s: float) -> None:
         while self._by_deadline and self._by_deadline[0][0] <= now_s:
             expires_s, _, waiter_id = heapq.heappop(self._by_deadline)
             if self._entries.get(waiter_id) == expires_s:
                 del self._entries[waiter_id]
-                self._dropped.append(waiter_id)
+                self._dropped[waiter_id] = None
--- /dev/null
+++ b/packages/core/tests/pool_driver.py
@@ -0,0 +1,187 @@
+"""Drives a slot pool with random operations and checks it against a simple model."""
+
+import dataclasses
+import random
+
+from sassafrasway_core import clock, invariants, model, pool
+
+KEY = model.PoolKey(service="crew-desk", region="bkk")
+
+
+def server(name, *, slots=3, state=model.ServerState.ACTIVE, url=None):
+    """Returns a backend server of the pool ``KEY``."""
+    return model.BackendServer(
+        name=name,
+        service=KEY.service,
+        region=KEY.region,
+        failure_domain="bkk-a",
+        url=url or f"http://{name}",
+        slots=slots,
+        connections=660,
+        state=state,
+    )
+
+
+def make_pool(servers, *, time, seed=1, **options):
+    """Returns a pool that raises on every broken invariant."""
+    checks = invariants.Invariants(mode=invariants.Mode.RAISE)
+    return pool.SlotPool(
+        key=KEY,
+        servers=servers,
+        clock=time,
+        rng=random.Random(seed),
+        invariants=checks,
+        **options,
+    )
+
+
+class Driver:
+    """Runs operations that ``rng`` chooses; an ``AssertionError`` names a broken rule."""
+
+    def __init__(self, rng, *, ramp_s=0.0):
+        self._rng = rng
+        self._time = clock.ManualClock()
+        self._servers = {f"s{i}": server(f"s{i}") for i in range(rng.randint(1, 6))}
+        self._pool = make_pool(
+            self._servers.values(), time=self._time, queue_limit=4, ramp_s=ramp_s
+        )
+        self._leases = []
+        # Requests of the previous owner that are really running: server and latest end.
+        self._inherited = []
+        self._queue = {}
+        self._next_waiter = 0
+        self._reported_leaving = set()
+        self.granted = 0
+
+    def step(self):
+        """Runs one operation and checks what can be checked at any time."""
+        operations = [
+            *[self._acquire, self._release] * 3,
+            *[self._advance, self._enqueue] * 2,
+            *[self._abandon, self._expire, self._inherit, self._release_inherited],
+            *[self._set_share, self._set_servers, self._report, self._probe],
+        ]
+        self._rng.choice(operations)()
+        if self._pool.queue_length() and self._pool.free_slots():
+            self._check_grants(self._pool.grant_waiting())
+            assert not (self._pool.queue_length() and self._pool.free_slots())
+        assert self._pool.queue_length() <= 4
+        active = [s for s in self._pool.snapshot().servers if not s.leaving]
+        assert sum(s.ejected for s in active) * 3 <= len(active), "too many servers ejected"
+
+    def _acquire(self):
+        excluded = frozenset(self._rng.sample(sorted(self._servers), k=self._rng.randint(0, 1)))
+        lease = self._pool.try_acquire(exclude=excluded)
+        if lease is None:
+            assert excluded or not self._pool.free_slots(), "a free slot was refused"
+        else:
+            assert lease.server.name not in excluded
+            self._check_lease(lease)
+
+    def _release(self):
+        if not self._leases:
+            return
+        lease = self._leases.pop(self._rng.randrange(len(self._leases)))
+        result = self._rng.choice(list(pool.ServerResult))
+        if result is pool.ServerResult.LEAVING:
+            self._reported_leaving.add(lease.server.name)
+        self._check_grants(self._pool.release(lease, result))
+        assert self._pool.release(lease, result) == [], "a lease was released twice"
+
+    def _advance(self):
+        self._time.advance(self._rng.choice([0.01, 0.3, 1.5]))
+        now_s = self._time.monotonic()
+        self._inherited = [each for each in self._inherited if each[1] > now_s]
+
+    def _enqueue(self):
+        self._next_waiter += 1
+        expires_s = self._time.monotonic() + self._rng.choice([0.1, 1.0, 3.0])
+        if self._pool.enqueue(self._next_waiter, expires_s=expires_s):
+            self._queue[self._next_waiter] = expires_s
+
+    def _abandon(self):
+        if self._queue:
+            waiter_id = self._rng.choice(sorted(self._queue))
+            self._pool.abandon(waiter_id)
+            del self._queue[waiter_id]
+
+    def _expire(self):
+        expired = self._pool.expire()
+        now_s = self._time.monotonic()
+        assert sorted(expired) == [w for w, at in self._queue.items() if at <= now_s]
+        self._queue = {w: at for w, at in self._queue.items() if at > now_s}
+
+    def _inherit(self):
+        name = self._rng.choice(sorted(self._servers))
+        expires_s = self._time.monotonic() + self._rng.choice([0.5, 2.0])
+        count = self._rng.randint(1, 2)
+        self._pool.inherit({name: count}, expires_s=expires_s)
+        self._inherited += [(name, expires_s)] * count
+
+    def _release_inherited(self):
+        if self._inherited:
+            ended = self._inherited.pop(self._rng.randrange(len(self._inherited)))
+            self._check_grants(self._pool.release_inherited(ended[0], 1))
+
+    def _set_share(self):
+        self._pool.set_share(self._rng.choice([*pool.Share, pool.Share.FULL, pool.Share.FULL]))
+
+    def _set_servers(self):
+        name = f"s{self._rng.randrange(7)}"
+        if name in self._servers and len(self._servers) > 1 and self._rng.random() < 0.3:
+            del self._servers[name]
+        else:
+            state = self._rng.choice([model.ServerState.ACTIVE, *model.ServerState])
+            old = self._servers.get(name)
+            if old is None or old.state is not state:
+                self._reported_leaving.discard(name)
+            self._servers[name] = server(name, slots=self._rng.randint(1, 6), state=state)
+        self._pool.set_servers(self._servers.values())
+
+    def _report(self):
+        name = self._rng.choice(sorted(self._servers))
+        self._pool.report_load(name, self._rng.randint(0, 9))
+        leaving = self._rng.random() < 0.3
+        self._pool.set_leaving(name, leaving)
+        (self._reported_leaving.add if leaving else self._reported_leaving.discard)(name)
+
+    def _probe(self):
+        for name in self._pool.health.probes_due():
+            self._pool.record_probe(name, succeeded=self._rng.random() < 0.7)
+
+    def _check_grants(self, grants):
+        for grant in grants:
+            live = [w for w, at in self._queue.items() if at > self._time.monotonic()]
+            assert grant.waiter_id == live[0], "a waiter was passed over"
+            del self._queue[grant.waiter_id]
+            self.granted += 1
+            self._check_lease(grant.lease)
+
+    def _check_lease(self, lease):
+        name = lease.server.name
+        stated = self._servers[name]
+        assert stated.state is model.ServerState.ACTIVE, f"{name} is leaving"
+        assert name not in self._reported_leaving, f"{name} reported that it is leaving"
+        assert not self._pool.health.is_ejected(name), f"{name} is ejected"
+        self._leases.append(lease)
+        used = sum(each.server.name == name for each in self._leases)
+        used += sum(each[0] == name for each in self._inherited)
+        usable = self._pool.share.slots_of(stated.slots)
+        assert used <= usable, f"{name} has {used} requests, {usable} slots"
+        assert self._pool.in_use()[name] >= used
+
+
+@dataclasses.dataclass
+class RandomRun:
+    """A run of the driver that a seed reproduces."""
+
+    seed: int
+    steps: int
+
+    def run(self):
+        """Runs the steps and returns the driver."""
+        rng = random.Random(self.seed)
+        driver = Driver(rng, ramp_s=rng.choice([0.0, 2.0]))
+        for _ in range(self.steps):
+            driver.step()
+        return driver
--- /dev/null
+++ b/packages/core/tests/test_quarantine.py
@@ -0,0 +1,49 @@
+"""Tests of the quarantine of requests that crash servers."""
+
+import random
+import unittest
+
+from sassafrasway_core import clock, quarantine
+
+
+def _fingerprint(**changes):
+    request = {"service": "katalog", "method": "GET", "path": "/a", "body": b"x", **changes}
+    return quarantine.fingerprint(**request)
+
+
+class QuarantineTest(unittest.TestCase):
+    def test_fingerprint_depends_on_each_part_and_its_borders(self):
+        """Guards against quarantining a request because a different one crashed servers."""
+        changes = [
+            {},
+            {"service": "other"},
+            {"method": "PUT"},
+            {"path": "/b"},
+            {"body": b"y"},
+            {"path": "/ax", "body": b""},
+        ]
+        self.assertEqual(len({_fingerprint(**change) for change in changes}), len(changes))
+        self.assertEqual(_fingerprint(method="get"), _fingerprint())
+
+    def test_two_distinct_servers_quarantine_until_the_time_is_over(self):
+        """Guards against crashing a third server, and against refusing a request for ever."""
+        time = clock.ManualClock()
+        crashes = quarantine.Quarantine(clock=time, ttl_s=600)
+        self.assertEqual([crashes.record_crash("f", server) for server in "aab"], [1, 1, 2])
+        self.assertEqual(crashes.crashes("f"), {"a", "b"})
+        time.advance(599)
+        self.assertTrue(crashes.is_quarantined("f"))
+        self.assertEqual([entry.remaining_s for entry in crashes.entries()], [1.0])
+        time.advance(1)
+        self.assertFalse(crashes.is_quarantined("f"))
+        self.assertEqual((crashes.record_crash("f", "c"), len(crashes.entries())), (1, 1))
+
+    def test_memory_is_bounded_and_jitter_only_shortens(self):
+        """Guards against a faulty network filling the memory with one-time crashes."""
+        time = clock.ManualClock()
+        crashes = quarantine.Quarantine(clock=time, rng=random.Random(1), ttl_s=10)
+        for number in range(quarantine.MOST_ENTRIES + 5):
+            crashes.record_crash(str(number), "a")
+        entries = crashes.entries()
+        self.assertEqual((len(entries), entries[0].fingerprint), (quarantine.MOST_ENTRIES, "5"))
+        self.assertTrue(all(9 <= entry.remaining_s <= 10 for entry in entries))
