--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -145,7 +145,7 @@
         for (service, region), servers in groups.items():
             shards = self._shard_count(service, servers)
             for server in sorted(servers, key=lambda each: each.name):
-                shard = xxhash.xxh32_intdigest(server.name) % shards
+                shard = xxhash.xxh32_intdigest(server.name.encode()) % shards
                 key = PoolKey(service=service, region=region, shard=shard)
                 pools.setdefault(key, []).append(server)
         return {key: tuple(servers) for key, servers in pools.items()}
