--- /dev/null
+++ b/packages/entry/tests/entry_fakes.py
@@ -0,0 +1,174 @@
+"""Small fakes at the interfaces of the entry's parts."""
+
+import asyncio
+import dataclasses
+import random
+
+from sassafrasway_core import clock, invariants, model, region, retry, share
+from sassafrasway_entry import backend_client, messages, pools, recorder
+
+ME = model.InstanceId(name="bkk-a-1", incarnation="0a")
+POOL = model.PoolKey(service="crew-desk", region="bkk")
+
+
+def instance(name, incarnation="0a", region_name="bkk", state="live"):
+    """Returns what the directory says about an instance."""
+    return region.Instance(
+        name=name,
+        incarnation=incarnation,
+        rpc_address=f"{name}:7000",
+        caller_url=f"http://{name}",
+        region=region_name,
+        failure_domain=f"{region_name}-a",
+        state=state,
+    )
+
+
+def server(name="s1", *, service="crew-desk", region_name="bkk", slots=3, state="active"):
+    """Returns a backend server."""
+    return model.BackendServer(
+        name=name,
+        service=service,
+        region=region_name,
+        failure_domain=f"{region_name}-a",
+        url=f"http://{name}",
+        slots=slots,
+        connections=100,
+        state=model.ServerState(state),
+    )
+
+
+def policy(*, servers=None, regions=("bkk", "cnx"), caps=None, shifts=(), revision=1):
+    """Returns a policy with one non-idempotent, one idempotent and one waiting service."""
+    servers = servers if servers is not None else [server()]
+    services = {
+        "crew-desk": model.Service(name="crew-desk", idempotent=False),
+        "quote-archive": model.Service(name="quote-archive", idempotent=True),
+        "katalog": model.Service(name="katalog", idempotent=True, may_wait=True),
+    }
+    return model.Policy(
+        revision=revision,
+        regions={name: model.Region(name=name, cap_rps=(caps or {}).get(name)) for name in regions},
+        links={},
+        services=services,
+        servers={each.name: each for each in servers},
+        blocks={
+            f"10.{index}.0.0/16": model.ClientBlock(cidr=f"10.{index}.0.0/16", region=name)
+            for index, name in enumerate(regions)
+        },
+        shifts={each.name: each for each in shifts},
+    )
+
+
+def request(*, service="crew-desk", key="", clock_source, remaining_s=5.0, body=b"", number=1):
+    """Returns a caller's request."""
+    return messages.Request(
+        request_id=f"r{number}",
+        service=service,
+        method="POST",
+        path="/x",
+        headers=(),
+        body=body,
+        deadline=retry.Deadline(clock=clock_source, remaining_s=remaining_s),
+        key=key,
+        client="10.0.0.1",
+        home_region="bkk",
+        fingerprint=f"f-{body!r}",
+    )
+
+
+class FakeBackend:
+    """Backend client that answers from a script; ``gate`` holds calls back."""
+
+    def __init__(self):
+        self.calls = []
+        self.script = []
+        self.gate = None
+
+    async def call(self, server, request, *, idempotent, timeout_s):
+        self.calls.append((server.name, request.request_id))
+        result = self.script.pop(0) if self.script else backend_client.CallResult.OK
+        if self.gate is not None:
+            await self.gate.wait()
+        return backend_client.BackendAnswer(result=result, status=200, body=request.body)
+
+    async def probe(self, server, *, timeout_s):
+        return True
+
+
+class FakeDirectory:
+    """Directory with fixed contents."""
+
+    def __init__(self, *, owners=None, known=()):
+        self.owners = owners or {}
+        self.known = {each.name: each for each in known}
+        self.gone = set()
+
+    def owner(self, key):
+        return self.owners.get(key)
+
+    def instance(self, name):
+        return self.known.get(name)
+
+    def instances(self, region=None):
+        return [each for each in self.known.values() if region in (None, each.region)]
+
+    def is_gone(self, name, incarnation):
+        return (name, incarnation) in self.gone
+
+
+class FakePeers:
+    """Peers whose calls are answered by a function."""
+
+    def __init__(self, answer=None):
+        self.calls = []
+        self.answer = answer
+
+    async def call(self, address, method, *, timeout_s, **arguments):
+        self.calls.append((address, method, arguments))
+        result = self.answer(address, method, arguments)
+        if asyncio.iscoroutine(result):
+            return await result
+        return result
+
+
+def pool_manager(*, backend, clock_source, crashes=None, share_value=share.Share.FULL, policy_=None):
+    """Returns a pool manager that owns the given policy's pools in bkk."""
+
+    async def report_crash(service, fingerprint, server_name):
+        if crashes is not None:
+            crashes.append((service, fingerprint, server_name))
+
+    manager = pools.PoolManager(
+        clock=clock_source,
+        rng=random.Random(1),
+        invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
+        client=backend,
+        record=recorder.Recorder(path=None, instance="test"),
+        report_crash=report_crash,
+        share_of=lambda key: share_value,
+        queue_limit=10,
+    )
+    current = policy_ or policy()
+    manager.set_policy(current)
+    manager.set_grants(
+        region.PoolGrant(pool=key, share=share_value)
+        for key in current.pools()
+        if key.region == "bkk"
+    )
+    return manager
+
+
+def manual_clock():
+    """Returns a clock that only moves when told to."""
+    return clock.ManualClock()
+
+
+def moved(original, *, home_region):
+    """Returns the request with another home region."""
+    return dataclasses.replace(original, home_region=home_region)
+
+
+def system_clock():
+    """Returns the real clock, for code that waits in real time."""
+    return clock.SystemClock()
--- /dev/null
+++ b/packages/entry/tests/test_backend_client.py
@@ -0,0 +1,134 @@
+"""Tests of the client for backend servers against a small HTTP server."""
+
+import asyncio
+import dataclasses
+import unittest
+
+import entry_fakes as fakes
+from aiohttp import web
+
+from sassafrasway_entry import backend_client
+
+_Result = backend_client.CallResult
+
+
+class BackendClientTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.requests = []
+        self.behaviour = "answer"
+        self.connections = set()
+        app = web.Application()
+        app.router.add_route("*", "/{tail:.*}", self._handle)
+        self.runner = web.AppRunner(app, handler_cancellation=True)
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.server = dataclasses.replace(fakes.server(), url=f"http://127.0.0.1:{port}")
+        self.client = backend_client.BackendClient(local_host="127.0.0.1")
+        self.cancelled = asyncio.Event()
+
+    async def asyncTearDown(self):
+        await self.client.close()
+        await self.runner.cleanup()
+
+    async def _handle(self, http):
+        self.requests.append(http.headers.get(backend_client.REQUEST_ID_HEADER))
+        self.connections.add(id(http.transport))
+        if self.behaviour == "drop":
+            http.transport.abort()
+        elif self.behaviour == "shed":
+            return web.Response(status=503, headers={"Sassafras-Shed": "1"})
+        elif self.behaviour == "short":
+            response = web.StreamResponse(headers={"Content-Length": "100"})
+            await response.prepare(http)
+            await response.write(b"part")
+            http.transport.abort()
+            return response
+        elif self.behaviour == "hang":
+            try:
+                await asyncio.sleep(60)
+            except asyncio.CancelledError:
+                self.cancelled.set()
+                raise
+        return web.Response(body=await http.read(), headers={"Sassafras-Load": "2"})
+
+    async def _call(self, *, idempotent=True, timeout_s=5.0, method="POST", body=b"data"):
+        request = fakes.request(clock_source=fakes.system_clock(), body=body)
+        request = dataclasses.replace(request, method=method)
+        return await self.client.call(
+            self.server, request, idempotent=idempotent, timeout_s=timeout_s
+        )
+
+    async def test_whole_answer(self):
+        answer = await self._call()
+        self.assertEqual((answer.result, answer.body, answer.load), (_Result.OK, b"data", 2))
+
+    async def test_broken_connection_is_not_repeated_by_the_library(self):
+        """Guards against the HTTP library repeating a GET by itself on a reused connection."""
+        for idempotent in (True, False):
+            await self._call(method="GET", body=b"", idempotent=idempotent)
+            self.requests.clear()
+            self.behaviour = "drop"
+            answer = await self._call(method="GET", body=b"", idempotent=idempotent)
+            self.assertEqual((answer.result, len(self.requests)), (_Result.LOST, 1))
+            self.behaviour = "answer"
+
+    async def test_partial_answer_is_lost(self):
+        """Guards against handing a caller part of an answer."""
+        self.behaviour = "short"
+        answer = await self._call()
+        self.assertEqual((answer.result, answer.body), (_Result.LOST, b""))
+
+    async def test_shed_is_told_apart(self):
+        self.behaviour = "shed"
+        answer = await self._call()
+        self.assertIs(answer.result, _Result.SHED)
+
+    async def test_refused_connection_was_not_sent(self):
+        """Guards against "unknown" for a request that no server has seen."""
+        await self.runner.cleanup()
+        answer = await self._call()
+        self.assertIs(answer.result, _Result.NOT_SENT)
+
+    async def test_deadline_cancels_the_call_at_the_server(self):
+        """Guards against work that goes on at the server after its deadline."""
+        self.behaviour = "hang"
+        answer = await self._call(timeout_s=0.1)
+        self.assertIs(answer.result, _Result.TIMEOUT)
+        await asyncio.wait_for(self.cancelled.wait(), 5)
+
+    async def test_caller_that_goes_away_cancels_the_call(self):
+        """Guards against a slot that stays in use for a caller that went away."""
+        self.behaviour = "hang"
+        task = asyncio.create_task(self._call())
+        while not self.requests:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        await asyncio.wait_for(self.cancelled.wait(), 5)
+
+    async def test_non_idempotent_requests_use_new_connections(self):
+        """Guards against sending on a connection that went silent while it was idle."""
+        for _ in range(3):
+            await self._call(idempotent=True)
+        self.assertEqual(len(self.connections), 1)
+        fresh = self.client._fresh
+        for _ in range(3):
+            await self._call(idempotent=False)
+        connector = fresh[self.server.url].connector
+        self.assertEqual(sum(len(each) for each in connector._conns.values()), 0)
+
+    async def test_silent_connection_is_replaced(self):
+        """Guards against using idle connections to a server after one of them went silent."""
+        await self._call()
+        before = self.client._reused[self.server.url]
+        self.behaviour = "hang"
+        await self._call(timeout_s=0.1)
+        self.behaviour = "answer"
+        answer = await self._call()
+        self.assertIs(answer.result, _Result.OK)
+        self.assertIsNot(self.client._reused[self.server.url], before)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -0,0 +1,232 @@
+"""Tests of at-most-once execution across instances, table outages and lost answers."""
+
+import asyncio
+import random
+import unittest
+
+import entry_fakes as fakes
+
+from sassafrasway_core import at_most_once, invariants, model
+from sassafrasway_entry import conversion, gatekeeper, messages, outcomes
+from sassafrasway_platform import memory
+from sassafrasway_rpc import client as rpc_client
+
+_RAN = messages.Answer(outcome=messages.Outcome.RAN, status=200, body=b"booked")
+
+
+class _Dispatcher:
+    """Counts runs; the next answers can be scripted."""
+
+    def __init__(self, peers):
+        self.runs = []
+        self.script = []
+        self.gate = None
+        self._peers = peers
+
+    async def run(self, request):
+        self.runs.append(request.key)
+        if self.gate is not None:
+            await self.gate.wait()
+        return self.script.pop(0) if self.script else _RAN
+
+    async def forward(self, peer, request, *, stage, key=None, may_queue=False):
+        try:
+            reply = await self._peers.call(
+                peer.rpc_address, "forward", timeout_s=1, request=request
+            )
+        except rpc_client.CallNotSentError as error:
+            return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
+        return conversion.from_reply(reply)
+
+
+class _Node:
+    """A gatekeeper with its own registry on a shared table."""
+
+    def __init__(self, cluster, name, incarnation):
+        self.me = model.InstanceId(name=name, incarnation=incarnation)
+        self.dispatcher = _Dispatcher(cluster.peers)
+        self.store = outcomes.OutcomeStore(service=cluster.table)
+        self.keeper = gatekeeper.Gatekeeper(
+            me=self.me,
+            registry=at_most_once.KeyRegistry(
+                me=self.me,
+                clock=cluster.clock,
+                invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
+            ),
+            dispatcher=self.dispatcher,
+            directory=cluster.directory,
+            store=self.store,
+            claims=cluster.table,
+        )
+
+
+class GatekeeperTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = fakes.manual_clock()
+        self.table = memory.MemoryTable()
+        self.faults = self.table.faults
+        self.directory = fakes.FakeDirectory()
+        self.peers = fakes.FakePeers(self._deliver)
+        self.nodes = {}
+        self.down = set()
+        self.a = self._add("a")
+        self.b = self._add("b")
+
+    def _add(self, name, incarnation="01"):
+        node = _Node(self, name, incarnation)
+        self.nodes[name] = node
+        self.directory.known[name] = fakes.instance(name, incarnation)
+        return node
+
+    async def _deliver(self, address, method, arguments):
+        name = address.partition(":")[0]
+        if name in self.down:
+            raise rpc_client.CallNotSentError("refused", step="test", peer=address)
+        answer = await self.nodes[name].keeper.run_forwarded(arguments["request"])
+        return conversion.to_reply(answer)
+
+    def _ticket(self, node):
+        return str(
+            at_most_once.Ticket.mint(holder=node.me, clock=self.clock, rng=random.Random(1))
+        )
+
+    def _request(self, key, number=1, remaining_s=0.3):
+        # Claims wait in real time for the table, so the deadline is a real one.
+        return fakes.request(
+            clock_source=fakes.system_clock(), key=key, number=number, remaining_s=remaining_s
+        )
+
+    def _runs(self):
+        return sum(len(node.dispatcher.runs) for node in self.nodes.values())
+
+    async def test_ticket_through_two_instances_runs_once(self):
+        """Guards against a second run when a caller repeats a request through another instance."""
+        key = self._ticket(self.a)
+        first = await self.b.keeper.handle(self._request(key))
+        second = await self.a.keeper.handle(self._request(key, 2))
+        self.assertEqual((first.body, second.body, self._runs()), (b"booked", b"booked", 1))
+
+    async def test_concurrent_duplicates_get_the_same_answer(self):
+        """Guards against running a duplicate that arrives while the first attempt runs."""
+        key = self._ticket(self.a)
+        self.a.dispatcher.gate = asyncio.Event()
+        tasks = [
+            asyncio.create_task(node.keeper.handle(self._request(key, number, 5)))
+            for number, node in enumerate((self.a, self.b, self.a))
+        ]
+        await asyncio.sleep(0.01)
+        self.a.dispatcher.gate.set()
+        answers = await asyncio.gather(*tasks)
+        self.assertEqual({each.body for each in answers}, {b"booked"})
+        self.assertEqual(self._runs(), 1)
+
+    async def test_ticket_works_with_table_down(self):
+        """Guards against bookings that stop with the platform's store."""
+        self.faults.down = True
+        answer = await self.b.keeper.handle(self._request(self._ticket(self.a)))
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+
+    async def test_dead_holder_leaves_unknown(self):
+        """Guards against "not run" or a second run after the holder of a ticket died."""
+        key = self._ticket(self.a)
+        await self.a.keeper.handle(self._request(key))
+        self.down.add("a")
+        answer = await self.b.keeper.handle(self._request(key, 2))
+        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        self.assertEqual(self._runs(), 1)
+
+    async def test_stored_outcome_outlives_its_instance(self):
+        """Guards against losing a confirmation that reached the table."""
+        key = self._ticket(self.a)
+        await self.a.keeper.handle(self._request(key))
+        self.assertTrue(await self.a.store.flush())
+        self.down.add("a")
+        answer = await self.b.keeper.handle(self._request(key, 2))
+        self.assertEqual((answer.outcome, answer.body), (messages.Outcome.RAN, b"booked"))
+
+    async def test_restarted_holder_does_not_run_old_tickets(self):
+        """Guards against a new incarnation running what its predecessor may have run."""
+        key = self._ticket(self.a)
+        await self.a.keeper.handle(self._request(key))
+        self._add("a", "02")
+        answer = await self.nodes["a"].keeper.handle(self._request(key, 2))
+        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+
+    async def test_closed_holder_costs_no_request(self):
+        """Guards against a planned stop that leaves the outcome of an unused ticket unknown."""
+        key = self._ticket(self.a)
+        self.a.keeper.close()
+        await self.a.store.flush()
+        await self.a.store.close(self.a.me)
+        self.down.add("a")
+        answers = await asyncio.gather(
+            *(self.b.keeper.handle(self._request(key, number)) for number in range(3))
+        )
+        self.assertEqual({each.body for each in answers}, {b"booked"})
+        self.assertEqual(self._runs(), 1)
+
+    async def test_claim_race_runs_once(self):
+        """Guards against two instances that both run a caller's own key."""
+        answers = await asyncio.gather(
+            *(
+                node.keeper.handle(self._request("invoice-7", number, 5))
+                for number, node in enumerate((self.a, self.b, self.a, self.b))
+            )
+        )
+        self.assertEqual({each.body for each in answers}, {b"booked"})
+        self.assertEqual(self._runs(), 1)
+
+    async def test_claim_with_table_down_is_not_run(self):
+        """Guards against running a claimed key without its claim."""
+        self.faults.down = True
+        answer = await self.a.keeper.handle(self._request("invoice-8"))
+        self.assertIs(answer.outcome, messages.Outcome.NOT_RUN)
+        self.assertEqual(self._runs(), 0)
+        self.faults.down = False
+        again = await self.a.keeper.handle(self._request("invoice-8", 2))
+        self.assertEqual((again.outcome, self._runs()), (messages.Outcome.NOT_RUN, 0))
+
+    async def test_claim_whose_answer_was_lost_runs_once(self):
+        """Guards against a claim that blocks its own request after a lost answer."""
+        self.faults.lose_answers = 1
+        answer = await self.a.keeper.handle(self._request("invoice-9", 1, 5))
+        again = await self.b.keeper.handle(self._request("invoice-9", 2, 5))
+        self.assertEqual((answer.body, again.body, self._runs()), (b"booked", b"booked", 1))
+
+    async def test_claim_of_dead_holder_is_unknown(self):
+        """Guards against a second run after the claim's holder died in the middle."""
+        self.a.dispatcher.gate = asyncio.Event()
+        task = asyncio.create_task(self.a.keeper.handle(self._request("invoice-10", 1, 5)))
+        await asyncio.sleep(0.01)
+        self.down.add("a")
+        answer = await self.b.keeper.handle(self._request("invoice-10", 2))
+        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        self.assertEqual(self._runs(), 1)
+        self.a.dispatcher.gate.set()
+        await task
+
+    async def test_refusal_is_final_for_the_key(self):
+        """Guards against a key that runs after its caller was told that it did not run."""
+        key = self._ticket(self.a)
+        self.a.dispatcher.script = [messages.not_run(429, messages.Reason.NO_SLOT)]
+        first = await self.a.keeper.handle(self._request(key))
+        second = await self.b.keeper.handle(self._request(key, 2))
+        self.assertEqual(
+            (first.outcome, second.outcome), (messages.Outcome.NOT_RUN, messages.Outcome.NOT_RUN)
+        )
+        self.assertEqual(self._runs(), 1)
+
+    async def test_caller_that_goes_away_does_not_stop_the_run(self):
+        """Guards against an outcome that is lost because the first caller disconnected."""
+        key = self._ticket(self.a)
+        self.a.dispatcher.gate = asyncio.Event()
+        task = asyncio.create_task(self.a.keeper.handle(self._request(key, 1, 5)))
+        await asyncio.sleep(0.01)
+        task.cancel()
+        self.a.dispatcher.gate.set()
+        answer = await self.b.keeper.handle(self._request(key, 2, 5))
+        self.assertEqual((answer.body, self._runs()), (b"booked", 1))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/entry/tests/test_pools.py
@@ -0,0 +1,196 @@
+"""Tests of the pool manager: admission, dispatch and retries."""
+
+import asyncio
+import unittest
+
+import entry_fakes as fakes
+
+from sassafrasway_core import model, share
+from sassafrasway_entry import backend_client, messages
+
+_Result = backend_client.CallResult
+
+
+class PoolManagerTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = fakes.manual_clock()
+        self.backend = fakes.FakeBackend()
+        self.crashes = []
+
+    def _manager(self, **options):
+        manager = fakes.pool_manager(
+            backend=self.backend, clock_source=self.clock, crashes=self.crashes, **options
+        )
+        self.clock.advance(2.0)  # windows of a new owner start full
+        return manager
+
+    def _request(self, **options):
+        return fakes.request(clock_source=self.clock, **options)
+
+    async def test_runs_and_frees_the_slot(self):
+        """Guards against a leak of slots after an answer."""
+        manager = self._manager()
+        for number in range(10):
+            answer = await manager.execute(
+                fakes.POOL, self._request(number=number, body=b"b"), may_queue=False
+            )
+            self.assertEqual((answer.outcome, answer.body), (messages.Outcome.RAN, b"b"))
+
+    async def test_full_pool_refuses_as_not_run(self):
+        """Guards against a dispatch above the slots of a server."""
+        manager = self._manager()
+        self.backend.gate = asyncio.Event()
+        running = [
+            asyncio.create_task(
+                manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
+            )
+            for number in range(3)
+        ]
+        await asyncio.sleep(0)
+        answer = await manager.execute(fakes.POOL, self._request(number=9), may_queue=False)
+        self.assertEqual(answer.reason, messages.Reason.NO_SLOT)
+        self.assertIs(answer.outcome, messages.Outcome.NOT_RUN)
+        self.backend.gate.set()
+        await asyncio.gather(*running)
+        self.assertEqual(len(self.backend.calls), 3)
+
+    async def test_cancelled_caller_frees_the_slot(self):
+        """Guards against a slot held for a caller that went away."""
+        manager = self._manager()
+        self.backend.gate = asyncio.Event()
+        for number in range(9):
+            task = asyncio.create_task(
+                manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
+            )
+            await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
+
+    async def test_queue_hands_slot_to_waiter(self):
+        """Guards against a waiting request that never gets the slot that became free."""
+        servers = [fakes.server(service="katalog", slots=1)]
+        key = model.PoolKey(service="katalog", region="bkk")
+        manager = self._manager(policy_=fakes.policy(servers=servers))
+        self.backend.gate = asyncio.Event()
+        tasks = [
+            asyncio.create_task(
+                manager.execute(
+                    key, self._request(service="katalog", number=number), may_queue=True
+                )
+            )
+            for number in range(4)
+        ]
+        await asyncio.sleep(0)
+        self.backend.gate.set()
+        answers = await asyncio.gather(*tasks)
+        self.assertEqual({each.outcome for each in answers}, {messages.Outcome.RAN})
+        self.assertEqual(manager.owned[key].slots.in_use(), {})
+
+    async def test_shed_goes_to_another_server(self):
+        """Guards against giving up, or reporting unknown, after a certain refusal."""
+        servers = [fakes.server("s1"), fakes.server("s2")]
+        manager = self._manager(policy_=fakes.policy(servers=servers))
+        self.backend.script = [_Result.SHED]
+        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        self.assertEqual(len({name for name, _ in self.backend.calls}), 2)
+
+    async def test_lost_connection_is_unknown_and_not_repeated(self):
+        """Guards against a second run of a non-idempotent request."""
+        servers = [fakes.server("s1"), fakes.server("s2")]
+        manager = self._manager(policy_=fakes.policy(servers=servers))
+        for result in (_Result.LOST, _Result.TIMEOUT):
+            with self.subTest(result=result):
+                self.backend.calls.clear()
+                self.backend.script = [result]
+                answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+                self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+                self.assertEqual(len(self.backend.calls), 1)
+
+    async def test_refused_connection_is_repeated(self):
+        """Guards against failing a request that no server has seen."""
+        servers = [fakes.server("s1"), fakes.server("s2")]
+        manager = self._manager(policy_=fakes.policy(servers=servers))
+        self.backend.script = [_Result.NOT_SENT]
+        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+
+    async def test_crashing_request_stops_after_two_servers(self):
+        """Guards against one request that takes down every server of a pool."""
+        servers = [fakes.server(f"s{index}", service="quote-archive") for index in range(6)]
+        key = model.PoolKey(service="quote-archive", region="bkk")
+        manager = self._manager(policy_=fakes.policy(servers=servers))
+        self.backend.script = [_Result.LOST] * 20
+        outcomes = []
+        for number in range(5):
+            answer = await manager.execute(
+                key, self._request(service="quote-archive", number=number), may_queue=False
+            )
+            outcomes.append((answer.status, answer.outcome))
+            self.clock.advance(1.0)
+        self.assertEqual(len({name for name, _ in self.backend.calls}), 2)
+        self.assertEqual(len(self.backend.calls), 2)
+        self.assertEqual(len(self.crashes), 2)
+        self.assertEqual(outcomes[-1], (422, messages.Outcome.NOT_RUN))
+
+    async def test_offline_share_leaves_the_rest_free(self):
+        """Guards against an owner without a valid grant using more than the offline share."""
+        manager = self._manager(share_value=share.Share.OFFLINE)
+        self.backend.gate = asyncio.Event()
+        tasks = [
+            asyncio.create_task(
+                manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
+            )
+            for number in range(3)
+        ]
+        await asyncio.sleep(0)
+        self.backend.gate.set()
+        answers = await asyncio.gather(*tasks)
+        ran = [each for each in answers if each.outcome is messages.Outcome.RAN]
+        self.assertEqual(len(ran), 1)
+
+    async def test_leaving_server_gets_no_new_work(self):
+        """Guards against new work on a server after the policy says that it leaves."""
+        servers = [fakes.server("s1"), fakes.server("s2")]
+        manager = self._manager(policy_=fakes.policy(servers=servers))
+        leaving = [fakes.server("s1", state="leaving"), fakes.server("s2")]
+        manager.set_policy(fakes.policy(servers=leaving, revision=2))
+        for number in range(6):
+            await manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
+        self.assertEqual({name for name, _ in self.backend.calls}, {"s2"})
+
+    async def test_region_cap_holds(self):
+        """Guards against a region receiving more than its cap in one second."""
+        manager = self._manager(
+            policy_=fakes.policy(servers=[fakes.server(slots=50)], caps={"bkk": 5.0})
+        )
+        answers = [
+            await manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
+            for number in range(20)
+        ]
+        ran = [each for each in answers if each.outcome is messages.Outcome.RAN]
+        self.assertEqual(len(ran), 5)
+        self.assertEqual(answers[-1].reason, messages.Reason.REGION_CAP)
+        self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
+
+    async def test_shift_cap_counts_overflow_from_the_source(self):
+        """Guards against overflow that moves more than the shift's cap."""
+        shift = model.Shift(
+            name="move", service="crew-desk", source="cnx", target="bkk", cap_rps=4.0
+        )
+        manager = self._manager(
+            policy_=fakes.policy(servers=[fakes.server(slots=50)], shifts=[shift])
+        )
+        moved = []
+        for number in range(20):
+            request = fakes.request(clock_source=self.clock, number=number)
+            request = fakes.moved(request, home_region="cnx")
+            moved.append(await manager.execute(fakes.POOL, request, may_queue=False))
+        own = await manager.execute(fakes.POOL, self._request(number=99), may_queue=False)
+        self.assertEqual(sum(each.outcome is messages.Outcome.RAN for each in moved), 4)
+        self.assertIs(own.outcome, messages.Outcome.RAN)
+
+
+if __name__ == "__main__":
+    unittest.main()
