--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/latency.py
@@ -0,0 +1,53 @@
+"""Latency histograms per service."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from hdrh import histogram
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_S = 1_000_000
+US_PER_MS = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Percentiles:
+    """Percentiles of a histogram in milliseconds."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+
+
+class Latencies:
+    """HDR histograms by name, in microseconds with three significant digits."""
+
+    def __init__(self) -> None:
+        self._histograms: dict[str, histogram.HdrHistogram] = {}
+
+    def record(self, name: str, seconds: float) -> None:
+        """Adds one value to a histogram; values below 1 us count as 1 us."""
+        if name not in self._histograms:
+            self._histograms[name] = histogram.HdrHistogram(
+                LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
+            )
+        value = min(HIGHEST_US, max(LOWEST_US, round(seconds * US_PER_S)))
+        self._histograms[name].record_value(value)
+
+    def percentiles(self) -> Mapping[str, Percentiles]:
+        """Returns the percentiles of every histogram by name."""
+        return {name: _percentiles(each) for name, each in sorted(self._histograms.items())}
+
+
+def _percentiles(each: histogram.HdrHistogram) -> Percentiles:
+    return Percentiles(
+        count=each.get_total_count(),
+        p50_ms=each.get_value_at_percentile(50) / US_PER_MS,
+        p99_ms=each.get_value_at_percentile(99) / US_PER_MS,
+        p999_ms=each.get_value_at_percentile(99.9) / US_PER_MS,
+        max_ms=each.get_max_value() / US_PER_MS,
+    )
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -0,0 +1,180 @@
+"""Open-loop load tool: sends a seeded trace of arrivals on time, whatever the answers are.
+
+Latency counts from the intended arrival, so a stall of the tool or of the system shows in every
+request that it delays (no coordinated omission).
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import gc
+import json
+import pathlib
+import random
+import time
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import aiohttp
+import click
+import uvloop
+
+from sassafrasway_standins import arrivals, caller, history, latency
+
+CALLERS_PER_REGION = 4
+KEEPALIVE_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Plan:
+    """Everything that a load process needs; one JSON file serves all processes of a run.
+
+    Attributes:
+        start_s: Monotonic time of the start of the trace, s.
+        blocks: A client block (CIDR) for each region.
+    """
+
+    entries: Sequence[caller.EntryPoint]
+    services: Mapping[str, caller.CalledService]
+    blocks: Mapping[str, str]
+    client_ms: float
+    region_ms: float
+    load: float
+    mean_service_s: float
+    duration_s: float
+    seed: int
+    start_s: float
+
+    def arrivals(self) -> list[arrivals.Arrival]:
+        """Returns the trace; the same plan always gives the same one."""
+        streams = arrivals.streams_for_load(
+            slots={name: each.slots for name, each in self.services.items()},
+            blocks=dict(self.blocks),
+            load=self.load,
+            mean_service_s=self.mean_service_s,
+        )
+        return arrivals.generate(streams, duration_s=self.duration_s, seed=self.seed)
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the JSON form."""
+        return dataclasses.asdict(self)
+
+    @classmethod
+    def parse(cls, data: Mapping[str, Any]) -> "Plan":
+        """Returns the plan of the JSON form."""
+        fields = dict(data)
+        fields["entries"] = [caller.EntryPoint(**each) for each in data["entries"]]
+        fields["services"] = {
+            name: caller.CalledService(**each) for name, each in data["services"].items()
+        }
+        return cls(**fields)
+
+
+class LoadTool:
+    """Sends the arrivals of one process.
+
+    Args:
+        plan: What to send where.
+        writer: Takes the records.
+        part: Number of this process; distinguishes the random choices of the processes.
+    """
+
+    def __init__(self, *, plan: Plan, writer: history.Writer, part: int):
+        self._plan = plan
+        self._writer = writer
+        self._rng = random.Random(f"{plan.seed}/load/{part}")
+        self._callers: dict[str, list[caller.Caller]] = {}
+        self._latencies = latency.Latencies()
+        self._in_flight: set[asyncio.Task[None]] = set()
+
+    @property
+    def latencies(self) -> latency.Latencies:
+        """Latency from the intended arrival of requests that ran, by service."""
+        return self._latencies
+
+    async def run(self, trace: Sequence[arrivals.Arrival]) -> None:
+        """Sends the trace and waits for all verdicts."""
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            self._callers = {
+                region: self._make_callers(session, region) for region in self._regions
+            }
+            for arrival in trace:
+                await self._wait_until(arrival.at_s)
+                task = asyncio.create_task(self._send(arrival))
+                self._in_flight.add(task)
+                task.add_done_callback(self._in_flight.discard)
+            await asyncio.gather(*self._in_flight)
+            for group in self._callers.values():
+                for each in group:
+                    await each.close()
+
+    @property
+    def _regions(self) -> list[str]:
+        return sorted(self._plan.blocks)
+
+    def _make_callers(self, session: aiohttp.ClientSession, region: str) -> list[caller.Caller]:
+        return [
+            caller.Caller(
+                session=session,
+                region=region,
+                entries=self._plan.entries,
+                services=self._plan.services,
+                client_ms=self._plan.client_ms,
+                region_ms=self._plan.region_ms,
+                rng=random.Random(self._rng.random()),
+                record=self._writer.write,
+            )
+            for _ in range(CALLERS_PER_REGION)
+        ]
+
+    async def _wait_until(self, at_s: float) -> None:
+        pause_s = self._plan.start_s + at_s - time.monotonic()
+        if pause_s > 0:
+            await asyncio.sleep(pause_s)
+
+    async def _send(self, arrival: arrivals.Arrival) -> None:
+        each = self._rng.choice(self._callers[arrival.region])
+        intended_s = self._plan.start_s + arrival.at_s
+        verdict = await each.send(arrival, intended_s=intended_s)
+        if verdict.outcome == history.RAN:
+            self._latencies.record(arrival.service, verdict.at_s - intended_s)
+
+
+def run_part(plan: Plan, *, records: pathlib.Path, part: int, parts: int) -> latency.Latencies:
+    """Sends one part of the plan's trace in this process and returns its latencies."""
+    trace = arrivals.partition(plan.arrivals(), parts=parts)[part]
+    gc.collect()
+    gc.freeze()
+    with contextlib.ExitStack() as stack:
+        writer = stack.enter_context(history.Writer(path=records))
+        tool = LoadTool(plan=plan, writer=writer, part=part)
+        uvloop.run(tool.run(trace))
+    return tool.latencies
+
+
+@click.command("load")
+@click.option(
+    "--plan",
+    "plan_path",
+    required=True,
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help="Plan as JSON; the bench writes it.",
+)
+@click.option(
+    "--records",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help="File that receives the records as JSON lines.",
+)
+@click.option("--part", default=0, show_default=True, help="Number of this load process.")
+@click.option("--parts", default=1, show_default=True, help="Number of load processes.")
+def command(plan_path: pathlib.Path, records: pathlib.Path, part: int, parts: int) -> None:
+    """Sends the requests of a plan and records what callers see."""
+    plan = Plan.parse(json.loads(plan_path.read_text(encoding="utf-8")))
+    latencies = run_part(plan, records=records, part=part, parts=parts)
+    for service, each in latencies.percentiles().items():
+        click.echo(
+            f"{service}: {each.count} ran, p50 {each.p50_ms:.1f} ms, p99 {each.p99_ms:.1f} ms, "
+            f"p99.9 {each.p999_ms:.1f} ms"
+        )
--- /dev/null
+++ b/packages/standins/tests/fake_entry.py
@@ -0,0 +1,69 @@
+"""In-process entry instance for tests of the callers; answers follow a script."""
+
+import hashlib
+import json
+
+from aiohttp import test_utils, web
+
+from sassafrasway_standins import caller
+
+
+class FakeEntry:
+    """Answers lookups with ``instances``; each request takes the next scripted answer."""
+
+    def __init__(self, name, *, script=()):
+        self.name = name
+        self.script = list(script)
+        self.instances = [self]
+        self.keys = []
+        self.lookups = 0
+        self.url = ""
+        self._server = test_utils.TestServer(self._application())
+
+    @property
+    def entry_point(self):
+        return caller.EntryPoint(name=self.name, url=self.url, region="bkk")
+
+    async def start(self):
+        await self._server.start_server()
+        self.url = str(self._server.make_url("")).rstrip("/")
+
+    async def stop(self):
+        await self._server.close()
+
+    def _application(self):
+        app = web.Application()
+        app.router.add_get("/v1/lookup", self._lookup)
+        app.router.add_post("/v1/services/{service}/{path:.*}", self._request)
+        return app
+
+    async def _lookup(self, request):
+        self.lookups += 1
+        answer = {
+            "service": request.query["service"],
+            "region": "bkk",
+            "instances": [{"name": each.name, "url": each.url} for each in self.instances],
+            "ttl_s": 5,
+        }
+        if request.query["service"] == "crew-desk":
+            answer["ticket"] = f"t1.{self.name}.i1.0.{self.lookups}"
+        return web.json_response(answer)
+
+    async def _request(self, request):
+        self.keys.append(request.headers.get("Idempotency-Key", ""))
+        body = await request.read()
+        step = self.script.pop(0) if self.script else "ran"
+        if step == "break":
+            request.transport.abort()
+            return web.Response()
+        if step == "unavailable":
+            return web.Response(status=503, headers={"Sassafras-Outcome": "not-run"})
+        if step == "refused":
+            return web.Response(status=429, headers={"Sassafras-Outcome": "not-run"})
+        if step == "unknown":
+            return web.Response(status=502, headers={"Sassafras-Outcome": "unknown"})
+        path = "/r/another" if step == "foreign" else request.path.partition("-desk")[2]
+        content = {"digest": hashlib.sha256(body).hexdigest(), "path": path, "padding": ""}
+        size = int(request.query["size"]) - (10 if step == "short" else 0)
+        content["padding"] = "x" * (size - len(json.dumps(content)))
+        return web.json_response(content, headers={"Sassafras-Outcome": "ran"})
