--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -14,12 +14,13 @@
     pool_server,
     pool_types,
 )
+from sassafrasway_core import share as shares
 
 Grant = pool_types.Grant
 PoolSnapshot = pool_types.PoolSnapshot
 ServerResult = pool_types.ServerResult
 ServerSnapshot = pool_types.ServerSnapshot
-Share = pool_types.Share
+Share = shares.Share
 SlotLease = pool_types.SlotLease
 
 
@@ -306,7 +307,7 @@
     def _check_lease(self, slots: pool_server.ServerSlots) -> None:
         server = slots.server
         used = slots.in_use + self._inherited.count(server.name)
-        usable = self._share.slots_of(server.slots)
+        usable = self._share.slots(server.slots)
         self._invariants.check(
             invariants.Rule.SLOTS_NOT_EXCEEDED,
             used <= usable,
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -2,7 +2,8 @@
 
 import math
 
-from sassafrasway_core import model, pool_types
+from sassafrasway_core import model
+from sassafrasway_core import share as shares
 
 # Well above the gaps between requests of a quiet pool, so that a quiet hour does not throttle it.
 IDLE_AFTER_S = 300.0
@@ -52,9 +53,9 @@
             or self.server.state is not model.ServerState.ACTIVE
         )
 
-    def limit(self, share: pool_types.Share, now_s: float) -> int:
+    def limit(self, share: shares.Share, now_s: float) -> int:
         """Returns the slots usable now under ``share`` and the ramp."""
-        return min(share.slots_of(self.server.slots), self._ramp_limit(now_s))
+        return min(share.slots(self.server.slots), self._ramp_limit(now_s))
 
     def shed_recently(self, now_s: float) -> bool:
         """Returns whether the server refused a request a short time ago."""
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -4,26 +4,7 @@
 import enum
 
 from sassafrasway_core import model
-
-OFFLINE_DIVISOR = 3
-
-
-class Share(enum.Enum):
-    """Which part of each server's slots an instance may use."""
-
-    NONE = "none"
-    OFFLINE = "offline"
-    REDUCED = "reduced"
-    FULL = "full"
-
-    def slots_of(self, slots: int) -> int:
-        """Returns how many of a server's ``slots`` the share includes."""
-        offline = slots // OFFLINE_DIVISOR
-        if self is Share.FULL:
-            return slots
-        if self is Share.REDUCED:
-            return slots - offline
-        return offline if self is Share.OFFLINE else 0
+from sassafrasway_core import share as shares
 
 
 class ServerResult(enum.Enum):
@@ -85,7 +66,7 @@
     """State of a pool for dumps and metrics."""
 
     key: model.PoolKey
-    share: Share
+    share: shares.Share
     servers: tuple[ServerSnapshot, ...]
     free_slots: int
     queue_length: int
--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -166,7 +166,7 @@
         self._leases.append(lease)
         used = sum(each.server.name == name for each in self._leases)
         used += sum(each[0] == name for each in self._inherited)
-        usable = self._pool.share.slots_of(stated.slots)
+        usable = self._pool.share.slots(stated.slots)
         assert used <= usable, f"{name} has {used} requests, {usable} slots"
         assert self._pool.in_use()[name] >= used
 
--- a/packages/core/tests/test_pool.py
+++ b/packages/core/tests/test_pool.py
@@ -38,7 +38,7 @@
     def test_shares_divide_the_slots(self):
         """Guards against the offline share and the reduced share overlapping."""
         for slots in range(1, 10):
-            offline, reduced = (s.slots_of(slots) for s in (pool.Share.OFFLINE, pool.Share.REDUCED))
+            offline, reduced = (s.slots(slots) for s in (pool.Share.OFFLINE, pool.Share.REDUCED))
             self.assertEqual((offline, offline + reduced), (slots // 3, slots))
         limited = self._pool(count=2)
         held = [limited.try_acquire() for _ in range(6)]
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -10,22 +10,16 @@
 import aiohttp
 import structlog
 
-from sassafrasway_core import at_most_once, errors, invariants, model, region, retry
+from sassafrasway_core import at_most_once, invariants, model, region, retry
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import (
     admin_api,
     backend_client,
     caller_api,
-    config_task,
-    control_service,
-    coordinator_task,
     dispatcher,
-    dump,
     forward_service,
     gatekeeper,
     lifecycle,
-    member_task,
-    operator_service,
     outcomes,
     peers,
     pools,
@@ -35,7 +29,6 @@
     telemetry,
 )
 from sassafrasway_platform import http as platform_http
-from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
 PROPAGATION_S = 3.0  # time after which other instances know that this one is leaving
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -132,7 +132,9 @@
         return result
 
 
-def pool_manager(*, backend, clock_source, crashes=None, share_value=share.Share.FULL, policy_=None):
+def pool_manager(
+    *, backend, clock_source, crashes=None, share_value=share.Share.FULL, policy_=None
+):
     """Returns a pool manager that owns the given policy's pools in bkk."""
 
     async def report_crash(service, fingerprint, server_name):
--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -27,6 +27,7 @@
         self.server = dataclasses.replace(fakes.server(), url=f"http://127.0.0.1:{port}")
         self.client = backend_client.BackendClient(local_host="127.0.0.1")
         self.cancelled = asyncio.Event()
+        self.arrived = asyncio.Event()
 
     async def asyncTearDown(self):
         await self.client.close()
@@ -35,6 +36,7 @@
     async def _handle(self, http):
         self.requests.append(http.headers.get(backend_client.REQUEST_ID_HEADER))
         self.connections.add(id(http.transport))
+        self.arrived.set()
         if self.behaviour == "drop":
             http.transport.abort()
         elif self.behaviour == "shed":
@@ -102,8 +104,7 @@
         """Guards against a slot that stays in use for a caller that went away."""
         self.behaviour = "hang"
         task = asyncio.create_task(self._call())
-        while not self.requests:
-            await asyncio.sleep(0.01)
+        await asyncio.wait_for(self.arrived.wait(), 5)
         task.cancel()
         await asyncio.wait_for(self.cancelled.wait(), 5)
 
--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -86,9 +86,7 @@
         return conversion.to_reply(answer)
 
     def _ticket(self, node):
-        return str(
-            at_most_once.Ticket.mint(holder=node.me, clock=self.clock, rng=random.Random(1))
-        )
+        return str(at_most_once.Ticket.mint(holder=node.me, clock=self.clock, rng=random.Random(1)))
 
     def _request(self, key, number=1, remaining_s=0.3):
         # Claims wait in real time for the table, so the deadline is a real one.
@@ -188,7 +186,7 @@
 
     async def test_claim_whose_answer_was_lost_runs_once(self):
         """Guards against a claim that blocks its own request after a lost answer."""
-        self.faults.lose_answers = 1
+        self.faults.lost_answers = 1
         answer = await self.a.keeper.handle(self._request("invoice-9", 1, 5))
         again = await self.b.keeper.handle(self._request("invoice-9", 2, 5))
         self.assertEqual((answer.body, again.body, self._runs()), (b"booked", b"booked", 1))
