Keep look-up candidates for a moment; answer internal errors with an outcome

Cause: a look-up walked over all instances, and an internal error had no outcome header. Change: candidates are kept for 0.2 s; the middleware answers any error with an outcome.

--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -1,6 +1,7 @@
 """HTTP interface for callers: look-up and requests."""
 
 import asyncio
+import dataclasses
 import ipaddress
 import itertools
 import json
@@ -10,7 +11,7 @@
 import structlog
 from aiohttp import web
 
-from sassafrasway_core import at_most_once, model, quarantine, retry
+from sassafrasway_core import at_most_once, model, quarantine, region, retry
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import (
     dispatcher,
@@ -31,6 +32,7 @@
 
 MAX_KEY_CHARS = 255
 MAX_DEADLINE_MS = 600_000
+CANDIDATES_TTL_S = 0.2
 LOOKUP_ALTERNATES = 3  # instances in a look-up answer besides the owner of the home pool
 # aiohttp closes the connection on a larger header line before a handler runs.
 AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
@@ -40,6 +42,16 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Candidates:
+    """Instances that a look-up answer can name."""
+
+    owners: tuple
+    near: tuple
+    far: tuple
+    expires_s: float
+
+
 class CallerApi:
     """Serves callers over HTTP.
 
@@ -85,6 +97,7 @@
         self._ready = ready
         self._request_ids = itertools.count(1)
         self._in_flight = 0
+        self._cache: dict[tuple[model.PoolKey, ...], _Candidates] = {}
         self._runner: web.AppRunner | None = None
         self._log = structlog.get_logger("caller_api")
 
@@ -147,6 +160,9 @@
             return self._respond(
                 messages.not_run(error.status, messages.Reason.BAD_REQUEST, error.reason)
             )
+        except Exception:
+            self._log.exception("request failed", path=request.path)
+            return self._respond(messages.unknown(500, messages.Reason.INTERNAL))
 
     async def _lookup(self, request: web.Request) -> web.Response:
         service = request.query.get("service", "")
@@ -197,20 +213,42 @@
 
     def _instances(self, route: steering.Route) -> list:
         """Returns the owner of the home pool first, then owners of other pools and others."""
-        found = {}
+        candidates = self._candidates(route)
+        missing = 1 + LOOKUP_ALTERNATES - len(candidates.owners)
+        if missing <= 0:
+            return list(candidates.owners[: 1 + LOOKUP_ALTERNATES])
+        near = self._rng.sample(candidates.near, min(missing, len(candidates.near)))
+        missing -= len(near)
+        far = self._rng.sample(candidates.far, min(missing, len(candidates.far)))
+        return [*candidates.owners, *near, *far]
+
+    def _candidates(self, route: steering.Route) -> "_Candidates":
+        """Returns the instances that an answer can name; the lists are kept for a moment.
+
+        A walk over all instances for each look-up would cost too much in a large fleet.
+        """
+        now_s = self._clock.monotonic()
+        cached = self._cache.get(route.pools)
+        if cached is not None and cached.expires_s > now_s:
+            return cached
+        owners = {}
         for key in route.pools:
             owner = self._directory.owner(key)
             if owner is not None:
-                found.setdefault(owner.name, owner)
+                owners.setdefault(owner.name, owner)
         others = [
             each
             for each in self._directory.instances()
-            if each.state == "live" and each.name not in found
+            if each.state == region.LIVE and each.name not in owners
         ]
-        others.sort(key=lambda each: each.region != route.home_region)
-        near = [each for each in others if each.region == route.home_region] or others
-        self._rng.shuffle(near)
-        return (list(found.values()) + near)[: 1 + LOOKUP_ALTERNATES]
+        candidates = _Candidates(
+            owners=tuple(owners.values()),
+            near=tuple(each for each in others if each.region == route.home_region),
+            far=tuple(each for each in others if each.region != route.home_region),
+            expires_s=now_s + CANDIDATES_TTL_S,
+        )
+        self._cache[route.pools] = candidates
+        return candidates
 
     def _mint(self, instance) -> at_most_once.Ticket:
         holder = model.InstanceId(name=instance.name, incarnation=instance.incarnation)
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -71,7 +71,7 @@
             spread: Text that spreads requests over shards and over a shift's fraction.
         """
         home = self.region_of(client) or self._region
-        weight = xxhash.xxh32_intdigest(f"{client}|{spread}") / _HASH_RANGE
+        weight = xxhash.xxh32_intdigest(f"{client}|{spread}".encode()) / _HASH_RANGE
         decision = self._shifts.home_pool(service, home, weight)
         by_region = self._pools.get(service, {})
         order = [decision.region]
--- /dev/null
+++ b/packages/entry/tests/test_dispatcher.py
@@ -0,0 +1,137 @@
+"""Tests of routing: overflow, forwarding and repeated requests."""
+
+import random
+import unittest
+
+import entry_fakes as fakes
+
+from sassafrasway_core import errors, model, retry
+from sassafrasway_entry import conversion, dispatcher, messages, steering
+from sassafrasway_rpc import client as rpc_client
+from sassafrasway_rpc import schema
+
+_RAN = messages.Answer(outcome=messages.Outcome.RAN, status=200)
+_FULL = messages.not_run(429, messages.Reason.NO_SLOT)
+
+
+class _Pools:
+    """Pools that this instance owns, with scripted answers."""
+
+    def __init__(self, owned):
+        self.owned = owned
+        self.script = []
+        self.queued = []
+
+    def owns(self, key):
+        return key in self.owned
+
+    async def execute(self, key, request, *, may_queue):
+        self.queued.append(may_queue)
+        return self.script.pop(0) if self.script else _RAN
+
+
+class DispatcherTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = fakes.manual_clock()
+        self.replies = []
+        self.peers = fakes.FakePeers(self._reply)
+
+    def _reply(self, address, method, arguments):
+        reply = self.replies.pop(0) if self.replies else _RAN
+        if isinstance(reply, Exception):
+            raise reply
+        return conversion.to_reply(reply)
+
+    def _build(self, service="crew-desk", regions=("bkk", "cnx", "hkt")):
+        servers = [
+            fakes.server(f"{service}-{name}", service=service, region_name=name) for name in regions
+        ]
+        steer = steering.Steering(region="bkk", clock=self.clock, rng=random.Random(1))
+        steer.set_policy(fakes.policy(servers=servers, regions=regions))
+        self.keys = [model.PoolKey(service=service, region=name) for name in regions]
+        known = [fakes.instance(fakes.ME.name)] + [
+            fakes.instance(f"{name}-a-1", region_name=name) for name in regions[1:]
+        ]
+        self.directory = fakes.FakeDirectory(
+            owners=dict(zip(self.keys, known, strict=True)), known=known
+        )
+        self.pools = _Pools({self.keys[0]})
+        return dispatcher.Dispatcher(
+            me=fakes.ME,
+            steering=steer,
+            pools=self.pools,
+            directory=self.directory,
+            peers=self.peers,
+            budget=retry.RetryBudget(clock=self.clock),
+        )
+
+    def _request(self, **options):
+        return fakes.request(clock_source=self.clock, **options)
+
+    async def test_full_home_pool_overflows_to_other_regions(self):
+        """Guards against refusing a request while another region has a free slot."""
+        built = self._build()
+        self.pools.script = [_FULL]
+        self.replies = [_FULL, _RAN]
+        answer = await built.run(self._request())
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        addresses = [address for address, _, _ in self.peers.calls]
+        self.assertEqual(addresses, ["cnx-a-1:7000", "hkt-a-1:7000"])
+
+    async def test_all_pools_full_is_not_run(self):
+        built = self._build()
+        self.pools.script = [_FULL]
+        self.replies = [_FULL, _FULL]
+        answer = await built.run(self._request())
+        self.assertEqual((answer.outcome, answer.status), (messages.Outcome.NOT_RUN, 429))
+
+    async def test_waiting_service_queues_at_home(self):
+        """Guards against refusing a request that may wait."""
+        built = self._build(service="katalog")
+        self.pools.script = [_FULL, _RAN]
+        self.replies = [_FULL, _FULL]
+        answer = await built.run(self._request(service="katalog"))
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        self.assertEqual(self.pools.queued, [False, True])
+
+    async def test_lost_peer_answer_is_not_repeated(self):
+        """Guards against a second dispatch of a non-idempotent request that a peer may run."""
+        built = self._build()
+        self.pools.script = [_FULL]
+        self.replies = [errors.UnavailableError("lost", step="test", peer="p")]
+        answer = await built.run(self._request())
+        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        self.assertEqual(len(self.peers.calls), 1)
+
+    async def test_idempotent_request_leaves_a_silent_peer(self):
+        """Guards against losing a repeatable request to a connection that went silent."""
+        built = self._build(service="quote-archive")
+        self.pools.script = [_FULL]
+        self.replies = [errors.UnavailableError("silent", step="test", peer="p"), _RAN]
+        answer = await built.run(self._request(service="quote-archive"))
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+
+    async def test_unreachable_peer_is_skipped(self):
+        """Guards against an unknown outcome for a request that was never sent."""
+        built = self._build()
+        self.pools.script = [_FULL]
+        refused = rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p")
+        self.replies = [refused, _RAN]
+        answer = await built.run(self._request())
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+
+    async def test_moved_pool_is_followed_once(self):
+        """Guards against refusing a request because the directory is a moment old."""
+        built = self._build()
+        self.directory.known["new"] = fakes.instance("new", region_name="cnx")
+        self.pools.script = [_FULL]
+        self.replies = [messages.not_run(503, messages.Reason.NOT_OWNER, owner="new"), _RAN]
+        answer = await built.run(self._request())
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        self.assertEqual(self.peers.calls[-1][0], "new:7000")
+        stages = {call[2]["request"].stage for call in self.peers.calls}
+        self.assertEqual(stages, {schema.forward.Stage.EXECUTE})
+
+
+if __name__ == "__main__":
+    unittest.main()
