Test the configuration task with fake table and peers

Covers two operators at once, lost answers, start without the store, a stale row, push and peer after a partition, catching up, and malformed rows and arguments.

--- /dev/null
+++ b/packages/entry/tests/test_config_task.py
@@ -0,0 +1,334 @@
+"""Tests of the configuration task and the operators' and peers' handlers with fakes."""
+
+import asyncio
+import json
+import random
+import unittest
+
+from sassafrasway_core import clock, documents, errors, invariants, model
+from sassafrasway_entry import config_service, config_store, config_task, operator_service
+from sassafrasway_platform import memory, table
+from sassafrasway_rpc import schema
+
+_SERVER = {
+    "service": "crew-desk",
+    "region": "bkk",
+    "failure_domain": "bkk-a",
+    "url": "http://127.0.0.1:7001",
+    "slots": 3,
+    "connections": 660,
+}
+_FIRST = {
+    "regions": {"bkk": {}, "hkt": {}},
+    "services": {"crew-desk": {"idempotent": False}},
+    "servers": {"crew-1": _SERVER},
+    "blocks": {"10.0.0.0/8": {"region": "bkk"}},
+}
+
+
+def _change(base, change_id, **sections):
+    return documents.parse_change(
+        {"base_revision": base, "change_id": change_id, "author": "a", "sections": sections}
+    )
+
+
+def _meta(change_id, base_revision=None):
+    return schema.config.ChangeMeta(change_id=change_id, author="a", base_revision=base_revision)
+
+
+class _Instance:
+    """One instance on a fake network; ``cut`` separates it from its peers."""
+
+    def __init__(self, network, rows, name):
+        self.name = name
+        self.cut = False
+        self.left = False
+        self.policies = []
+        self.table = rows.view()
+        self._network = network
+        network[name] = self
+        me = model.InstanceId(name=name, incarnation="1")
+        self.config = config_task.ConfigTask(
+            me=me,
+            clock=clock.ManualClock(),
+            invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
+            table=self.table,
+            push_targets=lambda: list(network),
+            call_peer=self.call_peer,
+            on_policy=self.policies.append,
+            own_address=lambda: name,
+            rng=random.Random(1),
+        )
+        self.peer_service = config_service.ConfigService(
+            me=me, config=self.config, leave=self.leave
+        )
+        self.operator = operator_service.OperatorService(
+            me=me,
+            config=self.config,
+            call_peer=self.call_peer,
+            find_instance=lambda other: other if other in network else None,
+            leave=self.leave,
+            status_source=self.config.state,
+            dump_source=self.config.state,
+        )
+
+    @property
+    def revisions(self):
+        return [policy.revision for policy in self.policies]
+
+    def leave(self):
+        self.left = True
+
+    async def call_peer(self, address, method, **arguments):
+        peer = self._network[address]
+        if self.cut or peer.cut:
+            raise errors.UnavailableError("cut off", step="fake.call", peer=address)
+        return await getattr(peer.peer_service, method)(**arguments)
+
+
+class _TestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.network = {}
+        self.rows = memory.MemoryTable()
+        self.one, self.two, self.three = (self.start(name) for name in ("one", "two", "three"))
+        await self.one.config.apply(_change(0, "first", **_FIRST))
+        await self.settle()
+
+    def start(self, name):
+        return _Instance(self.network, self.rows, name)
+
+    async def settle(self):
+        """Lets pushes and the catching up that they cause come to an end."""
+        loops = [asyncio.create_task(each.config.run()) for each in self.network.values()]
+        for _ in range(100):
+            await asyncio.sleep(0)
+            await asyncio.gather(*(each.config.settle() for each in self.network.values()))
+        for loop in loops:
+            loop.cancel()
+        await asyncio.gather(*loops, return_exceptions=True)
+
+
+class ConfigTaskTest(_TestCase):
+    async def test_change_reaches_all(self):
+        """Guards against instances that stay on an old policy after an accepted change."""
+        self.assertEqual([each.config.revision for each in self.network.values()], [1, 1, 1])
+        self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "bkk")
+        await self.two.config.apply(_change(1, "c2", blocks={"10.0.0.0/8": {"region": "hkt"}}))
+        await self.two.config.settle()
+        self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "hkt")
+        self.assertEqual(self.three.revisions, [1, 2])
+
+    async def test_two_operators_at_once(self):
+        """Guards against a change that silently overwrites another one."""
+        results = await asyncio.gather(
+            self.one.config.apply(_change(1, "c-one", regions={"cnx": {}})),
+            self.two.config.apply(_change(1, "c-two", regions={"cnx": {"cap_rps": 5}})),
+            return_exceptions=True,
+        )
+        kinds = sorted(type(result).__name__ for result in results)
+        self.assertEqual(kinds, ["Applied", "ConflictError"])
+        await self.settle()
+        self.assertEqual({each.config.revision for each in self.network.values()}, {2})
+
+    async def test_lost_answer_is_resolved_by_reading_back(self):
+        """Guards against reporting a failure for a change that is in force."""
+        self.one.table.faults.lost_answers = 1
+        applied = await self.one.config.apply(_change(1, "c2", regions={"cnx": {}}))
+        self.assertEqual((applied.revision, self.one.config.revision), (2, 2))
+
+    async def test_retry_after_lost_answer_is_applied_once(self):
+        """Guards against a second application when the store fails right after the write."""
+        change = _change(1, "c2", regions={"cnx": {}})
+        transact = self.one.table.transact
+
+        async def transact_and_fail(writes):
+            await transact(writes)
+            self.one.table.faults.down = True
+            raise table.StoreUnavailable("answer lost", step="fake")
+
+        self.one.table.transact = transact_and_fail
+        with self.assertRaises(errors.UnavailableError):
+            await self.one.config.apply(change)
+        applied = await self.two.config.apply(change)
+        self.assertEqual((applied.revision, applied.already_applied), (2, True))
+        self.assertEqual((await self.two.config.records(limit=5))[0].change, change)
+        self.assertEqual(len(await self.two.config.records(limit=5)), 2)
+
+    async def test_start_with_store_down_takes_policy_from_peer(self):
+        """Guards against an instance without a policy while the store is down for long."""
+        loaded = _Instance({}, self.rows, "loaded")
+        await loaded.config.refresh()
+        for peer, has_log in ((self.one, True), (loaded, False)):
+            with self.subTest(has_log=has_log):
+                self.assertEqual(peer.config.changes_since(0) is not None, has_log)
+                late = _Instance({"peer": peer}, self.rows, "late")
+                late.table.faults.down = True
+                await late.config.refresh()
+                self.assertEqual(late.config.policy, self.one.config.policy)
+                self.assertEqual(late.config.blocks.region_of("10.1.1.1"), "bkk")
+
+    async def test_without_store_and_peers_there_is_no_policy(self):
+        """Guards against serving from the empty policy when the real one is unknown."""
+        late = self.start("late")
+        late.table.faults.down = late.cut = True
+        await late.config.refresh()
+        self.assertIsNone(late.config.policy)
+        for call in (late.config.full_policy(), late.config.policy_at(0)):
+            with self.assertRaises(errors.UnavailableError):
+                await call
+
+    async def test_cut_off_instance_never_goes_back(self):
+        """Guards against an old policy that returns through an old row, push or peer."""
+        stale = _Instance({}, await self._copy_of_rows(), "stale")
+        await stale.config.refresh()
+        await self.one.config.apply(
+            _change(1, "c2", servers={"crew-1": {**_SERVER, "state": "leaving"}})
+        )
+        await self.settle()
+        before = self.two.config.policy
+        self.one.cut = self.three.cut = True
+        self.network["stale"] = stale
+        self.two.table.get = stale.table.get
+        await self.two.config.refresh()
+        self.two.config.observe_revision(1, source="stale")
+        first = json.dumps(documents.dump_change(_change(0, "first", **_FIRST)))
+        self.assertEqual(await self.two.peer_service.push_change(first, "stale"), 2)
+        await self.two.config.pull("stale")
+        with self.assertRaises(errors.UnavailableError):
+            await self.two.config.apply(_change(1, "c3", regions={"cnx": {}}))
+        self.assertEqual((stale.config.revision, before.revision), (1, 2))
+        self.assertIs(self.two.config.policy, before)
+        self.assertEqual(self.two.revisions, [1, 2])
+
+    async def _copy_of_rows(self):
+        copy = memory.MemoryTable()
+        for row in await self.rows.scan(""):
+            await copy.put(row.key, row.value, if_version=table.ABSENT)
+        return copy
+
+    async def test_missed_changes_are_pulled(self):
+        """Guards against a partitioned instance that cannot follow after it returns."""
+        self.three.cut = self.three.table.faults.down = True
+        for base in range(1, 4):
+            await self.one.config.apply(_change(base, f"c{base}", regions={f"r{base}": {}}))
+        await self.settle()
+        self.assertEqual(self.three.config.revision, 1)
+        self.three.cut = False
+        await self.one.config.apply(_change(4, "c4", regions={"r4": {}}))
+        await self.settle()
+        self.assertEqual((self.three.config.revision, self.three.revisions), (5, [1, 2, 3, 4, 5]))
+
+    async def test_fresh_instance_reads_document_and_changes(self):
+        """Guards against a wrong policy after the full document and later changes were read."""
+        last = config_store.DOCUMENT_INTERVAL + 2
+        for base in range(1, last):
+            await self.one.config.apply(_change(base, f"c{base}", regions={f"r{base}": {}}))
+        fresh = _Instance({}, self.rows, "fresh")
+        await fresh.config.refresh()
+        self.assertEqual(fresh.config.policy, self.one.config.policy)
+        self.assertEqual(fresh.revisions, [last])
+        self.assertEqual(await fresh.config.find_change(f"c{last - 1}"), last)
+        self.assertEqual(set((await fresh.config.policy_at(2)).regions), {"bkk", "hkt", "r1"})
+
+    async def test_malformed_rows_keep_the_policy(self):
+        """Guards against a damaged row that stops the task or replaces the policy."""
+        for value in (b"{", b"[]", b'{"revision": "9", "change_ids": {}}'):
+            row = await self.rows.get("config/head")
+            await self.rows.put("config/head", value, if_version=row.version)
+            with self.subTest(value=value), self.assertRaises(config_store.MalformedRowError):
+                await self.one.config.refresh()
+            self.assertEqual(self.one.config.revision, 1)
+
+
+class OperatorServiceTest(_TestCase):
+    async def test_bad_input(self):
+        """Guards against malformed changes that reach the table."""
+        cases = [
+            ("{", "malformed JSON"),
+            ('{"base_revision": 1, "base_revision": 2}', "occurs twice"),
+            (self._json(servers={"crew-2": {**_SERVER, "weight": 1}}), "unknown key"),
+            (self._json(regions={"bkk": {"cap_rps": -1}}), "'cap_rps': -1 is invalid; .*requests"),
+            (self._json(servers={"crew-2": _SERVER}), "'crew-2' key 'url'.*crew-1"),
+        ]
+        for text, message in cases:
+            with self.subTest(message), self.assertRaisesRegex(errors.ValidationError, message):
+                await self.one.operator.apply_change(text)
+        self.assertEqual(self.one.config.revision, 1)
+
+    def _json(self, **sections):
+        return json.dumps(
+            {"base_revision": 1, "change_id": "x", "author": "a", "sections": sections}
+        )
+
+    async def test_shift_and_rollback(self):
+        """Guards against a rollback that rewrites history or restores wrong content."""
+        operator = self.one.operator
+        shift = schema.config.ShiftSpec(
+            service_name="crew-desk", source="bkk", target="hkt", cap_rps=50.0
+        )
+        started = await operator.start_shift("festival", shift, _meta("s1"))
+        again = await operator.start_shift("festival", shift, _meta("s1"))
+        self.assertEqual((started.revision, again.revision, again.already_applied), (2, 2, True))
+        self.assertEqual(self.one.config.policy.shifts["festival"].cap_rps, 50)
+        await operator.stop_shift("festival", _meta("s2"))
+        self.assertTrue((await operator.stop_shift("festival", _meta("s2"))).already_applied)
+        with self.assertRaises(errors.NotFoundError):
+            await operator.stop_shift("festival", _meta("s3"))
+        with self.assertRaises(errors.ConflictError):
+            await operator.rollback(2, _meta("r", base_revision=2))
+        self.assertEqual((await operator.rollback(2, _meta("r"))).revision, 4)
+        self.assertIn("festival", self.one.config.policy.shifts)
+        with self.assertRaises(errors.NotFoundError):
+            await operator.rollback(9, _meta("r2"))
+        reply = await operator.get_policy(None)
+        self.assertEqual(reply.document_json, (await operator.get_policy(2)).document_json)
+        history = await operator.history(2, None)
+        self.assertEqual([entry.change_id for entry in history], ["r", "s2"])
+        self.assertEqual([each.revision for each in await operator.history(9, 3)], [2, 1])
+
+    async def test_change_without_base_survives_a_concurrent_change(self):
+        """Guards against a drain that fails because somebody else changed the policy."""
+        await asyncio.gather(
+            self.one.operator.drain(schema.config.DrainKind.SERVER, "crew-1", _meta("d"), False),
+            self.two.config.apply(_change(1, "c", regions={"cnx": {}})),
+            return_exceptions=True,
+        )
+        await self.settle()
+        policy = self.two.config.policy
+        self.assertIs(policy.servers["crew-1"].state, model.ServerState.LEAVING)
+        await self.two.operator.drain(schema.config.DrainKind.SERVER, "crew-1", _meta("u"), True)
+        state = self.two.config.policy.servers["crew-1"].state
+        self.assertIs(state, model.ServerState.ACTIVE)
+
+    async def test_drain_of_an_instance(self):
+        """Guards against draining another instance than the named one."""
+        kind = schema.config.DrainKind.INSTANCE
+        await self.one.operator.drain(kind, "two", _meta("d"), False)
+        self.assertEqual((self.one.left, self.two.left), (False, True))
+        await self.one.operator.drain(kind, "one", _meta("d"), False)
+        self.assertTrue(self.one.left)
+        with self.assertRaises(errors.NotFoundError):
+            await self.one.operator.drain(kind, "nine", _meta("d"), False)
+        with self.assertRaises(errors.NotFoundError):
+            await self.one.peer_service.drain_instance("two", "a")
+
+    async def test_missing_arguments_are_validation_errors(self):
+        """Guards against calls of other Thrift clients that leave fields unset."""
+        operator = self.one.operator
+        calls = [
+            operator.apply_change(None),
+            operator.rollback(None, None),
+            operator.rollback(0, None),
+            operator.start_shift(None, None, None),
+            operator.drain(None, None, None, None),
+            operator.history(0, None),
+            self.one.peer_service.push_change(None, None),
+        ]
+        for call in calls:
+            with self.subTest(call=call.__name__), self.assertRaises(errors.ValidationError):
+                await call
+        self.assertEqual(json.loads(await operator.status())["revision"], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
