--- /dev/null
+++ b/packages/ctl/src/sassafrasway_ctl/client.py
@@ -0,0 +1,61 @@
+"""Calls of the Operator service at the first entry instance that answers."""
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+from sassafrasway_core import errors
+from sassafrasway_rpc import client as rpc_client
+from sassafrasway_rpc import schema
+
+DEFAULT_TIMEOUT_S = 10.0
+# An answer that is lost in the first round is found by its change id in the second one.
+ROUNDS = 2
+PAUSE_S = 0.3
+
+
+class OperatorClient:
+    """Calls operators' methods of any of several entry instances.
+
+    Every change carries a change id, so that a call can be repeated at another instance even when
+    the first one may have accepted it.
+
+    Args:
+        addresses: ``host:port`` of the instances in order of preference.
+        timeout_s: Limit of each attempt in seconds.
+    """
+
+    def __init__(self, *, addresses: Sequence[str], timeout_s: float = DEFAULT_TIMEOUT_S):
+        self._addresses = addresses
+        self._timeout_s = timeout_s
+
+    def call(self, method: str, **arguments: Any) -> Any:
+        """Returns the result of a method.
+
+        Raises:
+            errors.UnavailableError: No instance answered, or none reaches the store.
+            errors.SassafraswayError: An instance refused the call.
+        """
+        return asyncio.run(self._call(method, arguments))
+
+    async def _call(self, method: str, arguments: dict[str, Any]) -> Any:
+        failures = {}
+        for attempt in range(ROUNDS):
+            if attempt:
+                await asyncio.sleep(PAUSE_S)
+            for address in self._addresses:
+                try:
+                    return await self._call_one(address, method, arguments)
+                except errors.UnavailableError as error:
+                    failures[address] = error.message
+        reasons = "; ".join(f"{address}: {reason}" for address, reason in failures.items())
+        raise errors.UnavailableError(f"no instance answers: {reasons}", step=f"ctl.{method}")
+
+    async def _call_one(self, address: str, method: str, arguments: dict[str, Any]) -> Any:
+        client = rpc_client.RpcClient(
+            address=address, service=schema.config.Operator, timeout_s=self._timeout_s
+        )
+        try:
+            return await client.call(method, **arguments)
+        finally:
+            await client.close()
