--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -19,6 +19,9 @@
 WRITE_ATTEMPTS = 3
 # Peers that an instance asks for the policy in one attempt while the store is down.
 PULL_ATTEMPTS = 3
+# Changes to read one by one before reading the full document, which takes seconds to check at the
+# design size.
+CATCH_UP_LIMIT = 256
 
 CallPeer = Callable[..., Awaitable[Any]]
 Addresses = Callable[[], Sequence[str]]
@@ -305,7 +308,7 @@
 
     async def _load(self, head: config_store.Head) -> None:
         behind = head.revision - self.revision
-        if self.policy is not None and behind <= config_store.DOCUMENT_INTERVAL:
+        if self.policy is not None and behind <= CATCH_UP_LIMIT:
             records = await self._store.read_records(first=self.revision + 1, last=head.revision)
             for record in records:
                 self._adopt(record.change)
--- a/packages/entry/tests/test_config_task.py
+++ b/packages/entry/tests/test_config_task.py
@@ -1,6 +1,7 @@
 """Tests of the configuration task and the operators' and peers' handlers with fakes."""
 
 import asyncio
+import inspect
 import json
 import random
 import unittest
@@ -312,6 +313,19 @@
         with self.assertRaises(errors.NotFoundError):
             await self.one.peer_service.drain_instance("two", "a")
 
+    async def test_handlers_match_the_schema(self):
+        """Guards against a call that fails only when it arrives over the network."""
+        pairs = [
+            (schema.config.Operator, self.one.operator),
+            (schema.config.Config, self.one.peer_service),
+        ]
+        for service, handler in pairs:
+            for method in service.thrift_services:
+                parameters = inspect.signature(getattr(handler, method)).parameters
+                arguments = vars(getattr(service, f"{method}_args")())
+                with self.subTest(method=method):
+                    self.assertEqual(list(parameters), list(arguments))
+
     async def test_missing_arguments_are_validation_errors(self):
         """Guards against calls of other Thrift clients that leave fields unset."""
         operator = self.one.operator
--- a/packages/rpc/src/sassafrasway_rpc/config.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/config.thrift
@@ -35,7 +35,8 @@
 // Who makes a change, and on which revision it is based.
 struct ChangeMeta {
   1: string change_id        // 1 to 128 visible ASCII characters, unique for each change; a retry
-                             // sends the same one, and then the change is applied only once
+                             // sends the same one, and then the change is applied only once; the
+                             // ids of the last 256 changes are remembered
   2: string author           // 1 to 128 characters
   3: optional i64 base_revision // when set, the call fails with conflict unless this revision is
                              // current; when not set, the change is made to the current revision
