--- /dev/null
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -0,0 +1,74 @@
+"""Assignment of pools to instances: rendezvous hashing with few moves and an even spread."""
+
+import collections
+from collections.abc import Iterable, Mapping
+
+import xxhash
+
+from sassafrasway_core import model
+
+
+def weight(pool: model.PoolKey, instance: model.InstanceId) -> int:
+    """Returns the rendezvous weight of an instance for a pool."""
+    return xxhash.xxh3_64_intdigest(f"{pool}|{instance}".encode())
+
+
+def assign(
+    pools: Iterable[model.PoolKey],
+    *,
+    members: Iterable[model.InstanceId],
+    current: Mapping[model.PoolKey, model.InstanceId],
+    moves: int = 0,
+) -> dict[model.PoolKey, model.InstanceId]:
+    """Returns an owner for every pool.
+
+    A pool stays with its current owner while that is one of the members. Any other pool goes to
+    the member with the highest weight among those that own the fewest pools.
+
+    Args:
+        pools: Pools to assign.
+        members: Instances that may own pools.
+        current: Owner of each pool so far.
+        moves: Number of pools that may leave a member owner to even out the spread.
+    """
+    keys = sorted(pools)
+    candidates = sorted(set(members))
+    if not candidates:
+        return {}
+    owners = {key: current[key] for key in keys if current.get(key) in candidates}
+    counts = collections.Counter(dict.fromkeys(candidates, 0))
+    counts.update(owners.values())
+    for key in keys:
+        if key not in owners:
+            owners[key] = _lightest(key, counts)
+            counts[owners[key]] += 1
+    for _ in range(moves):
+        if not _move_one(owners, counts):
+            break
+    return owners
+
+
+def _lightest(key: model.PoolKey, counts: Mapping[model.InstanceId, int]) -> model.InstanceId:
+    least = min(counts.values())
+    return max(
+        (instance for instance, count in counts.items() if count == least),
+        key=lambda instance: weight(key, instance),
+    )
+
+
+def _move_one(owners: dict, counts: collections.Counter) -> bool:
+    least = min(counts.values())
+    most = max(counts.values())
+    # A difference of one cannot be evened out and would move pools for ever.
+    if most - least < 2:
+        return False
+    donor = max(instance for instance, count in counts.items() if count == most)
+    receivers = [instance for instance, count in counts.items() if count == least]
+    key, receiver = max(
+        ((key, receiver) for key in owners if owners[key] == donor for receiver in receivers),
+        key=lambda pair: weight(*pair),
+    )
+    owners[key] = receiver
+    counts[donor] -= 1
+    counts[receiver] += 1
+    return True
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -0,0 +1,194 @@
+"""Authority of a coordinator: its table lease and the promises of the recorded members."""
+
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from sassafrasway_core import clock as clocks
+from sassafrasway_core import invariants as checks
+from sassafrasway_core import membership, model, region
+
+# New members wait for their record, so a changed row is written before the next renewal.
+CHANGED_ROW_S = 0.2
+READ_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Won:
+    """A region row that made this instance coordinator.
+
+    Attributes:
+        version: Version of the row, as far as it is known.
+        sent_s: When the write was sent.
+        previous: Coordinator of the row before; None when there was no row.
+        settled: Whether only recorded members can hold grants of earlier coordinators.
+    """
+
+    row: region.RegionRow
+    version: str
+    sent_s: float
+    previous: region.Instance | None
+    settled: bool
+
+
+class Authority:
+    """Decides until when a coordinator may grant the main parts of pools.
+
+    The table lease lasts ``region.TABLE_LEASE_S`` from the moment a successful write was sent.
+    Promises hold while every needed member promised within ``region.PROMISE_S``. A needed member
+    that is known to be gone is dropped only while authority lasts: once it has lapsed, that member
+    may have taken over before it died, and only a successful write disproves it.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: region.Instance,
+        clock: clocks.Clock,
+        invariants: checks.Invariants,
+        members: membership.MemberTable,
+        won: Won,
+    ):
+        self._me = me
+        self._clock = clock
+        self._invariants = invariants
+        self._members = members
+        self._epoch = won.row.epoch
+        self._version = won.version
+        self._recorded = {member.id: member for member in won.row.members}
+        self._needed = set(self._recorded) - {me.id}
+        self._promised_s: dict[model.InstanceId, float] = {}
+        self._table_until_s = won.sent_s + region.TABLE_LEASE_S
+        self._serial = won.row.serial
+        self._sent_s = {won.row.serial: won.sent_s}
+        self._last_row = won.row
+        self._last_write_s = won.sent_s
+        self._last_read_s = -math.inf
+        self._writing: region.WriteRow | None = None
+        self._resync = False
+        self._deposed = False
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the coordinator."""
+        return self._epoch
+
+    @property
+    def deposed(self) -> bool:
+        """Whether another coordinator has a higher epoch."""
+        return self._deposed
+
+    @property
+    def table_until_s(self) -> float:
+        """End of the table lease."""
+        return self._table_until_s
+
+    def until_s(self) -> float:
+        """Returns the end of the authority by the coordinator's clock."""
+        if self._deposed:
+            return -math.inf
+        promises = [self._promised_s.get(each, -math.inf) for each in self._needed]
+        promised_s = min(promises, default=math.inf) + region.PROMISE_S
+        return max(self._table_until_s, promised_s)
+
+    def is_recorded(self, member: model.InstanceId) -> bool:
+        """Returns whether the row in the table certainly names the member."""
+        return member in self._recorded
+
+    def depose(self) -> None:
+        """Records that another coordinator has a higher epoch."""
+        self._deposed = True
+
+    def refresh(self) -> None:
+        """Drops needed members that are gone; called before any other event is processed."""
+        if self._clock.monotonic() < self.until_s():
+            self._needed = {each for each in self._needed if not self._members.is_gone(each)}
+
+    def promised(self, member: model.InstanceId, stamp_s: float) -> None:
+        """Records a promise that counts from the coordinator time ``stamp_s``."""
+        self._promised_s[member] = max(stamp_s, self._promised_s.get(member, -math.inf))
+
+    def tick(
+        self,
+        *,
+        members: Mapping[model.InstanceId, region.Instance],
+        owners: Mapping[model.PoolKey, model.InstanceId],
+    ) -> list[region.Command]:
+        """Returns the row read or write that is due for these members and owners."""
+        now = self._clock.monotonic()
+        if self._deposed or self._writing is not None:
+            return []
+        if self._resync:
+            if now < self._last_read_s + READ_RETRY_S:
+                return []
+            self._last_read_s = now
+            return [region.ReadRow()]
+        row = self._next_row(members, owners)
+        if now < self._last_write_s + self._interval_s(row):
+            return []
+        self._serial = row.serial
+        self._last_write_s = now
+        self._sent_s[row.serial] = now
+        self._needed |= {member.id for member in row.members} - {self._me.id}
+        self._writing = region.WriteRow(row=row, if_version=self._version)
+        return [self._writing]
+
+    def on_write_ok(self, version: str) -> None:
+        """Processes a write that took effect."""
+        row = self._writing.row
+        self._writing = None
+        self._confirm(row, version)
+
+    def on_write_refused(self) -> None:
+        """Processes a write whose version did not match."""
+        self._writing = None
+        self._resync = True
+
+    def on_write_unknown(self) -> None:
+        """Processes a write that may or may not take effect, now or later."""
+        self._writing = None
+        self._resync = True
+
+    def on_row_read(
+        self, row: region.RegionRow | None, version: str | None, *, started_s: float
+    ) -> None:
+        """Processes the region row; a read from before the latest write tells nothing about it."""
+        if row is None or self._writing is not None or started_s < self._last_write_s:
+            return
+        self._invariants.check(
+            checks.Rule.EPOCH_NEVER_DECREASES,
+            row.epoch >= self._epoch,
+            f"row has epoch {row.epoch} after {self._epoch}",
+        )
+        if row.epoch != self._epoch or row.coordinator.id != self._me.id:
+            self.depose()
+            return
+        self._confirm(row, version)
+
+    def _confirm(self, row: region.RegionRow, version: str) -> None:
+        self._version = version
+        self._last_row = row
+        self._resync = False
+        self._recorded = {member.id: member for member in row.members}
+        sent_s = self._sent_s.get(row.serial, -math.inf)
+        self._table_until_s = max(self._table_until_s, sent_s + region.TABLE_LEASE_S)
+        self._sent_s = {key: each for key, each in self._sent_s.items() if key >= row.serial}
+
+    def _next_row(
+        self,
+        members: Mapping[model.InstanceId, region.Instance],
+        owners: Mapping[model.PoolKey, model.InstanceId],
+    ) -> region.RegionRow:
+        merged = {**self._recorded, **members}
+        kept = [merged[key] for key in sorted(merged) if not self._members.is_gone(key)]
+        return region.RegionRow(
+            epoch=self._epoch,
+            serial=self._serial + 1,
+            coordinator=self._me,
+            members=tuple(kept),
+            owners=dict(sorted(owners.items())),
+        )
+
+    def _interval_s(self, row: region.RegionRow) -> float:
+        changed = row.members != self._last_row.members or row.owners != self._last_row.owners
+        return CHANGED_ROW_S if changed else region.RENEW_S
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -0,0 +1,282 @@
+"""Member role of an instance: heartbeats, promises and candidacy for coordinator."""
+
+import dataclasses
+import math
+from collections.abc import Mapping
+
+from sassafrasway_core import authority, membership, model, ownership, region
+from sassafrasway_core import clock as clocks
+
+CONTACT_LOST_S = 1.0
+RETRY_S = 0.5
+# Covers the difference in rate between the clocks of two instances over a lease.
+CLOCK_MARGIN_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Pending:
+    """A candidate write whose result is not known yet."""
+
+    command: region.WriteRow
+    sent_s: float
+    previous: region.Instance | None
+    settled: bool
+
+
+class MemberState:
+    """Decisions of an instance about whom to follow and when to take over.
+
+    An instance takes over a region in one of three cases: there is no row; the row's coordinator
+    is known to be gone; or the instance is a recorded member, the row did not change for a lease,
+    and its own last promise has ended. In the last case the old coordinator's authority has ended
+    too, because it needs either the table or this instance's promise.
+
+    Args:
+        me: This instance.
+        clock: Time source.
+        members: What is known about instances of the region.
+        grants: Grants received and epoch followed.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: region.Instance,
+        clock: clocks.Clock,
+        members: membership.MemberTable,
+        grants: ownership.GrantState,
+    ):
+        self._me = me
+        self._clock = clock
+        self._members = members
+        self._grants = grants
+        self._promise_until_s = -math.inf
+        self._contact_s = -math.inf
+        self._last_s: dict[str, float] = {}
+        self._hurry = False
+        self._row: region.RegionRow | None = None
+        self._version: str | None = None
+        self._row_seen_s = -math.inf
+        self._row_read = False
+        self._pending: _Pending | None = None
+        self._won: authority.Won | None = None
+
+    @property
+    def me(self) -> region.Instance:
+        """This instance in its current state."""
+        return self._me
+
+    @property
+    def won(self) -> authority.Won | None:
+        """The row of the latest epoch that this instance won, or None."""
+        return self._won
+
+    @property
+    def in_contact(self) -> bool:
+        """Whether the coordinator answered recently and is not known to be gone."""
+        coordinator = self._grants.coordinator
+        if coordinator is None or self._members.is_gone(coordinator.id):
+            return False
+        return self._clock.monotonic() < self._contact_s + CONTACT_LOST_S
+
+    def set_me(self, me: region.Instance) -> None:
+        """Replaces this instance's data, for example when it starts to leave."""
+        self._me = me
+        self._hurry = True
+
+    def hurry(self) -> None:
+        """Makes the next tick send a heartbeat."""
+        self._hurry = True
+
+    def tick(
+        self,
+        *,
+        reports: Mapping[model.PoolKey, region.PoolReport],
+        cap_demand: Mapping[str, float] | None = None,
+    ) -> list[region.Command]:
+        """Lets time pass and returns what has to be done now."""
+        commands: list[region.Command] = []
+        coordinator = self._grants.coordinator
+        reachable = coordinator is not None and not self._members.is_gone(coordinator.id)
+        if reachable and (self._hurry or self._due("heartbeat", region.HEARTBEAT_S)):
+            commands.append(self._heartbeat(coordinator, reports, cap_demand or {}))
+        if not self.in_contact or self._pending is not None:
+            commands.extend(self._search())
+        if self._may_take_over():
+            commands.append(self._candidacy())
+        return commands
+
+    def on_reply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
+        """Processes a heartbeat reply; returns whether its grants were applied."""
+        before = self._grants.epoch
+        pools = self._grants.pools
+        applied = self._grants.apply(reply, sent_s=sent_s)
+        if applied:
+            self._contact_s = self._clock.monotonic()
+        if self._grants.epoch != before or not pools <= self._grants.pools:
+            # A successor waits until the release of a pool is confirmed.
+            self._hurry = True
+        return applied
+
+    def on_follow(self, *, epoch: int, coordinator: region.Instance) -> region.FollowReply:
+        """Follows a coordinator unless its epoch is lower; returns what this instance holds."""
+        if self._grants.follow(epoch=epoch, coordinator=coordinator):
+            self._hurry = True
+        return region.FollowReply(
+            sender=self._me, epoch=self._grants.epoch, pools=self._grants.reports({})
+        )
+
+    def on_row_read(
+        self, row: region.RegionRow | None, version: str | None, *, started_s: float
+    ) -> None:
+        """Processes the region row; ``row`` and ``version`` are None when there is none.
+
+        Args:
+            row: The row, or None.
+            version: Its version, or None.
+            started_s: When the read was started. A read from before the candidate write does not
+                tell what became of it.
+        """
+        pending = self._pending
+        if pending is not None:
+            if started_s < pending.sent_s or version == pending.command.if_version:
+                return
+            self._pending = None
+            if row is not None and row.coordinator.id == self._me.id:
+                self._win(pending, version)
+                return
+        if not self._row_read or version != self._version:
+            self._row_seen_s = self._clock.monotonic()
+        self._row_read = True
+        self._row = row
+        self._version = version
+        if row is not None and row.coordinator.id != self._me.id:
+            self._grants.follow(epoch=row.epoch, coordinator=row.coordinator)
+
+    def on_write_ok(self, command: region.WriteRow, version: str) -> None:
+        """Processes a candidate write that took effect."""
+        pending = self._pending
+        if pending is not None and pending.command is command:
+            self._pending = None
+            self._win(pending, version)
+
+    def on_write_refused(self, command: region.WriteRow) -> None:
+        """Processes a candidate write whose version did not match."""
+        if self._pending is not None and self._pending.command is command:
+            self._pending = None
+            self._row_read = False
+
+    def on_write_unknown(self, command: region.WriteRow) -> None:
+        """Processes a candidate write that may take effect now or later.
+
+        It stays pending, and no promise is made, until the row has another version.
+        """
+
+    def _heartbeat(
+        self,
+        coordinator: region.Instance,
+        reports: Mapping[model.PoolKey, region.PoolReport],
+        cap_demand: Mapping[str, float],
+    ) -> region.SendHeartbeat:
+        now = self._clock.monotonic()
+        self._hurry = False
+        self._last_s["heartbeat"] = now
+        promise = self._pending is None
+        if promise:
+            self._promise_until_s = now + region.PROMISE_S
+        heartbeat = region.Heartbeat(
+            sender=self._me,
+            epoch=self._grants.epoch,
+            promise=promise,
+            echo_s=self._grants.echo_s,
+            applied_seq=self._grants.applied_seq,
+            pools=self._grants.reports(reports),
+            cap_demand=cap_demand,
+        )
+        return region.SendHeartbeat(target=coordinator, heartbeat=heartbeat, sent_s=now)
+
+    def _search(self) -> list[region.Command]:
+        """Returns commands that find the current coordinator or show that it is gone."""
+        if not self._due("search", RETRY_S):
+            return []
+        commands: list[region.Command] = [region.ReadRow()]
+        suspects = [self._row.coordinator if self._row else None, self._grants.coordinator]
+        seen = {self._me.id}
+        for suspect in suspects:
+            if suspect and suspect.id not in seen and not self._members.is_gone(suspect.id):
+                seen.add(suspect.id)
+                commands.append(region.Probe(target=suspect))
+        return commands
+
+    def _may_take_over(self) -> bool:
+        if self.in_contact or self._pending is not None or not self._row_read:
+            return False
+        row = self._row
+        if row is None:
+            return True
+        if row.epoch < self._grants.epoch or row.coordinator.id == self._me.id:
+            return False
+        if self._me.state == region.LEAVING and self._others_remain(row):
+            return False
+        if self._members.is_gone(row.coordinator.id):
+            return True
+        now = self._clock.monotonic()
+        return (
+            self._me.id in {member.id for member in row.members}
+            and now >= self._row_seen_s + region.TABLE_LEASE_S + CLOCK_MARGIN_S
+            and now >= self._promise_until_s + CLOCK_MARGIN_S
+        )
+
+    def _others_remain(self, row: region.RegionRow) -> bool:
+        """Returns whether a recorded member could become coordinator instead of this one."""
+        return any(
+            member.id != self._me.id
+            and member.state == region.LIVE
+            and not self._members.is_gone(member.id)
+            for member in row.members
+        )
+
+    def _candidacy(self) -> region.WriteRow:
+        now = self._clock.monotonic()
+        row = self._row
+        others = () if row is None else row.members
+        members = {member.id: member for member in (*others, self._me)}
+        settled = (
+            row is not None
+            and row.epoch == self._grants.epoch
+            and now < self._grants.settled_until_s
+        )
+        command = region.WriteRow(
+            row=region.RegionRow(
+                epoch=1 if row is None else row.epoch + 1,
+                serial=1,
+                coordinator=self._me,
+                members=tuple(members[key] for key in sorted(members)),
+                owners={} if row is None else row.owners,
+            ),
+            if_version=self._version,
+        )
+        previous = None if row is None else row.coordinator
+        self._pending = _Pending(command=command, sent_s=now, previous=previous, settled=settled)
+        return command
+
+    def _win(self, pending: _Pending, version: str) -> None:
+        row = pending.command.row
+        self._won = authority.Won(
+            row=row,
+            version=version,
+            sent_s=pending.sent_s,
+            previous=pending.previous,
+            settled=pending.settled,
+        )
+        self._row_read = False
+        self._grants.follow(epoch=row.epoch, coordinator=self._me)
+        self._hurry = True
+
+    def _due(self, kind: str, every_s: float) -> bool:
+        """Returns whether something may be repeated now, and notes it when it may."""
+        now = self._clock.monotonic()
+        if now < self._last_s.get(kind, -math.inf) + every_s:
+            return False
+        self._last_s[kind] = now
+        return True
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -0,0 +1,138 @@
+"""Member side of pool ownership: grants received and the epoch that the member follows."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from sassafrasway_core import clock as clocks
+from sassafrasway_core import invariants as checks
+from sassafrasway_core import model, region, share
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Held:
+    grant: region.PoolGrant
+    offline: bool
+    main_until_s: float
+
+
+class GrantState:
+    """Pools that this instance may use by its own clock.
+
+    The main part of a pool ends with its grant. The offline third stays until a reply of the
+    coordinator omits it, which only happens when the coordinator is reachable.
+
+    Args:
+        clock: Time source; grants expire by its monotonic time.
+        invariants: Checks that the epoch never decreases.
+    """
+
+    def __init__(self, *, clock: clocks.Clock, invariants: checks.Invariants):
+        self._clock = clock
+        self._invariants = invariants
+        self._epoch = 0
+        self._coordinator: region.Instance | None = None
+        self._applied_seq = 0
+        self._echo_s: float | None = None
+        self._settled_until_s = float("-inf")
+        self._held: dict[model.PoolKey, _Held] = {}
+        self._cap_shares: Mapping[str, float] = {}
+
+    @property
+    def epoch(self) -> int:
+        """Highest epoch that this instance follows."""
+        return self._epoch
+
+    @property
+    def coordinator(self) -> region.Instance | None:
+        """Coordinator of the epoch."""
+        return self._coordinator
+
+    @property
+    def applied_seq(self) -> int:
+        """Number of the latest reply of the epoch that was applied."""
+        return self._applied_seq
+
+    @property
+    def echo_s(self) -> float | None:
+        """Coordinator time of the latest reply of the epoch."""
+        return self._echo_s
+
+    @property
+    def settled_until_s(self) -> float:
+        """Until then, only recorded members hold grants of the epoch's coordinator."""
+        return self._settled_until_s
+
+    @property
+    def cap_shares(self) -> Mapping[str, float]:
+        """Limit by cap name as last granted."""
+        return self._cap_shares
+
+    @property
+    def pools(self) -> frozenset[model.PoolKey]:
+        """Pools in the latest reply that was applied."""
+        return frozenset(self._held)
+
+    def share(self, pool: model.PoolKey) -> share.Share:
+        """Returns the share of a pool that may be used now."""
+        held = self._held.get(pool)
+        if held is None:
+            return share.Share.NONE
+        main = self._clock.monotonic() < held.main_until_s
+        return share.Share.of(offline=held.offline, main=main)
+
+    def grants(self) -> list[region.PoolGrant]:
+        """Returns all pools with a share that may be used now, by pool."""
+        return [
+            dataclasses.replace(held.grant, share=self.share(pool), expires_s=held.main_until_s)
+            for pool, held in sorted(self._held.items())
+            if self.share(pool) is not share.Share.NONE
+        ]
+
+    def reports(
+        self, details: Mapping[model.PoolKey, region.PoolReport]
+    ) -> dict[model.PoolKey, region.PoolReport]:
+        """Returns the pool reports of a heartbeat: the given details with the shares in force."""
+        empty = region.PoolReport(share=share.Share.NONE)
+        reports = {}
+        for pool in {*self._held, *details}:
+            detail = details.get(pool, empty)
+            reports[pool] = dataclasses.replace(detail, share=self.share(pool))
+        return reports
+
+    def follow(self, *, epoch: int, coordinator: region.Instance) -> bool:
+        """Follows a coordinator unless its epoch is lower; returns whether it is followed."""
+        if epoch < self._epoch:
+            return False
+        if epoch > self._epoch:
+            self._set_epoch(epoch)
+            self._coordinator = coordinator
+        return self._coordinator is not None and self._coordinator.id == coordinator.id
+
+    def apply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
+        """Applies a reply to the heartbeat sent at ``sent_s``; returns False when it is stale."""
+        if not self.follow(epoch=reply.epoch, coordinator=reply.coordinator):
+            return False
+        if not reply.accepted or reply.seq <= self._applied_seq:
+            return False
+        self._applied_seq = reply.seq
+        self._echo_s = reply.stamp_s
+        self._settled_until_s = sent_s + reply.settled_s
+        self._cap_shares = reply.cap_shares
+        self._held = {grant.pool: _hold(grant, sent_s) for grant in reply.grants}
+        return True
+
+    def _set_epoch(self, epoch: int) -> None:
+        self._invariants.check(
+            checks.Rule.EPOCH_NEVER_DECREASES,
+            epoch >= self._epoch,
+            f"epoch {epoch} after {self._epoch}",
+        )
+        self._epoch = epoch
+        self._applied_seq = 0
+        self._echo_s = None
+        self._settled_until_s = float("-inf")
+
+
+def _hold(grant: region.PoolGrant, sent_s: float) -> _Held:
+    main_until_s = sent_s + region.GRANT_S if grant.share.has_main else float("-inf")
+    return _Held(grant=grant, offline=grant.share.has_offline, main_until_s=main_until_s)
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -0,0 +1,238 @@
+"""Messages, commands and the table row through which a region agrees on pool ownership."""
+
+import dataclasses
+import json
+from collections.abc import Mapping
+
+from sassafrasway_core import errors, model, share
+
+HEARTBEAT_S = 0.5
+GRANT_S = 2.0
+PROMISE_S = 3.0
+TABLE_LEASE_S = 3.0
+RENEW_S = 1.0
+
+LIVE = "live"
+LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Instance:
+    """One run of an entry instance and how to reach it.
+
+    Attributes:
+        rpc_address: ``host:port`` of the RPC server.
+        caller_url: Base URL that callers use.
+        state: ``"live"`` or ``"leaving"``.
+    """
+
+    name: str
+    incarnation: str
+    rpc_address: str
+    caller_url: str = ""
+    region: str = ""
+    failure_domain: str = ""
+    state: str = LIVE
+
+    @property
+    def id(self) -> model.InstanceId:
+        """Name and incarnation."""
+        return model.InstanceId(name=self.name, incarnation=self.incarnation)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RegionRow:
+    """Value of the row ``region/<region>``.
+
+    Attributes:
+        epoch: Grows with every change of coordinator.
+        serial: Number of the write within the epoch; it makes every written value unique.
+        members: Recorded members, the coordinator included.
+        owners: Pool owners at the time of the write; a hint for the next coordinator.
+    """
+
+    epoch: int
+    serial: int
+    coordinator: Instance
+    members: tuple[Instance, ...]
+    owners: Mapping[model.PoolKey, model.InstanceId] = dataclasses.field(default_factory=dict)
+
+    def encode(self) -> bytes:
+        """Returns the value as JSON."""
+        document = {
+            "epoch": self.epoch,
+            "serial": self.serial,
+            "coordinator": _pack(self.coordinator),
+            "members": [_pack(member) for member in self.members],
+            "owners": [
+                [key.service, key.region, key.shard, owner.name, owner.incarnation]
+                for key, owner in self.owners.items()
+            ],
+        }
+        return json.dumps(document, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, value: bytes) -> "RegionRow":
+        """Returns the row of a table value.
+
+        Raises:
+            errors.ValidationError: The value is not a region row.
+        """
+        try:
+            document = json.loads(value)
+            return cls(
+                epoch=int(document["epoch"]),
+                serial=int(document["serial"]),
+                coordinator=_unpack(document["coordinator"]),
+                members=tuple(_unpack(member) for member in document["members"]),
+                owners={
+                    model.PoolKey(service=service, region=region, shard=shard): model.InstanceId(
+                        name=name, incarnation=incarnation
+                    )
+                    for service, region, shard, name, incarnation in document["owners"]
+                },
+            )
+        except (ValueError, TypeError, KeyError) as error:
+            raise errors.ValidationError(
+                f"malformed region row: {error}", step="region.decode"
+            ) from error
+
+
+def _pack(instance: Instance) -> list[str]:
+    return list(dataclasses.astuple(instance))
+
+
+def _unpack(fields: list[str]) -> Instance:
+    names = [field.name for field in dataclasses.fields(Instance)]
+    return Instance(**dict(zip(names, fields, strict=True)))
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PoolReport:
+    """What an instance tells about one pool that it may use.
+
+    Attributes:
+        share: Share in force when the report was made.
+        in_use: Slots in use by server name.
+        rate_per_s: Requests received for the pool, 1/s.
+    """
+
+    share: share.Share
+    in_use: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    rate_per_s: float = 0.0
+    queue_length: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PoolGrant:
+    """Right to use a pool.
+
+    Attributes:
+        inherited: Slots by server name that the previous owner last reported as in use. The new
+            owner counts them as used until they are released or the request deadlines pass.
+        previous: The instance that those slots belong to.
+        expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
+    """
+
+    pool: model.PoolKey
+    share: share.Share
+    inherited: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    previous: model.InstanceId | None = None
+    expires_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Heartbeat:
+    """A member's report to its coordinator.
+
+    Attributes:
+        epoch: Highest epoch that the member follows.
+        promise: Whether the member promises not to become a candidate for ``PROMISE_S``.
+        echo_s: ``stamp_s`` of the latest reply of this epoch, or None. The promise counts from
+            this coordinator time, so that a heartbeat read late never extends a promise.
+        applied_seq: ``seq`` of the latest reply of this epoch that the member applied.
+        cap_demand: Demand by cap name in the unit of the cap.
+    """
+
+    sender: Instance
+    epoch: int
+    promise: bool
+    echo_s: float | None
+    applied_seq: int
+    pools: Mapping[model.PoolKey, PoolReport]
+    cap_demand: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeartbeatReply:
+    """The coordinator's answer to a heartbeat.
+
+    Attributes:
+        accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
+            its grants are then not affected.
+        seq: Number of the reply within the epoch.
+        stamp_s: Coordinator's clock when it replied.
+        grants: All pools that the member may use; the member drops every other pool.
+        settled_s: For this long after the heartbeat was sent, only recorded members hold grants.
+        cap_shares: Limit by cap name in the unit of the cap.
+    """
+
+    epoch: int
+    coordinator: Instance
+    accepted: bool
+    seq: int
+    stamp_s: float
+    grants: tuple[PoolGrant, ...] = ()
+    settled_s: float = 0.0
+    cap_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FollowReply:
+    """A member's answer to a new coordinator; its ``epoch`` tells whom it follows."""
+
+    sender: Instance
+    epoch: int
+    pools: Mapping[model.PoolKey, PoolReport]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Command:
+    """Something that the I/O task has to do for a decision module."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReadRow(Command):
+    """Read the region row and report the result."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WriteRow(Command):
+    """Write the region row on condition of a version; None means that no row exists."""
+
+    row: RegionRow
+    if_version: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SendHeartbeat(Command):
+    """Send a heartbeat to the coordinator."""
+
+    target: Instance
+    heartbeat: Heartbeat
+    sent_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SendFollow(Command):
+    """Tell a member which coordinator to follow; it answers and sends a heartbeat at once."""
+
+    target: Instance
+    epoch: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Probe(Command):
+    """Ask an instance for its identity, to learn whether it is gone."""
+
+    target: Instance
--- /dev/null
+++ b/packages/core/src/sassafrasway_core/share.py
@@ -0,0 +1,46 @@
+"""How much of a pool's slots an instance may use."""
+
+import enum
+
+
+class Share(enum.Enum):
+    """Part of each server's slots that an instance may use.
+
+    Attributes:
+        NONE: No slot.
+        OFFLINE: A third of each server's slots, rounded down.
+        REDUCED: All slots but that third.
+        FULL: All slots.
+    """
+
+    NONE = "none"
+    OFFLINE = "offline"
+    REDUCED = "reduced"
+    FULL = "full"
+
+    def slots(self, total: int) -> int:
+        """Returns the slots usable on a server that has ``total`` slots."""
+        offline = total // 3
+        return {
+            Share.NONE: 0,
+            Share.OFFLINE: offline,
+            Share.REDUCED: total - offline,
+            Share.FULL: total,
+        }[self]
+
+    @classmethod
+    def of(cls, *, offline: bool, main: bool) -> "Share":
+        """Returns the share made of the offline third, the remaining main part, or both."""
+        if main:
+            return cls.FULL if offline else cls.REDUCED
+        return cls.OFFLINE if offline else cls.NONE
+
+    @property
+    def has_offline(self) -> bool:
+        """Whether the offline third is included."""
+        return self in (Share.OFFLINE, Share.FULL)
+
+    @property
+    def has_main(self) -> bool:
+        """Whether the part besides the offline third is included."""
+        return self in (Share.REDUCED, Share.FULL)
--- /dev/null
+++ b/packages/core/tests/ownership_sim.py
@@ -0,0 +1,278 @@
+"""Simulated region for ownership tests: processes, links, a table and a platform list.
+
+Every process has a clock of its own with another offset, so that comparing times of two processes
+shows up as a fault. Messages are processed in steps of a tenth of a second.
+"""
+
+import collections
+import dataclasses
+
+from sassafrasway_core import clock as clocks
+from sassafrasway_core import (
+    coordinator,
+    invariants,
+    member,
+    membership,
+    model,
+    ownership,
+    region,
+    share,
+)
+
+STEP_S = 0.1
+SLOTS = 7
+ROUNDS = 10
+LIST_FETCH_STEPS = 10
+POOLS = tuple(model.PoolKey(service=name, region="bkk") for name in ("a", "b", "c", "d"))
+
+
+class OffsetClock(clocks.Clock):
+    """Clock that differs from a common clock by an offset."""
+
+    def __init__(self, base, offset_s):
+        self._base = base
+        self._offset_s = offset_s
+
+    def monotonic(self):
+        return self._base.monotonic() + self._offset_s
+
+    def wall(self):
+        return self._base.wall()
+
+
+class Table:
+    """One row with versions; ``delayed`` writes take effect when they are released."""
+
+    def __init__(self):
+        self.value = None
+        self.version = None
+        self.writes = 0
+        self.delayed = []
+
+    def write(self, command):
+        if command.if_version != self.version:
+            return False
+        self.writes += 1
+        self.value = command.row.encode()
+        self.version = str(self.writes)
+        return True
+
+    def read(self):
+        return (None if self.value is None else region.RegionRow.decode(self.value)), self.version
+
+    def release(self):
+        for command in self.delayed:
+            self.write(command)
+        self.delayed = []
+
+
+class Process:
+    """One run of an instance; executes the commands of its decision modules."""
+
+    def __init__(self, world, name, incarnation):
+        self.world = world
+        self.name = name
+        self.paused = False
+        self.table_mode = "ok"
+        self.inbox = collections.deque()
+        self.me = region.Instance(
+            name=name, incarnation=incarnation, rpc_address=name, region="bkk"
+        )
+        self.clock = OffsetClock(world.clock, world.processes_started * 1000.0)
+        self.members = world.member_table(clock=self.clock)
+        self.checks = invariants.Invariants(mode=invariants.Mode.RAISE)
+        self.grants = ownership.GrantState(clock=self.clock, invariants=self.checks)
+        self.member = member.MemberState(
+            me=self.me, clock=self.clock, members=self.members, grants=self.grants
+        )
+        self.coordinator = None
+        self.steps = 0
+
+    def run(self):
+        while self.inbox:
+            self._handle(*self.inbox.popleft())
+        for command in self.member.tick(reports={}):
+            self._execute(command, self.member)
+        won = self.member.won
+        if won is not None and (self.coordinator is None or self.coordinator.epoch < won.row.epoch):
+            self.coordinator = self.world.coordinator_state(
+                me=self.me, clock=self.clock, invariants=self.checks, members=self.members, won=won
+            )
+            self.coordinator.set_pools(POOLS)
+        if self.coordinator is not None:
+            for command in self.coordinator.tick():
+                self._execute(command, self.coordinator.authority)
+
+    def fetch_list(self):
+        self.steps += 1
+        if self.coordinator is not None and self.steps % LIST_FETCH_STEPS == 0:
+            self.members.fetched(self.world.listed(), started_s=self.clock.monotonic())
+
+    def _execute(self, command, owner):
+        now = self.clock.monotonic()
+        if isinstance(command, region.SendHeartbeat):
+            self.world.send(self, command.target, "heartbeat", command.heartbeat, command.sent_s)
+        elif isinstance(command, region.SendFollow):
+            self.world.send(self, command.target, "follow", command.epoch, self.me)
+        elif isinstance(command, region.Probe):
+            self.world.send(self, command.target, "identify")
+        elif isinstance(command, region.ReadRow):
+            if self.table_mode == "ok":
+                self.inbox.append((self, "row", owner, *self.world.table.read(), now))
+        else:
+            self.inbox.append((self, "written", owner, command, self._write(command)))
+
+    def _write(self, command):
+        if self.table_mode == "delayed":
+            self.world.table.delayed.append(command)
+        if self.table_mode in ("ok", "lost"):
+            ok = self.world.table.write(command)
+            if self.table_mode == "ok":
+                return self.world.table.version if ok else "refused"
+        return "unknown"
+
+    def _handle(self, source, kind, *content):
+        getattr(self, f"_on_{kind}")(source, *content)
+
+    def _on_row(self, _, owner, row, version, started_s):
+        owner.on_row_read(row, version, started_s=started_s)
+
+    def _on_written(self, _, owner, command, result):
+        arguments = (command,) if owner is self.member else ()
+        if result == "unknown":
+            owner.on_write_unknown(*arguments)
+        elif result == "refused":
+            owner.on_write_refused(*arguments)
+        else:
+            owner.on_write_ok(*arguments, result)
+
+    def _on_heartbeat(self, source, heartbeat, sent_s):
+        known = self.grants.coordinator
+        if self.coordinator is not None:
+            reply = self.coordinator.on_heartbeat(heartbeat)
+        elif known is not None:
+            reply = region.HeartbeatReply(
+                epoch=self.grants.epoch, coordinator=known, accepted=False, seq=0, stamp_s=0.0
+            )
+        else:
+            return
+        self.world.send(self, source.me, "reply", reply, sent_s)
+
+    def _on_reply(self, _, reply, sent_s):
+        self.member.on_reply(reply, sent_s=sent_s)
+
+    def _on_follow(self, source, epoch, leader):
+        reply = self.member.on_follow(epoch=epoch, coordinator=leader)
+        if self.coordinator is not None and reply.epoch > self.coordinator.epoch:
+            self.coordinator.depose()
+        self.world.send(self, source.me, "followed", reply)
+
+    def _on_followed(self, _, reply):
+        if self.coordinator is not None:
+            self.coordinator.on_follow_reply(reply)
+
+    def _on_identify(self, source):
+        self.world.send(self, source.me, "identified", self.me)
+
+    def _on_identified(self, _, answered):
+        for each in self.members.instances():
+            if each.name == answered.name:
+                self.members.identified(each.id, incarnation=answered.incarnation)
+
+    def _on_refused(self, _, target):
+        self.members.refused(target.id)
+
+
+class World:
+    """All processes of a region and the systems around them."""
+
+    member_table = membership.MemberTable
+    coordinator_state = coordinator.CoordinatorState
+
+    def __init__(self, names=("p", "q", "r")):
+        self.clock = clocks.ManualClock()
+        self.table = Table()
+        self.processes_started = 0
+        self.live = {}
+        self.dead = []
+        self.links = {}
+        self.held = []
+        self.list_lag_steps = 0
+        self._snapshots = [()]
+        self._list_index = 0
+        for name in names:
+            self.start(name)
+
+    def start(self, name):
+        self.processes_started += 1
+        self.live[name] = Process(self, name, str(self.processes_started))
+
+    def kill(self, name):
+        self.dead.append(self.live.pop(name))
+
+    def listed(self):
+        newest = len(self._snapshots) - 1
+        self._list_index = max(self._list_index, newest - self.list_lag_steps)
+        return self._snapshots[self._list_index]
+
+    def send(self, source, target, kind, *content):
+        mode = self.links.get((source.name, target.name), "ok")
+        if mode == "hold":
+            self.held.append((source, target, kind, content))
+        elif mode == "ok":
+            self._deliver(source, target, kind, content)
+
+    def release_held(self):
+        held, self.held = self.held, []
+        for source, target, kind, content in held:
+            self._deliver(source, target, kind, content)
+
+    def _deliver(self, source, target, kind, content):
+        process = self.live.get(target.name)
+        if process is not None:
+            answer = kind in ("reply", "followed", "identified", "refused")
+            if not answer or process.me.id == target.id:
+                process.inbox.append((source, kind, *content))
+        elif kind in ("heartbeat", "follow", "identify") and self._is_open(target, source):
+            source.inbox.append((source, "refused", target))
+
+    def _is_open(self, source, target):
+        return self.links.get((source.name, target.name), "ok") == "ok"
+
+    def step(self, count=1):
+        for _ in range(count):
+            self.clock.advance(STEP_S)
+            self._snapshots.append(tuple(self.live))
+            for process in list(self.live.values()):
+                if not process.paused:
+                    process.fetch_list()
+            running = [process for process in self.live.values() if not process.paused]
+            for round_number in range(ROUNDS):
+                for process in running:
+                    if round_number == 0 or process.inbox:
+                        process.run()
+                        self.check()
+
+    def shares(self, pool):
+        return {name: process.grants.share(pool) for name, process in self.live.items()}
+
+    def check(self):
+        for pool in POOLS:
+            shares = self.shares(pool)
+            used = sum(part.slots(SLOTS) for part in shares.values())
+            if used > SLOTS:
+                raise AssertionError(f"{used} of {SLOTS} slots of {pool} usable: {shares}")
+
+    def full_owners(self):
+        return {
+            pool: name
+            for pool in POOLS
+            for name, part in self.shares(pool).items()
+            if part is share.Share.FULL
+        }
+
+
+def leave(process):
+    """Starts a graceful stop of a process."""
+    process.me = dataclasses.replace(process.me, state=region.LEAVING)
+    process.member.set_me(process.me)
--- /dev/null
+++ b/packages/core/tests/test_ownership.py
@@ -0,0 +1,278 @@
+"""Tests of pool ownership: safety under random faults and behaviour under single faults."""
+
+import collections
+import unittest
+
+import hypothesis
+import ownership_sim
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from sassafrasway_core import coordinator, invariants, membership, ownership, region, share
+
+NAMES = ("p", "q", "r")
+names = st.sampled_from(NAMES)
+
+
+class RegionMachine(stateful.RuleBasedStateMachine):
+    """Any mixture of faults; ``World.check`` runs after every event of a process."""
+
+    world_type = ownership_sim.World
+
+    def __init__(self):
+        super().__init__()
+        self.world = self.world_type(NAMES)
+        self.world.step(40)
+
+    @stateful.rule(count=st.integers(min_value=1, max_value=40))
+    def step(self, count):
+        self.world.step(count)
+
+    @stateful.rule(name=names)
+    def kill_or_start(self, name):
+        if name in self.world.live:
+            self.world.kill(name)
+        else:
+            self.world.start(name)
+
+    @stateful.rule(name=names)
+    def restart(self, name):
+        if name in self.world.live:
+            self.world.kill(name)
+        self.world.start(name)
+
+    @stateful.rule(name=names, paused=st.booleans())
+    def pause_or_wake(self, name, paused):
+        if name in self.world.live:
+            self.world.live[name].paused = paused
+
+    @stateful.rule(source=names, to=names, mode=st.sampled_from(("cut", "hold")))
+    def impair_link(self, source, to, mode):
+        if source != to:
+            self.world.links[source, to] = mode
+
+    @stateful.rule(name=names)
+    def isolate(self, name):
+        for other in NAMES:
+            if other != name:
+                self.world.links[name, other] = self.world.links[other, name] = "cut"
+
+    @stateful.rule()
+    def heal_links(self):
+        self.world.links = {}
+        self.world.release_held()
+
+    @stateful.rule(name=names, mode=st.sampled_from(("ok", "down", "lost", "delayed")))
+    def change_table(self, name, mode):
+        if name in self.world.live:
+            self.world.live[name].table_mode = mode
+
+    @stateful.rule(mode=st.sampled_from(("ok", "down", "lost", "delayed")))
+    def change_table_for_all(self, mode):
+        for process in self.world.live.values():
+            process.table_mode = mode
+
+    @stateful.rule()
+    def release_delayed_writes(self):
+        self.world.table.release()
+
+    @stateful.rule(steps=st.integers(min_value=0, max_value=50))
+    def delay_list(self, steps):
+        self.world.list_lag_steps = steps
+
+    @stateful.rule(name=names)
+    def leave(self, name):
+        if name in self.world.live:
+            ownership_sim.leave(self.world.live[name])
+
+
+RegionMachine.TestCase.settings = hypothesis.settings(
+    derandomize=True, max_examples=60, stateful_step_count=25, deadline=None, database=None
+)
+UNTIL_FOUND = hypothesis.settings(
+    RegionMachine.TestCase.settings,
+    max_examples=300,
+    phases=(hypothesis.Phase.generate,),
+    report_multiple_bugs=False,
+)
+
+
+class RegionSafetyTest(RegionMachine.TestCase):
+    """Guards against two instances that use the same slots under any mixture of faults."""
+
+
+class _SilentIsGone(membership.MemberTable):
+    """Wrong rule: takes silence for proof that an instance is gone."""
+
+    def is_gone(self, instance):
+        return super().is_gone(instance) or self.state(instance) is membership.State.SILENT
+
+
+class _OfflineShareIgnored(coordinator.CoordinatorState):
+    """Wrong rule: forgets the offline share of a holder that does not answer."""
+
+    def _refresh(self):
+        super()._refresh()
+        for pool in self._pools.values():
+            if self._clock.monotonic() >= pool.main_until_s:
+                pool.offline_suspects.clear()
+
+
+class CheckerTest(unittest.TestCase):
+    def _assert_found(self, **wrong):
+        world_type = type("WrongWorld", (ownership_sim.World,), wrong)
+        machine = type("WrongMachine", (RegionMachine,), {"world_type": world_type})
+        with self.assertRaises(AssertionError):
+            stateful.run_state_machine_as_test(machine, settings=UNTIL_FOUND)
+
+    def test_silence_as_proof_is_found(self):
+        """Guards against a checker that accepts reassignment of a paused holder's pool."""
+        self._assert_found(member_table=_SilentIsGone)
+
+    def test_ignored_offline_share_is_found(self):
+        """Guards against a checker that overlooks the offline share of the last holder."""
+        self._assert_found(coordinator_state=_OfflineShareIgnored)
+
+
+class RegionTest(unittest.TestCase):
+    def setUp(self):
+        self.world = ownership_sim.World(NAMES)
+        self.world.step(60)
+        self.owners = self.world.full_owners()
+
+    def _leader(self):
+        return next(
+            name
+            for name, process in self.world.live.items()
+            if process.coordinator is not None and not process.coordinator.deposed
+        )
+
+    def _follower(self):
+        return next(name for name in NAMES if name != self._leader())
+
+    def _table_down(self):
+        for process in self.world.live.values():
+            process.table_mode = "down"
+
+    def test_pools_are_spread(self):
+        """Guards against an instance that starts first and keeps all pools."""
+        counts = collections.Counter(self.owners.values())
+        self.assertEqual(len(self.owners), len(ownership_sim.POOLS))
+        self.assertEqual(sorted(counts[name] for name in NAMES), [1, 1, 2])
+
+    def test_table_down_keeps_full_shares(self):
+        """Guards against losing slots while the table is down and all members answer."""
+        self._table_down()
+        for _ in range(600):
+            self.world.step()
+            self.assertEqual(self.world.full_owners(), self.owners)
+
+    def test_table_down_and_member_gone(self):
+        """Guards against losing slots when an instance dies while the table is down."""
+        self._table_down()
+        self.world.step(50)
+        self.world.kill(self._follower())
+        self.world.step(30)
+        for _ in range(100):
+            self.world.step()
+            self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
+    def test_table_down_and_pause_then_wake(self):
+        """Guards against promises that cannot be renewed once one of them has ended."""
+        self._table_down()
+        self.world.step(50)
+        self.world.live[self._follower()].paused = True
+        self.world.step(100)
+        self.assertEqual(self.world.full_owners(), {})
+        self.world.live[self._follower()].paused = False
+        self.world.step(50)
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
+    def test_join_while_table_is_down(self):
+        """Guards against an instance that cannot take part until the table is back."""
+        self._table_down()
+        self.world.start("s")
+        joining = self.world.live["s"]
+        joining.table_mode = "down"
+        leader = self.world.live[self._leader()]
+        joining.member.on_follow(epoch=leader.grants.epoch, coordinator=leader.me)
+        self.world.step(50)
+        self.assertTrue(joining.member.in_contact)
+        for process in self.world.live.values():
+            process.table_mode = "ok"
+        self.world.step(50)
+        counts = collections.Counter(self.world.full_owners().values())
+        self.assertEqual(sorted(counts.values()), [1, 1, 1, 1])
+
+    def test_paused_holder(self):
+        """Guards against leaving a paused holder's pool unused, or using its offline share."""
+        name = self._follower()
+        pools = [pool for pool, owner in self.owners.items() if owner == name]
+        self.world.live[name].paused = True
+        self.world.step(25)
+        for pool in pools:
+            self.assertIn(share.Share.REDUCED, self.world.shares(pool).values())
+        self.world.live[name].paused = False
+        self.world.step(30)
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
+    def test_killed_holder(self):
+        """Guards against waiting for grants of an instance whose port refuses connections."""
+        self.world.kill(self._follower())
+        self.world.step(15)
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
+    def test_killed_coordinator_moves_nothing_else(self):
+        """Guards against pools that move or stop because the coordinator changed."""
+        leader = self._leader()
+        kept = {pool: name for pool, name in self.owners.items() if name != leader}
+        self.world.kill(leader)
+        for _ in range(100):
+            self.world.step()
+            self.assertLessEqual(kept.items(), self.world.full_owners().items())
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
+    def test_killed_coordinator_pools_move_fast(self):
+        """Guards against waiting a whole grant when no unrecorded instance can hold one."""
+        self.world.kill(self._leader())
+        self.world.step(15)
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
+    def test_leaving_hands_over_within_a_step(self):
+        """Guards against a pool without an owner during a planned stop."""
+        name = self._follower()
+        ownership_sim.leave(self.world.live[name])
+        without = 0
+        for _ in range(30):
+            self.world.step()
+            without += len(ownership_sim.POOLS) - len(self.world.full_owners())
+        self.assertEqual(without, 0)
+        self.assertNotIn(name, self.world.full_owners().values())
+
+
+class GrantStateTest(unittest.TestCase):
+    def test_lower_epoch_is_ignored(self):
+        """Guards against grants of a coordinator that was replaced."""
+        grants = ownership.GrantState(
+            clock=ownership_sim.clocks.ManualClock(),
+            invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
+        )
+        old, new = (
+            region.Instance(name=name, incarnation="1", rpc_address=name) for name in ("o", "n")
+        )
+        pool = ownership_sim.POOLS[0]
+        grants.follow(epoch=2, coordinator=new)
+        reply = region.HeartbeatReply(
+            epoch=1,
+            coordinator=old,
+            accepted=True,
+            seq=9,
+            stamp_s=0.0,
+            grants=(region.PoolGrant(pool=pool, share=share.Share.FULL),),
+        )
+        self.assertFalse(grants.apply(reply, sent_s=1000.0))
+        self.assertEqual((grants.epoch, grants.share(pool)), (2, share.Share.NONE))
+
+
+if __name__ == "__main__":
+    unittest.main()
