Dispatch by placement strategy; report crashes to other pool owners

Cause: the even split and the local count must be measurable in the same process. Change: PoolManager and Dispatcher take a Placement; new RPC report_crash.

--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from sassafrasway_core import errors, model, retry
+from sassafrasway_core import errors, model, placement, retry
 from sassafrasway_entry import conversion, messages, pools, steering
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
@@ -60,6 +60,7 @@
         pools: Pools that this instance owns.
         directory: Owners of the other pools.
         peers: Calls to other instances.
+        placement: Whether requests go to the owner of their pool.
         budget: Limits how often an idempotent request is repeated after a peer did not answer.
     """
 
@@ -71,6 +72,7 @@
         pools: pools.PoolManager,
         directory: Directory,
         peers: Peers,
+        placement: placement.Placement,
         budget: retry.RetryBudget,
     ):
         self._me = me
@@ -78,6 +80,7 @@
         self._pools = pools
         self._directory = directory
         self._peers = peers
+        self._placement = placement
         self._budget = budget
         self._log = structlog.get_logger("dispatcher")
 
@@ -114,6 +117,8 @@
         """Runs a request at one pool, here or at the pool's owner."""
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
+        if not self._placement.forwards:
+            return await self._pools.execute(key, request, may_queue=may_queue)
         owner = self._directory.owner(key)
         if owner is None or (owner.name == self._me.name and not self._pools.owns(key)):
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=200)
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -55,6 +55,10 @@
         if task is not None:
             task.cancel()
 
+    async def report_crash(self, service_name: str, fingerprint: str, server: str) -> None:
+        """Notes that a request crashed a server of another pool."""
+        self._pools.quarantine.record_crash(fingerprint, server)
+
     async def _serve(self, message) -> messages.Answer:
         request = conversion.from_forward(message, clock=self._clock)
         if message.stage == schema.forward.Stage.GATEKEEP:
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -3,13 +3,24 @@
 import asyncio
 import dataclasses
 import itertools
+import math
 import random
 from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_core import invariants, model, pool, quarantine, region, retry, share, window
+from sassafrasway_core import (
+    invariants,
+    model,
+    placement,
+    pool,
+    quarantine,
+    region,
+    retry,
+    share,
+    window,
+)
 from sassafrasway_entry import backend_client, messages, recorder
 
 MAX_SHED_RETRIES = 2
@@ -44,6 +55,7 @@
         report_crash: Tells the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
         share_of: Returns the share of a pool that may be used now.
+        placement: Strategy that decides which slots an instance may use.
         queue_limit: Longest queue of a pool.
     """
 
@@ -57,6 +69,7 @@
         record: recorder.Recorder,
         report_crash: Callable[[str, str, str], Awaitable[None]],
         share_of: Callable[[model.PoolKey], share.Share],
+        placement: placement.Placement,
         queue_limit: int,
     ):
         self._clock = clock
@@ -66,6 +79,8 @@
         self._record = record
         self._report_crash = report_crash
         self._share_of = share_of
+        self._placement = placement
+        self._position = (0, 1)
         self._queue_limit = queue_limit
         self._pools: dict[model.PoolKey, OwnedPool] = {}
         self._policy: model.Policy | None = None
@@ -88,13 +103,39 @@
     def set_policy(self, policy: model.Policy) -> None:
         """Applies a new policy revision to all pools."""
         self._policy = policy
-        self._servers = policy.pools()
+        self._servers = {key: self._usable(servers) for key, servers in policy.pools().items()}
+        if not self._placement.forwards:
+            self._hold_all()
         for key, owned in self._pools.items():
             owned.slots.set_servers(self._servers.get(key, ()))
             self._set_limits(owned)
 
+    def set_position(self, *, index: int, count: int) -> None:
+        """Takes this instance's place among all; only placements without owners depend on it."""
+        if self._placement.forwards or (index, count) == self._position:
+            return
+        self._position = (index, count)
+        if self._policy is not None:
+            self.set_policy(self._policy)
+
     def set_grants(self, grants: Iterable[region.PoolGrant]) -> None:
         """Takes the full list of pools that this instance may use."""
+        if self._placement.forwards:
+            self._hold(grants)
+
+    def _hold_all(self) -> None:
+        """Uses every pool, as placements without owners do."""
+        self._hold(
+            region.PoolGrant(pool=key, share=share.Share.FULL, expires_s=math.inf)
+            for key, servers in self._servers.items()
+            if servers
+        )
+
+    def _usable(self, servers: Iterable[model.BackendServer]) -> tuple[model.BackendServer, ...]:
+        index, count = self._position
+        return tuple(self._placement.usable_servers(servers, index=index, count=count))
+
+    def _hold(self, grants: Iterable[region.PoolGrant]) -> None:
         by_key = {grant.pool: grant for grant in grants}
         for key in [key for key in self._pools if key not in by_key]:
             self._drop(key)
@@ -174,6 +215,7 @@
             invariants=self._invariants,
             queue_limit=self._queue_limit,
             ramp_s=RAMP_S,
+            rank_by_reports=self._placement.ranks_by_reports,
         )
         owned = OwnedPool(
             grant=grant, slots=slots, region_window=None, shift_windows={}, waiters={}
@@ -237,7 +279,8 @@
 
     def _apply_share(self, owned: OwnedPool) -> None:
         """Reads the share at the moment of dispatch: the grant may have expired since."""
-        owned.slots.set_share(self._share_of(owned.grant.pool))
+        if self._placement.forwards:
+            owned.slots.set_share(self._share_of(owned.grant.pool))
 
     def _take_limits(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
         """Takes the request from the caps after it has a slot, so that waiting costs no cap."""
@@ -314,7 +357,7 @@
 
     def _may_retry(self, budget: retry.RetryBudget, tried: set[str], *, certain: bool) -> bool:
         if certain:
-            return len(tried) <= MAX_SHED_RETRIES
+            return len(tried) <= (self._placement.retries_after_shed or MAX_SHED_RETRIES)
         return budget.try_retry()
 
     async def _call(
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -10,7 +10,7 @@
 import aiohttp
 import structlog
 
-from sassafrasway_core import at_most_once, invariants, model, region, retry
+from sassafrasway_core import at_most_once, invariants, model, placement, region, retry
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import (
     admin_api,
@@ -53,6 +53,7 @@
         self._stop_requested = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._log = structlog.get_logger("process")
+        self._placement = placement.PLACEMENTS[settings.behaviour.placement]
         section = settings.instance
         self._me = region.Instance(
             name=section.name,
@@ -113,6 +114,7 @@
             record=self._record,
             report_crash=self._report_crash,
             share_of=self._member.share,
+            placement=self._placement,
             queue_limit=self._settings.limits.queue_limit,
         )
         self._steering = steering.Steering(region=self._me.region, clock=self._clock, rng=self._rng)
@@ -122,6 +124,7 @@
             pools=self._pools,
             directory=self._directory,
             peers=self._peers,
+            placement=self._placement,
             budget=retry.RetryBudget(clock=self._clock),
         )
         self._outcomes = outcomes.OutcomeStore(service=self._table)
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -4,7 +4,7 @@
 import dataclasses
 import random
 
-from sassafrasway_core import clock, invariants, model, region, retry, share
+from sassafrasway_core import clock, invariants, model, placement, region, retry, share
 from sassafrasway_entry import backend_client, messages, pools, recorder
 
 ME = model.InstanceId(name="bkk-a-1", incarnation="0a")
@@ -149,6 +149,7 @@
         record=recorder.Recorder(path=None, instance="test"),
         report_crash=report_crash,
         share_of=lambda key: share_value,
+        placement=placement.PLACEMENTS["pool_owner"],
         queue_limit=10,
     )
     current = policy_ or policy()
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -5,7 +5,7 @@
 
 import entry_fakes as fakes
 
-from sassafrasway_core import errors, model, retry
+from sassafrasway_core import errors, model, placement, retry
 from sassafrasway_entry import conversion, dispatcher, messages, steering
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
@@ -62,6 +62,7 @@
             pools=self.pools,
             directory=self.directory,
             peers=self.peers,
+            placement=placement.PLACEMENTS["pool_owner"],
             budget=retry.RetryBudget(clock=self.clock),
         )
 
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -48,6 +48,9 @@
 
 service Forward {
   ForwardReply forward(1: ForwardRequest request) throws (1: common.RpcError error)
+  // Tells the owner of another pool of the service that a request crashed a backend server.
+  void report_crash(1: string service_name, 2: string fingerprint, 3: string server)
+      throws (1: common.RpcError error)
   // Stops a forwarded request whose caller went away.
   oneway void cancel(1: string request_id)
 }
