--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -28,6 +28,7 @@
 
 MAX_HELD_BYTES = 32 * 1024 * 1024  # 4,000 Mbit/s for 60 ms
 BUCKET_S = 0.1
+EARLY_S = 0.0005  # uvloop timers count whole ms; without it a piece often waits one tick more
 PROBE_INTERVAL_S = 0.02
 ANY = "*"
 
@@ -117,7 +118,7 @@
             return
         while self._pieces and not self._sink_is_full:
             due_s, piece = self._pieces[0]
-            if due_s > self._loop.time():
+            if due_s > self._loop.time() + EARLY_S:
                 self._timer = self._loop.call_at(due_s, self.flush)
                 return
             self._pieces.popleft()
