Add layouts, launcher and child processes

A launcher takes one of 31 address blocks, so several sets run on one machine, and its children end with it through the parent-death signal, also after kill -9 of the launcher.

--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -22,11 +22,9 @@
 import uvloop
 from aiohttp import web
 
-from sassafrasway_standins import network
+from sassafrasway_standins import backend_connections, network
 
 CRASH_MARKER = b"crash-server"
-MAX_BODY_BYTES = 16 * 1024 * 1024
-KEEPALIVE_S = 600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -89,64 +87,6 @@
             self._stream.write(json.dumps(fields, separators=(",", ":")) + "\n")
 
 
-class _Refuse(asyncio.Protocol):
-    """Closes a connection above the connection limit."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        transport.abort()
-
-
-class _HttpServer(web.Server):
-    """aiohttp server that knows which connections are new and which do not respond any more."""
-
-    def __init__(self, handler: Callable[[web.BaseRequest], Any]):
-        super().__init__(
-            handler,
-            request_factory=self._make_request,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=KEEPALIVE_S,
-        )
-        self._used: set[Any] = set()
-        self._silent: set[Any] = set()
-
-    def connection_lost(self, handler: Any, exc: BaseException | None = None) -> None:
-        """See base class."""
-        super().connection_lost(handler, exc)
-        self._used.discard(handler)
-        self._silent.discard(handler)
-
-    def silence(self) -> None:
-        """Makes the present connections silent for good."""
-        self._silent.update(self.connections)
-
-    def is_silent(self, connection: Any) -> bool:
-        """Whether a connection does not respond any more."""
-        return connection in self._silent
-
-    def is_new(self, connection: Any) -> bool:
-        """Whether a connection has not carried a request yet."""
-        return connection not in self._used
-
-    def mark_used(self, connection: Any) -> None:
-        """Records that a connection has carried a request."""
-        self._used.add(connection)
-
-    def abort_connections(self) -> None:
-        """Drops the present connections."""
-        for connection in self.connections:
-            if connection.transport is not None:
-                connection.transport.abort()
-
-    def _make_request(
-        self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
-    ) -> web.BaseRequest:
-        loop = asyncio.get_running_loop()
-        return web.BaseRequest(
-            message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
-        )
-
-
 class BackendServer:
     """One server with its slots, connections and faults."""
 
@@ -172,7 +112,7 @@
         self._stats = dict.fromkeys(
             ("runs", "sheds", "probes", "accepted", "refused_connections", "max_in_use"), 0
         )
-        self._web = _HttpServer(self._handle)
+        self._web = backend_connections.HttpServer(self._handle)
         self._listener: asyncio.Server | None = None
         self._restarting: asyncio.Task[None] | None = None
 
@@ -245,7 +185,7 @@
     def _accept(self) -> asyncio.Protocol:
         if len(self._web.connections) >= self._settings.connections:
             self._stats["refused_connections"] += 1
-            return _Refuse()
+            return backend_connections.Refuse()
         self._stats["accepted"] += 1
         return self._web()
 
@@ -320,7 +260,7 @@
             run.record("crashed")
             self.crash()
             await asyncio.Event().wait()
-        service_s = self._service_time_s()
+        service_s = self._service_time_s(run.stated_s)
         await self._wait_until_not_busy()
         if deadline_s is not None and service_s > deadline_s:
             await asyncio.sleep(deadline_s)
@@ -330,17 +270,18 @@
         run.record("ok")
         return True
 
-    def _service_time_s(self) -> float:
+    def _service_time_s(self, stated_s: float | None) -> float:
+        """Returns the time that a request takes; callers may state the time on a warm server."""
         now_s = time.monotonic()
         if self._warm_since_s is None or now_s - self._last_request_s > self._settings.idle_cold_s:
             self._warm_since_s = now_s
         self._last_request_s = now_s
-        mean_s = self._settings.mean_ms / 1000
-        if self._settings.distribution == "exponential":
-            mean_s = self._rng.expovariate(1 / mean_s) if mean_s > 0 else 0.0
+        warm_s = self._settings.mean_ms / 1000 if stated_s is None else stated_s
+        if stated_s is None and self._settings.distribution == "exponential" and warm_s > 0:
+            warm_s = self._rng.expovariate(1 / warm_s)
         warmth = min(1.0, (now_s - self._warm_since_s) / max(self._settings.cold_s, 1e-9))
         cold = 1 + (self._settings.cold_factor - 1) * (1 - warmth)
-        return mean_s * cold * self._behaviour.slow
+        return warm_s * cold * self._behaviour.slow
 
     def _headers(self) -> dict[str, str]:
         load = self._behaviour.load_report
@@ -365,6 +306,12 @@
         self._digest = hashlib.sha256(body).hexdigest()
         self._is_recorded = False
 
+    @property
+    def stated_s(self) -> float | None:
+        """Service time that the query states as ``service_ms``, s."""
+        value = self._request.query.get("service_ms")
+        return None if value is None else float(value) / 1000
+
     def record(self, outcome: str) -> None:
         """Writes the record; a run has one record only."""
         if self._is_recorded:
@@ -402,7 +349,7 @@
         }
         size = int(self._request.query.get("size", "0"))
         missing = size - len(json.dumps(content))
-        content["padding"] = "x" * max(0, min(missing, MAX_BODY_BYTES))
+        content["padding"] = "x" * max(0, min(missing, backend_connections.MAX_BODY_BYTES))
         return web.json_response(content, headers=headers)
 
 
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/backend_connections.py
@@ -0,0 +1,69 @@
+"""HTTP connections of a backend server: limit, new and silent connections."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from aiohttp import web
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+KEEPALIVE_S = 600.0
+
+
+class Refuse(asyncio.Protocol):
+    """Closes a connection above the connection limit."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See base class."""
+        transport.abort()
+
+
+class HttpServer(web.Server):
+    """aiohttp server that knows which connections are new and which do not respond any more."""
+
+    def __init__(self, handler: Callable[[web.BaseRequest], Any]):
+        super().__init__(
+            handler,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_S,
+        )
+        self._used: set[Any] = set()
+        self._silent: set[Any] = set()
+
+    def connection_lost(self, handler: Any, exc: BaseException | None = None) -> None:
+        """See base class."""
+        super().connection_lost(handler, exc)
+        self._used.discard(handler)
+        self._silent.discard(handler)
+
+    def silence(self) -> None:
+        """Makes the present connections silent for good."""
+        self._silent.update(self.connections)
+
+    def is_silent(self, connection: Any) -> bool:
+        """Whether a connection does not respond any more."""
+        return connection in self._silent
+
+    def is_new(self, connection: Any) -> bool:
+        """Whether a connection has not carried a request yet."""
+        return connection not in self._used
+
+    def mark_used(self, connection: Any) -> None:
+        """Records that a connection has carried a request."""
+        self._used.add(connection)
+
+    def abort_connections(self) -> None:
+        """Drops the present connections."""
+        for connection in self.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    def _make_request(
+        self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
+    ) -> web.BaseRequest:
+        loop = asyncio.get_running_loop()
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
+        )
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -0,0 +1,391 @@
+"""Starts and stops a whole set of processes: stand-ins and entry instances.
+
+A test tool: the product itself starts no process.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import time
+from collections.abc import AsyncIterator, Coroutine, Iterable, Iterator, Mapping
+from typing import Any
+
+import aiohttp
+
+from sassafrasway_standins import history, layouts, processes
+
+POLL_S = 0.05
+START_TIMEOUT_S = 20.0
+READY_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 60.0
+LIST_LAG_S = 1.0
+_LOCK_PORT = 8499
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """Choices for a set of processes.
+
+    Attributes:
+        entries: Number of entry instances; None takes that of the layout.
+        block: Address block; None takes a free one.
+        backend_processes: Processes that share the backend servers.
+        link_processes: Processes that share the relays.
+        list_lag_s: Time until the platform's instance list shows a change.
+        entry_command: Command that runs an entry instance with ``run --config FILE``.
+    """
+
+    entries: int | None = None
+    block: int | None = None
+    backend_processes: int = 2
+    link_processes: int = 2
+    seed: int = 1
+    invariants: str = "count"
+    placement: str = "pool_owner"
+    list_lag_s: float = LIST_LAG_S
+    entry_command: tuple[str, ...] = tuple(processes.script("sassafrasway"))
+
+
+class Cluster:
+    """A running set of processes; use ``running``.
+
+    Args:
+        site: Layout with addresses.
+        directory: Existing directory for settings, logs and records.
+        options: Choices.
+        session: HTTP session for control endpoints.
+    """
+
+    def __init__(
+        self,
+        *,
+        site: layouts.Site,
+        directory: pathlib.Path,
+        options: Options,
+        session: aiohttp.ClientSession,
+    ):
+        self.site = site
+        self.directory = directory
+        self._options = options
+        self._session = session
+        self._children: dict[str, processes.ChildProcess] = {}
+        self._starts: dict[str, int] = {}
+        self._listed: dict[str, str] = {}
+        self._backend_controls: dict[str, list[str]] = {}
+        self._link_controls: list[str] = []
+
+    @property
+    def records(self) -> pathlib.Path:
+        """Directory of the records that the history checker reads."""
+        return self.directory / "records"
+
+    @property
+    def entry_names(self) -> list[str]:
+        """Names of the entry instances that run."""
+        return [name for name in self.site.instances if self.is_running(name)]
+
+    def is_running(self, name: str) -> bool:
+        """Whether a process runs (a paused one does)."""
+        return name in self._children and self._children[name].is_running
+
+    def process(self, name: str) -> processes.ChildProcess:
+        """Returns the present process of an entry instance or stand-in."""
+        return self._children[name]
+
+    async def start(self) -> None:
+        """Starts everything and waits until each process answers."""
+        for name in ("records", "settings", "logs"):
+            (self.directory / name).mkdir(exist_ok=True)
+        await self._start_stand_ins()
+        await _all(self.start_entry(name) for name in self.site.instances)
+
+    async def stop(self) -> None:
+        """Collects the last records and ends all processes."""
+        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+            await self.collect_link_bytes()
+        self._convert_entry_records()
+        await asyncio.gather(*(child.kill() for child in self._children.values()))
+
+    async def wait_ready(self, names: Iterable[str] | None = None) -> None:
+        """Waits until entry instances are ready to serve, which needs a policy.
+
+        Raises:
+            processes.ProcessError: An instance ended or is not ready in time.
+        """
+        names = self.entry_names if names is None else names
+        await _all(self._wait_healthy(name, self._admin_url(name), (200,)) for name in names)
+
+    async def start_entry(self, name: str) -> None:
+        """Starts an entry instance, waits until it answers, and lists it as live."""
+        number = self._starts[name] = self._starts.get(name, 0) + 1
+        record_file = self.directory / "logs" / f"{name}.{number}.record"
+        settings = self.site.entry_settings(
+            name,
+            record_file=str(record_file),
+            invariants=self._options.invariants,
+            placement=self._options.placement,
+        )
+        path = self.directory / "settings" / f"{name}.toml"
+        path.write_text(layouts.dump_toml(settings), encoding="utf-8")
+        command = [*self._options.entry_command, "run", "--config", str(path)]
+        await self._spawn(name, command, log_name=f"{name}.{number}")
+        # Without a policy an instance answers 503, which is enough here.
+        await self._wait_healthy(name, self._admin_url(name), (200, 503))
+        await self._list(name, "live")
+
+    async def kill_entry(self, name: str) -> None:
+        """Kills an entry instance (SIGKILL); the platform's list drops it after the lag."""
+        await self._children[name].kill()
+        await self._list(name, None)
+
+    def pause_entry(self, name: str) -> None:
+        """Stops an entry instance from running (SIGSTOP); it stays in the list."""
+        self._children[name].send(signal.SIGSTOP)
+
+    def resume_entry(self, name: str) -> None:
+        """Lets a paused entry instance run again (SIGCONT)."""
+        self._children[name].send(signal.SIGCONT)
+
+    async def stop_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Stops an entry instance gracefully (SIGTERM) and returns its exit code."""
+        self._children[name].send(signal.SIGTERM)
+        await self._list(name, "leaving")
+        code = await self._children[name].wait(timeout_s=timeout_s)
+        await self._list(name, None)
+        return code
+
+    async def replace_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Stops an instance gracefully and starts a new one with the same name and addresses.
+
+        Returns:
+            The exit code of the old one.
+        """
+        code = await self.stop_entry(name, timeout_s=timeout_s)
+        await self.start_entry(name)
+        return code
+
+    async def set_store_faults(self, **faults: Any) -> None:
+        """Sets faults of the store, see ``store.Faults``."""
+        await self._post(f"http://{self.site.store}/control", faults)
+
+    async def store_stats(self) -> dict[str, Any]:
+        """Returns the counters of the store."""
+        return await self._get(f"http://{self.site.store}/control/stats")
+
+    async def set_backends(self, servers: Iterable[str] | None = None, **behaviour: Any) -> None:
+        """Changes the behaviour of backend servers, see ``backend.BackendServer.change``.
+
+        Args:
+            servers: Names of the servers; None changes all.
+            **behaviour: ``leaving``, ``slow``, ``load_report``, ``blocked_sources``, ``crash``,
+                ``silent``.
+        """
+        wanted = None if servers is None else set(servers)
+        for control, names in self._backend_controls.items():
+            here = [name for name in names if wanted is None or name in wanted]
+            if here:
+                await self._post(f"http://{control}/control", {"servers": here} | behaviour)
+
+    async def backend_stats(self) -> dict[str, dict[str, Any]]:
+        """Returns the counters of each backend server."""
+        stats = {}
+        for control in self._backend_controls:
+            stats.update(await self._get(f"http://{control}/control/stats"))
+        return stats
+
+    async def set_links(self, action: str, source: str, target: str) -> None:
+        """Applies ``cut``, ``cut_one_way``, ``heal`` or ``silent`` between two selectors."""
+        for control in self._link_controls:
+            data = {"action": action, "from": source, "to": target}
+            await self._post(f"http://{control}/control", data)
+
+    async def dump(self, name: str) -> dict[str, Any]:
+        """Returns the state dump of an entry instance."""
+        return await self._get(f"http://{self.site.instances[name].admin}/dump")
+
+    async def collect_link_bytes(self) -> None:
+        """Writes the bytes that passed between regions to the records."""
+        totals: dict[tuple[str, float], int] = {}
+        for control in self._link_controls:
+            for link, buckets in (await self._get(f"http://{control}/control/bytes")).items():
+                for start_s, count in buckets:
+                    key = (link, round(start_s, 1))
+                    totals[key] = totals.get(key, 0) + count
+        path = self.records / "links.jsonl"
+        path.unlink(missing_ok=True)
+        with history.Writer(path=path) as writer:
+            for (link, start_s), count in sorted(totals.items()):
+                source, _, target = link.partition(">")
+                if source != target:
+                    record = history.LinkBytes(
+                        at_s=start_s, source=source, target=target, bytes=count
+                    )
+                    writer.write(record)
+
+    def note(self, *records: history.Record) -> None:
+        """Adds records of the operator's and the launcher's own actions."""
+        with history.Writer(path=self.records / "operator.jsonl") as writer:
+            for record in records:
+                writer.write(record)
+
+    def note_policy(self, document: Mapping[str, Any]) -> None:
+        """Adds the record of a policy that was accepted just now."""
+        self.note(history.PolicyInForce(at_s=time.monotonic(), document=dict(document)))
+
+    async def _start_stand_ins(self) -> None:
+        site, delays = self.site, self.site.layout.delays
+        command = ["store", "--listen", site.store]
+        command += ["--domain-ms", str(delays.domain_ms), "--region-ms", str(delays.region_ms)]
+        waits = [self._start_stand_in("store", command, site.store)]
+        files = site.backend_files(
+            processes=self._options.backend_processes,
+            records=str(self.records / "backend-{}.jsonl"),
+            seed=self._options.seed,
+        )
+        for index, data in enumerate(files):
+            names = [server["name"] for server in data["servers"]]
+            self._backend_controls[data["control"]] = names
+            waits.append(self._start_from_file("backend", index, data))
+        for index, data in enumerate(site.link_files(processes=self._options.link_processes)):
+            self._link_controls.append(data["control"])
+            waits.append(self._start_from_file("link", index, data))
+        await _all(waits)
+
+    async def _start_from_file(self, kind: str, index: int, data: Mapping[str, Any]) -> None:
+        name = f"{kind}-{index}"
+        path = self.directory / "settings" / f"{name}.json"
+        path.write_text(json.dumps(data), encoding="utf-8")
+        await self._start_stand_in(name, [kind, "--config", str(path)], data["control"])
+
+    async def _start_stand_in(self, name: str, arguments: list[str], address: str) -> None:
+        command = [*processes.script("sassafrasway-standins"), *arguments]
+        await self._spawn(name, command, log_name=name)
+        await self._wait_healthy(name, f"http://{address}/healthz", (200,))
+
+    async def _spawn(self, name: str, command: list[str], *, log_name: str) -> None:
+        log = self.directory / "logs" / f"{log_name}.log"
+        child = processes.ChildProcess(name=name, command=command, log=log)
+        self._children[name] = child
+        await child.start()
+
+    async def _wait_healthy(self, name: str, url: str, statuses: tuple[int, ...]) -> None:
+        child = self._children[name]
+        deadline_s = time.monotonic() + (START_TIMEOUT_S if 503 in statuses else READY_TIMEOUT_S)
+        status = 0
+        while time.monotonic() < deadline_s:
+            if not child.is_running:
+                raise processes.ProcessError(
+                    f"{name} ended with code {child.exit_code}:\n{child.tail()}"
+                )
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with self._session.get(url) as response:
+                    status = response.status
+                if status in statuses:
+                    return
+            await asyncio.sleep(POLL_S)
+        raise processes.ProcessError(f"{name} is not ready, status {status}:\n{child.tail()}")
+
+    def _admin_url(self, name: str) -> str:
+        return f"http://{self.site.instances[name].admin}/healthz"
+
+    async def _list(self, name: str, state: str | None) -> None:
+        """Changes the platform's list; ``state`` None drops the instance."""
+        if state is None:
+            self._listed.pop(name, None)
+        else:
+            self._listed[name] = state
+        entries = [self.site.instances[each].listed(now) for each, now in self._listed.items()]
+        url = f"http://{self.site.store}/control/instances"
+        data = {"instances": entries, "lag_s": self._options.list_lag_s}
+        async with self._session.put(url, json=data) as response:
+            response.raise_for_status()
+
+    async def _post(self, url: str, data: Mapping[str, Any]) -> None:
+        async with self._session.post(url, json=data) as response:
+            if response.status >= 300:
+                raise ValueError(f"{url}: {await response.text()}")
+
+    async def _get(self, url: str) -> Any:
+        async with self._session.get(url) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    def _convert_entry_records(self) -> None:
+        """Copies the revisions that entry instances recorded to the records of the checker."""
+        path = self.records / "revisions.jsonl"
+        path.unlink(missing_ok=True)
+        with history.Writer(path=path) as writer:
+            for source in sorted((self.directory / "logs").glob("*.record")):
+                for line in source.read_text(encoding="utf-8").splitlines():
+                    revision = _revision(line)
+                    if revision is not None:
+                        writer.write(revision)
+
+
+def _revision(line: str) -> history.RevisionSeen | None:
+    """Returns the revision of a line of an entry instance's record, if it has one."""
+    try:
+        data = json.loads(line)
+    except ValueError:  # the last line of a killed process may be cut off
+        return None
+    if data.get("kind") != "revision":
+        return None
+    name, _, incarnation = data["instance"].partition("/")
+    return history.RevisionSeen(
+        at_s=data["t"], instance=name, incarnation=incarnation, revision=data["revision"]
+    )
+
+
+async def _all(coroutines: Iterable[Coroutine[Any, Any, None]]) -> None:
+    """Awaits all; after an error none of them goes on, so that none starts a process later."""
+    tasks = [asyncio.create_task(each) for each in coroutines]
+    try:
+        await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@contextlib.contextmanager
+def _address_block(wanted: int | None) -> Iterator[int]:
+    """Yields an address block that no other launcher of this machine uses."""
+    blocks = range(layouts.BLOCKS) if wanted is None else (wanted,)
+    for block in blocks:
+        last = layouts.REGIONS_IN_BLOCK * (block + 1) - 1
+        with socket.socket() as lock:
+            try:
+                lock.bind((f"127.{last}.255.254", _LOCK_PORT))
+            except OSError:
+                continue
+            yield block
+            return
+    raise processes.ProcessError("no address block is free")
+
+
+@contextlib.asynccontextmanager
+async def running(
+    layout: layouts.Layout, *, directory: pathlib.Path, options: Options | None = None
+) -> AsyncIterator[Cluster]:
+    """Starts a set of processes and ends them all, also after an exception.
+
+    Args:
+        layout: The deployment.
+        directory: Existing directory for settings, logs and records.
+        options: Choices.
+    """
+    options = options or Options()
+    timeout = aiohttp.ClientTimeout(total=5, connect=1)
+    with _address_block(options.block) as block:
+        site = layouts.Site(layout=layout, block=block, entries=options.entries)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            cluster = Cluster(site=site, directory=directory, options=options, session=session)
+            try:
+                await cluster.start()
+                yield cluster
+            finally:
+                await cluster.stop()
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/layouts.py
@@ -0,0 +1,394 @@
+"""Layouts of the two deployments and of the demo, and the files that their processes read.
+
+All addresses are ``127.<region>.<domain>.<n>``. An address block of eight region numbers belongs to
+one running set of processes, so that several sets can run on one machine.
+"""
+
+import dataclasses
+import ipaddress
+import itertools
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from sassafrasway_standins import network
+
+REGIONS_IN_BLOCK = 8
+BLOCKS = 31
+MAX_INSTANCES_IN_DOMAIN = 50
+CAP_FACTOR = 1.5  # region caps leave room above the rate at which all slots are in use
+BLOCKS_PER_REGION = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceLayout:
+    """A service and its backend servers.
+
+    Attributes:
+        servers: Number of backend servers, spread over the failure domains.
+        slots: Slots of each server.
+    """
+
+    name: str
+    servers: int
+    slots: int
+    idempotent: bool = False
+    may_wait: bool = False
+    at_most_once: str = "ticket"
+    deadline_ms: int = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Layout:
+    """A deployment; the figures are those of the design page.
+
+    Attributes:
+        domains: Failure domains by region.
+        store_region: Region of the table service and the object store.
+        entries: Number of entry instances, spread over the failure domains.
+        mean_ms: Mean service time of a warm backend server; the design page states none, its
+            model of refusal rates uses 200 ms.
+        cold_factor: Factor on the service time of a server that just started.
+    """
+
+    name: str
+    domains: Mapping[str, tuple[str, ...]]
+    domain_ms: float
+    region_ms: float
+    client_ms: float
+    store_region: str
+    services: tuple[ServiceLayout, ...]
+    connections: int
+    link_mbit_s: float = 4000.0
+    connection_ms: float = 1.0
+    probe_ms: float = 0.0
+    entries: int = 16
+    mean_ms: float = 200.0
+    cold_factor: float = 1.0
+
+    @property
+    def regions(self) -> tuple[str, ...]:
+        """Names of the regions."""
+        return tuple(self.domains)
+
+    @property
+    def delays(self) -> network.Delays:
+        """One-way delays between places."""
+        return network.Delays(domain_ms=self.domain_ms, region_ms=self.region_ms)
+
+    def places(self) -> Iterator[tuple[str, str]]:
+        """Yields region and failure domain without end, alternating between the regions."""
+        order = [
+            (region, domains[index])
+            for index in range(max(map(len, self.domains.values())))
+            for region, domains in self.domains.items()
+            if index < len(domains)
+        ]
+        return itertools.cycle(order)
+
+
+SILA = Layout(
+    name="sila",
+    domains={"bkk": ("bkk-a", "bkk-b"), "cnx": ("cnx-a", "cnx-b"), "hkt": ("hkt-a", "hkt-b")},
+    domain_ms=1.4,
+    region_ms=20.0,
+    client_ms=3.0,
+    store_region="bkk",
+    connections=660,
+    services=(
+        ServiceLayout(name="quote-archive", servers=16, slots=3, idempotent=True, may_wait=True),
+        ServiceLayout(name="invoicing", servers=12, slots=3, may_wait=True),
+        ServiceLayout(name="crew-desk", servers=12, slots=3),
+        ServiceLayout(name="order-desk", servers=12, slots=3),
+    ),
+)
+
+TRAKIA = Layout(
+    name="trakia",
+    domains={
+        "sofia": ("sofia-a", "sofia-b"),
+        "plovdiv": ("plovdiv-a", "plovdiv-b"),
+        "varna": ("varna-a", "varna-b"),
+    },
+    domain_ms=0.5,
+    region_ms=12.0,
+    client_ms=1.0,
+    store_region="sofia",
+    connections=845,
+    probe_ms=6.0,
+    services=(
+        ServiceLayout(name="katalog", servers=20, slots=6, idempotent=True, may_wait=True),
+        ServiceLayout(name="izvlichane", servers=12, slots=6),
+        ServiceLayout(name="zaveryavane", servers=12, slots=3),
+        ServiceLayout(name="unishtozhavane", servers=12, slots=3),
+    ),
+)
+
+DEMO = Layout(
+    name="demo",
+    domains={"bkk": ("bkk-a", "bkk-b"), "hkt": ("hkt-a", "hkt-b")},
+    domain_ms=1.4,
+    region_ms=20.0,
+    client_ms=3.0,
+    store_region="bkk",
+    connections=660,
+    entries=6,
+    services=(
+        ServiceLayout(name="quote-archive", servers=8, slots=3, idempotent=True, may_wait=True),
+        ServiceLayout(name="crew-desk", servers=8, slots=3),
+    ),
+)
+
+LAYOUTS = {layout.name: layout for layout in (SILA, TRAKIA, DEMO)}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Instance:
+    """Where an entry instance runs and listens."""
+
+    name: str
+    region: str
+    failure_domain: str
+    host: str
+
+    @property
+    def caller(self) -> str:
+        """Address for callers."""
+        return f"{self.host}:8080"
+
+    @property
+    def rpc(self) -> str:
+        """Address for RPCs."""
+        return f"{self.host}:7000"
+
+    @property
+    def admin(self) -> str:
+        """Address for health, metrics and dump."""
+        return f"{self.host}:9000"
+
+    def listed(self, state: str) -> dict[str, str]:
+        """Returns the entry of the platform's instance list."""
+        return {
+            "name": self.name,
+            "address": self.rpc,
+            "failure_domain": self.failure_domain,
+            "state": state,
+        }
+
+
+class Site:
+    """A layout with addresses.
+
+    Args:
+        layout: The deployment.
+        block: Address block, 0 to ``BLOCKS`` - 1.
+        entries: Number of entry instances; None takes that of the layout.
+    """
+
+    def __init__(self, *, layout: Layout, block: int = 0, entries: int | None = None):
+        if not 0 <= block < BLOCKS:
+            raise ValueError(f"block {block} is not between 0 and {BLOCKS - 1}")
+        self.layout = layout
+        self._first_region = 1 + REGIONS_IN_BLOCK * block
+        count = layout.entries if entries is None else entries
+        self.instances = {each.name: each for each in self._instances(count)}
+
+    @property
+    def store(self) -> str:
+        """Address of the platform stand-in."""
+        return f"127.{self._octet(self.layout.store_region)}.0.1:8500"
+
+    @property
+    def client_blocks(self) -> dict[str, str]:
+        """Region of each client block; every region has IPv4 blocks and one IPv6 block."""
+        blocks = {}
+        for index, region in enumerate(self.layout.regions, start=1):
+            for number in range(BLOCKS_PER_REGION - 1):
+                blocks[f"10.{100 * number + index}.0.0/16"] = region
+            blocks[str(ipaddress.ip_network(f"2001:db8:{index:x}::/48"))] = region
+        return blocks
+
+    def policy(self) -> dict[str, dict[str, Any]]:
+        """Returns the policy document."""
+        layout = self.layout
+        servers = list(self._servers())
+        return {
+            "regions": {region: {"cap_rps": self._cap_rps(region)} for region in layout.regions},
+            "links": {
+                "/".join(pair): {"cap_mbit_s": layout.link_mbit_s, "delay_ms": layout.region_ms}
+                for pair in itertools.combinations(sorted(layout.regions), 2)
+            },
+            "services": {
+                each.name: {
+                    "idempotent": each.idempotent,
+                    "may_wait": each.may_wait,
+                    "at_most_once": each.at_most_once,
+                    "deadline_ms": each.deadline_ms,
+                }
+                for each in layout.services
+            },
+            "servers": {server["name"]: self._policy_server(server) for server in servers},
+            "blocks": {cidr: {"region": region} for cidr, region in self.client_blocks.items()},
+            "shifts": {},
+        }
+
+    def backend_files(self, *, processes: int, records: str, seed: int) -> list[dict[str, Any]]:
+        """Returns the files of the backend processes; the servers are dealt out in turn.
+
+        Args:
+            processes: Number of processes.
+            records: Path of the record files with ``{}`` for the number of the process.
+            seed: Seed of the service times.
+        """
+        layout = self.layout
+        servers = [self._backend_server(server) for server in self._servers()]
+        return [
+            {
+                "control": f"127.{self._first_region}.0.2:{8600 + index}",
+                "records": records.format(index),
+                "seed": seed * processes + index,
+                "delays": dataclasses.asdict(layout.delays),
+                "servers": servers[index::processes],
+            }
+            for index in range(processes)
+        ]
+
+    def link_files(self, *, processes: int) -> list[dict[str, Any]]:
+        """Returns the files of the relay processes; each has the pairs of some sources."""
+        instances = list(self.instances.values())
+        return [
+            {
+                "control": f"127.{self._first_region}.0.3:{8700 + index}",
+                "delays": dataclasses.asdict(self.layout.delays),
+                "pairs": [
+                    self._pair(source, target)
+                    for source in instances[index::processes]
+                    for target in instances
+                    if source is not target
+                ],
+            }
+            for index in range(processes)
+        ]
+
+    def entry_settings(
+        self,
+        name: str,
+        *,
+        record_file: str = "",
+        invariants: str = "count",
+        placement: str = "pool_owner",
+    ) -> dict[str, Any]:
+        """Returns the settings of an entry instance."""
+        me = self.instances[name]
+        others = [each for each in self.instances.values() if each is not me]
+        behaviour = {"invariants": invariants, "placement": placement}
+        if record_file:
+            behaviour["record_file"] = record_file
+        return {
+            "instance": {
+                "name": me.name,
+                "region": me.region,
+                "failure_domain": me.failure_domain,
+            },
+            "listen": {"caller": me.caller, "rpc": me.rpc, "admin": me.admin},
+            "platform": {"url": f"http://{self.store}", "timeout_ms": 1000},
+            "network": {
+                "seeds": [each.rpc for each in others],
+                "address_map": {each.rpc: self._relay_address(me, each) for each in others},
+            },
+            "logging": {"format": "json", "level": "info"},
+            "behaviour": behaviour,
+        }
+
+    def _octet(self, region: str) -> int:
+        return self._first_region + self.layout.regions.index(region)
+
+    def _host(self, region: str, domain: str, number: int) -> str:
+        domain_octet = 1 + self.layout.domains[region].index(domain)
+        return f"127.{self._octet(region)}.{domain_octet}.{number}"
+
+    def _instances(self, count: int) -> Iterator[Instance]:
+        numbers: dict[str, int] = {}
+        for region, domain in itertools.islice(self.layout.places(), count):
+            number = numbers[domain] = numbers.get(domain, 0) + 1
+            host = self._host(region, domain, number)
+            yield Instance(
+                name=f"{domain}-{number}", region=region, failure_domain=domain, host=host
+            )
+
+    def _servers(self) -> Iterator[dict[str, Any]]:
+        places = self.layout.places()
+        numbers: dict[str, int] = {}
+        for service in self.layout.services:
+            for index, (region, domain) in enumerate(itertools.islice(places, service.servers)):
+                number = numbers[domain] = numbers.get(domain, 0) + 1
+                host = self._host(region, domain, MAX_INSTANCES_IN_DOMAIN + number)
+                yield {
+                    "name": f"{service.name}-{index + 1}",
+                    "service": service.name,
+                    "region": region,
+                    "failure_domain": domain,
+                    "address": f"{host}:8000",
+                    "slots": service.slots,
+                }
+
+    def _policy_server(self, server: Mapping[str, Any]) -> dict[str, Any]:
+        names = ("service", "region", "failure_domain", "slots")
+        return {name: server[name] for name in names} | {
+            "url": f"http://{server['address']}",
+            "connections": self.layout.connections,
+            "state": "active",
+        }
+
+    def _backend_server(self, server: Mapping[str, Any]) -> dict[str, Any]:
+        layout = self.layout
+        names = ("name", "service", "address", "slots")
+        return {name: server[name] for name in names} | {
+            "connections": layout.connections,
+            "mean_ms": layout.mean_ms,
+            "cold_factor": layout.cold_factor,
+            "connection_ms": layout.connection_ms,
+            "probe_ms": layout.probe_ms,
+        }
+
+    def _cap_rps(self, region: str) -> float:
+        slots = sum(each["slots"] for each in self._servers() if each["region"] == region)
+        return round(CAP_FACTOR * slots * 1000 / self.layout.mean_ms)
+
+    def _relay_address(self, source: Instance, target: Instance) -> str:
+        number = list(self.instances).index(target.name)
+        return f"{source.host}:{20000 + number}"
+
+    def _pair(self, source: Instance, target: Instance) -> dict[str, Any]:
+        return {
+            "source": _place(source),
+            "target": _place(target),
+            "listen": self._relay_address(source, target),
+            "connect": target.rpc,
+        }
+
+
+def _place(instance: Instance) -> dict[str, str]:
+    return {
+        "name": instance.name,
+        "region": instance.region,
+        "failure_domain": instance.failure_domain,
+    }
+
+
+def dump_toml(data: Mapping[str, Any]) -> str:
+    """Returns a TOML document of tables of strings, numbers, lists of strings and string maps."""
+    lines = []
+    for section, values in data.items():
+        lines.append(f"[{section}]")
+        tables = {key: value for key, value in values.items() if isinstance(value, Mapping)}
+        lines += [f"{key} = {_toml(value)}" for key, value in values.items() if key not in tables]
+        for key, table in tables.items():
+            lines.append(f"[{section}.{key}]")
+            lines += [f"{_toml(name)} = {_toml(value)}" for name, value in table.items()]
+    return "\n".join(lines) + "\n"
+
+
+def _toml(value: Any) -> str:
+    # JSON strings, numbers, booleans and lists of these are valid TOML values.
+    return json.dumps(value)
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -0,0 +1,136 @@
+"""Child processes of tests, demo and bench; each one ends with the process that started it."""
+
+import asyncio
+import contextlib
+import ctypes
+import os
+import pathlib
+import signal
+import sys
+from collections.abc import Sequence
+from typing import IO
+
+PR_SET_PDEATHSIG = 1
+_LIBC = ctypes.CDLL(None, use_errno=True)
+
+
+class ProcessError(Exception):
+    """A child process did not do what it was started for."""
+
+
+class ChildProcess:
+    """One child process with its log file.
+
+    Args:
+        name: Name in error messages.
+        command: Program and arguments.
+        log: File that receives standard output and standard error.
+    """
+
+    def __init__(self, *, name: str, command: Sequence[str], log: pathlib.Path):
+        self._name = name
+        self._command = list(command)
+        self._log = log
+        self._process: asyncio.subprocess.Process | None = None
+        self._log_file: IO[bytes] | None = None
+
+    @property
+    def name(self) -> str:
+        """Name in error messages."""
+        return self._name
+
+    @property
+    def pid(self) -> int:
+        """Id of the process.
+
+        Raises:
+            ProcessError: The process was not started.
+        """
+        return self._started().pid
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process was started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative for a signal; None while the process runs."""
+        return self._started().returncode
+
+    async def start(self) -> None:
+        """Starts the process."""
+        self._log_file = self._log.open("ab")
+        self._process = await asyncio.create_subprocess_exec(
+            *self._command,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=self._log_file,
+            stderr=self._log_file,
+            preexec_fn=_end_with_parent,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal; does nothing after the end of the process."""
+        if self.is_running:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def wait(self, *, timeout_s: float) -> int:
+        """Waits for the end and returns the exit code.
+
+        Raises:
+            ProcessError: The process still runs after ``timeout_s``.
+        """
+        try:
+            code = await asyncio.wait_for(self._started().wait(), timeout_s)
+        except TimeoutError:
+            raise ProcessError(f"{self._name} still runs after {timeout_s:.1f} s") from None
+        self._close_log()
+        return code
+
+    async def kill(self) -> None:
+        """Ends the process at once (SIGKILL) and waits for its end."""
+        if self._process is None:
+            return
+        self.send(signal.SIGKILL)
+        await self._process.wait()
+        self._close_log()
+
+    def tail(self, lines: int = 20) -> str:
+        """Returns the last lines of the log."""
+        if not self._log.exists():
+            return ""
+        text = self._log.read_text(encoding="utf-8", errors="replace")
+        return "\n".join(text.splitlines()[-lines:])
+
+    def _started(self) -> asyncio.subprocess.Process:
+        if self._process is None:
+            raise ProcessError(f"{self._name} was not started")
+        return self._process
+
+    def _close_log(self) -> None:
+        if self._log_file is not None:
+            self._log_file.close()
+            self._log_file = None
+
+
+def script(name: str) -> list[str]:
+    """Returns the command of an installed script of this environment."""
+    module, _, attribute = _SCRIPTS[name].partition(":")
+    code = f"import sys; from {module} import {attribute}; sys.argv[0] = {name!r}; {attribute}()"
+    return [sys.executable, "-c", code]
+
+
+# Run by module instead of by file, so that the sources on PYTHONPATH win over the installed ones.
+_SCRIPTS = {
+    "sassafrasway": "sassafrasway_entry.main:cli",
+    "sassafrasctl": "sassafrasway_ctl.main:cli",
+    "sassafrasway-standins": "sassafrasway_standins.main:cli",
+}
+
+
+def _end_with_parent() -> None:
+    """Lets the kernel kill this process when its parent ends, however that ends."""
+    _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() == 1:
+        os._exit(1)
