--- a/packages/standins/src/sassafrasway_standins/processes.py
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import ctypes
+import functools
 import os
 import pathlib
 import signal
@@ -66,7 +67,7 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=self._log_file,
             stderr=self._log_file,
-            preexec_fn=_end_with_parent,
+            preexec_fn=functools.partial(_end_with_parent, os.getpid()),
         )
 
     def send(self, number: signal.Signals) -> None:
@@ -129,8 +130,8 @@
 }
 
 
-def _end_with_parent() -> None:
+def _end_with_parent(parent: int) -> None:
     """Lets the kernel kill this process when its parent ends, however that ends."""
     _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() == 1:
+    if os.getppid() != parent:  # the parent ended before the call took effect
         os._exit(1)
