--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -66,6 +66,7 @@
             by_kind[history.RevisionSeen.kind],
             lambda each: f"{each.instance}/{each.incarnation}",
         )
+        self.invariants: list[history.InvariantBroken] = by_kind[history.InvariantBroken.kind]
         self.policies: list[history.PolicyInForce] = by_kind[history.PolicyInForce.kind]
         self._servers: dict[str, Mapping[str, Any]] = {}
         self._services: dict[str, Mapping[str, Any]] = {}
@@ -388,6 +389,17 @@
                 highest = max(highest, record.revision)
 
 
+class InvariantsHold(Rule):
+    """No entry instance finds one of its own invariants broken."""
+
+    name = "invariants"
+
+    def violations(self, run: History) -> Iterator[Violation]:
+        """See base class."""
+        for record in run.invariants:
+            yield self._violation(record.instance, record.at_s, f"{record.rule}: {record.detail}")
+
+
 RULES: dict[str, Rule] = {
     each.name: each
     for each in (
@@ -401,6 +413,7 @@
         SlotsKept(),
         NoWorkAfterLeaving(),
         RevisionsInOrder(),
+        InvariantsHold(),
     )
 }
 
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -148,6 +148,16 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InvariantBroken(Record):
+    """An entry instance found that one of its own invariants does not hold."""
+
+    kind: ClassVar[str] = "invariant"
+    instance: str
+    rule: str
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PolicyInForce(Record):
     """The store accepted a policy; ``document`` is the policy document."""
@@ -176,6 +186,7 @@
         Leaving,
         LinkBytes,
         RevisionSeen,
+        InvariantBroken,
         PolicyInForce,
         FaultEvent,
     )
@@ -200,8 +211,11 @@
     return json.dumps(fields, separators=(",", ":"))
 
 
-def decode(line: str) -> Record:
-    """Returns the record of one JSON line; a line without a kind is the backend stand-in's.
+def decode(line: str) -> Record | None:
+    """Returns the record of one JSON line of this package or of an entry instance.
+
+    Returns:
+        None for an event of an entry instance that no rule uses.
 
     Raises:
         HistoryError: The line is not JSON, its kind is unknown or its fields are wrong.
@@ -210,11 +224,28 @@
         fields = json.loads(line)
         if "kind" not in fields:
             return Run.from_backend(fields)
+        if "t" in fields:
+            return _from_entry(fields)
         return RECORD_TYPES[fields.pop("kind")](**fields)
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise HistoryError(f"invalid record {line[:200]!r}: {error!r}") from error
 
 
+def _from_entry(fields: dict[str, Any]) -> Record | None:
+    """Returns the record of an event in the form of ``sassafrasway_entry.recorder``."""
+    at_s, instance = fields["t"], fields["instance"]
+    if fields["kind"] == "revision":
+        name, _, incarnation = instance.partition("/")
+        return RevisionSeen(
+            at_s=at_s, instance=name, incarnation=incarnation, revision=fields["revision"]
+        )
+    if fields["kind"] == "violation":
+        return InvariantBroken(
+            at_s=at_s, instance=instance, rule=fields["rule"], detail=fields["detail"]
+        )
+    return None
+
+
 class Writer:
     """Appends records to a file; use as a context manager."""
 
@@ -253,6 +284,8 @@
                 if not line.endswith("\n"):
                     break
                 try:
-                    yield decode(line)
+                    record = decode(line)
                 except HistoryError as error:
                     raise HistoryError(f"{path}:{number}: {error}") from error
+                if record is not None:
+                    yield record
--- a/packages/standins/tests/test_check.py
+++ b/packages/standins/tests/test_check.py
@@ -120,6 +120,7 @@
     ],
     "no-work-after-leaving": exchange("x", at_s=11.2),
     "revisions-in-order": [revision(1, at_s=10.1)],
+    "invariants": [history.InvariantBroken(at_s=1.0, instance="e1/i1", rule="slots", detail="")],
 }
 
 
@@ -193,6 +194,19 @@
         self.assertEqual(result.exit_code, 1)
         self.assertIn("slots: crew-2", result.output)
 
+    def test_lines_of_other_programs_are_read(self):
+        """Guards against records of servers and entry instances that the checker passes over."""
+        backend = (
+            '{"server":"crew-1","service":"crew-desk","request_id":"e1/i1/7","key":"k","method":'
+            '"POST","path":"/r/a?size=9","start_s":2.0,"end_s":2.5,"outcome":"ok","ran":true,'
+            '"digest":"","source":"","in_use":0,"slots":1,"leaving_since_s":null}'
+        )
+        run = history.Run(at_s=2.0, ended_s=2.5, request="a", server="crew-1", key="k")
+        self.assertEqual(history.decode(backend), run)
+        entry = '{"t":1.0,"kind":"%s","instance":"e1/i1","revision":2}'
+        self.assertEqual(history.decode(entry % "revision"), revision(2, at_s=1.0))
+        self.assertIsNone(history.decode(entry % "answer"))
+
     def test_cut_off_last_line_is_left_out_and_garbage_is_not(self):
         """Guards against losing a whole file to a killed writer, and against ignoring damage."""
         with tempfile.TemporaryDirectory() as directory:
