--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -15,6 +15,12 @@
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
+# Phases of a FaultEvent.
+INJECTED = "injected"
+ENDED = "ended"
+STOP_ORDERED = "stop-ordered"
+STOPPED = "stopped"
+
 
 class HistoryError(Exception):
     """A line of a history file is not a valid record."""
@@ -168,7 +174,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FaultEvent(Record):
-    """The bench injected a fault or ended it."""
+    """The bench injected or ended a fault, or stopped an instance; ``phase`` says which."""
 
     kind: ClassVar[str] = "fault"
     fault: str
--- /dev/null
+++ b/packages/standins/tests/test_report.py
@@ -0,0 +1,116 @@
+"""Tests of the figures that the bench reports."""
+
+import json
+import unittest
+
+from sassafrasway_standins import arrivals, caller, history, report
+
+SERVICES = {"crew-desk": caller.CalledService(idempotent=False, deadline_ms=2000, slots=1)}
+POLICY = history.PolicyInForce(
+    at_s=0.0,
+    document={
+        "services": {"crew-desk": {"idempotent": False}},
+        "servers": {"crew-1": {"service": "crew-desk", "region": "bkk", "slots": 1}},
+    },
+)
+
+
+def job(number, *, at_s):
+    """Returns an arrival that takes one second of service."""
+    return arrivals.Arrival(
+        request=f"r{number}",
+        at_s=at_s,
+        service="crew-desk",
+        region="bkk",
+        service_s=1.0,
+        client="10.0.0.1",
+    )
+
+
+def records_of(arrival, *, outcome, wait_s=0.0):
+    """Returns what callers and servers record of an arrival; the trace starts at 100 s."""
+    at_s = 100.0 + arrival.at_s
+    end_s = at_s + wait_s + arrival.service_s
+    records = [
+        history.Intent(at_s=at_s, request=arrival.request, service="crew-desk", region="bkk")
+    ]
+    if outcome is None:
+        return records
+    records.append(
+        history.Verdict(
+            at_s=end_s, request=arrival.request, outcome=outcome, status=200, attempts=2
+        )
+    )
+    if outcome == history.RAN:
+        records.append(
+            history.Run(at_s=at_s + wait_s, ended_s=end_s, request=arrival.request, server="crew-1")
+        )
+    return records
+
+
+def build(jobs, records):
+    """Returns the report of the records."""
+    return report.build(
+        settings={"layout": "sila"},
+        trace=jobs,
+        services=SERVICES,
+        client_ms=0.0,
+        records=[POLICY, *records],
+    )
+
+
+class ReportTest(unittest.TestCase):
+    """Guards against figures that do not follow from the records."""
+
+    def setUp(self):
+        self.jobs = [job(0, at_s=0.0), job(1, at_s=0.5), job(2, at_s=3.0), job(3, at_s=6.0)]
+        outcomes = [history.RAN, history.NOT_RUN, history.NOT_RUN, None]
+        self.records = [
+            record
+            for each, outcome in zip(self.jobs, outcomes, strict=True)
+            for record in records_of(each, outcome=outcome, wait_s=0.25)
+        ]
+
+    def test_refusals_are_compared_with_the_ideal_on_the_same_arrivals(self):
+        """Guards against a ratio of figures that belong to different traces."""
+        service = build(self.jobs, self.records).services["crew-desk"]
+        self.assertEqual((service.ran, service.refused, service.lost), (1, 2, 1))
+        self.assertEqual((service.refusal_rate, service.ideal_refusal_rate), (0.5, 0.25))
+        self.assertEqual(service.refusal_ratio, 2.0)
+
+    def test_latency_counts_from_the_intended_arrival(self):
+        """Guards against coordinated omission and against service time counted as waiting."""
+        service = build(self.jobs, self.records).services["crew-desk"]
+        self.assertAlmostEqual(service.latency.p50_ms, 1250, delta=2)
+        self.assertAlmostEqual(service.wait.p50_ms, 250, delta=1)
+
+    def test_drain_time_lasts_until_the_last_run_ends(self):
+        """Guards against a drain that counts as over while requests are in flight."""
+        leaving = history.Leaving(at_s=100.5, server="crew-1")
+        stop = [
+            history.FaultEvent(at_s=101.0, fault="replace-all", phase=phase, target="e1")
+            for phase in (history.STOP_ORDERED, history.STOPPED)
+        ]
+        built = build(self.jobs, [*self.records, leaving, *stop])
+        self.assertEqual(built.drain_s, {"crew-1": 0.75, "e1": 0.0})
+
+    def test_sheds_and_breaches_are_counted(self):
+        """Guards against a report that looks good although the checker found violations."""
+        shed = history.Run(
+            at_s=1.0, ended_s=1.0, request="r1", server="crew-1", outcome="shed", ran=False
+        )
+        again = history.Run(at_s=120.0, ended_s=121.0, request="r0", server="crew-1")
+        built = build(self.jobs, [*self.records, shed, again])
+        self.assertEqual((built.sheds, built.ran_twice, built.lost), (1, 1, 1))
+        self.assertEqual(dict(built.violations), {"at-most-once": 1, "none-lost": 1})
+
+    def test_report_has_a_json_and_a_text_form(self):
+        """Guards against figures that cannot be written, among them missing ones."""
+        for jobs, records in ((self.jobs, self.records), ([], [])):
+            built = build(jobs, records)
+            self.assertIn("crew-desk", json.loads(json.dumps(built.dump()))["services"])
+            self.assertIn("crew-desk", report.as_text(built))
+
+
+if __name__ == "__main__":
+    unittest.main()
