--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -320,7 +320,7 @@
             run.record("crashed")
             self.crash()
             await asyncio.Event().wait()
-        service_s = self._service_time_s(run.service_ms)
+        service_s = self._service_time_s()
         await self._wait_until_not_busy()
         if deadline_s is not None and service_s > deadline_s:
             await asyncio.sleep(deadline_s)
@@ -330,15 +330,13 @@
         run.record("ok")
         return True
 
-    def _service_time_s(self, wanted_ms: float | None) -> float:
+    def _service_time_s(self) -> float:
         now_s = time.monotonic()
         if self._warm_since_s is None or now_s - self._last_request_s > self._settings.idle_cold_s:
             self._warm_since_s = now_s
         self._last_request_s = now_s
         mean_s = self._settings.mean_ms / 1000
-        if wanted_ms is not None:
-            mean_s = wanted_ms / 1000
-        elif self._settings.distribution == "exponential":
+        if self._settings.distribution == "exponential":
             mean_s = self._rng.expovariate(1 / mean_s) if mean_s > 0 else 0.0
         warmth = min(1.0, (now_s - self._warm_since_s) / max(self._settings.cold_s, 1e-9))
         cold = 1 + (self._settings.cold_factor - 1) * (1 - warmth)
@@ -360,7 +358,6 @@
     ):
         self.body = body
         self.crashes = server._crashes
-        self.service_ms = _service_ms(request)
         self._server = server
         self._request = request
         self._in_use = in_use
@@ -409,12 +406,6 @@
         return web.json_response(content, headers=headers)
 
 
-def _service_ms(request: web.BaseRequest) -> float | None:
-    """Returns the service time that the query sets; the load tool uses it to repeat a trace."""
-    value = request.query.get("service_ms")
-    return None if value is None else float(value)
-
-
 def _deadline_s(request: web.BaseRequest) -> float | None:
     value = request.headers.get("Sassafras-Deadline-Ms")
     return None if value is None else float(value) / 1000
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -22,6 +22,9 @@
 STOPPED = "stopped"
 
 
+_ENCODER = json.JSONEncoder(separators=(",", ":"))
+
+
 class HistoryError(Exception):
     """A line of a history file is not a valid record."""
 
@@ -214,7 +217,7 @@
     fields = {"kind": record.kind}
     for field in dataclasses.fields(record):
         fields[field.name] = getattr(record, field.name)
-    return json.dumps(fields, separators=(",", ":"))
+    return _ENCODER.encode(fields)
 
 
 def decode(line: str) -> Record | None:
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -95,7 +95,8 @@
     async def run(self, trace: Sequence[arrivals.Arrival]) -> None:
         """Sends the trace and waits for all verdicts."""
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
-        async with aiohttp.ClientSession(connector=connector) as session:
+        cookies = aiohttp.DummyCookieJar()
+        async with aiohttp.ClientSession(connector=connector, cookie_jar=cookies) as session:
             self._callers = {
                 region: self._make_callers(session, region) for region in self._regions
             }
