--- /dev/null
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -0,0 +1,159 @@
+"""Upper bound of what the holders of one cap may still be using."""
+
+import dataclasses
+import heapq
+import itertools
+import math
+from collections.abc import Hashable
+
+from sassafrasway_core import window
+
+
+@dataclasses.dataclass(slots=True)
+class _Grant:
+    """A share that a holder may have in force.
+
+    Attributes:
+        ends_s: Time from which the full amount no longer counts in any window.
+        offline: Part of the amount that stays in force after the grant has expired.
+        offline_ends_s: Time from which the offline part no longer counts; infinite until a later
+            grant is confirmed or the holder is gone.
+    """
+
+    sequence: int
+    amount: float
+    ends_s: float
+    offline: float
+    offline_ends_s: float = math.inf
+
+    def reserved(self, now_s: float) -> float:
+        if now_s <= self.ends_s:
+            return self.amount
+        return self.offline if now_s <= self.offline_ends_s else 0.0
+
+    def retire(self, ends_s: float) -> None:
+        self.ends_s = min(self.ends_s, ends_s)
+        self.offline_ends_s = min(self.offline_ends_s, ends_s)
+
+
+class _Holder:
+    """Grants of one holder; it may have any of them in force, so the largest one counts."""
+
+    __slots__ = ("_grants", "_newest", "reserved")
+
+    def __init__(self):
+        self._grants: list[_Grant] = []
+        self._newest = 0
+        self.reserved = 0.0
+
+    def add(self, grant: _Grant) -> None:
+        self._grants.append(grant)
+        self._newest = grant.sequence
+
+    def retire_before(self, sequence: int, ends_s: float) -> None:
+        for grant in self._grants:
+            if grant.sequence < min(sequence, self._newest):
+                grant.retire(ends_s)
+
+    def retire_all(self, ends_s: float) -> None:
+        for grant in self._grants:
+            grant.retire(ends_s)
+
+    def refresh(self, now_s: float) -> None:
+        self._grants = [grant for grant in self._grants if grant.reserved(now_s) > 0]
+        self._merge_expired(now_s)
+        self.reserved = max((grant.reserved(now_s) for grant in self._grants), default=0.0)
+
+    def _merge_expired(self, now_s: float) -> None:
+        """Keeps memory bounded while no confirmation arrives from a holder."""
+        expired = [
+            grant
+            for grant in self._grants
+            if now_s > grant.ends_s and math.isinf(grant.offline_ends_s)
+        ]
+        if len(expired) < 2:
+            return
+        merged = max(expired, key=lambda grant: grant.offline)
+        merged.sequence = max(grant.sequence for grant in expired)
+        self._grants = [grant for grant in self._grants if grant is merged or grant not in expired]
+
+
+class Reservations:
+    """Adds up what each holder may have in force or has used in the last second.
+
+    A share that was confirmed as replaced, or has expired, counts for one more second, because
+    what was admitted under it is still in the holder's current window.
+
+    Args:
+        offline_fraction: Part of a share that its holder may use after the share has expired,
+            until the holder is gone.
+    """
+
+    def __init__(self, *, offline_fraction: float):
+        self._offline_fraction = offline_fraction
+        self._holders: dict[Hashable, _Holder] = {}
+        self._total = 0.0
+        # Times at which a holder's reservation may fall; refreshing too often does no harm.
+        self._ends: list[tuple[float, int, Hashable]] = []
+        self._order = itertools.count()
+
+    @property
+    def total(self) -> float:
+        """Sum over all holders at the last ``expire``."""
+        return self._total
+
+    def of(self, holder: Hashable) -> float:
+        """Returns the reservation of one holder at the last ``expire``."""
+        record = self._holders.get(holder)
+        return record.reserved if record else 0.0
+
+    def expire(self, now_s: float) -> None:
+        """Drops what no longer counts at ``now_s``."""
+        while self._ends and self._ends[0][0] < now_s:
+            holder = heapq.heappop(self._ends)[2]
+            self._refresh(holder, now_s)
+
+    def add(
+        self, holder: Hashable, *, sequence: int, amount: float, expires_s: float, now_s: float
+    ) -> None:
+        """Counts a share that the holder may have in force until ``expires_s`` or a later one."""
+        grant = _Grant(
+            sequence=sequence,
+            amount=amount,
+            ends_s=expires_s + window.WINDOW_S,
+            offline=amount * self._offline_fraction,
+        )
+        self._holders.setdefault(holder, _Holder()).add(grant)
+        self._schedule(holder, grant.ends_s)
+        self._refresh(holder, now_s)
+
+    def confirm(self, holder: Hashable, sequence: int, *, now_s: float) -> None:
+        """Ends the shares before ``sequence``, which the holder has in force."""
+        record = self._holders.get(holder)
+        if record is not None:
+            record.retire_before(sequence, now_s + window.WINDOW_S)
+            self._schedule(holder, now_s + window.WINDOW_S)
+
+    def remove(self, holder: Hashable, *, now_s: float) -> None:
+        """Ends all shares of a holder that is gone."""
+        record = self._holders.get(holder)
+        if record is not None:
+            record.retire_all(now_s + window.WINDOW_S)
+            self._schedule(holder, now_s + window.WINDOW_S)
+
+    def sum_up(self) -> None:
+        """Adds the reservations up anew, so that rounding errors do not accumulate."""
+        self._total = math.fsum(record.reserved for record in self._holders.values())
+
+    def _schedule(self, holder: Hashable, at_s: float) -> None:
+        heapq.heappush(self._ends, (at_s, next(self._order), holder))
+
+    def _refresh(self, holder: Hashable, now_s: float) -> None:
+        record = self._holders.get(holder)
+        if record is None:
+            return
+        before = record.reserved
+        record.refresh(now_s)
+        self._total += record.reserved - before
+        if not record.reserved:
+            del self._holders[holder]
--- /dev/null
+++ b/packages/core/tests/test_caps.py
@@ -0,0 +1,104 @@
+"""Tests of the division of caps."""
+
+import unittest
+
+import cap_driver
+import hypothesis
+from hypothesis import strategies as st
+
+from sassafrasway_core import caps, clock, invariants
+
+
+class CapDividerTest(unittest.TestCase):
+    def setUp(self):
+        self.time = clock.ManualClock()
+        self.held = {}
+        self.divider = self._divider()
+
+    def _divider(self, **options):
+        checks = invariants.Invariants(mode=invariants.Mode.RAISE)
+        return caps.CapDivider(cap=100.0, clock=self.time, invariants=checks, **options)
+
+    def _renew(self, **demands):
+        """Exchanges one heartbeat with each holder and returns their shares."""
+        for name, demand in demands.items():
+            held = self.held.setdefault(name, caps.HeldShare(clock=self.time))
+            share = self.divider.renew(name, demand=demand, confirmed=held.sequence)
+            held.apply(share, sent_s=self.time.monotonic())
+        return {name: round(self.held[name].amount(), 1) for name in demands}
+
+    def _settle(self, **demands):
+        for _ in range(40):
+            shares = self._renew(**demands)
+            self.time.advance(0.5)
+        return shares
+
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
+    @hypothesis.given(st.integers(0, 2**32))
+    def test_no_second_exceeds_the_cap_and_the_cap_is_used_again_later(self, seed):
+        """Guards against overloading a region when messages are lost or holders vanish."""
+        cap_driver.RandomRun(seed=seed, steps=250).run()
+
+    def test_small_demands_are_met_and_large_ones_share_the_rest(self):
+        """Guards against a busy holder taking the share of a quiet one."""
+        self.assertEqual(self._settle(a=10, b=200, c=90), {"a": 11.7, "b": 44.2, "c": 44.2})
+        self.assertEqual(self._settle(a=10, b=20, c=30), {"a": 23.3, "b": 33.3, "c": 43.3})
+        self.assertEqual(self._settle(a=0, b=0, c=0), {"a": 33.3, "b": 33.3, "c": 33.3})
+
+    def test_freed_part_waits_for_confirmation_and_for_one_second(self):
+        """Guards against two holders admitting the same part of a cap within one second."""
+        self.assertEqual(self._renew(a=200), {"a": 100.0})
+        self.assertEqual(self._renew(b=200), {"b": 0.0})
+        self._renew(a=200)
+        self.time.advance(0.5)
+        self.assertEqual(self._renew(a=200, b=200), {"a": 50.0, "b": 0.0})
+        self.time.advance(1.0)
+        self.assertEqual(self._renew(a=200, b=200), {"a": 50.0, "b": 0.0})
+        self.time.advance(0.01)
+        self.assertEqual(self._renew(b=200), {"b": 50.0})
+
+    def test_silent_holder_keeps_the_offline_part_until_it_is_removed(self):
+        """Guards against giving away what a partitioned holder still admits."""
+        self._renew(a=200)
+        self.time.advance(caps.SHARE_S)
+        self.assertEqual(round(self.held["a"].amount(), 1), 33.3)
+        self.assertEqual(self._settle(b=200), {"b": 66.7})
+        self.assertAlmostEqual(self.divider.reserved_by("a"), 100 / 3)
+        self.divider.remove("a")
+        self.assertEqual(self._settle(b=200), {"b": 100.0})
+
+    def test_holder_reduced_to_nothing_frees_its_share(self):
+        """Guards against a share of 0 never ending the larger one before it."""
+        self._settle(a=200)
+        self.divider.set_cap(0)
+        self._settle(a=200)
+        self.divider.set_cap(100)
+        self.assertEqual(self.divider.reserved_by("a"), 0)
+
+    def test_lower_cap_is_in_force_after_confirmations(self):
+        """Guards against an emergency cap that holders ignore."""
+        self._settle(a=200, b=200)
+        self.divider.set_cap(10)
+        self._settle(a=200, b=200)
+        self.assertAlmostEqual(self.divider.reserved(), 10)
+
+    def test_new_coordinator_changes_nothing_for_holders_that_answer(self):
+        """Guards against an outage, or a doubled cap, when the coordinator changes."""
+        self._settle(a=200, b=200)
+        self.divider = self._divider(first_sequence=1000)
+        self.divider.take_over(["a", "b"])
+        held = self.held["a"]
+        self.divider.assume("a", amount=held.last_amount, remaining_s=held.remaining_s())
+        self.assertEqual(self._renew(a=200, c=200), {"a": 50.0, "c": 0.0})
+        self.assertEqual(self._settle(a=200, c=200), {"a": 33.3, "c": 33.3})
+        self.divider.remove("b")
+        self.assertEqual(self._settle(a=200, c=200), {"a": 50.0, "c": 50.0})
+
+    def test_late_reply_never_replaces_a_newer_share(self):
+        """Guards against a delayed reply raising a share that was reduced."""
+        held = caps.HeldShare(clock=self.time)
+        first, second = (self.divider.renew("a", demand=1, confirmed=0) for _ in range(2))
+        self.assertTrue(held.apply(second, sent_s=self.time.monotonic()))
+        self.assertFalse(held.apply(first, sent_s=self.time.monotonic()))
+        with self.assertRaises(ValueError):
+            self.divider.renew("a", demand=1, confirmed=0, sequence=second.sequence)
