--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -107,7 +107,6 @@
         """Collects the last records and ends all processes."""
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             await self.collect_link_bytes()
-        self._convert_entry_records()
         await asyncio.gather(*(child.kill() for child in self._children.values()))
 
     async def wait_ready(self, names: Iterable[str] | None = None) -> None:
@@ -122,7 +121,7 @@
     async def start_entry(self, name: str) -> None:
         """Starts an entry instance, waits until it answers, and lists it as live."""
         number = self._starts[name] = self._starts.get(name, 0) + 1
-        record_file = self.directory / "logs" / f"{name}.{number}.record"
+        record_file = self.records / f"{name}.{number}.jsonl"
         settings = self.site.entry_settings(
             name,
             record_file=str(record_file),
@@ -139,22 +138,27 @@
 
     async def kill_entry(self, name: str) -> None:
         """Kills an entry instance (SIGKILL); the platform's list drops it after the lag."""
+        self._note_fault("kill", "begin", name)
         await self._children[name].kill()
         await self._list(name, None)
 
     def pause_entry(self, name: str) -> None:
         """Stops an entry instance from running (SIGSTOP); it stays in the list."""
+        self._note_fault("pause", "begin", name)
         self._children[name].send(signal.SIGSTOP)
 
     def resume_entry(self, name: str) -> None:
         """Lets a paused entry instance run again (SIGCONT)."""
         self._children[name].send(signal.SIGCONT)
+        self._note_fault("pause", "end", name)
 
     async def stop_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Stops an entry instance gracefully (SIGTERM) and returns its exit code."""
+        self._note_fault("stop", history.STOP_ORDERED, name)
         self._children[name].send(signal.SIGTERM)
         await self._list(name, "leaving")
         code = await self._children[name].wait(timeout_s=timeout_s)
+        self._note_fault("stop", history.STOPPED, name)
         await self._list(name, None)
         return code
 
@@ -236,6 +240,10 @@
         """Adds the record of a policy that was accepted just now."""
         self.note(history.PolicyInForce(at_s=time.monotonic(), document=dict(document)))
 
+    def _note_fault(self, fault: str, phase: str, target: str) -> None:
+        event = history.FaultEvent(at_s=time.monotonic(), fault=fault, phase=phase, target=target)
+        self.note(event)
+
     async def _start_stand_ins(self) -> None:
         site, delays = self.site, self.site.layout.delays
         command = ["store", "--listen", site.store]
@@ -314,31 +322,6 @@
             response.raise_for_status()
             return await response.json()
 
-    def _convert_entry_records(self) -> None:
-        """Copies the revisions that entry instances recorded to the records of the checker."""
-        path = self.records / "revisions.jsonl"
-        path.unlink(missing_ok=True)
-        with history.Writer(path=path) as writer:
-            for source in sorted((self.directory / "logs").glob("*.record")):
-                for line in source.read_text(encoding="utf-8").splitlines():
-                    revision = _revision(line)
-                    if revision is not None:
-                        writer.write(revision)
-
-
-def _revision(line: str) -> history.RevisionSeen | None:
-    """Returns the revision of a line of an entry instance's record, if it has one."""
-    try:
-        data = json.loads(line)
-    except ValueError:  # the last line of a killed process may be cut off
-        return None
-    if data.get("kind") != "revision":
-        return None
-    name, _, incarnation = data["instance"].partition("/")
-    return history.RevisionSeen(
-        at_s=data["t"], instance=name, incarnation=incarnation, revision=data["revision"]
-    )
-
 
 async def _all(coroutines: Iterable[Coroutine[Any, Any, None]]) -> None:
     """Awaits all; after an error none of them goes on, so that none starts a process later."""
