Add demo with its closing table

The demo applies the policy, sends load, kills and replaces entry instances and runs a shift, then counts what became of each request.

--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -0,0 +1,238 @@
+"""Demonstration of the whole path on one machine: policy, load, faults, replacement and a shift."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import sys
+import tempfile
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import aiohttp
+import click
+
+from sassafrasway_standins import (
+    caller,
+    check,
+    history,
+    launcher,
+    layouts,
+    load,
+    operator_tool,
+    processes,
+    tally,
+)
+
+LOAD_PARTS = 2
+LOAD_START_S = 1.5  # load processes take about a second to start
+SHIFT_CAP_RPS = 20.0
+SHIFT_PACE_PER_S = 0.1
+END_TIMEOUT_S = 30.0
+SERVICE = "crew-desk"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Schedule:
+    """When the steps happen, in seconds after the start of the load."""
+
+    kill_s: float = 6.0
+    restart_s: float = 9.0
+    replace_s: float = 14.0
+    shift_s: float = 32.0
+    end_s: float = 48.0
+
+
+class Demo:
+    """The steps of the demonstration on a running set of processes."""
+
+    def __init__(self, *, cluster: launcher.Cluster, load_factor: float, seed: int):
+        self._cluster = cluster
+        self._layout = cluster.site.layout
+        self._load_factor = load_factor
+        self._seed = seed
+        self._schedule = Schedule()
+        self._operator = operator_tool.Operator(cluster=cluster)
+        self._started_s = time.monotonic()
+        self._load_s = 0.0
+
+    async def run(self) -> bool:
+        """Runs all steps; returns whether nothing ran twice and nothing was lost."""
+        await self._apply_policy()
+        plan = self._plan()
+        async with self._load(plan):
+            await self._kill()
+            await self._replace()
+            await self._shift()
+        await self._cluster.collect_link_bytes()
+        return self._report(plan)
+
+    async def _apply_policy(self) -> None:
+        document = self._cluster.site.policy()
+        counts = ", ".join(f"{len(objects)} {name}" for name, objects in document.items())
+        self._say(f"applying the policy with sassafrasctl: {counts}")
+        await self._operator.apply(document)
+        await self._cluster.wait_ready()
+        self._say("all entry instances are ready")
+
+    def _plan(self) -> load.Plan:
+        self._load_s = time.monotonic() + LOAD_START_S
+        site, layout = self._cluster.site, self._layout
+        return load.Plan(
+            entries=[
+                caller.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
+                for each in site.instances.values()
+            ],
+            services={
+                each.name: caller.CalledService(
+                    idempotent=each.idempotent,
+                    deadline_ms=each.deadline_ms,
+                    slots=each.servers * each.slots,
+                    may_wait=each.may_wait,
+                )
+                for each in layout.services
+            },
+            blocks={region: cidr for cidr, region in site.client_blocks.items() if "." in cidr},
+            client_ms=layout.client_ms,
+            region_ms=layout.region_ms,
+            load=self._load_factor,
+            mean_service_s=layout.mean_ms / 1000,
+            duration_s=self._schedule.end_s,
+            seed=self._seed,
+            start_s=self._load_s,
+        )
+
+    @contextlib.asynccontextmanager
+    async def _load(self, plan: load.Plan) -> Any:
+        """Sends the load in processes of their own while the body runs."""
+        path = self._cluster.directory / "settings" / "plan.json"
+        path.write_text(json.dumps(plan.dump()), encoding="utf-8")
+        children = [self._load_process(path, part) for part in range(LOAD_PARTS)]
+        for child in children:
+            await child.start()
+        self._say(f"callers send {len(plan.arrivals())} requests in {plan.duration_s:.0f} s")
+        try:
+            yield
+            for child in children:
+                code = await child.wait(timeout_s=self._schedule.end_s + END_TIMEOUT_S)
+                if code != 0:
+                    raise processes.ProcessError(f"{child.name} failed:\n{child.tail()}")
+        finally:
+            for child in children:
+                await child.kill()
+
+    def _load_process(self, plan: pathlib.Path, part: int) -> processes.ChildProcess:
+        records = self._cluster.records / f"load-{part}.jsonl"
+        arguments = ["load", "--plan", str(plan), "--records", str(records)]
+        arguments += ["--part", str(part), "--parts", str(LOAD_PARTS)]
+        return processes.ChildProcess(
+            name=f"load-{part}",
+            command=[*processes.script("sassafrasway-standins"), *arguments],
+            log=self._cluster.directory / "logs" / f"load-{part}.log",
+        )
+
+    async def _kill(self) -> None:
+        await self._wait_until(self._schedule.kill_s)
+        name = await self._owner(self._layout.regions[0])
+        self._say(f"kill -9 of {name}, which owns {SERVICE} in {self._layout.regions[0]}")
+        await self._cluster.kill_entry(name)
+        await self._wait_until(self._schedule.restart_s)
+        self._say(f"the platform starts {name} again")
+        await self._cluster.start_entry(name)
+
+    async def _replace(self) -> None:
+        await self._wait_until(self._schedule.replace_s)
+        name = await self._owner(self._layout.regions[1])
+        self._say(f"graceful replacement of {name}, which owns {SERVICE} in another region")
+        before_s = time.monotonic()
+        code = await self._cluster.stop_entry(name)
+        took_s = time.monotonic() - before_s
+        self._say(f"{name} drained and ended with code {code} after {took_s:.1f} s")
+        await self._cluster.start_entry(name)
+
+    async def _shift(self) -> None:
+        await self._wait_until(self._schedule.shift_s)
+        source, target = self._layout.regions[:2]
+        self._say(f"shift of {SERVICE} from {source} to {target}, cap {SHIFT_CAP_RPS:g} requests/s")
+        await self._operator.start_shift(
+            "demo",
+            service=SERVICE,
+            source=source,
+            target=target,
+            cap_rps=SHIFT_CAP_RPS,
+            pace_per_s=SHIFT_PACE_PER_S,
+        )
+        await self._wait_until(self._schedule.end_s - 3)
+        self._say("the shift ends")
+        await self._operator.stop_shift("demo")
+
+    async def _owner(self, region: str) -> str:
+        """Returns the entry instance that a lookup names first for a client of a region."""
+        blocks = self._cluster.site.client_blocks
+        client = next(cidr for cidr, each in blocks.items() if each == region).partition("/")[0]
+        instances = [
+            self._cluster.site.instances[name]
+            for name in self._cluster.entry_names
+            if self._cluster.site.instances[name].region == region
+        ]
+        params = {"service": SERVICE, "client": client}
+        url = f"http://{instances[0].caller}/v1/lookup"
+        async with (
+            aiohttp.ClientSession(raise_for_status=True) as session,
+            session.get(url, params=params) as response,
+        ):
+            return (await response.json())["instances"][0]["name"]
+
+    def _report(self, plan: load.Plan) -> bool:
+        records = list(history.read(check.history_files([self._cluster.records])))
+        tallies = tally.count(records, plan.services)
+        violations = check.check(records)
+        click.echo("\n" + tally.as_text(tallies))
+        for violation in violations[:20]:
+            click.echo(f"violation: {violation}")
+        click.echo(f"{len(violations)} violations of {len(check.RULES)} rules")
+        total = tallies[-1]
+        return not (total.ran_twice or total.lost or violations) and total.sent > 0
+
+    async def _wait_until(self, at_s: float) -> None:
+        await asyncio.sleep(max(0.0, self._load_s + at_s - time.monotonic()))
+
+    def _say(self, text: str) -> None:
+        click.echo(f"{time.monotonic() - self._started_s:6.1f} s  {text}")
+
+
+async def _run(directory: pathlib.Path, load_factor: float, seed: int) -> bool:
+    click.echo("starting the platform, backend servers, links and entry instances")
+    options = launcher.Options(seed=seed, invariants="raise")
+    async with launcher.running(layouts.DEMO, directory=directory, options=options) as cluster:
+        return await Demo(cluster=cluster, load_factor=load_factor, seed=seed).run()
+
+
+@contextlib.contextmanager
+def _directory(keep: pathlib.Path | None) -> Iterator[pathlib.Path]:
+    if keep is not None:
+        keep.mkdir(parents=True, exist_ok=True)
+        yield keep
+        return
+    with tempfile.TemporaryDirectory(prefix="sassafrasway-demo-") as name:
+        yield pathlib.Path(name)
+
+
+@click.command("demo")
+@click.option("--load", "load_factor", default=0.5, show_default=True, help="Offered load.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the arrivals.")
+@click.option(
+    "--keep",
+    type=click.Path(file_okay=False, path_type=pathlib.Path),
+    help="Directory that keeps logs and records; otherwise they are deleted.",
+)
+def command(load_factor: float, seed: int, keep: pathlib.Path | None) -> None:
+    """Shows the whole path under load; exits with 1 if a request ran twice or was lost."""
+    with _directory(keep) as directory:
+        try:
+            is_good = asyncio.run(_run(directory, load_factor, seed))
+        except (processes.ProcessError, aiohttp.ClientError) as error:
+            raise click.ClickException(str(error)) from error
+    sys.exit(0 if is_good else 1)
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -0,0 +1,66 @@
+"""Runs ``sassafrasctl`` as an operator does, and records what was accepted."""
+
+import asyncio
+import json
+from typing import Any
+
+from sassafrasway_standins import launcher, processes
+
+COMMAND_TIMEOUT_S = 20.0
+
+
+class Operator:
+    """Calls ``sassafrasctl`` against an entry instance of a running set of processes."""
+
+    def __init__(self, *, cluster: launcher.Cluster):
+        self._cluster = cluster
+        self._document: dict[str, Any] = {}
+
+    async def apply(self, document: dict[str, Any]) -> None:
+        """Applies a whole policy document."""
+        path = self._cluster.directory / "settings" / "policy.json"
+        path.write_text(json.dumps(document, indent=2), encoding="utf-8")
+        await self.run("apply", str(path))
+        self._accepted(document)
+
+    async def start_shift(self, name: str, **fields: Any) -> None:
+        """Starts a shift; the fields are those of the policy document."""
+        options = [f"--{key.replace('_', '-')}={value}" for key, value in fields.items()]
+        await self.run("shift", "start", name, *options)
+        shifts = self._document["shifts"] | {name: {"fraction": 1.0} | fields}
+        self._accepted(self._document | {"shifts": shifts})
+
+    async def stop_shift(self, name: str) -> None:
+        """Stops a shift."""
+        await self.run("shift", "stop", name)
+        shifts = {key: value for key, value in self._document["shifts"].items() if key != name}
+        self._accepted(self._document | {"shifts": shifts})
+
+    async def run(self, *arguments: str) -> str:
+        """Runs a command and returns its output.
+
+        Raises:
+            processes.ProcessError: The command failed; the message has its output.
+        """
+        name = self._cluster.entry_names[0]
+        address = self._cluster.site.instances[name].rpc
+        command = [*processes.script("sassafrasctl"), "--server", address, *arguments]
+        child = await asyncio.create_subprocess_exec(
+            *command, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT
+        )
+        try:
+            output, _ = await asyncio.wait_for(child.communicate(), COMMAND_TIMEOUT_S)
+        except TimeoutError:
+            child.kill()
+            await child.wait()
+            raise processes.ProcessError(f"{arguments[0]} took too long") from None
+        text = output.decode(errors="replace")
+        if child.returncode != 0:
+            raise processes.ProcessError(
+                f"sassafrasctl {' '.join(arguments)}: code {child.returncode}\n{text}"
+            )
+        return text
+
+    def _accepted(self, document: dict[str, Any]) -> None:
+        self._document = document
+        self._cluster.note_policy(document)
--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/tally.py
@@ -0,0 +1,92 @@
+"""Counts what became of the requests of a run, service by service."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping, Sequence
+
+from sassafrasway_standins import caller, check, history, latency
+
+TOTAL = "total"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tally:
+    """What became of the requests of one service.
+
+    Attributes:
+        ran_once: Requests with exactly one run at a backend server.
+        ran_twice: Requests of a non-idempotent service with more runs.
+        repeated: Requests of an idempotent service with more runs, which is allowed.
+        lost: Requests without a verdict, or with an answer that no run explains.
+        late: Requests that ran and whose answer came after the deadline.
+        not_run: Requests that callers were told did not run.
+        unknown: Requests whose outcome callers do not know.
+    """
+
+    service: str
+    sent: int
+    ran_once: int
+    ran_twice: int
+    repeated: int
+    lost: int
+    late: int
+    not_run: int
+    unknown: int
+    latency: latency.Percentiles | None
+
+
+def count(
+    records: Iterable[history.Record], services: Mapping[str, caller.CalledService]
+) -> list[Tally]:
+    """Returns a tally of each service and of all together."""
+    run = check.History(records)
+    groups: dict[str, list[str]] = {name: [] for name in sorted(services)}
+    for request, intent in run.intents.items():
+        groups[intent.service].append(request)
+    tallies = [_tally(run, name, group, services) for name, group in groups.items()]
+    everything = [request for group in groups.values() for request in group]
+    return [*tallies, _tally(run, TOTAL, everything, services)]
+
+
+def _tally(
+    run: check.History,
+    name: str,
+    requests: Sequence[str],
+    services: Mapping[str, caller.CalledService],
+) -> Tally:
+    latencies = latency.Latencies()
+    counts = dict.fromkeys(
+        ("ran_once", "ran_twice", "repeated", "lost", "late", "not_run", "unknown"), 0
+    )
+    for request in requests:
+        intent, verdict = run.intents[request], run.verdicts.get(request)
+        service = services[intent.service]
+        runs = len(run.runs_by_request.get(request, ()))
+        counts["ran_once"] += runs == 1
+        counts["repeated" if service.idempotent else "ran_twice"] += runs > 1
+        if verdict is None:
+            counts["lost"] += 1
+            continue
+        counts["not_run"] += verdict.outcome == history.NOT_RUN
+        counts["unknown"] += verdict.outcome == history.UNKNOWN
+        if verdict.outcome == history.RAN:
+            took_s = verdict.at_s - intent.at_s
+            counts["lost"] += runs == 0
+            counts["late"] += took_s > service.deadline_ms / 1000
+            latencies.record(name, took_s)
+    percentiles = latencies.percentiles().get(name)
+    return Tally(service=name, sent=len(requests), latency=percentiles, **counts)
+
+
+def as_text(tallies: Iterable[Tally]) -> str:
+    """Returns a table with one line for each tally."""
+    titles = ("sent", "ran once", "ran twice", "repeated", "lost", "late", "not run", "unknown")
+    header = f"{'service':<15}" + "".join(f"{title:>10}" for title in titles)
+    lines = [header + f"{'p50 ms':>10}{'p99 ms':>10}"]
+    for each in tallies:
+        line = f"{each.service:<15}"
+        for title in titles:
+            line += f"{getattr(each, title.replace(' ', '_')):>10}"
+        if each.latency is not None:
+            line += f"{each.latency.p50_ms:>10.1f}{each.latency.p99_ms:>10.1f}"
+        lines.append(line)
+    return "\n".join(lines)
