--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -0,0 +1,320 @@
+"""Benchmark: runs a whole deployment under load, with or without a fault, and reports on it."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import resource
+import shutil
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import aiohttp
+import click
+
+from sassafrasway_core import errors
+from sassafrasway_rpc import client as rpc_client
+from sassafrasway_rpc import schema
+from sassafrasway_standins import (
+    caller,
+    check,
+    faults,
+    history,
+    launcher,
+    layouts,
+    load,
+    processes,
+    report,
+)
+
+RESULTS = pathlib.Path("results")
+MIN_ENTRIES, MAX_ENTRIES = 16, 26
+MIN_LOAD_PROCESSES, MAX_LOAD_PROCESSES = 1, 6
+BACKEND_PROCESSES = 3
+POLICY_TIMEOUT_S = 30.0
+READY_TIMEOUT_S = 30.0
+POLL_S = 0.2
+# Time for the load processes to import, generate the trace and wait for its start.
+LOAD_START_S = 5.0
+FAULT_AT = 0.3
+FAULT_LENGTH = 0.3
+# Longest time from the last arrival until every caller has a verdict.
+VERDICT_TIMEOUT_S = 30.0
+# Runs whose callers gave up end within the deadline of the request.
+SETTLE_S = 2.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Options:
+    """Choices for one run, as on the command line.
+
+    Attributes:
+        load: Offered load; at 1.0, arrivals x mean service time = slots of the service.
+        duration_s: Length of the trace, s.
+        mean_ms: Mean service time, ms.
+    """
+
+    layout: str
+    load: float
+    fault: str
+    seed: int
+    duration_s: float
+    placement: str
+    instances: int
+    mean_ms: float
+    load_processes: int
+
+    @property
+    def name(self) -> str:
+        """Name of the result files."""
+        return (
+            f"{self.layout}-{self.load:g}-{self.fault}-{self.placement}"
+            f"-{self.instances}-{self.mean_ms:g}ms-{self.duration_s:g}s-{self.seed}"
+        )
+
+
+class Bench:
+    """One run from the start of the processes to the report.
+
+    Args:
+        options: Choices.
+        directory: Where settings, logs and records of the run go; emptied first.
+    """
+
+    def __init__(self, *, options: Options, directory: pathlib.Path):
+        self._options = options
+        self._directory = directory
+        self._layout = layouts.LAYOUTS[options.layout]
+        self._plan: load.Plan | None = None
+
+    async def run(self) -> report.RunReport:
+        """Runs the deployment under load and returns the report."""
+        shutil.rmtree(self._directory, ignore_errors=True)
+        self._directory.mkdir(parents=True)
+        started_s, cpu_before_s = time.monotonic(), _children_cpu_s()
+        running = launcher.running(
+            self._layout,
+            directory=self._directory,
+            options=launcher.Options(
+                entries=self._options.instances,
+                seed=self._options.seed,
+                placement=self._options.placement,
+                backend_processes=BACKEND_PROCESSES,
+            ),
+        )
+        async with running as cluster:
+            await apply_policy(cluster)
+            await cluster.wait_ready()
+            await wait_for_owners(cluster)
+            await self._load(cluster)
+        elapsed_s = time.monotonic() - started_s
+        return self._report((_children_cpu_s() - cpu_before_s) / elapsed_s)
+
+    async def _load(self, cluster: launcher.Cluster) -> None:
+        """Runs the load processes and the fault; returns when all requests have ended."""
+        self._plan = plan_for(cluster.site, self._options)
+        plan_path = self._directory / "plan.json"
+        plan_path.write_text(json.dumps(self._plan.dump()), encoding="utf-8")
+        count = self._options.load_processes
+        children = [self._load_process(plan_path, part, count) for part in range(count)]
+        timeout_s = LOAD_START_S + self._options.duration_s + VERDICT_TIMEOUT_S
+        fault = asyncio.create_task(self._inject(cluster))
+        try:
+            await asyncio.gather(*(child.start() for child in children))
+            codes = await asyncio.gather(*(child.wait(timeout_s=timeout_s) for child in children))
+            if any(codes):
+                raise processes.ProcessError(f"load processes ended with codes {codes}")
+            await fault
+            await asyncio.sleep(SETTLE_S)
+        finally:
+            fault.cancel()
+            await asyncio.gather(*(child.kill() for child in children))
+
+    def _load_process(self, plan: pathlib.Path, part: int, parts: int) -> processes.ChildProcess:
+        records = self._directory / "records" / f"load-{part}.jsonl"
+        command = [*processes.script("sassafrasway-standins"), "load", "--plan", str(plan)]
+        command += ["--records", str(records), "--part", str(part), "--parts", str(parts)]
+        log = self._directory / "logs" / f"load-{part}.log"
+        return processes.ChildProcess(name=f"load-{part}", command=command, log=log)
+
+    async def _inject(self, cluster: launcher.Cluster) -> None:
+        duration_s = self._options.duration_s
+        await asyncio.sleep(self._plan.start_s + FAULT_AT * duration_s - time.monotonic())
+        scene = faults.Scene(cluster=cluster, length_s=FAULT_LENGTH * duration_s)
+        await faults.FAULTS[self._options.fault].run(scene)
+
+    def _report(self, cores: float) -> report.RunReport:
+        settings = dataclasses.asdict(self._options) | {"cores_used": round(cores, 2)}
+        return report.build(
+            settings=settings,
+            trace=self._plan.arrivals(),
+            services=self._plan.services,
+            client_ms=self._plan.client_ms,
+            records=read_records(self._directory),
+        )
+
+
+def plan_for(site: layouts.Site, options: Options) -> load.Plan:
+    """Returns the plan of the load processes; the trace starts after ``LOAD_START_S``."""
+    layout = site.layout
+    blocks: dict[str, str] = {}
+    for cidr, region in site.client_blocks.items():
+        blocks.setdefault(region, cidr)
+    return load.Plan(
+        entries=[
+            caller.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
+            for each in site.instances.values()
+        ],
+        services={
+            each.name: caller.CalledService(
+                idempotent=each.idempotent,
+                deadline_ms=each.deadline_ms,
+                slots=each.servers * each.slots,
+                may_wait=each.may_wait,
+            )
+            for each in layout.services
+        },
+        blocks=blocks,
+        client_ms=layout.client_ms,
+        region_ms=layout.region_ms,
+        load=options.load,
+        mean_service_s=options.mean_ms / 1000,
+        duration_s=options.duration_s,
+        seed=options.seed,
+        start_s=time.monotonic() + LOAD_START_S,
+    )
+
+
+async def apply_policy(cluster: launcher.Cluster) -> None:
+    """Makes the layout's policy the first revision.
+
+    Raises:
+        errors.SassafraswayError: No instance accepted it in time.
+    """
+    document = cluster.site.policy()
+    change = json.dumps(
+        {"base_revision": 0, "change_id": "bench-1", "author": "bench", "sections": document}
+    )
+    address = cluster.site.instances[cluster.entry_names[0]].rpc
+    client = rpc_client.RpcClient(address=address, service=schema.config.Operator, timeout_s=5.0)
+    deadline_s = time.monotonic() + POLICY_TIMEOUT_S
+    try:
+        while True:
+            try:
+                await client.call("apply_change", change_json=change)
+                cluster.note_policy(document)
+                return
+            except errors.UnavailableError:
+                if time.monotonic() > deadline_s:
+                    raise
+                await asyncio.sleep(POLL_S)
+    finally:
+        await client.close()
+
+
+async def wait_for_owners(cluster: launcher.Cluster) -> None:
+    """Waits until a lookup for each service and region names an instance of that region.
+
+    Raises:
+        processes.ProcessError: This is not so in time.
+    """
+    site = cluster.site
+    pending = {
+        (service.name, cidr): region
+        for service in site.layout.services
+        for cidr, region in site.client_blocks.items()
+    }
+    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
+        while pending:
+            if time.monotonic() > deadline_s:
+                raise processes.ProcessError(f"no owner for {sorted(pending)[:5]}")
+            for (service, cidr), region in list(pending.items()):
+                if await _has_owner(session, site, service, cidr, region):
+                    del pending[service, cidr]
+            await asyncio.sleep(POLL_S if pending else 0)
+
+
+async def _has_owner(
+    session: aiohttp.ClientSession, site: layouts.Site, service: str, cidr: str, region: str
+) -> bool:
+    """Whether every instance names an instance of the region first."""
+    params = {"service": service, "client": cidr.partition("/")[0]}
+    for instance in site.instances.values():
+        url = f"http://{instance.caller}/v1/lookup"
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with session.get(url, params=params) as response:
+                if not response.ok:
+                    return False
+                first = (await response.json())["instances"][0]["name"]
+            if site.instances[first].region == region:
+                continue
+        return False
+    return True
+
+
+def read_records(directory: pathlib.Path) -> list[history.Record]:
+    """Returns all records of a run, those of the entry instances included."""
+    files = check.history_files([directory / "records"])
+    files += sorted((directory / "logs").glob("*.record"))
+    return list(history.read(files))
+
+
+def _children_cpu_s() -> float:
+    usage = resource.getrusage(resource.RUSAGE_CHILDREN)
+    return usage.ru_utime + usage.ru_stime
+
+
+def write(built: report.RunReport, *, name: str, results: pathlib.Path) -> str:
+    """Writes the JSON and the text form of a report and returns the text."""
+    results.mkdir(parents=True, exist_ok=True)
+    text = report.as_text(built)
+    data: Mapping[str, Any] = built.dump()
+    (results / f"{name}.json").write_text(json.dumps(data, indent=2) + "\n", encoding="utf-8")
+    (results / f"{name}.txt").write_text(text, encoding="utf-8")
+    return text
+
+
+@click.command("bench")
+@click.option("--layout", type=click.Choice(sorted(layouts.LAYOUTS)), default="sila")
+@click.option("--load", default=0.75, show_default=True, help="Offered load, 1.0 = all slots.")
+@click.option("--fault", type=click.Choice(list(faults.FAULTS)), default="none", show_default=True)
+@click.option("--seed", default=1, show_default=True, help="Seed of arrivals and service times.")
+@click.option("--duration", default=20.0, show_default=True, help="Length of the load, s.")
+@click.option(
+    "--placement",
+    type=click.Choice(["pool_owner", "even_split", "local_count"]),
+    default="pool_owner",
+    show_default=True,
+)
+@click.option(
+    "--instances",
+    type=click.IntRange(MIN_ENTRIES, MAX_ENTRIES),
+    default=MIN_ENTRIES,
+    show_default=True,
+    help="Number of entry instances.",
+)
+@click.option("--mean-ms", default=200.0, show_default=True, help="Mean service time, ms.")
+@click.option(
+    "--load-processes",
+    type=click.IntRange(MIN_LOAD_PROCESSES, MAX_LOAD_PROCESSES),
+    default=3,
+    show_default=True,
+)
+@click.option(
+    "--results",
+    type=click.Path(path_type=pathlib.Path),
+    default=RESULTS,
+    show_default=True,
+    help="Directory for reports and records.",
+)
+def command(results: pathlib.Path, duration: float, **choices: Any) -> None:
+    """Runs a deployment under load and reports latency, refusals and violations."""
+    options = Options(duration_s=duration, **choices)
+    bench = Bench(options=options, directory=results / options.name)
+    built = asyncio.run(bench.run())
+    click.echo(write(built, name=options.name, results=results), nl=False)
+    sys.exit(1 if built.violations else 0)
