--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -30,7 +30,8 @@
   13: string shift           // name of the shift that moved the request, or empty
   14: bool may_queue
   15: string sender          // name/incarnation
-  16: string fingerprint
+  16: string fingerprint     // recognises the same request sent again
+  17: string client          // address of the client that the caller acts for
 }
 
 struct ForwardReply {
@@ -42,10 +43,14 @@
   6: string owner            // name of the current pool owner when reason is not_owner
   7: string server           // backend server that ran the request
   8: i32 retry_after_ms
+  9: string detail           // text for people
 }
 
 service Forward {
   ForwardReply forward(1: ForwardRequest request) throws (1: common.RpcError error)
+  // Tells the owner of another pool of the service that a request crashed a backend server.
+  void report_crash(1: string service_name, 2: string fingerprint, 3: string server)
+      throws (1: common.RpcError error)
   // Stops a forwarded request whose caller went away.
   oneway void cancel(1: string request_id)
 }
