Wire start, planned stop and dump of the entry process

Cause: the thin path needs a process that starts and leaves. Change: process start, drain, shut-down, status and dump; steering shares the block table of config.

--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -31,6 +31,7 @@
 from sassafrasway_platform import http as platform_http
 
 INCARNATION_BYTES = 6
+CRASH_REPORT_TIMEOUT_S = 0.3
 PROPAGATION_S = 3.0  # time after which other instances know that this one is leaving
 READY_POLL_S = 0.05
 DRAIN_POLL_S = 0.05
@@ -163,13 +164,38 @@
             directory=self._directory,
         )
 
+    async def _report_crash(self, service: str, fingerprint: str, server: str) -> None:
+        """Tells the owners of the service's other pools, before the request is repeated."""
+        policy = self._steering.policy
+        owners = {
+            owner.rpc_address
+            for key in (policy.pools() if policy else ())
+            if key.service == service
+            and (owner := self._directory.owner(key)) is not None
+            and owner.name != self._me.name
+        }
+        calls = [
+            self._peers.call(
+                address,
+                "report_crash",
+                timeout_s=CRASH_REPORT_TIMEOUT_S,
+                service_name=service,
+                fingerprint=fingerprint,
+                server=server,
+            )
+            for address in owners
+        ]
+        for result in await asyncio.gather(*calls, return_exceptions=True):
+            if isinstance(result, Exception):
+                self._log.warning("crash report not delivered", error=str(result))
+
     def _on_violation(self, rule: invariants.Rule, detail: str) -> None:
         self._metrics.violations.add(1, {"rule": rule.value})
         self._log.error("invariant violated", rule=rule.value, detail=detail)
         self._record.record("violation", rule=rule.value, detail=detail)
 
     def _on_policy(self, policy: model.Policy) -> None:
-        self._steering.set_policy(policy)
+        self._steering.set_policy(policy, self._config.blocks)
         self._pools.set_policy(policy)
         self._record.record("revision", revision=policy.revision)
         self._log.info("policy in force", revision=policy.revision)
@@ -185,3 +211,109 @@
             # A process without one of its tasks would serve from stale state.
             self._log.error("task failed", task=task.get_name(), exc_info=task.exception())
             self._stop_requested.set()
+
+    async def _start(self) -> None:
+        """Starts the RPC server and the tasks, then serves callers once it is ready."""
+        await self._rpc.start()
+        await self._admin_api.start(self._settings.listen.admin)
+        for name, coroutine in (
+            ("config", self._config.run()),
+            ("membership", self._member.run()),
+            ("outcomes", self._outcomes.run()),
+            ("probes", self._pools.probe_loop()),
+            ("queue", self._pools.wake_loop()),
+        ):
+            self._spawn(coroutine, name)
+        await self._caller_api.start(self._settings.listen.caller)
+        self._spawn(self._become_ready(), "ready")
+
+    async def _become_ready(self) -> None:
+        while self._steering.policy is None or not self._member.in_contact:
+            await asyncio.sleep(READY_POLL_S)
+        self._state.become_ready()
+        self._log.info("ready", instance=str(self._me.id))
+
+    def _request_stop(self) -> None:
+        self._stop_requested.set()
+
+    async def _leave(self) -> None:
+        """Hands the pools over and serves until nobody can still need this instance."""
+        self._state.leave()
+        self._member.leave()
+        started_s = self._clock.monotonic()
+        # Others name this instance in look-ups until they learn that it leaves.
+        cached_s = max(self._settings.limits.lookup_ttl_s, at_most_once.TICKET_START_S + 1.0)
+        until_s = started_s + PROPAGATION_S + cached_s
+        while self._clock.monotonic() < until_s or self._busy:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self._log.info("drained", seconds=round(self._clock.monotonic() - started_s, 3))
+
+    @property
+    def _busy(self) -> bool:
+        slots_in_use = any(owned.slots.in_use() for owned in self._pools.owned.values())
+        return bool(
+            self._caller_api.in_flight
+            or self._forward_service.running
+            or self._gatekeeper.running
+            or slots_in_use
+        )
+
+    async def _shut_down(self) -> None:
+        self._gatekeeper.close()
+        if await self._write_outcomes():
+            await self._write_closed_marker()
+        await self._caller_api.stop()
+        await self._config.settle()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._state.stop()
+        await self._rpc.stop()
+        await self._admin_api.stop()
+        await self._peers.close()
+        await self._client.close()
+        self._metrics.shutdown()
+        self._record.close()
+
+    async def _write_outcomes(self) -> bool:
+        for _ in range(FLUSH_TRIES):
+            if await self._outcomes.flush() and not self._gatekeeper.pending_updates:
+                return True
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+        self._log.warning("outcomes not written", pending=self._outcomes.pending)
+        return False
+
+    async def _write_closed_marker(self) -> None:
+        try:
+            await self._outcomes.close(self._me.id)
+        except errors.UnavailableError as error:
+            # Without the marker, callers of unused tickets get "unknown" in place of an answer.
+            self._log.warning("closed marker not written", error=str(error))
+
+    def _health(self) -> tuple[str, bool]:
+        return self._state.state, self._state.state == lifecycle.READY
+
+    def status(self) -> dict[str, Any]:
+        """Returns the short state for operators."""
+        return {
+            "instance": str(self._me.id),
+            "region": self._me.region,
+            "failure_domain": self._me.failure_domain,
+            "state": self._state.state,
+            "policy": dump.policy_dump(self._steering),
+            "pools": sorted(str(key) for key in self._pools.owned),
+            "in_flight": self._caller_api.in_flight,
+        }
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the full state for diagnosis."""
+        return {
+            **self.status(),
+            "config": self._config.state(),
+            "member": self._member.state(),
+            "pools": dump.pools_dump(self._pools),
+            "forwarded_in_flight": self._forward_service.running,
+            "at_most_once": dump.at_most_once_dump(self._gatekeeper, self._outcomes),
+            "quarantine": dump.to_json(self._pools.quarantine.entries()),
+            "invariants": {rule.value: n for rule, n in self._invariants.violations.items()},
+        }
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -46,12 +46,10 @@
         """The current policy, or None before the first one."""
         return self._policy
 
-    def set_policy(self, policy: model.Policy) -> None:
-        """Replaces the policy."""
-        previous = self._policy
+    def set_policy(self, policy: model.Policy, blocks: lookup.BlockTable) -> None:
+        """Replaces the policy; ``blocks`` is the table of its client blocks."""
         self._policy = policy
-        if previous is None or previous.blocks != policy.blocks:
-            self._blocks = lookup.BlockTable(blocks=policy.blocks.values())
+        self._blocks = blocks
         self._shifts.set_shifts(policy)
         self._pools = {}
         for key in sorted(policy.pools()):
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -6,7 +6,7 @@
 import entry_fakes as fakes
 from aiohttp import test_utils
 
-from sassafrasway_core import at_most_once, model
+from sassafrasway_core import at_most_once, lookup, model
 from sassafrasway_entry import caller_api, messages, recorder, settings, steering, telemetry
 
 _SERVICES = ("crew-desk", "quote-archive")
@@ -38,7 +38,8 @@
             for service in _SERVICES
             for region in ("bkk", "cnx")
         ]
-        self.steering.set_policy(fakes.policy(servers=servers))
+        policy = fakes.policy(servers=servers)
+        self.steering.set_policy(policy, lookup.BlockTable(blocks=policy.blocks.values()))
         names = [("a", "bkk"), ("b", "bkk"), ("c", "cnx"), ("d", "cnx"), ("e", "bkk")]
         known = [fakes.instance(name, region_name=region) for name, region in names]
         owners = {
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -5,7 +5,7 @@
 
 import entry_fakes as fakes
 
-from sassafrasway_core import errors, model, placement, retry
+from sassafrasway_core import errors, lookup, model, placement, retry
 from sassafrasway_entry import conversion, dispatcher, messages, steering
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
@@ -47,7 +47,8 @@
             fakes.server(f"{service}-{name}", service=service, region_name=name) for name in regions
         ]
         steer = steering.Steering(region="bkk", clock=self.clock, rng=random.Random(1))
-        steer.set_policy(fakes.policy(servers=servers, regions=regions))
+        policy = fakes.policy(servers=servers, regions=regions)
+        steer.set_policy(policy, lookup.BlockTable(blocks=policy.blocks.values()))
         self.keys = [model.PoolKey(service=service, region=name) for name in regions]
         known = [fakes.instance(fakes.ME.name)] + [
             fakes.instance(f"{name}-a-1", region_name=name) for name in regions[1:]
