--- a/packages/core/src/sassafrasway_core/policy_schema.py
+++ b/packages/core/src/sassafrasway_core/policy_schema.py
@@ -7,7 +7,6 @@
 import enum
 import ipaddress
 import re
-import sys
 import urllib.parse
 from collections.abc import Iterator, Mapping
 from typing import Annotated, Any, Literal
@@ -34,10 +33,7 @@
     return f"http://{host}:{parts.port}"
 
 
-# Interned, because 250,000 blocks name few regions.
-_Reference = Annotated[
-    str, pydantic.Field(min_length=1, description="a name"), pydantic.AfterValidator(sys.intern)
-]
+_Reference = Annotated[str, pydantic.Field(min_length=1, description="a name")]
 _Rate = Annotated[float, pydantic.Field(ge=0, description="a number of at least 0, requests/s")]
 
 
--- a/packages/entry/tests/test_config_task.py
+++ b/packages/entry/tests/test_config_task.py
@@ -3,100 +3,30 @@
 import asyncio
 import inspect
 import json
-import random
 import unittest
 
-from sassafrasway_core import clock, documents, errors, invariants, model
-from sassafrasway_entry import config_service, config_store, config_task, operator_service
+import config_fakes as fakes
+
+from sassafrasway_core import documents, errors, model
+from sassafrasway_entry import config_store
 from sassafrasway_platform import memory, table
 from sassafrasway_rpc import schema
 
-_SERVER = {
-    "service": "crew-desk",
-    "region": "bkk",
-    "failure_domain": "bkk-a",
-    "url": "http://127.0.0.1:7001",
-    "slots": 3,
-    "connections": 660,
-}
-_FIRST = {
-    "regions": {"bkk": {}, "hkt": {}},
-    "services": {"crew-desk": {"idempotent": False}},
-    "servers": {"crew-1": _SERVER},
-    "blocks": {"10.0.0.0/8": {"region": "bkk"}},
-}
-
-
-def _change(base, change_id, **sections):
-    return documents.parse_change(
-        {"base_revision": base, "change_id": change_id, "author": "a", "sections": sections}
-    )
-
 
 def _meta(change_id, base_revision=None):
     return schema.config.ChangeMeta(change_id=change_id, author="a", base_revision=base_revision)
 
 
-class _Instance:
-    """One instance on a fake network; ``cut`` separates it from its peers."""
-
-    def __init__(self, network, rows, name):
-        self.name = name
-        self.cut = False
-        self.left = False
-        self.policies = []
-        self.table = rows.view()
-        self._network = network
-        network[name] = self
-        me = model.InstanceId(name=name, incarnation="1")
-        self.config = config_task.ConfigTask(
-            me=me,
-            clock=clock.ManualClock(),
-            invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
-            table=self.table,
-            push_targets=lambda: list(network),
-            call_peer=self.call_peer,
-            on_policy=self.policies.append,
-            own_address=lambda: name,
-            rng=random.Random(1),
-        )
-        self.peer_service = config_service.ConfigService(
-            me=me, config=self.config, leave=self.leave
-        )
-        self.operator = operator_service.OperatorService(
-            me=me,
-            config=self.config,
-            call_peer=self.call_peer,
-            find_instance=lambda other: other if other in network else None,
-            leave=self.leave,
-            status_source=self.config.state,
-            dump_source=self.config.state,
-        )
-
-    @property
-    def revisions(self):
-        return [policy.revision for policy in self.policies]
-
-    def leave(self):
-        self.left = True
-
-    async def call_peer(self, address, method, **arguments):
-        peer = self._network[address]
-        if self.cut or peer.cut:
-            raise errors.UnavailableError("cut off", step="fake.call", peer=address)
-        return await getattr(peer.peer_service, method)(**arguments)
-
-
 class _TestCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.network = {}
         self.rows = memory.MemoryTable()
         self.one, self.two, self.three = (self.start(name) for name in ("one", "two", "three"))
-        await self.one.config.apply(_change(0, "first", **_FIRST))
+        await self.one.config.apply(fakes.change(0, "first", **fakes.FIRST))
         await self.settle()
 
     def start(self, name):
-        return _Instance(self.network, self.rows, name)
+        return fakes.Instance(self.network, self.rows, name)
 
     async def settle(self):
         """Lets pushes and the catching up that they cause come to an end."""
@@ -114,7 +44,7 @@
         """Guards against instances that stay on an old policy after an accepted change."""
         self.assertEqual([each.config.revision for each in self.network.values()], [1, 1, 1])
         self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "bkk")
-        await self.two.config.apply(_change(1, "c2", blocks={"10.0.0.0/8": {"region": "hkt"}}))
+        await self.two.config.apply(fakes.change(1, "c2", blocks={"10.0.0.0/8": {"region": "hkt"}}))
         await self.two.config.settle()
         self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "hkt")
         self.assertEqual(self.three.revisions, [1, 2])
@@ -122,8 +52,8 @@
     async def test_two_operators_at_once(self):
         """Guards against a change that silently overwrites another one."""
         results = await asyncio.gather(
-            self.one.config.apply(_change(1, "c-one", regions={"cnx": {}})),
-            self.two.config.apply(_change(1, "c-two", regions={"cnx": {"cap_rps": 5}})),
+            self.one.config.apply(fakes.change(1, "c-one", regions={"cnx": {}})),
+            self.two.config.apply(fakes.change(1, "c-two", regions={"cnx": {"cap_rps": 5}})),
             return_exceptions=True,
         )
         kinds = sorted(type(result).__name__ for result in results)
@@ -134,20 +64,13 @@
     async def test_lost_answer_is_resolved_by_reading_back(self):
         """Guards against reporting a failure for a change that is in force."""
         self.one.table.faults.lost_answers = 1
-        applied = await self.one.config.apply(_change(1, "c2", regions={"cnx": {}}))
+        applied = await self.one.config.apply(fakes.change(1, "c2", regions={"cnx": {}}))
         self.assertEqual((applied.revision, self.one.config.revision), (2, 2))
 
     async def test_retry_after_lost_answer_is_applied_once(self):
         """Guards against a second application when the store fails right after the write."""
-        change = _change(1, "c2", regions={"cnx": {}})
-        transact = self.one.table.transact
-
-        async def transact_and_fail(writes):
-            await transact(writes)
-            self.one.table.faults.down = True
-            raise table.StoreUnavailable("answer lost", step="fake")
-
-        self.one.table.transact = transact_and_fail
+        change = fakes.change(1, "c2", regions={"cnx": {}})
+        self.one.table.faults.down_after_write = True
         with self.assertRaises(errors.UnavailableError):
             await self.one.config.apply(change)
         applied = await self.two.config.apply(change)
@@ -157,12 +80,12 @@
 
     async def test_start_with_store_down_takes_policy_from_peer(self):
         """Guards against an instance without a policy while the store is down for long."""
-        loaded = _Instance({}, self.rows, "loaded")
+        loaded = fakes.Instance({}, self.rows, "loaded")
         await loaded.config.refresh()
         for peer, has_log in ((self.one, True), (loaded, False)):
             with self.subTest(has_log=has_log):
                 self.assertEqual(peer.config.changes_since(0) is not None, has_log)
-                late = _Instance({"peer": peer}, self.rows, "late")
+                late = fakes.Instance({"peer": peer}, self.rows, "late")
                 late.table.faults.down = True
                 await late.config.refresh()
                 self.assertEqual(late.config.policy, self.one.config.policy)
@@ -180,10 +103,10 @@
 
     async def test_cut_off_instance_never_goes_back(self):
         """Guards against an old policy that returns through an old row, push or peer."""
-        stale = _Instance({}, await self._copy_of_rows(), "stale")
+        stale = fakes.Instance({}, await self._copy_of_rows(), "stale")
         await stale.config.refresh()
         await self.one.config.apply(
-            _change(1, "c2", servers={"crew-1": {**_SERVER, "state": "leaving"}})
+            fakes.change(1, "c2", servers={"crew-1": {**fakes.SERVER, "state": "leaving"}})
         )
         await self.settle()
         before = self.two.config.policy
@@ -192,11 +115,11 @@
         self.two.table.get = stale.table.get
         await self.two.config.refresh()
         self.two.config.observe_revision(1, source="stale")
-        first = json.dumps(documents.dump_change(_change(0, "first", **_FIRST)))
+        first = json.dumps(documents.dump_change(fakes.change(0, "first", **fakes.FIRST)))
         self.assertEqual(await self.two.peer_service.push_change(first, "stale"), 2)
         await self.two.config.pull("stale")
         with self.assertRaises(errors.UnavailableError):
-            await self.two.config.apply(_change(1, "c3", regions={"cnx": {}}))
+            await self.two.config.apply(fakes.change(1, "c3", regions={"cnx": {}}))
         self.assertEqual((stale.config.revision, before.revision), (1, 2))
         self.assertIs(self.two.config.policy, before)
         self.assertEqual(self.two.revisions, [1, 2])
@@ -211,11 +134,11 @@
         """Guards against a partitioned instance that cannot follow after it returns."""
         self.three.cut = self.three.table.faults.down = True
         for base in range(1, 4):
-            await self.one.config.apply(_change(base, f"c{base}", regions={f"r{base}": {}}))
+            await self.one.config.apply(fakes.change(base, f"c{base}", regions={f"r{base}": {}}))
         await self.settle()
         self.assertEqual(self.three.config.revision, 1)
         self.three.cut = False
-        await self.one.config.apply(_change(4, "c4", regions={"r4": {}}))
+        await self.one.config.apply(fakes.change(4, "c4", regions={"r4": {}}))
         await self.settle()
         self.assertEqual((self.three.config.revision, self.three.revisions), (5, [1, 2, 3, 4, 5]))
 
@@ -223,8 +146,8 @@
         """Guards against a wrong policy after the full document and later changes were read."""
         last = config_store.DOCUMENT_INTERVAL + 2
         for base in range(1, last):
-            await self.one.config.apply(_change(base, f"c{base}", regions={f"r{base}": {}}))
-        fresh = _Instance({}, self.rows, "fresh")
+            await self.one.config.apply(fakes.change(base, f"c{base}", regions={f"r{base}": {}}))
+        fresh = fakes.Instance({}, self.rows, "fresh")
         await fresh.config.refresh()
         self.assertEqual(fresh.config.policy, self.one.config.policy)
         self.assertEqual(fresh.revisions, [last])
@@ -247,9 +170,9 @@
         cases = [
             ("{", "malformed JSON"),
             ('{"base_revision": 1, "base_revision": 2}', "occurs twice"),
-            (self._json(servers={"crew-2": {**_SERVER, "weight": 1}}), "unknown key"),
+            (self._json(servers={"crew-2": {**fakes.SERVER, "weight": 1}}), "unknown key"),
             (self._json(regions={"bkk": {"cap_rps": -1}}), "'cap_rps': -1 is invalid; .*requests"),
-            (self._json(servers={"crew-2": _SERVER}), "'crew-2' key 'url'.*crew-1"),
+            (self._json(servers={"crew-2": fakes.SERVER}), "'crew-2' key 'url'.*crew-1"),
         ]
         for text, message in cases:
             with self.subTest(message), self.assertRaisesRegex(errors.ValidationError, message):
@@ -291,7 +214,7 @@
         """Guards against a drain that fails because somebody else changed the policy."""
         await asyncio.gather(
             self.one.operator.drain(schema.config.DrainKind.SERVER, "crew-1", _meta("d"), False),
-            self.two.config.apply(_change(1, "c", regions={"cnx": {}})),
+            self.two.config.apply(fakes.change(1, "c", regions={"cnx": {}})),
             return_exceptions=True,
         )
         await self.settle()
--- a/packages/platform/src/sassafrasway_platform/memory.py
+++ b/packages/platform/src/sassafrasway_platform/memory.py
@@ -16,12 +16,14 @@
         down: Every call fails without an effect.
         delay_s: Every call takes this long before its effect, in seconds.
         lost_answers: Number of coming writes that take effect but whose answer is lost.
+        down_after_write: The next write takes effect, but its answer is lost and ``down`` is set.
         stale: The instance list keeps the content that it had when this was set.
     """
 
     down: bool = False
     delay_s: float = 0.0
     lost_answers: int = 0
+    down_after_write: bool = False
     stale: bool = False
 
     async def before(self, step: str) -> None:
@@ -30,8 +32,8 @@
         Raises:
             table.StoreUnavailable: The fake is down.
         """
-        if self.delay_s:
-            await asyncio.sleep(self.delay_s)
+        # Also without a delay other tasks run here, as they do while a real call waits.
+        await asyncio.sleep(self.delay_s)
         if self.down:
             raise table.StoreUnavailable("down", step=step, peer="memory")
 
@@ -41,6 +43,10 @@
         Raises:
             table.StoreUnavailable: The answer is lost.
         """
+        if self.down_after_write:
+            self.down_after_write = False
+            self.down = True
+            raise table.StoreUnavailable("answer lost", step=step, peer="memory")
         if self.lost_answers > 0:
             self.lost_answers -= 1
             raise table.StoreUnavailable("answer lost", step=step, peer="memory")
