--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -44,7 +44,7 @@
         """
         name = self._cluster.entry_names[0]
         address = self._cluster.site.instances[name].rpc
-        command = [*processes.script("sassafrasctl"), "--server", address, *arguments]
+        command = [*processes.script("sassafrasctl"), "--address", address, *arguments]
         child = await asyncio.create_subprocess_exec(
             *command, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT
         )
