--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -212,10 +212,9 @@
             refused = self._faults.instances_down
         else:
             await network.pause(self._faults.slow_ms, self._rng)
-            while self._faults.is_down_for(source) and self._faults.down == "hang":
-                await self._changed.wait()
-                if not self._faults.is_down_for(source):
-                    return self._drop(request)
+            if self._faults.is_down_for(source) and self._faults.down == "hang":
+                await self._hold(source)
+                return self._drop(request)
             refused = self._faults.is_down_for(source)
         if refused:
             self._counts["refused"] += 1
@@ -225,6 +224,12 @@
         await network.pause(delay_ms, self._rng)
         return response
 
+    async def _hold(self, source: str) -> None:
+        """Waits until the outage of a source is over."""
+        self._counts["held"] += 1
+        while self._faults.is_down_for(source):
+            await self._changed.wait()
+
     async def _answer(self, request: web.Request, handler: Any) -> web.StreamResponse:
         try:
             response = await handler(request)
@@ -314,7 +319,7 @@
         return web.Response(status=204)
 
     async def _stats(self, request: web.Request) -> web.Response:
-        names = ("reads", "writes", "refused", "answers_lost", "instance_lists")
+        names = ("reads", "writes", "refused", "held", "answers_lost", "instance_lists")
         counts = {name: self._counts[name] for name in names}
         return web.json_response(counts | {"faults": dataclasses.asdict(self._faults)})
 
--- a/packages/standins/tests/test_standin_store.py
+++ b/packages/standins/tests/test_standin_store.py
@@ -81,7 +81,9 @@
         """Guards against a request that takes effect long after its outage."""
         await self.control(down="hang")
         pending = asyncio.create_task(self.put("k", b"v"))
-        stats = await (await self.client.get("/control/stats")).json()
+        stats = {"held": 0}
+        while not stats["held"]:
+            stats = await (await self.client.get("/control/stats")).json()
         self.assertEqual((stats["writes"], pending.done()), (0, False))
         await self.control(down="")
         with self.assertRaises(aiohttp.ClientError):
