Wire membership, operators' RPC and pool hand-over into the process

Cause: the process had no membership and refused requests while a pool moved. Change: member task, config and operator services; a request waits up to 2 s while a pool has no owner; slots of a moved pool are reported and released to the new owner.

--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -1,6 +1,7 @@
 """Carries a request to a pool that has a free slot: own pools directly, others through peers."""
 
 import asyncio
+import dataclasses
 from typing import Any, Protocol
 
 import structlog
@@ -14,6 +15,9 @@
 # went silent does not use up the whole deadline.
 PEER_SILENCE_TIMEOUT_S = 2.5
 
+MOVE_WAIT_S = 0.05
+MAX_MOVE_WAITS = 40
+
 _TRY_NEXT = frozenset(
     (
         messages.Reason.NO_SLOT,
@@ -28,6 +32,23 @@
 )
 
 
+_MOVING = frozenset(
+    (messages.Reason.NOT_OWNER, messages.Reason.NOT_READY, messages.Reason.PEER_UNREACHABLE)
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Attempt:
+    """Result of one pass over the pools.
+
+    Attributes:
+        moving: Whether a pool refused only because its owner changes.
+    """
+
+    answer: messages.Answer
+    moving: bool = False
+
+
 class Directory(Protocol):
     """What this instance knows about the others."""
 
@@ -85,31 +106,51 @@
         self._log = structlog.get_logger("dispatcher")
 
     async def run(self, request: messages.Request) -> messages.Answer:
-        """Tries the pools of the service, home pool first, then queues at the home pool."""
+        """Tries the pools of the service, home pool first, then queues at the home pool.
+
+        While a pool moves to another owner, the request waits for it rather than being refused.
+        """
         policy = self._steering.policy
         if policy is None:
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
         service = policy.services[request.service]
-        spread = request.key or request.request_id
-        route = self._steering.route(service=request.service, client=request.client, spread=spread)
+        route = self._steering.route(
+            service=request.service,
+            client=request.client,
+            spread=request.key or request.request_id,
+        )
         if not route.pools:
             return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
         request = conversion.with_route(request, home_region=route.home_region, shift=route.shift)
         self._budget.on_request()
+        waits = 0
+        while True:
+            attempt = await self._try_pools(service, route, request)
+            if not attempt.moving or waits >= MAX_MOVE_WAITS or request.deadline.expired:
+                return attempt.answer
+            waits += 1
+            await asyncio.sleep(min(MOVE_WAIT_S, request.deadline.remaining_s))
+
+    async def _try_pools(
+        self, service: model.Service, route: steering.Route, request: messages.Request
+    ) -> _Attempt:
         answer = messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
         unsure: messages.Answer | None = None
+        moving = False
         for key in route.pools:
             answer = await self.execute(key, request, may_queue=False)
             if answer.outcome is messages.Outcome.UNKNOWN and self._may_repeat(service, answer):
                 unsure = answer
                 continue
             if answer.outcome is not messages.Outcome.NOT_RUN or answer.reason not in _TRY_NEXT:
-                return answer
+                return _Attempt(answer=answer)
+            moving = moving or answer.reason in _MOVING
         if service.may_wait and not request.deadline.expired:
             answer = await self._queue(route, request)
+            moving = answer.reason in _MOVING
         if answer.outcome is messages.Outcome.NOT_RUN and unsure is not None:
-            return unsure
-        return answer
+            return _Attempt(answer=unsure)
+        return _Attempt(answer=answer, moving=moving)
 
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -56,6 +56,8 @@
             server; arguments are service, fingerprint and server.
         share_of: Returns the share of a pool that may be used now.
         placement: Strategy that decides which slots an instance may use.
+        on_slot_released: Called with pool and server when a request ends whose pool has moved to
+            another owner.
         queue_limit: Longest queue of a pool.
     """
 
@@ -70,6 +72,7 @@
         report_crash: Callable[[str, str, str], Awaitable[None]],
         share_of: Callable[[model.PoolKey], share.Share],
         placement: placement.Placement,
+        on_slot_released: Callable[[model.PoolKey, str], None],
         queue_limit: int,
     ):
         self._clock = clock
@@ -80,9 +83,11 @@
         self._report_crash = report_crash
         self._share_of = share_of
         self._placement = placement
+        self._on_slot_released = on_slot_released
         self._position = (0, 1)
         self._queue_limit = queue_limit
         self._pools: dict[model.PoolKey, OwnedPool] = {}
+        self._ending: dict[model.PoolKey, OwnedPool] = {}
         self._policy: model.Policy | None = None
         self._servers: dict[model.PoolKey, tuple[model.BackendServer, ...]] = {}
         self._budgets: dict[str, retry.RetryBudget] = {}
@@ -142,7 +147,9 @@
         for key, grant in by_key.items():
             owned = self._pools.get(key)
             if owned is None:
-                owned = self._add(grant)
+                owned = self._ending.pop(key, None) or self._add(grant)
+                self._pools[key] = owned
+                self._log.info("pool acquired", pool=str(key), share=grant.share.value)
             if grant.inherited and owned.grant.previous != grant.previous:
                 expires_s = self._clock.monotonic() + INHERITED_S
                 owned.slots.inherit(grant.inherited, expires_s=expires_s)
@@ -156,6 +163,17 @@
         if owned is not None:
             self._wake(owned, owned.slots.release_inherited(server, count))
 
+    def reports(self) -> dict[model.PoolKey, region.PoolReport]:
+        """Returns the use of all pools, those included that moved but whose requests still run."""
+        return {
+            key: region.PoolReport(
+                share=self._share_of(key),
+                in_use=owned.slots.in_use(),
+                queue_length=owned.slots.queue_length(),
+            )
+            for key, owned in (self._ending | self._pools).items()
+        }
+
     def owns(self, key: model.PoolKey) -> bool:
         """Returns whether this instance holds the pool, if only with the offline share."""
         return key in self._pools
@@ -172,6 +190,8 @@
             return refusal
         lease = await self._acquire(owned, request, may_queue=may_queue)
         if lease is None:
+            if self._pools.get(key) is not owned:
+                return messages.not_run(503, messages.Reason.NOT_OWNER)
             if request.deadline.expired:
                 return messages.not_run(504, messages.Reason.DEADLINE)
             return messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
@@ -217,19 +237,16 @@
             ramp_s=RAMP_S,
             rank_by_reports=self._placement.ranks_by_reports,
         )
-        owned = OwnedPool(
-            grant=grant, slots=slots, region_window=None, shift_windows={}, waiters={}
-        )
-        self._pools[grant.pool] = owned
-        self._log.info("pool acquired", pool=str(grant.pool), share=grant.share.value)
-        return owned
+        return OwnedPool(grant=grant, slots=slots, region_window=None, shift_windows={}, waiters={})
 
     def _drop(self, key: model.PoolKey) -> None:
         owned = self._pools.pop(key)
         for waiter in owned.waiters.values():
             if not waiter.done():
                 waiter.set_result(None)
-        self._log.info("pool released", pool=str(key))
+        if owned.slots.in_use():
+            self._ending[key] = owned
+        self._log.info("pool released", pool=str(key), in_use=owned.slots.in_use())
 
     def _set_limits(self, owned: OwnedPool) -> None:
         if self._policy is None:
@@ -402,6 +419,11 @@
 
     def _release(self, owned: OwnedPool, lease: pool.SlotLease, result: pool.ServerResult) -> None:
         self._wake(owned, owned.slots.release(lease, result))
+        key = owned.grant.pool
+        if self._pools.get(key) is not owned:
+            if not owned.slots.in_use():
+                self._ending.pop(key, None)
+            self._on_slot_released(key, lease.server.name)
 
     def _wake(self, owned: OwnedPool, grants: Iterable[pool.Grant]) -> None:
         for grant in grants:
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -10,16 +10,23 @@
 import aiohttp
 import structlog
 
-from sassafrasway_core import at_most_once, invariants, model, placement, region, retry
+from sassafrasway_core import at_most_once, errors, invariants, model, placement, region, retry
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import (
     admin_api,
     backend_client,
     caller_api,
+    config_service,
+    config_task,
+    control_conversion,
+    control_service,
     dispatcher,
+    dump,
     forward_service,
     gatekeeper,
     lifecycle,
+    member_task,
+    operator_service,
     outcomes,
     peers,
     pools,
@@ -29,6 +36,7 @@
     telemetry,
 )
 from sassafrasway_platform import http as platform_http
+from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
 CRASH_REPORT_TIMEOUT_S = 0.3
@@ -93,6 +101,7 @@
         self._build_membership()
         self._build_requests(host)
         self._build_servers()
+        self._build_rpc()
 
     def _build_platform(self, session: aiohttp.ClientSession) -> None:
         section = self._settings.platform
@@ -104,6 +113,50 @@
         network = self._settings.network
         self._peers = peers.Peers(address_map=network.address_map)
 
+    def _build_membership(self) -> None:
+        me = self._me
+        self._config = config_task.ConfigTask(
+            me=me.id,
+            clock=self._clock,
+            invariants=self._invariants,
+            table=self._table,
+            push_targets=lambda: self._member.coordinator_addresses(),
+            call_peer=self._peers.call,
+            on_policy=self._on_policy,
+            relay_targets=lambda: self._member.relay_addresses(),
+            pull_sources=self._pull_sources,
+            own_address=lambda: me.rpc_address,
+            rng=self._rng,
+        )
+        self._member = member_task.MemberTask(
+            me=me,
+            clock=self._clock,
+            invariants=self._invariants,
+            table=self._table,
+            instance_list=self._instance_list,
+            peers=self._peers,
+            policy_source=lambda: self._config.policy,
+            grants_sink=self._on_grants,
+            pool_reports=lambda: self._pools.reports(),
+            revision_source=lambda: self._config.revision,
+            seeds=self._settings.network.seeds,
+            on_revision=lambda revision, address: self._config.observe_revision(
+                revision, source=address
+            ),
+            rng=self._rng,
+        )
+        self._directory = self._member.directory
+
+    def _pull_sources(self) -> list[str]:
+        known = [each.rpc_address for each in self._directory.instances()]
+        return [*self._member.coordinator_addresses(), *known, *self._settings.network.seeds]
+
+    def _on_grants(self, grants: list[region.PoolGrant]) -> None:
+        self._pools.set_grants(grants)
+        names = sorted(each.name for each in self._directory.instances())
+        if self._me.name in names:
+            self._pools.set_position(index=names.index(self._me.name), count=len(names))
+
     def _build_requests(self, host: str) -> None:
         me = self._me.id
         self._client = backend_client.BackendClient(local_host=host)
@@ -116,6 +169,7 @@
             report_crash=self._report_crash,
             share_of=self._member.share,
             placement=self._placement,
+            on_slot_released=self._on_slot_released,
             queue_limit=self._settings.limits.queue_limit,
         )
         self._steering = steering.Steering(region=self._me.region, clock=self._clock, rng=self._rng)
@@ -189,11 +243,56 @@
             if isinstance(result, Exception):
                 self._log.warning("crash report not delivered", error=str(result))
 
+    def _on_slot_released(self, key: model.PoolKey, server_name: str) -> None:
+        """Tells the new owner of a pool that a request of this instance has ended."""
+        owner = self._directory.owner(key)
+        if owner is not None and owner.name != self._me.name:
+            self._spawn(self._send_release(owner.rpc_address, key, server_name), "release")
+
+    async def _send_release(self, address: str, key: model.PoolKey, server_name: str) -> None:
+        pool = control_conversion.to_pool(key)
+        try:
+            await self._peers.call(address, "release_slots", pool=pool, server=server_name, slots=1)
+        except errors.SassafraswayError as error:
+            self._log.info("release not delivered", peer=address, error=str(error))
+
     def _on_violation(self, rule: invariants.Rule, detail: str) -> None:
         self._metrics.violations.add(1, {"rule": rule.value})
         self._log.error("invariant violated", rule=rule.value, detail=detail)
         self._record.record("violation", rule=rule.value, detail=detail)
 
+    def _build_rpc(self) -> None:
+        host, _, port = self._settings.listen.rpc.rpartition(":")
+        operators = operator_service.OperatorService(
+            me=self._me.id,
+            config=self._config,
+            call_peer=self._peers.call,
+            find_instance=self._find_instance,
+            leave=self._request_stop,
+            status_source=self.status,
+            dump_source=self.dump,
+        )
+        config = config_service.ConfigService(
+            me=self._me.id, config=self._config, leave=self._request_stop
+        )
+        control = control_service.ControlService(
+            member=self._member, on_release=self._pools.release_inherited
+        )
+        self._rpc = server.RpcServer(
+            handlers=[
+                (schema.forward.Forward, self._forward_service),
+                (schema.control.Control, control),
+                (schema.config.Config, config),
+                (schema.config.Operator, operators),
+            ],
+            host=host,
+            port=int(port),
+        )
+
+    def _find_instance(self, name: str) -> str | None:
+        instance = self._directory.instance(name)
+        return instance.rpc_address if instance is not None else None
+
     def _on_policy(self, policy: model.Policy) -> None:
         self._steering.set_policy(policy, self._config.blocks)
         self._pools.set_policy(policy)
@@ -310,7 +409,7 @@
         return {
             **self.status(),
             "config": self._config.state(),
-            "member": self._member.state(),
+            "member": self._member.dump(),
             "pools": dump.pools_dump(self._pools),
             "forwarded_in_flight": self._forward_service.running,
             "at_most_once": dump.at_most_once_dump(self._gatekeeper, self._outcomes),
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -150,6 +150,7 @@
         report_crash=report_crash,
         share_of=lambda key: share_value,
         placement=placement.PLACEMENTS["pool_owner"],
+        on_slot_released=lambda key, name: None,
         queue_limit=10,
     )
     current = policy_ or policy()
--- a/packages/standins/tests/test_standin_backend.py
+++ b/packages/standins/tests/test_standin_backend.py
@@ -50,7 +50,7 @@
             return response.status, dict(response.headers), await response.read()
 
     async def wait_for(self, **stats):
-        while not stats.items() <= self.server.stats.items():  # noqa: ASYNC110 - no event exists
+        while not stats.items() <= self.server.stats.items():
             await asyncio.sleep(0.001)
 
     def records(self):
