--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -80,6 +80,7 @@
         self._last_command_s: dict[tuple[str, model.InstanceId], float] = {}
         self._unrecorded_until_s = -math.inf
         self._moved_s = self._started_s
+        self._urgent = False
         for member in won.row.members:
             members.heard(member)
         self._unanswered = {
@@ -113,6 +114,11 @@
         """Recorded members that neither follow this epoch yet nor are known to be gone."""
         return frozenset(self._unanswered)
 
+    @property
+    def urgent(self) -> bool:
+        """Whether members wait for something that the next tick does."""
+        return self._urgent or self.deposed
+
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
         """Returns the assigned owner of every pool that has one."""
         return {key: pool.target for key, pool in self._pools.items() if pool.target is not None}
@@ -161,6 +167,7 @@
         if self.deposed:
             return []
         self._reassign()
+        self._urgent = False
         return [
             *self._authority.tick(members=self._row_members(), owners=self.owners()),
             *self._follow_commands(),
@@ -203,6 +210,7 @@
         """Takes over what a member holds from an earlier epoch."""
         if member in self._unanswered:
             self._unanswered.discard(member)
+            self._urgent = True
             for key, report in pools.items():
                 if report.share.has_offline:
                     self._pool(key).offline_suspects = {member}
@@ -231,7 +239,9 @@
             if pool.main_holder == sender and not kept_main:
                 pool.main_holder = None
                 pool.main_until_s = -math.inf
+                self._urgent = True
             if not held.has_offline and heartbeat.applied_seq > pool.offline_seq:
+                self._urgent |= sender in pool.offline_suspects
                 pool.offline_suspects.discard(sender)
 
     def _note_use(
@@ -266,6 +276,7 @@
         for key, owner in owners.items():
             if before.get(key) != owner:
                 self._moved_s = now
+                self._urgent = True
                 self._pool(key).target = owner
 
     def _eligible(self) -> list[model.InstanceId]:
@@ -279,17 +290,25 @@
         leaving = [each.id for each in self._members.instances(membership.State.LEAVING)]
         return recorded or live or leaving
 
-    def _desired(self, member: model.InstanceId) -> dict[model.PoolKey, share.Share]:
-        """Returns the share of each pool that the member may have now."""
+    def _targeted(self) -> dict[model.InstanceId, dict[model.PoolKey, _Pool]]:
+        """Returns the pools by assigned owner."""
+        targeted: dict[model.InstanceId, dict[model.PoolKey, _Pool]] = {}
+        for key, pool in self._pools.items():
+            if pool.target is not None:
+                targeted.setdefault(pool.target, {})[key] = pool
+        return targeted
+
+    def _desired(
+        self, member: model.InstanceId, pools: Mapping[model.PoolKey, _Pool]
+    ) -> dict[model.PoolKey, share.Share]:
+        """Returns the share that the member may have now of each of the pools assigned to it."""
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(member)
         may_main = now < self._authority.until_s()
         if not recorded:
             may_main = may_main and now >= self._authority.table_until_s
         desired = {}
-        for key, pool in self._pools.items():
-            if pool.target != member:
-                continue
+        for key, pool in pools.items():
             offline = recorded and pool.offline_suspects <= {member}
             main = may_main and (pool.main_holder == member or self._main_is_free(pool, now))
             part = share.Share.of(offline=offline, main=main)
@@ -308,7 +327,7 @@
     def _grant(self, member: model.InstanceId) -> region.HeartbeatReply:
         now = self._clock.monotonic()
         self._seq += 1
-        desired = self._desired(member)
+        desired = self._desired(member, self._targeted().get(member, {}))
         grants = []
         for key, part in desired.items():
             pool = self._pools[key]
@@ -381,11 +400,12 @@
 
     def _poke_commands(self) -> list[region.Command]:
         """Asks members for a heartbeat whose grants differ from what they were sent."""
+        targeted = self._targeted()
         return [
             region.SendFollow(target=target, epoch=self.epoch)
             for target in self._present(self._sent)
             if self._members.state(target.id) is not membership.State.SILENT
-            and self._desired(target.id) != self._sent[target.id]
+            and self._desired(target.id, targeted.get(target.id, {})) != self._sent[target.id]
             and self._due("poke", target.id, POKE_RETRY_S)
         ]
 
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from sassafrasway_core import authority, membership, model, ownership, region
 from sassafrasway_core import clock as clocks
@@ -91,15 +91,18 @@
     def tick(
         self,
         *,
-        reports: Mapping[model.PoolKey, region.PoolReport],
-        cap_demand: Mapping[str, float] | None = None,
+        reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
     ) -> list[region.Command]:
-        """Lets time pass and returns what has to be done now."""
+        """Lets time pass and returns what has to be done now.
+
+        Args:
+            reports: Returns the pool reports; called when a heartbeat is due.
+        """
         commands: list[region.Command] = []
         coordinator = self._grants.coordinator
         reachable = coordinator is not None and not self._members.is_gone(coordinator.id)
         if reachable and (self._hurry or self._due("heartbeat", region.HEARTBEAT_S)):
-            commands.append(self._heartbeat(coordinator, reports, cap_demand or {}))
+            commands.append(self._heartbeat(coordinator, reports()))
         if not self.in_contact or self._pending is not None:
             commands.extend(self._search())
         if self._may_take_over():
@@ -176,7 +179,6 @@
         self,
         coordinator: region.Instance,
         reports: Mapping[model.PoolKey, region.PoolReport],
-        cap_demand: Mapping[str, float],
     ) -> region.SendHeartbeat:
         now = self._clock.monotonic()
         self._hurry = False
@@ -191,7 +193,6 @@
             echo_s=self._grants.echo_s,
             applied_seq=self._grants.applied_seq,
             pools=self._grants.reports(reports),
-            cap_demand=cap_demand,
         )
         return region.SendHeartbeat(target=coordinator, heartbeat=heartbeat, sent_s=now)
 
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -91,7 +91,7 @@
     def run(self):
         while self.inbox:
             self._handle(*self.inbox.popleft())
-        for command in self.member.tick(reports={}):
+        for command in self.member.tick(reports=dict):
             self._execute(command, self.member)
         won = self.member.won
         if won is not None and (self.coordinator is None or self.coordinator.epoch < won.row.epoch):
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/background.py
@@ -0,0 +1,37 @@
+"""Coroutines that run beside the task that started them."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import structlog
+
+
+class Background:
+    """Keeps references to running coroutines and logs those that fail.
+
+    Args:
+        name: Name of the owner in log lines.
+    """
+
+    def __init__(self, *, name: str):
+        self._log = structlog.get_logger(name)
+        self._tasks: set[asyncio.Task] = set()
+
+    def start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Starts a coroutine."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    async def close(self) -> None:
+        """Cancels the coroutines that still run."""
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _on_done(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("background call failed", exc_info=task.exception())
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -0,0 +1,224 @@
+"""Conversion between the control messages of core and their Thrift messages."""
+
+from collections.abc import Iterable, Mapping
+
+from sassafrasway_core import model, region, share
+from sassafrasway_entry import directory
+from sassafrasway_rpc import schema
+
+_INSTANCE_FIELDS = (
+    "name",
+    "incarnation",
+    "rpc_address",
+    "caller_url",
+    "region",
+    "failure_domain",
+    "state",
+)
+
+
+def to_instance(instance: region.Instance):
+    """Returns the Thrift message of an instance."""
+    fields = {name: getattr(instance, name) for name in _INSTANCE_FIELDS}
+    return schema.common.Instance(**fields)
+
+
+def from_instance(message) -> region.Instance:
+    """Returns the instance of a Thrift message."""
+    fields = {name: getattr(message, name) or "" for name in _INSTANCE_FIELDS}
+    return region.Instance(**fields)
+
+
+def to_pool(pool: model.PoolKey):
+    """Returns the Thrift message of a pool key."""
+    return schema.control.PoolId(service_name=pool.service, region=pool.region, shard=pool.shard)
+
+
+def from_pool(message) -> model.PoolKey:
+    """Returns the pool key of a Thrift message."""
+    return model.PoolKey(
+        service=message.service_name, region=message.region, shard=message.shard or 0
+    )
+
+
+def to_report(pool: model.PoolKey, report: region.PoolReport):
+    """Returns the Thrift message of a pool report."""
+    return schema.control.PoolReport(
+        pool=to_pool(pool),
+        share=report.share.value,
+        in_use=dict(report.in_use),
+        rate_per_s=report.rate_per_s,
+        queue_length=report.queue_length,
+    )
+
+
+def from_report(message) -> region.PoolReport:
+    """Returns the pool report of a Thrift message."""
+    return region.PoolReport(
+        share=share.Share(message.share),
+        in_use=dict(message.in_use or {}),
+        rate_per_s=message.rate_per_s or 0.0,
+        queue_length=message.queue_length or 0,
+    )
+
+
+def _to_reports(reports: Mapping[model.PoolKey, region.PoolReport]) -> list:
+    return [to_report(pool, report) for pool, report in reports.items()]
+
+
+def _from_reports(messages: Iterable | None) -> dict[model.PoolKey, region.PoolReport]:
+    return {from_pool(each.pool): from_report(each) for each in messages or ()}
+
+
+def to_heartbeat(heartbeat: region.Heartbeat, *, directory_mark: int, revision: int):
+    """Returns the Thrift message of a heartbeat."""
+    return schema.control.HeartbeatRequest(
+        sender=to_instance(heartbeat.sender),
+        epoch=heartbeat.epoch,
+        promise=heartbeat.promise,
+        echo_s=heartbeat.echo_s,
+        applied_seq=heartbeat.applied_seq,
+        pools=_to_reports(heartbeat.pools),
+        directory_mark=directory_mark,
+        revision=revision,
+    )
+
+
+def from_heartbeat(message) -> region.Heartbeat:
+    """Returns the heartbeat of a Thrift message."""
+    return region.Heartbeat(
+        sender=from_instance(message.sender),
+        epoch=message.epoch or 0,
+        promise=bool(message.promise),
+        echo_s=message.echo_s,
+        applied_seq=message.applied_seq or 0,
+        pools=_from_reports(message.pools),
+    )
+
+
+def to_heartbeat_reply(
+    reply: region.HeartbeatReply,
+    *,
+    directories: Iterable[directory.RegionDirectory],
+    directory_mark: int,
+    revision: int,
+):
+    """Returns the Thrift message of a heartbeat reply."""
+    return schema.control.HeartbeatReply(
+        epoch=reply.epoch,
+        coordinator=to_instance(reply.coordinator),
+        accepted=reply.accepted,
+        seq=reply.seq,
+        stamp_s=reply.stamp_s,
+        grants=[_to_grant(grant) for grant in reply.grants],
+        settled_s=reply.settled_s,
+        directories=[to_directory(each) for each in directories],
+        directory_mark=directory_mark,
+        revision=revision,
+    )
+
+
+def from_heartbeat_reply(message) -> region.HeartbeatReply:
+    """Returns the heartbeat reply of a Thrift message."""
+    return region.HeartbeatReply(
+        epoch=message.epoch,
+        coordinator=from_instance(message.coordinator),
+        accepted=bool(message.accepted),
+        seq=message.seq or 0,
+        stamp_s=message.stamp_s or 0.0,
+        grants=tuple(_from_grant(each) for each in message.grants or ()),
+        settled_s=message.settled_s or 0.0,
+    )
+
+
+def _to_grant(grant: region.PoolGrant):
+    return schema.control.PoolGrant(
+        pool=to_pool(grant.pool),
+        share=grant.share.value,
+        inherited=dict(grant.inherited),
+        previous_name=grant.previous.name if grant.previous else "",
+        previous_incarnation=grant.previous.incarnation if grant.previous else "",
+    )
+
+
+def _from_grant(message) -> region.PoolGrant:
+    previous = None
+    if message.previous_name:
+        previous = model.InstanceId(
+            name=message.previous_name, incarnation=message.previous_incarnation
+        )
+    return region.PoolGrant(
+        pool=from_pool(message.pool),
+        share=share.Share(message.share),
+        inherited=dict(message.inherited or {}),
+        previous=previous,
+    )
+
+
+def to_follow_reply(reply: region.FollowReply):
+    """Returns the Thrift message of an answer to a new coordinator."""
+    return schema.control.FollowReply(
+        sender=to_instance(reply.sender), epoch=reply.epoch, pools=_to_reports(reply.pools)
+    )
+
+
+def from_follow_reply(message) -> region.FollowReply:
+    """Returns the answer to a new coordinator of a Thrift message."""
+    return region.FollowReply(
+        sender=from_instance(message.sender),
+        epoch=message.epoch or 0,
+        pools=_from_reports(message.pools),
+    )
+
+
+def to_directory(each: directory.RegionDirectory):
+    """Returns the Thrift message of a region directory."""
+    return schema.control.RegionDirectory(
+        region=each.region,
+        epoch=each.epoch,
+        version=each.version,
+        coordinator=to_instance(each.coordinator),
+        instances=[to_instance(instance) for instance in each.instances],
+        owners=[
+            schema.control.PoolOwner(
+                pool=to_pool(pool), name=owner.name, incarnation=owner.incarnation
+            )
+            for pool, owner in each.owners.items()
+        ],
+        gone=[
+            schema.common.Instance(name=gone.name, incarnation=gone.incarnation)
+            for gone in each.gone
+        ],
+    )
+
+
+def from_directory(message) -> directory.RegionDirectory:
+    """Returns the region directory of a Thrift message."""
+    return directory.RegionDirectory(
+        region=message.region,
+        epoch=message.epoch or 0,
+        version=message.version or 0,
+        coordinator=from_instance(message.coordinator),
+        instances=tuple(from_instance(each) for each in message.instances or ()),
+        owners={
+            from_pool(each.pool): model.InstanceId(name=each.name, incarnation=each.incarnation)
+            for each in message.owners or ()
+        },
+        gone=tuple(
+            model.InstanceId(name=each.name, incarnation=each.incarnation)
+            for each in message.gone or ()
+        ),
+    )
+
+
+def to_versions(known: Mapping[str, tuple[int, int]]) -> list:
+    """Returns the Thrift messages of epochs and versions by region."""
+    return [
+        schema.control.DirectoryVersion(region=name, epoch=epoch, version=version)
+        for name, (epoch, version) in known.items()
+    ]
+
+
+def from_versions(messages: Iterable | None) -> dict[str, tuple[int, int]]:
+    """Returns epochs and versions by region of Thrift messages."""
+    return {each.region: (each.epoch or 0, each.version or 0) for each in messages or ()}
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -0,0 +1,82 @@
+"""RPC handler of the Thrift service Control."""
+
+from collections.abc import Callable
+from typing import Any
+
+from sassafrasway_core import errors, model, region
+from sassafrasway_entry import control_conversion, member_task
+from sassafrasway_rpc import schema
+
+
+def _ignore(*_: Any) -> None:
+    """Default for callbacks that are not needed."""
+
+
+class ControlService:
+    """Answers members, coordinators and pool owners.
+
+    Args:
+        member: Member role of this instance.
+        on_handover: Called with the sender, the pool and the report of its previous owner.
+        on_release: Called with a pool, a server and the number of slots that the previous owner's
+            requests no longer use.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: member_task.MemberTask,
+        on_handover: Callable[[region.Instance, model.PoolKey, region.PoolReport], None] = _ignore,
+        on_release: Callable[[model.PoolKey, str, int], None] = _ignore,
+    ):
+        self._member = member
+        self._on_handover = on_handover
+        self._on_release = on_release
+
+    async def heartbeat(self, request: Any) -> Any:
+        """Answers a member's heartbeat."""
+        _require(request is not None and request.sender is not None, "heartbeat")
+        return self._member.on_heartbeat(request)
+
+    async def follow(self, epoch: int | None, coordinator: Any) -> Any:
+        """Follows a coordinator unless its epoch is lower."""
+        _require(epoch is not None and coordinator is not None, "follow")
+        reply = self._member.on_follow(
+            epoch=epoch, coordinator=control_conversion.from_instance(coordinator)
+        )
+        return control_conversion.to_follow_reply(reply)
+
+    async def handover(self, sender: Any, report: Any) -> None:
+        """Takes over what a pool's previous owner still uses."""
+        _require(sender is not None and report is not None, "handover")
+        self._on_handover(
+            control_conversion.from_instance(sender),
+            control_conversion.from_pool(report.pool),
+            control_conversion.from_report(report),
+        )
+
+    async def release_slots(self, pool: Any, server: str | None, slots: int | None) -> None:
+        """Frees slots that the previous owner's requests no longer use."""
+        _require(pool is not None and server is not None, "release_slots")
+        self._on_release(control_conversion.from_pool(pool), server, slots or 0)
+
+    async def directory(self, directories: list | None, known: list | None) -> list:
+        """Takes over newer directories and returns those that the sender lacks."""
+        own = self._member.directory
+        own.update(control_conversion.from_directory(each) for each in directories or ())
+        newer = own.newer_than(control_conversion.from_versions(known))
+        return [control_conversion.to_directory(each) for each in newer]
+
+    async def identify(self) -> Any:
+        """Tells which incarnation this is and whom it follows."""
+        me, epoch, coordinator = self._member.identity()
+        return schema.control.Identity(
+            instance=control_conversion.to_instance(me),
+            epoch=epoch,
+            coordinator=coordinator and control_conversion.to_instance(coordinator),
+        )
+
+
+def _require(present: bool, method: str) -> None:
+    if not present:
+        raise errors.ValidationError("a required argument is missing", step=f"control.{method}")
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -0,0 +1,348 @@
+"""Region coordinator role: answers heartbeats, keeps the region row and the directories."""
+
+import dataclasses
+import random
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import structlog
+
+from sassafrasway_core import authority, coordinator, errors, invariants, membership, model, region
+from sassafrasway_core import clock as clock_module
+from sassafrasway_entry import background, control_conversion, directory, region_table
+from sassafrasway_platform import instances as instances_module
+from sassafrasway_platform import table as table_module
+from sassafrasway_rpc import client as rpc_client
+
+CALL_TIMEOUT_S = 0.5
+LIST_INTERVAL_S = 2.0
+KEEPALIVE_S = 5.0
+EXCHANGE_RETRY_S = 0.5
+SILENT = "silent"
+# Enough for the instances that a region replaces in some hours.
+GONE_IN_DIRECTORY = 256
+
+
+class CoordinatorTask:
+    """Executes the decisions of ``CoordinatorState`` while this instance is coordinator.
+
+    Args:
+        me: This instance.
+        clock: Time source.
+        invariants: Checks that the epoch never decreases.
+        table: Table service.
+        instance_list: The platform's list of instances.
+        peers: Calls to other instances.
+        members: What is known about the region's instances.
+        directory: Directories of all regions; this task writes the one of its own region.
+        policy_source: Returns the policy in force, or None.
+        revision_source: Returns the revision of the policy in force.
+        seeds: RPC addresses to ask for regions that nobody else knows.
+        on_revision: Called with a newer revision and the RPC address of its holder.
+        follow_self: Delivers a follow message of this coordinator to its own member role.
+        rng: Random source for the choice of peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: region.Instance,
+        clock: clock_module.Clock,
+        invariants: invariants.Invariants,
+        table: table_module.TableService,
+        instance_list: instances_module.InstanceList,
+        peers: Any,
+        members: membership.MemberTable,
+        directory: directory.Directory,
+        policy_source: Callable[[], model.Policy | None],
+        revision_source: Callable[[], int],
+        seeds: Sequence[str],
+        on_revision: Callable[[int, str], None],
+        follow_self: Callable[[int], region.FollowReply],
+        rng: random.Random,
+    ):
+        self._me = me
+        self._clock = clock
+        self._invariants = invariants
+        self._table = table
+        self._row = region_table.RegionTable(table=table, region_name=me.region)
+        self._instance_list = instance_list
+        self._peers = peers
+        self._members = members
+        self._directory = directory
+        self._policy_source = policy_source
+        self._revision_source = revision_source
+        self._seeds = tuple(seeds)
+        self._on_revision = on_revision
+        self._follow_self = follow_self
+        self._rng = rng
+        self._state: coordinator.CoordinatorState | None = None
+        self._policy: model.Policy | None = None
+        self._version = 0
+        self._table_failed = False
+        self._due_s: dict[str, float] = {}
+        self._pushed: dict[str, tuple[int, int]] = {}
+        self._background = background.Background(name="coordinator")
+        self._log = structlog.get_logger("coordinator").bind(instance=str(me.id))
+
+    @property
+    def state(self) -> coordinator.CoordinatorState | None:
+        """Decisions of the current epoch, or None when this instance is not coordinator."""
+        return self._state
+
+    def start(self, won: authority.Won) -> None:
+        """Becomes coordinator of the epoch that this instance won."""
+        known = self._directory.region(self._me.region)
+        if known is not None:
+            self._members.learn_gone(known.gone)
+        self._state = coordinator.CoordinatorState(
+            me=self._me,
+            clock=self._clock,
+            invariants=self._invariants,
+            members=self._members,
+            won=won,
+        )
+        self._policy = None
+        self._version = 0
+        self._pushed = {}
+        self._log.info("became coordinator", epoch=won.row.epoch, members=len(won.row.members))
+
+    def depose(self, epoch: int) -> None:
+        """Stops the role when another instance has a higher epoch."""
+        if self._state is not None and (self._state.deposed or epoch > self._state.epoch):
+            self._state.depose()
+            self._log.info("no longer coordinator", epoch=self._state.epoch)
+            self._state = None
+
+    def heartbeat(self, message: Any) -> Any:
+        """Answers a heartbeat; both messages are Thrift messages."""
+        heartbeat = control_conversion.from_heartbeat(message)
+        reply = self._state.on_heartbeat(heartbeat)
+        if (message.revision or 0) > self._revision_source():
+            self._on_revision(message.revision, heartbeat.sender.rpc_address)
+        current = heartbeat.epoch == self._state.epoch
+        mark = (message.directory_mark or 0) if current else 0
+        changed = self._directory.changed_since(mark) if reply.accepted else ()
+        return control_conversion.to_heartbeat_reply(
+            reply,
+            directories=changed,
+            directory_mark=self._directory.mark,
+            revision=self._revision_source(),
+        )
+
+    def tick(self) -> None:
+        """Lets time pass; starts the calls that are due."""
+        if self._state is None:
+            return
+        self._apply_policy()
+        for command in self._state.tick():
+            self._background.start(self._execute(command))
+        self.depose(0)
+        if self._state is None:
+            return
+        self._publish()
+        if self._due("list", LIST_INTERVAL_S):
+            self._background.start(self._fetch_list())
+        for name in self._other_regions():
+            self._exchange_if_due(name)
+
+    async def close(self) -> None:
+        """Cancels the calls that still run."""
+        await self._background.close()
+
+    def _apply_policy(self) -> None:
+        policy = self._policy_source()
+        if policy is not None and policy is not self._policy:
+            self._policy = policy
+            self._state.set_pools(key for key in policy.pools() if key.region == self._me.region)
+
+    async def _execute(self, command: region.Command) -> None:
+        state = self._state
+        if state is None:
+            return
+        if isinstance(command, region.SendFollow):
+            await self._follow(state, command)
+        elif isinstance(command, region.Probe):
+            await probe(self._peers, self._members, command.target)
+        elif isinstance(command, region.ReadRow):
+            await self._read_row(state)
+        elif isinstance(command, region.WriteRow):
+            await self._write_row(state, command)
+
+    async def _follow(
+        self, state: coordinator.CoordinatorState, command: region.SendFollow
+    ) -> None:
+        if command.target.id == self._me.id:
+            state.on_follow_reply(self._follow_self(command.epoch))
+            return
+        try:
+            reply = await self._peers.call(
+                command.target.rpc_address,
+                "follow",
+                timeout_s=CALL_TIMEOUT_S,
+                epoch=command.epoch,
+                coordinator=control_conversion.to_instance(self._me),
+            )
+        except rpc_client.ConnectionRefusedByPeerError:
+            self._members.refused(command.target.id)
+        except errors.SassafraswayError as error:
+            self._log.debug("no answer to follow", peer=error.peer, reason=error.message)
+        else:
+            state.on_follow_reply(control_conversion.from_follow_reply(reply))
+
+    async def _read_row(self, state: coordinator.CoordinatorState) -> None:
+        started_s = self._clock.monotonic()
+        try:
+            row, version = await self._row.read()
+        except errors.SassafraswayError as error:
+            self._note_table(error)
+            return
+        self._note_table(None)
+        state.authority.on_row_read(row, version, started_s=started_s)
+
+    async def _write_row(
+        self, state: coordinator.CoordinatorState, command: region.WriteRow
+    ) -> None:
+        try:
+            version = await self._row.write(command)
+        except table_module.PreconditionFailed:
+            state.authority.on_write_refused()
+        except errors.SassafraswayError as error:
+            self._note_table(error)
+            state.authority.on_write_unknown()
+        else:
+            self._note_table(None)
+            state.authority.on_write_ok(version)
+
+    def _note_table(self, error: errors.SassafraswayError | None) -> None:
+        """Logs when the table stops or starts to answer, not every failure of an outage."""
+        failed = error is not None
+        if failed and not self._table_failed:
+            self._log.warning("table does not answer", reason=error.message)
+        if self._table_failed and not failed:
+            self._log.info("table answers again")
+        self._table_failed = failed
+
+    async def _fetch_list(self) -> None:
+        started_s = self._clock.monotonic()
+        try:
+            listed = await self._instance_list.fetch()
+        except errors.SassafraswayError as error:
+            self._log.info("instance list not read", reason=error.message)
+            return
+        self._members.fetched((each.name for each in listed), started_s=started_s)
+
+    def _publish(self) -> None:
+        """Writes the directory of the own region when it changed."""
+        new = directory.RegionDirectory(
+            region=self._me.region,
+            epoch=self._state.epoch,
+            version=self._version,
+            coordinator=self._me,
+            instances=tuple(self._described(each) for each in self._members.instances()),
+            owners=self._state.owners(),
+            gone=tuple(self._members.gone()[-GONE_IN_DIRECTORY:]),
+        )
+        if self._version == 0 or new != self._directory.region(self._me.region):
+            self._version += 1
+            self._directory.update([dataclasses.replace(new, version=self._version)])
+
+    def _described(self, instance: region.Instance) -> region.Instance:
+        if self._members.state(instance.id) is membership.State.SILENT:
+            return dataclasses.replace(instance, state=SILENT)
+        return instance
+
+    def _other_regions(self) -> set[str]:
+        names = {each.region for each in self._directory.regions()}
+        if self._policy is not None:
+            names |= set(self._policy.regions)
+        return names - {self._me.region}
+
+    def _exchange_if_due(self, name: str) -> None:
+        own = self._directory.region(self._me.region)
+        interval_s = KEEPALIVE_S if self._pushed.get(name) == own.order else EXCHANGE_RETRY_S
+        if self._due(name, interval_s):
+            self._background.start(self._exchange(name, own))
+
+    async def _exchange(self, name: str, own: directory.RegionDirectory) -> None:
+        """Gives the own directory to another region's coordinator and takes its directory."""
+        address = await self._address_in(name)
+        if address is None:
+            return
+        known = self._directory.region(name)
+        versions = {} if known is None else {name: known.order}
+        given = () if self._pushed.get(name) == own.order else (own,)
+        try:
+            received = await call_directory(self._peers, address, given=given, known=versions)
+        except errors.SassafraswayError as error:
+            self._pushed.pop(name, None)
+            self._log.info("no directory", region=name, peer=address, reason=error.message)
+            return
+        self._directory.update(received)
+        known = self._directory.region(name)
+        if known is not None and known.coordinator.rpc_address == address:
+            self._pushed[name] = own.order
+
+    async def _address_in(self, name: str) -> str | None:
+        """Returns an address to ask about a region: its coordinator after a success there."""
+        known = self._directory.region(name)
+        if known is not None and (name in self._pushed or self._rng.random() < 0.5):
+            return known.coordinator.rpc_address
+        try:
+            row, _ = await region_table.RegionTable(table=self._table, region_name=name).read()
+        except errors.SassafraswayError:
+            row = None
+        if row is not None and (known is None or row.epoch > known.epoch):
+            return row.coordinator.rpc_address
+        addresses = [each.rpc_address for each in known.instances] if known else []
+        addresses = addresses or [each for each in self._seeds if each != self._me.rpc_address]
+        return self._rng.choice(addresses) if addresses else None
+
+    def _due(self, kind: str, every_s: float) -> bool:
+        now = self._clock.monotonic()
+        if now < self._due_s.get(kind, 0.0) + every_s:
+            return False
+        self._due_s[kind] = now
+        return True
+
+
+async def probe(peers: Any, members: membership.MemberTable, target: region.Instance) -> Any:
+    """Asks an instance for its identity and records what that tells about it.
+
+    Returns:
+        The Thrift message ``Identity``, or None when the instance did not answer.
+    """
+    for _ in range(2):
+        try:
+            identity = await peers.call(target.rpc_address, "identify", timeout_s=CALL_TIMEOUT_S)
+        except rpc_client.ConnectionRefusedByPeerError:
+            members.refused(target.id)
+            return None
+        except errors.SassafraswayError:
+            # A connection that was lost proves nothing; the next attempt opens a new one.
+            continue
+        members.identified(target.id, incarnation=identity.instance.incarnation)
+        return identity
+    return None
+
+
+async def call_directory(
+    peers: Any,
+    address: str,
+    *,
+    given: Sequence[directory.RegionDirectory] = (),
+    known: dict[str, tuple[int, int]],
+) -> list[directory.RegionDirectory]:
+    """Exchanges directories with a peer.
+
+    Raises:
+        errors.SassafraswayError: The peer did not answer or reported an error.
+    """
+    messages = await peers.call(
+        address,
+        "directory",
+        timeout_s=CALL_TIMEOUT_S,
+        directories=[control_conversion.to_directory(each) for each in given],
+        known=control_conversion.to_versions(known),
+    )
+    return [control_conversion.from_directory(each) for each in messages]
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -0,0 +1,116 @@
+"""Instances and pool owners of all regions, as last told by their coordinators."""
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from sassafrasway_core import model, region
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RegionDirectory:
+    """Instances of one region, their pools, and instances that are gone.
+
+    Attributes:
+        version: Grows within an epoch.
+    """
+
+    region: str
+    epoch: int
+    version: int
+    coordinator: region.Instance
+    instances: tuple[region.Instance, ...]
+    owners: Mapping[model.PoolKey, model.InstanceId]
+    gone: tuple[model.InstanceId, ...] = ()
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Epoch and version; a higher one replaces a lower one."""
+        return (self.epoch, self.version)
+
+
+class Directory:
+    """Answers which instances exist and which of them owns a pool."""
+
+    def __init__(self):
+        self._regions: dict[str, RegionDirectory] = {}
+        self._marks: dict[str, int] = {}
+        self._mark = 0
+        self._by_name: dict[str, region.Instance] = {}
+        self._owners: dict[model.PoolKey, region.Instance] = {}
+        self._gone: dict[model.InstanceId, None] = {}
+
+    @property
+    def mark(self) -> int:
+        """Grows with every change; passed to ``changed_since``."""
+        return self._mark
+
+    def owner(self, pool: model.PoolKey) -> region.Instance | None:
+        """Returns the instance that owns a pool, or None when it has no known owner."""
+        return self._owners.get(pool)
+
+    def instance(self, name: str) -> region.Instance | None:
+        """Returns the instance with a name, or None."""
+        return self._by_name.get(name)
+
+    def instances(self, region_name: str | None = None) -> list[region.Instance]:
+        """Returns the instances of one region or of all, silent ones included."""
+        if region_name is None:
+            return list(self._by_name.values())
+        known = self._regions.get(region_name)
+        return [] if known is None else list(known.instances)
+
+    def is_gone(self, name: str, incarnation: str) -> bool:
+        """Returns whether an incarnation is known to have ended."""
+        return model.InstanceId(name=name, incarnation=incarnation) in self._gone
+
+    def region(self, name: str) -> RegionDirectory | None:
+        """Returns what is known about a region."""
+        return self._regions.get(name)
+
+    def regions(self) -> list[RegionDirectory]:
+        """Returns what is known about all regions."""
+        return list(self._regions.values())
+
+    def changed_since(self, mark: int) -> list[RegionDirectory]:
+        """Returns the regions that changed after ``mark`` was read."""
+        return [self._regions[name] for name, each in self._marks.items() if each > mark]
+
+    def newer_than(self, known: Mapping[str, tuple[int, int]]) -> list[RegionDirectory]:
+        """Returns the regions among ``known`` whose epoch and version are higher, or all."""
+        return [
+            each
+            for each in self._regions.values()
+            if not known or (each.region in known and each.order > known[each.region])
+        ]
+
+    def update(self, directories: Iterable[RegionDirectory]) -> bool:
+        """Takes over directories that are newer; returns whether any was."""
+        changed = False
+        for each in directories:
+            known = self._regions.get(each.region)
+            if known is None or each.order > known.order:
+                changed = True
+                self._replace(each)
+        return changed
+
+    def _replace(self, new: RegionDirectory) -> None:
+        old = self._regions.get(new.region)
+        if old is not None:
+            self._remove(old)
+        self._regions[new.region] = new
+        self._mark += 1
+        self._marks[new.region] = self._mark
+        by_id = {each.id: each for each in new.instances}
+        self._by_name.update((each.name, each) for each in new.instances)
+        for pool, owner in new.owners.items():
+            if owner in by_id:
+                self._owners[pool] = by_id[owner]
+        self._gone.update(dict.fromkeys(new.gone))
+
+    def _remove(self, old: RegionDirectory) -> None:
+        for each in old.instances:
+            self._by_name.pop(each.name, None)
+        for pool in old.owners:
+            self._owners.pop(pool, None)
+        for each in old.gone:
+            self._gone.pop(each, None)
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -0,0 +1,369 @@
+"""Member role of an instance: heartbeats to its coordinator, grants received, directories."""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import structlog
+
+from sassafrasway_core import clock as clock_module
+from sassafrasway_core import (
+    errors,
+    invariants,
+    member,
+    membership,
+    model,
+    ownership,
+    region,
+    share,
+)
+from sassafrasway_entry import (
+    background,
+    control_conversion,
+    coordinator_task,
+    directory,
+    region_table,
+)
+from sassafrasway_platform import instances as instances_module
+from sassafrasway_platform import table as table_module
+from sassafrasway_rpc import client as rpc_client
+
+TICK_S = 0.1
+HEARTBEAT_TIMEOUT_S = 0.5
+JOIN_RETRY_S = 0.5
+JOIN_ADDRESSES = 3
+QUICK_FAILURE_S = 0.2
+
+
+def _ignore_revision(revision: int, address: str) -> None:
+    del revision, address
+
+
+class MemberTask:
+    """Takes part in the region: follows a coordinator or becomes it.
+
+    Args:
+        me: This instance.
+        clock: Time source.
+        invariants: Checks that the epoch never decreases.
+        table: Table service.
+        instance_list: The platform's list of instances.
+        peers: Calls to other instances.
+        policy_source: Returns the policy in force, or None.
+        grants_sink: Called with all grants of this instance whenever one of them changes.
+        pool_reports: Returns slots in use, rate and queue length of each pool that this instance
+            uses, pools that it no longer may use but whose requests still run included.
+        revision_source: Returns the revision of the policy in force.
+        seeds: RPC addresses of instances to join through.
+        on_revision: Called with a newer revision and the RPC address of its holder.
+        rng: Random source for the choice of peers.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: region.Instance,
+        clock: clock_module.Clock,
+        invariants: invariants.Invariants,
+        table: table_module.TableService,
+        instance_list: instances_module.InstanceList,
+        peers: Any,
+        policy_source: Callable[[], model.Policy | None],
+        grants_sink: Callable[[list[region.PoolGrant]], None],
+        pool_reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
+        revision_source: Callable[[], int],
+        seeds: Sequence[str] = (),
+        on_revision: Callable[[int, str], None] = _ignore_revision,
+        rng: random.Random | None = None,
+    ):
+        self._clock = clock
+        self._row = region_table.RegionTable(table=table, region_name=me.region)
+        self._instance_list = instance_list
+        self._peers = peers
+        self._grants_sink = grants_sink
+        self._pool_reports = pool_reports
+        self._revision_source = revision_source
+        self._seeds = tuple(seeds)
+        self._on_revision = on_revision
+        self._rng = rng or random.Random()
+        self._members = membership.MemberTable(clock=clock)
+        self._grants = ownership.GrantState(clock=clock, invariants=invariants)
+        self._state = member.MemberState(
+            me=me, clock=clock, members=self._members, grants=self._grants
+        )
+        self._directory = directory.Directory()
+        self._directory_mark = (0, 0)
+        self._coordinator = coordinator_task.CoordinatorTask(
+            me=me,
+            clock=clock,
+            invariants=invariants,
+            table=table,
+            instance_list=instance_list,
+            peers=peers,
+            members=self._members,
+            directory=self._directory,
+            policy_source=policy_source,
+            revision_source=revision_source,
+            seeds=seeds,
+            on_revision=on_revision,
+            follow_self=self._follow_self,
+            rng=self._rng,
+        )
+        self._won_epoch = 0
+        self._sunk: list[region.PoolGrant] = []
+        self._table_failed = False
+        self._joined_s = float("-inf")
+        self._wake = asyncio.Event()
+        self._background = background.Background(name="member")
+        self._log = structlog.get_logger("member").bind(instance=str(me.id))
+
+    @property
+    def me(self) -> region.Instance:
+        """This instance in its current state."""
+        return self._state.me
+
+    @property
+    def directory(self) -> directory.Directory:
+        """Instances and pool owners of all regions."""
+        return self._directory
+
+    @property
+    def members(self) -> membership.MemberTable:
+        """What is known about the region's instances."""
+        return self._members
+
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this instance coordinates its region."""
+        return self._coordinator.state is not None
+
+    @property
+    def in_contact(self) -> bool:
+        """Whether the coordinator answered recently."""
+        return self._state.in_contact
+
+    def share(self, pool: model.PoolKey) -> share.Share:
+        """Returns the share of a pool that this instance may use now."""
+        return self._grants.share(pool)
+
+    def coordinator_addresses(self) -> list[str]:
+        """Returns the RPC addresses of the coordinators of all regions."""
+        return [each.coordinator.rpc_address for each in self._directory.regions()]
+
+    def relay_addresses(self) -> list[str]:
+        """Returns the members' RPC addresses on a coordinator, and nothing elsewhere."""
+        if not self.is_coordinator:
+            return []
+        return [each.rpc_address for each in self._members.instances() if each.id != self.me.id]
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the state for status and dump as a JSON-able dict."""
+        leader = self._grants.coordinator
+        state = self._coordinator.state
+        return {
+            "epoch": self._grants.epoch,
+            "coordinator": None if leader is None else str(leader.id),
+            "in_contact": self.in_contact,
+            "is_coordinator": self.is_coordinator,
+            "has_authority": state is not None and state.has_authority,
+            "unanswered": [] if state is None else sorted(map(str, state.unanswered)),
+            "grants": {str(each.pool): each.share.value for each in self._grants.grants()},
+            "members": {
+                str(each.id): self._members.state(each.id).value
+                for each in self._members.instances()
+            },
+            "regions": {each.region: list(each.order) for each in self._directory.regions()},
+        }
+
+    async def run(self) -> None:
+        """Takes part in the region until cancelled."""
+        try:
+            while True:
+                self.tick()
+                self._wake.clear()
+                try:
+                    await asyncio.wait_for(self._wake.wait(), TICK_S)
+                except TimeoutError:
+                    continue
+        finally:
+            await self._background.close()
+            await self._coordinator.close()
+
+    def tick(self) -> None:
+        """Lets time pass; starts the calls that are due."""
+        for command in self._state.tick(reports=self._pool_reports):
+            self._background.start(self._execute(command))
+        won = self._state.won
+        if won is not None and won.row.epoch > self._won_epoch:
+            self._won_epoch = won.row.epoch
+            self._coordinator.start(won)
+        self._coordinator.tick()
+        self._sink()
+        if self._table_failed and not self.in_contact:
+            self._join_if_due()
+
+    def leave(self) -> None:
+        """Announces that this instance stops; its pools move to others."""
+        self._state.set_me(dataclasses.replace(self._state.me, state=region.LEAVING))
+        self._wake.set()
+
+    def on_heartbeat(self, message: Any) -> Any:
+        """Answers a member's heartbeat; both messages are Thrift messages.
+
+        Raises:
+            errors.UnavailableError: This instance is not coordinator and knows none.
+        """
+        if self._coordinator.state is not None:
+            reply = self._coordinator.heartbeat(message)
+            if self._coordinator.state.urgent:
+                self._wake.set()
+            self._coordinator.depose(0)
+            return reply
+        known = self._grants.coordinator
+        if known is None:
+            raise errors.UnavailableError("no coordinator is known", step="control.heartbeat")
+        hint = region.HeartbeatReply(
+            epoch=self._grants.epoch, coordinator=known, accepted=False, seq=0, stamp_s=0.0
+        )
+        return control_conversion.to_heartbeat_reply(
+            hint, directories=(), directory_mark=0, revision=self._revision_source()
+        )
+
+    def on_follow(self, *, epoch: int, coordinator: region.Instance) -> region.FollowReply:
+        """Follows a coordinator unless its epoch is lower."""
+        reply = self._state.on_follow(epoch=epoch, coordinator=coordinator)
+        self._coordinator.depose(reply.epoch)
+        self._wake.set()
+        reports = self._grants.reports(self._pool_reports())
+        return dataclasses.replace(reply, pools=reports)
+
+    def identity(self) -> tuple[region.Instance, int, region.Instance | None]:
+        """Returns this instance, the epoch that it follows, and the coordinator."""
+        return self.me, self._grants.epoch, self._grants.coordinator
+
+    def _follow_self(self, epoch: int) -> region.FollowReply:
+        return self.on_follow(epoch=epoch, coordinator=self.me)
+
+    def _sink(self) -> None:
+        grants = self._grants.grants()
+        if grants != self._sunk:
+            self._sunk = grants
+            self._grants_sink(list(grants))
+
+    async def _execute(self, command: region.Command) -> None:
+        if isinstance(command, region.SendHeartbeat):
+            await self._heartbeat(command)
+        elif isinstance(command, region.ReadRow):
+            await self._read_row()
+        elif isinstance(command, region.WriteRow):
+            await self._write_row(command)
+        elif isinstance(command, region.Probe):
+            await self._probe(command.target)
+        self._wake.set()
+
+    async def _heartbeat(self, command: region.SendHeartbeat) -> None:
+        target = command.target
+        epoch, mark = self._directory_mark
+        message = control_conversion.to_heartbeat(
+            command.heartbeat,
+            directory_mark=mark if epoch == command.heartbeat.epoch else 0,
+            revision=self._revision_source(),
+        )
+        try:
+            reply = await self._call_heartbeat(target, message)
+        except rpc_client.ConnectionRefusedByPeerError:
+            self._members.refused(target.id)
+        except errors.SassafraswayError as error:
+            self._log.info("no answer to heartbeat", peer=error.peer, reason=error.message)
+            if self._clock.monotonic() < command.sent_s + QUICK_FAILURE_S:
+                # The connection was lost: the coordinator may have died.
+                await self._probe(target)
+        else:
+            self._on_reply(reply, sent_s=command.sent_s)
+
+    async def _call_heartbeat(self, target: region.Instance, message: Any) -> Any:
+        if target.id == self.me.id:
+            return self.on_heartbeat(message)
+        return await self._peers.call(
+            target.rpc_address, "heartbeat", timeout_s=HEARTBEAT_TIMEOUT_S, request=message
+        )
+
+    def _on_reply(self, message: Any, *, sent_s: float) -> None:
+        reply = control_conversion.from_heartbeat_reply(message)
+        if self._state.on_reply(reply, sent_s=sent_s):
+            self._directory_mark = (reply.epoch, message.directory_mark or 0)
+            self._directory.update(
+                control_conversion.from_directory(each) for each in message.directories or ()
+            )
+        self._coordinator.depose(self._grants.epoch)
+        self._sink()
+        if (message.revision or 0) > self._revision_source():
+            self._on_revision(message.revision, reply.coordinator.rpc_address)
+
+    async def _read_row(self) -> None:
+        started_s = self._clock.monotonic()
+        try:
+            row, version = await self._row.read()
+        except errors.SassafraswayError as error:
+            if not self._table_failed:
+                self._log.warning("table does not answer", reason=error.message)
+            self._table_failed = True
+            return
+        self._table_failed = False
+        self._state.on_row_read(row, version, started_s=started_s)
+        self._coordinator.depose(self._grants.epoch)
+
+    async def _write_row(self, command: region.WriteRow) -> None:
+        try:
+            version = await self._row.write(command)
+        except table_module.PreconditionFailed:
+            self._state.on_write_refused(command)
+        except errors.SassafraswayError as error:
+            self._log.warning("candidate write without answer", reason=error.message)
+            self._state.on_write_unknown(command)
+        else:
+            self._state.on_write_ok(command, version)
+
+    async def _probe(self, target: region.Instance) -> None:
+        identity = await coordinator_task.probe(self._peers, self._members, target)
+        if identity is None or identity.coordinator is None:
+            return
+        if identity.instance.region == self.me.region:
+            self._hint(identity.epoch, control_conversion.from_instance(identity.coordinator))
+
+    def _hint(self, epoch: int, coordinator: region.Instance) -> None:
+        """Follows a coordinator that a peer named, if it is news."""
+        if epoch > self._grants.epoch:
+            self.on_follow(epoch=epoch, coordinator=coordinator)
+
+    def _join_if_due(self) -> None:
+        now = self._clock.monotonic()
+        if now >= self._joined_s + JOIN_RETRY_S:
+            self._joined_s = now
+            self._background.start(self._join())
+
+    async def _join(self) -> None:
+        """Asks peers who coordinates the region while the table does not answer."""
+        for address in await self._join_addresses():
+            try:
+                received = await coordinator_task.call_directory(self._peers, address, known={})
+            except errors.SassafraswayError as error:
+                self._log.info("cannot join through peer", peer=address, reason=error.message)
+                continue
+            self._directory.update(received)
+            own = self._directory.region(self.me.region)
+            if own is not None:
+                self._hint(own.epoch, own.coordinator)
+                return
+
+    async def _join_addresses(self) -> list[str]:
+        addresses = set(self._seeds)
+        addresses |= {each.rpc_address for each in self._directory.instances()}
+        try:
+            addresses |= {each.address for each in await self._instance_list.fetch()}
+        except errors.SassafraswayError as error:
+            self._log.info("instance list not read", reason=error.message)
+        addresses.discard(self.me.rpc_address)
+        return self._rng.sample(sorted(addresses), min(JOIN_ADDRESSES, len(addresses)))
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -0,0 +1,72 @@
+"""Calls to other entry instances: one connection to each."""
+
+import types
+from collections.abc import Mapping
+from typing import Any
+
+from sassafrasway_rpc import client, schema
+
+# A peer that was not called for so many other peers is rarely called; its connection is closed.
+MAX_CLIENTS = 4096
+
+
+def _merge(*services: Any) -> types.SimpleNamespace:
+    """Returns one object with the methods of several Thrift services, so that they share a client.
+
+    Raises:
+        ValueError: Two services have a method of the same name.
+    """
+    merged: dict[str, Any] = {}
+    for service in services:
+        for method in service.thrift_services:
+            if f"{method}_args" in merged:
+                raise ValueError(f"method {method} is in two services")
+            for suffix in ("args", "result"):
+                merged[f"{method}_{suffix}"] = getattr(service, f"{method}_{suffix}")
+    return types.SimpleNamespace(**merged)
+
+
+PEER_METHODS = _merge(schema.control.Control, schema.forward.Forward, schema.config.Config)
+
+
+class Peers:
+    """Clients of other instances by their advertised address.
+
+    Args:
+        address_map: Address to connect to in place of an advertised one, for networks with NAT.
+    """
+
+    def __init__(self, *, address_map: Mapping[str, str] | None = None):
+        self._address_map = dict(address_map or {})
+        self._clients: dict[str, client.RpcClient] = {}
+
+    async def call(
+        self, address: str, method: str, *, timeout_s: float = 2.0, **arguments: Any
+    ) -> Any:
+        """Calls a method of the Control, Forward or Config service of a peer.
+
+        Raises:
+            client.ConnectionRefusedByPeerError: No process listens at the address.
+            client.CallNotSentError: The peer was not reached; it has not seen the call.
+            errors.UnavailableError: The peer did not answer; it may have seen the call.
+            errors.SassafraswayError: The peer reported an error.
+        """
+        peer = self._clients.pop(address, None)
+        if peer is None:
+            target = self._address_map.get(address, address)
+            peer = client.RpcClient(address=target, service=PEER_METHODS)
+        self._clients[address] = peer
+        if len(self._clients) > MAX_CLIENTS:
+            await self.forget(next(iter(self._clients)))
+        return await peer.call(method, timeout_s=timeout_s, **arguments)
+
+    async def forget(self, address: str) -> None:
+        """Closes the connection to a peer, for example when it is gone."""
+        peer = self._clients.pop(address, None)
+        if peer is not None:
+            await peer.close()
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        for address in list(self._clients):
+            await self.forget(address)
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/region_table.py
@@ -0,0 +1,53 @@
+"""Reads and conditional writes of the row of one region."""
+
+import asyncio
+
+from sassafrasway_core import region
+from sassafrasway_platform import table as table_module
+
+CALL_TIMEOUT_S = 1.0
+
+
+class RegionTable:
+    """The row ``region/<region>``.
+
+    Args:
+        table: Table service.
+        region_name: Name of the region.
+    """
+
+    def __init__(self, *, table: table_module.TableService, region_name: str):
+        self._table = table
+        self._key = f"region/{region_name}"
+        self._known: table_module.Row | None = None
+
+    async def read(self) -> tuple[region.RegionRow | None, str | None]:
+        """Returns the row and its version, or None for both when there is no row.
+
+        Raises:
+            table.StoreUnavailable: The table did not answer.
+        """
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                row = await self._table.get(self._key, known=self._known)
+        except TimeoutError:
+            raise table_module.StoreUnavailable("timeout", step="region.read") from None
+        self._known = row
+        if row is None:
+            return None, None
+        return region.RegionRow.decode(row.value), row.version
+
+    async def write(self, command: region.WriteRow) -> str:
+        """Writes the row and returns its new version.
+
+        Raises:
+            table.PreconditionFailed: The row has another version; nothing was written.
+            table.StoreUnavailable: The table did not answer; the effect is unknown.
+        """
+        if_version = table_module.ABSENT if command.if_version is None else command.if_version
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                row = await self._table.put(self._key, command.row.encode(), if_version=if_version)
+        except TimeoutError:
+            raise table_module.StoreUnavailable("timeout", step="region.write") from None
+        return row.version
--- /dev/null
+++ b/packages/entry/tests/test_region_tasks.py
@@ -0,0 +1,249 @@
+"""Tests of the member and coordinator tasks with in-memory peers and platform."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+import unittest
+
+from sassafrasway_core import clock, errors, invariants, model, region, share
+from sassafrasway_entry import control_conversion, control_service, member_task
+from sassafrasway_platform import memory
+from sassafrasway_rpc import client as rpc_client
+from sassafrasway_rpc import codec, schema
+
+STEP_S = 0.1
+TURNS = 30
+
+
+def _policy(regions):
+    servers = [
+        model.BackendServer(
+            name=f"{service}-{name}",
+            service=service,
+            region=name,
+            failure_domain=f"{name}-a",
+            url="http://s",
+            slots=3,
+            connections=10,
+        )
+        for service in ("desk", "archive", "orders")
+        for name in regions
+    ]
+    return model.Policy(
+        revision=7,
+        regions={name: model.Region(name=name) for name in regions},
+        links={},
+        services={
+            name: model.Service(name=name, idempotent=True)
+            for name in ("desk", "archive", "orders")
+        },
+        servers={each.name: each for each in servers},
+        blocks={},
+        shifts={},
+    )
+
+
+class _Network:
+    """Peers of one instance; messages pass through the Thrift codec."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+
+    async def call(self, address, method, *, timeout_s, **arguments):
+        del timeout_s
+        if {self._name, address} & self._fleet.cut:
+            raise errors.UnavailableError("cut", step=method, peer=address)
+        service = self._fleet.services.get(address)
+        if service is None:
+            raise rpc_client.ConnectionRefusedByPeerError("refused", step=method, peer=address)
+        control = schema.control.Control
+        sent = _recode(getattr(control, f"{method}_args")(**arguments))
+        result = getattr(control, f"{method}_result")()
+        result.success = await getattr(service, method)(**vars(sent))
+        return _recode(result).success
+
+
+def _recode(payload):
+    head = codec.MessageHead(name="m", kind=1, sequence_id=1)
+    frame = codec.encode(head=head, payload=payload)
+    decoder = codec.Decoder(body=frame[codec.FRAME_HEADER_BYTES :], peer="test")
+    decoder.read_head()
+    return decoder.read_struct(type(payload))
+
+
+class _Fleet:
+    """Instances of one or more regions on one manual clock."""
+
+    def __init__(self, regions=("bkk",)):
+        self.clock = clock.ManualClock()
+        self.table = memory.MemoryTable()
+        self.list = memory.MemoryInstances()
+        self.policy = _policy(regions)
+        self.tasks = {}
+        self.services = {}
+        self.grants = {}
+        self.in_use = {}
+        self.newer = []
+        self.cut = set()
+
+    def start(self, name, *, region_name="bkk", seeds=(), revision=7):
+        self.grants[name] = []
+        self.tasks[name] = member_task.MemberTask(
+            me=region.Instance(
+                name=name, incarnation="1", rpc_address=name, region=region_name, caller_url="u"
+            ),
+            clock=self.clock,
+            invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
+            table=self.table,
+            instance_list=self.list,
+            peers=_Network(self, name),
+            policy_source=lambda: self.policy,
+            grants_sink=lambda grants: self.grants.__setitem__(name, grants),
+            pool_reports=lambda: self.in_use.get(name, {}),
+            revision_source=lambda: revision,
+            seeds=seeds,
+            on_revision=lambda number, address: self.newer.append((name, number, address)),
+            rng=random.Random(1),
+        )
+        self.services[name] = control_service.ControlService(member=self.tasks[name])
+
+    def kill(self, name):
+        del self.tasks[name], self.services[name]
+
+    async def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            for task in list(self.tasks.values()):
+                task.tick()
+            for _ in range(TURNS):
+                await asyncio.sleep(0)
+
+    def owners(self):
+        return {
+            grant.pool: name
+            for name in self.tasks
+            for grant in self.grants[name]
+            if grant.share is share.Share.FULL
+        }
+
+    def leader(self):
+        return next(name for name, task in self.tasks.items() if task.is_coordinator)
+
+
+class OneRegionTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = _Fleet()
+        for name in ("p", "q", "r"):
+            self.fleet.start(name)
+        await self.fleet.run(6)
+
+    async def test_grants_and_directory_agree(self):
+        """Guards against look-ups that name another instance than the owner."""
+        owners = self.fleet.owners()
+        self.assertEqual(collections.Counter(owners.values()), {"p": 1, "q": 1, "r": 1})
+        for task in self.fleet.tasks.values():
+            found = {pool: task.directory.owner(pool).name for pool in owners}
+            self.assertEqual(found, owners)
+            self.assertEqual({each.name for each in task.directory.instances("bkk")}, {*"pqr"})
+
+    async def test_killed_coordinator(self):
+        """Guards against pools without owner, and dead instances in the directory."""
+        leader = self.fleet.leader()
+        self.fleet.kill(leader)
+        await self.fleet.run(3)
+        self.assertEqual(len(self.fleet.owners()), 3)
+        for task in self.fleet.tasks.values():
+            self.assertTrue(task.directory.is_gone(leader, "1"))
+            self.assertIsNone(task.directory.instance(leader))
+
+    async def test_join_through_peers_while_table_is_down(self):
+        """Guards against an instance that cannot start during an outage of the table."""
+        self.fleet.table.faults.down = True
+        self.fleet.start("s", seeds=("q",))
+        await self.fleet.run(2)
+        self.assertTrue(self.fleet.tasks["s"].in_contact)
+        self.assertEqual(len(self.fleet.owners()), 3)
+
+    async def test_lost_answer_of_the_table(self):
+        """Guards against giving up the lease after a write whose answer was lost."""
+        leader = self.fleet.leader()
+        self.fleet.table.faults.lost_answers = 1
+        await self.fleet.run(5)
+        self.assertEqual((self.fleet.leader(), len(self.fleet.owners())), (leader, 3))
+
+    async def test_leaving_hands_over_slots_in_use(self):
+        """Guards against a successor that uses slots on which old requests still run."""
+        pool, name = next(iter(self.fleet.owners().items()))
+        self.fleet.in_use[name] = {
+            pool: region.PoolReport(share=share.Share.NONE, in_use={"s": 2}, rate_per_s=1.0)
+        }
+        self.fleet.tasks[name].leave()
+        seen = []
+        for _ in range(20):
+            await self.fleet.run(STEP_S)
+            seen += [grant for each in self.fleet.grants.values() for grant in each]
+        taken = [each for each in seen if each.pool == pool and each.inherited]
+        self.assertEqual({(each.previous.name, each.inherited["s"]) for each in taken}, {(name, 2)})
+        self.assertNotIn(name, self.fleet.owners().values())
+
+    async def test_isolated_holder_keeps_offline_share(self):
+        """Guards against an isolated instance that uses more than its offline share."""
+        name = next(each for each in self.fleet.tasks if each != self.fleet.leader())
+        self.fleet.cut = {name}
+        await self.fleet.run(4)
+        self.assertEqual([each.share for each in self.fleet.grants[name]], [share.Share.OFFLINE])
+        shares = [
+            each.share for other in "pqr" if other != name for each in self.fleet.grants[other]
+        ]
+        self.assertEqual(shares.count(share.Share.REDUCED), 1)
+        self.fleet.cut = set()
+        await self.fleet.run(3)
+        self.assertEqual(len(self.fleet.owners()), 3)
+
+    async def test_newer_revision_is_reported(self):
+        """Guards against an instance that does not learn of a policy change."""
+        self.fleet.start("s", revision=6)
+        await self.fleet.run(2)
+        self.assertIn(("s", 7, self.fleet.leader()), self.fleet.newer)
+
+
+class RegionsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_directories_reach_all_regions(self):
+        """Guards against lookups that know only the own region, also without the table."""
+        fleet = _Fleet(("bkk", "cnx"))
+        for name, region_name in (("p", "bkk"), ("q", "bkk"), ("x", "cnx"), ("y", "cnx")):
+            fleet.start(name, region_name=region_name)
+        await fleet.run(8)
+        fleet.table.faults.down = True
+        fleet.tasks["y"].leave()
+        await fleet.run(8)
+        for task in fleet.tasks.values():
+            self.assertEqual({each.name for each in task.directory.instances()}, {*"pqxy"})
+            self.assertEqual(task.directory.instance("y").state, region.LEAVING)
+            for pool in fleet.policy.pools():
+                self.assertIsNotNone(task.directory.owner(pool))
+        fleet.kill("y")
+        await fleet.run(8)
+        self.assertTrue(fleet.tasks["p"].directory.is_gone("y", "1"))
+
+
+class ConversionTest(unittest.TestCase):
+    def test_heartbeat_survives_the_codec(self):
+        """Guards against fields that are lost between members and coordinator."""
+        me = region.Instance(name="p", incarnation="1", rpc_address="a:1", region="bkk")
+        pool = model.PoolKey(service="desk", region="bkk", shard=2)
+        report = region.PoolReport(
+            share=share.Share.REDUCED, in_use={"s": 1}, rate_per_s=2.0, queue_length=3
+        )
+        sent = region.Heartbeat(
+            sender=me, epoch=4, promise=True, echo_s=1.5, applied_seq=9, pools={pool: report}
+        )
+        for heartbeat in (sent, dataclasses.replace(sent, echo_s=None, promise=False)):
+            message = control_conversion.to_heartbeat(heartbeat, directory_mark=1, revision=2)
+            self.assertEqual(control_conversion.from_heartbeat(_recode(message)), heartbeat)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/rpc/src/sassafrasway_rpc/schema.py
+++ b/packages/rpc/src/sassafrasway_rpc/schema.py
@@ -16,4 +16,5 @@
 
 common = _load("common")
 config = _load("config")
+control = _load("control")
 forward = _load("forward")
