--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -19,6 +19,9 @@
 WRITE_ATTEMPTS = 3
 # Peers that an instance asks for the policy in one attempt while the store is down.
 PULL_ATTEMPTS = 3
+PULL_TIMEOUT_S = 2.0
+# A peer takes seconds to write out a policy of the design size for the first time.
+FULL_PULL_TIMEOUT_S = 10.0
 # Changes to read one by one before reading the full document, which takes seconds to check at the
 # design size.
 CATCH_UP_LIMIT = 256
@@ -64,7 +67,7 @@
         table: Table service.
         push_targets: Returns the RPC addresses to push an accepted change to: the coordinators of
             all regions.
-        call_peer: ``await call_peer(address, method, **arguments)`` calls a peer.
+        call_peer: ``await call_peer(address, method, timeout_s=..., **arguments)`` calls a peer.
         on_policy: Called with each new policy.
         relay_targets: Returns the RPC addresses to pass a received change on to: the members of
             the region on its coordinator, nothing elsewhere.
@@ -253,7 +256,10 @@
         Raises:
             errors.SassafraswayError: The peer does not answer, or its answer is invalid.
         """
-        reply = await self._call_peer(address, "changes_since", revision=self.revision)
+        timeout_s = FULL_PULL_TIMEOUT_S if self.policy is None else PULL_TIMEOUT_S
+        reply = await self._call_peer(
+            address, "changes_since", timeout_s=timeout_s, revision=self.revision
+        )
         if reply.revision <= self.revision:
             return
         if reply.policy_json:
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -1,5 +1,6 @@
 """RPC handler of the Thrift service Operator."""
 
+import asyncio
 import json
 from collections.abc import Callable, Mapping
 from typing import Any
@@ -59,9 +60,8 @@
             revision, document_json, _ = await self._config.full_policy()
             return schema.config.PolicyReply(revision=revision, document_json=document_json)
         policy = await self._config.policy_at(revision)
-        return schema.config.PolicyReply(
-            revision=revision, document_json=config_store.dump_policy_json(policy)
-        )
+        document_json = await asyncio.to_thread(config_store.dump_policy_json, policy)
+        return schema.config.PolicyReply(revision=revision, document_json=document_json)
 
     async def apply_change(self, change_json: str | None) -> Any:
         """Applies a change."""
--- a/packages/entry/tests/config_fakes.py
+++ b/packages/entry/tests/config_fakes.py
@@ -22,6 +22,7 @@
 
 
 def change(base, change_id, **sections):
+    """Returns a change of the given sections."""
     return documents.parse_change(
         {"base_revision": base, "change_id": change_id, "author": "a", "sections": sections}
     )
@@ -70,7 +71,7 @@
     def leave(self):
         self.left = True
 
-    async def call_peer(self, address, method, **arguments):
+    async def call_peer(self, address, method, *, timeout_s=2.0, **arguments):
         peer = self._network[address]
         if self.cut or peer.cut:
             raise errors.UnavailableError("cut off", step="fake.call", peer=address)
