Use the metric reader's own registry; answer report_crash in the RPC test

Cause: the scrape reader failed at shut-down, and the RPC test's handler lacked a new method. Change: PrometheusMetricReader gets its registry by its parameter.

--- a/packages/entry/src/sassafrasway_entry/telemetry.py
+++ b/packages/entry/src/sassafrasway_entry/telemetry.py
@@ -49,7 +49,10 @@
 
     def __init__(self, *, instance: str, section: settings_lib.TelemetrySection):
         self._registry = prometheus_client.CollectorRegistry()
-        readers: list[export.MetricReader] = [_ScrapeReader(registry=self._registry)]
+        readers: list[export.MetricReader] = [
+            # A registry of its own, so that several instances fit in one test process.
+            prometheus.PrometheusMetricReader(registry=self._registry)
+        ]
         if section.otlp_endpoint is not None:
             exporter = metric_exporter.OTLPMetricExporter(endpoint=section.otlp_endpoint)
             readers.append(
@@ -97,12 +100,3 @@
     def shutdown(self) -> None:
         """Exports what is left and stops."""
         self._provider.shutdown()
-
-
-class _ScrapeReader(prometheus.PrometheusMetricReader):
-    """Reader with a registry of its own, so that several instances fit in one test process."""
-
-    def __init__(self, *, registry: prometheus_client.CollectorRegistry):
-        super().__init__()
-        prometheus_client.REGISTRY.unregister(self._collector)
-        registry.register(self._collector)
--- a/packages/rpc/tests/test_rpc.py
+++ b/packages/rpc/tests/test_rpc.py
@@ -25,6 +25,9 @@
             outcome=schema.forward.Outcome.RAN, status=200, body=request.body
         )
 
+    async def report_crash(self, service_name, fingerprint, server):
+        pass
+
     async def cancel(self, request_id):
         self.cancelled.append(request_id)
 
