--- a/packages/ctl/src/sassafrasway_ctl/commands.py
+++ b/packages/ctl/src/sassafrasway_ctl/commands.py
@@ -95,8 +95,10 @@
 @options.change
 @click.argument("name")
 @click.option("--service", required=True, help="Service whose requests move.")
-@click.option("--from", "source", required=True, help="Home region whose requests move.")
-@click.option("--to", "target", required=True, help="Region that receives them.")
+@click.option(
+    "--source", "--from", "source", required=True, help="Home region whose requests move."
+)
+@click.option("--target", "--to", "target", required=True, help="Region that receives them.")
 @click.option("--cap-rps", type=float, required=True, help="Highest rate moved, requests/s.")
 @click.option("--fraction", type=float, default=1.0, show_default=True, help="Final share, 0 to 1.")
 @click.option(
