--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/capacity.py
@@ -0,0 +1,230 @@
+"""Measures how costs grow with size, and what a fitted line gives at the design size.
+
+Each measure runs at four or more sizes; the slope comes from a line fitted by least squares.
+"""
+
+import abc
+import dataclasses
+import gc
+import ipaddress
+import json
+import pathlib
+import random
+import time
+import tracemalloc
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+import click
+import numpy
+
+from sassafrasway_core import documents, lookup, model
+
+DESIGN_BLOCKS = 250_000
+DESIGN_REGIONS = 30
+DESIGN_CHANGE_OBJECTS = 10
+LOOKUPS = 20_000
+US_PER_S = 1_000_000
+PREFIX_LENGTHS = (24, 22, 20)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Line:
+    """Measured values and the fitted line.
+
+    Attributes:
+        unit: Unit of the values.
+        per: What the sizes count.
+        slope: Growth per unit of size.
+        intercept: Value of the line at size 0.
+        residual: Largest distance of a value from the line, relative to the largest value.
+        design_size: Size of the design.
+        design_value: Value of the line at the design size.
+    """
+
+    name: str
+    unit: str
+    per: str
+    sizes: Sequence[int]
+    values: Sequence[float]
+    slope: float
+    intercept: float
+    residual: float
+    design_size: int
+    design_value: float
+
+
+class Measure(abc.ABC):
+    """One cost at several sizes."""
+
+    name = ""
+    unit = "bytes"
+    per = "client block"
+    sizes: Sequence[int] = (25_000, 50_000, 100_000, 200_000)
+    design_size = DESIGN_BLOCKS
+
+    @abc.abstractmethod
+    def value(self, size: int) -> float:
+        """Returns the cost at a size."""
+
+    def line(self) -> Line:
+        """Measures at all sizes and fits the line."""
+        values = [self.value(size) for size in self.sizes]
+        matrix = numpy.column_stack([self.sizes, numpy.ones(len(self.sizes))])
+        (slope, intercept), *_ = numpy.linalg.lstsq(matrix, numpy.array(values), rcond=None)
+        distance = numpy.abs(matrix @ (slope, intercept) - values).max()
+        return Line(
+            name=self.name,
+            unit=self.unit,
+            per=self.per,
+            sizes=list(self.sizes),
+            values=values,
+            slope=float(slope),
+            intercept=float(intercept),
+            residual=float(distance / max(max(values), 1e-12)),
+            design_size=self.design_size,
+            design_value=float(slope * self.design_size + intercept),
+        )
+
+
+class TableMemory(Measure):
+    """Memory of the block table."""
+
+    name = "block table memory"
+
+    def value(self, size: int) -> float:
+        """See base class."""
+        return retained_bytes(lambda: lookup.BlockTable(blocks=client_blocks(size)))
+
+
+class PolicyMemory(Measure):
+    """Memory of the client blocks in the policy, from which the table is built."""
+
+    name = "policy memory"
+
+    def value(self, size: int) -> float:
+        """See base class."""
+        regions = {f"r{number}": {} for number in range(DESIGN_REGIONS)}
+        blocks = {each.cidr: {"region": each.region} for each in client_blocks(size)}
+        document = json.dumps({"regions": regions, "blocks": blocks})
+        del blocks
+        return retained_bytes(
+            lambda: documents.parse_policy(documents.parse_json(document), revision=1)
+        )
+
+
+class LookupTime(Measure):
+    """Time of one look-up in the block table."""
+
+    name = "look-up time"
+    unit = "us"
+
+    def value(self, size: int) -> float:
+        """See base class."""
+        table = lookup.BlockTable(blocks=client_blocks(size))
+        rng = random.Random(size)
+        addresses = [str(ipaddress.ip_address(rng.getrandbits(32))) for _ in range(LOOKUPS)]
+        return min(_seconds(table, addresses) for _ in range(3)) / LOOKUPS * US_PER_S
+
+
+def _seconds(table: lookup.BlockTable, addresses: Iterable[str]) -> float:
+    started_s = time.perf_counter()
+    for address in addresses:
+        table.region_of(address)
+    return time.perf_counter() - started_s
+
+
+class DeltaBytes(Measure):
+    """Size of a change of backend servers, as it is pushed between instances."""
+
+    name = "change size"
+    per = "changed object"
+    sizes = (1, 5, 10, 50, 100)
+    design_size = DESIGN_CHANGE_OBJECTS
+
+    def value(self, size: int) -> float:
+        """See base class."""
+        servers = {f"crew-desk-{number}": _server(number) for number in range(size)}
+        change = documents.parse_change(
+            {
+                "base_revision": 123_456,
+                "change_id": "0" * 32,
+                "author": "operator@example.com",
+                "sections": {"servers": servers},
+            }
+        )
+        return float(len(json.dumps(documents.dump_change(change))))
+
+
+def _server(number: int) -> dict[str, Any]:
+    return {
+        "service": "crew-desk",
+        "region": "bkk",
+        "failure_domain": "bkk-a",
+        "url": f"http://10.20.30.{number}:8000",
+        "slots": 3,
+        "connections": 660,
+        "state": "active",
+    }
+
+
+def client_blocks(size: int) -> list[model.ClientBlock]:
+    """Returns distinct blocks of several lengths, spread over the regions of the design size."""
+    rng = random.Random(size)
+    cidrs: set[str] = set()
+    while len(cidrs) < size:
+        length = rng.choice(PREFIX_LENGTHS)
+        address = rng.getrandbits(length) << (32 - length)
+        cidrs.add(f"{ipaddress.ip_address(address)}/{length}")
+    return [
+        model.ClientBlock(cidr=cidr, region=f"r{number % DESIGN_REGIONS}")
+        for number, cidr in enumerate(sorted(cidrs))
+    ]
+
+
+def retained_bytes(build: Callable[[], Any]) -> float:
+    """Returns the memory that the built object keeps, without what building it needs."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        built = build()
+        gc.collect()
+        size, _ = tracemalloc.get_traced_memory()
+        del built
+    finally:
+        tracemalloc.stop()
+    return float(size)
+
+
+MEASURES: tuple[Measure, ...] = (TableMemory(), PolicyMemory(), LookupTime(), DeltaBytes())
+
+
+def as_text(lines: Iterable[Line]) -> str:
+    """Returns the lines as a text table."""
+    rows = [f"{'cost':<26}{'slope':>34}{'at 0':>12}{'residual':>10}{'at design size':>30}"]
+    for line in lines:
+        slope = f"{line.slope:.4g} {line.unit}/{line.per}"
+        design = f"{line.design_value:.4g} {line.unit} at {line.design_size}"
+        rows.append(
+            f"{line.name:<26}{slope:>34}{line.intercept:>12.4g}{line.residual:>10.1%}{design:>30}"
+        )
+    return "\n".join(rows) + "\n"
+
+
+@click.command("capacity")
+@click.option(
+    "--results",
+    type=click.Path(path_type=pathlib.Path),
+    default=pathlib.Path("results"),
+    show_default=True,
+    help="Directory for capacity.json and capacity.txt.",
+)
+def command(results: pathlib.Path) -> None:
+    """Measures the growth of costs with size and extrapolates to the design size."""
+    lines = [measure.line() for measure in MEASURES]
+    text = as_text(lines)
+    results.mkdir(parents=True, exist_ok=True)
+    data = [dataclasses.asdict(line) for line in lines]
+    (results / "capacity.json").write_text(json.dumps(data, indent=2) + "\n", encoding="utf-8")
+    (results / "capacity.txt").write_text(text, encoding="utf-8")
+    click.echo(text, nl=False)
