--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -10,16 +10,23 @@
 import aiohttp
 import structlog
 
-from sassafrasway_core import at_most_once, invariants, model, placement, region, retry
+from sassafrasway_core import at_most_once, errors, invariants, model, placement, region, retry
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import (
     admin_api,
     backend_client,
     caller_api,
+    config_service,
+    config_task,
+    control_conversion,
+    control_service,
     dispatcher,
+    dump,
     forward_service,
     gatekeeper,
     lifecycle,
+    member_task,
+    operator_service,
     outcomes,
     peers,
     pools,
@@ -29,8 +36,10 @@
     telemetry,
 )
 from sassafrasway_platform import http as platform_http
+from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
+CRASH_REPORT_TIMEOUT_S = 0.3
 PROPAGATION_S = 3.0  # time after which other instances know that this one is leaving
 READY_POLL_S = 0.05
 DRAIN_POLL_S = 0.05
@@ -92,6 +101,7 @@
         self._build_membership()
         self._build_requests(host)
         self._build_servers()
+        self._build_rpc()
 
     def _build_platform(self, session: aiohttp.ClientSession) -> None:
         section = self._settings.platform
@@ -103,6 +113,50 @@
         network = self._settings.network
         self._peers = peers.Peers(address_map=network.address_map)
 
+    def _build_membership(self) -> None:
+        me = self._me
+        self._config = config_task.ConfigTask(
+            me=me.id,
+            clock=self._clock,
+            invariants=self._invariants,
+            table=self._table,
+            push_targets=lambda: self._member.coordinator_addresses(),
+            call_peer=self._peers.call,
+            on_policy=self._on_policy,
+            relay_targets=lambda: self._member.relay_addresses(),
+            pull_sources=self._pull_sources,
+            own_address=lambda: me.rpc_address,
+            rng=self._rng,
+        )
+        self._member = member_task.MemberTask(
+            me=me,
+            clock=self._clock,
+            invariants=self._invariants,
+            table=self._table,
+            instance_list=self._instance_list,
+            peers=self._peers,
+            policy_source=lambda: self._config.policy,
+            grants_sink=self._on_grants,
+            pool_reports=lambda: self._pools.reports(),
+            revision_source=lambda: self._config.revision,
+            seeds=self._settings.network.seeds,
+            on_revision=lambda revision, address: self._config.observe_revision(
+                revision, source=address
+            ),
+            rng=self._rng,
+        )
+        self._directory = self._member.directory
+
+    def _pull_sources(self) -> list[str]:
+        known = [each.rpc_address for each in self._directory.instances()]
+        return [*self._member.coordinator_addresses(), *known, *self._settings.network.seeds]
+
+    def _on_grants(self, grants: list[region.PoolGrant]) -> None:
+        self._pools.set_grants(grants)
+        names = sorted(each.name for each in self._directory.instances())
+        if self._me.name in names:
+            self._pools.set_position(index=names.index(self._me.name), count=len(names))
+
     def _build_requests(self, host: str) -> None:
         me = self._me.id
         self._client = backend_client.BackendClient(local_host=host)
@@ -115,6 +169,7 @@
             report_crash=self._report_crash,
             share_of=self._member.share,
             placement=self._placement,
+            on_slot_released=self._on_slot_released,
             queue_limit=self._settings.limits.queue_limit,
         )
         self._steering = steering.Steering(region=self._me.region, clock=self._clock, rng=self._rng)
@@ -163,13 +218,83 @@
             directory=self._directory,
         )
 
+    async def _report_crash(self, service: str, fingerprint: str, server: str) -> None:
+        """Tells the owners of the service's other pools, before the request is repeated."""
+        policy = self._steering.policy
+        owners = {
+            owner.rpc_address
+            for key in (policy.pools() if policy else ())
+            if key.service == service
+            and (owner := self._directory.owner(key)) is not None
+            and owner.name != self._me.name
+        }
+        calls = [
+            self._peers.call(
+                address,
+                "report_crash",
+                timeout_s=CRASH_REPORT_TIMEOUT_S,
+                service_name=service,
+                fingerprint=fingerprint,
+                server=server,
+            )
+            for address in owners
+        ]
+        for result in await asyncio.gather(*calls, return_exceptions=True):
+            if isinstance(result, Exception):
+                self._log.warning("crash report not delivered", error=str(result))
+
+    def _on_slot_released(self, key: model.PoolKey, server_name: str) -> None:
+        """Tells the new owner of a pool that a request of this instance has ended."""
+        owner = self._directory.owner(key)
+        if owner is not None and owner.name != self._me.name:
+            self._spawn(self._send_release(owner.rpc_address, key, server_name), "release")
+
+    async def _send_release(self, address: str, key: model.PoolKey, server_name: str) -> None:
+        pool = control_conversion.to_pool(key)
+        try:
+            await self._peers.call(address, "release_slots", pool=pool, server=server_name, slots=1)
+        except errors.SassafraswayError as error:
+            self._log.info("release not delivered", peer=address, error=str(error))
+
     def _on_violation(self, rule: invariants.Rule, detail: str) -> None:
         self._metrics.violations.add(1, {"rule": rule.value})
         self._log.error("invariant violated", rule=rule.value, detail=detail)
         self._record.record("violation", rule=rule.value, detail=detail)
 
+    def _build_rpc(self) -> None:
+        host, _, port = self._settings.listen.rpc.rpartition(":")
+        operators = operator_service.OperatorService(
+            me=self._me.id,
+            config=self._config,
+            call_peer=self._peers.call,
+            find_instance=self._find_instance,
+            leave=self._request_stop,
+            status_source=self.status,
+            dump_source=self.dump,
+        )
+        config = config_service.ConfigService(
+            me=self._me.id, config=self._config, leave=self._request_stop
+        )
+        control = control_service.ControlService(
+            member=self._member, on_release=self._pools.release_inherited
+        )
+        self._rpc = server.RpcServer(
+            handlers=[
+                (schema.forward.Forward, self._forward_service),
+                (schema.control.Control, control),
+                (schema.config.Config, config),
+                (schema.config.Operator, operators),
+            ],
+            host=host,
+            port=int(port),
+        )
+
+    def _find_instance(self, name: str) -> str | None:
+        instance = self._directory.instance(name)
+        return instance.rpc_address if instance is not None else None
+
     def _on_policy(self, policy: model.Policy) -> None:
-        self._steering.set_policy(policy)
+        self._steering.set_policy(policy, self._config.blocks)
         self._pools.set_policy(policy)
         self._record.record("revision", revision=policy.revision)
         self._log.info("policy in force", revision=policy.revision)
@@ -185,3 +310,109 @@
             # A process without one of its tasks would serve from stale state.
             self._log.error("task failed", task=task.get_name(), exc_info=task.exception())
             self._stop_requested.set()
+
+    async def _start(self) -> None:
+        """Starts the RPC server and the tasks, then serves callers once it is ready."""
+        await self._rpc.start()
+        await self._admin_api.start(self._settings.listen.admin)
+        for name, coroutine in (
+            ("config", self._config.run()),
+            ("membership", self._member.run()),
+            ("outcomes", self._outcomes.run()),
+            ("probes", self._pools.probe_loop()),
+            ("queue", self._pools.wake_loop()),
+        ):
+            self._spawn(coroutine, name)
+        await self._caller_api.start(self._settings.listen.caller)
+        self._spawn(self._become_ready(), "ready")
+
+    async def _become_ready(self) -> None:
+        while self._steering.policy is None or not self._member.in_contact:
+            await asyncio.sleep(READY_POLL_S)
+        self._state.become_ready()
+        self._log.info("ready", instance=str(self._me.id))
+
+    def _request_stop(self) -> None:
+        self._stop_requested.set()
+
+    async def _leave(self) -> None:
+        """Hands the pools over and serves until nobody can still need this instance."""
+        self._state.leave()
+        self._member.leave()
+        started_s = self._clock.monotonic()
+        # Others name this instance in look-ups until they learn that it leaves.
+        cached_s = max(self._settings.limits.lookup_ttl_s, at_most_once.TICKET_START_S + 1.0)
+        until_s = started_s + PROPAGATION_S + cached_s
+        while self._clock.monotonic() < until_s or self._busy:
+            await asyncio.sleep(DRAIN_POLL_S)
+        self._log.info("drained", seconds=round(self._clock.monotonic() - started_s, 3))
+
+    @property
+    def _busy(self) -> bool:
+        slots_in_use = any(owned.slots.in_use() for owned in self._pools.owned.values())
+        return bool(
+            self._caller_api.in_flight
+            or self._forward_service.running
+            or self._gatekeeper.running
+            or slots_in_use
+        )
+
+    async def _shut_down(self) -> None:
+        self._gatekeeper.close()
+        if await self._write_outcomes():
+            await self._write_closed_marker()
+        await self._caller_api.stop()
+        await self._config.settle()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._state.stop()
+        await self._rpc.stop()
+        await self._admin_api.stop()
+        await self._peers.close()
+        await self._client.close()
+        self._metrics.shutdown()
+        self._record.close()
+
+    async def _write_outcomes(self) -> bool:
+        for _ in range(FLUSH_TRIES):
+            if await self._outcomes.flush() and not self._gatekeeper.pending_updates:
+                return True
+            await asyncio.sleep(FLUSH_INTERVAL_S)
+        self._log.warning("outcomes not written", pending=self._outcomes.pending)
+        return False
+
+    async def _write_closed_marker(self) -> None:
+        try:
+            await self._outcomes.close(self._me.id)
+        except errors.UnavailableError as error:
+            # Without the marker, callers of unused tickets get "unknown" in place of an answer.
+            self._log.warning("closed marker not written", error=str(error))
+
+    def _health(self) -> tuple[str, bool]:
+        return self._state.state, self._state.state == lifecycle.READY
+
+    def status(self) -> dict[str, Any]:
+        """Returns the short state for operators."""
+        return {
+            "instance": str(self._me.id),
+            "region": self._me.region,
+            "failure_domain": self._me.failure_domain,
+            "state": self._state.state,
+            "policy": dump.policy_dump(self._steering),
+            "pools": sorted(str(key) for key in self._pools.owned),
+            "in_flight": self._caller_api.in_flight,
+        }
+
+    def dump(self) -> dict[str, Any]:
+        """Returns the full state for diagnosis."""
+        return {
+            **self.status(),
+            "config": self._config.state(),
+            "member": self._member.dump(),
+            "pools": dump.pools_dump(self._pools),
+            "forwarded_in_flight": self._forward_service.running,
+            "at_most_once": dump.at_most_once_dump(self._gatekeeper, self._outcomes),
+            "quarantine": dump.to_json(self._pools.quarantine.entries()),
+            "invariants": {rule.value: n for rule, n in self._invariants.violations.items()},
+        }
