--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import pathlib
 import resource
 import shutil
@@ -95,6 +96,7 @@
         shutil.rmtree(self._directory, ignore_errors=True)
         self._directory.mkdir(parents=True)
         started_s, cpu_before_s = time.monotonic(), _children_cpu_s()
+        machine_load = os.getloadavg()[0]
         running = launcher.running(
             self._layout,
             directory=self._directory,
@@ -110,8 +112,9 @@
             await cluster.wait_ready()
             await wait_for_owners(cluster)
             await self._load(cluster)
-        elapsed_s = time.monotonic() - started_s
-        return self._report((_children_cpu_s() - cpu_before_s) / elapsed_s)
+        cores = (_children_cpu_s() - cpu_before_s) / (time.monotonic() - started_s)
+        machine = {"cores_used": round(cores, 2), "load_average_before": round(machine_load, 1)}
+        return self._report(machine)
 
     async def _load(self, cluster: launcher.Cluster) -> None:
         """Runs the load processes and the fault; returns when all requests have ended."""
@@ -146,8 +149,8 @@
         scene = faults.Scene(cluster=cluster, length_s=FAULT_LENGTH * duration_s)
         await faults.FAULTS[self._options.fault].run(scene)
 
-    def _report(self, cores: float) -> report.RunReport:
-        settings = dataclasses.asdict(self._options) | {"cores_used": round(cores, 2)}
+    def _report(self, machine: Mapping[str, float]) -> report.RunReport:
+        settings = dataclasses.asdict(self._options) | machine
         return report.build(
             settings=settings,
             trace=self._plan.arrivals(),
@@ -258,9 +261,7 @@
 
 def read_records(directory: pathlib.Path) -> list[history.Record]:
     """Returns all records of a run, those of the entry instances included."""
-    files = check.history_files([directory / "records"])
-    files += sorted((directory / "logs").glob("*.record"))
-    return list(history.read(files))
+    return list(history.read(check.history_files([directory / "records"])))
 
 
 def _children_cpu_s() -> float:
