--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -143,14 +143,12 @@
                 unsure = answer
                 continue
             if answer.outcome is not messages.Outcome.NOT_RUN or answer.reason not in _TRY_NEXT:
-                return _Attempt(answer=answer)
+                return _Attempt(answer=_settle(answer, unsure))
             moving = moving or answer.reason in _MOVING
         if service.may_wait and not request.deadline.expired:
             answer = await self._queue(route, request)
             moving = answer.reason in _MOVING
-        if answer.outcome is messages.Outcome.NOT_RUN and unsure is not None:
-            return _Attempt(answer=unsure)
-        return _Attempt(answer=answer, moving=moving)
+        return _Attempt(answer=_settle(answer, unsure), moving=moving and unsure is None)
 
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
@@ -234,3 +232,10 @@
             await self._peers.call(peer.rpc_address, "cancel", timeout_s=0.5, request_id=request_id)
         except errors.SassafraswayError as error:
             self._log.debug("cancel not delivered", peer=peer.name, error=str(error))
+
+
+def _settle(answer: messages.Answer, unsure: messages.Answer | None) -> messages.Answer:
+    """Returns the final answer when an earlier pool may have run the request."""
+    if answer.outcome is messages.Outcome.NOT_RUN and unsure is not None:
+        return unsure
+    return answer
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -113,6 +113,19 @@
         answer = await built.run(self._request(service="quote-archive"))
         self.assertIs(answer.outcome, messages.Outcome.RAN)
 
+    async def test_not_run_is_not_said_after_a_lost_answer(self):
+        """Guards against "not run" when an earlier pool may have run the request."""
+        built = self._build(service="quote-archive")
+        silent = errors.UnavailableError("silent", step="test", peer="p")
+        for refusal in (_FULL, messages.not_run(504, messages.Reason.DEADLINE)):
+            with self.subTest(refusal=refusal.reason):
+                self.pools.script = [_FULL]
+                self.replies = [silent, refusal]
+                self.clock.advance(10.0)  # earns the retry budget again
+                request = self._request(service="quote-archive")
+                answer = await built.run(request)
+                self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+
     async def test_unreachable_peer_is_skipped(self):
         """Guards against an unknown outcome for a request that was never sent."""
         built = self._build()
