Learn of dead instances from refused connections; wait while a pool settles

Look-ups named the dead owner for about a second, callers sent its tickets to other instances, and a new owner refused for a second because its cap windows start full. Change: a refused connection takes the incarnation out of look-ups at once; a pool acquired within 2 s answers not_ready in place of a refusal, so that the dispatcher tries again; callers send a ticket to its holder only, and take a new one when the connection was refused.

--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -239,7 +239,9 @@
         others = [
             each
             for each in self._directory.instances()
-            if each.state == region.LIVE and each.name not in owners
+            if each.state == region.LIVE
+            and each.name not in owners
+            and not self._directory.is_gone(each.name, each.incarnation)
         ]
         candidates = _Candidates(
             owners=tuple(owners.values()),
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -5,6 +5,8 @@
 
 from sassafrasway_core import model, region
 
+MAX_REFUSED = 1000
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RegionDirectory:
@@ -38,6 +40,7 @@
         self._by_name: dict[str, region.Instance] = {}
         self._owners: dict[model.PoolKey, region.Instance] = {}
         self._gone: dict[model.InstanceId, None] = {}
+        self._refused: dict[model.InstanceId, None] = {}
 
     @property
     def mark(self) -> int:
@@ -46,7 +49,8 @@
 
     def owner(self, pool: model.PoolKey) -> region.Instance | None:
         """Returns the instance that owns a pool, or None when it has no known owner."""
-        return self._owners.get(pool)
+        owner = self._owners.get(pool)
+        return None if owner is None or owner.id in self._refused else owner
 
     def instance(self, name: str) -> region.Instance | None:
         """Returns the instance with a name, or None."""
@@ -61,7 +65,17 @@
 
     def is_gone(self, name: str, incarnation: str) -> bool:
         """Returns whether an incarnation is known to have ended."""
-        return model.InstanceId(name=name, incarnation=incarnation) in self._gone
+        instance = model.InstanceId(name=name, incarnation=incarnation)
+        return instance in self._gone or instance in self._refused
+
+    def note_refused(self, instance: model.InstanceId) -> None:
+        """Names an incarnation no more whose RPC port refused a connection.
+
+        The coordinator finds the same a moment later; until then, callers would be sent to it.
+        """
+        self._refused[instance] = None
+        while len(self._refused) > MAX_REFUSED:
+            del self._refused[next(iter(self._refused))]
 
     def region(self, name: str) -> RegionDirectory | None:
         """Returns what is known about a region."""
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -64,6 +64,9 @@
     def is_gone(self, name: str, incarnation: str) -> bool:
         """Returns whether an incarnation is known to have ended."""
 
+    def note_refused(self, instance: model.InstanceId) -> None:
+        """Notes that an incarnation's RPC port refused a connection."""
+
 
 class Peers(Protocol):
     """Calls to other entry instances."""
@@ -201,6 +204,8 @@
                 peer.rpc_address, "forward", timeout_s=limit_s, request=message
             )
         except rpc_client.CallNotSentError as error:
+            if isinstance(error, rpc_client.ConnectionRefusedByPeerError):
+                self._directory.note_refused(peer.id)
             return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
         except errors.UnavailableError as error:
             return messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -28,6 +28,9 @@
 PROBE_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
 WAKE_INTERVAL_S = 0.02
+# A pool that was acquired so recently may still wait for slots or caps of its previous owner.
+# Requests it refuses meanwhile are sent again rather than refused to the caller.
+SETTLE_S = 2.0
 INHERITED_S = 10.0  # longest time for which slots of a previous owner count as used
 
 
@@ -40,6 +43,7 @@
     region_window: window.SlidingWindow | None
     shift_windows: dict[str, window.SlidingWindow]
     waiters: dict[int, asyncio.Future]
+    acquired_s: float = 0.0
     requests: int = 0
 
 
@@ -149,6 +153,7 @@
             if owned is None:
                 owned = self._ending.pop(key, None) or self._add(grant)
                 self._pools[key] = owned
+                owned.acquired_s = self._clock.monotonic()
                 self._log.info("pool acquired", pool=str(key), share=grant.share.value)
             if grant.inherited and owned.grant.previous != grant.previous:
                 expires_s = self._clock.monotonic() + INHERITED_S
@@ -194,7 +199,7 @@
                 return messages.not_run(503, messages.Reason.NOT_OWNER)
             if request.deadline.expired:
                 return messages.not_run(504, messages.Reason.DEADLINE)
-            return messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
+            return self._refusal(owned, messages.Reason.NO_SLOT, retry_after_ms=100)
         limited = self._take_limits(owned, request)
         if limited is not None:
             self._release(owned, lease, pool.ServerResult.CANCELLED)
@@ -305,14 +310,22 @@
         region_window = owned.region_window
         if shift_window is not None and shift_window.retry_after_s(1.0) > 0:
             wait_ms = int(shift_window.retry_after_s(1.0) * 1000)
-            return messages.not_run(429, messages.Reason.SHIFT_CAP, retry_after_ms=wait_ms)
+            return self._refusal(owned, messages.Reason.SHIFT_CAP, retry_after_ms=wait_ms)
         if region_window is not None and not region_window.try_take(1.0):
             wait_ms = int(region_window.retry_after_s(1.0) * 1000)
-            return messages.not_run(429, messages.Reason.REGION_CAP, retry_after_ms=wait_ms)
+            return self._refusal(owned, messages.Reason.REGION_CAP, retry_after_ms=wait_ms)
         if shift_window is not None:
             shift_window.try_take(1.0)
         return None
 
+    def _refusal(
+        self, owned: OwnedPool, reason: messages.Reason, *, retry_after_ms: int
+    ) -> messages.Answer:
+        settling = self._clock.monotonic() < owned.acquired_s + SETTLE_S
+        if settling and self._placement.forwards:
+            return messages.not_run(503, messages.Reason.NOT_READY, reason.value)
+        return messages.not_run(429, reason, retry_after_ms=retry_after_ms)
+
     async def _acquire(
         self, owned: OwnedPool, request: messages.Request, *, may_queue: bool
     ) -> pool.SlotLease | None:
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -116,6 +116,9 @@
     def is_gone(self, name, incarnation):
         return (name, incarnation) in self.gone
 
+    def note_refused(self, instance):
+        self.gone.add((instance.name, instance.incarnation))
+
 
 class FakePeers:
     """Peers whose calls are answered by a function."""
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -54,6 +54,17 @@
         await asyncio.gather(*running)
         self.assertEqual(len(self.backend.calls), 3)
 
+    async def test_new_owner_does_not_refuse_for_good(self):
+        """Guards against a planned replacement that costs requests while a pool moves."""
+        manager = fakes.pool_manager(
+            backend=self.backend, clock_source=self.clock, policy_=fakes.policy(caps={"bkk": 9.0})
+        )
+        early = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertEqual(early.reason, messages.Reason.NOT_READY)
+        self.clock.advance(1.1)
+        later = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertIs(later.outcome, messages.Outcome.RAN)
+
     async def test_cancelled_caller_frees_the_slot(self):
         """Guards against a slot held for a caller that went away."""
         manager = self._manager()
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -328,6 +328,9 @@
     def use(self, route: Route) -> None:
         """Uses a lookup answer for the next attempts."""
         failed = self._answers[-1].outcome == "" if self._answers else False
+        if route.ticket:
+            # Another instance could not tell whether the holder of the ticket has run it.
+            failed = False
         self._route = route
         # The first instance of a cached or repeated answer is likely the one that just failed.
         self._next_url = len(self._answers) % len(route.urls) if failed else 0
