--- a/packages/core/tests/test_caps.py
+++ b/packages/core/tests/test_caps.py
@@ -57,6 +57,24 @@
         self.time.advance(0.01)
         self.assertEqual(self._renew(b=200), {"b": 50.0})
 
+    def test_lost_replies_free_nothing_before_the_share_expires(self):
+        """Guards against taking the sending of a smaller share for its confirmation."""
+        self._renew(a=200)
+        self.divider.renew("b", demand=200, confirmed=0)
+        for _ in range(3):
+            lost = self.divider.renew("a", demand=200, confirmed=self.held["a"].sequence)
+            self.assertEqual(lost.amount, 50.0)
+            self.time.advance(0.6)
+        self.assertEqual((self.held["a"].amount(), self._renew(b=200)), (100.0, {"b": 0.0}))
+
+    def test_late_report_does_not_revive_a_share_of_an_earlier_coordinator(self):
+        """Guards against counting on a part that was given to others meanwhile."""
+        self.divider.take_over(["a"])
+        self.assertEqual(self._settle(b=200), {"b": 66.7})
+        self.divider.assume("a", amount=100.0, remaining_s=1.5)
+        self.assertAlmostEqual(self.divider.reserved_by("a"), 100 / 3)
+        self.assertLessEqual(self._renew(a=200)["a"], 33.4)
+
     def test_silent_holder_keeps_the_offline_part_until_it_is_removed(self):
         """Guards against giving away what a partitioned holder still admits."""
         self._renew(a=200)
