--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -46,12 +46,10 @@
         """The current policy, or None before the first one."""
         return self._policy
 
-    def set_policy(self, policy: model.Policy) -> None:
-        """Replaces the policy."""
-        previous = self._policy
+    def set_policy(self, policy: model.Policy, blocks: lookup.BlockTable) -> None:
+        """Replaces the policy; ``blocks`` is the table of its client blocks."""
         self._policy = policy
-        if previous is None or previous.blocks != policy.blocks:
-            self._blocks = lookup.BlockTable(blocks=policy.blocks.values())
+        self._blocks = blocks
         self._shifts.set_shifts(policy)
         self._pools = {}
         for key in sorted(policy.pools()):
@@ -71,7 +69,7 @@
             spread: Text that spreads requests over shards and over a shift's fraction.
         """
         home = self.region_of(client) or self._region
-        weight = xxhash.xxh32_intdigest(f"{client}|{spread}") / _HASH_RANGE
+        weight = xxhash.xxh32_intdigest(f"{client}|{spread}".encode()) / _HASH_RANGE
         decision = self._shifts.home_pool(service, home, weight)
         by_region = self._pools.get(service, {})
         order = [decision.region]
