--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -115,7 +115,7 @@
         elif isinstance(command, region.SendFollow):
             self.world.send(self, command.target, "follow", command.epoch, self.me)
         elif isinstance(command, region.Probe):
-            self.world.send(self, command.target, "identify")
+            self.world.send(self, command.target, "identify", command.target)
         elif isinstance(command, region.ReadRow):
             if self.table_mode == "ok":
                 self.inbox.append((self, "row", owner, *self.world.table.read(), now))
@@ -171,13 +171,11 @@
         if self.coordinator is not None:
             self.coordinator.on_follow_reply(reply)
 
-    def _on_identify(self, source):
-        self.world.send(self, source.me, "identified", self.me)
+    def _on_identify(self, source, target):
+        self.world.send(self, source.me, "identified", target, self.me.incarnation)
 
-    def _on_identified(self, _, answered):
-        for each in self.members.instances():
-            if each.name == answered.name:
-                self.members.identified(each.id, incarnation=answered.incarnation)
+    def _on_identified(self, _, target, incarnation):
+        self.members.identified(target.id, incarnation=incarnation)
 
     def _on_refused(self, _, target):
         self.members.refused(target.id)
