Ignore refusals of instances heard since; tell an instance that it was taken for gone

A relay or host may refuse connections to a restarted process for a moment, and an instance once taken for gone stays gone. Refused follow calls prove nothing now; probes of silent instances do. An instance that learns that it was taken for gone gives up all shares at once.

--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -141,7 +141,8 @@
             self.depose()
         self._members.heard(heartbeat.sender)
         if self.deposed or heartbeat.epoch < self.epoch or self._members.is_gone(sender):
-            return self._reply(accepted=False, grants=())
+            gone = not self.deposed and self._members.is_gone(sender)
+            return dataclasses.replace(self._reply(accepted=False, grants=()), gone=gone)
         self._heard[sender] = heartbeat.sender
         self._answer(sender, heartbeat.pools)
         if heartbeat.promise and heartbeat.echo_s is not None:
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -60,6 +60,7 @@
         self._row_read = False
         self._pending: _Pending | None = None
         self._won: authority.Won | None = None
+        self._declared_gone = False
 
     @property
     def me(self) -> region.Instance:
@@ -71,6 +72,11 @@
         """The row of the latest epoch that this instance won, or None."""
         return self._won
 
+    @property
+    def declared_gone(self) -> bool:
+        """Whether a coordinator took this instance for gone; only a restart ends this."""
+        return self._declared_gone
+
     @property
     def in_contact(self) -> bool:
         """Whether the coordinator answered recently and is not known to be gone."""
@@ -111,6 +117,9 @@
 
     def on_reply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
         """Processes a heartbeat reply; returns whether its grants were applied."""
+        if reply.gone and reply.epoch >= self._grants.epoch:
+            self._declared_gone = True
+            self._grants.revoke()
         before = self._grants.epoch
         pools = self._grants.pools
         applied = self._grants.apply(reply, sent_s=sent_s)
@@ -212,6 +221,8 @@
     def _may_take_over(self) -> bool:
         if self.in_contact or self._pending is not None or not self._row_read:
             return False
+        if self._declared_gone:
+            return False
         row = self._row
         if row is None:
             return True
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -62,9 +62,15 @@
             entry.instance = instance
             entry.heard_s = self._clock.monotonic()
 
-    def refused(self, instance: model.InstanceId) -> None:
-        """Records that the port of an instance refused a connection."""
-        self._forget(instance)
+    def refused(self, instance: model.InstanceId, *, started_s: float) -> None:
+        """Records that the port of an instance refused a connection attempted at ``started_s``.
+
+        An instance that was heard since then is not gone: a network may refuse connections to a
+        restarted process for a moment.
+        """
+        entry = self._entries.get(instance)
+        if entry is None or entry.heard_s <= started_s:
+            self._forget(instance)
 
     def identified(self, expected: model.InstanceId, *, incarnation: str) -> None:
         """Records which incarnation answered at the address of ``expected``."""
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -121,6 +121,10 @@
         self._held = {grant.pool: _hold(grant, sent_s) for grant in reply.grants}
         return True
 
+    def revoke(self) -> None:
+        """Gives up every share, because others may have been granted them."""
+        self._held = {}
+
     def _set_epoch(self, epoch: int) -> None:
         self._invariants.check(
             checks.Rule.EPOCH_NEVER_DECREASES,
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -170,6 +170,7 @@
     Attributes:
         accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
             its grants are then not affected.
+        gone: Whether the sender was taken for gone, so that others may use all that it held.
         seq: Number of the reply within the epoch.
         stamp_s: Coordinator's clock when it replied.
         grants: All pools that the member may use; the member drops every other pool.
@@ -185,6 +186,7 @@
     grants: tuple[PoolGrant, ...] = ()
     settled_s: float = 0.0
     cap_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    gone: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -178,7 +178,7 @@
         self.members.identified(target.id, incarnation=incarnation)
 
     def _on_refused(self, _, target):
-        self.members.refused(target.id)
+        self.members.refused(target.id, started_s=self.clock.monotonic())
 
 
 class World:
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -112,6 +112,7 @@
         stamp_s=reply.stamp_s,
         grants=[_to_grant(grant) for grant in reply.grants],
         settled_s=reply.settled_s,
+        gone=reply.gone,
         directories=[to_directory(each) for each in directories],
         directory_mark=directory_mark,
         revision=revision,
@@ -128,6 +129,7 @@
         stamp_s=message.stamp_s or 0.0,
         grants=tuple(_from_grant(each) for each in message.grants or ()),
         settled_s=message.settled_s or 0.0,
+        gone=bool(message.gone),
     )
 
 
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -163,7 +163,7 @@
         if isinstance(command, region.SendFollow):
             await self._follow(state, command)
         elif isinstance(command, region.Probe):
-            await probe(self._peers, self._members, command.target)
+            await probe(self._peers, self._members, command.target, clock=self._clock)
         elif isinstance(command, region.ReadRow):
             await self._read_row(state)
         elif isinstance(command, region.WriteRow):
@@ -183,8 +183,6 @@
                 epoch=command.epoch,
                 coordinator=control_conversion.to_instance(self._me),
             )
-        except rpc_client.ConnectionRefusedByPeerError:
-            self._members.refused(command.target.id)
         except errors.SassafraswayError as error:
             self._log.debug("no answer to follow", peer=error.peer, reason=error.message)
         else:
@@ -306,17 +304,24 @@
         return True
 
 
-async def probe(peers: Any, members: membership.MemberTable, target: region.Instance) -> Any:
+async def probe(
+    peers: Any,
+    members: membership.MemberTable,
+    target: region.Instance,
+    *,
+    clock: clock_module.Clock,
+) -> Any:
     """Asks an instance for its identity and records what that tells about it.
 
     Returns:
         The Thrift message ``Identity``, or None when the instance did not answer.
     """
     for _ in range(2):
+        started_s = clock.monotonic()
         try:
             identity = await peers.call(target.rpc_address, "identify", timeout_s=CALL_TIMEOUT_S)
         except rpc_client.ConnectionRefusedByPeerError:
-            members.refused(target.id)
+            members.refused(target.id, started_s=started_s)
             return None
         except errors.SassafraswayError:
             # A connection that was lost proves nothing; the next attempt opens a new one.
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -41,6 +41,10 @@
     del revision, address
 
 
+def _ignore_gone() -> None:
+    """Default for instances that are restarted by hand."""
+
+
 class MemberTask:
     """Takes part in the region: follows a coordinator or becomes it.
 
@@ -58,6 +62,8 @@
         revision_source: Returns the revision of the policy in force.
         seeds: RPC addresses of instances to join through.
         on_revision: Called with a newer revision and the RPC address of its holder.
+        on_declared_gone: Called when a coordinator took this instance for gone and gave its pools
+            away; only a restart with a new incarnation can take part again.
         rng: Random source for the choice of peers.
     """
 
@@ -76,6 +82,7 @@
         revision_source: Callable[[], int],
         seeds: Sequence[str] = (),
         on_revision: Callable[[int, str], None] = _ignore_revision,
+        on_declared_gone: Callable[[], None] = _ignore_gone,
         rng: random.Random | None = None,
     ):
         self._clock = clock
@@ -87,6 +94,7 @@
         self._revision_source = revision_source
         self._seeds = tuple(seeds)
         self._on_revision = on_revision
+        self._on_declared_gone = on_declared_gone
         self._rng = rng or random.Random()
         self._members = membership.MemberTable(clock=clock)
         self._grants = ownership.GrantState(clock=clock, invariants=invariants)
@@ -114,6 +122,7 @@
         self._won_epoch = 0
         self._sunk: list[region.PoolGrant] = []
         self._table_failed = False
+        self._told_gone = False
         self._joined_s = float("-inf")
         self._wake = asyncio.Event()
         self._background = background.Background(name="member")
@@ -274,7 +283,7 @@
         try:
             reply = await self._call_heartbeat(target, message)
         except rpc_client.ConnectionRefusedByPeerError:
-            self._members.refused(target.id)
+            self._members.refused(target.id, started_s=command.sent_s)
         except errors.SassafraswayError as error:
             self._log.info("no answer to heartbeat", peer=error.peer, reason=error.message)
             if self._clock.monotonic() < command.sent_s + QUICK_FAILURE_S:
@@ -299,6 +308,10 @@
             )
         self._coordinator.depose(self._grants.epoch)
         self._sink()
+        if reply.gone and not self._told_gone:
+            self._told_gone = True
+            self._log.error("taken for gone; restart this instance", by=str(reply.coordinator.id))
+            self._on_declared_gone()
         if (message.revision or 0) > self._revision_source():
             self._on_revision(message.revision, reply.coordinator.rpc_address)
 
@@ -327,7 +340,9 @@
             self._state.on_write_ok(command, version)
 
     async def _probe(self, target: region.Instance) -> None:
-        identity = await coordinator_task.probe(self._peers, self._members, target)
+        identity = await coordinator_task.probe(
+            self._peers, self._members, target, clock=self._clock
+        )
         if identity is None or identity.coordinator is None:
             return
         if identity.instance.region == self.me.region:
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -91,6 +91,7 @@
   9: list<RegionDirectory> directories // those that changed since directory_mark
   10: i64 directory_mark
   11: i64 revision           // policy revision of the coordinator
+  12: bool gone              // the sender was taken for gone and must give up all that it holds
 }
 
 struct FollowReply {
