Divide region and link caps in heartbeats

Members report demand and the shares that they hold; the coordinator answers with shares of CapDivider while it has authority. After a takeover, the first heartbeat of each holder tells the divider what it held before.

--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -9,7 +9,16 @@
 import math
 from collections.abc import Iterable, Mapping
 
-from sassafrasway_core import assignment, authority, membership, model, region, share
+from sassafrasway_core import (
+    assignment,
+    authority,
+    cap_grants,
+    caps,
+    membership,
+    model,
+    region,
+    share,
+)
 from sassafrasway_core import clock as clocks
 from sassafrasway_core import invariants as checks
 
@@ -72,6 +81,11 @@
         self._authority = authority.Authority(
             me=me, clock=clock, invariants=invariants, members=members, won=won
         )
+        earlier = None if won.previous is None else [member.id for member in won.row.members]
+        self._caps = cap_grants.CapBook(
+            clock=clock, invariants=invariants, epoch=won.row.epoch, holders=earlier
+        )
+        self._removed: set[model.InstanceId] = set()
         self._seq = 0
         self._pools: dict[model.PoolKey, _Pool] = {}
         self._known_pools: frozenset[model.PoolKey] | None = None
@@ -129,6 +143,10 @@
         for key in self._known_pools:
             self._pool(key)
 
+    def set_caps(self, limits: Mapping[str, float]) -> None:
+        """Sets the caps that the region's instances share, by name."""
+        self._caps.set_caps(limits)
+
     def depose(self) -> None:
         """Records that another coordinator has a higher epoch."""
         self._authority.depose()
@@ -150,7 +168,8 @@
         self._confirm_releases(heartbeat)
         self._note_use(sender, heartbeat.pools)
         self._reassign()
-        return self._grant(sender)
+        self._caps.heard(sender, heartbeat.caps)
+        return dataclasses.replace(self._grant(sender), cap_shares=self._cap_shares(heartbeat))
 
     def on_follow_reply(self, reply: region.FollowReply) -> None:
         """Processes the answer of a member that was told to follow this epoch."""
@@ -181,6 +200,10 @@
         self._authority.refresh()
         gone = {instance for instance in self._unanswered if self._members.is_gone(instance)}
         self._unanswered -= gone
+        for instance in self._members.gone():
+            if instance not in self._removed:
+                self._removed.add(instance)
+                self._caps.remove(instance)
         for pool in self._pools.values():
             pool.offline_suspects = {
                 instance
@@ -359,6 +382,15 @@
                     inherited[server] = inherited.get(server, 0) + count
         return region.PoolGrant(pool=key, share=part, inherited=inherited, previous=previous)
 
+    def _cap_shares(self, heartbeat: region.Heartbeat) -> Mapping[str, caps.CapShare]:
+        """Returns the sender's shares of caps; without authority, its last ones run out."""
+        if not self.has_authority:
+            return {}
+        sender = heartbeat.sender.id
+        return self._caps.renew(
+            sender, heartbeat.caps, keeps_offline=self._authority.is_recorded(sender)
+        )
+
     def _reply(
         self, *, accepted: bool, grants: tuple[region.PoolGrant, ...]
     ) -> region.HeartbeatReply:
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -98,17 +98,19 @@
         self,
         *,
         reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
+        cap_demand: Callable[[], Mapping[str, float]] = dict,
     ) -> list[region.Command]:
         """Lets time pass and returns what has to be done now.
 
         Args:
             reports: Returns the pool reports; called when a heartbeat is due.
+            cap_demand: Returns the demand by cap name; called when a heartbeat is due.
         """
         commands: list[region.Command] = []
         coordinator = self._grants.coordinator
         reachable = coordinator is not None and not self._members.is_gone(coordinator.id)
         if reachable and (self._hurry or self._due("heartbeat", region.HEARTBEAT_S)):
-            commands.append(self._heartbeat(coordinator, reports()))
+            commands.append(self._heartbeat(coordinator, reports(), cap_demand()))
         if not self.in_contact or self._pending is not None:
             commands.extend(self._search())
         if self._may_take_over():
@@ -188,6 +190,7 @@
         self,
         coordinator: region.Instance,
         reports: Mapping[model.PoolKey, region.PoolReport],
+        cap_demand: Mapping[str, float],
     ) -> region.SendHeartbeat:
         now = self._clock.monotonic()
         self._hurry = False
@@ -202,6 +205,7 @@
             echo_s=self._grants.echo_s,
             applied_seq=self._grants.applied_seq,
             pools=self._grants.reports(reports),
+            caps=self._grants.caps.reports(cap_demand),
         )
         return region.SendHeartbeat(target=coordinator, heartbeat=heartbeat, sent_s=now)
 
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -3,9 +3,9 @@
 import dataclasses
 from collections.abc import Mapping
 
+from sassafrasway_core import cap_grants, model, region, share
 from sassafrasway_core import clock as clocks
 from sassafrasway_core import invariants as checks
-from sassafrasway_core import model, region, share
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -35,7 +35,7 @@
         self._echo_s: float | None = None
         self._settled_until_s = float("-inf")
         self._held: dict[model.PoolKey, _Held] = {}
-        self._cap_shares: Mapping[str, float] = {}
+        self._caps = cap_grants.HeldCaps(clock=clock)
 
     @property
     def epoch(self) -> int:
@@ -63,9 +63,9 @@
         return self._settled_until_s
 
     @property
-    def cap_shares(self) -> Mapping[str, float]:
-        """Limit by cap name as last granted."""
-        return self._cap_shares
+    def caps(self) -> cap_grants.HeldCaps:
+        """Shares of caps."""
+        return self._caps
 
     @property
     def pools(self) -> frozenset[model.PoolKey]:
@@ -117,13 +117,14 @@
         self._applied_seq = reply.seq
         self._echo_s = reply.stamp_s
         self._settled_until_s = sent_s + reply.settled_s
-        self._cap_shares = reply.cap_shares
+        self._caps.apply(reply.cap_shares, sent_s=sent_s)
         self._held = {grant.pool: _hold(grant, sent_s) for grant in reply.grants}
         return True
 
     def revoke(self) -> None:
         """Gives up every share, because others may have been granted them."""
         self._held = {}
+        self._caps.revoke()
 
     def _set_epoch(self, epoch: int) -> None:
         self._invariants.check(
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Mapping
 
-from sassafrasway_core import errors, model, share
+from sassafrasway_core import cap_grants, caps, errors, model, share
 
 HEARTBEAT_S = 0.5
 GRANT_S = 2.0
@@ -151,7 +151,7 @@
         echo_s: ``stamp_s`` of the latest reply of this epoch, or None. The promise counts from
             this coordinator time, so that a heartbeat read late never extends a promise.
         applied_seq: ``seq`` of the latest reply of this epoch that the member applied.
-        cap_demand: Demand by cap name in the unit of the cap.
+        caps: Demand for and shares of caps.
     """
 
     sender: Instance
@@ -160,7 +160,7 @@
     echo_s: float | None
     applied_seq: int
     pools: Mapping[model.PoolKey, PoolReport]
-    cap_demand: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    caps: tuple[cap_grants.CapReport, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -175,7 +175,7 @@
         stamp_s: Coordinator's clock when it replied.
         grants: All pools that the member may use; the member drops every other pool.
         settled_s: For this long after the heartbeat was sent, only recorded members hold grants.
-        cap_shares: Limit by cap name in the unit of the cap.
+        cap_shares: Shares by cap name.
     """
 
     epoch: int
@@ -185,7 +185,7 @@
     stamp_s: float
     grants: tuple[PoolGrant, ...] = ()
     settled_s: float = 0.0
-    cap_shares: Mapping[str, float] = dataclasses.field(default_factory=dict)
+    cap_shares: Mapping[str, caps.CapShare] = dataclasses.field(default_factory=dict)
     gone: bool = False
 
 
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -21,6 +21,8 @@
 
 STEP_S = 0.1
 SLOTS = 7
+CAP = "region/bkk"
+CAP_LIMIT = 3.0
 ROUNDS = 10
 LIST_FETCH_STEPS = 10
 POOLS = tuple(model.PoolKey(service=name, region="bkk") for name in ("a", "b", "c", "d"))
@@ -91,7 +93,8 @@
     def run(self):
         while self.inbox:
             self._handle(*self.inbox.popleft())
-        for command in self.member.tick(reports=dict):
+        demand = {CAP: float(len(self.grants.pools))}
+        for command in self.member.tick(reports=dict, cap_demand=lambda: demand):
             self._execute(command, self.member)
         won = self.member.won
         if won is not None and (self.coordinator is None or self.coordinator.epoch < won.row.epoch):
@@ -99,6 +102,7 @@
                 me=self.me, clock=self.clock, invariants=self.checks, members=self.members, won=won
             )
             self.coordinator.set_pools(POOLS)
+            self.coordinator.set_caps({CAP: CAP_LIMIT})
         if self.coordinator is not None:
             for command in self.coordinator.tick():
                 self._execute(command, self.coordinator.authority)
@@ -260,6 +264,9 @@
             used = sum(part.slots(SLOTS) for part in shares.values())
             if used > SLOTS:
                 raise AssertionError(f"{used} of {SLOTS} slots of {pool} usable: {shares}")
+        amounts = {name: process.grants.caps.amount(CAP) for name, process in self.live.items()}
+        if sum(amounts.values()) > CAP_LIMIT * (1 + 1e-9):
+            raise AssertionError(f"shares of a cap of {CAP_LIMIT} add up to more: {amounts}")
 
     def full_owners(self):
         return {
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -249,6 +249,15 @@
         self.assertEqual(without, 0)
         self.assertNotIn(name, self.world.full_owners().values())
 
+    def test_cap_shares_follow_the_pools(self):
+        """Guards against a cap that is not used up although its holders demand all of it."""
+        self.world.kill(self._leader())
+        self.world.step(80)
+        amounts = [
+            process.grants.caps.amount(ownership_sim.CAP) for process in self.world.live.values()
+        ]
+        self.assertAlmostEqual(sum(amounts), ownership_sim.CAP_LIMIT, delta=0.1)
+
 
 class GrantStateTest(unittest.TestCase):
     def test_lower_epoch_is_ignored(self):
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -1,8 +1,9 @@
 """Conversion between the control messages of core and their Thrift messages."""
 
+import dataclasses
 from collections.abc import Iterable, Mapping
 
-from sassafrasway_core import model, region, share
+from sassafrasway_core import cap_grants, caps, model, region, share
 from sassafrasway_entry import directory
 from sassafrasway_rpc import schema
 
@@ -79,6 +80,7 @@
         echo_s=heartbeat.echo_s,
         applied_seq=heartbeat.applied_seq,
         pools=_to_reports(heartbeat.pools),
+        caps=[_to_cap_report(report) for report in heartbeat.caps],
         directory_mark=directory_mark,
         revision=revision,
     )
@@ -93,6 +95,7 @@
         echo_s=message.echo_s,
         applied_seq=message.applied_seq or 0,
         pools=_from_reports(message.pools),
+        caps=tuple(_from_cap_report(each) for each in message.caps or ()),
     )
 
 
@@ -112,6 +115,7 @@
         stamp_s=reply.stamp_s,
         grants=[_to_grant(grant) for grant in reply.grants],
         settled_s=reply.settled_s,
+        cap_shares=[_to_cap_share(name, each) for name, each in reply.cap_shares.items()],
         gone=reply.gone,
         directories=[to_directory(each) for each in directories],
         directory_mark=directory_mark,
@@ -129,10 +133,38 @@
         stamp_s=message.stamp_s or 0.0,
         grants=tuple(_from_grant(each) for each in message.grants or ()),
         settled_s=message.settled_s or 0.0,
+        cap_shares={each.name: _from_cap_share(each) for each in message.cap_shares or ()},
         gone=bool(message.gone),
     )
 
 
+def _to_cap_report(report: cap_grants.CapReport):
+    return schema.control.CapReport(**dataclasses.asdict(report))
+
+
+def _from_cap_report(message) -> cap_grants.CapReport:
+    return cap_grants.CapReport(
+        name=message.name,
+        demand=message.demand or 0.0,
+        sequence=message.sequence or 0,
+        amount=message.amount or 0.0,
+        remaining_s=message.remaining_s if message.remaining_s is not None else -1.0,
+    )
+
+
+def _to_cap_share(name: str, cap_share: caps.CapShare):
+    return schema.control.CapShare(name=name, **dataclasses.asdict(cap_share))
+
+
+def _from_cap_share(message) -> caps.CapShare:
+    return caps.CapShare(
+        sequence=message.sequence,
+        amount=message.amount or 0.0,
+        offline=message.offline or 0.0,
+        valid_s=message.valid_s or 0.0,
+    )
+
+
 def _to_grant(grant: region.PoolGrant):
     return schema.control.PoolGrant(
         pool=to_pool(grant.pool),
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -7,7 +7,16 @@
 
 import structlog
 
-from sassafrasway_core import authority, coordinator, errors, invariants, membership, model, region
+from sassafrasway_core import (
+    authority,
+    cap_grants,
+    coordinator,
+    errors,
+    invariants,
+    membership,
+    model,
+    region,
+)
 from sassafrasway_core import clock as clock_module
 from sassafrasway_entry import background, control_conversion, directory, region_table
 from sassafrasway_platform import instances as instances_module
@@ -155,6 +164,7 @@
         if policy is not None and policy is not self._policy:
             self._policy = policy
             self._state.set_pools(key for key in policy.pools() if key.region == self._me.region)
+            self._state.set_caps(cap_grants.caps_of(policy, self._me.region))
 
     async def _execute(self, command: region.Command) -> None:
         state = self._state
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -60,6 +60,8 @@
         pool_reports: Returns slots in use, rate and queue length of each pool that this instance
             uses, pools that it no longer may use but whose requests still run included.
         revision_source: Returns the revision of the policy in force.
+        cap_demand: Returns the demand by cap name (see ``cap_grants``) in the unit of the cap,
+            refused demand included; caps that it does not name get no share.
         seeds: RPC addresses of instances to join through.
         on_revision: Called with a newer revision and the RPC address of its holder.
         on_declared_gone: Called when a coordinator took this instance for gone and gave its pools
@@ -80,6 +82,7 @@
         grants_sink: Callable[[list[region.PoolGrant]], None],
         pool_reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
         revision_source: Callable[[], int],
+        cap_demand: Callable[[], Mapping[str, float]] = dict,
         seeds: Sequence[str] = (),
         on_revision: Callable[[int, str], None] = _ignore_revision,
         on_declared_gone: Callable[[], None] = _ignore_gone,
@@ -91,6 +94,7 @@
         self._peers = peers
         self._grants_sink = grants_sink
         self._pool_reports = pool_reports
+        self._cap_demand = cap_demand
         self._revision_source = revision_source
         self._seeds = tuple(seeds)
         self._on_revision = on_revision
@@ -157,6 +161,10 @@
         """Returns the share of a pool that this instance may use now."""
         return self._grants.share(pool)
 
+    def cap_amount(self, name: str) -> float:
+        """Returns this instance's limit of a cap that is in force now; 0 without a share."""
+        return self._grants.caps.amount(name)
+
     def coordinator_addresses(self) -> list[str]:
         """Returns the RPC addresses of the coordinators of all regions."""
         return [each.coordinator.rpc_address for each in self._directory.regions()]
@@ -202,7 +210,7 @@
 
     def tick(self) -> None:
         """Lets time pass; starts the calls that are due."""
-        for command in self._state.tick(reports=self._pool_reports):
+        for command in self._state.tick(reports=self._pool_reports, cap_demand=self._cap_demand):
             self._background.start(self._execute(command))
         won = self._state.won
         if won is not None and won.row.epoch > self._won_epoch:
