--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -60,6 +60,7 @@
         self._row_read = False
         self._pending: _Pending | None = None
         self._won: authority.Won | None = None
+        self._declared_gone = False
 
     @property
     def me(self) -> region.Instance:
@@ -71,6 +72,11 @@
         """The row of the latest epoch that this instance won, or None."""
         return self._won
 
+    @property
+    def declared_gone(self) -> bool:
+        """Whether a coordinator took this instance for gone; only a restart ends this."""
+        return self._declared_gone
+
     @property
     def in_contact(self) -> bool:
         """Whether the coordinator answered recently and is not known to be gone."""
@@ -92,17 +98,19 @@
         self,
         *,
         reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
+        cap_demand: Callable[[], Mapping[str, float]] = dict,
     ) -> list[region.Command]:
         """Lets time pass and returns what has to be done now.
 
         Args:
             reports: Returns the pool reports; called when a heartbeat is due.
+            cap_demand: Returns the demand by cap name; called when a heartbeat is due.
         """
         commands: list[region.Command] = []
         coordinator = self._grants.coordinator
         reachable = coordinator is not None and not self._members.is_gone(coordinator.id)
         if reachable and (self._hurry or self._due("heartbeat", region.HEARTBEAT_S)):
-            commands.append(self._heartbeat(coordinator, reports()))
+            commands.append(self._heartbeat(coordinator, reports(), cap_demand()))
         if not self.in_contact or self._pending is not None:
             commands.extend(self._search())
         if self._may_take_over():
@@ -111,6 +119,9 @@
 
     def on_reply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
         """Processes a heartbeat reply; returns whether its grants were applied."""
+        if reply.gone and reply.epoch >= self._grants.epoch:
+            self._declared_gone = True
+            self._grants.revoke()
         before = self._grants.epoch
         pools = self._grants.pools
         applied = self._grants.apply(reply, sent_s=sent_s)
@@ -179,6 +190,7 @@
         self,
         coordinator: region.Instance,
         reports: Mapping[model.PoolKey, region.PoolReport],
+        cap_demand: Mapping[str, float],
     ) -> region.SendHeartbeat:
         now = self._clock.monotonic()
         self._hurry = False
@@ -193,6 +205,7 @@
             echo_s=self._grants.echo_s,
             applied_seq=self._grants.applied_seq,
             pools=self._grants.reports(reports),
+            caps=self._grants.caps.reports(cap_demand),
         )
         return region.SendHeartbeat(target=coordinator, heartbeat=heartbeat, sent_s=now)
 
@@ -212,6 +225,8 @@
     def _may_take_over(self) -> bool:
         if self.in_contact or self._pending is not None or not self._row_read:
             return False
+        if self._declared_gone:
+            return False
         row = self._row
         if row is None:
             return True
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -7,7 +7,16 @@
 
 import structlog
 
-from sassafrasway_core import authority, coordinator, errors, invariants, membership, model, region
+from sassafrasway_core import (
+    authority,
+    cap_grants,
+    coordinator,
+    errors,
+    invariants,
+    membership,
+    model,
+    region,
+)
 from sassafrasway_core import clock as clock_module
 from sassafrasway_entry import background, control_conversion, directory, region_table
 from sassafrasway_platform import instances as instances_module
@@ -155,6 +164,7 @@
         if policy is not None and policy is not self._policy:
             self._policy = policy
             self._state.set_pools(key for key in policy.pools() if key.region == self._me.region)
+            self._state.set_caps(cap_grants.caps_of(policy, self._me.region))
 
     async def _execute(self, command: region.Command) -> None:
         state = self._state
@@ -163,7 +173,7 @@
         if isinstance(command, region.SendFollow):
             await self._follow(state, command)
         elif isinstance(command, region.Probe):
-            await probe(self._peers, self._members, command.target)
+            await probe(self._peers, self._members, command.target, clock=self._clock)
         elif isinstance(command, region.ReadRow):
             await self._read_row(state)
         elif isinstance(command, region.WriteRow):
@@ -183,8 +193,6 @@
                 epoch=command.epoch,
                 coordinator=control_conversion.to_instance(self._me),
             )
-        except rpc_client.ConnectionRefusedByPeerError:
-            self._members.refused(command.target.id)
         except errors.SassafraswayError as error:
             self._log.debug("no answer to follow", peer=error.peer, reason=error.message)
         else:
@@ -306,17 +314,24 @@
         return True
 
 
-async def probe(peers: Any, members: membership.MemberTable, target: region.Instance) -> Any:
+async def probe(
+    peers: Any,
+    members: membership.MemberTable,
+    target: region.Instance,
+    *,
+    clock: clock_module.Clock,
+) -> Any:
     """Asks an instance for its identity and records what that tells about it.
 
     Returns:
         The Thrift message ``Identity``, or None when the instance did not answer.
     """
     for _ in range(2):
+        started_s = clock.monotonic()
         try:
             identity = await peers.call(target.rpc_address, "identify", timeout_s=CALL_TIMEOUT_S)
         except rpc_client.ConnectionRefusedByPeerError:
-            members.refused(target.id)
+            members.refused(target.id, started_s=started_s)
             return None
         except errors.SassafraswayError:
             # A connection that was lost proves nothing; the next attempt opens a new one.
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -41,6 +41,10 @@
     del revision, address
 
 
+def _ignore_gone() -> None:
+    """Default for instances that are restarted by hand."""
+
+
 class MemberTask:
     """Takes part in the region: follows a coordinator or becomes it.
 
@@ -56,8 +60,12 @@
         pool_reports: Returns slots in use, rate and queue length of each pool that this instance
             uses, pools that it no longer may use but whose requests still run included.
         revision_source: Returns the revision of the policy in force.
+        cap_demand: Returns the demand by cap name (see ``cap_grants``) in the unit of the cap,
+            refused demand included; caps that it does not name get no share.
         seeds: RPC addresses of instances to join through.
         on_revision: Called with a newer revision and the RPC address of its holder.
+        on_declared_gone: Called when a coordinator took this instance for gone and gave its pools
+            away; only a restart with a new incarnation can take part again.
         rng: Random source for the choice of peers.
     """
 
@@ -74,8 +82,10 @@
         grants_sink: Callable[[list[region.PoolGrant]], None],
         pool_reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
         revision_source: Callable[[], int],
+        cap_demand: Callable[[], Mapping[str, float]] = dict,
         seeds: Sequence[str] = (),
         on_revision: Callable[[int, str], None] = _ignore_revision,
+        on_declared_gone: Callable[[], None] = _ignore_gone,
         rng: random.Random | None = None,
     ):
         self._clock = clock
@@ -84,9 +94,11 @@
         self._peers = peers
         self._grants_sink = grants_sink
         self._pool_reports = pool_reports
+        self._cap_demand = cap_demand
         self._revision_source = revision_source
         self._seeds = tuple(seeds)
         self._on_revision = on_revision
+        self._on_declared_gone = on_declared_gone
         self._rng = rng or random.Random()
         self._members = membership.MemberTable(clock=clock)
         self._grants = ownership.GrantState(clock=clock, invariants=invariants)
@@ -114,6 +126,7 @@
         self._won_epoch = 0
         self._sunk: list[region.PoolGrant] = []
         self._table_failed = False
+        self._told_gone = False
         self._joined_s = float("-inf")
         self._wake = asyncio.Event()
         self._background = background.Background(name="member")
@@ -148,6 +161,10 @@
         """Returns the share of a pool that this instance may use now."""
         return self._grants.share(pool)
 
+    def cap_amount(self, name: str) -> float:
+        """Returns this instance's limit of a cap that is in force now; 0 without a share."""
+        return self._grants.caps.amount(name)
+
     def coordinator_addresses(self) -> list[str]:
         """Returns the RPC addresses of the coordinators of all regions."""
         return [each.coordinator.rpc_address for each in self._directory.regions()]
@@ -193,7 +210,7 @@
 
     def tick(self) -> None:
         """Lets time pass; starts the calls that are due."""
-        for command in self._state.tick(reports=self._pool_reports):
+        for command in self._state.tick(reports=self._pool_reports, cap_demand=self._cap_demand):
             self._background.start(self._execute(command))
         won = self._state.won
         if won is not None and won.row.epoch > self._won_epoch:
@@ -274,7 +291,7 @@
         try:
             reply = await self._call_heartbeat(target, message)
         except rpc_client.ConnectionRefusedByPeerError:
-            self._members.refused(target.id)
+            self._members.refused(target.id, started_s=command.sent_s)
         except errors.SassafraswayError as error:
             self._log.info("no answer to heartbeat", peer=error.peer, reason=error.message)
             if self._clock.monotonic() < command.sent_s + QUICK_FAILURE_S:
@@ -299,6 +316,10 @@
             )
         self._coordinator.depose(self._grants.epoch)
         self._sink()
+        if reply.gone and not self._told_gone:
+            self._told_gone = True
+            self._log.error("taken for gone; restart this instance", by=str(reply.coordinator.id))
+            self._on_declared_gone()
         if (message.revision or 0) > self._revision_source():
             self._on_revision(message.revision, reply.coordinator.rpc_address)
 
@@ -327,7 +348,9 @@
             self._state.on_write_ok(command, version)
 
     async def _probe(self, target: region.Instance) -> None:
-        identity = await coordinator_task.probe(self._peers, self._members, target)
+        identity = await coordinator_task.probe(
+            self._peers, self._members, target, clock=self._clock
+        )
         if identity is None or identity.coordinator is None:
             return
         if identity.instance.region == self.me.region:
