--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -135,8 +135,9 @@
 
     async def _kill(self) -> None:
         await self._wait_until(self._schedule.kill_s)
-        name = await self._owner(self._layout.regions[0])
-        self._say(f"kill -9 of {name}, which owns {SERVICE} in {self._layout.regions[0]}")
+        region = self._layout.regions[0]
+        name = await self._owner(region)
+        self._say(f"kill -9 of {name}, which owns {SERVICE} in {region}")
         await self._cluster.kill_entry(name)
         await self._wait_until(self._schedule.restart_s)
         self._say(f"the platform starts {name} again")
@@ -144,12 +145,16 @@
 
     async def _replace(self) -> None:
         await self._wait_until(self._schedule.replace_s)
-        name = await self._owner(self._layout.regions[1])
-        self._say(f"graceful replacement of {name}, which owns {SERVICE} in another region")
+        region = self._layout.regions[1]
+        name = await self._owner(region)
+        self._say(f"graceful replacement of {name}, which owns {SERVICE} in {region}")
         before_s = time.monotonic()
         code = await self._cluster.stop_entry(name)
         took_s = time.monotonic() - before_s
         self._say(f"{name} drained and ended with code {code} after {took_s:.1f} s")
+        if code != 0:
+            child = self._cluster.process(name)
+            raise processes.ProcessError(f"{name} did not stop gracefully:\n{child.tail()}")
         await self._cluster.start_entry(name)
 
     async def _shift(self) -> None:
