--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -56,6 +56,7 @@
         load: Offered load; at 1.0, arrivals x mean service time = slots of the service.
         duration_s: Length of the trace, s.
         mean_ms: Mean service time, ms.
+        deadline_ms: Deadline of requests, ms; 0 takes that of the service.
     """
 
     layout: str
@@ -66,6 +67,7 @@
     placement: str
     instances: int
     mean_ms: float
+    deadline_ms: int
     load_processes: int
 
     @property
@@ -174,7 +176,7 @@
         services={
             each.name: caller.CalledService(
                 idempotent=each.idempotent,
-                deadline_ms=each.deadline_ms,
+                deadline_ms=options.deadline_ms or each.deadline_ms,
                 slots=each.servers * each.slots,
                 may_wait=each.may_wait,
             )
@@ -299,6 +301,12 @@
     help="Number of entry instances.",
 )
 @click.option("--mean-ms", default=200.0, show_default=True, help="Mean service time, ms.")
+@click.option(
+    "--deadline-ms",
+    type=click.IntRange(min=0),
+    default=0,
+    help="Deadline of requests, ms; 0 takes that of the service.",
+)
 @click.option(
     "--load-processes",
     type=click.IntRange(MIN_LOAD_PROCESSES, MAX_LOAD_PROCESSES),
