Enforce region and link caps by shares of the coordinator

Cause: the region cap was split by slots for good, and link caps were not enforced. A grant for a region that the policy in force does not name raised KeyError in the old split. Cap reports carry the offline part of the last share.

--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -43,6 +43,7 @@
         demand: What the holder would use, in the unit of the cap.
         sequence: Sequence of the share in force, 0 when there is none.
         amount: Amount of the last share, expired or not.
+        offline: Offline part of the last share.
         remaining_s: Time until that share expires; negative when it has expired.
     """
 
@@ -50,6 +51,7 @@
     demand: float
     sequence: int = 0
     amount: float = 0.0
+    offline: float = 0.0
     remaining_s: float = -1.0
 
 
@@ -87,7 +89,8 @@
             name=name,
             demand=demand.get(name, 0.0),
             sequence=held.sequence,
-            amount=held.last_amount,
+            amount=held.share.amount,
+            offline=held.share.offline,
             # A share that was never given has no time of expiry.
             remaining_s=max(held.remaining_s(), -caps.SHARE_S),
         )
@@ -188,8 +191,15 @@
         heard_s, reports = self._earlier[holder]
         report = reports.get(name)
         elapsed_s = self._clock.monotonic() - heard_s
+        if report is None:
+            report = CapReport(name=name, demand=0.0, remaining_s=-math.inf)
         divider.assume(
             holder,
-            amount=0.0 if report is None else report.amount,
-            remaining_s=-math.inf if report is None else report.remaining_s - elapsed_s,
+            share=caps.CapShare(
+                sequence=report.sequence,
+                amount=report.amount,
+                offline=report.offline,
+                valid_s=caps.SHARE_S,
+            ),
+            remaining_s=report.remaining_s - elapsed_s,
         )
--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -80,6 +80,7 @@
         self._local_host = local_host
         self._reused: dict[str, aiohttp.ClientSession] = {}
         self._fresh: dict[str, aiohttp.ClientSession] = {}
+        self._closing: set[asyncio.Task] = set()
         self._log = structlog.get_logger("backend_client")
 
     async def close(self) -> None:
@@ -207,7 +208,8 @@
             return
         self._log.info("connections replaced", server=server.name, waited_s=round(waited_s, 3))
         task = asyncio.create_task(_close_later(session))
-        task.add_done_callback(lambda done: done.exception())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
 
 
 async def _close_later(session: aiohttp.ClientSession) -> None:
--- /dev/null
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -0,0 +1,108 @@
+"""Limits of one instance: its shares of the region's cap and of the links' caps."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from sassafrasway_core import cap_grants, model, window
+from sassafrasway_core import clock as clock_lib
+
+BITS_PER_MBIT = 1_000_000
+MESSAGE_OVERHEAD_BYTES = 256  # Thrift framing, field heads and TCP/IP headers of a small message
+DEMAND_INTERVAL_S = 0.4
+
+
+@dataclasses.dataclass(slots=True)
+class _Cap:
+    """Use of one cap by this instance; demand includes what was refused."""
+
+    window: window.SlidingWindow
+    wanted: float = 0.0
+    since_s: float = 0.0
+    demand: float = 0.0
+
+
+def message_mbit(size_bytes: int) -> float:
+    """Returns the size of a message on a link in Mbit."""
+    return (size_bytes + MESSAGE_OVERHEAD_BYTES) * 8 / BITS_PER_MBIT
+
+
+class CapLimits:
+    """Keeps this instance within its shares of caps.
+
+    The limit of each window is the share in force at that moment, so that a share that expires
+    takes effect without a message.
+
+    Args:
+        region: Region of this instance.
+        clock: Time source.
+        amount: Returns the share in force of a cap by name.
+    """
+
+    def __init__(self, *, region: str, clock: clock_lib.Clock, amount: Callable[[str], float]):
+        self._region = region
+        self._clock = clock
+        self._amount = amount
+        self._caps: dict[str, _Cap] = {}
+
+    def set_policy(self, policy: model.Policy) -> None:
+        """Takes the caps of a new policy."""
+        names = cap_grants.caps_of(policy, self._region)
+        self._caps = {name: self._caps.get(name) or self._new() for name in names}
+
+    def demand(self, *, uses_region: bool) -> dict[str, float]:
+        """Returns the demand by cap name since the last call, for the next heartbeat.
+
+        Args:
+            uses_region: Whether this instance dispatches to servers of its region; one that does
+                not gets no share of the region's cap.
+        """
+        own = cap_grants.region_cap(self._region)
+        demands = {}
+        for name, cap in self._caps.items():
+            self._measure(cap)
+            if name != own or uses_region:
+                demands[name] = cap.demand
+        return demands
+
+    def take_region(self) -> float:
+        """Takes one request from the region's cap; returns 0, or seconds to wait."""
+        return self._take(cap_grants.region_cap(self._region), 1.0)
+
+    def take_link(self, target: str, size_bytes: int) -> float:
+        """Takes a message to another region from the link's cap; returns 0, or seconds to wait."""
+        return self._take(cap_grants.link_cap(self._region, target), message_mbit(size_bytes))
+
+    async def wait_link(self, target: str, size_bytes: int, *, limit_s: float) -> bool:
+        """Waits until a message fits under the link's cap; returns False after ``limit_s``."""
+        until_s = self._clock.monotonic() + limit_s
+        while (wait_s := self.take_link(target, size_bytes)) > 0:
+            if self._clock.monotonic() + wait_s > until_s:
+                return False
+            await asyncio.sleep(wait_s)
+        return True
+
+    def _take(self, name: str, amount: float) -> float:
+        cap = self._caps.get(name)
+        if cap is None:
+            return 0.0
+        cap.wanted += amount
+        cap.window.set_limit(self._amount(name))
+        if cap.window.try_take(amount):
+            return 0.0
+        return max(cap.window.retry_after_s(amount), 0.001)
+
+    def _new(self) -> _Cap:
+        return _Cap(
+            window=window.SlidingWindow(limit=0.0, clock=self._clock),
+            since_s=self._clock.monotonic(),
+        )
+
+    def _measure(self, cap: _Cap) -> None:
+        now_s = self._clock.monotonic()
+        elapsed_s = now_s - cap.since_s
+        if elapsed_s < DEMAND_INTERVAL_S:
+            return
+        cap.demand = cap.wanted / elapsed_s
+        cap.wanted = 0.0
+        cap.since_s = now_s
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -7,7 +7,7 @@
 import structlog
 
 from sassafrasway_core import errors, model, placement, retry
-from sassafrasway_entry import conversion, messages, pools, steering
+from sassafrasway_entry import cap_limits, conversion, messages, pools, steering
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
@@ -80,6 +80,8 @@
 
     Args:
         me: This incarnation.
+        region: Region of this instance.
+        limits: Shares of the links' caps.
         steering: Policy questions.
         pools: Pools that this instance owns.
         directory: Owners of the other pools.
@@ -92,6 +94,8 @@
         self,
         *,
         me: model.InstanceId,
+        region: str,
+        limits: cap_limits.CapLimits,
         steering: steering.Steering,
         pools: pools.PoolManager,
         directory: Directory,
@@ -100,6 +104,8 @@
         budget: retry.RetryBudget,
     ):
         self._me = me
+        self._region = region
+        self._limits = limits
         self._steering = steering
         self._pools = pools
         self._directory = directory
@@ -193,6 +199,11 @@
         """Sends a request to another instance and returns its answer."""
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
+        if peer.region != self._region:
+            wait_s = self._limits.take_link(peer.region, len(request.body))
+            if wait_s > 0:
+                wait_ms = int(min(wait_s, 1.0) * 1000)
+                return messages.not_run(429, messages.Reason.LINK_CAP, retry_after_ms=wait_ms)
         message = conversion.to_forward(
             request, stage=stage, key=key, may_queue=may_queue, sender=str(self._me)
         )
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -21,7 +21,7 @@
     share,
     window,
 )
-from sassafrasway_entry import backend_client, messages, recorder
+from sassafrasway_entry import backend_client, cap_limits, messages, recorder
 
 MAX_SHED_RETRIES = 2
 RAMP_S = 2.0  # time in which a new or idle server reaches all of its slots
@@ -40,7 +40,6 @@
 
     grant: region.PoolGrant
     slots: pool.SlotPool
-    region_window: window.SlidingWindow | None
     shift_windows: dict[str, window.SlidingWindow]
     waiters: dict[int, asyncio.Future]
     acquired_s: float = 0.0
@@ -60,6 +59,7 @@
             server; arguments are service, fingerprint and server.
         share_of: Returns the share of a pool that may be used now.
         placement: Strategy that decides which slots an instance may use.
+        limits: Share of the region's cap.
         on_slot_released: Called with pool and server when a request ends whose pool has moved to
             another owner.
         queue_limit: Longest queue of a pool.
@@ -76,6 +76,7 @@
         report_crash: Callable[[str, str, str], Awaitable[None]],
         share_of: Callable[[model.PoolKey], share.Share],
         placement: placement.Placement,
+        limits: cap_limits.CapLimits,
         on_slot_released: Callable[[model.PoolKey, str], None],
         queue_limit: int,
     ):
@@ -87,6 +88,7 @@
         self._report_crash = report_crash
         self._share_of = share_of
         self._placement = placement
+        self._limits = limits
         self._on_slot_released = on_slot_released
         self._position = (0, 1)
         self._queue_limit = queue_limit
@@ -242,7 +244,7 @@
             ramp_s=RAMP_S,
             rank_by_reports=self._placement.ranks_by_reports,
         )
-        return OwnedPool(grant=grant, slots=slots, region_window=None, shift_windows={}, waiters={})
+        return OwnedPool(grant=grant, slots=slots, shift_windows={}, waiters={})
 
     def _drop(self, key: model.PoolKey) -> None:
         owned = self._pools.pop(key)
@@ -257,7 +259,6 @@
         if self._policy is None:
             return
         key = owned.grant.pool
-        owned.region_window = self._window(owned.region_window, self._region_limit(key))
         wanted = {
             shift.source: shift.cap_rps
             for shift in self._policy.shifts.values()
@@ -268,23 +269,7 @@
             for source, cap_rps in wanted.items()
         }
 
-    def _region_limit(self, key: model.PoolKey) -> float | None:
-        """Returns the pool's part of the region's cap, by its part of the region's slots."""
-        cap_rps = self._policy.regions[key.region].cap_rps
-        if cap_rps is None:
-            return None
-        slots = {
-            each: sum(server.slots for server in servers)
-            for each, servers in self._servers.items()
-            if each.region == key.region
-        }
-        return cap_rps * slots.get(key, 0) / max(1, sum(slots.values()))
-
-    def _window(
-        self, current: window.SlidingWindow | None, limit: float | None
-    ) -> window.SlidingWindow | None:
-        if limit is None:
-            return None
+    def _window(self, current: window.SlidingWindow | None, limit: float) -> window.SlidingWindow:
         if current is None:
             # The previous owner may have used the whole limit in the last second.
             return window.SlidingWindow(limit=limit, clock=self._clock, start_full=True)
@@ -307,12 +292,12 @@
     def _take_limits(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
         """Takes the request from the caps after it has a slot, so that waiting costs no cap."""
         shift_window = owned.shift_windows.get(request.home_region)
-        region_window = owned.region_window
         if shift_window is not None and shift_window.retry_after_s(1.0) > 0:
             wait_ms = int(shift_window.retry_after_s(1.0) * 1000)
             return self._refusal(owned, messages.Reason.SHIFT_CAP, retry_after_ms=wait_ms)
-        if region_window is not None and not region_window.try_take(1.0):
-            wait_ms = int(region_window.retry_after_s(1.0) * 1000)
+        wait_s = self._limits.take_region()
+        if wait_s > 0:
+            wait_ms = int(min(wait_s, 1.0) * 1000)
             return self._refusal(owned, messages.Reason.REGION_CAP, retry_after_ms=wait_ms)
         if shift_window is not None:
             shift_window.try_take(1.0)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -16,6 +16,7 @@
     admin_api,
     backend_client,
     caller_api,
+    cap_limits,
     config_service,
     config_task,
     control_conversion,
@@ -138,6 +139,7 @@
             policy_source=lambda: self._config.policy,
             grants_sink=self._on_grants,
             pool_reports=lambda: self._pools.reports(),
+            cap_demand=lambda: self._limits.demand(uses_region=bool(self._pools.owned)),
             revision_source=lambda: self._config.revision,
             seeds=self._settings.network.seeds,
             on_revision=lambda revision, address: self._config.observe_revision(
@@ -146,6 +148,9 @@
             rng=self._rng,
         )
         self._directory = self._member.directory
+        self._limits = cap_limits.CapLimits(
+            region=me.region, clock=self._clock, amount=self._member.cap_amount
+        )
 
     def _pull_sources(self) -> list[str]:
         known = [each.rpc_address for each in self._directory.instances()]
@@ -169,12 +174,15 @@
             report_crash=self._report_crash,
             share_of=self._member.share,
             placement=self._placement,
+            limits=self._limits,
             on_slot_released=self._on_slot_released,
             queue_limit=self._settings.limits.queue_limit,
         )
         self._steering = steering.Steering(region=self._me.region, clock=self._clock, rng=self._rng)
         self._dispatcher = dispatcher.Dispatcher(
             me=me,
+            region=self._me.region,
+            limits=self._limits,
             steering=self._steering,
             pools=self._pools,
             directory=self._directory,
@@ -212,7 +220,9 @@
             metrics=self._metrics, dump=self.dump, health=self._health
         )
         self._forward_service = forward_service.ForwardService(
+            region=self._me.region,
             clock=self._clock,
+            limits=self._limits,
             pools=self._pools,
             gatekeeper=self._gatekeeper,
             directory=self._directory,
@@ -296,6 +306,7 @@
     def _on_policy(self, policy: model.Policy) -> None:
         self._steering.set_policy(policy, self._config.blocks)
         self._pools.set_policy(policy)
+        self._limits.set_policy(policy)
         self._record.record("revision", revision=policy.revision)
         self._log.info("policy in force", revision=policy.revision)
 
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -35,6 +35,7 @@
         self.clock = fakes.manual_clock()
         self.replies = []
         self.peers = fakes.FakePeers(self._reply)
+        self.link_mbit_s = 1000.0
 
     def _reply(self, address, method, arguments):
         reply = self.replies.pop(0) if self.replies else _RAN
@@ -59,6 +60,8 @@
         self.pools = _Pools({self.keys[0]})
         return dispatcher.Dispatcher(
             me=fakes.ME,
+            region="bkk",
+            limits=fakes.limits(self.clock, policy, self.link_mbit_s),
             steering=steer,
             pools=self.pools,
             directory=self.directory,
@@ -135,6 +138,18 @@
         answer = await built.run(self._request())
         self.assertIs(answer.outcome, messages.Outcome.RAN)
 
+    async def test_link_cap_holds(self):
+        """Guards against forwarding more bytes to a region than the link's cap admits."""
+        self.link_mbit_s = 0.02  # room for one request of 1,000 bytes each second
+        built = self._build(regions=("bkk", "cnx"))
+        self.pools.script = [_FULL] * 5
+        answers = [
+            await built.run(self._request(body=b"x" * 1000, number=number)) for number in range(5)
+        ]
+        ran = [each for each in answers if each.outcome is messages.Outcome.RAN]
+        self.assertEqual(len(ran), 1)
+        self.assertEqual(answers[-1].reason, messages.Reason.LINK_CAP)
+
     async def test_moved_pool_is_followed_once(self):
         """Guards against refusing a request because the directory is a moment old."""
         built = self._build()
