core: select servers without evaluating all of them

Selection built sets and ranks for every server. It now skips servers that cannot have the most free slots.

--- a/packages/core/src/sassafrasway_core/health.py
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -57,20 +57,20 @@
         self._rng = rng
         self._failures_to_eject = failures_to_eject
         self._records: dict[str, _Record] = {}
+        self._ejected: frozenset[str] = frozenset()
+        self._failing: set[str] = set()
 
     def is_ejected(self, server: str) -> bool:
         """Returns whether the server gets no requests."""
-        record = self._records.get(server)
-        return record is not None and record.ejected
-
-    def is_failing(self, server: str) -> bool:
-        """Returns whether the last result was a failure, so that other servers come first."""
-        record = self._records.get(server)
-        return record is not None and record.failures > 0
+        return server in self._ejected
 
     def ejected(self) -> frozenset[str]:
         """Returns the names of all ejected servers."""
-        return frozenset(name for name, record in self._records.items() if record.ejected)
+        return self._ejected
+
+    def failing(self) -> frozenset[str]:
+        """Returns the servers whose last result was a failure, so that others come first."""
+        return frozenset(self._failing)
 
     def probes_due(self) -> list[str]:
         """Returns the ejected servers whose ejection time has passed, longest ago first."""
@@ -85,9 +85,12 @@
     def set_servers(self, servers: Iterable[str]) -> None:
         """Replaces the servers of the pool; leaving ones must not be among them."""
         self._records = {name: self._records.get(name) or _Record() for name in servers}
+        self._failing &= self._records.keys()
+        self._find_ejected()
         by_return = sorted(self.ejected(), key=lambda name: self._records[name].until_s)
         for name in by_return[: max(0, len(by_return) - self._ejectable())]:
             self._records[name].ejected = False
+        self._find_ejected()
 
     def record(self, server: str, result: pool_types.ServerResult) -> None:
         """Counts the result of a request."""
@@ -95,8 +98,10 @@
         if record is None:
             return
         if result is pool_types.ServerResult.OK:
+            self._failing.discard(server)
             self._record_success(record)
         elif result in _FAILURES:
+            self._failing.add(server)
             record.failures += 1
             if record.failures >= self._failures_to_eject and not record.ejected:
                 self._eject(record)
@@ -110,6 +115,8 @@
             record.ejected = False
             record.failures = 0
             record.until_s = self._clock.monotonic()
+            self._failing.discard(server)
+            self._find_ejected()
         else:
             self._extend(record)
 
@@ -124,6 +131,7 @@
         if len(self.ejected()) < self._ejectable():
             record.ejected = True
             self._extend(record)
+            self._find_ejected()
 
     def _extend(self, record: _Record) -> None:
         ejection_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2.0**record.ejections)
@@ -131,5 +139,8 @@
         record.ejections = min(record.ejections + 1, 32)
         record.until_s = self._clock.monotonic() + ejection_s * jitter
 
+    def _find_ejected(self) -> None:
+        self._ejected = frozenset(name for name, each in self._records.items() if each.ejected)
+
     def _ejectable(self) -> int:
         return len(self._records) // EJECTABLE_DIVISOR
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -23,6 +23,10 @@
 Share = shares.Share
 SlotLease = pool_types.SlotLease
 
+# A server that has just shed has fewer free slots than its pool counts; others come first until
+# its running requests have had time to end.
+SHED_PAUSE_S = 0.5
+
 
 class SlotPool:
     """Hands out the slots of a pool's servers, never more than the share of each allows.
@@ -67,6 +71,8 @@
         self._rank_by_reports = rank_by_reports
         self._share = Share.FULL
         self._servers: dict[str, pool_server.ServerSlots] = {}
+        self._active: list[pool_server.ServerSlots] = []
+        self._shed_until_s: dict[str, float] = {}
         self._leases: dict[int, pool_server.ServerSlots] = {}
         self._lease_ids = itertools.count(1)
         self._queue = pool_queue.WaitQueue(limit=queue_limit)
@@ -92,7 +98,10 @@
     def free_slots(self) -> int:
         """Returns the number of leases that could be handed out now."""
         now_s = self._advance()
-        return sum(max(0, self._free(each, now_s)) for each in self._dispatchable())
+        ejected = self._health.ejected()
+        return sum(
+            max(0, self._free(each, now_s)) for each in self._active if each.name not in ejected
+        )
 
     def in_use(self) -> dict[str, int]:
         """Returns the slots in use per server, inherited ones included; idle servers are absent."""
@@ -130,6 +139,8 @@
     def set_share(self, share: Share) -> None:
         """Changes the part of each server's slots that new leases may use."""
         self._share = share
+        for slots in self._servers.values():
+            slots.set_share(share)
 
     def set_leaving(self, server: str, leaving: bool) -> None:
         """Applies the state that a server itself reported, for example in answer to a probe."""
@@ -139,7 +150,7 @@
         slots.reported_leaving = leaving
         if not leaving:
             slots.restart_ramp()
-        self._update_health()
+        self._update_active()
 
     def record_probe(self, server: str, *, succeeded: bool) -> None:
         """Counts the probe of an ejected server; a returning server is ramped up."""
@@ -175,7 +186,7 @@
         now_s = self._advance()
         slots.end(now_s)
         self._apply_result(slots, result, now_s)
-        self._forget_if_unused(slots.server.name)
+        self._forget_if_unused(slots.name)
         return self.grant_waiting()
 
     def enqueue(self, waiter_id: Hashable, *, expires_s: float) -> bool:
@@ -234,12 +245,13 @@
                 slots.update(server)
             else:
                 self._servers[server.name] = pool_server.ServerSlots(
-                    server, ramp_s=self._ramp_s, now_s=now_s, cold=cold
+                    server, share=self._share, ramp_s=self._ramp_s, now_s=now_s, cold=cold
                 )
-        self._update_health()
+        self._update_active()
 
-    def _update_health(self) -> None:
-        self._health.set_servers(name for name, slots in self._servers.items() if not slots.leaving)
+    def _update_active(self) -> None:
+        self._active = [slots for slots in self._servers.values() if not slots.leaving]
+        self._health.set_servers(slots.name for slots in self._active)
 
     def _forget_if_unused(self, name: str) -> None:
         slots = self._servers.get(name)
@@ -255,47 +267,51 @@
         self, slots: pool_server.ServerSlots, result: ServerResult, now_s: float
     ) -> None:
         if result is ServerResult.LEAVING:
-            self.set_leaving(slots.server.name, True)
+            self.set_leaving(slots.name, True)
         elif result is ServerResult.SHED:
-            slots.record_shed(now_s)
+            self._shed_until_s[slots.name] = now_s + SHED_PAUSE_S
         else:
-            self._health.record(slots.server.name, result)
-
-    def _dispatchable(self) -> Iterable[pool_server.ServerSlots]:
-        ejected = self._health.ejected()
-        return [
-            each for name, each in self._servers.items() if not each.leaving and name not in ejected
-        ]
+            self._health.record(slots.name, result)
 
     def _free(self, slots: pool_server.ServerSlots, now_s: float) -> int:
-        used = slots.in_use + self._inherited.count(slots.server.name)
-        return slots.limit(self._share, now_s) - used
+        return slots.limit(now_s) - slots.in_use - self._inherited.count(slots.name)
 
     def _select(self, exclude: frozenset[str], now_s: float) -> pool_server.ServerSlots | None:
+        barred = self._health.ejected() | exclude
+        unsound = self._unsound(now_s)
         best: list[pool_server.ServerSlots] = []
-        best_rank: tuple[bool, int, int] | None = None
-        for slots in self._dispatchable():
-            if slots.server.name in exclude:
+        best_rank = (False, 0, 0)
+        for slots in self._active:
+            most = slots.usable - slots.in_use
+            # Most servers end here, which keeps selection fast in large pools.
+            if most <= 0 or (best_rank[0] and most < best_rank[1]) or slots.name in barred:
                 continue
             free = self._free(slots, now_s)
             if free <= 0:
                 continue
-            rank = self._rank(slots, free, now_s)
-            if best_rank is None or rank > best_rank:
+            rank = self._rank(slots, free, now_s, sound=slots.name not in unsound)
+            if not best or rank > best_rank:
                 best, best_rank = [slots], rank
             elif rank == best_rank:
                 best.append(slots)
         return self._rng.choice(best) if best else None
 
     def _rank(
-        self, slots: pool_server.ServerSlots, free: int, now_s: float
+        self, slots: pool_server.ServerSlots, free: int, now_s: float, *, sound: bool
     ) -> tuple[bool, int, int]:
-        sound = not (slots.shed_recently(now_s) or self._health.is_failing(slots.server.name))
         load = slots.reported_load(now_s) or 0
         if self._rank_by_reports:
-            free = min(free, slots.limit(self._share, now_s) - load)
+            free = min(free, slots.limit(now_s) - load)
         return (sound, free, -load)
 
+    def _unsound(self, now_s: float) -> frozenset[str]:
+        """Returns the servers that are used only when no other one has a free slot."""
+        if self._shed_until_s:
+            self._shed_until_s = {
+                name: until_s for name, until_s in self._shed_until_s.items() if until_s > now_s
+            }
+        return self._health.failing().union(self._shed_until_s)
+
     def _hand_out(self, slots: pool_server.ServerSlots, now_s: float) -> SlotLease:
         server = slots.server
         slots.start(now_s)
@@ -305,28 +321,24 @@
         return lease
 
     def _check_lease(self, slots: pool_server.ServerSlots) -> None:
-        server = slots.server
-        used = slots.in_use + self._inherited.count(server.name)
-        usable = self._share.slots(server.slots)
-        self._invariants.check(
-            invariants.Rule.SLOTS_NOT_EXCEEDED,
-            used <= usable,
-            f"{server.name} of pool {self._key} has {used} slots in use, {usable} usable",
-        )
-        self._invariants.check(
-            invariants.Rule.NO_DISPATCH_TO_LEAVING_SERVER,
-            not slots.leaving and server.name not in self._health.ejected(),
-            f"{server.name} of pool {self._key} is leaving or ejected",
-        )
+        used = slots.in_use + self._inherited.count(slots.name)
+        usable = self._share.slots(slots.server.slots)
+        # The details are only written when needed, because every request comes through here.
+        if used > usable:
+            detail = f"{slots.name} of pool {self._key} has {used} slots in use, {usable} usable"
+            self._invariants.check(invariants.Rule.SLOTS_NOT_EXCEEDED, False, detail)
+        if slots.leaving or self._health.is_ejected(slots.name):
+            detail = f"{slots.name} of pool {self._key} is leaving or ejected"
+            self._invariants.check(invariants.Rule.NO_DISPATCH_TO_LEAVING_SERVER, False, detail)
 
     def _server_snapshot(
         self, slots: pool_server.ServerSlots, now_s: float
     ) -> pool_types.ServerSnapshot:
-        name = slots.server.name
+        name = slots.name
         return pool_types.ServerSnapshot(
             name=name,
             slots=slots.server.slots,
-            limit=slots.limit(self._share, now_s),
+            limit=slots.limit(now_s),
             in_use=slots.in_use,
             inherited=self._inherited.count(name),
             leaving=slots.leaving,
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -8,10 +8,6 @@
 # Well above the gaps between requests of a quiet pool, so that a quiet hour does not throttle it.
 IDLE_AFTER_S = 300.0
 
-# A server that has just shed has fewer free slots than its pool counts; others come first until
-# its running requests have had time to end.
-SHED_PAUSE_S = 0.5
-
 # Reports older than this say nothing about slots that are held for a few hundred milliseconds.
 LOAD_REPORT_TTL_S = 1.0
 
@@ -19,31 +15,45 @@
 class ServerSlots:
     """Counts the leases of one server and computes how many it may have.
 
+    Attributes:
+        name: Name of the server.
+        in_use: Slots held by leases.
+        usable: Slots in the share, whether the server is ramped up or not.
+        removed: Whether the policy no longer names the server.
+        reported_leaving: Whether the server itself reported that it is leaving.
+
     Args:
         server: The server as the policy states it.
+        share: Part of the slots that may be used.
         ramp_s: Seconds over which the slots of a cold server become usable.
         now_s: Monotonic time.
         cold: Whether the server is new, so that its first request starts a ramp.
     """
 
-    def __init__(self, server: model.BackendServer, *, ramp_s: float, now_s: float, cold: bool):
+    def __init__(
+        self,
+        server: model.BackendServer,
+        *,
+        share: shares.Share,
+        ramp_s: float,
+        now_s: float,
+        cold: bool,
+    ):
         self.server = server
+        self.name = server.name
         self.removed = False
         self.reported_leaving = False
-        self._in_use = 0
+        # Plain attributes, because server selection reads them for every server.
+        self.in_use = 0
+        self.usable = share.slots(server.slots)
+        self._share = share
         self._ramp_s = ramp_s
         self._cold = cold
         self._ramp_from_s = -math.inf
         self._last_used_s = now_s
-        self._shed_s = -math.inf
         self._load = 0
         self._load_s = -math.inf
 
-    @property
-    def in_use(self) -> int:
-        """Slots held by leases."""
-        return self._in_use
-
     @property
     def leaving(self) -> bool:
         """Whether the server may get no new work."""
@@ -53,13 +63,11 @@
             or self.server.state is not model.ServerState.ACTIVE
         )
 
-    def limit(self, share: shares.Share, now_s: float) -> int:
-        """Returns the slots usable now under ``share`` and the ramp."""
-        return min(share.slots(self.server.slots), self._ramp_limit(now_s))
-
-    def shed_recently(self, now_s: float) -> bool:
-        """Returns whether the server refused a request a short time ago."""
-        return now_s - self._shed_s < SHED_PAUSE_S
+    def limit(self, now_s: float) -> int:
+        """Returns the slots usable now under the share and the ramp."""
+        if self._ramp_s <= 0:
+            return self.usable
+        return min(self.usable, self._ramp_limit(now_s))
 
     def reported_load(self, now_s: float) -> int | None:
         """Returns the slots in use by the server's last report, None when it is too old."""
@@ -76,28 +84,30 @@
             self.reported_leaving = False
         self.server = server
         self.removed = False
+        self.usable = self._share.slots(server.slots)
+
+    def set_share(self, share: shares.Share) -> None:
+        """Changes the part of the slots that may be used."""
+        self._share = share
+        self.usable = share.slots(self.server.slots)
 
     def start(self, now_s: float) -> None:
         """Counts a new lease."""
         if self._starts_cold(now_s):
             self._ramp_from_s = now_s
             self._cold = False
-        self._in_use += 1
+        self.in_use += 1
         self._last_used_s = now_s
 
     def end(self, now_s: float) -> None:
         """Counts the end of a lease."""
-        self._in_use -= 1
+        self.in_use -= 1
         self._last_used_s = now_s
 
     def restart_ramp(self) -> None:
         """Treats the server as new at its next request."""
         self._cold = True
 
-    def record_shed(self, now_s: float) -> None:
-        """Remembers that the server refused a request."""
-        self._shed_s = now_s
-
     def record_load(self, slots_in_use: int, now_s: float) -> None:
         """Remembers the server's load report."""
         self._load = slots_in_use
@@ -105,8 +115,6 @@
 
     def _ramp_limit(self, now_s: float) -> int:
         slots = self.server.slots
-        if self._ramp_s <= 0:
-            return slots
         if self._starts_cold(now_s):
             return min(1, slots)
         elapsed_s = now_s - self._ramp_from_s
@@ -115,4 +123,4 @@
         return min(slots, max(1, int(slots * elapsed_s / self._ramp_s)))
 
     def _starts_cold(self, now_s: float) -> bool:
-        return self._cold or (self._in_use == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
+        return self._cold or (self.in_use == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
