Stop promising to a coordinator that does not answer; test single ownership rules

Heartbeats to a paused coordinator kept renewing the sender's promise, so no member ever took over; a test now covers a paused coordinator. Promises are made only in contact. Cap shares of unrecorded instances ended too early for a new coordinator, which then gave them away; it now waits until they have expired. Nine rules have a run each that the checker fails without the rule.

--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -10,6 +10,8 @@
 
 # A coordinator of a higher epoch gives out shares with higher sequences than all before it.
 _SEQUENCES_PER_EPOCH = 2**32
+# Stands for the holders that a new coordinator does not know; their shares have no offline part.
+_UNRECORDED = model.InstanceId(name="", incarnation="")
 
 
 def region_cap(region: str) -> str:
@@ -102,6 +104,7 @@
         epoch: Epoch of the coordinator.
         holders: Instances that may hold shares of an earlier coordinator; None when there was no
             earlier coordinator.
+        complete: Whether nobody else can hold such a share.
     """
 
     def __init__(
@@ -111,12 +114,16 @@
         invariants: checks.Invariants,
         epoch: int,
         holders: Iterable[model.InstanceId] | None,
+        complete: bool,
     ):
         self._clock = clock
         self._invariants = invariants
         self._first_sequence = epoch * _SEQUENCES_PER_EPOCH
         self._took_over = holders is not None
         self._unheard = set(holders or ())
+        if self._took_over and not complete:
+            self._unheard.add(_UNRECORDED)
+        self._unrecorded_until_s = clock.monotonic() + caps.SHARE_S
         self._earlier: dict[model.InstanceId, tuple[float, dict[str, CapReport]]] = {}
         self._dividers: dict[str, caps.CapDivider] = {}
         self._divided: frozenset[str] = frozenset()
@@ -153,6 +160,8 @@
             keeps_offline: Whether the holder may use the offline part after a share has expired;
                 False for one that a later coordinator would not know of.
         """
+        if _UNRECORDED in self._unheard and self._clock.monotonic() > self._unrecorded_until_s:
+            self.remove(_UNRECORDED)
         shares = {}
         for report in reports:
             if report.name not in self._divided:
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -83,7 +83,11 @@
         )
         earlier = None if won.previous is None else [member.id for member in won.row.members]
         self._caps = cap_grants.CapBook(
-            clock=clock, invariants=invariants, epoch=won.row.epoch, holders=earlier
+            clock=clock,
+            invariants=invariants,
+            epoch=won.row.epoch,
+            holders=earlier,
+            complete=won.settled,
         )
         self._removed: set[model.InstanceId] = set()
         self._seq = 0
@@ -328,9 +332,7 @@
         """Returns the share that the member may have now of each of the pools assigned to it."""
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(member)
-        may_main = now < self._authority.until_s()
-        if not recorded:
-            may_main = may_main and now >= self._authority.table_until_s
+        may_main = self._may_grant(now, recorded=recorded)
         desired = {}
         for key, pool in pools.items():
             offline = recorded and pool.offline_suspects <= {member}
@@ -384,11 +386,23 @@
 
     def _cap_shares(self, heartbeat: region.Heartbeat) -> Mapping[str, caps.CapShare]:
         """Returns the sender's shares of caps; without authority, its last ones run out."""
-        if not self.has_authority:
-            return {}
         sender = heartbeat.sender.id
-        return self._caps.renew(
-            sender, heartbeat.caps, keeps_offline=self._authority.is_recorded(sender)
+        now = self._clock.monotonic()
+        recorded = self._authority.is_recorded(sender)
+        if not self._may_grant(now, recorded=recorded):
+            return {}
+        if not recorded:
+            self._unrecorded_until_s = now + region.GRANT_S
+        return self._caps.renew(sender, heartbeat.caps, keeps_offline=recorded)
+
+    def _may_grant(self, now: float, *, recorded: bool) -> bool:
+        """Returns whether a member may get anything besides offline thirds.
+
+        While the table answers, an instance is recorded first, so that a next coordinator knows
+        all holders.
+        """
+        return now < self._authority.until_s() and (
+            recorded or now >= self._authority.table_until_s
         )
 
     def _reply(
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -195,7 +195,8 @@
         now = self._clock.monotonic()
         self._hurry = False
         self._last_s["heartbeat"] = now
-        promise = self._pending is None
+        # A coordinator that does not answer must not be kept in office by heartbeats.
+        promise = self._pending is None and self.in_contact
         if promise:
             self._promise_until_s = now + region.PROMISE_S
         heartbeat = region.Heartbeat(
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -216,6 +216,21 @@
         self.world.step(30)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
+    def test_paused_coordinator(self):
+        """Guards against heartbeats that keep a coordinator in office that does not answer."""
+        leader = self._leader()
+        self.world.live[leader].paused = True
+        self.world.step(80)
+        for pool, owner in self.owners.items():
+            wanted = [share.Share.FULL]
+            if owner == leader:
+                wanted = [share.Share.OFFLINE, share.Share.REDUCED]
+            shares = {*self.world.shares(pool).values()} - {share.Share.NONE}
+            self.assertCountEqual(shares, wanted)
+        self.world.live[leader].paused = False
+        self.world.step(30)
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
     def test_killed_holder(self):
         """Guards against waiting for grants of an instance whose port refuses connections."""
         self.world.kill(self._follower())
--- /dev/null
+++ b/packages/core/tests/test_ownership_rules.py
@@ -0,0 +1,220 @@
+"""Shows for single rules of pool ownership which run breaks the slots of a server without them.
+
+Each run must pass with the rule and must be found by the checker without it.
+"""
+
+import dataclasses
+import math
+import unittest
+from unittest import mock
+
+import ownership_sim
+
+from sassafrasway_core import authority, coordinator, member, membership, region
+
+NAMES = ("p", "q", "r")
+
+
+class _Run:
+    """A region of three instances: the leader and two members ``a`` and ``b``."""
+
+    def __init__(self):
+        self.world = ownership_sim.World(NAMES)
+        self.world.step(60)
+        self.live = self.world.live
+        self.leader = next(name for name in NAMES if self.live[name].coordinator is not None)
+        self.a, self.b = (name for name in NAMES if name != self.leader)
+
+    def table(self, mode, *names):
+        for name in names or tuple(self.live):
+            self.live[name].table_mode = mode
+
+    def cut(self, *pairs):
+        for one, other in pairs:
+            self.world.links[one, other] = self.world.links[other, one] = "cut"
+
+    def step_until(self, condition):
+        for _ in range(100):
+            self.world.step()
+            if condition():
+                return
+        raise TimeoutError("the run did not reach its state")
+
+    def coordinates(self, name):
+        return self.live[name].coordinator is not None
+
+
+def late_heartbeats():
+    """Heartbeats of a member reach the old coordinator after the member took over."""
+    run = _Run()
+    run.table("down", run.leader)
+    run.cut((run.leader, run.a), (run.a, run.b))
+    run.world.links[run.a, run.leader] = "hold"
+    run.step_until(lambda: run.coordinates(run.a))
+    run.world.held = [message for message in run.world.held if message[2] == "heartbeat"]
+    run.world.release_held()
+    run.world.step(60)
+
+
+def late_candidate_write():
+    """A candidate write takes effect after its sender follows the old coordinator again."""
+    run = _Run()
+    run.table("down", run.leader, run.b)
+    run.cut((run.leader, run.a))
+    candidate = run.live[run.a]
+    with mock.patch.object(candidate, "_write", lambda command: _delay(run, command)):
+        run.step_until(lambda: run.world.table.delayed)
+        run.world.links = {}
+        run.world.step(30)
+        run.cut((run.leader, run.a), (run.a, run.b))
+        run.world.table.release()
+    run.world.step(80)
+
+
+def _delay(run, command):
+    run.world.table.delayed.append(command)
+    return "unknown"
+
+
+def successor_dies():
+    """A new coordinator dies before the old one, without the table, hears of it."""
+    run = _Run()
+    run.table("down", run.leader, run.b)
+    run.cut((run.leader, run.a), (run.a, run.b))
+    run.step_until(lambda: run.coordinates(run.a))
+    run.world.kill(run.a)
+    run.world.links = {}
+    run.world.step(10)
+    run.world.start("z")
+    run.cut(("z", run.leader), ("z", run.b))
+    run.world.step(80)
+
+
+def newcomer_without_contact():
+    """An instance that nobody recorded reaches the table, but not the others."""
+    run = _Run()
+    run.table("down")
+    run.world.start("z")
+    run.cut(*(("z", name) for name in NAMES))
+    run.world.step(100)
+
+
+def row_seen_before():
+    """A member saw the row during an earlier loss of contact and loses contact again."""
+    run = _Run()
+    run.table("down", run.leader, run.b)
+    run.cut((run.leader, run.a), (run.a, run.b))
+    run.world.step(20)
+    run.world.links = {}
+    run.world.step(30)
+    run.cut((run.leader, run.a), (run.a, run.b))
+    run.world.step(80)
+
+
+def unrecorded_holder():
+    """A coordinator dies that had given pools to an instance that the row does not name."""
+    run = _Run()
+    run.table("down")
+    run.world.step(40)
+    run.world.start("z")
+    run.table("down", "z")
+    leader = run.live[run.leader]
+    run.live["z"].member.on_follow(epoch=leader.grants.epoch, coordinator=leader.me)
+    for name in NAMES:
+        ownership_sim.leave(run.live[name])
+    run.world.step(60)
+    run.cut(("z", run.a), ("z", run.b))
+    run.world.kill(run.leader)
+    back = run.live[run.a]
+    back.me = dataclasses.replace(back.me, state=region.LIVE)
+    back.member.set_me(back.me)
+    run.table("ok", run.a)
+    run.world.step(60)
+
+
+def _promise_from_receipt(self, instance, stamp_s):
+    del stamp_s
+    self._promised_s[instance] = self._clock.monotonic()
+
+
+_heartbeat = member.MemberState._heartbeat
+_may_take_over = member.MemberState._may_take_over
+_win = member.MemberState._win
+
+
+def _promise_always(self, *arguments):
+    pending, self._pending = self._pending, None
+    try:
+        return _heartbeat(self, *arguments)
+    finally:
+        self._pending = pending
+
+
+def _promise_forgotten(self, *arguments):
+    command = _heartbeat(self, *arguments)
+    self._promise_until_s = -math.inf
+    return command
+
+
+def _drop_gone_always(self):
+    self._needed = {each for each in self._needed if not self._members.is_gone(each)}
+
+
+def _anyone_takes_over(self):
+    row = self._row
+    if row is not None:
+        self._row = dataclasses.replace(row, members=(*row.members, self._me))
+    try:
+        return _may_take_over(self)
+    finally:
+        self._row = row
+
+
+def _settled_always(self, pending, version):
+    _win(self, dataclasses.replace(pending, settled=True), version)
+
+
+def _everyone_is_recorded(self, instance):
+    del self, instance
+    return True
+
+
+def _no_grants(self):
+    del self
+    return -math.inf
+
+
+def _silent_is_gone(self, instance):
+    known = instance in self._entries and self.unheard_s(instance) >= self._silent_after_s
+    return known or instance in self._gone
+
+
+RULES = (
+    (late_heartbeats, authority.Authority, "promised", _promise_from_receipt),
+    (late_candidate_write, member.MemberState, "_heartbeat", _promise_always),
+    (row_seen_before, member.MemberState, "_heartbeat", _promise_forgotten),
+    (successor_dies, authority.Authority, "refresh", _drop_gone_always),
+    (newcomer_without_contact, member.MemberState, "_may_take_over", _anyone_takes_over),
+    (unrecorded_holder, member.MemberState, "_win", _settled_always),
+    (unrecorded_holder, authority.Authority, "is_recorded", _everyone_is_recorded),
+    (unrecorded_holder, coordinator.CoordinatorState, "_earlier_grants_until_s", _no_grants),
+    (late_heartbeats, membership.MemberTable, "is_gone", _silent_is_gone),
+)
+
+
+class RulesTest(unittest.TestCase):
+    def test_runs_pass_with_the_rules(self):
+        """Guards against two instances that use the same slots in a known difficult run."""
+        for run in dict.fromkeys(rule[0] for rule in RULES):
+            with self.subTest(run=run.__name__):
+                run()
+
+    def test_wrong_rules_are_found(self):
+        """Guards against a checker or a run that would not notice the loss of a rule."""
+        for run, owner, name, wrong in RULES:
+            with self.subTest(wrong=wrong.__name__), mock.patch.object(owner, name, wrong):
+                self.assertRaises(AssertionError, run)
+
+
+if __name__ == "__main__":
+    unittest.main()
