--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -1,7 +1,6 @@
 """Shares of region and link caps in the heartbeats between members and coordinator."""
 
 import dataclasses
-import math
 from collections.abc import Iterable, Mapping
 
 from sassafrasway_core import caps, model
@@ -45,6 +44,7 @@
         demand: What the holder would use, in the unit of the cap.
         sequence: Sequence of the share in force, 0 when there is none.
         amount: Amount of the last share, expired or not.
+        offline: Part of that share that stays in force after it has expired.
         remaining_s: Time until that share expires; negative when it has expired.
     """
 
@@ -52,6 +52,7 @@
     demand: float
     sequence: int = 0
     amount: float = 0.0
+    offline: float = 0.0
     remaining_s: float = -1.0
 
 
@@ -89,7 +90,8 @@
             name=name,
             demand=demand.get(name, 0.0),
             sequence=held.sequence,
-            amount=held.last_amount,
+            amount=held.share.amount,
+            offline=held.share.offline,
             # A share that was never given has no time of expiry.
             remaining_s=max(held.remaining_s(), -caps.SHARE_S),
         )
@@ -195,10 +197,12 @@
 
     def _assume(self, divider: caps.CapDivider, holder: model.InstanceId, name: str) -> None:
         heard_s, reports = self._earlier[holder]
-        report = reports.get(name)
+        report = reports.get(name) or CapReport(name=name, demand=0.0)
         elapsed_s = self._clock.monotonic() - heard_s
-        divider.assume(
-            holder,
-            amount=0.0 if report is None else report.amount,
-            remaining_s=-math.inf if report is None else report.remaining_s - elapsed_s,
+        share = caps.CapShare(
+            sequence=report.sequence,
+            amount=report.amount,
+            offline=report.offline,
+            valid_s=caps.SHARE_S,
         )
+        divider.assume(holder, share=share, remaining_s=report.remaining_s - elapsed_s)
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -148,6 +148,7 @@
         demand=message.demand or 0.0,
         sequence=message.sequence or 0,
         amount=message.amount or 0.0,
+        offline=message.offline or 0.0,
         remaining_s=message.remaining_s if message.remaining_s is not None else -1.0,
     )
 
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -33,6 +33,7 @@
   3: i64 sequence            // sequence of the share in force
   4: double amount           // amount of the last share, expired or not
   5: double remaining_s      // time until it expires, negative when it has expired
+  6: double offline          // limit after it has expired
 }
 
 struct CapShare {
