--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -1,7 +1,6 @@
 """Shares of region and link caps in the heartbeats between members and coordinator."""
 
 import dataclasses
-import math
 from collections.abc import Iterable, Mapping
 
 from sassafrasway_core import caps, model
@@ -10,6 +9,8 @@
 
 # A coordinator of a higher epoch gives out shares with higher sequences than all before it.
 _SEQUENCES_PER_EPOCH = 2**32
+# Stands for the holders that a new coordinator does not know; their shares have no offline part.
+_UNRECORDED = model.InstanceId(name="", incarnation="")
 
 
 def region_cap(region: str) -> str:
@@ -43,7 +44,7 @@
         demand: What the holder would use, in the unit of the cap.
         sequence: Sequence of the share in force, 0 when there is none.
         amount: Amount of the last share, expired or not.
-        offline: Offline part of the last share.
+        offline: Part of that share that stays in force after it has expired.
         remaining_s: Time until that share expires; negative when it has expired.
     """
 
@@ -105,6 +106,7 @@
         epoch: Epoch of the coordinator.
         holders: Instances that may hold shares of an earlier coordinator; None when there was no
             earlier coordinator.
+        complete: Whether nobody else can hold such a share.
     """
 
     def __init__(
@@ -114,12 +116,16 @@
         invariants: checks.Invariants,
         epoch: int,
         holders: Iterable[model.InstanceId] | None,
+        complete: bool,
     ):
         self._clock = clock
         self._invariants = invariants
         self._first_sequence = epoch * _SEQUENCES_PER_EPOCH
         self._took_over = holders is not None
         self._unheard = set(holders or ())
+        if self._took_over and not complete:
+            self._unheard.add(_UNRECORDED)
+        self._unrecorded_until_s = clock.monotonic() + caps.SHARE_S
         self._earlier: dict[model.InstanceId, tuple[float, dict[str, CapReport]]] = {}
         self._dividers: dict[str, caps.CapDivider] = {}
         self._divided: frozenset[str] = frozenset()
@@ -156,6 +162,8 @@
             keeps_offline: Whether the holder may use the offline part after a share has expired;
                 False for one that a later coordinator would not know of.
         """
+        if _UNRECORDED in self._unheard and self._clock.monotonic() > self._unrecorded_until_s:
+            self.remove(_UNRECORDED)
         shares = {}
         for report in reports:
             if report.name not in self._divided:
@@ -189,17 +197,12 @@
 
     def _assume(self, divider: caps.CapDivider, holder: model.InstanceId, name: str) -> None:
         heard_s, reports = self._earlier[holder]
-        report = reports.get(name)
+        report = reports.get(name) or CapReport(name=name, demand=0.0)
         elapsed_s = self._clock.monotonic() - heard_s
-        if report is None:
-            report = CapReport(name=name, demand=0.0, remaining_s=-math.inf)
-        divider.assume(
-            holder,
-            share=caps.CapShare(
-                sequence=report.sequence,
-                amount=report.amount,
-                offline=report.offline,
-                valid_s=caps.SHARE_S,
-            ),
-            remaining_s=report.remaining_s - elapsed_s,
+        share = caps.CapShare(
+            sequence=report.sequence,
+            amount=report.amount,
+            offline=report.offline,
+            valid_s=caps.SHARE_S,
         )
+        divider.assume(holder, share=share, remaining_s=report.remaining_s - elapsed_s)
