--- a/packages/standins/src/sassafrasway_standins/capacity.py
+++ b/packages/standins/src/sassafrasway_standins/capacity.py
@@ -17,12 +17,18 @@
 
 import click
 import numpy
+from thriftpy2 import thrift
 
 from sassafrasway_core import documents, lookup, model
+from sassafrasway_rpc import codec, schema
 
 DESIGN_BLOCKS = 250_000
 DESIGN_REGIONS = 30
 DESIGN_CHANGE_OBJECTS = 10
+# 2,000 nodes in 30 regions; 1,300 sites are about as many pools.
+DESIGN_MEMBERS_OF_REGION = 67
+DESIGN_POOLS_OF_MEMBER = 1
+SERVERS_IN_POOL = 4
 LOOKUPS = 20_000
 US_PER_S = 1_000_000
 PREFIX_LENGTHS = (24, 22, 20)
@@ -156,6 +162,102 @@
         return float(len(json.dumps(documents.dump_change(change))))
 
 
+class HeartbeatPoolBytes(Measure):
+    """Size of a heartbeat and its reply by the pools that the member owns."""
+
+    name = "heartbeat size"
+    per = "owned pool"
+    sizes = (0, 1, 2, 4, 8)
+    design_size = DESIGN_POOLS_OF_MEMBER
+
+    def value(self, size: int) -> float:
+        """See base class."""
+        pools = [_pool(number) for number in range(size)]
+        in_use = {f"crew-desk-{number}": 3 for number in range(SERVERS_IN_POOL)}
+        request = schema.control.HeartbeatRequest(
+            sender=_instance(0),
+            epoch=7,
+            promise=True,
+            echo_s=1234.5,
+            applied_seq=9,
+            pools=[
+                schema.control.PoolReport(
+                    pool=pool, share="full", in_use=in_use, rate_per_s=1.0, queue_length=0
+                )
+                for pool in pools
+            ],
+            directory_mark=1,
+            revision=123_456,
+        )
+        grants = [schema.control.PoolGrant(pool=pool, share="full", inherited={}) for pool in pools]
+        reply = _heartbeat_reply(grants=grants, directories=[])
+        return float(_message_bytes(request) + _message_bytes(reply))
+
+
+class DirectoryBytes(Measure):
+    """Size of a heartbeat reply that carries the directory of a region, which is sent on change."""
+
+    name = "region directory size"
+    per = "member"
+    sizes = (10, 20, 40, 80)
+    design_size = DESIGN_MEMBERS_OF_REGION
+
+    def value(self, size: int) -> float:
+        """See base class."""
+        directory = schema.control.RegionDirectory(
+            region="bkk",
+            epoch=7,
+            version=9,
+            coordinator=_instance(0),
+            instances=[_instance(number) for number in range(size)],
+            owners=[
+                schema.control.PoolOwner(
+                    pool=_pool(number), name=f"bkk-a-{number}", incarnation="0123456789ab"
+                )
+                for number in range(size)
+            ],
+            gone=[],
+        )
+        return float(_message_bytes(_heartbeat_reply(grants=[], directories=[directory])))
+
+
+def _heartbeat_reply(*, grants: list[Any], directories: list[Any]) -> Any:
+    return schema.control.HeartbeatReply(
+        epoch=7,
+        coordinator=_instance(0),
+        accepted=True,
+        seq=9,
+        stamp_s=1234.5,
+        grants=grants,
+        settled_s=1.0,
+        cap_shares=[],
+        directories=directories,
+        directory_mark=1,
+        revision=123_456,
+    )
+
+
+def _instance(number: int) -> Any:
+    return schema.common.Instance(
+        name=f"bkk-a-{number}",
+        incarnation="0123456789ab",
+        rpc_address=f"10.20.30.{number}:7000",
+        caller_url=f"http://10.20.30.{number}:8080",
+        region="bkk",
+        failure_domain="bkk-a",
+        state="live",
+    )
+
+
+def _pool(number: int) -> Any:
+    return schema.control.PoolId(service_name=f"crew-desk-{number}", region="bkk", shard=0)
+
+
+def _message_bytes(message: Any) -> int:
+    head = codec.MessageHead(name="heartbeat", kind=thrift.TMessageType.CALL, sequence_id=1)
+    return len(codec.encode(head=head, payload=message))
+
+
 def _server(number: int) -> dict[str, Any]:
     return {
         "service": "crew-desk",
@@ -196,7 +298,14 @@
     return float(size)
 
 
-MEASURES: tuple[Measure, ...] = (TableMemory(), PolicyMemory(), LookupTime(), DeltaBytes())
+MEASURES: tuple[Measure, ...] = (
+    TableMemory(),
+    PolicyMemory(),
+    LookupTime(),
+    DeltaBytes(),
+    HeartbeatPoolBytes(),
+    DirectoryBytes(),
+)
 
 
 def as_text(lines: Iterable[Line]) -> str:
