--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -20,7 +20,6 @@
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 from sassafrasway_standins import (
-    caller,
     check,
     faults,
     history,
@@ -120,7 +119,15 @@
 
     async def _load(self, cluster: launcher.Cluster) -> None:
         """Runs the load processes and the fault; returns when all requests have ended."""
-        self._plan = plan_for(cluster.site, self._options)
+        self._plan = load.plan_for(
+            cluster.site,
+            load=self._options.load,
+            mean_ms=self._options.mean_ms,
+            deadline_ms=self._options.deadline_ms,
+            duration_s=self._options.duration_s,
+            seed=self._options.seed,
+            start_s=time.monotonic() + LOAD_START_S,
+        )
         plan_path = self._directory / "plan.json"
         plan_path.write_text(json.dumps(self._plan.dump()), encoding="utf-8")
         count = self._options.load_processes
@@ -162,37 +169,6 @@
         )
 
 
-def plan_for(site: layouts.Site, options: Options) -> load.Plan:
-    """Returns the plan of the load processes; the trace starts after ``LOAD_START_S``."""
-    layout = site.layout
-    blocks: dict[str, str] = {}
-    for cidr, region in site.client_blocks.items():
-        blocks.setdefault(region, cidr)
-    return load.Plan(
-        entries=[
-            caller.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
-            for each in site.instances.values()
-        ],
-        services={
-            each.name: caller.CalledService(
-                idempotent=each.idempotent,
-                deadline_ms=options.deadline_ms or each.deadline_ms,
-                slots=each.servers * each.slots,
-                may_wait=each.may_wait,
-            )
-            for each in layout.services
-        },
-        blocks=blocks,
-        client_ms=layout.client_ms,
-        region_ms=layout.region_ms,
-        load=options.load,
-        mean_service_s=options.mean_ms / 1000,
-        duration_s=options.duration_s,
-        seed=options.seed,
-        start_s=time.monotonic() + LOAD_START_S,
-    )
-
-
 async def apply_policy(cluster: launcher.Cluster) -> None:
     """Makes the layout's policy the first revision.
 
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -19,10 +19,11 @@
 import click
 import uvloop
 
-from sassafrasway_standins import arrivals, caller, history, latency
+from sassafrasway_standins import arrivals, caller, history, latency, layouts
 
 CALLERS_PER_REGION = 4
 KEEPALIVE_S = 30.0
+START_DELAY_S = 2.0  # time to generate the trace
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -154,28 +155,105 @@
     return tool.latencies
 
 
+def plan_for(
+    site: layouts.Site,
+    *,
+    load: float,
+    mean_ms: float,
+    deadline_ms: int,
+    duration_s: float,
+    seed: int,
+    start_s: float,
+) -> Plan:
+    """Returns the plan that loads all services of a site.
+
+    Args:
+        site: Where the entry instances listen.
+        load: Offered load; at 1.0, arrivals x mean service time = slots of the service.
+        mean_ms: Mean service time, ms.
+        deadline_ms: Deadline of requests, ms; 0 takes that of the service.
+        duration_s: Length of the trace, s.
+        seed: Seed of the trace.
+        start_s: Monotonic time of the start of the trace, s.
+    """
+    layout = site.layout
+    blocks: dict[str, str] = {}
+    for cidr, region in site.client_blocks.items():
+        blocks.setdefault(region, cidr)
+    return Plan(
+        entries=[
+            caller.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
+            for each in site.instances.values()
+        ],
+        services={
+            each.name: caller.CalledService(
+                idempotent=each.idempotent,
+                deadline_ms=deadline_ms or each.deadline_ms,
+                slots=each.servers * each.slots,
+                may_wait=each.may_wait,
+            )
+            for each in layout.services
+        },
+        blocks=blocks,
+        client_ms=layout.client_ms,
+        region_ms=layout.region_ms,
+        load=load,
+        mean_service_s=mean_ms / 1000,
+        duration_s=duration_s,
+        seed=seed,
+        start_s=start_s,
+    )
+
+
+def as_text(latencies: latency.Latencies) -> str:
+    """Returns one line for each service."""
+    return "".join(
+        f"{service}: {each.count} ran, p50 {each.p50_ms:.1f} ms, p99 {each.p99_ms:.1f} ms, "
+        f"p99.9 {each.p999_ms:.1f} ms\n"
+        for service, each in latencies.percentiles().items()
+    )
+
+
 @click.command("load")
-@click.option(
-    "--plan",
-    "plan_path",
-    required=True,
-    type=click.Path(exists=True, path_type=pathlib.Path),
-    help="Plan as JSON; the bench writes it.",
-)
 @click.option(
     "--records",
     required=True,
     type=click.Path(path_type=pathlib.Path),
     help="File that receives the records as JSON lines.",
 )
+@click.option(
+    "--plan",
+    "plan_path",
+    type=click.Path(exists=True, path_type=pathlib.Path),
+    help="Plan as JSON in place of the options of the trace; the bench writes it.",
+)
 @click.option("--part", default=0, show_default=True, help="Number of this load process.")
 @click.option("--parts", default=1, show_default=True, help="Number of load processes.")
-def command(plan_path: pathlib.Path, records: pathlib.Path, part: int, parts: int) -> None:
-    """Sends the requests of a plan and records what callers see."""
-    plan = Plan.parse(json.loads(plan_path.read_text(encoding="utf-8")))
-    latencies = run_part(plan, records=records, part=part, parts=parts)
-    for service, each in latencies.percentiles().items():
-        click.echo(
-            f"{service}: {each.count} ran, p50 {each.p50_ms:.1f} ms, p99 {each.p99_ms:.1f} ms, "
-            f"p99.9 {each.p999_ms:.1f} ms"
+@click.option("--layout", type=click.Choice(sorted(layouts.LAYOUTS)), default="demo")
+@click.option("--block", default=0, show_default=True, help="Address block of the running set.")
+@click.option("--load", default=0.5, show_default=True, help="Offered load, 1.0 = all slots.")
+@click.option("--mean-ms", default=200.0, show_default=True, help="Mean service time, ms.")
+@click.option("--duration", default=20.0, show_default=True, help="Length of the load, s.")
+@click.option("--seed", default=1, show_default=True, help="Seed of arrivals and service times.")
+def command(
+    records: pathlib.Path,
+    plan_path: pathlib.Path | None,
+    part: int,
+    parts: int,
+    layout: str,
+    block: int,
+    duration: float,
+    **choices: Any,
+) -> None:
+    """Sends requests to a running set of entry instances and records what callers see."""
+    if plan_path is not None:
+        plan = Plan.parse(json.loads(plan_path.read_text(encoding="utf-8")))
+    else:
+        plan = plan_for(
+            layouts.Site(layout=layouts.LAYOUTS[layout], block=block),
+            deadline_ms=0,
+            duration_s=duration,
+            start_s=time.monotonic() + START_DELAY_S,
+            **choices,
         )
+    click.echo(as_text(run_part(plan, records=records, part=part, parts=parts)), nl=False)
