--- a/packages/core/tests/test_caps.py
+++ b/packages/core/tests/test_caps.py
@@ -6,7 +6,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from sassafrasway_core import caps, clock, invariants
+from sassafrasway_core import cap_reserve, caps, clock, invariants
 
 
 class CapDividerTest(unittest.TestCase):
@@ -122,3 +122,25 @@
         self.assertFalse(held.apply(first, sent_s=self.time.monotonic()))
         with self.assertRaises(ValueError):
             self.divider.renew("a", demand=1, confirmed=0, sequence=second.sequence)
+
+
+class ReservationsTest(unittest.TestCase):
+    def _after_expiry(self, *shares):
+        reservations = cap_reserve.Reservations()
+        for sequence, (amount, offline) in enumerate(shares, start=1):
+            reservations.add(
+                "a", sequence=sequence, amount=amount, offline=offline, expires_s=2.0, now_s=0.0
+            )
+        reservations.expire(5.0)
+        return reservations
+
+    def test_larger_share_does_not_hide_a_larger_offline_part(self):
+        """Guards against freeing the offline part of a share whose successor was lost."""
+        self.assertEqual(self._after_expiry((10.0, 5.0), (20.0, 1.0)).total, 5.0)
+
+    def test_confirmation_keeps_the_offline_part_of_the_confirmed_share(self):
+        """Guards against losing a confirmed share that was merged with an older one."""
+        reservations = self._after_expiry((9.0, 3.0), (8.0, 2.0))
+        reservations.confirm("a", 2, now_s=5.0)
+        reservations.expire(7.0)
+        self.assertGreaterEqual(reservations.total, 2.0)
