--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -21,6 +21,8 @@
 
 STEP_S = 0.1
 SLOTS = 7
+CAP = "region/bkk"
+CAP_LIMIT = 3.0
 ROUNDS = 10
 LIST_FETCH_STEPS = 10
 POOLS = tuple(model.PoolKey(service=name, region="bkk") for name in ("a", "b", "c", "d"))
@@ -91,7 +93,8 @@
     def run(self):
         while self.inbox:
             self._handle(*self.inbox.popleft())
-        for command in self.member.tick(reports=dict):
+        demand = {CAP: float(len(self.grants.pools))}
+        for command in self.member.tick(reports=dict, cap_demand=lambda: demand):
             self._execute(command, self.member)
         won = self.member.won
         if won is not None and (self.coordinator is None or self.coordinator.epoch < won.row.epoch):
@@ -99,6 +102,7 @@
                 me=self.me, clock=self.clock, invariants=self.checks, members=self.members, won=won
             )
             self.coordinator.set_pools(POOLS)
+            self.coordinator.set_caps({CAP: CAP_LIMIT})
         if self.coordinator is not None:
             for command in self.coordinator.tick():
                 self._execute(command, self.coordinator.authority)
@@ -115,7 +119,7 @@
         elif isinstance(command, region.SendFollow):
             self.world.send(self, command.target, "follow", command.epoch, self.me)
         elif isinstance(command, region.Probe):
-            self.world.send(self, command.target, "identify")
+            self.world.send(self, command.target, "identify", command.target)
         elif isinstance(command, region.ReadRow):
             if self.table_mode == "ok":
                 self.inbox.append((self, "row", owner, *self.world.table.read(), now))
@@ -171,16 +175,14 @@
         if self.coordinator is not None:
             self.coordinator.on_follow_reply(reply)
 
-    def _on_identify(self, source):
-        self.world.send(self, source.me, "identified", self.me)
+    def _on_identify(self, source, target):
+        self.world.send(self, source.me, "identified", target, self.me.incarnation)
 
-    def _on_identified(self, _, answered):
-        for each in self.members.instances():
-            if each.name == answered.name:
-                self.members.identified(each.id, incarnation=answered.incarnation)
+    def _on_identified(self, _, target, incarnation):
+        self.members.identified(target.id, incarnation=incarnation)
 
     def _on_refused(self, _, target):
-        self.members.refused(target.id)
+        self.members.refused(target.id, started_s=self.clock.monotonic())
 
 
 class World:
@@ -262,6 +264,9 @@
             used = sum(part.slots(SLOTS) for part in shares.values())
             if used > SLOTS:
                 raise AssertionError(f"{used} of {SLOTS} slots of {pool} usable: {shares}")
+        amounts = {name: process.grants.caps.amount(CAP) for name, process in self.live.items()}
+        if sum(amounts.values()) > CAP_LIMIT * (1 + 1e-9):
+            raise AssertionError(f"shares of a cap of {CAP_LIMIT} add up to more: {amounts}")
 
     def full_owners(self):
         return {
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -7,7 +7,7 @@
 import structlog
 
 from sassafrasway_core import errors, model, placement, retry
-from sassafrasway_entry import conversion, messages, pools, steering
+from sassafrasway_entry import cap_limits, conversion, messages, pools, steering
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
@@ -64,6 +64,9 @@
     def is_gone(self, name: str, incarnation: str) -> bool:
         """Returns whether an incarnation is known to have ended."""
 
+    def note_refused(self, instance: model.InstanceId) -> None:
+        """Notes that an incarnation's RPC port refused a connection."""
+
 
 class Peers(Protocol):
     """Calls to other entry instances."""
@@ -77,6 +80,8 @@
 
     Args:
         me: This incarnation.
+        region: Region of this instance.
+        limits: Shares of the links' caps.
         steering: Policy questions.
         pools: Pools that this instance owns.
         directory: Owners of the other pools.
@@ -89,6 +94,8 @@
         self,
         *,
         me: model.InstanceId,
+        region: str,
+        limits: cap_limits.CapLimits,
         steering: steering.Steering,
         pools: pools.PoolManager,
         directory: Directory,
@@ -97,6 +104,8 @@
         budget: retry.RetryBudget,
     ):
         self._me = me
+        self._region = region
+        self._limits = limits
         self._steering = steering
         self._pools = pools
         self._directory = directory
@@ -143,14 +152,12 @@
                 unsure = answer
                 continue
             if answer.outcome is not messages.Outcome.NOT_RUN or answer.reason not in _TRY_NEXT:
-                return _Attempt(answer=answer)
+                return _Attempt(answer=_settle(answer, unsure))
             moving = moving or answer.reason in _MOVING
         if service.may_wait and not request.deadline.expired:
             answer = await self._queue(route, request)
             moving = answer.reason in _MOVING
-        if answer.outcome is messages.Outcome.NOT_RUN and unsure is not None:
-            return _Attempt(answer=unsure)
-        return _Attempt(answer=answer, moving=moving)
+        return _Attempt(answer=_settle(answer, unsure), moving=moving and unsure is None)
 
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
@@ -192,6 +199,11 @@
         """Sends a request to another instance and returns its answer."""
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
+        if peer.region != self._region:
+            wait_s = self._limits.take_link(peer.region, len(request.body))
+            if wait_s > 0:
+                wait_ms = int(min(wait_s, 1.0) * 1000)
+                return messages.not_run(429, messages.Reason.LINK_CAP, retry_after_ms=wait_ms)
         message = conversion.to_forward(
             request, stage=stage, key=key, may_queue=may_queue, sender=str(self._me)
         )
@@ -203,6 +215,8 @@
                 peer.rpc_address, "forward", timeout_s=limit_s, request=message
             )
         except rpc_client.CallNotSentError as error:
+            if isinstance(error, rpc_client.ConnectionRefusedByPeerError):
+                self._directory.note_refused(peer.id)
             return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
         except errors.UnavailableError as error:
             return messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
@@ -234,3 +248,10 @@
             await self._peers.call(peer.rpc_address, "cancel", timeout_s=0.5, request_id=request_id)
         except errors.SassafraswayError as error:
             self._log.debug("cancel not delivered", peer=peer.name, error=str(error))
+
+
+def _settle(answer: messages.Answer, unsure: messages.Answer | None) -> messages.Answer:
+    """Returns the final answer when an earlier pool may have run the request."""
+    if answer.outcome is messages.Outcome.NOT_RUN and unsure is not None:
+        return unsure
+    return answer
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -33,6 +33,7 @@
   3: i64 sequence            // sequence of the share in force
   4: double amount           // amount of the last share, expired or not
   5: double remaining_s      // time until it expires, negative when it has expired
+  6: double offline          // limit after it has expired
 }
 
 struct CapShare {
@@ -91,6 +92,7 @@
   9: list<RegionDirectory> directories // those that changed since directory_mark
   10: i64 directory_mark
   11: i64 revision           // policy revision of the coordinator
+  12: bool gone              // the sender was taken for gone and must give up all that it holds
 }
 
 struct FollowReply {
