core: probe servers that reported that they are leaving

A server that reported leaving and restarted on the same address stayed out of its pool until the policy changed. servers_to_probe names it every 5 s; only a probe that says that it is not leaving readmits it, with a ramp.

--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -116,6 +116,13 @@
         """Returns the number of waiting requests."""
         return len(self._queue)
 
+    def servers_to_probe(self) -> list[model.BackendServer]:
+        """Returns ejected servers whose time has passed and those that may have stopped leaving."""
+        now_s = self._clock.monotonic()
+        due = [self._servers[name].server for name in self._health.probes_due()]
+        due += [each.server for each in self._servers.values() if each.may_have_returned(now_s)]
+        return due
+
     def snapshot(self) -> PoolSnapshot:
         """Returns the state of the pool for dumps and metrics."""
         now_s = self._advance()
@@ -148,16 +155,30 @@
         if slots is None or slots.reported_leaving == leaving:
             return
         slots.reported_leaving = leaving
+        slots.probed_s = self._clock.monotonic()
         if not leaving:
             slots.restart_ramp()
         self._update_active()
 
-    def record_probe(self, server: str, *, succeeded: bool) -> None:
-        """Counts the probe of an ejected server; a returning server is ramped up."""
+    def record_probe(self, server: str, *, succeeded: bool, leaving: bool | None = None) -> None:
+        """Counts a probe; a server that returns to service is ramped up.
+
+        Args:
+            server: Name of the probed server.
+            succeeded: Whether the server answered that it is healthy.
+            leaving: Whether it reported that it is leaving, None when that is not known. Only
+                False ends an earlier report.
+        """
+        slots = self._servers.get(server)
+        if slots is None:
+            return
         was_ejected = self._health.is_ejected(server)
         self._health.record_probe(server, succeeded=succeeded)
         if was_ejected and succeeded:
-            self._servers[server].restart_ramp()
+            slots.restart_ramp()
+        slots.probed_s = self._clock.monotonic()
+        if leaving or (succeeded and leaving is False):
+            self.set_leaving(server, leaving)
 
     def report_load(self, server: str, slots_in_use: int) -> None:
         """Remembers a server's load report, which only ranks servers."""
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -8,6 +8,9 @@
 # Well above the gaps between requests of a quiet pool, so that a quiet hour does not throttle it.
 IDLE_AFTER_S = 300.0
 
+# Interval at which a server that reported that it is leaving is asked whether it has returned.
+LEAVING_PROBE_S = 5.0
+
 # Reports older than this say nothing about slots that are held for a few hundred milliseconds.
 LOAD_REPORT_TTL_S = 1.0
 
@@ -21,6 +24,7 @@
         usable: Slots in the share, whether the server is ramped up or not.
         removed: Whether the policy no longer names the server.
         reported_leaving: Whether the server itself reported that it is leaving.
+        probed_s: Monotonic time of the last probe or of the report.
 
     Args:
         server: The server as the policy states it.
@@ -43,6 +47,7 @@
         self.name = server.name
         self.removed = False
         self.reported_leaving = False
+        self.probed_s = now_s
         # Plain attributes, because server selection reads them for every server.
         self.in_use = 0
         self.usable = share.slots(server.slots)
@@ -63,6 +68,15 @@
             or self.server.state is not model.ServerState.ACTIVE
         )
 
+    def may_have_returned(self, now_s: float) -> bool:
+        """Returns whether it is time to ask a server that reported that it is leaving."""
+        return (
+            self.reported_leaving
+            and not self.removed
+            and self.server.state is model.ServerState.ACTIVE
+            and now_s - self.probed_s >= LEAVING_PROBE_S
+        )
+
     def limit(self, now_s: float) -> int:
         """Returns the slots usable now under the share and the ramp."""
         if self._ramp_s <= 0:
--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -89,7 +89,7 @@
         assert self._pool.release(lease, result) == [], "a lease was released twice"
 
     def _advance(self):
-        self._time.advance(self._rng.choice([0.01, 0.3, 1.5]))
+        self._time.advance(self._rng.choice([0.01, 0.3, 1.5, 5.0]))
         now_s = self._time.monotonic()
         self._inherited = [each for each in self._inherited if each[1] > now_s]
 
@@ -146,8 +146,14 @@
         (self._reported_leaving.add if leaving else self._reported_leaving.discard)(name)
 
     def _probe(self):
-        for name in self._pool.health.probes_due():
-            self._pool.record_probe(name, succeeded=self._rng.random() < 0.7)
+        for each in self._pool.servers_to_probe():
+            leaving = self._rng.choice([None, True, False])
+            succeeded = self._rng.random() < 0.7
+            self._pool.record_probe(each.name, succeeded=succeeded, leaving=leaving)
+            if leaving:
+                self._reported_leaving.add(each.name)
+            elif succeeded and leaving is False:
+                self._reported_leaving.discard(each.name)
 
     def _check_grants(self, grants):
         for grant in grants:
--- a/packages/core/tests/test_pool.py
+++ b/packages/core/tests/test_pool.py
@@ -95,6 +95,18 @@
         slots.set_servers([pool_driver.server("s0")])
         self.assertIsNotNone(slots.try_acquire())
 
+    def test_server_that_stopped_leaving_returns_after_a_probe(self):
+        """Guards against losing the slots of a server that restarts on the same address."""
+        slots = self._pool(count=1, ramp_s=3.0)
+        slots.release(slots.try_acquire(), pool.ServerResult.LEAVING)
+        self.assertEqual(slots.servers_to_probe(), [])
+        self.time.advance(5.0)
+        self.assertEqual([each.name for each in slots.servers_to_probe()], ["s0"])
+        for succeeded, leaving, free in ((True, None, 0), (True, True, 0), (True, False, 1)):
+            slots.record_probe("s0", succeeded=succeeded, leaving=leaving)
+            self.assertEqual(slots.servers_to_probe(), [])
+            self.assertEqual(slots.free_slots(), free)
+
     def test_shedding_and_failing_servers_come_last(self):
         """Guards against repeating a request on the server that has just refused it."""
         for result in (pool.ServerResult.SHED, pool.ServerResult.FAILED):
