Give free offline thirds only with authority; probe instances that refused a call

An old coordinator without authority gave the offline third of a pool to itself after its holder had died, while the holder had followed the new coordinator, which gave the same third to another member.

A refused connection of any peer call now makes the coordinator probe the instance at once, so pools of a dead instance move before heartbeats are missed.

--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -2,7 +2,8 @@
 
 A pool has two parts that are granted separately. The offline third of each server's slots has one
 holder without a limit of time; it becomes free when the holder confirms its release or is known to
-be gone. The main part has one holder until its grant expires. A FULL share is both parts.
+be gone. The main part has one holder until its grant expires. A FULL share is both parts. Only a
+coordinator with authority gives a part to an instance that does not hold it.
 """
 
 import dataclasses
@@ -335,7 +336,10 @@
         may_main = self._may_grant(now, recorded=recorded)
         desired = {}
         for key, pool in pools.items():
-            offline = recorded and pool.offline_suspects <= {member}
+            # Without authority, a later coordinator may have given a free part to another member.
+            offline = pool.offline_suspects == {member}
+            if not pool.offline_suspects:
+                offline = recorded and may_main
             main = may_main and (pool.main_holder == member or self._main_is_free(pool, now))
             part = share.Share.of(offline=offline, main=main)
             if part is not share.Share.NONE:
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -10,7 +10,7 @@
 
 import ownership_sim
 
-from sassafrasway_core import authority, coordinator, member, membership, region
+from sassafrasway_core import authority, coordinator, member, membership, region, share
 
 NAMES = ("p", "q", "r")
 
@@ -132,6 +132,21 @@
     run.world.step(60)
 
 
+def holder_dies_after_takeover():
+    """A member that followed the new coordinator dies; the old one still counts it as its own."""
+    run = _Run()
+    run.table("down", run.leader)
+    run.cut((run.leader, run.a), (run.leader, run.b))
+    run.step_until(lambda: run.coordinates(run.a) or run.coordinates(run.b))
+    run.world.step(30)
+    for name in (run.a, run.b):
+        if not run.coordinates(name):
+            run.world.kill(name)
+    run.world.links[run.leader, run.a] = run.world.links[run.leader, run.b] = "ok"
+    run.world.links[run.a, run.leader] = run.world.links[run.b, run.leader] = "hold"
+    run.world.step(40)
+
+
 def _promise_from_receipt(self, instance, stamp_s):
     del stamp_s
     self._promised_s[instance] = self._clock.monotonic()
@@ -184,6 +199,17 @@
     return -math.inf
 
 
+_desired = coordinator.CoordinatorState._desired
+
+
+def _free_without_authority(self, member_id, pools):
+    desired = _desired(self, member_id, pools)
+    for key, pool in pools.items():
+        if not pool.offline_suspects and key not in desired:
+            desired[key] = share.Share.OFFLINE
+    return desired
+
+
 def _silent_is_gone(self, instance):
     known = instance in self._entries and self.unheard_s(instance) >= self._silent_after_s
     return known or instance in self._gone
@@ -198,6 +224,12 @@
     (unrecorded_holder, member.MemberState, "_win", _settled_always),
     (unrecorded_holder, authority.Authority, "is_recorded", _everyone_is_recorded),
     (unrecorded_holder, coordinator.CoordinatorState, "_earlier_grants_until_s", _no_grants),
+    (
+        holder_dies_after_takeover,
+        coordinator.CoordinatorState,
+        "_desired",
+        _free_without_authority,
+    ),
     (late_heartbeats, membership.MemberTable, "is_gone", _silent_is_gone),
 )
 
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -67,6 +67,11 @@
         newer = own.newer_than(control_conversion.from_versions(known))
         return [control_conversion.to_directory(each) for each in newer]
 
+    async def suspect(self, instance: Any) -> None:
+        """Makes this coordinator ask an instance of its region whether it is there."""
+        _require(instance is not None, "suspect")
+        self._member.on_suspect(control_conversion.from_instance(instance).id)
+
     async def identify(self) -> Any:
         """Tells which incarnation this is and whom it follows."""
         me, epoch, coordinator = self._member.identity()
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -26,6 +26,7 @@
 CALL_TIMEOUT_S = 0.5
 LIST_INTERVAL_S = 2.0
 KEEPALIVE_S = 5.0
+SUSPECT_RETRY_S = 0.2
 EXCHANGE_RETRY_S = 0.5
 SILENT = "silent"
 # Enough for the instances that a region replaces in some hours.
@@ -49,6 +50,7 @@
         seeds: RPC addresses to ask for regions that nobody else knows.
         on_revision: Called with a newer revision and the RPC address of its holder.
         follow_self: Delivers a follow message of this coordinator to its own member role.
+        wake: Makes the owner of this task call ``tick`` soon.
         rng: Random source for the choice of peers.
     """
 
@@ -68,6 +70,7 @@
         seeds: Sequence[str],
         on_revision: Callable[[int, str], None],
         follow_self: Callable[[int], region.FollowReply],
+        wake: Callable[[], None],
         rng: random.Random,
     ):
         self._me = me
@@ -84,6 +87,7 @@
         self._seeds = tuple(seeds)
         self._on_revision = on_revision
         self._follow_self = follow_self
+        self._wake = wake
         self._rng = rng
         self._state: coordinator.CoordinatorState | None = None
         self._policy: model.Policy | None = None
@@ -139,6 +143,14 @@
             revision=self._revision_source(),
         )
 
+    def suspect(self, instance: model.InstanceId) -> None:
+        """Probes an instance of the region that somebody could not reach."""
+        target = self._members.instance(instance)
+        if self._state is None or target is None:
+            return
+        if self._due(f"suspect {instance}", SUSPECT_RETRY_S):
+            self._background.start(self._probe(target))
+
     def tick(self) -> None:
         """Lets time pass; starts the calls that are due."""
         if self._state is None:
@@ -173,12 +185,18 @@
         if isinstance(command, region.SendFollow):
             await self._follow(state, command)
         elif isinstance(command, region.Probe):
-            await probe(self._peers, self._members, command.target, clock=self._clock)
+            await self._probe(command.target)
         elif isinstance(command, region.ReadRow):
             await self._read_row(state)
         elif isinstance(command, region.WriteRow):
             await self._write_row(state, command)
 
+    async def _probe(self, target: region.Instance) -> None:
+        await probe(self._peers, self._members, target, clock=self._clock)
+        if self._members.is_gone(target.id):
+            self._log.warning("instance is gone", gone=str(target.id))
+            self._wake()
+
     async def _follow(
         self, state: coordinator.CoordinatorState, command: region.SendFollow
     ) -> None:
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -56,6 +56,11 @@
         """Returns the instance with a name, or None."""
         return self._by_name.get(name)
 
+    def at_address(self, rpc_address: str) -> region.Instance | None:
+        """Returns the instance that advertises an RPC address, or None."""
+        found = (each for each in self._by_name.values() if each.rpc_address == rpc_address)
+        return next(found, None)
+
     def instances(self, region_name: str | None = None) -> list[region.Instance]:
         """Returns the instances of one region or of all, silent ones included."""
         if region_name is None:
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -35,6 +35,7 @@
 JOIN_RETRY_S = 0.5
 JOIN_ADDRESSES = 3
 QUICK_FAILURE_S = 0.2
+SUSPECT_RETRY_S = 0.2
 
 
 def _ignore_revision(revision: int, address: str) -> None:
@@ -121,6 +122,7 @@
             seeds=seeds,
             on_revision=on_revision,
             follow_self=self._follow_self,
+            wake=lambda: self._wake.set(),
             rng=self._rng,
         )
         self._won_epoch = 0
@@ -130,6 +132,8 @@
         self._joined_s = float("-inf")
         self._wake = asyncio.Event()
         self._background = background.Background(name="member")
+        self._suspected_s: dict[str, float] = {}
+        peers.listen_for_refusals(self._on_refused)
         self._log = structlog.get_logger("member").bind(instance=str(me.id))
 
     @property
@@ -256,10 +260,40 @@
         reports = self._grants.reports(self._pool_reports())
         return dataclasses.replace(reply, pools=reports)
 
+    def on_suspect(self, instance: model.InstanceId) -> None:
+        """Makes this coordinator probe an instance that somebody could not reach."""
+        self._coordinator.suspect(instance)
+
     def identity(self) -> tuple[region.Instance, int, region.Instance | None]:
         """Returns this instance, the epoch that it follows, and the coordinator."""
         return self.me, self._grants.epoch, self._grants.coordinator
 
+    def _on_refused(self, address: str) -> None:
+        """Has an instance probed at once whose port refused a connection."""
+        leader = self._grants.coordinator
+        if leader is not None and leader.rpc_address == address:
+            if not self._members.is_gone(leader.id):
+                self._state.hurry()
+                self._wake.set()
+            return
+        now = self._clock.monotonic()
+        target = self._directory.at_address(address)
+        if target is None or now < self._suspected_s.get(address, 0.0) + SUSPECT_RETRY_S:
+            return
+        self._suspected_s[address] = now
+        known = self._directory.region(target.region)
+        if known.coordinator.id == self.me.id:
+            self._coordinator.suspect(target.id)
+        else:
+            self._background.start(self._report_suspect(known.coordinator, target))
+
+    async def _report_suspect(self, leader: region.Instance, target: region.Instance) -> None:
+        try:
+            message = control_conversion.to_instance(target)
+            await self._peers.call(leader.rpc_address, "suspect", timeout_s=1.0, instance=message)
+        except errors.SassafraswayError as error:
+            self._log.debug("suspicion not reported", peer=error.peer, reason=error.message)
+
     def _follow_self(self, epoch: int) -> region.FollowReply:
         return self.on_follow(epoch=epoch, coordinator=self.me)
 
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -1,7 +1,7 @@
 """Calls to other entry instances: one connection to each."""
 
 import types
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from sassafrasway_rpc import client, schema
@@ -39,6 +39,11 @@
     def __init__(self, *, address_map: Mapping[str, str] | None = None):
         self._address_map = dict(address_map or {})
         self._clients: dict[str, client.RpcClient] = {}
+        self._on_refused: Callable[[str], None] | None = None
+
+    def listen_for_refusals(self, listener: Callable[[str], None]) -> None:
+        """Sets what is called with the address whenever a peer refuses a connection."""
+        self._on_refused = listener
 
     async def call(
         self, address: str, method: str, *, timeout_s: float = 2.0, **arguments: Any
@@ -58,7 +63,12 @@
         self._clients[address] = peer
         if len(self._clients) > MAX_CLIENTS:
             await self.forget(next(iter(self._clients)))
-        return await peer.call(method, timeout_s=timeout_s, **arguments)
+        try:
+            return await peer.call(method, timeout_s=timeout_s, **arguments)
+        except client.ConnectionRefusedByPeerError:
+            if self._on_refused is not None:
+                self._on_refused(address)
+            raise
 
     async def forget(self, address: str) -> None:
         """Closes the connection to a peer, for example when it is gone."""
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -51,18 +51,25 @@
         self._fleet = fleet
         self._name = name
 
+    def listen_for_refusals(self, listener):
+        self._on_refused = listener
+
     async def call(self, address, method, *, timeout_s, **arguments):
         del timeout_s
         if {self._name, address} & self._fleet.cut:
             raise errors.UnavailableError("cut", step=method, peer=address)
         service = self._fleet.services.get(address)
         if service is None:
+            self._on_refused(address)
             raise rpc_client.ConnectionRefusedByPeerError("refused", step=method, peer=address)
         control = schema.control.Control
         sent = _recode(getattr(control, f"{method}_args")(**arguments))
         result = getattr(control, f"{method}_result")()
-        result.success = await getattr(service, method)(**vars(sent))
-        return _recode(result).success
+        value = await getattr(service, method)(**vars(sent))
+        if hasattr(result, "success"):
+            result.success = value
+            return _recode(result).success
+        return None
 
 
 def _recode(payload):
@@ -87,9 +94,11 @@
         self.in_use = {}
         self.newer = []
         self.cut = set()
+        self.networks = {}
 
     def start(self, name, *, region_name="bkk", seeds=(), revision=7):
         self.grants[name] = []
+        self.networks[name] = _Network(self, name)
         self.tasks[name] = member_task.MemberTask(
             me=region.Instance(
                 name=name, incarnation="1", rpc_address=name, region=region_name, caller_url="u"
@@ -98,7 +107,7 @@
             invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
             table=self.table,
             instance_list=self.list,
-            peers=_Network(self, name),
+            peers=self.networks[name],
             policy_source=lambda: self.policy,
             grants_sink=lambda grants: self.grants.__setitem__(name, grants),
             pool_reports=lambda: self.in_use.get(name, {}),
@@ -158,6 +167,16 @@
             self.assertTrue(task.directory.is_gone(leader, "1"))
             self.assertIsNone(task.directory.instance(leader))
 
+    async def test_refused_call_moves_pools_at_once(self):
+        """Guards against waiting for missed heartbeats when a caller saw a refused connection."""
+        leader = self.fleet.leader()
+        name, caller = (each for each in self.fleet.tasks if each != leader)
+        self.fleet.kill(name)
+        with self.assertRaises(rpc_client.ConnectionRefusedByPeerError):
+            await self.fleet.networks[caller].call(name, "identify", timeout_s=1)
+        await self.fleet.run(3 * STEP_S)
+        self.assertEqual(len(self.fleet.owners()), 3)
+
     async def test_join_through_peers_while_table_is_down(self):
         """Guards against an instance that cannot start during an outage of the table."""
         self.fleet.table.faults.down = True
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -127,6 +127,9 @@
   list<RegionDirectory> directory(1: list<RegionDirectory> directories,
       2: list<DirectoryVersion> known) throws (1: common.RpcError error)
 
+  // Tells a coordinator that an instance of its region refused a connection; it asks for itself.
+  oneway void suspect(1: common.Instance instance)
+
   // Tells which incarnation answers at this address.
   Identity identify() throws (1: common.RpcError error)
 }
