--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -22,7 +22,7 @@
 import uvloop
 from aiohttp import web
 
-from sassafrasway_standins import backend_connections, network
+from sassafrasway_standins import backend_connections, network, stalls
 
 CRASH_MARKER = b"crash-server"
 
@@ -361,8 +361,9 @@
 class Control:
     """Control endpoint of all servers of the process."""
 
-    def __init__(self, *, servers: Mapping[str, BackendServer]):
+    def __init__(self, *, servers: Mapping[str, BackendServer], meter: stalls.StallMeter):
         self._servers = servers
+        self._meter = meter
 
     def application(self) -> web.Application:
         """Returns the aiohttp application."""
@@ -372,6 +373,7 @@
                 web.get("/healthz", self._health),
                 web.post("/control", self._change),
                 web.get("/control/stats", self._stats),
+                web.get("/control/stalls", self._stalls),
             ]
         )
         return app
@@ -393,6 +395,9 @@
     async def _stats(self, request: web.Request) -> web.Response:
         return web.json_response({name: each.stats for name, each in self._servers.items()})
 
+    async def _stalls(self, request: web.Request) -> web.Response:
+        return web.json_response(self._meter.as_json())
+
 
 def load_file(path: pathlib.Path) -> dict[str, Any]:
     """Reads a TOML or JSON file."""
@@ -420,11 +425,13 @@
     servers = build_servers(data, recorder=recorder)
     for server in servers.values():
         await server.start()
-    runner = web.AppRunner(Control(servers=servers).application(), access_log=None)
+    meter = stalls.StallMeter()
+    control = Control(servers=servers, meter=meter)
+    runner = web.AppRunner(control.application(), access_log=None)
     await runner.setup()
     host, port = network.split_address(data["control"])
     await web.TCPSite(runner, host, port).start()
-    await asyncio.Event().wait()
+    await meter.run()
 
 
 @click.command()
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -67,6 +67,8 @@
             await self._replace()
             await self._shift()
         await self._cluster.collect_link_bytes()
+        stall_ms = await self._cluster.longest_backend_stall_ms()
+        self._say(f"longest stall of a backend stand-in on this machine: {stall_ms:.0f} ms")
         return self._report(plan)
 
     async def _apply_policy(self) -> None:
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -201,6 +201,12 @@
             stats.update(await self._get(f"http://{control}/control/stats"))
         return stats
 
+    async def longest_backend_stall_ms(self) -> float:
+        """Returns the longest time that a backend process did not run, see ``stalls``."""
+        controls = self._backend_controls
+        found = [await self._get(f"http://{control}/control/stalls") for control in controls]
+        return max(each["longest_ms"] for each in found)
+
     async def set_links(self, action: str, source: str, target: str) -> None:
         """Applies ``cut``, ``cut_one_way``, ``heal`` or ``silent`` between two selectors."""
         for control in self._link_controls:
--- a/packages/standins/tests/test_launcher.py
+++ b/packages/standins/tests/test_launcher.py
@@ -96,6 +96,7 @@
             self.assertEqual(await self.listed(cluster), {one: "live"})
             stats = await cluster.backend_stats()
             self.assertEqual(len(stats), len(cluster.site.policy()["servers"]))
+            self.assertGreaterEqual(await cluster.longest_backend_stall_ms(), 0)
             await cluster.set_links("cut", "bkk", "hkt")
 
     async def test_exception_leaves_no_process(self):
