Report when the fault was active; replace one instance of each region at a time

With six replacements at a time, two of five instances of each region were leaving at once. The checker no longer puts eleven tenths of a second into one window because of rounding errors.

--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -21,7 +21,7 @@
 LEAVING_GRACE_S = 3.0
 # A lower limit is in force everywhere within 5 s (guarantee P8); until then the old one counts.
 POLICY_SETTLE_S = 5.0
-# Sums of binary fractions may be off by rounding.
+# Sums of binary fractions may be off by rounding, and so may times that are a second apart.
 ROUNDING = 1e-6
 BITS_PER_MEGABIT = 1e6
 
@@ -261,7 +261,7 @@
     for at_s, amount in amounts:
         window.append((at_s, amount))
         total += amount
-        while window[0][0] <= at_s - WINDOW_S:
+        while window[0][0] <= at_s - WINDOW_S + ROUNDING:
             total -= window.popleft()[1]
         yield at_s, total
 
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -123,7 +123,7 @@
 
 
 class ReplaceAll(Fault):
-    """Every entry instance is replaced gracefully, one of each failure domain at a time."""
+    """Every entry instance is replaced gracefully, one of each region at a time."""
 
     name = "replace-all"
 
@@ -133,12 +133,12 @@
             await asyncio.gather(*(self._replace(scene, name) for name in batch))
 
     def _batches(self, cluster: launcher.Cluster) -> list[list[str]]:
-        by_domain: dict[str, list[str]] = {}
+        by_region: dict[str, list[str]] = {}
         for name in cluster.entry_names:
-            by_domain.setdefault(cluster.site.instances[name].failure_domain, []).append(name)
-        count = max(map(len, by_domain.values()), default=0)
+            by_region.setdefault(cluster.site.instances[name].region, []).append(name)
+        count = max(map(len, by_region.values()), default=0)
         return [
-            [names[index] for names in by_domain.values() if index < len(names)]
+            [names[index] for names in by_region.values() if index < len(names)]
             for index in range(count)
         ]
 
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -47,6 +47,8 @@
 
     Attributes:
         ran_twice: Breaches of the at-most-once rule.
+        fault_s: When the fault began and ended, s after the first arrival; the load covers the
+            whole fault only if the end is within the load's duration.
         drain_s: Time from the order to leave until nothing was in flight, by target, s.
         server_s: Requests' mean time at the servers less their wanted service time, s; shows how
             much the loaded machine distorts the run.
@@ -58,6 +60,7 @@
     sheds: int
     ran_twice: int
     lost: int
+    fault_s: Sequence[float]
     drain_s: Mapping[str, float]
     server_s: float
     late_start_s: float
@@ -102,6 +105,7 @@
         sheds=sum(each.outcome == "shed" for each in records if isinstance(each, history.Run)),
         ran_twice=by_rule[check.AtMostOnce.name],
         lost=sum(each.lost for each in reports.values()),
+        fault_s=_fault_s(run, records),
         drain_s=_drain_s(run, records),
         server_s=_server_overhead_s(run, trace),
         late_start_s=_late_start_s(run),
@@ -196,6 +200,13 @@
     )
 
 
+def _fault_s(run: check.History, records: Iterable[history.Record]) -> list[float]:
+    started_s = min((each.at_s for each in run.intents.values()), default=0.0)
+    phases = (history.INJECTED, history.ENDED)
+    events = [each for each in records if isinstance(each, history.FaultEvent)]
+    return sorted(each.at_s - started_s for each in events if each.phase in phases)
+
+
 def _drain_s(run: check.History, records: Iterable[history.Record]) -> dict[str, float]:
     """Returns drain times of servers (until the last run ends) and of stopped instances."""
     drains: dict[str, float] = {}
@@ -248,6 +259,7 @@
         f"server time above wanted {report.server_s * MS_PER_S:.2f} ms, "
         f"first attempts late by {report.late_start_s * MS_PER_S:.1f} ms (p99)"
     )
+    lines.append("fault from and to: " + ", ".join(f"{each:.1f} s" for each in report.fault_s))
     lines += [f"drain {target}: {each_s:.2f} s" for target, each_s in report.drain_s.items()]
     lines.append(f"violations: {dict(report.violations) or 'none'}")
     lines += report.first_violations
--- a/packages/standins/tests/test_check.py
+++ b/packages/standins/tests/test_check.py
@@ -172,6 +172,11 @@
         found = check.check([*CLEAN, policy, *early, *late])
         self.assertEqual([each.rule for each in found], ["region-cap"])
 
+    def test_windows_of_one_second_do_not_overlap(self):
+        """Guards against eleven tenths of a second that rounding errors put into one window."""
+        amounts = [(1000 + tenth / 10, 1.0) for tenth in range(1, 200)]
+        self.assertEqual(max(total for _, total in check.window_sums(amounts)), 10.0)
+
 
 class CommandTest(unittest.TestCase):
     """Guards against a checker that reports success whatever it finds."""
--- a/packages/standins/tests/test_report.py
+++ b/packages/standins/tests/test_report.py
@@ -91,7 +91,9 @@
             history.FaultEvent(at_s=101.0, fault="replace-all", phase=phase, target="e1")
             for phase in (history.STOP_ORDERED, history.STOPPED)
         ]
-        built = build(self.jobs, [*self.records, leaving, *stop])
+        injected = history.FaultEvent(at_s=102.0, fault="replace-all", phase=history.INJECTED)
+        built = build(self.jobs, [*self.records, leaving, *stop, injected])
+        self.assertEqual(built.fault_s, [2.0])
         self.assertEqual(built.drain_s, {"crew-1": 0.75, "e1": 0.0})
 
     def test_sheds_and_breaches_are_counted(self):
