Count shift starts until a second after their answers; wait on events when idle

Cause: a demo on a busy machine (load 20) again counted 21 starts against a shift cap of 20, since delays differed by more than the spread of the window. An idle entry used 1.2 to 1.5% of a core, most of it in a loop that looked at empty queues every 20 ms. Change: shifts use a window that counts a request from its admission until one second after its answer, which holds for any delay; retries are taken from the caps too. The queue and outcome loops wait for an event. The price is that a shift at its cap moves cap / (1 s + service time) requests/s.

--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -121,6 +121,59 @@
             self._sum = sum(each.amount for each in self._taken)
 
 
+class CompletionWindow:
+    """Admits requests so that at most ``limit`` of them start in any second at their servers.
+
+    A request counts from its admission until one second after its answer. Its start lies between
+    the two, so the limit holds however long each request was under way; a window of admission
+    times would not hold when one request is delayed and the next is not.
+
+    Args:
+        limit: Most starts in one second.
+        clock: Time source.
+        start_full: Admits nothing for the first second, because a previous holder of the limit
+            may have used all of it just before.
+    """
+
+    def __init__(self, *, limit: float, clock: clock_lib.Clock, start_full: bool = False):
+        self._limit = _checked("limit", limit)
+        self._clock = clock
+        self._running = 0
+        self._ended: collections.deque[float] = collections.deque()
+        self._full_until_s = clock.monotonic() + WINDOW_S if start_full else -math.inf
+
+    @property
+    def limit(self) -> float:
+        """Most starts in one second."""
+        return self._limit
+
+    def set_limit(self, limit: float) -> None:
+        """Changes the limit; requests admitted before still count."""
+        self._limit = _checked("limit", limit)
+
+    def used(self) -> int:
+        """Returns the number of requests that count against the limit now."""
+        now_s = self._clock.monotonic()
+        return self._running + sum(ended_s + 1.0 >= now_s for ended_s in self._ended)
+
+    def try_start(self) -> bool:
+        """Admits a request and returns True, or returns False when it does not fit."""
+        now_s = self._clock.monotonic()
+        while self._ended and self._ended[0] + 1.0 < now_s:
+            self._ended.popleft()
+        if now_s < self._full_until_s or self._running + len(self._ended) + 1 > self._limit:
+            return False
+        self._running += 1
+        return True
+
+    def end(self) -> None:
+        """Notes that an admitted request was answered or can no longer start."""
+        if self._running < 1:
+            raise ValueError("no request is running")
+        self._running -= 1
+        self._ended.append(self._clock.monotonic())
+
+
 def _checked(name: str, value: float) -> float:
     if not value >= 0:
         raise ValueError(f"{name} is {value}, expected a number of at least 0")
--- a/packages/core/tests/test_window.py
+++ b/packages/core/tests/test_window.py
@@ -76,3 +76,43 @@
                 limiter.try_take(bad)
             with self.assertRaises(ValueError):
                 limiter.set_limit(bad)
+
+
+class CompletionWindowTest(unittest.TestCase):
+    @hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+    @hypothesis.given(
+        st.lists(
+            st.tuples(st.sampled_from([0.0, 0.01, 0.3, 1.0]), st.floats(0, 1), st.floats(0, 1)),
+            max_size=60,
+        )
+    )
+    def test_starts_hold_the_limit_whatever_the_delays(self, arrivals):
+        """Guards against a cap that is passed at the servers because of unequal delays."""
+        limit = 5
+        time = clock.ManualClock()
+        limiter = window.CompletionWindow(limit=limit, clock=time)
+        starts, ends = [], []
+        for gap_s, delay_s, run_s in arrivals:
+            until_s = time.monotonic() + gap_s
+            for end_s in sorted(each for each in ends if each <= until_s):
+                time.advance(max(0.0, end_s - time.monotonic()))
+                limiter.end()
+                ends.remove(end_s)
+            time.advance(max(0.0, until_s - time.monotonic()))
+            if limiter.try_start():
+                starts.append(time.monotonic() + delay_s)
+                ends.append(time.monotonic() + delay_s + run_s)
+        for first_s in starts:
+            self.assertLessEqual(sum(first_s <= each <= first_s + 1.0 for each in starts), limit)
+
+    def test_capacity_returns_one_second_after_the_answer(self):
+        """Guards against a window that never admits again, and against a full start ignored."""
+        time = clock.ManualClock()
+        limiter = window.CompletionWindow(limit=1, clock=time, start_full=True)
+        self.assertFalse(limiter.try_start())
+        time.advance(1.2)
+        self.assertTrue(limiter.try_start())
+        limiter.end()
+        self.assertFalse(limiter.try_start())
+        time.advance(1.01)
+        self.assertTrue(limiter.try_start())
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -85,6 +85,7 @@
         self._pending_count = 0
         self._dropped = 0
         self._batch = 0
+        self._added = asyncio.Event()
         self._log = structlog.get_logger("outcomes")
 
     @property
@@ -103,12 +104,16 @@
             self._drop_oldest()
         self._pending.setdefault(segment_prefix(ticket), {})[str(ticket)] = to_document(answer)
         self._pending_count += 1
+        self._added.set()
 
     async def run(self) -> None:
         """Writes batches until cancelled."""
         while True:
+            await self._added.wait()
             await asyncio.sleep(FLUSH_INTERVAL_S)
-            await self.flush()
+            self._added.clear()
+            if not await self.flush():
+                self._added.set()
 
     async def flush(self) -> bool:
         """Writes all queued outcomes and returns whether the queue is empty."""
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -40,7 +40,7 @@
 
     grant: region.PoolGrant
     slots: pool.SlotPool
-    shift_windows: dict[str, window.SlidingWindow]
+    shift_windows: dict[str, window.CompletionWindow]
     waiters: dict[int, asyncio.Future]
     acquired_s: float = 0.0
     requests: int = 0
@@ -99,6 +99,7 @@
         self._budgets: dict[str, retry.RetryBudget] = {}
         self._quarantine = quarantine.Quarantine(clock=clock)
         self._waiter_ids = itertools.count(1)
+        self._waiting = asyncio.Event()
         self._log = structlog.get_logger("pools")
 
     @property
@@ -218,12 +219,15 @@
     async def wake_loop(self) -> None:
         """Gives slots that became free by the passage of time to waiting requests."""
         while True:
-            await asyncio.sleep(WAKE_INTERVAL_S)
+            await self._waiting.wait()
+            self._waiting.clear()
             for owned in list(self._pools.values()):
                 if owned.slots.queue_length():
+                    self._waiting.set()
                     self._apply_share(owned)
                     owned.slots.expire()
                     self._wake(owned, owned.slots.grant_waiting())
+            await asyncio.sleep(WAKE_INTERVAL_S)
 
     async def _probe_pool(self, owned: OwnedPool) -> None:
         servers = {server.name: server for server in self._servers.get(owned.grant.pool, ())}
@@ -269,10 +273,12 @@
             for source, cap_rps in wanted.items()
         }
 
-    def _window(self, current: window.SlidingWindow | None, limit: float) -> window.SlidingWindow:
+    def _window(
+        self, current: window.CompletionWindow | None, limit: float
+    ) -> window.CompletionWindow:
         if current is None:
             # The previous owner may have used the whole limit in the last second.
-            return window.SlidingWindow(limit=limit, clock=self._clock, start_full=True)
+            return window.CompletionWindow(limit=limit, clock=self._clock, start_full=True)
         current.set_limit(limit)
         return current
 
@@ -292,15 +298,14 @@
     def _take_limits(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
         """Takes the request from the caps after it has a slot, so that waiting costs no cap."""
         shift_window = owned.shift_windows.get(request.home_region)
-        if shift_window is not None and shift_window.retry_after_s(1.0) > 0:
-            wait_ms = int(shift_window.retry_after_s(1.0) * 1000)
-            return self._refusal(owned, messages.Reason.SHIFT_CAP, retry_after_ms=wait_ms)
+        if shift_window is not None and not shift_window.try_start():
+            return self._refusal(owned, messages.Reason.SHIFT_CAP, retry_after_ms=1000)
         wait_s = self._limits.take_region()
         if wait_s > 0:
+            if shift_window is not None:
+                shift_window.end()
             wait_ms = int(min(wait_s, 1.0) * 1000)
             return self._refusal(owned, messages.Reason.REGION_CAP, retry_after_ms=wait_ms)
-        if shift_window is not None:
-            shift_window.try_take(1.0)
         return None
 
     def _refusal(
@@ -324,6 +329,7 @@
             return None
         future = asyncio.get_running_loop().create_future()
         owned.waiters[waiter_id] = future
+        self._waiting.set()
         try:
             return await asyncio.wait_for(future, request.deadline.remaining_s)
         except TimeoutError:
@@ -363,6 +369,9 @@
             next_lease = owned.slots.try_acquire(exclude=frozenset(tried))
             if next_lease is None:
                 break
+            if self._take_limits(owned, request) is not None:
+                self._release(owned, next_lease, pool.ServerResult.CANCELLED)
+                break
             lease = next_lease
         if dispatched:
             return self._unknown(result)
@@ -394,7 +403,8 @@
             region=lease.server.region,
         )
         result = pool.ServerResult.CANCELLED
-        held_until_s = 0.0
+        held_for_s = 0.0
+        shift_window = owned.shift_windows.get(request.home_region)
         try:
             answer = await self._client.call(
                 lease.server, request, idempotent=idempotent, timeout_s=remaining_s
@@ -406,14 +416,26 @@
                 owned.slots.report_load(lease.server.name, answer.load)
             if answer.result is backend_client.CallResult.TIMEOUT:
                 # The server may still run the request until its deadline.
-                held_until_s = request.deadline.remaining_s
+                held_for_s = request.deadline.remaining_s
             return answer
         finally:
-            if held_until_s > 0:
-                loop = asyncio.get_running_loop()
-                loop.call_later(held_until_s, self._release, owned, lease, result)
+            loop = asyncio.get_running_loop()
+            if held_for_s > 0:
+                loop.call_later(held_for_s, self._end, owned, lease, result, shift_window)
             else:
-                self._release(owned, lease, result)
+                self._end(owned, lease, result, shift_window)
+
+    def _end(
+        self,
+        owned: OwnedPool,
+        lease: pool.SlotLease,
+        result: pool.ServerResult,
+        shift_window: window.CompletionWindow | None,
+    ) -> None:
+        """Frees what a dispatch used."""
+        if shift_window is not None:
+            shift_window.end()
+        self._release(owned, lease, result)
 
     def _release(self, owned: OwnedPool, lease: pool.SlotLease, result: pool.ServerResult) -> None:
         self._wake(owned, owned.slots.release(lease, result))
