--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -47,7 +47,7 @@
         invariants: Checks every lease that is handed out.
         queue_limit: Most requests that may wait; 0 for services that may not wait.
         ramp_s: Seconds over which the slots of a new or long-idle server become usable.
-        rank_by_reports: Ranks servers by their load reports as well as by own leases; only for
+        rank_by_reports: Chooses servers by their load reports as well as by own leases; only for
             placements where other instances dispatch to the same servers.
     """
 
@@ -300,6 +300,8 @@
     def _select(self, exclude: frozenset[str], now_s: float) -> pool_server.ServerSlots | None:
         barred = self._health.ejected() | exclude
         unsound = self._unsound(now_s)
+        if self._rank_by_reports:
+            return self._select_by_reports(barred, unsound, now_s)
         best: list[pool_server.ServerSlots] = []
         best_rank = (False, 0, 0)
         for slots in self._active:
@@ -310,20 +312,37 @@
             free = self._free(slots, now_s)
             if free <= 0:
                 continue
-            rank = self._rank(slots, free, now_s, sound=slots.name not in unsound)
+            load = slots.reported_load(now_s) or 0
+            rank = (slots.name not in unsound, free, -load)
             if not best or rank > best_rank:
                 best, best_rank = [slots], rank
             elif rank == best_rank:
                 best.append(slots)
         return self._rng.choice(best) if best else None
 
-    def _rank(
-        self, slots: pool_server.ServerSlots, free: int, now_s: float, *, sound: bool
-    ) -> tuple[bool, int, int]:
-        load = slots.reported_load(now_s) or 0
-        if self._rank_by_reports:
-            free = min(free, slots.limit(now_s) - load)
-        return (sound, free, -load)
+    def _select_by_reports(
+        self, barred: frozenset[str], unsound: frozenset[str], now_s: float
+    ) -> pool_server.ServerSlots | None:
+        """Draws a server with a probability proportional to its slots that are probably free.
+
+        If all instances chose the least loaded server of the same lagging reports, they would
+        overload it until the next report.
+        """
+        usable = [
+            slots
+            for slots in self._active
+            if slots.name not in barred and self._free(slots, now_s) > 0
+        ]
+        if not usable:
+            return None
+        weights = [
+            0 if slots.name in unsound else self._probably_free(slots, now_s) for slots in usable
+        ]
+        return self._rng.choices(usable, weights if any(weights) else None)[0]
+
+    def _probably_free(self, slots: pool_server.ServerSlots, now_s: float) -> int:
+        unreported = slots.limit(now_s) - (slots.reported_load(now_s) or 0)
+        return max(0, min(self._free(slots, now_s), unreported))
 
     def _unsound(self, now_s: float) -> frozenset[str]:
         """Returns the servers that are used only when no other one has a free slot."""
--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -38,12 +38,16 @@
 class Driver:
     """Runs operations that ``rng`` chooses; an ``AssertionError`` names a broken rule."""
 
-    def __init__(self, rng, *, ramp_s=0.0):
+    def __init__(self, rng):
         self._rng = rng
         self._time = clock.ManualClock()
         self._servers = {f"s{i}": server(f"s{i}") for i in range(rng.randint(1, 6))}
         self._pool = make_pool(
-            self._servers.values(), time=self._time, queue_limit=4, ramp_s=ramp_s
+            self._servers.values(),
+            time=self._time,
+            queue_limit=4,
+            ramp_s=rng.choice([0.0, 2.0]),
+            rank_by_reports=rng.random() < 0.3,
         )
         self._leases = []
         # Requests of the previous owner that are really running: server and latest end.
@@ -186,8 +190,7 @@
 
     def run(self):
         """Runs the steps and returns the driver."""
-        rng = random.Random(self.seed)
-        driver = Driver(rng, ramp_s=rng.choice([0.0, 2.0]))
+        driver = Driver(random.Random(self.seed))
         for _ in range(self.steps):
             driver.step()
         return driver
