--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -35,7 +35,8 @@
     candidates = sorted(set(members))
     if not candidates:
         return {}
-    owners = {key: current[key] for key in keys if current.get(key) in candidates}
+    eligible = frozenset(candidates)
+    owners = {key: current[key] for key in keys if current.get(key) in eligible}
     counts = collections.Counter(dict.fromkeys(candidates, 0))
     counts.update(owners.values())
     for key in keys:
@@ -48,6 +49,15 @@
     return owners
 
 
+def is_even(
+    owners: Mapping[model.PoolKey, model.InstanceId], members: Iterable[model.InstanceId]
+) -> bool:
+    """Returns whether no move would even out the spread."""
+    counts = collections.Counter(dict.fromkeys(members, 0))
+    counts.update(owner for owner in owners.values() if owner in counts)
+    return not counts or max(counts.values()) - min(counts.values()) < 2
+
+
 def _lightest(key: model.PoolKey, counts: Mapping[model.InstanceId, int]) -> model.InstanceId:
     least = min(counts.values())
     return max(
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -58,6 +58,7 @@
         self._recorded = {member.id: member for member in won.row.members}
         self._needed = set(self._recorded) - {me.id}
         self._promised_s: dict[model.InstanceId, float] = {}
+        self._promised_until_s: float | None = None
         self._table_until_s = won.sent_s + region.TABLE_LEASE_S
         self._serial = won.row.serial
         self._sent_s = {won.row.serial: won.sent_s}
@@ -87,9 +88,10 @@
         """Returns the end of the authority by the coordinator's clock."""
         if self._deposed:
             return -math.inf
-        promises = [self._promised_s.get(each, -math.inf) for each in self._needed]
-        promised_s = min(promises, default=math.inf) + region.PROMISE_S
-        return max(self._table_until_s, promised_s)
+        if self._promised_until_s is None:
+            promises = (self._promised_s.get(each, -math.inf) for each in self._needed)
+            self._promised_until_s = min(promises, default=math.inf) + region.PROMISE_S
+        return max(self._table_until_s, self._promised_until_s)
 
     def is_recorded(self, member: model.InstanceId) -> bool:
         """Returns whether the row in the table certainly names the member."""
@@ -102,11 +104,15 @@
     def refresh(self) -> None:
         """Drops needed members that are gone; called before any other event is processed."""
         if self._clock.monotonic() < self.until_s():
-            self._needed = {each for each in self._needed if not self._members.is_gone(each)}
+            gone = [each for each in self._needed if self._members.is_gone(each)]
+            if gone:
+                self._needed.difference_update(gone)
+                self._promised_until_s = None
 
     def promised(self, member: model.InstanceId, stamp_s: float) -> None:
         """Records a promise that counts from the coordinator time ``stamp_s``."""
         self._promised_s[member] = max(stamp_s, self._promised_s.get(member, -math.inf))
+        self._promised_until_s = None
 
     def tick(
         self,
@@ -130,6 +136,7 @@
         self._last_write_s = now
         self._sent_s[row.serial] = now
         self._needed |= {member.id for member in row.members} - {self._me.id}
+        self._promised_until_s = None
         self._writing = region.WriteRow(row=row, if_version=self._version)
         return [self._writing]
 
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -15,6 +15,7 @@
     authority,
     cap_grants,
     caps,
+    holdings,
     membership,
     model,
     region,
@@ -32,28 +33,6 @@
 REBALANCE_S = 2.0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Pool:
-    """Where the two parts of a pool are, or may be.
-
-    Attributes:
-        offline_suspects: Instances of which one may hold the offline third; empty when it is free.
-        offline_seq: Latest reply that granted the offline third.
-        main_holder: Instance with the main part; None when it is free or the holder is unknown.
-        main_until_s: End of every grant of the main part so far, by the coordinator's clock.
-        main_seq: Latest reply that granted the main part.
-        in_use: Last reported slots in use by instance and server.
-    """
-
-    target: model.InstanceId | None = None
-    offline_suspects: set[model.InstanceId] = dataclasses.field(default_factory=set)
-    offline_seq: int = 0
-    main_holder: model.InstanceId | None = None
-    main_until_s: float = -math.inf
-    main_seq: int = 0
-    in_use: dict[model.InstanceId, Mapping[str, int]] = dataclasses.field(default_factory=dict)
-
-
 class CoordinatorState:
     """Decisions of a region's coordinator for one epoch.
 
@@ -91,22 +70,27 @@
             complete=won.settled,
         )
         self._removed: set[model.InstanceId] = set()
+        self._gone_count = -1
+        self._assigned: tuple = ()
         self._seq = 0
-        self._pools: dict[model.PoolKey, _Pool] = {}
         self._known_pools: frozenset[model.PoolKey] | None = None
         self._heard: dict[model.InstanceId, region.Instance] = {}
         self._sent: dict[model.InstanceId, dict[model.PoolKey, share.Share]] = {}
         self._last_command_s: dict[tuple[str, model.InstanceId], float] = {}
         self._unrecorded_until_s = -math.inf
         self._moved_s = self._started_s
-        self._urgent = False
+        self._changes_done = 0
         for member in won.row.members:
             members.heard(member)
-        self._unanswered = {
-            member.id for member in won.row.members if not members.is_gone(member.id)
-        }
+        self._holdings = holdings.Holdings(
+            clock=clock,
+            members=members,
+            unanswered=[each.id for each in won.row.members if not members.is_gone(each.id)],
+            earlier_until_s=self._earlier_grants_until_s(),
+            settled=won.settled,
+        )
         for pool, owner in won.row.owners.items():
-            self._pool(pool).target = owner
+            self._holdings.assign(pool, owner)
 
     @property
     def epoch(self) -> int:
@@ -131,22 +115,22 @@
     @property
     def unanswered(self) -> frozenset[model.InstanceId]:
         """Recorded members that neither follow this epoch yet nor are known to be gone."""
-        return frozenset(self._unanswered)
+        return self._holdings.unanswered
 
     @property
     def urgent(self) -> bool:
         """Whether members wait for something that the next tick does."""
-        return self._urgent or self.deposed
+        return self._holdings.changes != self._changes_done or self.deposed
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
         """Returns the assigned owner of every pool that has one."""
-        return {key: pool.target for key, pool in self._pools.items() if pool.target is not None}
+        return self._holdings.owners()
 
     def set_pools(self, pools: Iterable[model.PoolKey]) -> None:
         """Sets the pools of the region according to the current policy."""
         self._known_pools = frozenset(pools)
         for key in self._known_pools:
-            self._pool(key)
+            self._holdings.add(key)
 
     def set_caps(self, limits: Mapping[str, float]) -> None:
         """Sets the caps that the region's instances share, by name."""
@@ -166,13 +150,15 @@
         if self.deposed or heartbeat.epoch < self.epoch or self._members.is_gone(sender):
             gone = not self.deposed and self._members.is_gone(sender)
             return dataclasses.replace(self._reply(accepted=False, grants=()), gone=gone)
+        before = self._heard.get(sender)
         self._heard[sender] = heartbeat.sender
-        self._answer(sender, heartbeat.pools)
+        self._holdings.answer(sender, heartbeat.pools)
         if heartbeat.promise and heartbeat.echo_s is not None:
             self._authority.promised(sender, heartbeat.echo_s)
-        self._confirm_releases(heartbeat)
-        self._note_use(sender, heartbeat.pools)
-        self._reassign()
+        self._holdings.confirm_releases(heartbeat)
+        self._holdings.note_use(sender, heartbeat.pools)
+        if heartbeat.sender != before:
+            self._reassign()
         self._caps.heard(sender, heartbeat.caps)
         return dataclasses.replace(self._grant(sender), cap_shares=self._cap_shares(heartbeat))
 
@@ -183,8 +169,8 @@
             self.depose()
         if reply.epoch == self.epoch and not self.deposed:
             self._members.heard(reply.sender)
-            self._answer(reply.sender.id, reply.pools)
-            self._note_use(reply.sender.id, reply.pools)
+            self._holdings.answer(reply.sender.id, reply.pools)
+            self._holdings.note_use(reply.sender.id, reply.pools)
 
     def tick(self) -> list[region.Command]:
         """Lets time pass and returns what has to be done now."""
@@ -192,7 +178,7 @@
         if self.deposed:
             return []
         self._reassign()
-        self._urgent = False
+        self._changes_done = self._holdings.changes
         return [
             *self._authority.tick(members=self._row_members(), owners=self.owners()),
             *self._follow_commands(),
@@ -203,29 +189,14 @@
     def _refresh(self) -> None:
         """Applies what the member table learned since the last event."""
         self._authority.refresh()
-        gone = {instance for instance in self._unanswered if self._members.is_gone(instance)}
-        self._unanswered -= gone
+        if self._members.gone_count == self._gone_count:
+            return
+        self._gone_count = self._members.gone_count
         for instance in self._members.gone():
             if instance not in self._removed:
                 self._removed.add(instance)
                 self._caps.remove(instance)
-        for pool in self._pools.values():
-            pool.offline_suspects = {
-                instance
-                for instance in pool.offline_suspects
-                if not self._members.is_gone(instance)
-            }
-
-    def _pool(self, key: model.PoolKey) -> _Pool:
-        """Returns the state of a pool; a new one may be held by any unanswered member."""
-        pool = self._pools.get(key)
-        if pool is None:
-            pool = _Pool(
-                offline_suspects=set(self._unanswered),
-                main_until_s=self._earlier_grants_until_s(),
-            )
-            self._pools[key] = pool
-        return pool
+        self._holdings.forget_gone()
 
     def _earlier_grants_until_s(self) -> float:
         """End of all grants of earlier coordinators, as far as their holders are unknown."""
@@ -233,71 +204,22 @@
             return -math.inf
         return self._started_s + region.GRANT_S
 
-    def _answer(
-        self, member: model.InstanceId, pools: Mapping[model.PoolKey, region.PoolReport]
-    ) -> None:
-        """Takes over what a member holds from an earlier epoch."""
-        if member in self._unanswered:
-            self._unanswered.discard(member)
-            self._urgent = True
-            for key, report in pools.items():
-                if report.share.has_offline:
-                    self._pool(key).offline_suspects = {member}
-            for key, pool in self._pools.items():
-                if key not in pools or not pools[key].share.has_offline:
-                    pool.offline_suspects.discard(member)
-        for key, report in pools.items():
-            pool = self._pool(key)
-            unknown = pool.main_holder is None and self._clock.monotonic() < pool.main_until_s
-            if report.share.has_main and unknown:
-                pool.main_holder = member
-            if report.share is not share.Share.NONE and pool.target is None:
-                pool.target = member
-
-    def _confirm_releases(self, heartbeat: region.Heartbeat) -> None:
-        """Frees the parts that the sender no longer holds.
-
-        A part is released once a reply without it was applied; a heartbeat that was sent before
-        the reply with the grant arrived proves nothing.
-        """
-        sender = heartbeat.sender.id
-        for key, pool in self._pools.items():
-            report = heartbeat.pools.get(key)
-            held = report.share if report is not None else share.Share.NONE
-            kept_main = held.has_main or heartbeat.applied_seq <= pool.main_seq
-            if pool.main_holder == sender and not kept_main:
-                pool.main_holder = None
-                pool.main_until_s = -math.inf
-                self._urgent = True
-            if not held.has_offline and heartbeat.applied_seq > pool.offline_seq:
-                self._urgent |= sender in pool.offline_suspects
-                pool.offline_suspects.discard(sender)
-
-    def _note_use(
-        self, sender: model.InstanceId, pools: Mapping[model.PoolKey, region.PoolReport]
-    ) -> None:
-        for key, pool in self._pools.items():
-            report = pools.get(key)
-            in_use = report.in_use if report is not None else {}
-            if in_use:
-                pool.in_use[sender] = in_use
-            else:
-                pool.in_use.pop(sender, None)
-            if report is not None and report.share.has_main and pool.target == sender:
-                # The owner has taken over what others reported before.
-                pool.in_use = {sender: in_use} if in_use else {}
-
     def _reassign(self) -> None:
         now = self._clock.monotonic()
         if self._won.previous is None and now < self._started_s + FORMING_S:
             return
         eligible = self._eligible()
         moves = 0
-        if now >= self._moved_s + REBALANCE_S and not self._unanswered and self.has_authority:
+        if now >= self._moved_s + REBALANCE_S and not self.unanswered and self.has_authority:
             moves = 1
+        pools = self._holdings.keys() if self._known_pools is None else self._known_pools
         before = self.owners()
+        inputs = (pools, tuple(eligible), moves)
+        if self._assigned == inputs and (not moves or assignment.is_even(before, eligible)):
+            return
+        self._assigned = inputs
         owners = assignment.assign(
-            self._pools if self._known_pools is None else self._known_pools,
+            pools,
             members=eligible,
             current=before,
             moves=moves,
@@ -305,8 +227,7 @@
         for key, owner in owners.items():
             if before.get(key) != owner:
                 self._moved_s = now
-                self._urgent = True
-                self._pool(key).target = owner
+                self._holdings.assign(key, owner)
 
     def _eligible(self) -> list[model.InstanceId]:
         """Returns the instances that may own pools, the most suitable kind only.
@@ -319,74 +240,39 @@
         leaving = [each.id for each in self._members.instances(membership.State.LEAVING)]
         return recorded or live or leaving
 
-    def _targeted(self) -> dict[model.InstanceId, dict[model.PoolKey, _Pool]]:
-        """Returns the pools by assigned owner."""
-        targeted: dict[model.InstanceId, dict[model.PoolKey, _Pool]] = {}
-        for key, pool in self._pools.items():
-            if pool.target is not None:
-                targeted.setdefault(pool.target, {})[key] = pool
-        return targeted
-
-    def _desired(
-        self, member: model.InstanceId, pools: Mapping[model.PoolKey, _Pool]
-    ) -> dict[model.PoolKey, share.Share]:
+    def _desired(self, member: model.InstanceId) -> dict[model.PoolKey, share.Share]:
         """Returns the share that the member may have now of each of the pools assigned to it."""
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(member)
         may_main = self._may_grant(now, recorded=recorded)
         desired = {}
-        for key, pool in pools.items():
+        for key, pool in self._holdings.assigned_to(member).items():
             # Without authority, a later coordinator may have given a free part to another member.
             offline = pool.offline_suspects == {member}
             if not pool.offline_suspects:
                 offline = recorded and may_main
-            main = may_main and (pool.main_holder == member or self._main_is_free(pool, now))
+            main = may_main and (pool.main_holder == member or self._holdings.main_is_free(pool))
             part = share.Share.of(offline=offline, main=main)
             if part is not share.Share.NONE:
                 desired[key] = part
         return desired
 
-    def _main_is_free(self, pool: _Pool, now: float) -> bool:
-        if now >= pool.main_until_s:
-            return True
-        if pool.main_holder is not None:
-            return self._members.is_gone(pool.main_holder)
-        # All holders of earlier grants are recorded, and each has answered or is gone.
-        return self._won.settled and not self._unanswered
-
     def _grant(self, member: model.InstanceId) -> region.HeartbeatReply:
-        now = self._clock.monotonic()
         self._seq += 1
-        desired = self._desired(member, self._targeted().get(member, {}))
-        grants = []
-        for key, part in desired.items():
-            pool = self._pools[key]
-            grants.append(self._pool_grant(key, pool, part, member))
-            if part.has_offline:
-                pool.offline_suspects = {member}
-                pool.offline_seq = self._seq
-            if part.has_main:
-                pool.main_holder = member
-                pool.main_until_s = now + region.GRANT_S
-                pool.main_seq = self._seq
-                if not self._authority.is_recorded(member):
-                    self._unrecorded_until_s = now + region.GRANT_S
+        desired = self._desired(member)
+        if any(part.has_main for part in desired.values()):
+            self._note_recipient(member)
+        grants = tuple(
+            self._holdings.grant(key, part, member=member, seq=self._seq)
+            for key, part in desired.items()
+        )
         self._sent[member] = desired
-        return self._reply(accepted=True, grants=tuple(grants))
-
-    def _pool_grant(
-        self, key: model.PoolKey, pool: _Pool, part: share.Share, member: model.InstanceId
-    ) -> region.PoolGrant:
-        inherited: dict[str, int] = {}
-        previous = None
-        if part.has_main:
-            for instance, in_use in pool.in_use.items():
-                if instance == member:
-                    continue
-                previous = instance
-                for server, count in in_use.items():
-                    inherited[server] = inherited.get(server, 0) + count
-        return region.PoolGrant(pool=key, share=part, inherited=inherited, previous=previous)
+        return self._reply(accepted=True, grants=grants)
+
+    def _note_recipient(self, member: model.InstanceId) -> None:
+        """Notes until when an instance that is not recorded holds something."""
+        if not self._authority.is_recorded(member):
+            self._unrecorded_until_s = self._clock.monotonic() + region.GRANT_S
 
     def _cap_shares(self, heartbeat: region.Heartbeat) -> Mapping[str, caps.CapShare]:
         """Returns the sender's shares of caps; without authority, its last ones run out."""
@@ -395,8 +281,7 @@
         recorded = self._authority.is_recorded(sender)
         if not self._may_grant(now, recorded=recorded):
             return {}
-        if not recorded:
-            self._unrecorded_until_s = now + region.GRANT_S
+        self._note_recipient(sender)
         return self._caps.renew(sender, heartbeat.caps, keeps_offline=recorded)
 
     def _may_grant(self, now: float, *, recorded: bool) -> bool:
@@ -436,7 +321,7 @@
     def _follow_commands(self) -> list[region.Command]:
         return [
             region.SendFollow(target=target, epoch=self.epoch)
-            for target in self._present(self._unanswered)
+            for target in self._present(self.unanswered)
             if self._due("follow", target.id, FOLLOW_RETRY_S)
         ]
 
@@ -451,12 +336,11 @@
 
     def _poke_commands(self) -> list[region.Command]:
         """Asks members for a heartbeat whose grants differ from what they were sent."""
-        targeted = self._targeted()
         return [
             region.SendFollow(target=target, epoch=self.epoch)
             for target in self._present(self._sent)
             if self._members.state(target.id) is not membership.State.SILENT
-            and self._desired(target.id, targeted.get(target.id, {})) != self._sent[target.id]
+            and self._desired(target.id) != self._sent[target.id]
             and self._due("poke", target.id, POKE_RETRY_S)
         ]
 
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -47,6 +47,7 @@
         self._silent_after_s = silent_after_s
         self._entries: dict[model.InstanceId, _Entry] = {}
         self._gone: dict[model.InstanceId, float] = {}
+        self._gone_count = 0
 
     def add(self, instance: region.Instance) -> None:
         """Adds an instance that another source named; this counts as hearing it once."""
@@ -93,6 +94,11 @@
         for instance in instances:
             self._forget(instance)
 
+    @property
+    def gone_count(self) -> int:
+        """Grows whenever an instance is found to be gone."""
+        return self._gone_count
+
     def state(self, instance: model.InstanceId) -> State | None:
         """Returns what is known about an instance, or None when nothing is."""
         if instance in self._gone:
@@ -133,7 +139,9 @@
     def _forget(self, instance: model.InstanceId) -> None:
         now = self._clock.monotonic()
         self._entries.pop(instance, None)
-        self._gone.setdefault(instance, now)
+        if instance not in self._gone:
+            self._gone[instance] = now
+            self._gone_count += 1
         for old, since_s in list(self._gone.items()):
             if len(self._gone) <= GONE_KEEP_MAX and now - since_s < GONE_KEEP_S:
                 break
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -2,13 +2,14 @@
 
 import collections
 import unittest
+from unittest import mock
 
 import hypothesis
 import ownership_sim
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from sassafrasway_core import coordinator, invariants, membership, ownership, region, share
+from sassafrasway_core import holdings, invariants, membership, ownership, region, share
 
 NAMES = ("p", "q", "r")
 names = st.sampled_from(NAMES)
@@ -104,18 +105,22 @@
 class _SilentIsGone(membership.MemberTable):
     """Wrong rule: takes silence for proof that an instance is gone."""
 
-    def is_gone(self, instance):
-        return super().is_gone(instance) or self.state(instance) is membership.State.SILENT
+    def state(self, instance):
+        state = super().state(instance)
+        if state is membership.State.SILENT:
+            self._forget(instance)
+        return state
 
 
-class _OfflineShareIgnored(coordinator.CoordinatorState):
-    """Wrong rule: forgets the offline share of a holder that does not answer."""
+class _OfflineShareIgnored(holdings.Holdings):
+    """Wrong rule: forgets the offline share of a holder whose grant has expired."""
 
-    def _refresh(self):
-        super()._refresh()
-        for pool in self._pools.values():
+    def assigned_to(self, member):
+        pools = super().assigned_to(member)
+        for pool in pools.values():
             if self._clock.monotonic() >= pool.main_until_s:
                 pool.offline_suspects.clear()
+        return pools
 
 
 class CheckerTest(unittest.TestCase):
@@ -131,7 +136,8 @@
 
     def test_ignored_offline_share_is_found(self):
         """Guards against a checker that overlooks the offline share of the last holder."""
-        self._assert_found(coordinator_state=_OfflineShareIgnored)
+        with mock.patch.object(holdings, "Holdings", _OfflineShareIgnored):
+            self._assert_found()
 
 
 class RegionTest(unittest.TestCase):
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -147,14 +147,18 @@
     run.world.step(40)
 
 
+_promised = authority.Authority.promised
+
+
 def _promise_from_receipt(self, instance, stamp_s):
     del stamp_s
-    self._promised_s[instance] = self._clock.monotonic()
+    _promised(self, instance, self._clock.monotonic())
 
 
 _heartbeat = member.MemberState._heartbeat
 _may_take_over = member.MemberState._may_take_over
 _win = member.MemberState._win
+_state = membership.MemberTable.state
 
 
 def _promise_always(self, *arguments):
@@ -173,6 +177,7 @@
 
 def _drop_gone_always(self):
     self._needed = {each for each in self._needed if not self._members.is_gone(each)}
+    self._promised_until_s = None
 
 
 def _anyone_takes_over(self):
@@ -202,17 +207,19 @@
 _desired = coordinator.CoordinatorState._desired
 
 
-def _free_without_authority(self, member_id, pools):
-    desired = _desired(self, member_id, pools)
-    for key, pool in pools.items():
+def _free_without_authority(self, member_id):
+    desired = _desired(self, member_id)
+    for key, pool in self._holdings.assigned_to(member_id).items():
         if not pool.offline_suspects and key not in desired:
             desired[key] = share.Share.OFFLINE
     return desired
 
 
 def _silent_is_gone(self, instance):
-    known = instance in self._entries and self.unheard_s(instance) >= self._silent_after_s
-    return known or instance in self._gone
+    state = _state(self, instance)
+    if state is membership.State.SILENT:
+        self._forget(instance)
+    return state
 
 
 RULES = (
@@ -230,7 +237,7 @@
         "_desired",
         _free_without_authority,
     ),
-    (late_heartbeats, membership.MemberTable, "is_gone", _silent_is_gone),
+    (late_heartbeats, membership.MemberTable, "state", _silent_is_gone),
 )
 
 
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -23,6 +23,7 @@
 from sassafrasway_platform import table as table_module
 from sassafrasway_rpc import client as rpc_client
 
+TICK_S = 0.2
 CALL_TIMEOUT_S = 0.5
 LIST_INTERVAL_S = 2.0
 KEEPALIVE_S = 5.0
@@ -92,6 +93,7 @@
         self._state: coordinator.CoordinatorState | None = None
         self._policy: model.Policy | None = None
         self._version = 0
+        self._soon = False
         self._table_failed = False
         self._due_s: dict[str, float] = {}
         self._pushed: dict[str, tuple[int, int]] = {}
@@ -118,6 +120,7 @@
         self._policy = None
         self._version = 0
         self._pushed = {}
+        self._soon = True
         self._log.info("became coordinator", epoch=won.row.epoch, members=len(won.row.members))
 
     def depose(self, epoch: int) -> None:
@@ -155,6 +158,9 @@
         """Lets time pass; starts the calls that are due."""
         if self._state is None:
             return
+        if not (self._state.urgent or self._soon or self._due("tick", TICK_S)):
+            return
+        self._soon = False
         self._apply_policy()
         for command in self._state.tick():
             self._background.start(self._execute(command))
@@ -195,6 +201,7 @@
         await probe(self._peers, self._members, target, clock=self._clock)
         if self._members.is_gone(target.id):
             self._log.warning("instance is gone", gone=str(target.id))
+            self._soon = True
             self._wake()
 
     async def _follow(
