--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -7,13 +7,14 @@
 import structlog
 
 from sassafrasway_core import errors, model, placement, retry
-from sassafrasway_entry import conversion, messages, pools, steering
+from sassafrasway_entry import cap_limits, conversion, messages, pools, steering
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
 # An idempotent request leaves a peer that does not answer in this time, so that a connection that
 # went silent does not use up the whole deadline.
 PEER_SILENCE_TIMEOUT_S = 2.5
+PEER_SILENCE_FRACTION = 0.8  # above that of a call to a backend server, which it contains
 
 MOVE_WAIT_S = 0.05
 MAX_MOVE_WAITS = 40
@@ -80,6 +81,8 @@
 
     Args:
         me: This incarnation.
+        region: Region of this instance.
+        limits: Shares of the links' caps.
         steering: Policy questions.
         pools: Pools that this instance owns.
         directory: Owners of the other pools.
@@ -92,6 +95,8 @@
         self,
         *,
         me: model.InstanceId,
+        region: str,
+        limits: cap_limits.CapLimits,
         steering: steering.Steering,
         pools: pools.PoolManager,
         directory: Directory,
@@ -100,6 +105,8 @@
         budget: retry.RetryBudget,
     ):
         self._me = me
+        self._region = region
+        self._limits = limits
         self._steering = steering
         self._pools = pools
         self._directory = directory
@@ -193,12 +200,20 @@
         """Sends a request to another instance and returns its answer."""
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
+        if peer.region != self._region:
+            wait_s = self._limits.take_link(peer.region, len(request.body))
+            if wait_s > 0:
+                wait_ms = int(min(wait_s, 1.0) * 1000)
+                if not self._limits.has_link_share(peer.region):
+                    # The first share of a new instance arrives with a heartbeat.
+                    return messages.not_run(503, messages.Reason.NOT_READY)
+                return messages.not_run(429, messages.Reason.LINK_CAP, retry_after_ms=wait_ms)
         message = conversion.to_forward(
             request, stage=stage, key=key, may_queue=may_queue, sender=str(self._me)
         )
         limit_s = request.deadline.remaining_s
         if idempotent and not may_queue:
-            limit_s = min(limit_s, PEER_SILENCE_TIMEOUT_S)
+            limit_s = min(limit_s * PEER_SILENCE_FRACTION, PEER_SILENCE_TIMEOUT_S)
         try:
             reply = await self._peers.call(
                 peer.rpc_address, "forward", timeout_s=limit_s, request=message
