--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -59,6 +59,7 @@
         self._needed = set(self._recorded) - {me.id}
         self._promised_s: dict[model.InstanceId, float] = {}
         self._promised_until_s: float | None = None
+        self._gone_count = -1
         self._table_until_s = won.sent_s + region.TABLE_LEASE_S
         self._serial = won.row.serial
         self._sent_s = {won.row.serial: won.sent_s}
@@ -97,13 +98,21 @@
         """Returns whether the row in the table certainly names the member."""
         return member in self._recorded
 
+    @property
+    def is_transferable(self) -> bool:
+        """Whether another instance could become coordinator now, for which it needs the table."""
+        return self._clock.monotonic() < self._table_until_s
+
     def depose(self) -> None:
         """Records that another coordinator has a higher epoch."""
         self._deposed = True
 
     def refresh(self) -> None:
         """Drops needed members that are gone; called before any other event is processed."""
+        if self._members.gone_count == self._gone_count:
+            return
         if self._clock.monotonic() < self.until_s():
+            self._gone_count = self._members.gone_count
             gone = [each for each in self._needed if self._members.is_gone(each)]
             if gone:
                 self._needed.difference_update(gone)
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -156,6 +156,17 @@
         """Whether this instance coordinates its region."""
         return self._coordinator.state is not None
 
+    @property
+    def must_stay(self) -> bool:
+        """Whether the region would be without a coordinator if this instance stopped now.
+
+        While the table is down, nobody can take over from a coordinator that stops.
+        """
+        state = self._coordinator.state
+        if state is None or state.authority.is_transferable:
+            return False
+        return len(self._members.instances()) > 1
+
     @property
     def in_contact(self) -> bool:
         """Whether the coordinator answered recently."""
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -181,8 +181,10 @@
         """Guards against an instance that cannot start during an outage of the table."""
         self.fleet.table.faults.down = True
         self.fleet.start("s", seeds=("q",))
-        await self.fleet.run(2)
+        await self.fleet.run(4)
         self.assertTrue(self.fleet.tasks["s"].in_contact)
+        needed = [name for name, task in self.fleet.tasks.items() if task.must_stay]
+        self.assertEqual(needed, [self.fleet.leader()])
         self.assertEqual(len(self.fleet.owners()), 3)
 
     async def test_lost_answer_of_the_table(self):
