--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -7,7 +7,16 @@
 
 import structlog
 
-from sassafrasway_core import authority, coordinator, errors, invariants, membership, model, region
+from sassafrasway_core import (
+    authority,
+    cap_grants,
+    coordinator,
+    errors,
+    invariants,
+    membership,
+    model,
+    region,
+)
 from sassafrasway_core import clock as clock_module
 from sassafrasway_entry import background, control_conversion, directory, region_table
 from sassafrasway_platform import instances as instances_module
@@ -17,6 +26,7 @@
 CALL_TIMEOUT_S = 0.5
 LIST_INTERVAL_S = 2.0
 KEEPALIVE_S = 5.0
+SUSPECT_RETRY_S = 0.2
 EXCHANGE_RETRY_S = 0.5
 SILENT = "silent"
 # Enough for the instances that a region replaces in some hours.
@@ -40,6 +50,7 @@
         seeds: RPC addresses to ask for regions that nobody else knows.
         on_revision: Called with a newer revision and the RPC address of its holder.
         follow_self: Delivers a follow message of this coordinator to its own member role.
+        wake: Makes the owner of this task call ``tick`` soon.
         rng: Random source for the choice of peers.
     """
 
@@ -59,6 +70,7 @@
         seeds: Sequence[str],
         on_revision: Callable[[int, str], None],
         follow_self: Callable[[int], region.FollowReply],
+        wake: Callable[[], None],
         rng: random.Random,
     ):
         self._me = me
@@ -75,6 +87,7 @@
         self._seeds = tuple(seeds)
         self._on_revision = on_revision
         self._follow_self = follow_self
+        self._wake = wake
         self._rng = rng
         self._state: coordinator.CoordinatorState | None = None
         self._policy: model.Policy | None = None
@@ -130,6 +143,14 @@
             revision=self._revision_source(),
         )
 
+    def suspect(self, instance: model.InstanceId) -> None:
+        """Probes an instance of the region that somebody could not reach."""
+        target = self._members.instance(instance)
+        if self._state is None or target is None:
+            return
+        if self._due(f"suspect {instance}", SUSPECT_RETRY_S):
+            self._background.start(self._probe(target))
+
     def tick(self) -> None:
         """Lets time pass; starts the calls that are due."""
         if self._state is None:
@@ -155,6 +176,7 @@
         if policy is not None and policy is not self._policy:
             self._policy = policy
             self._state.set_pools(key for key in policy.pools() if key.region == self._me.region)
+            self._state.set_caps(cap_grants.caps_of(policy, self._me.region))
 
     async def _execute(self, command: region.Command) -> None:
         state = self._state
@@ -163,12 +185,18 @@
         if isinstance(command, region.SendFollow):
             await self._follow(state, command)
         elif isinstance(command, region.Probe):
-            await probe(self._peers, self._members, command.target)
+            await self._probe(command.target)
         elif isinstance(command, region.ReadRow):
             await self._read_row(state)
         elif isinstance(command, region.WriteRow):
             await self._write_row(state, command)
 
+    async def _probe(self, target: region.Instance) -> None:
+        await probe(self._peers, self._members, target, clock=self._clock)
+        if self._members.is_gone(target.id):
+            self._log.warning("instance is gone", gone=str(target.id))
+            self._wake()
+
     async def _follow(
         self, state: coordinator.CoordinatorState, command: region.SendFollow
     ) -> None:
@@ -183,8 +211,6 @@
                 epoch=command.epoch,
                 coordinator=control_conversion.to_instance(self._me),
             )
-        except rpc_client.ConnectionRefusedByPeerError:
-            self._members.refused(command.target.id)
         except errors.SassafraswayError as error:
             self._log.debug("no answer to follow", peer=error.peer, reason=error.message)
         else:
@@ -306,17 +332,24 @@
         return True
 
 
-async def probe(peers: Any, members: membership.MemberTable, target: region.Instance) -> Any:
+async def probe(
+    peers: Any,
+    members: membership.MemberTable,
+    target: region.Instance,
+    *,
+    clock: clock_module.Clock,
+) -> Any:
     """Asks an instance for its identity and records what that tells about it.
 
     Returns:
         The Thrift message ``Identity``, or None when the instance did not answer.
     """
     for _ in range(2):
+        started_s = clock.monotonic()
         try:
             identity = await peers.call(target.rpc_address, "identify", timeout_s=CALL_TIMEOUT_S)
         except rpc_client.ConnectionRefusedByPeerError:
-            members.refused(target.id)
+            members.refused(target.id, started_s=started_s)
             return None
         except errors.SassafraswayError:
             # A connection that was lost proves nothing; the next attempt opens a new one.
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -35,12 +35,17 @@
 JOIN_RETRY_S = 0.5
 JOIN_ADDRESSES = 3
 QUICK_FAILURE_S = 0.2
+SUSPECT_RETRY_S = 0.2
 
 
 def _ignore_revision(revision: int, address: str) -> None:
     del revision, address
 
 
+def _ignore_gone() -> None:
+    """Default for instances that are restarted by hand."""
+
+
 class MemberTask:
     """Takes part in the region: follows a coordinator or becomes it.
 
@@ -56,8 +61,12 @@
         pool_reports: Returns slots in use, rate and queue length of each pool that this instance
             uses, pools that it no longer may use but whose requests still run included.
         revision_source: Returns the revision of the policy in force.
+        cap_demand: Returns the demand by cap name (see ``cap_grants``) in the unit of the cap,
+            refused demand included; caps that it does not name get no share.
         seeds: RPC addresses of instances to join through.
         on_revision: Called with a newer revision and the RPC address of its holder.
+        on_declared_gone: Called when a coordinator took this instance for gone and gave its pools
+            away; only a restart with a new incarnation can take part again.
         rng: Random source for the choice of peers.
     """
 
@@ -74,8 +83,10 @@
         grants_sink: Callable[[list[region.PoolGrant]], None],
         pool_reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
         revision_source: Callable[[], int],
+        cap_demand: Callable[[], Mapping[str, float]] = dict,
         seeds: Sequence[str] = (),
         on_revision: Callable[[int, str], None] = _ignore_revision,
+        on_declared_gone: Callable[[], None] = _ignore_gone,
         rng: random.Random | None = None,
     ):
         self._clock = clock
@@ -84,9 +95,11 @@
         self._peers = peers
         self._grants_sink = grants_sink
         self._pool_reports = pool_reports
+        self._cap_demand = cap_demand
         self._revision_source = revision_source
         self._seeds = tuple(seeds)
         self._on_revision = on_revision
+        self._on_declared_gone = on_declared_gone
         self._rng = rng or random.Random()
         self._members = membership.MemberTable(clock=clock)
         self._grants = ownership.GrantState(clock=clock, invariants=invariants)
@@ -109,14 +122,18 @@
             seeds=seeds,
             on_revision=on_revision,
             follow_self=self._follow_self,
+            wake=lambda: self._wake.set(),
             rng=self._rng,
         )
         self._won_epoch = 0
         self._sunk: list[region.PoolGrant] = []
         self._table_failed = False
+        self._told_gone = False
         self._joined_s = float("-inf")
         self._wake = asyncio.Event()
         self._background = background.Background(name="member")
+        self._suspected_s: dict[str, float] = {}
+        peers.listen_for_refusals(self._on_refused)
         self._log = structlog.get_logger("member").bind(instance=str(me.id))
 
     @property
@@ -148,6 +165,10 @@
         """Returns the share of a pool that this instance may use now."""
         return self._grants.share(pool)
 
+    def cap_amount(self, name: str) -> float:
+        """Returns this instance's limit of a cap that is in force now; 0 without a share."""
+        return self._grants.caps.amount(name)
+
     def coordinator_addresses(self) -> list[str]:
         """Returns the RPC addresses of the coordinators of all regions."""
         return [each.coordinator.rpc_address for each in self._directory.regions()]
@@ -193,7 +214,7 @@
 
     def tick(self) -> None:
         """Lets time pass; starts the calls that are due."""
-        for command in self._state.tick(reports=self._pool_reports):
+        for command in self._state.tick(reports=self._pool_reports, cap_demand=self._cap_demand):
             self._background.start(self._execute(command))
         won = self._state.won
         if won is not None and won.row.epoch > self._won_epoch:
@@ -239,10 +260,40 @@
         reports = self._grants.reports(self._pool_reports())
         return dataclasses.replace(reply, pools=reports)
 
+    def on_suspect(self, instance: model.InstanceId) -> None:
+        """Makes this coordinator probe an instance that somebody could not reach."""
+        self._coordinator.suspect(instance)
+
     def identity(self) -> tuple[region.Instance, int, region.Instance | None]:
         """Returns this instance, the epoch that it follows, and the coordinator."""
         return self.me, self._grants.epoch, self._grants.coordinator
 
+    def _on_refused(self, address: str) -> None:
+        """Has an instance probed at once whose port refused a connection."""
+        leader = self._grants.coordinator
+        if leader is not None and leader.rpc_address == address:
+            if not self._members.is_gone(leader.id):
+                self._state.hurry()
+                self._wake.set()
+            return
+        now = self._clock.monotonic()
+        target = self._directory.at_address(address)
+        if target is None or now < self._suspected_s.get(address, 0.0) + SUSPECT_RETRY_S:
+            return
+        self._suspected_s[address] = now
+        known = self._directory.region(target.region)
+        if known.coordinator.id == self.me.id:
+            self._coordinator.suspect(target.id)
+        else:
+            self._background.start(self._report_suspect(known.coordinator, target))
+
+    async def _report_suspect(self, leader: region.Instance, target: region.Instance) -> None:
+        try:
+            message = control_conversion.to_instance(target)
+            await self._peers.call(leader.rpc_address, "suspect", timeout_s=1.0, instance=message)
+        except errors.SassafraswayError as error:
+            self._log.debug("suspicion not reported", peer=error.peer, reason=error.message)
+
     def _follow_self(self, epoch: int) -> region.FollowReply:
         return self.on_follow(epoch=epoch, coordinator=self.me)
 
@@ -274,7 +325,7 @@
         try:
             reply = await self._call_heartbeat(target, message)
         except rpc_client.ConnectionRefusedByPeerError:
-            self._members.refused(target.id)
+            self._members.refused(target.id, started_s=command.sent_s)
         except errors.SassafraswayError as error:
             self._log.info("no answer to heartbeat", peer=error.peer, reason=error.message)
             if self._clock.monotonic() < command.sent_s + QUICK_FAILURE_S:
@@ -299,6 +350,10 @@
             )
         self._coordinator.depose(self._grants.epoch)
         self._sink()
+        if reply.gone and not self._told_gone:
+            self._told_gone = True
+            self._log.error("taken for gone; restart this instance", by=str(reply.coordinator.id))
+            self._on_declared_gone()
         if (message.revision or 0) > self._revision_source():
             self._on_revision(message.revision, reply.coordinator.rpc_address)
 
@@ -327,7 +382,9 @@
             self._state.on_write_ok(command, version)
 
     async def _probe(self, target: region.Instance) -> None:
-        identity = await coordinator_task.probe(self._peers, self._members, target)
+        identity = await coordinator_task.probe(
+            self._peers, self._members, target, clock=self._clock
+        )
         if identity is None or identity.coordinator is None:
             return
         if identity.instance.region == self.me.region:
