Probe servers that are due through the pool; count link demand once

Cause: servers that reported that they are leaving and came back on the same address stayed out, and a reply that waited for a link raised its demand with every retry. Change: the pool names the servers to probe; probes read the server's state; demand is counted once. Figures: the new test of a returning server failed before (probes had no effect) and passes after.

--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -68,6 +68,14 @@
     detail: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Probe:
+    """Result of a health check; ``leaving`` is the server's own statement."""
+
+    healthy: bool
+    leaving: bool = False
+
+
 class BackendClient:
     """Calls backend servers, with a connection pool for each.
 
@@ -123,15 +131,16 @@
             result = CallResult.LOST if sent.is_set() else CallResult.NOT_SENT
             return BackendAnswer(result=result, detail=repr(error))
 
-    async def probe(self, server: model.BackendServer, *, timeout_s: float) -> bool:
-        """Returns whether the server answers its health check on a new connection."""
+    async def probe(self, server: model.BackendServer, *, timeout_s: float) -> Probe:
+        """Asks a server for its health on a new connection."""
         session = self._session(server, reuse=False)
         try:
             timeout = aiohttp.ClientTimeout(total=timeout_s)
             async with session.get(f"{server.url}/healthz", timeout=timeout) as response:
-                return response.status == 200
+                leaving = response.headers.get(STATE_HEADER) == "leaving"
+                return Probe(healthy=response.status == 200, leaving=leaving)
         except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
+            return Probe(healthy=False)
 
     async def _exchange(
         self,
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -81,17 +81,21 @@
     async def wait_link(self, target: str, size_bytes: int, *, limit_s: float) -> bool:
         """Waits until a message fits under the link's cap; returns False after ``limit_s``."""
         until_s = self._clock.monotonic() + limit_s
-        while (wait_s := self.take_link(target, size_bytes)) > 0:
+        name = cap_grants.link_cap(self._region, target)
+        wait_s = self.take_link(target, size_bytes)
+        while wait_s > 0:
             if self._clock.monotonic() + wait_s > until_s:
                 return False
             await asyncio.sleep(wait_s)
+            # Demand was counted with the first try.
+            wait_s = self._take(name, message_mbit(size_bytes), demand=0.0)
         return True
 
-    def _take(self, name: str, amount: float) -> float:
+    def _take(self, name: str, amount: float, *, demand: float | None = None) -> float:
         cap = self._caps.get(name)
         if cap is None:
             return 0.0
-        cap.wanted += amount
+        cap.wanted += amount if demand is None else demand
         cap.window.set_limit(self._amount(name))
         if cap.window.try_take(amount):
             return 0.0
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -213,8 +213,12 @@
         """Probes ejected servers until cancelled."""
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            for owned in list(self._pools.values()):
-                await self._probe_pool(owned)
+            await self.probe_pools()
+
+    async def probe_pools(self) -> None:
+        """Probes the servers that are due."""
+        for owned in list(self._pools.values()):
+            await self._probe_pool(owned)
 
     async def wake_loop(self) -> None:
         """Gives slots that became free by the passage of time to waiting requests."""
@@ -230,12 +234,9 @@
             await asyncio.sleep(WAKE_INTERVAL_S)
 
     async def _probe_pool(self, owned: OwnedPool) -> None:
-        servers = {server.name: server for server in self._servers.get(owned.grant.pool, ())}
-        for name in owned.slots.health.probes_due():
-            if name not in servers:
-                continue
-            healthy = await self._client.probe(servers[name], timeout_s=PROBE_TIMEOUT_S)
-            owned.slots.record_probe(name, succeeded=healthy)
+        for server in owned.slots.servers_to_probe():
+            probe = await self._client.probe(server, timeout_s=PROBE_TIMEOUT_S)
+            owned.slots.record_probe(server.name, succeeded=probe.healthy, leaving=probe.leaving)
 
     def _add(self, grant: region.PoolGrant) -> OwnedPool:
         slots = pool.SlotPool(
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -98,7 +98,7 @@
         return backend_client.BackendAnswer(result=result, status=200, body=request.body)
 
     async def probe(self, server, *, timeout_s):
-        return True
+        return backend_client.Probe(healthy=True)
 
 
 class FakeDirectory:
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -203,6 +203,19 @@
         self.assertEqual(sum(each.outcome is messages.Outcome.RAN for each in moved), 4)
         self.assertIs(own.outcome, messages.Outcome.RAN)
 
+    async def test_ejected_server_is_probed_and_returns(self):
+        """Guards against a server that stays out of its pool after it has recovered."""
+        servers = [fakes.server(f"s{index}", slots=1) for index in range(3)]
+        manager = self._manager(policy_=fakes.policy(servers=servers))
+        owned = manager.owned[fakes.POOL]
+        while not owned.slots.health.ejected():
+            self.backend.script = [_Result.NOT_SENT] * 3
+            await manager.execute(fakes.POOL, self._request(), may_queue=False)
+            self.clock.advance(1.0)
+        self.clock.advance(120.0)
+        await manager.probe_pools()
+        self.assertEqual(owned.slots.health.ejected(), frozenset())
+
 
 if __name__ == "__main__":
     unittest.main()
