Count slots inherited with a new pool

A pool that an instance acquired compared the grant with itself and never inherited the slots on which the previous owner's requests still run, so a handover could exceed a server's slots. The new test fails without the change.

--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -153,12 +153,13 @@
             self._drop(key)
         for key, grant in by_key.items():
             owned = self._pools.get(key)
-            if owned is None:
+            is_new = owned is None
+            if is_new:
                 owned = self._ending.pop(key, None) or self._add(grant)
                 self._pools[key] = owned
                 owned.acquired_s = self._clock.monotonic()
                 self._log.info("pool acquired", pool=str(key), share=grant.share.value)
-            if grant.inherited and owned.grant.previous != grant.previous:
+            if grant.inherited and (is_new or owned.grant.previous != grant.previous):
                 expires_s = self._clock.monotonic() + INHERITED_S
                 owned.slots.inherit(grant.inherited, expires_s=expires_s)
             owned.grant = grant
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -5,7 +5,7 @@
 
 import entry_fakes as fakes
 
-from sassafrasway_core import model, share
+from sassafrasway_core import model, region, share
 from sassafrasway_entry import backend_client, messages, pools
 
 _Result = backend_client.CallResult
@@ -161,6 +161,22 @@
         ran = [each for each in answers if each.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 1)
 
+    async def test_slots_of_the_previous_owner_stay_in_use(self):
+        """Guards against a new owner that uses slots on which old requests still run."""
+        manager = self._manager()
+        manager.set_grants([])
+        previous = model.InstanceId(name="bkk-a-2", incarnation="0b")
+        grant = region.PoolGrant(
+            pool=fakes.POOL, share=share.Share.FULL, inherited={"s1": 3}, previous=previous
+        )
+        manager.set_grants([grant])
+        self.clock.advance(2.0)
+        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertEqual(answer.outcome, messages.Outcome.NOT_RUN)
+        manager.release_inherited(fakes.POOL, "s1", 1)
+        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertEqual(answer.outcome, messages.Outcome.RAN)
+
     async def test_leaving_server_gets_no_new_work(self):
         """Guards against new work on a server after the policy says that it leaves."""
         servers = [fakes.server("s1"), fakes.server("s2")]
