Mark reports of runs in which the load tool was starved of processor time

A trial run at 85% load on a busy machine (load average 29) started requests 0.9 s late (p99); its refusal rates say nothing about the system.

--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -9,6 +9,8 @@
 from sassafrasway_standins import arrivals, caller, check, history, ideal, latency
 
 MS_PER_S = 1000
+# A load tool that starts requests later than this lacks processor time, and so do the instances.
+STARVED_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -72,9 +74,14 @@
     violations: Mapping[str, int]
     first_violations: Sequence[str]
 
+    @property
+    def is_starved(self) -> bool:
+        """Whether the machine was too busy for the figures to tell about the system."""
+        return self.tool_late_s > STARVED_S
+
     def dump(self) -> dict[str, Any]:
         """Returns the JSON form."""
-        return dataclasses.asdict(self)
+        return dataclasses.asdict(self) | {"is_starved": self.is_starved}
 
 
 def build(
@@ -280,6 +287,8 @@
         f"load tool late by {report.tool_late_s * MS_PER_S:.1f} ms and first attempts by "
         f"{report.late_start_s * MS_PER_S:.1f} ms (p99)"
     )
+    if report.is_starved:
+        lines.append("NOT VALID: the machine was too busy, the load tool did not keep its times")
     lines.append("fault from and to: " + ", ".join(f"{each:.1f} s" for each in report.fault_s))
     lines += [f"drain {target}: {each_s:.2f} s" for target, each_s in report.drain_s.items()]
     lines.append(f"violations: {dict(report.violations) or 'none'}")
--- a/packages/standins/tests/test_report.py
+++ b/packages/standins/tests/test_report.py
@@ -1,5 +1,6 @@
 """Tests of the figures that the bench reports."""
 
+import dataclasses
 import json
 import unittest
 
@@ -114,6 +115,15 @@
         self.assertEqual((built.sheds, built.ran_twice, built.lost), (1, 1, 1))
         self.assertEqual(dict(built.violations), {"at-most-once": 1, "none-lost": 1})
 
+    def test_starved_load_tool_makes_the_figures_invalid(self):
+        """Guards against figures of a busy machine that are taken for those of the system."""
+        late = [
+            dataclasses.replace(each, late_s=0.2) if isinstance(each, history.Intent) else each
+            for each in self.records
+        ]
+        self.assertNotIn("NOT VALID", report.as_text(build(self.jobs, self.records)))
+        self.assertIn("NOT VALID", report.as_text(build(self.jobs, late)))
+
     def test_report_has_a_json_and_a_text_form(self):
         """Guards against figures that cannot be written, among them missing ones."""
         for jobs, records in ((self.jobs, self.records), ([], [])):
