Keep requests certain while pools move to an instance that just started

No pass starts in the last 0.3 s, an instance becomes ready with its link shares (4 s at most), and a share below one message counts as none. sassafrasctl names the step and peer of a failure, so a store outage is recognisable.

--- a/packages/ctl/src/sassafrasway_ctl/client.py
+++ b/packages/ctl/src/sassafrasway_ctl/client.py
@@ -47,7 +47,7 @@
                 try:
                     return await self._call_one(address, method, arguments)
                 except errors.UnavailableError as error:
-                    failures[address] = error.message
+                    failures[address] = str(error)  # names the peer, which may be the store
         reasons = "; ".join(f"{address}: {reason}" for address, reason in failures.items())
         raise errors.UnavailableError(f"no instance answers: {reasons}", step=f"ctl.{method}")
 
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -65,10 +65,20 @@
                 demands[name] = cap.demand
         return demands
 
-    def has_link_share(self, target: str) -> bool:
-        """Returns whether this instance has a share of a link's cap, or the link has no cap."""
+    def has_link_share(self, target: str, size_bytes: int) -> bool:
+        """Returns whether a message fits into this instance's share of a link's cap at all.
+
+        The first share of a new instance can be smaller than any message, because it is what the
+        others happen to leave until they have confirmed smaller ones.
+        """
         name = cap_grants.link_cap(self._region, target)
-        return name not in self._caps or self._amount(name) > 0
+        return name not in self._caps or self._amount(name) >= message_mbit(size_bytes)
+
+    def has_all_link_shares(self) -> bool:
+        """Returns whether a small message fits into the share of every link's cap."""
+        own = cap_grants.region_cap(self._region)
+        smallest = message_mbit(0)
+        return all(self._amount(name) >= smallest for name in self._caps if name != own)
 
     def take_region(self) -> float:
         """Takes one request from the region's cap; returns 0, or seconds to wait."""
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -18,6 +18,9 @@
 
 MOVE_WAIT_S = 0.05
 MAX_MOVE_WAITS = 40
+# A pass over the pools that starts later may find its deadline while a peer has the request, which
+# makes a request that no server got an unknown one. A pass takes a round trip to each region.
+MIN_PASS_S = 0.25
 
 _TRY_NEXT = frozenset(
     (
@@ -136,10 +139,12 @@
         waits = 0
         while True:
             attempt = await self._try_pools(service, route, request)
-            if not attempt.moving or waits >= MAX_MOVE_WAITS or request.deadline.expired:
+            if not attempt.moving or waits >= MAX_MOVE_WAITS:
+                return attempt.answer
+            if request.deadline.remaining_s < MOVE_WAIT_S + MIN_PASS_S:
                 return attempt.answer
             waits += 1
-            await asyncio.sleep(min(MOVE_WAIT_S, request.deadline.remaining_s))
+            await asyncio.sleep(MOVE_WAIT_S)
 
     async def _try_pools(
         self, service: model.Service, route: steering.Route, request: messages.Request
@@ -204,7 +209,7 @@
             wait_s = self._limits.take_link(peer.region, len(request.body))
             if wait_s > 0:
                 wait_ms = int(min(wait_s, 1.0) * 1000)
-                if not self._limits.has_link_share(peer.region):
+                if not self._limits.has_link_share(peer.region, len(request.body)):
                     # The first share of a new instance arrives with a heartbeat.
                     return messages.not_run(503, messages.Reason.NOT_READY)
                 return messages.not_run(429, messages.Reason.LINK_CAP, retry_after_ms=wait_ms)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -43,6 +43,9 @@
 CRASH_REPORT_TIMEOUT_S = 0.3
 PROPAGATION_S = 3.0  # time after which other instances know that this one is leaving
 READY_POLL_S = 0.05
+# The others free the links' shares of a new instance within about 2 s; without a coordinator none
+# comes, and an instance without shares can still answer lookups and serve its own region.
+LINK_SHARES_TIMEOUT_S = 4.0
 DRAIN_POLL_S = 0.05
 FLUSH_TRIES = 50
 FLUSH_INTERVAL_S = 0.2
@@ -340,6 +343,9 @@
     async def _become_ready(self) -> None:
         while self._steering.policy is None or not self._member.in_contact:
             await asyncio.sleep(READY_POLL_S)
+        until_s = self._clock.monotonic() + LINK_SHARES_TIMEOUT_S
+        while not self._limits.has_all_link_shares() and self._clock.monotonic() < until_s:
+            await asyncio.sleep(READY_POLL_S)
         self._state.become_ready()
         self._log.info("ready", instance=str(self._me.id))
 
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -150,6 +150,25 @@
         self.assertEqual(len(ran), 1)
         self.assertEqual(answers[-1].reason, messages.Reason.LINK_CAP)
 
+    async def test_share_too_small_for_a_message_is_not_ready(self):
+        """Guards against a refusal by the cap of an instance whose first share is under way."""
+        self.link_mbit_s = 1e-9
+        built = self._build(regions=("bkk", "cnx"))
+        self.pools.script = [_FULL]
+        answer = await built.run(self._request(remaining_s=0.1))
+        self.assertEqual(answer.reason, messages.Reason.NOT_READY)
+        self.assertEqual(self.peers.calls, [])
+
+    async def test_no_new_pass_just_before_the_deadline(self):
+        """Guards against an unknown outcome because the last try finds the deadline at a peer."""
+        built = self._build()
+        moving = messages.not_run(503, messages.Reason.NOT_READY)
+        self.pools.script = [moving]
+        self.replies = [moving, moving]
+        answer = await built.run(self._request(remaining_s=0.2))
+        self.assertEqual(answer.reason, messages.Reason.NOT_READY)
+        self.assertEqual(len(self.peers.calls), 2)
+
     async def test_moved_pool_is_followed_once(self):
         """Guards against refusing a request because the directory is a moment old."""
         built = self._build()
