Slow down tries while a pool moves; report ready with link shares only in health

72 requests/s that tried two pools every 50 ms took all processor time of the new owner, and an instance that refused requests until it had link shares was already named by lookups. Tries now double their pause up to 0.4 s, and only /healthz waits for the shares.

--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -17,7 +17,10 @@
 PEER_SILENCE_FRACTION = 0.8  # above that of a call to a backend server, which it contains
 
 MOVE_WAIT_S = 0.05
-MAX_MOVE_WAITS = 40
+# Waits double up to this. At 72 requests/s, tries every 50 ms took all processor time of the new
+# owner, so that requests missed their deadlines on the way.
+LONGEST_MOVE_WAIT_S = 0.4
+MAX_MOVE_WAITS = 8  # 2.35 s in all
 # A pass over the pools that starts later may find its deadline while a peer has the request, which
 # makes a request that no server got an unknown one. A pass takes a round trip to each region.
 MIN_PASS_S = 0.25
@@ -141,10 +144,11 @@
             attempt = await self._try_pools(service, route, request)
             if not attempt.moving or waits >= MAX_MOVE_WAITS:
                 return attempt.answer
-            if request.deadline.remaining_s < MOVE_WAIT_S + MIN_PASS_S:
+            wait_s = min(MOVE_WAIT_S * 2**waits, LONGEST_MOVE_WAIT_S)
+            if request.deadline.remaining_s < wait_s + MIN_PASS_S:
                 return attempt.answer
             waits += 1
-            await asyncio.sleep(MOVE_WAIT_S)
+            await asyncio.sleep(wait_s)
 
     async def _try_pools(
         self, service: model.Service, route: steering.Route, request: messages.Request
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -64,6 +64,7 @@
         self._rng = random.Random(secrets.randbits(64))
         self._state = lifecycle.Lifecycle()
         self._stop_requested = asyncio.Event()
+        self._is_settled = False
         self._tasks: set[asyncio.Task] = set()
         self._log = structlog.get_logger("process")
         self._placement = placement.PLACEMENTS[settings.behaviour.placement]
@@ -343,11 +344,12 @@
     async def _become_ready(self) -> None:
         while self._steering.policy is None or not self._member.in_contact:
             await asyncio.sleep(READY_POLL_S)
+        self._state.become_ready()
+        self._log.info("ready", instance=str(self._me.id))
         until_s = self._clock.monotonic() + LINK_SHARES_TIMEOUT_S
         while not self._limits.has_all_link_shares() and self._clock.monotonic() < until_s:
             await asyncio.sleep(READY_POLL_S)
-        self._state.become_ready()
-        self._log.info("ready", instance=str(self._me.id))
+        self._is_settled = True
 
     def _request_stop(self) -> None:
         self._stop_requested.set()
@@ -407,7 +409,8 @@
             self._log.warning("closed marker not written", error=str(error))
 
     def _health(self) -> tuple[str, bool]:
-        return self._state.state, self._state.state == lifecycle.READY
+        # Reported later than callers are served: the platform stops the next instance on this.
+        return self._state.state, self._state.state == lifecycle.READY and self._is_settled
 
     def status(self) -> dict[str, Any]:
         """Returns the short state for operators."""
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+import unittest.mock
 
 import entry_fakes as fakes
 
@@ -169,6 +170,23 @@
         self.assertEqual(answer.reason, messages.Reason.NOT_READY)
         self.assertEqual(len(self.peers.calls), 2)
 
+    async def test_tries_become_rarer_while_a_pool_moves(self):
+        """Guards against waiting requests whose tries take all time of the pool's new owner."""
+        built = self._build(regions=("bkk",))
+        self.pools.script = [messages.not_run(503, messages.Reason.NOT_READY)] * 100
+        waits = []
+        with unittest.mock.patch.object(dispatcher.asyncio, "sleep", self._record_sleep(waits)):
+            await built.run(self._request(remaining_s=2.0))
+        self.assertEqual(waits, sorted(waits))
+        self.assertLess(len(waits), 10)
+
+    def _record_sleep(self, waits):
+        async def sleep(delay_s):
+            waits.append(delay_s)
+            self.clock.advance(delay_s)
+
+        return sleep
+
     async def test_moved_pool_is_followed_once(self):
         """Guards against refusing a request because the directory is a moment old."""
         built = self._build()
