Count inherited slots until the deadlines of their requests

The slots of a previous owner counted as used for 10 s, long after a killed owner's requests could still run. Reports now carry the time until the deadlines of the running requests have passed, and grants pass it on.

--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -20,6 +20,7 @@
         main_until_s: End of every grant of the main part so far, by the coordinator's clock.
         main_seq: Latest reply that granted the main part.
         in_use: Last reported slots in use by instance and server.
+        busy_until_s: When the deadlines of all requests on reported slots have passed.
     """
 
     target: model.InstanceId | None = None
@@ -29,6 +30,7 @@
     main_until_s: float = -math.inf
     main_seq: int = 0
     in_use: dict[model.InstanceId, Mapping[str, int]] = dataclasses.field(default_factory=dict)
+    busy_until_s: float = -math.inf
 
     def involves(self, member: model.InstanceId) -> bool:
         """Returns whether the member has a part or slots in use."""
@@ -193,6 +195,8 @@
             in_use = report.in_use if report is not None else {}
             if in_use:
                 pool.in_use[sender] = in_use
+                busy_until_s = self._clock.monotonic() + report.busy_s
+                pool.busy_until_s = max(pool.busy_until_s, busy_until_s)
             else:
                 pool.in_use.pop(sender, None)
             if report is not None and report.share.has_main and pool.target == sender:
@@ -213,8 +217,17 @@
             pool.main_until_s = self._clock.monotonic() + region.GRANT_S
             pool.main_seq = seq
         self._linked.setdefault(member, set()).add(key)
-        inherited, previous = pool.inherited_by(member) if part.has_main else ({}, None)
-        return region.PoolGrant(pool=key, share=part, inherited=inherited, previous=previous)
+        inherited_s = pool.busy_until_s - self._clock.monotonic()
+        if not part.has_main or inherited_s <= 0:
+            return region.PoolGrant(pool=key, share=part)
+        inherited, previous = pool.inherited_by(member)
+        return region.PoolGrant(
+            pool=key,
+            share=part,
+            inherited=inherited,
+            inherited_s=inherited_s,
+            previous=previous,
+        )
 
     def _take_over_offline(
         self, member: model.InstanceId, pools: Mapping[model.PoolKey, region.PoolReport]
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -114,11 +114,13 @@
     Attributes:
         share: Share in force when the report was made.
         in_use: Slots in use by server name.
+        busy_s: Time until the deadlines of the requests on these slots have passed.
         rate_per_s: Requests received for the pool, 1/s.
     """
 
     share: share.Share
     in_use: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    busy_s: float = 0.0
     rate_per_s: float = 0.0
     queue_length: int = 0
 
@@ -130,6 +132,7 @@
     Attributes:
         inherited: Slots by server name that the previous owner last reported as in use. The new
             owner counts them as used until they are released or the request deadlines pass.
+        inherited_s: Time until the deadlines of the requests on those slots have passed.
         previous: The instance that those slots belong to.
         expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
     """
@@ -137,6 +140,7 @@
     pool: model.PoolKey
     share: share.Share
     inherited: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    inherited_s: float = 0.0
     previous: model.InstanceId | None = None
     expires_s: float = 0.0
 
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -48,6 +48,7 @@
         pool=to_pool(pool),
         share=report.share.value,
         in_use=dict(report.in_use),
+        busy_s=report.busy_s,
         rate_per_s=report.rate_per_s,
         queue_length=report.queue_length,
     )
@@ -58,6 +59,7 @@
     return region.PoolReport(
         share=share.Share(message.share),
         in_use=dict(message.in_use or {}),
+        busy_s=message.busy_s or 0.0,
         rate_per_s=message.rate_per_s or 0.0,
         queue_length=message.queue_length or 0,
     )
@@ -171,6 +173,7 @@
         pool=to_pool(grant.pool),
         share=grant.share.value,
         inherited=dict(grant.inherited),
+        inherited_s=grant.inherited_s,
         previous_name=grant.previous.name if grant.previous else "",
         previous_incarnation=grant.previous.incarnation if grant.previous else "",
     )
@@ -186,6 +189,7 @@
         pool=from_pool(message.pool),
         share=share.Share(message.share),
         inherited=dict(message.inherited or {}),
+        inherited_s=message.inherited_s or 0.0,
         previous=previous,
     )
 
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -31,7 +31,6 @@
 # A pool that was acquired so recently may still wait for slots or caps of its previous owner.
 # Requests it refuses meanwhile are sent again rather than refused to the caller.
 SETTLE_S = 2.0
-INHERITED_S = 10.0  # longest time for which slots of a previous owner count as used
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -44,6 +43,7 @@
     waiters: dict[int, asyncio.Future]
     acquired_s: float = 0.0
     requests: int = 0
+    busy_until_s: float = 0.0  # when the deadlines of all dispatched requests have passed
 
 
 class PoolManager:
@@ -160,7 +160,7 @@
                 owned.acquired_s = self._clock.monotonic()
                 self._log.info("pool acquired", pool=str(key), share=grant.share.value)
             if grant.inherited and (is_new or owned.grant.previous != grant.previous):
-                expires_s = self._clock.monotonic() + INHERITED_S
+                expires_s = self._clock.monotonic() + grant.inherited_s
                 owned.slots.inherit(grant.inherited, expires_s=expires_s)
             owned.grant = grant
             self._apply_share(owned)
@@ -178,6 +178,7 @@
             key: region.PoolReport(
                 share=self._share_of(key),
                 in_use=owned.slots.in_use(),
+                busy_s=max(0.0, owned.busy_until_s - self._clock.monotonic()),
                 queue_length=owned.slots.queue_length(),
             )
             for key, owned in (self._ending | self._pools).items()
@@ -395,6 +396,7 @@
         idempotent: bool,
     ) -> backend_client.BackendAnswer:
         remaining_s = request.deadline.remaining_s
+        owned.busy_until_s = max(owned.busy_until_s, self._clock.monotonic() + remaining_s)
         self._record.record(
             "dispatch",
             request_id=request.request_id,
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -167,7 +167,11 @@
         manager.set_grants([])
         previous = model.InstanceId(name="bkk-a-2", incarnation="0b")
         grant = region.PoolGrant(
-            pool=fakes.POOL, share=share.Share.FULL, inherited={"s1": 3}, previous=previous
+            pool=fakes.POOL,
+            share=share.Share.FULL,
+            inherited={"s1": 3},
+            inherited_s=9.0,
+            previous=previous,
         )
         manager.set_grants([grant])
         self.clock.advance(2.0)
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -198,7 +198,7 @@
         """Guards against a successor that uses slots on which old requests still run."""
         pool, name = next(iter(self.fleet.owners().items()))
         self.fleet.in_use[name] = {
-            pool: region.PoolReport(share=share.Share.NONE, in_use={"s": 2}, rate_per_s=1.0)
+            pool: region.PoolReport(share=share.Share.NONE, in_use={"s": 2}, busy_s=5.0)
         }
         self.fleet.tasks[name].leave()
         seen = []
@@ -256,7 +256,7 @@
         me = region.Instance(name="p", incarnation="1", rpc_address="a:1", region="bkk")
         pool = model.PoolKey(service="desk", region="bkk", shard=2)
         report = region.PoolReport(
-            share=share.Share.REDUCED, in_use={"s": 1}, rate_per_s=2.0, queue_length=3
+            share=share.Share.REDUCED, in_use={"s": 1}, busy_s=1.0, rate_per_s=2.0, queue_length=3
         )
         sent = region.Heartbeat(
             sender=me, epoch=4, promise=True, echo_s=1.5, applied_seq=9, pools={pool: report}
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -16,6 +16,7 @@
   3: map<string, i32> in_use // slots in use by server
   4: double rate_per_s
   5: i32 queue_length
+  6: double busy_s           // time until the deadlines of the requests on these slots have passed
 }
 
 struct PoolGrant {
@@ -24,6 +25,7 @@
   3: map<string, i32> inherited // slots that the previous owner last reported as in use
   4: string previous_name
   5: string previous_incarnation
+  6: double inherited_s      // time until the deadlines of the requests on these slots have passed
 }
 
 // What a holder would use of a cap and which share of it is in force.
