Run a forwarded attempt once and ask again when its answer was lost

A lost connection also cancelled the run at the peer. Change: calls in progress probe their connection after 0.3 s without a frame and drop it after 0.3 s more; the sender repeats the attempt on a new connection, and the receiver runs an attempt id once, joins it or returns its kept answer. An attempt names the incarnation that it is meant for.

--- a/packages/entry/src/sassafrasway_entry/conversion.py
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -27,6 +27,8 @@
     key: model.PoolKey | None,
     may_queue: bool,
     sender: str,
+    attempt_id: str,
+    receiver: str,
 ):
     """Returns the Thrift message that carries a request to a peer."""
     return schema.forward.ForwardRequest(
@@ -46,6 +48,9 @@
         shift=request.shift,
         may_queue=may_queue,
         sender=sender,
+        attempt_id=attempt_id,
+        receiver=receiver,
+        resent=False,
         fingerprint=request.fingerprint,
     )
 
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import dataclasses
+import itertools
 from typing import Any, Protocol
 
 import structlog
 
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors, model, placement, retry
 from sassafrasway_entry import cap_limits, conversion, messages, pools, steering
 from sassafrasway_rpc import client as rpc_client
@@ -16,6 +18,8 @@
 PEER_SILENCE_TIMEOUT_S = 2.5
 PEER_SILENCE_FRACTION = 0.8  # above that of a call to a backend server, which it contains
 
+MAX_SENDINGS = 3  # of one attempt to one peer
+
 MOVE_WAIT_S = 0.05
 # Waits double up to this. At 72 requests/s, tries every 50 ms took all processor time of the new
 # owner, so that requests missed their deadlines on the way.
@@ -87,6 +91,7 @@
 
     Args:
         me: This incarnation.
+        clock: Time source.
         region: Region of this instance.
         limits: Shares of the links' caps.
         steering: Policy questions.
@@ -101,6 +106,7 @@
         self,
         *,
         me: model.InstanceId,
+        clock: clock_lib.Clock,
         region: str,
         limits: cap_limits.CapLimits,
         steering: steering.Steering,
@@ -111,6 +117,8 @@
         budget: retry.RetryBudget,
     ):
         self._me = me
+        self._clock = clock
+        self._attempt_ids = itertools.count(1)
         self._region = region
         self._limits = limits
         self._steering = steering
@@ -218,28 +226,57 @@
                     return messages.not_run(503, messages.Reason.NOT_READY)
                 return messages.not_run(429, messages.Reason.LINK_CAP, retry_after_ms=wait_ms)
         message = conversion.to_forward(
-            request, stage=stage, key=key, may_queue=may_queue, sender=str(self._me)
+            request,
+            stage=stage,
+            key=key,
+            may_queue=may_queue,
+            sender=str(self._me),
+            attempt_id=f"{self._me}/{next(self._attempt_ids)}",
+            receiver=str(peer.id),
         )
-        limit_s = request.deadline.remaining_s
+        first_limit_s = request.deadline.remaining_s
         if idempotent and not may_queue:
-            limit_s = min(limit_s * PEER_SILENCE_FRACTION, PEER_SILENCE_TIMEOUT_S)
+            first_limit_s = min(first_limit_s * PEER_SILENCE_FRACTION, PEER_SILENCE_TIMEOUT_S)
+        until_s = self._clock.monotonic() + first_limit_s
         try:
-            reply = await self._peers.call(
-                peer.rpc_address, "forward", timeout_s=limit_s, request=message
-            )
-        except rpc_client.CallNotSentError as error:
-            if isinstance(error, rpc_client.ConnectionRefusedByPeerError):
-                self._directory.note_refused(peer.id)
-            return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
-        except errors.UnavailableError as error:
-            return messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
-        except errors.SassafraswayError as error:
-            self._log.warning("peer reported an error", peer=peer.name, error=str(error))
-            return messages.unknown(502, messages.Reason.INTERNAL, str(error))
+            return await self._send(peer, request, message, until_s)
         except asyncio.CancelledError:
             await self._cancel(peer, request.request_id)
             raise
-        return conversion.from_reply(reply)
+
+    async def _send(
+        self, peer: Any, request: messages.Request, message: Any, until_s: float
+    ) -> messages.Answer:
+        """Sends an attempt, and again on a new connection when its answer got lost.
+
+        The receiver runs an attempt only once, so a second sending finds out what became of the
+        first one.
+        """
+        answer = messages.unknown(504, messages.Reason.PEER_UNREACHABLE)
+        for _ in range(MAX_SENDINGS):
+            limit_s = until_s - self._clock.monotonic()
+            if limit_s <= 0:
+                return answer
+            message.deadline_ms = int(request.deadline.remaining_s * 1000)
+            try:
+                reply = await self._peers.call(
+                    peer.rpc_address, "forward", timeout_s=limit_s, request=message
+                )
+            except rpc_client.CallNotSentError as error:
+                if isinstance(error, rpc_client.ConnectionRefusedByPeerError):
+                    self._directory.note_refused(peer.id)
+                if message.resent:
+                    return answer
+                return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
+            except errors.UnavailableError as error:
+                answer = messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
+                message.resent = True
+            except errors.SassafraswayError as error:
+                self._log.warning("peer reported an error", peer=peer.name, error=str(error))
+                return messages.unknown(502, messages.Reason.INTERNAL, str(error))
+            else:
+                return conversion.from_reply(reply)
+        return answer
 
     async def _queue(self, route: steering.Route, request: messages.Request) -> messages.Answer:
         answer = messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -1,17 +1,34 @@
 """Handler of requests that other entry instances forward."""
 
 import asyncio
+import collections
+import dataclasses
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors, model
 from sassafrasway_entry import cap_limits, conversion, dispatcher, gatekeeper, messages, pools
 from sassafrasway_rpc import schema
 
+# An attempt is known for this long after its arrival. Its sender gives up, and aborts the
+# connection, long before.
+ATTEMPT_RETENTION_S = 60.0
+MAX_KEPT_BODY_BYTES = 64 * 1024
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Attempt:
+    """An attempt that arrived; ``answer`` is None while it runs."""
+
+    arrived_s: float
+    task: asyncio.Task
+    answer: messages.Answer | None = None
+
 
 class ForwardService:
     """Serves the Thrift service ``Forward``.
 
     Args:
+        me: This incarnation.
         region: Region of this instance.
         clock: Time source for deadlines.
         limits: Shares of the links' caps.
@@ -23,6 +40,7 @@
     def __init__(
         self,
         *,
+        me: model.InstanceId,
         region: str,
         clock: clock_lib.Clock,
         limits: cap_limits.CapLimits,
@@ -30,6 +48,7 @@
         gatekeeper: gatekeeper.Gatekeeper,
         directory: dispatcher.Directory,
     ):
+        self._me = me
         self._region = region
         self._clock = clock
         self._limits = limits
@@ -37,6 +56,7 @@
         self._gatekeeper = gatekeeper
         self._directory = directory
         self._running: dict[str, asyncio.Task] = {}
+        self._attempts: collections.OrderedDict[str, _Attempt] = collections.OrderedDict()
 
     @property
     def running(self) -> int:
@@ -45,18 +65,39 @@
 
     async def forward(self, request):
         """Runs a forwarded request and returns the reply."""
-        task = asyncio.create_task(self._serve(request))
-        self._running[request.request_id] = task
-        try:
-            answer = await task
-            if not await self._may_send(request, answer):
-                answer = _without_body(answer)
-            return conversion.to_reply(answer)
-        except asyncio.CancelledError:
-            task.cancel()
-            raise
-        finally:
-            self._running.pop(request.request_id, None)
+        if request.receiver and request.receiver != str(self._me):
+            return conversion.to_reply(_wrong_incarnation(request))
+        answer = await self._run_once(request)
+        if not await self._may_send(request, answer):
+            answer = _without_body(answer)
+        return conversion.to_reply(answer)
+
+    async def _run_once(self, request) -> messages.Answer:
+        """Runs an attempt, or joins it when it arrived before.
+
+        The run is a task of its own, so that it goes on when the connection breaks.
+        """
+        self._forget_old()
+        attempt = self._attempts.get(request.attempt_id)
+        if attempt is None:
+            task = asyncio.create_task(self._serve(request))
+            attempt = _Attempt(arrived_s=self._clock.monotonic(), task=task)
+            self._attempts[request.attempt_id] = attempt
+            self._running[request.request_id] = task
+            task.add_done_callback(lambda _: self._running.pop(request.request_id, None))
+        if attempt.answer is None:
+            answer = await asyncio.shield(attempt.task)
+            attempt.answer = kept(answer)
+            return answer
+        return attempt.answer
+
+    def _forget_old(self) -> None:
+        limit_s = self._clock.monotonic() - ATTEMPT_RETENTION_S
+        while self._attempts:
+            attempt_id, attempt = next(iter(self._attempts.items()))
+            if attempt.arrived_s > limit_s or not attempt.task.done():
+                return
+            del self._attempts[attempt_id]
 
     async def cancel(self, request_id: str) -> None:
         """Stops a forwarded request; non-idempotent ones that started go on."""
@@ -104,3 +145,17 @@
     if answer.outcome is messages.Outcome.NOT_RUN:
         return answer
     return messages.unknown(504, messages.Reason.LINK_CAP)
+
+
+def _wrong_incarnation(request) -> messages.Answer:
+    """Answers an attempt that was meant for an incarnation that has ended."""
+    if request.resent:
+        return messages.unknown(503, messages.Reason.PEER_UNREACHABLE)
+    return messages.not_run(503, messages.Reason.NOT_OWNER)
+
+
+def kept(answer: messages.Answer) -> messages.Answer:
+    """Returns what is kept of an answer for a second sending of its attempt."""
+    if len(answer.body) <= MAX_KEPT_BODY_BYTES:
+        return answer
+    return messages.unknown(502, messages.Reason.CONNECTION_LOST)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -185,6 +185,7 @@
         self._steering = steering.Steering(region=self._me.region, clock=self._clock, rng=self._rng)
         self._dispatcher = dispatcher.Dispatcher(
             me=me,
+            clock=self._clock,
             region=self._me.region,
             limits=self._limits,
             steering=self._steering,
@@ -224,6 +225,7 @@
             metrics=self._metrics, dump=self.dump, health=self._health
         )
         self._forward_service = forward_service.ForwardService(
+            me=self._me.id,
             region=self._me.region,
             clock=self._clock,
             limits=self._limits,
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -61,6 +61,7 @@
         self.pools = _Pools({self.keys[0]})
         return dispatcher.Dispatcher(
             me=fakes.ME,
+            clock=self.clock,
             region="bkk",
             limits=fakes.limits(self.clock, policy, self.link_mbit_s),
             steering=steer,
@@ -104,16 +105,39 @@
         """Guards against a second dispatch of a non-idempotent request that a peer may run."""
         built = self._build()
         self.pools.script = [_FULL]
-        self.replies = [errors.UnavailableError("lost", step="test", peer="p")]
+        lost = errors.UnavailableError("lost", step="test", peer="p")
+        self.replies = [lost] * dispatcher.MAX_SENDINGS
+        answer = await built.run(self._request())
+        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        sent = {(call[0], call[2]["request"].attempt_id) for call in self.peers.calls}
+        self.assertEqual(len(sent), 1)
+        self.assertTrue(self.peers.calls[-1][2]["request"].resent)
+
+    async def test_lost_answer_is_asked_for_again(self):
+        """Guards against "unknown" when the peer that ran the request can still be asked."""
+        built = self._build()
+        self.pools.script = [_FULL]
+        self.replies = [errors.UnavailableError("lost", step="test", peer="p"), _RAN]
+        answer = await built.run(self._request())
+        self.assertIs(answer.outcome, messages.Outcome.RAN)
+
+    async def test_refused_second_sending_is_unknown(self):
+        """Guards against "not run" when a peer may have run a request before it died."""
+        built = self._build()
+        self.pools.script = [_FULL]
+        self.replies = [
+            errors.UnavailableError("lost", step="test", peer="p"),
+            rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p"),
+        ]
         answer = await built.run(self._request())
         self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
-        self.assertEqual(len(self.peers.calls), 1)
 
     async def test_idempotent_request_leaves_a_silent_peer(self):
         """Guards against losing a repeatable request to a connection that went silent."""
         built = self._build(service="quote-archive")
         self.pools.script = [_FULL]
-        self.replies = [errors.UnavailableError("silent", step="test", peer="p"), _RAN]
+        silent = errors.UnavailableError("silent", step="test", peer="p")
+        self.replies = [silent] * dispatcher.MAX_SENDINGS + [_RAN]
         answer = await built.run(self._request(service="quote-archive"))
         self.assertIs(answer.outcome, messages.Outcome.RAN)
 
@@ -124,7 +148,7 @@
         for refusal in (_FULL, messages.not_run(504, messages.Reason.DEADLINE)):
             with self.subTest(refusal=refusal.reason):
                 self.pools.script = [_FULL]
-                self.replies = [silent, refusal]
+                self.replies = [silent] * dispatcher.MAX_SENDINGS + [refusal]
                 self.clock.advance(10.0)  # earns the retry budget again
                 request = self._request(service="quote-archive")
                 answer = await built.run(request)
--- /dev/null
+++ b/packages/entry/tests/test_forward_service.py
@@ -0,0 +1,90 @@
+"""Tests of forwarded requests whose answers get lost."""
+
+import asyncio
+import unittest
+
+import entry_fakes as fakes
+
+from sassafrasway_entry import conversion, forward_service, messages
+from sassafrasway_rpc import schema
+
+
+class ForwardServiceTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = fakes.manual_clock()
+        self.backend = fakes.FakeBackend()
+        manager = fakes.pool_manager(backend=self.backend, clock_source=self.clock)
+        self.clock.advance(5.0)
+        self.service = forward_service.ForwardService(
+            me=fakes.ME,
+            region="bkk",
+            clock=self.clock,
+            limits=fakes.limits(self.clock, fakes.policy()),
+            pools=manager,
+            gatekeeper=None,
+            directory=fakes.FakeDirectory(),
+        )
+
+    def _message(self, attempt="a1", *, resent=False, receiver=None):
+        message = conversion.to_forward(
+            fakes.request(clock_source=self.clock),
+            stage=schema.forward.Stage.EXECUTE,
+            key=fakes.POOL,
+            may_queue=False,
+            sender="peer/01",
+            attempt_id=attempt,
+            receiver=receiver or str(fakes.ME),
+        )
+        message.resent = resent
+        return message
+
+    async def test_attempt_sent_twice_runs_once(self):
+        """Guards against a second run when the answer to a forward was lost."""
+        first = await self.service.forward(self._message())
+        second = await self.service.forward(self._message(resent=True))
+        self.assertEqual((first.outcome, second.outcome), (second.outcome, first.outcome))
+        self.assertEqual(len(self.backend.calls), 1)
+
+    async def test_broken_connection_does_not_stop_the_run(self):
+        """Guards against a run that is cut, and asked for again, when its connection breaks."""
+        self.backend.gate = asyncio.Event()
+        task = asyncio.create_task(self.service.forward(self._message()))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        again = asyncio.create_task(self.service.forward(self._message(resent=True)))
+        await asyncio.sleep(0)
+        self.backend.gate.set()
+        reply = await again
+        self.assertEqual(reply.outcome, schema.forward.Outcome.RAN)
+        self.assertEqual(len(self.backend.calls), 1)
+
+    async def test_attempt_for_an_earlier_incarnation(self):
+        """Guards against running what the previous incarnation may have run."""
+        fresh = await self.service.forward(self._message(receiver="bkk-a-1/old"))
+        resent = await self.service.forward(self._message(receiver="bkk-a-1/old", resent=True))
+        self.assertEqual(fresh.outcome, schema.forward.Outcome.NOT_RUN)
+        self.assertEqual(resent.outcome, schema.forward.Outcome.UNKNOWN)
+        self.assertEqual(self.backend.calls, [])
+
+    async def test_old_attempts_are_forgotten(self):
+        """Guards against memory that grows with every forwarded request."""
+        for number in range(5):
+            await self.service.forward(self._message(f"a{number}"))
+        self.clock.advance(forward_service.ATTEMPT_RETENTION_S + 1)
+        await self.service.forward(self._message("last"))
+        self.assertEqual(len(self.service._attempts), 1)
+
+    async def test_large_answer_is_not_kept(self):
+        """Guards against keeping large bodies in memory for the sake of lost answers."""
+        large = messages.Answer(
+            outcome=messages.Outcome.RAN,
+            status=200,
+            body=b"x" * (forward_service.MAX_KEPT_BODY_BYTES + 1),
+        )
+        self.assertEqual(forward_service.kept(large).outcome, messages.Outcome.UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/rpc/src/sassafrasway_rpc/client.py
+++ b/packages/rpc/src/sassafrasway_rpc/client.py
@@ -10,6 +10,10 @@
 from sassafrasway_rpc import codec, server
 
 CONNECT_TIMEOUT_S = 1.0
+# A connection with calls in progress is probed after this time without a frame, and given up after
+# as much time again.
+SILENCE_S = 0.3
+WATCH_INTERVAL_S = 0.1
 MAX_SEQUENCE_ID = 2**31 - 1
 
 
@@ -42,7 +46,8 @@
         self._writer: asyncio.StreamWriter | None = None
         self._reader_task: asyncio.Task | None = None
         self._connecting = asyncio.Lock()
-        self._frames_received = 0
+        self._last_frame_s = 0.0
+        self._watch_task: asyncio.Task | None = None
 
     @property
     def address(self) -> str:
@@ -71,15 +76,11 @@
             return None
         future = asyncio.get_running_loop().create_future()
         self._waiting[sequence_id] = future
-        frames_before = self._frames_received
+        self._watch(writer)
         try:
             writer.write(frame)
             body = await asyncio.wait_for(future, limit_s)
         except TimeoutError:
-            if self._frames_received == frames_before and self._writer is writer:
-                # Nothing came back for the whole time: the connection may have gone silent while
-                # new ones work.
-                self._disconnect("connection is silent")
             raise errors.UnavailableError(
                 f"no answer within {limit_s:.3f} s", step=f"rpc.{method}", peer=self._address
             ) from None
@@ -89,10 +90,40 @@
 
     async def close(self) -> None:
         """Closes the connection; calls that wait fail."""
-        if self._reader_task is not None:
-            self._reader_task.cancel()
+        for task in (self._reader_task, self._watch_task):
+            if task is not None:
+                task.cancel()
         self._disconnect("connection closed")
 
+    def _watch(self, writer: asyncio.StreamWriter) -> None:
+        if self._watch_task is None or self._watch_task.done():
+            self._last_frame_s = asyncio.get_running_loop().time()
+            self._watch_task = asyncio.create_task(self._find_silence(writer))
+
+    async def _find_silence(self, writer: asyncio.StreamWriter) -> None:
+        """Probes the connection while calls wait, and drops it when nothing comes back.
+
+        Something between the two ends may have lost track of the connection. Calls that wait on it
+        would otherwise learn that only from their own timeouts.
+        """
+        loop = asyncio.get_running_loop()
+        probed_s = None
+        while self._waiting and self._writer is writer:
+            await asyncio.sleep(WATCH_INTERVAL_S)
+            now_s = loop.time()
+            if now_s - self._last_frame_s < SILENCE_S:
+                probed_s = None
+            elif probed_s is None:
+                probed_s = now_s
+                head = codec.MessageHead(
+                    name=codec.PING, kind=thrift.TMessageType.CALL, sequence_id=0
+                )
+                writer.write(codec.encode(head=head, payload=codec.Empty()))
+            elif now_s - probed_s >= SILENCE_S and self._writer is writer:
+                # Aborting drops what the kernel has not delivered, so that it cannot arrive late.
+                writer.transport.abort()
+                self._disconnect("connection is silent")
+
     async def _connect(self, limit_s: float) -> asyncio.StreamWriter:
         async with self._connecting:
             if self._writer is not None and not self._writer.is_closing():
@@ -130,7 +161,7 @@
                 self._disconnect(reason)
 
     def _dispatch(self, body: bytes) -> None:
-        self._frames_received += 1
+        self._last_frame_s = asyncio.get_running_loop().time()
         head = codec.Decoder(body=body, peer=self._address).read_head()
         future = self._waiting.get(head.sequence_id)
         if future is not None and not future.done():
--- a/packages/rpc/src/sassafrasway_rpc/codec.py
+++ b/packages/rpc/src/sassafrasway_rpc/codec.py
@@ -1,14 +1,17 @@
 """Encoding of Thrift messages in the strict binary protocol."""
 
 import dataclasses
-from typing import Any
+from typing import Any, ClassVar
 
+from thriftpy2 import thrift
 from thriftpy2.protocol import cybin
 from thriftpy2.transport import buffered, memory
 
 from sassafrasway_core import errors
 
 FRAME_HEADER_BYTES = 4
+# Method that every server answers at once, so that a client can tell a silent connection.
+PING = "ping"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 
@@ -32,6 +35,13 @@
     return len(body).to_bytes(FRAME_HEADER_BYTES, "big") + body
 
 
+class Empty(thrift.TPayload):
+    """Payload without fields."""
+
+    thrift_spec: ClassVar[dict] = {}
+    default_spec: ClassVar[list] = []
+
+
 class Decoder:
     """Reads one message from the body of a frame."""
 
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -32,6 +32,9 @@
   15: string sender          // name/incarnation
   16: string fingerprint     // recognises the same request sent again
   17: string client          // address of the client that the caller acts for
+  18: string attempt_id      // one for each forward; the receiver runs an attempt only once
+  19: string receiver        // name/incarnation that the attempt is meant for
+  20: bool resent            // the answer to an earlier sending of this attempt did not arrive
 }
 
 struct ForwardReply {
--- a/packages/rpc/src/sassafrasway_rpc/server.py
+++ b/packages/rpc/src/sassafrasway_rpc/server.py
@@ -125,6 +125,9 @@
                 return
             decoder = codec.Decoder(body=body, peer=self._peer)
             head = decoder.read_head()
+            if head.name == codec.PING:
+                self._reply(head, thrift.TMessageType.REPLY, codec.Empty())
+                continue
             task = asyncio.create_task(self._serve(head, decoder))
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
--- a/packages/rpc/tests/test_rpc.py
+++ b/packages/rpc/tests/test_rpc.py
@@ -113,6 +113,47 @@
         self.assertEqual(await reader.read(), b"")
         writer.close()
 
+    async def test_silent_connection_is_replaced(self):
+        """Guards against calls that wait for their whole timeout on a connection gone silent."""
+        accepted = []
+
+        async def accept(reader, writer):
+            accepted.append(writer)
+            if len(accepted) > 1:
+                while (body := await server.read_frame(reader, peer="test")) is not None:
+                    head = codec.Decoder(body=body, peer="test").read_head()
+                    reply = schema.forward.Forward.forward_result(
+                        success=schema.forward.ForwardReply(body=b"new")
+                    )
+                    answer = codec.MessageHead(
+                        name=head.name, kind=thrift.TMessageType.REPLY, sequence_id=head.sequence_id
+                    )
+                    writer.write(codec.encode(head=answer, payload=reply))
+            else:
+                await reader.read()
+
+        listener = await asyncio.start_server(accept, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        caller = client.RpcClient(
+            address=f"{host}:{port}", service=schema.forward.Forward, timeout_s=60
+        )
+        with self.assertRaises(errors.UnavailableError) as caught:
+            await caller.call("forward", request=_request())
+        self.assertIn("silent", caught.exception.message)
+        reply = await caller.call("forward", request=_request())
+        self.assertEqual((reply.body, len(accepted)), (b"new", 2))
+        await caller.close()
+        for writer in accepted:
+            writer.close()
+        listener.close()
+
+    async def test_slow_call_is_not_taken_for_silence(self):
+        """Guards against dropping a connection whose peer answers probes but not yet the call."""
+        reply = await self.client.call(
+            "forward", request=_request(deadline_ms=1500, body=b"slow"), timeout_s=60
+        )
+        self.assertEqual(reply.body, b"slow")
+
     async def test_unknown_method(self):
         """Guards against an unanswered call when the peer is of another version."""
         host, _, port = self.server.address.rpartition(":")
