Hold a share of the region cap before a pool arrives; stay while the table is down

A leaving coordinator stopped while the table was down, and an instance taken for gone went on. Change: every instance asks for a share of its region's cap, so it holds its part of what nobody demands; a holder without demand gives its share back at once; a pool counts as settling for 3 s. A leaving coordinator waits for the table, an instance declared gone stops. A request that only found servers that shed is refused for slots, and without owners look-ups spread over instances. Conclusion: under test.

--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -287,7 +287,8 @@
         if record is None:
             record = self._demands[holder] = _Demand(demand, now_s)
             self._update_level(now_s)
-        record.amount = max(demand, record.amount * DEMAND_DECAY)
+        # No demand at all means that the holder's pools have moved to another one.
+        record.amount = max(demand, record.amount * DEMAND_DECAY) if demand > 0 else 0.0
         record.seen_s = now_s
         if now_s - self._level.at_s >= LEVEL_INTERVAL_S:
             self._update_level(now_s)
--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -66,6 +66,7 @@
         gatekeeper: Runs non-idempotent requests.
         metrics: Metric instruments.
         record: Record of answers.
+        names_owners: Whether look-ups name the owners of pools first.
         ready: Returns whether this instance may serve.
     """
 
@@ -82,6 +83,7 @@
         gatekeeper: gatekeeper.Gatekeeper,
         metrics: telemetry.Metrics,
         record: recorder.Recorder,
+        names_owners: bool,
         ready,
     ):
         self._me = me
@@ -94,6 +96,7 @@
         self._gatekeeper = gatekeeper
         self._metrics = metrics
         self._record = record
+        self._names_owners = names_owners
         self._ready = ready
         self._request_ids = itertools.count(1)
         self._in_flight = 0
@@ -232,7 +235,7 @@
         if cached is not None and cached.expires_s > now_s:
             return cached
         owners = {}
-        for key in route.pools:
+        for key in route.pools if self._names_owners else ():
             owner = self._directory.owner(key)
             if owner is not None:
                 owners.setdefault(owner.name, owner)
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -50,20 +50,15 @@
         names = cap_grants.caps_of(policy, self._region)
         self._caps = {name: self._caps.get(name) or self._new() for name in names}
 
-    def demand(self, *, uses_region: bool) -> dict[str, float]:
+    def demand(self) -> dict[str, float]:
         """Returns the demand by cap name since the last call, for the next heartbeat.
 
-        Args:
-            uses_region: Whether this instance dispatches to servers of its region; one that does
-                not gets no share of the region's cap.
+        Every instance asks for a share of its region's cap, so that one that takes over a pool
+        already holds its part of what nobody demands.
         """
-        own = cap_grants.region_cap(self._region)
-        demands = {}
-        for name, cap in self._caps.items():
+        for cap in self._caps.values():
             self._measure(cap)
-            if name != own or uses_region:
-                demands[name] = cap.demand
-        return demands
+        return {name: cap.demand for name, cap in self._caps.items()}
 
     def has_link_share(self, target: str, size_bytes: int) -> bool:
         """Returns whether a message fits into this instance's share of a link's cap at all.
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -30,7 +30,7 @@
 WAKE_INTERVAL_S = 0.02
 # A pool that was acquired so recently may still wait for slots or caps of its previous owner.
 # Requests it refuses meanwhile are sent again rather than refused to the caller.
-SETTLE_S = 2.0
+SETTLE_S = 3.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -380,6 +380,8 @@
             return self._unknown(result)
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
+        if result is backend_client.CallResult.SHED:
+            return messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
         return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=100)
 
     def _may_retry(self, budget: retry.RetryBudget, tried: set[str], *, certain: bool) -> bool:
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -143,12 +143,13 @@
             policy_source=lambda: self._config.policy,
             grants_sink=self._on_grants,
             pool_reports=lambda: self._pools.reports(),
-            cap_demand=lambda: self._limits.demand(uses_region=bool(self._pools.owned)),
+            cap_demand=lambda: self._limits.demand(),
             revision_source=lambda: self._config.revision,
             seeds=self._settings.network.seeds,
             on_revision=lambda revision, address: self._config.observe_revision(
                 revision, source=address
             ),
+            on_declared_gone=self._request_stop,
             rng=self._rng,
         )
         self._directory = self._member.directory
@@ -219,6 +220,7 @@
             gatekeeper=self._gatekeeper,
             metrics=self._metrics,
             record=self._record,
+            names_owners=self._placement.forwards,
             ready=lambda: self._state.serving,
         )
         self._admin_api = admin_api.AdminApi(
@@ -364,7 +366,7 @@
         # Others name this instance in look-ups until they learn that it leaves.
         cached_s = max(self._settings.limits.lookup_ttl_s, at_most_once.TICKET_START_S + 1.0)
         until_s = started_s + PROPAGATION_S + cached_s
-        while self._clock.monotonic() < until_s or self._busy:
+        while self._clock.monotonic() < until_s or self._busy or self._member.must_stay:
             await asyncio.sleep(DRAIN_POLL_S)
         self._log.info("drained", seconds=round(self._clock.monotonic() - started_s, 3))
 
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -58,6 +58,7 @@
             gatekeeper=self.runner,
             metrics=telemetry.Metrics(instance="a", section=settings.TelemetrySection()),
             record=recorder.Recorder(path=None, instance="a"),
+            names_owners=True,
             ready=lambda: self.is_ready,
         )
         self.client = test_utils.TestClient(test_utils.TestServer(api.build()))
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -21,7 +21,7 @@
         manager = fakes.pool_manager(
             backend=self.backend, clock_source=self.clock, crashes=self.crashes, **options
         )
-        self.clock.advance(2.0)  # windows of a new owner start full
+        self.clock.advance(pools.SETTLE_S)  # windows of a new owner start full
         return manager
 
     def _request(self, **options):
