--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,7 @@
 
 capacity: install
 	$(BIN)/sassafrasway-standins capacity
+	$(BIN)/sassafrasway-standins capacity-fleet
 
 soak: install
 	SASSAFRASWAY_SOAK_SECONDS=$(SOAK_SECONDS) $(BIN)/python tools/run_tests.py --pattern 'soak_*.py'
--- a/packages/standins/src/sassafrasway_standins/main.py
+++ b/packages/standins/src/sassafrasway_standins/main.py
@@ -13,6 +13,7 @@
     "bench": "bench",
     "check": "check",
     "capacity": "capacity",
+    "capacity-fleet": "capacity_fleet",
     "demo": "demo",
 }
 
