Close three gaps in the paths of late tickets and claims

Reading the paths a key can take found three gaps: a flush returned an empty queue while another flush still wrote, so the closed marker could come before the last outcome; a ticket that its holder may have called expired could still run under a claim after the holder had closed; and an unreadable claim of another instance ended in not-run. Change: one flush at a time; late tickets of closed holders are refused; such a claim is unknown.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -132,6 +132,12 @@
         """Returns what is known about a key."""
         return self._records.get(key)
 
+    def may_start(self, ticket: Ticket) -> bool:
+        """Returns whether a ticket is young enough to start a run."""
+        age_s = self._now_wall_s() - ticket.issued_s
+        # A start time is in whole seconds, so a ticket may look up to one second older.
+        return -TICKET_SKEW_S <= age_s <= TICKET_START_S + 1.0
+
     def begin(self, key: str) -> Begin:
         """Decides whether a key may start, and if so, marks it as started."""
         self._forget_old()
@@ -222,13 +228,9 @@
             raise errors.ValidationError(
                 f"ticket names {ticket.holder}", step="at_most_once.begin", peer=str(self._me)
             )
-        age_s = self._now_wall_s() - ticket.issued_s
-        if age_s > self._retention_s:
+        if self._now_wall_s() - ticket.issued_s > self._retention_s:
             return Begin.FORGOTTEN
-        # A start time is in whole seconds, so a ticket may look up to one second older.
-        if age_s > TICKET_START_S + 1.0 or age_s < -TICKET_SKEW_S:
-            return Begin.EXPIRED
-        return None
+        return None if self.may_start(ticket) else Begin.EXPIRED
 
     def _now_wall_s(self) -> float:
         return self._clock.monotonic() + self._epoch_offset_s
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -189,18 +189,22 @@
             return messages.unknown(503, messages.Reason.STORE_UNAVAILABLE)
         if found.answer is not None:
             return found.answer
-        if found.closed:
+        if found.closed and self._registry.may_start(ticket):
             return await self._handle_claim(request)
+        if found.closed:
+            return messages.not_run(409, messages.Reason.TICKET_EXPIRED)
         return messages.unknown(503, messages.Reason.TICKET_HOLDER_GONE)
 
     async def _handle_claim(self, request: messages.Request) -> messages.Answer:
         """Runs a request after creating its claim row."""
         row_key = claim_row(request.service, request.key)
         mine = Claim(holder=str(self._me), attempt=request.request_id)
+        row_exists = False
         while not request.deadline.expired:
             try:
                 row = await self._claims.put(row_key, mine.encode(), if_version=table.ABSENT)
             except table.PreconditionFailed:
+                row_exists = True
                 answer = await self._handle_existing_claim(row_key, request)
             except errors.UnavailableError:
                 answer = None
@@ -209,6 +213,9 @@
             if answer is not None:
                 return answer
             await asyncio.sleep(min(CLAIM_RETRY_S, request.deadline.remaining_s))
+        if row_exists and self._registry.record(request.key) is None:
+            # Another instance may hold the claim and have run the request.
+            return messages.unknown(504, messages.Reason.STORE_UNAVAILABLE)
         return self._give_up_claim(request.key)
 
     def _give_up_claim(self, key: str) -> messages.Answer:
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -86,6 +86,7 @@
         self._dropped = 0
         self._batch = 0
         self._added = asyncio.Event()
+        self._flushing = asyncio.Lock()
         self._log = structlog.get_logger("outcomes")
 
     @property
@@ -116,7 +117,14 @@
                 self._added.set()
 
     async def flush(self) -> bool:
-        """Writes all queued outcomes and returns whether the queue is empty."""
+        """Writes all queued outcomes and returns whether the queue is empty.
+
+        One flush at a time: an empty queue proves nothing while another flush still writes.
+        """
+        async with self._flushing:
+            return await self._flush_queue()
+
+    async def _flush_queue(self) -> bool:
         for prefix in list(self._pending):
             batch = self._pending.pop(prefix)
             self._pending_count -= len(batch)
@@ -125,7 +133,7 @@
                 self._pending_count += len(merged) - len(self._pending.get(prefix, {}))
                 self._pending[prefix] = merged
                 return False
-        return True
+        return not self._pending
 
     async def close(self, holder) -> None:
         """Writes the mark that this incarnation has ended and all outcomes are in the table."""
--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -8,7 +8,7 @@
 
 from sassafrasway_core import at_most_once, invariants, model
 from sassafrasway_entry import conversion, gatekeeper, messages, outcomes
-from sassafrasway_platform import memory
+from sassafrasway_platform import memory, table
 from sassafrasway_rpc import client as rpc_client
 
 _RAN = messages.Answer(outcome=messages.Outcome.RAN, status=200, body=b"booked")
@@ -39,6 +39,19 @@
         return conversion.from_reply(reply)
 
 
+class _WriteOnly:
+    """Table whose reads fail."""
+
+    def __init__(self, rows):
+        self._rows = rows
+
+    async def put(self, key, value, *, if_version):
+        return await self._rows.put(key, value, if_version=if_version)
+
+    async def get(self, key):
+        raise table.StoreUnavailable("down", step="test", peer="memory")
+
+
 class _Node:
     """A gatekeeper with its own registry on a shared table."""
 
@@ -163,6 +176,32 @@
         self.assertEqual({each.body for each in answers}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
+    async def test_late_ticket_of_a_closed_holder_does_not_run(self):
+        """Guards against running a ticket that its holder may have called expired, and not run."""
+        key = self._ticket(self.a)
+        await self.a.store.close(self.a.me)
+        self.down.add("a")
+        self.clock.advance(at_most_once.TICKET_START_S + 2)
+        answer = await self.b.keeper.handle(self._request(key))
+        self.assertEqual((answer.outcome, self._runs()), (messages.Outcome.NOT_RUN, 0))
+
+    async def test_unreadable_claim_of_another_instance_is_unknown(self):
+        """Guards against "not run" when another instance holds the claim and may have run it."""
+        await self.a.keeper.handle(self._request("invoice-11"))
+        view = self.table.view()
+        self.b.keeper._claims = _WriteOnly(view)
+        answer = await self.b.keeper.handle(self._request("invoice-11", 2))
+        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+
+    async def test_queue_is_not_empty_while_another_flush_writes(self):
+        """Guards against a closed marker written before the last outcome is stored."""
+        await self.a.keeper.handle(self._request(self._ticket(self.a)))
+        self.faults.delay_s = 0.05
+        first = asyncio.create_task(self.a.store.flush())
+        await asyncio.sleep(0)
+        self.assertTrue(await self.a.store.flush())
+        self.assertTrue(first.done())
+
     async def test_claim_race_runs_once(self):
         """Guards against two instances that both run a caller's own key."""
         answers = await asyncio.gather(
