--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -175,6 +175,11 @@
             shares[report.name] = share
         return shares
 
+    def is_met(self, name: str, holder: model.InstanceId, amount: float) -> bool:
+        """Returns whether a share of ``amount`` is about what the holder is to have of a cap."""
+        divider = self._dividers.get(name)
+        return divider is not None and divider.is_met(holder, amount)
+
     def remove(self, holder: model.InstanceId) -> None:
         """Takes back everything from a holder that is known to be gone."""
         self._unheard.discard(holder)
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -17,6 +17,9 @@
 # anyone for about a second, and demand measured over one heartbeat varies.
 DEMAND_DECAY = 0.8
 
+# Fraction of its target from which on a share counts as given: targets move with every demand.
+MET_FRACTION = 0.8
+
 # Interval at which all demands are weighed anew; it keeps the cost of a heartbeat constant.
 LEVEL_INTERVAL_S = 0.25
 
@@ -188,6 +191,11 @@
         self._check(holder, before)
         return share
 
+    def is_met(self, holder: Hashable, amount: float) -> bool:
+        """Returns whether ``amount`` is about what the holder's last demand entitles it to."""
+        record = self._demands.get(holder)
+        return record is not None and amount >= MET_FRACTION * self._level.target(record.amount)
+
     def remove(self, holder: Hashable) -> None:
         """Takes back everything from a holder that is known gone."""
         now_s = self._clock.monotonic()
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -74,6 +74,9 @@
         self._assigned: tuple = ()
         self._seq = 0
         self._known_pools: frozenset[model.PoolKey] | None = None
+        self._region_cap = cap_grants.region_cap(me.region)
+        self._region_is_capped = False
+        self._region_share_holders: set[model.InstanceId] = set()
         self._heard: dict[model.InstanceId, region.Instance] = {}
         self._sent: dict[model.InstanceId, dict[model.PoolKey, share.Share]] = {}
         self._last_command_s: dict[tuple[str, model.InstanceId], float] = {}
@@ -134,6 +137,7 @@
 
     def set_caps(self, limits: Mapping[str, float]) -> None:
         """Sets the caps that the region's instances share, by name."""
+        self._region_is_capped = self._region_cap in limits
         self._caps.set_caps(limits)
 
     def depose(self) -> None:
@@ -157,6 +161,7 @@
             self._authority.promised(sender, heartbeat.echo_s)
         self._holdings.confirm_releases(heartbeat)
         self._holdings.note_use(sender, heartbeat.pools)
+        self._note_region_share(sender, heartbeat.caps)
         if heartbeat.sender != before:
             self._reassign()
         self._caps.heard(sender, heartbeat.caps)
@@ -238,7 +243,33 @@
         live = [each.id for each in self._members.instances(membership.State.LIVE)]
         recorded = [each for each in live if self._authority.is_recorded(each)]
         leaving = [each.id for each in self._members.instances(membership.State.LEAVING)]
-        return recorded or live or leaving
+        return self._able_to_serve(recorded) or recorded or live or leaving
+
+    def _able_to_serve(self, members: list[model.InstanceId]) -> list[model.InstanceId]:
+        """Returns the members that could send requests to servers at once.
+
+        One that just joined gets its share of the region's cap when the others have confirmed
+        smaller ones and their use has left the window, which takes about two seconds. A pool that
+        came earlier would refuse all requests until then.
+        """
+        owners = set(self.owners().values())
+        if not self._region_is_capped or not owners:
+            return members
+        return [each for each in members if each in owners or each in self._region_share_holders]
+
+    def _note_region_share(
+        self, member: model.InstanceId, reports: Iterable[cap_grants.CapReport]
+    ) -> None:
+        """Notes whether a member has its part of the region's cap in force."""
+        in_force = sum(
+            report.amount
+            for report in reports
+            if report.name == self._region_cap and report.remaining_s > 0
+        )
+        if self._caps.is_met(self._region_cap, member, in_force):
+            self._region_share_holders.add(member)
+        else:
+            self._region_share_holders.discard(member)
 
     def _desired(self, member: model.InstanceId) -> dict[model.PoolKey, share.Share]:
         """Returns the share that the member may have now of each of the pools assigned to it."""
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -270,6 +270,21 @@
         self.assertEqual(without, 0)
         self.assertNotIn(name, self.world.full_owners().values())
 
+    def test_pools_wait_for_the_share_of_the_cap(self):
+        """Guards against a pool at an instance that joined and has no share of the region's cap."""
+        name = self._follower()
+        self.world.kill(name)
+        self.world.step(30)
+        self.world.start(name)
+        without_share = 0
+        for _ in range(100):
+            self.world.step()
+            amount = self.world.live[name].grants.caps.amount(ownership_sim.CAP)
+            if name in self.world.full_owners().values() and amount == 0.0:
+                without_share += 1
+        self.assertEqual(without_share, 0)
+        self.assertIn(name, self.world.full_owners().values())
+
     def test_cap_shares_follow_the_pools(self):
         """Guards against a cap that is not used up although its holders demand all of it."""
         self.world.kill(self._leader())
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -17,10 +17,17 @@
 
 @dataclasses.dataclass(slots=True)
 class _Cap:
-    """Use of one cap by this instance; demand includes what was refused."""
+    """Use of one cap by this instance.
+
+    Attributes:
+        taken: Amount taken since ``since_s``.
+        refused: Amounts refused since ``since_s`` and not taken later, by request.
+        demand: Amount a second that was taken and refused before ``since_s``.
+    """
 
     window: window.SlidingWindow
-    wanted: float = 0.0
+    taken: float = 0.0
+    refused: dict[str, float] = dataclasses.field(default_factory=dict)
     since_s: float = 0.0
     demand: float = 0.0
 
@@ -98,35 +105,40 @@
         smallest = message_mbit(0)
         return all(self._amount(name) >= smallest for name in self._caps if name != own)
 
-    def take_region(self) -> float:
+    def take_region(self, request_id: str) -> float:
         """Takes one request from the region's cap; returns 0, or seconds to wait."""
-        return self._take(cap_grants.region_cap(self._region), 1.0)
+        return self._take(cap_grants.region_cap(self._region), 1.0, request_id)
 
-    def take_link(self, target: str, size_bytes: int) -> float:
+    def take_link(self, target: str, size_bytes: int, request_id: str) -> float:
         """Takes a message to another region from the link's cap; returns 0, or seconds to wait."""
-        return self._take(cap_grants.link_cap(self._region, target), message_mbit(size_bytes))
+        name = cap_grants.link_cap(self._region, target)
+        return self._take(name, message_mbit(size_bytes), request_id)
 
-    async def wait_link(self, target: str, size_bytes: int, *, limit_s: float) -> bool:
+    async def wait_link(
+        self, target: str, size_bytes: int, request_id: str, *, limit_s: float
+    ) -> bool:
         """Waits until a message fits under the link's cap; returns False after ``limit_s``."""
         until_s = self._clock.monotonic() + limit_s
-        name = cap_grants.link_cap(self._region, target)
-        wait_s = self.take_link(target, size_bytes)
+        wait_s = self.take_link(target, size_bytes, request_id)
         while wait_s > 0:
             if self._clock.monotonic() + wait_s > until_s:
                 return False
             await asyncio.sleep(wait_s)
-            # Demand was counted with the first try.
-            wait_s = self._take(name, message_mbit(size_bytes), demand=0.0)
+            wait_s = self.take_link(target, size_bytes, request_id)
         return True
 
-    def _take(self, name: str, amount: float, *, demand: float | None = None) -> float:
+    def _take(self, name: str, amount: float, request_id: str) -> float:
         cap = self._caps.get(name)
         if cap is None:
             return 0.0
-        cap.wanted += amount if demand is None else demand
         cap.window.set_limit(self._amount(name))
         if cap.window.try_take(amount):
+            cap.taken += amount
+            cap.refused.pop(request_id, None)
             return 0.0
+        # A request that is refused several times counts once: instances whose requests try again
+        # often would draw the cap away from the others.
+        cap.refused[request_id] = amount
         return max(cap.window.retry_after_s(amount), 0.001)
 
     def _new(self) -> _Cap:
@@ -146,6 +158,7 @@
         elapsed_s = now_s - cap.since_s
         if elapsed_s < DEMAND_INTERVAL_S:
             return
-        cap.demand = cap.wanted / elapsed_s
-        cap.wanted = 0.0
+        cap.demand = (cap.taken + sum(cap.refused.values())) / elapsed_s
+        cap.taken = 0.0
+        cap.refused.clear()
         cap.since_s = now_s
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -219,7 +219,7 @@
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
         if peer.region != self._region:
-            wait_s = self._limits.take_link(peer.region, len(request.body))
+            wait_s = self._limits.take_link(peer.region, len(request.body), request.request_id)
             if wait_s > 0:
                 wait_ms = int(min(wait_s, 1.0) * 1000)
                 has_share = self._limits.has_link_share(peer.region, len(request.body))
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -111,7 +111,7 @@
         if sender is None or sender.region == self._region:
             return True
         return await self._limits.wait_link(
-            sender.region, len(answer.body), limit_s=request.deadline_ms / 1000
+            sender.region, len(answer.body), request.request_id, limit_s=request.deadline_ms / 1000
         )
 
     async def report_crash(self, service_name: str, fingerprint: str, server: str) -> None:
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -303,7 +303,7 @@
         shift_window = owned.shift_windows.get(request.home_region)
         if shift_window is not None and not shift_window.try_start():
             return self._refusal(owned, messages.Reason.SHIFT_CAP, retry_after_ms=1000)
-        wait_s = self._limits.take_region()
+        wait_s = self._limits.take_region(request.request_id)
         if wait_s > 0:
             if shift_window is not None:
                 shift_window.end()
--- /dev/null
+++ b/packages/entry/tests/test_cap_limits.py
@@ -0,0 +1,43 @@
+"""Tests of the demand that an instance reports for its shares of caps."""
+
+import unittest
+
+import entry_fakes as fakes
+
+from sassafrasway_core import clock as clocks
+from sassafrasway_entry import cap_limits
+
+LIMIT_RPS = 2.0
+
+
+class CapLimitsTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = clocks.ManualClock()
+        self.limits = cap_limits.CapLimits(
+            region="bkk", clock=self.clock, amount=lambda name: LIMIT_RPS, epoch=lambda: 1
+        )
+        self.limits.set_policy(fakes.policy(caps={"bkk": LIMIT_RPS}))
+
+    def _demand_after(self, request_ids):
+        self.limits.demand()
+        for request_id in request_ids:
+            self.limits.take_region(request_id)
+        self.clock.advance(1.0)
+        return self.limits.demand()["region/bkk"]
+
+    def test_refused_requests_count(self):
+        """Guards against an instance that asks for no more than it already has."""
+        self.assertEqual(self._demand_after("abcdef"), 6.0)
+
+    def test_request_that_tries_again_counts_once(self):
+        """Guards against tries that draw the cap away from instances whose requests wait less."""
+        self.assertEqual(self._demand_after("abc" + 20 * "c"), 3.0)
+
+    def test_request_that_passes_later_counts_once(self):
+        """Guards against counting both the refusal and the success of one request."""
+        self.limits.demand()
+        for request_id in "abc":
+            self.limits.take_region(request_id)
+        self.clock.advance(1.5)
+        self.limits.take_region("c")
+        self.assertEqual(self.limits.demand()["region/bkk"], 2.0)
