--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -1,7 +1,6 @@
-"""Pools that this instance owns: admission, dispatch to backend servers, retries."""
+"""Pools that this instance owns: their grants, admission, queues and limits."""
 
 import asyncio
-import dataclasses
 import itertools
 import math
 import random
@@ -17,13 +16,18 @@
     pool,
     quarantine,
     region,
-    retry,
     share,
     window,
 )
-from sassafrasway_entry import backend_client, cap_limits, messages, recorder
+from sassafrasway_entry import (
+    backend_client,
+    cap_limits,
+    messages,
+    owned_pool,
+    recorder,
+    request_runner,
+)
 
-MAX_SHED_RETRIES = 2
 RAMP_S = 2.0  # time in which a new or idle server reaches all of its slots
 PROBE_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
@@ -33,19 +37,6 @@
 SETTLE_S = cap_limits.TAKEOVER_S
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class OwnedPool:
-    """State of a pool that this instance owns."""
-
-    grant: region.PoolGrant
-    slots: pool.SlotPool
-    shift_windows: dict[str, window.CompletionWindow]
-    waiters: dict[int, asyncio.Future]
-    acquired_s: float = 0.0
-    requests: int = 0
-    busy_until_s: float = 0.0  # when the deadlines of all dispatched requests have passed
-
-
 class PoolManager:
     """Runs requests on the servers of the pools that this instance owns.
 
@@ -84,26 +75,33 @@
         self._rng = rng
         self._invariants = invariants
         self._client = client
-        self._record = record
-        self._report_crash = report_crash
         self._share_of = share_of
         self._placement = placement
         self._limits = limits
         self._on_slot_released = on_slot_released
         self._position = (0, 1)
         self._queue_limit = queue_limit
-        self._pools: dict[model.PoolKey, OwnedPool] = {}
-        self._ending: dict[model.PoolKey, OwnedPool] = {}
+        self._pools: dict[model.PoolKey, owned_pool.OwnedPool] = {}
+        self._ending: dict[model.PoolKey, owned_pool.OwnedPool] = {}
         self._policy: model.Policy | None = None
         self._servers: dict[model.PoolKey, tuple[model.BackendServer, ...]] = {}
-        self._budgets: dict[str, retry.RetryBudget] = {}
         self._quarantine = quarantine.Quarantine(clock=clock)
+        self._runner = request_runner.RequestRunner(
+            clock=clock,
+            client=client,
+            record=record,
+            quarantine=self._quarantine,
+            report_crash=report_crash,
+            placement=placement,
+            take_limits=self._take_limits,
+            release=self._release,
+        )
         self._waiter_ids = itertools.count(1)
         self._waiting = asyncio.Event()
         self._log = structlog.get_logger("pools")
 
     @property
-    def owned(self) -> dict[model.PoolKey, OwnedPool]:
+    def owned(self) -> dict[model.PoolKey, owned_pool.OwnedPool]:
         """The pools that this instance owns."""
         return self._pools
 
@@ -209,7 +207,9 @@
         if limited is not None:
             self._release(owned, lease, pool.ServerResult.CANCELLED)
             return limited
-        return await self._run(owned, lease, request)
+        return await self._runner.run(
+            owned, lease, request, service=self._policy.services[request.service]
+        )
 
     async def probe_loop(self) -> None:
         """Probes ejected servers until cancelled."""
@@ -235,12 +235,12 @@
                     self._wake(owned, owned.slots.grant_waiting())
             await asyncio.sleep(WAKE_INTERVAL_S)
 
-    async def _probe_pool(self, owned: OwnedPool) -> None:
+    async def _probe_pool(self, owned: owned_pool.OwnedPool) -> None:
         for server in owned.slots.servers_to_probe():
             probe = await self._client.probe(server, timeout_s=PROBE_TIMEOUT_S)
             owned.slots.record_probe(server.name, succeeded=probe.healthy, leaving=probe.leaving)
 
-    def _add(self, grant: region.PoolGrant) -> OwnedPool:
+    def _add(self, grant: region.PoolGrant) -> owned_pool.OwnedPool:
         slots = pool.SlotPool(
             key=grant.pool,
             servers=self._servers.get(grant.pool, ()),
@@ -251,7 +251,7 @@
             ramp_s=RAMP_S,
             rank_by_reports=self._placement.ranks_by_reports,
         )
-        return OwnedPool(grant=grant, slots=slots, shift_windows={}, waiters={})
+        return owned_pool.OwnedPool(grant=grant, slots=slots, shift_windows={}, waiters={})
 
     def _drop(self, key: model.PoolKey) -> None:
         owned = self._pools.pop(key)
@@ -262,7 +262,7 @@
             self._ending[key] = owned
         self._log.info("pool released", pool=str(key), in_use=owned.slots.in_use())
 
-    def _set_limits(self, owned: OwnedPool) -> None:
+    def _set_limits(self, owned: owned_pool.OwnedPool) -> None:
         if self._policy is None:
             return
         key = owned.grant.pool
@@ -285,7 +285,9 @@
         current.set_limit(limit)
         return current
 
-    def _admit(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
+    def _admit(
+        self, owned: owned_pool.OwnedPool, request: messages.Request
+    ) -> messages.Answer | None:
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if self._quarantine.is_quarantined(request.fingerprint):
@@ -293,12 +295,14 @@
         self._apply_share(owned)
         return None
 
-    def _apply_share(self, owned: OwnedPool) -> None:
+    def _apply_share(self, owned: owned_pool.OwnedPool) -> None:
         """Reads the share at the moment of dispatch: the grant may have expired since."""
         if self._placement.forwards:
             owned.slots.set_share(self._share_of(owned.grant.pool))
 
-    def _take_limits(self, owned: OwnedPool, request: messages.Request) -> messages.Answer | None:
+    def _take_limits(
+        self, owned: owned_pool.OwnedPool, request: messages.Request
+    ) -> messages.Answer | None:
         """Takes the request from the caps after it has a slot, so that waiting costs no cap."""
         shift_window = owned.shift_windows.get(request.home_region)
         if shift_window is not None and not shift_window.try_start():
@@ -312,7 +316,7 @@
         return None
 
     def _refusal(
-        self, owned: OwnedPool, reason: messages.Reason, *, retry_after_ms: int
+        self, owned: owned_pool.OwnedPool, reason: messages.Reason, *, retry_after_ms: int
     ) -> messages.Answer:
         acquired_lately = self._clock.monotonic() < owned.acquired_s + SETTLE_S
         settling = acquired_lately or self._limits.settling
@@ -321,7 +325,7 @@
         return messages.not_run(429, reason, retry_after_ms=retry_after_ms)
 
     async def _acquire(
-        self, owned: OwnedPool, request: messages.Request, *, may_queue: bool
+        self, owned: owned_pool.OwnedPool, request: messages.Request, *, may_queue: bool
     ) -> pool.SlotLease | None:
         if not may_queue or owned.slots.queue_length() == 0:
             lease = owned.slots.try_acquire()
@@ -342,101 +346,9 @@
             owned.waiters.pop(waiter_id, None)
             owned.slots.abandon(waiter_id)
 
-    async def _run(
-        self, owned: OwnedPool, lease: pool.SlotLease, request: messages.Request
-    ) -> messages.Answer:
-        service = self._policy.services[request.service]
-        budget = self._budget(request.service)
-        budget.on_request()
-        owned.requests += 1
-        tried: set[str] = set()
-        dispatched = False
-        while True:
-            tried.add(lease.server.name)
-            answer = await self._call(owned, lease, request, idempotent=service.idempotent)
-            result = answer.result
-            if result is backend_client.CallResult.OK:
-                return self._ran(lease.server, answer)
-            dispatched |= result in (
-                backend_client.CallResult.LOST,
-                backend_client.CallResult.TIMEOUT,
-            )
-            if result is backend_client.CallResult.LOST:
-                await self._note_crash(request, lease.server)
-                if self._quarantine.is_quarantined(request.fingerprint):
-                    return messages.unknown(422, messages.Reason.QUARANTINED)
-            if dispatched and not service.idempotent:
-                return self._unknown(result)
-            certain = result is backend_client.CallResult.SHED
-            if request.deadline.expired or not self._may_retry(budget, tried, certain=certain):
-                break
-            next_lease = owned.slots.try_acquire(exclude=frozenset(tried))
-            if next_lease is None:
-                break
-            if self._take_limits(owned, request) is not None:
-                self._release(owned, next_lease, pool.ServerResult.CANCELLED)
-                break
-            lease = next_lease
-        if dispatched:
-            return self._unknown(result)
-        if request.deadline.expired:
-            return messages.not_run(504, messages.Reason.DEADLINE)
-        if result is backend_client.CallResult.SHED:
-            return messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
-        return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=100)
-
-    def _may_retry(self, budget: retry.RetryBudget, tried: set[str], *, certain: bool) -> bool:
-        if certain:
-            return len(tried) <= (self._placement.retries_after_shed or MAX_SHED_RETRIES)
-        return budget.try_retry()
-
-    async def _call(
-        self,
-        owned: OwnedPool,
-        lease: pool.SlotLease,
-        request: messages.Request,
-        *,
-        idempotent: bool,
-    ) -> backend_client.BackendAnswer:
-        remaining_s = request.deadline.remaining_s
-        owned.busy_until_s = max(owned.busy_until_s, self._clock.monotonic() + remaining_s)
-        self._record.record(
-            "dispatch",
-            request_id=request.request_id,
-            key=request.key,
-            service=request.service,
-            server=lease.server.name,
-            home_region=request.home_region,
-            region=lease.server.region,
-        )
-        result = pool.ServerResult.CANCELLED
-        shift_window = owned.shift_windows.get(request.home_region)
-        try:
-            answer = await self._client.call(
-                lease.server, request, idempotent=idempotent, timeout_s=remaining_s
-            )
-            result = _SERVER_RESULTS[answer.result]
-            if answer.leaving:
-                result = pool.ServerResult.LEAVING
-            if answer.load is not None:
-                owned.slots.report_load(lease.server.name, answer.load)
-            return answer
-        finally:
-            self._end(owned, lease, result, shift_window)
-
-    def _end(
-        self,
-        owned: OwnedPool,
-        lease: pool.SlotLease,
-        result: pool.ServerResult,
-        shift_window: window.CompletionWindow | None,
+    def _release(
+        self, owned: owned_pool.OwnedPool, lease: pool.SlotLease, result: pool.ServerResult
     ) -> None:
-        """Frees what a dispatch used."""
-        if shift_window is not None:
-            shift_window.end()
-        self._release(owned, lease, result)
-
-    def _release(self, owned: OwnedPool, lease: pool.SlotLease, result: pool.ServerResult) -> None:
         self._wake(owned, owned.slots.release(lease, result))
         key = owned.grant.pool
         if self._pools.get(key) is not owned:
@@ -444,49 +356,10 @@
                 self._ending.pop(key, None)
             self._on_slot_released(key, lease.server.name)
 
-    def _wake(self, owned: OwnedPool, grants: Iterable[pool.Grant]) -> None:
+    def _wake(self, owned: owned_pool.OwnedPool, grants: Iterable[pool.Grant]) -> None:
         for grant in grants:
             future = owned.waiters.get(grant.waiter_id)
             if future is not None and not future.done():
                 future.set_result(grant.lease)
             else:
                 self._release(owned, grant.lease, pool.ServerResult.CANCELLED)
-
-    async def _note_crash(self, request: messages.Request, server: model.BackendServer) -> None:
-        self._quarantine.record_crash(request.fingerprint, server.name)
-        self._log.warning(
-            "connection lost before the answer", server=server.name, request=request.request_id
-        )
-        await self._report_crash(request.service, request.fingerprint, server.name)
-
-    def _budget(self, service: str) -> retry.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = retry.RetryBudget(clock=self._clock)
-            self._budgets[service] = budget
-        return budget
-
-    def _ran(
-        self, server: model.BackendServer, answer: backend_client.BackendAnswer
-    ) -> messages.Answer:
-        return messages.Answer(
-            outcome=messages.Outcome.RAN,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
-            server=server.name,
-        )
-
-    def _unknown(self, result: backend_client.CallResult) -> messages.Answer:
-        if result is backend_client.CallResult.TIMEOUT:
-            return messages.unknown(504, messages.Reason.DEADLINE)
-        return messages.unknown(502, messages.Reason.CONNECTION_LOST)
-
-
-_SERVER_RESULTS = {
-    backend_client.CallResult.OK: pool.ServerResult.OK,
-    backend_client.CallResult.SHED: pool.ServerResult.SHED,
-    backend_client.CallResult.NOT_SENT: pool.ServerResult.FAILED,
-    backend_client.CallResult.LOST: pool.ServerResult.CRASHED,
-    backend_client.CallResult.TIMEOUT: pool.ServerResult.TIMEOUT,
-}
