--- /dev/null
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -0,0 +1,111 @@
+"""The process of the backend stand-in: its settings file, its servers and their control address."""
+
+import functools
+import itertools
+import json
+import pathlib
+import random
+import tomllib
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import click
+import uvloop
+from aiohttp import web
+
+from sassafrasway_standins import backend, network, stalls
+
+
+class Control:
+    """Control endpoint of all servers of the process."""
+
+    def __init__(self, *, servers: Mapping[str, backend.BackendServer], meter: stalls.StallMeter):
+        self._servers = servers
+        self._meter = meter
+
+    def application(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get("/healthz", self._health),
+                web.post("/control", self._change),
+                web.get("/control/stats", self._stats),
+                web.get("/control/stalls", self._stalls),
+            ]
+        )
+        return app
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.Response(text="ok")
+
+    async def _change(self, request: web.Request) -> web.Response:
+        """Takes ``{"servers": [names] or "all", <behaviour>: value, ...}``."""
+        data = await request.json()
+        names = data.pop("servers")
+        try:
+            for name in self._servers if names == "all" else names:
+                self._servers[name].change(data)
+        except (ValueError, KeyError) as error:
+            return web.Response(status=400, text=str(error))
+        return web.Response(status=204)
+
+    async def _stats(self, request: web.Request) -> web.Response:
+        return web.json_response({name: each.stats for name, each in self._servers.items()})
+
+    async def _stalls(self, request: web.Request) -> web.Response:
+        return web.json_response(self._meter.as_json())
+
+
+def load_file(path: pathlib.Path) -> dict[str, Any]:
+    """Reads a TOML or JSON file."""
+    text = path.read_text(encoding="utf-8")
+    return tomllib.loads(text) if path.suffix == ".toml" else json.loads(text)
+
+
+def build_servers(
+    data: Mapping[str, Any], *, recorder: backend.Recorder
+) -> dict[str, backend.BackendServer]:
+    """Returns the servers of a settings file by name."""
+    delays = network.Delays.parse(data.get("delays", {}))
+    seeds = itertools.count(int(data.get("seed", 0)))
+    servers = {}
+    for entry in data["servers"]:
+        server = backend.BackendServer(
+            settings=backend.ServerSettings(**entry),
+            recorder=recorder,
+            delays=delays,
+            rng=random.Random(f"{next(seeds)}/{entry['name']}"),
+        )
+        servers[server.name] = server
+    return servers
+
+
+async def _serve(data: Mapping[str, Any], recorder: backend.Recorder) -> None:
+    servers = build_servers(data, recorder=recorder)
+    for server in servers.values():
+        await server.start()
+    meter = stalls.StallMeter()
+    control = Control(servers=servers, meter=meter)
+    runner = web.AppRunner(control.application(), access_log=None)
+    await runner.setup()
+    host, port = network.split_address(data["control"])
+    await web.TCPSite(runner, host, port).start()
+    await meter.run()
+
+
+@click.command()
+@click.option(
+    "--config",
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    help="TOML or JSON file with control, records, delays, seed and servers.",
+)
+def command(config: pathlib.Path) -> None:
+    """Runs the backend servers of a file."""
+    data = load_file(config)
+    open_records: Callable[[], Any] = functools.partial(
+        open, data.get("records") or "/dev/null", "a", buffering=1, encoding="utf-8"
+    )
+    with open_records() as stream:
+        uvloop.run(_serve(data, backend.Recorder(stream=stream)))
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -2,9 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import hashlib
-import json
 import random
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -12,7 +9,7 @@
 
 import aiohttp
 
-from sassafrasway_standins import arrivals, history, network
+from sassafrasway_standins import arrivals, exchanges, history, network
 
 # A ticket may start a run for 5 s after its issue; older ones than this would come too late for a
 # request that waits in a queue for its whole deadline of 2 s.
@@ -22,68 +19,6 @@
 CONNECT_TIMEOUT_S = 0.5
 # Time after the deadline within which the instance's own 504 answer still arrives.
 DEADLINE_GRACE_S = 0.25
-MAX_ATTEMPTS = 8
-MAX_UNKNOWN_REPEATS = 3
-RETRY_PAUSE_MS = 20.0
-REQUEST_BYTES = 256
-ANSWER_BYTES = 1024
-HTTP_OK = 200
-HTTP_QUARANTINED = 422
-HTTP_UNAVAILABLE = 503
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EntryPoint:
-    """An entry instance that callers know from their configuration."""
-
-    name: str
-    url: str
-    region: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CalledService:
-    """What callers know of a service."""
-
-    idempotent: bool
-    deadline_ms: int
-    slots: int = 0
-    may_wait: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answer:
-    """Result of one exchange with an entry instance.
-
-    Attributes:
-        outcome: As in ``history.Attempt``.
-    """
-
-    outcome: str
-    status: int = 0
-    reason: str = ""
-    served_by: str = ""
-    error: str = ""
-    body: bytes = b""
-
-    @property
-    def is_retryable(self) -> bool:
-        """Whether another instance may give a better answer; never so for a quarantined request."""
-        if self.status == HTTP_QUARANTINED:
-            return False
-        if self.outcome == history.UNKNOWN:
-            return True
-        return self.outcome == "" or self.status == HTTP_UNAVAILABLE
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Route:
-    """A lookup answer; ``ticket`` is empty for idempotent services."""
-
-    urls: tuple[str, ...]
-    ticket: str
-    fetched_s: float
-    expires_s: float
 
 
 class LookupFailedError(Exception):
@@ -108,8 +43,8 @@
         *,
         session: aiohttp.ClientSession,
         region: str,
-        entries: Sequence[EntryPoint],
-        services: Mapping[str, CalledService],
+        entries: Sequence[exchanges.EntryPoint],
+        services: Mapping[str, exchanges.CalledService],
         client_ms: float,
         region_ms: float,
         rng: random.Random,
@@ -124,8 +59,8 @@
         self._region_ms = region_ms
         self._rng = rng
         self._record = record
-        self._routes: dict[str, Route] = {}
-        self._tickets: dict[str, list[Route]] = {name: [] for name in services}
+        self._routes: dict[str, exchanges.Route] = {}
+        self._tickets: dict[str, list[exchanges.Route]] = {name: [] for name in services}
         self._background: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
@@ -136,7 +71,7 @@
 
     async def send(self, arrival: arrivals.Arrival, *, intended_s: float) -> history.Verdict:
         """Sends one request until it has a verdict; records every attempt and the verdict."""
-        exchange = _Exchange(
+        exchange = exchanges.Exchange(
             arrival=arrival, intended_s=intended_s, service=self._services[arrival.service]
         )
         self._record(exchange.intent())
@@ -148,7 +83,7 @@
         self._record(verdict)
         return verdict
 
-    async def _attempt(self, exchange: "_Exchange") -> None:
+    async def _attempt(self, exchange: exchanges.Exchange) -> None:
         if exchange.needs_route:
             try:
                 exchange.use(await self._route(exchange.arrival))
@@ -162,7 +97,7 @@
         if answer.is_retryable:
             self._routes.pop(exchange.arrival.service, None)
 
-    async def _exchange(self, url: str, exchange: "_Exchange") -> Answer:
+    async def _exchange(self, url: str, exchange: exchanges.Exchange) -> exchanges.Answer:
         """Sends the request once, with the delay of the network in both directions."""
         delay_ms = self._delay_ms(url)
         await network.pause(delay_ms, self._rng)
@@ -177,15 +112,15 @@
                 timeout=timeout,
             ) as response:
                 body = await response.read()
-                answer = _answer(response, body)
+                answer = exchanges.read_answer(response, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return Answer(outcome="", error=repr(error))
+            return exchanges.Answer(outcome="", error=repr(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return Answer(outcome=history.UNKNOWN, error=repr(error))
+            return exchanges.Answer(outcome=history.UNKNOWN, error=repr(error))
         await network.pause(delay_ms, self._rng)
         return answer
 
-    async def _route(self, arrival: arrivals.Arrival) -> Route:
+    async def _route(self, arrival: arrivals.Arrival) -> exchanges.Route:
         """Returns where to send a request: from the cache, or from a lookup."""
         if self._services[arrival.service].idempotent:
             route = self._routes.get(arrival.service)
@@ -197,7 +132,7 @@
         self._prefetch(arrival.service, arrival.client)
         return route or await self._lookup(arrival.service, arrival.client)
 
-    def _take_ticket(self, service: str) -> Route | None:
+    def _take_ticket(self, service: str) -> exchanges.Route | None:
         """Removes the newest ticket that is fresh enough; older ones are of no use any more."""
         tickets = self._tickets[service]
         while tickets:
@@ -217,7 +152,7 @@
             route = await self._lookup(service, client)
             self._tickets[service].append(route)
 
-    async def _lookup(self, service: str, client: str) -> Route:
+    async def _lookup(self, service: str, client: str) -> exchanges.Route:
         """Asks random instances, those of the own region first.
 
         Raises:
@@ -234,7 +169,9 @@
                 failures.append(f"{entry.name}: {error!r}")
         raise LookupFailedError("; ".join(failures))
 
-    async def _lookup_at(self, entry: EntryPoint, service: str, client: str) -> Route:
+    async def _lookup_at(
+        self, entry: exchanges.EntryPoint, service: str, client: str
+    ) -> exchanges.Route:
         delay_ms = self._delay_ms(entry.url)
         await network.pause(delay_ms, self._rng)
         sent_s = time.monotonic()
@@ -248,11 +185,11 @@
         await network.pause(delay_ms, self._rng)
         return self._read_route(data, sent_s)
 
-    def _read_route(self, data: Mapping[str, Any], sent_s: float) -> Route:
+    def _read_route(self, data: Mapping[str, Any], sent_s: float) -> exchanges.Route:
         urls = tuple(str(each["url"]).rstrip("/") for each in data["instances"])
         if not urls:
             raise ValueError("the lookup answer names no instance")
-        return Route(
+        return exchanges.Route(
             urls=urls,
             ticket=data.get("ticket") or "",
             fetched_s=sent_s,
@@ -262,181 +199,3 @@
     def _delay_ms(self, url: str) -> float:
         is_near = self._regions.get(url, self._region) == self._region
         return self._client_ms if is_near else self._client_ms + self._region_ms
-
-
-class _Exchange:
-    """State of one request between its attempts."""
-
-    def __init__(self, *, arrival: arrivals.Arrival, intended_s: float, service: CalledService):
-        self.arrival = arrival
-        self.body = _body(arrival.request)
-        self._service = service
-        self._intended_s = intended_s
-        self._deadline_s = intended_s + service.deadline_ms / 1000
-        self._route: Route | None = None
-        self._next_url = 0
-        self._answers: list[Answer] = []
-        self._failed_lookups = 0
-        self._lookup_error = ""
-
-    @property
-    def path(self) -> str:
-        """Path and query of the request behind the instance's URL."""
-        query = f"service_ms={self.arrival.service_s * 1000:.3f}&size={ANSWER_BYTES}"
-        path = history.path_of(self.arrival.request)
-        return f"/v1/services/{self.arrival.service}{path}?{query}"
-
-    @property
-    def remaining_s(self) -> float:
-        """Time until the deadline, s."""
-        return self._deadline_s - time.monotonic()
-
-    @property
-    def wants_attempt(self) -> bool:
-        """Whether another attempt is useful, allowed and in time."""
-        if not self._answers:
-            return self._failed_lookups < MAX_ATTEMPTS and self.remaining_s > 0
-        if not self._answers[-1].is_retryable or self.remaining_s <= 0:
-            return False
-        unknown = sum(each.outcome == history.UNKNOWN for each in self._answers)
-        tries = len(self._answers) + self._failed_lookups
-        return tries < MAX_ATTEMPTS and unknown <= MAX_UNKNOWN_REPEATS
-
-    @property
-    def pause_ms(self) -> float:
-        """Upper bound of the pause before the next attempt."""
-        tries = len(self._answers) + self._failed_lookups
-        return RETRY_PAUSE_MS * 2 ** max(0, tries - 1)
-
-    @property
-    def needs_route(self) -> bool:
-        """Whether the next attempt starts with a lookup.
-
-        A request that may have been received keeps its key. One that certainly did not run takes a
-        new ticket, because the instance that issued the first one may be gone.
-        """
-        if self._route is None:
-            return True
-        if not self._service.idempotent:
-            return not self._may_have_run
-        return self._next_url >= len(self._route.urls)
-
-    @property
-    def _may_have_run(self) -> bool:
-        return any(each.outcome in (history.RAN, history.UNKNOWN) for each in self._answers)
-
-    def use(self, route: Route) -> None:
-        """Uses a lookup answer for the next attempts."""
-        failed = self._answers[-1].outcome == "" if self._answers else False
-        if route.ticket:
-            # Another instance could not tell whether the holder of the ticket has run it.
-            failed = False
-        self._route = route
-        # The first instance of a cached or repeated answer is likely the one that just failed.
-        self._next_url = len(self._answers) % len(route.urls) if failed else 0
-
-    def next_url(self) -> str:
-        """Returns the instance for the next attempt and moves on to the one after it."""
-        assert self._route is not None
-        url = self._route.urls[self._next_url % len(self._route.urls)]
-        self._next_url += 1
-        return url
-
-    def headers(self) -> dict[str, str]:
-        """Returns the headers of the next attempt."""
-        headers = {
-            "Sassafras-Deadline-Ms": str(max(1, int(self.remaining_s * 1000))),
-            "Sassafras-Client": self.arrival.client,
-            "Content-Type": "application/octet-stream",
-        }
-        if self._route and self._route.ticket:
-            headers["Idempotency-Key"] = self._route.ticket
-        return headers
-
-    def fail_lookup(self, message: str) -> None:
-        """Counts a lookup that no instance answered."""
-        self._failed_lookups += 1
-        self._lookup_error = message
-
-    def add(self, answer: Answer, *, url: str, started_s: float) -> history.Attempt:
-        """Takes the result of an attempt and returns its record."""
-        self._answers.append(answer)
-        return history.Attempt(
-            at_s=started_s,
-            request=self.arrival.request,
-            number=len(self._answers),
-            instance=url,
-            ended_s=time.monotonic(),
-            outcome=answer.outcome,
-            status=answer.status,
-            key=self._route.ticket if self._route else "",
-            served_by=answer.served_by,
-            reason=answer.reason,
-            error=answer.error,
-        )
-
-    def intent(self) -> history.Intent:
-        """Returns the record of the intended request."""
-        return history.Intent(
-            at_s=self._intended_s,
-            request=self.arrival.request,
-            service=self.arrival.service,
-            region=self.arrival.region,
-            client=self.arrival.client,
-            late_s=time.monotonic() - self._intended_s,
-        )
-
-    def verdict(self) -> history.Verdict:
-        """Returns what the caller knows in the end.
-
-        The last answer counts, except that an earlier attempt with an unknown outcome makes the
-        whole request unknown unless its key proves otherwise.
-        """
-        if not self._answers:
-            last = Answer(outcome=history.NOT_RUN, reason="no-lookup", error=self._lookup_error)
-        else:
-            last = self._answers[-1]
-        outcome = last.outcome or history.NOT_RUN
-        doubtful = self._service.idempotent or last.outcome == ""
-        if outcome == history.NOT_RUN and doubtful and self._may_have_run:
-            outcome = history.UNKNOWN
-        whole, own = True, True
-        if last.outcome == history.RAN and last.status == HTTP_OK:
-            whole, own = self._inspect(last.body)
-        return history.Verdict(
-            at_s=time.monotonic(),
-            request=self.arrival.request,
-            outcome=outcome,
-            status=last.status,
-            attempts=len(self._answers),
-            whole=whole,
-            own=own,
-            reason=last.reason or last.error,
-        )
-
-    def _inspect(self, body: bytes) -> tuple[bool, bool]:
-        """Returns whether the answer is complete, and whether it belongs to this request."""
-        try:
-            content = json.loads(body)
-            digest, path = content["digest"], content["path"]
-        except (ValueError, KeyError, TypeError):
-            return False, False
-        is_whole = len(body) == ANSWER_BYTES
-        is_own = digest == hashlib.sha256(self.body).hexdigest()
-        return is_whole, is_own and history.request_of(path) == self.arrival.request
-
-
-def _body(request: str) -> bytes:
-    """Returns a body that no other request has."""
-    return request.encode().ljust(REQUEST_BYTES, b".")
-
-
-def _answer(response: aiohttp.ClientResponse, body: bytes) -> Answer:
-    headers = response.headers
-    return Answer(
-        outcome=headers.get("Sassafras-Outcome", history.UNKNOWN),
-        status=response.status,
-        reason=headers.get("Sassafras-Reason", ""),
-        served_by=headers.get("Sassafras-Served-By", ""),
-        body=body,
-    )
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -15,8 +15,8 @@
 import click
 
 from sassafrasway_standins import (
-    caller,
     check,
+    exchanges,
     history,
     launcher,
     layouts,
@@ -84,11 +84,13 @@
         site, layout = self._cluster.site, self._layout
         return load.Plan(
             entries=[
-                caller.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
+                exchanges.EntryPoint(
+                    name=each.name, url=f"http://{each.caller}", region=each.region
+                )
                 for each in site.instances.values()
             ],
             services={
-                each.name: caller.CalledService(
+                each.name: exchanges.CalledService(
                     idempotent=each.idempotent,
                     deadline_ms=each.deadline_ms,
                     slots=each.servers * each.slots,
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -19,7 +19,7 @@
 import click
 import uvloop
 
-from sassafrasway_standins import arrivals, caller, history, latency, layouts
+from sassafrasway_standins import arrivals, caller, exchanges, history, latency, layouts
 
 CALLERS_PER_REGION = 4
 KEEPALIVE_S = 30.0
@@ -35,8 +35,8 @@
         blocks: A client block (CIDR) for each region.
     """
 
-    entries: Sequence[caller.EntryPoint]
-    services: Mapping[str, caller.CalledService]
+    entries: Sequence[exchanges.EntryPoint]
+    services: Mapping[str, exchanges.CalledService]
     blocks: Mapping[str, str]
     client_ms: float
     region_ms: float
@@ -64,9 +64,9 @@
     def parse(cls, data: Mapping[str, Any]) -> "Plan":
         """Returns the plan of the JSON form."""
         fields = dict(data)
-        fields["entries"] = [caller.EntryPoint(**each) for each in data["entries"]]
+        fields["entries"] = [exchanges.EntryPoint(**each) for each in data["entries"]]
         fields["services"] = {
-            name: caller.CalledService(**each) for name, each in data["services"].items()
+            name: exchanges.CalledService(**each) for name, each in data["services"].items()
         }
         return cls(**fields)
 
@@ -182,11 +182,11 @@
         blocks.setdefault(region, cidr)
     return Plan(
         entries=[
-            caller.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
+            exchanges.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
             for each in site.instances.values()
         ],
         services={
-            each.name: caller.CalledService(
+            each.name: exchanges.CalledService(
                 idempotent=each.idempotent,
                 deadline_ms=deadline_ms or each.deadline_ms,
                 slots=each.servers * each.slots,
--- a/packages/standins/src/sassafrasway_standins/main.py
+++ b/packages/standins/src/sassafrasway_standins/main.py
@@ -7,7 +7,7 @@
 # Module of each subcommand; every module has a click command named ``command``.
 _MODULES = {
     "store": "store",
-    "backend": "backend",
+    "backend": "backend_process",
     "link": "link",
     "load": "load",
     "bench": "bench",
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -6,7 +6,15 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
-from sassafrasway_standins import arrivals, caller, check, history, ideal, latency
+from sassafrasway_standins import (
+    arrivals,
+    check,
+    checked_history,
+    exchanges,
+    history,
+    ideal,
+    latency,
+)
 
 MS_PER_S = 1000
 # A load tool that starts requests later than this lacks processor time, and so do the instances.
@@ -88,7 +96,7 @@
     *,
     settings: Mapping[str, Any],
     trace: Sequence[arrivals.Arrival],
-    services: Mapping[str, caller.CalledService],
+    services: Mapping[str, exchanges.CalledService],
     client_ms: float,
     warm_up_s: float,
     records: Sequence[history.Record],
@@ -106,7 +114,7 @@
         warm_up_s: Length of the part of the trace that counts for no figure, s.
         records: Records of callers, servers, links and instances.
     """
-    run = check.History(records)
+    run = checked_history.History(records)
     violations = check.check(records)
     by_rule = collections.Counter(each.rule for each in violations)
     by_service: dict[str, list[arrivals.Arrival]] = {name: [] for name in sorted(services)}
@@ -133,9 +141,9 @@
 
 
 def _service_report(
-    run: check.History,
+    run: checked_history.History,
     everything: Sequence[arrivals.Arrival],
-    service: caller.CalledService,
+    service: exchanges.CalledService,
     client_ms: float,
     warm_up_s: float,
 ) -> ServiceReport:
@@ -178,7 +186,7 @@
 
 
 def _measured(
-    run: check.History, jobs: Iterable[arrivals.Arrival], network_s: float
+    run: checked_history.History, jobs: Iterable[arrivals.Arrival], network_s: float
 ) -> tuple[list[float], list[float]]:
     """Returns latency and waiting time, s, of the requests that ran."""
     measured, waited = [], []
@@ -192,7 +200,7 @@
 
 
 def _ideal_waits(
-    jobs: Sequence[arrivals.Arrival], service: caller.CalledService
+    jobs: Sequence[arrivals.Arrival], service: exchanges.CalledService
 ) -> list[float | None]:
     return ideal.pooled_waits(
         [(job.at_s, job.service_s) for job in jobs],
@@ -218,19 +226,19 @@
         collections.Counter(
             f"{each.outcome} {each.status} {each.reason[:80]}".strip()
             for each in verdicts
-            if each.outcome != history.RAN or each.status != caller.HTTP_OK
+            if each.outcome != history.RAN or each.status != exchanges.HTTP_OK
         ).most_common(8)
     )
 
 
-def _fault_s(run: check.History, records: Iterable[history.Record]) -> list[float]:
+def _fault_s(run: checked_history.History, records: Iterable[history.Record]) -> list[float]:
     started_s = min((each.at_s for each in run.intents.values()), default=0.0)
     phases = (history.INJECTED, history.ENDED)
     events = [each for each in records if isinstance(each, history.FaultEvent)]
     return sorted(each.at_s - started_s for each in events if each.phase in phases)
 
 
-def _drain_s(run: check.History, records: Iterable[history.Record]) -> dict[str, float]:
+def _drain_s(run: checked_history.History, records: Iterable[history.Record]) -> dict[str, float]:
     """Returns drain times of servers (until the last run ends) and of stopped instances."""
     drains: dict[str, float] = {}
     for server, left_s in run.left_s.items():
@@ -245,7 +253,7 @@
     return drains
 
 
-def _server_overhead_s(run: check.History, trace: Iterable[arrivals.Arrival]) -> float:
+def _server_overhead_s(run: checked_history.History, trace: Iterable[arrivals.Arrival]) -> float:
     wanted = {each.request: each.service_s for each in trace}
     excess = [
         each.ended_s - each.at_s - wanted[each.request]
@@ -255,7 +263,7 @@
     return sum(excess) / len(excess) if excess else 0.0
 
 
-def _late_start_s(run: check.History) -> float:
+def _late_start_s(run: checked_history.History) -> float:
     return _p99(
         attempts[0].at_s - run.intents[request].at_s
         for request, attempts in run.attempts.items()
--- a/packages/standins/src/sassafrasway_standins/tally.py
+++ b/packages/standins/src/sassafrasway_standins/tally.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
 
-from sassafrasway_standins import caller, check, history, latency
+from sassafrasway_standins import checked_history, exchanges, history, latency
 
 TOTAL = "total"
 
@@ -35,10 +35,10 @@
 
 
 def count(
-    records: Iterable[history.Record], services: Mapping[str, caller.CalledService]
+    records: Iterable[history.Record], services: Mapping[str, exchanges.CalledService]
 ) -> list[Tally]:
     """Returns a tally of each service and of all together."""
-    run = check.History(records)
+    run = checked_history.History(records)
     groups: dict[str, list[str]] = {name: [] for name in sorted(services)}
     for request, intent in run.intents.items():
         groups[intent.service].append(request)
@@ -48,10 +48,10 @@
 
 
 def _tally(
-    run: check.History,
+    run: checked_history.History,
     name: str,
     requests: Sequence[str],
-    services: Mapping[str, caller.CalledService],
+    services: Mapping[str, exchanges.CalledService],
 ) -> Tally:
     latencies = latency.Latencies()
     counts = dict.fromkeys(
--- a/packages/standins/tests/fake_entry.py
+++ b/packages/standins/tests/fake_entry.py
@@ -5,7 +5,7 @@
 
 from aiohttp import test_utils, web
 
-from sassafrasway_standins import caller
+from sassafrasway_standins import exchanges
 
 
 class FakeEntry:
@@ -22,7 +22,7 @@
 
     @property
     def entry_point(self):
-        return caller.EntryPoint(name=self.name, url=self.url, region="bkk")
+        return exchanges.EntryPoint(name=self.name, url=self.url, region="bkk")
 
     async def start(self):
         await self._server.start_server()
--- a/packages/standins/tests/real_cluster.py
+++ b/packages/standins/tests/real_cluster.py
@@ -11,6 +11,7 @@
 from sassafrasway_core import at_most_once
 from sassafrasway_standins import (
     check,
+    checked_history,
     history,
     launcher,
     layouts,
@@ -43,7 +44,7 @@
 
     def __init__(self, *, records, seeds, services):
         self.records = records
-        self.run = check.History(records)
+        self.run = checked_history.History(records)
         self._seeds = {str(seed) for seed in seeds}
         self._services = services
         self.intents = {
--- a/packages/standins/tests/test_check.py
+++ b/packages/standins/tests/test_check.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sassafrasway_standins import check, history
+from sassafrasway_standins import cap_rules, check, history
 
 POLICY = {
     "services": {"crew-desk": {"idempotent": False}, "quote-archive": {"idempotent": True}},
@@ -175,7 +175,7 @@
     def test_windows_of_one_second_do_not_overlap(self):
         """Guards against eleven tenths of a second that rounding errors put into one window."""
         amounts = [(1000 + tenth / 10, 1.0) for tenth in range(1, 200)]
-        self.assertEqual(max(total for _, total in check.window_sums(amounts)), 10.0)
+        self.assertEqual(max(total for _, total in cap_rules.window_sums(amounts)), 10.0)
 
 
 class CommandTest(unittest.TestCase):
--- a/packages/standins/tests/test_load.py
+++ b/packages/standins/tests/test_load.py
@@ -10,11 +10,11 @@
 import aiohttp
 import fake_entry
 
-from sassafrasway_standins import arrivals, caller, check, history, load
+from sassafrasway_standins import arrivals, caller, check, checked_history, exchanges, history, load
 
 SERVICES = {
-    "crew-desk": caller.CalledService(idempotent=False, deadline_ms=5000, slots=1),
-    "quote-desk": caller.CalledService(idempotent=True, deadline_ms=5000, slots=1),
+    "crew-desk": exchanges.CalledService(idempotent=False, deadline_ms=5000, slots=1),
+    "quote-desk": exchanges.CalledService(idempotent=True, deadline_ms=5000, slots=1),
 }
 
 
@@ -110,7 +110,7 @@
             entry.script = ["unknown"] * 20
         verdict = await self.send()
         self.assertEqual(verdict.outcome, "unknown")
-        self.assertEqual(verdict.attempts, caller.MAX_UNKNOWN_REPEATS + 1)
+        self.assertEqual(verdict.attempts, exchanges.MAX_UNKNOWN_REPEATS + 1)
 
     async def test_refusal_after_a_broken_attempt_is_not_reported_as_not_run(self):
         """Guards against a false "not run" for a request whose first attempt may have run."""
@@ -157,7 +157,7 @@
         verdicts = [each for each in records if isinstance(each, history.Verdict)]
         self.assertEqual(len(verdicts), len(plan.arrivals()))
         self.assertEqual(sum(p.count for p in tool.latencies.percentiles().values()), len(verdicts))
-        self.assertEqual(list(check.NoneLost().violations(check.History(records))), [])
+        self.assertEqual(list(check.NoneLost().violations(checked_history.History(records))), [])
 
 
 if __name__ == "__main__":
--- a/packages/standins/tests/test_report.py
+++ b/packages/standins/tests/test_report.py
@@ -4,9 +4,9 @@
 import json
 import unittest
 
-from sassafrasway_standins import arrivals, caller, history, report
+from sassafrasway_standins import arrivals, exchanges, history, report
 
-SERVICES = {"crew-desk": caller.CalledService(idempotent=False, deadline_ms=2000, slots=1)}
+SERVICES = {"crew-desk": exchanges.CalledService(idempotent=False, deadline_ms=2000, slots=1)}
 POLICY = history.PolicyInForce(
     at_s=0.0,
     document={
--- a/packages/standins/tests/test_standin_backend.py
+++ b/packages/standins/tests/test_standin_backend.py
@@ -9,7 +9,7 @@
 
 import aiohttp
 
-from sassafrasway_standins import backend
+from sassafrasway_standins import backend, backend_process
 
 
 def free_port():
@@ -37,7 +37,7 @@
             "restart_s": 0.01,
         }
         recorder = backend.Recorder(stream=self.stream)
-        servers = backend.build_servers({"servers": [entry | settings]}, recorder=recorder)
+        servers = backend_process.build_servers({"servers": [entry | settings]}, recorder=recorder)
         self.server = servers["b1"]
         await self.server.start()
         self.addAsyncCleanup(self.server.stop)
--- a/packages/standins/tests/test_tally.py
+++ b/packages/standins/tests/test_tally.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from sassafrasway_standins import caller, history, tally
+from sassafrasway_standins import exchanges, history, tally
 
 SERVICES = {
-    "read": caller.CalledService(idempotent=True, deadline_ms=2000),
-    "write": caller.CalledService(idempotent=False, deadline_ms=2000),
+    "read": exchanges.CalledService(idempotent=True, deadline_ms=2000),
+    "write": exchanges.CalledService(idempotent=False, deadline_ms=2000),
 }
 
 
