--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -51,7 +51,6 @@
         cache: Keeps the rows for other instances.
         role: Decides whether to read the store or to ask another instance.
         relay_client: Fetches rows from other instances.
-        wait_s: Longest time that a call waits for a change.
         rng: Random source for the spread of retries.
     """
 
@@ -64,7 +63,6 @@
         cache: table_cache.TableCache,
         role: relay.RelayRole,
         relay_client: relay.RelayClient,
-        wait_s: float,
         rng: random.Random,
     ):
         self._store = store
@@ -73,7 +71,6 @@
         self._cache = cache
         self._role = role
         self._relay_client = relay_client
-        self._wait_s = wait_s
         self._rng = rng
         self._backoff_s = FIRST_BACKOFF_S
         self._poll: asyncio.Task | None = None
@@ -144,7 +141,7 @@
         source = self._role.source(self._table, self.version)
         if source is not None:
             await self._fetch(source)
-        elif self._role.reads():
+        elif self._role.reads(self._table):
             self._set_reading(True)
             await self._read_or_poll()
         else:
@@ -152,7 +149,7 @@
             await self._wait_for_news()
 
     async def _wait_for_news(self) -> None:
-        if self._role.informed:
+        if self._role.informed(self._table):
             self._on_informed()
         elif self._informed_since_s is not None:
             self._on_lost("no announcements")
@@ -189,8 +186,11 @@
         await asyncio.sleep(BATCH_S)
 
     async def _poll_store(self) -> None:
-        wait_s = 0.0 if not self._store_answers else self._wait_s * self._rng.uniform(0.8, 1.0)
-        call = self._store.changes(self._table, after=self.version, wait_s=wait_s)
+        times = self._role.poll_times()
+        wait_s = times.wait_s * self._rng.uniform(0.8, 1.0) if self._store_answers else 0.0
+        call = self._store.changes(
+            self._table, after=self.version, wait_s=wait_s, timeout_s=wait_s + times.slack_s
+        )
         self._polling_since_s = time.monotonic()
         self._nudged_s = 0.0
         self._poll = asyncio.get_running_loop().create_task(call)
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -66,10 +66,10 @@
         for member in self._view.members():
             self._greet(member, reply=True)
 
-    def send_beacon(self, audience: list[fleet.Member]) -> None:
-        """Announces the versions of this instance."""
+    def send_beacon(self, audience: list[fleet.Member], versions: dict[str, int]) -> None:
+        """Announces versions of tables that this instance has."""
         own = self._view.own
-        beacon = peer_messages.Beacon(own.name, own.peer_host, own.region, self._versions())
+        beacon = peer_messages.Beacon(own.name, own.peer_host, own.region, versions)
         for member in audience:
             self._send(beacon, member)
 
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -13,6 +13,7 @@
 from sassafrasway_core import errors
 from sassafrasway_gateway import (
     admin,
+    announcer,
     attempt,
     balancer,
     cold_limit,
@@ -40,10 +41,8 @@
 from sassafrasway_platform import feed
 
 # Bounds the time for which a poll waits on a connection that went silent.
-POLL_WAIT_S = 4.0
 SWEEP_INTERVAL_S = 0.5
 READY_CHECK_INTERVAL_S = 0.05
-BEACON_CHECK_INTERVAL_S = 0.05
 # Callers keep a look-up this many times its lifetime at most before they notice that the
 # instance has left.
 STOP_LISTENING_AFTER_S = 2.4
@@ -132,10 +131,15 @@
             store=store, table_name=dialect.member_table, view=self._view, rng=self._rng
         )
         self._pool = http_client.ConnectionPool()
+        self._announcer = announcer.VersionAnnouncer(
+            followers=self._followers,
+            role=self._role,
+            send=lambda audience, versions: self._peers.send_beacon(audience, versions),
+        )
         self._peers = peer_task.PeerTask(
             view=self._view,
             port=config.peer.port,
-            versions=self._versions,
+            versions=self._announcer.versions,
             contact_s=self._contact_s,
             on_versions=self._on_versions,
             on_crash=self._crashes.add,
@@ -175,7 +179,7 @@
             "instance": self._config.instance,
             "phase": self._view.own.phase.name,
             "policy_version": policy.version if policy else None,
-            "table_versions": self._versions(),
+            "table_versions": self._announcer.versions(),
             "evacuated": sorted(self._registry.evacuated),
             "live_instances": sorted(self._view.live_names()),
             "kept_shares": self._overflow.kept_shares(),
@@ -212,7 +216,7 @@
         for task in self._followers.values():
             self._spawn(task.run())
         self._spawn(self._register())
-        self._spawn(self._announce_versions())
+        self._spawn(self._announcer.run())
         self._spawn(self._sweep())
         self._spawn(self._become_ready())
         await self._stopping.wait()
@@ -250,7 +254,6 @@
             cache=self._caches[name],
             role=self._role,
             relay_client=self._relay_client,
-            wait_s=POLL_WAIT_S,
             rng=self._rng,
         )
 
@@ -282,28 +285,6 @@
         await self._registration.register()
         self._peers.announce()
 
-    async def _announce_versions(self) -> None:
-        """Tells the region what this instance knows of the store, at once when it changes.
-
-        Readers of the store announce all the time; another instance does when it has learned a
-        version elsewhere that the region's readers do not have.
-        """
-        announced = self._versions()
-        last_s = 0.0
-        while True:
-            await asyncio.sleep(BEACON_CHECK_INTERVAL_S)
-            versions = self._versions()
-            now_s = time.monotonic()
-            changed = versions != announced
-            due = now_s - last_s >= relay.BEACON_INTERVAL_S
-            announced = versions
-            if any(entry.reading for entry in self._followers.values()):
-                if changed or due:
-                    self._peers.send_beacon(self._role.audience(changed=changed))
-                    last_s = now_s
-            elif changed and self._role.ahead(versions):
-                self._peers.send_beacon(self._role.audience(changed=False))
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
@@ -327,9 +308,6 @@
             {service.name: service.warmup_per_s for service in policy.services.values()}
         )
 
-    def _versions(self) -> dict[str, int]:
-        return {name: entry.version for name, entry in self._followers.items()}
-
     def _contact_s(self) -> float:
         return min(entry.contact_s for entry in self._followers.values())
 
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -26,6 +26,13 @@
 BEACON_LIFETIME_S = 0.8
 # Pause between the instances that begin to read one after the other.
 TAKEOVER_STEP_S = 0.25
+# Longest wait of a poll, and what it may take longer before the connection counts as silent.
+POLL_WAIT_S = 4.0
+POLL_SLACK_S = 1.5
+# The same where no other region can tell of newer versions: if all readers of the only region sit
+# on silent connections, the others find out only when the polls time out.
+LONE_POLL_WAIT_S = 0.6
+LONE_POLL_SLACK_S = 0.8
 # Instances beyond these do not begin to read: when so many cannot, the store itself is away.
 MOST_TAKEOVERS = 6
 # A transfer that is broken off is lost work for a slow link, so each timeout doubles the next one.
@@ -169,6 +176,23 @@
     return feed.Changes(rows=rows, version=relayed.version)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PollTimes:
+    """Times of a poll of the store.
+
+    Attributes:
+        wait_s: Longest time that the store waits for a change, s.
+        slack_s: Time after that in which the answer arrives, s.
+    """
+
+    wait_s: float
+    slack_s: float
+
+
+_POLL_TIMES = PollTimes(wait_s=POLL_WAIT_S, slack_s=POLL_SLACK_S)
+_LONE_POLL_TIMES = PollTimes(wait_s=LONE_POLL_WAIT_S, slack_s=LONE_POLL_SLACK_S)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Announcement:
     """What an instance said it has read.
@@ -196,7 +220,8 @@
         self._rng = rng
         self._beacons: dict[str, _Announcement] = {}
         self._hints: dict[str, _Announcement] = {}
-        self._last_beacon_s = time.monotonic()
+        self._started_s = time.monotonic()
+        self._silent_from_s: dict[str, float] = {}
         self._news = asyncio.Event()
 
     @property
@@ -204,18 +229,38 @@
         """Set when an announcement arrives."""
         return self._news
 
-    @property
-    def informed(self) -> bool:
-        """Whether another instance of the region has announced versions lately."""
-        return time.monotonic() - self._last_beacon_s < BEACON_LIFETIME_S
+    def informed(self, table_name: str) -> bool:
+        """Whether another instance of the region has announced a version of the table lately."""
+        return time.monotonic() < self._silence_begins_s(table_name)
+
+    def poll_times(self) -> PollTimes:
+        """Returns the times of the next poll."""
+        region = self._view.own.region
+        if any(member.region != region for member in self._view.live_members()):
+            return _POLL_TIMES
+        return _LONE_POLL_TIMES
 
     def on_beacon(self, name: str, host: str, region: str, versions: dict[str, int]) -> None:
-        """Records an announcement of an instance that reads the store."""
+        """Records an announcement of an instance that reads the store.
+
+        Args:
+            name: Name of the instance.
+            host: Address at which it serves its tables.
+            region: Its region.
+            versions: Versions of the tables that it reads; one that is left out after it was
+                announced has been lost.
+        """
         if region != self._view.own.region:
             self.on_hint(name, host, versions)
             return
+        old = self._beacons.get(name)
         self._record(self._beacons, name, host, versions)
-        self._last_beacon_s = time.monotonic()
+        now_s = time.monotonic()
+        for table_name in versions:
+            self._silent_from_s[table_name] = now_s + BEACON_LIFETIME_S
+        for table_name in () if old is None else old.versions.keys() - versions.keys():
+            if not self._is_announced(table_name, now_s):
+                self._silent_from_s[table_name] = now_s
         self._news.set()
 
     def on_hint(self, name: str, host: str, versions: dict[str, int]) -> None:
@@ -265,15 +310,15 @@
             version > known.get(table_name, -1) for table_name, version in versions.items()
         )
 
-    def reads(self) -> bool:
-        """Whether this instance reads the store itself."""
+    def reads(self, table_name: str) -> bool:
+        """Whether this instance reads the table from the store itself."""
         rank = self._rank()
         if rank < READERS_PER_REGION:
             return True
         if rank >= READERS_PER_REGION + MOST_TAKEOVERS:
             return False
-        silent_s = time.monotonic() - self._last_beacon_s
-        return silent_s > BEACON_LIFETIME_S + TAKEOVER_STEP_S * (rank - READERS_PER_REGION)
+        step_s = TAKEOVER_STEP_S * (rank - READERS_PER_REGION)
+        return time.monotonic() > self._silence_begins_s(table_name) + step_s
 
     def audience(self, *, changed: bool) -> list[fleet.Member]:
         """Returns the instances to which announcements go.
@@ -292,6 +337,15 @@
                     audience.append(member)
         return audience
 
+    def _silence_begins_s(self, table_name: str) -> float:
+        return self._silent_from_s.get(table_name, self._started_s + BEACON_LIFETIME_S)
+
+    def _is_announced(self, table_name: str, now_s: float) -> bool:
+        return any(
+            table_name in entry.versions and now_s - entry.heard_s < BEACON_LIFETIME_S
+            for entry in self._beacons.values()
+        )
+
     def _rank(self) -> int:
         own = self._view.own
         own_score = self._score(own.name)
--- /dev/null
+++ b/packages/gateway/tests/test_announcer.py
@@ -0,0 +1,69 @@
+"""Tests of the announcements of table versions."""
+
+import random
+import types
+import unittest
+from unittest import mock
+
+import test_fleet
+
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_gateway import announcer, fleet, relay
+
+
+def make_follower(version):
+    """Returns a table that this instance reads from the store."""
+    return types.SimpleNamespace(version=version, reading=True, lost=False)
+
+
+class VersionAnnouncerTest(unittest.TestCase):
+    """Guards against tables that nobody reads while somebody announces them."""
+
+    def setUp(self):
+        view = fleet.FleetView(
+            clock=clock_lib.ManualClock(),
+            own=test_fleet.make_member("i0"),
+            rng=random.Random(1),
+        )
+        view.heard(test_fleet.make_member("i1"))
+        self.role = relay.RelayRole(view=view, rng=random.Random(1))
+        self.followers = {"op": make_follower(5), "servers": make_follower(7)}
+        self.sent = []
+        patched = mock.patch.object(announcer.time, "monotonic", return_value=100.0)
+        self.now = patched.start()
+        self.addCleanup(patched.stop)
+        self.announcer = announcer.VersionAnnouncer(
+            followers=self.followers,
+            role=self.role,
+            send=lambda audience, versions: self.sent.append(versions),
+        )
+        self.announcer.update()
+
+    def test_reader_announces_again_and_again(self):
+        self.announcer.update()
+        self.assertEqual(self.sent, [{"op": 5, "servers": 7}])
+        self.now.return_value += relay.BEACON_INTERVAL_S
+        self.announcer.update()
+        self.assertEqual(len(self.sent), 2)
+
+    def test_lost_table_is_left_out_at_once(self):
+        # One region, trouble-1 --seed 427345455261: both readers went on announcing a table that
+        # they no longer received.
+        self.followers["op"].reading = False
+        self.followers["op"].lost = True
+        self.announcer.update()
+        self.assertEqual(self.sent[1:], [{"servers": 7}])
+
+    def test_poll_that_is_repeated_is_no_loss(self):
+        self.followers["op"].reading = False
+        self.announcer.update()
+        self.assertEqual(len(self.sent), 1)
+
+    def test_version_learned_elsewhere_is_announced_when_the_readers_are_behind(self):
+        for entry in self.followers.values():
+            entry.reading = False
+        self.announcer.update()
+        self.role.on_beacon("i1", "host1", "north", {"op": 5, "servers": 7})
+        self.followers["op"].version = 6
+        self.announcer.update()
+        self.assertEqual(self.sent[1:], [{"op": 6, "servers": 7}])
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -29,7 +29,7 @@
     async def read(self, table_name):
         return await self._next(("read", table_name))
 
-    async def changes(self, table_name, *, after, wait_s):
+    async def changes(self, table_name, *, after, wait_s, timeout_s):
         return await self._next(("changes", after))
 
     async def write(self, table_name, key, value):
@@ -59,9 +59,14 @@
         self.reads_store = reads
         self.source_host = source
         self.news = asyncio.Event()
-        self.informed = False
 
-    def reads(self):
+    def informed(self, table_name):
+        return False
+
+    def poll_times(self):
+        return relay.PollTimes(wait_s=1.0, slack_s=0.5)
+
+    def reads(self, table_name):
         return self.reads_store
 
     def source(self, table_name, version):
@@ -93,7 +98,6 @@
             cache=table_cache.TableCache(),
             role=role or FakeRole(),
             relay_client=relay_client,
-            wait_s=1.0,
             rng=random.Random(1),
         )
 
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -40,7 +40,7 @@
         ]
         return feed.Changes(rows=rows, version=1)
 
-    async def changes(self, table_name, *, after, wait_s):
+    async def changes(self, table_name, *, after, wait_s, timeout_s):
         await asyncio.sleep(wait_s)
         return feed.Changes(rows=[], version=after)
 
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -11,6 +11,7 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import (
     fleet,
+    follower,
     http_client,
     http_server,
     messages,
@@ -42,7 +43,7 @@
     def test_few_instances_of_a_region_read(self):
         for count in (1, 2, 16, 124):
             with self.subTest(count=count):
-                reading = sum(role.reads() for role in make_roles(count))
+                reading = sum(role.reads("op") for role in make_roles(count))
                 self.assertEqual(reading, min(count, relay.READERS_PER_REGION))
 
     def test_others_take_over_one_by_one_when_announcements_stop(self):
@@ -50,16 +51,49 @@
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
             for role in roles:
-                role.on_beacon("i0", "i0", "north", {})
+                role.on_beacon("i0", "i0", "north", {"op": 1})
             counts = []
             for silent_s in (0.5, 0.9, 1.2, 30.0):
                 now.return_value = 100.0 + silent_s
-                counts.append(sum(role.reads() for role in roles))
+                counts.append(sum(role.reads("op") for role in roles))
         self.assertEqual(counts[0], relay.READERS_PER_REGION)
         self.assertEqual(counts[1], relay.READERS_PER_REGION + 1)
         self.assertEqual(counts[2], relay.READERS_PER_REGION + 2)
         self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MOST_TAKEOVERS)
 
+    def test_table_that_its_readers_lost_is_taken_over(self):
+        # One region, trouble-1 --seed 427345455261, CONFIG: both readers were cut off from the
+        # store; their polls of one table had timed out, but they went on announcing both tables
+        # until the polls of the other one timed out too, so nobody took over.
+        roles = make_roles(6)
+        with mock.patch.object(relay.time, "monotonic") as now:
+            now.return_value = 100.0
+            for role in roles:
+                for name in ("i0", "i1"):
+                    role.on_beacon(name, name, "north", {"op": 1, "servers": 1})
+            now.return_value = 100.1
+            for role in roles:
+                role.on_beacon("i0", "i0", "north", {"servers": 1})
+            self.assertTrue(all(role.informed("op") for role in roles))
+            for role in roles:
+                role.on_beacon("i1", "i1", "north", {"servers": 1})
+            self.assertFalse(any(role.informed("op") for role in roles))
+            self.assertTrue(all(role.informed("servers") for role in roles))
+            now.return_value = 100.2
+            reading = {name: sum(role.reads(name) for role in roles) for name in ("op", "servers")}
+        expected = {"op": relay.READERS_PER_REGION + 1, "servers": relay.READERS_PER_REGION}
+        self.assertEqual(reading, expected)
+
+    def test_polls_are_short_where_no_other_region_can_help(self):
+        # The same day: the readers noticed the silence 1.7 s after the cut, and could have taken
+        # 5.5 s, while a policy has to be in force 2.5 s after its acknowledgement.
+        role = make_roles(3)[0]
+        lone = role.poll_times()
+        longest_s = lone.wait_s + lone.slack_s + relay.TAKEOVER_STEP_S + follower.BATCH_S
+        self.assertLess(longest_s, 2.5)
+        role._view.heard(test_fleet.make_member("far", region="south"))
+        self.assertGreater(role.poll_times().wait_s, lone.wait_s)
+
     def test_source_is_the_instance_with_the_newest_version(self):
         role = make_roles(3)[0]
         role.on_beacon("i1", "host1", "north", {"op": 5})
--- a/packages/platform/src/sassafrasway_platform/feed.py
+++ b/packages/platform/src/sassafrasway_platform/feed.py
@@ -44,9 +44,17 @@
         """
 
     @abc.abstractmethod
-    async def changes(self, table_name: str, *, after: int, wait_s: float) -> Changes:
+    async def changes(
+        self, table_name: str, *, after: int, wait_s: float, timeout_s: float
+    ) -> Changes:
         """Returns what changed after a version, waiting for the first change.
 
+        Args:
+            table_name: Table to read.
+            after: Newest version that is known.
+            wait_s: Longest time that the store waits for a change, s.
+            timeout_s: Time after which the store counts as unavailable, s.
+
         Raises:
             HistoryLost: The history since ``after`` was discarded.
             table.StoreUnavailable: The store did not answer.
