--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -10,6 +10,8 @@
 MISSED_PINGS = 3
 # Time that a member has to answer after another instance could not reach it.
 VERIFY_S = 1.0
+# Time in which a datagram of an earlier run may still arrive after one of the next run.
+DATAGRAM_DELAY_S = 1.0
 # A pause of the own process longer than this says nothing about the others.
 LONGEST_TICK_S = 1.2
 # Every so many ticks the random ping may leave the region; links between regions are dear.
@@ -130,7 +132,7 @@
         if entry is None:
             entry = _Entry(member=member, alive=False, heard_s=now_s)
             self._entries[member.name] = entry
-        elif self._outdated(member, entry.member):
+        elif self._outdated(member, entry, now_s):
             return False
         revived = not entry.alive
         entry.member = member
@@ -213,7 +215,9 @@
         return (member.region, member.failure_domain, member.name)
 
     @staticmethod
-    def _outdated(new: Member, old: Member) -> bool:
-        if new.incarnation != old.incarnation:
-            return new.incarnation < old.incarnation
-        return new.phase < old.phase
+    def _outdated(new: Member, entry: _Entry, now_s: float) -> bool:
+        old = entry.member
+        if new.incarnation == old.incarnation:
+            return new.phase < old.phase
+        # An instance that restarts after its clock was set back has the lower incarnation.
+        return new.incarnation < old.incarnation and now_s - entry.heard_s < DATAGRAM_DELAY_S
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -71,6 +71,18 @@
         self.view.heard(make_member("other", incarnation=1, phase=fleet.Phase.LEAVING))
         self.assertEqual(self.view.members()[0].incarnation, 2)
 
+    def test_restart_after_the_clock_was_set_back_is_heard(self):
+        # The start time names the run; with a clock that stepped back it is lower than before, and
+        # the instance stayed dead to the others for as long as it ran.
+        self.view.heard(make_member("other", incarnation=5000, phase=fleet.Phase.LEAVING))
+        restarted = make_member("other", incarnation=2000)
+        self.view.heard(restarted)
+        self.assertNotIn("other", self.view.live_names())
+        self.clock.advance(fleet.DATAGRAM_DELAY_S)
+        self.view.heard(restarted)
+        self.assertIn("other", self.view.live_names())
+        self.assertIn(restarted, self.view.ready_members())
+
     def test_leaving_member_is_not_named(self):
         self.view.heard(make_member("other", phase=fleet.Phase.LEAVING))
         self.assertEqual([member.name for member in self.view.ready_members()], ["me"])
