--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import ipaddress
 import itertools
 import json
 import random
@@ -11,9 +10,10 @@
 import structlog
 from aiohttp import web
 
-from sassafrasway_core import at_most_once, model, quarantine, region, retry
+from sassafrasway_core import at_most_once, model, region
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import (
+    caller_requests,
     dispatcher,
     gatekeeper,
     messages,
@@ -23,24 +23,15 @@
     telemetry,
 )
 
-KEY_HEADER = "Idempotency-Key"
-DEADLINE_HEADER = "Sassafras-Deadline-Ms"
-CLIENT_HEADER = "Sassafras-Client"
 OUTCOME_HEADER = "Sassafras-Outcome"
 SERVED_BY_HEADER = "Sassafras-Served-By"
 REASON_HEADER = "Sassafras-Reason"
 
-MAX_KEY_CHARS = 255
-MAX_DEADLINE_MS = 600_000
 CANDIDATES_TTL_S = 0.2
 LOOKUP_ALTERNATES = 3  # instances in a look-up answer besides the owner of the home pool
 # aiohttp closes the connection on a larger header line before a handler runs.
 AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
 
-_OWN_HEADERS = frozenset(
-    name.lower() for name in (KEY_HEADER, DEADLINE_HEADER, CLIENT_HEADER, "Host")
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Candidates:
@@ -204,7 +195,7 @@
             return messages.not_run(
                 404, messages.Reason.UNKNOWN_SERVICE, f"no service {service!r} in the policy"
             )
-        if not _is_ip(client):
+        if not caller_requests.is_ip(client):
             return messages.not_run(
                 400, messages.Reason.BAD_REQUEST, "client: expected an IP address"
             )
@@ -281,7 +272,12 @@
             return messages.not_run(
                 404, messages.Reason.UNKNOWN_SERVICE, f"no service {service!r} in the policy"
             )
-        parsed = await self._parse(http, policy.services[service])
+        parsed = await caller_requests.read(
+            http,
+            policy.services[service],
+            request_id=f"{self._me}/{next(self._request_ids)}",
+            clock=self._clock,
+        )
         if isinstance(parsed, messages.Answer):
             return parsed
         if parsed.deadline.expired:
@@ -308,54 +304,6 @@
         except TimeoutError:
             return messages.unknown(504, messages.Reason.DEADLINE)
 
-    async def _parse(
-        self, http: web.Request, service: model.Service
-    ) -> messages.Request | messages.Answer:
-        key = http.headers.get(KEY_HEADER, "")
-        if len(key) > MAX_KEY_CHARS:
-            return messages.not_run(
-                400,
-                messages.Reason.BAD_REQUEST,
-                f"{KEY_HEADER}: has {len(key)} characters, allowed are {MAX_KEY_CHARS}",
-            )
-        if not service.idempotent and not key:
-            return messages.not_run(
-                400, messages.Reason.KEY_REQUIRED, f"{service.name} requires {KEY_HEADER}"
-            )
-        deadline_ms = _deadline_ms(http, service)
-        if deadline_ms is None:
-            return messages.not_run(
-                400,
-                messages.Reason.BAD_REQUEST,
-                f"{DEADLINE_HEADER}: expected whole milliseconds up to {MAX_DEADLINE_MS}",
-            )
-        client = http.headers.get(CLIENT_HEADER, "") or http.remote or ""
-        if not _is_ip(client):
-            return messages.not_run(
-                400, messages.Reason.BAD_REQUEST, f"{CLIENT_HEADER}: expected an IP address"
-            )
-        deadline = retry.Deadline(clock=self._clock, remaining_s=deadline_ms / 1000)
-        body = await http.read()
-        path = _backend_path(http, service.name)
-        return messages.Request(
-            request_id=f"{self._me}/{next(self._request_ids)}",
-            service=service.name,
-            method=http.method,
-            path=path,
-            headers=tuple(
-                (name, value)
-                for name, value in http.headers.items()
-                if name.lower() not in _OWN_HEADERS or name.lower() == KEY_HEADER.lower()
-            ),
-            body=body,
-            deadline=deadline,
-            key=key if not service.idempotent else "",
-            client=client,
-            fingerprint=quarantine.fingerprint(
-                service=service.name, method=http.method, path=path, body=body
-            ),
-        )
-
     def _respond(self, answer: messages.Answer) -> web.Response:
         headers = [(OUTCOME_HEADER, answer.outcome.value), (SERVED_BY_HEADER, self._me.name)]
         if answer.outcome is messages.Outcome.RAN:
@@ -377,28 +325,3 @@
             body=json.dumps(body).encode(),
             content_type="application/json",
         )
-
-
-def _deadline_ms(http: web.Request, service: model.Service) -> int | None:
-    text = http.headers.get(DEADLINE_HEADER)
-    if text is None:
-        return service.deadline_ms
-    try:
-        value = int(text)
-    except ValueError:
-        return None
-    return value if value <= MAX_DEADLINE_MS else None
-
-
-def _backend_path(http: web.Request, service: str) -> str:
-    prefix = f"/v1/services/{service}"
-    path = http.raw_path
-    return (path[len(prefix) :] if path.startswith(prefix) else path) or "/"
-
-
-def _is_ip(text: str) -> bool:
-    try:
-        ipaddress.ip_address(text)
-    except ValueError:
-        return False
-    return True
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -24,7 +24,9 @@
     control_conversion,
     coordinator_task,
     directory,
+    joining,
     region_table,
+    suspicions,
 )
 from sassafrasway_platform import instances as instances_module
 from sassafrasway_platform import table as table_module
@@ -33,9 +35,7 @@
 TICK_S = 0.1
 HEARTBEAT_TIMEOUT_S = 0.5
 JOIN_RETRY_S = 0.5
-JOIN_ADDRESSES = 3
 QUICK_FAILURE_S = 0.2
-SUSPECT_RETRY_S = 0.2
 
 
 def _ignore_revision(revision: int, address: str) -> None:
@@ -91,13 +91,11 @@
     ):
         self._clock = clock
         self._row = region_table.RegionTable(table=table, region_name=me.region)
-        self._instance_list = instance_list
         self._peers = peers
         self._grants_sink = grants_sink
         self._pool_reports = pool_reports
         self._cap_demand = cap_demand
         self._revision_source = revision_source
-        self._seeds = tuple(seeds)
         self._on_revision = on_revision
         self._on_declared_gone = on_declared_gone
         self._rng = rng or random.Random()
@@ -125,6 +123,14 @@
             wake=lambda: self._wake.set(),
             rng=self._rng,
         )
+        self._joiner = joining.Joiner(
+            me=me,
+            peers=peers,
+            directory=self._directory,
+            instance_list=instance_list,
+            seeds=seeds,
+            rng=self._rng,
+        )
         self._won_epoch = 0
         self._sunk: list[region.PoolGrant] = []
         self._table_failed = False
@@ -132,7 +138,14 @@
         self._joined_s = float("-inf")
         self._wake = asyncio.Event()
         self._background = background.Background(name="member")
-        self._suspected_s: dict[str, float] = {}
+        self._suspicions = suspicions.SuspicionReporter(
+            me=me,
+            clock=clock,
+            directory=self._directory,
+            peers=peers,
+            background=self._background,
+            suspect_here=self._coordinator.suspect,
+        )
         peers.listen_for_refusals(self._on_refused)
         self._log = structlog.get_logger("member").bind(instance=str(me.id))
 
@@ -287,23 +300,7 @@
                 self._state.hurry()
                 self._wake.set()
             return
-        now = self._clock.monotonic()
-        target = self._directory.at_address(address)
-        if target is None or now < self._suspected_s.get(address, 0.0) + SUSPECT_RETRY_S:
-            return
-        self._suspected_s[address] = now
-        known = self._directory.region(target.region)
-        if known.coordinator.id == self.me.id:
-            self._coordinator.suspect(target.id)
-        else:
-            self._background.start(self._report_suspect(known.coordinator, target))
-
-    async def _report_suspect(self, leader: region.Instance, target: region.Instance) -> None:
-        try:
-            message = control_conversion.to_instance(target)
-            await self._peers.call(leader.rpc_address, "suspect", timeout_s=1.0, instance=message)
-        except errors.SassafraswayError as error:
-            self._log.debug("suspicion not reported", peer=error.peer, reason=error.message)
+        self._suspicions.report(address)
 
     def _follow_self(self, epoch: int) -> region.FollowReply:
         return self.on_follow(epoch=epoch, coordinator=self.me)
@@ -414,24 +411,6 @@
 
     async def _join(self) -> None:
         """Asks peers who coordinates the region while the table does not answer."""
-        for address in await self._join_addresses():
-            try:
-                received = await coordinator_task.call_directory(self._peers, address, known={})
-            except errors.SassafraswayError as error:
-                self._log.info("cannot join through peer", peer=address, reason=error.message)
-                continue
-            self._directory.update(received)
-            own = self._directory.region(self.me.region)
-            if own is not None:
-                self._hint(own.epoch, own.coordinator)
-                return
-
-    async def _join_addresses(self) -> list[str]:
-        addresses = set(self._seeds)
-        addresses |= {each.rpc_address for each in self._directory.instances()}
-        try:
-            addresses |= {each.address for each in await self._instance_list.fetch()}
-        except errors.SassafraswayError as error:
-            self._log.info("instance list not read", reason=error.message)
-        addresses.discard(self.me.rpc_address)
-        return self._rng.sample(sorted(addresses), min(JOIN_ADDRESSES, len(addresses)))
+        own = await self._joiner.find_region()
+        if own is not None:
+            self._hint(own.epoch, own.coordinator)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -10,16 +10,16 @@
 import aiohttp
 import structlog
 
-from sassafrasway_core import at_most_once, errors, invariants, model, placement, region, retry
+from sassafrasway_core import at_most_once, invariants, model, placement, region, retry
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import (
     admin_api,
     backend_client,
     caller_api,
     cap_limits,
+    closing,
     config_service,
     config_task,
-    control_conversion,
     control_service,
     dispatcher,
     dump,
@@ -29,6 +29,7 @@
     member_task,
     operator_service,
     outcomes,
+    owner_messages,
     peers,
     pools,
     recorder,
@@ -40,15 +41,12 @@
 from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
-CRASH_REPORT_TIMEOUT_S = 0.3
 PROPAGATION_S = 3.0  # time after which other instances know that this one is leaving
 READY_POLL_S = 0.05
 # The others free the links' shares of a new instance within about 2 s; without a coordinator none
 # comes, and an instance without shares can still answer lookups and serve its own region.
 LINK_SHARES_TIMEOUT_S = 4.0
 DRAIN_POLL_S = 0.05
-FLUSH_TRIES = 50
-FLUSH_INTERVAL_S = 0.2
 
 
 class EntryProcess:
@@ -173,17 +171,24 @@
     def _build_requests(self, host: str) -> None:
         me = self._me.id
         self._client = backend_client.BackendClient(local_host=host)
+        self._owner_messages = owner_messages.OwnerMessages(
+            me=me,
+            directory=self._directory,
+            peers=self._peers,
+            policy_source=lambda: self._steering.policy,
+            spawn=self._spawn,
+        )
         self._pools = pools.PoolManager(
             clock=self._clock,
             rng=self._rng,
             invariants=self._invariants,
             client=self._client,
             record=self._record,
-            report_crash=self._report_crash,
+            report_crash=self._owner_messages.report_crash,
             share_of=self._member.share,
             placement=self._placement,
             limits=self._limits,
-            on_slot_released=self._on_slot_released,
+            on_slot_released=self._owner_messages.on_slot_released,
             queue_limit=self._settings.limits.queue_limit,
         )
         self._steering = steering.Steering(region=self._me.region, clock=self._clock, rng=self._rng)
@@ -239,44 +244,6 @@
             directory=self._directory,
         )
 
-    async def _report_crash(self, service: str, fingerprint: str, server: str) -> None:
-        """Tells the owners of the service's other pools, before the request is repeated."""
-        policy = self._steering.policy
-        owners = {
-            owner.rpc_address
-            for key in (policy.pools() if policy else ())
-            if key.service == service
-            and (owner := self._directory.owner(key)) is not None
-            and owner.name != self._me.name
-        }
-        calls = [
-            self._peers.call(
-                address,
-                "report_crash",
-                timeout_s=CRASH_REPORT_TIMEOUT_S,
-                service_name=service,
-                fingerprint=fingerprint,
-                server=server,
-            )
-            for address in owners
-        ]
-        for result in await asyncio.gather(*calls, return_exceptions=True):
-            if isinstance(result, Exception):
-                self._log.warning("crash report not delivered", error=str(result))
-
-    def _on_slot_released(self, key: model.PoolKey, server_name: str) -> None:
-        """Tells the new owner of a pool that a request of this instance has ended."""
-        owner = self._directory.owner(key)
-        if owner is not None and owner.name != self._me.name:
-            self._spawn(self._send_release(owner.rpc_address, key, server_name), "release")
-
-    async def _send_release(self, address: str, key: model.PoolKey, server_name: str) -> None:
-        pool = control_conversion.to_pool(key)
-        try:
-            await self._peers.call(address, "release_slots", pool=pool, server=server_name, slots=1)
-        except errors.SassafraswayError as error:
-            self._log.info("release not delivered", peer=address, error=str(error))
-
     def _on_violation(self, rule: invariants.Rule, detail: str) -> None:
         self._metrics.violations.add(1, {"rule": rule.value})
         self._log.error("invariant violated", rule=rule.value, detail=detail)
@@ -385,8 +352,9 @@
 
     async def _shut_down(self) -> None:
         self._gatekeeper.close()
-        if await self._write_outcomes():
-            await self._write_closed_marker()
+        await closing.write_last_outcomes(
+            me=self._me.id, outcomes=self._outcomes, gatekeeper=self._gatekeeper
+        )
         await self._caller_api.stop()
         await self._config.settle()
         for task in list(self._tasks):
@@ -400,21 +368,6 @@
         self._metrics.shutdown()
         self._record.close()
 
-    async def _write_outcomes(self) -> bool:
-        for _ in range(FLUSH_TRIES):
-            if await self._outcomes.flush() and not self._gatekeeper.pending_updates:
-                return True
-            await asyncio.sleep(FLUSH_INTERVAL_S)
-        self._log.warning("outcomes not written", pending=self._outcomes.pending)
-        return False
-
-    async def _write_closed_marker(self) -> None:
-        try:
-            await self._outcomes.close(self._me.id)
-        except errors.UnavailableError as error:
-            # Without the marker, callers of unused tickets get "unknown" in place of an answer.
-            self._log.warning("closed marker not written", error=str(error))
-
     def _health(self) -> tuple[str, bool]:
         # Reported later than callers are served: the platform stops the next instance on this.
         return self._state.state, self._state.state == lifecycle.READY and self._is_settled
