--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -10,6 +10,8 @@
 BITS_PER_MBIT = 1_000_000
 MESSAGE_OVERHEAD_BYTES = 256  # Thrift framing, field heads and TCP/IP headers of a small message
 DEMAND_INTERVAL_S = 0.4
+# Demand is measured anew after this time also while no coordinator asks for it.
+LONGEST_DEMAND_INTERVAL_S = 2.0
 # A new coordinator gives nobody more until the shares of the earlier one have ended and left all
 # windows; the next heartbeats then bring shares that follow the demand.
 TAKEOVER_S = caps.SHARE_S + window.WINDOW_S + 1.0
@@ -131,6 +133,8 @@
         cap = self._caps.get(name)
         if cap is None:
             return 0.0
+        if self._clock.monotonic() - cap.since_s >= LONGEST_DEMAND_INTERVAL_S:
+            self._measure(cap)
         cap.window.set_limit(self._amount(name))
         if cap.window.try_take(amount):
             cap.taken += amount
--- a/packages/entry/tests/test_cap_limits.py
+++ b/packages/entry/tests/test_cap_limits.py
@@ -33,6 +33,14 @@
         """Guards against tries that draw the cap away from instances whose requests wait less."""
         self.assertEqual(self._demand_after("abc" + 20 * "c"), 3.0)
 
+    def test_refused_requests_are_forgotten_while_nobody_asks(self):
+        """Guards against memory that grows for as long as there is no coordinator."""
+        for number in range(600):
+            self.limits.take_region(str(number))
+            self.clock.advance(0.1)
+        self.assertLessEqual(len(self.limits._caps["region/bkk"].refused), 30)
+        self.assertAlmostEqual(self.limits.demand()["region/bkk"], 10.0, delta=1.0)
+
     def test_request_that_passes_later_counts_once(self):
         """Guards against counting both the refusal and the success of one request."""
         self.limits.demand()
