--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -221,7 +221,8 @@
         self._beacons: dict[str, _Announcement] = {}
         self._hints: dict[str, _Announcement] = {}
         self._started_s = time.monotonic()
-        self._silent_from_s: dict[str, float] = {}
+        self._announced_s: dict[str, float] = {}
+        self._lost_s: dict[str, float] = {}
         self._news = asyncio.Event()
 
     @property
@@ -230,8 +231,12 @@
         return self._news
 
     def informed(self, table_name: str) -> bool:
-        """Whether another instance of the region has announced a version of the table lately."""
-        return time.monotonic() < self._silence_begins_s(table_name)
+        """Whether another instance of the region has announced a version of the table lately.
+
+        This holds for a while after the readers lost the table: the next reader then follows before
+        anything counts as an outage.
+        """
+        return time.monotonic() < self._silent_from_s(table_name)
 
     def poll_times(self) -> PollTimes:
         """Returns the times of the next poll."""
@@ -257,10 +262,11 @@
         self._record(self._beacons, name, host, versions)
         now_s = time.monotonic()
         for table_name in versions:
-            self._silent_from_s[table_name] = now_s + BEACON_LIFETIME_S
+            self._announced_s[table_name] = now_s
+            self._lost_s.pop(table_name, None)
         for table_name in () if old is None else old.versions.keys() - versions.keys():
             if not self._is_announced(table_name, now_s):
-                self._silent_from_s[table_name] = now_s
+                self._lost_s[table_name] = now_s
         self._news.set()
 
     def on_hint(self, name: str, host: str, versions: dict[str, int]) -> None:
@@ -318,7 +324,8 @@
         if rank >= READERS_PER_REGION + MOST_TAKEOVERS:
             return False
         step_s = TAKEOVER_STEP_S * (rank - READERS_PER_REGION)
-        return time.monotonic() > self._silence_begins_s(table_name) + step_s
+        silent_from_s = self._silent_from_s(table_name)
+        return time.monotonic() > self._lost_s.get(table_name, silent_from_s) + step_s
 
     def audience(self, *, changed: bool) -> list[fleet.Member]:
         """Returns the instances to which announcements go.
@@ -337,8 +344,8 @@
                     audience.append(member)
         return audience
 
-    def _silence_begins_s(self, table_name: str) -> float:
-        return self._silent_from_s.get(table_name, self._started_s + BEACON_LIFETIME_S)
+    def _silent_from_s(self, table_name: str) -> float:
+        return self._announced_s.get(table_name, self._started_s) + BEACON_LIFETIME_S
 
     def _is_announced(self, table_name: str, now_s: float) -> bool:
         return any(
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -77,10 +77,14 @@
             self.assertTrue(all(role.informed("op") for role in roles))
             for role in roles:
                 role.on_beacon("i1", "i1", "north", {"servers": 1})
-            self.assertFalse(any(role.informed("op") for role in roles))
             self.assertTrue(all(role.informed("servers") for role in roles))
             now.return_value = 100.2
+            # trakia-arhiv hunt-edd6-15, DRAIN: counted as an outage from the moment of the loss, a
+            # change of readers became long enough for removed servers to be kept.
+            self.assertTrue(all(role.informed("op") for role in roles))
             reading = {name: sum(role.reads(name) for role in roles) for name in ("op", "servers")}
+            now.return_value = 100.0 + relay.BEACON_LIFETIME_S
+            self.assertFalse(any(role.informed("op") for role in roles))
         expected = {"op": relay.READERS_PER_REGION + 1, "servers": relay.READERS_PER_REGION}
         self.assertEqual(reading, expected)
 
