Install pbr before the packages that build without isolation

Cause: on aarch64 hdrhistogram has no wheel and is built from its source distribution. pip runs with --no-build-isolation, and without pbr in the environment the built metadata says version 0.0.0, so pip discards it and `make install` fails with ResolutionImpossible before any test. Ruled out: a missing release (0.10.8 is on the index). Conclusion: pbr is a build requirement and is installed with setuptools.

--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 
 $(STAMP): constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet -c constraints.txt setuptools hypothesis ruff
+	$(BIN)/python -m pip install --quiet -c constraints.txt setuptools pbr hypothesis ruff
 	$(BIN)/python -m pip install --quiet --no-build-isolation -c constraints.txt \
 		$(foreach p,$(PACKAGES),-e packages/$(p))
 	touch $@
