Reword the platform clients and their tests

Docstrings spoke of asked versions, lists that lag behind reality and answers where they meant response headers; error messages left out that a number is an HTTP status, and injected faults looked like real ones.

No behaviour changes.

--- a/packages/platform/src/sassafrasway_platform/__init__.py
+++ b/packages/platform/src/sassafrasway_platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients for the platform services that sassafrasway uses."""
+"""Clients of the platform services that sassafrasway uses."""
--- a/packages/platform/src/sassafrasway_platform/feed.py
+++ b/packages/platform/src/sassafrasway_platform/feed.py
@@ -1,4 +1,4 @@
-"""Abstract client of a store whose tables can be read at one version and then followed."""
+"""Abstract client of a store that offers snapshots of its tables and a feed of later changes."""
 
 import abc
 import dataclasses
@@ -8,15 +8,16 @@
 
 
 class HistoryLost(errors.SassafraswayError):
-    """The changes since the asked version are no longer known; the table must be read again."""
+    """The store has discarded changes since the requested version; the table must be read again."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Change:
-    """A row that was written or removed.
+    """One change of a row, or a row of a snapshot.
 
     Attributes:
-        value: New value; None when the row was removed.
+        value: Value of the row; None when it was removed.
+        version: Version of the store at which the row was written or removed.
     """
 
     key: str
@@ -26,14 +27,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Changes:
-    """Rows that changed up to a version, in order."""
+    """A snapshot of a table, or the changes since an earlier version in order.
+
+    Attributes:
+        version: Version of the store up to which the changes are complete.
+    """
 
     rows: Sequence[Change]
     version: int
 
 
 class FollowedStore(abc.ABC):
-    """Tables that every instance follows, and rows that an instance writes about itself."""
+    """Store whose tables every instance follows, and in which it writes its own rows."""
 
     @abc.abstractmethod
     async def read(self, table_name: str) -> Changes:
@@ -47,22 +52,22 @@
     async def changes(
         self, table_name: str, *, after: int, wait_s: float, timeout_s: float
     ) -> Changes:
-        """Returns what changed after a version, waiting for the first change.
+        """Returns the changes after a version; waits when there are none yet.
 
         Args:
             table_name: Table to read.
-            after: Newest version that is known.
-            wait_s: Longest time that the store waits for a change, s.
+            after: Newest version that the caller knows.
+            wait_s: Longest time that the store waits for a first change, s.
             timeout_s: Time after which the store counts as unavailable, s.
 
         Raises:
-            HistoryLost: The history since ``after`` was discarded.
+            HistoryLost: The store has discarded changes since ``after``.
             table.StoreUnavailable: The store did not answer.
         """
 
     @abc.abstractmethod
     async def write(self, table_name: str, key: str, value: bytes | None) -> None:
-        """Writes a row, or removes it with None.
+        """Writes a row, or removes it when the value is None.
 
         Raises:
             table.StoreUnavailable: The store did not answer; the effect is unknown.
--- a/packages/platform/src/sassafrasway_platform/http.py
+++ b/packages/platform/src/sassafrasway_platform/http.py
@@ -63,14 +63,14 @@
         Args:
             method: HTTP method.
             path: Encoded path and query.
-            step: Step that an error names.
-            accept: Statuses that the caller handles.
+            step: Value of ``step`` in the errors that are raised.
+            accept: Statuses that are returned; others raise an error.
             headers: Request headers.
             data: Request body.
 
         Raises:
             table.PreconditionFailed: Status 412.
-            table.StoreUnavailable: No complete answer, or a status that leaves the effect unknown.
+            table.StoreUnavailable: No complete answer, or another status; the effect is unknown.
             errors.ValidationError: The service refuses the request as invalid.
         """
         url = yarl.URL(self._base_url + path, encoded=True)
@@ -87,11 +87,15 @@
         if status in accept:
             return status, response.headers, body
         if status == 412:
-            raise table.PreconditionFailed("version does not match", step=step, peer=self.peer)
+            raise table.PreconditionFailed(
+                "row does not have the expected version", step=step, peer=self.peer
+            )
         if status in (400, 404, 405, 413, 414, 431):
             text = body[:200].decode(errors="replace")
-            raise errors.ValidationError(f"status {status}: {text}", step=step, peer=self.peer)
-        raise self._unavailable(f"status {status}", step)
+            raise errors.ValidationError(
+                f"request rejected with HTTP status {status}: {text}", step=step, peer=self.peer
+            )
+        raise self._unavailable(f"unexpected HTTP status {status}", step)
 
     def _unavailable(self, message: str, step: str) -> table.StoreUnavailable:
         return table.StoreUnavailable(message, step=step, peer=self.peer)
@@ -107,14 +111,14 @@
         """See base class."""
         step = "table.get"
         headers = {} if known is None else {"If-None-Match": _entity_tag(known.version)}
-        status, answer, body = await self._client.request(
+        status, response_headers, body = await self._client.request(
             "GET", _row_path(key), step=step, accept=(200, 304, 404), headers=headers
         )
         if status == 404:
             return None
         if status == 304 and known is not None:
             return known
-        return table.Row(key=key, value=body, version=self._version(answer, step))
+        return table.Row(key=key, value=body, version=self._version(response_headers, step))
 
     async def put(self, key: str, value: bytes, *, if_version: str | table.Absent) -> table.Row:
         """See base class."""
@@ -123,10 +127,10 @@
             headers = {"If-None-Match": "*"}
         else:
             headers = {"If-Match": _entity_tag(if_version)}
-        _, answer, _ = await self._client.request(
+        _, response_headers, _ = await self._client.request(
             "PUT", _row_path(key), step=step, accept=(200, 201, 204), headers=headers, data=value
         )
-        return table.Row(key=key, value=value, version=self._version(answer, step))
+        return table.Row(key=key, value=value, version=self._version(response_headers, step))
 
     async def transact(self, writes: Sequence[table.Write]) -> list[table.Row]:
         """See base class."""
@@ -152,7 +156,7 @@
         if len(tag) > 2 and tag.startswith('"') and tag.endswith('"'):
             return tag[1:-1]
         raise table.StoreUnavailable(
-            f"answer has no strong ETag, but {tag!r}", step=step, peer=self._client.peer
+            f"answer has no valid strong ETag: {tag!r}", step=step, peer=self._client.peer
         )
 
     def _rows(self, body: bytes, step: str) -> list[table.Row]:
--- a/packages/platform/src/sassafrasway_platform/instances.py
+++ b/packages/platform/src/sassafrasway_platform/instances.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ListedInstance:
-    """One entry of the list.
+    """One instance in the list.
 
     Attributes:
         address: ``host:port`` of the instance's RPC server.
@@ -27,12 +27,12 @@
 
 
 class InstanceList(abc.ABC):
-    """List of instances; it lags behind reality."""
+    """List of instances; it may be out of date."""
 
     @abc.abstractmethod
     async def fetch(self) -> list[ListedInstance]:
         """Returns the current list.
 
         Raises:
-            table.StoreUnavailable: The list did not answer.
+            table.StoreUnavailable: The service did not answer.
         """
--- a/packages/platform/src/sassafrasway_platform/memory.py
+++ b/packages/platform/src/sassafrasway_platform/memory.py
@@ -10,14 +10,14 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Faults:
-    """Faults of one client's access to a fake.
+    """Faults that are injected into the calls of one client of a fake.
 
     Attributes:
         down: Every call fails without an effect.
-        delay_s: Every call takes this long before its effect, in seconds.
-        lost_answers: Number of coming writes that take effect but whose answer is lost.
-        down_after_write: The next write takes effect, but its answer is lost and ``down`` is set.
-        stale: The instance list keeps the content that it had when this was set.
+        delay_s: Delay of every call before its effect, in seconds.
+        lost_answers: Number of following writes that take effect, but fail as unanswered.
+        down_after_write: The next write takes effect, but fails as unanswered and sets ``down``.
+        stale: The instance list keeps returning what the last call before this was set returned.
     """
 
     down: bool = False
@@ -32,28 +32,30 @@
         Raises:
             table.StoreUnavailable: The fake is down.
         """
-        # Also without a delay other tasks run here, as they do while a real call waits.
+        # Other tasks run here even when the delay is 0, as they do during a real call.
         await asyncio.sleep(self.delay_s)
         if self.down:
-            raise table.StoreUnavailable("down", step=step, peer="memory")
+            raise table.StoreUnavailable("injected fault: down", step=step, peer="memory")
 
     def after_write(self, step: str) -> None:
-        """Loses the answer of a write that took effect.
+        """Fails a write that took effect, if a fault asks for it.
 
         Raises:
-            table.StoreUnavailable: The answer is lost.
+            table.StoreUnavailable: The answer of this write is lost.
         """
         if self.down_after_write:
             self.down_after_write = False
             self.down = True
-            raise table.StoreUnavailable("answer lost", step=step, peer="memory")
+            raise table.StoreUnavailable("injected fault: answer lost", step=step, peer="memory")
         if self.lost_answers > 0:
             self.lost_answers -= 1
-            raise table.StoreUnavailable("answer lost", step=step, peer="memory")
+            raise table.StoreUnavailable("injected fault: answer lost", step=step, peer="memory")
 
 
 @dataclasses.dataclass(slots=True)
 class _Rows:
+    """Rows shared by all clients of one fake table."""
+
     by_key: dict[str, table.Row] = dataclasses.field(default_factory=dict)
     versions: itertools.count = dataclasses.field(default_factory=lambda: itertools.count(1))
 
@@ -116,8 +118,8 @@
                     f"row {write.key} has version {version}", step=step, peer="memory"
                 )
         rows = [
-            table.Row(key=each.key, value=each.value, version=str(next(self._rows.versions)))
-            for each in writes
+            table.Row(key=write.key, value=write.value, version=str(next(self._rows.versions)))
+            for write in writes
         ]
         self._rows.by_key.update((row.key, row) for row in rows)
         self.faults.after_write(step)
@@ -149,15 +151,15 @@
     def __init__(self, listed: Sequence[instances.ListedInstance] = ()):
         self.faults = Faults()
         self._listed = list(listed)
-        self._shown = list(listed)
+        self._returned = list(listed)
 
     def set_listed(self, listed: Sequence[instances.ListedInstance]) -> None:
-        """Changes the list; it shows once ``faults.stale`` is not set."""
+        """Replaces the list; ``fetch`` returns the new one unless ``faults.stale`` is set."""
         self._listed = list(listed)
 
     async def fetch(self) -> list[instances.ListedInstance]:
         """See base class."""
         await self.faults.before("instances.fetch")
         if not self.faults.stale:
-            self._shown = list(self._listed)
-        return list(self._shown)
+            self._returned = list(self._listed)
+        return list(self._returned)
--- a/packages/platform/src/sassafrasway_platform/objects.py
+++ b/packages/platform/src/sassafrasway_platform/objects.py
@@ -5,7 +5,7 @@
 
 
 class ObjectStore(abc.ABC):
-    """Immutable objects that are named by the hash of their content."""
+    """Store of immutable objects that are named by the hash of their content."""
 
     @abc.abstractmethod
     async def get(self, name: str) -> bytes | None:
--- a/packages/platform/src/sassafrasway_platform/table.py
+++ b/packages/platform/src/sassafrasway_platform/table.py
@@ -11,7 +11,7 @@
 
 
 class Absent(enum.Enum):
-    """Type of ``ABSENT``."""
+    """Type of the sentinel ``ABSENT``."""
 
     ABSENT = "absent"
 
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
-    """One row; every write gives it a new version."""
+    """One row of the table; every write gives it a new version."""
 
     key: str
     value: bytes
@@ -51,7 +51,7 @@
 
 
 class TableService(abc.ABC):
-    """Rows of bytes with conditional writes."""
+    """Table of rows that hold bytes, with conditional writes and transactions."""
 
     @abc.abstractmethod
     async def get(self, key: str, *, known: Row | None = None) -> Row | None:
@@ -59,8 +59,8 @@
 
         Args:
             key: Key of the row.
-            known: The row as last read; returned as it is when the version is still the same, so
-                that a poll of a large row costs no transfer.
+            known: The row as last read; returned when its version is unchanged, so that polling
+                a large row does not transfer it again.
 
         Raises:
             StoreUnavailable: The store did not answer.
@@ -86,7 +86,7 @@
 
     @abc.abstractmethod
     async def scan(self, prefix: str) -> list[Row]:
-        """Returns all rows whose key starts with ``prefix``, in order of key.
+        """Returns all rows whose key starts with ``prefix``, sorted by key.
 
         Raises:
             StoreUnavailable: The store did not answer.
@@ -94,10 +94,11 @@
 
 
 def check_key(key: str) -> None:
-    """Checks that a key can be part of a URL path.
+    """Checks that a key is short, printable and keeps its meaning in a URL path.
 
     Raises:
-        errors.ValidationError: The key is empty, too long, or has an empty or dot segment.
+        errors.ValidationError: The key is empty, too long, has an empty or dot segment, or has
+            unprintable characters.
     """
     segments = key.split("/")
     if any(segment in ("", ".", "..") for segment in segments):
--- a/packages/platform/tests/test_platform_clients.py
+++ b/packages/platform/tests/test_platform_clients.py
@@ -12,7 +12,10 @@
 
 
 class _Server:
-    """Answers with prepared responses and records the requests."""
+    """Server that returns prepared responses in order and records the requests.
+
+    A response is a status, headers and a body; None closes the connection without an answer.
+    """
 
     def __init__(self):
         self.requests = []
@@ -30,6 +33,8 @@
 
 
 class HttpTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of the HTTP adapters against a local server."""
+
     async def asyncSetUp(self):
         self.fake = _Server()
         application = web.Application()
@@ -59,7 +64,11 @@
         self.assertEqual(row, table.Row(key="claims/crew desk/k", value=b"2", version="8"))
 
     async def test_definite_and_ambiguous_failures_of_a_write(self):
-        """Guards against taking an unknown effect for a refusal, or the reverse."""
+        """Guards against taking a write of unknown effect for a refused one, or the reverse.
+
+        A status from an overloaded or failing server, a success without a version and a closed
+        connection leave the effect of a write unknown.
+        """
         cases = [
             ((412, {}, b""), table.PreconditionFailed),
             ((400, {}, b"bad"), errors.ValidationError),
@@ -77,7 +86,7 @@
                 self.assertEqual(caught.exception.peer, f"127.0.0.1:{self.server.port}")
 
     async def test_get_distinguishes_absent_and_unchanged(self):
-        """Guards against an absent row being taken for an outage, and against needless transfer."""
+        """Guards against taking an absent row for an outage, and transferring an unchanged row."""
         known = table.Row(key="a", value=b"v", version="3")
         self.fake.responses = [(404, {}, b""), (304, {"ETag": '"3"'}, b"")]
         self.assertIsNone(await self.table.get("a"))
@@ -85,7 +94,7 @@
         self.assertEqual(self.fake.requests[1][2]["If-None-Match"], '"3"')
 
     async def test_transaction_and_scan(self):
-        """Guards against a change of the documented JSON bodies."""
+        """Guards against JSON bodies that differ from the documented format of the service."""
         rows = [{"key": "a", "value_base64": base64.b64encode(b"1").decode(), "version": "4"}]
         body = json.dumps({"rows": rows}).encode()
         self.fake.responses = [(200, {}, body), (200, {}, body), (200, {}, b"{}")]
@@ -100,7 +109,7 @@
             await self.table.scan("a")
 
     async def test_objects_and_instances(self):
-        """Guards against a malformed list that stops the poller with an untyped error."""
+        """Guards against an unexpected exception that stops the poller on a malformed list."""
         listed = {"name": "e1", "address": "127.0.0.1:1", "failure_domain": "bkk-a"}
         self.fake.responses = [
             (404, {}, b""),
@@ -114,15 +123,17 @@
             await self.instances.fetch()
 
     async def test_dot_segments_are_refused(self):
-        """Guards against a key that names another row after the path is normalised."""
+        """Guards against a key that addresses another row once a server normalises the URL path."""
         for key in ("claims/s/../x", "a//b", "", "a/\n"):
             with self.subTest(key=key), self.assertRaises(errors.ValidationError):
                 await self.table.get(key)
 
 
 class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of the in-memory fakes, on which the tests of other packages rely."""
+
     async def test_transaction_is_all_or_none(self):
-        """Guards against a fake that hides partly written transactions."""
+        """Guards against a fake that writes part of a transaction whose condition fails."""
         fake = memory.MemoryTable()
         await fake.put("b", b"0", if_version=table.ABSENT)
         writes = [table.Write(key=key, value=b"1", if_version=table.ABSENT) for key in "ab"]
@@ -131,7 +142,7 @@
         self.assertEqual([row.key for row in await fake.scan("")], ["b"])
 
     async def test_lost_answer_takes_effect_and_down_does_not(self):
-        """Guards against a fault injection that does not show the ambiguity."""
+        """Guards against fault injection that fails all writes without an effect, or none."""
         fake = memory.MemoryTable()
         fake.faults.lost_answers = 1
         with self.assertRaises(table.StoreUnavailable):
@@ -142,7 +153,7 @@
         self.assertEqual([row.key for row in await fake.view().scan("")], ["a"])
 
     async def test_stale_list(self):
-        """Guards against a fake list that never lags."""
+        """Guards against a fake instance list that ignores ``faults.stale``."""
         old = instances.ListedInstance(name="e", address="127.0.0.1:1", failure_domain="d")
         fake = memory.MemoryInstances([old])
         fake.faults.stale = True
