Reword the RPC transport, the Thrift comments and their tests

The client called its liveness probe "watching for silence", log events did not say what happened, and several Thrift fields and structs had no comment or a vague one.

Private members of the client are named after calls and probes, log events and errors state the cause, and the Thrift comments use the terms of the protocol. The Thrift files are unchanged apart from comments.

--- a/packages/rpc/src/sassafrasway_rpc/client.py
+++ b/packages/rpc/src/sassafrasway_rpc/client.py
@@ -1,4 +1,4 @@
-"""RPC client: one connection to a peer, many calls at a time."""
+"""RPC client that multiplexes concurrent calls over one connection to a peer."""
 
 import asyncio
 import itertools
@@ -10,15 +10,15 @@
 from sassafrasway_rpc import codec, server
 
 CONNECT_TIMEOUT_S = 1.0
-# A connection with calls in progress is probed after this time without a frame, and given up after
-# as much time again.
-SILENCE_S = 0.3
-WATCH_INTERVAL_S = 0.1
+# A connection with pending calls is probed when no frame arrived for this long, and closed when
+# none arrives for as long again after the probe.
+SILENCE_TIMEOUT_S = 0.3
+SILENCE_CHECK_INTERVAL_S = 0.1
 MAX_SEQUENCE_ID = 2**31 - 1
 
 
 class CallNotSentError(errors.UnavailableError):
-    """The call failed before any of its bytes left, so the peer has not seen it."""
+    """The call failed before any of its bytes were sent, so the peer has not received it."""
 
 
 class ConnectionRefusedByPeerError(CallNotSentError):
@@ -28,8 +28,8 @@
 class RpcClient:
     """Calls the methods of Thrift services at one peer.
 
-    Reconnects on the next call after the connection was lost. Every call has its own timeout; a
-    reply that arrives after it is dropped.
+    After a lost connection, the next call opens a new one. Each call has its own timeout; a reply
+    that arrives later is dropped.
 
     Args:
         address: ``host:port`` of the peer.
@@ -42,12 +42,12 @@
         self._service = service
         self._timeout_s = timeout_s
         self._sequence = itertools.count(1)
-        self._waiting: dict[int, asyncio.Future] = {}
+        self._pending_calls: dict[int, asyncio.Future] = {}
         self._writer: asyncio.StreamWriter | None = None
         self._reader_task: asyncio.Task | None = None
-        self._connecting = asyncio.Lock()
+        self._connect_lock = asyncio.Lock()
         self._last_frame_s = 0.0
-        self._watch_task: asyncio.Task | None = None
+        self._probe_task: asyncio.Task | None = None
 
     @property
     def address(self) -> str:
@@ -55,18 +55,18 @@
         return self._address
 
     async def call(self, method: str, *, timeout_s: float | None = None, **arguments: Any) -> Any:
-        """Calls a method and returns its result; a oneway method returns None once it is sent.
+        """Calls a method and returns its result; a oneway call returns None once it is written.
 
         Raises:
-            CallNotSentError: The peer was not reached; it has not seen the call.
-            errors.UnavailableError: The peer did not answer; it may have seen the call.
+            CallNotSentError: The peer was not reached; it has not received the call.
+            errors.UnavailableError: The peer did not answer; it may have received the call.
             errors.SassafraswayError: The peer reported an error.
         """
-        limit_s = self._timeout_s if timeout_s is None else timeout_s
+        call_timeout_s = self._timeout_s if timeout_s is None else timeout_s
         payload = getattr(self._service, f"{method}_args")(**arguments)
         result_type = getattr(self._service, f"{method}_result")
         oneway = getattr(result_type, "oneway", False)
-        writer = await self._connect(limit_s)
+        writer = await self._connect(call_timeout_s)
         sequence_id = next(self._sequence) % MAX_SEQUENCE_ID
         kind = thrift.TMessageType.ONEWAY if oneway else thrift.TMessageType.CALL
         head = codec.MessageHead(name=method, kind=kind, sequence_id=sequence_id)
@@ -75,43 +75,43 @@
             writer.write(frame)
             return None
         future = asyncio.get_running_loop().create_future()
-        self._waiting[sequence_id] = future
-        self._watch(writer)
+        self._pending_calls[sequence_id] = future
+        self._start_probing(writer)
         try:
             writer.write(frame)
-            body = await asyncio.wait_for(future, limit_s)
+            body = await asyncio.wait_for(future, call_timeout_s)
         except TimeoutError:
             raise errors.UnavailableError(
-                f"no answer within {limit_s:.3f} s", step=f"rpc.{method}", peer=self._address
+                f"no answer within {call_timeout_s:.3f} s", step=f"rpc.{method}", peer=self._address
             ) from None
         finally:
-            self._waiting.pop(sequence_id, None)
-        return self._result(method, result_type, body)
+            self._pending_calls.pop(sequence_id, None)
+        return self._decode_result(method, result_type, body)
 
     async def close(self) -> None:
-        """Closes the connection; calls that wait fail."""
-        for task in (self._reader_task, self._watch_task):
+        """Closes the connection; pending calls fail."""
+        for task in (self._reader_task, self._probe_task):
             if task is not None:
                 task.cancel()
-        self._disconnect("connection closed")
+        self._disconnect("client closed the connection")
 
-    def _watch(self, writer: asyncio.StreamWriter) -> None:
-        if self._watch_task is None or self._watch_task.done():
+    def _start_probing(self, writer: asyncio.StreamWriter) -> None:
+        if self._probe_task is None or self._probe_task.done():
             self._last_frame_s = asyncio.get_running_loop().time()
-            self._watch_task = asyncio.create_task(self._find_silence(writer))
+            self._probe_task = asyncio.create_task(self._probe_connection(writer))
 
-    async def _find_silence(self, writer: asyncio.StreamWriter) -> None:
-        """Probes the connection while calls wait, and drops it when nothing comes back.
+    async def _probe_connection(self, writer: asyncio.StreamWriter) -> None:
+        """Probes the connection while calls are pending, and closes it when the probe fails.
 
-        Something between the two ends may have lost track of the connection. Calls that wait on it
-        would otherwise learn that only from their own timeouts.
+        A device on the path may have lost the state of the connection without closing it. Pending
+        calls would otherwise notice that only through their own timeouts.
         """
         loop = asyncio.get_running_loop()
         probed_s = None
-        while self._waiting and self._writer is writer:
-            await asyncio.sleep(WATCH_INTERVAL_S)
+        while self._pending_calls and self._writer is writer:
+            await asyncio.sleep(SILENCE_CHECK_INTERVAL_S)
             now_s = loop.time()
-            if now_s - self._last_frame_s < SILENCE_S:
+            if now_s - self._last_frame_s < SILENCE_TIMEOUT_S:
                 probed_s = None
             elif probed_s is None:
                 probed_s = now_s
@@ -119,19 +119,20 @@
                     name=codec.PING, kind=thrift.TMessageType.CALL, sequence_id=0
                 )
                 writer.write(codec.encode(head=head, payload=codec.Empty()))
-            elif now_s - probed_s >= SILENCE_S and self._writer is writer:
-                # Aborting drops what the kernel has not delivered, so that it cannot arrive late.
+            elif now_s - probed_s >= SILENCE_TIMEOUT_S and self._writer is writer:
+                # Aborting discards data that the kernel has not delivered yet; a call that is
+                # reported as failed here must not reach the peer later.
                 writer.transport.abort()
-                self._disconnect("connection is silent")
+                self._disconnect("connection is silent: no answer to a probe")
 
-    async def _connect(self, limit_s: float) -> asyncio.StreamWriter:
-        async with self._connecting:
+    async def _connect(self, timeout_s: float) -> asyncio.StreamWriter:
+        async with self._connect_lock:
             if self._writer is not None and not self._writer.is_closing():
                 return self._writer
             host, _, port = self._address.rpartition(":")
             try:
                 reader, writer = await asyncio.wait_for(
-                    asyncio.open_connection(host, int(port)), min(limit_s, CONNECT_TIMEOUT_S)
+                    asyncio.open_connection(host, int(port)), min(timeout_s, CONNECT_TIMEOUT_S)
                 )
             except ConnectionRefusedError as error:
                 raise ConnectionRefusedByPeerError(
@@ -139,20 +140,24 @@
                 ) from error
             except (OSError, TimeoutError) as error:
                 raise CallNotSentError(
-                    f"cannot connect: {error or 'timeout'}", step="rpc.connect", peer=self._address
+                    f"cannot open a connection: {error or 'timeout'}",
+                    step="rpc.connect",
+                    peer=self._address,
                 ) from error
             self._writer = writer
-            self._reader_task = asyncio.create_task(self._read(reader, writer))
+            self._reader_task = asyncio.create_task(self._read_replies(reader, writer))
             return writer
 
-    async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _read_replies(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         reason = "connection lost"
         try:
             while True:
                 body = await server.read_frame(reader, peer=self._address)
                 if body is None:
                     break
-                self._dispatch(body)
+                self._complete_call(body)
         except errors.ValidationError as error:
             reason = error.message
         finally:
@@ -160,10 +165,10 @@
             if self._writer is writer:
                 self._disconnect(reason)
 
-    def _dispatch(self, body: bytes) -> None:
+    def _complete_call(self, body: bytes) -> None:
         self._last_frame_s = asyncio.get_running_loop().time()
         head = codec.Decoder(body=body, peer=self._address).read_head()
-        future = self._waiting.get(head.sequence_id)
+        future = self._pending_calls.get(head.sequence_id)
         if future is not None and not future.done():
             future.set_result(body)
 
@@ -171,13 +176,13 @@
         if self._writer is not None:
             self._writer.close()
             self._writer = None
-        for future in self._waiting.values():
+        for future in self._pending_calls.values():
             if not future.done():
                 future.set_exception(
                     errors.UnavailableError(reason, step="rpc.read", peer=self._address)
                 )
 
-    def _result(self, method: str, result_type: type, body: bytes) -> Any:
+    def _decode_result(self, method: str, result_type: type, body: bytes) -> Any:
         decoder = codec.Decoder(body=body, peer=self._address)
         head = decoder.read_head()
         step = f"rpc.{method}"
--- a/packages/rpc/src/sassafrasway_rpc/codec.py
+++ b/packages/rpc/src/sassafrasway_rpc/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of Thrift messages in the strict binary protocol."""
+"""Encoding and decoding of framed Thrift messages in the strict binary protocol."""
 
 import dataclasses
 from typing import Any, ClassVar
@@ -10,7 +10,7 @@
 from sassafrasway_core import errors
 
 FRAME_HEADER_BYTES = 4
-# Method that every server answers at once, so that a client can tell a silent connection.
+# Method that every server answers at once; clients call it to probe a connection.
 PING = "ping"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
@@ -25,7 +25,7 @@
 
 
 def encode(*, head: MessageHead, payload: Any) -> bytes:
-    """Returns one frame: its length and the message."""
+    """Returns a frame: the length of the message, then the message."""
     buffer = memory.TCyMemoryBuffer()
     protocol = cybin.TCyBinaryProtocol(buffer, strict_write=True)
     protocol.write_message_begin(head.name, head.kind, head.sequence_id)
@@ -36,7 +36,7 @@
 
 
 class Empty(thrift.TPayload):
-    """Payload without fields."""
+    """Thrift struct without fields, for probes and their answers."""
 
     thrift_spec: ClassVar[dict] = {}
     default_spec: ClassVar[list] = []
@@ -48,7 +48,7 @@
     def __init__(self, *, body: bytes, peer: str):
         self._peer = peer
         # A TCyMemoryBuffer trusts the lengths in a message and allocates up to 2 GiB for a short
-        # malformed one; the buffered transport fails on a length behind the end of the frame.
+        # malformed one; the buffered transport fails on a length beyond the end of the frame.
         transport = buffered.TCyBufferedTransport(memory.TMemoryBuffer(body))
         self._protocol = cybin.TCyBinaryProtocol(transport, strict_read=True)
 
--- a/packages/rpc/src/sassafrasway_rpc/common.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/common.thrift
@@ -1,11 +1,12 @@
 // Types that several services share. Field numbers are never reused.
 
+// An HTTP header field.
 struct Header {
   1: string name
   2: string value
 }
 
-// One entry instance. A restart of the same name has a new incarnation.
+// One entry instance. Each start of the process gets a new incarnation.
 struct Instance {
   1: string name
   2: string incarnation
@@ -16,10 +17,11 @@
   7: string state            // live or leaving
 }
 
-// Any error that the called side reports on purpose.
+// An error that the called side reports. An unexpected failure of a handler arrives as
+// TApplicationException instead.
 exception RpcError {
   1: string code             // validation, conflict, not_found, unavailable, not_owner, internal
   2: string message
-  3: string step
-  4: string peer
+  3: string step             // operation that failed, such as config.apply
+  4: string peer             // other side of that operation; empty when there is none
 }
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -1,5 +1,5 @@
 // Region control: heartbeats of members, grants of the coordinator, directories of all regions.
-// Times are seconds; a stamp is meaningful only to the instance that made it.
+// Times are in seconds. A timestamp is comparable only with others of the instance that made it.
 
 include "common.thrift"
 
@@ -9,35 +9,37 @@
   3: i32 shard
 }
 
-// What an instance tells about one pool.
+// An instance's report on one pool that it may use.
 struct PoolReport {
   1: PoolId pool
   2: string share            // share in force: none, offline, reduced, full
-  3: map<string, i32> in_use // slots in use by server
-  4: double rate_per_s
+  3: map<string, i32> in_use // number of slots in use by server name
+  4: double rate_per_s       // requests received for the pool
   5: i32 queue_length
-  6: double busy_s           // time until the deadlines of the requests on these slots have passed
+  6: double busy_s           // time until the deadlines of the requests in these slots have passed
 }
 
+// The right to use a share of a pool.
 struct PoolGrant {
   1: PoolId pool
   2: string share
-  3: map<string, i32> inherited // slots that the previous owner last reported as in use
-  4: string previous_name
+  3: map<string, i32> inherited // slots by server name that the previous owner last reported in use
+  4: string previous_name    // the previous owner, which these slots belong to
   5: string previous_incarnation
-  6: double inherited_s      // time until the deadlines of the requests on these slots have passed
+  6: double inherited_s      // time until the deadlines of the requests in these slots have passed
 }
 
-// What a holder would use of a cap and which share of it is in force.
+// An instance's demand for a cap, and the share of the cap that it holds.
 struct CapReport {
   1: string name             // name of the cap
-  2: double demand           // in the unit of the cap
+  2: double demand           // amount that the instance would use, in the unit of the cap
   3: i64 sequence            // sequence of the share in force
-  4: double amount           // amount of the last share, expired or not
-  5: double remaining_s      // time until it expires, negative when it has expired
-  6: double offline          // limit after it has expired
+  4: double amount           // amount of the latest share, also when it has expired
+  5: double remaining_s      // time until the share expires; negative when it has expired
+  6: double offline          // limit after the share has expired
 }
 
+// A part of a cap that one instance may use for a limited time.
 struct CapShare {
   1: string name
   2: i64 sequence
@@ -46,6 +48,7 @@
   5: double valid_s          // time after the heartbeat was sent at which the share expires
 }
 
+// The instance that owns a pool.
 struct PoolOwner {
   1: PoolId pool
   2: string name
@@ -56,14 +59,14 @@
 struct RegionDirectory {
   1: string region
   2: i64 epoch
-  3: i64 version             // grows within an epoch
+  3: i64 version             // increases within an epoch
   4: common.Instance coordinator
   5: list<common.Instance> instances
   6: list<PoolOwner> owners
-  7: list<common.Instance> gone // name and incarnation only
+  7: list<common.Instance> gone // former instances; only name and incarnation are set
 }
 
-// Which state of a region's directory the sender has.
+// Version of a region's directory that the sender has.
 struct DirectoryVersion {
   1: string region
   2: i64 epoch
@@ -73,39 +76,42 @@
 struct HeartbeatRequest {
   1: common.Instance sender
   2: i64 epoch               // highest epoch that the sender follows
-  3: bool promise            // the sender will not become a candidate for 3 s
-  4: double echo_s           // stamp of the latest reply of this epoch; not set before the first
-  5: i64 applied_seq         // number of the latest reply of this epoch that was applied
+  3: bool promise            // the sender promises not to become a candidate for 3 s
+  4: double echo_s           // stamp_s of the latest reply of this epoch; not set before the first
+  5: i64 applied_seq         // seq of the latest reply of this epoch that the sender applied
   6: list<PoolReport> pools
   7: list<CapReport> caps
-  8: i64 directory_mark      // mark of the latest reply of this epoch
+  8: i64 directory_mark      // directory_mark of the latest reply of this epoch
   9: i64 revision            // policy revision in force
 }
 
 struct HeartbeatReply {
   1: i64 epoch
   2: common.Instance coordinator
-  3: bool accepted           // false: follow the epoch first; grants are not affected
-  4: i64 seq
-  5: double stamp_s
-  6: list<PoolGrant> grants  // all pools that the sender may use
-  7: double settled_s        // time in which only recorded members hold grants
+  3: bool accepted           // false: follow the epoch first; the grants are not affected
+  4: i64 seq                 // number of the reply within the epoch
+  5: double stamp_s          // coordinator's clock when it replied
+  6: list<PoolGrant> grants  // all pools that the sender may use; it must drop every other pool
+  7: double settled_s        // time after the heartbeat was sent in which only members that are
+                             // recorded in the table hold grants
   8: list<CapShare> cap_shares
-  9: list<RegionDirectory> directories // those that changed since directory_mark
-  10: i64 directory_mark
+  9: list<RegionDirectory> directories // those that changed since the request's directory_mark
+  10: i64 directory_mark     // the sender returns it in its next heartbeat
   11: i64 revision           // policy revision of the coordinator
-  12: bool gone              // the sender was taken for gone and must give up all that it holds
+  12: bool gone              // the sender was declared gone and must release all that it holds
 }
 
+// A member's answer to a new coordinator; epoch is the one that the member follows.
 struct FollowReply {
   1: common.Instance sender
   2: i64 epoch
   3: list<PoolReport> pools
 }
 
+// The instance that answers at an address.
 struct Identity {
   1: common.Instance instance
-  2: i64 epoch               // epoch that the instance follows, 0 when none
+  2: i64 epoch               // epoch that the instance follows; 0 when it follows none
   3: common.Instance coordinator
 }
 
@@ -113,25 +119,26 @@
   // Renews the sender's promise and grants.
   HeartbeatReply heartbeat(1: HeartbeatRequest request) throws (1: common.RpcError error)
 
-  // Announces the coordinator of an epoch; also asks a follower for a heartbeat at once.
+  // Announces the coordinator of an epoch; asks a member that follows it for a heartbeat at once.
   FollowReply follow(1: i64 epoch, 2: common.Instance coordinator)
       throws (1: common.RpcError error)
 
-  // Tells a pool's new owner which slots the sender's requests still use.
+  // Tells a pool's new owner which slots are still used by requests of the sender.
   void handover(1: common.Instance sender, 2: PoolReport report)
       throws (1: common.RpcError error)
 
   // Tells a pool's new owner that requests of the previous owner have ended.
   oneway void release_slots(1: PoolId pool, 2: string server, 3: i32 slots)
 
-  // Exchanges directories. The sender gives those that changed; the reply has those that are newer
-  // than the given versions, or all when the list of versions is empty.
+  // Exchanges directories. The sender passes those that changed; the reply holds those that are
+  // newer than the versions in known, or all when known is empty.
   list<RegionDirectory> directory(1: list<RegionDirectory> directories,
       2: list<DirectoryVersion> known) throws (1: common.RpcError error)
 
-  // Tells a coordinator that an instance of its region refused a connection; it asks for itself.
+  // Tells a coordinator that an instance of its region refused a connection; the coordinator then
+  // checks it.
   oneway void suspect(1: common.Instance instance)
 
-  // Tells which incarnation answers at this address.
+  // Returns which incarnation answers at this address.
   Identity identify() throws (1: common.RpcError error)
 }
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -9,9 +9,9 @@
 }
 
 enum Stage {
-  GATEKEEP = 1               // the receiver is the incarnation that the ticket names
+  GATEKEEP = 1               // the receiver is the incarnation that the key's ticket names
   EXECUTE = 2                // the receiver owns the pool
-  ROUTE = 3                  // the receiver serves the request as if a caller had sent it
+  ROUTE = 3                  // the receiver handles the request as if a caller had sent it
 }
 
 struct ForwardRequest {
@@ -21,7 +21,7 @@
   4: string region           // region of the pool, for EXECUTE
   5: i32 shard
   6: string method
-  7: string path             // path and query behind the service name
+  7: string path             // path and query after the service name
   8: list<common.Header> headers
   9: binary body
   10: i32 deadline_ms        // remaining time
@@ -30,11 +30,11 @@
   13: string shift           // name of the shift that moved the request, or empty
   14: bool may_queue
   15: string sender          // name/incarnation
-  16: string fingerprint     // recognises the same request sent again
-  17: string client          // address of the client that the caller acts for
+  16: string fingerprint     // identifies the same request when it is sent again
+  17: string client          // address of the client on whose behalf the caller sent the request
   18: string attempt_id      // one for each forward; the receiver runs an attempt only once
   19: string receiver        // name/incarnation that the attempt is meant for
-  20: bool resent            // the answer to an earlier sending of this attempt did not arrive
+  20: bool resent            // this attempt was sent before, and its answer did not arrive
 }
 
 struct ForwardReply {
@@ -54,6 +54,6 @@
   // Tells the owner of another pool of the service that a request crashed a backend server.
   void report_crash(1: string service_name, 2: string fingerprint, 3: string server)
       throws (1: common.RpcError error)
-  // Stops a forwarded request whose caller went away.
+  // Cancels a forwarded request whose caller has disconnected.
   oneway void cancel(1: string request_id)
 }
--- a/packages/rpc/src/sassafrasway_rpc/schema.py
+++ b/packages/rpc/src/sassafrasway_rpc/schema.py
@@ -1,6 +1,6 @@
 """Thrift schema modules, loaded once at import.
 
-The modules are built at run time by thriftpy2, so no generated code is kept.
+thriftpy2 builds the modules from the ``.thrift`` files at run time; there is no generated code.
 """
 
 import pathlib
--- a/packages/rpc/src/sassafrasway_rpc/server.py
+++ b/packages/rpc/src/sassafrasway_rpc/server.py
@@ -1,4 +1,4 @@
-"""RPC server: framed Thrift over TCP, many calls at a time on one connection."""
+"""RPC server for framed Thrift over TCP, with concurrent calls on each connection."""
 
 import asyncio
 from collections.abc import Mapping, Sequence
@@ -10,7 +10,8 @@
 from sassafrasway_core import errors
 from sassafrasway_rpc import codec, schema
 
-_CODES: tuple[tuple[type[errors.SassafraswayError], str], ...] = (
+# Wire codes by error class.
+_ERROR_CODES: tuple[tuple[type[errors.SassafraswayError], str], ...] = (
     (errors.ValidationError, "validation"),
     (errors.ConflictError, "conflict"),
     (errors.NotFoundError, "not_found"),
@@ -19,28 +20,29 @@
 
 
 def error_code(error: errors.SassafraswayError) -> str:
-    """Returns the wire code of an error class."""
-    for error_type, code in _CODES:
+    """Returns the wire code of an error; ``internal`` when its class has none."""
+    for error_type, code in _ERROR_CODES:
         if isinstance(error, error_type):
             return code
     return "internal"
 
 
 def error_class(code: str) -> type[errors.SassafraswayError]:
-    """Returns the error class of a wire code."""
-    for error_type, each in _CODES:
-        if each == code:
+    """Returns the error class of a wire code; the base class when the code is unknown."""
+    for error_type, known_code in _ERROR_CODES:
+        if known_code == code:
             return error_type
     return errors.SassafraswayError
 
 
 class RpcServer:
-    """Serves Thrift services; methods are found by their name.
+    """Serves several Thrift services on one port; method names are unique among them.
 
     Args:
-        handlers: Pairs of a Thrift service and an object with an async method for each call.
+        handlers: Pairs of a Thrift service and an object with an async method for each of its
+            methods.
         host: IP address to listen on.
-        port: TCP port; 0 takes a free one.
+        port: TCP port; 0 selects a free one.
     """
 
     def __init__(self, *, handlers: Sequence[tuple[Any, Any]], host: str, port: int):
@@ -57,7 +59,7 @@
 
     @property
     def address(self) -> str:
-        """The address in use as ``host:port``."""
+        """The listening address as ``host:port``."""
         return f"{self._host}:{self._port}"
 
     @property
@@ -66,12 +68,12 @@
         return self._methods
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts listening."""
         self._server = await asyncio.start_server(self._accept, self._host, self._port)
         self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        """Stops to listen and closes all connections."""
+        """Stops listening and closes all connections."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -86,7 +88,9 @@
         try:
             await connection.run()
         except errors.ValidationError as error:
-            self._log.warning("connection closed", reason=error.message, peer=error.peer)
+            self._log.warning(
+                "connection closed after a protocol error", reason=error.message, peer=error.peer
+            )
         finally:
             self._connections.discard(connection)
             self._serving.discard(task)
@@ -112,7 +116,7 @@
         self._log = structlog.get_logger("rpc.server").bind(peer=self._peer)
 
     def close(self) -> None:
-        """Closes the connection and cancels the calls that still run."""
+        """Closes the connection and cancels its running calls."""
         for call in self._calls:
             call.cancel()
         self._writer.close()
@@ -136,7 +140,7 @@
         entry = self._methods.get(head.name)
         if entry is None:
             self._reply_exception(
-                head, thrift.TApplicationException.UNKNOWN_METHOD, f"no method {head.name!r}"
+                head, thrift.TApplicationException.UNKNOWN_METHOD, f"unknown method {head.name!r}"
             )
             return
         service, handler = entry
@@ -152,7 +156,7 @@
             self._reply_error(head, result, error)
             return
         except Exception as error:
-            self._log.exception("call failed", method=head.name)
+            self._log.exception("RPC handler raised an unexpected error", method=head.name)
             self._reply_exception(
                 head, thrift.TApplicationException.INTERNAL_ERROR, f"internal error: {error}"
             )
@@ -199,7 +203,7 @@
         length = int.from_bytes(header, "big")
         if not 0 < length <= codec.MAX_FRAME_BYTES:
             raise errors.ValidationError(
-                f"frame of {length} bytes, allowed are 1 to {codec.MAX_FRAME_BYTES}",
+                f"invalid frame length {length}, must be from 1 to {codec.MAX_FRAME_BYTES}",
                 step="rpc.read",
                 peer=peer,
             )
--- a/packages/rpc/tests/test_rpc.py
+++ b/packages/rpc/tests/test_rpc.py
@@ -1,4 +1,4 @@
-"""Tests of the framed Thrift transport."""
+"""Tests of the RPC client and server over a local connection."""
 
 import asyncio
 import unittest
@@ -10,7 +10,7 @@
 
 
 class _Handler:
-    """Answers after a delay given in the deadline field."""
+    """Service that answers after ``deadline_ms``, or fails for certain service names."""
 
     def __init__(self):
         self.cancelled = []
@@ -52,7 +52,7 @@
         await self.server.stop()
 
     async def test_replies_out_of_order_reach_their_calls(self):
-        """Guards against giving a caller the answer of another call on the same connection."""
+        """Guards against matching replies to calls by order: a fast call overtakes a slow one."""
         slow = asyncio.create_task(
             self.client.call("forward", request=_request(deadline_ms=50, body=b"slow"))
         )
@@ -62,20 +62,20 @@
         self.assertEqual((fast.body, (await slow).body), (b"fast", b"slow"))
 
     async def test_error_keeps_class_step_and_peer(self):
-        """Guards against losing the cause of an error between processes."""
+        """Guards against losing the class, step or peer of an error that a handler raises."""
         with self.assertRaises(errors.NotFoundError) as caught:
             await self.client.call("forward", request=_request(service_name="missing"))
         self.assertEqual((caught.exception.step, caught.exception.peer), ("test", "p"))
 
     async def test_bug_in_handler_keeps_connection(self):
-        """Guards against one failing call taking other calls down."""
+        """Guards against closing the connection when a handler raises an unexpected exception."""
         with self.assertRaises(errors.SassafraswayError):
             await self.client.call("forward", request=_request(service_name="broken"))
         reply = await self.client.call("forward", request=_request(body=b"x"))
         self.assertEqual(reply.body, b"x")
 
     async def test_late_reply_is_dropped(self):
-        """Guards against a late answer being taken for the answer of a later call."""
+        """Guards against taking the reply of a timed-out call for the reply of a later call."""
         with self.assertRaises(errors.UnavailableError):
             await self.client.call(
                 "forward", request=_request(deadline_ms=30, body=b"old"), timeout_s=0.001
@@ -84,15 +84,19 @@
         self.assertEqual(reply.body, b"new")
 
     async def test_refused_connection_is_told_apart(self):
-        """Guards against taking a dead process for one that may have seen the call."""
+        """Guards against treating a call that was never sent as one the peer may have received."""
         await self.client.close()
         await self.server.stop()
-        lost = client.RpcClient(address=self.server.address, service=schema.forward.Forward)
+        unreachable = client.RpcClient(address=self.server.address, service=schema.forward.Forward)
         with self.assertRaises(client.ConnectionRefusedByPeerError):
-            await lost.call("forward", request=_request())
+            await unreachable.call("forward", request=_request())
 
     async def test_malformed_frames(self):
-        """Guards against malformed frames that stop the server or take memory."""
+        """Guards against malformed frames that stop the server or make it allocate much memory.
+
+        The frames are not Thrift, announce a method name of 2 GiB, end within a field, or are too
+        short for a message.
+        """
         host, _, port = self.server.address.rpartition(":")
         huge_name = b"\x80\x01\x00\x01\x7f\xff\xff\xff" + b"a" * 30
         bad_struct = b"\x80\x01\x00\x01\x00\x00\x00\x07forward\x00\x00\x00\x01\x0b\x00\x01\x7f"
@@ -106,7 +110,7 @@
                 self.assertEqual(reply.body, b"alive")
 
     async def test_oversized_frame_closes_connection(self):
-        """Guards against a frame length that would fill the memory."""
+        """Guards against allocating memory for an announced frame length above the limit."""
         host, _, port = self.server.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         writer.write((codec.MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
@@ -114,7 +118,11 @@
         writer.close()
 
     async def test_silent_connection_is_replaced(self):
-        """Guards against calls that wait for their whole timeout on a connection gone silent."""
+        """Guards against calls that wait for their full timeout on a dead connection.
+
+        The first connection is accepted, but never answered, not even a probe. The next call must
+        use a new one.
+        """
         accepted = []
 
         async def accept(reader, writer):
@@ -148,14 +156,14 @@
         listener.close()
 
     async def test_slow_call_is_not_taken_for_silence(self):
-        """Guards against dropping a connection whose peer answers probes but not yet the call."""
+        """Guards against closing a connection whose peer answers probes while a call still runs."""
         reply = await self.client.call(
             "forward", request=_request(deadline_ms=1500, body=b"slow"), timeout_s=60
         )
         self.assertEqual(reply.body, b"slow")
 
     async def test_unknown_method(self):
-        """Guards against an unanswered call when the peer is of another version."""
+        """Guards against leaving a call of a method unanswered that only newer versions have."""
         host, _, port = self.server.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         head = codec.MessageHead(name="absent", kind=thrift.TMessageType.CALL, sequence_id=9)
