--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -22,14 +22,14 @@
 ) -> dict[model.PoolKey, model.InstanceId]:
     """Returns an owner for every pool.
 
-    A pool stays with its current owner while that is one of the members. Any other pool goes to
-    the member with the highest weight among those that own the fewest pools.
+    A pool stays with its current owner if that is one of the members. Any other pool goes to the
+    member with the highest rendezvous weight among those that own the fewest pools.
 
     Args:
         pools: Pools to assign.
         members: Instances that may own pools.
-        current: Owner of each pool so far.
-        moves: Number of pools that may leave a member owner to even out the spread.
+        current: Current owner of each pool.
+        moves: Maximum number of pools to move between members to even out their numbers.
     """
     keys = sorted(pools)
     candidates = sorted(set(members))
@@ -41,7 +41,7 @@
     counts.update(owners.values())
     for key in keys:
         if key not in owners:
-            owners[key] = _lightest(key, counts)
+            owners[key] = _least_loaded(key, counts)
             counts[owners[key]] += 1
     for _ in range(moves):
         if not _move_one(owners, counts):
@@ -52,13 +52,13 @@
 def is_even(
     owners: Mapping[model.PoolKey, model.InstanceId], members: Iterable[model.InstanceId]
 ) -> bool:
-    """Returns whether no move would even out the spread."""
+    """Returns whether the numbers of pools per member differ by at most one."""
     counts = collections.Counter(dict.fromkeys(members, 0))
     counts.update(owner for owner in owners.values() if owner in counts)
     return not counts or max(counts.values()) - min(counts.values()) < 2
 
 
-def _lightest(key: model.PoolKey, counts: Mapping[model.InstanceId, int]) -> model.InstanceId:
+def _least_loaded(key: model.PoolKey, counts: Mapping[model.InstanceId, int]) -> model.InstanceId:
     least = min(counts.values())
     return max(
         (instance for instance, count in counts.items() if count == least),
@@ -69,7 +69,7 @@
 def _move_one(owners: dict, counts: collections.Counter) -> bool:
     least = min(counts.values())
     most = max(counts.values())
-    # A difference of one cannot be evened out and would move pools for ever.
+    # Moving a pool at a difference of one only swaps the two counts and would repeat forever.
     if most - least < 2:
         return False
     donor = max(instance for instance, count in counts.items() if count == most)
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,4 +1,4 @@
-"""Authority of a coordinator: its table lease and the promises of the recorded members."""
+"""Authority of a coordinator: its table lease and the promises of recorded members."""
 
 import dataclasses
 import math
@@ -8,36 +8,49 @@
 from sassafrasway_core import invariants as checks
 from sassafrasway_core import membership, model, region
 
-# New members wait for their record, so a changed row is written before the next renewal.
-CHANGED_ROW_S = 0.2
+# New members get no grants until they are recorded, so a changed row is written before the next
+# renewal is due.
+CHANGED_ROW_INTERVAL_S = 0.2
 READ_RETRY_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Won:
-    """A region row that made this instance coordinator.
+class WonElection:
+    """A write of the region row that made this instance coordinator.
 
     Attributes:
+        row: The row that was written.
         version: Version of the row, as far as it is known.
         sent_s: When the write was sent.
-        previous: Coordinator of the row before; None when there was no row.
-        settled: Whether only recorded members can hold grants of earlier coordinators.
+        previous: Coordinator named by the replaced row; None when there was no row.
+        holders_recorded: Whether only recorded members can hold grants of earlier coordinators.
     """
 
     row: region.RegionRow
     version: str
     sent_s: float
     previous: region.Instance | None
-    settled: bool
+    holders_recorded: bool
 
 
 class Authority:
     """Decides until when a coordinator may grant the main parts of pools.
 
-    The table lease lasts ``region.TABLE_LEASE_S`` from the moment a successful write was sent.
-    Promises hold while every needed member promised within ``region.PROMISE_S``. A needed member
-    that is known to be gone is dropped only while authority lasts: once it has lapsed, that member
-    may have taken over before it died, and only a successful write disproves it.
+    Authority lasts while either of these holds: the table lease, for ``region.TABLE_LEASE_S`` after
+    a successful write was sent; or the promises, while the latest promise of every required member
+    is less than ``region.PROMISE_S`` old. The required members are all others that a written row
+    may name.
+
+    A required member that is known to be gone is dropped only while authority lasts. Once authority
+    has lapsed, that member may have taken over before it died, and only a successful write of the
+    row proves that it has not.
+
+    Args:
+        me: This instance.
+        clock: Time source.
+        invariants: Checks that the epoch never decreases.
+        members: Liveness of the region's instances.
+        won_election: The write of the region row that made this instance coordinator.
     """
 
     def __init__(
@@ -47,26 +60,26 @@
         clock: clocks.Clock,
         invariants: checks.Invariants,
         members: membership.MemberTable,
-        won: Won,
+        won_election: WonElection,
     ):
         self._me = me
         self._clock = clock
         self._invariants = invariants
         self._members = members
-        self._epoch = won.row.epoch
-        self._version = won.version
-        self._recorded = {member.id: member for member in won.row.members}
-        self._needed = set(self._recorded) - {me.id}
+        self._epoch = won_election.row.epoch
+        self._version = won_election.version
+        self._recorded = {member.id: member for member in won_election.row.members}
+        self._required_members = set(self._recorded) - {me.id}
         self._promised_s: dict[model.InstanceId, float] = {}
         self._promised_until_s: float | None = None
         self._gone_count = -1
-        self._table_until_s = won.sent_s + region.TABLE_LEASE_S
-        self._serial = won.row.serial
-        self._sent_s = {won.row.serial: won.sent_s}
-        self._last_row = won.row
-        self._last_write_s = won.sent_s
+        self._table_until_s = won_election.sent_s + region.TABLE_LEASE_S
+        self._serial = won_election.row.serial
+        self._write_sent_s = {won_election.row.serial: won_election.sent_s}
+        self._last_row = won_election.row
+        self._last_write_s = won_election.sent_s
         self._last_read_s = -math.inf
-        self._writing: region.WriteRow | None = None
+        self._pending_write: region.WriteRow | None = None
         self._resync = False
         self._deposed = False
 
@@ -90,17 +103,17 @@
         if self._deposed:
             return -math.inf
         if self._promised_until_s is None:
-            promises = (self._promised_s.get(each, -math.inf) for each in self._needed)
+            promises = (self._promised_s.get(each, -math.inf) for each in self._required_members)
             self._promised_until_s = min(promises, default=math.inf) + region.PROMISE_S
         return max(self._table_until_s, self._promised_until_s)
 
     def is_recorded(self, member: model.InstanceId) -> bool:
-        """Returns whether the row in the table certainly names the member."""
+        """Returns whether the last row that is known to be in the table names the member."""
         return member in self._recorded
 
     @property
     def is_transferable(self) -> bool:
-        """Whether another instance could become coordinator now, for which it needs the table."""
+        """Whether another instance could take over now: that needs a table that answers."""
         return self._clock.monotonic() < self._table_until_s
 
     def depose(self) -> None:
@@ -108,18 +121,18 @@
         self._deposed = True
 
     def refresh(self) -> None:
-        """Drops needed members that are gone; called before any other event is processed."""
+        """Drops required members that are gone; called before any other event is processed."""
         if self._members.gone_count == self._gone_count:
             return
         if self._clock.monotonic() < self.until_s():
             self._gone_count = self._members.gone_count
-            gone = [each for each in self._needed if self._members.is_gone(each)]
+            gone = [each for each in self._required_members if self._members.is_gone(each)]
             if gone:
-                self._needed.difference_update(gone)
+                self._required_members.difference_update(gone)
                 self._promised_until_s = None
 
-    def promised(self, member: model.InstanceId, stamp_s: float) -> None:
-        """Records a promise that counts from the coordinator time ``stamp_s``."""
+    def record_promise(self, member: model.InstanceId, stamp_s: float) -> None:
+        """Records a promise that starts at ``stamp_s`` by the coordinator's clock."""
         self._promised_s[member] = max(stamp_s, self._promised_s.get(member, -math.inf))
         self._promised_until_s = None
 
@@ -131,7 +144,7 @@
     ) -> list[region.Command]:
         """Returns the row read or write that is due for these members and owners."""
         now = self._clock.monotonic()
-        if self._deposed or self._writing is not None:
+        if self._deposed or self._pending_write is not None:
             return []
         if self._resync:
             if now < self._last_read_s + READ_RETRY_S:
@@ -143,33 +156,33 @@
             return []
         self._serial = row.serial
         self._last_write_s = now
-        self._sent_s[row.serial] = now
-        self._needed |= {member.id for member in row.members} - {self._me.id}
+        self._write_sent_s[row.serial] = now
+        self._required_members |= {member.id for member in row.members} - {self._me.id}
         self._promised_until_s = None
-        self._writing = region.WriteRow(row=row, if_version=self._version)
-        return [self._writing]
+        self._pending_write = region.WriteRow(row=row, if_version=self._version)
+        return [self._pending_write]
 
     def on_write_ok(self, version: str) -> None:
         """Processes a write that took effect."""
-        row = self._writing.row
-        self._writing = None
+        row = self._pending_write.row
+        self._pending_write = None
         self._confirm(row, version)
 
     def on_write_refused(self) -> None:
         """Processes a write whose version did not match."""
-        self._writing = None
+        self._pending_write = None
         self._resync = True
 
     def on_write_unknown(self) -> None:
         """Processes a write that may or may not take effect, now or later."""
-        self._writing = None
+        self._pending_write = None
         self._resync = True
 
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
     ) -> None:
-        """Processes the region row; a read from before the latest write tells nothing about it."""
-        if row is None or self._writing is not None or started_s < self._last_write_s:
+        """Processes the region row; ignores a read that started before the latest write."""
+        if row is None or self._pending_write is not None or started_s < self._last_write_s:
             return
         self._invariants.check(
             checks.Rule.EPOCH_NEVER_DECREASES,
@@ -186,9 +199,11 @@
         self._last_row = row
         self._resync = False
         self._recorded = {member.id: member for member in row.members}
-        sent_s = self._sent_s.get(row.serial, -math.inf)
+        sent_s = self._write_sent_s.get(row.serial, -math.inf)
         self._table_until_s = max(self._table_until_s, sent_s + region.TABLE_LEASE_S)
-        self._sent_s = {key: each for key, each in self._sent_s.items() if key >= row.serial}
+        self._write_sent_s = {
+            key: each for key, each in self._write_sent_s.items() if key >= row.serial
+        }
 
     def _next_row(
         self,
@@ -207,4 +222,4 @@
 
     def _interval_s(self, row: region.RegionRow) -> float:
         changed = row.members != self._last_row.members or row.owners != self._last_row.owners
-        return CHANGED_ROW_S if changed else region.RENEW_S
+        return CHANGED_ROW_INTERVAL_S if changed else region.RENEW_S
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -9,11 +9,11 @@
 class ConfigLog:
     """Keeps the newest known revision; the revision never decreases.
 
-    Revision 0 is the empty policy before the first change.
+    Revision 0 stands for the empty policy before the first change.
 
     Args:
         invariants: Checks that the revision never decreases.
-        keep: Number of changes and of change ids to keep.
+        keep: Number of recent changes, and of change ids, that are kept.
     """
 
     def __init__(self, *, invariants: invariants.Invariants, keep: int = 256):
@@ -39,7 +39,7 @@
         return dict(self._revisions)
 
     def install(self, policy: model.Policy, *, change_ids: Mapping[str, int] | None = None) -> bool:
-        """Puts a full policy in force and returns whether it is newer than the current one.
+        """Puts a complete policy in force; returns False when it is not newer than the current one.
 
         Args:
             policy: The policy.
@@ -51,7 +51,7 @@
             return False
         self._policy = policy
         self._changes.clear()
-        self._remember(change_ids or {})
+        self._record_change_ids(change_ids or {})
         return True
 
     def append(self, change: documents.Change) -> bool:
@@ -67,7 +67,7 @@
             return False
         self._policy = policy
         self._changes.append(change)
-        self._remember({change.change_id: change.revision})
+        self._record_change_ids({change.change_id: change.revision})
         return True
 
     def since(self, revision: int) -> list[documents.Change] | None:
@@ -91,7 +91,7 @@
         )
         return holds
 
-    def _remember(self, change_ids: Mapping[str, int]) -> None:
+    def _record_change_ids(self, change_ids: Mapping[str, int]) -> None:
         self._revisions.update(change_ids)
         for change_id in list(self._revisions)[: -self._keep]:
             del self._revisions[change_id]
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -1,4 +1,4 @@
-"""Where the parts of a region's pools are, as far as the coordinator knows."""
+"""Holders of the two parts of each pool of a region, as far as the coordinator knows them."""
 
 import dataclasses
 import math
@@ -10,21 +10,23 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Pool:
-    """Where the two parts of a pool are, or may be.
+    """Holders, or possible holders, of the two parts of a pool.
 
     Attributes:
-        target: Assigned owner.
-        offline_suspects: Instances of which one may hold the offline third; empty when it is free.
-        offline_seq: Latest reply that granted the offline third.
+        assigned_owner: Instance that the pool is assigned to.
+        possible_offline_holders: Instances of which one may hold the offline third; empty when it
+            is free.
+        offline_seq: Number of the latest reply that granted the offline third.
         main_holder: Instance with the main part; None when it is free or the holder is unknown.
-        main_until_s: End of every grant of the main part so far, by the coordinator's clock.
-        main_seq: Latest reply that granted the main part.
+        main_until_s: When every grant of the main part so far has expired, by the coordinator's
+            clock.
+        main_seq: Number of the latest reply that granted the main part.
         in_use: Last reported slots in use by instance and server.
-        busy_until_s: When the deadlines of all requests on reported slots have passed.
+        busy_until_s: When the deadlines of all requests in the reported slots have passed.
     """
 
-    target: model.InstanceId | None = None
-    offline_suspects: set[model.InstanceId] = dataclasses.field(default_factory=set)
+    assigned_owner: model.InstanceId | None = None
+    possible_offline_holders: set[model.InstanceId] = dataclasses.field(default_factory=set)
     offline_seq: int = 0
     main_holder: model.InstanceId | None = None
     main_until_s: float = -math.inf
@@ -33,15 +35,17 @@
     busy_until_s: float = -math.inf
 
     def involves(self, member: model.InstanceId) -> bool:
-        """Returns whether the member has a part or slots in use."""
+        """Returns whether the member may hold a part or has slots in use."""
         return (
-            member in self.in_use or member in self.offline_suspects or member == self.main_holder
+            member in self.in_use
+            or member in self.possible_offline_holders
+            or member == self.main_holder
         )
 
     def inherited_by(
         self, member: model.InstanceId
     ) -> tuple[dict[str, int], model.InstanceId | None]:
-        """Returns the slots that other instances still use, and the last of those instances."""
+        """Returns the slots by server that other instances use, and the last such instance."""
         inherited: dict[str, int] = {}
         previous = None
         for instance, in_use in self.in_use.items():
@@ -58,10 +62,10 @@
 
     Args:
         clock: Time source.
-        members: What is known about the region's instances.
+        members: Liveness of the region's instances.
         unanswered: Recorded members that may hold parts from earlier coordinators.
-        earlier_until_s: End of all grants of earlier coordinators.
-        settled: Whether only recorded members can hold such grants.
+        earlier_grants_until_s: End of all grants of earlier coordinators.
+        holders_recorded: Whether only recorded members can hold such grants.
     """
 
     def __init__(
@@ -70,29 +74,30 @@
         clock: clocks.Clock,
         members: membership.MemberTable,
         unanswered: Iterable[model.InstanceId],
-        earlier_until_s: float,
-        settled: bool,
+        earlier_grants_until_s: float,
+        holders_recorded: bool,
     ):
         self._clock = clock
         self._members = members
         self._unanswered = set(unanswered)
-        self._earlier_until_s = earlier_until_s
-        self._settled = settled
+        self._earlier_grants_until_s = earlier_grants_until_s
+        self._holders_recorded = holders_recorded
         self._pools: dict[model.PoolKey, Pool] = {}
-        # Pools with a part or slots in use at each member, so that heartbeats touch no others.
-        self._linked: dict[model.InstanceId, set[model.PoolKey]] = {}
-        self._targets: dict[model.InstanceId, dict[model.PoolKey, Pool]] | None = None
-        self._changes = 0
+        # Pools of which a member holds a part or uses slots. A heartbeat is checked against these
+        # only, not against all pools of the region.
+        self._pools_by_member: dict[model.InstanceId, set[model.PoolKey]] = {}
+        self._pools_by_owner: dict[model.InstanceId, dict[model.PoolKey, Pool]] | None = None
+        self._change_count = 0
 
     @property
     def unanswered(self) -> frozenset[model.InstanceId]:
-        """Recorded members that neither told what they hold nor are known to be gone."""
+        """Recorded members that have not reported what they hold and are not known to be gone."""
         return frozenset(self._unanswered)
 
     @property
-    def changes(self) -> int:
-        """Grows whenever a part becomes free or an owner is assigned."""
-        return self._changes
+    def change_count(self) -> int:
+        """Grows whenever a part may have become free or an owner is assigned."""
+        return self._change_count
 
     def keys(self) -> frozenset[model.PoolKey]:
         """Returns all pools known so far."""
@@ -100,56 +105,63 @@
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
         """Returns the assigned owner of every pool that has one."""
-        return {key: pool.target for key, pool in self._pools.items() if pool.target is not None}
+        return {
+            key: pool.assigned_owner
+            for key, pool in self._pools.items()
+            if pool.assigned_owner is not None
+        }
 
     def assigned_to(self, member: model.InstanceId) -> Mapping[model.PoolKey, Pool]:
         """Returns the pools assigned to a member."""
-        if self._targets is None:
-            self._targets = {}
+        if self._pools_by_owner is None:
+            self._pools_by_owner = {}
             for key, pool in self._pools.items():
-                if pool.target is not None:
-                    self._targets.setdefault(pool.target, {})[key] = pool
-        return self._targets.get(member, {})
+                if pool.assigned_owner is not None:
+                    self._pools_by_owner.setdefault(pool.assigned_owner, {})[key] = pool
+        return self._pools_by_owner.get(member, {})
 
     def main_is_free(self, pool: Pool) -> bool:
-        """Returns whether nobody can use the main part of a pool."""
+        """Returns whether no instance can use the main part of a pool."""
         if self._clock.monotonic() >= pool.main_until_s:
             return True
         if pool.main_holder is not None:
             return self._members.is_gone(pool.main_holder)
-        # All holders of earlier grants are recorded, and each has answered or is gone.
-        return self._settled and not self._unanswered
+        # Only recorded members can hold earlier grants, and each has reported or is gone.
+        return self._holders_recorded and not self._unanswered
 
     def add(self, key: model.PoolKey) -> Pool:
         """Returns the state of a pool; a new one may be held by any unanswered member."""
         pool = self._pools.get(key)
         if pool is None:
-            pool = Pool(offline_suspects=set(self._unanswered), main_until_s=self._earlier_until_s)
+            pool = Pool(
+                possible_offline_holders=set(self._unanswered),
+                main_until_s=self._earlier_grants_until_s,
+            )
             self._pools[key] = pool
         return pool
 
     def assign(self, key: model.PoolKey, owner: model.InstanceId) -> None:
         """Assigns an owner to a pool."""
-        self.add(key).target = owner
-        self._targets = None
-        self._changes += 1
+        self.add(key).assigned_owner = owner
+        self._pools_by_owner = None
+        self._change_count += 1
 
-    def forget_gone(self) -> None:
+    def release_gone(self) -> None:
         """Frees the offline thirds of instances that are gone."""
         gone = {instance for instance in self._unanswered if self._members.is_gone(instance)}
         self._unanswered -= gone
         for pool in self._pools.values():
-            gone = {each for each in pool.offline_suspects if self._members.is_gone(each)}
-            pool.offline_suspects -= gone
-        self._changes += 1
+            gone = {each for each in pool.possible_offline_holders if self._members.is_gone(each)}
+            pool.possible_offline_holders -= gone
+        self._change_count += 1
 
-    def answer(
+    def record_answer(
         self, member: model.InstanceId, pools: Mapping[model.PoolKey, region.PoolReport]
     ) -> None:
-        """Takes over what a member holds from an earlier epoch."""
+        """Records what a member reports to hold, possibly from an earlier epoch."""
         if member in self._unanswered:
             self._unanswered.discard(member)
-            self._changes += 1
+            self._change_count += 1
             self._take_over_offline(member, pools)
         for key, report in pools.items():
             if report.share is share.Share.NONE:
@@ -158,18 +170,19 @@
             unknown = pool.main_holder is None and self._clock.monotonic() < pool.main_until_s
             if report.share.has_main and unknown:
                 pool.main_holder = member
-            if pool.target is None:
+            if pool.assigned_owner is None:
                 self.assign(key, member)
-            self._linked.setdefault(member, set()).add(key)
+            self._pools_by_member.setdefault(member, set()).add(key)
 
     def confirm_releases(self, heartbeat: region.Heartbeat) -> None:
         """Frees the parts that the sender no longer holds.
 
-        A part is released once a reply without it was applied; a heartbeat that was sent before
-        the reply with the grant arrived proves nothing.
+        A part is released once the sender has applied a reply that does not grant it. A heartbeat
+        that was sent before the granting reply was applied does not name the part either, so it is
+        no confirmation.
         """
         sender = heartbeat.sender.id
-        for key in self._linked.get(sender, ()):
+        for key in self._pools_by_member.get(sender, ()):
             pool = self._pools[key]
             report = heartbeat.pools.get(key)
             held = report.share if report is not None else share.Share.NONE
@@ -177,19 +190,19 @@
             if pool.main_holder == sender and not kept_main:
                 pool.main_holder = None
                 pool.main_until_s = -math.inf
-                self._changes += 1
+                self._change_count += 1
             kept_offline = held.has_offline or heartbeat.applied_seq <= pool.offline_seq
-            if sender in pool.offline_suspects and not kept_offline:
-                pool.offline_suspects.discard(sender)
-                self._changes += 1
+            if sender in pool.possible_offline_holders and not kept_offline:
+                pool.possible_offline_holders.discard(sender)
+                self._change_count += 1
 
-    def note_use(
+    def record_use(
         self, sender: model.InstanceId, pools: Mapping[model.PoolKey, region.PoolReport]
     ) -> None:
-        """Records the slots that a member uses."""
-        linked = self._linked.setdefault(sender, set())
-        linked.update(key for key, report in pools.items() if report.in_use)
-        for key in linked:
+        """Records the slots that a member reports as in use."""
+        member_pools = self._pools_by_member.setdefault(sender, set())
+        member_pools.update(key for key, report in pools.items() if report.in_use)
+        for key in member_pools:
             pool = self.add(key)
             report = pools.get(key)
             in_use = report.in_use if report is not None else {}
@@ -199,10 +212,12 @@
                 pool.busy_until_s = max(pool.busy_until_s, busy_until_s)
             else:
                 pool.in_use.pop(sender, None)
-            if report is not None and report.share.has_main and pool.target == sender:
-                # The owner has taken over what others reported before.
+            if report is not None and report.share.has_main and pool.assigned_owner == sender:
+                # The owner's report includes the slots inherited from earlier holders.
                 pool.in_use = {sender: in_use} if in_use else {}
-        linked.intersection_update([key for key in linked if self._pools[key].involves(sender)])
+        member_pools.intersection_update(
+            [key for key in member_pools if self._pools[key].involves(sender)]
+        )
 
     def grant(
         self, key: model.PoolKey, part: share.Share, *, member: model.InstanceId, seq: int
@@ -210,13 +225,13 @@
         """Grants a share to a member with reply ``seq``."""
         pool = self._pools[key]
         if part.has_offline:
-            pool.offline_suspects = {member}
+            pool.possible_offline_holders = {member}
             pool.offline_seq = seq
         if part.has_main:
             pool.main_holder = member
             pool.main_until_s = self._clock.monotonic() + region.GRANT_S
             pool.main_seq = seq
-        self._linked.setdefault(member, set()).add(key)
+        self._pools_by_member.setdefault(member, set()).add(key)
         inherited_s = pool.busy_until_s - self._clock.monotonic()
         if not part.has_main or inherited_s <= 0:
             return region.PoolGrant(pool=key, share=part)
@@ -234,7 +249,7 @@
     ) -> None:
         for key, report in pools.items():
             if report.share.has_offline:
-                self.add(key).offline_suspects = {member}
+                self.add(key).possible_offline_holders = {member}
         for key, pool in self._pools.items():
             if key not in pools or not pools[key].share.has_offline:
-                pool.offline_suspects.discard(member)
+                pool.possible_offline_holders.discard(member)
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -1,4 +1,4 @@
-"""Member role of an instance: heartbeats, promises and candidacy for coordinator."""
+"""Member role of an instance: heartbeats, promises and the takeover of the coordinator role."""
 
 import dataclasses
 import math
@@ -9,32 +9,34 @@
 
 CONTACT_LOST_S = 1.0
 RETRY_S = 0.5
-# Covers the difference in rate between the clocks of two instances over a lease.
+# Added to leases and promises that a member waits for, because the clocks of two instances may run
+# at different rates meanwhile.
 CLOCK_MARGIN_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Pending:
-    """A candidate write whose result is not known yet."""
+class _PendingWrite:
+    """A write of the region row to become coordinator, whose result is not known yet."""
 
     command: region.WriteRow
     sent_s: float
     previous: region.Instance | None
-    settled: bool
+    holders_recorded: bool
 
 
 class MemberState:
-    """Decisions of an instance about whom to follow and when to take over.
+    """Decisions of an instance about which coordinator to follow and when to take over.
 
-    An instance takes over a region in one of three cases: there is no row; the row's coordinator
-    is known to be gone; or the instance is a recorded member, the row did not change for a lease,
-    and its own last promise has ended. In the last case the old coordinator's authority has ended
-    too, because it needs either the table or this instance's promise.
+    An instance that has lost contact with its coordinator takes over in one of three cases: there
+    is no region row; the coordinator in the row is known to be gone; or the instance is a recorded
+    member, the row has not changed for the duration of a table lease, and the instance's last
+    promise has ended. In the last case the old coordinator's authority has ended too, because it
+    needs either the table or the promise of this instance.
 
     Args:
         me: This instance.
         clock: Time source.
-        members: What is known about instances of the region.
+        members: Liveness of the region's instances.
         grants: Grants received and epoch followed.
     """
 
@@ -51,15 +53,15 @@
         self._members = members
         self._grants = grants
         self._promise_until_s = -math.inf
-        self._contact_s = -math.inf
-        self._last_s: dict[str, float] = {}
-        self._hurry = False
+        self._last_contact_s = -math.inf
+        self._last_sent_s: dict[str, float] = {}
+        self._heartbeat_requested = False
         self._row: region.RegionRow | None = None
         self._version: str | None = None
-        self._row_seen_s = -math.inf
+        self._version_seen_s = -math.inf
         self._row_read = False
-        self._pending: _Pending | None = None
-        self._won: authority.Won | None = None
+        self._pending: _PendingWrite | None = None
+        self._won_election: authority.WonElection | None = None
         self._declared_gone = False
 
     @property
@@ -68,13 +70,13 @@
         return self._me
 
     @property
-    def won(self) -> authority.Won | None:
-        """The row of the latest epoch that this instance won, or None."""
-        return self._won
+    def won_election(self) -> authority.WonElection | None:
+        """The latest election that this instance won, or None."""
+        return self._won_election
 
     @property
     def declared_gone(self) -> bool:
-        """Whether a coordinator took this instance for gone; only a restart ends this."""
+        """Whether a coordinator declared this instance gone; only a restart ends this."""
         return self._declared_gone
 
     @property
@@ -83,16 +85,16 @@
         coordinator = self._grants.coordinator
         if coordinator is None or self._members.is_gone(coordinator.id):
             return False
-        return self._clock.monotonic() < self._contact_s + CONTACT_LOST_S
+        return self._clock.monotonic() < self._last_contact_s + CONTACT_LOST_S
 
     def set_me(self, me: region.Instance) -> None:
         """Replaces this instance's data, for example when it starts to leave."""
         self._me = me
-        self._hurry = True
+        self._heartbeat_requested = True
 
-    def hurry(self) -> None:
+    def request_heartbeat(self) -> None:
         """Makes the next tick send a heartbeat."""
-        self._hurry = True
+        self._heartbeat_requested = True
 
     def tick(
         self,
@@ -100,7 +102,7 @@
         reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
         cap_demand: Callable[[], Mapping[str, float]] = dict,
     ) -> list[region.Command]:
-        """Lets time pass and returns what has to be done now.
+        """Updates the state to the current time and returns the commands to execute now.
 
         Args:
             reports: Returns the pool reports; called when a heartbeat is due.
@@ -109,7 +111,7 @@
         commands: list[region.Command] = []
         coordinator = self._grants.coordinator
         reachable = coordinator is not None and not self._members.is_gone(coordinator.id)
-        if reachable and (self._hurry or self._due("heartbeat", region.HEARTBEAT_S)):
+        if reachable and (self._heartbeat_requested or self._due("heartbeat", region.HEARTBEAT_S)):
             commands.append(self._heartbeat(coordinator, reports(), cap_demand()))
         if not self.in_contact or self._pending is not None:
             commands.extend(self._search())
@@ -126,16 +128,16 @@
         pools = self._grants.pools
         applied = self._grants.apply(reply, sent_s=sent_s)
         if applied:
-            self._contact_s = self._clock.monotonic()
+            self._last_contact_s = self._clock.monotonic()
         if self._grants.epoch != before or not pools <= self._grants.pools:
-            # A successor waits until the release of a pool is confirmed.
-            self._hurry = True
+            # The next owner of a pool waits until this instance has confirmed its release.
+            self._heartbeat_requested = True
         return applied
 
     def on_follow(self, *, epoch: int, coordinator: region.Instance) -> region.FollowReply:
         """Follows a coordinator unless its epoch is lower; returns what this instance holds."""
         if self._grants.follow(epoch=epoch, coordinator=coordinator):
-            self._hurry = True
+            self._heartbeat_requested = True
         return region.FollowReply(
             sender=self._me, epoch=self._grants.epoch, pools=self._grants.reports({})
         )
@@ -148,8 +150,8 @@
         Args:
             row: The row, or None.
             version: Its version, or None.
-            started_s: When the read was started. A read from before the candidate write does not
-                tell what became of it.
+            started_s: When the read was started. A read that started before the candidate write
+                says nothing about the result of that write.
         """
         pending = self._pending
         if pending is not None:
@@ -160,7 +162,7 @@
                 self._win(pending, version)
                 return
         if not self._row_read or version != self._version:
-            self._row_seen_s = self._clock.monotonic()
+            self._version_seen_s = self._clock.monotonic()
         self._row_read = True
         self._row = row
         self._version = version
@@ -183,7 +185,8 @@
     def on_write_unknown(self, command: region.WriteRow) -> None:
         """Processes a candidate write that may take effect now or later.
 
-        It stays pending, and no promise is made, until the row has another version.
+        It stays pending, and heartbeats carry no promise, until a read shows another version of the
+        row.
         """
 
     def _heartbeat(
@@ -193,9 +196,10 @@
         cap_demand: Mapping[str, float],
     ) -> region.SendHeartbeat:
         now = self._clock.monotonic()
-        self._hurry = False
-        self._last_s["heartbeat"] = now
-        # A coordinator that does not answer must not be kept in office by heartbeats.
+        self._heartbeat_requested = False
+        self._last_sent_s["heartbeat"] = now
+        # Promises to a coordinator that does not answer would extend its authority and prevent a
+        # takeover.
         promise = self._pending is None and self.in_contact
         if promise:
             self._promise_until_s = now + region.PROMISE_S
@@ -211,7 +215,7 @@
         return region.SendHeartbeat(target=coordinator, heartbeat=heartbeat, sent_s=now)
 
     def _search(self) -> list[region.Command]:
-        """Returns commands that find the current coordinator or show that it is gone."""
+        """Returns the commands that find the current coordinator or detect that it is gone."""
         if not self._due("search", RETRY_S):
             return []
         commands: list[region.Command] = [region.ReadRow()]
@@ -224,6 +228,7 @@
         return commands
 
     def _may_take_over(self) -> bool:
+        """Returns whether this instance may write the row to become coordinator."""
         if self.in_contact or self._pending is not None or not self._row_read:
             return False
         if self._declared_gone:
@@ -240,7 +245,7 @@
         now = self._clock.monotonic()
         return (
             self._me.id in {member.id for member in row.members}
-            and now >= self._row_seen_s + region.TABLE_LEASE_S + CLOCK_MARGIN_S
+            and now >= self._version_seen_s + region.TABLE_LEASE_S + CLOCK_MARGIN_S
             and now >= self._promise_until_s + CLOCK_MARGIN_S
         )
 
@@ -254,14 +259,15 @@
         )
 
     def _candidacy(self) -> region.WriteRow:
+        """Returns the write of the row that makes this instance coordinator of the next epoch."""
         now = self._clock.monotonic()
         row = self._row
         others = () if row is None else row.members
         members = {member.id: member for member in (*others, self._me)}
-        settled = (
+        holders_recorded = (
             row is not None
             and row.epoch == self._grants.epoch
-            and now < self._grants.settled_until_s
+            and now < self._grants.holders_recorded_until_s
         )
         command = region.WriteRow(
             row=region.RegionRow(
@@ -274,26 +280,28 @@
             if_version=self._version,
         )
         previous = None if row is None else row.coordinator
-        self._pending = _Pending(command=command, sent_s=now, previous=previous, settled=settled)
+        self._pending = _PendingWrite(
+            command=command, sent_s=now, previous=previous, holders_recorded=holders_recorded
+        )
         return command
 
-    def _win(self, pending: _Pending, version: str) -> None:
+    def _win(self, pending: _PendingWrite, version: str) -> None:
         row = pending.command.row
-        self._won = authority.Won(
+        self._won_election = authority.WonElection(
             row=row,
             version=version,
             sent_s=pending.sent_s,
             previous=pending.previous,
-            settled=pending.settled,
+            holders_recorded=pending.holders_recorded,
         )
         self._row_read = False
         self._grants.follow(epoch=row.epoch, coordinator=self._me)
-        self._hurry = True
+        self._heartbeat_requested = True
 
     def _due(self, kind: str, every_s: float) -> bool:
-        """Returns whether something may be repeated now, and notes it when it may."""
+        """Returns whether a message may be sent again now; if so, records that it is sent."""
         now = self._clock.monotonic()
-        if now < self._last_s.get(kind, -math.inf) + every_s:
+        if now < self._last_sent_s.get(kind, -math.inf) + every_s:
             return False
-        self._last_s[kind] = now
+        self._last_sent_s[kind] = now
         return True
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -1,4 +1,4 @@
-"""What is known about instances: live, leaving, silent or gone."""
+"""Liveness of the instances of a region: live, leaving, silent or gone."""
 
 import dataclasses
 import enum
@@ -7,15 +7,22 @@
 from sassafrasway_core import clock as clocks
 from sassafrasway_core import model, region
 
-# A platform list may name a previous run of an instance for this long after a new run started.
+# The platform's list may name the previous run of an instance for this long after a restart.
 LIST_LAG_S = 10.0
-# Long enough for every ticket and recorded outcome of a gone incarnation to be asked for.
+# Long enough that callers can ask for every ticket and recorded outcome of a gone incarnation.
 GONE_KEEP_S = 3600.0
 GONE_KEEP_MAX = 4096
 
 
 class State(enum.Enum):
-    """What is known about an instance."""
+    """Liveness of an instance, as far as this process knows.
+
+    Attributes:
+        LIVE: It sends messages.
+        LEAVING: It sends messages and is about to stop.
+        SILENT: It has not sent a message recently but is not proved to be gone.
+        GONE: This run of the instance is proved to have ended.
+    """
 
     LIVE = "live"
     LEAVING = "leaving"
@@ -27,19 +34,20 @@
 class _Entry:
     instance: region.Instance
     first_known_s: float
-    heard_s: float
+    last_contact_s: float
     listed: bool = False
 
 
 class MemberTable:
     """Instances that are or were part of a region.
 
-    An instance is gone only when the platform's list named this very run and no longer does, or
-    when its own port refuses connections or answers with another incarnation. Silence is no proof.
+    An instance is gone only when the platform's list named this run and no longer does, when its
+    port refuses connections, or when another incarnation answers at its address. Silence proves
+    nothing: a silent instance may be paused or partitioned and still use its grants.
 
     Args:
         clock: Time source.
-        silent_after_s: An instance that was not heard for this long is silent.
+        silent_after_s: An instance that sent no message for this long is silent.
     """
 
     def __init__(self, *, clock: clocks.Clock, silent_after_s: float = region.GRANT_S):
@@ -50,63 +58,65 @@
         self._gone_count = 0
 
     def add(self, instance: region.Instance) -> None:
-        """Adds an instance that another source named; this counts as hearing it once."""
+        """Adds an instance that another source named; this counts as one message from it."""
         if instance.id not in self._entries and instance.id not in self._gone:
             now = self._clock.monotonic()
-            self._entries[instance.id] = _Entry(instance=instance, first_known_s=now, heard_s=now)
+            self._entries[instance.id] = _Entry(
+                instance=instance, first_known_s=now, last_contact_s=now
+            )
 
-    def heard(self, instance: region.Instance) -> None:
+    def record_contact(self, instance: region.Instance) -> None:
         """Records a message from an instance; one that is gone stays gone."""
         self.add(instance)
         entry = self._entries.get(instance.id)
         if entry is not None:
             entry.instance = instance
-            entry.heard_s = self._clock.monotonic()
+            entry.last_contact_s = self._clock.monotonic()
 
-    def refused(self, instance: model.InstanceId, *, started_s: float) -> None:
+    def record_refusal(self, instance: model.InstanceId, *, started_s: float) -> None:
         """Records that the port of an instance refused a connection attempted at ``started_s``.
 
-        An instance that was heard since then is not gone: a network may refuse connections to a
-        restarted process for a moment.
+        An instance that sent a message since then is not gone: a network may refuse connections to
+        a restarted process for a moment.
         """
         entry = self._entries.get(instance)
-        if entry is None or entry.heard_s <= started_s:
-            self._forget(instance)
+        if entry is None or entry.last_contact_s <= started_s:
+            self._mark_gone(instance)
 
-    def identified(self, expected: model.InstanceId, *, incarnation: str) -> None:
+    def record_identity(self, expected: model.InstanceId, *, incarnation: str) -> None:
         """Records which incarnation answered at the address of ``expected``."""
         if incarnation != expected.incarnation:
-            self._forget(expected)
+            self._mark_gone(expected)
 
-    def fetched(self, names: Iterable[str], *, started_s: float) -> None:
+    def record_list(self, names: Iterable[str], *, started_s: float) -> None:
         """Records the names in the platform's list; the fetch started at ``started_s``."""
         listed = set(names)
         for instance, entry in list(self._entries.items()):
             if instance.name in listed:
-                # An earlier mention may mean the previous run of the same name.
+                # A list fetched earlier may still name the previous run under the same name.
                 if started_s >= entry.first_known_s + LIST_LAG_S:
                     entry.listed = True
-            elif entry.listed and started_s > entry.heard_s:
-                self._forget(instance)
+            elif entry.listed and started_s > entry.last_contact_s:
+                self._mark_gone(instance)
 
-    def learn_gone(self, instances: Iterable[model.InstanceId]) -> None:
-        """Records instances that another coordinator knows to be gone."""
+    def record_gone(self, instances: Iterable[model.InstanceId]) -> None:
+        """Records instances that another coordinator found to be gone."""
         for instance in instances:
-            self._forget(instance)
+            self._mark_gone(instance)
 
     @property
     def gone_count(self) -> int:
-        """Grows whenever an instance is found to be gone."""
+        """Number of times that an instance was found to be gone."""
         return self._gone_count
 
     def state(self, instance: model.InstanceId) -> State | None:
-        """Returns what is known about an instance, or None when nothing is."""
+        """Returns the state of an instance, or None when the instance is unknown."""
         if instance in self._gone:
             return State.GONE
         entry = self._entries.get(instance)
         if entry is None:
             return None
-        if self.unheard_s(instance) >= self._silent_after_s:
+        if self.since_contact_s(instance) >= self._silent_after_s:
             return State.SILENT
         return State.LEAVING if entry.instance.state == region.LEAVING else State.LIVE
 
@@ -114,9 +124,9 @@
         """Returns whether the instance is known to be gone."""
         return instance in self._gone
 
-    def unheard_s(self, instance: model.InstanceId) -> float:
-        """Returns the time since the instance was heard in seconds."""
-        return self._clock.monotonic() - self._entries[instance].heard_s
+    def since_contact_s(self, instance: model.InstanceId) -> float:
+        """Returns the seconds since the last message from the instance."""
+        return self._clock.monotonic() - self._entries[instance].last_contact_s
 
     def instance(self, instance: model.InstanceId) -> region.Instance | None:
         """Returns the data of an instance that is not gone."""
@@ -136,7 +146,7 @@
         """Returns the instances that are known to be gone."""
         return list(self._gone)
 
-    def _forget(self, instance: model.InstanceId) -> None:
+    def _mark_gone(self, instance: model.InstanceId) -> None:
         now = self._clock.monotonic()
         self._entries.pop(instance, None)
         if instance not in self._gone:
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -1,4 +1,4 @@
-"""Member side of pool ownership: grants received and the epoch that the member follows."""
+"""Member side of pool ownership: the grants received and the epoch that the member follows."""
 
 import dataclasses
 from collections.abc import Mapping
@@ -9,17 +9,24 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class _Held:
+class _HeldPool:
+    """A granted pool.
+
+    Attributes:
+        offline: Whether the offline third is granted.
+        main_until_s: When the grant of the main part expires; in the past when it is not granted.
+    """
+
     grant: region.PoolGrant
     offline: bool
     main_until_s: float
 
 
 class GrantState:
-    """Pools that this instance may use by its own clock.
+    """Pools that this instance may use, according to its own clock.
 
-    The main part of a pool ends with its grant. The offline third stays until a reply of the
-    coordinator omits it, which only happens when the coordinator is reachable.
+    The right to use the main part of a pool ends when its grant expires. The offline third is kept
+    until a reply of the coordinator omits it, so it is kept while the coordinator is unreachable.
 
     Args:
         clock: Time source; grants expire by its monotonic time.
@@ -33,18 +40,18 @@
         self._coordinator: region.Instance | None = None
         self._applied_seq = 0
         self._echo_s: float | None = None
-        self._settled_until_s = float("-inf")
-        self._held: dict[model.PoolKey, _Held] = {}
+        self._holders_recorded_until_s = float("-inf")
+        self._held: dict[model.PoolKey, _HeldPool] = {}
         self._caps = cap_grants.HeldCaps(clock=clock)
 
     @property
     def epoch(self) -> int:
-        """Highest epoch that this instance follows."""
+        """Highest epoch that this instance has followed."""
         return self._epoch
 
     @property
     def coordinator(self) -> region.Instance | None:
-        """Coordinator of the epoch."""
+        """Coordinator of that epoch, or None before the first one."""
         return self._coordinator
 
     @property
@@ -54,17 +61,17 @@
 
     @property
     def echo_s(self) -> float | None:
-        """Coordinator time of the latest reply of the epoch."""
+        """Coordinator's clock in the latest reply of the epoch that was applied, or None."""
         return self._echo_s
 
     @property
-    def settled_until_s(self) -> float:
-        """Until then, only recorded members hold grants of the epoch's coordinator."""
-        return self._settled_until_s
+    def holders_recorded_until_s(self) -> float:
+        """Time until which only recorded members hold grants of the epoch's coordinator."""
+        return self._holders_recorded_until_s
 
     @property
     def caps(self) -> cap_grants.HeldCaps:
-        """Shares of caps."""
+        """This instance's shares of caps."""
         return self._caps
 
     @property
@@ -91,7 +98,7 @@
     def reports(
         self, details: Mapping[model.PoolKey, region.PoolReport]
     ) -> dict[model.PoolKey, region.PoolReport]:
-        """Returns the pool reports of a heartbeat: the given details with the shares in force."""
+        """Returns the pool reports of a heartbeat: ``details`` with the shares now in force."""
         empty = region.PoolReport(share=share.Share.NONE)
         reports = {}
         for pool in {*self._held, *details}:
@@ -116,13 +123,13 @@
             return False
         self._applied_seq = reply.seq
         self._echo_s = reply.stamp_s
-        self._settled_until_s = sent_s + reply.settled_s
+        self._holders_recorded_until_s = sent_s + reply.settled_s
         self._caps.apply(reply.cap_shares, sent_s=sent_s)
-        self._held = {grant.pool: _hold(grant, sent_s) for grant in reply.grants}
+        self._held = {grant.pool: _to_held_pool(grant, sent_s) for grant in reply.grants}
         return True
 
     def revoke(self) -> None:
-        """Gives up every share, because others may have been granted them."""
+        """Drops every share, because other instances may have been granted them."""
         self._held = {}
         self._caps.revoke()
 
@@ -135,9 +142,9 @@
         self._epoch = epoch
         self._applied_seq = 0
         self._echo_s = None
-        self._settled_until_s = float("-inf")
+        self._holders_recorded_until_s = float("-inf")
 
 
-def _hold(grant: region.PoolGrant, sent_s: float) -> _Held:
+def _to_held_pool(grant: region.PoolGrant, sent_s: float) -> _HeldPool:
     main_until_s = sent_s + region.GRANT_S if grant.share.has_main else float("-inf")
-    return _Held(grant=grant, offline=grant.share.has_offline, main_until_s=main_until_s)
+    return _HeldPool(grant=grant, offline=grant.share.has_offline, main_until_s=main_until_s)
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -6,10 +6,15 @@
 
 from sassafrasway_core import cap_grants, caps, errors, model, share
 
+# Interval of a member's heartbeats.
 HEARTBEAT_S = 0.5
+# Validity of a grant of a pool's main part.
 GRANT_S = 2.0
+# Time for which a member promises not to become coordinator.
 PROMISE_S = 3.0
+# Time for which a successful write of the region row gives the coordinator authority.
 TABLE_LEASE_S = 3.0
+# Interval at which the coordinator writes an unchanged row to renew its lease.
 RENEW_S = 1.0
 
 LIVE = "live"
@@ -20,7 +25,10 @@
 class Instance:
     """One run of an entry instance and how to reach it.
 
+    The order of the fields is part of the format of the stored region row.
+
     Attributes:
+        incarnation: Distinguishes the runs of one instance name.
         rpc_address: ``host:port`` of the RPC server.
         caller_url: Base URL that callers use.
         state: ``"live"`` or ``"leaving"``.
@@ -47,8 +55,8 @@
     Attributes:
         epoch: Grows with every change of coordinator.
         serial: Number of the write within the epoch; it makes every written value unique.
-        members: Recorded members, the coordinator included.
-        owners: Pool owners at the time of the write; a hint for the next coordinator.
+        members: Recorded members, including the coordinator.
+        owners: Pool owners at the time of the write, from which the next coordinator starts.
     """
 
     epoch: int
@@ -73,7 +81,7 @@
 
     @classmethod
     def decode(cls, value: bytes) -> "RegionRow":
-        """Returns the row of a table value.
+        """Returns the row that a table value encodes.
 
         Raises:
             errors.ValidationError: The value is not a region row.
@@ -109,12 +117,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PoolReport:
-    """What an instance tells about one pool that it may use.
+    """An instance's report about one pool that it may use or still has requests in.
 
     Attributes:
         share: Share in force when the report was made.
         in_use: Slots in use by server name.
-        busy_s: Time until the deadlines of the requests on these slots have passed.
+        busy_s: Time until the deadlines of the requests in these slots have passed.
         rate_per_s: Requests received for the pool, 1/s.
     """
 
@@ -130,9 +138,10 @@
     """Right to use a pool.
 
     Attributes:
+        share: Part of the pool's slots that may be used.
         inherited: Slots by server name that the previous owner last reported as in use. The new
             owner counts them as used until they are released or the request deadlines pass.
-        inherited_s: Time until the deadlines of the requests on those slots have passed.
+        inherited_s: Time until the deadlines of the requests in those slots have passed.
         previous: The instance that those slots belong to.
         expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
     """
@@ -152,10 +161,10 @@
     Attributes:
         epoch: Highest epoch that the member follows.
         promise: Whether the member promises not to become a candidate for ``PROMISE_S``.
-        echo_s: ``stamp_s`` of the latest reply of this epoch, or None. The promise counts from
-            this coordinator time, so that a heartbeat read late never extends a promise.
+        echo_s: ``stamp_s`` of the latest reply of this epoch, or None. The promise starts at this
+            time by the coordinator's clock, so that a heartbeat processed late cannot extend it.
         applied_seq: ``seq`` of the latest reply of this epoch that the member applied.
-        caps: Demand for and shares of caps.
+        caps: Demand for each cap and the share in force.
     """
 
     sender: Instance
@@ -173,12 +182,14 @@
 
     Attributes:
         accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
-            its grants are then not affected.
-        gone: Whether the sender was taken for gone, so that others may use all that it held.
+            its grants then stay as they are.
+        gone: Whether the coordinator regards the sender as gone, so that others may use all that
+            it held.
         seq: Number of the reply within the epoch.
         stamp_s: Coordinator's clock when it replied.
         grants: All pools that the member may use; the member drops every other pool.
-        settled_s: For this long after the heartbeat was sent, only recorded members hold grants.
+        settled_s: Time after the sending of the heartbeat for which only recorded members hold
+            grants.
         cap_shares: Shares by cap name.
     """
 
@@ -195,7 +206,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FollowReply:
-    """A member's answer to a new coordinator; its ``epoch`` tells whom it follows."""
+    """A member's answer to a new coordinator; ``epoch`` is the epoch that the member follows."""
 
     sender: Instance
     epoch: int
@@ -204,7 +215,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Command:
-    """Something that the I/O task has to do for a decision module."""
+    """An action that a decision module asks the I/O task to execute."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -214,7 +225,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WriteRow(Command):
-    """Write the region row on condition of a version; None means that no row exists."""
+    """Write the region row if it has version ``if_version``; None means that there is no row."""
 
     row: RegionRow
     if_version: str | None
@@ -231,7 +242,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendFollow(Command):
-    """Tell a member which coordinator to follow; it answers and sends a heartbeat at once."""
+    """Ask a member to follow the sender; it answers and sends a heartbeat at once."""
 
     target: Instance
     epoch: int
@@ -239,6 +250,6 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Probe(Command):
-    """Ask an instance for its identity, to learn whether it is gone."""
+    """Ask an instance for its identity, to find out whether it is gone."""
 
     target: Instance
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -1,7 +1,8 @@
-"""Simulated region for ownership tests: processes, links, a table and a platform list.
+"""Simulated region for ownership tests: processes, links, a table and the platform's list.
 
-Every process has a clock of its own with another offset, so that comparing times of two processes
-shows up as a fault. Messages are processed in steps of a tenth of a second.
+The clock of every process has a different offset, so that code which compares the times of two
+processes fails. Simulated time advances in steps of ``STEP_S``; messages are processed within a
+step.
 """
 
 import collections
@@ -43,7 +44,7 @@
 
 
 class Table:
-    """One row with versions; ``delayed`` writes take effect when they are released."""
+    """A table with one versioned row; writes in ``delayed`` take effect on ``release``."""
 
     def __init__(self):
         self.value = None
@@ -69,7 +70,14 @@
 
 
 class Process:
-    """One run of an instance; executes the commands of its decision modules."""
+    """One run of an instance; executes the commands of its decision modules.
+
+    Attributes:
+        paused: Whether the process neither runs nor reads its messages.
+        table_mode: What its table calls do: ``"ok"``; ``"down"``, they have no effect; ``"lost"``,
+            writes take effect but their results are lost; ``"delayed"``, writes take effect when
+            the table releases them. Reads work in mode ``"ok"`` only.
+    """
 
     def __init__(self, world, name, incarnation):
         self.world = world
@@ -96,10 +104,14 @@
         demand = {CAP: float(len(self.grants.pools))}
         for command in self.member.tick(reports=dict, cap_demand=lambda: demand):
             self._execute(command, self.member)
-        won = self.member.won
+        won = self.member.won_election
         if won is not None and (self.coordinator is None or self.coordinator.epoch < won.row.epoch):
             self.coordinator = self.world.coordinator_state(
-                me=self.me, clock=self.clock, invariants=self.checks, members=self.members, won=won
+                me=self.me,
+                clock=self.clock,
+                invariants=self.checks,
+                members=self.members,
+                won_election=won,
             )
             self.coordinator.set_pools(POOLS)
             self.coordinator.set_caps({CAP: CAP_LIMIT})
@@ -110,7 +122,7 @@
     def fetch_list(self):
         self.steps += 1
         if self.coordinator is not None and self.steps % LIST_FETCH_STEPS == 0:
-            self.members.fetched(self.world.listed(), started_s=self.clock.monotonic())
+            self.members.record_list(self.world.listed(), started_s=self.clock.monotonic())
 
     def _execute(self, command, owner):
         now = self.clock.monotonic()
@@ -179,14 +191,21 @@
         self.world.send(self, source.me, "identified", target, self.me.incarnation)
 
     def _on_identified(self, _, target, incarnation):
-        self.members.identified(target.id, incarnation=incarnation)
+        self.members.record_identity(target.id, incarnation=incarnation)
 
     def _on_refused(self, _, target):
-        self.members.refused(target.id, started_s=self.clock.monotonic())
+        self.members.record_refusal(target.id, started_s=self.clock.monotonic())
 
 
 class World:
-    """All processes of a region and the systems around them."""
+    """All processes of a region and the systems around them.
+
+    Attributes:
+        live: Running process by name, paused ones included.
+        links: Mode of each direction between two names: ``"cut"`` drops messages, ``"hold"`` keeps
+            them until ``release_held``; a missing entry means ``"ok"``.
+        list_lag_steps: By how many steps the platform's list lags behind.
+    """
 
     member_table = membership.MemberTable
     coordinator_state = coordinator.CoordinatorState
@@ -213,6 +232,7 @@
         self.dead.append(self.live.pop(name))
 
     def listed(self):
+        """Returns the names in the platform's list, which lags but never goes back."""
         newest = len(self._snapshots) - 1
         self._list_index = max(self._list_index, newest - self.list_lag_steps)
         return self._snapshots[self._list_index]
@@ -256,9 +276,15 @@
                         self.check()
 
     def shares(self, pool):
+        """Returns the share of a pool that each process may use now, by name."""
         return {name: process.grants.share(pool) for name, process in self.live.items()}
 
     def check(self):
+        """Checks that the processes together cannot use more slots, or more of the cap, than exist.
+
+        Raises:
+            AssertionError: The shares add up to more than the slots of a server or the cap.
+        """
         for pool in POOLS:
             shares = self.shares(pool)
             used = sum(part.slots(SLOTS) for part in shares.values())
@@ -269,6 +295,7 @@
             raise AssertionError(f"shares of a cap of {CAP_LIMIT} add up to more: {amounts}")
 
     def full_owners(self):
+        """Returns the name of the process with the full share of each pool that has one."""
         return {
             pool: name
             for pool in POOLS
--- a/packages/core/tests/soak_ownership.py
+++ b/packages/core/tests/soak_ownership.py
@@ -1,4 +1,4 @@
-"""Long random runs of pool ownership under any mixture of faults."""
+"""Long random runs of pool ownership under random combinations of faults."""
 
 import random
 import unittest
@@ -11,17 +11,21 @@
 STEPS = (1, 3, 8, 15, 25, 35, 50)
 
 
-class _Run:
-    """One random run; ``World.check`` raises when two instances use the same slots."""
+class _RandomRun:
+    """One random run; ``World.check`` raises when two instances may use the same slots."""
 
     def __init__(self, seed):
         self._rng = random.Random(seed)
         self._world = ownership_sim.World(NAMES)
 
     def run(self):
-        """Returns the number of pools; all of them have a full owner when all faults are over."""
+        """Runs faults and the recovery; returns the number of pools, which all have full owners.
+
+        Raises:
+            AssertionError: A pool has no full owner again after all faults have ended.
+        """
         self._world.step(self._rng.choice((5, 40)))
-        faults = (self._part, self._kill, self._pause, self._fail_table, self._leave)
+        faults = (self._impair_links, self._kill, self._pause, self._fail_table, self._leave)
         for _ in range(self._rng.randint(3, 14)):
             self._rng.choices(faults, (50, 15, 15, 5, 5))[0]()
             self._recover_some()
@@ -29,10 +33,10 @@
         self._recover_all()
         owners = self._world.full_owners()
         if len(owners) < len(ownership_sim.POOLS):
-            raise AssertionError(f"only these pools have a full owner again: {owners}")
+            raise AssertionError(f"only these pools have a full owner after recovery: {owners}")
         return len(owners)
 
-    def _part(self):
+    def _impair_links(self):
         ways = ((one, other) for one in NAMES for other in NAMES if one != other)
         modes = ("ok", "cut", "hold")
         self._world.links = {way: self._rng.choices(modes, (5, 3, 2))[0] for way in ways}
@@ -83,8 +87,8 @@
 
 class OwnershipSoakTest(unittest.TestCase):
     def test_slots_are_never_used_twice_and_are_all_used_again_later(self):
-        """Guards against faults that need many events to show, and against lasting losses."""
-        total = random_runs.repeat(lambda seed: _Run(seed).run())
+        """Guards against violations that take many events, and against slots that stay unusable."""
+        total = random_runs.repeat(lambda seed: _RandomRun(seed).run())
         self.assertGreater(total, 0)
 
 
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -1,4 +1,4 @@
-"""Tests of pool ownership: safety under random faults and behaviour under single faults."""
+"""Tests of pool ownership under random combinations of faults and under single faults."""
 
 import collections
 import unittest
@@ -16,7 +16,7 @@
 
 
 class RegionMachine(stateful.RuleBasedStateMachine):
-    """Any mixture of faults; ``World.check`` runs after every event of a process."""
+    """Random combinations of faults; ``World.check`` runs after each run of a process."""
 
     world_type = ownership_sim.World
 
@@ -99,31 +99,33 @@
 
 
 class RegionSafetyTest(RegionMachine.TestCase):
-    """Guards against two instances that use the same slots under any mixture of faults."""
+    """Guards against two instances that may use the same slots under combined faults."""
 
 
 class _SilentIsGone(membership.MemberTable):
-    """Wrong rule: takes silence for proof that an instance is gone."""
+    """Faulty rule: regards a silent instance as gone."""
 
     def state(self, instance):
         state = super().state(instance)
         if state is membership.State.SILENT:
-            self._forget(instance)
+            self._mark_gone(instance)
         return state
 
 
-class _OfflineShareIgnored(holdings.Holdings):
-    """Wrong rule: forgets the offline share of a holder whose grant has expired."""
+class _OfflineShareDropped(holdings.Holdings):
+    """Faulty rule: frees the offline third of a holder when its grant of the main part expires."""
 
     def assigned_to(self, member):
         pools = super().assigned_to(member)
         for pool in pools.values():
             if self._clock.monotonic() >= pool.main_until_s:
-                pool.offline_suspects.clear()
+                pool.possible_offline_holders.clear()
         return pools
 
 
 class CheckerTest(unittest.TestCase):
+    """Shows that ``World.check`` finds the violations that faulty rules cause."""
+
     def _assert_found(self, **wrong):
         world_type = type("WrongWorld", (ownership_sim.World,), wrong)
         machine = type("WrongMachine", (RegionMachine,), {"world_type": world_type})
@@ -131,12 +133,12 @@
             stateful.run_state_machine_as_test(machine, settings=UNTIL_FOUND)
 
     def test_silence_as_proof_is_found(self):
-        """Guards against a checker that accepts reassignment of a paused holder's pool."""
+        """Guards against a checker that misses the reassignment of a paused holder's pool."""
         self._assert_found(member_table=_SilentIsGone)
 
     def test_ignored_offline_share_is_found(self):
-        """Guards against a checker that overlooks the offline share of the last holder."""
-        with mock.patch.object(holdings, "Holdings", _OfflineShareIgnored):
+        """Guards against a checker that misses the offline third of the previous holder."""
+        with mock.patch.object(holdings, "Holdings", _OfflineShareDropped):
             self._assert_found()
 
 
@@ -161,20 +163,20 @@
             process.table_mode = "down"
 
     def test_pools_are_spread(self):
-        """Guards against an instance that starts first and keeps all pools."""
+        """Guards against the instance that starts first keeping all pools."""
         counts = collections.Counter(self.owners.values())
         self.assertEqual(len(self.owners), len(ownership_sim.POOLS))
         self.assertEqual(sorted(counts[name] for name in NAMES), [1, 1, 2])
 
     def test_table_down_keeps_full_shares(self):
-        """Guards against losing slots while the table is down and all members answer."""
+        """Guards against unusable slots while the table is down and all members answer."""
         self._table_down()
         for _ in range(600):
             self.world.step()
             self.assertEqual(self.world.full_owners(), self.owners)
 
     def test_table_down_and_member_gone(self):
-        """Guards against losing slots when an instance dies while the table is down."""
+        """Guards against unusable slots after an instance died while the table is down."""
         self._table_down()
         self.world.step(50)
         self.world.kill(self._follower())
@@ -184,7 +186,11 @@
             self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_table_down_and_pause_then_wake(self):
-        """Guards against promises that cannot be renewed once one of them has ended."""
+        """Guards against authority that stays lost after a paused member's promise has expired.
+
+        While the table is down, the promises of all members are needed; when the paused member
+        continues, its promises must give the coordinator authority again.
+        """
         self._table_down()
         self.world.step(50)
         self.world.live[self._follower()].paused = True
@@ -195,7 +201,7 @@
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_join_while_table_is_down(self):
-        """Guards against an instance that cannot take part until the table is back."""
+        """Guards against an instance that cannot join until the table answers again."""
         self._table_down()
         self.world.start("s")
         joining = self.world.live["s"]
@@ -211,7 +217,7 @@
         self.assertEqual(sorted(counts.values()), [1, 1, 1, 1])
 
     def test_paused_holder(self):
-        """Guards against leaving a paused holder's pool unused, or using its offline share."""
+        """Guards against a paused holder's main part staying unused or its offline third reused."""
         name = self._follower()
         pools = [pool for pool, owner in self.owners.items() if owner == name]
         self.world.live[name].paused = True
@@ -223,7 +229,7 @@
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_paused_coordinator(self):
-        """Guards against heartbeats that keep a coordinator in office that does not answer."""
+        """Guards against promises that keep an unresponsive coordinator's authority in force."""
         leader = self._leader()
         self.world.live[leader].paused = True
         self.world.step(80)
@@ -238,13 +244,16 @@
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_killed_holder(self):
-        """Guards against waiting for grants of an instance whose port refuses connections."""
+        """Guards against waiting for the expiry of grants of an instance that is known to be gone.
+
+        The port of the killed instance refuses connections, which proves that it is gone.
+        """
         self.world.kill(self._follower())
         self.world.step(15)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_killed_coordinator_moves_nothing_else(self):
-        """Guards against pools that move or stop because the coordinator changed."""
+        """Guards against pools that move or become unusable because the coordinator changed."""
         leader = self._leader()
         kept = {pool: name for pool, name in self.owners.items() if name != leader}
         self.world.kill(leader)
@@ -254,13 +263,16 @@
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_killed_coordinator_pools_move_fast(self):
-        """Guards against waiting a whole grant when no unrecorded instance can hold one."""
+        """Guards against a new coordinator that waits for earlier grants to expire without need.
+
+        It need not wait when only recorded members can hold grants and all of them have reported.
+        """
         self.world.kill(self._leader())
         self.world.step(15)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_leaving_hands_over_within_a_step(self):
-        """Guards against a pool without an owner during a planned stop."""
+        """Guards against a pool without a full owner while an instance stops gracefully."""
         name = self._follower()
         ownership_sim.leave(self.world.live[name])
         without = 0
@@ -271,7 +283,10 @@
         self.assertNotIn(name, self.world.full_owners().values())
 
     def test_pools_wait_for_the_share_of_the_cap(self):
-        """Guards against a pool at an instance that joined and has no share of the region's cap."""
+        """Guards against pools assigned to a new instance before it has a share of the cap.
+
+        Without a share of the region's cap, it would refuse all requests of the pool.
+        """
         name = self._follower()
         self.world.kill(name)
         self.world.step(30)
@@ -286,7 +301,7 @@
         self.assertIn(name, self.world.full_owners().values())
 
     def test_cap_shares_follow_the_pools(self):
-        """Guards against a cap that is not used up although its holders demand all of it."""
+        """Guards against shares that add up to less than the cap although all of it is demanded."""
         self.world.kill(self._leader())
         self.world.step(80)
         amounts = [
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -1,6 +1,7 @@
-"""Shows for single rules of pool ownership which run breaks the slots of a server without them.
+"""Scenarios that need one rule of pool ownership each.
 
-Each run must pass with the rule and must be found by the checker without it.
+Each scenario must pass with the real rule. With the rule replaced by a faulty one, the checker of
+the simulation must find that two instances may use the same slots.
 """
 
 import dataclasses
@@ -15,8 +16,8 @@
 NAMES = ("p", "q", "r")
 
 
-class _Run:
-    """A region of three instances: the leader and two members ``a`` and ``b``."""
+class _Scenario:
+    """A region of three instances: the coordinator ``leader`` and the members ``a`` and ``b``."""
 
     def __init__(self):
         self.world = ownership_sim.World(NAMES)
@@ -38,15 +39,15 @@
             self.world.step()
             if condition():
                 return
-        raise TimeoutError("the run did not reach its state")
+        raise TimeoutError("the condition was not met within 100 steps")
 
     def coordinates(self, name):
         return self.live[name].coordinator is not None
 
 
 def late_heartbeats():
-    """Heartbeats of a member reach the old coordinator after the member took over."""
-    run = _Run()
+    """Heartbeats that a member sent before it took over reach the old coordinator afterwards."""
+    run = _Scenario()
     run.table("down", run.leader)
     run.cut((run.leader, run.a), (run.a, run.b))
     run.world.links[run.a, run.leader] = "hold"
@@ -58,7 +59,7 @@
 
 def late_candidate_write():
     """A candidate write takes effect after its sender follows the old coordinator again."""
-    run = _Run()
+    run = _Scenario()
     run.table("down", run.leader, run.b)
     run.cut((run.leader, run.a))
     candidate = run.live[run.a]
@@ -77,8 +78,8 @@
 
 
 def successor_dies():
-    """A new coordinator dies before the old one, without the table, hears of it."""
-    run = _Run()
+    """A new coordinator dies before the old one, which cannot read the table, learns of it."""
+    run = _Scenario()
     run.table("down", run.leader, run.b)
     run.cut((run.leader, run.a), (run.a, run.b))
     run.step_until(lambda: run.coordinates(run.a))
@@ -90,9 +91,9 @@
     run.world.step(80)
 
 
-def newcomer_without_contact():
-    """An instance that nobody recorded reaches the table, but not the others."""
-    run = _Run()
+def new_instance_without_contact():
+    """A new instance that is not recorded can reach the table, but not the other instances."""
+    run = _Scenario()
     run.table("down")
     run.world.start("z")
     run.cut(*(("z", name) for name in NAMES))
@@ -100,8 +101,8 @@
 
 
 def row_seen_before():
-    """A member saw the row during an earlier loss of contact and loses contact again."""
-    run = _Run()
+    """A member that read the row during an earlier loss of contact loses contact again."""
+    run = _Scenario()
     run.table("down", run.leader, run.b)
     run.cut((run.leader, run.a), (run.a, run.b))
     run.world.step(20)
@@ -112,8 +113,8 @@
 
 
 def unrecorded_holder():
-    """A coordinator dies that had given pools to an instance that the row does not name."""
-    run = _Run()
+    """A coordinator dies after it granted pools to an instance that the row does not name."""
+    run = _Scenario()
     run.table("down")
     run.world.step(40)
     run.world.start("z")
@@ -133,8 +134,8 @@
 
 
 def holder_dies_after_takeover():
-    """A member that followed the new coordinator dies; the old one still counts it as its own."""
-    run = _Run()
+    """A member that follows the new coordinator dies; the old one, still unaware, finds it gone."""
+    run = _Scenario()
     run.table("down", run.leader)
     run.cut((run.leader, run.a), (run.leader, run.b))
     run.step_until(lambda: run.coordinates(run.a) or run.coordinates(run.b))
@@ -147,12 +148,12 @@
     run.world.step(40)
 
 
-_promised = authority.Authority.promised
+_record_promise = authority.Authority.record_promise
 
 
 def _promise_from_receipt(self, instance, stamp_s):
     del stamp_s
-    _promised(self, instance, self._clock.monotonic())
+    _record_promise(self, instance, self._clock.monotonic())
 
 
 _heartbeat = member.MemberState._heartbeat
@@ -176,7 +177,9 @@
 
 
 def _drop_gone_always(self):
-    self._needed = {each for each in self._needed if not self._members.is_gone(each)}
+    self._required_members = {
+        each for each in self._required_members if not self._members.is_gone(each)
+    }
     self._promised_until_s = None
 
 
@@ -190,8 +193,8 @@
         self._row = row
 
 
-def _settled_always(self, pending, version):
-    _win(self, dataclasses.replace(pending, settled=True), version)
+def _holders_always_recorded(self, pending, version):
+    _win(self, dataclasses.replace(pending, holders_recorded=True), version)
 
 
 def _everyone_is_recorded(self, instance):
@@ -204,37 +207,37 @@
     return -math.inf
 
 
-_desired = coordinator.CoordinatorState._desired
+_permitted_shares = coordinator.CoordinatorState._permitted_shares
 
 
 def _free_without_authority(self, member_id):
-    desired = _desired(self, member_id)
+    permitted = _permitted_shares(self, member_id)
     for key, pool in self._holdings.assigned_to(member_id).items():
-        if not pool.offline_suspects and key not in desired:
-            desired[key] = share.Share.OFFLINE
-    return desired
+        if not pool.possible_offline_holders and key not in permitted:
+            permitted[key] = share.Share.OFFLINE
+    return permitted
 
 
 def _silent_is_gone(self, instance):
     state = _state(self, instance)
     if state is membership.State.SILENT:
-        self._forget(instance)
+        self._mark_gone(instance)
     return state
 
 
 RULES = (
-    (late_heartbeats, authority.Authority, "promised", _promise_from_receipt),
+    (late_heartbeats, authority.Authority, "record_promise", _promise_from_receipt),
     (late_candidate_write, member.MemberState, "_heartbeat", _promise_always),
     (row_seen_before, member.MemberState, "_heartbeat", _promise_forgotten),
     (successor_dies, authority.Authority, "refresh", _drop_gone_always),
-    (newcomer_without_contact, member.MemberState, "_may_take_over", _anyone_takes_over),
-    (unrecorded_holder, member.MemberState, "_win", _settled_always),
+    (new_instance_without_contact, member.MemberState, "_may_take_over", _anyone_takes_over),
+    (unrecorded_holder, member.MemberState, "_win", _holders_always_recorded),
     (unrecorded_holder, authority.Authority, "is_recorded", _everyone_is_recorded),
     (unrecorded_holder, coordinator.CoordinatorState, "_earlier_grants_until_s", _no_grants),
     (
         holder_dies_after_takeover,
         coordinator.CoordinatorState,
-        "_desired",
+        "_permitted_shares",
         _free_without_authority,
     ),
     (late_heartbeats, membership.MemberTable, "state", _silent_is_gone),
@@ -243,13 +246,13 @@
 
 class RulesTest(unittest.TestCase):
     def test_runs_pass_with_the_rules(self):
-        """Guards against two instances that use the same slots in a known difficult run."""
+        """Guards against two instances that may use the same slots in one of the scenarios."""
         for run in dict.fromkeys(rule[0] for rule in RULES):
             with self.subTest(run=run.__name__):
                 run()
 
     def test_wrong_rules_are_found(self):
-        """Guards against a checker or a run that would not notice the loss of a rule."""
+        """Guards against a checker or a scenario that does not detect a missing rule."""
         for run, owner, name, wrong in RULES:
             with self.subTest(wrong=wrong.__name__), mock.patch.object(owner, name, wrong):
                 self.assertRaises(AssertionError, run)
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -105,17 +105,17 @@
         """Decisions of the current epoch, or None when this instance is not coordinator."""
         return self._state
 
-    def start(self, won: authority.Won) -> None:
+    def start(self, won: authority.WonElection) -> None:
         """Becomes coordinator of the epoch that this instance won."""
         known = self._directory.region(self._me.region)
         if known is not None:
-            self._members.learn_gone(known.gone)
+            self._members.record_gone(known.gone)
         self._state = coordinator.CoordinatorState(
             me=self._me,
             clock=self._clock,
             invariants=self._invariants,
             members=self._members,
-            won=won,
+            won_election=won,
         )
         self._policy = None
         self._version = 0
@@ -263,7 +263,7 @@
         except errors.SassafraswayError as error:
             self._log.info("instance list not read", reason=error.message)
             return
-        self._members.fetched((each.name for each in listed), started_s=started_s)
+        self._members.record_list((each.name for each in listed), started_s=started_s)
 
     def _publish(self) -> None:
         """Writes the directory of the own region when it changed."""
@@ -356,12 +356,12 @@
         try:
             identity = await peers.call(target.rpc_address, "identify", timeout_s=CALL_TIMEOUT_S)
         except rpc_client.ConnectionRefusedByPeerError:
-            members.refused(target.id, started_s=started_s)
+            members.record_refusal(target.id, started_s=started_s)
             return None
         except errors.SassafraswayError:
             # A connection that was lost proves nothing; the next attempt opens a new one.
             continue
-        members.identified(target.id, incarnation=identity.instance.incarnation)
+        members.record_identity(target.id, incarnation=identity.instance.incarnation)
         return identity
     return None
 
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -240,7 +240,7 @@
         """Lets time pass; starts the calls that are due."""
         for command in self._state.tick(reports=self._pool_reports, cap_demand=self._cap_demand):
             self._background.start(self._execute(command))
-        won = self._state.won
+        won = self._state.won_election
         if won is not None and won.row.epoch > self._won_epoch:
             self._won_epoch = won.row.epoch
             self._coordinator.start(won)
@@ -297,7 +297,7 @@
         leader = self._grants.coordinator
         if leader is not None and leader.rpc_address == address:
             if not self._members.is_gone(leader.id):
-                self._state.hurry()
+                self._state.request_heartbeat()
                 self._wake.set()
             return
         self._suspicions.report(address)
@@ -333,7 +333,7 @@
         try:
             reply = await self._call_heartbeat(target, message)
         except rpc_client.ConnectionRefusedByPeerError:
-            self._members.refused(target.id, started_s=command.sent_s)
+            self._members.record_refusal(target.id, started_s=command.sent_s)
         except errors.SassafraswayError as error:
             self._log.info("no answer to heartbeat", peer=error.peer, reason=error.message)
             if self._clock.monotonic() < command.sent_s + QUICK_FAILURE_S:
