Use standard terms in the modules of caps

Comments called holders quiet or lost and demands weighed; CapBook, heard, assume, most and sum_up did not say what they are. The division is now described as max-min fair, and the names become RegionCaps, record_reports, adopt_share, demand_limit and recompute_totals. Test docstrings state the failure and how it comes about.

Names on the wire are unchanged.

--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -1,4 +1,4 @@
-"""Shares of region and link caps in the heartbeats between members and coordinator."""
+"""Shares of the caps of regions and links, as exchanged between members and the coordinator."""
 
 import dataclasses
 from collections.abc import Iterable, Mapping
@@ -7,10 +7,11 @@
 from sassafrasway_core import clock as clocks
 from sassafrasway_core import invariants as checks
 
-# A coordinator of a higher epoch gives out shares with higher sequences than all before it.
+# Range of share sequences per epoch, so that shares of a higher epoch have higher sequences.
 _SEQUENCES_PER_EPOCH = 2**32
-# Stands for the holders that a new coordinator does not know; their shares have no offline part.
-_UNRECORDED = model.InstanceId(name="", incarnation="")
+# Represents holders that are not recorded in the table and so are unknown to a new coordinator.
+# Their shares have no offline part.
+_UNRECORDED_HOLDERS = model.InstanceId(name="", incarnation="")
 
 
 def region_cap(region: str) -> str:
@@ -25,25 +26,26 @@
 
 def caps_of(policy: model.Policy, region: str) -> dict[str, float]:
     """Returns the caps that the coordinator of a region divides, by name."""
-    found = {}
+    limits = {}
     own = policy.regions.get(region)
     if own is not None and own.cap_rps is not None:
-        found[region_cap(region)] = own.cap_rps
+        limits[region_cap(region)] = own.cap_rps
     for link in policy.links.values():
         if region in (link.source, link.target):
             other = link.target if link.source == region else link.source
-            found[link_cap(region, other)] = link.cap_mbit_s
-    return found
+            limits[link_cap(region, other)] = link.cap_mbit_s
+    return limits
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CapReport:
-    """A holder's demand for one cap and the share that it has.
+    """A holder's demand for one cap and its current share.
 
     Attributes:
+        name: Name of the cap.
         demand: What the holder would use, in the unit of the cap.
-        sequence: Sequence of the share in force, 0 when there is none.
-        amount: Amount of the last share, expired or not.
+        sequence: Sequence of the last share, or 0 when there is none.
+        amount: Amount of the last share, even if it has expired.
         offline: Part of that share that stays in force after it has expired.
         remaining_s: Time until that share expires; negative when it has expired.
     """
@@ -69,7 +71,7 @@
         return 0.0 if held is None else held.amount()
 
     def reports(self, demand: Mapping[str, float]) -> tuple[CapReport, ...]:
-        """Returns the reports of a heartbeat: caps with demand and caps with a share."""
+        """Returns the cap reports of a heartbeat: all caps with demand or a share."""
         return tuple(self._report(name, demand) for name in sorted({*demand, *self._held}))
 
     def apply(self, shares: Mapping[str, caps.CapShare], *, sent_s: float) -> None:
@@ -79,7 +81,7 @@
             held.apply(share, sent_s=sent_s)
 
     def revoke(self) -> None:
-        """Gives up every share, because others may have been granted them."""
+        """Drops every share, because other instances may have been granted them."""
         self._held = {}
 
     def _report(self, name: str, demand: Mapping[str, float]) -> CapReport:
@@ -92,21 +94,21 @@
             sequence=held.sequence,
             amount=held.share.amount,
             offline=held.share.offline,
-            # A share that was never given has no time of expiry.
+            # The limit keeps the value finite when a share has never been granted.
             remaining_s=max(held.remaining_s(), -caps.SHARE_S),
         )
 
 
-class CapBook:
-    """A coordinator's division of all caps of its region for one epoch.
+class RegionCaps:
+    """Divides all caps of a region among its instances, for one epoch of the coordinator.
 
     Args:
         clock: Time source.
         invariants: Checks that shares in force never add up to more than a cap.
         epoch: Epoch of the coordinator.
-        holders: Instances that may hold shares of an earlier coordinator; None when there was no
-            earlier coordinator.
-        complete: Whether nobody else can hold such a share.
+        holders: Recorded instances that may hold shares of an earlier coordinator; None when there
+            was no earlier coordinator.
+        holders_complete: Whether no other instance can hold such a share.
     """
 
     def __init__(
@@ -116,19 +118,19 @@
         invariants: checks.Invariants,
         epoch: int,
         holders: Iterable[model.InstanceId] | None,
-        complete: bool,
+        holders_complete: bool,
     ):
         self._clock = clock
         self._invariants = invariants
         self._first_sequence = epoch * _SEQUENCES_PER_EPOCH
         self._took_over = holders is not None
-        self._unheard = set(holders or ())
-        if self._took_over and not complete:
-            self._unheard.add(_UNRECORDED)
-        self._unrecorded_until_s = clock.monotonic() + caps.SHARE_S
-        self._earlier: dict[model.InstanceId, tuple[float, dict[str, CapReport]]] = {}
+        self._unreported_holders = set(holders or ())
+        if self._took_over and not holders_complete:
+            self._unreported_holders.add(_UNRECORDED_HOLDERS)
+        self._unrecorded_shares_until_s = clock.monotonic() + caps.SHARE_S
+        self._earlier_reports: dict[model.InstanceId, tuple[float, dict[str, CapReport]]] = {}
         self._dividers: dict[str, caps.CapDivider] = {}
-        self._divided: frozenset[str] = frozenset()
+        self._active_caps: frozenset[str] = frozenset()
 
     def set_caps(self, limits: Mapping[str, float]) -> None:
         """Sets the caps to divide, by name."""
@@ -138,18 +140,19 @@
                 self._dividers[name] = self._new_divider(name, limit)
             else:
                 divider.set_cap(limit)
-        # The divider of a removed cap stays: it knows the shares in force if the cap comes back.
-        self._divided = frozenset(limits)
+        # The divider of a removed cap is kept: if the cap is set again, the divider still knows the
+        # shares in force.
+        self._active_caps = frozenset(limits)
 
-    def heard(self, holder: model.InstanceId, reports: Iterable[CapReport]) -> None:
-        """Takes note of a holder's heartbeat; the first one tells of its earlier shares."""
-        if not self._took_over or holder in self._earlier:
+    def record_reports(self, holder: model.InstanceId, reports: Iterable[CapReport]) -> None:
+        """Records the shares of an earlier coordinator from a holder's first heartbeat."""
+        if not self._took_over or holder in self._earlier_reports:
             return
         by_name = {report.name: report for report in reports}
-        self._earlier[holder] = (self._clock.monotonic(), by_name)
-        self._unheard.discard(holder)
+        self._earlier_reports[holder] = (self._clock.monotonic(), by_name)
+        self._unreported_holders.discard(holder)
         for name, divider in self._dividers.items():
-            self._assume(divider, holder, name)
+            self._adopt_share(divider, holder, name)
 
     def renew(
         self, holder: model.InstanceId, reports: Iterable[CapReport], *, keeps_offline: bool
@@ -160,13 +163,16 @@
             holder: Sender of the heartbeat.
             reports: Its reports.
             keeps_offline: Whether the holder may use the offline part after a share has expired;
-                False for one that a later coordinator would not know of.
+                False for an instance that a later coordinator would not know of.
         """
-        if _UNRECORDED in self._unheard and self._clock.monotonic() > self._unrecorded_until_s:
-            self.remove(_UNRECORDED)
+        if (
+            _UNRECORDED_HOLDERS in self._unreported_holders
+            and self._clock.monotonic() > self._unrecorded_shares_until_s
+        ):
+            self.remove(_UNRECORDED_HOLDERS)
         shares = {}
         for report in reports:
-            if report.name not in self._divided:
+            if report.name not in self._active_caps:
                 continue
             divider = self._dividers[report.name]
             share = divider.renew(holder, demand=report.demand, confirmed=report.sequence)
@@ -176,14 +182,14 @@
         return shares
 
     def is_met(self, name: str, holder: model.InstanceId, amount: float) -> bool:
-        """Returns whether a share of ``amount`` is about what the holder is to have of a cap."""
+        """Returns whether ``amount`` is close to the holder's target share of a cap."""
         divider = self._dividers.get(name)
         return divider is not None and divider.is_met(holder, amount)
 
     def remove(self, holder: model.InstanceId) -> None:
-        """Takes back everything from a holder that is known to be gone."""
-        self._unheard.discard(holder)
-        self._earlier.pop(holder, None)
+        """Drops a holder that is known to be gone and takes back its shares."""
+        self._unreported_holders.discard(holder)
+        self._earlier_reports.pop(holder, None)
         for divider in self._dividers.values():
             divider.remove(holder)
 
@@ -195,19 +201,19 @@
             first_sequence=self._first_sequence,
         )
         if self._took_over:
-            divider.take_over([*self._unheard, *self._earlier])
-            for holder in self._earlier:
-                self._assume(divider, holder, name)
+            divider.take_over([*self._unreported_holders, *self._earlier_reports])
+            for holder in self._earlier_reports:
+                self._adopt_share(divider, holder, name)
         return divider
 
-    def _assume(self, divider: caps.CapDivider, holder: model.InstanceId, name: str) -> None:
-        heard_s, reports = self._earlier[holder]
+    def _adopt_share(self, divider: caps.CapDivider, holder: model.InstanceId, name: str) -> None:
+        reported_s, reports = self._earlier_reports[holder]
         report = reports.get(name) or CapReport(name=name, demand=0.0)
-        elapsed_s = self._clock.monotonic() - heard_s
+        elapsed_s = self._clock.monotonic() - reported_s
         share = caps.CapShare(
             sequence=report.sequence,
             amount=report.amount,
             offline=report.offline,
             valid_s=caps.SHARE_S,
         )
-        divider.assume(holder, share=share, remaining_s=report.remaining_s - elapsed_s)
+        divider.adopt_share(holder, share=share, remaining_s=report.remaining_s - elapsed_s)
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -1,4 +1,4 @@
-"""Upper bound of what the holders of one cap may still be using."""
+"""Upper bound of what the holders of one cap may use or have used in the last second."""
 
 import dataclasses
 import heapq
@@ -14,10 +14,10 @@
     """A share that a holder may have in force.
 
     Attributes:
-        ends_s: Time from which the full amount no longer counts in any window.
+        ends_s: Until when the full amount counts: one window after it expired or was replaced.
         offline: Part of the amount that stays in force after the grant has expired.
-        offline_ends_s: Time from which the offline part no longer counts; infinite until a later
-            grant is confirmed or the holder is gone.
+        offline_ends_s: Until when the offline part counts; infinite until a later grant is
+            confirmed or the holder is gone.
     """
 
     sequence: int
@@ -42,7 +42,7 @@
         return self.ends_s if now_s <= self.ends_s else self.offline_ends_s
 
     def covers(self, older: "_Grant") -> bool:
-        """Returns whether ``older``, which ends no later, can be left out beside this one."""
+        """Returns whether ``older`` can be dropped because this grant counts at least as much."""
         return (
             older.sequence < self.sequence
             and older.amount <= self.amount
@@ -52,12 +52,12 @@
 
 
 class _Holder:
-    """Grants of one holder; it may have any of them in force, so the largest one counts.
+    """Grants of one holder. Any of them may be in force, so the largest one counts.
 
     Attributes:
-        reserved: What counts for the holder as of the last ``refresh``.
-        offline: Offline part that counts for the holder as of the last ``refresh``.
-        check_s: Time of the scheduled ``refresh``, infinite without one.
+        reserved: Amount that counts for the holder since the last ``refresh``.
+        offline: Offline part that counts for the holder since the last ``refresh``.
+        check_s: Time of the next scheduled ``refresh``; infinite when none is scheduled.
     """
 
     __slots__ = ("_grants", "_newest", "check_s", "offline", "reserved")
@@ -93,7 +93,7 @@
         self.offline = max((grant.reserved_offline(now_s) for grant in self._grants), default=0.0)
 
     def _merge_expired(self, now_s: float) -> None:
-        """Keeps memory bounded while no confirmation arrives from a holder."""
+        """Merges expired grants, to bound memory while a holder confirms nothing."""
         expired = [
             grant
             for grant in self._grants
@@ -107,20 +107,20 @@
 
 
 class Reservations:
-    """Adds up what each holder may have in force or has used in the last second.
+    """Sums up what each holder may have in force or has used in the last second.
 
-    A share that was confirmed as replaced, or has expired, counts for one more second, because
+    A share counts for one more second after it expired or the holder confirmed a later one, because
     what was admitted under it is still in the holder's current window. The offline part of an
-    expired share counts until the holder is gone or confirms another share.
+    expired share counts until the holder is gone or confirms a later share.
     """
 
     def __init__(self):
         self._holders: dict[Hashable, _Holder] = {}
         self._total = 0.0
         self._offline = 0.0
-        # Times at which a holder's reservation may fall. An entry is stale when its time is not
-        # the holder's ``check_s``.
-        self._ends: list[tuple[float, int, Hashable]] = []
+        # Heap of the times at which the reservation of a holder may decrease. An entry is obsolete
+        # when its time differs from the holder's ``check_s``.
+        self._check_times: list[tuple[float, int, Hashable]] = []
         self._order = itertools.count()
 
     @property
@@ -144,9 +144,9 @@
         return record.offline if record else 0.0
 
     def expire(self, now_s: float) -> None:
-        """Drops what no longer counts at ``now_s``."""
-        while self._ends and self._ends[0][0] < now_s:
-            check_s, _, holder = heapq.heappop(self._ends)
+        """Removes what no longer counts at ``now_s``."""
+        while self._check_times and self._check_times[0][0] < now_s:
+            check_s, _, holder = heapq.heappop(self._check_times)
             record = self._holders.get(holder)
             if record is not None and record.check_s == check_s:
                 record.check_s = math.inf
@@ -162,7 +162,7 @@
         expires_s: float,
         now_s: float,
     ) -> None:
-        """Counts a share that the holder may have in force until ``expires_s`` or a later one."""
+        """Adds a share that the holder may have in force until it expires at ``expires_s``."""
         grant = _Grant(
             sequence=sequence,
             amount=amount,
@@ -176,7 +176,7 @@
         self._refresh(holder, record, now_s)
 
     def confirm(self, holder: Hashable, sequence: int, *, now_s: float) -> None:
-        """Ends the shares before ``sequence``, which the holder has in force."""
+        """Ends the shares before ``sequence``; the holder has confirmed that one as in force."""
         record = self._holders.get(holder)
         if record is not None:
             record.retire_before(sequence, now_s + window.WINDOW_S)
@@ -189,8 +189,8 @@
             record.retire_all(now_s + window.WINDOW_S)
             self._schedule(holder, record, now_s)
 
-    def sum_up(self) -> None:
-        """Adds the reservations up anew, so that rounding errors do not accumulate."""
+    def recompute_totals(self) -> None:
+        """Recomputes the sums, so that rounding errors do not accumulate."""
         self._total = math.fsum(record.reserved for record in self._holders.values())
         self._offline = math.fsum(record.offline for record in self._holders.values())
 
@@ -198,7 +198,7 @@
         next_s = record.next_end_s(now_s)
         if next_s < record.check_s:
             record.check_s = next_s
-            heapq.heappush(self._ends, (next_s, next(self._order), holder))
+            heapq.heappush(self._check_times, (next_s, next(self._order), holder))
 
     def _refresh(self, holder: Hashable, record: _Holder, now_s: float) -> None:
         before, offline_before = record.reserved, record.offline
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -1,4 +1,4 @@
-"""Division of one region or link cap into shares of the instances that use it."""
+"""Division of the cap of a region or a link into shares of the instances that use it."""
 
 import dataclasses
 import math
@@ -7,20 +7,24 @@
 from sassafrasway_core import cap_reserve, invariants, window
 from sassafrasway_core import clock as clock_lib
 
+# Validity of a share.
 SHARE_S = 2.0
+# Part of a share, and of the cap, that stays in force when shares expire without a new one.
 OFFLINE_FRACTION = 1 / 3
 
-# Part of the cap that is divided evenly, so that a quiet holder can admit its first requests.
+# Part of the cap that is divided evenly, so that an idle holder can admit its first requests.
 EVEN_FRACTION = 0.05
 
-# A demand falls by at most this factor per heartbeat, because a reduced share is of no use to
-# anyone for about a second, and demand measured over one heartbeat varies.
+# A recorded demand falls by at most this factor per heartbeat. Demand measured over one heartbeat
+# interval varies, and what is taken from a share is unusable for about a second.
 DEMAND_DECAY = 0.8
 
-# Fraction of its target from which on a share counts as given: targets move with every demand.
+# A share of at least this fraction of its target counts as met, because the target changes with
+# every demand.
 MET_FRACTION = 0.8
 
-# Interval at which all demands are weighed anew; it keeps the cost of a heartbeat constant.
+# Minimum interval between recomputations of the level from all demands. It keeps the cost of a
+# heartbeat constant.
 LEVEL_INTERVAL_S = 0.25
 
 
@@ -29,8 +33,9 @@
     """A holder's share of a cap, in the unit of the cap.
 
     Attributes:
-        sequence: Shares with a higher sequence replace those with a lower one.
-        offline: Part that the holder may use after the share has expired, until it has another.
+        sequence: A share replaces those with a lower sequence.
+        amount: Limit in any one-second window while the share is valid.
+        offline: Limit after the share has expired, until the holder has a new one.
         valid_s: Seconds after the sending of the holder's heartbeat at which the share expires.
     """
 
@@ -41,9 +46,10 @@
 
 
 class HeldShare:
-    """A holder's side of a cap: the limit in force by its own clock.
+    """A holder's share of a cap and the limit that is in force by the holder's own clock.
 
-    The holder sets its ``SlidingWindow`` to ``amount()`` before it takes from it.
+    The holder sets the limit of its ``SlidingWindow`` to ``amount()`` before it takes from the
+    window.
     """
 
     def __init__(self, *, clock: clock_lib.Clock):
@@ -53,12 +59,12 @@
 
     @property
     def sequence(self) -> int:
-        """Sequence of the share in force, which the next heartbeat confirms."""
+        """Sequence of the last share, which the next heartbeat confirms."""
         return self._share.sequence
 
     @property
     def share(self) -> CapShare:
-        """The last share, expired or not."""
+        """The last share, even if it has expired."""
         return self._share
 
     def remaining_s(self) -> float:
@@ -72,10 +78,10 @@
         return self._share.offline
 
     def apply(self, share: CapShare, *, sent_s: float) -> bool:
-        """Puts a share in force that answers the heartbeat sent at ``sent_s``.
+        """Puts in force a share from the reply to the heartbeat sent at ``sent_s``.
 
         Returns:
-            False when a later share is already in force.
+            False when this or a later share is in force already.
         """
         if share.sequence <= self._share.sequence:
             return False
@@ -87,39 +93,48 @@
 @dataclasses.dataclass(slots=True)
 class _Demand:
     amount: float
-    seen_s: float
+    reported_s: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Level:
-    """Result of weighing all demands: each gets up to ``most`` of its demand plus ``extra``."""
+    """Level up to which demands are met.
 
-    most: float
-    extra: float
+    Attributes:
+        demand_limit: Highest part of any demand that is met.
+        even_extra: Amount that each holder gets in addition, whatever its demand.
+        at_s: When the level was computed.
+    """
+
+    demand_limit: float
+    even_extra: float
     at_s: float
 
     def target(self, demand: float) -> float:
-        return min(demand, self.most) + self.extra
+        return min(demand, self.demand_limit) + self.even_extra
 
 
 class CapDivider:
     """Divides a cap by demand so that the holders together never exceed it in any second.
 
-    Small demands are met in full; the large ones share the rest evenly, and so is what nobody
-    demands. A part that is taken from a holder is given to others one second after the holder
-    confirmed its smaller share, or after the larger one has expired. Of an expired share, the
-    offline part stays reserved until the holder is removed. It is a third of the share, and less
-    where the offline parts of all holders would add up to more than a third of the cap: while
-    lost holders have theirs, their successors get none.
+    The division is max-min fair: small demands are met in full, and the large ones share the rest
+    evenly. What nobody demands is divided evenly among all holders. A part that is taken from a
+    holder is given to others one second after the holder has confirmed its smaller share, or one
+    second after the larger share has expired.
+
+    The offline part of an expired share stays reserved until the holder confirms a new share or is
+    removed. It is a third of the share, or less where the offline parts of all holders would add up
+    to more than a third of the cap: while silent holders keep their offline parts, the holders that
+    replace them get none.
 
     Args:
-        cap: Highest sum of all holders in one second.
+        cap: Limit for the sum over all holders in one second.
         clock: Time source.
         invariants: Checks that shares in force never add up to more than the cap.
         share_s: Seconds for which a share is valid.
         offline_fraction: Part of a share, and of the cap, that stays in force after expiry.
-        first_sequence: Sequence of the first share; it must be higher than all sequences that an
-            earlier coordinator gave out.
+        first_sequence: Sequence of the first share; it must be higher than all sequences of an
+            earlier coordinator.
     """
 
     def __init__(
@@ -141,13 +156,13 @@
         self._last_sequence = first_sequence - 1
         self._demands: dict[Hashable, _Demand] = {}
         self._reservations = cap_reserve.Reservations()
-        self._unknown: set[Hashable] = set()
-        self._earlier_end_s = -math.inf
-        self._level = _Level(most=0.0, extra=0.0, at_s=-math.inf)
+        self._unknown_holders: set[Hashable] = set()
+        self._earlier_shares_end_s = -math.inf
+        self._level = _Level(demand_limit=0.0, even_extra=0.0, at_s=-math.inf)
 
     @property
     def cap(self) -> float:
-        """Highest sum of all holders in one second."""
+        """Limit for the sum over all holders in one second."""
         return self._cap
 
     def reserved(self) -> float:
@@ -161,7 +176,7 @@
         return self._reservations.of(holder)
 
     def set_cap(self, cap: float) -> None:
-        """Changes the cap; a lower one is in force when all holders have confirmed or expired."""
+        """Changes the cap; a lower one takes effect as shares are confirmed or expire."""
         self._cap = cap
         self._level = dataclasses.replace(self._level, at_s=-math.inf)
 
@@ -170,84 +185,87 @@
     ) -> CapShare:
         """Answers a holder's heartbeat with its next share.
 
-        Heartbeats of holders that were removed must not get here: a share given to one of them
-        stays reserved.
+        The caller must not pass holders that were removed: a share of such a holder would stay
+        reserved.
 
         Args:
-            holder: Name of the holder, another one after a restart.
+            holder: Name of the holder; it must be a new one after a restart.
             demand: What the holder would use in one second if it could, refused requests included.
             confirmed: Sequence of the share that the holder has in force.
-            sequence: Sequence of the new share if the caller numbers its replies itself.
+            sequence: Sequence of the new share; by default the next number.
+
+        Raises:
+            ValueError: The sequence is not higher than those of all earlier shares.
         """
         now_s = self._clock.monotonic()
         self._reservations.expire(now_s)
         self._confirm(holder, confirmed, now_s)
-        wanted = self._weigh(holder, demand, now_s)
+        target = self._target_amount(holder, demand, now_s)
         before = self._reservations.of(holder)
         unreserved = self._cap - (self._reservations.total - before)
-        amount = max(0.0, min(wanted, max(unreserved, before)))
+        amount = max(0.0, min(target, max(unreserved, before)))
         share = self._next_share(amount, self._offline_part(holder, amount), sequence)
         self._add(holder, share, now_s + self._share_s, now_s)
         self._check(holder, before)
         return share
 
     def is_met(self, holder: Hashable, amount: float) -> bool:
-        """Returns whether ``amount`` is about what the holder's last demand entitles it to."""
+        """Returns whether ``amount`` is close to the target for the holder's last demand."""
         record = self._demands.get(holder)
         return record is not None and amount >= MET_FRACTION * self._level.target(record.amount)
 
     def remove(self, holder: Hashable) -> None:
-        """Takes back everything from a holder that is known gone."""
+        """Drops a holder that is known to be gone and takes back its shares."""
         now_s = self._clock.monotonic()
         self._demands.pop(holder, None)
         self._reservations.remove(holder, now_s=now_s)
         self._level = dataclasses.replace(self._level, at_s=-math.inf)
-        self._forget_unknown(holder, now_s)
+        self._discard_unknown(holder, now_s)
 
     def take_over(self, holders: Iterable[Hashable]) -> None:
-        """Starts after an earlier coordinator, which must give out no more shares.
+        """Reserves the shares of an earlier coordinator, which must hand out no more shares.
 
-        Its holders may have the whole cap in force until their shares have expired, and the
-        offline part of it until each of them was passed to ``assume``, has confirmed a new share
-        or was removed. Until then, holders keep what they have, and nobody gets more. Even
-        without holders this is so for one second, because what was admitted under shares that
-        ended just before is not known.
+        The holders of that coordinator may have the whole cap in force until their shares expire,
+        and the offline part of the cap until each of them was passed to ``adopt_share``, has
+        confirmed a new share or was removed. Until then, holders keep what they have, and none gets
+        more. Without any holders this holds for one second, because it is unknown what was admitted
+        under shares that ended just before.
 
         Args:
             holders: All holders that may have a share of the earlier coordinator.
         """
         now_s = self._clock.monotonic()
-        self._earlier_end_s = now_s + self._share_s
-        self._unknown = set(holders)
-        everything = CapShare(
+        self._earlier_shares_end_s = now_s + self._share_s
+        self._unknown_holders = set(holders)
+        whole_cap = CapShare(
             sequence=self._first_sequence - 1,
             amount=self._cap,
             offline=self._cap * self._offline_fraction,
             valid_s=self._share_s,
         )
-        self._add(_UNKNOWN, everything, self._earlier_end_s, now_s)
-        if not self._unknown:
-            self._reservations.remove(_UNKNOWN, now_s=now_s)
+        self._add(_UNKNOWN_HOLDERS, whole_cap, self._earlier_shares_end_s, now_s)
+        if not self._unknown_holders:
+            self._reservations.remove(_UNKNOWN_HOLDERS, now_s=now_s)
 
-    def assume(self, holder: Hashable, *, share: CapShare, remaining_s: float) -> None:
-        """Counts the share of the earlier coordinator that a holder reports.
+    def adopt_share(self, holder: Hashable, *, share: CapShare, remaining_s: float) -> None:
+        """Reserves the share of the earlier coordinator that a holder reports.
 
-        The holder was asked after ``take_over`` and accepts no more shares of the earlier
-        coordinator. A share that had ended more than a second before counts with its offline
-        part only: the earlier coordinator may have given the rest to others.
+        The report was requested after ``take_over``, and the holder accepts no more shares of the
+        earlier coordinator. Of a share that expired more than a second ago, only the offline part
+        is reserved: the earlier coordinator may have given the rest to others.
 
         Args:
             holder: Name of the holder.
-            share: Its last share, also when that has expired.
+            share: Its last share, even if that has expired.
             remaining_s: Seconds until that share expires, as the holder stated them; negative
                 when it has expired.
         """
         now_s = self._clock.monotonic()
-        # A report that was under way for long must not revive a share that has ended since.
-        expires_s = min(now_s + remaining_s, self._earlier_end_s)
+        # A report that was delayed on the network must not revive a share that has expired since.
+        expires_s = min(now_s + remaining_s, self._earlier_shares_end_s)
         earlier = dataclasses.replace(share, sequence=self._first_sequence - 1)
         self._add(holder, earlier, expires_s, now_s)
-        self._forget_unknown(holder, now_s)
+        self._discard_unknown(holder, now_s)
 
     def _add(self, holder: Hashable, share: CapShare, expires_s: float, now_s: float) -> None:
         self._reservations.add(
@@ -268,13 +286,13 @@
     def _confirm(self, holder: Hashable, confirmed: int, now_s: float) -> None:
         self._reservations.confirm(holder, confirmed, now_s=now_s)
         if confirmed >= self._first_sequence:
-            self._forget_unknown(holder, now_s)
+            self._discard_unknown(holder, now_s)
 
-    def _forget_unknown(self, holder: Hashable, now_s: float) -> None:
-        if holder in self._unknown:
-            self._unknown.remove(holder)
-            if not self._unknown:
-                self._reservations.remove(_UNKNOWN, now_s=now_s)
+    def _discard_unknown(self, holder: Hashable, now_s: float) -> None:
+        if holder in self._unknown_holders:
+            self._unknown_holders.remove(holder)
+            if not self._unknown_holders:
+                self._reservations.remove(_UNKNOWN_HOLDERS, now_s=now_s)
 
     def _next_share(self, amount: float, offline: float, sequence: int | None) -> CapShare:
         if sequence is None:
@@ -289,15 +307,15 @@
             valid_s=self._share_s,
         )
 
-    def _weigh(self, holder: Hashable, demand: float, now_s: float) -> float:
-        """Returns the amount that the holder should have."""
+    def _target_amount(self, holder: Hashable, demand: float, now_s: float) -> float:
+        """Records the demand and returns the amount that the holder should have."""
         record = self._demands.get(holder)
         if record is None:
             record = self._demands[holder] = _Demand(demand, now_s)
             self._update_level(now_s)
-        # No demand at all means that the holder's pools have moved to another one.
+        # A demand of 0 takes effect at once: the pools of the holder were reassigned.
         record.amount = max(demand, record.amount * DEMAND_DECAY) if demand > 0 else 0.0
-        record.seen_s = now_s
+        record.reported_s = now_s
         if now_s - self._level.at_s >= LEVEL_INTERVAL_S:
             self._update_level(now_s)
         return self._level.target(record.amount)
@@ -305,19 +323,22 @@
     def _update_level(self, now_s: float) -> None:
         lost_s = self._share_s + window.WINDOW_S
         for holder, record in list(self._demands.items()):
-            if now_s - record.seen_s > lost_s:
+            if now_s - record.reported_s > lost_s:
                 del self._demands[holder]
-        self._reservations.sum_up()
+        self._reservations.recompute_totals()
         divisible = max(0.0, self._cap - self._kept_by_silent_holders())
         even = divisible * EVEN_FRACTION
         demands = sorted(record.amount for record in self._demands.values())
-        most, rest = _fill(demands, divisible - even)
-        self._level = _Level(most=most, extra=(rest + even) / len(demands), at_s=now_s)
+        demand_limit, left_over = _divide_fairly(demands, divisible - even)
+        self._level = _Level(
+            demand_limit=demand_limit, even_extra=(left_over + even) / len(demands), at_s=now_s
+        )
 
     def _kept_by_silent_holders(self) -> float:
         known = math.fsum(self._reservations.of(holder) for holder in self._demands)
-        unknown = self._reservations.of(_UNKNOWN)
-        # All of the unknown part but the offline part ends soon, so nobody is reduced for it.
+        unknown = self._reservations.of(_UNKNOWN_HOLDERS)
+        # Of the unknown shares, only the offline part is subtracted: the rest expires soon, so no
+        # holder is reduced for it.
         offline = min(unknown, self._cap * self._offline_fraction)
         return self._reservations.total - unknown - known + offline
 
@@ -332,12 +353,16 @@
 # Relative error allowed for sums of shares.
 _ROUNDING = 1e-9
 
-# Stands for all holders whose shares a new coordinator does not know.
-_UNKNOWN = object()
+# Represents all holders whose shares are unknown to a new coordinator.
+_UNKNOWN_HOLDERS = object()
 
 
-def _fill(demands: list[float], amount: float) -> tuple[float, float]:
-    """Returns how much each of the sorted demands gets at most, and what is left over."""
+def _divide_fairly(demands: list[float], amount: float) -> tuple[float, float]:
+    """Divides ``amount`` max-min fairly among the demands, which are sorted in ascending order.
+
+    Returns:
+        The level up to which each demand is met, and the amount that is left over.
+    """
     for met, demand in enumerate(demands):
         even = amount / (len(demands) - met)
         if demand > even:
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -67,12 +67,12 @@
             if won_election.previous is None
             else [member.id for member in won_election.row.members]
         )
-        self._caps = cap_grants.CapBook(
+        self._caps = cap_grants.RegionCaps(
             clock=clock,
             invariants=invariants,
             epoch=won_election.row.epoch,
             holders=earlier,
-            complete=won_election.holders_recorded,
+            holders_complete=won_election.holders_recorded,
         )
         self._removed_from_caps: set[model.InstanceId] = set()
         self._gone_count = -1
@@ -171,7 +171,7 @@
         self._record_region_share(sender, heartbeat.caps)
         if heartbeat.sender != before:
             self._reassign()
-        self._caps.heard(sender, heartbeat.caps)
+        self._caps.record_reports(sender, heartbeat.caps)
         return dataclasses.replace(self._grant(sender), cap_shares=self._cap_shares(heartbeat))
 
     def on_follow_reply(self, reply: region.FollowReply) -> None:
--- a/packages/core/tests/cap_driver.py
+++ b/packages/core/tests/cap_driver.py
@@ -1,4 +1,4 @@
-"""Drives a cap divider and its holders over an unreliable network."""
+"""Random operations on a cap divider and its holders over an unreliable network."""
 
 import dataclasses
 import functools
@@ -7,11 +7,11 @@
 from sassafrasway_core import caps, clock, invariants, window
 
 CAP = 100.0
-_EPOCH = 1_000_000
+_SEQUENCES_PER_EPOCH = 1_000_000
 
 
 class _Holder:
-    """An instance that admits as much as its share lets it."""
+    """An instance that admits as much as its share of the cap allows."""
 
     def __init__(self, name, time):
         self.name = name
@@ -25,10 +25,11 @@
 
 
 class Driver:
-    """Runs operations that ``rng`` chooses; an ``AssertionError`` names a broken rule.
+    """Runs operations that ``rng`` chooses and checks the sum of all holders.
 
-    Heartbeats and replies are lost, delayed and reordered; holders pause, die and start; the
-    coordinator changes and reaches only some of the holders.
+    Heartbeats and replies are lost, delayed and reordered; holders stop and start; the coordinator
+    changes, and the new one reaches only some of the holders. An ``AssertionError`` says which
+    limit was exceeded.
     """
 
     def __init__(self, rng):
@@ -37,7 +38,7 @@
         self._holders = [_Holder(number, self._time) for number in range(rng.randint(1, 5))]
         self._next_name = len(self._holders)
         self._messages = []
-        self._taken = []
+        self._admitted = []
         self._epoch = 0
         self._divider = self._new_divider()
         self.admitted = 0.0
@@ -47,27 +48,29 @@
         operations = [
             *[self._heartbeat] * 6,
             *[self._deliver] * 14,
-            *[self._take] * 8,
+            *[self._admit] * 8,
             *[self._advance] * 4,
-            self._lose,
+            self._lose_message,
         ]
         if self._rng.random() < 0.03:
-            operations = [self._die, self._start, self._change_coordinator]
+            operations = [self._remove_holder, self._add_holder, self._change_coordinator]
         self._rng.choice(operations)()
 
     def settle(self):
-        """Lets all messages arrive for a while and checks that the whole cap is in use."""
+        """Runs heartbeats without faults and checks that the holders share the whole cap evenly."""
         self._messages.clear()
         for _ in range(20):
             self._time.advance(0.5)
-            self._take()
+            self._admit()
             for holder in self._holders:
-                self._settle_one(holder)
+                self._exchange_heartbeat(holder)
         for holder in self._holders:
             share = holder.share.amount()
-            assert share >= 0.99 * CAP / len(self._holders), f"share is only {share}"
+            assert share >= 0.99 * CAP / len(self._holders), (
+                f"share is less than an even part of the cap: {share}"
+            )
 
-    def _settle_one(self, holder):
+    def _exchange_heartbeat(self, holder):
         held = holder.share.sequence
         share = self._divider.renew(holder.name, demand=300.0, confirmed=held)
         holder.epoch = self._epoch
@@ -79,7 +82,7 @@
             cap=CAP,
             clock=self._time,
             invariants=checks,
-            first_sequence=self._epoch * _EPOCH + 1,
+            first_sequence=self._epoch * _SEQUENCES_PER_EPOCH + 1,
         )
 
     def _heartbeat(self):
@@ -93,7 +96,7 @@
     def _deliver(self):
         if not self._messages:
             return
-        # Mostly in order, so that confirmations get through; some messages arrive late.
+        # Most messages are delivered in order, so that confirmations arrive; some are reordered.
         place = 0 if self._rng.random() < 0.7 else self._rng.randrange(len(self._messages))
         epoch, holder, request, share = self._messages.pop(place)
         if holder not in self._holders or (share is None and epoch != self._epoch):
@@ -110,30 +113,30 @@
             holder.epoch = epoch
             holder.share.apply(share, sent_s=sent_s)
 
-    def _lose(self):
+    def _lose_message(self):
         if self._messages:
             self._messages.pop(self._rng.randrange(len(self._messages)))
 
     def _advance(self):
         self._time.advance(self._rng.choice([0.05, 0.1, 0.3, 1.0]))
 
-    def _take(self):
+    def _admit(self):
         for holder in self._rng.sample(self._holders, k=len(self._holders)):
             amount = self._rng.choice([1.0, 7.0, 30.0])
             while holder.take(amount):
-                self._taken.append((self._time.monotonic(), amount))
+                self._admitted.append((self._time.monotonic(), amount))
                 self.admitted += amount
         now_s = self._time.monotonic()
-        self._taken = [each for each in self._taken if now_s - each[0] <= window.WINDOW_S]
-        used = sum(amount for _, amount in self._taken)
+        self._admitted = [each for each in self._admitted if now_s - each[0] <= window.WINDOW_S]
+        used = sum(amount for _, amount in self._admitted)
         assert used <= CAP * 1.000001, f"{used} admitted in one second, cap is {CAP}"
 
-    def _die(self):
+    def _remove_holder(self):
         if self._holders:
             holder = self._holders.pop(self._rng.randrange(len(self._holders)))
             self._divider.remove(holder.name)
 
-    def _start(self):
+    def _add_holder(self):
         if len(self._holders) < 6:
             self._holders.append(_Holder(self._next_name, self._time))
             self._next_name += 1
@@ -150,7 +153,7 @@
         holder.epoch = epoch
         share = holder.share
         report = functools.partial(
-            self._divider.assume,
+            self._divider.adopt_share,
             holder.name,
             share=share.share,
             remaining_s=max(-1e9, share.remaining_s()),
