--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -1,4 +1,4 @@
-"""Announces to the region which versions of the store's tables this instance has."""
+"""Announces the table versions of this instance to other instances."""
 
 import asyncio
 import time
@@ -10,16 +10,17 @@
 
 
 class VersionAnnouncer:
-    """Decides when versions are announced, and to whom.
+    """Decides when table versions are announced, and to which instances.
 
-    Readers announce the tables that they read all the time, and at once when they lose one, so that
-    others begin to read it. Another instance announces versions that it has learned elsewhere when
-    the region's readers do not have them.
+    An instance that reads the store announces the tables that it reads at regular intervals, and
+    immediately when it can no longer read one of them, so that other instances take over. An
+    instance that does not read the store announces versions that it has received from elsewhere if
+    the readers of its region do not have them yet.
 
     Args:
-        followers: Followed tables by name.
-        role: Knows what the region's readers announce.
-        send: Sends an announcement of versions by table to some instances.
+        followers: Followers of the tables, by table name.
+        role: Tracks the announcements of the region's readers and selects the recipients.
+        send: Sends versions by table name to the given instances.
     """
 
     def __init__(
@@ -33,11 +34,11 @@
         self._role = role
         self._send = send
         self._announced = self.versions()
-        self._read: dict[str, int] = {}
+        self._last_reading: dict[str, int] = {}
         self._sent_s = 0.0
 
     def versions(self) -> dict[str, int]:
-        """Returns the newest version seen of each table."""
+        """Returns the newest version of each table that this instance has."""
         return {name: entry.version for name, entry in self._followers.items()}
 
     async def run(self) -> None:
@@ -47,17 +48,19 @@
             self.update()
 
     def update(self) -> None:
-        """Announces what is due."""
+        """Sends an announcement if one is due."""
         versions = self.versions()
         changed = versions != self._announced
         self._announced = versions
-        read = {name: versions[name] for name, entry in self._followers.items() if entry.reading}
-        lost = any(name not in read and self._followers[name].lost for name in self._read)
-        self._read = read
+        reading = {name: versions[name] for name, entry in self._followers.items() if entry.reading}
+        lost = any(
+            name not in reading and self._followers[name].lost for name in self._last_reading
+        )
+        self._last_reading = reading
         now_s = time.monotonic()
         due = now_s - self._sent_s >= relay.BEACON_INTERVAL_S
-        if lost or (read and (changed or due)):
-            self._send(self._role.audience(changed=changed), read)
+        if lost or (reading and (changed or due)):
+            self._send(self._role.recipients(changed=changed), reading)
             self._sent_s = now_s
-        elif not read and changed and self._role.ahead(versions):
-            self._send(self._role.audience(changed=False), versions)
+        elif not reading and changed and self._role.is_ahead_of_readers(versions):
+            self._send(self._role.recipients(changed=False), versions)
--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -92,9 +92,9 @@
         """
         started_s = time.monotonic()
         server = state.server
-        most_idle_s = None if idempotent else MOST_IDLE_UNSAFE_S
+        max_idle_s = None if idempotent else MOST_IDLE_UNSAFE_S
         try:
-            connection = await self._pool.acquire(server.host, server.port, most_idle_s=most_idle_s)
+            connection = await self._pool.acquire(server.host, server.port, max_idle_s=max_idle_s)
         except http_client.ConnectError as error:
             return AttemptResult(
                 outcome=Outcome.UNREACHABLE,
@@ -118,7 +118,7 @@
         """Returns whether the server accepts connections."""
         server = state.server
         try:
-            connection = await self._pool.acquire(server.host, server.port, most_idle_s=0.0)
+            connection = await self._pool.acquire(server.host, server.port, max_idle_s=0.0)
         except http_client.ConnectError:
             return False
         self._pool.release(server.host, server.port, connection)
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -9,13 +9,13 @@
 PING_INTERVAL_S = 0.5
 MISSED_PINGS = 3
 # Time that a member has to answer after another instance could not reach it.
-VERIFY_S = 1.0
+SUSPECT_TIMEOUT_S = 1.0
 # Time in which a datagram of an earlier run may still arrive after one of the next run.
-DATAGRAM_DELAY_S = 1.0
+MAX_DATAGRAM_DELAY_S = 1.0
 # A pause of the own process longer than this says nothing about the others.
-LONGEST_TICK_S = 1.2
+MAX_TICK_GAP_S = 1.2
 # Every so many ticks the random ping may leave the region; links between regions are dear.
-FAR_PING_TICKS = 4
+CROSS_REGION_PING_TICKS = 4
 
 
 class Phase(enum.IntEnum):
@@ -132,7 +132,7 @@
         if entry is None:
             entry = _Entry(member=member, alive=False, heard_s=now_s)
             self._entries[member.name] = entry
-        elif self._outdated(member, entry, now_s):
+        elif self._is_outdated(member, entry, now_s):
             return False
         revived = not entry.alive
         entry.member = member
@@ -149,7 +149,7 @@
             return None
         now_s = self._clock.monotonic()
         if entry.deadline_s is None:
-            entry.deadline_s = now_s + VERIFY_S
+            entry.deadline_s = now_s + SUSPECT_TIMEOUT_S
         return entry.member
 
     def store_answered_peers(self, outage_s: float) -> bool:
@@ -158,7 +158,7 @@
         return any(
             entry.contact_since_s is not None
             and entry.contact_since_s < began_s
-            and entry.heard_s > began_s + LONGEST_TICK_S
+            and entry.heard_s > began_s + MAX_TICK_GAP_S
             for entry in self._entries.values()
         )
 
@@ -169,7 +169,7 @@
             The members to ping now, and those that have just been found dead.
         """
         now_s = self._clock.monotonic()
-        paused = now_s - self._last_tick_s > LONGEST_TICK_S
+        paused = now_s - self._last_tick_s > MAX_TICK_GAP_S
         self._last_tick_s = now_s
         self._ticks += 1
         dead = []
@@ -177,7 +177,7 @@
             if entry.deadline_s is None or not entry.alive:
                 continue
             if paused:
-                entry.deadline_s = now_s + VERIFY_S
+                entry.deadline_s = now_s + SUSPECT_TIMEOUT_S
             elif now_s >= entry.deadline_s:
                 entry.alive = False
                 entry.deadline_s = None
@@ -196,11 +196,11 @@
             ordered = sorted([*live, self._own], key=self._ring_key)
             successor = ordered[(ordered.index(self._own) + 1) % len(ordered)]
             targets[successor.name] = successor
-        far = self._ticks % FAR_PING_TICKS == 0
+        cross_region = self._ticks % CROSS_REGION_PING_TICKS == 0
         others = [
             entry.member
             for entry in self._entries.values()
-            if far or entry.member.region == self._own.region
+            if cross_region or entry.member.region == self._own.region
         ]
         if others:
             member = self._rng.choice(others)
@@ -215,9 +215,9 @@
         return (member.region, member.failure_domain, member.name)
 
     @staticmethod
-    def _outdated(new: Member, entry: _Entry, now_s: float) -> bool:
+    def _is_outdated(new: Member, entry: _Entry, now_s: float) -> bool:
         old = entry.member
         if new.incarnation == old.incarnation:
             return new.phase < old.phase
         # An instance that restarts after its clock was set back has the lower incarnation.
-        return new.incarnation < old.incarnation and now_s - entry.heard_s < DATAGRAM_DELAY_S
+        return new.incarnation < old.incarnation and now_s - entry.heard_s < MAX_DATAGRAM_DELAY_S
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -1,4 +1,4 @@
-"""Follows one table of the platform's store and keeps following it through outages."""
+"""Follows one table of the platform's store and recovers from outages."""
 
 import abc
 import asyncio
@@ -10,15 +10,16 @@
 from sassafrasway_gateway import relay, table_cache
 from sassafrasway_platform import feed, table
 
-# Collects changes that come in quick succession into one call; store calls are limited and dear.
-BATCH_S = 0.5
-FIRST_BACKOFF_S = 0.2
-LONGEST_BACKOFF_S = 0.8
-# Time that a poll may lag behind a version that another instance has seen.
+# Delay after each call that returned rows, so that one call returns the changes made in quick
+# succession. Calls to the store are limited and billed.
+BATCH_INTERVAL_S = 0.5
+INITIAL_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 0.8
+# Time for which a poll may lag behind a version that another instance has seen.
 LAG_TOLERANCE_S = 0.4
 LOST_LOG_INTERVAL_S = 1.0
-# A younger poll is left alone: it may still be opening its connection.
-YOUNGEST_STALE_POLL_S = 1.0
+# A younger poll is not cancelled: it may still be opening its connection.
+MIN_STALE_POLL_AGE_S = 1.0
 
 
 class Listener(abc.ABC):
@@ -26,32 +27,32 @@
 
     @abc.abstractmethod
     def on_rows(self, changes: feed.Changes) -> None:
-        """Takes over the whole table."""
+        """Replaces all rows of the table."""
 
     @abc.abstractmethod
     def on_change(self, change: feed.Change) -> None:
-        """Takes over one change."""
+        """Applies one change."""
 
     @abc.abstractmethod
     def on_regained(self, outage_s: float) -> None:
-        """The store answers again.
+        """Called when changes arrive again after an outage.
 
         Args:
-            outage_s: Length of the outage as seen by this instance, s.
+            outage_s: Duration of the outage as seen by this instance, s.
         """
 
 
 class TableFollower:
-    """Task that reads a table and then waits for its changes.
+    """Task that reads a table and then polls for its changes.
 
     Args:
         store: Client of the store.
         table_name: Table to follow.
-        listener: Receives rows.
-        cache: Keeps the rows for other instances.
-        role: Decides whether to read the store or to ask another instance.
+        listener: Receives the rows and changes.
+        cache: Holds the rows that are served to other instances.
+        role: Decides whether to read the store or to fetch from another instance.
         relay_client: Fetches rows from other instances.
-        rng: Random source for the spread of retries.
+        rng: Random source for the jitter of polls and retries.
     """
 
     def __init__(
@@ -72,15 +73,15 @@
         self._role = role
         self._relay_client = relay_client
         self._rng = rng
-        self._backoff_s = FIRST_BACKOFF_S
+        self._backoff_s = INITIAL_BACKOFF_S
         self._poll: asyncio.Task | None = None
         self._lost_since_s: float | None = None
         self._lost_logged_s = 0.0
-        self._informed_since_s: float | None = None
+        self._contact_since_s: float | None = None
         self._polling_since_s = 0.0
-        self._nudged_s = 0.0
+        self._lagging_since_s = 0.0
         self._reading = False
-        self._must_read = True
+        self._needs_full_read = True
         self._store_answers = False
         self._log = structlog.get_logger("store")
 
@@ -91,36 +92,46 @@
 
     @property
     def lost(self) -> bool:
-        """Whether changes of the table no longer arrive."""
+        """Whether changes of the table have stopped arriving."""
         return self._lost_since_s is not None
 
     @property
     def reading(self) -> bool:
-        """Whether this instance reads the store itself and the store answers."""
+        """Whether this instance reads the table from the store and the store responds."""
         return self._reading and self._store_answers and self.version >= 0
 
     @property
     def contact_s(self) -> float:
-        """How long changes have arrived without a break; 0 while they do not."""
-        if self._informed_since_s is None:
+        """How long this instance has received changes without an outage; 0 during an outage."""
+        if self._contact_since_s is None:
             return 0.0
-        return time.monotonic() - self._informed_since_s
+        return time.monotonic() - self._contact_since_s
 
-    def nudge(self, version: int) -> None:
-        """Repeats the poll when another instance has seen a newer version.
+    def on_newer_version(self, version: int) -> None:
+        """Cancels a stalled poll when another instance has seen a newer version.
 
-        A connection can go silent without a reset; the poll on it would wait in vain.
+        A connection can stall without being reset, in which case the poll would wait for its
+        timeout. The poll is cancelled once it has lagged for more than ``LAG_TOLERANCE_S``; `run`
+        then polls again.
+
+        Args:
+            version: Version that another instance has.
         """
         if version <= self.version or self._poll is None or self.version < 0:
             return
         now_s = time.monotonic()
-        if now_s - self._polling_since_s < YOUNGEST_STALE_POLL_S:
+        if now_s - self._polling_since_s < MIN_STALE_POLL_AGE_S:
             return
-        if self._nudged_s == 0.0:
-            self._nudged_s = now_s
-        elif now_s - self._nudged_s > LAG_TOLERANCE_S:
-            self._nudged_s = 0.0
-            self._log.warning("poll lags behind", table=self._table, seen=self.version, at=version)
+        if self._lagging_since_s == 0.0:
+            self._lagging_since_s = now_s
+        elif now_s - self._lagging_since_s > LAG_TOLERANCE_S:
+            self._lagging_since_s = 0.0
+            self._log.warning(
+                "poll cancelled: another instance has a newer version",
+                table=self._table,
+                seen=self.version,
+                at=version,
+            )
             self._poll.cancel()
 
     async def run(self) -> None:
@@ -129,34 +140,38 @@
             try:
                 await self._step()
             except feed.HistoryLost:
-                self._log.warning("history lost", table=self._table, version=self.version)
-                self._must_read = True
+                self._log.warning(
+                    "change history no longer available; reading the whole table",
+                    table=self._table,
+                    version=self.version,
+                )
+                self._needs_full_read = True
             except table.StoreUnavailable as error:
                 self._store_answers = False
-                self._on_lost(error)
+                self._on_contact_lost(error)
                 await asyncio.sleep(self._backoff_s * self._rng.uniform(0.5, 1.0))
-                self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2.0)
+                self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2.0)
 
     async def _step(self) -> None:
-        source = self._role.source(self._table, self.version)
+        source = self._role.choose_source(self._table, self.version)
         if source is not None:
             await self._fetch(source)
-        elif self._role.reads(self._table):
+        elif self._role.is_reader(self._table):
             self._set_reading(True)
             await self._read_or_poll()
         else:
             self._set_reading(False)
-            await self._wait_for_news()
-
-    async def _wait_for_news(self) -> None:
-        if self._role.informed(self._table):
-            self._on_informed()
-        elif self._informed_since_s is not None:
-            self._on_lost("no announcements")
-        self._role.news.clear()
+            await self._wait_for_announcement()
+
+    async def _wait_for_announcement(self) -> None:
+        if self._role.has_recent_announcement(self._table):
+            self._on_contact()
+        elif self._contact_since_s is not None:
+            self._on_contact_lost("no announcements from the readers of this region")
+        self._role.announcement_received.clear()
         try:
             async with asyncio.timeout(relay.BEACON_INTERVAL_S):
-                await self._role.news.wait()
+                await self._role.announcement_received.wait()
         except TimeoutError:
             pass
 
@@ -166,13 +181,13 @@
         if changes.version < self.version:
             return
         if relayed.full:
-            self._take_all(changes)
+            self._replace_all(changes)
         else:
-            self._take_changes(changes)
-        self._on_informed()
+            self._apply_changes(changes)
+        self._on_contact()
 
     async def _read_or_poll(self) -> None:
-        if self._must_read:
+        if self._needs_full_read:
             await self._read_store()
         else:
             await self._poll_store()
@@ -180,19 +195,19 @@
     async def _read_store(self) -> None:
         changes = await self._store.read(self._table)
         self._store_answers = True
-        self._on_informed()
-        self._take_all(changes)
-        # Gives the other instances time to answer before the roles are decided.
-        await asyncio.sleep(BATCH_S)
+        self._on_contact()
+        self._replace_all(changes)
+        # Gives the other instances time to respond before the readers are selected.
+        await asyncio.sleep(BATCH_INTERVAL_S)
 
     async def _poll_store(self) -> None:
         times = self._role.poll_times()
         wait_s = times.wait_s * self._rng.uniform(0.8, 1.0) if self._store_answers else 0.0
         call = self._store.changes(
-            self._table, after=self.version, wait_s=wait_s, timeout_s=wait_s + times.slack_s
+            self._table, after=self.version, wait_s=wait_s, timeout_s=wait_s + times.margin_s
         )
         self._polling_since_s = time.monotonic()
-        self._nudged_s = 0.0
+        self._lagging_since_s = 0.0
         self._poll = asyncio.get_running_loop().create_task(call)
         try:
             changes = await self._poll
@@ -205,17 +220,17 @@
             self._poll.cancel()
             self._poll = None
         self._store_answers = True
-        self._on_informed()
-        self._take_changes(changes)
+        self._on_contact()
+        self._apply_changes(changes)
         if changes.rows:
-            await asyncio.sleep(BATCH_S)
+            await asyncio.sleep(BATCH_INTERVAL_S)
 
-    def _take_all(self, changes: feed.Changes) -> None:
-        self._must_read = False
+    def _replace_all(self, changes: feed.Changes) -> None:
+        self._needs_full_read = False
         self._cache.replace(changes)
         self._listener.on_rows(changes)
 
-    def _take_changes(self, changes: feed.Changes) -> None:
+    def _apply_changes(self, changes: feed.Changes) -> None:
         for change in changes.rows:
             self._listener.on_change(change)
         self._cache.apply(changes)
@@ -223,32 +238,32 @@
     def _set_reading(self, reading: bool) -> None:
         if reading != self._reading:
             self._reading = reading
-            self._log.info("reads the store", table=self._table, reads=reading)
+            self._log.info("store reader role changed", table=self._table, reads=reading)
 
-    def _on_lost(self, error: object) -> None:
+    def _on_contact_lost(self, error: object) -> None:
         now_s = time.monotonic()
         if self._lost_since_s is None:
             self._lost_since_s = now_s
-            self._informed_since_s = None
+            self._contact_since_s = None
             self._lost_logged_s = now_s
-            self._log.warning("store lost", table=self._table, error=str(error))
+            self._log.warning("table updates interrupted", table=self._table, error=str(error))
         elif now_s - self._lost_logged_s >= LOST_LOG_INTERVAL_S:
             self._lost_logged_s = now_s
             self._log.warning(
-                "store still lost",
+                "table updates still interrupted",
                 table=self._table,
                 error=str(error),
                 version=self.version,
                 outage_s=round(now_s - self._lost_since_s, 2),
             )
 
-    def _on_informed(self) -> None:
-        self._backoff_s = FIRST_BACKOFF_S
-        if self._informed_since_s is None:
-            self._informed_since_s = time.monotonic()
+    def _on_contact(self) -> None:
+        self._backoff_s = INITIAL_BACKOFF_S
+        if self._contact_since_s is None:
+            self._contact_since_s = time.monotonic()
         if self._lost_since_s is None:
             return
         outage_s = time.monotonic() - self._lost_since_s
         self._lost_since_s = None
-        self._log.info("store regained", table=self._table, outage_s=round(outage_s, 2))
+        self._log.info("table updates resumed", table=self._table, outage_s=round(outage_s, 2))
         self._listener.on_regained(outage_s)
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -24,7 +24,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
-MOST_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
 class ConnectError(errors.UnavailableError):
@@ -84,13 +84,13 @@
         """Number of exchanges begun on the connection."""
         return self._exchanges
 
-    def reusable(self, most_idle_s: float | None = None) -> bool:
+    def reusable(self, max_idle_s: float | None = None) -> bool:
         """Whether the connection is open, idle, and not about to be closed by the server."""
         if self._closed or self._waiter is not None:
             return False
         limit_s = self._idle_limit_s
-        if most_idle_s is not None:
-            limit_s = min(limit_s, most_idle_s)
+        if max_idle_s is not None:
+            limit_s = min(limit_s, max_idle_s)
         return time.monotonic() - self._idle_since_s < limit_s
 
     @property
@@ -188,7 +188,7 @@
                 self._response = event
             elif isinstance(event, h11.Data):
                 self._received += len(event.data)
-                if self._received > MOST_RESPONSE_BYTES:
+                if self._received > MAX_RESPONSE_BYTES:
                     self._fail("answer too large", closed=False)
                     return
                 self._chunks.append(bytes(event.data))
@@ -201,8 +201,8 @@
     def _on_message(self) -> bool:
         """Handles a whole answer and returns whether another one must be read."""
         headers = list(self._response.headers.raw_items())
-        if self._belongs_to_other(headers):
-            return self._skip_answer()
+        if self._is_for_other_request(headers):
+            return self._skip_response()
         extra, _ = self._parser.trailing_data
         reusable = (
             not self._closed
@@ -211,7 +211,7 @@
             and self._parser.their_state is h11.DONE
             and self._transport.get_write_buffer_size() == 0
         )
-        self._note_idle_limit(headers)
+        self._update_idle_limit(headers)
         response = messages.Response(
             status=self._response.status_code,
             headers=headers,
@@ -228,13 +228,13 @@
             self._waiter.set_result(response)
         return False
 
-    def _belongs_to_other(self, headers: messages.Headers) -> bool:
+    def _is_for_other_request(self, headers: messages.Headers) -> bool:
         if self._echo is None:
             return False
         value = messages.find_header(headers, self._echo.name)
         return value is not None and value != self._echo.value
 
-    def _skip_answer(self) -> bool:
+    def _skip_response(self) -> bool:
         """Discards a late answer to an earlier request and reads on for the own one."""
         extra, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE:
@@ -251,7 +251,7 @@
             self._parser.receive_data(extra)
         return True
 
-    def _note_idle_limit(self, headers: messages.Headers) -> None:
+    def _update_idle_limit(self, headers: messages.Headers) -> None:
         value = messages.find_header(headers, b"keep-alive")
         if value is None:
             return
@@ -305,7 +305,7 @@
         host: str,
         port: int,
         *,
-        most_idle_s: float | None = None,
+        max_idle_s: float | None = None,
         timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> Connection:
         """Returns an idle connection, or opens one.
@@ -313,7 +313,7 @@
         Args:
             host: Address of the server.
             port: Its port.
-            most_idle_s: Longest time that a reused connection may have been idle.
+            max_idle_s: Longest time that a reused connection may have been idle.
             timeout_s: Time for opening a connection.
 
         Raises:
@@ -323,7 +323,7 @@
         idle = self._idle.get(address)
         while idle:
             connection = idle.pop()
-            if connection.reusable(most_idle_s):
+            if connection.reusable(max_idle_s):
                 return connection
             connection.abort()
         return await connect(host, port, timeout_s=timeout_s, local_host=self._local_host)
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -8,7 +8,7 @@
 
 from sassafrasway_gateway import http_client, messages, model
 
-MOST_PIPELINED_BYTES = 256 * 1024
+MAX_PIPELINED_BYTES = 256 * 1024
 # Time given to a closing connection whose caller does not read.
 LINGER_S = 2.0
 
@@ -53,12 +53,12 @@
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._peer = ""
-        self._answering = False
+        self._responding = False
 
     @property
     def busy(self) -> bool:
         """Whether a request is being read or answered."""
-        return self._answering or self._started_s > 0.0
+        return self._responding or self._started_s > 0.0
 
     def close_when_idle(self) -> None:
         """Closes the connection unless a request is being read or answered."""
@@ -72,42 +72,42 @@
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._server.on_open(self)
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
 
     def data_received(self, data: bytes) -> None:
         """See base class."""
-        if self._started_s == 0.0 and not self._answering:
+        if self._started_s == 0.0 and not self._responding:
             self._started_s = time.monotonic()
-            self._arm(self._handler.limits.header_timeout_s)
+            self._start_timer(self._handler.limits.header_timeout_s)
         self._parser.receive_data(data)
-        if self._answering:
-            if len(self._parser.trailing_data[0]) > MOST_PIPELINED_BYTES:
+        if self._responding:
+            if len(self._parser.trailing_data[0]) > MAX_PIPELINED_BYTES:
                 self._transport.pause_reading()
             return
         self._read_events()
 
     def eof_received(self) -> bool:
         """See base class."""
-        self._cancel()
+        self._cancel_handler()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See base class."""
-        self._disarm()
-        self._cancel()
+        self._cancel_timer()
+        self._cancel_handler()
         self._server.on_close(self)
 
-    def _cancel(self) -> None:
+    def _cancel_handler(self) -> None:
         if self._task is not None and not self._task.done():
             self._task.cancel()
 
     def _read_events(self) -> None:
         try:
-            while not self._answering:
+            while not self._responding:
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     if self._parser.they_are_waiting_for_100_continue:
-                        self._continue()
+                        self._send_continue()
                     return
                 if isinstance(event, h11.Request):
                     if not self._on_head(event):
@@ -122,7 +122,7 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
 
-    def _continue(self) -> None:
+    def _send_continue(self) -> None:
         response = h11.InformationalResponse(status_code=100, headers=[])
         self._transport.write(self._parser.send(response))
 
@@ -132,7 +132,7 @@
         self._head = head
         self._chunks = []
         self._body_bytes = 0
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
         length = messages.find_header(list(head.headers), b"content-length")
         if length is not None and int(length) > self._handler.limits.body_bytes:
             self._reject(413, "body too large")
@@ -140,7 +140,7 @@
         return True
 
     def _on_data(self, data: bytes) -> bool:
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
         self._body_bytes += len(data)
         if self._body_bytes > self._handler.limits.body_bytes:
             self._reject(413, "body too large")
@@ -149,7 +149,7 @@
         return True
 
     def _on_request(self) -> None:
-        self._disarm()
+        self._cancel_timer()
         request = messages.Request(
             method=self._head.method,
             target=self._head.target,
@@ -159,11 +159,11 @@
             peer=self._peer,
         )
         self._chunks = []
-        self._answering = True
+        self._responding = True
         self._started_s = 0.0
-        self._task = asyncio.get_running_loop().create_task(self._answer(request))
+        self._task = asyncio.get_running_loop().create_task(self._run_handler(request))
 
-    async def _answer(self, request: messages.Request) -> None:
+    async def _run_handler(self, request: messages.Request) -> None:
         try:
             response = await self._handler.handle(request)
         except asyncio.CancelledError:
@@ -189,16 +189,16 @@
             data += self._parser.send(h11.Data(data=response.body))
         data += self._parser.send(h11.EndOfMessage())
         self._transport.write(data)
-        self._answering = False
-        self._after_answer()
+        self._responding = False
+        self._finish_exchange()
 
-    def _after_answer(self) -> None:
+    def _finish_exchange(self) -> None:
         done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
         if not done:
             self._close()
             return
         self._parser.start_next_cycle()
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
         self._transport.resume_reading()
         if self._parser.trailing_data[0]:
             self._started_s = time.monotonic()
@@ -206,10 +206,10 @@
 
     def _close(self) -> None:
         self._transport.close()
-        self._arm(LINGER_S)
+        self._start_timer(LINGER_S)
 
     def _reject(self, status: int, reason: str) -> None:
-        self._disarm()
+        self._cancel_timer()
         response = text_response(status, reason)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [*response.headers, (b"Connection", b"close")]
@@ -221,18 +221,18 @@
         self._started_s = 0.0
         self._close()
 
-    def _arm(self, timeout_s: float) -> None:
-        self._disarm()
+    def _start_timer(self, timeout_s: float) -> None:
+        self._cancel_timer()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(timeout_s, self._on_timeout)
 
-    def _disarm(self) -> None:
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._answering:
+        if self._responding:
             return
         if self._started_s > 0.0 and not self._transport.is_closing():
             self._reject(408, "request not complete in time")
--- a/packages/gateway/src/sassafrasway_gateway/logs.py
+++ b/packages/gateway/src/sassafrasway_gateway/logs.py
@@ -8,8 +8,8 @@
 
 from sassafrasway_gateway import metrics as metrics_lib
 
-MOST_LINES_PER_S = 300
-MOST_BUFFERED_BYTES = 64 * 1024
+MAX_LINES_PER_S = 300
+MAX_BUFFERED_BYTES = 64 * 1024
 
 
 class BoundedWriter:
@@ -44,7 +44,7 @@
             self._second = second
             self._lines = 0
         self._lines += 1
-        if self._lines > MOST_LINES_PER_S or len(self._pending) > MOST_BUFFERED_BYTES:
+        if self._lines > MAX_LINES_PER_S or len(self._pending) > MAX_BUFFERED_BYTES:
             self._dropped += 1
             self._metrics.log_lines_dropped.add()
             self._flush()
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -6,9 +6,9 @@
 
 from sassafrasway_gateway import fleet, http_server, messages
 
-MOST_ADDRESSES = 64
+MAX_ADDRESSES = 64
 # With fewer instances than this in the caller's failure domain, those of the region are named too.
-FEWEST_LOCAL = 2
+MIN_LOCAL_INSTANCES = 2
 LOOKUP_TTL_S = 1.5
 
 
@@ -37,12 +37,12 @@
 def choose_instances(
     members: list[fleet.Member], *, region: str, failure_domain: str
 ) -> list[fleet.Member]:
-    """Returns the instances nearest to a caller, at most ``MOST_ADDRESSES``."""
+    """Returns the instances nearest to a caller, at most ``MAX_ADDRESSES``."""
     same_domain = [member for member in members if member.failure_domain == failure_domain]
-    if len(same_domain) >= FEWEST_LOCAL:
-        return same_domain[:MOST_ADDRESSES]
+    if len(same_domain) >= MIN_LOCAL_INSTANCES:
+        return same_domain[:MAX_ADDRESSES]
     same_region = [member for member in members if member.region == region]
-    return (same_region or members)[:MOST_ADDRESSES]
+    return (same_region or members)[:MAX_ADDRESSES]
 
 
 class LookupHandler(http_server.Handler):
@@ -50,30 +50,30 @@
 
     Args:
         view: Fleet as seen by this instance.
-        spelling: Names used in look-ups.
+        lookup_format: Names used in look-ups.
         ttl_s: Longest time for which an answer may be kept.
     """
 
-    def __init__(self, *, view: fleet.FleetView, spelling: LookupFormat, ttl_s: float):
+    def __init__(self, *, view: fleet.FleetView, lookup_format: LookupFormat, ttl_s: float):
         self._view = view
-        self._spelling = spelling
+        self._format = lookup_format
         self._ttl_s = min(LOOKUP_TTL_S, ttl_s)
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """See base class."""
         path, _, query = request.target.decode("latin-1").partition("?")
-        if path != self._spelling.path:
+        if path != self._format.path:
             return http_server.text_response(404, "unknown path")
         if request.method != b"GET":
             return http_server.text_response(405, "look-ups use GET")
         values = dict(urllib.parse.parse_qsl(query))
         members = choose_instances(
             self._view.ready_members(),
-            region=values.get(self._spelling.region, ""),
-            failure_domain=values.get(self._spelling.failure_domain, ""),
+            region=values.get(self._format.region, ""),
+            failure_domain=values.get(self._format.failure_domain, ""),
         )
         if not members:
             return http_server.text_response(503, "no instance is ready", retry_after_s=0.5)
-        body = self._spelling.encode([member.front for member in members], self._ttl_s)
+        body = self._format.encode([member.front for member in members], self._ttl_s)
         headers = [(b"Content-Type", b"application/json")]
         return messages.Response(status=200, headers=headers, body=body)
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -8,7 +8,7 @@
 
 from sassafrasway_gateway import fleet, peer_messages
 
-MOST_DATAGRAM_BYTES = 1200
+MAX_DATAGRAM_BYTES = 1200
 
 
 class PeerTask(asyncio.DatagramProtocol):
@@ -59,18 +59,18 @@
                 self._log.warning("instance unreachable", peer=member.name)
                 self._broadcast(peer_messages.Suspect(member.name, member.incarnation))
             for member in targets:
-                self._greet(member, reply=True)
+                self._send_hello(member, reply=True)
 
     def announce(self) -> None:
         """Tells all known members the current phase of this instance."""
         for member in self._view.members():
-            self._greet(member, reply=True)
+            self._send_hello(member, reply=True)
 
-    def send_beacon(self, audience: list[fleet.Member], versions: dict[str, int]) -> None:
+    def send_beacon(self, recipients: list[fleet.Member], versions: dict[str, int]) -> None:
         """Announces versions of tables that this instance has."""
         own = self._view.own
         beacon = peer_messages.Beacon(own.name, own.peer_host, own.region, versions)
-        for member in audience:
+        for member in recipients:
             self._send(beacon, member)
 
     def report_crash(self, fingerprint: str, server: str) -> None:
@@ -93,7 +93,7 @@
         elif isinstance(message, peer_messages.Suspect):
             member = self._view.suspect(message.name, message.incarnation)
             if member is not None:
-                self._greet(member, reply=True)
+                self._send_hello(member, reply=True)
         elif isinstance(message, peer_messages.Beacon):
             self._on_beacon(message.name, message.peer_host, message.region, message.versions)
             self._on_versions(message.name, message.peer_host, message.versions)
@@ -109,10 +109,10 @@
         if self._view.heard(member, contact_s=message.contact_ms / 1000.0):
             self._log.info("instance reachable", peer=member.name, phase=member.phase.name)
         if message.reply:
-            self._greet(member, reply=False)
+            self._send_hello(member, reply=False)
         self._on_versions(message.name, message.peer_host, message.versions)
 
-    def _greet(self, member: fleet.Member, *, reply: bool) -> None:
+    def _send_hello(self, member: fleet.Member, *, reply: bool) -> None:
         message = peer_messages.hello(
             self._view.own,
             reply=reply,
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -134,7 +134,7 @@
         self._announcer = announcer.VersionAnnouncer(
             followers=self._followers,
             role=self._role,
-            send=lambda audience, versions: self._peers.send_beacon(audience, versions),
+            send=lambda recipients, versions: self._peers.send_beacon(recipients, versions),
         )
         self._peers = peer_task.PeerTask(
             view=self._view,
@@ -150,7 +150,7 @@
         self._lookup_server = self._server(
             config.lookup,
             lookup.LookupHandler(
-                view=self._view, spelling=dialect.lookups, ttl_s=config.bounds.lookup_ttl_s
+                view=self._view, lookup_format=dialect.lookups, ttl_s=config.bounds.lookup_ttl_s
             ),
         )
         self._readiness = self._server(
@@ -315,7 +315,7 @@
         self._role.on_hint(name, host, versions)
         for table_name, version in versions.items():
             if table_name in self._followers:
-                self._followers[table_name].nudge(version)
+                self._followers[table_name].on_newer_version(version)
 
     def _on_reload(self) -> None:
         """Takes over new bounds and failure domains; addresses stay until the next start."""
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -1,9 +1,10 @@
-"""Lets a few instances of a region read the platform's store and pass the rows on.
+"""Selects the instances of a region that read the platform's store and relay rows to the others.
 
-Calls to the store are limited and priced for the whole fleet. In each region the first instances of
-a common order read it; they announce their versions to the others, which fetch what is new from
-them. When the announcements stop, the next instances of the order begin to read, one after the
-other, without any agreement.
+Calls to the store are limited and billed for the whole fleet. All instances of a region are
+ranked by a hash of their names, and the first ones of the ranking read the store. They announce the
+table versions that they have, and the other instances fetch new rows from them over HTTP. When the
+announcements stop, the next instances of the ranking start to read one after the other, without
+coordination.
 """
 
 import asyncio
@@ -22,33 +23,35 @@
 
 READERS_PER_REGION = 2
 BEACON_INTERVAL_S = 0.25
-# Announcements older than this no longer count.
+# Older announcements are ignored.
 BEACON_LIFETIME_S = 0.8
-# Pause between the instances that begin to read one after the other.
-TAKEOVER_STEP_S = 0.25
-# Longest wait of a poll, and what it may take longer before the connection counts as silent.
+# Delay between the takeovers of two instances that follow each other in the ranking.
+TAKEOVER_INTERVAL_S = 0.25
+# Longest time that the store holds a poll open, and the margin after which its connection is
+# considered stalled.
 POLL_WAIT_S = 4.0
-POLL_SLACK_S = 1.5
-# The same where no other region can tell of newer versions: if all readers of the only region sit
-# on silent connections, the others find out only when the polls time out.
-LONE_POLL_WAIT_S = 0.6
-LONE_POLL_SLACK_S = 0.8
-# Instances beyond these do not begin to read: when so many cannot, the store itself is away.
-MOST_TAKEOVERS = 6
-# A transfer that is broken off is lost work for a slow link, so each timeout doubles the next one.
-FIRST_FETCH_TIMEOUT_S = 0.8
-LONGEST_FETCH_TIMEOUT_S = 2.0
-# Encoded answers that are kept for the next instance that asks for the same.
-MOST_ENCODED = 8
-# Instances of each other region that learn of a new version at once.
-FAR_AUDIENCE = 3
-# Time that the region's own announcements have before another instance is asked.
-HINT_PATIENCE_S = 0.4
+POLL_MARGIN_S = 1.5
+# The same for a fleet with a single region. No other region can report newer versions there, so if
+# the connections of all readers stall, only the timeout of their polls reveals it.
+SINGLE_REGION_POLL_WAIT_S = 0.6
+SINGLE_REGION_POLL_MARGIN_S = 0.8
+# Instances further down in the ranking never take over: when this many cannot read the store, the
+# store itself is unavailable.
+MAX_TAKEOVERS = 6
+# An aborted transfer wastes the bandwidth of a slow link, so each timeout doubles the next one.
+INITIAL_FETCH_TIMEOUT_S = 0.8
+MAX_FETCH_TIMEOUT_S = 2.0
+# Number of encoded responses kept for other instances that ask for the same changes.
+MAX_ENCODED_RESPONSES = 8
+# Number of instances in each other region to which a new version is announced directly.
+RECIPIENTS_PER_REMOTE_REGION = 3
+# Time for which readers of the own region may lag before a hint of another instance is used.
+HINT_DELAY_S = 0.4
 HINT_LIFETIME_S = 3.0
 
 
 class RelayedRow(msgspec.Struct, array_like=True, frozen=True):
-    """One row on its way between instances."""
+    """Wire format of one row; the value of a deleted row is None."""
 
     key: str
     value: bytes | None
@@ -56,10 +59,10 @@
 
 
 class RelayedTable(msgspec.Struct, array_like=True, frozen=True):
-    """Rows of a table.
+    """Wire format of the rows of a table.
 
     Attributes:
-        full: Whether these are all rows, not only changes.
+        full: Whether these are all rows of the table, as opposed to changes only.
     """
 
     rows: list[RelayedRow]
@@ -74,12 +77,12 @@
     """Serves the cached tables to other instances.
 
     Args:
-        caches: Cache of each followed table.
+        caches: Caches of the followed tables, by table name.
     """
 
     def __init__(self, *, caches: dict[str, table_cache.TableCache]):
         self._caches = caches
-        # All instances of a region usually ask for the same changes at about the same time.
+        # All instances of a region usually request the same changes at about the same time.
         self._encoded: dict[tuple[str, int, int], bytes] = {}
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -112,9 +115,9 @@
         if full:
             changes = cache.snapshot()
         rows = [RelayedRow(row.key, row.value, row.version) for row in changes.rows]
-        # The links of small instances carry a large policy to a whole region only if it is packed.
+        # Uncompressed, a large policy for a whole region would saturate a small instance's link.
         body = zlib.compress(msgspec.msgpack.encode(RelayedTable(rows, changes.version, full)))
-        while len(self._encoded) >= MOST_ENCODED:
+        while len(self._encoded) >= MAX_ENCODED_RESPONSES:
             self._encoded.pop(next(iter(self._encoded)))
         self._encoded[key] = body
         return body
@@ -124,19 +127,19 @@
     """Fetches tables from other instances.
 
     Args:
-        port: Port at which all instances serve their tables.
+        port: Port on which all instances serve their tables.
     """
 
     def __init__(self, *, port: int):
         self._port = port
         self._pool = http_client.ConnectionPool()
-        self._timeout_s = FIRST_FETCH_TIMEOUT_S
+        self._timeout_s = INITIAL_FETCH_TIMEOUT_S
 
     async def fetch(self, host: str, table_name: str, *, after: int) -> RelayedTable:
-        """Returns what changed after a version, or the whole table.
+        """Returns the changes after a version, or the whole table if they are no longer known.
 
         Raises:
-            table.StoreUnavailable: The instance did not answer.
+            table.StoreUnavailable: The instance returned no valid response.
         """
         request = messages.Request(
             method=b"GET",
@@ -152,13 +155,13 @@
                 finally:
                     self._pool.release(host, self._port, connection)
             if response.status == 200:
-                self._timeout_s = FIRST_FETCH_TIMEOUT_S
+                self._timeout_s = INITIAL_FETCH_TIMEOUT_S
                 return _DECODER.decode(zlib.decompress(response.body))
-            reason = f"status {response.status}"
+            reason = f"unexpected HTTP status {response.status}"
         except TimeoutError as error:
-            # The other idle connections may have gone silent too.
+            # The other idle connections to this instance may have stalled too.
             self._pool.drop(host, self._port)
-            self._timeout_s = min(LONGEST_FETCH_TIMEOUT_S, self._timeout_s * 2.0)
+            self._timeout_s = min(MAX_FETCH_TIMEOUT_S, self._timeout_s * 2.0)
             reason = repr(error)
         except (
             msgspec.DecodeError,
@@ -171,48 +174,51 @@
 
 
 def to_changes(relayed: RelayedTable) -> feed.Changes:
-    """Returns the rows as changes of the table."""
+    """Converts relayed rows to changes of the table."""
     rows = [feed.Change(key=row.key, value=row.value, version=row.version) for row in relayed.rows]
     return feed.Changes(rows=rows, version=relayed.version)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PollTimes:
-    """Times of a poll of the store.
+    """Timing of a long poll of the store.
 
     Attributes:
-        wait_s: Longest time that the store waits for a change, s.
-        slack_s: Time after that in which the answer arrives, s.
+        wait_s: Longest time for which the store waits for a change, s.
+        margin_s: Time allowed for the response to arrive after that, s.
     """
 
     wait_s: float
-    slack_s: float
+    margin_s: float
 
 
-_POLL_TIMES = PollTimes(wait_s=POLL_WAIT_S, slack_s=POLL_SLACK_S)
-_LONE_POLL_TIMES = PollTimes(wait_s=LONE_POLL_WAIT_S, slack_s=LONE_POLL_SLACK_S)
+_POLL_TIMES = PollTimes(wait_s=POLL_WAIT_S, margin_s=POLL_MARGIN_S)
+_SINGLE_REGION_POLL_TIMES = PollTimes(
+    wait_s=SINGLE_REGION_POLL_WAIT_S, margin_s=SINGLE_REGION_POLL_MARGIN_S
+)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Announcement:
-    """What an instance said it has read.
+    """Latest table versions announced by an instance.
 
     Attributes:
-        newer_since_s: When it first said so; its versions may be on their way here otherwise.
+        first_heard_s: Time at which the current version of each table was first announced. A hint
+            is used only after a delay, as the readers of the own region may soon announce the same.
     """
 
     host: str
     versions: dict[str, int]
     heard_s: float
-    newer_since_s: dict[str, float]
+    first_heard_s: dict[str, float]
 
 
 class RelayRole:
-    """Decides whether this instance reads the store, and whom it asks otherwise.
+    """Decides whether this instance reads the store or fetches rows from another instance.
 
     Args:
         view: Fleet as seen by this instance.
-        rng: Random source for the choice of an instance to ask.
+        rng: Random source for the choice among instances with the same version.
     """
 
     def __init__(self, *, view: fleet.FleetView, rng: random.Random):
@@ -221,79 +227,85 @@
         self._beacons: dict[str, _Announcement] = {}
         self._hints: dict[str, _Announcement] = {}
         self._started_s = time.monotonic()
-        self._announced_s: dict[str, float] = {}
-        self._lost_s: dict[str, float] = {}
-        self._news = asyncio.Event()
+        self._last_announced_s: dict[str, float] = {}
+        self._readers_lost_s: dict[str, float] = {}
+        self._announcement_received = asyncio.Event()
 
     @property
-    def news(self) -> asyncio.Event:
-        """Set when an announcement arrives."""
-        return self._news
+    def announcement_received(self) -> asyncio.Event:
+        """Event that is set when an announcement of the own region arrives."""
+        return self._announcement_received
 
-    def informed(self, table_name: str) -> bool:
-        """Whether another instance of the region has announced a version of the table lately.
+    def has_recent_announcement(self, table_name: str) -> bool:
+        """Whether an instance of the region has recently announced a version of the table.
 
-        This holds for a while after the readers lost the table: the next reader then follows before
-        anything counts as an outage.
+        This stays true for ``BEACON_LIFETIME_S`` after the last announcement, even if the readers
+        have lost the table since, so that the next instance can take over before the loss counts as
+        an outage.
         """
-        return time.monotonic() < self._silent_from_s(table_name)
+        return time.monotonic() < self._announcement_expiry_s(table_name)
 
     def poll_times(self) -> PollTimes:
-        """Returns the times of the next poll."""
+        """Returns the timing of the next poll."""
         region = self._view.own.region
         if any(member.region != region for member in self._view.live_members()):
             return _POLL_TIMES
-        return _LONE_POLL_TIMES
+        return _SINGLE_REGION_POLL_TIMES
 
     def on_beacon(self, name: str, host: str, region: str, versions: dict[str, int]) -> None:
-        """Records an announcement of an instance that reads the store.
+        """Records an announcement by an instance that reads the store.
 
         Args:
             name: Name of the instance.
-            host: Address at which it serves its tables.
+            host: Address on which it serves its tables.
             region: Its region.
-            versions: Versions of the tables that it reads; one that is left out after it was
-                announced has been lost.
+            versions: Versions of the tables that it reads. A table that was announced before and is
+                missing now can no longer be read by the instance.
         """
         if region != self._view.own.region:
             self.on_hint(name, host, versions)
             return
         old = self._beacons.get(name)
-        self._record(self._beacons, name, host, versions)
+        self._record_versions(self._beacons, name, host, versions)
         now_s = time.monotonic()
         for table_name in versions:
-            self._announced_s[table_name] = now_s
-            self._lost_s.pop(table_name, None)
+            self._last_announced_s[table_name] = now_s
+            self._readers_lost_s.pop(table_name, None)
         for table_name in () if old is None else old.versions.keys() - versions.keys():
             if not self._is_announced(table_name, now_s):
-                self._lost_s[table_name] = now_s
-        self._news.set()
+                self._readers_lost_s[table_name] = now_s
+        self._announcement_received.set()
 
     def on_hint(self, name: str, host: str, versions: dict[str, int]) -> None:
-        """Records the versions of any instance.
+        """Records table versions reported by any instance.
 
-        They are used only when the announcements of the region do not follow soon: its readers may
-        wait on connections to the store that went silent.
+        They are used only if the readers of the own region do not announce them within
+        ``HINT_DELAY_S``; the connections of those readers to the store may have stalled.
         """
-        self._record(self._hints, name, host, versions)
+        self._record_versions(self._hints, name, host, versions)
 
-    def source(self, table_name: str, version: int) -> str | None:
-        """Returns the host of an instance that has the newest version of a table.
+    def choose_source(self, table_name: str, version: int) -> str | None:
+        """Returns the host of an instance with the newest version of a table, or None.
 
-        Among equals it is chosen at random, so that a region does not ask one instance only.
+        The choice among instances with the same version is random, which spreads the load of a
+        region over them.
+
+        Args:
+            table_name: Table to fetch.
+            version: Version that this instance has; only newer ones are considered.
         """
         now_s = time.monotonic()
-        for announcements, lifetime_s, patience_s in (
+        for announcements, max_age_s, min_age_s in (
             (self._beacons, BEACON_LIFETIME_S, 0.0),
-            (self._hints, HINT_LIFETIME_S, HINT_PATIENCE_S),
+            (self._hints, HINT_LIFETIME_S, HINT_DELAY_S),
         ):
             sources: list[str] = []
             newest = version
             for entry in announcements.values():
                 announced = entry.versions.get(table_name, -1)
-                fresh = now_s - entry.heard_s < lifetime_s
-                since_s = entry.newer_since_s.get(table_name, now_s)
-                if not fresh or announced <= version or now_s - since_s < patience_s:
+                fresh = now_s - entry.heard_s < max_age_s
+                since_s = entry.first_heard_s.get(table_name, now_s)
+                if not fresh or announced <= version or now_s - since_s < min_age_s:
                     continue
                 if announced > newest:
                     sources.clear()
@@ -304,8 +316,11 @@
                 return self._rng.choice(sources)
         return None
 
-    def ahead(self, versions: dict[str, int]) -> bool:
-        """Whether the versions are newer than all that the region's readers announced."""
+    def is_ahead_of_readers(self, versions: dict[str, int]) -> bool:
+        """Whether any version is newer than what the region's readers have announced.
+
+        False when no reader has announced anything recently.
+        """
         now_s = time.monotonic()
         known: dict[str, int] = {}
         for entry in self._beacons.values():
@@ -316,36 +331,37 @@
             version > known.get(table_name, -1) for table_name, version in versions.items()
         )
 
-    def reads(self, table_name: str) -> bool:
-        """Whether this instance reads the table from the store itself."""
+    def is_reader(self, table_name: str) -> bool:
+        """Whether this instance should read the table from the store itself."""
         rank = self._rank()
         if rank < READERS_PER_REGION:
             return True
-        if rank >= READERS_PER_REGION + MOST_TAKEOVERS:
+        if rank >= READERS_PER_REGION + MAX_TAKEOVERS:
             return False
-        step_s = TAKEOVER_STEP_S * (rank - READERS_PER_REGION)
-        silent_from_s = self._silent_from_s(table_name)
-        return time.monotonic() > self._lost_s.get(table_name, silent_from_s) + step_s
+        takeover_delay_s = TAKEOVER_INTERVAL_S * (rank - READERS_PER_REGION)
+        expiry_s = self._announcement_expiry_s(table_name)
+        return time.monotonic() > self._readers_lost_s.get(table_name, expiry_s) + takeover_delay_s
 
-    def audience(self, *, changed: bool) -> list[fleet.Member]:
-        """Returns the instances to which announcements go.
+    def recipients(self, *, changed: bool) -> list[fleet.Member]:
+        """Returns the instances to which an announcement is sent.
 
         Args:
-            changed: Whether a version is new; then some instances of other regions learn it too.
+            changed: Whether it contains a new version, which is then also sent to some instances of
+                each other region.
         """
         region = self._view.own.region
         live = self._view.live_members()
-        audience = [member for member in live if member.region == region]
+        recipients = [member for member in live if member.region == region]
         if changed:
             counts: collections.Counter[str] = collections.Counter()
             for member in sorted(live, key=lambda each: self._score(each.name)):
-                if member.region != region and counts[member.region] < FAR_AUDIENCE:
+                if member.region != region and counts[member.region] < RECIPIENTS_PER_REMOTE_REGION:
                     counts[member.region] += 1
-                    audience.append(member)
-        return audience
+                    recipients.append(member)
+        return recipients
 
-    def _silent_from_s(self, table_name: str) -> float:
-        return self._announced_s.get(table_name, self._started_s) + BEACON_LIFETIME_S
+    def _announcement_expiry_s(self, table_name: str) -> float:
+        return self._last_announced_s.get(table_name, self._started_s) + BEACON_LIFETIME_S
 
     def _is_announced(self, table_name: str, now_s: float) -> bool:
         return any(
@@ -356,21 +372,21 @@
     def _rank(self) -> int:
         own = self._view.own
         own_score = self._score(own.name)
-        near = self.audience(changed=False)
-        return sum(1 for member in near if self._score(member.name) < own_score)
+        same_region = self.recipients(changed=False)
+        return sum(1 for member in same_region if self._score(member.name) < own_score)
 
     @staticmethod
-    def _record(
+    def _record_versions(
         announcements: dict[str, _Announcement], name: str, host: str, versions: dict[str, int]
     ) -> None:
         now_s = time.monotonic()
         old = announcements.get(name)
-        newer_since_s = {}
+        first_heard_s = {}
         for table_name, version in versions.items():
             known = old is not None and old.versions.get(table_name) == version
-            newer_since_s[table_name] = old.newer_since_s[table_name] if known else now_s
+            first_heard_s[table_name] = old.first_heard_s[table_name] if known else now_s
         announcements[name] = _Announcement(
-            host=host, versions=versions, heard_s=now_s, newer_since_s=newer_since_s
+            host=host, versions=versions, heard_s=now_s, first_heard_s=first_heard_s
         )
 
     @staticmethod
--- a/packages/gateway/src/sassafrasway_gateway/table_cache.py
+++ b/packages/gateway/src/sassafrasway_gateway/table_cache.py
@@ -4,7 +4,7 @@
 
 from sassafrasway_platform import feed
 
-MOST_REMEMBERED_CHANGES = 2000
+MAX_RECENT_CHANGES = 2000
 
 
 class TableCache:
@@ -33,7 +33,7 @@
             self._recent.clear()
             self._complete_after = changes.version
         else:
-            self._remember(self._differences(rows, changes.version))
+            self._append_recent(self._differences(rows, changes.version))
         self._rows = rows
         self._version = changes.version
 
@@ -44,7 +44,7 @@
                 self._rows.pop(row.key, None)
             else:
                 self._rows[row.key] = row
-        self._remember(changes.rows)
+        self._append_recent(changes.rows)
         self._version = max(self._version, changes.version)
 
     def snapshot(self) -> feed.Changes:
@@ -72,7 +72,7 @@
                 found.append(feed.Change(key=key, value=row.value, version=version))
         return found
 
-    def _remember(self, changes: list[feed.Change]) -> None:
+    def _append_recent(self, changes: list[feed.Change]) -> None:
         self._recent.extend(changes)
-        while len(self._recent) > MOST_REMEMBERED_CHANGES:
+        while len(self._recent) > MAX_RECENT_CHANGES:
             self._complete_after = self._recent.popleft().version
--- a/packages/gateway/tests/test_announcer.py
+++ b/packages/gateway/tests/test_announcer.py
@@ -12,12 +12,12 @@
 
 
 def make_follower(version):
-    """Returns a table that this instance reads from the store."""
+    """Returns a stub follower of a table that this instance reads from the store."""
     return types.SimpleNamespace(version=version, reading=True, lost=False)
 
 
 class VersionAnnouncerTest(unittest.TestCase):
-    """Guards against tables that nobody reads while somebody announces them."""
+    """Guards against tables that are announced although no instance reads them any more."""
 
     def setUp(self):
         view = fleet.FleetView(
@@ -35,7 +35,7 @@
         self.announcer = announcer.VersionAnnouncer(
             followers=self.followers,
             role=self.role,
-            send=lambda audience, versions: self.sent.append(versions),
+            send=lambda recipients, versions: self.sent.append(versions),
         )
         self.announcer.update()
 
@@ -47,8 +47,8 @@
         self.assertEqual(len(self.sent), 2)
 
     def test_lost_table_is_left_out_at_once(self):
-        # One region, trouble-1 --seed 427345455261: both readers went on announcing a table that
-        # they no longer received.
+        # One region, trouble-1 --seed 427345455261: both readers kept announcing a table whose
+        # changes no longer reached them.
         self.followers["op"].reading = False
         self.followers["op"].lost = True
         self.announcer.update()
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -78,7 +78,7 @@
         restarted = make_member("other", incarnation=2000)
         self.view.heard(restarted)
         self.assertNotIn("other", self.view.live_names())
-        self.clock.advance(fleet.DATAGRAM_DELAY_S)
+        self.clock.advance(fleet.MAX_DATAGRAM_DELAY_S)
         self.view.heard(restarted)
         self.assertIn("other", self.view.live_names())
         self.assertIn(restarted, self.view.ready_members())
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -1,4 +1,4 @@
-"""Tests of following a table through outages."""
+"""Tests of the table follower, mainly of its recovery from outages."""
 
 import asyncio
 import contextlib
@@ -11,7 +11,7 @@
 
 
 class FakeStore(feed.FollowedStore):
-    """Store whose answers are a list of results and errors; then it stays silent."""
+    """Store that returns or raises the given results in order and then blocks."""
 
     def __init__(self, *results):
         self.results = list(results)
@@ -37,7 +37,7 @@
 
 
 class Recorder(follower.Listener):
-    """Remembers what it was told."""
+    """Listener that records its calls."""
 
     def __init__(self):
         self.events = []
@@ -53,41 +53,41 @@
 
 
 class FakeRole:
-    """Role of an instance that reads the store, or asks another one."""
+    """Role with a fixed choice of reading the store or fetching from another instance."""
 
     def __init__(self, reads=True, source=None):
         self.reads_store = reads
         self.source_host = source
-        self.news = asyncio.Event()
+        self.announcement_received = asyncio.Event()
 
-    def informed(self, table_name):
+    def has_recent_announcement(self, table_name):
         return False
 
     def poll_times(self):
-        return relay.PollTimes(wait_s=1.0, slack_s=0.5)
+        return relay.PollTimes(wait_s=1.0, margin_s=0.5)
 
-    def reads(self, table_name):
+    def is_reader(self, table_name):
         return self.reads_store
 
-    def source(self, table_name, version):
+    def choose_source(self, table_name, version):
         return self.source_host if version < 9 else None
 
 
 def unavailable():
-    """Returns the error of a store that does not answer."""
+    """Returns the error raised while the store does not respond."""
     return table.StoreUnavailable("down", step="test")
 
 
 def changes(version, *keys):
-    """Returns changes of the given rows."""
+    """Returns changes of the rows with the given keys."""
     rows = [feed.Change(key=key, value=b"", version=version) for key in keys]
     return feed.Changes(rows=rows, version=version)
 
 
-@mock.patch.object(follower, "BATCH_S", 0.0)
-@mock.patch.object(follower, "FIRST_BACKOFF_S", 0.001)
+@mock.patch.object(follower, "BATCH_INTERVAL_S", 0.0)
+@mock.patch.object(follower, "INITIAL_BACKOFF_S", 0.001)
 class TableFollowerTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against tables that stay outdated after an outage."""
+    """Guards against tables that stay out of date after an outage."""
 
     def make(self, store, role=None, relay_client=None):
         self.recorder = Recorder()
@@ -140,18 +140,19 @@
         running = asyncio.create_task(task.run())
         await asyncio.sleep(0.05)
         with (
-            mock.patch.object(follower, "YOUNGEST_STALE_POLL_S", 0.0),
+            mock.patch.object(follower, "MIN_STALE_POLL_AGE_S", 0.0),
             mock.patch.object(follower, "LAG_TOLERANCE_S", 0.0),
         ):
-            task.nudge(4)
+            task.on_newer_version(4)
             await asyncio.sleep(0.01)
-            task.nudge(4)
+            task.on_newer_version(4)
         await asyncio.sleep(0.05)
         running.cancel()
         self.assertEqual(store.calls.count(("changes", 3)), 2)
 
     async def test_reader_whose_poll_is_silent_stops_announcing_and_asks_another_instance(self):
-        # Incident inc-37d1: a reader cut off from the store announced its old version for 5.5 s.
+        # Incident inc-37d1: a reader that was cut off from the store kept announcing its old
+        # version for 5.5 s.
         client = mock.AsyncMock()
         client.fetch.return_value = relay.RelayedTable([relay.RelayedRow("a", b"", 9)], 9, False)
         role = FakeRole()
@@ -161,27 +162,27 @@
         self.assertTrue(task.reading)
         role.source_host = "peer"
         with (
-            mock.patch.object(follower, "YOUNGEST_STALE_POLL_S", 0.0),
+            mock.patch.object(follower, "MIN_STALE_POLL_AGE_S", 0.0),
             mock.patch.object(follower, "LAG_TOLERANCE_S", 0.0),
         ):
-            task.nudge(9)
+            task.on_newer_version(9)
             await asyncio.sleep(0.01)
-            # Another instance that is behind as well must not start the count anew.
-            task.nudge(3)
-            task.nudge(9)
+            # A hint of an instance that lags as well must not restart the tolerance period.
+            task.on_newer_version(3)
+            task.on_newer_version(9)
         await asyncio.sleep(0.05)
         running.cancel()
         self.assertFalse(task.reading)
         self.assertEqual(task.version, 9)
 
     async def test_hint_leaves_a_young_poll_alone(self):
-        # Hunt finding: hints cancelled each attempt to reconnect after a cut.
+        # After a network cut, hints cancelled every poll while it was still reconnecting.
         store = FakeStore(changes(3))
         task = self.make(store)
         running = asyncio.create_task(task.run())
         await asyncio.sleep(0.05)
         for _ in range(20):
-            task.nudge(4)
+            task.on_newer_version(4)
         await asyncio.sleep(0.02)
         running.cancel()
         self.assertEqual(store.calls.count(("changes", 3)), 1)
--- a/packages/gateway/tests/test_logs.py
+++ b/packages/gateway/tests/test_logs.py
@@ -21,16 +21,16 @@
         self.writer = logs.BoundedWriter(descriptor=self.descriptor, metrics=self.metrics)
 
     def test_reader_that_stops_does_not_block(self):
-        for _ in range(logs.MOST_LINES_PER_S - 1):
+        for _ in range(logs.MAX_LINES_PER_S - 1):
             self.writer.write_line(b"x" * 4000)
         self.assertGreater(self.writer.dropped, 0)
-        self.assertLess(len(self.writer._pending), logs.MOST_BUFFERED_BYTES + 8000)
+        self.assertLess(len(self.writer._pending), logs.MAX_BUFFERED_BYTES + 8000)
 
     def test_lines_beyond_the_rate_are_counted(self):
-        for _ in range(3 * logs.MOST_LINES_PER_S):
+        for _ in range(3 * logs.MAX_LINES_PER_S):
             self.writer.write_line(b"x")
         self.assertIn("sassafrasway_log_lines_dropped_total", self.metrics.render())
-        self.assertGreater(self.writer.dropped, logs.MOST_LINES_PER_S)
+        self.assertGreater(self.writer.dropped, logs.MAX_LINES_PER_S)
 
     def test_events_are_json_lines_with_their_context(self):
         logs.configure(self.writer, instance="i")
--- a/packages/gateway/tests/test_lookup_handler.py
+++ b/packages/gateway/tests/test_lookup_handler.py
@@ -27,7 +27,7 @@
 
     async def ask(self, members, target=b"/v1/instances?region=north&failure_domain=north-1"):
         handler = lookup.LookupHandler(
-            view=View(*members), spelling=lookup.LookupFormat(), ttl_s=5.0
+            view=View(*members), lookup_format=lookup.LookupFormat(), ttl_s=5.0
         )
         return await handler.handle(messages.Request(method=b"GET", target=target, headers=[]))
 
@@ -47,7 +47,7 @@
 
     async def test_answer_is_bounded(self):
         many = [test_fleet.make_member(f"i{index}") for index in range(200)]
-        self.assertEqual(len(await self.addresses(many)), lookup.MOST_ADDRESSES)
+        self.assertEqual(len(await self.addresses(many)), lookup.MAX_ADDRESSES)
 
     async def test_without_ready_instances_the_caller_is_told_to_come_back(self):
         response = await self.ask([])
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""Tests of the choice of the instances that read the store, and of the rows they pass on."""
+"""Tests of the selection of the instances that read the store, and of the relayed rows."""
 
 import asyncio
 import random
@@ -22,7 +22,7 @@
 
 
 def make_roles(count):
-    """Returns the role of each instance of a region in which all know each other."""
+    """Returns the roles of the instances of a region that all see each other as live."""
     names = [f"i{index}" for index in range(count)]
     roles = []
     for name in names:
@@ -38,12 +38,12 @@
 
 
 class RelayRoleTest(unittest.TestCase):
-    """Guards against a fleet in which all instances read the store, or none does."""
+    """Guards against a region in which every instance reads the store, or none does."""
 
     def test_few_instances_of_a_region_read(self):
         for count in (1, 2, 16, 124):
             with self.subTest(count=count):
-                reading = sum(role.reads("op") for role in make_roles(count))
+                reading = sum(role.is_reader("op") for role in make_roles(count))
                 self.assertEqual(reading, min(count, relay.READERS_PER_REGION))
 
     def test_others_take_over_one_by_one_when_announcements_stop(self):
@@ -55,16 +55,16 @@
             counts = []
             for silent_s in (0.5, 0.9, 1.2, 30.0):
                 now.return_value = 100.0 + silent_s
-                counts.append(sum(role.reads("op") for role in roles))
+                counts.append(sum(role.is_reader("op") for role in roles))
         self.assertEqual(counts[0], relay.READERS_PER_REGION)
         self.assertEqual(counts[1], relay.READERS_PER_REGION + 1)
         self.assertEqual(counts[2], relay.READERS_PER_REGION + 2)
-        self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MOST_TAKEOVERS)
+        self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MAX_TAKEOVERS)
 
     def test_table_that_its_readers_lost_is_taken_over(self):
         # One region, trouble-1 --seed 427345455261, CONFIG: both readers were cut off from the
-        # store; their polls of one table had timed out, but they went on announcing both tables
-        # until the polls of the other one timed out too, so nobody took over.
+        # store. Their polls of one table had timed out, but they kept announcing both tables until
+        # the polls of the other table timed out too, so no instance took over.
         roles = make_roles(6)
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
@@ -74,73 +74,79 @@
             now.return_value = 100.1
             for role in roles:
                 role.on_beacon("i0", "i0", "north", {"servers": 1})
-            self.assertTrue(all(role.informed("op") for role in roles))
+            self.assertTrue(all(role.has_recent_announcement("op") for role in roles))
             for role in roles:
                 role.on_beacon("i1", "i1", "north", {"servers": 1})
-            self.assertTrue(all(role.informed("servers") for role in roles))
+            self.assertTrue(all(role.has_recent_announcement("servers") for role in roles))
             now.return_value = 100.2
-            # trakia-arhiv hunt-edd6-15, DRAIN: counted as an outage from the moment of the loss, a
-            # change of readers became long enough for removed servers to be kept.
-            self.assertTrue(all(role.informed("op") for role in roles))
-            reading = {name: sum(role.reads(name) for role in roles) for name in ("op", "servers")}
+            # trakia-arhiv hunt-edd6-15, DRAIN: the outage was counted from the moment of the loss,
+            # so a change of readers lasted long enough for removed servers to be kept.
+            self.assertTrue(all(role.has_recent_announcement("op") for role in roles))
+            reading = {
+                name: sum(role.is_reader(name) for role in roles) for name in ("op", "servers")
+            }
             now.return_value = 100.0 + relay.BEACON_LIFETIME_S
-            self.assertFalse(any(role.informed("op") for role in roles))
+            self.assertFalse(any(role.has_recent_announcement("op") for role in roles))
         expected = {"op": relay.READERS_PER_REGION + 1, "servers": relay.READERS_PER_REGION}
         self.assertEqual(reading, expected)
 
     def test_polls_are_short_where_no_other_region_can_help(self):
-        # The same day: the readers noticed the silence 1.7 s after the cut, and could have taken
-        # 5.5 s, while a policy has to be in force 2.5 s after its acknowledgement.
+        # One region, trouble-1 --seed 427345455261, CONFIG: the readers noticed the cut after 1.7 s
+        # and could have taken up to 5.5 s, but a policy must be in force 2.5 s after its
+        # acknowledgement.
         role = make_roles(3)[0]
-        lone = role.poll_times()
-        longest_s = lone.wait_s + lone.slack_s + relay.TAKEOVER_STEP_S + follower.BATCH_S
+        single = role.poll_times()
+        longest_s = (
+            single.wait_s + single.margin_s + relay.TAKEOVER_INTERVAL_S + follower.BATCH_INTERVAL_S
+        )
         self.assertLess(longest_s, 2.5)
         role._view.heard(test_fleet.make_member("far", region="south"))
-        self.assertGreater(role.poll_times().wait_s, lone.wait_s)
+        self.assertGreater(role.poll_times().wait_s, single.wait_s)
 
     def test_source_is_the_instance_with_the_newest_version(self):
         role = make_roles(3)[0]
         role.on_beacon("i1", "host1", "north", {"op": 5})
         role.on_beacon("i2", "host2", "north", {"op": 7})
-        self.assertEqual(role.source("op", 4), "host2")
-        self.assertIsNone(role.source("op", 7))
+        self.assertEqual(role.choose_source("op", 4), "host2")
+        self.assertIsNone(role.choose_source("op", 7))
 
     def test_sources_with_the_same_version_share_the_fetches(self):
-        # trakia-arhiv-grown scale-1 --seed 130896731222: a small instance served its whole region.
+        # trakia-arhiv-grown scale-1 --seed 130896731222: all instances of a region fetched from the
+        # same small instance.
         role = make_roles(3)[0]
         role.on_beacon("i1", "host1", "north", {"op": 7})
         role.on_beacon("i2", "host2", "north", {"op": 7})
-        self.assertEqual({role.source("op", 4) for _ in range(50)}, {"host1", "host2"})
+        self.assertEqual({role.choose_source("op", 4) for _ in range(50)}, {"host1", "host2"})
 
     def test_hint_of_another_region_is_used_when_the_own_readers_stay_behind(self):
-        # Incident inc-37d1, CONFIG: both readers of a region waited on silent connections to the
-        # store, went on announcing an old version, and the region served an old policy.
+        # Incident inc-37d1, CONFIG: the connections of both readers of a region to the store had
+        # stalled. They kept announcing an old version, and the region served an outdated policy.
         role = make_roles(3)[0]
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
             role.on_beacon("i1", "host1", "north", {"op": 5})
             role.on_beacon("far", "host2", "south", {"op": 7})
-            self.assertIsNone(role.source("op", 5))
-            now.return_value = 100.0 + relay.HINT_PATIENCE_S
+            self.assertIsNone(role.choose_source("op", 5))
+            now.return_value = 100.0 + relay.HINT_DELAY_S
             role.on_beacon("i1", "host1", "north", {"op": 5})
-            self.assertEqual(role.source("op", 5), "host2")
+            self.assertEqual(role.choose_source("op", 5), "host2")
 
     def test_instance_that_learned_a_version_elsewhere_is_ahead_of_its_readers(self):
         role = make_roles(3)[0]
         role.on_beacon("i1", "host1", "north", {"op": 5})
-        self.assertTrue(role.ahead({"op": 7}))
-        self.assertFalse(role.ahead({"op": 5}))
+        self.assertTrue(role.is_ahead_of_readers({"op": 7}))
+        self.assertFalse(role.is_ahead_of_readers({"op": 5}))
 
     def test_new_versions_reach_a_few_instances_of_each_other_region(self):
         role = make_roles(3)[0]
         for index in range(10):
             role._view.heard(test_fleet.make_member(f"s{index}", region="south"))
-        self.assertEqual(len(role.audience(changed=True)), 2 + relay.FAR_AUDIENCE)
-        self.assertEqual(len(role.audience(changed=False)), 2)
+        self.assertEqual(len(role.recipients(changed=True)), 2 + relay.RECIPIENTS_PER_REMOTE_REGION)
+        self.assertEqual(len(role.recipients(changed=False)), 2)
 
 
 class RelayTransferTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against rows that change or vanish on their way between instances."""
+    """Guards against rows that are altered or lost when relayed between instances."""
 
     async def asyncSetUp(self):
         self.cache = table_cache.TableCache()
@@ -178,8 +184,9 @@
         self.assertEqual(encode.call_count, 1)
 
     async def test_large_policy_is_packed(self):
-        # sila-quotes-grown mix --seed 120251547929, DENIED, CONFIG and HOME: a large policy for
-        # 40 instances filled the link of the one that served it, also with transfers broken off.
+        # sila-quotes-grown mix --seed 120251547929, DENIED, CONFIG and HOME: sending a large policy
+        # to 40 instances saturated the link of the one that served it, and aborted transfers added
+        # to that load.
         policy = b'{"Name": "route", "Host": "h.example", "Service": "desk"}' * 1000
         self.cache.replace(
             feed.Changes(rows=[feed.Change(key="a", value=policy, version=1)], version=3)
@@ -201,15 +208,15 @@
             for _ in range(4):
                 with self.assertRaises(table.StoreUnavailable):
                     await client.fetch("127.0.0.1", "op", after=-1)
-        longest = relay.LONGEST_FETCH_TIMEOUT_S
-        first = relay.FIRST_FETCH_TIMEOUT_S
+        longest = relay.MAX_FETCH_TIMEOUT_S
+        first = relay.INITIAL_FETCH_TIMEOUT_S
         self.assertEqual(timeouts, [first, 2 * first, longest, longest])
 
     def _record_timeout(self, timeouts):
         timeout = asyncio.timeout
 
         def record(delay_s):
-            # Opening a connection has a limit of its own.
+            # Opening a connection has a separate timeout.
             if delay_s != http_client.CONNECT_TIMEOUT_S:
                 timeouts.append(delay_s)
             return timeout(0.05)
--- a/packages/gateway/tests/test_table_cache.py
+++ b/packages/gateway/tests/test_table_cache.py
@@ -30,7 +30,7 @@
         self.assertEqual(list(self.cache.since(5).rows), [])
 
     def test_dropped_history_is_unknown(self):
-        for version in range(6, 6 + 2 * table_cache.MOST_REMEMBERED_CHANGES):
+        for version in range(6, 6 + 2 * table_cache.MAX_RECENT_CHANGES):
             self.cache.apply(feed.Changes(rows=[change("a", b"1", version)], version=version))
         self.assertIsNone(self.cache.since(6))
 
