Reword the fleet view, the table cache and the HTTP modules

Comments spoke of dear links, silent peers, hidden repeats and takeovers of rows. State the reasons in the usual terms and describe arguments and results of public methods. Messages of http_client reach callers as response bodies and stay.

--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -1,4 +1,4 @@
-"""Which instances are live: a view built from direct pings and hints of the others."""
+"""Fleet membership with a failure detector based on pings and on reports of other instances."""
 
 import dataclasses
 import enum
@@ -8,18 +8,20 @@
 
 PING_INTERVAL_S = 0.5
 MISSED_PINGS = 3
-# Time that a member has to answer after another instance could not reach it.
+# Time in which a member must answer after another instance has reported it as unreachable.
 SUSPECT_TIMEOUT_S = 1.0
-# Time in which a datagram of an earlier run may still arrive after one of the next run.
+# Time for which datagrams sent before a restart may still arrive after the first one sent since.
 MAX_DATAGRAM_DELAY_S = 1.0
-# A pause of the own process longer than this says nothing about the others.
+# After a longer gap between two ticks, this process was paused, so that missed answers in that time
+# say nothing about the other members.
 MAX_TICK_GAP_S = 1.2
-# Every so many ticks the random ping may leave the region; links between regions are dear.
+# The random ping may go to another region once in this many ticks, as traffic between regions is
+# expensive.
 CROSS_REGION_PING_TICKS = 4
 
 
 class Phase(enum.IntEnum):
-    """Phase of an instance's life, in order."""
+    """Lifecycle phase of an instance; phases only advance."""
 
     STARTING = 0
     READY = 1
@@ -28,12 +30,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Member:
-    """What an instance says of itself.
+    """Description of an instance as sent by the instance itself.
 
     Attributes:
         incarnation: Unix time of its start, ms.
-        front: ``host:port`` for callers.
-        peer_host: Address for datagrams of the other instances.
+        front: ``host:port`` to which callers send requests.
+        peer_host: Address to which other instances send datagrams.
     """
 
     name: str
@@ -106,7 +108,10 @@
         return ready
 
     def learn(self, member: Member) -> None:
-        """Adds a member that another source listed; it is pinged before it counts as live."""
+        """Adds a member that is listed elsewhere.
+
+        It does not count as live before a message from the member itself arrives.
+        """
         if member.name == self._own.name:
             return
         entry = self._entries.get(member.name)
@@ -119,11 +124,11 @@
         """Records a message from the member itself.
 
         Args:
-            member: What it says of itself.
-            contact_s: How long the platform's store has answered it.
+            member: Description in the message.
+            contact_s: How long the member has been in contact with the platform's store, s.
 
         Returns:
-            Whether it was not live before.
+            Whether the member became live.
         """
         if member.name == self._own.name:
             return False
@@ -143,7 +148,12 @@
         return revived
 
     def suspect(self, name: str, incarnation: int) -> Member | None:
-        """Returns the member to ping because another instance could not reach it."""
+        """Starts the verification of a member that another instance could not reach.
+
+        Returns:
+            The member to ping, or None if the suspicion concerns an unknown or dead member or an
+            earlier incarnation.
+        """
         entry = self._entries.get(name)
         if entry is None or not entry.alive or entry.member.incarnation > incarnation:
             return None
@@ -153,7 +163,11 @@
         return entry.member
 
     def store_answered_peers(self, outage_s: float) -> bool:
-        """Whether the store kept answering another instance during an outage that ends now."""
+        """Whether another instance stayed in contact with the store during an outage.
+
+        Args:
+            outage_s: Duration of the outage, which ends now, s.
+        """
         began_s = self._clock.monotonic() - outage_s
         return any(
             entry.contact_since_s is not None
@@ -166,7 +180,7 @@
         """Advances the failure detector.
 
         Returns:
-            The members to ping now, and those that have just been found dead.
+            The members to ping now, and those that were just declared dead.
         """
         now_s = self._clock.monotonic()
         paused = now_s - self._last_tick_s > MAX_TICK_GAP_S
@@ -219,5 +233,6 @@
         old = entry.member
         if new.incarnation == old.incarnation:
             return new.phase < old.phase
-        # An instance that restarts after its clock was set back has the lower incarnation.
+        # An instance that restarts after its clock was set back has a lower incarnation than
+        # before, so a lower one is accepted once no datagrams of the previous run can arrive.
         return new.incarnation < old.incarnation and now_s - entry.heard_s < MAX_DATAGRAM_DELAY_S
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -1,8 +1,8 @@
-"""HTTP/1.1 client connections: one exchange at a time, no hidden repeats.
+"""HTTP/1.1 client connections: one exchange at a time, no implicit retries.
 
-aiohttp repeats some requests by itself and takes an answer without a length as whole when its
-connection is reset. Both would break the promises for non-idempotent requests, so the gateway uses
-the sans-I/O parser h11 on asyncio transports.
+aiohttp retries some requests by itself, and it treats a response without a length as complete when
+its connection is reset. Both would break the guarantees for non-idempotent requests, so the gateway
+uses the sans-I/O parser h11 on asyncio transports.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 from sassafrasway_gateway import messages
 
 CONNECT_TIMEOUT_S = 0.25
-# Closes idle connections this long before the server would.
+# Idle connections are closed this long before the server would close them.
 IDLE_MARGIN_S = 1.0
 DEFAULT_IDLE_S = 5.0
 KEEPALIVE_IDLE_S = 2
@@ -32,10 +32,10 @@
 
 
 class ExchangeError(errors.OutcomeUnknownError):
-    """The request was sent, but no valid answer arrived.
+    """The request was sent, but no valid response arrived.
 
     Attributes:
-        closed: Whether the connection ended, as opposed to carrying invalid bytes.
+        closed: Whether the connection was closed, as opposed to carrying invalid bytes.
     """
 
     def __init__(self, message: str, *, step: str, peer: str, closed: bool):
@@ -45,14 +45,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EchoedId:
-    """Header by which an answer is matched with its request."""
+    """Header by which a response is matched with its request."""
 
     name: bytes
     value: bytes
 
 
 def set_keepalive(sock: socket.socket) -> None:
-    """Makes the kernel find peers that have gone silent."""
+    """Disables Nagle's algorithm and makes the kernel detect unresponsive peers."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
@@ -62,7 +62,7 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection to a server; owned by a single exchange at a time."""
+    """One connection to a server; used by a single exchange at a time."""
 
     def __init__(self, *, peer: str):
         self._peer = peer
@@ -81,11 +81,16 @@
 
     @property
     def exchanges(self) -> int:
-        """Number of exchanges begun on the connection."""
+        """Number of exchanges started on the connection."""
         return self._exchanges
 
     def reusable(self, max_idle_s: float | None = None) -> bool:
-        """Whether the connection is open, idle, and not about to be closed by the server."""
+        """Whether the connection is open, idle, and not about to be closed by the server.
+
+        Args:
+            max_idle_s: Longest time for which the connection may have been idle; None for the
+                server's limit only.
+        """
         if self._closed or self._waiter is not None:
             return False
         limit_s = self._idle_limit_s
@@ -99,7 +104,7 @@
         return self._closed
 
     def abort(self) -> None:
-        """Closes the connection at once, so that the server drops the request."""
+        """Closes the connection immediately, so that the server drops the request."""
         self._closed = True
         if self._transport is not None:
             self._transport.abort()
@@ -107,16 +112,16 @@
     async def exchange(
         self, request: messages.Request, *, echo: EchoedId | None = None
     ) -> messages.Response:
-        """Sends a request and returns the whole answer.
+        """Sends a request and returns the complete response.
 
         Cancelling the call aborts the connection.
 
         Args:
             request: Request with its final headers, without framing headers.
-            echo: Header that the answer must repeat; answers with another value are skipped.
+            echo: Header that identifies the response; responses with another value are skipped.
 
         Raises:
-            ExchangeError: The request was sent, but no valid answer arrived.
+            ExchangeError: The request was sent, but no valid response arrived.
         """
         self._waiter = asyncio.get_running_loop().create_future()
         self._echo = echo
@@ -142,7 +147,7 @@
     def data_received(self, data: bytes) -> None:
         """See base class."""
         if self._waiter is None or self._waiter.done():
-            # Bytes that no request asked for: the connection can't be trusted any more.
+            # Unsolicited bytes: a later response on this connection could not be trusted.
             self.abort()
             return
         try:
@@ -199,7 +204,7 @@
                 return
 
     def _on_message(self) -> bool:
-        """Handles a whole answer and returns whether another one must be read."""
+        """Handles a complete response and returns whether another one must be read."""
         headers = list(self._response.headers.raw_items())
         if self._is_for_other_request(headers):
             return self._skip_response()
@@ -235,13 +240,17 @@
         return value is not None and value != self._echo.value
 
     def _skip_response(self) -> bool:
-        """Discards a late answer to an earlier request and reads on for the own one."""
+        """Discards a late response to an earlier request.
+
+        Returns:
+            Whether the response to the current request can still be read.
+        """
         extra, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE:
             self._fail("answer to another request, then the end", closed=False)
             return False
-        # A parser reads one answer for each request, so a new one is put into the state after the
-        # request; what it would send is discarded.
+        # h11 reads one response per request, so a new parser is brought into the state after the
+        # request; the bytes that it produces for this are discarded.
         self._parser = h11.Connection(h11.CLIENT)
         self._encode(self._sent)
         self._response = None
@@ -276,7 +285,7 @@
     """Opens a connection.
 
     Raises:
-        ConnectError: The server refused or did not answer in time.
+        ConnectError: The server refused the connection or did not accept it in time.
     """
     loop = asyncio.get_running_loop()
     peer = f"{host}:{port}"
@@ -294,7 +303,7 @@
 
 
 class ConnectionPool:
-    """Idle connections to each address."""
+    """Pool of idle connections by address."""
 
     def __init__(self, *, local_host: str = ""):
         self._idle: dict[tuple[str, int], collections.deque[Connection]] = {}
@@ -313,8 +322,8 @@
         Args:
             host: Address of the server.
             port: Its port.
-            max_idle_s: Longest time that a reused connection may have been idle.
-            timeout_s: Time for opening a connection.
+            max_idle_s: Longest time for which a reused connection may have been idle.
+            timeout_s: Timeout for opening a connection.
 
         Raises:
             ConnectError: No connection could be opened.
@@ -329,7 +338,7 @@
         return await connect(host, port, timeout_s=timeout_s, local_host=self._local_host)
 
     def release(self, host: str, port: int, connection: Connection) -> None:
-        """Takes a connection back after an exchange."""
+        """Returns a connection to the pool after an exchange, or closes it if not reusable."""
         address = (host, port)
         if connection.reusable():
             self._idle.setdefault(address, collections.deque()).append(connection)
@@ -342,7 +351,7 @@
             connection.abort()
 
     def close_expired(self) -> None:
-        """Closes idle connections that are too old to be used."""
+        """Closes the connections that can no longer be reused."""
         for address in list(self._idle):
             kept = collections.deque()
             for connection in self._idle[address]:
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server connections for callers: requests are read whole, answers written whole."""
+"""HTTP/1.1 server that reads complete requests and writes complete responses."""
 
 import abc
 import asyncio
@@ -9,27 +9,27 @@
 from sassafrasway_gateway import http_client, messages, model
 
 MAX_PIPELINED_BYTES = 256 * 1024
-# Time given to a closing connection whose caller does not read.
+# Time after which a closing connection is aborted if the caller does not read its last bytes.
 LINGER_S = 2.0
 
 
 class Handler(abc.ABC):
-    """Answers requests."""
+    """Base class of request handlers."""
 
     @abc.abstractmethod
     async def handle(self, request: messages.Request) -> messages.Response:
-        """Returns the answer; cancelled when the caller has left."""
+        """Returns the response; the call is cancelled if the caller disconnects."""
 
     @property
     def limits(self) -> model.Limits:
-        """Bounds on what a caller may send."""
+        """Size and time limits for requests."""
         return model.Limits()
 
 
 def text_response(
     status: int, text: str = "", *, retry_after_s: float | None = None
 ) -> messages.Response:
-    """Builds a short answer of the gateway's own."""
+    """Builds a plain text response."""
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
     if retry_after_s is not None:
         headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
@@ -37,7 +37,7 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection from a caller."""
 
     def __init__(self, *, handler: Handler, server: "HttpServer"):
         self._handler = handler
@@ -57,11 +57,11 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered."""
+        """Whether a request is being read or handled."""
         return self._responding or self._started_s > 0.0
 
     def close_when_idle(self) -> None:
-        """Closes the connection unless a request is being read or answered."""
+        """Closes the connection unless a request is being read or handled."""
         if not self.busy and self._transport is not None:
             self._transport.close()
 
@@ -246,7 +246,7 @@
     Args:
         host: Address to listen on.
         port: Port to listen on.
-        handler: Answers the requests.
+        handler: Handler of all requests.
     """
 
     def __init__(self, *, host: str, port: int, handler: Handler):
@@ -259,21 +259,21 @@
 
     @property
     def draining(self) -> bool:
-        """Whether answers ask callers to close their connections."""
+        """Whether responses ask callers to close their connections."""
         return self._draining
 
     @property
     def port(self) -> int:
-        """Port in use, also when it was chosen by the system."""
+        """Port in use, also if it was chosen by the system."""
         return self._server.sockets[0].getsockname()[1]
 
     @property
     def busy(self) -> int:
-        """Number of connections with a request that is being read or answered."""
+        """Number of connections with a request that is being read or handled."""
         return sum(1 for connection in self._connections if connection.busy)
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts listening."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ServerConnection(handler=self._handler, server=self),
@@ -284,11 +284,11 @@
         )
 
     def drain(self) -> None:
-        """Asks callers to close their connections with each further answer."""
+        """Asks callers in all further responses to close their connections."""
         self._draining = True
 
     def stop_listening(self) -> None:
-        """Accepts no further connection and closes the idle ones."""
+        """Stops accepting connections and closes the idle ones."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
--- a/packages/gateway/src/sassafrasway_gateway/table_cache.py
+++ b/packages/gateway/src/sassafrasway_gateway/table_cache.py
@@ -1,4 +1,4 @@
-"""Rows of a followed table, with the latest changes, for instances that read from this one."""
+"""Cache of a followed table and its recent changes, from which other instances fetch."""
 
 import collections
 
@@ -8,13 +8,13 @@
 
 
 class TableCache:
-    """Current rows of a table and its recent history."""
+    """Current rows and recent changes of a table."""
 
     def __init__(self):
         self._rows: dict[str, feed.Change] = {}
         self._recent: collections.deque[feed.Change] = collections.deque()
         self._version = -1
-        # Oldest version after which all changes are remembered.
+        # Oldest version after which all changes are available.
         self._complete_after = -1
 
     @property
@@ -23,10 +23,11 @@
         return self._version
 
     def replace(self, changes: feed.Changes) -> None:
-        """Takes over the whole table.
+        """Replaces the whole table.
 
-        What differs from the known rows is remembered like changes: after the store has lost its
-        history, the other instances then fetch a few rows instead of the whole table, all at once.
+        Differences from the previous rows are recorded as changes. After the store has lost its
+        change history, the other instances can then fetch a few rows each; otherwise all of them
+        would fetch the whole table at the same time.
         """
         rows = {row.key: row for row in changes.rows}
         if self._version < 0 or changes.version < self._version:
@@ -38,7 +39,7 @@
         self._version = changes.version
 
     def apply(self, changes: feed.Changes) -> None:
-        """Takes over changes that follow the known version."""
+        """Applies changes made after the current version."""
         for row in changes.rows:
             if row.value is None:
                 self._rows.pop(row.key, None)
@@ -52,14 +53,14 @@
         return feed.Changes(rows=list(self._rows.values()), version=self._version)
 
     def since(self, version: int) -> feed.Changes | None:
-        """Returns the changes after a version, or None if they are no longer known."""
+        """Returns the changes after a version, or None if they are no longer available."""
         if version < self._complete_after:
             return None
         rows = [row for row in self._recent if row.version > version]
         return feed.Changes(rows=rows, version=self._version)
 
     def _differences(self, rows: dict[str, feed.Change], version: int) -> list[feed.Change]:
-        """Returns the changes that turn the known rows into others."""
+        """Returns the changes that turn the current rows into the given ones."""
         found = [
             feed.Change(key=key, value=None, version=version)
             for key in self._rows
@@ -68,7 +69,8 @@
         for key, row in rows.items():
             known = self._rows.get(key)
             if known is None or known.value != row.value:
-                # The row's own version may be older than what a reader of this cache has seen.
+                # The row's own version may be older than the version that a client of this cache
+                # has seen, so the change gets the version of the table.
                 found.append(feed.Change(key=key, value=row.value, version=version))
         return found
 
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -1,4 +1,4 @@
-"""Tests of the view of the fleet."""
+"""Tests of the fleet membership and the failure detector."""
 
 import random
 import unittest
@@ -21,7 +21,7 @@
 
 
 class FleetViewTest(unittest.TestCase):
-    """Guards against look-ups that name dead instances, and against false deaths."""
+    """Guards against lookups that return dead instances, and against live ones declared dead."""
 
     def setUp(self):
         self.clock = clock_lib.ManualClock()
@@ -72,8 +72,8 @@
         self.assertEqual(self.view.members()[0].incarnation, 2)
 
     def test_restart_after_the_clock_was_set_back_is_heard(self):
-        # The start time names the run; with a clock that stepped back it is lower than before, and
-        # the instance stayed dead to the others for as long as it ran.
+        # The incarnation is the start time. After the clock was set back it was lower than before,
+        # and the other instances treated the restarted instance as dead until it ended.
         self.view.heard(make_member("other", incarnation=5000, phase=fleet.Phase.LEAVING))
         restarted = make_member("other", incarnation=2000)
         self.view.heard(restarted)
@@ -88,7 +88,7 @@
         self.assertEqual([member.name for member in self.view.ready_members()], ["me"])
 
     def test_outage_of_this_instance_alone_is_recognised(self):
-        # Hunt finding, DRAIN: a cut-off instance took its own outage for one of the store.
+        # DRAIN: an instance that was cut off from the store took this for an outage of the store.
         self.clock.advance(20.0)
         self.view.heard(make_member("other"), contact_s=15.0)
         self.assertTrue(self.view.store_answered_peers(10.0))
--- a/packages/gateway/tests/test_http_client.py
+++ b/packages/gateway/tests/test_http_client.py
@@ -20,12 +20,12 @@
 
 
 def raw(data):
-    """Returns a script entry that answers with the given bytes."""
+    """Returns a script entry that responds with the given bytes."""
     return lambda head: data
 
 
 class ConnectionTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against answers that belong to another request or are not whole."""
+    """Guards against responses that belong to another request or are incomplete."""
 
     async def start(self, *script):
         self.server = await gateway_fakes.ScriptedServer(script).start()
@@ -70,7 +70,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
             await writer.drain()
             await asyncio.sleep(0.05)
-            # Closing with a linger time of zero sends a reset instead of the normal end.
+            # With a linger time of zero, closing the socket sends RST instead of FIN.
             sock = writer.get_extra_info("socket")
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
--- a/packages/gateway/tests/test_http_server.py
+++ b/packages/gateway/tests/test_http_server.py
@@ -1,4 +1,4 @@
-"""Tests of server connections against callers that misbehave."""
+"""Tests of server connections, mainly with callers that misbehave."""
 
 import asyncio
 import unittest
@@ -9,7 +9,7 @@
 
 
 class Echo(http_server.Handler):
-    """Answers with the body; can be told to wait."""
+    """Returns the body of the request; waits while the gate is closed."""
 
     def __init__(self):
         self.gate = asyncio.Event()
@@ -32,7 +32,7 @@
 
 
 class ServerConnectionTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against lost, mixed and smuggled requests."""
+    """Guards against lost, mixed up and smuggled requests."""
 
     async def asyncSetUp(self):
         self.handler = Echo()
--- a/packages/gateway/tests/test_table_cache.py
+++ b/packages/gateway/tests/test_table_cache.py
@@ -1,4 +1,4 @@
-"""Tests of the rows kept for other instances."""
+"""Tests of the cache from which other instances fetch rows."""
 
 import unittest
 
@@ -12,7 +12,7 @@
 
 
 class TableCacheTest(unittest.TestCase):
-    """Guards against instances that miss a change because its history was dropped."""
+    """Guards against instances that miss a change because it was dropped from the cache."""
 
     def setUp(self):
         self.cache = table_cache.TableCache()
@@ -36,7 +36,8 @@
 
     def test_whole_read_is_passed_on_as_what_it_changed(self):
         # trakia-arhiv-grown scale-1 --seed 130896731222, CONFIG and DRAIN: after the store dropped
-        # its history, 45 instances fetched the whole table from one and timed out for seconds.
+        # its change history, 45 instances fetched the whole table from one instance, and their
+        # fetches timed out for seconds.
         rows = [change("a", b"1", 3), change("b", b"2", 4)]
         self.cache.apply(feed.Changes(rows=rows[1:], version=6))
         self.cache.replace(
