Reword the gateway process, its peer messages, lookups and settings

Docstrings used spelling, greeting, answer and similar words for formats, hello messages and responses, and the lifecycle log events were single words. Use the usual terms, name the attributes of GatewayProcess after what they are, and describe parameters. The comments at the maintenance interval and at STOP_LISTENING_AFTER_S did not match the code and now say what the values do. Response bodies and metric help texts stay.

--- a/packages/gateway/src/sassafrasway_gateway/admin.py
+++ b/packages/gateway/src/sassafrasway_gateway/admin.py
@@ -1,4 +1,4 @@
-"""Answers the platform's and the operator's questions about this instance."""
+"""HTTP handlers for readiness probes, metrics and the state of the instance."""
 
 from collections.abc import Callable
 
@@ -9,10 +9,10 @@
 
 
 class ReadinessHandler(http_server.Handler):
-    """Says whether the instance serves callers.
+    """Answers the platform's readiness probes.
 
     Args:
-        path: Path of the question.
+        path: URL path of the probe.
         ready: Returns whether the instance serves callers.
     """
 
@@ -30,10 +30,10 @@
 
 
 class AdminHandler(http_server.Handler):
-    """Serves counters and a dump of the process's state.
+    """Serves the metrics and a dump of the state of the process.
 
     Args:
-        metrics: Counters.
+        metrics: Metrics of the process.
         dump: Returns the state of the process as plain data.
     """
 
--- a/packages/gateway/src/sassafrasway_gateway/dialect.py
+++ b/packages/gateway/src/sassafrasway_gateway/dialect.py
@@ -1,4 +1,4 @@
-"""How the platform spells what the gateway exchanges with the outside."""
+"""Platform-specific names and formats of the gateway's external interfaces."""
 
 import dataclasses
 
@@ -7,16 +7,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Dialect:
-    """How the platform spells what the gateway exchanges with the outside.
+    """Platform-specific names and formats of the gateway's external interfaces.
 
     Attributes:
-        headers: Names of headers.
-        lookups: Spelling of look-ups.
-        readiness_path: Path of the platform's question whether the instance is ready.
-        policy_table: Table with the policy and the evacuations.
-        server_table: Table with the backend servers.
-        member_table: Table in which the instances register.
-        decoder: Reads rows.
+        headers: Names of HTTP headers.
+        lookups: Format of lookup requests and responses.
+        readiness_path: URL path of the platform's readiness probe.
+        policy_table: Name of the table with the policy and the evacuated failure domains.
+        server_table: Name of the table with the backend servers.
+        member_table: Name of the table in which the instances register.
+        decoder: Decodes the rows of these tables.
     """
 
     headers: messages.HeaderNames
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -51,7 +51,7 @@
     value: bytes
 
 
-def set_keepalive(sock: socket.socket) -> None:
+def configure_socket(sock: socket.socket) -> None:
     """Disables Nagle's algorithm and makes the kernel detect unresponsive peers."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
@@ -142,7 +142,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See base class."""
         self._transport = transport
-        set_keepalive(transport.get_extra_info("socket"))
+        configure_socket(transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """See base class."""
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -68,7 +68,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See base class."""
         self._transport = transport
-        http_client.set_keepalive(transport.get_extra_info("socket"))
+        http_client.configure_socket(transport.get_extra_info("socket"))
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._server.on_open(self)
--- a/packages/gateway/src/sassafrasway_gateway/logs.py
+++ b/packages/gateway/src/sassafrasway_gateway/logs.py
@@ -1,4 +1,4 @@
-"""Structured logs on standard output: bounded in rate, never blocking."""
+"""Structured logging with a rate limit and without blocking writes."""
 
 import os
 import time
@@ -13,14 +13,14 @@
 
 
 class BoundedWriter:
-    """Writes lines to a descriptor without blocking.
+    """Writes lines to a file descriptor without blocking.
 
-    Lines beyond the rate, or while the reader is too slow, are left out and counted; the next line
-    that is written says how many.
+    Lines are dropped and counted when they exceed the rate limit or when the reader is too slow.
+    The number of dropped lines is written before the next line.
 
     Args:
-        descriptor: Where to write; it is made non-blocking.
-        metrics: Counts the lines left out.
+        descriptor: File descriptor to write to; it is made non-blocking.
+        metrics: Metrics with the counter of dropped lines.
     """
 
     def __init__(self, *, descriptor: int, metrics: metrics_lib.GatewayMetrics):
@@ -34,11 +34,11 @@
 
     @property
     def dropped(self) -> int:
-        """Lines left out since the last line that was written."""
+        """Number of lines dropped since the last line that was written."""
         return self._dropped
 
     def write_line(self, line: bytes) -> None:
-        """Writes a line or leaves it out."""
+        """Writes a line or drops it."""
         second = int(time.monotonic())
         if second != self._second:
             self._second = second
@@ -50,7 +50,7 @@
             self._flush()
             return
         if self._dropped:
-            self._pending += b'{"event":"log lines left out","count":%d}\n' % self._dropped
+            self._pending += b'{"event":"log lines dropped","count":%d}\n' % self._dropped
             self._dropped = 0
         self._pending += line + b"\n"
         self._flush()
@@ -63,14 +63,14 @@
         except BlockingIOError:
             return
         except OSError:
-            # The reader is gone; there is nowhere left to report it.
+            # The reader has closed its end, so the error cannot be logged either.
             self._pending = b""
             return
         self._pending = self._pending[written:]
 
 
 class _LineLogger:
-    """Passes rendered events on to the writer; the methods are the levels of structlog."""
+    """Passes rendered events to the writer; has a method for each log level of structlog."""
 
     def __init__(self, writer: BoundedWriter, name: str = ""):
         self._writer = writer
@@ -84,7 +84,13 @@
 
 
 def configure(writer: BoundedWriter, *, instance: str, level: int = 20) -> None:
-    """Makes structlog write JSON lines through the writer."""
+    """Configures structlog to write events as JSON lines.
+
+    Args:
+        writer: Receives the lines.
+        instance: Name of this instance, which is added to each event.
+        level: Lowest level that is logged, as a number of the `logging` module.
+    """
     encoder = msgspec.json.Encoder(enc_hook=str)
 
     def add_context(logger, method, event):
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -1,4 +1,4 @@
-"""Tells callers which instances to use."""
+"""Answers lookups, by which callers find the instances to use."""
 
 import urllib.parse
 
@@ -7,20 +7,20 @@
 from sassafrasway_gateway import fleet, http_server, messages
 
 MAX_ADDRESSES = 64
-# With fewer instances than this in the caller's failure domain, those of the region are named too.
+# With fewer instances in the caller's failure domain, all those of its region are returned.
 MIN_LOCAL_INSTANCES = 2
 LOOKUP_TTL_S = 1.5
 
 
 class LookupFormat:
-    """Spelling of look-ups and of their answers.
+    """Format of lookup requests and responses.
 
     Attributes:
-        path: Path of a look-up.
-        region: Query parameter with the caller's region.
-        failure_domain: Query parameter with the caller's failure domain.
-        addresses: Field with the addresses.
-        ttl: Field with the time for which the answer may be kept.
+        path: URL path of lookups.
+        region: Name of the query parameter with the caller's region.
+        failure_domain: Name of the query parameter with the caller's failure domain.
+        addresses: Name of the response field with the addresses.
+        ttl: Name of the response field with the time for which the response may be cached.
     """
 
     path = "/v1/instances"
@@ -30,7 +30,7 @@
     ttl = "ttl"
 
     def encode(self, addresses: list[str], ttl_s: float) -> bytes:
-        """Returns the body of an answer."""
+        """Returns the body of a response."""
         return msgspec.json.encode({self.addresses: addresses, self.ttl: f"{ttl_s}s"})
 
 
@@ -46,12 +46,12 @@
 
 
 class LookupHandler(http_server.Handler):
-    """Answers look-ups from the view of the fleet.
+    """Answers lookups from the fleet view.
 
     Args:
         view: Fleet as seen by this instance.
-        lookup_format: Names used in look-ups.
-        ttl_s: Longest time for which an answer may be kept.
+        lookup_format: Format of lookup requests and responses.
+        ttl_s: Longest time for which a response may be cached, s.
     """
 
     def __init__(self, *, view: fleet.FleetView, lookup_format: LookupFormat, ttl_s: float):
--- a/packages/gateway/src/sassafrasway_gateway/messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/messages.py
@@ -1,10 +1,11 @@
-"""Requests and answers as the gateway passes them on."""
+"""Requests and responses as the gateway forwards them."""
 
 import dataclasses
 
 Headers = list[tuple[bytes, bytes]]
 
-# Headers that concern one connection only; they are never passed on.
+# Headers that apply to a single connection, or whose value the gateway sets itself; they are not
+# forwarded.
 HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -24,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HeaderNames:
-    """Names of the headers that callers, gateway and backend servers agree on."""
+    """Names of the headers and the cookie used by callers, the gateway and backend servers."""
 
     request_id: bytes = b"sassafras-request-id"
     time_left_ms: bytes = b"sassafras-deadline-ms"
@@ -37,10 +38,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Request:
-    """A complete request of a caller.
+    """A complete request.
 
     Attributes:
-        received_s: Monotonic time of its first byte.
+        received_s: Monotonic time at which its first byte arrived, s.
+        peer: Address of the sender as ``host:port``.
     """
 
     method: bytes
@@ -57,7 +59,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Response:
-    """A complete answer.
+    """A complete response.
 
     Attributes:
         reusable: Whether the connection may carry another request.
@@ -82,7 +84,7 @@
 
 
 def cookie(headers: Headers, name: str) -> str | None:
-    """Returns the value of a cookie, or None."""
+    """Returns the value of a cookie, or None if it is not set."""
     for key, value in headers:
         if key.lower() != b"cookie":
             continue
@@ -94,7 +96,7 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Returns the headers that are passed on."""
+    """Returns the end-to-end headers, which are the ones to forward."""
     named = set()
     for key, value in headers:
         if key.lower() == b"connection":
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -1,7 +1,7 @@
-"""Counters and latency histograms, served as text.
+"""Counters and latency histograms in the Prometheus text format.
 
-The OpenTelemetry SDK would double the memory of an instance, which is dear, so this module writes
-the Prometheus text format itself.
+The format is written here because the OpenTelemetry SDK would double the memory use of an instance,
+and memory is expensive.
 """
 
 import bisect
@@ -11,38 +11,38 @@
 
 
 class Counter:
-    """Counts events by label values."""
+    """Counter with labels."""
 
-    def __init__(self, *, name: str, text: str, labels: Sequence[str] = ()):
+    def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
-        self._text = text
+        self._help_text = help_text
         self._labels = tuple(labels)
         self._values: dict[tuple[str, ...], float] = {}
 
     def add(self, *labels: str, by: float = 1.0) -> None:
-        """Adds to the counter of the given label values."""
+        """Increments the counter for the given label values."""
         self._values[labels] = self._values.get(labels, 0.0) + by
 
     def render(self) -> list[str]:
         """Returns the lines of the exposition format."""
-        lines = [f"# HELP {self._name} {self._text}", f"# TYPE {self._name} counter"]
+        lines = [f"# HELP {self._name} {self._help_text}", f"# TYPE {self._name} counter"]
         for labels, value in sorted(self._values.items()):
-            lines.append(f"{self._name}{_label_text(self._labels, labels)} {value:g}")
+            lines.append(f"{self._name}{_format_labels(self._labels, labels)} {value:g}")
         return lines
 
 
 class Histogram:
-    """Distribution of durations in seconds by label values."""
+    """Histogram of durations in seconds, with labels."""
 
-    def __init__(self, *, name: str, text: str, labels: Sequence[str] = ()):
+    def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
-        self._text = text
+        self._help_text = help_text
         self._labels = tuple(labels)
         self._counts: dict[tuple[str, ...], list[int]] = {}
         self._sums: dict[tuple[str, ...], float] = {}
 
     def observe(self, seconds: float, *labels: str) -> None:
-        """Adds a duration."""
+        """Records a duration for the given label values."""
         counts = self._counts.get(labels)
         if counts is None:
             counts = [0] * (len(LATENCY_BOUNDS_S) + 1)
@@ -52,15 +52,15 @@
 
     def render(self) -> list[str]:
         """Returns the lines of the exposition format."""
-        lines = [f"# HELP {self._name} {self._text}", f"# TYPE {self._name} histogram"]
+        lines = [f"# HELP {self._name} {self._help_text}", f"# TYPE {self._name} histogram"]
         names = (*self._labels, "le")
         for labels, counts in sorted(self._counts.items()):
             total = 0
             for bound, count in zip((*LATENCY_BOUNDS_S, "+Inf"), counts, strict=True):
                 total += count
-                label_text = _label_text(names, (*labels, str(bound)))
+                label_text = _format_labels(names, (*labels, str(bound)))
                 lines.append(f"{self._name}_bucket{label_text} {total}")
-            label_text = _label_text(self._labels, labels)
+            label_text = _format_labels(self._labels, labels)
             lines.append(f"{self._name}_sum{label_text} {self._sums[labels]:g}")
             lines.append(f"{self._name}_count{label_text} {total}")
         return lines
@@ -72,22 +72,22 @@
     def __init__(self):
         self.requests = Counter(
             name="sassafrasway_requests_total",
-            text="Requests of callers by route and outcome.",
+            help_text="Requests of callers by route and outcome.",
             labels=("route", "outcome"),
         )
         self.attempts = Counter(
             name="sassafrasway_attempts_total",
-            text="Attempts at backend servers by service and outcome.",
+            help_text="Attempts at backend servers by service and outcome.",
             labels=("service", "outcome"),
         )
         self.latency = Histogram(
             name="sassafrasway_request_seconds",
-            text="Time from the first byte of a request to its answer.",
+            help_text="Time from the first byte of a request to its answer.",
             labels=("route",),
         )
         self.log_lines_dropped = Counter(
             name="sassafrasway_log_lines_dropped_total",
-            text="Log lines left out because of their rate or a reader that is too slow.",
+            help_text="Log lines left out because of their rate or a reader that is too slow.",
         )
 
     def render(self) -> str:
@@ -98,7 +98,7 @@
         return "\n".join(lines) + "\n"
 
 
-def _label_text(names: Sequence[str], values: Sequence[str]) -> str:
+def _format_labels(names: Sequence[str], values: Sequence[str]) -> str:
     if not names:
         return ""
     pairs = ",".join(f'{name}="{value}"' for name, value in zip(names, values, strict=True))
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -1,4 +1,4 @@
-"""Datagrams between instances."""
+"""Messages that instances exchange in UDP datagrams."""
 
 import msgspec
 
@@ -6,12 +6,12 @@
 
 
 class Hello(msgspec.Struct, array_like=True, tag="h", frozen=True):
-    """Sent to ping, to answer a ping, and to announce a change of phase.
+    """Describes the sender; used as ping, as reply to a ping, and to announce a new phase.
 
     Attributes:
-        reply: Whether an answer is asked for.
-        versions: Newest version seen of each followed table.
-        contact_ms: How long the store has answered the sender without a failure; 0 if it does not.
+        reply: Whether the receiver should reply.
+        versions: Newest version of each followed table that the sender has.
+        contact_ms: How long the sender has been in contact with the store, ms; 0 if it is not.
     """
 
     name: str
@@ -27,14 +27,14 @@
 
 
 class Suspect(msgspec.Struct, array_like=True, tag="s", frozen=True):
-    """Asks the receiver to check a member that the sender could not reach."""
+    """Asks the receiver to verify a member that the sender could not reach."""
 
     name: str
     incarnation: int
 
 
 class Crashed(msgspec.Struct, array_like=True, tag="c", frozen=True):
-    """Tells that a server ended while it ran a request.
+    """Reports that a server crashed while it ran a request.
 
     Attributes:
         fingerprint: Digest of the request.
@@ -46,7 +46,7 @@
 
 
 class Beacon(msgspec.Struct, array_like=True, tag="b", frozen=True):
-    """Announces the versions of an instance that reads the store."""
+    """Announces table versions that the sender can serve to other instances."""
 
     name: str
     peer_host: str
@@ -60,12 +60,12 @@
 
 
 def encode(message: Message) -> bytes:
-    """Returns the datagram of a message."""
+    """Encodes a message as a datagram."""
     return msgspec.msgpack.encode(message)
 
 
 def decode(data: bytes) -> Message:
-    """Returns the message of a datagram.
+    """Decodes a datagram.
 
     Raises:
         msgspec.DecodeError: The datagram is not a valid message.
@@ -76,7 +76,7 @@
 def hello(
     member: fleet.Member, *, reply: bool, versions: dict[str, int], contact_s: float = 0.0
 ) -> Hello:
-    """Builds the greeting of a member."""
+    """Builds the hello message of a member."""
     return Hello(
         member.name,
         member.incarnation,
@@ -92,7 +92,7 @@
 
 
 def member_of(message: Hello) -> fleet.Member:
-    """Returns the member that a greeting describes."""
+    """Returns the member that a hello message describes."""
     return fleet.Member(
         name=message.name,
         incarnation=message.incarnation,
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -1,4 +1,4 @@
-"""Exchanges datagrams with the other instances."""
+"""Exchanges UDP datagrams with the other instances."""
 
 import asyncio
 from collections.abc import Callable
@@ -12,16 +12,17 @@
 
 
 class PeerTask(asyncio.DatagramProtocol):
-    """Pings members, answers pings and spreads hints.
+    """Pings members, answers pings, and sends and receives announcements and reports.
 
     Args:
         view: Fleet as seen by this instance.
-        port: UDP port of all instances.
-        versions: Returns the newest version seen of each followed table.
-        contact_s: Returns how long the store has answered without a failure.
-        on_versions: Called with the name, address and versions of another instance.
-        on_crash: Called with the fingerprint and the server of a reported crash.
-        on_beacon: Called with the name, address, region and versions of a reader of the store.
+        port: UDP port used by all instances.
+        versions: Returns the newest version of each followed table that this instance has.
+        contact_s: Returns how long this instance has been in contact with the store, s.
+        on_versions: Called with the name, host and table versions of another instance.
+        on_crash: Called with the request fingerprint and the server of a reported crash.
+        on_beacon: Called with the name, host, region and table versions of another instance that
+            announced them.
     """
 
     def __init__(
@@ -51,7 +52,7 @@
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, self._port))
 
     async def run(self) -> None:
-        """Pings members until cancelled."""
+        """Pings members and reports dead ones until cancelled."""
         while True:
             await asyncio.sleep(fleet.PING_INTERVAL_S)
             targets, dead = self._view.tick()
@@ -62,19 +63,19 @@
                 self._send_hello(member, reply=True)
 
     def announce(self) -> None:
-        """Tells all known members the current phase of this instance."""
+        """Sends the current phase of this instance to all known members."""
         for member in self._view.members():
             self._send_hello(member, reply=True)
 
     def send_beacon(self, recipients: list[fleet.Member], versions: dict[str, int]) -> None:
-        """Announces versions of tables that this instance has."""
+        """Announces table versions of this instance to the given members."""
         own = self._view.own
         beacon = peer_messages.Beacon(own.name, own.peer_host, own.region, versions)
         for member in recipients:
             self._send(beacon, member)
 
     def report_crash(self, fingerprint: str, server: str) -> None:
-        """Tells all members that a request ended a server."""
+        """Reports to all live members that a server crashed while it ran a request."""
         self._broadcast(peer_messages.Crashed(fingerprint, server))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -1,4 +1,4 @@
-"""The gateway process: starts its tasks, applies the policy, stops without losing a request."""
+"""The gateway process: creates and runs its components and shuts down gracefully."""
 
 import asyncio
 import dataclasses
@@ -40,26 +40,26 @@
 from sassafrasway_gateway import dialect as dialect_lib
 from sassafrasway_platform import feed
 
-# Bounds the time for which a poll waits on a connection that went silent.
-SWEEP_INTERVAL_S = 0.5
+# Interval at which expired servers and idle connections are removed and the overflow is updated.
+MAINTENANCE_INTERVAL_S = 0.5
 READY_CHECK_INTERVAL_S = 0.05
-# Callers keep a look-up this many times its lifetime at most before they notice that the
-# instance has left.
+# Time after the start of the shutdown for which callers may still use a lookup that lists this
+# instance. It exceeds the lifetime of a lookup, as callers may keep one for longer than that.
 STOP_LISTENING_AFTER_S = 2.4
-# Left at the end of the grace for the process to exit.
+# Part of the stop grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.4
 EXIT_POLL_S = 0.05
 
 
 class GatewayProcess:
-    """Owns all tasks of a gateway.
+    """Owns all components and tasks of a gateway.
 
     Args:
         config: Settings of the process.
-        dialect: Spelling used by the platform.
-        store: The platform's store.
-        gateway_metrics: Counters.
-        load_settings: Reads the settings again.
+        dialect: Names and formats used by the platform.
+        store: Client of the platform's store.
+        gateway_metrics: Metrics of the process.
+        load_settings: Loads the current settings; called on each reload.
     """
 
     def __init__(
@@ -103,15 +103,15 @@
             registry=self._registry,
             local_outage=self._view.store_answered_peers,
         )
-        self._role = relay.RelayRole(view=self._view, rng=self._rng)
+        self._relay_role = relay.RelayRole(view=self._view, rng=self._rng)
         self._relay_client = relay.RelayClient(port=config.relay.port)
         self._caches = {
             dialect.policy_table: table_cache.TableCache(),
             dialect.server_table: table_cache.TableCache(),
         }
         self._followers = {
-            dialect.policy_table: self._follower(dialect.policy_table, self._policy_state),
-            dialect.server_table: self._follower(dialect.server_table, self._listing),
+            dialect.policy_table: self._make_follower(dialect.policy_table, self._policy_state),
+            dialect.server_table: self._make_follower(dialect.server_table, self._listing),
         }
         self._cold = cold_limit.ColdLimit(
             clock=clock,
@@ -133,7 +133,7 @@
         self._pool = http_client.ConnectionPool()
         self._announcer = announcer.VersionAnnouncer(
             followers=self._followers,
-            role=self._role,
+            role=self._relay_role,
             send=lambda recipients, versions: self._peers.send_beacon(recipients, versions),
         )
         self._peers = peer_task.PeerTask(
@@ -143,24 +143,26 @@
             contact_s=self._contact_s,
             on_versions=self._on_versions,
             on_crash=self._crashes.add,
-            on_beacon=self._role.on_beacon,
+            on_beacon=self._relay_role.on_beacon,
         )
         self._forwarder = self._build_forwarder()
-        self._front = self._server(config.front, self._forwarder)
-        self._lookup_server = self._server(
+        self._front_server = self._make_server(config.front, self._forwarder)
+        self._lookup_server = self._make_server(
             config.lookup,
             lookup.LookupHandler(
                 view=self._view, lookup_format=dialect.lookups, ttl_s=config.bounds.lookup_ttl_s
             ),
         )
-        self._readiness = self._server(
+        self._readiness_server = self._make_server(
             config.readiness,
             admin.ReadinessHandler(path=dialect.readiness_path, ready=lambda: self.ready),
         )
-        self._relay_server = self._server(config.relay, relay.RelayHandler(caches=self._caches))
-        self._admin = None
+        self._relay_server = self._make_server(
+            config.relay, relay.RelayHandler(caches=self._caches)
+        )
+        self._admin_server = None
         if config.metrics is not None:
-            self._admin = self._server(
+            self._admin_server = self._make_server(
                 config.metrics, admin.AdminHandler(metrics=gateway_metrics, dump=self.dump)
             )
         self._stopping = asyncio.Event()
@@ -200,24 +202,24 @@
         }
 
     def stop(self) -> None:
-        """Begins the planned stop."""
+        """Starts the graceful shutdown."""
         self._stopping.set()
 
     async def run(self) -> None:
-        """Runs the process until it is told to stop and has finished its requests."""
+        """Runs until `stop` is called or a signal arrives, then shuts down gracefully."""
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        self._log.info("start", config=dataclasses.asdict(self._config.front))
+        self._log.info("gateway starting", config=dataclasses.asdict(self._config.front))
         await self._start_servers()
         self._spawn(self._peers.run())
         for task in self._followers.values():
             self._spawn(task.run())
         self._spawn(self._register())
         self._spawn(self._announcer.run())
-        self._spawn(self._sweep())
+        self._spawn(self._run_maintenance())
         self._spawn(self._become_ready())
         await self._stopping.wait()
         await self._shut_down()
@@ -246,18 +248,18 @@
             metrics=self._metrics,
         )
 
-    def _follower(self, name: str, listener: follower.Listener) -> follower.TableFollower:
+    def _make_follower(self, name: str, listener: follower.Listener) -> follower.TableFollower:
         return follower.TableFollower(
             store=self._store,
             table_name=name,
             listener=listener,
             cache=self._caches[name],
-            role=self._role,
+            role=self._relay_role,
             relay_client=self._relay_client,
             rng=self._rng,
         )
 
-    def _server(
+    def _make_server(
         self, address: settings.Address, handler: http_server.Handler
     ) -> http_server.HttpServer:
         return http_server.HttpServer(host=address.host, port=address.port, handler=handler)
@@ -269,38 +271,38 @@
 
     def _on_task_done(self, task: asyncio.Task) -> None:
         if not task.cancelled() and task.exception() is not None:
-            self._log.error("task failed", error=repr(task.exception()))
+            self._log.error("task failed; stopping the gateway", error=repr(task.exception()))
             self.stop()
 
     async def _start_servers(self) -> None:
-        await self._readiness.start()
+        await self._readiness_server.start()
         await self._peers.start(self._config.peer.host)
         await self._relay_server.start()
-        await self._front.start()
+        await self._front_server.start()
         await self._lookup_server.start()
-        if self._admin is not None:
-            await self._admin.start()
+        if self._admin_server is not None:
+            await self._admin_server.start()
 
     async def _register(self) -> None:
         await self._registration.register()
         self._peers.announce()
 
-    async def _sweep(self) -> None:
+    async def _run_maintenance(self) -> None:
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._listing.sweep()
             self._overflow.update()
             self._pool.close_expired()
 
     async def _become_ready(self) -> None:
-        """Serves callers as soon as the policy and the servers are known."""
+        """Marks the instance as ready once the policy and the servers have been loaded."""
         listing = self._followers[self._dialect.server_table]
         while self._policy_state.policy is None or listing.version < 0:
             await asyncio.sleep(READY_CHECK_INTERVAL_S)
         if self._stopping.is_set():
             return
         self._view.set_phase(fleet.Phase.READY)
-        self._log.info("ready", policy=self._policy_state.policy.version)
+        self._log.info("gateway ready", policy=self._policy_state.policy.version)
         self._peers.announce()
 
     def _on_policy(self, policy: model.Policy) -> None:
@@ -312,17 +314,17 @@
         return min(entry.contact_s for entry in self._followers.values())
 
     def _on_versions(self, name: str, host: str, versions: dict[str, int]) -> None:
-        self._role.on_hint(name, host, versions)
+        self._relay_role.on_hint(name, host, versions)
         for table_name, version in versions.items():
             if table_name in self._followers:
                 self._followers[table_name].on_newer_version(version)
 
     def _on_reload(self) -> None:
-        """Takes over new bounds and failure domains; addresses stay until the next start."""
+        """Applies new bounds and failure domains; other settings need a restart."""
         try:
             config = self._load_settings()
         except (OSError, errors.ValidationError) as error:
-            self._log.error("reload failed", error=str(error))
+            self._log.error("settings reload failed; keeping the current ones", error=str(error))
             return
         changed = [
             field.name
@@ -335,24 +337,29 @@
         self._registry.set_regions(config.region_of)
         self._budgets.set_bounds(config.bounds)
         self._cold.set_bounds(factor=config.bounds.cold_factor, slack=config.bounds.cold_slack)
-        self._log.info("reload", changed=changed)
+        self._log.info("settings reloaded", changed=changed)
 
     async def _shut_down(self) -> None:
-        """Leaves the look-ups, finishes the requests at hand and exits within the grace."""
+        """Shuts down within the grace period.
+
+        The instance is removed from lookups, and requests in progress are completed first.
+        """
         began_s = time.monotonic()
-        # The event loop takes its handlers back when it closes; SIGHUP would then end the process.
+        # Closing the event loop removes its signal handlers; SIGHUP would then kill the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
-        self._log.info("stop", busy=self._front.busy)
+        self._log.info("gateway stopping", busy=self._front_server.busy)
         self._view.set_phase(fleet.Phase.LEAVING)
         self._peers.announce()
-        self._front.drain()
+        self._front_server.drain()
         deregister = asyncio.get_running_loop().create_task(self._registration.deregister())
         await asyncio.sleep(STOP_LISTENING_AFTER_S)
-        self._front.stop_listening()
+        self._front_server.stop_listening()
         deadline_s = began_s + self._config.bounds.stop_grace_s - EXIT_MARGIN_S
-        while time.monotonic() < deadline_s and self._front.busy + self._forwarder.running:
+        while time.monotonic() < deadline_s and self._front_server.busy + self._forwarder.running:
             await asyncio.sleep(EXIT_POLL_S)
-        self._log.info("stopped", busy=self._front.busy, attempts=self._forwarder.running)
+        self._log.info(
+            "gateway stopped", busy=self._front_server.busy, attempts=self._forwarder.running
+        )
         deregister.cancel()
         for task in self._tasks:
             task.cancel()
--- a/packages/gateway/src/sassafrasway_gateway/registration.py
+++ b/packages/gateway/src/sassafrasway_gateway/registration.py
@@ -1,4 +1,4 @@
-"""Enters an instance into the fleet's list of members, and removes it."""
+"""Registers an instance in the fleet's table of members and removes it again."""
 
 import asyncio
 import contextlib
@@ -14,13 +14,13 @@
 
 
 class Registration:
-    """The row of this instance in the table of members.
+    """Maintains the row of this instance in the table of members.
 
     Args:
-        store: The platform's store.
-        table_name: Table of members.
-        view: Fleet; learns the members that the table lists.
-        rng: Random source for the spread of retries.
+        store: Client of the platform's store.
+        table_name: Name of the table of members.
+        view: Fleet view, to which the listed members are added.
+        rng: Random source for the jitter of retries.
     """
 
     def __init__(
@@ -38,7 +38,11 @@
         self._log = structlog.get_logger("process")
 
     async def register(self) -> None:
-        """Writes the row, then reads the others, so that two new instances find each other."""
+        """Writes the row of this instance, then adds the listed members to the fleet view.
+
+        Writing before reading ensures that two instances that start at the same time find each
+        other. Retries until the store responds.
+        """
         own = self._view.own
         row = peer_messages.encode(peer_messages.hello(own, reply=True, versions={}))
         while True:
@@ -46,7 +50,7 @@
                 await self._store.write(self._table, own.name, row)
                 listed = await self._store.read(self._table)
             except table.StoreUnavailable as error:
-                self._log.warning("not registered", error=str(error))
+                self._log.warning("registration failed; retrying", error=str(error))
                 await asyncio.sleep(BACKOFF_S * self._rng.uniform(0.5, 1.5))
                 continue
             break
@@ -54,7 +58,10 @@
             self._learn(change)
 
     async def deregister(self) -> None:
-        """Removes the row; without an answer the others notice the end by themselves."""
+        """Removes the row of this instance.
+
+        An unavailable store is ignored, as the other instances detect the exit by themselves.
+        """
         with contextlib.suppress(table.StoreUnavailable):
             await self._store.write(self._table, self._view.own.name, None)
 
@@ -62,7 +69,9 @@
         try:
             message = peer_messages.decode(change.value)
         except (msgspec.DecodeError, ValueError) as error:
-            self._log.warning("invalid member", key=change.key, error=str(error))
+            self._log.warning(
+                "invalid row in the table of members", key=change.key, error=str(error)
+            )
             return
         if isinstance(message, peer_messages.Hello):
             self._view.learn(peer_messages.member_of(message))
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -136,7 +136,7 @@
         self._timeout_s = INITIAL_FETCH_TIMEOUT_S
 
     async def fetch(self, host: str, table_name: str, *, after: int) -> RelayedTable:
-        """Returns the changes after a version, or the whole table if they are no longer known.
+        """Returns the changes after a version, or the whole table if they are unavailable.
 
         Raises:
             table.StoreUnavailable: The instance returned no valid response.
--- a/packages/gateway/src/sassafrasway_gateway/settings.py
+++ b/packages/gateway/src/sassafrasway_gateway/settings.py
@@ -1,4 +1,4 @@
-"""Settings of a gateway process, independent of where they come from."""
+"""Settings of a gateway process, independent of their source."""
 
 import dataclasses
 from collections.abc import Mapping
@@ -17,16 +17,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Bounds:
-    """Limits that the operator promises to callers and backend servers.
+    """Limits that the operator guarantees to callers and backend servers.
 
     Attributes:
-        stop_grace_s: Time between the request to stop and the kill.
-        retry_ratio: Repeats permitted for each request to a service.
-        retry_extra: Repeats permitted beyond that, fleet-wide in each window.
-        retry_window_s: Length of the window.
-        cold_factor: Permitted multiple of a cold server's rate.
-        cold_slack: Requests a second permitted beyond it.
-        lookup_ttl_s: Longest time for which callers may keep a look-up.
+        stop_grace_s: Time between the stop signal and the kill, s.
+        retry_ratio: Retries permitted per request to a service.
+        retry_extra: Additional retries permitted for the whole fleet in each window.
+        retry_window_s: Length of the window, s.
+        cold_factor: Permitted multiple of the request rate of a server that is warming up.
+        cold_slack: Requests per second permitted in addition to that.
+        lookup_ttl_s: Longest time for which callers may cache a lookup, s.
     """
 
     stop_grace_s: float = 6.0
@@ -43,12 +43,12 @@
     """Identity, addresses and bounds of one gateway process.
 
     Attributes:
-        front: Where callers send requests.
-        readiness: Where the platform asks whether the instance is ready.
-        lookup: Where callers ask which instances to use.
-        peer: UDP address for the other instances.
-        relay: Where other instances fetch the rows of the platform's store.
-        metrics: Where counters are served; None to serve none.
+        front: Address on which requests of callers are served.
+        readiness: Address on which readiness probes of the platform are served.
+        lookup: Address on which lookups of callers are served.
+        peer: UDP address for datagrams of other instances.
+        relay: Address from which other instances fetch rows of the platform's store.
+        metrics: Address on which metrics are served; None to disable them.
         region_of: Region of each failure domain.
     """
 
--- a/packages/gateway/tests/test_logs.py
+++ b/packages/gateway/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Tests of the log writer."""
+"""Tests of the log writer and the metrics."""
 
 import json
 import os
@@ -10,7 +10,7 @@
 
 
 class BoundedWriterTest(unittest.TestCase):
-    """Guards against a process that blocks on its log."""
+    """Guards against a process that blocks while writing logs."""
 
     def setUp(self):
         self.reader, self.descriptor = os.pipe()
@@ -43,10 +43,10 @@
 
 
 class MetricsTest(unittest.TestCase):
-    """Guards against an exposition that a scraper cannot read."""
+    """Guards against metrics output that a scraper cannot read."""
 
     def test_histogram_is_cumulative(self):
-        histogram = metrics.Histogram(name="h", text="t", labels=("route",))
+        histogram = metrics.Histogram(name="h", help_text="t", labels=("route",))
         for seconds in (0.005, 0.15, 100.0):
             histogram.observe(seconds, "r")
         text = "\n".join(histogram.render())
--- a/packages/gateway/tests/test_lookup_handler.py
+++ b/packages/gateway/tests/test_lookup_handler.py
@@ -1,4 +1,4 @@
-"""Tests of the answers to look-ups."""
+"""Tests of the lookup handler."""
 
 import json
 import unittest
@@ -9,7 +9,7 @@
 
 
 class View:
-    """Fleet with the given ready members."""
+    """Fleet view with the given ready members."""
 
     def __init__(self, *members):
         self.members = list(members)
@@ -19,7 +19,7 @@
 
 
 class LookupTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against look-ups that name no instance or too distant ones."""
+    """Guards against lookups that return no instance or instances that are too far away."""
 
     def setUp(self):
         self.near = [test_fleet.make_member(name) for name in ("a", "b")]
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -1,4 +1,4 @@
-"""Tests of the whole gateway process on loopback: start, service, reload and planned stop."""
+"""Tests of the whole gateway process on loopback: start, requests, reload and shutdown."""
 
 import asyncio
 import dataclasses
@@ -27,7 +27,7 @@
 
 
 class MemoryStore(feed.FollowedStore):
-    """Store whose tables never change."""
+    """In-memory store whose tables never change."""
 
     def __init__(self, tables):
         self.tables = tables
@@ -49,14 +49,14 @@
 
 
 class Decoder(test_state.Decoder):
-    """Rows of the tests; the value of a server is its port."""
+    """Row decoder for tests; the value of a server row is its port."""
 
     def backend_server(self, key, value):
         return gateway_fakes.make_server(key, port=int(value))
 
 
 def free_port():
-    """Returns a port that was free a moment ago."""
+    """Returns a port that is currently free."""
     with socket.socket() as sock:
         sock.bind((HOST, 0))
         return sock.getsockname()[1]
@@ -79,7 +79,7 @@
 
 
 class GatewayProcessTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against planned stops and reloads that cost a request."""
+    """Guards against requests that are lost on a graceful shutdown or a reload."""
 
     async def start(self, *script):
         self.backend = await gateway_fakes.ScriptedServer(script).start()
@@ -171,7 +171,8 @@
         await self.stop()
 
     async def test_signal_to_reload_does_not_end_a_process_that_stops(self):
-        # Soak seed 304: SIGHUP arrived after the event loop had closed; the exit code was -1.
+        # Soak test with seed 304: SIGHUP arrived after the event loop had closed and killed the
+        # process, so that its exit code was -1.
         self.addCleanup(signal.pthread_sigmask, signal.SIG_UNBLOCK, {signal.SIGHUP})
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         await self.start(gateway_fakes.answer())
