Name the states of the table follower after what they mean

lost, _reading and heard_s left open what was lost, read or heard. The follower now has in_outage, _is_reader and _store_responds, and the views keep last_heard_s.

--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -54,7 +54,7 @@
         self._announced = versions
         reading = {name: versions[name] for name, entry in self._followers.items() if entry.reading}
         lost = any(
-            name not in reading and self._followers[name].lost for name in self._last_reading
+            name not in reading and self._followers[name].in_outage for name in self._last_reading
         )
         self._last_reading = reading
         now_s = time.monotonic()
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -51,7 +51,7 @@
 class _Entry:
     member: Member
     alive: bool
-    heard_s: float
+    last_heard_s: float
     contact_since_s: float | None = None
     deadline_s: float | None = None
 
@@ -116,7 +116,7 @@
             return
         entry = self._entries.get(member.name)
         if entry is None:
-            self._entries[member.name] = _Entry(member=member, alive=False, heard_s=0.0)
+            self._entries[member.name] = _Entry(member=member, alive=False, last_heard_s=0.0)
         elif member.incarnation > entry.member.incarnation:
             entry.member = member
 
@@ -135,14 +135,14 @@
         now_s = self._clock.monotonic()
         entry = self._entries.get(member.name)
         if entry is None:
-            entry = _Entry(member=member, alive=False, heard_s=now_s)
+            entry = _Entry(member=member, alive=False, last_heard_s=now_s)
             self._entries[member.name] = entry
         elif self._is_outdated(member, entry, now_s):
             return False
         revived = not entry.alive
         entry.member = member
         entry.alive = True
-        entry.heard_s = now_s
+        entry.last_heard_s = now_s
         entry.contact_since_s = now_s - contact_s if contact_s > 0 else None
         entry.deadline_s = None
         return revived
@@ -172,7 +172,7 @@
         return any(
             entry.contact_since_s is not None
             and entry.contact_since_s < began_s
-            and entry.heard_s > began_s + MAX_TICK_GAP_S
+            and entry.last_heard_s > began_s + MAX_TICK_GAP_S
             for entry in self._entries.values()
         )
 
@@ -235,4 +235,6 @@
             return new.phase < old.phase
         # An instance that restarts after its clock was set back has a lower incarnation than
         # before, so a lower one is accepted once no datagrams of the previous run can arrive.
-        return new.incarnation < old.incarnation and now_s - entry.heard_s < MAX_DATAGRAM_DELAY_S
+        return (
+            new.incarnation < old.incarnation and now_s - entry.last_heard_s < MAX_DATAGRAM_DELAY_S
+        )
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -17,7 +17,7 @@
 MAX_BACKOFF_S = 0.8
 # Time for which a poll may lag behind a version that another instance has seen.
 LAG_TOLERANCE_S = 0.4
-LOST_LOG_INTERVAL_S = 1.0
+OUTAGE_LOG_INTERVAL_S = 1.0
 # A younger poll is not cancelled: it may still be opening its connection.
 MIN_STALE_POLL_AGE_S = 1.0
 
@@ -75,14 +75,14 @@
         self._rng = rng
         self._backoff_s = INITIAL_BACKOFF_S
         self._poll: asyncio.Task | None = None
-        self._lost_since_s: float | None = None
-        self._lost_logged_s = 0.0
+        self._outage_since_s: float | None = None
+        self._outage_logged_s = 0.0
         self._contact_since_s: float | None = None
         self._polling_since_s = 0.0
         self._lagging_since_s = 0.0
-        self._reading = False
+        self._is_reader = False
         self._needs_full_read = True
-        self._store_answers = False
+        self._store_responds = False
         self._log = structlog.get_logger("store")
 
     @property
@@ -91,14 +91,14 @@
         return self._cache.version
 
     @property
-    def lost(self) -> bool:
+    def in_outage(self) -> bool:
         """Whether changes of the table have stopped arriving."""
-        return self._lost_since_s is not None
+        return self._outage_since_s is not None
 
     @property
     def reading(self) -> bool:
         """Whether this instance reads the table from the store and the store responds."""
-        return self._reading and self._store_answers and self.version >= 0
+        return self._is_reader and self._store_responds and self.version >= 0
 
     @property
     def contact_s(self) -> float:
@@ -147,8 +147,8 @@
                 )
                 self._needs_full_read = True
             except table.StoreUnavailable as error:
-                self._store_answers = False
-                self._on_contact_lost(error)
+                self._store_responds = False
+                self._on_outage(error)
                 await asyncio.sleep(self._backoff_s * self._rng.uniform(0.5, 1.0))
                 self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2.0)
 
@@ -157,17 +157,17 @@
         if source is not None:
             await self._fetch(source)
         elif self._role.is_reader(self._table):
-            self._set_reading(True)
+            self._set_reader(True)
             await self._read_or_poll()
         else:
-            self._set_reading(False)
+            self._set_reader(False)
             await self._wait_for_announcement()
 
     async def _wait_for_announcement(self) -> None:
         if self._role.has_recent_announcement(self._table):
             self._on_contact()
         elif self._contact_since_s is not None:
-            self._on_contact_lost("no announcements from the readers of this region")
+            self._on_outage("no announcements from the readers of this region")
         self._role.announcement_received.clear()
         try:
             async with asyncio.timeout(relay.BEACON_INTERVAL_S):
@@ -194,7 +194,7 @@
 
     async def _read_store(self) -> None:
         changes = await self._store.read(self._table)
-        self._store_answers = True
+        self._store_responds = True
         self._on_contact()
         self._replace_all(changes)
         # Gives the other instances time to respond before the readers are selected.
@@ -202,7 +202,7 @@
 
     async def _poll_store(self) -> None:
         times = self._role.poll_times()
-        wait_s = times.wait_s * self._rng.uniform(0.8, 1.0) if self._store_answers else 0.0
+        wait_s = times.wait_s * self._rng.uniform(0.8, 1.0) if self._store_responds else 0.0
         call = self._store.changes(
             self._table, after=self.version, wait_s=wait_s, timeout_s=wait_s + times.margin_s
         )
@@ -214,12 +214,12 @@
         except asyncio.CancelledError:
             if asyncio.current_task().cancelling():
                 raise
-            self._store_answers = False
+            self._store_responds = False
             return
         finally:
             self._poll.cancel()
             self._poll = None
-        self._store_answers = True
+        self._store_responds = True
         self._on_contact()
         self._apply_changes(changes)
         if changes.rows:
@@ -235,35 +235,35 @@
             self._listener.on_change(change)
         self._cache.apply(changes)
 
-    def _set_reading(self, reading: bool) -> None:
-        if reading != self._reading:
-            self._reading = reading
-            self._log.info("store reader role changed", table=self._table, reads=reading)
+    def _set_reader(self, is_reader: bool) -> None:
+        if is_reader != self._is_reader:
+            self._is_reader = is_reader
+            self._log.info("store reader role changed", table=self._table, reads=is_reader)
 
-    def _on_contact_lost(self, error: object) -> None:
+    def _on_outage(self, error: object) -> None:
         now_s = time.monotonic()
-        if self._lost_since_s is None:
-            self._lost_since_s = now_s
+        if self._outage_since_s is None:
+            self._outage_since_s = now_s
             self._contact_since_s = None
-            self._lost_logged_s = now_s
+            self._outage_logged_s = now_s
             self._log.warning("table updates interrupted", table=self._table, error=str(error))
-        elif now_s - self._lost_logged_s >= LOST_LOG_INTERVAL_S:
-            self._lost_logged_s = now_s
+        elif now_s - self._outage_logged_s >= OUTAGE_LOG_INTERVAL_S:
+            self._outage_logged_s = now_s
             self._log.warning(
                 "table updates still interrupted",
                 table=self._table,
                 error=str(error),
                 version=self.version,
-                outage_s=round(now_s - self._lost_since_s, 2),
+                outage_s=round(now_s - self._outage_since_s, 2),
             )
 
     def _on_contact(self) -> None:
         self._backoff_s = INITIAL_BACKOFF_S
         if self._contact_since_s is None:
             self._contact_since_s = time.monotonic()
-        if self._lost_since_s is None:
+        if self._outage_since_s is None:
             return
-        outage_s = time.monotonic() - self._lost_since_s
-        self._lost_since_s = None
+        outage_s = time.monotonic() - self._outage_since_s
+        self._outage_since_s = None
         self._log.info("table updates resumed", table=self._table, outage_s=round(outage_s, 2))
         self._listener.on_regained(outage_s)
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -209,7 +209,7 @@
 
     host: str
     versions: dict[str, int]
-    heard_s: float
+    last_heard_s: float
     first_heard_s: dict[str, float]
 
 
@@ -303,7 +303,7 @@
             newest = version
             for entry in announcements.values():
                 announced = entry.versions.get(table_name, -1)
-                fresh = now_s - entry.heard_s < max_age_s
+                fresh = now_s - entry.last_heard_s < max_age_s
                 since_s = entry.first_heard_s.get(table_name, now_s)
                 if not fresh or announced <= version or now_s - since_s < min_age_s:
                     continue
@@ -324,7 +324,7 @@
         now_s = time.monotonic()
         known: dict[str, int] = {}
         for entry in self._beacons.values():
-            if now_s - entry.heard_s < BEACON_LIFETIME_S:
+            if now_s - entry.last_heard_s < BEACON_LIFETIME_S:
                 for table_name, version in entry.versions.items():
                     known[table_name] = max(version, known.get(table_name, -1))
         return bool(known) and any(
@@ -365,7 +365,7 @@
 
     def _is_announced(self, table_name: str, now_s: float) -> bool:
         return any(
-            table_name in entry.versions and now_s - entry.heard_s < BEACON_LIFETIME_S
+            table_name in entry.versions and now_s - entry.last_heard_s < BEACON_LIFETIME_S
             for entry in self._beacons.values()
         )
 
@@ -386,7 +386,7 @@
             known = old is not None and old.versions.get(table_name) == version
             first_heard_s[table_name] = old.first_heard_s[table_name] if known else now_s
         announcements[name] = _Announcement(
-            host=host, versions=versions, heard_s=now_s, first_heard_s=first_heard_s
+            host=host, versions=versions, last_heard_s=now_s, first_heard_s=first_heard_s
         )
 
     @staticmethod
--- a/packages/gateway/tests/test_announcer.py
+++ b/packages/gateway/tests/test_announcer.py
@@ -13,7 +13,7 @@
 
 def make_follower(version):
     """Returns a stub follower of a table that this instance reads from the store."""
-    return types.SimpleNamespace(version=version, reading=True, lost=False)
+    return types.SimpleNamespace(version=version, reading=True, in_outage=False)
 
 
 class VersionAnnouncerTest(unittest.TestCase):
@@ -50,7 +50,7 @@
         # One region, trouble-1 --seed 427345455261: both readers kept announcing a table whose
         # changes no longer reached them.
         self.followers["op"].reading = False
-        self.followers["op"].lost = True
+        self.followers["op"].in_outage = True
         self.announcer.update()
         self.assertEqual(self.sent[1:], [{"servers": 7}])
 
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -132,7 +132,7 @@
         task = self.make(store)
         await self.run_for(task)
         self.assertEqual(self.recorder.events, [("rows", 3), ("regained",), ("change", "a")])
-        self.assertFalse(task.lost)
+        self.assertFalse(task.in_outage)
 
     async def test_hint_of_a_newer_version_ends_a_silent_poll(self):
         store = FakeStore(changes(3))
