--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server connections for callers: requests are read whole, answers written whole."""
+"""HTTP/1.1 server that reads complete requests and writes complete responses."""
 
 import abc
 import asyncio
@@ -8,28 +8,28 @@
 
 from sassafrasway_gateway import http_client, messages, model
 
-MOST_PIPELINED_BYTES = 256 * 1024
-# Time given to a closing connection whose caller does not read.
+MAX_PIPELINED_BYTES = 256 * 1024
+# Time after which a closing connection is aborted if the caller does not read its last bytes.
 LINGER_S = 2.0
 
 
 class Handler(abc.ABC):
-    """Answers requests."""
+    """Base class of request handlers."""
 
     @abc.abstractmethod
     async def handle(self, request: messages.Request) -> messages.Response:
-        """Returns the answer; cancelled when the caller has left."""
+        """Returns the response; the call is cancelled if the caller disconnects."""
 
     @property
     def limits(self) -> model.Limits:
-        """Bounds on what a caller may send."""
+        """Size and time limits for requests."""
         return model.Limits()
 
 
 def text_response(
     status: int, text: str = "", *, retry_after_s: float | None = None
 ) -> messages.Response:
-    """Builds a short answer of the gateway's own."""
+    """Builds a plain text response."""
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
     if retry_after_s is not None:
         headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
@@ -37,7 +37,7 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection from a caller."""
 
     def __init__(self, *, handler: Handler, server: "HttpServer"):
         self._handler = handler
@@ -53,61 +53,61 @@
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._peer = ""
-        self._answering = False
+        self._responding = False
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered."""
-        return self._answering or self._started_s > 0.0
+        """Whether a request is being read or handled."""
+        return self._responding or self._started_s > 0.0
 
     def close_when_idle(self) -> None:
-        """Closes the connection unless a request is being read or answered."""
+        """Closes the connection unless a request is being read or handled."""
         if not self.busy and self._transport is not None:
             self._transport.close()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See base class."""
         self._transport = transport
-        http_client.set_keepalive(transport.get_extra_info("socket"))
+        http_client.configure_socket(transport.get_extra_info("socket"))
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._server.on_open(self)
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
 
     def data_received(self, data: bytes) -> None:
         """See base class."""
-        if self._started_s == 0.0 and not self._answering:
+        if self._started_s == 0.0 and not self._responding:
             self._started_s = time.monotonic()
-            self._arm(self._handler.limits.header_timeout_s)
+            self._start_timer(self._handler.limits.header_timeout_s)
         self._parser.receive_data(data)
-        if self._answering:
-            if len(self._parser.trailing_data[0]) > MOST_PIPELINED_BYTES:
+        if self._responding:
+            if len(self._parser.trailing_data[0]) > MAX_PIPELINED_BYTES:
                 self._transport.pause_reading()
             return
         self._read_events()
 
     def eof_received(self) -> bool:
         """See base class."""
-        self._cancel()
+        self._cancel_handler()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """See base class."""
-        self._disarm()
-        self._cancel()
+        self._cancel_timer()
+        self._cancel_handler()
         self._server.on_close(self)
 
-    def _cancel(self) -> None:
+    def _cancel_handler(self) -> None:
         if self._task is not None and not self._task.done():
             self._task.cancel()
 
     def _read_events(self) -> None:
         try:
-            while not self._answering:
+            while not self._responding:
                 event = self._parser.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     if self._parser.they_are_waiting_for_100_continue:
-                        self._continue()
+                        self._send_continue()
                     return
                 if isinstance(event, h11.Request):
                     if not self._on_head(event):
@@ -122,7 +122,7 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint, str(error))
 
-    def _continue(self) -> None:
+    def _send_continue(self) -> None:
         response = h11.InformationalResponse(status_code=100, headers=[])
         self._transport.write(self._parser.send(response))
 
@@ -132,7 +132,7 @@
         self._head = head
         self._chunks = []
         self._body_bytes = 0
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
         length = messages.find_header(list(head.headers), b"content-length")
         if length is not None and int(length) > self._handler.limits.body_bytes:
             self._reject(413, "body too large")
@@ -140,7 +140,7 @@
         return True
 
     def _on_data(self, data: bytes) -> bool:
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
         self._body_bytes += len(data)
         if self._body_bytes > self._handler.limits.body_bytes:
             self._reject(413, "body too large")
@@ -149,7 +149,7 @@
         return True
 
     def _on_request(self) -> None:
-        self._disarm()
+        self._cancel_timer()
         request = messages.Request(
             method=self._head.method,
             target=self._head.target,
@@ -159,11 +159,11 @@
             peer=self._peer,
         )
         self._chunks = []
-        self._answering = True
+        self._responding = True
         self._started_s = 0.0
-        self._task = asyncio.get_running_loop().create_task(self._answer(request))
+        self._task = asyncio.get_running_loop().create_task(self._run_handler(request))
 
-    async def _answer(self, request: messages.Request) -> None:
+    async def _run_handler(self, request: messages.Request) -> None:
         try:
             response = await self._handler.handle(request)
         except asyncio.CancelledError:
@@ -189,16 +189,16 @@
             data += self._parser.send(h11.Data(data=response.body))
         data += self._parser.send(h11.EndOfMessage())
         self._transport.write(data)
-        self._answering = False
-        self._after_answer()
+        self._responding = False
+        self._finish_exchange()
 
-    def _after_answer(self) -> None:
+    def _finish_exchange(self) -> None:
         done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
         if not done:
             self._close()
             return
         self._parser.start_next_cycle()
-        self._arm(self._handler.limits.idle_timeout_s)
+        self._start_timer(self._handler.limits.idle_timeout_s)
         self._transport.resume_reading()
         if self._parser.trailing_data[0]:
             self._started_s = time.monotonic()
@@ -206,10 +206,10 @@
 
     def _close(self) -> None:
         self._transport.close()
-        self._arm(LINGER_S)
+        self._start_timer(LINGER_S)
 
     def _reject(self, status: int, reason: str) -> None:
-        self._disarm()
+        self._cancel_timer()
         response = text_response(status, reason)
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [*response.headers, (b"Connection", b"close")]
@@ -221,18 +221,18 @@
         self._started_s = 0.0
         self._close()
 
-    def _arm(self, timeout_s: float) -> None:
-        self._disarm()
+    def _start_timer(self, timeout_s: float) -> None:
+        self._cancel_timer()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(timeout_s, self._on_timeout)
 
-    def _disarm(self) -> None:
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
     def _on_timeout(self) -> None:
-        if self._answering:
+        if self._responding:
             return
         if self._started_s > 0.0 and not self._transport.is_closing():
             self._reject(408, "request not complete in time")
@@ -246,7 +246,7 @@
     Args:
         host: Address to listen on.
         port: Port to listen on.
-        handler: Answers the requests.
+        handler: Handler of all requests.
     """
 
     def __init__(self, *, host: str, port: int, handler: Handler):
@@ -259,21 +259,21 @@
 
     @property
     def draining(self) -> bool:
-        """Whether answers ask callers to close their connections."""
+        """Whether responses ask callers to close their connections."""
         return self._draining
 
     @property
     def port(self) -> int:
-        """Port in use, also when it was chosen by the system."""
+        """Port in use, also if it was chosen by the system."""
         return self._server.sockets[0].getsockname()[1]
 
     @property
     def busy(self) -> int:
-        """Number of connections with a request that is being read or answered."""
+        """Number of connections with a request that is being read or handled."""
         return sum(1 for connection in self._connections if connection.busy)
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts listening."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ServerConnection(handler=self._handler, server=self),
@@ -284,11 +284,11 @@
         )
 
     def drain(self) -> None:
-        """Asks callers to close their connections with each further answer."""
+        """Asks callers in all further responses to close their connections."""
         self._draining = True
 
     def stop_listening(self) -> None:
-        """Accepts no further connection and closes the idle ones."""
+        """Stops accepting connections and closes the idle ones."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
