Correct two attribute descriptions in the gateway's attempt and forwarder

The reason of an attempt is also sent to the caller, not only logged. The crash register is a record of crashes per request, not a list of crashes.

Tests: gateway 171 passed, 0 failed.

--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -38,7 +38,7 @@
     Attributes:
         response: Response of the server, if one could be parsed.
         elapsed_s: Duration of the attempt.
-        reason: Details of an outcome other than ``ANSWERED``, for the log.
+        reason: Cause of an outcome other than ``ANSWERED``.
     """
 
     outcome: Outcome
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -42,7 +42,7 @@
         runner: Runs single attempts.
         learner: Updates the state of servers from responses and timeouts.
         cold: Limits the requests to cold servers.
-        crash_register: Crashes of servers by the request that they ran.
+        crash_register: Record of the crashes that happened during each request.
         budget_of: Returns the retry budget of a service.
         on_crash: Called with the fingerprint of the request and the server of each new crash.
         names: Header names.
