--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -1,4 +1,4 @@
-"""Slots of one pool: admission, server selection and the wait queue."""
+"""Slot accounting of one pool: admission, server selection and the wait queue."""
 
 import itertools
 import random
@@ -23,32 +23,34 @@
 Share = shares.Share
 SlotLease = pool_types.SlotLease
 
-# A server that has just shed has fewer free slots than its pool counts; others come first until
-# its running requests have had time to end.
+# A server that shed a request has fewer free slots than the pool counted. For this long, servers
+# that did not shed are preferred, which gives its running requests time to finish.
 SHED_PAUSE_S = 0.5
 
 
 class SlotPool:
-    """Hands out the slots of a pool's servers, never more than the share of each allows.
+    """Leases the slots of a pool's servers, never more than the share of each server allows.
 
-    A lower share or slot count only stops new leases; leases that are held stay valid. The pool
-    starts with share ``FULL``. Servers given to the constructor are taken as warm, because they
-    have usually served a previous owner; servers added later are ramped up.
+    Lowering the share or a slot count only prevents new leases; existing leases stay valid. The
+    pool starts with share ``FULL``. Servers passed to the constructor are assumed to be warm,
+    because they have usually served a previous owner; servers added later are ramped up.
 
-    Slots also become free as time passes (ramp, end of inherited slots) and by ``set_servers``,
-    ``set_share`` and ``set_leaving``. These return no grants, so the owner calls
-    ``grant_waiting`` after them and whenever it calls ``expire``.
+    Slots also become free as time passes (ramp-up, expiry of inherited slots) and by
+    ``set_servers``, ``set_share`` and ``set_leaving``. None of these returns grants, so the owner
+    must call ``grant_waiting`` after them and whenever it calls ``expire``.
 
     Args:
-        key: Name of the pool.
-        servers: The pool's servers, leaving ones included.
+        key: Key of the pool.
+        servers: The pool's servers, including leaving ones.
         clock: Time source.
-        rng: Random source for ties between servers.
-        invariants: Checks every lease that is handed out.
-        queue_limit: Most requests that may wait; 0 for services that may not wait.
+        rng: Random source for choosing between equally ranked servers.
+        invariants: Checks every new lease.
+        queue_limit: Maximum number of waiting requests; 0 for services whose requests may not
+            wait.
         ramp_s: Seconds over which the slots of a new or long-idle server become usable.
-        rank_by_reports: Chooses servers by their load reports as well as by own leases; only for
-            placements where other instances dispatch to the same servers.
+        rank_by_reports: Whether to select servers by their load reports in addition to the
+            pool's own leases; only for placements in which other instances dispatch to the same
+            servers.
     """
 
     def __init__(
@@ -82,30 +84,30 @@
 
     @property
     def key(self) -> model.PoolKey:
-        """Name of the pool."""
+        """Key of the pool."""
         return self._key
 
     @property
     def share(self) -> Share:
-        """Part of each server's slots that may be used."""
+        """Share of each server's slots that may be used."""
         return self._share
 
     @property
     def health(self) -> health.ServerHealth:
-        """Health of the servers; names the servers to probe."""
+        """Health of the servers, including which of them to probe."""
         return self._health
 
     def free_slots(self) -> int:
-        """Returns the number of leases that could be handed out now."""
-        now_s = self._advance()
+        """Returns the number of leases that can be acquired now."""
+        now_s = self._expire_inherited()
         ejected = self._health.ejected()
         return sum(
-            max(0, self._free(each, now_s)) for each in self._active if each.name not in ejected
+            max(0, self._free(slots, now_s)) for slots in self._active if slots.name not in ejected
         )
 
     def in_use(self) -> dict[str, int]:
-        """Returns the slots in use per server, inherited ones included; idle servers are absent."""
-        self._advance()
+        """Returns the slots in use per server, including inherited ones, without idle servers."""
+        self._expire_inherited()
         counts = self._inherited.counts()
         for name, slots in self._servers.items():
             if slots.in_use:
@@ -117,40 +119,46 @@
         return len(self._queue)
 
     def servers_to_probe(self) -> list[model.BackendServer]:
-        """Returns ejected servers whose time has passed and those that may have stopped leaving."""
+        """Returns the servers that are due for a probe.
+
+        These are ejected servers whose ejection time has passed, and servers that reported that
+        they are leaving and may have returned.
+        """
         now_s = self._clock.monotonic()
         due = [self._servers[name].server for name in self._health.probes_due()]
-        due += [each.server for each in self._servers.values() if each.may_have_returned(now_s)]
+        due += [
+            slots.server for slots in self._servers.values() if slots.is_leaving_probe_due(now_s)
+        ]
         return due
 
     def snapshot(self) -> PoolSnapshot:
         """Returns the state of the pool for dumps and metrics."""
-        now_s = self._advance()
+        now_s = self._expire_inherited()
         return PoolSnapshot(
             key=self._key,
             share=self._share,
-            servers=tuple(self._server_snapshot(each, now_s) for each in self._servers.values()),
+            servers=tuple(self._server_snapshot(slots, now_s) for slots in self._servers.values()),
             free_slots=self.free_slots(),
             queue_length=len(self._queue),
         )
 
     def set_servers(self, servers: Iterable[model.BackendServer]) -> None:
-        """Replaces the servers; a server that is no longer named gets no new work."""
+        """Replaces the servers; a server that is no longer listed gets no new requests."""
         servers = list(servers)
         names = {server.name for server in servers}
         for name in [name for name in self._servers if name not in names]:
             self._servers[name].removed = True
-            self._forget_if_unused(name)
+            self._delete_if_unused(name)
         self._add_servers(servers, cold=True)
 
     def set_share(self, share: Share) -> None:
-        """Changes the part of each server's slots that new leases may use."""
+        """Changes the share of each server's slots that new leases may use."""
         self._share = share
         for slots in self._servers.values():
             slots.set_share(share)
 
     def set_leaving(self, server: str, leaving: bool) -> None:
-        """Applies the state that a server itself reported, for example in answer to a probe."""
+        """Applies the state that a server reported itself, for example in response to a probe."""
         slots = self._servers.get(server)
         if slots is None or slots.reported_leaving == leaving:
             return
@@ -161,13 +169,13 @@
         self._update_active()
 
     def record_probe(self, server: str, *, succeeded: bool, leaving: bool | None = None) -> None:
-        """Counts a probe; a server that returns to service is ramped up.
+        """Records the result of a probe; a server that returns to service is ramped up.
 
         Args:
             server: Name of the probed server.
-            succeeded: Whether the server answered that it is healthy.
-            leaving: Whether it reported that it is leaving, None when that is not known. Only
-                False ends an earlier report.
+            succeeded: Whether the server reported that it is healthy.
+            leaving: Whether the server reported that it is leaving; None if unknown. An earlier
+                report is only withdrawn by False.
         """
         slots = self._servers.get(server)
         if slots is None:
@@ -181,41 +189,41 @@
             self.set_leaving(server, leaving)
 
     def report_load(self, server: str, slots_in_use: int) -> None:
-        """Remembers a server's load report, which only ranks servers."""
+        """Records the load that a server reported; it only affects the ranking of servers."""
         slots = self._servers.get(server)
         if slots is not None:
             slots.record_load(slots_in_use, self._clock.monotonic())
 
     def try_acquire(self, *, exclude: frozenset[str] = frozenset()) -> SlotLease | None:
-        """Hands out a slot of the server with the most free ones, None when there is none.
+        """Leases a slot of the server with the most free slots; returns None if none is free.
 
         Args:
             exclude: Names of servers not to use, for example because they shed this request.
         """
-        now_s = self._advance()
+        now_s = self._expire_inherited()
         slots = self._select(exclude, now_s)
-        return self._hand_out(slots, now_s) if slots is not None else None
+        return self._create_lease(slots, now_s) if slots is not None else None
 
     def release(self, lease: SlotLease, result: ServerResult) -> list[Grant]:
-        """Takes a slot back and hands free slots to waiting requests.
+        """Releases a slot and grants free slots to waiting requests.
 
-        A lease that was released before is ignored.
+        A lease that was already released is ignored.
         """
         slots = self._leases.pop(lease.lease_id, None)
         if slots is None:
             return []
-        now_s = self._advance()
-        slots.end(now_s)
+        now_s = self._expire_inherited()
+        slots.end_lease(now_s)
         self._apply_result(slots, result, now_s)
-        self._forget_if_unused(slots.name)
+        self._delete_if_unused(slots.name)
         return self.grant_waiting()
 
     def enqueue(self, waiter_id: Hashable, *, expires_s: float) -> bool:
-        """Lets a request wait for a slot; the caller tries ``try_acquire`` just before.
+        """Adds a request to the wait queue; the caller must have tried ``try_acquire`` just before.
 
         Args:
-            waiter_id: Name of the request, unique among those waiting.
-            expires_s: Monotonic time at which the request no longer wants a slot.
+            waiter_id: Identifier of the request, unique among the waiting requests.
+            expires_s: Monotonic time after which the request no longer needs a slot.
 
         Returns:
             False when the queue is full or the deadline has passed.
@@ -223,17 +231,17 @@
         return self._queue.append(waiter_id, expires_s=expires_s, now_s=self._clock.monotonic())
 
     def abandon(self, waiter_id: Hashable) -> None:
-        """Removes a request from the queue; does nothing when it no longer waits."""
+        """Removes a request from the queue; does nothing if it is not in the queue."""
         self._queue.remove(waiter_id)
 
     def expire(self) -> list[Hashable]:
-        """Removes the requests whose deadline has passed and returns each of them once."""
+        """Removes requests whose deadline has passed and returns each of them exactly once."""
         return self._queue.take_expired(now_s=self._clock.monotonic())
 
     def grant_waiting(self) -> list[Grant]:
-        """Hands free slots to the longest-waiting requests whose deadline has not passed."""
+        """Grants free slots to the longest-waiting requests whose deadline has not passed."""
         grants = []
-        now_s = self._advance()
+        now_s = self._expire_inherited()
         while len(self._queue):
             slots = self._select(frozenset(), now_s)
             if slots is None:
@@ -241,20 +249,20 @@
             waiter_id = self._queue.pop(now_s=now_s)
             if waiter_id is None:
                 break
-            grants.append(Grant(waiter_id=waiter_id, lease=self._hand_out(slots, now_s)))
+            grants.append(Grant(waiter_id=waiter_id, lease=self._create_lease(slots, now_s)))
         return grants
 
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
-        """Counts slots that the previous owner still uses.
+        """Counts slots that the previous owner still uses as occupied.
 
         Args:
             counts: Slots in use per server.
-            expires_s: Monotonic time at which the last of these requests has ended.
+            expires_s: Monotonic time by which all of these requests have ended.
         """
         self._inherited.add(counts, expires_s=expires_s)
 
     def release_inherited(self, server: str, count: int) -> list[Grant]:
-        """Takes inherited slots back and hands free slots to waiting requests."""
+        """Releases inherited slots and grants free slots to waiting requests."""
         self._inherited.release(server, count)
         return self.grant_waiting()
 
@@ -274,12 +282,13 @@
         self._active = [slots for slots in self._servers.values() if not slots.leaving]
         self._health.set_servers(slots.name for slots in self._active)
 
-    def _forget_if_unused(self, name: str) -> None:
+    def _delete_if_unused(self, name: str) -> None:
         slots = self._servers.get(name)
         if slots is not None and slots.removed and not slots.in_use:
             del self._servers[name]
 
-    def _advance(self) -> float:
+    def _expire_inherited(self) -> float:
+        """Removes inherited slots whose deadline has passed; returns the monotonic time."""
         now_s = self._clock.monotonic()
         self._inherited.expire(now_s)
         return now_s
@@ -298,22 +307,26 @@
         return slots.limit(now_s) - slots.in_use - self._inherited.count(slots.name)
 
     def _select(self, exclude: frozenset[str], now_s: float) -> pool_server.ServerSlots | None:
-        barred = self._health.ejected() | exclude
-        unsound = self._unsound(now_s)
+        excluded = self._health.ejected() | exclude
+        last_resort = self._last_resort_servers(now_s)
         if self._rank_by_reports:
-            return self._select_by_reports(barred, unsound, now_s)
+            return self._select_by_reports(excluded, last_resort, now_s)
         best: list[pool_server.ServerSlots] = []
         best_rank = (False, 0, 0)
         for slots in self._active:
-            most = slots.usable - slots.in_use
-            # Most servers end here, which keeps selection fast in large pools.
-            if most <= 0 or (best_rank[0] and most < best_rank[1]) or slots.name in barred:
+            max_free = slots.usable - slots.in_use
+            # This cheap check rejects most servers, which keeps selection fast in large pools.
+            if (
+                max_free <= 0
+                or (best_rank[0] and max_free < best_rank[1])
+                or slots.name in excluded
+            ):
                 continue
             free = self._free(slots, now_s)
             if free <= 0:
                 continue
             load = slots.reported_load(now_s) or 0
-            rank = (slots.name not in unsound, free, -load)
+            rank = (slots.name not in last_resort, free, -load)
             if not best or rank > best_rank:
                 best, best_rank = [slots], rank
             elif rank == best_rank:
@@ -321,40 +334,41 @@
         return self._rng.choice(best) if best else None
 
     def _select_by_reports(
-        self, barred: frozenset[str], unsound: frozenset[str], now_s: float
+        self, excluded: frozenset[str], last_resort: frozenset[str], now_s: float
     ) -> pool_server.ServerSlots | None:
-        """Draws a server with a probability proportional to its slots that are probably free.
+        """Chooses a random server, weighted by the estimated number of its free slots.
 
-        If all instances chose the least loaded server of the same lagging reports, they would
-        overload it until the next report.
+        Reports lag behind. If every instance chose the least loaded server of the same reports,
+        that server would be overloaded until the next report.
         """
         usable = [
             slots
             for slots in self._active
-            if slots.name not in barred and self._free(slots, now_s) > 0
+            if slots.name not in excluded and self._free(slots, now_s) > 0
         ]
         if not usable:
             return None
         weights = [
-            0 if slots.name in unsound else self._probably_free(slots, now_s) for slots in usable
+            0 if slots.name in last_resort else self._estimated_free(slots, now_s)
+            for slots in usable
         ]
         return self._rng.choices(usable, weights if any(weights) else None)[0]
 
-    def _probably_free(self, slots: pool_server.ServerSlots, now_s: float) -> int:
+    def _estimated_free(self, slots: pool_server.ServerSlots, now_s: float) -> int:
         unreported = slots.limit(now_s) - (slots.reported_load(now_s) or 0)
         return max(0, min(self._free(slots, now_s), unreported))
 
-    def _unsound(self, now_s: float) -> frozenset[str]:
-        """Returns the servers that are used only when no other one has a free slot."""
+    def _last_resort_servers(self, now_s: float) -> frozenset[str]:
+        """Returns the servers to use only if no other server has a free slot."""
         if self._shed_until_s:
             self._shed_until_s = {
                 name: until_s for name, until_s in self._shed_until_s.items() if until_s > now_s
             }
         return self._health.failing().union(self._shed_until_s)
 
-    def _hand_out(self, slots: pool_server.ServerSlots, now_s: float) -> SlotLease:
+    def _create_lease(self, slots: pool_server.ServerSlots, now_s: float) -> SlotLease:
         server = slots.server
-        slots.start(now_s)
+        slots.begin_lease(now_s)
         lease = SlotLease(server=server, lease_id=next(self._lease_ids), started_s=now_s)
         self._leases[lease.lease_id] = slots
         self._check_lease(slots)
@@ -363,12 +377,14 @@
     def _check_lease(self, slots: pool_server.ServerSlots) -> None:
         used = slots.in_use + self._inherited.count(slots.name)
         usable = self._share.slots(slots.server.slots)
-        # The details are only written when needed, because every request comes through here.
+        # Every request passes through here, so the detail text is built only on a violation.
         if used > usable:
-            detail = f"{slots.name} of pool {self._key} has {used} slots in use, {usable} usable"
+            detail = (
+                f"server {slots.name} of pool {self._key}: {used} slots in use, {usable} usable"
+            )
             self._invariants.check(invariants.Rule.SLOTS_NOT_EXCEEDED, False, detail)
         if slots.leaving or self._health.is_ejected(slots.name):
-            detail = f"{slots.name} of pool {self._key} is leaving or ejected"
+            detail = f"server {slots.name} of pool {self._key} is leaving or ejected"
             self._invariants.check(invariants.Rule.NO_DISPATCH_TO_LEAVING_SERVER, False, detail)
 
     def _server_snapshot(
--- a/packages/core/src/sassafrasway_core/pool_inherited.py
+++ b/packages/core/src/sassafrasway_core/pool_inherited.py
@@ -20,47 +20,47 @@
         self._next_expiry_s = math.inf
 
     def count(self, server: str) -> int:
-        """Returns the slots of ``server`` that were in use at the last ``expire``."""
+        """Returns the inherited slots of ``server`` as of the last call of ``expire``."""
         return self._totals.get(server, 0)
 
     def counts(self) -> dict[str, int]:
-        """Returns the slots per server that were in use at the last ``expire``."""
+        """Returns the inherited slots per server as of the last call of ``expire``."""
         return dict(self._totals)
 
     def add(self, counts: Mapping[str, int], *, expires_s: float) -> None:
-        """Adds slots in use that end at ``expires_s`` at the latest."""
+        """Adds slots whose requests end at ``expires_s`` at the latest."""
         for server, count in counts.items():
             if count > 0:
                 batches = self._batches.setdefault(server, [])
                 batches.append(_Batch(expires_s, count))
-                batches.sort(key=lambda each: each.expires_s)
+                batches.sort(key=lambda batch: batch.expires_s)
                 self._totals[server] = self.count(server) + count
                 self._next_expiry_s = min(self._next_expiry_s, expires_s)
 
     def release(self, server: str, count: int) -> None:
         """Removes up to ``count`` slots of ``server``.
 
-        The slots with the earliest deadline go first: which of them ended is not known, and so
-        the remaining ones are never counted for too short a time.
+        It is not known which of the requests ended. Removing the slots with the earliest deadline
+        first ensures that the remaining ones are never counted for too short a time.
         """
         batches = self._batches.get(server, [])
         for batch in batches:
             released = min(batch.count, count)
             batch.count -= released
             count -= released
-        self._keep(server, [batch for batch in batches if batch.count])
+        self._set_batches(server, [batch for batch in batches if batch.count])
 
     def expire(self, now_s: float) -> None:
         """Removes the slots whose deadline has passed."""
         if now_s < self._next_expiry_s:
             return
         for server, batches in list(self._batches.items()):
-            self._keep(server, [batch for batch in batches if batch.expires_s > now_s])
+            self._set_batches(server, [batch for batch in batches if batch.expires_s > now_s])
         self._next_expiry_s = min(
             (batches[0].expires_s for batches in self._batches.values()), default=math.inf
         )
 
-    def _keep(self, server: str, batches: list[_Batch]) -> None:
+    def _set_batches(self, server: str, batches: list[_Batch]) -> None:
         if batches:
             self._batches[server] = batches
             self._totals[server] = sum(batch.count for batch in batches)
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -1,37 +1,38 @@
-"""Slots of one backend server as seen by the pool that dispatches to it."""
+"""Slot accounting of one backend server, kept by the pool that dispatches to it."""
 
 import math
 
 from sassafrasway_core import model
 from sassafrasway_core import share as shares
 
-# Well above the gaps between requests of a quiet pool, so that a quiet hour does not throttle it.
+# Idle time after which a server is ramped up again. It is well above the gaps between requests of
+# a pool with little traffic, so that low traffic does not throttle the pool.
 IDLE_AFTER_S = 300.0
 
-# Interval at which a server that reported that it is leaving is asked whether it has returned.
+# Interval of probes that check whether a server that reported that it is leaving has returned.
 LEAVING_PROBE_S = 5.0
 
-# Reports older than this say nothing about slots that are held for a few hundred milliseconds.
+# Requests hold a slot for a few hundred milliseconds, so older load reports are meaningless.
 LOAD_REPORT_TTL_S = 1.0
 
 
 class ServerSlots:
-    """Counts the leases of one server and computes how many it may have.
+    """Counts the leases of one server and computes how many are allowed.
 
     Attributes:
         name: Name of the server.
         in_use: Slots held by leases.
-        usable: Slots in the share, whether the server is ramped up or not.
-        removed: Whether the policy no longer names the server.
+        usable: Slots allowed by the share, regardless of ramp-up.
+        removed: Whether the policy no longer lists the server.
         reported_leaving: Whether the server itself reported that it is leaving.
-        probed_s: Monotonic time of the last probe or of the report.
+        probed_s: Monotonic time of the last probe or leaving report.
 
     Args:
-        server: The server as the policy states it.
-        share: Part of the slots that may be used.
+        server: The server as configured in the policy.
+        share: Share of the slots that may be used.
         ramp_s: Seconds over which the slots of a cold server become usable.
-        now_s: Monotonic time.
-        cold: Whether the server is new, so that its first request starts a ramp.
+        now_s: Current monotonic time.
+        cold: Whether the server is new, so that its first request starts the ramp-up.
     """
 
     def __init__(
@@ -54,22 +55,22 @@
         self._share = share
         self._ramp_s = ramp_s
         self._cold = cold
-        self._ramp_from_s = -math.inf
+        self._ramp_started_s = -math.inf
         self._last_used_s = now_s
-        self._load = 0
-        self._load_s = -math.inf
+        self._reported_load = 0
+        self._load_reported_s = -math.inf
 
     @property
     def leaving(self) -> bool:
-        """Whether the server may get no new work."""
+        """Whether the server must not get new requests."""
         return (
             self.removed
             or self.reported_leaving
             or self.server.state is not model.ServerState.ACTIVE
         )
 
-    def may_have_returned(self, now_s: float) -> bool:
-        """Returns whether it is time to ask a server that reported that it is leaving."""
+    def is_leaving_probe_due(self, now_s: float) -> bool:
+        """Returns whether to probe a server that reported that it is leaving."""
         return (
             self.reported_leaving
             and not self.removed
@@ -78,17 +79,17 @@
         )
 
     def limit(self, now_s: float) -> int:
-        """Returns the slots usable now under the share and the ramp."""
+        """Returns the slots usable now under the share and the ramp-up."""
         if self._ramp_s <= 0:
             return self.usable
         return min(self.usable, self._ramp_limit(now_s))
 
     def reported_load(self, now_s: float) -> int | None:
-        """Returns the slots in use by the server's last report, None when it is too old."""
-        return self._load if now_s - self._load_s < LOAD_REPORT_TTL_S else None
+        """Returns the slots in use by the server's last report; None if the report is too old."""
+        return self._reported_load if now_s - self._load_reported_s < LOAD_REPORT_TTL_S else None
 
     def update(self, server: model.BackendServer) -> None:
-        """Applies the policy's current statement about the server."""
+        """Applies the server's configuration from the current policy."""
         returned = self.removed or (
             self.server.state is model.ServerState.LEAVING
             and server.state is model.ServerState.ACTIVE
@@ -101,37 +102,37 @@
         self.usable = self._share.slots(server.slots)
 
     def set_share(self, share: shares.Share) -> None:
-        """Changes the part of the slots that may be used."""
+        """Changes the share of the slots that may be used."""
         self._share = share
         self.usable = share.slots(self.server.slots)
 
-    def start(self, now_s: float) -> None:
-        """Counts a new lease."""
+    def begin_lease(self, now_s: float) -> None:
+        """Counts a new lease and starts the ramp-up of a cold server."""
         if self._starts_cold(now_s):
-            self._ramp_from_s = now_s
+            self._ramp_started_s = now_s
             self._cold = False
         self.in_use += 1
         self._last_used_s = now_s
 
-    def end(self, now_s: float) -> None:
+    def end_lease(self, now_s: float) -> None:
         """Counts the end of a lease."""
         self.in_use -= 1
         self._last_used_s = now_s
 
     def restart_ramp(self) -> None:
-        """Treats the server as new at its next request."""
+        """Starts the ramp-up again at the server's next request."""
         self._cold = True
 
     def record_load(self, slots_in_use: int, now_s: float) -> None:
-        """Remembers the server's load report."""
-        self._load = slots_in_use
-        self._load_s = now_s
+        """Records the number of slots in use that the server reported."""
+        self._reported_load = slots_in_use
+        self._load_reported_s = now_s
 
     def _ramp_limit(self, now_s: float) -> int:
         slots = self.server.slots
         if self._starts_cold(now_s):
             return min(1, slots)
-        elapsed_s = now_s - self._ramp_from_s
+        elapsed_s = now_s - self._ramp_started_s
         if elapsed_s >= self._ramp_s:
             return slots
         return min(slots, max(1, int(slots * elapsed_s / self._ramp_s)))
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -1,4 +1,4 @@
-"""Values that a slot pool hands out and accepts."""
+"""Data types in the interface of a slot pool."""
 
 import dataclasses
 import enum
@@ -10,8 +10,8 @@
 class ServerResult(enum.Enum):
     """How a dispatch to a backend server ended.
 
-    ``FAILED`` means that the connection failed before the request was sent, ``CRASHED`` that it
-    was lost before the answer.
+    ``FAILED`` means that the connection failed before the request was sent; ``CRASHED`` means
+    that the connection was lost before the response arrived.
     """
 
     OK = "ok"
@@ -34,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Grant:
-    """A lease that was given to a waiting queue entry."""
+    """A lease granted to a request in the wait queue."""
 
     waiter_id: object
     lease: SlotLease
@@ -45,10 +45,10 @@
     """State of one server in a pool.
 
     Attributes:
-        limit: Slots usable now under the share and the ramp.
+        limit: Slots usable now under the share and the ramp-up.
         in_use: Slots held by leases of this pool.
         inherited: Slots that a previous owner still uses.
-        reported_load: Slots in use by the server's own last report, None without a recent one.
+        reported_load: Slots in use as last reported by the server; None without a recent report.
     """
 
     name: str
--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -1,4 +1,4 @@
-"""Drives a slot pool with random operations and checks it against a simple model."""
+"""Runs random operations on a slot pool and compares it with a simple reference model."""
 
 import dataclasses
 import random
@@ -23,7 +23,7 @@
 
 
 def make_pool(servers, *, time, seed=1, **options):
-    """Returns a pool that raises on every broken invariant."""
+    """Returns a pool that raises on every violated invariant."""
     checks = invariants.Invariants(mode=invariants.Mode.RAISE)
     return pool.SlotPool(
         key=KEY,
@@ -36,7 +36,7 @@
 
 
 class Driver:
-    """Runs operations that ``rng`` chooses; an ``AssertionError`` names a broken rule."""
+    """Runs operations chosen by ``rng``; raises ``AssertionError`` if the pool breaks a rule."""
 
     def __init__(self, rng):
         self._rng = rng
@@ -50,7 +50,7 @@
             rank_by_reports=rng.random() < 0.3,
         )
         self._leases = []
-        # Requests of the previous owner that are really running: server and latest end.
+        # Requests of the previous owner that are still running, as (server, latest end time).
         self._inherited = []
         self._queue = {}
         self._next_waiter = 0
@@ -58,7 +58,7 @@
         self.granted = 0
 
     def step(self):
-        """Runs one operation and checks what can be checked at any time."""
+        """Runs one operation and checks the rules that hold after every operation."""
         operations = [
             *[self._acquire, self._release] * 3,
             *[self._advance, self._enqueue] * 2,
@@ -77,7 +77,7 @@
         excluded = frozenset(self._rng.sample(sorted(self._servers), k=self._rng.randint(0, 1)))
         lease = self._pool.try_acquire(exclude=excluded)
         if lease is None:
-            assert excluded or not self._pool.free_slots(), "a free slot was refused"
+            assert excluded or not self._pool.free_slots(), "no lease although a slot is free"
         else:
             assert lease.server.name not in excluded
             self._check_lease(lease)
@@ -162,34 +162,36 @@
     def _check_grants(self, grants):
         for grant in grants:
             live = [w for w, at in self._queue.items() if at > self._time.monotonic()]
-            assert grant.waiter_id == live[0], "a waiter was passed over"
+            assert grant.waiter_id == live[0], "the grant skipped a request that waited longer"
             del self._queue[grant.waiter_id]
             self.granted += 1
             self._check_lease(grant.lease)
 
     def _check_lease(self, lease):
         name = lease.server.name
-        stated = self._servers[name]
-        assert stated.state is model.ServerState.ACTIVE, f"{name} is leaving"
-        assert name not in self._reported_leaving, f"{name} reported that it is leaving"
-        assert not self._pool.health.is_ejected(name), f"{name} is ejected"
+        configured = self._servers[name]
+        assert configured.state is model.ServerState.ACTIVE, f"lease on {name}, which is leaving"
+        assert name not in self._reported_leaving, (
+            f"lease on {name}, which reported that it is leaving"
+        )
+        assert not self._pool.health.is_ejected(name), f"lease on {name}, which is ejected"
         self._leases.append(lease)
         used = sum(each.server.name == name for each in self._leases)
         used += sum(each[0] == name for each in self._inherited)
-        usable = self._pool.share.slots(stated.slots)
-        assert used <= usable, f"{name} has {used} requests, {usable} slots"
+        usable = self._pool.share.slots(configured.slots)
+        assert used <= usable, f"{name} has {used} requests but only {usable} usable slots"
         assert self._pool.in_use()[name] >= used
 
 
 @dataclasses.dataclass
 class RandomRun:
-    """A run of the driver that a seed reproduces."""
+    """A run of the driver that its seed reproduces."""
 
     seed: int
     steps: int
 
     def run(self):
-        """Runs the steps and returns the driver."""
+        """Runs all steps and returns the driver."""
         driver = Driver(random.Random(self.seed))
         for _ in range(self.steps):
             driver.step()
--- a/packages/core/tests/random_runs.py
+++ b/packages/core/tests/random_runs.py
@@ -1,4 +1,4 @@
-"""Repeats a random scenario for the soak time; a seed reproduces each run."""
+"""Repeats a random scenario for the duration of a soak test; a seed reproduces each run."""
 
 import os
 import random
@@ -6,26 +6,26 @@
 
 
 def repeat(scenario):
-    """Calls ``scenario(seed)`` with new seeds until the soak time is over.
+    """Calls ``scenario(seed)`` with consecutive seeds until the duration has passed.
 
-    The time is ``SASSAFRASWAY_SOAK_SECONDS`` (default 10). ``SASSAFRASWAY_SOAK_SEED`` repeats one
-    run instead.
+    ``SASSAFRASWAY_SOAK_SECONDS`` sets the duration in seconds (default 10). With
+    ``SASSAFRASWAY_SOAK_SEED``, only the run with that seed is repeated.
 
     Returns:
-        Sum of the results.
+        The sum of the results.
 
     Raises:
         AssertionError: A run failed; the message names its seed.
     """
-    fixed = os.environ.get("SASSAFRASWAY_SOAK_SEED")
+    fixed_seed = os.environ.get("SASSAFRASWAY_SOAK_SEED")
     end_s = time.monotonic() + float(os.environ.get("SASSAFRASWAY_SOAK_SECONDS", "10"))
-    seed = int(fixed) if fixed else random.SystemRandom().getrandbits(32)
+    seed = int(fixed_seed) if fixed_seed else random.SystemRandom().getrandbits(32)
     total = 0
     while True:
         try:
             total += scenario(seed)
         except Exception as error:
             raise AssertionError(f"SASSAFRASWAY_SOAK_SEED={seed}: {error}") from error
-        if fixed or time.monotonic() >= end_s:
+        if fixed_seed or time.monotonic() >= end_s:
             return total
         seed += 1
