Reword at-most-once keys, the quarantine and the retry budget

KeyRegistry.dispatched and .refused read like queries; they are now mark_dispatched and mark_refused, and the result of begin is BeginResult. The retry budget is described as the token bucket that it is (max_tokens), and the quarantine holds crash records (crashed_servers, MAX_ENTRIES). The uses in entry and gateway follow, name only. No change of behaviour.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -1,7 +1,7 @@
 """At-most-once execution: tickets, and the registry of keys that one incarnation has seen.
 
-A ticket names the only incarnation that may run the request. The registry of that incarnation
-decides alone, from its own memory and its own clock, whether a key may start.
+A ticket is an idempotency key that names the only incarnation allowed to run the request. The
+registry of that incarnation decides whether a key may start, using only its own memory and clock.
 """
 
 import dataclasses
@@ -13,9 +13,9 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors, invariants, model
 
-TICKET_START_S = 5.0  # time after its issue in which a ticket may start a run
-TICKET_SKEW_S = 5.0  # tolerated difference between the clocks of issuer and runner
-RETENTION_S = 120.0  # time for which a finished key is answered from memory
+TICKET_START_S = 5.0  # how long after its issue a ticket may start a run
+TICKET_SKEW_S = 5.0  # tolerated clock difference between the issuer and the ticket's holder
+RETENTION_S = 120.0  # how long a finished key is answered from memory
 NONCE_BITS = 64
 
 _TICKET_PATTERN = re.compile(
@@ -29,6 +29,7 @@
     """Idempotency key that binds a request to one incarnation.
 
     Attributes:
+        holder: The incarnation that may run the request.
         issued_s: Time of issue in whole seconds since the Unix epoch.
     """
 
@@ -49,7 +50,7 @@
 
     @classmethod
     def parse(cls, key: str) -> "Ticket | None":
-        """Returns the ticket that ``key`` encodes, or None when it is another kind of key."""
+        """Returns the ticket encoded in ``key``, or None if it is another kind of key."""
         match = _TICKET_PATTERN.fullmatch(key)
         if match is None:
             return None
@@ -57,14 +58,14 @@
         return cls(holder=holder, issued_s=int(match["issued"]), nonce=match["nonce"])
 
 
-class Begin(enum.Enum):
-    """What the registry says about a key that arrives."""
+class BeginResult(enum.Enum):
+    """Result of ``KeyRegistry.begin``."""
 
-    START = "start"  # the caller of begin() may run the request now
-    RUNNING = "running"  # another attempt under this key runs
+    START = "start"  # the key is new; the caller of begin() may run the request now
+    RUNNING = "running"  # another attempt with this key is running
     DONE = "done"  # the outcome is recorded
-    EXPIRED = "expired"  # the ticket can no longer start and has not run
-    FORGOTTEN = "forgotten"  # too old to say from memory whether it ran
+    EXPIRED = "expired"  # the request has not run and the ticket is too old to start
+    FORGOTTEN = "forgotten"  # the ticket is so old that a record of its run may have been deleted
 
 
 class KeyState(enum.Enum):
@@ -77,11 +78,11 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class KeyRecord:
-    """What is known about a key.
+    """State of a key.
 
     Attributes:
-        outcome: Result given to ``finish``; None while the key runs.
-        updated_s: Monotonic time of the last change in seconds.
+        outcome: Result passed to ``finish``; None while the key is running.
+        updated_s: Monotonic time of the last change, in seconds.
         attempts: Number of dispatches that may have reached a backend server.
     """
 
@@ -93,14 +94,15 @@
 
 
 class KeyRegistry:
-    """Keys that this incarnation runs or has run.
+    """Keys that this incarnation is running or has run.
 
     Args:
         me: The incarnation that owns the registry.
-        clock: Time source. The wall clock is read once, so that a clock that is set back cannot
-            make an expired ticket valid again.
-        invariants: Checks one dispatch per key, and "not run" only without a dispatch.
-        retention_s: Time for which finished keys are kept in seconds.
+        clock: Time source. The wall clock is read only at construction, so that setting it back
+            cannot make an expired ticket valid again.
+        invariants: Checks that a key is dispatched at most once, and that a dispatched key is not
+            reported as not run.
+        retention_s: How long finished keys are kept, in seconds.
     """
 
     def __init__(
@@ -129,60 +131,65 @@
         return len(self._records)
 
     def record(self, key: str) -> KeyRecord | None:
-        """Returns what is known about a key."""
+        """Returns the record of a key, or None if the key is unknown."""
         return self._records.get(key)
 
     def may_start(self, ticket: Ticket) -> bool:
-        """Returns whether a ticket is young enough to start a run."""
+        """Returns whether a ticket is recent enough to start a run."""
         age_s = self._now_wall_s() - ticket.issued_s
-        # A start time is in whole seconds, so a ticket may look up to one second older.
+        # The time of issue is rounded down to whole seconds, so a ticket may seem up to one second
+        # older than it is.
         return -TICKET_SKEW_S <= age_s <= TICKET_START_S + 1.0
 
-    def begin(self, key: str) -> Begin:
-        """Decides whether a key may start, and if so, marks it as started."""
-        self._forget_old()
+    def begin(self, key: str) -> BeginResult:
+        """Decides whether a key may start and, if so, marks it as started.
+
+        Raises:
+            errors.ValidationError: The key is a ticket of another incarnation.
+        """
+        self._delete_old_records()
         record = self._records.get(key)
         if record is not None:
-            return Begin.DONE if record.state is KeyState.FINISHED else Begin.RUNNING
+            return BeginResult.DONE if record.state is KeyState.FINISHED else BeginResult.RUNNING
         ticket = Ticket.parse(key)
         if ticket is not None:
-            verdict = self._check_ticket(ticket)
-            if verdict is not None:
-                return verdict
+            result = self._check_ticket(ticket)
+            if result is not None:
+                return result
         self._add(key)
-        return Begin.START
+        return BeginResult.START
 
     def begin_claimed(self, key: str) -> bool:
         """Starts a key that this incarnation has claimed in the table.
 
         Returns:
-            False when the key is known already and must not start again.
+            False if the key is already known and must not start again.
         """
-        self._forget_old()
+        self._delete_old_records()
         if key in self._records:
             return False
         self._add(key)
         return True
 
-    def dispatched(self, key: str) -> None:
-        """Notes that the request is about to leave for a backend server or pool owner.
+    def mark_dispatched(self, key: str) -> None:
+        """Records that the request is about to be sent to a backend server or pool owner.
 
         Raises:
-            errors.InvariantViolation: The key has a dispatch that was not taken back.
+            errors.InvariantViolation: The key already has a dispatch that was not refused.
         """
-        record = self._require(key)
+        record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.ONE_DISPATCH_PER_KEY,
             record.attempts == 0 and record.state is KeyState.STARTED,
-            f"{key} has {record.attempts} dispatches, state {record.state.value}",
+            f"{key} is dispatched again: {record.attempts} dispatches, state {record.state.value}",
         )
         record.attempts += 1
         record.state = KeyState.DISPATCHED
         record.updated_s = self._clock.monotonic()
 
-    def refused(self, key: str) -> None:
-        """Takes the last dispatch back after the receiver certainly refused it."""
-        record = self._require(key)
+    def mark_refused(self, key: str) -> None:
+        """Cancels the last dispatch after a definite refusal by the receiver."""
+        record = self._get_record(key)
         record.attempts = 0
         record.state = KeyState.STARTED
 
@@ -190,13 +197,13 @@
         """Records the outcome of a key.
 
         Raises:
-            errors.InvariantViolation: ``not_run`` is claimed for a dispatched key.
+            errors.InvariantViolation: ``not_run`` is set for a dispatched key.
         """
-        record = self._require(key)
+        record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
             not (not_run and record.attempts),
-            f"{key} is answered as not run after a dispatch",
+            f"{key} is reported as not run after a dispatch",
         )
         record.state = KeyState.FINISHED
         record.outcome = outcome
@@ -204,8 +211,8 @@
         self._finished[key] = record.updated_s
 
     def abandon(self, key: str) -> None:
-        """Removes a key that was not dispatched, so that it may start again later."""
-        record = self._require(key)
+        """Removes a key that was not dispatched, so that it can start again later."""
+        record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
             record.attempts == 0,
@@ -214,7 +221,11 @@
         del self._records[key]
 
     def startable_until_s(self, *, issued_before_s: float) -> float:
-        """Returns the monotonic time after which no ticket issued before then can start."""
+        """Returns the monotonic time after which no ticket issued before a wall time can start.
+
+        Args:
+            issued_before_s: Wall time in seconds since the Unix epoch.
+        """
         limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
         return limit_wall_s - self._epoch_offset_s
 
@@ -223,27 +234,31 @@
             key=key, state=KeyState.STARTED, updated_s=self._clock.monotonic()
         )
 
-    def _check_ticket(self, ticket: Ticket) -> Begin | None:
+    def _check_ticket(self, ticket: Ticket) -> BeginResult | None:
         if ticket.holder != self._me:
             raise errors.ValidationError(
-                f"ticket names {ticket.holder}", step="at_most_once.begin", peer=str(self._me)
+                f"ticket is held by {ticket.holder}",
+                step="at_most_once.begin",
+                peer=str(self._me),
             )
         if self._now_wall_s() - ticket.issued_s > self._retention_s:
-            return Begin.FORGOTTEN
-        return None if self.may_start(ticket) else Begin.EXPIRED
+            return BeginResult.FORGOTTEN
+        return None if self.may_start(ticket) else BeginResult.EXPIRED
 
     def _now_wall_s(self) -> float:
         return self._clock.monotonic() + self._epoch_offset_s
 
-    def _require(self, key: str) -> KeyRecord:
+    def _get_record(self, key: str) -> KeyRecord:
         record = self._records.get(key)
         if record is None:
-            raise errors.NotFoundError(f"unknown key {key}", step="at_most_once", peer="")
+            raise errors.NotFoundError(
+                f"no record of idempotency key {key}", step="at_most_once", peer=""
+            )
         return record
 
-    def _forget_old(self) -> None:
-        # A finished key is kept past the time in which its ticket can start: dropping it earlier
-        # would let a late duplicate start a second run.
+    def _delete_old_records(self) -> None:
+        # A finished key is kept for longer than its ticket can start a run. If it were deleted
+        # earlier, a late duplicate could start a second run.
         limit_s = self._clock.monotonic() - self._retention_s - TICKET_START_S - TICKET_SKEW_S - 1.0
         while self._finished:
             key, finished_s = next(iter(self._finished.items()))
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -379,12 +379,10 @@
         usable = self._share.slots(slots.server.slots)
         # Every request passes through here, so the detail text is built only on a violation.
         if used > usable:
-            detail = (
-                f"server {slots.name} of pool {self._key}: {used} slots in use, {usable} usable"
-            )
+            detail = f"{slots.name} of pool {self._key} has {used} slots in use, {usable} usable"
             self._invariants.check(invariants.Rule.SLOTS_NOT_EXCEEDED, False, detail)
         if slots.leaving or self._health.is_ejected(slots.name):
-            detail = f"server {slots.name} of pool {self._key} is leaving or ejected"
+            detail = f"{slots.name} of pool {self._key} is leaving or ejected"
             self._invariants.check(invariants.Rule.NO_DISPATCH_TO_LEAVING_SERVER, False, detail)
 
     def _server_snapshot(
--- a/packages/core/src/sassafrasway_core/pool_queue.py
+++ b/packages/core/src/sassafrasway_core/pool_queue.py
@@ -28,7 +28,7 @@
             ValueError: ``waiter_id`` is already in the queue.
         """
         if waiter_id in self._entries:
-            raise ValueError(f"request {waiter_id!r} is already waiting for a slot")
+            raise ValueError(f"{waiter_id!r} is already waiting for a slot")
         self._expire_entries(now_s)
         if len(self._entries) >= self._limit or expires_s <= now_s:
             return False
--- a/packages/core/src/sassafrasway_core/quarantine.py
+++ b/packages/core/src/sassafrasway_core/quarantine.py
@@ -1,4 +1,4 @@
-"""Requests that crash backend servers, recognised by a fingerprint."""
+"""Quarantine of requests that crash backend servers, identified by fingerprint."""
 
 import collections
 import dataclasses
@@ -8,19 +8,19 @@
 
 from sassafrasway_core import clock as clock_lib
 
-# Bounds memory when a faulty network makes many different requests look like crashes.
-MOST_ENTRIES = 10_000
+# Limits memory use when a network fault makes many different requests look like crashes.
+MAX_ENTRIES = 10_000
 
-# Keeps the owners of a service's pools from trying a quarantined request again together.
+# Prevents the owners of a service's pools from retrying a quarantined request at the same time.
 TTL_JITTER = 0.1
 
 
 def fingerprint(*, service: str, method: str, path: str, body: bytes) -> str:
-    """Returns a text that is equal for equal requests and, in practice, for no others.
+    """Returns a hash that identifies a request; collisions do not occur in practice.
 
-    Headers are left out, because a caller that sends a request again may change its key or
-    deadline. The hash is not cryptographic; it takes well under 1 ms for the largest body, during
-    which the event loop does nothing else.
+    Headers are left out, because a caller that retries a request may change its idempotency key or
+    deadline. The hash is not cryptographic, so that it blocks the event loop for well under 1 ms
+    even with the largest body.
     """
     digest = xxhash.xxh3_128()
     for part in (service.encode(), method.upper().encode(), path.encode(), body):
@@ -31,11 +31,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Entry:
-    """A request after which servers crashed.
+    """A request that crashed servers.
 
     Attributes:
-        servers: Names of the servers, without repetition.
-        remaining_s: Seconds until the entry is forgotten.
+        servers: Names of the distinct servers that crashed.
+        remaining_s: Seconds until the entry expires.
     """
 
     fingerprint: str
@@ -44,19 +44,20 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Crashes:
+class _CrashRecord:
     servers: frozenset[str]
     expires_s: float
 
 
 class Quarantine:
-    """Remembers which servers crashed on which request and refuses repeat offenders.
+    """Records which servers crashed on which request and tells which requests to refuse.
 
     Args:
         clock: Time source.
-        rng: Random source that shortens each entry's life by up to a tenth; None for no jitter.
-        limit: Number of distinct servers after which a request is refused.
-        ttl_s: Seconds after its last crash at which a request is forgotten.
+        rng: Random source that shortens the lifetime of each entry by up to a tenth; None for no
+            jitter.
+        limit: Number of distinct crashed servers from which a request is refused.
+        ttl_s: Seconds from the last crash until the entry of a request expires.
     """
 
     def __init__(
@@ -71,44 +72,44 @@
         self._rng = rng
         self._limit = limit
         self._ttl_s = ttl_s
-        # In order of the last crash, the oldest first.
-        self._crashes: collections.OrderedDict[str, _Crashes] = collections.OrderedDict()
+        # Ordered by time of the last crash, oldest first.
+        self._records: collections.OrderedDict[str, _CrashRecord] = collections.OrderedDict()
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Returns whether the request must be refused."""
-        return len(self.crashes(fingerprint)) >= self._limit
+        return len(self.crashed_servers(fingerprint)) >= self._limit
 
-    def crashes(self, fingerprint: str) -> frozenset[str]:
+    def crashed_servers(self, fingerprint: str) -> frozenset[str]:
         """Returns the names of the servers that crashed on the request."""
-        crashes = self._crashes.get(fingerprint)
-        if crashes is None or crashes.expires_s <= self._clock.monotonic():
+        record = self._records.get(fingerprint)
+        if record is None or record.expires_s <= self._clock.monotonic():
             return frozenset()
-        return crashes.servers
+        return record.servers
 
     def entries(self) -> list[Entry]:
-        """Returns all requests that are remembered, the one with the oldest crash first."""
+        """Returns all entries that have not expired, ordered by last crash, oldest first."""
         now_s = self._clock.monotonic()
         return [
-            Entry(fingerprint=name, servers=each.servers, remaining_s=each.expires_s - now_s)
-            for name, each in self._crashes.items()
-            if each.expires_s > now_s
+            Entry(fingerprint=name, servers=record.servers, remaining_s=record.expires_s - now_s)
+            for name, record in self._records.items()
+            if record.expires_s > now_s
         ]
 
     def record_crash(self, fingerprint: str, server: str) -> int:
-        """Counts a crash and returns the number of distinct servers that crashed."""
-        servers = self.crashes(fingerprint) | {server}
+        """Records a crash and returns the number of distinct servers that crashed."""
+        servers = self.crashed_servers(fingerprint) | {server}
         jitter = 1.0 - TTL_JITTER * self._rng.random() if self._rng is not None else 1.0
         expires_s = self._clock.monotonic() + self._ttl_s * jitter
-        self._crashes[fingerprint] = _Crashes(servers, expires_s)
-        self._crashes.move_to_end(fingerprint)
+        self._records[fingerprint] = _CrashRecord(servers, expires_s)
+        self._records.move_to_end(fingerprint)
         self._prune()
         return len(servers)
 
     def _prune(self) -> None:
         now_s = self._clock.monotonic()
-        while len(self._crashes) > MOST_ENTRIES or self._oldest_expired(now_s):
-            self._crashes.popitem(last=False)
+        while len(self._records) > MAX_ENTRIES or self._is_oldest_expired(now_s):
+            self._records.popitem(last=False)
 
-    def _oldest_expired(self, now_s: float) -> bool:
-        oldest = next(iter(self._crashes.values()), None)
+    def _is_oldest_expired(self, now_s: float) -> bool:
+        oldest = next(iter(self._records.values()), None)
         return oldest is not None and oldest.expires_s <= now_s
--- a/packages/core/src/sassafrasway_core/retry.py
+++ b/packages/core/src/sassafrasway_core/retry.py
@@ -1,22 +1,23 @@
-"""Retry budget and deadlines of requests."""
+"""Retry budgets and request deadlines."""
 
 from sassafrasway_core import clock as clock_lib
 
-# Lets a quiet instance retry a few requests at once, and bounds the burst of a busy one.
-MOST_TOKENS = 10.0
+# Allows an instance with little traffic to retry a few requests at once, and limits the burst of a
+# busy one.
+MAX_TOKENS = 10.0
 
 
 class RetryBudget:
-    """Limits retries to a fraction of the requests plus a small minimum.
+    """Token bucket that limits retries to a fraction of the requests plus a minimum rate.
 
-    Over any period, retries are at most ``ratio`` times its requests plus ``minimum_per_s`` times
-    its length plus ``most_tokens``.
+    In any period, the number of retries is at most ``ratio`` times the number of requests, plus
+    ``minimum_per_s`` times the length of the period, plus ``max_tokens``.
 
     Args:
         clock: Time source.
-        ratio: Retries earned by each request.
-        minimum_per_s: Retries earned by each second, 1/s.
-        most_tokens: Most retries that can be saved up.
+        ratio: Tokens added by each request; a retry takes one token.
+        minimum_per_s: Tokens added per second, 1/s.
+        max_tokens: Maximum number of tokens.
     """
 
     def __init__(
@@ -25,46 +26,48 @@
         clock: clock_lib.Clock,
         ratio: float = 0.1,
         minimum_per_s: float = 1.0,
-        most_tokens: float = MOST_TOKENS,
+        max_tokens: float = MAX_TOKENS,
     ):
         if ratio < 0 or minimum_per_s < 0:
-            raise ValueError(f"ratio {ratio} and minimum {minimum_per_s} must be at least 0")
+            raise ValueError(
+                f"ratio is {ratio} and minimum_per_s is {minimum_per_s}, expected at least 0"
+            )
         self._clock = clock
         self._ratio = ratio
         self._minimum_per_s = minimum_per_s
-        self._most_tokens = most_tokens
-        self._tokens = min(minimum_per_s, most_tokens)
+        self._max_tokens = max_tokens
+        self._tokens = min(minimum_per_s, max_tokens)
         self._updated_s = clock.monotonic()
 
     def on_request(self) -> None:
-        """Counts a request that is not itself a retry."""
-        self._earn(self._ratio)
+        """Adds the tokens of a request that is not itself a retry."""
+        self._add_tokens(self._ratio)
 
     def try_retry(self) -> bool:
-        """Spends one retry and returns True, or returns False when none is left."""
+        """Takes one token and returns True, or returns False if there is none."""
         now_s = self._clock.monotonic()
-        self._earn((now_s - self._updated_s) * self._minimum_per_s)
+        self._add_tokens((now_s - self._updated_s) * self._minimum_per_s)
         self._updated_s = now_s
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
         return True
 
-    def set_most_tokens(self, most_tokens: float) -> None:
-        """Changes how many retries can be saved up, for example with the number of instances."""
-        self._most_tokens = most_tokens
-        self._tokens = min(self._tokens, most_tokens)
+    def set_max_tokens(self, max_tokens: float) -> None:
+        """Changes the maximum number of tokens, for example with the number of instances."""
+        self._max_tokens = max_tokens
+        self._tokens = min(self._tokens, max_tokens)
 
-    def _earn(self, tokens: float) -> None:
-        self._tokens = min(self._most_tokens, self._tokens + tokens)
+    def _add_tokens(self, tokens: float) -> None:
+        self._tokens = min(self._max_tokens, self._tokens + tokens)
 
 
 class Deadline:
-    """Point in time after which the answer to a request is of no use.
+    """Point in time after which the response to a request is no longer useful.
 
     Args:
         clock: Time source.
-        remaining_s: Seconds until the deadline, as the caller or the policy states them.
+        remaining_s: Seconds until the deadline, as set by the caller or the policy.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, remaining_s: float):
--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -170,11 +170,11 @@
     def _check_lease(self, lease):
         name = lease.server.name
         configured = self._servers[name]
-        assert configured.state is model.ServerState.ACTIVE, f"lease on {name}, which is leaving"
+        assert configured.state is model.ServerState.ACTIVE, f"{name} is leaving but got a lease"
         assert name not in self._reported_leaving, (
-            f"lease on {name}, which reported that it is leaving"
+            f"{name} reported that it is leaving but got a lease"
         )
-        assert not self._pool.health.is_ejected(name), f"lease on {name}, which is ejected"
+        assert not self._pool.health.is_ejected(name), f"{name} is ejected but got a lease"
         self._leases.append(lease)
         used = sum(each.server.name == name for each in self._leases)
         used += sum(each[0] == name for each in self._inherited)
--- a/packages/core/tests/test_at_most_once.py
+++ b/packages/core/tests/test_at_most_once.py
@@ -21,19 +21,19 @@
         )
         self.rng = random.Random(1)
 
-    def mint(self, holder=_ME):
+    def mint_key(self, holder=_ME):
         return str(at_most_once.Ticket.mint(holder=holder, clock=self.clock, rng=self.rng))
 
 
 class TicketTest(unittest.TestCase):
     def test_round_trip(self):
-        """Guards against a ticket that names another holder after parsing."""
-        text = _Fixture().mint()
+        """Guards against a ticket that names another holder after formatting and parsing."""
+        text = _Fixture().mint_key()
         ticket = at_most_once.Ticket.parse(text)
         self.assertEqual((str(ticket), ticket.holder), (text, _ME))
 
     def test_free_keys_are_not_tickets(self):
-        """Guards against taking a caller's own key for a ticket."""
+        """Guards against parsing an idempotency key chosen by a caller as a ticket."""
         for key in ("", "order-17", "t1.a.b", "t1.a.b.1.xyz", "t2.a.b.1.0123456789abcdef"):
             self.assertIsNone(at_most_once.Ticket.parse(key))
 
@@ -45,55 +45,61 @@
 
     def test_second_attempt_joins_and_later_reads(self):
         """Guards against a second run when a caller sends the same key again."""
-        key = self.fixture.mint()
-        self.assertIs(self.registry.begin(key), at_most_once.Begin.START)
-        self.assertIs(self.registry.begin(key), at_most_once.Begin.RUNNING)
-        self.registry.dispatched(key)
+        key = self.fixture.mint_key()
+        self.assertIs(self.registry.begin(key), at_most_once.BeginResult.START)
+        self.assertIs(self.registry.begin(key), at_most_once.BeginResult.RUNNING)
+        self.registry.mark_dispatched(key)
         self.registry.finish(key, "answer", not_run=False)
-        self.assertIs(self.registry.begin(key), at_most_once.Begin.DONE)
+        self.assertIs(self.registry.begin(key), at_most_once.BeginResult.DONE)
         self.assertEqual(self.registry.record(key).outcome, "answer")
 
     def test_ticket_of_another_incarnation(self):
-        """Guards against a restarted instance running the tickets of its predecessor."""
+        """Guards against a restarted instance running tickets of its previous incarnation.
+
+        The new incarnation does not know whether the previous one has run them.
+        """
         with self.assertRaises(errors.ValidationError):
-            self.registry.begin(self.fixture.mint(_OTHER))
+            self.registry.begin(self.fixture.mint_key(_OTHER))
 
     def test_expired_ticket_never_starts(self):
-        """Guards against a late duplicate that starts after the outcome was given as not run."""
-        key = self.fixture.mint()
+        """Guards against a late duplicate starting after the request was reported as not run."""
+        key = self.fixture.mint_key()
         self.fixture.clock.advance(at_most_once.TICKET_START_S + 1.1)
-        self.assertIs(self.registry.begin(key), at_most_once.Begin.EXPIRED)
+        self.assertIs(self.registry.begin(key), at_most_once.BeginResult.EXPIRED)
 
     def test_very_old_ticket_is_not_called_not_run(self):
-        """Guards against "not run" for a key whose record was dropped."""
-        key = self.fixture.mint()
+        """Guards against reporting "not run" for a key whose record may have been deleted."""
+        key = self.fixture.mint_key()
         self.fixture.clock.advance(at_most_once.RETENTION_S + 1)
-        self.assertIs(self.registry.begin(key), at_most_once.Begin.FORGOTTEN)
+        self.assertIs(self.registry.begin(key), at_most_once.BeginResult.FORGOTTEN)
 
     def test_not_run_after_dispatch_violates(self):
-        """Guards against telling a caller "not run" while a dispatch may still run."""
-        key = self.fixture.mint()
+        """Guards against reporting "not run" while a dispatched request may still run."""
+        key = self.fixture.mint_key()
         self.registry.begin(key)
-        self.registry.dispatched(key)
+        self.registry.mark_dispatched(key)
         with self.assertRaises(errors.InvariantViolation):
             self.registry.finish(key, "answer", not_run=True)
 
     def test_two_dispatches_violate(self):
-        """Guards against a second dispatch while the first is in doubt."""
-        key = self.fixture.mint()
+        """Guards against a second dispatch while the outcome of the first is unknown."""
+        key = self.fixture.mint_key()
         self.registry.begin(key)
-        self.registry.dispatched(key)
+        self.registry.mark_dispatched(key)
         with self.assertRaises(errors.InvariantViolation):
-            self.registry.dispatched(key)
+            self.registry.mark_dispatched(key)
 
     def test_refused_dispatch_may_be_not_run(self):
-        """A shed is a certain refusal, so the answer may be "not run"."""
-        key = self.fixture.mint()
+        """Guards against an unknown outcome for a request that the server shed.
+
+        Shedding is a definite refusal, so the outcome can be reported as not run.
+        """
+        key = self.fixture.mint_key()
         self.registry.begin(key)
-        self.registry.dispatched(key)
-        self.registry.refused(key)
+        self.registry.mark_dispatched(key)
+        self.registry.mark_refused(key)
         self.registry.finish(key, "shed", not_run=True)
-        self.assertIs(self.registry.begin(key), at_most_once.Begin.DONE)
+        self.assertIs(self.registry.begin(key), at_most_once.BeginResult.DONE)
 
 
 _STEPS = st.lists(
@@ -110,9 +116,9 @@
     @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
     @hypothesis.given(steps=_STEPS)
     def test_every_key_starts_at_most_once(self, steps):
-        """Guards against a second start under duplicates, delays and dropped records."""
+        """Guards against a second start with duplicate requests, delays and deleted records."""
         fixture = _Fixture()
-        keys = [fixture.mint() for _ in range(6)]
+        keys = [fixture.mint_key() for _ in range(6)]
         starts = dict.fromkeys(keys, 0)
         not_run = set()
         for step, argument in steps:
@@ -120,12 +126,12 @@
                 fixture.clock.advance(argument)
             elif step == "send":
                 key = keys[argument]
-                verdict = fixture.registry.begin(key)
-                if verdict is at_most_once.Begin.START:
+                result = fixture.registry.begin(key)
+                if result is at_most_once.BeginResult.START:
                     starts[key] += 1
-                    fixture.registry.dispatched(key)
+                    fixture.registry.mark_dispatched(key)
                     self.assertNotIn(key, not_run)
-                elif verdict is at_most_once.Begin.EXPIRED:
+                elif result is at_most_once.BeginResult.EXPIRED:
                     self.assertEqual(starts[key], 0)
                     not_run.add(key)
             else:
--- a/packages/core/tests/test_retry.py
+++ b/packages/core/tests/test_retry.py
@@ -1,4 +1,4 @@
-"""Tests of the retry budget and of deadlines."""
+"""Tests of retry budgets and deadlines."""
 
 import unittest
 
@@ -12,7 +12,7 @@
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(st.lists(st.sampled_from([None, 0.01, 0.5, 30.0]), max_size=300))
     def test_retries_of_any_period_stay_within_the_budget(self, steps):
-        """Guards against a retry storm, at once or after a quiet time, multiplying the load."""
+        """Guards against retry storms that multiply the load, also after a quiet period."""
         time = clock.ManualClock()
         budget = retry.RetryBudget(clock=time, ratio=0.1, minimum_per_s=1.0)
         spent_at = []
@@ -24,10 +24,10 @@
         for first, (from_s, before) in enumerate(spent_at):
             for last, (to_s, after) in enumerate(spent_at[first:], start=first):
                 earned = 0.1 * (after - before + 1) + (to_s - from_s)
-                self.assertLessEqual(last - first + 1, earned + retry.MOST_TOKENS + 1e-6)
+                self.assertLessEqual(last - first + 1, earned + retry.MAX_TOKENS + 1e-6)
 
     def test_failing_requests_are_retried_at_the_ratio(self):
-        """Guards against a budget that refuses retries it should allow, or loses its minimum."""
+        """Guards against refusing retries that the ratio or the minimum rate should allow."""
         time = clock.ManualClock()
         budget = retry.RetryBudget(clock=time)
         self.assertTrue(budget.try_retry())
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -132,13 +132,13 @@
             # From here on a new key needs a claim, as it will after this incarnation has ended.
             return await self._handle_claim(request)
         state = self._registry.begin(key)
-        if state is at_most_once.Begin.EXPIRED:
+        if state is at_most_once.BeginResult.EXPIRED:
             return messages.not_run(409, messages.Reason.TICKET_EXPIRED)
-        if state is at_most_once.Begin.DONE:
+        if state is at_most_once.BeginResult.DONE:
             return self._registry.record(key).outcome
-        if state is at_most_once.Begin.FORGOTTEN:
+        if state is at_most_once.BeginResult.FORGOTTEN:
             return await self._recorded_outcome(at_most_once.Ticket.parse(key), request)
-        if state is at_most_once.Begin.START:
+        if state is at_most_once.BeginResult.START:
             self._start(request)
         return await self._join(key, request)
 
@@ -162,7 +162,7 @@
 
     async def _run(self, request: messages.Request) -> messages.Answer:
         key = request.key
-        self._registry.dispatched(key)
+        self._registry.mark_dispatched(key)
         try:
             answer = await self._dispatcher.run(request)
         except Exception:
@@ -170,7 +170,7 @@
             answer = messages.unknown(502, messages.Reason.INTERNAL)
         not_run = answer.outcome is messages.Outcome.NOT_RUN
         if not_run:
-            self._registry.refused(key)
+            self._registry.mark_refused(key)
         self._registry.finish(key, answer, not_run=not_run)
         ticket = at_most_once.Ticket.parse(key)
         if ticket is not None:
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -40,8 +40,8 @@
                 clock=self._clock,
                 ratio=bounds.retry_ratio * USED_SHARE,
                 minimum_per_s=most_tokens / bounds.retry_window_s / 2.0,
-                most_tokens=most_tokens,
+                max_tokens=most_tokens,
             )
             self._budgets[service] = budget
-        budget.set_most_tokens(most_tokens)
+        budget.set_max_tokens(most_tokens)
         return budget
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -61,7 +61,7 @@
         pool = http_client.ConnectionPool()
         self.addCleanup(pool.close)
         self.budget = retry.RetryBudget(
-            clock=clock, ratio=0.0, minimum_per_s=tokens, most_tokens=tokens
+            clock=clock, ratio=0.0, minimum_per_s=tokens, max_tokens=tokens
         )
         self.crashed = []
         self.register = crashes.CrashRegister(clock=clock)
