Reword health, placement, windows, shifts and the base modules

The windows name their sub-windows and the initial blocking, and their docstrings give the real length of it, WINDOW_S. Docstrings of model, errors, clock and invariants use the usual terms. No change of behaviour.

--- a/packages/core/src/sassafrasway_core/clock.py
+++ b/packages/core/src/sassafrasway_core/clock.py
@@ -1,4 +1,4 @@
-"""Time source that decision modules receive instead of reading the system clock."""
+"""Time sources that are passed to modules, so that tests can control the time."""
 
 import abc
 import time
@@ -9,7 +9,7 @@
 
     @abc.abstractmethod
     def monotonic(self) -> float:
-        """Returns seconds that never go back; only differences are meaningful."""
+        """Returns seconds that never decrease; only differences are meaningful."""
 
     @abc.abstractmethod
     def wall(self) -> float:
@@ -29,7 +29,7 @@
 
 
 class ManualClock(Clock):
-    """Clock for tests that moves only when told to."""
+    """Clock for tests that moves only by ``advance``."""
 
     def __init__(self, *, start_s: float = 1000.0):
         self._now_s = start_s
@@ -45,5 +45,5 @@
     def advance(self, seconds: float) -> None:
         """Moves the clock forward by ``seconds``."""
         if seconds < 0:
-            raise ValueError("a clock cannot go back")
+            raise ValueError("a clock cannot be advanced by a negative time")
         self._now_s += seconds
--- a/packages/core/src/sassafrasway_core/errors.py
+++ b/packages/core/src/sassafrasway_core/errors.py
@@ -1,16 +1,16 @@
 """Exception hierarchy of sassafrasway.
 
-Every error carries the step in which it arose and the peer that was involved, so that a log line
-or an error answer can name both without parsing the message.
+Every error has the step in which it occurred and the peer involved, so that log lines and error
+responses can include both without parsing the message.
 """
 
 
 class SassafraswayError(Exception):
-    """Base class of all errors that sassafrasway raises on purpose.
+    """Base class of the errors that sassafrasway defines.
 
     Attributes:
         step: What the process was doing, for example ``"config.apply"``.
-        peer: The other side as ``host:port`` or a name; empty when there is none.
+        peer: The peer involved, as ``host:port`` or a name; empty if there is none.
     """
 
     def __init__(self, message: str, *, step: str, peer: str = ""):
@@ -42,7 +42,7 @@
 
 
 class UnavailableError(SassafraswayError):
-    """A peer or an outside system did not answer."""
+    """A peer or an external system did not respond."""
 
 
 class NotRunError(SassafraswayError):
--- a/packages/core/src/sassafrasway_core/health.py
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -1,4 +1,4 @@
-"""Health of the servers of a pool, from the pool owner's own observations."""
+"""Health of a pool's servers, as observed by the instance that dispatches to them."""
 
 import dataclasses
 import random
@@ -7,13 +7,14 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import pool_types
 
-# Ejecting more would move more load to the rest than it can be expected to carry.
-EJECTABLE_DIVISOR = 3
+# At most this fraction of the servers (1 / divisor) is ejected at a time. Ejecting more could
+# overload the remaining servers.
+MAX_EJECTED_DIVISOR = 3
 FAILURES_TO_EJECT = 3
-FIRST_EJECTION_S = 1.0
-LONGEST_EJECTION_S = 60.0
+INITIAL_EJECTION_S = 1.0
+MAX_EJECTION_S = 60.0
 
-# Spreads the probes of servers that failed together.
+# Spreads out the probes of servers that failed at the same time.
 EJECTION_JITTER = 0.1
 
 _FAILURES = frozenset(
@@ -30,15 +31,16 @@
     failures: int = 0
     ejections: int = 0
     ejected: bool = False
-    until_s: float = 0.0
+    ejected_until_s: float = 0.0
 
 
 class ServerHealth:
-    """Ejects servers that fail repeatedly and says when to probe them.
+    """Ejects servers that fail repeatedly and determines when to probe them.
 
-    Only own results and probes count. At most a third of the servers, rounded down, is ejected at
-    a time, so small pools keep all of their servers. An ejected server returns when a probe after
-    its ejection time succeeds; a failed probe ejects it for twice as long.
+    Only this instance's own requests and probes count. At most a third of the servers, rounded
+    down, is ejected at a time, so a pool of one or two servers keeps all of them. An ejected server
+    returns when a probe after its ejection time succeeds; a failed probe doubles its ejection time,
+    up to ``MAX_EJECTION_S``.
 
     Args:
         clock: Time source.
@@ -61,7 +63,7 @@
         self._failing: set[str] = set()
 
     def is_ejected(self, server: str) -> bool:
-        """Returns whether the server gets no requests."""
+        """Returns whether the server is ejected and gets no requests."""
         return server in self._ejected
 
     def ejected(self) -> frozenset[str]:
@@ -69,31 +71,31 @@
         return self._ejected
 
     def failing(self) -> frozenset[str]:
-        """Returns the servers whose last result was a failure, so that others come first."""
+        """Returns the servers whose last result was a failure; other servers are preferred."""
         return frozenset(self._failing)
 
     def probes_due(self) -> list[str]:
-        """Returns the ejected servers whose ejection time has passed, longest ago first."""
+        """Returns the ejected servers whose ejection time has passed, the longest overdue first."""
         now_s = self._clock.monotonic()
         due = [
-            (record.until_s, name)
+            (record.ejected_until_s, name)
             for name, record in self._records.items()
-            if record.ejected and record.until_s <= now_s
+            if record.ejected and record.ejected_until_s <= now_s
         ]
         return [name for _, name in sorted(due)]
 
     def set_servers(self, servers: Iterable[str]) -> None:
-        """Replaces the servers of the pool; leaving ones must not be among them."""
+        """Replaces the servers of the pool; must not include leaving servers."""
         self._records = {name: self._records.get(name) or _Record() for name in servers}
         self._failing &= self._records.keys()
-        self._find_ejected()
-        by_return = sorted(self.ejected(), key=lambda name: self._records[name].until_s)
-        for name in by_return[: max(0, len(by_return) - self._ejectable())]:
+        self._update_ejected()
+        by_end = sorted(self.ejected(), key=lambda name: self._records[name].ejected_until_s)
+        for name in by_end[: max(0, len(by_end) - self._max_ejected())]:
             self._records[name].ejected = False
-        self._find_ejected()
+        self._update_ejected()
 
     def record(self, server: str, result: pool_types.ServerResult) -> None:
-        """Counts the result of a request."""
+        """Records the result of a request."""
         record = self._records.get(server)
         if record is None:
             return
@@ -107,40 +109,40 @@
                 self._eject(record)
 
     def record_probe(self, server: str, *, succeeded: bool) -> None:
-        """Counts the result of a probe of an ejected server."""
+        """Records the result of a probe; ignored if the server is not ejected."""
         record = self._records.get(server)
         if record is None or not record.ejected:
             return
         if succeeded:
             record.ejected = False
             record.failures = 0
-            record.until_s = self._clock.monotonic()
+            record.ejected_until_s = self._clock.monotonic()
             self._failing.discard(server)
-            self._find_ejected()
+            self._update_ejected()
         else:
-            self._extend(record)
+            self._start_ejection(record)
 
     def _record_success(self, record: _Record) -> None:
         record.failures = 0
-        # A late answer to an old request does not end an ejection; only a probe does.
-        in_service_s = self._clock.monotonic() - record.until_s
-        if not record.ejected and in_service_s > LONGEST_EJECTION_S:
+        # A late response to an old request does not end an ejection; only a successful probe does.
+        in_service_s = self._clock.monotonic() - record.ejected_until_s
+        if not record.ejected and in_service_s > MAX_EJECTION_S:
             record.ejections = 0
 
     def _eject(self, record: _Record) -> None:
-        if len(self.ejected()) < self._ejectable():
+        if len(self.ejected()) < self._max_ejected():
             record.ejected = True
-            self._extend(record)
-            self._find_ejected()
+            self._start_ejection(record)
+            self._update_ejected()
 
-    def _extend(self, record: _Record) -> None:
-        ejection_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2.0**record.ejections)
+    def _start_ejection(self, record: _Record) -> None:
+        ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0**record.ejections)
         jitter = 1.0 + EJECTION_JITTER * self._rng.random()
         record.ejections = min(record.ejections + 1, 32)
-        record.until_s = self._clock.monotonic() + ejection_s * jitter
+        record.ejected_until_s = self._clock.monotonic() + ejection_s * jitter
 
-    def _find_ejected(self) -> None:
+    def _update_ejected(self) -> None:
         self._ejected = frozenset(name for name, each in self._records.items() if each.ejected)
 
-    def _ejectable(self) -> int:
-        return len(self._records) // EJECTABLE_DIVISOR
+    def _max_ejected(self) -> int:
+        return len(self._records) // MAX_EJECTED_DIVISOR
--- a/packages/core/src/sassafrasway_core/invariants.py
+++ b/packages/core/src/sassafrasway_core/invariants.py
@@ -1,7 +1,7 @@
-"""Run-time checks of rules that must always hold.
+"""Runtime checks of rules that must always hold.
 
-Tests run with mode ``raise``; production counts violations, because stopping an instance would
-cost more requests than the violation itself.
+Tests use the mode ``raise``. In production, violations are only counted, because stopping an
+instance would fail more requests than the violation itself.
 """
 
 import collections
@@ -12,7 +12,7 @@
 
 
 class Mode(enum.Enum):
-    """What a violation does."""
+    """Whether a violation raises an error or is only counted."""
 
     RAISE = "raise"
     COUNT = "count"
@@ -34,7 +34,7 @@
     """Checks rules and either raises or counts violations.
 
     Args:
-        mode: What a violation does.
+        mode: Whether a violation raises an error or is only counted.
         on_violation: Called with the rule and a detail text on every violation.
     """
 
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -16,7 +16,7 @@
 
 
 class ServerState(enum.Enum):
-    """Whether a backend server may receive new work."""
+    """Whether a backend server may receive new requests; a leaving server may not."""
 
     ACTIVE = "active"
     LEAVING = "leaving"
@@ -24,7 +24,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
 class InstanceId:
-    """One run of one entry instance; a restart has a new incarnation."""
+    """Identifies one run of an entry instance; a restart has a new incarnation."""
 
     name: str
     incarnation: str
@@ -35,7 +35,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
 class PoolKey:
-    """Names the backend servers of a service in a region that share one owner."""
+    """Identifies a pool: backend servers of a service in a region that have the same owner."""
 
     service: str
     region: str
@@ -47,7 +47,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Region:
-    """A region and the highest rate of requests that its servers may receive, requests/s."""
+    """A region.
+
+    Attributes:
+        cap_rps: Maximum rate of requests that its servers may receive, requests/s.
+    """
 
     name: str
     cap_rps: float | None = None
@@ -55,7 +59,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Link:
-    """The network between two regions; the cap holds in each direction."""
+    """The network link between two regions; the cap applies to each direction."""
 
     source: str
     target: str
@@ -68,8 +72,8 @@
     """A service that callers can address.
 
     Attributes:
-        max_pool_slots: A region's pool is split into shards when it has more slots than this,
-            because one instance owns a pool and must carry all of its requests.
+        max_pool_slots: A region's pool with more slots than this is split into shards, because one
+            instance owns a pool and must handle all of its requests.
     """
 
     name: str
@@ -107,7 +111,7 @@
     """Moves requests of a service from the source region to the target region.
 
     Attributes:
-        cap_rps: Highest rate of moved requests in any one-second window, requests/s.
+        cap_rps: Maximum rate of moved requests in any one-second window, requests/s.
         fraction: Final fraction of the source's requests to move, 0 to 1.
         pace_per_s: Growth of the moved fraction per second, 1/s.
     """
@@ -137,7 +141,7 @@
     shifts: Mapping[str, Shift]
 
     def pools(self) -> dict[PoolKey, tuple[BackendServer, ...]]:
-        """Returns the servers of every pool, leaving ones included, in order of name."""
+        """Returns the servers of every pool, including leaving ones, sorted by name."""
         groups: dict[tuple[str, str], list[BackendServer]] = {}
         for server in self.servers.values():
             groups.setdefault((server.service, server.region), []).append(server)
@@ -150,12 +154,12 @@
                 pools.setdefault(key, []).append(server)
         return {key: tuple(servers) for key, servers in pools.items()}
 
-    def link(self, one: str, other: str) -> Link | None:
-        """Returns the link between two regions, or None when the policy has none."""
-        return self.links.get("/".join(sorted((one, other))))
+    def link(self, region_a: str, region_b: str) -> Link | None:
+        """Returns the link between two regions, or None if the policy has none."""
+        return self.links.get("/".join(sorted((region_a, region_b))))
 
     def regions_by_distance(self, origin: str) -> list[str]:
-        """Returns all regions, nearest first, starting with ``origin`` itself."""
+        """Returns all regions by increasing delay from ``origin``, starting with ``origin``."""
 
         def distance(region: str) -> tuple[float, str]:
             if region == origin:
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -1,4 +1,4 @@
-"""Strategies for which instance may use which slots of a pool's servers."""
+"""Placement strategies: which instance may use which slots of a pool's servers."""
 
 import abc
 import dataclasses
@@ -10,7 +10,7 @@
 
 
 class Placement(abc.ABC):
-    """Decides which slots an instance dispatches to and whether it forwards requests instead.
+    """Decides which slots an instance may use and whether it forwards requests to pool owners.
 
     The dispatcher builds the ``SlotPool`` of a pool from ``usable_servers`` and uses the
     attributes as follows.
@@ -18,10 +18,10 @@
     Attributes:
         name: Name in the settings.
         forwards: Whether a request goes to the owner of its pool. If not, the instance that
-            receives a request dispatches it itself, and pools have no owner.
+            receives a request dispatches it itself and pools have no owner.
         ranks_by_reports: Value of ``SlotPool``'s ``rank_by_reports``.
-        retries_after_shed: How many other servers a request may try after a server shed it. This
-            is part of the strategy and comes before overflow to other regions.
+        retries_after_shed: How many other servers a request may try after a server shed it. These
+            retries are part of the strategy and come before overflow to other regions.
     """
 
     name: str
@@ -33,20 +33,20 @@
     def usable_servers(
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
-        """Returns the servers an instance may use, with ``slots`` set to its part of them.
+        """Returns the servers that an instance may use, with ``slots`` set to its share.
 
-        Servers of which the instance has no slot are left out. Leaving servers count like others,
-        so that a drain does not change who has which slot.
+        Servers on which the instance has no slot are left out. Leaving servers are treated like
+        the others, so that a drain does not change the assignment of slots.
 
         Args:
-            servers: All servers of one pool, as the policy states them.
-            index: Position of the instance among all live instances in order of name, from 0.
+            servers: All servers of one pool, as configured in the policy.
+            index: Index of the instance among all live instances, sorted by name, from 0.
             count: Number of live instances.
         """
 
 
 class PoolOwner(Placement):
-    """One instance owns the pool and uses all slots; the others forward to it."""
+    """One instance owns the pool and uses all of its slots; the others forward requests to it."""
 
     name = "pool_owner"
     forwards = True
@@ -54,13 +54,16 @@
     def usable_servers(
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
-        """See base class; called by the owner only, for which it returns everything."""
-        _check_position(index, count)
+        """See base class; called only by the owner, so it returns all servers."""
+        _check_index(index, count)
         return list(servers)
 
 
 class EvenSplit(Placement):
-    """Every slot belongs to one instance for good; instances differ by at most one slot."""
+    """Assigns every slot to one instance; instances differ by at most one slot.
+
+    The assignment changes only with the servers, their slots or the live instances.
+    """
 
     name = "even_split"
     forwards = False
@@ -68,26 +71,27 @@
     def usable_servers(
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
-        """See base class; deals the slots out one by one, in order of server name."""
-        _check_position(index, count)
-        in_order = sorted(servers, key=lambda server: server.name)
-        # The first instances get the rest of the division; the offset makes them differ by pool.
-        position = _offset(in_order, count)
+        """See base class; assigns slots round-robin, in order of server name."""
+        _check_index(index, count)
+        sorted_servers = sorted(servers, key=lambda server: server.name)
+        # The first instances of the round-robin get the remaining slots. Its start differs by pool,
+        # so that these are not always the same instances.
+        next_index = _first_index(sorted_servers, count)
         usable = []
-        for server in in_order:
-            first = (index - position) % count
-            slots = len(range(first, server.slots, count))
-            position = (position + server.slots) % count
+        for server in sorted_servers:
+            first_slot = (index - next_index) % count
+            slots = len(range(first_slot, server.slots, count))
+            next_index = (next_index + server.slots) % count
             if slots:
                 usable.append(dataclasses.replace(server, slots=slots))
         return usable
 
 
 class LocalCount(Placement):
-    """Every instance uses all slots, ranked by its own leases and the servers' reports.
+    """Every instance uses all slots and ranks servers by its own leases and load reports.
 
-    Instances do not know each other's leases, so a server may be full when a request arrives. It
-    then sheds the request, which tries one other server.
+    Instances do not know each other's leases, so a server may be full when a request arrives. The
+    server then sheds the request, and the instance retries it on one other server.
     """
 
     name = "local_count"
@@ -99,7 +103,7 @@
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
         """See base class."""
-        _check_position(index, count)
+        _check_index(index, count)
         return list(servers)
 
 
@@ -108,12 +112,12 @@
 }
 
 
-def _check_position(index: int, count: int) -> None:
+def _check_index(index: int, count: int) -> None:
     if not 0 <= index < count:
         raise ValueError(f"instance index is {index}, expected 0 to {count - 1}")
 
 
-def _offset(servers: Sequence[model.BackendServer], count: int) -> int:
+def _first_index(servers: Sequence[model.BackendServer], count: int) -> int:
     if not servers:
         return 0
     name = f"{servers[0].service}/{servers[0].region}"
--- a/packages/core/src/sassafrasway_core/share.py
+++ b/packages/core/src/sassafrasway_core/share.py
@@ -1,15 +1,15 @@
-"""How much of a pool's slots an instance may use."""
+"""Shares of a pool's slots that an instance may use."""
 
 import enum
 
 
 class Share(enum.Enum):
-    """Part of each server's slots that an instance may use.
+    """Share of each server's slots that an instance may use.
 
     Attributes:
-        NONE: No slot.
+        NONE: No slots.
         OFFLINE: A third of each server's slots, rounded down.
-        REDUCED: All slots but that third.
+        REDUCED: All slots except the offline third.
         FULL: All slots.
     """
 
@@ -30,7 +30,7 @@
 
     @classmethod
     def of(cls, *, offline: bool, main: bool) -> "Share":
-        """Returns the share made of the offline third, the remaining main part, or both."""
+        """Returns the share with the offline third, the main part (all other slots) or both."""
         if main:
             return cls.FULL if offline else cls.REDUCED
         return cls.OFFLINE if offline else cls.NONE
@@ -42,5 +42,5 @@
 
     @property
     def has_main(self) -> bool:
-        """Whether the part besides the offline third is included."""
+        """Whether the main part, all slots except the offline third, is included."""
         return self in (Share.REDUCED, Share.FULL)
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -1,4 +1,4 @@
-"""Limits that hold in every one-second window."""
+"""Rate limiters whose limit holds in every one-second window."""
 
 import collections
 import dataclasses
@@ -6,15 +6,15 @@
 
 from sassafrasway_core import clock as clock_lib
 
-# Caps are stated for one second at the receiving side. Two messages that leave further apart than
-# this arrive at least one second apart, if their delays differ by at most DELIVERY_SPREAD_S.
+# Caps apply to one second at the receiver. Two messages that are sent more than WINDOW_S apart
+# arrive at least one second apart if their delays differ by at most DELIVERY_SPREAD_S.
 DELIVERY_SPREAD_S = 0.1
 WINDOW_S = 1.0 + DELIVERY_SPREAD_S
 
 
 @dataclasses.dataclass(slots=True)
 class _SubWindow:
-    """Sum of the amounts taken between two times, seconds."""
+    """Sum of the amounts taken between two monotonic times, in seconds."""
 
     first_s: float
     last_s: float
@@ -22,17 +22,18 @@
 
 
 class SlidingWindow:
-    """Admits amounts so that their sum in any one-second window is at most the limit.
+    """Admits amounts so that their sum in any one-second window stays within the limit.
 
     Amounts are summed per sub-window. A sub-window counts in full until its last amount is more
-    than ``WINDOW_S`` old, so the window errs only towards admitting less.
+    than ``WINDOW_S`` old, so the approximation can only admit less than the limit allows.
 
     Args:
-        limit: Highest sum in one second; ``math.inf`` for no limit.
+        limit: Maximum sum in one second; ``math.inf`` for no limit.
         clock: Time source.
-        sub_windows: Number of sub-windows per second; more admit more and cost more.
-        start_full: Admits nothing for the first second, because a previous holder of the limit
-            may have used all of it just before.
+        sub_windows: Number of sub-windows per ``WINDOW_S``. More of them make the limit more
+            precise but take more time and memory.
+        start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
+            of the limit may have used all of it just before.
     """
 
     def __init__(
@@ -45,36 +46,36 @@
     ):
         if sub_windows < 1:
             raise ValueError(f"sub_windows is {sub_windows}, expected at least 1")
-        self._limit = _checked("limit", limit)
+        self._limit = _require_non_negative("limit", limit)
         self._clock = clock
         self._sub_window_s = WINDOW_S / sub_windows
-        self._taken: collections.deque[_SubWindow] = collections.deque()
+        self._sub_windows: collections.deque[_SubWindow] = collections.deque()
         self._sum = 0.0
-        self._full_from_s = clock.monotonic() if start_full else -math.inf
+        self._blocked_since_s = clock.monotonic() if start_full else -math.inf
 
     @property
     def limit(self) -> float:
-        """Highest sum in one second."""
+        """Maximum sum in one second."""
         return self._limit
 
     def used(self) -> float:
         """Returns the sum that counts against the limit now."""
         now_s = self._clock.monotonic()
-        if self._starts_full(now_s):
+        if self._is_blocked(now_s):
             return self._limit
-        return self._sum_of_last_second(now_s)
+        return self._sum_in_window(now_s)
 
     def retry_after_s(self, amount: float) -> float:
-        """Returns the seconds until ``amount`` fits when nothing else is taken.
+        """Returns the seconds until ``amount`` fits if nothing else is taken meanwhile.
 
-        Returns ``math.inf`` when it can never fit.
+        Returns ``math.inf`` if it can never fit.
         """
         if amount > self._limit:
             return math.inf
         now_s = self._clock.monotonic()
-        wait_s = self._full_from_s + WINDOW_S - now_s if self._starts_full(now_s) else 0.0
-        excess = self._sum_of_last_second(now_s) + amount - self._limit
-        for each in self._taken:
+        wait_s = self._blocked_since_s + WINDOW_S - now_s if self._is_blocked(now_s) else 0.0
+        excess = self._sum_in_window(now_s) + amount - self._limit
+        for each in self._sub_windows:
             if excess <= 0:
                 break
             if now_s - each.last_s <= WINDOW_S:
@@ -83,73 +84,73 @@
         return wait_s
 
     def set_limit(self, limit: float) -> None:
-        """Changes the limit; what was taken before still counts."""
-        self._limit = _checked("limit", limit)
+        """Changes the limit; amounts taken before still count."""
+        self._limit = _require_non_negative("limit", limit)
 
     def try_take(self, amount: float) -> bool:
-        """Takes ``amount`` and returns True, or returns False when it does not fit."""
-        _checked("amount", amount)
+        """Takes ``amount`` and returns True, or returns False if it does not fit."""
+        _require_non_negative("amount", amount)
         now_s = self._clock.monotonic()
         self._drop_expired(now_s)
-        if self._starts_full(now_s) or self._sum + amount > self._limit:
+        if self._is_blocked(now_s) or self._sum + amount > self._limit:
             return False
         self._add(now_s, amount)
         return True
 
-    def _sum_of_last_second(self, now_s: float) -> float:
-        return sum(each.amount for each in self._taken if now_s - each.last_s <= WINDOW_S)
+    def _sum_in_window(self, now_s: float) -> float:
+        return sum(each.amount for each in self._sub_windows if now_s - each.last_s <= WINDOW_S)
 
-    def _starts_full(self, now_s: float) -> bool:
-        return now_s - self._full_from_s <= WINDOW_S and not math.isinf(self._limit)
+    def _is_blocked(self, now_s: float) -> bool:
+        return now_s - self._blocked_since_s <= WINDOW_S and not math.isinf(self._limit)
 
     def _add(self, now_s: float, amount: float) -> None:
-        last = self._taken[-1] if self._taken else None
+        last = self._sub_windows[-1] if self._sub_windows else None
         if last is not None and now_s - last.first_s < self._sub_window_s:
             last.last_s = now_s
             last.amount += amount
         else:
-            self._taken.append(_SubWindow(now_s, now_s, amount))
+            self._sub_windows.append(_SubWindow(now_s, now_s, amount))
         self._sum += amount
 
     def _drop_expired(self, now_s: float) -> None:
         dropped = False
-        while self._taken and now_s - self._taken[0].last_s > WINDOW_S:
-            self._taken.popleft()
+        while self._sub_windows and now_s - self._sub_windows[0].last_s > WINDOW_S:
+            self._sub_windows.popleft()
             dropped = True
         if dropped:
-            # Summing anew keeps rounding errors from accumulating.
-            self._sum = sum(each.amount for each in self._taken)
+            # Recomputing the sum prevents rounding errors from accumulating.
+            self._sum = sum(each.amount for each in self._sub_windows)
 
 
 class CompletionWindow:
-    """Admits requests so that at most ``limit`` of them start in any second at their servers.
+    """Admits requests so that at most ``limit`` of them start at their servers in any second.
 
-    A request counts from its admission until one second after its answer. Its start lies between
-    the two, so the limit holds however long each request was under way; a window of admission
-    times would not hold when one request is delayed and the next is not.
+    A request counts from its admission until one second after its response. It starts at the
+    server between admission and response, so the limit holds for any network delay. Limiting the
+    admissions per second would not suffice if one request is delayed and the next is not.
 
     Args:
-        limit: Most starts in one second.
+        limit: Maximum number of starts in one second.
         clock: Time source.
-        start_full: Admits nothing for the first second, because a previous holder of the limit
-            may have used all of it just before.
+        start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
+            of the limit may have used all of it just before.
     """
 
     def __init__(self, *, limit: float, clock: clock_lib.Clock, start_full: bool = False):
-        self._limit = _checked("limit", limit)
+        self._limit = _require_non_negative("limit", limit)
         self._clock = clock
         self._running = 0
         self._ended: collections.deque[float] = collections.deque()
-        self._full_until_s = clock.monotonic() + WINDOW_S if start_full else -math.inf
+        self._blocked_until_s = clock.monotonic() + WINDOW_S if start_full else -math.inf
 
     @property
     def limit(self) -> float:
-        """Most starts in one second."""
+        """Maximum number of starts in one second."""
         return self._limit
 
     def set_limit(self, limit: float) -> None:
         """Changes the limit; requests admitted before still count."""
-        self._limit = _checked("limit", limit)
+        self._limit = _require_non_negative("limit", limit)
 
     def used(self) -> int:
         """Returns the number of requests that count against the limit now."""
@@ -157,24 +158,24 @@
         return self._running + sum(ended_s + 1.0 >= now_s for ended_s in self._ended)
 
     def try_start(self) -> bool:
-        """Admits a request and returns True, or returns False when it does not fit."""
+        """Admits a request and returns True, or returns False if it does not fit."""
         now_s = self._clock.monotonic()
         while self._ended and self._ended[0] + 1.0 < now_s:
             self._ended.popleft()
-        if now_s < self._full_until_s or self._running + len(self._ended) + 1 > self._limit:
+        if now_s < self._blocked_until_s or self._running + len(self._ended) + 1 > self._limit:
             return False
         self._running += 1
         return True
 
     def end(self) -> None:
-        """Notes that an admitted request was answered or can no longer start."""
+        """Records that an admitted request was answered or can no longer start."""
         if self._running < 1:
-            raise ValueError("no request is running")
+            raise ValueError("end() was called without an admitted request")
         self._running -= 1
         self._ended.append(self._clock.monotonic())
 
 
-def _checked(name: str, value: float) -> float:
+def _require_non_negative(name: str, value: float) -> float:
     if not value >= 0:
         raise ValueError(f"{name} is {value}, expected a number of at least 0")
     return value
--- a/packages/core/tests/test_health.py
+++ b/packages/core/tests/test_health.py
@@ -1,4 +1,4 @@
-"""Tests of ejection by own observations."""
+"""Tests of the ejection of failing servers."""
 
 import random
 import unittest
@@ -35,7 +35,7 @@
         )
     )
     def test_at_most_a_third_is_ejected_and_due_probes_name_ejected_servers(self, steps):
-        """Guards against ejecting a whole pool when the instance's own network fails."""
+        """Guards against ejecting a whole pool when the network of this instance fails."""
         servers = _NAMES
         for step in steps:
             if isinstance(step, float):
@@ -53,7 +53,7 @@
             self.assertLessEqual(set(self.health.probes_due()), ejected)
 
     def test_only_consecutive_own_failures_eject(self):
-        """Guards against ejecting a server for shedding, cancelled calls or rare failures."""
+        """Guards against ejecting a server for shedding, cancelled calls or occasional failures."""
         for result in (_Result.OK, _Result.SHED, _Result.CANCELLED, _Result.LEAVING):
             for _ in range(4):
                 self.health.record("s0", _Result.TIMEOUT)
@@ -65,7 +65,7 @@
         self.assertTrue(self.health.is_ejected("s0"))
 
     def test_failed_probes_double_the_ejection_and_success_ends_it(self):
-        """Guards against probing a dead server at full pace, or ejecting a repaired one."""
+        """Guards against probing a dead server at full rate and keeping a repaired one ejected."""
         self._fail("s0")
         self.assertEqual(self.health.probes_due(), [])
         waits_s = []
--- a/packages/core/tests/test_model.py
+++ b/packages/core/tests/test_model.py
@@ -1,4 +1,4 @@
-"""Tests of the pools that a policy defines."""
+"""Tests of the pools defined by a policy."""
 
 import unittest
 
--- a/packages/core/tests/test_shift.py
+++ b/packages/core/tests/test_shift.py
@@ -25,22 +25,22 @@
         self.time = clock.ManualClock()
         self.shifts = shift.ShiftController(clock=self.time, rng=random.Random(1))
 
-    def _moved(self, weight):
-        return self.shifts.home_pool("crew-desk", "bkk", weight).region == "hkt"
+    def _is_moved(self, position):
+        return self.shifts.home_region("crew-desk", "bkk", position).region == "hkt"
 
     def test_moved_fraction_grows_at_its_pace_and_keeps_moved_callers(self):
-        """Guards against cold caches getting all requests at once, and callers moving back."""
+        """Guards against sending all requests to cold caches at once, and callers moving back."""
         self.shifts.set_shifts(_policy(_shift(fraction=0.5, pace_per_s=0.1)))
         moved = []
         for _ in range(8):
-            moved.append([self._moved(number / 20 + 0.01) for number in range(20)])
+            moved.append([self._is_moved(number / 20 + 0.01) for number in range(20)])
             self.time.advance(1)
         self.assertEqual([sum(each) for each in moved], [0, 2, 4, 6, 8, 10, 10, 10])
         for earlier, later in itertools.pairwise(moved):
             self.assertTrue(all(b or not a for a, b in zip(earlier, later, strict=True)))
 
     def test_other_policy_changes_keep_the_growth_and_removal_ends_it(self):
-        """Guards against restarting a shift at every revision, or continuing a stopped one."""
+        """Guards against restarting a shift at every revision, or continuing a removed one."""
         self.shifts.set_shifts(_policy(_shift()))
         self.time.advance(5)
         self.shifts.set_shifts(_policy(_shift(pace_per_s=0.2), _shift("z", "cnx", pace_per_s=0)))
@@ -52,16 +52,16 @@
         self.shifts.set_shifts(_policy(_shift(target="cnx")))
         self.assertEqual(self.shifts.fractions(), {"move": 0.0})
         self.shifts.set_shifts(_policy())
-        self.assertFalse(self._moved(0.0))
+        self.assertFalse(self._is_moved(0.0))
 
     def test_only_requests_of_the_source_move_and_several_shifts_add_up(self):
-        """Guards against moving other regions, and against one shift hiding another."""
+        """Guards against moving requests of other regions, and against ignoring a second shift."""
         self.shifts.set_shifts(_policy(_shift(fraction=0.25), _shift("z", "cnx", fraction=0.25)))
         self.time.advance(60)
-        decisions = [self.shifts.home_pool("crew-desk", "bkk", w / 4) for w in range(4)]
+        decisions = [self.shifts.home_region("crew-desk", "bkk", w / 4) for w in range(4)]
         self.assertEqual([each.region for each in decisions], ["hkt", "cnx", "bkk", "bkk"])
         self.assertEqual([each.shift_name for each in decisions], ["move", "z", None, None])
-        self.assertEqual(self.shifts.home_pool("crew-desk", "cnx", 0.0).region, "cnx")
-        self.assertEqual(self.shifts.home_pool("order-desk", "bkk", 0.0).region, "bkk")
-        drawn = [self.shifts.home_pool("crew-desk", "bkk").region for _ in range(1000)]
+        self.assertEqual(self.shifts.home_region("crew-desk", "cnx", 0.0).region, "cnx")
+        self.assertEqual(self.shifts.home_region("order-desk", "bkk", 0.0).region, "bkk")
+        drawn = [self.shifts.home_region("crew-desk", "bkk").region for _ in range(1000)]
         self.assertTrue(200 < drawn.count("hkt") < 300)
--- a/packages/core/tests/test_window.py
+++ b/packages/core/tests/test_window.py
@@ -1,4 +1,4 @@
-"""Tests of the one-second windows."""
+"""Tests of the limits for one-second windows."""
 
 import math
 import unittest
@@ -8,7 +8,7 @@
 
 from sassafrasway_core import clock, window
 
-# Steps of whole sub-windows and of whole seconds hit the borders of sub-windows and windows.
+# Steps near whole sub-windows and whole seconds exercise the boundaries of both.
 _STEPS_S = st.one_of(
     st.sampled_from([0.0, 0.001, 0.05, 0.1, 0.95, 1.0]), st.floats(min_value=0, max_value=1.2)
 )
@@ -23,10 +23,10 @@
         st.lists(st.tuples(_STEPS_S, st.integers(0, 6), st.integers(4, 10)), max_size=60)
     )
     def test_no_window_exceeds_the_limit(self, steps):
-        """Guards against a burst across a sub-window border, and against needless refusals.
+        """Guards against a burst across a sub-window boundary, and against unnecessary refusals.
 
-        The sum holds for one second at the receiver, whose messages may be delayed by up to
-        DELIVERY_SPREAD_S more than others: a demo run counted 21 starts against a cap of 20.
+        The limit applies to one second at the receiver, where message delays may differ by up to
+        DELIVERY_SPREAD_S: a demo run counted 21 starts with a cap of 20.
         """
         time = clock.ManualClock()
         limiter = window.SlidingWindow(limit=10, clock=time)
@@ -45,7 +45,7 @@
                 self.assertGreater(conservative + amount, limit)
 
     def test_retry_after_is_the_time_at_which_the_amount_fits(self):
-        """Guards against telling callers to come back too early, or much too late."""
+        """Guards against telling callers to retry too early or much too late."""
         time = clock.ManualClock()
         limiter = window.SlidingWindow(limit=10, clock=time)
         limiter.try_take(4)
@@ -57,7 +57,10 @@
         self.assertEqual(limiter.retry_after_s(11), math.inf)
 
     def test_full_start_admits_nothing_for_one_second(self):
-        """Guards against a new owner adding to what its predecessor has just admitted."""
+        """Guards against a new owner exceeding the limit.
+
+        The previous owner may have used up the limit less than a second ago.
+        """
         time = clock.ManualClock()
         limiter = window.SlidingWindow(limit=1, clock=time, start_full=True)
         limiter.set_limit(100)
@@ -68,7 +71,7 @@
         self.assertTrue(limiter.try_take(100))
 
     def test_infinite_limit_admits_everything_and_bad_numbers_are_refused(self):
-        """Guards against a region without a cap refusing requests, and against negative takes."""
+        """Guards against refusals in a region without a cap, and against negative amounts."""
         limiter = window.SlidingWindow(limit=math.inf, clock=clock.ManualClock(), start_full=True)
         self.assertTrue(limiter.try_take(10**9))
         for bad in (-1, math.nan):
@@ -87,7 +90,7 @@
         )
     )
     def test_starts_hold_the_limit_whatever_the_delays(self, arrivals):
-        """Guards against a cap that is passed at the servers because of unequal delays."""
+        """Guards against exceeding a cap at the servers because of unequal network delays."""
         limit = 5
         time = clock.ManualClock()
         limiter = window.CompletionWindow(limit=limit, clock=time)
@@ -106,7 +109,7 @@
             self.assertLessEqual(sum(first_s <= each <= first_s + 1.0 for each in starts), limit)
 
     def test_capacity_returns_one_second_after_the_answer(self):
-        """Guards against a window that never admits again, and against a full start ignored."""
+        """Guards against a window that never admits again or ignores ``start_full``."""
         time = clock.ManualClock()
         limiter = window.CompletionWindow(limit=1, clock=time, start_full=True)
         self.assertFalse(limiter.try_start())
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -70,7 +70,7 @@
         """
         home = self.region_of(client) or self._region
         weight = xxhash.xxh32_intdigest(f"{client}|{spread}".encode()) / _HASH_RANGE
-        decision = self._shifts.home_pool(service, home, weight)
+        decision = self._shifts.home_region(service, home, weight)
         by_region = self._pools.get(service, {})
         order = [decision.region]
         order += [each for each in self._distances.get(home, ()) if each != decision.region]
