--- a/packages/core/src/sassafrasway_core/health.py
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -31,7 +31,7 @@
     failures: int = 0
     ejections: int = 0
     ejected: bool = False
-    ejected_until_s: float = 0.0
+    until_s: float = 0.0
 
 
 class ServerHealth:
@@ -78,9 +78,9 @@
         """Returns the ejected servers whose ejection time has passed, the longest overdue first."""
         now_s = self._clock.monotonic()
         due = [
-            (record.ejected_until_s, name)
+            (record.until_s, name)
             for name, record in self._records.items()
-            if record.ejected and record.ejected_until_s <= now_s
+            if record.ejected and record.until_s <= now_s
         ]
         return [name for _, name in sorted(due)]
 
@@ -89,7 +89,7 @@
         self._records = {name: self._records.get(name) or _Record() for name in servers}
         self._failing &= self._records.keys()
         self._update_ejected()
-        by_end = sorted(self.ejected(), key=lambda name: self._records[name].ejected_until_s)
+        by_end = sorted(self.ejected(), key=lambda name: self._records[name].until_s)
         for name in by_end[: max(0, len(by_end) - self._max_ejected())]:
             self._records[name].ejected = False
         self._update_ejected()
@@ -116,7 +116,7 @@
         if succeeded:
             record.ejected = False
             record.failures = 0
-            record.ejected_until_s = self._clock.monotonic()
+            record.until_s = self._clock.monotonic()
             self._failing.discard(server)
             self._update_ejected()
         else:
@@ -125,7 +125,7 @@
     def _record_success(self, record: _Record) -> None:
         record.failures = 0
         # A late response to an old request does not end an ejection; only a successful probe does.
-        in_service_s = self._clock.monotonic() - record.ejected_until_s
+        in_service_s = self._clock.monotonic() - record.until_s
         if not record.ejected and in_service_s > MAX_EJECTION_S:
             record.ejections = 0
 
@@ -139,7 +139,7 @@
         ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0**record.ejections)
         jitter = 1.0 + EJECTION_JITTER * self._rng.random()
         record.ejections = min(record.ejections + 1, 32)
-        record.ejected_until_s = self._clock.monotonic() + ejection_s * jitter
+        record.until_s = self._clock.monotonic() + ejection_s * jitter
 
     def _update_ejected(self) -> None:
         self._ejected = frozenset(name for name, each in self._records.items() if each.ejected)
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -23,8 +23,8 @@
 Share = shares.Share
 SlotLease = pool_types.SlotLease
 
-# A server that shed a request has fewer free slots than the pool counted. For this long, servers
-# that did not shed are preferred, which gives its running requests time to finish.
+# After a server shed a request, other servers are preferred for this long. It has fewer free slots
+# than the pool counted, and its running requests need time to finish.
 SHED_PAUSE_S = 0.5
 
 
@@ -253,7 +253,7 @@
         return grants
 
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
-        """Counts slots that the previous owner still uses as occupied.
+        """Marks slots as occupied that the previous owner still uses.
 
         Args:
             counts: Slots in use per server.
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -107,7 +107,7 @@
         self.usable = share.slots(self.server.slots)
 
     def begin_lease(self, now_s: float) -> None:
-        """Counts a new lease and starts the ramp-up of a cold server."""
+        """Counts a new lease; starts the ramp-up if the server is cold or was idle for long."""
         if self._starts_cold(now_s):
             self._ramp_started_s = now_s
             self._cold = False
--- a/packages/core/tests/test_health.py
+++ b/packages/core/tests/test_health.py
@@ -35,7 +35,7 @@
         )
     )
     def test_at_most_a_third_is_ejected_and_due_probes_name_ejected_servers(self, steps):
-        """Guards against ejecting a whole pool when the network of this instance fails."""
+        """Guards against ejecting a whole pool when the instance's own network fails."""
         servers = _NAMES
         for step in steps:
             if isinstance(step, float):
@@ -65,7 +65,7 @@
         self.assertTrue(self.health.is_ejected("s0"))
 
     def test_failed_probes_double_the_ejection_and_success_ends_it(self):
-        """Guards against probing a dead server at full rate and keeping a repaired one ejected."""
+        """Guards against probing a dead server at full rate, or keeping a repaired one ejected."""
         self._fail("s0")
         self.assertEqual(self.health.probes_due(), [])
         waits_s = []
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -14,7 +14,7 @@
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(st.lists(st.integers(0, 8), max_size=20), st.integers(1, 30))
     def test_even_split_gives_every_slot_to_one_instance(self, slots, count):
-        """Guards against slots that two instances use, or that no instance uses."""
+        """Guards against two instances using one slot, and against slots that nobody uses."""
         servers = [pool_driver.server(f"s{i:02}", slots=n) for i, n in enumerate(slots)]
         split = placement.PLACEMENTS["even_split"]
         given = collections.Counter()
@@ -27,7 +27,7 @@
         self.assertLessEqual(max(totals) - min(totals), 1)
 
     def test_strategies_differ_in_forwarding_and_retries(self):
-        """Guards against a strategy that behaves like another one when they are compared."""
+        """Guards against a comparison in which one strategy has the traits of another."""
         servers = [pool_driver.server("a"), pool_driver.server("b")]
         traits = {}
         for name, each in placement.PLACEMENTS.items():
--- a/packages/core/tests/test_retry.py
+++ b/packages/core/tests/test_retry.py
@@ -12,7 +12,7 @@
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(st.lists(st.sampled_from([None, 0.01, 0.5, 30.0]), max_size=300))
     def test_retries_of_any_period_stay_within_the_budget(self, steps):
-        """Guards against retry storms that multiply the load, also after a quiet period."""
+        """Guards against retry storms, which multiply the load, even after a quiet period."""
         time = clock.ManualClock()
         budget = retry.RetryBudget(clock=time, ratio=0.1, minimum_per_s=1.0)
         spent_at = []
