Describe the faulty rules of the ownership scenarios

The replacements that the scenarios are tested with had no description, so a reader had to infer from the code which rule each one breaks. Each now names it. Two intervals of the coordinator are explained.

--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -25,12 +25,14 @@
 from sassafrasway_core import invariants as checks
 
 FOLLOW_RETRY_S = 0.5
+# An instance that has sent no message for this long is probed.
 PROBE_AFTER_S = 0.6
 PROBE_RETRY_S = 0.5
 HEARTBEAT_REQUEST_RETRY_S = 0.2
 # Time for the first instances of a new region to join before its pools are assigned. Without it,
 # the first instance would get all pools.
 REGION_FORMATION_S = 1.0
+# Minimum time between an assignment and a move that only evens out the numbers of pools.
 REBALANCE_S = 2.0
 
 
@@ -199,7 +201,7 @@
         ]
 
     def _refresh(self) -> None:
-        """Takes over the instances that were found to be gone since the last event."""
+        """Processes the instances that were found to be gone since the last event."""
         self._authority.refresh()
         if self._members.gone_count == self._gone_count:
             return
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -120,7 +120,7 @@
         return commands
 
     def on_reply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
-        """Processes a heartbeat reply; returns whether its grants were applied."""
+        """Processes a heartbeat reply; returns whether the reply was applied."""
         if reply.gone and reply.epoch >= self._grants.epoch:
             self._declared_gone = True
             self._grants.revoke()
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -117,7 +117,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PoolReport:
-    """An instance's report about one pool that it may use or still has requests in.
+    """An instance's report about one pool that it may use or whose slots its requests still use.
 
     Attributes:
         share: Share in force when the report was made.
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -78,7 +78,7 @@
 
 
 def successor_dies():
-    """A new coordinator dies before the old one, which cannot read the table, learns of it."""
+    """A new coordinator dies before the old one, cut off from the table, learns of the takeover."""
     run = _Scenario()
     run.table("down", run.leader, run.b)
     run.cut((run.leader, run.a), (run.a, run.b))
@@ -152,6 +152,7 @@
 
 
 def _promise_from_receipt(self, instance, stamp_s):
+    """Faulty rule: a promise starts when the coordinator receives it, not at ``stamp_s``."""
     del stamp_s
     _record_promise(self, instance, self._clock.monotonic())
 
@@ -163,6 +164,7 @@
 
 
 def _promise_always(self, *arguments):
+    """Faulty rule: a member makes promises while its candidate write is pending."""
     pending, self._pending = self._pending, None
     try:
         return _heartbeat(self, *arguments)
@@ -171,19 +173,22 @@
 
 
 def _promise_forgotten(self, *arguments):
+    """Faulty rule: a member may take over before its promise has ended."""
     command = _heartbeat(self, *arguments)
     self._promise_until_s = -math.inf
     return command
 
 
 def _drop_gone_always(self):
+    """Faulty rule: required members that are gone are dropped even without authority."""
     self._required_members = {
         each for each in self._required_members if not self._members.is_gone(each)
     }
     self._promised_until_s = None
 
 
-def _anyone_takes_over(self):
+def _unrecorded_takes_over(self):
+    """Faulty rule: an instance that the row does not name may take over."""
     row = self._row
     if row is not None:
         self._row = dataclasses.replace(row, members=(*row.members, self._me))
@@ -194,15 +199,18 @@
 
 
 def _holders_always_recorded(self, pending, version):
+    """Faulty rule: a new coordinator assumes that only recorded members hold grants."""
     _win(self, dataclasses.replace(pending, holders_recorded=True), version)
 
 
 def _everyone_is_recorded(self, instance):
+    """Faulty rule: instances are treated as recorded although the row does not name them."""
     del self, instance
     return True
 
 
-def _no_grants(self):
+def _no_earlier_grants(self):
+    """Faulty rule: a new coordinator does not wait until earlier grants have expired."""
     del self
     return -math.inf
 
@@ -211,6 +219,7 @@
 
 
 def _free_without_authority(self, member_id):
+    """Faulty rule: a free offline third is granted without authority."""
     permitted = _permitted_shares(self, member_id)
     for key, pool in self._holdings.assigned_to(member_id).items():
         if not pool.possible_offline_holders and key not in permitted:
@@ -219,21 +228,28 @@
 
 
 def _silent_is_gone(self, instance):
+    """Faulty rule: a silent instance is regarded as gone."""
     state = _state(self, instance)
     if state is membership.State.SILENT:
         self._mark_gone(instance)
     return state
 
 
+# Scenario, class and method that implement the rule, and the faulty replacement of the method.
 RULES = (
     (late_heartbeats, authority.Authority, "record_promise", _promise_from_receipt),
     (late_candidate_write, member.MemberState, "_heartbeat", _promise_always),
     (row_seen_before, member.MemberState, "_heartbeat", _promise_forgotten),
     (successor_dies, authority.Authority, "refresh", _drop_gone_always),
-    (new_instance_without_contact, member.MemberState, "_may_take_over", _anyone_takes_over),
+    (new_instance_without_contact, member.MemberState, "_may_take_over", _unrecorded_takes_over),
     (unrecorded_holder, member.MemberState, "_win", _holders_always_recorded),
     (unrecorded_holder, authority.Authority, "is_recorded", _everyone_is_recorded),
-    (unrecorded_holder, coordinator.CoordinatorState, "_earlier_grants_until_s", _no_grants),
+    (
+        unrecorded_holder,
+        coordinator.CoordinatorState,
+        "_earlier_grants_until_s",
+        _no_earlier_grants,
+    ),
     (
         holder_dies_after_takeover,
         coordinator.CoordinatorState,
