Reword the policy documents, schema, checks and block table

Several docstrings described the form of a document figuratively, and names such as touched, twice, _error and item did not say what they hold. Use the terms of the field: duplicate keys, canonical notation, changed objects, model type. Two error messages now say what was expected: a CIDR that is not canonical, and a duplicate server url.

--- a/packages/core/src/sassafrasway_core/__init__.py
+++ b/packages/core/src/sassafrasway_core/__init__.py
@@ -1,1 +1,1 @@
-"""Model and steering decisions of sassafrasway."""
+"""Data model and decision logic of sassafrasway, without network or disk access."""
--- a/packages/core/src/sassafrasway_core/documents.py
+++ b/packages/core/src/sassafrasway_core/documents.py
@@ -1,7 +1,7 @@
-"""Policy documents and changes as operators write them.
+"""Parsing, serialisation and comparison of policy documents and policy changes.
 
-A policy document is JSON with sections; each section maps names to objects. A change replaces or
-deletes whole objects. Parsing reports every problem of a document in one error.
+A policy document is a JSON object of sections; each section maps names to objects. A change
+replaces or deletes whole objects. Parsing reports all problems of a document in one error.
 """
 
 import dataclasses
@@ -13,6 +13,7 @@
 
 from sassafrasway_core import errors, model, policy_checks, policy_schema
 
+# Model objects by section and name.
 Sections = Mapping[str, Mapping[str, Any]]
 
 EMPTY_POLICY = model.Policy(revision=0, **{name: {} for name in policy_schema.SECTIONS})
@@ -23,7 +24,7 @@
     """A change of a policy.
 
     Attributes:
-        base_revision: Revision that the change was made for.
+        base_revision: Revision that the change applies to.
         change_id: Chosen by the operator; the same id is applied only once.
         author: Who made the change.
         sections: New model objects by section and name; None deletes the object.
@@ -41,21 +42,23 @@
 
 
 def parse_json(text: str | bytes) -> Any:
-    """Returns the value of a JSON text.
+    """Parses a JSON text and rejects duplicate keys and non-finite numbers.
 
     Raises:
-        errors.ValidationError: The text is malformed, or an object has a key twice.
+        errors.ValidationError: The text is malformed, or an object has a duplicate key.
     """
     try:
-        return json.loads(text, object_pairs_hook=_unique_pairs, parse_constant=_refuse_constant)
+        return json.loads(
+            text, object_pairs_hook=_reject_duplicate_keys, parse_constant=_reject_constant
+        )
     except RecursionError:
-        raise _error("malformed JSON: nested too deeply") from None
+        raise _malformed_json("malformed JSON: nested too deeply") from None
     except ValueError as error:
-        raise _error(f"malformed JSON: {error}") from None
+        raise _malformed_json(f"malformed JSON: {error}") from None
 
 
 def parse_policy(data: Any, *, revision: int) -> model.Policy:
-    """Returns the policy of a document that was read with ``parse_json``.
+    """Validates a parsed policy document and returns the policy.
 
     Raises:
         errors.ValidationError: The document is invalid; the message lists every problem.
@@ -63,16 +66,16 @@
     problems: list[policy_checks.Problem] = []
     sections = _parse_sections(data, problems, may_delete=False)
     complete = {name: sections.get(name, {}) for name in policy_schema.SECTIONS}
-    # An object with a problem of its own still exists, so references to it are no second problem.
+    # An invalid object counts as existing, so that references to it are not reported as well.
     raw = data if isinstance(data, Mapping) else {}
-    known = {name: _names(raw.get(name)) for name in policy_schema.SECTIONS}
+    known = {name: _object_names(raw.get(name)) for name in policy_schema.SECTIONS}
     problems.extend(policy_checks.find_problems(complete, known=known))
     policy_checks.raise_problems(problems, step="documents.parse_policy")
     return model.Policy(revision=revision, **complete)
 
 
 def dump_policy(policy: model.Policy) -> dict[str, dict[str, Any]]:
-    """Returns the document of a policy, sorted by name."""
+    """Returns the JSON document of a policy, with the objects of each section sorted by name."""
     return {
         section: {name: _dump(section, item) for name, item in sorted(objects.items())}
         for section, objects in sections_of(policy).items()
@@ -80,31 +83,31 @@
 
 
 def parse_change(data: Any) -> Change:
-    """Returns the change of a document that was read with ``parse_json``.
+    """Validates a parsed change document and returns the change.
 
     Raises:
         errors.ValidationError: The document is invalid; the message lists every problem.
     """
     problems: list[policy_checks.Problem] = []
-    head = None
+    header = None
     try:
-        head = policy_schema.ChangeDocument.model_validate(data)
+        header = policy_schema.ChangeDocument.model_validate(data)
     except pydantic.ValidationError as error:
         problems.extend(policy_schema.problems_of(error, policy_schema.ChangeDocument))
     raw = data.get("sections") if isinstance(data, Mapping) else None
     sections = _parse_sections(raw, problems, may_delete=True) if raw is not None else {}
     policy_checks.raise_problems(problems, step="documents.parse_change")
-    assert head is not None  # otherwise a problem was raised
+    assert header is not None  # raise_problems() has raised otherwise
     return Change(
-        base_revision=head.base_revision,
-        change_id=head.change_id,
-        author=head.author,
+        base_revision=header.base_revision,
+        change_id=header.change_id,
+        author=header.author,
         sections=sections,
     )
 
 
 def dump_change(change: Change) -> dict[str, Any]:
-    """Returns the document of a change."""
+    """Returns the JSON document of a change."""
     return {
         "base_revision": change.base_revision,
         "change_id": change.change_id,
@@ -114,7 +117,7 @@
 
 
 def parse_sections(data: Any) -> Sections:
-    """Returns the model objects of the sections of a change.
+    """Validates the parsed sections of a change and returns their model objects.
 
     Raises:
         errors.ValidationError: The sections are invalid.
@@ -126,7 +129,7 @@
 
 
 def dump_sections(sections: Sections) -> dict[str, dict[str, Any]]:
-    """Returns the documents of the sections of a change."""
+    """Returns the JSON document of the sections of a change."""
     return {
         section: {
             name: None if item is None else _dump(section, item) for name, item in objects.items()
@@ -136,13 +139,13 @@
 
 
 def apply_change(policy: model.Policy, change: Change) -> model.Policy:
-    """Returns the policy after a change; sections that it does not name stay the same objects.
+    """Returns the policy after a change; the unchanged sections are shared with the old policy.
 
-    Only the changed objects and what can refer to them are checked, because a policy of the design
-    size takes seconds to check in full.
+    Only the changed objects and the objects that can refer to them are checked, because a full
+    check takes seconds for a policy of the size that the system is designed for.
 
     Raises:
-        errors.ConflictError: The change was made for another revision.
+        errors.ConflictError: The change is based on another revision.
         errors.ValidationError: The result would be invalid; the message lists every problem.
     """
     step = "documents.apply_change"
@@ -152,17 +155,17 @@
             f" {policy.revision} is current",
             step=step,
         )
-    problems = list(_missing_deletions(policy, change.sections))
+    problems = list(_unknown_deletions(policy, change.sections))
     result = patch(policy, change.sections, revision=change.revision)
     sections = sections_of(result)
-    touched = {section: list(objects) for section, objects in change.sections.items()}
-    problems.extend(policy_checks.find_problems(sections, known=sections, touched=touched))
+    changed = {section: list(objects) for section, objects in change.sections.items()}
+    problems.extend(policy_checks.find_problems(sections, known=sections, changed=changed))
     policy_checks.raise_problems(problems, step=step)
     return result
 
 
 def patch(policy: model.Policy, sections: Sections, *, revision: int) -> model.Policy:
-    """Returns a policy with the given objects replaced or deleted, without checks."""
+    """Returns a policy with the given objects replaced or deleted, without validation."""
     changed = {}
     for section, objects in sections.items():
         merged = dict(getattr(policy, section))
@@ -231,7 +234,7 @@
     return parsed
 
 
-def _missing_deletions(policy: model.Policy, sections: Sections) -> Iterable[policy_checks.Problem]:
+def _unknown_deletions(policy: model.Policy, sections: Sections) -> Iterable[policy_checks.Problem]:
     for section, objects in sections.items():
         existing = getattr(policy, section)
         for name, item in objects.items():
@@ -247,22 +250,22 @@
     return policy_schema.SECTIONS[section].dump(item)
 
 
-def _names(objects: Any) -> Iterable[str]:
+def _object_names(objects: Any) -> Iterable[str]:
     return objects if isinstance(objects, Mapping) else ()
 
 
-def _unique_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     result = dict(pairs)
     if len(result) != len(pairs):
         seen: set[str] = set()
-        twice = [key for key, _ in pairs if key in seen or seen.add(key)]
-        raise ValueError(f"key {', '.join(map(repr, sorted(set(twice))))} occurs twice")
+        duplicates = [key for key, _ in pairs if key in seen or seen.add(key)]
+        raise ValueError(f"key {', '.join(map(repr, sorted(set(duplicates))))} occurs twice")
     return result
 
 
-def _refuse_constant(text: str) -> None:
+def _reject_constant(text: str) -> None:
     raise ValueError(f"{text} is not a JSON number")
 
 
-def _error(message: str) -> errors.ValidationError:
+def _malformed_json(message: str) -> errors.ValidationError:
     return errors.ValidationError(message, step="documents.parse_json")
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -1,4 +1,4 @@
-"""Maps the IP address of a client to the region of its block."""
+"""Maps client IP addresses to regions by the blocks that contain them."""
 
 import abc
 import array
@@ -11,16 +11,23 @@
 
 from sassafrasway_core import errors, model
 
-_MAX_REGION_NUMBER = 0xFFFF
-_KEY_BITS = 64
+_MAX_REGION_NUMBER = 0xFFFF  # region numbers are stored as unsigned 16-bit integers
+_KEY_BITS = 64  # bits of a key in one array element; longer keys take two
 
+# Address family and address length in bits by IP version.
 _FAMILIES = {4: (socket.AF_INET, 32), 6: (socket.AF_INET6, 128)}
-# Addresses that IPv6 reserves for IPv4 addresses (RFC 4291, section 2.5.5.2).
+# Prefix of IPv4-mapped IPv6 addresses (RFC 4291, section 2.5.5.2).
 _MAPPED_PREFIX = 0xFFFF << 32
 
 
 class Network(NamedTuple):
-    """A block of addresses; the key is the integer of its leading ``length`` bits."""
+    """A CIDR block of addresses.
+
+    Attributes:
+        version: IP version, 4 or 6.
+        length: Prefix length in bits.
+        key: The leading ``length`` bits of the addresses as an integer.
+    """
 
     version: int
     length: int
@@ -28,14 +35,14 @@
 
 
 def parse_network(cidr: str) -> Network:
-    """Returns the network of a block in its canonical spelling.
+    """Parses a CIDR block in canonical notation.
 
-    One spelling for each block makes the block's name in the policy unique. The address functions
-    of the socket module are about ten times as fast as ``ipaddress``; a table of 250,000 blocks is
-    built while the process serves requests.
+    Other notations are rejected, because the CIDR is the name of the block in the policy and has
+    to be unique. The functions of the socket module are about ten times as fast as ``ipaddress``,
+    which matters because a table of 250,000 blocks is built while the process serves requests.
 
     Raises:
-        errors.ValidationError: The text is no CIDR block or not its canonical spelling.
+        errors.ValidationError: The text is not a CIDR block in canonical notation.
     """
     text, _, length_text = cidr.partition("/")
     version, address = _parse(text)
@@ -48,19 +55,19 @@
         raise _invalid(f"{cidr!r} has host bits set")
     canonical = socket.inet_ntop(family, address.to_bytes(bits // 8, "big"))
     if canonical != text or str(length) != length_text:
-        raise _invalid(f"{cidr!r} is written {canonical}/{length}")
+        raise _invalid(f"{cidr!r} is not canonical; expected {canonical}/{length}")
     if version == 6 and address >> 32 == _MAPPED_PREFIX >> 32:
         raise _invalid(f"{cidr!r} is an IPv4-mapped block; expected its IPv4 form")
     return Network(version, length, address >> (bits - length))
 
 
 def parse_address(text: str) -> tuple[int, int]:
-    """Returns the IP version and the integer value of a client's address.
+    """Returns the IP version and the integer value of an address.
 
     An IPv4-mapped IPv6 address becomes an IPv4 address.
 
     Raises:
-        errors.ValidationError: The text is no IP address.
+        errors.ValidationError: The text is not an IP address.
     """
     version, address = _parse(text)
     if version == 6 and address >> 32 == _MAPPED_PREFIX >> 32:
@@ -84,17 +91,17 @@
 class BlockTable:
     """Longest prefix match over client blocks.
 
-    The blocks of each prefix length are in one sorted array: 10 bytes a block, or 18 bytes for
-    IPv6 prefixes longer than 64 bits. A lookup searches the arrays from the longest prefix to the
-    shortest one, and a changed block copies only one array.
+    The blocks of each prefix length are kept in a sorted array that takes 10 bytes per block, or
+    18 bytes for IPv6 prefixes longer than 64 bits. A lookup searches the arrays from the longest
+    prefix length to the shortest, and a changed block copies only the array of its length.
 
     Args:
-        blocks: Client blocks; every CIDR occurs once.
+        blocks: Client blocks, each with a different CIDR.
     """
 
     def __init__(self, *, blocks: Iterable[model.ClientBlock]):
         self._regions: list[str] = []
-        self._numbers: dict[str, int] = {}
+        self._region_numbers: dict[str, int] = {}
         self._prefixes: dict[int, dict[int, _Prefixes]] = {4: {}, 6: {}}
         entries: dict[tuple[int, int], list[tuple[int, int]]] = {}
         for block in blocks:
@@ -107,18 +114,18 @@
 
     def __len__(self) -> int:
         """Number of blocks."""
-        return sum(len(each) for each in self._arrays())
+        return sum(len(each) for each in self._prefix_arrays())
 
     @property
     def size_bytes(self) -> int:
-        """Memory of the arrays in bytes."""
-        return sum(each.size_bytes for each in self._arrays())
+        """Memory of the arrays of keys and region numbers, in bytes."""
+        return sum(each.size_bytes for each in self._prefix_arrays())
 
     def region_of(self, address: str) -> str | None:
         """Returns the region of the longest block that contains the address, or None.
 
         Raises:
-            errors.ValidationError: The text is no IP address.
+            errors.ValidationError: The text is not an IP address.
         """
         version, value = parse_address(address)
         bits = _FAMILIES[version][1]
@@ -129,21 +136,21 @@
         return None
 
     def updated(self, changes: Mapping[str, model.ClientBlock | None]) -> "BlockTable":
-        """Returns the table after changes by CIDR; None removes a block.
+        """Returns a new table with the given changes by CIDR; None removes a block.
 
-        Copies only the arrays of the changed prefix lengths, so that it is cheap enough to run
-        between requests.
+        Copies only the arrays of the changed prefix lengths, which is fast enough to run between
+        requests.
         """
         table = BlockTable(blocks=())
         table._regions = list(self._regions)
-        table._numbers = dict(self._numbers)
+        table._region_numbers = dict(self._region_numbers)
         table._prefixes = {version: dict(each) for version, each in self._prefixes.items()}
         copied: set[tuple[int, int]] = set()
         for cidr, block in changes.items():
-            table._change(cidr, block.region if block else None, copied)
+            table._apply_change(cidr, block.region if block else None, copied)
         return table
 
-    def _change(self, cidr: str, region: str | None, copied: set[tuple[int, int]]) -> None:
+    def _apply_change(self, cidr: str, region: str | None, copied: set[tuple[int, int]]) -> None:
         version, length, key = parse_network(cidr)
         by_length = self._prefixes[version]
         if (version, length) not in copied:
@@ -158,7 +165,7 @@
             prefixes.set(key, self._region_number(region))
 
     def _region_number(self, region: str) -> int:
-        number = self._numbers.setdefault(region, len(self._numbers))
+        number = self._region_numbers.setdefault(region, len(self._region_numbers))
         if number > _MAX_REGION_NUMBER:
             raise errors.ValidationError(
                 f"more than {_MAX_REGION_NUMBER + 1} regions", step="lookup.build"
@@ -167,51 +174,51 @@
             self._regions.append(region)
         return number
 
-    def _arrays(self) -> Iterator["_Prefixes"]:
+    def _prefix_arrays(self) -> Iterator["_Prefixes"]:
         for by_length in self._prefixes.values():
             yield from by_length.values()
 
 
 class _Prefixes(abc.ABC):
-    """Sorted keys of one prefix length and the region number of each key."""
+    """Prefixes of one length: sorted keys and the region number of each key."""
 
     def __init__(self):
-        self._numbers = array.array("H")
+        self._region_numbers = array.array("H")
 
     def __len__(self) -> int:
-        return len(self._numbers)
+        return len(self._region_numbers)
 
     @property
     def size_bytes(self) -> int:
         """Memory of the arrays in bytes."""
-        arrays = (self._numbers, *self._key_arrays())
+        arrays = (self._region_numbers, *self._key_arrays())
         return sum(len(each) * each.itemsize for each in arrays)
 
     def find(self, key: int) -> int | None:
         """Returns the region number of a key, or None."""
         index, found = self._position(key)
-        return self._numbers[index] if found else None
+        return self._region_numbers[index] if found else None
 
     def fill(self, entries: Iterable[tuple[int, int]]) -> None:
         """Adds sorted pairs of key and region number to empty arrays."""
         for index, (key, number) in enumerate(entries):
             self._insert_key(index, key)
-            self._numbers.append(number)
+            self._region_numbers.append(number)
 
     def set(self, key: int, number: int) -> None:
         """Sets the region number of a key."""
         index, found = self._position(key)
         if found:
-            self._numbers[index] = number
+            self._region_numbers[index] = number
         else:
             self._insert_key(index, key)
-            self._numbers.insert(index, number)
+            self._region_numbers.insert(index, number)
 
     def remove(self, key: int) -> None:
         """Removes a key if it exists."""
         index, found = self._position(key)
         if found:
-            for each in (self._numbers, *self._key_arrays()):
+            for each in (self._region_numbers, *self._key_arrays()):
                 del each[index]
 
     def copy(self) -> "_Prefixes":
@@ -227,7 +234,7 @@
 
     @abc.abstractmethod
     def _position(self, key: int) -> tuple[int, bool]:
-        """Returns the index of a key and whether it exists there."""
+        """Returns the index at which a key is or belongs, and whether the key exists."""
 
     @abc.abstractmethod
     def _insert_key(self, index: int, key: int) -> None:
@@ -253,7 +260,7 @@
 
 
 class _LongPrefixes(_Prefixes):
-    """Prefixes of more than 64 bits; the last 64 bits of each key are kept separately."""
+    """Prefixes of more than 64 bits; the low 64 bits of each key are in an array of their own."""
 
     def __init__(self):
         super().__init__()
--- a/packages/core/src/sassafrasway_core/policy_checks.py
+++ b/packages/core/src/sassafrasway_core/policy_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a policy that involve several of its objects."""
+"""Checks of the consistency between the objects of a policy."""
 
 import collections
 import dataclasses
@@ -8,11 +8,13 @@
 
 from sassafrasway_core import errors
 
-# An operator fixes the first problems first; one bad region can be referenced by 250,000 blocks.
+# Bounds the length of an error: one missing region can be referenced by 250,000 blocks. Operators
+# start with the first problems anyway.
 MAX_REPORTED_PROBLEMS = 100
-# Fractions are decimal numbers in the document, so their binary sum can exceed 1 by rounding.
+# The floating-point sum of decimal fractions that add up to 1 can exceed 1 by rounding.
 FRACTION_TOLERANCE = 1e-9
 
+# Fields that name an object of another section, as (field, section) pairs by section.
 _REFERENCES = {
     "servers": (("service", "services"), ("region", "regions")),
     "blocks": (("region", "regions"),),
@@ -23,7 +25,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Problem:
-    """One problem of a document; empty parts do not apply."""
+    """A problem in a document; attributes that do not apply are empty."""
 
     section: str = ""
     name: str = ""
@@ -40,7 +42,7 @@
 
 
 def raise_problems(problems: Iterable[Problem], *, step: str) -> None:
-    """Raises one error that lists all problems; does nothing when there are none.
+    """Raises one error that lists the problems; does nothing when there are none.
 
     Raises:
         errors.ValidationError: There is a problem.
@@ -58,45 +60,46 @@
     sections: Mapping[str, Mapping[str, Any]],
     *,
     known: Mapping[str, Collection[str]],
-    touched: Mapping[str, Collection[str]] | None = None,
+    changed: Mapping[str, Collection[str]] | None = None,
 ) -> Iterator[Problem]:
-    """Yields the problems between objects of a policy.
+    """Yields unknown references, duplicate server URLs and invalid shifts.
 
     Args:
         sections: Model objects by section and name.
         known: Names that count as existing, by section.
-        touched: Names by section that a change set or deleted; None checks everything. A deleted
-            region or service causes a check of everything that can refer to it.
+        changed: Names of the objects that a change set or deleted, by section; None checks all
+            objects. When a region or service was deleted, all objects that can refer to it are
+            checked.
     """
-    deleted = _has_deletion(sections, touched)
+    deleted = _has_deletion(sections, changed)
     for section, references in _REFERENCES.items():
         objects = sections[section]
-        for name in objects if deleted else _names(section, objects, touched):
+        for name in objects if deleted else _names_to_check(section, objects, changed):
             yield from _unknown_references(section, name, objects[name], references, known)
-    if touched is None or touched.get("servers"):
-        yield from _shared_urls(sections["servers"])
-    if touched is None or touched.get("shifts"):
+    if changed is None or changed.get("servers"):
+        yield from _duplicate_urls(sections["servers"])
+    if changed is None or changed.get("shifts"):
         yield from _shift_problems(sections["shifts"])
 
 
 def _has_deletion(
-    sections: Mapping[str, Mapping[str, Any]], touched: Mapping[str, Collection[str]] | None
+    sections: Mapping[str, Mapping[str, Any]], changed: Mapping[str, Collection[str]] | None
 ) -> bool:
-    if touched is None:
+    if changed is None:
         return False
     return any(
         name not in sections[section]
         for section in ("regions", "services")
-        for name in touched.get(section, ())
+        for name in changed.get(section, ())
     )
 
 
-def _names(
-    section: str, objects: Mapping[str, Any], touched: Mapping[str, Collection[str]] | None
+def _names_to_check(
+    section: str, objects: Mapping[str, Any], changed: Mapping[str, Collection[str]] | None
 ) -> Iterable[str]:
-    if touched is None:
+    if changed is None:
         return objects
-    return [name for name in touched.get(section, ()) if name in objects]
+    return [name for name in changed.get(section, ()) if name in objects]
 
 
 def _unknown_references(
@@ -117,7 +120,7 @@
             )
 
 
-def _shared_urls(servers: Mapping[str, Any]) -> Iterator[Problem]:
+def _duplicate_urls(servers: Mapping[str, Any]) -> Iterator[Problem]:
     by_url = collections.defaultdict(list)
     for name, server in servers.items():
         by_url[server.url].append(name)
@@ -127,7 +130,7 @@
                 section="servers",
                 name=name,
                 key="url",
-                detail=f"{url!r} is also the url of server {names[0]!r}; expected a url of its own",
+                detail=f"{url!r} is also the url of server {names[0]!r}; expected a unique url",
             )
 
 
--- a/packages/core/src/sassafrasway_core/policy_schema.py
+++ b/packages/core/src/sassafrasway_core/policy_schema.py
@@ -1,6 +1,6 @@
 """pydantic models of the objects in a policy document.
 
-The description of each field is the text that an error gives as the expected value.
+Error messages quote the description of a field as its expected value.
 """
 
 import dataclasses
@@ -23,7 +23,7 @@
 
 
 def _canonical_url(url: str) -> str:
-    """Returns ``http://IP:port``; one spelling makes a url that is used twice visible."""
+    """Returns the canonical form ``http://IP:port``, in which duplicate URLs compare equal."""
     parts = urllib.parse.urlsplit(url)
     rest = (parts.path.strip("/"), parts.query, parts.fragment, parts.username)
     if parts.scheme != "http" or parts.port is None or any(rest):
@@ -120,7 +120,7 @@
 
 
 class ChangeDocument(_Document):
-    """The head of a change; its sections are parsed one object at a time."""
+    """A change of a policy; the objects in its sections are parsed separately."""
 
     base_revision: int = pydantic.Field(ge=0, description="an integer of at least 0, revision")
     change_id: str = pydantic.Field(
@@ -132,37 +132,47 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Section:
-    """Parser of the objects of one section; subclasses differ in how names are used."""
+    """Converts the objects of one section between JSON documents and model objects.
+
+    Subclasses override how the name of an object is checked and which fields it sets.
+
+    Attributes:
+        title: Key of the section in a policy document.
+        document_type: pydantic model of the objects.
+        model_type: Class of the model objects.
+        enum_types: Enum classes by the key of the field that holds a value of the enum.
+    """
 
     title: str
-    document: type[_Document]
-    item: type
-    enums: Mapping[str, type[enum.Enum]] = dataclasses.field(default_factory=dict)
+    document_type: type[_Document]
+    model_type: type
+    enum_types: Mapping[str, type[enum.Enum]] = dataclasses.field(default_factory=dict)
 
     def parse(self, name: str, data: Any, problems: list[policy_checks.Problem]) -> Any | None:
-        """Returns the model object, or None after adding its problems."""
-        found = len(problems)
+        """Returns the model object, or None after appending the problems that were found."""
+        count_before = len(problems)
         problems.extend(self._name_problems(name))
         try:
-            document = self.document.model_validate(data)
+            document = self.document_type.model_validate(data)
         except pydantic.ValidationError as error:
-            problems.extend(problems_of(error, self.document, section=self.title, name=name))
-        if len(problems) > found:
+            problems.extend(problems_of(error, self.document_type, section=self.title, name=name))
+        if len(problems) > count_before:
             return None
         fields = vars(document)
-        for key, enum_type in self.enums.items():
+        for key, enum_type in self.enum_types.items():
             fields[key] = enum_type(fields[key])
-        return self.item(**self._name_fields(name), **fields)
+        return self.model_type(**self._name_fields(name), **fields)
 
     def dump(self, item: Any) -> dict[str, Any]:
-        """Returns the document of a model object."""
+        """Returns the JSON document of a model object."""
         result = {}
-        for key in self.document.model_fields:
+        for key in self.document_type.model_fields:
             value = getattr(item, key)
             result[key] = value.value if isinstance(value, enum.Enum) else value
         return result
 
     def _name_fields(self, name: str) -> dict[str, str]:
+        """Returns the fields of the model object that its name sets."""
         return {"name": name}
 
     def _name_problems(self, name: str) -> Iterator[policy_checks.Problem]:
@@ -174,7 +184,7 @@
 
 
 class _LinkSection(Section):
-    """Links are named after the regions at their ends."""
+    """Links, whose name ``a/b`` consists of the regions at their ends."""
 
     def _name_fields(self, name: str) -> dict[str, str]:
         source, _, target = name.partition("/")
@@ -188,7 +198,7 @@
 
 
 class _BlockSection(Section):
-    """Blocks are named by their CIDR."""
+    """Client blocks, whose name is their CIDR."""
 
     def _name_fields(self, name: str) -> dict[str, str]:
         return {"cidr": name}
@@ -221,11 +231,11 @@
     section: str = "",
     name: str = "",
 ) -> Iterator[policy_checks.Problem]:
-    """Yields the problems that pydantic found in one document."""
+    """Yields the validation errors of one document as problems, at most one for each key."""
     reported = set()
     for detail in error.errors(include_url=False, include_context=False):
         key = str(detail["loc"][0]) if detail["loc"] else ""
-        # A value that may be null is reported once for each alternative.
+        # pydantic reports one error for each alternative of a nullable field; keep the first.
         if key not in reported:
             reported.add(key)
             text = _problem_text(document, key, detail)
--- a/packages/core/tests/test_documents.py
+++ b/packages/core/tests/test_documents.py
@@ -36,7 +36,7 @@
 
 class PolicyTest(unittest.TestCase):
     def test_round_trip(self):
-        """Guards against a document that loses a value on its way through the model."""
+        """Guards against values that are lost when a policy is parsed and dumped again."""
         policy = documents.parse_policy(_POLICY, revision=3)
         dumped = json.loads(json.dumps(documents.dump_policy(policy)))
         self.assertEqual(documents.parse_policy(dumped, revision=3), policy)
@@ -44,7 +44,7 @@
         self.assertEqual(policy.servers["crew-1"].state, model.ServerState.ACTIVE)
 
     def test_each_mistake_is_named(self):
-        """Guards against a bad policy in force, and against an error that hides its place."""
+        """Guards against accepting an invalid policy, and against errors without the location."""
         cases = [
             (("regions", "bkk", "cap_rps"), -1, "'bkk' key 'cap_rps': -1", "requests/s"),
             (("links", "bkk/hkt", "cap_mbit_s"), -5, "'bkk/hkt' key 'cap_mbit_s'", "Mbit/s"),
@@ -86,7 +86,7 @@
                 self.assertIn(expected, caught.exception.message)
 
     def test_every_problem_in_one_error(self):
-        """Guards against operators who need one attempt for each mistake."""
+        """Guards against reporting only the first problem, which costs one attempt per mistake."""
         document = copy.deepcopy(_POLICY)
         document["regions"]["bkk"]["cap_rps"] = -1
         document["servers"]["crew-1"].update(slots=0, service="none")
@@ -96,14 +96,14 @@
         self.assertEqual(len(caught.exception.message.splitlines()), 3)
 
     def test_malformed_json(self):
-        """Guards against duplicate names, of which a JSON parser silently keeps the last."""
-        twice = '{"servers": {"crew-1": {}, "crew-1": {}}}'
-        for text in (twice, '{"a": NaN}', "{", "", b"\xff", "[" * 100_000):
+        """Guards against duplicate names, of which json.loads silently keeps only the last."""
+        duplicate = '{"servers": {"crew-1": {}, "crew-1": {}}}'
+        for text in (duplicate, '{"a": NaN}', "{", "", b"\xff", "[" * 100_000):
             with self.subTest(text=text[:20]), self.assertRaises(errors.ValidationError) as caught:
                 documents.parse_json(text)
             self.assertIn("malformed JSON", caught.exception.message)
         with self.assertRaisesRegex(errors.ValidationError, "'crew-1' occurs twice"):
-            documents.parse_json(twice)
+            documents.parse_json(duplicate)
 
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(
@@ -120,7 +120,7 @@
         )
     )
     def test_any_json_gives_a_result_or_a_validation_error(self, data):
-        """Guards against input that escapes as an untyped error and stops the handler."""
+        """Guards against other exceptions on invalid input, which the handler does not catch."""
         for parse in (lambda d: documents.parse_policy(d, revision=1), documents.parse_change):
             try:
                 parse(data)
@@ -133,7 +133,10 @@
         self.policy = documents.parse_policy(_POLICY, revision=1)
 
     def test_apply_and_difference(self):
-        """Guards against a rollback that does not restore the old content."""
+        """Guards against a rollback that does not restore the old content.
+
+        A rollback applies the difference from the current policy to the old one.
+        """
         change = _change(
             servers={"crew-1": {**_SERVER, "state": "leaving"}}, shifts={"festival": None}
         )
@@ -147,7 +150,7 @@
         self.assertEqual(documents.difference(self.policy, result), change.sections)
 
     def test_invalid_results_are_refused(self):
-        """Guards against a change that is well-formed but breaks references of the policy."""
+        """Guards against accepting a well-formed change whose result is inconsistent."""
         cases = [
             (_change(regions={"bkk": None}), "unknown region 'bkk'"),
             (_change(services={"crew-desk": None}), "unknown service 'crew-desk'"),
@@ -162,7 +165,7 @@
             documents.apply_change(self.policy, _change(base=2))
 
     def test_malformed_changes(self):
-        """Guards against a change without identity or with a cap below zero."""
+        """Guards against accepting a change with an invalid or unknown key, or an invalid cap."""
         good = documents.dump_change(_change(regions={"bkk": {"cap_rps": 1}}))
         self.assertEqual(documents.dump_change(documents.parse_change(good)), good)
         cases = {
@@ -189,7 +192,7 @@
         return self.log.append(_change(base=base, change_id=f"c{base}", regions=region))
 
     def test_changes_follow_each_other(self):
-        """Guards against a peer that misses a change, or that gets one twice."""
+        """Guards against a peer that misses a change or applies one twice."""
         self.assertEqual([self._append(base) for base in (0, 0, 2, 1, 2)], [1, 0, 0, 1, 1])
         self.assertEqual(self.log.revision, 3)
         self.assertEqual([change.revision for change in self.log.since(1)], [2, 3])
@@ -197,7 +200,7 @@
         self.assertEqual([self.log.find(f"c{n}") for n in range(3)], [None, 2, 3])
 
     def test_revision_never_decreases(self):
-        """Guards against an old policy that comes back in force."""
+        """Guards against an older policy that replaces a newer one."""
         newer = documents.parse_policy(_POLICY, revision=7)
         self.assertTrue(self.log.install(newer, change_ids={"c6": 7}))
         self.assertFalse(self.log.install(documents.parse_policy({}, revision=6)))
--- a/packages/core/tests/test_lookup.py
+++ b/packages/core/tests/test_lookup.py
@@ -1,4 +1,4 @@
-"""Tests of the client block table against the ipaddress module."""
+"""Tests of the client block table, with the ipaddress module as the reference."""
 
 import ipaddress
 import unittest
@@ -13,7 +13,7 @@
 
 @strategies.composite
 def _networks(draw):
-    """Draws networks of few distinct high bits, so that many of them are nested or adjacent."""
+    """Draws networks with few different high bits, so that many are nested or adjacent."""
     version, bits = draw(strategies.sampled_from([(4, 32), (6, 128)]))
     length = draw(strategies.sampled_from([0, 1, 2, 3, 8, bits // 2, bits // 2 + 1, bits]))
     top = draw(strategies.integers(0, 7)) << (bits - 3)
@@ -44,7 +44,7 @@
         strategies.sets(_networks(), max_size=12), strategies.sets(_networks(), max_size=6)
     )
     def test_longest_prefix_match(self, networks, earlier):
-        """Guards against wrong regions with nested or adjacent blocks and at block borders."""
+        """Guards against wrong regions for nested or adjacent blocks and at block boundaries."""
         blocks = _blocks(networks)
         self._check(lookup.BlockTable(blocks=blocks.values()), networks)
         old = {**_blocks(earlier), **dict(list(blocks.items())[::2])}
@@ -68,7 +68,7 @@
                 self.assertEqual(table.region_of(str(address)), _expected(networks, address))
 
     def test_size_per_block(self):
-        """Guards against a table that takes more memory than a small instance can spare."""
+        """Guards against a table that takes too much memory for a small instance."""
         blocks = [
             model.ClientBlock(cidr=f"2001:db8:{2 * i:x}::/48", region="r") for i in range(1, 1001)
         ]
@@ -76,13 +76,16 @@
         self.assertLessEqual(table.size_bytes, 40 * len(blocks))
 
     def test_mapped_address_is_ipv4(self):
-        """Guards against clients of a dual-stack socket that match no block."""
+        """Guards against IPv4 clients of a dual-stack socket that match no block.
+
+        Such a socket reports IPv4 clients with IPv4-mapped IPv6 addresses.
+        """
         table = lookup.BlockTable(blocks=[model.ClientBlock(cidr="10.0.0.0/8", region="bkk")])
         self.assertEqual(table.region_of("::ffff:10.1.2.3"), "bkk")
         self.assertIsNone(table.region_of("::1"))
 
     def test_bad_input(self):
-        """Guards against two spellings of one block and against untyped errors."""
+        """Guards against accepting two notations of one block, and against untyped exceptions."""
         for cidr in (
             "10.0.0.1/8",
             "10.0.0.0/255.0.0.0",
