Reword the operators' command and the test runner

Help texts and docstrings used private phrases (beliefs of an instance, work, the system as wanted), and names such as own, near, values and _keep did not say what they hold. Use the usual terms: state changes, requests, desired policy, change options. The sample handler of the tests now says what it records and how it loses replies.

Output formats, log fields, option names and exit codes are unchanged. The texts of three errors changed: no instance answered, no log line mentions the request (its test with it), and the hint to repeat a change. One test of trace was renamed, because it spoke of beliefs.

The runner's list of known failures was read and matched in a trial run without the tests; the complete suites were not run.

--- a/packages/ctl/src/sassafrasway_ctl/client.py
+++ b/packages/ctl/src/sassafrasway_ctl/client.py
@@ -9,20 +9,21 @@
 from sassafrasway_rpc import schema
 
 DEFAULT_TIMEOUT_S = 10.0
-# An answer that is lost in the first round is found by its change id in the second one.
+# When the reply to a change is lost in the first round, the second round repeats the change and
+# finds it applied under its change id.
 ROUNDS = 2
-PAUSE_S = 0.3
+PAUSE_BETWEEN_ROUNDS_S = 0.3
 
 
 class OperatorClient:
-    """Calls operators' methods of any of several entry instances.
+    """Calls methods of the Operator service, trying several entry instances in turn.
 
     Every change carries a change id, so that a call can be repeated at another instance even when
     the first one may have accepted it.
 
     Args:
         addresses: ``host:port`` of the instances in order of preference.
-        timeout_s: Limit of each attempt in seconds.
+        timeout_s: Timeout of each attempt in seconds.
     """
 
     def __init__(self, *, addresses: Sequence[str], timeout_s: float = DEFAULT_TIMEOUT_S):
@@ -30,11 +31,11 @@
         self._timeout_s = timeout_s
 
     def call(self, method: str, **arguments: Any) -> Any:
-        """Returns the result of a method.
+        """Calls a method and returns its result.
 
         Raises:
-            errors.UnavailableError: No instance answered, or none reaches the store.
-            errors.SassafraswayError: An instance refused the call.
+            errors.UnavailableError: No instance answered, or none could reach the store.
+            errors.SassafraswayError: An instance answered with an error.
         """
         return asyncio.run(self._call(method, arguments))
 
@@ -42,14 +43,14 @@
         failures = {}
         for attempt in range(ROUNDS):
             if attempt:
-                await asyncio.sleep(PAUSE_S)
+                await asyncio.sleep(PAUSE_BETWEEN_ROUNDS_S)
             for address in self._addresses:
                 try:
                     return await self._call_one(address, method, arguments)
                 except errors.UnavailableError as error:
-                    failures[address] = str(error)  # names the peer, which may be the store
+                    failures[address] = str(error)  # includes the peer, which may be the store
         reasons = "; ".join(f"{address}: {reason}" for address, reason in failures.items())
-        raise errors.UnavailableError(f"no instance answers: {reasons}", step=f"ctl.{method}")
+        raise errors.UnavailableError(f"no instance answered: {reasons}", step=f"ctl.{method}")
 
     async def _call_one(self, address: str, method: str, arguments: dict[str, Any]) -> Any:
         client = rpc_client.RpcClient(
--- a/packages/ctl/src/sassafrasway_ctl/commands.py
+++ b/packages/ctl/src/sassafrasway_ctl/commands.py
@@ -24,11 +24,11 @@
 def apply(settings: options.Options, file: BinaryIO, change: options.ChangeOptions) -> None:
     """Applies a full policy document or a change file.
 
-    Reads JSON from FILE, or from the standard input without FILE or with "-". A full document
-    that names the "revision" it was read from is refused when that is no longer current.
+    Reads JSON from FILE, or from the standard input if FILE is omitted or "-". A full document
+    with a "revision" key is rejected when that revision is no longer current.
     """
     operator = settings.client()
-    plan = policy_files.plan(file.read(), values=change, operator=operator, compare=False)
+    plan = policy_files.plan(file.read(), change_options=change, operator=operator, compare=False)
     if plan.current is not None and not plan.change.sections:
         _show_unchanged(settings, plan.current.revision)
         return
@@ -41,17 +41,21 @@
 @_POLICY_FILE
 @click.pass_obj
 def diff(settings: options.Options, file: BinaryIO) -> None:
-    """Shows what apply would change."""
-    values = options.ChangeOptions(change_id="diff", author="diff", base_revision=None)
-    plan = policy_files.plan(file.read(), values=values, operator=settings.client(), compare=True)
+    """Shows the changes that apply would make."""
+    change = options.ChangeOptions(change_id="diff", author="diff", base_revision=None)
+    plan = policy_files.plan(
+        file.read(), change_options=change, operator=settings.client(), compare=True
+    )
     output.show_difference(
-        plan.current, plan.wanted, plan.change.sections, as_json=settings.as_json
+        plan.current, plan.desired, plan.change.sections, as_json=settings.as_json
     )
 
 
 @click.command()
 @options.shared
-@click.option("--revision", type=click.IntRange(1, options.MAX_REVISION), help="An older revision.")
+@click.option(
+    "--revision", type=click.IntRange(1, options.MAX_REVISION), help="Older revision to print."
+)
 @click.pass_obj
 def get(settings: options.Options, revision: int | None) -> None:
     """Prints the policy as a document that apply accepts."""
@@ -81,7 +85,7 @@
 @click.argument("revision", type=click.IntRange(0, options.MAX_REVISION))
 @click.pass_obj
 def rollback(settings: options.Options, revision: int, change: options.ChangeOptions) -> None:
-    """Makes a new revision with the content of REVISION."""
+    """Restores the content of REVISION as a new revision."""
     _change(settings, change, "rollback", revision=revision)
 
 
@@ -94,12 +98,12 @@
 @options.shared
 @options.change
 @click.argument("name")
-@click.option("--service", required=True, help="Service whose requests move.")
+@click.option("--service", required=True, help="Service whose requests are shifted.")
 @click.option(
-    "--source", "--from", "source", required=True, help="Home region whose requests move."
+    "--source", "--from", "source", required=True, help="Home region whose requests are shifted."
 )
 @click.option("--target", "--to", "target", required=True, help="Region that receives them.")
-@click.option("--cap-rps", type=float, required=True, help="Highest rate moved, requests/s.")
+@click.option("--cap-rps", type=float, required=True, help="Maximum shifted rate, requests/s.")
 @click.option("--fraction", type=float, default=1.0, show_default=True, help="Final share, 0 to 1.")
 @click.option(
     "--pace-per-s", type=float, default=0.1, show_default=True, help="Growth of the share, 1/s."
@@ -137,7 +141,7 @@
 def drain_server(
     settings: options.Options, name: str, cancel: bool, change: options.ChangeOptions
 ) -> None:
-    """Gives no new work to the backend server NAME."""
+    """Stops sending new requests to the backend server NAME."""
     kind = schema.config.DrainKind.SERVER
     _change(settings, change, "drain", kind=kind, name=name, cancel=cancel)
 
@@ -148,7 +152,7 @@
 @click.argument("name")
 @click.pass_obj
 def drain_instance(settings: options.Options, name: str, change: options.ChangeOptions) -> None:
-    """Starts the graceful stop of the entry instance NAME."""
+    """Starts the graceful shutdown of the entry instance NAME."""
     kind = schema.config.DrainKind.INSTANCE
     settings.client().call("drain", kind=kind, name=name, meta=change.meta(), cancel=False)
     if settings.as_json:
@@ -161,7 +165,7 @@
 @options.shared
 @click.pass_obj
 def status(settings: options.Options) -> None:
-    """Shows the state of the instance that answers, in short."""
+    """Shows a summary of the state of the instance that answers."""
     output.show_state(json.loads(settings.client().call("status")), as_json=settings.as_json)
 
 
@@ -177,13 +181,13 @@
 @click.argument("shell", type=click.Choice(_SHELLS))
 @click.pass_context
 def completion(context: click.Context, shell: str) -> None:
-    """Prints the script that completes commands in SHELL.
+    """Prints the script that enables command completion in SHELL.
 
     For bash: eval "$(sassafrasctl completion bash)"
     """
     completer = shell_completion.get_completion_class(shell)
     script = completer(context.find_root().command, {}, PROGRAM, _COMPLETE_VARIABLE)
-    # The base class's method, because the one for bash starts a bash to ask for its version.
+    # Calls the base class method, because the bash subclass runs bash to get its version.
     click.echo(shell_completion.ShellComplete.source(script))
 
 
@@ -201,8 +205,8 @@
         reply = settings.client().call(method, **arguments)
     except errors.UnavailableError as error:
         raise errors.UnavailableError(
-            f"{error.message}\nThe change may have been accepted. To make sure of it, repeat the"
-            f" command with --change-id {change_id}",
+            f"{error.message}\nThe change may have been accepted. To make sure, repeat the command"
+            f" with --change-id {change_id}",
             step=error.step,
         ) from error
     output.show_change(reply, change_id=change_id, as_json=settings.as_json)
--- a/packages/ctl/src/sassafrasway_ctl/main.py
+++ b/packages/ctl/src/sassafrasway_ctl/main.py
@@ -8,8 +8,8 @@
 from sassafrasway_ctl import commands, options, output, trace
 
 
-class _Group(click.Group):
-    """Turns errors of the system into exit codes."""
+class _ErrorReportingGroup(click.Group):
+    """Command group that reports sassafrasway errors with their exit codes."""
 
     def invoke(self, context: click.Context) -> Any:
         """See base class."""
@@ -21,11 +21,12 @@
 
 
 @click.group(
-    cls=_Group, context_settings={"default_map": None, "help_option_names": ["-h", "--help"]}
+    cls=_ErrorReportingGroup,
+    context_settings={"default_map": None, "help_option_names": ["-h", "--help"]},
 )
 @options.shared
 def cli() -> None:
-    """Writes and inspects the steering policy of sassafrasway.
+    """Changes and inspects the steering policy of sassafrasway.
 
     Exit codes: 0 success, 1 failure, 2 usage, 3 conflict, 4 unavailable.
     """
--- a/packages/ctl/src/sassafrasway_ctl/options.py
+++ b/packages/ctl/src/sassafrasway_ctl/options.py
@@ -1,4 +1,4 @@
-"""Options that all commands share."""
+"""Options that are shared by several commands."""
 
 import dataclasses
 import functools
@@ -16,19 +16,19 @@
 ADDRESS_VARIABLE = "SASSAFRASCTL_ADDRESS"
 AUTHOR_VARIABLE = "SASSAFRASCTL_AUTHOR"
 MAX_PORT = 65535
-MAX_REVISION = 2**63 - 1  # i64 of Thrift
+MAX_REVISION = 2**63 - 1  # revisions are Thrift i64 values
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Options:
-    """Values of the shared options."""
+    """Values of the options that ``shared`` adds."""
 
     addresses: tuple[str, ...] = ()
     timeout_s: float = client.DEFAULT_TIMEOUT_S
     as_json: bool = False
 
     def client(self) -> client.OperatorClient:
-        """Returns a client of the given addresses, or of those in the environment.
+        """Returns a client for the given addresses, or for those in the environment.
 
         Raises:
             click.UsageError: No address is given, or one is malformed.
@@ -52,21 +52,21 @@
     base_revision: int | None
 
     def meta(self) -> Any:
-        """Returns the Thrift form."""
+        """Returns the Thrift struct that accompanies the call."""
         return schema.config.ChangeMeta(
             change_id=self.change_id, author=self.author, base_revision=self.base_revision
         )
 
 
 def shared(command: Callable) -> Callable:
-    """Adds the shared options, so that they can stand before or after the command's name."""
+    """Adds the shared options; they are accepted before and after the name of the command."""
     add_json = click.option(
         "--json",
         "as_json",
         is_flag=True,
         default=None,
         expose_value=False,
-        callback=_keep,
+        callback=_store_value,
         help="Print JSON.",
     )
     add_timeout = click.option(
@@ -75,8 +75,8 @@
         type=click.FloatRange(min=0, min_open=True),
         metavar="SECONDS",
         expose_value=False,
-        callback=_keep,
-        help=f"Limit of each attempt. [default: {client.DEFAULT_TIMEOUT_S:g}]",
+        callback=_store_value,
+        help=f"Timeout of each attempt. [default: {client.DEFAULT_TIMEOUT_S:g}]",
     )
     add_address = click.option(
         "--address",
@@ -84,8 +84,8 @@
         multiple=True,
         metavar="HOST:PORT",
         expose_value=False,
-        callback=_keep,
-        help="RPC address of an entry instance; repeat it to name others that are tried next."
+        callback=_store_value,
+        help="RPC address of an entry instance; repeat the option for instances to try next."
         f" [env: {ADDRESS_VARIABLE}, separated by spaces]",
     )
     return add_address(add_timeout(add_json(command)))
@@ -101,13 +101,13 @@
     add_author = click.option(
         "--author",
         default=_default_author,
-        help=f"Recorded author. [env: {AUTHOR_VARIABLE}; default: login name]",
+        help=f"Author recorded with the change. [env: {AUTHOR_VARIABLE}; default: login name]",
         envvar=AUTHOR_VARIABLE,
     )
     add_id = click.option(
         "--change-id",
-        help="Id of the change; give that of an earlier attempt to make sure that it is applied"
-        " only once. [default: random]",
+        help="Id of the change; repeat the id of an earlier attempt to apply the change only once."
+        " [default: random]",
     )
 
     @functools.wraps(command)
@@ -127,7 +127,7 @@
         return "unknown"
 
 
-def _keep(context: click.Context, parameter: click.Parameter, value: Any) -> None:
+def _store_value(context: click.Context, parameter: click.Parameter, value: Any) -> None:
     options = context.ensure_object(Options)
     if value not in (None, ()):
         setattr(options, parameter.name, value)
--- a/packages/ctl/src/sassafrasway_ctl/output.py
+++ b/packages/ctl/src/sassafrasway_ctl/output.py
@@ -1,4 +1,4 @@
-"""Human-readable and JSON output."""
+"""Human-readable and JSON output of the commands."""
 
 import datetime
 import json
@@ -23,7 +23,7 @@
 
 
 class CommandError(click.ClickException):
-    """An error of the system as the end of a command."""
+    """Ends a command with the message and the exit code of a sassafrasway error."""
 
     def __init__(self, error: errors.SassafraswayError, *, as_json: bool):
         super().__init__(str(error))
@@ -50,7 +50,7 @@
 
 
 def show_json(value: Any, *, compact: bool) -> None:
-    """Prints JSON in one line or indented."""
+    """Prints a value as JSON, on one line or indented."""
     click.echo(json.dumps(value) if compact else json.dumps(value, indent=2))
 
 
@@ -74,12 +74,12 @@
         click.echo(
             f"{entry.revision:>8}  {time:%Y-%m-%d %H:%M:%S}Z  {entry.author}  {entry.change_id}"
         )
-        for line in _summary(json.loads(entry.sections_json)):
+        for line in _change_summary(json.loads(entry.sections_json)):
             click.echo(f"          {line}")
 
 
 def show_state(value: Any, *, as_json: bool) -> None:
-    """Prints the state of an instance as one ``key: value`` line for each leaf."""
+    """Prints the state of an instance as one ``path: value`` line for each leaf value."""
     if as_json:
         show_json(value, compact=True)
         return
@@ -106,24 +106,25 @@
 def _object_lines(
     before: Mapping[str, Any] | None, after: Mapping[str, Any] | None
 ) -> Iterator[str]:
-    """Yields lines with the place left open as ``{place}``."""
+    """Yields format strings for the lines of one object; ``{place}`` is its section and name."""
     if before is None or after is None:
         sign, fields = ("+", after) if before is None else ("-", before)
         yield f"{sign} {{place}}"
         for key, value in (fields or {}).items():
-            yield f"{sign}   {key}: {_escaped(value)}"
+            yield f"{sign}   {key}: {_escaped_json(value)}"
         return
     yield "~ {place}"
     for key, value in after.items():
         if value != before[key]:
-            yield f"~   {key}: {_escaped(before[key])} -> {_escaped(value)}"
+            yield f"~   {key}: {_escaped_json(before[key])} -> {_escaped_json(value)}"
 
 
-def _escaped(value: Any) -> str:
+def _escaped_json(value: Any) -> str:
+    """Returns a value as JSON, with braces escaped for ``str.format``."""
     return json.dumps(value).replace("{", "{{").replace("}", "}}")
 
 
-def _summary(sections: Mapping[str, Mapping[str, Any]]) -> Iterator[str]:
+def _change_summary(sections: Mapping[str, Mapping[str, Any]]) -> Iterator[str]:
     for section, objects in sections.items():
         deleted = [name for name, item in objects.items() if item is None]
         changed = [name for name, item in objects.items() if item is not None]
--- a/packages/ctl/src/sassafrasway_ctl/trace.py
+++ b/packages/ctl/src/sassafrasway_ctl/trace.py
@@ -1,4 +1,4 @@
-"""Follows one request through the logs of several instances."""
+"""Traces one request through the logs of several instances."""
 
 import dataclasses
 import json
@@ -11,17 +11,20 @@
 from sassafrasway_ctl import options
 
 DEFAULT_CONTEXT_S = 5.0
-# Loggers whose lines change what an instance believes.
-BELIEF_LOGGERS = frozenset({"policy", "store", "servers", "peers", "process"})
-CONTEXT_FIELDS = frozenset({"time", "instance", "logger", "event", "level"})
+# Loggers of events that change the state of an instance or its view of the policy, the store, the
+# servers and its peers.
+STATE_LOGGERS = frozenset({"policy", "store", "servers", "peers", "process"})
+# Fields that render() prints at the start of a line or leaves out.
+HEADER_FIELDS = frozenset({"time", "instance", "logger", "event", "level"})
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Event:
-    """One line of a log.
+    """One log line.
 
     Attributes:
-        fields: All fields of the line.
+        text: Event text of the line.
+        fields: All fields of the line, including those above.
     """
 
     time_s: float
@@ -32,7 +35,7 @@
 
     @property
     def request(self) -> str:
-        """Id of the request that the line is about, or an empty string."""
+        """Id of the request that the line belongs to, or an empty string."""
         return str(self.fields.get("request", ""))
 
     def mentions(self, servers: Iterable[str]) -> bool:
@@ -41,7 +44,7 @@
 
 
 def parse_events(lines: Iterable[str]) -> list[Event]:
-    """Returns the events of JSON lines; what precedes the first brace of a line is ignored."""
+    """Parses JSON log lines; skips other lines and any prefix before the first brace."""
     found = []
     for line in lines:
         start = line.find("{")
@@ -66,36 +69,41 @@
 
 
 def select(events: Iterable[Event], request: str, *, context_s: float) -> list[Event]:
-    """Returns the events of a request and what its instance and servers were believed to be.
+    """Returns the events of a request and the events that explain them, sorted by time.
+
+    The latter are the state changes of the instances that handled the request and all events about
+    the servers that it was sent to, from ``context_s`` seconds before the request to its end.
 
     Raises:
-        errors.NotFoundError: No line names the request.
+        errors.NotFoundError: No log line belongs to the request.
     """
     events = list(events)
-    own = [event for event in events if event.request == request]
-    if not own:
-        raise errors.NotFoundError(f"no line names request {request}", step="trace")
-    instances = {event.instance for event in own}
+    request_events = [event for event in events if event.request == request]
+    if not request_events:
+        raise errors.NotFoundError(f"no log line mentions request {request}", step="trace")
+    instances = {event.instance for event in request_events}
     servers = {
-        attempt.split(" ", 1)[0] for event in own for attempt in event.fields.get("attempts", ())
+        attempt.split(" ", 1)[0]
+        for event in request_events
+        for attempt in event.fields.get("attempts", ())
     }
-    servers |= {event.fields["server"] for event in own if "server" in event.fields}
-    first_s = min(event.time_s for event in own) - context_s
-    last_s = max(event.time_s for event in own)
+    servers |= {event.fields["server"] for event in request_events if "server" in event.fields}
+    first_s = min(event.time_s for event in request_events) - context_s
+    last_s = max(event.time_s for event in request_events)
     selected = []
     for event in events:
-        near = first_s <= event.time_s <= last_s
-        belief = event.logger in BELIEF_LOGGERS and event.instance in instances
+        in_window = first_s <= event.time_s <= last_s
+        state_change = event.logger in STATE_LOGGERS and event.instance in instances
         about_servers = event.mentions(servers)
-        if event.request == request or (near and (about_servers or belief)):
+        if event.request == request or (in_window and (about_servers or state_change)):
             selected.append(event)
     return sorted(selected, key=lambda event: event.time_s)
 
 
 def render(event: Event) -> str:
-    """Returns one line for people."""
+    """Returns an event as one human-readable line."""
     details = " ".join(
-        f"{name}={value}" for name, value in event.fields.items() if name not in CONTEXT_FIELDS
+        f"{name}={value}" for name, value in event.fields.items() if name not in HEADER_FIELDS
     )
     return f"{event.time_s:.3f} {event.instance} {event.logger}: {event.text} {details}"
 
@@ -110,13 +118,13 @@
     type=click.FloatRange(min=0),
     default=DEFAULT_CONTEXT_S,
     show_default=True,
-    help="Seconds of beliefs shown before the request.",
+    help="Seconds before the request for which related events are shown.",
 )
 @click.pass_obj
 def trace(
     settings: options.Options, request: str, logs: tuple[TextIO, ...], context_s: float
 ) -> None:
-    """Follows REQUEST through the log files LOGS of several instances."""
+    """Traces REQUEST through the log files LOGS of several instances."""
     events = [event for log in logs for event in parse_events(log)]
     for event in select(events, request, context_s=context_s):
         click.echo(json.dumps(event.fields) if settings.as_json else render(event))
--- a/packages/ctl/tests/test_ctl.py
+++ b/packages/ctl/tests/test_ctl.py
@@ -1,4 +1,4 @@
-"""Tests of sassafrasctl against RPC servers with a fake handler."""
+"""Tests of sassafrasctl against an RPC server with a fake handler."""
 
 import asyncio
 import json
@@ -27,7 +27,11 @@
 
 
 class _Handler:
-    """Keeps one policy; ``lose_answers`` calls take effect but fail."""
+    """Operator service with one policy.
+
+    The next ``lose_answers`` calls of ``apply_change`` take effect but fail, as when the reply is
+    lost. Calls of methods that are not implemented are recorded in ``calls``.
+    """
 
     def __init__(self):
         self.policy = documents.parse_policy(_POLICY, revision=1)
@@ -95,7 +99,7 @@
         return result
 
     def test_get_edit_apply(self):
-        """Guards against a document that cannot be applied again after it was read."""
+        """Guards against output of get that apply does not accept, unchanged or edited."""
         document = json.loads(self.run_ctl("get").stdout)
         self.assertIn("already as wanted", self.run_ctl("apply", text=document).stdout)
         document["regions"]["sofia"]["cap_rps"] = 700
@@ -110,7 +114,7 @@
         self.assertEqual(json.loads(error)["error"]["code"], "conflict")
 
     def test_change_file(self):
-        """Guards against a change file whose own id, author and base are ignored."""
+        """Guards against ignoring the change id and the base revision in a change file."""
         change = {"base_revision": 1, "sections": {"regions": {"plovdiv": {}}}}
         self.assertIn("+ regions plovdiv", self.run_ctl("diff", text=change).stdout)
         self.run_ctl("apply", "--base-revision=2", text=change, code=3)
@@ -119,7 +123,7 @@
         self.run_ctl("apply", text=change, code=3)
 
     def test_bad_input(self):
-        """Guards against sending an invalid document, and against errors without their place."""
+        """Guards against applying an invalid file, and against errors without the location."""
         duplicate = '{"servers": {"katalog-1": {}, "katalog-1": {}}}'
         cases = [
             ("{", "malformed JSON"),
@@ -138,7 +142,7 @@
         self.assertEqual(self.handler.policy.revision, 1)
 
     def test_retry_keeps_the_change_id(self):
-        """Guards against a change that is applied twice after a lost answer."""
+        """Guards against a change that is applied twice because its reply was lost."""
         self.handler.lose_answers = 1
         change = {"base_revision": 1, "sections": {"regions": {"plovdiv": {}}}}
         self.assertIn("already applied", self.run_ctl("apply", text=change).stdout)
@@ -151,17 +155,17 @@
         self.assertEqual(self.handler.policy.revision, 3)
 
     def test_next_address(self):
-        """Guards against a command that depends on one instance being alive."""
-        dead = server.RpcServer(handlers=[], host="127.0.0.1", port=0)
-        self._in_loop(dead.start())
-        self._in_loop(dead.stop())
-        self.run_ctl("status", address=f"{dead.address} {self.server.address}")
-        arguments = ("status", "--address", dead.address)
+        """Guards against a command that fails because the first instance is down."""
+        stopped = server.RpcServer(handlers=[], host="127.0.0.1", port=0)
+        self._in_loop(stopped.start())
+        self._in_loop(stopped.stop())
+        self.run_ctl("status", address=f"{stopped.address} {self.server.address}")
+        arguments = ("status", "--address", stopped.address)
         self.assertIn("refused", self.run_ctl(*arguments, code=4).stderr)
         self.assertIn("1", self.run_ctl("--address", self.server.address, "status").stdout)
 
     def test_commands_reach_their_methods(self):
-        """Guards against options that are lost between command line and RPC."""
+        """Guards against options of the command line that are missing in the RPC."""
         shift = ["--service=katalog", "--from=sofia", "--to=varna", "--cap-rps=50"]
         self.run_ctl("shift", "start", "audit", *shift, "--fraction=0.5", "--base-revision=1")
         self.run_ctl("shift", "stop", "audit", "--author=ana")
@@ -176,7 +180,7 @@
         self.assertEqual((rollback["revision"], rollback["meta"].change_id), (1, "r"))
 
     def test_output(self):
-        """Guards against output that people or scripts cannot read."""
+        """Guards against output that is unreadable for people or not JSON for scripts."""
         self.assertIn("delete shifts: audit", self.run_ctl("history").stdout)
         entries = json.loads(self.run_ctl("history", "--json").stdout)
         self.assertEqual(entries[0]["sections"]["shifts"], {"audit": None})
@@ -186,7 +190,7 @@
             self.assertIn("sassafrasctl", self.run_ctl("completion", shell).stdout)
 
     def test_usage_errors(self):
-        """Guards against usage errors that scripts take for a failure of the system."""
+        """Guards against usage errors that scripts cannot tell from failures of the system."""
         for arguments in (("get", "--revision=0"), ("shift", "start", "x"), ("none",)):
             self.run_ctl(*arguments, code=2)
         self.run_ctl("get", code=2, address="localhost")
--- a/packages/ctl/tests/test_trace.py
+++ b/packages/ctl/tests/test_trace.py
@@ -1,4 +1,4 @@
-"""Tests of following a request through logs."""
+"""Tests of tracing a request through logs."""
 
 import json
 import pathlib
@@ -11,7 +11,7 @@
 
 
 def line(time_s, instance, logger, event, **fields):
-    """Returns one line of a log."""
+    """Returns one JSON log line."""
     values = {"time": time_s, "instance": instance, "logger": logger, "event": event, **fields}
     return json.dumps(values)
 
@@ -29,13 +29,13 @@
 
 
 class TraceTest(unittest.TestCase):
-    """Guards against an explanation that leaves out the cause."""
+    """Guards against a trace without the server and store events that explain the result."""
 
     def select(self, request="7"):
         events = trace.parse_events(LINES)
         return [event.text for event in trace.select(events, request, context_s=5.0)]
 
-    def test_shows_the_request_its_servers_and_the_beliefs_of_its_instance(self):
+    def test_shows_the_request_its_servers_and_state_changes_of_its_instance(self):
         expected = ["server ended during request", "store lost", "request"]
         self.assertEqual(self.select(), expected)
 
@@ -49,4 +49,4 @@
         self.assertEqual(found.exit_code, 0, found.output)
         self.assertIn("attempts=['s-1 x: broken']", found.output)
         self.assertEqual(missing.exit_code, 1)
-        self.assertIn("no line names request nobody", missing.output)
+        self.assertIn("no log line mentions request nobody", missing.output)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,7 +1,7 @@
-"""Runs the unittest suites of all packages and prints one closing line.
+"""Runs the unittest suites of all packages and prints a summary line.
 
-Tests listed in KNOWN-RED.txt are passed over and printed, so that a known fault stays visible
-without hiding new failures.
+Tests that KNOWN-RED.txt lists as failing are not run but printed, so that known faults stay
+visible without hiding new failures.
 """
 
 import argparse
@@ -10,11 +10,11 @@
 import unittest
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-KNOWN_RED = ROOT / "KNOWN-RED.txt"
+KNOWN_FAILURES_PATH = ROOT / "KNOWN-RED.txt"
 
 
-def read_known_red(path):
-    """Returns the ids of the tests that KNOWN-RED.txt lists."""
+def read_known_failures(path):
+    """Returns the ids of the tests that the file lists as known failures."""
     ids = set()
     for line in path.read_text(encoding="utf-8").splitlines():
         if line.startswith("test:"):
@@ -23,7 +23,7 @@
 
 
 def flatten(suite):
-    """Yields the single tests of a nested suite."""
+    """Yields the test cases of a nested suite."""
     for item in suite:
         if isinstance(item, unittest.TestSuite):
             yield from flatten(item)
@@ -48,21 +48,21 @@
     parser.add_argument("--pattern", default="test_*.py")
     parser.add_argument("--package", action="append", default=[])
     options = parser.parse_args()
-    known_red = read_known_red(KNOWN_RED)
+    known_failures = read_known_failures(KNOWN_FAILURES_PATH)
     tests = collect(options.pattern, options.package)
-    found_red = sorted(test.id() for test in tests if test.id() in known_red)
-    suite = unittest.TestSuite(test for test in tests if test.id() not in known_red)
+    skipped_ids = sorted(test.id() for test in tests if test.id() in known_failures)
+    suite = unittest.TestSuite(test for test in tests if test.id() not in known_failures)
     result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
-    for test_id in found_red:
+    for test_id in skipped_ids:
         print(f"known red, not run: {test_id}")
-    missing = sorted(known_red - set(found_red))
+    missing = sorted(known_failures - set(skipped_ids))
     if not options.package and options.pattern == "test_*.py":
         for test_id in missing:
             print(f"KNOWN-RED.txt names a test that does not exist: {test_id}")
     else:
         missing = []
     failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
-    skipped = len(result.skipped) + len(found_red)
+    skipped = len(result.skipped) + len(skipped_ids)
     passed = max(0, result.testsRun - failed - len(result.skipped))
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     return 1 if failed or missing or not result.testsRun else 0
