--- a/packages/entry/src/sassafrasway_entry/config_service.py
+++ b/packages/entry/src/sassafrasway_entry/config_service.py
@@ -1,4 +1,4 @@
-"""RPC handler of the Thrift service Config: changes from and to peers."""
+"""RPC handler of the Thrift service Config: replication of changes between instances."""
 
 import json
 from collections.abc import Callable
@@ -12,11 +12,11 @@
 
 
 class ConfigService:
-    """Answers peers.
+    """Handles the Config calls of peers.
 
     Args:
         me: This incarnation.
-        config: Configuration of this instance.
+        config: Configuration task of this instance.
         leave: Starts the graceful stop of this instance.
     """
 
@@ -33,12 +33,12 @@
         self._logger = structlog.get_logger("config.peers").bind(instance=str(me))
 
     async def push_change(self, change_json: str | None, sender_address: str | None) -> int:
-        """Takes a change and returns the revision in force."""
+        """Processes a pushed change and returns the revision in force afterwards."""
         change = documents.parse_change(documents.parse_json(change_json or ""))
         return await self._config.receive(change, sender=sender_address or "")
 
     async def changes_since(self, revision: int | None) -> Any:
-        """Returns the changes after a revision, or the full policy."""
+        """Returns the changes after a revision, or the full policy when the log lacks some."""
         changes = self._config.changes_since(revision or 0)
         if changes is not None:
             return schema.config.ChangesReply(
--- a/packages/entry/src/sassafrasway_entry/config_store.py
+++ b/packages/entry/src/sassafrasway_entry/config_store.py
@@ -1,10 +1,10 @@
-"""Policy revisions in the table service.
+"""Storage of policy revisions in the table service.
 
-The row ``config/head`` names the current revision and the ids of recent changes. The row
-``config/history/<revision>`` has the change that produced a revision. Every
-``DOCUMENT_INTERVAL`` revisions, ``config/document/<revision>`` has the full document. The head does
-not contain the document, because every instance reads the head again after each change and the
-document of the design size has 10 MB.
+The row ``config/head`` holds the current revision and the ids of recent changes. The row
+``config/history/<revision>`` holds the change that produced a revision. For every multiple of
+``DOCUMENT_INTERVAL``, the row ``config/document/<revision>`` holds the full policy document. The
+head does not contain the document, because every instance reads the head again after each change
+and the document is 10 MB long at the design size.
 """
 
 import asyncio
@@ -21,7 +21,7 @@
 HEAD_KEY = "config/head"
 HISTORY_PREFIX = "config/history/"
 DOCUMENT_PREFIX = "config/document/"
-# A reader without a policy reads one document and at most this many changes.
+# A reader without a policy reads at most one document and fewer changes than this.
 DOCUMENT_INTERVAL = 32
 KEPT_CHANGE_IDS = 256
 CONCURRENT_READS = 8
@@ -30,7 +30,7 @@
 
 
 class MalformedRowError(errors.SassafraswayError):
-    """A row of the configuration does not have the expected content."""
+    """The value of a configuration row is not in the expected format."""
 
 
 class _HeadDocument(pydantic.BaseModel):
@@ -48,7 +48,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Head:
-    """The newest accepted revision; revision 0 without a row before the first change."""
+    """The newest accepted revision.
+
+    Attributes:
+        row: The row that was read; None before the first change.
+        revision: 0 before the first change.
+        change_ids: Revisions of recent changes by change id.
+    """
 
     row: table.Row | None = None
     revision: int = 0
@@ -61,7 +67,7 @@
 
     Attributes:
         accepted_at_s: Seconds since the Unix epoch, by the clock of the accepting instance.
-        accepted_by: The accepting instance as name/incarnation.
+        accepted_by: The accepting instance, as ``name/incarnation``.
     """
 
     change: documents.Change
@@ -70,9 +76,9 @@
 
 
 class ConfigStore:
-    """Reads and writes the rows of the configuration.
+    """Reads and writes the configuration rows.
 
-    All methods raise ``table.StoreUnavailable`` when the store does not answer and
+    All methods raise ``table.StoreUnavailable`` when the table service is unavailable and
     ``MalformedRowError`` when a row is malformed.
     """
 
@@ -87,7 +93,7 @@
             return Head()
         if known is not None and row is known_row:
             return known
-        document = _read(row, _HeadDocument)
+        document = _parse_row(row, _HeadDocument)
         return Head(row=row, revision=document.revision, change_ids=document.change_ids)
 
     async def read_records(self, *, first: int, last: int) -> list[Record]:
@@ -100,7 +106,7 @@
 
         async def read(revision: int) -> Record:
             async with limit:
-                return _parse_record(await self._row(f"{HISTORY_PREFIX}{revision}"))
+                return _parse_record(await self._get_row(f"{HISTORY_PREFIX}{revision}"))
 
         return list(await asyncio.gather(*map(read, range(first, last + 1))))
 
@@ -113,14 +119,14 @@
         start = revision - revision % DOCUMENT_INTERVAL
         policy = documents.EMPTY_POLICY
         if start:
-            row = await self._row(f"{DOCUMENT_PREFIX}{start}")
+            row = await self._get_row(f"{DOCUMENT_PREFIX}{start}")
             policy = await asyncio.to_thread(_parse_policy, row.value, start)
         for record in await self.read_records(first=start + 1, last=revision):
             policy = documents.apply_change(policy, record.change)
         return policy
 
     async def accept(self, *, head: Head, record: Record, policy: model.Policy) -> Head:
-        """Makes a change the newest one, on condition that ``head`` is still current.
+        """Writes a change as the newest revision, on condition that ``head`` is still current.
 
         Args:
             head: The head that the change is based on.
@@ -142,15 +148,15 @@
                 value=_encode(head_value),
                 if_version=head.row.version if head.row else table.ABSENT,
             ),
-            _creation(f"{HISTORY_PREFIX}{revision}", _encode(_dump_record(record))),
+            _create_row_write(f"{HISTORY_PREFIX}{revision}", _encode(_dump_record(record))),
         ]
         if revision % DOCUMENT_INTERVAL == 0:
             document = await asyncio.to_thread(dump_policy_json, policy)
-            writes.append(_creation(f"{DOCUMENT_PREFIX}{revision}", document.encode()))
+            writes.append(_create_row_write(f"{DOCUMENT_PREFIX}{revision}", document.encode()))
         rows = await self._table.transact(writes)
         return Head(row=rows[0], revision=revision, change_ids=change_ids)
 
-    async def _row(self, key: str) -> table.Row:
+    async def _get_row(self, key: str) -> table.Row:
         row = await self._table.get(key)
         if row is None:
             raise errors.NotFoundError(f"the table has no row {key}", step="config.read")
@@ -175,7 +181,7 @@
 
 
 def _parse_record(row: table.Row) -> Record:
-    document = _read(row, _RecordDocument)
+    document = _parse_row(row, _RecordDocument)
     try:
         change = documents.parse_change(document.change)
     except errors.ValidationError as error:
@@ -187,7 +193,7 @@
     )
 
 
-def _read(row: table.Row, document: type[_AnyDocument]) -> _AnyDocument:
+def _parse_row(row: table.Row, document: type[_AnyDocument]) -> _AnyDocument:
     try:
         return document.model_validate_json(row.value)
     except pydantic.ValidationError as error:
@@ -202,5 +208,5 @@
     return json.dumps(value).encode()
 
 
-def _creation(key: str, value: bytes) -> table.Write:
+def _create_row_write(key: str, value: bytes) -> table.Write:
     return table.Write(key=key, value=value, if_version=table.ABSENT)
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -1,4 +1,4 @@
-"""The policy in force: accepts changes, passes them on, and catches up with others."""
+"""Replication of the policy: accepts changes, pushes them to peers and fetches missed ones."""
 
 import asyncio
 import dataclasses
@@ -17,13 +17,13 @@
 POLL_INTERVAL_S = 2.0
 POLL_JITTER = 0.25
 WRITE_ATTEMPTS = 3
-# Peers that an instance asks for the policy in one attempt while the store is down.
+# Maximum number of peers to ask for the policy per refresh while the table service is unavailable.
 PULL_ATTEMPTS = 3
 PULL_TIMEOUT_S = 2.0
-# A peer takes seconds to write out a policy of the design size for the first time.
+# A peer needs seconds to serialize a policy of the design size for the first time.
 FULL_PULL_TIMEOUT_S = 10.0
-# Changes to read one by one before reading the full document, which takes seconds to check at the
-# design size.
+# Maximum number of missing changes to read one by one. When more are missing, the full document is
+# read instead, although it takes seconds to validate at the design size.
 CATCH_UP_LIMIT = 256
 
 CallPeer = Callable[..., Awaitable[Any]]
@@ -35,7 +35,8 @@
     """Result of a change.
 
     Attributes:
-        already_applied: The change id was recorded before.
+        revision: Revision that the change produced.
+        already_applied: Whether an earlier call recorded the change id; this one changed nothing.
     """
 
     revision: int
@@ -43,8 +44,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Seen:
-    """Message: a peer has a newer revision."""
+class _NewerRevision:
+    """Message to the task: the peer at ``source`` has a newer revision."""
 
     revision: int
     source: str
@@ -55,10 +56,10 @@
 
 
 class ConfigTask:
-    """Owns the configuration log of one entry instance.
+    """Maintains the policy in force on one entry instance.
 
-    Changes arrive from operators (``apply``), from peers (``receive``, ``pull``) and from the table
-    service (``refresh``). None of them can replace a policy by an older one.
+    Changes come from operators (``apply``), from peers (``receive``, ``pull``) and from the table
+    service (``refresh``). Whatever the source, a policy is never replaced by an older one.
 
     Args:
         me: This incarnation.
@@ -69,11 +70,12 @@
             all regions.
         call_peer: ``await call_peer(address, method, timeout_s=..., **arguments)`` calls a peer.
         on_policy: Called with each new policy.
-        relay_targets: Returns the RPC addresses to pass a received change on to: the members of
-            the region on its coordinator, nothing elsewhere.
-        pull_sources: Returns the RPC addresses to ask for the policy while the store is down; the
-            push targets by default.
-        own_address: Returns the RPC address of this instance, for peers that miss changes.
+        relay_targets: Returns the RPC addresses to forward a received change to: on a coordinator
+            the members of its region, on other instances none.
+        pull_sources: Returns the RPC addresses to ask for the policy while the table service is
+            unavailable; the push targets by default.
+        own_address: Returns the RPC address of this instance. Pushes carry it, so that a peer that
+            lacks earlier changes can request them from this instance.
         rng: Random source for poll times and the choice of peers.
         poll_interval_s: Mean time between polls of the table in seconds.
     """
@@ -111,18 +113,18 @@
         self._store_read_at_s: float | None = None
         self._document: tuple[int, str] = (-1, "")
         self._applying = asyncio.Lock()
-        self._inbox: asyncio.Queue[_Seen] = asyncio.Queue()
+        self._inbox: asyncio.Queue[_NewerRevision] = asyncio.Queue()
         self._pushes: set[asyncio.Task] = set()
         self._logger = structlog.get_logger("config").bind(instance=str(me))
 
     @property
     def policy(self) -> model.Policy | None:
-        """The policy in force, or None when none is known yet."""
+        """The policy in force, or None before the first one is known."""
         return self._log.policy
 
     @property
     def revision(self) -> int:
-        """Revision of the policy in force; 0 when none is known yet."""
+        """Revision of the policy in force; 0 before the first one is known."""
         return self._log.revision
 
     @property
@@ -131,7 +133,7 @@
         return self._blocks
 
     def state(self) -> dict[str, Any]:
-        """Returns the state for status and dump as a JSON-able dict."""
+        """Returns the state for the state dump as a JSON-serializable dict."""
         read_at_s = self._store_read_at_s
         return {
             "revision": self.revision,
@@ -142,26 +144,26 @@
         }
 
     async def run(self) -> None:
-        """Polls the table and catches up with peers until cancelled."""
+        """Polls the table service and fetches newer revisions from peers until cancelled."""
         while True:
-            await self._guarded(self.refresh())
+            await self._log_errors(self.refresh())
             jitter = self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
             next_poll = asyncio.get_running_loop().time() + self._poll_interval_s * jitter
-            while (seen := await self._next_seen(next_poll)) is not None:
-                await self._catch_up(seen)
+            while (newer := await self._next_message(next_poll)) is not None:
+                await self._catch_up(newer)
 
-    async def settle(self) -> None:
-        """Waits until the pushes in flight have ended; called before the process stops."""
+    async def wait_for_pushes(self) -> None:
+        """Waits until all pushes in flight have ended; called before the process stops."""
         while self._pushes:
             await asyncio.gather(*self._pushes, return_exceptions=True)
 
     def observe_revision(self, revision: int, *, source: str) -> None:
-        """Notes that the peer at RPC address ``source`` has a revision."""
+        """Schedules a fetch when the peer at RPC address ``source`` has a newer revision."""
         if revision > self.revision:
-            self._inbox.put_nowait(_Seen(revision=revision, source=source))
+            self._inbox.put_nowait(_NewerRevision(revision=revision, source=source))
 
     async def refresh(self) -> None:
-        """Reads the head once; asks peers when the store does not answer.
+        """Reads the head once; asks peers when the table service is unavailable.
 
         Raises:
             errors.SassafraswayError: A row is malformed or missing.
@@ -169,17 +171,17 @@
         try:
             await self._sync()
         except table_module.StoreUnavailable as error:
-            self._logger.info("store does not answer", reason=str(error))
+            self._logger.info("table service is unavailable; asking peers", reason=str(error))
             await self._pull_any()
 
     async def apply(self, change: documents.Change) -> Applied:
-        """Accepts a change and puts it in force.
+        """Records a change in the table service and puts it in force.
 
         Raises:
             errors.ConflictError: The change is not based on the current revision.
             errors.ValidationError: The result would be invalid.
-            errors.UnavailableError: The store does not answer; the change may or may not have been
-                accepted, and sending it again is safe.
+            errors.UnavailableError: The table service is unavailable; the change may or may not
+                have been accepted, and it is safe to send it again.
         """
         async with self._applying:
             head = await self._sync()
@@ -190,7 +192,7 @@
             record = config_store.Record(
                 change=change, accepted_at_s=self._clock.wall(), accepted_by=str(self._me)
             )
-            self._head = await self._accept(head, record, policy)
+            self._head = await self._write_change(head, record, policy)
         self._adopt(change)
         self._logger.info(
             "change accepted",
@@ -205,16 +207,21 @@
         """Returns the revision that a recent change produced, or None.
 
         Raises:
-            errors.UnavailableError: The store does not answer and the change is not known here.
+            errors.UnavailableError: The table service is unavailable and the change is not in the
+                log of this instance.
         """
         known = self._log.find(change_id)
         return known if known is not None else (await self._sync()).change_ids.get(change_id)
 
     async def records(self, *, limit: int, before: int = 0) -> list[config_store.Record]:
-        """Returns accepted changes below revision ``before``, newest first.
+        """Returns accepted changes, newest first.
+
+        Args:
+            limit: Maximum number of changes.
+            before: Only changes with a lower revision are returned; 0 for no bound.
 
         Raises:
-            errors.UnavailableError: The store does not answer.
+            errors.UnavailableError: The table service is unavailable.
         """
         newest = (await self._sync()).revision
         last = min(newest, before - 1) if before else newest
@@ -226,7 +233,7 @@
 
         Raises:
             errors.NotFoundError: There is no such revision.
-            errors.UnavailableError: The store does not answer, or no policy is known.
+            errors.UnavailableError: The table service is unavailable, or no policy is known yet.
         """
         current = self._require_policy()
         if revision == current.revision:
@@ -239,10 +246,10 @@
         return await self._store.load_policy(revision)
 
     async def receive(self, change: documents.Change, *, sender: str) -> int:
-        """Takes a change that a peer pushes and returns the revision that is now in force.
+        """Processes a change that a peer pushed and returns the revision in force afterwards.
 
         Raises:
-            errors.ValidationError: The change does not fit the policy.
+            errors.ValidationError: The policy would be invalid after the change.
         """
         if self._adopt(change):
             self._push(change, self._relay_targets())
@@ -251,7 +258,7 @@
         return self.revision
 
     async def pull(self, address: str) -> None:
-        """Asks a peer for the changes that are missing here.
+        """Fetches the missing changes, or the full policy, from a peer.
 
         Raises:
             errors.SassafraswayError: The peer does not answer, or its answer is invalid.
@@ -270,7 +277,7 @@
             self._adopt(documents.parse_change(documents.parse_json(text)))
 
     def changes_since(self, revision: int) -> list[documents.Change] | None:
-        """Returns the changes after a revision, or None when the log does not reach back.
+        """Returns the changes after a revision, or None when the log does not reach back to it.
 
         Raises:
             errors.UnavailableError: No policy is known yet.
@@ -293,18 +300,18 @@
         return (*self._document, change_ids)
 
     async def _sync(self) -> config_store.Head:
-        """Reads the head and puts newer revisions in force.
+        """Reads the head and puts a newer revision in force.
 
         Raises:
-            table.StoreUnavailable: The store does not answer, or shows an older revision than the
-                one in force.
+            table.StoreUnavailable: The table service is unavailable, or returned an older revision
+                than the one in force.
         """
         head = await self._store.read_head(known=self._head)
         self._store_read_at_s = self._clock.monotonic()
         if head.revision < self.revision:
             raise table_module.StoreUnavailable(
-                f"the table shows revision {head.revision}, but revision {self.revision} is in"
-                " force here",
+                f"the table service returned revision {head.revision}, which is older than revision"
+                f" {self.revision} in force",
                 step="config.read_head",
             )
         self._head = head
@@ -322,13 +329,14 @@
         policy = await self._store.load_policy(head.revision)
         await self._install_policy(policy, dict(head.change_ids))
 
-    async def _accept(
+    async def _write_change(
         self, head: config_store.Head, record: config_store.Record, policy: model.Policy
     ) -> config_store.Head:
-        """Writes a change; after a lost answer, looks for its change id in the head.
+        """Writes a change; when the outcome is unknown, looks for its change id in the head.
 
-        The write is conditional on the version of the head. Therefore it can be repeated while the
-        version is unchanged, and it can no longer take effect once the version has changed.
+        The write is conditional on the version of the head row. While that version is unchanged,
+        the write has had no effect and can be repeated; once it has changed, the write can no
+        longer take effect.
         """
         failure: errors.SassafraswayError | None = None
         for _ in range(WRITE_ATTEMPTS):
@@ -341,44 +349,46 @@
                 return current
             if current.row != head.row:
                 raise errors.ConflictError(
-                    f"revision {current.revision} was accepted meanwhile", step="config.apply"
+                    f"revision {current.revision} was accepted in the meantime", step="config.apply"
                 )
         raise table_module.StoreUnavailable(
-            f"the store does not confirm the change: {failure}", step="config.apply"
+            f"the table service did not confirm the change: {failure}", step="config.apply"
         )
 
     async def _pull_any(self) -> None:
-        """Asks peers in random order until one answers."""
+        """Fetches the policy from the first of a few random peers that answers."""
         sources = [address for address in self._pull_sources() if address != self._own_address()]
         for address in self._rng.sample(sources, min(PULL_ATTEMPTS, len(sources))):
             try:
                 await self.pull(address)
             except errors.SassafraswayError as error:
-                self._logger.info("peer gave no policy", peer=address, reason=str(error))
+                self._logger.info(
+                    "could not fetch the policy from peer", peer=address, reason=str(error)
+                )
                 continue
             return
 
-    async def _next_seen(self, until: float) -> _Seen | None:
-        """Returns the next message, or None at the event loop time ``until``."""
+    async def _next_message(self, until: float) -> _NewerRevision | None:
+        """Returns the next message, or None when the event loop's time reaches ``until``."""
         try:
             async with asyncio.timeout_at(until):
                 return await self._inbox.get()
         except TimeoutError:
             return None
 
-    async def _catch_up(self, seen: _Seen) -> None:
-        if seen.revision <= self.revision:
+    async def _catch_up(self, newer: _NewerRevision) -> None:
+        if newer.revision <= self.revision:
             return
-        if seen.source:
-            await self._guarded(self.pull(seen.source))
-        if seen.revision > self.revision:
-            await self._guarded(self.refresh())
+        if newer.source:
+            await self._log_errors(self.pull(newer.source))
+        if newer.revision > self.revision:
+            await self._log_errors(self.refresh())
 
-    async def _guarded(self, work: Awaitable[None]) -> None:
+    async def _log_errors(self, work: Awaitable[None]) -> None:
         try:
             await work
         except errors.SassafraswayError as error:
-            self._logger.warning("configuration not updated", reason=str(error))
+            self._logger.warning("could not update the policy", reason=str(error))
 
     def _adopt(self, change: documents.Change) -> bool:
         """Puts a change in force; returns False when it does not follow the current revision."""
@@ -394,7 +404,7 @@
         await self._install_policy(policy, change_ids)
 
     async def _install_policy(self, policy: model.Policy, change_ids: dict[str, int]) -> None:
-        """Puts a full policy in force unless a newer one is by the time that it is prepared."""
+        """Puts a full policy in force unless it is outdated once its blocks are indexed."""
         blocks = await asyncio.to_thread(lookup.BlockTable, blocks=policy.blocks.values())
         if self.policy is not None and policy.revision <= self.revision:
             return
@@ -416,8 +426,8 @@
                 address, "push_change", change_json=text, sender_address=self._own_address()
             )
         except errors.SassafraswayError as error:
-            # The peer learns of the revision from a heartbeat or its own poll.
-            self._logger.info("push failed", peer=address, reason=str(error))
+            # The peer finds out about the revision from a heartbeat or its own poll.
+            self._logger.info("could not push change to peer", peer=address, reason=str(error))
 
     def _require_policy(self) -> model.Policy:
         if self.policy is None:
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -1,4 +1,4 @@
-"""Region coordinator role: answers heartbeats, keeps the region row and the directories."""
+"""Coordinator role of an instance: heartbeat replies, the region row and the directories."""
 
 import dataclasses
 import random
@@ -26,16 +26,19 @@
 TICK_S = 0.2
 CALL_TIMEOUT_S = 0.5
 LIST_INTERVAL_S = 2.0
-KEEPALIVE_S = 5.0
+# Interval of directory exchanges with a region that has the current directory of this region.
+EXCHANGE_INTERVAL_S = 5.0
+# Minimum interval between two probes of an instance that others report as unreachable.
 SUSPECT_RETRY_S = 0.2
+# Interval of directory exchanges with a region that lacks the current directory.
 EXCHANGE_RETRY_S = 0.5
 SILENT = "silent"
-# Enough for the instances that a region replaces in some hours.
-GONE_IN_DIRECTORY = 256
+# Enough for the instances that a region replaces in several hours.
+MAX_GONE_IN_DIRECTORY = 256
 
 
 class CoordinatorTask:
-    """Executes the decisions of ``CoordinatorState`` while this instance is coordinator.
+    """Executes the commands of ``CoordinatorState`` while this instance is coordinator.
 
     Args:
         me: This instance.
@@ -43,15 +46,15 @@
         invariants: Checks that the epoch never decreases.
         table: Table service.
         instance_list: The platform's list of instances.
-        peers: Calls to other instances.
-        members: What is known about the region's instances.
+        peers: Calls other instances.
+        members: Liveness of the region's instances.
         directory: Directories of all regions; this task writes the one of its own region.
         policy_source: Returns the policy in force, or None.
         revision_source: Returns the revision of the policy in force.
-        seeds: RPC addresses to ask for regions that nobody else knows.
-        on_revision: Called with a newer revision and the RPC address of its holder.
-        follow_self: Delivers a follow message of this coordinator to its own member role.
-        wake: Makes the owner of this task call ``tick`` soon.
+        seeds: RPC addresses to ask about regions whose instances are unknown.
+        on_revision: Called with a newer revision and the RPC address of an instance that has it.
+        follow_self: Delivers a follow request of this coordinator to its own member role.
+        wake: Makes the member task call ``tick`` at once.
         rng: Random source for the choice of peers.
     """
 
@@ -93,20 +96,20 @@
         self._state: coordinator.CoordinatorState | None = None
         self._policy: model.Policy | None = None
         self._version = 0
-        self._soon = False
+        self._tick_requested = False
         self._table_failed = False
         self._due_s: dict[str, float] = {}
-        self._pushed: dict[str, tuple[int, int]] = {}
+        self._delivered_versions: dict[str, tuple[int, int]] = {}
         self._background = background.Background(name="coordinator")
         self._log = structlog.get_logger("coordinator").bind(instance=str(me.id))
 
     @property
     def state(self) -> coordinator.CoordinatorState | None:
-        """Decisions of the current epoch, or None when this instance is not coordinator."""
+        """State of the current epoch, or None when this instance is not coordinator."""
         return self._state
 
     def start(self, won: authority.WonElection) -> None:
-        """Becomes coordinator of the epoch that this instance won."""
+        """Starts the role for the epoch in which this instance was elected."""
         known = self._directory.region(self._me.region)
         if known is not None:
             self._members.record_gone(known.gone)
@@ -119,19 +122,19 @@
         )
         self._policy = None
         self._version = 0
-        self._pushed = {}
-        self._soon = True
+        self._delivered_versions = {}
+        self._tick_requested = True
         self._log.info("became coordinator", epoch=won.row.epoch, members=len(won.row.members))
 
     def depose(self, epoch: int) -> None:
-        """Stops the role when another instance has a higher epoch."""
+        """Ends the role when it was deposed, or when ``epoch`` is higher than its own."""
         if self._state is not None and (self._state.deposed or epoch > self._state.epoch):
             self._state.depose()
             self._log.info("no longer coordinator", epoch=self._state.epoch)
             self._state = None
 
     def heartbeat(self, message: Any) -> Any:
-        """Answers a heartbeat; both messages are Thrift messages."""
+        """Returns the reply to a heartbeat; both are Thrift messages."""
         heartbeat = control_conversion.from_heartbeat(message)
         reply = self._state.on_heartbeat(heartbeat)
         if (message.revision or 0) > self._revision_source():
@@ -147,7 +150,7 @@
         )
 
     def suspect(self, instance: model.InstanceId) -> None:
-        """Probes an instance of the region that somebody could not reach."""
+        """Probes an instance of the region that was reported as unreachable."""
         target = self._members.instance(instance)
         if self._state is None or target is None:
             return
@@ -155,12 +158,12 @@
             self._background.start(self._probe(target))
 
     def tick(self) -> None:
-        """Lets time pass; starts the calls that are due."""
+        """Updates the state to the current time and starts the calls that are due."""
         if self._state is None:
             return
-        if not (self._state.urgent or self._soon or self._due("tick", TICK_S)):
+        if not (self._state.urgent or self._tick_requested or self._due("tick", TICK_S)):
             return
-        self._soon = False
+        self._tick_requested = False
         self._apply_policy()
         for command in self._state.tick():
             self._background.start(self._execute(command))
@@ -174,7 +177,7 @@
             self._exchange_if_due(name)
 
     async def close(self) -> None:
-        """Cancels the calls that still run."""
+        """Cancels the calls that are still running."""
         await self._background.close()
 
     def _apply_policy(self) -> None:
@@ -201,7 +204,7 @@
         await probe(self._peers, self._members, target, clock=self._clock)
         if self._members.is_gone(target.id):
             self._log.warning("instance is gone", gone=str(target.id))
-            self._soon = True
+            self._tick_requested = True
             self._wake()
 
     async def _follow(
@@ -219,7 +222,7 @@
                 coordinator=control_conversion.to_instance(self._me),
             )
         except errors.SassafraswayError as error:
-            self._log.debug("no answer to follow", peer=error.peer, reason=error.message)
+            self._log.debug("follow request failed", peer=error.peer, reason=error.message)
         else:
             state.on_follow_reply(control_conversion.from_follow_reply(reply))
 
@@ -228,9 +231,9 @@
         try:
             row, version = await self._row.read()
         except errors.SassafraswayError as error:
-            self._note_table(error)
+            self._set_table_error(error)
             return
-        self._note_table(None)
+        self._set_table_error(None)
         state.authority.on_row_read(row, version, started_s=started_s)
 
     async def _write_row(
@@ -241,19 +244,19 @@
         except table_module.PreconditionFailed:
             state.authority.on_write_refused()
         except errors.SassafraswayError as error:
-            self._note_table(error)
+            self._set_table_error(error)
             state.authority.on_write_unknown()
         else:
-            self._note_table(None)
+            self._set_table_error(None)
             state.authority.on_write_ok(version)
 
-    def _note_table(self, error: errors.SassafraswayError | None) -> None:
-        """Logs when the table stops or starts to answer, not every failure of an outage."""
+    def _set_table_error(self, error: errors.SassafraswayError | None) -> None:
+        """Records whether the table service is available and logs only when that changes."""
         failed = error is not None
         if failed and not self._table_failed:
-            self._log.warning("table does not answer", reason=error.message)
+            self._log.warning("table service is unavailable", reason=error.message)
         if self._table_failed and not failed:
-            self._log.info("table answers again")
+            self._log.info("table service is available again")
         self._table_failed = failed
 
     async def _fetch_list(self) -> None:
@@ -261,26 +264,26 @@
         try:
             listed = await self._instance_list.fetch()
         except errors.SassafraswayError as error:
-            self._log.info("instance list not read", reason=error.message)
+            self._log.info("could not fetch the instance list", reason=error.message)
             return
         self._members.record_list((each.name for each in listed), started_s=started_s)
 
     def _publish(self) -> None:
-        """Writes the directory of the own region when it changed."""
+        """Replaces the directory of this region when its content has changed."""
         new = directory.RegionDirectory(
             region=self._me.region,
             epoch=self._state.epoch,
             version=self._version,
             coordinator=self._me,
-            instances=tuple(self._described(each) for each in self._members.instances()),
+            instances=tuple(self._with_liveness(each) for each in self._members.instances()),
             owners=self._state.owners(),
-            gone=tuple(self._members.gone()[-GONE_IN_DIRECTORY:]),
+            gone=tuple(self._members.gone()[-MAX_GONE_IN_DIRECTORY:]),
         )
         if self._version == 0 or new != self._directory.region(self._me.region):
             self._version += 1
             self._directory.update([dataclasses.replace(new, version=self._version)])
 
-    def _described(self, instance: region.Instance) -> region.Instance:
+    def _with_liveness(self, instance: region.Instance) -> region.Instance:
         if self._members.state(instance.id) is membership.State.SILENT:
             return dataclasses.replace(instance, state=SILENT)
         return instance
@@ -293,33 +296,43 @@
 
     def _exchange_if_due(self, name: str) -> None:
         own = self._directory.region(self._me.region)
-        interval_s = KEEPALIVE_S if self._pushed.get(name) == own.order else EXCHANGE_RETRY_S
+        interval_s = (
+            EXCHANGE_INTERVAL_S
+            if self._delivered_versions.get(name) == own.order
+            else EXCHANGE_RETRY_S
+        )
         if self._due(name, interval_s):
             self._background.start(self._exchange(name, own))
 
     async def _exchange(self, name: str, own: directory.RegionDirectory) -> None:
-        """Gives the own directory to another region's coordinator and takes its directory."""
-        address = await self._address_in(name)
+        """Exchanges directories with the coordinator of another region."""
+        address = await self._exchange_address(name)
         if address is None:
             return
         known = self._directory.region(name)
         versions = {} if known is None else {name: known.order}
-        given = () if self._pushed.get(name) == own.order else (own,)
+        sent = () if self._delivered_versions.get(name) == own.order else (own,)
         try:
-            received = await call_directory(self._peers, address, given=given, known=versions)
+            received = await exchange_directories(self._peers, address, sent=sent, known=versions)
         except errors.SassafraswayError as error:
-            self._pushed.pop(name, None)
-            self._log.info("no directory", region=name, peer=address, reason=error.message)
+            self._delivered_versions.pop(name, None)
+            self._log.info(
+                "directory exchange failed", region=name, peer=address, reason=error.message
+            )
             return
         self._directory.update(received)
         known = self._directory.region(name)
         if known is not None and known.coordinator.rpc_address == address:
-            self._pushed[name] = own.order
+            self._delivered_versions[name] = own.order
+
+    async def _exchange_address(self, name: str) -> str | None:
+        """Returns the RPC address to ask about a region, or None when none is known.
 
-    async def _address_in(self, name: str) -> str | None:
-        """Returns an address to ask about a region: its coordinator after a success there."""
+        After a successful exchange this is the known coordinator of the region. Otherwise the
+        coordinator may have changed, so that half of the attempts look for another instance.
+        """
         known = self._directory.region(name)
-        if known is not None and (name in self._pushed or self._rng.random() < 0.5):
+        if known is not None and (name in self._delivered_versions or self._rng.random() < 0.5):
             return known.coordinator.rpc_address
         try:
             row, _ = await region_table.RegionTable(table=self._table, region_name=name).read()
@@ -332,6 +345,7 @@
         return self._rng.choice(addresses) if addresses else None
 
     def _due(self, kind: str, every_s: float) -> bool:
+        """Returns whether an action may be repeated now; if so, records that it is."""
         now = self._clock.monotonic()
         if now < self._due_s.get(kind, 0.0) + every_s:
             return False
@@ -346,7 +360,7 @@
     *,
     clock: clock_module.Clock,
 ) -> Any:
-    """Asks an instance for its identity and records what that tells about it.
+    """Asks an instance for its identity and records whether it is gone.
 
     Returns:
         The Thrift message ``Identity``, or None when the instance did not answer.
@@ -359,21 +373,28 @@
             members.record_refusal(target.id, started_s=started_s)
             return None
         except errors.SassafraswayError:
-            # A connection that was lost proves nothing; the next attempt opens a new one.
+            # A lost connection does not show that the instance is gone; the next attempt opens a
+            # new one.
             continue
         members.record_identity(target.id, incarnation=identity.instance.incarnation)
         return identity
     return None
 
 
-async def call_directory(
+async def exchange_directories(
     peers: Any,
     address: str,
     *,
-    given: Sequence[directory.RegionDirectory] = (),
+    sent: Sequence[directory.RegionDirectory] = (),
     known: dict[str, tuple[int, int]],
 ) -> list[directory.RegionDirectory]:
-    """Exchanges directories with a peer.
+    """Sends directories to a peer and returns those that are newer there.
+
+    Args:
+        peers: Calls other instances.
+        address: RPC address of the peer.
+        sent: Directories to send.
+        known: Epoch and version that are known here, by region; empty to ask for all regions.
 
     Raises:
         errors.SassafraswayError: The peer did not answer or reported an error.
@@ -382,7 +403,7 @@
         address,
         "directory",
         timeout_s=CALL_TIMEOUT_S,
-        directories=[control_conversion.to_directory(each) for each in given],
+        directories=[control_conversion.to_directory(each) for each in sent],
         known=control_conversion.to_versions(known),
     )
     return [control_conversion.from_directory(each) for each in messages]
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -1,19 +1,26 @@
-"""Instances and pool owners of all regions, as last told by their coordinators."""
+"""Instances and pool owners of all regions, as last reported by the coordinators."""
 
 import dataclasses
 from collections.abc import Iterable, Mapping
 
 from sassafrasway_core import model, region
 
+# Number of incarnations to remember whose RPC port refused a connection.
 MAX_REFUSED = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RegionDirectory:
-    """Instances of one region, their pools, and instances that are gone.
+    """Instances and pool owners of one region.
 
     Attributes:
-        version: Grows within an epoch.
+        region: Name of the region.
+        epoch: Epoch of the coordinator that wrote this directory.
+        version: Increases within an epoch.
+        coordinator: The coordinator of the epoch.
+        instances: Instances of the region, including silent and leaving ones.
+        owners: Owners of the region's pools.
+        gone: Recent instances that are known to be gone.
     """
 
     region: str
@@ -26,12 +33,12 @@
 
     @property
     def order(self) -> tuple[int, int]:
-        """Epoch and version; a higher one replaces a lower one."""
+        """Epoch and version; a directory with a higher pair replaces one with a lower pair."""
         return (self.epoch, self.version)
 
 
 class Directory:
-    """Answers which instances exist and which of them owns a pool."""
+    """The directories of all known regions, indexed by instance and by pool."""
 
     def __init__(self):
         self._regions: dict[str, RegionDirectory] = {}
@@ -44,11 +51,11 @@
 
     @property
     def mark(self) -> int:
-        """Grows with every change; passed to ``changed_since``."""
+        """Number of changes so far; a later call of ``changed_since`` takes it."""
         return self._mark
 
     def owner(self, pool: model.PoolKey) -> region.Instance | None:
-        """Returns the instance that owns a pool, or None when it has no known owner."""
+        """Returns the owner of a pool, or None when it is unknown or refused a connection."""
         owner = self._owners.get(pool)
         return None if owner is None or owner.id in self._refused else owner
 
@@ -62,40 +69,46 @@
         return next(found, None)
 
     def instances(self, region_name: str | None = None) -> list[region.Instance]:
-        """Returns the instances of one region or of all, silent ones included."""
+        """Returns the instances of one region or of all regions, including silent ones."""
         if region_name is None:
             return list(self._by_name.values())
         known = self._regions.get(region_name)
         return [] if known is None else list(known.instances)
 
     def is_gone(self, name: str, incarnation: str) -> bool:
-        """Returns whether an incarnation is known to have ended."""
+        """Returns whether an incarnation is known to have ended or refused a connection."""
         instance = model.InstanceId(name=name, incarnation=incarnation)
         return instance in self._gone or instance in self._refused
 
     def note_refused(self, instance: model.InstanceId) -> None:
-        """Names an incarnation no more whose RPC port refused a connection.
+        """Records that the RPC port of an incarnation refused a connection.
 
-        The coordinator finds the same a moment later; until then, callers would be sent to it.
+        From then on it is regarded as gone and not returned as owner. The coordinator reports this
+        only a moment later, and until then requests would be sent to the ended process.
         """
         self._refused[instance] = None
         while len(self._refused) > MAX_REFUSED:
             del self._refused[next(iter(self._refused))]
 
     def region(self, name: str) -> RegionDirectory | None:
-        """Returns what is known about a region."""
+        """Returns the directory of a region, or None when it is unknown."""
         return self._regions.get(name)
 
     def regions(self) -> list[RegionDirectory]:
-        """Returns what is known about all regions."""
+        """Returns the directories of all known regions."""
         return list(self._regions.values())
 
     def changed_since(self, mark: int) -> list[RegionDirectory]:
-        """Returns the regions that changed after ``mark`` was read."""
+        """Returns the directories that changed after ``mark`` was read."""
         return [self._regions[name] for name, each in self._marks.items() if each > mark]
 
     def newer_than(self, known: Mapping[str, tuple[int, int]]) -> list[RegionDirectory]:
-        """Returns the regions among ``known`` whose epoch and version are higher, or all."""
+        """Returns the directories that are newer than ``known``.
+
+        Args:
+            known: Epoch and version by region; other regions are left out. When it is empty, all
+                directories are returned.
+        """
         return [
             each
             for each in self._regions.values()
@@ -103,7 +116,7 @@
         ]
 
     def update(self, directories: Iterable[RegionDirectory]) -> bool:
-        """Takes over directories that are newer; returns whether any was."""
+        """Stores the directories that are newer; returns whether there was one."""
         changed = False
         for each in directories:
             known = self._regions.get(each.region)
--- a/packages/entry/src/sassafrasway_entry/joining.py
+++ b/packages/entry/src/sassafrasway_entry/joining.py
@@ -1,4 +1,4 @@
-"""Finds the coordinator of a region through other instances while the table does not answer."""
+"""Finds a region's coordinator through other instances during an outage of the table service."""
 
 import random
 from collections.abc import Sequence
@@ -10,16 +10,17 @@
 from sassafrasway_entry import coordinator_task, directory
 from sassafrasway_platform import instances
 
-JOIN_ADDRESSES = 3
+# Maximum number of peers to ask per attempt.
+MAX_JOIN_PEERS = 3
 
 
 class Joiner:
-    """Asks known instances for the directory of this instance's region.
+    """Asks other instances for the directory of the region of this instance.
 
     Args:
         me: This instance.
-        peers: Calls to other instances.
-        directory: Learns what the peers answer.
+        peers: Calls other instances.
+        directory: Receives the directories that peers return.
         instance_list: The platform's list of instances.
         seeds: RPC addresses of instances to join through.
         rng: Random source for the choice of peers.
@@ -44,12 +45,16 @@
         self._log = structlog.get_logger("member").bind(instance=str(me.id))
 
     async def find_region(self) -> directory.RegionDirectory | None:
-        """Returns what the first peer that answers knows of the region, or None."""
+        """Returns the region's directory from the first peer that has it, or None."""
         for address in await self._addresses():
             try:
-                received = await coordinator_task.call_directory(self._peers, address, known={})
+                received = await coordinator_task.exchange_directories(
+                    self._peers, address, known={}
+                )
             except errors.SassafraswayError as error:
-                self._log.info("cannot join through peer", peer=address, reason=error.message)
+                self._log.info(
+                    "could not fetch directories from peer", peer=address, reason=error.message
+                )
                 continue
             self._directory.update(received)
             own = self._directory.region(self._me.region)
@@ -63,6 +68,6 @@
         try:
             addresses |= {each.address for each in await self._instance_list.fetch()}
         except errors.SassafraswayError as error:
-            self._log.info("instance list not read", reason=error.message)
+            self._log.info("could not fetch the instance list", reason=error.message)
         addresses.discard(self._me.rpc_address)
-        return self._rng.sample(sorted(addresses), min(JOIN_ADDRESSES, len(addresses)))
+        return self._rng.sample(sorted(addresses), min(MAX_JOIN_PEERS, len(addresses)))
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -1,4 +1,4 @@
-"""Member role of an instance: heartbeats to its coordinator, grants received, directories."""
+"""Member role of an instance: heartbeats to the coordinator, grants and directories."""
 
 import asyncio
 import dataclasses
@@ -35,6 +35,7 @@
 TICK_S = 0.1
 HEARTBEAT_TIMEOUT_S = 0.5
 JOIN_RETRY_S = 0.5
+# A heartbeat that fails within this time failed because the connection was lost, not by a timeout.
 QUICK_FAILURE_S = 0.2
 
 
@@ -43,11 +44,11 @@
 
 
 def _ignore_gone() -> None:
-    """Default for instances that are restarted by hand."""
+    """Default of ``on_declared_gone``: the instance keeps running until it is restarted."""
 
 
 class MemberTask:
-    """Takes part in the region: follows a coordinator or becomes it.
+    """Runs the member role in a region: follows the coordinator or becomes coordinator itself.
 
     Args:
         me: This instance.
@@ -55,18 +56,18 @@
         invariants: Checks that the epoch never decreases.
         table: Table service.
         instance_list: The platform's list of instances.
-        peers: Calls to other instances.
+        peers: Calls other instances.
         policy_source: Returns the policy in force, or None.
-        grants_sink: Called with all grants of this instance whenever one of them changes.
+        on_grants: Called with all grants of this instance whenever one of them changes.
         pool_reports: Returns slots in use, rate and queue length of each pool that this instance
-            uses, pools that it no longer may use but whose requests still run included.
+            uses, including pools that it may no longer use but whose requests are still running.
         revision_source: Returns the revision of the policy in force.
         cap_demand: Returns the demand by cap name (see ``cap_grants``) in the unit of the cap,
-            refused demand included; caps that it does not name get no share.
+            including refused demand; other caps get no share.
         seeds: RPC addresses of instances to join through.
-        on_revision: Called with a newer revision and the RPC address of its holder.
-        on_declared_gone: Called when a coordinator took this instance for gone and gave its pools
-            away; only a restart with a new incarnation can take part again.
+        on_revision: Called with a newer revision and the RPC address of an instance that has it.
+        on_declared_gone: Called when a coordinator declared this instance gone and may have granted
+            its pools to others. It must restart with a new incarnation to get grants again.
         rng: Random source for the choice of peers.
     """
 
@@ -80,7 +81,7 @@
         instance_list: instances_module.InstanceList,
         peers: Any,
         policy_source: Callable[[], model.Policy | None],
-        grants_sink: Callable[[list[region.PoolGrant]], None],
+        on_grants: Callable[[list[region.PoolGrant]], None],
         pool_reports: Callable[[], Mapping[model.PoolKey, region.PoolReport]],
         revision_source: Callable[[], int],
         cap_demand: Callable[[], Mapping[str, float]] = dict,
@@ -92,7 +93,7 @@
         self._clock = clock
         self._row = region_table.RegionTable(table=table, region_name=me.region)
         self._peers = peers
-        self._grants_sink = grants_sink
+        self._on_grants = on_grants
         self._pool_reports = pool_reports
         self._cap_demand = cap_demand
         self._revision_source = revision_source
@@ -132,10 +133,10 @@
             rng=self._rng,
         )
         self._won_epoch = 0
-        self._sunk: list[region.PoolGrant] = []
+        self._published_grants: list[region.PoolGrant] = []
         self._table_failed = False
-        self._told_gone = False
-        self._joined_s = float("-inf")
+        self._declared_gone = False
+        self._join_started_s = float("-inf")
         self._wake = asyncio.Event()
         self._background = background.Background(name="member")
         self._suspicions = suspicions.SuspicionReporter(
@@ -161,7 +162,7 @@
 
     @property
     def members(self) -> membership.MemberTable:
-        """What is known about the region's instances."""
+        """Liveness of the region's instances."""
         return self._members
 
     @property
@@ -171,9 +172,9 @@
 
     @property
     def must_stay(self) -> bool:
-        """Whether the region would be without a coordinator if this instance stopped now.
+        """Whether the region would be left without a coordinator if this instance stopped now.
 
-        While the table is down, nobody can take over from a coordinator that stops.
+        While the table service is unavailable, no other instance can take over from a coordinator.
         """
         state = self._coordinator.state
         if state is None or state.authority.is_transferable:
@@ -182,7 +183,7 @@
 
     @property
     def in_contact(self) -> bool:
-        """Whether the coordinator answered recently."""
+        """Whether the coordinator answered a heartbeat recently."""
         return self._state.in_contact
 
     def share(self, pool: model.PoolKey) -> share.Share:
@@ -190,7 +191,7 @@
         return self._grants.share(pool)
 
     def cap_amount(self, name: str) -> float:
-        """Returns this instance's limit of a cap that is in force now; 0 without a share."""
+        """Returns the limit of this instance for a cap that is in force now; 0 without a share."""
         return self._grants.caps.amount(name)
 
     def coordinator_addresses(self) -> list[str]:
@@ -198,18 +199,18 @@
         return [each.coordinator.rpc_address for each in self._directory.regions()]
 
     def relay_addresses(self) -> list[str]:
-        """Returns the members' RPC addresses on a coordinator, and nothing elsewhere."""
+        """Returns the other members' RPC addresses on a coordinator; on other instances none."""
         if not self.is_coordinator:
             return []
         return [each.rpc_address for each in self._members.instances() if each.id != self.me.id]
 
     def dump(self) -> dict[str, Any]:
-        """Returns the state for status and dump as a JSON-able dict."""
-        leader = self._grants.coordinator
+        """Returns the state for the state dump as a JSON-serializable dict."""
+        coordinator = self._grants.coordinator
         state = self._coordinator.state
         return {
             "epoch": self._grants.epoch,
-            "coordinator": None if leader is None else str(leader.id),
+            "coordinator": None if coordinator is None else str(coordinator.id),
             "in_contact": self.in_contact,
             "is_coordinator": self.is_coordinator,
             "has_authority": state is not None and state.has_authority,
@@ -223,7 +224,7 @@
         }
 
     async def run(self) -> None:
-        """Takes part in the region until cancelled."""
+        """Runs the member and coordinator roles until cancelled."""
         try:
             while True:
                 self.tick()
@@ -237,7 +238,7 @@
             await self._coordinator.close()
 
     def tick(self) -> None:
-        """Lets time pass; starts the calls that are due."""
+        """Updates the state to the current time and starts the calls that are due."""
         for command in self._state.tick(reports=self._pool_reports, cap_demand=self._cap_demand):
             self._background.start(self._execute(command))
         won = self._state.won_election
@@ -245,20 +246,22 @@
             self._won_epoch = won.row.epoch
             self._coordinator.start(won)
         self._coordinator.tick()
-        self._sink()
+        self._publish_grants()
         if self._table_failed and not self.in_contact:
             self._join_if_due()
 
     def leave(self) -> None:
-        """Announces that this instance stops; its pools move to others."""
+        """Announces that this instance is about to stop, so that its pools move to others."""
         self._state.set_me(dataclasses.replace(self._state.me, state=region.LEAVING))
         self._wake.set()
 
     def on_heartbeat(self, message: Any) -> Any:
-        """Answers a member's heartbeat; both messages are Thrift messages.
+        """Returns the reply to a member's heartbeat; both are Thrift messages.
+
+        An instance that is not coordinator replies with the coordinator that it follows.
 
         Raises:
-            errors.UnavailableError: This instance is not coordinator and knows none.
+            errors.UnavailableError: This instance is not coordinator and does not know one.
         """
         if self._coordinator.state is not None:
             reply = self._coordinator.heartbeat(message)
@@ -269,11 +272,11 @@
         known = self._grants.coordinator
         if known is None:
             raise errors.UnavailableError("no coordinator is known", step="control.heartbeat")
-        hint = region.HeartbeatReply(
+        redirect = region.HeartbeatReply(
             epoch=self._grants.epoch, coordinator=known, accepted=False, seq=0, stamp_s=0.0
         )
         return control_conversion.to_heartbeat_reply(
-            hint, directories=(), directory_mark=0, revision=self._revision_source()
+            redirect, directories=(), directory_mark=0, revision=self._revision_source()
         )
 
     def on_follow(self, *, epoch: int, coordinator: region.Instance) -> region.FollowReply:
@@ -285,7 +288,7 @@
         return dataclasses.replace(reply, pools=reports)
 
     def on_suspect(self, instance: model.InstanceId) -> None:
-        """Makes this coordinator probe an instance that somebody could not reach."""
+        """Probes an instance that was reported as unreachable, if this one is coordinator."""
         self._coordinator.suspect(instance)
 
     def identity(self) -> tuple[region.Instance, int, region.Instance | None]:
@@ -293,10 +296,10 @@
         return self.me, self._grants.epoch, self._grants.coordinator
 
     def _on_refused(self, address: str) -> None:
-        """Has an instance probed at once whose port refused a connection."""
-        leader = self._grants.coordinator
-        if leader is not None and leader.rpc_address == address:
-            if not self._members.is_gone(leader.id):
+        """Checks at once whether an instance is gone whose port refused a connection."""
+        coordinator = self._grants.coordinator
+        if coordinator is not None and coordinator.rpc_address == address:
+            if not self._members.is_gone(coordinator.id):
                 self._state.request_heartbeat()
                 self._wake.set()
             return
@@ -305,11 +308,11 @@
     def _follow_self(self, epoch: int) -> region.FollowReply:
         return self.on_follow(epoch=epoch, coordinator=self.me)
 
-    def _sink(self) -> None:
+    def _publish_grants(self) -> None:
         grants = self._grants.grants()
-        if grants != self._sunk:
-            self._sunk = grants
-            self._grants_sink(list(grants))
+        if grants != self._published_grants:
+            self._published_grants = grants
+            self._on_grants(list(grants))
 
     async def _execute(self, command: region.Command) -> None:
         if isinstance(command, region.SendHeartbeat):
@@ -335,9 +338,9 @@
         except rpc_client.ConnectionRefusedByPeerError:
             self._members.record_refusal(target.id, started_s=command.sent_s)
         except errors.SassafraswayError as error:
-            self._log.info("no answer to heartbeat", peer=error.peer, reason=error.message)
+            self._log.info("heartbeat failed", peer=error.peer, reason=error.message)
             if self._clock.monotonic() < command.sent_s + QUICK_FAILURE_S:
-                # The connection was lost: the coordinator may have died.
+                # The connection was lost; the coordinator process may have ended.
                 await self._probe(target)
         else:
             self._on_reply(reply, sent_s=command.sent_s)
@@ -357,10 +360,13 @@
                 control_conversion.from_directory(each) for each in message.directories or ()
             )
         self._coordinator.depose(self._grants.epoch)
-        self._sink()
-        if reply.gone and not self._told_gone:
-            self._told_gone = True
-            self._log.error("taken for gone; restart this instance", by=str(reply.coordinator.id))
+        self._publish_grants()
+        if reply.gone and not self._declared_gone:
+            self._declared_gone = True
+            self._log.error(
+                "declared gone by the coordinator; this instance must restart",
+                by=str(reply.coordinator.id),
+            )
             self._on_declared_gone()
         if (message.revision or 0) > self._revision_source():
             self._on_revision(message.revision, reply.coordinator.rpc_address)
@@ -371,7 +377,7 @@
             row, version = await self._row.read()
         except errors.SassafraswayError as error:
             if not self._table_failed:
-                self._log.warning("table does not answer", reason=error.message)
+                self._log.warning("table service is unavailable", reason=error.message)
             self._table_failed = True
             return
         self._table_failed = False
@@ -384,7 +390,7 @@
         except table_module.PreconditionFailed:
             self._state.on_write_refused(command)
         except errors.SassafraswayError as error:
-            self._log.warning("candidate write without answer", reason=error.message)
+            self._log.warning("outcome of the election write is unknown", reason=error.message)
             self._state.on_write_unknown(command)
         else:
             self._state.on_write_ok(command, version)
@@ -396,21 +402,23 @@
         if identity is None or identity.coordinator is None:
             return
         if identity.instance.region == self.me.region:
-            self._hint(identity.epoch, control_conversion.from_instance(identity.coordinator))
+            self._follow_if_newer(
+                identity.epoch, control_conversion.from_instance(identity.coordinator)
+            )
 
-    def _hint(self, epoch: int, coordinator: region.Instance) -> None:
-        """Follows a coordinator that a peer named, if it is news."""
+    def _follow_if_newer(self, epoch: int, coordinator: region.Instance) -> None:
+        """Follows a coordinator that a peer named, unless its epoch is already known."""
         if epoch > self._grants.epoch:
             self.on_follow(epoch=epoch, coordinator=coordinator)
 
     def _join_if_due(self) -> None:
         now = self._clock.monotonic()
-        if now >= self._joined_s + JOIN_RETRY_S:
-            self._joined_s = now
+        if now >= self._join_started_s + JOIN_RETRY_S:
+            self._join_started_s = now
             self._background.start(self._join())
 
     async def _join(self) -> None:
-        """Asks peers who coordinates the region while the table does not answer."""
+        """Asks peers for the coordinator of the region while the table service is unavailable."""
         own = await self._joiner.find_region()
         if own is not None:
-            self._hint(own.epoch, own.coordinator)
+            self._follow_if_newer(own.epoch, own.coordinator)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -139,7 +139,7 @@
             instance_list=self._instance_list,
             peers=self._peers,
             policy_source=lambda: self._config.policy,
-            grants_sink=self._on_grants,
+            on_grants=self._on_grants,
             pool_reports=lambda: self._pools.reports(),
             cap_demand=lambda: self._limits.demand(),
             revision_source=lambda: self._config.revision,
@@ -356,7 +356,7 @@
             me=self._me.id, outcomes=self._outcomes, gatekeeper=self._gatekeeper
         )
         await self._caller_api.stop()
-        await self._config.settle()
+        await self._config.wait_for_pushes()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/entry/src/sassafrasway_entry/region_table.py
+++ b/packages/entry/src/sassafrasway_entry/region_table.py
@@ -1,4 +1,4 @@
-"""Reads and conditional writes of the row of one region."""
+"""Access to the row of one region in the table service."""
 
 import asyncio
 
@@ -9,7 +9,7 @@
 
 
 class RegionTable:
-    """The row ``region/<region>``.
+    """Reads and conditionally writes the row ``region/<region>``.
 
     Args:
         table: Table service.
@@ -25,29 +25,34 @@
         """Returns the row and its version, or None for both when there is no row.
 
         Raises:
-            table.StoreUnavailable: The table did not answer.
+            table.StoreUnavailable: The table service is unavailable.
         """
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 row = await self._table.get(self._key, known=self._known)
         except TimeoutError:
-            raise table_module.StoreUnavailable("timeout", step="region.read") from None
+            raise table_module.StoreUnavailable(
+                "the table service did not answer in time", step="region.read"
+            ) from None
         self._known = row
         if row is None:
             return None, None
         return region.RegionRow.decode(row.value), row.version
 
     async def write(self, command: region.WriteRow) -> str:
-        """Writes the row and returns its new version.
+        """Writes the row if its version is still ``if_version`` and returns the new version.
 
         Raises:
             table.PreconditionFailed: The row has another version; nothing was written.
-            table.StoreUnavailable: The table did not answer; the effect is unknown.
+            table.StoreUnavailable: The table service is unavailable; the row may or may not have
+                been written.
         """
         if_version = table_module.ABSENT if command.if_version is None else command.if_version
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 row = await self._table.put(self._key, command.row.encode(), if_version=if_version)
         except TimeoutError:
-            raise table_module.StoreUnavailable("timeout", step="region.write") from None
+            raise table_module.StoreUnavailable(
+                "the table service did not answer in time", step="region.write"
+            ) from None
         return row.version
--- a/packages/entry/src/sassafrasway_entry/suspicions.py
+++ b/packages/entry/src/sassafrasway_entry/suspicions.py
@@ -1,4 +1,4 @@
-"""Reports instances whose ports refuse connections to the coordinators of their regions."""
+"""Reports instances that refuse connections to the coordinators of their regions."""
 
 from collections.abc import Callable
 from typing import Any
@@ -14,15 +14,15 @@
 
 
 class SuspicionReporter:
-    """Reports each address at most once in ``REPORT_INTERVAL_S``.
+    """Reports instances that may be gone, each address at most once per ``REPORT_INTERVAL_S``.
 
     Args:
         me: This instance.
         clock: Time source.
-        directory: Instances by address, and the coordinators.
-        peers: Calls to other instances.
-        background: Runs the reports.
-        suspect_here: Takes a report when this instance is the coordinator.
+        directory: Directories of all regions.
+        peers: Calls other instances.
+        background: Runs the calls that send reports.
+        suspect_here: Called instead of sending a report when this instance is the coordinator.
     """
 
     def __init__(
@@ -45,7 +45,7 @@
         self._log = structlog.get_logger("member").bind(instance=str(me.id))
 
     def report(self, address: str) -> None:
-        """Has the instance at an address probed."""
+        """Asks the coordinator of its region to probe the instance at an address."""
         now = self._clock.monotonic()
         target = self._directory.at_address(address)
         if target is None or now < self._reported_s.get(address, 0.0) + REPORT_INTERVAL_S:
@@ -64,4 +64,6 @@
                 coordinator.rpc_address, "suspect", timeout_s=REPORT_TIMEOUT_S, instance=message
             )
         except errors.SassafraswayError as error:
-            self._log.debug("suspicion not reported", peer=error.peer, reason=error.message)
+            self._log.debug(
+                "could not report unreachable instance", peer=error.peer, reason=error.message
+            )
--- a/packages/entry/tests/config_fakes.py
+++ b/packages/entry/tests/config_fakes.py
@@ -1,4 +1,4 @@
-"""Fake instances with a configuration task, a shared fake table and a fake network."""
+"""Instances with a real configuration task, a shared in-memory table and a fake network."""
 
 import random
 
@@ -22,14 +22,14 @@
 
 
 def change(base, change_id, **sections):
-    """Returns a change of the given sections."""
+    """Returns a change of the given sections, based on revision ``base``."""
     return documents.parse_change(
         {"base_revision": base, "change_id": change_id, "author": "a", "sections": sections}
     )
 
 
 class Instance:
-    """One instance on a fake network; ``cut`` separates it from its peers."""
+    """An instance on a fake network; ``cut`` partitions it from its peers, not from the table."""
 
     def __init__(self, network, rows, name):
         self.name = name
@@ -74,5 +74,7 @@
     async def call_peer(self, address, method, *, timeout_s=2.0, **arguments):
         peer = self._network[address]
         if self.cut or peer.cut:
-            raise errors.UnavailableError("cut off", step="fake.call", peer=address)
+            raise errors.UnavailableError(
+                "the network is partitioned", step="fake.call", peer=address
+            )
         return await getattr(peer.peer_service, method)(**arguments)
--- a/packages/entry/tests/test_config_faults.py
+++ b/packages/entry/tests/test_config_faults.py
@@ -1,4 +1,4 @@
-"""Random faults and concurrent changes against several configuration tasks."""
+"""Property test of configuration tasks under random faults and concurrent changes."""
 
 import asyncio
 import unittest
@@ -16,7 +16,7 @@
 
 
 class _Run:
-    """Applies actions and keeps what the operators were told."""
+    """Executes actions and records which results the operators got for their changes."""
 
     def __init__(self):
         self.rows = memory.MemoryTable()
@@ -27,7 +27,7 @@
         self.accepted = {}
         self.refused = set()
         self.unknown = []
-        self._made = 0
+        self._change_count = 0
 
     async def act(self, action, index):
         instance = self.instances[index]
@@ -50,7 +50,7 @@
             instance.cut = not instance.cut
         elif action == "refresh":
             await instance.config.refresh()
-        await asyncio.gather(*(each.config.settle() for each in self.instances))
+        await asyncio.gather(*(each.config.wait_for_pushes() for each in self.instances))
 
     async def heal(self):
         for instance in self.instances:
@@ -60,9 +60,9 @@
             await instance.config.refresh()
 
     def _change(self, instance):
-        self._made += 1
-        region = {f"r{self._made}": {}}
-        return fakes.change(instance.config.revision, f"c{self._made}", regions=region)
+        self._change_count += 1
+        region = {f"r{self._change_count}": {}}
+        return fakes.change(instance.config.revision, f"c{self._change_count}", regions=region)
 
     async def _apply(self, instance, change):
         try:
@@ -90,7 +90,12 @@
         )
     )
     def test_what_operators_are_told_is_true(self, actions):
-        """Guards against changes that are lost, applied twice, or reverted under faults."""
+        """Guards against changes that are lost, applied twice or reverted.
+
+        Faults are lost answers, outages of the table service and partitions between instances.
+        Changes reported as accepted must be in the history, refused ones must not be, and in the
+        end all instances must have the same policy.
+        """
         asyncio.run(self._check(actions))
 
     async def _check(self, actions):
--- a/packages/entry/tests/test_config_task.py
+++ b/packages/entry/tests/test_config_task.py
@@ -1,4 +1,4 @@
-"""Tests of the configuration task and the operators' and peers' handlers with fakes."""
+"""Tests of the configuration task and of the handlers for operators and peers."""
 
 import asyncio
 import inspect
@@ -29,11 +29,11 @@
         return fakes.Instance(self.network, self.rows, name)
 
     async def settle(self):
-        """Lets pushes and the catching up that they cause come to an end."""
+        """Runs all tasks until pushes, and the fetches that they cause, have ended."""
         loops = [asyncio.create_task(each.config.run()) for each in self.network.values()]
         for _ in range(100):
             await asyncio.sleep(0)
-            await asyncio.gather(*(each.config.settle() for each in self.network.values()))
+            await asyncio.gather(*(each.config.wait_for_pushes() for each in self.network.values()))
         for loop in loops:
             loop.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
@@ -41,16 +41,19 @@
 
 class ConfigTaskTest(_TestCase):
     async def test_change_reaches_all(self):
-        """Guards against instances that stay on an old policy after an accepted change."""
+        """Guards against instances that keep an old policy because a push does not reach them."""
         self.assertEqual([each.config.revision for each in self.network.values()], [1, 1, 1])
         self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "bkk")
         await self.two.config.apply(fakes.change(1, "c2", blocks={"10.0.0.0/8": {"region": "hkt"}}))
-        await self.two.config.settle()
+        await self.two.config.wait_for_pushes()
         self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "hkt")
         self.assertEqual(self.three.revisions, [1, 2])
 
     async def test_two_operators_at_once(self):
-        """Guards against a change that silently overwrites another one."""
+        """Guards against a change that silently overwrites another one.
+
+        Two instances accept changes that are based on the same revision; only one may succeed.
+        """
         results = await asyncio.gather(
             self.one.config.apply(fakes.change(1, "c-one", regions={"cnx": {}})),
             self.two.config.apply(fakes.change(1, "c-two", regions={"cnx": {"cap_rps": 5}})),
@@ -62,13 +65,20 @@
         self.assertEqual({each.config.revision for each in self.network.values()}, {2})
 
     async def test_lost_answer_is_resolved_by_reading_back(self):
-        """Guards against reporting a failure for a change that is in force."""
+        """Guards against reporting a failure for a change that is in force.
+
+        The table service writes the change, but its answer is lost.
+        """
         self.one.table.faults.lost_answers = 1
         applied = await self.one.config.apply(fakes.change(1, "c2", regions={"cnx": {}}))
         self.assertEqual((applied.revision, self.one.config.revision), (2, 2))
 
     async def test_retry_after_lost_answer_is_applied_once(self):
-        """Guards against a second application when the store fails right after the write."""
+        """Guards against applying a change twice.
+
+        The table service writes the change and then becomes unavailable, so the operator gets an
+        error and sends the same change again through another instance.
+        """
         change = fakes.change(1, "c2", regions={"cnx": {}})
         self.one.table.faults.down_after_write = True
         with self.assertRaises(errors.UnavailableError):
@@ -79,7 +89,10 @@
         self.assertEqual(len(await self.two.config.records(limit=5)), 2)
 
     async def test_start_with_store_down_takes_policy_from_peer(self):
-        """Guards against an instance without a policy while the store is down for long."""
+        """Guards against a new instance without a policy during an outage of the table service.
+
+        A peer whose log is complete sends changes; one that loaded the policy sends all of it.
+        """
         loaded = fakes.Instance({}, self.rows, "loaded")
         await loaded.config.refresh()
         for peer, has_log in ((self.one, True), (loaded, False)):
@@ -92,7 +105,7 @@
                 self.assertEqual(late.config.blocks.region_of("10.1.1.1"), "bkk")
 
     async def test_without_store_and_peers_there_is_no_policy(self):
-        """Guards against serving from the empty policy when the real one is unknown."""
+        """Guards against using the empty policy of revision 0 while the actual one is unknown."""
         late = self.start("late")
         late.table.faults.down = late.cut = True
         await late.config.refresh()
@@ -102,7 +115,11 @@
                 await call
 
     async def test_cut_off_instance_never_goes_back(self):
-        """Guards against an old policy that returns through an old row, push or peer."""
+        """Guards against a return to an old policy.
+
+        After a change, a partitioned instance is offered the earlier revision in a stale row, in a
+        push and by a peer that missed the change.
+        """
         stale = fakes.Instance({}, await self._copy_of_rows(), "stale")
         await stale.config.refresh()
         await self.one.config.apply(
@@ -131,7 +148,7 @@
         return copy
 
     async def test_missed_changes_are_pulled(self):
-        """Guards against a partitioned instance that cannot follow after it returns."""
+        """Guards against an instance that stays behind because it missed pushes in a partition."""
         self.three.cut = self.three.table.faults.down = True
         for base in range(1, 4):
             await self.one.config.apply(fakes.change(base, f"c{base}", regions={f"r{base}": {}}))
@@ -143,7 +160,7 @@
         self.assertEqual((self.three.config.revision, self.three.revisions), (5, [1, 2, 3, 4, 5]))
 
     async def test_fresh_instance_reads_document_and_changes(self):
-        """Guards against a wrong policy after the full document and later changes were read."""
+        """Guards against a wrong policy when it is built from a document and later changes."""
         last = config_store.DOCUMENT_INTERVAL + 2
         for base in range(1, last):
             await self.one.config.apply(fakes.change(base, f"c{base}", regions={f"r{base}": {}}))
@@ -155,7 +172,10 @@
         self.assertEqual(set((await fresh.config.policy_at(2)).regions), {"bkk", "hkt", "r1"})
 
     async def test_malformed_rows_keep_the_policy(self):
-        """Guards against a damaged row that stops the task or replaces the policy."""
+        """Guards against a malformed row that replaces the policy or ends the task.
+
+        The task handles errors of the project's own types only.
+        """
         for value in (b"{", b"[]", b'{"revision": "9", "change_ids": {}}'):
             row = await self.rows.get("config/head")
             await self.rows.put("config/head", value, if_version=row.version)
@@ -166,7 +186,7 @@
 
 class OperatorServiceTest(_TestCase):
     async def test_bad_input(self):
-        """Guards against malformed changes that reach the table."""
+        """Guards against invalid changes that are written to the table."""
         cases = [
             ("{", "malformed JSON"),
             ('{"base_revision": 1, "base_revision": 2}', "occurs twice"),
@@ -185,7 +205,10 @@
         )
 
     async def test_shift_and_rollback(self):
-        """Guards against a rollback that rewrites history or restores wrong content."""
+        """Guards against a rollback that rewrites history or restores the wrong content.
+
+        Also checks that repeated calls with the same change id have no further effect.
+        """
         operator = self.one.operator
         shift = schema.config.ShiftSpec(
             service_name="crew-desk", source="bkk", target="hkt", cap_rps=50.0
@@ -211,7 +234,10 @@
         self.assertEqual([each.revision for each in await operator.history(9, 3)], [2, 1])
 
     async def test_change_without_base_survives_a_concurrent_change(self):
-        """Guards against a drain that fails because somebody else changed the policy."""
+        """Guards against a drain that fails because the policy changed at the same time.
+
+        A change without a base revision is rebuilt on the new policy and sent again.
+        """
         await asyncio.gather(
             self.one.operator.drain(schema.config.DrainKind.SERVER, "crew-1", _meta("d"), False),
             self.two.config.apply(fakes.change(1, "c", regions={"cnx": {}})),
@@ -225,7 +251,7 @@
         self.assertIs(state, model.ServerState.ACTIVE)
 
     async def test_drain_of_an_instance(self):
-        """Guards against draining another instance than the named one."""
+        """Guards against draining an instance other than the named one."""
         kind = schema.config.DrainKind.INSTANCE
         await self.one.operator.drain(kind, "two", _meta("d"), False)
         self.assertEqual((self.one.left, self.two.left), (False, True))
@@ -237,7 +263,10 @@
             await self.one.peer_service.drain_instance("two", "a")
 
     async def test_handlers_match_the_schema(self):
-        """Guards against a call that fails only when it arrives over the network."""
+        """Guards against handler signatures that differ from the Thrift schema.
+
+        The server passes arguments by name, so a mismatch fails only when a call arrives.
+        """
         pairs = [
             (schema.config.Operator, self.one.operator),
             (schema.config.Config, self.one.peer_service),
@@ -250,7 +279,7 @@
                     self.assertEqual(list(parameters), list(arguments))
 
     async def test_missing_arguments_are_validation_errors(self):
-        """Guards against calls of other Thrift clients that leave fields unset."""
+        """Guards against internal errors when another Thrift client leaves arguments unset."""
         operator = self.one.operator
         calls = [
             operator.apply_change(None),
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -1,4 +1,4 @@
-"""Tests of the member and coordinator tasks with in-memory peers and platform."""
+"""Tests of the member and coordinator tasks on an in-memory network and platform."""
 
 import asyncio
 import collections
@@ -45,7 +45,7 @@
 
 
 class _Network:
-    """Peers of one instance; messages pass through the Thrift codec."""
+    """Calls from one instance to its peers; messages pass through the Thrift codec."""
 
     def __init__(self, fleet, name):
         self._fleet = fleet
@@ -63,16 +63,16 @@
             self._on_refused(address)
             raise rpc_client.ConnectionRefusedByPeerError("refused", step=method, peer=address)
         control = schema.control.Control
-        sent = _recode(getattr(control, f"{method}_args")(**arguments))
+        sent = _encode_and_decode(getattr(control, f"{method}_args")(**arguments))
         result = getattr(control, f"{method}_result")()
         value = await getattr(service, method)(**vars(sent))
         if hasattr(result, "success"):
             result.success = value
-            return _recode(result).success
+            return _encode_and_decode(result).success
         return None
 
 
-def _recode(payload):
+def _encode_and_decode(payload):
     head = codec.MessageHead(name="m", kind=1, sequence_id=1)
     frame = codec.encode(head=head, payload=payload)
     decoder = codec.Decoder(body=frame[codec.FRAME_HEADER_BYTES :], peer="test")
@@ -81,7 +81,7 @@
 
 
 class _Fleet:
-    """Instances of one or more regions on one manual clock."""
+    """The instances of one or more regions, which share a manual clock."""
 
     def __init__(self, regions=("bkk",)):
         self.clock = clock.ManualClock()
@@ -109,7 +109,7 @@
             instance_list=self.list,
             peers=self.networks[name],
             policy_source=lambda: self.policy,
-            grants_sink=lambda grants: self.grants.__setitem__(name, grants),
+            on_grants=lambda grants: self.grants.__setitem__(name, grants),
             pool_reports=lambda: self.in_use.get(name, {}),
             revision_source=lambda: revision,
             seeds=seeds,
@@ -137,7 +137,7 @@
             if grant.share is share.Share.FULL
         }
 
-    def leader(self):
+    def coordinator(self):
         return next(name for name, task in self.tasks.items() if task.is_coordinator)
 
 
@@ -149,7 +149,10 @@
         await self.fleet.run(6)
 
     async def test_grants_and_directory_agree(self):
-        """Guards against look-ups that name another instance than the owner."""
+        """Guards against lookups that return an instance other than the owner.
+
+        Grants and directories reach the instances in the same replies; both must name one owner.
+        """
         owners = self.fleet.owners()
         self.assertEqual(collections.Counter(owners.values()), {"p": 1, "q": 1, "r": 1})
         for task in self.fleet.tasks.values():
@@ -158,19 +161,22 @@
             self.assertEqual({each.name for each in task.directory.instances("bkk")}, {*"pqr"})
 
     async def test_killed_coordinator(self):
-        """Guards against pools without owner, and dead instances in the directory."""
-        leader = self.fleet.leader()
-        self.fleet.kill(leader)
+        """Guards against pools without an owner after the coordinator has crashed.
+
+        The crashed instance must also disappear from the directories.
+        """
+        coordinator = self.fleet.coordinator()
+        self.fleet.kill(coordinator)
         await self.fleet.run(3)
         self.assertEqual(len(self.fleet.owners()), 3)
         for task in self.fleet.tasks.values():
-            self.assertTrue(task.directory.is_gone(leader, "1"))
-            self.assertIsNone(task.directory.instance(leader))
+            self.assertTrue(task.directory.is_gone(coordinator, "1"))
+            self.assertIsNone(task.directory.instance(coordinator))
 
     async def test_refused_call_moves_pools_at_once(self):
-        """Guards against waiting for missed heartbeats when a caller saw a refused connection."""
-        leader = self.fleet.leader()
-        name, caller = (each for each in self.fleet.tasks if each != leader)
+        """Guards against waiting for missed heartbeats although a peer saw a refused connection."""
+        coordinator = self.fleet.coordinator()
+        name, caller = (each for each in self.fleet.tasks if each != coordinator)
         self.fleet.kill(name)
         with self.assertRaises(rpc_client.ConnectionRefusedByPeerError):
             await self.fleet.networks[caller].call(name, "identify", timeout_s=1)
@@ -178,24 +184,27 @@
         self.assertEqual(len(self.fleet.owners()), 3)
 
     async def test_join_through_peers_while_table_is_down(self):
-        """Guards against an instance that cannot start during an outage of the table."""
+        """Guards against an instance that cannot join during an outage of the table service.
+
+        Only the coordinator must keep running meanwhile, since none can take over from it.
+        """
         self.fleet.table.faults.down = True
         self.fleet.start("s", seeds=("q",))
         await self.fleet.run(4)
         self.assertTrue(self.fleet.tasks["s"].in_contact)
         needed = [name for name, task in self.fleet.tasks.items() if task.must_stay]
-        self.assertEqual(needed, [self.fleet.leader()])
+        self.assertEqual(needed, [self.fleet.coordinator()])
         self.assertEqual(len(self.fleet.owners()), 3)
 
     async def test_lost_answer_of_the_table(self):
-        """Guards against giving up the lease after a write whose answer was lost."""
-        leader = self.fleet.leader()
+        """Guards against a coordinator that resigns because the answer to a row write was lost."""
+        coordinator = self.fleet.coordinator()
         self.fleet.table.faults.lost_answers = 1
         await self.fleet.run(5)
-        self.assertEqual((self.fleet.leader(), len(self.fleet.owners())), (leader, 3))
+        self.assertEqual((self.fleet.coordinator(), len(self.fleet.owners())), (coordinator, 3))
 
     async def test_leaving_hands_over_slots_in_use(self):
-        """Guards against a successor that uses slots on which old requests still run."""
+        """Guards against a new owner that uses slots which requests of the previous one occupy."""
         pool, name = next(iter(self.fleet.owners().items()))
         self.fleet.in_use[name] = {
             pool: region.PoolReport(share=share.Share.NONE, in_use={"s": 2}, busy_s=5.0)
@@ -210,8 +219,8 @@
         self.assertNotIn(name, self.fleet.owners().values())
 
     async def test_isolated_holder_keeps_offline_share(self):
-        """Guards against an isolated instance that uses more than its offline share."""
-        name = next(each for each in self.fleet.tasks if each != self.fleet.leader())
+        """Guards against a partitioned owner that uses more than its offline share."""
+        name = next(each for each in self.fleet.tasks if each != self.fleet.coordinator())
         self.fleet.cut = {name}
         await self.fleet.run(4)
         self.assertEqual([each.share for each in self.fleet.grants[name]], [share.Share.OFFLINE])
@@ -224,15 +233,18 @@
         self.assertEqual(len(self.fleet.owners()), 3)
 
     async def test_newer_revision_is_reported(self):
-        """Guards against an instance that does not learn of a policy change."""
+        """Guards against an instance that is not notified of a newer policy revision."""
         self.fleet.start("s", revision=6)
         await self.fleet.run(2)
-        self.assertIn(("s", 7, self.fleet.leader()), self.fleet.newer)
+        self.assertIn(("s", 7, self.fleet.coordinator()), self.fleet.newer)
 
 
 class RegionsTest(unittest.IsolatedAsyncioTestCase):
     async def test_directories_reach_all_regions(self):
-        """Guards against lookups that know only the own region, also without the table."""
+        """Guards against lookups that know only their own region.
+
+        Coordinators must exchange directories also during an outage of the table service.
+        """
         fleet = _Fleet(("bkk", "cnx"))
         for name, region_name in (("p", "bkk"), ("q", "bkk"), ("x", "cnx"), ("y", "cnx")):
             fleet.start(name, region_name=region_name)
@@ -252,7 +264,7 @@
 
 class ConversionTest(unittest.TestCase):
     def test_heartbeat_survives_the_codec(self):
-        """Guards against fields that are lost between members and coordinator."""
+        """Guards against heartbeat fields that are lost in the conversion to Thrift and back."""
         me = region.Instance(name="p", incarnation="1", rpc_address="a:1", region="bkk")
         pool = model.PoolKey(service="desk", region="bkk", shard=2)
         report = region.PoolReport(
@@ -263,7 +275,9 @@
         )
         for heartbeat in (sent, dataclasses.replace(sent, echo_s=None, promise=False)):
             message = control_conversion.to_heartbeat(heartbeat, directory_mark=1, revision=2)
-            self.assertEqual(control_conversion.from_heartbeat(_recode(message)), heartbeat)
+            self.assertEqual(
+                control_conversion.from_heartbeat(_encode_and_decode(message)), heartbeat
+            )
 
 
 if __name__ == "__main__":
