Reword the control side and the process of the entry instance

Comments on caps and takeovers were riddles ("gives nobody more", "draw the cap away"), handlers were described as "answers operators" or "answers peers", and settings and lifecycle used informal words.

Cap limits, Control and Operator services, peers, process, settings, steering, dump, telemetry and admin interface now use standard terms, and constants say why they exist. One event text and one ValueError text changed. No behaviour changed.

--- a/packages/entry/src/sassafrasway_entry/admin_api.py
+++ b/packages/entry/src/sassafrasway_entry/admin_api.py
@@ -1,4 +1,4 @@
-"""HTTP interface for operators' tools: health, metrics and state dump."""
+"""HTTP interface for operators: health, metrics and state dump."""
 
 import json
 from collections.abc import Callable
@@ -14,8 +14,8 @@
 
     Args:
         metrics: Metrics to scrape.
-        dump: Returns the state of the process as JSON-able data.
-        health: Returns the state name and whether the instance is ready.
+        dump: Returns the state of the process as JSON-serializable data.
+        health: Returns the lifecycle state and whether the instance is ready.
     """
 
     def __init__(
@@ -31,7 +31,7 @@
         self._runner: web.AppRunner | None = None
 
     async def start(self, address: str) -> None:
-        """Starts to listen on ``host:port``."""
+        """Starts listening on ``host:port``."""
         app = web.Application()
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/metrics", self._get_metrics)
@@ -42,7 +42,7 @@
         await web.TCPSite(self._runner, host, int(port)).start()
 
     async def stop(self) -> None:
-        """Stops to listen."""
+        """Stops listening and closes open connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/packages/entry/src/sassafrasway_entry/background.py
+++ b/packages/entry/src/sassafrasway_entry/background.py
@@ -1,4 +1,4 @@
-"""Coroutines that run beside the task that started them."""
+"""Coroutines that run concurrently with the task that started them."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -8,10 +8,10 @@
 
 
 class Background:
-    """Keeps references to running coroutines and logs those that fail.
+    """Runs coroutines as asyncio tasks, keeps references to them and logs failures.
 
     Args:
-        name: Name of the owner in log lines.
+        name: Name of the logger.
     """
 
     def __init__(self, *, name: str):
@@ -19,13 +19,13 @@
         self._tasks: set[asyncio.Task] = set()
 
     def start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Starts a coroutine."""
+        """Runs a coroutine as a task."""
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
 
     async def close(self) -> None:
-        """Cancels the coroutines that still run."""
+        """Cancels the tasks that are still running and waits for them."""
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
@@ -34,4 +34,4 @@
     def _on_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            self._log.error("background call failed", exc_info=task.exception())
+            self._log.error("background task failed", exc_info=task.exception())
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -1,4 +1,4 @@
-"""Limits of one instance: its shares of the region's cap and of the links' caps."""
+"""Enforces this instance's shares of the caps of its region and of the region's links."""
 
 import asyncio
 import dataclasses
@@ -8,23 +8,28 @@
 from sassafrasway_core import clock as clock_lib
 
 BITS_PER_MBIT = 1_000_000
-MESSAGE_OVERHEAD_BYTES = 256  # Thrift framing, field heads and TCP/IP headers of a small message
+MESSAGE_OVERHEAD_BYTES = 256  # Thrift frame, field headers and TCP/IP headers of a small message
+# Minimum interval between measurements of the demand.
 DEMAND_INTERVAL_S = 0.4
-# Demand is measured anew after this time also while no coordinator asks for it.
-LONGEST_DEMAND_INTERVAL_S = 2.0
-# A new coordinator gives nobody more until the shares of the earlier one have ended and left all
-# windows; the next heartbeats then bring shares that follow the demand.
+# The demand is also measured after this time when no heartbeat asks for it. Otherwise the record
+# of refused requests would grow for as long as there is no coordinator.
+MAX_DEMAND_INTERVAL_S = 2.0
+# Time after a change of the coordinator until shares follow the demand again. The new coordinator
+# increases no share until those of the earlier one have expired and left all windows; then it takes
+# up to a second until the next heartbeats bring new shares.
 TAKEOVER_S = caps.SHARE_S + window.WINDOW_S + 1.0
 
 
 @dataclasses.dataclass(slots=True)
-class _Cap:
+class _CapUsage:
     """Use of one cap by this instance.
 
     Attributes:
+        window: Limits what is taken in any one-second window.
         taken: Amount taken since ``since_s``.
-        refused: Amounts refused since ``since_s`` and not taken later, by request.
-        demand: Amount a second that was taken and refused before ``since_s``.
+        refused: Amounts refused since ``since_s`` and not taken later, by request id.
+        since_s: Start of the current measurement.
+        demand: Result of the previous measurement: amount taken and refused per second.
     """
 
     window: window.SlidingWindow
@@ -35,20 +40,20 @@
 
 
 def message_mbit(size_bytes: int) -> float:
-    """Returns the size of a message on a link in Mbit."""
+    """Returns the size in Mbit of a message on a link, including its overhead."""
     return (size_bytes + MESSAGE_OVERHEAD_BYTES) * 8 / BITS_PER_MBIT
 
 
 class CapLimits:
-    """Keeps this instance within its shares of caps.
+    """Keeps this instance within its shares of caps and measures its demand for them.
 
-    The limit of each window is the share in force at that moment, so that a share that expires
-    takes effect without a message.
+    The limit of a window is set to the share in force whenever something is taken from it, so that
+    the expiry of a share takes effect without a message.
 
     Args:
         region: Region of this instance.
         clock: Time source.
-        amount: Returns the share in force of a cap by name.
+        amount: Returns the amount of the share in force, by name of the cap.
         epoch: Returns the epoch of the coordinator that this instance follows.
     """
 
@@ -64,62 +69,62 @@
         self._clock = clock
         self._amount = amount
         self._epoch = epoch
-        self._known_epoch = epoch()
+        self._last_epoch = epoch()
         self._settled_at_s = clock.monotonic()
-        self._caps: dict[str, _Cap] = {}
+        self._caps: dict[str, _CapUsage] = {}
 
     @property
     def settling(self) -> bool:
-        """Whether shares can't follow the demand yet, because the coordinator has changed.
+        """Whether shares do not follow the demand yet, because the coordinator has changed.
 
-        A request that is refused for a cap meanwhile may be sent again soon.
+        A request that is refused because of a cap in this time may succeed after a short wait.
         """
         return self._clock.monotonic() < self._settled_at_s
 
     def set_policy(self, policy: model.Policy) -> None:
-        """Takes the caps of a new policy."""
+        """Replaces the caps by those of a policy; the use of caps that remain is kept."""
         names = cap_grants.caps_of(policy, self._region)
-        self._caps = {name: self._caps.get(name) or self._new() for name in names}
+        self._caps = {name: self._caps.get(name) or self._new_usage() for name in names}
 
     def demand(self) -> dict[str, float]:
-        """Returns the demand by cap name since the last call, for the next heartbeat.
+        """Returns the demand per second by cap name, for the next heartbeat.
 
-        Every instance asks for a share of its region's cap, so that one that takes over a pool
-        already holds its part of what nobody demands.
+        Every instance asks for a share of each cap, even without demand. An instance that takes
+        over a pool then already holds its part of the amount that nobody demands.
         """
-        self._follow_epoch()
+        self._check_epoch()
         for cap in self._caps.values():
             self._measure(cap)
         return {name: cap.demand for name, cap in self._caps.items()}
 
     def has_link_share(self, target: str, size_bytes: int) -> bool:
-        """Returns whether a message fits into this instance's share of a link's cap at all.
+        """Returns whether this instance's share of a link's cap is large enough for a message.
 
-        The first share of a new instance can be smaller than any message, because it is what the
-        others happen to leave until they have confirmed smaller ones.
+        The first share of a new instance can be smaller than any message. It consists of what the
+        other instances left unused; more becomes free once they have confirmed smaller shares.
         """
         name = cap_grants.link_cap(self._region, target)
         return name not in self._caps or self._amount(name) >= message_mbit(size_bytes)
 
     def has_all_link_shares(self) -> bool:
-        """Returns whether a small message fits into the share of every link's cap."""
+        """Returns whether the share of every link's cap is large enough for an empty message."""
         own = cap_grants.region_cap(self._region)
         smallest = message_mbit(0)
         return all(self._amount(name) >= smallest for name in self._caps if name != own)
 
     def take_region(self, request_id: str) -> float:
-        """Takes one request from the region's cap; returns 0, or seconds to wait."""
+        """Takes one request from the region's cap; returns 0, or the seconds to wait."""
         return self._take(cap_grants.region_cap(self._region), 1.0, request_id)
 
     def take_link(self, target: str, size_bytes: int, request_id: str) -> float:
-        """Takes a message to another region from the link's cap; returns 0, or seconds to wait."""
+        """Takes a message to a region from the link's cap; returns 0, or the seconds to wait."""
         name = cap_grants.link_cap(self._region, target)
         return self._take(name, message_mbit(size_bytes), request_id)
 
     async def wait_link(
         self, target: str, size_bytes: int, request_id: str, *, limit_s: float
     ) -> bool:
-        """Waits until a message fits under the link's cap; returns False after ``limit_s``."""
+        """Like ``take_link``, but waits up to ``limit_s``; returns whether it was successful."""
         until_s = self._clock.monotonic() + limit_s
         wait_s = self.take_link(target, size_bytes, request_id)
         while wait_s > 0:
@@ -133,31 +138,31 @@
         cap = self._caps.get(name)
         if cap is None:
             return 0.0
-        if self._clock.monotonic() - cap.since_s >= LONGEST_DEMAND_INTERVAL_S:
+        if self._clock.monotonic() - cap.since_s >= MAX_DEMAND_INTERVAL_S:
             self._measure(cap)
         cap.window.set_limit(self._amount(name))
         if cap.window.try_take(amount):
             cap.taken += amount
             cap.refused.pop(request_id, None)
             return 0.0
-        # A request that is refused several times counts once: instances whose requests try again
-        # often would draw the cap away from the others.
+        # A request that is refused several times counts once. Otherwise instances whose requests
+        # are retried often would get shares at the expense of the others.
         cap.refused[request_id] = amount
         return max(cap.window.retry_after_s(amount), 0.001)
 
-    def _new(self) -> _Cap:
-        return _Cap(
+    def _new_usage(self) -> _CapUsage:
+        return _CapUsage(
             window=window.SlidingWindow(limit=0.0, clock=self._clock),
             since_s=self._clock.monotonic(),
         )
 
-    def _follow_epoch(self) -> None:
+    def _check_epoch(self) -> None:
         epoch = self._epoch()
-        if epoch != self._known_epoch:
-            self._known_epoch = epoch
+        if epoch != self._last_epoch:
+            self._last_epoch = epoch
             self._settled_at_s = self._clock.monotonic() + TAKEOVER_S
 
-    def _measure(self, cap: _Cap) -> None:
+    def _measure(self, cap: _CapUsage) -> None:
         now_s = self._clock.monotonic()
         elapsed_s = now_s - cap.since_s
         if elapsed_s < DEMAND_INTERVAL_S:
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -1,4 +1,4 @@
-"""Conversion between the control messages of core and their Thrift messages."""
+"""Conversion between the control messages of ``sassafrasway_core`` and Thrift messages."""
 
 import dataclasses
 from collections.abc import Iterable, Mapping
@@ -195,14 +195,14 @@
 
 
 def to_follow_reply(reply: region.FollowReply):
-    """Returns the Thrift message of an answer to a new coordinator."""
+    """Returns the Thrift message of a follow reply."""
     return schema.control.FollowReply(
         sender=to_instance(reply.sender), epoch=reply.epoch, pools=_to_reports(reply.pools)
     )
 
 
 def from_follow_reply(message) -> region.FollowReply:
-    """Returns the answer to a new coordinator of a Thrift message."""
+    """Returns the follow reply of a Thrift message."""
     return region.FollowReply(
         sender=from_instance(message.sender),
         epoch=message.epoch or 0,
@@ -210,23 +210,23 @@
     )
 
 
-def to_directory(each: directory.RegionDirectory):
+def to_directory(source: directory.RegionDirectory):
     """Returns the Thrift message of a region directory."""
     return schema.control.RegionDirectory(
-        region=each.region,
-        epoch=each.epoch,
-        version=each.version,
-        coordinator=to_instance(each.coordinator),
-        instances=[to_instance(instance) for instance in each.instances],
+        region=source.region,
+        epoch=source.epoch,
+        version=source.version,
+        coordinator=to_instance(source.coordinator),
+        instances=[to_instance(instance) for instance in source.instances],
         owners=[
             schema.control.PoolOwner(
                 pool=to_pool(pool), name=owner.name, incarnation=owner.incarnation
             )
-            for pool, owner in each.owners.items()
+            for pool, owner in source.owners.items()
         ],
         gone=[
             schema.common.Instance(name=gone.name, incarnation=gone.incarnation)
-            for gone in each.gone
+            for gone in source.gone
         ],
     )
 
@@ -251,7 +251,7 @@
 
 
 def to_versions(known: Mapping[str, tuple[int, int]]) -> list:
-    """Returns the Thrift messages of epochs and versions by region."""
+    """Returns the Thrift messages of directory epochs and versions by region."""
     return [
         schema.control.DirectoryVersion(region=name, epoch=epoch, version=version)
         for name, (epoch, version) in known.items()
@@ -259,5 +259,5 @@
 
 
 def from_versions(messages: Iterable | None) -> dict[str, tuple[int, int]]:
-    """Returns epochs and versions by region of Thrift messages."""
+    """Returns the directory epochs and versions by region of Thrift messages."""
     return {each.region: (each.epoch or 0, each.version or 0) for each in messages or ()}
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -13,13 +13,14 @@
 
 
 class ControlService:
-    """Answers members, coordinators and pool owners.
+    """Handles the Control calls of members, coordinators and pool owners.
 
     Args:
         member: Member role of this instance.
-        on_handover: Called with the sender, the pool and the report of its previous owner.
-        on_release: Called with a pool, a server and the number of slots that the previous owner's
-            requests no longer use.
+        on_handover: Called with the previous owner of a pool, the pool, and its report about the
+            slots that are still in use.
+        on_release: Called with a pool, a server name and the number of its slots that requests of
+            the previous owner have released.
     """
 
     def __init__(
@@ -34,7 +35,7 @@
         self._on_release = on_release
 
     async def heartbeat(self, request: Any) -> Any:
-        """Answers a member's heartbeat."""
+        """Returns the reply to a member's heartbeat."""
         _require(request is not None and request.sender is not None, "heartbeat")
         return self._member.on_heartbeat(request)
 
@@ -47,7 +48,7 @@
         return control_conversion.to_follow_reply(reply)
 
     async def handover(self, sender: Any, report: Any) -> None:
-        """Takes over what a pool's previous owner still uses."""
+        """Receives the previous owner's report about the slots of a pool that are still in use."""
         _require(sender is not None and report is not None, "handover")
         self._on_handover(
             control_conversion.from_instance(sender),
@@ -56,24 +57,24 @@
         )
 
     async def release_slots(self, pool: Any, server: str | None, slots: int | None) -> None:
-        """Frees slots that the previous owner's requests no longer use."""
+        """Frees slots that requests of the previous owner have released."""
         _require(pool is not None and server is not None, "release_slots")
         self._on_release(control_conversion.from_pool(pool), server, slots or 0)
 
     async def directory(self, directories: list | None, known: list | None) -> list:
-        """Takes over newer directories and returns those that the sender lacks."""
+        """Stores newer directories and returns those that are newer than the sender's."""
         own = self._member.directory
         own.update(control_conversion.from_directory(each) for each in directories or ())
         newer = own.newer_than(control_conversion.from_versions(known))
         return [control_conversion.to_directory(each) for each in newer]
 
     async def suspect(self, instance: Any) -> None:
-        """Makes this coordinator ask an instance of its region whether it is there."""
+        """Checks whether an instance is gone that a peer could not connect to."""
         _require(instance is not None, "suspect")
         self._member.on_suspect(control_conversion.from_instance(instance).id)
 
     async def identify(self) -> Any:
-        """Tells which incarnation this is and whom it follows."""
+        """Returns the identity of this instance and the coordinator that it follows."""
         me, epoch, coordinator = self._member.identity()
         return schema.control.Identity(
             instance=control_conversion.to_instance(me),
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -329,7 +329,8 @@
         """Returns the RPC address to ask about a region, or None when none is known.
 
         After a successful exchange this is the known coordinator of the region. Otherwise the
-        coordinator may have changed, so that half of the attempts look for another instance.
+        coordinator may have changed, so half of the attempts use the region's row in the table, or
+        a random instance when the row names no later coordinator.
         """
         known = self._directory.region(name)
         if known is not None and (name in self._delivered_versions or self._rng.random() < 0.5):
--- a/packages/entry/src/sassafrasway_entry/dump.py
+++ b/packages/entry/src/sassafrasway_entry/dump.py
@@ -1,4 +1,4 @@
-"""State dump of an entry instance as JSON-able data."""
+"""Parts of the state dump of an entry instance, as JSON-serializable data."""
 
 import dataclasses
 import enum
@@ -8,7 +8,10 @@
 
 
 def to_json(value: Any) -> Any:
-    """Returns plain data for nested data classes, enums and mappings with object keys."""
+    """Converts nested dataclasses, enums and collections to JSON-serializable data.
+
+    Keys of mappings, and values of other types, are converted with ``str``.
+    """
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {
             field.name: to_json(getattr(value, field.name)) for field in dataclasses.fields(value)
@@ -40,7 +43,7 @@
 def at_most_once_dump(
     keeper: gatekeeper.Gatekeeper, store: outcomes.OutcomeStore
 ) -> dict[str, int]:
-    """Returns the counts of keys and of outcomes that are not stored yet."""
+    """Returns the numbers of running requests, of updates to store and of dropped outcomes."""
     return {
         "running": keeper.running,
         "claim_updates": keeper.pending_updates,
@@ -50,7 +53,7 @@
 
 
 def policy_dump(steer: steering.Steering) -> dict[str, Any]:
-    """Returns the size and revision of the policy in force."""
+    """Returns the revision of the policy in force and the sizes of its sections."""
     policy = steer.policy
     if policy is None:
         return {"revision": None}
--- a/packages/entry/src/sassafrasway_entry/lifecycle.py
+++ b/packages/entry/src/sassafrasway_entry/lifecycle.py
@@ -12,7 +12,7 @@
 class Lifecycle:
     """State machine of the process.
 
-    A leaving instance still serves: callers may hold a cached look-up that names it.
+    A leaving instance keeps serving, because callers may use cached lookups that name it.
     """
 
     def __init__(self):
--- a/packages/entry/src/sassafrasway_entry/main.py
+++ b/packages/entry/src/sassafrasway_entry/main.py
@@ -1,4 +1,4 @@
-"""The command ``sassafrasway``."""
+"""Command line interface ``sassafrasway``."""
 
 import asyncio
 import importlib.metadata
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -13,25 +13,26 @@
 
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 1000
-# A change without a base revision is made anew when another change was accepted meanwhile.
+# Maximum number of attempts for a change without a base revision. When another change is accepted
+# in the meantime, the change is rebuilt on the new policy.
 CONFLICT_ATTEMPTS = 5
 
-# Returns the documents of the sections to change in a policy.
-_MakeSections = Callable[[model.Policy], Mapping[str, Mapping[str, Any]]]
+# Returns the sections of a change to the given policy.
+_SectionsBuilder = Callable[[model.Policy], Mapping[str, Mapping[str, Any]]]
 _SHIFT_KEYS = ("source", "target", "cap_rps", "fraction", "pace_per_s")
 
 
 class OperatorService:
-    """Answers operators.
+    """Handles the Operator calls of operators.
 
     Args:
         me: This incarnation.
-        config: Configuration of this instance.
+        config: Configuration task of this instance.
         call_peer: ``await call_peer(address, method, **arguments)`` calls a peer.
         find_instance: Returns the RPC address of an instance by name, or None.
         leave: Starts the graceful stop of this instance.
-        status_source: Returns the short state of this instance as a JSON-able dict.
-        dump_source: Returns the full state of this instance as a JSON-able dict.
+        status_source: Returns a summary of the state of this instance as a JSON-serializable dict.
+        dump_source: Returns the full state of this instance as a JSON-serializable dict.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         self._logger = structlog.get_logger("operator").bind(instance=str(me))
 
     async def get_policy(self, revision: int | None) -> Any:
-        """Returns a revision of the policy."""
+        """Returns a revision of the policy; the one in force by default."""
         if not revision:
             revision, document_json, _ = await self._config.full_policy()
             return schema.config.PolicyReply(revision=revision, document_json=document_json)
@@ -79,7 +80,7 @@
         return [_history_entry(record) for record in records]
 
     async def rollback(self, revision: int | None, meta: Any) -> Any:
-        """Makes a new revision with the content of an older one."""
+        """Creates a new revision with the content of an older one."""
         if revision is None:
             raise errors.ValidationError("revision is missing", step="operator.rollback")
         old = await self._config.policy_at(revision)
@@ -96,14 +97,14 @@
     async def stop_shift(self, name: str | None, meta: Any) -> Any:
         """Deletes a shift."""
 
-        def make(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
-            _require(policy.shifts, name, "shift")
+        def make_sections(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
+            _find(policy.shifts, name, "shift")
             return {"shifts": {name: None}}
 
-        return await self._submit(meta, make)
+        return await self._submit(meta, make_sections)
 
     async def drain(self, kind: int | None, name: str | None, meta: Any, cancel: bool) -> Any:
-        """Drains a backend server or an entry instance."""
+        """Drains a backend server or an entry instance, or cancels the drain of a server."""
         if kind == schema.config.DrainKind.SERVER:
             return await self._drain_server(name, meta, bool(cancel))
         if kind != schema.config.DrainKind.INSTANCE:
@@ -118,23 +119,23 @@
         return schema.config.ChangeReply(revision=self._config.revision, already_applied=False)
 
     async def status(self) -> str:
-        """Returns the short state of this instance."""
+        """Returns a summary of the state of this instance as JSON text."""
         return json.dumps(self._status_source(), default=str)
 
     async def dump(self) -> str:
-        """Returns the full state of this instance."""
+        """Returns the full state of this instance as JSON text."""
         return json.dumps(self._dump_source(), default=str)
 
     async def _drain_server(self, name: str | None, meta: Any, cancel: bool) -> Any:
         state = model.ServerState.ACTIVE if cancel else model.ServerState.LEAVING
 
-        def make(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
-            server = _require(policy.servers, name, "backend server")
+        def make_sections(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
+            server = _find(policy.servers, name, "backend server")
             document = documents.dump_sections({"servers": {server.name: server}})
             document["servers"][server.name]["state"] = state.value
             return document
 
-        return await self._submit(meta, make)
+        return await self._submit(meta, make_sections)
 
     async def _drain_instance(self, name: str, author: str) -> None:
         self._logger.info("drain of instance requested", target=name, author=author)
@@ -146,11 +147,11 @@
             raise errors.NotFoundError(f"there is no instance {name!r}", step="operator.drain")
         await self._call_peer(address, "drain_instance", instance_name=name, author=author)
 
-    async def _submit(self, meta: Any, make: _MakeSections) -> Any:
-        """Makes a change from the current policy and applies it.
+    async def _submit(self, meta: Any, make_sections: _SectionsBuilder) -> Any:
+        """Builds a change to the current policy and applies it.
 
-        The change id is looked up first, because a repeated call may no longer fit the policy that
-        its first attempt produced.
+        The change id is looked up first: when a call is repeated, its change may be invalid for the
+        policy that the first call produced.
         """
         base_revision = getattr(meta, "base_revision", None)
         change_id = getattr(meta, "change_id", None)
@@ -163,7 +164,7 @@
                 "base_revision": policy.revision if base_revision is None else base_revision,
                 "change_id": change_id,
                 "author": getattr(meta, "author", None),
-                "sections": make(policy),
+                "sections": make_sections(policy),
             }
             try:
                 return _reply(await self._config.apply(documents.parse_change(document)))
@@ -192,7 +193,7 @@
     )
 
 
-def _require(objects: Mapping[str, Any], name: str | None, title: str) -> Any:
+def _find(objects: Mapping[str, Any], name: str | None, title: str) -> Any:
     if name not in objects:
         raise errors.NotFoundError(f"there is no {title} {name!r}", step="operator.change")
     return objects[name]
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -1,4 +1,4 @@
-"""Calls to other entry instances: one connection to each."""
+"""RPC clients of other entry instances, one connection per instance."""
 
 import types
 from collections.abc import Callable, Mapping
@@ -6,12 +6,12 @@
 
 from sassafrasway_rpc import client, schema
 
-# A peer that was not called for so many other peers is rarely called; its connection is closed.
+# Maximum number of open clients; above it, the least recently used one is closed.
 MAX_CLIENTS = 4096
 
 
 def _merge(*services: Any) -> types.SimpleNamespace:
-    """Returns one object with the methods of several Thrift services, so that they share a client.
+    """Combines the methods of several Thrift services in one object, so that they share a client.
 
     Raises:
         ValueError: Two services have a method of the same name.
@@ -20,7 +20,7 @@
     for service in services:
         for method in service.thrift_services:
             if f"{method}_args" in merged:
-                raise ValueError(f"method {method} is in two services")
+                raise ValueError(f"method {method} is defined by two services")
             for suffix in ("args", "result"):
                 merged[f"{method}_{suffix}"] = getattr(service, f"{method}_{suffix}")
     return types.SimpleNamespace(**merged)
@@ -30,10 +30,11 @@
 
 
 class Peers:
-    """Clients of other instances by their advertised address.
+    """Calls other instances by their advertised RPC address.
 
     Args:
-        address_map: Address to connect to in place of an advertised one, for networks with NAT.
+        address_map: Addresses to connect to by advertised address, for networks with NAT. An
+            address that is not in it is used as it is.
     """
 
     def __init__(self, *, address_map: Mapping[str, str] | None = None):
@@ -42,7 +43,7 @@
         self._on_refused: Callable[[str], None] | None = None
 
     def listen_for_refusals(self, listener: Callable[[str], None]) -> None:
-        """Sets what is called with the address whenever a peer refuses a connection."""
+        """Sets the function that is called with the address when a peer refuses a connection."""
         self._on_refused = listener
 
     async def call(
@@ -62,7 +63,7 @@
             peer = client.RpcClient(address=target, service=PEER_METHODS)
         self._clients[address] = peer
         if len(self._clients) > MAX_CLIENTS:
-            await self.forget(next(iter(self._clients)))
+            await self.disconnect(next(iter(self._clients)))
         try:
             return await peer.call(method, timeout_s=timeout_s, **arguments)
         except client.ConnectionRefusedByPeerError:
@@ -70,8 +71,8 @@
                 self._on_refused(address)
             raise
 
-    async def forget(self, address: str) -> None:
-        """Closes the connection to a peer, for example when it is gone."""
+    async def disconnect(self, address: str) -> None:
+        """Closes the connection to a peer; the next call opens a new one."""
         peer = self._clients.pop(address, None)
         if peer is not None:
             await peer.close()
@@ -79,4 +80,4 @@
     async def close(self) -> None:
         """Closes all connections."""
         for address in list(self._clients):
-            await self.forget(address)
+            await self.disconnect(address)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -1,4 +1,4 @@
-"""Builds the tasks of an entry instance, runs them, and stops them gracefully."""
+"""Process of an entry instance: creates its components, runs them and stops them gracefully."""
 
 import asyncio
 import random
@@ -41,10 +41,11 @@
 from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
-PROPAGATION_S = 3.0  # time after which other instances know that this one is leaving
+PROPAGATION_S = 3.0  # time within which other instances learn that this one is leaving
 READY_POLL_S = 0.05
-# The others free the links' shares of a new instance within about 2 s; without a coordinator none
-# comes, and an instance without shares can still answer lookups and serve its own region.
+# Maximum time to wait for shares of the links' caps before this instance reports itself as healthy.
+# Other instances free these shares within about 2 s. Without a coordinator no share arrives, and an
+# instance without shares can still answer lookups and serve its own region.
 LINK_SHARES_TIMEOUT_S = 4.0
 DRAIN_POLL_S = 0.05
 
@@ -53,7 +54,7 @@
     """One entry instance.
 
     Args:
-        settings: Checked settings.
+        settings: Validated settings.
     """
 
     def __init__(self, *, settings: settings.Settings):
@@ -62,7 +63,7 @@
         self._rng = random.Random(secrets.randbits(64))
         self._state = lifecycle.Lifecycle()
         self._stop_requested = asyncio.Event()
-        self._is_settled = False
+        self._startup_complete = False
         self._tasks: set[asyncio.Task] = set()
         self._log = structlog.get_logger("process")
         self._placement = placement.PLACEMENTS[settings.behaviour.placement]
@@ -84,7 +85,7 @@
         )
 
     async def run(self) -> None:
-        """Runs until SIGTERM or SIGINT has been handled."""
+        """Runs until SIGTERM, SIGINT or another request to stop, then stops gracefully."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
@@ -99,7 +100,7 @@
         self._log.info("stopped")
 
     def _build(self, session: aiohttp.ClientSession, host: str) -> None:
-        """Creates the parts of the process; each gets what it needs by keyword."""
+        """Creates the components of the process."""
         self._build_platform(session)
         self._build_membership()
         self._build_requests(host)
@@ -159,8 +160,8 @@
         )
 
     def _pull_sources(self) -> list[str]:
-        known = [each.rpc_address for each in self._directory.instances()]
-        return [*self._member.coordinator_addresses(), *known, *self._settings.network.seeds]
+        instances = [each.rpc_address for each in self._directory.instances()]
+        return [*self._member.coordinator_addresses(), *instances, *self._settings.network.seeds]
 
     def _on_grants(self, grants: list[region.PoolGrant]) -> None:
         self._pools.set_grants(grants)
@@ -296,12 +297,12 @@
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            # A process without one of its tasks would serve from stale state.
+            # Without one of its tasks, the process would keep serving with outdated state.
             self._log.error("task failed", task=task.get_name(), exc_info=task.exception())
             self._stop_requested.set()
 
     async def _start(self) -> None:
-        """Starts the RPC server and the tasks, then serves callers once it is ready."""
+        """Starts the servers and the tasks; requests of callers are accepted once it is ready."""
         await self._rpc.start()
         await self._admin_api.start(self._settings.listen.admin)
         for name, coroutine in (
@@ -323,17 +324,18 @@
         until_s = self._clock.monotonic() + LINK_SHARES_TIMEOUT_S
         while not self._limits.has_all_link_shares() and self._clock.monotonic() < until_s:
             await asyncio.sleep(READY_POLL_S)
-        self._is_settled = True
+        self._startup_complete = True
 
     def _request_stop(self) -> None:
         self._stop_requested.set()
 
     async def _leave(self) -> None:
-        """Hands the pools over and serves until nobody can still need this instance."""
+        """Hands over the pools and serves until no other process depends on this instance."""
         self._state.leave()
         self._member.leave()
         started_s = self._clock.monotonic()
-        # Others name this instance in look-ups until they learn that it leaves.
+        # Other instances return this one in lookups until they learn that it is leaving, and
+        # callers may use such an answer or its ticket until it expires.
         cached_s = max(self._settings.limits.lookup_ttl_s, at_most_once.TICKET_START_S + 1.0)
         until_s = started_s + PROPAGATION_S + cached_s
         while self._clock.monotonic() < until_s or self._busy or self._member.must_stay:
@@ -369,11 +371,12 @@
         self._record.close()
 
     def _health(self) -> tuple[str, bool]:
-        # Reported later than callers are served: the platform stops the next instance on this.
-        return self._state.state, self._state.state == lifecycle.READY and self._is_settled
+        # Reports readiness later than callers are served, because the platform then stops the next
+        # instance.
+        return self._state.state, self._state.state == lifecycle.READY and self._startup_complete
 
     def status(self) -> dict[str, Any]:
-        """Returns the short state for operators."""
+        """Returns a summary of the state for operators."""
         return {
             "instance": str(self._me.id),
             "region": self._me.region,
--- a/packages/entry/src/sassafrasway_entry/settings.py
+++ b/packages/entry/src/sassafrasway_entry/settings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry instance, read from a TOML file and checked."""
+"""Settings of an entry instance, which are read from a TOML file and validated."""
 
 import ipaddress
 import pathlib
@@ -34,7 +34,7 @@
 
 
 class InstanceSection(_Section):
-    """Who this instance is and where it runs."""
+    """Identity and location of this instance."""
 
     name: str = pydantic.Field(pattern=_NAME_PATTERN, description="instance name")
     region: str = pydantic.Field(pattern=_NAME_PATTERN, description="region name")
@@ -50,14 +50,14 @@
 
 
 class PlatformSection(_Section):
-    """Where the platform's table service, object store and instance list are."""
+    """Access to the platform's table service, object store and instance list."""
 
     url: str = pydantic.Field(pattern=r"^https?://", description="base URL")
     timeout_ms: int = pydantic.Field(default=1000, ge=1, le=60000, description="milliseconds")
 
 
 class NetworkSection(_Section):
-    """How other entry instances are reached."""
+    """Addresses of other entry instances."""
 
     seeds: tuple[Address, ...] = pydantic.Field(
         default=(), description="RPC addresses of instances to join through"
@@ -68,14 +68,14 @@
 
 
 class LoggingSection(_Section):
-    """Form and level of log lines."""
+    """Format and minimum level of log lines."""
 
     format: Literal["console", "json"] = "console"
     level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 class TelemetrySection(_Section):
-    """Export of metrics besides the scrape at ``/metrics``."""
+    """Export of metrics, in addition to ``/metrics``."""
 
     otlp_endpoint: str | None = pydantic.Field(
         default=None, pattern=r"^https?://", description="URL of an OTLP/HTTP collector"
@@ -84,7 +84,7 @@
 
 
 class LimitsSection(_Section):
-    """Limits on single requests and on queues."""
+    """Limits on requests, queues and cached lookups."""
 
     max_body_bytes: int = pydantic.Field(default=8 * 1024 * 1024, ge=1, description="bytes")
     max_header_bytes: int = pydantic.Field(default=16 * 1024, ge=256, description="bytes")
@@ -93,7 +93,7 @@
 
 
 class BehaviourSection(_Section):
-    """Choices that change how requests are handled."""
+    """Options that change how requests are handled."""
 
     invariants: Literal["raise", "count"] = "count"
     placement: Literal["pool_owner", "even_split", "local_count"] = "pool_owner"
@@ -116,11 +116,11 @@
 
 
 def load(path: pathlib.Path) -> Settings:
-    """Reads and checks a settings file.
+    """Reads and validates a settings file.
 
     Raises:
-        errors.ValidationError: The file cannot be read, is not TOML, or has wrong settings; the
-            message has one line for each problem with file, key and expected unit.
+        errors.ValidationError: The file cannot be read, is not TOML or has invalid settings. The
+            message has one line per problem, with the file, the key and what is expected.
     """
     step = "settings.load"
     try:
@@ -132,25 +132,25 @@
     try:
         return Settings.model_validate(data)
     except pydantic.ValidationError as error:
-        lines = [_describe(path, problem) for problem in error.errors()]
+        lines = [_format_problem(path, problem) for problem in error.errors()]
         raise errors.ValidationError("\n".join(lines), step=step, peer="") from None
 
 
-def _describe(path: pathlib.Path, problem: dict) -> str:
+def _format_problem(path: pathlib.Path, problem: dict) -> str:
     key = ".".join(str(part) for part in problem["loc"])
-    unit = _unit_of(problem["loc"])
-    expected = f" (expected: {unit})" if unit else ""
+    description = _expected_value(problem["loc"])
+    expected = f" (expected: {description})" if description else ""
     return f"{path}: {key}: {problem['msg']}{expected}"
 
 
-def _unit_of(location: tuple) -> str:
+def _expected_value(location: tuple) -> str:
     model: type[pydantic.BaseModel] = Settings
-    unit = ""
+    description = ""
     for part in location:
         fields = getattr(model, "model_fields", {})
         if part not in fields:
-            return unit
+            return description
         field = fields[part]
-        unit = field.description or ""
+        description = field.description or ""
         model = field.annotation
-    return unit
+    return description
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -1,4 +1,4 @@
-"""Where requests go: home regions, shifts and the order in which pools are tried."""
+"""Routing of requests: home regions, shifts and the order in which pools are tried."""
 
 import dataclasses
 import random
@@ -13,10 +13,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """Pools to try for a request, home pool first.
+    """Route of a request.
 
     Attributes:
-        shift: Name of the shift that moved the request, or empty.
+        pools: Pools to try, in order.
+        home_region: Home region of the client.
+        shift: Name of the shift that moves the request to another region, or empty.
     """
 
     pools: tuple[model.PoolKey, ...]
@@ -25,10 +27,10 @@
 
 
 class Steering:
-    """Answers steering questions from the current policy.
+    """Chooses the pools for requests by the current policy.
 
     Args:
-        region: Region of this instance; home of requests without a client block.
+        region: Region of this instance, the home region of clients that are in no client block.
         clock: Time source.
         rng: Random source.
     """
@@ -57,7 +59,7 @@
         self._distances = {region: policy.regions_by_distance(region) for region in policy.regions}
 
     def region_of(self, client: str) -> str | None:
-        """Returns the home region of a client address, or None for an unknown block."""
+        """Returns the home region of a client address, or None when it is in no client block."""
         return self._blocks.region_of(client) if client else None
 
     def route(self, *, service: str, client: str, spread: str) -> Route:
@@ -66,7 +68,8 @@
         Args:
             service: Name of the service.
             client: Address of the client, or empty.
-            spread: Text that spreads requests over shards and over a shift's fraction.
+            spread: Hashed with the client address to choose the shard, and whether a shift that
+                moves a fraction of the requests applies.
         """
         home = self.region_of(client) or self._region
         weight = xxhash.xxh32_intdigest(f"{client}|{spread}".encode()) / _HASH_RANGE
--- a/packages/entry/src/sassafrasway_entry/telemetry.py
+++ b/packages/entry/src/sassafrasway_entry/telemetry.py
@@ -1,4 +1,4 @@
-"""Logs by structlog and metrics by OpenTelemetry."""
+"""Logging with structlog and metrics with OpenTelemetry."""
 
 import logging
 import sys
@@ -16,7 +16,7 @@
 
 
 def configure_logging(section: settings_lib.LoggingSection) -> None:
-    """Sets the form and the level of log lines, which go to standard error."""
+    """Sets the format and minimum level of log lines, which are written to standard error."""
     renderer = (
         structlog.processors.JSONRenderer()
         if section.format == "json"
@@ -43,14 +43,14 @@
     """Metric instruments of an entry instance.
 
     Args:
-        instance: Name of the instance, a resource attribute of every metric.
-        section: Where metrics are exported to besides the scrape.
+        instance: Name of the instance, which becomes a resource attribute of all metrics.
+        section: Settings of the export.
     """
 
     def __init__(self, *, instance: str, section: settings_lib.TelemetrySection):
         self._registry = prometheus_client.CollectorRegistry()
         readers: list[export.MetricReader] = [
-            # A registry of its own, so that several instances fit in one test process.
+            # The default registry is global; several instances run in one process in tests.
             prometheus.PrometheusMetricReader(registry=self._registry)
         ]
         if section.otlp_endpoint is not None:
@@ -84,8 +84,8 @@
 
         Args:
             name: Name of the metric.
-            description: What it shows.
-            query: Function that returns pairs of a number and a mapping of attributes.
+            description: Description of the metric.
+            query: Returns the current values as pairs of a number and a mapping of attributes.
         """
 
         def callback(options: metrics.CallbackOptions):
@@ -98,5 +98,5 @@
         return prometheus_client.generate_latest(self._registry)
 
     def shutdown(self) -> None:
-        """Exports what is left and stops."""
+        """Exports the remaining metrics and stops the export."""
         self._provider.shutdown()
--- a/packages/entry/tests/test_cap_limits.py
+++ b/packages/entry/tests/test_cap_limits.py
@@ -26,15 +26,24 @@
         return self.limits.demand()["region/bkk"]
 
     def test_refused_requests_count(self):
-        """Guards against an instance that asks for no more than it already has."""
+        """Guards against a demand that never exceeds the share.
+
+        If refused requests did not count, the instance could not get a larger share.
+        """
         self.assertEqual(self._demand_after("abcdef"), 6.0)
 
     def test_request_that_tries_again_counts_once(self):
-        """Guards against tries that draw the cap away from instances whose requests wait less."""
+        """Guards against counting each retry of a refused request as demand.
+
+        Instances whose requests are retried often would get shares at the expense of the others.
+        """
         self.assertEqual(self._demand_after("abc" + 20 * "c"), 3.0)
 
     def test_refused_requests_are_forgotten_while_nobody_asks(self):
-        """Guards against memory that grows for as long as there is no coordinator."""
+        """Guards against memory that grows without bound while there is no coordinator.
+
+        Refused requests are kept until the demand is measured, which heartbeats usually trigger.
+        """
         for number in range(600):
             self.limits.take_region(str(number))
             self.clock.advance(0.1)
@@ -42,7 +51,7 @@
         self.assertAlmostEqual(self.limits.demand()["region/bkk"], 10.0, delta=1.0)
 
     def test_request_that_passes_later_counts_once(self):
-        """Guards against counting both the refusal and the success of one request."""
+        """Guards against counting a request twice that is refused and then succeeds."""
         self.limits.demand()
         for request_id in "abc":
             self.limits.take_region(request_id)
--- a/packages/entry/tests/test_peers.py
+++ b/packages/entry/tests/test_peers.py
@@ -27,13 +27,16 @@
         await self.server.stop()
 
     async def test_mapped_address_reaches_the_instance(self):
-        """Guards against connecting to an advertised address behind a NAT."""
+        """Guards against connecting to the advertised address when NAT requires another one."""
         identity = await self.peers.call("10.0.0.1:7000", "identify")
         self.assertEqual((identity.instance.name, identity.epoch), ("p", 3))
         self.assertIsNone(identity.coordinator)
 
     async def test_refusal_after_a_lost_connection(self):
-        """Guards against taking the lost connection to a dead process for a silent one."""
+        """Guards against treating an ended process as silent.
+
+        The old connection is lost; only a refused new connection proves that the process has ended.
+        """
         await self.peers.call("10.0.0.1:7000", "identify")
         await self.server.stop()
         with self.assertRaises(client.ConnectionRefusedByPeerError):
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Tests of settings and of the command line."""
+"""Tests of the settings and of the command line."""
 
 import pathlib
 import tempfile
@@ -37,7 +37,7 @@
         self.assertEqual(settings.load(self.path).platform.timeout_ms, 1000)
 
     def test_problems_name_file_key_and_unit(self):
-        """Guards against an operator who cannot tell which key is wrong and what it expects."""
+        """Guards against messages that do not say which key is wrong or what it expects."""
         cases = {
             "listen.caller": _VALID.replace("127.1.1.1:8080", "localhost:8080"),
             "platform.timeout_ms": _VALID + "timeout_ms = -1\n",
@@ -55,14 +55,14 @@
             settings.load(self.path)
 
     def test_all_problems_are_listed(self):
-        """Guards against one run of check-config for each wrong key."""
+        """Guards against reporting only the first of several problems."""
         self._write(_VALID.replace("127.1.1.1:8080", "x").replace("127.1.1.1:9000", "y"))
         with self.assertRaises(errors.ValidationError) as caught:
             settings.load(self.path)
         self.assertEqual(len(caught.exception.message.splitlines()), 2)
 
     def test_check_config_exit_codes(self):
-        """Guards against a script that starts an instance with wrong settings."""
+        """Guards against an exit code that tells a script that invalid settings are valid."""
         runner = testing.CliRunner()
         self._write(_VALID)
         good = runner.invoke(main.cli, ["check-config", "--config", str(self.path)])
