Rename vague private fields of the entry control modules

Caches and locks were named after what they hold or do (_document, _applying, _known, _distances). They now say that they are a cache, a lock or a list of nearest regions. Two constants say what they are for.

--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -111,8 +111,8 @@
         self._blocks = lookup.BlockTable(blocks=())
         self._head: config_store.Head | None = None
         self._store_read_at_s: float | None = None
-        self._document: tuple[int, str] = (-1, "")
-        self._applying = asyncio.Lock()
+        self._document_cache: tuple[int, str] = (-1, "")
+        self._apply_lock = asyncio.Lock()
         self._inbox: asyncio.Queue[_NewerRevision] = asyncio.Queue()
         self._pushes: set[asyncio.Task] = set()
         self._logger = structlog.get_logger("config").bind(instance=str(me))
@@ -183,7 +183,7 @@
             errors.UnavailableError: The table service is unavailable; the change may or may not
                 have been accepted, and it is safe to send it again.
         """
-        async with self._applying:
+        async with self._apply_lock:
             head = await self._sync()
             recorded = head.change_ids.get(change.change_id)
             if recorded is not None:
@@ -293,11 +293,11 @@
         """
         policy = self._require_policy()
         change_ids = self._log.change_ids
-        if self._document[0] != policy.revision:
+        if self._document_cache[0] != policy.revision:
             text = await asyncio.to_thread(config_store.dump_policy_json, policy)
-            self._document = (policy.revision, text)
+            self._document_cache = (policy.revision, text)
             return policy.revision, text, change_ids
-        return (*self._document, change_ids)
+        return (*self._document_cache, change_ids)
 
     async def _sync(self) -> config_store.Head:
         """Reads the head and puts a newer revision in force.
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -32,6 +32,7 @@
 SUSPECT_RETRY_S = 0.2
 # Interval of directory exchanges with a region that lacks the current directory.
 EXCHANGE_RETRY_S = 0.5
+# State in directories of an instance that has not sent a message recently.
 SILENT = "silent"
 # Enough for the instances that a region replaces in several hours.
 MAX_GONE_IN_DIRECTORY = 256
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -6,7 +6,8 @@
 
 from sassafrasway_rpc import client, schema
 
-# Maximum number of open clients; above it, the least recently used one is closed.
+# Maximum number of open connections. Above it, the least recently used one is closed, because that
+# peer is rarely called.
 MAX_CLIENTS = 4096
 
 
--- a/packages/entry/src/sassafrasway_entry/region_table.py
+++ b/packages/entry/src/sassafrasway_entry/region_table.py
@@ -19,7 +19,7 @@
     def __init__(self, *, table: table_module.TableService, region_name: str):
         self._table = table
         self._key = f"region/{region_name}"
-        self._known: table_module.Row | None = None
+        self._cached_row: table_module.Row | None = None
 
     async def read(self) -> tuple[region.RegionRow | None, str | None]:
         """Returns the row and its version, or None for both when there is no row.
@@ -29,12 +29,12 @@
         """
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                row = await self._table.get(self._key, known=self._known)
+                row = await self._table.get(self._key, known=self._cached_row)
         except TimeoutError:
             raise table_module.StoreUnavailable(
                 "the table service did not answer in time", step="region.read"
             ) from None
-        self._known = row
+        self._cached_row = row
         if row is None:
             return None, None
         return region.RegionRow.decode(row.value), row.version
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -41,7 +41,7 @@
         self._blocks = lookup.BlockTable(blocks=())
         self._shifts = shift.ShiftController(clock=clock, rng=rng)
         self._pools: dict[str, dict[str, list[model.PoolKey]]] = {}
-        self._distances: dict[str, list[str]] = {}
+        self._nearest_regions: dict[str, list[str]] = {}
 
     @property
     def policy(self) -> model.Policy | None:
@@ -56,7 +56,9 @@
         self._pools = {}
         for key in sorted(policy.pools()):
             self._pools.setdefault(key.service, {}).setdefault(key.region, []).append(key)
-        self._distances = {region: policy.regions_by_distance(region) for region in policy.regions}
+        self._nearest_regions = {
+            region: policy.regions_by_distance(region) for region in policy.regions
+        }
 
     def region_of(self, client: str) -> str | None:
         """Returns the home region of a client address, or None when it is in no client block."""
@@ -76,7 +78,7 @@
         decision = self._shifts.home_pool(service, home, weight)
         by_region = self._pools.get(service, {})
         order = [decision.region]
-        order += [each for each in self._distances.get(home, ()) if each != decision.region]
+        order += [each for each in self._nearest_regions.get(home, ()) if each != decision.region]
         pools = []
         for region in order:
             shards = by_region.get(region, ())
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -13,7 +13,8 @@
 from sassafrasway_rpc import codec, schema
 
 STEP_S = 0.1
-TURNS = 30
+# Iterations of the event loop per step of the clock, enough for the calls of a step to finish.
+LOOP_ITERATIONS = 30
 
 
 def _policy(regions):
@@ -126,7 +127,7 @@
             self.clock.advance(STEP_S)
             for task in list(self.tasks.values()):
                 task.tick()
-            for _ in range(TURNS):
+            for _ in range(LOOP_ITERATIONS):
                 await asyncio.sleep(0)
 
     def owners(self):
