Close the HTTP sessions that test_backend_client opens

The client closes the sessions that it has replaced after 2 s, which is after the end of the event loop of a test: four "Unclosed client session" messages filled the output. The tests now record every session of the client and close them in the clean-up. No check changed.

--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -26,14 +26,25 @@
         port = site._server.sockets[0].getsockname()[1]
         self.server = dataclasses.replace(fakes.server(), url=f"http://127.0.0.1:{port}")
         self.client = backend_client.BackendClient(local_host="127.0.0.1")
+        self.sessions = []
+        self._new_session = self.client._new_session
+        self.client._new_session = self._record_session
         self.cancelled = asyncio.Event()
         self.arrived = asyncio.Event()
         self.deadlines_ms = []
 
     async def asyncTearDown(self):
         await self.client.close()
+        # The client closes replaced sessions only after a delay that outlasts the test.
+        for session in self.sessions:
+            await session.close()
         await self.runner.cleanup()
 
+    def _record_session(self, server, *, reuse):
+        session = self._new_session(server, reuse=reuse)
+        self.sessions.append(session)
+        return session
+
     async def _handle(self, http):
         self.requests.append(http.headers.get(backend_client.REQUEST_ID_HEADER))
         self.deadlines_ms.append(int(http.headers[backend_client.DEADLINE_HEADER]))
