--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -56,7 +56,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class BackendAnswer:
+class BackendResponse:
     """Result of a call; status, headers and body are set when the result is ``OK``."""
 
     result: CallResult
@@ -108,7 +108,7 @@
         *,
         idempotent: bool,
         timeout_s: float,
-    ) -> BackendAnswer:
+    ) -> BackendResponse:
         """Sends a request and returns the whole answer.
 
         The server is told the limit of this attempt as its deadline, so that it does not go on with
@@ -126,14 +126,14 @@
         except TimeoutError:
             self._drop_idle(server, waited_s=time.monotonic() - started_s)
             result = CallResult.TIMEOUT if sent.is_set() else CallResult.NOT_SENT
-            return BackendAnswer(result=result, detail=f"no answer within {limit_s:.3f} s")
+            return BackendResponse(result=result, detail=f"no answer within {limit_s:.3f} s")
         except aiohttp.ClientConnectorError as error:
-            return BackendAnswer(result=CallResult.NOT_SENT, detail=str(error))
+            return BackendResponse(result=CallResult.NOT_SENT, detail=str(error))
         except aiohttp.ClientError as error:
-            return BackendAnswer(result=CallResult.LOST, detail=repr(error))
+            return BackendResponse(result=CallResult.LOST, detail=repr(error))
         except OSError as error:
             result = CallResult.LOST if sent.is_set() else CallResult.NOT_SENT
-            return BackendAnswer(result=result, detail=repr(error))
+            return BackendResponse(result=result, detail=repr(error))
 
     async def probe(self, server: model.BackendServer, *, timeout_s: float) -> Probe:
         """Asks a server for its health on a new connection."""
@@ -153,7 +153,7 @@
         request: messages.Request,
         timeout_s: float,
         sent: asyncio.Event,
-    ) -> BackendAnswer:
+    ) -> BackendResponse:
         headers = [pair for pair in request.headers if pair[0].lower() not in _HOP_BY_HOP]
         headers.append((DEADLINE_HEADER, str(max(1, int(timeout_s * 1000)))))
         headers.append((REQUEST_ID_HEADER, request.request_id))
@@ -170,16 +170,16 @@
                 body += await response.content.read(MAX_RESPONSE_BYTES + 1 - len(body))
                 if len(body) > MAX_RESPONSE_BYTES:
                     response.close()
-                    return BackendAnswer(
+                    return BackendResponse(
                         result=CallResult.LOST,
                         detail=f"answer is larger than {MAX_RESPONSE_BYTES} bytes",
                     )
-            return self._read_answer(response, body)
+            return self._read_response(response, body)
 
-    def _read_answer(self, response: aiohttp.ClientResponse, body: bytes) -> BackendAnswer:
+    def _read_response(self, response: aiohttp.ClientResponse, body: bytes) -> BackendResponse:
         load = response.headers.get(LOAD_HEADER, "")
         shed = response.status == 503 and response.headers.get(SHED_HEADER) == "1"
-        return BackendAnswer(
+        return BackendResponse(
             result=CallResult.SHED if shed else CallResult.OK,
             status=response.status,
             headers=tuple(
--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -103,7 +103,7 @@
     def build(self) -> web.Application:
         """Returns the HTTP application."""
         app = web.Application(
-            client_max_size=self._limits.max_body_bytes, middlewares=[self._answer_errors]
+            client_max_size=self._limits.max_body_bytes, middlewares=[self._error_middleware]
         )
         app.router.add_get("/v1/lookup", self._lookup)
         app.router.add_route("*", "/v1/services/{service}", self._request)
@@ -129,7 +129,7 @@
             await self._runner.cleanup()
 
     @web.middleware
-    async def _answer_errors(self, request: web.Request, handler) -> web.StreamResponse:
+    async def _error_middleware(self, request: web.Request, handler) -> web.StreamResponse:
         """Gives every error answer an outcome."""
         try:
             size = sum(len(name) + len(value) for name, value in request.raw_headers)
@@ -171,24 +171,24 @@
             return self._respond(
                 messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
             )
-        answer = {
+        document = {
             "service": service,
             "region": route.pools[0].region if route.pools else route.home_region,
             "instances": [{"name": each.name, "url": each.caller_url} for each in instances],
             "ttl_s": self._limits.lookup_ttl_s,
         }
         if not self._steering.policy.services[service].idempotent:
-            answer["ticket"] = str(self._mint(instances[0]))
+            document["ticket"] = str(self._issue_ticket(instances[0]))
         self._metrics.lookups.add(1, {"status": 200})
         return web.Response(
-            body=json.dumps(answer).encode(),
+            body=json.dumps(document).encode(),
             content_type="application/json",
             headers={"Cache-Control": f"max-age={int(self._limits.lookup_ttl_s)}"}
-            if "ticket" not in answer
+            if "ticket" not in document
             else {"Cache-Control": "no-store"},
         )
 
-    def _check_lookup(self, service: str, client: str) -> messages.Answer | None:
+    def _check_lookup(self, service: str, client: str) -> messages.Response | None:
         if not self._ready() or self._steering.policy is None:
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
         if service not in self._steering.policy.services:
@@ -246,7 +246,7 @@
         self._cache[route.pools] = candidates
         return candidates
 
-    def _mint(self, instance) -> at_most_once.Ticket:
+    def _issue_ticket(self, instance) -> at_most_once.Ticket:
         holder = model.InstanceId(name=instance.name, incarnation=instance.incarnation)
         return at_most_once.Ticket.mint(holder=holder, clock=self._clock, rng=self._rng)
 
@@ -255,16 +255,16 @@
         service = request.match_info["service"]
         self._in_flight += 1
         try:
-            answer = await self._serve(request, service)
+            response = await self._serve(request, service)
         finally:
             self._in_flight -= 1
         known = self._steering.policy is not None and service in self._steering.policy.services
-        attributes = {"service": service if known else "", "outcome": answer.outcome.value}
+        attributes = {"service": service if known else "", "outcome": response.outcome.value}
         self._metrics.requests.add(1, attributes)
         self._metrics.latency.record(time.monotonic() - started_s, attributes)
-        return self._respond(answer)
+        return self._respond(response)
 
-    async def _serve(self, http: web.Request, service: str) -> messages.Answer:
+    async def _serve(self, http: web.Request, service: str) -> messages.Response:
         policy = self._steering.policy
         if policy is None or not self._ready():
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
@@ -278,49 +278,49 @@
             request_id=f"{self._me}/{next(self._request_ids)}",
             clock=self._clock,
         )
-        if isinstance(parsed, messages.Answer):
+        if isinstance(parsed, messages.Response):
             return parsed
         if parsed.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE, "deadline passed on arrival")
         if policy.services[service].idempotent:
-            answer = await self._run_idempotent(parsed)
+            response = await self._run_idempotent(parsed)
         else:
-            answer = await asyncio.shield(asyncio.ensure_future(self._gatekeeper.handle(parsed)))
+            response = await asyncio.shield(asyncio.ensure_future(self._gatekeeper.handle(parsed)))
         self._record.record(
             "answer",
             request_id=parsed.request_id,
             key=parsed.key,
             service=service,
-            outcome=answer.outcome.value,
-            status=answer.status,
-            reason=answer.reason.value,
+            outcome=response.outcome.value,
+            status=response.status,
+            reason=response.reason.value,
         )
-        return answer
+        return response
 
-    async def _run_idempotent(self, request: messages.Request) -> messages.Answer:
+    async def _run_idempotent(self, request: messages.Request) -> messages.Response:
         try:
             limit_s = request.deadline.remaining_s + 0.05
             return await asyncio.wait_for(self._dispatcher.run(request), limit_s)
         except TimeoutError:
             return messages.unknown(504, messages.Reason.DEADLINE)
 
-    def _respond(self, answer: messages.Answer) -> web.Response:
-        headers = [(OUTCOME_HEADER, answer.outcome.value), (SERVED_BY_HEADER, self._me.name)]
-        if answer.outcome is messages.Outcome.RAN:
+    def _respond(self, response: messages.Response) -> web.Response:
+        headers = [(OUTCOME_HEADER, response.outcome.value), (SERVED_BY_HEADER, self._me.name)]
+        if response.outcome is messages.Outcome.RAN:
             own = {OUTCOME_HEADER.lower(), SERVED_BY_HEADER.lower()}
-            headers += [pair for pair in answer.headers if pair[0].lower() not in own]
-            return web.Response(status=answer.status, headers=headers, body=answer.body)
-        headers.append((REASON_HEADER, answer.reason.value))
-        if answer.retry_after_ms:
-            headers.append(("Retry-After", str(max(1, -(-answer.retry_after_ms // 1000)))))
+            headers += [pair for pair in response.headers if pair[0].lower() not in own]
+            return web.Response(status=response.status, headers=headers, body=response.body)
+        headers.append((REASON_HEADER, response.reason.value))
+        if response.retry_after_ms:
+            headers.append(("Retry-After", str(max(1, -(-response.retry_after_ms // 1000)))))
         body = {
-            "outcome": answer.outcome.value,
-            "reason": answer.reason.value,
-            "detail": answer.detail,
-            "retry_after_ms": answer.retry_after_ms,
+            "outcome": response.outcome.value,
+            "reason": response.reason.value,
+            "detail": response.detail,
+            "retry_after_ms": response.retry_after_ms,
         }
         return web.Response(
-            status=answer.status,
+            status=response.status,
             headers=headers,
             body=json.dumps(body).encode(),
             content_type="application/json",
--- a/packages/entry/src/sassafrasway_entry/caller_requests.py
+++ b/packages/entry/src/sassafrasway_entry/caller_requests.py
@@ -21,7 +21,7 @@
 
 async def read(
     http: web.Request, service: model.Service, *, request_id: str, clock: clock_lib.Clock
-) -> messages.Request | messages.Answer:
+) -> messages.Request | messages.Response:
     """Returns the request, or the refusal of one that is malformed.
 
     Args:
--- a/packages/entry/src/sassafrasway_entry/conversion.py
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -73,24 +73,24 @@
     )
 
 
-def to_reply(answer: messages.Answer):
+def to_reply(response: messages.Response):
     """Returns the Thrift message that carries an answer."""
     return schema.forward.ForwardReply(
-        outcome=_OUTCOMES[answer.outcome],
-        status=answer.status,
-        headers=_to_headers(answer.headers),
-        body=answer.body,
-        reason=answer.reason.value,
-        detail=answer.detail,
-        owner=answer.owner,
-        server=answer.server,
-        retry_after_ms=answer.retry_after_ms,
+        outcome=_OUTCOMES[response.outcome],
+        status=response.status,
+        headers=_to_headers(response.headers),
+        body=response.body,
+        reason=response.reason.value,
+        detail=response.detail,
+        owner=response.owner,
+        server=response.server,
+        retry_after_ms=response.retry_after_ms,
     )
 
 
-def from_reply(reply) -> messages.Answer:
+def from_reply(reply) -> messages.Response:
     """Returns the answer that a Thrift message carries."""
-    return messages.Answer(
+    return messages.Response(
         outcome=_FROM_OUTCOMES[reply.outcome],
         status=reply.status,
         headers=_from_headers(reply.headers),
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -1,4 +1,4 @@
-"""Carries a request to a pool that has a free slot: own pools directly, others through peers."""
+"""Runs requests on the pools of this instance or forwards them to the owners of other pools."""
 
 import asyncio
 import dataclasses
@@ -13,24 +13,27 @@
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
-# An idempotent request leaves a peer that does not answer in this time, so that a connection that
-# went silent does not use up the whole deadline.
-PEER_SILENCE_TIMEOUT_S = 2.5
-PEER_SILENCE_FRACTION = 0.8  # above that of a call to a backend server, which it contains
-
-MAX_SENDINGS = 3  # of one attempt to one peer
-
-MOVE_WAIT_S = 0.05
-# Waits double up to this. At 72 requests/s, tries every 50 ms took all processor time of the new
-# owner, so that requests missed their deadlines on the way.
-LONGEST_MOVE_WAIT_S = 0.4
-# 4.75 s in all, longer than a new owner may lack its share of the caps (cap_limits.TAKEOVER_S).
-MAX_MOVE_WAITS = 14
-# A pass over the pools that starts later may find its deadline while a peer has the request, which
-# makes a request that no server got an unknown one. A pass takes a round trip to each region.
-MIN_PASS_S = 0.25
-
-_TRY_NEXT = frozenset(
+# Time allowed for the response of a peer to an idempotent request. It keeps a connection that went
+# silent from using up the whole deadline.
+PEER_RESPONSE_TIMEOUT_S = 2.5
+PEER_RESPONSE_FRACTION = 0.8  # above RESPONSE_FRACTION of the backend call that the peer makes
+
+MAX_SENDS = 3  # times that one attempt is sent to one peer
+
+# A handover is a change of the owner of a pool. A request that meets one retries after this delay.
+INITIAL_HANDOVER_DELAY_S = 0.05
+# The delay doubles up to this maximum. At 72 requests/s with a retry every 50 ms, the retries took
+# all CPU time of the new owner, and requests missed their deadlines while they were forwarded.
+MAX_HANDOVER_DELAY_S = 0.4
+# The delays add up to 4.75 s, longer than the time in which a new owner may still have no share of
+# the caps (cap_limits.TAKEOVER_S).
+MAX_HANDOVER_RETRIES = 14
+# Minimum time before the deadline to start another pass over the pools, which takes a round trip to
+# each region. If the deadline passed while a peer has the request, the outcome would be unknown
+# although no server received the request.
+MIN_PASS_TIME_S = 0.25
+
+_TRY_NEXT_POOL_REASONS = frozenset(
     (
         messages.Reason.NO_SLOT,
         messages.Reason.NO_SERVER,
@@ -44,25 +47,25 @@
 )
 
 
-_MOVING = frozenset(
+_HANDOVER_REASONS = frozenset(
     (messages.Reason.NOT_OWNER, messages.Reason.NOT_READY, messages.Reason.PEER_UNREACHABLE)
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Attempt:
+class _PassResult:
     """Result of one pass over the pools.
 
     Attributes:
-        moving: Whether a pool refused only because its owner changes.
+        in_handover: Whether a pool refused the request only because its owner is changing.
     """
 
-    answer: messages.Answer
-    moving: bool = False
+    response: messages.Response
+    in_handover: bool = False
 
 
 class Directory(Protocol):
-    """What this instance knows about the others."""
+    """What this instance knows about the other instances."""
 
     def owner(self, key: model.PoolKey) -> Any:
         """Returns the instance that owns a pool, or None."""
@@ -77,7 +80,7 @@
         """Returns whether an incarnation is known to have ended."""
 
     def note_refused(self, instance: model.InstanceId) -> None:
-        """Notes that an incarnation's RPC port refused a connection."""
+        """Records that the RPC port of an incarnation refused a connection."""
 
 
 class Peers(Protocol):
@@ -88,19 +91,19 @@
 
 
 class Dispatcher:
-    """Finds a pool for a request and runs it there.
+    """Selects a pool for each request and runs the request there.
 
     Args:
         me: This incarnation.
         clock: Time source.
         region: Region of this instance.
-        limits: Shares of the links' caps.
-        steering: Policy questions.
+        limits: This instance's shares of the caps of links between regions.
+        steering: Selects the pools of a request according to the policy.
         pools: Pools that this instance owns.
         directory: Owners of the other pools.
         peers: Calls to other instances.
-        placement: Whether requests go to the owner of their pool.
-        budget: Limits how often an idempotent request is repeated after a peer did not answer.
+        placement: Whether requests are forwarded to the owner of their pool.
+        budget: Limits the retries of idempotent requests after a peer did not respond.
     """
 
     def __init__(
@@ -130,10 +133,10 @@
         self._budget = budget
         self._log = structlog.get_logger("dispatcher")
 
-    async def run(self, request: messages.Request) -> messages.Answer:
-        """Tries the pools of the service, home pool first, then queues at the home pool.
+    async def run(self, request: messages.Request) -> messages.Response:
+        """Tries the pools of the service, home pool first, then queues if the service allows it.
 
-        While a pool moves to another owner, the request waits for it rather than being refused.
+        While the owner of a pool changes, the request is retried rather than refused.
         """
         policy = self._steering.policy
         if policy is None:
@@ -148,40 +151,46 @@
             return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
         request = conversion.with_route(request, home_region=route.home_region, shift=route.shift)
         self._budget.on_request()
-        waits = 0
+        retries = 0
         while True:
-            attempt = await self._try_pools(service, route, request)
-            if not attempt.moving or waits >= MAX_MOVE_WAITS:
-                return attempt.answer
-            wait_s = min(MOVE_WAIT_S * 2**waits, LONGEST_MOVE_WAIT_S)
-            if request.deadline.remaining_s < wait_s + MIN_PASS_S:
-                return attempt.answer
-            waits += 1
-            await asyncio.sleep(wait_s)
+            result = await self._try_pools(service, route, request)
+            if not result.in_handover or retries >= MAX_HANDOVER_RETRIES:
+                return result.response
+            delay_s = min(INITIAL_HANDOVER_DELAY_S * 2**retries, MAX_HANDOVER_DELAY_S)
+            if request.deadline.remaining_s < delay_s + MIN_PASS_TIME_S:
+                return result.response
+            retries += 1
+            await asyncio.sleep(delay_s)
 
     async def _try_pools(
         self, service: model.Service, route: steering.Route, request: messages.Request
-    ) -> _Attempt:
-        answer = messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
-        unsure: messages.Answer | None = None
-        moving = False
+    ) -> _PassResult:
+        response = messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
+        possibly_ran: messages.Response | None = None
+        in_handover = False
         for key in route.pools:
-            answer = await self.execute(key, request, may_queue=False)
-            if answer.outcome is messages.Outcome.UNKNOWN and self._may_repeat(service, answer):
-                unsure = answer
+            response = await self.execute(key, request, may_queue=False)
+            if response.outcome is messages.Outcome.UNKNOWN and self._may_retry(service, response):
+                possibly_ran = response
                 continue
-            if answer.outcome is not messages.Outcome.NOT_RUN or answer.reason not in _TRY_NEXT:
-                return _Attempt(answer=_settle(answer, unsure))
-            moving = moving or answer.reason in _MOVING
+            if (
+                response.outcome is not messages.Outcome.NOT_RUN
+                or response.reason not in _TRY_NEXT_POOL_REASONS
+            ):
+                return _PassResult(response=_final_response(response, possibly_ran))
+            in_handover = in_handover or response.reason in _HANDOVER_REASONS
         if service.may_wait and not request.deadline.expired:
-            queued = await self._queue(route, request)
-            answer, moving = queued.answer, queued.moving
-        return _Attempt(answer=_settle(answer, unsure), moving=moving and unsure is None)
+            waited = await self._queue_at_pools(route, request)
+            response, in_handover = waited.response, waited.in_handover
+        return _PassResult(
+            response=_final_response(response, possibly_ran),
+            in_handover=in_handover and possibly_ran is None,
+        )
 
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
-    ) -> messages.Answer:
-        """Runs a request at one pool, here or at the pool's owner."""
+    ) -> messages.Response:
+        """Runs a request on one pool, on this instance or on the owner of the pool."""
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if not self._placement.forwards:
@@ -191,11 +200,11 @@
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=200)
         if owner.name == self._me.name:
             return await self._pools.execute(key, request, may_queue=may_queue)
-        answer = await self.forward(
+        response = await self.forward(
             owner, request, stage=schema.forward.Stage.EXECUTE, key=key, may_queue=may_queue
         )
-        if answer.reason is messages.Reason.NOT_OWNER and answer.owner:
-            current = self._directory.instance(answer.owner)
+        if response.reason is messages.Reason.NOT_OWNER and response.owner:
+            current = self._directory.instance(response.owner)
             if current is not None and current.name not in (owner.name, self._me.name):
                 return await self.forward(
                     current,
@@ -204,7 +213,7 @@
                     key=key,
                     may_queue=may_queue,
                 )
-        return answer
+        return response
 
     async def forward(
         self,
@@ -214,8 +223,8 @@
         stage: int,
         key: model.PoolKey | None = None,
         may_queue: bool = False,
-    ) -> messages.Answer:
-        """Sends a request to another instance and returns its answer."""
+    ) -> messages.Response:
+        """Sends a request to another instance and returns its response."""
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
         if peer.region != self._region:
@@ -224,7 +233,7 @@
                 wait_ms = int(min(wait_s, 1.0) * 1000)
                 has_share = self._limits.has_link_share(peer.region, len(request.body))
                 if not has_share or self._limits.settling:
-                    # The first share of a new instance arrives with a heartbeat.
+                    # Temporary: the first share of a new instance arrives with a heartbeat.
                     return messages.not_run(503, messages.Reason.NOT_READY)
                 return messages.not_run(429, messages.Reason.LINK_CAP, retry_after_ms=wait_ms)
         message = conversion.to_forward(
@@ -236,29 +245,29 @@
             attempt_id=f"{self._me}/{next(self._attempt_ids)}",
             receiver=str(peer.id),
         )
-        first_limit_s = request.deadline.remaining_s
+        timeout_s = request.deadline.remaining_s
         if idempotent and not may_queue:
-            first_limit_s = min(first_limit_s * PEER_SILENCE_FRACTION, PEER_SILENCE_TIMEOUT_S)
-        until_s = self._clock.monotonic() + first_limit_s
+            timeout_s = min(timeout_s * PEER_RESPONSE_FRACTION, PEER_RESPONSE_TIMEOUT_S)
+        until_s = self._clock.monotonic() + timeout_s
         try:
-            return await self._send(peer, request, message, until_s)
+            return await self._send_attempt(peer, request, message, until_s)
         except asyncio.CancelledError:
-            await self._cancel(peer, request.request_id)
+            await self._cancel_at_peer(peer, request.request_id)
             raise
 
-    async def _send(
+    async def _send_attempt(
         self, peer: Any, request: messages.Request, message: Any, until_s: float
-    ) -> messages.Answer:
-        """Sends an attempt, and again on a new connection when its answer got lost.
+    ) -> messages.Response:
+        """Sends an attempt, and sends it again on a new connection when the reply is lost.
 
-        The receiver runs an attempt only once, so a second sending finds out what became of the
-        first one.
+        The receiver runs each attempt id only once, so sending it again returns the outcome of the
+        first send.
         """
-        answer = messages.unknown(504, messages.Reason.PEER_UNREACHABLE)
-        for _ in range(MAX_SENDINGS):
+        response = messages.unknown(504, messages.Reason.PEER_UNREACHABLE)
+        for _ in range(MAX_SENDS):
             limit_s = until_s - self._clock.monotonic()
             if limit_s <= 0:
-                return answer
+                return response
             message.deadline_ms = int(request.deadline.remaining_s * 1000)
             try:
                 reply = await self._peers.call(
@@ -268,45 +277,52 @@
                 if isinstance(error, rpc_client.ConnectionRefusedByPeerError):
                     self._directory.note_refused(peer.id)
                 if message.resent:
-                    return answer
+                    return response
                 return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
             except errors.UnavailableError as error:
-                answer = messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
+                response = messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
                 message.resent = True
             except errors.SassafraswayError as error:
                 self._log.warning("peer reported an error", peer=peer.name, error=str(error))
                 return messages.unknown(502, messages.Reason.INTERNAL, str(error))
             else:
                 return conversion.from_reply(reply)
-        return answer
+        return response
+
+    async def _queue_at_pools(
+        self, route: steering.Route, request: messages.Request
+    ) -> _PassResult:
+        """Queues the request at each pool in turn.
 
-    async def _queue(self, route: steering.Route, request: messages.Request) -> _Attempt:
-        """Waits at the pools; one that moves counts even if a later one refuses for good."""
-        answer = messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
-        moving = False
+        The result is in handover if any pool was, even if a later pool refused finally.
+        """
+        response = messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
+        in_handover = False
         for key in route.pools:
-            answer = await self.execute(key, request, may_queue=True)
-            if answer.outcome is not messages.Outcome.NOT_RUN or request.deadline.expired:
-                return _Attempt(answer=answer)
-            moving = moving or answer.reason in _MOVING
-        return _Attempt(answer=answer, moving=moving)
+            response = await self.execute(key, request, may_queue=True)
+            if response.outcome is not messages.Outcome.NOT_RUN or request.deadline.expired:
+                return _PassResult(response=response)
+            in_handover = in_handover or response.reason in _HANDOVER_REASONS
+        return _PassResult(response=response, in_handover=in_handover)
 
-    def _may_repeat(self, service: model.Service, answer: messages.Answer) -> bool:
+    def _may_retry(self, service: model.Service, response: messages.Response) -> bool:
         return (
             service.idempotent
-            and answer.reason is messages.Reason.PEER_UNREACHABLE
+            and response.reason is messages.Reason.PEER_UNREACHABLE
             and self._budget.try_retry()
         )
 
-    async def _cancel(self, peer: Any, request_id: str) -> None:
+    async def _cancel_at_peer(self, peer: Any, request_id: str) -> None:
         try:
             await self._peers.call(peer.rpc_address, "cancel", timeout_s=0.5, request_id=request_id)
         except errors.SassafraswayError as error:
-            self._log.debug("cancel not delivered", peer=peer.name, error=str(error))
+            self._log.debug("cancellation not delivered", peer=peer.name, error=str(error))
 
 
-def _settle(answer: messages.Answer, unsure: messages.Answer | None) -> messages.Answer:
-    """Returns the final answer when an earlier pool may have run the request."""
-    if answer.outcome is messages.Outcome.NOT_RUN and unsure is not None:
-        return unsure
-    return answer
+def _final_response(
+    response: messages.Response, possibly_ran: messages.Response | None
+) -> messages.Response:
+    """Returns the response to the caller: "not run" is wrong if an earlier pool may have run it."""
+    if response.outcome is messages.Outcome.NOT_RUN and possibly_ran is not None:
+        return possibly_ran
+    return response
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -21,7 +21,7 @@
 
     arrived_s: float
     task: asyncio.Task
-    answer: messages.Answer | None = None
+    response: messages.Response | None = None
 
 
 class ForwardService:
@@ -67,12 +67,12 @@
         """Runs a forwarded request and returns the reply."""
         if request.receiver and request.receiver != str(self._me):
             return conversion.to_reply(_wrong_incarnation(request))
-        answer = await self._run_once(request)
-        if not await self._may_send(request, answer):
-            answer = _without_body(answer)
-        return conversion.to_reply(answer)
+        response = await self._run_once(request)
+        if not await self._may_send(request, response):
+            response = _without_body(response)
+        return conversion.to_reply(response)
 
-    async def _run_once(self, request) -> messages.Answer:
+    async def _run_once(self, request) -> messages.Response:
         """Runs an attempt, or joins it when it arrived before.
 
         The run is a task of its own, so that it goes on when the connection breaks.
@@ -85,11 +85,11 @@
             self._attempts[request.attempt_id] = attempt
             self._running[request.request_id] = task
             task.add_done_callback(lambda _: self._running.pop(request.request_id, None))
-        if attempt.answer is None:
-            answer = await asyncio.shield(attempt.task)
-            attempt.answer = kept(answer)
-            return answer
-        return attempt.answer
+        if attempt.response is None:
+            response = await asyncio.shield(attempt.task)
+            attempt.response = kept(response)
+            return response
+        return attempt.response
 
     def _forget_old(self) -> None:
         limit_s = self._clock.monotonic() - ATTEMPT_RETENTION_S
@@ -105,20 +105,23 @@
         if task is not None:
             task.cancel()
 
-    async def _may_send(self, request, answer: messages.Answer) -> bool:
+    async def _may_send(self, request, response: messages.Response) -> bool:
         """Waits until the reply fits under the cap of the link to the sender's region."""
         sender = self._directory.instance((request.sender or "").partition("/")[0])
         if sender is None or sender.region == self._region:
             return True
         return await self._limits.wait_link(
-            sender.region, len(answer.body), request.request_id, limit_s=request.deadline_ms / 1000
+            sender.region,
+            len(response.body),
+            request.request_id,
+            limit_s=request.deadline_ms / 1000,
         )
 
     async def report_crash(self, service_name: str, fingerprint: str, server: str) -> None:
         """Notes that a request crashed a server of another pool."""
         self._pools.quarantine.record_crash(fingerprint, server)
 
-    async def _serve(self, message) -> messages.Answer:
+    async def _serve(self, message) -> messages.Response:
         request = conversion.from_forward(message, clock=self._clock)
         if message.stage == schema.forward.Stage.GATEKEEP:
             return await self._gatekeeper.run_forwarded(request)
@@ -128,7 +131,7 @@
             f"unknown stage {message.stage}", step="forward", peer=message.sender or ""
         )
 
-    async def _execute(self, message, request: messages.Request) -> messages.Answer:
+    async def _execute(self, message, request: messages.Request) -> messages.Response:
         key = model.PoolKey(
             service=message.service_name, region=message.region, shard=message.shard
         )
@@ -140,22 +143,22 @@
         )
 
 
-def _without_body(answer: messages.Answer) -> messages.Answer:
+def _without_body(response: messages.Response) -> messages.Response:
     """Returns a small answer in place of one that the link's cap does not admit in time."""
-    if answer.outcome is messages.Outcome.NOT_RUN:
-        return answer
+    if response.outcome is messages.Outcome.NOT_RUN:
+        return response
     return messages.unknown(504, messages.Reason.LINK_CAP)
 
 
-def _wrong_incarnation(request) -> messages.Answer:
+def _wrong_incarnation(request) -> messages.Response:
     """Answers an attempt that was meant for an incarnation that has ended."""
     if request.resent:
         return messages.unknown(503, messages.Reason.PEER_UNREACHABLE)
     return messages.not_run(503, messages.Reason.NOT_OWNER)
 
 
-def kept(answer: messages.Answer) -> messages.Answer:
+def kept(response: messages.Response) -> messages.Response:
     """Returns what is kept of an answer for a second sending of its attempt."""
-    if len(answer.body) <= MAX_KEPT_BODY_BYTES:
-        return answer
+    if len(response.body) <= MAX_KEPT_BODY_BYTES:
+        return response
     return messages.unknown(502, messages.Reason.CONNECTION_LOST)
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -1,7 +1,8 @@
 """At-most-once execution of non-idempotent requests.
 
-The holder of a key decides whether it may start: for a ticket the incarnation that it names, for
-any other key whoever created the claim row in the table.
+Every idempotency key has one holder, the incarnation that decides whether its request may start. A
+ticket names its holder. The holder of any other key is the incarnation that created the claim row
+of the key in the table.
 """
 
 import asyncio
@@ -18,7 +19,7 @@
 
 CLAIM_RETRY_S = 0.1
 CLAIM_UPDATE_INTERVAL_S = 0.5
-CLAIM_UPDATE_WAIT_S = 0.5  # time that an answer waits for its outcome to be stored
+CLAIM_UPDATE_WAIT_S = 0.5  # delay of a response at most while its outcome is stored
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,16 +27,18 @@
     """Contents of a claim row.
 
     Attributes:
+        holder: Incarnation that holds the key.
         attempt: Request id of the attempt that created the row.
+        response: Outcome of the request; None while it runs.
     """
 
     holder: str
     attempt: str
-    answer: messages.Answer | None = None
+    response: messages.Response | None = None
 
     def encode(self) -> bytes:
         """Returns the value of the row."""
-        document = outcomes.to_document(self.answer) if self.answer else None
+        document = outcomes.to_document(self.response) if self.response else None
         return json.dumps(
             {"holder": self.holder, "attempt": self.attempt, "answer": document}
         ).encode()
@@ -44,12 +47,12 @@
     def decode(cls, value: bytes) -> "Claim":
         """Returns the claim that a row holds."""
         data = json.loads(value)
-        answer = outcomes.from_document(data["answer"]) if data["answer"] else None
-        return cls(holder=data["holder"], attempt=data["attempt"], answer=answer)
+        response = outcomes.from_document(data["answer"]) if data["answer"] else None
+        return cls(holder=data["holder"], attempt=data["attempt"], response=response)
 
 
 def claim_row(service: str, key: str) -> str:
-    """Returns the row of a claim; keys are hashed because callers choose them freely."""
+    """Returns the row key of a claim; the key is hashed because callers may send any text."""
     return f"claims/{service}/{hashlib.sha256(key.encode()).hexdigest()}"
 
 
@@ -58,10 +61,10 @@
 
     Args:
         me: This incarnation.
-        registry: Keys that this incarnation has seen.
+        registry: Keys whose requests this incarnation has handled.
         dispatcher: Runs requests on pools.
         directory: Other instances.
-        store: Outcomes in the table.
+        store: Stores the outcomes of tickets in the table.
         claims: Table service for claim rows.
     """
 
@@ -88,7 +91,7 @@
 
     @property
     def running(self) -> int:
-        """Number of keys that run now."""
+        """Number of keys whose requests are running."""
         return len(self._running)
 
     @property
@@ -97,10 +100,10 @@
         return len(self._updates)
 
     def close(self) -> None:
-        """Starts no more tickets, so that the mark of a closed incarnation can be written."""
+        """Stops starting requests of new tickets, so that the closed marker can be written."""
         self._closed = True
 
-    async def handle(self, request: messages.Request) -> messages.Answer:
+    async def handle(self, request: messages.Request) -> messages.Response:
         """Runs a request that a caller sent to this instance."""
         ticket = at_most_once.Ticket.parse(request.key)
         if ticket is None:
@@ -109,27 +112,28 @@
             return await self.run_held(request)
         peer = self._directory.instance(ticket.holder.name)
         if peer is not None and peer.incarnation == ticket.holder.incarnation:
-            answer = await self._dispatcher.forward(
+            response = await self._dispatcher.forward(
                 peer, request, stage=schema.forward.Stage.GATEKEEP
             )
-            if answer.reason is not messages.Reason.PEER_UNREACHABLE:
-                return answer
-        return await self._recorded_outcome(ticket, request)
+            if response.reason is not messages.Reason.PEER_UNREACHABLE:
+                return response
+        return await self._stored_outcome(ticket, request)
 
-    async def run_forwarded(self, request: messages.Request) -> messages.Answer:
+    async def run_forwarded(self, request: messages.Request) -> messages.Response:
         """Runs a request that another instance sent because this incarnation holds its key."""
         ticket = at_most_once.Ticket.parse(request.key)
         if ticket is None and self._registry.record(request.key) is None:
             return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
         if ticket is not None and ticket.holder != self._me:
-            return await self._recorded_outcome(ticket, request)
+            return await self._stored_outcome(ticket, request)
         return await self.run_held(request)
 
-    async def run_held(self, request: messages.Request) -> messages.Answer:
+    async def run_held(self, request: messages.Request) -> messages.Response:
         """Runs a request whose key this incarnation holds, or joins its earlier attempt."""
         key = request.key
         if self._closed and self._registry.record(key) is None:
-            # From here on a new key needs a claim, as it will after this incarnation has ended.
+            # A closed incarnation starts a new key only with a claim row, as other instances will
+            # after it has ended.
             return await self._handle_claim(request)
         state = self._registry.begin(key)
         if state is at_most_once.BeginResult.EXPIRED:
@@ -137,19 +141,19 @@
         if state is at_most_once.BeginResult.DONE:
             return self._registry.record(key).outcome
         if state is at_most_once.BeginResult.FORGOTTEN:
-            return await self._recorded_outcome(at_most_once.Ticket.parse(key), request)
+            return await self._stored_outcome(at_most_once.Ticket.parse(key), request)
         if state is at_most_once.BeginResult.START:
             self._start(request)
-        return await self._join(key, request)
+        return await self._wait_for_outcome(key, request)
 
     def _start(self, request: messages.Request) -> None:
-        # The run is a task of its own: a caller that goes away must not stop a dispatched request,
-        # and its outcome must be recorded.
+        # The request runs in a separate task: if the caller disconnects, a dispatched request must
+        # go on and its outcome must be recorded.
         task = asyncio.create_task(self._run(request))
         self._running[request.key] = task
         task.add_done_callback(lambda _: self._running.pop(request.key, None))
 
-    async def _join(self, key: str, request: messages.Request) -> messages.Answer:
+    async def _wait_for_outcome(self, key: str, request: messages.Request) -> messages.Response:
         task = self._running.get(key)
         if task is None:
             return self._registry.record(key).outcome
@@ -160,75 +164,83 @@
         except TimeoutError:
             return messages.unknown(504, messages.Reason.DEADLINE)
 
-    async def _run(self, request: messages.Request) -> messages.Answer:
+    async def _run(self, request: messages.Request) -> messages.Response:
         key = request.key
         self._registry.mark_dispatched(key)
         try:
-            answer = await self._dispatcher.run(request)
+            response = await self._dispatcher.run(request)
         except Exception:
             self._log.exception("request failed", request=request.request_id)
-            answer = messages.unknown(502, messages.Reason.INTERNAL)
-        not_run = answer.outcome is messages.Outcome.NOT_RUN
+            response = messages.unknown(502, messages.Reason.INTERNAL)
+        not_run = response.outcome is messages.Outcome.NOT_RUN
         if not_run:
             self._registry.mark_refused(key)
-        self._registry.finish(key, answer, not_run=not_run)
+        self._registry.finish(key, response, not_run=not_run)
         ticket = at_most_once.Ticket.parse(key)
         if ticket is not None:
-            self._store.add(ticket, answer)
-        return answer
+            self._store.add(ticket, response)
+        return response
 
-    async def _recorded_outcome(
+    async def _stored_outcome(
         self, ticket: at_most_once.Ticket, request: messages.Request
-    ) -> messages.Answer:
-        """Answers for a ticket whose holder cannot be asked."""
+    ) -> messages.Response:
+        """Returns the stored outcome of a ticket whose holder cannot be reached.
+
+        If the holder has closed, a missing outcome proves that the request did not run, so that it
+        may run here under a claim.
+        """
         try:
             found = await asyncio.wait_for(
                 self._store.find(ticket), max(0.001, request.deadline.remaining_s)
             )
         except (errors.UnavailableError, TimeoutError):
             return messages.unknown(503, messages.Reason.STORE_UNAVAILABLE)
-        if found.answer is not None:
-            return found.answer
+        if found.response is not None:
+            return found.response
         if found.closed and self._registry.may_start(ticket):
             return await self._handle_claim(request)
         if found.closed:
             return messages.not_run(409, messages.Reason.TICKET_EXPIRED)
         return messages.unknown(503, messages.Reason.TICKET_HOLDER_GONE)
 
-    async def _handle_claim(self, request: messages.Request) -> messages.Answer:
+    async def _handle_claim(self, request: messages.Request) -> messages.Response:
         """Runs a request after creating its claim row."""
         row_key = claim_row(request.service, request.key)
-        mine = Claim(holder=str(self._me), attempt=request.request_id)
+        own_claim = Claim(holder=str(self._me), attempt=request.request_id)
         row_exists = False
         while not request.deadline.expired:
             try:
-                row = await self._claims.put(row_key, mine.encode(), if_version=table.ABSENT)
+                row = await self._claims.put(row_key, own_claim.encode(), if_version=table.ABSENT)
             except table.PreconditionFailed:
                 row_exists = True
-                answer = await self._handle_existing_claim(row_key, request)
+                response = await self._handle_existing_claim(row_key, request)
             except errors.UnavailableError:
-                answer = None
+                response = None
             else:
                 return await self._run_claimed(row_key, row, request)
-            if answer is not None:
-                return answer
+            if response is not None:
+                return response
             await asyncio.sleep(min(CLAIM_RETRY_S, request.deadline.remaining_s))
         if row_exists and self._registry.record(request.key) is None:
-            # Another instance may hold the claim and have run the request.
+            # Another instance may hold the claim and may have run the request.
             return messages.unknown(504, messages.Reason.STORE_UNAVAILABLE)
         return self._give_up_claim(request.key)
 
-    def _give_up_claim(self, key: str) -> messages.Answer:
-        """Records that a key was not run, as the row may exist although its answer was lost."""
-        answer = messages.not_run(504, messages.Reason.STORE_UNAVAILABLE)
+    def _give_up_claim(self, key: str) -> messages.Response:
+        """Records the key as not run.
+
+        The claim row may exist although the response to the write was lost, so a later attempt must
+        not run the key either.
+        """
+        response = messages.not_run(504, messages.Reason.STORE_UNAVAILABLE)
         if self._registry.begin_claimed(key):
-            self._registry.finish(key, answer, not_run=True)
-            return answer
+            self._registry.finish(key, response, not_run=True)
+            return response
         return self._registry.record(key).outcome or messages.unknown(504, messages.Reason.DEADLINE)
 
     async def _handle_existing_claim(
         self, row_key: str, request: messages.Request
-    ) -> messages.Answer | None:
+    ) -> messages.Response | None:
         try:
             row = await self._claims.get(row_key)
         except errors.UnavailableError:
@@ -236,48 +248,52 @@
         if row is None:
             return None
         claim = Claim.decode(row.value)
-        if claim.answer is not None:
-            return claim.answer
+        if claim.response is not None:
+            return claim.response
         if claim.holder != str(self._me):
             return await self._ask_holder(claim, request)
         if self._registry.record(request.key) is not None:
-            return await self._join(request.key, request)
+            return await self._wait_for_outcome(request.key, request)
         if claim.attempt == request.request_id:
-            # The answer to this attempt's own write was lost.
+            # This attempt created the row, but the response to its write was lost.
             return await self._run_claimed(row_key, row, request)
-        # An earlier attempt may have run and been forgotten.
+        # An earlier attempt may have run, and its record may have been removed since.
         return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
 
-    async def _ask_holder(self, claim: Claim, request: messages.Request) -> messages.Answer:
+    async def _ask_holder(self, claim: Claim, request: messages.Request) -> messages.Response:
         name, _, incarnation = claim.holder.partition("/")
         peer = self._directory.instance(name)
         if peer is None or peer.incarnation != incarnation:
             return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
-        answer = await self._dispatcher.forward(peer, request, stage=schema.forward.Stage.GATEKEEP)
-        if answer.reason is messages.Reason.PEER_UNREACHABLE:
-            return messages.unknown(503, answer.reason, answer.detail)
-        return answer
+        response = await self._dispatcher.forward(
+            peer, request, stage=schema.forward.Stage.GATEKEEP
+        )
+        if response.reason is messages.Reason.PEER_UNREACHABLE:
+            return messages.unknown(503, response.reason, response.detail)
+        return response
 
     async def _run_claimed(
         self, row_key: str, row: table.Row, request: messages.Request
-    ) -> messages.Answer:
+    ) -> messages.Response:
         if self._registry.begin_claimed(request.key):
             self._start(request)
-        answer = await self._join(request.key, request)
-        task = asyncio.create_task(self._update_claim(row_key, row, answer))
+        response = await self._wait_for_outcome(request.key, request)
+        task = asyncio.create_task(self._update_claim(row_key, row, response))
         self._updates.add(task)
         task.add_done_callback(self._updates.discard)
         await asyncio.wait({task}, timeout=CLAIM_UPDATE_WAIT_S)
-        return answer
+        return response
 
-    async def _update_claim(self, row_key: str, row: table.Row, answer: messages.Answer) -> None:
-        """Stores the outcome in the claim row, however long the table is down."""
-        claim = Claim(holder=str(self._me), attempt="", answer=answer)
+    async def _update_claim(
+        self, row_key: str, row: table.Row, response: messages.Response
+    ) -> None:
+        """Stores the outcome in the claim row; retries until the table is available."""
+        claim = Claim(holder=str(self._me), attempt="", response=response)
         while True:
             try:
                 await self._claims.put(row_key, claim.encode(), if_version=row.version)
             except table.PreconditionFailed:
-                return  # an earlier try took effect although its answer was lost
+                return  # an earlier try succeeded, but its response was lost
             except errors.UnavailableError:
                 await asyncio.sleep(CLAIM_UPDATE_INTERVAL_S)
             else:
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -69,7 +69,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answer:
+class Response:
     """The answer to a caller's request."""
 
     outcome: Outcome
@@ -85,9 +85,9 @@
 
 def not_run(
     status: int, reason: Reason, detail: str = "", *, retry_after_ms: int = 0, owner: str = ""
-) -> Answer:
+) -> Response:
     """Returns an answer that says that the request was not dispatched."""
-    return Answer(
+    return Response(
         outcome=Outcome.NOT_RUN,
         status=status,
         reason=reason,
@@ -97,9 +97,9 @@
     )
 
 
-def unknown(status: int, reason: Reason, detail: str = "") -> Answer:
+def unknown(status: int, reason: Reason, detail: str = "") -> Response:
     """Returns an answer that says that the request may have run."""
-    return Answer(
+    return Response(
         outcome=Outcome.UNKNOWN,
         status=status,
         reason=reason,
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -22,22 +22,22 @@
 MAX_PENDING = 20_000  # outcomes kept while the table is down; older ones are dropped first
 
 
-def to_document(answer: messages.Answer) -> dict:
+def to_document(response: messages.Response) -> dict:
     """Returns the stored form of an answer."""
-    body = answer.body if len(answer.body) <= MAX_BODY_BYTES else b""
+    body = response.body if len(response.body) <= MAX_BODY_BYTES else b""
     return {
-        "outcome": answer.outcome.value,
-        "status": answer.status,
-        "headers": [list(pair) for pair in answer.headers],
+        "outcome": response.outcome.value,
+        "status": response.status,
+        "headers": [list(pair) for pair in response.headers],
         "body": base64.b64encode(body).decode("ascii"),
-        "reason": answer.reason.value,
-        "server": answer.server,
+        "reason": response.reason.value,
+        "server": response.server,
     }
 
 
-def from_document(document: dict) -> messages.Answer:
+def from_document(document: dict) -> messages.Response:
     """Returns the answer of a stored form."""
-    return messages.Answer(
+    return messages.Response(
         outcome=messages.Outcome(document["outcome"]),
         status=document["status"],
         headers=tuple((name, value) for name, value in document["headers"]),
@@ -68,7 +68,7 @@
             missing outcome proves that the request did not run.
     """
 
-    answer: messages.Answer | None
+    response: messages.Response | None
     closed: bool
 
 
@@ -99,11 +99,11 @@
         """Number of outcomes given up because the table was down for too long."""
         return self._dropped
 
-    def add(self, ticket: at_most_once.Ticket, answer: messages.Answer) -> None:
+    def add(self, ticket: at_most_once.Ticket, response: messages.Response) -> None:
         """Queues the outcome of a ticket for the next batch."""
         while self._pending_count >= MAX_PENDING:
             self._drop_oldest()
-        self._pending.setdefault(segment_prefix(ticket), {})[str(ticket)] = to_document(answer)
+        self._pending.setdefault(segment_prefix(ticket), {})[str(ticket)] = to_document(response)
         self._pending_count += 1
         self._added.set()
 
@@ -153,8 +153,8 @@
         for row in await self._table.scan(segment_prefix(ticket)):
             document = json.loads(row.value).get(str(ticket))
             if document is not None:
-                return Lookup(answer=from_document(document), closed=closed)
-        return Lookup(answer=None, closed=closed)
+                return Lookup(response=from_document(document), closed=closed)
+        return Lookup(response=None, closed=closed)
 
     async def _write(self, prefix: str, batch: dict[str, dict]) -> bool:
         self._batch += 1
--- a/packages/entry/src/sassafrasway_entry/owner_messages.py
+++ b/packages/entry/src/sassafrasway_entry/owner_messages.py
@@ -1,4 +1,4 @@
-"""Messages to the owners of pools: crashes that requests caused, and slots that became free."""
+"""Messages to the owners of pools: reports of crashes and of released slots."""
 
 import asyncio
 from collections.abc import Callable, Coroutine
@@ -13,7 +13,7 @@
 
 
 class OwnerMessages:
-    """Tells other instances what they have to know as owners of pools.
+    """Sends messages to the instances that own other pools.
 
     Args:
         me: This incarnation.
@@ -40,7 +40,7 @@
         self._log = structlog.get_logger("process")
 
     async def report_crash(self, service: str, fingerprint: str, server: str) -> None:
-        """Tells the owners of the service's other pools, before the request is repeated."""
+        """Reports a crash to the owners of the other pools before the request is retried."""
         policy = self._policy_source()
         owners = {
             owner.rpc_address
@@ -65,7 +65,7 @@
                 self._log.warning("crash report not delivered", error=str(result))
 
     def on_slot_released(self, key: model.PoolKey, server_name: str) -> None:
-        """Tells the new owner of a pool that a request of this instance has ended."""
+        """Tells the new owner of a pool that a request of this instance has released its slot."""
         owner = self._directory.owner(key)
         if owner is not None and owner.name != self._me.name:
             self._spawn(self._send_release(owner.rpc_address, key, server_name), "release")
@@ -75,4 +75,4 @@
         try:
             await self._peers.call(address, "release_slots", pool=pool, server=server_name, slots=1)
         except errors.SassafraswayError as error:
-            self._log.info("release not delivered", peer=address, error=str(error))
+            self._log.info("slot release not delivered", peer=address, error=str(error))
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -1,4 +1,4 @@
-"""Pools that this instance owns: their grants, admission, queues and limits."""
+"""The pools that this instance owns: their grants, admission, queues and caps."""
 
 import asyncio
 import itertools
@@ -32,9 +32,9 @@
 PROBE_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
 WAKE_INTERVAL_S = 0.02
-# A pool that was acquired so recently may still wait for slots or caps of its previous owner.
-# Requests it refuses meanwhile are sent again rather than refused to the caller.
-SETTLE_S = cap_limits.TAKEOVER_S
+# For this long after its acquisition, a pool may still lack slots or caps that its previous owner
+# uses. A refusal in this time is "not ready", so that the request is retried rather than refused.
+HANDOVER_SETTLE_S = cap_limits.TAKEOVER_S
 
 
 class PoolManager:
@@ -42,18 +42,18 @@
 
     Args:
         clock: Time source.
-        rng: Random source for ties.
+        rng: Random source that breaks ties between servers.
         invariants: Checks slots and caps.
         client: Client for backend servers.
         record: Record of dispatches.
         report_crash: Tells the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
-        share_of: Returns the share of a pool that may be used now.
+        share_of: Returns the share of a pool that this instance may use now.
         placement: Strategy that decides which slots an instance may use.
-        limits: Share of the region's cap.
+        limits: This instance's share of the cap of the region.
         on_slot_released: Called with pool and server when a request ends whose pool has moved to
             another owner.
-        queue_limit: Longest queue of a pool.
+        queue_limit: Maximum number of waiting requests in a pool.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         self._position = (0, 1)
         self._queue_limit = queue_limit
         self._pools: dict[model.PoolKey, owned_pool.OwnedPool] = {}
-        self._ending: dict[model.PoolKey, owned_pool.OwnedPool] = {}
+        self._draining: dict[model.PoolKey, owned_pool.OwnedPool] = {}
         self._policy: model.Policy | None = None
         self._servers: dict[model.PoolKey, tuple[model.BackendServer, ...]] = {}
         self._quarantine = quarantine.Quarantine(clock=clock)
@@ -93,11 +93,11 @@
             quarantine=self._quarantine,
             report_crash=report_crash,
             placement=placement,
-            take_limits=self._take_limits,
+            count_against_caps=self._count_against_caps,
             release=self._release,
         )
         self._waiter_ids = itertools.count(1)
-        self._waiting = asyncio.Event()
+        self._has_waiting = asyncio.Event()
         self._log = structlog.get_logger("pools")
 
     @property
@@ -107,21 +107,23 @@
 
     @property
     def quarantine(self) -> quarantine.Quarantine:
-        """Requests that crashed servers."""
+        """Record of requests that crashed servers."""
         return self._quarantine
 
     def set_policy(self, policy: model.Policy) -> None:
         """Applies a new policy revision to all pools."""
         self._policy = policy
-        self._servers = {key: self._usable(servers) for key, servers in policy.pools().items()}
+        self._servers = {
+            key: self._usable_servers(servers) for key, servers in policy.pools().items()
+        }
         if not self._placement.forwards:
-            self._hold_all()
+            self._own_all_pools()
         for key, owned in self._pools.items():
             owned.slots.set_servers(self._servers.get(key, ()))
-            self._set_limits(owned)
+            self._update_shift_windows(owned)
 
     def set_position(self, *, index: int, count: int) -> None:
-        """Takes this instance's place among all; only placements without owners depend on it."""
+        """Sets the index of this instance among all instances, for placements without owners."""
         if self._placement.forwards or (index, count) == self._position:
             return
         self._position = (index, count)
@@ -129,31 +131,33 @@
             self.set_policy(self._policy)
 
     def set_grants(self, grants: Iterable[region.PoolGrant]) -> None:
-        """Takes the full list of pools that this instance may use."""
+        """Replaces the grants with the full list of pools that this instance may use."""
         if self._placement.forwards:
-            self._hold(grants)
+            self._apply_grants(grants)
 
-    def _hold_all(self) -> None:
-        """Uses every pool, as placements without owners do."""
-        self._hold(
+    def _own_all_pools(self) -> None:
+        """Takes a full, unlimited grant of every pool, for placements without owners."""
+        self._apply_grants(
             region.PoolGrant(pool=key, share=share.Share.FULL, expires_s=math.inf)
             for key, servers in self._servers.items()
             if servers
         )
 
-    def _usable(self, servers: Iterable[model.BackendServer]) -> tuple[model.BackendServer, ...]:
+    def _usable_servers(
+        self, servers: Iterable[model.BackendServer]
+    ) -> tuple[model.BackendServer, ...]:
         index, count = self._position
         return tuple(self._placement.usable_servers(servers, index=index, count=count))
 
-    def _hold(self, grants: Iterable[region.PoolGrant]) -> None:
+    def _apply_grants(self, grants: Iterable[region.PoolGrant]) -> None:
         by_key = {grant.pool: grant for grant in grants}
         for key in [key for key in self._pools if key not in by_key]:
-            self._drop(key)
+            self._release_pool(key)
         for key, grant in by_key.items():
             owned = self._pools.get(key)
             is_new = owned is None
             if is_new:
-                owned = self._ending.pop(key, None) or self._add(grant)
+                owned = self._draining.pop(key, None) or self._new_pool(grant)
                 self._pools[key] = owned
                 owned.acquired_s = self._clock.monotonic()
                 self._log.info("pool acquired", pool=str(key), share=grant.share.value)
@@ -162,16 +166,16 @@
                 owned.slots.inherit(grant.inherited, expires_s=expires_s)
             owned.grant = grant
             self._apply_share(owned)
-            self._set_limits(owned)
+            self._update_shift_windows(owned)
 
     def release_inherited(self, key: model.PoolKey, server: str, count: int) -> None:
-        """Frees slots after the previous owner's requests ended."""
+        """Releases slots that requests of the previous owner have used until now."""
         owned = self._pools.get(key)
         if owned is not None:
             self._wake(owned, owned.slots.release_inherited(server, count))
 
     def reports(self) -> dict[model.PoolKey, region.PoolReport]:
-        """Returns the use of all pools, those included that moved but whose requests still run."""
+        """Returns the use of all owned pools, and of released pools whose requests still run."""
         return {
             key: region.PoolReport(
                 share=self._share_of(key),
@@ -179,16 +183,16 @@
                 busy_s=max(0.0, owned.busy_until_s - self._clock.monotonic()),
                 queue_length=owned.slots.queue_length(),
             )
-            for key, owned in (self._ending | self._pools).items()
+            for key, owned in (self._draining | self._pools).items()
         }
 
     def owns(self, key: model.PoolKey) -> bool:
-        """Returns whether this instance holds the pool, if only with the offline share."""
+        """Returns whether this instance owns the pool, even with only the offline share."""
         return key in self._pools
 
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
-    ) -> messages.Answer:
+    ) -> messages.Response:
         """Runs a request on one of the pool's servers."""
         owned = self._pools.get(key)
         if owned is None or self._policy is None:
@@ -203,10 +207,10 @@
             if request.deadline.expired:
                 return messages.not_run(504, messages.Reason.DEADLINE)
             return self._refusal(owned, messages.Reason.NO_SLOT, retry_after_ms=100)
-        limited = self._take_limits(owned, request)
-        if limited is not None:
+        cap_refusal = self._count_against_caps(owned, request)
+        if cap_refusal is not None:
             self._release(owned, lease, pool.ServerResult.CANCELLED)
-            return limited
+            return cap_refusal
         return await self._runner.run(
             owned, lease, request, service=self._policy.services[request.service]
         )
@@ -218,18 +222,18 @@
             await self.probe_pools()
 
     async def probe_pools(self) -> None:
-        """Probes the servers that are due."""
+        """Probes the ejected servers of all pools that are due."""
         for owned in list(self._pools.values()):
             await self._probe_pool(owned)
 
     async def wake_loop(self) -> None:
-        """Gives slots that became free by the passage of time to waiting requests."""
+        """Assigns slots that become free as time passes to waiting requests, until cancelled."""
         while True:
-            await self._waiting.wait()
-            self._waiting.clear()
+            await self._has_waiting.wait()
+            self._has_waiting.clear()
             for owned in list(self._pools.values()):
                 if owned.slots.queue_length():
-                    self._waiting.set()
+                    self._has_waiting.set()
                     self._apply_share(owned)
                     owned.slots.expire()
                     self._wake(owned, owned.slots.grant_waiting())
@@ -240,7 +244,7 @@
             probe = await self._client.probe(server, timeout_s=PROBE_TIMEOUT_S)
             owned.slots.record_probe(server.name, succeeded=probe.healthy, leaving=probe.leaving)
 
-    def _add(self, grant: region.PoolGrant) -> owned_pool.OwnedPool:
+    def _new_pool(self, grant: region.PoolGrant) -> owned_pool.OwnedPool:
         slots = pool.SlotPool(
             key=grant.pool,
             servers=self._servers.get(grant.pool, ()),
@@ -253,41 +257,41 @@
         )
         return owned_pool.OwnedPool(grant=grant, slots=slots, shift_windows={}, waiters={})
 
-    def _drop(self, key: model.PoolKey) -> None:
+    def _release_pool(self, key: model.PoolKey) -> None:
         owned = self._pools.pop(key)
         for waiter in owned.waiters.values():
             if not waiter.done():
                 waiter.set_result(None)
         if owned.slots.in_use():
-            self._ending[key] = owned
+            self._draining[key] = owned
         self._log.info("pool released", pool=str(key), in_use=owned.slots.in_use())
 
-    def _set_limits(self, owned: owned_pool.OwnedPool) -> None:
+    def _update_shift_windows(self, owned: owned_pool.OwnedPool) -> None:
         if self._policy is None:
             return
         key = owned.grant.pool
-        wanted = {
+        caps_by_source = {
             shift.source: shift.cap_rps
             for shift in self._policy.shifts.values()
             if shift.service == key.service and shift.target == key.region
         }
         owned.shift_windows = {
-            source: self._window(owned.shift_windows.get(source), cap_rps)
-            for source, cap_rps in wanted.items()
+            source: self._shift_window(owned.shift_windows.get(source), cap_rps)
+            for source, cap_rps in caps_by_source.items()
         }
 
-    def _window(
+    def _shift_window(
         self, current: window.CompletionWindow | None, limit: float
     ) -> window.CompletionWindow:
         if current is None:
-            # The previous owner may have used the whole limit in the last second.
+            # The previous owner may have used the whole cap during the last second.
             return window.CompletionWindow(limit=limit, clock=self._clock, start_full=True)
         current.set_limit(limit)
         return current
 
     def _admit(
         self, owned: owned_pool.OwnedPool, request: messages.Request
-    ) -> messages.Answer | None:
+    ) -> messages.Response | None:
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if self._quarantine.is_quarantined(request.fingerprint):
@@ -296,14 +300,17 @@
         return None
 
     def _apply_share(self, owned: owned_pool.OwnedPool) -> None:
-        """Reads the share at the moment of dispatch: the grant may have expired since."""
+        """Updates the share of the pool, because its grant may have expired since the last use."""
         if self._placement.forwards:
             owned.slots.set_share(self._share_of(owned.grant.pool))
 
-    def _take_limits(
+    def _count_against_caps(
         self, owned: owned_pool.OwnedPool, request: messages.Request
-    ) -> messages.Answer | None:
-        """Takes the request from the caps after it has a slot, so that waiting costs no cap."""
+    ) -> messages.Response | None:
+        """Counts a request against the caps; returns None, or the refusal when one is used up.
+
+        This happens after the request has a slot, so that waiting requests use no cap.
+        """
         shift_window = owned.shift_windows.get(request.home_region)
         if shift_window is not None and not shift_window.try_start():
             return self._refusal(owned, messages.Reason.SHIFT_CAP, retry_after_ms=1000)
@@ -317,9 +324,9 @@
 
     def _refusal(
         self, owned: owned_pool.OwnedPool, reason: messages.Reason, *, retry_after_ms: int
-    ) -> messages.Answer:
-        acquired_lately = self._clock.monotonic() < owned.acquired_s + SETTLE_S
-        settling = acquired_lately or self._limits.settling
+    ) -> messages.Response:
+        acquired_recently = self._clock.monotonic() < owned.acquired_s + HANDOVER_SETTLE_S
+        settling = acquired_recently or self._limits.settling
         if settling and self._placement.forwards:
             return messages.not_run(503, messages.Reason.NOT_READY, reason.value)
         return messages.not_run(429, reason, retry_after_ms=retry_after_ms)
@@ -337,7 +344,7 @@
             return None
         future = asyncio.get_running_loop().create_future()
         owned.waiters[waiter_id] = future
-        self._waiting.set()
+        self._has_waiting.set()
         try:
             return await asyncio.wait_for(future, request.deadline.remaining_s)
         except TimeoutError:
@@ -353,7 +360,7 @@
         key = owned.grant.pool
         if self._pools.get(key) is not owned:
             if not owned.slots.in_use():
-                self._ending.pop(key, None)
+                self._draining.pop(key, None)
             self._on_slot_released(key, lease.server.name)
 
     def _wake(self, owned: owned_pool.OwnedPool, grants: Iterable[pool.Grant]) -> None:
--- a/packages/entry/src/sassafrasway_entry/request_runner.py
+++ b/packages/entry/src/sassafrasway_entry/request_runner.py
@@ -1,4 +1,4 @@
-"""Runs one admitted request on a pool's servers: the dispatch, its retries and its outcome."""
+"""Sends one admitted request to the servers of a pool and retries it on other servers."""
 
 from collections.abc import Awaitable, Callable
 
@@ -12,18 +12,19 @@
 
 
 class RequestRunner:
-    """Sends a request that has a slot to its server, and to others when it may be repeated.
+    """Sends a request to the server of its slot, and to other servers when it may be retried.
 
     Args:
         clock: Time source.
         client: Client for backend servers.
         record: Record of dispatches.
-        quarantine: Requests that crashed servers.
+        quarantine: Record of requests that crashed servers.
         report_crash: Tells the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
         placement: Strategy that decides which slots an instance may use.
-        take_limits: Takes a request from the caps; returns a refusal or None.
-        release: Frees the slot of a lease with the result of its use.
+        count_against_caps: Counts a request against the caps; returns None, or the refusal when a
+            cap is used up.
+        release: Releases the slot of a lease and records the result of its use.
     """
 
     def __init__(
@@ -35,7 +36,9 @@
         quarantine: quarantine.Quarantine,
         report_crash: Callable[[str, str, str], Awaitable[None]],
         placement: placement.Placement,
-        take_limits: Callable[[owned_pool.OwnedPool, messages.Request], messages.Answer | None],
+        count_against_caps: Callable[
+            [owned_pool.OwnedPool, messages.Request], messages.Response | None
+        ],
         release: Callable[[owned_pool.OwnedPool, pool.SlotLease, pool.ServerResult], None],
     ):
         self._clock = clock
@@ -44,7 +47,7 @@
         self._quarantine = quarantine
         self._report_crash = report_crash
         self._placement = placement
-        self._take_limits = take_limits
+        self._count_against_caps = count_against_caps
         self._release = release
         self._budgets: dict[str, retry.RetryBudget] = {}
         self._log = structlog.get_logger("pools")
@@ -56,60 +59,70 @@
         request: messages.Request,
         *,
         service: model.Service,
-    ) -> messages.Answer:
-        """Runs a request whose slot is leased; the lease ends here."""
+    ) -> messages.Response:
+        """Runs a request that holds a slot, and releases the slot."""
         budget = self._budget(request.service)
         budget.on_request()
         owned.requests += 1
-        tried: set[str] = set()
+        tried_servers: set[str] = set()
         dispatched = False
         while True:
-            tried.add(lease.server.name)
-            answer = await self._call(owned, lease, request, idempotent=service.idempotent)
-            result = answer.result
+            tried_servers.add(lease.server.name)
+            response = await self._send_attempt(
+                owned, lease, request, idempotent=service.idempotent
+            )
+            result = response.result
             if result is backend_client.CallResult.OK:
-                return self._ran(lease.server, answer)
+                return self._ran_response(lease.server, response)
             dispatched |= result in (
                 backend_client.CallResult.LOST,
                 backend_client.CallResult.TIMEOUT,
             )
             if result is backend_client.CallResult.LOST:
-                await self._note_crash(request, lease.server)
+                await self._record_crash(request, lease.server)
                 if self._quarantine.is_quarantined(request.fingerprint):
                     return messages.unknown(422, messages.Reason.QUARANTINED)
             if dispatched and not service.idempotent:
-                return self._unknown(result)
-            certain = result is backend_client.CallResult.SHED
-            if request.deadline.expired or not self._may_retry(budget, tried, certain=certain):
+                return self._unknown_response(result)
+            was_shed = result is backend_client.CallResult.SHED
+            if request.deadline.expired or not self._may_retry(
+                budget, tried_servers, was_shed=was_shed
+            ):
                 break
-            next_lease = owned.slots.try_acquire(exclude=frozenset(tried))
+            next_lease = owned.slots.try_acquire(exclude=frozenset(tried_servers))
             if next_lease is None:
                 break
-            if self._take_limits(owned, request) is not None:
+            if self._count_against_caps(owned, request) is not None:
                 self._release(owned, next_lease, pool.ServerResult.CANCELLED)
                 break
             lease = next_lease
         if dispatched:
-            return self._unknown(result)
+            return self._unknown_response(result)
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if result is backend_client.CallResult.SHED:
             return messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
         return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=100)
 
-    def _may_retry(self, budget: retry.RetryBudget, tried: set[str], *, certain: bool) -> bool:
-        if certain:
-            return len(tried) <= (self._placement.retries_after_shed or MAX_SHED_RETRIES)
+    def _may_retry(
+        self, budget: retry.RetryBudget, tried_servers: set[str], *, was_shed: bool
+    ) -> bool:
+        """Returns whether another attempt may start.
+
+        A server that sheds a request has not processed it, so the retry budget is not used.
+        """
+        if was_shed:
+            return len(tried_servers) <= (self._placement.retries_after_shed or MAX_SHED_RETRIES)
         return budget.try_retry()
 
-    async def _call(
+    async def _send_attempt(
         self,
         owned: owned_pool.OwnedPool,
         lease: pool.SlotLease,
         request: messages.Request,
         *,
         idempotent: bool,
-    ) -> backend_client.BackendAnswer:
+    ) -> backend_client.BackendResponse:
         remaining_s = request.deadline.remaining_s
         owned.busy_until_s = max(owned.busy_until_s, self._clock.monotonic() + remaining_s)
         self._record.record(
@@ -124,34 +137,36 @@
         result = pool.ServerResult.CANCELLED
         shift_window = owned.shift_windows.get(request.home_region)
         try:
-            answer = await self._client.call(
+            response = await self._client.call(
                 lease.server, request, idempotent=idempotent, timeout_s=remaining_s
             )
-            result = _SERVER_RESULTS[answer.result]
-            if answer.leaving:
+            result = _SERVER_RESULTS[response.result]
+            if response.leaving:
                 result = pool.ServerResult.LEAVING
-            if answer.load is not None:
-                owned.slots.report_load(lease.server.name, answer.load)
-            return answer
+            if response.load is not None:
+                owned.slots.report_load(lease.server.name, response.load)
+            return response
         finally:
-            self._end(owned, lease, result, shift_window)
+            self._finish_attempt(owned, lease, result, shift_window)
 
-    def _end(
+    def _finish_attempt(
         self,
         owned: owned_pool.OwnedPool,
         lease: pool.SlotLease,
         result: pool.ServerResult,
         shift_window: window.CompletionWindow | None,
     ) -> None:
-        """Frees what a dispatch used."""
+        """Releases the slot of an attempt and marks its end in the window of the shift."""
         if shift_window is not None:
             shift_window.end()
         self._release(owned, lease, result)
 
-    async def _note_crash(self, request: messages.Request, server: model.BackendServer) -> None:
+    async def _record_crash(self, request: messages.Request, server: model.BackendServer) -> None:
         self._quarantine.record_crash(request.fingerprint, server.name)
         self._log.warning(
-            "connection lost before the answer", server=server.name, request=request.request_id
+            "connection lost before the response was complete",
+            server=server.name,
+            request=request.request_id,
         )
         await self._report_crash(request.service, request.fingerprint, server.name)
 
@@ -162,18 +177,18 @@
             self._budgets[service] = budget
         return budget
 
-    def _ran(
-        self, server: model.BackendServer, answer: backend_client.BackendAnswer
-    ) -> messages.Answer:
-        return messages.Answer(
+    def _ran_response(
+        self, server: model.BackendServer, response: backend_client.BackendResponse
+    ) -> messages.Response:
+        return messages.Response(
             outcome=messages.Outcome.RAN,
-            status=answer.status,
-            headers=answer.headers,
-            body=answer.body,
+            status=response.status,
+            headers=response.headers,
+            body=response.body,
             server=server.name,
         )
 
-    def _unknown(self, result: backend_client.CallResult) -> messages.Answer:
+    def _unknown_response(self, result: backend_client.CallResult) -> messages.Response:
         if result is backend_client.CallResult.TIMEOUT:
             return messages.unknown(504, messages.Reason.DEADLINE)
         return messages.unknown(502, messages.Reason.CONNECTION_LOST)
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -95,7 +95,7 @@
         result = self.script.pop(0) if self.script else backend_client.CallResult.OK
         if self.gate is not None:
             await self.gate.wait()
-        return backend_client.BackendAnswer(result=result, status=200, body=request.body)
+        return backend_client.BackendResponse(result=result, status=200, body=request.body)
 
     async def probe(self, server, *, timeout_s):
         return backend_client.Probe(healthy=True)
@@ -128,13 +128,13 @@
 class FakePeers:
     """Peers whose calls are answered by a function."""
 
-    def __init__(self, answer=None):
+    def __init__(self, response=None):
         self.calls = []
-        self.answer = answer
+        self.response = response
 
     async def call(self, address, method, *, timeout_s, **arguments):
         self.calls.append((address, method, arguments))
-        result = self.answer(address, method, arguments)
+        result = self.response(address, method, arguments)
         if asyncio.iscoroutine(result):
             return await result
         return result
--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -76,8 +76,8 @@
         )
 
     async def test_whole_answer(self):
-        answer = await self._call()
-        self.assertEqual((answer.result, answer.body, answer.load), (_Result.OK, b"data", 2))
+        response = await self._call()
+        self.assertEqual((response.result, response.body, response.load), (_Result.OK, b"data", 2))
 
     async def test_broken_connection_is_not_repeated_by_the_library(self):
         """Guards against the HTTP library repeating a GET by itself on a reused connection."""
@@ -85,32 +85,32 @@
             await self._call(method="GET", body=b"", idempotent=idempotent)
             self.requests.clear()
             self.behaviour = "drop"
-            answer = await self._call(method="GET", body=b"", idempotent=idempotent)
-            self.assertEqual((answer.result, len(self.requests)), (_Result.LOST, 1))
+            response = await self._call(method="GET", body=b"", idempotent=idempotent)
+            self.assertEqual((response.result, len(self.requests)), (_Result.LOST, 1))
             self.behaviour = "answer"
 
     async def test_partial_answer_is_lost(self):
         """Guards against handing a caller part of an answer."""
         self.behaviour = "short"
-        answer = await self._call()
-        self.assertEqual((answer.result, answer.body), (_Result.LOST, b""))
+        response = await self._call()
+        self.assertEqual((response.result, response.body), (_Result.LOST, b""))
 
     async def test_shed_is_told_apart(self):
         self.behaviour = "shed"
-        answer = await self._call()
-        self.assertIs(answer.result, _Result.SHED)
+        response = await self._call()
+        self.assertIs(response.result, _Result.SHED)
 
     async def test_refused_connection_was_not_sent(self):
         """Guards against "unknown" for a request that no server has seen."""
         await self.runner.cleanup()
-        answer = await self._call()
-        self.assertIs(answer.result, _Result.NOT_SENT)
+        response = await self._call()
+        self.assertIs(response.result, _Result.NOT_SENT)
 
     async def test_deadline_cancels_the_call_at_the_server(self):
         """Guards against work that goes on at the server after its deadline."""
         self.behaviour = "hang"
-        answer = await self._call(timeout_s=0.1)
-        self.assertIs(answer.result, _Result.TIMEOUT)
+        response = await self._call(timeout_s=0.1)
+        self.assertIs(response.result, _Result.TIMEOUT)
         await asyncio.wait_for(self.cancelled.wait(), 5)
 
     async def test_server_is_told_the_limit_of_the_attempt(self):
@@ -146,8 +146,8 @@
         self.behaviour = "hang"
         await self._call(timeout_s=0.1)
         self.behaviour = "answer"
-        answer = await self._call()
-        self.assertIs(answer.result, _Result.OK)
+        response = await self._call()
+        self.assertIs(response.result, _Result.OK)
         self.assertIsNot(self.client._reused[self.server.url], before)
 
 
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -20,7 +20,7 @@
 
     async def run(self, request):
         self.requests.append(request)
-        return messages.Answer(
+        return messages.Response(
             outcome=messages.Outcome.RAN, status=201, headers=(("X-A", "b"),), body=request.body
         )
 
@@ -79,17 +79,17 @@
     async def test_lookup_names_the_owner_of_the_home_pool_first(self):
         """Guards against callers that are sent past the owner of their pool."""
         response = await self._lookup(service="crew-desk", client="10.1.2.3")
-        answer = await response.json()
-        names = [each["name"] for each in answer["instances"]]
-        self.assertEqual((answer["region"], names[0], len(names)), ("cnx", "c", 4))
-        ticket = at_most_once.Ticket.parse(answer["ticket"])
+        body = await response.json()
+        names = [each["name"] for each in body["instances"]]
+        self.assertEqual((body["region"], names[0], len(names)), ("cnx", "c", 4))
+        ticket = at_most_once.Ticket.parse(body["ticket"])
         self.assertEqual(ticket.holder.name, "c")
         self.assertEqual(len(set(names)), 4)
 
     async def test_lookup_of_an_idempotent_service_has_no_ticket(self):
-        answer = await (await self._lookup(service="quote-archive", client="10.0.0.1")).json()
-        self.assertNotIn("ticket", answer)
-        self.assertGreater(answer["ttl_s"], 0)
+        body = await (await self._lookup(service="quote-archive", client="10.0.0.1")).json()
+        self.assertNotIn("ticket", body)
+        self.assertGreater(body["ttl_s"], 0)
 
     async def test_bad_lookups(self):
         """Guards against an unclear error, or an answer, for a look-up that cannot be answered."""
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -1,4 +1,4 @@
-"""Tests of routing: overflow, forwarding and repeated requests."""
+"""Tests of the dispatcher: overflow, forwarding, retries and handovers of pools."""
 
 import random
 import unittest
@@ -11,12 +11,12 @@
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
-_RAN = messages.Answer(outcome=messages.Outcome.RAN, status=200)
+_RAN = messages.Response(outcome=messages.Outcome.RAN, status=200)
 _FULL = messages.not_run(429, messages.Reason.NO_SLOT)
 
 
 class _Pools:
-    """Pools that this instance owns, with scripted answers."""
+    """Pools that this instance owns, with scripted responses."""
 
     def __init__(self, owned):
         self.owned = owned
@@ -80,66 +80,73 @@
         built = self._build()
         self.pools.script = [_FULL]
         self.replies = [_FULL, _RAN]
-        answer = await built.run(self._request())
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await built.run(self._request())
+        self.assertIs(response.outcome, messages.Outcome.RAN)
         addresses = [address for address, _, _ in self.peers.calls]
         self.assertEqual(addresses, ["cnx-a-1:7000", "hkt-a-1:7000"])
 
     async def test_all_pools_full_is_not_run(self):
+        """Guards against an outcome other than "not run" after every pool refused the request."""
         built = self._build()
         self.pools.script = [_FULL]
         self.replies = [_FULL, _FULL]
-        answer = await built.run(self._request())
-        self.assertEqual((answer.outcome, answer.status), (messages.Outcome.NOT_RUN, 429))
+        response = await built.run(self._request())
+        self.assertEqual((response.outcome, response.status), (messages.Outcome.NOT_RUN, 429))
 
     async def test_waiting_service_queues_at_home(self):
-        """Guards against refusing a request that may wait."""
+        """Guards against refusing a request of a service whose requests may queue."""
         built = self._build(service="katalog")
         self.pools.script = [_FULL, _RAN]
         self.replies = [_FULL, _FULL]
-        answer = await built.run(self._request(service="katalog"))
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await built.run(self._request(service="katalog"))
+        self.assertIs(response.outcome, messages.Outcome.RAN)
         self.assertEqual(self.pools.queued, [False, True])
 
     async def test_lost_peer_answer_is_not_repeated(self):
-        """Guards against a second dispatch of a non-idempotent request that a peer may run."""
+        """Guards against dispatching a non-idempotent request twice when a peer may be running it.
+
+        The attempt is sent again under the same attempt id, marked as resent.
+        """
         built = self._build()
         self.pools.script = [_FULL]
         lost = errors.UnavailableError("lost", step="test", peer="p")
-        self.replies = [lost] * dispatcher.MAX_SENDINGS
-        answer = await built.run(self._request())
-        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        self.replies = [lost] * dispatcher.MAX_SENDS
+        response = await built.run(self._request())
+        self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
         sent = {(call[0], call[2]["request"].attempt_id) for call in self.peers.calls}
         self.assertEqual(len(sent), 1)
         self.assertTrue(self.peers.calls[-1][2]["request"].resent)
 
     async def test_lost_answer_is_asked_for_again(self):
-        """Guards against "unknown" when the peer that ran the request can still be asked."""
+        """Guards against "unknown" when the peer that ran the request can still be reached."""
         built = self._build()
         self.pools.script = [_FULL]
         self.replies = [errors.UnavailableError("lost", step="test", peer="p"), _RAN]
-        answer = await built.run(self._request())
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await built.run(self._request())
+        self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_refused_second_sending_is_unknown(self):
-        """Guards against "not run" when a peer may have run a request before it died."""
+        """Guards against "not run" when a peer may have run the request before it crashed.
+
+        The reply to the first send is lost; the connection for the second one is refused.
+        """
         built = self._build()
         self.pools.script = [_FULL]
         self.replies = [
             errors.UnavailableError("lost", step="test", peer="p"),
             rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p"),
         ]
-        answer = await built.run(self._request())
-        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        response = await built.run(self._request())
+        self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_idempotent_request_leaves_a_silent_peer(self):
-        """Guards against losing a repeatable request to a connection that went silent."""
+        """Guards against failing an idempotent request because a connection went silent."""
         built = self._build(service="quote-archive")
         self.pools.script = [_FULL]
         silent = errors.UnavailableError("silent", step="test", peer="p")
-        self.replies = [silent] * dispatcher.MAX_SENDINGS + [_RAN]
-        answer = await built.run(self._request(service="quote-archive"))
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        self.replies = [silent] * dispatcher.MAX_SENDS + [_RAN]
+        response = await built.run(self._request(service="quote-archive"))
+        self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_not_run_is_not_said_after_a_lost_answer(self):
         """Guards against "not run" when an earlier pool may have run the request."""
@@ -148,70 +155,73 @@
         for refusal in (_FULL, messages.not_run(504, messages.Reason.DEADLINE)):
             with self.subTest(refusal=refusal.reason):
                 self.pools.script = [_FULL]
-                self.replies = [silent] * dispatcher.MAX_SENDINGS + [refusal]
-                self.clock.advance(10.0)  # earns the retry budget again
+                self.replies = [silent] * dispatcher.MAX_SENDS + [refusal]
+                self.clock.advance(10.0)  # refills the retry budget
                 request = self._request(service="quote-archive")
-                answer = await built.run(request)
-                self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+                response = await built.run(request)
+                self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_unreachable_peer_is_skipped(self):
-        """Guards against an unknown outcome for a request that was never sent."""
+        """Guards against "unknown" for a request that was never sent, as the peer refused it."""
         built = self._build()
         self.pools.script = [_FULL]
         refused = rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p")
         self.replies = [refused, _RAN]
-        answer = await built.run(self._request())
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await built.run(self._request())
+        self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_link_cap_holds(self):
         """Guards against forwarding more bytes to a region than the link's cap admits."""
         self.link_mbit_s = 0.02  # room for one request of 1,000 bytes each second
         built = self._build(regions=("bkk", "cnx"))
         self.pools.script = [_FULL] * 5
-        answers = [
+        responses = [
             await built.run(self._request(body=b"x" * 1000, number=number)) for number in range(5)
         ]
-        ran = [each for each in answers if each.outcome is messages.Outcome.RAN]
+        ran = [each for each in responses if each.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 1)
-        self.assertEqual(answers[-1].reason, messages.Reason.LINK_CAP)
+        self.assertEqual(responses[-1].reason, messages.Reason.LINK_CAP)
 
     async def test_share_too_small_for_a_message_is_not_ready(self):
-        """Guards against a refusal by the cap of an instance whose first share is under way."""
+        """Guards against refusing a request for a cap while the first share is still to come.
+
+        The first share of a new instance can be smaller than any message.
+        """
         self.link_mbit_s = 1e-9
         built = self._build(regions=("bkk", "cnx"))
         self.pools.script = [_FULL]
-        answer = await built.run(self._request(remaining_s=0.1))
-        self.assertEqual(answer.reason, messages.Reason.NOT_READY)
+        response = await built.run(self._request(remaining_s=0.1))
+        self.assertEqual(response.reason, messages.Reason.NOT_READY)
         self.assertEqual(self.peers.calls, [])
 
     async def test_no_new_pass_just_before_the_deadline(self):
-        """Guards against an unknown outcome because the last try finds the deadline at a peer."""
+        """Guards against an unknown outcome because the deadline passes at a peer."""
         built = self._build()
         moving = messages.not_run(503, messages.Reason.NOT_READY)
         self.pools.script = [moving]
         self.replies = [moving, moving]
-        answer = await built.run(self._request(remaining_s=0.2))
-        self.assertEqual(answer.reason, messages.Reason.NOT_READY)
+        response = await built.run(self._request(remaining_s=0.2))
+        self.assertEqual(response.reason, messages.Reason.NOT_READY)
         self.assertEqual(len(self.peers.calls), 2)
 
     async def test_moving_home_pool_is_waited_for_though_others_refuse(self):
         """Guards against refusing a request that may wait because the last pool is at its cap.
 
-        Seed 4000 of the replacement of every instance: 16 look-ups of 5,825 were refused for the
-        cap of the other region while their home pool changed its owner.
+        In the test that replaces every instance, seed 4000, 16 of 5,825 look-ups were refused for
+        the cap of the other region while the owner of their home pool changed.
         """
         tested = self._build(service="katalog", regions=("bkk", "cnx"))
         moving = messages.not_run(503, messages.Reason.NOT_READY)
         capped = messages.not_run(429, messages.Reason.REGION_CAP)
         self.pools.script = [moving, moving]
         self.replies = [capped, capped]
-        answer = await tested.run(self._request(service="katalog"))
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await tested.run(self._request(service="katalog"))
+        self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_request_waits_as_long_as_a_new_owner_may_lack_its_shares(self):
-        """Guards against refusals for a cap that the pool's new owner has no share of yet.
+        """Guards against refusals for a cap that the new owner of the pool has no share of yet.
 
-        Seed 4000: the new owner had no share for 2.9 s, and requests waited only 2.35 s for it.
+        With seed 4000 the new owner had no share for 2.9 s, but requests retried for only 2.35 s.
         """
         built = self._build(regions=("bkk",))
         self.pools.script = [messages.not_run(503, messages.Reason.NOT_READY)] * 100
@@ -221,7 +231,7 @@
         self.assertGreater(sum(waits), cap_limits.TAKEOVER_S)
 
     async def test_tries_become_rarer_while_a_pool_moves(self):
-        """Guards against waiting requests whose tries take all time of the pool's new owner."""
+        """Guards against retries of waiting requests that use up the new owner's CPU time."""
         built = self._build(regions=("bkk",))
         self.pools.script = [messages.not_run(503, messages.Reason.NOT_READY)] * 100
         waits = []
@@ -238,13 +248,13 @@
         return sleep
 
     async def test_moved_pool_is_followed_once(self):
-        """Guards against refusing a request because the directory is a moment old."""
+        """Guards against refusing a request because the directory still names the old owner."""
         built = self._build()
         self.directory.known["new"] = fakes.instance("new", region_name="cnx")
         self.pools.script = [_FULL]
         self.replies = [messages.not_run(503, messages.Reason.NOT_OWNER, owner="new"), _RAN]
-        answer = await built.run(self._request())
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await built.run(self._request())
+        self.assertIs(response.outcome, messages.Outcome.RAN)
         self.assertEqual(self.peers.calls[-1][0], "new:7000")
         stages = {call[2]["request"].stage for call in self.peers.calls}
         self.assertEqual(stages, {schema.forward.Stage.EXECUTE})
--- a/packages/entry/tests/test_forward_service.py
+++ b/packages/entry/tests/test_forward_service.py
@@ -78,7 +78,7 @@
 
     async def test_large_answer_is_not_kept(self):
         """Guards against keeping large bodies in memory for the sake of lost answers."""
-        large = messages.Answer(
+        large = messages.Response(
             outcome=messages.Outcome.RAN,
             status=200,
             body=b"x" * (forward_service.MAX_KEPT_BODY_BYTES + 1),
--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -1,4 +1,4 @@
-"""Tests of at-most-once execution across instances, table outages and lost answers."""
+"""Tests of at-most-once execution across instances, table outages and lost responses."""
 
 import asyncio
 import random
@@ -11,11 +11,11 @@
 from sassafrasway_platform import memory, table
 from sassafrasway_rpc import client as rpc_client
 
-_RAN = messages.Answer(outcome=messages.Outcome.RAN, status=200, body=b"booked")
+_RAN = messages.Response(outcome=messages.Outcome.RAN, status=200, body=b"booked")
 
 
 class _Dispatcher:
-    """Counts runs; the next answers can be scripted."""
+    """Counts runs; responses can be scripted, and ``gate`` delays them until it is set."""
 
     def __init__(self, peers):
         self.runs = []
@@ -95,14 +95,14 @@
         name = address.partition(":")[0]
         if name in self.down:
             raise rpc_client.CallNotSentError("refused", step="test", peer=address)
-        answer = await self.nodes[name].keeper.run_forwarded(arguments["request"])
-        return conversion.to_reply(answer)
+        response = await self.nodes[name].keeper.run_forwarded(arguments["request"])
+        return conversion.to_reply(response)
 
     def _ticket(self, node):
         return str(at_most_once.Ticket.mint(holder=node.me, clock=self.clock, rng=random.Random(1)))
 
     def _request(self, key, number=1, remaining_s=0.3):
-        # Claims wait in real time for the table, so the deadline is a real one.
+        # Retries of claims sleep in real time, so the deadline uses the system clock.
         return fakes.request(
             clock_source=fakes.system_clock(), key=key, number=number, remaining_s=remaining_s
         )
@@ -111,7 +111,7 @@
         return sum(len(node.dispatcher.runs) for node in self.nodes.values())
 
     async def test_ticket_through_two_instances_runs_once(self):
-        """Guards against a second run when a caller repeats a request through another instance."""
+        """Guards against a second run when a caller retries a request at another instance."""
         key = self._ticket(self.a)
         first = await self.b.keeper.handle(self._request(key))
         second = await self.a.keeper.handle(self._request(key, 2))
@@ -127,71 +127,77 @@
         ]
         await asyncio.sleep(0.01)
         self.a.dispatcher.gate.set()
-        answers = await asyncio.gather(*tasks)
-        self.assertEqual({each.body for each in answers}, {b"booked"})
+        responses = await asyncio.gather(*tasks)
+        self.assertEqual({each.body for each in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
     async def test_ticket_works_with_table_down(self):
-        """Guards against bookings that stop with the platform's store."""
+        """Guards against refusing requests with tickets while the table is down."""
         self.faults.down = True
-        answer = await self.b.keeper.handle(self._request(self._ticket(self.a)))
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await self.b.keeper.handle(self._request(self._ticket(self.a)))
+        self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_dead_holder_leaves_unknown(self):
-        """Guards against "not run" or a second run after the holder of a ticket died."""
+        """Guards against "not run" or a second run after the holder of a ticket crashed."""
         key = self._ticket(self.a)
         await self.a.keeper.handle(self._request(key))
         self.down.add("a")
-        answer = await self.b.keeper.handle(self._request(key, 2))
-        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        response = await self.b.keeper.handle(self._request(key, 2))
+        self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
         self.assertEqual(self._runs(), 1)
 
     async def test_stored_outcome_outlives_its_instance(self):
-        """Guards against losing a confirmation that reached the table."""
+        """Guards against "unknown" after a crash although the outcome is stored in the table."""
         key = self._ticket(self.a)
         await self.a.keeper.handle(self._request(key))
         self.assertTrue(await self.a.store.flush())
         self.down.add("a")
-        answer = await self.b.keeper.handle(self._request(key, 2))
-        self.assertEqual((answer.outcome, answer.body), (messages.Outcome.RAN, b"booked"))
+        response = await self.b.keeper.handle(self._request(key, 2))
+        self.assertEqual((response.outcome, response.body), (messages.Outcome.RAN, b"booked"))
 
     async def test_restarted_holder_does_not_run_old_tickets(self):
-        """Guards against a new incarnation running what its predecessor may have run."""
+        """Guards against a new incarnation running a request that the previous one may have run."""
         key = self._ticket(self.a)
         await self.a.keeper.handle(self._request(key))
         self._add("a", "02")
-        answer = await self.nodes["a"].keeper.handle(self._request(key, 2))
-        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        response = await self.nodes["a"].keeper.handle(self._request(key, 2))
+        self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_closed_holder_costs_no_request(self):
-        """Guards against a planned stop that leaves the outcome of an unused ticket unknown."""
+        """Guards against "unknown" for an unused ticket whose holder was stopped as planned.
+
+        The closed marker proves that the request did not run, so another instance runs it once.
+        """
         key = self._ticket(self.a)
         self.a.keeper.close()
         await self.a.store.flush()
         await self.a.store.close(self.a.me)
         self.down.add("a")
-        answers = await asyncio.gather(
+        responses = await asyncio.gather(
             *(self.b.keeper.handle(self._request(key, number)) for number in range(3))
         )
-        self.assertEqual({each.body for each in answers}, {b"booked"})
+        self.assertEqual({each.body for each in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
     async def test_late_ticket_of_a_closed_holder_does_not_run(self):
-        """Guards against running a ticket that its holder may have called expired, and not run."""
+        """Guards against running a ticket that its holder may have refused as expired."""
         key = self._ticket(self.a)
         await self.a.store.close(self.a.me)
         self.down.add("a")
         self.clock.advance(at_most_once.TICKET_START_S + 2)
-        answer = await self.b.keeper.handle(self._request(key))
-        self.assertEqual((answer.outcome, self._runs()), (messages.Outcome.NOT_RUN, 0))
+        response = await self.b.keeper.handle(self._request(key))
+        self.assertEqual((response.outcome, self._runs()), (messages.Outcome.NOT_RUN, 0))
 
     async def test_unreadable_claim_of_another_instance_is_unknown(self):
-        """Guards against "not run" when another instance holds the claim and may have run it."""
+        """Guards against "not run" when the claim of another instance cannot be read.
+
+        That instance may have run the request.
+        """
         await self.a.keeper.handle(self._request("invoice-11"))
         view = self.table.view()
         self.b.keeper._claims = _WriteOnly(view)
-        answer = await self.b.keeper.handle(self._request("invoice-11", 2))
-        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        response = await self.b.keeper.handle(self._request("invoice-11", 2))
+        self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_queue_is_not_empty_while_another_flush_writes(self):
         """Guards against a closed marker written before the last outcome is stored."""
@@ -203,47 +209,53 @@
         self.assertTrue(first.done())
 
     async def test_claim_race_runs_once(self):
-        """Guards against two instances that both run a caller's own key."""
-        answers = await asyncio.gather(
+        """Guards against a second run when several instances claim the same key concurrently."""
+        responses = await asyncio.gather(
             *(
                 node.keeper.handle(self._request("invoice-7", number, 5))
                 for number, node in enumerate((self.a, self.b, self.a, self.b))
             )
         )
-        self.assertEqual({each.body for each in answers}, {b"booked"})
+        self.assertEqual({each.body for each in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
     async def test_claim_with_table_down_is_not_run(self):
-        """Guards against running a claimed key without its claim."""
+        """Guards against running a key without a claim row.
+
+        A retry after the outage must not run it either: its caller was told that it did not run.
+        """
         self.faults.down = True
-        answer = await self.a.keeper.handle(self._request("invoice-8"))
-        self.assertIs(answer.outcome, messages.Outcome.NOT_RUN)
+        response = await self.a.keeper.handle(self._request("invoice-8"))
+        self.assertIs(response.outcome, messages.Outcome.NOT_RUN)
         self.assertEqual(self._runs(), 0)
         self.faults.down = False
         again = await self.a.keeper.handle(self._request("invoice-8", 2))
         self.assertEqual((again.outcome, self._runs()), (messages.Outcome.NOT_RUN, 0))
 
     async def test_claim_whose_answer_was_lost_runs_once(self):
-        """Guards against a claim that blocks its own request after a lost answer."""
+        """Guards against an attempt that takes its own claim row for that of another attempt.
+
+        The row was written, but the response to the write was lost.
+        """
         self.faults.lost_answers = 1
-        answer = await self.a.keeper.handle(self._request("invoice-9", 1, 5))
+        response = await self.a.keeper.handle(self._request("invoice-9", 1, 5))
         again = await self.b.keeper.handle(self._request("invoice-9", 2, 5))
-        self.assertEqual((answer.body, again.body, self._runs()), (b"booked", b"booked", 1))
+        self.assertEqual((response.body, again.body, self._runs()), (b"booked", b"booked", 1))
 
     async def test_claim_of_dead_holder_is_unknown(self):
-        """Guards against a second run after the claim's holder died in the middle."""
+        """Guards against a second run after the holder of the claim crashed during the first."""
         self.a.dispatcher.gate = asyncio.Event()
         task = asyncio.create_task(self.a.keeper.handle(self._request("invoice-10", 1, 5)))
         await asyncio.sleep(0.01)
         self.down.add("a")
-        answer = await self.b.keeper.handle(self._request("invoice-10", 2))
-        self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+        response = await self.b.keeper.handle(self._request("invoice-10", 2))
+        self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
         self.assertEqual(self._runs(), 1)
         self.a.dispatcher.gate.set()
         await task
 
     async def test_refusal_is_final_for_the_key(self):
-        """Guards against a key that runs after its caller was told that it did not run."""
+        """Guards against running a key after its caller was told that it did not run."""
         key = self._ticket(self.a)
         self.a.dispatcher.script = [messages.not_run(429, messages.Reason.NO_SLOT)]
         first = await self.a.keeper.handle(self._request(key))
@@ -254,15 +266,15 @@
         self.assertEqual(self._runs(), 1)
 
     async def test_caller_that_goes_away_does_not_stop_the_run(self):
-        """Guards against an outcome that is lost because the first caller disconnected."""
+        """Guards against losing an outcome because the first caller disconnected."""
         key = self._ticket(self.a)
         self.a.dispatcher.gate = asyncio.Event()
         task = asyncio.create_task(self.a.keeper.handle(self._request(key, 1, 5)))
         await asyncio.sleep(0.01)
         task.cancel()
         self.a.dispatcher.gate.set()
-        answer = await self.b.keeper.handle(self._request(key, 2, 5))
-        self.assertEqual((answer.body, self._runs()), (b"booked", 1))
+        response = await self.b.keeper.handle(self._request(key, 2, 5))
+        self.assertEqual((response.body, self._runs()), (b"booked", 1))
 
 
 if __name__ == "__main__":
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -21,23 +21,23 @@
         manager = fakes.pool_manager(
             backend=self.backend, clock_source=self.clock, crashes=self.crashes, **options
         )
-        self.clock.advance(pools.SETTLE_S)  # windows of a new owner start full
+        self.clock.advance(pools.HANDOVER_SETTLE_S)  # windows of a new owner admit nothing at first
         return manager
 
     def _request(self, **options):
         return fakes.request(clock_source=self.clock, **options)
 
     async def test_runs_and_frees_the_slot(self):
-        """Guards against a leak of slots after an answer."""
+        """Guards against slots that are not released after a response."""
         manager = self._manager()
         for number in range(10):
-            answer = await manager.execute(
+            response = await manager.execute(
                 fakes.POOL, self._request(number=number, body=b"b"), may_queue=False
             )
-            self.assertEqual((answer.outcome, answer.body), (messages.Outcome.RAN, b"b"))
+            self.assertEqual((response.outcome, response.body), (messages.Outcome.RAN, b"b"))
 
     async def test_full_pool_refuses_as_not_run(self):
-        """Guards against a dispatch above the slots of a server."""
+        """Guards against more concurrent requests to a server than it has slots."""
         manager = self._manager()
         self.backend.gate = asyncio.Event()
         running = [
@@ -47,26 +47,29 @@
             for number in range(3)
         ]
         await asyncio.sleep(0)
-        answer = await manager.execute(fakes.POOL, self._request(number=9), may_queue=False)
-        self.assertEqual(answer.reason, messages.Reason.NO_SLOT)
-        self.assertIs(answer.outcome, messages.Outcome.NOT_RUN)
+        response = await manager.execute(fakes.POOL, self._request(number=9), may_queue=False)
+        self.assertEqual(response.reason, messages.Reason.NO_SLOT)
+        self.assertIs(response.outcome, messages.Outcome.NOT_RUN)
         self.backend.gate.set()
         await asyncio.gather(*running)
         self.assertEqual(len(self.backend.calls), 3)
 
     async def test_new_owner_does_not_refuse_for_good(self):
-        """Guards against a planned replacement that costs requests while a pool moves."""
+        """Guards against a new owner that refuses requests finally while the handover goes on.
+
+        A planned replacement of an instance would then fail requests of callers.
+        """
         manager = fakes.pool_manager(
             backend=self.backend, clock_source=self.clock, share_value=share.Share.NONE
         )
         early = await manager.execute(fakes.POOL, self._request(), may_queue=False)
         self.assertEqual(early.reason, messages.Reason.NOT_READY)
-        self.clock.advance(pools.SETTLE_S)
+        self.clock.advance(pools.HANDOVER_SETTLE_S)
         later = await manager.execute(fakes.POOL, self._request(), may_queue=False)
         self.assertEqual(later.reason, messages.Reason.NO_SLOT)
 
     async def test_cancelled_caller_frees_the_slot(self):
-        """Guards against a slot held for a caller that went away."""
+        """Guards against a slot that stays in use after its caller disconnected."""
         manager = self._manager()
         self.backend.gate = asyncio.Event()
         for number in range(9):
@@ -79,10 +82,10 @@
         self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
 
     async def test_attempt_without_an_answer_frees_its_slot(self):
-        """Guards against slots that stay in use for the rest of a long deadline.
+        """Guards against slots that stay in use until a long deadline after an attempt timed out.
 
-        test_silent_connections with a deadline of 20 s: all slots of quote-archive-2 were held, so
-        that it got no request on a new connection after its open ones had gone silent.
+        In test_silent_connections with a deadline of 20 s, all slots of quote-archive-2 stayed in
+        use, so it got no request on a new connection after its open connections went silent.
         """
         manager = self._manager(policy_=fakes.policy(servers=[fakes.server(slots=1)]))
         self.backend.script = [_Result.TIMEOUT]
@@ -90,7 +93,7 @@
         self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
 
     async def test_queue_hands_slot_to_waiter(self):
-        """Guards against a waiting request that never gets the slot that became free."""
+        """Guards against a waiting request that is not given a released slot."""
         servers = [fakes.server(service="katalog", slots=1)]
         key = model.PoolKey(service="katalog", region="bkk")
         manager = self._manager(policy_=fakes.policy(servers=servers))
@@ -105,51 +108,54 @@
         ]
         await asyncio.sleep(0)
         self.backend.gate.set()
-        answers = await asyncio.gather(*tasks)
-        self.assertEqual({each.outcome for each in answers}, {messages.Outcome.RAN})
+        responses = await asyncio.gather(*tasks)
+        self.assertEqual({each.outcome for each in responses}, {messages.Outcome.RAN})
         self.assertEqual(manager.owned[key].slots.in_use(), {})
 
     async def test_shed_goes_to_another_server(self):
-        """Guards against giving up, or reporting unknown, after a certain refusal."""
+        """Guards against failing, or reporting "unknown" for, a request that a server has shed.
+
+        The server has not processed it, so another server can.
+        """
         servers = [fakes.server("s1"), fakes.server("s2")]
         manager = self._manager(policy_=fakes.policy(servers=servers))
         self.backend.script = [_Result.SHED]
-        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertIs(response.outcome, messages.Outcome.RAN)
         self.assertEqual(len({name for name, _ in self.backend.calls}), 2)
 
     async def test_lost_connection_is_unknown_and_not_repeated(self):
-        """Guards against a second run of a non-idempotent request."""
+        """Guards against a second run of a non-idempotent request after a lost connection."""
         servers = [fakes.server("s1"), fakes.server("s2")]
         manager = self._manager(policy_=fakes.policy(servers=servers))
         for result in (_Result.LOST, _Result.TIMEOUT):
             with self.subTest(result=result):
                 self.backend.calls.clear()
                 self.backend.script = [result]
-                answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
-                self.assertIs(answer.outcome, messages.Outcome.UNKNOWN)
+                response = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+                self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
                 self.assertEqual(len(self.backend.calls), 1)
 
     async def test_refused_connection_is_repeated(self):
-        """Guards against failing a request that no server has seen."""
+        """Guards against failing a request that no server has received."""
         servers = [fakes.server("s1"), fakes.server("s2")]
         manager = self._manager(policy_=fakes.policy(servers=servers))
         self.backend.script = [_Result.NOT_SENT]
-        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
-        self.assertIs(answer.outcome, messages.Outcome.RAN)
+        response = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_crashing_request_stops_after_two_servers(self):
-        """Guards against one request that takes down every server of a pool."""
+        """Guards against one request that crashes every server of a pool as it is retried."""
         servers = [fakes.server(f"s{index}", service="quote-archive") for index in range(6)]
         key = model.PoolKey(service="quote-archive", region="bkk")
         manager = self._manager(policy_=fakes.policy(servers=servers))
         self.backend.script = [_Result.LOST] * 20
         outcomes = []
         for number in range(5):
-            answer = await manager.execute(
+            response = await manager.execute(
                 key, self._request(service="quote-archive", number=number), may_queue=False
             )
-            outcomes.append((answer.status, answer.outcome))
+            outcomes.append((response.status, response.outcome))
             self.clock.advance(1.0)
         self.assertEqual(len({name for name, _ in self.backend.calls}), 2)
         self.assertEqual(len(self.backend.calls), 2)
@@ -168,8 +174,8 @@
         ]
         await asyncio.sleep(0)
         self.backend.gate.set()
-        answers = await asyncio.gather(*tasks)
-        ran = [each for each in answers if each.outcome is messages.Outcome.RAN]
+        responses = await asyncio.gather(*tasks)
+        ran = [each for each in responses if each.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 1)
 
     async def test_slots_of_the_previous_owner_stay_in_use(self):
@@ -186,14 +192,14 @@
         )
         manager.set_grants([grant])
         self.clock.advance(2.0)
-        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
-        self.assertEqual(answer.outcome, messages.Outcome.NOT_RUN)
+        response = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertEqual(response.outcome, messages.Outcome.NOT_RUN)
         manager.release_inherited(fakes.POOL, "s1", 1)
-        answer = await manager.execute(fakes.POOL, self._request(), may_queue=False)
-        self.assertEqual(answer.outcome, messages.Outcome.RAN)
+        response = await manager.execute(fakes.POOL, self._request(), may_queue=False)
+        self.assertEqual(response.outcome, messages.Outcome.RAN)
 
     async def test_leaving_server_gets_no_new_work(self):
-        """Guards against new work on a server after the policy says that it leaves."""
+        """Guards against new requests to a server that the policy marks as leaving."""
         servers = [fakes.server("s1"), fakes.server("s2")]
         manager = self._manager(policy_=fakes.policy(servers=servers))
         leaving = [fakes.server("s1", state="leaving"), fakes.server("s2")]
@@ -208,20 +214,21 @@
             policy_=fakes.policy(servers=[fakes.server(slots=50)], caps={"bkk": 5.0}),
             region_cap_rps=5.0,
         )
-        answers = [
+        responses = [
             await manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
             for number in range(20)
         ]
-        ran = [each for each in answers if each.outcome is messages.Outcome.RAN]
+        ran = [each for each in responses if each.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 5)
-        self.assertEqual(answers[-1].reason, messages.Reason.REGION_CAP)
+        self.assertEqual(responses[-1].reason, messages.Reason.REGION_CAP)
         self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
 
     async def test_refusal_for_a_cap_is_temporary_while_a_new_coordinator_takes_over(self):
-        """Guards against callers who are refused while an instance is replaced.
+        """Guards against final refusals for a cap while the coordinator is replaced.
 
-        Seed 4000 of the replacement of every instance: the coordinator was replaced, the others
-        kept their shares for 3 s, and 8 requests of 5,825 were refused for the region's cap.
+        In the test that replaces every instance, seed 4000, the other instances kept their shares
+        for 3 s after the coordinator changed, and 8 of 5,825 requests were refused for the cap of
+        the region.
         """
         epochs = [1]
         manager = self._manager(
@@ -232,19 +239,19 @@
 
         async def refuse():
             await manager.execute(fakes.POOL, self._request(number=1), may_queue=False)
-            answer = await manager.execute(fakes.POOL, self._request(number=2), may_queue=False)
-            return answer.reason
+            response = await manager.execute(fakes.POOL, self._request(number=2), may_queue=False)
+            return response.reason
 
         self.assertEqual(await refuse(), messages.Reason.REGION_CAP)
         epochs.append(2)
         manager._limits.demand()
-        self.clock.advance(pools.SETTLE_S / 2)
+        self.clock.advance(pools.HANDOVER_SETTLE_S / 2)
         self.assertEqual(await refuse(), messages.Reason.NOT_READY)
-        self.clock.advance(pools.SETTLE_S)
+        self.clock.advance(pools.HANDOVER_SETTLE_S)
         self.assertEqual(await refuse(), messages.Reason.REGION_CAP)
 
     async def test_shift_cap_counts_overflow_from_the_source(self):
-        """Guards against overflow that moves more than the shift's cap."""
+        """Guards against more requests from the source region than the cap of the shift."""
         shift = model.Shift(
             name="move", service="crew-desk", source="cnx", target="bkk", cap_rps=4.0
         )
