--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -1,4 +1,4 @@
-"""HTTP client for backend servers: connections, deadlines, cancellation, silent connections."""
+"""HTTP client for backend servers, with connection pools, deadlines and health probes."""
 
 import asyncio
 import dataclasses
@@ -14,11 +14,11 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 5.0
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-# A connection that stays without an answer this long is taken for silent when the request may be
-# repeated; the deadline is the only limit for other requests. The second limit is a part of the
-# remaining time, which leaves time for another attempt.
-SILENCE_TIMEOUT_S = 2.0
-SILENCE_FRACTION = 0.6
+# Limits of one attempt at an idempotent request, after which its connection counts as silent. The
+# second one is a fraction of the remaining time and leaves time for another attempt. Other requests
+# cannot be retried and are limited by their deadline only.
+RESPONSE_TIMEOUT_S = 2.0
+RESPONSE_FRACTION = 0.6
 
 DEADLINE_HEADER = "Sassafras-Deadline-Ms"
 REQUEST_ID_HEADER = "Sassafras-Request-Id"
@@ -50,14 +50,24 @@
 
     OK = "ok"
     SHED = "shed"
-    NOT_SENT = "not_sent"  # no connection, so the server has not seen the request
-    LOST = "lost"  # the connection broke before the whole answer
+    NOT_SENT = "not_sent"  # no connection, so the server has not received the request
+    LOST = "lost"  # the connection broke before the response was complete
     TIMEOUT = "timeout"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendResponse:
-    """Result of a call; status, headers and body are set when the result is ``OK``."""
+    """Result of a call.
+
+    Attributes:
+        result: How the call ended.
+        status: Status code; set when the result is ``OK`` or ``SHED``.
+        headers: End-to-end headers of the response.
+        body: Body of the response.
+        load: Load that the server reported, or None.
+        leaving: Whether the server reported that it is leaving.
+        detail: Cause of a failure, for debugging.
+    """
 
     result: CallResult
     status: int = 0
@@ -70,17 +80,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Probe:
-    """Result of a health check; ``leaving`` is the server's own statement."""
+    """Result of a health check.
+
+    Attributes:
+        healthy: Whether the server responded in time with status 200.
+        leaving: Whether the server reported that it is leaving.
+    """
 
     healthy: bool
     leaving: bool = False
 
 
 class BackendClient:
-    """Calls backend servers, with a connection pool for each.
+    """Calls backend servers, with connection pools for each server.
 
-    Requests that may be repeated reuse connections. A non-idempotent request gets a connection of
-    its own: a reused one may have been closed or gone silent, which would leave an unknown outcome.
+    Idempotent requests reuse connections. Every non-idempotent request opens a new connection,
+    because a reused one may have been closed or gone silent, which makes the outcome unknown.
 
     Args:
         local_host: IP address to connect from.
@@ -88,16 +103,16 @@
 
     def __init__(self, *, local_host: str):
         self._local_host = local_host
-        self._reused: dict[str, aiohttp.ClientSession] = {}
-        self._fresh: dict[str, aiohttp.ClientSession] = {}
-        self._closing: set[asyncio.Task] = set()
+        self._keep_alive: dict[str, aiohttp.ClientSession] = {}
+        self._single_use: dict[str, aiohttp.ClientSession] = {}
+        self._close_tasks: set[asyncio.Task] = set()
         self._log = structlog.get_logger("backend_client")
 
     async def close(self) -> None:
         """Closes all connections."""
-        sessions = [*self._reused.values(), *self._fresh.values()]
-        self._reused.clear()
-        self._fresh.clear()
+        sessions = [*self._keep_alive.values(), *self._single_use.values()]
+        self._keep_alive.clear()
+        self._single_use.clear()
         for session in sessions:
             await session.close()
 
@@ -109,34 +124,34 @@
         idempotent: bool,
         timeout_s: float,
     ) -> BackendResponse:
-        """Sends a request and returns the whole answer.
+        """Sends a request and returns the complete response.
 
-        The server is told the limit of this attempt as its deadline, so that it does not go on with
-        a request that was given up and may run elsewhere.
+        The deadline that is sent to the server is the timeout of this attempt, so that the server
+        stops work on a request that was given up and may be retried on another server.
         """
         session = self._session(server, reuse=idempotent)
         started_s = time.monotonic()
-        sent = asyncio.Event()
+        headers_sent = asyncio.Event()
         limit_s = timeout_s
         if idempotent:
-            limit_s = min(timeout_s * SILENCE_FRACTION, SILENCE_TIMEOUT_S)
+            limit_s = min(timeout_s * RESPONSE_FRACTION, RESPONSE_TIMEOUT_S)
         try:
             async with asyncio.timeout(limit_s):
-                return await self._exchange(session, server, request, limit_s, sent)
+                return await self._exchange(session, server, request, limit_s, headers_sent)
         except TimeoutError:
-            self._drop_idle(server, waited_s=time.monotonic() - started_s)
-            result = CallResult.TIMEOUT if sent.is_set() else CallResult.NOT_SENT
-            return BackendResponse(result=result, detail=f"no answer within {limit_s:.3f} s")
+            self._replace_session(server, waited_s=time.monotonic() - started_s)
+            result = CallResult.TIMEOUT if headers_sent.is_set() else CallResult.NOT_SENT
+            return BackendResponse(result=result, detail=f"no response within {limit_s:.3f} s")
         except aiohttp.ClientConnectorError as error:
             return BackendResponse(result=CallResult.NOT_SENT, detail=str(error))
         except aiohttp.ClientError as error:
             return BackendResponse(result=CallResult.LOST, detail=repr(error))
         except OSError as error:
-            result = CallResult.LOST if sent.is_set() else CallResult.NOT_SENT
+            result = CallResult.LOST if headers_sent.is_set() else CallResult.NOT_SENT
             return BackendResponse(result=result, detail=repr(error))
 
     async def probe(self, server: model.BackendServer, *, timeout_s: float) -> Probe:
-        """Asks a server for its health on a new connection."""
+        """Checks the health of a server on a new connection."""
         session = self._session(server, reuse=False)
         try:
             timeout = aiohttp.ClientTimeout(total=timeout_s)
@@ -152,7 +167,7 @@
         server: model.BackendServer,
         request: messages.Request,
         timeout_s: float,
-        sent: asyncio.Event,
+        headers_sent: asyncio.Event,
     ) -> BackendResponse:
         headers = [pair for pair in request.headers if pair[0].lower() not in _HOP_BY_HOP]
         headers.append((DEADLINE_HEADER, str(max(1, int(timeout_s * 1000)))))
@@ -163,7 +178,7 @@
             data=request.body or None,
             headers=headers,
             allow_redirects=False,
-            trace_request_ctx=sent,
+            trace_request_ctx=headers_sent,
         ) as response:
             body = await response.content.read(MAX_RESPONSE_BYTES + 1)
             while not response.content.at_eof():
@@ -172,7 +187,7 @@
                     response.close()
                     return BackendResponse(
                         result=CallResult.LOST,
-                        detail=f"answer is larger than {MAX_RESPONSE_BYTES} bytes",
+                        detail=f"response is larger than {MAX_RESPONSE_BYTES} bytes",
                     )
             return self._read_response(response, body)
 
@@ -191,7 +206,7 @@
         )
 
     def _session(self, server: model.BackendServer, *, reuse: bool) -> aiohttp.ClientSession:
-        sessions = self._reused if reuse else self._fresh
+        sessions = self._keep_alive if reuse else self._single_use
         session = sessions.get(server.url)
         if session is None:
             session = self._new_session(server, reuse=reuse)
@@ -206,36 +221,36 @@
             **connections,
         )
         trace = aiohttp.TraceConfig()
-        trace.on_request_headers_sent.append(_mark_sent)
+        trace.on_request_headers_sent.append(_mark_headers_sent)
         session = aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
             trace_configs=[trace],
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
-        # aiohttp repeats a GET, PUT or DELETE once when a reused connection breaks. That would run
-        # a request twice without the retry budget and hide a crash of the server.
+        # aiohttp retries a GET, PUT or DELETE once when a reused connection breaks. That would send
+        # the request twice outside the retry budget and hide a crash of the server.
         session._retry_connection = False
         return session
 
-    def _drop_idle(self, server: model.BackendServer, *, waited_s: float) -> None:
-        """Replaces the connections to a server after one of them stayed without an answer."""
-        session = self._reused.pop(server.url, None)
+    def _replace_session(self, server: model.BackendServer, *, waited_s: float) -> None:
+        """Stops using the open connections to a server after one of them got no response."""
+        session = self._keep_alive.pop(server.url, None)
         if session is None:
             return
         self._log.info("connections replaced", server=server.name, waited_s=round(waited_s, 3))
-        task = asyncio.create_task(_close_later(session))
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        task = asyncio.create_task(_close_after_delay(session))
+        self._close_tasks.add(task)
+        task.add_done_callback(self._close_tasks.discard)
 
 
-async def _close_later(session: aiohttp.ClientSession) -> None:
-    # Requests on the other connections may still get their answers.
-    await asyncio.sleep(SILENCE_TIMEOUT_S)
+async def _close_after_delay(session: aiohttp.ClientSession) -> None:
+    # Requests on the other connections of the session may still get their responses.
+    await asyncio.sleep(RESPONSE_TIMEOUT_S)
     await session.close()
 
 
-async def _mark_sent(session, context, params) -> None:
+async def _mark_headers_sent(session, context, params) -> None:
     event = context.trace_request_ctx
     if event is not None:
         event.set()
--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -1,4 +1,4 @@
-"""HTTP interface for callers: look-up and requests."""
+"""HTTP API for callers: look-ups and requests."""
 
 import asyncio
 import dataclasses
@@ -28,18 +28,25 @@
 REASON_HEADER = "Sassafras-Reason"
 
 CANDIDATES_TTL_S = 0.2
-LOOKUP_ALTERNATES = 3  # instances in a look-up answer besides the owner of the home pool
-# aiohttp closes the connection on a larger header line before a handler runs.
+LOOKUP_ALTERNATES = 3  # instances in a look-up response besides the owner of the home pool
+# aiohttp closes the connection if a header line is longer than this, before a handler runs.
 AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Candidates:
-    """Instances that a look-up answer can name."""
+    """Instances that a look-up response can name.
+
+    Attributes:
+        owners: Owners of the pools of the route, home pool first.
+        same_region: Other instances of the home region.
+        other_regions: Other instances of the other regions.
+        expires_s: When the lists have to be computed again.
+    """
 
     owners: tuple
-    near: tuple
-    far: tuple
+    same_region: tuple
+    other_regions: tuple
     expires_s: float
 
 
@@ -49,16 +56,16 @@
     Args:
         me: This incarnation.
         clock: Time source.
-        rng: Random source for tickets and alternates.
-        limits: Largest header and body.
-        steering: Policy questions.
+        rng: Random source for tickets and alternate instances.
+        limits: Maximum sizes of headers and body.
+        steering: Selects the pools of a request according to the policy.
         directory: Other instances.
         dispatcher: Runs idempotent requests.
         gatekeeper: Runs non-idempotent requests.
         metrics: Metric instruments.
-        record: Record of answers.
-        names_owners: Whether look-ups name the owners of pools first.
-        ready: Returns whether this instance may serve.
+        record: Record of responses.
+        names_owners: Whether look-up responses list the owners of pools first.
+        ready: Returns whether this instance may serve requests.
     """
 
     def __init__(
@@ -91,13 +98,13 @@
         self._ready = ready
         self._request_ids = itertools.count(1)
         self._in_flight = 0
-        self._cache: dict[tuple[model.PoolKey, ...], _Candidates] = {}
+        self._candidate_cache: dict[tuple[model.PoolKey, ...], _Candidates] = {}
         self._runner: web.AppRunner | None = None
         self._log = structlog.get_logger("caller_api")
 
     @property
     def in_flight(self) -> int:
-        """Number of requests that are being answered."""
+        """Number of requests in progress."""
         return self._in_flight
 
     def build(self) -> web.Application:
@@ -111,7 +118,7 @@
         return app
 
     async def start(self, address: str) -> None:
-        """Starts to listen on ``host:port``."""
+        """Starts listening on ``host:port``."""
         host, _, port = address.rpartition(":")
         self._runner = web.AppRunner(
             self.build(),
@@ -124,17 +131,17 @@
         await web.TCPSite(self._runner, host, int(port), backlog=1024).start()
 
     async def stop(self) -> None:
-        """Stops to listen and closes the connections."""
+        """Stops listening and closes all connections."""
         if self._runner is not None:
             await self._runner.cleanup()
 
     @web.middleware
     async def _error_middleware(self, request: web.Request, handler) -> web.StreamResponse:
-        """Gives every error answer an outcome."""
+        """Adds an outcome to every error response."""
         try:
             size = sum(len(name) + len(value) for name, value in request.raw_headers)
             if size > self._limits.max_header_bytes:
-                return self._respond(
+                return self._to_http_response(
                     messages.not_run(
                         431,
                         messages.Reason.HEADER_TOO_LARGE,
@@ -143,7 +150,7 @@
                 )
             return await handler(request)
         except web.HTTPRequestEntityTooLarge:
-            return self._respond(
+            return self._to_http_response(
                 messages.not_run(
                     413,
                     messages.Reason.BODY_TOO_LARGE,
@@ -151,24 +158,24 @@
                 )
             )
         except web.HTTPException as error:
-            return self._respond(
+            return self._to_http_response(
                 messages.not_run(error.status, messages.Reason.BAD_REQUEST, error.reason)
             )
         except Exception:
             self._log.exception("request failed", path=request.path)
-            return self._respond(messages.unknown(500, messages.Reason.INTERNAL))
+            return self._to_http_response(messages.unknown(500, messages.Reason.INTERNAL))
 
     async def _lookup(self, request: web.Request) -> web.Response:
         service = request.query.get("service", "")
         client = request.query.get("client", "")
-        problem = self._check_lookup(service, client)
-        if problem is not None:
-            self._metrics.lookups.add(1, {"status": problem.status})
-            return self._respond(problem)
+        refusal = self._check_lookup(service, client)
+        if refusal is not None:
+            self._metrics.lookups.add(1, {"status": refusal.status})
+            return self._to_http_response(refusal)
         route = self._steering.route(service=service, client=client, spread=client)
-        instances = self._instances(route)
+        instances = self._select_instances(route)
         if not instances:
-            return self._respond(
+            return self._to_http_response(
                 messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
             )
         document = {
@@ -205,24 +212,28 @@
             )
         return None
 
-    def _instances(self, route: steering.Route) -> list:
-        """Returns the owner of the home pool first, then owners of other pools and others."""
+    def _select_instances(self, route: steering.Route) -> list:
+        """Returns the owner of the home pool first, then other owners, then random instances."""
         candidates = self._candidates(route)
         missing = 1 + LOOKUP_ALTERNATES - len(candidates.owners)
         if missing <= 0:
             return list(candidates.owners[: 1 + LOOKUP_ALTERNATES])
-        near = self._rng.sample(candidates.near, min(missing, len(candidates.near)))
-        missing -= len(near)
-        far = self._rng.sample(candidates.far, min(missing, len(candidates.far)))
-        return [*candidates.owners, *near, *far]
+        same_region = self._rng.sample(
+            candidates.same_region, min(missing, len(candidates.same_region))
+        )
+        missing -= len(same_region)
+        other_regions = self._rng.sample(
+            candidates.other_regions, min(missing, len(candidates.other_regions))
+        )
+        return [*candidates.owners, *same_region, *other_regions]
 
     def _candidates(self, route: steering.Route) -> "_Candidates":
-        """Returns the instances that an answer can name; the lists are kept for a moment.
+        """Returns the instances that a response can name, cached for ``CANDIDATES_TTL_S``.
 
-        A walk over all instances for each look-up would cost too much in a large fleet.
+        To iterate over all instances for each look-up would be too expensive in a large fleet.
         """
         now_s = self._clock.monotonic()
-        cached = self._cache.get(route.pools)
+        cached = self._candidate_cache.get(route.pools)
         if cached is not None and cached.expires_s > now_s:
             return cached
         owners = {}
@@ -239,11 +250,11 @@
         ]
         candidates = _Candidates(
             owners=tuple(owners.values()),
-            near=tuple(each for each in others if each.region == route.home_region),
-            far=tuple(each for each in others if each.region != route.home_region),
+            same_region=tuple(each for each in others if each.region == route.home_region),
+            other_regions=tuple(each for each in others if each.region != route.home_region),
             expires_s=now_s + CANDIDATES_TTL_S,
         )
-        self._cache[route.pools] = candidates
+        self._candidate_cache[route.pools] = candidates
         return candidates
 
     def _issue_ticket(self, instance) -> at_most_once.Ticket:
@@ -255,16 +266,16 @@
         service = request.match_info["service"]
         self._in_flight += 1
         try:
-            response = await self._serve(request, service)
+            response = await self._process(request, service)
         finally:
             self._in_flight -= 1
-        known = self._steering.policy is not None and service in self._steering.policy.services
-        attributes = {"service": service if known else "", "outcome": response.outcome.value}
+        is_known = self._steering.policy is not None and service in self._steering.policy.services
+        attributes = {"service": service if is_known else "", "outcome": response.outcome.value}
         self._metrics.requests.add(1, attributes)
         self._metrics.latency.record(time.monotonic() - started_s, attributes)
-        return self._respond(response)
+        return self._to_http_response(response)
 
-    async def _serve(self, http: web.Request, service: str) -> messages.Response:
+    async def _process(self, http_request: web.Request, service: str) -> messages.Response:
         policy = self._steering.policy
         if policy is None or not self._ready():
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=500)
@@ -273,7 +284,7 @@
                 404, messages.Reason.UNKNOWN_SERVICE, f"no service {service!r} in the policy"
             )
         parsed = await caller_requests.read(
-            http,
+            http_request,
             policy.services[service],
             request_id=f"{self._me}/{next(self._request_ids)}",
             clock=self._clock,
@@ -304,11 +315,11 @@
         except TimeoutError:
             return messages.unknown(504, messages.Reason.DEADLINE)
 
-    def _respond(self, response: messages.Response) -> web.Response:
+    def _to_http_response(self, response: messages.Response) -> web.Response:
         headers = [(OUTCOME_HEADER, response.outcome.value), (SERVED_BY_HEADER, self._me.name)]
         if response.outcome is messages.Outcome.RAN:
-            own = {OUTCOME_HEADER.lower(), SERVED_BY_HEADER.lower()}
-            headers += [pair for pair in response.headers if pair[0].lower() not in own]
+            own_headers = {OUTCOME_HEADER.lower(), SERVED_BY_HEADER.lower()}
+            headers += [pair for pair in response.headers if pair[0].lower() not in own_headers]
             return web.Response(status=response.status, headers=headers, body=response.body)
         headers.append((REASON_HEADER, response.reason.value))
         if response.retry_after_ms:
--- a/packages/entry/src/sassafrasway_entry/caller_requests.py
+++ b/packages/entry/src/sassafrasway_entry/caller_requests.py
@@ -1,4 +1,4 @@
-"""Reads the requests of callers: their headers, deadlines and bodies."""
+"""Parses and validates the HTTP requests of callers."""
 
 import ipaddress
 
@@ -14,23 +14,23 @@
 MAX_KEY_CHARS = 255
 MAX_DEADLINE_MS = 600_000
 
-_OWN_HEADERS = frozenset(
+_ENTRY_HEADERS = frozenset(
     name.lower() for name in (KEY_HEADER, DEADLINE_HEADER, CLIENT_HEADER, "Host")
 )
 
 
 async def read(
-    http: web.Request, service: model.Service, *, request_id: str, clock: clock_lib.Clock
+    http_request: web.Request, service: model.Service, *, request_id: str, clock: clock_lib.Clock
 ) -> messages.Request | messages.Response:
-    """Returns the request, or the refusal of one that is malformed.
+    """Returns the request, or a refusal if it is invalid.
 
     Args:
-        http: Request as it arrived.
-        service: Service that it names.
-        request_id: Id for the request.
-        clock: Time source of its deadline.
+        http_request: HTTP request of the caller.
+        service: Service that the request names.
+        request_id: Id to give to the request.
+        clock: Time source of the deadline.
     """
-    key = http.headers.get(KEY_HEADER, "")
+    key = http_request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_CHARS:
         return messages.not_run(
             400,
@@ -41,43 +41,43 @@
         return messages.not_run(
             400, messages.Reason.KEY_REQUIRED, f"{service.name} requires {KEY_HEADER}"
         )
-    deadline_ms = _deadline_ms(http, service)
+    deadline_ms = _deadline_ms(http_request, service)
     if deadline_ms is None:
         return messages.not_run(
             400,
             messages.Reason.BAD_REQUEST,
             f"{DEADLINE_HEADER}: expected whole milliseconds up to {MAX_DEADLINE_MS}",
         )
-    client = http.headers.get(CLIENT_HEADER, "") or http.remote or ""
+    client = http_request.headers.get(CLIENT_HEADER, "") or http_request.remote or ""
     if not is_ip(client):
         return messages.not_run(
             400, messages.Reason.BAD_REQUEST, f"{CLIENT_HEADER}: expected an IP address"
         )
     deadline = retry.Deadline(clock=clock, remaining_s=deadline_ms / 1000)
-    body = await http.read()
-    path = _backend_path(http, service.name)
+    body = await http_request.read()
+    path = _backend_path(http_request, service.name)
     return messages.Request(
         request_id=request_id,
         service=service.name,
-        method=http.method,
+        method=http_request.method,
         path=path,
         headers=tuple(
             (name, value)
-            for name, value in http.headers.items()
-            if name.lower() not in _OWN_HEADERS or name.lower() == KEY_HEADER.lower()
+            for name, value in http_request.headers.items()
+            if name.lower() not in _ENTRY_HEADERS or name.lower() == KEY_HEADER.lower()
         ),
         body=body,
         deadline=deadline,
         key=key if not service.idempotent else "",
         client=client,
         fingerprint=quarantine.fingerprint(
-            service=service.name, method=http.method, path=path, body=body
+            service=service.name, method=http_request.method, path=path, body=body
         ),
     )
 
 
-def _deadline_ms(http: web.Request, service: model.Service) -> int | None:
-    text = http.headers.get(DEADLINE_HEADER)
+def _deadline_ms(http_request: web.Request, service: model.Service) -> int | None:
+    text = http_request.headers.get(DEADLINE_HEADER)
     if text is None:
         return service.deadline_ms
     try:
@@ -87,14 +87,14 @@
     return value if value <= MAX_DEADLINE_MS else None
 
 
-def _backend_path(http: web.Request, service: str) -> str:
+def _backend_path(http_request: web.Request, service: str) -> str:
     prefix = f"/v1/services/{service}"
-    path = http.raw_path
+    path = http_request.raw_path
     return (path[len(prefix) :] if path.startswith(prefix) else path) or "/"
 
 
 def is_ip(text: str) -> bool:
-    """Returns whether a text is an IPv4 or IPv6 address."""
+    """Returns whether a string is an IPv4 or IPv6 address."""
     try:
         ipaddress.ip_address(text)
     except ValueError:
--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -1,4 +1,4 @@
-"""Writes the last outcomes of an instance that stops."""
+"""Writes the remaining outcomes of an instance that stops."""
 
 import asyncio
 
@@ -7,22 +7,22 @@
 from sassafrasway_core import errors, model
 from sassafrasway_entry import gatekeeper, outcomes
 
-FLUSH_TRIES = 50
+MAX_FLUSHES = 50
 FLUSH_INTERVAL_S = 0.2
 
 
 async def write_last_outcomes(
     *, me: model.InstanceId, outcomes: outcomes.OutcomeStore, gatekeeper: gatekeeper.Gatekeeper
 ) -> None:
-    """Writes all outcomes, then the marker that no further ones follow.
+    """Writes all outcomes, then the closed marker, which says that no more will follow.
 
     Args:
-        me: Instance that stops.
-        outcomes: Its outcomes.
-        gatekeeper: Its requests, all of which have ended.
+        me: Incarnation that stops.
+        outcomes: Outcomes of the incarnation.
+        gatekeeper: Gatekeeper of the incarnation, all of whose requests have ended.
     """
     log = structlog.get_logger("process")
-    for _ in range(FLUSH_TRIES):
+    for _ in range(MAX_FLUSHES):
         if await outcomes.flush() and not gatekeeper.pending_updates:
             break
         await asyncio.sleep(FLUSH_INTERVAL_S)
@@ -32,5 +32,5 @@
     try:
         await outcomes.close(me)
     except errors.UnavailableError as error:
-        # Without the marker, callers of unused tickets get "unknown" in place of an answer.
+        # Without the marker, requests with unused tickets of this incarnation get "unknown".
         log.warning("closed marker not written", error=str(error))
--- a/packages/entry/src/sassafrasway_entry/conversion.py
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -1,4 +1,4 @@
-"""Conversion between the messages of the entry's tasks and the Thrift messages of peers."""
+"""Conversion between the requests and responses of the entry and their Thrift messages."""
 
 import dataclasses
 
@@ -7,12 +7,12 @@
 from sassafrasway_entry import messages
 from sassafrasway_rpc import schema
 
-_OUTCOMES = {
+_OUTCOMES_TO_THRIFT = {
     messages.Outcome.RAN: schema.forward.Outcome.RAN,
     messages.Outcome.NOT_RUN: schema.forward.Outcome.NOT_RUN,
     messages.Outcome.UNKNOWN: schema.forward.Outcome.UNKNOWN,
 }
-_FROM_OUTCOMES = {value: key for key, value in _OUTCOMES.items()}
+_OUTCOMES_FROM_THRIFT = {value: key for key, value in _OUTCOMES_TO_THRIFT.items()}
 
 
 def with_route(request: messages.Request, *, home_region: str, shift: str) -> messages.Request:
@@ -30,7 +30,7 @@
     attempt_id: str,
     receiver: str,
 ):
-    """Returns the Thrift message that carries a request to a peer."""
+    """Returns the Thrift message that forwards a request to a peer."""
     return schema.forward.ForwardRequest(
         request_id=request.request_id,
         stage=stage,
@@ -56,7 +56,7 @@
 
 
 def from_forward(message, *, clock: clock_lib.Clock) -> messages.Request:
-    """Returns the request that a Thrift message carries."""
+    """Returns the request from a Thrift message."""
     return messages.Request(
         request_id=message.request_id,
         service=message.service_name,
@@ -74,9 +74,9 @@
 
 
 def to_reply(response: messages.Response):
-    """Returns the Thrift message that carries an answer."""
+    """Returns the Thrift message for a response."""
     return schema.forward.ForwardReply(
-        outcome=_OUTCOMES[response.outcome],
+        outcome=_OUTCOMES_TO_THRIFT[response.outcome],
         status=response.status,
         headers=_to_headers(response.headers),
         body=response.body,
@@ -89,9 +89,9 @@
 
 
 def from_reply(reply) -> messages.Response:
-    """Returns the answer that a Thrift message carries."""
+    """Returns the response from a Thrift message."""
     return messages.Response(
-        outcome=_FROM_OUTCOMES[reply.outcome],
+        outcome=_OUTCOMES_FROM_THRIFT[reply.outcome],
         status=reply.status,
         headers=_from_headers(reply.headers),
         body=reply.body or b"",
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -1,4 +1,4 @@
-"""Handler of requests that other entry instances forward."""
+"""Thrift service that runs the requests forwarded by other entry instances."""
 
 import asyncio
 import collections
@@ -9,15 +9,15 @@
 from sassafrasway_entry import cap_limits, conversion, dispatcher, gatekeeper, messages, pools
 from sassafrasway_rpc import schema
 
-# An attempt is known for this long after its arrival. Its sender gives up, and aborts the
-# connection, long before.
+# Attempts are remembered for this long after their arrival. The sender gives up and closes the
+# connection long before.
 ATTEMPT_RETENTION_S = 60.0
-MAX_KEPT_BODY_BYTES = 64 * 1024
+MAX_RETAINED_BODY_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Attempt:
-    """An attempt that arrived; ``answer`` is None while it runs."""
+    """An attempt that arrived; ``response`` is None while it runs."""
 
     arrived_s: float
     task: asyncio.Task
@@ -31,10 +31,10 @@
         me: This incarnation.
         region: Region of this instance.
         clock: Time source for deadlines.
-        limits: Shares of the links' caps.
+        limits: This instance's shares of the caps of links between regions.
         pools: Pools that this instance owns.
-        gatekeeper: Keys that this incarnation holds.
-        directory: Owners of pools, for hints to senders with an old directory.
+        gatekeeper: Runs requests whose keys this incarnation holds.
+        directory: Owners of pools; a refused sender with an outdated directory gets the owner.
     """
 
     def __init__(
@@ -66,32 +66,32 @@
     async def forward(self, request):
         """Runs a forwarded request and returns the reply."""
         if request.receiver and request.receiver != str(self._me):
-            return conversion.to_reply(_wrong_incarnation(request))
+            return conversion.to_reply(_refuse_wrong_incarnation(request))
         response = await self._run_once(request)
-        if not await self._may_send(request, response):
-            response = _without_body(response)
+        if not await self._wait_for_link_cap(request, response):
+            response = _link_cap_response(response)
         return conversion.to_reply(response)
 
     async def _run_once(self, request) -> messages.Response:
-        """Runs an attempt, or joins it when it arrived before.
+        """Runs an attempt, or waits for it if it has arrived before.
 
-        The run is a task of its own, so that it goes on when the connection breaks.
+        The attempt runs in a separate task, so that it continues if the connection breaks.
         """
-        self._forget_old()
+        self._remove_expired_attempts()
         attempt = self._attempts.get(request.attempt_id)
         if attempt is None:
-            task = asyncio.create_task(self._serve(request))
+            task = asyncio.create_task(self._process(request))
             attempt = _Attempt(arrived_s=self._clock.monotonic(), task=task)
             self._attempts[request.attempt_id] = attempt
             self._running[request.request_id] = task
             task.add_done_callback(lambda _: self._running.pop(request.request_id, None))
         if attempt.response is None:
             response = await asyncio.shield(attempt.task)
-            attempt.response = kept(response)
+            attempt.response = retained_response(response)
             return response
         return attempt.response
 
-    def _forget_old(self) -> None:
+    def _remove_expired_attempts(self) -> None:
         limit_s = self._clock.monotonic() - ATTEMPT_RETENTION_S
         while self._attempts:
             attempt_id, attempt = next(iter(self._attempts.items()))
@@ -100,13 +100,13 @@
             del self._attempts[attempt_id]
 
     async def cancel(self, request_id: str) -> None:
-        """Stops a forwarded request; non-idempotent ones that started go on."""
+        """Cancels a forwarded request; the gatekeeper continues a key that it has started."""
         task = self._running.get(request_id)
         if task is not None:
             task.cancel()
 
-    async def _may_send(self, request, response: messages.Response) -> bool:
-        """Waits until the reply fits under the cap of the link to the sender's region."""
+    async def _wait_for_link_cap(self, request, response: messages.Response) -> bool:
+        """Waits until the link to the sender's region admits the reply; returns whether it does."""
         sender = self._directory.instance((request.sender or "").partition("/")[0])
         if sender is None or sender.region == self._region:
             return True
@@ -118,10 +118,10 @@
         )
 
     async def report_crash(self, service_name: str, fingerprint: str, server: str) -> None:
-        """Notes that a request crashed a server of another pool."""
+        """Records that a request crashed a server of another pool."""
         self._pools.quarantine.record_crash(fingerprint, server)
 
-    async def _serve(self, message) -> messages.Response:
+    async def _process(self, message) -> messages.Response:
         request = conversion.from_forward(message, clock=self._clock)
         if message.stage == schema.forward.Stage.GATEKEEP:
             return await self._gatekeeper.run_forwarded(request)
@@ -143,22 +143,22 @@
         )
 
 
-def _without_body(response: messages.Response) -> messages.Response:
-    """Returns a small answer in place of one that the link's cap does not admit in time."""
+def _link_cap_response(response: messages.Response) -> messages.Response:
+    """Returns a small response in place of one that the link's cap does not admit in time."""
     if response.outcome is messages.Outcome.NOT_RUN:
         return response
     return messages.unknown(504, messages.Reason.LINK_CAP)
 
 
-def _wrong_incarnation(request) -> messages.Response:
-    """Answers an attempt that was meant for an incarnation that has ended."""
+def _refuse_wrong_incarnation(request) -> messages.Response:
+    """Refuses an attempt for another incarnation, which may have run it if this is a resend."""
     if request.resent:
         return messages.unknown(503, messages.Reason.PEER_UNREACHABLE)
     return messages.not_run(503, messages.Reason.NOT_OWNER)
 
 
-def kept(response: messages.Response) -> messages.Response:
-    """Returns what is kept of an answer for a second sending of its attempt."""
-    if len(response.body) <= MAX_KEPT_BODY_BYTES:
+def retained_response(response: messages.Response) -> messages.Response:
+    """Returns the response to keep for a resent attempt; a large one becomes an unknown outcome."""
+    if len(response.body) <= MAX_RETAINED_BODY_BYTES:
         return response
     return messages.unknown(502, messages.Reason.CONNECTION_LOST)
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -1,4 +1,4 @@
-"""Typed messages between the tasks of an entry instance."""
+"""Requests and responses that the parts of an entry instance pass to each other."""
 
 import dataclasses
 import enum
@@ -7,7 +7,7 @@
 
 
 class Outcome(enum.Enum):
-    """Whether a request ran, as told to the caller."""
+    """Whether a request ran, as reported to the caller."""
 
     RAN = "ran"
     NOT_RUN = "not-run"
@@ -15,7 +15,7 @@
 
 
 class Reason(enum.Enum):
-    """Machine-readable cause of an answer that no backend server gave."""
+    """Machine-readable reason of a response that does not come from a backend server."""
 
     NONE = ""
     BAD_REQUEST = "bad_request"
@@ -44,14 +44,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Request:
-    """A caller's request.
+    """A request of a caller.
 
     Attributes:
-        path: Path and query behind the service name.
-        key: Idempotency key; empty when the caller gave none.
-        client: Address of the client that the caller acts for; empty when unknown.
-        home_region: Region of the client's block, or of the receiving instance.
-        fingerprint: Digest that recognises the same request sent again.
+        path: Path and query after the service name.
+        key: Idempotency key; empty for idempotent services.
+        client: IP address of the client on whose behalf the caller acts; empty when unknown.
+        home_region: Region of the client's address block, or of the receiving instance.
+        shift: Name of the shift that moved the request; empty when none did.
+        fingerprint: Digest that is the same for the same request sent again.
     """
 
     request_id: str
@@ -70,7 +71,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Response:
-    """The answer to a caller's request."""
+    """The response to a request of a caller.
+
+    Attributes:
+        reason: Why no backend server responded; ``NONE`` for the response of a server.
+        detail: Reason in words.
+        server: Name of the backend server that responded; empty when none did.
+        owner: Owner of the pool, sent to an instance whose directory is outdated.
+        retry_after_ms: Suggested delay before a retry; 0 for no suggestion.
+    """
 
     outcome: Outcome
     status: int
@@ -86,7 +95,7 @@
 def not_run(
     status: int, reason: Reason, detail: str = "", *, retry_after_ms: int = 0, owner: str = ""
 ) -> Response:
-    """Returns an answer that says that the request was not dispatched."""
+    """Returns a response that says that the request did not run."""
     return Response(
         outcome=Outcome.NOT_RUN,
         status=status,
@@ -98,7 +107,7 @@
 
 
 def unknown(status: int, reason: Reason, detail: str = "") -> Response:
-    """Returns an answer that says that the request may have run."""
+    """Returns a response that says that the request may have run."""
     return Response(
         outcome=Outcome.UNKNOWN,
         status=status,
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -1,8 +1,8 @@
-"""Outcomes of non-idempotent requests in the platform's table service.
+"""Stores the outcomes of non-idempotent requests in the platform's table service.
 
-An outcome outlives the instance that saw it, so that a caller who lost its confirmation can ask
-again under the same key. Ticket outcomes are written behind, in batches; a batch is one row
-``outcomes/<incarnation>/<segment>/<batch>``, where the segment follows from the ticket.
+A stored outcome survives its instance, so that a caller who did not get the response can retry with
+the same key. The outcomes of tickets are written asynchronously in batches. A batch is one row
+``outcomes/<incarnation>/<segment>/<batch>``, whose segment is computed from the ticket.
 """
 
 import asyncio
@@ -19,11 +19,11 @@
 SEGMENT_S = 5  # tickets issued within the same 5 s share a segment
 FLUSH_INTERVAL_S = 0.2
 MAX_BODY_BYTES = 64 * 1024  # larger bodies are dropped from the stored outcome
-MAX_PENDING = 20_000  # outcomes kept while the table is down; older ones are dropped first
+MAX_PENDING = 20_000  # unwritten outcomes while the table is down; the oldest are dropped first
 
 
 def to_document(response: messages.Response) -> dict:
-    """Returns the stored form of an answer."""
+    """Returns the document that is stored for a response."""
     body = response.body if len(response.body) <= MAX_BODY_BYTES else b""
     return {
         "outcome": response.outcome.value,
@@ -36,7 +36,7 @@
 
 
 def from_document(document: dict) -> messages.Response:
-    """Returns the answer of a stored form."""
+    """Returns the response from a stored document."""
     return messages.Response(
         outcome=messages.Outcome(document["outcome"]),
         status=document["status"],
@@ -53,19 +53,19 @@
     return f"outcomes/{ticket.holder.name}.{ticket.holder.incarnation}/{segment}/"
 
 
-def closed_key(holder) -> str:
-    """Returns the row that says that an incarnation stopped after writing all outcomes."""
+def closed_row_key(holder) -> str:
+    """Returns the key of the closed marker: its incarnation ended after writing all outcomes."""
     return f"outcomes-closed/{holder.name}.{holder.incarnation}"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Lookup:
-    """What the table knows about a ticket.
+class StoredOutcome:
+    """Contents of the table for a ticket.
 
     Attributes:
-        answer: The recorded outcome, or None.
-        closed: Whether the incarnation has written all of its outcomes and ended, so that a
-            missing outcome proves that the request did not run.
+        response: The stored outcome, or None.
+        closed: Whether the incarnation of the ticket has ended after writing all of its outcomes,
+            so that a missing outcome proves that the request did not run.
     """
 
     response: messages.Response | None
@@ -73,7 +73,7 @@
 
 
 class OutcomeStore:
-    """Reads and writes outcomes; owns the batches that are not written yet.
+    """Reads outcomes, and queues new ones to write them in batches.
 
     Args:
         service: The platform's table service.
@@ -84,19 +84,19 @@
         self._pending: dict[str, dict[str, dict]] = {}
         self._pending_count = 0
         self._dropped = 0
-        self._batch = 0
-        self._added = asyncio.Event()
-        self._flushing = asyncio.Lock()
+        self._batch_number = 0
+        self._has_new = asyncio.Event()
+        self._flush_lock = asyncio.Lock()
         self._log = structlog.get_logger("outcomes")
 
     @property
     def pending(self) -> int:
-        """Number of outcomes that are not in the table yet."""
+        """Number of queued outcomes that are not in the table yet."""
         return self._pending_count
 
     @property
     def dropped(self) -> int:
-        """Number of outcomes given up because the table was down for too long."""
+        """Number of outcomes dropped because the queue was full while the table was down."""
         return self._dropped
 
     def add(self, ticket: at_most_once.Ticket, response: messages.Response) -> None:
@@ -105,23 +105,24 @@
             self._drop_oldest()
         self._pending.setdefault(segment_prefix(ticket), {})[str(ticket)] = to_document(response)
         self._pending_count += 1
-        self._added.set()
+        self._has_new.set()
 
     async def run(self) -> None:
         """Writes batches until cancelled."""
         while True:
-            await self._added.wait()
+            await self._has_new.wait()
             await asyncio.sleep(FLUSH_INTERVAL_S)
-            self._added.clear()
+            self._has_new.clear()
             if not await self.flush():
-                self._added.set()
+                self._has_new.set()
 
     async def flush(self) -> bool:
         """Writes all queued outcomes and returns whether the queue is empty.
 
-        One flush at a time: an empty queue proves nothing while another flush still writes.
+        Concurrent flushes run one after the other: a batch that is being written is not in the
+        queue, so an empty queue does not prove that all outcomes are in the table.
         """
-        async with self._flushing:
+        async with self._flush_lock:
             return await self._flush_queue()
 
     async def _flush_queue(self) -> bool:
@@ -136,33 +137,34 @@
         return not self._pending
 
     async def close(self, holder) -> None:
-        """Writes the mark that this incarnation has ended and all outcomes are in the table."""
+        """Writes the closed marker of this incarnation, after all outcomes were written."""
         try:
-            await self._table.put(closed_key(holder), b"{}", if_version=table.ABSENT)
+            await self._table.put(closed_row_key(holder), b"{}", if_version=table.ABSENT)
         except table.PreconditionFailed:
             return
 
-    async def find(self, ticket: at_most_once.Ticket) -> Lookup:
-        """Returns what the table knows about a ticket.
+    async def find(self, ticket: at_most_once.Ticket) -> StoredOutcome:
+        """Returns the stored outcome of a ticket.
 
         Raises:
-            errors.UnavailableError: The table did not answer.
+            errors.UnavailableError: The table did not respond.
         """
-        # The closed mark is read first: a batch that is written after it does not exist.
-        closed = await self._table.get(closed_key(ticket.holder)) is not None
+        # The closed marker is read first, because no batch is written after it.
+        closed = await self._table.get(closed_row_key(ticket.holder)) is not None
         for row in await self._table.scan(segment_prefix(ticket)):
             document = json.loads(row.value).get(str(ticket))
             if document is not None:
-                return Lookup(response=from_document(document), closed=closed)
-        return Lookup(response=None, closed=closed)
+                return StoredOutcome(response=from_document(document), closed=closed)
+        return StoredOutcome(response=None, closed=closed)
 
     async def _write(self, prefix: str, batch: dict[str, dict]) -> bool:
-        self._batch += 1
+        self._batch_number += 1
         value = json.dumps(batch, separators=(",", ":")).encode()
         try:
-            await self._table.put(f"{prefix}{self._batch}", value, if_version=table.ABSENT)
+            await self._table.put(f"{prefix}{self._batch_number}", value, if_version=table.ABSENT)
         except table.PreconditionFailed:
-            # An earlier try of this very batch number took effect although its answer was lost.
+            # An earlier try of this write succeeded, but its response was lost. The next flush
+            # writes the batch again under a new number.
             return False
         except errors.UnavailableError as error:
             self._log.debug("outcomes not written", error=str(error))
--- a/packages/entry/src/sassafrasway_entry/recorder.py
+++ b/packages/entry/src/sassafrasway_entry/recorder.py
@@ -1,4 +1,4 @@
-"""Optional record of what an instance did, for history checking."""
+"""Optional log of the events of an instance, for checks of its history."""
 
 import json
 import pathlib
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -1,4 +1,4 @@
-"""Small fakes at the interfaces of the entry's parts."""
+"""Fakes and factories that the tests of the entry share."""
 
 import asyncio
 import dataclasses
@@ -12,7 +12,7 @@
 
 
 def instance(name, incarnation="0a", region_name="bkk", state="live"):
-    """Returns what the directory says about an instance."""
+    """Returns the directory record of an instance."""
     return region.Instance(
         name=name,
         incarnation=incarnation,
@@ -39,7 +39,7 @@
 
 
 def policy(*, servers=None, regions=("bkk", "cnx"), caps=None, shifts=(), revision=1):
-    """Returns a policy with one non-idempotent, one idempotent and one waiting service."""
+    """Returns a policy with a non-idempotent, an idempotent and a queueing idempotent service."""
     servers = servers if servers is not None else [server()]
     services = {
         "crew-desk": model.Service(name="crew-desk", idempotent=False),
@@ -83,7 +83,7 @@
 
 
 class FakeBackend:
-    """Backend client that answers from a script; ``gate`` holds calls back."""
+    """Backend client with scripted results; ``gate`` delays calls until it is set."""
 
     def __init__(self):
         self.calls = []
@@ -126,7 +126,7 @@
 
 
 class FakePeers:
-    """Peers whose calls are answered by a function."""
+    """Peers whose replies come from the function ``response``."""
 
     def __init__(self, response=None):
         self.calls = []
@@ -142,14 +142,14 @@
 
 def limits(clock_source, current, region_cap_rps=1e9, region_name="bkk", epoch=lambda: 1):
     """Returns the limits of an instance whose share of every cap is ``region_cap_rps``."""
-    found = cap_limits.CapLimits(
+    result = cap_limits.CapLimits(
         region=region_name,
         clock=clock_source,
         amount=lambda name: region_cap_rps,
         epoch=epoch,
     )
-    found.set_policy(current)
-    return found
+    result.set_policy(current)
+    return result
 
 
 def pool_manager(
@@ -192,15 +192,15 @@
 
 
 def manual_clock():
-    """Returns a clock that only moves when told to."""
+    """Returns a clock that advances only when a test advances it."""
     return clock.ManualClock()
 
 
-def moved(original, *, home_region):
+def with_home_region(original, *, home_region):
     """Returns the request with another home region."""
     return dataclasses.replace(original, home_region=home_region)
 
 
 def system_clock():
-    """Returns the real clock, for code that waits in real time."""
+    """Returns the system clock, for code that sleeps in real time."""
     return clock.SystemClock()
--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -1,4 +1,4 @@
-"""Tests of the client for backend servers against a small HTTP server."""
+"""Tests of the client for backend servers against a real HTTP server in the same process."""
 
 import asyncio
 import dataclasses
@@ -76,11 +76,12 @@
         )
 
     async def test_whole_answer(self):
+        """Guards against losing the body or the reported load of a complete response."""
         response = await self._call()
         self.assertEqual((response.result, response.body, response.load), (_Result.OK, b"data", 2))
 
     async def test_broken_connection_is_not_repeated_by_the_library(self):
-        """Guards against the HTTP library repeating a GET by itself on a reused connection."""
+        """Guards against a retry by aiohttp itself, which resends a GET on a reused connection."""
         for idempotent in (True, False):
             await self._call(method="GET", body=b"", idempotent=idempotent)
             self.requests.clear()
@@ -90,38 +91,45 @@
             self.behaviour = "answer"
 
     async def test_partial_answer_is_lost(self):
-        """Guards against handing a caller part of an answer."""
+        """Guards against returning a truncated response as complete."""
         self.behaviour = "short"
         response = await self._call()
         self.assertEqual((response.result, response.body), (_Result.LOST, b""))
 
     async def test_shed_is_told_apart(self):
+        """Guards against taking a shed request, which may be retried, for a processed one."""
         self.behaviour = "shed"
         response = await self._call()
         self.assertIs(response.result, _Result.SHED)
 
     async def test_refused_connection_was_not_sent(self):
-        """Guards against "unknown" for a request that no server has seen."""
+        """Guards against "unknown" for a request that no server has received."""
         await self.runner.cleanup()
         response = await self._call()
         self.assertIs(response.result, _Result.NOT_SENT)
 
     async def test_deadline_cancels_the_call_at_the_server(self):
-        """Guards against work that goes on at the server after its deadline."""
+        """Guards against work that continues on the server after the deadline.
+
+        The client closes the connection, which cancels the handler of the server.
+        """
         self.behaviour = "hang"
         response = await self._call(timeout_s=0.1)
         self.assertIs(response.result, _Result.TIMEOUT)
         await asyncio.wait_for(self.cancelled.wait(), 5)
 
     async def test_server_is_told_the_limit_of_the_attempt(self):
-        """Guards against a server that works on an attempt that was given up for silence."""
+        """Guards against a server that continues an attempt after the client has timed out.
+
+        An attempt at an idempotent request has a shorter timeout than the deadline of the request.
+        """
         await self._call(timeout_s=20.0)
         await self._call(timeout_s=20.0, idempotent=False)
-        self.assertLessEqual(self.deadlines_ms[0], backend_client.SILENCE_TIMEOUT_S * 1000)
+        self.assertLessEqual(self.deadlines_ms[0], backend_client.RESPONSE_TIMEOUT_S * 1000)
         self.assertGreater(self.deadlines_ms[1], 19_000)
 
     async def test_caller_that_goes_away_cancels_the_call(self):
-        """Guards against a slot that stays in use for a caller that went away."""
+        """Guards against work that continues on the server after the caller disconnected."""
         self.behaviour = "hang"
         task = asyncio.create_task(self._call())
         await asyncio.wait_for(self.arrived.wait(), 5)
@@ -129,26 +137,29 @@
         await asyncio.wait_for(self.cancelled.wait(), 5)
 
     async def test_non_idempotent_requests_use_new_connections(self):
-        """Guards against sending on a connection that went silent while it was idle."""
+        """Guards against sending a non-idempotent request on a reused connection.
+
+        It may have gone silent while it was idle, which would make the outcome unknown.
+        """
         for _ in range(3):
             await self._call(idempotent=True)
         self.assertEqual(len(self.connections), 1)
-        fresh = self.client._fresh
+        single_use = self.client._single_use
         for _ in range(3):
             await self._call(idempotent=False)
-        connector = fresh[self.server.url].connector
+        connector = single_use[self.server.url].connector
         self.assertEqual(sum(len(each) for each in connector._conns.values()), 0)
 
     async def test_silent_connection_is_replaced(self):
-        """Guards against using idle connections to a server after one of them went silent."""
+        """Guards against reusing idle connections to a server after one of them went silent."""
         await self._call()
-        before = self.client._reused[self.server.url]
+        before = self.client._keep_alive[self.server.url]
         self.behaviour = "hang"
         await self._call(timeout_s=0.1)
         self.behaviour = "answer"
         response = await self._call()
         self.assertIs(response.result, _Result.OK)
-        self.assertIsNot(self.client._reused[self.server.url], before)
+        self.assertIsNot(self.client._keep_alive[self.server.url], before)
 
 
 if __name__ == "__main__":
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP interface for callers: bad input, look-ups and outcomes."""
+"""Tests of the HTTP API for callers: invalid input, look-ups and outcomes."""
 
 import random
 import unittest
@@ -13,7 +13,7 @@
 
 
 class _Runner:
-    """Stands in for dispatcher and gatekeeper; counts runs."""
+    """Fake of both the dispatcher and the gatekeeper; records requests."""
 
     def __init__(self):
         self.requests = []
@@ -77,7 +77,10 @@
         self.assertEqual(self.runner.requests, [])
 
     async def test_lookup_names_the_owner_of_the_home_pool_first(self):
-        """Guards against callers that are sent past the owner of their pool."""
+        """Guards against look-up responses that do not list the owner of the home pool first.
+
+        Every request would then be forwarded once more. The ticket must name the same instance.
+        """
         response = await self._lookup(service="crew-desk", client="10.1.2.3")
         body = await response.json()
         names = [each["name"] for each in body["instances"]]
@@ -87,12 +90,13 @@
         self.assertEqual(len(set(names)), 4)
 
     async def test_lookup_of_an_idempotent_service_has_no_ticket(self):
+        """Guards against a ticket for a service that needs none; it makes responses uncacheable."""
         body = await (await self._lookup(service="quote-archive", client="10.0.0.1")).json()
         self.assertNotIn("ticket", body)
         self.assertGreater(body["ttl_s"], 0)
 
     async def test_bad_lookups(self):
-        """Guards against an unclear error, or an answer, for a look-up that cannot be answered."""
+        """Guards against an invalid look-up that succeeds or fails with the wrong reason."""
         unknown_service = await self._lookup(service="nope", client="10.0.0.1")
         await self._refused(unknown_service, 404, "unknown_service")
         bad_client = await self._lookup(service="crew-desk", client="lobby")
@@ -104,7 +108,7 @@
         await self._refused(not_ready, 503, "not_ready")
 
     async def test_request_passes_body_headers_and_path(self):
-        """Guards against a request or answer that is changed on its way."""
+        """Guards against changes to a request or response that passes through the API."""
         response = await self.client.post(
             "/v1/services/quote-archive/a%20b?x=1", data=b"body", headers={"X-Own": "1"}
         )
@@ -116,7 +120,7 @@
         self.assertEqual(await response.read(), b"body")
 
     async def test_bad_requests(self):
-        """Guards against running, or dropping without a clear error, a request with bad input."""
+        """Guards against running an invalid request or refusing it with the wrong reason."""
         post = self.client.post
         await self._refused(await post("/v1/services/nope/x"), 404, "unknown_service")
         await self._refused(await post("/v1/services/crew-desk/x"), 400, "key_required")
@@ -135,7 +139,7 @@
                 await self._refused(bad, 400, "bad_request")
 
     async def test_expired_deadline_on_arrival(self):
-        """Guards against running a request whose caller no longer waits."""
+        """Guards against running a request whose deadline has already passed."""
         for value in ("0", "-5"):
             response = await self.client.post(
                 "/v1/services/quote-archive/x", headers={"Sassafras-Deadline-Ms": value}
@@ -143,7 +147,7 @@
             await self._refused(response, 504, "deadline")
 
     async def test_unknown_path_has_an_outcome(self):
-        """Guards against an error answer that does not say whether the request ran."""
+        """Guards against an error response without an outcome."""
         response = await self.client.get("/elsewhere")
         await self._refused(response, 404, "bad_request")
 
--- a/packages/entry/tests/test_forward_service.py
+++ b/packages/entry/tests/test_forward_service.py
@@ -1,4 +1,4 @@
-"""Tests of forwarded requests whose answers get lost."""
+"""Tests of forwarded requests, in particular of attempts that are sent again."""
 
 import asyncio
 import unittest
@@ -39,14 +39,17 @@
         return message
 
     async def test_attempt_sent_twice_runs_once(self):
-        """Guards against a second run when the answer to a forward was lost."""
+        """Guards against running an attempt twice when it is sent again after a lost reply."""
         first = await self.service.forward(self._message())
         second = await self.service.forward(self._message(resent=True))
         self.assertEqual((first.outcome, second.outcome), (second.outcome, first.outcome))
         self.assertEqual(len(self.backend.calls), 1)
 
     async def test_broken_connection_does_not_stop_the_run(self):
-        """Guards against a run that is cut, and asked for again, when its connection breaks."""
+        """Guards against cancelling an attempt when the connection of its sender breaks.
+
+        The sender sends the attempt again and must get the outcome of the same run.
+        """
         self.backend.gate = asyncio.Event()
         task = asyncio.create_task(self.service.forward(self._message()))
         await asyncio.sleep(0)
@@ -61,7 +64,7 @@
         self.assertEqual(len(self.backend.calls), 1)
 
     async def test_attempt_for_an_earlier_incarnation(self):
-        """Guards against running what the previous incarnation may have run."""
+        """Guards against running an attempt that the previous incarnation may have run."""
         fresh = await self.service.forward(self._message(receiver="bkk-a-1/old"))
         resent = await self.service.forward(self._message(receiver="bkk-a-1/old", resent=True))
         self.assertEqual(fresh.outcome, schema.forward.Outcome.NOT_RUN)
@@ -69,7 +72,7 @@
         self.assertEqual(self.backend.calls, [])
 
     async def test_old_attempts_are_forgotten(self):
-        """Guards against memory that grows with every forwarded request."""
+        """Guards against unbounded memory use by the records of attempts."""
         for number in range(5):
             await self.service.forward(self._message(f"a{number}"))
         self.clock.advance(forward_service.ATTEMPT_RETENTION_S + 1)
@@ -77,13 +80,13 @@
         self.assertEqual(len(self.service._attempts), 1)
 
     async def test_large_answer_is_not_kept(self):
-        """Guards against keeping large bodies in memory for the sake of lost answers."""
+        """Guards against keeping large bodies in memory in case a reply is lost."""
         large = messages.Response(
             outcome=messages.Outcome.RAN,
             status=200,
-            body=b"x" * (forward_service.MAX_KEPT_BODY_BYTES + 1),
+            body=b"x" * (forward_service.MAX_RETAINED_BODY_BYTES + 1),
         )
-        self.assertEqual(forward_service.kept(large).outcome, messages.Outcome.UNKNOWN)
+        self.assertEqual(forward_service.retained_response(large).outcome, messages.Outcome.UNKNOWN)
 
 
 if __name__ == "__main__":
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -258,13 +258,13 @@
         manager = self._manager(
             policy_=fakes.policy(servers=[fakes.server(slots=50)], shifts=[shift])
         )
-        moved = []
+        responses = []
         for number in range(20):
             request = fakes.request(clock_source=self.clock, number=number)
-            request = fakes.moved(request, home_region="cnx")
-            moved.append(await manager.execute(fakes.POOL, request, may_queue=False))
+            request = fakes.with_home_region(request, home_region="cnx")
+            responses.append(await manager.execute(fakes.POOL, request, may_queue=False))
         own = await manager.execute(fakes.POOL, self._request(number=99), may_queue=False)
-        self.assertEqual(sum(each.outcome is messages.Outcome.RAN for each in moved), 4)
+        self.assertEqual(sum(each.outcome is messages.Outcome.RAN for each in responses), 4)
         self.assertIs(own.outcome, messages.Outcome.RAN)
 
     async def test_ejected_server_is_probed_and_returns(self):
