--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -14,9 +14,10 @@
 from sassafrasway_rpc import schema
 
 # Time allowed for the response of a peer to an idempotent request. It keeps a connection that went
-# silent from using up the whole deadline.
+# silent from using up the whole deadline. The second limit is a fraction of the remaining time,
+# above that of backend_client, because the time of a backend call by the peer is part of it.
 PEER_RESPONSE_TIMEOUT_S = 2.5
-PEER_RESPONSE_FRACTION = 0.8  # above RESPONSE_FRACTION of the backend call that the peer makes
+PEER_RESPONSE_FRACTION = 0.8
 
 MAX_SENDS = 3  # times that one attempt is sent to one peer
 
@@ -28,9 +29,9 @@
 # The delays add up to 4.75 s, longer than the time in which a new owner may still have no share of
 # the caps (cap_limits.TAKEOVER_S).
 MAX_HANDOVER_RETRIES = 14
-# Minimum time before the deadline to start another pass over the pools, which takes a round trip to
-# each region. If the deadline passed while a peer has the request, the outcome would be unknown
-# although no server received the request.
+# Minimum remaining time to start another pass over the pools, which takes a round trip to each
+# region. If the deadline passed while a peer has the request, its outcome would be unknown although
+# no server received it.
 MIN_PASS_TIME_S = 0.25
 
 _TRY_NEXT_POOL_REASONS = frozenset(
