Reword the store, backend and link stand-ins

Comments and names of the relay, the backend servers and the store used private terms (pieces that are held, places, occupy, warmth). They now use chunk, queued bytes, instance location and busy time; docstrings say what a call does and in which unit. Test docstrings name the failure that they guard against.

--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -1,8 +1,8 @@
-"""Stand-in for backend servers: one process serves many servers, each on its own address.
+"""Stand-in for backend servers: one process runs many servers, each on its own address.
 
-A file (TOML or JSON) lists the servers. ``POST /control`` on the control address changes what they
-do; ``GET /control/stats`` counts what they did. Each run, shed and cancellation is written as one
-JSON line to the record file.
+A file (TOML or JSON) lists the servers. ``POST /control`` on the control address changes their
+behaviour; ``GET /control/stats`` returns their counters. Each request that was run, shed, expired
+or cancelled is written to the record file as one JSON line.
 """
 
 import asyncio
@@ -23,18 +23,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServerSettings:
-    """One backend server.
+    """Settings of one backend server.
 
     Attributes:
         address: ``host:port`` to listen on.
+        slots: Number of requests that the server runs at a time; it sheds further ones.
+        connections: Number of connections that the server accepts.
         mean_ms: Mean service time of a warm server.
-        distribution: ``exponential`` or ``fixed``.
-        cold_factor: Factor on the service time right after the start; declines to 1.
+        distribution: Distribution of the service time, ``exponential`` or ``fixed``.
+        cold_factor: Factor on the service time of a cold server; falls linearly to 1.
         cold_s: Time from the first request until the server is warm.
-        idle_cold_s: A server without requests for this long is cold again.
+        idle_cold_s: Time without requests after which the server is cold again.
         connection_ms: Server time that a new connection takes.
-        probe_ms: Server time that a probe takes.
-        restart_s: Time without service after a crash.
+        probe_ms: Server time that a health probe takes.
+        restart_s: Downtime after a crash.
     """
 
     name: str
@@ -54,12 +56,12 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Behaviour:
-    """What the control endpoint sets for a server.
+    """Behaviour of a server that can be changed through the control endpoint.
 
     Attributes:
-        leaving: Answers carry ``Sassafras-State: leaving``.
+        leaving: Whether answers carry ``Sassafras-State: leaving``.
         slow: Factor on the service time.
-        load_report: Number reported as load instead of the true one.
+        load_report: Load to report instead of the actual one; None reports the actual load.
         blocked_sources: Prefixes of source addresses whose requests are never answered.
     """
 
@@ -70,19 +72,19 @@
 
 
 class Recorder:
-    """Writes JSON lines; a line is on its way to the file as soon as it is written."""
+    """Writes records as JSON lines; the stream is expected to flush after each line."""
 
     def __init__(self, *, stream: TextIO | None):
         self._stream = stream
 
     def write(self, **fields: Any) -> None:
-        """Writes one line."""
+        """Writes one record."""
         if self._stream is not None:
             self._stream.write(json.dumps(fields, separators=(",", ":")) + "\n")
 
 
 class BackendServer:
-    """One server with its slots, connections and faults."""
+    """One backend server with its slots, connections and faults."""
 
     def __init__(
         self,
@@ -106,7 +108,7 @@
         self._stats = dict.fromkeys(
             ("runs", "sheds", "probes", "accepted", "refused_connections", "max_in_use"), 0
         )
-        self._web = backend_connections.HttpServer(self._handle)
+        self._http_server = backend_connections.HttpServer(self._handle)
         self._listener: asyncio.Server | None = None
         self._restarting: asyncio.Task[None] | None = None
 
@@ -117,13 +119,13 @@
 
     @property
     def stats(self) -> dict[str, Any]:
-        """Counters and the present state."""
-        connections = len(self._web.connections)
-        present = {"in_use": self._in_use, "connections": connections, "crashes": self._crashes}
-        return self._stats | present | {"leaving": self._behaviour.leaving}
+        """Counters and the current state."""
+        connections = len(self._http_server.connections)
+        current = {"in_use": self._in_use, "connections": connections, "crashes": self._crashes}
+        return self._stats | current | {"leaving": self._behaviour.leaving}
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts listening."""
         host, port = network.split_address(self._settings.address)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -136,20 +138,20 @@
             self._restarting.cancel()
         if self._listener is not None:
             self._listener.close()
-        self._web.abort_connections()
-        await self._web.shutdown(0)
+        self._http_server.abort_connections()
+        await self._http_server.shutdown(0)
 
     def change(self, data: Mapping[str, Any]) -> None:
         """Applies one control request.
 
         Raises:
-            ValueError: A name is unknown.
+            ValueError: A behaviour is unknown.
         """
         for name, value in data.items():
             if name == "crash":
                 self.crash()
             elif name == "silent":
-                self._web.silence()
+                self._http_server.silence()
             elif name == "blocked_sources":
                 self._behaviour.blocked_sources = tuple(value)
             elif name in Behaviour.__slots__:
@@ -162,12 +164,12 @@
             self._leaving_since_s = time.monotonic()
 
     def crash(self) -> None:
-        """Drops all connections and refuses service for the restart time."""
+        """Aborts all connections and stops listening until the restart time is over."""
         if self._restarting is not None:
             return
         self._crashes += 1
         self._listener.close()
-        self._web.abort_connections()
+        self._http_server.abort_connections()
         self._restarting = asyncio.create_task(self._restart())
 
     async def _restart(self) -> None:
@@ -177,22 +179,22 @@
         await self.start()
 
     def _accept(self) -> asyncio.Protocol:
-        if len(self._web.connections) >= self._settings.connections:
+        if len(self._http_server.connections) >= self._settings.connections:
             self._stats["refused_connections"] += 1
-            return backend_connections.Refuse()
+            return backend_connections.RefusingProtocol()
         self._stats["accepted"] += 1
-        return self._web()
+        return self._http_server()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serves one request with the network delay of its source."""
+        """Serves one request, adding the network delay of its source address."""
         source = request.remote or ""
         host, _ = network.split_address(self._settings.address)
         delay_ms = self._delays.one_way_ms(source, host)
         await network.pause(delay_ms, self._rng)
         await self._wait_if_silent(request)
-        if self._web.is_new(request.protocol):
-            self._web.mark_used(request.protocol)
-            self._occupy(self._settings.connection_ms)
+        if self._http_server.is_new(request.protocol):
+            self._http_server.mark_used(request.protocol)
+            self._add_busy_time(self._settings.connection_ms)
         if request.path == "/healthz":
             response = await self._probe()
         else:
@@ -202,14 +204,14 @@
         return response
 
     async def _wait_if_silent(self, request: web.BaseRequest) -> None:
-        """Never returns for a connection that does not respond any more."""
+        """Blocks forever if the connection is silent or its source address is blocked."""
         blocked = self._behaviour.blocked_sources
         is_blocked = bool(blocked) and (request.remote or "").startswith(blocked)
-        if self._web.is_silent(request.protocol) or is_blocked:
+        if self._http_server.is_silent(request.protocol) or is_blocked:
             await asyncio.Event().wait()
 
-    def _occupy(self, cost_ms: float) -> None:
-        """Takes server time, during which no request makes progress at its start."""
+    def _add_busy_time(self, cost_ms: float) -> None:
+        """Adds busy time of the server, which delays probes and the start of requests."""
         now_s = time.monotonic()
         self._busy_until_s = max(now_s, self._busy_until_s) + cost_ms / 1000
 
@@ -220,7 +222,7 @@
 
     async def _probe(self) -> web.Response:
         self._stats["probes"] += 1
-        self._occupy(self._settings.probe_ms)
+        self._add_busy_time(self._settings.probe_ms)
         await self._wait_until_not_busy()
         return web.Response(text="ok", headers=self._headers())
 
@@ -249,12 +251,12 @@
         return run.answer(headers) if is_complete else web.Response(status=504, headers=headers)
 
     async def _run(self, run: "_Run", deadline_s: float | None) -> bool:
-        """Runs a request; returns False when its deadline passed."""
+        """Runs a request; returns False if its deadline passed first."""
         if CRASH_MARKER in run.body:
             run.record("crashed")
             self.crash()
             await asyncio.Event().wait()
-        service_s = self._service_time_s(run.stated_s)
+        service_s = self._service_time_s(run.requested_s)
         await self._wait_until_not_busy()
         if deadline_s is not None and service_s > deadline_s:
             await asyncio.sleep(deadline_s)
@@ -264,18 +266,23 @@
         run.record("ok")
         return True
 
-    def _service_time_s(self, stated_s: float | None) -> float:
-        """Returns the time that a request takes; callers may state the time on a warm server."""
+    def _service_time_s(self, requested_s: float | None) -> float:
+        """Returns the service time of a request.
+
+        Args:
+            requested_s: Service time on a warm server that the request asks for; None draws it
+                from the distribution of the server.
+        """
         now_s = time.monotonic()
         if self._warm_since_s is None or now_s - self._last_request_s > self._settings.idle_cold_s:
             self._warm_since_s = now_s
         self._last_request_s = now_s
-        warm_s = self._settings.mean_ms / 1000 if stated_s is None else stated_s
-        if stated_s is None and self._settings.distribution == "exponential" and warm_s > 0:
-            warm_s = self._rng.expovariate(1 / warm_s)
-        warmth = min(1.0, (now_s - self._warm_since_s) / max(self._settings.cold_s, 1e-9))
-        cold = 1 + (self._settings.cold_factor - 1) * (1 - warmth)
-        return warm_s * cold * self._behaviour.slow
+        service_s = self._settings.mean_ms / 1000 if requested_s is None else requested_s
+        if requested_s is None and self._settings.distribution == "exponential" and service_s > 0:
+            service_s = self._rng.expovariate(1 / service_s)
+        warm_fraction = min(1.0, (now_s - self._warm_since_s) / max(self._settings.cold_s, 1e-9))
+        cold_factor = 1 + (self._settings.cold_factor - 1) * (1 - warm_fraction)
+        return service_s * cold_factor * self._behaviour.slow
 
     def _headers(self) -> dict[str, str]:
         load = self._behaviour.load_report
@@ -286,7 +293,7 @@
 
 
 class _Run:
-    """One request at a server, from its arrival to its record."""
+    """One request at a server, from its arrival until its record is written."""
 
     def __init__(
         self, *, server: BackendServer, request: web.BaseRequest, body: bytes, in_use: int
@@ -301,13 +308,13 @@
         self._is_recorded = False
 
     @property
-    def stated_s(self) -> float | None:
-        """Service time that the query states as ``service_ms``, s."""
+    def requested_s(self) -> float | None:
+        """Service time in seconds that the query asks for as ``service_ms``; None without it."""
         value = self._request.query.get("service_ms")
         return None if value is None else float(value) / 1000
 
     def record(self, outcome: str) -> None:
-        """Writes the record; a run has one record only."""
+        """Writes the record of the request; only the first call has an effect."""
         if self._is_recorded:
             return
         self._is_recorded = True
@@ -332,7 +339,7 @@
         )
 
     def answer(self, headers: dict[str, str]) -> web.Response:
-        """Returns the answer, padded to the size that the query asks for."""
+        """Returns the answer, padded to the ``size`` that the query asks for."""
         content = {
             "digest": self._digest,
             "request_id": self._request.headers.get("Sassafras-Request-Id", ""),
@@ -342,8 +349,8 @@
             "padding": "",
         }
         size = int(self._request.query.get("size", "0"))
-        missing = size - len(json.dumps(content))
-        content["padding"] = "x" * max(0, min(missing, backend_connections.MAX_BODY_BYTES))
+        padding_size = size - len(json.dumps(content))
+        content["padding"] = "x" * max(0, min(padding_size, backend_connections.MAX_BODY_BYTES))
         return web.json_response(content, headers=headers)
 
 
--- a/packages/standins/src/sassafrasway_standins/backend_connections.py
+++ b/packages/standins/src/sassafrasway_standins/backend_connections.py
@@ -1,4 +1,4 @@
-"""HTTP connections of a backend server: limit, new and silent connections."""
+"""HTTP connections of a backend server: refused, new and silent connections."""
 
 import asyncio
 from collections.abc import Callable
@@ -10,8 +10,8 @@
 KEEPALIVE_S = 600.0
 
 
-class Refuse(asyncio.Protocol):
-    """Closes a connection above the connection limit."""
+class RefusingProtocol(asyncio.Protocol):
+    """Aborts a connection that exceeds the connection limit."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See base class."""
@@ -19,7 +19,10 @@
 
 
 class HttpServer(web.Server):
-    """aiohttp server that knows which connections are new and which do not respond any more."""
+    """aiohttp server that tracks new and silent connections.
+
+    A silent connection stays open, but its requests are never answered.
+    """
 
     def __init__(self, handler: Callable[[web.BaseRequest], Any]):
         super().__init__(
@@ -29,33 +32,33 @@
             access_log=None,
             keepalive_timeout=KEEPALIVE_S,
         )
-        self._used: set[Any] = set()
-        self._silent: set[Any] = set()
+        self._used_connections: set[Any] = set()
+        self._silent_connections: set[Any] = set()
 
     def connection_lost(self, handler: Any, exc: BaseException | None = None) -> None:
         """See base class."""
         super().connection_lost(handler, exc)
-        self._used.discard(handler)
-        self._silent.discard(handler)
+        self._used_connections.discard(handler)
+        self._silent_connections.discard(handler)
 
     def silence(self) -> None:
-        """Makes the present connections silent for good."""
-        self._silent.update(self.connections)
+        """Makes all open connections silent permanently."""
+        self._silent_connections.update(self.connections)
 
     def is_silent(self, connection: Any) -> bool:
-        """Whether a connection does not respond any more."""
-        return connection in self._silent
+        """Whether a connection is silent."""
+        return connection in self._silent_connections
 
     def is_new(self, connection: Any) -> bool:
         """Whether a connection has not carried a request yet."""
-        return connection not in self._used
+        return connection not in self._used_connections
 
     def mark_used(self, connection: Any) -> None:
         """Records that a connection has carried a request."""
-        self._used.add(connection)
+        self._used_connections.add(connection)
 
     def abort_connections(self) -> None:
-        """Drops the present connections."""
+        """Aborts all open connections."""
         for connection in self.connections:
             if connection.transport is not None:
                 connection.transport.abort()
--- a/packages/standins/src/sassafrasway_standins/backend_process.py
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -1,4 +1,4 @@
-"""The process of the backend stand-in: its settings file, its servers and their control address."""
+"""Process of the backend stand-in: settings file, servers and control endpoint."""
 
 import functools
 import itertools
@@ -17,11 +17,13 @@
 
 
 class Control:
-    """Control endpoint of all servers of the process."""
+    """Control endpoint for all servers of the process."""
 
-    def __init__(self, *, servers: Mapping[str, backend.BackendServer], meter: stalls.StallMeter):
+    def __init__(
+        self, *, servers: Mapping[str, backend.BackendServer], stall_meter: stalls.StallMeter
+    ):
         self._servers = servers
-        self._meter = meter
+        self._stall_meter = stall_meter
 
     def application(self) -> web.Application:
         """Returns the aiohttp application."""
@@ -40,7 +42,7 @@
         return web.Response(text="ok")
 
     async def _change(self, request: web.Request) -> web.Response:
-        """Takes ``{"servers": [names] or "all", <behaviour>: value, ...}``."""
+        """Changes servers, given ``{"servers": [names] or "all", <behaviour>: value, ...}``."""
         data = await request.json()
         names = data.pop("servers")
         try:
@@ -54,7 +56,7 @@
         return web.json_response({name: each.stats for name, each in self._servers.items()})
 
     async def _stalls(self, request: web.Request) -> web.Response:
-        return web.json_response(self._meter.as_json())
+        return web.json_response(self._stall_meter.as_json())
 
 
 def load_file(path: pathlib.Path) -> dict[str, Any]:
@@ -66,7 +68,7 @@
 def build_servers(
     data: Mapping[str, Any], *, recorder: backend.Recorder
 ) -> dict[str, backend.BackendServer]:
-    """Returns the servers of a settings file by name."""
+    """Builds the servers of a settings file; returns them by name."""
     delays = network.Delays.parse(data.get("delays", {}))
     seeds = itertools.count(int(data.get("seed", 0)))
     servers = {}
@@ -85,13 +87,13 @@
     servers = build_servers(data, recorder=recorder)
     for server in servers.values():
         await server.start()
-    meter = stalls.StallMeter()
-    control = Control(servers=servers, meter=meter)
+    stall_meter = stalls.StallMeter()
+    control = Control(servers=servers, stall_meter=stall_meter)
     runner = web.AppRunner(control.application(), access_log=None)
     await runner.setup()
     host, port = network.split_address(data["control"])
     await web.TCPSite(runner, host, port).start()
-    await meter.run()
+    await stall_meter.run()
 
 
 @click.command()
@@ -102,7 +104,7 @@
     help="TOML or JSON file with control, records, delays, seed and servers.",
 )
 def command(config: pathlib.Path) -> None:
-    """Runs the backend servers of a file."""
+    """Runs the backend servers that a settings file lists."""
     data = load_file(config)
     open_records: Callable[[], Any] = functools.partial(
         open, data.get("records") or "/dev/null", "a", buffering=1, encoding="utf-8"
--- a/packages/standins/src/sassafrasway_standins/latency.py
+++ b/packages/standins/src/sassafrasway_standins/latency.py
@@ -1,4 +1,4 @@
-"""Latency histograms per service."""
+"""Latency histograms by name, for example one for each service."""
 
 import dataclasses
 from collections.abc import Mapping
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Percentiles:
-    """Percentiles of a histogram in milliseconds."""
+    """Count, percentiles and maximum of a histogram, in milliseconds."""
 
     count: int
     p50_ms: float
@@ -30,7 +30,7 @@
         self._histograms: dict[str, histogram.HdrHistogram] = {}
 
     def record(self, name: str, seconds: float) -> None:
-        """Adds one value to a histogram; values below 1 us count as 1 us."""
+        """Adds one value to a histogram; values are clamped to the range from 1 us to 120 s."""
         if name not in self._histograms:
             self._histograms[name] = histogram.HdrHistogram(
                 LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS
@@ -39,15 +39,15 @@
         self._histograms[name].record_value(value)
 
     def percentiles(self) -> Mapping[str, Percentiles]:
-        """Returns the percentiles of every histogram by name."""
+        """Returns the percentiles of each histogram by name."""
         return {name: _percentiles(each) for name, each in sorted(self._histograms.items())}
 
 
-def _percentiles(each: histogram.HdrHistogram) -> Percentiles:
+def _percentiles(recorded: histogram.HdrHistogram) -> Percentiles:
     return Percentiles(
-        count=each.get_total_count(),
-        p50_ms=each.get_value_at_percentile(50) / US_PER_MS,
-        p99_ms=each.get_value_at_percentile(99) / US_PER_MS,
-        p999_ms=each.get_value_at_percentile(99.9) / US_PER_MS,
-        max_ms=each.get_max_value() / US_PER_MS,
+        count=recorded.get_total_count(),
+        p50_ms=recorded.get_value_at_percentile(50) / US_PER_MS,
+        p99_ms=recorded.get_value_at_percentile(99) / US_PER_MS,
+        p999_ms=recorded.get_value_at_percentile(99.9) / US_PER_MS,
+        max_ms=recorded.get_max_value() / US_PER_MS,
     )
--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -1,11 +1,11 @@
 """Stand-in for the network between entry instances: a TCP relay with delays and cuts.
 
-A file lists one listening address for each pair of a source and a target instance.
+A settings file lists one listening address for each pair of a source and a target instance.
 
-A dead process refuses connections. The relay accepts before it knows that the target refuses, so
-after a refusal it closes the listening sockets of that target until the target accepts again.
-Sources then see the refusal themselves. A pair that is cut keeps its listening socket, because a
-cut network does not refuse connections.
+The port of a process that has ended refuses connections. The relay accepts a connection before it
+knows whether the target refuses it. After a refusal it therefore closes its listening sockets for
+that target until the target accepts connections again, so that sources are refused as well. A pair
+that is cut keeps its listening socket, because a cut network does not refuse connections.
 """
 
 import asyncio
@@ -25,7 +25,7 @@
 
 
 class Relay:
-    """All pairs of a file and the cuts between them."""
+    """All pairs of a settings file and the cuts between instances."""
 
     def __init__(self, *, data: Mapping[str, Any]):
         delays = network.Delays.parse(data.get("delays", {}))
@@ -42,14 +42,14 @@
         self._watchers: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
-        """Starts to listen for all pairs."""
+        """Starts listening for all pairs."""
         for pair in self._pairs:
             await pair.listen(True)
         for address, pairs in self._by_target.items():
             self._watchers.append(asyncio.create_task(_watch_target(address, pairs)))
 
     async def stop(self) -> None:
-        """Closes everything."""
+        """Closes all listening sockets and connections."""
         for watcher in self._watchers:
             watcher.cancel()
         for pair in self._pairs:
@@ -74,34 +74,34 @@
         Raises:
             ValueError: The action is unknown.
         """
-        ways = {(source, target), (target, source)}
+        directions = {(source, target), (target, source)}
         if action == "cut":
-            self._cuts |= ways
+            self._cuts |= directions
         elif action == "cut_one_way":
             self._cuts.add((source, target))
         elif action == "heal":
-            self._cuts -= ways
+            self._cuts -= directions
         elif action == "silent":
             for pair in self._pairs:
-                if _is_between(pair.source, pair.target, ways):
+                if _matches_any(pair.source, pair.target, directions):
                     pair.silence()
         else:
             raise ValueError(f"unknown action {action!r}")
         for pair in self._pairs:
             pair.set_cuts(
-                forward=_is_between(pair.source, pair.target, self._cuts),
-                backward=_is_between(pair.target, pair.source, self._cuts),
+                forward=_matches_any(pair.source, pair.target, self._cuts),
+                backward=_matches_any(pair.target, pair.source, self._cuts),
             )
 
     def counted_bytes(self) -> dict[str, list[tuple[float, int]]]:
-        """Returns the bytes of each link, see ``ByteCounter.as_json``."""
+        """Returns the bytes that were sent on each link, see ``ByteCounter.as_json``."""
         return self._counter.as_json()
 
     async def _health(self, request: web.Request) -> web.Response:
         return web.Response(text="ok")
 
     async def _control(self, request: web.Request) -> web.Response:
-        """Takes ``{"action", "from", "to"}``; ``from`` and ``to`` are selectors."""
+        """Applies ``{"action", "from", "to"}``; ``from`` and ``to`` are selectors."""
         data = await request.json()
         try:
             self.change(action=data["action"], source=data["from"], target=data["to"])
@@ -117,11 +117,13 @@
         return web.json_response({"connections": connections, "cuts": sorted(self._cuts)})
 
 
-def _is_between(
-    source: link_pair.Place, target: link_pair.Place, ways: Iterable[tuple[str, str]]
+def _matches_any(
+    source: link_pair.InstanceLocation,
+    target: link_pair.InstanceLocation,
+    directions: Iterable[tuple[str, str]],
 ) -> bool:
-    """Whether one of the pairs of selectors covers the way from source to target."""
-    return any(source.matches(one) and target.matches(other) for one, other in ways)
+    """Whether one of the pairs of selectors matches source and target, in this order."""
+    return any(source.matches(start) and target.matches(end) for start, end in directions)
 
 
 async def _watch_target(address: str, pairs: list[link_pair.Pair]) -> None:
@@ -163,5 +165,5 @@
     help="JSON file with control, delays and pairs.",
 )
 def command(config: pathlib.Path) -> None:
-    """Relays TCP between entry instances with delays and cuts."""
+    """Relays TCP connections between entry instances with delays and cuts."""
     uvloop.run(_serve(json.loads(config.read_text(encoding="utf-8"))))
--- a/packages/standins/src/sassafrasway_standins/link_pair.py
+++ b/packages/standins/src/sassafrasway_standins/link_pair.py
@@ -1,8 +1,8 @@
-"""Connections between two instances that are delayed, cut or silenced.
+"""Relayed connections between two instances, which can be delayed, cut or silenced.
 
-Each direction of a connection is a queue of pieces, due one delay after they arrived, so that
-pipelined data keeps its throughput. While a direction is cut its pieces wait, as TCP would send
-them again.
+Each direction of a connection is a queue of chunks. A chunk is due one network delay after it
+arrived, so that the delay does not reduce the throughput of pipelined data. While a direction is
+cut its chunks stay queued, because TCP would retransmit them after the cut.
 """
 
 import asyncio
@@ -15,39 +15,39 @@
 
 from sassafrasway_standins import network
 
-MAX_HELD_BYTES = 32 * 1024 * 1024  # 4,000 Mbit/s for 60 ms
+MAX_QUEUED_BYTES = 32 * 1024 * 1024  # 4,000 Mbit/s for 60 ms
 BUCKET_S = 0.1
-EARLY_S = 0.0005  # uvloop timers count whole ms; without it a piece often waits one tick more
-ANY = "*"
+TIMER_TOLERANCE_S = 0.0005  # uvloop timers have 1 ms resolution; avoids waiting one tick too long
+MATCH_ALL = "*"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Place:
-    """An instance and where it runs."""
+class InstanceLocation:
+    """Name, region and failure domain of an instance."""
 
     name: str
     region: str
     failure_domain: str
 
     def matches(self, selector: str) -> bool:
-        """Whether a selector (instance, failure domain, region or ``*``) covers the place."""
-        return selector in (ANY, self.name, self.region, self.failure_domain)
+        """Whether a selector (instance, failure domain, region or ``*``) matches the instance."""
+        return selector in (MATCH_ALL, self.name, self.region, self.failure_domain)
 
 
 class ByteCounter:
-    """Bytes between regions, by direction and interval of 100 ms of monotonic time."""
+    """Counts the bytes between regions, by direction and 100 ms interval of monotonic time."""
 
     def __init__(self):
         self._buckets: dict[str, collections.Counter[int]] = {}
 
-    def add(self, source: Place, target: Place, count: int) -> None:
-        """Counts bytes that leave the source for the target now."""
+    def add(self, source: InstanceLocation, target: InstanceLocation, count: int) -> None:
+        """Counts bytes that are sent from the source to the target now."""
         link = f"{source.region}>{target.region}"
         buckets = self._buckets.setdefault(link, collections.Counter())
         buckets[int(time.monotonic() / BUCKET_S)] += count
 
     def as_json(self) -> dict[str, list[tuple[float, int]]]:
-        """Returns pairs of start in monotonic seconds and number of bytes for each link."""
+        """Returns (start of the interval in monotonic seconds, bytes) pairs for each link."""
         return {
             link: [(index * BUCKET_S, count) for index, count in sorted(buckets.items())]
             for link, buckets in self._buckets.items()
@@ -55,83 +55,83 @@
 
 
 class _Direction:
-    """Pieces on their way from one side of a connection to the other."""
+    """Queue of delayed chunks for one direction of a connection."""
 
     def __init__(self, *, delay_ms: float, rng: random.Random):
         self.is_cut = False
         self._delay_ms = delay_ms
         self._rng = rng
         self._loop = asyncio.get_running_loop()
-        # The first piece cannot leave before the handshake, which takes one round trip.
-        self._ready_s = self._loop.time() + 2 * delay_ms / 1000
-        self._pieces: collections.deque[tuple[float, bytes | None]] = collections.deque()
-        self._held = 0
+        # Data cannot be sent before the TCP handshake, which takes one round trip.
+        self._handshake_end_s = self._loop.time() + 2 * delay_ms / 1000
+        self._chunks: collections.deque[tuple[float, bytes | None]] = collections.deque()
+        self._queued_bytes = 0
         self._source: asyncio.Transport | None = None
         self._sink: asyncio.Transport | None = None
         self._sink_is_full = False
         self._timer: asyncio.TimerHandle | None = None
 
     def set_source(self, source: asyncio.Transport) -> None:
-        """Sets the transport whose reading stops while too much is held."""
+        """Sets the transport that is read; reading pauses while too much data is queued."""
         self._source = source
 
     def set_sink(self, sink: asyncio.Transport) -> None:
-        """Sets the transport that receives the pieces."""
+        """Sets the transport that the chunks are written to."""
         self._sink = sink
         self.flush()
 
     def set_sink_full(self, is_full: bool) -> None:
-        """Stops or resumes delivery as the buffer of the sink demands."""
+        """Pauses or resumes delivery depending on the write buffer of the sink."""
         self._sink_is_full = is_full
         self.flush()
 
-    def push(self, piece: bytes | None) -> None:
-        """Adds a piece; None ends the connection."""
-        delay_ms = network.dither_ms(self._delay_ms, self._rng)
-        due_s = max(self._loop.time(), self._ready_s) + delay_ms / 1000
-        if self._pieces:
-            due_s = max(due_s, self._pieces[-1][0])
-        self._pieces.append((due_s, piece))
-        self._held += len(piece or b"")
-        if self._held > MAX_HELD_BYTES and self._source is not None:
+    def push(self, chunk: bytes | None) -> None:
+        """Queues a chunk; None closes the sink once the chunks before it are delivered."""
+        delay_ms = network.randomly_rounded_ms(self._delay_ms, self._rng)
+        due_s = max(self._loop.time(), self._handshake_end_s) + delay_ms / 1000
+        if self._chunks:
+            due_s = max(due_s, self._chunks[-1][0])
+        self._chunks.append((due_s, chunk))
+        self._queued_bytes += len(chunk or b"")
+        if self._queued_bytes > MAX_QUEUED_BYTES and self._source is not None:
             self._source.pause_reading()
         self.flush()
 
     def flush(self) -> None:
-        """Delivers the pieces that are due and sets the timer for the next one."""
+        """Delivers the chunks that are due and sets a timer for the next one."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         if self.is_cut or self._sink is None:
             return
-        while self._pieces and not self._sink_is_full:
-            due_s, piece = self._pieces[0]
-            if due_s > self._loop.time() + EARLY_S:
+        while self._chunks and not self._sink_is_full:
+            due_s, chunk = self._chunks[0]
+            if due_s > self._loop.time() + TIMER_TOLERANCE_S:
                 self._timer = self._loop.call_at(due_s, self.flush)
                 return
-            self._pieces.popleft()
-            self._deliver(piece)
+            self._chunks.popleft()
+            self._deliver(chunk)
 
     def stop(self) -> None:
-        """Drops everything."""
+        """Discards all chunks and stops delivery permanently."""
         self.is_cut = True
-        self._pieces.clear()
+        self._chunks.clear()
         self.flush()
 
-    def _deliver(self, piece: bytes | None) -> None:
-        if piece is None:
+    def _deliver(self, chunk: bytes | None) -> None:
+        if chunk is None:
             self._sink.close()
             return
         if not self._sink.is_closing():
-            self._sink.write(piece)
-        was_full = self._held > MAX_HELD_BYTES
-        self._held -= len(piece)
-        if was_full and self._held <= MAX_HELD_BYTES and not self._source.is_closing():
+            self._sink.write(chunk)
+        was_full = self._queued_bytes > MAX_QUEUED_BYTES
+        self._queued_bytes -= len(chunk)
+        if was_full and self._queued_bytes <= MAX_QUEUED_BYTES and not self._source.is_closing():
             self._source.resume_reading()
 
 
-class _Side(asyncio.Protocol):
-    """One of the two sockets of a relayed connection."""
+class _RelayProtocol(asyncio.Protocol):
+    """Protocol of one of the two sockets of a relayed connection."""
 
     def __init__(self, *, connection: "_Connection", outgoing: _Direction, incoming: _Direction):
         self._connection = connection
@@ -141,14 +141,14 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._outgoing.set_source(transport)
         self._incoming.set_sink(transport)
-        self._connection.opened(transport)
+        self._connection.socket_opened(transport)
 
     def data_received(self, data: bytes) -> None:
         self._connection.received(self._outgoing, data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._connection.received(self._outgoing, None)
-        self._connection.closed()
+        self._connection.socket_closed()
 
     def pause_writing(self) -> None:
         self._incoming.set_sink_full(True)
@@ -158,7 +158,7 @@
 
 
 class _Connection:
-    """A relayed connection: the accepted socket and the one to the target."""
+    """A relayed connection: the accepted socket and the socket to the target."""
 
     def __init__(self, *, pair: "Pair", delay_ms: float, rng: random.Random):
         self._pair = pair
@@ -174,30 +174,30 @@
 
     def accept(self) -> asyncio.Protocol:
         """Returns the protocol of the accepted socket."""
-        return _Side(connection=self, outgoing=self._forward, incoming=self._backward)
+        return _RelayProtocol(connection=self, outgoing=self._forward, incoming=self._backward)
 
-    def opened(self, transport: asyncio.Transport) -> None:
-        """Takes note of an open socket; the accepted one starts the connection to the target."""
+    def socket_opened(self, transport: asyncio.Transport) -> None:
+        """Handles a new socket; after the accepted one it starts connecting to the target."""
         self._transports.append(transport)
         self._open_sides += 1
         if len(self._transports) == 1:
             self._connecting = asyncio.create_task(self._connect())
 
-    def received(self, direction: _Direction, piece: bytes | None) -> None:
-        """Takes data or the end of one side."""
+    def received(self, direction: _Direction, chunk: bytes | None) -> None:
+        """Handles data from one socket, or its end if ``chunk`` is None."""
         if self._is_silent:
             return
-        if piece is not None:
-            self._pair.count(piece, forward=direction is self._forward)
-        direction.push(piece)
+        if chunk is not None:
+            self._pair.count_bytes(chunk, forward=direction is self._forward)
+        direction.push(chunk)
 
-    def closed(self) -> None:
-        """Takes note of a closed socket."""
+    def socket_closed(self) -> None:
+        """Handles the end of one socket."""
         self._open_sides -= 1
-        self._forget_if_over()
+        self._discard_if_closed()
 
     def silence(self) -> None:
-        """Stops to relay for good while both sockets stay open."""
+        """Stops relaying permanently while both sockets stay open."""
         self._is_silent = True
         self._forward.stop()
         self._backward.stop()
@@ -210,7 +210,7 @@
             transport.abort()
 
     def apply_cuts(self) -> None:
-        """Takes over the cuts of the pair."""
+        """Applies the current cuts of the pair to both directions."""
         if self._is_silent:
             return
         self._forward.is_cut = self._pair.forward_cut
@@ -227,30 +227,30 @@
         await self._healed.wait()
         try:
             await self._pair.connect(
-                _Side(connection=self, outgoing=self._backward, incoming=self._forward)
+                _RelayProtocol(connection=self, outgoing=self._backward, incoming=self._forward)
             )
         except OSError:
             for transport in self._transports:
                 transport.abort()
         finally:
             self._connecting = None
-            self._forget_if_over()
+            self._discard_if_closed()
 
-    def _forget_if_over(self) -> None:
-        # A source may send and close before the connection to the target exists.
+    def _discard_if_closed(self) -> None:
+        # A source may send data and close before the connection to the target exists.
         if self._open_sides == 0 and self._connecting is None:
-            self._pair.forget(self)
+            self._pair.discard(self)
 
 
 class Pair:
-    """The way from one source instance to one target instance.
+    """Relays connections from one source instance to one target instance.
 
     Args:
-        data: Entry of the file: ``source`` and ``target`` (name, region, failure_domain),
+        data: Entry of the settings file: ``source`` and ``target`` (name, region, failure_domain),
             ``listen`` and ``connect`` (``host:port``).
         delays: Network delays.
         counter: Receives the number of bytes in each direction.
-        rng: Source of the rounding of delays.
+        rng: Random numbers for the rounding of delays.
     """
 
     def __init__(
@@ -261,8 +261,8 @@
         counter: ByteCounter,
         rng: random.Random,
     ):
-        self.source = Place(**data["source"])
-        self.target = Place(**data["target"])
+        self.source = InstanceLocation(**data["source"])
+        self.target = InstanceLocation(**data["target"])
         self.target_address: str = data["connect"]
         self.forward_cut = False
         self.backward_cut = False
@@ -277,12 +277,12 @@
 
     @property
     def is_cut(self) -> bool:
-        """Whether no new connection can be made, because one direction is cut."""
+        """Whether a direction is cut, so that no new connection can be established."""
         return self.forward_cut or self.backward_cut
 
     @property
     def connection_count(self) -> int:
-        """Number of open connections."""
+        """Number of relayed connections."""
         return len(self._connections)
 
     async def listen(self, is_listening: bool) -> None:
@@ -311,27 +311,27 @@
             raise
 
     def set_cuts(self, *, forward: bool, backward: bool) -> None:
-        """Sets the cuts of both directions."""
+        """Cuts or heals each direction."""
         self.forward_cut, self.backward_cut = forward, backward
         for connection in list(self._connections):
             connection.apply_cuts()
 
     def silence(self) -> None:
-        """Makes the present connections silent for good."""
+        """Makes all open connections silent permanently."""
         for connection in self._connections:
             connection.silence()
 
-    def count(self, piece: bytes, *, forward: bool) -> None:
-        """Counts the bytes of a piece."""
+    def count_bytes(self, chunk: bytes, *, forward: bool) -> None:
+        """Counts the bytes of a chunk that is relayed in one direction."""
         ends = (self.source, self.target) if forward else (self.target, self.source)
-        self._counter.add(*ends, len(piece))
+        self._counter.add(*ends, len(chunk))
 
-    def forget(self, connection: _Connection) -> None:
-        """Drops a connection whose sockets are closed."""
+    def discard(self, connection: _Connection) -> None:
+        """Removes a connection whose sockets are both closed."""
         self._connections.discard(connection)
 
     async def close(self) -> None:
-        """Stops to listen and drops all connections."""
+        """Stops listening and aborts all connections."""
         await self.listen(False)
         for connection in list(self._connections):
             connection.abort()
--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -1,7 +1,7 @@
 """Stand-in for the platform: table service, object store and instance list in one HTTP process.
 
-Everything is kept in memory. Faults and the contents of the instance list are set on the control
-endpoint, which faults do not affect.
+All data is kept in memory. Injected faults and the contents of the instance list are set through
+the control endpoint, which is not affected by the faults.
 """
 
 import asyncio
@@ -25,7 +25,7 @@
 
 
 class PreconditionFailedError(Exception):
-    """The version of a row is not the one that a write requires."""
+    """A row does not have the state or version that a conditional write requires."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,18 +37,18 @@
     version: str
 
     def as_json(self) -> dict[str, str]:
-        """Returns the JSON form of scans and transactions."""
+        """Returns the JSON form used in the answers to scans and transactions."""
         value = base64.b64encode(self.value).decode()
         return {"key": self.key, "value_base64": value, "version": self.version}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Write:
-    """A write and its condition.
+    """A write with an optional condition.
 
     Attributes:
-        if_version: Required version; None when there is no requirement.
-        if_absent: The row must not exist.
+        if_version: Version that the row must have; None for no condition on the version.
+        if_absent: Whether the row must not exist yet.
     """
 
     key: str
@@ -58,7 +58,7 @@
 
 
 class Table:
-    """Rows with versions and conditional writes."""
+    """Versioned rows with conditional writes and multi-row transactions."""
 
     def __init__(self):
         self._rows: dict[str, Row] = {}
@@ -69,19 +69,20 @@
         return self._rows.get(key)
 
     def scan(self, prefix: str) -> list[Row]:
-        """Returns the rows whose key starts with ``prefix``, in order of key."""
+        """Returns the rows whose key starts with ``prefix``, ordered by key."""
         return [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
 
     def write(self, writes: Sequence[Write]) -> list[Row]:
-        """Applies all writes or none.
+        """Applies all writes atomically.
 
         Raises:
             PreconditionFailedError: A condition does not hold; nothing was written.
+            ValueError: Two writes have the same key.
         """
         if len({write.key for write in writes}) != len(writes):
-            raise ValueError("a transaction names each key once")
+            raise ValueError("a transaction must not write the same key twice")
         for write in writes:
-            self._check(write)
+            self._check_condition(write)
         rows = []
         for write in writes:
             row = Row(key=write.key, value=write.value, version=str(next(self._versions)))
@@ -89,26 +90,26 @@
             rows.append(row)
         return rows
 
-    def _check(self, write: Write) -> None:
+    def _check_condition(self, write: Write) -> None:
         row = self._rows.get(write.key)
         if write.if_absent and row is not None:
-            raise PreconditionFailedError(f"{write.key} exists")
+            raise PreconditionFailedError(f"{write.key} already exists")
         if write.if_version is not None and (row is None or row.version != write.if_version):
-            raise PreconditionFailedError(f"{write.key} has another version")
+            raise PreconditionFailedError(f"{write.key} does not have the required version")
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Faults:
-    """Faults of table service and object store, set by ``POST /control``.
+    """Injected faults of table service and object store, set by ``POST /control``.
 
     Attributes:
-        down: ``""`` (up), ``"refuse"`` (status 503) or ``"hang"`` (no answer until it is lifted,
-            then the connection is closed).
-        down_sources: Prefixes of source addresses for which ``down`` holds; empty for all.
-        slow_ms: Additional time of each request in milliseconds.
-        lose_answers: Number of next writes that are applied and whose connection is then closed;
-            -1 for all.
-        instances_down: The instance list answers 503.
+        down: ``""`` (up), ``"refuse"`` (status 503) or ``"hang"`` (requests wait until the outage
+            ends, then their connection is closed).
+        down_sources: Prefixes of the source addresses that ``down`` affects; empty for all.
+        slow_ms: Latency added to each request, in milliseconds.
+        lose_answers: Number of writes that are applied but not answered: their connection is
+            closed instead; -1 for all writes.
+        instances_down: Whether the instance list answers with status 503.
     """
 
     down: str = ""
@@ -118,10 +119,10 @@
     instances_down: bool = False
 
     def change(self, data: Mapping[str, Any]) -> None:
-        """Sets the faults that ``data`` names and keeps the others.
+        """Sets the faults given in ``data``; other faults keep their values.
 
         Raises:
-            ValueError: A name or a value is unknown.
+            ValueError: The name of a fault or the value of ``down`` is unknown.
         """
         for name, value in data.items():
             if name not in self.__slots__:
@@ -129,7 +130,7 @@
             if name == "down":
                 value = {True: "refuse", False: "", None: ""}.get(value, value)
                 if value not in ("", "refuse", "hang"):
-                    raise ValueError("down is refuse, hang or empty")
+                    raise ValueError("down must be refuse, hang or empty")
             if name == "down_sources":
                 value = tuple(value)
             if name == "lose_answers" and isinstance(value, bool):
@@ -144,29 +145,29 @@
 
 
 class InstanceList:
-    """Instance list whose changes become visible after a lag."""
+    """Instance list whose changes become visible to readers after a lag."""
 
     def __init__(self):
         self._visible: list[dict[str, str]] = []
         self._pending: collections.deque[tuple[float, list[dict[str, str]]]] = collections.deque()
 
     def set(self, entries: list[dict[str, str]], *, visible_at_s: float) -> None:
-        """Sets the contents from a point of loop time on; earlier pending changes stay."""
+        """Sets the contents as of a point in loop time; changes still pending are kept."""
         self._pending.append((visible_at_s, entries))
 
     def visible(self, now_s: float) -> list[dict[str, str]]:
-        """Returns the contents that a reader sees at a point of loop time."""
+        """Returns the contents that a reader sees at a point in loop time."""
         while self._pending and self._pending[0][0] <= now_s:
             self._visible = self._pending.popleft()[1]
         return self._visible
 
 
 class Store:
-    """HTTP side of the stand-in.
+    """HTTP server of the stand-in.
 
     Args:
-        address: Own IP address, used to find the delay of a source address.
-        delays: Network delays that requests and answers suffer.
+        address: IP address of the server, used to determine the delay of each source address.
+        delays: Network delays added to requests and answers.
     """
 
     def __init__(self, *, address: str = "127.0.0.1", delays: network.Delays | None = None):
@@ -178,11 +179,13 @@
         self._instances = InstanceList()
         self._faults = Faults()
         self._counts: collections.Counter[str] = collections.Counter()
-        self._changed = asyncio.Event()
+        self._faults_changed = asyncio.Event()
 
     def application(self) -> web.Application:
         """Returns the aiohttp application."""
-        app = web.Application(client_max_size=MAX_BODY_BYTES, middlewares=[self._network])
+        app = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._add_network_faults]
+        )
         app.add_routes(
             [
                 web.get("/table", self._scan),
@@ -201,8 +204,8 @@
         return app
 
     @web.middleware
-    async def _network(self, request: web.Request, handler: Any) -> web.StreamResponse:
-        """Imposes network delay and faults on all requests but those of the control endpoint."""
+    async def _add_network_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Adds network delays and faults to all requests except control and health requests."""
         if request.path.startswith(("/control", "/healthz")):
             return await handler(request)
         source = request.remote or ""
@@ -213,24 +216,24 @@
         else:
             await network.pause(self._faults.slow_ms, self._rng)
             if self._faults.is_down_for(source) and self._faults.down == "hang":
-                await self._hold(source)
-                return self._drop(request)
+                await self._wait_for_outage_end(source)
+                return self._abort_connection(request)
             refused = self._faults.is_down_for(source)
         if refused:
             self._counts["refused"] += 1
             response = web.Response(status=503, text="down")
         else:
-            response = await self._answer(request, handler)
+            response = await self._handle_with_faults(request, handler)
         await network.pause(delay_ms, self._rng)
         return response
 
-    async def _hold(self, source: str) -> None:
-        """Waits until the outage of a source is over."""
+    async def _wait_for_outage_end(self, source: str) -> None:
+        """Waits until the outage for a source address is over."""
         self._counts["held"] += 1
         while self._faults.is_down_for(source):
-            await self._changed.wait()
+            await self._faults_changed.wait()
 
-    async def _answer(self, request: web.Request, handler: Any) -> web.StreamResponse:
+    async def _handle_with_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
         try:
             response = await handler(request)
         except PreconditionFailedError as error:
@@ -242,10 +245,10 @@
             if self._faults.lose_answers != ALL_WRITES:
                 self._faults.lose_answers -= 1
             self._counts["answers_lost"] += 1
-            return self._drop(request)
+            return self._abort_connection(request)
         return response
 
-    def _drop(self, request: web.Request) -> web.Response:
+    def _abort_connection(self, request: web.Request) -> web.Response:
         if request.transport is not None:
             request.transport.abort()
         return web.Response(status=503)
@@ -307,12 +310,12 @@
             self._faults.change(await request.json())
         except (ValueError, AttributeError) as error:
             return web.Response(status=400, text=str(error))
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._faults_changed.set()
+        self._faults_changed = asyncio.Event()
         return web.json_response(dataclasses.asdict(self._faults))
 
     async def _set_instances(self, request: web.Request) -> web.Response:
-        """Takes ``{"instances": [...], "lag_s": seconds}``."""
+        """Sets the instance list from ``{"instances": [...], "lag_s": seconds}``."""
         data = await request.json()
         visible_at_s = asyncio.get_running_loop().time() + float(data.get("lag_s", 0.0))
         self._instances.set(data["instances"], visible_at_s=visible_at_s)
@@ -325,7 +328,7 @@
 
 
 def _parse_write(data: Mapping[str, Any]) -> Write:
-    """Parses a write; null in ``if_version`` means create only, no ``if_version`` no condition."""
+    """Parses a write; ``if_version`` null requires an absent row, its absence is no condition."""
     version = data.get("if_version")
     return Write(
         key=data["key"],
--- a/packages/standins/tests/test_standin_backend.py
+++ b/packages/standins/tests/test_standin_backend.py
@@ -57,7 +57,7 @@
         return [json.loads(line) for line in self.stream.getvalue().splitlines()]
 
     async def test_answer_belongs_to_request(self):
-        """Guards against answers by which a caller cannot recognise its own request."""
+        """Guards against answers that a caller cannot match to its request by digest and id."""
         await self.start()
         status, headers, body = await self.post(b"hello", path="/x?size=500", request_id="r")
         answer = json.loads(body)
@@ -68,7 +68,7 @@
         self.assertEqual((record["outcome"], record["digest"]), ("ok", digest))
 
     async def test_sheds_above_slots(self):
-        """Guards against a server that queues or runs more than its slots."""
+        """Guards against a server that queues requests, or runs more of them than it has slots."""
         await self.start(mean_ms=1e6, distribution="fixed")
         running = [asyncio.create_task(self.post()) for _ in range(2)]
         await self.wait_for(in_use=2)
@@ -81,14 +81,14 @@
         self.assertEqual(outcomes, [("cancelled", True), ("cancelled", True), ("shed", False)])
 
     async def test_deadline_frees_slot(self):
-        """Guards against runs that keep a slot after nobody waits for them."""
+        """Guards against a request that occupies its slot after its deadline has passed."""
         await self.start(mean_ms=1e6, distribution="fixed")
         status, _, _ = await self.post(deadline="5")
         self.assertEqual((status, self.server.stats["in_use"]), (504, 0))
         self.assertEqual([each["outcome"] for each in self.records()], ["deadline"])
 
     async def test_crash_takes_other_runs_along(self):
-        """Guards against a crash that only the crashing request notices."""
+        """Guards against a crash that aborts only the request that caused it."""
         await self.start(mean_ms=1e6, distribution="fixed")
         other = asyncio.create_task(self.post())
         await self.wait_for(in_use=1)
@@ -107,7 +107,7 @@
         self.assertEqual(self.server.stats["crashes"], 1)
 
     async def test_silent_connections_run_nothing(self):
-        """Guards against a silent connection that still delivers, or a silent new connection."""
+        """Guards against silent connections that still run requests or make new ones silent."""
         await self.start()
         await self.post()
         self.server.change({"silent": True})
@@ -123,7 +123,7 @@
         self.assertNotIn(hashlib.sha256(b"old").hexdigest(), digests)
 
     async def test_connection_limit(self):
-        """Guards against a server that takes more connections than it has."""
+        """Guards against a server that accepts connections above its limit."""
         await self.start(connections=1)
         await self.post()
         async with aiohttp.ClientSession() as second:
@@ -132,7 +132,7 @@
         self.assertGreaterEqual(self.server.stats["refused_connections"], 1)
 
     async def test_leaving_and_false_load_are_reported(self):
-        """Guards against drains that no answer announces."""
+        """Guards against answers without the state and load set through the control endpoint."""
         await self.start()
         self.server.change({"leaving": True, "load_report": 7})
         _, headers, _ = await self.post()
--- a/packages/standins/tests/test_standin_link.py
+++ b/packages/standins/tests/test_standin_link.py
@@ -43,7 +43,7 @@
         self.addCleanup(server.close)
 
     async def serve(self, reader, writer):
-        """Answers each line with the same line in upper case."""
+        """Echoes each line in upper case."""
         self.serving.add(asyncio.current_task())
         self.sources.append(writer.get_extra_info("peername")[0])
         with contextlib.suppress(ConnectionError):
@@ -60,7 +60,7 @@
         return reader, writer
 
     async def test_order_source_and_byte_count(self):
-        """Guards against pieces that overtake each other, and bytes that no link accounts for."""
+        """Guards against reordered data, a wrong source address and bytes that are not counted."""
         await self.start_target()
         reader, writer = await self.connect()
         lines = [b"line %d\n" % index for index in range(300)]
@@ -76,7 +76,7 @@
         self.assertEqual(sum(count for _, count in counted["b>a"]), total)
 
     async def test_large_transfer_is_complete(self):
-        """Guards against flow control that loses data or stops for good."""
+        """Guards against flow control that loses data or never resumes reading."""
         await self.start_target()
         reader, writer = await self.connect()
         line = b"x" * 60000 + b"\n"
@@ -87,7 +87,7 @@
         self.assertEqual(await reading, line.upper() * 700)
 
     async def test_cut_holds_data_until_healed(self):
-        """Guards against a cut that loses or reorders data of a connection that survives it."""
+        """Guards against a cut that loses or reorders data of the connections that outlast it."""
         await self.start_target()
         reader, writer = await self.connect()
         writer.write(b"one\n")
@@ -135,7 +135,7 @@
         silent.cancel()
 
     async def test_refusal_of_dead_target_is_passed_on(self):
-        """Guards against a relay that hides that the target's process is dead."""
+        """Guards against a relay that accepts connections for a target that refuses them."""
         refused = False
         while not refused:
             try:
@@ -145,7 +145,7 @@
             except ConnectionRefusedError:
                 refused = True
             except ConnectionResetError:
-                # The relay closed its socket while this connection waited to be accepted.
+                # The relay closed its listening socket while this connection was in the backlog.
                 await asyncio.sleep(0.001)
         await self.start_target()
         answer = b""
@@ -159,7 +159,7 @@
         self.assertEqual(answer, b"ALIVE\n")
 
     async def test_end_of_connection_is_passed_on(self):
-        """Guards against connections that stay open after the other side is gone."""
+        """Guards against connections to the target that stay open after the source has closed."""
         await self.start_target()
         _, writer = await self.connect()
         writer.write(b"last\n")
--- a/packages/standins/tests/test_standin_store.py
+++ b/packages/standins/tests/test_standin_store.py
@@ -36,7 +36,7 @@
         self.assertEqual(response.status, 200)
 
     async def test_conditional_writes(self):
-        """Guards against two writers that both believe to have won."""
+        """Guards against conditional writes that let two concurrent writers both succeed."""
         status, first = await self.put("a/b", b"1", if_none_match="*")
         self.assertEqual(status, 204)
         self.assertEqual((await self.put("a/b", b"2", if_none_match="*"))[0], 412)
@@ -47,7 +47,7 @@
         self.assertEqual(await self.get("a/b"), b"2")
 
     async def test_transaction_is_all_or_none(self):
-        """Guards against a refused transaction that leaves some of its rows behind."""
+        """Guards against a rejected transaction that still writes some of its rows."""
         _, version = await self.put("x", b"old")
         writes = [
             _write("y", b"new", if_version=None),
@@ -63,7 +63,7 @@
         self.assertEqual(scan["rows"], rows[1:])
 
     async def test_answer_lost_after_write(self):
-        """Guards against a lost answer that also loses the write, which is another fault."""
+        """Guards against the fault of a lost answer dropping the write as well."""
         await self.control(lose_answers=1)
         with self.assertRaises(aiohttp.ClientError):
             await self.put("k", b"v")
@@ -71,14 +71,14 @@
         self.assertEqual((await self.put("k", b"w"))[0], 204)
 
     async def test_down_writes_nothing_and_spares_other_sources(self):
-        """Guards against an outage that lets writes through or also hits the wrong region."""
+        """Guards against an outage that lets writes through or affects other source addresses."""
         await self.control(down="refuse", down_sources=["127."])
         self.assertEqual((await self.put("k", b"v"))[0], 503)
         await self.control(down_sources=["127.2."])
         self.assertIsNone(await self.get("k"))
 
     async def test_hanging_request_has_no_effect(self):
-        """Guards against a request that takes effect long after its outage."""
+        """Guards against a write that hangs in an outage and is applied when the outage ends."""
         await self.control(down="hang")
         pending = asyncio.create_task(self.put("k", b"v"))
         stats = {"held": 0}
@@ -91,7 +91,7 @@
         self.assertIsNone(await self.get("k"))
 
     async def test_instance_list_lags(self):
-        """Guards against a list that shows changes before their lag."""
+        """Guards against an instance list that shows a change before its lag is over."""
         entry = {"name": "i", "address": "127.1.1.1:7000", "failure_domain": "d", "state": "live"}
         await self.client.put("/control/instances", json={"instances": [entry]})
         self.assertEqual(await (await self.client.get("/instances")).json(), [entry])
