--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -159,7 +159,7 @@
         duration_s = self._options.duration_s
         fault_s = self._plan.start_s + self._options.warm_up_s + FAULT_AT * duration_s
         await asyncio.sleep(fault_s - time.monotonic())
-        scene = faults.Scene(cluster=cluster, length_s=FAULT_LENGTH * duration_s)
+        scene = faults.FaultContext(cluster=cluster, length_s=FAULT_LENGTH * duration_s)
         await faults.FAULTS[self._options.fault].run(scene)
 
     def _report(self, machine: Mapping[str, float]) -> report.RunReport:
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -1,4 +1,4 @@
-"""Demonstration of the whole path on one machine: policy, load, faults, replacement and a shift."""
+"""Demonstration of the whole system on one machine: policy, load, faults, replacement, shift."""
 
 import asyncio
 import contextlib
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Schedule:
-    """When the steps happen, in seconds after the start of the load."""
+    """Times of the steps, in seconds after the start of the load."""
 
     kill_s: float = 6.0
     restart_s: float = 9.0
@@ -46,7 +46,7 @@
 
 
 class Demo:
-    """The steps of the demonstration on a running set of processes."""
+    """The steps of the demonstration on a running cluster."""
 
     def __init__(self, *, cluster: launcher.Cluster, load_factor: float, seed: int):
         self._cluster = cluster
@@ -56,31 +56,35 @@
         self._schedule = Schedule()
         self._operator = operator_tool.Operator(cluster=cluster)
         self._started_s = time.monotonic()
-        self._load_s = 0.0
+        self._load_start_s = 0.0
 
     async def run(self) -> bool:
-        """Runs all steps; returns whether nothing ran twice and nothing was lost."""
+        """Runs all steps.
+
+        Returns:
+            Whether requests were sent, none ran twice or was lost, and no rule was violated.
+        """
         await self._apply_policy()
         plan = self._plan()
-        async with self._load(plan):
-            await self._kill()
-            await self._replace()
-            await self._shift()
+        async with self._run_load(plan):
+            await self._kill_owner()
+            await self._replace_owner()
+            await self._shift_traffic()
         await self._cluster.collect_link_bytes()
         stall_ms = await self._cluster.longest_backend_stall_ms()
-        self._say(f"longest stall of a backend stand-in on this machine: {stall_ms:.0f} ms")
+        self._print_step(f"longest stall of a backend stand-in on this machine: {stall_ms:.0f} ms")
         return self._report(plan)
 
     async def _apply_policy(self) -> None:
         document = self._cluster.site.policy()
         counts = ", ".join(f"{len(objects)} {name}" for name, objects in document.items())
-        self._say(f"applying the policy with sassafrasctl: {counts}")
+        self._print_step(f"applying the policy with sassafrasctl: {counts}")
         await self._operator.apply(document)
         await self._cluster.wait_ready()
-        self._say("all entry instances are ready")
+        self._print_step("all entry instances are ready")
 
     def _plan(self) -> load.Plan:
-        self._load_s = time.monotonic() + LOAD_START_S
+        self._load_start_s = time.monotonic() + LOAD_START_S
         site, layout = self._cluster.site, self._layout
         return load.Plan(
             entries=[
@@ -105,18 +109,18 @@
             mean_service_s=layout.mean_ms / 1000,
             duration_s=self._schedule.end_s,
             seed=self._seed,
-            start_s=self._load_s,
+            start_s=self._load_start_s,
         )
 
     @contextlib.asynccontextmanager
-    async def _load(self, plan: load.Plan) -> Any:
-        """Sends the load in processes of their own while the body runs."""
+    async def _run_load(self, plan: load.Plan) -> Any:
+        """Context manager that sends the load from separate processes while its body runs."""
         path = self._cluster.directory / "settings" / "plan.json"
         path.write_text(json.dumps(plan.dump()), encoding="utf-8")
         children = [self._load_process(path, part) for part in range(LOAD_PARTS)]
         for child in children:
             await child.start()
-        self._say(f"callers send {len(plan.arrivals())} requests in {plan.duration_s:.0f} s")
+        self._print_step(f"callers send {len(plan.arrivals())} requests in {plan.duration_s:.0f} s")
         try:
             yield
             for child in children:
@@ -137,34 +141,36 @@
             log=self._cluster.directory / "logs" / f"load-{part}.log",
         )
 
-    async def _kill(self) -> None:
+    async def _kill_owner(self) -> None:
         await self._wait_until(self._schedule.kill_s)
         region = self._layout.regions[0]
-        name = await self._owner(region)
-        self._say(f"kill -9 of {name}, which owns {SERVICE} in {region}")
+        name = await self._pool_owner(region)
+        self._print_step(f"kill -9 of {name}, which owns {SERVICE} in {region}")
         await self._cluster.kill_entry(name)
         await self._wait_until(self._schedule.restart_s)
-        self._say(f"the platform starts {name} again")
+        self._print_step(f"the platform starts {name} again")
         await self._cluster.start_entry(name)
 
-    async def _replace(self) -> None:
+    async def _replace_owner(self) -> None:
         await self._wait_until(self._schedule.replace_s)
         region = self._layout.regions[1]
-        name = await self._owner(region)
-        self._say(f"graceful replacement of {name}, which owns {SERVICE} in {region}")
-        before_s = time.monotonic()
+        name = await self._pool_owner(region)
+        self._print_step(f"graceful replacement of {name}, which owns {SERVICE} in {region}")
+        start_s = time.monotonic()
         code = await self._cluster.stop_entry(name)
-        took_s = time.monotonic() - before_s
-        self._say(f"{name} drained and ended with code {code} after {took_s:.1f} s")
+        duration_s = time.monotonic() - start_s
+        self._print_step(f"{name} drained and ended with code {code} after {duration_s:.1f} s")
         if code != 0:
             child = self._cluster.process(name)
             raise processes.ProcessError(f"{name} did not stop gracefully:\n{child.tail()}")
         await self._cluster.start_entry(name)
 
-    async def _shift(self) -> None:
+    async def _shift_traffic(self) -> None:
         await self._wait_until(self._schedule.shift_s)
         source, target = self._layout.regions[:2]
-        self._say(f"shift of {SERVICE} from {source} to {target}, cap {SHIFT_CAP_RPS:g} requests/s")
+        self._print_step(
+            f"shift of {SERVICE} from {source} to {target}, cap {SHIFT_CAP_RPS:g} requests/s"
+        )
         await self._operator.start_shift(
             "demo",
             service=SERVICE,
@@ -174,11 +180,11 @@
             pace_per_s=SHIFT_PACE_PER_S,
         )
         await self._wait_until(self._schedule.end_s - 3)
-        self._say("the shift ends")
+        self._print_step("the shift ends")
         await self._operator.stop_shift("demo")
 
-    async def _owner(self, region: str) -> str:
-        """Returns the entry instance that a lookup names first for a client of a region."""
+    async def _pool_owner(self, region: str) -> str:
+        """Returns the first entry instance in the answer to a lookup by a client of a region."""
         blocks = self._cluster.site.client_blocks
         client = next(cidr for cidr, each in blocks.items() if each == region).partition("/")[0]
         instances = [
@@ -206,9 +212,9 @@
         return not (total.ran_twice or total.lost or violations) and total.sent > 0
 
     async def _wait_until(self, at_s: float) -> None:
-        await asyncio.sleep(max(0.0, self._load_s + at_s - time.monotonic()))
+        await asyncio.sleep(max(0.0, self._load_start_s + at_s - time.monotonic()))
 
-    def _say(self, text: str) -> None:
+    def _print_step(self, text: str) -> None:
         click.echo(f"{time.monotonic() - self._started_s:6.1f} s  {text}")
 
 
@@ -235,13 +241,13 @@
 @click.option(
     "--keep",
     type=click.Path(file_okay=False, path_type=pathlib.Path),
-    help="Directory that keeps logs and records; otherwise they are deleted.",
+    help="Directory in which to keep logs and records; by default they are deleted.",
 )
 def command(load_factor: float, seed: int, keep: pathlib.Path | None) -> None:
-    """Shows the whole path under load; exits with 1 if a request ran twice or was lost."""
+    """Shows the system under load; exits with 1 if a request ran twice or was lost."""
     with _directory(keep) as directory:
         try:
-            is_good = asyncio.run(_run(directory, load_factor, seed))
+            succeeded = asyncio.run(_run(directory, load_factor, seed))
         except (processes.ProcessError, aiohttp.ClientError) as error:
             raise click.ClickException(str(error)) from error
-    sys.exit(0 if is_good else 1)
+    sys.exit(0 if succeeded else 1)
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -1,4 +1,4 @@
-"""Faults that the bench injects into a running set of processes."""
+"""Faults that benchmarks and tests inject into a running cluster."""
 
 import abc
 import asyncio
@@ -9,19 +9,21 @@
 
 from sassafrasway_standins import history, launcher
 
-# A replacement serves on until cached lookups and tickets have expired and nothing is in flight.
+# An instance that stops keeps serving until cached lookups and tickets have expired and no request
+# is in flight.
 REPLACE_TIMEOUT_S = 60.0
-# Longer than the lease of a coordinator (3 s) and the expiry of grants (2 s).
+# Longer than the lease of a coordinator (3 s) and the validity of grants (2 s).
 MIN_LENGTH_S = 6.0
 LOOKUP_TIMEOUT_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Scene:
-    """What a fault acts on.
+class FaultContext:
+    """Cluster and parameters of a fault.
 
     Attributes:
-        length_s: How long a fault lasts that the bench also ends, s.
+        cluster: Cluster that the fault is injected into.
+        length_s: Duration in seconds of faults that do not end by themselves.
     """
 
     cluster: launcher.Cluster
@@ -32,11 +34,11 @@
         """Regions of the layout."""
         return self.cluster.site.layout.regions
 
-    async def owner(self) -> str:
-        """Returns the instance that owns a pool of a non-idempotent service in the first region.
+    async def pool_owner(self) -> str:
+        """Returns the owner of a pool of a non-idempotent service in the first region.
 
         Raises:
-            RuntimeError: No instance answers a lookup.
+            RuntimeError: No instance answered a lookup.
         """
         site = self.cluster.site
         service = next(each.name for each in site.layout.services if not each.idempotent)
@@ -51,86 +53,86 @@
                 async with session.get(url, params=params) as response:
                     if response.ok:
                         return (await response.json())["instances"][0]["name"]
-        raise RuntimeError("no entry instance answers a lookup")
+        raise RuntimeError("no entry instance answered a lookup of a pool owner")
 
-    def note(self, fault: str, phase: str, target: str = "") -> None:
-        """Records a phase of a fault."""
+    def record_phase(self, fault: str, phase: str, target: str = "") -> None:
+        """Writes the record of a phase of a fault."""
         event = history.FaultEvent(at_s=time.monotonic(), fault=fault, phase=phase, target=target)
-        self.cluster.note(event)
+        self.cluster.write_records(event)
 
 
 class Fault(abc.ABC):
-    """One fault, from its injection to its end."""
+    """A fault that can be injected into a cluster."""
 
     name = ""
 
-    async def run(self, scene: Scene) -> None:
-        """Injects the fault, and ends it where it does not end by itself."""
-        scene.note(self.name, history.INJECTED)
-        await self._act(scene)
-        scene.note(self.name, history.ENDED)
+    async def run(self, context: FaultContext) -> None:
+        """Injects the fault, ends it if it does not end by itself, and records both."""
+        context.record_phase(self.name, history.INJECTED)
+        await self._inject(context)
+        context.record_phase(self.name, history.ENDED)
 
     @abc.abstractmethod
-    async def _act(self, scene: Scene) -> None:
-        """Does what makes the fault."""
+    async def _inject(self, context: FaultContext) -> None:
+        """Injects and ends the fault."""
 
 
 class NoFault(Fault):
-    """A run without a fault."""
+    """No fault, for runs without one."""
 
     name = "none"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
 
 
 class KillEntry(Fault):
-    """A pool owner dies; its replacement starts later."""
+    """Kills a pool owner and starts it again after ``length_s``."""
 
     name = "kill-entry"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        victim = await scene.owner()
-        await scene.cluster.kill_entry(victim)
-        await asyncio.sleep(scene.length_s)
-        await scene.cluster.start_entry(victim)
+        victim = await context.pool_owner()
+        await context.cluster.kill_entry(victim)
+        await asyncio.sleep(context.length_s)
+        await context.cluster.start_entry(victim)
 
 
 class PauseEntry(Fault):
-    """A pool owner does not run for longer than its grants and leases last."""
+    """Suspends a pool owner for longer than its grants and leases are valid."""
 
     name = "pause-entry"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        victim = await scene.owner()
-        scene.cluster.pause_entry(victim)
-        await asyncio.sleep(max(scene.length_s, MIN_LENGTH_S))
-        scene.cluster.resume_entry(victim)
+        victim = await context.pool_owner()
+        context.cluster.pause_entry(victim)
+        await asyncio.sleep(max(context.length_s, MIN_LENGTH_S))
+        context.cluster.resume_entry(victim)
 
 
 class StoreDown(Fault):
-    """Table service, object store and instance list refuse requests."""
+    """Makes table service, object store and instance list refuse requests."""
 
     name = "store-down"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        await scene.cluster.set_store_faults(down="refuse", instances_down=True)
-        await asyncio.sleep(scene.length_s)
-        await scene.cluster.set_store_faults(down="", instances_down=False)
+        await context.cluster.set_store_faults(down="refuse", instances_down=True)
+        await asyncio.sleep(context.length_s)
+        await context.cluster.set_store_faults(down="", instances_down=False)
 
 
 class ReplaceAll(Fault):
-    """Every entry instance is replaced gracefully, one of each region at a time."""
+    """Replaces each entry instance gracefully, one of each region at a time."""
 
     name = "replace-all"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        for batch in self._batches(scene.cluster):
-            await asyncio.gather(*(self._replace(scene, name) for name in batch))
+        for batch in self._batches(context.cluster):
+            await asyncio.gather(*(self._replace(context, name) for name in batch))
 
     def _batches(self, cluster: launcher.Cluster) -> list[list[str]]:
         by_region: dict[str, list[str]] = {}
@@ -142,59 +144,59 @@
             for index in range(count)
         ]
 
-    async def _replace(self, scene: Scene, name: str) -> None:
-        scene.note(self.name, history.STOP_ORDERED, name)
-        code = await scene.cluster.stop_entry(name, timeout_s=REPLACE_TIMEOUT_S)
-        scene.note(self.name, history.STOPPED, name)
+    async def _replace(self, context: FaultContext, name: str) -> None:
+        context.record_phase(self.name, history.STOP_ORDERED, name)
+        code = await context.cluster.stop_entry(name, timeout_s=REPLACE_TIMEOUT_S)
+        context.record_phase(self.name, history.STOPPED, name)
         if code != 0:
             raise RuntimeError(f"{name} stopped with exit code {code}")
-        await scene.cluster.start_entry(name)
-        await scene.cluster.wait_ready([name])
+        await context.cluster.start_entry(name)
+        await context.cluster.wait_ready([name])
 
 
 class SilentConnection(Fault):
-    """All open connections to backend servers, and between two regions, stop responding."""
+    """Silences all open connections to backend servers and between the first two regions."""
 
     name = "silent-connection"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        await scene.cluster.set_backends(silent=True)
-        await scene.cluster.set_links("silent", scene.regions[0], scene.regions[1])
+        await context.cluster.set_backends(silent=True)
+        await context.cluster.set_links("silent", context.regions[0], context.regions[1])
 
 
 class DrainServer(Fault):
-    """One backend server of each service reports that it is leaving."""
+    """Makes one backend server of each service report that it is leaving."""
 
     name = "drain-server"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        names = [f"{each.name}-1" for each in scene.cluster.site.layout.services]
-        await scene.cluster.set_backends(names, leaving=True)
-        await asyncio.sleep(scene.length_s)
+        names = [f"{each.name}-1" for each in context.cluster.site.layout.services]
+        await context.cluster.set_backends(names, leaving=True)
+        await asyncio.sleep(context.length_s)
 
 
 class RegionCut(Fault):
-    """The last region loses the other regions, the store and the servers elsewhere."""
+    """Cuts the last region off from the store and from the other regions with their servers."""
 
     name = "region-cut"
 
-    async def _act(self, scene: Scene) -> None:
+    async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        region = scene.regions[-1]
-        others = [each for each in scene.regions if each != region]
-        prefix = self._prefix(scene.cluster, region)
+        region = context.regions[-1]
+        others = [each for each in context.regions if each != region]
+        prefix = self._address_prefix(context.cluster, region)
         for other in others:
-            await scene.cluster.set_links("cut", region, other)
-        await scene.cluster.set_store_faults(down="hang", down_sources=[prefix])
-        await asyncio.sleep(max(scene.length_s, MIN_LENGTH_S))
-        await scene.cluster.set_store_faults(down="", down_sources=[])
+            await context.cluster.set_links("cut", region, other)
+        await context.cluster.set_store_faults(down="hang", down_sources=[prefix])
+        await asyncio.sleep(max(context.length_s, MIN_LENGTH_S))
+        await context.cluster.set_store_faults(down="", down_sources=[])
         for other in others:
-            await scene.cluster.set_links("heal", region, other)
+            await context.cluster.set_links("heal", region, other)
 
-    def _prefix(self, cluster: launcher.Cluster, region: str) -> str:
-        """Returns the prefix of all addresses of a region."""
+    def _address_prefix(self, cluster: launcher.Cluster, region: str) -> str:
+        """Returns the common prefix of the addresses of a region."""
         hosts = [each.host for each in cluster.site.instances.values() if each.region == region]
         return ".".join(hosts[0].split(".")[:2]) + "."
 
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -1,6 +1,6 @@
-"""Starts and stops a whole set of processes: stand-ins and entry instances.
+"""Starts and stops a cluster of local processes: stand-ins and entry instances.
 
-A test tool: the product itself starts no process.
+For tests, demo and benchmarks only; in production the platform starts the instances.
 """
 
 import asyncio
@@ -19,7 +19,7 @@
 from sassafrasway_standins import history, layouts, processes
 
 POLL_S = 0.05
-START_TIMEOUT_S = 60.0  # 16 instances take 16 s on a machine that is busy otherwise
+START_TIMEOUT_S = 60.0  # starting 16 instances takes 16 s on a busy machine
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 60.0
 LIST_LAG_S = 1.0
@@ -28,13 +28,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Options:
-    """Choices for a set of processes.
+    """Options of a cluster.
 
     Attributes:
-        entries: Number of entry instances; None takes that of the layout.
-        block: Address block; None takes a free one.
-        backend_processes: Processes that share the backend servers.
-        link_processes: Processes that share the relays.
+        entries: Number of entry instances; None uses the number of the layout.
+        block: Address block; None selects a free one.
+        backend_processes: Number of processes that run the backend servers.
+        link_processes: Number of processes that run the relays.
         list_lag_s: Time until the platform's instance list shows a change.
         entry_command: Command that runs an entry instance with ``run --config FILE``.
     """
@@ -51,12 +51,12 @@
 
 
 class Cluster:
-    """A running set of processes; use ``running``.
+    """A cluster of running processes; created by ``running``.
 
     Args:
         site: Layout with addresses.
         directory: Existing directory for settings, logs and records.
-        options: Choices.
+        options: Options of the cluster.
         session: HTTP session for control endpoints.
     """
 
@@ -74,7 +74,7 @@
         self._session = session
         self._children: dict[str, processes.ChildProcess] = {}
         self._starts: dict[str, int] = {}
-        self._listed: dict[str, str] = {}
+        self._listed_states: dict[str, str] = {}
         self._backend_controls: dict[str, list[str]] = {}
         self._link_controls: list[str] = []
 
@@ -85,41 +85,43 @@
 
     @property
     def entry_names(self) -> list[str]:
-        """Names of the entry instances that run."""
+        """Names of the entry instances whose processes are running."""
         return [name for name in self.site.instances if self.is_running(name)]
 
     def is_running(self, name: str) -> bool:
-        """Whether a process runs (a paused one does)."""
+        """Whether a process is running; a paused process counts as running."""
         return name in self._children and self._children[name].is_running
 
     def process(self, name: str) -> processes.ChildProcess:
-        """Returns the present process of an entry instance or stand-in."""
+        """Returns the latest process of an entry instance or stand-in."""
         return self._children[name]
 
     async def start(self) -> None:
-        """Starts everything and waits until each process answers."""
+        """Starts all processes and waits until each answers health requests."""
         for name in ("records", "settings", "logs"):
             (self.directory / name).mkdir(exist_ok=True)
         await self._start_stand_ins()
-        await _all(self.start_entry(name) for name in self.site.instances)
+        await _gather_or_cancel(self.start_entry(name) for name in self.site.instances)
 
     async def stop(self) -> None:
-        """Collects the last records and ends all processes."""
+        """Collects the byte counts of the links and kills all processes."""
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             await self.collect_link_bytes()
         await asyncio.gather(*(child.kill() for child in self._children.values()))
 
     async def wait_ready(self, names: Iterable[str] | None = None) -> None:
-        """Waits until entry instances are ready to serve, which needs a policy.
+        """Waits until entry instances are ready to serve, which requires a policy.
 
         Raises:
-            processes.ProcessError: An instance ended or is not ready in time.
+            processes.ProcessError: An instance ended or did not become ready in time.
         """
         names = self.entry_names if names is None else names
-        await _all(self._wait_healthy(name, self._admin_url(name), (200,)) for name in names)
+        await _gather_or_cancel(
+            self._wait_healthy(name, self._admin_url(name), (200,)) for name in names
+        )
 
     async def start_entry(self, name: str) -> None:
-        """Starts an entry instance, waits until it answers, and lists it as live."""
+        """Starts an entry instance, waits until it answers, and adds it to the list as live."""
         number = self._starts[name] = self._starts.get(name, 0) + 1
         record_file = self.records / f"{name}.{number}.jsonl"
         settings = self.site.entry_settings(
@@ -132,41 +134,41 @@
         path.write_text(layouts.dump_toml(settings), encoding="utf-8")
         command = [*self._options.entry_command, "run", "--config", str(path)]
         await self._spawn(name, command, log_name=f"{name}.{number}")
-        # Without a policy an instance answers 503, which is enough here.
+        # Without a policy an instance answers 503, which shows that it is running.
         await self._wait_healthy(name, self._admin_url(name), (200, 503))
-        await self._list(name, "live")
+        await self._set_listed_state(name, "live")
 
     async def kill_entry(self, name: str) -> None:
         """Kills an entry instance (SIGKILL); the platform's list drops it after the lag."""
-        self._note_fault("kill", "begin", name)
+        self._record_fault("kill", "begin", name)
         await self._children[name].kill()
-        await self._list(name, None)
+        await self._set_listed_state(name, None)
 
     def pause_entry(self, name: str) -> None:
-        """Stops an entry instance from running (SIGSTOP); it stays in the list."""
-        self._note_fault("pause", "begin", name)
-        self._children[name].send(signal.SIGSTOP)
+        """Suspends an entry instance (SIGSTOP); it stays in the list."""
+        self._record_fault("pause", "begin", name)
+        self._children[name].send_signal(signal.SIGSTOP)
 
     def resume_entry(self, name: str) -> None:
-        """Lets a paused entry instance run again (SIGCONT)."""
-        self._children[name].send(signal.SIGCONT)
-        self._note_fault("pause", "end", name)
+        """Resumes a paused entry instance (SIGCONT)."""
+        self._children[name].send_signal(signal.SIGCONT)
+        self._record_fault("pause", "end", name)
 
     async def stop_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Stops an entry instance gracefully (SIGTERM) and returns its exit code."""
-        self._note_fault("stop", history.STOP_ORDERED, name)
-        self._children[name].send(signal.SIGTERM)
-        await self._list(name, "leaving")
+        self._record_fault("stop", history.STOP_ORDERED, name)
+        self._children[name].send_signal(signal.SIGTERM)
+        await self._set_listed_state(name, "leaving")
         code = await self._children[name].wait(timeout_s=timeout_s)
-        self._note_fault("stop", history.STOPPED, name)
-        await self._list(name, None)
+        self._record_fault("stop", history.STOPPED, name)
+        await self._set_listed_state(name, None)
         return code
 
     async def replace_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
         """Stops an instance gracefully and starts a new one with the same name and addresses.
 
         Returns:
-            The exit code of the old one.
+            The exit code of the old instance.
         """
         code = await self.stop_entry(name, timeout_s=timeout_s)
         await self.start_entry(name)
@@ -184,15 +186,17 @@
         """Changes the behaviour of backend servers, see ``backend.BackendServer.change``.
 
         Args:
-            servers: Names of the servers; None changes all.
+            servers: Names of the servers; None for all servers.
             **behaviour: ``leaving``, ``slow``, ``load_report``, ``blocked_sources``, ``crash``,
                 ``silent``.
         """
-        wanted = None if servers is None else set(servers)
+        selected = None if servers is None else set(servers)
         for control, names in self._backend_controls.items():
-            here = [name for name in names if wanted is None or name in wanted]
-            if here:
-                await self._post(f"http://{control}/control", {"servers": here} | behaviour)
+            process_servers = [name for name in names if selected is None or name in selected]
+            if process_servers:
+                await self._post(
+                    f"http://{control}/control", {"servers": process_servers} | behaviour
+                )
 
     async def backend_stats(self) -> dict[str, dict[str, Any]]:
         """Returns the counters of each backend server."""
@@ -202,10 +206,10 @@
         return stats
 
     async def longest_backend_stall_ms(self) -> float:
-        """Returns the longest time that a backend process did not run, see ``stalls``."""
+        """Returns the longest event loop stall of any backend process, see ``stalls``."""
         controls = self._backend_controls
-        found = [await self._get(f"http://{control}/control/stalls") for control in controls]
-        return max(each["longest_ms"] for each in found)
+        stalls = [await self._get(f"http://{control}/control/stalls") for control in controls]
+        return max(each["longest_ms"] for each in stalls)
 
     async def set_links(self, action: str, source: str, target: str) -> None:
         """Applies ``cut``, ``cut_one_way``, ``heal`` or ``silent`` between two selectors."""
@@ -218,7 +222,7 @@
         return await self._get(f"http://{self.site.instances[name].admin}/dump")
 
     async def collect_link_bytes(self) -> None:
-        """Writes the bytes that passed between regions to the records."""
+        """Writes the bytes that were sent between regions to the records."""
         totals: dict[tuple[str, float], int] = {}
         for control in self._link_controls:
             for link, buckets in (await self._get(f"http://{control}/control/bytes")).items():
@@ -236,25 +240,25 @@
                     )
                     writer.write(record)
 
-    def note(self, *records: history.Record) -> None:
-        """Adds records of the operator's and the launcher's own actions."""
+    def write_records(self, *records: history.Record) -> None:
+        """Writes records of actions of the operator and of the launcher."""
         with history.Writer(path=self.records / "operator.jsonl") as writer:
             for record in records:
                 writer.write(record)
 
     def note_policy(self, document: Mapping[str, Any]) -> None:
-        """Adds the record of a policy that was accepted just now."""
-        self.note(history.PolicyInForce(at_s=time.monotonic(), document=dict(document)))
+        """Writes the record of a policy that has just been accepted."""
+        self.write_records(history.PolicyInForce(at_s=time.monotonic(), document=dict(document)))
 
-    def _note_fault(self, fault: str, phase: str, target: str) -> None:
+    def _record_fault(self, fault: str, phase: str, target: str) -> None:
         event = history.FaultEvent(at_s=time.monotonic(), fault=fault, phase=phase, target=target)
-        self.note(event)
+        self.write_records(event)
 
     async def _start_stand_ins(self) -> None:
         site, delays = self.site, self.site.layout.delays
         command = ["store", "--listen", site.store]
         command += ["--domain-ms", str(delays.domain_ms), "--region-ms", str(delays.region_ms)]
-        waits = [self._start_stand_in("store", command, site.store)]
+        starts = [self._start_stand_in("store", command, site.store)]
         files = site.backend_files(
             processes=self._options.backend_processes,
             records=str(self.records / "backend-{}.jsonl"),
@@ -263,11 +267,11 @@
         for index, data in enumerate(files):
             names = [server["name"] for server in data["servers"]]
             self._backend_controls[data["control"]] = names
-            waits.append(self._start_from_file("backend", index, data))
+            starts.append(self._start_from_file("backend", index, data))
         for index, data in enumerate(site.link_files(processes=self._options.link_processes)):
             self._link_controls.append(data["control"])
-            waits.append(self._start_from_file("link", index, data))
-        await _all(waits)
+            starts.append(self._start_from_file("link", index, data))
+        await _gather_or_cancel(starts)
 
     async def _start_from_file(self, kind: str, index: int, data: Mapping[str, Any]) -> None:
         name = f"{kind}-{index}"
@@ -293,7 +297,7 @@
         while time.monotonic() < deadline_s:
             if not child.is_running:
                 raise processes.ProcessError(
-                    f"{name} ended with code {child.exit_code}:\n{child.tail()}"
+                    f"{name} ended with exit code {child.exit_code}:\n{child.tail()}"
                 )
             with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
                 async with self._session.get(url) as response:
@@ -301,18 +305,23 @@
                 if status in statuses:
                     return
             await asyncio.sleep(POLL_S)
-        raise processes.ProcessError(f"{name} is not ready, status {status}:\n{child.tail()}")
+        raise processes.ProcessError(
+            f"{name} did not become ready, last status {status}:\n{child.tail()}"
+        )
 
     def _admin_url(self, name: str) -> str:
         return f"http://{self.site.instances[name].admin}/healthz"
 
-    async def _list(self, name: str, state: str | None) -> None:
-        """Changes the platform's list; ``state`` None drops the instance."""
+    async def _set_listed_state(self, name: str, state: str | None) -> None:
+        """Sets the state of an instance in the platform's list; None removes it from the list."""
         if state is None:
-            self._listed.pop(name, None)
+            self._listed_states.pop(name, None)
         else:
-            self._listed[name] = state
-        entries = [self.site.instances[each].listed(now) for each, now in self._listed.items()]
+            self._listed_states[name] = state
+        entries = [
+            self.site.instances[each].list_entry(listed)
+            for each, listed in self._listed_states.items()
+        ]
         url = f"http://{self.site.store}/control/instances"
         data = {"instances": entries, "lag_s": self._options.list_lag_s}
         async with self._session.put(url, json=data) as response:
@@ -329,8 +338,8 @@
             return await response.json()
 
 
-async def _all(coroutines: Iterable[Coroutine[Any, Any, None]]) -> None:
-    """Awaits all; after an error none of them goes on, so that none starts a process later."""
+async def _gather_or_cancel(coroutines: Iterable[Coroutine[Any, Any, None]]) -> None:
+    """Awaits all coroutines; cancels the others on an error, so that they start no processes."""
     tasks = [asyncio.create_task(each) for each in coroutines]
     try:
         await asyncio.gather(*tasks)
@@ -341,14 +350,17 @@
 
 
 @contextlib.contextmanager
-def _address_block(wanted: int | None) -> Iterator[int]:
-    """Yields an address block that no other launcher of this machine uses."""
-    blocks = range(layouts.BLOCKS) if wanted is None else (wanted,)
+def _address_block(requested: int | None) -> Iterator[int]:
+    """Reserves an address block that no other launcher on this machine uses.
+
+    A socket that stays bound while the block is in use serves as a lock between launchers.
+    """
+    blocks = range(layouts.ADDRESS_BLOCKS) if requested is None else (requested,)
     for block in blocks:
-        last = layouts.REGIONS_IN_BLOCK * (block + 1) - 1
+        last_region = layouts.REGIONS_IN_BLOCK * (block + 1) - 1
         with socket.socket() as lock:
             try:
-                lock.bind((f"127.{last}.255.254", _LOCK_PORT))
+                lock.bind((f"127.{last_region}.255.254", _LOCK_PORT))
             except OSError:
                 continue
             yield block
@@ -360,12 +372,12 @@
 async def running(
     layout: layouts.Layout, *, directory: pathlib.Path, options: Options | None = None
 ) -> AsyncIterator[Cluster]:
-    """Starts a set of processes and ends them all, also after an exception.
+    """Runs a cluster; all its processes are killed at the end, also after an exception.
 
     Args:
-        layout: The deployment.
+        layout: Layout of the cluster.
         directory: Existing directory for settings, logs and records.
-        options: Choices.
+        options: Options of the cluster.
     """
     options = options or Options()
     timeout = aiohttp.ClientTimeout(total=5, connect=1)
--- a/packages/standins/src/sassafrasway_standins/layouts.py
+++ b/packages/standins/src/sassafrasway_standins/layouts.py
@@ -1,7 +1,7 @@
-"""Layouts of the two deployments and of the demo, and the files that their processes read.
+"""Layouts of the two deployments and of the demo, and the settings files of their processes.
 
-All addresses are ``127.<region>.<domain>.<n>``. An address block of eight region numbers belongs to
-one running set of processes, so that several sets can run on one machine.
+All addresses have the form ``127.<region>.<domain>.<n>``. Each running cluster uses an address
+block of eight region numbers of its own, so that several clusters can run on one machine.
 """
 
 import dataclasses
@@ -14,10 +14,10 @@
 from sassafrasway_standins import network
 
 REGIONS_IN_BLOCK = 8
-BLOCKS = 31
+ADDRESS_BLOCKS = 31
 MAX_INSTANCES_IN_DOMAIN = 50
-CAP_FACTOR = 1.5  # region caps leave room above the rate at which all slots are in use
-BLOCKS_PER_REGION = 3
+CAP_FACTOR = 1.5  # headroom of region caps over the request rate that occupies all slots
+CLIENT_BLOCKS_PER_REGION = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -25,8 +25,8 @@
     """A service and its backend servers.
 
     Attributes:
-        servers: Number of backend servers, spread over the failure domains.
-        slots: Slots of each server.
+        servers: Number of backend servers, distributed over the failure domains.
+        slots: Number of slots of each server.
     """
 
     name: str
@@ -40,15 +40,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Layout:
-    """A deployment; the figures are those of the design page.
+    """A deployment; sizes and delays are those of the system design.
 
     Attributes:
         domains: Failure domains by region.
+        domain_ms: One-way delay between failure domains of one region.
+        region_ms: One-way delay between regions.
+        client_ms: One-way delay between a client and its region.
         store_region: Region of the table service and the object store.
-        entries: Number of entry instances, spread over the failure domains.
-        mean_ms: Mean service time of a warm backend server; the design page states none, its
-            model of refusal rates uses 200 ms.
-        cold_factor: Factor on the service time of a server that just started.
+        entries: Number of entry instances, distributed over the failure domains.
+        mean_ms: Mean service time of a warm backend server. The system design specifies none; its
+            model of refusal rates assumes 200 ms.
+        cold_factor: Factor on the service time of a server that has just started.
     """
 
     name: str
@@ -73,11 +76,11 @@
 
     @property
     def delays(self) -> network.Delays:
-        """One-way delays between places."""
+        """One-way delays between failure domains and between regions."""
         return network.Delays(domain_ms=self.domain_ms, region_ms=self.region_ms)
 
-    def places(self) -> Iterator[tuple[str, str]]:
-        """Yields region and failure domain without end, alternating between the regions."""
+    def locations(self) -> Iterator[tuple[str, str]]:
+        """Yields (region, failure domain) pairs endlessly, alternating between the regions."""
         order = [
             (region, domains[index])
             for index in range(max(map(len, self.domains.values())))
@@ -144,7 +147,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Instance:
-    """Where an entry instance runs and listens."""
+    """Location and addresses of an entry instance."""
 
     name: str
     region: str
@@ -153,21 +156,21 @@
 
     @property
     def caller(self) -> str:
-        """Address for callers."""
+        """Address of the HTTP API for callers."""
         return f"{self.host}:8080"
 
     @property
     def rpc(self) -> str:
-        """Address for RPCs."""
+        """Address of the RPC server."""
         return f"{self.host}:7000"
 
     @property
     def admin(self) -> str:
-        """Address for health, metrics and dump."""
+        """Address of the health, metrics and state dump endpoints."""
         return f"{self.host}:9000"
 
-    def listed(self, state: str) -> dict[str, str]:
-        """Returns the entry of the platform's instance list."""
+    def list_entry(self, state: str) -> dict[str, str]:
+        """Returns the entry for the platform's instance list."""
         return {
             "name": self.name,
             "address": self.rpc,
@@ -177,17 +180,17 @@
 
 
 class Site:
-    """A layout with addresses.
+    """A layout with the addresses of all its processes.
 
     Args:
         layout: The deployment.
-        block: Address block, 0 to ``BLOCKS`` - 1.
-        entries: Number of entry instances; None takes that of the layout.
+        block: Address block, 0 to ``ADDRESS_BLOCKS`` - 1.
+        entries: Number of entry instances; None uses the number of the layout.
     """
 
     def __init__(self, *, layout: Layout, block: int = 0, entries: int | None = None):
-        if not 0 <= block < BLOCKS:
-            raise ValueError(f"block {block} is not between 0 and {BLOCKS - 1}")
+        if not 0 <= block < ADDRESS_BLOCKS:
+            raise ValueError(f"address block {block} is not between 0 and {ADDRESS_BLOCKS - 1}")
         self.layout = layout
         self._first_region = 1 + REGIONS_IN_BLOCK * block
         count = layout.entries if entries is None else entries
@@ -195,15 +198,15 @@
 
     @property
     def store(self) -> str:
-        """Address of the platform stand-in."""
-        return f"127.{self._octet(self.layout.store_region)}.0.1:8500"
+        """Address of the store, the stand-in for the platform."""
+        return f"127.{self._region_octet(self.layout.store_region)}.0.1:8500"
 
     @property
     def client_blocks(self) -> dict[str, str]:
-        """Region of each client block; every region has IPv4 blocks and one IPv6 block."""
+        """Regions by client block; each region has some IPv4 blocks and one IPv6 block."""
         blocks = {}
         for index, region in enumerate(self.layout.regions, start=1):
-            for number in range(BLOCKS_PER_REGION - 1):
+            for number in range(CLIENT_BLOCKS_PER_REGION - 1):
                 blocks[f"10.{100 * number + index}.0.0/16"] = region
             blocks[str(ipaddress.ip_network(f"2001:db8:{index:x}::/48"))] = region
         return blocks
@@ -233,11 +236,11 @@
         }
 
     def backend_files(self, *, processes: int, records: str, seed: int) -> list[dict[str, Any]]:
-        """Returns the files of the backend processes; the servers are dealt out in turn.
+        """Returns the settings of the backend processes; servers are assigned round-robin.
 
         Args:
             processes: Number of processes.
-            records: Path of the record files with ``{}`` for the number of the process.
+            records: Path of the record files, with ``{}`` in place of the process number.
             seed: Seed of the service times.
         """
         layout = self.layout
@@ -254,7 +257,7 @@
         ]
 
     def link_files(self, *, processes: int) -> list[dict[str, Any]]:
-        """Returns the files of the relay processes; each has the pairs of some sources."""
+        """Returns the settings of the relay processes; each relays for some of the sources."""
         instances = list(self.instances.values())
         return [
             {
@@ -279,37 +282,37 @@
         placement: str = "pool_owner",
     ) -> dict[str, Any]:
         """Returns the settings of an entry instance."""
-        me = self.instances[name]
-        others = [each for each in self.instances.values() if each is not me]
+        instance = self.instances[name]
+        others = [each for each in self.instances.values() if each is not instance]
         behaviour = {"invariants": invariants, "placement": placement}
         if record_file:
             behaviour["record_file"] = record_file
         return {
             "instance": {
-                "name": me.name,
-                "region": me.region,
-                "failure_domain": me.failure_domain,
+                "name": instance.name,
+                "region": instance.region,
+                "failure_domain": instance.failure_domain,
             },
-            "listen": {"caller": me.caller, "rpc": me.rpc, "admin": me.admin},
+            "listen": {"caller": instance.caller, "rpc": instance.rpc, "admin": instance.admin},
             "platform": {"url": f"http://{self.store}", "timeout_ms": 1000},
             "network": {
                 "seeds": [each.rpc for each in others],
-                "address_map": {each.rpc: self._relay_address(me, each) for each in others},
+                "address_map": {each.rpc: self._relay_address(instance, each) for each in others},
             },
             "logging": {"format": "json", "level": "info"},
             "behaviour": behaviour,
         }
 
-    def _octet(self, region: str) -> int:
+    def _region_octet(self, region: str) -> int:
         return self._first_region + self.layout.regions.index(region)
 
     def _host(self, region: str, domain: str, number: int) -> str:
         domain_octet = 1 + self.layout.domains[region].index(domain)
-        return f"127.{self._octet(region)}.{domain_octet}.{number}"
+        return f"127.{self._region_octet(region)}.{domain_octet}.{number}"
 
     def _instances(self, count: int) -> Iterator[Instance]:
         numbers: dict[str, int] = {}
-        for region, domain in itertools.islice(self.layout.places(), count):
+        for region, domain in itertools.islice(self.layout.locations(), count):
             number = numbers[domain] = numbers.get(domain, 0) + 1
             host = self._host(region, domain, number)
             yield Instance(
@@ -317,10 +320,10 @@
             )
 
     def _servers(self) -> Iterator[dict[str, Any]]:
-        places = self.layout.places()
+        locations = self.layout.locations()
         numbers: dict[str, int] = {}
         for service in self.layout.services:
-            for index, (region, domain) in enumerate(itertools.islice(places, service.servers)):
+            for index, (region, domain) in enumerate(itertools.islice(locations, service.servers)):
                 number = numbers[domain] = numbers.get(domain, 0) + 1
                 host = self._host(region, domain, MAX_INSTANCES_IN_DOMAIN + number)
                 yield {
@@ -361,14 +364,14 @@
 
     def _pair(self, source: Instance, target: Instance) -> dict[str, Any]:
         return {
-            "source": _place(source),
-            "target": _place(target),
+            "source": _location(source),
+            "target": _location(target),
             "listen": self._relay_address(source, target),
             "connect": target.rpc,
         }
 
 
-def _place(instance: Instance) -> dict[str, str]:
+def _location(instance: Instance) -> dict[str, str]:
     return {
         "name": instance.name,
         "region": instance.region,
@@ -390,5 +393,5 @@
 
 
 def _toml(value: Any) -> str:
-    # JSON strings, numbers, booleans and lists of these are valid TOML values.
+    # JSON strings, numbers, booleans and lists of them are valid TOML values.
     return json.dumps(value)
--- a/packages/standins/src/sassafrasway_standins/main.py
+++ b/packages/standins/src/sassafrasway_standins/main.py
@@ -4,7 +4,7 @@
 
 import click
 
-# Module of each subcommand; every module has a click command named ``command``.
+# Modules by subcommand; each module defines a click command named ``command``.
 _MODULES = {
     "store": "store",
     "backend": "backend_process",
@@ -19,7 +19,7 @@
 
 
 class _LazyGroup(click.Group):
-    """Group that imports the module of a subcommand only when it is used."""
+    """Command group that imports the module of a subcommand only when it is used."""
 
     def list_commands(self, ctx: click.Context) -> list[str]:
         return sorted(_MODULES)
@@ -34,11 +34,11 @@
         except ModuleNotFoundError as error:
             if error.name != full_name:
                 raise
-            return _missing(cmd_name)
+            return _missing_command(cmd_name)
         return module.command
 
 
-def _missing(name: str) -> click.Command:
+def _missing_command(name: str) -> click.Command:
     @click.command(name, help="Not part of this build.")
     def command() -> None:
         raise click.ClickException(f"subcommand {name} is not part of this build")
--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -1,4 +1,4 @@
-"""Runs ``sassafrasctl`` as an operator does, and records what was accepted."""
+"""Runs ``sassafrasctl`` as an operator would, and records the accepted policies."""
 
 import asyncio
 import json
@@ -10,7 +10,7 @@
 
 
 class Operator:
-    """Calls ``sassafrasctl`` against an entry instance of a running set of processes."""
+    """Runs ``sassafrasctl`` against an entry instance of a running cluster."""
 
     def __init__(self, *, cluster: launcher.Cluster):
         self._cluster = cluster
@@ -21,26 +21,27 @@
         path = self._cluster.directory / "settings" / "policy.json"
         path.write_text(json.dumps(document, indent=2), encoding="utf-8")
         await self.run("apply", str(path))
-        self._accepted(document)
+        self._record_accepted(document)
 
     async def start_shift(self, name: str, **fields: Any) -> None:
-        """Starts a shift; the fields are those of the policy document."""
+        """Starts a shift with the given fields of the policy document."""
         options = [f"--{key.replace('_', '-')}={value}" for key, value in fields.items()]
         await self.run("shift", "start", name, *options)
         shifts = self._document["shifts"] | {name: {"fraction": 1.0} | fields}
-        self._accepted(self._document | {"shifts": shifts})
+        self._record_accepted(self._document | {"shifts": shifts})
 
     async def stop_shift(self, name: str) -> None:
         """Stops a shift."""
         await self.run("shift", "stop", name)
         shifts = {key: value for key, value in self._document["shifts"].items() if key != name}
-        self._accepted(self._document | {"shifts": shifts})
+        self._record_accepted(self._document | {"shifts": shifts})
 
     async def run(self, *arguments: str) -> str:
-        """Runs a command and returns its output.
+        """Runs a subcommand and returns its output.
 
         Raises:
-            processes.ProcessError: The command failed; the message has its output.
+            processes.ProcessError: The command failed or timed out; for a failure the message has
+                its output.
         """
         name = self._cluster.entry_names[0]
         address = self._cluster.site.instances[name].rpc
@@ -53,7 +54,7 @@
         except TimeoutError:
             child.kill()
             await child.wait()
-            raise processes.ProcessError(f"{arguments[0]} took too long") from None
+            raise processes.ProcessError(f"{arguments[0]} timed out") from None
         text = output.decode(errors="replace")
         if child.returncode != 0:
             raise processes.ProcessError(
@@ -61,6 +62,6 @@
             )
         return text
 
-    def _accepted(self, document: dict[str, Any]) -> None:
+    def _record_accepted(self, document: dict[str, Any]) -> None:
         self._document = document
         self._cluster.note_policy(document)
--- a/packages/standins/src/sassafrasway_standins/processes.py
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -1,4 +1,4 @@
-"""Child processes of tests, demo and bench; each one ends with the process that started it."""
+"""Child processes of tests, demo and benchmarks, which are killed when their parent ends."""
 
 import asyncio
 import contextlib
@@ -16,16 +16,16 @@
 
 
 class ProcessError(Exception):
-    """A child process did not do what it was started for."""
+    """A child process failed, was not started, or did not become ready or end in time."""
 
 
 class ChildProcess:
     """One child process with its log file.
 
     Args:
-        name: Name in error messages.
+        name: Name of the process in error messages.
         command: Program and arguments.
-        log: File that receives standard output and standard error.
+        log: File that standard output and standard error are appended to.
     """
 
     def __init__(self, *, name: str, command: Sequence[str], log: pathlib.Path):
@@ -37,17 +37,17 @@
 
     @property
     def name(self) -> str:
-        """Name in error messages."""
+        """Name of the process in error messages."""
         return self._name
 
     @property
     def pid(self) -> int:
-        """Id of the process.
+        """Process id.
 
         Raises:
             ProcessError: The process was not started.
         """
-        return self._started().pid
+        return self._started_process().pid
 
     @property
     def is_running(self) -> bool:
@@ -56,8 +56,8 @@
 
     @property
     def exit_code(self) -> int | None:
-        """Exit code, negative for a signal; None while the process runs."""
-        return self._started().returncode
+        """Exit code, or the negative number of a signal; None while the process runs."""
+        return self._started_process().returncode
 
     async def start(self) -> None:
         """Starts the process."""
@@ -67,44 +67,44 @@
             stdin=asyncio.subprocess.DEVNULL,
             stdout=self._log_file,
             stderr=self._log_file,
-            preexec_fn=functools.partial(_end_with_parent, os.getpid()),
+            preexec_fn=functools.partial(_kill_with_parent, os.getpid()),
         )
 
-    def send(self, number: signal.Signals) -> None:
-        """Sends a signal; does nothing after the end of the process."""
+    def send_signal(self, signal_number: signal.Signals) -> None:
+        """Sends a signal; does nothing if the process is not running."""
         if self.is_running:
             with contextlib.suppress(ProcessLookupError):
-                self._process.send_signal(number)
+                self._process.send_signal(signal_number)
 
     async def wait(self, *, timeout_s: float) -> int:
-        """Waits for the end and returns the exit code.
+        """Waits until the process ends and returns its exit code.
 
         Raises:
-            ProcessError: The process still runs after ``timeout_s``.
+            ProcessError: The process has not ended within ``timeout_s``, or was not started.
         """
         try:
-            code = await asyncio.wait_for(self._started().wait(), timeout_s)
+            code = await asyncio.wait_for(self._started_process().wait(), timeout_s)
         except TimeoutError:
-            raise ProcessError(f"{self._name} still runs after {timeout_s:.1f} s") from None
+            raise ProcessError(f"{self._name} did not end within {timeout_s:.1f} s") from None
         self._close_log()
         return code
 
     async def kill(self) -> None:
-        """Ends the process at once (SIGKILL) and waits for its end."""
+        """Kills the process (SIGKILL) and waits until it has ended."""
         if self._process is None:
             return
-        self.send(signal.SIGKILL)
+        self.send_signal(signal.SIGKILL)
         await self._process.wait()
         self._close_log()
 
     def tail(self, lines: int = 20) -> str:
-        """Returns the last lines of the log."""
+        """Returns the last lines of the log file."""
         if not self._log.exists():
             return ""
         text = self._log.read_text(encoding="utf-8", errors="replace")
         return "\n".join(text.splitlines()[-lines:])
 
-    def _started(self) -> asyncio.subprocess.Process:
+    def _started_process(self) -> asyncio.subprocess.Process:
         if self._process is None:
             raise ProcessError(f"{self._name} was not started")
         return self._process
@@ -116,13 +116,13 @@
 
 
 def script(name: str) -> list[str]:
-    """Returns the command of an installed script of this environment."""
+    """Returns the command line that runs one of the console scripts of the project."""
     module, _, attribute = _SCRIPTS[name].partition(":")
     code = f"import sys; from {module} import {attribute}; sys.argv[0] = {name!r}; {attribute}()"
     return [sys.executable, "-c", code]
 
 
-# Run by module instead of by file, so that the sources on PYTHONPATH win over the installed ones.
+# Run by module instead of by file, so that PYTHONPATH takes precedence over the installed packages.
 _SCRIPTS = {
     "sassafrasway": "sassafrasway_entry.main:cli",
     "sassafrasctl": "sassafrasway_ctl.main:cli",
@@ -130,8 +130,8 @@
 }
 
 
-def _end_with_parent(parent: int) -> None:
-    """Lets the kernel kill this process when its parent ends, however that ends."""
+def _kill_with_parent(parent_pid: int) -> None:
+    """Makes the kernel kill this process when its parent ends for any reason."""
     _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() != parent:  # the parent ended before the call took effect
+    if os.getppid() != parent_pid:  # the parent ended before prctl took effect
         os._exit(1)
--- a/packages/standins/tests/fake_entry.py
+++ b/packages/standins/tests/fake_entry.py
@@ -1,4 +1,4 @@
-"""In-process entry instance for tests of the callers; answers follow a script."""
+"""Fake entry instance for tests of the callers; it gives scripted answers."""
 
 import hashlib
 import json
@@ -9,7 +9,17 @@
 
 
 class FakeEntry:
-    """Answers lookups with ``instances``; each request takes the next scripted answer."""
+    """HTTP server that takes the place of an entry instance.
+
+    Attributes:
+        script: Answers to the next requests, in order: ``ran``, ``unavailable``, ``refused``,
+            ``unknown``, ``break`` (the connection is aborted), ``foreign`` (the answer has the
+            path of another request) or ``short`` (the answer is too small). Once the script is
+            used up, requests are answered with ``ran``.
+        instances: Instances that lookups return.
+        keys: Idempotency keys of the requests received.
+        lookups: Number of lookups received.
+    """
 
     def __init__(self, name, *, script=()):
         self.name = name
@@ -52,18 +62,18 @@
     async def _request(self, request):
         self.keys.append(request.headers.get("Idempotency-Key", ""))
         body = await request.read()
-        step = self.script.pop(0) if self.script else "ran"
-        if step == "break":
+        scripted_answer = self.script.pop(0) if self.script else "ran"
+        if scripted_answer == "break":
             request.transport.abort()
             return web.Response()
-        if step == "unavailable":
+        if scripted_answer == "unavailable":
             return web.Response(status=503, headers={"Sassafras-Outcome": "not-run"})
-        if step == "refused":
+        if scripted_answer == "refused":
             return web.Response(status=429, headers={"Sassafras-Outcome": "not-run"})
-        if step == "unknown":
+        if scripted_answer == "unknown":
             return web.Response(status=502, headers={"Sassafras-Outcome": "unknown"})
-        path = "/r/another" if step == "foreign" else request.path.partition("-desk")[2]
+        path = "/r/another" if scripted_answer == "foreign" else request.path.partition("-desk")[2]
         content = {"digest": hashlib.sha256(body).hexdigest(), "path": path, "padding": ""}
-        size = int(request.query["size"]) - (10 if step == "short" else 0)
+        size = int(request.query["size"]) - (10 if scripted_answer == "short" else 0)
         content["padding"] = "x" * (size - len(json.dumps(content)))
         return web.json_response(content, headers={"Sassafras-Outcome": "ran"})
--- a/packages/standins/tests/real_cluster.py
+++ b/packages/standins/tests/real_cluster.py
@@ -1,4 +1,4 @@
-"""Scenarios on real processes: one cluster, load in pieces, and what the records say afterwards."""
+"""Runs fault scenarios under load on a cluster of real processes and checks their records."""
 
 import asyncio
 import collections
@@ -21,80 +21,82 @@
     tally,
 )
 
-LEAD_S = 2.5  # load processes take about a second to start on a busy machine
-PIECE_S = 8.0
+LOAD_STARTUP_S = 2.5  # load processes take about a second to start on a busy machine
+SEGMENT_S = 8.0
 VERDICT_TIMEOUT_S = 40.0
-# Runs whose callers gave up end within the deadline of the request.
+# Requests that callers have given up end at the backend servers by their deadline.
 SETTLE_S = 2.5
-# Ten times the default: on a machine that stalls for seconds, a shorter deadline would turn the
-# speed of the machine into unknown outcomes. Lost requests and answers stay unknown all the same.
+# Ten times the default. With a shorter deadline, stalls of several seconds on a busy machine would
+# cause unknown outcomes. The outcomes of lost requests and answers are unknown with any deadline.
 DEADLINE_MS = 20_000
-# With short runs no request comes near its deadline by its service time alone.
+# Short enough that the service time alone does not bring a request close to its deadline.
 MEAN_MS = 100.0
 
 
 class Result:
-    """What the records say about the requests of one scenario.
+    """Records of the requests of one scenario.
 
     Args:
-        records: Records of the whole run so far.
-        seeds: Seeds of the scenario's load; the names of its requests contain them.
-        services: Services that were called, by name.
+        records: Records of all scenarios so far.
+        seeds: Seeds of the load of the scenario; request names contain the seed.
+        services: Called services by name.
     """
 
     def __init__(self, *, records, seeds, services):
         self.records = records
-        self.run = checked_history.History(records)
+        self.history = checked_history.History(records)
         self._seeds = {str(seed) for seed in seeds}
         self._services = services
         self.intents = {
             request: intent
-            for request, intent in self.run.intents.items()
-            if self._is_mine(request)
+            for request, intent in self.history.intents.items()
+            if self._is_of_scenario(request)
         }
         self.verdicts = {
             request: verdict
-            for request, verdict in self.run.verdicts.items()
-            if self._is_mine(request)
+            for request, verdict in self.history.verdicts.items()
+            if self._is_of_scenario(request)
         }
 
     @property
-    def starts(self):
-        """Runs of this scenario's requests at backend servers."""
-        return [each for each in self.run.runs if self._is_mine(each.request)]
+    def runs(self):
+        """Runs of the requests of the scenario at backend servers."""
+        return [each for each in self.history.runs if self._is_of_scenario(each.request)]
 
     @property
-    def non_idempotent_starts(self):
-        """Those of services that may run a request only once."""
-        return [each for each in self.starts if not self.run.is_idempotent(each)]
+    def non_idempotent_runs(self):
+        """Runs of requests to non-idempotent services, which may run a request only once."""
+        return [each for each in self.runs if not self.history.is_idempotent(each)]
 
     def with_outcome(self, outcome):
-        """Returns the requests whose callers learned this outcome, with all attempts."""
+        """Returns the attempts of each request with the given outcome for its caller."""
         return {
-            request: self.run.attempts.get(request, [])
+            request: self.history.attempts.get(request, [])
             for request, verdict in self.verdicts.items()
             if verdict.outcome == outcome
         }
 
     def refusals(self):
-        """Returns how often each reason was given for a request that did not run."""
+        """Returns the number of requests that were not run, by reason."""
         refused = (each for each in self.verdicts.values() if each.outcome == history.NOT_RUN)
         return collections.Counter(each.reason for each in refused)
 
     def summary(self):
-        """Returns the counts of the scenario as a table, for messages of failures."""
-        mine = [each for each in self.records if self._is_mine(getattr(each, "request", ""))]
+        """Returns the counts of the scenario as a table, for failure messages."""
+        own_records = [
+            each for each in self.records if self._is_of_scenario(getattr(each, "request", ""))
+        ]
         policies = [each for each in self.records if isinstance(each, history.PolicyInForce)]
-        tallies = tally.count([*policies, *mine], self._services)
+        tallies = tally.count([*policies, *own_records], self._services)
         return f"{tally.as_text(tallies)}\nrefusals: {dict(self.refusals())}"
 
-    def _is_mine(self, request):
+    def _is_of_scenario(self, request):
         parts = request.split(".")
         return len(parts) == 4 and parts[2] in self._seeds
 
 
 class RealCluster:
-    """The demo layout in real processes, shared by the scenarios of one test class."""
+    """A cluster of real processes with the demo layout, shared by the scenarios of a test class."""
 
     def __init__(self):
         self._stack = contextlib.AsyncExitStack()
@@ -129,23 +131,23 @@
         await self.operator.apply(document)
         self.document = document
 
-    async def scenario(self, act, *, seed, load_factor):
-        """Sends load for as long as ``act`` takes, and a piece longer.
+    async def scenario(self, action, *, seed, load_factor):
+        """Sends load while ``action`` runs and until the current load segment has ended.
 
         Args:
-            act: Called without arguments once the load runs.
-            seed: Seed of the first piece of load; each further piece has the next one.
+            action: Coroutine function without parameters, called once the load is running.
+            seed: Seed of the first load segment; each further segment uses the next number.
             load_factor: Offered load.
 
         Returns:
-            A ``Result`` and the violations that no earlier scenario showed.
+            A ``Result`` and the rule violations that no earlier scenario reported.
         """
         await self.cluster.wait_ready()
         done = asyncio.Event()
         sender = asyncio.create_task(self._send(done, seed, load_factor))
         try:
-            await asyncio.sleep(2 * LEAD_S)
-            await act()
+            await asyncio.sleep(2 * LOAD_STARTUP_S)
+            await action()
         finally:
             done.set()
             seeds = await sender
@@ -154,23 +156,23 @@
         return self._result(seeds, load_factor)
 
     async def _send(self, done, seed, load_factor):
-        """Sends pieces of load one after the other until ``done``; returns their seeds."""
-        pieces = []
-        start_s = time.monotonic() + LEAD_S
+        """Sends consecutive load segments until ``done`` is set; returns their seeds."""
+        segments = []
+        start_s = time.monotonic() + LOAD_STARTUP_S
         try:
             while not done.is_set():
-                number = seed + len(pieces)
-                pieces.append(await self._start_piece(number, load_factor, start_s))
-                start_s += PIECE_S
-                await asyncio.sleep(start_s - LEAD_S - time.monotonic())
-            codes = [await each.wait(timeout_s=VERDICT_TIMEOUT_S) for each in pieces]
+                number = seed + len(segments)
+                segments.append(await self._start_segment(number, load_factor, start_s))
+                start_s += SEGMENT_S
+                await asyncio.sleep(start_s - LOAD_STARTUP_S - time.monotonic())
+            codes = [await each.wait(timeout_s=VERDICT_TIMEOUT_S) for each in segments]
         finally:
-            await asyncio.gather(*(each.kill() for each in pieces))
+            await asyncio.gather(*(each.kill() for each in segments))
         if any(codes):
-            raise processes.ProcessError(f"load processes ended with codes {codes}")
-        return range(seed, seed + len(pieces))
+            raise processes.ProcessError(f"load processes ended with exit codes {codes}")
+        return range(seed, seed + len(segments))
 
-    async def _start_piece(self, seed, load_factor, start_s):
+    async def _start_segment(self, seed, load_factor, start_s):
         plan = self._plan(seed, load_factor, start_s)
         directory = self.cluster.directory
         path = directory / "settings" / f"load-{seed}.json"
@@ -188,7 +190,7 @@
             load=load_factor,
             mean_ms=MEAN_MS,
             deadline_ms=DEADLINE_MS,
-            duration_s=PIECE_S,
+            duration_s=SEGMENT_S,
             seed=seed,
             start_s=start_s,
         )
@@ -196,13 +198,13 @@
     def _result(self, seeds, load_factor):
         records = list(history.read(check.history_files([self.cluster.records])))
         services = self._plan(seeds[0], load_factor, 0.0).services
-        found = [str(each) for each in check.check(records)]
-        new = [each for each in found if each not in self._known_violations]
-        self._known_violations.update(found)
-        return Result(records=records, seeds=seeds, services=services), new
+        violations = [str(each) for each in check.check(records)]
+        new_violations = [each for each in violations if each not in self._known_violations]
+        self._known_violations.update(violations)
+        return Result(records=records, seeds=seeds, services=services), new_violations
 
 
-def holder(attempt):
+def ticket_holder(attempt):
     """Returns the name of the instance that issued the ticket of an attempt; None without one."""
     ticket = at_most_once.Ticket.parse(attempt.key)
     return None if ticket is None else ticket.holder.name
--- a/packages/standins/tests/test_launcher.py
+++ b/packages/standins/tests/test_launcher.py
@@ -1,4 +1,4 @@
-"""Tests of the layouts and of starting and stopping whole sets of processes."""
+"""Tests of the layouts and of starting and stopping clusters of processes."""
 
 import pathlib
 import sys
@@ -12,7 +12,8 @@
 from sassafrasway_entry import settings
 from sassafrasway_standins import launcher, layouts, processes
 
-# Listens on the admin address of its settings and answers like an instance without a policy.
+# Listens on the admin address of its settings and answers health requests with status 503, as an
+# instance without a policy does.
 FAKE_ENTRY = """
 import asyncio, signal, sys, tomllib
 from aiohttp import web
@@ -38,7 +39,7 @@
 
 class LayoutTest(unittest.TestCase):
     def test_policies_are_valid_and_match_backends(self):
-        """Guards against policies that the system refuses or that name absent servers."""
+        """Guards against policies that are rejected or do not match the backend servers."""
         for layout in layouts.LAYOUTS.values():
             with self.subTest(layout=layout.name):
                 site = layouts.Site(layout=layout, entries=26)
@@ -52,7 +53,7 @@
                 self.assertEqual(len({each.url for each in policy.servers.values()}), len(served))
 
     def test_settings_are_valid_and_match_relays(self):
-        """Guards against settings that an instance refuses, and peers that no relay leads to."""
+        """Guards against settings that an instance rejects, and against peers without a relay."""
         site = layouts.Site(layout=layouts.SILA, block=3)
         pairs = [pair for file in site.link_files(processes=2) for pair in file["pairs"]]
         relays = {(pair["source"]["name"], pair["connect"]): pair["listen"] for pair in pairs}
@@ -84,7 +85,7 @@
             return {each["name"]: each["state"] for each in await response.json()}
 
     async def test_instance_list_follows_the_processes(self):
-        """Guards against replacements and kills that the platform's list does not show."""
+        """Guards against an instance list that does not reflect a replacement or a kill."""
         running = launcher.running(layouts.DEMO, directory=self.directory, options=self.options)
         async with running as cluster:
             one, other = cluster.entry_names
@@ -100,7 +101,7 @@
             await cluster.set_links("cut", "bkk", "hkt")
 
     async def test_exception_leaves_no_process(self):
-        """Guards against processes that outlive a failed test."""
+        """Guards against processes that keep running after an exception in a test."""
         children = []
         with self.assertRaises(RuntimeError):
             running = launcher.running(layouts.DEMO, directory=self.directory, options=self.options)
@@ -112,7 +113,7 @@
         self.assertEqual([child.is_running for child in children], [False] * 5)
 
     async def test_failed_start_is_reported_with_log(self):
-        """Guards against a start that waits for a process that has ended."""
+        """Guards against a start that keeps waiting for a process that has already ended."""
         options = launcher.Options(
             entries=1, entry_command=(sys.executable, "-c", "raise SystemExit('broken settings')")
         )
--- a/packages/standins/tests/test_real_processes.py
+++ b/packages/standins/tests/test_real_processes.py
@@ -1,4 +1,4 @@
-"""Faults of real processes under load; the verdicts follow from order and counts in the records."""
+"""Tests of faults under load on real processes, which check the order and counts of records."""
 
 import asyncio
 import collections
@@ -11,13 +11,14 @@
 from sassafrasway_standins import faults, history, processes
 
 REGION = "bkk"
-KILLED_S = 5.0
-PAUSED_S = 6.0  # grants last 2 s, leases 3 s, and the outage of the holder has to exceed 4 s
+RECOVERY_S = 5.0  # the load goes on for this long after a kill or a pause
+PAUSE_S = 6.0  # grants are valid for 2 s, leases for 3 s; the holder must be absent for over 4 s
 STORE_DOWN_S = 15.0
 SILENT_S = 6.0
-# A request on a silent connection takes its whole deadline, and so does one that came just before.
-SILENCE_NOTICED_S = 6.0
-TIGHT_CAP_RPS = 40.0
+# Time after the silencing in which sent requests may have unknown outcomes. Requests on a silent
+# connection wait until their deadline, also those that were sent just before it became silent.
+SILENCE_DETECTION_S = 6.0
+LOW_CAP_RPS = 40.0
 NO_SLOT = "no_slot"
 
 
@@ -32,21 +33,21 @@
 
     def setUp(self):
         self.cluster = self.real.cluster
-        self.scene = faults.Scene(cluster=self.cluster, length_s=0.0)
+        self.fault_context = faults.FaultContext(cluster=self.cluster, length_s=0.0)
 
     def send_during(self, act, *, seed, load_factor=0.3):
-        """Sends load while ``act`` runs; checks that every rule holds and that requests ran."""
+        """Sends load while ``act`` runs; checks that no rule is violated and that requests ran."""
         result, violations = self.runner.run(
             self.real.scenario(act, seed=seed, load_factor=load_factor)
         )
         self.summary = result.summary()
         self.assertEqual(violations, [], self.summary)
         self.assertEqual(set(result.intents), set(result.verdicts), self.summary)
-        self.assertGreater(len(result.non_idempotent_starts), 0, self.summary)
+        self.assertGreater(len(result.non_idempotent_runs), 0, self.summary)
         return result
 
-    def assert_unknown(self, result, explains):
-        """Checks that ``explains(request, attempts)`` holds for each unknown request."""
+    def assert_unknown_outcomes_explained(self, result, explains):
+        """Checks that ``explains(request, attempts)`` is true for each unknown outcome."""
         unexplained = {
             request: attempts
             for request, attempts in result.with_outcome(history.UNKNOWN).items()
@@ -55,42 +56,42 @@
         self.assertEqual(unexplained, {}, self.summary)
 
     def assert_cap_reached(self, result, region, cap_rps):
-        """Checks that a region worked at its cap and that requests were kept off it.
+        """Checks that a region reached its cap and that further requests were refused or rerouted.
 
-        Look-ups lead callers to another region when the cap is used up, so that there need not be
-        a refusal for it: in a run of CI all 1,645 requests of crew-desk found a way around.
+        Lookups direct callers to another region when the cap is used up, so refusals are not
+        certain: in one CI run the cap refused none of the 1,645 requests to crew-desk.
         """
-        located = self.real.document["servers"]
-        in_region = [each for each in result.starts if located[each.server]["region"] == region]
+        servers = self.real.document["servers"]
+        in_region = [each for each in result.runs if servers[each.server]["region"] == region]
         busiest = max(collections.Counter(int(each.at_s) for each in in_region).values())
         self.assertGreaterEqual(busiest, 0.9 * cap_rps, self.summary)
         elsewhere = [
             each
-            for each in result.starts
+            for each in result.runs
             if result.intents[each.request].region == region
-            and located[each.server]["region"] != region
+            and servers[each.server]["region"] != region
         ]
-        kept_off = result.refusals()["region_cap"] + len(elsewhere)
-        self.assertGreater(kept_off, 0, self.summary)
+        refused_or_rerouted = result.refusals()["region_cap"] + len(elsewhere)
+        self.assertGreater(refused_or_rerouted, 0, self.summary)
 
     def test_kill_of_a_pool_owner(self):
-        """Guards against double runs, false "not run" and lost requests after kill -9 of an owner.
+        """Guards against requests run twice, reported wrongly as not run, or lost after a kill.
 
-        An outcome is unknown only when the killed instance had the request: the caller sent it
-        there, the ticket names that instance, or it was under way when a pool of its service died
-        with its owner.
+        An outcome may be unknown only if the killed instance was involved: the caller sent the
+        request to it, it had issued the ticket, or the request was in flight during the kill and
+        the instance owned a pool of its service.
         """
         kill = {}
 
         async def act():
-            victim = kill["name"] = await self.scene.owner()
+            victim = kill["name"] = await self.fault_context.pool_owner()
             kill["pools"] = {
                 key.split("/")[0] for key in (await self.cluster.dump(victim))["pools"]
             }
             kill["from_s"] = time.monotonic()
             await self.cluster.kill_entry(victim)
             kill["to_s"] = time.monotonic()
-            await asyncio.sleep(KILLED_S)
+            await asyncio.sleep(RECOVERY_S)
             await self.cluster.start_entry(victim)
             await self.cluster.wait_ready([victim])
 
@@ -98,51 +99,52 @@
         victim = kill["name"]
         url = f"http://{self.cluster.site.instances[victim].caller}"
 
-        def was_sent_to_victim(request, attempts):
+        def involved_victim(request, attempts):
             in_pool = result.intents[request].service in kill["pools"]
             return any(
                 each.instance == url
-                or real_cluster.holder(each) == victim
+                or real_cluster.ticket_holder(each) == victim
                 or (in_pool and each.at_s <= kill["to_s"] and each.ended_s >= kill["from_s"])
                 for each in attempts
             )
 
-        self.assert_unknown(result, was_sent_to_victim)
-        after = [each for each in result.non_idempotent_starts if each.at_s > kill["to_s"]]
+        self.assert_unknown_outcomes_explained(result, involved_victim)
+        after = [each for each in result.non_idempotent_runs if each.at_s > kill["to_s"]]
         self.assertGreater(len(after), 0, self.summary)
 
     def test_pause_past_the_grant(self):
-        """Guards against a paused owner that goes on with a grant that has gone to another.
+        """Guards against a pool owner that, after a pause, uses a grant that has expired.
 
-        The cap of the region is below the offered load, so that a share that is used twice shows.
+        Another instance has received the grant in the meantime. The cap of the region is below
+        the offered load, so a share of the cap that is used twice exceeds it.
         """
-        normal = self.real.document
-        tight = copy.deepcopy(normal)
-        tight["regions"][REGION]["cap_rps"] = TIGHT_CAP_RPS
+        original_policy = self.real.document
+        low_cap_policy = copy.deepcopy(original_policy)
+        low_cap_policy["regions"][REGION]["cap_rps"] = LOW_CAP_RPS
         pause = {}
 
         async def act():
-            victim = await self.scene.owner()
+            victim = await self.fault_context.pool_owner()
             pause["from_s"] = time.monotonic()
             self.cluster.pause_entry(victim)
-            await asyncio.sleep(PAUSED_S)
+            await asyncio.sleep(PAUSE_S)
             pause["to_s"] = time.monotonic()
             self.cluster.resume_entry(victim)
-            await asyncio.sleep(KILLED_S)
+            await asyncio.sleep(RECOVERY_S)
 
-        self.runner.run(self.real.apply(tight))
+        self.runner.run(self.real.apply(low_cap_policy))
         try:
             result = self.send_during(act, seed=2000)
         finally:
-            self.runner.run(self.real.apply(normal))
-        self.assert_cap_reached(result, REGION, TIGHT_CAP_RPS)
-        ran = [each for each in result.starts if pause["from_s"] < each.at_s < pause["to_s"]]
+            self.runner.run(self.real.apply(original_policy))
+        self.assert_cap_reached(result, REGION, LOW_CAP_RPS)
+        ran = [each for each in result.runs if pause["from_s"] < each.at_s < pause["to_s"]]
         self.assertGreater(len(ran), 0, self.summary)
 
     def test_store_down(self):
-        """Guards against requests with tickets, or owners of pools, that depend on the store.
+        """Guards against requests with tickets and pool owners that need the store to work.
 
-        A policy change during the outage is refused with the cause, and is accepted afterwards.
+        A policy change during the outage is refused with the cause, and accepted afterwards.
         """
         changed = copy.deepcopy(self.real.document)
         changed["regions"][REGION]["cap_rps"] += 1
@@ -162,33 +164,33 @@
 
         result = self.send_during(act, seed=3000)
         self.assertRegex(outage.get("error", "accepted"), r"code 4\n(.|\n)*(store|table)")
-        for region in self.scene.regions:
+        for region in self.fault_context.regions:
             ran = [
                 each
-                for each in result.non_idempotent_starts
+                for each in result.non_idempotent_runs
                 if outage["from_s"] < each.at_s < outage["to_s"]
                 and result.intents[each.request].region == region
             ]
             self.assertGreater(len(ran), 0, f"{region}\n{self.summary}")
-        self.assert_unknown(result, lambda request, attempts: False)
+        self.assert_unknown_outcomes_explained(result, lambda request, attempts: False)
 
     def test_graceful_replacement_of_every_instance(self):
-        """Guards against a planned stop that cuts, loses or refuses requests.
+        """Guards against graceful stops that abort, lose or refuse requests.
 
-        One instance of each region at a time is replaced, until none of the first ones is left.
+        All instances are replaced, one of each region at a time.
         """
         old = {name: self.cluster.process(name).pid for name in self.cluster.entry_names}
-        result = self.send_during(lambda: faults.ReplaceAll().run(self.scene), seed=4000)
+        result = self.send_during(lambda: faults.ReplaceAll().run(self.fault_context), seed=4000)
         self.assertEqual(len(old), len(self.cluster.site.instances))
         for name, pid in old.items():
             self.assertNotEqual(self.cluster.process(name).pid, pid)
-        self.assert_unknown(result, lambda request, attempts: False)
-        cut = [each for each in result.starts if each.outcome in ("cancelled", "crashed")]
+        self.assert_unknown_outcomes_explained(result, lambda request, attempts: False)
+        cut = [each for each in result.runs if each.outcome in ("cancelled", "crashed")]
         self.assertEqual(cut, [], self.summary)
         self.assertEqual(set(result.refusals()) - {NO_SLOT}, set(), self.summary)
 
     def test_silent_connections(self):
-        """Guards against use of open connections to backend servers that respond no more."""
+        """Guards against continued use of connections to backend servers that no longer respond."""
         silence = {}
 
         async def act():
@@ -201,11 +203,13 @@
         result = self.send_during(act, seed=5000)
         for name, before in silence["before"].items():
             self.assertGreater(silence["after"][name]["accepted"], before["accepted"], name)
-        ran_on = {each.server for each in result.starts if each.at_s > silence["at_s"]}
+        ran_on = {each.server for each in result.runs if each.at_s > silence["at_s"]}
         self.assertEqual(ran_on, set(silence["before"]), self.summary)
-        self.assert_unknown(
+        self.assert_unknown_outcomes_explained(
             result,
-            lambda request, _: result.intents[request].at_s <= silence["at_s"] + SILENCE_NOTICED_S,
+            lambda request, _: (
+                result.intents[request].at_s <= silence["at_s"] + SILENCE_DETECTION_S
+            ),
         )
 
 
