Reword the caller, its requests and the load tool

"Exchange" was both one attempt at an instance and the whole request with its retries; the state of a request is now PendingRequest, one attempt has an AttemptResult. "answer" becomes response or result, and the properties say what they decide (should_attempt, max_backoff_ms). Docstrings list the fields of plans, services and routes. Fields of plans and records, option names and headers are unchanged.

--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -1,4 +1,4 @@
-"""Behaviour of callers: cached lookups, tickets, attempts at several instances, answer checks."""
+"""Simulated caller: caches lookups, prefetches tickets and retries at other instances."""
 
 import asyncio
 import contextlib
@@ -11,31 +11,32 @@
 
 from sassafrasway_standins import arrivals, exchanges, history, network
 
-# A ticket may start a run for 5 s after its issue; older ones than this would come too late for a
-# request that waits in a queue for its whole deadline of 2 s.
+# A request must start within 5 s of the issue of its ticket, and may wait in a queue for its whole
+# deadline of 2 s before that. With an older ticket it could start too late.
 TICKET_MAX_AGE_S = 2.5
-TICKETS_AHEAD = 2
+PREFETCHED_TICKETS = 2
 LOOKUP_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
-# Time after the deadline within which the instance's own 504 answer still arrives.
+# Time after the deadline for the instance's own 504 response to arrive.
 DEADLINE_GRACE_S = 0.25
 
 
 class LookupFailedError(Exception):
-    """No known entry instance answered a lookup."""
+    """None of the entry instances tried answered a lookup."""
 
 
 class Caller:
-    """One client program in a region; many requests share its lookup cache and connections.
+    """One client program in a region; its requests share a lookup cache and connections.
 
     Args:
-        session: Connections of the process.
+        session: HTTP session that holds the connections of the process.
         region: Home region of the client.
         entries: Entry instances known from configuration.
         services: Services by name.
         client_ms: One-way delay between the client and its region, ms.
         region_ms: One-way delay between regions, ms.
-        record: Takes each record of the history.
+        rng: Source of all random choices.
+        record: Receives each record of the history.
     """
 
     def __init__(
@@ -64,64 +65,66 @@
         self._background: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
-        """Cancels lookups that run in the background."""
+        """Cancels lookups that are still running in the background."""
         for task in self._background:
             task.cancel()
         await asyncio.gather(*self._background, return_exceptions=True)
 
     async def send(self, arrival: arrivals.Arrival, *, intended_s: float) -> history.Verdict:
-        """Sends one request until it has a verdict; records every attempt and the verdict."""
-        exchange = exchanges.Exchange(
+        """Sends one request with retries; records its intent, every attempt and the verdict."""
+        pending = exchanges.PendingRequest(
             arrival=arrival, intended_s=intended_s, service=self._services[arrival.service]
         )
-        self._record(exchange.intent())
-        while exchange.wants_attempt:
-            await self._attempt(exchange)
-            if exchange.wants_attempt:
-                await network.pause(self._rng.uniform(0, exchange.pause_ms), self._rng)
-        verdict = exchange.verdict()
+        self._record(pending.intent())
+        while pending.should_attempt:
+            await self._attempt(pending)
+            if pending.should_attempt:
+                await network.pause(self._rng.uniform(0, pending.max_backoff_ms), self._rng)
+        verdict = pending.verdict()
         self._record(verdict)
         return verdict
 
-    async def _attempt(self, exchange: exchanges.Exchange) -> None:
-        if exchange.needs_route:
+    async def _attempt(self, pending: exchanges.PendingRequest) -> None:
+        if pending.needs_route:
             try:
-                exchange.use(await self._route(exchange.arrival))
+                pending.use_route(await self._route(pending.arrival))
             except LookupFailedError as error:
-                exchange.fail_lookup(str(error))
+                pending.add_failed_lookup(str(error))
                 return
-        url = exchange.next_url()
+        url = pending.next_url()
         started_s = time.monotonic()
-        answer = await self._exchange(url, exchange)
-        self._record(exchange.add(answer, url=url, started_s=started_s))
-        if answer.is_retryable:
-            self._routes.pop(exchange.arrival.service, None)
-
-    async def _exchange(self, url: str, exchange: exchanges.Exchange) -> exchanges.Answer:
-        """Sends the request once, with the delay of the network in both directions."""
+        result = await self._send_once(url, pending)
+        self._record(pending.add_result(result, url=url, started_s=started_s))
+        if result.is_retryable:
+            self._routes.pop(pending.arrival.service, None)
+
+    async def _send_once(
+        self, url: str, pending: exchanges.PendingRequest
+    ) -> exchanges.AttemptResult:
+        """Sends the request once, with the simulated network delay in both directions."""
         delay_ms = self._delay_ms(url)
         await network.pause(delay_ms, self._rng)
         timeout = aiohttp.ClientTimeout(
-            total=max(exchange.remaining_s, 0.0) + DEADLINE_GRACE_S, sock_connect=CONNECT_TIMEOUT_S
+            total=max(pending.remaining_s, 0.0) + DEADLINE_GRACE_S, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
             async with self._session.post(
-                url + exchange.path,
-                data=exchange.body,
-                headers=exchange.headers(),
+                url + pending.path,
+                data=pending.body,
+                headers=pending.headers(),
                 timeout=timeout,
             ) as response:
                 body = await response.read()
-                answer = exchanges.read_answer(response, body)
+                result = exchanges.read_response(response, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            return exchanges.Answer(outcome="", error=repr(error))
+            return exchanges.AttemptResult(outcome="", error=repr(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return exchanges.Answer(outcome=history.UNKNOWN, error=repr(error))
+            return exchanges.AttemptResult(outcome=history.UNKNOWN, error=repr(error))
         await network.pause(delay_ms, self._rng)
-        return answer
+        return result
 
     async def _route(self, arrival: arrivals.Arrival) -> exchanges.Route:
-        """Returns where to send a request: from the cache, or from a lookup."""
+        """Returns where to send a request: a cached route or ticket, or the result of a lookup."""
         if self._services[arrival.service].idempotent:
             route = self._routes.get(arrival.service)
             if route is None or route.expires_s <= time.monotonic():
@@ -133,7 +136,7 @@
         return route or await self._lookup(arrival.service, arrival.client)
 
     def _take_ticket(self, service: str) -> exchanges.Route | None:
-        """Removes the newest ticket that is fresh enough; older ones are of no use any more."""
+        """Removes and returns the newest ticket, or None if all are too old and were discarded."""
         tickets = self._tickets[service]
         while tickets:
             route = tickets.pop()
@@ -142,7 +145,7 @@
         return None
 
     def _prefetch(self, service: str, client: str) -> None:
-        if len(self._tickets[service]) < TICKETS_AHEAD:
+        if len(self._tickets[service]) < PREFETCHED_TICKETS:
             task = asyncio.create_task(self._fetch_ticket(service, client))
             self._background.add(task)
             task.add_done_callback(self._background.discard)
@@ -153,13 +156,13 @@
             self._tickets[service].append(route)
 
     async def _lookup(self, service: str, client: str) -> exchanges.Route:
-        """Asks random instances, those of the own region first.
+        """Asks up to two random instances of the own region, then one of any region.
 
         Raises:
-            LookupFailedError: Three instances did not answer.
+            LookupFailedError: None of them answered.
         """
-        near = [each for each in self._entries if each.region == self._region]
-        candidates = self._rng.sample(near, min(2, len(near)))
+        local_entries = [each for each in self._entries if each.region == self._region]
+        candidates = self._rng.sample(local_entries, min(2, len(local_entries)))
         candidates += self._rng.sample(self._entries, 1)
         failures = []
         for entry in candidates:
@@ -188,7 +191,7 @@
     def _read_route(self, data: Mapping[str, Any], sent_s: float) -> exchanges.Route:
         urls = tuple(str(each["url"]).rstrip("/") for each in data["instances"])
         if not urls:
-            raise ValueError("the lookup answer names no instance")
+            raise ValueError("the lookup response names no instance")
         return exchanges.Route(
             urls=urls,
             ticket=data.get("ticket") or "",
@@ -197,5 +200,5 @@
         )
 
     def _delay_ms(self, url: str) -> float:
-        is_near = self._regions.get(url, self._region) == self._region
-        return self._client_ms if is_near else self._client_ms + self._region_ms
+        is_local = self._regions.get(url, self._region) == self._region
+        return self._client_ms if is_local else self._client_ms + self._region_ms
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -1,4 +1,4 @@
-"""One request of a caller between its attempts, and what callers know of services and answers."""
+"""State of a caller's request across its attempts, and the data that callers work with."""
 
 import dataclasses
 import hashlib
@@ -10,10 +10,10 @@
 from sassafrasway_standins import arrivals, history
 
 MAX_ATTEMPTS = 8
-MAX_UNKNOWN_REPEATS = 3
-RETRY_PAUSE_MS = 20.0
+MAX_UNKNOWN_RETRIES = 3
+RETRY_BACKOFF_MS = 20.0
 REQUEST_BYTES = 256
-ANSWER_BYTES = 1024
+RESPONSE_BYTES = 1024
 HTTP_OK = 200
 HTTP_QUARANTINED = 422
 HTTP_UNAVAILABLE = 503
@@ -30,7 +30,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CalledService:
-    """What callers know of a service."""
+    """A service as callers know it.
+
+    Attributes:
+        idempotent: Whether a request may run more than once.
+        deadline_ms: Deadline of a request, counted from its intended time, ms.
+        slots: Slots of all servers of the service; sets the rate of the load.
+        may_wait: Whether requests wait in a queue for a slot instead of being refused.
+    """
 
     idempotent: bool
     deadline_ms: int
@@ -39,11 +46,13 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answer:
-    """Result of one exchange with an entry instance.
+class AttemptResult:
+    """Result of one attempt: the response of an entry instance, or the failure to get one.
 
     Attributes:
-        outcome: As in ``history.Attempt``.
+        outcome: As in ``history.Attempt``, and so are ``status``, ``reason``, ``served_by`` and
+            ``error``.
+        body: Body of the response.
     """
 
     outcome: str
@@ -55,7 +64,7 @@
 
     @property
     def is_retryable(self) -> bool:
-        """Whether another instance may give a better answer; never so for a quarantined request."""
+        """Whether a further attempt may succeed; never true for a quarantined request."""
         if self.status == HTTP_QUARANTINED:
             return False
         if self.outcome == history.UNKNOWN:
@@ -65,7 +74,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """A lookup answer; ``ticket`` is empty for idempotent services."""
+    """Response to a lookup.
+
+    Attributes:
+        urls: Entry instances to send to, in order of preference.
+        ticket: Idempotency key for one request; empty for idempotent services.
+        fetched_s: Monotonic time at which the lookup was sent, s.
+        expires_s: Monotonic time until which the response may be cached, s.
+    """
 
     urls: tuple[str, ...]
     ticket: str
@@ -73,25 +89,25 @@
     expires_s: float
 
 
-class Exchange:
-    """State of one request between its attempts."""
+class PendingRequest:
+    """State of one request across its attempts."""
 
     def __init__(self, *, arrival: arrivals.Arrival, intended_s: float, service: CalledService):
         self.arrival = arrival
-        self.body = _body(arrival.request)
+        self.body = _request_body(arrival.request)
         self._service = service
         self._intended_s = intended_s
         self._deadline_s = intended_s + service.deadline_ms / 1000
         self._route: Route | None = None
-        self._next_url = 0
-        self._answers: list[Answer] = []
+        self._next_index = 0
+        self._results: list[AttemptResult] = []
         self._failed_lookups = 0
         self._lookup_error = ""
 
     @property
     def path(self) -> str:
-        """Path and query of the request behind the instance's URL."""
-        query = f"service_ms={self.arrival.service_s * 1000:.3f}&size={ANSWER_BYTES}"
+        """Path and query to append to the instance's URL."""
+        query = f"service_ms={self.arrival.service_s * 1000:.3f}&size={RESPONSE_BYTES}"
         path = history.path_of(self.arrival.request)
         return f"/v1/services/{self.arrival.service}{path}?{query}"
 
@@ -101,54 +117,56 @@
         return self._deadline_s - time.monotonic()
 
     @property
-    def wants_attempt(self) -> bool:
-        """Whether another attempt is useful, allowed and in time."""
-        if not self._answers:
+    def should_attempt(self) -> bool:
+        """Whether to make another attempt: it may succeed, and no limit or deadline has passed."""
+        if not self._results:
             return self._failed_lookups < MAX_ATTEMPTS and self.remaining_s > 0
-        if not self._answers[-1].is_retryable or self.remaining_s <= 0:
+        if not self._results[-1].is_retryable or self.remaining_s <= 0:
             return False
-        unknown = sum(each.outcome == history.UNKNOWN for each in self._answers)
-        tries = len(self._answers) + self._failed_lookups
-        return tries < MAX_ATTEMPTS and unknown <= MAX_UNKNOWN_REPEATS
+        unknown = sum(each.outcome == history.UNKNOWN for each in self._results)
+        tries = len(self._results) + self._failed_lookups
+        return tries < MAX_ATTEMPTS and unknown <= MAX_UNKNOWN_RETRIES
 
     @property
-    def pause_ms(self) -> float:
-        """Upper bound of the pause before the next attempt."""
-        tries = len(self._answers) + self._failed_lookups
-        return RETRY_PAUSE_MS * 2 ** max(0, tries - 1)
+    def max_backoff_ms(self) -> float:
+        """Upper bound of the random delay before the next attempt; doubles with each attempt."""
+        tries = len(self._results) + self._failed_lookups
+        return RETRY_BACKOFF_MS * 2 ** max(0, tries - 1)
 
     @property
     def needs_route(self) -> bool:
-        """Whether the next attempt starts with a lookup.
+        """Whether the next attempt needs a lookup first.
 
-        A request that may have been received keeps its key. One that certainly did not run takes a
-        new ticket, because the instance that issued the first one may be gone.
+        A non-idempotent request that may have run keeps its key. One that certainly did not run
+        takes a new ticket, because the instance that issued the first one may be gone. An
+        idempotent request tries all instances of a lookup before the next one.
         """
         if self._route is None:
             return True
         if not self._service.idempotent:
             return not self._may_have_run
-        return self._next_url >= len(self._route.urls)
+        return self._next_index >= len(self._route.urls)
 
     @property
     def _may_have_run(self) -> bool:
-        return any(each.outcome in (history.RAN, history.UNKNOWN) for each in self._answers)
+        return any(each.outcome in (history.RAN, history.UNKNOWN) for each in self._results)
 
-    def use(self, route: Route) -> None:
-        """Uses a lookup answer for the next attempts."""
-        failed = self._answers[-1].outcome == "" if self._answers else False
+    def use_route(self, route: Route) -> None:
+        """Sets the route of the next attempts."""
+        failed = self._results[-1].outcome == "" if self._results else False
         if route.ticket:
-            # Another instance could not tell whether the holder of the ticket has run it.
+            # Start with the first instance: another one cannot tell whether the holder of the
+            # ticket has run the request.
             failed = False
         self._route = route
-        # The first instance of a cached or repeated answer is likely the one that just failed.
-        self._next_url = len(self._answers) % len(route.urls) if failed else 0
+        # The first instance of a cached or repeated route is likely the one that just failed.
+        self._next_index = len(self._results) % len(route.urls) if failed else 0
 
     def next_url(self) -> str:
-        """Returns the instance for the next attempt and moves on to the one after it."""
+        """Returns the URL of the instance for the next attempt and advances to the one after it."""
         assert self._route is not None
-        url = self._route.urls[self._next_url % len(self._route.urls)]
-        self._next_url += 1
+        url = self._route.urls[self._next_index % len(self._route.urls)]
+        self._next_index += 1
         return url
 
     def headers(self) -> dict[str, str]:
@@ -162,26 +180,26 @@
             headers["Idempotency-Key"] = self._route.ticket
         return headers
 
-    def fail_lookup(self, message: str) -> None:
-        """Counts a lookup that no instance answered."""
+    def add_failed_lookup(self, message: str) -> None:
+        """Counts a lookup that no instance answered as an attempt."""
         self._failed_lookups += 1
         self._lookup_error = message
 
-    def add(self, answer: Answer, *, url: str, started_s: float) -> history.Attempt:
-        """Takes the result of an attempt and returns its record."""
-        self._answers.append(answer)
+    def add_result(self, result: AttemptResult, *, url: str, started_s: float) -> history.Attempt:
+        """Adds the result of an attempt and returns its record."""
+        self._results.append(result)
         return history.Attempt(
             at_s=started_s,
             request=self.arrival.request,
-            number=len(self._answers),
+            number=len(self._results),
             instance=url,
             ended_s=time.monotonic(),
-            outcome=answer.outcome,
-            status=answer.status,
+            outcome=result.outcome,
+            status=result.status,
             key=self._route.ticket if self._route else "",
-            served_by=answer.served_by,
-            reason=answer.reason,
-            error=answer.error,
+            served_by=result.served_by,
+            reason=result.reason,
+            error=result.error,
         )
 
     def intent(self) -> history.Intent:
@@ -196,54 +214,57 @@
         )
 
     def verdict(self) -> history.Verdict:
-        """Returns what the caller knows in the end.
+        """Returns the record of the final outcome.
 
-        The last answer counts, except that an earlier attempt with an unknown outcome makes the
-        whole request unknown unless its key proves otherwise.
+        It is the outcome of the last attempt, except that "not run" becomes "unknown" if an earlier
+        attempt may have run. An idempotency key proves that it did not, if the last attempt reached
+        an instance.
         """
-        if not self._answers:
-            last = Answer(outcome=history.NOT_RUN, reason="no-lookup", error=self._lookup_error)
+        if not self._results:
+            last = AttemptResult(
+                outcome=history.NOT_RUN, reason="no-lookup", error=self._lookup_error
+            )
         else:
-            last = self._answers[-1]
+            last = self._results[-1]
         outcome = last.outcome or history.NOT_RUN
-        doubtful = self._service.idempotent or last.outcome == ""
-        if outcome == history.NOT_RUN and doubtful and self._may_have_run:
+        is_unproven = self._service.idempotent or last.outcome == ""
+        if outcome == history.NOT_RUN and is_unproven and self._may_have_run:
             outcome = history.UNKNOWN
         whole, own = True, True
         if last.outcome == history.RAN and last.status == HTTP_OK:
-            whole, own = self._inspect(last.body)
+            whole, own = self._check_body(last.body)
         return history.Verdict(
             at_s=time.monotonic(),
             request=self.arrival.request,
             outcome=outcome,
             status=last.status,
-            attempts=len(self._answers),
+            attempts=len(self._results),
             whole=whole,
             own=own,
             reason=last.reason or last.error,
         )
 
-    def _inspect(self, body: bytes) -> tuple[bool, bool]:
-        """Returns whether the answer is complete, and whether it belongs to this request."""
+    def _check_body(self, body: bytes) -> tuple[bool, bool]:
+        """Returns whether the response is complete, and whether it belongs to this request."""
         try:
             content = json.loads(body)
             digest, path = content["digest"], content["path"]
         except (ValueError, KeyError, TypeError):
             return False, False
-        is_whole = len(body) == ANSWER_BYTES
+        is_whole = len(body) == RESPONSE_BYTES
         is_own = digest == hashlib.sha256(self.body).hexdigest()
         return is_whole, is_own and history.request_of(path) == self.arrival.request
 
 
-def _body(request: str) -> bytes:
-    """Returns a body that no other request has."""
+def _request_body(request: str) -> bytes:
+    """Returns a body that is unique to the request."""
     return request.encode().ljust(REQUEST_BYTES, b".")
 
 
-def read_answer(response: aiohttp.ClientResponse, body: bytes) -> Answer:
-    """Returns what an instance's response says about the attempt."""
+def read_response(response: aiohttp.ClientResponse, body: bytes) -> AttemptResult:
+    """Returns the result of an attempt from the response of an instance."""
     headers = response.headers
-    return Answer(
+    return AttemptResult(
         outcome=headers.get("Sassafras-Outcome", history.UNKNOWN),
         status=response.status,
         reason=headers.get("Sassafras-Reason", ""),
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -1,7 +1,7 @@
-"""Open-loop load tool: sends a seeded trace of arrivals on time, whatever the answers are.
+"""Open-loop load tool: sends a seeded trace of arrivals without waiting for responses.
 
-Latency counts from the intended arrival, so a stall of the tool or of the system shows in every
-request that it delays (no coordinated omission).
+Latency is measured from the intended arrival, so a stall of the tool or of the system shows in
+every request that it delays (no coordinated omission).
 """
 
 import asyncio
@@ -23,16 +23,24 @@
 
 CALLERS_PER_REGION = 4
 KEEPALIVE_S = 30.0
-START_DELAY_S = 2.0  # time to generate the trace
+START_DELAY_S = 2.0  # time for generating the trace
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
-    """Everything that a load process needs; one JSON file serves all processes of a run.
+    """Settings of the load; all load processes of a run read the same plan from a JSON file.
 
     Attributes:
-        start_s: Monotonic time of the start of the trace, s.
+        entries: Entry instances that callers know from configuration.
+        services: Services by name.
         blocks: A client block (CIDR) for each region.
+        client_ms: One-way delay between a client and its region, ms.
+        region_ms: One-way delay between regions, ms.
+        load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
+        mean_service_s: Mean service time, s.
+        duration_s: Length of the trace, s.
+        seed: Seed of the trace.
+        start_s: Monotonic time of the start of the trace, s.
     """
 
     entries: Sequence[exchanges.EntryPoint]
@@ -47,7 +55,7 @@
     start_s: float
 
     def arrivals(self) -> list[arrivals.Arrival]:
-        """Returns the trace; the same plan always gives the same one."""
+        """Returns the trace, which depends on nothing but the plan."""
         streams = arrivals.streams_for_load(
             slots={name: each.slots for name, each in self.services.items()},
             blocks=dict(self.blocks),
@@ -57,12 +65,12 @@
         return arrivals.generate(streams, duration_s=self.duration_s, seed=self.seed)
 
     def dump(self) -> dict[str, Any]:
-        """Returns the JSON form."""
+        """Returns the plan as data for JSON."""
         return dataclasses.asdict(self)
 
     @classmethod
     def parse(cls, data: Mapping[str, Any]) -> "Plan":
-        """Returns the plan of the JSON form."""
+        """Returns the plan from data that ``dump`` returned."""
         fields = dict(data)
         fields["entries"] = [exchanges.EntryPoint(**each) for each in data["entries"]]
         fields["services"] = {
@@ -72,12 +80,12 @@
 
 
 class LoadTool:
-    """Sends the arrivals of one process.
+    """Sends the arrivals of one load process.
 
     Args:
-        plan: What to send where.
-        writer: Takes the records.
-        part: Number of this process; distinguishes the random choices of the processes.
+        plan: Settings of the load.
+        writer: Receives the records.
+        part: Number of this process; part of the seed of its random choices.
     """
 
     def __init__(self, *, plan: Plan, writer: history.Writer, part: int):
@@ -90,11 +98,11 @@
 
     @property
     def latencies(self) -> latency.Latencies:
-        """Latency from the intended arrival of requests that ran, by service."""
+        """Latency of requests that ran, from the intended arrival to the verdict, by service."""
         return self._latencies
 
     async def run(self, trace: Sequence[arrivals.Arrival]) -> None:
-        """Sends the trace and waits for all verdicts."""
+        """Sends the trace and waits until every request has a verdict."""
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
         cookies = aiohttp.DummyCookieJar()
         async with aiohttp.ClientSession(connector=connector, cookie_jar=cookies) as session:
@@ -136,15 +144,15 @@
             await asyncio.sleep(pause_s)
 
     async def _send(self, arrival: arrivals.Arrival) -> None:
-        each = self._rng.choice(self._callers[arrival.region])
+        chosen = self._rng.choice(self._callers[arrival.region])
         intended_s = self._plan.start_s + arrival.at_s
-        verdict = await each.send(arrival, intended_s=intended_s)
+        verdict = await chosen.send(arrival, intended_s=intended_s)
         if verdict.outcome == history.RAN:
             self._latencies.record(arrival.service, verdict.at_s - intended_s)
 
 
 def run_part(plan: Plan, *, records: pathlib.Path, part: int, parts: int) -> latency.Latencies:
-    """Sends one part of the plan's trace in this process and returns its latencies."""
+    """Sends one part of the plan's trace in this process and returns the latencies."""
     trace = arrivals.partition(plan.arrivals(), parts=parts)[part]
     gc.collect()
     gc.freeze()
@@ -168,10 +176,10 @@
     """Returns the plan that loads all services of a site.
 
     Args:
-        site: Where the entry instances listen.
-        load: Offered load; at 1.0, arrivals x mean service time = slots of the service.
+        site: Deployment with the addresses of the entry instances.
+        load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
         mean_ms: Mean service time, ms.
-        deadline_ms: Deadline of requests, ms; 0 takes that of the service.
+        deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
         duration_s: Length of the trace, s.
         seed: Seed of the trace.
         start_s: Monotonic time of the start of the trace, s.
@@ -206,7 +214,7 @@
 
 
 def as_text(latencies: latency.Latencies) -> str:
-    """Returns one line for each service."""
+    """Returns one line of text with the latency percentiles for each service."""
     return "".join(
         f"{service}: {each.count} ran, p50 {each.p50_ms:.1f} ms, p99 {each.p99_ms:.1f} ms, "
         f"p99.9 {each.p999_ms:.1f} ms\n"
@@ -225,12 +233,14 @@
     "--plan",
     "plan_path",
     type=click.Path(exists=True, path_type=pathlib.Path),
-    help="Plan as JSON in place of the options of the trace; the bench writes it.",
+    help="JSON file with the plan, as written by bench; replaces the trace options.",
 )
 @click.option("--part", default=0, show_default=True, help="Number of this load process.")
 @click.option("--parts", default=1, show_default=True, help="Number of load processes.")
 @click.option("--layout", type=click.Choice(sorted(layouts.LAYOUTS)), default="demo")
-@click.option("--block", default=0, show_default=True, help="Address block of the running set.")
+@click.option(
+    "--block", default=0, show_default=True, help="Address block of the running deployment."
+)
 @click.option("--load", default=0.5, show_default=True, help="Offered load, 1.0 = all slots.")
 @click.option("--mean-ms", default=200.0, show_default=True, help="Mean service time, ms.")
 @click.option("--duration", default=20.0, show_default=True, help="Length of the load, s.")
@@ -245,7 +255,7 @@
     duration: float,
     **choices: Any,
 ) -> None:
-    """Sends requests to a running set of entry instances and records what callers see."""
+    """Sends requests to running entry instances and records what the callers see."""
     if plan_path is not None:
         plan = Plan.parse(json.loads(plan_path.read_text(encoding="utf-8")))
     else:
--- a/packages/standins/tests/test_load.py
+++ b/packages/standins/tests/test_load.py
@@ -1,4 +1,4 @@
-"""Tests of the caller's behaviour and of the load tool against scripted entry instances."""
+"""Tests of the simulated caller and of the load tool against scripted entry instances."""
 
 import json
 import pathlib
@@ -19,7 +19,7 @@
 
 
 class CallerTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against callers that repeat work, give up early or accept wrong answers."""
+    """Guards against callers that run work twice, give up early or accept wrong responses."""
 
     async def asyncSetUp(self):
         self.records = []
@@ -61,20 +61,20 @@
         return [each for each in self.records if isinstance(each, history.Attempt)]
 
     async def test_each_ticket_serves_one_request(self):
-        """Guards against two requests under one key, the second of which would never run."""
+        """Guards against two requests under one key, as the second one would never run."""
         for number in range(10):
             verdict = await self.send(request=f"r{number}")
             self.assertEqual((verdict.outcome, verdict.whole, verdict.own), ("ran", True, True))
         self.assertEqual(len(set(self.entries[0].keys)), 10)
 
     async def test_lookups_of_idempotent_services_are_cached(self):
-        """Guards against a lookup per request, which would hide faults of cached answers."""
+        """Guards against a lookup for each request, which would hide faults of cached routes."""
         for number in range(10):
             await self.send("quote-desk", f"r{number}")
         self.assertEqual(self.entries[0].lookups, 1)
 
     async def test_refused_connection_leads_to_the_next_instance(self):
-        """Guards against a request that is lost with the instance it was first sent to."""
+        """Guards against giving up when the first instance refuses the connection."""
         self.entries[0].instances = [self.entries[1], self.entries[0]]
         await self.entries[1].stop()
         verdict = await self.send("quote-desk")
@@ -82,7 +82,7 @@
         self.assertEqual(self.attempts()[0].outcome, "")
 
     async def test_broken_connection_is_retried_under_the_same_key(self):
-        """Guards against a second run under a second key after an unknown outcome."""
+        """Guards against a second run because a retry after an unknown outcome takes a new key."""
         self.entries[0].script = ["break"]
         self.entries[1].script = ["unknown"]
         verdict = await self.send()
@@ -92,35 +92,35 @@
         self.assertEqual(keys, set(self.entries[0].keys) | set(self.entries[1].keys))
 
     async def test_unavailable_instance_is_replaced_and_its_ticket_too(self):
-        """Guards against a request that stays bound to an instance that cannot run it."""
+        """Guards against retrying with the ticket of an instance that is not available."""
         self.entries[0].script = ["unavailable"]
         verdict = await self.send()
         self.assertEqual((verdict.outcome, verdict.attempts), ("ran", 2))
         self.assertEqual(len({each.key for each in self.attempts()}), 2)
 
     async def test_refusal_is_final(self):
-        """Guards against retries that would turn a refusal rate into a queue."""
+        """Guards against retries of refused requests, which would hide refusals behind waiting."""
         self.entries[0].script = ["refused"]
         verdict = await self.send()
         self.assertEqual((verdict.outcome, verdict.status, verdict.attempts), ("not-run", 429, 1))
 
     async def test_unknown_outcomes_are_repeated_a_bounded_number_of_times(self):
-        """Guards against callers that never end."""
+        """Guards against retrying without a limit."""
         for entry in self.entries:
             entry.script = ["unknown"] * 20
         verdict = await self.send()
         self.assertEqual(verdict.outcome, "unknown")
-        self.assertEqual(verdict.attempts, exchanges.MAX_UNKNOWN_REPEATS + 1)
+        self.assertEqual(verdict.attempts, exchanges.MAX_UNKNOWN_RETRIES + 1)
 
     async def test_refusal_after_a_broken_attempt_is_not_reported_as_not_run(self):
-        """Guards against a false "not run" for a request whose first attempt may have run."""
+        """Guards against reporting "not run" for a request whose first attempt may have run."""
         self.entries[0].script = ["break", "refused"]
         self.entries[1].script = ["refused"]
         verdict = await self.send("quote-desk")
         self.assertEqual(verdict.outcome, "unknown")
 
     async def test_foreign_and_short_answers_are_noticed(self):
-        """Guards against a checker that gets no evidence of wrong answers."""
+        """Guards against verdicts that do not show wrong or incomplete responses to the checker."""
         self.entries[0].script = ["foreign", "short"]
         verdict = await self.send(request="r1")
         self.assertEqual((verdict.whole, verdict.own), (True, False))
@@ -128,13 +128,13 @@
         self.assertEqual((verdict.whole, verdict.own), (False, True))
 
     async def test_no_instance_gives_a_verdict_too(self):
-        """Guards against requests without a verdict when the whole system is down."""
+        """Guards against requests without a verdict when no instance answers a lookup."""
         await self.entries[0].stop()
         verdict = await self.send()
         self.assertEqual((verdict.outcome, verdict.reason), ("not-run", "no-lookup"))
 
     async def test_load_tool_gives_every_arrival_a_verdict(self):
-        """Guards against records that are lost when the tool stops, and plans that do not parse."""
+        """Guards against records lost when the tool stops, and plans that JSON does not keep."""
         plan = load.Plan(
             entries=[each.entry_point for each in self.entries],
             services=SERVICES,
