Reword the report, the bench and the capacity measurement

Keys of results, quantities, units and table heads are unchanged.

Not run: the modules that start real processes.

--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -1,4 +1,4 @@
-"""Benchmark: runs a whole deployment under load, with or without a fault, and reports on it."""
+"""Benchmark that runs a whole deployment under load, with or without a fault, and reports on it."""
 
 import asyncio
 import contextlib
@@ -37,27 +37,34 @@
 POLICY_TIMEOUT_S = 30.0
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.2
-# Time for the load processes to import, generate the trace and wait for its start.
+# Time for the load processes to start and to generate the trace before it begins.
 LOAD_START_S = 5.0
-FAULT_AT = 0.3
-FAULT_LENGTH = 0.3
+# Start and length of the fault as fractions of the measured part of the trace.
+FAULT_START_FRACTION = 0.3
+FAULT_LENGTH_FRACTION = 0.3
 # Longest time from the last arrival until every caller has a verdict.
 VERDICT_TIMEOUT_S = 30.0
-# Runs whose callers gave up end within the deadline of the request.
+# Time for runs whose callers gave up to end, which they do within the deadline of the request.
 SETTLE_S = 2.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Options:
-    """Choices for one run, as on the command line.
+    """Options of one run, as on the command line.
 
     Attributes:
-        load: Offered load; at 1.0, arrivals x mean service time = slots of the service.
+        layout: Name of the layout in ``layouts.LAYOUTS``.
+        load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
+        fault: Name of the fault in ``faults.FAULTS``.
+        seed: Seed of arrivals and service times.
         duration_s: Length of the measured part of the trace, s.
-        warm_up_s: Length of the part before it, which counts for no figure, s. The slots of
-            servers that were idle are ramped up in the first seconds.
+        warm_up_s: Length of the part before it, which is left out of the results, s: in the first
+            seconds, the slots of servers that were idle are still being ramped up.
+        placement: Placement strategy of the entry instances.
+        instances: Number of entry instances.
         mean_ms: Mean service time, ms.
-        deadline_ms: Deadline of requests, ms; 0 takes that of the service.
+        deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
+        load_processes: Number of load processes.
     """
 
     layout: str
@@ -74,7 +81,7 @@
 
     @property
     def name(self) -> str:
-        """Name of the result files."""
+        """Name of the result files, without extension."""
         return (
             f"{self.layout}-{self.load:g}-{self.fault}-{self.placement}"
             f"-{self.instances}-{self.mean_ms:g}ms-{self.duration_s:g}s-{self.seed}"
@@ -85,8 +92,8 @@
     """One run from the start of the processes to the report.
 
     Args:
-        options: Choices.
-        directory: Where settings, logs and records of the run go; emptied first.
+        options: Options of the run.
+        directory: Directory for settings, logs and records of the run; deleted first if it exists.
     """
 
     def __init__(self, *, options: Options, directory: pathlib.Path):
@@ -100,7 +107,7 @@
         shutil.rmtree(self._directory, ignore_errors=True)
         self._directory.mkdir(parents=True)
         started_s, cpu_before_s = time.monotonic(), _children_cpu_s()
-        machine_load = os.getloadavg()[0]
+        load_average = os.getloadavg()[0]
         running = launcher.running(
             self._layout,
             directory=self._directory,
@@ -117,11 +124,18 @@
             await wait_for_owners(cluster)
             await self._load(cluster)
         cores = (_children_cpu_s() - cpu_before_s) / (time.monotonic() - started_s)
-        machine = {"cores_used": round(cores, 2), "load_average_before": round(machine_load, 1)}
-        return self._report(machine)
+        machine_stats = {
+            "cores_used": round(cores, 2),
+            "load_average_before": round(load_average, 1),
+        }
+        return self._report(machine_stats)
 
     async def _load(self, cluster: launcher.Cluster) -> None:
-        """Runs the load processes and the fault; returns when all requests have ended."""
+        """Runs the load processes and injects the fault; returns when all requests have ended.
+
+        Raises:
+            processes.ProcessError: A load process failed.
+        """
         self._plan = load.plan_for(
             cluster.site,
             load=self._options.load,
@@ -141,7 +155,7 @@
             await asyncio.gather(*(child.start() for child in children))
             codes = await asyncio.gather(*(child.wait(timeout_s=timeout_s) for child in children))
             if any(codes):
-                raise processes.ProcessError(f"load processes ended with codes {codes}")
+                raise processes.ProcessError(f"load processes ended with exit codes {codes}")
             await fault
             await asyncio.sleep(SETTLE_S)
         finally:
@@ -157,13 +171,13 @@
 
     async def _inject(self, cluster: launcher.Cluster) -> None:
         duration_s = self._options.duration_s
-        fault_s = self._plan.start_s + self._options.warm_up_s + FAULT_AT * duration_s
+        fault_s = self._plan.start_s + self._options.warm_up_s + FAULT_START_FRACTION * duration_s
         await asyncio.sleep(fault_s - time.monotonic())
-        scene = faults.Scene(cluster=cluster, length_s=FAULT_LENGTH * duration_s)
+        scene = faults.Scene(cluster=cluster, length_s=FAULT_LENGTH_FRACTION * duration_s)
         await faults.FAULTS[self._options.fault].run(scene)
 
-    def _report(self, machine: Mapping[str, float]) -> report.RunReport:
-        settings = dataclasses.asdict(self._options) | machine
+    def _report(self, machine_stats: Mapping[str, float]) -> report.RunReport:
+        settings = dataclasses.asdict(self._options) | machine_stats
         return report.build(
             settings=settings,
             trace=self._plan.arrivals(),
@@ -175,10 +189,10 @@
 
 
 async def apply_policy(cluster: launcher.Cluster) -> None:
-    """Makes the layout's policy the first revision.
+    """Applies the layout's policy as the first revision, through the first entry instance.
 
     Raises:
-        errors.SassafraswayError: No instance accepted it in time.
+        errors.SassafraswayError: The instance rejected it, or was unavailable for too long.
     """
     document = cluster.site.policy()
     change = json.dumps(
@@ -202,10 +216,10 @@
 
 
 async def wait_for_owners(cluster: launcher.Cluster) -> None:
-    """Waits until a lookup for each service and region names an instance of that region.
+    """Waits until, for each service and region, all lookups name an instance of that region first.
 
     Raises:
-        processes.ProcessError: This is not so in time.
+        processes.ProcessError: Some lookups still do not after ``READY_TIMEOUT_S``.
     """
     site = cluster.site
     pending = {
@@ -217,7 +231,9 @@
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
         while pending:
             if time.monotonic() > deadline_s:
-                raise processes.ProcessError(f"no owner for {sorted(pending)[:5]}")
+                raise processes.ProcessError(
+                    f"no pool owner in the home region for {sorted(pending)[:5]}"
+                )
             for (service, cidr), region in list(pending.items()):
                 if await _has_owner(session, site, service, cidr, region):
                     del pending[service, cidr]
@@ -227,7 +243,7 @@
 async def _has_owner(
     session: aiohttp.ClientSession, site: layouts.Site, service: str, cidr: str, region: str
 ) -> bool:
-    """Whether every instance names an instance of the region first."""
+    """Returns whether lookups at all instances name an instance of the region first."""
     params = {"service": service, "client": cidr.partition("/")[0]}
     for instance in site.instances.values():
         url = f"http://{instance.caller}/v1/lookup"
@@ -243,7 +259,7 @@
 
 
 def read_records(directory: pathlib.Path) -> list[history.Record]:
-    """Returns all records of a run, those of the entry instances included."""
+    """Returns all records of a run, including those of the entry instances."""
     return list(history.read(check.history_files([directory / "records"])))
 
 
@@ -252,8 +268,8 @@
     return usage.ru_utime + usage.ru_stime
 
 
-def write(built: report.RunReport, *, name: str, results: pathlib.Path) -> str:
-    """Writes the JSON and the text form of a report and returns the text."""
+def write_report(built: report.RunReport, *, name: str, results: pathlib.Path) -> str:
+    """Writes a report as JSON and as text, and returns the text."""
     results.mkdir(parents=True, exist_ok=True)
     text = report.as_text(built)
     data: Mapping[str, Any] = built.dump()
@@ -293,7 +309,7 @@
     "--deadline-ms",
     type=click.IntRange(min=0),
     default=0,
-    help="Deadline of requests, ms; 0 takes that of the service.",
+    help="Deadline of requests, ms; 0 uses the deadline of each service.",
 )
 @click.option(
     "--load-processes",
@@ -313,5 +329,5 @@
     options = Options(duration_s=duration, **choices)
     bench = Bench(options=options, directory=results / options.name)
     built = asyncio.run(bench.run())
-    click.echo(write(built, name=options.name, results=results), nl=False)
+    click.echo(write_report(built, name=options.name, results=results), nl=False)
     sys.exit(1 if built.violations else 0)
--- a/packages/standins/src/sassafrasway_standins/capacity.py
+++ b/packages/standins/src/sassafrasway_standins/capacity.py
@@ -1,6 +1,6 @@
-"""Measures how costs grow with size, and what a fitted line gives at the design size.
+"""Measures how costs grow with size and extrapolates them to the design size.
 
-Each measure runs at four or more sizes; the slope comes from a line fitted by least squares.
+Each cost is measured at four or more sizes, to which a line is fitted by least squares.
 """
 
 import abc
@@ -25,7 +25,8 @@
 DESIGN_BLOCKS = 250_000
 DESIGN_REGIONS = 30
 DESIGN_CHANGE_OBJECTS = 10
-# 2,000 nodes in 30 regions; 1,300 sites are about as many pools.
+# 2,000 nodes in 30 regions give 67 members of a region. There are about as many pools as sites,
+# 1,300, which is fewer than one for each node, so a member is taken to own one.
 DESIGN_MEMBERS_OF_REGION = 67
 DESIGN_POOLS_OF_MEMBER = 1
 SERVERS_IN_POOL = 4
@@ -35,16 +36,19 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Line:
-    """Measured values and the fitted line.
+class LinearFit:
+    """Measured values of one cost, and the line fitted to them.
 
     Attributes:
+        name: Name of the cost.
         unit: Unit of the values.
         per: What the sizes count.
-        slope: Growth per unit of size.
+        sizes: Sizes at which the cost was measured.
+        values: Measured cost at each size.
+        slope: Growth of the cost for each unit of size.
         intercept: Value of the line at size 0.
         residual: Largest distance of a value from the line, relative to the largest value.
-        design_size: Size of the design.
+        design_size: Size for which the system is designed.
         design_value: Value of the line at the design size.
     """
 
@@ -61,7 +65,10 @@
 
 
 class Measure(abc.ABC):
-    """One cost at several sizes."""
+    """A cost that is measured at several sizes.
+
+    The attributes are described in ``LinearFit``.
+    """
 
     name = ""
     unit = "bytes"
@@ -71,15 +78,15 @@
 
     @abc.abstractmethod
     def value(self, size: int) -> float:
-        """Returns the cost at a size."""
+        """Measures and returns the cost at a size."""
 
-    def line(self) -> Line:
-        """Measures at all sizes and fits the line."""
+    def fit(self) -> LinearFit:
+        """Measures the cost at all sizes and fits a line."""
         values = [self.value(size) for size in self.sizes]
         matrix = numpy.column_stack([self.sizes, numpy.ones(len(self.sizes))])
         (slope, intercept), *_ = numpy.linalg.lstsq(matrix, numpy.array(values), rcond=None)
         distance = numpy.abs(matrix @ (slope, intercept) - values).max()
-        return Line(
+        return LinearFit(
             name=self.name,
             unit=self.unit,
             per=self.per,
@@ -94,7 +101,7 @@
 
 
 class TableMemory(Measure):
-    """Memory of the block table."""
+    """Memory of the table that maps client addresses to regions."""
 
     name = "block table memory"
 
@@ -104,7 +111,7 @@
 
 
 class PolicyMemory(Measure):
-    """Memory of the client blocks in the policy, from which the table is built."""
+    """Memory of a policy with the client blocks from which the block table is built."""
 
     name = "policy memory"
 
@@ -120,7 +127,7 @@
 
 
 class LookupTime(Measure):
-    """Time of one look-up in the block table."""
+    """Time of one lookup in the block table."""
 
     name = "look-up time"
     unit = "us"
@@ -130,18 +137,18 @@
         table = lookup.BlockTable(blocks=client_blocks(size))
         rng = random.Random(size)
         addresses = [str(ipaddress.ip_address(rng.getrandbits(32))) for _ in range(LOOKUPS)]
-        return min(_seconds(table, addresses) for _ in range(3)) / LOOKUPS * US_PER_S
+        return min(_lookup_seconds(table, addresses) for _ in range(3)) / LOOKUPS * US_PER_S
 
 
-def _seconds(table: lookup.BlockTable, addresses: Iterable[str]) -> float:
+def _lookup_seconds(table: lookup.BlockTable, addresses: Iterable[str]) -> float:
     started_s = time.perf_counter()
     for address in addresses:
         table.region_of(address)
     return time.perf_counter() - started_s
 
 
-class DeltaBytes(Measure):
-    """Size of a change of backend servers, as it is pushed between instances."""
+class ChangeBytes(Measure):
+    """Size of a policy change of backend servers, as instances push it to each other."""
 
     name = "change size"
     per = "changed object"
@@ -163,7 +170,7 @@
 
 
 class HeartbeatPoolBytes(Measure):
-    """Size of a heartbeat and its reply by the pools that the member owns."""
+    """Size of a heartbeat and its reply, by the number of pools that the member owns."""
 
     name = "heartbeat size"
     per = "owned pool"
@@ -195,7 +202,7 @@
 
 
 class DirectoryBytes(Measure):
-    """Size of a heartbeat reply that carries the directory of a region, which is sent on change."""
+    """Size of a heartbeat reply with the directory of a region, which is sent when it changes."""
 
     name = "region directory size"
     per = "member"
@@ -271,7 +278,7 @@
 
 
 def client_blocks(size: int) -> list[model.ClientBlock]:
-    """Returns distinct blocks of several lengths, spread over the regions of the design size."""
+    """Returns distinct blocks of several prefix lengths, spread over ``DESIGN_REGIONS`` regions."""
     rng = random.Random(size)
     cidrs: set[str] = set()
     while len(cidrs) < size:
@@ -285,7 +292,7 @@
 
 
 def retained_bytes(build: Callable[[], Any]) -> float:
-    """Returns the memory that the built object keeps, without what building it needs."""
+    """Returns the memory that the built object retains, without temporary objects, bytes."""
     gc.collect()
     tracemalloc.start()
     try:
@@ -302,20 +309,20 @@
     TableMemory(),
     PolicyMemory(),
     LookupTime(),
-    DeltaBytes(),
+    ChangeBytes(),
     HeartbeatPoolBytes(),
     DirectoryBytes(),
 )
 
 
-def as_text(lines: Iterable[Line]) -> str:
-    """Returns the lines as a text table."""
+def as_text(fits: Iterable[LinearFit]) -> str:
+    """Returns the fits as a text table."""
     rows = [f"{'cost':<26}{'slope':>34}{'at 0':>12}{'residual':>10}{'at design size':>30}"]
-    for line in lines:
-        slope = f"{line.slope:.4g} {line.unit}/{line.per}"
-        design = f"{line.design_value:.4g} {line.unit} at {line.design_size}"
+    for fit in fits:
+        slope = f"{fit.slope:.4g} {fit.unit}/{fit.per}"
+        design = f"{fit.design_value:.4g} {fit.unit} at {fit.design_size}"
         rows.append(
-            f"{line.name:<26}{slope:>34}{line.intercept:>12.4g}{line.residual:>10.1%}{design:>30}"
+            f"{fit.name:<26}{slope:>34}{fit.intercept:>12.4g}{fit.residual:>10.1%}{design:>30}"
         )
     return "\n".join(rows) + "\n"
 
@@ -329,11 +336,11 @@
     help="Directory for capacity.json and capacity.txt.",
 )
 def command(results: pathlib.Path) -> None:
-    """Measures the growth of costs with size and extrapolates to the design size."""
-    lines = [measure.line() for measure in MEASURES]
-    text = as_text(lines)
+    """Measures how costs grow with size and extrapolates them to the design size."""
+    fits = [measure.fit() for measure in MEASURES]
+    text = as_text(fits)
     results.mkdir(parents=True, exist_ok=True)
-    data = [dataclasses.asdict(line) for line in lines]
+    data = [dataclasses.asdict(fit) for fit in fits]
     (results / "capacity.json").write_text(json.dumps(data, indent=2) + "\n", encoding="utf-8")
     (results / "capacity.txt").write_text(text, encoding="utf-8")
     click.echo(text, nl=False)
--- a/packages/standins/src/sassafrasway_standins/capacity_fleet.py
+++ b/packages/standins/src/sassafrasway_standins/capacity_fleet.py
@@ -1,4 +1,4 @@
-"""Measures what running entry instances cost: control work by fleet size, and look-ups."""
+"""Measures the cost of running entry instances: control work by fleet size, and lookups."""
 
 import asyncio
 import dataclasses
@@ -17,9 +17,9 @@
 
 FLEET_SIZES = (6, 12, 18, 24)
 LOOKUP_COUNTS = (500, 1000, 2000, 4000)
-SETTLE_S = 4.0
-IDLE_S = 8.0
-LOOKUPS_AT_ONCE = 8
+SETTLE_S = 4.0  # from readiness to the measurement
+IDLE_S = 8.0  # length of the measurement of an idle fleet
+CONCURRENT_LOOKUPS = 8
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 US_PER_S = 1_000_000
 REPORT_NAME = "capacity-fleet.json"
@@ -30,11 +30,13 @@
     """Cost of an idle fleet.
 
     Attributes:
-        member_cpu: Median share of a core of instances that do not coordinate.
-        coordinator_cpu: Median share of a core of coordinators.
+        instances: Number of instances of the fleet.
+        members_of_region: Mean number of instances for each coordinator, that is, for each region.
+        member_cpu: Median CPU use of instances that are not coordinators, cores.
+        coordinator_cpu: Median CPU use of coordinators, cores.
         memory_mb: Median resident memory of an instance, MB.
-        reads_per_s: Reads of the whole fleet from the table and the instance list.
-        writes_per_s: Writes of the whole fleet.
+        reads_per_s: Rate at which the whole fleet reads the table and the instance list.
+        writes_per_s: Rate at which the whole fleet writes to the table.
     """
 
     instances: int
@@ -98,7 +100,7 @@
 
 
 async def _lookup_cost_us(cluster: launcher.Cluster) -> list[tuple[int, float]]:
-    """Returns pairs of a number of look-ups and the processor time that they cost."""
+    """Returns pairs of a number of lookups and the CPU time that they took, us."""
     name = cluster.entry_names[0]
     instance = cluster.site.instances[name]
     address = next(each for each in cluster.site.client_blocks if "." in each).partition("/")[0]
@@ -115,14 +117,14 @@
 
         for count in LOOKUP_COUNTS:
             before_s = _cpu_s(cluster.process(name).pid)
-            share = count // LOOKUPS_AT_ONCE
-            await asyncio.gather(*(look_up(share) for _ in range(LOOKUPS_AT_ONCE)))
+            count_per_task = count // CONCURRENT_LOOKUPS
+            await asyncio.gather(*(look_up(count_per_task) for _ in range(CONCURRENT_LOOKUPS)))
             costs.append((count, (_cpu_s(cluster.process(name).pid) - before_s) * US_PER_S))
     return costs
 
 
 async def measure() -> dict:
-    """Runs all fleets one after the other and returns the measured and fitted costs."""
+    """Runs a fleet of each size, one after the other, and returns measured and fitted costs."""
     fleets = []
     lookups: list[tuple[int, float]] = []
     for size in FLEET_SIZES:
@@ -152,7 +154,7 @@
 @click.command("capacity-fleet")
 @click.option("--results", type=click.Path(path_type=pathlib.Path), default=pathlib.Path("results"))
 def command(results: pathlib.Path) -> None:
-    """Measures the control cost of idle fleets and the cost of look-ups."""
+    """Measures the control cost of idle fleets and the cost of lookups."""
     report = asyncio.run(measure())
     results.mkdir(parents=True, exist_ok=True)
     text = json.dumps(report, indent=2)
--- a/packages/standins/tests/test_report.py
+++ b/packages/standins/tests/test_report.py
@@ -1,4 +1,4 @@
-"""Tests of the figures that the bench reports."""
+"""Tests of the results that the bench reports."""
 
 import dataclasses
 import json
@@ -29,7 +29,7 @@
 
 
 def records_of(arrival, *, outcome, wait_s=0.0):
-    """Returns what callers and servers record of an arrival; the trace starts at 100 s."""
+    """Returns the records of callers and servers for an arrival of a trace that starts at 100 s."""
     at_s = 100.0 + arrival.at_s
     end_s = at_s + wait_s + arrival.service_s
     records = [
@@ -50,7 +50,7 @@
 
 
 def build(jobs, records, *, warm_up_s=0.0):
-    """Returns the report of the records."""
+    """Returns the report on the jobs and their records."""
     return report.build(
         settings={"layout": "sila"},
         trace=jobs,
@@ -62,7 +62,7 @@
 
 
 class ReportTest(unittest.TestCase):
-    """Guards against figures that do not follow from the records."""
+    """Guards against results that do not follow from the records."""
 
     def setUp(self):
         self.jobs = [job(0, at_s=0.0), job(1, at_s=0.5), job(2, at_s=3.0), job(3, at_s=6.0)]
@@ -74,17 +74,17 @@
         ]
 
     def test_refusals_are_compared_with_the_ideal_on_the_same_arrivals(self):
-        """Guards against a ratio of figures that belong to different traces."""
+        """Guards against comparing measured and ideal rates of different arrivals."""
         service = build(self.jobs, self.records).services["crew-desk"]
         self.assertEqual((service.ran, service.refused, service.lost), (1, 2, 1))
         self.assertEqual((service.refusal_rate, service.ideal_refusal_rate), (0.5, 0.25))
         self.assertEqual(service.refusal_ratio, 2.0)
 
     def test_warm_up_counts_for_no_figure(self):
-        """Guards against the ramp of idle servers in a refusal rate of the steady state."""
+        """Guards against refusals during the ramp-up of idle servers in the steady-state rate."""
         service = build(self.jobs, self.records, warm_up_s=0.4).services["crew-desk"]
         self.assertEqual((service.arrivals, service.ran, service.refused), (3, 0, 2))
-        # The first request, although not counted, still holds the only slot in the ideal.
+        # The first request is not counted but still occupies the only slot of the ideal pool.
         self.assertAlmostEqual(service.ideal_refusal_rate, 1 / 3)
 
     def test_latency_counts_from_the_intended_arrival(self):
@@ -94,7 +94,7 @@
         self.assertAlmostEqual(service.wait.p50_ms, 250, delta=1)
 
     def test_drain_time_lasts_until_the_last_run_ends(self):
-        """Guards against a drain that counts as over while requests are in flight."""
+        """Guards against a drain that is reported as complete while requests are in flight."""
         leaving = history.Leaving(at_s=100.5, server="crew-1")
         stop = [
             history.FaultEvent(at_s=101.0, fault="replace-all", phase=phase, target="e1")
@@ -106,7 +106,7 @@
         self.assertEqual(built.drain_s, {"crew-1": 0.75, "e1": 0.0})
 
     def test_sheds_and_breaches_are_counted(self):
-        """Guards against a report that looks good although the checker found violations."""
+        """Guards against a report that hides violations that the checker found."""
         shed = history.Run(
             at_s=1.0, ended_s=1.0, request="r1", server="crew-1", outcome="shed", ran=False
         )
@@ -116,7 +116,7 @@
         self.assertEqual(dict(built.violations), {"at-most-once": 1, "none-lost": 1})
 
     def test_starved_load_tool_makes_the_figures_invalid(self):
-        """Guards against figures of a busy machine that are taken for those of the system."""
+        """Guards against taking delays of a busy machine for those of the system."""
         late = [
             dataclasses.replace(each, late_s=0.2) if isinstance(each, history.Intent) else each
             for each in self.records
@@ -125,7 +125,7 @@
         self.assertIn("NOT VALID", report.as_text(build(self.jobs, late)))
 
     def test_report_has_a_json_and_a_text_form(self):
-        """Guards against figures that cannot be written, among them missing ones."""
+        """Guards against results that cannot be written, also when some are missing."""
         for jobs, records in ((self.jobs, self.records), ([], [])):
             built = build(jobs, records)
             self.assertIn("crew-desk", json.loads(json.dumps(built.dump()))["services"])
