--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -11,8 +11,8 @@
 
 from sassafrasway_standins import arrivals, exchanges, history, network
 
-# A request must start within 5 s of the issue of its ticket, and may wait in a queue for its whole
-# deadline of 2 s before that. With an older ticket it could start too late.
+# A request must start within 5 s of the issue of its ticket, and may first wait in a queue for its
+# whole deadline of 2 s. An older ticket could expire during that wait.
 TICKET_MAX_AGE_S = 2.5
 PREFETCHED_TICKETS = 2
 LOOKUP_TIMEOUT_S = 1.0
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -163,7 +163,9 @@
         for run in run_history.runs:
             after_s = run.at_s - run_history.leaving_since_s.get(run.server, math.inf)
             if after_s > LEAVING_GRACE_S:
-                detail = f"request {run.request} started {after_s:.3f} s after the drain began"
+                detail = (
+                    f"request {run.request} started {after_s:.3f} s after the server began to leave"
+                )
                 yield self._violation(run.server, run.at_s, detail)
 
 
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -139,7 +139,7 @@
 
         A non-idempotent request that may have run keeps its key. One that certainly did not run
         takes a new ticket, because the instance that issued the first one may be gone. An
-        idempotent request tries all instances of a lookup before the next one.
+        idempotent request tries all instances of a lookup before it looks up again.
         """
         if self._route is None:
             return True
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -66,7 +66,7 @@
     """Results of one run.
 
     Attributes:
-        settings: Options of the run_history.
+        settings: Options of the run.
         services: Results by service.
         sheds: Requests that servers rejected because of load.
         ran_twice: Violations of the at-most-once rule.
@@ -122,7 +122,7 @@
     ``warm_up_s``; the other results are those of the whole run.
 
     Args:
-        settings: Options of the run_history, copied into the report.
+        settings: Options of the run, copied into the report.
         trace: Arrivals that the load tool sent.
         services: Services by name.
         client_ms: One-way delay to clients, ms.
