--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -15,7 +15,7 @@
 
 TICKET_START_S = 5.0  # how long after its issue a ticket may start a run
 TICKET_SKEW_S = 5.0  # tolerated clock difference between the issuer and the ticket's holder
-RETENTION_S = 120.0  # how long a finished key is answered from memory
+RETENTION_S = 120.0  # how long the outcome of a finished key is kept for duplicates
 NONCE_BITS = 64
 
 _TICKET_PATTERN = re.compile(
@@ -64,7 +64,7 @@
     START = "start"  # the key is new; the caller of begin() may run the request now
     RUNNING = "running"  # another attempt with this key is running
     DONE = "done"  # the outcome is recorded
-    EXPIRED = "expired"  # the request has not run and the ticket is too old to start
+    EXPIRED = "expired"  # the request has not run and may_start() is false for the ticket
     FORGOTTEN = "forgotten"  # the ticket is so old that a record of its run may have been deleted
 
 
@@ -102,7 +102,7 @@
             cannot make an expired ticket valid again.
         invariants: Checks that a key is dispatched at most once, and that a dispatched key is not
             reported as not run.
-        retention_s: How long finished keys are kept, in seconds.
+        retention_s: Minimum time for which finished keys are kept, in seconds.
     """
 
     def __init__(
@@ -135,7 +135,7 @@
         return self._records.get(key)
 
     def may_start(self, ticket: Ticket) -> bool:
-        """Returns whether a ticket is recent enough to start a run."""
+        """Returns whether a ticket may start a run: it is neither too old nor from the future."""
         age_s = self._now_wall_s() - ticket.issued_s
         # The time of issue is rounded down to whole seconds, so a ticket may seem up to one second
         # older than it is.
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -20,7 +20,7 @@
 
     Attributes:
         row: The row that was written.
-        version: Version of the row, as far as it is known.
+        version: Version of the row, as returned by the write or by a later read.
         sent_s: When the write was sent.
         previous: Coordinator named by the replaced row; None when there was no row.
         holders_recorded: Whether only recorded members can hold grants of earlier coordinators.
@@ -42,7 +42,7 @@
     may name.
 
     A required member that is known to be gone is dropped only while authority lasts. Once authority
-    has lapsed, that member may have taken over before it died, and only a successful write of the
+    has lapsed, that member may have taken over before it ended, and only a successful write of the
     row proves that it has not.
 
     Args:
@@ -113,7 +113,10 @@
 
     @property
     def is_transferable(self) -> bool:
-        """Whether another instance could take over now: that needs a table that answers."""
+        """Whether another instance could take over now, which requires a working table.
+
+        The table is assumed to work while the table lease lasts.
+        """
         return self._clock.monotonic() < self._table_until_s
 
     def depose(self) -> None:
@@ -166,7 +169,7 @@
         """Processes a write that took effect."""
         row = self._pending_write.row
         self._pending_write = None
-        self._confirm(row, version)
+        self._confirm_row(row, version)
 
     def on_write_refused(self) -> None:
         """Processes a write whose version did not match."""
@@ -192,9 +195,9 @@
         if row.epoch != self._epoch or row.coordinator.id != self._me.id:
             self.depose()
             return
-        self._confirm(row, version)
+        self._confirm_row(row, version)
 
-    def _confirm(self, row: region.RegionRow, version: str) -> None:
+    def _confirm_row(self, row: region.RegionRow, version: str) -> None:
         self._version = version
         self._last_row = row
         self._resync = False
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -75,7 +75,7 @@
         return tuple(self._report(name, demand) for name in sorted({*demand, *self._held}))
 
     def apply(self, shares: Mapping[str, caps.CapShare], *, sent_s: float) -> None:
-        """Puts the shares of a reply in force; the heartbeat was sent at ``sent_s``."""
+        """Applies the shares in the reply to the heartbeat sent at ``sent_s``."""
         for name, share in shares.items():
             held = self._held.setdefault(name, caps.HeldShare(clock=self._clock))
             held.apply(share, sent_s=sent_s)
@@ -140,8 +140,8 @@
                 self._dividers[name] = self._new_divider(name, limit)
             else:
                 divider.set_cap(limit)
-        # The divider of a removed cap is kept: if the cap is set again, the divider still knows the
-        # shares in force.
+        # The divider of a removed cap is kept: if the cap is set again, the divider still accounts
+        # for the shares in force.
         self._active_caps = frozenset(limits)
 
     def record_reports(self, holder: model.InstanceId, reports: Iterable[CapReport]) -> None:
@@ -163,7 +163,8 @@
             holder: Sender of the heartbeat.
             reports: Its reports.
             keeps_offline: Whether the holder may use the offline part after a share has expired;
-                False for an instance that a later coordinator would not know of.
+                False for an instance that is not recorded in the table, because a later
+                coordinator could not account for its share.
         """
         if (
             _UNRECORDED_HOLDERS in self._unreported_holders
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -55,8 +55,8 @@
     """Grants of one holder. Any of them may be in force, so the largest one counts.
 
     Attributes:
-        reserved: Amount that counts for the holder since the last ``refresh``.
-        offline: Offline part that counts for the holder since the last ``refresh``.
+        reserved: Amount that counts for the holder as of the last ``refresh``.
+        offline: Offline part that counts for the holder as of the last ``refresh``.
         check_s: Time of the next scheduled ``refresh``; infinite when none is scheduled.
     """
 
@@ -162,7 +162,7 @@
         expires_s: float,
         now_s: float,
     ) -> None:
-        """Adds a share that the holder may have in force until it expires at ``expires_s``."""
+        """Adds a share that the holder may have in force until ``expires_s`` or a later share."""
         grant = _Grant(
             sequence=sequence,
             amount=amount,
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -23,8 +23,8 @@
 # every demand.
 MET_FRACTION = 0.8
 
-# Minimum interval between recomputations of the level from all demands. It keeps the cost of a
-# heartbeat constant.
+# Minimum interval between recomputations, from all demands, of the level up to which demands are
+# met. It keeps the cost of a heartbeat constant.
 LEVEL_INTERVAL_S = 0.25
 
 
@@ -78,10 +78,10 @@
         return self._share.offline
 
     def apply(self, share: CapShare, *, sent_s: float) -> bool:
-        """Puts in force a share from the reply to the heartbeat sent at ``sent_s``.
+        """Applies a share from the reply to the heartbeat sent at ``sent_s``.
 
         Returns:
-            False when this or a later share is in force already.
+            False when this or a later share was applied before.
         """
         if share.sequence <= self._share.sequence:
             return False
@@ -118,7 +118,7 @@
     """Divides a cap by demand so that the holders together never exceed it in any second.
 
     The division is max-min fair: small demands are met in full, and the large ones share the rest
-    evenly. What nobody demands is divided evenly among all holders. A part that is taken from a
+    evenly. What no holder demands is divided evenly among all of them. A part that is taken from a
     holder is given to others one second after the holder has confirmed its smaller share, or one
     second after the larger share has expired.
 
@@ -183,13 +183,13 @@
     def renew(
         self, holder: Hashable, *, demand: float, confirmed: int, sequence: int | None = None
     ) -> CapShare:
-        """Answers a holder's heartbeat with its next share.
+        """Returns the next share of a holder, for the reply to its heartbeat.
 
         The caller must not pass holders that were removed: a share of such a holder would stay
         reserved.
 
         Args:
-            holder: Name of the holder; it must be a new one after a restart.
+            holder: Name of the holder; a holder that restarts needs a new name.
             demand: What the holder would use in one second if it could, refused requests included.
             confirmed: Sequence of the share that the holder has in force.
             sequence: Sequence of the new share; by default the next number.
@@ -205,8 +205,8 @@
         unreserved = self._cap - (self._reservations.total - before)
         amount = max(0.0, min(target, max(unreserved, before)))
         share = self._next_share(amount, self._offline_part(holder, amount), sequence)
-        self._add(holder, share, now_s + self._share_s, now_s)
-        self._check(holder, before)
+        self._reserve(holder, share, now_s + self._share_s, now_s)
+        self._check_cap(holder, before)
         return share
 
     def is_met(self, holder: Hashable, amount: float) -> bool:
@@ -243,7 +243,7 @@
             offline=self._cap * self._offline_fraction,
             valid_s=self._share_s,
         )
-        self._add(_UNKNOWN_HOLDERS, whole_cap, self._earlier_shares_end_s, now_s)
+        self._reserve(_UNKNOWN_HOLDERS, whole_cap, self._earlier_shares_end_s, now_s)
         if not self._unknown_holders:
             self._reservations.remove(_UNKNOWN_HOLDERS, now_s=now_s)
 
@@ -257,17 +257,17 @@
         Args:
             holder: Name of the holder.
             share: Its last share, even if that has expired.
-            remaining_s: Seconds until that share expires, as the holder stated them; negative
+            remaining_s: Seconds until that share expires, as the holder reported; negative
                 when it has expired.
         """
         now_s = self._clock.monotonic()
         # A report that was delayed on the network must not revive a share that has expired since.
         expires_s = min(now_s + remaining_s, self._earlier_shares_end_s)
         earlier = dataclasses.replace(share, sequence=self._first_sequence - 1)
-        self._add(holder, earlier, expires_s, now_s)
+        self._reserve(holder, earlier, expires_s, now_s)
         self._discard_unknown(holder, now_s)
 
-    def _add(self, holder: Hashable, share: CapShare, expires_s: float, now_s: float) -> None:
+    def _reserve(self, holder: Hashable, share: CapShare, expires_s: float, now_s: float) -> None:
         self._reservations.add(
             holder,
             sequence=share.sequence,
@@ -313,7 +313,7 @@
         if record is None:
             record = self._demands[holder] = _Demand(demand, now_s)
             self._update_level(now_s)
-        # A demand of 0 takes effect at once: the pools of the holder were reassigned.
+        # A demand of 0 takes effect immediately: the pools of the holder were reassigned.
         record.amount = max(demand, record.amount * DEMAND_DECAY) if demand > 0 else 0.0
         record.reported_s = now_s
         if now_s - self._level.at_s >= LEVEL_INTERVAL_S:
@@ -342,7 +342,7 @@
         offline = min(unknown, self._cap * self._offline_fraction)
         return self._reservations.total - unknown - known + offline
 
-    def _check(self, holder: Hashable, before: float) -> None:
+    def _check_cap(self, holder: Hashable, before: float) -> None:
         total = self._reservations.total
         grown = self._reservations.of(holder) > before
         if grown and total > self._cap * (1 + _ROUNDING):
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -1,4 +1,4 @@
-"""The policy in force and the recent changes that led to it."""
+"""The current policy and the recent changes that led to it."""
 
 import collections
 from collections.abc import Mapping
@@ -7,7 +7,7 @@
 
 
 class ConfigLog:
-    """Keeps the newest known revision; the revision never decreases.
+    """Keeps the current policy, whose revision never decreases.
 
     Revision 0 stands for the empty policy before the first change.
 
@@ -25,12 +25,12 @@
 
     @property
     def policy(self) -> model.Policy | None:
-        """The policy in force, or None when none is known yet."""
+        """The current policy, or None before the first one."""
         return self._policy
 
     @property
     def revision(self) -> int:
-        """Revision of the policy in force; 0 when none is known yet."""
+        """Revision of the current policy, or 0 before the first one."""
         return self._policy.revision if self._policy else 0
 
     @property
@@ -39,7 +39,7 @@
         return dict(self._revisions)
 
     def install(self, policy: model.Policy, *, change_ids: Mapping[str, int] | None = None) -> bool:
-        """Puts a complete policy in force; returns False when it is not newer than the current one.
+        """Replaces the current policy; returns False when the given one is not newer.
 
         Args:
             policy: The policy.
@@ -55,7 +55,7 @@
         return True
 
     def append(self, change: documents.Change) -> bool:
-        """Puts a change in force; returns False when its base is not the current revision.
+        """Applies a change; returns False when its base is not the current revision.
 
         Raises:
             errors.ValidationError: The result would be invalid.
@@ -71,12 +71,12 @@
         return True
 
     def since(self, revision: int) -> list[documents.Change] | None:
-        """Returns the changes after a revision, or None when the log does not reach back."""
+        """Returns the changes after a revision, or None when not all of them are kept."""
         if revision >= self.revision:
             return []
         changes = [change for change in self._changes if change.base_revision >= revision]
-        reaches_back = bool(changes) and changes[0].base_revision == revision
-        return changes if reaches_back else None
+        is_complete = bool(changes) and changes[0].base_revision == revision
+        return changes if is_complete else None
 
     def find(self, change_id: str) -> int | None:
         """Returns the revision that a recent change produced, or None."""
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -64,7 +64,7 @@
         self._authority = authority.Authority(
             me=me, clock=clock, invariants=invariants, members=members, won_election=won_election
         )
-        earlier = (
+        earlier_holders = (
             None
             if won_election.previous is None
             else [member.id for member in won_election.row.members]
@@ -73,7 +73,7 @@
             clock=clock,
             invariants=invariants,
             epoch=won_election.row.epoch,
-            holders=earlier,
+            holders=earlier_holders,
             holders_complete=won_election.holders_recorded,
         )
         self._removed_from_caps: set[model.InstanceId] = set()
@@ -131,7 +131,7 @@
 
     @property
     def urgent(self) -> bool:
-        """Whether the next tick has work that members wait for, so that it should run at once."""
+        """Whether the next tick has work that members wait for and should run immediately."""
         return self._holdings.change_count != self._changes_processed or self.deposed
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
@@ -248,9 +248,9 @@
     def _eligible(self) -> list[model.InstanceId]:
         """Returns the instances that may own pools: the first group below that is not empty.
 
-        The groups are recorded live instances that can serve at once, recorded live ones, live
-        ones, and leaving ones. An instance that is not recorded in the table cannot hold an offline
-        third, because a later coordinator would not know of it.
+        The groups are recorded live instances that can serve immediately, recorded live ones,
+        live ones, and leaving ones. An instance that is not recorded in the table cannot hold an
+        offline third, because a later coordinator could not find out that it does.
         """
         live = [each.id for each in self._members.instances(membership.State.LIVE)]
         recorded = [each for each in live if self._authority.is_recorded(each)]
@@ -260,6 +260,8 @@
     def _able_to_serve(self, members: list[model.InstanceId]) -> list[model.InstanceId]:
         """Returns the members that own a pool or have their share of the region's cap in force.
 
+        Returns all members if the region has no cap or none of its pools has an owner.
+
         An instance that just joined gets its share of the cap only after the others have confirmed
         smaller shares and their use has left the one-second window, which takes about two seconds.
         If it were assigned a pool earlier, it would refuse all requests of that pool until then.
@@ -321,7 +323,10 @@
             self._unrecorded_grants_until_s = self._clock.monotonic() + region.GRANT_S
 
     def _cap_shares(self, heartbeat: region.Heartbeat) -> Mapping[str, caps.CapShare]:
-        """Returns the sender's new shares of caps, or none when its current ones are to expire."""
+        """Returns the sender's new shares of caps, or none if it may not be granted any.
+
+        Without new shares, the current ones expire.
+        """
         sender = heartbeat.sender.id
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(sender)
@@ -334,7 +339,7 @@
         """Returns whether a member may be granted main parts and shares of caps.
 
         While the table answers, an instance must be recorded first, so that the next coordinator
-        knows all holders.
+        finds all holders in the row.
         """
         return now < self._authority.until_s() and (
             recorded or now >= self._authority.table_until_s
@@ -355,7 +360,7 @@
         )
 
     def _settled_s(self, now: float) -> float:
-        """Returns for how long from now only recorded members can hold grants."""
+        """Returns the seconds from now for which only recorded members can hold grants."""
         earlier = (
             -math.inf if self._won_election.holders_recorded else self._earlier_grants_until_s()
         )
@@ -370,7 +375,7 @@
     def _follow_commands(self) -> list[region.Command]:
         return [
             region.SendFollow(target=target, epoch=self.epoch)
-            for target in self._present(self.unanswered)
+            for target in self._instances_not_gone(self.unanswered)
             if self._due("follow", target.id, FOLLOW_RETRY_S)
         ]
 
@@ -387,15 +392,15 @@
         """Requests a heartbeat from members whose permitted shares differ from their last reply."""
         return [
             region.SendFollow(target=target, epoch=self.epoch)
-            for target in self._present(self._sent_shares)
+            for target in self._instances_not_gone(self._sent_shares)
             if self._members.state(target.id) is not membership.State.SILENT
             and self._permitted_shares(target.id) != self._sent_shares[target.id]
             and self._due("heartbeat request", target.id, HEARTBEAT_REQUEST_RETRY_S)
         ]
 
-    def _present(self, ids: Iterable[model.InstanceId]) -> list[region.Instance]:
-        found = (self._members.instance(each) for each in sorted(ids))
-        return [instance for instance in found if instance is not None]
+    def _instances_not_gone(self, ids: Iterable[model.InstanceId]) -> list[region.Instance]:
+        instances = (self._members.instance(each) for each in sorted(ids))
+        return [instance for instance in instances if instance is not None]
 
     def _due(self, kind: str, target: model.InstanceId, every_s: float) -> bool:
         """Returns whether a command may be sent again now; if so, records that it is sent."""
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -1,4 +1,4 @@
-"""Holders of the two parts of each pool of a region, as far as the coordinator knows them."""
+"""Holders of the two parts of each pool of a region, as tracked by its coordinator."""
 
 import dataclasses
 import math
@@ -96,11 +96,11 @@
 
     @property
     def change_count(self) -> int:
-        """Grows whenever a part may have become free or an owner is assigned."""
+        """Number that increases whenever a part may have become free or an owner is assigned."""
         return self._change_count
 
     def keys(self) -> frozenset[model.PoolKey]:
-        """Returns all pools known so far."""
+        """Returns all pools that were added."""
         return frozenset(self._pools)
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
@@ -126,11 +126,15 @@
             return True
         if pool.main_holder is not None:
             return self._members.is_gone(pool.main_holder)
-        # Only recorded members can hold earlier grants, and each has reported or is gone.
+        # The holder is unknown. The part is free if only recorded members can hold earlier grants
+        # and each of them has reported or is gone.
         return self._holders_recorded and not self._unanswered
 
     def add(self, key: model.PoolKey) -> Pool:
-        """Returns the state of a pool; a new one may be held by any unanswered member."""
+        """Returns the state of a pool, and adds the pool if it is new.
+
+        Any unanswered member may hold parts of a new pool.
+        """
         pool = self._pools.get(key)
         if pool is None:
             pool = Pool(
@@ -158,11 +162,11 @@
     def record_answer(
         self, member: model.InstanceId, pools: Mapping[model.PoolKey, region.PoolReport]
     ) -> None:
-        """Records what a member reports to hold, possibly from an earlier epoch."""
+        """Records the parts that a member reports as held, even if granted in an earlier epoch."""
         if member in self._unanswered:
             self._unanswered.discard(member)
             self._change_count += 1
-            self._take_over_offline(member, pools)
+            self._record_offline_thirds(member, pools)
         for key, report in pools.items():
             if report.share is share.Share.NONE:
                 continue
@@ -178,8 +182,8 @@
         """Frees the parts that the sender no longer holds.
 
         A part is released once the sender has applied a reply that does not grant it. A heartbeat
-        that was sent before the granting reply was applied does not name the part either, so it is
-        no confirmation.
+        that was sent before the granting reply was applied does not name the part either, so it
+        does not confirm a release.
         """
         sender = heartbeat.sender.id
         for key in self._pools_by_member.get(sender, ()):
@@ -213,7 +217,8 @@
             else:
                 pool.in_use.pop(sender, None)
             if report is not None and report.share.has_main and pool.assigned_owner == sender:
-                # The owner's report includes the slots inherited from earlier holders.
+                # The owner's report includes the slots inherited from earlier holders, so it
+                # replaces their reports.
                 pool.in_use = {sender: in_use} if in_use else {}
         member_pools.intersection_update(
             [key for key in member_pools if self._pools[key].involves(sender)]
@@ -244,9 +249,10 @@
             previous=previous,
         )
 
-    def _take_over_offline(
+    def _record_offline_thirds(
         self, member: model.InstanceId, pools: Mapping[model.PoolKey, region.PoolReport]
     ) -> None:
+        """Records which offline thirds a member holds, and that it holds no others."""
         for key, report in pools.items():
             if report.share.has_offline:
                 self.add(key).possible_offline_holders = {member}
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -7,10 +7,11 @@
 from sassafrasway_core import authority, membership, model, ownership, region
 from sassafrasway_core import clock as clocks
 
+# Time without an applied reply after which a member has lost contact with its coordinator.
 CONTACT_LOST_S = 1.0
 RETRY_S = 0.5
 # Added to leases and promises that a member waits for, because the clocks of two instances may run
-# at different rates meanwhile.
+# at different rates.
 CLOCK_MARGIN_S = 0.05
 
 
@@ -25,7 +26,7 @@
 
 
 class MemberState:
-    """Decisions of an instance about which coordinator to follow and when to take over.
+    """Decides which coordinator an instance follows and when the instance takes over.
 
     An instance that has lost contact with its coordinator takes over in one of three cases: there
     is no region row; the coordinator in the row is known to be gone; or the instance is a recorded
@@ -110,13 +111,15 @@
         """
         commands: list[region.Command] = []
         coordinator = self._grants.coordinator
-        reachable = coordinator is not None and not self._members.is_gone(coordinator.id)
-        if reachable and (self._heartbeat_requested or self._due("heartbeat", region.HEARTBEAT_S)):
+        has_coordinator = coordinator is not None and not self._members.is_gone(coordinator.id)
+        if has_coordinator and (
+            self._heartbeat_requested or self._due("heartbeat", region.HEARTBEAT_S)
+        ):
             commands.append(self._heartbeat(coordinator, reports(), cap_demand()))
         if not self.in_contact or self._pending is not None:
             commands.extend(self._search())
         if self._may_take_over():
-            commands.append(self._candidacy())
+            commands.append(self._candidate_write())
         return commands
 
     def on_reply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
@@ -151,7 +154,7 @@
             row: The row, or None.
             version: Its version, or None.
             started_s: When the read was started. A read that started before the candidate write
-                says nothing about the result of that write.
+                cannot show the result of that write.
         """
         pending = self._pending
         if pending is not None:
@@ -159,7 +162,7 @@
                 return
             self._pending = None
             if row is not None and row.coordinator.id == self._me.id:
-                self._win(pending, version)
+                self._record_won_election(pending, version)
                 return
         if not self._row_read or version != self._version:
             self._version_seen_s = self._clock.monotonic()
@@ -174,7 +177,7 @@
         pending = self._pending
         if pending is not None and pending.command is command:
             self._pending = None
-            self._win(pending, version)
+            self._record_won_election(pending, version)
 
     def on_write_refused(self, command: region.WriteRow) -> None:
         """Processes a candidate write whose version did not match."""
@@ -258,7 +261,7 @@
             for member in row.members
         )
 
-    def _candidacy(self) -> region.WriteRow:
+    def _candidate_write(self) -> region.WriteRow:
         """Returns the write of the row that makes this instance coordinator of the next epoch."""
         now = self._clock.monotonic()
         row = self._row
@@ -285,7 +288,7 @@
         )
         return command
 
-    def _win(self, pending: _PendingWrite, version: str) -> None:
+    def _record_won_election(self, pending: _PendingWrite, version: str) -> None:
         row = pending.command.row
         self._won_election = authority.WonElection(
             row=row,
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -9,13 +9,14 @@
 
 # The platform's list may name the previous run of an instance for this long after a restart.
 LIST_LAG_S = 10.0
-# Long enough that callers can ask for every ticket and recorded outcome of a gone incarnation.
+# How long a gone instance is kept as gone. Long enough that callers can ask for every ticket and
+# recorded outcome of a gone incarnation.
 GONE_KEEP_S = 3600.0
 GONE_KEEP_MAX = 4096
 
 
 class State(enum.Enum):
-    """Liveness of an instance, as far as this process knows.
+    """Liveness of an instance, as observed by this process.
 
     Attributes:
         LIVE: It sends messages.
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -1,4 +1,4 @@
-"""Data classes of the steering domain: policy, pools and instances."""
+"""Data classes for policies, pools and instances."""
 
 import dataclasses
 import enum
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -51,7 +51,7 @@
 
     @property
     def coordinator(self) -> region.Instance | None:
-        """Coordinator of that epoch, or None before the first one."""
+        """Coordinator of the epoch, or None before the first one."""
         return self._coordinator
 
     @property
@@ -61,7 +61,7 @@
 
     @property
     def echo_s(self) -> float | None:
-        """Coordinator's clock in the latest reply of the epoch that was applied, or None."""
+        """``stamp_s`` of the latest reply of the epoch that was applied, or None."""
         return self._echo_s
 
     @property
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -90,8 +90,8 @@
 class LocalCount(Placement):
     """Every instance uses all slots and ranks servers by its own leases and load reports.
 
-    Instances do not know each other's leases, so a server may be full when a request arrives. The
-    server then sheds the request, and the instance retries it on one other server.
+    An instance does not count the leases of the others, so a server may be full when a request
+    arrives. The server then sheds the request, and the instance retries it on one other server.
     """
 
     name = "local_count"
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -158,7 +158,7 @@
             slots.set_share(share)
 
     def set_leaving(self, server: str, leaving: bool) -> None:
-        """Applies the state that a server reported itself, for example in response to a probe."""
+        """Applies the leaving state that a server reported, for example in response to a probe."""
         slots = self._servers.get(server)
         if slots is None or slots.reported_leaving == leaving:
             return
@@ -174,8 +174,8 @@
         Args:
             server: Name of the probed server.
             succeeded: Whether the server reported that it is healthy.
-            leaving: Whether the server reported that it is leaving; None if unknown. An earlier
-                report is only withdrawn by False.
+            leaving: Whether the server reported that it is leaving; None if unknown. Only a
+                successful probe with False withdraws an earlier report.
         """
         slots = self._servers.get(server)
         if slots is None:
@@ -253,7 +253,7 @@
         return grants
 
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
-        """Marks slots as occupied that the previous owner still uses.
+        """Counts slots as in use on which requests of the previous owner still run.
 
         Args:
             counts: Slots in use per server.
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -9,7 +9,8 @@
 # a pool with little traffic, so that low traffic does not throttle the pool.
 IDLE_AFTER_S = 300.0
 
-# Interval of probes that check whether a server that reported that it is leaving has returned.
+# Interval of the probes of a server that reported that it is leaving. They detect its return, for
+# example after a restart.
 LEAVING_PROBE_S = 5.0
 
 # Requests hold a slot for a few hundred milliseconds, so older load reports are meaningless.
--- a/packages/core/src/sassafrasway_core/quarantine.py
+++ b/packages/core/src/sassafrasway_core/quarantine.py
@@ -50,7 +50,7 @@
 
 
 class Quarantine:
-    """Records which servers crashed on which request and tells which requests to refuse.
+    """Records which servers crashed on which request and decides which requests to refuse.
 
     Args:
         clock: Time source.
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -178,7 +178,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HeartbeatReply:
-    """The coordinator's answer to a heartbeat.
+    """The coordinator's reply to a heartbeat.
 
     Attributes:
         accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
@@ -206,7 +206,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FollowReply:
-    """A member's answer to a new coordinator; ``epoch`` is the epoch that the member follows."""
+    """A member's reply to ``SendFollow``; ``epoch`` is the epoch that the member follows."""
 
     sender: Instance
     epoch: int
@@ -242,7 +242,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendFollow(Command):
-    """Ask a member to follow the sender; it answers and sends a heartbeat at once."""
+    """Ask a member to follow the sender; it replies and sends a heartbeat immediately."""
 
     target: Instance
     epoch: int
--- a/packages/core/src/sassafrasway_core/retry.py
+++ b/packages/core/src/sassafrasway_core/retry.py
@@ -2,7 +2,7 @@
 
 from sassafrasway_core import clock as clock_lib
 
-# Allows an instance with little traffic to retry a few requests at once, and limits the burst of a
+# Allows an instance with little traffic to retry a few requests in a row, and limits the burst of a
 # busy one.
 MAX_TOKENS = 10.0
 
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -32,7 +32,7 @@
     """Decides which requests a shift moves.
 
     The moved fraction of a shift grows from 0 at the shift's pace, starting when this process first
-    sees the shift. The caps of shifts are enforced by the owner of the target pool, not here.
+    applies the shift. The caps of shifts are enforced by the owner of the target pool, not here.
 
     Args:
         clock: Time source.
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -33,7 +33,7 @@
         sub_windows: Number of sub-windows per ``WINDOW_S``. More of them make the limit more
             precise but take more time and memory.
         start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
-            of the limit may have used all of it just before.
+            of the limit may have used all of it just before; ignored while there is no limit.
     """
 
     def __init__(
@@ -66,7 +66,7 @@
         return self._sum_in_window(now_s)
 
     def retry_after_s(self, amount: float) -> float:
-        """Returns the seconds until ``amount`` fits if nothing else is taken meanwhile.
+        """Returns the seconds until ``amount`` fits if nothing else is taken until then.
 
         Returns ``math.inf`` if it can never fit.
         """
@@ -168,7 +168,7 @@
         return True
 
     def end(self) -> None:
-        """Records that an admitted request was answered or can no longer start."""
+        """Records that an admitted request got its response or can no longer start."""
         if self._running < 1:
             raise ValueError("end() was called without an admitted request")
         self._running -= 1
--- a/packages/core/tests/cap_driver.py
+++ b/packages/core/tests/cap_driver.py
@@ -28,8 +28,8 @@
     """Runs operations that ``rng`` chooses and checks the sum of all holders.
 
     Heartbeats and replies are lost, delayed and reordered; holders stop and start; the coordinator
-    changes, and the new one reaches only some of the holders. An ``AssertionError`` says which
-    limit was exceeded.
+    changes, and the new one reaches only some of the holders. An ``AssertionError`` describes the
+    violation.
     """
 
     def __init__(self, rng):
@@ -97,8 +97,8 @@
         if not self._messages:
             return
         # Most messages are delivered in order, so that confirmations arrive; some are reordered.
-        place = 0 if self._rng.random() < 0.7 else self._rng.randrange(len(self._messages))
-        epoch, holder, request, share = self._messages.pop(place)
+        index = 0 if self._rng.random() < 0.7 else self._rng.randrange(len(self._messages))
+        epoch, holder, request, share = self._messages.pop(index)
         if holder not in self._holders or (share is None and epoch != self._epoch):
             return
         if callable(request):
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -24,7 +24,9 @@
 SLOTS = 7
 CAP = "region/bkk"
 CAP_LIMIT = 3.0
+# Maximum number of times that a process runs in one step, to process the messages of the others.
 ROUNDS = 10
+# Interval at which a coordinator fetches the platform's list, in steps.
 LIST_FETCH_STEPS = 10
 POOLS = tuple(model.PoolKey(service=name, region="bkk") for name in ("a", "b", "c", "d"))
 
@@ -163,12 +165,12 @@
             owner.on_write_ok(*arguments, result)
 
     def _on_heartbeat(self, source, heartbeat, sent_s):
-        known = self.grants.coordinator
+        followed = self.grants.coordinator
         if self.coordinator is not None:
             reply = self.coordinator.on_heartbeat(heartbeat)
-        elif known is not None:
+        elif followed is not None:
             reply = region.HeartbeatReply(
-                epoch=self.grants.epoch, coordinator=known, accepted=False, seq=0, stamp_s=0.0
+                epoch=self.grants.epoch, coordinator=followed, accepted=False, seq=0, stamp_s=0.0
             )
         else:
             return
@@ -215,7 +217,7 @@
         self.table = Table()
         self.processes_started = 0
         self.live = {}
-        self.dead = []
+        self.killed = []
         self.links = {}
         self.held = []
         self.list_lag_steps = 0
@@ -229,7 +231,7 @@
         self.live[name] = Process(self, name, str(self.processes_started))
 
     def kill(self, name):
-        self.dead.append(self.live.pop(name))
+        self.killed.append(self.live.pop(name))
 
     def listed(self):
         """Returns the names in the platform's list, which lags but never goes back."""
@@ -252,8 +254,8 @@
     def _deliver(self, source, target, kind, content):
         process = self.live.get(target.name)
         if process is not None:
-            answer = kind in ("reply", "followed", "identified", "refused")
-            if not answer or process.me.id == target.id:
+            is_reply = kind in ("reply", "followed", "identified", "refused")
+            if not is_reply or process.me.id == target.id:
                 process.inbox.append((source, kind, *content))
         elif kind in ("heartbeat", "follow", "identify") and self._is_open(target, source):
             source.inbox.append((source, "refused", target))
--- a/packages/core/tests/soak_ownership.py
+++ b/packages/core/tests/soak_ownership.py
@@ -37,9 +37,9 @@
         return len(owners)
 
     def _impair_links(self):
-        ways = ((one, other) for one in NAMES for other in NAMES if one != other)
+        pairs = ((one, other) for one in NAMES for other in NAMES if one != other)
         modes = ("ok", "cut", "hold")
-        self._world.links = {way: self._rng.choices(modes, (5, 3, 2))[0] for way in ways}
+        self._world.links = {pair: self._rng.choices(modes, (5, 3, 2))[0] for pair in pairs}
         for process in self._world.live.values():
             process.table_mode = self._rng.choices(TABLE_MODES, (5, 3, 1, 1))[0]
 
--- a/packages/core/tests/test_at_most_once.py
+++ b/packages/core/tests/test_at_most_once.py
@@ -56,7 +56,7 @@
     def test_ticket_of_another_incarnation(self):
         """Guards against a restarted instance running tickets of its previous incarnation.
 
-        The new incarnation does not know whether the previous one has run them.
+        The new incarnation has no record of what the previous one has run.
         """
         with self.assertRaises(errors.ValidationError):
             self.registry.begin(self.fixture.mint_key(_OTHER))
--- a/packages/core/tests/test_health.py
+++ b/packages/core/tests/test_health.py
@@ -65,7 +65,7 @@
         self.assertTrue(self.health.is_ejected("s0"))
 
     def test_failed_probes_double_the_ejection_and_success_ends_it(self):
-        """Guards against probing a dead server at full rate, or keeping a repaired one ejected."""
+        """Guards against probing a failed server at full rate or keeping a repaired one ejected."""
         self._fail("s0")
         self.assertEqual(self.health.probes_due(), [])
         waits_s = []
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -176,7 +176,7 @@
             self.assertEqual(self.world.full_owners(), self.owners)
 
     def test_table_down_and_member_gone(self):
-        """Guards against unusable slots after an instance died while the table is down."""
+        """Guards against unusable slots after an instance crashed while the table is down."""
         self._table_down()
         self.world.step(50)
         self.world.kill(self._follower())
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -77,8 +77,8 @@
     return "unknown"
 
 
-def successor_dies():
-    """A new coordinator dies before the old one, cut off from the table, learns of the takeover."""
+def successor_crashes():
+    """A new coordinator crashes before the old one, cut off from the table, is deposed."""
     run = _Scenario()
     run.table("down", run.leader, run.b)
     run.cut((run.leader, run.a), (run.a, run.b))
@@ -113,7 +113,7 @@
 
 
 def unrecorded_holder():
-    """A coordinator dies after it granted pools to an instance that the row does not name."""
+    """A coordinator crashes after it granted pools to an instance that the row does not name."""
     run = _Scenario()
     run.table("down")
     run.world.step(40)
@@ -133,8 +133,8 @@
     run.world.step(60)
 
 
-def holder_dies_after_takeover():
-    """A member that follows the new coordinator dies; the old one, still unaware, finds it gone."""
+def holder_crashes_after_takeover():
+    """A follower of the new coordinator crashes; the old one, not yet deposed, finds it gone."""
     run = _Scenario()
     run.table("down", run.leader)
     run.cut((run.leader, run.a), (run.leader, run.b))
@@ -159,7 +159,7 @@
 
 _heartbeat = member.MemberState._heartbeat
 _may_take_over = member.MemberState._may_take_over
-_win = member.MemberState._win
+_record_won_election = member.MemberState._record_won_election
 _state = membership.MemberTable.state
 
 
@@ -200,10 +200,10 @@
 
 def _holders_always_recorded(self, pending, version):
     """Faulty rule: a new coordinator assumes that only recorded members hold grants."""
-    _win(self, dataclasses.replace(pending, holders_recorded=True), version)
+    _record_won_election(self, dataclasses.replace(pending, holders_recorded=True), version)
 
 
-def _everyone_is_recorded(self, instance):
+def _all_are_recorded(self, instance):
     """Faulty rule: instances are treated as recorded although the row does not name them."""
     del self, instance
     return True
@@ -240,10 +240,10 @@
     (late_heartbeats, authority.Authority, "record_promise", _promise_from_receipt),
     (late_candidate_write, member.MemberState, "_heartbeat", _promise_always),
     (row_seen_before, member.MemberState, "_heartbeat", _promise_forgotten),
-    (successor_dies, authority.Authority, "refresh", _drop_gone_always),
+    (successor_crashes, authority.Authority, "refresh", _drop_gone_always),
     (new_instance_without_contact, member.MemberState, "_may_take_over", _unrecorded_takes_over),
-    (unrecorded_holder, member.MemberState, "_win", _holders_always_recorded),
-    (unrecorded_holder, authority.Authority, "is_recorded", _everyone_is_recorded),
+    (unrecorded_holder, member.MemberState, "_record_won_election", _holders_always_recorded),
+    (unrecorded_holder, authority.Authority, "is_recorded", _all_are_recorded),
     (
         unrecorded_holder,
         coordinator.CoordinatorState,
@@ -251,7 +251,7 @@
         _no_earlier_grants,
     ),
     (
-        holder_dies_after_takeover,
+        holder_crashes_after_takeover,
         coordinator.CoordinatorState,
         "_permitted_shares",
         _free_without_authority,
--- a/packages/core/tests/test_shift.py
+++ b/packages/core/tests/test_shift.py
@@ -29,7 +29,7 @@
         return self.shifts.home_region("crew-desk", "bkk", position).region == "hkt"
 
     def test_moved_fraction_grows_at_its_pace_and_keeps_moved_callers(self):
-        """Guards against sending all requests to cold caches at once, and callers moving back."""
+        """Guards against moving all requests to cold caches together, and callers moving back."""
         self.shifts.set_shifts(_policy(_shift(fraction=0.5, pace_per_s=0.1)))
         moved = []
         for _ in range(8):
--- a/packages/core/tests/test_window.py
+++ b/packages/core/tests/test_window.py
@@ -45,7 +45,7 @@
                 self.assertGreater(conservative + amount, limit)
 
     def test_retry_after_is_the_time_at_which_the_amount_fits(self):
-        """Guards against telling callers to retry too early or much too late."""
+        """Guards against a retry time that is too early or much too late."""
         time = clock.ManualClock()
         limiter = window.SlidingWindow(limit=10, clock=time)
         limiter.try_take(4)
