--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -42,8 +42,8 @@
         self._servers = tuple(servers)
         self._region_of = region_of
         self._cache: dict[tuple[str, str, bool], tuple[str, ...]] = {}
-        domains = list(region_of.values())
-        regions = sorted(set(domains))
+        domain_regions = list(region_of.values())
+        regions = sorted(set(domain_regions))
         total_slots = sum(server.slots for server in servers) or 1
         slots = dict.fromkeys(regions, 0)
         for server in servers:
@@ -52,7 +52,7 @@
         self._local_share: dict[str, float] = {}
         self._spare_share: dict[str, float] = {}
         for region, region_slots in slots.items():
-            demand = domains.count(region) / max(1, len(domains)) * total_slots
+            demand = domain_regions.count(region) / max(1, len(domain_regions)) * total_slots
             self._local_share[region] = min(1.0, region_slots / demand) if demand else 1.0
             spare = max(0.0, region_slots - demand)
             self._spare_share[region] = spare / region_slots if region_slots else 0.0
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -64,7 +64,7 @@
         load: Estimated load of the selected server.
         load_age_s: Age of the load report that the estimate is based on; -1 without a report.
         rank: Position of the server in the object's ranking, from 0.
-        warm: Whether this instance knows that the server ran the object recently.
+        warm: Whether the server has recently run the object for this instance.
         queue_factor: Expected response time as a multiple of the service time.
     """
 
@@ -149,7 +149,7 @@
 
 
 class RecentRuns:
-    """Remembers which server ran which object recently, for requests of this instance."""
+    """Records which server ran which object recently, for requests of this instance."""
 
     def __init__(self):
         self._last_run_s: dict[tuple[str, str], float] = {}
@@ -213,9 +213,11 @@
                 return self._refuse_overload(best[1], criteria, now_s)
             best = min(free, key=lambda entry: self._expected_cost_s(criteria, entry, now_s))
         rank, state = best
-        wait_s = self._min_response_s(state, criteria, now_s)
-        if wait_s >= criteria.remaining_s:
-            return Choice(refusal=Refusal.TOO_LATE, retry_after_s=max(wait_s, MIN_RETRY_AFTER_S))
+        response_s = self._min_response_s(state, criteria, now_s)
+        if response_s >= criteria.remaining_s:
+            return Choice(
+                refusal=Refusal.TOO_LATE, retry_after_s=max(response_s, MIN_RETRY_AFTER_S)
+            )
         return Choice(
             state=state,
             load=state.load(now_s),
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -20,9 +20,9 @@
 class ColdLimit:
     """Lets a few instances use each cold server, at a bounded rate.
 
-    All instances select the same few by rendezvous hashing. Each selected one sends at most one
-    request per second. Their number keeps the sum below the bound even when the lists of live
-    instances differ by a few.
+    For each cold server, all instances select the same few instances by rendezvous hashing. Each
+    selected one sends at most one request per second. Their number keeps the sum below the bound
+    even when the lists of live instances differ by a few.
 
     Args:
         clock: Time source.
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -49,9 +49,19 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Entry:
+    """A member and its liveness.
+
+    Attributes:
+        last_message_s: Time of the last message from the member itself; 0 before the first one.
+        contact_since_s: Time since which the member has been in contact with the store; None if it
+            is not.
+        deadline_s: Time at which the member is declared dead unless a message from it arrives; None
+            while no answer is expected.
+    """
+
     member: Member
     alive: bool
-    last_heard_s: float
+    last_message_s: float
     contact_since_s: float | None = None
     deadline_s: float | None = None
 
@@ -107,7 +117,7 @@
             ready.append(self._own)
         return ready
 
-    def learn(self, member: Member) -> None:
+    def add_listed(self, member: Member) -> None:
         """Adds a member that is listed elsewhere.
 
         It does not count as live before a message from the member itself arrives.
@@ -116,11 +126,11 @@
             return
         entry = self._entries.get(member.name)
         if entry is None:
-            self._entries[member.name] = _Entry(member=member, alive=False, last_heard_s=0.0)
+            self._entries[member.name] = _Entry(member=member, alive=False, last_message_s=0.0)
         elif member.incarnation > entry.member.incarnation:
             entry.member = member
 
-    def heard(self, member: Member, *, contact_s: float = 0.0) -> bool:
+    def on_message(self, member: Member, *, contact_s: float = 0.0) -> bool:
         """Records a message from the member itself.
 
         Args:
@@ -135,14 +145,14 @@
         now_s = self._clock.monotonic()
         entry = self._entries.get(member.name)
         if entry is None:
-            entry = _Entry(member=member, alive=False, last_heard_s=now_s)
+            entry = _Entry(member=member, alive=False, last_message_s=now_s)
             self._entries[member.name] = entry
         elif self._is_outdated(member, entry, now_s):
             return False
         revived = not entry.alive
         entry.member = member
         entry.alive = True
-        entry.last_heard_s = now_s
+        entry.last_message_s = now_s
         entry.contact_since_s = now_s - contact_s if contact_s > 0 else None
         entry.deadline_s = None
         return revived
@@ -172,7 +182,7 @@
         return any(
             entry.contact_since_s is not None
             and entry.contact_since_s < began_s
-            and entry.last_heard_s > began_s + MAX_TICK_GAP_S
+            and entry.last_message_s > began_s + MAX_TICK_GAP_S
             for entry in self._entries.values()
         )
 
@@ -236,5 +246,6 @@
         # An instance that restarts after its clock was set back has a lower incarnation than
         # before, so a lower one is accepted once no datagrams of the previous run can arrive.
         return (
-            new.incarnation < old.incarnation and now_s - entry.last_heard_s < MAX_DATAGRAM_DELAY_S
+            new.incarnation < old.incarnation
+            and now_s - entry.last_message_s < MAX_DATAGRAM_DELAY_S
         )
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -10,7 +10,7 @@
 from sassafrasway_gateway import relay, table_cache
 from sassafrasway_platform import feed, table
 
-# Delay after each call that returned rows, so that one call returns the changes made in quick
+# Delay after each call that returned rows, so that the next call returns all changes made in quick
 # succession. Calls to the store are limited and billed.
 BATCH_INTERVAL_S = 0.5
 INITIAL_BACKOFF_S = 0.2
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -28,10 +28,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Share:
-    """Share of the objects that stay, relative to the share that the slots of the region allow.
+    """Share of the objects of one service that stay in the region.
 
     Attributes:
-        kept: The share.
+        kept: The share, as a fraction of the share that the slots of the region allow.
         updated_s: Monotonic time of the last update.
     """
 
@@ -74,7 +74,7 @@
         for service in {*loads, *self._shares}:
             load = loads.get(service, {})
             before = self.kept_share(service)
-            after = self._adapt(service, load)
+            after = self._update_share(service, load)
             if (before < 1.0) != (after < 1.0):
                 self._log.info(
                     "objects move to other regions"
@@ -85,7 +85,7 @@
                     load={region: round(value, 2) for region, value in load.items()},
                 )
 
-    def _adapt(self, service: str, load: dict[str, float]) -> float:
+    def _update_share(self, service: str, load: dict[str, float]) -> float:
         now_s = self._clock.monotonic()
         share = self._shares.setdefault(service, _Share(updated_s=now_s))
         step = STEP_PER_S * min(MAX_STEP_INTERVAL_S, now_s - share.updated_s)
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -52,7 +52,7 @@
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, self._port))
 
     async def run(self) -> None:
-        """Pings members and reports dead ones until cancelled."""
+        """Pings members and reports the ones declared dead until cancelled."""
         while True:
             await asyncio.sleep(fleet.PING_INTERVAL_S)
             targets, dead = self._view.tick()
@@ -107,7 +107,7 @@
 
     def _on_hello(self, message: peer_messages.Hello) -> None:
         member = peer_messages.member_of(message)
-        if self._view.heard(member, contact_s=message.contact_ms / 1000.0):
+        if self._view.on_message(member, contact_s=message.contact_ms / 1000.0):
             self._log.info("instance reachable", peer=member.name, phase=member.phase.name)
         if message.reply:
             self._send_hello(member, reply=False)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -40,15 +40,17 @@
 from sassafrasway_gateway import dialect as dialect_lib
 from sassafrasway_platform import feed
 
-# Interval at which expired servers and idle connections are removed and the overflow is updated.
+# Interval at which servers that were not listed again and expired idle connections are removed and
+# the shares of the overflow control are updated.
 MAINTENANCE_INTERVAL_S = 0.5
 READY_CHECK_INTERVAL_S = 0.05
-# Time after the start of the shutdown for which callers may still use a lookup that lists this
-# instance. It exceeds the lifetime of a lookup, as callers may keep one for longer than that.
+# Time from the start of the shutdown until the instance stops accepting connections. Until then,
+# callers may still use a lookup that lists this instance. The value is greater than the lifetime of
+# a lookup (`lookup.LOOKUP_TTL_S`), because callers may keep one for longer.
 STOP_LISTENING_AFTER_S = 2.4
-# Part of the stop grace period that is reserved for the exit of the process.
+# Time at the end of the stop grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.4
-EXIT_POLL_S = 0.05
+EXIT_CHECK_INTERVAL_S = 0.05
 
 
 class GatewayProcess:
@@ -215,8 +217,8 @@
         self._log.info("gateway starting", config=dataclasses.asdict(self._config.front))
         await self._start_servers()
         self._spawn(self._peers.run())
-        for task in self._followers.values():
-            self._spawn(task.run())
+        for table_follower in self._followers.values():
+            self._spawn(table_follower.run())
         self._spawn(self._register())
         self._spawn(self._announcer.run())
         self._spawn(self._run_maintenance())
@@ -296,8 +298,8 @@
 
     async def _become_ready(self) -> None:
         """Marks the instance as ready once the policy and the servers have been loaded."""
-        listing = self._followers[self._dialect.server_table]
-        while self._policy_state.policy is None or listing.version < 0:
+        server_follower = self._followers[self._dialect.server_table]
+        while self._policy_state.policy is None or server_follower.version < 0:
             await asyncio.sleep(READY_CHECK_INTERVAL_S)
         if self._stopping.is_set():
             return
@@ -340,10 +342,7 @@
         self._log.info("settings reloaded", changed=changed)
 
     async def _shut_down(self) -> None:
-        """Shuts down within the grace period.
-
-        The instance is removed from lookups, and requests in progress are completed first.
-        """
+        """Removes the instance from lookups and completes its requests within the grace period."""
         began_s = time.monotonic()
         # Closing the event loop removes its signal handlers; SIGHUP would then kill the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
@@ -356,7 +355,7 @@
         self._front_server.stop_listening()
         deadline_s = began_s + self._config.bounds.stop_grace_s - EXIT_MARGIN_S
         while time.monotonic() < deadline_s and self._front_server.busy + self._forwarder.running:
-            await asyncio.sleep(EXIT_POLL_S)
+            await asyncio.sleep(EXIT_CHECK_INTERVAL_S)
         self._log.info(
             "gateway stopped", busy=self._front_server.busy, attempts=self._forwarder.running
         )
--- a/packages/gateway/src/sassafrasway_gateway/registration.py
+++ b/packages/gateway/src/sassafrasway_gateway/registration.py
@@ -55,7 +55,7 @@
                 continue
             break
         for change in listed.rows:
-            self._learn(change)
+            self._add_listed(change)
 
     async def deregister(self) -> None:
         """Removes the row of this instance.
@@ -65,7 +65,7 @@
         with contextlib.suppress(table.StoreUnavailable):
             await self._store.write(self._table, self._view.own.name, None)
 
-    def _learn(self, change: feed.Change) -> None:
+    def _add_listed(self, change: feed.Change) -> None:
         try:
             message = peer_messages.decode(change.value)
         except (msgspec.DecodeError, ValueError) as error:
@@ -74,4 +74,4 @@
             )
             return
         if isinstance(message, peer_messages.Hello):
-            self._view.learn(peer_messages.member_of(message))
+            self._view.add_listed(peer_messages.member_of(message))
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -22,6 +22,7 @@
 from sassafrasway_platform import feed, table
 
 READERS_PER_REGION = 2
+# Interval of the announcements of table versions, which are sent as beacons.
 BEACON_INTERVAL_S = 0.25
 # Older announcements are ignored.
 BEACON_LIFETIME_S = 0.8
@@ -45,7 +46,8 @@
 MAX_ENCODED_RESPONSES = 8
 # Number of instances in each other region to which a new version is announced directly.
 RECIPIENTS_PER_REMOTE_REGION = 3
-# Time for which readers of the own region may lag before a hint of another instance is used.
+# Time for which the readers of the own region may lag behind a version that any other instance
+# reports (a hint) before rows are fetched from that instance.
 HINT_DELAY_S = 0.4
 HINT_LIFETIME_S = 3.0
 
@@ -203,14 +205,16 @@
     """Latest table versions announced by an instance.
 
     Attributes:
-        first_heard_s: Time at which the current version of each table was first announced. A hint
-            is used only after a delay, as the readers of the own region may soon announce the same.
+        received_s: Time at which the latest announcement was received.
+        first_announced_s: Time at which the current version of each table was first announced. A
+            hint is used only after a delay, as the readers of the own region may soon announce the
+            same.
     """
 
     host: str
     versions: dict[str, int]
-    last_heard_s: float
-    first_heard_s: dict[str, float]
+    received_s: float
+    first_announced_s: dict[str, float]
 
 
 class RelayRole:
@@ -303,8 +307,8 @@
             newest = version
             for entry in announcements.values():
                 announced = entry.versions.get(table_name, -1)
-                fresh = now_s - entry.last_heard_s < max_age_s
-                since_s = entry.first_heard_s.get(table_name, now_s)
+                fresh = now_s - entry.received_s < max_age_s
+                since_s = entry.first_announced_s.get(table_name, now_s)
                 if not fresh or announced <= version or now_s - since_s < min_age_s:
                     continue
                 if announced > newest:
@@ -324,7 +328,7 @@
         now_s = time.monotonic()
         known: dict[str, int] = {}
         for entry in self._beacons.values():
-            if now_s - entry.last_heard_s < BEACON_LIFETIME_S:
+            if now_s - entry.received_s < BEACON_LIFETIME_S:
                 for table_name, version in entry.versions.items():
                     known[table_name] = max(version, known.get(table_name, -1))
         return bool(known) and any(
@@ -365,7 +369,7 @@
 
     def _is_announced(self, table_name: str, now_s: float) -> bool:
         return any(
-            table_name in entry.versions and now_s - entry.last_heard_s < BEACON_LIFETIME_S
+            table_name in entry.versions and now_s - entry.received_s < BEACON_LIFETIME_S
             for entry in self._beacons.values()
         )
 
@@ -381,12 +385,12 @@
     ) -> None:
         now_s = time.monotonic()
         old = announcements.get(name)
-        first_heard_s = {}
+        first_announced_s = {}
         for table_name, version in versions.items():
             known = old is not None and old.versions.get(table_name) == version
-            first_heard_s[table_name] = old.first_heard_s[table_name] if known else now_s
+            first_announced_s[table_name] = old.first_announced_s[table_name] if known else now_s
         announcements[name] = _Announcement(
-            host=host, versions=versions, last_heard_s=now_s, first_heard_s=first_heard_s
+            host=host, versions=versions, received_s=now_s, first_announced_s=first_announced_s
         )
 
     @staticmethod
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -191,8 +191,8 @@
     def set_evacuated(self, failure_domains: Iterable[str]) -> None:
         """Replaces the set of evacuated failure domains.
 
-        The servers of a domain that is no longer evacuated are treated as cold: they were idle long
-        enough to lose their caches, and their listings do not have to say so.
+        The servers of a failure domain that is no longer evacuated are treated as cold: they were
+        idle long enough to lose their caches, which their listings need not report.
         """
         new = frozenset(failure_domains)
         now_s = self._clock.monotonic()
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -51,7 +51,7 @@
 
     Args:
         decoder: Decodes rows.
-        registry: Servers; gets the evacuated domains and the warm-up times.
+        registry: Servers; receives the evacuated failure domains and the warm-up times.
         on_policy: Called after a new policy is in force.
     """
 
@@ -126,7 +126,9 @@
         if evacuated == self._evacuated:
             return
         self._log.info(
-            "evacuated domains changed", domains=sorted(evacuated), before=sorted(self._evacuated)
+            "evacuated failure domains changed",
+            domains=sorted(evacuated),
+            before=sorted(self._evacuated),
         )
         self._evacuated = set(evacuated)
         self._registry.set_evacuated(evacuated)
@@ -140,7 +142,7 @@
         decoder: Decodes rows.
         registry: Servers.
         local_outage: Returns whether the store answered other instances during an outage that
-            lasted the given number of seconds and has just ended. Listings did not expire then.
+            lasted the given number of seconds and has just ended. If so, no listing expired.
     """
 
     def __init__(
@@ -178,7 +180,7 @@
             self._remove(change.key)
 
     def on_regained(self, outage_s: float) -> None:
-        """See base class."""
+        """Starts the grace period for expired listings, unless the outage was local or short."""
         if outage_s >= MIN_OUTAGE_S and not self._local_outage(outage_s):
             self._grace_until_s = self._clock.monotonic() + RELIST_GRACE_S
 
--- a/packages/gateway/tests/gateway_fakes.py
+++ b/packages/gateway/tests/gateway_fakes.py
@@ -11,7 +11,7 @@
 
 
 class AllowAll:
-    """Cold limit with a fixed answer, by default that a request may be sent."""
+    """Cold limit with a fixed decision, by default that a request may be sent."""
 
     def __init__(self, allowed=True):
         self.allowed = allowed
--- a/packages/gateway/tests/test_affinity.py
+++ b/packages/gateway/tests/test_affinity.py
@@ -51,13 +51,13 @@
 
     def test_objects_that_leave_a_region_are_the_same_on_every_instance(self):
         ranking = make_ranking(self.listed)
-        left = {
+        moved = {
             key
             for key in map(str, range(400))
             if ranking.ranked(key, "north", kept_share=0.75)[0] == "s6"
         }
-        self.assertTrue(60 < len(left) < 140, len(left))
-        more = make_ranking(self.listed[::-1])
-        for key in left:
-            self.assertEqual(more.ranked(key, "north", kept_share=0.5)[0], "s6")
-            self.assertEqual(more.ranked(key, "north")[0] == "s6", False)
+        self.assertTrue(60 < len(moved) < 140, len(moved))
+        reordered = make_ranking(self.listed[::-1])
+        for key in moved:
+            self.assertEqual(reordered.ranked(key, "north", kept_share=0.5)[0], "s6")
+            self.assertEqual(reordered.ranked(key, "north")[0] == "s6", False)
--- a/packages/gateway/tests/test_announcer.py
+++ b/packages/gateway/tests/test_announcer.py
@@ -25,7 +25,7 @@
             own=test_fleet.make_member("i0"),
             rng=random.Random(1),
         )
-        view.heard(test_fleet.make_member("i1"))
+        view.on_message(test_fleet.make_member("i1"))
         self.role = relay.RelayRole(view=view, rng=random.Random(1))
         self.followers = {"op": make_follower(5), "servers": make_follower(7)}
         self.sent = []
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -21,7 +21,7 @@
 
 
 class FleetViewTest(unittest.TestCase):
-    """Guards against lookups that return dead instances, and against live ones declared dead."""
+    """Guards against lookups with unreachable instances, and against live ones declared dead."""
 
     def setUp(self):
         self.clock = clock_lib.ManualClock()
@@ -35,72 +35,72 @@
         return dead
 
     def test_member_that_does_not_answer_is_dead(self):
-        self.view.heard(make_member("other"))
+        self.view.on_message(make_member("other"))
         self.assertEqual(self.tick(6), ["other"])
         self.assertEqual(self.view.live_names(), ["me"])
 
     def test_member_that_answers_stays_live(self):
         for _ in range(20):
-            self.view.heard(make_member("other"))
+            self.view.on_message(make_member("other"))
             self.assertEqual(self.tick(), [])
 
     def test_listed_member_is_live_only_when_heard(self):
-        self.view.learn(make_member("other"))
+        self.view.add_listed(make_member("other"))
         self.assertEqual(self.view.live_names(), ["me"])
-        self.assertTrue(self.view.heard(make_member("other")))
+        self.assertTrue(self.view.on_message(make_member("other")))
         self.assertIn("other", self.view.live_names())
 
     def test_own_pause_says_nothing_about_others(self):
-        self.view.heard(make_member("other"))
+        self.view.on_message(make_member("other"))
         self.tick()
         self.clock.advance(10.0)
         self.assertEqual(self.view.tick()[1], [])
 
     def test_suspicion_of_another_instance_is_verified(self):
-        self.view.heard(make_member("other"))
+        self.view.on_message(make_member("other"))
         self.assertEqual(self.view.suspect("other", 1).name, "other")
-        self.view.heard(make_member("other"))
+        self.view.on_message(make_member("other"))
         self.assertEqual(self.tick(2), [])
 
     def test_suspicion_of_an_earlier_start_is_ignored(self):
-        self.view.heard(make_member("other", incarnation=2))
+        self.view.on_message(make_member("other", incarnation=2))
         self.assertIsNone(self.view.suspect("other", 1))
 
     def test_message_of_an_earlier_start_is_ignored(self):
-        self.view.heard(make_member("other", incarnation=2, phase=fleet.Phase.STARTING))
-        self.view.heard(make_member("other", incarnation=1, phase=fleet.Phase.LEAVING))
+        self.view.on_message(make_member("other", incarnation=2, phase=fleet.Phase.STARTING))
+        self.view.on_message(make_member("other", incarnation=1, phase=fleet.Phase.LEAVING))
         self.assertEqual(self.view.members()[0].incarnation, 2)
 
     def test_restart_after_the_clock_was_set_back_is_heard(self):
         # The incarnation is the start time. After the clock was set back it was lower than before,
         # and the other instances treated the restarted instance as dead until it ended.
-        self.view.heard(make_member("other", incarnation=5000, phase=fleet.Phase.LEAVING))
+        self.view.on_message(make_member("other", incarnation=5000, phase=fleet.Phase.LEAVING))
         restarted = make_member("other", incarnation=2000)
-        self.view.heard(restarted)
+        self.view.on_message(restarted)
         self.assertNotIn("other", self.view.live_names())
         self.clock.advance(fleet.MAX_DATAGRAM_DELAY_S)
-        self.view.heard(restarted)
+        self.view.on_message(restarted)
         self.assertIn("other", self.view.live_names())
         self.assertIn(restarted, self.view.ready_members())
 
     def test_leaving_member_is_not_named(self):
-        self.view.heard(make_member("other", phase=fleet.Phase.LEAVING))
+        self.view.on_message(make_member("other", phase=fleet.Phase.LEAVING))
         self.assertEqual([member.name for member in self.view.ready_members()], ["me"])
 
     def test_outage_of_this_instance_alone_is_recognised(self):
         # DRAIN: an instance that was cut off from the store took this for an outage of the store.
         self.clock.advance(20.0)
-        self.view.heard(make_member("other"), contact_s=15.0)
+        self.view.on_message(make_member("other"), contact_s=15.0)
         self.assertTrue(self.view.store_answered_peers(10.0))
 
     def test_outage_of_the_store_is_recognised(self):
         self.clock.advance(20.0)
-        self.view.heard(make_member("other"), contact_s=0.5)
+        self.view.on_message(make_member("other"), contact_s=0.5)
         self.assertFalse(self.view.store_answered_peers(10.0))
 
     def test_pings_do_not_grow_with_the_fleet(self):
         for index in range(300):
-            self.view.heard(make_member(f"i{index}"))
+            self.view.on_message(make_member(f"i{index}"))
         self.clock.advance(fleet.PING_INTERVAL_S)
         targets, _ = self.view.tick()
         self.assertLessEqual(len(targets), 3)
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -32,7 +32,7 @@
             rng=random.Random(1),
         )
         for other in names:
-            view.heard(test_fleet.make_member(other))
+            view.on_message(test_fleet.make_member(other))
         roles.append(relay.RelayRole(view=view, rng=random.Random(1)))
     return roles
 
@@ -100,7 +100,7 @@
             single.wait_s + single.margin_s + relay.TAKEOVER_INTERVAL_S + follower.BATCH_INTERVAL_S
         )
         self.assertLess(longest_s, 2.5)
-        role._view.heard(test_fleet.make_member("far", region="south"))
+        role._view.on_message(test_fleet.make_member("far", region="south"))
         self.assertGreater(role.poll_times().wait_s, single.wait_s)
 
     def test_source_is_the_instance_with_the_newest_version(self):
@@ -140,7 +140,7 @@
     def test_new_versions_reach_a_few_instances_of_each_other_region(self):
         role = make_roles(3)[0]
         for index in range(10):
-            role._view.heard(test_fleet.make_member(f"s{index}", region="south"))
+            role._view.on_message(test_fleet.make_member(f"s{index}", region="south"))
         self.assertEqual(len(role.recipients(changed=True)), 2 + relay.RECIPIENTS_PER_REMOTE_REGION)
         self.assertEqual(len(role.recipients(changed=False)), 2)
 
--- a/packages/gateway/tests/test_retry_budgets.py
+++ b/packages/gateway/tests/test_retry_budgets.py
@@ -26,7 +26,7 @@
                 clock=clock, own=test_fleet.make_member(f"i{index}"), rng=random.Random(1)
             )
             for other in range(instances):
-                view.heard(test_fleet.make_member(f"i{other}"))
+                view.on_message(test_fleet.make_member(f"i{other}"))
             budgets.append(retry_budgets.RetryBudgets(clock=clock, view=view, bounds=bounds))
         used = []
         step_s = 0.1
--- a/packages/gateway/tests/test_state.py
+++ b/packages/gateway/tests/test_state.py
@@ -73,7 +73,7 @@
 
 
 class ServerListingTest(unittest.TestCase):
-    """Guards against keeping servers that are gone and against removing servers that are alive."""
+    """Guards against keeping servers that are gone and against removing servers that run."""
 
     def setUp(self):
         self.clock = clock_lib.ManualClock()
@@ -128,7 +128,7 @@
         self.assertIsNone(self.registry.get("s"))
 
     def test_first_read_is_one_line_in_the_log(self):
-        # A line per server made 582 lines at once, which exceeded the rate limit of the log and
+        # A line per server made a burst of 582 lines, which exceeded the rate limit of the log and
         # suppressed the lines that followed.
         registry = gateway_fakes.make_registry([], clock=self.clock)
         listing = state.ServerListing(
--- a/packages/platform/src/sassafrasway_platform/feed.py
+++ b/packages/platform/src/sassafrasway_platform/feed.py
@@ -56,7 +56,7 @@
 
         Args:
             table_name: Table to read.
-            after: Newest version that the caller knows.
+            after: Newest version that the caller has.
             wait_s: Longest time that the store waits for a first change, s.
             timeout_s: Time after which the store counts as unavailable, s.
 
--- a/packages/platform/src/sassafrasway_platform/http.py
+++ b/packages/platform/src/sassafrasway_platform/http.py
@@ -58,7 +58,7 @@
         headers: Mapping[str, str] | None = None,
         data: bytes | None = None,
     ) -> tuple[int, Mapping[str, str], bytes]:
-        """Sends one request and returns status, headers and body of the complete answer.
+        """Sends one request and returns status, headers and body of the complete response.
 
         Args:
             method: HTTP method.
@@ -70,7 +70,7 @@
 
         Raises:
             table.PreconditionFailed: Status 412.
-            table.StoreUnavailable: No complete answer, or another status; the effect is unknown.
+            table.StoreUnavailable: No complete response, or another status; the effect is unknown.
             errors.ValidationError: The service refuses the request as invalid.
         """
         url = yarl.URL(self._base_url + path, encoded=True)
@@ -156,7 +156,7 @@
         if len(tag) > 2 and tag.startswith('"') and tag.endswith('"'):
             return tag[1:-1]
         raise table.StoreUnavailable(
-            f"answer has no valid strong ETag: {tag!r}", step=step, peer=self._client.peer
+            f"response has no valid strong ETag: {tag!r}", step=step, peer=self._client.peer
         )
 
     def _rows(self, body: bytes, step: str) -> list[table.Row]:
@@ -164,7 +164,7 @@
             return [_parse_row(document) for document in json.loads(body)["rows"]]
         except (ValueError, KeyError, TypeError, binascii.Error) as error:
             raise table.StoreUnavailable(
-                f"malformed answer: {error!r}", step=step, peer=self._client.peer
+                f"malformed response: {error!r}", step=step, peer=self._client.peer
             ) from error
 
 
@@ -202,7 +202,7 @@
             return [_parse_instance(document) for document in json.loads(body)]
         except (ValueError, KeyError, TypeError) as error:
             raise table.StoreUnavailable(
-                f"malformed answer: {error!r}", step=step, peer=self._client.peer
+                f"malformed response: {error!r}", step=step, peer=self._client.peer
             ) from error
 
 
--- a/packages/platform/src/sassafrasway_platform/memory.py
+++ b/packages/platform/src/sassafrasway_platform/memory.py
@@ -15,8 +15,8 @@
     Attributes:
         down: Every call fails without an effect.
         delay_s: Delay of every call before its effect, in seconds.
-        lost_answers: Number of following writes that take effect, but fail as unanswered.
-        down_after_write: The next write takes effect, but fails as unanswered and sets ``down``.
+        lost_answers: Number of subsequent writes that take effect, but whose response is lost.
+        down_after_write: The next write takes effect, but its response is lost and ``down`` is set.
         stale: The instance list keeps returning what the last call before this was set returned.
     """
 
@@ -41,15 +41,15 @@
         """Fails a write that took effect, if a fault asks for it.
 
         Raises:
-            table.StoreUnavailable: The answer of this write is lost.
+            table.StoreUnavailable: The response to this write is lost.
         """
         if self.down_after_write:
             self.down_after_write = False
             self.down = True
-            raise table.StoreUnavailable("injected fault: answer lost", step=step, peer="memory")
+            raise table.StoreUnavailable("injected fault: response lost", step=step, peer="memory")
         if self.lost_answers > 0:
             self.lost_answers -= 1
-            raise table.StoreUnavailable("injected fault: answer lost", step=step, peer="memory")
+            raise table.StoreUnavailable("injected fault: response lost", step=step, peer="memory")
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/platform/tests/test_platform_clients.py
+++ b/packages/platform/tests/test_platform_clients.py
@@ -14,7 +14,7 @@
 class _Server:
     """Server that returns prepared responses in order and records the requests.
 
-    A response is a status, headers and a body; None closes the connection without an answer.
+    A response is a status, headers and a body; None closes the connection without a response.
     """
 
     def __init__(self):
