--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -149,13 +149,13 @@
             self._entries[member.name] = entry
         elif self._is_outdated(member, entry, now_s):
             return False
-        revived = not entry.alive
+        became_live = not entry.alive
         entry.member = member
         entry.alive = True
         entry.last_message_s = now_s
         entry.contact_since_s = now_s - contact_s if contact_s > 0 else None
         entry.deadline_s = None
-        return revived
+        return became_live
 
     def suspect(self, name: str, incarnation: int) -> Member | None:
         """Starts the verification of a member that another instance could not reach.
--- a/packages/platform/src/sassafrasway_platform/http.py
+++ b/packages/platform/src/sassafrasway_platform/http.py
@@ -1,6 +1,6 @@
 """HTTP adapters for the table service, the object store and the instance list.
 
-Versions travel as strong entity tags (RFC 9110): ``If-Match`` for a known version,
+Versions are sent as strong entity tags (RFC 9110): ``If-Match`` for a known version,
 ``If-None-Match: *`` for a row that must not exist, status 412 when the condition does not hold. In
 JSON bodies a row is ``{"key", "value_base64", "version"}``, lists of rows are ``{"rows": [...]}``,
 and ``"if_version": null`` means that the row must not exist.
