--- a/packages/ctl/src/sassafrasway_ctl/client.py
+++ b/packages/ctl/src/sassafrasway_ctl/client.py
@@ -34,7 +34,7 @@
         """Calls a method and returns its result.
 
         Raises:
-            errors.UnavailableError: No instance answered, or none could reach the store.
+            errors.UnavailableError: No instance answered, or none could reach the table service.
             errors.SassafraswayError: An instance answered with an error.
         """
         return asyncio.run(self._call(method, arguments))
@@ -48,7 +48,8 @@
                 try:
                     return await self._call_one(address, method, arguments)
                 except errors.UnavailableError as error:
-                    failures[address] = str(error)  # includes the peer, which may be the store
+                    # The text includes the peer, which may be the table service.
+                    failures[address] = str(error)
         reasons = "; ".join(f"{address}: {reason}" for address, reason in failures.items())
         raise errors.UnavailableError(f"no instance answered: {reasons}", step=f"ctl.{method}")
 
--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -1,4 +1,4 @@
-"""HTTP API for callers: look-ups and requests."""
+"""HTTP API for callers: lookups and requests."""
 
 import asyncio
 import dataclasses
@@ -28,14 +28,14 @@
 REASON_HEADER = "Sassafras-Reason"
 
 CANDIDATES_TTL_S = 0.2
-LOOKUP_ALTERNATES = 3  # instances in a look-up response besides the owner of the home pool
+LOOKUP_ALTERNATES = 3  # instances in a lookup response besides the owner of the home pool
 # aiohttp closes the connection if a header line is longer than this, before a handler runs.
 AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Candidates:
-    """Instances that a look-up response can name.
+    """Instances that a lookup response can name.
 
     Attributes:
         owners: Owners of the pools of the route, home pool first.
@@ -64,7 +64,7 @@
         gatekeeper: Runs non-idempotent requests.
         metrics: Metric instruments.
         record: Record of responses.
-        names_owners: Whether look-up responses list the owners of pools first.
+        names_owners: Whether lookup responses list the owners of pools first.
         ready: Returns whether this instance may serve requests.
     """
 
@@ -112,9 +112,9 @@
         app = web.Application(
             client_max_size=self._limits.max_body_bytes, middlewares=[self._error_middleware]
         )
-        app.router.add_get("/v1/lookup", self._lookup)
-        app.router.add_route("*", "/v1/services/{service}", self._request)
-        app.router.add_route("*", "/v1/services/{service}/{path:.*}", self._request)
+        app.router.add_get("/v1/lookup", self._handle_lookup)
+        app.router.add_route("*", "/v1/services/{service}", self._handle_request)
+        app.router.add_route("*", "/v1/services/{service}/{path:.*}", self._handle_request)
         return app
 
     async def start(self, address: str) -> None:
@@ -165,7 +165,7 @@
             self._log.exception("request failed", path=request.path)
             return self._to_http_response(messages.unknown(500, messages.Reason.INTERNAL))
 
-    async def _lookup(self, request: web.Request) -> web.Response:
+    async def _handle_lookup(self, request: web.Request) -> web.Response:
         service = request.query.get("service", "")
         client = request.query.get("client", "")
         refusal = self._check_lookup(service, client)
@@ -230,7 +230,7 @@
     def _candidates(self, route: steering.Route) -> "_Candidates":
         """Returns the instances that a response can name, cached for ``CANDIDATES_TTL_S``.
 
-        To iterate over all instances for each look-up would be too expensive in a large fleet.
+        Iterating over all instances for each lookup would be too expensive in a large fleet.
         """
         now_s = self._clock.monotonic()
         cached = self._candidate_cache.get(route.pools)
@@ -261,7 +261,7 @@
         holder = model.InstanceId(name=instance.name, incarnation=instance.incarnation)
         return at_most_once.Ticket.mint(holder=holder, clock=self._clock, rng=self._rng)
 
-    async def _request(self, request: web.Request) -> web.Response:
+    async def _handle_request(self, request: web.Request) -> web.Response:
         started_s = time.monotonic()
         service = request.match_info["service"]
         self._in_flight += 1
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -89,8 +89,8 @@
     def demand(self) -> dict[str, float]:
         """Returns the demand per second by cap name, for the next heartbeat.
 
-        Every instance asks for a share of each cap, even without demand. An instance that takes
-        over a pool then already holds its part of the amount that nobody demands.
+        Every instance requests a share of each cap, even without demand. An instance that takes
+        over a pool then already holds its part of the amount that no instance demands.
         """
         self._check_epoch()
         for cap in self._caps.values():
@@ -108,18 +108,18 @@
 
     def has_all_link_shares(self) -> bool:
         """Returns whether the share of every link's cap is large enough for an empty message."""
-        own = cap_grants.region_cap(self._region)
+        region_cap_name = cap_grants.region_cap(self._region)
         smallest = message_mbit(0)
-        return all(self._amount(name) >= smallest for name in self._caps if name != own)
+        return all(self._amount(name) >= smallest for name in self._caps if name != region_cap_name)
 
     def take_region(self, request_id: str) -> float:
         """Takes one request from the region's cap; returns 0, or the seconds to wait."""
-        return self._take(cap_grants.region_cap(self._region), 1.0, request_id)
+        return self._take_from_cap(cap_grants.region_cap(self._region), 1.0, request_id)
 
     def take_link(self, target: str, size_bytes: int, request_id: str) -> float:
         """Takes a message to a region from the link's cap; returns 0, or the seconds to wait."""
         name = cap_grants.link_cap(self._region, target)
-        return self._take(name, message_mbit(size_bytes), request_id)
+        return self._take_from_cap(name, message_mbit(size_bytes), request_id)
 
     async def wait_link(
         self, target: str, size_bytes: int, request_id: str, *, limit_s: float
@@ -134,7 +134,7 @@
             wait_s = self.take_link(target, size_bytes, request_id)
         return True
 
-    def _take(self, name: str, amount: float, request_id: str) -> float:
+    def _take_from_cap(self, name: str, amount: float, request_id: str) -> float:
         cap = self._caps.get(name)
         if cap is None:
             return 0.0
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -9,10 +9,10 @@
 
 import structlog
 
-from sassafrasway_core import clock as clock_module
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import config_log, documents, errors, invariants, lookup, model
 from sassafrasway_entry import config_store
-from sassafrasway_platform import table as table_module
+from sassafrasway_platform import table as table_lib
 
 POLL_INTERVAL_S = 2.0
 POLL_JITTER = 0.25
@@ -84,9 +84,9 @@
         self,
         *,
         me: model.InstanceId,
-        clock: clock_module.Clock,
+        clock: clock_lib.Clock,
         invariants: invariants.Invariants,
-        table: table_module.TableService,
+        table: table_lib.TableService,
         push_targets: Addresses,
         call_peer: CallPeer,
         on_policy: Callable[[model.Policy], None],
@@ -170,7 +170,7 @@
         """
         try:
             await self._sync()
-        except table_module.StoreUnavailable as error:
+        except table_lib.StoreUnavailable as error:
             self._logger.info("table service is unavailable; asking peers", reason=str(error))
             await self._pull_any()
 
@@ -200,7 +200,7 @@
             change_id=change.change_id,
             author=change.author,
         )
-        self._push(change, [*self._push_targets(), *self._relay_targets()])
+        self._push_change(change, [*self._push_targets(), *self._relay_targets()])
         return Applied(revision=change.revision)
 
     async def find_change(self, change_id: str) -> int | None:
@@ -252,7 +252,7 @@
             errors.ValidationError: The policy would be invalid after the change.
         """
         if self._adopt(change):
-            self._push(change, self._relay_targets())
+            self._push_change(change, self._relay_targets())
         else:
             self.observe_revision(change.revision, source=sender)
         return self.revision
@@ -261,7 +261,7 @@
         """Fetches the missing changes, or the full policy, from a peer.
 
         Raises:
-            errors.SassafraswayError: The peer does not answer, or its answer is invalid.
+            errors.SassafraswayError: The peer does not respond, or its response is invalid.
         """
         timeout_s = FULL_PULL_TIMEOUT_S if self.policy is None else PULL_TIMEOUT_S
         reply = await self._call_peer(
@@ -271,7 +271,7 @@
             return
         if reply.policy_json:
             data = await asyncio.to_thread(documents.parse_json, reply.policy_json)
-            await self._install(data, reply.revision, dict(reply.change_ids or {}))
+            await self._install_document(data, reply.revision, dict(reply.change_ids or {}))
             return
         for text in reply.changes_json or ():
             self._adopt(documents.parse_change(documents.parse_json(text)))
@@ -309,17 +309,17 @@
         head = await self._store.read_head(known=self._head)
         self._store_read_at_s = self._clock.monotonic()
         if head.revision < self.revision:
-            raise table_module.StoreUnavailable(
+            raise table_lib.StoreUnavailable(
                 f"the table service returned revision {head.revision}, which is older than revision"
                 f" {self.revision} in force",
                 step="config.read_head",
             )
         self._head = head
         if head.revision > self.revision or self.policy is None:
-            await self._load(head)
+            await self._load_revision(head)
         return head
 
-    async def _load(self, head: config_store.Head) -> None:
+    async def _load_revision(self, head: config_store.Head) -> None:
         behind = head.revision - self.revision
         if self.policy is not None and behind <= CATCH_UP_LIMIT:
             records = await self._store.read_records(first=self.revision + 1, last=head.revision)
@@ -342,7 +342,7 @@
         for _ in range(WRITE_ATTEMPTS):
             try:
                 return await self._store.accept(head=head, record=record, policy=policy)
-            except (table_module.PreconditionFailed, table_module.StoreUnavailable) as error:
+            except (table_lib.PreconditionFailed, table_lib.StoreUnavailable) as error:
                 failure = error
             current = await self._store.read_head()
             if record.change.change_id in current.change_ids:
@@ -351,7 +351,7 @@
                 raise errors.ConflictError(
                     f"revision {current.revision} was accepted in the meantime", step="config.apply"
                 )
-        raise table_module.StoreUnavailable(
+        raise table_lib.StoreUnavailable(
             f"the table service did not confirm the change: {failure}", step="config.apply"
         )
 
@@ -399,7 +399,7 @@
         self._on_policy(self._require_policy())
         return True
 
-    async def _install(self, data: Any, revision: int, change_ids: dict[str, int]) -> None:
+    async def _install_document(self, data: Any, revision: int, change_ids: dict[str, int]) -> None:
         policy = await asyncio.to_thread(documents.parse_policy, data, revision=revision)
         await self._install_policy(policy, change_ids)
 
@@ -412,7 +412,7 @@
             self._blocks = blocks
             self._on_policy(policy)
 
-    def _push(self, change: documents.Change, addresses: Sequence[str]) -> None:
+    def _push_change(self, change: documents.Change, addresses: Sequence[str]) -> None:
         text = json.dumps(documents.dump_change(change))
         for address in dict.fromkeys(addresses):
             if address != self._own_address():
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -63,13 +63,13 @@
 
     async def directory(self, directories: list | None, known: list | None) -> list:
         """Stores newer directories and returns those that are newer than the sender's."""
-        own = self._member.directory
-        own.update(control_conversion.from_directory(each) for each in directories or ())
-        newer = own.newer_than(control_conversion.from_versions(known))
+        own_directory = self._member.directory
+        own_directory.update(control_conversion.from_directory(each) for each in directories or ())
+        newer = own_directory.newer_than(control_conversion.from_versions(known))
         return [control_conversion.to_directory(each) for each in newer]
 
     async def suspect(self, instance: Any) -> None:
-        """Checks whether an instance is gone that a peer could not connect to."""
+        """Checks whether an instance that a peer could not connect to is gone."""
         _require(instance is not None, "suspect")
         self._member.on_suspect(control_conversion.from_instance(instance).id)
 
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -17,10 +17,10 @@
     model,
     region,
 )
-from sassafrasway_core import clock as clock_module
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import background, control_conversion, directory, region_table
-from sassafrasway_platform import instances as instances_module
-from sassafrasway_platform import table as table_module
+from sassafrasway_platform import instances as instances_lib
+from sassafrasway_platform import table as table_lib
 from sassafrasway_rpc import client as rpc_client
 
 TICK_S = 0.2
@@ -55,7 +55,7 @@
         seeds: RPC addresses to ask about regions whose instances are unknown.
         on_revision: Called with a newer revision and the RPC address of an instance that has it.
         follow_self: Delivers a follow request of this coordinator to its own member role.
-        wake: Makes the member task call ``tick`` at once.
+        wake: Makes the member task call ``tick`` immediately.
         rng: Random source for the choice of peers.
     """
 
@@ -63,10 +63,10 @@
         self,
         *,
         me: region.Instance,
-        clock: clock_module.Clock,
+        clock: clock_lib.Clock,
         invariants: invariants.Invariants,
-        table: table_module.TableService,
-        instance_list: instances_module.InstanceList,
+        table: table_lib.TableService,
+        instance_list: instances_lib.InstanceList,
         peers: Any,
         members: membership.MemberTable,
         directory: directory.Directory,
@@ -82,7 +82,7 @@
         self._clock = clock
         self._invariants = invariants
         self._table = table
-        self._row = region_table.RegionTable(table=table, region_name=me.region)
+        self._region_row = region_table.RegionTable(table=table, region_name=me.region)
         self._instance_list = instance_list
         self._peers = peers
         self._members = members
@@ -171,7 +171,7 @@
         self.depose(0)
         if self._state is None:
             return
-        self._publish()
+        self._publish_directory()
         if self._due("list", LIST_INTERVAL_S):
             self._background.start(self._fetch_list())
         for name in self._other_regions():
@@ -193,7 +193,7 @@
         if state is None:
             return
         if isinstance(command, region.SendFollow):
-            await self._follow(state, command)
+            await self._send_follow(state, command)
         elif isinstance(command, region.Probe):
             await self._probe(command.target)
         elif isinstance(command, region.ReadRow):
@@ -208,7 +208,7 @@
             self._tick_requested = True
             self._wake()
 
-    async def _follow(
+    async def _send_follow(
         self, state: coordinator.CoordinatorState, command: region.SendFollow
     ) -> None:
         if command.target.id == self._me.id:
@@ -230,7 +230,7 @@
     async def _read_row(self, state: coordinator.CoordinatorState) -> None:
         started_s = self._clock.monotonic()
         try:
-            row, version = await self._row.read()
+            row, version = await self._region_row.read()
         except errors.SassafraswayError as error:
             self._set_table_error(error)
             return
@@ -241,8 +241,8 @@
         self, state: coordinator.CoordinatorState, command: region.WriteRow
     ) -> None:
         try:
-            version = await self._row.write(command)
-        except table_module.PreconditionFailed:
+            version = await self._region_row.write(command)
+        except table_lib.PreconditionFailed:
             state.authority.on_write_refused()
         except errors.SassafraswayError as error:
             self._set_table_error(error)
@@ -269,7 +269,7 @@
             return
         self._members.record_list((each.name for each in listed), started_s=started_s)
 
-    def _publish(self) -> None:
+    def _publish_directory(self) -> None:
         """Replaces the directory of this region when its content has changed."""
         new = directory.RegionDirectory(
             region=self._me.region,
@@ -296,23 +296,23 @@
         return names - {self._me.region}
 
     def _exchange_if_due(self, name: str) -> None:
-        own = self._directory.region(self._me.region)
+        own_directory = self._directory.region(self._me.region)
         interval_s = (
             EXCHANGE_INTERVAL_S
-            if self._delivered_versions.get(name) == own.order
+            if self._delivered_versions.get(name) == own_directory.order
             else EXCHANGE_RETRY_S
         )
         if self._due(name, interval_s):
-            self._background.start(self._exchange(name, own))
+            self._background.start(self._exchange(name, own_directory))
 
-    async def _exchange(self, name: str, own: directory.RegionDirectory) -> None:
+    async def _exchange(self, name: str, own_directory: directory.RegionDirectory) -> None:
         """Exchanges directories with the coordinator of another region."""
         address = await self._exchange_address(name)
         if address is None:
             return
         known = self._directory.region(name)
         versions = {} if known is None else {name: known.order}
-        sent = () if self._delivered_versions.get(name) == own.order else (own,)
+        sent = () if self._delivered_versions.get(name) == own_directory.order else (own_directory,)
         try:
             received = await exchange_directories(self._peers, address, sent=sent, known=versions)
         except errors.SassafraswayError as error:
@@ -324,7 +324,7 @@
         self._directory.update(received)
         known = self._directory.region(name)
         if known is not None and known.coordinator.rpc_address == address:
-            self._delivered_versions[name] = own.order
+            self._delivered_versions[name] = own_directory.order
 
     async def _exchange_address(self, name: str) -> str | None:
         """Returns the RPC address to ask about a region, or None when none is known.
@@ -360,7 +360,7 @@
     members: membership.MemberTable,
     target: region.Instance,
     *,
-    clock: clock_module.Clock,
+    clock: clock_lib.Clock,
 ) -> Any:
     """Asks an instance for its identity and records whether it is gone.
 
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -5,7 +5,7 @@
 
 from sassafrasway_core import model, region
 
-# Number of incarnations to remember whose RPC port refused a connection.
+# Maximum number of incarnations to remember whose RPC port refused a connection.
 MAX_REFUSED = 1000
 
 
@@ -65,8 +65,8 @@
 
     def at_address(self, rpc_address: str) -> region.Instance | None:
         """Returns the instance that advertises an RPC address, or None."""
-        found = (each for each in self._by_name.values() if each.rpc_address == rpc_address)
-        return next(found, None)
+        matches = (each for each in self._by_name.values() if each.rpc_address == rpc_address)
+        return next(matches, None)
 
     def instances(self, region_name: str | None = None) -> list[region.Instance]:
         """Returns the instances of one region or of all regions, including silent ones."""
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -14,14 +14,15 @@
 from sassafrasway_rpc import schema
 
 # Time allowed for the response of a peer to an idempotent request. It keeps a connection that went
-# silent from using up the whole deadline. The second limit is a fraction of the remaining time,
-# above that of backend_client, because the time of a backend call by the peer is part of it.
+# silent from using up the whole deadline. The second limit is a fraction of the remaining time. It
+# is above RESPONSE_FRACTION of backend_client, because it includes the peer's call to a server.
 PEER_RESPONSE_TIMEOUT_S = 2.5
 PEER_RESPONSE_FRACTION = 0.8
 
-MAX_SENDS = 3  # times that one attempt is sent to one peer
+MAX_SENDS = 3  # maximum number of times that an attempt is sent to a peer
 
-# A handover is a change of the owner of a pool. A request that meets one retries after this delay.
+# A handover is a change of the owner of a pool. A request that is refused because of a handover is
+# retried after this delay.
 INITIAL_HANDOVER_DELAY_S = 0.05
 # The delay doubles up to this maximum. At 72 requests/s with a retry every 50 ms, the retries took
 # all CPU time of the new owner, and requests missed their deadlines while they were forwarded.
@@ -66,7 +67,7 @@
 
 
 class Directory(Protocol):
-    """What this instance knows about the other instances."""
+    """Instances of all regions and the owners of pools."""
 
     def owner(self, key: model.PoolKey) -> Any:
         """Returns the instance that owns a pool, or None."""
@@ -78,7 +79,7 @@
         """Returns the instances of a region, or all."""
 
     def is_gone(self, name: str, incarnation: str) -> bool:
-        """Returns whether an incarnation is known to have ended."""
+        """Returns whether an incarnation is known to have ended or refused a connection."""
 
     def note_refused(self, instance: model.InstanceId) -> None:
         """Records that the RPC port of an incarnation refused a connection."""
@@ -102,7 +103,7 @@
         steering: Selects the pools of a request according to the policy.
         pools: Pools that this instance owns.
         directory: Owners of the other pools.
-        peers: Calls to other instances.
+        peers: Calls other instances.
         placement: Whether requests are forwarded to the owner of their pool.
         budget: Limits the retries of idempotent requests after a peer did not respond.
     """
@@ -135,7 +136,7 @@
         self._log = structlog.get_logger("dispatcher")
 
     async def run(self, request: messages.Request) -> messages.Response:
-        """Tries the pools of the service, home pool first, then queues if the service allows it.
+        """Tries the pools of the route in order, then queues if the service allows it.
 
         While the owner of a pool changes, the request is retried rather than refused.
         """
@@ -181,8 +182,8 @@
                 return _PassResult(response=_final_response(response, possibly_ran))
             in_handover = in_handover or response.reason in _HANDOVER_REASONS
         if service.may_wait and not request.deadline.expired:
-            waited = await self._queue_at_pools(route, request)
-            response, in_handover = waited.response, waited.in_handover
+            queue_result = await self._queue_at_pools(route, request)
+            response, in_handover = queue_result.response, queue_result.in_handover
         return _PassResult(
             response=_final_response(response, possibly_ran),
             in_handover=in_handover and possibly_ran is None,
@@ -295,7 +296,8 @@
     ) -> _PassResult:
         """Queues the request at each pool in turn.
 
-        The result is in handover if any pool was, even if a later pool refused finally.
+        ``in_handover`` is set if any pool was in handover, even if a later pool refused the request
+        for another reason.
         """
         response = messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
         in_handover = False
@@ -323,7 +325,7 @@
 def _final_response(
     response: messages.Response, possibly_ran: messages.Response | None
 ) -> messages.Response:
-    """Returns the response to the caller: "not run" is wrong if an earlier pool may have run it."""
+    """Replaces a "not run" response if an earlier pool may have run the request."""
     if response.outcome is messages.Outcome.NOT_RUN and possibly_ran is not None:
         return possibly_ran
     return response
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -34,7 +34,7 @@
         limits: This instance's shares of the caps of links between regions.
         pools: Pools that this instance owns.
         gatekeeper: Runs requests whose keys this incarnation holds.
-        directory: Owners of pools; a refused sender with an outdated directory gets the owner.
+        directory: Owners of pools; a sender whose directory is outdated receives the owner.
     """
 
     def __init__(
@@ -100,13 +100,13 @@
             del self._attempts[attempt_id]
 
     async def cancel(self, request_id: str) -> None:
-        """Cancels a forwarded request; the gatekeeper continues a key that it has started."""
+        """Cancels a forwarded request; a request that the gatekeeper started goes on."""
         task = self._running.get(request_id)
         if task is not None:
             task.cancel()
 
     async def _wait_for_link_cap(self, request, response: messages.Response) -> bool:
-        """Waits until the link to the sender's region admits the reply; returns whether it does."""
+        """Waits until the link's cap admits the reply to the sender; returns whether it does."""
         sender = self._directory.instance((request.sender or "").partition("/")[0])
         if sender is None or sender.region == self._region:
             return True
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -19,7 +19,7 @@
 
 CLAIM_RETRY_S = 0.1
 CLAIM_UPDATE_INTERVAL_S = 0.5
-CLAIM_UPDATE_WAIT_S = 0.5  # delay of a response at most while its outcome is stored
+CLAIM_UPDATE_WAIT_S = 0.5  # maximum delay of a response until its outcome is stored
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -85,7 +85,7 @@
         self._store = store
         self._claims = claims
         self._running: dict[str, asyncio.Task] = {}
-        self._updates: set[asyncio.Task] = set()
+        self._claim_updates: set[asyncio.Task] = set()
         self._closed = False
         self._log = structlog.get_logger("gatekeeper")
 
@@ -97,10 +97,13 @@
     @property
     def pending_updates(self) -> int:
         """Number of claim rows whose outcome is not written yet."""
-        return len(self._updates)
+        return len(self._claim_updates)
 
     def close(self) -> None:
-        """Stops starting requests of new tickets, so that the closed marker can be written."""
+        """Stops starting requests of new tickets, so that the closed marker can be written.
+
+        The marker is described in ``outcomes``.
+        """
         self._closed = True
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -129,7 +132,7 @@
         return await self.run_held(request)
 
     async def run_held(self, request: messages.Request) -> messages.Response:
-        """Runs a request whose key this incarnation holds, or joins its earlier attempt."""
+        """Runs a request whose key this incarnation holds, or waits for its earlier attempt."""
         key = request.key
         if self._closed and self._registry.record(key) is None:
             # A closed incarnation starts a new key only with a claim row, as other instances will
@@ -143,13 +146,13 @@
         if state is at_most_once.BeginResult.FORGOTTEN:
             return await self._stored_outcome(at_most_once.Ticket.parse(key), request)
         if state is at_most_once.BeginResult.START:
-            self._start(request)
+            self._start_run(request)
         return await self._wait_for_outcome(key, request)
 
-    def _start(self, request: messages.Request) -> None:
+    def _start_run(self, request: messages.Request) -> None:
         # The request runs in a separate task: if the caller disconnects, a dispatched request must
         # go on and its outcome must be recorded.
-        task = asyncio.create_task(self._run(request))
+        task = asyncio.create_task(self._run_and_record(request))
         self._running[request.key] = task
         task.add_done_callback(lambda _: self._running.pop(request.key, None))
 
@@ -164,7 +167,7 @@
         except TimeoutError:
             return messages.unknown(504, messages.Reason.DEADLINE)
 
-    async def _run(self, request: messages.Request) -> messages.Response:
+    async def _run_and_record(self, request: messages.Request) -> messages.Response:
         key = request.key
         self._registry.mark_dispatched(key)
         try:
@@ -186,20 +189,20 @@
     ) -> messages.Response:
         """Returns the stored outcome of a ticket whose holder cannot be reached.
 
-        If the holder has closed, a missing outcome proves that the request did not run, so that it
-        may run here under a claim.
+        If the closed marker of the holder exists, a missing outcome proves that the request did not
+        run, so that it may run here under a claim.
         """
         try:
-            found = await asyncio.wait_for(
+            stored = await asyncio.wait_for(
                 self._store.find(ticket), max(0.001, request.deadline.remaining_s)
             )
         except (errors.UnavailableError, TimeoutError):
             return messages.unknown(503, messages.Reason.STORE_UNAVAILABLE)
-        if found.response is not None:
-            return found.response
-        if found.closed and self._registry.may_start(ticket):
+        if stored.response is not None:
+            return stored.response
+        if stored.closed and self._registry.may_start(ticket):
             return await self._handle_claim(request)
-        if found.closed:
+        if stored.closed:
             return messages.not_run(409, messages.Reason.TICKET_EXPIRED)
         return messages.unknown(503, messages.Reason.TICKET_HOLDER_GONE)
 
@@ -251,7 +254,7 @@
         if claim.response is not None:
             return claim.response
         if claim.holder != str(self._me):
-            return await self._ask_holder(claim, request)
+            return await self._forward_to_holder(claim, request)
         if self._registry.record(request.key) is not None:
             return await self._wait_for_outcome(request.key, request)
         if claim.attempt == request.request_id:
@@ -260,7 +263,9 @@
         # An earlier attempt may have run, and its record may have been removed since.
         return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
 
-    async def _ask_holder(self, claim: Claim, request: messages.Request) -> messages.Response:
+    async def _forward_to_holder(
+        self, claim: Claim, request: messages.Request
+    ) -> messages.Response:
         name, _, incarnation = claim.holder.partition("/")
         peer = self._directory.instance(name)
         if peer is None or peer.incarnation != incarnation:
@@ -276,24 +281,24 @@
         self, row_key: str, row: table.Row, request: messages.Request
     ) -> messages.Response:
         if self._registry.begin_claimed(request.key):
-            self._start(request)
+            self._start_run(request)
         response = await self._wait_for_outcome(request.key, request)
         task = asyncio.create_task(self._update_claim(row_key, row, response))
-        self._updates.add(task)
-        task.add_done_callback(self._updates.discard)
+        self._claim_updates.add(task)
+        task.add_done_callback(self._claim_updates.discard)
         await asyncio.wait({task}, timeout=CLAIM_UPDATE_WAIT_S)
         return response
 
     async def _update_claim(
         self, row_key: str, row: table.Row, response: messages.Response
     ) -> None:
-        """Stores the outcome in the claim row; retries until the table is available."""
+        """Stores the outcome in the claim row; retries until the table service is available."""
         claim = Claim(holder=str(self._me), attempt="", response=response)
         while True:
             try:
                 await self._claims.put(row_key, claim.encode(), if_version=row.version)
             except table.PreconditionFailed:
-                return  # an earlier try succeeded, but its response was lost
+                return  # an earlier write succeeded, but its response was lost
             except errors.UnavailableError:
                 await asyncio.sleep(CLAIM_UPDATE_INTERVAL_S)
             else:
--- a/packages/entry/src/sassafrasway_entry/joining.py
+++ b/packages/entry/src/sassafrasway_entry/joining.py
@@ -57,9 +57,9 @@
                 )
                 continue
             self._directory.update(received)
-            own = self._directory.region(self._me.region)
-            if own is not None:
-                return own
+            own_region = self._directory.region(self._me.region)
+            if own_region is not None:
+                return own_region
         return None
 
     async def _addresses(self) -> list[str]:
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -8,7 +8,7 @@
 
 import structlog
 
-from sassafrasway_core import clock as clock_module
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import (
     errors,
     invariants,
@@ -28,8 +28,8 @@
     region_table,
     suspicions,
 )
-from sassafrasway_platform import instances as instances_module
-from sassafrasway_platform import table as table_module
+from sassafrasway_platform import instances as instances_lib
+from sassafrasway_platform import table as table_lib
 from sassafrasway_rpc import client as rpc_client
 
 TICK_S = 0.1
@@ -75,10 +75,10 @@
         self,
         *,
         me: region.Instance,
-        clock: clock_module.Clock,
+        clock: clock_lib.Clock,
         invariants: invariants.Invariants,
-        table: table_module.TableService,
-        instance_list: instances_module.InstanceList,
+        table: table_lib.TableService,
+        instance_list: instances_lib.InstanceList,
         peers: Any,
         policy_source: Callable[[], model.Policy | None],
         on_grants: Callable[[list[region.PoolGrant]], None],
@@ -91,7 +91,7 @@
         rng: random.Random | None = None,
     ):
         self._clock = clock
-        self._row = region_table.RegionTable(table=table, region_name=me.region)
+        self._region_row = region_table.RegionTable(table=table, region_name=me.region)
         self._peers = peers
         self._on_grants = on_grants
         self._pool_reports = pool_reports
@@ -296,7 +296,7 @@
         return self.me, self._grants.epoch, self._grants.coordinator
 
     def _on_refused(self, address: str) -> None:
-        """Checks at once whether an instance is gone whose port refused a connection."""
+        """Starts a check whether an instance whose port refused a connection is gone."""
         coordinator = self._grants.coordinator
         if coordinator is not None and coordinator.rpc_address == address:
             if not self._members.is_gone(coordinator.id):
@@ -374,7 +374,7 @@
     async def _read_row(self) -> None:
         started_s = self._clock.monotonic()
         try:
-            row, version = await self._row.read()
+            row, version = await self._region_row.read()
         except errors.SassafraswayError as error:
             if not self._table_failed:
                 self._log.warning("table service is unavailable", reason=error.message)
@@ -386,8 +386,8 @@
 
     async def _write_row(self, command: region.WriteRow) -> None:
         try:
-            version = await self._row.write(command)
-        except table_module.PreconditionFailed:
+            version = await self._region_row.write(command)
+        except table_lib.PreconditionFailed:
             self._state.on_write_refused(command)
         except errors.SassafraswayError as error:
             self._log.warning("outcome of the election write is unknown", reason=error.message)
@@ -419,6 +419,6 @@
 
     async def _join(self) -> None:
         """Asks peers for the coordinator of the region while the table service is unavailable."""
-        own = await self._joiner.find_region()
-        if own is not None:
-            self._follow_if_newer(own.epoch, own.coordinator)
+        own_region = await self._joiner.find_region()
+        if own_region is not None:
+            self._follow_if_newer(own_region.epoch, own_region.coordinator)
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -75,7 +75,7 @@
 
     Attributes:
         reason: Why no backend server responded; ``NONE`` for the response of a server.
-        detail: Reason in words.
+        detail: Human-readable reason.
         server: Name of the backend server that responded; empty when none did.
         owner: Owner of the pool, sent to an instance whose directory is outdated.
         retry_after_ms: Suggested delay before a retry; 0 for no suggestion.
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -23,7 +23,7 @@
 
 
 class OperatorService:
-    """Handles the Operator calls of operators.
+    """Handles the calls of operators.
 
     Args:
         me: This incarnation.
@@ -67,7 +67,7 @@
     async def apply_change(self, change_json: str | None) -> Any:
         """Applies a change."""
         change = documents.parse_change(documents.parse_json(change_json or ""))
-        return _reply(await self._config.apply(change))
+        return _change_reply(await self._config.apply(change))
 
     async def history(self, limit: int | None, before: int | None) -> list[Any]:
         """Returns accepted changes, newest first."""
@@ -98,7 +98,7 @@
         """Deletes a shift."""
 
         def make_sections(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
-            _find(policy.shifts, name, "shift")
+            _find_object(policy.shifts, name, "shift")
             return {"shifts": {name: None}}
 
         return await self._submit(meta, make_sections)
@@ -130,7 +130,7 @@
         state = model.ServerState.ACTIVE if cancel else model.ServerState.LEAVING
 
         def make_sections(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
-            server = _find(policy.servers, name, "backend server")
+            server = _find_object(policy.servers, name, "backend server")
             document = documents.dump_sections({"servers": {server.name: server}})
             document["servers"][server.name]["state"] = state.value
             return document
@@ -157,7 +157,7 @@
         change_id = getattr(meta, "change_id", None)
         recorded = await self._config.find_change(change_id or "")
         if recorded is not None:
-            return _reply(config_task.Applied(revision=recorded, already_applied=True))
+            return _change_reply(config_task.Applied(revision=recorded, already_applied=True))
         for attempt in range(1, CONFLICT_ATTEMPTS + 1):
             policy = await self._config.policy_at(self._config.revision)
             document = {
@@ -167,7 +167,7 @@
                 "sections": make_sections(policy),
             }
             try:
-                return _reply(await self._config.apply(documents.parse_change(document)))
+                return _change_reply(await self._config.apply(documents.parse_change(document)))
             except errors.ConflictError:
                 if base_revision is not None or attempt == CONFLICT_ATTEMPTS:
                     raise
@@ -175,7 +175,7 @@
         raise AssertionError("unreachable")
 
 
-def _reply(applied: config_task.Applied) -> Any:
+def _change_reply(applied: config_task.Applied) -> Any:
     return schema.config.ChangeReply(
         revision=applied.revision, already_applied=applied.already_applied
     )
@@ -193,7 +193,7 @@
     )
 
 
-def _find(objects: Mapping[str, Any], name: str | None, title: str) -> Any:
+def _find_object(objects: Mapping[str, Any], name: str | None, title: str) -> Any:
     if name not in objects:
         raise errors.NotFoundError(f"there is no {title} {name!r}", step="operator.change")
     return objects[name]
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -2,7 +2,9 @@
 
 A stored outcome survives its instance, so that a caller who did not get the response can retry with
 the same key. The outcomes of tickets are written asynchronously in batches. A batch is one row
-``outcomes/<incarnation>/<segment>/<batch>``, whose segment is computed from the ticket.
+``outcomes/<incarnation>/<segment>/<batch>``, whose segment is computed from the ticket. The closed
+marker of an incarnation is the row ``outcomes-closed/<incarnation>``. It is written when the
+incarnation stops as planned and all of its outcomes are in the table.
 """
 
 import asyncio
@@ -54,7 +56,7 @@
 
 
 def closed_row_key(holder) -> str:
-    """Returns the key of the closed marker: its incarnation ended after writing all outcomes."""
+    """Returns the row key of the closed marker of an incarnation."""
     return f"outcomes-closed/{holder.name}.{holder.incarnation}"
 
 
@@ -129,7 +131,7 @@
         for prefix in list(self._pending):
             batch = self._pending.pop(prefix)
             self._pending_count -= len(batch)
-            if not await self._write(prefix, batch):
+            if not await self._write_batch(prefix, batch):
                 merged = {**batch, **self._pending.get(prefix, {})}
                 self._pending_count += len(merged) - len(self._pending.get(prefix, {}))
                 self._pending[prefix] = merged
@@ -147,7 +149,7 @@
         """Returns the stored outcome of a ticket.
 
         Raises:
-            errors.UnavailableError: The table did not respond.
+            errors.UnavailableError: The table service is unavailable.
         """
         # The closed marker is read first, because no batch is written after it.
         closed = await self._table.get(closed_row_key(ticket.holder)) is not None
@@ -157,13 +159,13 @@
                 return StoredOutcome(response=from_document(document), closed=closed)
         return StoredOutcome(response=None, closed=closed)
 
-    async def _write(self, prefix: str, batch: dict[str, dict]) -> bool:
+    async def _write_batch(self, prefix: str, batch: dict[str, dict]) -> bool:
         self._batch_number += 1
         value = json.dumps(batch, separators=(",", ":")).encode()
         try:
             await self._table.put(f"{prefix}{self._batch_number}", value, if_version=table.ABSENT)
         except table.PreconditionFailed:
-            # An earlier try of this write succeeded, but its response was lost. The next flush
+            # An earlier attempt at this write succeeded, but its response was lost. The next flush
             # writes the batch again under a new number.
             return False
         except errors.UnavailableError as error:
--- a/packages/entry/src/sassafrasway_entry/owner_messages.py
+++ b/packages/entry/src/sassafrasway_entry/owner_messages.py
@@ -18,7 +18,7 @@
     Args:
         me: This incarnation.
         directory: Owners of the pools.
-        peers: Calls to other instances.
+        peers: Calls other instances.
         policy_source: Returns the policy in force, or None.
         spawn: Starts a coroutine as a named task of the process.
     """
@@ -65,7 +65,7 @@
                 self._log.warning("crash report not delivered", error=str(result))
 
     def on_slot_released(self, key: model.PoolKey, server_name: str) -> None:
-        """Tells the new owner of a pool that a request of this instance has released its slot."""
+        """Notifies the new owner of a pool that a request of this instance released its slot."""
         owner = self._directory.owner(key)
         if owner is not None and owner.name != self._me.name:
             self._spawn(self._send_release(owner.rpc_address, key, server_name), "release")
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -54,8 +54,8 @@
 
         Raises:
             client.ConnectionRefusedByPeerError: No process listens at the address.
-            client.CallNotSentError: The peer was not reached; it has not seen the call.
-            errors.UnavailableError: The peer did not answer; it may have seen the call.
+            client.CallNotSentError: The peer was not reached; it has not received the call.
+            errors.UnavailableError: The peer did not answer; it may have received the call.
             errors.SassafraswayError: The peer reported an error.
         """
         peer = self._clients.pop(address, None)
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -33,7 +33,7 @@
 PROBE_INTERVAL_S = 0.5
 WAKE_INTERVAL_S = 0.02
 # For this long after its acquisition, a pool may still lack slots or caps that its previous owner
-# uses. A refusal in this time is "not ready", so that the request is retried rather than refused.
+# uses. A refusal in this time is "not ready", so that the dispatcher retries the request.
 HANDOVER_SETTLE_S = cap_limits.TAKEOVER_S
 
 
@@ -46,7 +46,7 @@
         invariants: Checks slots and caps.
         client: Client for backend servers.
         record: Record of dispatches.
-        report_crash: Tells the owners of the service's other pools that a request crashed a
+        report_crash: Notifies the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
         share_of: Returns the share of a pool that this instance may use now.
         placement: Strategy that decides which slots an instance may use.
@@ -94,7 +94,7 @@
             report_crash=report_crash,
             placement=placement,
             count_against_caps=self._count_against_caps,
-            release=self._release,
+            release=self._release_slot,
         )
         self._waiter_ids = itertools.count(1)
         self._has_waiting = asyncio.Event()
@@ -136,7 +136,7 @@
             self._apply_grants(grants)
 
     def _own_all_pools(self) -> None:
-        """Takes a full, unlimited grant of every pool, for placements without owners."""
+        """Acquires every pool with an unlimited grant, for placements without owners."""
         self._apply_grants(
             region.PoolGrant(pool=key, share=share.Share.FULL, expires_s=math.inf)
             for key, servers in self._servers.items()
@@ -172,7 +172,7 @@
         """Releases slots that requests of the previous owner have used until now."""
         owned = self._pools.get(key)
         if owned is not None:
-            self._wake(owned, owned.slots.release_inherited(server, count))
+            self._wake_waiters(owned, owned.slots.release_inherited(server, count))
 
     def reports(self) -> dict[model.PoolKey, region.PoolReport]:
         """Returns the use of all owned pools, and of released pools whose requests still run."""
@@ -200,7 +200,7 @@
         refusal = self._admit(owned, request)
         if refusal is not None:
             return refusal
-        lease = await self._acquire(owned, request, may_queue=may_queue)
+        lease = await self._acquire_slot(owned, request, may_queue=may_queue)
         if lease is None:
             if self._pools.get(key) is not owned:
                 return messages.not_run(503, messages.Reason.NOT_OWNER)
@@ -209,7 +209,7 @@
             return self._refusal(owned, messages.Reason.NO_SLOT, retry_after_ms=100)
         cap_refusal = self._count_against_caps(owned, request)
         if cap_refusal is not None:
-            self._release(owned, lease, pool.ServerResult.CANCELLED)
+            self._release_slot(owned, lease, pool.ServerResult.CANCELLED)
             return cap_refusal
         return await self._runner.run(
             owned, lease, request, service=self._policy.services[request.service]
@@ -236,7 +236,7 @@
                     self._has_waiting.set()
                     self._apply_share(owned)
                     owned.slots.expire()
-                    self._wake(owned, owned.slots.grant_waiting())
+                    self._wake_waiters(owned, owned.slots.grant_waiting())
             await asyncio.sleep(WAKE_INTERVAL_S)
 
     async def _probe_pool(self, owned: owned_pool.OwnedPool) -> None:
@@ -325,13 +325,14 @@
     def _refusal(
         self, owned: owned_pool.OwnedPool, reason: messages.Reason, *, retry_after_ms: int
     ) -> messages.Response:
+        """Returns a refusal, which is temporary while the pool or the caps are handed over."""
         acquired_recently = self._clock.monotonic() < owned.acquired_s + HANDOVER_SETTLE_S
         settling = acquired_recently or self._limits.settling
         if settling and self._placement.forwards:
             return messages.not_run(503, messages.Reason.NOT_READY, reason.value)
         return messages.not_run(429, reason, retry_after_ms=retry_after_ms)
 
-    async def _acquire(
+    async def _acquire_slot(
         self, owned: owned_pool.OwnedPool, request: messages.Request, *, may_queue: bool
     ) -> pool.SlotLease | None:
         if not may_queue or owned.slots.queue_length() == 0:
@@ -353,20 +354,20 @@
             owned.waiters.pop(waiter_id, None)
             owned.slots.abandon(waiter_id)
 
-    def _release(
+    def _release_slot(
         self, owned: owned_pool.OwnedPool, lease: pool.SlotLease, result: pool.ServerResult
     ) -> None:
-        self._wake(owned, owned.slots.release(lease, result))
+        self._wake_waiters(owned, owned.slots.release(lease, result))
         key = owned.grant.pool
         if self._pools.get(key) is not owned:
             if not owned.slots.in_use():
                 self._draining.pop(key, None)
             self._on_slot_released(key, lease.server.name)
 
-    def _wake(self, owned: owned_pool.OwnedPool, grants: Iterable[pool.Grant]) -> None:
+    def _wake_waiters(self, owned: owned_pool.OwnedPool, grants: Iterable[pool.Grant]) -> None:
         for grant in grants:
             future = owned.waiters.get(grant.waiter_id)
             if future is not None and not future.done():
                 future.set_result(grant.lease)
             else:
-                self._release(owned, grant.lease, pool.ServerResult.CANCELLED)
+                self._release_slot(owned, grant.lease, pool.ServerResult.CANCELLED)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -41,7 +41,7 @@
 from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
-PROPAGATION_S = 3.0  # time within which other instances learn that this one is leaving
+PROPAGATION_S = 3.0  # time until the directories of all instances show that this one leaves
 READY_POLL_S = 0.05
 # Maximum time to wait for shares of the links' caps before this instance reports itself as healthy.
 # Other instances free these shares within about 2 s. Without a coordinator no share arrives, and an
@@ -103,7 +103,7 @@
         """Creates the components of the process."""
         self._build_platform(session)
         self._build_membership()
-        self._build_requests(host)
+        self._build_request_handling(host)
         self._build_servers()
         self._build_rpc()
 
@@ -169,7 +169,7 @@
         if self._me.name in names:
             self._pools.set_position(index=names.index(self._me.name), count=len(names))
 
-    def _build_requests(self, host: str) -> None:
+    def _build_request_handling(self, host: str) -> None:
         me = self._me.id
         self._client = backend_client.BackendClient(local_host=host)
         self._owner_messages = owner_messages.OwnerMessages(
@@ -334,8 +334,8 @@
         self._state.leave()
         self._member.leave()
         started_s = self._clock.monotonic()
-        # Other instances return this one in lookups until they learn that it is leaving, and
-        # callers may use such an answer or its ticket until it expires.
+        # Other instances name this one in lookup responses until their directories show that it is
+        # leaving. Callers may use such a response or its ticket until it expires.
         cached_s = max(self._settings.limits.lookup_ttl_s, at_most_once.TICKET_START_S + 1.0)
         until_s = started_s + PROPAGATION_S + cached_s
         while self._clock.monotonic() < until_s or self._busy or self._member.must_stay:
@@ -371,8 +371,8 @@
         self._record.close()
 
     def _health(self) -> tuple[str, bool]:
-        # Reports readiness later than callers are served, because the platform then stops the next
-        # instance.
+        # The platform stops the next instance as soon as this one reports readiness. Readiness is
+        # therefore reported only after the whole startup, which is later than callers are served.
         return self._state.state, self._state.state == lifecycle.READY and self._startup_complete
 
     def status(self) -> dict[str, Any]:
--- a/packages/entry/src/sassafrasway_entry/region_table.py
+++ b/packages/entry/src/sassafrasway_entry/region_table.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from sassafrasway_core import region
-from sassafrasway_platform import table as table_module
+from sassafrasway_platform import table as table_lib
 
 CALL_TIMEOUT_S = 1.0
 
@@ -16,10 +16,10 @@
         region_name: Name of the region.
     """
 
-    def __init__(self, *, table: table_module.TableService, region_name: str):
+    def __init__(self, *, table: table_lib.TableService, region_name: str):
         self._table = table
         self._key = f"region/{region_name}"
-        self._cached_row: table_module.Row | None = None
+        self._cached_row: table_lib.Row | None = None
 
     async def read(self) -> tuple[region.RegionRow | None, str | None]:
         """Returns the row and its version, or None for both when there is no row.
@@ -31,7 +31,7 @@
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 row = await self._table.get(self._key, known=self._cached_row)
         except TimeoutError:
-            raise table_module.StoreUnavailable(
+            raise table_lib.StoreUnavailable(
                 "the table service did not answer in time", step="region.read"
             ) from None
         self._cached_row = row
@@ -47,12 +47,12 @@
             table.StoreUnavailable: The table service is unavailable; the row may or may not have
                 been written.
         """
-        if_version = table_module.ABSENT if command.if_version is None else command.if_version
+        if_version = table_lib.ABSENT if command.if_version is None else command.if_version
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 row = await self._table.put(self._key, command.row.encode(), if_version=if_version)
         except TimeoutError:
-            raise table_module.StoreUnavailable(
+            raise table_lib.StoreUnavailable(
                 "the table service did not answer in time", step="region.write"
             ) from None
         return row.version
--- a/packages/entry/src/sassafrasway_entry/request_runner.py
+++ b/packages/entry/src/sassafrasway_entry/request_runner.py
@@ -19,7 +19,7 @@
         client: Client for backend servers.
         record: Record of dispatches.
         quarantine: Record of requests that crashed servers.
-        report_crash: Tells the owners of the service's other pools that a request crashed a
+        report_crash: Notifies the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
         placement: Strategy that decides which slots an instance may use.
         count_against_caps: Counts a request against the caps; returns None, or the refusal when a
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP API for callers: invalid input, look-ups and outcomes."""
+"""Tests of the HTTP API for callers: invalid input, lookups and outcomes."""
 
 import random
 import unittest
@@ -77,7 +77,7 @@
         self.assertEqual(self.runner.requests, [])
 
     async def test_lookup_names_the_owner_of_the_home_pool_first(self):
-        """Guards against look-up responses that do not list the owner of the home pool first.
+        """Guards against lookup responses that do not list the owner of the home pool first.
 
         Every request would then be forwarded once more. The ticket must name the same instance.
         """
@@ -96,7 +96,7 @@
         self.assertGreater(body["ttl_s"], 0)
 
     async def test_bad_lookups(self):
-        """Guards against an invalid look-up that succeeds or fails with the wrong reason."""
+        """Guards against an invalid lookup that succeeds or fails with the wrong reason."""
         unknown_service = await self._lookup(service="nope", client="10.0.0.1")
         await self._refused(unknown_service, 404, "unknown_service")
         bad_client = await self._lookup(service="crew-desk", client="lobby")
--- a/packages/entry/tests/test_cap_limits.py
+++ b/packages/entry/tests/test_cap_limits.py
@@ -4,7 +4,7 @@
 
 import entry_fakes as fakes
 
-from sassafrasway_core import clock as clocks
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_entry import cap_limits
 
 LIMIT_RPS = 2.0
@@ -12,7 +12,7 @@
 
 class CapLimitsTest(unittest.TestCase):
     def setUp(self):
-        self.clock = clocks.ManualClock()
+        self.clock = clock_lib.ManualClock()
         self.limits = cap_limits.CapLimits(
             region="bkk", clock=self.clock, amount=lambda name: LIMIT_RPS, epoch=lambda: 1
         )
--- a/packages/entry/tests/test_config_faults.py
+++ b/packages/entry/tests/test_config_faults.py
@@ -76,6 +76,12 @@
 
 
 class ConfigFaultsTest(unittest.TestCase):
+    """Applies changes during lost responses, table outages and partitions between instances.
+
+    Changes reported as accepted must be in the history, refused ones must not be, and in the end
+    all instances must have the same policy.
+    """
+
     def setUp(self):
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
         self.addCleanup(structlog.reset_defaults)
@@ -90,12 +96,7 @@
         )
     )
     def test_what_operators_are_told_is_true(self, actions):
-        """Guards against changes that are lost, applied twice or reverted.
-
-        Faults are lost answers, outages of the table service and partitions between instances.
-        Changes reported as accepted must be in the history, refused ones must not be, and in the
-        end all instances must have the same policy.
-        """
+        """Guards against changes that are lost, applied twice, or reverted under faults."""
         asyncio.run(self._check(actions))
 
     async def _check(self, actions):
--- a/packages/entry/tests/test_config_task.py
+++ b/packages/entry/tests/test_config_task.py
@@ -67,7 +67,7 @@
     async def test_lost_answer_is_resolved_by_reading_back(self):
         """Guards against reporting a failure for a change that is in force.
 
-        The table service writes the change, but its answer is lost.
+        The table service writes the change, but its response is lost.
         """
         self.one.table.faults.lost_answers = 1
         applied = await self.one.config.apply(fakes.change(1, "c2", regions={"cnx": {}}))
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -44,7 +44,7 @@
             raise reply
         return conversion.to_reply(reply)
 
-    def _build(self, service="crew-desk", regions=("bkk", "cnx", "hkt")):
+    def _make_dispatcher(self, service="crew-desk", regions=("bkk", "cnx", "hkt")):
         servers = [
             fakes.server(f"{service}-{name}", service=service, region_name=name) for name in regions
         ]
@@ -77,28 +77,28 @@
 
     async def test_full_home_pool_overflows_to_other_regions(self):
         """Guards against refusing a request while another region has a free slot."""
-        built = self._build()
+        subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         self.replies = [_FULL, _RAN]
-        response = await built.run(self._request())
+        response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.RAN)
         addresses = [address for address, _, _ in self.peers.calls]
         self.assertEqual(addresses, ["cnx-a-1:7000", "hkt-a-1:7000"])
 
     async def test_all_pools_full_is_not_run(self):
         """Guards against an outcome other than "not run" after every pool refused the request."""
-        built = self._build()
+        subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         self.replies = [_FULL, _FULL]
-        response = await built.run(self._request())
+        response = await subject.run(self._request())
         self.assertEqual((response.outcome, response.status), (messages.Outcome.NOT_RUN, 429))
 
     async def test_waiting_service_queues_at_home(self):
         """Guards against refusing a request of a service whose requests may queue."""
-        built = self._build(service="katalog")
+        subject = self._make_dispatcher(service="katalog")
         self.pools.script = [_FULL, _RAN]
         self.replies = [_FULL, _FULL]
-        response = await built.run(self._request(service="katalog"))
+        response = await subject.run(self._request(service="katalog"))
         self.assertIs(response.outcome, messages.Outcome.RAN)
         self.assertEqual(self.pools.queued, [False, True])
 
@@ -107,11 +107,11 @@
 
         The attempt is sent again under the same attempt id, marked as resent.
         """
-        built = self._build()
+        subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         lost = errors.UnavailableError("lost", step="test", peer="p")
         self.replies = [lost] * dispatcher.MAX_SENDS
-        response = await built.run(self._request())
+        response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
         sent = {(call[0], call[2]["request"].attempt_id) for call in self.peers.calls}
         self.assertEqual(len(sent), 1)
@@ -119,10 +119,10 @@
 
     async def test_lost_answer_is_asked_for_again(self):
         """Guards against "unknown" when the peer that ran the request can still be reached."""
-        built = self._build()
+        subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         self.replies = [errors.UnavailableError("lost", step="test", peer="p"), _RAN]
-        response = await built.run(self._request())
+        response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_refused_second_sending_is_unknown(self):
@@ -130,27 +130,27 @@
 
         The reply to the first send is lost; the connection for the second one is refused.
         """
-        built = self._build()
+        subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         self.replies = [
             errors.UnavailableError("lost", step="test", peer="p"),
             rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p"),
         ]
-        response = await built.run(self._request())
+        response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_idempotent_request_leaves_a_silent_peer(self):
         """Guards against failing an idempotent request because a connection went silent."""
-        built = self._build(service="quote-archive")
+        subject = self._make_dispatcher(service="quote-archive")
         self.pools.script = [_FULL]
         silent = errors.UnavailableError("silent", step="test", peer="p")
         self.replies = [silent] * dispatcher.MAX_SENDS + [_RAN]
-        response = await built.run(self._request(service="quote-archive"))
+        response = await subject.run(self._request(service="quote-archive"))
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_not_run_is_not_said_after_a_lost_answer(self):
         """Guards against "not run" when an earlier pool may have run the request."""
-        built = self._build(service="quote-archive")
+        subject = self._make_dispatcher(service="quote-archive")
         silent = errors.UnavailableError("silent", step="test", peer="p")
         for refusal in (_FULL, messages.not_run(504, messages.Reason.DEADLINE)):
             with self.subTest(refusal=refusal.reason):
@@ -158,64 +158,64 @@
                 self.replies = [silent] * dispatcher.MAX_SENDS + [refusal]
                 self.clock.advance(10.0)  # refills the retry budget
                 request = self._request(service="quote-archive")
-                response = await built.run(request)
+                response = await subject.run(request)
                 self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_unreachable_peer_is_skipped(self):
         """Guards against "unknown" for a request that was never sent, as the peer refused it."""
-        built = self._build()
+        subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         refused = rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p")
         self.replies = [refused, _RAN]
-        response = await built.run(self._request())
+        response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_link_cap_holds(self):
         """Guards against forwarding more bytes to a region than the link's cap admits."""
         self.link_mbit_s = 0.02  # room for one request of 1,000 bytes each second
-        built = self._build(regions=("bkk", "cnx"))
+        subject = self._make_dispatcher(regions=("bkk", "cnx"))
         self.pools.script = [_FULL] * 5
         responses = [
-            await built.run(self._request(body=b"x" * 1000, number=number)) for number in range(5)
+            await subject.run(self._request(body=b"x" * 1000, number=number)) for number in range(5)
         ]
         ran = [each for each in responses if each.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 1)
         self.assertEqual(responses[-1].reason, messages.Reason.LINK_CAP)
 
     async def test_share_too_small_for_a_message_is_not_ready(self):
-        """Guards against refusing a request for a cap while the first share is still to come.
+        """Guards against refusing a request because of a cap while the first share is missing.
 
         The first share of a new instance can be smaller than any message.
         """
         self.link_mbit_s = 1e-9
-        built = self._build(regions=("bkk", "cnx"))
+        subject = self._make_dispatcher(regions=("bkk", "cnx"))
         self.pools.script = [_FULL]
-        response = await built.run(self._request(remaining_s=0.1))
+        response = await subject.run(self._request(remaining_s=0.1))
         self.assertEqual(response.reason, messages.Reason.NOT_READY)
         self.assertEqual(self.peers.calls, [])
 
     async def test_no_new_pass_just_before_the_deadline(self):
         """Guards against an unknown outcome because the deadline passes at a peer."""
-        built = self._build()
+        subject = self._make_dispatcher()
         moving = messages.not_run(503, messages.Reason.NOT_READY)
         self.pools.script = [moving]
         self.replies = [moving, moving]
-        response = await built.run(self._request(remaining_s=0.2))
+        response = await subject.run(self._request(remaining_s=0.2))
         self.assertEqual(response.reason, messages.Reason.NOT_READY)
         self.assertEqual(len(self.peers.calls), 2)
 
     async def test_moving_home_pool_is_waited_for_though_others_refuse(self):
         """Guards against refusing a request that may wait because the last pool is at its cap.
 
-        In the test that replaces every instance, seed 4000, 16 of 5,825 look-ups were refused for
+        In the test that replaces every instance, seed 4000, 16 of 5,825 lookups were refused for
         the cap of the other region while the owner of their home pool changed.
         """
-        tested = self._build(service="katalog", regions=("bkk", "cnx"))
+        subject = self._make_dispatcher(service="katalog", regions=("bkk", "cnx"))
         moving = messages.not_run(503, messages.Reason.NOT_READY)
         capped = messages.not_run(429, messages.Reason.REGION_CAP)
         self.pools.script = [moving, moving]
         self.replies = [capped, capped]
-        response = await tested.run(self._request(service="katalog"))
+        response = await subject.run(self._request(service="katalog"))
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
     async def test_request_waits_as_long_as_a_new_owner_may_lack_its_shares(self):
@@ -223,20 +223,20 @@
 
         With seed 4000 the new owner had no share for 2.9 s, but requests retried for only 2.35 s.
         """
-        built = self._build(regions=("bkk",))
+        subject = self._make_dispatcher(regions=("bkk",))
         self.pools.script = [messages.not_run(503, messages.Reason.NOT_READY)] * 100
         waits = []
         with unittest.mock.patch.object(dispatcher.asyncio, "sleep", self._record_sleep(waits)):
-            await built.run(self._request(remaining_s=20.0))
+            await subject.run(self._request(remaining_s=20.0))
         self.assertGreater(sum(waits), cap_limits.TAKEOVER_S)
 
     async def test_tries_become_rarer_while_a_pool_moves(self):
         """Guards against retries of waiting requests that use up the new owner's CPU time."""
-        built = self._build(regions=("bkk",))
+        subject = self._make_dispatcher(regions=("bkk",))
         self.pools.script = [messages.not_run(503, messages.Reason.NOT_READY)] * 100
         waits = []
         with unittest.mock.patch.object(dispatcher.asyncio, "sleep", self._record_sleep(waits)):
-            await built.run(self._request(remaining_s=2.0))
+            await subject.run(self._request(remaining_s=2.0))
         self.assertEqual(waits, sorted(waits))
         self.assertLess(len(waits), 10)
 
@@ -249,11 +249,11 @@
 
     async def test_moved_pool_is_followed_once(self):
         """Guards against refusing a request because the directory still names the old owner."""
-        built = self._build()
+        subject = self._make_dispatcher()
         self.directory.known["new"] = fakes.instance("new", region_name="cnx")
         self.pools.script = [_FULL]
         self.replies = [messages.not_run(503, messages.Reason.NOT_OWNER, owner="new"), _RAN]
-        response = await built.run(self._request())
+        response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.RAN)
         self.assertEqual(self.peers.calls[-1][0], "new:7000")
         stages = {call[2]["request"].stage for call in self.peers.calls}
--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -222,7 +222,7 @@
     async def test_claim_with_table_down_is_not_run(self):
         """Guards against running a key without a claim row.
 
-        A retry after the outage must not run it either: its caller was told that it did not run.
+        A retry after the outage must not run it either, as the first response was "not run".
         """
         self.faults.down = True
         response = await self.a.keeper.handle(self._request("invoice-8"))
@@ -255,7 +255,7 @@
         await task
 
     async def test_refusal_is_final_for_the_key(self):
-        """Guards against running a key after its caller was told that it did not run."""
+        """Guards against running a key after a response "not run"."""
         key = self._ticket(self.a)
         self.a.dispatcher.script = [messages.not_run(429, messages.Reason.NO_SLOT)]
         first = await self.a.keeper.handle(self._request(key))
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -55,7 +55,7 @@
         self.assertEqual(len(self.backend.calls), 3)
 
     async def test_new_owner_does_not_refuse_for_good(self):
-        """Guards against a new owner that refuses requests finally while the handover goes on.
+        """Guards against final refusals by a new owner during the handover.
 
         A planned replacement of an instance would then fail requests of callers.
         """
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -157,8 +157,8 @@
         owners = self.fleet.owners()
         self.assertEqual(collections.Counter(owners.values()), {"p": 1, "q": 1, "r": 1})
         for task in self.fleet.tasks.values():
-            found = {pool: task.directory.owner(pool).name for pool in owners}
-            self.assertEqual(found, owners)
+            owners_in_directory = {pool: task.directory.owner(pool).name for pool in owners}
+            self.assertEqual(owners_in_directory, owners)
             self.assertEqual({each.name for each in task.directory.instances("bkk")}, {*"pqr"})
 
     async def test_killed_coordinator(self):
@@ -187,7 +187,7 @@
     async def test_join_through_peers_while_table_is_down(self):
         """Guards against an instance that cannot join during an outage of the table service.
 
-        Only the coordinator must keep running meanwhile, since none can take over from it.
+        Only the coordinator must keep running, since no instance can take over from it.
         """
         self.fleet.table.faults.down = True
         self.fleet.start("s", seeds=("q",))
@@ -198,7 +198,7 @@
         self.assertEqual(len(self.fleet.owners()), 3)
 
     async def test_lost_answer_of_the_table(self):
-        """Guards against a coordinator that resigns because the answer to a row write was lost."""
+        """Guards against a coordinator that resigns after the response to a row write was lost."""
         coordinator = self.fleet.coordinator()
         self.fleet.table.faults.lost_answers = 1
         await self.fleet.run(5)
@@ -242,7 +242,7 @@
 
 class RegionsTest(unittest.IsolatedAsyncioTestCase):
     async def test_directories_reach_all_regions(self):
-        """Guards against lookups that know only their own region.
+        """Guards against lookups that return instances of their own region only.
 
         Coordinators must exchange directories also during an outage of the table service.
         """
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -62,7 +62,7 @@
         self.assertEqual(len(caught.exception.message.splitlines()), 2)
 
     def test_check_config_exit_codes(self):
-        """Guards against an exit code that tells a script that invalid settings are valid."""
+        """Guards against an exit code that reports invalid settings as valid."""
         runner = testing.CliRunner()
         self._write(_VALID)
         good = runner.invoke(main.cli, ["check-config", "--config", str(self.path)])
--- a/packages/rpc/src/sassafrasway_rpc/codec.py
+++ b/packages/rpc/src/sassafrasway_rpc/codec.py
@@ -10,7 +10,7 @@
 from sassafrasway_core import errors
 
 FRAME_HEADER_BYTES = 4
-# Method that every server answers at once; clients call it to probe a connection.
+# Method that every server answers immediately; clients call it to probe a connection.
 PING = "ping"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
@@ -36,7 +36,7 @@
 
 
 class Empty(thrift.TPayload):
-    """Thrift struct without fields, for probes and their answers."""
+    """Thrift struct without fields, for probes and their replies."""
 
     thrift_spec: ClassVar[dict] = {}
     default_spec: ClassVar[list] = []
--- a/packages/rpc/src/sassafrasway_rpc/common.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/common.thrift
@@ -14,7 +14,7 @@
   4: string caller_url       // base URL that callers use
   5: string region
   6: string failure_domain
-  7: string state            // live or leaving
+  7: string state            // live, leaving or, in directories only, silent
 }
 
 // An error that the called side reports. An unexpected failure of a handler arrives as
--- a/packages/rpc/src/sassafrasway_rpc/config.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/config.thrift
@@ -79,7 +79,7 @@
   list<HistoryEntry> history(1: optional i32 limit, 2: optional i64 before)
       throws (1: common.RpcError error)
 
-  // Makes a new revision with the content of an older one.
+  // Creates a new revision with the content of an older one.
   ChangeReply rollback(1: i64 revision, 2: ChangeMeta meta) throws (1: common.RpcError error)
 
   // Creates or replaces the shift of this name.
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -101,7 +101,7 @@
   12: bool gone              // the sender was declared gone and must release all that it holds
 }
 
-// A member's answer to a new coordinator; epoch is the one that the member follows.
+// A member's reply to a new coordinator; epoch is the one that the member follows.
 struct FollowReply {
   1: common.Instance sender
   2: i64 epoch
@@ -119,15 +119,16 @@
   // Renews the sender's promise and grants.
   HeartbeatReply heartbeat(1: HeartbeatRequest request) throws (1: common.RpcError error)
 
-  // Announces the coordinator of an epoch; asks a member that follows it for a heartbeat at once.
+  // Announces the coordinator of an epoch and requests an immediate heartbeat of a member that
+  // follows it.
   FollowReply follow(1: i64 epoch, 2: common.Instance coordinator)
       throws (1: common.RpcError error)
 
-  // Tells a pool's new owner which slots are still used by requests of the sender.
+  // Reports to a pool's new owner which slots are still used by requests of the sender.
   void handover(1: common.Instance sender, 2: PoolReport report)
       throws (1: common.RpcError error)
 
-  // Tells a pool's new owner that requests of the previous owner have ended.
+  // Reports to a pool's new owner that requests of the previous owner have ended.
   oneway void release_slots(1: PoolId pool, 2: string server, 3: i32 slots)
 
   // Exchanges directories. The sender passes those that changed; the reply holds those that are
@@ -135,8 +136,8 @@
   list<RegionDirectory> directory(1: list<RegionDirectory> directories,
       2: list<DirectoryVersion> known) throws (1: common.RpcError error)
 
-  // Tells a coordinator that an instance of its region refused a connection; the coordinator then
-  // checks it.
+  // Reports to a coordinator that an instance of its region refused a connection; the coordinator
+  // then checks it.
   oneway void suspect(1: common.Instance instance)
 
   // Returns which incarnation answers at this address.
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -9,7 +9,7 @@
 }
 
 enum Stage {
-  GATEKEEP = 1               // the receiver is the incarnation that the key's ticket names
+  GATEKEEP = 1               // the receiver is the incarnation that holds the key
   EXECUTE = 2                // the receiver owns the pool
   ROUTE = 3                  // the receiver handles the request as if a caller had sent it
 }
@@ -34,7 +34,7 @@
   17: string client          // address of the client on whose behalf the caller sent the request
   18: string attempt_id      // one for each forward; the receiver runs an attempt only once
   19: string receiver        // name/incarnation that the attempt is meant for
-  20: bool resent            // this attempt was sent before, and its answer did not arrive
+  20: bool resent            // this attempt was sent before, and its reply did not arrive
 }
 
 struct ForwardReply {
@@ -46,12 +46,12 @@
   6: string owner            // name of the current pool owner when reason is not_owner
   7: string server           // backend server that ran the request
   8: i32 retry_after_ms
-  9: string detail           // text for people
+  9: string detail           // human-readable reason
 }
 
 service Forward {
   ForwardReply forward(1: ForwardRequest request) throws (1: common.RpcError error)
-  // Tells the owner of another pool of the service that a request crashed a backend server.
+  // Reports to the owner of another pool of the service that a request crashed a backend server.
   void report_crash(1: string service_name, 2: string fingerprint, 3: string server)
       throws (1: common.RpcError error)
   // Cancels a forwarded request whose caller has disconnected.
--- a/packages/rpc/tests/test_rpc.py
+++ b/packages/rpc/tests/test_rpc.py
@@ -118,7 +118,7 @@
         writer.close()
 
     async def test_silent_connection_is_replaced(self):
-        """Guards against calls that wait for their full timeout on a dead connection.
+        """Guards against calls that wait for their full timeout on a silent connection.
 
         The first connection is accepted, but never answered, not even a probe. The next call must
         use a new one.
