Name what the trace command reads, and clear up leftovers in the entry

The loggers in sassafrasctl trace are those of the gateway, which the comment did not say. Docstrings of the coordinator role, the directory mark and the cap limit, and local names such as found, taken and behind, are plainer.

Left: nothing known.

--- a/packages/ctl/src/sassafrasway_ctl/trace.py
+++ b/packages/ctl/src/sassafrasway_ctl/trace.py
@@ -1,4 +1,4 @@
-"""Traces one request through the logs of several instances."""
+"""Traces one request through the logs of several gateway instances."""
 
 import dataclasses
 import json
@@ -11,8 +11,8 @@
 from sassafrasway_ctl import options
 
 DEFAULT_CONTEXT_S = 5.0
-# Loggers of events that change the state of an instance or its view of the policy, the store, the
-# servers and its peers.
+# Loggers of the gateway for events that change the state of an instance or its view of the policy,
+# the store, the servers and its peers.
 STATE_LOGGERS = frozenset({"policy", "store", "servers", "peers", "process"})
 # Fields that render() prints at the start of a line or leaves out.
 HEADER_FIELDS = frozenset({"time", "instance", "logger", "event", "level"})
@@ -45,7 +45,7 @@
 
 def parse_events(lines: Iterable[str]) -> list[Event]:
     """Parses JSON log lines; skips other lines and any prefix before the first brace."""
-    found = []
+    parsed = []
     for line in lines:
         start = line.find("{")
         if start < 0:
@@ -56,7 +56,7 @@
             continue
         if not isinstance(fields, dict) or "event" not in fields or "time" not in fields:
             continue
-        found.append(
+        parsed.append(
             Event(
                 time_s=float(fields["time"]),
                 instance=str(fields.get("instance", "")),
@@ -65,7 +65,7 @@
                 fields=fields,
             )
         )
-    return found
+    return parsed
 
 
 def select(events: Iterable[Event], request: str, *, context_s: float) -> list[Event]:
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -320,8 +320,8 @@
         return head
 
     async def _load_revision(self, head: config_store.Head) -> None:
-        behind = head.revision - self.revision
-        if self.policy is not None and behind <= CATCH_UP_LIMIT:
+        missing = head.revision - self.revision
+        if self.policy is not None and missing <= CATCH_UP_LIMIT:
             records = await self._store.read_records(first=self.revision + 1, last=head.revision)
             for record in records:
                 self._adopt(record.change)
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -39,7 +39,7 @@
 
 
 class CoordinatorTask:
-    """Executes the commands of ``CoordinatorState`` while this instance is coordinator.
+    """Executes the commands of ``CoordinatorState`` while this instance is the coordinator.
 
     Args:
         me: This instance.
@@ -106,7 +106,7 @@
 
     @property
     def state(self) -> coordinator.CoordinatorState | None:
-        """State of the current epoch, or None when this instance is not coordinator."""
+        """State of the current epoch, or None when this instance is not the coordinator."""
         return self._state
 
     def start(self, won: authority.WonElection) -> None:
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -51,7 +51,7 @@
 
     @property
     def mark(self) -> int:
-        """Number of changes so far; a later call of ``changed_since`` takes it."""
+        """Number of changes so far, to be passed to ``changed_since`` later."""
         return self._mark
 
     def owner(self, pool: model.PoolKey) -> region.Instance | None:
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -15,7 +15,7 @@
 
 # Time allowed for the response of a peer to an idempotent request. It keeps a connection that went
 # silent from using up the whole deadline. The second limit is a fraction of the remaining time. It
-# is above RESPONSE_FRACTION of backend_client, because it includes the peer's call to a server.
+# is above RESPONSE_FRACTION of backend_client, because the peer calls a server within this time.
 PEER_RESPONSE_TIMEOUT_S = 2.5
 PEER_RESPONSE_FRACTION = 0.8
 
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -9,7 +9,7 @@
 from sassafrasway_entry import cap_limits, conversion, dispatcher, gatekeeper, messages, pools
 from sassafrasway_rpc import schema
 
-# Attempts are remembered for this long after their arrival. The sender gives up and closes the
+# Records of attempts are kept for this long after their arrival. The sender gives up and closes the
 # connection long before.
 ATTEMPT_RETENTION_S = 60.0
 MAX_RETAINED_BODY_BYTES = 64 * 1024
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -191,7 +191,7 @@
         return self._grants.share(pool)
 
     def cap_amount(self, name: str) -> float:
-        """Returns the limit of this instance for a cap that is in force now; 0 without a share."""
+        """Returns the current limit of this instance for a cap; 0 without a share."""
         return self._grants.caps.amount(name)
 
     def coordinator_addresses(self) -> list[str]:
@@ -258,10 +258,10 @@
     def on_heartbeat(self, message: Any) -> Any:
         """Returns the reply to a member's heartbeat; both are Thrift messages.
 
-        An instance that is not coordinator replies with the coordinator that it follows.
+        An instance that is not the coordinator replies with the coordinator that it follows.
 
         Raises:
-            errors.UnavailableError: This instance is not coordinator and does not know one.
+            errors.UnavailableError: This instance is not the coordinator and follows none.
         """
         if self._coordinator.state is not None:
             reply = self._coordinator.heartbeat(message)
@@ -288,7 +288,7 @@
         return dataclasses.replace(reply, pools=reports)
 
     def on_suspect(self, instance: model.InstanceId) -> None:
-        """Probes an instance that was reported as unreachable, if this one is coordinator."""
+        """Probes an instance that was reported as unreachable, if this one is the coordinator."""
         self._coordinator.suspect(instance)
 
     def identity(self) -> tuple[region.Instance, int, region.Instance | None]:
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -292,6 +292,7 @@
     def _admit(
         self, owned: owned_pool.OwnedPool, request: messages.Request
     ) -> messages.Response | None:
+        """Returns a refusal, or None if the request may use the pool."""
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if self._quarantine.is_quarantined(request.fingerprint):
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -41,7 +41,7 @@
 from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
-PROPAGATION_S = 3.0  # time until the directories of all instances show that this one leaves
+PROPAGATION_S = 3.0  # time until the directories of all instances show this one as leaving
 READY_POLL_S = 0.05
 # Maximum time to wait for shares of the links' caps before this instance reports itself as healthy.
 # Other instances free these shares within about 2 s. Without a coordinator no share arrives, and an
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -211,12 +211,16 @@
             pool: region.PoolReport(share=share.Share.NONE, in_use={"s": 2}, busy_s=5.0)
         }
         self.fleet.tasks[name].leave()
-        seen = []
+        observed_grants = []
         for _ in range(20):
             await self.fleet.run(STEP_S)
-            seen += [grant for each in self.fleet.grants.values() for grant in each]
-        taken = [each for each in seen if each.pool == pool and each.inherited]
-        self.assertEqual({(each.previous.name, each.inherited["s"]) for each in taken}, {(name, 2)})
+            observed_grants += [grant for each in self.fleet.grants.values() for grant in each]
+        inherited_grants = [
+            each for each in observed_grants if each.pool == pool and each.inherited
+        ]
+        self.assertEqual(
+            {(each.previous.name, each.inherited["s"]) for each in inherited_grants}, {(name, 2)}
+        )
         self.assertNotIn(name, self.fleet.owners().values())
 
     async def test_isolated_holder_keeps_offline_share(self):
