Finish the second reading of the stand-ins and their tests

Hard to read: "answer" and "response" for the same thing, private methods of one word (_load, _report, _check, _route), a few docstrings in which programs "know" something, and the region-cut docstring, which claimed more than the fault cuts.

Changed: "response" for what comes back over HTTP, longer names of private methods, "ideal pool", "cluster" and "layout" used alike in the load tool, the bench and the launcher. The phases that the launcher writes are named at FaultEvent.phase.

The demo, bench and capacity-fleet commands were not run.

--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -59,7 +59,7 @@
     """Behaviour of a server that can be changed through the control endpoint.
 
     Attributes:
-        leaving: Whether answers carry ``Sassafras-State: leaving``.
+        leaving: Whether responses carry ``Sassafras-State: leaving``.
         slow: Factor on the service time.
         load_report: Load to report instead of the actual one; None reports the actual load.
         blocked_sources: Prefixes of source addresses whose requests are never answered.
@@ -196,9 +196,9 @@
             self._http_server.mark_used(request.protocol)
             self._add_busy_time(self._settings.connection_ms)
         if request.path == "/healthz":
-            response = await self._probe()
+            response = await self._serve_probe()
         else:
-            response = await self._request(request)
+            response = await self._serve_request(request)
         await network.pause(delay_ms, self._rng)
         await self._wait_if_silent(request)
         return response
@@ -220,13 +220,13 @@
         if wait_s > 0:
             await asyncio.sleep(wait_s)
 
-    async def _probe(self) -> web.Response:
+    async def _serve_probe(self) -> web.Response:
         self._stats["probes"] += 1
         self._add_busy_time(self._settings.probe_ms)
         await self._wait_until_not_busy()
         return web.Response(text="ok", headers=self._headers())
 
-    async def _request(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.read()
         run = _Run(server=self, request=request, body=body, in_use=self._in_use)
         if self._in_use >= self._settings.slots:
@@ -243,12 +243,12 @@
         try:
             is_complete = await self._run(run, deadline_s)
         except asyncio.CancelledError:
-            run.record("crashed" if run.crashes != self._crashes else "cancelled")
+            run.record("crashed" if run.crashes_at_start != self._crashes else "cancelled")
             raise
         finally:
             self._in_use -= 1
         headers = self._headers()
-        return run.answer(headers) if is_complete else web.Response(status=504, headers=headers)
+        return run.response(headers) if is_complete else web.Response(status=504, headers=headers)
 
     async def _run(self, run: "_Run", deadline_s: float | None) -> bool:
         """Runs a request; returns False if its deadline passed first."""
@@ -299,7 +299,7 @@
         self, *, server: BackendServer, request: web.BaseRequest, body: bytes, in_use: int
     ):
         self.body = body
-        self.crashes = server._crashes
+        self.crashes_at_start = server._crashes
         self._server = server
         self._request = request
         self._in_use = in_use
@@ -338,8 +338,8 @@
             leaving_since_s=leaving_since_s,
         )
 
-    def answer(self, headers: dict[str, str]) -> web.Response:
-        """Returns the answer, padded to the ``size`` that the query asks for."""
+    def response(self, headers: dict[str, str]) -> web.Response:
+        """Returns the response, padded to the ``size`` that the query asks for."""
         content = {
             "digest": self._digest,
             "request_id": self._request.headers.get("Sassafras-Request-Id", ""),
--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -44,7 +44,7 @@
 FAULT_LENGTH_FRACTION = 0.3
 # Longest time from the last arrival until every caller has a verdict.
 VERDICT_TIMEOUT_S = 30.0
-# Time for runs whose callers gave up to end, which they do within the deadline of the request.
+# Requests that callers have given up end at the backend servers by their deadline.
 SETTLE_S = 2.5
 
 
@@ -122,15 +122,15 @@
             await apply_policy(cluster)
             await cluster.wait_ready()
             await wait_for_owners(cluster)
-            await self._load(cluster)
+            await self._run_load(cluster)
         cores = (_children_cpu_s() - cpu_before_s) / (time.monotonic() - started_s)
         machine_stats = {
             "cores_used": round(cores, 2),
             "load_average_before": round(load_average, 1),
         }
-        return self._report(machine_stats)
+        return self._build_report(machine_stats)
 
-    async def _load(self, cluster: launcher.Cluster) -> None:
+    async def _run_load(self, cluster: launcher.Cluster) -> None:
         """Runs the load processes and injects the fault; returns when all requests have ended.
 
         Raises:
@@ -150,7 +150,7 @@
         count = self._options.load_processes
         children = [self._load_process(plan_path, part, count) for part in range(count)]
         timeout_s = LOAD_START_S + self._plan.duration_s + VERDICT_TIMEOUT_S
-        fault = asyncio.create_task(self._inject(cluster))
+        fault = asyncio.create_task(self._inject_fault(cluster))
         try:
             await asyncio.gather(*(child.start() for child in children))
             codes = await asyncio.gather(*(child.wait(timeout_s=timeout_s) for child in children))
@@ -169,14 +169,14 @@
         log = self._directory / "logs" / f"load-{part}.log"
         return processes.ChildProcess(name=f"load-{part}", command=command, log=log)
 
-    async def _inject(self, cluster: launcher.Cluster) -> None:
+    async def _inject_fault(self, cluster: launcher.Cluster) -> None:
         duration_s = self._options.duration_s
         fault_s = self._plan.start_s + self._options.warm_up_s + FAULT_START_FRACTION * duration_s
         await asyncio.sleep(fault_s - time.monotonic())
         context = faults.FaultContext(cluster=cluster, length_s=FAULT_LENGTH_FRACTION * duration_s)
         await faults.FAULTS[self._options.fault].run(context)
 
-    def _report(self, machine_stats: Mapping[str, float]) -> report.RunReport:
+    def _build_report(self, machine_stats: Mapping[str, float]) -> report.RunReport:
         settings = dataclasses.asdict(self._options) | machine_stats
         return report.build(
             settings=settings,
@@ -205,7 +205,7 @@
         while True:
             try:
                 await client.call("apply_change", change_json=change)
-                cluster.note_policy(document)
+                cluster.record_policy(document)
                 return
             except errors.UnavailableError:
                 if time.monotonic() > deadline_s:
@@ -268,11 +268,11 @@
     return usage.ru_utime + usage.ru_stime
 
 
-def write_report(built: report.RunReport, *, name: str, results: pathlib.Path) -> str:
+def write_report(run_report: report.RunReport, *, name: str, results: pathlib.Path) -> str:
     """Writes a report as JSON and as text, and returns the text."""
     results.mkdir(parents=True, exist_ok=True)
-    text = report.as_text(built)
-    data: Mapping[str, Any] = built.dump()
+    text = report.as_text(run_report)
+    data: Mapping[str, Any] = run_report.dump()
     (results / f"{name}.json").write_text(json.dumps(data, indent=2) + "\n", encoding="utf-8")
     (results / f"{name}.txt").write_text(text, encoding="utf-8")
     return text
@@ -328,6 +328,6 @@
     """Runs a deployment under load and reports latency, refusals and violations."""
     options = Options(duration_s=duration, **choices)
     bench = Bench(options=options, directory=results / options.name)
-    built = asyncio.run(bench.run())
-    click.echo(write_report(built, name=options.name, results=results), nl=False)
-    sys.exit(1 if built.violations else 0)
+    run_report = asyncio.run(bench.run())
+    click.echo(write_report(run_report, name=options.name, results=results), nl=False)
+    sys.exit(1 if run_report.violations else 0)
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -31,7 +31,7 @@
     Args:
         session: HTTP session that holds the connections of the process.
         region: Home region of the client.
-        entries: Entry instances known from configuration.
+        entries: Entry instances in the configuration of the client.
         services: Services by name.
         client_ms: One-way delay between the client and its region, ms.
         region_ms: One-way delay between regions, ms.
@@ -77,17 +77,17 @@
         )
         self._record(pending.intent())
         while pending.should_attempt:
-            await self._attempt(pending)
+            await self._make_attempt(pending)
             if pending.should_attempt:
                 await network.pause(self._rng.uniform(0, pending.max_backoff_ms), self._rng)
         verdict = pending.verdict()
         self._record(verdict)
         return verdict
 
-    async def _attempt(self, pending: exchanges.PendingRequest) -> None:
+    async def _make_attempt(self, pending: exchanges.PendingRequest) -> None:
         if pending.needs_route:
             try:
-                pending.use_route(await self._route(pending.arrival))
+                pending.use_route(await self._find_route(pending.arrival))
             except LookupFailedError as error:
                 pending.add_failed_lookup(str(error))
                 return
@@ -123,7 +123,7 @@
         await network.pause(delay_ms, self._rng)
         return result
 
-    async def _route(self, arrival: arrivals.Arrival) -> exchanges.Route:
+    async def _find_route(self, arrival: arrivals.Arrival) -> exchanges.Route:
         """Returns where to send a request: a cached route or ticket, or the result of a lookup."""
         if self._services[arrival.service].idempotent:
             route = self._routes.get(arrival.service)
@@ -156,7 +156,7 @@
             self._tickets[service].append(route)
 
     async def _lookup(self, service: str, client: str) -> exchanges.Route:
-        """Asks up to two random instances of the own region, then one of any region.
+        """Asks up to two random instances of the caller's region, then one of any region.
 
         Raises:
             LookupFailedError: None of them answered.
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -62,9 +62,9 @@
             attempts = run_history.attempts.get(request, [])
             for index, attempt in enumerate(attempts):
                 if attempt.outcome == history.NOT_RUN:
-                    yield from self._check(run_history, attempts, index, runs)
+                    yield from self._check_attempt(run_history, attempts, index, runs)
 
-    def _check(
+    def _check_attempt(
         self,
         run_history: checked_history.History,
         attempts: list[history.Attempt],
@@ -138,9 +138,9 @@
             events[each.server] += [(each.at_s, 1), (each.ended_s, -1)]
         for server, changes in events.items():
             slots = run_history.server(server).get("slots", math.inf)
-            yield from self._check(server, sorted(changes), slots)
+            yield from self._check_server(server, sorted(changes), slots)
 
-    def _check(
+    def _check_server(
         self, server: str, changes: list[tuple[float, int]], slots: float
     ) -> Iterator[checked_history.Violation]:
         in_use = 0
--- a/packages/standins/src/sassafrasway_standins/checked_history.py
+++ b/packages/standins/src/sassafrasway_standins/checked_history.py
@@ -23,7 +23,7 @@
         rule: Name of the rule.
         subject: The request, key, server, link, region, shift or instance that violates it.
         at_s: Monotonic time of the violation, s.
-        detail: What was found, for people.
+        detail: Human-readable description of the violation.
     """
 
     rule: str
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -65,7 +65,7 @@
             Whether requests were sent, none ran twice or was lost, and no rule was violated.
         """
         await self._apply_policy()
-        plan = self._plan()
+        plan = self._make_plan()
         async with self._run_load(plan):
             await self._kill_owner()
             await self._replace_owner()
@@ -73,7 +73,7 @@
         await self._cluster.collect_link_bytes()
         stall_ms = await self._cluster.longest_backend_stall_ms()
         self._print_step(f"longest stall of a backend stand-in on this machine: {stall_ms:.0f} ms")
-        return self._report(plan)
+        return self._print_report(plan)
 
     async def _apply_policy(self) -> None:
         document = self._cluster.site.policy()
@@ -83,7 +83,7 @@
         await self._cluster.wait_ready()
         self._print_step("all entry instances are ready")
 
-    def _plan(self) -> load.Plan:
+    def _make_plan(self) -> load.Plan:
         self._load_start_s = time.monotonic() + LOAD_START_S
         site, layout = self._cluster.site, self._layout
         return load.Plan(
@@ -184,7 +184,7 @@
         await self._operator.stop_shift("demo")
 
     async def _pool_owner(self, region: str) -> str:
-        """Returns the first entry instance in the answer to a lookup by a client of a region."""
+        """Returns the first entry instance in the response to a lookup by a client of a region."""
         blocks = self._cluster.site.client_blocks
         client = next(cidr for cidr, each in blocks.items() if each == region).partition("/")[0]
         instances = [
@@ -200,7 +200,7 @@
         ):
             return (await response.json())["instances"][0]["name"]
 
-    def _report(self, plan: load.Plan) -> bool:
+    def _print_report(self, plan: load.Plan) -> bool:
         records = list(history.read(check.history_files([self._cluster.records])))
         tallies = tally.count(records, plan.services)
         violations = check.check(records)
@@ -226,7 +226,7 @@
 
 
 @contextlib.contextmanager
-def _directory(keep: pathlib.Path | None) -> Iterator[pathlib.Path]:
+def _run_directory(keep: pathlib.Path | None) -> Iterator[pathlib.Path]:
     if keep is not None:
         keep.mkdir(parents=True, exist_ok=True)
         yield keep
@@ -245,7 +245,7 @@
 )
 def command(load_factor: float, seed: int, keep: pathlib.Path | None) -> None:
     """Shows the system under load; exits with 1 if a request ran twice or was lost."""
-    with _directory(keep) as directory:
+    with _run_directory(keep) as directory:
         try:
             succeeded = asyncio.run(_run(directory, load_factor, seed))
         except (processes.ProcessError, aiohttp.ClientError) as error:
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class EntryPoint:
-    """An entry instance that callers know from their configuration."""
+    """An entry instance in the configuration of callers."""
 
     name: str
     url: str
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CalledService:
-    """A service as callers know it.
+    """Properties of a service that callers and the load depend on.
 
     Attributes:
         idempotent: Whether a request may run more than once.
@@ -155,8 +155,8 @@
         """Sets the route of the next attempts."""
         failed = self._results[-1].outcome == "" if self._results else False
         if route.ticket:
-            # Start with the first instance: another one cannot tell whether the holder of the
-            # ticket has run the request.
+            # Start with the first instance: another one cannot find out whether the holder of
+            # the ticket has run the request.
             failed = False
         self._route = route
         # The first instance of a cached or repeated route is likely the one that just failed.
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -178,7 +178,7 @@
 
 
 class RegionCut(Fault):
-    """Cuts the last region off from the store and from the other regions with their servers."""
+    """Cuts the last region off from the store and from the entry instances of other regions."""
 
     name = "region-cut"
 
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -15,7 +15,7 @@
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
-# Values of FaultEvent.phase.
+# Values of FaultEvent.phase. The launcher also writes ``begin`` and ``end`` for kills and pauses.
 INJECTED = "injected"
 ENDED = "ended"
 STOP_ORDERED = "stop-ordered"
@@ -91,7 +91,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Verdict(Record):
-    """Final outcome of a request as its caller knows it, after all attempts.
+    """Final outcome of a request for its caller, after all attempts.
 
     Attributes:
         whole: Whether the response body is complete.
@@ -191,7 +191,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FaultEvent(Record):
-    """The bench injected or ended a fault, or stopped an instance; ``phase`` says which."""
+    """A fault began or ended, or an instance was stopped; ``phase`` says which of them."""
 
     kind: ClassVar[str] = "fault"
     fault: str
--- a/packages/standins/src/sassafrasway_standins/ideal.py
+++ b/packages/standins/src/sassafrasway_standins/ideal.py
@@ -1,4 +1,4 @@
-"""Exact simulation of the ideal case: one pool with all slots serves every arrival of a service.
+"""Exact simulation of the ideal pool, which serves every arrival of a service with all its slots.
 
 The result is the reference for the refusal rates and waiting times of real runs: without knowing
 the service times in advance, no steering system with the same slots, arrivals and service times can
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -117,7 +117,7 @@
         """
         names = self.entry_names if names is None else names
         await _gather_or_cancel(
-            self._wait_healthy(name, self._admin_url(name), (200,)) for name in names
+            self._wait_healthy(name, self._health_url(name), (200,)) for name in names
         )
 
     async def start_entry(self, name: str) -> None:
@@ -135,7 +135,7 @@
         command = [*self._options.entry_command, "run", "--config", str(path)]
         await self._spawn(name, command, log_name=f"{name}.{number}")
         # Without a policy an instance answers 503, which shows that it is running.
-        await self._wait_healthy(name, self._admin_url(name), (200, 503))
+        await self._wait_healthy(name, self._health_url(name), (200, 503))
         await self._set_listed_state(name, "live")
 
     async def kill_entry(self, name: str) -> None:
@@ -246,7 +246,7 @@
             for record in records:
                 writer.write(record)
 
-    def note_policy(self, document: Mapping[str, Any]) -> None:
+    def record_policy(self, document: Mapping[str, Any]) -> None:
         """Writes the record of a policy that has just been accepted."""
         self.write_records(history.PolicyInForce(at_s=time.monotonic(), document=dict(document)))
 
@@ -309,7 +309,7 @@
             f"{name} did not become ready, last status {status}:\n{child.tail()}"
         )
 
-    def _admin_url(self, name: str) -> str:
+    def _health_url(self, name: str) -> str:
         return f"http://{self.site.instances[name].admin}/healthz"
 
     async def _set_listed_state(self, name: str, state: str | None) -> None:
--- a/packages/standins/src/sassafrasway_standins/layouts.py
+++ b/packages/standins/src/sassafrasway_standins/layouts.py
@@ -1,7 +1,7 @@
 """Layouts of the two deployments and of the demo, and the settings files of their processes.
 
-All addresses have the form ``127.<region>.<domain>.<n>``. Each running cluster uses an address
-block of eight region numbers of its own, so that several clusters can run on one machine.
+All addresses have the form ``127.<region>.<failure domain>.<n>``. Each running cluster uses an
+address block of eight region numbers of its own, so that several clusters can run on one machine.
 """
 
 import dataclasses
@@ -385,13 +385,17 @@
     for section, values in data.items():
         lines.append(f"[{section}]")
         tables = {key: value for key, value in values.items() if isinstance(value, Mapping)}
-        lines += [f"{key} = {_toml(value)}" for key, value in values.items() if key not in tables]
+        lines += [
+            f"{key} = {_toml_value(value)}" for key, value in values.items() if key not in tables
+        ]
         for key, table in tables.items():
             lines.append(f"[{section}.{key}]")
-            lines += [f"{_toml(name)} = {_toml(value)}" for name, value in table.items()]
+            lines += [
+                f"{_toml_value(name)} = {_toml_value(value)}" for name, value in table.items()
+            ]
     return "\n".join(lines) + "\n"
 
 
-def _toml(value: Any) -> str:
+def _toml_value(value: Any) -> str:
     # JSON strings, numbers, booleans and lists of them are valid TOML values.
     return json.dumps(value)
--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -2,10 +2,11 @@
 
 A settings file lists one listening address for each pair of a source and a target instance.
 
-The port of a process that has ended refuses connections. The relay accepts a connection before it
-knows whether the target refuses it. After a refusal it therefore closes its listening sockets for
-that target until the target accepts connections again, so that sources are refused as well. A pair
-that is cut keeps its listening socket, because a cut network does not refuse connections.
+The port of a process that has ended refuses connections. The relay has to accept a connection
+before it can connect to the target. After a refusal by the target it therefore closes its listening
+sockets for that target until the target accepts connections again, so that sources are refused as
+well. A pair that is cut keeps its listening socket, because a cut network does not refuse
+connections.
 """
 
 import asyncio
@@ -71,6 +72,8 @@
     def change(self, *, action: str, source: str, target: str) -> None:
         """Applies ``cut``, ``cut_one_way``, ``heal`` or ``silent`` between two selectors.
 
+        For selectors see ``link_pair.InstanceLocation.matches``.
+
         Raises:
             ValueError: The action is unknown.
         """
--- a/packages/standins/src/sassafrasway_standins/link_pair.py
+++ b/packages/standins/src/sassafrasway_standins/link_pair.py
@@ -165,7 +165,7 @@
         self._forward = _Direction(delay_ms=delay_ms, rng=rng)
         self._backward = _Direction(delay_ms=delay_ms, rng=rng)
         self._transports: list[asyncio.Transport] = []
-        self._open_sides = 0
+        self._open_sockets = 0
         self._is_silent = False
         self._healed = asyncio.Event()
         self._connecting: asyncio.Task[None] | None = None
@@ -179,7 +179,7 @@
     def socket_opened(self, transport: asyncio.Transport) -> None:
         """Handles a new socket; after the accepted one it starts connecting to the target."""
         self._transports.append(transport)
-        self._open_sides += 1
+        self._open_sockets += 1
         if len(self._transports) == 1:
             self._connecting = asyncio.create_task(self._connect())
 
@@ -193,7 +193,7 @@
 
     def socket_closed(self) -> None:
         """Handles the end of one socket."""
-        self._open_sides -= 1
+        self._open_sockets -= 1
         self._discard_if_closed()
 
     def silence(self) -> None:
@@ -238,7 +238,7 @@
 
     def _discard_if_closed(self) -> None:
         # A source may send data and close before the connection to the target exists.
-        if self._open_sides == 0 and self._connecting is None:
+        if self._open_sockets == 0 and self._connecting is None:
             self._pair.discard(self)
 
 
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -1,4 +1,4 @@
-"""Open-loop load tool: sends a seeded trace of arrivals without waiting for responses.
+"""Open-loop load tool: sends a seeded trace of arrivals on time, without waiting for responses.
 
 Latency is measured from the intended arrival, so a stall of the tool or of the system shows in
 every request that it delays (no coordinated omission).
@@ -31,7 +31,7 @@
     """Settings of the load; all load processes of a run read the same plan from a JSON file.
 
     Attributes:
-        entries: Entry instances that callers know from configuration.
+        entries: Entry instances in the configuration of callers.
         services: Services by name.
         blocks: A client block (CIDR) for each region.
         client_ms: One-way delay between a client and its region, ms.
@@ -176,7 +176,7 @@
     """Returns the plan that loads all services of a site.
 
     Args:
-        site: Deployment with the addresses of the entry instances.
+        site: Layout with the addresses of the entry instances.
         load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
         mean_ms: Mean service time, ms.
         deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
@@ -238,9 +238,7 @@
 @click.option("--part", default=0, show_default=True, help="Number of this load process.")
 @click.option("--parts", default=1, show_default=True, help="Number of load processes.")
 @click.option("--layout", type=click.Choice(sorted(layouts.LAYOUTS)), default="demo")
-@click.option(
-    "--block", default=0, show_default=True, help="Address block of the running deployment."
-)
+@click.option("--block", default=0, show_default=True, help="Address block of the running cluster.")
 @click.option("--load", default=0.5, show_default=True, help="Offered load, 1.0 = all slots.")
 @click.option("--mean-ms", default=200.0, show_default=True, help="Mean service time, ms.")
 @click.option("--duration", default=20.0, show_default=True, help="Length of the load, s.")
--- a/packages/standins/src/sassafrasway_standins/network.py
+++ b/packages/standins/src/sassafrasway_standins/network.py
@@ -1,4 +1,4 @@
-"""Network delays between loopback addresses of the form ``127.<region>.<domain>.<n>``.
+"""Network delays between loopback addresses of the form ``127.<region>.<failure domain>.<n>``.
 
 The stand-ins derive the region and the failure domain of a peer from its source address, so that
 one process can apply the delay between any two failure domains.
--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -64,4 +64,4 @@
 
     def _record_accepted(self, document: dict[str, Any]) -> None:
         self._document = document
-        self._cluster.note_policy(document)
+        self._cluster.record_policy(document)
--- a/packages/standins/src/sassafrasway_standins/processes.py
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -42,7 +42,7 @@
 
     @property
     def pid(self) -> int:
-        """Process id.
+        """Process ID.
 
         Raises:
             ProcessError: The process was not started.
@@ -56,7 +56,7 @@
 
     @property
     def exit_code(self) -> int | None:
-        """Exit code, or the negative number of a signal; None while the process runs."""
+        """Exit code, or the negated number of the signal that ended it; None while it runs."""
         return self._started_process().returncode
 
     async def start(self) -> None:
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -27,7 +27,7 @@
 
     Attributes:
         arrivals: Requests of the trace.
-        ran: Requests that callers know to have run; ``refused`` and ``unknown`` count the requests
+        ran: Requests with the final outcome "ran"; ``refused`` and ``unknown`` count the requests
             with the final outcomes "not run" and "unknown".
         lost: Requests without a verdict.
         retries: Attempts after the first one of each request.
--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -37,7 +37,7 @@
     version: str
 
     def as_json(self) -> dict[str, str]:
-        """Returns the JSON form used in the answers to scans and transactions."""
+        """Returns the JSON form used in the responses to scans and transactions."""
         value = base64.b64encode(self.value).decode()
         return {"key": self.key, "value_base64": value, "version": self.version}
 
@@ -167,7 +167,7 @@
 
     Args:
         address: IP address of the server, used to determine the delay of each source address.
-        delays: Network delays added to requests and answers.
+        delays: Network delays added to requests and responses.
     """
 
     def __init__(self, *, address: str = "127.0.0.1", delays: network.Delays | None = None):
@@ -328,7 +328,11 @@
 
 
 def _parse_write(data: Mapping[str, Any]) -> Write:
-    """Parses a write; ``if_version`` null requires an absent row, its absence is no condition."""
+    """Parses a write of a transaction.
+
+    If ``if_version`` is null, the row must not exist yet. If it is missing, the write is
+    unconditional.
+    """
     version = data.get("if_version")
     return Write(
         key=data["key"],
--- a/packages/standins/src/sassafrasway_standins/tally.py
+++ b/packages/standins/src/sassafrasway_standins/tally.py
@@ -21,7 +21,7 @@
         lost: Requests without a verdict, or answered as run although no server ran them.
         late: Requests that ran but were answered after the deadline.
         not_run: Requests that were answered as not run.
-        unknown: Requests whose outcome the caller does not know.
+        unknown: Requests with an unknown outcome.
         latency: Latency of the requests that ran; None if there are none.
     """
 
--- a/packages/standins/tests/fake_entry.py
+++ b/packages/standins/tests/fake_entry.py
@@ -1,4 +1,4 @@
-"""Fake entry instance for tests of the callers; it gives scripted answers."""
+"""Fake entry instance for tests of the callers; it returns scripted responses."""
 
 import hashlib
 import json
@@ -12,9 +12,9 @@
     """HTTP server that takes the place of an entry instance.
 
     Attributes:
-        script: Answers to the next requests, in order: ``ran``, ``unavailable``, ``refused``,
-            ``unknown``, ``break`` (the connection is aborted), ``foreign`` (the answer has the
-            path of another request) or ``short`` (the answer is too small). Once the script is
+        script: Responses to the next requests, in order: ``ran``, ``unavailable``, ``refused``,
+            ``unknown``, ``break`` (the connection is aborted), ``foreign`` (the response has the
+            path of another request) or ``short`` (the response is too small). Once the script is
             used up, requests are answered with ``ran``.
         instances: Instances that lookups return.
         keys: Idempotency keys of the requests received.
@@ -49,31 +49,33 @@
 
     async def _lookup(self, request):
         self.lookups += 1
-        answer = {
+        content = {
             "service": request.query["service"],
             "region": "bkk",
             "instances": [{"name": each.name, "url": each.url} for each in self.instances],
             "ttl_s": 5,
         }
         if request.query["service"] == "crew-desk":
-            answer["ticket"] = f"t1.{self.name}.i1.0.{self.lookups}"
-        return web.json_response(answer)
+            content["ticket"] = f"t1.{self.name}.i1.0.{self.lookups}"
+        return web.json_response(content)
 
     async def _request(self, request):
         self.keys.append(request.headers.get("Idempotency-Key", ""))
         body = await request.read()
-        scripted_answer = self.script.pop(0) if self.script else "ran"
-        if scripted_answer == "break":
+        scripted_response = self.script.pop(0) if self.script else "ran"
+        if scripted_response == "break":
             request.transport.abort()
             return web.Response()
-        if scripted_answer == "unavailable":
+        if scripted_response == "unavailable":
             return web.Response(status=503, headers={"Sassafras-Outcome": "not-run"})
-        if scripted_answer == "refused":
+        if scripted_response == "refused":
             return web.Response(status=429, headers={"Sassafras-Outcome": "not-run"})
-        if scripted_answer == "unknown":
+        if scripted_response == "unknown":
             return web.Response(status=502, headers={"Sassafras-Outcome": "unknown"})
-        path = "/r/another" if scripted_answer == "foreign" else request.path.partition("-desk")[2]
+        path = (
+            "/r/another" if scripted_response == "foreign" else request.path.partition("-desk")[2]
+        )
         content = {"digest": hashlib.sha256(body).hexdigest(), "path": path, "padding": ""}
-        size = int(request.query["size"]) - (10 if scripted_answer == "short" else 0)
+        size = int(request.query["size"]) - (10 if scripted_response == "short" else 0)
         content["padding"] = "x" * (size - len(json.dumps(content)))
         return web.json_response(content, headers={"Sassafras-Outcome": "ran"})
--- a/packages/standins/tests/real_cluster.py
+++ b/packages/standins/tests/real_cluster.py
@@ -27,7 +27,7 @@
 # Requests that callers have given up end at the backend servers by their deadline.
 SETTLE_S = 2.5
 # Ten times the default. With a shorter deadline, stalls of several seconds on a busy machine would
-# cause unknown outcomes. The outcomes of lost requests and answers are unknown with any deadline.
+# cause unknown outcomes. The outcomes of lost requests and responses are unknown with any deadline.
 DEADLINE_MS = 20_000
 # Short enough that the service time alone does not bring a request close to its deadline.
 MEAN_MS = 100.0
@@ -144,7 +144,7 @@
         """
         await self.cluster.wait_ready()
         done = asyncio.Event()
-        sender = asyncio.create_task(self._send(done, seed, load_factor))
+        sender = asyncio.create_task(self._send_segments(done, seed, load_factor))
         try:
             await asyncio.sleep(2 * LOAD_STARTUP_S)
             await action()
@@ -153,9 +153,9 @@
             seeds = await sender
         await asyncio.sleep(SETTLE_S)
         await self.cluster.collect_link_bytes()
-        return self._result(seeds, load_factor)
+        return self._make_result(seeds, load_factor)
 
-    async def _send(self, done, seed, load_factor):
+    async def _send_segments(self, done, seed, load_factor):
         """Sends consecutive load segments until ``done`` is set; returns their seeds."""
         segments = []
         start_s = time.monotonic() + LOAD_STARTUP_S
@@ -173,7 +173,7 @@
         return range(seed, seed + len(segments))
 
     async def _start_segment(self, seed, load_factor, start_s):
-        plan = self._plan(seed, load_factor, start_s)
+        plan = self._make_plan(seed, load_factor, start_s)
         directory = self.cluster.directory
         path = directory / "settings" / f"load-{seed}.json"
         path.write_text(json.dumps(plan.dump()), encoding="utf-8")
@@ -184,7 +184,7 @@
         await child.start()
         return child
 
-    def _plan(self, seed, load_factor, start_s):
+    def _make_plan(self, seed, load_factor, start_s):
         return load.plan_for(
             self.cluster.site,
             load=load_factor,
@@ -195,9 +195,9 @@
             start_s=start_s,
         )
 
-    def _result(self, seeds, load_factor):
+    def _make_result(self, seeds, load_factor):
         records = list(history.read(check.history_files([self.cluster.records])))
-        services = self._plan(seeds[0], load_factor, 0.0).services
+        services = self._make_plan(seeds[0], load_factor, 0.0).services
         violations = [str(each) for each in check.check(records)]
         new_violations = [each for each in violations if each not in self._known_violations]
         self._known_violations.update(violations)
--- a/packages/standins/tests/test_check.py
+++ b/packages/standins/tests/test_check.py
@@ -149,7 +149,7 @@
         self.assertEqual([each.rule for each in check.check([*CLEAN, *records])], ["whole-and-own"])
 
     def test_late_run_after_not_run_is_found(self):
-        """Guards against missing a run that starts after its caller was told "not run"."""
+        """Guards against missing a run that starts after its caller received "not run"."""
         records = exchange("x", at_s=20.0, server="crew-2", outcome=history.NOT_RUN)
         found = check.check([*CLEAN, *changed(records, history.Run, at_s=25.0, ended_s=25.1)])
         self.assertEqual([each.rule for each in found], ["not-run-is-true"])
@@ -231,8 +231,7 @@
     records = [history.PolicyInForce(at_s=0.0, document=POLICY)]
     at_s = 10.0
     for number in range(draw(st.integers(0, 20))):
-        # Gaps of at least 0.26 s keep the starts within the region cap of four per second; a run
-        # is much shorter than the gap.
+        # At most four starts per second keep the region cap; runs last a tenth of the gap.
         at_s += draw(st.floats(0.26, 3.0))
         outcome = draw(st.sampled_from([history.RAN, history.NOT_RUN, history.UNKNOWN]))
         starts = {history.RAN: 1, history.NOT_RUN: 0, history.UNKNOWN: draw(st.integers(0, 1))}
--- a/packages/standins/tests/test_real_processes.py
+++ b/packages/standins/tests/test_real_processes.py
@@ -35,10 +35,10 @@
         self.cluster = self.real.cluster
         self.fault_context = faults.FaultContext(cluster=self.cluster, length_s=0.0)
 
-    def send_during(self, act, *, seed, load_factor=0.3):
-        """Sends load while ``act`` runs; checks that no rule is violated and that requests ran."""
+    def send_during(self, action, *, seed, load_factor=0.3):
+        """Sends load while ``action`` runs; checks that requests ran and no rule is violated."""
         result, violations = self.runner.run(
-            self.real.scenario(act, seed=seed, load_factor=load_factor)
+            self.real.scenario(action, seed=seed, load_factor=load_factor)
         )
         self.summary = result.summary()
         self.assertEqual(violations, [], self.summary)
@@ -75,15 +75,15 @@
         self.assertGreater(refused_or_rerouted, 0, self.summary)
 
     def test_kill_of_a_pool_owner(self):
-        """Guards against requests run twice, reported wrongly as not run, or lost after a kill.
+        """Guards against requests run twice, wrongly reported "not run", or lost after kill -9.
 
-        An outcome may be unknown only if the killed instance was involved: the caller sent the
+        An outcome may be unknown only if the killed pool owner was involved: the caller sent the
         request to it, it had issued the ticket, or the request was in flight during the kill and
         the instance owned a pool of its service.
         """
         kill = {}
 
-        async def act():
+        async def action():
             victim = kill["name"] = await self.fault_context.pool_owner()
             kill["pools"] = {
                 key.split("/")[0] for key in (await self.cluster.dump(victim))["pools"]
@@ -95,7 +95,7 @@
             await self.cluster.start_entry(victim)
             await self.cluster.wait_ready([victim])
 
-        result = self.send_during(act, seed=1000)
+        result = self.send_during(action, seed=1000)
         victim = kill["name"]
         url = f"http://{self.cluster.site.instances[victim].caller}"
 
@@ -123,7 +123,7 @@
         low_cap_policy["regions"][REGION]["cap_rps"] = LOW_CAP_RPS
         pause = {}
 
-        async def act():
+        async def action():
             victim = await self.fault_context.pool_owner()
             pause["from_s"] = time.monotonic()
             self.cluster.pause_entry(victim)
@@ -134,7 +134,7 @@
 
         self.runner.run(self.real.apply(low_cap_policy))
         try:
-            result = self.send_during(act, seed=2000)
+            result = self.send_during(action, seed=2000)
         finally:
             self.runner.run(self.real.apply(original_policy))
         self.assert_cap_reached(result, REGION, LOW_CAP_RPS)
@@ -150,7 +150,7 @@
         changed["regions"][REGION]["cap_rps"] += 1
         outage = {}
 
-        async def act():
+        async def action():
             await self.cluster.set_store_faults(down="refuse", instances_down=True)
             outage["from_s"] = time.monotonic()
             try:
@@ -162,7 +162,7 @@
             await self.cluster.set_store_faults(down="", instances_down=False)
             await self.real.apply(changed)
 
-        result = self.send_during(act, seed=3000)
+        result = self.send_during(action, seed=3000)
         self.assertRegex(outage.get("error", "accepted"), r"code 4\n(.|\n)*(store|table)")
         for region in self.fault_context.regions:
             ran = [
@@ -185,22 +185,22 @@
         for name, pid in old.items():
             self.assertNotEqual(self.cluster.process(name).pid, pid)
         self.assert_unknown_outcomes_explained(result, lambda request, attempts: False)
-        cut = [each for each in result.runs if each.outcome in ("cancelled", "crashed")]
-        self.assertEqual(cut, [], self.summary)
+        aborted = [each for each in result.runs if each.outcome in ("cancelled", "crashed")]
+        self.assertEqual(aborted, [], self.summary)
         self.assertEqual(set(result.refusals()) - {NO_SLOT}, set(), self.summary)
 
     def test_silent_connections(self):
         """Guards against continued use of connections to backend servers that no longer respond."""
         silence = {}
 
-        async def act():
+        async def action():
             silence["before"] = await self.cluster.backend_stats()
             await self.cluster.set_backends(silent=True)
             silence["at_s"] = time.monotonic()
             await asyncio.sleep(SILENT_S)
             silence["after"] = await self.cluster.backend_stats()
 
-        result = self.send_during(act, seed=5000)
+        result = self.send_during(action, seed=5000)
         for name, before in silence["before"].items():
             self.assertGreater(silence["after"][name]["accepted"], before["accepted"], name)
         ran_on = {each.server for each in result.runs if each.at_s > silence["at_s"]}
--- a/packages/standins/tests/test_standin_backend.py
+++ b/packages/standins/tests/test_standin_backend.py
@@ -57,7 +57,7 @@
         return [json.loads(line) for line in self.stream.getvalue().splitlines()]
 
     async def test_answer_belongs_to_request(self):
-        """Guards against answers that a caller cannot match to its request by digest and id."""
+        """Guards against responses that a caller cannot match to its request by digest and ID."""
         await self.start()
         status, headers, body = await self.post(b"hello", path="/x?size=500", request_id="r")
         answer = json.loads(body)
@@ -132,7 +132,7 @@
         self.assertGreaterEqual(self.server.stats["refused_connections"], 1)
 
     async def test_leaving_and_false_load_are_reported(self):
-        """Guards against answers without the state and load set through the control endpoint."""
+        """Guards against responses without the state and load set through the control endpoint."""
         await self.start()
         self.server.change({"leaving": True, "load_report": 7})
         _, headers, _ = await self.post()
--- a/packages/standins/tests/test_standin_store.py
+++ b/packages/standins/tests/test_standin_store.py
@@ -63,7 +63,7 @@
         self.assertEqual(scan["rows"], rows[1:])
 
     async def test_answer_lost_after_write(self):
-        """Guards against the fault of a lost answer dropping the write as well."""
+        """Guards against a fault that drops the write together with its response."""
         await self.control(lose_answers=1)
         with self.assertRaises(aiohttp.ClientError):
             await self.put("k", b"v")
