--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -1,7 +1,8 @@
-"""Simulated region for ownership tests: processes, links, a table and a platform list.
+"""Simulated region for ownership tests: processes, links, a table and the platform's list.
 
-Every process has a clock of its own with another offset, so that comparing times of two processes
-shows up as a fault. Messages are processed in steps of a tenth of a second.
+The clock of every process has a different offset, so that code which compares the times of two
+processes fails. Simulated time advances in steps of ``STEP_S``; messages are processed within a
+step.
 """
 
 import collections
@@ -23,7 +24,9 @@
 SLOTS = 7
 CAP = "region/bkk"
 CAP_LIMIT = 3.0
+# Maximum number of times that a process runs in one step, to process the messages of the others.
 ROUNDS = 10
+# Interval at which a coordinator fetches the platform's list, in steps.
 LIST_FETCH_STEPS = 10
 POOLS = tuple(model.PoolKey(service=name, region="bkk") for name in ("a", "b", "c", "d"))
 
@@ -43,7 +46,7 @@
 
 
 class Table:
-    """One row with versions; ``delayed`` writes take effect when they are released."""
+    """A table with one versioned row; writes in ``delayed`` take effect on ``release``."""
 
     def __init__(self):
         self.value = None
@@ -69,7 +72,14 @@
 
 
 class Process:
-    """One run of an instance; executes the commands of its decision modules."""
+    """One run of an instance; executes the commands of its decision modules.
+
+    Attributes:
+        paused: Whether the process neither runs nor reads its messages.
+        table_mode: What its table calls do: ``"ok"``; ``"down"``, they have no effect; ``"lost"``,
+            writes take effect but their results are lost; ``"delayed"``, writes take effect when
+            the table releases them. Reads work in mode ``"ok"`` only.
+    """
 
     def __init__(self, world, name, incarnation):
         self.world = world
@@ -96,10 +106,14 @@
         demand = {CAP: float(len(self.grants.pools))}
         for command in self.member.tick(reports=dict, cap_demand=lambda: demand):
             self._execute(command, self.member)
-        won = self.member.won
+        won = self.member.won_election
         if won is not None and (self.coordinator is None or self.coordinator.epoch < won.row.epoch):
             self.coordinator = self.world.coordinator_state(
-                me=self.me, clock=self.clock, invariants=self.checks, members=self.members, won=won
+                me=self.me,
+                clock=self.clock,
+                invariants=self.checks,
+                members=self.members,
+                won_election=won,
             )
             self.coordinator.set_pools(POOLS)
             self.coordinator.set_caps({CAP: CAP_LIMIT})
@@ -110,7 +124,7 @@
     def fetch_list(self):
         self.steps += 1
         if self.coordinator is not None and self.steps % LIST_FETCH_STEPS == 0:
-            self.members.fetched(self.world.listed(), started_s=self.clock.monotonic())
+            self.members.record_list(self.world.listed(), started_s=self.clock.monotonic())
 
     def _execute(self, command, owner):
         now = self.clock.monotonic()
@@ -151,12 +165,12 @@
             owner.on_write_ok(*arguments, result)
 
     def _on_heartbeat(self, source, heartbeat, sent_s):
-        known = self.grants.coordinator
+        followed = self.grants.coordinator
         if self.coordinator is not None:
             reply = self.coordinator.on_heartbeat(heartbeat)
-        elif known is not None:
+        elif followed is not None:
             reply = region.HeartbeatReply(
-                epoch=self.grants.epoch, coordinator=known, accepted=False, seq=0, stamp_s=0.0
+                epoch=self.grants.epoch, coordinator=followed, accepted=False, seq=0, stamp_s=0.0
             )
         else:
             return
@@ -179,14 +193,21 @@
         self.world.send(self, source.me, "identified", target, self.me.incarnation)
 
     def _on_identified(self, _, target, incarnation):
-        self.members.identified(target.id, incarnation=incarnation)
+        self.members.record_identity(target.id, incarnation=incarnation)
 
     def _on_refused(self, _, target):
-        self.members.refused(target.id, started_s=self.clock.monotonic())
+        self.members.record_refusal(target.id, started_s=self.clock.monotonic())
 
 
 class World:
-    """All processes of a region and the systems around them."""
+    """All processes of a region and the systems around them.
+
+    Attributes:
+        live: Running process by name, paused ones included.
+        links: Mode of each direction between two names: ``"cut"`` drops messages, ``"hold"`` keeps
+            them until ``release_held``; a missing entry means ``"ok"``.
+        list_lag_steps: By how many steps the platform's list lags behind.
+    """
 
     member_table = membership.MemberTable
     coordinator_state = coordinator.CoordinatorState
@@ -196,7 +217,7 @@
         self.table = Table()
         self.processes_started = 0
         self.live = {}
-        self.dead = []
+        self.killed = []
         self.links = {}
         self.held = []
         self.list_lag_steps = 0
@@ -210,9 +231,10 @@
         self.live[name] = Process(self, name, str(self.processes_started))
 
     def kill(self, name):
-        self.dead.append(self.live.pop(name))
+        self.killed.append(self.live.pop(name))
 
     def listed(self):
+        """Returns the names in the platform's list, which lags but never goes back."""
         newest = len(self._snapshots) - 1
         self._list_index = max(self._list_index, newest - self.list_lag_steps)
         return self._snapshots[self._list_index]
@@ -232,8 +254,8 @@
     def _deliver(self, source, target, kind, content):
         process = self.live.get(target.name)
         if process is not None:
-            answer = kind in ("reply", "followed", "identified", "refused")
-            if not answer or process.me.id == target.id:
+            is_reply = kind in ("reply", "followed", "identified", "refused")
+            if not is_reply or process.me.id == target.id:
                 process.inbox.append((source, kind, *content))
         elif kind in ("heartbeat", "follow", "identify") and self._is_open(target, source):
             source.inbox.append((source, "refused", target))
@@ -256,9 +278,15 @@
                         self.check()
 
     def shares(self, pool):
+        """Returns the share of a pool that each process may use now, by name."""
         return {name: process.grants.share(pool) for name, process in self.live.items()}
 
     def check(self):
+        """Checks that the processes together cannot use more slots, or more of the cap, than exist.
+
+        Raises:
+            AssertionError: The shares add up to more than the slots of a server or the cap.
+        """
         for pool in POOLS:
             shares = self.shares(pool)
             used = sum(part.slots(SLOTS) for part in shares.values())
@@ -269,6 +297,7 @@
             raise AssertionError(f"shares of a cap of {CAP_LIMIT} add up to more: {amounts}")
 
     def full_owners(self):
+        """Returns the name of the process with the full share of each pool that has one."""
         return {
             pool: name
             for pool in POOLS
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -27,7 +27,7 @@
         self.assertLessEqual(max(totals) - min(totals), 1)
 
     def test_strategies_differ_in_forwarding_and_retries(self):
-        """Guards against a strategy that is measured with the behaviour of another one."""
+        """Guards against a comparison in which one strategy has the traits of another."""
         servers = [pool_driver.server("a"), pool_driver.server("b")]
         traits = {}
         for name, each in placement.PLACEMENTS.items():
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -1,4 +1,4 @@
-"""Where requests go: home regions, shifts and the order in which pools are tried."""
+"""Routing of requests: home regions, shifts and the order in which pools are tried."""
 
 import dataclasses
 import random
@@ -13,10 +13,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
-    """Pools to try for a request, home pool first.
+    """Route of a request.
 
     Attributes:
-        shift: Name of the shift that moved the request, or empty.
+        pools: Pools to try, in order.
+        home_region: Home region of the client.
+        shift: Name of the shift that moves the request to another region, or empty.
     """
 
     pools: tuple[model.PoolKey, ...]
@@ -25,10 +27,10 @@
 
 
 class Steering:
-    """Answers steering questions from the current policy.
+    """Chooses the pools for requests by the current policy.
 
     Args:
-        region: Region of this instance; home of requests without a client block.
+        region: Region of this instance, the home region of clients that are in no client block.
         clock: Time source.
         rng: Random source.
     """
@@ -39,7 +41,7 @@
         self._blocks = lookup.BlockTable(blocks=())
         self._shifts = shift.ShiftController(clock=clock, rng=rng)
         self._pools: dict[str, dict[str, list[model.PoolKey]]] = {}
-        self._distances: dict[str, list[str]] = {}
+        self._nearest_regions: dict[str, list[str]] = {}
 
     @property
     def policy(self) -> model.Policy | None:
@@ -54,10 +56,12 @@
         self._pools = {}
         for key in sorted(policy.pools()):
             self._pools.setdefault(key.service, {}).setdefault(key.region, []).append(key)
-        self._distances = {region: policy.regions_by_distance(region) for region in policy.regions}
+        self._nearest_regions = {
+            region: policy.regions_by_distance(region) for region in policy.regions
+        }
 
     def region_of(self, client: str) -> str | None:
-        """Returns the home region of a client address, or None for an unknown block."""
+        """Returns the home region of a client address, or None when it is in no client block."""
         return self._blocks.region_of(client) if client else None
 
     def route(self, *, service: str, client: str, spread: str) -> Route:
@@ -66,14 +70,15 @@
         Args:
             service: Name of the service.
             client: Address of the client, or empty.
-            spread: Text that spreads requests over shards and over a shift's fraction.
+            spread: Hashed with the client address to choose the shard, and whether a shift that
+                moves a fraction of the requests applies.
         """
         home = self.region_of(client) or self._region
         weight = xxhash.xxh32_intdigest(f"{client}|{spread}".encode()) / _HASH_RANGE
-        decision = self._shifts.home_pool(service, home, weight)
+        decision = self._shifts.home_region(service, home, weight)
         by_region = self._pools.get(service, {})
         order = [decision.region]
-        order += [each for each in self._distances.get(home, ()) if each != decision.region]
+        order += [each for each in self._nearest_regions.get(home, ()) if each != decision.region]
         pools = []
         for region in order:
             shards = by_region.get(region, ())
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -1,4 +1,4 @@
-"""Tells callers which instances to use."""
+"""Answers lookups, by which callers find the instances to use."""
 
 import urllib.parse
 
@@ -6,21 +6,21 @@
 
 from sassafrasway_gateway import fleet, http_server, messages
 
-MOST_ADDRESSES = 64
-# With fewer instances than this in the caller's failure domain, those of the region are named too.
-FEWEST_LOCAL = 2
+MAX_ADDRESSES = 64
+# With fewer instances in the caller's failure domain, all those of its region are returned.
+MIN_LOCAL_INSTANCES = 2
 LOOKUP_TTL_S = 1.5
 
 
 class LookupFormat:
-    """Spelling of look-ups and of their answers.
+    """Format of lookup requests and responses.
 
     Attributes:
-        path: Path of a look-up.
-        region: Query parameter with the caller's region.
-        failure_domain: Query parameter with the caller's failure domain.
-        addresses: Field with the addresses.
-        ttl: Field with the time for which the answer may be kept.
+        path: URL path of lookups.
+        region: Name of the query parameter with the caller's region.
+        failure_domain: Name of the query parameter with the caller's failure domain.
+        addresses: Name of the response field with the addresses.
+        ttl: Name of the response field with the time for which the response may be cached.
     """
 
     path = "/v1/instances"
@@ -30,50 +30,50 @@
     ttl = "ttl"
 
     def encode(self, addresses: list[str], ttl_s: float) -> bytes:
-        """Returns the body of an answer."""
+        """Returns the body of a response."""
         return msgspec.json.encode({self.addresses: addresses, self.ttl: f"{ttl_s}s"})
 
 
 def choose_instances(
     members: list[fleet.Member], *, region: str, failure_domain: str
 ) -> list[fleet.Member]:
-    """Returns the instances nearest to a caller, at most ``MOST_ADDRESSES``."""
+    """Returns the instances nearest to a caller, at most ``MAX_ADDRESSES``."""
     same_domain = [member for member in members if member.failure_domain == failure_domain]
-    if len(same_domain) >= FEWEST_LOCAL:
-        return same_domain[:MOST_ADDRESSES]
+    if len(same_domain) >= MIN_LOCAL_INSTANCES:
+        return same_domain[:MAX_ADDRESSES]
     same_region = [member for member in members if member.region == region]
-    return (same_region or members)[:MOST_ADDRESSES]
+    return (same_region or members)[:MAX_ADDRESSES]
 
 
 class LookupHandler(http_server.Handler):
-    """Answers look-ups from the view of the fleet.
+    """Answers lookups from the fleet view.
 
     Args:
         view: Fleet as seen by this instance.
-        spelling: Names used in look-ups.
-        ttl_s: Longest time for which an answer may be kept.
+        lookup_format: Format of lookup requests and responses.
+        ttl_s: Longest time for which a response may be cached, s.
     """
 
-    def __init__(self, *, view: fleet.FleetView, spelling: LookupFormat, ttl_s: float):
+    def __init__(self, *, view: fleet.FleetView, lookup_format: LookupFormat, ttl_s: float):
         self._view = view
-        self._spelling = spelling
+        self._format = lookup_format
         self._ttl_s = min(LOOKUP_TTL_S, ttl_s)
 
     async def handle(self, request: messages.Request) -> messages.Response:
         """See base class."""
         path, _, query = request.target.decode("latin-1").partition("?")
-        if path != self._spelling.path:
+        if path != self._format.path:
             return http_server.text_response(404, "unknown path")
         if request.method != b"GET":
             return http_server.text_response(405, "look-ups use GET")
         values = dict(urllib.parse.parse_qsl(query))
         members = choose_instances(
             self._view.ready_members(),
-            region=values.get(self._spelling.region, ""),
-            failure_domain=values.get(self._spelling.failure_domain, ""),
+            region=values.get(self._format.region, ""),
+            failure_domain=values.get(self._format.failure_domain, ""),
         )
         if not members:
             return http_server.text_response(503, "no instance is ready", retry_after_s=0.5)
-        body = self._spelling.encode([member.front for member in members], self._ttl_s)
+        body = self._format.encode([member.front for member in members], self._ttl_s)
         headers = [(b"Content-Type", b"application/json")]
         return messages.Response(status=200, headers=headers, body=body)
--- a/packages/gateway/tests/test_logs.py
+++ b/packages/gateway/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Tests of the log writer."""
+"""Tests of the log writer and the metrics."""
 
 import json
 import os
@@ -10,7 +10,7 @@
 
 
 class BoundedWriterTest(unittest.TestCase):
-    """Guards against a process that blocks on its log."""
+    """Guards against a process that blocks while writing logs."""
 
     def setUp(self):
         self.reader, self.descriptor = os.pipe()
@@ -21,16 +21,16 @@
         self.writer = logs.BoundedWriter(descriptor=self.descriptor, metrics=self.metrics)
 
     def test_reader_that_stops_does_not_block(self):
-        for _ in range(logs.MOST_LINES_PER_S - 1):
+        for _ in range(logs.MAX_LINES_PER_S - 1):
             self.writer.write_line(b"x" * 4000)
         self.assertGreater(self.writer.dropped, 0)
-        self.assertLess(len(self.writer._pending), logs.MOST_BUFFERED_BYTES + 8000)
+        self.assertLess(len(self.writer._pending), logs.MAX_BUFFERED_BYTES + 8000)
 
     def test_lines_beyond_the_rate_are_counted(self):
-        for _ in range(3 * logs.MOST_LINES_PER_S):
+        for _ in range(3 * logs.MAX_LINES_PER_S):
             self.writer.write_line(b"x")
         self.assertIn("sassafrasway_log_lines_dropped_total", self.metrics.render())
-        self.assertGreater(self.writer.dropped, logs.MOST_LINES_PER_S)
+        self.assertGreater(self.writer.dropped, logs.MAX_LINES_PER_S)
 
     def test_events_are_json_lines_with_their_context(self):
         logs.configure(self.writer, instance="i")
@@ -43,10 +43,10 @@
 
 
 class MetricsTest(unittest.TestCase):
-    """Guards against an exposition that a scraper cannot read."""
+    """Guards against metrics output that a scraper cannot read."""
 
     def test_histogram_is_cumulative(self):
-        histogram = metrics.Histogram(name="h", text="t", labels=("route",))
+        histogram = metrics.Histogram(name="h", help_text="t", labels=("route",))
         for seconds in (0.005, 0.15, 100.0):
             histogram.observe(seconds, "r")
         text = "\n".join(histogram.render())
--- a/packages/gateway/tests/test_retry_budgets.py
+++ b/packages/gateway/tests/test_retry_budgets.py
@@ -1,4 +1,4 @@
-"""Tests of the division of the fleet's retries."""
+"""Tests of dividing the retries of the fleet among its instances."""
 
 import bisect
 import random
@@ -15,7 +15,7 @@
 
 
 class RetryBudgetsTest(unittest.TestCase):
-    """Guards against a fleet whose instances together repeat more than the bound."""
+    """Guards against instances that together retry more often than the bound allows."""
 
     def most_in_a_window(self, instances, requests_per_s):
         clock = clock_lib.ManualClock()
@@ -26,7 +26,7 @@
                 clock=clock, own=test_fleet.make_member(f"i{index}"), rng=random.Random(1)
             )
             for other in range(instances):
-                view.heard(test_fleet.make_member(f"i{other}"))
+                view.on_message(test_fleet.make_member(f"i{other}"))
             budgets.append(retry_budgets.RetryBudgets(clock=clock, view=view, bounds=bounds))
         used = []
         step_s = 0.1
--- a/packages/standins/tests/fake_entry.py
+++ b/packages/standins/tests/fake_entry.py
@@ -1,4 +1,4 @@
-"""In-process entry instance for tests of the callers; answers follow a script."""
+"""Fake entry instance for tests of the callers; it returns scripted responses."""
 
 import hashlib
 import json
@@ -9,7 +9,17 @@
 
 
 class FakeEntry:
-    """Answers lookups with ``instances``; each request takes the next scripted answer."""
+    """HTTP server that takes the place of an entry instance.
+
+    Attributes:
+        script: Responses to the next requests, in order: ``ran``, ``unavailable``, ``refused``,
+            ``unknown``, ``break`` (the connection is aborted), ``foreign`` (the response has the
+            path of another request) or ``short`` (the response is too small). Once the script is
+            used up, requests are answered with ``ran``.
+        instances: Instances that lookups return.
+        keys: Idempotency keys of the requests received.
+        lookups: Number of lookups received.
+    """
 
     def __init__(self, name, *, script=()):
         self.name = name
@@ -39,31 +49,33 @@
 
     async def _lookup(self, request):
         self.lookups += 1
-        answer = {
+        content = {
             "service": request.query["service"],
             "region": "bkk",
             "instances": [{"name": each.name, "url": each.url} for each in self.instances],
             "ttl_s": 5,
         }
         if request.query["service"] == "crew-desk":
-            answer["ticket"] = f"t1.{self.name}.i1.0.{self.lookups}"
-        return web.json_response(answer)
+            content["ticket"] = f"t1.{self.name}.i1.0.{self.lookups}"
+        return web.json_response(content)
 
     async def _request(self, request):
         self.keys.append(request.headers.get("Idempotency-Key", ""))
         body = await request.read()
-        step = self.script.pop(0) if self.script else "ran"
-        if step == "break":
+        scripted_response = self.script.pop(0) if self.script else "ran"
+        if scripted_response == "break":
             request.transport.abort()
             return web.Response()
-        if step == "unavailable":
+        if scripted_response == "unavailable":
             return web.Response(status=503, headers={"Sassafras-Outcome": "not-run"})
-        if step == "refused":
+        if scripted_response == "refused":
             return web.Response(status=429, headers={"Sassafras-Outcome": "not-run"})
-        if step == "unknown":
+        if scripted_response == "unknown":
             return web.Response(status=502, headers={"Sassafras-Outcome": "unknown"})
-        path = "/r/another" if step == "foreign" else request.path.partition("-desk")[2]
+        path = (
+            "/r/another" if scripted_response == "foreign" else request.path.partition("-desk")[2]
+        )
         content = {"digest": hashlib.sha256(body).hexdigest(), "path": path, "padding": ""}
-        size = int(request.query["size"]) - (10 if step == "short" else 0)
+        size = int(request.query["size"]) - (10 if scripted_response == "short" else 0)
         content["padding"] = "x" * (size - len(json.dumps(content)))
         return web.json_response(content, headers={"Sassafras-Outcome": "ran"})
