Unify module aliases and clarify docstrings

Seven files of core imported clock as "clocks" and four imported invariants as "checks"; they now use clock_lib and invariants_lib. Instance.state also lists "silent". The comment on RpcError.code no longer lists not_owner, which is a reason in forwarding and never sent as an error code. Ten module docstrings were hard to understand without reading the code.

Not run: entry, gateway and standins, where only module docstrings changed.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,11 +1,14 @@
-"""Authority of a coordinator: its table lease and the promises of recorded members."""
+"""Authority of a coordinator to grant pools: its table lease and the promises of members.
+
+With a promise, a member undertakes not to become coordinator for a fixed time.
+"""
 
 import dataclasses
 import math
 from collections.abc import Mapping
 
-from sassafrasway_core import clock as clocks
-from sassafrasway_core import invariants as checks
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import invariants as invariants_lib
 from sassafrasway_core import membership, model, region
 
 # New members get no grants until they are recorded, so a changed row is written before the next
@@ -57,8 +60,8 @@
         self,
         *,
         me: region.Instance,
-        clock: clocks.Clock,
-        invariants: checks.Invariants,
+        clock: clock_lib.Clock,
+        invariants: invariants_lib.Invariants,
         members: membership.MemberTable,
         won_election: WonElection,
     ):
@@ -188,7 +191,7 @@
         if row is None or self._pending_write is not None or started_s < self._last_write_s:
             return
         self._invariants.check(
-            checks.Rule.EPOCH_NEVER_DECREASES,
+            invariants_lib.Rule.EPOCH_NEVER_DECREASES,
             row.epoch >= self._epoch,
             f"row has epoch {row.epoch} after {self._epoch}",
         )
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable, Mapping
 
 from sassafrasway_core import caps, model
-from sassafrasway_core import clock as clocks
-from sassafrasway_core import invariants as checks
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import invariants as invariants_lib
 
 # Range of share sequences per epoch, so that shares of a higher epoch have higher sequences.
 _SEQUENCES_PER_EPOCH = 2**32
@@ -61,7 +61,7 @@
 class HeldCaps:
     """A member's shares of all caps."""
 
-    def __init__(self, *, clock: clocks.Clock):
+    def __init__(self, *, clock: clock_lib.Clock):
         self._clock = clock
         self._held: dict[str, caps.HeldShare] = {}
 
@@ -114,8 +114,8 @@
     def __init__(
         self,
         *,
-        clock: clocks.Clock,
-        invariants: checks.Invariants,
+        clock: clock_lib.Clock,
+        invariants: invariants_lib.Invariants,
         epoch: int,
         holders: Iterable[model.InstanceId] | None,
         holders_complete: bool,
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -1,4 +1,4 @@
-"""Upper bound of what the holders of one cap may use or have used in the last second."""
+"""Upper bound of the use of one cap in the last second, from the shares granted to its holders."""
 
 import dataclasses
 import heapq
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -21,8 +21,8 @@
     region,
     share,
 )
-from sassafrasway_core import clock as clocks
-from sassafrasway_core import invariants as checks
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import invariants as invariants_lib
 
 FOLLOW_RETRY_S = 0.5
 # An instance that has sent no message for this long is probed.
@@ -51,8 +51,8 @@
         self,
         *,
         me: region.Instance,
-        clock: clocks.Clock,
-        invariants: checks.Invariants,
+        clock: clock_lib.Clock,
+        invariants: invariants_lib.Invariants,
         members: membership.MemberTable,
         won_election: authority.WonElection,
     ):
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -1,10 +1,13 @@
-"""Holders of the two parts of each pool of a region, as tracked by its coordinator."""
+"""Holders of the two parts of each pool of a region, as tracked by its coordinator.
+
+The parts are described in ``coordinator``.
+"""
 
 import dataclasses
 import math
 from collections.abc import Iterable, Mapping
 
-from sassafrasway_core import clock as clocks
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import membership, model, region, share
 
 
@@ -71,7 +74,7 @@
     def __init__(
         self,
         *,
-        clock: clocks.Clock,
+        clock: clock_lib.Clock,
         members: membership.MemberTable,
         unanswered: Iterable[model.InstanceId],
         earlier_grants_until_s: float,
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 
 from sassafrasway_core import authority, membership, model, ownership, region
-from sassafrasway_core import clock as clocks
+from sassafrasway_core import clock as clock_lib
 
 # Time without an applied reply after which a member has lost contact with its coordinator.
 CONTACT_LOST_S = 1.0
@@ -45,7 +45,7 @@
         self,
         *,
         me: region.Instance,
-        clock: clocks.Clock,
+        clock: clock_lib.Clock,
         members: membership.MemberTable,
         grants: ownership.GrantState,
     ):
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -4,7 +4,7 @@
 import enum
 from collections.abc import Iterable
 
-from sassafrasway_core import clock as clocks
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import model, region
 
 # The platform's list may name the previous run of an instance for this long after a restart.
@@ -51,7 +51,7 @@
         silent_after_s: An instance that sent no message for this long is silent.
     """
 
-    def __init__(self, *, clock: clocks.Clock, silent_after_s: float = region.GRANT_S):
+    def __init__(self, *, clock: clock_lib.Clock, silent_after_s: float = region.GRANT_S):
         self._clock = clock
         self._silent_after_s = silent_after_s
         self._entries: dict[model.InstanceId, _Entry] = {}
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -4,8 +4,8 @@
 from collections.abc import Mapping
 
 from sassafrasway_core import cap_grants, model, region, share
-from sassafrasway_core import clock as clocks
-from sassafrasway_core import invariants as checks
+from sassafrasway_core import clock as clock_lib
+from sassafrasway_core import invariants as invariants_lib
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -33,7 +33,7 @@
         invariants: Checks that the epoch never decreases.
     """
 
-    def __init__(self, *, clock: clocks.Clock, invariants: checks.Invariants):
+    def __init__(self, *, clock: clock_lib.Clock, invariants: invariants_lib.Invariants):
         self._clock = clock
         self._invariants = invariants
         self._epoch = 0
@@ -135,7 +135,7 @@
 
     def _set_epoch(self, epoch: int) -> None:
         self._invariants.check(
-            checks.Rule.EPOCH_NEVER_DECREASES,
+            invariants_lib.Rule.EPOCH_NEVER_DECREASES,
             epoch >= self._epoch,
             f"epoch {epoch} after {self._epoch}",
         )
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -1,4 +1,4 @@
-"""Messages, commands and the table row through which a region agrees on pool ownership."""
+"""Messages, commands and table row with which a region's instances agree on pool ownership."""
 
 import dataclasses
 import json
@@ -31,7 +31,7 @@
         incarnation: Distinguishes the runs of one instance name.
         rpc_address: ``host:port`` of the RPC server.
         caller_url: Base URL that callers use.
-        state: ``"live"`` or ``"leaving"``.
+        state: ``"live"``, ``"leaving"`` or, in directories only, ``"silent"``.
     """
 
     name: str
--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -1,4 +1,4 @@
-"""Writes the remaining outcomes of an instance that stops."""
+"""Writes the outcomes of requests that are not stored yet when an instance stops."""
 
 import asyncio
 
--- a/packages/entry/src/sassafrasway_entry/recorder.py
+++ b/packages/entry/src/sassafrasway_entry/recorder.py
@@ -1,4 +1,4 @@
-"""Optional log of the events of an instance, for checks of its history."""
+"""Optional event log of an instance, by which its behaviour is checked after a run."""
 
 import json
 import pathlib
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -1,4 +1,4 @@
-"""Retry budgets of the services: the share of this instance in the bound of the fleet."""
+"""Retry budgets by service: this instance's share of the retries that the fleet may make."""
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import retry
--- a/packages/rpc/src/sassafrasway_rpc/common.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/common.thrift
@@ -20,7 +20,7 @@
 // An error that the called side reports. An unexpected failure of a handler arrives as
 // TApplicationException instead.
 exception RpcError {
-  1: string code             // validation, conflict, not_found, unavailable, not_owner, internal
+  1: string code             // validation, conflict, not_found, unavailable, internal
   2: string message
   3: string step             // operation that failed, such as config.apply
   4: string peer             // other side of that operation; empty when there is none
--- a/packages/standins/src/sassafrasway_standins/backend_connections.py
+++ b/packages/standins/src/sassafrasway_standins/backend_connections.py
@@ -1,4 +1,4 @@
-"""HTTP connections of a backend server: refused, new and silent connections."""
+"""HTTP connections of a simulated backend server: aborts, tracks and silences them."""
 
 import asyncio
 from collections.abc import Callable
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -1,5 +1,7 @@
 """Checks the recorded history of a run against the guarantees P1 to P8.
 
+The docstrings of the rules state the guarantees.
+
 The rules use nothing but the records of callers, servers, links and instances, and not the routing
 decisions of the entry instances. The policies that were in force are records as well.
 """
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -1,4 +1,4 @@
-"""State of a caller's request across its attempts, and the data that callers work with."""
+"""State of a simulated caller's request across its attempts, and related data types."""
 
 import dataclasses
 import hashlib
