Rename vague identifiers of server selection and forwarding

Several names did not state what they hold: WorkEstimate holds service times, Job.tried leaves out servers that were tried but may be selected again, RetryBudgets.of and Job.sent needed their docstring.

Renames WorkEstimate to ServiceTimeEstimate (parameters work to service_times), tried to excluded_servers, sent to sent_attempts, ServerState.reported_load to reported_load_per_slot, the parameter cold of Forwarder to cold_limit, forget_connections to close_idle_connections, RetryBudgets.of to budget_of, NO_POLICY_RETRY_S to NO_POLICY_RETRY_AFTER_S, and local variables.

Behaviour is unchanged.

--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -52,10 +52,12 @@
         self._local_share: dict[str, float] = {}
         self._spare_share: dict[str, float] = {}
         for region, region_slots in slots.items():
-            demand = domain_regions.count(region) / max(1, len(domain_regions)) * total_slots
-            self._local_share[region] = min(1.0, region_slots / demand) if demand else 1.0
-            spare = max(0.0, region_slots - demand)
-            self._spare_share[region] = spare / region_slots if region_slots else 0.0
+            needed_slots = domain_regions.count(region) / max(1, len(domain_regions)) * total_slots
+            self._local_share[region] = (
+                min(1.0, region_slots / needed_slots) if needed_slots else 1.0
+            )
+            spare_slots = max(0.0, region_slots - needed_slots)
+            self._spare_share[region] = spare_slots / region_slots if region_slots else 0.0
 
     def local_share(self, region: str) -> float:
         """Returns the share of the region's objects that its own servers run without overload."""
--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -129,7 +129,7 @@
         self._pool.release(server.host, server.port, connection)
         return True
 
-    def forget_connections(self, state: servers.ServerState) -> None:
+    def close_idle_connections(self, state: servers.ServerState) -> None:
         """Closes the idle connections to a server, which may no longer carry data."""
         self._pool.drop(state.server.host, state.server.port)
 
@@ -163,11 +163,11 @@
         first_exchange: bool,
     ) -> AttemptResult:
         sent_id = request.header(self._names.request_id)
-        echoed = response.header(self._names.request_id)
+        echoed_id = response.header(self._names.request_id)
         # On a reused connection, a response without an id may belong to an earlier request.
-        matches = echoed == sent_id or (echoed is None and first_exchange)
-        rejected = response.header(self._names.not_run) is not None
-        if (rejected or response.status == STATUS_MISDIRECTED) and matches:
+        id_matches = echoed_id == sent_id or (echoed_id is None and first_exchange)
+        marked_not_run = response.header(self._names.not_run) is not None
+        if (marked_not_run or response.status == STATUS_MISDIRECTED) and id_matches:
             return AttemptResult(
                 outcome=Outcome.REJECTED,
                 response=response,
@@ -176,11 +176,11 @@
             )
         signed = response.header(self._names.signature) is not None
         encoded = response.header(b"content-encoding") is not None
-        if not signed or encoded or echoed != sent_id:
+        if not signed or encoded or echoed_id != sent_id:
             return AttemptResult(
                 outcome=Outcome.INVALID,
                 response=response,
                 elapsed_s=elapsed_s,
-                reason=f"status {response.status}, signed {signed}, id matches {matches}",
+                reason=f"status {response.status}, signed {signed}, id matches {id_matches}",
             )
         return AttemptResult(outcome=Outcome.ANSWERED, response=response, elapsed_s=elapsed_s)
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -84,7 +84,7 @@
 
     Attributes:
         remaining_s: Time until the deadline of the request.
-        tried: Ids of the servers that must not be selected again.
+        excluded_servers: Ids of the servers that must not be selected.
     """
 
     route: model.Route
@@ -92,10 +92,10 @@
     object_key: str
     region: str
     remaining_s: float
-    tried: Collection[str] = ()
+    excluded_servers: Collection[str] = ()
 
 
-class WorkEstimate:
+class ServiceTimeEstimate:
     """Average service time of each route for warm objects, for cold runs and for all runs.
 
     This instance does not see the requests that other instances send to a server, so an object that
@@ -174,7 +174,7 @@
     Args:
         clock: Time source.
         registry: Servers and their state.
-        work: Estimates of service times.
+        service_times: Estimated service times of the routes.
         cold_limit: Decides which cold servers this instance may use.
         overflow: Decides which share of the objects moves out of an overloaded region.
     """
@@ -184,13 +184,13 @@
         *,
         clock: clock_lib.Clock,
         registry: servers.ServerRegistry,
-        work: WorkEstimate,
+        service_times: ServiceTimeEstimate,
         cold_limit: cold_limit_lib.ColdLimit,
         overflow: overflow_lib.OverflowControl,
     ):
         self._clock = clock
         self._registry = registry
-        self._work = work
+        self._service_times = service_times
         self._cold_limit = cold_limit
         self._overflow = overflow
         self._recent_runs = RecentRuns()
@@ -206,12 +206,20 @@
         if not candidates:
             return Choice(refusal=Refusal.NO_SERVER, retry_after_s=servers.INITIAL_EJECTION_S)
         compared = candidates[:MAX_COMPARED_SERVERS]
-        best = min(compared, key=lambda entry: self._expected_cost_s(criteria, entry, now_s))
+        best = min(
+            compared, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
+        )
         if self._is_full(best[1], now_s):
-            free = [entry for entry in compared if self._queue_per_slot(entry[1], now_s) == 0.0]
+            free = [
+                candidate
+                for candidate in compared
+                if self._queue_per_slot(candidate[1], now_s) == 0.0
+            ]
             if not free:
                 return self._refuse_overload(best[1], criteria, now_s)
-            best = min(free, key=lambda entry: self._expected_cost_s(criteria, entry, now_s))
+            best = min(
+                free, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
+            )
         rank, state = best
         response_s = self._min_response_s(state, criteria, now_s)
         if response_s >= criteria.remaining_s:
@@ -240,10 +248,10 @@
         )
         for rank, server_id in enumerate(ranked):
             state = self._registry.get(server_id)
-            if state is None or server_id in criteria.tried:
+            if state is None or server_id in criteria.excluded_servers:
                 continue
-            homes = criteria.route.home_regions
-            if homes and self._registry.region_of(state) not in homes:
+            home_regions = criteria.route.home_regions
+            if home_regions and self._registry.region_of(state) not in home_regions:
                 continue
             if state.ejected_until_s > now_s or (state.on_trial and state.outstanding):
                 continue
@@ -256,20 +264,21 @@
         return candidates
 
     def _expected_cost_s(
-        self, criteria: SelectionCriteria, entry: tuple[int, servers.ServerState], now_s: float
+        self, criteria: SelectionCriteria, candidate: tuple[int, servers.ServerState], now_s: float
     ) -> float:
         """Returns the expected response time of a server, including the delay of other requests."""
-        rank, state = entry
-        work_s = self._work.warm_s(criteria.route.name)
+        rank, state = candidate
+        run_s = self._service_times.warm_s(criteria.route.name)
         if not self._recent_runs.is_warm(state.server.server_id, criteria.object_key, now_s):
-            work_s *= COLD_RUN_COST[min(rank, len(COLD_RUN_COST) - 1)]
-        service_s = (
-            self._queue_per_slot(state, now_s) * self._work.mean_s(criteria.route.name) + work_s
+            run_s *= COLD_RUN_COST[min(rank, len(COLD_RUN_COST) - 1)]
+        response_s = (
+            self._queue_per_slot(state, now_s) * self._service_times.mean_s(criteria.route.name)
+            + run_s
         )
-        service_s *= max(1.0, state.latency_ratio)
+        response_s *= max(1.0, state.latency_ratio)
         if state.cold_until_s > now_s:
-            service_s *= COLD_SERVER_FACTOR
-        return service_s / max(MIN_SUCCESS_RATE, 1.0 - state.error_rate)
+            response_s *= COLD_SERVER_FACTOR
+        return response_s / max(MIN_SUCCESS_RATE, 1.0 - state.error_rate)
 
     @staticmethod
     def _queue_per_slot(state: servers.ServerState, now_s: float) -> float:
@@ -285,8 +294,8 @@
     ) -> float:
         """Returns the shortest time after which a response can be expected."""
         route = criteria.route.name
-        wait_s = self._queue_per_slot(state, now_s) * self._work.mean_s(route)
-        return wait_s + MIN_SERVICE_SHARE * self._work.warm_s(route)
+        wait_s = self._queue_per_slot(state, now_s) * self._service_times.mean_s(route)
+        return wait_s + MIN_SERVICE_SHARE * self._service_times.warm_s(route)
 
     def _refuse_overload(
         self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -60,8 +60,8 @@
         state.next_cold_send_s = now_s + 1.0
 
     def _is_selected(self, state: servers.ServerState) -> bool:
-        rate = self._rate_per_s.get(state.server.service, 0.0)
-        max_instances = max(1, int((rate * self._factor + self._slack) * USED_SHARE))
+        rate_per_s = self._rate_per_s.get(state.server.service, 0.0)
+        max_instances = max(1, int((rate_per_s * self._factor + self._slack) * USED_SHARE))
         names = self._fleet.live_names()
         if len(names) <= max_instances:
             return True
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -42,19 +42,19 @@
     def add(self, fingerprint_: str, server: str) -> bool:
         """Records a crash and returns whether it is new."""
         now_s = self._clock.monotonic()
-        self._forget_old(now_s)
-        seen = self._crashes.setdefault(fingerprint_, {})
-        if server in seen:
+        self._drop_old(now_s)
+        crash_times_s = self._crashes.setdefault(fingerprint_, {})
+        if server in crash_times_s:
             return False
-        seen[server] = now_s
+        crash_times_s[server] = now_s
         return True
 
     def crash_count(self, fingerprint_: str) -> int:
         """Returns the number of crashes during a request; simultaneous ones count once."""
-        times = sorted(self._crashes.get(fingerprint_, {}).values())
+        crash_times_s = sorted(self._crashes.get(fingerprint_, {}).values())
         count = 0
         last_s = -RETENTION_S
-        for time_s in times:
+        for time_s in crash_times_s:
             if time_s - last_s > SAME_EVENT_WINDOW_S:
                 count += 1
                 last_s = time_s
@@ -64,7 +64,7 @@
         """Whether the request must not be sent to another server."""
         return self.crash_count(fingerprint_) >= CRASHES_TO_REFUSE
 
-    def _forget_old(self, now_s: float) -> None:
+    def _drop_old(self, now_s: float) -> None:
         if len(self._crashes) < MAX_FINGERPRINTS:
             return
         for key in list(self._crashes):
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -10,7 +10,6 @@
 from sassafrasway_gateway import (
     attempt,
     balancer,
-    cold_limit,
     crashes,
     http_server,
     jobs,
@@ -20,6 +19,7 @@
     servers,
     state,
 )
+from sassafrasway_gateway import cold_limit as cold_limit_lib
 from sassafrasway_gateway import metrics as metrics_lib
 
 # Time allowed for a response that the server sent at the deadline to arrive.
@@ -41,7 +41,7 @@
         chooser: Selects servers.
         runner: Runs single attempts.
         learner: Updates the state of servers from responses and timeouts.
-        cold: Limits the requests to cold servers.
+        cold_limit: Limits the requests to cold servers.
         crash_register: Record of the crashes that happened during each request.
         budget_of: Returns the retry budget of a service.
         on_crash: Called with the fingerprint of the request and the server of each new crash.
@@ -58,7 +58,7 @@
         chooser: balancer.Balancer,
         runner: attempt.AttemptRunner,
         learner: learning.OutcomeLearner,
-        cold: cold_limit.ColdLimit,
+        cold_limit: cold_limit_lib.ColdLimit,
         crash_register: crashes.CrashRegister,
         budget_of: Callable[[str], retry.RetryBudget],
         on_crash: Callable[[str, str], None],
@@ -71,7 +71,7 @@
         self._chooser = chooser
         self._runner = runner
         self._learner = learner
-        self._cold = cold
+        self._cold_limit = cold_limit
         self._crashes = crash_register
         self._budget_of = budget_of
         self._on_crash = on_crash
@@ -115,7 +115,7 @@
         if self._crashes.should_refuse(job.fingerprint):
             return self._refuse(job, "request ends servers", CRASH_RETRY_AFTER_S)
         while True:
-            if job.sent and not budget.try_retry():
+            if job.sent_attempts and not budget.try_retry():
                 return self._fail(job, "retry budget used up")
             remaining_s = job.deadline_s - time.monotonic()
             if remaining_s < MIN_ATTEMPT_S:
@@ -127,7 +127,7 @@
                     object_key=job.object_key,
                     region=self._region,
                     remaining_s=remaining_s,
-                    tried=job.tried,
+                    excluded_servers=job.excluded_servers,
                 )
             )
             if choice.state is None:
@@ -151,7 +151,7 @@
         chosen = choice.state
         now_s = time.monotonic()
         if chosen.cold_until_s > now_s or chosen.on_trial:
-            self._cold.on_sent(chosen, now_s)
+            self._cold_limit.on_sent(chosen, now_s)
         chosen.outstanding += 1
         log_entry = jobs.AttemptLogEntry(choice=choice)
         job.attempts.append(log_entry)
@@ -179,9 +179,9 @@
                 task.cancel()
             raise
         if result.outcome is not attempt.Outcome.UNREACHABLE:
-            job.sent += 1
+            job.sent_attempts += 1
         if not self._rejected_with_free_slots(chosen, result):
-            job.tried.append(chosen.server.server_id)
+            job.excluded_servers.append(chosen.server.server_id)
         if not result.outcome.not_run:
             job.may_have_run = True
         return result
@@ -226,7 +226,7 @@
         """Records a slow response and checks whether the server still accepts connections."""
         chosen = choice.state
         self._learner.on_timeout(choice, route=job.route.name, elapsed_s=elapsed_s)
-        self._runner.forget_connections(chosen)
+        self._runner.close_idle_connections(chosen)
         self._start_background_task(self._check_reachable(job, chosen))
 
     def _start_background_task(self, coroutine: Coroutine[None, None, object]) -> None:
@@ -303,7 +303,7 @@
             return False
         if self._crashes.crash_count(job.fingerprint) >= crashes.CRASHES_TO_REFUSE - 1:
             return False
-        return job.sent < max(1, job.route.max_attempts)
+        return job.sent_attempts < max(1, job.route.max_attempts)
 
     def _return_response(self, job: jobs.Job, result: attempt.AttemptResult) -> messages.Response:
         self._finish(job, "answered", result.response.status)
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -11,7 +11,7 @@
 # Timeout of a route that does not set one.
 DEFAULT_TIMEOUT_S = 30.0
 # Retry-After of requests that arrive before the first policy.
-NO_POLICY_RETRY_S = 0.5
+NO_POLICY_RETRY_AFTER_S = 0.5
 # Extra time after the timeout of the route for a server to finish a request that it is running. A
 # late response is more useful to the caller than a timeout, which leaves open whether a
 # non-idempotent request ran.
@@ -47,9 +47,9 @@
         fingerprint: Digest that is the same when the caller sends the request again.
         deadline_s: Monotonic time after which no attempt is started.
         server_deadline_s: Monotonic time by which a server has to finish the request.
-        tried: Ids of the servers that are not selected again.
+        excluded_servers: Ids of the servers that must not be selected for a further attempt.
         may_have_run: Whether it is possible that an attempt ran the request.
-        sent: Number of finished attempts for which a connection was opened.
+        sent_attempts: Number of finished attempts for which a connection was opened.
     """
 
     request: messages.Request
@@ -61,10 +61,10 @@
     deadline_s: float
     server_deadline_s: float
     policy_version: int
-    tried: list[str] = dataclasses.field(default_factory=list)
+    excluded_servers: list[str] = dataclasses.field(default_factory=list)
     attempts: list[AttemptLogEntry] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
-    sent: int = 0
+    sent_attempts: int = 0
 
 
 class NotAdmitted(errors.NotRunError):
@@ -96,7 +96,7 @@
     def __init__(self, *, policy_state: state.PolicyState, names: messages.HeaderNames):
         self._policy_state = policy_state
         self._names = names
-        self._splits = routing.SplitPicker(rng=random.Random())
+        self._split_picker = routing.SplitPicker(rng=random.Random())
 
     def admit(self, request: messages.Request) -> Job:
         """Returns the job of a request: its route, service, object and deadlines.
@@ -108,7 +108,10 @@
         policy = self._policy_state.policy
         if policy is None:
             raise NotAdmitted(
-                "no policy", request_id=request_id, status=503, retry_after_s=NO_POLICY_RETRY_S
+                "no policy",
+                request_id=request_id,
+                status=503,
+                retry_after_s=NO_POLICY_RETRY_AFTER_S,
             )
         host = (request.header(b"host") or b"").decode("latin-1")
         target = request.target.decode("latin-1")
@@ -132,7 +135,7 @@
             request=request,
             request_id=request_id,
             route=route,
-            service=self._splits.pick(route),
+            service=self._split_picker.pick(route),
             object_key=object_key or request_id,
             fingerprint=crashes.fingerprint(request, object_key),
             deadline_s=deadline_s,
--- a/packages/gateway/src/sassafrasway_gateway/learning.py
+++ b/packages/gateway/src/sassafrasway_gateway/learning.py
@@ -11,7 +11,7 @@
     Args:
         registry: Backend servers.
         chooser: Balancer, which records the server that ran an object.
-        work: Estimates of service times.
+        service_times: Estimated service times of the routes.
     """
 
     def __init__(
@@ -19,11 +19,11 @@
         *,
         registry: servers.ServerRegistry,
         chooser: balancer.Balancer,
-        work: balancer.WorkEstimate,
+        service_times: balancer.ServiceTimeEstimate,
     ):
         self._registry = registry
         self._chooser = chooser
-        self._work = work
+        self._service_times = service_times
 
     def on_response(
         self,
@@ -54,7 +54,7 @@
             return
         service_s = elapsed_s / choice.queue_factor
         chosen.add_latency(service_s, self._expected_s(choice, route), warm=choice.warm)
-        self._work.add(route, service_s, warm=choice.warm)
+        self._service_times.add(route, service_s, warm=choice.warm)
         self._chooser.on_response(chosen.server.server_id, object_key)
 
     def on_timeout(self, choice: balancer.Choice, *, route: str, elapsed_s: float) -> None:
@@ -68,5 +68,5 @@
 
     def _expected_s(self, choice: balancer.Choice, route: str) -> float:
         if choice.warm:
-            return self._work.warm_s(route)
-        return self._work.cold_s(route)
+            return self._service_times.warm_s(route)
+        return self._service_times.cold_s(route)
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -66,11 +66,11 @@
             return http_server.text_response(404, "unknown path")
         if request.method != b"GET":
             return http_server.text_response(405, "look-ups use GET")
-        values = dict(urllib.parse.parse_qsl(query))
+        parameters = dict(urllib.parse.parse_qsl(query))
         members = choose_instances(
             self._view.ready_members(),
-            region=values.get(self._format.region, ""),
-            failure_domain=values.get(self._format.failure_domain, ""),
+            region=parameters.get(self._format.region, ""),
+            failure_domain=parameters.get(self._format.failure_domain, ""),
         )
         if not members:
             return http_server.text_response(503, "no instance is ready", retry_after_s=0.5)
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -72,9 +72,9 @@
         """Adjusts the shares to the reported load."""
         loads = self._registry.loads_by_region()
         for service in {*loads, *self._shares}:
-            load = loads.get(service, {})
+            load_by_region = loads.get(service, {})
             before = self.kept_share(service)
-            after = self._update_share(service, load)
+            after = self._update_share(service, load_by_region)
             if (before < 1.0) != (after < 1.0):
                 self._log.info(
                     "objects move to other regions"
@@ -82,18 +82,21 @@
                     else "all objects back in the region",
                     service=service,
                     kept_share=round(after, 3),
-                    load={region: round(value, 2) for region, value in load.items()},
+                    load={region: round(load, 2) for region, load in load_by_region.items()},
                 )
 
-    def _update_share(self, service: str, load: dict[str, float]) -> float:
+    def _update_share(self, service: str, load_by_region: dict[str, float]) -> float:
         now_s = self._clock.monotonic()
         share = self._shares.setdefault(service, _Share(updated_s=now_s))
         step = STEP_PER_S * min(MAX_STEP_INTERVAL_S, now_s - share.updated_s)
         share.updated_s = now_s
-        local = load.get(self._region, 0.0)
-        others = [value for region, value in load.items() if region != self._region]
-        if local > OVERLOAD_THRESHOLD and min(others, default=0.0) < local - MIN_LOAD_DIFFERENCE:
+        local_load = load_by_region.get(self._region, 0.0)
+        other_loads = [load for region, load in load_by_region.items() if region != self._region]
+        if (
+            local_load > OVERLOAD_THRESHOLD
+            and min(other_loads, default=0.0) < local_load - MIN_LOAD_DIFFERENCE
+        ):
             share.kept = max(MIN_LOCAL_SHARE, share.kept - step)
-        elif local < RELIEF_THRESHOLD:
+        elif local_load < RELIEF_THRESHOLD:
             share.kept = min(1.0, share.kept + step)
         return share.kept
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -227,11 +227,11 @@
         await self._shut_down()
 
     def _build_forwarder(self) -> forwarder.Forwarder:
-        work = balancer.WorkEstimate()
+        service_times = balancer.ServiceTimeEstimate()
         chooser = balancer.Balancer(
             clock=self._clock,
             registry=self._registry,
-            work=work,
+            service_times=service_times,
             cold_limit=self._cold,
             overflow=self._overflow,
         )
@@ -240,10 +240,12 @@
             registry=self._registry,
             chooser=chooser,
             runner=attempt.AttemptRunner(pool=self._pool, names=self._dialect.headers),
-            learner=learning.OutcomeLearner(registry=self._registry, chooser=chooser, work=work),
-            cold=self._cold,
+            learner=learning.OutcomeLearner(
+                registry=self._registry, chooser=chooser, service_times=service_times
+            ),
+            cold_limit=self._cold,
             crash_register=self._crashes,
-            budget_of=self._budgets.of,
+            budget_of=self._budgets.budget_of,
             on_crash=self._peers.report_crash,
             names=self._dialect.headers,
             region=self._config.region,
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -30,19 +30,19 @@
             self._bounds = bounds
             self._budgets.clear()
 
-    def of(self, service: str) -> retry.RetryBudget:
+    def budget_of(self, service: str) -> retry.RetryBudget:
         """Returns the budget of a service, adjusted to the current number of live instances."""
         bounds = self._bounds
         instances = max(1, len(self._view.live_names()))
-        most_tokens = max(1.0, bounds.retry_extra * USED_SHARE / instances)
+        max_tokens = max(1.0, bounds.retry_extra * USED_SHARE / instances)
         budget = self._budgets.get(service)
         if budget is None:
             budget = retry.RetryBudget(
                 clock=self._clock,
                 ratio=bounds.retry_ratio * USED_SHARE,
-                minimum_per_s=most_tokens / bounds.retry_window_s / 2.0,
-                max_tokens=most_tokens,
+                minimum_per_s=max_tokens / bounds.retry_window_s / 2.0,
+                max_tokens=max_tokens,
             )
             self._budgets[service] = budget
-        budget.set_max_tokens(most_tokens)
+        budget.set_max_tokens(max_tokens)
         return budget
--- a/packages/gateway/src/sassafrasway_gateway/routing.py
+++ b/packages/gateway/src/sassafrasway_gateway/routing.py
@@ -13,8 +13,8 @@
         self._by_host: dict[str, list[model.Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host.lower(), []).append(route)
-        for entries in self._by_host.values():
-            entries.sort(key=lambda route: len(route.prefix), reverse=True)
+        for host_routes in self._by_host.values():
+            host_routes.sort(key=lambda route: len(route.prefix), reverse=True)
 
     def match(self, host: str, target: str) -> model.Route | None:
         """Returns the route with the longest prefix of the path, or None.
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -29,7 +29,7 @@
     Attributes:
         outstanding: Requests of this instance that the server has not answered yet.
         others_outstanding: Requests of other instances at the server, from the last load report.
-        reported_load: Requests running or waiting per slot, from the last load report.
+        reported_load_per_slot: Requests running or waiting per slot, from the last load report.
         reported_at_s: Monotonic time of the last load report; 0 without one.
         cold_until_s: Monotonic time until which the server is cold.
         next_cold_send_s: Monotonic time from which this instance may send another request to the
@@ -47,7 +47,7 @@
     server: model.BackendServer
     outstanding: int = 0
     others_outstanding: float = 0.0
-    reported_load: float = 0.0
+    reported_load_per_slot: float = 0.0
     reported_at_s: float = 0.0
     cold_until_s: float = 0.0
     next_cold_send_s: float = 0.0
@@ -140,15 +140,15 @@
     def loads_by_region(self) -> dict[str, dict[str, float]]:
         """Returns the mean load per slot by service and region, from recent load reports."""
         now_s = self._clock.monotonic()
-        found: dict[str, dict[str, list[float]]] = {}
+        loads: dict[str, dict[str, list[float]]] = {}
         for state in self._states.values():
             if now_s - state.reported_at_s > REPORT_LIFETIME_S or not self.usable(state):
                 continue
-            regions = found.setdefault(state.server.service, {})
-            regions.setdefault(self.region_of(state), []).append(state.reported_load)
+            service_loads = loads.setdefault(state.server.service, {})
+            service_loads.setdefault(self.region_of(state), []).append(state.reported_load_per_slot)
         return {
-            service: {region: statistics.fmean(values) for region, values in regions.items()}
-            for service, regions in found.items()
+            service: {region: statistics.fmean(values) for region, values in service_loads.items()}
+            for service, service_loads in loads.items()
         }
 
     def set_regions(self, region_of: Mapping[str, str]) -> None:
@@ -194,12 +194,12 @@
         The servers of a failure domain that is no longer evacuated are treated as cold: they were
         idle long enough to lose their caches, which their listings need not report.
         """
-        new = frozenset(failure_domains)
+        evacuated = frozenset(failure_domains)
         now_s = self._clock.monotonic()
         for state in self._states.values():
-            if state.server.failure_domain in self._evacuated - new:
+            if state.server.failure_domain in self._evacuated - evacuated:
                 self.mark_cold(state, now_s)
-        self._evacuated = new
+        self._evacuated = evacuated
         self._rankings.clear()
 
     def mark_cold(self, state: ServerState, now_s: float, left_s: float | None = None) -> None:
@@ -211,7 +211,7 @@
     def on_load(self, state: ServerState, running: int, waiting: int) -> None:
         """Records a load report; its counts include the requests of this instance."""
         state.others_outstanding = max(0.0, running + waiting - state.outstanding)
-        state.reported_load = (running + waiting) / max(1, state.server.slots)
+        state.reported_load_per_slot = (running + waiting) / max(1, state.server.slots)
         state.reported_at_s = self._clock.monotonic()
 
     def on_response(self, state: ServerState) -> None:
@@ -247,8 +247,8 @@
         if unreachable:
             state.on_trial = True
         if unreachable or state.failures >= 2:
-            pause_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0 ** (state.failures - 1))
-            state.ejected_until_s = self._clock.monotonic() + pause_s
+            ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0 ** (state.failures - 1))
+            state.ejected_until_s = self._clock.monotonic() + ejection_s
 
     @staticmethod
     def _same_ranking(old: model.BackendServer, new: model.BackendServer) -> bool:
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -89,14 +89,14 @@
                 evacuated.add(domain)
             elif self._decoder.is_policy(change.key):
                 self._apply(change)
-        self._evacuate(evacuated)
+        self._set_evacuated(evacuated)
 
     def on_change(self, change: feed.Change) -> None:
         """See base class."""
         domain = self._decoder.evacuated_domain(change.key)
         if domain is not None:
-            kept = self._evacuated - {domain}
-            self._evacuate(kept if change.value is None else kept | {domain})
+            others = self._evacuated - {domain}
+            self._set_evacuated(others if change.value is None else others | {domain})
         elif self._decoder.is_policy(change.key) and change.value is not None:
             self._apply(change)
 
@@ -122,7 +122,7 @@
         self._log.info("policy in force", version=policy.version, row_version=change.version)
         self._on_policy(policy)
 
-    def _evacuate(self, evacuated: set[str]) -> None:
+    def _set_evacuated(self, evacuated: set[str]) -> None:
         if evacuated == self._evacuated:
             return
         self._log.info(
@@ -198,11 +198,11 @@
         except errors.ValidationError as error:
             self._log.warning("invalid server listing", server=change.key, error=str(error))
             return False
-        known = self._registry.get(change.key)
-        if known is not None and known.remove_at_s is None:
+        state = self._registry.get(change.key)
+        if state is not None and state.remove_at_s is None:
             # Repeated listings that differ only in the sequence number would flood the log.
             log = (
-                log and dataclasses.replace(server, sequence=known.server.sequence) != known.server
+                log and dataclasses.replace(server, sequence=state.server.sequence) != state.server
             )
         self._registry.upsert(server)
         if log:
--- a/packages/gateway/tests/gateway_fakes.py
+++ b/packages/gateway/tests/gateway_fakes.py
@@ -10,7 +10,7 @@
 NAMES = messages.HeaderNames()
 
 
-class AllowAll:
+class FixedColdLimit:
     """Cold limit with a fixed decision, by default that a request may be sent."""
 
     def __init__(self, allowed=True):
@@ -23,13 +23,13 @@
         pass
 
 
-def make_balancer(registry, *, clock, work=None, cold=None, region="north"):
+def make_balancer(registry, *, clock, service_times=None, cold_limit=None, region="north"):
     """Returns a balancer of an instance in a region."""
     return balancer.Balancer(
         clock=clock,
         registry=registry,
-        work=work or balancer.WorkEstimate(),
-        cold_limit=cold or AllowAll(),
+        service_times=service_times or balancer.ServiceTimeEstimate(),
+        cold_limit=cold_limit or FixedColdLimit(),
         overflow=overflow.OverflowControl(clock=clock, registry=registry, region=region),
     )
 
--- a/packages/gateway/tests/load_simulation.py
+++ b/packages/gateway/tests/load_simulation.py
@@ -32,17 +32,17 @@
     def __init__(self, *, clock, listed, region):
         self.region = region
         self.registry = gateway_fakes.make_registry(listed, clock=clock)
-        work = balancer.WorkEstimate()
+        service_times = balancer.ServiceTimeEstimate()
         self.overflow = overflow.OverflowControl(clock=clock, registry=self.registry, region=region)
         self.chooser = balancer.Balancer(
             clock=clock,
             registry=self.registry,
-            work=work,
-            cold_limit=gateway_fakes.AllowAll(),
+            service_times=service_times,
+            cold_limit=gateway_fakes.FixedColdLimit(),
             overflow=self.overflow,
         )
         self.learner = learning.OutcomeLearner(
-            registry=self.registry, chooser=self.chooser, work=work
+            registry=self.registry, chooser=self.chooser, service_times=service_times
         )
 
 
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -15,11 +15,14 @@
         self.clock = clock_lib.ManualClock()
         listed = [gateway_fakes.make_server(f"s{index}") for index in range(5)]
         self.registry = gateway_fakes.make_registry(listed, clock=self.clock)
-        self.cold = gateway_fakes.AllowAll()
-        self.work = balancer.WorkEstimate()
-        self.work.add("r", 0.2, warm=True)
+        self.cold_limit = gateway_fakes.FixedColdLimit()
+        self.service_times = balancer.ServiceTimeEstimate()
+        self.service_times.add("r", 0.2, warm=True)
         self.balancer = gateway_fakes.make_balancer(
-            self.registry, clock=self.clock, work=self.work, cold=self.cold
+            self.registry,
+            clock=self.clock,
+            service_times=self.service_times,
+            cold_limit=self.cold_limit,
         )
         self.ranked = self.registry.ranking("desk").ranked("o", "north")
 
@@ -69,11 +72,11 @@
         self.assertIs(self.choose(remaining_s=0.1).refusal, balancer.Refusal.TOO_LATE)
 
     def test_tried_server_is_not_chosen_again(self):
-        self.assertIs(self.choose(tried=[self.ranked[0]]).state, self.state(1))
+        self.assertIs(self.choose(excluded_servers=[self.ranked[0]]).state, self.state(1))
 
     def test_cold_server_needs_the_permission_of_the_limit(self):
         self.registry.mark_cold(self.state(0), self.clock.monotonic())
-        self.cold.allowed = False
+        self.cold_limit.allowed = False
         self.assertIs(self.choose().state, self.state(1))
 
     def test_non_idempotent_request_avoids_a_server_on_trial(self):
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -60,7 +60,7 @@
     def build(self, policy_state, listed, tokens=10.0):
         clock = clock_lib.SystemClock()
         self.registry = gateway_fakes.make_registry(listed, clock=clock)
-        work = balancer.WorkEstimate()
+        service_times = balancer.ServiceTimeEstimate()
         pool = http_client.ConnectionPool()
         self.addCleanup(pool.close)
         self.budget = retry.RetryBudget(
@@ -68,15 +68,19 @@
         )
         self.crashed = []
         self.register = crashes.CrashRegister(clock=clock)
-        cold = gateway_fakes.AllowAll()
-        chooser = gateway_fakes.make_balancer(self.registry, clock=clock, work=work, cold=cold)
+        cold_limit = gateway_fakes.FixedColdLimit()
+        chooser = gateway_fakes.make_balancer(
+            self.registry, clock=clock, service_times=service_times, cold_limit=cold_limit
+        )
         self.forwarder = forwarder.Forwarder(
             policy_state=policy_state,
             registry=self.registry,
             chooser=chooser,
             runner=attempt.AttemptRunner(pool=pool, names=NAMES),
-            learner=learning.OutcomeLearner(registry=self.registry, chooser=chooser, work=work),
-            cold=cold,
+            learner=learning.OutcomeLearner(
+                registry=self.registry, chooser=chooser, service_times=service_times
+            ),
+            cold_limit=cold_limit,
             crash_register=self.register,
             budget_of=lambda service: self.budget,
             on_crash=lambda *crash: self.crashed.append(crash),
--- a/packages/gateway/tests/test_learning.py
+++ b/packages/gateway/tests/test_learning.py
@@ -21,10 +21,12 @@
         self.clock = clock_lib.ManualClock()
         listed = [gateway_fakes.make_server(f"s{index}") for index in range(2)]
         self.registry = gateway_fakes.make_registry(listed, clock=self.clock)
-        self.work = balancer.WorkEstimate()
-        self.chooser = gateway_fakes.make_balancer(self.registry, clock=self.clock, work=self.work)
+        self.service_times = balancer.ServiceTimeEstimate()
+        self.chooser = gateway_fakes.make_balancer(
+            self.registry, clock=self.clock, service_times=self.service_times
+        )
         self.learner = learning.OutcomeLearner(
-            registry=self.registry, chooser=self.chooser, work=self.work
+            registry=self.registry, chooser=self.chooser, service_times=self.service_times
         )
 
     def choose(self, key):
@@ -45,8 +47,8 @@
 
     def test_first_runs_and_warm_objects_are_told_apart(self):
         self.warm_up()
-        self.assertAlmostEqual(self.work.warm_s("r"), WARM_S)
-        self.assertAlmostEqual(self.work.cold_s("r"), COLD_S)
+        self.assertAlmostEqual(self.service_times.warm_s("r"), WARM_S)
+        self.assertAlmostEqual(self.service_times.cold_s("r"), COLD_S)
 
     def test_first_runs_do_not_make_a_server_slow(self):
         self.warm_up()
@@ -75,7 +77,7 @@
         state = self.choose("1").state
         state.outstanding = 5
         self.answer("1", WARM_S * 2)
-        self.assertAlmostEqual(self.work.warm_s("r"), WARM_S)
+        self.assertAlmostEqual(self.service_times.warm_s("r"), WARM_S)
 
     def test_silent_server_is_left_after_two_timeouts(self):
         state = self.choose("o").state
--- a/packages/gateway/tests/test_retry_budgets.py
+++ b/packages/gateway/tests/test_retry_budgets.py
@@ -33,8 +33,8 @@
         for step in range(300):
             for budget in budgets:
                 for _ in range(round(requests_per_s * step_s / instances) or step % 10 == 0):
-                    budget.of("s").on_request()
-                while budget.of("s").try_retry():
+                    budget.budget_of("s").on_request()
+                while budget.budget_of("s").try_retry():
                     used.append(clock.monotonic())
             clock.advance(step_s)
         return max(
