State units, formats and reasons in the docstrings of server selection

Some docstrings left open what a newcomer needs: the unit of Choice.load, the refusal reasons, the format of the load header and of the identity of a crashed server, the limits of callers, the meaning of a weight. The docstring of RetryBudgets said that all retries are divided among the instances; only the additional ones are. COLD_RUN_MIN_RATIO had lost that it applies to objects that are not known to be warm.

No code changes.

--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -9,12 +9,14 @@
 # Longest idle time of a reused connection for a non-idempotent request. After a longer time the
 # server may have closed the connection, and the request would fail with an unknown outcome.
 MAX_IDLE_NON_IDEMPOTENT_S = 2.0
+# The server is not the one named in the request; it now has the address of that server.
 STATUS_MISDIRECTED = 421
 
 
 class Outcome(enum.Enum):
     """Outcome of an attempt."""
 
+    # The server itself responded, with any status.
     ANSWERED = "answered"
     # The server stated that it did not run the request, or that it is not the expected server.
     REJECTED = "rejected"
@@ -49,7 +51,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
-    """Load that a server reports in a response header."""
+    """Load that a server reports in a response header.
+
+    Attributes:
+        running: Number of requests that the server is running.
+        waiting: Number of requests in its queue.
+        slots: Number of requests that it runs at a time.
+    """
 
     running: int
     waiting: int
@@ -57,7 +65,10 @@
 
 
 def parse_load(value: bytes | None) -> LoadReport | None:
-    """Parses the value of a load header; returns None if it is missing or invalid."""
+    """Parses the value of a load header, ``running,waiting,slots``.
+
+    Returns None if the header is missing or invalid.
+    """
     if value is None:
         return None
     parts = value.split(b",")
@@ -134,6 +145,7 @@
         self._pool.drop(state.server.host, state.server.port)
 
     def _echo(self, request: messages.Request) -> http_client.EchoedId | None:
+        """Returns the id by which the response is matched; None if the request has none."""
         value = request.header(self._names.request_id)
         if value is None:
             return None
@@ -142,6 +154,7 @@
     def _outgoing(
         self, request: messages.Request, server_id: str, deadline_s: float
     ) -> messages.Request:
+        """Returns the request with the headers that the gateway sets for the server."""
         replaced = (self._names.time_left_ms, self._names.expected_server)
         headers = [
             (name, value)
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -26,12 +26,14 @@
 COLD_RUN_COST = (1.0, 4.0, 8.0, 8.0)
 # Time after a run for which the object counts as warm on the server.
 WARM_FOR_S = 15.0
+# Number of pairs of server and object whose last run is recorded; bounds the memory.
 MAX_RECENT_RUNS = 4000
 # Servers with more waiting requests per slot than this reject further requests.
 MAX_WAITING_PER_SLOT = 2.0
 # Assumed service time of a route before the first measurement.
 DEFAULT_SERVICE_S = 0.2
-# A run that takes longer than this multiple of the service time of a warm object was a cold run.
+# A run of an object that is not known to be warm counts as a cold run if it takes longer than this
+# multiple of the service time of a warm object.
 COLD_RUN_MIN_RATIO = 1.5
 # Weights of a new sample in the moving averages of service times, when it is above or below them.
 SERVICE_WEIGHT_UP = 0.05
@@ -48,8 +50,11 @@
 class Refusal(enum.Enum):
     """Reason why no server was selected."""
 
+    # No listed server may be used now.
     NO_SERVER = "no_server"
+    # The queue of the best server is full, and each other compared server has a queue.
     OVERLOADED = "overloaded"
+    # The best server is not expected to respond before the deadline.
     TOO_LATE = "too_late"
 
 
@@ -61,7 +66,7 @@
         state: The selected server; None if the request was refused.
         refusal: Why no server was selected; None if one was.
         retry_after_s: Time after which the caller of a refused request may retry.
-        load: Estimated load of the selected server.
+        load: Estimated number of requests running or waiting at the selected server.
         load_age_s: Age of the load report that the estimate is based on; -1 without a report.
         rank: Position of the server in the object's ranking, from 0.
         warm: Whether the server has recently run the object for this instance.
@@ -83,6 +88,7 @@
     """Properties of a request that the selection of a server depends on.
 
     Attributes:
+        region: Region of this instance.
         remaining_s: Time until the deadline of the request.
         excluded_servers: Ids of the servers that must not be selected.
     """
@@ -96,7 +102,7 @@
 
 
 class ServiceTimeEstimate:
-    """Average service time of each route for warm objects, for cold runs and for all runs.
+    """Moving averages of the service time of each route: warm objects, cold runs and all runs.
 
     This instance does not see the requests that other instances send to a server, so an object that
     is not known to be warm there may be warm all the same. Of the runs of such objects, only the
@@ -169,7 +175,7 @@
 
 
 class Balancer:
-    """Selects the server with the lowest expected cost among the first of an object's ranking.
+    """Selects the server with the lowest expected cost among the top of an object's ranking.
 
     Args:
         clock: Time source.
@@ -210,6 +216,8 @@
             compared, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
         )
         if self._is_full(best[1], now_s):
+            # Objects move from a full server only to one without a queue. Elsewhere, their cold
+            # runs would delay the requests that wait there.
             free = [
                 candidate
                 for candidate in compared
@@ -266,7 +274,7 @@
     def _expected_cost_s(
         self, criteria: SelectionCriteria, candidate: tuple[int, servers.ServerState], now_s: float
     ) -> float:
-        """Returns the expected response time of a server, including the delay of other requests."""
+        """Returns the expected response time, plus the delay that a cold run causes for others."""
         rank, state = candidate
         run_s = self._service_times.warm_s(criteria.route.name)
         if not self._recent_runs.is_warm(state.server.server_id, criteria.object_key, now_s):
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -1,4 +1,4 @@
-"""Limits the request rate of cold servers, summed over all instances, without coordination."""
+"""Limits the rate of all instances' requests to each cold server, without coordination."""
 
 import hashlib
 import typing
@@ -27,7 +27,7 @@
     Args:
         clock: Time source.
         instance: Name of this instance.
-        fleet: List of live instances.
+        fleet: Source of the names of the live instances.
         factor: Permitted multiple of the rate that cold servers of a service tolerate.
         slack: Requests per second permitted in addition.
     """
@@ -43,7 +43,7 @@
         self._rate_per_s: dict[str, float] = {}
 
     def set_bounds(self, *, factor: float, slack: float) -> None:
-        """Replaces the bounds."""
+        """Replaces ``factor`` and ``slack``."""
         self._factor = factor
         self._slack = slack
 
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -40,7 +40,12 @@
         self._crashes: dict[str, dict[str, float]] = {}
 
     def add(self, fingerprint_: str, server: str) -> bool:
-        """Records a crash and returns whether it is new."""
+        """Records a crash and returns whether it is new.
+
+        Args:
+            fingerprint_: Fingerprint of a request that the server was running.
+            server: Start of the server that crashed, as ``id/started_ms``.
+        """
         now_s = self._clock.monotonic()
         self._drop_old(now_s)
         crash_times_s = self._crashes.setdefault(fingerprint_, {})
@@ -50,7 +55,7 @@
         return True
 
     def crash_count(self, fingerprint_: str) -> int:
-        """Returns the number of crashes during a request; simultaneous ones count once."""
+        """Returns the number of separate crashes during a request."""
         crash_times_s = sorted(self._crashes.get(fingerprint_, {}).values())
         count = 0
         last_s = -RETENTION_S
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -44,7 +44,8 @@
         cold_limit: Limits the requests to cold servers.
         crash_register: Record of the crashes that happened during each request.
         budget_of: Returns the retry budget of a service.
-        on_crash: Called with the fingerprint of the request and the server of each new crash.
+        on_crash: Called for each new crash with the fingerprint of the request and the start of
+            the server, as ``id/started_ms``.
         names: Header names.
         region: Region of this instance.
         metrics: Counters.
@@ -110,6 +111,7 @@
         return response
 
     async def _process(self, job: jobs.Job) -> messages.Response:
+        """Attempts a request until a response may be returned or no further attempt is allowed."""
         budget = self._budget_of(job.service)
         budget.on_request()
         if self._crashes.should_refuse(job.fingerprint):
@@ -301,6 +303,7 @@
         """Whether the limits of the request allow another attempt."""
         if not job.route.idempotent and not result.outcome.not_run:
             return False
+        # Another crash would be the last one before the request is refused.
         if self._crashes.crash_count(job.fingerprint) >= crashes.CRASHES_TO_REFUSE - 1:
             return False
         return job.sent_attempts < max(1, job.route.max_attempts)
@@ -340,6 +343,7 @@
         )
 
     def _finish(self, job: jobs.Job, outcome: str, status: int) -> None:
+        """Updates the metrics and logs the request; the status is 0 if no response is sent."""
         elapsed_s = time.monotonic() - job.request.received_s
         self._metrics.requests.add(job.route.name, str(status))
         self._metrics.latency.observe(elapsed_s, job.route.name)
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -44,6 +44,8 @@
     """An admitted request and the state of its attempts.
 
     Attributes:
+        object_key: Object named in the cookie of a request to a sticky route; otherwise the id of
+            the request.
         fingerprint: Digest that is the same when the caller sends the request again.
         deadline_s: Monotonic time after which no attempt is started.
         server_deadline_s: Monotonic time by which a server has to finish the request.
@@ -68,12 +70,12 @@
 
 
 class NotAdmitted(errors.NotRunError):
-    """The request was answered by the gateway itself and not sent to any server.
+    """The gateway rejects the request without sending it to a server.
 
     Attributes:
         request_id: Id of the request.
         status: HTTP status of the response.
-        retry_after_s: Time after which the caller may retry; None if a retry cannot succeed.
+        retry_after_s: Time after which the caller may retry; None for no Retry-After header.
     """
 
     def __init__(
--- a/packages/gateway/src/sassafrasway_gateway/learning.py
+++ b/packages/gateway/src/sassafrasway_gateway/learning.py
@@ -10,7 +10,7 @@
 
     Args:
         registry: Backend servers.
-        chooser: Balancer, which records the server that ran an object.
+        chooser: Balancer, which records the servers that ran each object.
         service_times: Estimated service times of the routes.
     """
 
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -7,8 +7,10 @@
 from sassafrasway_gateway import fleet, http_server, messages
 
 MAX_ADDRESSES = 64
-# With fewer instances in the caller's failure domain, all those of its region are returned.
+# With fewer instances in the caller's failure domain, all those of its region are returned, so that
+# the caller has another instance if one fails.
 MIN_LOCAL_INSTANCES = 2
+# Time for which callers may cache a response, unless the settings require a shorter one.
 LOOKUP_TTL_S = 1.5
 
 
@@ -37,7 +39,13 @@
 def choose_instances(
     members: list[fleet.Member], *, region: str, failure_domain: str
 ) -> list[fleet.Member]:
-    """Returns the instances nearest to a caller, at most ``MAX_ADDRESSES``."""
+    """Returns the instances nearest to a caller, at most ``MAX_ADDRESSES``.
+
+    Args:
+        members: The ready instances.
+        region: Region of the caller.
+        failure_domain: Failure domain of the caller.
+    """
     same_domain = [member for member in members if member.failure_domain == failure_domain]
     if len(same_domain) >= MIN_LOCAL_INSTANCES:
         return same_domain[:MAX_ADDRESSES]
@@ -51,7 +59,7 @@
     Args:
         view: Fleet as seen by this instance.
         lookup_format: Format of lookup requests and responses.
-        ttl_s: Longest time for which a response may be cached, s.
+        ttl_s: Longest time for which a response may be cached.
     """
 
     def __init__(self, *, view: fleet.FleetView, lookup_format: LookupFormat, ttl_s: float):
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -6,7 +6,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WeightedService:
-    """A service and its share of the requests of a route."""
+    """A service of a route.
+
+    Attributes:
+        weight: Share of the route's requests, relative to the weights of the other services.
+    """
 
     service: str
     weight: float
@@ -19,7 +23,7 @@
     Attributes:
         idempotent: Whether a request may run more than once.
         timeout_s: Longest time that a caller waits; None for the default of the gateway.
-        target_latency_s: Time within which a response is of full value.
+        target_latency_s: Time after which a response is worth less to the caller.
         priority: Rank among the routes of a service; 0 is the most urgent.
         max_attempts: Largest number of attempts for which a connection to a server was opened.
         sticky: Whether requests are assigned to servers by the object named in a cookie.
@@ -58,7 +62,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Limits:
-    """Limits on the requests and connections of callers."""
+    """Limits on the requests and connections of callers.
+
+    Attributes:
+        header_bytes: Largest size of the head of a request.
+        body_bytes: Largest size of the body of a request.
+        header_timeout_s: Time from the first byte of a request until its head must be complete.
+        idle_timeout_s: Longest time without data between requests or within a body.
+    """
 
     header_bytes: int = 16 * 1024
     body_bytes: int = 64 * 1024 * 1024
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -10,7 +10,9 @@
 
 
 class RetryBudgets:
-    """Divides the retries that the bounds allow the fleet among its live instances.
+    """Divides the additional retries of the fleet among its live instances.
+
+    The retries permitted per request need no division: each instance counts its own requests.
 
     Args:
         clock: Time source.
@@ -40,6 +42,8 @@
             budget = retry.RetryBudget(
                 clock=self._clock,
                 ratio=bounds.retry_ratio * USED_SHARE,
+                # A full bucket and this rate allow 1.5 * max_tokens retries in one window: 0.9 of
+                # the bound, unless max_tokens is raised to 1.
                 minimum_per_s=max_tokens / bounds.retry_window_s / 2.0,
                 max_tokens=max_tokens,
             )
--- a/packages/gateway/src/sassafrasway_gateway/routing.py
+++ b/packages/gateway/src/sassafrasway_gateway/routing.py
@@ -48,7 +48,10 @@
         self._credit: dict[tuple[str, str], float] = {}
 
     def pick(self, route: model.Route) -> str:
-        """Returns the service for the next request of the route."""
+        """Returns the service for the next request of the route.
+
+        If no weight is positive, it is the first service.
+        """
         services = route.services
         if len(services) == 1:
             return services[0].service
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -162,7 +162,7 @@
         self._warmup_s = {service.name: service.warmup_s for service in services}
 
     def upsert(self, server: model.BackendServer) -> ServerState:
-        """Adds a server, or updates its listing.
+        """Adds a server or updates its listing, and returns its state.
 
         The state of a server that has restarted under the same id is reset.
         """
@@ -203,13 +203,25 @@
         self._rankings.clear()
 
     def mark_cold(self, state: ServerState, now_s: float, left_s: float | None = None) -> None:
-        """Marks a server as cold, by default for the warm-up time of its service."""
+        """Marks a server as cold.
+
+        Args:
+            state: The server.
+            now_s: Current monotonic time.
+            left_s: Time for which it remains cold; None for the warm-up time of its service.
+        """
         if left_s is None:
             left_s = self._warmup_s.get(state.server.service, 0.0)
         state.cold_until_s = max(state.cold_until_s, now_s + left_s)
 
     def on_load(self, state: ServerState, running: int, waiting: int) -> None:
-        """Records a load report; its counts include the requests of this instance."""
+        """Records a load report.
+
+        Args:
+            state: The server.
+            running: Number of requests that the server is running, from all instances.
+            waiting: Number of requests in its queue, from all instances.
+        """
         state.others_outstanding = max(0.0, running + waiting - state.outstanding)
         state.reported_load_per_slot = (running + waiting) / max(1, state.server.slots)
         state.reported_at_s = self._clock.monotonic()
@@ -262,7 +274,11 @@
 
     @staticmethod
     def _restarted(old: model.BackendServer, new: model.BackendServer) -> bool:
-        """Whether the new listing belongs to a later start of the server."""
+        """Whether the new listing belongs to another start of the server.
+
+        If a listing lacks the start time, a changed address or service or a lower sequence number
+        counts as a restart.
+        """
         if old.started_ms and new.started_ms:
             return old.started_ms != new.started_ms
         moved = (old.host, old.port, old.service) != (new.host, new.port, new.service)
