Describe the private methods that decide on shares, crashes and listings

Adds one-line docstrings; the docstring of ForwarderTest now names the response that it guards against.

--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -60,6 +60,7 @@
         state.next_cold_send_s = now_s + 1.0
 
     def _is_selected(self, state: servers.ServerState) -> bool:
+        """Whether this instance is one of those that may use the cold server."""
         rate_per_s = self._rate_per_s.get(state.server.service, 0.0)
         max_instances = max(1, int((rate_per_s * self._factor + self._slack) * USED_SHARE))
         names = self._fleet.live_names()
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -55,7 +55,7 @@
         return True
 
     def crash_count(self, fingerprint_: str) -> int:
-        """Returns the number of separate crashes during a request."""
+        """Returns the number of separate crashes of servers that were running the request."""
         crash_times_s = sorted(self._crashes.get(fingerprint_, {}).values())
         count = 0
         last_s = -RETENTION_S
@@ -70,6 +70,7 @@
         return self.crash_count(fingerprint_) >= CRASHES_TO_REFUSE
 
     def _drop_old(self, now_s: float) -> None:
+        """Makes room for another fingerprint, if necessary by dropping recent crashes too."""
         if len(self._crashes) < MAX_FINGERPRINTS:
             return
         for key in list(self._crashes):
--- a/packages/gateway/src/sassafrasway_gateway/learning.py
+++ b/packages/gateway/src/sassafrasway_gateway/learning.py
@@ -67,6 +67,7 @@
         choice.state.add_latency(service_s, self._expected_s(choice, route), warm=choice.warm)
 
     def _expected_s(self, choice: balancer.Choice, route: str) -> float:
+        """Returns the service time that is usual for the object of the attempt."""
         if choice.warm:
             return self._service_times.warm_s(route)
         return self._service_times.cold_s(route)
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -104,6 +104,7 @@
         """Does nothing: policies do not expire."""
 
     def _apply(self, change: feed.Change) -> None:
+        """Applies a policy row unless it is invalid or not newer than the policy in force."""
         try:
             policy = self._decoder.policy(change.value)
         except errors.ValidationError as error:
@@ -193,6 +194,7 @@
                 self._registry.remove(state.server.server_id)
 
     def _upsert(self, change: feed.Change, *, log: bool = True) -> bool:
+        """Adds or updates the server of a row; returns False if the row is invalid."""
         try:
             server = self._decoder.backend_server(change.key, change.value)
         except errors.ValidationError as error:
@@ -217,6 +219,7 @@
         return True
 
     def _remove(self, server_id: str) -> None:
+        """Removes a server, or marks it for removal if the grace period covers it."""
         state = self._registry.get(server_id)
         if state is None:
             return
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -39,9 +39,10 @@
 
 
 class ForwarderTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against non-idempotent requests that run twice and against untrue responses.
+    """Guards against non-idempotent requests that run twice and against false 503 responses.
 
-    An untrue response says that a request did not run although an attempt may have run it.
+    A 503 of the gateway states that the request did not run, so it must not follow an attempt that
+    may have run the request.
     """
 
     async def start(self, *scripts, idempotent=True, retry_tokens=10.0, **route_fields):
--- a/packages/gateway/tests/test_state.py
+++ b/packages/gateway/tests/test_state.py
@@ -73,7 +73,7 @@
 
 
 class ServerListingTest(unittest.TestCase):
-    """Guards against keeping servers that are gone and against removing servers that run."""
+    """Guards against keeping servers that have stopped and removing servers that still run."""
 
     def setUp(self):
         self.clock = clock_lib.ManualClock()
