--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -26,12 +26,14 @@
 COLD_RUN_COST = (1.0, 4.0, 8.0, 8.0)
 # Time after a run for which the object counts as warm on the server.
 WARM_FOR_S = 15.0
+# Number of pairs of server and object whose last run is recorded; bounds the memory.
 MAX_RECENT_RUNS = 4000
 # Servers with more waiting requests per slot than this reject further requests.
 MAX_WAITING_PER_SLOT = 2.0
 # Assumed service time of a route before the first measurement.
 DEFAULT_SERVICE_S = 0.2
-# A run that takes longer than this multiple of the service time of a warm object was a cold run.
+# A run of an object that is not known to be warm counts as a cold run if it takes longer than this
+# multiple of the service time of a warm object.
 COLD_RUN_MIN_RATIO = 1.5
 # Weights of a new sample in the moving averages of service times, when it is above or below them.
 SERVICE_WEIGHT_UP = 0.05
@@ -48,8 +50,11 @@
 class Refusal(enum.Enum):
     """Reason why no server was selected."""
 
+    # No listed server may be used now.
     NO_SERVER = "no_server"
+    # The queue of the best server is full, and each other compared server has a queue.
     OVERLOADED = "overloaded"
+    # The best server is not expected to respond before the deadline.
     TOO_LATE = "too_late"
 
 
@@ -61,7 +66,7 @@
         state: The selected server; None if the request was refused.
         refusal: Why no server was selected; None if one was.
         retry_after_s: Time after which the caller of a refused request may retry.
-        load: Estimated load of the selected server.
+        load: Estimated number of requests running or waiting at the selected server.
         load_age_s: Age of the load report that the estimate is based on; -1 without a report.
         rank: Position of the server in the object's ranking, from 0.
         warm: Whether the server has recently run the object for this instance.
@@ -83,8 +88,9 @@
     """Properties of a request that the selection of a server depends on.
 
     Attributes:
+        region: Region of this instance.
         remaining_s: Time until the deadline of the request.
-        tried: Ids of the servers that must not be selected again.
+        excluded_servers: Ids of the servers that must not be selected.
     """
 
     route: model.Route
@@ -92,11 +98,11 @@
     object_key: str
     region: str
     remaining_s: float
-    tried: Collection[str] = ()
+    excluded_servers: Collection[str] = ()
 
 
-class WorkEstimate:
-    """Average service time of each route for warm objects, for cold runs and for all runs.
+class ServiceTimeEstimate:
+    """Moving averages of the service time of each route: warm objects, cold runs and all runs.
 
     This instance does not see the requests that other instances send to a server, so an object that
     is not known to be warm there may be warm all the same. Of the runs of such objects, only the
@@ -169,12 +175,12 @@
 
 
 class Balancer:
-    """Selects the server with the lowest expected cost among the first of an object's ranking.
+    """Selects the server with the lowest expected cost among the top of an object's ranking.
 
     Args:
         clock: Time source.
         registry: Servers and their state.
-        work: Estimates of service times.
+        service_times: Estimated service times of the routes.
         cold_limit: Decides which cold servers this instance may use.
         overflow: Decides which share of the objects moves out of an overloaded region.
     """
@@ -184,13 +190,13 @@
         *,
         clock: clock_lib.Clock,
         registry: servers.ServerRegistry,
-        work: WorkEstimate,
+        service_times: ServiceTimeEstimate,
         cold_limit: cold_limit_lib.ColdLimit,
         overflow: overflow_lib.OverflowControl,
     ):
         self._clock = clock
         self._registry = registry
-        self._work = work
+        self._service_times = service_times
         self._cold_limit = cold_limit
         self._overflow = overflow
         self._recent_runs = RecentRuns()
@@ -206,12 +212,22 @@
         if not candidates:
             return Choice(refusal=Refusal.NO_SERVER, retry_after_s=servers.INITIAL_EJECTION_S)
         compared = candidates[:MAX_COMPARED_SERVERS]
-        best = min(compared, key=lambda entry: self._expected_cost_s(criteria, entry, now_s))
+        best = min(
+            compared, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
+        )
         if self._is_full(best[1], now_s):
-            free = [entry for entry in compared if self._queue_per_slot(entry[1], now_s) == 0.0]
+            # Objects move from a full server only to one without a queue. Elsewhere, their cold
+            # runs would delay the requests that wait there.
+            free = [
+                candidate
+                for candidate in compared
+                if self._queue_per_slot(candidate[1], now_s) == 0.0
+            ]
             if not free:
                 return self._refuse_overload(best[1], criteria, now_s)
-            best = min(free, key=lambda entry: self._expected_cost_s(criteria, entry, now_s))
+            best = min(
+                free, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
+            )
         rank, state = best
         response_s = self._min_response_s(state, criteria, now_s)
         if response_s >= criteria.remaining_s:
@@ -240,10 +256,10 @@
         )
         for rank, server_id in enumerate(ranked):
             state = self._registry.get(server_id)
-            if state is None or server_id in criteria.tried:
+            if state is None or server_id in criteria.excluded_servers:
                 continue
-            homes = criteria.route.home_regions
-            if homes and self._registry.region_of(state) not in homes:
+            home_regions = criteria.route.home_regions
+            if home_regions and self._registry.region_of(state) not in home_regions:
                 continue
             if state.ejected_until_s > now_s or (state.on_trial and state.outstanding):
                 continue
@@ -256,20 +272,21 @@
         return candidates
 
     def _expected_cost_s(
-        self, criteria: SelectionCriteria, entry: tuple[int, servers.ServerState], now_s: float
+        self, criteria: SelectionCriteria, candidate: tuple[int, servers.ServerState], now_s: float
     ) -> float:
-        """Returns the expected response time of a server, including the delay of other requests."""
-        rank, state = entry
-        work_s = self._work.warm_s(criteria.route.name)
+        """Returns the expected response time, plus the delay that a cold run causes for others."""
+        rank, state = candidate
+        run_s = self._service_times.warm_s(criteria.route.name)
         if not self._recent_runs.is_warm(state.server.server_id, criteria.object_key, now_s):
-            work_s *= COLD_RUN_COST[min(rank, len(COLD_RUN_COST) - 1)]
-        service_s = (
-            self._queue_per_slot(state, now_s) * self._work.mean_s(criteria.route.name) + work_s
+            run_s *= COLD_RUN_COST[min(rank, len(COLD_RUN_COST) - 1)]
+        response_s = (
+            self._queue_per_slot(state, now_s) * self._service_times.mean_s(criteria.route.name)
+            + run_s
         )
-        service_s *= max(1.0, state.latency_ratio)
+        response_s *= max(1.0, state.latency_ratio)
         if state.cold_until_s > now_s:
-            service_s *= COLD_SERVER_FACTOR
-        return service_s / max(MIN_SUCCESS_RATE, 1.0 - state.error_rate)
+            response_s *= COLD_SERVER_FACTOR
+        return response_s / max(MIN_SUCCESS_RATE, 1.0 - state.error_rate)
 
     @staticmethod
     def _queue_per_slot(state: servers.ServerState, now_s: float) -> float:
@@ -285,8 +302,8 @@
     ) -> float:
         """Returns the shortest time after which a response can be expected."""
         route = criteria.route.name
-        wait_s = self._queue_per_slot(state, now_s) * self._work.mean_s(route)
-        return wait_s + MIN_SERVICE_SHARE * self._work.warm_s(route)
+        wait_s = self._queue_per_slot(state, now_s) * self._service_times.mean_s(route)
+        return wait_s + MIN_SERVICE_SHARE * self._service_times.warm_s(route)
 
     def _refuse_overload(
         self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -40,21 +40,26 @@
         self._crashes: dict[str, dict[str, float]] = {}
 
     def add(self, fingerprint_: str, server: str) -> bool:
-        """Records a crash and returns whether it is new."""
+        """Records a crash and returns whether it is new.
+
+        Args:
+            fingerprint_: Fingerprint of a request that the server was running.
+            server: Start of the server that crashed, as ``id/started_ms``.
+        """
         now_s = self._clock.monotonic()
-        self._forget_old(now_s)
-        seen = self._crashes.setdefault(fingerprint_, {})
-        if server in seen:
+        self._drop_old(now_s)
+        crash_times_s = self._crashes.setdefault(fingerprint_, {})
+        if server in crash_times_s:
             return False
-        seen[server] = now_s
+        crash_times_s[server] = now_s
         return True
 
     def crash_count(self, fingerprint_: str) -> int:
-        """Returns the number of crashes during a request; simultaneous ones count once."""
-        times = sorted(self._crashes.get(fingerprint_, {}).values())
+        """Returns the number of separate crashes of servers that were running the request."""
+        crash_times_s = sorted(self._crashes.get(fingerprint_, {}).values())
         count = 0
         last_s = -RETENTION_S
-        for time_s in times:
+        for time_s in crash_times_s:
             if time_s - last_s > SAME_EVENT_WINDOW_S:
                 count += 1
                 last_s = time_s
@@ -64,7 +69,8 @@
         """Whether the request must not be sent to another server."""
         return self.crash_count(fingerprint_) >= CRASHES_TO_REFUSE
 
-    def _forget_old(self, now_s: float) -> None:
+    def _drop_old(self, now_s: float) -> None:
+        """Makes room for another fingerprint, if necessary by dropping recent crashes too."""
         if len(self._crashes) < MAX_FINGERPRINTS:
             return
         for key in list(self._crashes):
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -10,7 +10,9 @@
 
 
 class RetryBudgets:
-    """Divides the retries that the bounds allow the fleet among its live instances.
+    """Divides the additional retries of the fleet among its live instances.
+
+    The retries permitted per request need no division: each instance counts its own requests.
 
     Args:
         clock: Time source.
@@ -30,19 +32,21 @@
             self._bounds = bounds
             self._budgets.clear()
 
-    def of(self, service: str) -> retry.RetryBudget:
+    def budget_of(self, service: str) -> retry.RetryBudget:
         """Returns the budget of a service, adjusted to the current number of live instances."""
         bounds = self._bounds
         instances = max(1, len(self._view.live_names()))
-        most_tokens = max(1.0, bounds.retry_extra * USED_SHARE / instances)
+        max_tokens = max(1.0, bounds.retry_extra * USED_SHARE / instances)
         budget = self._budgets.get(service)
         if budget is None:
             budget = retry.RetryBudget(
                 clock=self._clock,
                 ratio=bounds.retry_ratio * USED_SHARE,
-                minimum_per_s=most_tokens / bounds.retry_window_s / 2.0,
-                max_tokens=most_tokens,
+                # A full bucket and this rate allow 1.5 * max_tokens retries in one window: 0.9 of
+                # the bound, unless max_tokens is raised to 1.
+                minimum_per_s=max_tokens / bounds.retry_window_s / 2.0,
+                max_tokens=max_tokens,
             )
             self._budgets[service] = budget
-        budget.set_max_tokens(most_tokens)
+        budget.set_max_tokens(max_tokens)
         return budget
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -29,7 +29,7 @@
     Attributes:
         outstanding: Requests of this instance that the server has not answered yet.
         others_outstanding: Requests of other instances at the server, from the last load report.
-        reported_load: Requests running or waiting per slot, from the last load report.
+        reported_load_per_slot: Requests running or waiting per slot, from the last load report.
         reported_at_s: Monotonic time of the last load report; 0 without one.
         cold_until_s: Monotonic time until which the server is cold.
         next_cold_send_s: Monotonic time from which this instance may send another request to the
@@ -47,7 +47,7 @@
     server: model.BackendServer
     outstanding: int = 0
     others_outstanding: float = 0.0
-    reported_load: float = 0.0
+    reported_load_per_slot: float = 0.0
     reported_at_s: float = 0.0
     cold_until_s: float = 0.0
     next_cold_send_s: float = 0.0
@@ -140,15 +140,15 @@
     def loads_by_region(self) -> dict[str, dict[str, float]]:
         """Returns the mean load per slot by service and region, from recent load reports."""
         now_s = self._clock.monotonic()
-        found: dict[str, dict[str, list[float]]] = {}
+        loads: dict[str, dict[str, list[float]]] = {}
         for state in self._states.values():
             if now_s - state.reported_at_s > REPORT_LIFETIME_S or not self.usable(state):
                 continue
-            regions = found.setdefault(state.server.service, {})
-            regions.setdefault(self.region_of(state), []).append(state.reported_load)
+            service_loads = loads.setdefault(state.server.service, {})
+            service_loads.setdefault(self.region_of(state), []).append(state.reported_load_per_slot)
         return {
-            service: {region: statistics.fmean(values) for region, values in regions.items()}
-            for service, regions in found.items()
+            service: {region: statistics.fmean(values) for region, values in service_loads.items()}
+            for service, service_loads in loads.items()
         }
 
     def set_regions(self, region_of: Mapping[str, str]) -> None:
@@ -162,7 +162,7 @@
         self._warmup_s = {service.name: service.warmup_s for service in services}
 
     def upsert(self, server: model.BackendServer) -> ServerState:
-        """Adds a server, or updates its listing.
+        """Adds a server or updates its listing, and returns its state.
 
         The state of a server that has restarted under the same id is reset.
         """
@@ -194,24 +194,36 @@
         The servers of a failure domain that is no longer evacuated are treated as cold: they were
         idle long enough to lose their caches, which their listings need not report.
         """
-        new = frozenset(failure_domains)
+        evacuated = frozenset(failure_domains)
         now_s = self._clock.monotonic()
         for state in self._states.values():
-            if state.server.failure_domain in self._evacuated - new:
+            if state.server.failure_domain in self._evacuated - evacuated:
                 self.mark_cold(state, now_s)
-        self._evacuated = new
+        self._evacuated = evacuated
         self._rankings.clear()
 
     def mark_cold(self, state: ServerState, now_s: float, left_s: float | None = None) -> None:
-        """Marks a server as cold, by default for the warm-up time of its service."""
+        """Marks a server as cold.
+
+        Args:
+            state: The server.
+            now_s: Current monotonic time.
+            left_s: Time for which it remains cold; None for the warm-up time of its service.
+        """
         if left_s is None:
             left_s = self._warmup_s.get(state.server.service, 0.0)
         state.cold_until_s = max(state.cold_until_s, now_s + left_s)
 
     def on_load(self, state: ServerState, running: int, waiting: int) -> None:
-        """Records a load report; its counts include the requests of this instance."""
+        """Records a load report.
+
+        Args:
+            state: The server.
+            running: Number of requests that the server is running, from all instances.
+            waiting: Number of requests in its queue, from all instances.
+        """
         state.others_outstanding = max(0.0, running + waiting - state.outstanding)
-        state.reported_load = (running + waiting) / max(1, state.server.slots)
+        state.reported_load_per_slot = (running + waiting) / max(1, state.server.slots)
         state.reported_at_s = self._clock.monotonic()
 
     def on_response(self, state: ServerState) -> None:
@@ -240,15 +252,15 @@
 
         Args:
             state: The server.
-            unreachable: Whether no connection could be opened.
+            unreachable: Whether no connection could be opened; the server is then on trial.
         """
         state.failures += 1
         state.add_outcome(failed=True)
         if unreachable:
             state.on_trial = True
         if unreachable or state.failures >= 2:
-            pause_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0 ** (state.failures - 1))
-            state.ejected_until_s = self._clock.monotonic() + pause_s
+            ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0 ** (state.failures - 1))
+            state.ejected_until_s = self._clock.monotonic() + ejection_s
 
     @staticmethod
     def _same_ranking(old: model.BackendServer, new: model.BackendServer) -> bool:
@@ -262,7 +274,11 @@
 
     @staticmethod
     def _restarted(old: model.BackendServer, new: model.BackendServer) -> bool:
-        """Whether the new listing belongs to a later start of the server."""
+        """Whether the new listing belongs to another start of the server.
+
+        If a listing lacks the start time, a changed address or service or a lower sequence number
+        counts as a restart.
+        """
         if old.started_ms and new.started_ms:
             return old.started_ms != new.started_ms
         moved = (old.host, old.port, old.service) != (new.host, new.port, new.service)
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -89,14 +89,14 @@
                 evacuated.add(domain)
             elif self._decoder.is_policy(change.key):
                 self._apply(change)
-        self._evacuate(evacuated)
+        self._set_evacuated(evacuated)
 
     def on_change(self, change: feed.Change) -> None:
         """See base class."""
         domain = self._decoder.evacuated_domain(change.key)
         if domain is not None:
-            kept = self._evacuated - {domain}
-            self._evacuate(kept if change.value is None else kept | {domain})
+            others = self._evacuated - {domain}
+            self._set_evacuated(others if change.value is None else others | {domain})
         elif self._decoder.is_policy(change.key) and change.value is not None:
             self._apply(change)
 
@@ -104,6 +104,7 @@
         """Does nothing: policies do not expire."""
 
     def _apply(self, change: feed.Change) -> None:
+        """Applies a policy row unless it is invalid or not newer than the policy in force."""
         try:
             policy = self._decoder.policy(change.value)
         except errors.ValidationError as error:
@@ -122,7 +123,7 @@
         self._log.info("policy in force", version=policy.version, row_version=change.version)
         self._on_policy(policy)
 
-    def _evacuate(self, evacuated: set[str]) -> None:
+    def _set_evacuated(self, evacuated: set[str]) -> None:
         if evacuated == self._evacuated:
             return
         self._log.info(
@@ -193,16 +194,17 @@
                 self._registry.remove(state.server.server_id)
 
     def _upsert(self, change: feed.Change, *, log: bool = True) -> bool:
+        """Adds or updates the server of a row; returns False if the row is invalid."""
         try:
             server = self._decoder.backend_server(change.key, change.value)
         except errors.ValidationError as error:
             self._log.warning("invalid server listing", server=change.key, error=str(error))
             return False
-        known = self._registry.get(change.key)
-        if known is not None and known.remove_at_s is None:
+        state = self._registry.get(change.key)
+        if state is not None and state.remove_at_s is None:
             # Repeated listings that differ only in the sequence number would flood the log.
             log = (
-                log and dataclasses.replace(server, sequence=known.server.sequence) != known.server
+                log and dataclasses.replace(server, sequence=state.server.sequence) != state.server
             )
         self._registry.upsert(server)
         if log:
@@ -217,6 +219,7 @@
         return True
 
     def _remove(self, server_id: str) -> None:
+        """Removes a server, or marks it for removal if the grace period covers it."""
         state = self._registry.get(server_id)
         if state is None:
             return
