Correct docstrings of the relay, follower and fleet modules

Several docstrings did not match the code: on_newer_version was also called with older versions, live_names leaves out instances that are leaving, beacons also come from instances that do not read the store, and the time in contact with the store is the time without an interruption of table updates, also when they come through a relay. A reload does not change the lifetime of lookups. VersionAnnouncer._announced held the versions of the last check, sent or not.

Rename on_newer_version to on_reported_version and some local variables, and describe the ranking, the ping targets and the missing arguments and errors.

No behaviour changes.

--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -33,9 +33,9 @@
         self._followers = followers
         self._role = role
         self._send = send
-        self._announced = self.versions()
+        self._last_versions = self.versions()
         self._last_reading: dict[str, int] = {}
-        self._sent_s = 0.0
+        self._last_sent_s = 0.0
 
     def versions(self) -> dict[str, int]:
         """Returns the newest version of each table that this instance has."""
@@ -50,17 +50,17 @@
     def update(self) -> None:
         """Sends an announcement if one is due."""
         versions = self.versions()
-        changed = versions != self._announced
-        self._announced = versions
+        changed = versions != self._last_versions
+        self._last_versions = versions
         reading = {name: versions[name] for name, entry in self._followers.items() if entry.reading}
         lost = any(
             name not in reading and self._followers[name].in_outage for name in self._last_reading
         )
         self._last_reading = reading
         now_s = time.monotonic()
-        due = now_s - self._sent_s >= relay.BEACON_INTERVAL_S
+        due = now_s - self._last_sent_s >= relay.BEACON_INTERVAL_S
         if lost or (reading and (changed or due)):
             self._send(self._role.recipients(changed=changed), reading)
-            self._sent_s = now_s
+            self._last_sent_s = now_s
         elif not reading and changed and self._role.is_ahead_of_readers(versions):
             self._send(self._role.recipients(changed=False), versions)
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -7,6 +7,7 @@
 from sassafrasway_core import clock as clock_lib
 
 PING_INTERVAL_S = 0.5
+# Number of ping intervals within which a member must answer a ping.
 MISSED_PINGS = 3
 # Time in which a member must answer after another instance has reported it as unreachable.
 SUSPECT_TIMEOUT_S = 1.0
@@ -53,8 +54,8 @@
 
     Attributes:
         last_message_s: Time of the last message from the member itself; 0 before the first one.
-        contact_since_s: Time since which the member has been in contact with the store; None if it
-            is not.
+        contact_since_s: Time since which the member has received the store's changes without an
+            outage, as of its last message; None if it was in an outage.
         deadline_s: Time at which the member is declared dead unless a message from it arrives; None
             while no answer is expected.
     """
@@ -93,7 +94,7 @@
         self._own = dataclasses.replace(self._own, phase=phase)
 
     def live_names(self) -> list[str]:
-        """Returns the names of all live instances, this one included."""
+        """Returns the names of the live instances that are not leaving, and of this one."""
         names = [
             name
             for name, entry in self._entries.items()
@@ -107,7 +108,7 @@
         return [entry.member for entry in self._entries.values()]
 
     def live_members(self) -> list[Member]:
-        """Returns all other live members."""
+        """Returns all other live members, including those that are leaving."""
         return [entry.member for entry in self._entries.values() if entry.alive]
 
     def ready_members(self) -> list[Member]:
@@ -135,7 +136,8 @@
 
         Args:
             member: Description in the message.
-            contact_s: How long the member has been in contact with the platform's store, s.
+            contact_s: How long the member has received the changes of the platform's store without
+                an outage, s; 0 during an outage.
 
         Returns:
             Whether the member became live.
@@ -173,7 +175,10 @@
         return entry.member
 
     def store_answered_peers(self, outage_s: float) -> bool:
-        """Whether another instance stayed in contact with the store during an outage.
+        """Whether another instance received the store's changes throughout an outage.
+
+        A member's last message counts only if it arrived clearly after the outage began, because an
+        earlier one does not show that the member was unaffected.
 
         Args:
             outage_s: Duration of the outage, which ends now, s.
@@ -187,7 +192,7 @@
         )
 
     def tick(self) -> tuple[list[Member], list[Member]]:
-        """Advances the failure detector.
+        """Advances the failure detector; called every ``PING_INTERVAL_S``.
 
         Returns:
             The members to ping now, and those that were just declared dead.
@@ -214,6 +219,11 @@
         return targets, dead
 
     def _targets(self) -> list[Member]:
+        """Returns the members to ping.
+
+        These are the next live member in a ring that is ordered by region and failure domain, one
+        random member, live or not, and all live members that have not answered yet.
+        """
         targets = {}
         live = [entry.member for entry in self._entries.values() if entry.alive]
         if live:
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -15,7 +15,7 @@
 BATCH_INTERVAL_S = 0.5
 INITIAL_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 0.8
-# Time for which a poll may lag behind a version that another instance has seen.
+# Time for which a poll may lag behind a version that another instance reports.
 LAG_TOLERANCE_S = 0.4
 OUTAGE_LOG_INTERVAL_S = 1.0
 # A younger poll is not cancelled: it may still be opening its connection.
@@ -87,7 +87,7 @@
 
     @property
     def version(self) -> int:
-        """Newest version seen, -1 before the first read."""
+        """Version of the rows received so far; -1 before the first read."""
         return self._cache.version
 
     @property
@@ -107,15 +107,15 @@
             return 0.0
         return time.monotonic() - self._contact_since_s
 
-    def on_newer_version(self, version: int) -> None:
-        """Cancels a stalled poll when another instance has seen a newer version.
+    def on_reported_version(self, version: int) -> None:
+        """Cancels a stalled poll if another instance has a newer version than this one.
 
         A connection can stall without being reset, in which case the poll would wait for its
         timeout. The poll is cancelled once it has lagged for more than ``LAG_TOLERANCE_S``; `run`
-        then polls again.
+        then polls again or fetches from another instance.
 
         Args:
-            version: Version that another instance has.
+            version: Version reported by another instance, which may also be an older one.
         """
         if version <= self.version or self._poll is None or self.version < 0:
             return
@@ -202,6 +202,8 @@
 
     async def _poll_store(self) -> None:
         times = self._role.poll_times()
+        # After a failed or cancelled poll, the next one does not wait for changes, so that it shows
+        # immediately whether the store responds.
         wait_s = times.wait_s * self._rng.uniform(0.8, 1.0) if self._store_responds else 0.0
         call = self._store.changes(
             self._table, after=self.version, wait_s=wait_s, timeout_s=wait_s + times.margin_s
@@ -214,6 +216,7 @@
         except asyncio.CancelledError:
             if asyncio.current_task().cancelling():
                 raise
+            # Only the poll was cancelled, by `on_reported_version`.
             self._store_responds = False
             return
         finally:
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -11,7 +11,8 @@
     Attributes:
         reply: Whether the receiver should reply.
         versions: Newest version of each followed table that the sender has.
-        contact_ms: How long the sender has been in contact with the store, ms; 0 if it is not.
+        contact_ms: How long the sender has received the store's changes without an outage, ms; 0
+            during an outage.
     """
 
     name: str
@@ -38,7 +39,7 @@
 
     Attributes:
         fingerprint: Digest of the request.
-        server: Id and start of the server.
+        server: Id of the server and the Unix time of its start in ms, separated by a slash.
     """
 
     fingerprint: str
@@ -76,7 +77,15 @@
 def hello(
     member: fleet.Member, *, reply: bool, versions: dict[str, int], contact_s: float = 0.0
 ) -> Hello:
-    """Builds the hello message of a member."""
+    """Builds the hello message of a member.
+
+    Args:
+        member: Member to describe, which is the sender.
+        reply: Whether the receiver should reply.
+        versions: Newest version of each followed table that the sender has.
+        contact_s: How long the sender has received the store's changes without an outage, s; 0
+            during an outage.
+    """
     return Hello(
         member.name,
         member.incarnation,
@@ -92,7 +101,11 @@
 
 
 def member_of(message: Hello) -> fleet.Member:
-    """Returns the member that a hello message describes."""
+    """Returns the member that a hello message describes.
+
+    Raises:
+        ValueError: The phase is unknown.
+    """
     return fleet.Member(
         name=message.name,
         incarnation=message.incarnation,
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -18,11 +18,12 @@
         view: Fleet as seen by this instance.
         port: UDP port used by all instances.
         versions: Returns the newest version of each followed table that this instance has.
-        contact_s: Returns how long this instance has been in contact with the store, s.
-        on_versions: Called with the name, host and table versions of another instance.
+        contact_s: Returns how long this instance has received the store's changes without an
+            outage, s.
+        on_versions: Called with the name, host and table versions of another instance for each
+            message that contains them.
         on_crash: Called with the request fingerprint and the server of a reported crash.
-        on_beacon: Called with the name, host, region and table versions of another instance that
-            announced them.
+        on_beacon: Called with the name, host, region and table versions in an announcement.
     """
 
     def __init__(
@@ -47,7 +48,7 @@
         self._log = structlog.get_logger("peers")
 
     async def start(self, host: str) -> None:
-        """Opens the socket."""
+        """Opens the UDP socket on an address of this instance."""
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, self._port))
 
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -115,7 +115,7 @@
             dialect.policy_table: self._make_follower(dialect.policy_table, self._policy_state),
             dialect.server_table: self._make_follower(dialect.server_table, self._listing),
         }
-        self._cold = cold_limit.ColdLimit(
+        self._cold_limit = cold_limit.ColdLimit(
             clock=clock,
             instance=config.instance,
             fleet=self._view,
@@ -176,7 +176,7 @@
         return self._view.own.phase == fleet.Phase.READY
 
     def dump(self) -> dict:
-        """Returns the state of the process as plain data."""
+        """Returns the state of the process as plain data that can be encoded as JSON."""
         now_s = self._clock.monotonic()
         policy = self._policy_state.policy
         return {
@@ -208,11 +208,16 @@
         self._stopping.set()
 
     async def run(self) -> None:
-        """Runs until `stop` is called or a signal arrives, then shuts down gracefully."""
+        """Runs until a stop is requested, then shuts down gracefully.
+
+        SIGTERM, SIGINT, a call of `stop` and the failure of a task request the stop. SIGHUP reloads
+        the settings.
+        """
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
+        # SIGHUP would kill a process without a handler, so it is blocked when the process starts.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self._log.info("gateway starting", config=dataclasses.asdict(self._config.front))
         await self._start_servers()
@@ -232,7 +237,7 @@
             clock=self._clock,
             registry=self._registry,
             work=work,
-            cold_limit=self._cold,
+            cold_limit=self._cold_limit,
             overflow=self._overflow,
         )
         return forwarder.Forwarder(
@@ -241,7 +246,7 @@
             chooser=chooser,
             runner=attempt.AttemptRunner(pool=self._pool, names=self._dialect.headers),
             learner=learning.OutcomeLearner(registry=self._registry, chooser=chooser, work=work),
-            cold=self._cold,
+            cold=self._cold_limit,
             crash_register=self._crashes,
             budget_of=self._budgets.of,
             on_crash=self._peers.report_crash,
@@ -308,7 +313,7 @@
         self._peers.announce()
 
     def _on_policy(self, policy: model.Policy) -> None:
-        self._cold.set_rates(
+        self._cold_limit.set_rates(
             {service.name: service.warmup_per_s for service in policy.services.values()}
         )
 
@@ -319,10 +324,13 @@
         self._relay_role.on_hint(name, host, versions)
         for table_name, version in versions.items():
             if table_name in self._followers:
-                self._followers[table_name].on_newer_version(version)
+                self._followers[table_name].on_reported_version(version)
 
     def _on_reload(self) -> None:
-        """Applies new bounds and failure domains; other settings need a restart."""
+        """Applies new bounds and failure domains; other settings need a restart.
+
+        The lifetime of lookups (``lookup_ttl_s``) needs a restart too.
+        """
         try:
             config = self._load_settings()
         except (OSError, errors.ValidationError) as error:
@@ -338,12 +346,14 @@
         )
         self._registry.set_regions(config.region_of)
         self._budgets.set_bounds(config.bounds)
-        self._cold.set_bounds(factor=config.bounds.cold_factor, slack=config.bounds.cold_slack)
+        self._cold_limit.set_bounds(
+            factor=config.bounds.cold_factor, slack=config.bounds.cold_slack
+        )
         self._log.info("settings reloaded", changed=changed)
 
     async def _shut_down(self) -> None:
         """Removes the instance from lookups and completes its requests within the grace period."""
-        began_s = time.monotonic()
+        started_s = time.monotonic()
         # Closing the event loop removes its signal handlers; SIGHUP would then kill the process.
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         self._log.info("gateway stopping", busy=self._front_server.busy)
@@ -353,7 +363,7 @@
         deregister = asyncio.get_running_loop().create_task(self._registration.deregister())
         await asyncio.sleep(STOP_LISTENING_AFTER_S)
         self._front_server.stop_listening()
-        deadline_s = began_s + self._config.bounds.stop_grace_s - EXIT_MARGIN_S
+        deadline_s = started_s + self._config.bounds.stop_grace_s - EXIT_MARGIN_S
         while time.monotonic() < deadline_s and self._front_server.busy + self._forwarder.running:
             await asyncio.sleep(EXIT_CHECK_INTERVAL_S)
         self._log.info(
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -24,7 +24,7 @@
 READERS_PER_REGION = 2
 # Interval of the announcements of table versions, which are sent as beacons.
 BEACON_INTERVAL_S = 0.25
-# Older announcements are ignored.
+# Older announcements from this region are ignored.
 BEACON_LIFETIME_S = 0.8
 # Delay between the takeovers of two instances that follow each other in the ranking.
 TAKEOVER_INTERVAL_S = 0.25
@@ -46,8 +46,9 @@
 MAX_ENCODED_RESPONSES = 8
 # Number of instances in each other region to which a new version is announced directly.
 RECIPIENTS_PER_REMOTE_REGION = 3
-# Time for which the readers of the own region may lag behind a version that any other instance
-# reports (a hint) before rows are fetched from that instance.
+# Time for which the readers of this region may lag behind a version that any other instance
+# reports (a hint) before rows are fetched from that instance. Hints older than the lifetime are
+# ignored.
 HINT_DELAY_S = 0.4
 HINT_LIFETIME_S = 3.0
 
@@ -140,6 +141,11 @@
     async def fetch(self, host: str, table_name: str, *, after: int) -> RelayedTable:
         """Returns the changes after a version, or the whole table if they are unavailable.
 
+        Args:
+            host: Address of the instance to fetch from.
+            table_name: Table to fetch.
+            after: Version of the rows that this instance has; -1 to fetch the whole table.
+
         Raises:
             table.StoreUnavailable: The instance returned no valid response.
         """
@@ -207,7 +213,7 @@
     Attributes:
         received_s: Time at which the latest announcement was received.
         first_announced_s: Time at which the current version of each table was first announced. A
-            hint is used only after a delay, as the readers of the own region may soon announce the
+            hint is used only after a delay, as the readers of this region may soon announce the
             same.
     """
 
@@ -232,12 +238,13 @@
         self._hints: dict[str, _Announcement] = {}
         self._started_s = time.monotonic()
         self._last_announced_s: dict[str, float] = {}
+        # Time at which the last reader of a table announced that it can no longer read it.
         self._readers_lost_s: dict[str, float] = {}
         self._announcement_received = asyncio.Event()
 
     @property
     def announcement_received(self) -> asyncio.Event:
-        """Event that is set when an announcement of the own region arrives."""
+        """Event that is set when an announcement from this region arrives."""
         return self._announcement_received
 
     def has_recent_announcement(self, table_name: str) -> bool:
@@ -257,14 +264,16 @@
         return _SINGLE_REGION_POLL_TIMES
 
     def on_beacon(self, name: str, host: str, region: str, versions: dict[str, int]) -> None:
-        """Records an announcement by an instance that reads the store.
+        """Records an announcement by another instance.
+
+        An announcement from another region counts as a hint only.
 
         Args:
             name: Name of the instance.
             host: Address on which it serves its tables.
             region: Its region.
-            versions: Versions of the tables that it reads. A table that was announced before and is
-                missing now can no longer be read by the instance.
+            versions: Versions of the tables that it can serve. A table that was announced before
+                and is missing now can no longer be read by the instance.
         """
         if region != self._view.own.region:
             self.on_hint(name, host, versions)
@@ -283,7 +292,7 @@
     def on_hint(self, name: str, host: str, versions: dict[str, int]) -> None:
         """Records table versions reported by any instance.
 
-        They are used only if the readers of the own region do not announce them within
+        They are used only if the readers of this region do not announce them within
         ``HINT_DELAY_S``; the connections of those readers to the store may have stalled.
         """
         self._record_versions(self._hints, name, host, versions)
@@ -304,18 +313,18 @@
             (self._hints, HINT_LIFETIME_S, HINT_DELAY_S),
         ):
             sources: list[str] = []
-            newest = version
-            for entry in announcements.values():
-                announced = entry.versions.get(table_name, -1)
-                fresh = now_s - entry.received_s < max_age_s
-                since_s = entry.first_announced_s.get(table_name, now_s)
-                if not fresh or announced <= version or now_s - since_s < min_age_s:
+            newest_version = version
+            for announcement in announcements.values():
+                announced_version = announcement.versions.get(table_name, -1)
+                fresh = now_s - announcement.received_s < max_age_s
+                since_s = announcement.first_announced_s.get(table_name, now_s)
+                if not fresh or announced_version <= version or now_s - since_s < min_age_s:
                     continue
-                if announced > newest:
+                if announced_version > newest_version:
                     sources.clear()
-                    newest = announced
-                if announced == newest:
-                    sources.append(entry.host)
+                    newest_version = announced_version
+                if announced_version == newest_version:
+                    sources.append(announcement.host)
             if sources:
                 return self._rng.choice(sources)
         return None
@@ -326,17 +335,21 @@
         False when no reader has announced anything recently.
         """
         now_s = time.monotonic()
-        known: dict[str, int] = {}
-        for entry in self._beacons.values():
-            if now_s - entry.received_s < BEACON_LIFETIME_S:
-                for table_name, version in entry.versions.items():
-                    known[table_name] = max(version, known.get(table_name, -1))
-        return bool(known) and any(
-            version > known.get(table_name, -1) for table_name, version in versions.items()
+        announced: dict[str, int] = {}
+        for announcement in self._beacons.values():
+            if now_s - announcement.received_s < BEACON_LIFETIME_S:
+                for table_name, version in announcement.versions.items():
+                    announced[table_name] = max(version, announced.get(table_name, -1))
+        return bool(announced) and any(
+            version > announced.get(table_name, -1) for table_name, version in versions.items()
         )
 
     def is_reader(self, table_name: str) -> bool:
-        """Whether this instance should read the table from the store itself."""
+        """Whether this instance should read the table from the store itself.
+
+        The first ``READERS_PER_REGION`` instances of the ranking always do. The next ones take over
+        one after the other once the table is no longer announced in the region.
+        """
         rank = self._rank()
         if rank < READERS_PER_REGION:
             return True
@@ -358,7 +371,7 @@
         recipients = [member for member in live if member.region == region]
         if changed:
             counts: collections.Counter[str] = collections.Counter()
-            for member in sorted(live, key=lambda each: self._score(each.name)):
+            for member in sorted(live, key=lambda candidate: self._score(candidate.name)):
                 if member.region != region and counts[member.region] < RECIPIENTS_PER_REMOTE_REGION:
                     counts[member.region] += 1
                     recipients.append(member)
@@ -368,12 +381,15 @@
         return self._last_announced_s.get(table_name, self._started_s) + BEACON_LIFETIME_S
 
     def _is_announced(self, table_name: str, now_s: float) -> bool:
+        """Whether the latest announcement of any instance is recent and contains the table."""
         return any(
-            table_name in entry.versions and now_s - entry.received_s < BEACON_LIFETIME_S
-            for entry in self._beacons.values()
+            table_name in announcement.versions
+            and now_s - announcement.received_s < BEACON_LIFETIME_S
+            for announcement in self._beacons.values()
         )
 
     def _rank(self) -> int:
+        """Returns the position of this instance in the ranking of its region, from 0."""
         own = self._view.own
         own_score = self._score(own.name)
         same_region = self.recipients(changed=False)
@@ -387,8 +403,10 @@
         old = announcements.get(name)
         first_announced_s = {}
         for table_name, version in versions.items():
-            known = old is not None and old.versions.get(table_name) == version
-            first_announced_s[table_name] = old.first_announced_s[table_name] if known else now_s
+            unchanged = old is not None and old.versions.get(table_name) == version
+            first_announced_s[table_name] = (
+                old.first_announced_s[table_name] if unchanged else now_s
+            )
         announcements[name] = _Announcement(
             host=host, versions=versions, received_s=now_s, first_announced_s=first_announced_s
         )
--- a/packages/gateway/src/sassafrasway_gateway/table_cache.py
+++ b/packages/gateway/src/sassafrasway_gateway/table_cache.py
@@ -19,7 +19,7 @@
 
     @property
     def version(self) -> int:
-        """Newest version seen, -1 before the first read."""
+        """Version of the cached rows; -1 before the first read."""
         return self._version
 
     def replace(self, changes: feed.Changes) -> None:
@@ -27,7 +27,8 @@
 
         Differences from the previous rows are recorded as changes. After the store has lost its
         change history, the other instances can then fetch a few rows each; otherwise all of them
-        would fetch the whole table at the same time.
+        would fetch the whole table at the same time. If the version went back, the recent changes
+        are discarded.
         """
         rows = {row.key: row for row in changes.rows}
         if self._version < 0 or changes.version < self._version:
@@ -49,7 +50,7 @@
         self._version = max(self._version, changes.version)
 
     def snapshot(self) -> feed.Changes:
-        """Returns all rows."""
+        """Returns all rows as of the current version."""
         return feed.Changes(rows=list(self._rows.values()), version=self._version)
 
     def since(self, version: int) -> feed.Changes | None:
@@ -61,18 +62,18 @@
 
     def _differences(self, rows: dict[str, feed.Change], version: int) -> list[feed.Change]:
         """Returns the changes that turn the current rows into the given ones."""
-        found = [
+        differences = [
             feed.Change(key=key, value=None, version=version)
             for key in self._rows
             if key not in rows
         ]
         for key, row in rows.items():
-            known = self._rows.get(key)
-            if known is None or known.value != row.value:
+            current = self._rows.get(key)
+            if current is None or current.value != row.value:
                 # The row's own version may be older than the version that a client of this cache
                 # has seen, so the change gets the version of the table.
-                found.append(feed.Change(key=key, value=row.value, version=version))
-        return found
+                differences.append(feed.Change(key=key, value=row.value, version=version))
+        return differences
 
     def _append_recent(self, changes: list[feed.Change]) -> None:
         self._recent.extend(changes)
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -143,9 +143,9 @@
             mock.patch.object(follower, "MIN_STALE_POLL_AGE_S", 0.0),
             mock.patch.object(follower, "LAG_TOLERANCE_S", 0.0),
         ):
-            task.on_newer_version(4)
+            task.on_reported_version(4)
             await asyncio.sleep(0.01)
-            task.on_newer_version(4)
+            task.on_reported_version(4)
         await asyncio.sleep(0.05)
         running.cancel()
         self.assertEqual(store.calls.count(("changes", 3)), 2)
@@ -165,11 +165,11 @@
             mock.patch.object(follower, "MIN_STALE_POLL_AGE_S", 0.0),
             mock.patch.object(follower, "LAG_TOLERANCE_S", 0.0),
         ):
-            task.on_newer_version(9)
+            task.on_reported_version(9)
             await asyncio.sleep(0.01)
             # A hint of an instance that lags as well must not restart the tolerance period.
-            task.on_newer_version(3)
-            task.on_newer_version(9)
+            task.on_reported_version(3)
+            task.on_reported_version(9)
         await asyncio.sleep(0.05)
         running.cancel()
         self.assertFalse(task.reading)
@@ -182,7 +182,7 @@
         running = asyncio.create_task(task.run())
         await asyncio.sleep(0.05)
         for _ in range(20):
-            task.on_newer_version(4)
+            task.on_reported_version(4)
         await asyncio.sleep(0.02)
         running.cancel()
         self.assertEqual(store.calls.count(("changes", 3)), 1)
