Clarify the HTTP, message and metrics modules of the gateway

The HTTP client used both "answer" and "response" in its texts, and one error ("answer to another request, then the end") could not be understood. Header names, idle limits and the arguments of connections and metrics were not described, and a byte count had no unit in its name.

Use "response" in the errors of the HTTP client, rename DEFAULT_IDLE_S to DEFAULT_IDLE_LIMIT_S, and describe the header names. The rate of the cold limit is described as in the cold limit itself.

No behaviour changes.

--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -19,7 +19,8 @@
 CONNECT_TIMEOUT_S = 0.25
 # Idle connections are closed this long before the server would close them.
 IDLE_MARGIN_S = 1.0
-DEFAULT_IDLE_S = 5.0
+# Longest idle time of a connection whose server has not sent a Keep-Alive header.
+DEFAULT_IDLE_LIMIT_S = 5.0
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -62,7 +63,11 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection to a server; used by a single exchange at a time."""
+    """One connection to a server; used by a single exchange at a time.
+
+    Args:
+        peer: Address of the server as ``host:port``, for error messages.
+    """
 
     def __init__(self, *, peer: str):
         self._peer = peer
@@ -70,13 +75,13 @@
         self._parser = h11.Connection(h11.CLIENT)
         self._waiter: asyncio.Future | None = None
         self._echo: EchoedId | None = None
-        self._sent: messages.Request | None = None
+        self._request: messages.Request | None = None
         self._response: h11.Response | None = None
         self._chunks: list[bytes] = []
-        self._received = 0
+        self._received_bytes = 0
         self._closed = False
         self._exchanges = 0
-        self._idle_limit_s = DEFAULT_IDLE_S
+        self._idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self._idle_since_s = time.monotonic()
 
     @property
@@ -127,9 +132,9 @@
         self._echo = echo
         self._exchanges += 1
         self._chunks = []
-        self._received = 0
+        self._received_bytes = 0
         self._response = None
-        self._sent = request
+        self._request = request
         self._transport.write(self._encode(request))
         try:
             return await self._waiter
@@ -154,7 +159,7 @@
             self._parser.receive_data(data)
             self._read_events()
         except h11.RemoteProtocolError as error:
-            self._fail(f"invalid answer: {error}", closed=False)
+            self._fail(f"invalid response: {error}", closed=False)
 
     def eof_received(self) -> bool:
         """See base class."""
@@ -164,9 +169,9 @@
                 self._parser.receive_data(b"")
                 self._read_events()
             except h11.RemoteProtocolError as error:
-                self._fail(f"connection closed within an answer: {error}", closed=True)
+                self._fail(f"connection closed within a response: {error}", closed=True)
             else:
-                self._fail("connection closed without an answer", closed=True)
+                self._fail("connection closed without a response", closed=True)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -192,9 +197,9 @@
             if isinstance(event, h11.Response):
                 self._response = event
             elif isinstance(event, h11.Data):
-                self._received += len(event.data)
-                if self._received > MAX_RESPONSE_BYTES:
-                    self._fail("answer too large", closed=False)
+                self._received_bytes += len(event.data)
+                if self._received_bytes > MAX_RESPONSE_BYTES:
+                    self._fail("response too large", closed=False)
                     return
                 self._chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -247,15 +252,15 @@
         """
         extra, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE:
-            self._fail("answer to another request, then the end", closed=False)
+            self._fail("a response to another request ends the connection", closed=False)
             return False
         # h11 reads one response per request, so a new parser is brought into the state after the
         # request; the bytes that it produces for this are discarded.
         self._parser = h11.Connection(h11.CLIENT)
-        self._encode(self._sent)
+        self._encode(self._request)
         self._response = None
         self._chunks = []
-        self._received = 0
+        self._received_bytes = 0
         if extra:
             self._parser.receive_data(extra)
         return True
@@ -264,8 +269,8 @@
         value = messages.find_header(headers, b"keep-alive")
         if value is None:
             return
-        for part in value.decode("latin-1").split(","):
-            name, _, seconds = part.strip().partition("=")
+        for parameter in value.decode("latin-1").split(","):
+            name, _, seconds = parameter.strip().partition("=")
             if name.lower() == "timeout" and seconds.isdigit():
                 self._idle_limit_s = max(0.0, int(seconds) - IDLE_MARGIN_S)
 
@@ -284,6 +289,12 @@
 ) -> Connection:
     """Opens a connection.
 
+    Args:
+        host: Address of the server.
+        port: Its port.
+        timeout_s: Timeout for opening the connection.
+        local_host: Local address to connect from; empty to let the system choose it.
+
     Raises:
         ConnectError: The server refused the connection or did not accept it in time.
     """
@@ -303,7 +314,11 @@
 
 
 class ConnectionPool:
-    """Pool of idle connections by address."""
+    """Pool of idle connections by address.
+
+    Args:
+        local_host: Local address to connect from; empty to let the system choose it.
+    """
 
     def __init__(self, *, local_host: str = ""):
         self._idle: dict[tuple[str, int], collections.deque[Connection]] = {}
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -8,6 +8,7 @@
 
 from sassafrasway_gateway import http_client, messages, model
 
+# Reading pauses when more bytes than this arrive while a request is being handled.
 MAX_PIPELINED_BYTES = 256 * 1024
 # Time after which a closing connection is aborted if the caller does not read its last bytes.
 LINGER_S = 2.0
@@ -29,7 +30,7 @@
 def text_response(
     status: int, text: str = "", *, retry_after_s: float | None = None
 ) -> messages.Response:
-    """Builds a plain text response."""
+    """Builds a plain text response, with a Retry-After header if ``retry_after_s`` is given."""
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
     if retry_after_s is not None:
         headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
@@ -37,7 +38,12 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection from a caller."""
+    """One connection from a caller.
+
+    Args:
+        handler: Handler of the requests.
+        server: Server that accepted the connection.
+    """
 
     def __init__(self, *, handler: Handler, server: "HttpServer"):
         self._handler = handler
@@ -49,6 +55,7 @@
         self._head: h11.Request | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
+        # Monotonic time of the first byte of the request that is being read; 0 if there is none.
         self._started_s = 0.0
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -193,8 +200,8 @@
         self._finish_exchange()
 
     def _finish_exchange(self) -> None:
-        done = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
-        if not done:
+        reusable = self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE
+        if not reusable:
             self._close()
             return
         self._parser.start_next_cycle()
--- a/packages/gateway/src/sassafrasway_gateway/logs.py
+++ b/packages/gateway/src/sassafrasway_gateway/logs.py
@@ -28,6 +28,8 @@
         self._descriptor = descriptor
         self._metrics = metrics
         self._pending = b""
+        # Whole second of the monotonic clock to which the rate limit currently applies, and the
+        # number of lines in it.
         self._second = 0
         self._lines = 0
         self._dropped = 0
--- a/packages/gateway/src/sassafrasway_gateway/messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/messages.py
@@ -25,7 +25,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HeaderNames:
-    """Names of the headers and the cookie used by callers, the gateway and backend servers."""
+    """Names of the headers and the cookie used by callers, the gateway and backend servers.
+
+    Attributes:
+        request_id: Header with the id of a request, which its response repeats.
+        time_left_ms: Header with the time that is left to respond, ms.
+        object_cookie: Cookie that names the object by which requests of a sticky route are assigned
+            to servers.
+        signature: Header that the response to a request that ran must have, with any value.
+        expected_server: Header with the id of the server to which the gateway sends a request.
+        server_load: Header with the load of the server that responds.
+        not_run: Header that marks the response to a request that the server did not run.
+    """
 
     request_id: bytes = b"sassafras-request-id"
     time_left_ms: bytes = b"sassafras-deadline-ms"
@@ -96,13 +107,13 @@
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Returns the end-to-end headers, which are the ones to forward."""
-    named = set()
+    """Returns the headers to forward: all but those in ``HOP_BY_HOP`` or named by Connection."""
+    connection_options = set()
     for key, value in headers:
         if key.lower() == b"connection":
-            named.update(token.strip().lower() for token in value.split(b","))
+            connection_options.update(token.strip().lower() for token in value.split(b","))
     return [
         (key, value)
         for key, value in headers
-        if key.lower() not in HOP_BY_HOP and key.lower() not in named
+        if key.lower() not in HOP_BY_HOP and key.lower() not in connection_options
     ]
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -7,11 +7,18 @@
 import bisect
 from collections.abc import Sequence
 
+# Upper bounds of the histogram buckets.
 LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0)
 
 
 class Counter:
-    """Counter with labels."""
+    """Counter with labels.
+
+    Args:
+        name: Name of the metric.
+        help_text: Description in the exposition format.
+        labels: Names of the labels.
+    """
 
     def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
@@ -32,7 +39,13 @@
 
 
 class Histogram:
-    """Histogram of durations in seconds, with labels."""
+    """Histogram of durations in seconds, with labels.
+
+    Args:
+        name: Name of the metric.
+        help_text: Description in the exposition format.
+        labels: Names of the labels.
+    """
 
     def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
@@ -53,12 +66,12 @@
     def render(self) -> list[str]:
         """Returns the lines of the exposition format."""
         lines = [f"# HELP {self._name} {self._help_text}", f"# TYPE {self._name} histogram"]
-        names = (*self._labels, "le")
+        bucket_labels = (*self._labels, "le")
         for labels, counts in sorted(self._counts.items()):
             total = 0
             for bound, count in zip((*LATENCY_BOUNDS_S, "+Inf"), counts, strict=True):
                 total += count
-                label_text = _format_labels(names, (*labels, str(bound)))
+                label_text = _format_labels(bucket_labels, (*labels, str(bound)))
                 lines.append(f"{self._name}_bucket{label_text} {total}")
             label_text = _format_labels(self._labels, labels)
             lines.append(f"{self._name}_sum{label_text} {self._sums[labels]:g}")
--- a/packages/gateway/src/sassafrasway_gateway/settings.py
+++ b/packages/gateway/src/sassafrasway_gateway/settings.py
@@ -24,7 +24,7 @@
         retry_ratio: Retries permitted per request to a service.
         retry_extra: Additional retries permitted for the whole fleet in each window.
         retry_window_s: Length of the window, s.
-        cold_factor: Permitted multiple of the request rate of a server that is warming up.
+        cold_factor: Permitted multiple of the request rate that cold servers of a service tolerate.
         cold_slack: Requests per second permitted in addition to that.
         lookup_ttl_s: Longest time for which callers may cache a lookup, s.
     """
