Name the gateway tests after the failures that they guard against

Some test names were figurative ("is packed", "is heard", "again and again", "at hand"), used "answer", "start" or "silent" for what the code calls response, incarnation and stalled, or named no failure. Some variables had the name of another concept, such as "task" for a table follower.

The logger name in a test of the log lines is "component" instead of "part", in the call and in the check.

--- a/packages/gateway/tests/test_announcer.py
+++ b/packages/gateway/tests/test_announcer.py
@@ -39,14 +39,14 @@
         )
         self.announcer.update()
 
-    def test_reader_announces_again_and_again(self):
+    def test_reader_announces_at_regular_intervals(self):
         self.announcer.update()
         self.assertEqual(self.sent, [{"op": 5, "servers": 7}])
         self.now.return_value += relay.BEACON_INTERVAL_S
         self.announcer.update()
         self.assertEqual(len(self.sent), 2)
 
-    def test_lost_table_is_left_out_at_once(self):
+    def test_announcement_without_a_lost_table_is_sent_immediately(self):
         # One region, trouble-1 --seed 427345455261: both readers kept announcing a table whose
         # changes no longer reached them.
         self.followers["op"].reading = False
@@ -54,12 +54,13 @@
         self.announcer.update()
         self.assertEqual(self.sent[1:], [{"servers": 7}])
 
-    def test_poll_that_is_repeated_is_no_loss(self):
+    def test_retried_poll_does_not_count_as_a_loss(self):
+        # The follower is not reading between the cancellation of a stalled poll and the next one.
         self.followers["op"].reading = False
         self.announcer.update()
         self.assertEqual(len(self.sent), 1)
 
-    def test_version_learned_elsewhere_is_announced_when_the_readers_are_behind(self):
+    def test_instance_that_is_no_reader_announces_a_newer_version_than_the_readers(self):
         for entry in self.followers.values():
             entry.reading = False
         self.announcer.update()
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -34,7 +34,7 @@
             dead.extend(member.name for member in self.view.tick()[1])
         return dead
 
-    def test_member_that_does_not_answer_is_dead(self):
+    def test_member_that_does_not_answer_is_declared_dead(self):
         self.view.on_message(make_member("other"))
         self.assertEqual(self.tick(6), ["other"])
         self.assertEqual(self.view.live_names(), ["me"])
@@ -44,36 +44,36 @@
             self.view.on_message(make_member("other"))
             self.assertEqual(self.tick(), [])
 
-    def test_listed_member_is_live_only_when_heard(self):
+    def test_listed_member_is_live_only_after_its_first_message(self):
         self.view.add_listed(make_member("other"))
         self.assertEqual(self.view.live_names(), ["me"])
         self.assertTrue(self.view.on_message(make_member("other")))
         self.assertIn("other", self.view.live_names())
 
-    def test_own_pause_says_nothing_about_others(self):
+    def test_pause_of_this_process_does_not_make_others_dead(self):
         self.view.on_message(make_member("other"))
         self.tick()
         self.clock.advance(10.0)
         self.assertEqual(self.view.tick()[1], [])
 
-    def test_suspicion_of_another_instance_is_verified(self):
+    def test_suspected_member_that_answers_stays_live(self):
         self.view.on_message(make_member("other"))
         self.assertEqual(self.view.suspect("other", 1).name, "other")
         self.view.on_message(make_member("other"))
         self.assertEqual(self.tick(2), [])
 
-    def test_suspicion_of_an_earlier_start_is_ignored(self):
+    def test_suspicion_of_an_earlier_incarnation_is_ignored(self):
         self.view.on_message(make_member("other", incarnation=2))
         self.assertIsNone(self.view.suspect("other", 1))
 
-    def test_message_of_an_earlier_start_is_ignored(self):
+    def test_message_of_an_earlier_incarnation_is_ignored(self):
         self.view.on_message(make_member("other", incarnation=2, phase=fleet.Phase.STARTING))
         self.view.on_message(make_member("other", incarnation=1, phase=fleet.Phase.LEAVING))
         self.assertEqual(self.view.members()[0].incarnation, 2)
 
-    def test_restart_after_the_clock_was_set_back_is_heard(self):
+    def test_restarted_member_is_live_after_its_clock_was_set_back(self):
         # The incarnation is the start time. After the clock was set back it was lower than before,
-        # and the other instances treated the restarted instance as dead until it ended.
+        # and the other instances treated the restarted instance as dead until it exited.
         self.view.on_message(make_member("other", incarnation=5000, phase=fleet.Phase.LEAVING))
         restarted = make_member("other", incarnation=2000)
         self.view.on_message(restarted)
@@ -83,7 +83,7 @@
         self.assertIn("other", self.view.live_names())
         self.assertIn(restarted, self.view.ready_members())
 
-    def test_leaving_member_is_not_named(self):
+    def test_leaving_member_is_not_ready(self):
         self.view.on_message(make_member("other", phase=fleet.Phase.LEAVING))
         self.assertEqual([member.name for member in self.view.ready_members()], ["me"])
 
@@ -98,7 +98,7 @@
         self.view.on_message(make_member("other"), contact_s=0.5)
         self.assertFalse(self.view.store_answered_peers(10.0))
 
-    def test_pings_do_not_grow_with_the_fleet(self):
+    def test_number_of_pings_does_not_grow_with_the_fleet(self):
         for index in range(300):
             self.view.on_message(make_member(f"i{index}"))
         self.clock.advance(fleet.PING_INTERVAL_S)
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -55,8 +55,8 @@
 class FakeRole:
     """Role with a fixed choice of reading the store or fetching from another instance."""
 
-    def __init__(self, reads=True, source=None):
-        self.reads_store = reads
+    def __init__(self, reads_store=True, source=None):
+        self.reads_store = reads_store
         self.source_host = source
         self.announcement_received = asyncio.Event()
 
@@ -89,7 +89,7 @@
 class TableFollowerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against tables that stay out of date after an outage."""
 
-    def make(self, store, role=None, relay_client=None):
+    def make_follower(self, store, role=None, relay_client=None):
         self.recorder = Recorder()
         return follower.TableFollower(
             store=store,
@@ -101,8 +101,8 @@
             rng=random.Random(1),
         )
 
-    async def run_for(self, task, seconds=0.1):
-        running = asyncio.create_task(task.run())
+    async def run_for(self, table_follower, seconds=0.1):
+        running = asyncio.create_task(table_follower.run())
         await asyncio.sleep(seconds)
         running.cancel()
         with contextlib.suppress(asyncio.CancelledError):
@@ -110,89 +110,93 @@
 
     async def test_reads_then_polls_from_the_version_it_read(self):
         store = FakeStore(changes(3), changes(5, "a"))
-        task = self.make(store)
-        await self.run_for(task)
+        table_follower = self.make_follower(store)
+        await self.run_for(table_follower)
         self.assertEqual(store.calls, [("read", "op"), ("changes", 3), ("changes", 5)])
         self.assertEqual(self.recorder.events, [("rows", 3), ("change", "a")])
 
-    async def test_lost_history_is_read_again(self):
+    async def test_whole_table_is_read_again_after_the_change_history_was_lost(self):
         lost = feed.HistoryLost("gone", step="test")
         store = FakeStore(changes(3), lost, changes(8))
-        await self.run_for(self.make(store))
+        await self.run_for(self.make_follower(store))
         self.assertEqual(self.recorder.events, [("rows", 3), ("rows", 8)])
 
-    async def test_history_that_is_lost_while_the_store_fails_is_read_in_the_end(self):
+    async def test_lost_change_history_is_recovered_after_further_store_failures(self):
         lost = feed.HistoryLost("gone", step="test")
         store = FakeStore(changes(3), lost, unavailable(), lost, changes(8))
-        await self.run_for(self.make(store))
+        await self.run_for(self.make_follower(store))
         self.assertIn(("rows", 8), self.recorder.events)
 
-    async def test_outage_is_reported_when_it_ends(self):
+    async def test_listener_is_called_when_an_outage_ends(self):
         store = FakeStore(changes(3), unavailable(), unavailable(), changes(4, "a"))
-        task = self.make(store)
-        await self.run_for(task)
+        table_follower = self.make_follower(store)
+        await self.run_for(table_follower)
         self.assertEqual(self.recorder.events, [("rows", 3), ("regained",), ("change", "a")])
-        self.assertFalse(task.in_outage)
+        self.assertFalse(table_follower.in_outage)
 
-    async def test_hint_of_a_newer_version_ends_a_silent_poll(self):
+    async def test_newer_version_of_another_instance_cancels_a_stalled_poll(self):
         store = FakeStore(changes(3))
-        task = self.make(store)
-        running = asyncio.create_task(task.run())
+        table_follower = self.make_follower(store)
+        running = asyncio.create_task(table_follower.run())
         await asyncio.sleep(0.05)
         with (
             mock.patch.object(follower, "MIN_STALE_POLL_AGE_S", 0.0),
             mock.patch.object(follower, "LAG_TOLERANCE_S", 0.0),
         ):
-            task.on_reported_version(4)
+            table_follower.on_reported_version(4)
             await asyncio.sleep(0.01)
-            task.on_reported_version(4)
+            table_follower.on_reported_version(4)
         await asyncio.sleep(0.05)
         running.cancel()
         self.assertEqual(store.calls.count(("changes", 3)), 2)
 
-    async def test_reader_whose_poll_is_silent_stops_announcing_and_asks_another_instance(self):
+    async def test_reader_whose_poll_stalls_stops_announcing_and_fetches_from_another_instance(
+        self,
+    ):
         # Incident inc-37d1: a reader that was cut off from the store kept announcing its old
         # version for 5.5 s.
         client = mock.AsyncMock()
         client.fetch.return_value = relay.RelayedTable([relay.RelayedRow("a", b"", 9)], 9, False)
         role = FakeRole()
-        task = self.make(FakeStore(changes(3)), role, client)
-        running = asyncio.create_task(task.run())
+        table_follower = self.make_follower(FakeStore(changes(3)), role, client)
+        running = asyncio.create_task(table_follower.run())
         await asyncio.sleep(0.05)
-        self.assertTrue(task.reading)
+        self.assertTrue(table_follower.reading)
         role.source_host = "peer"
         with (
             mock.patch.object(follower, "MIN_STALE_POLL_AGE_S", 0.0),
             mock.patch.object(follower, "LAG_TOLERANCE_S", 0.0),
         ):
-            task.on_reported_version(9)
+            table_follower.on_reported_version(9)
             await asyncio.sleep(0.01)
             # A hint of an instance that lags as well must not restart the tolerance period.
-            task.on_reported_version(3)
-            task.on_reported_version(9)
+            table_follower.on_reported_version(3)
+            table_follower.on_reported_version(9)
         await asyncio.sleep(0.05)
         running.cancel()
-        self.assertFalse(task.reading)
-        self.assertEqual(task.version, 9)
+        self.assertFalse(table_follower.reading)
+        self.assertEqual(table_follower.version, 9)
 
-    async def test_hint_leaves_a_young_poll_alone(self):
-        # After a network cut, hints cancelled every poll while it was still reconnecting.
+    async def test_newer_version_does_not_cancel_a_poll_that_has_just_started(self):
+        # After a network partition, hints cancelled every poll while it was still reconnecting.
         store = FakeStore(changes(3))
-        task = self.make(store)
-        running = asyncio.create_task(task.run())
+        table_follower = self.make_follower(store)
+        running = asyncio.create_task(table_follower.run())
         await asyncio.sleep(0.05)
         for _ in range(20):
-            task.on_reported_version(4)
+            table_follower.on_reported_version(4)
         await asyncio.sleep(0.02)
         running.cancel()
         self.assertEqual(store.calls.count(("changes", 3)), 1)
 
-    async def test_instance_that_does_not_read_fetches_from_the_announcing_one(self):
+    async def test_instance_that_is_no_reader_fetches_from_the_announcing_instance(self):
         client = mock.AsyncMock()
         client.fetch.return_value = relay.RelayedTable([relay.RelayedRow("a", b"", 9)], 9, True)
         store = FakeStore()
-        task = self.make(store, FakeRole(reads=False, source="peer"), client)
-        await self.run_for(task)
+        table_follower = self.make_follower(
+            store, FakeRole(reads_store=False, source="peer"), client
+        )
+        await self.run_for(table_follower)
         self.assertEqual(store.calls, [])
         self.assertEqual(self.recorder.events, [("rows", 9)])
-        self.assertEqual(task.version, 9)
+        self.assertEqual(table_follower.version, 9)
--- a/packages/gateway/tests/test_http_client.py
+++ b/packages/gateway/tests/test_http_client.py
@@ -47,24 +47,24 @@
             await self.exchange()
         self.assertEqual(caught.exception.closed, closed)
 
-    async def test_connection_is_reused_after_a_whole_answer(self):
+    async def test_connection_is_reused_after_a_complete_response(self):
         await self.start(gateway_fakes.answer())
         first = await self.exchange(b"1", b"body")
         second = await self.exchange(b"2")
         self.assertEqual((first.body, second.body), (b"ok", b"ok"))
         self.assertTrue(self.server.requests[0].endswith(b"\r\n\r\nbody"))
 
-    async def test_late_answer_to_an_earlier_request_is_skipped(self):
+    async def test_late_response_to_an_earlier_request_is_skipped(self):
         late = gateway_fakes.answer(body=b"old", request_id=b"9")
-        own = gateway_fakes.answer(body=b"new")
-        await self.start(lambda head: late(head) + own(head))
+        current = gateway_fakes.answer(body=b"new")
+        await self.start(lambda head: late(head) + current(head))
         self.assertEqual((await self.exchange(b"1", b"body")).body, b"new")
 
     async def test_extra_bytes_make_the_connection_unusable(self):
         await self.start(gateway_fakes.answer(extra=b"HTTP/1.1 200 OK\r\n\r\n"))
         self.assertFalse((await self.exchange()).reusable)
 
-    async def test_reset_within_a_body_without_length_is_not_an_answer(self):
+    async def test_reset_within_a_body_without_length_fails_the_exchange(self):
         async def serve(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
@@ -95,7 +95,7 @@
         response = await connection.exchange(make_request())
         self.assertEqual((response.body, response.reusable), (b"whole", False))
 
-    async def test_truncated_body_is_not_an_answer(self):
+    async def test_truncated_body_fails_the_exchange(self):
         await self.start(raw(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"), None)
         task = asyncio.create_task(self.assert_fails(closed=True))
         await asyncio.sleep(0.05)
@@ -103,11 +103,11 @@
             writer.close()
         await task
 
-    async def test_bytes_that_are_no_answer(self):
+    async def test_invalid_response_fails_the_exchange(self):
         await self.start(raw(b"\x00\x01nonsense\r\n\r\n"))
         await self.assert_fails(closed=False)
 
-    async def test_connection_closed_without_an_answer(self):
+    async def test_connection_closed_without_a_response_fails_the_exchange(self):
         await self.start(None)
         await self.assert_fails(closed=True)
 
@@ -120,7 +120,7 @@
         await asyncio.sleep(0.05)
         self.assertTrue(connection.closed)
 
-    async def test_refused_connection_sent_nothing(self):
+    async def test_refused_connection_raises_connect_error(self):
         await self.start(None)
         port = self.server.port
         await self.server.stop()
--- a/packages/gateway/tests/test_http_server.py
+++ b/packages/gateway/tests/test_http_server.py
@@ -63,17 +63,17 @@
             self.assertEqual(body, b"ab")
 
     async def test_pipelined_requests_are_answered_in_order(self):
-        one = b"PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
-        _, first = await self.send(one + one.replace(b"\r\n\r\n1", b"\r\n\r\n2"))
+        request = b"PUT /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n1"
+        _, first = await self.send(request + request.replace(b"\r\n\r\n1", b"\r\n\r\n2"))
         _, second = await self.send(b"")
         self.assertEqual((first, second), (b"1", b"2"))
 
-    async def test_chunked_body_arrives_whole(self):
+    async def test_chunked_body_is_reassembled(self):
         data = b"PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
         _, body = await self.send(data + b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n")
         self.assertEqual(body, b"abc")
 
-    async def test_conflicting_lengths_are_rejected(self):
+    async def test_conflicting_content_lengths_are_rejected(self):
         data = b"PUT / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"
         head, _ = await self.send(data)
         self.assertTrue(head.startswith(b"HTTP/1.1 400"))
@@ -92,17 +92,17 @@
         head, _ = await self.send(data + b"a" * 2000 + b"\r\n")
         self.assertTrue(head.startswith(b"HTTP/1.1 413"))
 
-    async def test_header_that_stops_is_timed_out(self):
+    async def test_incomplete_header_times_out(self):
         head, _ = await self.send(b"GET / HTTP/1.1\r\nHost:")
         self.assertTrue(head.startswith(b"HTTP/1.1 408"))
 
-    async def test_chunked_body_that_stops_is_timed_out(self):
+    async def test_incomplete_chunked_body_times_out(self):
         data = b"PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"
         head, _ = await self.send(data)
         self.assertTrue(head.startswith(b"HTTP/1.1 408"))
         self.assertEqual(self.handler.requests, [])
 
-    async def test_handler_is_cancelled_when_the_caller_leaves(self):
+    async def test_handler_is_cancelled_when_the_caller_disconnects(self):
         self.handler.gate.clear()
         self.writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         await asyncio.sleep(0.05)
@@ -110,7 +110,7 @@
         await asyncio.sleep(0.05)
         self.assertEqual(self.handler.cancelled, 1)
 
-    async def test_draining_server_answers_and_asks_to_close(self):
+    async def test_draining_server_completes_the_request_and_asks_to_close(self):
         self.handler.gate.clear()
         self.writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         await asyncio.sleep(0.05)
--- a/packages/gateway/tests/test_logs.py
+++ b/packages/gateway/tests/test_logs.py
@@ -20,13 +20,13 @@
         self.metrics = metrics.GatewayMetrics()
         self.writer = logs.BoundedWriter(descriptor=self.descriptor, metrics=self.metrics)
 
-    def test_reader_that_stops_does_not_block(self):
+    def test_reader_that_stops_reading_does_not_block_the_writer(self):
         for _ in range(logs.MAX_LINES_PER_S - 1):
             self.writer.write_line(b"x" * 4000)
         self.assertGreater(self.writer.dropped, 0)
         self.assertLess(len(self.writer._pending), logs.MAX_BUFFERED_BYTES + 8000)
 
-    def test_lines_beyond_the_rate_are_counted(self):
+    def test_lines_beyond_the_rate_limit_are_dropped_and_counted(self):
         for _ in range(3 * logs.MAX_LINES_PER_S):
             self.writer.write_line(b"x")
         self.assertIn("sassafrasway_log_lines_dropped_total", self.metrics.render())
@@ -34,11 +34,11 @@
 
     def test_events_are_json_lines_with_their_context(self):
         logs.configure(self.writer, instance="i")
-        structlog.get_logger("part").info("happened", request="7", peer=object)
+        structlog.get_logger("component").info("happened", request="7", peer=object)
         line = json.loads(os.read(self.reader, 10000))
         self.assertEqual(
             (line["event"], line["instance"], line["logger"], line["request"]),
-            ("happened", "i", "part", "7"),
+            ("happened", "i", "component", "7"),
         )
 
 
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -88,7 +88,7 @@
             {"policy": {"policy": b"1"}, "servers": {"s": str(self.backend.port).encode()}}
         )
         self.config = make_settings()
-        self.loaded = self.config
+        self.reloaded_config = self.config
         self.gateway = process.GatewayProcess(
             config=self.config,
             dialect=dialect.Dialect(
@@ -104,17 +104,17 @@
             gateway_metrics=metrics.GatewayMetrics(),
             load_settings=self.load_settings,
         )
-        self.running = asyncio.create_task(self.gateway.run())
+        self.run_task = asyncio.create_task(self.gateway.run())
         async with asyncio.timeout(5):
             while not self.gateway.ready:
                 await asyncio.sleep(0.01)
 
     def load_settings(self):
-        if self.loaded is None:
+        if self.reloaded_config is None:
             raise errors.ValidationError("broken", step="test")
-        return self.loaded
+        return self.reloaded_config
 
-    async def ask(self, address, target, method=b"GET"):
+    async def send_request(self, address, target, method=b"GET"):
         connection = await http_client.connect(address.host, address.port)
         headers = [(b"Host", b"h.example"), (gateway_fakes.NAMES.request_id, b"1")]
         request = messages.Request(method=method, target=target, headers=headers)
@@ -123,54 +123,58 @@
     async def stop(self):
         self.gateway.stop()
         async with asyncio.timeout(5):
-            await self.running
+            await self.run_task
 
-    async def test_serves_and_names_itself(self):
+    async def test_instance_serves_requests_and_is_listed_in_its_lookups(self):
         await self.start(gateway_fakes.answer(body=b"yes"))
-        self.assertEqual((await self.ask(self.config.front, b"/p/1")).body, b"yes")
-        self.assertEqual((await self.ask(self.config.readiness, b"/ready")).status, 200)
-        found = await self.ask(self.config.lookup, b"/v1/instances?region=north")
-        self.assertEqual(json.loads(found.body)["addresses"], [str(self.config.front)])
-        text = (await self.ask(self.config.metrics, b"/metrics")).body
+        self.assertEqual((await self.send_request(self.config.front, b"/p/1")).body, b"yes")
+        self.assertEqual((await self.send_request(self.config.readiness, b"/ready")).status, 200)
+        lookup_response = await self.send_request(self.config.lookup, b"/v1/instances?region=north")
+        self.assertEqual(json.loads(lookup_response.body)["addresses"], [str(self.config.front)])
+        text = (await self.send_request(self.config.metrics, b"/metrics")).body
         self.assertIn(b'sassafrasway_requests_total{route="r",outcome="200"} 1', text)
-        dump = json.loads((await self.ask(self.config.metrics, b"/state")).body)
+        dump = json.loads((await self.send_request(self.config.metrics, b"/state")).body)
         self.assertEqual((dump["phase"], dump["policy_version"]), ("READY", 1))
         await self.stop()
 
-    async def test_planned_stop_finishes_the_request_at_hand(self):
+    async def test_graceful_shutdown_completes_running_requests(self):
         await self.start(gateway_fakes.answer(body=b"late"))
         gate = asyncio.Event()
-        answer = self.backend._answer
+        send_answer = self.backend._answer
 
-        async def slow(head, writer):
+        async def wait_and_answer(head, writer):
             await gate.wait()
-            return await answer(head, writer)
+            return await send_answer(head, writer)
 
-        self.backend._answer = slow
-        asked = asyncio.create_task(self.ask(self.config.front, b"/p/1", b"POST"))
+        self.backend._answer = wait_and_answer
+        pending_response = asyncio.create_task(
+            self.send_request(self.config.front, b"/p/1", b"POST")
+        )
         await asyncio.sleep(0.05)
         with mock.patch.object(process, "STOP_LISTENING_AFTER_S", 0.1):
             self.gateway.stop()
             await asyncio.sleep(0.2)
-            self.assertEqual((await self.ask(self.config.readiness, b"/ready")).status, 503)
+            self.assertEqual(
+                (await self.send_request(self.config.readiness, b"/ready")).status, 503
+            )
             gate.set()
-            self.assertEqual((await asked).body, b"late")
+            self.assertEqual((await pending_response).body, b"late")
             async with asyncio.timeout(5):
-                await self.running
+                await self.run_task
         self.assertIn(("members", "me", False), self.store.written)
 
-    async def test_reload_takes_over_bounds_and_survives_a_broken_file(self):
+    async def test_reload_applies_new_bounds_and_ignores_invalid_settings(self):
         await self.start(gateway_fakes.answer())
         bounds = settings.Bounds(stop_grace_s=1.0)
-        self.loaded = dataclasses.replace(self.config, bounds=bounds)
+        self.reloaded_config = dataclasses.replace(self.config, bounds=bounds)
         self.gateway._on_reload()
         self.assertEqual(self.gateway._config.bounds, bounds)
-        self.loaded = None
+        self.reloaded_config = None
         self.gateway._on_reload()
         self.assertEqual(self.gateway._config.bounds, bounds)
         await self.stop()
 
-    async def test_signal_to_reload_does_not_end_a_process_that_stops(self):
+    async def test_shutdown_blocks_sighup(self):
         # Soak test with seed 304: SIGHUP arrived after the event loop had closed and killed the
         # process, so that its exit code was -1.
         self.addCleanup(signal.pthread_sigmask, signal.SIG_UNBLOCK, {signal.SIGHUP})
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -40,13 +40,13 @@
 class RelayRoleTest(unittest.TestCase):
     """Guards against a region in which every instance reads the store, or none does."""
 
-    def test_few_instances_of_a_region_read(self):
+    def test_only_a_few_instances_of_a_region_read_the_store(self):
         for count in (1, 2, 16, 124):
             with self.subTest(count=count):
                 reading = sum(role.is_reader("op") for role in make_roles(count))
                 self.assertEqual(reading, min(count, relay.READERS_PER_REGION))
 
-    def test_others_take_over_one_by_one_when_announcements_stop(self):
+    def test_next_instances_take_over_one_by_one_when_announcements_stop(self):
         roles = make_roles(40)
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
@@ -61,7 +61,7 @@
         self.assertEqual(counts[2], relay.READERS_PER_REGION + 2)
         self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MAX_TAKEOVERS)
 
-    def test_table_that_its_readers_lost_is_taken_over(self):
+    def test_another_instance_takes_over_a_table_that_its_readers_lost(self):
         # One region, trouble-1 --seed 427345455261, CONFIG: both readers were cut off from the
         # store. Their polls of one table had timed out, but they kept announcing both tables until
         # the polls of the other table timed out too, so no instance took over.
@@ -90,7 +90,7 @@
         expected = {"op": relay.READERS_PER_REGION + 1, "servers": relay.READERS_PER_REGION}
         self.assertEqual(reading, expected)
 
-    def test_polls_are_short_where_no_other_region_can_help(self):
+    def test_polls_are_short_in_a_fleet_with_a_single_region(self):
         # One region, trouble-1 --seed 427345455261, CONFIG: the readers noticed the cut after 1.7 s
         # and could have taken up to 5.5 s, but a policy must be in force 2.5 s after its
         # acknowledgement.
@@ -118,7 +118,7 @@
         role.on_beacon("i2", "host2", "north", {"op": 7})
         self.assertEqual({role.choose_source("op", 4) for _ in range(50)}, {"host1", "host2"})
 
-    def test_hint_of_another_region_is_used_when_the_own_readers_stay_behind(self):
+    def test_hint_of_another_region_is_used_when_the_readers_of_this_region_lag(self):
         # Incident inc-37d1, CONFIG: the connections of both readers of a region to the store had
         # stalled. They kept announcing an old version, and the region served an outdated policy.
         role = make_roles(3)[0]
@@ -131,13 +131,13 @@
             role.on_beacon("i1", "host1", "north", {"op": 5})
             self.assertEqual(role.choose_source("op", 5), "host2")
 
-    def test_instance_that_learned_a_version_elsewhere_is_ahead_of_its_readers(self):
+    def test_instance_with_a_newer_version_than_announced_is_ahead_of_the_readers(self):
         role = make_roles(3)[0]
         role.on_beacon("i1", "host1", "north", {"op": 5})
         self.assertTrue(role.is_ahead_of_readers({"op": 7}))
         self.assertFalse(role.is_ahead_of_readers({"op": 5}))
 
-    def test_new_versions_reach_a_few_instances_of_each_other_region(self):
+    def test_new_versions_are_announced_to_a_few_instances_of_each_other_region(self):
         role = make_roles(3)[0]
         for index in range(10):
             role._view.on_message(test_fleet.make_member(f"s{index}", region="south"))
@@ -158,7 +158,7 @@
     async def asyncTearDown(self):
         self.server.stop_listening()
 
-    async def test_rows_arrive_whole_and_then_as_changes(self):
+    async def test_first_fetch_returns_all_rows_and_the_next_one_only_changes(self):
         self.cache.replace(
             feed.Changes(rows=[feed.Change(key="a", value=b"\x00x", version=1)], version=3)
         )
@@ -172,7 +172,7 @@
         self.assertFalse(relayed.full)
         self.assertIsNone(relay.to_changes(relayed).rows[0].value)
 
-    async def test_answer_for_the_same_changes_is_encoded_once(self):
+    async def test_response_with_the_same_rows_is_encoded_once(self):
         self.cache.replace(
             feed.Changes(rows=[feed.Change(key="a", value=b"1", version=1)], version=3)
         )
@@ -183,7 +183,7 @@
                 await self.client.fetch("127.0.0.1", "op", after=-1)
         self.assertEqual(encode.call_count, 1)
 
-    async def test_large_policy_is_packed(self):
+    async def test_large_policy_is_compressed(self):
         # sila-quotes-grown mix --seed 120251547929, DENIED, CONFIG and HOME: sending a large policy
         # to 40 instances saturated the link of the one that served it, and aborted transfers added
         # to that load.
@@ -199,7 +199,7 @@
         relayed = await self.client.fetch("127.0.0.1", "op", after=-1)
         self.assertEqual(relayed.rows[0].value, policy)
 
-    async def test_fetch_that_timed_out_gets_more_time_next(self):
+    async def test_timeout_doubles_after_each_fetch_that_timed_out(self):
         silent = await gateway_fakes.ScriptedServer(["silent"]).start()
         self.addAsyncCleanup(silent.stop)
         client = relay.RelayClient(port=silent.port)
--- a/packages/gateway/tests/test_table_cache.py
+++ b/packages/gateway/tests/test_table_cache.py
@@ -25,16 +25,16 @@
         self.assertEqual([row.key for row in self.cache.snapshot().rows], ["b"])
         self.assertEqual(self.cache.version, 8)
 
-    def test_history_before_the_first_read_is_unknown(self):
+    def test_changes_before_the_first_read_are_unavailable(self):
         self.assertIsNone(self.cache.since(4))
         self.assertEqual(list(self.cache.since(5).rows), [])
 
-    def test_dropped_history_is_unknown(self):
+    def test_dropped_changes_are_unavailable(self):
         for version in range(6, 6 + 2 * table_cache.MAX_RECENT_CHANGES):
             self.cache.apply(feed.Changes(rows=[change("a", b"1", version)], version=version))
         self.assertIsNone(self.cache.since(6))
 
-    def test_whole_read_is_passed_on_as_what_it_changed(self):
+    def test_replaced_table_is_available_as_changes(self):
         # trakia-arhiv-grown scale-1 --seed 130896731222, CONFIG and DRAIN: after the store dropped
         # its change history, 45 instances fetched the whole table from one instance, and their
         # fetches timed out for seconds.
@@ -43,13 +43,13 @@
         self.cache.replace(
             feed.Changes(rows=[change("b", b"3", 7), change("c", b"4", 5)], version=9)
         )
-        found = self.cache.since(6)
+        changes = self.cache.since(6)
         self.assertEqual(
-            {row.key: row.value for row in found.rows}, {"a": None, "b": b"3", "c": b"4"}
+            {row.key: row.value for row in changes.rows}, {"a": None, "b": b"3", "c": b"4"}
         )
-        self.assertEqual(found.version, 9)
+        self.assertEqual(changes.version, 9)
         self.assertEqual(list(self.cache.since(9).rows), [])
 
-    def test_unchanged_rows_are_not_passed_on_again(self):
+    def test_unchanged_rows_of_a_replaced_table_are_no_changes(self):
         self.cache.replace(feed.Changes(rows=[change("a", b"1", 3)], version=9))
         self.assertEqual(list(self.cache.since(5).rows), [])
