Explain the reuse of connections and name followers and timeouts

The condition on the write buffer and the socket options had no reason beside them. "entry" stood for table followers and server states, "extra" for trailing bytes, and timeouts in the relay test had no unit.

Add the reasons and rename the variables. Keys of the state dump are unchanged.

--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -39,7 +39,7 @@
 
     def versions(self) -> dict[str, int]:
         """Returns the newest version of each table that this instance has."""
-        return {name: entry.version for name, entry in self._followers.items()}
+        return {name: table_follower.version for name, table_follower in self._followers.items()}
 
     async def run(self) -> None:
         """Announces until cancelled."""
@@ -52,7 +52,11 @@
         versions = self.versions()
         changed = versions != self._last_versions
         self._last_versions = versions
-        reading = {name: versions[name] for name, entry in self._followers.items() if entry.reading}
+        reading = {
+            name: versions[name]
+            for name, table_follower in self._followers.items()
+            if table_follower.reading
+        }
         lost = any(
             name not in reading and self._followers[name].in_outage for name in self._last_reading
         )
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -21,6 +21,8 @@
 IDLE_MARGIN_S = 1.0
 # Longest idle time of a connection whose server has not sent a Keep-Alive header.
 DEFAULT_IDLE_LIMIT_S = 5.0
+# The kernel detects an unresponsive peer by keepalive probes while the connection is idle, and by
+# the user timeout when sent data is not acknowledged.
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -213,10 +215,11 @@
         headers = list(self._response.headers.raw_items())
         if self._is_for_other_request(headers):
             return self._skip_response()
-        extra, _ = self._parser.trailing_data
+        trailing_bytes, _ = self._parser.trailing_data
+        # A server may respond before the whole request is sent; the write buffer is not empty then.
         reusable = (
             not self._closed
-            and not extra
+            and not trailing_bytes
             and self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
             and self._transport.get_write_buffer_size() == 0
@@ -250,7 +253,7 @@
         Returns:
             Whether the response to the current request can still be read.
         """
-        extra, _ = self._parser.trailing_data
+        trailing_bytes, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE:
             self._fail("a response to another request ends the connection", closed=False)
             return False
@@ -261,8 +264,8 @@
         self._response = None
         self._chunks = []
         self._received_bytes = 0
-        if extra:
-            self._parser.receive_data(extra)
+        if trailing_bytes:
+            self._parser.receive_data(trailing_bytes)
         return True
 
     def _update_idle_limit(self, headers: messages.Headers) -> None:
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -189,17 +189,17 @@
             "kept_shares": self._overflow.kept_shares(),
             "servers": [
                 {
-                    "id": entry.server.server_id,
-                    "service": entry.server.service,
-                    "draining": entry.server.draining,
-                    "load": round(entry.load(now_s), 2),
-                    "outstanding": entry.outstanding,
-                    "cold_left_s": round(max(0.0, entry.cold_until_s - now_s), 2),
-                    "ejected_left_s": round(max(0.0, entry.ejected_until_s - now_s), 2),
-                    "error_rate": round(entry.error_rate, 3),
-                    "latency_ratio": round(entry.latency_ratio, 2),
+                    "id": server_state.server.server_id,
+                    "service": server_state.server.service,
+                    "draining": server_state.server.draining,
+                    "load": round(server_state.load(now_s), 2),
+                    "outstanding": server_state.outstanding,
+                    "cold_left_s": round(max(0.0, server_state.cold_until_s - now_s), 2),
+                    "ejected_left_s": round(max(0.0, server_state.ejected_until_s - now_s), 2),
+                    "error_rate": round(server_state.error_rate, 3),
+                    "latency_ratio": round(server_state.latency_ratio, 2),
                 }
-                for entry in self._registry
+                for server_state in self._registry
             ],
         }
 
@@ -255,12 +255,14 @@
             metrics=self._metrics,
         )
 
-    def _make_follower(self, name: str, listener: follower.Listener) -> follower.TableFollower:
+    def _make_follower(
+        self, table_name: str, listener: follower.Listener
+    ) -> follower.TableFollower:
         return follower.TableFollower(
             store=self._store,
-            table_name=name,
+            table_name=table_name,
             listener=listener,
-            cache=self._caches[name],
+            cache=self._caches[table_name],
             role=self._relay_role,
             relay_client=self._relay_client,
             rng=self._rng,
@@ -318,7 +320,7 @@
         )
 
     def _contact_s(self) -> float:
-        return min(entry.contact_s for entry in self._followers.values())
+        return min(table_follower.contact_s for table_follower in self._followers.values())
 
     def _on_versions(self, name: str, host: str, versions: dict[str, int]) -> None:
         self._relay_role.on_hint(name, host, versions)
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -203,22 +203,24 @@
         silent = await gateway_fakes.ScriptedServer(["silent"]).start()
         self.addAsyncCleanup(silent.stop)
         client = relay.RelayClient(port=silent.port)
-        timeouts = []
-        with mock.patch.object(relay.asyncio, "timeout", self._record_timeout(timeouts)):
+        timeouts_s = []
+        with mock.patch.object(relay.asyncio, "timeout", self._record_timeout(timeouts_s)):
             for _ in range(4):
                 with self.assertRaises(table.StoreUnavailable):
                     await client.fetch("127.0.0.1", "op", after=-1)
-        longest = relay.MAX_FETCH_TIMEOUT_S
-        first = relay.INITIAL_FETCH_TIMEOUT_S
-        self.assertEqual(timeouts, [first, 2 * first, longest, longest])
+        max_timeout_s = relay.MAX_FETCH_TIMEOUT_S
+        initial_timeout_s = relay.INITIAL_FETCH_TIMEOUT_S
+        self.assertEqual(
+            timeouts_s, [initial_timeout_s, 2 * initial_timeout_s, max_timeout_s, max_timeout_s]
+        )
 
-    def _record_timeout(self, timeouts):
+    def _record_timeout(self, timeouts_s):
         timeout = asyncio.timeout
 
         def record(delay_s):
             # Opening a connection has a separate timeout.
             if delay_s != http_client.CONNECT_TIMEOUT_S:
-                timeouts.append(delay_s)
+                timeouts_s.append(delay_s)
             return timeout(0.05)
 
         return record
