--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -43,14 +43,14 @@
         key: Key of the pool.
         servers: The pool's servers, including leaving ones.
         clock: Time source.
-        rng: Random source for choosing between equally ranked servers.
+        rng: Random source for server selection and for the jitter of ejection times.
         invariants: Checks every new lease.
         queue_limit: Maximum number of waiting requests; 0 for services whose requests may not
             wait.
         ramp_s: Seconds over which the slots of a new or long-idle server become usable.
-        rank_by_reports: Whether to select servers by their load reports in addition to the
-            pool's own leases; only for placements in which other instances dispatch to the same
-            servers.
+        rank_by_reports: Whether load reports limit the estimate of a server's free slots.
+            Otherwise, only the pool's own leases count and load reports break ties. Only for
+            placements in which other instances dispatch to the same servers.
     """
 
     def __init__(
@@ -106,7 +106,7 @@
         )
 
     def in_use(self) -> dict[str, int]:
-        """Returns the slots in use per server, including inherited ones, without idle servers."""
+        """Returns the slots in use by server name, including inherited ones; omits idle servers."""
         self._expire_inherited()
         counts = self._inherited.counts()
         for name, slots in self._servers.items():
@@ -157,9 +157,9 @@
         for slots in self._servers.values():
             slots.set_share(share)
 
-    def set_leaving(self, server: str, leaving: bool) -> None:
+    def set_leaving(self, server_name: str, leaving: bool) -> None:
         """Applies the leaving state that a server reported, for example in response to a probe."""
-        slots = self._servers.get(server)
+        slots = self._servers.get(server_name)
         if slots is None or slots.reported_leaving == leaving:
             return
         slots.reported_leaving = leaving
@@ -168,29 +168,31 @@
             slots.restart_ramp()
         self._update_active()
 
-    def record_probe(self, server: str, *, succeeded: bool, leaving: bool | None = None) -> None:
+    def record_probe(
+        self, server_name: str, *, succeeded: bool, leaving: bool | None = None
+    ) -> None:
         """Records the result of a probe; a server that returns to service is ramped up.
 
         Args:
-            server: Name of the probed server.
+            server_name: Name of the probed server.
             succeeded: Whether the server reported that it is healthy.
             leaving: Whether the server reported that it is leaving; None if unknown. Only a
                 successful probe with False withdraws an earlier report.
         """
-        slots = self._servers.get(server)
+        slots = self._servers.get(server_name)
         if slots is None:
             return
-        was_ejected = self._health.is_ejected(server)
-        self._health.record_probe(server, succeeded=succeeded)
+        was_ejected = self._health.is_ejected(server_name)
+        self._health.record_probe(server_name, succeeded=succeeded)
         if was_ejected and succeeded:
             slots.restart_ramp()
         slots.probed_s = self._clock.monotonic()
         if leaving or (succeeded and leaving is False):
-            self.set_leaving(server, leaving)
+            self.set_leaving(server_name, leaving)
 
-    def report_load(self, server: str, slots_in_use: int) -> None:
+    def report_load(self, server_name: str, slots_in_use: int) -> None:
         """Records the load that a server reported; it only affects the ranking of servers."""
-        slots = self._servers.get(server)
+        slots = self._servers.get(server_name)
         if slots is not None:
             slots.record_load(slots_in_use, self._clock.monotonic())
 
@@ -227,6 +229,9 @@
 
         Returns:
             False when the queue is full or the deadline has passed.
+
+        Raises:
+            ValueError: ``waiter_id`` is already in the queue.
         """
         return self._queue.append(waiter_id, expires_s=expires_s, now_s=self._clock.monotonic())
 
@@ -235,7 +240,7 @@
         self._queue.remove(waiter_id)
 
     def expire(self) -> list[Hashable]:
-        """Removes requests whose deadline has passed and returns each of them exactly once."""
+        """Removes expired requests from the queue; returns the id of each of them exactly once."""
         return self._queue.take_expired(now_s=self._clock.monotonic())
 
     def grant_waiting(self) -> list[Grant]:
@@ -256,14 +261,14 @@
         """Counts slots as in use on which requests of the previous owner still run.
 
         Args:
-            counts: Slots in use per server.
+            counts: Slots in use by server name.
             expires_s: Monotonic time by which all of these requests have ended.
         """
         self._inherited.add(counts, expires_s=expires_s)
 
-    def release_inherited(self, server: str, count: int) -> list[Grant]:
+    def release_inherited(self, server_name: str, count: int) -> list[Grant]:
         """Releases inherited slots and grants free slots to waiting requests."""
-        self._inherited.release(server, count)
+        self._inherited.release(server_name, count)
         return self.grant_waiting()
 
     def _add_servers(self, servers: Iterable[model.BackendServer], *, cold: bool) -> None:
@@ -312,9 +317,10 @@
         if self._rank_by_reports:
             return self._select_by_reports(excluded, last_resort, now_s)
         best: list[pool_server.ServerSlots] = []
+        # A rank is (not a last resort, free slots, negated reported load).
         best_rank = (False, 0, 0)
         for slots in self._active:
-            max_free = slots.usable - slots.in_use
+            max_free = slots.share_limit - slots.in_use
             # This cheap check rejects most servers, which keeps selection fast in large pools.
             if (
                 max_free <= 0
@@ -341,22 +347,23 @@
         Reports lag behind. If every instance chose the least loaded server of the same reports,
         that server would be overloaded until the next report.
         """
-        usable = [
+        candidates = [
             slots
             for slots in self._active
             if slots.name not in excluded and self._free(slots, now_s) > 0
         ]
-        if not usable:
+        if not candidates:
             return None
         weights = [
             0 if slots.name in last_resort else self._estimated_free(slots, now_s)
-            for slots in usable
+            for slots in candidates
         ]
-        return self._rng.choices(usable, weights if any(weights) else None)[0]
+        # choices() requires a positive weight. Without one, all candidates are equally likely.
+        return self._rng.choices(candidates, weights if any(weights) else None)[0]
 
     def _estimated_free(self, slots: pool_server.ServerSlots, now_s: float) -> int:
-        unreported = slots.limit(now_s) - (slots.reported_load(now_s) or 0)
-        return max(0, min(self._free(slots, now_s), unreported))
+        reported_free = slots.limit(now_s) - (slots.reported_load(now_s) or 0)
+        return max(0, min(self._free(slots, now_s), reported_free))
 
     def _last_resort_servers(self, now_s: float) -> frozenset[str]:
         """Returns the servers to use only if no other server has a free slot."""
@@ -376,13 +383,16 @@
 
     def _check_lease(self, slots: pool_server.ServerSlots) -> None:
         used = slots.in_use + self._inherited.count(slots.name)
-        usable = self._share.slots(slots.server.slots)
+        share_limit = self._share.slots(slots.server.slots)
         # Every request passes through here, so the detail text is built only on a violation.
-        if used > usable:
-            detail = f"{slots.name} of pool {self._key} has {used} slots in use, {usable} usable"
+        if used > share_limit:
+            detail = (
+                f"{slots.name} of pool {self._key} has {used} slots in use,"
+                f" but at most {share_limit} are allowed"
+            )
             self._invariants.check(invariants.Rule.SLOTS_NOT_EXCEEDED, False, detail)
         if slots.leaving or self._health.is_ejected(slots.name):
-            detail = f"{slots.name} of pool {self._key} is leaving or ejected"
+            detail = f"{slots.name} of pool {self._key} got a lease, but is leaving or ejected"
             self._invariants.check(invariants.Rule.NO_DISPATCH_TO_LEAVING_SERVER, False, detail)
 
     def _server_snapshot(
--- a/packages/core/src/sassafrasway_core/pool_queue.py
+++ b/packages/core/src/sassafrasway_core/pool_queue.py
@@ -10,12 +10,15 @@
 
     def __init__(self, *, limit: int):
         self._limit = limit
+        # Deadlines in monotonic seconds by waiter id, in order of arrival.
         self._entries: dict[Hashable, float] = {}
         # A heap entry is stale if its request has left the queue or was queued again with another
         # deadline.
         self._deadline_heap: list[tuple[float, int, Hashable]] = []
+        # Breaks ties in the heap, because waiter ids need not be comparable.
         self._sequence = itertools.count()
-        # Used as an ordered set: preserves the order and allows removal of an abandoned entry.
+        # Expired requests that take_expired() has not returned yet. The dict is used as an ordered
+        # set: it preserves the order and allows removal of an abandoned request.
         self._expired: dict[Hashable, None] = {}
 
     def __len__(self) -> int:
@@ -42,7 +45,7 @@
         self._expired.pop(waiter_id, None)
 
     def pop(self, *, now_s: float) -> Hashable | None:
-        """Removes and returns the longest-waiting request that has not expired, or None."""
+        """Removes the longest-waiting request that has not expired; returns its id, or None."""
         self._expire_entries(now_s)
         if not self._entries:
             return None
@@ -51,7 +54,7 @@
         return waiter_id
 
     def take_expired(self, *, now_s: float) -> list[Hashable]:
-        """Removes and returns every request that has expired since the last call."""
+        """Removes the requests that have expired since the last call; returns their ids."""
         self._expire_entries(now_s)
         expired, self._expired = self._expired, {}
         return list(expired)
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -23,10 +23,10 @@
     Attributes:
         name: Name of the server.
         in_use: Slots held by leases.
-        usable: Slots allowed by the share, regardless of ramp-up.
+        share_limit: Slots allowed by the share, regardless of ramp-up.
         removed: Whether the policy no longer lists the server.
         reported_leaving: Whether the server itself reported that it is leaving.
-        probed_s: Monotonic time of the last probe or leaving report.
+        probed_s: Monotonic time of the last probe or change of ``reported_leaving``.
 
     Args:
         server: The server as configured in the policy.
@@ -52,7 +52,7 @@
         self.probed_s = now_s
         # Plain attributes, because server selection reads them for every server.
         self.in_use = 0
-        self.usable = share.slots(server.slots)
+        self.share_limit = share.slots(server.slots)
         self._share = share
         self._ramp_s = ramp_s
         self._cold = cold
@@ -82,8 +82,8 @@
     def limit(self, now_s: float) -> int:
         """Returns the slots usable now under the share and the ramp-up."""
         if self._ramp_s <= 0:
-            return self.usable
-        return min(self.usable, self._ramp_limit(now_s))
+            return self.share_limit
+        return min(self.share_limit, self._ramp_limit(now_s))
 
     def reported_load(self, now_s: float) -> int | None:
         """Returns the slots in use by the server's last report; None if the report is too old."""
@@ -95,17 +95,19 @@
             self.server.state is model.ServerState.LEAVING
             and server.state is model.ServerState.ACTIVE
         )
+        # A server that the policy readmits, or that has moved to another address, is ramped up, and
+        # its earlier report that it is leaving no longer applies.
         if returned or server.url != self.server.url:
             self._cold = True
             self.reported_leaving = False
         self.server = server
         self.removed = False
-        self.usable = self._share.slots(server.slots)
+        self.share_limit = self._share.slots(server.slots)
 
     def set_share(self, share: shares.Share) -> None:
         """Changes the share of the slots that may be used."""
         self._share = share
-        self.usable = share.slots(self.server.slots)
+        self.share_limit = share.slots(self.server.slots)
 
     def begin_lease(self, now_s: float) -> None:
         """Counts a new lease; starts the ramp-up if the server is cold or was idle for long."""
@@ -130,6 +132,7 @@
         self._load_reported_s = now_s
 
     def _ramp_limit(self, now_s: float) -> int:
+        """Returns the slots that the ramp-up allows: one at first, then growing linearly."""
         slots = self.server.slots
         if self._starts_cold(now_s):
             return min(1, slots)
@@ -139,4 +142,5 @@
         return min(slots, max(1, int(slots * elapsed_s / self._ramp_s)))
 
     def _starts_cold(self, now_s: float) -> bool:
+        """Returns whether a lease that begins now would start the ramp-up."""
         return self._cold or (self.in_use == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -10,8 +10,14 @@
 class ServerResult(enum.Enum):
     """How a dispatch to a backend server ended.
 
-    ``FAILED`` means that the connection failed before the request was sent; ``CRASHED`` means
-    that the connection was lost before the response arrived.
+    Attributes:
+        OK: The response arrived.
+        SHED: The server refused the request because of its load.
+        FAILED: The request was not sent, because the connection failed.
+        TIMEOUT: The request was sent, but the response was not complete in time.
+        CRASHED: The connection was lost before the response was complete.
+        CANCELLED: This instance ended the dispatch.
+        LEAVING: The server reported in its response that it is leaving.
     """
 
     OK = "ok"
@@ -25,7 +31,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SlotLease:
-    """The right to run one request on a server until the lease is released."""
+    """The right to run one request on a server until the lease is released.
+
+    Attributes:
+        started_s: Monotonic time at which the lease was created.
+    """
 
     server: model.BackendServer
     lease_id: int
@@ -45,6 +55,7 @@
     """State of one server in a pool.
 
     Attributes:
+        slots: Slots of the server as configured in the policy.
         limit: Slots usable now under the share and the ramp-up.
         in_use: Slots held by leases of this pool.
         inherited: Slots that a previous owner still uses.
--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -50,8 +50,9 @@
             rank_by_reports=rng.random() < 0.3,
         )
         self._leases = []
-        # Requests of the previous owner that are still running, as (server, latest end time).
+        # Requests of the previous owner that are still running, as (server name, latest end time).
         self._inherited = []
+        # Deadlines of the waiting requests by waiter id, in order of arrival.
         self._queue = {}
         self._next_waiter = 0
         self._reported_leaving = set()
@@ -70,8 +71,8 @@
             self._check_grants(self._pool.grant_waiting())
             assert not (self._pool.queue_length() and self._pool.free_slots())
         assert self._pool.queue_length() <= 4
-        active = [s for s in self._pool.snapshot().servers if not s.leaving]
-        assert sum(s.ejected for s in active) * 3 <= len(active), "too many servers ejected"
+        active = [each for each in self._pool.snapshot().servers if not each.leaving]
+        assert sum(each.ejected for each in active) * 3 <= len(active), "too many servers ejected"
 
     def _acquire(self):
         excluded = frozenset(self._rng.sample(sorted(self._servers), k=self._rng.randint(0, 1)))
@@ -112,8 +113,14 @@
     def _expire(self):
         expired = self._pool.expire()
         now_s = self._time.monotonic()
-        assert sorted(expired) == [w for w, at in self._queue.items() if at <= now_s]
-        self._queue = {w: at for w, at in self._queue.items() if at > now_s}
+        assert sorted(expired) == [
+            waiter_id for waiter_id, expires_s in self._queue.items() if expires_s <= now_s
+        ]
+        self._queue = {
+            waiter_id: expires_s
+            for waiter_id, expires_s in self._queue.items()
+            if expires_s > now_s
+        }
 
     def _inherit(self):
         name = self._rng.choice(sorted(self._servers))
@@ -161,8 +168,12 @@
 
     def _check_grants(self, grants):
         for grant in grants:
-            live = [w for w, at in self._queue.items() if at > self._time.monotonic()]
-            assert grant.waiter_id == live[0], "the grant skipped a request that waited longer"
+            waiting = [
+                waiter_id
+                for waiter_id, expires_s in self._queue.items()
+                if expires_s > self._time.monotonic()
+            ]
+            assert grant.waiter_id == waiting[0], "the grant skipped a request that waited longer"
             del self._queue[grant.waiter_id]
             self.granted += 1
             self._check_lease(grant.lease)
--- a/packages/core/tests/test_pool.py
+++ b/packages/core/tests/test_pool.py
@@ -22,7 +22,7 @@
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
     @hypothesis.given(st.integers(0, 2**32))
-    def test_random_operations_agree_with_the_model(self, seed):
+    def test_random_operations_agree_with_the_reference_model(self, seed):
         """Guards against exceeded slots, skipped waiting requests and use of leaving servers.
 
         Such faults appear only in certain orders of operations, so the orders are random.
@@ -32,8 +32,10 @@
     def test_the_server_with_most_free_slots_is_chosen_and_ties_are_spread(self):
         """Guards against uneven load, which raises latency before any slot limit is reached."""
         slot_pool = self._make_pool(count=12)
-        first = collections.Counter(slot_pool.try_acquire().server.name for _ in range(12))
-        self.assertEqual(len(first), 12)
+        leases_by_server = collections.Counter(
+            slot_pool.try_acquire().server.name for _ in range(12)
+        )
+        self.assertEqual(len(leases_by_server), 12)
         pools = [self._make_pool(count=12, seed=seed) for seed in range(60)]
         names = {each.try_acquire().server.name for each in pools}
         self.assertGreater(len(names), 8)
@@ -44,20 +46,22 @@
         Two instances can hold these shares of one pool at the same time.
         """
         for slots in range(1, 10):
-            offline, reduced = (s.slots(slots) for s in (pool.Share.OFFLINE, pool.Share.REDUCED))
+            offline, reduced = (
+                share.slots(slots) for share in (pool.Share.OFFLINE, pool.Share.REDUCED)
+            )
             self.assertEqual((offline, offline + reduced), (slots // 3, slots))
         slot_pool = self._make_pool(count=2)
-        held = [slot_pool.try_acquire() for _ in range(6)]
+        leases = [slot_pool.try_acquire() for _ in range(6)]
         slot_pool.set_share(pool.Share.OFFLINE)
-        self.assertEqual([slot_pool.release(lease, _OK) for lease in held[:3]], [[], [], []])
-        self.assertIsNone(slot_pool.try_acquire(exclude={held[3].server.name}))
+        self.assertEqual([slot_pool.release(lease, _OK) for lease in leases[:3]], [[], [], []])
+        self.assertIsNone(slot_pool.try_acquire(exclude={leases[3].server.name}))
 
-    def test_freed_slot_goes_to_the_longest_waiting_request_in_time(self):
+    def test_freed_slot_goes_to_the_longest_waiting_request_that_is_still_valid(self):
         """Guards against granting a slot to a request that has expired or was abandoned."""
         slot_pool = self._make_pool(count=1, slots=1, queue_limit=3)
         lease = slot_pool.try_acquire()
-        for waiter, wait_s in (("late", 1.0), ("gone", 9.0), ("next", 9.0)):
-            self.assertTrue(slot_pool.enqueue(waiter, expires_s=self.time.monotonic() + wait_s))
+        for waiter_id, wait_s in (("late", 1.0), ("gone", 9.0), ("next", 9.0)):
+            self.assertTrue(slot_pool.enqueue(waiter_id, expires_s=self.time.monotonic() + wait_s))
         self.assertFalse(slot_pool.enqueue("fourth", expires_s=self.time.monotonic() + 9))
         slot_pool.abandon("gone")
         self.time.advance(2)
@@ -73,11 +77,11 @@
         slot_pool.set_servers([pool_driver.server("new", slots=6)])
         self.assertEqual(slot_pool.free_slots(), 1)
         slot_pool.release(slot_pool.try_acquire(), _OK)
-        free = []
+        free_slots = []
         for _ in range(4):
-            free.append(slot_pool.free_slots())
+            free_slots.append(slot_pool.free_slots())
             self.time.advance(1.0)
-        self.assertEqual(free, [1, 2, 4, 6])
+        self.assertEqual(free_slots, [1, 2, 4, 6])
         self.time.advance(3600)
         self.assertEqual(slot_pool.free_slots(), 1)
 
@@ -110,10 +114,10 @@
         self.assertEqual(slot_pool.servers_to_probe(), [])
         self.time.advance(5.0)
         self.assertEqual([each.name for each in slot_pool.servers_to_probe()], ["s0"])
-        for succeeded, leaving, free in ((True, None, 0), (True, True, 0), (True, False, 1)):
+        for succeeded, leaving, free_slots in ((True, None, 0), (True, True, 0), (True, False, 1)):
             slot_pool.record_probe("s0", succeeded=succeeded, leaving=leaving)
             self.assertEqual(slot_pool.servers_to_probe(), [])
-            self.assertEqual(slot_pool.free_slots(), free)
+            self.assertEqual(slot_pool.free_slots(), free_slots)
 
     def test_shedding_and_failing_servers_come_last(self):
         """Guards against retrying a request on the server that has just refused it."""
@@ -125,11 +129,14 @@
             self.assertEqual(names[3:], [lease.server.name] * 3)
 
     def test_reports_rank_by_load_only_where_others_dispatch_too(self):
-        """Guards against outdated load reports overriding the owner's own exact count."""
-        chosen = []
+        """Guards against outdated load reports overriding the owner's own exact count.
+
+        Where other instances dispatch too, a reported load counts like the pool's own leases.
+        """
+        chose_busy = []
         for rank_by_reports in (False, True):
             slot_pool = self._make_pool(count=2, rank_by_reports=rank_by_reports)
             busy = slot_pool.try_acquire().server.name
             slot_pool.report_load("s1" if busy == "s0" else "s0", 3)
-            chosen.append(slot_pool.try_acquire().server.name == busy)
-        self.assertEqual(chosen, [False, True])
+            chose_busy.append(slot_pool.try_acquire().server.name == busy)
+        self.assertEqual(chose_busy, [False, True])
