Document units and states of tickets, quarantine and server health

Cause: until_s of a health record also holds the time of the probe that ended an ejection, updated_s was said to change on every change although mark_refused() leaves it, the jitter constants had no unit, the bound 32 and the early return of ejected servers had no reason, and several errors of the registry's methods were not documented.

Change: rename until_s to ejected_until_s, limit_s to cutoff_s and the parameter server of ServerHealth and Quarantine methods to server_name (all callers pass it by position); correct and complete the docstrings and comments; reword the error for a ticket of another incarnation; name the tests after what they check. Names, comments and texts only.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -1,4 +1,4 @@
-"""At-most-once execution: tickets, and the registry of keys that one incarnation has seen.
+"""At-most-once execution: tickets, and the registry of keys that an incarnation has started.
 
 A ticket is an idempotency key that names the only incarnation allowed to run the request. The
 registry of that incarnation decides whether a key may start, using only its own memory and clock.
@@ -16,7 +16,7 @@
 TICKET_START_S = 5.0  # how long after its issue a ticket may start a run
 TICKET_SKEW_S = 5.0  # tolerated clock difference between the issuer and the ticket's holder
 RETENTION_S = 120.0  # how long the outcome of a finished key is kept for duplicates
-NONCE_BITS = 64
+NONCE_BITS = 64  # written as 16 hexadecimal digits
 
 _TICKET_PATTERN = re.compile(
     r"t1\.(?P<instance>[A-Za-z0-9_-]{1,64})\.(?P<incarnation>[A-Za-z0-9]{1,32})"
@@ -31,6 +31,7 @@
     Attributes:
         holder: The incarnation that may run the request.
         issued_s: Time of issue in whole seconds since the Unix epoch.
+        nonce: Random hexadecimal digits that distinguish tickets issued in the same second.
     """
 
     holder: model.InstanceId
@@ -82,8 +83,8 @@
 
     Attributes:
         outcome: Result passed to ``finish``; None while the key is running.
-        updated_s: Monotonic time of the last change, in seconds.
-        attempts: Number of dispatches that may have reached a backend server.
+        updated_s: Monotonic time of the start, dispatch or finish of the key, whichever was last.
+        attempts: Number of dispatches that were not refused, so that the request may have run.
     """
 
     key: str
@@ -117,9 +118,10 @@
         self._clock = clock
         self._invariants = invariants
         self._retention_s = retention_s
-        self._epoch_offset_s = clock.wall() - clock.monotonic()
+        self._epoch_offset_s = clock.wall() - clock.monotonic()  # wall time at monotonic time 0
         self._started_wall_s = clock.wall()
         self._records: dict[str, KeyRecord] = {}
+        # Monotonic times of finish() by key, oldest first.
         self._finished: dict[str, float] = {}
 
     @property
@@ -160,7 +162,7 @@
         return BeginResult.START
 
     def begin_claimed(self, key: str) -> bool:
-        """Starts a key that this incarnation has claimed in the table.
+        """Marks a key as started; for keys that this incarnation claims in the table.
 
         Returns:
             False if the key is already known and must not start again.
@@ -175,7 +177,9 @@
         """Records that the request is about to be sent to a backend server or pool owner.
 
         Raises:
-            errors.InvariantViolation: The key already has a dispatch that was not refused.
+            errors.NotFoundError: The registry has no record of the key.
+            errors.InvariantViolation: The key already has a dispatch that was not refused, or is
+                finished (only if ``invariants`` raises).
         """
         record = self._get_record(key)
         self._invariants.check(
@@ -188,7 +192,11 @@
         record.updated_s = self._clock.monotonic()
 
     def mark_refused(self, key: str) -> None:
-        """Cancels the last dispatch after a definite refusal by the receiver."""
+        """Discards the dispatch of a key after a definite refusal by the receiver.
+
+        Raises:
+            errors.NotFoundError: The registry has no record of the key.
+        """
         record = self._get_record(key)
         record.attempts = 0
         record.state = KeyState.STARTED
@@ -196,8 +204,15 @@
     def finish(self, key: str, outcome: Any, *, not_run: bool) -> None:
         """Records the outcome of a key.
 
+        Args:
+            key: The key.
+            outcome: Outcome to return to later attempts with the key.
+            not_run: Whether the outcome says that the request was not run.
+
         Raises:
-            errors.InvariantViolation: ``not_run`` is set for a dispatched key.
+            errors.NotFoundError: The registry has no record of the key.
+            errors.InvariantViolation: ``not_run`` is set for a key with a dispatch that was not
+                refused (only if ``invariants`` raises).
         """
         record = self._get_record(key)
         self._invariants.check(
@@ -211,7 +226,13 @@
         self._finished[key] = record.updated_s
 
     def abandon(self, key: str) -> None:
-        """Removes a key that was not dispatched, so that it can start again later."""
+        """Removes a key that was not dispatched, so that it can start again later.
+
+        Raises:
+            errors.NotFoundError: The registry has no record of the key.
+            errors.InvariantViolation: The key has a dispatch that was not refused (only if
+                ``invariants`` raises).
+        """
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
@@ -235,9 +256,10 @@
         )
 
     def _check_ticket(self, ticket: Ticket) -> BeginResult | None:
+        """Returns why a ticket without a record may not start, or None if it may."""
         if ticket.holder != self._me:
             raise errors.ValidationError(
-                f"ticket is held by {ticket.holder}",
+                f"the ticket may only be used on its holder {ticket.holder}",
                 step="at_most_once.begin",
                 peer=str(self._me),
             )
@@ -258,11 +280,14 @@
 
     def _delete_old_records(self) -> None:
         # A finished key is kept for longer than its ticket can start a run. If it were deleted
-        # earlier, a late duplicate could start a second run.
-        limit_s = self._clock.monotonic() - self._retention_s - TICKET_START_S - TICKET_SKEW_S - 1.0
+        # earlier, a late duplicate could start a second run. The last second allows for the
+        # rounding of the time of issue.
+        cutoff_s = (
+            self._clock.monotonic() - self._retention_s - TICKET_START_S - TICKET_SKEW_S - 1.0
+        )
         while self._finished:
             key, finished_s = next(iter(self._finished.items()))
-            if finished_s > limit_s:
+            if finished_s > cutoff_s:
                 return
             del self._finished[key]
             self._records.pop(key, None)
--- a/packages/core/src/sassafrasway_core/health.py
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -14,7 +14,8 @@
 INITIAL_EJECTION_S = 1.0
 MAX_EJECTION_S = 60.0
 
-# Spreads out the probes of servers that failed at the same time.
+# Fraction by which an ejection is prolonged at most. It spreads out the probes of servers that
+# failed at the same time.
 EJECTION_JITTER = 0.1
 
 _FAILURES = frozenset(
@@ -28,10 +29,21 @@
 
 @dataclasses.dataclass(slots=True)
 class _Record:
+    """Health of one server.
+
+    Attributes:
+        failures: Consecutive failed requests.
+        ejections: Exponent of 2 in the next ejection time; grows with each ejection and failed
+            probe.
+        ejected: Whether the server is ejected.
+        ejected_until_s: Monotonic time at which the ejection ends; after a successful probe, the
+            time of that probe.
+    """
+
     failures: int = 0
     ejections: int = 0
     ejected: bool = False
-    until_s: float = 0.0
+    ejected_until_s: float = 0.0
 
 
 class ServerHealth:
@@ -62,62 +74,63 @@
         self._ejected: frozenset[str] = frozenset()
         self._failing: set[str] = set()
 
-    def is_ejected(self, server: str) -> bool:
+    def is_ejected(self, server_name: str) -> bool:
         """Returns whether the server is ejected and gets no requests."""
-        return server in self._ejected
+        return server_name in self._ejected
 
     def ejected(self) -> frozenset[str]:
         """Returns the names of all ejected servers."""
         return self._ejected
 
     def failing(self) -> frozenset[str]:
-        """Returns the servers whose last result was a failure; other servers are preferred."""
+        """Returns the names of servers whose last result was a failure; others are preferred."""
         return frozenset(self._failing)
 
     def probes_due(self) -> list[str]:
-        """Returns the ejected servers whose ejection time has passed, the longest overdue first."""
+        """Returns the names of servers whose ejection time has passed, longest overdue first."""
         now_s = self._clock.monotonic()
         due = [
-            (record.until_s, name)
+            (record.ejected_until_s, name)
             for name, record in self._records.items()
-            if record.ejected and record.until_s <= now_s
+            if record.ejected and record.ejected_until_s <= now_s
         ]
         return [name for _, name in sorted(due)]
 
-    def set_servers(self, servers: Iterable[str]) -> None:
-        """Replaces the servers of the pool; must not include leaving servers."""
-        self._records = {name: self._records.get(name) or _Record() for name in servers}
+    def set_servers(self, server_names: Iterable[str]) -> None:
+        """Replaces the servers of the pool; leaving servers must not be included."""
+        self._records = {name: self._records.get(name) or _Record() for name in server_names}
         self._failing &= self._records.keys()
         self._update_ejected()
-        by_end = sorted(self.ejected(), key=lambda name: self._records[name].until_s)
+        # A smaller pool may have too many ejected servers. Those whose ejection ends first return.
+        by_end = sorted(self.ejected(), key=lambda name: self._records[name].ejected_until_s)
         for name in by_end[: max(0, len(by_end) - self._max_ejected())]:
             self._records[name].ejected = False
         self._update_ejected()
 
-    def record(self, server: str, result: pool_types.ServerResult) -> None:
-        """Records the result of a request."""
-        record = self._records.get(server)
+    def record(self, server_name: str, result: pool_types.ServerResult) -> None:
+        """Records the result of a request; shed and cancelled requests have no effect."""
+        record = self._records.get(server_name)
         if record is None:
             return
         if result is pool_types.ServerResult.OK:
-            self._failing.discard(server)
+            self._failing.discard(server_name)
             self._record_success(record)
         elif result in _FAILURES:
-            self._failing.add(server)
+            self._failing.add(server_name)
             record.failures += 1
             if record.failures >= self._failures_to_eject and not record.ejected:
                 self._eject(record)
 
-    def record_probe(self, server: str, *, succeeded: bool) -> None:
+    def record_probe(self, server_name: str, *, succeeded: bool) -> None:
         """Records the result of a probe; ignored if the server is not ejected."""
-        record = self._records.get(server)
+        record = self._records.get(server_name)
         if record is None or not record.ejected:
             return
         if succeeded:
             record.ejected = False
             record.failures = 0
-            record.until_s = self._clock.monotonic()
-            self._failing.discard(server)
+            record.ejected_until_s = self._clock.monotonic()
+            self._failing.discard(server_name)
             self._update_ejected()
         else:
             self._start_ejection(record)
@@ -125,11 +138,13 @@
     def _record_success(self, record: _Record) -> None:
         record.failures = 0
         # A late response to an old request does not end an ejection; only a successful probe does.
-        in_service_s = self._clock.monotonic() - record.until_s
+        # A server that fails again soon after its return keeps its longer ejection time.
+        in_service_s = self._clock.monotonic() - record.ejected_until_s
         if not record.ejected and in_service_s > MAX_EJECTION_S:
             record.ejections = 0
 
     def _eject(self, record: _Record) -> None:
+        """Ejects a server unless the maximum number of servers is ejected already."""
         if len(self.ejected()) < self._max_ejected():
             record.ejected = True
             self._start_ejection(record)
@@ -138,11 +153,12 @@
     def _start_ejection(self, record: _Record) -> None:
         ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0**record.ejections)
         jitter = 1.0 + EJECTION_JITTER * self._rng.random()
+        # The bound prevents an overflow of the power of 2.
         record.ejections = min(record.ejections + 1, 32)
-        record.until_s = self._clock.monotonic() + ejection_s * jitter
+        record.ejected_until_s = self._clock.monotonic() + ejection_s * jitter
 
     def _update_ejected(self) -> None:
-        self._ejected = frozenset(name for name, each in self._records.items() if each.ejected)
+        self._ejected = frozenset(name for name, record in self._records.items() if record.ejected)
 
     def _max_ejected(self) -> int:
         return len(self._records) // MAX_EJECTED_DIVISOR
--- a/packages/core/src/sassafrasway_core/quarantine.py
+++ b/packages/core/src/sassafrasway_core/quarantine.py
@@ -11,7 +11,8 @@
 # Limits memory use when a network fault makes many different requests look like crashes.
 MAX_ENTRIES = 10_000
 
-# Prevents the owners of a service's pools from retrying a quarantined request at the same time.
+# Fraction by which the lifetime of an entry is shortened at most. It prevents the owners of a
+# service's pools from retrying a quarantined request at the same time.
 TTL_JITTER = 0.1
 
 
@@ -56,7 +57,7 @@
         clock: Time source.
         rng: Random source that shortens the lifetime of each entry by up to a tenth; None for no
             jitter.
-        limit: Number of distinct crashed servers from which a request is refused.
+        limit: Number of distinct crashed servers at which a request is refused.
         ttl_s: Seconds from the last crash until the entry of a request expires.
     """
 
@@ -72,7 +73,7 @@
         self._rng = rng
         self._limit = limit
         self._ttl_s = ttl_s
-        # Ordered by time of the last crash, oldest first.
+        # Records by fingerprint, ordered by time of the last crash, oldest first.
         self._records: collections.OrderedDict[str, _CrashRecord] = collections.OrderedDict()
 
     def is_quarantined(self, fingerprint: str) -> bool:
@@ -90,14 +91,14 @@
         """Returns all entries that have not expired, ordered by last crash, oldest first."""
         now_s = self._clock.monotonic()
         return [
-            Entry(fingerprint=name, servers=record.servers, remaining_s=record.expires_s - now_s)
-            for name, record in self._records.items()
+            Entry(fingerprint=key, servers=record.servers, remaining_s=record.expires_s - now_s)
+            for key, record in self._records.items()
             if record.expires_s > now_s
         ]
 
-    def record_crash(self, fingerprint: str, server: str) -> int:
-        """Records a crash and returns the number of distinct servers that crashed."""
-        servers = self.crashed_servers(fingerprint) | {server}
+    def record_crash(self, fingerprint: str, server_name: str) -> int:
+        """Records a crash; returns the number of distinct servers that crashed on the request."""
+        servers = self.crashed_servers(fingerprint) | {server_name}
         jitter = 1.0 - TTL_JITTER * self._rng.random() if self._rng is not None else 1.0
         expires_s = self._clock.monotonic() + self._ttl_s * jitter
         self._records[fingerprint] = _CrashRecord(servers, expires_s)
@@ -106,6 +107,7 @@
         return len(servers)
 
     def _prune(self) -> None:
+        """Deletes the oldest records while there are too many or the oldest has expired."""
         now_s = self._clock.monotonic()
         while len(self._records) > MAX_ENTRIES or self._is_oldest_expired(now_s):
             self._records.popitem(last=False)
--- a/packages/core/tests/test_at_most_once.py
+++ b/packages/core/tests/test_at_most_once.py
@@ -32,7 +32,7 @@
         ticket = at_most_once.Ticket.parse(text)
         self.assertEqual((str(ticket), ticket.holder), (text, _ME))
 
-    def test_free_keys_are_not_tickets(self):
+    def test_keys_chosen_by_callers_are_not_tickets(self):
         """Guards against parsing an idempotency key chosen by a caller as a ticket."""
         for key in ("", "order-17", "t1.a.b", "t1.a.b.1.xyz", "t2.a.b.1.0123456789abcdef"):
             self.assertIsNone(at_most_once.Ticket.parse(key))
@@ -43,7 +43,7 @@
         self.fixture = _Fixture()
         self.registry = self.fixture.registry
 
-    def test_second_attempt_joins_and_later_reads(self):
+    def test_second_attempt_does_not_start_and_gets_the_recorded_outcome(self):
         """Guards against a second run when a caller sends the same key again."""
         key = self.fixture.mint_key()
         self.assertIs(self.registry.begin(key), at_most_once.BeginResult.START)
@@ -53,7 +53,7 @@
         self.assertIs(self.registry.begin(key), at_most_once.BeginResult.DONE)
         self.assertEqual(self.registry.record(key).outcome, "answer")
 
-    def test_ticket_of_another_incarnation(self):
+    def test_ticket_of_another_incarnation_is_refused(self):
         """Guards against a restarted instance running tickets of its previous incarnation.
 
         The new incarnation has no record of what the previous one has run.
@@ -67,13 +67,13 @@
         self.fixture.clock.advance(at_most_once.TICKET_START_S + 1.1)
         self.assertIs(self.registry.begin(key), at_most_once.BeginResult.EXPIRED)
 
-    def test_very_old_ticket_is_not_called_not_run(self):
+    def test_very_old_ticket_is_not_reported_as_not_run(self):
         """Guards against reporting "not run" for a key whose record may have been deleted."""
         key = self.fixture.mint_key()
         self.fixture.clock.advance(at_most_once.RETENTION_S + 1)
         self.assertIs(self.registry.begin(key), at_most_once.BeginResult.FORGOTTEN)
 
-    def test_not_run_after_dispatch_violates(self):
+    def test_not_run_after_a_dispatch_violates_an_invariant(self):
         """Guards against reporting "not run" while a dispatched request may still run."""
         key = self.fixture.mint_key()
         self.registry.begin(key)
@@ -81,7 +81,7 @@
         with self.assertRaises(errors.InvariantViolation):
             self.registry.finish(key, "answer", not_run=True)
 
-    def test_two_dispatches_violate(self):
+    def test_second_dispatch_violates_an_invariant(self):
         """Guards against a second dispatch while the outcome of the first is unknown."""
         key = self.fixture.mint_key()
         self.registry.begin(key)
@@ -89,7 +89,7 @@
         with self.assertRaises(errors.InvariantViolation):
             self.registry.mark_dispatched(key)
 
-    def test_refused_dispatch_may_be_not_run(self):
+    def test_refused_dispatch_may_be_reported_as_not_run(self):
         """Guards against an unknown outcome for a request that the server shed.
 
         Shedding is a definite refusal, so the outcome can be reported as not run.
@@ -102,6 +102,7 @@
         self.assertIs(self.registry.begin(key), at_most_once.BeginResult.DONE)
 
 
+# Pairs of an operation and the index of its key or, for "advance", the seconds.
 _STEPS = st.lists(
     st.one_of(
         st.tuples(st.just("send"), st.integers(0, 5)),
--- a/packages/core/tests/test_health.py
+++ b/packages/core/tests/test_health.py
@@ -23,6 +23,8 @@
             for _ in range(health.FAILURES_TO_EJECT):
                 self.health.record(name, _Result.FAILED)
 
+    # A step is (server name, request result or probe success), a new number of servers, or the
+    # seconds to advance.
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(
         st.lists(
@@ -36,23 +38,23 @@
     )
     def test_at_most_a_third_is_ejected_and_due_probes_name_ejected_servers(self, steps):
         """Guards against ejecting a whole pool when the instance's own network fails."""
-        servers = _NAMES
+        names = _NAMES
         for step in steps:
             if isinstance(step, float):
                 self.time.advance(step)
             elif isinstance(step, int):
-                servers = _NAMES[:step]
-                self.health.set_servers(servers)
+                names = _NAMES[:step]
+                self.health.set_servers(names)
             elif isinstance(step[1], bool):
                 self.health.record_probe(step[0], succeeded=step[1])
             else:
                 self.health.record(*step)
             ejected = self.health.ejected()
-            self.assertLessEqual(len(ejected), len(servers) // 3)
-            self.assertLessEqual(ejected, set(servers))
+            self.assertLessEqual(len(ejected), len(names) // 3)
+            self.assertLessEqual(ejected, set(names))
             self.assertLessEqual(set(self.health.probes_due()), ejected)
 
-    def test_only_consecutive_own_failures_eject(self):
+    def test_only_consecutive_failures_eject(self):
         """Guards against ejecting a server for shedding, cancelled calls or occasional failures."""
         for result in (_Result.OK, _Result.SHED, _Result.CANCELLED, _Result.LEAVING):
             for _ in range(4):
--- a/packages/core/tests/test_quarantine.py
+++ b/packages/core/tests/test_quarantine.py
@@ -12,7 +12,7 @@
 
 
 class QuarantineTest(unittest.TestCase):
-    def test_fingerprint_depends_on_each_part_and_its_borders(self):
+    def test_fingerprint_depends_on_each_part_and_on_the_part_boundaries(self):
         """Guards against quarantining a request because a different request crashed servers.
 
         Without the length of each part in the hash, moving bytes from the body to the path would
@@ -29,7 +29,7 @@
         self.assertEqual(len({_fingerprint(**change) for change in changes}), len(changes))
         self.assertEqual(_fingerprint(method="get"), _fingerprint())
 
-    def test_two_distinct_servers_quarantine_until_the_time_is_over(self):
+    def test_crashes_of_two_distinct_servers_quarantine_until_the_entry_expires(self):
         """Guards against crashing a third server, and against refusing a request forever."""
         time = clock.ManualClock()
         tracker = quarantine.Quarantine(clock=time, ttl_s=600)
