Clarify windows, placement, retry, shift, lookup and model

Cause: AtMostOnceMode was said to decide which keys a service accepts, but nothing reads the value after parsing; sub_windows named both the number and the list of sub-windows; the round-robin of EvenSplit was said to start differently for each pool, but its start does not depend on the shard; errors that methods raise and several fields of the model were not documented.

Change: rename the parameter sub_windows of SlidingWindow (no caller passes it) to sub_window_count; correct and complete the docstrings; replace "each", one-letter names and unclear names in these modules and their tests; name tests after what they check. Names, comments and texts only.

--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -45,7 +45,7 @@
         errors.ValidationError: The text is not a CIDR block in canonical notation.
     """
     text, _, length_text = cidr.partition("/")
-    version, address = _parse(text)
+    version, address = _parse_ip(text)
     family, bits = _FAMILIES[version]
     length = int(length_text) if re.fullmatch("[0-9]{1,3}", length_text) else -1
     if not 0 <= length <= bits:
@@ -69,13 +69,14 @@
     Raises:
         errors.ValidationError: The text is not an IP address.
     """
-    version, address = _parse(text)
+    version, address = _parse_ip(text)
     if version == 6 and address >> 32 == _MAPPED_PREFIX >> 32:
         return 4, address & 0xFFFFFFFF
     return version, address
 
 
-def _parse(text: str) -> tuple[int, int]:
+def _parse_ip(text: str) -> tuple[int, int]:
+    """Returns the IP version and the integer value; leaves IPv4-mapped addresses as they are."""
     version = 6 if ":" in text else 4
     try:
         packed = socket.inet_pton(_FAMILIES[version][0], text)
@@ -97,12 +98,18 @@
 
     Args:
         blocks: Client blocks, each with a different CIDR.
+
+    Raises:
+        errors.ValidationError: A CIDR is not in canonical notation, or there are more than 65536
+            regions.
     """
 
     def __init__(self, *, blocks: Iterable[model.ClientBlock]):
         self._regions: list[str] = []
         self._region_numbers: dict[str, int] = {}
+        # By IP version and prefix length, the longest prefix length first.
         self._prefixes: dict[int, dict[int, _Prefixes]] = {4: {}, 6: {}}
+        # Pairs of key and region number by IP version and prefix length.
         entries: dict[tuple[int, int], list[tuple[int, int]]] = {}
         for block in blocks:
             version, length, key = parse_network(block.cidr)
@@ -114,12 +121,12 @@
 
     def __len__(self) -> int:
         """Number of blocks."""
-        return sum(len(each) for each in self._prefix_arrays())
+        return sum(len(prefixes) for prefixes in self._prefix_arrays())
 
     @property
     def size_bytes(self) -> int:
         """Memory of the arrays of keys and region numbers, in bytes."""
-        return sum(each.size_bytes for each in self._prefix_arrays())
+        return sum(prefixes.size_bytes for prefixes in self._prefix_arrays())
 
     def region_of(self, address: str) -> str | None:
         """Returns the region of the longest block that contains the address, or None.
@@ -140,23 +147,33 @@
 
         Copies only the arrays of the changed prefix lengths, which is fast enough to run between
         requests.
+
+        Raises:
+            errors.ValidationError: A CIDR is not in canonical notation, or there are more than
+                65536 regions.
         """
         table = BlockTable(blocks=())
         table._regions = list(self._regions)
         table._region_numbers = dict(self._region_numbers)
-        table._prefixes = {version: dict(each) for version, each in self._prefixes.items()}
+        table._prefixes = {
+            version: dict(by_length) for version, by_length in self._prefixes.items()
+        }
         copied: set[tuple[int, int]] = set()
         for cidr, block in changes.items():
             table._apply_change(cidr, block.region if block else None, copied)
         return table
 
     def _apply_change(self, cidr: str, region: str | None, copied: set[tuple[int, int]]) -> None:
+        """Sets or removes a block in place.
+
+        ``copied`` collects the IP versions and prefix lengths whose arrays were copied before.
+        """
         version, length, key = parse_network(cidr)
         by_length = self._prefixes[version]
         if (version, length) not in copied:
             copied.add((version, length))
-            before = by_length.get(length)
-            by_length[length] = before.copy() if before else _new_prefixes(length)
+            original = by_length.get(length)
+            by_length[length] = original.copy() if original else _new_prefixes(length)
             self._prefixes[version] = dict(sorted(by_length.items(), reverse=True))
         prefixes = self._prefixes[version][length]
         if region is None:
@@ -168,7 +185,8 @@
         number = self._region_numbers.setdefault(region, len(self._region_numbers))
         if number > _MAX_REGION_NUMBER:
             raise errors.ValidationError(
-                f"more than {_MAX_REGION_NUMBER + 1} regions", step="lookup.build"
+                f"the client blocks have more than {_MAX_REGION_NUMBER + 1} regions",
+                step="lookup.build",
             )
         if number == len(self._regions):
             self._regions.append(region)
@@ -192,7 +210,7 @@
     def size_bytes(self) -> int:
         """Memory of the arrays in bytes."""
         arrays = (self._region_numbers, *self._key_arrays())
-        return sum(len(each) * each.itemsize for each in arrays)
+        return sum(len(values) * values.itemsize for values in arrays)
 
     def find(self, key: int) -> int | None:
         """Returns the region number of a key, or None."""
@@ -218,8 +236,8 @@
         """Removes a key if it exists."""
         index, found = self._position(key)
         if found:
-            for each in (self._region_numbers, *self._key_arrays()):
-                del each[index]
+            for values in (self._region_numbers, *self._key_arrays()):
+                del values[index]
 
     def copy(self) -> "_Prefixes":
         """Returns a copy whose changes do not affect the original."""
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -9,7 +9,11 @@
 
 
 class AtMostOnceMode(enum.Enum):
-    """Which idempotency keys a service accepts besides tickets."""
+    """Kind of idempotency keys that a policy states for a service.
+
+    The value is only stored. Requests are accepted with tickets and with keys chosen by the caller,
+    which need a claim, in both modes.
+    """
 
     TICKET = "ticket"
     CLAIM = "claim"
@@ -35,7 +39,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
 class PoolKey:
-    """Identifies a pool: backend servers of a service in a region that have the same owner."""
+    """Identifies a pool: backend servers of a service in a region that have the same owner.
+
+    Attributes:
+        shard: Index of the pool among the pools of the service in the region, from 0.
+    """
 
     service: str
     region: str
@@ -59,7 +67,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Link:
-    """The network link between two regions; the cap applies to each direction."""
+    """The network link between two regions; the cap applies to each direction.
+
+    Attributes:
+        cap_mbit_s: Maximum data rate in one direction, Mbit/s.
+        delay_ms: One-way delay.
+    """
 
     source: str
     target: str
@@ -72,6 +85,9 @@
     """A service that callers can address.
 
     Attributes:
+        idempotent: Whether a request may be run more than once.
+        may_wait: Whether requests may wait for a slot.
+        deadline_ms: Deadline of requests whose caller sets none, from their arrival.
         max_pool_slots: A region's pool with more slots than this is split into shards, because one
             instance owns a pool and must handle all of its requests.
     """
@@ -86,7 +102,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServer:
-    """A server that runs requests of one service, at most ``slots`` at a time."""
+    """A server that runs requests of one service, at most ``slots`` at a time.
+
+    Attributes:
+        url: Base URL, ``http://IP:port``.
+        connections: Maximum number of open connections in a connection pool of an instance.
+    """
 
     name: str
     service: str
@@ -147,9 +168,9 @@
             groups.setdefault((server.service, server.region), []).append(server)
         pools: dict[PoolKey, list[BackendServer]] = {}
         for (service, region), servers in groups.items():
-            shards = self._shard_count(service, servers)
-            for server in sorted(servers, key=lambda each: each.name):
-                shard = xxhash.xxh32_intdigest(server.name.encode()) % shards
+            shard_count = self._shard_count(service, servers)
+            for server in sorted(servers, key=lambda server: server.name):
+                shard = xxhash.xxh32_intdigest(server.name.encode()) % shard_count
                 key = PoolKey(service=service, region=region, shard=shard)
                 pools.setdefault(key, []).append(server)
         return {key: tuple(servers) for key, servers in pools.items()}
@@ -159,15 +180,18 @@
         return self.links.get("/".join(sorted((region_a, region_b))))
 
     def regions_by_distance(self, origin: str) -> list[str]:
-        """Returns all regions by increasing delay from ``origin``, starting with ``origin``."""
+        """Returns all regions by increasing delay from ``origin``, starting with ``origin``.
+
+        Regions without a link to ``origin`` come last.
+        """
 
-        def distance(region: str) -> tuple[float, str]:
+        def sort_key(region: str) -> tuple[float, str]:
             if region == origin:
                 return (-1.0, region)
             link = self.link(origin, region)
             return (link.delay_ms if link else math.inf, region)
 
-        return sorted(self.regions, key=distance)
+        return sorted(self.regions, key=sort_key)
 
     def _shard_count(self, service: str, servers: list[BackendServer]) -> int:
         slots = sum(server.slots for server in servers)
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -42,6 +42,9 @@
             servers: All servers of one pool, as configured in the policy.
             index: Index of the instance among all live instances, sorted by name, from 0.
             count: Number of live instances.
+
+        Raises:
+            ValueError: ``index`` is not from 0 to ``count - 1``.
         """
 
 
@@ -74,8 +77,8 @@
         """See base class; assigns slots round-robin, in order of server name."""
         _check_index(index, count)
         sorted_servers = sorted(servers, key=lambda server: server.name)
-        # The first instances of the round-robin get the remaining slots. Its start differs by pool,
-        # so that these are not always the same instances.
+        # The first instances of the round-robin get the remaining slots. Its start depends on the
+        # service and region, so that these are not always the same instances.
         next_index = _first_index(sorted_servers, count)
         usable = []
         for server in sorted_servers:
@@ -107,6 +110,7 @@
         return list(servers)
 
 
+# Placement strategies by their name in the settings.
 PLACEMENTS: dict[str, Placement] = {
     placement.name: placement for placement in (PoolOwner(), EvenSplit(), LocalCount())
 }
@@ -118,6 +122,7 @@
 
 
 def _first_index(servers: Sequence[model.BackendServer], count: int) -> int:
+    """Returns the index of the instance with which the round-robin of a pool starts."""
     if not servers:
         return 0
     name = f"{servers[0].service}/{servers[0].region}"
--- a/packages/core/src/sassafrasway_core/retry.py
+++ b/packages/core/src/sassafrasway_core/retry.py
@@ -18,6 +18,9 @@
         ratio: Tokens added by each request; a retry takes one token.
         minimum_per_s: Tokens added per second, 1/s.
         max_tokens: Maximum number of tokens.
+
+    Raises:
+        ValueError: ``ratio`` or ``minimum_per_s`` is negative.
     """
 
     def __init__(
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -17,7 +17,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _ShiftProgress:
-    """Moved fraction of a shift, which grows linearly from a start time."""
+    """Moved fraction of a shift, which grows linearly from ``start_fraction`` at ``start_s``."""
 
     shift: model.Shift
     start_fraction: float
@@ -67,10 +67,10 @@
             return ShiftDecision(region=region)
         position = self._rng.random() if caller_position is None else caller_position
         now_s = self._clock.monotonic()
-        moved = 0.0
+        moved_fraction = 0.0
         for progress in source_shifts:
-            moved += progress.fraction(now_s)
-            if position < moved:
+            moved_fraction += progress.fraction(now_s)
+            if position < moved_fraction:
                 return ShiftDecision(region=progress.shift.target, shift_name=progress.shift.name)
         return ShiftDecision(region=region)
 
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -30,10 +30,13 @@
     Args:
         limit: Maximum sum in one second; ``math.inf`` for no limit.
         clock: Time source.
-        sub_windows: Number of sub-windows per ``WINDOW_S``. More of them make the limit more
+        sub_window_count: Number of sub-windows per ``WINDOW_S``. More of them make the limit more
             precise but take more time and memory.
         start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
             of the limit may have used all of it just before; ignored while there is no limit.
+
+    Raises:
+        ValueError: ``limit`` is negative or NaN, or ``sub_window_count`` is less than 1.
     """
 
     def __init__(
@@ -41,14 +44,14 @@
         *,
         limit: float,
         clock: clock_lib.Clock,
-        sub_windows: int = 20,
+        sub_window_count: int = 20,
         start_full: bool = False,
     ):
-        if sub_windows < 1:
-            raise ValueError(f"sub_windows is {sub_windows}, expected at least 1")
+        if sub_window_count < 1:
+            raise ValueError(f"sub_window_count is {sub_window_count}, expected at least 1")
         self._limit = _require_non_negative("limit", limit)
         self._clock = clock
-        self._sub_window_s = WINDOW_S / sub_windows
+        self._sub_window_s = WINDOW_S / sub_window_count
         self._sub_windows: collections.deque[_SubWindow] = collections.deque()
         self._sum = 0.0
         self._blocked_since_s = clock.monotonic() if start_full else -math.inf
@@ -59,7 +62,7 @@
         return self._limit
 
     def used(self) -> float:
-        """Returns the sum that counts against the limit now."""
+        """Returns the sum that counts against the limit now; the limit itself while blocked."""
         now_s = self._clock.monotonic()
         if self._is_blocked(now_s):
             return self._limit
@@ -75,20 +78,28 @@
         now_s = self._clock.monotonic()
         wait_s = self._blocked_since_s + WINDOW_S - now_s if self._is_blocked(now_s) else 0.0
         excess = self._sum_in_window(now_s) + amount - self._limit
-        for each in self._sub_windows:
+        for sub_window in self._sub_windows:
             if excess <= 0:
                 break
-            if now_s - each.last_s <= WINDOW_S:
-                excess -= each.amount
-                wait_s = max(wait_s, each.last_s + WINDOW_S - now_s)
+            if now_s - sub_window.last_s <= WINDOW_S:
+                excess -= sub_window.amount
+                wait_s = max(wait_s, sub_window.last_s + WINDOW_S - now_s)
         return wait_s
 
     def set_limit(self, limit: float) -> None:
-        """Changes the limit; amounts taken before still count."""
+        """Changes the limit; amounts taken before still count.
+
+        Raises:
+            ValueError: ``limit`` is negative or NaN.
+        """
         self._limit = _require_non_negative("limit", limit)
 
     def try_take(self, amount: float) -> bool:
-        """Takes ``amount`` and returns True, or returns False if it does not fit."""
+        """Takes ``amount`` and returns True, or returns False if it does not fit.
+
+        Raises:
+            ValueError: ``amount`` is negative or NaN.
+        """
         _require_non_negative("amount", amount)
         now_s = self._clock.monotonic()
         self._drop_expired(now_s)
@@ -98,7 +109,11 @@
         return True
 
     def _sum_in_window(self, now_s: float) -> float:
-        return sum(each.amount for each in self._sub_windows if now_s - each.last_s <= WINDOW_S)
+        return sum(
+            sub_window.amount
+            for sub_window in self._sub_windows
+            if now_s - sub_window.last_s <= WINDOW_S
+        )
 
     def _is_blocked(self, now_s: float) -> bool:
         return now_s - self._blocked_since_s <= WINDOW_S and not math.isinf(self._limit)
@@ -119,7 +134,7 @@
             dropped = True
         if dropped:
             # Recomputing the sum prevents rounding errors from accumulating.
-            self._sum = sum(each.amount for each in self._sub_windows)
+            self._sum = sum(sub_window.amount for sub_window in self._sub_windows)
 
 
 class CompletionWindow:
@@ -134,12 +149,16 @@
         clock: Time source.
         start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
             of the limit may have used all of it just before.
+
+    Raises:
+        ValueError: ``limit`` is negative or NaN.
     """
 
     def __init__(self, *, limit: float, clock: clock_lib.Clock, start_full: bool = False):
         self._limit = _require_non_negative("limit", limit)
         self._clock = clock
         self._running = 0
+        # Monotonic times of end(), oldest first.
         self._ended: collections.deque[float] = collections.deque()
         self._blocked_until_s = clock.monotonic() + WINDOW_S if start_full else -math.inf
 
@@ -149,7 +168,11 @@
         return self._limit
 
     def set_limit(self, limit: float) -> None:
-        """Changes the limit; requests admitted before still count."""
+        """Changes the limit; requests admitted before still count.
+
+        Raises:
+            ValueError: ``limit`` is negative or NaN.
+        """
         self._limit = _require_non_negative("limit", limit)
 
     def used(self) -> int:
@@ -168,7 +191,11 @@
         return True
 
     def end(self) -> None:
-        """Records that an admitted request got its response or can no longer start."""
+        """Records that an admitted request got its response or can no longer start.
+
+        Raises:
+            ValueError: More requests ended than were admitted.
+        """
         if self._running < 1:
             raise ValueError("end() was called without an admitted request")
         self._running -= 1
--- a/packages/core/tests/test_lookup.py
+++ b/packages/core/tests/test_lookup.py
@@ -43,19 +43,19 @@
     @hypothesis.given(
         strategies.sets(_networks(), max_size=12), strategies.sets(_networks(), max_size=6)
     )
-    def test_longest_prefix_match(self, networks, earlier):
+    def test_longest_prefix_match(self, networks, old_networks):
         """Guards against wrong regions for nested or adjacent blocks and at block boundaries."""
         blocks = _blocks(networks)
         self._check(lookup.BlockTable(blocks=blocks.values()), networks)
-        old = {**_blocks(earlier), **dict(list(blocks.items())[::2])}
+        old = {**_blocks(old_networks), **dict(list(blocks.items())[::2])}
         if old:
             cidr = next(iter(old))
             old[cidr] = model.ClientBlock(cidr=cidr, region="moved")
         before = lookup.BlockTable(blocks=old.values())
-        sizes = len(before)
+        count_before = len(before)
         updated = before.updated({**dict.fromkeys(old), **blocks})
         self._check(updated, networks)
-        self.assertEqual((len(before), len(updated)), (sizes, len(blocks)))
+        self.assertEqual((len(before), len(updated)), (count_before, len(blocks)))
 
     def _check(self, table, networks):
         for network in networks:
@@ -67,7 +67,7 @@
                 address = type(network[0])(value)
                 self.assertEqual(table.region_of(str(address)), _expected(networks, address))
 
-    def test_size_per_block(self):
+    def test_table_takes_at_most_40_bytes_per_block(self):
         """Guards against a table that takes too much memory for a small instance."""
         blocks = [
             model.ClientBlock(cidr=f"2001:db8:{2 * i:x}::/48", region="r") for i in range(1, 1001)
@@ -75,7 +75,7 @@
         table = lookup.BlockTable(blocks=blocks)
         self.assertLessEqual(table.size_bytes, 40 * len(blocks))
 
-    def test_mapped_address_is_ipv4(self):
+    def test_ipv4_mapped_address_matches_ipv4_blocks(self):
         """Guards against IPv4 clients of a dual-stack socket that match no block.
 
         Such a socket reports IPv4 clients with IPv4-mapped IPv6 addresses.
@@ -84,7 +84,7 @@
         self.assertEqual(table.region_of("::ffff:10.1.2.3"), "bkk")
         self.assertIsNone(table.region_of("::1"))
 
-    def test_bad_input(self):
+    def test_invalid_blocks_and_addresses_are_refused(self):
         """Guards against accepting two notations of one block, and against untyped exceptions."""
         for cidr in (
             "10.0.0.1/8",
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -17,25 +17,32 @@
         """Guards against two instances using one slot, and against slots that nobody uses."""
         servers = [pool_driver.server(f"s{i:02}", slots=n) for i, n in enumerate(slots)]
         split = placement.PLACEMENTS["even_split"]
-        given = collections.Counter()
+        assigned = collections.Counter()
         totals = []
         for index in range(count):
             usable = split.usable_servers(reversed(servers), index=index, count=count)
-            given.update({server.name: server.slots for server in usable})
+            assigned.update({server.name: server.slots for server in usable})
             totals.append(sum(server.slots for server in usable))
-        self.assertEqual(given, +collections.Counter({s.name: s.slots for s in servers}))
+        self.assertEqual(
+            assigned, +collections.Counter({server.name: server.slots for server in servers})
+        )
         self.assertLessEqual(max(totals) - min(totals), 1)
 
     def test_strategies_differ_in_forwarding_and_retries(self):
         """Guards against a comparison in which one strategy has the traits of another."""
         servers = [pool_driver.server("a"), pool_driver.server("b")]
         traits = {}
-        for name, each in placement.PLACEMENTS.items():
-            usable = each.usable_servers(servers, index=1, count=2)
+        for name, strategy in placement.PLACEMENTS.items():
+            usable = strategy.usable_servers(servers, index=1, count=2)
             total = sum(server.slots for server in usable)
-            traits[name] = (each.forwards, each.ranks_by_reports, each.retries_after_shed, total)
+            traits[name] = (
+                strategy.forwards,
+                strategy.ranks_by_reports,
+                strategy.retries_after_shed,
+                total,
+            )
             with self.assertRaises(ValueError):
-                each.usable_servers(servers, index=2, count=2)
+                strategy.usable_servers(servers, index=2, count=2)
         expected = {
             "pool_owner": (True, False, 0, 6),
             "even_split": (False, False, 0, 3),
--- a/packages/core/tests/test_retry.py
+++ b/packages/core/tests/test_retry.py
@@ -11,20 +11,21 @@
 class RetryTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, deadline=None)
     @hypothesis.given(st.lists(st.sampled_from([None, 0.01, 0.5, 30.0]), max_size=300))
-    def test_retries_of_any_period_stay_within_the_budget(self, steps):
+    def test_retries_of_any_period_stay_within_the_budget(self, steps_s):
         """Guards against retry storms, which multiply the load, even after a quiet period."""
         time = clock.ManualClock()
         budget = retry.RetryBudget(clock=time, ratio=0.1, minimum_per_s=1.0)
-        spent_at = []
-        for requests, step_s in enumerate(steps, start=1):
+        # Monotonic time of each retry and number of requests until then.
+        retries = []
+        for request_count, step_s in enumerate(steps_s, start=1):
             time.advance(step_s or 0.0)
             budget.on_request()
             while budget.try_retry():
-                spent_at.append((time.monotonic(), requests))
-        for first, (from_s, before) in enumerate(spent_at):
-            for last, (to_s, after) in enumerate(spent_at[first:], start=first):
-                earned = 0.1 * (after - before + 1) + (to_s - from_s)
-                self.assertLessEqual(last - first + 1, earned + retry.MAX_TOKENS + 1e-6)
+                retries.append((time.monotonic(), request_count))
+        for first, (first_s, first_count) in enumerate(retries):
+            for last, (last_s, last_count) in enumerate(retries[first:], start=first):
+                added_tokens = 0.1 * (last_count - first_count + 1) + (last_s - first_s)
+                self.assertLessEqual(last - first + 1, added_tokens + retry.MAX_TOKENS + 1e-6)
 
     def test_failing_requests_are_retried_at_the_ratio(self):
         """Guards against refusing retries that the ratio or the minimum rate should allow."""
--- a/packages/core/tests/test_shift.py
+++ b/packages/core/tests/test_shift.py
@@ -28,7 +28,7 @@
     def _is_moved(self, position):
         return self.shifts.home_region("crew-desk", "bkk", position).region == "hkt"
 
-    def test_moved_fraction_grows_at_its_pace_and_keeps_moved_callers(self):
+    def test_moved_fraction_grows_at_its_pace_and_moved_callers_stay_moved(self):
         """Guards against moving all requests to cold caches together, and callers moving back."""
         self.shifts.set_shifts(_policy(_shift(fraction=0.5, pace_per_s=0.1)))
         moved = []
@@ -37,9 +37,14 @@
             self.time.advance(1)
         self.assertEqual([sum(each) for each in moved], [0, 2, 4, 6, 8, 10, 10, 10])
         for earlier, later in itertools.pairwise(moved):
-            self.assertTrue(all(b or not a for a, b in zip(earlier, later, strict=True)))
+            self.assertTrue(
+                all(
+                    is_moved or not was_moved
+                    for was_moved, is_moved in zip(earlier, later, strict=True)
+                )
+            )
 
-    def test_other_policy_changes_keep_the_growth_and_removal_ends_it(self):
+    def test_other_policy_changes_keep_the_moved_fraction_and_removal_ends_the_shift(self):
         """Guards against restarting a shift at every revision, or continuing a removed one."""
         self.shifts.set_shifts(_policy(_shift()))
         self.time.advance(5)
@@ -58,7 +63,9 @@
         """Guards against moving requests of other regions, and against ignoring a second shift."""
         self.shifts.set_shifts(_policy(_shift(fraction=0.25), _shift("z", "cnx", fraction=0.25)))
         self.time.advance(60)
-        decisions = [self.shifts.home_region("crew-desk", "bkk", w / 4) for w in range(4)]
+        decisions = [
+            self.shifts.home_region("crew-desk", "bkk", quarter / 4) for quarter in range(4)
+        ]
         self.assertEqual([each.region for each in decisions], ["hkt", "cnx", "bkk", "bkk"])
         self.assertEqual([each.shift_name for each in decisions], ["move", "z", None, None])
         self.assertEqual(self.shifts.home_region("crew-desk", "cnx", 0.0).region, "cnx")
--- a/packages/core/tests/test_window.py
+++ b/packages/core/tests/test_window.py
@@ -13,7 +13,7 @@
     st.sampled_from([0.0, 0.001, 0.05, 0.1, 0.95, 1.0]), st.floats(min_value=0, max_value=1.2)
 )
 
-
+# An amount counts for this long.
 _SPAN_S = 1.0 + window.DELIVERY_SPREAD_S
 
 
@@ -35,13 +35,16 @@
             time.advance(step_s)
             now_s = time.monotonic()
             limiter.set_limit(limit)
-            recent = sum(a for at, a in taken if now_s - at <= _SPAN_S)
+            recent = sum(taken_amount for at_s, taken_amount in taken if now_s - at_s <= _SPAN_S)
             self.assertGreaterEqual(limiter.used(), recent)
             if limiter.try_take(amount):
                 taken.append((now_s, amount))
                 self.assertLessEqual(recent + amount, limit)
             else:
-                conservative = sum(a for at, a in taken if now_s - at <= _SPAN_S + 0.051)
+                # An amount may count for longer by the length of its sub-window.
+                conservative = sum(
+                    taken_amount for at_s, taken_amount in taken if now_s - at_s <= _SPAN_S + 0.051
+                )
                 self.assertGreater(conservative + amount, limit)
 
     def test_retry_after_is_the_time_at_which_the_amount_fits(self):
@@ -70,15 +73,15 @@
         time.advance(0.26)
         self.assertTrue(limiter.try_take(100))
 
-    def test_infinite_limit_admits_everything_and_bad_numbers_are_refused(self):
+    def test_infinite_limit_admits_everything_and_invalid_numbers_are_refused(self):
         """Guards against refusals in a region without a cap, and against negative amounts."""
         limiter = window.SlidingWindow(limit=math.inf, clock=clock.ManualClock(), start_full=True)
         self.assertTrue(limiter.try_take(10**9))
-        for bad in (-1, math.nan):
+        for invalid in (-1, math.nan):
             with self.assertRaises(ValueError):
-                limiter.try_take(bad)
+                limiter.try_take(invalid)
             with self.assertRaises(ValueError):
-                limiter.set_limit(bad)
+                limiter.set_limit(invalid)
 
 
 class CompletionWindowTest(unittest.TestCase):
@@ -89,26 +92,26 @@
             max_size=60,
         )
     )
-    def test_starts_hold_the_limit_whatever_the_delays(self, arrivals):
+    def test_starts_stay_within_the_limit_for_any_delays(self, arrivals):
         """Guards against exceeding a cap at the servers because of unequal network delays."""
         limit = 5
         time = clock.ManualClock()
         limiter = window.CompletionWindow(limit=limit, clock=time)
-        starts, ends = [], []
+        starts_s, ends_s = [], []
         for gap_s, delay_s, run_s in arrivals:
             until_s = time.monotonic() + gap_s
-            for end_s in sorted(each for each in ends if each <= until_s):
+            for end_s in sorted(each for each in ends_s if each <= until_s):
                 time.advance(max(0.0, end_s - time.monotonic()))
                 limiter.end()
-                ends.remove(end_s)
+                ends_s.remove(end_s)
             time.advance(max(0.0, until_s - time.monotonic()))
             if limiter.try_start():
-                starts.append(time.monotonic() + delay_s)
-                ends.append(time.monotonic() + delay_s + run_s)
-        for first_s in starts:
-            self.assertLessEqual(sum(first_s <= each <= first_s + 1.0 for each in starts), limit)
+                starts_s.append(time.monotonic() + delay_s)
+                ends_s.append(time.monotonic() + delay_s + run_s)
+        for first_s in starts_s:
+            self.assertLessEqual(sum(first_s <= each <= first_s + 1.0 for each in starts_s), limit)
 
-    def test_capacity_returns_one_second_after_the_answer(self):
+    def test_capacity_returns_one_second_after_the_response(self):
         """Guards against a window that never admits again or ignores ``start_full``."""
         time = clock.ManualClock()
         limiter = window.CompletionWindow(limit=1, clock=time, start_full=True)
