Clarify policy documents, checks and the configuration log

Cause: "known" did not say what the names are, the text of the revision invariant did not say what is wrong, find_problems() leaves out the key of links without a reason, parse_json() did not mention non-finite numbers, and random_runs was said to repeat a run that it makes once.

Change: rename the parameter known of find_problems() to existing and internal variables; correct and complete the docstrings; state the reasons for _MAX_INT and the missing key of links; name tests after what they check. Names, comments and texts only.

--- a/packages/core/src/sassafrasway_core/clock.py
+++ b/packages/core/src/sassafrasway_core/clock.py
@@ -29,7 +29,7 @@
 
 
 class ManualClock(Clock):
-    """Clock for tests that moves only by ``advance``."""
+    """Clock for tests that moves only by ``advance``; both times are the same."""
 
     def __init__(self, *, start_s: float = 1000.0):
         self._now_s = start_s
@@ -43,7 +43,11 @@
         return self._now_s
 
     def advance(self, seconds: float) -> None:
-        """Moves the clock forward by ``seconds``."""
+        """Moves the clock forward by ``seconds``.
+
+        Raises:
+            ValueError: ``seconds`` is negative.
+        """
         if seconds < 0:
             raise ValueError("a clock cannot be advanced by a negative time")
         self._now_s += seconds
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -21,6 +21,7 @@
         self._keep = keep
         self._policy: model.Policy | None = None
         self._changes: collections.deque[documents.Change] = collections.deque(maxlen=keep)
+        # Revisions by change id, oldest first.
         self._revisions: dict[str, int] = {}
 
     @property
@@ -42,8 +43,12 @@
         """Replaces the current policy; returns False when the given one is not newer.
 
         Args:
-            policy: The policy.
-            change_ids: Revisions by the ids of the changes that led to the policy.
+            policy: The complete policy.
+            change_ids: Revisions by the ids of the changes that led to the policy, oldest first.
+
+        Raises:
+            errors.InvariantViolation: The policy is older than the current one (only if
+                ``invariants`` raises).
         """
         if not self._may_follow(policy.revision):
             return False
@@ -83,11 +88,12 @@
         return self._revisions.get(change_id)
 
     def _may_follow(self, revision: int) -> bool:
+        """Checks and returns whether a revision is not older than the current one."""
         holds = revision >= self.revision
         self._invariants.check(
             invariants.Rule.REVISION_NEVER_DECREASES,
             holds,
-            f"revision {revision} would follow revision {self.revision}",
+            f"revision {revision} would replace the newer revision {self.revision}",
         )
         return holds
 
--- a/packages/core/src/sassafrasway_core/documents.py
+++ b/packages/core/src/sassafrasway_core/documents.py
@@ -1,7 +1,7 @@
 """Parsing, serialisation and comparison of policy documents and policy changes.
 
 A policy document is a JSON object of sections; each section maps names to objects. A change
-replaces or deletes whole objects. Parsing reports all problems of a document in one error.
+adds, replaces or deletes whole objects. Parsing reports all problems of a document in one error.
 """
 
 import dataclasses
@@ -13,7 +13,7 @@
 
 from sassafrasway_core import errors, model, policy_checks, policy_schema
 
-# Model objects by section and name.
+# Model objects by section and name; in a change, None stands for a deleted object.
 Sections = Mapping[str, Mapping[str, Any]]
 
 EMPTY_POLICY = model.Policy(revision=0, **{name: {} for name in policy_schema.SECTIONS})
@@ -45,7 +45,8 @@
     """Parses a JSON text and rejects duplicate keys and non-finite numbers.
 
     Raises:
-        errors.ValidationError: The text is malformed, or an object has a duplicate key.
+        errors.ValidationError: The text is malformed, an object has a duplicate key, or a number
+            is NaN or infinite.
     """
     try:
         return json.loads(
@@ -68,8 +69,8 @@
     complete = {name: sections.get(name, {}) for name in policy_schema.SECTIONS}
     # An invalid object counts as existing, so that references to it are not reported as well.
     raw = data if isinstance(data, Mapping) else {}
-    known = {name: _object_names(raw.get(name)) for name in policy_schema.SECTIONS}
-    problems.extend(policy_checks.find_problems(complete, known=known))
+    existing = {name: _object_names(raw.get(name)) for name in policy_schema.SECTIONS}
+    problems.extend(policy_checks.find_problems(complete, existing=existing))
     policy_checks.raise_problems(problems, step="documents.parse_policy")
     return model.Policy(revision=revision, **complete)
 
@@ -159,13 +160,16 @@
     result = patch(policy, change.sections, revision=change.revision)
     sections = sections_of(result)
     changed = {section: list(objects) for section, objects in change.sections.items()}
-    problems.extend(policy_checks.find_problems(sections, known=sections, changed=changed))
+    problems.extend(policy_checks.find_problems(sections, existing=sections, changed=changed))
     policy_checks.raise_problems(problems, step=step)
     return result
 
 
 def patch(policy: model.Policy, sections: Sections, *, revision: int) -> model.Policy:
-    """Returns a policy with the given objects replaced or deleted, without validation."""
+    """Returns a policy with objects added, replaced or deleted, without validation.
+
+    Deleting an object that does not exist has no effect.
+    """
     changed = {}
     for section, objects in sections.items():
         merged = dict(getattr(policy, section))
@@ -200,6 +204,7 @@
 def _parse_sections(
     data: Any, problems: list[policy_checks.Problem], *, may_delete: bool
 ) -> dict[str, dict[str, Any]]:
+    """Returns the valid model objects by section and name; appends to ``problems``."""
     if not isinstance(data, Mapping):
         problems.append(policy_checks.Problem(detail="expected a JSON object of sections"))
         return {}
@@ -223,6 +228,7 @@
     problems: list[policy_checks.Problem],
     may_delete: bool,
 ) -> dict[str, Any]:
+    """Returns the valid model objects of a section by name; appends to ``problems``."""
     parsed = {}
     for name, document in objects.items():
         if document is None and may_delete:
--- a/packages/core/src/sassafrasway_core/invariants.py
+++ b/packages/core/src/sassafrasway_core/invariants.py
@@ -19,7 +19,10 @@
 
 
 class Rule(enum.Enum):
-    """Names of the checked rules."""
+    """Names of the checked rules.
+
+    ``NO_DISPATCH_TO_LEAVING_SERVER`` applies to ejected servers, too.
+    """
 
     SLOTS_NOT_EXCEEDED = "slots_not_exceeded"
     CAP_NOT_EXCEEDED = "cap_not_exceeded"
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -106,7 +106,8 @@
 
     Attributes:
         url: Base URL, ``http://IP:port``.
-        connections: Maximum number of open connections in a connection pool of an instance.
+        connections: Number of connections that the server accepts, which is the limit of each
+            connection pool of an instance.
     """
 
     name: str
--- a/packages/core/src/sassafrasway_core/policy_checks.py
+++ b/packages/core/src/sassafrasway_core/policy_checks.py
@@ -25,7 +25,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Problem:
-    """A problem in a document; attributes that do not apply are empty."""
+    """A problem in a document; attributes that do not apply are empty.
+
+    Attributes:
+        section: Key of the section.
+        name: Name of the object in the section.
+        key: Field of the object or of a change document.
+        detail: What is wrong and what was expected.
+    """
 
     section: str = ""
     name: str = ""
@@ -59,14 +66,14 @@
 def find_problems(
     sections: Mapping[str, Mapping[str, Any]],
     *,
-    known: Mapping[str, Collection[str]],
+    existing: Mapping[str, Collection[str]],
     changed: Mapping[str, Collection[str]] | None = None,
 ) -> Iterator[Problem]:
     """Yields unknown references, duplicate server URLs and invalid shifts.
 
     Args:
         sections: Model objects by section and name.
-        known: Names that count as existing, by section.
+        existing: Names that count as existing, by section.
         changed: Names of the objects that a change set or deleted, by section; None checks all
             objects. When a region or service was deleted, all objects that can refer to it are
             checked.
@@ -75,7 +82,7 @@
     for section, references in _REFERENCES.items():
         objects = sections[section]
         for name in objects if deleted else _names_to_check(section, objects, changed):
-            yield from _unknown_references(section, name, objects[name], references, known)
+            yield from _unknown_references(section, name, objects[name], references, existing)
     if changed is None or changed.get("servers"):
         yield from _duplicate_urls(sections["servers"])
     if changed is None or changed.get("shifts"):
@@ -107,16 +114,18 @@
     name: str,
     item: Any,
     references: tuple[tuple[str, str], ...],
-    known: Mapping[str, Collection[str]],
+    existing: Mapping[str, Collection[str]],
 ) -> Iterator[Problem]:
-    for key, target in references:
+    for key, target_section in references:
         value = getattr(item, key)
-        if value not in known[target]:
+        if value not in existing[target_section]:
             yield Problem(
                 section=section,
                 name=name,
+                # The regions of a link are in its name, not in fields of the document.
                 key="" if section == "links" else key,
-                detail=f"unknown {target[:-1]} {value!r}; expected a name in section {target!r}",
+                detail=f"unknown {target_section[:-1]} {value!r};"
+                f" expected a name in section {target_section!r}",
             )
 
 
@@ -143,12 +152,14 @@
                 key="target",
                 detail=f"{shift.target!r} is also the source; expected another region",
             )
-    ordered = sorted(shifts.items(), key=lambda item: (item[1].service, item[1].source))
-    for _, group in itertools.groupby(ordered, key=lambda item: (item[1].service, item[1].source)):
-        members = list(group)
-        total = sum(shift.fraction for _, shift in members)
+    sorted_shifts = sorted(shifts.items(), key=lambda item: (item[1].service, item[1].source))
+    for _, group in itertools.groupby(
+        sorted_shifts, key=lambda item: (item[1].service, item[1].source)
+    ):
+        same_source = list(group)
+        total = sum(shift.fraction for _, shift in same_source)
         if total > 1 + FRACTION_TOLERANCE:
-            name, shift = members[-1]
+            name, shift = same_source[-1]
             yield Problem(
                 section="shifts",
                 name=name,
--- a/packages/core/src/sassafrasway_core/policy_schema.py
+++ b/packages/core/src/sassafrasway_core/policy_schema.py
@@ -18,15 +18,19 @@
 # Names are part of URL paths, table keys and metric labels.
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
 _NAME_EXPECTED = "1 to 63 letters, digits, '.', '_' or '-', the first a letter or digit"
-_MAX_INT = 2**31 - 1
-_MAX_SHOWN_CHARACTERS = 60
+_MAX_INT = 2**31 - 1  # instances exchange numbers of slots as 32-bit integers
+_MAX_SHOWN_CHARACTERS = 60  # length to which error messages shorten an invalid value
 
 
 def _canonical_url(url: str) -> str:
-    """Returns the canonical form ``http://IP:port``, in which duplicate URLs compare equal."""
+    """Returns the canonical form ``http://IP:port``, in which duplicate URLs compare equal.
+
+    Raises:
+        ValueError: The URL has another form; pydantic turns it into a validation error.
+    """
     parts = urllib.parse.urlsplit(url)
-    rest = (parts.path.strip("/"), parts.query, parts.fragment, parts.username)
-    if parts.scheme != "http" or parts.port is None or any(rest):
+    unsupported_parts = (parts.path.strip("/"), parts.query, parts.fragment, parts.username)
+    if parts.scheme != "http" or parts.port is None or any(unsupported_parts):
         raise ValueError("not http://IP:port")
     address = ipaddress.ip_address(parts.hostname or "")
     host = f"[{address}]" if address.version == 6 else str(address)
@@ -38,7 +42,7 @@
 
 
 class _Document(pydantic.BaseModel):
-    """Base class of all documents."""
+    """Base class of all documents; rejects unknown keys, wrong types and non-finite numbers."""
 
     model_config = pydantic.ConfigDict(extra="forbid", strict=True, allow_inf_nan=False)
 
@@ -176,6 +180,7 @@
         return {"name": name}
 
     def _name_problems(self, name: str) -> Iterator[policy_checks.Problem]:
+        """Yields a problem if the name of an object is invalid in this section."""
         if not _NAME.fullmatch(name):
             yield self._name_problem(name, f"invalid name; expected {_NAME_EXPECTED}")
 
@@ -211,6 +216,7 @@
             yield self._name_problem(name, detail)
 
 
+# Sections of a policy document by their key.
 SECTIONS: dict[str, Section] = {
     section.title: section
     for section in (
--- a/packages/core/tests/random_runs.py
+++ b/packages/core/tests/random_runs.py
@@ -9,7 +9,7 @@
     """Calls ``scenario(seed)`` with consecutive seeds until the duration has passed.
 
     ``SASSAFRASWAY_SOAK_SECONDS`` sets the duration in seconds (default 10). With
-    ``SASSAFRASWAY_SOAK_SEED``, only the run with that seed is repeated.
+    ``SASSAFRASWAY_SOAK_SEED``, the scenario is called only once, with that seed.
 
     Returns:
         The sum of the results.
--- a/packages/core/tests/test_at_most_once.py
+++ b/packages/core/tests/test_at_most_once.py
@@ -26,7 +26,7 @@
 
 
 class TicketTest(unittest.TestCase):
-    def test_round_trip(self):
+    def test_parsing_a_formatted_ticket_gives_the_same_ticket(self):
         """Guards against a ticket that names another holder after formatting and parsing."""
         text = _Fixture().mint_key()
         ticket = at_most_once.Ticket.parse(text)
--- a/packages/core/tests/test_documents.py
+++ b/packages/core/tests/test_documents.py
@@ -35,7 +35,7 @@
 
 
 class PolicyTest(unittest.TestCase):
-    def test_round_trip(self):
+    def test_parsing_a_dumped_policy_gives_the_same_policy(self):
         """Guards against values that are lost when a policy is parsed and dumped again."""
         policy = documents.parse_policy(_POLICY, revision=3)
         dumped = json.loads(json.dumps(documents.dump_policy(policy)))
@@ -43,7 +43,7 @@
         self.assertEqual(policy.services["crew-desk"].at_most_once, model.AtMostOnceMode.CLAIM)
         self.assertEqual(policy.servers["crew-1"].state, model.ServerState.ACTIVE)
 
-    def test_each_mistake_is_named(self):
+    def test_errors_give_the_location_and_the_expected_value(self):
         """Guards against accepting an invalid policy, and against errors without the location."""
         cases = [
             (("regions", "bkk", "cap_rps"), -1, "'bkk' key 'cap_rps': -1", "requests/s"),
@@ -73,7 +73,7 @@
             (("zones",), {}, "section 'zones': unknown section", "regions, links"),
             (("regions",), [], "section 'regions': expected a JSON object", ""),
         ]
-        for path, value, where, expected in cases:
+        for path, value, location, expected in cases:
             with self.subTest(path=path):
                 document = copy.deepcopy(_POLICY)
                 target = document
@@ -82,10 +82,10 @@
                 target[path[-1]] = value
                 with self.assertRaises(errors.ValidationError) as caught:
                     documents.parse_policy(document, revision=1)
-                self.assertIn(where, caught.exception.message)
+                self.assertIn(location, caught.exception.message)
                 self.assertIn(expected, caught.exception.message)
 
-    def test_every_problem_in_one_error(self):
+    def test_all_problems_are_reported_in_one_error(self):
         """Guards against reporting only the first problem, which costs one attempt per mistake."""
         document = copy.deepcopy(_POLICY)
         document["regions"]["bkk"]["cap_rps"] = -1
@@ -95,7 +95,7 @@
             documents.parse_policy(document, revision=1)
         self.assertEqual(len(caught.exception.message.splitlines()), 3)
 
-    def test_malformed_json(self):
+    def test_malformed_json_is_refused(self):
         """Guards against duplicate names, of which json.loads silently keeps only the last."""
         duplicate = '{"servers": {"crew-1": {}, "crew-1": {}}}'
         for text in (duplicate, '{"a": NaN}', "{", "", b"\xff", "[" * 100_000):
@@ -121,7 +121,10 @@
     )
     def test_any_json_gives_a_result_or_a_validation_error(self, data):
         """Guards against other exceptions on invalid input, which the handler does not catch."""
-        for parse in (lambda d: documents.parse_policy(d, revision=1), documents.parse_change):
+        for parse in (
+            lambda document: documents.parse_policy(document, revision=1),
+            documents.parse_change,
+        ):
             try:
                 parse(data)
             except errors.ValidationError as error:
@@ -132,7 +135,7 @@
     def setUp(self):
         self.policy = documents.parse_policy(_POLICY, revision=1)
 
-    def test_apply_and_difference(self):
+    def test_difference_undoes_a_change(self):
         """Guards against a rollback that does not restore the old content.
 
         A rollback applies the difference from the current policy to the old one.
@@ -164,10 +167,10 @@
         with self.assertRaises(errors.ConflictError):
             documents.apply_change(self.policy, _change(base=2))
 
-    def test_malformed_changes(self):
+    def test_malformed_changes_are_refused(self):
         """Guards against accepting a change with an invalid or unknown key, or an invalid cap."""
-        good = documents.dump_change(_change(regions={"bkk": {"cap_rps": 1}}))
-        self.assertEqual(documents.dump_change(documents.parse_change(good)), good)
+        valid = documents.dump_change(_change(regions={"bkk": {"cap_rps": 1}}))
+        self.assertEqual(documents.dump_change(documents.parse_change(valid)), valid)
         cases = {
             "base_revision": -1,
             "change_id": "a b",
@@ -177,7 +180,7 @@
         }
         for key, value in cases.items():
             with self.subTest(key=key), self.assertRaises(errors.ValidationError) as caught:
-                documents.parse_change({**good, key: value})
+                documents.parse_change({**valid, key: value})
             self.assertIn(key if key != "sections" else "cap_rps", caught.exception.message)
 
 
@@ -191,13 +194,13 @@
         region = {f"r{base}": {}}
         return self.log.append(_change(base=base, change_id=f"c{base}", regions=region))
 
-    def test_changes_follow_each_other(self):
+    def test_only_changes_of_the_current_revision_are_applied(self):
         """Guards against a peer that misses a change or applies one twice."""
         self.assertEqual([self._append(base) for base in (0, 0, 2, 1, 2)], [1, 0, 0, 1, 1])
         self.assertEqual(self.log.revision, 3)
         self.assertEqual([change.revision for change in self.log.since(1)], [2, 3])
         self.assertEqual((self.log.since(0), self.log.since(3)), (None, []))
-        self.assertEqual([self.log.find(f"c{n}") for n in range(3)], [None, 2, 3])
+        self.assertEqual([self.log.find(f"c{base}") for base in range(3)], [None, 2, 3])
 
     def test_revision_never_decreases(self):
         """Guards against an older policy that replaces a newer one."""
