State which request results affect the health of a server

Cause: the docstring of ServerHealth.record() listed only some results that are ignored, and the one of a placement test did not say what goes wrong.

Change: reword both docstrings.

--- a/packages/core/src/sassafrasway_core/health.py
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -108,7 +108,7 @@
         self._update_ejected()
 
     def record(self, server_name: str, result: pool_types.ServerResult) -> None:
-        """Records the result of a request; shed and cancelled requests have no effect."""
+        """Records the result of a request; only ``OK`` and failures have an effect."""
         record = self._records.get(server_name)
         if record is None:
             return
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -29,7 +29,7 @@
         self.assertLessEqual(max(totals) - min(totals), 1)
 
     def test_strategies_differ_in_forwarding_and_retries(self):
-        """Guards against a comparison in which one strategy has the traits of another."""
+        """Guards against measuring a placement strategy that behaves like another one."""
         servers = [pool_driver.server("a"), pool_driver.server("b")]
         traits = {}
         for name, strategy in placement.PLACEMENTS.items():
