Clarify names and docs of the coordinator and member modules

Loop variables named 'each', results named 'before' or 'seen' and shares named 'part' hid what they hold, and some docstrings left out results or claimed too much: GrantState.apply also refuses replies that are not accepted, a promise does not bind once the coordinator is gone, heartbeats report expired shares of caps, too, and the invariants of the coordinator also check the caps. Rename the variables, correct these texts and state the purpose of retry intervals and limits. member.RETRY_S is now SEARCH_RETRY_S.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,6 +1,7 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
-With a promise, a member undertakes not to become coordinator for a fixed time.
+A member that sends a promise does not become coordinator for ``region.PROMISE_S``, unless the
+current coordinator is known to be gone.
 """
 
 import dataclasses
@@ -14,6 +15,7 @@
 # New members get no grants until they are recorded, so a changed row is written before the next
 # renewal is due.
 CHANGED_ROW_INTERVAL_S = 0.2
+# Minimum interval between reads of the row after a write was refused or its result was lost.
 READ_RETRY_S = 0.5
 
 
@@ -75,6 +77,7 @@
         self._required_members = set(self._recorded) - {me.id}
         self._promised_s: dict[model.InstanceId, float] = {}
         self._promised_until_s: float | None = None
+        # -1 makes the first refresh process the instances that are already gone.
         self._gone_count = -1
         self._table_until_s = won_election.sent_s + region.TABLE_LEASE_S
         self._serial = won_election.row.serial
@@ -106,7 +109,9 @@
         if self._deposed:
             return -math.inf
         if self._promised_until_s is None:
-            promises = (self._promised_s.get(each, -math.inf) for each in self._required_members)
+            promises = (
+                self._promised_s.get(member, -math.inf) for member in self._required_members
+            )
             self._promised_until_s = min(promises, default=math.inf) + region.PROMISE_S
         return max(self._table_until_s, self._promised_until_s)
 
@@ -132,7 +137,7 @@
             return
         if self._clock.monotonic() < self.until_s():
             self._gone_count = self._members.gone_count
-            gone = [each for each in self._required_members if self._members.is_gone(each)]
+            gone = [member for member in self._required_members if self._members.is_gone(member)]
             if gone:
                 self._required_members.difference_update(gone)
                 self._promised_until_s = None
@@ -148,7 +153,12 @@
         members: Mapping[model.InstanceId, region.Instance],
         owners: Mapping[model.PoolKey, model.InstanceId],
     ) -> list[region.Command]:
-        """Returns the row read or write that is due for these members and owners."""
+        """Returns the read or the write of the row that is due, or an empty list.
+
+        Args:
+            members: Members to record, in addition to those that are recorded already.
+            owners: Pool owners to record.
+        """
         now = self._clock.monotonic()
         if self._deposed or self._pending_write is not None:
             return []
@@ -187,7 +197,11 @@
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
     ) -> None:
-        """Processes the region row; ignores a read that started before the latest write."""
+        """Processes the region row that was read.
+
+        A read is ignored if a write is pending or was sent after the read had started, because the
+        read may not show the result of that write. A missing row is ignored, too.
+        """
         if row is None or self._pending_write is not None or started_s < self._last_write_s:
             return
         self._invariants.check(
@@ -208,7 +222,9 @@
         sent_s = self._write_sent_s.get(row.serial, -math.inf)
         self._table_until_s = max(self._table_until_s, sent_s + region.TABLE_LEASE_S)
         self._write_sent_s = {
-            key: each for key, each in self._write_sent_s.items() if key >= row.serial
+            serial: write_sent_s
+            for serial, write_sent_s in self._write_sent_s.items()
+            if serial >= row.serial
         }
 
     def _next_row(
@@ -217,7 +233,7 @@
         owners: Mapping[model.PoolKey, model.InstanceId],
     ) -> region.RegionRow:
         merged = {**self._recorded, **members}
-        kept = [merged[key] for key in sorted(merged) if not self._members.is_gone(key)]
+        kept = [merged[member] for member in sorted(merged) if not self._members.is_gone(member)]
         return region.RegionRow(
             epoch=self._epoch,
             serial=self._serial + 1,
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -24,10 +24,12 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import invariants as invariants_lib
 
+# Minimum interval between requests to the same instance to follow the epoch.
 FOLLOW_RETRY_S = 0.5
 # An instance that has sent no message for this long is probed.
 PROBE_AFTER_S = 0.6
 PROBE_RETRY_S = 0.5
+# Minimum interval between requests to the same instance to send a heartbeat immediately.
 HEARTBEAT_REQUEST_RETRY_S = 0.2
 # Time for the first instances of a new region to join before its pools are assigned. Without it,
 # the first instance would get all pools.
@@ -42,7 +44,7 @@
     Args:
         me: This instance, the coordinator of the epoch.
         clock: Time source.
-        invariants: Checks that the epoch never decreases.
+        invariants: Checks that the epoch never decreases and that shares never exceed a cap.
         members: Liveness of the region's instances.
         won_election: The write of the region row that made this instance coordinator.
     """
@@ -77,10 +79,11 @@
             holders_complete=won_election.holders_recorded,
         )
         self._removed_from_caps: set[model.InstanceId] = set()
+        # -1 makes the first refresh process the instances that are already gone.
         self._gone_count = -1
         self._assignment_inputs: tuple = ()
         self._seq = 0
-        self._known_pools: frozenset[model.PoolKey] | None = None
+        self._policy_pools: frozenset[model.PoolKey] | None = None
         self._region_cap = cap_grants.region_cap(me.region)
         self._region_is_capped = False
         self._region_share_holders: set[model.InstanceId] = set()
@@ -96,7 +99,7 @@
             clock=clock,
             members=members,
             unanswered=[
-                each.id for each in won_election.row.members if not members.is_gone(each.id)
+                member.id for member in won_election.row.members if not members.is_gone(member.id)
             ],
             earlier_grants_until_s=self._earlier_grants_until_s(),
             holders_recorded=won_election.holders_recorded,
@@ -140,12 +143,12 @@
 
     def set_pools(self, pools: Iterable[model.PoolKey]) -> None:
         """Sets the pools of the region according to the current policy."""
-        self._known_pools = frozenset(pools)
-        for key in self._known_pools:
+        self._policy_pools = frozenset(pools)
+        for key in self._policy_pools:
             self._holdings.add(key)
 
     def set_caps(self, limits: Mapping[str, float]) -> None:
-        """Sets the caps that the region's instances share, by name."""
+        """Sets the limits of the caps that the region's instances share, by cap name."""
         self._region_is_capped = self._region_cap in limits
         self._caps.set_caps(limits)
 
@@ -154,7 +157,11 @@
         self._authority.depose()
 
     def on_heartbeat(self, heartbeat: region.Heartbeat) -> region.HeartbeatReply:
-        """Processes a heartbeat and returns the reply with the sender's grants."""
+        """Processes a heartbeat and returns the reply with the sender's grants.
+
+        The reply is not accepted and grants nothing if this coordinator is deposed, the sender does
+        not follow its epoch yet, or the sender is known to be gone.
+        """
         sender = heartbeat.sender.id
         self._refresh()
         if heartbeat.epoch > self.epoch:
@@ -163,7 +170,7 @@
         if self.deposed or heartbeat.epoch < self.epoch or self._members.is_gone(sender):
             gone = not self.deposed and self._members.is_gone(sender)
             return dataclasses.replace(self._reply(accepted=False, grants=()), gone=gone)
-        before = self._heartbeat_senders.get(sender)
+        previous = self._heartbeat_senders.get(sender)
         self._heartbeat_senders[sender] = heartbeat.sender
         self._holdings.record_answer(sender, heartbeat.pools)
         if heartbeat.promise and heartbeat.echo_s is not None:
@@ -171,7 +178,8 @@
         self._holdings.confirm_releases(heartbeat)
         self._holdings.record_use(sender, heartbeat.pools)
         self._record_region_share(sender, heartbeat.caps)
-        if heartbeat.sender != before:
+        if heartbeat.sender != previous:
+            # The reply must already reflect the assignment with a member that joined or is leaving.
             self._reassign()
         self._caps.record_reports(sender, heartbeat.caps)
         return dataclasses.replace(self._grant(sender), cap_shares=self._cap_shares(heartbeat))
@@ -226,22 +234,22 @@
         moves = 0
         if now >= self._last_move_s + REBALANCE_S and not self.unanswered and self.has_authority:
             moves = 1
-        pools = self._holdings.keys() if self._known_pools is None else self._known_pools
-        before = self.owners()
+        pools = self._holdings.keys() if self._policy_pools is None else self._policy_pools
+        current_owners = self.owners()
         inputs = (pools, tuple(eligible), moves)
         if self._assignment_inputs == inputs and (
-            not moves or assignment.is_even(before, eligible)
+            not moves or assignment.is_even(current_owners, eligible)
         ):
             return
         self._assignment_inputs = inputs
         owners = assignment.assign(
             pools,
             members=eligible,
-            current=before,
+            current=current_owners,
             moves=moves,
         )
         for key, owner in owners.items():
-            if before.get(key) != owner:
+            if current_owners.get(key) != owner:
                 self._last_move_s = now
                 self._holdings.assign(key, owner)
 
@@ -252,9 +260,9 @@
         live ones, and leaving ones. An instance that is not recorded in the table cannot hold an
         offline third, because a later coordinator could not find out that it does.
         """
-        live = [each.id for each in self._members.instances(membership.State.LIVE)]
-        recorded = [each for each in live if self._authority.is_recorded(each)]
-        leaving = [each.id for each in self._members.instances(membership.State.LEAVING)]
+        live = [instance.id for instance in self._members.instances(membership.State.LIVE)]
+        recorded = [member for member in live if self._authority.is_recorded(member)]
+        leaving = [instance.id for instance in self._members.instances(membership.State.LEAVING)]
         return self._able_to_serve(recorded) or recorded or live or leaving
 
     def _able_to_serve(self, members: list[model.InstanceId]) -> list[model.InstanceId]:
@@ -269,7 +277,9 @@
         owners = set(self.owners().values())
         if not self._region_is_capped or not owners:
             return members
-        return [each for each in members if each in owners or each in self._region_share_holders]
+        return [
+            member for member in members if member in owners or member in self._region_share_holders
+        ]
 
     def _record_region_share(
         self, member: model.InstanceId, reports: Iterable[cap_grants.CapReport]
@@ -300,19 +310,19 @@
             main = may_grant_main and (
                 pool.main_holder == member or self._holdings.main_is_free(pool)
             )
-            part = share.Share.of(offline=offline, main=main)
-            if part is not share.Share.NONE:
-                permitted[key] = part
+            pool_share = share.Share.of(offline=offline, main=main)
+            if pool_share is not share.Share.NONE:
+                permitted[key] = pool_share
         return permitted
 
     def _grant(self, member: model.InstanceId) -> region.HeartbeatReply:
         self._seq += 1
         permitted = self._permitted_shares(member)
-        if any(part.has_main for part in permitted.values()):
+        if any(pool_share.has_main for pool_share in permitted.values()):
             self._record_recipient(member)
         grants = tuple(
-            self._holdings.grant(key, part, member=member, seq=self._seq)
-            for key, part in permitted.items()
+            self._holdings.grant(key, pool_share, member=member, seq=self._seq)
+            for key, pool_share in permitted.items()
         )
         self._sent_shares[member] = permitted
         return self._reply(accepted=True, grants=grants)
@@ -370,7 +380,11 @@
 
     def _row_members(self) -> dict[model.InstanceId, region.Instance]:
         members = {self._me.id: self._me, **self._heartbeat_senders}
-        return {key: each for key, each in members.items() if not self._members.is_gone(key)}
+        return {
+            member: instance
+            for member, instance in members.items()
+            if not self._members.is_gone(member)
+        }
 
     def _follow_commands(self) -> list[region.Command]:
         return [
@@ -399,7 +413,7 @@
         ]
 
     def _instances_not_gone(self, ids: Iterable[model.InstanceId]) -> list[region.Instance]:
-        instances = (self._members.instance(each) for each in sorted(ids))
+        instances = (self._members.instance(member) for member in sorted(ids))
         return [instance for instance in instances if instance is not None]
 
     def _due(self, kind: str, target: model.InstanceId, every_s: float) -> bool:
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -48,7 +48,10 @@
     def inherited_by(
         self, member: model.InstanceId
     ) -> tuple[dict[str, int], model.InstanceId | None]:
-        """Returns the slots by server that other instances use, and the last such instance."""
+        """Returns the slots that other instances use, by server, and one of these instances.
+
+        The instance is None if no other instance uses slots.
+        """
         inherited: dict[str, int] = {}
         previous = None
         for instance, in_use in self.in_use.items():
@@ -67,7 +70,7 @@
         clock: Time source.
         members: Liveness of the region's instances.
         unanswered: Recorded members that may hold parts from earlier coordinators.
-        earlier_grants_until_s: End of all grants of earlier coordinators.
+        earlier_grants_until_s: End of all grants of earlier coordinators, by ``clock``.
         holders_recorded: Whether only recorded members can hold such grants.
     """
 
@@ -154,12 +157,14 @@
         self._change_count += 1
 
     def release_gone(self) -> None:
-        """Frees the offline thirds of instances that are gone."""
+        """Frees the offline thirds of gone instances and no longer waits for their answers."""
         gone = {instance for instance in self._unanswered if self._members.is_gone(instance)}
         self._unanswered -= gone
         for pool in self._pools.values():
-            gone = {each for each in pool.possible_offline_holders if self._members.is_gone(each)}
-            pool.possible_offline_holders -= gone
+            gone_holders = {
+                holder for holder in pool.possible_offline_holders if self._members.is_gone(holder)
+            }
+            pool.possible_offline_holders -= gone_holders
         self._change_count += 1
 
     def record_answer(
@@ -174,8 +179,10 @@
             if report.share is share.Share.NONE:
                 continue
             pool = self.add(key)
-            unknown = pool.main_holder is None and self._clock.monotonic() < pool.main_until_s
-            if report.share.has_main and unknown:
+            holder_unknown = (
+                pool.main_holder is None and self._clock.monotonic() < pool.main_until_s
+            )
+            if report.share.has_main and holder_unknown:
                 pool.main_holder = member
             if pool.assigned_owner is None:
                 self.assign(key, member)
@@ -192,13 +199,13 @@
         for key in self._pools_by_member.get(sender, ()):
             pool = self._pools[key]
             report = heartbeat.pools.get(key)
-            held = report.share if report is not None else share.Share.NONE
-            kept_main = held.has_main or heartbeat.applied_seq <= pool.main_seq
+            held_share = report.share if report is not None else share.Share.NONE
+            kept_main = held_share.has_main or heartbeat.applied_seq <= pool.main_seq
             if pool.main_holder == sender and not kept_main:
                 pool.main_holder = None
                 pool.main_until_s = -math.inf
                 self._change_count += 1
-            kept_offline = held.has_offline or heartbeat.applied_seq <= pool.offline_seq
+            kept_offline = held_share.has_offline or heartbeat.applied_seq <= pool.offline_seq
             if sender in pool.possible_offline_holders and not kept_offline:
                 pool.possible_offline_holders.discard(sender)
                 self._change_count += 1
@@ -228,25 +235,28 @@
         )
 
     def grant(
-        self, key: model.PoolKey, part: share.Share, *, member: model.InstanceId, seq: int
+        self, key: model.PoolKey, granted: share.Share, *, member: model.InstanceId, seq: int
     ) -> region.PoolGrant:
-        """Grants a share to a member with reply ``seq``."""
+        """Grants a share of a pool to a member with reply ``seq`` and returns the grant.
+
+        A grant of the main part names the slots that requests of other instances still use.
+        """
         pool = self._pools[key]
-        if part.has_offline:
+        if granted.has_offline:
             pool.possible_offline_holders = {member}
             pool.offline_seq = seq
-        if part.has_main:
+        if granted.has_main:
             pool.main_holder = member
             pool.main_until_s = self._clock.monotonic() + region.GRANT_S
             pool.main_seq = seq
         self._pools_by_member.setdefault(member, set()).add(key)
         inherited_s = pool.busy_until_s - self._clock.monotonic()
-        if not part.has_main or inherited_s <= 0:
-            return region.PoolGrant(pool=key, share=part)
+        if not granted.has_main or inherited_s <= 0:
+            return region.PoolGrant(pool=key, share=granted)
         inherited, previous = pool.inherited_by(member)
         return region.PoolGrant(
             pool=key,
-            share=part,
+            share=granted,
             inherited=inherited,
             inherited_s=inherited_s,
             previous=previous,
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -9,7 +9,8 @@
 
 # Time without an applied reply after which a member has lost contact with its coordinator.
 CONTACT_LOST_S = 1.0
-RETRY_S = 0.5
+# Minimum interval between searches for the coordinator.
+SEARCH_RETRY_S = 0.5
 # Added to leases and promises that a member waits for, because the clocks of two instances may run
 # at different rates.
 CLOCK_MARGIN_S = 0.05
@@ -59,7 +60,7 @@
         self._heartbeat_requested = False
         self._row: region.RegionRow | None = None
         self._version: str | None = None
-        self._version_seen_s = -math.inf
+        self._version_first_read_s = -math.inf
         self._row_read = False
         self._pending: _PendingWrite | None = None
         self._won_election: authority.WonElection | None = None
@@ -127,12 +128,12 @@
         if reply.gone and reply.epoch >= self._grants.epoch:
             self._declared_gone = True
             self._grants.revoke()
-        before = self._grants.epoch
-        pools = self._grants.pools
+        previous_epoch = self._grants.epoch
+        previous_pools = self._grants.pools
         applied = self._grants.apply(reply, sent_s=sent_s)
         if applied:
             self._last_contact_s = self._clock.monotonic()
-        if self._grants.epoch != before or not pools <= self._grants.pools:
+        if self._grants.epoch != previous_epoch or not previous_pools <= self._grants.pools:
             # The next owner of a pool waits until this instance has confirmed its release.
             self._heartbeat_requested = True
         return applied
@@ -148,24 +149,25 @@
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
     ) -> None:
-        """Processes the region row; ``row`` and ``version`` are None when there is none.
+        """Processes the region row that was read.
 
         Args:
-            row: The row, or None.
-            version: Its version, or None.
+            row: The row, or None when there is none.
+            version: Version of the row, or None when there is none.
             started_s: When the read was started. A read that started before the candidate write
                 cannot show the result of that write.
         """
         pending = self._pending
         if pending is not None:
             if started_s < pending.sent_s or version == pending.command.if_version:
+                # The row does not show the result of the pending write, which may still take effect.
                 return
             self._pending = None
             if row is not None and row.coordinator.id == self._me.id:
                 self._record_won_election(pending, version)
                 return
         if not self._row_read or version != self._version:
-            self._version_seen_s = self._clock.monotonic()
+            self._version_first_read_s = self._clock.monotonic()
         self._row_read = True
         self._row = row
         self._version = version
@@ -219,14 +221,14 @@
 
     def _search(self) -> list[region.Command]:
         """Returns the commands that find the current coordinator or detect that it is gone."""
-        if not self._due("search", RETRY_S):
+        if not self._due("search", SEARCH_RETRY_S):
             return []
         commands: list[region.Command] = [region.ReadRow()]
         suspects = [self._row.coordinator if self._row else None, self._grants.coordinator]
-        seen = {self._me.id}
+        excluded = {self._me.id}
         for suspect in suspects:
-            if suspect and suspect.id not in seen and not self._members.is_gone(suspect.id):
-                seen.add(suspect.id)
+            if suspect and suspect.id not in excluded and not self._members.is_gone(suspect.id):
+                excluded.add(suspect.id)
                 commands.append(region.Probe(target=suspect))
         return commands
 
@@ -248,7 +250,7 @@
         now = self._clock.monotonic()
         return (
             self._me.id in {member.id for member in row.members}
-            and now >= self._version_seen_s + region.TABLE_LEASE_S + CLOCK_MARGIN_S
+            and now >= self._version_first_read_s + region.TABLE_LEASE_S + CLOCK_MARGIN_S
             and now >= self._promise_until_s + CLOCK_MARGIN_S
         )
 
@@ -265,8 +267,8 @@
         """Returns the write of the row that makes this instance coordinator of the next epoch."""
         now = self._clock.monotonic()
         row = self._row
-        others = () if row is None else row.members
-        members = {member.id: member for member in (*others, self._me)}
+        recorded = () if row is None else row.members
+        members = {member.id: member for member in (*recorded, self._me)}
         holders_recorded = (
             row is not None
             and row.epoch == self._grants.epoch
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -12,6 +12,7 @@
 # How long a gone instance is kept as gone. Long enough that callers can ask for every ticket and
 # recorded outcome of a gone incarnation.
 GONE_KEEP_S = 3600.0
+# Maximum number of gone instances that are kept; the oldest ones are dropped first.
 GONE_KEEP_MAX = 4096
 
 
@@ -33,6 +34,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Entry:
+    """An instance that is not gone.
+
+    Attributes:
+        instance: Data from its last message, or from the source that named it.
+        first_known_s: When the instance was added.
+        last_contact_s: When its last message was received.
+        listed: Whether the platform's list named this run of the instance.
+    """
+
     instance: region.Instance
     first_known_s: float
     last_contact_s: float
@@ -67,7 +77,7 @@
             )
 
     def record_contact(self, instance: region.Instance) -> None:
-        """Records a message from an instance; one that is gone stays gone."""
+        """Records a message from an instance; an instance that is gone stays gone."""
         self.add(instance)
         entry = self._entries.get(instance.id)
         if entry is not None:
@@ -85,7 +95,10 @@
             self._mark_gone(instance)
 
     def record_identity(self, expected: model.InstanceId, *, incarnation: str) -> None:
-        """Records which incarnation answered at the address of ``expected``."""
+        """Records which incarnation answered at the address of ``expected``.
+
+        Another incarnation proves that ``expected`` is gone.
+        """
         if incarnation != expected.incarnation:
             self._mark_gone(expected)
 
@@ -126,11 +139,15 @@
         return instance in self._gone
 
     def since_contact_s(self, instance: model.InstanceId) -> float:
-        """Returns the seconds since the last message from the instance."""
+        """Returns the seconds since the last message from the instance.
+
+        Raises:
+            KeyError: The instance is unknown or gone.
+        """
         return self._clock.monotonic() - self._entries[instance].last_contact_s
 
     def instance(self, instance: model.InstanceId) -> region.Instance | None:
-        """Returns the data of an instance that is not gone."""
+        """Returns the data of an instance, or None when the instance is unknown or gone."""
         entry = self._entries.get(instance)
         return None if entry is None else entry.instance
 
@@ -153,7 +170,7 @@
         if instance not in self._gone:
             self._gone[instance] = now
             self._gone_count += 1
-        for old, since_s in list(self._gone.items()):
-            if len(self._gone) <= GONE_KEEP_MAX and now - since_s < GONE_KEEP_S:
+        for oldest, gone_since_s in list(self._gone.items()):
+            if len(self._gone) <= GONE_KEEP_MAX and now - gone_since_s < GONE_KEEP_S:
                 break
-            del self._gone[old]
+            del self._gone[oldest]
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -56,7 +56,7 @@
 
     @property
     def applied_seq(self) -> int:
-        """Number of the latest reply of the epoch that was applied."""
+        """Number of the latest reply of the epoch that was applied, or 0."""
         return self._applied_seq
 
     @property
@@ -88,7 +88,7 @@
         return share.Share.of(offline=held.offline, main=main)
 
     def grants(self) -> list[region.PoolGrant]:
-        """Returns all pools with a share that may be used now, by pool."""
+        """Returns the grants with a share that may be used now, sorted by pool."""
         return [
             dataclasses.replace(held.grant, share=self.share(pool), expires_s=held.main_until_s)
             for pool, held in sorted(self._held.items())
@@ -107,7 +107,11 @@
         return reports
 
     def follow(self, *, epoch: int, coordinator: region.Instance) -> bool:
-        """Follows a coordinator unless its epoch is lower; returns whether it is followed."""
+        """Follows a coordinator unless its epoch is lower than the current one.
+
+        Returns:
+            Whether this instance follows that coordinator now.
+        """
         if epoch < self._epoch:
             return False
         if epoch > self._epoch:
@@ -116,7 +120,11 @@
         return self._coordinator is not None and self._coordinator.id == coordinator.id
 
     def apply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
-        """Applies a reply to the heartbeat sent at ``sent_s``; returns False when it is stale."""
+        """Applies the reply to the heartbeat sent at ``sent_s``.
+
+        Returns:
+            False when the reply is stale or not accepted; the grants then stay as they are.
+        """
         if not self.follow(epoch=reply.epoch, coordinator=reply.coordinator):
             return False
         if not reply.accepted or reply.seq <= self._applied_seq:
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -10,7 +10,7 @@
 HEARTBEAT_S = 0.5
 # Validity of a grant of a pool's main part.
 GRANT_S = 2.0
-# Time for which a member promises not to become coordinator.
+# Time for which a member promises not to become coordinator, unless the current one is gone.
 PROMISE_S = 3.0
 # Time for which a successful write of the region row gives the coordinator authority.
 TABLE_LEASE_S = 3.0
@@ -138,11 +138,11 @@
     """Right to use a pool.
 
     Attributes:
-        share: Part of the pool's slots that may be used.
-        inherited: Slots by server name that the previous owner last reported as in use. The new
-            owner counts them as used until they are released or the request deadlines pass.
+        share: Share of each server's slots that may be used.
+        inherited: Slots by server name that other instances last reported as in use. The owner
+            counts them as used until they are released or the request deadlines pass.
         inherited_s: Time until the deadlines of the requests in those slots have passed.
-        previous: The instance that those slots belong to.
+        previous: One of the instances that use those slots, or None.
         expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
     """
 
@@ -160,11 +160,11 @@
 
     Attributes:
         epoch: Highest epoch that the member follows.
-        promise: Whether the member promises not to become a candidate for ``PROMISE_S``.
+        promise: Whether the member promises not to become coordinator for ``PROMISE_S``.
         echo_s: ``stamp_s`` of the latest reply of this epoch, or None. The promise starts at this
             time by the coordinator's clock, so that a heartbeat processed late cannot extend it.
         applied_seq: ``seq`` of the latest reply of this epoch that the member applied.
-        caps: Demand for each cap and the share in force.
+        caps: Demand for each cap and the last share of it, even if that has expired.
     """
 
     sender: Instance
@@ -186,7 +186,7 @@
         gone: Whether the coordinator regards the sender as gone, so that others may use all that
             it held.
         seq: Number of the reply within the epoch.
-        stamp_s: Coordinator's clock when it replied.
+        stamp_s: Time of the reply by the coordinator's clock.
         grants: All pools that the member may use; the member drops every other pool.
         settled_s: Time after the sending of the heartbeat for which only recorded members hold
             grants.
@@ -233,7 +233,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendHeartbeat(Command):
-    """Send a heartbeat to the coordinator."""
+    """Send a heartbeat to the coordinator; ``sent_s`` is the time of sending."""
 
     target: Instance
     heartbeat: Heartbeat
