--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -160,7 +160,7 @@
         pending = self._pending
         if pending is not None:
             if started_s < pending.sent_s or version == pending.command.if_version:
-                # The row does not show the result of the pending write, which may still take effect.
+                # This read does not show the result of the pending write, which may still come.
                 return
             self._pending = None
             if row is not None and row.coordinator.id == self._me.id:
