Correct the reservation time in the docs of the cap modules

Docstrings said that the share of a holder stays reserved for one second after it was reduced or expired. The code uses window.WINDOW_S, which is longer than a second. Name the window instead. Rename variables whose names did not show what they hold (before, own, known, lost_s, even), and state which caps set_caps and renew apply to and what is_met and assign return without a demand or members.

Names, comments and texts only.

--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -20,7 +20,7 @@
     current: Mapping[model.PoolKey, model.InstanceId],
     moves: int = 0,
 ) -> dict[model.PoolKey, model.InstanceId]:
-    """Returns an owner for every pool.
+    """Returns an owner for every pool, or no owners if there are no members.
 
     A pool stays with its current owner if that is one of the members. Any other pool goes to the
     member with the highest rendezvous weight among those that own the fewest pools.
@@ -44,7 +44,7 @@
             owners[key] = _least_loaded(key, counts)
             counts[owners[key]] += 1
     for _ in range(moves):
-        if not _move_one(owners, counts):
+        if not _move_pool(owners, counts):
             break
     return owners
 
@@ -66,7 +66,12 @@
     )
 
 
-def _move_one(owners: dict, counts: collections.Counter) -> bool:
+def _move_pool(owners: dict, counts: collections.Counter) -> bool:
+    """Moves a pool from a member with the most pools to one with the fewest.
+
+    Returns:
+        False when the numbers are even already, so that nothing was moved.
+    """
     least = min(counts.values())
     most = max(counts.values())
     # Moving a pool at a difference of one only swaps the two counts and would repeat forever.
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -25,11 +25,11 @@
 
 
 def caps_of(policy: model.Policy, region: str) -> dict[str, float]:
-    """Returns the caps that the coordinator of a region divides, by name."""
+    """Returns the limits of the caps that the coordinator of a region divides, by cap name."""
     limits = {}
-    own = policy.regions.get(region)
-    if own is not None and own.cap_rps is not None:
-        limits[region_cap(region)] = own.cap_rps
+    region_policy = policy.regions.get(region)
+    if region_policy is not None and region_policy.cap_rps is not None:
+        limits[region_cap(region)] = region_policy.cap_rps
     for link in policy.links.values():
         if region in (link.source, link.target):
             other = link.target if link.source == region else link.source
@@ -94,7 +94,7 @@
             sequence=held.sequence,
             amount=held.share.amount,
             offline=held.share.offline,
-            # The limit keeps the value finite when a share has never been granted.
+            # The lower bound keeps the value finite when a share has never been granted.
             remaining_s=max(held.remaining_s(), -caps.SHARE_S),
         )
 
@@ -133,7 +133,7 @@
         self._active_caps: frozenset[str] = frozenset()
 
     def set_caps(self, limits: Mapping[str, float]) -> None:
-        """Sets the caps to divide, by name."""
+        """Sets the limits of the caps to divide, by cap name; other caps are not divided."""
         for name, limit in limits.items():
             divider = self._dividers.get(name)
             if divider is None:
@@ -157,7 +157,7 @@
     def renew(
         self, holder: model.InstanceId, reports: Iterable[CapReport], *, keeps_offline: bool
     ) -> dict[str, caps.CapShare]:
-        """Returns the next share of each reported cap.
+        """Returns the next share of each reported cap that is divided, by cap name.
 
         Args:
             holder: Sender of the heartbeat.
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -1,4 +1,4 @@
-"""Upper bound of the use of one cap in the last second, from the shares granted to its holders."""
+"""Upper bound of the use of one cap in the last window, from the shares granted to its holders."""
 
 import dataclasses
 import heapq
@@ -42,7 +42,7 @@
         return self.ends_s if now_s <= self.ends_s else self.offline_ends_s
 
     def covers(self, older: "_Grant") -> bool:
-        """Returns whether ``older`` can be dropped because this grant counts at least as much."""
+        """Returns whether ``older`` can be dropped: this grant counts as much and as long."""
         return (
             older.sequence < self.sequence
             and older.amount <= self.amount
@@ -60,11 +60,11 @@
         check_s: Time of the next scheduled ``refresh``; infinite when none is scheduled.
     """
 
-    __slots__ = ("_grants", "_newest", "check_s", "offline", "reserved")
+    __slots__ = ("_grants", "_newest_sequence", "check_s", "offline", "reserved")
 
     def __init__(self):
         self._grants: list[_Grant] = []
-        self._newest = 0
+        self._newest_sequence = 0
         self.reserved = 0.0
         self.offline = 0.0
         self.check_s = math.inf
@@ -72,11 +72,12 @@
     def add(self, grant: _Grant) -> None:
         self._grants = [older for older in self._grants if not grant.covers(older)]
         self._grants.append(grant)
-        self._newest = max(self._newest, grant.sequence)
+        self._newest_sequence = max(self._newest_sequence, grant.sequence)
 
     def retire_before(self, sequence: int, ends_s: float) -> None:
+        # The newest grant is kept even if a higher sequence is confirmed.
         for grant in self._grants:
-            if grant.sequence < min(sequence, self._newest):
+            if grant.sequence < min(sequence, self._newest_sequence):
                 grant.retire(ends_s)
 
     def retire_all(self, ends_s: float) -> None:
@@ -107,11 +108,11 @@
 
 
 class Reservations:
-    """Sums up what each holder may have in force or has used in the last second.
+    """Sums up what each holder may have in force or has used in the last window.
 
-    A share counts for one more second after it expired or the holder confirmed a later one, because
-    what was admitted under it is still in the holder's current window. The offline part of an
-    expired share counts until the holder is gone or confirms a later share.
+    A share counts for ``window.WINDOW_S`` after it expired or the holder confirmed a later one,
+    because what was admitted under it is still in the holder's current window. The offline part of
+    an expired share counts until the holder is gone or confirms a later share.
     """
 
     def __init__(self):
@@ -121,6 +122,7 @@
         # Heap of the times at which the reservation of a holder may decrease. An entry is obsolete
         # when its time differs from the holder's ``check_s``.
         self._check_times: list[tuple[float, int, Hashable]] = []
+        # Makes entries with equal times comparable, because holders may not be.
         self._order = itertools.count()
 
     @property
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -119,8 +119,8 @@
 
     The division is max-min fair: small demands are met in full, and the large ones share the rest
     evenly. What no holder demands is divided evenly among all of them. A part that is taken from a
-    holder is given to others one second after the holder has confirmed its smaller share, or one
-    second after the larger share has expired.
+    holder is given to others one window (``window.WINDOW_S``) after the holder has confirmed its
+    smaller share, or one window after the larger share has expired.
 
     The offline part of an expired share stays reserved until the holder confirms a new share or is
     removed. It is a third of the share, or less where the offline parts of all holders would add up
@@ -166,12 +166,12 @@
         return self._cap
 
     def reserved(self) -> float:
-        """Returns the most that all holders together may use or have used in the last second."""
+        """Returns the most that all holders together may use or have used in the last window."""
         self._reservations.expire(self._clock.monotonic())
         return self._reservations.total
 
     def reserved_by(self, holder: Hashable) -> float:
-        """Returns the most that one holder may use or has used in the last second."""
+        """Returns the most that one holder may use or has used in the last window."""
         self._reservations.expire(self._clock.monotonic())
         return self._reservations.of(holder)
 
@@ -201,16 +201,19 @@
         self._reservations.expire(now_s)
         self._confirm(holder, confirmed, now_s)
         target = self._target_amount(holder, demand, now_s)
-        before = self._reservations.of(holder)
-        unreserved = self._cap - (self._reservations.total - before)
-        amount = max(0.0, min(target, max(unreserved, before)))
+        reserved_before = self._reservations.of(holder)
+        unreserved = self._cap - (self._reservations.total - reserved_before)
+        amount = max(0.0, min(target, max(unreserved, reserved_before)))
         share = self._next_share(amount, self._offline_part(holder, amount), sequence)
         self._reserve(holder, share, now_s + self._share_s, now_s)
-        self._check_cap(holder, before)
+        self._check_cap(holder, reserved_before)
         return share
 
     def is_met(self, holder: Hashable, amount: float) -> bool:
-        """Returns whether ``amount`` is close to the target for the holder's last demand."""
+        """Returns whether ``amount`` is close to the target for the holder's last demand.
+
+        Returns False for a holder without a recent demand.
+        """
         record = self._demands.get(holder)
         return record is not None and amount >= MET_FRACTION * self._level.target(record.amount)
 
@@ -228,7 +231,7 @@
         The holders of that coordinator may have the whole cap in force until their shares expire,
         and the offline part of the cap until each of them was passed to ``adopt_share``, has
         confirmed a new share or was removed. Until then, holders keep what they have, and none gets
-        more. Without any holders this holds for one second, because it is unknown what was admitted
+        more. Without any holders this holds for one window, because it is unknown what was admitted
         under shares that ended just before.
 
         Args:
@@ -251,7 +254,7 @@
         """Reserves the share of the earlier coordinator that a holder reports.
 
         The report was requested after ``take_over``, and the holder accepts no more shares of the
-        earlier coordinator. Of a share that expired more than a second ago, only the offline part
+        earlier coordinator. Of a share that expired more than one window ago, only the offline part
         is reserved: the earlier coordinator may have given the rest to others.
 
         Args:
@@ -278,10 +281,10 @@
         )
 
     def _offline_part(self, holder: Hashable, amount: float) -> float:
-        before = self._reservations.offline_of(holder)
-        others = self._reservations.offline - before
+        offline_before = self._reservations.offline_of(holder)
+        others = self._reservations.offline - offline_before
         unreserved = self._cap * self._offline_fraction - others
-        return max(0.0, min(amount * self._offline_fraction, max(unreserved, before)))
+        return max(0.0, min(amount * self._offline_fraction, max(unreserved, offline_before)))
 
     def _confirm(self, holder: Hashable, confirmed: int, now_s: float) -> None:
         self._reservations.confirm(holder, confirmed, now_s=now_s)
@@ -321,9 +324,9 @@
         return self._level.target(record.amount)
 
     def _update_level(self, now_s: float) -> None:
-        lost_s = self._share_s + window.WINDOW_S
+        demand_max_age_s = self._share_s + window.WINDOW_S
         for holder, record in list(self._demands.items()):
-            if now_s - record.reported_s > lost_s:
+            if now_s - record.reported_s > demand_max_age_s:
                 del self._demands[holder]
         self._reservations.recompute_totals()
         divisible = max(0.0, self._cap - self._kept_by_silent_holders())
@@ -335,23 +338,24 @@
         )
 
     def _kept_by_silent_holders(self) -> float:
-        known = math.fsum(self._reservations.of(holder) for holder in self._demands)
+        """Returns what is reserved for holders that have not reported a demand recently."""
+        demanding = math.fsum(self._reservations.of(holder) for holder in self._demands)
         unknown = self._reservations.of(_UNKNOWN_HOLDERS)
         # Of the unknown shares, only the offline part is subtracted: the rest expires soon, so no
         # holder is reduced for it.
         offline = min(unknown, self._cap * self._offline_fraction)
-        return self._reservations.total - unknown - known + offline
+        return self._reservations.total - unknown - demanding + offline
 
-    def _check_cap(self, holder: Hashable, before: float) -> None:
+    def _check_cap(self, holder: Hashable, reserved_before: float) -> None:
         total = self._reservations.total
-        grown = self._reservations.of(holder) > before
-        if grown and total > self._cap * (1 + _ROUNDING):
+        grown = self._reservations.of(holder) > reserved_before
+        if grown and total > self._cap * (1 + _ROUNDING_TOLERANCE):
             detail = f"shares add up to {total}, cap is {self._cap}"
             self._invariants.check(invariants.Rule.CAP_NOT_EXCEEDED, False, detail)
 
 
 # Relative error allowed for sums of shares.
-_ROUNDING = 1e-9
+_ROUNDING_TOLERANCE = 1e-9
 
 # Represents all holders whose shares are unknown to a new coordinator.
 _UNKNOWN_HOLDERS = object()
@@ -363,9 +367,9 @@
     Returns:
         The level up to which each demand is met, and the amount that is left over.
     """
-    for met, demand in enumerate(demands):
-        even = amount / (len(demands) - met)
-        if demand > even:
-            return even, 0.0
+    for met_count, demand in enumerate(demands):
+        even_part = amount / (len(demands) - met_count)
+        if demand > even_part:
+            return even_part, 0.0
         amount -= demand
     return math.inf, amount
