Clarify names in the tests of ownership and caps

Hypothesis derives the seed of a derandomized run from the source or the name of the state machine. These names and sources stay as they are, with a comment.

Names, comments and texts only.

--- a/packages/core/tests/cap_driver.py
+++ b/packages/core/tests/cap_driver.py
@@ -7,6 +7,7 @@
 from sassafrasway_core import caps, clock, invariants, window
 
 CAP = 100.0
+# Range of share sequences per epoch, so that shares of a higher epoch have higher sequences.
 _SEQUENCES_PER_EPOCH = 1_000_000
 
 
@@ -37,6 +38,9 @@
         self._time = clock.ManualClock()
         self._holders = [_Holder(number, self._time) for number in range(rng.randint(1, 5))]
         self._next_name = len(self._holders)
+        # Messages under way: (epoch, holder, request, share). A request is either the demand, the
+        # confirmed sequence and the time of sending of a heartbeat, or a function to call. The
+        # share is None except in a reply to a heartbeat.
         self._messages = []
         self._admitted = []
         self._epoch = 0
@@ -71,8 +75,8 @@
             )
 
     def _exchange_heartbeat(self, holder):
-        held = holder.share.sequence
-        share = self._divider.renew(holder.name, demand=300.0, confirmed=held)
+        confirmed = holder.share.sequence
+        share = self._divider.renew(holder.name, demand=300.0, confirmed=confirmed)
         holder.epoch = self._epoch
         holder.share.apply(share, sent_s=self._time.monotonic())
 
@@ -108,6 +112,8 @@
         if share is None:
             share = self._divider.renew(holder.name, demand=demand, confirmed=confirmed)
             self._messages.append((epoch, holder, request, share))
+            # After a takeover, the whole cap stays reserved for unknown holders while the shares
+            # that holders report are reserved, too, so the sum may exceed the cap.
             assert self._divider.reserved() <= CAP * 1.000001 or self._epoch
         elif epoch >= holder.epoch:
             holder.epoch = epoch
@@ -127,7 +133,7 @@
                 self._admitted.append((self._time.monotonic(), amount))
                 self.admitted += amount
         now_s = self._time.monotonic()
-        self._admitted = [each for each in self._admitted if now_s - each[0] <= window.WINDOW_S]
+        self._admitted = [entry for entry in self._admitted if now_s - entry[0] <= window.WINDOW_S]
         used = sum(amount for _, amount in self._admitted)
         assert used <= CAP * 1.000001, f"{used} admitted in one second, cap is {CAP}"
 
@@ -150,13 +156,14 @@
                 self._messages.append((self._epoch, holder, self._follow, None))
 
     def _follow(self, epoch, holder):
+        """Makes the holder follow the coordinator of the epoch and report its share to it."""
         holder.epoch = epoch
-        share = holder.share
+        held = holder.share
         report = functools.partial(
             self._divider.adopt_share,
             holder.name,
-            share=share.share,
-            remaining_s=max(-1e9, share.remaining_s()),
+            share=held.share,
+            remaining_s=max(-1e9, held.remaining_s()),
         )
         self._messages.append((epoch, holder, lambda *_: report(), None))
 
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -8,7 +8,7 @@
 import collections
 import dataclasses
 
-from sassafrasway_core import clock as clocks
+from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import (
     coordinator,
     invariants,
@@ -21,8 +21,10 @@
 )
 
 STEP_S = 0.1
+# Slots of each server.
 SLOTS = 7
 CAP = "region/bkk"
+# Less than the total demand, which is one request/s per granted pool.
 CAP_LIMIT = 3.0
 # Maximum number of times that a process runs in one step, to process the messages of the others.
 ROUNDS = 10
@@ -31,7 +33,7 @@
 POOLS = tuple(model.PoolKey(service=name, region="bkk") for name in ("a", "b", "c", "d"))
 
 
-class OffsetClock(clocks.Clock):
+class OffsetClock(clock_lib.Clock):
     """Clock that differs from a common clock by an offset."""
 
     def __init__(self, base, offset_s):
@@ -106,14 +108,16 @@
         demand = {CAP: float(len(self.grants.pools))}
         for command in self.member.tick(reports=dict, cap_demand=lambda: demand):
             self._execute(command, self.member)
-        won = self.member.won_election
-        if won is not None and (self.coordinator is None or self.coordinator.epoch < won.row.epoch):
+        won_election = self.member.won_election
+        if won_election is not None and (
+            self.coordinator is None or self.coordinator.epoch < won_election.row.epoch
+        ):
             self.coordinator = self.world.coordinator_state(
                 me=self.me,
                 clock=self.clock,
                 invariants=self.checks,
                 members=self.members,
-                won_election=won,
+                won_election=won_election,
             )
             self.coordinator.set_pools(POOLS)
             self.coordinator.set_caps({CAP: CAP_LIMIT})
@@ -122,11 +126,13 @@
                 self._execute(command, self.coordinator.authority)
 
     def fetch_list(self):
+        """Counts a step; a coordinator fetches the platform's list when that is due."""
         self.steps += 1
         if self.coordinator is not None and self.steps % LIST_FETCH_STEPS == 0:
             self.members.record_list(self.world.listed(), started_s=self.clock.monotonic())
 
-    def _execute(self, command, owner):
+    def _execute(self, command, issuer):
+        """Executes a command; ``issuer`` receives the result of a row read or write."""
         now = self.clock.monotonic()
         if isinstance(command, region.SendHeartbeat):
             self.world.send(self, command.target, "heartbeat", command.heartbeat, command.sent_s)
@@ -136,11 +142,12 @@
             self.world.send(self, command.target, "identify", command.target)
         elif isinstance(command, region.ReadRow):
             if self.table_mode == "ok":
-                self.inbox.append((self, "row", owner, *self.world.table.read(), now))
+                self.inbox.append((self, "row", issuer, *self.world.table.read(), now))
         else:
-            self.inbox.append((self, "written", owner, command, self._write(command)))
+            self.inbox.append((self, "written", issuer, command, self._write(command)))
 
     def _write(self, command):
+        """Returns the new version of the row, ``"refused"`` or ``"unknown"``."""
         if self.table_mode == "delayed":
             self.world.table.delayed.append(command)
         if self.table_mode in ("ok", "lost"):
@@ -152,17 +159,17 @@
     def _handle(self, source, kind, *content):
         getattr(self, f"_on_{kind}")(source, *content)
 
-    def _on_row(self, _, owner, row, version, started_s):
-        owner.on_row_read(row, version, started_s=started_s)
+    def _on_row(self, _, issuer, row, version, started_s):
+        issuer.on_row_read(row, version, started_s=started_s)
 
-    def _on_written(self, _, owner, command, result):
-        arguments = (command,) if owner is self.member else ()
+    def _on_written(self, _, issuer, command, result):
+        arguments = (command,) if issuer is self.member else ()
         if result == "unknown":
-            owner.on_write_unknown(*arguments)
+            issuer.on_write_unknown(*arguments)
         elif result == "refused":
-            owner.on_write_refused(*arguments)
+            issuer.on_write_refused(*arguments)
         else:
-            owner.on_write_ok(*arguments, result)
+            issuer.on_write_ok(*arguments, result)
 
     def _on_heartbeat(self, source, heartbeat, sent_s):
         followed = self.grants.coordinator
@@ -179,8 +186,8 @@
     def _on_reply(self, _, reply, sent_s):
         self.member.on_reply(reply, sent_s=sent_s)
 
-    def _on_follow(self, source, epoch, leader):
-        reply = self.member.on_follow(epoch=epoch, coordinator=leader)
+    def _on_follow(self, source, epoch, new_coordinator):
+        reply = self.member.on_follow(epoch=epoch, coordinator=new_coordinator)
         if self.coordinator is not None and reply.epoch > self.coordinator.epoch:
             self.coordinator.depose()
         self.world.send(self, source.me, "followed", reply)
@@ -205,7 +212,7 @@
     Attributes:
         live: Running process by name, paused ones included.
         links: Mode of each direction between two names: ``"cut"`` drops messages, ``"hold"`` keeps
-            them until ``release_held``; a missing entry means ``"ok"``.
+            them in ``held_messages`` until ``release_held``; a missing entry means ``"ok"``.
         list_lag_steps: By how many steps the platform's list lags behind.
     """
 
@@ -213,13 +220,13 @@
     coordinator_state = coordinator.CoordinatorState
 
     def __init__(self, names=("p", "q", "r")):
-        self.clock = clocks.ManualClock()
+        self.clock = clock_lib.ManualClock()
         self.table = Table()
         self.processes_started = 0
         self.live = {}
         self.killed = []
         self.links = {}
-        self.held = []
+        self.held_messages = []
         self.list_lag_steps = 0
         self._snapshots = [()]
         self._list_index = 0
@@ -242,13 +249,13 @@
     def send(self, source, target, kind, *content):
         mode = self.links.get((source.name, target.name), "ok")
         if mode == "hold":
-            self.held.append((source, target, kind, content))
+            self.held_messages.append((source, target, kind, content))
         elif mode == "ok":
             self._deliver(source, target, kind, content)
 
     def release_held(self):
-        held, self.held = self.held, []
-        for source, target, kind, content in held:
+        messages, self.held_messages = self.held_messages, []
+        for source, target, kind, content in messages:
             self._deliver(source, target, kind, content)
 
     def _deliver(self, source, target, kind, content):
@@ -289,9 +296,9 @@
         """
         for pool in POOLS:
             shares = self.shares(pool)
-            used = sum(part.slots(SLOTS) for part in shares.values())
-            if used > SLOTS:
-                raise AssertionError(f"{used} of {SLOTS} slots of {pool} usable: {shares}")
+            usable = sum(pool_share.slots(SLOTS) for pool_share in shares.values())
+            if usable > SLOTS:
+                raise AssertionError(f"{usable} of {SLOTS} slots of {pool} usable: {shares}")
         amounts = {name: process.grants.caps.amount(CAP) for name, process in self.live.items()}
         if sum(amounts.values()) > CAP_LIMIT * (1 + 1e-9):
             raise AssertionError(f"shares of a cap of {CAP_LIMIT} add up to more: {amounts}")
@@ -301,8 +308,8 @@
         return {
             pool: name
             for pool in POOLS
-            for name, part in self.shares(pool).items()
-            if part is share.Share.FULL
+            for name, pool_share in self.shares(pool).items()
+            if pool_share is share.Share.FULL
         }
 
 
--- a/packages/core/tests/soak_ownership.py
+++ b/packages/core/tests/soak_ownership.py
@@ -37,7 +37,7 @@
         return len(owners)
 
     def _impair_links(self):
-        pairs = ((one, other) for one in NAMES for other in NAMES if one != other)
+        pairs = ((source, to) for source in NAMES for to in NAMES if source != to)
         modes = ("ok", "cut", "hold")
         self._world.links = {pair: self._rng.choices(modes, (5, 3, 2))[0] for pair in pairs}
         for process in self._world.live.values():
@@ -87,7 +87,7 @@
 
 class OwnershipSoakTest(unittest.TestCase):
     def test_slots_are_never_used_twice_and_are_all_used_again_later(self):
-        """Guards against violations that take many events, and against slots that stay unusable."""
+        """Guards against slots used twice or left unusable after a long sequence of faults."""
         total = random_runs.repeat(lambda seed: _RandomRun(seed).run())
         self.assertGreater(total, 0)
 
--- a/packages/core/tests/test_caps.py
+++ b/packages/core/tests/test_caps.py
@@ -28,6 +28,7 @@
         return {name: round(self.held[name].amount(), 1) for name in demands}
 
     def _settle(self, **demands):
+        """Exchanges heartbeats for 20 s, until the shares no longer change, and returns them."""
         for _ in range(40):
             shares = self._renew(**demands)
             self.time.advance(0.5)
@@ -45,7 +46,7 @@
         self.assertEqual(self._settle(a=10, b=20, c=30), {"a": 23.3, "b": 33.3, "c": 43.3})
         self.assertEqual(self._settle(a=0, b=0, c=0), {"a": 33.3, "b": 33.3, "c": 33.3})
 
-    def test_freed_part_waits_for_confirmation_and_for_one_second(self):
+    def test_freed_part_waits_for_confirmation_and_for_one_window(self):
         """Guards against two holders that use the same part of a cap within one second.
 
         This happens when a freed part is granted before its earlier holder confirmed the smaller
@@ -133,6 +134,7 @@
 
 class ReservationsTest(unittest.TestCase):
     def _after_expiry(self, *shares):
+        """Returns reservations of one holder whose shares, (amount, offline), have expired."""
         reservations = cap_reserve.Reservations()
         for sequence, (amount, offline) in enumerate(shares, start=1):
             reservations.add(
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -15,6 +15,7 @@
 names = st.sampled_from(NAMES)
 
 
+# Hypothesis derives the seed of the runs from the source of this class, docstrings included.
 class RegionMachine(stateful.RuleBasedStateMachine):
     """Random combinations of faults; ``World.check`` runs after each run of a process."""
 
@@ -90,6 +91,7 @@
 RegionMachine.TestCase.settings = hypothesis.settings(
     derandomize=True, max_examples=60, stateful_step_count=25, deadline=None, database=None
 )
+# Generates examples until one fails, without shrinking it.
 UNTIL_FOUND = hypothesis.settings(
     RegionMachine.TestCase.settings,
     max_examples=300,
@@ -112,7 +114,7 @@
         return state
 
 
-class _OfflineShareDropped(holdings.Holdings):
+class _OfflineThirdDropped(holdings.Holdings):
     """Faulty rule: frees the offline third of a holder when its grant of the main part expires."""
 
     def assigned_to(self, member):
@@ -126,19 +128,21 @@
 class CheckerTest(unittest.TestCase):
     """Shows that ``World.check`` finds the violations that faulty rules cause."""
 
-    def _assert_found(self, **wrong):
-        world_type = type("WrongWorld", (ownership_sim.World,), wrong)
+    def _assert_found(self, **world_attributes):
+        """Asserts that random runs of a world with these attributes replaced find a violation."""
+        world_type = type("WrongWorld", (ownership_sim.World,), world_attributes)
+        # Hypothesis derives the seed of the runs from the name of this class.
         machine = type("WrongMachine", (RegionMachine,), {"world_type": world_type})
         with self.assertRaises(AssertionError):
             stateful.run_state_machine_as_test(machine, settings=UNTIL_FOUND)
 
-    def test_silence_as_proof_is_found(self):
+    def test_silent_regarded_as_gone_is_found(self):
         """Guards against a checker that misses the reassignment of a paused holder's pool."""
         self._assert_found(member_table=_SilentIsGone)
 
-    def test_ignored_offline_share_is_found(self):
+    def test_dropped_offline_third_is_found(self):
         """Guards against a checker that misses the offline third of the previous holder."""
-        with mock.patch.object(holdings, "Holdings", _OfflineShareDropped):
+        with mock.patch.object(holdings, "Holdings", _OfflineThirdDropped):
             self._assert_found()
 
 
@@ -148,15 +152,15 @@
         self.world.step(60)
         self.owners = self.world.full_owners()
 
-    def _leader(self):
+    def _coordinator_name(self):
         return next(
             name
             for name, process in self.world.live.items()
             if process.coordinator is not None and not process.coordinator.deposed
         )
 
-    def _follower(self):
-        return next(name for name in NAMES if name != self._leader())
+    def _member_name(self):
+        return next(name for name in NAMES if name != self._coordinator_name())
 
     def _table_down(self):
         for process in self.world.live.values():
@@ -179,13 +183,13 @@
         """Guards against unusable slots after an instance crashed while the table is down."""
         self._table_down()
         self.world.step(50)
-        self.world.kill(self._follower())
+        self.world.kill(self._member_name())
         self.world.step(30)
         for _ in range(100):
             self.world.step()
             self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
-    def test_table_down_and_pause_then_wake(self):
+    def test_table_down_and_pause_then_resume(self):
         """Guards against authority that stays lost after a paused member's promise has expired.
 
         While the table is down, the promises of all members are needed; when the paused member
@@ -193,10 +197,10 @@
         """
         self._table_down()
         self.world.step(50)
-        self.world.live[self._follower()].paused = True
+        self.world.live[self._member_name()].paused = True
         self.world.step(100)
         self.assertEqual(self.world.full_owners(), {})
-        self.world.live[self._follower()].paused = False
+        self.world.live[self._member_name()].paused = False
         self.world.step(50)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
@@ -206,8 +210,8 @@
         self.world.start("s")
         joining = self.world.live["s"]
         joining.table_mode = "down"
-        leader = self.world.live[self._leader()]
-        joining.member.on_follow(epoch=leader.grants.epoch, coordinator=leader.me)
+        followed = self.world.live[self._coordinator_name()]
+        joining.member.on_follow(epoch=followed.grants.epoch, coordinator=followed.me)
         self.world.step(50)
         self.assertTrue(joining.member.in_contact)
         for process in self.world.live.values():
@@ -218,7 +222,7 @@
 
     def test_paused_holder(self):
         """Guards against a paused holder's main part staying unused or its offline third reused."""
-        name = self._follower()
+        name = self._member_name()
         pools = [pool for pool, owner in self.owners.items() if owner == name]
         self.world.live[name].paused = True
         self.world.step(25)
@@ -230,16 +234,16 @@
 
     def test_paused_coordinator(self):
         """Guards against promises that keep an unresponsive coordinator's authority in force."""
-        leader = self._leader()
-        self.world.live[leader].paused = True
+        coordinator_name = self._coordinator_name()
+        self.world.live[coordinator_name].paused = True
         self.world.step(80)
         for pool, owner in self.owners.items():
-            wanted = [share.Share.FULL]
-            if owner == leader:
-                wanted = [share.Share.OFFLINE, share.Share.REDUCED]
+            expected = [share.Share.FULL]
+            if owner == coordinator_name:
+                expected = [share.Share.OFFLINE, share.Share.REDUCED]
             shares = {*self.world.shares(pool).values()} - {share.Share.NONE}
-            self.assertCountEqual(shares, wanted)
-        self.world.live[leader].paused = False
+            self.assertCountEqual(shares, expected)
+        self.world.live[coordinator_name].paused = False
         self.world.step(30)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
@@ -248,15 +252,15 @@
 
         The port of the killed instance refuses connections, which proves that it is gone.
         """
-        self.world.kill(self._follower())
+        self.world.kill(self._member_name())
         self.world.step(15)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_killed_coordinator_moves_nothing_else(self):
         """Guards against pools that move or become unusable because the coordinator changed."""
-        leader = self._leader()
-        kept = {pool: name for pool, name in self.owners.items() if name != leader}
-        self.world.kill(leader)
+        coordinator_name = self._coordinator_name()
+        kept = {pool: name for pool, name in self.owners.items() if name != coordinator_name}
+        self.world.kill(coordinator_name)
         for _ in range(100):
             self.world.step()
             self.assertLessEqual(kept.items(), self.world.full_owners().items())
@@ -267,19 +271,19 @@
 
         It need not wait when only recorded members can hold grants and all of them have reported.
         """
-        self.world.kill(self._leader())
+        self.world.kill(self._coordinator_name())
         self.world.step(15)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
     def test_leaving_hands_over_within_a_step(self):
         """Guards against a pool without a full owner while an instance stops gracefully."""
-        name = self._follower()
+        name = self._member_name()
         ownership_sim.leave(self.world.live[name])
-        without = 0
+        missing_owners = 0
         for _ in range(30):
             self.world.step()
-            without += len(ownership_sim.POOLS) - len(self.world.full_owners())
-        self.assertEqual(without, 0)
+            missing_owners += len(ownership_sim.POOLS) - len(self.world.full_owners())
+        self.assertEqual(missing_owners, 0)
         self.assertNotIn(name, self.world.full_owners().values())
 
     def test_pools_wait_for_the_share_of_the_cap(self):
@@ -287,22 +291,22 @@
 
         Without a share of the region's cap, it would refuse all requests of the pool.
         """
-        name = self._follower()
+        name = self._member_name()
         self.world.kill(name)
         self.world.step(30)
         self.world.start(name)
-        without_share = 0
+        steps_without_share = 0
         for _ in range(100):
             self.world.step()
             amount = self.world.live[name].grants.caps.amount(ownership_sim.CAP)
             if name in self.world.full_owners().values() and amount == 0.0:
-                without_share += 1
-        self.assertEqual(without_share, 0)
+                steps_without_share += 1
+        self.assertEqual(steps_without_share, 0)
         self.assertIn(name, self.world.full_owners().values())
 
     def test_cap_shares_follow_the_pools(self):
         """Guards against shares that add up to less than the cap although all of it is demanded."""
-        self.world.kill(self._leader())
+        self.world.kill(self._coordinator_name())
         self.world.step(80)
         amounts = [
             process.grants.caps.amount(ownership_sim.CAP) for process in self.world.live.values()
@@ -314,7 +318,7 @@
     def test_lower_epoch_is_ignored(self):
         """Guards against grants of a coordinator that was replaced."""
         grants = ownership.GrantState(
-            clock=ownership_sim.clocks.ManualClock(),
+            clock=ownership_sim.clock_lib.ManualClock(),
             invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
         )
         old, new = (
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -17,22 +17,31 @@
 
 
 class _Scenario:
-    """A region of three instances: the coordinator ``leader`` and the members ``a`` and ``b``."""
+    """A region of three instances.
+
+    Attributes:
+        live: Running process by name.
+        coordinator: Name of the coordinator at the start of the scenario.
+        a: Name of one of the other members.
+        b: Name of the other one.
+    """
 
     def __init__(self):
         self.world = ownership_sim.World(NAMES)
         self.world.step(60)
         self.live = self.world.live
-        self.leader = next(name for name in NAMES if self.live[name].coordinator is not None)
-        self.a, self.b = (name for name in NAMES if name != self.leader)
+        self.coordinator = next(name for name in NAMES if self.live[name].coordinator is not None)
+        self.a, self.b = (name for name in NAMES if name != self.coordinator)
 
-    def table(self, mode, *names):
+    def set_table_mode(self, mode, *names):
+        """Sets the table mode of the named processes, or of all if no name is given."""
         for name in names or tuple(self.live):
             self.live[name].table_mode = mode
 
     def cut(self, *pairs):
-        for one, other in pairs:
-            self.world.links[one, other] = self.world.links[other, one] = "cut"
+        """Cuts the links between the names of each pair in both directions."""
+        for first, second in pairs:
+            self.world.links[first, second] = self.world.links[second, first] = "cut"
 
     def step_until(self, condition):
         for _ in range(100):
@@ -41,18 +50,20 @@
                 return
         raise TimeoutError("the condition was not met within 100 steps")
 
-    def coordinates(self, name):
+    def is_coordinator(self, name):
         return self.live[name].coordinator is not None
 
 
 def late_heartbeats():
     """Heartbeats that a member sent before it took over reach the old coordinator afterwards."""
     run = _Scenario()
-    run.table("down", run.leader)
-    run.cut((run.leader, run.a), (run.a, run.b))
-    run.world.links[run.a, run.leader] = "hold"
-    run.step_until(lambda: run.coordinates(run.a))
-    run.world.held = [message for message in run.world.held if message[2] == "heartbeat"]
+    run.set_table_mode("down", run.coordinator)
+    run.cut((run.coordinator, run.a), (run.a, run.b))
+    run.world.links[run.a, run.coordinator] = "hold"
+    run.step_until(lambda: run.is_coordinator(run.a))
+    run.world.held_messages = [
+        message for message in run.world.held_messages if message[2] == "heartbeat"
+    ]
     run.world.release_held()
     run.world.step(60)
 
@@ -60,14 +71,14 @@
 def late_candidate_write():
     """A candidate write takes effect after its sender follows the old coordinator again."""
     run = _Scenario()
-    run.table("down", run.leader, run.b)
-    run.cut((run.leader, run.a))
+    run.set_table_mode("down", run.coordinator, run.b)
+    run.cut((run.coordinator, run.a))
     candidate = run.live[run.a]
     with mock.patch.object(candidate, "_write", lambda command: _delay(run, command)):
         run.step_until(lambda: run.world.table.delayed)
         run.world.links = {}
         run.world.step(30)
-        run.cut((run.leader, run.a), (run.a, run.b))
+        run.cut((run.coordinator, run.a), (run.a, run.b))
         run.world.table.release()
     run.world.step(80)
 
@@ -80,71 +91,71 @@
 def successor_crashes():
     """A new coordinator crashes before the old one, cut off from the table, is deposed."""
     run = _Scenario()
-    run.table("down", run.leader, run.b)
-    run.cut((run.leader, run.a), (run.a, run.b))
-    run.step_until(lambda: run.coordinates(run.a))
+    run.set_table_mode("down", run.coordinator, run.b)
+    run.cut((run.coordinator, run.a), (run.a, run.b))
+    run.step_until(lambda: run.is_coordinator(run.a))
     run.world.kill(run.a)
     run.world.links = {}
     run.world.step(10)
     run.world.start("z")
-    run.cut(("z", run.leader), ("z", run.b))
+    run.cut(("z", run.coordinator), ("z", run.b))
     run.world.step(80)
 
 
 def new_instance_without_contact():
     """A new instance that is not recorded can reach the table, but not the other instances."""
     run = _Scenario()
-    run.table("down")
+    run.set_table_mode("down")
     run.world.start("z")
     run.cut(*(("z", name) for name in NAMES))
     run.world.step(100)
 
 
-def row_seen_before():
+def row_read_before():
     """A member that read the row during an earlier loss of contact loses contact again."""
     run = _Scenario()
-    run.table("down", run.leader, run.b)
-    run.cut((run.leader, run.a), (run.a, run.b))
+    run.set_table_mode("down", run.coordinator, run.b)
+    run.cut((run.coordinator, run.a), (run.a, run.b))
     run.world.step(20)
     run.world.links = {}
     run.world.step(30)
-    run.cut((run.leader, run.a), (run.a, run.b))
+    run.cut((run.coordinator, run.a), (run.a, run.b))
     run.world.step(80)
 
 
 def unrecorded_holder():
     """A coordinator crashes after it granted pools to an instance that the row does not name."""
     run = _Scenario()
-    run.table("down")
+    run.set_table_mode("down")
     run.world.step(40)
     run.world.start("z")
-    run.table("down", "z")
-    leader = run.live[run.leader]
-    run.live["z"].member.on_follow(epoch=leader.grants.epoch, coordinator=leader.me)
+    run.set_table_mode("down", "z")
+    followed = run.live[run.coordinator]
+    run.live["z"].member.on_follow(epoch=followed.grants.epoch, coordinator=followed.me)
     for name in NAMES:
         ownership_sim.leave(run.live[name])
     run.world.step(60)
     run.cut(("z", run.a), ("z", run.b))
-    run.world.kill(run.leader)
-    back = run.live[run.a]
-    back.me = dataclasses.replace(back.me, state=region.LIVE)
-    back.member.set_me(back.me)
-    run.table("ok", run.a)
+    run.world.kill(run.coordinator)
+    candidate = run.live[run.a]
+    candidate.me = dataclasses.replace(candidate.me, state=region.LIVE)
+    candidate.member.set_me(candidate.me)
+    run.set_table_mode("ok", run.a)
     run.world.step(60)
 
 
 def holder_crashes_after_takeover():
     """A follower of the new coordinator crashes; the old one, not yet deposed, finds it gone."""
     run = _Scenario()
-    run.table("down", run.leader)
-    run.cut((run.leader, run.a), (run.leader, run.b))
-    run.step_until(lambda: run.coordinates(run.a) or run.coordinates(run.b))
+    run.set_table_mode("down", run.coordinator)
+    run.cut((run.coordinator, run.a), (run.coordinator, run.b))
+    run.step_until(lambda: run.is_coordinator(run.a) or run.is_coordinator(run.b))
     run.world.step(30)
     for name in (run.a, run.b):
-        if not run.coordinates(name):
+        if not run.is_coordinator(name):
             run.world.kill(name)
-    run.world.links[run.leader, run.a] = run.world.links[run.leader, run.b] = "ok"
-    run.world.links[run.a, run.leader] = run.world.links[run.b, run.leader] = "hold"
+    run.world.links[run.coordinator, run.a] = run.world.links[run.coordinator, run.b] = "ok"
+    run.world.links[run.a, run.coordinator] = run.world.links[run.b, run.coordinator] = "hold"
     run.world.step(40)
 
 
@@ -163,7 +174,7 @@
 _state = membership.MemberTable.state
 
 
-def _promise_always(self, *arguments):
+def _promise_while_write_pending(self, *arguments):
     """Faulty rule: a member makes promises while its candidate write is pending."""
     pending, self._pending = self._pending, None
     try:
@@ -172,17 +183,17 @@
         self._pending = pending
 
 
-def _promise_forgotten(self, *arguments):
+def _promise_ignored(self, *arguments):
     """Faulty rule: a member may take over before its promise has ended."""
     command = _heartbeat(self, *arguments)
     self._promise_until_s = -math.inf
     return command
 
 
-def _drop_gone_always(self):
+def _drop_gone_without_authority(self):
     """Faulty rule: required members that are gone are dropped even without authority."""
     self._required_members = {
-        each for each in self._required_members if not self._members.is_gone(each)
+        member_id for member_id in self._required_members if not self._members.is_gone(member_id)
     }
     self._promised_until_s = None
 
@@ -218,7 +229,7 @@
 _permitted_shares = coordinator.CoordinatorState._permitted_shares
 
 
-def _free_without_authority(self, member_id):
+def _grant_free_without_authority(self, member_id):
     """Faulty rule: a free offline third is granted without authority."""
     permitted = _permitted_shares(self, member_id)
     for key, pool in self._holdings.assigned_to(member_id).items():
@@ -238,9 +249,9 @@
 # Scenario, class and method that implement the rule, and the faulty replacement of the method.
 RULES = (
     (late_heartbeats, authority.Authority, "record_promise", _promise_from_receipt),
-    (late_candidate_write, member.MemberState, "_heartbeat", _promise_always),
-    (row_seen_before, member.MemberState, "_heartbeat", _promise_forgotten),
-    (successor_crashes, authority.Authority, "refresh", _drop_gone_always),
+    (late_candidate_write, member.MemberState, "_heartbeat", _promise_while_write_pending),
+    (row_read_before, member.MemberState, "_heartbeat", _promise_ignored),
+    (successor_crashes, authority.Authority, "refresh", _drop_gone_without_authority),
     (new_instance_without_contact, member.MemberState, "_may_take_over", _unrecorded_takes_over),
     (unrecorded_holder, member.MemberState, "_record_won_election", _holders_always_recorded),
     (unrecorded_holder, authority.Authority, "is_recorded", _all_are_recorded),
@@ -254,24 +265,27 @@
         holder_crashes_after_takeover,
         coordinator.CoordinatorState,
         "_permitted_shares",
-        _free_without_authority,
+        _grant_free_without_authority,
     ),
     (late_heartbeats, membership.MemberTable, "state", _silent_is_gone),
 )
 
 
 class RulesTest(unittest.TestCase):
-    def test_runs_pass_with_the_rules(self):
+    def test_scenarios_pass_with_the_rules(self):
         """Guards against two instances that may use the same slots in one of the scenarios."""
-        for run in dict.fromkeys(rule[0] for rule in RULES):
-            with self.subTest(run=run.__name__):
-                run()
+        for scenario in dict.fromkeys(rule[0] for rule in RULES):
+            with self.subTest(scenario=scenario.__name__):
+                scenario()
 
-    def test_wrong_rules_are_found(self):
+    def test_faulty_rules_are_found(self):
         """Guards against a checker or a scenario that does not detect a missing rule."""
-        for run, owner, name, wrong in RULES:
-            with self.subTest(wrong=wrong.__name__), mock.patch.object(owner, name, wrong):
-                self.assertRaises(AssertionError, run)
+        for scenario, rule_class, method_name, faulty in RULES:
+            with (
+                self.subTest(faulty=faulty.__name__),
+                mock.patch.object(rule_class, method_name, faulty),
+            ):
+                self.assertRaises(AssertionError, scenario)
 
 
 if __name__ == "__main__":
