State when Authority.refresh drops members

The docstring did not say that members are dropped only while authority lasts. Add this, and give a variable in Reservations the name that CapDivider uses for it.

Names, comments and texts only.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -132,7 +132,10 @@
         self._deposed = True
 
     def refresh(self) -> None:
-        """Drops required members that are gone; called before any other event is processed."""
+        """Drops required members that are gone, if authority lasts.
+
+        The coordinator calls this before it processes any other event.
+        """
         if self._members.gone_count == self._gone_count:
             return
         if self._clock.monotonic() < self.until_s():
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -203,9 +203,9 @@
             heapq.heappush(self._check_times, (next_s, next(self._order), holder))
 
     def _refresh(self, holder: Hashable, record: _Holder, now_s: float) -> None:
-        before, offline_before = record.reserved, record.offline
+        reserved_before, offline_before = record.reserved, record.offline
         record.refresh(now_s)
-        self._total += record.reserved - before
+        self._total += record.reserved - reserved_before
         self._offline += record.offline - offline_before
         if record.reserved:
             self._schedule(holder, record, now_s)
