--- a/packages/standins/src/sassafrasway_standins/cap_rules.py
+++ b/packages/standins/src/sassafrasway_standins/cap_rules.py
@@ -7,13 +7,18 @@
 
 from sassafrasway_standins import checked_history, history
 
-# Tolerance for rounding errors in sums, and in the distance of times that are one second apart.
+# Tolerance for rounding errors: in sums, as a fraction of the limit; in the distance of times that
+# are one second apart, in seconds.
 TOLERANCE = 1e-6
 BITS_PER_MEGABIT = 1e6
 
 
 class WindowRule(checked_history.Rule):
-    """A sum stays at or below a limit in every one-second window (P1, P2)."""
+    """A sum stays at or below a limit in every one-second window (P1, P2).
+
+    Attributes:
+        unit: Unit of the sum in the texts of violations.
+    """
 
     unit = ""
 
@@ -39,6 +44,7 @@
     def _worst_violation(
         self, run_history: checked_history.History, subject: str, amounts: list[tuple[float, float]]
     ) -> checked_history.Violation | None:
+        """Returns the violation that exceeds its limit by most; None if no window does."""
         worst, excess = None, 0.0
         for end_s, total in window_sums(amounts):
             limit = run_history.highest_limit(lambda document: self.limit(document, subject), end_s)
@@ -72,9 +78,9 @@
     ) -> Mapping[str, list[tuple[float, float]]]:
         """See base class."""
         by_region = checked_history.grouped(
-            run_history.runs, lambda each: run_history.server(each.server).get("region", "")
+            run_history.runs, lambda run: run_history.server(run.server).get("region", "")
         )
-        return {region: [(each.at_s, 1.0) for each in runs] for region, runs in by_region.items()}
+        return {region: [(run.at_s, 1.0) for run in runs] for region, runs in by_region.items()}
 
     def limit(self, document: Mapping[str, Any], subject: str) -> float | None:
         """See base class."""
@@ -82,9 +88,10 @@
 
 
 class ShiftCap(WindowRule):
-    """The rate of requests that a shift moves from its source region stays within its cap.
+    """The rate of requests that a shift moves from its source region stays within the shift's cap.
 
-    These are the requests of the service with home region ``source`` that start in ``target``.
+    Such requests are those to the shift's service, from callers in its source region, that start on
+    servers in its target region.
     """
 
     name = "shift-cap"
@@ -134,11 +141,12 @@
     ) -> Mapping[str, list[tuple[float, float]]]:
         """See base class."""
         return {
-            link: [(each.at_s, each.bytes * 8 / BITS_PER_MEGABIT) for each in records]
+            link: [(record.at_s, record.bytes * 8 / BITS_PER_MEGABIT) for record in records]
             for link, records in run_history.link_bytes.items()
         }
 
     def limit(self, document: Mapping[str, Any], subject: str) -> float | None:
         """See base class."""
+        # The policy names a link by both regions in alphabetical order, for both directions.
         name = "/".join(sorted(subject.split(">")))
         return document.get("links", {}).get(name, {}).get("cap_mbit_s")
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -2,8 +2,8 @@
 
 The docstrings of the rules state the guarantees.
 
-The rules use nothing but the records of callers, servers, links and instances, and not the routing
-decisions of the entry instances. The policies that were in force are records as well.
+The rules use the records of callers, servers, links, instances and the operator, among them the
+policies that were in force. They do not use the routing decisions of the entry instances.
 """
 
 import collections
@@ -20,7 +20,7 @@
 
 
 class AtMostOnce(checked_history.Rule):
-    """A request or idempotency key of a non-idempotent service starts at most once (P5)."""
+    """Servers of a non-idempotent service run each request and each key at most once (P5)."""
 
     name = "at-most-once"
 
@@ -28,26 +28,28 @@
         self, run_history: checked_history.History
     ) -> Iterator[checked_history.Violation]:
         """See base class."""
-        runs = [each for each in run_history.runs if not run_history.is_idempotent(each)]
-        yield from self._repeated(checked_history.grouped(runs, lambda each: each.request))
-        by_key = checked_history.grouped((each for each in runs if each.key), lambda each: each.key)
+        runs = [run for run in run_history.runs if not run_history.is_idempotent(run)]
+        yield from self._repeated(checked_history.grouped(runs, lambda run: run.request))
+        # Several runs of one request are reported above; here, only keys of several requests count.
+        by_key = checked_history.grouped((run for run in runs if run.key), lambda run: run.key)
         yield from self._repeated({k: v for k, v in by_key.items() if len(_request_ids(v)) > 1})
 
     def _repeated(
         self, groups: Mapping[str, list[history.Run]]
     ) -> Iterator[checked_history.Violation]:
+        """Yields a violation for each group with several runs, at the start of its second run."""
         for subject, runs in groups.items():
             if len(runs) > 1:
-                servers = ", ".join(each.server for each in runs)
+                servers = ", ".join(run.server for run in runs)
                 yield self._violation(subject, runs[1].at_s, f"started on {servers}")
 
 
 def _request_ids(runs: Iterable[history.Run]) -> set[str]:
-    return {each.request for each in runs}
+    return {run.request for run in runs}
 
 
 class NotRunIsTrue(checked_history.Rule):
-    """A request reported as "not run" did not run before and does not run later (P4).
+    """A request whose attempt ended as "not run" neither ran before nor runs later (P4).
 
     A run that starts before the next attempt violates the rule. The exception is a run of an
     idempotent service that an earlier attempt, with outcome "ran" or "unknown", may have caused.
@@ -73,9 +75,10 @@
         index: int,
         runs: list[history.Run],
     ) -> Iterator[checked_history.Violation]:
+        """Yields a violation for each run that contradicts the "not run" of one attempt."""
         attempt = attempts[index]
         retried_s = attempts[index + 1].at_s if index + 1 < len(attempts) else math.inf
-        earlier_may_have_run = any(_may_have_run(each) for each in attempts[:index])
+        earlier_may_have_run = any(_may_have_run(earlier) for earlier in attempts[:index])
         for run in runs:
             if run.at_s >= retried_s or (earlier_may_have_run and run_history.is_idempotent(run)):
                 continue
@@ -108,12 +111,12 @@
                 )
             if request not in run_history.runs_by_request:
                 yield self._violation(
-                    request, verdict.at_s, "answered as run, but no server started the request"
+                    request, verdict.at_s, 'the outcome is "ran", but no server started the request'
                 )
 
 
 class NoneLost(checked_history.Rule):
-    """Every request that a caller was due to send has a final outcome, its verdict (P7)."""
+    """Every request that a caller was due to send has a verdict, its final outcome (P7)."""
 
     name = "none-lost"
 
@@ -136,8 +139,8 @@
     ) -> Iterator[checked_history.Violation]:
         """See base class."""
         events: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
-        for each in run_history.runs:
-            events[each.server] += [(each.at_s, 1), (each.ended_s, -1)]
+        for run in run_history.runs:
+            events[run.server] += [(run.at_s, 1), (run.ended_s, -1)]
         for server, changes in events.items():
             slots = run_history.server(server).get("slots", math.inf)
             yield from self._check_server(server, sorted(changes), slots)
@@ -145,6 +148,14 @@
     def _check_server(
         self, server: str, changes: list[tuple[float, int]], slots: float
     ) -> Iterator[checked_history.Violation]:
+        """Yields the first time at which more requests run than the server has slots.
+
+        Args:
+            server: Name of the server.
+            changes: Pairs of a time, s, and +1 for a start or -1 for an end, sorted; at equal
+                times, ends thus count before starts.
+            slots: Number of slots; infinity if no policy names the server.
+        """
         in_use = 0
         for at_s, change in changes:
             in_use += change
@@ -154,7 +165,7 @@
 
 
 class NoWorkAfterLeaving(checked_history.Rule):
-    """A leaving server starts no new requests after ``LEAVING_GRACE_S`` (P6)."""
+    """A server starts no requests later than ``LEAVING_GRACE_S`` after it began to leave (P6)."""
 
     name = "no-work-after-leaving"
 
@@ -203,8 +214,8 @@
 
 
 RULES: dict[str, checked_history.Rule] = {
-    each.name: each
-    for each in (
+    rule.name: rule
+    for rule in (
         AtMostOnce(),
         NotRunIsTrue(),
         WholeAndOwn(),
@@ -221,7 +232,7 @@
 
 
 def check(records: Iterable[history.Record]) -> list[checked_history.Violation]:
-    """Returns all violations, in the order of ``RULES``."""
+    """Returns the violations of all rules by the records of one history, in order of ``RULES``."""
     run_history = checked_history.History(records)
     return [violation for rule in RULES.values() for violation in rule.violations(run_history)]
 
--- a/packages/standins/src/sassafrasway_standins/checked_history.py
+++ b/packages/standins/src/sassafrasway_standins/checked_history.py
@@ -1,4 +1,4 @@
-"""Index of the records of one run, and the base class of the checker's rules."""
+"""Index of the recorded history that the checker reads, and the base class of its rules."""
 
 import abc
 import collections
@@ -9,7 +9,7 @@
 
 from sassafrasway_standins import history
 
-WINDOW_S = 1.0
+WINDOW_S = 1.0  # length of the windows in which the rules add up amounts
 # A lowered limit takes effect everywhere within 5 s (guarantee P8); until then the previous one
 # applies.
 POLICY_SETTLE_S = 5.0
@@ -36,9 +36,9 @@
 
 
 class History:
-    """Records of one run, grouped and sorted by time for the rules.
+    """Records of one benchmark, test or demo, grouped and sorted by time for the rules.
 
-    Runs that a server rejected without starting them are left out.
+    ``runs`` leaves out requests that a server rejected without starting them.
     """
 
     def __init__(self, records: Iterable[history.Record]):
@@ -47,18 +47,18 @@
             by_kind[record.kind].append(record)
         for group in by_kind.values():
             group.sort(key=lambda record: record.at_s)
-        self.intents = {each.request: each for each in by_kind[history.Intent.kind]}
-        self.attempts = grouped(by_kind[history.Attempt.kind], lambda each: each.request)
-        self.verdicts = {each.request: each for each in by_kind[history.Verdict.kind]}
-        self.runs: list[history.Run] = [each for each in by_kind[history.Run.kind] if each.ran]
-        self.runs_by_request = grouped(self.runs, lambda each: each.request)
+        self.intents = {intent.request: intent for intent in by_kind[history.Intent.kind]}
+        self.attempts = grouped(by_kind[history.Attempt.kind], lambda attempt: attempt.request)
+        self.verdicts = {verdict.request: verdict for verdict in by_kind[history.Verdict.kind]}
+        self.runs: list[history.Run] = [run for run in by_kind[history.Run.kind] if run.ran]
+        self.runs_by_request = grouped(self.runs, lambda run: run.request)
         self.leaving_since_s = self._leaving_since_s(by_kind[history.Leaving.kind])
         self.link_bytes = grouped(
-            by_kind[history.LinkBytes.kind], lambda each: f"{each.source}>{each.target}"
+            by_kind[history.LinkBytes.kind], lambda record: f"{record.source}>{record.target}"
         )
         self.revisions = grouped(
             by_kind[history.RevisionSeen.kind],
-            lambda each: f"{each.instance}/{each.incarnation}",
+            lambda record: f"{record.instance}/{record.incarnation}",
         )
         self.invariants: list[history.InvariantBroken] = by_kind[history.InvariantBroken.kind]
         self.policies: list[history.PolicyInForce] = by_kind[history.PolicyInForce.kind]
@@ -94,10 +94,15 @@
         """
         documents = self._documents(end_s - WINDOW_S - POLICY_SETTLE_S, end_s)
         limits = [limit_of(document) for document in documents]
-        return max((math.inf if each is None else each for each in limits), default=math.inf)
+        return max((math.inf if limit is None else limit for limit in limits), default=math.inf)
 
     def _leaving_since_s(self, drains: Iterable[history.Leaving]) -> dict[str, float]:
-        since_s: dict[str, float] = {each.server: each.at_s for each in drains}
+        """Returns the earliest known time, s, at which each leaving server began to leave.
+
+        Args:
+            drains: Drains by an operator, in order of time; the last drain of a server counts.
+        """
+        since_s: dict[str, float] = {drain.server: drain.at_s for drain in drains}
         for run in self.runs:
             if run.leaving_since_s is not None:
                 known_s = since_s.get(run.server, math.inf)
@@ -105,9 +110,10 @@
         return since_s
 
     def _documents(self, from_s: float, to_s: float) -> list[Mapping[str, Any]]:
-        before = [each for each in self.policies if each.at_s <= from_s][-1:]
-        within = [each for each in self.policies if from_s < each.at_s <= to_s]
-        return [each.document for each in (*before, *within)]
+        """Returns the documents in force at ``from_s`` or accepted after it, until ``to_s``."""
+        before = [policy for policy in self.policies if policy.at_s <= from_s][-1:]
+        within = [policy for policy in self.policies if from_s < policy.at_s <= to_s]
+        return [policy.document for policy in (*before, *within)]
 
 
 def grouped(records: Iterable[Any], key: Callable[[Any], str]) -> dict[str, list[Any]]:
@@ -119,7 +125,11 @@
 
 
 class Rule(abc.ABC):
-    """A rule that the history of every correct run satisfies."""
+    """A rule that the history of a correct system satisfies.
+
+    Attributes:
+        name: Name of the rule in violations and reports.
+    """
 
     name = ""
 
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -1,4 +1,8 @@
-"""Records of a run, written as JSON lines by callers, servers, links, instances and the bench.
+"""Records of a benchmark, test or demo, written as JSON lines by its processes.
+
+The writers are callers, backend servers, entry instances, and the launcher, which writes the
+records of links, faults and the operator. In ``Run`` and ``RAN``, a run is the execution of
+one request on a server.
 
 All times are seconds of the machine's monotonic clock, which all processes of one machine share.
 Each record is one line, ``{"kind": ..., ...}``, so that a file whose writer was killed stays
@@ -46,7 +50,7 @@
     """A caller is due to send a request; ``at_s`` is the intended time.
 
     Attributes:
-        request: ID of the request, unique within the run.
+        request: ID of the request, unique within the history.
         region: Region of the caller.
         client: Client address of the request.
         late_s: Delay after the intended time with which the load tool started the request, s.
@@ -67,6 +71,7 @@
     Attributes:
         number: Position among the attempts of the request, starting at 1.
         instance: URL of the entry instance.
+        ended_s: Monotonic time of the response or the failure, s.
         outcome: ``ran``, ``not-run`` or ``unknown``; empty if no connection was made, in which case
             the instance cannot have received the request.
         status: HTTP status; 0 if no response arrived.
@@ -94,8 +99,12 @@
     """Final outcome of a request for its caller, after all attempts.
 
     Attributes:
+        status: HTTP status of the last attempt; 0 if it got no response.
+        attempts: Number of attempts, without failed lookups.
         whole: Whether the response body is complete.
         own: Whether the response echoes the request's ID and the digest of the request body.
+        reason: Reason code of the last response, or the exception that ended the last attempt;
+            ``no-lookup`` if there was no attempt because all lookups failed.
     """
 
     kind: ClassVar[str] = "verdict"
@@ -114,6 +123,8 @@
 
     Attributes:
         request: ID that the caller gave the request.
+        ended_s: Monotonic time of the end or the rejection, s.
+        key: Idempotency key of the request; empty if it has none.
         outcome: ``ok``, ``deadline``, ``cancelled``, ``crashed``, ``shed`` or ``expired``.
         ran: False if the server rejected the request without starting it.
         leaving_since_s: When the server began to report that it is leaving; None if it does not.
@@ -153,7 +164,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LinkBytes(Record):
-    """The link relay forwarded bytes from one region to another."""
+    """The relays of a link forwarded bytes; ``at_s`` is the start of an interval of 0.1 s.
+
+    Attributes:
+        source: Region that sent the bytes.
+        target: Region that received them.
+        bytes: Number of bytes in the interval.
+    """
 
     kind: ClassVar[str] = "link_bytes"
     source: str
@@ -200,8 +217,8 @@
 
 
 RECORD_TYPES: dict[str, type[Record]] = {
-    each.kind: each
-    for each in (
+    record_type.kind: record_type
+    for record_type in (
         Intent,
         Attempt,
         Verdict,
@@ -245,6 +262,7 @@
     """
     try:
         fields = json.loads(line)
+        # Only lines of the backend stand-in lack "kind"; only those of entry instances have "t".
         if "kind" not in fields:
             return Run.from_backend(fields)
         if "t" in fields:
@@ -287,7 +305,11 @@
             self._file = None
 
     def write(self, record: Record) -> None:
-        """Appends one record; the file is flushed when it is closed."""
+        """Appends one record; the file is flushed when it is closed.
+
+        Raises:
+            HistoryError: The writer is not open.
+        """
         if self._file is None:
             raise HistoryError(f"{self._path}: the record file is not open")
         self._file.write(encode(record) + "\n")
--- a/packages/standins/src/sassafrasway_standins/tally.py
+++ b/packages/standins/src/sassafrasway_standins/tally.py
@@ -1,4 +1,4 @@
-"""Counts the outcomes of the requests of a run by service."""
+"""Counts the outcomes of the requests in a recorded history, by service."""
 
 import dataclasses
 from collections.abc import Iterable, Mapping, Sequence
@@ -18,10 +18,10 @@
         ran_once: Requests that ran exactly once on the backend servers.
         ran_twice: Requests of a non-idempotent service that ran more than once.
         repeated: Requests of an idempotent service that ran more than once, which is allowed.
-        lost: Requests without a verdict, or answered as run although no server ran them.
+        lost: Requests without a verdict, or with the outcome "ran" although no server ran them.
         late: Requests that ran but were answered after the deadline.
-        not_run: Requests that were answered as not run.
-        unknown: Requests with an unknown outcome.
+        not_run: Requests with the outcome "not run".
+        unknown: Requests with the outcome "unknown".
         latency: Latency of the requests that ran; None if there are none.
     """
 
@@ -86,11 +86,11 @@
     titles = ("sent", "ran once", "ran twice", "repeated", "lost", "late", "not run", "unknown")
     header = f"{'service':<15}" + "".join(f"{title:>10}" for title in titles)
     lines = [header + f"{'p50 ms':>10}{'p99 ms':>10}"]
-    for each in tallies:
-        line = f"{each.service:<15}"
+    for tally in tallies:
+        line = f"{tally.service:<15}"
         for title in titles:
-            line += f"{getattr(each, title.replace(' ', '_')):>10}"
-        if each.latency is not None:
-            line += f"{each.latency.p50_ms:>10.1f}{each.latency.p99_ms:>10.1f}"
+            line += f"{getattr(tally, title.replace(' ', '_')):>10}"
+        if tally.latency is not None:
+            line += f"{tally.latency.p50_ms:>10.1f}{tally.latency.p99_ms:>10.1f}"
         lines.append(line)
     return "\n".join(lines)
--- a/packages/standins/tests/test_check.py
+++ b/packages/standins/tests/test_check.py
@@ -37,7 +37,17 @@
     starts=1,
     length_s=0.1,
 ):
-    """Returns the records of one request that its caller sent once."""
+    """Returns the records of one request that its caller sent once.
+
+    Args:
+        request: ID of the request.
+        at_s: Time of the attempt, s.
+        server: Server that runs the request.
+        region: Region of the caller.
+        outcome: Outcome of the attempt and of the verdict.
+        starts: Number of times that the server runs the request.
+        length_s: Time from the attempt to the verdict, s.
+    """
     records = [
         history.Intent(at_s=at_s, request=request, service="any", region=region),
         history.Attempt(
@@ -69,14 +79,14 @@
 def changed(records, record_type, **changes):
     """Returns the records with the given fields of all records of one type replaced."""
     return [
-        dataclasses.replace(each, **changes) if isinstance(each, record_type) else each
-        for each in records
+        dataclasses.replace(record, **changes) if isinstance(record, record_type) else record
+        for record in records
     ]
 
 
 def without(records, record_type):
     """Returns the records without those of one type."""
-    return [each for each in records if not isinstance(each, record_type)]
+    return [record for record in records if not isinstance(record, record_type)]
 
 
 def revision(number, *, at_s):
@@ -141,18 +151,20 @@
         for name, records in SEEDED.items():
             with self.subTest(rule=name):
                 found = check.check([*CLEAN, *records])
-                self.assertEqual({each.rule for each in found}, {name})
+                self.assertEqual({violation.rule for violation in found}, {name})
 
-    def test_foreign_answer_is_found(self):
+    def test_response_of_another_request_is_found(self):
         """Guards against missing a response that is complete but belongs to another request."""
         records = changed(exchange("x", at_s=20.0, server="crew-2"), history.Verdict, own=False)
-        self.assertEqual([each.rule for each in check.check([*CLEAN, *records])], ["whole-and-own"])
+        self.assertEqual(
+            [violation.rule for violation in check.check([*CLEAN, *records])], ["whole-and-own"]
+        )
 
     def test_late_run_after_not_run_is_found(self):
         """Guards against missing a run that starts after its caller received "not run"."""
         records = exchange("x", at_s=20.0, server="crew-2", outcome=history.NOT_RUN)
         found = check.check([*CLEAN, *changed(records, history.Run, at_s=25.0, ended_s=25.1)])
-        self.assertEqual([each.rule for each in found], ["not-run-is-true"])
+        self.assertEqual([violation.rule for violation in found], ["not-run-is-true"])
 
     def test_key_shared_by_two_requests_is_found(self):
         """Guards against missing a ticket that is used as the key of two requests."""
@@ -161,7 +173,7 @@
             *exchange("y", at_s=21.0, server="crew-2"),
         ]
         found = check.check([*CLEAN, *changed(records, history.Run, key="same")])
-        self.assertIn("at-most-once", {each.rule for each in found})
+        self.assertIn("at-most-once", {violation.rule for violation in found})
 
     def test_lowered_cap_counts_only_after_it_settled(self):
         """Guards against false alarms in windows where the previous, higher cap still applies."""
@@ -171,9 +183,9 @@
         late = exchange("y", at_s=27.0, server="quote-1")
         self.assertEqual(check.check([*CLEAN, policy, *early]), [])
         found = check.check([*CLEAN, policy, *early, *late])
-        self.assertEqual([each.rule for each in found], ["region-cap"])
+        self.assertEqual([violation.rule for violation in found], ["region-cap"])
 
-    def test_windows_of_one_second_do_not_overlap(self):
+    def test_window_leaves_out_an_event_one_second_earlier(self):
         """Guards against rounding errors that put eleven events, 0.1 s apart, into one window."""
         amounts = [(1000 + tenth / 10, 1.0) for tenth in range(1, 200)]
         self.assertEqual(max(total for _, total in cap_rules.window_sums(amounts)), 10.0)
@@ -194,7 +206,7 @@
             return click_testing.CliRunner().invoke(check.command, [directory])
 
     def test_exit_code_follows_the_violations(self):
-        """Guards against exit code 0 for a run with violations, and 1 for a run without."""
+        """Guards against exit code 0 for a history with violations, and 1 for one without."""
         self.assertEqual(self.run_command(CLEAN).exit_code, 0)
         result = self.run_command([*CLEAN, *SEEDED["slots"]])
         self.assertEqual(result.exit_code, 1)
@@ -213,7 +225,7 @@
         self.assertEqual(history.decode(entry % "revision"), revision(2, at_s=1.0))
         self.assertIsNone(history.decode(entry % "answer"))
 
-    def test_cut_off_last_line_is_left_out_and_garbage_is_not(self):
+    def test_incomplete_last_line_is_skipped_and_damaged_line_is_rejected(self):
         """Guards against rejecting the file of a killed writer, and against accepting damage."""
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / "a.jsonl"
@@ -227,11 +239,15 @@
 
 @st.composite
 def valid_histories(draw):
-    """Draws histories of a correct system: one server with one slot and consecutive runs."""
+    """Draws histories of a correct system, in random order of records.
+
+    One server with one slot runs the requests one after the other.
+    """
     records = [history.PolicyInForce(at_s=0.0, document=POLICY)]
     at_s = 10.0
     for number in range(draw(st.integers(0, 20))):
-        # At most four starts per second keep the region cap; runs last a tenth of the gap.
+        # At most four starts per second keep the region cap of 4. A run lasts 0.03 s, so it ends
+        # before the next one starts in the only slot.
         at_s += draw(st.floats(0.26, 3.0))
         outcome = draw(st.sampled_from([history.RAN, history.NOT_RUN, history.UNKNOWN]))
         starts = {history.RAN: 1, history.NOT_RUN: 0, history.UNKNOWN: draw(st.integers(0, 1))}
