Clarify the retries, routes and arrivals of the load tool

Unclear: why a caller starts with the first instance of a ticket (another instance can read stored outcomes, so the old reason was wrong), when a route is dropped, why the trace is frozen, which public functions raise ValueError. Changed: docstrings and comments, names of loop and option variables, names of three tests. Behaviour is unchanged.

--- a/packages/standins/src/sassafrasway_standins/arrivals.py
+++ b/packages/standins/src/sassafrasway_standins/arrivals.py
@@ -61,6 +61,9 @@
         blocks: A client block (CIDR) for each region.
         load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
         mean_service_s: Mean service time, s.
+
+    Raises:
+        ValueError: ``load`` or ``mean_service_s`` is not positive.
     """
     if load <= 0 or mean_service_s <= 0:
         raise ValueError("load and mean_service_s must be positive")
@@ -82,7 +85,7 @@
 
 def generate(streams: Iterable[Stream], *, duration_s: float, seed: int) -> list[Arrival]:
     """Returns the arrivals of all streams within ``duration_s``, sorted by time."""
-    iterators = [_stream_arrivals(each, duration_s=duration_s, seed=seed) for each in streams]
+    iterators = [_stream_arrivals(stream, duration_s=duration_s, seed=seed) for stream in streams]
     return list(heapq.merge(*iterators, key=lambda arrival: arrival.at_s))
 
 
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -54,7 +54,7 @@
         self._session = session
         self._region = region
         self._entries = list(entries)
-        self._regions = {each.url: each.region for each in entries}
+        self._regions = {entry.url: entry.region for entry in entries}
         self._services = services
         self._client_ms = client_ms
         self._region_ms = region_ms
@@ -85,6 +85,10 @@
         return verdict
 
     async def _make_attempt(self, pending: exchanges.PendingRequest) -> None:
+        """Makes one attempt, after a lookup if the request needs one.
+
+        A retryable failure removes the cached route of the service, which may be outdated.
+        """
         if pending.needs_route:
             try:
                 pending.use_route(await self._find_route(pending.arrival))
@@ -124,7 +128,11 @@
         return result
 
     async def _find_route(self, arrival: arrivals.Arrival) -> exchanges.Route:
-        """Returns where to send a request: a cached route or ticket, or the result of a lookup."""
+        """Returns a cached route or a prefetched ticket, or else the result of a lookup.
+
+        Raises:
+            LookupFailedError: No instance answered the lookup.
+        """
         if self._services[arrival.service].idempotent:
             route = self._routes.get(arrival.service)
             if route is None or route.expires_s <= time.monotonic():
@@ -136,7 +144,10 @@
         return route or await self._lookup(arrival.service, arrival.client)
 
     def _take_ticket(self, service: str) -> exchanges.Route | None:
-        """Removes and returns the newest ticket, or None if all are too old and were discarded."""
+        """Removes and returns the newest ticket; None if there is none or all are too old.
+
+        Tickets that are too old are discarded.
+        """
         tickets = self._tickets[service]
         while tickets:
             route = tickets.pop()
@@ -145,6 +156,7 @@
         return None
 
     def _prefetch(self, service: str, client: str) -> None:
+        """Starts the lookup of one ticket in the background unless enough tickets are left."""
         if len(self._tickets[service]) < PREFETCHED_TICKETS:
             task = asyncio.create_task(self._fetch_ticket(service, client))
             self._background.add(task)
@@ -161,7 +173,7 @@
         Raises:
             LookupFailedError: None of them answered.
         """
-        local_entries = [each for each in self._entries if each.region == self._region]
+        local_entries = [entry for entry in self._entries if entry.region == self._region]
         candidates = self._rng.sample(local_entries, min(2, len(local_entries)))
         candidates += self._rng.sample(self._entries, 1)
         failures = []
@@ -189,7 +201,7 @@
         return self._read_route(data, sent_s)
 
     def _read_route(self, data: Mapping[str, Any], sent_s: float) -> exchanges.Route:
-        urls = tuple(str(each["url"]).rstrip("/") for each in data["instances"])
+        urls = tuple(str(instance["url"]).rstrip("/") for instance in data["instances"])
         if not urls:
             raise ValueError("the lookup response names no instance")
         return exchanges.Route(
@@ -200,5 +212,6 @@
         )
 
     def _delay_ms(self, url: str) -> float:
+        """Returns the one-way delay to an instance, ms; unknown URLs count as the own region's."""
         is_local = self._regions.get(url, self._region) == self._region
         return self._client_ms if is_local else self._client_ms + self._region_ms
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -50,8 +50,11 @@
     """Result of one attempt: the response of an entry instance, or the failure to get one.
 
     Attributes:
-        outcome: As in ``history.Attempt``, and so are ``status``, ``reason``, ``served_by`` and
-            ``error``.
+        outcome: As in ``history.Attempt``.
+        status: As in ``history.Attempt``.
+        reason: As in ``history.Attempt``.
+        served_by: As in ``history.Attempt``.
+        error: As in ``history.Attempt``.
         body: Body of the response.
     """
 
@@ -118,12 +121,12 @@
 
     @property
     def should_attempt(self) -> bool:
-        """Whether to make another attempt: it may succeed, and no limit or deadline has passed."""
+        """Whether to make another attempt: one may succeed within the limits and the deadline."""
         if not self._results:
             return self._failed_lookups < MAX_ATTEMPTS and self.remaining_s > 0
         if not self._results[-1].is_retryable or self.remaining_s <= 0:
             return False
-        unknown = sum(each.outcome == history.UNKNOWN for each in self._results)
+        unknown = sum(result.outcome == history.UNKNOWN for result in self._results)
         tries = len(self._results) + self._failed_lookups
         return tries < MAX_ATTEMPTS and unknown <= MAX_UNKNOWN_RETRIES
 
@@ -149,18 +152,18 @@
 
     @property
     def _may_have_run(self) -> bool:
-        return any(each.outcome in (history.RAN, history.UNKNOWN) for each in self._results)
+        return any(result.outcome in (history.RAN, history.UNKNOWN) for result in self._results)
 
     def use_route(self, route: Route) -> None:
         """Sets the route of the next attempts."""
-        failed = self._results[-1].outcome == "" if self._results else False
+        avoids_first = self._results[-1].outcome == "" if self._results else False
         if route.ticket:
-            # Start with the first instance: another one cannot find out whether the holder of
-            # the ticket has run the request.
-            failed = False
+            # The first instance holds the ticket. Only the holder may run the request, and only it
+            # always knows whether it has run it.
+            avoids_first = False
         self._route = route
         # The first instance of a cached or repeated route is likely the one that just failed.
-        self._next_index = len(self._results) % len(route.urls) if failed else 0
+        self._next_index = len(self._results) % len(route.urls) if avoids_first else 0
 
     def next_url(self) -> str:
         """Returns the URL of the instance for the next attempt and advances to the one after it."""
@@ -216,9 +219,10 @@
     def verdict(self) -> history.Verdict:
         """Returns the record of the final outcome.
 
-        It is the outcome of the last attempt, except that "not run" becomes "unknown" if an earlier
-        attempt may have run. An idempotency key proves that it did not, if the last attempt reached
-        an instance.
+        The outcome is that of the last attempt, except that "not run" becomes "unknown" if an
+        earlier attempt may have run. With an idempotency key, the "not run" of an instance holds
+        for the earlier attempts too and is kept; a last attempt without a connection proves
+        nothing.
         """
         if not self._results:
             last = AttemptResult(
--- a/packages/standins/src/sassafrasway_standins/ideal.py
+++ b/packages/standins/src/sassafrasway_standins/ideal.py
@@ -23,10 +23,13 @@
 
     Returns:
         The waiting time of each arrival, s; None if it is refused.
+
+    Raises:
+        ValueError: ``slots`` is less than 1.
     """
     if slots < 1:
         raise ValueError(f"slots must be at least 1, got {slots}")
-    free_at_s = [-math.inf] * slots
+    free_at_s = [-math.inf] * slots  # heap of the times at which the slots become free
     waits: list[float | None] = []
     for arrived_s, service_s in arrivals:
         start_s = max(arrived_s, free_at_s[0])
@@ -46,6 +49,7 @@
         slots: Number of slots.
         offered: Offered traffic, arrival rate times mean service time, erlangs.
     """
+    # Erlang B recursion over the number of slots, starting at 0 slots.
     refusal = 1.0
     for count in range(1, slots + 1):
         refusal = offered * refusal / (count + offered * refusal)
--- a/packages/standins/src/sassafrasway_standins/latency.py
+++ b/packages/standins/src/sassafrasway_standins/latency.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Percentiles:
-    """Count, percentiles and maximum of a histogram, in milliseconds."""
+    """Number of values, percentiles and maximum of a histogram; ``p999_ms`` is the 99.9th."""
 
     count: int
     p50_ms: float
@@ -40,7 +40,7 @@
 
     def percentiles(self) -> Mapping[str, Percentiles]:
         """Returns the percentiles of each histogram by name."""
-        return {name: _percentiles(each) for name, each in sorted(self._histograms.items())}
+        return {name: _percentiles(recorded) for name, recorded in sorted(self._histograms.items())}
 
 
 def _percentiles(recorded: histogram.HdrHistogram) -> Percentiles:
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -57,7 +57,7 @@
     def arrivals(self) -> list[arrivals.Arrival]:
         """Returns the trace, which depends on nothing but the plan."""
         streams = arrivals.streams_for_load(
-            slots={name: each.slots for name, each in self.services.items()},
+            slots={name: service.slots for name, service in self.services.items()},
             blocks=dict(self.blocks),
             load=self.load,
             mean_service_s=self.mean_service_s,
@@ -72,9 +72,9 @@
     def parse(cls, data: Mapping[str, Any]) -> "Plan":
         """Returns the plan from data that ``dump`` returned."""
         fields = dict(data)
-        fields["entries"] = [exchanges.EntryPoint(**each) for each in data["entries"]]
+        fields["entries"] = [exchanges.EntryPoint(**entry) for entry in data["entries"]]
         fields["services"] = {
-            name: exchanges.CalledService(**each) for name, each in data["services"].items()
+            name: exchanges.CalledService(**service) for name, service in data["services"].items()
         }
         return cls(**fields)
 
@@ -115,9 +115,9 @@
                 self._in_flight.add(task)
                 task.add_done_callback(self._in_flight.discard)
             await asyncio.gather(*self._in_flight)
-            for group in self._callers.values():
-                for each in group:
-                    await each.close()
+            for region_callers in self._callers.values():
+                for region_caller in region_callers:
+                    await region_caller.close()
 
     @property
     def _regions(self) -> list[str]:
@@ -139,11 +139,13 @@
         ]
 
     async def _wait_until(self, at_s: float) -> None:
+        """Sleeps until a time given in seconds after the start of the trace."""
         pause_s = self._plan.start_s + at_s - time.monotonic()
         if pause_s > 0:
             await asyncio.sleep(pause_s)
 
     async def _send(self, arrival: arrivals.Arrival) -> None:
+        """Sends an arrival from a random caller of its region and records the latency if it ran."""
         chosen = self._rng.choice(self._callers[arrival.region])
         intended_s = self._plan.start_s + arrival.at_s
         verdict = await chosen.send(arrival, intended_s=intended_s)
@@ -152,8 +154,16 @@
 
 
 def run_part(plan: Plan, *, records: pathlib.Path, part: int, parts: int) -> latency.Latencies:
-    """Sends one part of the plan's trace in this process and returns the latencies."""
+    """Sends one part of the plan's trace in this process and returns the latencies.
+
+    Args:
+        plan: Settings of the load.
+        records: File that the records are appended to.
+        part: Number of this process, from 0 to ``parts`` - 1.
+        parts: Number of load processes among which the trace is partitioned.
+    """
     trace = arrivals.partition(plan.arrivals(), parts=parts)[part]
+    # Keeps garbage collections during the run from traversing the trace and the imported modules.
     gc.collect()
     gc.freeze()
     with contextlib.ExitStack() as stack:
@@ -190,17 +200,19 @@
         blocks.setdefault(region, cidr)
     return Plan(
         entries=[
-            exchanges.EntryPoint(name=each.name, url=f"http://{each.caller}", region=each.region)
-            for each in site.instances.values()
+            exchanges.EntryPoint(
+                name=instance.name, url=f"http://{instance.caller}", region=instance.region
+            )
+            for instance in site.instances.values()
         ],
         services={
-            each.name: exchanges.CalledService(
-                idempotent=each.idempotent,
-                deadline_ms=deadline_ms or each.deadline_ms,
-                slots=each.servers * each.slots,
-                may_wait=each.may_wait,
+            service.name: exchanges.CalledService(
+                idempotent=service.idempotent,
+                deadline_ms=deadline_ms or service.deadline_ms,
+                slots=service.servers * service.slots,
+                may_wait=service.may_wait,
             )
-            for each in layout.services
+            for service in layout.services
         },
         blocks=blocks,
         client_ms=layout.client_ms,
@@ -216,9 +228,9 @@
 def as_text(latencies: latency.Latencies) -> str:
     """Returns one line of text with the latency percentiles for each service."""
     return "".join(
-        f"{service}: {each.count} ran, p50 {each.p50_ms:.1f} ms, p99 {each.p99_ms:.1f} ms, "
-        f"p99.9 {each.p999_ms:.1f} ms\n"
-        for service, each in latencies.percentiles().items()
+        f"{service}: {percentiles.count} ran, p50 {percentiles.p50_ms:.1f} ms, "
+        f"p99 {percentiles.p99_ms:.1f} ms, p99.9 {percentiles.p999_ms:.1f} ms\n"
+        for service, percentiles in latencies.percentiles().items()
     )
 
 
@@ -251,9 +263,9 @@
     layout: str,
     block: int,
     duration: float,
-    **choices: Any,
+    **trace_options: Any,
 ) -> None:
-    """Sends requests to running entry instances and records what the callers see."""
+    """Sends requests to running entry instances and records the results that callers get."""
     if plan_path is not None:
         plan = Plan.parse(json.loads(plan_path.read_text(encoding="utf-8")))
     else:
@@ -262,6 +274,6 @@
             deadline_ms=0,
             duration_s=duration,
             start_s=time.monotonic() + START_DELAY_S,
-            **choices,
+            **trace_options,
         )
     click.echo(as_text(run_part(plan, records=records, part=part, parts=parts)), nl=False)
--- a/packages/standins/tests/test_arrivals.py
+++ b/packages/standins/tests/test_arrivals.py
@@ -28,19 +28,19 @@
         """Guards against streams whose random numbers depend on which other services exist."""
         alone = trace()
         beside = trace(slots={"crew-desk": 36, "invoicing": 36})
-        self.assertEqual(alone, [each for each in beside if each.service == "crew-desk"])
+        self.assertEqual(alone, [arrival for arrival in beside if arrival.service == "crew-desk"])
         self.assertNotEqual(alone, trace(seed=2))
 
     def test_offered_work_matches_the_load(self):
         """Guards against a wrong rate: work that arrives per second must be load times slots."""
-        work_s = sum(each.service_s for each in trace(duration_s=300.0))
+        work_s = sum(arrival.service_s for arrival in trace(duration_s=300.0))
         self.assertAlmostEqual(work_s / 300.0 / 36, 0.75, delta=0.03)
 
     def test_partition_keeps_every_arrival_once(self):
         """Guards against arrivals that no load process sends, or more than one."""
         whole = trace()
         parts = arrivals.partition(whole, parts=3)
-        self.assertEqual(sorted(itertools.chain(*parts), key=lambda each: each.at_s), whole)
+        self.assertEqual(sorted(itertools.chain(*parts), key=lambda arrival: arrival.at_s), whole)
 
 
 class IdealTest(unittest.TestCase):
@@ -48,7 +48,9 @@
 
     def test_loss_matches_erlang_b(self):
         """Guards against a simulated refusal rate that differs from the Erlang B formula."""
-        jobs = [(each.at_s, each.service_s) for each in trace(load=0.85, duration_s=1000.0)]
+        jobs = [
+            (arrival.at_s, arrival.service_s) for arrival in trace(load=0.85, duration_s=1000.0)
+        ]
         waits = ideal.pooled_waits(jobs, slots=36)
         refused = sum(wait is None for wait in waits) / len(waits)
         expected = ideal.erlang_b(slots=36, offered=0.85 * 36)
--- a/packages/standins/tests/test_load.py
+++ b/packages/standins/tests/test_load.py
@@ -36,7 +36,7 @@
         made = caller.Caller(
             session=self.session,
             region="bkk",
-            entries=[each.entry_point for each in entries],
+            entries=[entry.entry_point for entry in entries],
             services=SERVICES,
             client_ms=0.0,
             region_ms=0.0,
@@ -58,7 +58,7 @@
         return await self.caller.send(arrival, intended_s=time.monotonic())
 
     def attempts(self):
-        return [each for each in self.records if isinstance(each, history.Attempt)]
+        return [record for record in self.records if isinstance(record, history.Attempt)]
 
     async def test_each_ticket_serves_one_request(self):
         """Guards against two requests under one key, as the second one would never run."""
@@ -87,16 +87,16 @@
         self.entries[1].script = ["unknown"]
         verdict = await self.send()
         self.assertEqual((verdict.outcome, verdict.attempts), ("ran", 3))
-        keys = {each.key for each in self.attempts()}
+        keys = {attempt.key for attempt in self.attempts()}
         self.assertEqual(len(keys), 1)
         self.assertEqual(keys, set(self.entries[0].keys) | set(self.entries[1].keys))
 
-    async def test_unavailable_instance_is_replaced_and_its_ticket_too(self):
+    async def test_unavailable_instance_leads_to_a_new_ticket(self):
         """Guards against retrying with the ticket of an instance that is not available."""
         self.entries[0].script = ["unavailable"]
         verdict = await self.send()
         self.assertEqual((verdict.outcome, verdict.attempts), ("ran", 2))
-        self.assertEqual(len({each.key for each in self.attempts()}), 2)
+        self.assertEqual(len({attempt.key for attempt in self.attempts()}), 2)
 
     async def test_refusal_is_final(self):
         """Guards against retries of refused requests, which would hide refusals behind waiting."""
@@ -119,7 +119,7 @@
         verdict = await self.send("quote-desk")
         self.assertEqual(verdict.outcome, "unknown")
 
-    async def test_foreign_and_short_answers_are_noticed(self):
+    async def test_wrong_and_incomplete_responses_are_recorded(self):
         """Guards against verdicts that do not show wrong or incomplete responses to the checker."""
         self.entries[0].script = ["foreign", "short"]
         verdict = await self.send(request="r1")
@@ -127,7 +127,7 @@
         verdict = await self.send(request="r2")
         self.assertEqual((verdict.whole, verdict.own), (False, True))
 
-    async def test_no_instance_gives_a_verdict_too(self):
+    async def test_failed_lookup_gives_a_verdict(self):
         """Guards against requests without a verdict when no instance answers a lookup."""
         await self.entries[0].stop()
         verdict = await self.send()
@@ -136,7 +136,7 @@
     async def test_load_tool_gives_every_arrival_a_verdict(self):
         """Guards against records lost when the tool stops, and plans that JSON does not keep."""
         plan = load.Plan(
-            entries=[each.entry_point for each in self.entries],
+            entries=[entry.entry_point for entry in self.entries],
             services=SERVICES,
             blocks={"bkk": "10.0.0.0/16"},
             client_ms=0.0,
@@ -154,7 +154,7 @@
                 tool = load.LoadTool(plan=plan, writer=writer, part=0)
                 await tool.run(plan.arrivals())
             records = list(history.read([path]))
-        verdicts = [each for each in records if isinstance(each, history.Verdict)]
+        verdicts = [record for record in records if isinstance(record, history.Verdict)]
         self.assertEqual(len(verdicts), len(plan.arrivals()))
         self.assertEqual(sum(p.count for p in tool.latencies.percentiles().values()), len(verdicts))
         self.assertEqual(list(check.NoneLost().violations(checked_history.History(records))), [])
