Clarify the report, the bench and the capacity measurements

Changed: docstrings, two option helps, one line of the report's text ("above requested" instead of "above wanted"), local names, names of two tests.

--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -103,7 +103,13 @@
         self._plan: load.Plan | None = None
 
     async def run(self) -> report.RunReport:
-        """Runs the deployment under load and returns the report."""
+        """Runs the deployment under load and returns the report.
+
+        Raises:
+            processes.ProcessError: A process failed or the deployment did not become ready.
+            errors.SassafraswayError: The policy could not be applied.
+            RuntimeError: The fault could not be injected.
+        """
         shutil.rmtree(self._directory, ignore_errors=True)
         self._directory.mkdir(parents=True)
         started_s, cpu_before_s = time.monotonic(), _children_cpu_s()
@@ -163,6 +169,7 @@
             await asyncio.gather(*(child.kill() for child in children))
 
     def _load_process(self, plan: pathlib.Path, part: int, parts: int) -> processes.ChildProcess:
+        """Returns a load process, which is not yet started, for one part of the trace."""
         records = self._directory / "records" / f"load-{part}.jsonl"
         command = [*processes.script("sassafrasway-standins"), "load", "--plan", str(plan)]
         command += ["--records", str(records), "--part", str(part), "--parts", str(parts)]
@@ -170,6 +177,7 @@
         return processes.ChildProcess(name=f"load-{part}", command=command, log=log)
 
     async def _inject_fault(self, cluster: launcher.Cluster) -> None:
+        """Waits for the start of the fault in the measured part of the trace and injects it."""
         duration_s = self._options.duration_s
         fault_s = self._plan.start_s + self._options.warm_up_s + FAULT_START_FRACTION * duration_s
         await asyncio.sleep(fault_s - time.monotonic())
@@ -192,7 +200,8 @@
     """Applies the layout's policy as the first revision, through the first entry instance.
 
     Raises:
-        errors.SassafraswayError: The instance rejected it, or was unavailable for too long.
+        errors.SassafraswayError: The instance rejected the policy, or was still unavailable after
+            ``POLICY_TIMEOUT_S``.
     """
     document = cluster.site.policy()
     change = json.dumps(
@@ -219,7 +228,7 @@
     """Waits until, for each service and region, all lookups name an instance of that region first.
 
     Raises:
-        processes.ProcessError: Some lookups still do not after ``READY_TIMEOUT_S``.
+        processes.ProcessError: Some lookups do not yet do so after ``READY_TIMEOUT_S``.
     """
     site = cluster.site
     pending = {
@@ -264,6 +273,7 @@
 
 
 def _children_cpu_s() -> float:
+    """Returns the CPU time of the child processes that have ended, s."""
     usage = resource.getrusage(resource.RUSAGE_CHILDREN)
     return usage.ru_utime + usage.ru_stime
 
@@ -283,13 +293,13 @@
 @click.option("--load", default=0.75, show_default=True, help="Offered load, 1.0 = all slots.")
 @click.option("--fault", type=click.Choice(list(faults.FAULTS)), default="none", show_default=True)
 @click.option("--seed", default=1, show_default=True, help="Seed of arrivals and service times.")
-@click.option("--duration", default=20.0, show_default=True, help="Length of the load, s.")
+@click.option("--duration", default=20.0, show_default=True, help="Length of the measured part, s.")
 @click.option(
     "--warm-up",
     "warm_up_s",
     default=4.0,
     show_default=True,
-    help="Load before the measured part, s.",
+    help="Length of the load before the measured part, s.",
 )
 @click.option(
     "--placement",
@@ -324,9 +334,12 @@
     show_default=True,
     help="Directory for reports and records.",
 )
-def command(results: pathlib.Path, duration: float, **choices: Any) -> None:
-    """Runs a deployment under load and reports latency, refusals and violations."""
-    options = Options(duration_s=duration, **choices)
+def command(results: pathlib.Path, duration: float, **run_options: Any) -> None:
+    """Runs a deployment under load and reports latency, refusals and violations.
+
+    Exits with 1 if a rule is violated.
+    """
+    options = Options(duration_s=duration, **run_options)
     bench = Bench(options=options, directory=results / options.name)
     run_report = asyncio.run(bench.run())
     click.echo(write_report(run_report, name=options.name, results=results), nl=False)
--- a/packages/standins/src/sassafrasway_standins/capacity.py
+++ b/packages/standins/src/sassafrasway_standins/capacity.py
@@ -30,7 +30,7 @@
 DESIGN_MEMBERS_OF_REGION = 67
 DESIGN_POOLS_OF_MEMBER = 1
 SERVERS_IN_POOL = 4
-LOOKUPS = 20_000
+LOOKUPS = 20_000  # in each measurement of the time of a lookup
 US_PER_S = 1_000_000
 PREFIX_LENGTHS = (24, 22, 20)
 
@@ -118,7 +118,7 @@
     def value(self, size: int) -> float:
         """See base class."""
         regions = {f"r{number}": {} for number in range(DESIGN_REGIONS)}
-        blocks = {each.cidr: {"region": each.region} for each in client_blocks(size)}
+        blocks = {block.cidr: {"region": block.region} for block in client_blocks(size)}
         document = json.dumps({"regions": regions, "blocks": blocks})
         del blocks
         return retained_bytes(
@@ -127,7 +127,7 @@
 
 
 class LookupTime(Measure):
-    """Time of one lookup in the block table."""
+    """Mean time of a lookup in the block table; the shortest of three measurements."""
 
     name = "look-up time"
     unit = "us"
--- a/packages/standins/src/sassafrasway_standins/capacity_fleet.py
+++ b/packages/standins/src/sassafrasway_standins/capacity_fleet.py
@@ -1,4 +1,4 @@
-"""Measures the cost of running entry instances: control work by fleet size, and lookups."""
+"""Measures the cost of running entry instances: idle fleets of several sizes, and lookups."""
 
 import asyncio
 import dataclasses
@@ -34,9 +34,10 @@
         members_of_region: Mean number of instances for each coordinator, that is, for each region.
         member_cpu: Median CPU use of instances that are not coordinators, cores.
         coordinator_cpu: Median CPU use of coordinators, cores.
-        memory_mb: Median resident memory of an instance, MB.
-        reads_per_s: Rate at which the whole fleet reads the table and the instance list.
-        writes_per_s: Rate at which the whole fleet writes to the table.
+        memory_mb: Median resident memory of an instance, MiB.
+        reads_per_s: Reads of the table, the object store and the instance list by the whole fleet,
+            per second.
+        writes_per_s: Writes to the table and the object store by the whole fleet, per second.
     """
 
     instances: int
@@ -49,17 +50,20 @@
 
 
 def _cpu_s(pid: int) -> float:
+    """Returns the CPU time that a process has used so far, user and system, s."""
     fields = pathlib.Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
 
 
 def _memory_mb(pid: int) -> float:
+    """Returns the resident memory of a process, MiB."""
     status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="ascii")
-    line = next(each for each in status.splitlines() if each.startswith("VmRSS:"))
+    line = next(line for line in status.splitlines() if line.startswith("VmRSS:"))
     return int(line.split()[1]) / 1024
 
 
 async def _apply_policy(cluster: launcher.Cluster) -> None:
+    """Applies the layout's policy and waits until all instances are ready, then ``SETTLE_S``."""
     operator = client.RpcClient(
         address=cluster.site.instances[cluster.entry_names[0]].rpc,
         service=schema.config.Operator,
@@ -78,6 +82,7 @@
 
 
 async def _idle_cost(cluster: launcher.Cluster) -> FleetCost:
+    """Measures a fleet without requests for ``IDLE_S``."""
     names = cluster.entry_names
     pids = {name: cluster.process(name).pid for name in names}
     dumps = {name: await cluster.dump(name) for name in names}
@@ -103,7 +108,7 @@
     """Returns pairs of a number of lookups and the CPU time that they took, us."""
     name = cluster.entry_names[0]
     instance = cluster.site.instances[name]
-    address = next(each for each in cluster.site.client_blocks if "." in each).partition("/")[0]
+    address = next(cidr for cidr in cluster.site.client_blocks if "." in cidr).partition("/")[0]
     params = {"service": "quote-archive", "client": address}
     costs = []
     async with aiohttp.ClientSession() as session:
@@ -124,7 +129,10 @@
 
 
 async def measure() -> dict:
-    """Runs a fleet of each size, one after the other, and returns measured and fitted costs."""
+    """Runs a fleet of each size, one after the other, and returns measured and fitted costs.
+
+    Lookups are measured on the smallest fleet.
+    """
     fleets = []
     lookups: list[tuple[int, float]] = []
     for size in FLEET_SIZES:
@@ -137,11 +145,11 @@
                 fleets.append(await _idle_cost(cluster))
                 if size == FLEET_SIZES[0]:
                     lookups = await _lookup_cost_us(cluster)
-    members = [each.members_of_region for each in fleets]
-    slope, intercept = numpy.polyfit(members, [each.coordinator_cpu for each in fleets], 1)
+    members = [fleet.members_of_region for fleet in fleets]
+    slope, intercept = numpy.polyfit(members, [fleet.coordinator_cpu for fleet in fleets], 1)
     lookup_slope, lookup_intercept = numpy.polyfit(*zip(*lookups, strict=True), 1)
     return {
-        "fleets": [dataclasses.asdict(each) for each in fleets],
+        "fleets": [dataclasses.asdict(fleet) for fleet in fleets],
         "coordinator_cpu_per_member": float(slope),
         "coordinator_cpu_at_0": float(intercept),
         "lookups": [{"count": count, "cpu_us": cost} for count, cost in lookups],
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -75,8 +75,8 @@
             whole fault only if the end is within the load's duration.
         drain_s: Time from the start of a drain until the last run of the server ended, or from the
             stop order of an instance until it stopped, by server or instance, s.
-        server_s: Mean time of requests at the servers beyond their requested service time, s; shows
-            how much the loaded machine distorts the run.
+        server_s: Mean time of completed requests at the servers beyond the service time that they
+            requested, s; shows how much the loaded machine distorts the run.
         tool_late_s: 99th percentile of the delay with which the load tool started requests, s.
         late_start_s: 99th percentile of the delay of first attempts after the intended time, s; it
             includes the lookup that some of them need.
@@ -131,63 +131,82 @@
     """
     run_history = checked_history.History(records)
     violations = check.check(records)
-    by_rule = collections.Counter(each.rule for each in violations)
+    by_rule = collections.Counter(violation.rule for violation in violations)
     by_service: dict[str, list[arrivals.Arrival]] = {name: [] for name in sorted(services)}
     for arrival in trace:
         by_service[arrival.service].append(arrival)
     reports = {
-        name: _service_report(run_history, jobs, services[name], client_ms, warm_up_s)
-        for name, jobs in by_service.items()
+        name: _service_report(run_history, service_arrivals, services[name], client_ms, warm_up_s)
+        for name, service_arrivals in by_service.items()
     }
     return RunReport(
         settings=settings,
         services=reports,
-        sheds=sum(each.outcome == "shed" for each in records if isinstance(each, history.Run)),
+        sheds=sum(
+            record.outcome == "shed" for record in records if isinstance(record, history.Run)
+        ),
         ran_twice=by_rule[check.AtMostOnce.name],
-        lost=sum(each.lost for each in reports.values()),
+        lost=sum(service.lost for service in reports.values()),
         fault_s=_fault_s(run_history, records),
         drain_s=_drain_s(run_history, records),
         server_s=_server_overhead_s(run_history, trace),
-        tool_late_s=_p99(each.late_s for each in run_history.intents.values()),
+        tool_late_s=_p99(intent.late_s for intent in run_history.intents.values()),
         late_start_s=_late_start_s(run_history),
         violations=dict(by_rule),
-        first_violations=[str(each) for each in violations[:20]],
+        first_violations=[str(violation) for violation in violations[:20]],
     )
 
 
 def _service_report(
     run_history: checked_history.History,
-    all_jobs: Sequence[arrivals.Arrival],
+    all_arrivals: Sequence[arrivals.Arrival],
     service: exchanges.CalledService,
     client_ms: float,
     warm_up_s: float,
 ) -> ServiceReport:
-    first = sum(each.at_s < warm_up_s for each in all_jobs)
-    jobs = all_jobs[first:]
-    ideal_waits = _ideal_waits(all_jobs, service)[first:]
+    """Returns the report of one service.
+
+    The ideal pool also serves the arrivals of the warm-up, as they may occupy slots beyond its end.
+
+    Args:
+        run_history: Records of the whole run.
+        all_arrivals: Arrivals of the service, including the warm-up.
+        service: Properties of the service.
+        client_ms: One-way delay to clients, ms.
+        warm_up_s: Length of the warm-up, s.
+    """
+    warm_up_count = sum(arrival.at_s < warm_up_s for arrival in all_arrivals)
+    measured_arrivals = all_arrivals[warm_up_count:]
+    ideal_waits = _ideal_waits(all_arrivals, service)[warm_up_count:]
     verdicts = [
-        run_history.verdicts[job.request] for job in jobs if job.request in run_history.verdicts
+        run_history.verdicts[arrival.request]
+        for arrival in measured_arrivals
+        if arrival.request in run_history.verdicts
+    ]
+    attempts = [
+        attempt
+        for arrival in measured_arrivals
+        for attempt in run_history.attempts.get(arrival.request, ())
     ]
-    attempts = [each for job in jobs for each in run_history.attempts.get(job.request, ())]
-    outcomes = collections.Counter(each.outcome for each in verdicts)
+    outcomes = collections.Counter(verdict.outcome for verdict in verdicts)
     network_s = 2 * client_ms / MS_PER_S
-    latencies_s, waits_s = _latencies_and_waits_s(run_history, jobs, network_s)
+    latencies_s, waits_s = _latencies_and_waits_s(run_history, measured_arrivals, network_s)
     ideal_latency = _percentiles(
-        wait + job.service_s + network_s
-        for wait, job in zip(ideal_waits, jobs, strict=True)
+        wait + arrival.service_s + network_s
+        for wait, arrival in zip(ideal_waits, measured_arrivals, strict=True)
         if wait is not None
     )
     measured_latency = _percentiles(latencies_s)
-    refusal_rate = _ratio(outcomes[history.NOT_RUN], len(jobs)) or 0.0
-    ideal_rate = _ratio(sum(wait is None for wait in ideal_waits), len(jobs)) or 0.0
+    refusal_rate = _ratio(outcomes[history.NOT_RUN], len(measured_arrivals)) or 0.0
+    ideal_rate = _ratio(sum(wait is None for wait in ideal_waits), len(measured_arrivals)) or 0.0
     return ServiceReport(
-        arrivals=len(jobs),
+        arrivals=len(measured_arrivals),
         ran=outcomes[history.RAN],
         refused=outcomes[history.NOT_RUN],
         unknown=outcomes[history.UNKNOWN],
-        lost=len(jobs) - len(verdicts),
-        retries=sum(max(0, each.attempts - 1) for each in verdicts),
-        refused_attempts=sum(each.outcome == history.NOT_RUN for each in attempts),
+        lost=len(measured_arrivals) - len(verdicts),
+        retries=sum(max(0, verdict.attempts - 1) for verdict in verdicts),
+        refused_attempts=sum(attempt.outcome == history.NOT_RUN for attempt in attempts),
         refusal_rate=refusal_rate,
         ideal_refusal_rate=ideal_rate,
         refusal_ratio=_ratio(refusal_rate, ideal_rate),
@@ -203,27 +222,29 @@
 
 
 def _latencies_and_waits_s(
-    run_history: checked_history.History, jobs: Iterable[arrivals.Arrival], network_s: float
+    run_history: checked_history.History,
+    measured_arrivals: Iterable[arrivals.Arrival],
+    network_s: float,
 ) -> tuple[list[float], list[float]]:
     """Returns latencies and waiting times, s, of the requests that ran."""
     latencies_s, waits_s = [], []
-    for job in jobs:
+    for arrival in measured_arrivals:
         verdict, intent = (
-            run_history.verdicts.get(job.request),
-            run_history.intents.get(job.request),
+            run_history.verdicts.get(arrival.request),
+            run_history.intents.get(arrival.request),
         )
         if verdict and intent and verdict.outcome == history.RAN:
             latency_s = verdict.at_s - intent.at_s
             latencies_s.append(latency_s)
-            waits_s.append(max(0.0, latency_s - job.service_s - network_s))
+            waits_s.append(max(0.0, latency_s - arrival.service_s - network_s))
     return latencies_s, waits_s
 
 
 def _ideal_waits(
-    jobs: Sequence[arrivals.Arrival], service: exchanges.CalledService
+    service_arrivals: Sequence[arrivals.Arrival], service: exchanges.CalledService
 ) -> list[float | None]:
     return ideal.pooled_waits(
-        [(job.at_s, job.service_s) for job in jobs],
+        [(arrival.at_s, arrival.service_s) for arrival in service_arrivals],
         slots=service.slots,
         max_wait_s=math.inf if service.may_wait else 0.0,
     )
@@ -231,8 +252,8 @@
 
 def _percentiles(seconds: Iterable[float]) -> latency.Percentiles | None:
     latencies = latency.Latencies()
-    for each in seconds:
-        latencies.record("", each)
+    for value in seconds:
+        latencies.record("", value)
     return latencies.percentiles().get("")
 
 
@@ -247,9 +268,9 @@
     """
     return dict(
         collections.Counter(
-            f"{each.outcome} {each.status} {each.reason[:80]}".strip()
-            for each in verdicts
-            if each.outcome != history.RAN or each.status != exchanges.HTTP_OK
+            f"{verdict.outcome} {verdict.status} {verdict.reason[:80]}".strip()
+            for verdict in verdicts
+            if verdict.outcome != history.RAN or verdict.status != exchanges.HTTP_OK
         ).most_common(8)
     )
 
@@ -257,37 +278,39 @@
 def _fault_s(
     run_history: checked_history.History, records: Iterable[history.Record]
 ) -> list[float]:
-    started_s = min((each.at_s for each in run_history.intents.values()), default=0.0)
+    """Returns the times, s after the first arrival, at which the fault began and ended."""
+    started_s = min((intent.at_s for intent in run_history.intents.values()), default=0.0)
     phases = (history.INJECTED, history.ENDED)
-    events = [each for each in records if isinstance(each, history.FaultEvent)]
-    return sorted(each.at_s - started_s for each in events if each.phase in phases)
+    events = [event for event in records if isinstance(event, history.FaultEvent)]
+    return sorted(event.at_s - started_s for event in events if event.phase in phases)
 
 
 def _drain_s(
     run_history: checked_history.History, records: Iterable[history.Record]
 ) -> dict[str, float]:
-    """Returns the drain times, s, of servers (until the last run ends) and stopped instances."""
-    drains: dict[str, float] = {}
+    """Returns the drain times, s, by leaving server and by stopped instance."""
+    durations_s: dict[str, float] = {}
     for server, leaving_since_s in run_history.leaving_since_s.items():
-        ends = [each.ended_s for each in run_history.runs if each.server == server]
-        drains[server] = max(0.0, max(ends, default=leaving_since_s) - leaving_since_s)
+        ends = [run.ended_s for run in run_history.runs if run.server == server]
+        durations_s[server] = max(0.0, max(ends, default=leaving_since_s) - leaving_since_s)
     ordered_s: dict[str, float] = {}
-    for each in records:
-        if isinstance(each, history.FaultEvent) and each.phase == history.STOP_ORDERED:
-            ordered_s[each.target] = each.at_s
-        elif isinstance(each, history.FaultEvent) and each.phase == history.STOPPED:
-            drains[each.target] = each.at_s - ordered_s[each.target]
-    return drains
+    for record in records:
+        if isinstance(record, history.FaultEvent) and record.phase == history.STOP_ORDERED:
+            ordered_s[record.target] = record.at_s
+        elif isinstance(record, history.FaultEvent) and record.phase == history.STOPPED:
+            durations_s[record.target] = record.at_s - ordered_s[record.target]
+    return durations_s
 
 
 def _server_overhead_s(
     run_history: checked_history.History, trace: Iterable[arrivals.Arrival]
 ) -> float:
-    requested_s = {each.request: each.service_s for each in trace}
+    """Returns the mean time of completed runs beyond the requested service time, s."""
+    requested_s = {arrival.request: arrival.service_s for arrival in trace}
     excess_s = [
-        each.ended_s - each.at_s - requested_s[each.request]
-        for each in run_history.runs
-        if each.outcome == "ok" and each.request in requested_s
+        run.ended_s - run.at_s - requested_s[run.request]
+        for run in run_history.runs
+        if run.outcome == "ok" and run.request in requested_s
     ]
     return sum(excess_s) / len(excess_s) if excess_s else 0.0
 
@@ -314,37 +337,38 @@
         f"{'retries':>9}{'refusals':>9}{'unknown':>9}{'lost':>6}"
     )
     lines.append(header)
-    lines += [_service_line(name, each) for name, each in report.services.items()]
+    lines += [_service_line(name, service) for name, service in report.services.items()]
     lines.append("")
-    for name, each in report.services.items():
-        lines += [f"{name}: {count} x {reason}" for reason, count in each.reasons.items()]
+    for name, service in report.services.items():
+        lines += [f"{name}: {count} x {reason}" for reason, count in service.reasons.items()]
     lines.append(
         f"sheds {report.sheds}, ran twice {report.ran_twice}, lost {report.lost}, "
-        f"server time above wanted {report.server_s * MS_PER_S:.2f} ms, "
+        f"server time above requested {report.server_s * MS_PER_S:.2f} ms, "
         f"load tool late by {report.tool_late_s * MS_PER_S:.1f} ms and first attempts by "
         f"{report.late_start_s * MS_PER_S:.1f} ms (p99)"
     )
     if report.is_starved:
         lines.append("NOT VALID: the machine was too busy and the load tool sent requests late")
-    lines.append("fault from and to: " + ", ".join(f"{each:.1f} s" for each in report.fault_s))
-    lines += [f"drain {target}: {each_s:.2f} s" for target, each_s in report.drain_s.items()]
+    lines.append("fault from and to: " + ", ".join(f"{at_s:.1f} s" for at_s in report.fault_s))
+    lines += [f"drain {target}: {drain_s:.2f} s" for target, drain_s in report.drain_s.items()]
     lines.append(f"violations: {dict(report.violations) or 'none'}")
     lines += report.first_violations
     return "\n".join(lines) + "\n"
 
 
-def _service_line(name: str, each: ServiceReport) -> str:
-    measured, wait, ideal_wait = each.latency, each.wait, each.ideal_wait
+def _service_line(name: str, service: ServiceReport) -> str:
+    measured, wait, ideal_wait = service.latency, service.wait, service.ideal_wait
     return (
-        f"{name:<15}{each.arrivals:>9}"
+        f"{name:<15}{service.arrivals:>9}"
         f"{_number(measured and measured.p50_ms, 9)}{_number(measured and measured.p99_ms, 9)}"
-        f"{_number(measured and measured.p999_ms, 10)}{_number(each.p99_ratio, 10, 2)}"
-        f"{each.refusal_rate:>9.2%}{each.ideal_refusal_rate:>8.2%}"
-        f"{_number(each.refusal_ratio, 7, 2)}"
+        f"{_number(measured and measured.p999_ms, 10)}{_number(service.p99_ratio, 10, 2)}"
+        f"{service.refusal_rate:>9.2%}{service.ideal_refusal_rate:>8.2%}"
+        f"{_number(service.refusal_ratio, 7, 2)}"
         f"{_number(wait and wait.p99_ms, 10)}{_number(ideal_wait and ideal_wait.p99_ms, 8)}"
-        f"{each.retries:>9}{each.refused_attempts:>9}{each.unknown:>9}{each.lost:>6}"
+        f"{service.retries:>9}{service.refused_attempts:>9}{service.unknown:>9}{service.lost:>6}"
     )
 
 
 def _number(value: float | None, width: int, digits: int = 1) -> str:
+    """Formats a number right-aligned; None as a dash."""
     return f"{'-':>{width}}" if value is None else f"{value:>{width}.{digits}f}"
--- a/packages/standins/tests/test_report.py
+++ b/packages/standins/tests/test_report.py
@@ -16,7 +16,7 @@
 )
 
 
-def job(number, *, at_s):
+def make_arrival(number, *, at_s):
     """Returns an arrival that takes one second of service."""
     return arrivals.Arrival(
         request=f"r{number}",
@@ -49,11 +49,11 @@
     return records
 
 
-def build(jobs, records, *, warm_up_s=0.0):
-    """Returns the report on the jobs and their records."""
+def build(trace, records, *, warm_up_s=0.0):
+    """Returns the report on a trace and its records."""
     return report.build(
         settings={"layout": "sila"},
-        trace=jobs,
+        trace=trace,
         services=SERVICES,
         client_ms=0.0,
         warm_up_s=warm_up_s,
@@ -65,31 +65,36 @@
     """Guards against results that do not follow from the records."""
 
     def setUp(self):
-        self.jobs = [job(0, at_s=0.0), job(1, at_s=0.5), job(2, at_s=3.0), job(3, at_s=6.0)]
+        self.trace = [
+            make_arrival(0, at_s=0.0),
+            make_arrival(1, at_s=0.5),
+            make_arrival(2, at_s=3.0),
+            make_arrival(3, at_s=6.0),
+        ]
         outcomes = [history.RAN, history.NOT_RUN, history.NOT_RUN, None]
         self.records = [
             record
-            for each, outcome in zip(self.jobs, outcomes, strict=True)
-            for record in records_of(each, outcome=outcome, wait_s=0.25)
+            for arrival, outcome in zip(self.trace, outcomes, strict=True)
+            for record in records_of(arrival, outcome=outcome, wait_s=0.25)
         ]
 
     def test_refusals_are_compared_with_the_ideal_on_the_same_arrivals(self):
         """Guards against comparing measured and ideal rates of different arrivals."""
-        service = build(self.jobs, self.records).services["crew-desk"]
+        service = build(self.trace, self.records).services["crew-desk"]
         self.assertEqual((service.ran, service.refused, service.lost), (1, 2, 1))
         self.assertEqual((service.refusal_rate, service.ideal_refusal_rate), (0.5, 0.25))
         self.assertEqual(service.refusal_ratio, 2.0)
 
-    def test_warm_up_counts_for_no_figure(self):
+    def test_warm_up_is_left_out(self):
         """Guards against refusals during the ramp-up of idle servers in the steady-state rate."""
-        service = build(self.jobs, self.records, warm_up_s=0.4).services["crew-desk"]
+        service = build(self.trace, self.records, warm_up_s=0.4).services["crew-desk"]
         self.assertEqual((service.arrivals, service.ran, service.refused), (3, 0, 2))
         # The first request is not counted but still occupies the only slot of the ideal pool.
         self.assertAlmostEqual(service.ideal_refusal_rate, 1 / 3)
 
     def test_latency_counts_from_the_intended_arrival(self):
         """Guards against coordinated omission and against service time counted as waiting."""
-        service = build(self.jobs, self.records).services["crew-desk"]
+        service = build(self.trace, self.records).services["crew-desk"]
         self.assertAlmostEqual(service.latency.p50_ms, 1250, delta=2)
         self.assertAlmostEqual(service.wait.p50_ms, 250, delta=1)
 
@@ -101,33 +106,35 @@
             for phase in (history.STOP_ORDERED, history.STOPPED)
         ]
         injected = history.FaultEvent(at_s=102.0, fault="replace-all", phase=history.INJECTED)
-        built = build(self.jobs, [*self.records, leaving, *stop, injected])
+        built = build(self.trace, [*self.records, leaving, *stop, injected])
         self.assertEqual(built.fault_s, [2.0])
         self.assertEqual(built.drain_s, {"crew-1": 0.75, "e1": 0.0})
 
-    def test_sheds_and_breaches_are_counted(self):
+    def test_sheds_and_violations_are_counted(self):
         """Guards against a report that hides violations that the checker found."""
         shed = history.Run(
             at_s=1.0, ended_s=1.0, request="r1", server="crew-1", outcome="shed", ran=False
         )
         again = history.Run(at_s=120.0, ended_s=121.0, request="r0", server="crew-1")
-        built = build(self.jobs, [*self.records, shed, again])
+        built = build(self.trace, [*self.records, shed, again])
         self.assertEqual((built.sheds, built.ran_twice, built.lost), (1, 1, 1))
         self.assertEqual(dict(built.violations), {"at-most-once": 1, "none-lost": 1})
 
     def test_starved_load_tool_makes_the_figures_invalid(self):
         """Guards against taking delays of a busy machine for those of the system."""
         late = [
-            dataclasses.replace(each, late_s=0.2) if isinstance(each, history.Intent) else each
-            for each in self.records
+            dataclasses.replace(record, late_s=0.2)
+            if isinstance(record, history.Intent)
+            else record
+            for record in self.records
         ]
-        self.assertNotIn("NOT VALID", report.as_text(build(self.jobs, self.records)))
-        self.assertIn("NOT VALID", report.as_text(build(self.jobs, late)))
+        self.assertNotIn("NOT VALID", report.as_text(build(self.trace, self.records)))
+        self.assertIn("NOT VALID", report.as_text(build(self.trace, late)))
 
     def test_report_has_a_json_and_a_text_form(self):
         """Guards against results that cannot be written, also when some are missing."""
-        for jobs, records in ((self.jobs, self.records), ([], [])):
-            built = build(jobs, records)
+        for trace, records in ((self.trace, self.records), ([], [])):
+            built = build(trace, records)
             self.assertIn("crew-desk", json.loads(json.dumps(built.dump()))["services"])
             self.assertIn("crew-desk", report.as_text(built))
 
