State the exit code and the arguments of the test runner

Unclear: main() did not say that a run without tests or with a missing listed test fails as well, collect() did not describe its arguments, and "known red" is not a usual term. Changed: two docstrings and the line printed for each test that is listed in KNOWN-RED.txt ("known failure, not run"). What runs and the exit codes are unchanged.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -32,7 +32,12 @@
 
 
 def collect(pattern, packages):
-    """Returns all tests of the packages, each discovered from its own test directory."""
+    """Returns the tests of the packages, each discovered from its own test directory.
+
+    Args:
+        pattern: Glob pattern of the names of test modules.
+        packages: Names of the folders that contain the test directories; empty for all.
+    """
     tests = []
     for directory in sorted([*ROOT.glob("packages/*/tests"), *ROOT.glob("platform/tests")]):
         if packages and directory.parent.name not in packages:
@@ -43,7 +48,11 @@
 
 
 def main():
-    """Runs the tests and returns the exit code."""
+    """Runs the tests and returns the exit code.
+
+    The exit code is 1 if a test failed, if no test ran, or if a run of all tests does not find a
+    test that KNOWN-RED.txt lists.
+    """
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--pattern", default="test_*.py")
     parser.add_argument("--package", action="append", default=[])
@@ -54,7 +63,7 @@
     suite = unittest.TestSuite(test for test in tests if test.id() not in known_failures)
     result = unittest.TextTestRunner(verbosity=1, buffer=True).run(suite)
     for test_id in skipped_ids:
-        print(f"known red, not run: {test_id}")
+        print(f"known failure, not run: {test_id}")
     missing = sorted(known_failures - set(skipped_ids))
     if not options.package and options.pattern == "test_*.py":
         for test_id in missing:
