Name the state of the coordinator task and the directories after what it holds

The coordinator task stored the time of the last action in _due_s and the version of its directory in _version; loop variables named each hid whether they were instances, grants or directories, and depose(0) was not explained. The fields and variables are renamed, and the docstrings say which exchange address, probe and missing share they mean and what read raises.

Only wording changed.

--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -96,10 +96,11 @@
         self._rng = rng
         self._state: coordinator.CoordinatorState | None = None
         self._policy: model.Policy | None = None
-        self._version = 0
+        self._directory_version = 0
         self._tick_requested = False
         self._table_failed = False
-        self._due_s: dict[str, float] = {}
+        self._last_action_s: dict[str, float] = {}
+        # Epoch and version of the own directory that another region's coordinator has, by region.
         self._delivered_versions: dict[str, tuple[int, int]] = {}
         self._background = background.Background(name="coordinator")
         self._log = structlog.get_logger("coordinator").bind(instance=str(me.id))
@@ -122,13 +123,17 @@
             won_election=won,
         )
         self._policy = None
-        self._version = 0
+        self._directory_version = 0
         self._delivered_versions = {}
         self._tick_requested = True
         self._log.info("became coordinator", epoch=won.row.epoch, members=len(won.row.members))
 
     def depose(self, epoch: int) -> None:
-        """Ends the role when it was deposed, or when ``epoch`` is higher than its own."""
+        """Ends the role when another coordinator has a higher epoch.
+
+        Args:
+            epoch: Epoch of another coordinator, or 0 to check only whether the state is deposed.
+        """
         if self._state is not None and (self._state.deposed or epoch > self._state.epoch):
             self._state.depose()
             self._log.info("no longer coordinator", epoch=self._state.epoch)
@@ -140,8 +145,9 @@
         reply = self._state.on_heartbeat(heartbeat)
         if (message.revision or 0) > self._revision_source():
             self._on_revision(message.revision, heartbeat.sender.rpc_address)
-        current = heartbeat.epoch == self._state.epoch
-        mark = (message.directory_mark or 0) if current else 0
+        # A mark is valid only at the coordinator that returned it.
+        is_same_epoch = heartbeat.epoch == self._state.epoch
+        mark = (message.directory_mark or 0) if is_same_epoch else 0
         changed = self._directory.changed_since(mark) if reply.accepted else ()
         return control_conversion.to_heartbeat_reply(
             reply,
@@ -267,22 +273,24 @@
         except errors.SassafraswayError as error:
             self._log.info("could not fetch the instance list", reason=error.message)
             return
-        self._members.record_list((each.name for each in listed), started_s=started_s)
+        self._members.record_list((instance.name for instance in listed), started_s=started_s)
 
     def _publish_directory(self) -> None:
         """Replaces the directory of this region when its content has changed."""
         new = directory.RegionDirectory(
             region=self._me.region,
             epoch=self._state.epoch,
-            version=self._version,
+            version=self._directory_version,
             coordinator=self._me,
-            instances=tuple(self._with_liveness(each) for each in self._members.instances()),
+            instances=tuple(
+                self._with_liveness(instance) for instance in self._members.instances()
+            ),
             owners=self._state.owners(),
             gone=tuple(self._members.gone()[-MAX_GONE_IN_DIRECTORY:]),
         )
-        if self._version == 0 or new != self._directory.region(self._me.region):
-            self._version += 1
-            self._directory.update([dataclasses.replace(new, version=self._version)])
+        if self._directory_version == 0 or new != self._directory.region(self._me.region):
+            self._directory_version += 1
+            self._directory.update([dataclasses.replace(new, version=self._directory_version)])
 
     def _with_liveness(self, instance: region.Instance) -> region.Instance:
         if self._members.state(instance.id) is membership.State.SILENT:
@@ -290,7 +298,7 @@
         return instance
 
     def _other_regions(self) -> set[str]:
-        names = {each.region for each in self._directory.regions()}
+        names = {known.region for known in self._directory.regions()}
         if self._policy is not None:
             names |= set(self._policy.regions)
         return names - {self._me.region}
@@ -330,8 +338,10 @@
         """Returns the RPC address to ask about a region, or None when none is known.
 
         After a successful exchange this is the known coordinator of the region. Otherwise the
-        coordinator may have changed, so half of the attempts use the region's row in the table, or
-        a random instance when the row names no later coordinator.
+        coordinator may have changed, so half of the attempts use the coordinator in the region's
+        row in the table, or a random instance when the row cannot be read or names no later
+        coordinator. When no directory of the region is known, every attempt uses the row, or a
+        random seed when the row is missing or cannot be read.
         """
         known = self._directory.region(name)
         if known is not None and (name in self._delivered_versions or self._rng.random() < 0.5):
@@ -342,16 +352,16 @@
             row = None
         if row is not None and (known is None or row.epoch > known.epoch):
             return row.coordinator.rpc_address
-        addresses = [each.rpc_address for each in known.instances] if known else []
-        addresses = addresses or [each for each in self._seeds if each != self._me.rpc_address]
+        addresses = [instance.rpc_address for instance in known.instances] if known else []
+        addresses = addresses or [seed for seed in self._seeds if seed != self._me.rpc_address]
         return self._rng.choice(addresses) if addresses else None
 
-    def _due(self, kind: str, every_s: float) -> bool:
-        """Returns whether an action may be repeated now; if so, records that it is."""
+    def _due(self, kind: str, interval_s: float) -> bool:
+        """Returns whether an action is due; if so, records that it takes place now."""
         now = self._clock.monotonic()
-        if now < self._due_s.get(kind, 0.0) + every_s:
+        if now < self._last_action_s.get(kind, 0.0) + interval_s:
             return False
-        self._due_s[kind] = now
+        self._last_action_s[kind] = now
         return True
 
 
@@ -405,7 +415,7 @@
         address,
         "directory",
         timeout_s=CALL_TIMEOUT_S,
-        directories=[control_conversion.to_directory(each) for each in sent],
+        directories=[control_conversion.to_directory(entry) for entry in sent],
         known=control_conversion.to_versions(known),
     )
-    return [control_conversion.from_directory(each) for each in messages]
+    return [control_conversion.from_directory(message) for message in messages]
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -42,6 +42,7 @@
 
     def __init__(self):
         self._regions: dict[str, RegionDirectory] = {}
+        # Value of ``_mark`` after the last change of a directory, by region name.
         self._marks: dict[str, int] = {}
         self._mark = 0
         self._by_name: dict[str, region.Instance] = {}
@@ -65,7 +66,9 @@
 
     def at_address(self, rpc_address: str) -> region.Instance | None:
         """Returns the instance that advertises an RPC address, or None."""
-        matches = (each for each in self._by_name.values() if each.rpc_address == rpc_address)
+        matches = (
+            instance for instance in self._by_name.values() if instance.rpc_address == rpc_address
+        )
         return next(matches, None)
 
     def instances(self, region_name: str | None = None) -> list[region.Instance]:
@@ -100,7 +103,9 @@
 
     def changed_since(self, mark: int) -> list[RegionDirectory]:
         """Returns the directories that changed after ``mark`` was read."""
-        return [self._regions[name] for name, each in self._marks.items() if each > mark]
+        return [
+            self._regions[name] for name, changed_mark in self._marks.items() if changed_mark > mark
+        ]
 
     def newer_than(self, known: Mapping[str, tuple[int, int]]) -> list[RegionDirectory]:
         """Returns the directories that are newer than ``known``.
@@ -110,19 +115,19 @@
                 directories are returned.
         """
         return [
-            each
-            for each in self._regions.values()
-            if not known or (each.region in known and each.order > known[each.region])
+            entry
+            for entry in self._regions.values()
+            if not known or (entry.region in known and entry.order > known[entry.region])
         ]
 
     def update(self, directories: Iterable[RegionDirectory]) -> bool:
         """Stores the directories that are newer; returns whether there was one."""
         changed = False
-        for each in directories:
-            known = self._regions.get(each.region)
-            if known is None or each.order > known.order:
+        for received in directories:
+            known = self._regions.get(received.region)
+            if known is None or received.order > known.order:
                 changed = True
-                self._replace(each)
+                self._replace(received)
         return changed
 
     def _replace(self, new: RegionDirectory) -> None:
@@ -132,17 +137,17 @@
         self._regions[new.region] = new
         self._mark += 1
         self._marks[new.region] = self._mark
-        by_id = {each.id: each for each in new.instances}
-        self._by_name.update((each.name, each) for each in new.instances)
+        by_id = {instance.id: instance for instance in new.instances}
+        self._by_name.update((instance.name, instance) for instance in new.instances)
         for pool, owner in new.owners.items():
             if owner in by_id:
                 self._owners[pool] = by_id[owner]
         self._gone.update(dict.fromkeys(new.gone))
 
     def _remove(self, old: RegionDirectory) -> None:
-        for each in old.instances:
-            self._by_name.pop(each.name, None)
+        for instance in old.instances:
+            self._by_name.pop(instance.name, None)
         for pool in old.owners:
             self._owners.pop(pool, None)
-        for each in old.gone:
-            self._gone.pop(each, None)
+        for instance in old.gone:
+            self._gone.pop(instance, None)
--- a/packages/entry/src/sassafrasway_entry/joining.py
+++ b/packages/entry/src/sassafrasway_entry/joining.py
@@ -64,9 +64,9 @@
 
     async def _addresses(self) -> list[str]:
         addresses = set(self._seeds)
-        addresses |= {each.rpc_address for each in self._directory.instances()}
+        addresses |= {instance.rpc_address for instance in self._directory.instances()}
         try:
-            addresses |= {each.address for each in await self._instance_list.fetch()}
+            addresses |= {listed.address for listed in await self._instance_list.fetch()}
         except errors.SassafraswayError as error:
             self._log.info("could not fetch the instance list", reason=error.message)
         addresses.discard(self._me.rpc_address)
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -62,8 +62,9 @@
         pool_reports: Returns slots in use, rate and queue length of each pool that this instance
             uses, including pools that it may no longer use but whose requests are still running.
         revision_source: Returns the revision of the policy in force.
-        cap_demand: Returns the demand by cap name (see ``cap_grants``) in the unit of the cap,
-            including refused demand; other caps get no share.
+        cap_demand: Returns the demand, including refused demand, by cap name (see ``cap_grants``)
+            and in the unit of the cap. The first share of a cap is requested only if its name is
+            included.
         seeds: RPC addresses of instances to join through.
         on_revision: Called with a newer revision and the RPC address of an instance that has it.
         on_declared_gone: Called when a coordinator declared this instance gone and may have granted
@@ -106,6 +107,7 @@
             me=me, clock=clock, members=self._members, grants=self._grants
         )
         self._directory = directory.Directory()
+        # Epoch and directory mark of the latest reply that was applied.
         self._directory_mark = (0, 0)
         self._coordinator = coordinator_task.CoordinatorTask(
             me=me,
@@ -196,13 +198,17 @@
 
     def coordinator_addresses(self) -> list[str]:
         """Returns the RPC addresses of the coordinators of all regions."""
-        return [each.coordinator.rpc_address for each in self._directory.regions()]
+        return [known.coordinator.rpc_address for known in self._directory.regions()]
 
     def relay_addresses(self) -> list[str]:
         """Returns the other members' RPC addresses on a coordinator; on other instances none."""
         if not self.is_coordinator:
             return []
-        return [each.rpc_address for each in self._members.instances() if each.id != self.me.id]
+        return [
+            instance.rpc_address
+            for instance in self._members.instances()
+            if instance.id != self.me.id
+        ]
 
     def dump(self) -> dict[str, Any]:
         """Returns the state for the state dump as a JSON-serializable dict."""
@@ -215,12 +221,12 @@
             "is_coordinator": self.is_coordinator,
             "has_authority": state is not None and state.has_authority,
             "unanswered": [] if state is None else sorted(map(str, state.unanswered)),
-            "grants": {str(each.pool): each.share.value for each in self._grants.grants()},
+            "grants": {str(grant.pool): grant.share.value for grant in self._grants.grants()},
             "members": {
-                str(each.id): self._members.state(each.id).value
-                for each in self._members.instances()
+                str(instance.id): self._members.state(instance.id).value
+                for instance in self._members.instances()
             },
-            "regions": {each.region: list(each.order) for each in self._directory.regions()},
+            "regions": {known.region: list(known.order) for known in self._directory.regions()},
         }
 
     async def run(self) -> None:
@@ -280,7 +286,7 @@
         )
 
     def on_follow(self, *, epoch: int, coordinator: region.Instance) -> region.FollowReply:
-        """Follows a coordinator unless its epoch is lower."""
+        """Follows a coordinator unless its epoch is lower; returns what this instance holds."""
         reply = self._state.on_follow(epoch=epoch, coordinator=coordinator)
         self._coordinator.depose(reply.epoch)
         self._wake.set()
@@ -296,7 +302,11 @@
         return self.me, self._grants.epoch, self._grants.coordinator
 
     def _on_refused(self, address: str) -> None:
-        """Starts a check whether an instance whose port refused a connection is gone."""
+        """Starts a check whether an instance whose port refused a connection is gone.
+
+        The coordinator that this instance follows is checked by the next heartbeat; other
+        instances are reported to the coordinator of their region.
+        """
         coordinator = self._grants.coordinator
         if coordinator is not None and coordinator.rpc_address == address:
             if not self._members.is_gone(coordinator.id):
@@ -357,7 +367,8 @@
         if self._state.on_reply(reply, sent_s=sent_s):
             self._directory_mark = (reply.epoch, message.directory_mark or 0)
             self._directory.update(
-                control_conversion.from_directory(each) for each in message.directories or ()
+                control_conversion.from_directory(received)
+                for received in message.directories or ()
             )
         self._coordinator.depose(self._grants.epoch)
         self._publish_grants()
@@ -396,6 +407,7 @@
             self._state.on_write_ok(command, version)
 
     async def _probe(self, target: region.Instance) -> None:
+        """Probes a coordinator and follows the one that it names if that has a higher epoch."""
         identity = await coordinator_task.probe(
             self._peers, self._members, target, clock=self._clock
         )
@@ -407,7 +419,7 @@
             )
 
     def _follow_if_newer(self, epoch: int, coordinator: region.Instance) -> None:
-        """Follows a coordinator that a peer named, unless its epoch is already known."""
+        """Follows a coordinator that a peer named, if its epoch is higher than the current one."""
         if epoch > self._grants.epoch:
             self.on_follow(epoch=epoch, coordinator=coordinator)
 
--- a/packages/entry/src/sassafrasway_entry/region_table.py
+++ b/packages/entry/src/sassafrasway_entry/region_table.py
@@ -26,6 +26,7 @@
 
         Raises:
             table.StoreUnavailable: The table service is unavailable.
+            errors.ValidationError: The value is not a region row.
         """
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
--- a/packages/entry/src/sassafrasway_entry/suspicions.py
+++ b/packages/entry/src/sassafrasway_entry/suspicions.py
@@ -45,7 +45,7 @@
         self._log = structlog.get_logger("member").bind(instance=str(me.id))
 
     def report(self, address: str) -> None:
-        """Asks the coordinator of its region to probe the instance at an address."""
+        """Reports the instance at an address to the coordinator of its region, which probes it."""
         now = self._clock.monotonic()
         target = self._directory.at_address(address)
         if target is None or now < self._reported_s.get(address, 0.0) + REPORT_INTERVAL_S:
