Document the errors of the handlers and name loop variables of conversions

The handlers of the Thrift services did not say which errors they raise, ConfigStore claimed MalformedRowError for an invalid policy document, which raises ValidationError, and loop variables named each hid which kind of message is converted. Docstrings name the errors and the .thrift files, the variables are named after their objects, and the order of Peers' clients is explained.

Only wording changed.

--- a/packages/entry/src/sassafrasway_entry/config_service.py
+++ b/packages/entry/src/sassafrasway_entry/config_service.py
@@ -12,7 +12,9 @@
 
 
 class ConfigService:
-    """Handles the Config calls of peers.
+    """Handles the Config calls of peers, which are described in ``config.thrift``.
+
+    The RPC server returns the errors that the methods raise to the peer.
 
     Args:
         me: This incarnation.
@@ -33,12 +35,20 @@
         self._logger = structlog.get_logger("config.peers").bind(instance=str(me))
 
     async def push_change(self, change_json: str | None, sender_address: str | None) -> int:
-        """Processes a pushed change and returns the revision in force afterwards."""
+        """Processes a pushed change and returns the revision in force afterwards.
+
+        Raises:
+            errors.ValidationError: The change, or the policy after it, is invalid.
+        """
         change = documents.parse_change(documents.parse_json(change_json or ""))
         return await self._config.receive(change, sender=sender_address or "")
 
     async def changes_since(self, revision: int | None) -> Any:
-        """Returns the changes after a revision, or the full policy when the log lacks some."""
+        """Returns the changes after a revision, or the full policy when the log lacks some.
+
+        Raises:
+            errors.UnavailableError: No policy is known yet.
+        """
         changes = self._config.changes_since(revision or 0)
         if changes is not None:
             return schema.config.ChangesReply(
@@ -51,7 +61,11 @@
         )
 
     async def drain_instance(self, instance_name: str | None, author: str | None) -> None:
-        """Starts the graceful stop of this instance."""
+        """Starts the graceful stop of this instance.
+
+        Raises:
+            errors.NotFoundError: This instance has another name.
+        """
         if instance_name != self._me.name:
             raise errors.NotFoundError(
                 f"this instance is {self._me.name!r}, not {instance_name!r}",
--- a/packages/entry/src/sassafrasway_entry/config_store.py
+++ b/packages/entry/src/sassafrasway_entry/config_store.py
@@ -79,7 +79,7 @@
     """Reads and writes the configuration rows.
 
     All methods raise ``table.StoreUnavailable`` when the table service is unavailable and
-    ``MalformedRowError`` when a row is malformed.
+    ``MalformedRowError`` when the row of the head or of a change is malformed.
     """
 
     def __init__(self, *, table: table.TableService):
@@ -115,6 +115,7 @@
 
         Raises:
             errors.NotFoundError: The revision is not in the table.
+            errors.ValidationError: The policy in the document row, or after a change, is invalid.
         """
         start = revision - revision % DOCUMENT_INTERVAL
         policy = documents.EMPTY_POLICY
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -59,7 +59,9 @@
     """Maintains the policy in force on one entry instance.
 
     Changes come from operators (``apply``), from peers (``receive``, ``pull``) and from the table
-    service (``refresh``). Whatever the source, a policy is never replaced by an older one.
+    service (``refresh``). Whatever the source, a policy is never replaced by an older one. Methods
+    that read the table service also raise ``errors.SassafraswayError`` when a row is malformed or
+    missing.
 
     Args:
         me: This incarnation.
@@ -111,6 +113,7 @@
         self._blocks = lookup.BlockTable(blocks=())
         self._head: config_store.Head | None = None
         self._store_read_at_s: float | None = None
+        # Revision and JSON text of the policy that was serialized last.
         self._document_cache: tuple[int, str] = (-1, "")
         self._apply_lock = asyncio.Lock()
         self._inbox: asyncio.Queue[_NewerRevision] = asyncio.Queue()
@@ -261,7 +264,8 @@
         """Fetches the missing changes, or the full policy, from a peer.
 
         Raises:
-            errors.SassafraswayError: The peer does not respond, or its response is invalid.
+            errors.SassafraswayError: The peer does not respond or reports an error, or its response
+                is invalid.
         """
         timeout_s = FULL_PULL_TIMEOUT_S if self.policy is None else PULL_TIMEOUT_S
         reply = await self._call_peer(
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -70,7 +70,7 @@
 
 
 def _from_reports(messages: Iterable | None) -> dict[model.PoolKey, region.PoolReport]:
-    return {from_pool(each.pool): from_report(each) for each in messages or ()}
+    return {from_pool(message.pool): from_report(message) for message in messages or ()}
 
 
 def to_heartbeat(heartbeat: region.Heartbeat, *, directory_mark: int, revision: int):
@@ -97,7 +97,7 @@
         echo_s=message.echo_s,
         applied_seq=message.applied_seq or 0,
         pools=_from_reports(message.pools),
-        caps=tuple(_from_cap_report(each) for each in message.caps or ()),
+        caps=tuple(_from_cap_report(report) for report in message.caps or ()),
     )
 
 
@@ -117,9 +117,9 @@
         stamp_s=reply.stamp_s,
         grants=[_to_grant(grant) for grant in reply.grants],
         settled_s=reply.settled_s,
-        cap_shares=[_to_cap_share(name, each) for name, each in reply.cap_shares.items()],
+        cap_shares=[_to_cap_share(name, cap_share) for name, cap_share in reply.cap_shares.items()],
         gone=reply.gone,
-        directories=[to_directory(each) for each in directories],
+        directories=[to_directory(source) for source in directories],
         directory_mark=directory_mark,
         revision=revision,
     )
@@ -133,9 +133,11 @@
         accepted=bool(message.accepted),
         seq=message.seq or 0,
         stamp_s=message.stamp_s or 0.0,
-        grants=tuple(_from_grant(each) for each in message.grants or ()),
+        grants=tuple(_from_grant(grant) for grant in message.grants or ()),
         settled_s=message.settled_s or 0.0,
-        cap_shares={each.name: _from_cap_share(each) for each in message.cap_shares or ()},
+        cap_shares={
+            cap_share.name: _from_cap_share(cap_share) for cap_share in message.cap_shares or ()
+        },
         gone=bool(message.gone),
     )
 
@@ -238,20 +240,20 @@
         epoch=message.epoch or 0,
         version=message.version or 0,
         coordinator=from_instance(message.coordinator),
-        instances=tuple(from_instance(each) for each in message.instances or ()),
+        instances=tuple(from_instance(instance) for instance in message.instances or ()),
         owners={
-            from_pool(each.pool): model.InstanceId(name=each.name, incarnation=each.incarnation)
-            for each in message.owners or ()
+            from_pool(owner.pool): model.InstanceId(name=owner.name, incarnation=owner.incarnation)
+            for owner in message.owners or ()
         },
         gone=tuple(
-            model.InstanceId(name=each.name, incarnation=each.incarnation)
-            for each in message.gone or ()
+            model.InstanceId(name=gone.name, incarnation=gone.incarnation)
+            for gone in message.gone or ()
         ),
     )
 
 
 def to_versions(known: Mapping[str, tuple[int, int]]) -> list:
-    """Returns the Thrift messages of directory epochs and versions by region."""
+    """Returns the Thrift messages of the epochs and versions of directories, given by region."""
     return [
         schema.control.DirectoryVersion(region=name, epoch=epoch, version=version)
         for name, (epoch, version) in known.items()
@@ -259,5 +261,7 @@
 
 
 def from_versions(messages: Iterable | None) -> dict[str, tuple[int, int]]:
-    """Returns the directory epochs and versions by region of Thrift messages."""
-    return {each.region: (each.epoch or 0, each.version or 0) for each in messages or ()}
+    """Returns the epochs and versions of directories in Thrift messages, by region."""
+    return {
+        message.region: (message.epoch or 0, message.version or 0) for message in messages or ()
+    }
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -15,6 +15,10 @@
 class ControlService:
     """Handles the Control calls of members, coordinators and pool owners.
 
+    The calls are described in ``control.thrift``. A method raises ``errors.ValidationError`` when a
+    required argument is not set. The RPC server returns errors to the caller unless the call is
+    oneway.
+
     Args:
         member: Member role of this instance.
         on_handover: Called with the previous owner of a pool, the pool, and its report about the
@@ -35,13 +39,17 @@
         self._on_release = on_release
 
     async def heartbeat(self, request: Any) -> Any:
-        """Returns the reply to a member's heartbeat."""
-        _require(request is not None and request.sender is not None, "heartbeat")
+        """Returns the reply to a member's heartbeat.
+
+        Raises:
+            errors.UnavailableError: This instance is not the coordinator and follows none.
+        """
+        _require_arguments(request is not None and request.sender is not None, "heartbeat")
         return self._member.on_heartbeat(request)
 
     async def follow(self, epoch: int | None, coordinator: Any) -> Any:
         """Follows a coordinator unless its epoch is lower."""
-        _require(epoch is not None and coordinator is not None, "follow")
+        _require_arguments(epoch is not None and coordinator is not None, "follow")
         reply = self._member.on_follow(
             epoch=epoch, coordinator=control_conversion.from_instance(coordinator)
         )
@@ -49,7 +57,7 @@
 
     async def handover(self, sender: Any, report: Any) -> None:
         """Receives the previous owner's report about the slots of a pool that are still in use."""
-        _require(sender is not None and report is not None, "handover")
+        _require_arguments(sender is not None and report is not None, "handover")
         self._on_handover(
             control_conversion.from_instance(sender),
             control_conversion.from_pool(report.pool),
@@ -58,19 +66,21 @@
 
     async def release_slots(self, pool: Any, server: str | None, slots: int | None) -> None:
         """Frees slots that requests of the previous owner have released."""
-        _require(pool is not None and server is not None, "release_slots")
+        _require_arguments(pool is not None and server is not None, "release_slots")
         self._on_release(control_conversion.from_pool(pool), server, slots or 0)
 
     async def directory(self, directories: list | None, known: list | None) -> list:
         """Stores newer directories and returns those that are newer than the sender's."""
         own_directory = self._member.directory
-        own_directory.update(control_conversion.from_directory(each) for each in directories or ())
+        own_directory.update(
+            control_conversion.from_directory(received) for received in directories or ()
+        )
         newer = own_directory.newer_than(control_conversion.from_versions(known))
-        return [control_conversion.to_directory(each) for each in newer]
+        return [control_conversion.to_directory(entry) for entry in newer]
 
     async def suspect(self, instance: Any) -> None:
         """Checks whether an instance that a peer could not connect to is gone."""
-        _require(instance is not None, "suspect")
+        _require_arguments(instance is not None, "suspect")
         self._member.on_suspect(control_conversion.from_instance(instance).id)
 
     async def identify(self) -> Any:
@@ -83,6 +93,6 @@
         )
 
 
-def _require(present: bool, method: str) -> None:
+def _require_arguments(present: bool, method: str) -> None:
     if not present:
         raise errors.ValidationError("a required argument is missing", step=f"control.{method}")
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -23,7 +23,9 @@
 
 
 class OperatorService:
-    """Handles the calls of operators.
+    """Handles the calls of operators, which are described in ``config.thrift``.
+
+    The RPC server returns the errors that the methods raise to the operator.
 
     Args:
         me: This incarnation.
@@ -65,12 +67,20 @@
         return schema.config.PolicyReply(revision=revision, document_json=document_json)
 
     async def apply_change(self, change_json: str | None) -> Any:
-        """Applies a change."""
+        """Applies a change that is given as JSON text."""
         change = documents.parse_change(documents.parse_json(change_json or ""))
         return _change_reply(await self._config.apply(change))
 
     async def history(self, limit: int | None, before: int | None) -> list[Any]:
-        """Returns accepted changes, newest first."""
+        """Returns accepted changes, newest first.
+
+        Args:
+            limit: Maximum number of changes; ``DEFAULT_HISTORY`` when None.
+            before: Only changes with a lower revision are returned; None or 0 for no bound.
+
+        Raises:
+            errors.ValidationError: ``limit`` is not in the range of 1 to ``MAX_HISTORY``.
+        """
         limit = DEFAULT_HISTORY if limit is None else limit
         if not 1 <= limit <= MAX_HISTORY:
             raise errors.ValidationError(
@@ -80,7 +90,12 @@
         return [_history_entry(record) for record in records]
 
     async def rollback(self, revision: int | None, meta: Any) -> Any:
-        """Creates a new revision with the content of an older one."""
+        """Creates a new revision with the content of an older one.
+
+        Raises:
+            errors.ValidationError: ``revision`` is missing.
+            errors.NotFoundError: There is no such revision.
+        """
         if revision is None:
             raise errors.ValidationError("revision is missing", step="operator.rollback")
         old = await self._config.policy_at(revision)
@@ -95,7 +110,11 @@
         return await self._submit(meta, lambda policy: {"shifts": {name or "": document}})
 
     async def stop_shift(self, name: str | None, meta: Any) -> Any:
-        """Deletes a shift."""
+        """Deletes a shift.
+
+        Raises:
+            errors.NotFoundError: There is no shift of this name.
+        """
 
         def make_sections(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
             _find_object(policy.shifts, name, "shift")
@@ -104,7 +123,12 @@
         return await self._submit(meta, make_sections)
 
     async def drain(self, kind: int | None, name: str | None, meta: Any, cancel: bool) -> Any:
-        """Drains a backend server or an entry instance, or cancels the drain of a server."""
+        """Drains a backend server or an entry instance, or cancels the drain of a server.
+
+        Raises:
+            errors.ValidationError: ``kind`` is unknown, or ``cancel`` is set for an instance.
+            errors.NotFoundError: There is no server or instance of this name.
+        """
         if kind == schema.config.DrainKind.SERVER:
             return await self._drain_server(name, meta, bool(cancel))
         if kind != schema.config.DrainKind.INSTANCE:
@@ -193,7 +217,7 @@
     )
 
 
-def _find_object(objects: Mapping[str, Any], name: str | None, title: str) -> Any:
+def _find_object(objects: Mapping[str, Any], name: str | None, kind: str) -> Any:
     if name not in objects:
-        raise errors.NotFoundError(f"there is no {title} {name!r}", step="operator.change")
+        raise errors.NotFoundError(f"there is no {kind} {name!r}", step="operator.change")
     return objects[name]
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -58,6 +58,7 @@
             errors.UnavailableError: The peer did not answer; it may have received the call.
             errors.SassafraswayError: The peer reported an error.
         """
+        # Inserting the client again at the end keeps the clients in order of their last use.
         peer = self._clients.pop(address, None)
         if peer is None:
             target = self._address_map.get(address, address)
