State the waits of cap limits and rename the lifecycle of the process

take_region and take_link did not say that the wait is infinite while the share is smaller than the amount, wait_link did not say that it gives up early, and the process kept its Lifecycle in _state. Docstrings state the results, _lifecycle replaces _state, and private methods whose logic is not plain (_check_epoch, _measure, _expected_value) are explained.

Only wording changed.

--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -113,18 +113,34 @@
         return all(self._amount(name) >= smallest for name in self._caps if name != region_cap_name)
 
     def take_region(self, request_id: str) -> float:
-        """Takes one request from the region's cap; returns 0, or the seconds to wait."""
+        """Takes one request from the region's cap.
+
+        Returns:
+            0 if the request was taken or the region has no cap, otherwise the seconds after which
+            to try again. These are infinite while the share of this instance is smaller than one
+            request.
+        """
         return self._take_from_cap(cap_grants.region_cap(self._region), 1.0, request_id)
 
     def take_link(self, target: str, size_bytes: int, request_id: str) -> float:
-        """Takes a message to a region from the link's cap; returns 0, or the seconds to wait."""
+        """Takes a message to the region ``target`` from the link's cap.
+
+        Returns:
+            0 if the message was taken or the link has no cap, otherwise the seconds after which to
+            try again. These are infinite while the share of this instance is smaller than the
+            message.
+        """
         name = cap_grants.link_cap(self._region, target)
         return self._take_from_cap(name, message_mbit(size_bytes), request_id)
 
     async def wait_link(
         self, target: str, size_bytes: int, request_id: str, *, limit_s: float
     ) -> bool:
-        """Like ``take_link``, but waits up to ``limit_s``; returns whether it was successful."""
+        """Takes a message as ``take_link`` does, waiting up to ``limit_s`` if necessary.
+
+        Returns:
+            Whether the message was taken. False is returned as soon as the wait would be longer.
+        """
         until_s = self._clock.monotonic() + limit_s
         wait_s = self.take_link(target, size_bytes, request_id)
         while wait_s > 0:
@@ -157,12 +173,14 @@
         )
 
     def _check_epoch(self) -> None:
+        """Starts the time of ``TAKEOVER_S`` when this instance follows another coordinator."""
         epoch = self._epoch()
         if epoch != self._last_epoch:
             self._last_epoch = epoch
             self._settled_at_s = self._clock.monotonic() + TAKEOVER_S
 
     def _measure(self, cap: _CapUsage) -> None:
+        """Ends the current measurement of a cap, unless it is too short, and starts the next."""
         now_s = self._clock.monotonic()
         elapsed_s = now_s - cap.since_s
         if elapsed_s < DEMAND_INTERVAL_S:
--- a/packages/entry/src/sassafrasway_entry/dump.py
+++ b/packages/entry/src/sassafrasway_entry/dump.py
@@ -19,9 +19,9 @@
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, dict):
-        return {str(key): to_json(each) for key, each in value.items()}
+        return {str(key): to_json(item) for key, item in value.items()}
     if isinstance(value, (list, tuple, set, frozenset)):
-        return [to_json(each) for each in value]
+        return [to_json(item) for item in value]
     if isinstance(value, (str, int, float, bool)) or value is None:
         return value
     return str(value)
@@ -43,7 +43,7 @@
 def at_most_once_dump(
     keeper: gatekeeper.Gatekeeper, store: outcomes.OutcomeStore
 ) -> dict[str, int]:
-    """Returns the numbers of running requests, of updates to store and of dropped outcomes."""
+    """Counts running requests, pending claim updates, and pending and dropped outcomes."""
     return {
         "running": keeper.running,
         "claim_updates": keeper.pending_updates,
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -61,7 +61,7 @@
         self._settings = settings
         self._clock = clock_lib.SystemClock()
         self._rng = random.Random(secrets.randbits(64))
-        self._state = lifecycle.Lifecycle()
+        self._lifecycle = lifecycle.Lifecycle()
         self._stop_requested = asyncio.Event()
         self._startup_complete = False
         self._tasks: set[asyncio.Task] = set()
@@ -160,12 +160,12 @@
         )
 
     def _pull_sources(self) -> list[str]:
-        instances = [each.rpc_address for each in self._directory.instances()]
+        instances = [instance.rpc_address for instance in self._directory.instances()]
         return [*self._member.coordinator_addresses(), *instances, *self._settings.network.seeds]
 
     def _on_grants(self, grants: list[region.PoolGrant]) -> None:
         self._pools.set_grants(grants)
-        names = sorted(each.name for each in self._directory.instances())
+        names = sorted(instance.name for instance in self._directory.instances())
         if self._me.name in names:
             self._pools.set_position(index=names.index(self._me.name), count=len(names))
 
@@ -230,7 +230,7 @@
             metrics=self._metrics,
             record=self._record,
             names_owners=self._placement.forwards,
-            ready=lambda: self._state.serving,
+            ready=lambda: self._lifecycle.serving,
         )
         self._admin_api = admin_api.AdminApi(
             metrics=self._metrics, dump=self.dump, health=self._health
@@ -319,7 +319,7 @@
     async def _become_ready(self) -> None:
         while self._steering.policy is None or not self._member.in_contact:
             await asyncio.sleep(READY_POLL_S)
-        self._state.become_ready()
+        self._lifecycle.become_ready()
         self._log.info("ready", instance=str(self._me.id))
         until_s = self._clock.monotonic() + LINK_SHARES_TIMEOUT_S
         while not self._limits.has_all_link_shares() and self._clock.monotonic() < until_s:
@@ -331,7 +331,7 @@
 
     async def _leave(self) -> None:
         """Hands over the pools and serves until no other process depends on this instance."""
-        self._state.leave()
+        self._lifecycle.leave()
         self._member.leave()
         started_s = self._clock.monotonic()
         # Other instances name this one in lookup responses until their directories show that it is
@@ -362,7 +362,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self._state.stop()
+        self._lifecycle.stop()
         await self._rpc.stop()
         await self._admin_api.stop()
         await self._peers.close()
@@ -371,9 +371,13 @@
         self._record.close()
 
     def _health(self) -> tuple[str, bool]:
-        # The platform stops the next instance as soon as this one reports readiness. Readiness is
-        # therefore reported only after the whole startup, which is later than callers are served.
-        return self._state.state, self._state.state == lifecycle.READY and self._startup_complete
+        # When instances are replaced one by one, the platform stops the next one as soon as this
+        # one reports readiness. Readiness is therefore reported only after the whole startup, which
+        # is later than callers are served.
+        return (
+            self._lifecycle.state,
+            self._lifecycle.state == lifecycle.READY and self._startup_complete,
+        )
 
     def status(self) -> dict[str, Any]:
         """Returns a summary of the state for operators."""
@@ -381,7 +385,7 @@
             "instance": str(self._me.id),
             "region": self._me.region,
             "failure_domain": self._me.failure_domain,
-            "state": self._state.state,
+            "state": self._lifecycle.state,
             "policy": dump.policy_dump(self._steering),
             "pools": sorted(str(key) for key in self._pools.owned),
             "in_flight": self._caller_api.in_flight,
--- a/packages/entry/src/sassafrasway_entry/settings.py
+++ b/packages/entry/src/sassafrasway_entry/settings.py
@@ -144,6 +144,7 @@
 
 
 def _expected_value(location: tuple) -> str:
+    """Returns the description of the innermost field on the path to a value, or an empty string."""
     model: type[pydantic.BaseModel] = Settings
     description = ""
     for part in location:
