Explain the fault actions and name the objects in the entry's control tests

The actions of the fault test were explained only by their code, two cap tests had figurative names, and loop variables named each hid instances, grants and history entries. Docstrings explain the actions and why a malformed row must raise a SassafraswayError; FIRST becomes FIRST_SECTIONS, newer becomes newer_revisions. The source of the derandomized hypothesis test is not touched.

Only wording changed.

--- a/packages/entry/tests/config_fakes.py
+++ b/packages/entry/tests/config_fakes.py
@@ -13,7 +13,7 @@
     "slots": 3,
     "connections": 660,
 }
-FIRST = {
+FIRST_SECTIONS = {
     "regions": {"bkk": {}, "hkt": {}},
     "services": {"crew-desk": {"idempotent": False}},
     "servers": {"crew-1": SERVER},
--- a/packages/entry/tests/test_cap_limits.py
+++ b/packages/entry/tests/test_cap_limits.py
@@ -32,14 +32,14 @@
         """
         self.assertEqual(self._demand_after("abcdef"), 6.0)
 
-    def test_request_that_tries_again_counts_once(self):
+    def test_retried_request_counts_once(self):
         """Guards against counting each retry of a refused request as demand.
 
         Instances whose requests are retried often would get shares at the expense of the others.
         """
         self.assertEqual(self._demand_after("abc" + 20 * "c"), 3.0)
 
-    def test_refused_requests_are_forgotten_while_nobody_asks(self):
+    def test_refused_requests_are_dropped_without_heartbeats(self):
         """Guards against memory that grows without bound while there is no coordinator.
 
         Refused requests are kept until the demand is measured, which heartbeats usually trigger.
--- a/packages/entry/tests/test_config_faults.py
+++ b/packages/entry/tests/test_config_faults.py
@@ -30,6 +30,13 @@
         self._change_count = 0
 
     async def act(self, action, index):
+        """Executes an action at an instance and waits until its pushes have ended.
+
+        "apply_at_once" sends changes to two instances concurrently; "retry" repeats a change with
+        an unknown result. "lose" drops the response of the next write; "crash_store" does so and
+        then makes the table unavailable. "down" and "cut" start or end an outage of the table and
+        a partition from the peers.
+        """
         instance = self.instances[index]
         faults = instance.table.faults
         if action == "apply":
@@ -50,9 +57,10 @@
             instance.cut = not instance.cut
         elif action == "refresh":
             await instance.config.refresh()
-        await asyncio.gather(*(each.config.wait_for_pushes() for each in self.instances))
+        await asyncio.gather(*(other.config.wait_for_pushes() for other in self.instances))
 
     async def heal(self):
+        """Ends all faults and lets every instance read the table."""
         for instance in self.instances:
             instance.table.faults = memory.Faults()
             instance.cut = False
--- a/packages/entry/tests/test_config_task.py
+++ b/packages/entry/tests/test_config_task.py
@@ -22,7 +22,7 @@
         self.network = {}
         self.rows = memory.MemoryTable()
         self.one, self.two, self.three = (self.start(name) for name in ("one", "two", "three"))
-        await self.one.config.apply(fakes.change(0, "first", **fakes.FIRST))
+        await self.one.config.apply(fakes.change(0, "first", **fakes.FIRST_SECTIONS))
         await self.settle()
 
     def start(self, name):
@@ -30,10 +30,12 @@
 
     async def settle(self):
         """Runs all tasks until pushes, and the fetches that they cause, have ended."""
-        loops = [asyncio.create_task(each.config.run()) for each in self.network.values()]
+        loops = [asyncio.create_task(instance.config.run()) for instance in self.network.values()]
         for _ in range(100):
             await asyncio.sleep(0)
-            await asyncio.gather(*(each.config.wait_for_pushes() for each in self.network.values()))
+            await asyncio.gather(
+                *(instance.config.wait_for_pushes() for instance in self.network.values())
+            )
         for loop in loops:
             loop.cancel()
         await asyncio.gather(*loops, return_exceptions=True)
@@ -42,7 +44,9 @@
 class ConfigTaskTest(_TestCase):
     async def test_change_reaches_all(self):
         """Guards against instances that keep an old policy because a push does not reach them."""
-        self.assertEqual([each.config.revision for each in self.network.values()], [1, 1, 1])
+        self.assertEqual(
+            [instance.config.revision for instance in self.network.values()], [1, 1, 1]
+        )
         self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "bkk")
         await self.two.config.apply(fakes.change(1, "c2", blocks={"10.0.0.0/8": {"region": "hkt"}}))
         await self.two.config.wait_for_pushes()
@@ -62,7 +66,7 @@
         kinds = sorted(type(result).__name__ for result in results)
         self.assertEqual(kinds, ["Applied", "ConflictError"])
         await self.settle()
-        self.assertEqual({each.config.revision for each in self.network.values()}, {2})
+        self.assertEqual({instance.config.revision for instance in self.network.values()}, {2})
 
     async def test_lost_answer_is_resolved_by_reading_back(self):
         """Guards against reporting a failure for a change that is in force.
@@ -91,7 +95,8 @@
     async def test_start_with_store_down_takes_policy_from_peer(self):
         """Guards against a new instance without a policy during an outage of the table service.
 
-        A peer whose log is complete sends changes; one that loaded the policy sends all of it.
+        A peer whose log is complete sends the changes; one that loaded the policy from the table
+        sends the full policy.
         """
         loaded = fakes.Instance({}, self.rows, "loaded")
         await loaded.config.refresh()
@@ -132,7 +137,7 @@
         self.two.table.get = stale.table.get
         await self.two.config.refresh()
         self.two.config.observe_revision(1, source="stale")
-        first = json.dumps(documents.dump_change(fakes.change(0, "first", **fakes.FIRST)))
+        first = json.dumps(documents.dump_change(fakes.change(0, "first", **fakes.FIRST_SECTIONS)))
         self.assertEqual(await self.two.peer_service.push_change(first, "stale"), 2)
         await self.two.config.pull("stale")
         with self.assertRaises(errors.UnavailableError):
@@ -174,7 +179,7 @@
     async def test_malformed_rows_keep_the_policy(self):
         """Guards against a malformed row that replaces the policy or ends the task.
 
-        The task handles errors of the project's own types only.
+        The task continues only after a ``SassafraswayError``, so a malformed row must raise one.
         """
         for value in (b"{", b"[]", b'{"revision": "9", "change_ids": {}}'):
             row = await self.rows.get("config/head")
@@ -231,12 +236,12 @@
         self.assertEqual(reply.document_json, (await operator.get_policy(2)).document_json)
         history = await operator.history(2, None)
         self.assertEqual([entry.change_id for entry in history], ["r", "s2"])
-        self.assertEqual([each.revision for each in await operator.history(9, 3)], [2, 1])
+        self.assertEqual([entry.revision for entry in await operator.history(9, 3)], [2, 1])
 
     async def test_change_without_base_survives_a_concurrent_change(self):
         """Guards against a drain that fails because the policy changed at the same time.
 
-        A change without a base revision is rebuilt on the new policy and sent again.
+        A change without a base revision is rebuilt on the new policy and applied again.
         """
         await asyncio.gather(
             self.one.operator.drain(schema.config.DrainKind.SERVER, "crew-1", _meta("d"), False),
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -39,7 +39,7 @@
             name: model.Service(name=name, idempotent=True)
             for name in ("desk", "archive", "orders")
         },
-        servers={each.name: each for each in servers},
+        servers={server.name: server for server in servers},
         blocks={},
         shifts={},
     )
@@ -87,13 +87,15 @@
     def __init__(self, regions=("bkk",)):
         self.clock = clock.ManualClock()
         self.table = memory.MemoryTable()
-        self.list = memory.MemoryInstances()
+        self.instance_list = memory.MemoryInstances()
         self.policy = _policy(regions)
         self.tasks = {}
         self.services = {}
         self.grants = {}
         self.in_use = {}
-        self.newer = []
+        # Name of an instance, newer revision, and address of an instance that has the revision.
+        self.newer_revisions = []
+        # Names of the instances that are partitioned from all others.
         self.cut = set()
         self.networks = {}
 
@@ -107,14 +109,14 @@
             clock=self.clock,
             invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
             table=self.table,
-            instance_list=self.list,
+            instance_list=self.instance_list,
             peers=self.networks[name],
             policy_source=lambda: self.policy,
             on_grants=lambda grants: self.grants.__setitem__(name, grants),
             pool_reports=lambda: self.in_use.get(name, {}),
             revision_source=lambda: revision,
             seeds=seeds,
-            on_revision=lambda number, address: self.newer.append((name, number, address)),
+            on_revision=lambda newer, address: self.newer_revisions.append((name, newer, address)),
             rng=random.Random(1),
         )
         self.services[name] = control_service.ControlService(member=self.tasks[name])
@@ -159,7 +161,9 @@
         for task in self.fleet.tasks.values():
             owners_in_directory = {pool: task.directory.owner(pool).name for pool in owners}
             self.assertEqual(owners_in_directory, owners)
-            self.assertEqual({each.name for each in task.directory.instances("bkk")}, {*"pqr"})
+            self.assertEqual(
+                {instance.name for instance in task.directory.instances("bkk")}, {*"pqr"}
+            )
 
     async def test_killed_coordinator(self):
         """Guards against pools without an owner after the coordinator has crashed.
@@ -177,7 +181,7 @@
     async def test_refused_call_moves_pools_at_once(self):
         """Guards against waiting for missed heartbeats although a peer saw a refused connection."""
         coordinator = self.fleet.coordinator()
-        name, caller = (each for each in self.fleet.tasks if each != coordinator)
+        name, caller = (member for member in self.fleet.tasks if member != coordinator)
         self.fleet.kill(name)
         with self.assertRaises(rpc_client.ConnectionRefusedByPeerError):
             await self.fleet.networks[caller].call(name, "identify", timeout_s=1)
@@ -214,23 +218,23 @@
         observed_grants = []
         for _ in range(20):
             await self.fleet.run(STEP_S)
-            observed_grants += [grant for each in self.fleet.grants.values() for grant in each]
+            observed_grants += [grant for grants in self.fleet.grants.values() for grant in grants]
         inherited_grants = [
-            each for each in observed_grants if each.pool == pool and each.inherited
+            grant for grant in observed_grants if grant.pool == pool and grant.inherited
         ]
         self.assertEqual(
-            {(each.previous.name, each.inherited["s"]) for each in inherited_grants}, {(name, 2)}
+            {(grant.previous.name, grant.inherited["s"]) for grant in inherited_grants}, {(name, 2)}
         )
         self.assertNotIn(name, self.fleet.owners().values())
 
     async def test_isolated_holder_keeps_offline_share(self):
         """Guards against a partitioned owner that uses more than its offline share."""
-        name = next(each for each in self.fleet.tasks if each != self.fleet.coordinator())
+        name = next(member for member in self.fleet.tasks if member != self.fleet.coordinator())
         self.fleet.cut = {name}
         await self.fleet.run(4)
-        self.assertEqual([each.share for each in self.fleet.grants[name]], [share.Share.OFFLINE])
+        self.assertEqual([grant.share for grant in self.fleet.grants[name]], [share.Share.OFFLINE])
         shares = [
-            each.share for other in "pqr" if other != name for each in self.fleet.grants[other]
+            grant.share for other in "pqr" if other != name for grant in self.fleet.grants[other]
         ]
         self.assertEqual(shares.count(share.Share.REDUCED), 1)
         self.fleet.cut = set()
@@ -241,7 +245,7 @@
         """Guards against an instance that is not notified of a newer policy revision."""
         self.fleet.start("s", revision=6)
         await self.fleet.run(2)
-        self.assertIn(("s", 7, self.fleet.coordinator()), self.fleet.newer)
+        self.assertIn(("s", 7, self.fleet.coordinator()), self.fleet.newer_revisions)
 
 
 class RegionsTest(unittest.IsolatedAsyncioTestCase):
@@ -258,7 +262,7 @@
         fleet.tasks["y"].leave()
         await fleet.run(8)
         for task in fleet.tasks.values():
-            self.assertEqual({each.name for each in task.directory.instances()}, {*"pqxy"})
+            self.assertEqual({instance.name for instance in task.directory.instances()}, {*"pqxy"})
             self.assertEqual(task.directory.instance("y").state, region.LEAVING)
             for pool in fleet.policy.pools():
                 self.assertIsNotNone(task.directory.owner(pool))
