Document the errors of policy changes by operators

The docstrings of the Operator handlers did not say that a change can fail as invalid, as not based on the current revision, or because the table service is unavailable, nor which revision get_policy returns for 0. The class docstring now names the errors that all changes share.

Only wording changed.

--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -25,7 +25,10 @@
 class OperatorService:
     """Handles the calls of operators, which are described in ``config.thrift``.
 
-    The RPC server returns the errors that the methods raise to the operator.
+    The RPC server returns the errors that the methods raise to the operator. Methods that change
+    the policy raise ``errors.ValidationError`` when the change, or the policy after it, is invalid,
+    ``errors.ConflictError`` when it is not based on the current revision, and
+    ``errors.UnavailableError`` when the table service is unavailable.
 
     Args:
         me: This incarnation.
@@ -58,7 +61,12 @@
         self._logger = structlog.get_logger("operator").bind(instance=str(me))
 
     async def get_policy(self, revision: int | None) -> Any:
-        """Returns a revision of the policy; the one in force by default."""
+        """Returns a revision of the policy; the one in force when ``revision`` is None or 0.
+
+        Raises:
+            errors.NotFoundError: There is no such revision.
+            errors.UnavailableError: The table service is unavailable, or no policy is known yet.
+        """
         if not revision:
             revision, document_json, _ = await self._config.full_policy()
             return schema.config.PolicyReply(revision=revision, document_json=document_json)
