Correct the comments of the control and forward schemas

control.thrift called the slots in a grant those of one previous owner, although they are summed over all other instances; it spoke of a "candidate" and did not name the exception to the promise. forward.thrift described stage ROUTE, which the receiver rejects, and left Outcome unexplained. The client claimed that aborting a connection discards data in the kernel; asyncio only drops its own buffer. Reworded these comments and the errors of RpcClient.call; _serving is now _connection_tasks. Field numbers and names are unchanged.

--- a/packages/rpc/src/sassafrasway_rpc/client.py
+++ b/packages/rpc/src/sassafrasway_rpc/client.py
@@ -10,8 +10,8 @@
 from sassafrasway_rpc import codec, server
 
 CONNECT_TIMEOUT_S = 1.0
-# A connection with pending calls is probed when no frame arrived for this long, and closed when
-# none arrives for as long again after the probe.
+# A connection with pending calls is probed when no frame arrived for this time, and closed when
+# none arrives for the same time after the probe.
 SILENCE_TIMEOUT_S = 0.3
 SILENCE_CHECK_INTERVAL_S = 0.1
 MAX_SEQUENCE_ID = 2**31 - 1
@@ -59,8 +59,9 @@
 
         Raises:
             CallNotSentError: The peer was not reached; it has not received the call.
-            errors.UnavailableError: The peer did not answer; it may have received the call.
-            errors.SassafraswayError: The peer reported an error.
+            errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
+                call; it may have received the call.
+            errors.SassafraswayError: The peer reported an error, or its reply is malformed.
         """
         call_timeout_s = self._timeout_s if timeout_s is None else timeout_s
         payload = getattr(self._service, f"{method}_args")(**arguments)
@@ -103,8 +104,8 @@
     async def _probe_connection(self, writer: asyncio.StreamWriter) -> None:
         """Probes the connection while calls are pending, and closes it when the probe fails.
 
-        A device on the path may have lost the state of the connection without closing it. Pending
-        calls would otherwise notice that only through their own timeouts.
+        A device on the path may have lost the state of the connection without closing it. Without
+        a probe, each pending call would wait for its own timeout.
         """
         loop = asyncio.get_running_loop()
         probed_s = None
@@ -120,8 +121,9 @@
                 )
                 writer.write(codec.encode(head=head, payload=codec.Empty()))
             elif now_s - probed_s >= SILENCE_TIMEOUT_S and self._writer is writer:
-                # Aborting discards data that the kernel has not delivered yet; a call that is
-                # reported as failed here must not reach the peer later.
+                # The calls are reported as failed, so data that was not passed to the kernel yet
+                # must not be sent later: aborting discards it. Data in the kernel's send buffer can
+                # still reach the peer.
                 writer.transport.abort()
                 self._disconnect("connection is silent: no answer to a probe")
 
--- a/packages/rpc/src/sassafrasway_rpc/codec.py
+++ b/packages/rpc/src/sassafrasway_rpc/codec.py
@@ -43,7 +43,12 @@
 
 
 class Decoder:
-    """Reads one message from the body of a frame."""
+    """Reads one message from the body of a frame: first the head, then the payload.
+
+    Args:
+        body: Body of the frame.
+        peer: Sender of the frame, for the errors that are raised.
+    """
 
     def __init__(self, *, body: bytes, peer: str):
         self._peer = peer
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -9,10 +9,11 @@
   3: i32 shard
 }
 
-// An instance's report on one pool that it may use.
+// An instance's report on one pool that it may use, or whose slots its requests still use.
 struct PoolReport {
   1: PoolId pool
-  2: string share            // share in force: none, offline, reduced, full
+  2: string share            // share of each server's slots that may be used: none, offline (a third,
+                             // rounded down), reduced (all except that third), full
   3: map<string, i32> in_use // number of slots in use by server name
   4: double rate_per_s       // requests received for the pool
   5: i32 queue_length
@@ -22,9 +23,9 @@
 // The right to use a share of a pool.
 struct PoolGrant {
   1: PoolId pool
-  2: string share
-  3: map<string, i32> inherited // slots by server name that the previous owner last reported in use
-  4: string previous_name    // the previous owner, which these slots belong to
+  2: string share            // as in PoolReport
+  3: map<string, i32> inherited // slots by server name that other instances last reported in use
+  4: string previous_name    // one of the instances that use these slots; empty when there is none
   5: string previous_incarnation
   6: double inherited_s      // time until the deadlines of the requests in these slots have passed
 }
@@ -33,7 +34,7 @@
 struct CapReport {
   1: string name             // name of the cap
   2: double demand           // amount that the instance would use, in the unit of the cap
-  3: i64 sequence            // sequence of the share in force
+  3: i64 sequence            // sequence of the latest share; 0 before the first
   4: double amount           // amount of the latest share, also when it has expired
   5: double remaining_s      // time until the share expires; negative when it has expired
   6: double offline          // limit after the share has expired
@@ -42,9 +43,9 @@
 // A part of a cap that one instance may use for a limited time.
 struct CapShare {
   1: string name
-  2: i64 sequence
+  2: i64 sequence            // a share replaces those with a lower sequence
   3: double amount           // limit in the unit of the cap
-  4: double offline          // limit after the share has expired
+  4: double offline          // limit after the share has expired, until a new one arrives
   5: double valid_s          // time after the heartbeat was sent at which the share expires
 }
 
@@ -76,8 +77,10 @@
 struct HeartbeatRequest {
   1: common.Instance sender
   2: i64 epoch               // highest epoch that the sender follows
-  3: bool promise            // the sender promises not to become a candidate for 3 s
-  4: double echo_s           // stamp_s of the latest reply of this epoch; not set before the first
+  3: bool promise            // the sender promises not to become coordinator for 3 s, unless the
+                             // current coordinator is gone
+  4: double echo_s           // stamp_s of the latest reply of this epoch, from which the coordinator
+                             // counts the 3 s; not set before the first reply
   5: i64 applied_seq         // seq of the latest reply of this epoch that the sender applied
   6: list<PoolReport> pools
   7: list<CapReport> caps
@@ -119,8 +122,8 @@
   // Renews the sender's promise and grants.
   HeartbeatReply heartbeat(1: HeartbeatRequest request) throws (1: common.RpcError error)
 
-  // Announces the coordinator of an epoch and requests an immediate heartbeat of a member that
-  // follows it.
+  // Announces the coordinator of an epoch. A member whose epoch is not higher follows this
+  // coordinator and sends it a heartbeat immediately.
   FollowReply follow(1: i64 epoch, 2: common.Instance coordinator)
       throws (1: common.RpcError error)
 
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -2,16 +2,18 @@
 
 include "common.thrift"
 
+// Whether the request ran.
 enum Outcome {
-  RAN = 1
-  NOT_RUN = 2
-  UNKNOWN = 3
+  RAN = 1                    // a backend server ran the request
+  NOT_RUN = 2                // no backend server ran the request
+  UNKNOWN = 3                // a backend server may have run the request
 }
 
+// What the receiver is to do with the request.
 enum Stage {
-  GATEKEEP = 1               // the receiver is the incarnation that holds the key
-  EXECUTE = 2                // the receiver owns the pool
-  ROUTE = 3                  // the receiver handles the request as if a caller had sent it
+  GATEKEEP = 1               // run it at most once, as the holder of its idempotency key
+  EXECUTE = 2                // run it on a server of the pool, as the owner of the pool
+  ROUTE = 3                  // not in use; receivers reject it as invalid
 }
 
 struct ForwardRequest {
@@ -19,17 +21,17 @@
   2: Stage stage
   3: string service_name
   4: string region           // region of the pool, for EXECUTE
-  5: i32 shard
+  5: i32 shard               // shard of the pool, for EXECUTE
   6: string method
   7: string path             // path and query after the service name
   8: list<common.Header> headers
   9: binary body
-  10: i32 deadline_ms        // remaining time
+  10: i32 deadline_ms        // time left until the deadline of the request
   11: string key             // idempotency key, empty when there is none
   12: string home_region
   13: string shift           // name of the shift that moved the request, or empty
-  14: bool may_queue
-  15: string sender          // name/incarnation
+  14: bool may_queue         // whether the request may wait for a slot, for EXECUTE
+  15: string sender          // name/incarnation of the sending instance
   16: string fingerprint     // identifies the same request when it is sent again
   17: string client          // address of the client on whose behalf the caller sent the request
   18: string attempt_id      // one for each forward; the receiver runs an attempt only once
@@ -45,15 +47,19 @@
   5: string reason           // machine-readable cause when outcome is not RAN
   6: string owner            // name of the current pool owner when reason is not_owner
   7: string server           // backend server that ran the request
-  8: i32 retry_after_ms
+  8: i32 retry_after_ms      // suggested delay before a retry; 0 for no suggestion
   9: string detail           // human-readable reason
 }
 
 service Forward {
+  // Processes a request as its stage says and returns the outcome.
   ForwardReply forward(1: ForwardRequest request) throws (1: common.RpcError error)
+
   // Reports to the owner of another pool of the service that a request crashed a backend server.
   void report_crash(1: string service_name, 2: string fingerprint, 3: string server)
       throws (1: common.RpcError error)
-  // Cancels a forwarded request whose caller has disconnected.
+
+  // Cancels a forwarded request whose caller has disconnected. A request that runs in stage GATEKEEP
+  // continues; only the wait for its outcome ends.
   oneway void cancel(1: string request_id)
 }
--- a/packages/rpc/src/sassafrasway_rpc/server.py
+++ b/packages/rpc/src/sassafrasway_rpc/server.py
@@ -54,7 +54,7 @@
                 self._methods[method] = (service, getattr(handler, method))
         self._server: asyncio.Server | None = None
         self._connections: set[_Connection] = set()
-        self._serving: set[asyncio.Task] = set()
+        self._connection_tasks: set[asyncio.Task] = set()
         self._log = structlog.get_logger("rpc.server")
 
     @property
@@ -78,13 +78,13 @@
             self._server.close()
         for connection in list(self._connections):
             connection.close()
-        await asyncio.gather(*self._serving, return_exceptions=True)
+        await asyncio.gather(*self._connection_tasks, return_exceptions=True)
 
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = _Connection(methods=self._methods, reader=reader, writer=writer)
         self._connections.add(connection)
         task = asyncio.current_task()
-        self._serving.add(task)
+        self._connection_tasks.add(task)
         try:
             await connection.run()
         except errors.ValidationError as error:
@@ -93,12 +93,12 @@
             )
         finally:
             self._connections.discard(connection)
-            self._serving.discard(task)
+            self._connection_tasks.discard(task)
             connection.close()
 
 
 class _Connection:
-    """One accepted connection."""
+    """One accepted connection, whose calls run concurrently."""
 
     def __init__(
         self,
--- a/packages/rpc/tests/test_rpc.py
+++ b/packages/rpc/tests/test_rpc.py
@@ -163,7 +163,7 @@
         self.assertEqual(reply.body, b"slow")
 
     async def test_unknown_method(self):
-        """Guards against leaving a call of a method unanswered that only newer versions have."""
+        """Guards against leaving a call unanswered whose method only newer versions have."""
         host, _, port = self.server.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         head = codec.MessageHead(name="absent", kind=thrift.TMessageType.CALL, sequence_id=9)
