State the errors and the read consistency of the store interfaces

FollowedStore.read promised rows of one version, but the platform store reads pages of different versions and relies on the change feed. StoreUnavailable said "did not answer", although error statuses and malformed bodies raise it too, and the ValidationError of rejected requests was missing. Corrected these docstrings and named the conditional read in http.py; _write_document, which writes nothing, is now _encode_write. No message or stored name changed.

--- a/packages/platform/src/sassafrasway_platform/feed.py
+++ b/packages/platform/src/sassafrasway_platform/feed.py
@@ -30,7 +30,7 @@
     """A snapshot of a table, or the changes since an earlier version in order.
 
     Attributes:
-        version: Version of the store up to which the changes are complete.
+        version: Version of the store up to which the rows are complete; a row may be newer.
     """
 
     rows: Sequence[Change]
@@ -42,10 +42,13 @@
 
     @abc.abstractmethod
     async def read(self, table_name: str) -> Changes:
-        """Returns all rows of a table as of one version.
+        """Returns all rows of a table.
+
+        Changes made during the read may be included or not. ``changes`` after the returned version
+        delivers all of them.
 
         Raises:
-            table.StoreUnavailable: The store did not answer.
+            table.StoreUnavailable: The store gave no usable answer.
         """
 
     @abc.abstractmethod
@@ -54,6 +57,8 @@
     ) -> Changes:
         """Returns the changes after a version; waits when there are none yet.
 
+        The result has no rows when there was no change within ``wait_s``.
+
         Args:
             table_name: Table to read.
             after: Newest version that the caller has.
@@ -62,7 +67,7 @@
 
         Raises:
             HistoryLost: The store has discarded changes since ``after``.
-            table.StoreUnavailable: The store did not answer.
+            table.StoreUnavailable: The store gave no usable answer.
         """
 
     @abc.abstractmethod
@@ -70,5 +75,5 @@
         """Writes a row, or removes it when the value is None.
 
         Raises:
-            table.StoreUnavailable: The store did not answer; the effect is unknown.
+            table.StoreUnavailable: The store gave no usable answer; the effect is unknown.
         """
--- a/packages/platform/src/sassafrasway_platform/http.py
+++ b/packages/platform/src/sassafrasway_platform/http.py
@@ -1,9 +1,10 @@
 """HTTP adapters for the table service, the object store and the instance list.
 
-Versions are sent as strong entity tags (RFC 9110): ``If-Match`` for a known version,
-``If-None-Match: *`` for a row that must not exist, status 412 when the condition does not hold. In
-JSON bodies a row is ``{"key", "value_base64", "version"}``, lists of rows are ``{"rows": [...]}``,
-and ``"if_version": null`` means that the row must not exist.
+Versions are sent as strong entity tags (RFC 9110). A write has ``If-Match`` with the expected
+version, or ``If-None-Match: *`` for a row that must not exist; status 412 means that the condition
+does not hold. A read has ``If-None-Match`` with a known version; status 304 means that the row is
+unchanged. In JSON bodies a row is ``{"key", "value_base64", "version"}``, lists of rows are
+``{"rows": [...]}``, and ``"if_version": null`` means that the row must not exist.
 """
 
 import base64
@@ -134,7 +135,7 @@
 
     async def transact(self, writes: Sequence[table.Write]) -> list[table.Row]:
         """See base class."""
-        document = {"writes": [_write_document(write) for write in writes]}
+        document = {"writes": [_encode_write(write) for write in writes]}
         _, _, body = await self._client.request(
             "POST",
             "/table-transactions",
@@ -219,7 +220,7 @@
     return f'"{version}"'
 
 
-def _write_document(write: table.Write) -> dict[str, Any]:
+def _encode_write(write: table.Write) -> dict[str, Any]:
     return {
         "key": write.key,
         "value_base64": base64.b64encode(write.value).decode(),
--- a/packages/platform/src/sassafrasway_platform/instances.py
+++ b/packages/platform/src/sassafrasway_platform/instances.py
@@ -34,5 +34,6 @@
         """Returns the current list.
 
         Raises:
-            table.StoreUnavailable: The service did not answer.
+            errors.ValidationError: The service rejected the request.
+            table.StoreUnavailable: The service gave no usable answer.
         """
--- a/packages/platform/src/sassafrasway_platform/memory.py
+++ b/packages/platform/src/sassafrasway_platform/memory.py
@@ -17,7 +17,7 @@
         delay_s: Delay of every call before its effect, in seconds.
         lost_answers: Number of subsequent writes that take effect, but whose response is lost.
         down_after_write: The next write takes effect, but its response is lost and ``down`` is set.
-        stale: The instance list keeps returning what the last call before this was set returned.
+        stale: The instance list keeps returning its last result from before this was set.
     """
 
     down: bool = False
@@ -38,7 +38,7 @@
             raise table.StoreUnavailable("injected fault: down", step=step, peer="memory")
 
     def after_write(self, step: str) -> None:
-        """Fails a write that took effect, if a fault asks for it.
+        """Fails a write that took effect, if the loss of its response is injected.
 
         Raises:
             table.StoreUnavailable: The response to this write is lost.
--- a/packages/platform/src/sassafrasway_platform/objects.py
+++ b/packages/platform/src/sassafrasway_platform/objects.py
@@ -12,7 +12,8 @@
         """Returns an object, or None when it does not exist.
 
         Raises:
-            table.StoreUnavailable: The store did not answer.
+            errors.ValidationError: The store rejected the name.
+            table.StoreUnavailable: The store gave no usable answer.
         """
 
     @abc.abstractmethod
@@ -20,7 +21,8 @@
         """Stores an object; storing it again has no effect.
 
         Raises:
-            table.StoreUnavailable: The store did not answer; the effect is unknown.
+            errors.ValidationError: The store rejected the name or the data; nothing was stored.
+            table.StoreUnavailable: The store gave no usable answer; the effect is unknown.
         """
 
 
--- a/packages/platform/src/sassafrasway_platform/table.py
+++ b/packages/platform/src/sassafrasway_platform/table.py
@@ -25,7 +25,10 @@
 
 
 class StoreUnavailable(errors.UnavailableError):
-    """The store did not answer; a write may or may not have taken effect."""
+    """The store gave no usable answer; a write may or may not have taken effect.
+
+    An answer with an unexpected status or a malformed body is not usable either.
+    """
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -63,7 +66,8 @@
                 a large row does not transfer it again.
 
         Raises:
-            StoreUnavailable: The store did not answer.
+            errors.ValidationError: The key is invalid, or the service rejected the read.
+            StoreUnavailable: The store gave no usable answer.
         """
 
     @abc.abstractmethod
@@ -71,8 +75,9 @@
         """Writes a row if it has the given version, or does not exist with ``ABSENT``.
 
         Raises:
+            errors.ValidationError: The key or the write is invalid; nothing was written.
             PreconditionFailed: The row has another version; nothing was written.
-            StoreUnavailable: The store did not answer; the effect is unknown.
+            StoreUnavailable: The store gave no usable answer; the effect is unknown.
         """
 
     @abc.abstractmethod
@@ -80,8 +85,9 @@
         """Applies all writes or none and returns the new rows in order of the writes.
 
         Raises:
-            PreconditionFailed: One row has another version; nothing was written.
-            StoreUnavailable: The store did not answer; the effect is unknown.
+            errors.ValidationError: A key or a write is invalid; nothing was written.
+            PreconditionFailed: A row has another version; nothing was written.
+            StoreUnavailable: The store gave no usable answer; the effect is unknown.
         """
 
     @abc.abstractmethod
@@ -89,7 +95,8 @@
         """Returns all rows whose key starts with ``prefix``, sorted by key.
 
         Raises:
-            StoreUnavailable: The store did not answer.
+            errors.ValidationError: The service rejected the scan.
+            StoreUnavailable: The store gave no usable answer.
         """
 
 
