Describe the rounds, shared options and trace events of sassafrasctl

ROUNDS counted rounds while its loop variable was called attempt, the word used for single calls; _change submits a change with its meta; the docstrings of plan, read_policy, select and show_difference lacked arguments or errors; "already as wanted" was not a usual term. Renamed round_index and _submit_with_meta, completed the docstrings, and apply now prints "already matches the document" for an unchanged policy; test_ctl checks this text. Commands, options and JSON output are unchanged.

--- a/packages/ctl/src/sassafrasway_ctl/client.py
+++ b/packages/ctl/src/sassafrasway_ctl/client.py
@@ -9,8 +9,8 @@
 from sassafrasway_rpc import schema
 
 DEFAULT_TIMEOUT_S = 10.0
-# When the reply to a change is lost in the first round, the second round repeats the change and
-# finds it applied under its change id.
+# Number of times that all addresses are tried. When the reply to a change is lost in the first
+# round, the second round repeats the change and finds it applied under its change id.
 ROUNDS = 2
 PAUSE_BETWEEN_ROUNDS_S = 0.3
 
@@ -41,8 +41,8 @@
 
     async def _call(self, method: str, arguments: dict[str, Any]) -> Any:
         failures = {}
-        for attempt in range(ROUNDS):
-            if attempt:
+        for round_index in range(ROUNDS):
+            if round_index:
                 await asyncio.sleep(PAUSE_BETWEEN_ROUNDS_S)
             for address in self._addresses:
                 try:
--- a/packages/ctl/src/sassafrasway_ctl/commands.py
+++ b/packages/ctl/src/sassafrasway_ctl/commands.py
@@ -86,7 +86,7 @@
 @click.pass_obj
 def rollback(settings: options.Options, revision: int, change: options.ChangeOptions) -> None:
     """Restores the content of REVISION as a new revision."""
-    _change(settings, change, "rollback", revision=revision)
+    _submit_with_meta(settings, change, "rollback", revision=revision)
 
 
 @click.group()
@@ -114,7 +114,7 @@
 ) -> None:
     """Starts or replaces the shift NAME."""
     spec = schema.config.ShiftSpec(service_name=service, **values)
-    _change(settings, change, "start_shift", name=name, shift=spec)
+    _submit_with_meta(settings, change, "start_shift", name=name, shift=spec)
 
 
 @shift.command("stop")
@@ -124,7 +124,7 @@
 @click.pass_obj
 def shift_stop(settings: options.Options, name: str, change: options.ChangeOptions) -> None:
     """Stops the shift NAME."""
-    _change(settings, change, "stop_shift", name=name)
+    _submit_with_meta(settings, change, "stop_shift", name=name)
 
 
 @click.group()
@@ -143,7 +143,7 @@
 ) -> None:
     """Stops sending new requests to the backend server NAME."""
     kind = schema.config.DrainKind.SERVER
-    _change(settings, change, "drain", kind=kind, name=name, cancel=cancel)
+    _submit_with_meta(settings, change, "drain", kind=kind, name=name, cancel=cancel)
 
 
 @drain.command("instance")
@@ -194,7 +194,7 @@
 ALL = (apply, diff, get, history, rollback, shift, drain, status, dump, completion)
 
 
-def _change(
+def _submit_with_meta(
     settings: options.Options, change: options.ChangeOptions, method: str, **arguments: Any
 ) -> None:
     _submit(settings, change.change_id, method, meta=change.meta(), **arguments)
@@ -216,4 +216,4 @@
     if settings.as_json:
         output.show_json({"revision": revision, "unchanged": True}, compact=True)
     else:
-        click.echo(f"Revision {revision} is already as wanted")
+        click.echo(f"Revision {revision} already matches the document")
--- a/packages/ctl/src/sassafrasway_ctl/options.py
+++ b/packages/ctl/src/sassafrasway_ctl/options.py
@@ -59,7 +59,11 @@
 
 
 def shared(command: Callable) -> Callable:
-    """Adds the shared options; they are accepted before and after the name of the command."""
+    """Adds the shared options, which are accepted before and after the name of the command.
+
+    Their values are stored in the ``Options`` of the context. A value after the name of the command
+    replaces one before it.
+    """
     add_json = click.option(
         "--json",
         "as_json",
--- a/packages/ctl/src/sassafrasway_ctl/output.py
+++ b/packages/ctl/src/sassafrasway_ctl/output.py
@@ -90,7 +90,14 @@
 def show_difference(
     old: model.Policy, new: model.Policy, sections: documents.Sections, *, as_json: bool
 ) -> None:
-    """Prints the difference between two policies."""
+    """Prints the difference between two policies.
+
+    Args:
+        old: Policy before the change.
+        new: Policy after the change.
+        sections: The changed objects of each section, as in a change.
+        as_json: Print only the sections, as JSON.
+    """
     if as_json:
         show_json(documents.dump_sections(sections), compact=True)
         return
--- a/packages/ctl/src/sassafrasway_ctl/policy_files.py
+++ b/packages/ctl/src/sassafrasway_ctl/policy_files.py
@@ -6,7 +6,7 @@
 from sassafrasway_core import documents, errors, model
 from sassafrasway_ctl import client, options
 
-# Key of a full document that holds the revision it was read from.
+# Key in a full document for the revision from which the document was read.
 REVISION_KEY = "revision"
 
 
@@ -26,7 +26,12 @@
 
 
 def read_policy(operator: client.OperatorClient, revision: int | None = None) -> model.Policy:
-    """Fetches a revision of the policy, by default the current one."""
+    """Fetches a revision of the policy, by default the current one.
+
+    Raises:
+        errors.NotFoundError: The revision does not exist.
+        errors.UnavailableError: No instance could return the policy.
+    """
     reply = operator.call("get_policy", revision=revision)
     data = documents.parse_json(reply.document_json)
     return documents.parse_policy(data, revision=reply.revision)
@@ -52,6 +57,7 @@
     Raises:
         errors.ValidationError: The file is invalid.
         errors.ConflictError: The file is not based on the expected or current revision.
+        errors.UnavailableError: The current policy is needed, but no instance could return it.
     """
     data = documents.parse_json(text)
     if isinstance(data, dict) and "sections" in data:
--- a/packages/ctl/src/sassafrasway_ctl/trace.py
+++ b/packages/ctl/src/sassafrasway_ctl/trace.py
@@ -23,8 +23,9 @@
     """One log line.
 
     Attributes:
+        time_s: Unix time of the line, s.
         text: Event text of the line.
-        fields: All fields of the line, including those above.
+        fields: All fields of the line, including those of the other attributes.
     """
 
     time_s: float
@@ -74,6 +75,11 @@
     The latter are the state changes of the instances that handled the request and all events about
     the servers that it was sent to, from ``context_s`` seconds before the request to its end.
 
+    Args:
+        events: Events of all instances, in any order.
+        request: Id of the request.
+        context_s: Time before the first event of the request, s.
+
     Raises:
         errors.NotFoundError: No log line belongs to the request.
     """
@@ -82,6 +88,7 @@
     if not request_events:
         raise errors.NotFoundError(f"no log line mentions request {request}", step="trace")
     instances = {event.instance for event in request_events}
+    # The text of an attempt starts with the id of its server.
     servers = {
         attempt.split(" ", 1)[0]
         for event in request_events
--- a/packages/ctl/tests/test_ctl.py
+++ b/packages/ctl/tests/test_ctl.py
@@ -101,7 +101,7 @@
     def test_get_edit_apply(self):
         """Guards against output of get that apply does not accept, unchanged or edited."""
         document = json.loads(self.run_ctl("get").stdout)
-        self.assertIn("already as wanted", self.run_ctl("apply", text=document).stdout)
+        self.assertIn("already matches the document", self.run_ctl("apply", text=document).stdout)
         document["regions"]["sofia"]["cap_rps"] = 700
         document["servers"] = {}
         shown = self.run_ctl("diff", text=document).stdout
--- a/packages/ctl/tests/test_trace.py
+++ b/packages/ctl/tests/test_trace.py
@@ -36,10 +36,12 @@
         return [event.text for event in trace.select(events, request, context_s=5.0)]
 
     def test_shows_the_request_its_servers_and_state_changes_of_its_instance(self):
+        """Guards against events that are missing, too old or of an uninvolved instance."""
         expected = ["server ended during request", "store lost", "request"]
         self.assertEqual(self.select(), expected)
 
     def test_command(self):
+        """Guards against a log prefix that stops the parser, and an unknown id that is no error."""
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "a.log")
             path.write_text("\n".join(LINES), encoding="utf-8")
