Clarify the time limits and temporary refusals of the dispatcher

The comment on the peer timeouts named a second limit without saying which one applies, in_handover was said to be set only for a change of the owner, although a crashed peer or missing cap shares set it too, and one pass over the pools and the parameters of execute and forward were not described. Comments and docstrings now state this; Peers.call lists its errors. Only comments and docstrings changed.

--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -13,9 +13,10 @@
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
-# Time allowed for the response of a peer to an idempotent request. It keeps a connection that went
-# silent from using up the whole deadline. The second limit is a fraction of the remaining time. It
-# is above RESPONSE_FRACTION of backend_client, because the peer calls a server within this time.
+# Limits of the time allowed for the response of a peer to an idempotent request that may not queue,
+# in seconds and as a fraction of the remaining time; the lower one applies. They keep a connection
+# that went silent from using up the whole deadline. They are above RESPONSE_TIMEOUT_S and
+# RESPONSE_FRACTION of backend_client, because the peer calls a server within this time.
 PEER_RESPONSE_TIMEOUT_S = 2.5
 PEER_RESPONSE_FRACTION = 0.8
 
@@ -35,6 +36,7 @@
 # no server received it.
 MIN_PASS_TIME_S = 0.25
 
+# Reasons of a refusal that say nothing about the other pools of the route.
 _TRY_NEXT_POOL_REASONS = frozenset(
     (
         messages.Reason.NO_SLOT,
@@ -48,7 +50,8 @@
     )
 )
 
-
+# Reasons of a refusal that is usually temporary: the owner of the pool is changing or has crashed,
+# or this instance or the owner does not have its shares of the caps yet.
 _HANDOVER_REASONS = frozenset(
     (messages.Reason.NOT_OWNER, messages.Reason.NOT_READY, messages.Reason.PEER_UNREACHABLE)
 )
@@ -59,7 +62,8 @@
     """Result of one pass over the pools.
 
     Attributes:
-        in_handover: Whether a pool refused the request only because its owner is changing.
+        in_handover: Whether a pool refused the request for one of ``_HANDOVER_REASONS``, so that
+            another pass may succeed. False if the request ran or may have run.
     """
 
     response: messages.Response
@@ -76,7 +80,7 @@
         """Returns an instance by name, or None."""
 
     def instances(self, region: str | None = None) -> list[Any]:
-        """Returns the instances of a region, or all."""
+        """Returns the instances of one region or of all regions."""
 
     def is_gone(self, name: str, incarnation: str) -> bool:
         """Returns whether an incarnation is known to have ended or refused a connection."""
@@ -89,7 +93,14 @@
     """Calls to other entry instances."""
 
     async def call(self, address: str, method: str, *, timeout_s: float, **arguments: Any) -> Any:
-        """Calls a method of a peer."""
+        """Calls a method of a peer.
+
+        Raises:
+            rpc_client.ConnectionRefusedByPeerError: No process listens at the address.
+            rpc_client.CallNotSentError: The peer was not reached; it has not received the call.
+            errors.UnavailableError: The peer did not answer; it may have received the call.
+            errors.SassafraswayError: The peer reported an error.
+        """
 
 
 class Dispatcher:
@@ -104,7 +115,7 @@
         pools: Pools that this instance owns.
         directory: Owners of the other pools.
         peers: Calls other instances.
-        placement: Whether requests are forwarded to the owner of their pool.
+        placement: Strategy that decides whether requests are forwarded to the owner of their pool.
         budget: Limits the retries of idempotent requests after a peer did not respond.
     """
 
@@ -167,6 +178,11 @@
     async def _try_pools(
         self, service: model.Service, route: steering.Route, request: messages.Request
     ) -> _PassResult:
+        """Makes one pass over the pools of the route, then queues if the service allows it.
+
+        After an unknown outcome, the next pool is tried only if ``_may_retry`` allows it. The
+        request is then never reported as not run, whatever the later pools respond.
+        """
         response = messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
         possibly_ran: messages.Response | None = None
         in_handover = False
@@ -192,7 +208,16 @@
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
     ) -> messages.Response:
-        """Runs a request on one pool, on this instance or on the owner of the pool."""
+        """Runs a request on one pool, on this instance or on the owner of the pool.
+
+        If the receiver is no longer the owner and names another one, the request is forwarded to
+        that one; this happens only once.
+
+        Args:
+            key: Pool to use.
+            request: The request.
+            may_queue: Whether the request may wait for a slot.
+        """
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if not self._placement.forwards:
@@ -226,7 +251,18 @@
         key: model.PoolKey | None = None,
         may_queue: bool = False,
     ) -> messages.Response:
-        """Sends a request to another instance and returns its response."""
+        """Sends a request to another instance and returns its response.
+
+        A request to another region counts against the cap of the link, and is refused when that is
+        used up. If the calling task is cancelled, the peer is told to cancel the request as well.
+
+        Args:
+            peer: Directory record of the receiving instance.
+            request: The request.
+            stage: Value of the Thrift enum ``Stage``: what the peer does with the request.
+            key: Pool to use, for ``Stage.EXECUTE``.
+            may_queue: Whether the request may wait for a slot.
+        """
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
         if peer.region != self._region:
@@ -235,7 +271,8 @@
                 wait_ms = int(min(wait_s, 1.0) * 1000)
                 has_share = self._limits.has_link_share(peer.region, len(request.body))
                 if not has_share or self._limits.settling:
-                    # Temporary: the first share of a new instance arrives with a heartbeat.
+                    # Temporary: the first share of a new instance arrives with a heartbeat, and
+                    # shares do not follow the demand just after a change of the coordinator.
                     return messages.not_run(503, messages.Reason.NOT_READY)
                 return messages.not_run(429, messages.Reason.LINK_CAP, retry_after_ms=wait_ms)
         message = conversion.to_forward(
@@ -279,7 +316,7 @@
                 if isinstance(error, rpc_client.ConnectionRefusedByPeerError):
                     self._directory.note_refused(peer.id)
                 if message.resent:
-                    return response
+                    return response  # the peer may have received an earlier send
                 return messages.not_run(503, messages.Reason.PEER_UNREACHABLE, str(error))
             except errors.UnavailableError as error:
                 response = messages.unknown(504, messages.Reason.PEER_UNREACHABLE, str(error))
@@ -309,6 +346,7 @@
         return _PassResult(response=response, in_handover=in_handover)
 
     def _may_retry(self, service: model.Service, response: messages.Response) -> bool:
+        """Returns whether a request that may have run may run again; uses the retry budget."""
         return (
             service.idempotent
             and response.reason is messages.Reason.PEER_UNREACHABLE
