State when a request needs a claim row and what stored rows contain

The docstrings of the gatekeeper left out why a closed incarnation needs a claim row, when a stored outcome is consulted, and why a missing record or an unreachable holder gives an unknown outcome. The row keys in outcomes lacked the instance name, and the queue was said to drop its oldest outcome, which does not hold after a failed flush has moved a segment to the end. Renamed claim_row to claim_row_key and _drop_oldest to _drop_first.

--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -7,7 +7,7 @@
 from sassafrasway_core import errors, model
 from sassafrasway_entry import gatekeeper, outcomes
 
-MAX_FLUSHES = 50
+MAX_FLUSHES = 50  # after these attempts, the instance stops without the closed marker
 FLUSH_INTERVAL_S = 0.2
 
 
@@ -19,7 +19,7 @@
     Args:
         me: Incarnation that stops.
         outcomes: Outcomes of the incarnation.
-        gatekeeper: Gatekeeper of the incarnation, all of whose requests have ended.
+        gatekeeper: Gatekeeper of the incarnation; all of its requests have ended.
     """
     log = structlog.get_logger("process")
     for _ in range(MAX_FLUSHES):
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -17,8 +17,8 @@
 from sassafrasway_platform import table
 from sassafrasway_rpc import schema
 
-CLAIM_RETRY_S = 0.1
-CLAIM_UPDATE_INTERVAL_S = 0.5
+CLAIM_RETRY_S = 0.1  # delay before another attempt to create or read a claim row
+CLAIM_UPDATE_INTERVAL_S = 0.5  # delay before another attempt to store an outcome in a claim row
 CLAIM_UPDATE_WAIT_S = 0.5  # maximum delay of a response until its outcome is stored
 
 
@@ -45,14 +45,22 @@
 
     @classmethod
     def decode(cls, value: bytes) -> "Claim":
-        """Returns the claim that a row holds."""
+        """Returns the claim that a row holds.
+
+        Raises:
+            ValueError: The value is not JSON, or its outcome or reason is unknown.
+            KeyError: A field is missing.
+        """
         data = json.loads(value)
         response = outcomes.from_document(data["answer"]) if data["answer"] else None
         return cls(holder=data["holder"], attempt=data["attempt"], response=response)
 
 
-def claim_row(service: str, key: str) -> str:
-    """Returns the row key of a claim; the key is hashed because callers may send any text."""
+def claim_row_key(service: str, key: str) -> str:
+    """Returns the row key of a claim.
+
+    The idempotency key is hashed, because callers may send any text as key.
+    """
     return f"claims/{service}/{hashlib.sha256(key.encode()).hexdigest()}"
 
 
@@ -100,9 +108,10 @@
         return len(self._claim_updates)
 
     def close(self) -> None:
-        """Stops starting requests of new tickets, so that the closed marker can be written.
+        """From now on, starts requests with new tickets only under a claim row.
 
-        The marker is described in ``outcomes``.
+        This must precede the closed marker (see ``outcomes``), which allows other instances to run
+        such requests under a claim row.
         """
         self._closed = True
 
@@ -126,6 +135,8 @@
         """Runs a request that another instance sent because this incarnation holds its key."""
         ticket = at_most_once.Ticket.parse(request.key)
         if ticket is None and self._registry.record(request.key) is None:
+            # The sender found a claim of this incarnation without an outcome. Its run may be about
+            # to start, or may have ended and its record may have been removed.
             return messages.unknown(503, messages.Reason.CLAIM_HOLDER_GONE)
         if ticket is not None and ticket.holder != self._me:
             return await self._stored_outcome(ticket, request)
@@ -135,17 +146,17 @@
         """Runs a request whose key this incarnation holds, or waits for its earlier attempt."""
         key = request.key
         if self._closed and self._registry.record(key) is None:
-            # A closed incarnation starts a new key only with a claim row, as other instances will
-            # after it has ended.
+            # Other instances may run the request under a claim row once they find the closed
+            # marker. Creating the row here as well ensures that only one instance runs it.
             return await self._handle_claim(request)
-        state = self._registry.begin(key)
-        if state is at_most_once.BeginResult.EXPIRED:
+        result = self._registry.begin(key)
+        if result is at_most_once.BeginResult.EXPIRED:
             return messages.not_run(409, messages.Reason.TICKET_EXPIRED)
-        if state is at_most_once.BeginResult.DONE:
+        if result is at_most_once.BeginResult.DONE:
             return self._registry.record(key).outcome
-        if state is at_most_once.BeginResult.FORGOTTEN:
+        if result is at_most_once.BeginResult.FORGOTTEN:
             return await self._stored_outcome(at_most_once.Ticket.parse(key), request)
-        if state is at_most_once.BeginResult.START:
+        if result is at_most_once.BeginResult.START:
             self._start_run(request)
         return await self._wait_for_outcome(key, request)
 
@@ -157,6 +168,11 @@
         task.add_done_callback(lambda _: self._running.pop(request.key, None))
 
     async def _wait_for_outcome(self, key: str, request: messages.Request) -> messages.Response:
+        """Returns the outcome of a key, or "unknown" if its run goes on after the deadline.
+
+        The deadline is that of ``request``. The run has the deadline of the attempt that started
+        it, and is not cancelled.
+        """
         task = self._running.get(key)
         if task is None:
             return self._registry.record(key).outcome
@@ -187,8 +203,9 @@
     async def _stored_outcome(
         self, ticket: at_most_once.Ticket, request: messages.Request
     ) -> messages.Response:
-        """Returns the stored outcome of a ticket whose holder cannot be reached.
+        """Returns the stored outcome of a ticket.
 
+        It is needed if the holder cannot be reached or may have deleted its record of the ticket.
         If the closed marker of the holder exists, a missing outcome proves that the request did not
         run, so that it may run here under a claim.
         """
@@ -207,8 +224,11 @@
         return messages.unknown(503, messages.Reason.TICKET_HOLDER_GONE)
 
     async def _handle_claim(self, request: messages.Request) -> messages.Response:
-        """Runs a request after creating its claim row."""
-        row_key = claim_row(request.service, request.key)
+        """Runs a request if it can create the claim row, or returns the outcome of an earlier one.
+
+        While the table service is unavailable, the write is repeated until the deadline.
+        """
+        row_key = claim_row_key(request.service, request.key)
         own_claim = Claim(holder=str(self._me), attempt=request.request_id)
         row_exists = False
         while not request.deadline.expired:
@@ -230,10 +250,10 @@
         return self._give_up_claim(request.key)
 
     def _give_up_claim(self, key: str) -> messages.Response:
-        """Records the key as not run.
+        """Records a key as not run, unless it is known already, and returns its outcome.
 
-        The claim row may exist although the response to the write was lost, so a later attempt must
-        not run the key either.
+        The claim row may exist although the response to the write was lost. Without the record, a
+        later attempt at this instance could run the key after this response "not run".
         """
         response = messages.not_run(504, messages.Reason.STORE_UNAVAILABLE)
         if self._registry.begin_claimed(key):
@@ -244,6 +264,7 @@
     async def _handle_existing_claim(
         self, row_key: str, request: messages.Request
     ) -> messages.Response | None:
+        """Returns the response to a request whose claim row exists, or None to try again."""
         try:
             row = await self._claims.get(row_key)
         except errors.UnavailableError:
@@ -274,12 +295,14 @@
             peer, request, stage=schema.forward.Stage.GATEKEEP
         )
         if response.reason is messages.Reason.PEER_UNREACHABLE:
+            # Even if this attempt was not sent, the holder may have run the request before.
             return messages.unknown(503, response.reason, response.detail)
         return response
 
     async def _run_claimed(
         self, row_key: str, row: table.Row, request: messages.Request
     ) -> messages.Response:
+        """Runs a request whose claim row was created here, and stores the outcome in the row."""
         if self._registry.begin_claimed(request.key):
             self._start_run(request)
         response = await self._wait_for_outcome(request.key, request)
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -2,9 +2,10 @@
 
 A stored outcome survives its instance, so that a caller who did not get the response can retry with
 the same key. The outcomes of tickets are written asynchronously in batches. A batch is one row
-``outcomes/<incarnation>/<segment>/<batch>``, whose segment is computed from the ticket. The closed
-marker of an incarnation is the row ``outcomes-closed/<incarnation>``. It is written when the
-incarnation stops as planned and all of its outcomes are in the table.
+``outcomes/<name>.<incarnation>/<segment>/<batch>`` with the name of the ticket's holder, whose
+segment is computed from the time of issue of the tickets. The closed marker of an incarnation is
+the row ``outcomes-closed/<name>.<incarnation>``. It is written when the incarnation stops as
+planned and all of its outcomes are in the table.
 """
 
 import asyncio
@@ -21,7 +22,9 @@
 SEGMENT_S = 5  # tickets issued within the same 5 s share a segment
 FLUSH_INTERVAL_S = 0.2
 MAX_BODY_BYTES = 64 * 1024  # larger bodies are dropped from the stored outcome
-MAX_PENDING = 20_000  # unwritten outcomes while the table is down; the oldest are dropped first
+# Maximum number of queued outcomes. When the table is down and more are added, earlier ones are
+# dropped.
+MAX_PENDING = 20_000
 
 
 def to_document(response: messages.Response) -> dict:
@@ -38,7 +41,12 @@
 
 
 def from_document(document: dict) -> messages.Response:
-    """Returns the response from a stored document."""
+    """Returns the response from a stored document.
+
+    Raises:
+        KeyError: A field is missing.
+        ValueError: The outcome or the reason is unknown, or the body is not base64.
+    """
     return messages.Response(
         outcome=messages.Outcome(document["outcome"]),
         status=document["status"],
@@ -104,7 +112,7 @@
     def add(self, ticket: at_most_once.Ticket, response: messages.Response) -> None:
         """Queues the outcome of a ticket for the next batch."""
         while self._pending_count >= MAX_PENDING:
-            self._drop_oldest()
+            self._drop_first()
         self._pending.setdefault(segment_prefix(ticket), {})[str(ticket)] = to_document(response)
         self._pending_count += 1
         self._has_new.set()
@@ -139,7 +147,11 @@
         return not self._pending
 
     async def close(self, holder) -> None:
-        """Writes the closed marker of this incarnation, after all outcomes were written."""
+        """Writes the closed marker of an incarnation, all of whose outcomes must be in the table.
+
+        Raises:
+            errors.UnavailableError: The table service is unavailable.
+        """
         try:
             await self._table.put(closed_row_key(holder), b"{}", if_version=table.ABSENT)
         except table.PreconditionFailed:
@@ -173,7 +185,8 @@
             return False
         return True
 
-    def _drop_oldest(self) -> None:
+    def _drop_first(self) -> None:
+        """Drops the first outcome of the first segment in the queue."""
         prefix = next(iter(self._pending))
         batch = self._pending[prefix]
         del batch[next(iter(batch))]
