Describe how calls to backend servers end and which headers are dropped

The list _HOP_BY_HOP also holds end-to-end headers such as content-encoding, so it is now _DROPPED_HEADERS with a comment; LOST did not mention responses that are too large, and which of two time limits applies was not said. The log text connections replaced did not name the cause, a timeout. Only names, texts and comments changed.

--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -14,9 +14,10 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 5.0
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
-# Limits of one attempt at an idempotent request, after which its connection counts as silent. The
-# second one is a fraction of the remaining time and leaves time for another attempt. Other requests
-# cannot be retried and are limited by their deadline only.
+# Limits of the time for one attempt at an idempotent request, in seconds and as a fraction of the
+# remaining time; the lower one applies. After it, the connection counts as silent, and there is
+# time left for another attempt. Other requests cannot be retried and are limited by their deadline
+# only.
 RESPONSE_TIMEOUT_S = 2.0
 RESPONSE_FRACTION = 0.6
 
@@ -26,7 +27,9 @@
 LOAD_HEADER = "Sassafras-Load"
 STATE_HEADER = "Sassafras-State"
 
-_HOP_BY_HOP = frozenset(
+# Headers of requests and responses that are not passed on: hop-by-hop headers, headers that the
+# HTTP library sets for each message, and the encoding of the body.
+_DROPPED_HEADERS = frozenset(
     (
         "connection",
         "keep-alive",
@@ -49,10 +52,10 @@
     """How a call to a backend server ended."""
 
     OK = "ok"
-    SHED = "shed"
-    NOT_SENT = "not_sent"  # no connection, so the server has not received the request
-    LOST = "lost"  # the connection broke before the response was complete
-    TIMEOUT = "timeout"
+    SHED = "shed"  # the server refused the request because of its load
+    NOT_SENT = "not_sent"  # the request was not sent, so the server has not received it
+    LOST = "lost"  # the response is incomplete: the connection broke, or the body was too large
+    TIMEOUT = "timeout"  # the request was sent, but the response was not complete in time
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -62,7 +65,7 @@
     Attributes:
         result: How the call ended.
         status: Status code; set when the result is ``OK`` or ``SHED``.
-        headers: End-to-end headers of the response.
+        headers: Headers of the response that are passed on to the caller.
         body: Body of the response.
         load: Load that the server reported, or None.
         leaving: Whether the server reported that it is leaving.
@@ -128,6 +131,13 @@
 
         The deadline that is sent to the server is the timeout of this attempt, so that the server
         stops work on a request that was given up and may be retried on another server.
+
+        Args:
+            server: Server to call.
+            request: The request.
+            idempotent: Whether the service is idempotent, so that a connection may be reused and
+                the time is limited further, see ``RESPONSE_TIMEOUT_S``.
+            timeout_s: Seconds until the deadline of the request.
         """
         session = self._session(server, reuse=idempotent)
         started_s = time.monotonic()
@@ -169,7 +179,7 @@
         timeout_s: float,
         headers_sent: asyncio.Event,
     ) -> BackendResponse:
-        headers = [pair for pair in request.headers if pair[0].lower() not in _HOP_BY_HOP]
+        headers = [pair for pair in request.headers if pair[0].lower() not in _DROPPED_HEADERS]
         headers.append((DEADLINE_HEADER, str(max(1, int(timeout_s * 1000)))))
         headers.append((REQUEST_ID_HEADER, request.request_id))
         async with session.request(
@@ -198,7 +208,7 @@
             result=CallResult.SHED if shed else CallResult.OK,
             status=response.status,
             headers=tuple(
-                pair for pair in response.headers.items() if pair[0].lower() not in _HOP_BY_HOP
+                pair for pair in response.headers.items() if pair[0].lower() not in _DROPPED_HEADERS
             ),
             body=body,
             load=int(load) if load.isdecimal() else None,
@@ -214,11 +224,13 @@
         return session
 
     def _new_session(self, server: model.BackendServer, *, reuse: bool) -> aiohttp.ClientSession:
-        connections = {"force_close": True} if not reuse else {"keepalive_timeout": IDLE_TIMEOUT_S}
+        connection_options = (
+            {"force_close": True} if not reuse else {"keepalive_timeout": IDLE_TIMEOUT_S}
+        )
         connector = aiohttp.TCPConnector(
             limit=server.connections,
             local_addr=(self._local_host, 0),
-            **connections,
+            **connection_options,
         )
         trace = aiohttp.TraceConfig()
         trace.on_request_headers_sent.append(_mark_headers_sent)
@@ -228,17 +240,22 @@
             trace_configs=[trace],
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
-        # aiohttp retries a GET, PUT or DELETE once when a reused connection breaks. That would send
-        # the request twice outside the retry budget and hide a crash of the server.
+        # aiohttp retries an idempotent method such as GET, PUT or DELETE once when a reused
+        # connection breaks. That would send the request twice outside the retry budget and hide a
+        # crash of the server.
         session._retry_connection = False
         return session
 
     def _replace_session(self, server: model.BackendServer, *, waited_s: float) -> None:
-        """Stops using the open connections to a server after one of them got no response."""
+        """Stops reusing the open connections to a server after a request got no response."""
         session = self._keep_alive.pop(server.url, None)
         if session is None:
             return
-        self._log.info("connections replaced", server=server.name, waited_s=round(waited_s, 3))
+        self._log.info(
+            "connections to the server replaced after a timeout",
+            server=server.name,
+            waited_s=round(waited_s, 3),
+        )
         task = asyncio.create_task(_close_after_delay(session))
         self._close_tasks.add(task)
         task.add_done_callback(self._close_tasks.discard)
