Describe the slots, probes and retries of owned pools

Docstrings of the pool manager named only ejected servers as probed and caps as checked by the invariants, and the private methods that apply grants, lease slots and wake waiting requests had none. dispatched in the request runner meant that a server may have received the request, so it is now possibly_ran; the log of a crash covers responses that are too large. Only names, one log text, comments and docstrings changed.

--- a/packages/entry/src/sassafrasway_entry/owned_pool.py
+++ b/packages/entry/src/sassafrasway_entry/owned_pool.py
@@ -8,14 +8,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OwnedPool:
-    """State of a pool that this instance owns.
+    """State of a pool that this instance owns, or has released while its requests still run.
 
     Attributes:
-        shift_windows: Windows of the shifts into this pool, by source region.
-        waiters: Futures of the waiting requests, by waiter id.
-        acquired_s: When this instance last became the owner.
-        requests: Number of requests that got a slot.
-        busy_until_s: Latest deadline of all dispatched requests.
+        grant: Latest grant of the pool.
+        slots: Slots of the pool's servers, their leases and the wait queue.
+        shift_windows: Windows that enforce the caps of shifts into this pool, by source region.
+        waiters: Futures of the waiting requests, by waiter id. The result is a lease, or None when
+            the pool is released.
+        acquired_s: Monotonic time at which this instance last became the owner.
+        requests: Number of requests that got a slot and were within the caps.
+        busy_until_s: Monotonic time of the latest deadline of all dispatched requests.
     """
 
     grant: region.PoolGrant
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -42,8 +42,8 @@
 
     Args:
         clock: Time source.
-        rng: Random source that breaks ties between servers.
-        invariants: Checks slots and caps.
+        rng: Random source for server selection and for the jitter of ejection times.
+        invariants: Checks every lease of a slot.
         client: Client for backend servers.
         record: Record of dispatches.
         report_crash: Notifies the owners of the service's other pools that a request crashed a
@@ -51,8 +51,8 @@
         share_of: Returns the share of a pool that this instance may use now.
         placement: Strategy that decides which slots an instance may use.
         limits: This instance's share of the cap of the region.
-        on_slot_released: Called with pool and server when a request ends after the owner of its
-            pool has changed.
+        on_slot_released: Called with pool and server name when a request ends after the owner of
+            its pool has changed.
         queue_limit: Maximum number of waiting requests in a pool.
     """
 
@@ -131,7 +131,10 @@
             self.set_policy(self._policy)
 
     def set_grants(self, grants: Iterable[region.PoolGrant]) -> None:
-        """Replaces the grants with the full list of pools that this instance may use."""
+        """Replaces the grants with the full list of pools that this instance may use.
+
+        Placements without owners use all pools and ignore grants.
+        """
         if self._placement.forwards:
             self._apply_grants(grants)
 
@@ -150,6 +153,7 @@
         return tuple(self._placement.usable_servers(servers, index=index, count=count))
 
     def _apply_grants(self, grants: Iterable[region.PoolGrant]) -> None:
+        """Acquires and releases pools so that this instance owns exactly the granted ones."""
         by_key = {grant.pool: grant for grant in grants}
         for key in [key for key in self._pools if key not in by_key]:
             self._release_pool(key)
@@ -161,6 +165,8 @@
                 self._pools[key] = owned
                 owned.acquired_s = self._clock.monotonic()
                 self._log.info("pool acquired", pool=str(key), share=grant.share.value)
+            # Every heartbeat repeats the inherited slots; they are counted once for each previous
+            # owner.
             if grant.inherited and (is_new or owned.grant.previous != grant.previous):
                 expires_s = self._clock.monotonic() + grant.inherited_s
                 owned.slots.inherit(grant.inherited, expires_s=expires_s)
@@ -193,7 +199,13 @@
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
     ) -> messages.Response:
-        """Runs a request on one of the pool's servers."""
+        """Runs a request on one of the pool's servers.
+
+        Args:
+            key: Pool to use.
+            request: The request.
+            may_queue: Whether the request may wait for a slot.
+        """
         owned = self._pools.get(key)
         if owned is None or self._policy is None:
             return messages.not_run(503, messages.Reason.NOT_OWNER)
@@ -216,13 +228,16 @@
         )
 
     async def probe_loop(self) -> None:
-        """Probes ejected servers until cancelled."""
+        """Probes the servers that are due, at regular intervals until cancelled."""
         while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
             await self.probe_pools()
 
     async def probe_pools(self) -> None:
-        """Probes the ejected servers of all pools that are due."""
+        """Probes the servers of all pools that are due.
+
+        These are ejected servers and servers that reported that they are leaving.
+        """
         for owned in list(self._pools.values()):
             await self._probe_pool(owned)
 
@@ -267,6 +282,7 @@
         self._log.info("pool released", pool=str(key), in_use=owned.slots.in_use())
 
     def _update_shift_windows(self, owned: owned_pool.OwnedPool) -> None:
+        """Applies the caps of the policy's shifts into the pool; usage of kept windows stays."""
         if self._policy is None:
             return
         key = owned.grant.pool
@@ -292,7 +308,7 @@
     def _admit(
         self, owned: owned_pool.OwnedPool, request: messages.Request
     ) -> messages.Response | None:
-        """Returns a refusal, or None if the request may use the pool."""
+        """Updates the pool's share; returns a refusal, or None if the request may use the pool."""
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if self._quarantine.is_quarantined(request.fingerprint):
@@ -336,6 +352,11 @@
     async def _acquire_slot(
         self, owned: owned_pool.OwnedPool, request: messages.Request, *, may_queue: bool
     ) -> pool.SlotLease | None:
+        """Leases a slot; waits for one if ``may_queue``, behind the requests that wait already.
+
+        Returns None if no slot is free, or while waiting the deadline passed or the pool was
+        released.
+        """
         if not may_queue or owned.slots.queue_length() == 0:
             lease = owned.slots.try_acquire()
             if lease is not None or not may_queue:
@@ -358,6 +379,7 @@
     def _release_slot(
         self, owned: owned_pool.OwnedPool, lease: pool.SlotLease, result: pool.ServerResult
     ) -> None:
+        """Releases a slot; if the pool has been released, its new owner is notified."""
         self._wake_waiters(owned, owned.slots.release(lease, result))
         key = owned.grant.pool
         if self._pools.get(key) is not owned:
@@ -366,6 +388,7 @@
             self._on_slot_released(key, lease.server.name)
 
     def _wake_waiters(self, owned: owned_pool.OwnedPool, grants: Iterable[pool.Grant]) -> None:
+        """Hands leases to waiting requests; releases those whose request no longer waits."""
         for grant in grants:
             future = owned.waiters.get(grant.waiter_id)
             if future is not None and not future.done():
--- a/packages/entry/src/sassafrasway_entry/request_runner.py
+++ b/packages/entry/src/sassafrasway_entry/request_runner.py
@@ -8,6 +8,8 @@
 from sassafrasway_core import model, placement, pool, quarantine, retry, window
 from sassafrasway_entry import backend_client, messages, owned_pool, recorder
 
+# Maximum number of other servers to try after a server shed a request, for placements whose
+# retries_after_shed is 0.
 MAX_SHED_RETRIES = 2
 
 
@@ -60,12 +62,22 @@
         *,
         service: model.Service,
     ) -> messages.Response:
-        """Runs a request that holds a slot, and releases the slot."""
+        """Runs a request on the server of its slot, or on other servers of the pool by retries.
+
+        A request that a server may have received is retried only if the service is idempotent. The
+        slot of every attempt is released.
+
+        Args:
+            owned: The pool.
+            lease: Slot of the first attempt.
+            request: The request, already counted against the caps.
+            service: Service of the request.
+        """
         budget = self._budget(request.service)
         budget.on_request()
         owned.requests += 1
         tried_servers: set[str] = set()
-        dispatched = False
+        possibly_ran = False
         while True:
             tried_servers.add(lease.server.name)
             response = await self._send_attempt(
@@ -74,7 +86,7 @@
             result = response.result
             if result is backend_client.CallResult.OK:
                 return self._ran_response(lease.server, response)
-            dispatched |= result in (
+            possibly_ran |= result in (
                 backend_client.CallResult.LOST,
                 backend_client.CallResult.TIMEOUT,
             )
@@ -82,7 +94,7 @@
                 await self._record_crash(request, lease.server)
                 if self._quarantine.is_quarantined(request.fingerprint):
                     return messages.unknown(422, messages.Reason.QUARANTINED)
-            if dispatched and not service.idempotent:
+            if possibly_ran and not service.idempotent:
                 return self._unknown_response(result)
             was_shed = result is backend_client.CallResult.SHED
             if request.deadline.expired or not self._may_retry(
@@ -96,7 +108,7 @@
                 self._release(owned, next_lease, pool.ServerResult.CANCELLED)
                 break
             lease = next_lease
-        if dispatched:
+        if possibly_ran:
             return self._unknown_response(result)
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
@@ -107,9 +119,9 @@
     def _may_retry(
         self, budget: retry.RetryBudget, tried_servers: set[str], *, was_shed: bool
     ) -> bool:
-        """Returns whether another attempt may start.
+        """Returns whether another attempt may start; uses the retry budget if so.
 
-        A server that sheds a request has not processed it, so the retry budget is not used.
+        The budget is not used after a server shed the request, because it has not processed it.
         """
         if was_shed:
             return len(tried_servers) <= (self._placement.retries_after_shed or MAX_SHED_RETRIES)
@@ -123,6 +135,7 @@
         *,
         idempotent: bool,
     ) -> backend_client.BackendResponse:
+        """Sends the request to the server of a lease, and releases the lease."""
         remaining_s = request.deadline.remaining_s
         owned.busy_until_s = max(owned.busy_until_s, self._clock.monotonic() + remaining_s)
         self._record.record(
@@ -164,7 +177,7 @@
     async def _record_crash(self, request: messages.Request, server: model.BackendServer) -> None:
         self._quarantine.record_crash(request.fingerprint, server.name)
         self._log.warning(
-            "connection lost before the response was complete",
+            "response incomplete; counted as a crash of the server",
             server=server.name,
             request=request.request_id,
         )
