Clarify the limits of the caller API and the hash input of routes

spread and weight of a route did not say that they are the input of a hash and the position that it gives, so they are now hash_key and position. The comment on aiohttp's header limit missed that its response has no outcome, and three error details used the form allowed are. The comments also say which headers are not passed on and why a request is shielded. Only names, error details, comments and docstrings changed.

--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -29,7 +29,7 @@
 
 CANDIDATES_TTL_S = 0.2
 LOOKUP_ALTERNATES = 3  # instances in a lookup response besides the owner of the home pool
-# aiohttp closes the connection if a header line is longer than this, before a handler runs.
+# aiohttp itself rejects a request with a longer header line. Its response 400 has no outcome.
 AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
 
 
@@ -39,9 +39,9 @@
 
     Attributes:
         owners: Owners of the pools of the route, home pool first.
-        same_region: Other instances of the home region.
-        other_regions: Other instances of the other regions.
-        expires_s: When the lists have to be computed again.
+        same_region: Other live instances of the home region.
+        other_regions: Other live instances of the other regions.
+        expires_s: Monotonic time at which the lists have to be computed again.
     """
 
     owners: tuple
@@ -57,7 +57,7 @@
         me: This incarnation.
         clock: Time source.
         rng: Random source for tickets and alternate instances.
-        limits: Maximum sizes of headers and body.
+        limits: Maximum sizes of headers and body, and the validity of lookup responses.
         steering: Selects the pools of a request according to the policy.
         directory: Other instances.
         dispatcher: Runs idempotent requests.
@@ -118,7 +118,11 @@
         return app
 
     async def start(self, address: str) -> None:
-        """Starts listening on ``host:port``."""
+        """Starts listening on ``host:port``.
+
+        Raises:
+            OSError: The address is invalid or in use.
+        """
         host, _, port = address.rpartition(":")
         self._runner = web.AppRunner(
             self.build(),
@@ -137,7 +141,7 @@
 
     @web.middleware
     async def _error_middleware(self, request: web.Request, handler) -> web.StreamResponse:
-        """Adds an outcome to every error response."""
+        """Refuses oversized headers, and adds an outcome to every error response of a handler."""
         try:
             size = sum(len(name) + len(value) for name, value in request.raw_headers)
             if size > self._limits.max_header_bytes:
@@ -145,7 +149,8 @@
                     messages.not_run(
                         431,
                         messages.Reason.HEADER_TOO_LARGE,
-                        f"headers have {size} bytes, allowed are {self._limits.max_header_bytes}",
+                        f"headers have {size} bytes, expected at most"
+                        f" {self._limits.max_header_bytes}",
                     )
                 )
             return await handler(request)
@@ -154,7 +159,7 @@
                 messages.not_run(
                     413,
                     messages.Reason.BODY_TOO_LARGE,
-                    f"allowed are {self._limits.max_body_bytes} bytes",
+                    f"body has more than {self._limits.max_body_bytes} bytes",
                 )
             )
         except web.HTTPException as error:
@@ -172,7 +177,7 @@
         if refusal is not None:
             self._metrics.lookups.add(1, {"status": refusal.status})
             return self._to_http_response(refusal)
-        route = self._steering.route(service=service, client=client, spread=client)
+        route = self._steering.route(service=service, client=client, hash_key=client)
         instances = self._select_instances(route)
         if not instances:
             return self._to_http_response(
@@ -181,7 +186,9 @@
         document = {
             "service": service,
             "region": route.pools[0].region if route.pools else route.home_region,
-            "instances": [{"name": each.name, "url": each.caller_url} for each in instances],
+            "instances": [
+                {"name": instance.name, "url": instance.caller_url} for instance in instances
+            ],
             "ttl_s": self._limits.lookup_ttl_s,
         }
         if not self._steering.policy.services[service].idempotent:
@@ -213,7 +220,10 @@
         return None
 
     def _select_instances(self, route: steering.Route) -> list:
-        """Returns the owner of the home pool first, then other owners, then random instances."""
+        """Returns the owner of the home pool first, then other owners, then random instances.
+
+        Among the random ones, those of the home region come first.
+        """
         candidates = self._candidates(route)
         missing = 1 + LOOKUP_ALTERNATES - len(candidates.owners)
         if missing <= 0:
@@ -242,16 +252,20 @@
             if owner is not None:
                 owners.setdefault(owner.name, owner)
         others = [
-            each
-            for each in self._directory.instances()
-            if each.state == region.LIVE
-            and each.name not in owners
-            and not self._directory.is_gone(each.name, each.incarnation)
+            instance
+            for instance in self._directory.instances()
+            if instance.state == region.LIVE
+            and instance.name not in owners
+            and not self._directory.is_gone(instance.name, instance.incarnation)
         ]
         candidates = _Candidates(
             owners=tuple(owners.values()),
-            same_region=tuple(each for each in others if each.region == route.home_region),
-            other_regions=tuple(each for each in others if each.region != route.home_region),
+            same_region=tuple(
+                instance for instance in others if instance.region == route.home_region
+            ),
+            other_regions=tuple(
+                instance for instance in others if instance.region != route.home_region
+            ),
             expires_s=now_s + CANDIDATES_TTL_S,
         )
         self._candidate_cache[route.pools] = candidates
@@ -296,6 +310,7 @@
         if policy.services[service].idempotent:
             response = await self._run_idempotent(parsed)
         else:
+            # If the caller disconnects, the request goes on and its outcome is stored for a retry.
             response = await asyncio.shield(asyncio.ensure_future(self._gatekeeper.handle(parsed)))
         self._record.record(
             "answer",
@@ -310,6 +325,7 @@
 
     async def _run_idempotent(self, request: messages.Request) -> messages.Response:
         try:
+            # The dispatcher observes the deadline itself; its response comes before this limit.
             limit_s = request.deadline.remaining_s + 0.05
             return await asyncio.wait_for(self._dispatcher.run(request), limit_s)
         except TimeoutError:
--- a/packages/entry/src/sassafrasway_entry/caller_requests.py
+++ b/packages/entry/src/sassafrasway_entry/caller_requests.py
@@ -14,6 +14,7 @@
 MAX_KEY_CHARS = 255
 MAX_DEADLINE_MS = 600_000
 
+# Headers that are addressed to the entry. All but the idempotency key are not passed on.
 _ENTRY_HEADERS = frozenset(
     name.lower() for name in (KEY_HEADER, DEADLINE_HEADER, CLIENT_HEADER, "Host")
 )
@@ -29,13 +30,16 @@
         service: Service that the request names.
         request_id: Id to give to the request.
         clock: Time source of the deadline.
+
+    Raises:
+        web.HTTPRequestEntityTooLarge: The body is larger than the application allows.
     """
     key = http_request.headers.get(KEY_HEADER, "")
     if len(key) > MAX_KEY_CHARS:
         return messages.not_run(
             400,
             messages.Reason.BAD_REQUEST,
-            f"{KEY_HEADER}: has {len(key)} characters, allowed are {MAX_KEY_CHARS}",
+            f"{KEY_HEADER}: has {len(key)} characters, expected at most {MAX_KEY_CHARS}",
         )
     if not service.idempotent and not key:
         return messages.not_run(
@@ -77,6 +81,10 @@
 
 
 def _deadline_ms(http_request: web.Request, service: model.Service) -> int | None:
+    """Returns the time until the deadline, or None if the caller sent an invalid one.
+
+    The time is 0 or negative if the deadline has already passed.
+    """
     text = http_request.headers.get(DEADLINE_HEADER)
     if text is None:
         return service.deadline_ms
@@ -88,6 +96,7 @@
 
 
 def _backend_path(http_request: web.Request, service: str) -> str:
+    """Returns the path after the service name and the query, percent-encoded as received."""
     prefix = f"/v1/services/{service}"
     path = http_request.raw_path
     return (path[len(prefix) :] if path.startswith(prefix) else path) or "/"
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -158,7 +158,7 @@
         route = self._steering.route(
             service=request.service,
             client=request.client,
-            spread=request.key or request.request_id,
+            hash_key=request.key or request.request_id,
         )
         if not route.pools:
             return messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -64,24 +64,24 @@
         """Returns the home region of a client address, or None when it is in no client block."""
         return self._blocks.region_of(client) if client else None
 
-    def route(self, *, service: str, client: str, spread: str) -> Route:
+    def route(self, *, service: str, client: str, hash_key: str) -> Route:
         """Returns the pools to try for a request.
 
         Args:
             service: Name of the service.
             client: Address of the client, or empty.
-            spread: Hashed with the client address to choose the shard, and whether a shift that
-                moves a fraction of the requests applies.
+            hash_key: Hashed with the client address to choose the shard, and to decide whether a
+                shift that moves a fraction of the requests applies.
         """
         home = self.region_of(client) or self._region
-        weight = xxhash.xxh32_intdigest(f"{client}|{spread}".encode()) / _HASH_RANGE
-        decision = self._shifts.home_region(service, home, weight)
+        position = xxhash.xxh32_intdigest(f"{client}|{hash_key}".encode()) / _HASH_RANGE
+        decision = self._shifts.home_region(service, home, position)
         by_region = self._pools.get(service, {})
         order = [decision.region]
-        order += [each for each in self._nearest_regions.get(home, ()) if each != decision.region]
+        order += [name for name in self._nearest_regions.get(home, ()) if name != decision.region]
         pools = []
         for region in order:
             shards = by_region.get(region, ())
             if shards:
-                pools.append(shards[int(weight * len(shards))])
+                pools.append(shards[int(position * len(shards))])
         return Route(pools=tuple(pools), home_region=home, shift=decision.shift_name or "")
