Complete the docstrings of forwarded requests and their messages

The retention of attempts was explained by a sender that closes the connection, which it does not do; it resends until the deadline. Errors of conversion.from_reply and ForwardService.forward, units, and parameters of to_forward and report_crash were missing. Only comments and docstrings changed.

--- a/packages/entry/src/sassafrasway_entry/conversion.py
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -30,7 +30,17 @@
     attempt_id: str,
     receiver: str,
 ):
-    """Returns the Thrift message that forwards a request to a peer."""
+    """Returns the Thrift message that forwards a request to a peer.
+
+    Args:
+        request: The request.
+        stage: Value of the Thrift enum ``Stage``.
+        key: Pool on which the peer runs the request, or None.
+        may_queue: Whether the request may wait for a slot.
+        sender: Name and incarnation of this instance.
+        attempt_id: Id under which the peer runs the request only once.
+        receiver: Name and incarnation of the peer.
+    """
     return schema.forward.ForwardRequest(
         request_id=request.request_id,
         stage=stage,
@@ -89,7 +99,12 @@
 
 
 def from_reply(reply) -> messages.Response:
-    """Returns the response from a Thrift message."""
+    """Returns the response from a Thrift message.
+
+    Raises:
+        KeyError: The outcome is unknown.
+        ValueError: The reason is unknown.
+    """
     return messages.Response(
         outcome=_OUTCOMES_FROM_THRIFT[reply.outcome],
         status=reply.status,
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -9,15 +9,22 @@
 from sassafrasway_entry import cap_limits, conversion, dispatcher, gatekeeper, messages, pools
 from sassafrasway_rpc import schema
 
-# Records of attempts are kept for this long after their arrival. The sender gives up and closes the
-# connection long before.
+# An attempt is recorded until it has ended and its arrival is this long ago. Senders resend an
+# attempt until the deadline of its request, which is usually a few seconds. An attempt that is
+# resent after its record was deleted runs again.
 ATTEMPT_RETENTION_S = 60.0
 MAX_RETAINED_BODY_BYTES = 64 * 1024
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Attempt:
-    """An attempt that arrived; ``response`` is None while it runs."""
+    """An attempt that arrived.
+
+    Attributes:
+        arrived_s: Monotonic time of the first arrival.
+        task: Task that runs the attempt.
+        response: Response to return if the attempt is sent again; None while it runs.
+    """
 
     arrived_s: float
     task: asyncio.Task
@@ -30,11 +37,12 @@
     Args:
         me: This incarnation.
         region: Region of this instance.
-        clock: Time source for deadlines.
+        clock: Time source.
         limits: This instance's shares of the caps of links between regions.
         pools: Pools that this instance owns.
         gatekeeper: Runs requests whose keys this incarnation holds.
-        directory: Owners of pools; a sender whose directory is outdated receives the owner.
+        directory: Regions of senders, and owners of pools; a sender whose directory is outdated
+            receives the owner.
     """
 
     def __init__(
@@ -64,7 +72,11 @@
         return len(self._running)
 
     async def forward(self, request):
-        """Runs a forwarded request and returns the reply."""
+        """Runs a forwarded request and returns the reply once the link's cap admits it.
+
+        Raises:
+            errors.ValidationError: The stage of the request is not supported.
+        """
         if request.receiver and request.receiver != str(self._me):
             return conversion.to_reply(_refuse_wrong_incarnation(request))
         response = await self._run_once(request)
@@ -100,7 +112,7 @@
             del self._attempts[attempt_id]
 
     async def cancel(self, request_id: str) -> None:
-        """Cancels a forwarded request; a request that the gatekeeper started goes on."""
+        """Cancels a forwarded request; a run that the gatekeeper has started goes on."""
         task = self._running.get(request_id)
         if task is not None:
             task.cancel()
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -48,9 +48,11 @@
 
     Attributes:
         path: Path and query after the service name.
+        headers: Headers as the caller sent them, except those that only the entry uses.
         key: Idempotency key; empty for idempotent services.
         client: IP address of the client on whose behalf the caller acts; empty when unknown.
-        home_region: Region of the client's address block, or of the receiving instance.
+        home_region: Region of the client's address block, or of the receiving instance if the
+            client is in no block; empty until the request is routed.
         shift: Name of the shift that moved the request; empty when none did.
         fingerprint: Digest that is the same for the same request sent again.
     """
@@ -74,6 +76,7 @@
     """The response to a request of a caller.
 
     Attributes:
+        status: HTTP status code.
         reason: Why no backend server responded; ``NONE`` for the response of a server.
         detail: Human-readable reason.
         server: Name of the backend server that responded; empty when none did.
--- a/packages/entry/src/sassafrasway_entry/owner_messages.py
+++ b/packages/entry/src/sassafrasway_entry/owner_messages.py
@@ -9,7 +9,7 @@
 from sassafrasway_core import errors, model
 from sassafrasway_entry import control_conversion, dispatcher
 
-CRASH_REPORT_TIMEOUT_S = 0.3
+CRASH_REPORT_TIMEOUT_S = 0.3  # the request is retried only after the reports
 
 
 class OwnerMessages:
@@ -40,7 +40,13 @@
         self._log = structlog.get_logger("process")
 
     async def report_crash(self, service: str, fingerprint: str, server: str) -> None:
-        """Reports a crash to the owners of the other pools before the request is retried."""
+        """Reports a crash to the owners of the service's other pools before a retry.
+
+        Args:
+            service: Name of the service.
+            fingerprint: Fingerprint of the request that crashed the server.
+            server: Name of the server.
+        """
         policy = self._policy_source()
         owners = {
             owner.rpc_address
--- a/packages/entry/src/sassafrasway_entry/recorder.py
+++ b/packages/entry/src/sassafrasway_entry/recorder.py
@@ -9,12 +9,15 @@
 class Recorder:
     """Appends events as JSON lines to a file; does nothing without a file.
 
-    Every event has ``t`` (monotonic seconds, shared by the processes of one machine), ``kind`` and
-    ``instance``.
+    Every event has ``kind``, ``instance`` and ``t``, the monotonic time in seconds, by which events
+    of all processes of one machine can be ordered.
 
     Args:
         path: File to append to, or None.
         instance: Name and incarnation of this instance.
+
+    Raises:
+        OSError: The file cannot be opened.
     """
 
     def __init__(self, *, path: pathlib.Path | None, instance: str):
