Name the entry's request tests after the failure they guard against

Test names such as told_apart, moving or dead holder were figurative, the fake limits called a share of any cap region_cap_rps, and some docstrings did not say how the failure comes about. Tests, fakes and their variables now use the terms of the code under test; no check changed. Only names, comments and docstrings changed.

--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -56,12 +56,12 @@
             if one < other
         },
         services=services,
-        servers={each.name: each for each in servers},
+        servers={backend.name: backend for backend in servers},
         blocks={
             f"10.{index}.0.0/16": model.ClientBlock(cidr=f"10.{index}.0.0/16", region=name)
             for index, name in enumerate(regions)
         },
-        shifts={each.name: each for each in shifts},
+        shifts={shift.name: shift for shift in shifts},
     )
 
 
@@ -106,7 +106,7 @@
 
     def __init__(self, *, owners=None, known=()):
         self.owners = owners or {}
-        self.known = {each.name: each for each in known}
+        self.known = {record.name: record for record in known}
         self.gone = set()
 
     def owner(self, key):
@@ -116,7 +116,7 @@
         return self.known.get(name)
 
     def instances(self, region=None):
-        return [each for each in self.known.values() if region in (None, each.region)]
+        return [record for record in self.known.values() if region in (None, record.region)]
 
     def is_gone(self, name, incarnation):
         return (name, incarnation) in self.gone
@@ -126,7 +126,7 @@
 
 
 class FakePeers:
-    """Peers whose replies come from the function ``response``."""
+    """Peers whose replies come from the function ``response(address, method, arguments)``."""
 
     def __init__(self, response=None):
         self.calls = []
@@ -140,12 +140,15 @@
         return result
 
 
-def limits(clock_source, current, region_cap_rps=1e9, region_name="bkk", epoch=lambda: 1):
-    """Returns the limits of an instance whose share of every cap is ``region_cap_rps``."""
+def limits(clock_source, current, share_amount=1e9, region_name="bkk", epoch=lambda: 1):
+    """Returns the limits of an instance whose share of every cap is ``share_amount``.
+
+    The unit is that of the cap: requests/s for the cap of a region and Mbit/s for that of a link.
+    """
     result = cap_limits.CapLimits(
         region=region_name,
         clock=clock_source,
-        amount=lambda name: region_cap_rps,
+        amount=lambda name: share_amount,
         epoch=epoch,
     )
     result.set_policy(current)
@@ -162,7 +165,17 @@
     region_cap_rps=1e9,
     epoch=lambda: 1,
 ):
-    """Returns a pool manager that owns the given policy's pools in bkk."""
+    """Returns a pool manager that owns the policy's pools in bkk.
+
+    Args:
+        backend: Client for backend servers.
+        clock_source: Time source.
+        crashes: List that receives the arguments of crash reports.
+        share_value: Share of every pool.
+        policy_: Policy; by default the one of ``policy()``.
+        region_cap_rps: Share of the cap of the region.
+        epoch: Returns the epoch of the coordinator.
+    """
 
     async def report_crash(service, fingerprint, server_name):
         if crashes is not None:
--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -13,6 +13,12 @@
 
 
 class BackendClientTest(unittest.IsolatedAsyncioTestCase):
+    """Calls a server that answers as ``self.behaviour`` says.
+
+    "answer" echoes the request body, "drop" aborts the connection, "short" aborts it within the
+    response body, "shed" refuses the request because of load, and "hang" sends no response.
+    """
+
     async def asyncSetUp(self):
         self.requests = []
         self.behaviour = "answer"
@@ -96,7 +102,7 @@
         response = await self._call()
         self.assertEqual((response.result, response.body), (_Result.LOST, b""))
 
-    async def test_shed_is_told_apart(self):
+    async def test_shed_request_is_not_reported_as_processed(self):
         """Guards against taking a shed request, which may be retried, for a processed one."""
         self.behaviour = "shed"
         response = await self._call()
@@ -118,7 +124,7 @@
         self.assertIs(response.result, _Result.TIMEOUT)
         await asyncio.wait_for(self.cancelled.wait(), 5)
 
-    async def test_server_is_told_the_limit_of_the_attempt(self):
+    async def test_deadline_header_is_the_timeout_of_the_attempt(self):
         """Guards against a server that continues an attempt after the client has timed out.
 
         An attempt at an idempotent request has a shorter timeout than the deadline of the request.
@@ -139,7 +145,8 @@
     async def test_non_idempotent_requests_use_new_connections(self):
         """Guards against sending a non-idempotent request on a reused connection.
 
-        It may have gone silent while it was idle, which would make the outcome unknown.
+        A reused connection may have gone silent while it was idle, which would make the outcome
+        unknown.
         """
         for _ in range(3):
             await self._call(idempotent=True)
@@ -148,7 +155,7 @@
         for _ in range(3):
             await self._call(idempotent=False)
         connector = single_use[self.server.url].connector
-        self.assertEqual(sum(len(each) for each in connector._conns.values()), 0)
+        self.assertEqual(sum(len(idle) for idle in connector._conns.values()), 0)
 
     async def test_silent_connection_is_replaced(self):
         """Guards against reusing idle connections to a server after one of them went silent."""
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -70,7 +70,7 @@
     async def _lookup(self, **query):
         return await self.client.get("/v1/lookup", params=query)
 
-    async def _refused(self, response, status, reason):
+    async def _assert_refused(self, response, status, reason):
         self.assertEqual(response.status, status)
         self.assertEqual(response.headers["Sassafras-Outcome"], "not-run")
         self.assertEqual((await response.json())["reason"], reason)
@@ -83,14 +83,14 @@
         """
         response = await self._lookup(service="crew-desk", client="10.1.2.3")
         body = await response.json()
-        names = [each["name"] for each in body["instances"]]
+        names = [instance["name"] for instance in body["instances"]]
         self.assertEqual((body["region"], names[0], len(names)), ("cnx", "c", 4))
         ticket = at_most_once.Ticket.parse(body["ticket"])
         self.assertEqual(ticket.holder.name, "c")
         self.assertEqual(len(set(names)), 4)
 
     async def test_lookup_of_an_idempotent_service_has_no_ticket(self):
-        """Guards against a ticket for a service that needs none; it makes responses uncacheable."""
+        """Guards against a ticket for an idempotent service, which would prevent caching."""
         body = await (await self._lookup(service="quote-archive", client="10.0.0.1")).json()
         self.assertNotIn("ticket", body)
         self.assertGreater(body["ttl_s"], 0)
@@ -98,14 +98,14 @@
     async def test_bad_lookups(self):
         """Guards against an invalid lookup that succeeds or fails with the wrong reason."""
         unknown_service = await self._lookup(service="nope", client="10.0.0.1")
-        await self._refused(unknown_service, 404, "unknown_service")
+        await self._assert_refused(unknown_service, 404, "unknown_service")
         bad_client = await self._lookup(service="crew-desk", client="lobby")
-        await self._refused(bad_client, 400, "bad_request")
+        await self._assert_refused(bad_client, 400, "bad_request")
         unknown_block = await self._lookup(service="crew-desk", client="192.0.2.1")
-        await self._refused(unknown_block, 404, "unknown_client_block")
+        await self._assert_refused(unknown_block, 404, "unknown_client_block")
         self.is_ready = False
         not_ready = await self._lookup(service="crew-desk", client="10.0.0.1")
-        await self._refused(not_ready, 503, "not_ready")
+        await self._assert_refused(not_ready, 503, "not_ready")
 
     async def test_request_passes_body_headers_and_path(self):
         """Guards against changes to a request or response that passes through the API."""
@@ -122,12 +122,12 @@
     async def test_bad_requests(self):
         """Guards against running an invalid request or refusing it with the wrong reason."""
         post = self.client.post
-        await self._refused(await post("/v1/services/nope/x"), 404, "unknown_service")
-        await self._refused(await post("/v1/services/crew-desk/x"), 400, "key_required")
+        await self._assert_refused(await post("/v1/services/nope/x"), 404, "unknown_service")
+        await self._assert_refused(await post("/v1/services/crew-desk/x"), 400, "key_required")
         oversized = await post("/v1/services/quote-archive/x", data=b"x" * 1001)
-        await self._refused(oversized, 413, "body_too_large")
+        await self._assert_refused(oversized, 413, "body_too_large")
         header = await post("/v1/services/quote-archive/x", headers={"X-Big": "x" * 2001})
-        await self._refused(header, 431, "header_too_large")
+        await self._assert_refused(header, 431, "header_too_large")
         for name, value in (
             ("Sassafras-Deadline-Ms", "soon"),
             ("Sassafras-Deadline-Ms", "600001"),
@@ -136,7 +136,7 @@
         ):
             with self.subTest(name=name, value=value):
                 bad = await post("/v1/services/quote-archive/x", headers={name: value})
-                await self._refused(bad, 400, "bad_request")
+                await self._assert_refused(bad, 400, "bad_request")
 
     async def test_expired_deadline_on_arrival(self):
         """Guards against running a request whose deadline has already passed."""
@@ -144,12 +144,12 @@
             response = await self.client.post(
                 "/v1/services/quote-archive/x", headers={"Sassafras-Deadline-Ms": value}
             )
-            await self._refused(response, 504, "deadline")
+            await self._assert_refused(response, 504, "deadline")
 
     async def test_unknown_path_has_an_outcome(self):
         """Guards against an error response without an outcome."""
         response = await self.client.get("/elsewhere")
-        await self._refused(response, 404, "bad_request")
+        await self._assert_refused(response, 404, "bad_request")
 
 
 if __name__ == "__main__":
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -16,18 +16,18 @@
 
 
 class _Pools:
-    """Pools that this instance owns, with scripted responses."""
+    """Pools that this instance owns, with scripted responses; records ``may_queue`` of calls."""
 
     def __init__(self, owned):
         self.owned = owned
         self.script = []
-        self.queued = []
+        self.may_queue_flags = []
 
     def owns(self, key):
         return key in self.owned
 
     async def execute(self, key, request, *, may_queue):
-        self.queued.append(may_queue)
+        self.may_queue_flags.append(may_queue)
         return self.script.pop(0) if self.script else _RAN
 
 
@@ -100,9 +100,9 @@
         self.replies = [_FULL, _FULL]
         response = await subject.run(self._request(service="katalog"))
         self.assertIs(response.outcome, messages.Outcome.RAN)
-        self.assertEqual(self.pools.queued, [False, True])
+        self.assertEqual(self.pools.may_queue_flags, [False, True])
 
-    async def test_lost_peer_answer_is_not_repeated(self):
+    async def test_lost_reply_does_not_cause_a_second_attempt(self):
         """Guards against dispatching a non-idempotent request twice when a peer may be running it.
 
         The attempt is sent again under the same attempt id, marked as resent.
@@ -117,15 +117,18 @@
         self.assertEqual(len(sent), 1)
         self.assertTrue(self.peers.calls[-1][2]["request"].resent)
 
-    async def test_lost_answer_is_asked_for_again(self):
-        """Guards against "unknown" when the peer that ran the request can still be reached."""
+    async def test_attempt_is_resent_after_a_lost_reply(self):
+        """Guards against "unknown" when the peer that ran the request can still be reached.
+
+        The peer returns the outcome of the first run for an attempt that is sent again.
+        """
         subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         self.replies = [errors.UnavailableError("lost", step="test", peer="p"), _RAN]
         response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
-    async def test_refused_second_sending_is_unknown(self):
+    async def test_refused_resend_is_unknown(self):
         """Guards against "not run" when a peer may have run the request before it crashed.
 
         The reply to the first send is lost; the connection for the second one is refused.
@@ -139,8 +142,11 @@
         response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
-    async def test_idempotent_request_leaves_a_silent_peer(self):
-        """Guards against failing an idempotent request because a connection went silent."""
+    async def test_idempotent_request_is_retried_after_a_silent_peer(self):
+        """Guards against failing an idempotent request because a connection went silent.
+
+        The next pool of the route can run the request, even if the silent peer runs it as well.
+        """
         subject = self._make_dispatcher(service="quote-archive")
         self.pools.script = [_FULL]
         silent = errors.UnavailableError("silent", step="test", peer="p")
@@ -148,7 +154,7 @@
         response = await subject.run(self._request(service="quote-archive"))
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
-    async def test_not_run_is_not_said_after_a_lost_answer(self):
+    async def test_lost_reply_then_refusal_is_unknown(self):
         """Guards against "not run" when an earlier pool may have run the request."""
         subject = self._make_dispatcher(service="quote-archive")
         silent = errors.UnavailableError("silent", step="test", peer="p")
@@ -162,7 +168,7 @@
                 self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_unreachable_peer_is_skipped(self):
-        """Guards against "unknown" for a request that was never sent, as the peer refused it."""
+        """Guards against "unknown" for a request that was not sent, as no connection was open."""
         subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         refused = rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p")
@@ -178,7 +184,7 @@
         responses = [
             await subject.run(self._request(body=b"x" * 1000, number=number)) for number in range(5)
         ]
-        ran = [each for each in responses if each.outcome is messages.Outcome.RAN]
+        ran = [response for response in responses if response.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 1)
         self.assertEqual(responses[-1].reason, messages.Reason.LINK_CAP)
 
@@ -195,33 +201,37 @@
         self.assertEqual(self.peers.calls, [])
 
     async def test_no_new_pass_just_before_the_deadline(self):
-        """Guards against an unknown outcome because the deadline passes at a peer."""
+        """Guards against an unknown outcome because the deadline passes while a peer has a request.
+
+        No server has received the request, so the outcome must be "not run".
+        """
         subject = self._make_dispatcher()
-        moving = messages.not_run(503, messages.Reason.NOT_READY)
-        self.pools.script = [moving]
-        self.replies = [moving, moving]
+        not_ready = messages.not_run(503, messages.Reason.NOT_READY)
+        self.pools.script = [not_ready]
+        self.replies = [not_ready, not_ready]
         response = await subject.run(self._request(remaining_s=0.2))
         self.assertEqual(response.reason, messages.Reason.NOT_READY)
         self.assertEqual(len(self.peers.calls), 2)
 
-    async def test_moving_home_pool_is_waited_for_though_others_refuse(self):
+    async def test_handover_of_home_pool_is_awaited_though_another_pool_refuses(self):
         """Guards against refusing a request that may wait because the last pool is at its cap.
 
         In the test that replaces every instance, seed 4000, 16 of 5,825 lookups were refused for
         the cap of the other region while the owner of their home pool changed.
         """
         subject = self._make_dispatcher(service="katalog", regions=("bkk", "cnx"))
-        moving = messages.not_run(503, messages.Reason.NOT_READY)
+        not_ready = messages.not_run(503, messages.Reason.NOT_READY)
         capped = messages.not_run(429, messages.Reason.REGION_CAP)
-        self.pools.script = [moving, moving]
+        self.pools.script = [not_ready, not_ready]
         self.replies = [capped, capped]
         response = await subject.run(self._request(service="katalog"))
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
-    async def test_request_waits_as_long_as_a_new_owner_may_lack_its_shares(self):
+    async def test_retries_last_as_long_as_a_new_owner_may_lack_its_shares(self):
         """Guards against refusals for a cap that the new owner of the pool has no share of yet.
 
-        With seed 4000 the new owner had no share for 2.9 s, but requests retried for only 2.35 s.
+        With seed 4000, the new owner had no share for 2.9 s, but requests were retried for only
+        2.35 s.
         """
         subject = self._make_dispatcher(regions=("bkk",))
         self.pools.script = [messages.not_run(503, messages.Reason.NOT_READY)] * 100
@@ -230,7 +240,7 @@
             await subject.run(self._request(remaining_s=20.0))
         self.assertGreater(sum(waits), cap_limits.TAKEOVER_S)
 
-    async def test_tries_become_rarer_while_a_pool_moves(self):
+    async def test_delay_between_retries_grows_during_a_handover(self):
         """Guards against retries of waiting requests that use up the new owner's CPU time."""
         subject = self._make_dispatcher(regions=("bkk",))
         self.pools.script = [messages.not_run(503, messages.Reason.NOT_READY)] * 100
@@ -247,7 +257,7 @@
 
         return sleep
 
-    async def test_moved_pool_is_followed_once(self):
+    async def test_request_is_forwarded_to_the_new_owner_that_a_peer_names(self):
         """Guards against refusing a request because the directory still names the old owner."""
         subject = self._make_dispatcher()
         self.directory.known["new"] = fakes.instance("new", region_name="cnx")
--- a/packages/entry/tests/test_forward_service.py
+++ b/packages/entry/tests/test_forward_service.py
@@ -14,7 +14,7 @@
         self.clock = fakes.manual_clock()
         self.backend = fakes.FakeBackend()
         manager = fakes.pool_manager(backend=self.backend, clock_source=self.clock)
-        self.clock.advance(5.0)
+        self.clock.advance(5.0)  # refusals of a new owner are temporary at first
         self.service = forward_service.ForwardService(
             me=fakes.ME,
             region="bkk",
@@ -64,14 +64,17 @@
         self.assertEqual(len(self.backend.calls), 1)
 
     async def test_attempt_for_an_earlier_incarnation(self):
-        """Guards against running an attempt that the previous incarnation may have run."""
+        """Guards against running an attempt that the previous incarnation may have run.
+
+        It is refused as not run only if it was sent for the first time.
+        """
         fresh = await self.service.forward(self._message(receiver="bkk-a-1/old"))
         resent = await self.service.forward(self._message(receiver="bkk-a-1/old", resent=True))
         self.assertEqual(fresh.outcome, schema.forward.Outcome.NOT_RUN)
         self.assertEqual(resent.outcome, schema.forward.Outcome.UNKNOWN)
         self.assertEqual(self.backend.calls, [])
 
-    async def test_old_attempts_are_forgotten(self):
+    async def test_records_of_old_attempts_are_deleted(self):
         """Guards against unbounded memory use by the records of attempts."""
         for number in range(5):
             await self.service.forward(self._message(f"a{number}"))
@@ -79,8 +82,8 @@
         await self.service.forward(self._message("last"))
         self.assertEqual(len(self.service._attempts), 1)
 
-    async def test_large_answer_is_not_kept(self):
-        """Guards against keeping large bodies in memory in case a reply is lost."""
+    async def test_large_response_is_not_retained(self):
+        """Guards against keeping large bodies in memory for attempts that may be sent again."""
         large = messages.Response(
             outcome=messages.Outcome.RAN,
             status=200,
--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -128,7 +128,7 @@
         await asyncio.sleep(0.01)
         self.a.dispatcher.gate.set()
         responses = await asyncio.gather(*tasks)
-        self.assertEqual({each.body for each in responses}, {b"booked"})
+        self.assertEqual({response.body for response in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
     async def test_ticket_works_with_table_down(self):
@@ -137,7 +137,7 @@
         response = await self.b.keeper.handle(self._request(self._ticket(self.a)))
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
-    async def test_dead_holder_leaves_unknown(self):
+    async def test_ticket_of_a_crashed_holder_is_unknown(self):
         """Guards against "not run" or a second run after the holder of a ticket crashed."""
         key = self._ticket(self.a)
         await self.a.keeper.handle(self._request(key))
@@ -163,7 +163,7 @@
         response = await self.nodes["a"].keeper.handle(self._request(key, 2))
         self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
-    async def test_closed_holder_costs_no_request(self):
+    async def test_unused_ticket_of_a_closed_holder_runs_once(self):
         """Guards against "unknown" for an unused ticket whose holder was stopped as planned.
 
         The closed marker proves that the request did not run, so another instance runs it once.
@@ -176,7 +176,7 @@
         responses = await asyncio.gather(
             *(self.b.keeper.handle(self._request(key, number)) for number in range(3))
         )
-        self.assertEqual({each.body for each in responses}, {b"booked"})
+        self.assertEqual({response.body for response in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
     async def test_late_ticket_of_a_closed_holder_does_not_run(self):
@@ -199,8 +199,11 @@
         response = await self.b.keeper.handle(self._request("invoice-11", 2))
         self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
-    async def test_queue_is_not_empty_while_another_flush_writes(self):
-        """Guards against a closed marker written before the last outcome is stored."""
+    async def test_flush_waits_for_a_concurrent_flush(self):
+        """Guards against a closed marker written before the last outcome is stored.
+
+        A batch that another flush is writing is no longer in the queue.
+        """
         await self.a.keeper.handle(self._request(self._ticket(self.a)))
         self.faults.delay_s = 0.05
         first = asyncio.create_task(self.a.store.flush())
@@ -216,7 +219,7 @@
                 for number, node in enumerate((self.a, self.b, self.a, self.b))
             )
         )
-        self.assertEqual({each.body for each in responses}, {b"booked"})
+        self.assertEqual({response.body for response in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
     async def test_claim_with_table_down_is_not_run(self):
@@ -242,7 +245,7 @@
         again = await self.b.keeper.handle(self._request("invoice-9", 2, 5))
         self.assertEqual((response.body, again.body, self._runs()), (b"booked", b"booked", 1))
 
-    async def test_claim_of_dead_holder_is_unknown(self):
+    async def test_claim_of_a_crashed_holder_is_unknown(self):
         """Guards against a second run after the holder of the claim crashed during the first."""
         self.a.dispatcher.gate = asyncio.Event()
         task = asyncio.create_task(self.a.keeper.handle(self._request("invoice-10", 1, 5)))
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -21,7 +21,8 @@
         manager = fakes.pool_manager(
             backend=self.backend, clock_source=self.clock, crashes=self.crashes, **options
         )
-        self.clock.advance(pools.HANDOVER_SETTLE_S)  # windows of a new owner admit nothing at first
+        # Windows of a new owner admit nothing at first, and its refusals are temporary.
+        self.clock.advance(pools.HANDOVER_SETTLE_S)
         return manager
 
     def _request(self, **options):
@@ -54,7 +55,7 @@
         await asyncio.gather(*running)
         self.assertEqual(len(self.backend.calls), 3)
 
-    async def test_new_owner_does_not_refuse_for_good(self):
+    async def test_refusal_by_a_new_owner_is_temporary(self):
         """Guards against final refusals by a new owner during the handover.
 
         A planned replacement of an instance would then fail requests of callers.
@@ -109,7 +110,7 @@
         await asyncio.sleep(0)
         self.backend.gate.set()
         responses = await asyncio.gather(*tasks)
-        self.assertEqual({each.outcome for each in responses}, {messages.Outcome.RAN})
+        self.assertEqual({response.outcome for response in responses}, {messages.Outcome.RAN})
         self.assertEqual(manager.owned[key].slots.in_use(), {})
 
     async def test_shed_goes_to_another_server(self):
@@ -175,7 +176,7 @@
         await asyncio.sleep(0)
         self.backend.gate.set()
         responses = await asyncio.gather(*tasks)
-        ran = [each for each in responses if each.outcome is messages.Outcome.RAN]
+        ran = [response for response in responses if response.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 1)
 
     async def test_slots_of_the_previous_owner_stay_in_use(self):
@@ -218,7 +219,7 @@
             await manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
             for number in range(20)
         ]
-        ran = [each for each in responses if each.outcome is messages.Outcome.RAN]
+        ran = [response for response in responses if response.outcome is messages.Outcome.RAN]
         self.assertEqual(len(ran), 5)
         self.assertEqual(responses[-1].reason, messages.Reason.REGION_CAP)
         self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
@@ -264,7 +265,7 @@
             request = fakes.with_home_region(request, home_region="cnx")
             responses.append(await manager.execute(fakes.POOL, request, may_queue=False))
         own = await manager.execute(fakes.POOL, self._request(number=99), may_queue=False)
-        self.assertEqual(sum(each.outcome is messages.Outcome.RAN for each in responses), 4)
+        self.assertEqual(sum(response.outcome is messages.Outcome.RAN for response in responses), 4)
         self.assertIs(own.outcome, messages.Outcome.RAN)
 
     async def test_ejected_server_is_probed_and_returns(self):
