Clarify faults and busy times of the store and backend stand-ins

The docs of the store's faults did not say which of its parts each fault applies to, nor which shorthand values are accepted. In the backend stand-in, deadline_s named a remaining time, and "server time" left open what connections and probes cost. The docstrings now state this with units, deadline_s is time_left_s, and the texts of two refusals name the cause. Names, comments and texts only.

--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -1,8 +1,8 @@
 """Stand-in for backend servers: one process runs many servers, each on its own address.
 
 A file (TOML or JSON) lists the servers. ``POST /control`` on the control address changes their
-behaviour; ``GET /control/stats`` returns their counters. Each request that was run, shed, expired
-or cancelled is written to the record file as one JSON line.
+behaviour; ``GET /control/stats`` returns their counters (see ``backend_process``). Each request
+that a server runs or rejects, except health probes, is written to the record file as one JSON line.
 """
 
 import asyncio
@@ -18,7 +18,7 @@
 
 from sassafrasway_standins import backend_connections, network
 
-CRASH_MARKER = b"crash-server"
+CRASH_MARKER = b"crash-server"  # a request whose body contains this crashes the server
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,15 +28,16 @@
     Attributes:
         address: ``host:port`` to listen on.
         slots: Number of requests that the server runs at a time; it sheds further ones.
-        connections: Number of connections that the server accepts.
+        connections: Maximum number of open connections; the server aborts further ones.
         mean_ms: Mean service time of a warm server.
         distribution: Distribution of the service time, ``exponential`` or ``fixed``.
-        cold_factor: Factor on the service time of a cold server; falls linearly to 1.
-        cold_s: Time from the first request until the server is warm.
-        idle_cold_s: Time without requests after which the server is cold again.
-        connection_ms: Server time that a new connection takes.
-        probe_ms: Server time that a health probe takes.
-        restart_s: Downtime after a crash.
+        cold_factor: Factor on the service time of a cold server; falls linearly to 1 in ``cold_s``.
+        cold_s: Time from the first request until the server is warm, s.
+        idle_cold_s: Time without requests after which the server is cold again, s.
+        connection_ms: Busy time that the first request of each connection adds. While the server is
+            busy, probes and the start of requests are delayed.
+        probe_ms: Busy time that each health probe adds.
+        restart_s: Downtime after a crash, s.
     """
 
     name: str
@@ -144,8 +145,12 @@
     def change(self, data: Mapping[str, Any]) -> None:
         """Applies one control request.
 
+        Args:
+            data: Values of attributes of ``Behaviour``. The name ``crash`` crashes the server and
+                ``silent`` makes its open connections silent, both with any value.
+
         Raises:
-            ValueError: A behaviour is unknown.
+            ValueError: A name is none of these. The names before it have been applied.
         """
         for name, value in data.items():
             if name == "crash":
@@ -164,7 +169,7 @@
             self._leaving_since_s = time.monotonic()
 
     def crash(self) -> None:
-        """Aborts all connections and stops listening until the restart time is over."""
+        """Aborts all connections and stops listening for ``restart_s``."""
         if self._restarting is not None:
             return
         self._crashes += 1
@@ -233,15 +238,15 @@
             self._stats["sheds"] += 1
             run.record("shed")
             return web.Response(status=503, headers=self._headers() | {"Sassafras-Shed": "1"})
-        deadline_s = _deadline_s(request)
-        if deadline_s is not None and deadline_s <= 0:
+        time_left_s = _time_left_s(request)
+        if time_left_s is not None and time_left_s <= 0:
             run.record("expired")
             return web.Response(status=504, headers=self._headers())
         self._in_use += 1
         self._stats["runs"] += 1
         self._stats["max_in_use"] = max(self._stats["max_in_use"], self._in_use)
         try:
-            is_complete = await self._run(run, deadline_s)
+            is_complete = await self._run(run, time_left_s)
         except asyncio.CancelledError:
             run.record("crashed" if run.crashes_at_start != self._crashes else "cancelled")
             raise
@@ -250,16 +255,19 @@
         headers = self._headers()
         return run.response(headers) if is_complete else web.Response(status=504, headers=headers)
 
-    async def _run(self, run: "_Run", deadline_s: float | None) -> bool:
-        """Runs a request; returns False if its deadline passed first."""
+    async def _run(self, run: "_Run", time_left_s: float | None) -> bool:
+        """Runs a request; returns False if its deadline passes first.
+
+        A request with the crash marker crashes the server, which cancels this coroutine.
+        """
         if CRASH_MARKER in run.body:
             run.record("crashed")
             self.crash()
             await asyncio.Event().wait()
         service_s = self._service_time_s(run.requested_s)
         await self._wait_until_not_busy()
-        if deadline_s is not None and service_s > deadline_s:
-            await asyncio.sleep(deadline_s)
+        if time_left_s is not None and service_s > time_left_s:
+            await asyncio.sleep(time_left_s)
             run.record("deadline")
             return False
         await asyncio.sleep(service_s)
@@ -293,7 +301,14 @@
 
 
 class _Run:
-    """One request at a server, from its arrival until its record is written."""
+    """One request at a server, from its arrival until its record is written.
+
+    Args:
+        server: Server that received the request.
+        request: The request.
+        body: Body of the request.
+        in_use: Number of slots in use when the request arrived.
+    """
 
     def __init__(
         self, *, server: BackendServer, request: web.BaseRequest, body: bytes, in_use: int
@@ -354,6 +369,7 @@
         return web.json_response(content, headers=headers)
 
 
-def _deadline_s(request: web.BaseRequest) -> float | None:
+def _time_left_s(request: web.BaseRequest) -> float | None:
+    """Returns the time until the deadline of a request in seconds; None without a deadline."""
     value = request.headers.get("Sassafras-Deadline-Ms")
     return None if value is None else float(value) / 1000
--- a/packages/standins/src/sassafrasway_standins/backend_process.py
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -53,14 +53,19 @@
         return web.Response(status=204)
 
     async def _stats(self, request: web.Request) -> web.Response:
-        return web.json_response({name: each.stats for name, each in self._servers.items()})
+        return web.json_response({name: server.stats for name, server in self._servers.items()})
 
     async def _stalls(self, request: web.Request) -> web.Response:
         return web.json_response(self._stall_meter.as_json())
 
 
 def load_file(path: pathlib.Path) -> dict[str, Any]:
-    """Reads a TOML or JSON file."""
+    """Reads a file as TOML if its name ends in ``.toml``, otherwise as JSON.
+
+    Raises:
+        OSError: The file cannot be read.
+        ValueError: The file is not valid TOML or JSON.
+    """
     text = path.read_text(encoding="utf-8")
     return tomllib.loads(text) if path.suffix == ".toml" else json.loads(text)
 
--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -21,7 +21,7 @@
 from sassafrasway_standins import network
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-ALL_WRITES = -1
+ALL_WRITES = -1  # value of ``Faults.lose_answers``
 
 
 class PreconditionFailedError(Exception):
@@ -75,6 +75,9 @@
     def write(self, writes: Sequence[Write]) -> list[Row]:
         """Applies all writes atomically.
 
+        Returns:
+            The written rows with their new versions, in the order of the writes.
+
         Raises:
             PreconditionFailedError: A condition does not hold; nothing was written.
             ValueError: Two writes have the same key.
@@ -100,15 +103,17 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Faults:
-    """Injected faults of table service and object store, set by ``POST /control``.
+    """Injected faults, set by ``POST /control``.
+
+    All but ``instances_down`` apply to the table service and the object store.
 
     Attributes:
         down: ``""`` (up), ``"refuse"`` (status 503) or ``"hang"`` (requests wait until the outage
-            ends, then their connection is closed).
+            ends, then their connection is aborted).
         down_sources: Prefixes of the source addresses that ``down`` affects; empty for all.
         slow_ms: Latency added to each request, in milliseconds.
-        lose_answers: Number of writes that are applied but not answered: their connection is
-            closed instead; -1 for all writes.
+        lose_answers: Number of further writes that are applied but not answered: their connection
+            is aborted instead; -1 for all writes.
         instances_down: Whether the instance list answers with status 503.
     """
 
@@ -121,8 +126,12 @@
     def change(self, data: Mapping[str, Any]) -> None:
         """Sets the faults given in ``data``; other faults keep their values.
 
+        ``down`` may also be true (``"refuse"``), false or null (both ``""``), and ``lose_answers``
+        may be true (all writes) or false (none).
+
         Raises:
-            ValueError: The name of a fault or the value of ``down`` is unknown.
+            ValueError: The name of a fault or the value of ``down`` is unknown. The faults before
+                it in ``data`` have been set.
         """
         for name, value in data.items():
             if name not in self.__slots__:
@@ -130,7 +139,7 @@
             if name == "down":
                 value = {True: "refuse", False: "", None: ""}.get(value, value)
                 if value not in ("", "refuse", "hang"):
-                    raise ValueError("down must be refuse, hang or empty")
+                    raise ValueError('fault "down" must be "refuse", "hang", "", a boolean or null')
             if name == "down_sources":
                 value = tuple(value)
             if name == "lose_answers" and isinstance(value, bool):
@@ -152,11 +161,14 @@
         self._pending: collections.deque[tuple[float, list[dict[str, str]]]] = collections.deque()
 
     def set(self, entries: list[dict[str, str]], *, visible_at_s: float) -> None:
-        """Sets the contents as of a point in loop time; changes still pending are kept."""
+        """Sets the contents that readers see from ``visible_at_s`` (event loop time) on.
+
+        Earlier changes that are not visible yet still become visible at their own times.
+        """
         self._pending.append((visible_at_s, entries))
 
     def visible(self, now_s: float) -> list[dict[str, str]]:
-        """Returns the contents that a reader sees at a point in loop time."""
+        """Returns the contents that a reader sees at ``now_s`` (event loop time)."""
         while self._pending and self._pending[0][0] <= now_s:
             self._visible = self._pending.popleft()[1]
         return self._visible
@@ -221,7 +233,7 @@
             refused = self._faults.is_down_for(source)
         if refused:
             self._counts["refused"] += 1
-            response = web.Response(status=503, text="down")
+            response = web.Response(status=503, text="refused because of an injected fault")
         else:
             response = await self._handle_with_faults(request, handler)
         await network.pause(delay_ms, self._rng)
@@ -234,6 +246,7 @@
             await self._faults_changed.wait()
 
     async def _handle_with_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
+        """Runs a handler; converts its errors to responses and drops responses as injected."""
         try:
             response = await handler(request)
         except PreconditionFailedError as error:
@@ -249,6 +262,7 @@
         return response
 
     def _abort_connection(self, request: web.Request) -> web.Response:
+        """Aborts the connection of a request; returns a response for aiohttp that is not sent."""
         if request.transport is not None:
             request.transport.abort()
         return web.Response(status=503)
@@ -287,7 +301,7 @@
     async def _transact(self, request: web.Request) -> web.Response:
         data = await request.json()
         self._counts["writes"] += 1
-        rows = self._table.write([_parse_write(each) for each in data["writes"]])
+        rows = self._table.write([_parse_write(write) for write in data["writes"]])
         return web.json_response({"rows": [row.as_json() for row in rows]})
 
     async def _get_object(self, request: web.Request) -> web.Response:
