Clarify the actions and directions of the link relay

The docs did not explain the actions of the relay: heal ends only cuts with the same two selectors, and silent is permanent. The roles of the two directions of a socket and of the event that pairs with the same target share were not described. The docstrings now state them; split_address names the error that it raises. Comments only, apart from one loop variable.

--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -33,8 +33,8 @@
         rng = random.Random(0)
         self._counter = link_pair.ByteCounter()
         self._pairs = [
-            link_pair.Pair(data=each, delays=delays, counter=self._counter, rng=rng)
-            for each in data["pairs"]
+            link_pair.Pair(data=entry, delays=delays, counter=self._counter, rng=rng)
+            for entry in data["pairs"]
         ]
         self._cuts: set[tuple[str, str]] = set()
         self._by_target: dict[str, list[link_pair.Pair]] = {}
@@ -70,9 +70,14 @@
         return app
 
     def change(self, *, action: str, source: str, target: str) -> None:
-        """Applies ``cut``, ``cut_one_way``, ``heal`` or ``silent`` between two selectors.
+        """Applies an action to the connections between two groups of instances.
 
-        For selectors see ``link_pair.InstanceLocation.matches``.
+        Args:
+            action: ``cut`` (both directions), ``cut_one_way`` (source to target), ``heal`` (ends
+                cuts with the same two selectors) or ``silent`` (makes the open connections silent
+                permanently).
+            source: Selector of instances, see ``link_pair.InstanceLocation.matches``.
+            target: Selector of instances.
 
         Raises:
             ValueError: The action is unknown.
@@ -130,7 +135,12 @@
 
 
 async def _watch_target(address: str, pairs: list[link_pair.Pair]) -> None:
-    """Closes the listening sockets of a target while it refuses connections."""
+    """Closes the listening sockets of a target while it refuses connections.
+
+    Args:
+        address: ``host:port`` of the target.
+        pairs: All pairs with this target; they share one ``target_refuses`` event.
+    """
     refused = asyncio.Event()
     for pair in pairs:
         pair.target_refuses = refused
--- a/packages/standins/src/sassafrasway_standins/link_pair.py
+++ b/packages/standins/src/sassafrasway_standins/link_pair.py
@@ -15,7 +15,7 @@
 
 from sassafrasway_standins import network
 
-MAX_QUEUED_BYTES = 32 * 1024 * 1024  # 4,000 Mbit/s for 60 ms
+MAX_QUEUED_BYTES = 32 * 1024 * 1024  # per direction of a connection; about 4,000 Mbit/s for 60 ms
 BUCKET_S = 0.1
 TIMER_TOLERANCE_S = 0.0005  # uvloop timers have 1 ms resolution; avoids waiting one tick too long
 MATCH_ALL = "*"
@@ -47,7 +47,10 @@
         buckets[int(time.monotonic() / BUCKET_S)] += count
 
     def as_json(self) -> dict[str, list[tuple[float, int]]]:
-        """Returns (start of the interval in monotonic seconds, bytes) pairs for each link."""
+        """Returns (start of the interval in monotonic seconds, bytes) pairs by link.
+
+        The link from region ``a`` to region ``b`` has the name ``a>b``.
+        """
         return {
             link: [(index * BUCKET_S, count) for index, count in sorted(buckets.items())]
             for link, buckets in self._buckets.items()
@@ -131,7 +134,13 @@
 
 
 class _RelayProtocol(asyncio.Protocol):
-    """Protocol of one of the two sockets of a relayed connection."""
+    """Protocol of one of the two sockets of a relayed connection.
+
+    Args:
+        connection: The relayed connection.
+        outgoing: Direction whose chunks are read from this socket.
+        incoming: Direction whose chunks are written to this socket.
+    """
 
     def __init__(self, *, connection: "_Connection", outgoing: _Direction, incoming: _Direction):
         self._connection = connection
@@ -223,6 +232,10 @@
         self._backward.flush()
 
     async def _connect(self) -> None:
+        """Connects to the target after one network delay and the end of all cuts of the pair.
+
+        Resets the accepted socket if the target cannot be reached.
+        """
         await asyncio.sleep(self._delay_s)
         await self._healed.wait()
         try:
@@ -251,6 +264,10 @@
         delays: Network delays.
         counter: Receives the number of bytes in each direction.
         rng: Random numbers for the rounding of delays.
+
+    Attributes:
+        target_refuses: Set when the target refuses a connection; pairs with the same target may
+            share the event.
     """
 
     def __init__(
--- a/packages/standins/src/sassafrasway_standins/network.py
+++ b/packages/standins/src/sassafrasway_standins/network.py
@@ -44,7 +44,11 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Splits ``host:port`` into host and port."""
+    """Splits ``host:port`` into host and port.
+
+    Raises:
+        ValueError: The port is missing or not a number.
+    """
     host, _, port = address.rpartition(":")
     return host, int(port)
 
