Clarify which injected faults end and which errors are raised

Fault.run claimed to end every fault, but silent connections and leaving servers stay so, and the errors of pool_owner were incomplete. Public methods of child processes and the operator tool did not name the errors that they raise. The docstrings now say so, "victim" is "owner", and messages of failed commands and lookups say what failed. The text "exit code 4" still matches the check in test_real_processes.

--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -38,10 +38,14 @@
         """Returns the owner of a pool of a non-idempotent service in the first region.
 
         Raises:
-            RuntimeError: No instance answered a lookup.
+            RuntimeError: All running instances answered the lookup with an error status.
+            aiohttp.ClientError: The connection to an instance failed.
+            TimeoutError: An instance did not answer within ``LOOKUP_TIMEOUT_S``.
         """
         site = self.cluster.site
-        service = next(each.name for each in site.layout.services if not each.idempotent)
+        service = next(
+            candidate.name for candidate in site.layout.services if not candidate.idempotent
+        )
         block = next(
             cidr for cidr, region in site.client_blocks.items() if region == self.regions[0]
         )
@@ -53,7 +57,9 @@
                 async with session.get(url, params=params) as response:
                     if response.ok:
                         return (await response.json())["instances"][0]["name"]
-        raise RuntimeError("no entry instance answered a lookup of a pool owner")
+        raise RuntimeError(
+            "lookup of a pool owner failed: no entry instance returned a success status"
+        )
 
     def record_phase(self, fault: str, phase: str, target: str = "") -> None:
         """Writes the record of a phase of a fault."""
@@ -67,14 +73,17 @@
     name = ""
 
     async def run(self, context: FaultContext) -> None:
-        """Injects the fault, ends it if it does not end by itself, and records both."""
+        """Records the injection of the fault, runs the fault and records its end.
+
+        A permanent fault (see the subclasses) goes on after the recorded end.
+        """
         context.record_phase(self.name, history.INJECTED)
         await self._inject(context)
         context.record_phase(self.name, history.ENDED)
 
     @abc.abstractmethod
     async def _inject(self, context: FaultContext) -> None:
-        """Injects and ends the fault."""
+        """Injects the fault and, unless the fault is permanent, ends it."""
 
 
 class NoFault(Fault):
@@ -93,10 +102,10 @@
 
     async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        victim = await context.pool_owner()
-        await context.cluster.kill_entry(victim)
+        owner = await context.pool_owner()
+        await context.cluster.kill_entry(owner)
         await asyncio.sleep(context.length_s)
-        await context.cluster.start_entry(victim)
+        await context.cluster.start_entry(owner)
 
 
 class PauseEntry(Fault):
@@ -106,10 +115,10 @@
 
     async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        victim = await context.pool_owner()
-        context.cluster.pause_entry(victim)
+        owner = await context.pool_owner()
+        context.cluster.pause_entry(owner)
         await asyncio.sleep(max(context.length_s, MIN_LENGTH_S))
-        context.cluster.resume_entry(victim)
+        context.cluster.resume_entry(owner)
 
 
 class StoreDown(Fault):
@@ -149,13 +158,16 @@
         code = await context.cluster.stop_entry(name, timeout_s=REPLACE_TIMEOUT_S)
         context.record_phase(self.name, history.STOPPED, name)
         if code != 0:
-            raise RuntimeError(f"{name} stopped with exit code {code}")
+            raise RuntimeError(f"{name} did not stop gracefully, exit code {code}")
         await context.cluster.start_entry(name)
         await context.cluster.wait_ready([name])
 
 
 class SilentConnection(Fault):
-    """Silences all open connections to backend servers and between the first two regions."""
+    """Silences the connections open to backend servers and between the first two regions.
+
+    The fault is permanent for these connections; new connections work.
+    """
 
     name = "silent-connection"
 
@@ -166,13 +178,13 @@
 
 
 class DrainServer(Fault):
-    """Makes one backend server of each service report that it is leaving."""
+    """Makes one backend server of each service report permanently that it is leaving."""
 
     name = "drain-server"
 
     async def _inject(self, context: FaultContext) -> None:
         """See base class."""
-        names = [f"{each.name}-1" for each in context.cluster.site.layout.services]
+        names = [f"{service.name}-1" for service in context.cluster.site.layout.services]
         await context.cluster.set_backends(names, leaving=True)
         await asyncio.sleep(context.length_s)
 
@@ -185,7 +197,7 @@
     async def _inject(self, context: FaultContext) -> None:
         """See base class."""
         region = context.regions[-1]
-        others = [each for each in context.regions if each != region]
+        others = [other for other in context.regions if other != region]
         prefix = self._address_prefix(context.cluster, region)
         for other in others:
             await context.cluster.set_links("cut", region, other)
@@ -197,13 +209,17 @@
 
     def _address_prefix(self, cluster: launcher.Cluster, region: str) -> str:
         """Returns the common prefix of the addresses of a region."""
-        hosts = [each.host for each in cluster.site.instances.values() if each.region == region]
+        hosts = [
+            instance.host
+            for instance in cluster.site.instances.values()
+            if instance.region == region
+        ]
         return ".".join(hosts[0].split(".")[:2]) + "."
 
 
 FAULTS: dict[str, Fault] = {
-    each.name: each
-    for each in (
+    fault.name: fault
+    for fault in (
         NoFault(),
         KillEntry(),
         PauseEntry(),
--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -17,21 +17,37 @@
         self._document: dict[str, Any] = {}
 
     async def apply(self, document: dict[str, Any]) -> None:
-        """Applies a whole policy document."""
+        """Applies a whole policy document.
+
+        Raises:
+            processes.ProcessError: See ``run``.
+        """
         path = self._cluster.directory / "settings" / "policy.json"
         path.write_text(json.dumps(document, indent=2), encoding="utf-8")
         await self.run("apply", str(path))
         self._record_accepted(document)
 
     async def start_shift(self, name: str, **fields: Any) -> None:
-        """Starts a shift with the given fields of the policy document."""
+        """Starts a shift; ``apply`` must have been called before.
+
+        Args:
+            name: Name of the shift.
+            **fields: Fields of the shift in the policy document.
+
+        Raises:
+            processes.ProcessError: See ``run``.
+        """
         options = [f"--{key.replace('_', '-')}={value}" for key, value in fields.items()]
         await self.run("shift", "start", name, *options)
         shifts = self._document["shifts"] | {name: {"fraction": 1.0} | fields}
         self._record_accepted(self._document | {"shifts": shifts})
 
     async def stop_shift(self, name: str) -> None:
-        """Stops a shift."""
+        """Stops a shift; ``apply`` must have been called before.
+
+        Raises:
+            processes.ProcessError: See ``run``.
+        """
         await self.run("shift", "stop", name)
         shifts = {key: value for key, value in self._document["shifts"].items() if key != name}
         self._record_accepted(self._document | {"shifts": shifts})
@@ -54,11 +70,14 @@
         except TimeoutError:
             child.kill()
             await child.wait()
-            raise processes.ProcessError(f"{arguments[0]} timed out") from None
+            raise processes.ProcessError(
+                f"{arguments[0]}: sassafrasctl did not end within its timeout"
+            ) from None
         text = output.decode(errors="replace")
         if child.returncode != 0:
             raise processes.ProcessError(
-                f"sassafrasctl {' '.join(arguments)}: code {child.returncode}\n{text}"
+                f"sassafrasctl {' '.join(arguments)} failed with "
+                f"exit code {child.returncode}\n{text}"
             )
         return text
 
--- a/packages/standins/src/sassafrasway_standins/processes.py
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -56,11 +56,19 @@
 
     @property
     def exit_code(self) -> int | None:
-        """Exit code, or the negated number of the signal that ended it; None while it runs."""
+        """Exit code, or the negated number of the signal that ended it; None while it runs.
+
+        Raises:
+            ProcessError: The process was not started.
+        """
         return self._started_process().returncode
 
     async def start(self) -> None:
-        """Starts the process."""
+        """Starts the process.
+
+        Raises:
+            OSError: The log file cannot be opened or the program cannot be run.
+        """
         self._log_file = self._log.open("ab")
         self._process = await asyncio.create_subprocess_exec(
             *self._command,
@@ -116,13 +124,18 @@
 
 
 def script(name: str) -> list[str]:
-    """Returns the command line that runs one of the console scripts of the project."""
+    """Returns the command line that runs one of the console scripts of the project.
+
+    Raises:
+        KeyError: The project has no console script with this name.
+    """
     module, _, attribute = _SCRIPTS[name].partition(":")
     code = f"import sys; from {module} import {attribute}; sys.argv[0] = {name!r}; {attribute}()"
     return [sys.executable, "-c", code]
 
 
-# Run by module instead of by file, so that PYTHONPATH takes precedence over the installed packages.
+# Functions of the console scripts. They are imported instead of running the installed script files,
+# so that PYTHONPATH takes precedence over the installed packages.
 _SCRIPTS = {
     "sassafrasway": "sassafrasway_entry.main:cli",
     "sassafrasctl": "sassafrasway_ctl.main:cli",
