Clarify options, layouts and errors of local clusters

Several attributes of layouts and launcher options were not described, public methods did not name the errors that they raise, and _wait_healthy also waits for instances that answer 503. The help of the demo did not say that a violated rule gives exit code 1. The docstrings and the help now say so, _wait_healthy is _wait_for_status, and loop variables have the names of their objects. Names, comments and texts only.

--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -29,7 +29,7 @@
 LOAD_PARTS = 2
 LOAD_START_S = 1.5  # load processes take about a second to start
 SHIFT_CAP_RPS = 20.0
-SHIFT_PACE_PER_S = 0.1
+SHIFT_PACE_PER_S = 0.1  # growth of the shifted fraction of requests per second
 END_TIMEOUT_S = 30.0
 SERVICE = "crew-desk"
 
@@ -63,6 +63,10 @@
 
         Returns:
             Whether requests were sent, none ran twice or was lost, and no rule was violated.
+
+        Raises:
+            processes.ProcessError: An instance, load process or command failed.
+            aiohttp.ClientError: A lookup or control request failed.
         """
         await self._apply_policy()
         plan = self._make_plan()
@@ -89,18 +93,18 @@
         return load.Plan(
             entries=[
                 exchanges.EntryPoint(
-                    name=each.name, url=f"http://{each.caller}", region=each.region
+                    name=instance.name, url=f"http://{instance.caller}", region=instance.region
                 )
-                for each in site.instances.values()
+                for instance in site.instances.values()
             ],
             services={
-                each.name: exchanges.CalledService(
-                    idempotent=each.idempotent,
-                    deadline_ms=each.deadline_ms,
-                    slots=each.servers * each.slots,
-                    may_wait=each.may_wait,
+                service.name: exchanges.CalledService(
+                    idempotent=service.idempotent,
+                    deadline_ms=service.deadline_ms,
+                    slots=service.servers * service.slots,
+                    may_wait=service.may_wait,
                 )
-                for each in layout.services
+                for service in layout.services
             },
             blocks={region: cidr for cidr, region in site.client_blocks.items() if "." in cidr},
             client_ms=layout.client_ms,
@@ -145,7 +149,7 @@
         await self._wait_until(self._schedule.kill_s)
         region = self._layout.regions[0]
         name = await self._pool_owner(region)
-        self._print_step(f"kill -9 of {name}, which owns {SERVICE} in {region}")
+        self._print_step(f"kill -9 of {name}, which owns the pool of {SERVICE} in {region}")
         await self._cluster.kill_entry(name)
         await self._wait_until(self._schedule.restart_s)
         self._print_step(f"the platform starts {name} again")
@@ -155,11 +159,13 @@
         await self._wait_until(self._schedule.replace_s)
         region = self._layout.regions[1]
         name = await self._pool_owner(region)
-        self._print_step(f"graceful replacement of {name}, which owns {SERVICE} in {region}")
+        self._print_step(
+            f"graceful replacement of {name}, which owns the pool of {SERVICE} in {region}"
+        )
         start_s = time.monotonic()
         code = await self._cluster.stop_entry(name)
         duration_s = time.monotonic() - start_s
-        self._print_step(f"{name} drained and ended with code {code} after {duration_s:.1f} s")
+        self._print_step(f"{name} ended with exit code {code} after {duration_s:.1f} s")
         if code != 0:
             child = self._cluster.process(name)
             raise processes.ProcessError(f"{name} did not stop gracefully:\n{child.tail()}")
@@ -184,9 +190,12 @@
         await self._operator.stop_shift("demo")
 
     async def _pool_owner(self, region: str) -> str:
-        """Returns the first entry instance in the response to a lookup by a client of a region."""
+        """Returns the owner of the pool of ``SERVICE`` in a region.
+
+        Lookups by clients of the region name the owner first.
+        """
         blocks = self._cluster.site.client_blocks
-        client = next(cidr for cidr, each in blocks.items() if each == region).partition("/")[0]
+        client = next(cidr for cidr, home in blocks.items() if home == region).partition("/")[0]
         instances = [
             self._cluster.site.instances[name]
             for name in self._cluster.entry_names
@@ -201,6 +210,7 @@
             return (await response.json())["instances"][0]["name"]
 
     def _print_report(self, plan: load.Plan) -> bool:
+        """Prints request counts and rule violations; returns the result of ``run``."""
         records = list(history.read(check.history_files([self._cluster.records])))
         tallies = tally.count(records, plan.services)
         violations = check.check(records)
@@ -212,6 +222,7 @@
         return not (total.ran_twice or total.lost or violations) and total.sent > 0
 
     async def _wait_until(self, at_s: float) -> None:
+        """Sleeps until ``at_s`` seconds after the start of the load."""
         await asyncio.sleep(max(0.0, self._load_start_s + at_s - time.monotonic()))
 
     def _print_step(self, text: str) -> None:
@@ -236,7 +247,9 @@
 
 
 @click.command("demo")
-@click.option("--load", "load_factor", default=0.5, show_default=True, help="Offered load.")
+@click.option(
+    "--load", "load_factor", default=0.5, show_default=True, help="Offered load, 1.0 = all slots."
+)
 @click.option("--seed", default=1, show_default=True, help="Seed of the arrivals.")
 @click.option(
     "--keep",
@@ -244,7 +257,11 @@
     help="Directory in which to keep logs and records; by default they are deleted.",
 )
 def command(load_factor: float, seed: int, keep: pathlib.Path | None) -> None:
-    """Shows the system under load; exits with 1 if a request ran twice or was lost."""
+    """Shows the system under load and checks its records.
+
+    Exits with 1 if no request was sent, a request ran twice or was lost, a rule was violated or a
+    step failed.
+    """
     with _run_directory(keep) as directory:
         try:
             succeeded = asyncio.run(_run(directory, load_factor, seed))
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -35,8 +35,11 @@
         block: Address block; None selects a free one.
         backend_processes: Number of processes that run the backend servers.
         link_processes: Number of processes that run the relays.
-        list_lag_s: Time until the platform's instance list shows a change.
-        entry_command: Command that runs an entry instance with ``run --config FILE``.
+        seed: Seed of the service times.
+        invariants: See ``layouts.Site.entry_settings``.
+        placement: See ``layouts.Site.entry_settings``.
+        list_lag_s: Time until the platform's instance list shows a change, s.
+        entry_command: Command that runs an entry instance; ``run --config FILE`` is appended.
     """
 
     entries: int | None = None
@@ -93,11 +96,19 @@
         return name in self._children and self._children[name].is_running
 
     def process(self, name: str) -> processes.ChildProcess:
-        """Returns the latest process of an entry instance or stand-in."""
+        """Returns the latest process of an entry instance or stand-in.
+
+        Raises:
+            KeyError: No process with this name was started.
+        """
         return self._children[name]
 
     async def start(self) -> None:
-        """Starts all processes and waits until each answers health requests."""
+        """Starts all processes and waits until each answers health requests.
+
+        Raises:
+            processes.ProcessError: A process ended or did not answer in time.
+        """
         for name in ("records", "settings", "logs"):
             (self.directory / name).mkdir(exist_ok=True)
         await self._start_stand_ins()
@@ -117,11 +128,15 @@
         """
         names = self.entry_names if names is None else names
         await _gather_or_cancel(
-            self._wait_healthy(name, self._health_url(name), (200,)) for name in names
+            self._wait_for_status(name, self._health_url(name), (200,)) for name in names
         )
 
     async def start_entry(self, name: str) -> None:
-        """Starts an entry instance, waits until it answers, and adds it to the list as live."""
+        """Starts an entry instance, waits until it answers, and lists it as ``live``.
+
+        Raises:
+            processes.ProcessError: The instance ended or did not answer in time.
+        """
         number = self._starts[name] = self._starts.get(name, 0) + 1
         record_file = self.records / f"{name}.{number}.jsonl"
         settings = self.site.entry_settings(
@@ -135,17 +150,17 @@
         command = [*self._options.entry_command, "run", "--config", str(path)]
         await self._spawn(name, command, log_name=f"{name}.{number}")
         # Without a policy an instance answers 503, which shows that it is running.
-        await self._wait_healthy(name, self._health_url(name), (200, 503))
+        await self._wait_for_status(name, self._health_url(name), (200, 503))
         await self._set_listed_state(name, "live")
 
     async def kill_entry(self, name: str) -> None:
-        """Kills an entry instance (SIGKILL); the platform's list drops it after the lag."""
+        """Kills an entry instance (SIGKILL); it leaves the platform's list after the lag."""
         self._record_fault("kill", "begin", name)
         await self._children[name].kill()
         await self._set_listed_state(name, None)
 
     def pause_entry(self, name: str) -> None:
-        """Suspends an entry instance (SIGSTOP); it stays in the list."""
+        """Suspends an entry instance (SIGSTOP); it stays in the platform's list."""
         self._record_fault("pause", "begin", name)
         self._children[name].send_signal(signal.SIGSTOP)
 
@@ -155,7 +170,11 @@
         self._record_fault("pause", "end", name)
 
     async def stop_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
-        """Stops an entry instance gracefully (SIGTERM) and returns its exit code."""
+        """Stops an entry instance gracefully (SIGTERM) and returns its exit code.
+
+        Raises:
+            processes.ProcessError: The instance did not end in time.
+        """
         self._record_fault("stop", history.STOP_ORDERED, name)
         self._children[name].send_signal(signal.SIGTERM)
         await self._set_listed_state(name, "leaving")
@@ -169,13 +188,21 @@
 
         Returns:
             The exit code of the old instance.
+
+        Raises:
+            processes.ProcessError: The old instance did not end in time, or the new one ended or
+                did not answer in time.
         """
         code = await self.stop_entry(name, timeout_s=timeout_s)
         await self.start_entry(name)
         return code
 
     async def set_store_faults(self, **faults: Any) -> None:
-        """Sets faults of the store, see ``store.Faults``."""
+        """Sets faults of the store, see ``store.Faults``.
+
+        Raises:
+            ValueError: The store rejected the faults.
+        """
         await self._post(f"http://{self.site.store}/control", faults)
 
     async def store_stats(self) -> dict[str, Any]:
@@ -189,6 +216,9 @@
             servers: Names of the servers; None for all servers.
             **behaviour: ``leaving``, ``slow``, ``load_report``, ``blocked_sources``, ``crash``,
                 ``silent``.
+
+        Raises:
+            ValueError: A backend process rejected the change.
         """
         selected = None if servers is None else set(servers)
         for control, names in self._backend_controls.items():
@@ -209,10 +239,14 @@
         """Returns the longest event loop stall of any backend process, see ``stalls``."""
         controls = self._backend_controls
         stalls = [await self._get(f"http://{control}/control/stalls") for control in controls]
-        return max(each["longest_ms"] for each in stalls)
+        return max(stall["longest_ms"] for stall in stalls)
 
     async def set_links(self, action: str, source: str, target: str) -> None:
-        """Applies ``cut``, ``cut_one_way``, ``heal`` or ``silent`` between two selectors."""
+        """Applies an action to the relays between entry instances, see ``link.Relay.change``.
+
+        Raises:
+            ValueError: A relay process rejected the action.
+        """
         for control in self._link_controls:
             data = {"action": action, "from": source, "to": target}
             await self._post(f"http://{control}/control", data)
@@ -222,7 +256,7 @@
         return await self._get(f"http://{self.site.instances[name].admin}/dump")
 
     async def collect_link_bytes(self) -> None:
-        """Writes the bytes that were sent between regions to the records."""
+        """Writes the number of bytes sent between regions so far to the records."""
         totals: dict[tuple[str, float], int] = {}
         for control in self._link_controls:
             for link, buckets in (await self._get(f"http://{control}/control/bytes")).items():
@@ -282,7 +316,7 @@
     async def _start_stand_in(self, name: str, arguments: list[str], address: str) -> None:
         command = [*processes.script("sassafrasway-standins"), *arguments]
         await self._spawn(name, command, log_name=name)
-        await self._wait_healthy(name, f"http://{address}/healthz", (200,))
+        await self._wait_for_status(name, f"http://{address}/healthz", (200,))
 
     async def _spawn(self, name: str, command: list[str], *, log_name: str) -> None:
         log = self.directory / "logs" / f"{log_name}.log"
@@ -290,7 +324,11 @@
         self._children[name] = child
         await child.start()
 
-    async def _wait_healthy(self, name: str, url: str, statuses: tuple[int, ...]) -> None:
+    async def _wait_for_status(self, name: str, url: str, statuses: tuple[int, ...]) -> None:
+        """Waits until a process answers a health request with one of ``statuses``.
+
+        Status 503 among them means that the process has only to run, which selects the timeout.
+        """
         child = self._children[name]
         deadline_s = time.monotonic() + (START_TIMEOUT_S if 503 in statuses else READY_TIMEOUT_S)
         status = 0
@@ -306,7 +344,8 @@
                     return
             await asyncio.sleep(POLL_S)
         raise processes.ProcessError(
-            f"{name} did not become ready, last status {status}:\n{child.tail()}"
+            f"{name} did not answer its health requests with an expected status in time; "
+            f"last status {status} (0: no response):\n{child.tail()}"
         )
 
     def _health_url(self, name: str) -> str:
@@ -319,8 +358,8 @@
         else:
             self._listed_states[name] = state
         entries = [
-            self.site.instances[each].list_entry(listed)
-            for each, listed in self._listed_states.items()
+            self.site.instances[listed_name].list_entry(listed_state)
+            for listed_name, listed_state in self._listed_states.items()
         ]
         url = f"http://{self.site.store}/control/instances"
         data = {"instances": entries, "lag_s": self._options.list_lag_s}
@@ -330,7 +369,7 @@
     async def _post(self, url: str, data: Mapping[str, Any]) -> None:
         async with self._session.post(url, json=data) as response:
             if response.status >= 300:
-                raise ValueError(f"{url}: {await response.text()}")
+                raise ValueError(f"{url} rejected the request: {await response.text()}")
 
     async def _get(self, url: str) -> Any:
         async with self._session.get(url) as response:
@@ -339,8 +378,8 @@
 
 
 async def _gather_or_cancel(coroutines: Iterable[Coroutine[Any, Any, None]]) -> None:
-    """Awaits all coroutines; cancels the others on an error, so that they start no processes."""
-    tasks = [asyncio.create_task(each) for each in coroutines]
+    """Awaits all coroutines; if one fails, cancels the others before they start processes."""
+    tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
     try:
         await asyncio.gather(*tasks)
     finally:
@@ -354,6 +393,12 @@
     """Reserves an address block that no other launcher on this machine uses.
 
     A socket that stays bound while the block is in use serves as a lock between launchers.
+
+    Args:
+        requested: The only block to try; None tries all.
+
+    Raises:
+        processes.ProcessError: No block is free.
     """
     blocks = range(layouts.ADDRESS_BLOCKS) if requested is None else (requested,)
     for block in blocks:
@@ -365,7 +410,9 @@
                 continue
             yield block
             return
-    raise processes.ProcessError("no address block is free")
+    raise processes.ProcessError(
+        "no address block is free; other clusters on this machine use them"
+    )
 
 
 @contextlib.asynccontextmanager
@@ -378,6 +425,10 @@
         layout: Layout of the cluster.
         directory: Existing directory for settings, logs and records.
         options: Options of the cluster.
+
+    Raises:
+        processes.ProcessError: No address block is free, or a process ended or did not answer in
+            time.
     """
     options = options or Options()
     timeout = aiohttp.ClientTimeout(total=5, connect=1)
--- a/packages/standins/src/sassafrasway_standins/layouts.py
+++ b/packages/standins/src/sassafrasway_standins/layouts.py
@@ -15,6 +15,8 @@
 
 REGIONS_IN_BLOCK = 8
 ADDRESS_BLOCKS = 31
+# Highest <n> in the addresses of the entry instances of a failure domain; its backend servers have
+# higher ones.
 MAX_INSTANCES_IN_DOMAIN = 50
 CAP_FACTOR = 1.5  # headroom of region caps over the request rate that occupies all slots
 CLIENT_BLOCKS_PER_REGION = 3
@@ -27,6 +29,10 @@
     Attributes:
         servers: Number of backend servers, distributed over the failure domains.
         slots: Number of slots of each server.
+        idempotent: Whether a request may be run more than once.
+        may_wait: Whether requests may wait for a slot.
+        at_most_once: ``ticket`` or ``claim``, as in the policy document.
+        deadline_ms: Deadline of requests whose caller sets none, from their arrival.
     """
 
     name: str
@@ -40,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Layout:
-    """A deployment; sizes and delays are those of the system design.
+    """A deployment; sizes and delays of ``SILA`` and ``TRAKIA`` are those of the system design.
 
     Attributes:
         domains: Failure domains by region.
@@ -48,6 +54,10 @@
         region_ms: One-way delay between regions.
         client_ms: One-way delay between a client and its region.
         store_region: Region of the table service and the object store.
+        connections: Maximum number of connections of each backend server.
+        link_mbit_s: Cap of the link between two regions.
+        connection_ms: Busy time of a backend server for each new connection.
+        probe_ms: Busy time of a backend server for each health probe.
         entries: Number of entry instances, distributed over the failure domains.
         mean_ms: Mean service time of a warm backend server. The system design specifies none; its
             model of refusal rates assumes 200 ms.
@@ -186,6 +196,9 @@
         layout: The deployment.
         block: Address block, 0 to ``ADDRESS_BLOCKS`` - 1.
         entries: Number of entry instances; None uses the number of the layout.
+
+    Raises:
+        ValueError: The address block is out of range.
     """
 
     def __init__(self, *, layout: Layout, block: int = 0, entries: int | None = None):
@@ -194,7 +207,7 @@
         self.layout = layout
         self._first_region = 1 + REGIONS_IN_BLOCK * block
         count = layout.entries if entries is None else entries
-        self.instances = {each.name: each for each in self._instances(count)}
+        self.instances = {instance.name: instance for instance in self._instances(count)}
 
     @property
     def store(self) -> str:
@@ -222,13 +235,13 @@
                 for pair in itertools.combinations(sorted(layout.regions), 2)
             },
             "services": {
-                each.name: {
-                    "idempotent": each.idempotent,
-                    "may_wait": each.may_wait,
-                    "at_most_once": each.at_most_once,
-                    "deadline_ms": each.deadline_ms,
+                service.name: {
+                    "idempotent": service.idempotent,
+                    "may_wait": service.may_wait,
+                    "at_most_once": service.at_most_once,
+                    "deadline_ms": service.deadline_ms,
                 }
-                for each in layout.services
+                for service in layout.services
             },
             "servers": {server["name"]: self._policy_server(server) for server in servers},
             "blocks": {cidr: {"region": region} for cidr, region in self.client_blocks.items()},
@@ -281,9 +294,17 @@
         invariants: str = "count",
         placement: str = "pool_owner",
     ) -> dict[str, Any]:
-        """Returns the settings of an entry instance."""
+        """Returns the settings of an entry instance.
+
+        Args:
+            name: Name of the instance.
+            record_file: File to which the instance writes records; empty for none.
+            invariants: ``raise`` or ``count``, the reaction to a violated invariant.
+            placement: How instances share the slots of a pool: ``pool_owner``, ``even_split`` or
+                ``local_count``.
+        """
         instance = self.instances[name]
-        others = [each for each in self.instances.values() if each is not instance]
+        others = [other for other in self.instances.values() if other is not instance]
         behaviour = {"invariants": invariants, "placement": placement}
         if record_file:
             behaviour["record_file"] = record_file
@@ -296,8 +317,10 @@
             "listen": {"caller": instance.caller, "rpc": instance.rpc, "admin": instance.admin},
             "platform": {"url": f"http://{self.store}", "timeout_ms": 1000},
             "network": {
-                "seeds": [each.rpc for each in others],
-                "address_map": {each.rpc: self._relay_address(instance, each) for each in others},
+                "seeds": [other.rpc for other in others],
+                "address_map": {
+                    other.rpc: self._relay_address(instance, other) for other in others
+                },
             },
             "logging": {"format": "json", "level": "info"},
             "behaviour": behaviour,
@@ -320,6 +343,7 @@
             )
 
     def _servers(self) -> Iterator[dict[str, Any]]:
+        """Yields the location, address and slots of each backend server, service by service."""
         locations = self.layout.locations()
         numbers: dict[str, int] = {}
         for service in self.layout.services:
@@ -355,10 +379,11 @@
         }
 
     def _cap_rps(self, region: str) -> float:
-        slots = sum(each["slots"] for each in self._servers() if each["region"] == region)
+        slots = sum(server["slots"] for server in self._servers() if server["region"] == region)
         return round(CAP_FACTOR * slots * 1000 / self.layout.mean_ms)
 
     def _relay_address(self, source: Instance, target: Instance) -> str:
+        """Returns the address on which the relay accepts connections from source to target."""
         number = list(self.instances).index(target.name)
         return f"{source.host}:{20000 + number}"
 
