Keep the response text "down" of the store stand-in

The reading had replaced the text of the status 503 response of the store stand-in. The text leaves the process and stands in the list of names that must stay. The text is "down" again. Names that leave the process are as before.

--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -233,7 +233,7 @@
             refused = self._faults.is_down_for(source)
         if refused:
             self._counts["refused"] += 1
-            response = web.Response(status=503, text="refused because of an injected fault")
+            response = web.Response(status=503, text="down")
         else:
             response = await self._handle_with_faults(request, handler)
         await network.pause(delay_ms, self._rng)
