Name the records and instances in the real-process tests

Loop variables named "each" hid whether a run, attempt, verdict or record was meant, "victim" stood for a pool owner, and the format of request IDs that selects a scenario was not described. They now have the names of their objects; the docs state the format, the scripted responses of the fake entry instance and the failure that test_store_down guards against. No check changed.

--- a/packages/standins/tests/fake_entry.py
+++ b/packages/standins/tests/fake_entry.py
@@ -12,10 +12,11 @@
     """HTTP server that takes the place of an entry instance.
 
     Attributes:
-        script: Responses to the next requests, in order: ``ran``, ``unavailable``, ``refused``,
-            ``unknown``, ``break`` (the connection is aborted), ``foreign`` (the response has the
-            path of another request) or ``short`` (the response is too small). Once the script is
-            used up, requests are answered with ``ran``.
+        script: Responses to the next requests, in order: ``ran``, ``unavailable`` (status 503,
+            not run), ``refused`` (status 429, not run), ``unknown`` (status 502, unknown outcome),
+            ``break`` (the connection is aborted), ``foreign`` (the response has the path of another
+            request) or ``short`` (the response is too small). Once the script is used up, requests
+            are answered with ``ran``.
         instances: Instances that lookups return.
         keys: Idempotency keys of the requests received.
         lookups: Number of lookups received.
@@ -52,7 +53,7 @@
         content = {
             "service": request.query["service"],
             "region": "bkk",
-            "instances": [{"name": each.name, "url": each.url} for each in self.instances],
+            "instances": [{"name": entry.name, "url": entry.url} for entry in self.instances],
             "ttl_s": 5,
         }
         if request.query["service"] == "crew-desk":
--- a/packages/standins/tests/real_cluster.py
+++ b/packages/standins/tests/real_cluster.py
@@ -38,7 +38,7 @@
 
     Args:
         records: Records of all scenarios so far.
-        seeds: Seeds of the load of the scenario; request names contain the seed.
+        seeds: Seeds of the load of the scenario; request IDs contain the seed.
         services: Called services by name.
     """
 
@@ -61,12 +61,12 @@
     @property
     def runs(self):
         """Runs of the requests of the scenario at backend servers."""
-        return [each for each in self.history.runs if self._is_of_scenario(each.request)]
+        return [run for run in self.history.runs if self._is_of_scenario(run.request)]
 
     @property
     def non_idempotent_runs(self):
         """Runs of requests to non-idempotent services, which may run a request only once."""
-        return [each for each in self.runs if not self.history.is_idempotent(each)]
+        return [run for run in self.runs if not self.history.is_idempotent(run)]
 
     def with_outcome(self, outcome):
         """Returns the attempts of each request with the given outcome for its caller."""
@@ -78,19 +78,24 @@
 
     def refusals(self):
         """Returns the number of requests that were not run, by reason."""
-        refused = (each for each in self.verdicts.values() if each.outcome == history.NOT_RUN)
-        return collections.Counter(each.reason for each in refused)
+        refused = (
+            verdict for verdict in self.verdicts.values() if verdict.outcome == history.NOT_RUN
+        )
+        return collections.Counter(verdict.reason for verdict in refused)
 
     def summary(self):
         """Returns the counts of the scenario as a table, for failure messages."""
         own_records = [
-            each for each in self.records if self._is_of_scenario(getattr(each, "request", ""))
+            record
+            for record in self.records
+            if self._is_of_scenario(getattr(record, "request", ""))
         ]
-        policies = [each for each in self.records if isinstance(each, history.PolicyInForce)]
+        policies = [record for record in self.records if isinstance(record, history.PolicyInForce)]
         tallies = tally.count([*policies, *own_records], self._services)
         return f"{tally.as_text(tallies)}\nrefusals: {dict(self.refusals())}"
 
     def _is_of_scenario(self, request):
+        """Whether a request ID, ``<service>.<region>.<seed>.<number>``, has a seed of the load."""
         parts = request.split(".")
         return len(parts) == 4 and parts[2] in self._seeds
 
@@ -165,9 +170,9 @@
                 segments.append(await self._start_segment(number, load_factor, start_s))
                 start_s += SEGMENT_S
                 await asyncio.sleep(start_s - LOAD_STARTUP_S - time.monotonic())
-            codes = [await each.wait(timeout_s=VERDICT_TIMEOUT_S) for each in segments]
+            codes = [await segment.wait(timeout_s=VERDICT_TIMEOUT_S) for segment in segments]
         finally:
-            await asyncio.gather(*(each.kill() for each in segments))
+            await asyncio.gather(*(segment.kill() for segment in segments))
         if any(codes):
             raise processes.ProcessError(f"load processes ended with exit codes {codes}")
         return range(seed, seed + len(segments))
@@ -198,13 +203,16 @@
     def _make_result(self, seeds, load_factor):
         records = list(history.read(check.history_files([self.cluster.records])))
         services = self._make_plan(seeds[0], load_factor, 0.0).services
-        violations = [str(each) for each in check.check(records)]
-        new_violations = [each for each in violations if each not in self._known_violations]
+        violations = [str(violation) for violation in check.check(records)]
+        new_violations = [text for text in violations if text not in self._known_violations]
         self._known_violations.update(violations)
         return Result(records=records, seeds=seeds, services=services), new_violations
 
 
 def ticket_holder(attempt):
-    """Returns the name of the instance that issued the ticket of an attempt; None without one."""
+    """Returns the name of the instance that issued the ticket of an attempt.
+
+    Returns None if the key of the attempt is not a ticket.
+    """
     ticket = at_most_once.Ticket.parse(attempt.key)
     return None if ticket is None else ticket.holder.name
--- a/packages/standins/tests/test_real_processes.py
+++ b/packages/standins/tests/test_real_processes.py
@@ -15,8 +15,8 @@
 PAUSE_S = 6.0  # grants are valid for 2 s, leases for 3 s; the holder must be absent for over 4 s
 STORE_DOWN_S = 15.0
 SILENT_S = 6.0
-# Time after the silencing in which sent requests may have unknown outcomes. Requests on a silent
-# connection wait until their deadline, also those that were sent just before it became silent.
+# Requests sent up to this time after the silencing may have unknown outcomes. They wait until their
+# deadline on a silent connection, also those that were sent just before it became silent.
 SILENCE_DETECTION_S = 6.0
 LOW_CAP_RPS = 40.0
 NO_SLOT = "no_slot"
@@ -62,14 +62,14 @@
         certain: in one CI run the cap refused none of the 1,645 requests to crew-desk.
         """
         servers = self.real.document["servers"]
-        in_region = [each for each in result.runs if servers[each.server]["region"] == region]
-        busiest = max(collections.Counter(int(each.at_s) for each in in_region).values())
+        in_region = [run for run in result.runs if servers[run.server]["region"] == region]
+        busiest = max(collections.Counter(int(run.at_s) for run in in_region).values())
         self.assertGreaterEqual(busiest, 0.9 * cap_rps, self.summary)
         elsewhere = [
-            each
-            for each in result.runs
-            if result.intents[each.request].region == region
-            and servers[each.server]["region"] != region
+            run
+            for run in result.runs
+            if result.intents[run.request].region == region
+            and servers[run.server]["region"] != region
         ]
         refused_or_rerouted = result.refusals()["region_cap"] + len(elsewhere)
         self.assertGreater(refused_or_rerouted, 0, self.summary)
@@ -84,32 +84,30 @@
         kill = {}
 
         async def action():
-            victim = kill["name"] = await self.fault_context.pool_owner()
-            kill["pools"] = {
-                key.split("/")[0] for key in (await self.cluster.dump(victim))["pools"]
-            }
+            owner = kill["name"] = await self.fault_context.pool_owner()
+            kill["pools"] = {key.split("/")[0] for key in (await self.cluster.dump(owner))["pools"]}
             kill["from_s"] = time.monotonic()
-            await self.cluster.kill_entry(victim)
+            await self.cluster.kill_entry(owner)
             kill["to_s"] = time.monotonic()
             await asyncio.sleep(RECOVERY_S)
-            await self.cluster.start_entry(victim)
-            await self.cluster.wait_ready([victim])
+            await self.cluster.start_entry(owner)
+            await self.cluster.wait_ready([owner])
 
         result = self.send_during(action, seed=1000)
-        victim = kill["name"]
-        url = f"http://{self.cluster.site.instances[victim].caller}"
+        killed_owner = kill["name"]
+        url = f"http://{self.cluster.site.instances[killed_owner].caller}"
 
-        def involved_victim(request, attempts):
+        def involved_killed_owner(request, attempts):
             in_pool = result.intents[request].service in kill["pools"]
             return any(
-                each.instance == url
-                or real_cluster.ticket_holder(each) == victim
-                or (in_pool and each.at_s <= kill["to_s"] and each.ended_s >= kill["from_s"])
-                for each in attempts
+                attempt.instance == url
+                or real_cluster.ticket_holder(attempt) == killed_owner
+                or (in_pool and attempt.at_s <= kill["to_s"] and attempt.ended_s >= kill["from_s"])
+                for attempt in attempts
             )
 
-        self.assert_unknown_outcomes_explained(result, involved_victim)
-        after = [each for each in result.non_idempotent_runs if each.at_s > kill["to_s"]]
+        self.assert_unknown_outcomes_explained(result, involved_killed_owner)
+        after = [run for run in result.non_idempotent_runs if run.at_s > kill["to_s"]]
         self.assertGreater(len(after), 0, self.summary)
 
     def test_pause_past_the_grant(self):
@@ -124,12 +122,12 @@
         pause = {}
 
         async def action():
-            victim = await self.fault_context.pool_owner()
+            owner = await self.fault_context.pool_owner()
             pause["from_s"] = time.monotonic()
-            self.cluster.pause_entry(victim)
+            self.cluster.pause_entry(owner)
             await asyncio.sleep(PAUSE_S)
             pause["to_s"] = time.monotonic()
-            self.cluster.resume_entry(victim)
+            self.cluster.resume_entry(owner)
             await asyncio.sleep(RECOVERY_S)
 
         self.runner.run(self.real.apply(low_cap_policy))
@@ -138,11 +136,11 @@
         finally:
             self.runner.run(self.real.apply(original_policy))
         self.assert_cap_reached(result, REGION, LOW_CAP_RPS)
-        ran = [each for each in result.runs if pause["from_s"] < each.at_s < pause["to_s"]]
+        ran = [run for run in result.runs if pause["from_s"] < run.at_s < pause["to_s"]]
         self.assertGreater(len(ran), 0, self.summary)
 
     def test_store_down(self):
-        """Guards against requests with tickets and pool owners that need the store to work.
+        """Guards against pool owners and requests with tickets that fail while the store is down.
 
         A policy change during the outage is refused with the cause, and accepted afterwards.
         """
@@ -166,10 +164,10 @@
         self.assertRegex(outage.get("error", "accepted"), r"code 4\n(.|\n)*(store|table)")
         for region in self.fault_context.regions:
             ran = [
-                each
-                for each in result.non_idempotent_runs
-                if outage["from_s"] < each.at_s < outage["to_s"]
-                and result.intents[each.request].region == region
+                run
+                for run in result.non_idempotent_runs
+                if outage["from_s"] < run.at_s < outage["to_s"]
+                and result.intents[run.request].region == region
             ]
             self.assertGreater(len(ran), 0, f"{region}\n{self.summary}")
         self.assert_unknown_outcomes_explained(result, lambda request, attempts: False)
@@ -185,7 +183,7 @@
         for name, pid in old.items():
             self.assertNotEqual(self.cluster.process(name).pid, pid)
         self.assert_unknown_outcomes_explained(result, lambda request, attempts: False)
-        aborted = [each for each in result.runs if each.outcome in ("cancelled", "crashed")]
+        aborted = [run for run in result.runs if run.outcome in ("cancelled", "crashed")]
         self.assertEqual(aborted, [], self.summary)
         self.assertEqual(set(result.refusals()) - {NO_SLOT}, set(), self.summary)
 
@@ -203,7 +201,7 @@
         result = self.send_during(action, seed=5000)
         for name, before in silence["before"].items():
             self.assertGreater(silence["after"][name]["accepted"], before["accepted"], name)
-        ran_on = {each.server for each in result.runs if each.at_s > silence["at_s"]}
+        ran_on = {run.server for run in result.runs if run.at_s > silence["at_s"]}
         self.assertEqual(ran_on, set(silence["before"]), self.summary)
         self.assert_unknown_outcomes_explained(
             result,
