Clarify names and docs of the launcher and stand-in tests

Test names were figurative (runs "taken along", sources "spared"), wait_for_target also stops the relay, and a docstring claimed a check of the order of data that the test does not make. Names and docstrings only; no check changed.

--- a/packages/standins/tests/test_launcher.py
+++ b/packages/standins/tests/test_launcher.py
@@ -45,12 +45,14 @@
                 site = layouts.Site(layout=layout, entries=26)
                 policy = documents.parse_policy(site.policy(), revision=1)
                 files = site.backend_files(processes=2, records="r{}", seed=1)
-                served = {each["name"]: each for file in files for each in file["servers"]}
+                served = {server["name"]: server for file in files for server in file["servers"]}
                 self.assertEqual(
-                    {name: (each.url, each.slots) for name, each in policy.servers.items()},
+                    {name: (server.url, server.slots) for name, server in policy.servers.items()},
                     {n: (f"http://{s['address']}", s["slots"]) for n, s in served.items()},
                 )
-                self.assertEqual(len({each.url for each in policy.servers.values()}), len(served))
+                self.assertEqual(
+                    len({server.url for server in policy.servers.values()}), len(served)
+                )
 
     def test_settings_are_valid_and_match_relays(self):
         """Guards against settings that an instance rejects, and against peers without a relay."""
@@ -82,7 +84,7 @@
     async def listed(self, cluster):
         url = f"http://{cluster.site.store}/instances"
         async with aiohttp.ClientSession() as session, session.get(url) as response:
-            return {each["name"]: each["state"] for each in await response.json()}
+            return {entry["name"]: entry["state"] for entry in await response.json()}
 
     async def test_instance_list_follows_the_processes(self):
         """Guards against an instance list that does not reflect a replacement or a kill."""
--- a/packages/standins/tests/test_standin_backend.py
+++ b/packages/standins/tests/test_standin_backend.py
@@ -56,7 +56,7 @@
     def records(self):
         return [json.loads(line) for line in self.stream.getvalue().splitlines()]
 
-    async def test_answer_belongs_to_request(self):
+    async def test_response_matches_request(self):
         """Guards against responses that a caller cannot match to its request by digest and ID."""
         await self.start()
         status, headers, body = await self.post(b"hello", path="/x?size=500", request_id="r")
@@ -77,7 +77,7 @@
         for task in running:
             task.cancel()
         await self.wait_for(in_use=0)
-        outcomes = sorted((each["outcome"], each["ran"]) for each in self.records())
+        outcomes = sorted((record["outcome"], record["ran"]) for record in self.records())
         self.assertEqual(outcomes, [("cancelled", True), ("cancelled", True), ("shed", False)])
 
     async def test_deadline_frees_slot(self):
@@ -85,9 +85,9 @@
         await self.start(mean_ms=1e6, distribution="fixed")
         status, _, _ = await self.post(deadline="5")
         self.assertEqual((status, self.server.stats["in_use"]), (504, 0))
-        self.assertEqual([each["outcome"] for each in self.records()], ["deadline"])
+        self.assertEqual([record["outcome"] for record in self.records()], ["deadline"])
 
-    async def test_crash_takes_other_runs_along(self):
+    async def test_crash_aborts_all_running_requests(self):
         """Guards against a crash that aborts only the request that caused it."""
         await self.start(mean_ms=1e6, distribution="fixed")
         other = asyncio.create_task(self.post())
@@ -97,7 +97,7 @@
         with self.assertRaises(aiohttp.ClientError):
             await other
         await self.wait_for(in_use=0)
-        self.assertEqual([each["outcome"] for each in self.records()], ["crashed", "crashed"])
+        self.assertEqual([record["outcome"] for record in self.records()], ["crashed", "crashed"])
         while True:
             try:
                 await self.post(deadline="1")
@@ -107,7 +107,7 @@
         self.assertEqual(self.server.stats["crashes"], 1)
 
     async def test_silent_connections_run_nothing(self):
-        """Guards against silent connections that still run requests or make new ones silent."""
+        """Guards against silent connections that run requests and new ones that are silent."""
         await self.start()
         await self.post()
         self.server.change({"silent": True})
@@ -119,7 +119,7 @@
                 self.assertEqual(response.status, 200)
         self.assertFalse(on_old.done())
         on_old.cancel()
-        digests = [each["digest"] for each in self.records()]
+        digests = [record["digest"] for record in self.records()]
         self.assertNotIn(hashlib.sha256(b"old").hexdigest(), digests)
 
     async def test_connection_limit(self):
--- a/packages/standins/tests/test_standin_link.py
+++ b/packages/standins/tests/test_standin_link.py
@@ -31,9 +31,10 @@
         self.relay = link.Relay(data=data)
         await self.relay.start()
         self.serving = set()
-        self.addAsyncCleanup(self.wait_for_target)
+        self.addAsyncCleanup(self.stop_relay)
 
-    async def wait_for_target(self):
+    async def stop_relay(self):
+        """Stops the relay and waits until the target has handled the end of its connections."""
         await self.relay.stop()
         await asyncio.gather(*self.serving)
 
@@ -87,7 +88,7 @@
         self.assertEqual(await reading, line.upper() * 700)
 
     async def test_cut_holds_data_until_healed(self):
-        """Guards against a cut that loses or reorders data of the connections that outlast it."""
+        """Guards against a cut that lets data through, or loses data of old or new connections."""
         await self.start_target()
         reader, writer = await self.connect()
         writer.write(b"one\n")
--- a/packages/standins/tests/test_standin_store.py
+++ b/packages/standins/tests/test_standin_store.py
@@ -70,7 +70,7 @@
         self.assertEqual(await self.get("k"), b"v")
         self.assertEqual((await self.put("k", b"w"))[0], 204)
 
-    async def test_down_writes_nothing_and_spares_other_sources(self):
+    async def test_outage_refuses_writes_of_given_sources_only(self):
         """Guards against an outage that lets writes through or affects other source addresses."""
         await self.control(down="refuse", down_sources=["127."])
         self.assertEqual((await self.put("k", b"v"))[0], 503)
