State what was found when no address block is free

The error text named other clusters as the cause, although only the bind of the lock sockets is known to have failed. The text now says that the lock sockets of all blocks tried are in use. Tests of the module: test_launcher 5 passed, 0 failed.

--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -411,7 +411,7 @@
             yield block
             return
     raise processes.ProcessError(
-        "no address block is free; other clusters on this machine use them"
+        "no address block is free: the lock sockets of all blocks tried are in use"
     )
 
 
