Name cold runs and crash events for what they hold

ServiceTimeEstimate.cold_s read like a time during which a server is cold, as cold_until_s and the stand-ins' cold_s do; it holds the service time of a cold run and is now cold_run_s. Conclusion: names only, no behaviour changed.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -111,7 +111,7 @@
 
     def __init__(self):
         self._warm_s: dict[str, float] = {}
-        self._cold_s: dict[str, float] = {}
+        self._cold_run_s: dict[str, float] = {}
         self._mean_s: dict[str, float] = {}
 
     def warm_s(self, route: str) -> float:
@@ -119,13 +119,13 @@
         warm_s = self._warm_s.get(route)
         if warm_s is not None:
             return warm_s
-        cold_s = self._cold_s.get(route)
-        return DEFAULT_SERVICE_S if cold_s is None else cold_s / COLD_RUN_FACTOR
+        cold_run_s = self._cold_run_s.get(route)
+        return DEFAULT_SERVICE_S if cold_run_s is None else cold_run_s / COLD_RUN_FACTOR
 
-    def cold_s(self, route: str) -> float:
+    def cold_run_s(self, route: str) -> float:
         """Returns the usual service time of a cold run."""
-        cold_s = self._cold_s.get(route)
-        return self.warm_s(route) * COLD_RUN_FACTOR if cold_s is None else cold_s
+        cold_run_s = self._cold_run_s.get(route)
+        return self.warm_s(route) * COLD_RUN_FACTOR if cold_run_s is None else cold_run_s
 
     def mean_s(self, route: str) -> float:
         """Returns the mean service time of all runs."""
@@ -143,7 +143,7 @@
         if warm:
             self._update_average(self._warm_s, route, service_s)
         elif service_s > self.warm_s(route) * COLD_RUN_MIN_RATIO or route not in self._warm_s:
-            self._update_average(self._cold_s, route, service_s)
+            self._update_average(self._cold_run_s, route, service_s)
 
     @staticmethod
     def _update_average(estimates: dict[str, float], route: str, service_s: float) -> None:
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -54,8 +54,11 @@
         crash_times_s[server] = now_s
         return True
 
-    def crash_count(self, fingerprint_: str) -> int:
-        """Returns the number of separate crashes of servers that were running the request."""
+    def crash_event_count(self, fingerprint_: str) -> int:
+        """Returns the number of separate crashes of servers that were running the request.
+
+        Crashes within ``SAME_EVENT_WINDOW_S`` count as one.
+        """
         crash_times_s = sorted(self._crashes.get(fingerprint_, {}).values())
         count = 0
         last_s = -RETENTION_S
@@ -67,7 +70,7 @@
 
     def should_refuse(self, fingerprint_: str) -> bool:
         """Whether the request must not be sent to another server."""
-        return self.crash_count(fingerprint_) >= CRASHES_TO_REFUSE
+        return self.crash_event_count(fingerprint_) >= CRASHES_TO_REFUSE
 
     def _drop_old(self, now_s: float) -> None:
         """Makes room for another fingerprint, if necessary by dropping recent crashes too."""
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -292,7 +292,7 @@
             request=job.request_id,
             server=chosen.server.server_id,
             fingerprint=job.fingerprint,
-            crashes=self._crashes.crash_count(job.fingerprint),
+            crashes=self._crashes.crash_event_count(job.fingerprint),
         )
 
     def _is_retryable_status(self, job: jobs.Job, result: attempt.AttemptResult) -> bool:
@@ -304,7 +304,7 @@
         if not job.route.idempotent and not result.outcome.not_run:
             return False
         # Another crash would be the last one before the request is refused.
-        if self._crashes.crash_count(job.fingerprint) >= crashes.CRASHES_TO_REFUSE - 1:
+        if self._crashes.crash_event_count(job.fingerprint) >= crashes.CRASHES_TO_REFUSE - 1:
             return False
         return job.sent_attempts < max(1, job.route.max_attempts)
 
--- a/packages/gateway/src/sassafrasway_gateway/learning.py
+++ b/packages/gateway/src/sassafrasway_gateway/learning.py
@@ -70,4 +70,4 @@
         """Returns the service time that is usual for the object of the attempt."""
         if choice.warm:
             return self._service_times.warm_s(route)
-        return self._service_times.cold_s(route)
+        return self._service_times.cold_run_s(route)
--- a/packages/gateway/tests/test_crashes.py
+++ b/packages/gateway/tests/test_crashes.py
@@ -25,7 +25,7 @@
         for index in range(8):
             self.register.add("f", f"s{index}")
             self.clock.advance(0.02)
-        self.assertEqual(self.register.crash_count("f"), 1)
+        self.assertEqual(self.register.crash_event_count("f"), 1)
 
     def test_second_report_of_a_crash_is_not_new(self):
         self.assertTrue(self.register.add("f", "s"))
--- a/packages/gateway/tests/test_learning.py
+++ b/packages/gateway/tests/test_learning.py
@@ -48,7 +48,7 @@
     def test_cold_runs_and_warm_objects_are_averaged_separately(self):
         self.warm_up()
         self.assertAlmostEqual(self.service_times.warm_s("r"), WARM_S)
-        self.assertAlmostEqual(self.service_times.cold_s("r"), COLD_S)
+        self.assertAlmostEqual(self.service_times.cold_run_s("r"), COLD_S)
 
     def test_cold_runs_do_not_raise_the_latency_ratio(self):
         self.warm_up()
