Restore reasons in comments on attempts, retries and connections

These are restored. max_attempts and sent_attempts said that a connection was opened, but attempts on reused connections count too; both are corrected. Conclusion: comments and docstrings only, no behaviour changed.

--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -7,7 +7,8 @@
 from sassafrasway_gateway import http_client, messages, servers
 
 # Longest idle time of a reused connection for a non-idempotent request. After a longer time the
-# server may have closed the connection, and the request would fail with an unknown outcome.
+# server may have dropped the connection without notice, and the request would fail with an unknown
+# outcome.
 MAX_IDLE_NON_IDEMPOTENT_S = 2.0
 # The server is not the one named in the request; it now has the address of that server.
 STATUS_MISDIRECTED = 421
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -194,8 +194,8 @@
     ) -> bool:
         """Whether the server rejected the request although it seems to have free slots.
 
-        Such a server may accept the request at the next attempt. It remains a candidate because on
-        another server the request would be a cold run.
+        Such a rejection is assumed to be random, so the server may accept the request at the next
+        attempt. It remains a candidate because on another server the request would be a cold run.
         """
         if result.outcome is not attempt.Outcome.REJECTED:
             return False
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -51,7 +51,7 @@
         server_deadline_s: Monotonic time by which a server has to finish the request.
         excluded_servers: Ids of the servers that must not be selected for a further attempt.
         may_have_run: Whether it is possible that an attempt ran the request.
-        sent_attempts: Number of finished attempts for which a connection was opened.
+        sent_attempts: Number of finished attempts that had a connection, new or reused.
     """
 
     request: messages.Request
@@ -75,7 +75,8 @@
     Attributes:
         request_id: Id of the request.
         status: HTTP status of the response.
-        retry_after_s: Time after which the caller may retry; None for no Retry-After header.
+        retry_after_s: Time after which the caller may retry; None if a retry is of no use, and no
+            Retry-After header is sent.
     """
 
     def __init__(
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -25,7 +25,7 @@
         timeout_s: Longest time that a caller waits; None for the default of the gateway.
         target_latency_s: Time after which a response is worth less to the caller.
         priority: Rank among the routes of a service; 0 is the most urgent.
-        max_attempts: Largest number of attempts for which a connection to a server was opened.
+        max_attempts: Largest number of attempts; those that could not connect do not count.
         sticky: Whether requests are assigned to servers by the object named in a cookie.
         home_regions: Regions whose servers may be used; empty allows all.
     """
@@ -48,7 +48,7 @@
     """Settings of one service.
 
     Attributes:
-        max_connections: Connections that a server accepts in total.
+        max_connections: Connections that a server accepts from all callers together.
         warmup_s: Time after its start for which a server is cold.
         warmup_per_s: Requests per second that a cold server tolerates.
     """
