Correct docstrings that claimed more than the code does

Found by reading the code: a rejection does not reset failures and on_trial, only the maximum of a retry budget follows the number of instances, a missing report from other regions counts as load 0, servers of full regions keep a low weight rather than the last place, and all runs count as cold until the service time of warm objects is known. The texts now say so. Conclusion: comments and docstrings only, no behaviour changed.

--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -91,7 +91,7 @@
             weight = float(max(1, server.slots))
             group = local
             if server_region != region:
-                # Servers of regions without spare slots remain in the ranking, as a last resort.
+                # Servers of regions without spare slots remain in the ranking, with a low weight.
                 weight *= max(self._spare_share.get(server_region, 0.0), 0.01)
                 group = remote
             score = -math.log(_unit_hash(key, server.server_id)) / weight
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -106,7 +106,7 @@
 
     This instance does not see the requests that other instances send to a server, so an object that
     is not known to be warm there may be warm all the same. Of the runs of such objects, only the
-    slow ones are therefore counted as cold runs.
+    slow ones are therefore counted as cold runs, once the service time of warm objects is known.
     """
 
     def __init__(self):
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -16,7 +16,8 @@
 OVERLOAD_THRESHOLD = 1.1
 # Load of the region below which the objects move back.
 RELIEF_THRESHOLD = 0.7
-# Objects move out only while the load of some other region is lower by more than this.
+# Objects move out only while the load of some other region is lower by more than this. Without a
+# report from any other region, the load there counts as 0.
 MIN_LOAD_DIFFERENCE = 0.3
 # Share of the objects that may move per second.
 STEP_PER_S = 0.05
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -33,7 +33,11 @@
             self._budgets.clear()
 
     def budget_of(self, service: str) -> retry.RetryBudget:
-        """Returns the budget of a service, adjusted to the current number of live instances."""
+        """Returns the budget of a service.
+
+        Its maximum is adjusted to the current number of live instances. Its minimum rate remains
+        that for the number when the budget was created.
+        """
         bounds = self._bounds
         instances = max(1, len(self._view.live_names()))
         max_tokens = max(1.0, bounds.retry_extra * USED_SHARE / instances)
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -35,9 +35,9 @@
         next_cold_send_s: Monotonic time from which this instance may send another request to the
             server while it is cold.
         ejected_until_s: Monotonic time until which it gets no request.
-        failures: Failed attempts since the last response.
-        on_trial: Whether the server was unreachable and has not responded since. It then gets one
-            request at a time, and only idempotent ones.
+        failures: Failed attempts since the last valid response other than a rejection.
+        on_trial: Whether the server was unreachable and has sent no such response since. It then
+            gets one request at a time, and only idempotent ones.
         latency_ratio: Moving average of the service time divided by the expected one.
         error_rate: Moving average of the share of requests that failed or were rejected.
         remove_at_s: Monotonic time at which the server is removed unless it is listed again; None
