Restore conditions in the docstrings of pools, keys and changes of core

Cause: begin_claimed() no longer said that the claim comes before the run, the deadline of a waiting request was said to hold "after" expires_s, although it expires at it, CANCELLED left out leases released without a dispatch, and try_acquire() left out rank_by_reports and the servers used last. A quarantine entry claimed that the request caused the crashes; apply_change() said that all unchanged sections are shared; updated() left out the regions of removed blocks.

Change: correct these docstrings; no code changed.

Conclusion: the docstrings agree with the code again.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -162,7 +162,10 @@
         return BeginResult.START
 
     def begin_claimed(self, key: str) -> bool:
-        """Marks a key as started; for keys that this incarnation claims in the table.
+        """Marks a key as started without checking a ticket.
+
+        This incarnation must have claimed the key in the table before the key may run. A key whose
+        claim failed is marked only to record it as not run.
 
         Returns:
             False if the key is already known and must not start again.
--- a/packages/core/src/sassafrasway_core/documents.py
+++ b/packages/core/src/sassafrasway_core/documents.py
@@ -140,7 +140,7 @@
 
 
 def apply_change(policy: model.Policy, change: Change) -> model.Policy:
-    """Returns the policy after a change; the unchanged sections are shared with the old policy.
+    """Returns the policy after a change; shares the sections that the change does not contain.
 
     Only the changed objects and the objects that can refer to them are checked, because a full
     check takes seconds for a policy of the size that the system is designed for.
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -150,7 +150,7 @@
 
         Raises:
             errors.ValidationError: A CIDR is not in canonical notation, or there are more than
-                65536 regions.
+                65536 regions, including those of blocks that earlier updates removed.
         """
         table = BlockTable(blocks=())
         table._regions = list(self._regions)
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -197,7 +197,12 @@
             slots.record_load(slots_in_use, self._clock.monotonic())
 
     def try_acquire(self, *, exclude: frozenset[str] = frozenset()) -> SlotLease | None:
-        """Leases a slot of the server with the most free slots; returns None if none is free.
+        """Leases a slot; returns None if none is free.
+
+        The slot is one of the server with the most free slots or, with ``rank_by_reports``, of a
+        random server weighted by its estimated free slots. Servers that shed a request within
+        ``SHED_PAUSE_S`` or whose last result was a failure are used only if no other server
+        appears to have a free slot.
 
         Args:
             exclude: Names of servers not to use, for example because they shed this request.
@@ -225,7 +230,7 @@
 
         Args:
             waiter_id: Identifier of the request, unique among the waiting requests.
-            expires_s: Monotonic time after which the request no longer needs a slot.
+            expires_s: Monotonic time at which the request no longer needs a slot.
 
         Returns:
             False when the queue is full or the deadline has passed.
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -16,7 +16,7 @@
         FAILED: The request was not sent, because the connection failed.
         TIMEOUT: The request was sent, but the response was not complete in time.
         CRASHED: The connection was lost before the response was complete.
-        CANCELLED: This instance ended the dispatch.
+        CANCELLED: This instance ended the dispatch, or released the slot without a dispatch.
         LEAVING: The server reported in its response that it is leaving.
     """
 
--- a/packages/core/src/sassafrasway_core/quarantine.py
+++ b/packages/core/src/sassafrasway_core/quarantine.py
@@ -32,7 +32,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Entry:
-    """A request that crashed servers.
+    """A request on which servers crashed.
 
     Attributes:
         servers: Names of the distinct servers that crashed.
