Restore what the change, window and soak tests of core check

Cause: the docstring of test_malformed_changes_are_refused no longer named the change without an identity and the cap below zero, repeat() did not say that the first seed is random, and a comment in test_window gave 0.051 s as the length of a sub-window, which is 0.055 s since windows span 1.1 s.

Change: correct these docstrings and the comment; no test changed.

Conclusion: the bound of 0.051 s in test_window is stricter than the limiter guarantees; it is left as it is, because only wording changes here.

--- a/packages/core/tests/random_runs.py
+++ b/packages/core/tests/random_runs.py
@@ -6,7 +6,9 @@
 
 
 def repeat(scenario):
-    """Calls ``scenario(seed)`` with consecutive seeds until the duration has passed.
+    """Calls ``scenario(seed)`` until the duration has passed.
+
+    The first seed is random, and each further run uses the next integer.
 
     ``SASSAFRASWAY_SOAK_SECONDS`` sets the duration in seconds (default 10). With
     ``SASSAFRASWAY_SOAK_SEED``, the scenario is called only once, with that seed.
--- a/packages/core/tests/test_documents.py
+++ b/packages/core/tests/test_documents.py
@@ -168,7 +168,10 @@
             documents.apply_change(self.policy, _change(base=2))
 
     def test_malformed_changes_are_refused(self):
-        """Guards against accepting a change with an invalid or unknown key, or an invalid cap."""
+        """Guards against accepting an invalid change.
+
+        Its base revision, id or author may be invalid, a cap below zero or a key unknown.
+        """
         valid = documents.dump_change(_change(regions={"bkk": {"cap_rps": 1}}))
         self.assertEqual(documents.dump_change(documents.parse_change(valid)), valid)
         cases = {
--- a/packages/core/tests/test_window.py
+++ b/packages/core/tests/test_window.py
@@ -41,7 +41,8 @@
                 taken.append((now_s, amount))
                 self.assertLessEqual(recent + amount, limit)
             else:
-                # An amount may count for longer by the length of its sub-window.
+                # An amount may count for longer, by less than the length of its sub-window. That
+                # is 0.055 s, so the bound of 0.051 s is stricter than the limiter guarantees.
                 conservative = sum(
                     taken_amount for at_s, taken_amount in taken if now_s - at_s <= _SPAN_S + 0.051
                 )
