Rename home_region() of ShiftController to decide()

Cause: home_region is elsewhere the region of the client before shifts, also in steering.py, which calls this method. The method returns a ShiftDecision with the region after shifts, so its name said the opposite; its docstring named the client block, although the region may be that of the receiving instance.

Change: rename the method and its uses; state both regions in the docstrings.

Conclusion: home_region has one meaning again.

--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ShiftDecision:
-    """Home region of a request, and the name of the shift that moved it there, if any."""
+    """First region to try for a request, and the name of the shift that moved it there, if any."""
 
     region: str
     shift_name: str | None = None
@@ -50,14 +50,14 @@
         now_s = self._clock.monotonic()
         return {name: progress.fraction(now_s) for name, progress in self._by_name.items()}
 
-    def home_region(
+    def decide(
         self, service: str, region: str, caller_position: float | None = None
     ) -> ShiftDecision:
-        """Returns the home region of a request after applying the shifts.
+        """Returns the first region to try for a request after applying the shifts.
 
         Args:
             service: Name of the service.
-            region: Region of the request's client block.
+            region: Home region of the request, which shifts do not change.
             caller_position: Position of the caller in [0, 1), for example a hash of its client
                 block. A caller that keeps its position stays moved while the fraction grows, so
                 that its lookups and its requests agree. None draws a random position.
--- a/packages/core/tests/test_shift.py
+++ b/packages/core/tests/test_shift.py
@@ -26,7 +26,7 @@
         self.shifts = shift.ShiftController(clock=self.time, rng=random.Random(1))
 
     def _is_moved(self, position):
-        return self.shifts.home_region("crew-desk", "bkk", position).region == "hkt"
+        return self.shifts.decide("crew-desk", "bkk", position).region == "hkt"
 
     def test_moved_fraction_grows_at_its_pace_and_moved_callers_stay_moved(self):
         """Guards against moving all requests to cold caches together, and callers moving back."""
@@ -63,12 +63,10 @@
         """Guards against moving requests of other regions, and against ignoring a second shift."""
         self.shifts.set_shifts(_policy(_shift(fraction=0.25), _shift("z", "cnx", fraction=0.25)))
         self.time.advance(60)
-        decisions = [
-            self.shifts.home_region("crew-desk", "bkk", quarter / 4) for quarter in range(4)
-        ]
+        decisions = [self.shifts.decide("crew-desk", "bkk", quarter / 4) for quarter in range(4)]
         self.assertEqual([each.region for each in decisions], ["hkt", "cnx", "bkk", "bkk"])
         self.assertEqual([each.shift_name for each in decisions], ["move", "z", None, None])
-        self.assertEqual(self.shifts.home_region("crew-desk", "cnx", 0.0).region, "cnx")
-        self.assertEqual(self.shifts.home_region("order-desk", "bkk", 0.0).region, "bkk")
-        drawn = [self.shifts.home_region("crew-desk", "bkk").region for _ in range(1000)]
+        self.assertEqual(self.shifts.decide("crew-desk", "cnx", 0.0).region, "cnx")
+        self.assertEqual(self.shifts.decide("order-desk", "bkk", 0.0).region, "bkk")
+        drawn = [self.shifts.decide("crew-desk", "bkk").region for _ in range(1000)]
         self.assertTrue(200 < drawn.count("hkt") < 300)
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -75,7 +75,7 @@
         """
         home = self.region_of(client) or self._region
         position = xxhash.xxh32_intdigest(f"{client}|{hash_key}".encode()) / _HASH_RANGE
-        decision = self._shifts.home_region(service, home, position)
+        decision = self._shifts.decide(service, home, position)
         by_region = self._pools.get(service, {})
         order = [decision.region]
         order += [name for name in self._nearest_regions.get(home, ()) if name != decision.region]
