State when a request is queued without trying for a slot

Cause: enqueue() demanded that the caller has tried try_acquire() before, but the entry instance skips that while other requests wait, so that they keep their order. begin_claimed() called a claim failed that may exist, because only the response to its write may have been lost.

Change: correct both docstrings; no code changed.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -165,7 +165,7 @@
         """Marks a key as started without checking a ticket.
 
         This incarnation must have claimed the key in the table before the key may run. A key whose
-        claim failed is marked only to record it as not run.
+        claim was given up is marked only to record it as not run.
 
         Returns:
             False if the key is already known and must not start again.
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -226,7 +226,9 @@
         return self.grant_waiting()
 
     def enqueue(self, waiter_id: Hashable, *, expires_s: float) -> bool:
-        """Adds a request to the wait queue; the caller must have tried ``try_acquire`` just before.
+        """Adds a request to the wait queue, without granting a slot.
+
+        The caller tries ``try_acquire`` just before, unless other requests are already waiting.
 
         Args:
             waiter_id: Identifier of the request, unique among the waiting requests.
