Restore conditions in the docs of the ownership modules

The rewording had blurred which instance is inherited from last, that the row certainly names a recorded member, and which earlier grants expire at all. Texts on new members, refused replies and reads before a write claimed too much. Docstrings and comments state the conditions again; no code changed.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -12,8 +12,8 @@
 from sassafrasway_core import invariants as invariants_lib
 from sassafrasway_core import membership, model, region
 
-# New members get no grants until they are recorded, so a changed row is written before the next
-# renewal is due.
+# While the table lease lasts, new members get no grants until they are recorded, so a changed row
+# is written before the next renewal is due.
 CHANGED_ROW_INTERVAL_S = 0.2
 # Minimum interval between reads of the row after a write was refused or its result was lost.
 READ_RETRY_S = 0.5
@@ -116,7 +116,11 @@
         return max(self._table_until_s, self._promised_until_s)
 
     def is_recorded(self, member: model.InstanceId) -> bool:
-        """Returns whether the last row that is known to be in the table names the member."""
+        """Returns whether the last row that is known to be in the table names the member.
+
+        A later write may have taken effect already. As writes drop only members that are gone, the
+        row in the table certainly names the member unless it is gone.
+        """
         return member in self._recorded
 
     @property
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -221,7 +221,10 @@
         self._holdings.release_gone()
 
     def _earlier_grants_until_s(self) -> float:
-        """Returns the time by which every grant of an earlier coordinator has expired."""
+        """Returns the time by which every main part granted by an earlier coordinator has expired.
+
+        Until then, holders that this coordinator does not know may still use such parts.
+        """
         if self._won_election.previous is None:
             return -math.inf
         return self._started_s + region.GRANT_S
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -48,9 +48,10 @@
     def inherited_by(
         self, member: model.InstanceId
     ) -> tuple[dict[str, int], model.InstanceId | None]:
-        """Returns the slots that other instances use, by server, and one of these instances.
+        """Returns the slots that other instances use, by server, and the last of these instances.
 
-        The instance is None if no other instance uses slots.
+        The last one is the instance that was the last to begin to report slots in use. It is None
+        if no other instance uses slots.
         """
         inherited: dict[str, int] = {}
         previous = None
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -155,12 +155,12 @@
             row: The row, or None when there is none.
             version: Version of the row, or None when there is none.
             started_s: When the read was started. A read that started before the candidate write
-                cannot show the result of that write.
+                may not show the result of that write.
         """
         pending = self._pending
         if pending is not None:
             if started_s < pending.sent_s or version == pending.command.if_version:
-                # This read does not show the result of the pending write, which may still come.
+                # This read may not show the result of the pending write, which may still come.
                 return
             self._pending = None
             if row is not None and row.coordinator.id == self._me.id:
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -142,7 +142,7 @@
         inherited: Slots by server name that other instances last reported as in use. The owner
             counts them as used until they are released or the request deadlines pass.
         inherited_s: Time until the deadlines of the requests in those slots have passed.
-        previous: One of the instances that use those slots, or None.
+        previous: Of the instances that use those slots, the last to begin to report them, or None.
         expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
     """
 
@@ -182,7 +182,7 @@
 
     Attributes:
         accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
-            its grants then stay as they are.
+            its grants then stay as they are, unless ``gone`` is true.
         gone: Whether the coordinator regards the sender as gone, so that others may use all that
             it held.
         seq: Number of the reply within the epoch.
