State when a lowered cap is in force and when the level is recomputed

The rewording had dropped that a lower cap holds only when all holders have confirmed or expired, and it called the recomputation interval a minimum, although new or removed holders and a new cap do not wait for it. A grant that covers an older one counts at least as much and as long. Comments and docstrings only; no code changed.

--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -42,7 +42,10 @@
         return self.ends_s if now_s <= self.ends_s else self.offline_ends_s
 
     def covers(self, older: "_Grant") -> bool:
-        """Returns whether ``older`` can be dropped: this grant counts as much and as long."""
+        """Returns whether ``older`` can be dropped.
+
+        It can if this grant counts at least as much and at least as long.
+        """
         return (
             older.sequence < self.sequence
             and older.amount <= self.amount
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -23,8 +23,8 @@
 # every demand.
 MET_FRACTION = 0.8
 
-# Minimum interval between recomputations, from all demands, of the level up to which demands are
-# met. It keeps the cost of a heartbeat constant.
+# Interval of recomputations, from all demands, of the level up to which demands are met. It keeps
+# the cost of a heartbeat constant. A new or removed holder and a changed cap do not wait for it.
 LEVEL_INTERVAL_S = 0.25
 
 
@@ -176,7 +176,11 @@
         return self._reservations.of(holder)
 
     def set_cap(self, cap: float) -> None:
-        """Changes the cap; a lower one takes effect as shares are confirmed or expire."""
+        """Changes the cap.
+
+        A lower cap is in force only when every holder has confirmed a smaller share or its larger
+        share has expired.
+        """
         self._cap = cap
         self._level = dataclasses.replace(self._level, at_s=-math.inf)
 
