Correct the scope of the ownership scenarios and a name in the cap driver

The header said that each scenario needs one rule, but two need several; the crash scenario lacked that the old coordinator still counts the member; the emergency cap was gone; _admitted held entries beside the total admitted. Docstrings corrected; _admitted is now _recent_admissions.

--- a/packages/core/tests/cap_driver.py
+++ b/packages/core/tests/cap_driver.py
@@ -42,7 +42,7 @@
         # confirmed sequence and the time of sending of a heartbeat, or a function to call. The
         # share is None except in a reply to a heartbeat.
         self._messages = []
-        self._admitted = []
+        self._recent_admissions = []
         self._epoch = 0
         self._divider = self._new_divider()
         self.admitted = 0.0
@@ -130,11 +130,13 @@
         for holder in self._rng.sample(self._holders, k=len(self._holders)):
             amount = self._rng.choice([1.0, 7.0, 30.0])
             while holder.take(amount):
-                self._admitted.append((self._time.monotonic(), amount))
+                self._recent_admissions.append((self._time.monotonic(), amount))
                 self.admitted += amount
         now_s = self._time.monotonic()
-        self._admitted = [entry for entry in self._admitted if now_s - entry[0] <= window.WINDOW_S]
-        used = sum(amount for _, amount in self._admitted)
+        self._recent_admissions = [
+            entry for entry in self._recent_admissions if now_s - entry[0] <= window.WINDOW_S
+        ]
+        used = sum(amount for _, amount in self._recent_admissions)
         assert used <= CAP * 1.000001, f"{used} admitted in one second, cap is {CAP}"
 
     def _remove_holder(self):
--- a/packages/core/tests/test_caps.py
+++ b/packages/core/tests/test_caps.py
@@ -104,7 +104,7 @@
         self.assertEqual(self.divider.reserved_by("a"), 0)
 
     def test_lower_cap_is_in_force_after_confirmations(self):
-        """Guards against a lowered cap that holders with earlier shares exceed permanently."""
+        """Guards against an emergency cap that holders with earlier shares exceed permanently."""
         self._settle(a=200, b=200)
         self.divider.set_cap(10)
         self._settle(a=200, b=200)
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -1,7 +1,7 @@
-"""Scenarios that need one rule of pool ownership each.
+"""Scenarios that each break the slot limit of a server without a certain rule of pool ownership.
 
-Each scenario must pass with the real rule. With the rule replaced by a faulty one, the checker of
-the simulation must find that two instances may use the same slots.
+Some scenarios need several rules. Each scenario must pass with the real rules. With one of its
+rules replaced by a faulty one, the checker of the simulation must find the violation.
 """
 
 import dataclasses
@@ -145,7 +145,11 @@
 
 
 def holder_crashes_after_takeover():
-    """A follower of the new coordinator crashes; the old one, not yet deposed, finds it gone."""
+    """A follower of the new coordinator crashes.
+
+    The old coordinator is not deposed yet, still counts the follower as its own member and finds it
+    gone.
+    """
     run = _Scenario()
     run.set_table_mode("down", run.coordinator)
     run.cut((run.coordinator, run.a), (run.coordinator, run.b))
