State that a promise does not bind when there is no region row

The texts on promises named a gone coordinator as the only exception, but MemberState also takes over, whatever it promised, when a read finds no row. Both texts name this case now; no code changed.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,7 +1,7 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
 A member that sends a promise does not become coordinator for ``region.PROMISE_S``, unless the
-current coordinator is known to be gone.
+current coordinator is known to be gone or there is no region row.
 """
 
 import dataclasses
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -10,7 +10,8 @@
 HEARTBEAT_S = 0.5
 # Validity of a grant of a pool's main part.
 GRANT_S = 2.0
-# Time for which a member promises not to become coordinator, unless the current one is gone.
+# Time for which a member promises not to become coordinator, unless the current one is known to be
+# gone or there is no region row.
 PROMISE_S = 3.0
 # Time for which a successful write of the region row gives the coordinator authority.
 TABLE_LEASE_S = 3.0
