--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -10,7 +10,8 @@
 HEARTBEAT_S = 0.5
 # Validity of a grant of a pool's main part.
 GRANT_S = 2.0
-# Time for which a member promises not to become coordinator, unless the current one is gone.
+# Time for which a member promises not to become coordinator, unless the current one is known to be
+# gone or there is no region row.
 PROMISE_S = 3.0
 # Time for which a successful write of the region row gives the coordinator authority.
 TABLE_LEASE_S = 3.0
@@ -142,7 +143,7 @@
         inherited: Slots by server name that other instances last reported as in use. The owner
             counts them as used until they are released or the request deadlines pass.
         inherited_s: Time until the deadlines of the requests in those slots have passed.
-        previous: One of the instances that use those slots, or None.
+        previous: Of the instances that use those slots, the last to begin to report them, or None.
         expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
     """
 
@@ -182,7 +183,7 @@
 
     Attributes:
         accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
-            its grants then stay as they are.
+            its grants then stay as they are, unless ``gone`` is true.
         gone: Whether the coordinator regards the sender as gone, so that others may use all that
             it held.
         seq: Number of the reply within the epoch.
