State that cold bounds hold per server and retry extras per service

Cause: the rewording made the multiple of a cold server's rate one of "cold servers of a service", so that it read as a sum; the texts left open that the retry extra holds for each service, and named only the metrics where the dump of the process's state is served too. Conclusion: wording only; the texts now agree with cold_limit, retry_budgets and admin.

--- a/packages/gateway/src/sassafrasway_gateway/settings.py
+++ b/packages/gateway/src/sassafrasway_gateway/settings.py
@@ -22,10 +22,11 @@
     Attributes:
         stop_grace_s: Time between the stop signal and the kill, s.
         retry_ratio: Retries permitted per request to a service.
-        retry_extra: Additional retries permitted for the whole fleet in each window.
+        retry_extra: Additional retries per service, permitted for the whole fleet in each window.
         retry_window_s: Length of the window, s.
-        cold_factor: Permitted multiple of the request rate that cold servers of a service tolerate.
-        cold_slack: Requests per second permitted in addition to that.
+        cold_factor: Permitted multiple of the request rate that a cold server tolerates. It bounds
+            the requests of all instances together to each cold server.
+        cold_slack: Requests per second to each cold server permitted in addition to that.
         lookup_ttl_s: Longest time for which callers may cache a lookup, s.
     """
 
@@ -48,7 +49,8 @@
         lookup: Address on which lookups of callers are served.
         peer: UDP address for datagrams of other instances.
         relay: Address from which other instances fetch rows of the platform's store.
-        metrics: Address on which metrics are served; None to disable them.
+        metrics: Address on which the metrics and a dump of the process's state are served; None to
+            serve neither.
         region_of: Region of each failure domain.
     """
 
