Describe the first poll and the time before the first announcement

Cause: the new comment named only failed and cancelled polls as those followed by one that does not wait; the first poll of an instance that got its rows from another one does not wait either. has_recent_announcement() did not say that it is true at first after the start. Change: comment in TableFollower._poll_store and docstring of RelayRole.has_recent_announcement. Conclusion: wording only; both texts now name all cases of the code.

--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -202,8 +202,9 @@
 
     async def _poll_store(self) -> None:
         times = self._role.poll_times()
-        # After a failed or cancelled poll, the next one does not wait for changes, so that it shows
-        # immediately whether the store responds.
+        # The first poll of an instance that has not read the store itself, and the next one after a
+        # failed or cancelled poll, do not wait for changes, so that they show immediately whether
+        # the store responds.
         wait_s = times.wait_s * self._rng.uniform(0.8, 1.0) if self._store_responds else 0.0
         call = self._store.changes(
             self._table, after=self.version, wait_s=wait_s, timeout_s=wait_s + times.margin_s
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -252,7 +252,7 @@
 
         This stays true for ``BEACON_LIFETIME_S`` after the last announcement, even if the readers
         have lost the table since, so that the next instance can take over before the loss counts as
-        an outage.
+        an outage. Before the first announcement, the time counts from the start of this instance.
         """
         return time.monotonic() < self._announcement_expiry_s(table_name)
 
