Restore the order of pools and the causes named in docstrings of the entry

Cause: the rewording dropped that the home pool is tried first, that aiohttp closes the connection on an oversized header line before a handler runs, and that a refused coordinator is checked at once; pool_reports named a rate that no report holds, and a ticket runs under a claim only until it expires.

--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -29,7 +29,8 @@
 
 CANDIDATES_TTL_S = 0.2
 LOOKUP_ALTERNATES = 3  # instances in a lookup response besides the owner of the home pool
-# aiohttp itself rejects a request with a longer header line. Its response 400 has no outcome.
+# aiohttp itself rejects a request with a longer header line, before a handler runs, and closes the
+# connection. Its response 400 has no outcome.
 AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
 
 
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -207,7 +207,7 @@
 
         It is needed if the holder cannot be reached or may have deleted its record of the ticket.
         If the closed marker of the holder exists, a missing outcome proves that the request did not
-        run, so that it may run here under a claim.
+        run, so that it may run here under a claim unless the ticket has expired.
         """
         try:
             stored = await asyncio.wait_for(
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -59,8 +59,9 @@
         peers: Calls other instances.
         policy_source: Returns the policy in force, or None.
         on_grants: Called with all grants of this instance whenever one of them changes.
-        pool_reports: Returns slots in use, rate and queue length of each pool that this instance
-            uses, including pools that it may no longer use but whose requests are still running.
+        pool_reports: Returns the report of each pool that this instance uses: share, slots in use,
+            time until the deadlines of their requests, and queue length. Pools that it may no
+            longer use but whose requests are still running are included.
         revision_source: Returns the revision of the policy in force.
         cap_demand: Returns the demand, including refused demand, by cap name (see ``cap_grants``)
             and in the unit of the cap. The first share of a cap is requested only if its name is
@@ -304,8 +305,8 @@
     def _on_refused(self, address: str) -> None:
         """Starts a check whether an instance whose port refused a connection is gone.
 
-        The coordinator that this instance follows is checked by the next heartbeat; other
-        instances are reported to the coordinator of their region.
+        The coordinator that this instance follows is checked by a heartbeat that is sent
+        immediately; other instances are reported to the coordinator of their region.
         """
         coordinator = self._grants.coordinator
         if coordinator is not None and coordinator.rpc_address == address:
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -16,7 +16,8 @@
     """Route of a request.
 
     Attributes:
-        pools: Pools to try, in order.
+        pools: Pools to try, home pool first, then the others by distance from the home region. If
+            a shift moves the request, the home pool is that of the shift's target region.
         home_region: Home region of the client.
         shift: Name of the shift that moves the request to another region, or empty.
     """
