Restore what the checks of settings and disconnected callers prevent

Cause: docstrings of tests lost the consequence that they guard against: a slot held for a caller that is gone, one run of check-config per wrong key, a script that starts an instance with invalid settings. One named a connection that was not open instead of a refused one. Changed: four docstrings in test_backend_client, test_dispatcher, test_settings.

--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -135,7 +135,10 @@
         self.assertGreater(self.deadlines_ms[1], 19_000)
 
     async def test_caller_that_goes_away_cancels_the_call(self):
-        """Guards against work that continues on the server after the caller disconnected."""
+        """Guards against work that continues on the server after the caller disconnected.
+
+        The slot of the server would stay in use for a response that nobody reads.
+        """
         self.behaviour = "hang"
         task = asyncio.create_task(self._call())
         await asyncio.wait_for(self.arrived.wait(), 5)
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -168,7 +168,7 @@
                 self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
 
     async def test_unreachable_peer_is_skipped(self):
-        """Guards against "unknown" for a request that was not sent, as no connection was open."""
+        """Guards against "unknown" for a request that was not sent: its connection was refused."""
         subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         refused = rpc_client.ConnectionRefusedByPeerError("refused", step="test", peer="p")
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -56,14 +56,20 @@
             settings.load(self.path)
 
     def test_all_problems_are_listed(self):
-        """Guards against reporting only the first of several problems."""
+        """Guards against reporting only the first of several problems.
+
+        An operator would have to run check-config once for each wrong key.
+        """
         self._write(_VALID.replace("127.1.1.1:8080", "x").replace("127.1.1.1:9000", "y"))
         with self.assertRaises(errors.ValidationError) as caught:
             settings.load(self.path)
         self.assertEqual(len(caught.exception.message.splitlines()), 2)
 
     def test_check_config_exit_codes(self):
-        """Guards against an exit code that reports invalid settings as valid."""
+        """Guards against an exit code that reports invalid settings as valid.
+
+        A script that runs check-config first would then start an instance with them.
+        """
         runner = testing.CliRunner()
         self._write(_VALID)
         good = runner.invoke(main.cli, ["check-config", "--config", str(self.path)])
