Restore units and the meaning of shares in the RPC messages

Cause: the error for a frame length lost its unit, PoolReport.share lost that it is the share in force, and PoolGrant.share took its meaning; rate_per_s was described as filled, but nothing sets it in the entry. RpcServer claimed that method names are unique without saying that it depends on it. Changed: comments in control.thrift, one docstring and one error message. Tests: rpc: 10 passed, 0 failed, 0 skipped entry: 108 passed, 0 failed, 0 skipped ctl: 10 passed, 0 failed, 0 skipped Conclusion: texts only, no behaviour changed.

--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -12,10 +12,11 @@
 // An instance's report on one pool that it may use, or whose slots its requests still use.
 struct PoolReport {
   1: PoolId pool
-  2: string share            // share of each server's slots that may be used: none, offline (a third,
-                             // rounded down), reduced (all except that third), full
+  2: string share            // share of each server's slots in force when the report was made:
+                             // none, offline (a third, rounded down), reduced (all except that
+                             // third), full
   3: map<string, i32> in_use // number of slots in use by server name
-  4: double rate_per_s       // requests received for the pool
+  4: double rate_per_s       // requests received for the pool, 1/s; entry instances send 0
   5: i32 queue_length
   6: double busy_s           // time until the deadlines of the requests in these slots have passed
 }
@@ -23,7 +24,8 @@
 // The right to use a share of a pool.
 struct PoolGrant {
   1: PoolId pool
-  2: string share            // as in PoolReport
+  2: string share            // share of each server's slots that may be used; values as in
+                             // PoolReport
   3: map<string, i32> inherited // slots by server name that other instances last reported in use
   4: string previous_name    // one of the instances that use these slots; empty when there is none
   5: string previous_incarnation
--- a/packages/rpc/src/sassafrasway_rpc/server.py
+++ b/packages/rpc/src/sassafrasway_rpc/server.py
@@ -36,7 +36,9 @@
 
 
 class RpcServer:
-    """Serves several Thrift services on one port; method names are unique among them.
+    """Serves several Thrift services on one port.
+
+    Methods are found by their name alone, so no two services may have a method of the same name.
 
     Args:
         handlers: Pairs of a Thrift service and an object with an async method for each of its
@@ -203,7 +205,7 @@
         length = int.from_bytes(header, "big")
         if not 0 < length <= codec.MAX_FRAME_BYTES:
             raise errors.ValidationError(
-                f"invalid frame length {length}, must be from 1 to {codec.MAX_FRAME_BYTES}",
+                f"frame length in bytes is {length}, must be from 1 to {codec.MAX_FRAME_BYTES}",
                 step="rpc.read",
                 peer=peer,
             )
