Correct who holds a ticket in the texts on the caller's retries

The comment on routes said that only the holder may run a request, but the gatekeeper also runs it elsewhere under a claim row once the holder has left its closed marker. Three texts called the holder the issuer, though the instance that answers the lookup issues the ticket for another. The comment states the old reason again and the others name the holder. Only comments and docstrings changed.

--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -141,7 +141,7 @@
         """Whether the next attempt needs a lookup first.
 
         A non-idempotent request that may have run keeps its key. One that certainly did not run
-        takes a new ticket, because the instance that issued the first one may be gone. An
+        takes a new ticket, because the instance that holds the first one may be gone. An
         idempotent request tries all instances of a lookup before it looks up again.
         """
         if self._route is None:
@@ -158,8 +158,8 @@
         """Sets the route of the next attempts."""
         avoids_first = self._results[-1].outcome == "" if self._results else False
         if route.ticket:
-            # The first instance holds the ticket. Only the holder may run the request, and only it
-            # always knows whether it has run it.
+            # The first instance holds the ticket. Another instance may not be able to tell whether
+            # the holder has run the request.
             avoids_first = False
         self._route = route
         # The first instance of a cached or repeated route is likely the one that just failed.
--- a/packages/standins/tests/real_cluster.py
+++ b/packages/standins/tests/real_cluster.py
@@ -210,7 +210,7 @@
 
 
 def ticket_holder(attempt):
-    """Returns the name of the instance that issued the ticket of an attempt.
+    """Returns the name of the instance that holds the ticket of an attempt.
 
     Returns None if the key of the attempt is not a ticket.
     """
--- a/packages/standins/tests/test_real_processes.py
+++ b/packages/standins/tests/test_real_processes.py
@@ -78,8 +78,8 @@
         """Guards against requests run twice, wrongly reported "not run", or lost after kill -9.
 
         An outcome may be unknown only if the killed pool owner was involved: the caller sent the
-        request to it, it had issued the ticket, or the request was in flight during the kill and
-        the instance owned a pool of its service.
+        request to it, the ticket names it as holder, or the request was in flight during the kill
+        and the instance owned a pool of its service.
         """
         kill = {}
 
