Correct what a failed start, a failed fault and a kill record

The launcher's text said that the other coroutines are cancelled before they start processes, but some may have started theirs already. Bench.run named one cause of RuntimeError; a replaced instance that does not stop gracefully raises it too. A kill has a "begin" record and no "end". The three texts now follow the code. Only comments and docstrings changed.

--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -108,7 +108,8 @@
         Raises:
             processes.ProcessError: A process failed or the deployment did not become ready.
             errors.SassafraswayError: The policy could not be applied.
-            RuntimeError: The fault could not be injected.
+            RuntimeError: No pool owner was found for the fault, or an instance that the fault
+                replaces did not stop gracefully.
         """
         shutil.rmtree(self._directory, ignore_errors=True)
         self._directory.mkdir(parents=True)
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -19,7 +19,8 @@
 NOT_RUN = "not-run"
 UNKNOWN = "unknown"
 
-# Values of FaultEvent.phase. The launcher also writes ``begin`` and ``end`` for kills and pauses.
+# Values of FaultEvent.phase. The launcher also writes ``begin`` for a kill, and ``begin`` and
+# ``end`` for a pause.
 INJECTED = "injected"
 ENDED = "ended"
 STOP_ORDERED = "stop-ordered"
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -378,7 +378,7 @@
 
 
 async def _gather_or_cancel(coroutines: Iterable[Coroutine[Any, Any, None]]) -> None:
-    """Awaits all coroutines; if one fails, cancels the others before they start processes."""
+    """Awaits all; if one fails, cancels the others, so that none starts a process afterwards."""
     tasks = [asyncio.create_task(coroutine) for coroutine in coroutines]
     try:
         await asyncio.gather(*tasks)
