State what RECOVERY_S spans and that the fake entry is in-process

The comment on RECOVERY_S left out that the killed instance starts again after this time and that a pause has ended before it begins. The head of fake_entry no longer said that the fake runs in the test's own process. Both facts stand again. Tests: standins, 68 passed, 0 failed, 3 skipped. Only a comment and a docstring changed.

--- a/packages/standins/tests/fake_entry.py
+++ b/packages/standins/tests/fake_entry.py
@@ -1,4 +1,4 @@
-"""Fake entry instance for tests of the callers; it returns scripted responses."""
+"""In-process fake entry instance for tests of the callers; it returns scripted responses."""
 
 import hashlib
 import json
--- a/packages/standins/tests/test_real_processes.py
+++ b/packages/standins/tests/test_real_processes.py
@@ -11,7 +11,7 @@
 from sassafrasway_standins import faults, history, processes
 
 REGION = "bkk"
-RECOVERY_S = 5.0  # the load goes on for this long after a kill or a pause
+RECOVERY_S = 5.0  # time under load from a kill to the restart, or after the end of a pause
 PAUSE_S = 6.0  # grants are valid for 2 s, leases for 3 s; the holder must be absent for over 4 s
 STORE_DOWN_S = 15.0
 SILENT_S = 6.0
