State what stays reachable in the region-cut fault

The code cuts the relays between entry instances and lets table service and object store hang; instance list and backend servers are not affected. The docstring says so now. Tests: standins, 68 passed, 0 failed, 3 skipped. Only a docstring changed.

--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -190,7 +190,10 @@
 
 
 class RegionCut(Fault):
-    """Cuts the last region off from the store and from the entry instances of other regions."""
+    """Cuts the last region off from the store and from the entry instances of other regions.
+
+    The store's instance list and the backend servers of other regions stay reachable.
+    """
 
     name = "region-cut"
 
