--- a/packages/standins/tests/test_real_processes.py
+++ b/packages/standins/tests/test_real_processes.py
@@ -11,7 +11,7 @@
 from sassafrasway_standins import faults, history, processes
 
 REGION = "bkk"
-RECOVERY_S = 5.0  # the load goes on for this long after a kill or a pause
+RECOVERY_S = 5.0  # time under load from a kill to the restart, or after the end of a pause
 PAUSE_S = 6.0  # grants are valid for 2 s, leases for 3 s; the holder must be absent for over 4 s
 STORE_DOWN_S = 15.0
 SILENT_S = 6.0
@@ -78,8 +78,8 @@
         """Guards against requests run twice, wrongly reported "not run", or lost after kill -9.
 
         An outcome may be unknown only if the killed pool owner was involved: the caller sent the
-        request to it, it had issued the ticket, or the request was in flight during the kill and
-        the instance owned a pool of its service.
+        request to it, the ticket names it as holder, or the request was in flight during the kill
+        and the instance owned a pool of its service.
         """
         kill = {}
 
