Clarify when slots become free and how long outcomes are kept

Cause: the list of calls after which the owner grants slots omitted record_probe, which ends ejections; "Only for placements" and "It" had no clear referent; four methods that grant leases did not name the error of a violated rule; the comment on RETENTION_S named an exact time, but the code keeps an outcome for longer. Conclusion: comments and docstrings only.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -15,7 +15,7 @@
 
 TICKET_START_S = 5.0  # how long after its issue a ticket may start a run
 TICKET_SKEW_S = 5.0  # tolerated clock difference between the issuer and the ticket's holder
-RETENTION_S = 120.0  # how long the outcome of a finished key is kept for duplicates
+RETENTION_S = 120.0  # minimum time for which the outcome of a finished key is kept for duplicates
 NONCE_BITS = 64  # written as 16 hexadecimal digits
 
 _TICKET_PATTERN = re.compile(
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -23,8 +23,8 @@
 Share = shares.Share
 SlotLease = pool_types.SlotLease
 
-# After a server shed a request, other servers are preferred for this long. It has fewer free slots
-# than the pool counted, and its running requests need time to finish.
+# After a server shed a request, other servers are preferred for this long. The server has fewer
+# free slots than the pool counted, and its running requests need time to finish.
 SHED_PAUSE_S = 0.5
 
 
@@ -36,8 +36,8 @@
     because they have usually served a previous owner; servers added later are ramped up.
 
     Slots also become free as time passes (ramp-up, expiry of inherited slots) and by
-    ``set_servers``, ``set_share`` and ``set_leaving``. None of these returns grants, so the owner
-    must call ``grant_waiting`` after them and whenever it calls ``expire``.
+    ``set_servers``, ``set_share``, ``set_leaving`` and ``record_probe``. None of these returns
+    grants, so the owner must call ``grant_waiting`` after them and whenever it calls ``expire``.
 
     Args:
         key: Key of the pool.
@@ -48,9 +48,10 @@
         queue_limit: Maximum number of waiting requests; 0 for services whose requests may not
             wait.
         ramp_s: Seconds over which the slots of a new or long-idle server become usable.
-        rank_by_reports: Whether load reports limit the estimate of a server's free slots.
-            Otherwise, only the pool's own leases count and load reports break ties. Only for
-            placements in which other instances dispatch to the same servers.
+        rank_by_reports: Whether load reports limit the estimate of a server's free slots. To be
+            set only for placements in which other instances dispatch to the same servers. If it is
+            not set, servers are ranked by the pool's own count of free slots, and load reports only
+            break ties.
     """
 
     def __init__(
@@ -200,12 +201,15 @@
         """Leases a slot; returns None if none is free.
 
         The slot is one of the server with the most free slots or, with ``rank_by_reports``, of a
-        random server weighted by its estimated free slots. Servers that shed a request within
+        random server weighted by its estimated free slots. Servers that shed a request in the last
         ``SHED_PAUSE_S`` or whose last result was a failure are used only if no other server
         appears to have a free slot.
 
         Args:
             exclude: Names of servers not to use, for example because they shed this request.
+
+        Raises:
+            errors.InvariantViolation: The lease breaks a rule (only if ``invariants`` raises).
         """
         now_s = self._expire_inherited()
         slots = self._select(exclude, now_s)
@@ -215,6 +219,10 @@
         """Releases a slot and grants free slots to waiting requests.
 
         A lease that was already released is ignored.
+
+        Raises:
+            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
+                raises).
         """
         slots = self._leases.pop(lease.lease_id, None)
         if slots is None:
@@ -251,7 +259,12 @@
         return self._queue.take_expired(now_s=self._clock.monotonic())
 
     def grant_waiting(self) -> list[Grant]:
-        """Grants free slots to the longest-waiting requests whose deadline has not passed."""
+        """Grants free slots to the longest-waiting requests whose deadline has not passed.
+
+        Raises:
+            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
+                raises).
+        """
         grants = []
         now_s = self._expire_inherited()
         while len(self._queue):
@@ -274,7 +287,12 @@
         self._inherited.add(counts, expires_s=expires_s)
 
     def release_inherited(self, server_name: str, count: int) -> list[Grant]:
-        """Releases inherited slots and grants free slots to waiting requests."""
+        """Releases inherited slots and grants free slots to waiting requests.
+
+        Raises:
+            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
+                raises).
+        """
         self._inherited.release(server_name, count)
         return self.grant_waiting()
 
