Explain assignment, row writes and pending writes of the coordination modules

Cause: _reassign, _grant, _confirm_row, _next_row and _interval_s were not plain without a docstring; "which may still come", "It" and "while the table answers" were unclear (the code tests the table lease); change_count does not count the expiry of grants; on_row_read did not name the error of a violated rule. Conclusion: comments and docstrings only.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -208,6 +208,10 @@
 
         A read is ignored if a write is pending or was sent after the read had started, because the
         read may not show the result of that write. A missing row is ignored, too.
+
+        Raises:
+            errors.InvariantViolation: The epoch of the row is lower than that of this coordinator
+                (only if ``invariants`` raises).
         """
         if row is None or self._pending_write is not None or started_s < self._last_write_s:
             return
@@ -222,6 +226,7 @@
         self._confirm_row(row, version)
 
     def _confirm_row(self, row: region.RegionRow, version: str) -> None:
+        """Processes the row that is in the table; the lease starts at the sending of its write."""
         self._version = version
         self._last_row = row
         self._resync = False
@@ -239,6 +244,7 @@
         members: Mapping[model.InstanceId, region.Instance],
         owners: Mapping[model.PoolKey, model.InstanceId],
     ) -> region.RegionRow:
+        """Returns the row to write next, with all recorded and given members that are not gone."""
         merged = {**self._recorded, **members}
         kept = [merged[member] for member in sorted(merged) if not self._members.is_gone(member)]
         return region.RegionRow(
@@ -250,5 +256,6 @@
         )
 
     def _interval_s(self, row: region.RegionRow) -> float:
+        """Returns the minimum time between the last write and the write of ``row``."""
         changed = row.members != self._last_row.members or row.owners != self._last_row.owners
         return CHANGED_ROW_INTERVAL_S if changed else region.RENEW_S
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -179,7 +179,8 @@
         self._holdings.record_use(sender, heartbeat.pools)
         self._record_region_share(sender, heartbeat.caps)
         if heartbeat.sender != previous:
-            # The reply must already reflect the assignment with a member that joined or is leaving.
+            # A sender that joined or is leaving changes the assignment, and the reply must already
+            # grant the shares of the new one.
             self._reassign()
         self._caps.record_reports(sender, heartbeat.caps)
         return dataclasses.replace(self._grant(sender), cap_shares=self._cap_shares(heartbeat))
@@ -230,6 +231,10 @@
         return self._started_s + region.GRANT_S
 
     def _reassign(self) -> None:
+        """Assigns owners to pools without an eligible one, and moves a pool if a move is due.
+
+        A move only evens out the numbers of pools per instance.
+        """
         now = self._clock.monotonic()
         if self._won_election.previous is None and now < self._started_s + REGION_FORMATION_S:
             return
@@ -239,6 +244,7 @@
             moves = 1
         pools = self._holdings.keys() if self._policy_pools is None else self._policy_pools
         current_owners = self.owners()
+        # With the inputs of the last assignment, only a move could change the owners.
         inputs = (pools, tuple(eligible), moves)
         if self._assignment_inputs == inputs and (
             not moves or assignment.is_even(current_owners, eligible)
@@ -319,6 +325,7 @@
         return permitted
 
     def _grant(self, member: model.InstanceId) -> region.HeartbeatReply:
+        """Grants the member its permitted shares; returns the reply that carries the grants."""
         self._seq += 1
         permitted = self._permitted_shares(member)
         if any(pool_share.has_main for pool_share in permitted.values()):
@@ -351,8 +358,8 @@
     def _may_grant(self, now: float, *, recorded: bool) -> bool:
         """Returns whether a member may be granted main parts and shares of caps.
 
-        While the table answers, an instance must be recorded first, so that the next coordinator
-        finds all holders in the row.
+        While the table lease lasts, an instance must be recorded first, so that the next
+        coordinator finds all holders in the row.
         """
         return now < self._authority.until_s() and (
             recorded or now >= self._authority.table_until_s
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -93,6 +93,7 @@
         # Pools of which a member holds a part or uses slots. A heartbeat is checked against these
         # only, not against all pools of the region.
         self._pools_by_member: dict[model.InstanceId, set[model.PoolKey]] = {}
+        # Pools by assigned owner; None until they are grouped again after an assignment.
         self._pools_by_owner: dict[model.InstanceId, dict[model.PoolKey, Pool]] | None = None
         self._change_count = 0
 
@@ -103,7 +104,10 @@
 
     @property
     def change_count(self) -> int:
-        """Number that increases whenever a part may have become free or an owner is assigned."""
+        """Number that increases whenever an event may have freed a part or assigned an owner.
+
+        The expiry of a grant does not change it.
+        """
         return self._change_count
 
     def keys(self) -> frozenset[model.PoolKey]:
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -11,8 +11,8 @@
 CONTACT_LOST_S = 1.0
 # Minimum interval between searches for the coordinator.
 SEARCH_RETRY_S = 0.5
-# Added to leases and promises that a member waits for, because the clocks of two instances may run
-# at different rates.
+# Added to the leases and promises whose end a member waits for, because the clocks of two instances
+# may run at different rates.
 CLOCK_MARGIN_S = 0.05
 
 
@@ -160,7 +160,7 @@
         pending = self._pending
         if pending is not None:
             if started_s < pending.sent_s or version == pending.command.if_version:
-                # This read may not show the result of the pending write, which may still come.
+                # The pending write may have taken effect after this read, or may still do so.
                 return
             self._pending = None
             if row is not None and row.coordinator.id == self._me.id:
@@ -190,8 +190,8 @@
     def on_write_unknown(self, command: region.WriteRow) -> None:
         """Processes a candidate write that may take effect now or later.
 
-        It stays pending, and heartbeats carry no promise, until a read shows another version of the
-        row.
+        The write stays pending, and heartbeats carry no promise, until a read shows another version
+        of the row.
         """
 
     def _heartbeat(
