Clarify the decay of demands and the error for a repeated share sequence

Cause: "falls by at most this factor" can be read as a fall by 0.8, and a demand of 0 takes effect at once; "this holds" had no referent; the error did not say what was expected ("sequence 3 is not above 5", now "sequence is 3, expected more than 5"); private methods on unknown shares were not explained. Conclusion: comments, docstrings and one error text only.

--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -15,8 +15,9 @@
 # Part of the cap that is divided evenly, so that an idle holder can admit its first requests.
 EVEN_FRACTION = 0.05
 
-# A recorded demand falls by at most this factor per heartbeat. Demand measured over one heartbeat
-# interval varies, and what is taken from a share is unusable for about a second.
+# A heartbeat lowers a recorded demand to no less than this fraction of it, unless the new demand is
+# 0. Demand measured over one heartbeat interval varies, and what is taken from a share is unusable
+# for about a second.
 DEMAND_DECAY = 0.8
 
 # A share of at least this fraction of its target counts as met, because the target changes with
@@ -92,6 +93,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Demand:
+    """Recorded demand of a holder; ``DEMAND_DECAY`` limits how fast it falls."""
+
     amount: float
     reported_s: float
 
@@ -200,6 +203,8 @@
 
         Raises:
             ValueError: The sequence is not higher than those of all earlier shares.
+            errors.InvariantViolation: With the new share, all shares add up to more than the cap
+                (only if ``invariants`` raises).
         """
         now_s = self._clock.monotonic()
         self._reservations.expire(now_s)
@@ -235,8 +240,8 @@
         The holders of that coordinator may have the whole cap in force until their shares expire,
         and the offline part of the cap until each of them was passed to ``adopt_share``, has
         confirmed a new share or was removed. Until then, holders keep what they have, and none gets
-        more. Without any holders this holds for one window, because it is unknown what was admitted
-        under shares that ended just before.
+        more. Without any holders, the whole cap stays reserved for one window, because it is
+        unknown what was admitted under shares that ended just before.
 
         Args:
             holders: All holders that may have a share of the earlier coordinator.
@@ -285,6 +290,7 @@
         )
 
     def _offline_part(self, holder: Hashable, amount: float) -> float:
+        """Returns the offline part of a new share, as large as the other offline parts allow."""
         offline_before = self._reservations.offline_of(holder)
         others = self._reservations.offline - offline_before
         unreserved = self._cap * self._offline_fraction - others
@@ -296,6 +302,10 @@
             self._discard_unknown(holder, now_s)
 
     def _discard_unknown(self, holder: Hashable, now_s: float) -> None:
+        """Marks a holder's share of the earlier coordinator as known or ended.
+
+        After the last holder, the reservation for unknown shares ends.
+        """
         if holder in self._unknown_holders:
             self._unknown_holders.remove(holder)
             if not self._unknown_holders:
@@ -305,7 +315,7 @@
         if sequence is None:
             sequence = self._last_sequence + 1
         if sequence <= self._last_sequence:
-            raise ValueError(f"sequence {sequence} is not above {self._last_sequence}")
+            raise ValueError(f"sequence is {sequence}, expected more than {self._last_sequence}")
         self._last_sequence = sequence
         return CapShare(
             sequence=sequence,
