Correct the claim on agreeing lookups and clarify smaller points of core

Cause: decide() said that lookups and requests of a caller agree, which holds only if its caller hashes both to the same position; set_shifts, instances() and the sums of reservations were described inexactly; "least" and "most" named counts; the error of ManualClock.advance did not say what was found. Conclusion: comments, docstrings, local names and one error text only.

--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -59,9 +59,9 @@
 
 
 def _least_loaded(key: model.PoolKey, counts: Mapping[model.InstanceId, int]) -> model.InstanceId:
-    least = min(counts.values())
+    min_count = min(counts.values())
     return max(
-        (instance for instance, count in counts.items() if count == least),
+        (instance for instance, count in counts.items() if count == min_count),
         key=lambda instance: weight(key, instance),
     )
 
@@ -72,13 +72,13 @@
     Returns:
         False when the numbers are even already, so that nothing was moved.
     """
-    least = min(counts.values())
-    most = max(counts.values())
+    min_count = min(counts.values())
+    max_count = max(counts.values())
     # Moving a pool at a difference of one only swaps the two counts and would repeat forever.
-    if most - least < 2:
+    if max_count - min_count < 2:
         return False
-    donor = max(instance for instance, count in counts.items() if count == most)
-    receivers = [instance for instance, count in counts.items() if count == least]
+    donor = max(instance for instance, count in counts.items() if count == max_count)
+    receivers = [instance for instance, count in counts.items() if count == min_count]
     key, receiver = max(
         ((key, receiver) for key in owners if owners[key] == donor for receiver in receivers),
         key=lambda pair: weight(*pair),
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -195,6 +195,7 @@
             divider.remove(holder)
 
     def _new_divider(self, name: str, limit: float) -> caps.CapDivider:
+        """Returns a divider that accounts for the shares of an earlier coordinator."""
         divider = caps.CapDivider(
             cap=limit,
             clock=self._clock,
@@ -208,6 +209,7 @@
         return divider
 
     def _adopt_share(self, divider: caps.CapDivider, holder: model.InstanceId, name: str) -> None:
+        """Reserves the share in a holder's first heartbeat, or a share of 0 if it reported none."""
         reported_s, reports = self._earlier_reports[holder]
         report = reports.get(name) or CapReport(name=name, demand=0.0)
         elapsed_s = self._clock.monotonic() - reported_s
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -106,6 +106,7 @@
         if len(expired) < 2:
             return
         merged = max(expired, key=lambda grant: grant.offline)
+        # With the highest sequence, only the confirmation of a later share ends the merged grant.
         merged.sequence = max(grant.sequence for grant in expired)
         self._grants = [grant for grant in self._grants if grant is merged or grant not in expired]
 
@@ -130,21 +131,21 @@
 
     @property
     def total(self) -> float:
-        """Sum over all holders at the last ``expire``."""
+        """Sum over all holders; ``expire`` brings it up to date."""
         return self._total
 
     @property
     def offline(self) -> float:
-        """Sum of the offline parts over all holders at the last ``expire``."""
+        """Sum of the offline parts over all holders; ``expire`` brings it up to date."""
         return self._offline
 
     def of(self, holder: Hashable) -> float:
-        """Returns the reservation of one holder at the last ``expire``."""
+        """Returns the reservation of one holder; ``expire`` brings it up to date."""
         record = self._holders.get(holder)
         return record.reserved if record else 0.0
 
     def offline_of(self, holder: Hashable) -> float:
-        """Returns the offline part of one holder at the last ``expire``."""
+        """Returns the offline part of one holder; ``expire`` brings it up to date."""
         record = self._holders.get(holder)
         return record.offline if record else 0.0
 
--- a/packages/core/src/sassafrasway_core/clock.py
+++ b/packages/core/src/sassafrasway_core/clock.py
@@ -49,5 +49,5 @@
             ValueError: ``seconds`` is negative.
         """
         if seconds < 0:
-            raise ValueError("a clock cannot be advanced by a negative time")
+            raise ValueError(f"seconds is {seconds}, expected at least 0")
         self._now_s += seconds
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -152,7 +152,10 @@
         return None if entry is None else entry.instance
 
     def instances(self, *states: State) -> list[region.Instance]:
-        """Returns the instances in one of the states, or all that are not gone, by id."""
+        """Returns the instances in any of the states, sorted by id.
+
+        Without states, it returns all instances that are not gone.
+        """
         wanted = states or (State.LIVE, State.LEAVING, State.SILENT)
         return [
             self._entries[instance].instance
@@ -165,6 +168,7 @@
         return list(self._gone)
 
     def _mark_gone(self, instance: model.InstanceId) -> None:
+        """Marks an instance as gone and drops the oldest ones beyond the limits ``GONE_KEEP_*``."""
         now = self._clock.monotonic()
         self._entries.pop(instance, None)
         if instance not in self._gone:
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -58,7 +58,8 @@
     """A region.
 
     Attributes:
-        cap_rps: Maximum rate of requests that its servers may receive, requests/s.
+        cap_rps: Maximum rate of requests that its servers may receive, requests/s; None for no
+            cap.
     """
 
     name: str
@@ -106,8 +107,8 @@
 
     Attributes:
         url: Base URL, ``http://IP:port``.
-        connections: Number of connections that the server accepts, which is the limit of each
-            connection pool of an instance.
+        connections: Number of connections that the server accepts; also the limit of each
+            connection pool that an instance has for this server.
     """
 
     name: str
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -63,7 +63,7 @@
 
 
 class EvenSplit(Placement):
-    """Assigns every slot to one instance; instances differ by at most one slot.
+    """Assigns every slot to one instance; instances differ by at most one slot in each pool.
 
     The assignment changes only with the servers, their slots or the live instances.
     """
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -58,9 +58,10 @@
         Args:
             service: Name of the service.
             region: Home region of the request, which shifts do not change.
-            caller_position: Position of the caller in [0, 1), for example a hash of its client
-                block. A caller that keeps its position stays moved while the fraction grows, so
-                that its lookups and its requests agree. None draws a random position.
+            caller_position: Position in [0, 1), for example a hash of the client address. While the
+                fractions grow, a position that was moved stays moved. The lookups and the requests
+                of a caller therefore agree only if the caller of this method hashes both to the
+                same position. None draws a random position.
         """
         source_shifts = self._by_source.get((service, region))
         if not source_shifts:
@@ -77,7 +78,8 @@
     def set_shifts(self, policy: model.Policy) -> None:
         """Applies the shifts of a policy.
 
-        A shift whose name, service, source and target are unchanged keeps its moved fraction.
+        A shift whose name, service, source and target are unchanged keeps its moved fraction, or
+        gets its new final fraction if that is smaller.
         """
         now_s = self._clock.monotonic()
         self._by_name = {
