--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -81,8 +81,8 @@
   2: i64 epoch               // highest epoch that the sender follows
   3: bool promise            // the sender promises not to become coordinator for 3 s, unless the
                              // current coordinator is gone
-  4: double echo_s           // stamp_s of the latest reply of this epoch, from which the coordinator
-                             // counts the 3 s; not set before the first reply
+  4: double echo_s           // stamp_s of the latest reply of this epoch, from which the
+                             // coordinator counts the 3 s; not set before the first reply
   5: i64 applied_seq         // seq of the latest reply of this epoch that the sender applied
   6: list<PoolReport> pools
   7: list<CapReport> caps
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -59,7 +59,7 @@
   void report_crash(1: string service_name, 2: string fingerprint, 3: string server)
       throws (1: common.RpcError error)
 
-  // Cancels a forwarded request whose caller has disconnected. A request that runs in stage GATEKEEP
-  // continues; only the wait for its outcome ends.
+  // Cancels a forwarded request whose caller has disconnected. A request that runs in stage
+  // GATEKEEP continues; only the wait for its outcome ends.
   oneway void cancel(1: string request_id)
 }
