Name the loop variables of core tests after the objects they stand for

Cause: "each" stood for servers, leases, networks, shifts and decisions; a test name said one second where the test checks one window of 1.1 s; the head of test_ownership_rules read "break ... without a certain rule". Conclusion: wording only; every check is as before.

--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -71,8 +71,10 @@
             self._check_grants(self._pool.grant_waiting())
             assert not (self._pool.queue_length() and self._pool.free_slots())
         assert self._pool.queue_length() <= 4
-        active = [each for each in self._pool.snapshot().servers if not each.leaving]
-        assert sum(each.ejected for each in active) * 3 <= len(active), "too many servers ejected"
+        active = [server for server in self._pool.snapshot().servers if not server.leaving]
+        assert sum(server.ejected for server in active) * 3 <= len(active), (
+            "too many servers ejected"
+        )
 
     def _acquire(self):
         excluded = frozenset(self._rng.sample(sorted(self._servers), k=self._rng.randint(0, 1)))
@@ -96,7 +98,7 @@
     def _advance(self):
         self._time.advance(self._rng.choice([0.01, 0.3, 1.5, 5.0]))
         now_s = self._time.monotonic()
-        self._inherited = [each for each in self._inherited if each[1] > now_s]
+        self._inherited = [entry for entry in self._inherited if entry[1] > now_s]
 
     def _enqueue(self):
         self._next_waiter += 1
@@ -157,14 +159,14 @@
         (self._reported_leaving.add if leaving else self._reported_leaving.discard)(name)
 
     def _probe(self):
-        for each in self._pool.servers_to_probe():
+        for server in self._pool.servers_to_probe():
             leaving = self._rng.choice([None, True, False])
             succeeded = self._rng.random() < 0.7
-            self._pool.record_probe(each.name, succeeded=succeeded, leaving=leaving)
+            self._pool.record_probe(server.name, succeeded=succeeded, leaving=leaving)
             if leaving:
-                self._reported_leaving.add(each.name)
+                self._reported_leaving.add(server.name)
             elif succeeded and leaving is False:
-                self._reported_leaving.discard(each.name)
+                self._reported_leaving.discard(server.name)
 
     def _check_grants(self, grants):
         for grant in grants:
@@ -187,8 +189,8 @@
         )
         assert not self._pool.health.is_ejected(name), f"{name} is ejected but got a lease"
         self._leases.append(lease)
-        used = sum(each.server.name == name for each in self._leases)
-        used += sum(each[0] == name for each in self._inherited)
+        used = sum(held_lease.server.name == name for held_lease in self._leases)
+        used += sum(entry[0] == name for entry in self._inherited)
         usable = self._pool.share.slots(configured.slots)
         assert used <= usable, f"{name} has {used} requests but only {usable} usable slots"
         assert self._pool.in_use()[name] >= used
--- a/packages/core/tests/test_lookup.py
+++ b/packages/core/tests/test_lookup.py
@@ -28,14 +28,16 @@
 
 def _blocks(networks):
     return {
-        str(each): model.ClientBlock(cidr=str(each), region=f"r{each.prefixlen % 5}")
-        for each in networks
+        str(network): model.ClientBlock(cidr=str(network), region=f"r{network.prefixlen % 5}")
+        for network in networks
     }
 
 
 def _expected(networks, address):
-    matching = [each for each in networks if each.version == address.version and address in each]
-    return f"r{max(each.prefixlen for each in matching) % 5}" if matching else None
+    matching = [
+        network for network in networks if network.version == address.version and address in network
+    ]
+    return f"r{max(network.prefixlen for network in matching) % 5}" if matching else None
 
 
 class BlockTableTest(unittest.TestCase):
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -1,7 +1,7 @@
-"""Scenarios that each break the slot limit of a server without a certain rule of pool ownership.
+"""Scenarios in which the slot limit of a server depends on one or more rules of pool ownership.
 
-Some scenarios need several rules. Each scenario must pass with the real rules. With one of its
-rules replaced by a faulty one, the checker of the simulation must find the violation.
+Each scenario must pass with the real rules. With one of its rules replaced by a faulty one, two
+instances may use the same slots, and the checker of the simulation must find this violation.
 """
 
 import dataclasses
--- a/packages/core/tests/test_pool.py
+++ b/packages/core/tests/test_pool.py
@@ -37,7 +37,7 @@
         )
         self.assertEqual(len(leases_by_server), 12)
         pools = [self._make_pool(count=12, seed=seed) for seed in range(60)]
-        names = {each.try_acquire().server.name for each in pools}
+        names = {other_pool.try_acquire().server.name for other_pool in pools}
         self.assertGreater(len(names), 8)
 
     def test_shares_divide_the_slots(self):
@@ -113,7 +113,7 @@
         slot_pool.release(slot_pool.try_acquire(), pool.ServerResult.LEAVING)
         self.assertEqual(slot_pool.servers_to_probe(), [])
         self.time.advance(5.0)
-        self.assertEqual([each.name for each in slot_pool.servers_to_probe()], ["s0"])
+        self.assertEqual([server.name for server in slot_pool.servers_to_probe()], ["s0"])
         for succeeded, leaving, free_slots in ((True, None, 0), (True, True, 0), (True, False, 1)):
             slot_pool.record_probe("s0", succeeded=succeeded, leaving=leaving)
             self.assertEqual(slot_pool.servers_to_probe(), [])
--- a/packages/core/tests/test_shift.py
+++ b/packages/core/tests/test_shift.py
@@ -10,7 +10,9 @@
 def _policy(*shifts):
     names = ("regions", "links", "services", "servers", "blocks")
     return model.Policy(
-        revision=1, shifts={each.name: each for each in shifts}, **{name: {} for name in names}
+        revision=1,
+        shifts={new_shift.name: new_shift for new_shift in shifts},
+        **{name: {} for name in names},
     )
 
 
@@ -35,7 +37,7 @@
         for _ in range(8):
             moved.append([self._is_moved(number / 20 + 0.01) for number in range(20)])
             self.time.advance(1)
-        self.assertEqual([sum(each) for each in moved], [0, 2, 4, 6, 8, 10, 10, 10])
+        self.assertEqual([sum(moved_flags) for moved_flags in moved], [0, 2, 4, 6, 8, 10, 10, 10])
         for earlier, later in itertools.pairwise(moved):
             self.assertTrue(
                 all(
@@ -64,8 +66,8 @@
         self.shifts.set_shifts(_policy(_shift(fraction=0.25), _shift("z", "cnx", fraction=0.25)))
         self.time.advance(60)
         decisions = [self.shifts.decide("crew-desk", "bkk", quarter / 4) for quarter in range(4)]
-        self.assertEqual([each.region for each in decisions], ["hkt", "cnx", "bkk", "bkk"])
-        self.assertEqual([each.shift_name for each in decisions], ["move", "z", None, None])
+        self.assertEqual([decision.region for decision in decisions], ["hkt", "cnx", "bkk", "bkk"])
+        self.assertEqual([decision.shift_name for decision in decisions], ["move", "z", None, None])
         self.assertEqual(self.shifts.decide("crew-desk", "cnx", 0.0).region, "cnx")
         self.assertEqual(self.shifts.decide("order-desk", "bkk", 0.0).region, "bkk")
         drawn = [self.shifts.decide("crew-desk", "bkk").region for _ in range(1000)]
--- a/packages/core/tests/test_window.py
+++ b/packages/core/tests/test_window.py
@@ -60,7 +60,7 @@
         self.assertEqual(limiter.retry_after_s(0), 0.0)
         self.assertEqual(limiter.retry_after_s(11), math.inf)
 
-    def test_full_start_admits_nothing_for_one_second(self):
+    def test_full_start_admits_nothing_for_one_window(self):
         """Guards against a new owner exceeding the limit.
 
         The previous owner may have used up the limit less than a second ago.
