--- a/packages/core/src/sassafrasway_core/clock.py
+++ b/packages/core/src/sassafrasway_core/clock.py
@@ -49,5 +49,5 @@
             ValueError: ``seconds`` is negative.
         """
         if seconds < 0:
-            raise ValueError(f"seconds is {seconds}, expected at least 0")
+            raise ValueError("seconds is negative, expected at least 0")
         self._now_s += seconds
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -91,9 +91,10 @@
         self._sent_shares: dict[model.InstanceId, dict[model.PoolKey, share.Share]] = {}
         self._last_command_s: dict[tuple[str, model.InstanceId], float] = {}
         self._unrecorded_grants_until_s = -math.inf
-        self._last_move_s = self._started_s
+        self._last_assignment_s = self._started_s
         self._changes_processed = 0
         for member in won_election.row.members:
+            # Adds members that this instance did not know. None of the members is silent at first.
             members.record_contact(member)
         self._holdings = holdings.Holdings(
             clock=clock,
@@ -240,7 +241,11 @@
             return
         eligible = self._eligible()
         moves = 0
-        if now >= self._last_move_s + REBALANCE_S and not self.unanswered and self.has_authority:
+        if (
+            now >= self._last_assignment_s + REBALANCE_S
+            and not self.unanswered
+            and self.has_authority
+        ):
             moves = 1
         pools = self._holdings.keys() if self._policy_pools is None else self._policy_pools
         current_owners = self.owners()
@@ -259,7 +264,7 @@
         )
         for key, owner in owners.items():
             if current_owners.get(key) != owner:
-                self._last_move_s = now
+                self._last_assignment_s = now
                 self._holdings.assign(key, owner)
 
     def _eligible(self) -> list[model.InstanceId]:
