Clarify the queue of a server and the bounds on cold servers and retries

Cause: the queue per slot was described as requests ahead of a new one although it counts the new one too, so "without a queue" meant "with a free slot"; the bounds of cold servers read as a sum over a service; 0.9 of "the bound" was that of one instance. Changed: comments and docstrings of balancer, cold_limit, overflow and retry_budgets. Conclusion: wording only.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -28,7 +28,8 @@
 WARM_FOR_S = 15.0
 # Number of pairs of server and object whose last run is recorded; bounds the memory.
 MAX_RECENT_RUNS = 4000
-# Servers with more waiting requests per slot than this reject further requests.
+# The queue of a server counts as full if a further request would make more requests per slot wait
+# than this; the server is expected to reject that request.
 MAX_WAITING_PER_SLOT = 2.0
 # Assumed service time of a route before the first measurement.
 DEFAULT_SERVICE_S = 0.2
@@ -52,9 +53,9 @@
 
     # No listed server may be used now.
     NO_SERVER = "no_server"
-    # The queue of the best server is full, and each other compared server has a queue.
+    # The queue of the best server is full, and no other compared server has a free slot.
     OVERLOADED = "overloaded"
-    # The best server is not expected to respond before the deadline.
+    # Even the shortest expected response time of the best server exceeds the time left.
     TOO_LATE = "too_late"
 
 
@@ -216,8 +217,8 @@
             compared, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
         )
         if self._is_full(best[1], now_s):
-            # Objects move from a full server only to one without a queue. Elsewhere, their cold
-            # runs would delay the requests that wait there.
+            # Objects move from a full server only to one with a free slot. On a server without one,
+            # their cold runs would delay the requests that wait there.
             free = [
                 candidate
                 for candidate in compared
@@ -290,7 +291,10 @@
 
     @staticmethod
     def _queue_per_slot(state: servers.ServerState, now_s: float) -> float:
-        """Returns the number of requests queued ahead of a new one, per slot of the server."""
+        """Returns the number of requests that would wait if one more arrived, per slot.
+
+        The result is 0 only if the server has a free slot for the new request.
+        """
         slots = max(1, state.server.slots)
         return max(0.0, state.load(now_s) + 1.0 - slots) / slots
 
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -1,4 +1,4 @@
-"""Limits the rate of all instances' requests to each cold server, without coordination."""
+"""Limits the request rate of all instances together to each cold server, without coordination."""
 
 import hashlib
 import typing
@@ -6,7 +6,8 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import servers
 
-# Share of the bound that is used; the rest is a margin for instances whose lists of peers differ.
+# Share of the bound that is used; the rest is a margin for instances whose lists of live instances
+# differ.
 USED_SHARE = 0.6
 
 
@@ -21,15 +22,16 @@
     """Lets a few instances use each cold server, at a bounded rate.
 
     For each cold server, all instances select the same few instances by rendezvous hashing. Each
-    selected one sends at most one request per second. Their number keeps the sum below the bound
-    even when the lists of live instances differ by a few.
+    selected one sends at most one request per second. Few enough are selected that the sum stays
+    below the bound even when the lists of live instances differ by a few names.
 
     Args:
         clock: Time source.
         instance: Name of this instance.
         fleet: Source of the names of the live instances.
-        factor: Permitted multiple of the rate that cold servers of a service tolerate.
-        slack: Requests per second permitted in addition.
+        factor: Permitted multiple of the request rate that a cold server tolerates. It bounds the
+            requests of all instances together to each cold server.
+        slack: Requests per second to each cold server permitted in addition to that.
     """
 
     def __init__(
@@ -48,7 +50,12 @@
         self._slack = slack
 
     def set_rates(self, rate_per_s: dict[str, float]) -> None:
-        """Replaces the requests per second that cold servers of each service tolerate."""
+        """Replaces the tolerated request rates.
+
+        Args:
+            rate_per_s: Requests per second that each cold server of a service tolerates from all
+                instances together, by service.
+        """
         self._rate_per_s = dict(rate_per_s)
 
     def allows(self, state: servers.ServerState, now_s: float) -> bool:
@@ -56,7 +63,7 @@
         return state.next_cold_send_s <= now_s and self._is_selected(state)
 
     def on_sent(self, state: servers.ServerState, now_s: float) -> None:
-        """Records that a request is sent to a cold server."""
+        """Records that this instance sends a request to a cold server."""
         state.next_cold_send_s = now_s + 1.0
 
     def _is_selected(self, state: servers.ServerState) -> bool:
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -23,7 +23,7 @@
 STEP_PER_S = 0.05
 # Longest interval that one update accounts for; bounds the step after a pause of the process.
 MAX_STEP_INTERVAL_S = 0.5
-# The share of objects that stay is never reduced below this.
+# Lower bound of the share of objects that stay, relative to the share without overload.
 MIN_LOCAL_SHARE = 0.3
 
 
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -35,8 +35,8 @@
     def budget_of(self, service: str) -> retry.RetryBudget:
         """Returns the budget of a service.
 
-        Its maximum is adjusted to the current number of live instances. Its minimum rate remains
-        that for the number when the budget was created.
+        The maximum number of tokens is adjusted to the current number of live instances. The
+        minimum rate is not: it depends on their number when the budget was created.
         """
         bounds = self._bounds
         instances = max(1, len(self._view.live_names()))
@@ -47,7 +47,7 @@
                 clock=self._clock,
                 ratio=bounds.retry_ratio * USED_SHARE,
                 # A full bucket and this rate allow 1.5 * max_tokens retries in one window: 0.9 of
-                # the bound, unless max_tokens is raised to 1.
+                # this instance's share of retry_extra, unless max_tokens is raised to 1.
                 minimum_per_s=max_tokens / bounds.retry_window_s / 2.0,
                 max_tokens=max_tokens,
             )
