Clarify server state, split routes and the refusal of crashing requests

Cause: the registry and its failures were said to cover listed servers and attempts only, although servers in their grace period and reachability checks count as well; the credits of a split route were not explained; "request ends servers" was unclear. Changed: comments, docstrings and that reason text, which no test or tool matches. Conclusion: wording only.

--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -10,7 +10,8 @@
 # server may have dropped the connection without notice, and the request would fail with an unknown
 # outcome.
 MAX_IDLE_NON_IDEMPOTENT_S = 2.0
-# The server is not the one named in the request; it now has the address of that server.
+# Status of a response from a server that is not the one named in the request, because the address
+# was reassigned.
 STATUS_MISDIRECTED = 421
 
 
@@ -142,7 +143,7 @@
         return True
 
     def close_idle_connections(self, state: servers.ServerState) -> None:
-        """Closes the idle connections to a server, which may no longer carry data."""
+        """Closes the idle connections to a server after a timeout; they may have stalled too."""
         self._pool.drop(state.server.host, state.server.port)
 
     def _echo(self, request: messages.Request) -> http_client.EchoedId | None:
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -115,7 +115,7 @@
         budget = self._budget_of(job.service)
         budget.on_request()
         if self._crashes.should_refuse(job.fingerprint):
-            return self._refuse(job, "request ends servers", CRASH_RETRY_AFTER_S)
+            return self._refuse(job, "request has crashed several servers", CRASH_RETRY_AFTER_S)
         while True:
             if job.sent_attempts and not budget.try_retry():
                 return self._fail(job, "retry budget used up")
@@ -303,7 +303,7 @@
         """Whether the limits of the request allow another attempt."""
         if not job.route.idempotent and not result.outcome.not_run:
             return False
-        # Another crash would be the last one before the request is refused.
+        # One more crash would reach the number at which the request is refused.
         if self._crashes.crash_event_count(job.fingerprint) >= crashes.CRASHES_TO_REFUSE - 1:
             return False
         return job.sent_attempts < max(1, job.route.max_attempts)
--- a/packages/gateway/src/sassafrasway_gateway/routing.py
+++ b/packages/gateway/src/sassafrasway_gateway/routing.py
@@ -33,6 +33,9 @@
 class SplitPicker:
     """Distributes the requests of a split route by smooth weighted round robin.
 
+    Each request adds the weight of every service to that service's credit. The service with the
+    highest credit gets the request, and the sum of the weights is deducted from its credit.
+
     On each instance the share of each service stays within one request of its weight; a random
     choice would need many requests to get that close. The initial credits are random, and credits
     are kept when the policy changes. Otherwise the first requests of all instances, and all
@@ -50,7 +53,7 @@
     def pick(self, route: model.Route) -> str:
         """Returns the service for the next request of the route.
 
-        If no weight is positive, it is the first service.
+        If no weight is positive, the first service is returned.
         """
         services = route.services
         if len(services) == 1:
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -34,8 +34,9 @@
         cold_until_s: Monotonic time until which the server is cold.
         next_cold_send_s: Monotonic time from which this instance may send another request to the
             server while it is cold.
-        ejected_until_s: Monotonic time until which it gets no request.
-        failures: Failed attempts since the last valid response other than a rejection.
+        ejected_until_s: Monotonic time until which the server gets no request.
+        failures: Failed attempts and reachability checks since the last valid response other than
+            a rejection.
         on_trial: Whether the server was unreachable and has sent no such response since. It then
             gets one request at a time, and only idempotent ones.
         latency_ratio: Moving average of the service time divided by the expected one.
@@ -84,7 +85,10 @@
 
 
 class ServerRegistry:
-    """All listed backend servers with their state, and the affinity ranking of each service.
+    """Backend servers with their state, and the affinity ranking of each service.
+
+    Contains the listed servers, and those whose listing expired during an outage of the store until
+    their grace period ends.
 
     Args:
         clock: Time source.
@@ -111,11 +115,11 @@
         return self._evacuated
 
     def get(self, server_id: str) -> ServerState | None:
-        """Returns the state of a server, or None if it is not listed."""
+        """Returns the state of a server, or None if the registry does not contain it."""
         return self._states.get(server_id)
 
     def region_of(self, state: ServerState) -> str:
-        """Returns the region of a server."""
+        """Returns the region of a server; empty if its failure domain is unknown."""
         return self._region_of.get(state.server.failure_domain, "")
 
     def ranking(self, service: str) -> affinity.AffinityRanking:
@@ -239,14 +243,15 @@
 
         Args:
             state: The server.
-            misdirected: Whether another server now has the address of this one.
+            misdirected: Whether another server now has the address of this one, which is then
+                ejected for ``MAX_EJECTION_S``.
         """
         state.add_outcome(failed=True)
         if misdirected:
             state.ejected_until_s = self._clock.monotonic() + MAX_EJECTION_S
 
     def on_failure(self, state: ServerState, *, unreachable: bool) -> None:
-        """Records a failed attempt and ejects the server with exponential backoff.
+        """Records a failed attempt or check and ejects the server with exponential backoff.
 
         The first failure ejects the server only if it is unreachable.
 
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -143,7 +143,8 @@
         decoder: Decodes rows.
         registry: Servers.
         local_outage: Returns whether the store answered other instances during an outage that
-            lasted the given number of seconds and has just ended. If so, no listing expired.
+            lasted the given number of seconds and has just ended. If so, the servers could renew
+            their listings, and none expired because of the outage.
     """
 
     def __init__(
