State what rejected requests lack and how responses are classified

Cause: error texts such as "invalid time limit" did not say what was expected; the region given to the ranking is the instance's, not the caller's; the classification of responses, the key of the relay's encoded bodies and the crash window were not stated. Conclusion: wording only.

--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -23,10 +23,10 @@
 class AffinityRanking:
     """Orders the servers of one service by weighted rendezvous hashing.
 
-    The servers of the caller's region come first for as many objects as its slots allow. A region
-    that has fewer slots than its share of the callers requires hands over a fixed share of its
-    objects to the regions with spare slots, independent of the current load. A region's share of
-    the callers is taken to be its share of the failure domains.
+    The servers of the forwarding instance's region come first for as many objects as the slots of
+    that region allow. A region that has fewer slots than its share of the callers requires hands
+    over a fixed share of its objects to the regions with spare slots, independent of the current
+    load. A region's share of the callers is taken to be its share of the failure domains.
 
     Args:
         servers: Servers of the service that may be used.
@@ -68,7 +68,7 @@
 
         Args:
             key: Key of the object.
-            region: Region of the caller.
+            region: Region of the instance that forwards the request.
             kept_share: Share of the objects that stay in the region for now, of those that its
                 servers run without overload.
         """
--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -177,6 +177,11 @@
         elapsed_s: float,
         first_exchange: bool,
     ) -> AttemptResult:
+        """Classifies a response.
+
+        A response counts as that of the server itself only if it has a signature header, repeats
+        the id of the request and has no content encoding.
+        """
         sent_id = request.header(self._names.request_id)
         echoed_id = response.header(self._names.request_id)
         # On a reused connection, a response without an id may belong to an earlier request.
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -57,7 +57,7 @@
     def crash_event_count(self, fingerprint_: str) -> int:
         """Returns the number of separate crashes of servers that were running the request.
 
-        Crashes within ``SAME_EVENT_WINDOW_S`` count as one.
+        Crashes within ``SAME_EVENT_WINDOW_S`` of the first one of an event count as one.
         """
         crash_times_s = sorted(self._crashes.get(fingerprint_, {}).values())
         count = 0
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -134,6 +134,7 @@
         self._transport.write(self._parser.send(response))
 
     def _on_head(self, head: h11.Request) -> bool:
+        """Starts a request; returns False if its body is too large and it was rejected."""
         if self._started_s == 0.0:
             self._started_s = time.monotonic()
         self._head = head
@@ -147,6 +148,7 @@
         return True
 
     def _on_data(self, data: bytes) -> bool:
+        """Adds a part of the body; returns False if the body is too large and was rejected."""
         self._start_timer(self._handler.limits.idle_timeout_s)
         self._body_bytes += len(data)
         if self._body_bytes > self._handler.limits.body_bytes:
@@ -280,7 +282,11 @@
         return sum(1 for connection in self._connections if connection.busy)
 
     async def start(self) -> None:
-        """Starts listening."""
+        """Starts listening.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: ServerConnection(handler=self._handler, server=self),
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -111,7 +111,7 @@
         policy = self._policy_state.policy
         if policy is None:
             raise NotAdmitted(
-                "no policy",
+                "no policy is known yet",
                 request_id=request_id,
                 status=503,
                 retry_after_s=NO_POLICY_RETRY_AFTER_S,
@@ -123,14 +123,18 @@
             raise NotAdmitted(f"no route for {host}{target}", request_id=request_id, status=404)
         caller_remaining_s = self._caller_remaining_s(request)
         if caller_remaining_s is None:
-            raise NotAdmitted("invalid time limit", request_id=request_id, status=400)
+            raise NotAdmitted(
+                "time limit must be a whole number of milliseconds",
+                request_id=request_id,
+                status=400,
+            )
         timeout_s = route.timeout_s if route.timeout_s is not None else DEFAULT_TIMEOUT_S
         deadline_s = request.received_s + min(caller_remaining_s, timeout_s)
         server_deadline_s = request.received_s + min(
             caller_remaining_s, timeout_s + ROUTE_TIMEOUT_GRACE_S
         )
         if deadline_s - time.monotonic() <= 0:
-            raise NotAdmitted("time limit passed", request_id=request_id, status=408)
+            raise NotAdmitted("time limit has already passed", request_id=request_id, status=408)
         object_key = ""
         if route.sticky:
             object_key = messages.cookie(request.headers, self._names.object_cookie) or ""
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -87,7 +87,10 @@
                 )
 
     def _update_share(self, service: str, load_by_region: dict[str, float]) -> float:
-        """Adjusts and returns the kept share of a service; objects move back without reports."""
+        """Adjusts and returns the kept share of a service.
+
+        Objects move back if there is no recent load report from this region.
+        """
         now_s = self._clock.monotonic()
         share = self._shares.setdefault(service, _Share(updated_s=now_s))
         step = STEP_PER_S * min(MAX_STEP_INTERVAL_S, now_s - share.updated_s)
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -85,7 +85,8 @@
 
     def __init__(self, *, caches: dict[str, table_cache.TableCache]):
         self._caches = caches
-        # All instances of a region usually request the same changes at about the same time.
+        # Encoded response bodies by path, version to start from and version of the table. All
+        # instances of a region usually request the same changes at about the same time.
         self._encoded: dict[tuple[str, int, int], bytes] = {}
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -96,11 +97,11 @@
         try:
             after = int(values.get("after", "-1"))
         except ValueError:
-            return http_server.text_response(400, "after must be a number")
+            return http_server.text_response(400, "query parameter after must be an integer")
         if cache is None:
             return http_server.text_response(404, "unknown table")
         if cache.version < 0:
-            return http_server.text_response(503, "not read yet")
+            return http_server.text_response(503, "table not available yet")
         headers = [
             (b"Content-Type", b"application/msgpack"),
             (b"Content-Encoding", b"deflate"),
@@ -214,7 +215,7 @@
         received_s: Time at which the latest announcement was received.
         first_announced_s: Time at which the current version of each table was first announced. A
             hint is used only after a delay, as the readers of this region may soon announce the
-            same.
+            same version.
     """
 
     host: str
