--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -11,9 +11,10 @@
 MISSED_PINGS = 3
 # Time in which a member must answer after another instance has reported it as unreachable.
 SUSPECT_TIMEOUT_S = 1.0
-# Time for which datagrams sent before a restart may still arrive after the first one sent since.
+# A message with a lower incarnation is ignored for this long after the last accepted message of the
+# member, because it may be a late datagram from before a restart.
 MAX_DATAGRAM_DELAY_S = 1.0
-# After a longer gap between two ticks, this process was paused, so that missed answers in that time
+# A longer gap between two ticks means that this process was paused, so answers missed in that time
 # say nothing about the other members.
 MAX_TICK_GAP_S = 1.2
 # The random ping may go to another region once in this many ticks, as traffic between regions is
@@ -53,11 +54,12 @@
     """A member and its liveness.
 
     Attributes:
-        last_message_s: Time of the last message from the member itself; 0 before the first one.
-        contact_since_s: Time since which the member has received the store's changes without an
-            outage, as of its last message; None if it was in an outage.
-        deadline_s: Time at which the member is declared dead unless a message from it arrives; None
-            while no answer is expected.
+        last_message_s: Monotonic time of the last message from the member itself; 0 before the
+            first one.
+        contact_since_s: Monotonic time since which the member has received the store's changes
+            without an outage, as of its last message; None if it was in an outage.
+        deadline_s: Monotonic time at which the member is declared dead unless a message from it
+            arrives; None while no answer is expected.
     """
 
     member: Member
@@ -72,7 +74,7 @@
 
     Args:
         clock: Time source.
-        own: Record of this instance.
+        own: Description of this instance.
         rng: Random source for the choice of ping targets.
     """
 
@@ -86,7 +88,7 @@
 
     @property
     def own(self) -> Member:
-        """Record of this instance."""
+        """Description of this instance."""
         return self._own
 
     def set_phase(self, phase: Phase) -> None:
@@ -119,9 +121,10 @@
         return ready
 
     def add_listed(self, member: Member) -> None:
-        """Adds a member that is listed elsewhere.
+        """Adds a member that is registered in the table of members.
 
-        It does not count as live before a message from the member itself arrives.
+        A new member does not count as live before a message from the member itself arrives. The
+        record of a known one is replaced if the listed incarnation is higher.
         """
         if member.name == self._own.name:
             return
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -43,7 +43,7 @@
 
 
 class TableFollower:
-    """Task that reads a table and then polls for its changes.
+    """Reads a table, then receives its changes from polls of the store or from other instances.
 
     Args:
         store: Client of the store.
@@ -197,7 +197,8 @@
         self._store_responds = True
         self._on_contact()
         self._replace_all(changes)
-        # Gives the other instances time to respond before the readers are selected.
+        # Gives the other instances time to answer the first message of this one. Until then, they
+        # are missing from its ranking of the region, and it counts as a reader.
         await asyncio.sleep(BATCH_INTERVAL_S)
 
     async def _poll_store(self) -> None:
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -48,7 +48,11 @@
         self._log = structlog.get_logger("peers")
 
     async def start(self, host: str) -> None:
-        """Opens the UDP socket on an address of this instance."""
+        """Opens the UDP socket on an address of this instance.
+
+        Raises:
+            OSError: The address cannot be bound.
+        """
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, self._port))
 
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -40,8 +40,8 @@
 from sassafrasway_gateway import dialect as dialect_lib
 from sassafrasway_platform import feed
 
-# Interval at which servers that were not listed again and expired idle connections are removed and
-# the shares of the overflow control are updated.
+# Interval of the maintenance, which removes servers whose grace period has ended, closes idle
+# connections that have expired, and updates the shares of the overflow control.
 MAINTENANCE_INTERVAL_S = 0.5
 READY_CHECK_INTERVAL_S = 0.05
 # Time from the start of the shutdown until the instance stops accepting connections. Until then,
@@ -212,12 +212,15 @@
 
         SIGTERM, SIGINT, a call of `stop` and the failure of a task request the stop. SIGHUP reloads
         the settings.
+
+        Raises:
+            OSError: An address cannot be bound.
         """
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._on_reload)
-        # SIGHUP would kill a process without a handler, so it is blocked when the process starts.
+        # The entry point blocks SIGHUP, which would kill the process before it has a handler.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self._log.info("gateway starting", config=dataclasses.asdict(self._config.front))
         await self._start_servers()
