--- a/packages/gateway/tests/test_cold_limit.py
+++ b/packages/gateway/tests/test_cold_limit.py
@@ -22,13 +22,13 @@
     """Guards against instances that together send a cold server more than it tolerates."""
 
     def run_fleet(self, views, rate_per_s, slack_per_s, seconds=10):
-        """Returns the maximum number of requests in one second, and the number of all.
+        """Returns the maximum number of requests to the server in one second, and their total.
 
         Args:
             views: Names of the live instances as seen by each instance.
             rate_per_s: Requests per second that the server tolerates while it is cold.
             slack_per_s: Requests per second permitted in addition.
-            seconds: Duration.
+            seconds: Duration of the run, s.
         """
         clock = clock_lib.ManualClock()
         server = gateway_fakes.make_server("s")
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -1,4 +1,8 @@
-"""Tests of the selection of the instances that read the store, and of the relayed rows."""
+"""Tests of the selection of the instances that read the store, and of the relayed rows.
+
+Names in capitals are rules that a load test found broken. CONFIG requires that a new policy is in
+force in time, DRAIN that a server that leaves gets no more requests after a limited time.
+"""
 
 import asyncio
 import random
@@ -62,9 +66,9 @@
         self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MAX_TAKEOVERS)
 
     def test_another_instance_takes_over_a_table_that_its_readers_lost(self):
-        # One region, trouble-1 --seed 427345455261, CONFIG: both readers were cut off from the
-        # store. Their polls of one table had timed out, but they kept announcing both tables until
-        # the polls of the other table timed out too, so no instance took over.
+        # One region, trouble-1 --seed 427345455261, broke CONFIG: both readers were cut off from
+        # the store. Their polls of one table had timed out, but they kept announcing both tables
+        # until the polls of the other table timed out too, so no instance took over.
         roles = make_roles(6)
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
@@ -79,8 +83,8 @@
                 role.on_beacon("i1", "i1", "north", {"servers": 1})
             self.assertTrue(all(role.has_recent_announcement("servers") for role in roles))
             now.return_value = 100.2
-            # trakia-arhiv hunt-edd6-15, DRAIN: the outage was counted from the moment of the loss,
-            # so a change of readers lasted long enough for removed servers to be kept.
+            # trakia-arhiv hunt-edd6-15 broke DRAIN: the outage was counted from the moment of the
+            # loss, so a change of readers lasted long enough for removed servers to be kept.
             self.assertTrue(all(role.has_recent_announcement("op") for role in roles))
             reading = {
                 name: sum(role.is_reader(name) for role in roles) for name in ("op", "servers")
@@ -91,9 +95,9 @@
         self.assertEqual(reading, expected)
 
     def test_polls_are_short_in_a_fleet_with_a_single_region(self):
-        # One region, trouble-1 --seed 427345455261, CONFIG: the readers noticed the cut after 1.7 s
-        # and could have taken up to 5.5 s, but a policy must be in force 2.5 s after its
-        # acknowledgement.
+        # One region, trouble-1 --seed 427345455261, broke CONFIG: the readers noticed after 1.7 s
+        # that they were cut off from the store, and could have taken up to 5.5 s, but a policy must
+        # be in force 2.5 s after its acknowledgement.
         role = make_roles(3)[0]
         single = role.poll_times()
         longest_s = (
@@ -119,8 +123,9 @@
         self.assertEqual({role.choose_source("op", 4) for _ in range(50)}, {"host1", "host2"})
 
     def test_hint_of_another_region_is_used_when_the_readers_of_this_region_lag(self):
-        # Incident inc-37d1, CONFIG: the connections of both readers of a region to the store had
-        # stalled. They kept announcing an old version, and the region served an outdated policy.
+        # Incident inc-37d1 broke CONFIG: the connections of both readers of a region to the store
+        # had stalled. They kept announcing an old version, and the region served an outdated
+        # policy.
         role = make_roles(3)[0]
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
@@ -184,9 +189,9 @@
         self.assertEqual(encode.call_count, 1)
 
     async def test_large_policy_is_compressed(self):
-        # sila-quotes-grown mix --seed 120251547929, DENIED, CONFIG and HOME: sending a large policy
-        # to 40 instances saturated the link of the one that served it, and aborted transfers added
-        # to that load.
+        # sila-quotes-grown mix --seed 120251547929 broke DENIED, CONFIG and HOME: sending a large
+        # policy to 40 instances saturated the link of the one that served it, and aborted transfers
+        # added to that load.
         policy = b'{"Name": "route", "Host": "h.example", "Service": "desk"}' * 1000
         self.cache.replace(
             feed.Changes(rows=[feed.Change(key="a", value=policy, version=1)], version=3)
--- a/packages/gateway/tests/test_state.py
+++ b/packages/gateway/tests/test_state.py
@@ -116,8 +116,8 @@
 
     def test_no_grace_period_after_a_local_outage(self):
         # Guards against keeping servers that were removed while only this instance could not reach
-        # the store. Found by a randomised search (DRAIN):
-        # sila-quotes scale-2 --seed 283969933743.
+        # the store. Found by a randomised search, in which this broke the rule DRAIN (no requests
+        # to a server that has left): sila-quotes scale-2 --seed 283969933743.
         self.local_outage = True
         self.listing.on_regained(10.0)
         self.listing.on_rows(feed.Changes(rows=[], version=7))
