--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -57,8 +57,8 @@
             for name, table_follower in self._followers.items()
             if table_follower.reading
         }
-        # A follower that is not reading but not in an outage either is about to poll again, so its
-        # table is not lost.
+        # A follower that stopped reading without an outage has not lost its table: it is about to
+        # poll again, or receives the rows from other instances.
         lost = any(
             name not in reading and self._followers[name].in_outage for name in self._last_reading
         )
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -312,6 +312,6 @@
     def _refuse_overload(
         self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
     ) -> Choice:
-        """Refuses a request; it may be retried after half the shortest expected response time."""
+        """Refuses a request; allows a retry after half the shortest expected response time."""
         retry_after_s = max(MIN_RETRY_AFTER_S, self._min_response_s(state, criteria, now_s) / 2.0)
         return Choice(refusal=Refusal.OVERLOADED, retry_after_s=retry_after_s)
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -196,7 +196,7 @@
         """Replaces the set of evacuated failure domains.
 
         The servers of a failure domain that is no longer evacuated are treated as cold: they were
-        idle long enough to lose their caches, which their listings need not report.
+        idle long enough to lose their caches, but their listings need not state that they are cold.
         """
         evacuated = frozenset(failure_domains)
         now_s = self._clock.monotonic()
