Keep the texts of responses that the gateway sends and logs as reasons

Cause: seven texts of response bodies were reworded. They are on the wire, four of them are values of the log fields outcome and reason, and the operations page names two of these.

--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -115,7 +115,7 @@
         budget = self._budget_of(job.service)
         budget.on_request()
         if self._crashes.should_refuse(job.fingerprint):
-            return self._refuse(job, "request has crashed several servers", CRASH_RETRY_AFTER_S)
+            return self._refuse(job, "request ends servers", CRASH_RETRY_AFTER_S)
         while True:
             if job.sent_attempts and not budget.try_retry():
                 return self._fail(job, "retry budget used up")
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -111,7 +111,7 @@
         policy = self._policy_state.policy
         if policy is None:
             raise NotAdmitted(
-                "no policy is known yet",
+                "no policy",
                 request_id=request_id,
                 status=503,
                 retry_after_s=NO_POLICY_RETRY_AFTER_S,
@@ -124,7 +124,7 @@
         caller_remaining_s = self._caller_remaining_s(request)
         if caller_remaining_s is None:
             raise NotAdmitted(
-                "time limit must be a whole number of milliseconds",
+                "invalid time limit",
                 request_id=request_id,
                 status=400,
             )
@@ -134,7 +134,7 @@
             caller_remaining_s, timeout_s + ROUTE_TIMEOUT_GRACE_S
         )
         if deadline_s - time.monotonic() <= 0:
-            raise NotAdmitted("time limit has already passed", request_id=request_id, status=408)
+            raise NotAdmitted("time limit passed", request_id=request_id, status=408)
         object_key = ""
         if route.sticky:
             object_key = messages.cookie(request.headers, self._names.object_cookie) or ""
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -73,7 +73,7 @@
         if path != self._format.path:
             return http_server.text_response(404, "unknown path")
         if request.method != b"GET":
-            return http_server.text_response(405, "lookups must use GET")
+            return http_server.text_response(405, "look-ups use GET")
         parameters = dict(urllib.parse.parse_qsl(query))
         members = choose_instances(
             self._view.ready_members(),
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -97,11 +97,11 @@
         try:
             after = int(values.get("after", "-1"))
         except ValueError:
-            return http_server.text_response(400, "query parameter after must be an integer")
+            return http_server.text_response(400, "after must be a number")
         if cache is None:
             return http_server.text_response(404, "unknown table")
         if cache.version < 0:
-            return http_server.text_response(503, "table not available yet")
+            return http_server.text_response(503, "not read yet")
         headers = [
             (b"Content-Type", b"application/msgpack"),
             (b"Content-Encoding", b"deflate"),
