--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -303,7 +303,7 @@
         """Whether the limits of the request allow another attempt."""
         if not job.route.idempotent and not result.outcome.not_run:
             return False
-        # Another crash would be the last one before the request is refused.
+        # One more crash would reach the number at which the request is refused.
         if self._crashes.crash_event_count(job.fingerprint) >= crashes.CRASHES_TO_REFUSE - 1:
             return False
         return job.sent_attempts < max(1, job.route.max_attempts)
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -123,7 +123,11 @@
             raise NotAdmitted(f"no route for {host}{target}", request_id=request_id, status=404)
         caller_remaining_s = self._caller_remaining_s(request)
         if caller_remaining_s is None:
-            raise NotAdmitted("invalid time limit", request_id=request_id, status=400)
+            raise NotAdmitted(
+                "invalid time limit",
+                request_id=request_id,
+                status=400,
+            )
         timeout_s = route.timeout_s if route.timeout_s is not None else DEFAULT_TIMEOUT_S
         deadline_s = request.received_s + min(caller_remaining_s, timeout_s)
         server_deadline_s = request.received_s + min(
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -23,7 +23,7 @@
 STEP_PER_S = 0.05
 # Longest interval that one update accounts for; bounds the step after a pause of the process.
 MAX_STEP_INTERVAL_S = 0.5
-# The share of objects that stay is never reduced below this.
+# Lower bound of the share of objects that stay, relative to the share without overload.
 MIN_LOCAL_SHARE = 0.3
 
 
@@ -87,7 +87,10 @@
                 )
 
     def _update_share(self, service: str, load_by_region: dict[str, float]) -> float:
-        """Adjusts and returns the kept share of a service; objects move back without reports."""
+        """Adjusts and returns the kept share of a service.
+
+        Objects move back if there is no recent load report from this region.
+        """
         now_s = self._clock.monotonic()
         share = self._shares.setdefault(service, _Share(updated_s=now_s))
         step = STEP_PER_S * min(MAX_STEP_INTERVAL_S, now_s - share.updated_s)
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -85,7 +85,8 @@
 
     def __init__(self, *, caches: dict[str, table_cache.TableCache]):
         self._caches = caches
-        # All instances of a region usually request the same changes at about the same time.
+        # Encoded response bodies by path, version to start from and version of the table. All
+        # instances of a region usually request the same changes at about the same time.
         self._encoded: dict[tuple[str, int, int], bytes] = {}
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -214,7 +215,7 @@
         received_s: Time at which the latest announcement was received.
         first_announced_s: Time at which the current version of each table was first announced. A
             hint is used only after a delay, as the readers of this region may soon announce the
-            same.
+            same version.
     """
 
     host: str
