Correct the comments on promise and accepted in control.thrift

Cause: the comment on promise left out the case without a region row, the one on accepted said that the grants are never affected; a reply with gone set drops them (region.PROMISE_S, region.HeartbeatReply, MemberState.on_reply). Tests: packages/rpc, 10 passed, 0 failed, 0 skipped. Conclusion: comments only.

--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -80,7 +80,7 @@
   1: common.Instance sender
   2: i64 epoch               // highest epoch that the sender follows
   3: bool promise            // the sender promises not to become coordinator for 3 s, unless the
-                             // current coordinator is gone
+                             // current one is known to be gone or there is no region row
   4: double echo_s           // stamp_s of the latest reply of this epoch, from which the
                              // coordinator counts the 3 s; not set before the first reply
   5: i64 applied_seq         // seq of the latest reply of this epoch that the sender applied
@@ -93,7 +93,8 @@
 struct HeartbeatReply {
   1: i64 epoch
   2: common.Instance coordinator
-  3: bool accepted           // false: follow the epoch first; the grants are not affected
+  3: bool accepted           // false: follow the epoch first; the grants then stay as they are,
+                             // unless gone is set
   4: i64 seq                 // number of the reply within the epoch
   5: double stamp_s          // coordinator's clock when it replied
   6: list<PoolGrant> grants  // all pools that the sender may use; it must drop every other pool
