Name the section key and the non-empty name type of policy documents

Section.title held the key of a section, and _Reference was also the type of the failure domain, which refers to no object. The docstrings claimed that an error lists every problem; it lists at most MAX_REPORTED_PROBLEMS. apply_change checks only what a change can make invalid. ConflictError and UnavailableError cover more cases than stated.

--- a/packages/core/src/sassafrasway_core/documents.py
+++ b/packages/core/src/sassafrasway_core/documents.py
@@ -1,7 +1,8 @@
 """Parsing, serialisation and comparison of policy documents and policy changes.
 
 A policy document is a JSON object of sections; each section maps names to objects. A change
-adds, replaces or deletes whole objects. Parsing reports all problems of a document in one error.
+adds, replaces or deletes whole objects. Parsing reports the problems of a document in one error,
+which lists at most ``policy_checks.MAX_REPORTED_PROBLEMS`` of them.
 """
 
 import dataclasses
@@ -25,7 +26,8 @@
 
     Attributes:
         base_revision: Revision that the change applies to.
-        change_id: Chosen by the operator; the same id is applied only once.
+        change_id: Chosen by the operator. A change with the id of a recent change is not applied
+            again, so that an operator can repeat a request whose reply was lost.
         author: Who made the change.
         sections: New model objects by section and name; None deletes the object.
     """
@@ -62,7 +64,7 @@
     """Validates a parsed policy document and returns the policy.
 
     Raises:
-        errors.ValidationError: The document is invalid; the message lists every problem.
+        errors.ValidationError: The document is invalid; the message lists the problems.
     """
     problems: list[policy_checks.Problem] = []
     sections = _parse_sections(data, problems, may_delete=False)
@@ -87,7 +89,7 @@
     """Validates a parsed change document and returns the change.
 
     Raises:
-        errors.ValidationError: The document is invalid; the message lists every problem.
+        errors.ValidationError: The document is invalid; the message lists the problems.
     """
     problems: list[policy_checks.Problem] = []
     header = None
@@ -140,14 +142,14 @@
 
 
 def apply_change(policy: model.Policy, change: Change) -> model.Policy:
-    """Returns the policy after a change; shares the sections that the change does not contain.
+    """Returns the policy after a change; reuses the sections that the change does not contain.
 
-    Only the changed objects and the objects that can refer to them are checked, because a full
-    check takes seconds for a policy of the size that the system is designed for.
+    Only what the change can make invalid is checked, because a full check takes seconds for a
+    policy of the size that the system is designed for.
 
     Raises:
         errors.ConflictError: The change is based on another revision.
-        errors.ValidationError: The result would be invalid; the message lists every problem.
+        errors.ValidationError: The result would be invalid; the message lists the problems.
     """
     step = "documents.apply_change"
     if change.base_revision != policy.revision:
--- a/packages/core/src/sassafrasway_core/errors.py
+++ b/packages/core/src/sassafrasway_core/errors.py
@@ -34,7 +34,7 @@
 
 
 class ConflictError(SassafraswayError):
-    """A change is based on a revision that is no longer current."""
+    """A change is not based on the current revision, or not on the one the operator gave."""
 
 
 class NotFoundError(SassafraswayError):
@@ -42,7 +42,7 @@
 
 
 class UnavailableError(SassafraswayError):
-    """A peer or an external system did not respond."""
+    """A peer or external system did not respond, or necessary data is not known yet."""
 
 
 class NotRunError(SassafraswayError):
--- a/packages/core/src/sassafrasway_core/invariants.py
+++ b/packages/core/src/sassafrasway_core/invariants.py
@@ -1,6 +1,6 @@
 """Runtime checks of rules that must always hold.
 
-Tests use the mode ``raise``. In production, violations are only counted, because stopping an
+Most tests use the mode ``raise``. In production, violations are only counted, because stopping an
 instance would fail more requests than the violation itself.
 """
 
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -55,7 +55,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Region:
-    """A region.
+    """A region, to which backend servers and blocks of client addresses belong.
 
     Attributes:
         cap_rps: Maximum rate of requests that its servers may receive, requests/s; None for no
--- a/packages/core/src/sassafrasway_core/policy_checks.py
+++ b/packages/core/src/sassafrasway_core/policy_checks.py
@@ -51,6 +51,8 @@
 def raise_problems(problems: Iterable[Problem], *, step: str) -> None:
     """Raises one error that lists the problems; does nothing when there are none.
 
+    The message lists the first ``MAX_REPORTED_PROBLEMS`` problems and counts the others.
+
     Raises:
         errors.ValidationError: There is a problem.
     """
--- a/packages/core/src/sassafrasway_core/policy_schema.py
+++ b/packages/core/src/sassafrasway_core/policy_schema.py
@@ -37,7 +37,7 @@
     return f"http://{host}:{parts.port}"
 
 
-_Reference = Annotated[str, pydantic.Field(min_length=1, description="a name")]
+_NonEmptyName = Annotated[str, pydantic.Field(min_length=1, description="a name")]
 _Rate = Annotated[float, pydantic.Field(ge=0, description="a number of at least 0, requests/s")]
 
 
@@ -85,9 +85,9 @@
 class ServerDocument(_Document):
     """A backend server."""
 
-    service: _Reference
-    region: _Reference
-    failure_domain: _Reference
+    service: _NonEmptyName
+    region: _NonEmptyName
+    failure_domain: _NonEmptyName
     url: Annotated[str, pydantic.AfterValidator(_canonical_url)] = pydantic.Field(
         description="http://IP:port"
     )
@@ -105,15 +105,15 @@
 class BlockDocument(_Document):
     """A block of client addresses."""
 
-    region: _Reference
+    region: _NonEmptyName
 
 
 class ShiftDocument(_Document):
     """A shift of traffic between two regions."""
 
-    service: _Reference
-    source: _Reference
-    target: _Reference
+    service: _NonEmptyName
+    source: _NonEmptyName
+    target: _NonEmptyName
     cap_rps: _Rate
     fraction: float = pydantic.Field(
         default=1.0, ge=0, le=1, description="a number from 0 to 1, share of requests"
@@ -141,13 +141,13 @@
     Subclasses override how the name of an object is checked and which fields it sets.
 
     Attributes:
-        title: Key of the section in a policy document.
+        section_key: Key of the section in a policy document.
         document_type: pydantic model of the objects.
         model_type: Class of the model objects.
         enum_types: Enum classes by the key of the field that holds a value of the enum.
     """
 
-    title: str
+    section_key: str
     document_type: type[_Document]
     model_type: type
     enum_types: Mapping[str, type[enum.Enum]] = dataclasses.field(default_factory=dict)
@@ -159,7 +159,9 @@
         try:
             document = self.document_type.model_validate(data)
         except pydantic.ValidationError as error:
-            problems.extend(problems_of(error, self.document_type, section=self.title, name=name))
+            problems.extend(
+                problems_of(error, self.document_type, section=self.section_key, name=name)
+            )
         if len(problems) > count_before:
             return None
         fields = vars(document)
@@ -185,7 +187,7 @@
             yield self._name_problem(name, f"invalid name; expected {_NAME_EXPECTED}")
 
     def _name_problem(self, name: str, detail: str) -> policy_checks.Problem:
-        return policy_checks.Problem(section=self.title, name=name, detail=detail)
+        return policy_checks.Problem(section=self.section_key, name=name, detail=detail)
 
 
 class _LinkSection(Section):
@@ -218,7 +220,7 @@
 
 # Sections of a policy document by their key.
 SECTIONS: dict[str, Section] = {
-    section.title: section
+    section.section_key: section
     for section in (
         Section("regions", RegionDocument, model.Region),
         _LinkSection("links", LinkDocument, model.Link),
