Correct statements on placement, server results and shifts

usable_servers is called for every pool, not only by its owner; retries_after_shed 0 selects the default of the entry package; FAILED includes connections that were not ready in time, and CRASHED includes responses that are too large. The health record's ejections field held an exponent and is now named backoff_exponent.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -70,7 +70,13 @@
 
 
 class KeyState(enum.Enum):
-    """Progress of a key."""
+    """Progress of a key.
+
+    Attributes:
+        STARTED: The key may be dispatched; its last dispatch, if any, was refused.
+        DISPATCHED: The request was sent to a backend server or pool owner, or is about to be.
+        FINISHED: The outcome is recorded.
+    """
 
     STARTED = "started"
     DISPATCHED = "dispatched"
@@ -164,8 +170,8 @@
     def begin_claimed(self, key: str) -> bool:
         """Marks a key as started without checking a ticket.
 
-        This incarnation must have claimed the key in the table before the key may run. A key whose
-        claim was given up is marked only to record it as not run.
+        Before the key may run, this incarnation must have written a claim for it to the platform's
+        table. A key whose claim was given up is marked only to record it as not run.
 
         Returns:
             False if the key is already known and must not start again.
--- a/packages/core/src/sassafrasway_core/health.py
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -33,15 +33,15 @@
 
     Attributes:
         failures: Consecutive failed requests.
-        ejections: Exponent of 2 in the next ejection time; grows with each ejection and failed
-            probe.
+        backoff_exponent: Exponent of 2 in the next ejection time; grows with each ejection and
+            failed probe.
         ejected: Whether the server is ejected.
-        ejected_until_s: Monotonic time at which the ejection ends; after a successful probe, the
-            time of that probe.
+        ejected_until_s: Monotonic time from which the server is due for a probe that can end the
+            ejection; after a successful probe, the time of that probe.
     """
 
     failures: int = 0
-    ejections: int = 0
+    backoff_exponent: int = 0
     ejected: bool = False
     ejected_until_s: float = 0.0
 
@@ -141,7 +141,7 @@
         # A server that fails again soon after its return keeps its longer ejection time.
         in_service_s = self._clock.monotonic() - record.ejected_until_s
         if not record.ejected and in_service_s > MAX_EJECTION_S:
-            record.ejections = 0
+            record.backoff_exponent = 0
 
     def _eject(self, record: _Record) -> None:
         """Ejects a server unless the maximum number of servers is ejected already."""
@@ -151,10 +151,10 @@
             self._update_ejected()
 
     def _start_ejection(self, record: _Record) -> None:
-        ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0**record.ejections)
+        ejection_s = min(MAX_EJECTION_S, INITIAL_EJECTION_S * 2.0**record.backoff_exponent)
         jitter = 1.0 + EJECTION_JITTER * self._rng.random()
         # The bound prevents an overflow of the power of 2.
-        record.ejections = min(record.ejections + 1, 32)
+        record.backoff_exponent = min(record.backoff_exponent + 1, 32)
         record.ejected_until_s = self._clock.monotonic() + ejection_s * jitter
 
     def _update_ejected(self) -> None:
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -12,16 +12,16 @@
 class Placement(abc.ABC):
     """Decides which slots an instance may use and whether it forwards requests to pool owners.
 
-    The dispatcher builds the ``SlotPool`` of a pool from ``usable_servers`` and uses the
-    attributes as follows.
+    The servers of an instance's ``SlotPool`` are those that ``usable_servers`` returns.
 
     Attributes:
         name: Name in the settings.
         forwards: Whether a request goes to the owner of its pool. If not, the instance that
             receives a request dispatches it itself and pools have no owner.
         ranks_by_reports: Value of ``SlotPool``'s ``rank_by_reports``.
-        retries_after_shed: How many other servers a request may try after a server shed it. These
-            retries are part of the strategy and come before overflow to other regions.
+        retries_after_shed: How many other servers a request may try after a server shed it, before
+            it overflows to other regions, if this is part of the strategy; 0 selects the limit that
+            applies to the other strategies, ``MAX_SHED_RETRIES`` of the entry package.
     """
 
     name: str
@@ -57,15 +57,16 @@
     def usable_servers(
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
-        """See base class; called only by the owner, so it returns all servers."""
+        """See base class; returns all servers, because only the owner dispatches to them."""
         _check_index(index, count)
         return list(servers)
 
 
 class EvenSplit(Placement):
-    """Assigns every slot to one instance; instances differ by at most one slot in each pool.
+    """Assigns each slot of a pool to exactly one instance.
 
-    The assignment changes only with the servers, their slots or the live instances.
+    In each pool, the numbers of slots of two instances differ by at most one. The assignment
+    changes only with the servers, their slots or the live instances.
     """
 
     name = "even_split"
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -16,6 +16,7 @@
 )
 from sassafrasway_core import share as shares
 
+# Types in the interface of SlotPool, so that its callers need to import only this module.
 Grant = pool_types.Grant
 PoolSnapshot = pool_types.PoolSnapshot
 ServerResult = pool_types.ServerResult
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -13,9 +13,9 @@
     Attributes:
         OK: The response arrived.
         SHED: The server refused the request because of its load.
-        FAILED: The request was not sent, because the connection failed.
+        FAILED: The request was not sent, because the connection failed or was not ready in time.
         TIMEOUT: The request was sent, but the response was not complete in time.
-        CRASHED: The connection was lost before the response was complete.
+        CRASHED: The response is incomplete: the connection was lost, or the body was too large.
         CANCELLED: This instance ended the dispatch, or released the slot without a dispatch.
         LEAVING: The server reported in its response that it is leaving.
     """
--- a/packages/core/src/sassafrasway_core/retry.py
+++ b/packages/core/src/sassafrasway_core/retry.py
@@ -57,7 +57,7 @@
         return True
 
     def set_max_tokens(self, max_tokens: float) -> None:
-        """Changes the maximum number of tokens, for example with the number of instances."""
+        """Changes the maximum number of tokens, for example when instances join or leave."""
         self._max_tokens = max_tokens
         self._tokens = min(self._tokens, max_tokens)
 
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -58,10 +58,11 @@
         Args:
             service: Name of the service.
             region: Home region of the request, which shifts do not change.
-            caller_position: Position in [0, 1), for example a hash of the client address. While the
-                fractions grow, a position that was moved stays moved. The lookups and the requests
-                of a caller therefore agree only if the caller of this method hashes both to the
-                same position. None draws a random position.
+            caller_position: Position in [0, 1), for example a hash of the client address; the
+                positions below the moved fraction are moved. While the fractions grow, a position
+                that was moved stays moved, but with several shifts its target can change. The
+                lookups and the requests of a caller go to the same region only if both are passed
+                with the same position. None draws a random position.
         """
         source_shifts = self._by_source.get((service, region))
         if not source_shifts:
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _SubWindow:
-    """Sum of the amounts taken between two monotonic times, in seconds."""
+    """Sum of the amounts taken from ``first_s`` to ``last_s``, both monotonic times."""
 
     first_s: float
     last_s: float
