Name tests and parameters of the slot pool tests after what they check

RandomisedTest did not say which failure it covers, and count did not say what is counted. Only names and one docstring changed; bodies of hypothesis tests are untouched.

--- a/packages/core/tests/test_at_most_once.py
+++ b/packages/core/tests/test_at_most_once.py
@@ -113,7 +113,7 @@
 )
 
 
-class RandomisedTest(unittest.TestCase):
+class DuplicateRequestsTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
     @hypothesis.given(steps=_STEPS)
     def test_every_key_starts_at_most_once(self, steps):
--- a/packages/core/tests/test_placement.py
+++ b/packages/core/tests/test_placement.py
@@ -29,7 +29,7 @@
         self.assertLessEqual(max(totals) - min(totals), 1)
 
     def test_strategies_differ_in_forwarding_and_retries(self):
-        """Guards against measuring a placement strategy that behaves like another one."""
+        """Guards against benchmarks that compare strategies which in fact behave the same."""
         servers = [pool_driver.server("a"), pool_driver.server("b")]
         traits = {}
         for name, strategy in placement.PLACEMENTS.items():
--- a/packages/core/tests/test_pool.py
+++ b/packages/core/tests/test_pool.py
@@ -16,8 +16,8 @@
     def setUp(self):
         self.time = clock.ManualClock()
 
-    def _make_pool(self, count=3, slots=3, **options):
-        servers = [pool_driver.server(f"s{i}", slots=slots) for i in range(count)]
+    def _make_pool(self, server_count=3, slots=3, **options):
+        servers = [pool_driver.server(f"s{i}", slots=slots) for i in range(server_count)]
         return pool_driver.make_pool(servers, time=self.time, **options)
 
     @hypothesis.settings(derandomize=True, deadline=None, max_examples=150)
@@ -31,12 +31,12 @@
 
     def test_the_server_with_most_free_slots_is_chosen_and_ties_are_spread(self):
         """Guards against uneven load, which raises latency before any slot limit is reached."""
-        slot_pool = self._make_pool(count=12)
+        slot_pool = self._make_pool(server_count=12)
         leases_by_server = collections.Counter(
             slot_pool.try_acquire().server.name for _ in range(12)
         )
         self.assertEqual(len(leases_by_server), 12)
-        pools = [self._make_pool(count=12, seed=seed) for seed in range(60)]
+        pools = [self._make_pool(server_count=12, seed=seed) for seed in range(60)]
         names = {other_pool.try_acquire().server.name for other_pool in pools}
         self.assertGreater(len(names), 8)
 
@@ -50,7 +50,7 @@
                 share.slots(slots) for share in (pool.Share.OFFLINE, pool.Share.REDUCED)
             )
             self.assertEqual((offline, offline + reduced), (slots // 3, slots))
-        slot_pool = self._make_pool(count=2)
+        slot_pool = self._make_pool(server_count=2)
         leases = [slot_pool.try_acquire() for _ in range(6)]
         slot_pool.set_share(pool.Share.OFFLINE)
         self.assertEqual([slot_pool.release(lease, _OK) for lease in leases[:3]], [[], [], []])
@@ -58,7 +58,7 @@
 
     def test_freed_slot_goes_to_the_longest_waiting_request_that_is_still_valid(self):
         """Guards against granting a slot to a request that has expired or was abandoned."""
-        slot_pool = self._make_pool(count=1, slots=1, queue_limit=3)
+        slot_pool = self._make_pool(server_count=1, slots=1, queue_limit=3)
         lease = slot_pool.try_acquire()
         for waiter_id, wait_s in (("late", 1.0), ("gone", 9.0), ("next", 9.0)):
             self.assertTrue(slot_pool.enqueue(waiter_id, expires_s=self.time.monotonic() + wait_s))
@@ -72,7 +72,7 @@
 
     def test_new_and_long_idle_servers_are_ramped_up(self):
         """Guards against sending full load to a server with cold caches."""
-        slot_pool = self._make_pool(count=1, slots=6, ramp_s=3.0)
+        slot_pool = self._make_pool(server_count=1, slots=6, ramp_s=3.0)
         self.assertEqual(slot_pool.free_slots(), 6)
         slot_pool.set_servers([pool_driver.server("new", slots=6)])
         self.assertEqual(slot_pool.free_slots(), 1)
@@ -87,7 +87,7 @@
 
     def test_inherited_slots_count_until_released_or_expired(self):
         """Guards against a new owner using slots on which requests of the old owner still run."""
-        slot_pool = self._make_pool(count=1, slots=3)
+        slot_pool = self._make_pool(server_count=1, slots=3)
         slot_pool.inherit({"s0": 2, "unknown": 1}, expires_s=self.time.monotonic() + 2)
         slot_pool.try_acquire()
         self.assertIsNone(slot_pool.try_acquire())
@@ -99,7 +99,7 @@
 
     def test_leaving_server_gets_no_new_work_until_the_policy_readmits_it(self):
         """Guards against an unrelated policy change readmitting a draining server."""
-        slot_pool = self._make_pool(count=1)
+        slot_pool = self._make_pool(server_count=1)
         slot_pool.release(slot_pool.try_acquire(), pool.ServerResult.LEAVING)
         slot_pool.set_servers([pool_driver.server("s0", slots=4)])
         self.assertIsNone(slot_pool.try_acquire())
@@ -109,7 +109,7 @@
 
     def test_server_that_stopped_leaving_returns_after_a_probe(self):
         """Guards against losing the slots of a server that restarts at the same address."""
-        slot_pool = self._make_pool(count=1, ramp_s=3.0)
+        slot_pool = self._make_pool(server_count=1, ramp_s=3.0)
         slot_pool.release(slot_pool.try_acquire(), pool.ServerResult.LEAVING)
         self.assertEqual(slot_pool.servers_to_probe(), [])
         self.time.advance(5.0)
@@ -122,20 +122,20 @@
     def test_shedding_and_failing_servers_come_last(self):
         """Guards against retrying a request on the server that has just refused it."""
         for result in (pool.ServerResult.SHED, pool.ServerResult.FAILED):
-            slot_pool = self._make_pool(count=2)
+            slot_pool = self._make_pool(server_count=2)
             lease = slot_pool.try_acquire()
             slot_pool.release(lease, result)
             names = [slot_pool.try_acquire().server.name for _ in range(6)]
             self.assertEqual(names[3:], [lease.server.name] * 3)
 
-    def test_reports_rank_by_load_only_where_others_dispatch_too(self):
+    def test_load_reports_limit_the_free_slots_only_with_rank_by_reports(self):
         """Guards against outdated load reports overriding the owner's own exact count.
 
         Where other instances dispatch too, a reported load counts like the pool's own leases.
         """
         chose_busy = []
         for rank_by_reports in (False, True):
-            slot_pool = self._make_pool(count=2, rank_by_reports=rank_by_reports)
+            slot_pool = self._make_pool(server_count=2, rank_by_reports=rank_by_reports)
             busy = slot_pool.try_acquire().server.name
             slot_pool.report_load("s1" if busy == "s0" else "s0", 3)
             chose_busy.append(slot_pool.try_acquire().server.name == busy)
