--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -73,7 +73,7 @@
     """Progress of a key.
 
     Attributes:
-        STARTED: The key may be dispatched; its last dispatch, if any, was refused.
+        STARTED: The key may be dispatched; ``mark_refused`` discarded its last dispatch, if any.
         DISPATCHED: The request was sent to a backend server or pool owner, or is about to be.
         FINISHED: The outcome is recorded.
     """
@@ -90,7 +90,8 @@
     Attributes:
         outcome: Result passed to ``finish``; None while the key is running.
         updated_s: Monotonic time of the start, dispatch or finish of the key, whichever was last.
-        attempts: Number of dispatches that were not refused, so that the request may have run.
+        attempts: Number of dispatches without those that ``mark_refused`` discarded; above 0, the
+            request may have run.
     """
 
     key: str
@@ -187,8 +188,8 @@
 
         Raises:
             errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key already has a dispatch that was not refused, or is
-                finished (only if ``invariants`` raises).
+            errors.InvariantViolation: The key already has a dispatch that was not discarded, or
+                is finished (only if ``invariants`` raises).
         """
         record = self._get_record(key)
         self._invariants.check(
@@ -201,7 +202,7 @@
         record.updated_s = self._clock.monotonic()
 
     def mark_refused(self, key: str) -> None:
-        """Discards the dispatch of a key after a definite refusal by the receiver.
+        """Discards the dispatch of a key, because it was not sent or was definitely refused.
 
         Raises:
             errors.NotFoundError: The registry has no record of the key.
@@ -221,7 +222,7 @@
         Raises:
             errors.NotFoundError: The registry has no record of the key.
             errors.InvariantViolation: ``not_run`` is set for a key with a dispatch that was not
-                refused (only if ``invariants`` raises).
+                discarded (only if ``invariants`` raises).
         """
         record = self._get_record(key)
         self._invariants.check(
@@ -239,7 +240,7 @@
 
         Raises:
             errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key has a dispatch that was not refused (only if
+            errors.InvariantViolation: The key has a dispatch that was not discarded (only if
                 ``invariants`` raises).
         """
         record = self._get_record(key)
--- a/packages/core/src/sassafrasway_core/documents.py
+++ b/packages/core/src/sassafrasway_core/documents.py
@@ -44,11 +44,14 @@
 
 
 def parse_json(text: str | bytes) -> Any:
-    """Parses a JSON text and rejects duplicate keys and non-finite numbers.
+    """Parses a JSON text and rejects duplicate keys and the constants NaN and Infinity.
+
+    A number that is too large for a float, such as 1e999, becomes infinite. The schema of policy
+    documents rejects it.
 
     Raises:
-        errors.ValidationError: The text is malformed, an object has a duplicate key, or a number
-            is NaN or infinite.
+        errors.ValidationError: The text is malformed, an object has a duplicate key, or a value is
+            NaN, Infinity or -Infinity.
     """
     try:
         return json.loads(
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -38,7 +38,7 @@
 
     Slots also become free as time passes (ramp-up, expiry of inherited slots) and by
     ``set_servers``, ``set_share``, ``set_leaving`` and ``record_probe``. None of these returns
-    grants, so the owner must call ``grant_waiting`` after them and whenever it calls ``expire``.
+    grants, so the caller has to call ``grant_waiting`` regularly while requests wait.
 
     Args:
         key: Key of the pool.
