--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -16,6 +16,7 @@
 )
 from sassafrasway_core import share as shares
 
+# Types in the interface of SlotPool, so that its callers need to import only this module.
 Grant = pool_types.Grant
 PoolSnapshot = pool_types.PoolSnapshot
 ServerResult = pool_types.ServerResult
@@ -37,7 +38,7 @@
 
     Slots also become free as time passes (ramp-up, expiry of inherited slots) and by
     ``set_servers``, ``set_share``, ``set_leaving`` and ``record_probe``. None of these returns
-    grants, so the owner must call ``grant_waiting`` after them and whenever it calls ``expire``.
+    grants, so the caller has to call ``grant_waiting`` regularly while requests wait.
 
     Args:
         key: Key of the pool.
