Explain the coordination terms of the core and name its flags precisely

The module region did not say what a coordinator, the region row and a recorded member are. Docstrings of member, ownership, caps and membership omitted conditions that the code has (leaving and gone instances never or rarely take over, confirmed shares may have expired, revoke empties the pools). Private names that a reader had to look up are renamed: _resync to _must_read_row, _last_row to _confirmed_row, _row_read to _row_known, _record_recipient to _record_unrecorded_grant, may_grant_main to may_grant.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -75,18 +75,20 @@
         self._version = won_election.version
         self._recorded = {member.id: member for member in won_election.row.members}
         self._required_members = set(self._recorded) - {me.id}
+        # Start of each member's latest promise.
         self._promised_s: dict[model.InstanceId, float] = {}
+        # End of the promises of all required members; None until it is recomputed.
         self._promised_until_s: float | None = None
         # -1 makes the first refresh process the instances that are already gone.
         self._gone_count = -1
         self._table_until_s = won_election.sent_s + region.TABLE_LEASE_S
         self._serial = won_election.row.serial
         self._write_sent_s = {won_election.row.serial: won_election.sent_s}
-        self._last_row = won_election.row
+        self._confirmed_row = won_election.row
         self._last_write_s = won_election.sent_s
         self._last_read_s = -math.inf
         self._pending_write: region.WriteRow | None = None
-        self._resync = False
+        self._must_read_row = False
         self._deposed = False
 
     @property
@@ -105,7 +107,10 @@
         return self._table_until_s
 
     def until_s(self) -> float:
-        """Returns the end of the authority by the coordinator's clock."""
+        """Returns the end of the authority by the coordinator's clock.
+
+        It is infinite when no other member is required, and negative infinity after ``depose``.
+        """
         if self._deposed:
             return -math.inf
         if self._promised_until_s is None:
@@ -169,7 +174,7 @@
         now = self._clock.monotonic()
         if self._deposed or self._pending_write is not None:
             return []
-        if self._resync:
+        if self._must_read_row:
             if now < self._last_read_s + READ_RETRY_S:
                 return []
             self._last_read_s = now
@@ -194,12 +199,12 @@
     def on_write_refused(self) -> None:
         """Processes a write whose version did not match."""
         self._pending_write = None
-        self._resync = True
+        self._must_read_row = True
 
     def on_write_unknown(self) -> None:
         """Processes a write that may or may not take effect, now or later."""
         self._pending_write = None
-        self._resync = True
+        self._must_read_row = True
 
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
@@ -209,6 +214,11 @@
         A read is ignored if a write is pending or was sent after the read had started, because the
         read may not show the result of that write. A missing row is ignored, too.
 
+        Args:
+            row: The row, or None when there is none.
+            version: Version of the row, or None when there is none.
+            started_s: When the read was started, by the coordinator's clock.
+
         Raises:
             errors.InvariantViolation: The epoch of the row is lower than that of this coordinator
                 (only if ``invariants`` raises).
@@ -228,8 +238,8 @@
     def _confirm_row(self, row: region.RegionRow, version: str) -> None:
         """Processes the row that is in the table; the lease starts at the sending of its write."""
         self._version = version
-        self._last_row = row
-        self._resync = False
+        self._confirmed_row = row
+        self._must_read_row = False
         self._recorded = {member.id: member for member in row.members}
         sent_s = self._write_sent_s.get(row.serial, -math.inf)
         self._table_until_s = max(self._table_until_s, sent_s + region.TABLE_LEASE_S)
@@ -257,5 +267,7 @@
 
     def _interval_s(self, row: region.RegionRow) -> float:
         """Returns the minimum time between the last write and the write of ``row``."""
-        changed = row.members != self._last_row.members or row.owners != self._last_row.owners
+        changed = (
+            row.members != self._confirmed_row.members or row.owners != self._confirmed_row.owners
+        )
         return CHANGED_ROW_INTERVAL_S if changed else region.RENEW_S
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -25,7 +25,11 @@
 
 
 def caps_of(policy: model.Policy, region: str) -> dict[str, float]:
-    """Returns the limits of the caps that the coordinator of a region divides, by cap name."""
+    """Returns the limits of the caps that the coordinator of a region divides, by cap name.
+
+    These are the cap of the region, if it has one, and the caps on bytes that leave the region over
+    its links.
+    """
     limits = {}
     region_policy = policy.regions.get(region)
     if region_policy is not None and region_policy.cap_rps is not None:
@@ -128,6 +132,7 @@
         if self._took_over and not holders_complete:
             self._unreported_holders.add(_UNRECORDED_HOLDERS)
         self._unrecorded_shares_until_s = clock.monotonic() + caps.SHARE_S
+        # When each holder's first heartbeat was received, and its reports by cap name.
         self._earlier_reports: dict[model.InstanceId, tuple[float, dict[str, CapReport]]] = {}
         self._dividers: dict[str, caps.CapDivider] = {}
         self._active_caps: frozenset[str] = frozenset()
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -182,7 +182,7 @@
         self._refresh(holder, record, now_s)
 
     def confirm(self, holder: Hashable, sequence: int, *, now_s: float) -> None:
-        """Ends the shares before ``sequence``; the holder has confirmed that one as in force."""
+        """Ends the shares before ``sequence``, which the holder has confirmed as applied."""
         record = self._holders.get(holder)
         if record is not None:
             record.retire_before(sequence, now_s + window.WINDOW_S)
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -198,7 +198,7 @@
         Args:
             holder: Name of the holder; a holder that restarts needs a new name.
             demand: What the holder would use in one second if it could, refused requests included.
-            confirmed: Sequence of the share that the holder has in force.
+            confirmed: Sequence of the last share that the holder applied, even if it has expired.
             sequence: Sequence of the new share; by default the next number.
 
         Raises:
@@ -304,7 +304,7 @@
     def _discard_unknown(self, holder: Hashable, now_s: float) -> None:
         """Marks a holder's share of the earlier coordinator as known or ended.
 
-        After the last holder, the reservation for unknown shares ends.
+        When no share of that coordinator is unknown any more, the reservation for them ends.
         """
         if holder in self._unknown_holders:
             self._unknown_holders.remove(holder)
@@ -338,6 +338,7 @@
         return self._level.target(record.amount)
 
     def _update_level(self, now_s: float) -> None:
+        """Drops the demands that are no longer recent and recomputes the level from the others."""
         demand_max_age_s = self._share_s + window.WINDOW_S
         for holder, record in list(self._demands.items()):
             if now_s - record.reported_s > demand_max_age_s:
@@ -355,8 +356,8 @@
         """Returns what is reserved for holders that have not reported a demand recently."""
         demanding = math.fsum(self._reservations.of(holder) for holder in self._demands)
         unknown = self._reservations.of(_UNKNOWN_HOLDERS)
-        # Of the unknown shares, only the offline part is subtracted: the rest expires soon, so no
-        # holder is reduced for it.
+        # Of the unknown shares, only the offline part is counted: the rest expires soon, so no
+        # holder's share is reduced for it.
         offline = min(unknown, self._cap * self._offline_fraction)
         return self._reservations.total - unknown - demanding + offline
 
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -135,7 +135,10 @@
 
     @property
     def urgent(self) -> bool:
-        """Whether the next tick has work that members wait for and should run immediately."""
+        """Whether ``tick`` should run immediately.
+
+        True when members wait for its results or another coordinator has a higher epoch.
+        """
         return self._holdings.change_count != self._changes_processed or self.deposed
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
@@ -313,17 +316,15 @@
         """Returns the share that the member may have now of each of the pools assigned to it."""
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(member)
-        may_grant_main = self._may_grant(now, recorded=recorded)
+        may_grant = self._may_grant(now, recorded=recorded)
         permitted = {}
         for key, pool in self._holdings.assigned_to(member).items():
             # Without authority, a free part is not granted: a later coordinator may have granted it
             # to another member.
             offline = pool.possible_offline_holders == {member}
             if not pool.possible_offline_holders:
-                offline = recorded and may_grant_main
-            main = may_grant_main and (
-                pool.main_holder == member or self._holdings.main_is_free(pool)
-            )
+                offline = recorded and may_grant
+            main = may_grant and (pool.main_holder == member or self._holdings.main_is_free(pool))
             pool_share = share.Share.of(offline=offline, main=main)
             if pool_share is not share.Share.NONE:
                 permitted[key] = pool_share
@@ -334,7 +335,7 @@
         self._seq += 1
         permitted = self._permitted_shares(member)
         if any(pool_share.has_main for pool_share in permitted.values()):
-            self._record_recipient(member)
+            self._record_unrecorded_grant(member)
         grants = tuple(
             self._holdings.grant(key, pool_share, member=member, seq=self._seq)
             for key, pool_share in permitted.items()
@@ -342,8 +343,11 @@
         self._sent_shares[member] = permitted
         return self._reply(accepted=True, grants=grants)
 
-    def _record_recipient(self, member: model.InstanceId) -> None:
-        """Records until when an instance that is not recorded in the table may hold a grant."""
+    def _record_unrecorded_grant(self, member: model.InstanceId) -> None:
+        """Records until when a member may hold grants, if the table does not record the member.
+
+        Its shares of caps expire no later, because ``caps.SHARE_S`` equals ``region.GRANT_S``.
+        """
         if not self._authority.is_recorded(member):
             self._unrecorded_grants_until_s = self._clock.monotonic() + region.GRANT_S
 
@@ -357,12 +361,14 @@
         recorded = self._authority.is_recorded(sender)
         if not self._may_grant(now, recorded=recorded):
             return {}
-        self._record_recipient(sender)
+        self._record_unrecorded_grant(sender)
         return self._caps.renew(sender, heartbeat.caps, keeps_offline=recorded)
 
     def _may_grant(self, now: float, *, recorded: bool) -> bool:
         """Returns whether a member may be granted main parts and shares of caps.
 
+        A recorded member may then also be granted offline thirds that are free.
+
         While the table lease lasts, an instance must be recorded first, so that the next
         coordinator finds all holders in the row.
         """
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -35,6 +35,9 @@
     promise has ended. In the last case the old coordinator's authority has ended too, because it
     needs either the table or the promise of this instance.
 
+    An instance that a coordinator declared gone never takes over. A leaving instance does so only
+    if there is no row or if every other recorded member is leaving or gone.
+
     Args:
         me: This instance.
         clock: Time source.
@@ -61,7 +64,7 @@
         self._row: region.RegionRow | None = None
         self._version: str | None = None
         self._version_first_read_s = -math.inf
-        self._row_read = False
+        self._row_known = False
         self._pending: _PendingWrite | None = None
         self._won_election: authority.WonElection | None = None
         self._declared_gone = False
@@ -166,9 +169,9 @@
             if row is not None and row.coordinator.id == self._me.id:
                 self._record_won_election(pending, version)
                 return
-        if not self._row_read or version != self._version:
+        if not self._row_known or version != self._version:
             self._version_first_read_s = self._clock.monotonic()
-        self._row_read = True
+        self._row_known = True
         self._row = row
         self._version = version
         if row is not None and row.coordinator.id != self._me.id:
@@ -185,7 +188,7 @@
         """Processes a candidate write whose version did not match."""
         if self._pending is not None and self._pending.command is command:
             self._pending = None
-            self._row_read = False
+            self._row_known = False
 
     def on_write_unknown(self, command: region.WriteRow) -> None:
         """Processes a candidate write that may take effect now or later.
@@ -234,13 +237,14 @@
 
     def _may_take_over(self) -> bool:
         """Returns whether this instance may write the row to become coordinator."""
-        if self.in_contact or self._pending is not None or not self._row_read:
+        if self.in_contact or self._pending is not None or not self._row_known:
             return False
         if self._declared_gone:
             return False
         row = self._row
         if row is None:
             return True
+        # The row is outdated, or it already names this instance as coordinator.
         if row.epoch < self._grants.epoch or row.coordinator.id == self._me.id:
             return False
         if self._me.state == region.LEAVING and self._others_remain(row):
@@ -299,7 +303,7 @@
             previous=pending.previous,
             holders_recorded=pending.holders_recorded,
         )
-        self._row_read = False
+        self._row_known = False
         self._grants.follow(epoch=row.epoch, coordinator=self._me)
         self._heartbeat_requested = True
 
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -52,9 +52,10 @@
 class MemberTable:
     """Instances that are or were part of a region.
 
-    An instance is gone only when the platform's list named this run and no longer does, when its
-    port refuses connections, or when another incarnation answers at its address. Silence proves
-    nothing: a silent instance may be paused or partitioned and still use its grants.
+    An instance is gone only when the platform's list of running instances named this run and no
+    longer does, when its port refuses connections, or when another incarnation answers at its
+    address. Silence proves nothing: a silent instance may be paused or partitioned and still use
+    its grants.
 
     Args:
         clock: Time source.
@@ -65,6 +66,7 @@
         self._clock = clock
         self._silent_after_s = silent_after_s
         self._entries: dict[model.InstanceId, _Entry] = {}
+        # When each gone instance was marked as gone, the oldest first.
         self._gone: dict[model.InstanceId, float] = {}
         self._gone_count = 0
 
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -76,7 +76,7 @@
 
     @property
     def pools(self) -> frozenset[model.PoolKey]:
-        """Pools in the latest reply that was applied."""
+        """Pools in the latest reply that was applied; empty after ``revoke``."""
         return frozenset(self._held)
 
     def share(self, pool: model.PoolKey) -> share.Share:
@@ -98,7 +98,12 @@
     def reports(
         self, details: Mapping[model.PoolKey, region.PoolReport]
     ) -> dict[model.PoolKey, region.PoolReport]:
-        """Returns the pool reports of a heartbeat: ``details`` with the shares now in force."""
+        """Returns the pool reports of a heartbeat, with the shares now in force.
+
+        Args:
+            details: Reports of the pools with more to report than the share, whose ``share`` is
+                ignored. Pools that are granted but missing here are reported, too.
+        """
         empty = region.PoolReport(share=share.Share.NONE)
         reports = {}
         for pool in {*self._held, *details}:
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -1,4 +1,13 @@
-"""Messages, commands and table row with which a region's instances agree on pool ownership."""
+"""Messages, commands and table row with which a region's instances agree on pool ownership.
+
+One instance of a region is its coordinator. It assigns the region's pools to instances and grants
+them shares of the pools in the replies to their heartbeats. An instance becomes coordinator by
+writing the region row, a row in the platform's table service, with a higher epoch. The instances
+that the row names are called recorded members.
+
+The decision modules ``member``, ``coordinator`` and ``authority`` do no I/O: they return commands
+for a task to execute.
+"""
 
 import dataclasses
 import json
@@ -125,6 +134,7 @@
         in_use: Slots in use by server name.
         busy_s: Time until the deadlines of the requests in these slots have passed.
         rate_per_s: Requests received for the pool, 1/s.
+        queue_length: Number of requests that wait for a slot.
     """
 
     share: share.Share
@@ -144,7 +154,8 @@
             counts them as used until they are released or the request deadlines pass.
         inherited_s: Time until the deadlines of the requests in those slots have passed.
         previous: Of the instances that use those slots, the last to begin to report them, or None.
-        expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
+        expires_s: When the grant of the main part expires, by the receiver's monotonic clock; in
+            the past when it is not granted. It is not sent: the receiver sets it.
     """
 
     pool: model.PoolKey
@@ -216,7 +227,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Command:
-    """An action that a decision module asks the I/O task to execute."""
+    """An action that a decision module asks its I/O task to execute."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
