Name the ownership tests after what they check

Eight tests of pool ownership were named after the fault only, and test_cap_shares_follow_the_pools after something that it does not check. The scenario row_read_before is now contact_lost_twice, and Process.fetch_list of the simulation, which fetches only at intervals, fetch_list_if_due.

--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -125,7 +125,7 @@
             for command in self.coordinator.tick():
                 self._execute(command, self.coordinator.authority)
 
-    def fetch_list(self):
+    def fetch_list_if_due(self):
         """Counts a step; a coordinator fetches the platform's list when that is due."""
         self.steps += 1
         if self.coordinator is not None and self.steps % LIST_FETCH_STEPS == 0:
@@ -214,6 +214,8 @@
         links: Mode of each direction between two names: ``"cut"`` drops messages, ``"hold"`` keeps
             them in ``held_messages`` until ``release_held``; a missing entry means ``"ok"``.
         list_lag_steps: By how many steps the platform's list lags behind.
+        member_table: Class of each process's ``members``; a test replaces it with a faulty one.
+        coordinator_state: Class of each process's ``coordinator``.
     """
 
     member_table = membership.MemberTable
@@ -276,7 +278,7 @@
             self._snapshots.append(tuple(self.live))
             for process in list(self.live.values()):
                 if not process.paused:
-                    process.fetch_list()
+                    process.fetch_list_if_due()
             running = [process for process in self.live.values() if not process.paused]
             for round_number in range(ROUNDS):
                 for process in running:
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -166,7 +166,7 @@
         for process in self.world.live.values():
             process.table_mode = "down"
 
-    def test_pools_are_spread(self):
+    def test_pools_are_spread_evenly(self):
         """Guards against the instance that starts first keeping all pools."""
         counts = collections.Counter(self.owners.values())
         self.assertEqual(len(self.owners), len(ownership_sim.POOLS))
@@ -179,7 +179,7 @@
             self.world.step()
             self.assertEqual(self.world.full_owners(), self.owners)
 
-    def test_table_down_and_member_gone(self):
+    def test_pools_of_killed_member_move_while_table_is_down(self):
         """Guards against unusable slots after an instance crashed while the table is down."""
         self._table_down()
         self.world.step(50)
@@ -189,7 +189,7 @@
             self.world.step()
             self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
-    def test_table_down_and_pause_then_resume(self):
+    def test_resumed_member_restores_authority_while_table_is_down(self):
         """Guards against authority that stays lost after a paused member's promise has expired.
 
         While the table is down, the promises of all members are needed; when the paused member
@@ -204,7 +204,7 @@
         self.world.step(50)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
-    def test_join_while_table_is_down(self):
+    def test_instance_joins_while_table_is_down(self):
         """Guards against an instance that cannot join until the table answers again."""
         self._table_down()
         self.world.start("s")
@@ -220,7 +220,7 @@
         counts = collections.Counter(self.world.full_owners().values())
         self.assertEqual(sorted(counts.values()), [1, 1, 1, 1])
 
-    def test_paused_holder(self):
+    def test_only_main_part_of_paused_holder_moves(self):
         """Guards against a paused holder's main part staying unused or its offline third reused."""
         name = self._member_name()
         pools = [pool for pool, owner in self.owners.items() if owner == name]
@@ -232,7 +232,7 @@
         self.world.step(30)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
-    def test_paused_coordinator(self):
+    def test_paused_coordinator_is_replaced_and_keeps_offline_thirds(self):
         """Guards against promises that keep an unresponsive coordinator's authority in force."""
         coordinator_name = self._coordinator_name()
         self.world.live[coordinator_name].paused = True
@@ -247,7 +247,7 @@
         self.world.step(30)
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
-    def test_killed_holder(self):
+    def test_pools_of_killed_holder_move_before_its_grants_expire(self):
         """Guards against waiting for the expiry of grants of an instance that is known to be gone.
 
         The port of the killed instance refuses connections, which proves that it is gone.
@@ -266,7 +266,7 @@
             self.assertLessEqual(kept.items(), self.world.full_owners().items())
         self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
 
-    def test_killed_coordinator_pools_move_fast(self):
+    def test_pools_of_killed_coordinator_move_before_its_grants_expire(self):
         """Guards against a new coordinator that waits for earlier grants to expire without need.
 
         It need not wait when only recorded members can hold grants and all of them have reported.
@@ -304,7 +304,7 @@
         self.assertEqual(steps_without_share, 0)
         self.assertIn(name, self.world.full_owners().values())
 
-    def test_cap_shares_follow_the_pools(self):
+    def test_whole_cap_is_shared_again_after_coordinator_is_killed(self):
         """Guards against shares that add up to less than the cap although all of it is demanded."""
         self.world.kill(self._coordinator_name())
         self.world.step(80)
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -111,7 +111,7 @@
     run.world.step(100)
 
 
-def row_read_before():
+def contact_lost_twice():
     """A member that read the row during an earlier loss of contact loses contact again."""
     run = _Scenario()
     run.set_table_mode("down", run.coordinator, run.b)
@@ -254,7 +254,7 @@
 RULES = (
     (late_heartbeats, authority.Authority, "record_promise", _promise_from_receipt),
     (late_candidate_write, member.MemberState, "_heartbeat", _promise_while_write_pending),
-    (row_read_before, member.MemberState, "_heartbeat", _promise_ignored),
+    (contact_lost_twice, member.MemberState, "_heartbeat", _promise_ignored),
     (successor_crashes, authority.Authority, "refresh", _drop_gone_without_authority),
     (new_instance_without_contact, member.MemberState, "_may_take_over", _unrecorded_takes_over),
     (unrecorded_holder, member.MemberState, "_record_won_election", _holders_always_recorded),
