Distinguish scenarios from their simulation in the ownership rules tests

Both the functions and the class that they create were called scenario, and the instances run. The class is now _Simulation, its instances sim. set_pools of the coordinator now says what happens to a pool that the policy no longer has.

--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -146,7 +146,10 @@
         return self._holdings.owners()
 
     def set_pools(self, pools: Iterable[model.PoolKey]) -> None:
-        """Sets the pools of the region according to the current policy."""
+        """Sets the pools of the region according to the current policy.
+
+        A pool that is no longer among them is not reassigned, and its owner keeps its grants.
+        """
         self._policy_pools = frozenset(pools)
         for key in self._policy_pools:
             self._holdings.add(key)
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -16,8 +16,8 @@
 NAMES = ("p", "q", "r")
 
 
-class _Scenario:
-    """A region of three instances.
+class _Simulation:
+    """The simulated region of three instances that a scenario starts from.
 
     Attributes:
         live: Running process by name.
@@ -56,92 +56,92 @@
 
 def late_heartbeats():
     """Heartbeats that a member sent before it took over reach the old coordinator afterwards."""
-    run = _Scenario()
-    run.set_table_mode("down", run.coordinator)
-    run.cut((run.coordinator, run.a), (run.a, run.b))
-    run.world.links[run.a, run.coordinator] = "hold"
-    run.step_until(lambda: run.is_coordinator(run.a))
-    run.world.held_messages = [
-        message for message in run.world.held_messages if message[2] == "heartbeat"
+    sim = _Simulation()
+    sim.set_table_mode("down", sim.coordinator)
+    sim.cut((sim.coordinator, sim.a), (sim.a, sim.b))
+    sim.world.links[sim.a, sim.coordinator] = "hold"
+    sim.step_until(lambda: sim.is_coordinator(sim.a))
+    sim.world.held_messages = [
+        message for message in sim.world.held_messages if message[2] == "heartbeat"
     ]
-    run.world.release_held()
-    run.world.step(60)
+    sim.world.release_held()
+    sim.world.step(60)
 
 
 def late_candidate_write():
     """A candidate write takes effect after its sender follows the old coordinator again."""
-    run = _Scenario()
-    run.set_table_mode("down", run.coordinator, run.b)
-    run.cut((run.coordinator, run.a))
-    candidate = run.live[run.a]
-    with mock.patch.object(candidate, "_write", lambda command: _delay(run, command)):
-        run.step_until(lambda: run.world.table.delayed)
-        run.world.links = {}
-        run.world.step(30)
-        run.cut((run.coordinator, run.a), (run.a, run.b))
-        run.world.table.release()
-    run.world.step(80)
-
-
-def _delay(run, command):
-    run.world.table.delayed.append(command)
+    sim = _Simulation()
+    sim.set_table_mode("down", sim.coordinator, sim.b)
+    sim.cut((sim.coordinator, sim.a))
+    candidate = sim.live[sim.a]
+    with mock.patch.object(candidate, "_write", lambda command: _delay(sim, command)):
+        sim.step_until(lambda: sim.world.table.delayed)
+        sim.world.links = {}
+        sim.world.step(30)
+        sim.cut((sim.coordinator, sim.a), (sim.a, sim.b))
+        sim.world.table.release()
+    sim.world.step(80)
+
+
+def _delay(sim, command):
+    sim.world.table.delayed.append(command)
     return "unknown"
 
 
 def successor_crashes():
     """A new coordinator crashes before the old one, cut off from the table, is deposed."""
-    run = _Scenario()
-    run.set_table_mode("down", run.coordinator, run.b)
-    run.cut((run.coordinator, run.a), (run.a, run.b))
-    run.step_until(lambda: run.is_coordinator(run.a))
-    run.world.kill(run.a)
-    run.world.links = {}
-    run.world.step(10)
-    run.world.start("z")
-    run.cut(("z", run.coordinator), ("z", run.b))
-    run.world.step(80)
+    sim = _Simulation()
+    sim.set_table_mode("down", sim.coordinator, sim.b)
+    sim.cut((sim.coordinator, sim.a), (sim.a, sim.b))
+    sim.step_until(lambda: sim.is_coordinator(sim.a))
+    sim.world.kill(sim.a)
+    sim.world.links = {}
+    sim.world.step(10)
+    sim.world.start("z")
+    sim.cut(("z", sim.coordinator), ("z", sim.b))
+    sim.world.step(80)
 
 
 def new_instance_without_contact():
     """A new instance that is not recorded can reach the table, but not the other instances."""
-    run = _Scenario()
-    run.set_table_mode("down")
-    run.world.start("z")
-    run.cut(*(("z", name) for name in NAMES))
-    run.world.step(100)
+    sim = _Simulation()
+    sim.set_table_mode("down")
+    sim.world.start("z")
+    sim.cut(*(("z", name) for name in NAMES))
+    sim.world.step(100)
 
 
 def contact_lost_twice():
     """A member that read the row during an earlier loss of contact loses contact again."""
-    run = _Scenario()
-    run.set_table_mode("down", run.coordinator, run.b)
-    run.cut((run.coordinator, run.a), (run.a, run.b))
-    run.world.step(20)
-    run.world.links = {}
-    run.world.step(30)
-    run.cut((run.coordinator, run.a), (run.a, run.b))
-    run.world.step(80)
+    sim = _Simulation()
+    sim.set_table_mode("down", sim.coordinator, sim.b)
+    sim.cut((sim.coordinator, sim.a), (sim.a, sim.b))
+    sim.world.step(20)
+    sim.world.links = {}
+    sim.world.step(30)
+    sim.cut((sim.coordinator, sim.a), (sim.a, sim.b))
+    sim.world.step(80)
 
 
 def unrecorded_holder():
     """A coordinator crashes after it granted pools to an instance that the row does not name."""
-    run = _Scenario()
-    run.set_table_mode("down")
-    run.world.step(40)
-    run.world.start("z")
-    run.set_table_mode("down", "z")
-    followed = run.live[run.coordinator]
-    run.live["z"].member.on_follow(epoch=followed.grants.epoch, coordinator=followed.me)
+    sim = _Simulation()
+    sim.set_table_mode("down")
+    sim.world.step(40)
+    sim.world.start("z")
+    sim.set_table_mode("down", "z")
+    followed = sim.live[sim.coordinator]
+    sim.live["z"].member.on_follow(epoch=followed.grants.epoch, coordinator=followed.me)
     for name in NAMES:
-        ownership_sim.leave(run.live[name])
-    run.world.step(60)
-    run.cut(("z", run.a), ("z", run.b))
-    run.world.kill(run.coordinator)
-    candidate = run.live[run.a]
+        ownership_sim.leave(sim.live[name])
+    sim.world.step(60)
+    sim.cut(("z", sim.a), ("z", sim.b))
+    sim.world.kill(sim.coordinator)
+    candidate = sim.live[sim.a]
     candidate.me = dataclasses.replace(candidate.me, state=region.LIVE)
     candidate.member.set_me(candidate.me)
-    run.set_table_mode("ok", run.a)
-    run.world.step(60)
+    sim.set_table_mode("ok", sim.a)
+    sim.world.step(60)
 
 
 def holder_crashes_after_takeover():
@@ -150,19 +150,20 @@
     The old coordinator is not deposed yet, still counts the follower as its own member and finds it
     gone.
     """
-    run = _Scenario()
-    run.set_table_mode("down", run.coordinator)
-    run.cut((run.coordinator, run.a), (run.coordinator, run.b))
-    run.step_until(lambda: run.is_coordinator(run.a) or run.is_coordinator(run.b))
-    run.world.step(30)
-    for name in (run.a, run.b):
-        if not run.is_coordinator(name):
-            run.world.kill(name)
-    run.world.links[run.coordinator, run.a] = run.world.links[run.coordinator, run.b] = "ok"
-    run.world.links[run.a, run.coordinator] = run.world.links[run.b, run.coordinator] = "hold"
-    run.world.step(40)
-
-
+    sim = _Simulation()
+    sim.set_table_mode("down", sim.coordinator)
+    sim.cut((sim.coordinator, sim.a), (sim.coordinator, sim.b))
+    sim.step_until(lambda: sim.is_coordinator(sim.a) or sim.is_coordinator(sim.b))
+    sim.world.step(30)
+    for name in (sim.a, sim.b):
+        if not sim.is_coordinator(name):
+            sim.world.kill(name)
+    sim.world.links[sim.coordinator, sim.a] = sim.world.links[sim.coordinator, sim.b] = "ok"
+    sim.world.links[sim.a, sim.coordinator] = sim.world.links[sim.b, sim.coordinator] = "hold"
+    sim.world.step(40)
+
+
+# The real methods that faulty replacements call.
 _record_promise = authority.Authority.record_promise
 
 
