State all cases in which a heartbeat reply is not accepted

HeartbeatReply.accepted named only the case that the member must follow the epoch first; the code also sets it to false at an instance that is not the coordinator and for a sender that is gone. The fields of a pending candidate write are explained, too.

--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -18,7 +18,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _PendingWrite:
-    """A write of the region row to become coordinator, whose result is not known yet."""
+    """A write of the region row to become coordinator, whose result is not known yet.
+
+    If it takes effect, its fields become those of ``authority.WonElection``.
+    """
 
     command: region.WriteRow
     sent_s: float
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -193,8 +193,9 @@
     """The coordinator's reply to a heartbeat.
 
     Attributes:
-        accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
-            its grants then stay as they are, unless ``gone`` is true.
+        accepted: False when nothing is granted, because the member has to follow ``epoch`` and send
+            a new heartbeat first, the replier is not the coordinator, or ``gone`` is true. Unless
+            ``gone`` is true, the member's grants then stay as they are.
         gone: Whether the coordinator regards the sender as gone, so that others may use all that
             it held.
         seq: Number of the reply within the epoch.
