Explain the terms and limits of the RPC messages and name the tests by their result

control.thrift used epochs, grants, members and the region row without saying what they are. attempt_id was said to run only once, which holds for 60 s after the first arrival. The timeout of RpcClient.call was said to cover the call, but covers the connection and the reply separately and not the wait for the lock. Types, errors and arguments of the codec are documented; three tests say what they check.

--- a/packages/rpc/src/sassafrasway_rpc/client.py
+++ b/packages/rpc/src/sassafrasway_rpc/client.py
@@ -33,8 +33,9 @@
 
     Args:
         address: ``host:port`` of the peer.
-        service: Thrift service whose methods are called.
-        timeout_s: Default timeout of a call in seconds.
+        service: Thrift service whose methods are called, or another object with the structs
+            ``<method>_args`` and ``<method>_result`` of each method.
+        timeout_s: Default of ``timeout_s`` in ``call``.
     """
 
     def __init__(self, *, address: str, service: Any, timeout_s: float = 2.0):
@@ -57,6 +58,13 @@
     async def call(self, method: str, *, timeout_s: float | None = None, **arguments: Any) -> Any:
         """Calls a method and returns its result; a oneway call returns None once it is written.
 
+        Args:
+            method: Name of the method.
+            timeout_s: Limit in seconds of the wait for the reply. It also limits the opening of a
+                connection, if lower than ``CONNECT_TIMEOUT_S``. The wait for other calls that try
+                to open a connection is not limited.
+            **arguments: Arguments of the method.
+
         Raises:
             CallNotSentError: The peer was not reached; it has not received the call.
             errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
--- a/packages/rpc/src/sassafrasway_rpc/codec.py
+++ b/packages/rpc/src/sassafrasway_rpc/codec.py
@@ -10,14 +10,21 @@
 from sassafrasway_core import errors
 
 FRAME_HEADER_BYTES = 4
-# Method that every server answers immediately; clients call it to probe a connection.
+# Method that every server answers immediately; clients call it to probe a connection. No Thrift
+# service declares it.
 PING = "ping"
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MessageHead:
-    """Name, type and sequence id of a message."""
+    """Head of a message.
+
+    Attributes:
+        name: Name of the method.
+        kind: Message type, a value of ``thrift.TMessageType``.
+        sequence_id: Chosen by the client; the reply has the same one.
+    """
 
     name: str
     kind: int
@@ -25,7 +32,12 @@
 
 
 def encode(*, head: MessageHead, payload: Any) -> bytes:
-    """Returns a frame: the length of the message, then the message."""
+    """Returns a frame: the length of the message as a big-endian integer, then the message.
+
+    Args:
+        head: Head of the message.
+        payload: Thrift struct.
+    """
     buffer = memory.TCyMemoryBuffer()
     protocol = cybin.TCyBinaryProtocol(buffer, strict_write=True)
     protocol.write_message_begin(head.name, head.kind, head.sequence_id)
--- a/packages/rpc/src/sassafrasway_rpc/config.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/config.thrift
@@ -58,7 +58,7 @@
   2: string source           // home region whose requests move
   3: string target           // region that receives them
   4: double cap_rps          // highest rate of moved requests in any one-second window, requests/s
-  5: double fraction = 1.0   // final share of the requests that move, 0 to 1
+  5: double fraction = 1.0   // share of the source's requests that moves in the end, 0 to 1
   6: double pace_per_s = 0.1 // increase of the moved share per second, above 0
 }
 
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -1,4 +1,11 @@
 // Region control: heartbeats of members, grants of the coordinator, directories of all regions.
+//
+// The instances of a region are its members. One of them, the coordinator, grants members the right
+// to use the slots of pools, which are groups of backend servers of one service and region, and
+// shares of caps, which limit the rates of requests and the bandwidths of links. A new coordinator
+// starts a new epoch, which is higher than all earlier ones of the region, by writing the region
+// row, a row of the table service.
+//
 // Times are in seconds. A timestamp is comparable only with others of the instance that made it.
 
 include "common.thrift"
@@ -6,7 +13,7 @@
 struct PoolId {
   1: string service_name
   2: string region
-  3: i32 shard
+  3: i32 shard               // index among the pools of the service in the region, from 0
 }
 
 // An instance's report on one pool that it may use, or whose slots its requests still use.
@@ -27,7 +34,8 @@
   2: string share            // share of each server's slots that may be used; values as in
                              // PoolReport
   3: map<string, i32> inherited // slots by server name that other instances last reported in use
-  4: string previous_name    // one of the instances that use these slots; empty when there is none
+  4: string previous_name    // of the instances that use these slots, the last to begin to report
+                             // them; empty when there is none
   5: string previous_incarnation
   6: double inherited_s      // time until the deadlines of the requests in these slots have passed
 }
@@ -61,12 +69,13 @@
 // The instances of one region and the pools that they own.
 struct RegionDirectory {
   1: string region
-  2: i64 epoch
+  2: i64 epoch               // epoch of the coordinator that made the directory
   3: i64 version             // increases within an epoch
   4: common.Instance coordinator
   5: list<common.Instance> instances
   6: list<PoolOwner> owners
-  7: list<common.Instance> gone // former instances; only name and incarnation are set
+  7: list<common.Instance> gone // recent instances that are known to have ended; only name and
+                             // incarnation are set
 }
 
 // Version of a region's directory that the sender has.
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -32,9 +32,11 @@
   13: string shift           // name of the shift that moved the request, or empty
   14: bool may_queue         // whether the request may wait for a slot, for EXECUTE
   15: string sender          // name/incarnation of the sending instance
-  16: string fingerprint     // identifies the same request when it is sent again
+  16: string fingerprint     // hash of service, method, path and body, by which requests that crash
+                             // backend servers are recognised when a caller sends them again
   17: string client          // address of the client on whose behalf the caller sent the request
-  18: string attempt_id      // one for each forward; the receiver runs an attempt only once
+  18: string attempt_id      // one for each forward; an attempt that is sent again is not run again,
+                             // unless it arrives more than 60 s after the first time
   19: string receiver        // name/incarnation that the attempt is meant for
   20: bool resent            // this attempt was sent before, and its reply did not arrive
 }
--- a/packages/rpc/src/sassafrasway_rpc/server.py
+++ b/packages/rpc/src/sassafrasway_rpc/server.py
@@ -66,7 +66,7 @@
 
     @property
     def methods(self) -> Mapping[str, tuple[Any, Any]]:
-        """Thrift service and bound handler of every method."""
+        """Thrift service and handler method by method name."""
         return self._methods
 
     async def start(self) -> None:
@@ -195,7 +195,7 @@
 
 
 async def read_frame(reader: asyncio.StreamReader, *, peer: str) -> bytes | None:
-    """Returns the body of the next frame, or None when the peer closed the connection.
+    """Returns the body of the next frame, or None when the connection was closed or lost.
 
     Raises:
         errors.ValidationError: The frame is empty or larger than ``codec.MAX_FRAME_BYTES``.
--- a/packages/rpc/tests/test_rpc.py
+++ b/packages/rpc/tests/test_rpc.py
@@ -10,7 +10,10 @@
 
 
 class _Handler:
-    """Service that answers after ``deadline_ms``, or fails for certain service names."""
+    """Service that answers after ``deadline_ms``.
+
+    It raises an RPC error for service ``missing`` and an unexpected exception for ``broken``.
+    """
 
     def __init__(self):
         self.cancelled = []
@@ -37,6 +40,8 @@
 
 
 class RpcTest(unittest.IsolatedAsyncioTestCase):
+    """Tests of one client and one server; some of them send raw frames."""
+
     async def asyncSetUp(self):
         self.handler = _Handler()
         self.server = server.RpcServer(
@@ -83,7 +88,7 @@
         reply = await self.client.call("forward", request=_request(deadline_ms=60, body=b"new"))
         self.assertEqual(reply.body, b"new")
 
-    async def test_refused_connection_is_told_apart(self):
+    async def test_refused_connection_has_its_own_error(self):
         """Guards against treating a call that was never sent as one the peer may have received."""
         await self.client.close()
         await self.server.stop()
@@ -91,8 +96,8 @@
         with self.assertRaises(client.ConnectionRefusedByPeerError):
             await unreachable.call("forward", request=_request())
 
-    async def test_malformed_frames(self):
-        """Guards against malformed frames that stop the server or make it allocate much memory.
+    async def test_malformed_frames_do_not_stop_the_server(self):
+        """Guards against malformed frames that stop the server, also by using up its memory.
 
         The frames are not Thrift, announce a method name of 2 GiB, end within a field, or are too
         short for a message.
@@ -162,7 +167,7 @@
         )
         self.assertEqual(reply.body, b"slow")
 
-    async def test_unknown_method(self):
+    async def test_call_of_unknown_method_gets_an_exception(self):
         """Guards against leaving a call unanswered whose method only newer versions have."""
         host, _, port = self.server.address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
