State what sassafrasctl reports when no instance can serve a call

The error said that no instance answered, also when instances answered that they have no policy yet or cannot reach the table service. Fields of the option classes, the table of exit codes, the base revision of a change file and the errors of parse_events are documented; seven tests are named after what they check.

--- a/packages/ctl/src/sassafrasway_ctl/client.py
+++ b/packages/ctl/src/sassafrasway_ctl/client.py
@@ -18,8 +18,8 @@
 class OperatorClient:
     """Calls methods of the Operator service, trying several entry instances in turn.
 
-    Every change carries a change id, so that a call can be repeated at another instance even when
-    the first one may have accepted it.
+    A call is repeated at the next instance even when the first one may have accepted its change.
+    This is safe because every change carries a change id, which is applied only once.
 
     Args:
         addresses: ``host:port`` of the instances in order of preference.
@@ -34,8 +34,9 @@
         """Calls a method and returns its result.
 
         Raises:
-            errors.UnavailableError: No instance answered, or none could reach the table service.
-            errors.SassafraswayError: An instance answered with an error.
+            errors.UnavailableError: Every instance failed to answer, or reported that it has no
+                policy yet or cannot reach the table service; a change may have been accepted.
+            errors.SassafraswayError: An instance answered with another error.
         """
         return asyncio.run(self._call(method, arguments))
 
@@ -51,7 +52,9 @@
                     # The text includes the peer, which may be the table service.
                     failures[address] = str(error)
         reasons = "; ".join(f"{address}: {reason}" for address, reason in failures.items())
-        raise errors.UnavailableError(f"no instance answered: {reasons}", step=f"ctl.{method}")
+        raise errors.UnavailableError(
+            f"no instance could serve the call: {reasons}", step=f"ctl.{method}"
+        )
 
     async def _call_one(self, address: str, method: str, arguments: dict[str, Any]) -> Any:
         client = rpc_client.RpcClient(
--- a/packages/ctl/src/sassafrasway_ctl/options.py
+++ b/packages/ctl/src/sassafrasway_ctl/options.py
@@ -21,7 +21,13 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Options:
-    """Values of the options that ``shared`` adds."""
+    """Values of the options that ``shared`` adds.
+
+    Attributes:
+        addresses: ``host:port`` of instances in order of preference; empty to use the environment.
+        timeout_s: Timeout of each attempt in seconds.
+        as_json: Whether to print JSON.
+    """
 
     addresses: tuple[str, ...] = ()
     timeout_s: float = client.DEFAULT_TIMEOUT_S
@@ -45,14 +51,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ChangeOptions:
-    """Values of the options of commands that change the policy."""
+    """Values of the options of commands that change the policy.
+
+    Attributes:
+        change_id: Id under which the change is applied only once.
+        author: Author recorded with the change.
+        base_revision: Revision that must be current; None to accept any.
+    """
 
     change_id: str
     author: str
     base_revision: int | None
 
     def meta(self) -> Any:
-        """Returns the Thrift struct that accompanies the call."""
+        """Returns the values as a Thrift ``ChangeMeta``."""
         return schema.config.ChangeMeta(
             change_id=self.change_id, author=self.author, base_revision=self.base_revision
         )
@@ -133,5 +145,6 @@
 
 def _store_value(context: click.Context, parameter: click.Parameter, value: Any) -> None:
     options = context.ensure_object(Options)
+    # None or () means that the option is not given here; it may be given before the command's name.
     if value not in (None, ()):
         setattr(options, parameter.name, value)
--- a/packages/ctl/src/sassafrasway_ctl/output.py
+++ b/packages/ctl/src/sassafrasway_ctl/output.py
@@ -13,6 +13,8 @@
 EXIT_CONFLICT = 3
 EXIT_UNAVAILABLE = 4
 
+# Error class, exit code and error code in the JSON output. The first class that matches applies, so
+# the base class comes last.
 _EXIT_CODES: tuple[tuple[type[errors.SassafraswayError], int, str], ...] = (
     (errors.ConflictError, EXIT_CONFLICT, "conflict"),
     (errors.UnavailableError, EXIT_UNAVAILABLE, "unavailable"),
@@ -55,7 +57,7 @@
 
 
 def show_change(reply: Any, *, change_id: str, as_json: bool) -> None:
-    """Prints the result of a change."""
+    """Prints the result of a change, a Thrift ``ChangeReply``."""
     if as_json:
         fields = {"revision": reply.revision, "already_applied": bool(reply.already_applied)}
         show_json({**fields, "change_id": change_id}, compact=True)
@@ -65,7 +67,7 @@
 
 
 def show_history(entries: Sequence[Any], *, as_json: bool) -> None:
-    """Prints accepted changes."""
+    """Prints accepted changes, given as Thrift ``HistoryEntry`` structs."""
     if as_json:
         show_json([_history_fields(entry) for entry in entries], compact=True)
         return
@@ -96,7 +98,7 @@
         old: Policy before the change.
         new: Policy after the change.
         sections: The changed objects of each section, as in a change.
-        as_json: Print only the sections, as JSON.
+        as_json: Whether to print only ``sections``, as JSON.
     """
     if as_json:
         show_json(documents.dump_sections(sections), compact=True)
--- a/packages/ctl/src/sassafrasway_ctl/policy_files.py
+++ b/packages/ctl/src/sassafrasway_ctl/policy_files.py
@@ -50,13 +50,15 @@
 
     Args:
         text: Contents of the file.
-        change_options: Change id and author for a file without them; expected base revision.
+        change_options: Change id and author for a file without them. A base revision other than
+            None must be that of the file, or be current if the file has none.
         operator: Client that fetches the current policy.
-        compare: Also determine the policies before and after a change file.
+        compare: Whether to determine the policies before and after a change file as well.
 
     Raises:
         errors.ValidationError: The file is invalid.
-        errors.ConflictError: The file is not based on the expected or current revision.
+        errors.ConflictError: The file is not based on the expected or current revision. Without
+            ``compare``, a change file is not checked against the current revision.
         errors.UnavailableError: The current policy is needed, but no instance could return it.
     """
     data = documents.parse_json(text)
--- a/packages/ctl/src/sassafrasway_ctl/trace.py
+++ b/packages/ctl/src/sassafrasway_ctl/trace.py
@@ -45,7 +45,12 @@
 
 
 def parse_events(lines: Iterable[str]) -> list[Event]:
-    """Parses JSON log lines; skips other lines and any prefix before the first brace."""
+    """Parses JSON log lines; skips other lines and any prefix before the first brace.
+
+    Raises:
+        TypeError: The field ``time`` of a line is neither a number nor a string.
+        ValueError: The field ``time`` of a line is a string that is not a number.
+    """
     parsed = []
     for line in lines:
         start = line.find("{")
--- a/packages/ctl/tests/test_ctl.py
+++ b/packages/ctl/tests/test_ctl.py
@@ -30,12 +30,13 @@
     """Operator service with one policy.
 
     The next ``lose_answers`` calls of ``apply_change`` take effect but fail, as when the reply is
-    lost. Calls of methods that are not implemented are recorded in ``calls``.
+    lost. ``revisions`` holds the revision that each change id produced. Calls of methods that are
+    not implemented are recorded in ``calls``.
     """
 
     def __init__(self):
         self.policy = documents.parse_policy(_POLICY, revision=1)
-        self.ids = {}
+        self.revisions = {}
         self.calls = []
         self.lose_answers = 0
 
@@ -45,14 +46,14 @@
 
     async def apply_change(self, change_json):
         change = documents.parse_change(documents.parse_json(change_json))
-        known = change.change_id in self.ids
+        known = change.change_id in self.revisions
         if not known:
             self.policy = documents.apply_change(self.policy, change)
-            self.ids[change.change_id] = self.policy.revision
+            self.revisions[change.change_id] = self.policy.revision
         if self.lose_answers:
             self.lose_answers -= 1
             raise errors.UnavailableError("answer lost", step="fake")
-        revision = self.ids[change.change_id]
+        revision = self.revisions[change.change_id]
         return schema.config.ChangeReply(revision=revision, already_applied=known)
 
     async def history(self, limit, before):
@@ -73,6 +74,8 @@
 
 
 class CtlTest(unittest.TestCase):
+    """Tests that run commands; the RPC server runs in another thread."""
+
     def setUp(self):
         self.loop = asyncio.new_event_loop()
         thread = threading.Thread(target=self.loop.run_forever)
@@ -98,7 +101,7 @@
         self.assertEqual(result.exit_code, code, result.output)
         return result
 
-    def test_get_edit_apply(self):
+    def test_output_of_get_can_be_edited_and_applied(self):
         """Guards against output of get that apply does not accept, unchanged or edited."""
         document = json.loads(self.run_ctl("get").stdout)
         self.assertIn("already matches the document", self.run_ctl("apply", text=document).stdout)
@@ -113,16 +116,16 @@
         error = self.run_ctl("--json", "apply", text=document, code=3).stderr
         self.assertEqual(json.loads(error)["error"]["code"], "conflict")
 
-    def test_change_file(self):
+    def test_change_file_keeps_its_change_id_and_base_revision(self):
         """Guards against ignoring the change id and the base revision in a change file."""
         change = {"base_revision": 1, "sections": {"regions": {"plovdiv": {}}}}
         self.assertIn("+ regions plovdiv", self.run_ctl("diff", text=change).stdout)
         self.run_ctl("apply", "--base-revision=2", text=change, code=3)
         self.run_ctl("apply", text={**change, "change_id": "own"})
-        self.assertEqual(self.handler.ids, {"own": 2})
+        self.assertEqual(self.handler.revisions, {"own": 2})
         self.run_ctl("apply", text=change, code=3)
 
-    def test_bad_input(self):
+    def test_invalid_file_is_rejected_with_the_location(self):
         """Guards against applying an invalid file, and against errors without the location."""
         duplicate = '{"servers": {"katalog-1": {}, "katalog-1": {}}}'
         cases = [
@@ -154,7 +157,7 @@
         )
         self.assertEqual(self.handler.policy.revision, 3)
 
-    def test_next_address(self):
+    def test_next_address_is_tried(self):
         """Guards against a command that fails because the first instance is down."""
         stopped = server.RpcServer(handlers=[], host="127.0.0.1", port=0)
         self._in_loop(stopped.start())
@@ -179,7 +182,7 @@
         self.assertEqual((leave["kind"], leave["name"]), (2, "entry-1"))
         self.assertEqual((rollback["revision"], rollback["meta"].change_id), (1, "r"))
 
-    def test_output(self):
+    def test_output_for_people_and_for_scripts(self):
         """Guards against output that is unreadable for people or not JSON for scripts."""
         self.assertIn("delete shifts: audit", self.run_ctl("history").stdout)
         entries = json.loads(self.run_ctl("history", "--json").stdout)
@@ -189,7 +192,7 @@
         for shell in ("bash", "zsh", "fish"):
             self.assertIn("sassafrasctl", self.run_ctl("completion", shell).stdout)
 
-    def test_usage_errors(self):
+    def test_usage_errors_have_exit_code_2(self):
         """Guards against usage errors that scripts cannot tell from failures of the system."""
         for arguments in (("get", "--revision=0"), ("shift", "start", "x"), ("none",)):
             self.run_ctl(*arguments, code=2)
--- a/packages/ctl/tests/test_trace.py
+++ b/packages/ctl/tests/test_trace.py
@@ -40,7 +40,7 @@
         expected = ["server ended during request", "store lost", "request"]
         self.assertEqual(self.select(), expected)
 
-    def test_command(self):
+    def test_command_reads_prefixed_lines_and_rejects_an_unknown_request(self):
         """Guards against a log prefix that stops the parser, and an unknown id that is no error."""
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder, "a.log")
