--- a/packages/platform/src/sassafrasway_platform/http.py
+++ b/packages/platform/src/sassafrasway_platform/http.py
@@ -3,8 +3,9 @@
 Versions are sent as strong entity tags (RFC 9110). A write has ``If-Match`` with the expected
 version, or ``If-None-Match: *`` for a row that must not exist; status 412 means that the condition
 does not hold. A read has ``If-None-Match`` with a known version; status 304 means that the row is
-unchanged. In JSON bodies a row is ``{"key", "value_base64", "version"}``, lists of rows are
-``{"rows": [...]}``, and ``"if_version": null`` means that the row must not exist.
+unchanged. In JSON bodies a row is ``{"key", "value_base64", "version"}``, and lists of rows are
+``{"rows": [...]}``. A transaction is ``{"writes": [{"key", "value_base64", "if_version"}, ...]}``,
+where ``"if_version": null`` means that the row must not exist.
 """
 
 import base64
@@ -71,8 +72,9 @@
 
         Raises:
             table.PreconditionFailed: Status 412.
+            errors.ValidationError: Status 400, 404, 405, 413, 414 or 431: the service rejected the
+                request as invalid.
             table.StoreUnavailable: No complete response, or another status; the effect is unknown.
-            errors.ValidationError: The service refuses the request as invalid.
         """
         url = yarl.URL(self._base_url + path, encoded=True)
         try:
--- a/packages/platform/src/sassafrasway_platform/memory.py
+++ b/packages/platform/src/sassafrasway_platform/memory.py
@@ -17,7 +17,8 @@
         delay_s: Delay of every call before its effect, in seconds.
         lost_answers: Number of subsequent writes that take effect, but whose response is lost.
         down_after_write: The next write takes effect, but its response is lost and ``down`` is set.
-        stale: The instance list keeps returning its last result from before this was set.
+        stale: The instance list keeps returning its last result from before this was set, or its
+            initial content when it was not fetched before.
     """
 
     down: bool = False
--- a/packages/platform/src/sassafrasway_platform/table.py
+++ b/packages/platform/src/sassafrasway_platform/table.py
@@ -33,7 +33,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Row:
-    """One row of the table; every write gives it a new version."""
+    """One row of the table.
+
+    Attributes:
+        version: Opaque text that is new after every write, to be compared only for equality.
+    """
 
     key: str
     value: bytes
--- a/packages/platform/tests/test_platform_clients.py
+++ b/packages/platform/tests/test_platform_clients.py
@@ -15,6 +15,7 @@
     """Server that returns prepared responses in order and records the requests.
 
     A response is a status, headers and a body; None closes the connection without a response.
+    ``body`` is the body of the last request.
     """
 
     def __init__(self):
@@ -93,7 +94,7 @@
         self.assertIs(await self.table.get("a", known=known), known)
         self.assertEqual(self.fake.requests[1][2]["If-None-Match"], '"3"')
 
-    async def test_transaction_and_scan(self):
+    async def test_json_bodies_of_transaction_and_scan(self):
         """Guards against JSON bodies that differ from the documented format of the service."""
         rows = [{"key": "a", "value_base64": base64.b64encode(b"1").decode(), "version": "4"}]
         body = json.dumps({"rows": rows}).encode()
@@ -108,8 +109,11 @@
         with self.assertRaises(table.StoreUnavailable):
             await self.table.scan("a")
 
-    async def test_objects_and_instances(self):
-        """Guards against an unexpected exception that stops the poller on a malformed list."""
+    async def test_absent_object_and_malformed_instance_list(self):
+        """Guards against a malformed instance list that stops its poller.
+
+        The poller handles the errors that sassafrasway defines, but no other exceptions.
+        """
         listed = {"name": "e1", "address": "127.0.0.1:1", "failure_domain": "bkk-a"}
         self.fake.responses = [
             (404, {}, b""),
@@ -122,7 +126,7 @@
         with self.assertRaises(table.StoreUnavailable):
             await self.instances.fetch()
 
-    async def test_dot_segments_are_refused(self):
+    async def test_keys_with_empty_or_dot_segments_or_control_characters_are_rejected(self):
         """Guards against a key that addresses another row once a server normalises the URL path."""
         for key in ("claims/s/../x", "a//b", "", "a/\n"):
             with self.subTest(key=key), self.assertRaises(errors.ValidationError):
@@ -152,7 +156,7 @@
             await fake.put("b", b"1", if_version=table.ABSENT)
         self.assertEqual([row.key for row in await fake.view().scan("")], ["a"])
 
-    async def test_stale_list(self):
+    async def test_stale_instance_list_keeps_its_content(self):
         """Guards against a fake instance list that ignores ``faults.stale``."""
         old = instances.ListedInstance(name="e", address="127.0.0.1:1", failure_domain="d")
         fake = memory.MemoryInstances([old])
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -36,7 +36,8 @@
 
     Args:
         pattern: Glob pattern of the names of test modules.
-        packages: Names of the folders that contain the test directories; empty for all.
+        packages: Names of the folders that contain the test directories; empty for all. The name
+            ``platform`` selects both ``packages/platform`` and ``platform``.
     """
     tests = []
     for directory in sorted([*ROOT.glob("packages/*/tests"), *ROOT.glob("platform/tests")]):
@@ -72,6 +73,7 @@
         missing = []
     failed = len(result.failures) + len(result.errors) + len(result.unexpectedSuccesses)
     skipped = len(result.skipped) + len(skipped_ids)
+    # Each failed subtest counts as a failure, so there may be more failures than tests.
     passed = max(0, result.testsRun - failed - len(result.skipped))
     print(f"{passed} passed, {failed} failed, {skipped} skipped")
     return 1 if failed or missing or not result.testsRun else 0
