State the empty values of forwarded replies and what stopping the RPC server cancels

The owner in a reply with reason not_owner may be empty, seq is 0 in replies that do not accept a heartbeat, and status had no comment. start and stop of RpcServer name their error and the cancelled calls. Sequence id 0 is documented as that of probes.

--- a/packages/rpc/src/sassafrasway_rpc/client.py
+++ b/packages/rpc/src/sassafrasway_rpc/client.py
@@ -14,7 +14,7 @@
 # none arrives for the same time after the probe.
 SILENCE_TIMEOUT_S = 0.3
 SILENCE_CHECK_INTERVAL_S = 0.1
-MAX_SEQUENCE_ID = 2**31 - 1
+MAX_SEQUENCE_ID = 2**31 - 1  # sequence ids are Thrift i32 values; probes have 0
 
 
 class CallNotSentError(errors.UnavailableError):
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -104,7 +104,7 @@
   2: common.Instance coordinator
   3: bool accepted           // false: follow the epoch first; the grants then stay as they are,
                              // unless gone is set
-  4: i64 seq                 // number of the reply within the epoch
+  4: i64 seq                 // number of the reply within the epoch; 0 unless accepted is true
   5: double stamp_s          // coordinator's clock when it replied
   6: list<PoolGrant> grants  // all pools that the sender may use; it must drop every other pool
   7: double settled_s        // time after the heartbeat was sent in which only members that are
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -43,12 +43,12 @@
 
 struct ForwardReply {
   1: Outcome outcome
-  2: i32 status
+  2: i32 status              // HTTP status for the caller
   3: list<common.Header> headers
   4: binary body
   5: string reason           // machine-readable cause when outcome is not RAN
-  6: string owner            // name of the current pool owner when reason is not_owner
-  7: string server           // backend server that ran the request
+  6: string owner            // with reason not_owner: name of the pool's owner; empty if not known
+  7: string server           // backend server that responded; empty when none did
   8: i32 retry_after_ms      // suggested delay before a retry; 0 for no suggestion
   9: string detail           // human-readable reason
 }
--- a/packages/rpc/src/sassafrasway_rpc/server.py
+++ b/packages/rpc/src/sassafrasway_rpc/server.py
@@ -70,12 +70,16 @@
         return self._methods
 
     async def start(self) -> None:
-        """Starts listening."""
+        """Starts listening.
+
+        Raises:
+            OSError: The address is not available.
+        """
         self._server = await asyncio.start_server(self._accept, self._host, self._port)
         self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        """Stops listening and closes all connections."""
+        """Stops listening, closes all connections and cancels their running calls."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
--- a/packages/rpc/tests/test_rpc.py
+++ b/packages/rpc/tests/test_rpc.py
@@ -138,10 +138,10 @@
                     reply = schema.forward.Forward.forward_result(
                         success=schema.forward.ForwardReply(body=b"new")
                     )
-                    answer = codec.MessageHead(
+                    reply_head = codec.MessageHead(
                         name=head.name, kind=thrift.TMessageType.REPLY, sequence_id=head.sequence_id
                     )
-                    writer.write(codec.encode(head=answer, payload=reply))
+                    writer.write(codec.encode(head=reply_head, payload=reply))
             else:
                 await reader.read()
 
