--- a/packages/rpc/src/sassafrasway_rpc/client.py
+++ b/packages/rpc/src/sassafrasway_rpc/client.py
@@ -105,6 +105,11 @@
         self._disconnect("client closed the connection")
 
     def _start_probing(self, writer: asyncio.StreamWriter) -> None:
+        """Starts a probe task unless one runs.
+
+        The task of a lost connection still runs for up to ``SILENCE_CHECK_INTERVAL_S``. The calls
+        that start on a new connection in this time are not probed until a later call starts a task.
+        """
         if self._probe_task is None or self._probe_task.done():
             self._last_frame_s = asyncio.get_running_loop().time()
             self._probe_task = asyncio.create_task(self._probe_connection(writer))
