Correct statements about routes, retries and cold servers in the gateway

Changes: comments and docstrings. Renamed CRASH_CHECK_DELAY_S to REACHABILITY_CHECK_DELAY_S (it also applies after a timeout), _drop_old to _make_room (it also drops recent crashes) and is_first_read to registry_was_empty.

--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -1,7 +1,8 @@
 """Ranks the servers of a service for an object, in the same order on every instance.
 
-A backend server is several times faster on an object that it ran recently. All instances must
-therefore send an object to the same few servers, without coordination.
+A backend server runs a request several times faster if it recently ran one for the same object,
+which a cookie of the request names. All instances must therefore send the requests for an object to
+the same few servers, without coordination.
 """
 
 import hashlib
@@ -15,7 +16,7 @@
 
 
 def _unit_hash(*parts: str) -> float:
-    """Returns a stable number in (0, 1) for the given strings."""
+    """Returns a number in (0, 1] that depends only on the given strings."""
     digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
     return (int.from_bytes(digest, "big") + 0.5) / HASH_RANGE
 
--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -133,7 +133,7 @@
         return self._classify(request, response, time.monotonic() - started_s, first_exchange)
 
     async def probe(self, state: servers.ServerState) -> bool:
-        """Returns whether the server accepts connections."""
+        """Returns whether the server accepts a new connection; closes the idle ones to it."""
         server = state.server
         try:
             connection = await self._pool.acquire(server.host, server.port, max_idle_s=0.0)
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -1,5 +1,8 @@
 """Selects the backend server for a request, or refuses the request with a reason.
 
+The object of a request is the data that it works on. A request to a sticky route can name it in a
+cookie; any other request has an object of its own. To run an object is to run a request for it.
+
 A server is several times faster on an object that it ran recently, because the object is still in
 its caches. Such an object is warm on the server. The first run of an object on a server is a cold
 run. A cold server has just started, or was out of use, and has lost its caches.
@@ -14,10 +17,12 @@
 from sassafrasway_gateway import model, servers
 from sassafrasway_gateway import overflow as overflow_lib
 
-# Number of servers at the top of an object's ranking that are compared. The first one has already
-# run the object, unless the object is new; on every other one the first run is a cold run.
+# Number of servers that are compared: the top of an object's ranking, without the servers that may
+# not be used now. The first one has usually run the object already, unless the object is new; on
+# every other one the first run is a cold run.
 MAX_COMPARED_SERVERS = 4
-# Service time of a cold run divided by that of a warm object.
+# Service time of a cold run divided by that of a warm object, assumed while only one of the two has
+# been measured.
 COLD_RUN_FACTOR = 3.0
 # Cost of running an object where it is not known to be warm, by rank of the server, as a multiple
 # of the service time of a warm object. A cold run occupies a slot three times as long and delays
@@ -89,6 +94,7 @@
     """Properties of a request that the selection of a server depends on.
 
     Attributes:
+        object_key: Key of the object; see ``jobs.Job``.
         region: Region of this instance.
         remaining_s: Time until the deadline of the request.
         excluded_servers: Ids of the servers that must not be selected.
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -15,7 +15,7 @@
     """Source of the names of the live instances."""
 
     def live_names(self) -> list[str]:
-        """Returns the names of all live instances, this one included."""
+        """Returns the names of the live instances that are not leaving, and of this one."""
 
 
 class ColdLimit:
@@ -23,7 +23,8 @@
 
     For each cold server, all instances select the same few instances by rendezvous hashing. Each
     selected one sends at most one request per second. Few enough are selected that the sum stays
-    below the bound even when the lists of live instances differ by a few names.
+    below the bound even when the lists of live instances differ by a few names. At least one is
+    selected, so a bound below one request per second is exceeded.
 
     Args:
         clock: Time source.
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -44,10 +44,10 @@
 
         Args:
             fingerprint_: Fingerprint of a request that the server was running.
-            server: Start of the server that crashed, as ``id/started_ms``.
+            server: Server that crashed: its id and the time of its start, as ``id/started_ms``.
         """
         now_s = self._clock.monotonic()
-        self._drop_old(now_s)
+        self._make_room(now_s)
         crash_times_s = self._crashes.setdefault(fingerprint_, {})
         if server in crash_times_s:
             return False
@@ -72,7 +72,7 @@
         """Whether the request must not be sent to another server."""
         return self.crash_event_count(fingerprint_) >= CRASHES_TO_REFUSE
 
-    def _drop_old(self, now_s: float) -> None:
+    def _make_room(self, now_s: float) -> None:
         """Makes room for another fingerprint, if necessary by dropping recent crashes too."""
         if len(self._crashes) < MAX_FINGERPRINTS:
             return
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -29,7 +29,7 @@
 # Retry-After of a request that is refused because it crashes servers.
 CRASH_RETRY_AFTER_S = 5.0
 # Delay of the check whether a server is still reachable after a broken connection or a timeout.
-CRASH_CHECK_DELAY_S = 0.05
+REACHABILITY_CHECK_DELAY_S = 0.05
 
 
 class Forwarder(http_server.Handler):
@@ -44,11 +44,11 @@
         cold_limit: Limits the requests to cold servers.
         crash_register: Record of the crashes that happened during each request.
         budget_of: Returns the retry budget of a service.
-        on_crash: Called for each new crash with the fingerprint of the request and the start of
-            the server, as ``id/started_ms``.
+        on_crash: Called for each new crash with the fingerprint of the request and the server, as
+            ``id/started_ms``.
         names: Header names.
         region: Region of this instance.
-        metrics: Counters.
+        metrics: Metrics of the process.
     """
 
     def __init__(
@@ -225,7 +225,7 @@
         self._record_result(job, log_entry.choice, result)
 
     def _on_attempt_timeout(self, job: jobs.Job, choice: balancer.Choice, elapsed_s: float) -> None:
-        """Records a slow response and checks whether the server still accepts connections."""
+        """Records the timeout and checks whether the server still accepts connections."""
         chosen = choice.state
         self._learner.on_timeout(choice, route=job.route.name, elapsed_s=elapsed_s)
         self._runner.close_idle_connections(chosen)
@@ -271,7 +271,7 @@
 
     async def _check_reachable(self, job: jobs.Job, chosen: servers.ServerState) -> bool:
         """Returns whether the server accepts connections; ejects it if not."""
-        await asyncio.sleep(CRASH_CHECK_DELAY_S)
+        await asyncio.sleep(REACHABILITY_CHECK_DELAY_S)
         if await self._runner.probe(chosen):
             return True
         self._registry.on_failure(chosen, unreachable=True)
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -151,9 +151,10 @@
         )
 
     def _caller_remaining_s(self, request: messages.Request) -> float | None:
-        """Returns the time until the caller stops waiting, or None if its header is invalid.
+        """Returns how long the caller waits for a response, or None if its header is invalid.
 
-        A caller without the header is assumed to wait without limit.
+        The time counts from the arrival of the request. A caller without the header is assumed to
+        wait without limit.
         """
         value = request.header(self._names.time_left_ms)
         if value is None:
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -22,7 +22,8 @@
         region: Name of the query parameter with the caller's region.
         failure_domain: Name of the query parameter with the caller's failure domain.
         addresses: Name of the response field with the addresses.
-        ttl: Name of the response field with the time for which the response may be cached.
+        ttl: Name of the response field with the time for which the response may be cached, as a
+            number of seconds with the suffix ``s``.
     """
 
     path = "/v1/instances"
@@ -32,7 +33,12 @@
     ttl = "ttl"
 
     def encode(self, addresses: list[str], ttl_s: float) -> bytes:
-        """Returns the body of a response."""
+        """Returns the body of a response.
+
+        Args:
+            addresses: Addresses of the instances to use, as ``host:port``.
+            ttl_s: Time for which the response may be cached.
+        """
         return msgspec.json.encode({self.addresses: addresses, self.ttl: f"{ttl_s}s"})
 
 
--- a/packages/gateway/src/sassafrasway_gateway/messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/messages.py
@@ -4,8 +4,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-# Headers that apply to a single connection, or whose value the gateway sets itself; they are not
-# forwarded.
+# Headers that are not forwarded: those that apply to a single connection, Content-Length, which the
+# gateway sets itself, and Expect, which it answers itself.
 HOP_BY_HOP = frozenset(
     {
         b"connection",
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -22,9 +22,11 @@
 
     Attributes:
         idempotent: Whether a request may run more than once.
-        timeout_s: Longest time that a caller waits; None for the default of the gateway.
-        target_latency_s: Time after which a response is worth less to the caller.
-        priority: Rank among the routes of a service; 0 is the most urgent.
+        timeout_s: Time from the arrival of a request until which attempts may start; None for the
+            default of the gateway. A running attempt gets ``jobs.ROUTE_TIMEOUT_GRACE_S`` more.
+        target_latency_s: Time after which a response is worth less to the caller. Not used by the
+            gateway.
+        priority: Rank among the routes of a service; 0 is the most urgent. Not used by the gateway.
         max_attempts: Largest number of attempts; those that could not connect do not count.
         sticky: Whether requests are assigned to servers by the object named in a cookie.
         home_regions: Regions whose servers may be used; empty allows all.
@@ -48,8 +50,10 @@
     """Settings of one service.
 
     Attributes:
-        max_connections: Connections that a server accepts from all callers together.
-        warmup_s: Time after its start for which a server is cold.
+        health_path: URL path of the health check of a server. Not used by the gateway.
+        max_connections: Connections that a server accepts from all callers together. Not used by
+            the gateway.
+        warmup_s: Time after its start for which a server is cold: slow, with empty caches.
         warmup_per_s: Requests per second that a cold server tolerates.
     """
 
@@ -89,7 +93,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServer:
-    """One start of a backend server, as the platform lists it.
+    """Backend server as the platform lists it; a restart leads to a new one under the same id.
 
     Attributes:
         slots: Number of requests that the server runs at a time.
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -36,7 +36,8 @@
         """Returns the budget of a service.
 
         The maximum number of tokens is adjusted to the current number of live instances. The
-        minimum rate is not: it depends on their number when the budget was created.
+        minimum rate is not: it depends on their number when the budget was created. If the fleet
+        grows afterwards, its instances together may exceed the bound.
         """
         bounds = self._bounds
         instances = max(1, len(self._view.live_names()))
--- a/packages/gateway/src/sassafrasway_gateway/routing.py
+++ b/packages/gateway/src/sassafrasway_gateway/routing.py
@@ -36,11 +36,11 @@
     Each request adds the weight of every service to that service's credit. The service with the
     highest credit gets the request, and the sum of the weights is deducted from its credit.
 
-    On each instance the share of each service stays within one request of its weight; a random
-    choice would need many requests to get that close. The initial credits are random, and credits
-    are kept when the policy changes. Otherwise the first requests of all instances, and all
-    requests between policy changes in quick succession, would go to the service with the highest
-    weight.
+    On each instance the number of requests to each service stays within two of the number that its
+    weight requires; a random choice would need many requests to get that close. The initial credits
+    are random, and credits are kept when the policy changes. Otherwise the first requests of all
+    instances, and all requests between policy changes in quick succession, would go to the service
+    with the highest weight.
 
     Args:
         rng: Random source of the initial credits.
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -164,12 +164,12 @@
 
     def on_rows(self, changes: feed.Changes) -> None:
         """See base class."""
-        is_first_read = not len(self._registry)
+        registry_was_empty = not len(self._registry)
         listed = set()
         for change in changes.rows:
-            if self._upsert(change, log=not is_first_read):
+            if self._upsert(change, log=not registry_was_empty):
                 listed.add(change.key)
-        if is_first_read:
+        if registry_was_empty:
             counts = collections.Counter(state.server.service for state in self._registry)
             self._log.info("server list read", row_version=changes.version, counts=dict(counts))
         for state in list(self._registry):
