--- a/packages/gateway/tests/test_affinity.py
+++ b/packages/gateway/tests/test_affinity.py
@@ -58,6 +58,7 @@
         }
         self.assertTrue(60 < len(moved) < 140, len(moved))
         reordered = make_ranking(self.listed[::-1])
+        # An instance with a smaller share moves these objects too; one with the share 1 keeps them.
         for key in moved:
             self.assertEqual(reordered.ranked(key, "north", kept_share=0.5)[0], "s6")
             self.assertEqual(reordered.ranked(key, "north")[0] == "s6", False)
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -9,7 +9,10 @@
 
 
 class BalancerTest(unittest.TestCase):
-    """Guards against selections that cause cold runs or queues while a better server exists."""
+    """Guards against selections that cause cold runs or queues while a better server exists.
+
+    Each server has 3 slots, so its queue counts as full from 9 outstanding requests on.
+    """
 
     def setUp(self):
         self.clock = clock_lib.ManualClock()
@@ -44,8 +47,8 @@
         self.assertIs(self.choose().state, self.state(1))
 
     def test_long_queue_below_the_limit_is_preferred_to_a_cold_run(self):
-        # In sila-quotes scale-2, at the peak load of a region, a fifth of its slots was occupied by
-        # cold runs of objects that had been moved away from queues.
+        # In the test run sila-quotes scale-2, at the peak load of a region, a fifth of its slots
+        # was occupied by cold runs of objects that had been moved away from queues.
         self.state(0).outstanding = 7
         self.assertIs(self.choose().state, self.state(0))
 
--- a/packages/gateway/tests/test_overflow.py
+++ b/packages/gateway/tests/test_overflow.py
@@ -35,7 +35,11 @@
         )
 
     def advance(self, seconds, *, north, south):
-        """Advances the clock while the server of each region reports this many requests."""
+        """Advances the clock while the server of each region reports this many requests.
+
+        Returns:
+            The share of the objects that stays in the region ``north``.
+        """
         for _ in range(round(seconds / 0.5)):
             self.clock.advance(0.5)
             self.registry.on_load(self.registry.get("n"), north, 0)
@@ -72,7 +76,10 @@
 
 
 class RegionalPeakTest(unittest.TestCase):
-    """Guards against a region that refuses requests while others are idle (sila-quotes scale-2)."""
+    """Guards against a region that refuses requests while others are idle.
+
+    Seen in the test run sila-quotes scale-2.
+    """
 
     def simulated_share_within_target(self):
         listed = [
--- a/packages/gateway/tests/test_retry_budgets.py
+++ b/packages/gateway/tests/test_retry_budgets.py
@@ -33,6 +33,7 @@
         step_s = 0.1
         for step in range(300):
             for instance_budgets in budgets:
+                # Instances whose share of the requests rounds to 0 get one per second each.
                 for _ in range(round(requests_per_s * step_s / instance_count) or step % 10 == 0):
                     instance_budgets.budget_of("s").on_request()
                 while instance_budgets.budget_of("s").try_retry():
