State what the crash register drops and what a disconnecting caller cancels

Unclear: the sentence in affinity.py on regions with few slots was hard to parse; the register of crashes also drops the fingerprint that is being recorded when it is full; a policy stays in force when its row is removed; a non-idempotent attempt continues when its caller disconnects. Changes: docstrings, and the names of two tests that did not say what they check (order of the servers; invalid or removed policy row).

--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -25,9 +25,9 @@
     """Orders the servers of one service by weighted rendezvous hashing.
 
     The servers of the forwarding instance's region come first for as many objects as the slots of
-    that region allow. A region that has fewer slots than its share of the callers requires hands
-    over a fixed share of its objects to the regions with spare slots, independent of the current
-    load. A region's share of the callers is taken to be its share of the failure domains.
+    that region allow. If a region has fewer slots than its share of the callers requires, a fixed
+    share of its objects goes to the regions with spare slots, independent of the current load. A
+    region's share of the callers is taken to be its share of the failure domains.
 
     Args:
         servers: Servers of the service that may be used.
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -73,7 +73,10 @@
         return self.crash_event_count(fingerprint_) >= CRASHES_TO_REFUSE
 
     def _make_room(self, now_s: float) -> None:
-        """Makes room for another fingerprint, if necessary by dropping recent crashes too."""
+        """Drops fingerprints if the register is full, even that of the crash to be recorded.
+
+        Those with only old crashes are dropped first, then those that were recorded first.
+        """
         if len(self._crashes) < MAX_FINGERPRINTS:
             return
         for key in list(self._crashes):
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -149,7 +149,10 @@
     async def _attempt(
         self, job: jobs.Job, choice: balancer.Choice
     ) -> attempt.AttemptResult | None:
-        """Runs one attempt; returns None if it does not finish by the server's deadline."""
+        """Runs one attempt; returns None if it does not finish by the server's deadline.
+
+        If the caller disconnects, the attempt is cancelled only if the request is idempotent.
+        """
         chosen = choice.state
         now_s = time.monotonic()
         if chosen.cold_until_s > now_s or chosen.on_trial:
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -49,6 +49,8 @@
 class PolicyState(follower.Listener):
     """The policy in force and the evacuated failure domains.
 
+    A policy stays in force when its row is removed.
+
     Args:
         decoder: Decodes rows.
         registry: Servers; receives the evacuated failure domains and the warm-up times.
--- a/packages/gateway/tests/test_affinity.py
+++ b/packages/gateway/tests/test_affinity.py
@@ -21,7 +21,7 @@
             for index, domain in enumerate(["a-1", "a-1", "a-2", "a-2", "a-2", "a-2", "b-1"])
         ]
 
-    def test_order_of_the_listing_does_not_matter(self):
+    def test_order_of_the_servers_does_not_change_the_ranking(self):
         ranking = make_ranking(self.listed)
         reordered = make_ranking(self.listed[::-1])
         for key in map(str, range(50)):
--- a/packages/gateway/tests/test_state.py
+++ b/packages/gateway/tests/test_state.py
@@ -59,7 +59,7 @@
             self.state.on_change(change("policy", value))
         self.assertEqual([policy.version for policy in self.applied], [5])
 
-    def test_invalid_row_keeps_the_policy_in_force(self):
+    def test_policy_stays_in_force_after_an_invalid_or_removed_row(self):
         self.state.on_change(change("policy", b"5"))
         self.state.on_change(change("policy", b"bad"))
         self.state.on_change(change("policy", None))
