--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -49,6 +49,8 @@
 class PolicyState(follower.Listener):
     """The policy in force and the evacuated failure domains.
 
+    A policy stays in force when its row is removed.
+
     Args:
         decoder: Decodes rows.
         registry: Servers; receives the evacuated failure domains and the warm-up times.
@@ -164,12 +166,12 @@
 
     def on_rows(self, changes: feed.Changes) -> None:
         """See base class."""
-        is_first_read = not len(self._registry)
+        registry_was_empty = not len(self._registry)
         listed = set()
         for change in changes.rows:
-            if self._upsert(change, log=not is_first_read):
+            if self._upsert(change, log=not registry_was_empty):
                 listed.add(change.key)
-        if is_first_read:
+        if registry_was_empty:
             counts = collections.Counter(state.server.service for state in self._registry)
             self._log.info("server list read", row_version=changes.version, counts=dict(counts))
         for state in list(self._registry):
