Correct docstrings of the gateway's transport modules and rename ambiguous locals

Several docstrings left out a condition that the code has: when announcements are sent, which member is pinged at random, which outages count as local, which responses an exchange skips, and from when a pipelined request is timed. "reading" and "labels" each named two different things. The wire format of the peer messages depends on the order of their fields, which nothing said.

--- a/packages/gateway/src/sassafrasway_gateway/admin.py
+++ b/packages/gateway/src/sassafrasway_gateway/admin.py
@@ -30,7 +30,7 @@
 
 
 class AdminHandler(http_server.Handler):
-    """Serves the metrics and a dump of the state of the process.
+    """Serves the metrics at ``/metrics`` and the state of the process, as JSON, at ``/state``.
 
     Args:
         metrics: Metrics of the process.
--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -12,10 +12,10 @@
 class VersionAnnouncer:
     """Decides when table versions are announced, and to which instances.
 
-    An instance that reads the store announces the tables that it reads at regular intervals, and
-    immediately when it can no longer read one of them, so that other instances take over. An
-    instance that does not read the store announces versions that it has received from elsewhere if
-    the readers of its region do not have them yet.
+    An instance that reads the store announces the tables that it reads at regular intervals. It
+    does so immediately when it has a new version, and when it can no longer read one of them, so
+    that other instances take over. An instance that does not read the store announces versions that it has received from
+    elsewhere once, if the readers of its region do not have them yet.
 
     Args:
         followers: Followers of the tables, by table name.
@@ -34,7 +34,8 @@
         self._role = role
         self._send = send
         self._last_versions = self.versions()
-        self._last_reading: dict[str, int] = {}
+        # Versions of the tables that this instance read from the store at the last update.
+        self._last_read_versions: dict[str, int] = {}
         self._last_sent_s = 0.0
 
     def versions(self) -> dict[str, int]:
@@ -52,7 +53,7 @@
         versions = self.versions()
         changed = versions != self._last_versions
         self._last_versions = versions
-        reading = {
+        read_versions = {
             name: versions[name]
             for name, table_follower in self._followers.items()
             if table_follower.reading
@@ -60,13 +61,14 @@
         # A follower that stopped reading without an outage has not lost its table: it is about to
         # poll again, or receives the rows from other instances.
         lost = any(
-            name not in reading and self._followers[name].in_outage for name in self._last_reading
+            name not in read_versions and self._followers[name].in_outage
+            for name in self._last_read_versions
         )
-        self._last_reading = reading
+        self._last_read_versions = read_versions
         now_s = time.monotonic()
         due = now_s - self._last_sent_s >= relay.BEACON_INTERVAL_S
-        if lost or (reading and (changed or due)):
-            self._send(self._role.recipients(changed=changed), reading)
+        if lost or (read_versions and (changed or due)):
+            self._send(self._role.recipients(changed=changed), read_versions)
             self._last_sent_s = now_s
-        elif not reading and changed and self._role.is_ahead_of_readers(versions):
+        elif not read_versions and changed and self._role.is_ahead_of_readers(versions):
             self._send(self._role.recipients(changed=False), versions)
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -9,7 +9,8 @@
 PING_INTERVAL_S = 0.5
 # Number of ping intervals within which a member must answer a ping.
 MISSED_PINGS = 3
-# Time in which a member must answer after another instance has reported it as unreachable.
+# Time in which a member must answer after another instance has reported it as unreachable, or after
+# a pause of this process.
 SUSPECT_TIMEOUT_S = 1.0
 # A message with a lower incarnation is ignored for this long after the last accepted message of the
 # member, because it may be a late datagram from before a restart.
@@ -135,7 +136,7 @@
             entry.member = member
 
     def on_message(self, member: Member, *, contact_s: float = 0.0) -> bool:
-        """Records a message from the member itself.
+        """Records a message from the member itself; an outdated one is ignored.
 
         Args:
             member: Description in the message.
@@ -178,10 +179,11 @@
         return entry.member
 
     def store_answered_peers(self, outage_s: float) -> bool:
-        """Whether another instance received the store's changes throughout an outage.
+        """Whether another instance kept receiving the store's changes during an outage.
 
-        A member's last message counts only if it arrived clearly after the outage began, because an
-        earlier one does not show that the member was unaffected.
+        It must have received them since before the outage began, and its last message must have
+        arrived more than ``MAX_TICK_GAP_S`` after that, because an earlier message does not show
+        that it was unaffected.
 
         Args:
             outage_s: Duration of the outage, which ends now, s.
@@ -225,7 +227,8 @@
         """Returns the members to ping.
 
         These are the next live member in a ring that is ordered by region and failure domain, one
-        random member, live or not, and all live members that have not answered yet.
+        random member, live or not, and all live members that have not answered yet. The random one
+        is of this region or, in every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
         """
         targets = {}
         live = [entry.member for entry in self._entries.values() if entry.alive]
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -17,7 +17,7 @@
 from sassafrasway_gateway import messages
 
 CONNECT_TIMEOUT_S = 0.25
-# Idle connections are closed this long before the server would close them.
+# Idle connections are no longer reused this long before the server would close them.
 IDLE_MARGIN_S = 1.0
 # Longest idle time of a connection whose server has not sent a Keep-Alive header.
 DEFAULT_IDLE_LIMIT_S = 5.0
@@ -38,7 +38,8 @@
     """The request was sent, but no valid response arrived.
 
     Attributes:
-        closed: Whether the connection was closed, as opposed to carrying invalid bytes.
+        closed: Whether the connection ended before a complete response, as opposed to carrying an
+            invalid one, one that is too large or one to another request.
     """
 
     def __init__(self, message: str, *, step: str, peer: str, closed: bool):
@@ -125,7 +126,8 @@
 
         Args:
             request: Request with its final headers, without framing headers.
-            echo: Header that identifies the response; responses with another value are skipped.
+            echo: Header that identifies the response; responses with another value are skipped, but
+                one without the header is accepted.
 
         Raises:
             ExchangeError: The request was sent, but no valid response arrived.
@@ -299,7 +301,8 @@
         local_host: Local address to connect from; empty to let the system choose it.
 
     Raises:
-        ConnectError: The server refused the connection or did not accept it in time.
+        ConnectError: The connection failed, for example because the server refused it, or was not
+            open in time.
     """
     loop = asyncio.get_running_loop()
     peer = f"{host}:{port}"
@@ -340,7 +343,8 @@
         Args:
             host: Address of the server.
             port: Its port.
-            max_idle_s: Longest time for which a reused connection may have been idle.
+            max_idle_s: Longest time for which a reused connection may have been idle; None for the
+                server's limit only.
             timeout_s: Timeout for opening a connection.
 
         Raises:
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -30,7 +30,10 @@
 def text_response(
     status: int, text: str = "", *, retry_after_s: float | None = None
 ) -> messages.Response:
-    """Builds a plain text response, with a Retry-After header if ``retry_after_s`` is given."""
+    """Builds a plain text response, with a Retry-After header if ``retry_after_s`` is given.
+
+    The header has fractions of a second, unlike the whole seconds of RFC 9110.
+    """
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
     if retry_after_s is not None:
         headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
@@ -55,7 +58,8 @@
         self._head: h11.Request | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
-        # Monotonic time of the first byte of the request that is being read; 0 if there is none.
+        # Monotonic time of the first byte of the request that is being read, or of the end of the
+        # previous response if the byte arrived before that; 0 if no request is being read.
         self._started_s = 0.0
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
--- a/packages/gateway/src/sassafrasway_gateway/logs.py
+++ b/packages/gateway/src/sassafrasway_gateway/logs.py
@@ -40,7 +40,7 @@
         return self._dropped
 
     def write_line(self, line: bytes) -> None:
-        """Writes a line or drops it."""
+        """Appends a line feed to a line and writes it, or drops it."""
         second = int(time.monotonic())
         if second != self._second:
             self._second = second
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -23,18 +23,18 @@
     def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
         self._help_text = help_text
-        self._labels = tuple(labels)
+        self._label_names = tuple(labels)
         self._values: dict[tuple[str, ...], float] = {}
 
-    def add(self, *labels: str, by: float = 1.0) -> None:
+    def add(self, *label_values: str, by: float = 1.0) -> None:
         """Increments the counter for the given label values."""
-        self._values[labels] = self._values.get(labels, 0.0) + by
+        self._values[label_values] = self._values.get(label_values, 0.0) + by
 
     def render(self) -> list[str]:
         """Returns the lines of the exposition format."""
         lines = [f"# HELP {self._name} {self._help_text}", f"# TYPE {self._name} counter"]
-        for labels, value in sorted(self._values.items()):
-            lines.append(f"{self._name}{_format_labels(self._labels, labels)} {value:g}")
+        for label_values, value in sorted(self._values.items()):
+            lines.append(f"{self._name}{_format_labels(self._label_names, label_values)} {value:g}")
         return lines
 
 
@@ -50,31 +50,31 @@
     def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
         self._help_text = help_text
-        self._labels = tuple(labels)
+        self._label_names = tuple(labels)
         self._counts: dict[tuple[str, ...], list[int]] = {}
         self._sums: dict[tuple[str, ...], float] = {}
 
-    def observe(self, seconds: float, *labels: str) -> None:
+    def observe(self, seconds: float, *label_values: str) -> None:
         """Records a duration for the given label values."""
-        counts = self._counts.get(labels)
+        counts = self._counts.get(label_values)
         if counts is None:
             counts = [0] * (len(LATENCY_BOUNDS_S) + 1)
-            self._counts[labels] = counts
+            self._counts[label_values] = counts
         counts[bisect.bisect_left(LATENCY_BOUNDS_S, seconds)] += 1
-        self._sums[labels] = self._sums.get(labels, 0.0) + seconds
+        self._sums[label_values] = self._sums.get(label_values, 0.0) + seconds
 
     def render(self) -> list[str]:
         """Returns the lines of the exposition format."""
         lines = [f"# HELP {self._name} {self._help_text}", f"# TYPE {self._name} histogram"]
-        bucket_labels = (*self._labels, "le")
-        for labels, counts in sorted(self._counts.items()):
+        bucket_label_names = (*self._label_names, "le")
+        for label_values, counts in sorted(self._counts.items()):
             total = 0
             for bound, count in zip((*LATENCY_BOUNDS_S, "+Inf"), counts, strict=True):
                 total += count
-                label_text = _format_labels(bucket_labels, (*labels, str(bound)))
+                label_text = _format_labels(bucket_label_names, (*label_values, str(bound)))
                 lines.append(f"{self._name}_bucket{label_text} {total}")
-            label_text = _format_labels(self._labels, labels)
-            lines.append(f"{self._name}_sum{label_text} {self._sums[labels]:g}")
+            label_text = _format_labels(self._label_names, label_values)
+            lines.append(f"{self._name}_sum{label_text} {self._sums[label_values]:g}")
             lines.append(f"{self._name}_count{label_text} {total}")
         return lines
 
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -1,4 +1,7 @@
-"""Messages that instances exchange in UDP datagrams."""
+"""Messages that instances exchange in UDP datagrams.
+
+They are encoded as MessagePack arrays, so the order of their fields is part of the format.
+"""
 
 import msgspec
 
@@ -8,7 +11,11 @@
 class Hello(msgspec.Struct, array_like=True, tag="h", frozen=True):
     """Describes the sender; used as ping, as reply to a ping, and to announce a new phase.
 
+    The same encoding is the row of an instance in the table of members. The fields that are not
+    listed here are those of ``fleet.Member``.
+
     Attributes:
+        phase: Number of the phase, see ``fleet.Phase``.
         reply: Whether the receiver should reply.
         versions: Newest version of each followed table that the sender has.
         contact_ms: How long the sender has received the store's changes without an outage, ms; 0
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -336,7 +336,8 @@
     def _on_reload(self) -> None:
         """Applies new bounds and failure domains; other settings need a restart.
 
-        The lifetime of lookups (``lookup_ttl_s``) needs a restart too.
+        The lifetime of lookups (``lookup_ttl_s``) needs a restart too. The log line names all
+        settings that differ from those in force, also those that need a restart.
         """
         try:
             config = self._load_settings()
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -212,10 +212,10 @@
     """Latest table versions announced by an instance.
 
     Attributes:
-        received_s: Time at which the latest announcement was received.
-        first_announced_s: Time at which the current version of each table was first announced. A
-            hint is used only after a delay, as the readers of this region may soon announce the
-            same version.
+        received_s: Monotonic time at which the latest announcement was received.
+        first_announced_s: Monotonic time at which the current version of each table was first
+            announced. A hint is used only after a delay, as the readers of this region may soon
+            announce the same version.
     """
 
     host: str
@@ -239,7 +239,8 @@
         self._hints: dict[str, _Announcement] = {}
         self._started_s = time.monotonic()
         self._last_announced_s: dict[str, float] = {}
-        # Time at which the last reader of a table announced that it can no longer read it.
+        # Monotonic time at which the last reader of a table announced that it can no longer read
+        # it.
         self._readers_lost_s: dict[str, float] = {}
         self._announcement_received = asyncio.Event()
 
@@ -301,8 +302,9 @@
     def choose_source(self, table_name: str, version: int) -> str | None:
         """Returns the host of an instance with the newest version of a table, or None.
 
-        The choice among instances with the same version is random, which spreads the load of a
-        region over them.
+        Hints are considered only if no announcement of this region has a newer version than this
+        instance. The choice among instances with the same version is random, which spreads the load
+        of a region over them.
 
         Args:
             table_name: Table to fetch.
@@ -361,11 +363,11 @@
         return time.monotonic() > self._readers_lost_s.get(table_name, expiry_s) + takeover_delay_s
 
     def recipients(self, *, changed: bool) -> list[fleet.Member]:
-        """Returns the instances to which an announcement is sent.
+        """Returns the instances to which an announcement is sent: all live ones of this region.
 
         Args:
-            changed: Whether it contains a new version, which is then also sent to some instances of
-                each other region.
+            changed: Whether it contains a new version, which is then also sent to
+                ``RECIPIENTS_PER_REMOTE_REGION`` instances of each other region.
         """
         region = self._view.own.region
         live = self._view.live_members()
--- a/packages/gateway/src/sassafrasway_gateway/table_cache.py
+++ b/packages/gateway/src/sassafrasway_gateway/table_cache.py
@@ -54,7 +54,7 @@
         return feed.Changes(rows=list(self._rows.values()), version=self._version)
 
     def since(self, version: int) -> feed.Changes | None:
-        """Returns the changes after a version, or None if they are no longer available."""
+        """Returns the changes after a version, or None if not all of them are available."""
         if version < self._complete_after:
             return None
         rows = [row for row in self._recent if row.version > version]
