--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -14,8 +14,8 @@
 
     An instance that reads the store announces the tables that it reads at regular intervals. It
     does so immediately when it has a new version, and when it can no longer read one of them, so
-    that other instances take over. An instance that does not read the store announces versions that it has received from
-    elsewhere once, if the readers of its region do not have them yet.
+    that other instances take over. An instance that does not read the store announces versions that
+    it has received from elsewhere once, if the readers of its region do not have them yet.
 
     Args:
         followers: Followers of the tables, by table name.
