--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -19,7 +19,10 @@
 
     @abc.abstractmethod
     async def handle(self, request: messages.Request) -> messages.Response:
-        """Returns the response; the call is cancelled if the caller disconnects."""
+        """Returns the response.
+
+        The call is cancelled if the caller closes the connection, also if only for sending.
+        """
 
     @property
     def limits(self) -> model.Limits:
--- a/packages/gateway/tests/test_http_client.py
+++ b/packages/gateway/tests/test_http_client.py
@@ -9,13 +9,16 @@
 
 from sassafrasway_gateway import http_client, messages
 
-ID = gateway_fakes.NAMES.request_id
+REQUEST_ID_HEADER = gateway_fakes.NAMES.request_id
 
 
 def make_request(request_id=b"1", body=b""):
     """Returns a request with an id."""
     return messages.Request(
-        method=b"POST", target=b"/p/1", headers=[(b"Host", b"h"), (ID, request_id)], body=body
+        method=b"POST",
+        target=b"/p/1",
+        headers=[(b"Host", b"h"), (REQUEST_ID_HEADER, request_id)],
+        body=body,
     )
 
 
@@ -35,7 +38,7 @@
 
     async def exchange(self, request_id=b"1", body=b""):
         connection = await self.pool.acquire("127.0.0.1", self.server.port)
-        echo = http_client.EchoedId(name=ID, value=request_id)
+        echo = http_client.EchoedId(name=REQUEST_ID_HEADER, value=request_id)
         try:
             async with asyncio.timeout(2):
                 return await connection.exchange(make_request(request_id, body), echo=echo)
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -66,9 +66,9 @@
         self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MAX_TAKEOVERS)
 
     def test_another_instance_takes_over_a_table_that_its_readers_lost(self):
-        # One region, trouble-1 --seed 427345455261, broke CONFIG: both readers were cut off from
-        # the store. Their polls of one table had timed out, but they kept announcing both tables
-        # until the polls of the other table timed out too, so no instance took over.
+        # Load test trouble-1 --seed 427345455261 with one region broke CONFIG: both readers were
+        # cut off from the store. Their polls of one table had timed out, but they kept announcing
+        # both tables until the polls of the other table timed out too, so no instance took over.
         roles = make_roles(6)
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
@@ -83,8 +83,9 @@
                 role.on_beacon("i1", "i1", "north", {"servers": 1})
             self.assertTrue(all(role.has_recent_announcement("servers") for role in roles))
             now.return_value = 100.2
-            # trakia-arhiv hunt-edd6-15 broke DRAIN: the outage was counted from the moment of the
-            # loss, so a change of readers lasted long enough for removed servers to be kept.
+            # Load test trakia-arhiv hunt-edd6-15 broke DRAIN: the outage was counted from the
+            # moment of the loss, so a change of readers lasted long enough for removed servers to
+            # be kept.
             self.assertTrue(all(role.has_recent_announcement("op") for role in roles))
             reading = {
                 name: sum(role.is_reader(name) for role in roles) for name in ("op", "servers")
@@ -95,17 +96,20 @@
         self.assertEqual(reading, expected)
 
     def test_polls_are_short_in_a_fleet_with_a_single_region(self):
-        # One region, trouble-1 --seed 427345455261, broke CONFIG: the readers noticed after 1.7 s
-        # that they were cut off from the store, and could have taken up to 5.5 s, but a policy must
-        # be in force 2.5 s after its acknowledgement.
+        # Load test trouble-1 --seed 427345455261 with one region broke CONFIG: the readers noticed
+        # after 1.7 s that they were cut off from the store, and could have taken up to 5.5 s, but a
+        # policy must be in force 2.5 s after its acknowledgement.
         role = make_roles(3)[0]
-        single = role.poll_times()
+        single_region_times = role.poll_times()
         longest_s = (
-            single.wait_s + single.margin_s + relay.TAKEOVER_INTERVAL_S + follower.BATCH_INTERVAL_S
+            single_region_times.wait_s
+            + single_region_times.margin_s
+            + relay.TAKEOVER_INTERVAL_S
+            + follower.BATCH_INTERVAL_S
         )
         self.assertLess(longest_s, 2.5)
         role._view.on_message(test_fleet.make_member("far", region="south"))
-        self.assertGreater(role.poll_times().wait_s, single.wait_s)
+        self.assertGreater(role.poll_times().wait_s, single_region_times.wait_s)
 
     def test_source_is_the_instance_with_the_newest_version(self):
         role = make_roles(3)[0]
@@ -115,8 +119,8 @@
         self.assertIsNone(role.choose_source("op", 7))
 
     def test_sources_with_the_same_version_share_the_fetches(self):
-        # trakia-arhiv-grown scale-1 --seed 130896731222: all instances of a region fetched from the
-        # same small instance.
+        # Load test trakia-arhiv-grown scale-1 --seed 130896731222: all instances of a region
+        # fetched from the same small instance.
         role = make_roles(3)[0]
         role.on_beacon("i1", "host1", "north", {"op": 7})
         role.on_beacon("i2", "host2", "north", {"op": 7})
@@ -189,9 +193,9 @@
         self.assertEqual(encode.call_count, 1)
 
     async def test_large_policy_is_compressed(self):
-        # sila-quotes-grown mix --seed 120251547929 broke DENIED, CONFIG and HOME: sending a large
-        # policy to 40 instances saturated the link of the one that served it, and aborted transfers
-        # added to that load.
+        # Load test sila-quotes-grown mix --seed 120251547929 broke DENIED, CONFIG and HOME: sending
+        # a large policy to 40 instances saturated the link of the one that served it, and aborted
+        # transfers added to that load.
         policy = b'{"Name": "route", "Host": "h.example", "Service": "desk"}' * 1000
         self.cache.replace(
             feed.Changes(rows=[feed.Change(key="a", value=policy, version=1)], version=3)
--- a/packages/gateway/tests/test_table_cache.py
+++ b/packages/gateway/tests/test_table_cache.py
@@ -35,10 +35,10 @@
         self.assertIsNone(self.cache.since(6))
 
     def test_replaced_table_is_available_as_changes(self):
-        # trakia-arhiv-grown scale-1 --seed 130896731222 broke the rules CONFIG (a new policy is in
-        # force in time) and DRAIN (no requests to a server that has left): after the store dropped
-        # its change history, 45 instances fetched the whole table from one instance, and their
-        # fetches timed out for seconds.
+        # Load test trakia-arhiv-grown scale-1 --seed 130896731222 broke the rules CONFIG (a new
+        # policy is in force in time) and DRAIN (no requests to a server that has left): after the
+        # store dropped its change history, 45 instances fetched the whole table from one instance,
+        # and their fetches timed out for seconds.
         rows = [change("a", b"1", 3), change("b", b"2", 4)]
         self.cache.apply(feed.Changes(rows=rows[1:], version=6))
         self.cache.replace(
