Complete the docstrings of the stand-ins and launcher and rename ambiguous names

Docstrings of public classes lacked arguments, attributes and errors, and some statements did not match the code: visibility order of the stand-in instance list, the request phase that a backend record covers, which bytes the link counter counts, the selection of the health timeout, and what the settle time of the real-process tests covers.

Renamed: _warm_since_s to _warm_up_start_s (it is when the warm-up starts), last_region to region_number (it is not the last one), PROBE_INTERVAL_S of link to CONNECT_RETRY_INTERVAL_S, POLL_S of launcher to HEALTH_POLL_S, LOAD_START_S and END_TIMEOUT_S of demo to LOAD_STARTUP_S and LOAD_END_TIMEOUT_S, _starts to _start_counts, and two tests whose names did not say what they check. The timeout error of the operator tool names the command and the timeout.

--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -73,7 +73,12 @@
 
 
 class Recorder:
-    """Writes records as JSON lines; the stream is expected to flush after each line."""
+    """Writes records as JSON lines.
+
+    Args:
+        stream: Stream that flushes after each line, so that no record is lost when the process is
+            killed; None discards the records.
+    """
 
     def __init__(self, *, stream: TextIO | None):
         self._stream = stream
@@ -104,7 +109,7 @@
         self._crashes = 0
         self._in_use = 0
         self._busy_until_s = 0.0
-        self._warm_since_s: float | None = None
+        self._warm_up_start_s: float | None = None
         self._last_request_s = 0.0
         self._stats = dict.fromkeys(
             ("runs", "sheds", "probes", "accepted", "refused_connections", "max_in_use"), 0
@@ -169,7 +174,10 @@
             self._leaving_since_s = time.monotonic()
 
     def crash(self) -> None:
-        """Aborts all connections and stops listening for ``restart_s``."""
+        """Aborts all connections and stops listening for ``restart_s``.
+
+        Does nothing if the server has not restarted after an earlier crash yet.
+        """
         if self._restarting is not None:
             return
         self._crashes += 1
@@ -179,7 +187,7 @@
 
     async def _restart(self) -> None:
         await asyncio.sleep(self._settings.restart_s)
-        self._warm_since_s = None
+        self._warm_up_start_s = None
         self._restarting = None
         await self.start()
 
@@ -282,13 +290,16 @@
                 from the distribution of the server.
         """
         now_s = time.monotonic()
-        if self._warm_since_s is None or now_s - self._last_request_s > self._settings.idle_cold_s:
-            self._warm_since_s = now_s
+        if (
+            self._warm_up_start_s is None
+            or now_s - self._last_request_s > self._settings.idle_cold_s
+        ):
+            self._warm_up_start_s = now_s
         self._last_request_s = now_s
         service_s = self._settings.mean_ms / 1000 if requested_s is None else requested_s
         if requested_s is None and self._settings.distribution == "exponential" and service_s > 0:
             service_s = self._rng.expovariate(1 / service_s)
-        warm_fraction = min(1.0, (now_s - self._warm_since_s) / max(self._settings.cold_s, 1e-9))
+        warm_fraction = min(1.0, (now_s - self._warm_up_start_s) / max(self._settings.cold_s, 1e-9))
         cold_factor = 1 + (self._settings.cold_factor - 1) * (1 - warm_fraction)
         return service_s * cold_factor * self._behaviour.slow
 
@@ -301,13 +312,13 @@
 
 
 class _Run:
-    """One request at a server, from its arrival until its record is written.
+    """One request at a server, from the receipt of its body until its record is written.
 
     Args:
         server: Server that received the request.
         request: The request.
         body: Body of the request.
-        in_use: Number of slots in use when the request arrived.
+        in_use: Number of slots in use when the body had been received.
     """
 
     def __init__(
@@ -329,7 +340,13 @@
         return None if value is None else float(value) / 1000
 
     def record(self, outcome: str) -> None:
-        """Writes the record of the request; only the first call has an effect."""
+        """Writes the record of the request; only the first call has an effect.
+
+        Args:
+            outcome: ``ok``, ``deadline`` (the deadline passed while the request ran), ``cancelled``
+                (its connection was closed), ``crashed``, or without having run ``shed`` (no slot
+                was free) or ``expired`` (the deadline had passed on arrival).
+        """
         if self._is_recorded:
             return
         self._is_recorded = True
@@ -354,7 +371,7 @@
         )
 
     def response(self, headers: dict[str, str]) -> web.Response:
-        """Returns the response, padded to the ``size`` that the query asks for."""
+        """Returns the response, padded to the ``size`` in bytes that the query asks for."""
         content = {
             "digest": self._digest,
             "request_id": self._request.headers.get("Sassafras-Request-Id", ""),
--- a/packages/standins/src/sassafrasway_standins/backend_connections.py
+++ b/packages/standins/src/sassafrasway_standins/backend_connections.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-KEEPALIVE_S = 600.0
+KEEPALIVE_S = 600.0  # entry instances close idle connections earlier, after 5 s
 
 
 class RefusingProtocol(asyncio.Protocol):
@@ -21,7 +21,8 @@
 class HttpServer(web.Server):
     """aiohttp server that tracks new and silent connections.
 
-    A silent connection stays open, but its requests are never answered.
+    A silent connection stays open, but its requests are never answered. Methods take a connection
+    as its aiohttp protocol object, ``request.protocol``.
     """
 
     def __init__(self, handler: Callable[[web.BaseRequest], Any]):
--- a/packages/standins/src/sassafrasway_standins/backend_process.py
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -73,7 +73,20 @@
 def build_servers(
     data: Mapping[str, Any], *, recorder: backend.Recorder
 ) -> dict[str, backend.BackendServer]:
-    """Builds the servers of a settings file; returns them by name."""
+    """Builds the servers of a settings file.
+
+    Args:
+        data: Contents of the file: ``servers`` (tables with the fields of
+            ``backend.ServerSettings``), and optionally ``delays`` and ``seed``.
+        recorder: Receives the records of all servers.
+
+    Returns:
+        The servers by name; none is listening yet.
+
+    Raises:
+        KeyError: The list of servers, or the name of a server, is missing.
+        TypeError: Another required field of a server is missing, or a field is unknown.
+    """
     delays = network.Delays.parse(data.get("delays", {}))
     seeds = itertools.count(int(data.get("seed", 0)))
     servers = {}
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -26,11 +26,11 @@
     tally,
 )
 
-LOAD_PARTS = 2
-LOAD_START_S = 1.5  # load processes take about a second to start
+LOAD_PARTS = 2  # number of load processes
+LOAD_STARTUP_S = 1.5  # load processes take about a second to start
 SHIFT_CAP_RPS = 20.0
 SHIFT_PACE_PER_S = 0.1  # growth of the shifted fraction of requests per second
-END_TIMEOUT_S = 30.0
+LOAD_END_TIMEOUT_S = 30.0  # added to the duration of the load
 SERVICE = "crew-desk"
 
 
@@ -46,7 +46,13 @@
 
 
 class Demo:
-    """The steps of the demonstration on a running cluster."""
+    """The steps of the demonstration on a running cluster.
+
+    Args:
+        cluster: The running cluster.
+        load_factor: Offered load; 1.0 occupies all slots.
+        seed: Seed of the arrivals.
+    """
 
     def __init__(self, *, cluster: launcher.Cluster, load_factor: float, seed: int):
         self._cluster = cluster
@@ -62,11 +68,13 @@
         """Runs all steps.
 
         Returns:
-            Whether requests were sent, none ran twice or was lost, and no rule was violated.
+            Whether requests were sent, none ran twice or was lost, and no rule of the history
+            checker was violated.
 
         Raises:
             processes.ProcessError: An instance, load process or command failed.
             aiohttp.ClientError: A lookup or control request failed.
+            TimeoutError: A lookup or control request was not answered in time.
         """
         await self._apply_policy()
         plan = self._make_plan()
@@ -88,7 +96,7 @@
         self._print_step("all entry instances are ready")
 
     def _make_plan(self) -> load.Plan:
-        self._load_start_s = time.monotonic() + LOAD_START_S
+        self._load_start_s = time.monotonic() + LOAD_STARTUP_S
         site, layout = self._cluster.site, self._layout
         return load.Plan(
             entries=[
@@ -106,6 +114,7 @@
                 )
                 for service in layout.services
             },
+            # IPv4 blocks only; of several blocks of a region, the last one is used.
             blocks={region: cidr for cidr, region in site.client_blocks.items() if "." in cidr},
             client_ms=layout.client_ms,
             region_ms=layout.region_ms,
@@ -128,7 +137,7 @@
         try:
             yield
             for child in children:
-                code = await child.wait(timeout_s=self._schedule.end_s + END_TIMEOUT_S)
+                code = await child.wait(timeout_s=self._schedule.end_s + LOAD_END_TIMEOUT_S)
                 if code != 0:
                     raise processes.ProcessError(f"{child.name} failed:\n{child.tail()}")
         finally:
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -12,7 +12,8 @@
 # An instance that stops keeps serving until cached lookups and tickets have expired and no request
 # is in flight.
 REPLACE_TIMEOUT_S = 60.0
-# Longer than the lease of a coordinator (3 s) and the validity of grants (2 s).
+# Minimum duration of pauses and region cuts; longer than the lease of a coordinator (3 s) and the
+# validity of grants (2 s).
 MIN_LENGTH_S = 6.0
 LOOKUP_TIMEOUT_S = 2.0
 
@@ -23,7 +24,8 @@
 
     Attributes:
         cluster: Cluster that the fault is injected into.
-        length_s: Duration in seconds of faults that do not end by themselves.
+        length_s: Duration in seconds of faults that do not end by themselves; pauses and region
+            cuts last at least ``MIN_LENGTH_S``.
     """
 
     cluster: launcher.Cluster
@@ -68,7 +70,11 @@
 
 
 class Fault(abc.ABC):
-    """A fault that can be injected into a cluster."""
+    """A fault that can be injected into a cluster.
+
+    Attributes:
+        name: Name of the fault on the command line and in the records.
+    """
 
     name = ""
 
@@ -76,6 +82,13 @@
         """Records the injection of the fault, runs the fault and records its end.
 
         A permanent fault (see the subclasses) goes on after the recorded end.
+
+        Raises:
+            RuntimeError: No instance answered the lookup of a pool owner, or an instance did not
+                stop gracefully.
+            processes.ProcessError: An instance did not start, become ready or end in time.
+            aiohttp.ClientError: The connection to an instance or a stand-in failed.
+            TimeoutError: An instance or a stand-in did not answer in time.
         """
         context.record_phase(self.name, history.INJECTED)
         await self._inject(context)
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -18,7 +18,7 @@
 
 from sassafrasway_standins import history, layouts, processes
 
-POLL_S = 0.05
+HEALTH_POLL_S = 0.05
 START_TIMEOUT_S = 60.0  # starting 16 instances takes 16 s on a busy machine
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 60.0
@@ -56,6 +56,9 @@
 class Cluster:
     """A cluster of running processes; created by ``running``.
 
+    Methods that send requests to a process raise ``aiohttp.ClientError`` if this fails and
+    ``TimeoutError`` if the process does not answer in time, unless stated otherwise.
+
     Args:
         site: Layout with addresses.
         directory: Existing directory for settings, logs and records.
@@ -76,7 +79,7 @@
         self._options = options
         self._session = session
         self._children: dict[str, processes.ChildProcess] = {}
-        self._starts: dict[str, int] = {}
+        self._start_counts: dict[str, int] = {}
         self._listed_states: dict[str, str] = {}
         self._backend_controls: dict[str, list[str]] = {}
         self._link_controls: list[str] = []
@@ -115,7 +118,7 @@
         await _gather_or_cancel(self.start_entry(name) for name in self.site.instances)
 
     async def stop(self) -> None:
-        """Collects the byte counts of the links and kills all processes."""
+        """Collects the byte counts of the links, if possible, and kills all processes."""
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             await self.collect_link_bytes()
         await asyncio.gather(*(child.kill() for child in self._children.values()))
@@ -123,6 +126,9 @@
     async def wait_ready(self, names: Iterable[str] | None = None) -> None:
         """Waits until entry instances are ready to serve, which requires a policy.
 
+        Args:
+            names: Names of the instances; None for all that are running.
+
         Raises:
             processes.ProcessError: An instance ended or did not become ready in time.
         """
@@ -137,7 +143,7 @@
         Raises:
             processes.ProcessError: The instance ended or did not answer in time.
         """
-        number = self._starts[name] = self._starts.get(name, 0) + 1
+        number = self._start_counts[name] = self._start_counts.get(name, 0) + 1
         record_file = self.records / f"{name}.{number}.jsonl"
         settings = self.site.entry_settings(
             name,
@@ -229,7 +235,7 @@
                 )
 
     async def backend_stats(self) -> dict[str, dict[str, Any]]:
-        """Returns the counters of each backend server."""
+        """Returns counters and state by server name, see ``backend.BackendServer.stats``."""
         stats = {}
         for control in self._backend_controls:
             stats.update(await self._get(f"http://{control}/control/stats"))
@@ -256,7 +262,7 @@
         return await self._get(f"http://{self.site.instances[name].admin}/dump")
 
     async def collect_link_bytes(self) -> None:
-        """Writes the number of bytes sent between regions so far to the records."""
+        """Writes the bytes sent between regions so far to the records, replacing earlier counts."""
         totals: dict[tuple[str, float], int] = {}
         for control in self._link_controls:
             for link, buckets in (await self._get(f"http://{control}/control/bytes")).items():
@@ -327,7 +333,8 @@
     async def _wait_for_status(self, name: str, url: str, statuses: tuple[int, ...]) -> None:
         """Waits until a process answers a health request with one of ``statuses``.
 
-        Status 503 among them means that the process has only to run, which selects the timeout.
+        The timeout is ``START_TIMEOUT_S`` if 503 is one of them, so that the process need not be
+        ready, and otherwise ``READY_TIMEOUT_S``.
         """
         child = self._children[name]
         deadline_s = time.monotonic() + (START_TIMEOUT_S if 503 in statuses else READY_TIMEOUT_S)
@@ -342,7 +349,7 @@
                     status = response.status
                 if status in statuses:
                     return
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(HEALTH_POLL_S)
         raise processes.ProcessError(
             f"{name} did not answer its health requests with an expected status in time; "
             f"last status {status} (0: no response):\n{child.tail()}"
@@ -402,10 +409,11 @@
     """
     blocks = range(layouts.ADDRESS_BLOCKS) if requested is None else (requested,)
     for block in blocks:
-        last_region = layouts.REGIONS_IN_BLOCK * (block + 1) - 1
+        # The lock is bound to an address of the block that no process uses.
+        region_number = layouts.REGIONS_IN_BLOCK * (block + 1) - 1
         with socket.socket() as lock:
             try:
-                lock.bind((f"127.{last_region}.255.254", _LOCK_PORT))
+                lock.bind((f"127.{region_number}.255.254", _LOCK_PORT))
             except OSError:
                 continue
             yield block
--- a/packages/standins/src/sassafrasway_standins/layouts.py
+++ b/packages/standins/src/sassafrasway_standins/layouts.py
@@ -14,12 +14,12 @@
 from sassafrasway_standins import network
 
 REGIONS_IN_BLOCK = 8
-ADDRESS_BLOCKS = 31
+ADDRESS_BLOCKS = 31  # as many as fit into the region octet
 # Highest <n> in the addresses of the entry instances of a failure domain; its backend servers have
 # higher ones.
 MAX_INSTANCES_IN_DOMAIN = 50
 CAP_FACTOR = 1.5  # headroom of region caps over the request rate that occupies all slots
-CLIENT_BLOCKS_PER_REGION = 3
+CLIENT_BLOCKS_PER_REGION = 3  # one of them is an IPv6 block
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -197,6 +197,10 @@
         block: Address block, 0 to ``ADDRESS_BLOCKS`` - 1.
         entries: Number of entry instances; None uses the number of the layout.
 
+    Attributes:
+        layout: The deployment.
+        instances: Entry instances by name.
+
     Raises:
         ValueError: The address block is out of range.
     """
@@ -216,7 +220,7 @@
 
     @property
     def client_blocks(self) -> dict[str, str]:
-        """Regions by client block; each region has some IPv4 blocks and one IPv6 block."""
+        """Regions by client block (CIDR); each region has two IPv4 blocks and one IPv6 block."""
         blocks = {}
         for index, region in enumerate(self.layout.regions, start=1):
             for number in range(CLIENT_BLOCKS_PER_REGION - 1):
@@ -225,7 +229,7 @@
         return blocks
 
     def policy(self) -> dict[str, dict[str, Any]]:
-        """Returns the policy document."""
+        """Returns the policy document: objects by section and name."""
         layout = self.layout
         servers = list(self._servers())
         return {
--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -22,11 +22,15 @@
 
 from sassafrasway_standins import link_pair, network
 
-PROBE_INTERVAL_S = 0.02
+CONNECT_RETRY_INTERVAL_S = 0.02
 
 
 class Relay:
-    """All pairs of a settings file and the cuts between instances."""
+    """All pairs of a settings file and the cuts between instances.
+
+    Args:
+        data: Contents of the file: ``pairs`` (see ``link_pair.Pair``) and optionally ``delays``.
+    """
 
     def __init__(self, *, data: Mapping[str, Any]):
         delays = network.Delays.parse(data.get("delays", {}))
@@ -152,7 +156,7 @@
         try:
             _, writer = await asyncio.open_connection(host, port)
         except OSError:
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            await asyncio.sleep(CONNECT_RETRY_INTERVAL_S)
             continue
         writer.close()
         refused.clear()
--- a/packages/standins/src/sassafrasway_standins/link_pair.py
+++ b/packages/standins/src/sassafrasway_standins/link_pair.py
@@ -35,7 +35,10 @@
 
 
 class ByteCounter:
-    """Counts the bytes between regions, by direction and 100 ms interval of monotonic time."""
+    """Counts the bytes on each link by 100 ms interval of monotonic time.
+
+    A link leads from one region to another or, for two instances of one region, to the same region.
+    """
 
     def __init__(self):
         self._buckets: dict[str, collections.Counter[int]] = {}
@@ -294,7 +297,7 @@
 
     @property
     def is_cut(self) -> bool:
-        """Whether a direction is cut, so that no new connection can be established."""
+        """Whether a direction is cut, so that no connection to the target can be established."""
         return self.forward_cut or self.backward_cut
 
     @property
--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -71,7 +71,7 @@
             child.kill()
             await child.wait()
             raise processes.ProcessError(
-                f"{arguments[0]}: sassafrasctl did not end within its timeout"
+                f"sassafrasctl {arguments[0]} did not end within {COMMAND_TIMEOUT_S:g} s"
             ) from None
         text = output.decode(errors="replace")
         if child.returncode != 0:
--- a/packages/standins/src/sassafrasway_standins/processes.py
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from typing import IO
 
-PR_SET_PDEATHSIG = 1
+PR_SET_PDEATHSIG = 1  # value in <linux/prctl.h>
 _LIBC = ctypes.CDLL(None, use_errno=True)
 
 
@@ -144,7 +144,10 @@
 
 
 def _kill_with_parent(parent_pid: int) -> None:
-    """Makes the kernel kill this process when its parent ends for any reason."""
+    """Makes the kernel kill this process when its parent ends for any reason.
+
+    The kernel regards the thread that started this process as its parent.
+    """
     _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     if os.getppid() != parent_pid:  # the parent ended before prctl took effect
         os._exit(1)
--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -163,7 +163,8 @@
     def set(self, entries: list[dict[str, str]], *, visible_at_s: float) -> None:
         """Sets the contents that readers see from ``visible_at_s`` (event loop time) on.
 
-        Earlier changes that are not visible yet still become visible at their own times.
+        Changes become visible in the order in which they were set: an earlier change that is not
+        visible yet keeps its time, and delays this one if that time is later.
         """
         self._pending.append((visible_at_s, entries))
 
@@ -246,7 +247,7 @@
             await self._faults_changed.wait()
 
     async def _handle_with_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
-        """Runs a handler; converts its errors to responses and drops responses as injected."""
+        """Runs a handler; converts its errors to responses and applies ``lose_answers``."""
         try:
             response = await handler(request)
         except PreconditionFailedError as error:
--- a/packages/standins/tests/fake_entry.py
+++ b/packages/standins/tests/fake_entry.py
@@ -11,6 +11,8 @@
 class FakeEntry:
     """HTTP server that takes the place of an entry instance.
 
+    The names of called services must end in ``-desk``. Lookups of ``crew-desk`` return a ticket.
+
     Attributes:
         script: Responses to the next requests, in order: ``ran``, ``unavailable`` (status 503,
             not run), ``refused`` (status 429, not run), ``unknown`` (status 502, unknown outcome),
--- a/packages/standins/tests/real_cluster.py
+++ b/packages/standins/tests/real_cluster.py
@@ -23,8 +23,9 @@
 
 LOAD_STARTUP_S = 2.5  # load processes take about a second to start on a busy machine
 SEGMENT_S = 8.0
-VERDICT_TIMEOUT_S = 40.0
-# Requests that callers have given up end at the backend servers by their deadline.
+VERDICT_TIMEOUT_S = 40.0  # covers the rest of the last segment and the deadline of its requests
+# Time for requests that callers have given up to end at the backend servers, which they do by their
+# deadline. Covers the default deadline of 2 s, but not ``DEADLINE_MS``.
 SETTLE_S = 2.5
 # Ten times the default. With a shorter deadline, stalls of several seconds on a busy machine would
 # cause unknown outcomes. The outcomes of lost requests and responses are unknown with any deadline.
@@ -40,6 +41,12 @@
         records: Records of all scenarios so far.
         seeds: Seeds of the load of the scenario; request IDs contain the seed.
         services: Called services by name.
+
+    Attributes:
+        records: Records of all scenarios so far.
+        history: Index of ``records``.
+        intents: Records of the requests that were due to be sent, by request ID.
+        verdicts: Records of the final outcomes for the callers, by request ID.
     """
 
     def __init__(self, *, records, seeds, services):
@@ -101,7 +108,13 @@
 
 
 class RealCluster:
-    """A cluster of real processes with the demo layout, shared by the scenarios of a test class."""
+    """A cluster of real processes with the demo layout, shared by the scenarios of a test class.
+
+    Attributes:
+        cluster: The running cluster; None before ``start``.
+        operator: Runs sassafrasctl; None before ``start``.
+        document: Policy document applied last.
+    """
 
     def __init__(self):
         self._stack = contextlib.AsyncExitStack()
--- a/packages/standins/tests/test_launcher.py
+++ b/packages/standins/tests/test_launcher.py
@@ -81,7 +81,7 @@
             entry_command=command,
         )
 
-    async def listed(self, cluster):
+    async def listed_states(self, cluster):
         url = f"http://{cluster.site.store}/instances"
         async with aiohttp.ClientSession() as session, session.get(url) as response:
             return {entry["name"]: entry["state"] for entry in await response.json()}
@@ -94,9 +94,9 @@
             old_pid = cluster.process(one).pid
             self.assertEqual(await cluster.replace_entry(one), 0)
             self.assertNotEqual(cluster.process(one).pid, old_pid)
-            self.assertEqual(await self.listed(cluster), {one: "live", other: "live"})
+            self.assertEqual(await self.listed_states(cluster), {one: "live", other: "live"})
             await cluster.kill_entry(other)
-            self.assertEqual(await self.listed(cluster), {one: "live"})
+            self.assertEqual(await self.listed_states(cluster), {one: "live"})
             stats = await cluster.backend_stats()
             self.assertEqual(len(stats), len(cluster.site.policy()["servers"]))
             self.assertGreaterEqual(await cluster.longest_backend_stall_ms(), 0)
--- a/packages/standins/tests/test_standin_backend.py
+++ b/packages/standins/tests/test_standin_backend.py
@@ -122,7 +122,7 @@
         digests = [record["digest"] for record in self.records()]
         self.assertNotIn(hashlib.sha256(b"old").hexdigest(), digests)
 
-    async def test_connection_limit(self):
+    async def test_connection_above_limit_is_aborted(self):
         """Guards against a server that accepts connections above its limit."""
         await self.start(connections=1)
         await self.post()
--- a/packages/standins/tests/test_standin_store.py
+++ b/packages/standins/tests/test_standin_store.py
@@ -35,7 +35,7 @@
         response = await self.client.post("/control", json=faults)
         self.assertEqual(response.status, 200)
 
-    async def test_conditional_writes(self):
+    async def test_write_fails_if_its_condition_does_not_hold(self):
         """Guards against conditional writes that let two concurrent writers both succeed."""
         status, first = await self.put("a/b", b"1", if_none_match="*")
         self.assertEqual(status, 204)
