Describe the records and the index of the history checker

The attributes of checked_history.History, FaultEvent and InvariantBroken had no description. Corrects statements: whole and own are also true for unchecked responses, the reason no-lookup also covers a deadline that passed, and records may reach the file before it is closed. Comments and docstrings only.

--- a/packages/standins/src/sassafrasway_standins/cap_rules.py
+++ b/packages/standins/src/sassafrasway_standins/cap_rules.py
@@ -35,7 +35,7 @@
     def violations(
         self, run_history: checked_history.History
     ) -> Iterator[checked_history.Violation]:
-        """Yields the worst window of each subject that exceeds its limit."""
+        """Yields, for each subject that exceeds its limit, the violation in its worst window."""
         for subject, amounts in self.series(run_history).items():
             worst = self._worst_violation(run_history, subject, amounts)
             if worst:
@@ -44,7 +44,7 @@
     def _worst_violation(
         self, run_history: checked_history.History, subject: str, amounts: list[tuple[float, float]]
     ) -> checked_history.Violation | None:
-        """Returns the violation that exceeds its limit by most; None if no window does."""
+        """Returns the violation in the window that exceeds its limit by most; None if none does."""
         worst, excess = None, 0.0
         for end_s, total in window_sums(amounts):
             limit = run_history.highest_limit(lambda document: self.limit(document, subject), end_s)
@@ -56,7 +56,13 @@
 
 
 def window_sums(amounts: list[tuple[float, float]]) -> Iterator[tuple[float, float]]:
-    """Yields, for each event, its time and the sum over the one-second window that ends there."""
+    """Yields, for each event, its time and the sum over the one-second window that ends there.
+
+    A window leaves out events that are exactly one second earlier than its end.
+
+    Args:
+        amounts: Pairs of the time of an event, s, and its amount, in order of time.
+    """
     window: collections.deque[tuple[float, float]] = collections.deque()
     total = 0.0
     for at_s, amount in amounts:
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -1,4 +1,4 @@
-"""Checks the recorded history of a run against the guarantees P1 to P8.
+"""Checks the recorded history of a benchmark, test or demo against the guarantees P1 to P8.
 
 The docstrings of the rules state the guarantees.
 
--- a/packages/standins/src/sassafrasway_standins/checked_history.py
+++ b/packages/standins/src/sassafrasway_standins/checked_history.py
@@ -38,7 +38,17 @@
 class History:
     """Records of one benchmark, test or demo, grouped and sorted by time for the rules.
 
-    ``runs`` leaves out requests that a server rejected without starting them.
+    Attributes:
+        intents: Intents by request ID.
+        attempts: Attempts by request ID.
+        verdicts: Verdicts by request ID.
+        runs: Runs, without the requests that a server rejected without starting them.
+        runs_by_request: ``runs`` by request ID.
+        leaving_since_s: Monotonic time at which a leaving server began to leave, s, by server.
+        link_bytes: Records of link traffic by ``source>target``, the regions of the link.
+        revisions: Policy revisions reported by entry instances, by ``instance/incarnation``.
+        invariants: Violations of their own invariants that entry instances reported.
+        policies: Accepted policies.
     """
 
     def __init__(self, records: Iterable[history.Record]):
@@ -97,10 +107,13 @@
         return max((math.inf if limit is None else limit for limit in limits), default=math.inf)
 
     def _leaving_since_s(self, drains: Iterable[history.Leaving]) -> dict[str, float]:
-        """Returns the earliest known time, s, at which each leaving server began to leave.
+        """Returns the time, s, at which each leaving server began to leave.
+
+        This is the earlier of the start of its last drain by an operator and the earliest time that
+        the server reported in a run.
 
         Args:
-            drains: Drains by an operator, in order of time; the last drain of a server counts.
+            drains: Drains by an operator, in order of time.
         """
         since_s: dict[str, float] = {drain.server: drain.at_s for drain in drains}
         for run in self.runs:
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -54,7 +54,7 @@
         request: ID of the request, unique within the history.
         region: Region of the caller.
         client: Client address of the request.
-        late_s: Delay after the intended time with which the load tool started the request, s.
+        late_s: Time from the intended time until the load tool started the request, s.
     """
 
     kind: ClassVar[str] = "intent"
@@ -99,13 +99,18 @@
 class Verdict(Record):
     """Final outcome of a request for its caller, after all attempts.
 
+    Only the body of a response with outcome ``ran`` and status 200 is checked; otherwise ``whole``
+    and ``own`` are true.
+
     Attributes:
+        outcome: ``ran``, ``not-run`` or ``unknown``.
         status: HTTP status of the last attempt; 0 if it got no response.
         attempts: Number of attempts, without failed lookups.
         whole: Whether the response body is complete.
         own: Whether the response echoes the request's ID and the digest of the request body.
         reason: Reason code of the last response, or the exception that ended the last attempt;
-            ``no-lookup`` if there was no attempt because all lookups failed.
+            ``no-lookup`` if there was no attempt, because no lookup succeeded before the deadline
+            or ``exchanges.MAX_ATTEMPTS`` lookups failed.
     """
 
     kind: ClassVar[str] = "verdict"
@@ -122,6 +127,8 @@
 class Run(Record):
     """A backend server received a request and ran it in one of its slots, or rejected it.
 
+    ``at_s`` is when the server received the request.
+
     Attributes:
         request: ID that the caller gave the request.
         ended_s: Monotonic time of the end or the rejection, s.
@@ -191,7 +198,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class InvariantBroken(Record):
-    """An entry instance found one of its own invariants violated."""
+    """An entry instance found one of its own invariants violated.
+
+    Attributes:
+        instance: Name and incarnation of the instance, ``name/incarnation``.
+        rule: Name of the invariant.
+    """
 
     kind: ClassVar[str] = "invariant"
     instance: str
@@ -209,7 +221,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class FaultEvent(Record):
-    """A fault began or ended, or an instance was stopped; ``phase`` says which of them."""
+    """A fault began or ended, or an instance was stopped; ``phase`` says which of them.
+
+    Attributes:
+        fault: Name of the fault in ``faults.FAULTS``, or ``kill``, ``pause`` or ``stop``.
+        phase: One of the phases listed at the top of this module.
+        target: Entry instance that is stopped, killed or paused; empty for other events.
+    """
 
     kind: ClassVar[str] = "fault"
     fault: str
@@ -306,7 +324,7 @@
             self._file = None
 
     def write(self, record: Record) -> None:
-        """Appends one record; the file is flushed when it is closed.
+        """Appends one record; the record may remain in a buffer until the writer is closed.
 
         Raises:
             HistoryError: The writer is not open.
--- a/packages/standins/tests/test_check.py
+++ b/packages/standins/tests/test_check.py
@@ -192,7 +192,7 @@
 
 
 class CommandTest(unittest.TestCase):
-    """Guards against a command that reports success in spite of violations."""
+    """Guards against a command that reports success in spite of violations or misreads files."""
 
     def run_command(self, records):
         with tempfile.TemporaryDirectory() as directory:
