Describe the arguments and limits of the simulated caller and load

States per what the limits of callers and tickets count, the clock of intended times, and which failures give an empty or an unknown outcome. Renames Caller._regions to _region_by_url.

--- a/packages/standins/src/sassafrasway_standins/arrivals.py
+++ b/packages/standins/src/sassafrasway_standins/arrivals.py
@@ -35,6 +35,7 @@
     Attributes:
         request: ID of the request in all records.
         at_s: Intended time, s after the start of the trace.
+        region: Home region of the client.
         service_s: Time that the backend server takes for the request, s.
         client: Client address.
     """
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -12,9 +12,10 @@
 from sassafrasway_standins import arrivals, exchanges, history, network
 
 # A request must start within 5 s of the issue of its ticket, and may first wait in a queue for its
-# whole deadline of 2 s. An older ticket could expire during that wait.
+# whole deadline of 2 s. An older ticket could expire during that wait; the age leaves a margin of
+# 0.5 s.
 TICKET_MAX_AGE_S = 2.5
-PREFETCHED_TICKETS = 2
+PREFETCHED_TICKETS = 2  # of each service
 LOOKUP_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 # Time after the deadline for the instance's own 504 response to arrive.
@@ -54,7 +55,7 @@
         self._session = session
         self._region = region
         self._entries = list(entries)
-        self._regions = {entry.url: entry.region for entry in entries}
+        self._region_by_url = {entry.url: entry.region for entry in entries}
         self._services = services
         self._client_ms = client_ms
         self._region_ms = region_ms
@@ -71,7 +72,13 @@
         await asyncio.gather(*self._background, return_exceptions=True)
 
     async def send(self, arrival: arrivals.Arrival, *, intended_s: float) -> history.Verdict:
-        """Sends one request with retries; records its intent, every attempt and the verdict."""
+        """Sends one request with retries; records its intent, every attempt and the verdict.
+
+        Args:
+            arrival: The request.
+            intended_s: Monotonic time at which the request was due, s; its deadline counts from
+                this time.
+        """
         pending = exchanges.PendingRequest(
             arrival=arrival, intended_s=intended_s, service=self._services[arrival.service]
         )
@@ -105,7 +112,11 @@
     async def _send_once(
         self, url: str, pending: exchanges.PendingRequest
     ) -> exchanges.AttemptResult:
-        """Sends the request once, with the simulated network delay in both directions."""
+        """Sends the request once, with the simulated network delay in both directions.
+
+        The outcome is empty if no connection was made; it is unknown after any other failure, as
+        the instance may have received the request.
+        """
         delay_ms = self._delay_ms(url)
         await network.pause(delay_ms, self._rng)
         timeout = aiohttp.ClientTimeout(
@@ -213,5 +224,5 @@
 
     def _delay_ms(self, url: str) -> float:
         """Returns the one-way delay to an instance, ms; unknown URLs count as the own region's."""
-        is_local = self._regions.get(url, self._region) == self._region
+        is_local = self._region_by_url.get(url, self._region) == self._region
         return self._client_ms if is_local else self._client_ms + self._region_ms
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -15,7 +15,7 @@
 REQUEST_BYTES = 256
 RESPONSE_BYTES = 1024
 HTTP_OK = 200
-HTTP_QUARANTINED = 422
+HTTP_QUARANTINED = 422  # the request has crashed several backend servers
 HTTP_UNAVAILABLE = 503
 
 
@@ -35,7 +35,8 @@
     Attributes:
         idempotent: Whether a request may run more than once.
         deadline_ms: Deadline of a request, counted from its intended time, ms.
-        slots: Slots of all servers of the service; sets the rate of the load.
+        slots: Slots of all servers of the service; determines the rate of the load and the size of
+            the ideal pool.
         may_wait: Whether requests wait in a queue for a slot instead of being refused.
     """
 
@@ -49,12 +50,9 @@
 class AttemptResult:
     """Result of one attempt: the response of an entry instance, or the failure to get one.
 
+    All attributes except ``body`` are described in ``history.Attempt``.
+
     Attributes:
-        outcome: As in ``history.Attempt``.
-        status: As in ``history.Attempt``.
-        reason: As in ``history.Attempt``.
-        served_by: As in ``history.Attempt``.
-        error: As in ``history.Attempt``.
         body: Body of the response.
     """
 
@@ -93,7 +91,13 @@
 
 
 class PendingRequest:
-    """State of one request across its attempts."""
+    """State of one request across its attempts.
+
+    Args:
+        arrival: The request.
+        intended_s: Monotonic time at which the request was due, s.
+        service: Properties of the service of the request.
+    """
 
     def __init__(self, *, arrival: arrivals.Arrival, intended_s: float, service: CalledService):
         self.arrival = arrival
@@ -155,7 +159,7 @@
         return any(result.outcome in (history.RAN, history.UNKNOWN) for result in self._results)
 
     def use_route(self, route: Route) -> None:
-        """Sets the route of the next attempts."""
+        """Sets the route of the next attempts and selects the instance to start with."""
         avoids_first = self._results[-1].outcome == "" if self._results else False
         if route.ticket:
             # The first instance holds the ticket. Another instance may not be able to tell whether
@@ -266,7 +270,7 @@
 
 
 def read_response(response: aiohttp.ClientResponse, body: bytes) -> AttemptResult:
-    """Returns the result of an attempt from the response of an instance."""
+    """Returns the result of an attempt; its outcome is unknown if the response states none."""
     headers = response.headers
     return AttemptResult(
         outcome=headers.get("Sassafras-Outcome", history.UNKNOWN),
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -21,14 +21,14 @@
 
 from sassafrasway_standins import arrivals, caller, exchanges, history, latency, layouts
 
-CALLERS_PER_REGION = 4
+CALLERS_PER_REGION = 4  # in each load process
 KEEPALIVE_S = 30.0
 START_DELAY_S = 2.0  # time for generating the trace
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
-    """Settings of the load; all load processes of a run read the same plan from a JSON file.
+    """Settings of the load; load processes that share a trace read the same plan from a JSON file.
 
     Attributes:
         entries: Entry instances in the configuration of callers.
@@ -85,7 +85,7 @@
     Args:
         plan: Settings of the load.
         writer: Receives the records.
-        part: Number of this process; part of the seed of its random choices.
+        part: Number of this process; the seed of its random choices depends on it.
     """
 
     def __init__(self, *, plan: Plan, writer: history.Writer, part: int):
