Describe results and waiting times of benchmark, report and capacity

"Run" meant both a benchmark and the execution of one request in the same docstring. Sheds are caused by occupied slots, not by load in general. Renames bench.READY_TIMEOUT_S, which limits the wait for pool owners, to OWNERS_TIMEOUT_S, and tally's local "groups" to requests_by_service.

--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -35,16 +35,18 @@
 MIN_LOAD_PROCESSES, MAX_LOAD_PROCESSES = 1, 6
 BACKEND_PROCESSES = 3
 POLICY_TIMEOUT_S = 30.0
-READY_TIMEOUT_S = 30.0
+OWNERS_TIMEOUT_S = 30.0
 POLL_S = 0.2
-# Time for the load processes to start and to generate the trace before it begins.
+# Time for the load processes to start and to generate the trace before its first arrivals are due.
 LOAD_START_S = 5.0
 # Start and length of the fault as fractions of the measured part of the trace.
 FAULT_START_FRACTION = 0.3
 FAULT_LENGTH_FRACTION = 0.3
-# Longest time from the last arrival until every caller has a verdict.
+# Longest time from the end of the trace until every request has a verdict and the load processes
+# have ended.
 VERDICT_TIMEOUT_S = 30.0
-# Requests that callers have given up end at the backend servers by their deadline.
+# Time from the last verdict to the end of the processes. Requests that callers have given up may
+# run at the backend servers until their deadline, which is 2 s unless --deadline-ms sets another.
 SETTLE_S = 2.5
 
 
@@ -89,7 +91,7 @@
 
 
 class Bench:
-    """One run from the start of the processes to the report.
+    """One benchmark run, from the start of the processes to the report.
 
     Args:
         options: Options of the run.
@@ -110,6 +112,8 @@
             errors.SassafraswayError: The policy could not be applied.
             RuntimeError: No pool owner was found for the fault, or an instance that the fault
                 replaces did not stop gracefully.
+            aiohttp.ClientError: A request of the fault or the launcher to a process failed.
+            TimeoutError: Such a request was not answered in time.
         """
         shutil.rmtree(self._directory, ignore_errors=True)
         self._directory.mkdir(parents=True)
@@ -226,10 +230,13 @@
 
 
 async def wait_for_owners(cluster: launcher.Cluster) -> None:
-    """Waits until, for each service and region, all lookups name an instance of that region first.
+    """Waits until the pools of all services have owners in their regions.
+
+    Lookups name the owner of a pool first. For each service and client block, the function waits
+    until lookups at all entry instances name an instance of the block's region first.
 
     Raises:
-        processes.ProcessError: Some lookups do not yet do so after ``READY_TIMEOUT_S``.
+        processes.ProcessError: Some lookups do not yet do so after ``OWNERS_TIMEOUT_S``.
     """
     site = cluster.site
     pending = {
@@ -237,7 +244,7 @@
         for service in site.layout.services
         for cidr, region in site.client_blocks.items()
     }
-    deadline_s = time.monotonic() + READY_TIMEOUT_S
+    deadline_s = time.monotonic() + OWNERS_TIMEOUT_S
     async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=2.0)) as session:
         while pending:
             if time.monotonic() > deadline_s:
@@ -269,7 +276,14 @@
 
 
 def read_records(directory: pathlib.Path) -> list[history.Record]:
-    """Returns all records of a run, including those of the entry instances."""
+    """Returns all records of a run, including those of the entry instances.
+
+    Args:
+        directory: Directory of the run; the records are in its subdirectory ``records``.
+
+    Raises:
+        history.HistoryError: A complete line of a record file is invalid.
+    """
     return list(history.read(check.history_files([directory / "records"])))
 
 
--- a/packages/standins/src/sassafrasway_standins/capacity.py
+++ b/packages/standins/src/sassafrasway_standins/capacity.py
@@ -278,7 +278,7 @@
 
 
 def client_blocks(size: int) -> list[model.ClientBlock]:
-    """Returns distinct blocks of several prefix lengths, spread over ``DESIGN_REGIONS`` regions."""
+    """Returns ``size`` distinct blocks of several prefix lengths in ``DESIGN_REGIONS`` regions."""
     rng = random.Random(size)
     cidrs: set[str] = set()
     while len(cidrs) < size:
--- a/packages/standins/src/sassafrasway_standins/capacity_fleet.py
+++ b/packages/standins/src/sassafrasway_standins/capacity_fleet.py
@@ -63,7 +63,7 @@
 
 
 async def _apply_policy(cluster: launcher.Cluster) -> None:
-    """Applies the layout's policy and waits until all instances are ready, then ``SETTLE_S``."""
+    """Applies the layout's policy and waits until ``SETTLE_S`` after all instances are ready."""
     operator = client.RpcClient(
         address=cluster.site.instances[cluster.entry_names[0]].rpc,
         service=schema.config.Operator,
@@ -105,7 +105,7 @@
 
 
 async def _lookup_cost_us(cluster: launcher.Cluster) -> list[tuple[int, float]]:
-    """Returns pairs of a number of lookups and the CPU time that they took, us."""
+    """Returns pairs of a number of lookups and the CPU time that the instance used, us."""
     name = cluster.entry_names[0]
     instance = cluster.site.instances[name]
     address = next(cidr for cidr in cluster.site.client_blocks if "." in cidr).partition("/")[0]
@@ -132,6 +132,11 @@
     """Runs a fleet of each size, one after the other, and returns measured and fitted costs.
 
     Lookups are measured on the smallest fleet.
+
+    Returns:
+        The report as data for JSON. ``coordinator_cpu_per_member`` and ``coordinator_cpu_at_0`` are
+        slope and intercept of the CPU use of coordinators, cores, over the members of a region;
+        ``cpu_us_per_lookup`` and ``cpu_us_at_0`` are those of the CPU time, us, over the lookups.
     """
     fleets = []
     lookups: list[tuple[int, float]] = []
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -1,4 +1,4 @@
-"""Results of one run, compared with an ideal pool on the same arrivals, as data and as text."""
+"""Results of a benchmark, compared with an ideal pool on the same arrivals, as data and text."""
 
 import collections
 import dataclasses
@@ -17,7 +17,7 @@
 )
 
 MS_PER_S = 1000
-# A load tool that starts requests later than this lacks CPU time, and so do the instances.
+# A load tool that starts 1% of its requests later than this lacks CPU time; so do the instances.
 MAX_TOOL_DELAY_S = 0.05
 
 
@@ -39,8 +39,9 @@
         ideal_latency: Latency of the ideal pool with the same network delay to the client.
         wait: Latency minus service time and network delay to the client, of requests that ran.
         ideal_wait: Waiting time in the ideal pool.
-        p99_ratio: p99 latency divided by that of the ideal pool.
-        reasons: Counts of the most frequent results other than success.
+        p99_ratio: p99 latency divided by that of the ideal pool; None if either is missing.
+        reasons: Counts of the most frequent results other than success, by outcome, status and
+            reason.
     """
 
     arrivals: int
@@ -63,12 +64,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RunReport:
-    """Results of one run.
+    """Results of one benchmark. Below, a run is the execution of one request on a server.
 
     Attributes:
-        settings: Options of the run.
+        settings: Options of the benchmark, and the CPU use and load average of the machine.
         services: Results by service.
-        sheds: Requests that servers rejected because of load.
+        sheds: Times that servers rejected a request because all their slots were in use.
         ran_twice: Violations of the at-most-once rule.
         lost: Requests without a verdict, summed over the services.
         fault_s: When the fault began and ended, s after the first arrival; the load covers the
@@ -76,7 +77,7 @@
         drain_s: Time from the start of a drain until the last run of the server ended, or from the
             stop order of an instance until it stopped, by server or instance, s.
         server_s: Mean time of completed requests at the servers beyond the service time that they
-            requested, s; shows how much the loaded machine distorts the run.
+            requested, s; shows how much the load of the machine distorts the results.
         tool_late_s: 99th percentile of the delay with which the load tool started requests, s.
         late_start_s: 99th percentile of the delay of first attempts after the intended time, s; it
             includes the lookup that some of them need.
@@ -116,13 +117,13 @@
     warm_up_s: float,
     records: Sequence[history.Record],
 ) -> RunReport:
-    """Returns the report of a run.
+    """Returns the report of a benchmark.
 
     The results of the services, and so the sum of lost requests, leave out arrivals before
-    ``warm_up_s``; the other results are those of the whole run.
+    ``warm_up_s``; the other results are those of the whole benchmark.
 
     Args:
-        settings: Options of the run, copied into the report.
+        settings: Copied into the report, see ``RunReport``.
         trace: Arrivals that the load tool sent.
         services: Services by name.
         client_ms: One-way delay to clients, ms.
@@ -169,7 +170,7 @@
     The ideal pool also serves the arrivals of the warm-up, as they may occupy slots beyond its end.
 
     Args:
-        run_history: Records of the whole run.
+        run_history: Records of the whole benchmark.
         all_arrivals: Arrivals of the service, including the warm-up.
         service: Properties of the service.
         client_ms: One-way delay to clients, ms.
--- a/packages/standins/src/sassafrasway_standins/tally.py
+++ b/packages/standins/src/sassafrasway_standins/tally.py
@@ -40,13 +40,24 @@
 def count(
     records: Iterable[history.Record], services: Mapping[str, exchanges.CalledService]
 ) -> list[Tally]:
-    """Returns the tally of each service, and that of all services together as the last."""
+    """Returns the tally of each service, and that of all services together as the last.
+
+    Args:
+        records: Records of callers and backend servers.
+        services: Services by name.
+
+    Raises:
+        KeyError: A request is for a service that ``services`` does not contain.
+    """
     run_history = checked_history.History(records)
-    groups: dict[str, list[str]] = {name: [] for name in sorted(services)}
+    requests_by_service: dict[str, list[str]] = {name: [] for name in sorted(services)}
     for request, intent in run_history.intents.items():
-        groups[intent.service].append(request)
-    tallies = [_tally(run_history, name, group, services) for name, group in groups.items()]
-    all_requests = [request for group in groups.values() for request in group]
+        requests_by_service[intent.service].append(request)
+    tallies = [
+        _tally(run_history, name, requests, services)
+        for name, requests in requests_by_service.items()
+    ]
+    all_requests = [request for requests in requests_by_service.values() for request in requests]
     return [*tallies, _tally(run_history, TOTAL, all_requests, services)]
 
 
--- a/packages/standins/tests/test_capacity.py
+++ b/packages/standins/tests/test_capacity.py
@@ -6,6 +6,8 @@
 
 
 class KnownMeasure(capacity.Measure):
+    """Measure whose values lie exactly on the line 4 * size + 3."""
+
     name = "known"
     sizes = (1, 2, 3, 5)
     design_size = 10
@@ -29,7 +31,10 @@
             self.assertAlmostEqual(value, expected)
 
     def test_every_measure_has_four_sizes_and_grows(self):
-        """Guards against a measure that ignores its size, or has too few sizes for a fit."""
+        """Guards against a measure that ignores its size, or has too few sizes for a fit.
+
+        Times are not compared, because they vary between measurements.
+        """
         for measure in capacity.MEASURES:
             with self.subTest(measure=measure.name):
                 self.assertGreaterEqual(len(measure.sizes), 4)
--- a/packages/standins/tests/test_tally.py
+++ b/packages/standins/tests/test_tally.py
@@ -26,6 +26,8 @@
 
 
 class TallyTest(unittest.TestCase):
+    """Guards against a table whose counts do not follow from the records."""
+
     def test_every_outcome_is_counted(self):
         """Guards against wrong counts, which would let the demo hide lost or repeated requests."""
         records = [
