Correct the description of served_by and of the choice of instances

Sassafras-Served-By names the entry instance that sends the response, not a backend server. After a refused connection a repeated route starts at a later instance, so a lookup's instances are not always all tried. The placement option refers to the description of its values.

--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -62,7 +62,7 @@
         duration_s: Length of the measured part of the trace, s.
         warm_up_s: Length of the part before it, which is left out of the results, s: in the first
             seconds, the slots of servers that were idle are still being ramped up.
-        placement: Placement strategy of the entry instances.
+        placement: How instances share the slots of a pool, see ``layouts.Site.entry_settings``.
         instances: Number of entry instances.
         mean_ms: Mean service time, ms.
         deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -146,7 +146,8 @@
 
         A non-idempotent request that may have run keeps its key. One that certainly did not run
         takes a new ticket, because the instance that holds the first one may be gone. An
-        idempotent request tries all instances of a lookup before it looks up again.
+        idempotent request goes through the instances of a lookup up to the last one before it looks
+        up again.
         """
         if self._route is None:
             return True
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -77,7 +77,7 @@
             the instance cannot have received the request.
         status: HTTP status; 0 if no response arrived.
         key: Idempotency key of the attempt; empty for idempotent services.
-        served_by: Backend server that the response names.
+        served_by: Entry instance that the response names as its sender.
         reason: Reason code of the response.
         error: Exception that ended the attempt; empty if a response arrived.
     """
