Clarify names and docstrings of the policy replication in the entry package

In ConfigTask, _log was the configuration log and _logger the logger, whereas _log is the logger in all other modules; they are _config_log and _log now. A type of functions was called Addresses. Counts and fractions lacked their meaning, two docstrings didn't say what a call puts in force, and the one of ConfigStore claimed an error for methods that don't read. Several test names didn't say what is checked.

--- a/packages/entry/src/sassafrasway_entry/config_service.py
+++ b/packages/entry/src/sassafrasway_entry/config_service.py
@@ -32,7 +32,7 @@
         self._me = me
         self._config = config
         self._leave = leave
-        self._logger = structlog.get_logger("config.peers").bind(instance=str(me))
+        self._log = structlog.get_logger("config.peers").bind(instance=str(me))
 
     async def push_change(self, change_json: str | None, sender_address: str | None) -> int:
         """Processes a pushed change and returns the revision in force afterwards.
@@ -44,7 +44,7 @@
         return await self._config.receive(change, sender=sender_address or "")
 
     async def changes_since(self, revision: int | None) -> Any:
-        """Returns the changes after a revision, or the full policy when the log lacks some.
+        """Returns the changes after a revision, or the full policy when the log lacks any of them.
 
         Raises:
             errors.UnavailableError: No policy is known yet.
@@ -71,5 +71,5 @@
                 f"this instance is {self._me.name!r}, not {instance_name!r}",
                 step="config.drain_instance",
             )
-        self._logger.info("drain requested", author=author)
+        self._log.info("drain requested", author=author)
         self._leave()
--- a/packages/entry/src/sassafrasway_entry/config_store.py
+++ b/packages/entry/src/sassafrasway_entry/config_store.py
@@ -4,7 +4,7 @@
 ``config/history/<revision>`` holds the change that produced a revision. For every multiple of
 ``DOCUMENT_INTERVAL``, the row ``config/document/<revision>`` holds the full policy document. The
 head does not contain the document, because every instance reads the head again after each change
-and the document is 10 MB long at the design size.
+and the document is 10 MB long at the design size of 250,000 client blocks.
 """
 
 import asyncio
@@ -21,9 +21,12 @@
 HEAD_KEY = "config/head"
 HISTORY_PREFIX = "config/history/"
 DOCUMENT_PREFIX = "config/document/"
-# A reader without a policy reads at most one document and fewer changes than this.
+# Number of revisions from one document to the next. A reader without a policy reads at most one
+# document and fewer changes than this.
 DOCUMENT_INTERVAL = 32
+# Number of change ids in the head. A repeated change is recognized only while its id is among them.
 KEPT_CHANGE_IDS = 256
+# Maximum number of history rows that one call reads at the same time.
 CONCURRENT_READS = 8
 
 _AnyDocument = TypeVar("_AnyDocument", bound=pydantic.BaseModel)
@@ -78,15 +81,19 @@
 class ConfigStore:
     """Reads and writes the configuration rows.
 
-    All methods raise ``table.StoreUnavailable`` when the table service is unavailable and
-    ``MalformedRowError`` when the row of the head or of a change is malformed.
+    All methods raise ``table.StoreUnavailable`` when the table service is unavailable. Methods that
+    read raise ``MalformedRowError`` when the row of the head or of a change is malformed.
     """
 
     def __init__(self, *, table: table.TableService):
         self._table = table
 
     async def read_head(self, *, known: Head | None = None) -> Head:
-        """Returns the current head, or ``known`` itself when it has not changed."""
+        """Returns the current head.
+
+        Args:
+            known: The head as last read; returned itself when it has not changed.
+        """
         known_row = known.row if known else None
         row = await self._table.get(HEAD_KEY, known=known_row)
         if row is None:
@@ -97,32 +104,32 @@
         return Head(row=row, revision=document.revision, change_ids=document.change_ids)
 
     async def read_records(self, *, first: int, last: int) -> list[Record]:
-        """Returns the changes that produced the revisions ``first`` to ``last``.
+        """Returns the changes that produced the revisions ``first`` to ``last``, both inclusive.
 
         Raises:
             errors.NotFoundError: One of the changes is not in the table.
         """
-        limit = asyncio.Semaphore(CONCURRENT_READS)
+        semaphore = asyncio.Semaphore(CONCURRENT_READS)
 
         async def read(revision: int) -> Record:
-            async with limit:
+            async with semaphore:
                 return _parse_record(await self._get_row(f"{HISTORY_PREFIX}{revision}"))
 
         return list(await asyncio.gather(*map(read, range(first, last + 1))))
 
     async def load_policy(self, revision: int) -> model.Policy:
-        """Returns the policy of any accepted revision.
+        """Returns the policy of any accepted revision; that of revision 0 is empty.
 
         Raises:
             errors.NotFoundError: The revision is not in the table.
             errors.ValidationError: The policy in the document row, or after a change, is invalid.
         """
-        start = revision - revision % DOCUMENT_INTERVAL
+        document_revision = revision - revision % DOCUMENT_INTERVAL
         policy = documents.EMPTY_POLICY
-        if start:
-            row = await self._get_row(f"{DOCUMENT_PREFIX}{start}")
-            policy = await asyncio.to_thread(_parse_policy, row.value, start)
-        for record in await self.read_records(first=start + 1, last=revision):
+        if document_revision:
+            row = await self._get_row(f"{DOCUMENT_PREFIX}{document_revision}")
+            policy = await asyncio.to_thread(_parse_policy, row.value, document_revision)
+        for record in await self.read_records(first=document_revision + 1, last=revision):
             policy = documents.apply_change(policy, record.change)
         return policy
 
@@ -134,6 +141,9 @@
             record: The change.
             policy: The policy after the change.
 
+        Returns:
+            The new head.
+
         Raises:
             table.PreconditionFailed: Another change was accepted; nothing was written.
             table.StoreUnavailable: The change may or may not have been accepted.
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -15,7 +15,8 @@
 from sassafrasway_platform import table as table_lib
 
 POLL_INTERVAL_S = 2.0
-POLL_JITTER = 0.25
+# Maximum deviation of a poll interval from the mean, as a fraction of the mean.
+POLL_JITTER_FRACTION = 0.25
 WRITE_ATTEMPTS = 3
 # Maximum number of peers to ask for the policy per refresh while the table service is unavailable.
 PULL_ATTEMPTS = 3
@@ -23,11 +24,12 @@
 # A peer needs seconds to serialize a policy of the design size for the first time.
 FULL_PULL_TIMEOUT_S = 10.0
 # Maximum number of missing changes to read one by one. When more are missing, the full document is
-# read instead, although it takes seconds to validate at the design size.
+# read instead, although it takes seconds to validate at the design size (see ``config_store``).
 CATCH_UP_LIMIT = 256
 
 CallPeer = Callable[..., Awaitable[Any]]
-Addresses = Callable[[], Sequence[str]]
+# Returns the RPC addresses of some instances.
+AddressSource = Callable[[], Sequence[str]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,7 +81,7 @@
         own_address: Returns the RPC address of this instance. Pushes carry it, so that a peer that
             lacks earlier changes can request them from this instance.
         rng: Random source for poll times and the choice of peers.
-        poll_interval_s: Mean time between polls of the table in seconds.
+        poll_interval_s: Mean time between polls of the table service.
     """
 
     def __init__(
@@ -89,11 +91,11 @@
         clock: clock_lib.Clock,
         invariants: invariants.Invariants,
         table: table_lib.TableService,
-        push_targets: Addresses,
+        push_targets: AddressSource,
         call_peer: CallPeer,
         on_policy: Callable[[model.Policy], None],
-        relay_targets: Addresses = _no_addresses,
-        pull_sources: Addresses | None = None,
+        relay_targets: AddressSource = _no_addresses,
+        pull_sources: AddressSource | None = None,
         own_address: Callable[[], str] = lambda: "",
         rng: random.Random | None = None,
         poll_interval_s: float = POLL_INTERVAL_S,
@@ -109,7 +111,7 @@
         self._on_policy = on_policy
         self._rng = rng or random.Random()
         self._poll_interval_s = poll_interval_s
-        self._log = config_log.ConfigLog(invariants=invariants)
+        self._config_log = config_log.ConfigLog(invariants=invariants)
         self._blocks = lookup.BlockTable(blocks=())
         self._head: config_store.Head | None = None
         self._store_read_at_s: float | None = None
@@ -118,17 +120,17 @@
         self._apply_lock = asyncio.Lock()
         self._inbox: asyncio.Queue[_NewerRevision] = asyncio.Queue()
         self._pushes: set[asyncio.Task] = set()
-        self._logger = structlog.get_logger("config").bind(instance=str(me))
+        self._log = structlog.get_logger("config").bind(instance=str(me))
 
     @property
     def policy(self) -> model.Policy | None:
         """The policy in force, or None before the first one is known."""
-        return self._log.policy
+        return self._config_log.policy
 
     @property
     def revision(self) -> int:
         """Revision of the policy in force; 0 before the first one is known."""
-        return self._log.revision
+        return self._config_log.revision
 
     @property
     def blocks(self) -> lookup.BlockTable:
@@ -150,9 +152,9 @@
         """Polls the table service and fetches newer revisions from peers until cancelled."""
         while True:
             await self._log_errors(self.refresh())
-            jitter = self._rng.uniform(1 - POLL_JITTER, 1 + POLL_JITTER)
-            next_poll = asyncio.get_running_loop().time() + self._poll_interval_s * jitter
-            while (newer := await self._next_message(next_poll)) is not None:
+            jitter = self._rng.uniform(1 - POLL_JITTER_FRACTION, 1 + POLL_JITTER_FRACTION)
+            next_poll_s = asyncio.get_running_loop().time() + self._poll_interval_s * jitter
+            while (newer := await self._next_message(next_poll_s)) is not None:
                 await self._catch_up(newer)
 
     async def wait_for_pushes(self) -> None:
@@ -161,12 +163,19 @@
             await asyncio.gather(*self._pushes, return_exceptions=True)
 
     def observe_revision(self, revision: int, *, source: str) -> None:
-        """Schedules a fetch when the peer at RPC address ``source`` has a newer revision."""
+        """Schedules a fetch when a peer has a newer revision.
+
+        Args:
+            revision: Revision that the peer has.
+            source: RPC address of the peer; when it is empty, only ``refresh`` is scheduled.
+        """
         if revision > self.revision:
             self._inbox.put_nowait(_NewerRevision(revision=revision, source=source))
 
     async def refresh(self) -> None:
-        """Reads the head once; asks peers when the table service is unavailable.
+        """Puts the newest revision that the table service has in force.
+
+        While the table service is unavailable, asks peers instead; their failures are logged.
 
         Raises:
             errors.SassafraswayError: A row is malformed or missing.
@@ -174,7 +183,7 @@
         try:
             await self._sync()
         except table_lib.StoreUnavailable as error:
-            self._logger.info("table service is unavailable; asking peers", reason=str(error))
+            self._log.info("table service is unavailable; asking peers", reason=str(error))
             await self._pull_any()
 
     async def apply(self, change: documents.Change) -> Applied:
@@ -197,7 +206,7 @@
             )
             self._head = await self._write_change(head, record, policy)
         self._adopt(change)
-        self._logger.info(
+        self._log.info(
             "change accepted",
             revision=change.revision,
             change_id=change.change_id,
@@ -213,7 +222,7 @@
             errors.UnavailableError: The table service is unavailable and the change is not in the
                 log of this instance.
         """
-        known = self._log.find(change_id)
+        known = self._config_log.find(change_id)
         return known if known is not None else (await self._sync()).change_ids.get(change_id)
 
     async def records(self, *, limit: int, before: int = 0) -> list[config_store.Record]:
@@ -251,6 +260,11 @@
     async def receive(self, change: documents.Change, *, sender: str) -> int:
         """Processes a change that a peer pushed and returns the revision in force afterwards.
 
+        Args:
+            change: The change.
+            sender: RPC address of the peer, from which earlier changes are fetched if they are
+                missing; empty when it is unknown.
+
         Raises:
             errors.ValidationError: The policy would be invalid after the change.
         """
@@ -287,7 +301,7 @@
             errors.UnavailableError: No policy is known yet.
         """
         self._require_policy()
-        return self._log.since(revision)
+        return self._config_log.since(revision)
 
     async def full_policy(self) -> tuple[int, str, dict[str, int]]:
         """Returns revision, JSON document and recent change ids of the policy in force.
@@ -296,7 +310,7 @@
             errors.UnavailableError: No policy is known yet.
         """
         policy = self._require_policy()
-        change_ids = self._log.change_ids
+        change_ids = self._config_log.change_ids
         if self._document_cache[0] != policy.revision:
             text = await asyncio.to_thread(config_store.dump_policy_json, policy)
             self._document_cache = (policy.revision, text)
@@ -366,16 +380,16 @@
             try:
                 await self.pull(address)
             except errors.SassafraswayError as error:
-                self._logger.info(
+                self._log.info(
                     "could not fetch the policy from peer", peer=address, reason=str(error)
                 )
                 continue
             return
 
-    async def _next_message(self, until: float) -> _NewerRevision | None:
-        """Returns the next message, or None when the event loop's time reaches ``until``."""
+    async def _next_message(self, until_s: float) -> _NewerRevision | None:
+        """Returns the next message, or None when the event loop's time reaches ``until_s``."""
         try:
-            async with asyncio.timeout_at(until):
+            async with asyncio.timeout_at(until_s):
                 return await self._inbox.get()
         except TimeoutError:
             return None
@@ -392,11 +406,11 @@
         try:
             await work
         except errors.SassafraswayError as error:
-            self._logger.warning("could not update the policy", reason=str(error))
+            self._log.warning("could not update the policy", reason=str(error))
 
     def _adopt(self, change: documents.Change) -> bool:
         """Puts a change in force; returns False when it does not follow the current revision."""
-        if not self._log.append(change):
+        if not self._config_log.append(change):
             return False
         if "blocks" in change.sections:
             self._blocks = self._blocks.updated(change.sections["blocks"])
@@ -408,11 +422,14 @@
         await self._install_policy(policy, change_ids)
 
     async def _install_policy(self, policy: model.Policy, change_ids: dict[str, int]) -> None:
-        """Puts a full policy in force unless it is outdated once its blocks are indexed."""
+        """Indexes the blocks of a full policy and puts it in force.
+
+        A policy of the same or a later revision that came into force in the meantime stays.
+        """
         blocks = await asyncio.to_thread(lookup.BlockTable, blocks=policy.blocks.values())
         if self.policy is not None and policy.revision <= self.revision:
             return
-        if self._log.install(policy, change_ids=change_ids):
+        if self._config_log.install(policy, change_ids=change_ids):
             self._blocks = blocks
             self._on_policy(policy)
 
@@ -431,7 +448,7 @@
             )
         except errors.SassafraswayError as error:
             # The peer finds out about the revision from a heartbeat or its own poll.
-            self._logger.info("could not push change to peer", peer=address, reason=str(error))
+            self._log.info("could not push change to peer", peer=address, reason=str(error))
 
     def _require_policy(self) -> model.Policy:
         if self.policy is None:
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -11,6 +11,7 @@
 from sassafrasway_entry import config_store, config_task
 from sassafrasway_rpc import schema
 
+# Number of changes that ``history`` returns when the operator sets no limit, and the maximum.
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 1000
 # Maximum number of attempts for a change without a base revision. When another change is accepted
@@ -19,6 +20,7 @@
 
 # Returns the sections of a change to the given policy.
 _SectionsBuilder = Callable[[model.Policy], Mapping[str, Mapping[str, Any]]]
+# Names of the fields that are the same in ``ShiftSpec`` and in the section ``shifts`` of a policy.
 _SHIFT_KEYS = ("source", "target", "cap_rps", "fraction", "pace_per_s")
 
 
@@ -58,7 +60,7 @@
         self._leave = leave
         self._status_source = status_source
         self._dump_source = dump_source
-        self._logger = structlog.get_logger("operator").bind(instance=str(me))
+        self._log = structlog.get_logger("operator").bind(instance=str(me))
 
     async def get_policy(self, revision: int | None) -> Any:
         """Returns a revision of the policy; the one in force when ``revision`` is None or 0.
@@ -170,7 +172,7 @@
         return await self._submit(meta, make_sections)
 
     async def _drain_instance(self, name: str, author: str) -> None:
-        self._logger.info("drain of instance requested", target=name, author=author)
+        self._log.info("drain of instance requested", target=name, author=author)
         if name == self._me.name:
             self._leave()
             return
--- a/packages/entry/tests/test_config_faults.py
+++ b/packages/entry/tests/test_config_faults.py
@@ -91,6 +91,7 @@
     """
 
     def setUp(self):
+        # Level 50 (critical) suppresses the log lines about injected faults.
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
         self.addCleanup(structlog.reset_defaults)
 
@@ -112,16 +113,16 @@
         for action, index in actions:
             await run.act(action, index)
         await run.heal()
-        newest = run.instances[0].config
-        records = await newest.records(limit=1000) if newest.revision else []
+        reference = run.instances[0].config
+        records = await reference.records(limit=1000) if reference.revision else []
         recorded = {record.change.change_id: record.change.revision for record in records}
         self.assertEqual(len(recorded), len(records))
         self.assertLessEqual(run.accepted.items(), recorded.items())
         self.assertFalse(run.refused & recorded.keys())
         for instance in run.instances:
-            self.assertEqual(instance.config.policy, newest.policy)
+            self.assertEqual(instance.config.policy, reference.policy)
             self.assertEqual(instance.revisions, sorted(set(instance.revisions)))
-        self.assertEqual(len(newest.policy.regions), len(records))
+        self.assertEqual(len(reference.policy.regions), len(records))
 
 
 if __name__ == "__main__":
--- a/packages/entry/tests/test_config_task.py
+++ b/packages/entry/tests/test_config_task.py
@@ -42,7 +42,7 @@
 
 
 class ConfigTaskTest(_TestCase):
-    async def test_change_reaches_all(self):
+    async def test_accepted_change_reaches_all_instances(self):
         """Guards against instances that keep an old policy because a push does not reach them."""
         self.assertEqual(
             [instance.config.revision for instance in self.network.values()], [1, 1, 1]
@@ -53,7 +53,7 @@
         self.assertEqual(self.three.config.blocks.region_of("10.1.1.1"), "hkt")
         self.assertEqual(self.three.revisions, [1, 2])
 
-    async def test_two_operators_at_once(self):
+    async def test_only_one_of_two_concurrent_changes_is_accepted(self):
         """Guards against a change that silently overwrites another one.
 
         Two instances accept changes that are based on the same revision; only one may succeed.
@@ -119,7 +119,7 @@
             with self.assertRaises(errors.UnavailableError):
                 await call
 
-    async def test_cut_off_instance_never_goes_back(self):
+    async def test_partitioned_instance_never_returns_to_an_older_policy(self):
         """Guards against a return to an old policy.
 
         After a change, a partitioned instance is offered the earlier revision in a stale row, in a
@@ -190,7 +190,7 @@
 
 
 class OperatorServiceTest(_TestCase):
-    async def test_bad_input(self):
+    async def test_invalid_changes_are_rejected(self):
         """Guards against invalid changes that are written to the table."""
         cases = [
             ("{", "malformed JSON"),
@@ -209,7 +209,7 @@
             {"base_revision": 1, "change_id": "x", "author": "a", "sections": sections}
         )
 
-    async def test_shift_and_rollback(self):
+    async def test_rollback_restores_an_older_revision(self):
         """Guards against a rollback that rewrites history or restores the wrong content.
 
         Also checks that repeated calls with the same change id have no further effect.
@@ -255,7 +255,7 @@
         state = self.two.config.policy.servers["crew-1"].state
         self.assertIs(state, model.ServerState.ACTIVE)
 
-    async def test_drain_of_an_instance(self):
+    async def test_drain_stops_only_the_named_instance(self):
         """Guards against draining an instance other than the named one."""
         kind = schema.config.DrainKind.INSTANCE
         await self.one.operator.drain(kind, "two", _meta("d"), False)
