Clarify names and docstrings of the member and coordinator roles

The parameters that hold a region's name were called name, a won election won, and a class Background. Docstrings claimed that directories are exchanged only with coordinators and that an expired cap share limits to 0; public functions lacked the meaning of marks, versions and revisions. Two test names didn't say what is checked, and a fake named its reports in_use.

--- a/packages/entry/src/sassafrasway_entry/background.py
+++ b/packages/entry/src/sassafrasway_entry/background.py
@@ -1,4 +1,4 @@
-"""Coroutines that run concurrently with the task that started them."""
+"""Background tasks, which run concurrently with the task that started them."""
 
 import asyncio
 from collections.abc import Coroutine
@@ -7,8 +7,11 @@
 import structlog
 
 
-class Background:
-    """Runs coroutines as asyncio tasks, keeps references to them and logs failures.
+class BackgroundTasks:
+    """Runs coroutines as asyncio tasks and logs their failures.
+
+    References to the tasks are kept, because the event loop alone may lose a running task to the
+    garbage collector.
 
     Args:
         name: Name of the logger.
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -74,7 +74,13 @@
 
 
 def to_heartbeat(heartbeat: region.Heartbeat, *, directory_mark: int, revision: int):
-    """Returns the Thrift message of a heartbeat."""
+    """Returns the Thrift message of a heartbeat.
+
+    Args:
+        heartbeat: The heartbeat.
+        directory_mark: Directory mark of the latest reply of the same epoch; 0 before the first.
+        revision: Revision of the policy in force at the sender.
+    """
     return schema.control.HeartbeatRequest(
         sender=to_instance(heartbeat.sender),
         epoch=heartbeat.epoch,
@@ -108,7 +114,14 @@
     directory_mark: int,
     revision: int,
 ):
-    """Returns the Thrift message of a heartbeat reply."""
+    """Returns the Thrift message of a heartbeat reply.
+
+    Args:
+        reply: The reply.
+        directories: Directories that changed since the mark in the heartbeat.
+        directory_mark: Current mark of the coordinator's directories.
+        revision: Revision of the policy in force at the replying instance.
+    """
     return schema.control.HeartbeatReply(
         epoch=reply.epoch,
         coordinator=to_instance(reply.coordinator),
@@ -153,6 +166,7 @@
         sequence=message.sequence or 0,
         amount=message.amount or 0.0,
         offline=message.offline or 0.0,
+        # Negative: the share has expired.
         remaining_s=message.remaining_s if message.remaining_s is not None else -1.0,
     )
 
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -48,7 +48,7 @@
         return self._member.on_heartbeat(request)
 
     async def follow(self, epoch: int | None, coordinator: Any) -> Any:
-        """Follows a coordinator unless its epoch is lower."""
+        """Follows a coordinator unless its epoch is lower; returns what this instance holds."""
         _require_arguments(epoch is not None and coordinator is not None, "follow")
         reply = self._member.on_follow(
             epoch=epoch, coordinator=control_conversion.from_instance(coordinator)
@@ -70,7 +70,13 @@
         self._on_release(control_conversion.from_pool(pool), server, slots or 0)
 
     async def directory(self, directories: list | None, known: list | None) -> list:
-        """Stores newer directories and returns those that are newer than the sender's."""
+        """Stores newer directories and returns those that are newer than the sender's.
+
+        Args:
+            directories: Thrift messages of directories to store.
+            known: Thrift messages of the directory versions that the sender has. Other regions are
+                left out of the reply, unless ``known`` is empty, which requests all directories.
+        """
         own_directory = self._member.directory
         own_directory.update(
             control_conversion.from_directory(received) for received in directories or ()
@@ -79,7 +85,7 @@
         return [control_conversion.to_directory(entry) for entry in newer]
 
     async def suspect(self, instance: Any) -> None:
-        """Checks whether an instance that a peer could not connect to is gone."""
+        """Checks whether an instance is gone, if this one is the coordinator of its region."""
         _require_arguments(instance is not None, "suspect")
         self._member.on_suspect(control_conversion.from_instance(instance).id)
 
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -23,8 +23,10 @@
 from sassafrasway_platform import table as table_lib
 from sassafrasway_rpc import client as rpc_client
 
+# Interval of updates of the coordinator's state when no event requires one immediately.
 TICK_S = 0.2
 CALL_TIMEOUT_S = 0.5
+# Interval of fetches of the platform's instance list.
 LIST_INTERVAL_S = 2.0
 # Interval of directory exchanges with a region that has the current directory of this region.
 EXCHANGE_INTERVAL_S = 5.0
@@ -47,7 +49,7 @@
         invariants: Checks that the epoch never decreases.
         table: Table service.
         instance_list: The platform's list of instances.
-        peers: Calls other instances.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         members: Liveness of the region's instances.
         directory: Directories of all regions; this task writes the one of its own region.
         policy_source: Returns the policy in force, or None.
@@ -99,10 +101,12 @@
         self._directory_version = 0
         self._tick_requested = False
         self._table_failed = False
+        # Time of the last action by kind: "tick", "list", "suspect <instance>" or, for the exchange
+        # of directories, the name of the other region.
         self._last_action_s: dict[str, float] = {}
         # Epoch and version of the own directory that another region's coordinator has, by region.
         self._delivered_versions: dict[str, tuple[int, int]] = {}
-        self._background = background.Background(name="coordinator")
+        self._background = background.BackgroundTasks(name="coordinator")
         self._log = structlog.get_logger("coordinator").bind(instance=str(me.id))
 
     @property
@@ -110,7 +114,7 @@
         """State of the current epoch, or None when this instance is not the coordinator."""
         return self._state
 
-    def start(self, won: authority.WonElection) -> None:
+    def start(self, won_election: authority.WonElection) -> None:
         """Starts the role for the epoch in which this instance was elected."""
         known = self._directory.region(self._me.region)
         if known is not None:
@@ -120,13 +124,17 @@
             clock=self._clock,
             invariants=self._invariants,
             members=self._members,
-            won_election=won,
+            won_election=won_election,
         )
         self._policy = None
         self._directory_version = 0
         self._delivered_versions = {}
         self._tick_requested = True
-        self._log.info("became coordinator", epoch=won.row.epoch, members=len(won.row.members))
+        self._log.info(
+            "became coordinator",
+            epoch=won_election.row.epoch,
+            members=len(won_election.row.members),
+        )
 
     def depose(self, epoch: int) -> None:
         """Ends the role when another coordinator has a higher epoch.
@@ -180,8 +188,8 @@
         self._publish_directory()
         if self._due("list", LIST_INTERVAL_S):
             self._background.start(self._fetch_list())
-        for name in self._other_regions():
-            self._exchange_if_due(name)
+        for region_name in self._other_regions():
+            self._exchange_if_due(region_name)
 
     async def close(self) -> None:
         """Cancels the calls that are still running."""
@@ -303,51 +311,64 @@
             names |= set(self._policy.regions)
         return names - {self._me.region}
 
-    def _exchange_if_due(self, name: str) -> None:
+    def _exchange_if_due(self, region_name: str) -> None:
         own_directory = self._directory.region(self._me.region)
         interval_s = (
             EXCHANGE_INTERVAL_S
-            if self._delivered_versions.get(name) == own_directory.order
+            if self._delivered_versions.get(region_name) == own_directory.order
             else EXCHANGE_RETRY_S
         )
-        if self._due(name, interval_s):
-            self._background.start(self._exchange(name, own_directory))
+        if self._due(region_name, interval_s):
+            self._background.start(self._exchange(region_name, own_directory))
+
+    async def _exchange(self, region_name: str, own_directory: directory.RegionDirectory) -> None:
+        """Exchanges directories with another region.
 
-    async def _exchange(self, name: str, own_directory: directory.RegionDirectory) -> None:
-        """Exchanges directories with the coordinator of another region."""
-        address = await self._exchange_address(name)
+        The peer is the coordinator of that region or, while its address is uncertain, any instance
+        that may have the region's directory.
+        """
+        address = await self._exchange_address(region_name)
         if address is None:
             return
-        known = self._directory.region(name)
-        versions = {} if known is None else {name: known.order}
-        sent = () if self._delivered_versions.get(name) == own_directory.order else (own_directory,)
+        known = self._directory.region(region_name)
+        versions = {} if known is None else {region_name: known.order}
+        sent = (
+            ()
+            if self._delivered_versions.get(region_name) == own_directory.order
+            else (own_directory,)
+        )
         try:
             received = await exchange_directories(self._peers, address, sent=sent, known=versions)
         except errors.SassafraswayError as error:
-            self._delivered_versions.pop(name, None)
+            self._delivered_versions.pop(region_name, None)
             self._log.info(
-                "directory exchange failed", region=name, peer=address, reason=error.message
+                "directory exchange failed", region=region_name, peer=address, reason=error.message
             )
             return
         self._directory.update(received)
-        known = self._directory.region(name)
+        known = self._directory.region(region_name)
         if known is not None and known.coordinator.rpc_address == address:
-            self._delivered_versions[name] = own_directory.order
+            self._delivered_versions[region_name] = own_directory.order
 
-    async def _exchange_address(self, name: str) -> str | None:
+    async def _exchange_address(self, region_name: str) -> str | None:
         """Returns the RPC address to ask about a region, or None when none is known.
 
         After a successful exchange this is the known coordinator of the region. Otherwise the
-        coordinator may have changed, so half of the attempts use the coordinator in the region's
-        row in the table, or a random instance when the row cannot be read or names no later
-        coordinator. When no directory of the region is known, every attempt uses the row, or a
-        random seed when the row is missing or cannot be read.
+        coordinator may have changed, so only half of the attempts use the known one. The others use
+        the coordinator in the region's row in the table, or a random instance of the region when
+        the row cannot be read or names no later coordinator. When no directory of the region is
+        known, every attempt uses the row, or a random seed when the row is missing or cannot be
+        read.
         """
-        known = self._directory.region(name)
-        if known is not None and (name in self._delivered_versions or self._rng.random() < 0.5):
+        known = self._directory.region(region_name)
+        if known is not None and (
+            region_name in self._delivered_versions or self._rng.random() < 0.5
+        ):
             return known.coordinator.rpc_address
         try:
-            row, _ = await region_table.RegionTable(table=self._table, region_name=name).read()
+            row, _ = await region_table.RegionTable(
+                table=self._table, region_name=region_name
+            ).read()
         except errors.SassafraswayError:
             row = None
         if row is not None and (known is None or row.epoch > known.epoch):
@@ -374,6 +395,12 @@
 ) -> Any:
     """Asks an instance for its identity and records whether it is gone.
 
+    Args:
+        peers: ``peers.Peers``, or a fake, which calls other instances.
+        members: Liveness of the region's instances; receives the result.
+        target: The instance.
+        clock: Time source.
+
     Returns:
         The Thrift message ``Identity``, or None when the instance did not answer.
     """
@@ -403,7 +430,7 @@
     """Sends directories to a peer and returns those that are newer there.
 
     Args:
-        peers: Calls other instances.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         address: RPC address of the peer.
         sent: Directories to send.
         known: Epoch and version that are known here, by region; empty to ask for all regions.
--- a/packages/entry/src/sassafrasway_entry/joining.py
+++ b/packages/entry/src/sassafrasway_entry/joining.py
@@ -19,7 +19,7 @@
 
     Args:
         me: This instance.
-        peers: Calls other instances.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         directory: Receives the directories that peers return.
         instance_list: The platform's list of instances.
         seeds: RPC addresses of instances to join through.
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -32,6 +32,7 @@
 from sassafrasway_platform import table as table_lib
 from sassafrasway_rpc import client as rpc_client
 
+# Interval of updates of the member's state when no event requires one immediately.
 TICK_S = 0.1
 HEARTBEAT_TIMEOUT_S = 0.5
 JOIN_RETRY_S = 0.5
@@ -56,7 +57,7 @@
         invariants: Checks that the epoch never decreases.
         table: Table service.
         instance_list: The platform's list of instances.
-        peers: Calls other instances.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         policy_source: Returns the policy in force, or None.
         on_grants: Called with all grants of this instance whenever one of them changes.
         pool_reports: Returns the report of each pool that this instance uses: share, slots in use,
@@ -135,13 +136,14 @@
             seeds=seeds,
             rng=self._rng,
         )
+        # Epoch of the last election after which the coordinator role was started.
         self._won_epoch = 0
         self._published_grants: list[region.PoolGrant] = []
         self._table_failed = False
         self._declared_gone = False
         self._join_started_s = float("-inf")
         self._wake = asyncio.Event()
-        self._background = background.Background(name="member")
+        self._background = background.BackgroundTasks(name="member")
         self._suspicions = suspicions.SuspicionReporter(
             me=me,
             clock=clock,
@@ -194,11 +196,14 @@
         return self._grants.share(pool)
 
     def cap_amount(self, name: str) -> float:
-        """Returns the current limit of this instance for a cap; 0 without a share."""
+        """Returns the current limit of this instance for a cap, in the unit of the cap.
+
+        It is 0 without a share, and the offline limit of a share that has expired.
+        """
         return self._grants.caps.amount(name)
 
     def coordinator_addresses(self) -> list[str]:
-        """Returns the RPC addresses of the coordinators of all regions."""
+        """Returns the RPC addresses of the coordinators of all known regions."""
         return [known.coordinator.rpc_address for known in self._directory.regions()]
 
     def relay_addresses(self) -> list[str]:
@@ -248,10 +253,10 @@
         """Updates the state to the current time and starts the calls that are due."""
         for command in self._state.tick(reports=self._pool_reports, cap_demand=self._cap_demand):
             self._background.start(self._execute(command))
-        won = self._state.won_election
-        if won is not None and won.row.epoch > self._won_epoch:
-            self._won_epoch = won.row.epoch
-            self._coordinator.start(won)
+        won_election = self._state.won_election
+        if won_election is not None and won_election.row.epoch > self._won_epoch:
+            self._won_epoch = won_election.row.epoch
+            self._coordinator.start(won_election)
         self._coordinator.tick()
         self._publish_grants()
         if self._table_failed and not self.in_contact:
--- a/packages/entry/src/sassafrasway_entry/suspicions.py
+++ b/packages/entry/src/sassafrasway_entry/suspicions.py
@@ -20,7 +20,7 @@
         me: This instance.
         clock: Time source.
         directory: Directories of all regions.
-        peers: Calls other instances.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         background: Runs the calls that send reports.
         suspect_here: Called instead of sending a report when this instance is the coordinator.
     """
@@ -32,7 +32,7 @@
         clock: clock_lib.Clock,
         directory: directory.Directory,
         peers: Any,
-        background: background.Background,
+        background: background.BackgroundTasks,
         suspect_here: Callable[[model.InstanceId], None],
     ):
         self._me = me
@@ -41,6 +41,7 @@
         self._peers = peers
         self._background = background
         self._suspect_here = suspect_here
+        # Time of the last report by RPC address.
         self._reported_s: dict[str, float] = {}
         self._log = structlog.get_logger("member").bind(instance=str(me.id))
 
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -58,7 +58,7 @@
     async def call(self, address, method, *, timeout_s, **arguments):
         del timeout_s
         if {self._name, address} & self._fleet.cut:
-            raise errors.UnavailableError("cut", step=method, peer=address)
+            raise errors.UnavailableError("the network is partitioned", step=method, peer=address)
         service = self._fleet.services.get(address)
         if service is None:
             self._on_refused(address)
@@ -92,7 +92,8 @@
         self.tasks = {}
         self.services = {}
         self.grants = {}
-        self.in_use = {}
+        # Reports by pool of each instance that uses slots, by name of the instance.
+        self.pool_reports = {}
         # Name of an instance, newer revision, and address of an instance that has the revision.
         self.newer_revisions = []
         # Names of the instances that are partitioned from all others.
@@ -113,7 +114,7 @@
             peers=self.networks[name],
             policy_source=lambda: self.policy,
             on_grants=lambda grants: self.grants.__setitem__(name, grants),
-            pool_reports=lambda: self.in_use.get(name, {}),
+            pool_reports=lambda: self.pool_reports.get(name, {}),
             revision_source=lambda: revision,
             seeds=seeds,
             on_revision=lambda newer, address: self.newer_revisions.append((name, newer, address)),
@@ -165,7 +166,7 @@
                 {instance.name for instance in task.directory.instances("bkk")}, {*"pqr"}
             )
 
-    async def test_killed_coordinator(self):
+    async def test_pools_have_owners_after_the_coordinator_was_killed(self):
         """Guards against pools without an owner after the coordinator has crashed.
 
         The crashed instance must also disappear from the directories.
@@ -201,7 +202,7 @@
         self.assertEqual(needed, [self.fleet.coordinator()])
         self.assertEqual(len(self.fleet.owners()), 3)
 
-    async def test_lost_answer_of_the_table(self):
+    async def test_coordinator_stays_after_a_lost_answer_of_the_table(self):
         """Guards against a coordinator that resigns after the response to a row write was lost."""
         coordinator = self.fleet.coordinator()
         self.fleet.table.faults.lost_answers = 1
@@ -211,7 +212,7 @@
     async def test_leaving_hands_over_slots_in_use(self):
         """Guards against a new owner that uses slots which requests of the previous one occupy."""
         pool, name = next(iter(self.fleet.owners().items()))
-        self.fleet.in_use[name] = {
+        self.fleet.pool_reports[name] = {
             pool: region.PoolReport(share=share.Share.NONE, in_use={"s": 2}, busy_s=5.0)
         }
         self.fleet.tasks[name].leave()
@@ -228,7 +229,11 @@
         self.assertNotIn(name, self.fleet.owners().values())
 
     async def test_isolated_holder_keeps_offline_share(self):
-        """Guards against a partitioned owner that uses more than its offline share."""
+        """Guards against a partitioned owner that uses more than its offline share.
+
+        Another instance gets the rest, the reduced share, and the pool has a full owner again once
+        the partition has ended.
+        """
         name = next(member for member in self.fleet.tasks if member != self.fleet.coordinator())
         self.fleet.cut = {name}
         await self.fleet.run(4)
