Clarify names and docstrings of the entry process, its state dump and settings

Lifecycle didn't say that the library transitions creates its methods, the process didn't explain its lambdas or the second that is added to the validity of tickets, and to_json returned no JSON text (now to_jsonable). The settings behaviour.invariants and behaviour.placement were unexplained.

--- a/packages/entry/src/sassafrasway_entry/dump.py
+++ b/packages/entry/src/sassafrasway_entry/dump.py
@@ -7,21 +7,22 @@
 from sassafrasway_entry import gatekeeper, outcomes, pools, steering
 
 
-def to_json(value: Any) -> Any:
+def to_jsonable(value: Any) -> Any:
     """Converts nested dataclasses, enums and collections to JSON-serializable data.
 
     Keys of mappings, and values of other types, are converted with ``str``.
     """
     if dataclasses.is_dataclass(value) and not isinstance(value, type):
         return {
-            field.name: to_json(getattr(value, field.name)) for field in dataclasses.fields(value)
+            field.name: to_jsonable(getattr(value, field.name))
+            for field in dataclasses.fields(value)
         }
     if isinstance(value, enum.Enum):
         return value.value
     if isinstance(value, dict):
-        return {str(key): to_json(item) for key, item in value.items()}
+        return {str(key): to_jsonable(item) for key, item in value.items()}
     if isinstance(value, (list, tuple, set, frozenset)):
-        return [to_json(item) for item in value]
+        return [to_jsonable(item) for item in value]
     if isinstance(value, (str, int, float, bool)) or value is None:
         return value
     return str(value)
@@ -31,8 +32,8 @@
     """Returns the state of all owned pools."""
     return {
         str(key): {
-            "grant": to_json(owned.grant),
-            "slots": to_json(owned.slots.snapshot()),
+            "grant": to_jsonable(owned.grant),
+            "slots": to_jsonable(owned.slots.snapshot()),
             "requests": owned.requests,
             "waiting": len(owned.waiters),
         }
@@ -53,7 +54,7 @@
 
 
 def policy_dump(steer: steering.Steering) -> dict[str, Any]:
-    """Returns the revision of the policy in force and the sizes of its sections."""
+    """Returns the revision of the policy, the sizes of sections and the names of shifts."""
     policy = steer.policy
     if policy is None:
         return {"revision": None}
--- a/packages/entry/src/sassafrasway_entry/lifecycle.py
+++ b/packages/entry/src/sassafrasway_entry/lifecycle.py
@@ -12,6 +12,11 @@
 class Lifecycle:
     """State machine of the process.
 
+    The library ``transitions`` adds the attribute ``state`` and, for each trigger, a method:
+    ``become_ready``, ``leave`` and ``stop``. In a state that is not a source of the trigger, the
+    method has no effect; ``become_ready`` may be called after ``leave`` when a stop was requested
+    during the startup.
+
     A leaving instance keeps serving, because callers may use cached lookups that name it.
     """
 
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -41,9 +41,9 @@
 from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
-PROPAGATION_S = 3.0  # time until the directories of all instances show this one as leaving
+PROPAGATION_S = 3.0  # maximum time until all instances' directories show this one as leaving
 READY_POLL_S = 0.05
-# Maximum time to wait for shares of the links' caps before this instance reports itself as healthy.
+# Maximum time to wait for shares of the links' caps before this instance reports itself as ready.
 # Other instances free these shares within about 2 s. Without a coordinator no share arrives, and an
 # instance without shares can still answer lookups and serve its own region.
 LINK_SHARES_TIMEOUT_S = 4.0
@@ -89,21 +89,28 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
-        host = self._settings.listen.caller.rpartition(":")[0]
-        connector = aiohttp.TCPConnector(local_addr=(host, 0))
+        local_host = self._settings.listen.caller.rpartition(":")[0]
+        connector = aiohttp.TCPConnector(local_addr=(local_host, 0))
         async with aiohttp.ClientSession(connector=connector) as session:
-            self._build(session, host)
+            self._build(session, local_host)
             await self._start()
             await self._stop_requested.wait()
             await self._leave()
             await self._shut_down()
         self._log.info("stopped")
 
-    def _build(self, session: aiohttp.ClientSession, host: str) -> None:
-        """Creates the components of the process."""
+    def _build(self, session: aiohttp.ClientSession, local_host: str) -> None:
+        """Creates the components of the process.
+
+        A component that needs another one that is created later gets it through a lambda.
+
+        Args:
+            session: HTTP session for calls to the platform.
+            local_host: IP address from which to connect to backend servers.
+        """
         self._build_platform(session)
         self._build_membership()
-        self._build_request_handling(host)
+        self._build_request_handling(local_host)
         self._build_servers()
         self._build_rpc()
 
@@ -169,9 +176,9 @@
         if self._me.name in names:
             self._pools.set_position(index=names.index(self._me.name), count=len(names))
 
-    def _build_request_handling(self, host: str) -> None:
+    def _build_request_handling(self, local_host: str) -> None:
         me = self._me.id
-        self._client = backend_client.BackendClient(local_host=host)
+        self._client = backend_client.BackendClient(local_host=local_host)
         self._owner_messages = owner_messages.OwnerMessages(
             me=me,
             directory=self._directory,
@@ -335,7 +342,8 @@
         self._member.leave()
         started_s = self._clock.monotonic()
         # Other instances name this one in lookup responses until their directories show that it is
-        # leaving. Callers may use such a response or its ticket until it expires.
+        # leaving. Callers may use such a response or its ticket until it expires. As the time of
+        # issue in a ticket is rounded down to whole seconds, one more second is allowed for it.
         cached_s = max(self._settings.limits.lookup_ttl_s, at_most_once.TICKET_START_S + 1.0)
         until_s = started_s + PROPAGATION_S + cached_s
         while self._clock.monotonic() < until_s or self._busy or self._member.must_stay:
@@ -400,6 +408,8 @@
             "pools": dump.pools_dump(self._pools),
             "forwarded_in_flight": self._forward_service.running,
             "at_most_once": dump.at_most_once_dump(self._gatekeeper, self._outcomes),
-            "quarantine": dump.to_json(self._pools.quarantine.entries()),
-            "invariants": {rule.value: n for rule, n in self._invariants.violations.items()},
+            "quarantine": dump.to_jsonable(self._pools.quarantine.entries()),
+            "invariants": {
+                rule.value: count for rule, count in self._invariants.violations.items()
+            },
         }
--- a/packages/entry/src/sassafrasway_entry/settings.py
+++ b/packages/entry/src/sassafrasway_entry/settings.py
@@ -93,7 +93,14 @@
 
 
 class BehaviourSection(_Section):
-    """Options that change how requests are handled."""
+    """Options that change how requests are handled.
+
+    Attributes:
+        invariants: Whether a violated invariant raises an error; it is counted and logged in any
+            case.
+        placement: Name of the strategy that decides which instance may use which slots of a pool's
+            servers; see ``sassafrasway_core.placement``.
+    """
 
     invariants: Literal["raise", "count"] = "count"
     placement: Literal["pool_owner", "even_split", "local_count"] = "pool_owner"
