State which arguments are Thrift messages and what the entry test classes guard against

Services of the entry package didn't say what their arguments of type Any are, "this incarnation" stood for name and incarnation, CoordinatorTask.heartbeat didn't state its condition, and in_contact not that a gone coordinator counts as lost. The recorder of the process was called _record.

--- a/packages/entry/src/sassafrasway_entry/__init__.py
+++ b/packages/entry/src/sassafrasway_entry/__init__.py
@@ -1,1 +1,1 @@
-"""The sassafrasway entry instance."""
+"""Entry instance: answers lookups of callers and carries their requests to backend servers."""
--- a/packages/entry/src/sassafrasway_entry/config_service.py
+++ b/packages/entry/src/sassafrasway_entry/config_service.py
@@ -14,10 +14,11 @@
 class ConfigService:
     """Handles the Config calls of peers, which are described in ``config.thrift``.
 
-    The RPC server returns the errors that the methods raise to the peer.
+    Results of type ``Any`` are Thrift messages. The RPC server returns the errors that the methods
+    raise to the peer.
 
     Args:
-        me: This incarnation.
+        me: Name and incarnation of this instance.
         config: Configuration task of this instance.
         leave: Starts the graceful stop of this instance.
     """
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -66,7 +66,7 @@
     missing.
 
     Args:
-        me: This incarnation.
+        me: Name and incarnation of this instance.
         clock: Time source.
         invariants: Checks that the revision never decreases.
         table: Table service.
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -15,9 +15,9 @@
 class ControlService:
     """Handles the Control calls of members, coordinators and pool owners.
 
-    The calls are described in ``control.thrift``. A method raises ``errors.ValidationError`` when a
-    required argument is not set. The RPC server returns errors to the caller unless the call is
-    oneway.
+    The calls are described in ``control.thrift``; arguments and results of type ``Any`` are Thrift
+    messages. A method raises ``errors.ValidationError`` when a required argument is not set. The
+    RPC server returns errors to the caller unless the call is oneway.
 
     Args:
         member: Member role of this instance.
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -148,7 +148,10 @@
             self._state = None
 
     def heartbeat(self, message: Any) -> Any:
-        """Returns the reply to a heartbeat; both are Thrift messages."""
+        """Returns the reply to a heartbeat; both are Thrift messages.
+
+        May be called only while ``state`` is not None.
+        """
         heartbeat = control_conversion.from_heartbeat(message)
         reply = self._state.on_heartbeat(heartbeat)
         if (message.revision or 0) > self._revision_source():
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -188,7 +188,7 @@
 
     @property
     def in_contact(self) -> bool:
-        """Whether the coordinator answered a heartbeat recently."""
+        """Whether the coordinator answered a heartbeat recently and is not known to be gone."""
         return self._state.in_contact
 
     def share(self, pool: model.PoolKey) -> share.Share:
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -27,13 +27,14 @@
 class OperatorService:
     """Handles the calls of operators, which are described in ``config.thrift``.
 
-    The RPC server returns the errors that the methods raise to the operator. Methods that change
-    the policy raise ``errors.ValidationError`` when the change, or the policy after it, is invalid,
+    Arguments and results of type ``Any`` are Thrift messages; ``meta`` is a ``ChangeMeta``. The RPC
+    server returns the errors that the methods raise to the operator. Methods that change the policy
+    raise ``errors.ValidationError`` when the change, or the policy after it, is invalid,
     ``errors.ConflictError`` when it is not based on the current revision, and
     ``errors.UnavailableError`` when the table service is unavailable.
 
     Args:
-        me: This incarnation.
+        me: Name and incarnation of this instance.
         config: Configuration task of this instance.
         call_peer: ``await call_peer(address, method, **arguments)`` calls a peer.
         find_instance: Returns the RPC address of an instance by name, or None.
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -80,7 +80,7 @@
         self._invariants = invariants.Invariants(
             mode=invariants.Mode(settings.behaviour.invariants), on_violation=self._on_violation
         )
-        self._record = recorder.Recorder(
+        self._recorder = recorder.Recorder(
             path=settings.behaviour.record_file, instance=str(self._me.id)
         )
 
@@ -191,7 +191,7 @@
             rng=self._rng,
             invariants=self._invariants,
             client=self._client,
-            record=self._record,
+            record=self._recorder,
             report_crash=self._owner_messages.report_crash,
             share_of=self._member.share,
             placement=self._placement,
@@ -235,7 +235,7 @@
             dispatcher=self._dispatcher,
             gatekeeper=self._gatekeeper,
             metrics=self._metrics,
-            record=self._record,
+            record=self._recorder,
             names_owners=self._placement.forwards,
             ready=lambda: self._lifecycle.serving,
         )
@@ -255,7 +255,7 @@
     def _on_violation(self, rule: invariants.Rule, detail: str) -> None:
         self._metrics.violations.add(1, {"rule": rule.value})
         self._log.error("invariant violated", rule=rule.value, detail=detail)
-        self._record.record("violation", rule=rule.value, detail=detail)
+        self._recorder.record("violation", rule=rule.value, detail=detail)
 
     def _build_rpc(self) -> None:
         host, _, port = self._settings.listen.rpc.rpartition(":")
@@ -293,7 +293,7 @@
         self._steering.set_policy(policy, self._config.blocks)
         self._pools.set_policy(policy)
         self._limits.set_policy(policy)
-        self._record.record("revision", revision=policy.revision)
+        self._recorder.record("revision", revision=policy.revision)
         self._log.info("policy in force", revision=policy.revision)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None], name: str) -> None:
@@ -376,7 +376,7 @@
         await self._peers.close()
         await self._client.close()
         self._metrics.shutdown()
-        self._record.close()
+        self._recorder.close()
 
     def _health(self) -> tuple[str, bool]:
         # When instances are replaced one by one, the platform stops the next one as soon as this
--- a/packages/entry/tests/test_config_task.py
+++ b/packages/entry/tests/test_config_task.py
@@ -18,6 +18,8 @@
 
 
 class _TestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts three instances that share a table and have all received the first change."""
+
     async def asyncSetUp(self):
         self.network = {}
         self.rows = memory.MemoryTable()
@@ -42,6 +44,8 @@
 
 
 class ConfigTaskTest(_TestCase):
+    """Guards against changes that are lost, applied twice or reverted, and against old policies."""
+
     async def test_accepted_change_reaches_all_instances(self):
         """Guards against instances that keep an old policy because a push does not reach them."""
         self.assertEqual(
@@ -190,6 +194,8 @@
 
 
 class OperatorServiceTest(_TestCase):
+    """Guards against operator calls that have a wrong effect or fail without a usable error."""
+
     async def test_invalid_changes_are_rejected(self):
         """Guards against invalid changes that are written to the table."""
         cases = [
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -146,6 +146,8 @@
 
 
 class OneRegionTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against pools without an owner, or with several, in a region of three instances."""
+
     async def asyncSetUp(self):
         self.fleet = _Fleet()
         for name in ("p", "q", "r"):
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -24,6 +24,8 @@
 
 
 class SettingsTest(unittest.TestCase):
+    """Guards against invalid settings that are accepted or reported without what is wrong."""
+
     def setUp(self):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
