--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -24,6 +24,8 @@
 
 
 class SettingsTest(unittest.TestCase):
+    """Guards against invalid settings that are accepted or reported without what is wrong."""
+
     def setUp(self):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
@@ -32,7 +34,7 @@
     def _write(self, text):
         self.path.write_text(text, encoding="utf-8")
 
-    def test_valid_file(self):
+    def test_optional_settings_may_be_left_out(self):
         """Guards against rejecting a file that leaves out all optional settings."""
         self._write(_VALID)
         self.assertEqual(settings.load(self.path).platform.timeout_ms, 1000)
