Correct comments and docstrings of the entry's request handling

Several statements did not match the code: a missing outcome with a closed marker proves only that the holder did not run the request, a batch number can also be taken by another instance, and 'unknown outcome' was ambiguous in Raises sections. Added the errors, units and attributes that callers need. Comments and docstrings only.

--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -15,9 +15,9 @@
 IDLE_TIMEOUT_S = 5.0
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Limits of the time for one attempt at an idempotent request, in seconds and as a fraction of the
-# remaining time; the lower one applies. After it, the connection counts as silent, and there is
-# time left for another attempt. Other requests cannot be retried and are limited by their deadline
-# only.
+# remaining time; the lower one applies. After it, the connection counts as silent: open, but
+# without any data from the server. Time is left for another attempt. Other requests cannot be
+# retried after a timeout and are limited by their deadline only.
 RESPONSE_TIMEOUT_S = 2.0
 RESPONSE_FRACTION = 0.6
 
@@ -67,9 +67,9 @@
         status: Status code; set when the result is ``OK`` or ``SHED``.
         headers: Headers of the response that are passed on to the caller.
         body: Body of the response.
-        load: Load that the server reported, or None.
+        load: Number of slots in use that the server reported, or None.
         leaving: Whether the server reported that it is leaving.
-        detail: Cause of a failure, for debugging.
+        detail: Description of a failure; empty when the result is ``OK`` or ``SHED``.
     """
 
     result: CallResult
@@ -129,6 +129,7 @@
     ) -> BackendResponse:
         """Sends a request and returns the complete response.
 
+        A failed call raises no exception; ``result`` of the returned response tells how it ended.
         The deadline that is sent to the server is the timeout of this attempt, so that the server
         stops work on a request that was given up and may be retried on another server.
 
--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -30,7 +30,7 @@
 CANDIDATES_TTL_S = 0.2
 LOOKUP_ALTERNATES = 3  # instances in a lookup response besides the owner of the home pool
 # aiohttp itself rejects a request with a longer header line, before a handler runs, and closes the
-# connection. Its response 400 has no outcome.
+# connection. Its response 400 has no header ``OUTCOME_HEADER``.
 AIOHTTP_HEADER_LIMIT_BYTES = 64 * 1024
 
 
@@ -41,7 +41,7 @@
     Attributes:
         owners: Owners of the pools of the route, home pool first.
         same_region: Other live instances of the home region.
-        other_regions: Other live instances of the other regions.
+        other_regions: Other live instances of all other regions.
         expires_s: Monotonic time at which the lists have to be computed again.
     """
 
@@ -122,7 +122,7 @@
         """Starts listening on ``host:port``.
 
         Raises:
-            OSError: The address is invalid or in use.
+            OSError: The address is in use or does not belong to this machine.
         """
         host, _, port = address.rpartition(":")
         self._runner = web.AppRunner(
@@ -326,7 +326,7 @@
 
     async def _run_idempotent(self, request: messages.Request) -> messages.Response:
         try:
-            # The dispatcher observes the deadline itself; its response comes before this limit.
+            # The dispatcher observes the deadline itself and normally responds before this limit.
             limit_s = request.deadline.remaining_s + 0.05
             return await asyncio.wait_for(self._dispatcher.run(request), limit_s)
         except TimeoutError:
--- a/packages/entry/src/sassafrasway_entry/caller_requests.py
+++ b/packages/entry/src/sassafrasway_entry/caller_requests.py
@@ -14,7 +14,7 @@
 MAX_KEY_CHARS = 255
 MAX_DEADLINE_MS = 600_000
 
-# Headers that are addressed to the entry. All but the idempotency key are not passed on.
+# Headers that are addressed to the entry. Of these, only the idempotency key is passed on.
 _ENTRY_HEADERS = frozenset(
     name.lower() for name in (KEY_HEADER, DEADLINE_HEADER, CLIENT_HEADER, "Host")
 )
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -15,8 +15,8 @@
 # of refused requests would grow for as long as there is no coordinator.
 MAX_DEMAND_INTERVAL_S = 2.0
 # Time after a change of the coordinator until shares follow the demand again. The new coordinator
-# increases no share until those of the earlier one have expired and left all windows; then it takes
-# up to a second until the next heartbeats bring new shares.
+# increases no share until those of the earlier one have expired and what was taken under them has
+# left all windows; then it takes up to a second until the next heartbeats bring new shares.
 TAKEOVER_S = caps.SHARE_S + window.WINDOW_S + 1.0
 
 
@@ -26,9 +26,9 @@
 
     Attributes:
         window: Limits what is taken in any one-second window.
-        taken: Amount taken since ``since_s``.
+        taken: Amount taken since ``since_s``, in requests or Mbit.
         refused: Amounts refused since ``since_s`` and not taken later, by request id.
-        since_s: Start of the current measurement.
+        since_s: Monotonic time of the start of the current measurement.
         demand: Result of the previous measurement: amount taken and refused per second.
     """
 
@@ -47,6 +47,10 @@
 class CapLimits:
     """Keeps this instance within its shares of caps and measures its demand for them.
 
+    The cap of a region limits the requests to its servers, in requests/s; the cap of a link limits
+    the messages from this region to another one, in Mbit/s. Each instance of this region may use
+    the share of a cap that the coordinator of the region grants it.
+
     The limit of a window is set to the share in force whenever something is taken from it, so that
     the expiry of a share takes effect without a message.
 
@@ -173,7 +177,7 @@
         )
 
     def _check_epoch(self) -> None:
-        """Starts the time of ``TAKEOVER_S`` when this instance follows another coordinator."""
+        """Makes ``settling`` true for ``TAKEOVER_S`` when the coordinator has changed."""
         epoch = self._epoch()
         if epoch != self._last_epoch:
             self._last_epoch = epoch
--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -16,6 +16,8 @@
 ) -> None:
     """Writes all outcomes, then the closed marker, which says that no more will follow.
 
+    If the table service is unavailable, this is logged and the marker is not written.
+
     Args:
         me: Incarnation that stops.
         outcomes: Outcomes of the incarnation.
--- a/packages/entry/src/sassafrasway_entry/conversion.py
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -102,8 +102,8 @@
     """Returns the response from a Thrift message.
 
     Raises:
-        KeyError: The outcome is unknown.
-        ValueError: The reason is unknown.
+        KeyError: The outcome is not a value of the Thrift enum ``Outcome``.
+        ValueError: The reason is not a value of ``messages.Reason``.
     """
     return messages.Response(
         outcome=_OUTCOMES_FROM_THRIFT[reply.outcome],
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -20,7 +20,7 @@
         coordinator: The coordinator of the epoch.
         instances: Instances of the region, including silent and leaving ones.
         owners: Owners of the region's pools.
-        gone: Recent instances that are known to be gone.
+        gone: Incarnations that were found to have ended; only the latest of them.
     """
 
     region: str
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -98,7 +98,8 @@
         Raises:
             rpc_client.ConnectionRefusedByPeerError: No process listens at the address.
             rpc_client.CallNotSentError: The peer was not reached; it has not received the call.
-            errors.UnavailableError: The peer did not answer; it may have received the call.
+            errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
+                call; it may have received the call.
             errors.SassafraswayError: The peer reported an error.
         """
 
@@ -297,7 +298,7 @@
     async def _send_attempt(
         self, peer: Any, request: messages.Request, message: Any, until_s: float
     ) -> messages.Response:
-        """Sends an attempt, and sends it again on a new connection when the reply is lost.
+        """Sends an attempt, and sends it again when the peer does not answer.
 
         The receiver runs each attempt id only once, so sending it again returns the outcome of the
         first send.
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -23,7 +23,8 @@
     Attributes:
         arrived_s: Monotonic time of the first arrival.
         task: Task that runs the attempt.
-        response: Response to return if the attempt is sent again; None while it runs.
+        response: Response to return if the attempt is sent again; None until a call that waits for
+            ``task`` has stored it.
     """
 
     arrived_s: float
@@ -74,6 +75,15 @@
     async def forward(self, request):
         """Runs a forwarded request and returns the reply once the link's cap admits it.
 
+        A response that the cap does not admit in time is replaced by an unknown outcome, unless the
+        request did not run.
+
+        Args:
+            request: Thrift message ``ForwardRequest``.
+
+        Returns:
+            Thrift message ``ForwardReply``.
+
         Raises:
             errors.ValidationError: The stage of the request is not supported.
         """
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -28,7 +28,7 @@
 
     Attributes:
         holder: Incarnation that holds the key.
-        attempt: Request id of the attempt that created the row.
+        attempt: Request id of the attempt that created the row; empty in a row with an outcome.
         response: Outcome of the request; None while it runs.
     """
 
@@ -48,7 +48,7 @@
         """Returns the claim that a row holds.
 
         Raises:
-            ValueError: The value is not JSON, or its outcome or reason is unknown.
+            ValueError: The value is not JSON, or its outcome cannot be decoded.
             KeyError: A field is missing.
         """
         data = json.loads(value)
@@ -116,7 +116,7 @@
         self._closed = True
 
     async def handle(self, request: messages.Request) -> messages.Response:
-        """Runs a request that a caller sent to this instance."""
+        """Runs a request that a caller sent to this instance, here or at the holder of its key."""
         ticket = at_most_once.Ticket.parse(request.key)
         if ticket is None:
             return await self._handle_claim(request)
@@ -206,8 +206,8 @@
         """Returns the stored outcome of a ticket.
 
         It is needed if the holder cannot be reached or may have deleted its record of the ticket.
-        If the closed marker of the holder exists, a missing outcome proves that the request did not
-        run, so that it may run here under a claim unless the ticket has expired.
+        If the closed marker of the holder exists, a missing outcome proves that the holder did not
+        run the request, so that it may run here under a claim unless the ticket has expired.
         """
         try:
             stored = await asyncio.wait_for(
@@ -224,7 +224,7 @@
         return messages.unknown(503, messages.Reason.TICKET_HOLDER_GONE)
 
     async def _handle_claim(self, request: messages.Request) -> messages.Response:
-        """Runs a request if it can create the claim row, or returns the outcome of an earlier one.
+        """Runs a request if it can create the claim row, or returns the outcome of its earlier run.
 
         While the table service is unavailable, the write is repeated until the deadline.
         """
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -24,7 +24,7 @@
     HEADER_TOO_LARGE = "header_too_large"
     BODY_TOO_LARGE = "body_too_large"
     KEY_REQUIRED = "key_required"
-    NOT_READY = "not_ready"
+    NOT_READY = "not_ready"  # temporary, for example without a policy or after a handover
     NO_SLOT = "no_slot"
     REGION_CAP = "region_cap"
     LINK_CAP = "link_cap"
@@ -34,11 +34,11 @@
     PEER_UNREACHABLE = "peer_unreachable"
     DEADLINE = "deadline"
     CONNECTION_LOST = "connection_lost"
-    QUARANTINED = "quarantined"
+    QUARANTINED = "quarantined"  # servers crashed on the same request
     TICKET_EXPIRED = "ticket_expired"
-    TICKET_HOLDER_GONE = "ticket_holder_gone"
-    CLAIM_HOLDER_GONE = "claim_holder_gone"
-    STORE_UNAVAILABLE = "store_unavailable"
+    TICKET_HOLDER_GONE = "ticket_holder_gone"  # it may have run the request
+    CLAIM_HOLDER_GONE = "claim_holder_gone"  # it may have run the request
+    STORE_UNAVAILABLE = "store_unavailable"  # the platform's table service
     INTERNAL = "internal"
 
 
@@ -54,7 +54,8 @@
         home_region: Region of the client's address block, or of the receiving instance if the
             client is in no block; empty until the request is routed.
         shift: Name of the shift that moved the request; empty when none did.
-        fingerprint: Digest that is the same for the same request sent again.
+        fingerprint: Digest by which a request that crashed servers is recognised when it is sent
+            again, see ``quarantine.fingerprint``.
     """
 
     request_id: str
@@ -78,7 +79,7 @@
     Attributes:
         status: HTTP status code.
         reason: Why no backend server responded; ``NONE`` for the response of a server.
-        detail: Human-readable reason.
+        detail: Human-readable reason; empty for the response of a server.
         server: Name of the backend server that responded; empty when none did.
         owner: Owner of the pool, sent to an instance whose directory is outdated.
         retry_after_ms: Suggested delay before a retry; 0 for no suggestion.
@@ -98,7 +99,10 @@
 def not_run(
     status: int, reason: Reason, detail: str = "", *, retry_after_ms: int = 0, owner: str = ""
 ) -> Response:
-    """Returns a response that says that the request did not run."""
+    """Returns a response that says that the request did not run.
+
+    The default of ``detail`` is the text of ``reason``.
+    """
     return Response(
         outcome=Outcome.NOT_RUN,
         status=status,
@@ -110,7 +114,10 @@
 
 
 def unknown(status: int, reason: Reason, detail: str = "") -> Response:
-    """Returns a response that says that the request may have run."""
+    """Returns a response that says that the request may have run.
+
+    The default of ``detail`` is the text of ``reason``.
+    """
     return Response(
         outcome=Outcome.UNKNOWN,
         status=status,
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -45,7 +45,7 @@
 
     Raises:
         KeyError: A field is missing.
-        ValueError: The outcome or the reason is unknown, or the body is not base64.
+        ValueError: The outcome or the reason is not a value of its enum, or the body is not base64.
     """
     return messages.Response(
         outcome=messages.Outcome(document["outcome"]),
@@ -74,8 +74,8 @@
 
     Attributes:
         response: The stored outcome, or None.
-        closed: Whether the incarnation of the ticket has ended after writing all of its outcomes,
-            so that a missing outcome proves that the request did not run.
+        closed: Whether the ticket's holder has ended after writing all of its outcomes, so that a
+            missing outcome proves that the holder did not run the request.
     """
 
     response: messages.Response | None
@@ -91,6 +91,7 @@
 
     def __init__(self, *, service: table.TableService):
         self._table = service
+        # Documents of the queued outcomes by segment prefix and ticket.
         self._pending: dict[str, dict[str, dict]] = {}
         self._pending_count = 0
         self._dropped = 0
@@ -163,7 +164,7 @@
         Raises:
             errors.UnavailableError: The table service is unavailable.
         """
-        # The closed marker is read first, because no batch is written after it.
+        # The closed marker is read first, because the holder writes no batch after it.
         closed = await self._table.get(closed_row_key(ticket.holder)) is not None
         for row in await self._table.scan(segment_prefix(ticket)):
             document = json.loads(row.value).get(str(ticket))
@@ -177,8 +178,9 @@
         try:
             await self._table.put(f"{prefix}{self._batch_number}", value, if_version=table.ABSENT)
         except table.PreconditionFailed:
-            # An earlier attempt at this write succeeded, but its response was lost. The next flush
-            # writes the batch again under a new number.
+            # The row exists: this write succeeded but its response was lost and aiohttp sent it
+            # again, or another instance has used the number for tickets of the same holder. The
+            # next flush writes the batch under a new number.
             return False
         except errors.UnavailableError as error:
             self._log.debug("outcomes not written", error=str(error))
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -52,10 +52,17 @@
     ) -> Any:
         """Calls a method of the Control, Forward or Config service of a peer.
 
+        Args:
+            address: RPC address that the peer advertises, ``host:port``.
+            method: Name of the method.
+            timeout_s: Limit in seconds of the wait for the reply.
+            **arguments: Arguments of the method.
+
         Raises:
             client.ConnectionRefusedByPeerError: No process listens at the address.
             client.CallNotSentError: The peer was not reached; it has not received the call.
-            errors.UnavailableError: The peer did not answer; it may have received the call.
+            errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
+                call; it may have received the call.
             errors.SassafraswayError: The peer reported an error.
         """
         # Inserting the client again at the end keeps the clients in order of their last use.
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -31,7 +31,7 @@
 RAMP_S = 2.0  # time in which a new or idle server reaches all of its slots
 PROBE_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
-WAKE_INTERVAL_S = 0.02
+WAKE_INTERVAL_S = 0.02  # interval of checks for free slots while requests wait
 # For this long after its acquisition, a pool may still lack slots or caps that its previous owner
 # uses. A refusal in this time is "not ready", so that the dispatcher retries the request.
 HANDOVER_SETTLE_S = cap_limits.TAKEOVER_S
@@ -165,8 +165,8 @@
                 self._pools[key] = owned
                 owned.acquired_s = self._clock.monotonic()
                 self._log.info("pool acquired", pool=str(key), share=grant.share.value)
-            # Every heartbeat repeats the inherited slots; they are counted once for each previous
-            # owner.
+            # Every heartbeat reply repeats the inherited slots; they are counted once for each
+            # previous owner.
             if grant.inherited and (is_new or owned.grant.previous != grant.previous):
                 expires_s = self._clock.monotonic() + grant.inherited_s
                 owned.slots.inherit(grant.inherited, expires_s=expires_s)
@@ -234,7 +234,7 @@
             await self.probe_pools()
 
     async def probe_pools(self) -> None:
-        """Probes the servers of all pools that are due.
+        """Probes the servers that are due, in all pools of this instance.
 
         These are ejected servers and servers that reported that they are leaving.
         """
@@ -282,7 +282,7 @@
         self._log.info("pool released", pool=str(key), in_use=owned.slots.in_use())
 
     def _update_shift_windows(self, owned: owned_pool.OwnedPool) -> None:
-        """Applies the caps of the policy's shifts into the pool; usage of kept windows stays."""
+        """Applies the caps of the policy's shifts into the pool; kept windows keep their counts."""
         if self._policy is None:
             return
         key = owned.grant.pool
--- a/packages/entry/src/sassafrasway_entry/request_runner.py
+++ b/packages/entry/src/sassafrasway_entry/request_runner.py
@@ -64,8 +64,8 @@
     ) -> messages.Response:
         """Runs a request on the server of its slot, or on other servers of the pool by retries.
 
-        A request that a server may have received is retried only if the service is idempotent. The
-        slot of every attempt is released.
+        A request that a server may have run is retried only if the service is idempotent. The slot
+        of every attempt is released.
 
         Args:
             owned: The pool.
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -33,7 +33,7 @@
     Args:
         region: Region of this instance, the home region of clients that are in no client block.
         clock: Time source.
-        rng: Random source.
+        rng: Random source of the shift controller.
     """
 
     def __init__(self, *, region: str, clock: clock_lib.Clock, rng: random.Random):
@@ -75,6 +75,7 @@
                 shift that moves a fraction of the requests applies.
         """
         home = self.region_of(client) or self._region
+        # At least 0 and less than 1.
         position = xxhash.xxh32_intdigest(f"{client}|{hash_key}".encode()) / _HASH_RANGE
         decision = self._shifts.decide(service, home, position)
         by_region = self._pools.get(service, {})
--- a/packages/entry/src/sassafrasway_entry/telemetry.py
+++ b/packages/entry/src/sassafrasway_entry/telemetry.py
@@ -45,6 +45,12 @@
     Args:
         instance: Name of the instance, which becomes a resource attribute of all metrics.
         section: Settings of the export.
+
+    Attributes:
+        requests: Requests of callers; attributes ``service``, empty when unknown, and ``outcome``.
+        latency: Seconds until the response to a caller; the same attributes.
+        lookups: Lookups; attribute ``status``.
+        violations: Violated invariants; attribute ``rule``.
     """
 
     def __init__(self, *, instance: str, section: settings_lib.TelemetrySection):
