--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -140,7 +140,7 @@
         return result
 
 
-def limits(clock_source, current, share_amount=1e9, region_name="bkk", epoch=lambda: 1):
+def limits(clock_source, policy_, share_amount=1e9, region_name="bkk", epoch=lambda: 1):
     """Returns the limits of an instance whose share of every cap is ``share_amount``.
 
     The unit is that of the cap: requests/s for the cap of a region and Mbit/s for that of a link.
@@ -151,7 +151,7 @@
         amount=lambda name: share_amount,
         epoch=epoch,
     )
-    result.set_policy(current)
+    result.set_policy(policy_)
     return result
 
 
--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -81,12 +81,12 @@
             self.server, request, idempotent=idempotent, timeout_s=timeout_s
         )
 
-    async def test_whole_answer(self):
+    async def test_complete_response_has_body_and_load(self):
         """Guards against losing the body or the reported load of a complete response."""
         response = await self._call()
         self.assertEqual((response.result, response.body, response.load), (_Result.OK, b"data", 2))
 
-    async def test_broken_connection_is_not_repeated_by_the_library(self):
+    async def test_aiohttp_does_not_retry_on_a_broken_connection(self):
         """Guards against a retry by aiohttp itself, which resends a GET on a reused connection."""
         for idempotent in (True, False):
             await self._call(method="GET", body=b"", idempotent=idempotent)
@@ -96,7 +96,7 @@
             self.assertEqual((response.result, len(self.requests)), (_Result.LOST, 1))
             self.behaviour = "answer"
 
-    async def test_partial_answer_is_lost(self):
+    async def test_truncated_response_is_lost(self):
         """Guards against returning a truncated response as complete."""
         self.behaviour = "short"
         response = await self._call()
@@ -108,7 +108,7 @@
         response = await self._call()
         self.assertIs(response.result, _Result.SHED)
 
-    async def test_refused_connection_was_not_sent(self):
+    async def test_request_on_a_refused_connection_is_not_sent(self):
         """Guards against "unknown" for a request that no server has received."""
         await self.runner.cleanup()
         response = await self._call()
@@ -134,7 +134,7 @@
         self.assertLessEqual(self.deadlines_ms[0], backend_client.RESPONSE_TIMEOUT_S * 1000)
         self.assertGreater(self.deadlines_ms[1], 19_000)
 
-    async def test_caller_that_goes_away_cancels_the_call(self):
+    async def test_cancelled_call_is_cancelled_at_the_server(self):
         """Guards against work that continues on the server after the caller disconnected.
 
         The slot of the server would stay in use for a response that nobody reads.
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -95,7 +95,7 @@
         self.assertNotIn("ticket", body)
         self.assertGreater(body["ttl_s"], 0)
 
-    async def test_bad_lookups(self):
+    async def test_invalid_lookups_are_refused_with_a_reason(self):
         """Guards against an invalid lookup that succeeds or fails with the wrong reason."""
         unknown_service = await self._lookup(service="nope", client="10.0.0.1")
         await self._assert_refused(unknown_service, 404, "unknown_service")
@@ -119,7 +119,7 @@
         self.assertEqual((response.status, response.headers["X-A"]), (201, "b"))
         self.assertEqual(await response.read(), b"body")
 
-    async def test_bad_requests(self):
+    async def test_invalid_requests_are_refused_with_a_reason(self):
         """Guards against running an invalid request or refusing it with the wrong reason."""
         post = self.client.post
         await self._assert_refused(await post("/v1/services/nope/x"), 404, "unknown_service")
@@ -138,7 +138,7 @@
                 bad = await post("/v1/services/quote-archive/x", headers={name: value})
                 await self._assert_refused(bad, 400, "bad_request")
 
-    async def test_expired_deadline_on_arrival(self):
+    async def test_request_with_an_expired_deadline_is_refused(self):
         """Guards against running a request whose deadline has already passed."""
         for value in ("0", "-5"):
             response = await self.client.post(
@@ -146,7 +146,7 @@
             )
             await self._assert_refused(response, 504, "deadline")
 
-    async def test_unknown_path_has_an_outcome(self):
+    async def test_response_to_an_unknown_path_has_an_outcome(self):
         """Guards against an error response without an outcome."""
         response = await self.client.get("/elsewhere")
         await self._assert_refused(response, 404, "bad_request")
--- a/packages/entry/tests/test_cap_limits.py
+++ b/packages/entry/tests/test_cap_limits.py
@@ -25,7 +25,7 @@
         self.clock.advance(1.0)
         return self.limits.demand()["region/bkk"]
 
-    def test_refused_requests_count(self):
+    def test_refused_requests_count_as_demand(self):
         """Guards against a demand that never exceeds the share.
 
         If refused requests did not count, the instance could not get a larger share.
@@ -50,7 +50,7 @@
         self.assertLessEqual(len(self.limits._caps["region/bkk"].refused), 30)
         self.assertAlmostEqual(self.limits.demand()["region/bkk"], 10.0, delta=1.0)
 
-    def test_request_that_passes_later_counts_once(self):
+    def test_request_taken_after_a_refusal_counts_once(self):
         """Guards against counting a request twice that is refused and then succeeds."""
         self.limits.demand()
         for request_id in "abc":
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -93,7 +93,7 @@
         response = await subject.run(self._request())
         self.assertEqual((response.outcome, response.status), (messages.Outcome.NOT_RUN, 429))
 
-    async def test_waiting_service_queues_at_home(self):
+    async def test_request_that_may_wait_queues_at_the_home_pool(self):
         """Guards against refusing a request of a service whose requests may queue."""
         subject = self._make_dispatcher(service="katalog")
         self.pools.script = [_FULL, _RAN]
@@ -176,7 +176,7 @@
         response = await subject.run(self._request())
         self.assertIs(response.outcome, messages.Outcome.RAN)
 
-    async def test_link_cap_holds(self):
+    async def test_link_cap_limits_forwarded_requests(self):
         """Guards against forwarding more bytes to a region than the link's cap admits."""
         self.link_mbit_s = 0.02  # room for one request of 1,000 bytes each second
         subject = self._make_dispatcher(regions=("bkk", "cnx"))
--- a/packages/entry/tests/test_forward_service.py
+++ b/packages/entry/tests/test_forward_service.py
@@ -63,7 +63,7 @@
         self.assertEqual(reply.outcome, schema.forward.Outcome.RAN)
         self.assertEqual(len(self.backend.calls), 1)
 
-    async def test_attempt_for_an_earlier_incarnation(self):
+    async def test_attempt_for_an_earlier_incarnation_does_not_run(self):
         """Guards against running an attempt that the previous incarnation may have run.
 
         It is refused as not run only if it was sent for the first time.
--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -55,21 +55,21 @@
 class _Node:
     """A gatekeeper with its own registry on a shared table."""
 
-    def __init__(self, cluster, name, incarnation):
+    def __init__(self, test_case, name, incarnation):
         self.me = model.InstanceId(name=name, incarnation=incarnation)
-        self.dispatcher = _Dispatcher(cluster.peers)
-        self.store = outcomes.OutcomeStore(service=cluster.table)
+        self.dispatcher = _Dispatcher(test_case.peers)
+        self.store = outcomes.OutcomeStore(service=test_case.table)
         self.keeper = gatekeeper.Gatekeeper(
             me=self.me,
             registry=at_most_once.KeyRegistry(
                 me=self.me,
-                clock=cluster.clock,
+                clock=test_case.clock,
                 invariants=invariants.Invariants(mode=invariants.Mode.RAISE),
             ),
             dispatcher=self.dispatcher,
-            directory=cluster.directory,
+            directory=test_case.directory,
             store=self.store,
-            claims=cluster.table,
+            claims=test_case.table,
         )
 
 
@@ -117,7 +117,7 @@
         second = await self.a.keeper.handle(self._request(key, 2))
         self.assertEqual((first.body, second.body, self._runs()), (b"booked", b"booked", 1))
 
-    async def test_concurrent_duplicates_get_the_same_answer(self):
+    async def test_concurrent_duplicates_get_the_same_response(self):
         """Guards against running a duplicate that arrives while the first attempt runs."""
         key = self._ticket(self.a)
         self.a.dispatcher.gate = asyncio.Event()
@@ -131,7 +131,7 @@
         self.assertEqual({response.body for response in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
-    async def test_ticket_works_with_table_down(self):
+    async def test_request_with_a_ticket_runs_while_the_table_is_down(self):
         """Guards against refusing requests with tickets while the table is down."""
         self.faults.down = True
         response = await self.b.keeper.handle(self._request(self._ticket(self.a)))
@@ -179,7 +179,7 @@
         self.assertEqual({response.body for response in responses}, {b"booked"})
         self.assertEqual(self._runs(), 1)
 
-    async def test_late_ticket_of_a_closed_holder_does_not_run(self):
+    async def test_expired_ticket_of_a_closed_holder_does_not_run(self):
         """Guards against running a ticket that its holder may have refused as expired."""
         key = self._ticket(self.a)
         await self.a.store.close(self.a.me)
@@ -235,7 +235,7 @@
         again = await self.a.keeper.handle(self._request("invoice-8", 2))
         self.assertEqual((again.outcome, self._runs()), (messages.Outcome.NOT_RUN, 0))
 
-    async def test_claim_whose_answer_was_lost_runs_once(self):
+    async def test_claim_whose_write_response_was_lost_runs_once(self):
         """Guards against an attempt that takes its own claim row for that of another attempt.
 
         The row was written, but the response to the write was lost.
@@ -268,7 +268,7 @@
         )
         self.assertEqual(self._runs(), 1)
 
-    async def test_caller_that_goes_away_does_not_stop_the_run(self):
+    async def test_disconnected_caller_does_not_stop_the_run(self):
         """Guards against losing an outcome because the first caller disconnected."""
         key = self._ticket(self.a)
         self.a.dispatcher.gate = asyncio.Event()
--- a/packages/entry/tests/test_peers.py
+++ b/packages/entry/tests/test_peers.py
@@ -8,6 +8,8 @@
 
 
 class _Member:
+    """Fake of the member task with a fixed identity: instance, epoch and no coordinator."""
+
     def identity(self):
         me = region.Instance(name="p", incarnation="1", rpc_address="10.0.0.1:7000")
         return me, 3, None
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -28,7 +28,7 @@
     def _request(self, **options):
         return fakes.request(clock_source=self.clock, **options)
 
-    async def test_runs_and_frees_the_slot(self):
+    async def test_slot_is_released_after_a_response(self):
         """Guards against slots that are not released after a response."""
         manager = self._manager()
         for number in range(10):
@@ -82,7 +82,7 @@
             await asyncio.gather(task, return_exceptions=True)
         self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
 
-    async def test_attempt_without_an_answer_frees_its_slot(self):
+    async def test_timed_out_attempt_releases_its_slot(self):
         """Guards against slots that stay in use until a long deadline after an attempt timed out.
 
         In test_silent_connections with a deadline of 20 s, all slots of quote-archive-2 stayed in
@@ -93,7 +93,7 @@
         await manager.execute(fakes.POOL, self._request(remaining_s=20.0), may_queue=False)
         self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
 
-    async def test_queue_hands_slot_to_waiter(self):
+    async def test_released_slot_is_given_to_a_waiting_request(self):
         """Guards against a waiting request that is not given a released slot."""
         servers = [fakes.server(service="katalog", slots=1)]
         key = model.PoolKey(service="katalog", region="bkk")
@@ -113,7 +113,7 @@
         self.assertEqual({response.outcome for response in responses}, {messages.Outcome.RAN})
         self.assertEqual(manager.owned[key].slots.in_use(), {})
 
-    async def test_shed_goes_to_another_server(self):
+    async def test_shed_request_is_retried_on_another_server(self):
         """Guards against failing, or reporting "unknown" for, a request that a server has shed.
 
         The server has not processed it, so another server can.
@@ -125,8 +125,8 @@
         self.assertIs(response.outcome, messages.Outcome.RAN)
         self.assertEqual(len({name for name, _ in self.backend.calls}), 2)
 
-    async def test_lost_connection_is_unknown_and_not_repeated(self):
-        """Guards against a second run of a non-idempotent request after a lost connection."""
+    async def test_lost_non_idempotent_request_is_unknown_and_not_retried(self):
+        """Guards against a second run of a non-idempotent request that a server may have run."""
         servers = [fakes.server("s1"), fakes.server("s2")]
         manager = self._manager(policy_=fakes.policy(servers=servers))
         for result in (_Result.LOST, _Result.TIMEOUT):
@@ -137,7 +137,7 @@
                 self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
                 self.assertEqual(len(self.backend.calls), 1)
 
-    async def test_refused_connection_is_repeated(self):
+    async def test_request_on_a_refused_connection_is_retried(self):
         """Guards against failing a request that no server has received."""
         servers = [fakes.server("s1"), fakes.server("s2")]
         manager = self._manager(policy_=fakes.policy(servers=servers))
@@ -163,7 +163,7 @@
         self.assertEqual(len(self.crashes), 2)
         self.assertEqual(outcomes[-1], (422, messages.Outcome.NOT_RUN))
 
-    async def test_offline_share_leaves_the_rest_free(self):
+    async def test_offline_share_admits_a_third_of_the_slots(self):
         """Guards against an owner without a valid grant using more than the offline share."""
         manager = self._manager(share_value=share.Share.OFFLINE)
         self.backend.gate = asyncio.Event()
@@ -199,7 +199,7 @@
         response = await manager.execute(fakes.POOL, self._request(), may_queue=False)
         self.assertEqual(response.outcome, messages.Outcome.RAN)
 
-    async def test_leaving_server_gets_no_new_work(self):
+    async def test_leaving_server_gets_no_new_requests(self):
         """Guards against new requests to a server that the policy marks as leaving."""
         servers = [fakes.server("s1"), fakes.server("s2")]
         manager = self._manager(policy_=fakes.policy(servers=servers))
@@ -209,7 +209,7 @@
             await manager.execute(fakes.POOL, self._request(number=number), may_queue=False)
         self.assertEqual({name for name, _ in self.backend.calls}, {"s2"})
 
-    async def test_region_cap_holds(self):
+    async def test_region_cap_limits_dispatched_requests(self):
         """Guards against a region receiving more than its cap in one second."""
         manager = self._manager(
             policy_=fakes.policy(servers=[fakes.server(slots=50)], caps={"bkk": 5.0}),
@@ -251,7 +251,7 @@
         self.clock.advance(pools.HANDOVER_SETTLE_S)
         self.assertEqual(await refuse(), messages.Reason.REGION_CAP)
 
-    async def test_shift_cap_counts_overflow_from_the_source(self):
+    async def test_shift_cap_limits_requests_from_the_source_region(self):
         """Guards against more requests from the source region than the cap of the shift."""
         shift = model.Shift(
             name="move", service="crew-desk", source="cnx", target="bkk", cap_rps=4.0
