--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -170,8 +170,9 @@
     async def _wait_for_outcome(self, key: str, request: messages.Request) -> messages.Response:
         """Returns the outcome of a key, or "unknown" if its run goes on after the deadline.
 
-        The deadline is that of ``request``. The run has the deadline of the attempt that started
-        it, and is not cancelled.
+        The deadline is that of ``request``. The wait ends 0.05 s after it, so that the response of
+        a run with the same deadline normally comes first. The run has the deadline of the attempt
+        that started it, and is not cancelled.
         """
         task = self._running.get(key)
         if task is None:
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -11,7 +11,7 @@
 
     RAN = "ran"
     NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
+    UNKNOWN = "unknown"  # the request may have run
 
 
 class Reason(enum.Enum):
--- a/packages/entry/src/sassafrasway_entry/owner_messages.py
+++ b/packages/entry/src/sassafrasway_entry/owner_messages.py
@@ -9,7 +9,7 @@
 from sassafrasway_core import errors, model
 from sassafrasway_entry import control_conversion, dispatcher
 
-CRASH_REPORT_TIMEOUT_S = 0.3  # the request is retried only after the reports
+CRASH_REPORT_TIMEOUT_S = 0.3  # short, because the retry of the request waits for the reports
 
 
 class OwnerMessages:
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -51,8 +51,8 @@
         share_of: Returns the share of a pool that this instance may use now.
         placement: Strategy that decides which slots an instance may use.
         limits: This instance's share of the cap of the region.
-        on_slot_released: Called with pool and server name when a request ends after the owner of
-            its pool has changed.
+        on_slot_released: Called with pool and server name when a request releases its slot after
+            this instance has released the pool.
         queue_limit: Maximum number of waiting requests in a pool.
     """
 
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -16,8 +16,9 @@
     """Route of a request.
 
     Attributes:
-        pools: Pools to try, home pool first, then the others by distance from the home region. If
-            a shift moves the request, the home pool is that of the shift's target region.
+        pools: Pools to try, one in each region that has servers of the service: the home pool
+            first, then the others by distance from the home region. If a shift moves the request,
+            the home pool is that of the shift's target region.
         home_region: Home region of the client.
         shift: Name of the shift that moves the request to another region, or empty.
     """
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -83,7 +83,10 @@
 
 
 class FakeBackend:
-    """Backend client with scripted results; ``gate`` delays calls until it is set."""
+    """Backend client whose next calls have the results in ``script``, and later ones OK.
+
+    ``gate`` is None or an event that delays calls until it is set.
+    """
 
     def __init__(self):
         self.calls = []
