Distinguish pool keys and Thrift messages by name in forwarding

'key' meant both the pool and the idempotency key in the dispatcher and in to_forward, and 'request' both the Thrift message and the request in ForwardService. The former are now pool_key and message; the Thrift argument of forward() keeps its name.

--- a/packages/entry/src/sassafrasway_entry/conversion.py
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -24,7 +24,7 @@
     request: messages.Request,
     *,
     stage: int,
-    key: model.PoolKey | None,
+    pool_key: model.PoolKey | None,
     may_queue: bool,
     sender: str,
     attempt_id: str,
@@ -35,7 +35,7 @@
     Args:
         request: The request.
         stage: Value of the Thrift enum ``Stage``.
-        key: Pool on which the peer runs the request, or None.
+        pool_key: Pool on which the peer runs the request, or None.
         may_queue: Whether the request may wait for a slot.
         sender: Name and incarnation of this instance.
         attempt_id: Id under which the peer runs the request only once.
@@ -45,8 +45,8 @@
         request_id=request.request_id,
         stage=stage,
         service_name=request.service,
-        region=key.region if key else "",
-        shard=key.shard if key else 0,
+        region=pool_key.region if pool_key else "",
+        shard=pool_key.shard if pool_key else 0,
         method=request.method,
         path=request.path,
         headers=_to_headers(request.headers),
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -187,8 +187,8 @@
         response = messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
         possibly_ran: messages.Response | None = None
         in_handover = False
-        for key in route.pools:
-            response = await self.execute(key, request, may_queue=False)
+        for pool_key in route.pools:
+            response = await self.execute(pool_key, request, may_queue=False)
             if response.outcome is messages.Outcome.UNKNOWN and self._may_retry(service, response):
                 possibly_ran = response
                 continue
@@ -207,7 +207,7 @@
         )
 
     async def execute(
-        self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
+        self, pool_key: model.PoolKey, request: messages.Request, *, may_queue: bool
     ) -> messages.Response:
         """Runs a request on one pool, on this instance or on the owner of the pool.
 
@@ -215,21 +215,25 @@
         that one; this happens only once.
 
         Args:
-            key: Pool to use.
+            pool_key: Pool to use.
             request: The request.
             may_queue: Whether the request may wait for a slot.
         """
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if not self._placement.forwards:
-            return await self._pools.execute(key, request, may_queue=may_queue)
-        owner = self._directory.owner(key)
-        if owner is None or (owner.name == self._me.name and not self._pools.owns(key)):
+            return await self._pools.execute(pool_key, request, may_queue=may_queue)
+        owner = self._directory.owner(pool_key)
+        if owner is None or (owner.name == self._me.name and not self._pools.owns(pool_key)):
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=200)
         if owner.name == self._me.name:
-            return await self._pools.execute(key, request, may_queue=may_queue)
+            return await self._pools.execute(pool_key, request, may_queue=may_queue)
         response = await self.forward(
-            owner, request, stage=schema.forward.Stage.EXECUTE, key=key, may_queue=may_queue
+            owner,
+            request,
+            stage=schema.forward.Stage.EXECUTE,
+            pool_key=pool_key,
+            may_queue=may_queue,
         )
         if response.reason is messages.Reason.NOT_OWNER and response.owner:
             current = self._directory.instance(response.owner)
@@ -238,7 +242,7 @@
                     current,
                     request,
                     stage=schema.forward.Stage.EXECUTE,
-                    key=key,
+                    pool_key=pool_key,
                     may_queue=may_queue,
                 )
         return response
@@ -249,7 +253,7 @@
         request: messages.Request,
         *,
         stage: int,
-        key: model.PoolKey | None = None,
+        pool_key: model.PoolKey | None = None,
         may_queue: bool = False,
     ) -> messages.Response:
         """Sends a request to another instance and returns its response.
@@ -261,7 +265,7 @@
             peer: Directory record of the receiving instance.
             request: The request.
             stage: Value of the Thrift enum ``Stage``: what the peer does with the request.
-            key: Pool to use, for ``Stage.EXECUTE``.
+            pool_key: Pool to use, for ``Stage.EXECUTE``.
             may_queue: Whether the request may wait for a slot.
         """
         policy = self._steering.policy
@@ -279,7 +283,7 @@
         message = conversion.to_forward(
             request,
             stage=stage,
-            key=key,
+            pool_key=pool_key,
             may_queue=may_queue,
             sender=str(self._me),
             attempt_id=f"{self._me}/{next(self._attempt_ids)}",
@@ -339,8 +343,8 @@
         """
         response = messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
         in_handover = False
-        for key in route.pools:
-            response = await self.execute(key, request, may_queue=True)
+        for pool_key in route.pools:
+            response = await self.execute(pool_key, request, may_queue=True)
             if response.outcome is not messages.Outcome.NOT_RUN or request.deadline.expired:
                 return _PassResult(response=response)
             in_handover = in_handover or response.reason in _HANDOVER_REASONS
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -94,19 +94,19 @@
             response = _link_cap_response(response)
         return conversion.to_reply(response)
 
-    async def _run_once(self, request) -> messages.Response:
+    async def _run_once(self, message) -> messages.Response:
         """Runs an attempt, or waits for it if it has arrived before.
 
         The attempt runs in a separate task, so that it continues if the connection breaks.
         """
         self._remove_expired_attempts()
-        attempt = self._attempts.get(request.attempt_id)
+        attempt = self._attempts.get(message.attempt_id)
         if attempt is None:
-            task = asyncio.create_task(self._process(request))
+            task = asyncio.create_task(self._process(message))
             attempt = _Attempt(arrived_s=self._clock.monotonic(), task=task)
-            self._attempts[request.attempt_id] = attempt
-            self._running[request.request_id] = task
-            task.add_done_callback(lambda _: self._running.pop(request.request_id, None))
+            self._attempts[message.attempt_id] = attempt
+            self._running[message.request_id] = task
+            task.add_done_callback(lambda _: self._running.pop(message.request_id, None))
         if attempt.response is None:
             response = await asyncio.shield(attempt.task)
             attempt.response = retained_response(response)
@@ -127,16 +127,16 @@
         if task is not None:
             task.cancel()
 
-    async def _wait_for_link_cap(self, request, response: messages.Response) -> bool:
+    async def _wait_for_link_cap(self, message, response: messages.Response) -> bool:
         """Waits until the link's cap admits the reply to the sender; returns whether it does."""
-        sender = self._directory.instance((request.sender or "").partition("/")[0])
+        sender = self._directory.instance((message.sender or "").partition("/")[0])
         if sender is None or sender.region == self._region:
             return True
         return await self._limits.wait_link(
             sender.region,
             len(response.body),
-            request.request_id,
-            limit_s=request.deadline_ms / 1000,
+            message.request_id,
+            limit_s=message.deadline_ms / 1000,
         )
 
     async def report_crash(self, service_name: str, fingerprint: str, server: str) -> None:
@@ -154,12 +154,12 @@
         )
 
     async def _execute(self, message, request: messages.Request) -> messages.Response:
-        key = model.PoolKey(
+        pool_key = model.PoolKey(
             service=message.service_name, region=message.region, shard=message.shard
         )
-        if self._pools.owns(key):
-            return await self._pools.execute(key, request, may_queue=message.may_queue)
-        owner = self._directory.owner(key)
+        if self._pools.owns(pool_key):
+            return await self._pools.execute(pool_key, request, may_queue=message.may_queue)
+        owner = self._directory.owner(pool_key)
         return messages.not_run(
             503, messages.Reason.NOT_OWNER, owner=owner.name if owner is not None else ""
         )
@@ -172,9 +172,9 @@
     return messages.unknown(504, messages.Reason.LINK_CAP)
 
 
-def _refuse_wrong_incarnation(request) -> messages.Response:
+def _refuse_wrong_incarnation(message) -> messages.Response:
     """Refuses an attempt for another incarnation, which may have run it if this is a resend."""
-    if request.resent:
+    if message.resent:
         return messages.unknown(503, messages.Reason.PEER_UNREACHABLE)
     return messages.not_run(503, messages.Reason.NOT_OWNER)
 
--- a/packages/entry/tests/test_forward_service.py
+++ b/packages/entry/tests/test_forward_service.py
@@ -29,7 +29,7 @@
         message = conversion.to_forward(
             fakes.request(clock_source=self.clock),
             stage=schema.forward.Stage.EXECUTE,
-            key=fakes.POOL,
+            pool_key=fakes.POOL,
             may_queue=False,
             sender="peer/01",
             attempt_id=attempt,
--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -29,7 +29,7 @@
             await self.gate.wait()
         return self.script.pop(0) if self.script else _RAN
 
-    async def forward(self, peer, request, *, stage, key=None, may_queue=False):
+    async def forward(self, peer, request, *, stage, pool_key=None, may_queue=False):
         try:
             reply = await self._peers.call(
                 peer.rpc_address, "forward", timeout_s=1, request=request
