--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -1,4 +1,7 @@
-"""Limits the request rate of all instances together to each cold server, without coordination."""
+"""Limits the request rate of all instances together to each cold server, without coordination.
+
+A cold server has just started, or was out of use, and is slow because its caches are empty.
+"""
 
 import hashlib
 import typing
--- a/packages/gateway/src/sassafrasway_gateway/dialect.py
+++ b/packages/gateway/src/sassafrasway_gateway/dialect.py
@@ -13,7 +13,8 @@
         headers: Names of HTTP headers.
         lookups: Format of lookup requests and responses.
         readiness_path: URL path of the platform's readiness probe.
-        policy_table: Name of the table with the policy and the evacuated failure domains.
+        policy_table: Name of the table with the policy and the evacuated failure domains, whose
+            servers get no request.
         server_table: Name of the table with the backend servers.
         member_table: Name of the table in which the instances register.
         decoder: Decodes the rows of these tables.
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -22,6 +22,8 @@
 class AttemptLogEntry:
     """Description of one attempt in the log line of its request.
 
+    The text contains ``known`` if the object was known to be warm on the server, otherwise ``new``.
+
     Attributes:
         choice: The server selection that led to the attempt.
         result: Outcome of the attempt; empty until it is known.
@@ -70,7 +72,7 @@
 
 
 class NotAdmitted(errors.NotRunError):
-    """The gateway rejects the request without sending it to a server.
+    """The gateway refuses the request without sending it to a server.
 
     Attributes:
         request_id: Id of the request.
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -28,7 +28,8 @@
             gateway.
         priority: Rank among the routes of a service; 0 is the most urgent. Not used by the gateway.
         max_attempts: Largest number of attempts; those that could not connect do not count.
-        sticky: Whether requests are assigned to servers by the object named in a cookie.
+        sticky: Whether requests are assigned to servers by the object named in a cookie; see
+            ``balancer`` for objects.
         home_regions: Regions whose servers may be used; empty allows all.
     """
 
@@ -93,7 +94,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServer:
-    """Backend server as the platform lists it; a restart leads to a new one under the same id.
+    """One start of a backend server, as its listing describes it.
+
+    The listing is the row that the server writes into the platform's store. After a restart, the
+    server is listed under the same id.
 
     Attributes:
         slots: Number of requests that the server runs at a time.
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -1,5 +1,6 @@
 """Moves a share of a region's objects to other regions while its own servers are overloaded.
 
+The objects of a region are those for which its instances receive requests; see ``balancer``.
 Daily peaks and bursts of load reach one region at a time. Its servers then queue and reject
 requests while those of other regions have free slots. The moved share changes slowly: a large step
 would overload the other regions, and objects run slower until they are warm on their new servers.
@@ -24,7 +25,7 @@
 # Longest interval that one update accounts for; bounds the step after a pause of the process.
 MAX_STEP_INTERVAL_S = 0.5
 # Lower bound of the share of objects that stay, relative to the share without overload.
-MIN_LOCAL_SHARE = 0.3
+MIN_KEPT_SHARE = 0.3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -101,7 +102,7 @@
             local_load > OVERLOAD_THRESHOLD
             and min(other_loads, default=0.0) < local_load - MIN_LOAD_DIFFERENCE
         ):
-            share.kept = max(MIN_LOCAL_SHARE, share.kept - step)
+            share.kept = max(MIN_KEPT_SHARE, share.kept - step)
         elif local_load < RELIEF_THRESHOLD:
             share.kept = min(1.0, share.kept + step)
         return share.kept
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -12,7 +12,7 @@
 
 
 class PeerTask(asyncio.DatagramProtocol):
-    """Pings members, answers pings, and sends and receives announcements and reports.
+    """Pings members, answers pings, and exchanges announcements of table versions and reports.
 
     Args:
         view: Fleet as seen by this instance.
@@ -67,7 +67,7 @@
             for member in targets:
                 self._send_hello(member, reply=True)
 
-    def announce(self) -> None:
+    def announce_phase(self) -> None:
         """Sends the current phase of this instance to all known members."""
         for member in self._view.members():
             self._send_hello(member, reply=True)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -99,7 +99,7 @@
         self._policy_state = state.PolicyState(
             decoder=dialect.decoder, registry=self._registry, on_policy=self._on_policy
         )
-        self._listing = state.ServerListing(
+        self._server_listener = state.ServerTableListener(
             clock=clock,
             decoder=dialect.decoder,
             registry=self._registry,
@@ -113,7 +113,7 @@
         }
         self._followers = {
             dialect.policy_table: self._make_follower(dialect.policy_table, self._policy_state),
-            dialect.server_table: self._make_follower(dialect.server_table, self._listing),
+            dialect.server_table: self._make_follower(dialect.server_table, self._server_listener),
         }
         self._cold_limit = cold_limit.ColdLimit(
             clock=clock,
@@ -299,12 +299,12 @@
 
     async def _register(self) -> None:
         await self._registration.register()
-        self._peers.announce()
+        self._peers.announce_phase()
 
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self._listing.sweep()
+            self._server_listener.sweep()
             self._overflow.update()
             self._pool.close_expired()
 
@@ -317,7 +317,7 @@
             return
         self._view.set_phase(fleet.Phase.READY)
         self._log.info("gateway ready", policy=self._policy_state.policy.version)
-        self._peers.announce()
+        self._peers.announce_phase()
 
     def _on_policy(self, policy: model.Policy) -> None:
         self._cold_limit.set_rates(
@@ -366,7 +366,7 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         self._log.info("gateway stopping", busy=self._front_server.busy)
         self._view.set_phase(fleet.Phase.LEAVING)
-        self._peers.announce()
+        self._peers.announce_phase()
         self._front_server.drain()
         deregister = asyncio.get_running_loop().create_task(self._registration.deregister())
         await asyncio.sleep(STOP_LISTENING_AFTER_S)
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -1,10 +1,10 @@
 """Selects the instances of a region that read the platform's store and relay rows to the others.
 
 Calls to the store are limited and billed for the whole fleet. All instances of a region are
-ranked by a hash of their names, and the first ones of the ranking read the store. They announce the
-table versions that they have, and the other instances fetch new rows from them over HTTP. When the
-announcements stop, the next instances of the ranking start to read one after the other, without
-coordination.
+ranked by a hash of their names. The first ones of the ranking, the readers, read the store. They
+announce the table versions that they have, and the other instances fetch new rows from them over
+HTTP. When the announcements stop, the next instances of the ranking start to read one after the
+other, without coordination.
 """
 
 import asyncio
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -1,4 +1,7 @@
-"""State of each backend server as seen by this instance: listing, load, health and warm-up."""
+"""State of each backend server as seen by this instance: listing, load, health and warm-up.
+
+The module ``balancer`` explains objects, warm objects, cold runs and cold servers.
+"""
 
 import dataclasses
 import statistics
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -47,7 +47,7 @@
 
 
 class PolicyState(follower.Listener):
-    """The policy in force and the evacuated failure domains.
+    """The policy in force and the evacuated failure domains, whose servers get no request.
 
     A policy stays in force when its row is removed.
 
@@ -137,8 +137,8 @@
         self._registry.set_evacuated(evacuated)
 
 
-class ServerListing(follower.Listener):
-    """Updates the registry from the platform's list of backend servers.
+class ServerTableListener(follower.Listener):
+    """Updates the registry from the listings in the table of backend servers.
 
     Args:
         clock: Time source.
--- a/packages/gateway/tests/test_announcer.py
+++ b/packages/gateway/tests/test_announcer.py
@@ -47,8 +47,8 @@
         self.assertEqual(len(self.sent), 2)
 
     def test_announcement_without_a_lost_table_is_sent_immediately(self):
-        # Load test trouble-1 --seed 427345455261 with one region: both readers kept announcing a
-        # table whose changes no longer reached them.
+        # Benchmark run of a site with one region, trouble-1 --seed 427345455261: both readers kept
+        # announcing a table whose changes no longer reached them.
         self.followers["op"].reading = False
         self.followers["op"].in_outage = True
         self.announcer.update()
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -47,8 +47,8 @@
         self.assertIs(self.choose().state, self.state(1))
 
     def test_long_queue_below_the_limit_is_preferred_to_a_cold_run(self):
-        # In the test run sila-quotes scale-2, at the peak load of a region, a fifth of its slots
-        # was occupied by cold runs of objects that had been moved away from queues.
+        # Benchmark run sila-quotes scale-2: at the peak load of a region, a fifth of its slots was
+        # occupied by cold runs of objects that had been moved away from queues.
         self.state(0).outstanding = 7
         self.assertIs(self.choose().state, self.state(0))
 
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -88,8 +88,9 @@
         self.assertEqual([member.name for member in self.view.ready_members()], ["me"])
 
     def test_outage_of_this_instance_alone_is_recognised(self):
-        # Broke the rule DRAIN (no requests to a server that has left): an instance that was cut off
-        # from the store took this for an outage of the store and kept the removed server.
+        # A benchmark run broke the rule DRAIN (no request to a server that has left): an instance
+        # that was cut off from the store took this for an outage of the store and kept the removed
+        # server.
         self.clock.advance(20.0)
         self.view.on_message(make_member("other"), contact_s=15.0)
         self.assertTrue(self.view.store_answered_peers(10.0))
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -169,7 +169,7 @@
         ):
             table_follower.on_reported_version(9)
             await asyncio.sleep(0.01)
-            # A hint of an instance that lags as well must not restart the tolerance period.
+            # A report of a version that is not newer must not restart the tolerance period.
             table_follower.on_reported_version(3)
             table_follower.on_reported_version(9)
         await asyncio.sleep(0.05)
@@ -178,7 +178,8 @@
         self.assertEqual(table_follower.version, 9)
 
     async def test_newer_version_does_not_cancel_a_poll_that_has_just_started(self):
-        # After a network partition, hints cancelled every poll while it was still reconnecting.
+        # After a network partition, reports of newer versions cancelled every poll while it was
+        # still reconnecting.
         store = FakeStore(changes(3))
         table_follower = self.make_follower(store)
         running = asyncio.create_task(table_follower.run())
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -191,8 +191,8 @@
         self.assertEqual((await self.handle(time_left_ms=b"30000")).status, 504)
 
     async def test_server_gets_a_grace_period_after_the_timeout_of_the_route(self):
-        # In the test run sila-quotes quiet-1, 32 of 365 invoices timed out while a server was
-        # running them.
+        # Benchmark run sila-quotes quiet-1: 32 of 365 invoices timed out while a server was running
+        # them.
         await self.start([gateway_fakes.answer()], timeout_s=0.5)
         await self.handle(time_left_ms=b"30000")
         sent_ms = int(gateway_fakes.header_of(self.servers[0].requests[0], NAMES.time_left_ms))
--- a/packages/gateway/tests/test_learning.py
+++ b/packages/gateway/tests/test_learning.py
@@ -14,7 +14,7 @@
 class OutcomeLearnerTest(unittest.TestCase):
     """Guards against servers that are taken as slow or failing because of cold runs.
 
-    In the test run sila-quotes quiet-1, the objects of such servers moved to others, which caused
+    Benchmark run sila-quotes quiet-1: the objects of such servers moved to others, which caused
     more cold runs.
     """
 
@@ -72,8 +72,8 @@
         self.assertGreater(state.latency_ratio, 2.0)
 
     def test_queueing_time_is_not_counted_as_service_time(self):
-        # In the test run trakia-arhiv scale-1, queueing times were counted as service times, and
-        # the gateway refused requests that the servers had capacity for.
+        # Benchmark run trakia-arhiv scale-1: queueing times were counted as service times, and the
+        # gateway refused requests that the servers had capacity for.
         self.warm_up()
         state = self.choose("1").state
         state.outstanding = 5
--- a/packages/gateway/tests/test_overflow.py
+++ b/packages/gateway/tests/test_overflow.py
@@ -1,8 +1,9 @@
 """Tests of moving objects out of an overloaded region.
 
-The daily peak of one region exceeds the capacity of its servers while other regions are idle. The
-region then queues and refuses requests although the fleet has free slots. A growing share of its
-objects must run in other regions, slowly enough not to overload these and their caches.
+The daily peak of one region exceeds the capacity of its servers while other regions are idle.
+Requests then wait at these servers, or the instances of the region refuse them, although the fleet
+has free slots. A growing share of the region's objects must run in other regions, slowly enough not
+to overload these and their caches.
 """
 
 import unittest
@@ -67,7 +68,7 @@
         self.assertEqual(self.control.kept_share("desk"), 1.0)
 
     def test_share_of_objects_that_stay_has_a_minimum(self):
-        self.assertEqual(self.advance(60.0, north=9, south=0), overflow.MIN_LOCAL_SHARE)
+        self.assertEqual(self.advance(60.0, north=9, south=0), overflow.MIN_KEPT_SHARE)
 
     def test_pause_of_the_process_does_not_cause_a_large_step(self):
         self.advance(0.5, north=6, south=0)
@@ -76,9 +77,9 @@
 
 
 class RegionalPeakTest(unittest.TestCase):
-    """Guards against a region that refuses requests while others are idle.
+    """Guards against a region whose instances refuse requests while other regions are idle.
 
-    Seen in the test run sila-quotes scale-2.
+    Seen in the benchmark run sila-quotes scale-2.
     """
 
     def simulated_share_within_target(self):
@@ -105,7 +106,7 @@
 
     def test_peak_of_one_region_is_served_by_all_regions(self):
         self.assertGreater(self.simulated_share_within_target(), 0.85)
-        # Without the move of objects, the region refuses requests.
+        # Without the move of objects, the instances of the region refuse requests.
         with mock.patch.object(overflow, "OVERLOAD_THRESHOLD", 1e9):
             self.assertLess(self.simulated_share_within_target(), 0.8)
 
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -1,7 +1,8 @@
 """Tests of the selection of the instances that read the store, and of the relayed rows.
 
-Names in capitals are rules that a load test found broken. CONFIG requires that a new policy is in
-force in time, DRAIN that a server that leaves gets no more requests after a limited time.
+Comments cite runs of the users' benchmark by site, simulated day and seed, with the rules that they
+broke: CONFIG (a new policy is in force in time), DRAIN (no request to a server that has left),
+DENIED (a valid request gets no client error) and HOME (a request stays in its home regions).
 """
 
 import asyncio
@@ -66,9 +67,10 @@
         self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MAX_TAKEOVERS)
 
     def test_another_instance_takes_over_a_table_that_its_readers_lost(self):
-        # Load test trouble-1 --seed 427345455261 with one region broke CONFIG: both readers were
-        # cut off from the store. Their polls of one table had timed out, but they kept announcing
-        # both tables until the polls of the other table timed out too, so no instance took over.
+        # Benchmark run of a site with one region, trouble-1 --seed 427345455261, broke CONFIG: both
+        # readers were cut off from the store. Their polls of one table had timed out, but they kept
+        # announcing both tables until the polls of the other table timed out too, so no instance
+        # took over.
         roles = make_roles(6)
         with mock.patch.object(relay.time, "monotonic") as now:
             now.return_value = 100.0
@@ -83,7 +85,7 @@
                 role.on_beacon("i1", "i1", "north", {"servers": 1})
             self.assertTrue(all(role.has_recent_announcement("servers") for role in roles))
             now.return_value = 100.2
-            # Load test trakia-arhiv hunt-edd6-15 broke DRAIN: the outage was counted from the
+            # Benchmark run trakia-arhiv hunt-edd6-15 broke DRAIN: the outage was counted from the
             # moment of the loss, so a change of readers lasted long enough for removed servers to
             # be kept.
             self.assertTrue(all(role.has_recent_announcement("op") for role in roles))
@@ -96,9 +98,9 @@
         self.assertEqual(reading, expected)
 
     def test_polls_are_short_in_a_fleet_with_a_single_region(self):
-        # Load test trouble-1 --seed 427345455261 with one region broke CONFIG: the readers noticed
-        # after 1.7 s that they were cut off from the store, and could have taken up to 5.5 s, but a
-        # policy must be in force 2.5 s after its acknowledgement.
+        # Benchmark run of a site with one region, trouble-1 --seed 427345455261, broke CONFIG: the
+        # readers noticed after 1.7 s that they were cut off from the store, and could have taken up
+        # to 5.5 s, but a policy must be in force 2.5 s after its acknowledgement.
         role = make_roles(3)[0]
         single_region_times = role.poll_times()
         longest_s = (
@@ -119,7 +121,7 @@
         self.assertIsNone(role.choose_source("op", 7))
 
     def test_sources_with_the_same_version_share_the_fetches(self):
-        # Load test trakia-arhiv-grown scale-1 --seed 130896731222: all instances of a region
+        # Benchmark run trakia-arhiv-grown scale-1 --seed 130896731222: all instances of a region
         # fetched from the same small instance.
         role = make_roles(3)[0]
         role.on_beacon("i1", "host1", "north", {"op": 7})
@@ -193,9 +195,9 @@
         self.assertEqual(encode.call_count, 1)
 
     async def test_large_policy_is_compressed(self):
-        # Load test sila-quotes-grown mix --seed 120251547929 broke DENIED, CONFIG and HOME: sending
-        # a large policy to 40 instances saturated the link of the one that served it, and aborted
-        # transfers added to that load.
+        # Benchmark run sila-quotes-grown mix --seed 120251547929 broke DENIED, CONFIG and HOME:
+        # sending a large policy to 40 instances saturated the link of the one that served it, and
+        # aborted transfers added to that load.
         policy = b'{"Name": "route", "Host": "h.example", "Service": "desk"}' * 1000
         self.cache.replace(
             feed.Changes(rows=[feed.Change(key="a", value=policy, version=1)], version=3)
--- a/packages/gateway/tests/test_servers.py
+++ b/packages/gateway/tests/test_servers.py
@@ -39,7 +39,8 @@
         self.assertGreater(registry.get("s").cold_until_s, self.clock.monotonic())
 
     def test_only_relevant_changes_of_a_listing_recompute_the_ranking(self):
-        # On large sites, every update of any listing caused all rankings to be recomputed.
+        # Benchmark runs of the large sites, those with -grown in their names: every update of any
+        # listing caused all rankings to be recomputed.
         registry = self.registry(gateway_fakes.make_server("s"))
         ranking = registry.ranking("desk")
         registry.upsert(gateway_fakes.make_server("s", sequence=2, cold_left_s=1.0))
--- a/packages/gateway/tests/test_state.py
+++ b/packages/gateway/tests/test_state.py
@@ -72,66 +72,66 @@
         self.assertEqual(self.registry.evacuated, set())
 
 
-class ServerListingTest(unittest.TestCase):
+class ServerTableListenerTest(unittest.TestCase):
     """Guards against keeping servers that have stopped and removing servers that still run."""
 
     def setUp(self):
         self.clock = clock_lib.ManualClock()
         self.registry = servers.ServerRegistry(clock=self.clock, region_of=gateway_fakes.REGION_OF)
         self.local_outage = False
-        self.listing = state.ServerListing(
+        self.listener = state.ServerTableListener(
             clock=self.clock,
             decoder=Decoder(),
             registry=self.registry,
             local_outage=lambda outage_s: self.local_outage,
         )
-        self.listing.on_change(change("s", b"ready"))
+        self.listener.on_change(change("s", b"ready"))
 
     def test_server_is_removed_with_its_listing(self):
-        self.listing.on_change(change("s", None))
+        self.listener.on_change(change("s", None))
         self.assertIsNone(self.registry.get("s"))
 
     def test_server_that_is_listed_again_within_the_grace_period_stays(self):
-        self.listing.on_regained(5.0)
-        self.listing.on_change(change("s", None))
-        self.listing.sweep()
+        self.listener.on_regained(5.0)
+        self.listener.on_change(change("s", None))
+        self.listener.sweep()
         self.assertIsNotNone(self.registry.get("s"))
-        self.listing.on_change(change("s", b"ready"))
+        self.listener.on_change(change("s", b"ready"))
         self.clock.advance(state.RELIST_GRACE_S)
-        self.listing.sweep()
+        self.listener.sweep()
         self.assertIsNotNone(self.registry.get("s"))
 
     def test_server_is_removed_after_the_grace_period(self):
-        self.listing.on_regained(5.0)
-        self.listing.on_rows(feed.Changes(rows=[], version=7))
+        self.listener.on_regained(5.0)
+        self.listener.on_rows(feed.Changes(rows=[], version=7))
         self.clock.advance(state.RELIST_GRACE_S)
-        self.listing.sweep()
+        self.listener.sweep()
         self.assertIsNone(self.registry.get("s"))
 
     def test_draining_server_has_no_grace_period(self):
-        self.listing.on_change(change("s", b"draining"))
-        self.listing.on_regained(5.0)
-        self.listing.on_change(change("s", None))
+        self.listener.on_change(change("s", b"draining"))
+        self.listener.on_regained(5.0)
+        self.listener.on_change(change("s", None))
         self.assertIsNone(self.registry.get("s"))
 
     def test_no_grace_period_after_a_local_outage(self):
         # Guards against keeping servers that were removed while only this instance could not reach
-        # the store. Found by a randomised search, in which this broke the rule DRAIN (no requests
-        # to a server that has left): sila-quotes scale-2 --seed 283969933743.
+        # the store. Benchmark run sila-quotes scale-2 --seed 283969933743, found by a randomised
+        # search, broke the rule DRAIN (no request to a server that has left) in this way.
         self.local_outage = True
-        self.listing.on_regained(10.0)
-        self.listing.on_rows(feed.Changes(rows=[], version=7))
+        self.listener.on_regained(10.0)
+        self.listener.on_rows(feed.Changes(rows=[], version=7))
         self.assertIsNone(self.registry.get("s"))
 
     def test_server_with_an_invalid_listing_is_removed(self):
-        self.listing.on_change(change("s", b"bad"))
+        self.listener.on_change(change("s", b"bad"))
         self.assertIsNone(self.registry.get("s"))
 
     def test_first_read_logs_one_line(self):
         # A line per server made a burst of 582 lines, which exceeded the rate limit of the log and
         # suppressed the lines that followed.
         registry = gateway_fakes.make_registry([], clock=self.clock)
-        listing = state.ServerListing(
+        listener = state.ServerTableListener(
             clock=self.clock,
             decoder=Decoder(),
             registry=registry,
@@ -139,7 +139,7 @@
         )
         rows = [change(f"s{index}", b"ready") for index in range(50)]
         with structlog.testing.capture_logs() as lines:
-            listing.on_rows(feed.Changes(rows=rows, version=9))
-            listing.on_rows(feed.Changes(rows=rows, version=10))
-            listing.on_change(change("s1", b"draining"))
+            listener.on_rows(feed.Changes(rows=rows, version=9))
+            listener.on_rows(feed.Changes(rows=rows, version=10))
+            listener.on_change(change("s1", b"draining"))
         self.assertEqual([line["event"] for line in lines], ["server list read", "server listed"])
--- a/packages/gateway/tests/test_table_cache.py
+++ b/packages/gateway/tests/test_table_cache.py
@@ -35,8 +35,8 @@
         self.assertIsNone(self.cache.since(6))
 
     def test_replaced_table_is_available_as_changes(self):
-        # Load test trakia-arhiv-grown scale-1 --seed 130896731222 broke the rules CONFIG (a new
-        # policy is in force in time) and DRAIN (no requests to a server that has left): after the
+        # Benchmark run trakia-arhiv-grown scale-1 --seed 130896731222 broke the rules CONFIG (a new
+        # policy is in force in time) and DRAIN (no request to a server that has left): after the
         # store dropped its change history, 45 instances fetched the whole table from one instance,
         # and their fetches timed out for seconds.
         rows = [change("a", b"1", 3), change("b", b"2", 4)]
