Name the clients of the HTTP server; say where the soak seed comes from

The HTTP server also serves the platform's probes and other instances, so "caller" was wrong for its connections. A test cited a soak seed without the file that runs it.

--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -1,4 +1,7 @@
-"""HTTP/1.1 server that reads complete requests and writes complete responses."""
+"""HTTP/1.1 server that reads complete requests and writes complete responses.
+
+Its clients are callers, the platform's probes and other instances.
+"""
 
 import abc
 import asyncio
@@ -10,7 +13,7 @@
 
 # Reading pauses when more bytes than this arrive while a request is being handled.
 MAX_PIPELINED_BYTES = 256 * 1024
-# Time after which a closing connection is aborted if the caller does not read its last bytes.
+# Time after which a closing connection is aborted if the client does not read its last bytes.
 LINGER_S = 2.0
 
 
@@ -21,7 +24,7 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         """Returns the response.
 
-        The call is cancelled if the caller closes the connection, also if only for sending.
+        The call is cancelled if the client closes the connection, also if only for sending.
         """
 
     @property
@@ -44,7 +47,7 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection from a caller.
+    """One connection from a client.
 
     Args:
         handler: Handler of the requests.
@@ -275,7 +278,7 @@
 
     @property
     def draining(self) -> bool:
-        """Whether responses ask callers to close their connections."""
+        """Whether responses ask clients to close their connections."""
         return self._draining
 
     @property
@@ -304,7 +307,7 @@
         )
 
     def drain(self) -> None:
-        """Asks callers in all further responses to close their connections."""
+        """Asks clients in all further responses to close their connections."""
         self._draining = True
 
     def stop_listening(self) -> None:
--- a/packages/gateway/tests/test_http_server.py
+++ b/packages/gateway/tests/test_http_server.py
@@ -1,4 +1,4 @@
-"""Tests of server connections, mainly with callers that misbehave."""
+"""Tests of server connections, mainly with clients that misbehave."""
 
 import asyncio
 import unittest
@@ -102,7 +102,7 @@
         self.assertTrue(head.startswith(b"HTTP/1.1 408"))
         self.assertEqual(self.handler.requests, [])
 
-    async def test_handler_is_cancelled_when_the_caller_disconnects(self):
+    async def test_handler_is_cancelled_when_the_client_disconnects(self):
         self.handler.gate.clear()
         self.writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
         await asyncio.sleep(0.05)
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -175,8 +175,8 @@
         await self.stop()
 
     async def test_shutdown_blocks_sighup(self):
-        # Soak test with seed 304: SIGHUP arrived after the event loop had closed and killed the
-        # process, so that its exit code was -1.
+        # Seed 304 of platform/tests/soak_gateways.py: SIGHUP arrived after the event loop had
+        # closed and killed the process, so that its exit code was -1.
         self.addCleanup(signal.pthread_sigmask, signal.SIG_UNBLOCK, {signal.SIGHUP})
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         await self.start(gateway_fakes.answer())
