Separate leases for waiting requests from grants of pools

The slot pool called a lease for a waiting request a grant, the word for the right to use a pool; entry/pools.py used both in one module. The class is now WaiterLease and the method lease_to_waiting. ServerSlots.in_use, which leaves out inherited slots, is lease_count, because in_use() of the pool includes them. The docstring of pool says what a pool and a lease are for.

--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -1,4 +1,8 @@
-"""Slot accounting of one pool: admission, server selection and the wait queue."""
+"""Slot accounting of one pool: admission, server selection and the wait queue.
+
+An instance has a ``SlotPool`` for each pool that it may use. A request that is sent to a server
+holds a lease of one of the server's slots until it has ended.
+"""
 
 import itertools
 import random
@@ -17,7 +21,7 @@
 from sassafrasway_core import share as shares
 
 # Types in the interface of SlotPool, so that its callers need to import only this module.
-Grant = pool_types.Grant
+WaiterLease = pool_types.WaiterLease
 PoolSnapshot = pool_types.PoolSnapshot
 ServerResult = pool_types.ServerResult
 ServerSnapshot = pool_types.ServerSnapshot
@@ -38,7 +42,7 @@
 
     Slots also become free as time passes (ramp-up, expiry of inherited slots) and by
     ``set_servers``, ``set_share``, ``set_leaving`` and ``record_probe``. None of these returns
-    grants, so the caller has to call ``grant_waiting`` regularly while requests wait.
+    leases, so the caller has to call ``lease_to_waiting`` regularly while requests wait.
 
     Args:
         key: Key of the pool.
@@ -112,8 +116,8 @@
         self._expire_inherited()
         counts = self._inherited.counts()
         for name, slots in self._servers.items():
-            if slots.in_use:
-                counts[name] = counts.get(name, 0) + slots.in_use
+            if slots.lease_count:
+                counts[name] = counts.get(name, 0) + slots.lease_count
         return counts
 
     def queue_length(self) -> int:
@@ -216,14 +220,13 @@
         slots = self._select(exclude, now_s)
         return self._create_lease(slots, now_s) if slots is not None else None
 
-    def release(self, lease: SlotLease, result: ServerResult) -> list[Grant]:
-        """Releases a slot and grants free slots to waiting requests.
+    def release(self, lease: SlotLease, result: ServerResult) -> list[WaiterLease]:
+        """Releases a slot and leases free slots to waiting requests.
 
         A lease that was already released is ignored.
 
         Raises:
-            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
-                raises).
+            errors.InvariantViolation: A new lease breaks a rule (only if ``invariants`` raises).
         """
         slots = self._leases.pop(lease.lease_id, None)
         if slots is None:
@@ -232,10 +235,10 @@
         slots.end_lease(now_s)
         self._apply_result(slots, result, now_s)
         self._delete_if_unused(slots.name)
-        return self.grant_waiting()
+        return self.lease_to_waiting()
 
     def enqueue(self, waiter_id: Hashable, *, expires_s: float) -> bool:
-        """Adds a request to the wait queue, without granting a slot.
+        """Adds a request to the wait queue, without leasing a slot.
 
         The caller tries ``try_acquire`` just before, unless other requests are already waiting.
 
@@ -259,14 +262,13 @@
         """Removes expired requests from the queue; returns the id of each of them exactly once."""
         return self._queue.take_expired(now_s=self._clock.monotonic())
 
-    def grant_waiting(self) -> list[Grant]:
-        """Grants free slots to the longest-waiting requests whose deadline has not passed.
+    def lease_to_waiting(self) -> list[WaiterLease]:
+        """Leases free slots to the longest-waiting requests whose deadline has not passed.
 
         Raises:
-            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
-                raises).
+            errors.InvariantViolation: A new lease breaks a rule (only if ``invariants`` raises).
         """
-        grants = []
+        waiter_leases = []
         now_s = self._expire_inherited()
         while len(self._queue):
             slots = self._select(frozenset(), now_s)
@@ -275,8 +277,10 @@
             waiter_id = self._queue.pop(now_s=now_s)
             if waiter_id is None:
                 break
-            grants.append(Grant(waiter_id=waiter_id, lease=self._create_lease(slots, now_s)))
-        return grants
+            waiter_leases.append(
+                WaiterLease(waiter_id=waiter_id, lease=self._create_lease(slots, now_s))
+            )
+        return waiter_leases
 
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
         """Counts slots as in use on which requests of the previous owner still run.
@@ -287,15 +291,14 @@
         """
         self._inherited.add(counts, expires_s=expires_s)
 
-    def release_inherited(self, server_name: str, count: int) -> list[Grant]:
-        """Releases inherited slots and grants free slots to waiting requests.
+    def release_inherited(self, server_name: str, count: int) -> list[WaiterLease]:
+        """Releases inherited slots and leases free slots to waiting requests.
 
         Raises:
-            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
-                raises).
+            errors.InvariantViolation: A new lease breaks a rule (only if ``invariants`` raises).
         """
         self._inherited.release(server_name, count)
-        return self.grant_waiting()
+        return self.lease_to_waiting()
 
     def _add_servers(self, servers: Iterable[model.BackendServer], *, cold: bool) -> None:
         now_s = self._clock.monotonic()
@@ -315,7 +318,7 @@
 
     def _delete_if_unused(self, name: str) -> None:
         slots = self._servers.get(name)
-        if slots is not None and slots.removed and not slots.in_use:
+        if slots is not None and slots.removed and not slots.lease_count:
             del self._servers[name]
 
     def _expire_inherited(self) -> float:
@@ -335,7 +338,7 @@
             self._health.record(slots.name, result)
 
     def _free(self, slots: pool_server.ServerSlots, now_s: float) -> int:
-        return slots.limit(now_s) - slots.in_use - self._inherited.count(slots.name)
+        return slots.limit(now_s) - slots.lease_count - self._inherited.count(slots.name)
 
     def _select(self, exclude: frozenset[str], now_s: float) -> pool_server.ServerSlots | None:
         excluded = self._health.ejected() | exclude
@@ -346,7 +349,7 @@
         # A rank is (not a last resort, free slots, negated reported load).
         best_rank = (False, 0, 0)
         for slots in self._active:
-            max_free = slots.share_limit - slots.in_use
+            max_free = slots.share_limit - slots.lease_count
             # This cheap check rejects most servers, which keeps selection fast in large pools.
             if (
                 max_free <= 0
@@ -408,7 +411,7 @@
         return lease
 
     def _check_lease(self, slots: pool_server.ServerSlots) -> None:
-        used = slots.in_use + self._inherited.count(slots.name)
+        used = slots.lease_count + self._inherited.count(slots.name)
         share_limit = self._share.slots(slots.server.slots)
         # Every request passes through here, so the detail text is built only on a violation.
         if used > share_limit:
@@ -429,7 +432,7 @@
             name=name,
             slots=slots.server.slots,
             limit=slots.limit(now_s),
-            in_use=slots.in_use,
+            in_use=slots.lease_count,
             inherited=self._inherited.count(name),
             leaving=slots.leaving,
             ejected=self._health.is_ejected(name),
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -22,7 +22,7 @@
 
     Attributes:
         name: Name of the server.
-        in_use: Slots held by leases.
+        lease_count: Slots held by leases; slots inherited from another owner are not included.
         share_limit: Slots allowed by the share, regardless of ramp-up.
         removed: Whether the policy no longer lists the server.
         reported_leaving: Whether the server itself reported that it is leaving.
@@ -51,7 +51,7 @@
         self.reported_leaving = False
         self.probed_s = now_s
         # Plain attributes, because server selection reads them for every server.
-        self.in_use = 0
+        self.lease_count = 0
         self.share_limit = share.slots(server.slots)
         self._share = share
         self._ramp_s = ramp_s
@@ -114,12 +114,12 @@
         if self._starts_cold(now_s):
             self._ramp_started_s = now_s
             self._cold = False
-        self.in_use += 1
+        self.lease_count += 1
         self._last_used_s = now_s
 
     def end_lease(self, now_s: float) -> None:
         """Counts the end of a lease."""
-        self.in_use -= 1
+        self.lease_count -= 1
         self._last_used_s = now_s
 
     def restart_ramp(self) -> None:
@@ -143,4 +143,4 @@
 
     def _starts_cold(self, now_s: float) -> bool:
         """Returns whether a lease that begins now would start the ramp-up."""
-        return self._cold or (self.in_use == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
+        return self._cold or (self.lease_count == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -43,8 +43,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Grant:
-    """A lease granted to a request in the wait queue."""
+class WaiterLease:
+    """A lease that was created for a request in the wait queue."""
 
     waiter_id: object
     lease: SlotLease
@@ -57,7 +57,7 @@
     Attributes:
         slots: Slots of the server as configured in the policy.
         limit: Slots usable now under the share and the ramp-up.
-        in_use: Slots held by leases of this pool.
+        in_use: Slots held by leases of this pool, without the inherited ones.
         inherited: Slots that a previous owner still uses.
         reported_load: Slots in use as last reported by the server; None without a recent report.
     """
--- a/packages/core/tests/pool_driver.py
+++ b/packages/core/tests/pool_driver.py
@@ -56,7 +56,7 @@
         self._queue = {}
         self._next_waiter = 0
         self._reported_leaving = set()
-        self.granted = 0
+        self.leased_to_waiting = 0
 
     def step(self):
         """Runs one operation and checks the rules that hold after every operation."""
@@ -68,7 +68,7 @@
         ]
         self._rng.choice(operations)()
         if self._pool.queue_length() and self._pool.free_slots():
-            self._check_grants(self._pool.grant_waiting())
+            self._check_waiter_leases(self._pool.lease_to_waiting())
             assert not (self._pool.queue_length() and self._pool.free_slots())
         assert self._pool.queue_length() <= 4
         active = [server for server in self._pool.snapshot().servers if not server.leaving]
@@ -92,7 +92,7 @@
         result = self._rng.choice(list(pool.ServerResult))
         if result is pool.ServerResult.LEAVING:
             self._reported_leaving.add(lease.server.name)
-        self._check_grants(self._pool.release(lease, result))
+        self._check_waiter_leases(self._pool.release(lease, result))
         assert self._pool.release(lease, result) == [], "a lease was released twice"
 
     def _advance(self):
@@ -134,7 +134,7 @@
     def _release_inherited(self):
         if self._inherited:
             ended = self._inherited.pop(self._rng.randrange(len(self._inherited)))
-            self._check_grants(self._pool.release_inherited(ended[0], 1))
+            self._check_waiter_leases(self._pool.release_inherited(ended[0], 1))
 
     def _set_share(self):
         self._pool.set_share(self._rng.choice([*pool.Share, pool.Share.FULL, pool.Share.FULL]))
@@ -168,17 +168,19 @@
             elif succeeded and leaving is False:
                 self._reported_leaving.discard(server.name)
 
-    def _check_grants(self, grants):
-        for grant in grants:
+    def _check_waiter_leases(self, waiter_leases):
+        for waiter_lease in waiter_leases:
             waiting = [
                 waiter_id
                 for waiter_id, expires_s in self._queue.items()
                 if expires_s > self._time.monotonic()
             ]
-            assert grant.waiter_id == waiting[0], "the grant skipped a request that waited longer"
-            del self._queue[grant.waiter_id]
-            self.granted += 1
-            self._check_lease(grant.lease)
+            assert waiter_lease.waiter_id == waiting[0], (
+                "the lease skipped a request that waited longer"
+            )
+            del self._queue[waiter_lease.waiter_id]
+            self.leased_to_waiting += 1
+            self._check_lease(waiter_lease.lease)
 
     def _check_lease(self, lease):
         name = lease.server.name
--- a/packages/core/tests/test_pool.py
+++ b/packages/core/tests/test_pool.py
@@ -60,14 +60,15 @@
         """Guards against granting a slot to a request that has expired or was abandoned."""
         slot_pool = self._make_pool(server_count=1, slots=1, queue_limit=3)
         lease = slot_pool.try_acquire()
-        for waiter_id, wait_s in (("late", 1.0), ("gone", 9.0), ("next", 9.0)):
+        for waiter_id, wait_s in (("late", 1.0), ("abandoned", 9.0), ("next", 9.0)):
             self.assertTrue(slot_pool.enqueue(waiter_id, expires_s=self.time.monotonic() + wait_s))
         self.assertFalse(slot_pool.enqueue("fourth", expires_s=self.time.monotonic() + 9))
-        slot_pool.abandon("gone")
+        slot_pool.abandon("abandoned")
         self.time.advance(2)
-        (grant,) = slot_pool.release(lease, _OK)
+        (waiter_lease,) = slot_pool.release(lease, _OK)
         self.assertEqual(
-            (grant.waiter_id, slot_pool.expire(), slot_pool.expire()), ("next", ["late"], [])
+            (waiter_lease.waiter_id, slot_pool.expire(), slot_pool.expire()),
+            ("next", ["late"], []),
         )
 
     def test_new_and_long_idle_servers_are_ramped_up(self):
@@ -98,7 +99,7 @@
         self.assertEqual(slot_pool.in_use(), {"s0": 2})
 
     def test_leaving_server_gets_no_new_work_until_the_policy_readmits_it(self):
-        """Guards against an unrelated policy change readmitting a draining server."""
+        """Guards against an unrelated policy change readmitting a leaving server."""
         slot_pool = self._make_pool(server_count=1)
         slot_pool.release(slot_pool.try_acquire(), pool.ServerResult.LEAVING)
         slot_pool.set_servers([pool_driver.server("s0", slots=4)])
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -251,7 +251,7 @@
                     self._has_waiting.set()
                     self._apply_share(owned)
                     owned.slots.expire()
-                    self._wake_waiters(owned, owned.slots.grant_waiting())
+                    self._wake_waiters(owned, owned.slots.lease_to_waiting())
             await asyncio.sleep(WAKE_INTERVAL_S)
 
     async def _probe_pool(self, owned: owned_pool.OwnedPool) -> None:
@@ -387,11 +387,13 @@
                 self._draining.pop(key, None)
             self._on_slot_released(key, lease.server.name)
 
-    def _wake_waiters(self, owned: owned_pool.OwnedPool, grants: Iterable[pool.Grant]) -> None:
+    def _wake_waiters(
+        self, owned: owned_pool.OwnedPool, waiter_leases: Iterable[pool.WaiterLease]
+    ) -> None:
         """Hands leases to waiting requests; releases those whose request no longer waits."""
-        for grant in grants:
-            future = owned.waiters.get(grant.waiter_id)
+        for waiter_lease in waiter_leases:
+            future = owned.waiters.get(waiter_lease.waiter_id)
             if future is not None and not future.done():
-                future.set_result(grant.lease)
+                future.set_result(waiter_lease.lease)
             else:
-                self._release_slot(owned, grant.lease, pool.ServerResult.CANCELLED)
+                self._release_slot(owned, waiter_lease.lease, pool.ServerResult.CANCELLED)
