Explain the division of caps and name its parts consistently

The docstring of caps now says why a cap is divided and who holds a share, and that of cap_grants which class is on which side. cap_reserve called a share a grant. region_cap and link_cap return names of caps, so they are region_cap_name and link_cap_name; holders_complete was another word for holders_recorded. A holder was to have a new name after a restart, although the name of an instance stays. The docstring of coordinator said only when free parts are granted, not that main parts are renewed only with authority.

--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -1,4 +1,9 @@
-"""Shares of the caps of regions and links, as exchanged between members and the coordinator."""
+"""Shares of the caps of regions and links, as exchanged between members and the coordinator.
+
+A heartbeat reports the member's demand for each cap, and the reply grants the next shares.
+``RegionCaps`` is the coordinator's side, with a ``caps.CapDivider`` for every cap; ``HeldCaps`` is
+the member's side.
+"""
 
 import dataclasses
 from collections.abc import Iterable, Mapping
@@ -14,12 +19,12 @@
 _UNRECORDED_HOLDERS = model.InstanceId(name="", incarnation="")
 
 
-def region_cap(region: str) -> str:
+def region_cap_name(region: str) -> str:
     """Returns the name of the cap on requests to a region's servers, requests/s."""
     return f"region/{region}"
 
 
-def link_cap(source: str, target: str) -> str:
+def link_cap_name(source: str, target: str) -> str:
     """Returns the name of the cap on bytes from one region to another, Mbit/s."""
     return f"link/{source}/{target}"
 
@@ -33,11 +38,11 @@
     limits = {}
     region_policy = policy.regions.get(region)
     if region_policy is not None and region_policy.cap_rps is not None:
-        limits[region_cap(region)] = region_policy.cap_rps
+        limits[region_cap_name(region)] = region_policy.cap_rps
     for link in policy.links.values():
         if region in (link.source, link.target):
             other = link.target if link.source == region else link.source
-            limits[link_cap(region, other)] = link.cap_mbit_s
+            limits[link_cap_name(region, other)] = link.cap_mbit_s
     return limits
 
 
@@ -47,7 +52,8 @@
 
     Attributes:
         name: Name of the cap.
-        demand: What the holder would use, in the unit of the cap.
+        demand: What the holder would use in one second if it could, refused requests included, in
+            the unit of the cap.
         sequence: Sequence of the last share, or 0 when there is none.
         amount: Amount of the last share, even if it has expired.
         offline: Part of that share that stays in force after it has expired.
@@ -112,7 +118,7 @@
         epoch: Epoch of the coordinator.
         holders: Recorded instances that may hold shares of an earlier coordinator; None when there
             was no earlier coordinator.
-        holders_complete: Whether no other instance can hold such a share.
+        holders_recorded: Whether only recorded instances can hold such shares.
     """
 
     def __init__(
@@ -122,14 +128,14 @@
         invariants: invariants_lib.Invariants,
         epoch: int,
         holders: Iterable[model.InstanceId] | None,
-        holders_complete: bool,
+        holders_recorded: bool,
     ):
         self._clock = clock
         self._invariants = invariants
         self._first_sequence = epoch * _SEQUENCES_PER_EPOCH
         self._took_over = holders is not None
         self._unreported_holders = set(holders or ())
-        if self._took_over and not holders_complete:
+        if self._took_over and not holders_recorded:
             self._unreported_holders.add(_UNRECORDED_HOLDERS)
         self._unrecorded_shares_until_s = clock.monotonic() + caps.SHARE_S
         # When each holder's first heartbeat was received, and its reports by cap name.
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -1,4 +1,7 @@
-"""Upper bound of the use of one cap in the last window, from the shares granted to its holders."""
+"""Upper bound of the use of one cap in the last window, from the shares granted to its holders.
+
+``caps.CapDivider`` grants to others only what is not reserved here.
+"""
 
 import dataclasses
 import heapq
@@ -10,13 +13,13 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Grant:
+class _GrantedShare:
     """A share that a holder may have in force.
 
     Attributes:
         ends_s: Until when the full amount counts: one window after it expired or was replaced.
-        offline: Part of the amount that stays in force after the grant has expired.
-        offline_ends_s: Until when the offline part counts; infinite until a later grant is
+        offline: Part of the amount that stays in force after the share has expired.
+        offline_ends_s: Until when the offline part counts; infinite until a later share is
             confirmed or the holder is gone.
     """
 
@@ -41,10 +44,10 @@
     def next_end_s(self, now_s: float) -> float:
         return self.ends_s if now_s <= self.ends_s else self.offline_ends_s
 
-    def covers(self, older: "_Grant") -> bool:
+    def covers(self, older: "_GrantedShare") -> bool:
         """Returns whether ``older`` can be dropped.
 
-        It can if this grant counts at least as much and at least as long.
+        It can if this share counts at least as much and at least as long.
         """
         return (
             older.sequence < self.sequence
@@ -55,7 +58,7 @@
 
 
 class _Holder:
-    """Grants of one holder. Any of them may be in force, so the largest one counts.
+    """Shares of one holder. Any of them may be in force, so the largest one counts.
 
     Attributes:
         reserved: Amount that counts for the holder as of the last ``refresh``.
@@ -63,52 +66,52 @@
         check_s: Time of the next scheduled ``refresh``; infinite when none is scheduled.
     """
 
-    __slots__ = ("_grants", "_newest_sequence", "check_s", "offline", "reserved")
+    __slots__ = ("_newest_sequence", "_shares", "check_s", "offline", "reserved")
 
     def __init__(self):
-        self._grants: list[_Grant] = []
+        self._shares: list[_GrantedShare] = []
         self._newest_sequence = 0
         self.reserved = 0.0
         self.offline = 0.0
         self.check_s = math.inf
 
-    def add(self, grant: _Grant) -> None:
-        self._grants = [older for older in self._grants if not grant.covers(older)]
-        self._grants.append(grant)
-        self._newest_sequence = max(self._newest_sequence, grant.sequence)
+    def add(self, share: _GrantedShare) -> None:
+        self._shares = [older for older in self._shares if not share.covers(older)]
+        self._shares.append(share)
+        self._newest_sequence = max(self._newest_sequence, share.sequence)
 
     def retire_before(self, sequence: int, ends_s: float) -> None:
-        # The newest grant is kept even if a higher sequence is confirmed.
-        for grant in self._grants:
-            if grant.sequence < min(sequence, self._newest_sequence):
-                grant.retire(ends_s)
+        # The newest share is kept even if a higher sequence is confirmed.
+        for share in self._shares:
+            if share.sequence < min(sequence, self._newest_sequence):
+                share.retire(ends_s)
 
     def retire_all(self, ends_s: float) -> None:
-        for grant in self._grants:
-            grant.retire(ends_s)
+        for share in self._shares:
+            share.retire(ends_s)
 
     def next_end_s(self, now_s: float) -> float:
-        return min((grant.next_end_s(now_s) for grant in self._grants), default=math.inf)
+        return min((share.next_end_s(now_s) for share in self._shares), default=math.inf)
 
     def refresh(self, now_s: float) -> None:
-        self._grants = [grant for grant in self._grants if grant.reserved(now_s) > 0]
+        self._shares = [share for share in self._shares if share.reserved(now_s) > 0]
         self._merge_expired(now_s)
-        self.reserved = max((grant.reserved(now_s) for grant in self._grants), default=0.0)
-        self.offline = max((grant.reserved_offline(now_s) for grant in self._grants), default=0.0)
+        self.reserved = max((share.reserved(now_s) for share in self._shares), default=0.0)
+        self.offline = max((share.reserved_offline(now_s) for share in self._shares), default=0.0)
 
     def _merge_expired(self, now_s: float) -> None:
-        """Merges expired grants, to bound memory while a holder confirms nothing."""
+        """Merges expired shares, to bound memory while a holder confirms nothing."""
         expired = [
-            grant
-            for grant in self._grants
-            if now_s > grant.ends_s and math.isinf(grant.offline_ends_s)
+            share
+            for share in self._shares
+            if now_s > share.ends_s and math.isinf(share.offline_ends_s)
         ]
         if len(expired) < 2:
             return
-        merged = max(expired, key=lambda grant: grant.offline)
-        # With the highest sequence, only the confirmation of a later share ends the merged grant.
-        merged.sequence = max(grant.sequence for grant in expired)
-        self._grants = [grant for grant in self._grants if grant is merged or grant not in expired]
+        merged = max(expired, key=lambda share: share.offline)
+        # With the highest sequence, only the confirmation of a later share ends the merged share.
+        merged.sequence = max(share.sequence for share in expired)
+        self._shares = [share for share in self._shares if share is merged or share not in expired]
 
 
 class Reservations:
@@ -169,7 +172,7 @@
         now_s: float,
     ) -> None:
         """Adds a share that the holder may have in force until ``expires_s`` or a later share."""
-        grant = _Grant(
+        share = _GrantedShare(
             sequence=sequence,
             amount=amount,
             ends_s=expires_s + window.WINDOW_S,
@@ -178,7 +181,7 @@
         record = self._holders.get(holder)
         if record is None:
             record = self._holders[holder] = _Holder()
-        record.add(grant)
+        record.add(share)
         self._refresh(holder, record, now_s)
 
     def confirm(self, holder: Hashable, sequence: int, *, now_s: float) -> None:
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -1,4 +1,11 @@
-"""Division of the cap of a region or a link into shares of the instances that use it."""
+"""Division of the cap of a region or a link into shares of the instances that use it.
+
+A cap limits what all instances together use in any second, but each instance admits requests alone.
+The coordinator therefore divides the cap by demand into shares, and each instance, the holder of
+its share, stays within that (``window.SlidingWindow``). A larger share stays reserved for its
+holder (``cap_reserve``) until it has confirmed a smaller one or the larger one has expired; its
+offline part stays reserved after that.
+"""
 
 import dataclasses
 import math
@@ -9,7 +16,8 @@
 
 # Validity of a share.
 SHARE_S = 2.0
-# Part of a share, and of the cap, that stays in force when shares expire without a new one.
+# Part of a share, and of the cap, that stays in force when shares expire without a new one, so that
+# an instance that cannot reach the coordinator still admits some requests.
 OFFLINE_FRACTION = 1 / 3
 
 # Part of the cap that is divided evenly, so that an idle holder can admit its first requests.
@@ -24,8 +32,8 @@
 # every demand.
 MET_FRACTION = 0.8
 
-# Interval of recomputations, from all demands, of the level up to which demands are met. It keeps
-# the cost of a heartbeat constant. A new or removed holder and a changed cap do not wait for it.
+# Interval of recomputations of ``_Level`` from all demands. It keeps the cost of a heartbeat
+# constant. A new or removed holder and a changed cap do not wait for it.
 LEVEL_INTERVAL_S = 0.25
 
 
@@ -101,10 +109,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Level:
-    """Level up to which demands are met.
+    """Result of the last division: how much a holder with a given demand should have.
 
     Attributes:
-        demand_limit: Highest part of any demand that is met.
+        demand_limit: Demands are met up to this amount; infinite when all are met in full.
         even_extra: Amount that each holder gets in addition, whatever its demand.
         at_s: When the level was computed.
     """
@@ -196,7 +204,7 @@
         reserved.
 
         Args:
-            holder: Name of the holder; a holder that restarts needs a new name.
+            holder: Identifies the holder; must differ after a restart of the holder.
             demand: What the holder would use in one second if it could, refused requests included.
             confirmed: Sequence of the last share that the holder applied, even if it has expired.
             sequence: Sequence of the new share; by default the next number.
@@ -267,7 +275,7 @@
         is reserved: the earlier coordinator may have given the rest to others.
 
         Args:
-            holder: Name of the holder.
+            holder: Identifies the holder.
             share: Its last share, even if that has expired.
             remaining_s: Seconds until that share expires, as the holder reported; negative
                 when it has expired.
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -1,9 +1,10 @@
 """Coordinator side of pool ownership: authority, takeover, pool assignment and grants.
 
-A pool has two parts that are granted separately. The offline third of each server's slots has at
-most one holder and no expiry; it becomes free when the holder confirms its release or is known to
-be gone. The main part has at most one holder until its grant expires. A FULL share is both parts.
-Only a coordinator with authority grants a part to an instance that does not hold it yet.
+A pool has two parts that are granted separately (see ``share``), each to one holder at a time. The
+offline third of each server's slots becomes free when the holder confirms its release or is known
+to be gone; the main part also when its grant expires. A FULL share is both parts. Without
+authority (see ``authority``), a coordinator lets owners keep the offline thirds that they hold,
+but grants and renews nothing else.
 """
 
 import dataclasses
@@ -76,7 +77,7 @@
             invariants=invariants,
             epoch=won_election.row.epoch,
             holders=earlier_holders,
-            holders_complete=won_election.holders_recorded,
+            holders_recorded=won_election.holders_recorded,
         )
         self._removed_from_caps: set[model.InstanceId] = set()
         # -1 makes the first refresh process the instances that are already gone.
@@ -84,7 +85,7 @@
         self._assignment_inputs: tuple = ()
         self._seq = 0
         self._policy_pools: frozenset[model.PoolKey] | None = None
-        self._region_cap = cap_grants.region_cap(me.region)
+        self._region_cap_name = cap_grants.region_cap_name(me.region)
         self._region_is_capped = False
         self._region_share_holders: set[model.InstanceId] = set()
         self._heartbeat_senders: dict[model.InstanceId, region.Instance] = {}
@@ -125,7 +126,7 @@
 
     @property
     def has_authority(self) -> bool:
-        """Whether the main parts of pools may be granted now."""
+        """Whether parts of pools and shares of caps may be granted now."""
         return self._clock.monotonic() < self._authority.until_s()
 
     @property
@@ -156,7 +157,7 @@
 
     def set_caps(self, limits: Mapping[str, float]) -> None:
         """Sets the limits of the caps that the region's instances share, by cap name."""
-        self._region_is_capped = self._region_cap in limits
+        self._region_is_capped = self._region_cap_name in limits
         self._caps.set_caps(limits)
 
     def depose(self) -> None:
@@ -308,9 +309,9 @@
         in_force = sum(
             report.amount
             for report in reports
-            if report.name == self._region_cap and report.remaining_s > 0
+            if report.name == self._region_cap_name and report.remaining_s > 0
         )
-        if self._caps.is_met(self._region_cap, member, in_force):
+        if self._caps.is_met(self._region_cap_name, member, in_force):
             self._region_share_holders.add(member)
         else:
             self._region_share_holders.discard(member)
--- a/packages/core/tests/test_caps.py
+++ b/packages/core/tests/test_caps.py
@@ -75,7 +75,7 @@
     def test_late_report_does_not_revive_a_share_of_an_earlier_coordinator(self):
         """Guards against reserving an expired share again when its report arrives late.
 
-        The main part of that share may have been granted to others in the meantime.
+        All of that share but its offline part may have been granted to others in the meantime.
         """
         self.divider.take_over(["a"])
         self.assertEqual(self._settle(b=200), {"b": 66.7})
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -103,12 +103,12 @@
         The first share of a new instance can be smaller than any message. It consists of what the
         other instances left unused; more becomes free once they have confirmed smaller shares.
         """
-        name = cap_grants.link_cap(self._region, target)
+        name = cap_grants.link_cap_name(self._region, target)
         return name not in self._caps or self._amount(name) >= message_mbit(size_bytes)
 
     def has_all_link_shares(self) -> bool:
         """Returns whether the share of every link's cap is large enough for an empty message."""
-        region_cap_name = cap_grants.region_cap(self._region)
+        region_cap_name = cap_grants.region_cap_name(self._region)
         smallest = message_mbit(0)
         return all(self._amount(name) >= smallest for name in self._caps if name != region_cap_name)
 
@@ -120,7 +120,7 @@
             to try again. These are infinite while the share of this instance is smaller than one
             request.
         """
-        return self._take_from_cap(cap_grants.region_cap(self._region), 1.0, request_id)
+        return self._take_from_cap(cap_grants.region_cap_name(self._region), 1.0, request_id)
 
     def take_link(self, target: str, size_bytes: int, request_id: str) -> float:
         """Takes a message to the region ``target`` from the link's cap.
@@ -130,7 +130,7 @@
             try again. These are infinite while the share of this instance is smaller than the
             message.
         """
-        name = cap_grants.link_cap(self._region, target)
+        name = cap_grants.link_cap_name(self._region, target)
         return self._take_from_cap(name, message_mbit(size_bytes), request_id)
 
     async def wait_link(
