--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -1,4 +1,7 @@
-"""Assignment of pools to instances: rendezvous hashing with few moves and an even spread."""
+"""Assignment of pools to their owners: rendezvous hashing with few moves and an even spread.
+
+The coordinator of a region uses it when its pools or its instances have changed.
+"""
 
 import collections
 from collections.abc import Iterable, Mapping
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,5 +1,8 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
+While a coordinator has authority, no other instance can have become coordinator, so none grants the
+same slots. A new coordinator may have been elected once authority has ended.
+
 A member that sends a promise does not become coordinator for ``region.PROMISE_S``, unless the
 current coordinator is known to be gone or there is no region row.
 """
@@ -39,7 +42,7 @@
 
 
 class Authority:
-    """Decides until when a coordinator may grant the main parts of pools.
+    """Decides until when a coordinator may grant parts of pools and shares of caps.
 
     Authority lasts while either of these holds: the table lease, for ``region.TABLE_LEASE_S`` after
     a successful write was sent; or the promises, while the latest promise of every required member
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -1,6 +1,6 @@
 """Holders of the two parts of each pool of a region, as tracked by its coordinator.
 
-The parts are described in ``coordinator``.
+``coordinator`` and ``share`` describe the parts.
 """
 
 import dataclasses
@@ -12,8 +12,8 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Pool:
-    """Holders, or possible holders, of the two parts of a pool.
+class PoolHolders:
+    """Owner of a pool, and the holders or possible holders of its two parts.
 
     Attributes:
         assigned_owner: Instance that the pool is assigned to.
@@ -89,12 +89,12 @@
         self._unanswered = set(unanswered)
         self._earlier_grants_until_s = earlier_grants_until_s
         self._holders_recorded = holders_recorded
-        self._pools: dict[model.PoolKey, Pool] = {}
+        self._pools: dict[model.PoolKey, PoolHolders] = {}
         # Pools of which a member holds a part or uses slots. A heartbeat is checked against these
         # only, not against all pools of the region.
         self._pools_by_member: dict[model.InstanceId, set[model.PoolKey]] = {}
         # Pools by assigned owner; None until they are grouped again after an assignment.
-        self._pools_by_owner: dict[model.InstanceId, dict[model.PoolKey, Pool]] | None = None
+        self._pools_by_owner: dict[model.InstanceId, dict[model.PoolKey, PoolHolders]] | None = None
         self._change_count = 0
 
     @property
@@ -122,7 +122,7 @@
             if pool.assigned_owner is not None
         }
 
-    def assigned_to(self, member: model.InstanceId) -> Mapping[model.PoolKey, Pool]:
+    def assigned_to(self, member: model.InstanceId) -> Mapping[model.PoolKey, PoolHolders]:
         """Returns the pools assigned to a member."""
         if self._pools_by_owner is None:
             self._pools_by_owner = {}
@@ -131,7 +131,7 @@
                     self._pools_by_owner.setdefault(pool.assigned_owner, {})[key] = pool
         return self._pools_by_owner.get(member, {})
 
-    def main_is_free(self, pool: Pool) -> bool:
+    def main_is_free(self, pool: PoolHolders) -> bool:
         """Returns whether no instance can use the main part of a pool."""
         if self._clock.monotonic() >= pool.main_until_s:
             return True
@@ -141,14 +141,14 @@
         # and each of them has reported or is gone.
         return self._holders_recorded and not self._unanswered
 
-    def add(self, key: model.PoolKey) -> Pool:
-        """Returns the state of a pool, and adds the pool if it is new.
+    def add(self, key: model.PoolKey) -> PoolHolders:
+        """Returns the holders of a pool, and adds the pool if it is new.
 
         Any unanswered member may hold parts of a new pool.
         """
         pool = self._pools.get(key)
         if pool is None:
-            pool = Pool(
+            pool = PoolHolders(
                 possible_offline_holders=set(self._unanswered),
                 main_until_s=self._earlier_grants_until_s,
             )
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -1,4 +1,8 @@
-"""Liveness of the instances of a region: live, leaving, silent or gone."""
+"""Liveness of the instances of a region: live, leaving, silent or gone.
+
+The difference that matters is that between silent and gone: a silent instance may still use what it
+was granted, and only a gone one certainly does not.
+"""
 
 import dataclasses
 import enum
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -1,4 +1,7 @@
-"""Member side of pool ownership: the grants received and the epoch that the member follows."""
+"""Member side of pool ownership: the grants received and the epoch that the member follows.
+
+``member`` keeps this state up to date, and the entry package reads from it what it may use now.
+"""
 
 import dataclasses
 from collections.abc import Mapping
@@ -142,7 +145,7 @@
         return True
 
     def revoke(self) -> None:
-        """Drops every share, because other instances may have been granted them."""
+        """Drops all pools and shares of caps, because they may have been granted to others."""
         self._held = {}
         self._caps.revoke()
 
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -1,9 +1,13 @@
 """Messages, commands and table row with which a region's instances agree on pool ownership.
 
-One instance of a region is its coordinator. It assigns the region's pools to instances and grants
-them shares of the pools in the replies to their heartbeats. An instance becomes coordinator by
-writing the region row, a row in the platform's table service, with a higher epoch. The instances
-that the row names are called recorded members.
+One instance of a region is its coordinator. It assigns each pool of the region to an instance, the
+owner of the pool, to which the other instances forward their requests. The owner may use the slots
+only after the coordinator has granted it parts of the pool in the replies to its heartbeats. An
+instance with such a part is a holder: while a pool moves, the previous owner may still hold parts.
+
+An instance becomes coordinator by writing the region row, a row in the platform's table service,
+with a higher epoch. The instances that the row names are called recorded members. Every instance of
+the region is a member; the coordinator sends heartbeats to itself, too.
 
 The decision modules ``member``, ``coordinator`` and ``authority`` do no I/O: they return commands
 for a task to execute.
@@ -24,7 +28,7 @@
 PROMISE_S = 3.0
 # Time for which a successful write of the region row gives the coordinator authority.
 TABLE_LEASE_S = 3.0
-# Interval at which the coordinator writes an unchanged row to renew its lease.
+# Interval at which the coordinator writes an unchanged row to renew its table lease.
 RENEW_S = 1.0
 
 LIVE = "live"
@@ -131,9 +135,10 @@
 
     Attributes:
         share: Share in force when the report was made.
-        in_use: Slots in use by server name.
+        in_use: Slots in use by server name, including inherited ones.
         busy_s: Time until the deadlines of the requests in these slots have passed.
-        rate_per_s: Requests received for the pool, 1/s.
+        rate_per_s: Requests received for the pool, 1/s; entry instances do not measure it and send
+            0.
         queue_length: Number of requests that wait for a slot.
     """
 
