Describe claims and the holders of keys in at_most_once

Claims were mentioned without an explanation, and a ticket was said to be bound to one incarnation without exception, although another one may run its request under a claim after the holder has stopped as planned. KeyRecord.attempts counts dispatches, while an attempt elsewhere is a request sent with a key; it is called dispatches now. _epoch_offset_s had nothing to do with the epochs of coordinators and is _wall_offset_s.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -1,7 +1,11 @@
 """At-most-once execution: tickets, and the registry of keys that an incarnation has started.
 
-A ticket is an idempotency key that names the only incarnation allowed to run the request. The
-registry of that incarnation decides whether a key may start, using only its own memory and clock.
+A ticket is an idempotency key that names its holder, the incarnation that may run the request.
+The registry of that incarnation decides whether a key may start, using only its own memory and
+clock. The holder of a key chosen by the caller is the incarnation that has created the claim of the
+key, a row in the platform's table. When the holder of a ticket has stopped as planned, a request
+that it has not run may run elsewhere, under a claim, too. ``gatekeeper`` of the entry package
+handles both kinds of keys.
 """
 
 import dataclasses
@@ -29,7 +33,8 @@
     """Idempotency key that binds a request to one incarnation.
 
     Attributes:
-        holder: The incarnation that may run the request.
+        holder: The incarnation that may run the request; after it has stopped as planned, another
+            one may run the request under a claim.
         issued_s: Time of issue in whole seconds since the Unix epoch.
         nonce: Random hexadecimal digits that distinguish tickets issued in the same second.
     """
@@ -90,7 +95,7 @@
     Attributes:
         outcome: Result passed to ``finish``; None while the key is running.
         updated_s: Monotonic time of the start, dispatch or finish of the key, whichever was last.
-        attempts: Number of dispatches without those that ``mark_refused`` discarded; above 0, the
+        dispatches: Number of dispatches without those that ``mark_refused`` discarded; above 0, the
             request may have run.
     """
 
@@ -98,7 +103,7 @@
     state: KeyState
     updated_s: float
     outcome: Any = None
-    attempts: int = 0
+    dispatches: int = 0
 
 
 class KeyRegistry:
@@ -125,7 +130,7 @@
         self._clock = clock
         self._invariants = invariants
         self._retention_s = retention_s
-        self._epoch_offset_s = clock.wall() - clock.monotonic()  # wall time at monotonic time 0
+        self._wall_offset_s = clock.wall() - clock.monotonic()  # wall time at monotonic time 0
         self._started_wall_s = clock.wall()
         self._records: dict[str, KeyRecord] = {}
         # Monotonic times of finish() by key, oldest first.
@@ -194,10 +199,11 @@
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.ONE_DISPATCH_PER_KEY,
-            record.attempts == 0 and record.state is KeyState.STARTED,
-            f"{key} is dispatched again: {record.attempts} dispatches, state {record.state.value}",
+            record.dispatches == 0 and record.state is KeyState.STARTED,
+            f"{key} is dispatched again: {record.dispatches} dispatches,"
+            f" state {record.state.value}",
         )
-        record.attempts += 1
+        record.dispatches += 1
         record.state = KeyState.DISPATCHED
         record.updated_s = self._clock.monotonic()
 
@@ -208,7 +214,7 @@
             errors.NotFoundError: The registry has no record of the key.
         """
         record = self._get_record(key)
-        record.attempts = 0
+        record.dispatches = 0
         record.state = KeyState.STARTED
 
     def finish(self, key: str, outcome: Any, *, not_run: bool) -> None:
@@ -227,7 +233,7 @@
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
-            not (not_run and record.attempts),
+            not (not_run and record.dispatches),
             f"{key} is reported as not run after a dispatch",
         )
         record.state = KeyState.FINISHED
@@ -246,7 +252,7 @@
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
-            record.attempts == 0,
+            record.dispatches == 0,
             f"{key} is abandoned after a dispatch",
         )
         del self._records[key]
@@ -258,7 +264,7 @@
             issued_before_s: Wall time in seconds since the Unix epoch.
         """
         limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
-        return limit_wall_s - self._epoch_offset_s
+        return limit_wall_s - self._wall_offset_s
 
     def _add(self, key: str) -> None:
         self._records[key] = KeyRecord(
@@ -278,7 +284,7 @@
         return None if self.may_start(ticket) else BeginResult.EXPIRED
 
     def _now_wall_s(self) -> float:
-        return self._clock.monotonic() + self._epoch_offset_s
+        return self._clock.monotonic() + self._wall_offset_s
 
     def _get_record(self, key: str) -> KeyRecord:
         record = self._records.get(key)
