--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -3,8 +3,8 @@
 A cap limits what all instances together use in any second, but each instance admits requests alone.
 The coordinator therefore divides the cap by demand into shares, and each instance, the holder of
 its share, stays within that (``window.SlidingWindow``). A larger share stays reserved for its
-holder (``cap_reserve``) until it has confirmed a smaller one or the larger one has expired; its
-offline part stays reserved after that.
+holder (``cap_reserve``) until the holder has confirmed a smaller one or the larger one has expired;
+after an expiry, its offline part stays reserved.
 """
 
 import dataclasses
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -1,4 +1,8 @@
-"""The current policy and the recent changes that led to it."""
+"""The current policy and the recent changes that led to it.
+
+Instances that are a few revisions behind fetch the changes instead of the whole policy. The ids of
+recent changes show that a repeated request of an operator has been applied already.
+"""
 
 import collections
 from collections.abc import Mapping
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -11,8 +11,9 @@
 class AtMostOnceMode(enum.Enum):
     """Kind of idempotency keys that a policy states for a service.
 
-    The value is only stored. Requests are accepted with tickets and with keys chosen by the caller,
-    which need a claim, in both modes.
+    The value is only stored. Requests are accepted with both kinds of keys in both modes: tickets,
+    which an instance issues, and keys chosen by the caller, for which the instance that runs the
+    request writes a claim to the platform's table (see ``at_most_once``).
     """
 
     TICKET = "ticket"
@@ -28,7 +29,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
 class InstanceId:
-    """Identifies one run of an entry instance; a restart has a new incarnation."""
+    """Identifies one run of an entry instance, which is also called an incarnation.
+
+    Attributes:
+        name: Name of the instance, which stays the same after a restart.
+        incarnation: Distinguishes the runs of one instance name.
+    """
 
     name: str
     incarnation: str
@@ -41,6 +47,8 @@
 class PoolKey:
     """Identifies a pool: backend servers of a service in a region that have the same owner.
 
+    The owner is the instance that sends requests to these servers (see ``region``).
+
     Attributes:
         shard: Index of the pool among the pools of the service in the region, from 0.
     """
@@ -103,10 +111,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServer:
-    """A server that runs requests of one service, at most ``slots`` at a time.
+    """A server that runs requests of one service.
 
     Attributes:
         url: Base URL, ``http://IP:port``.
+        slots: Number of requests that the server runs at a time; each of them uses one slot.
         connections: Number of connections that the server accepts; also the limit of each
             connection pool that an instance has for this server.
     """
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -33,7 +33,7 @@
     def usable_servers(
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
-        """Returns the servers that an instance may use, with ``slots`` set to its share.
+        """Returns the servers that an instance may use, with ``slots`` set to what it may use.
 
         Servers on which the instance has no slot are left out. Leaving servers are treated like
         the others, so that a drain does not change the assignment of slots.
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -36,7 +36,7 @@
 
     Args:
         clock: Time source.
-        rng: Random source for requests without a caller position.
+        rng: Random source for requests without a position.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, rng: random.Random):
@@ -51,23 +51,23 @@
         return {name: progress.fraction(now_s) for name, progress in self._by_name.items()}
 
     def decide(
-        self, service: str, region: str, caller_position: float | None = None
+        self, service: str, region: str, request_position: float | None = None
     ) -> ShiftDecision:
         """Returns the first region to try for a request after applying the shifts.
 
         Args:
             service: Name of the service.
             region: Home region of the request, which shifts do not change.
-            caller_position: Position in [0, 1), for example a hash of the client address; the
+            request_position: Position in [0, 1), for example a hash of the client address; the
                 positions below the moved fraction are moved. While the fractions grow, a position
                 that was moved stays moved, but with several shifts its target can change. The
-                lookups and the requests of a caller go to the same region only if both are passed
+                lookups and the requests of a client go to the same region only if both are passed
                 with the same position. None draws a random position.
         """
         source_shifts = self._by_source.get((service, region))
         if not source_shifts:
             return ShiftDecision(region=region)
-        position = self._rng.random() if caller_position is None else caller_position
+        position = self._rng.random() if request_position is None else request_position
         now_s = self._clock.monotonic()
         moved_fraction = 0.0
         for progress in source_shifts:
