Use refuse, reject and conflict for one thing each in core

Invalid input is rejected in the sources but was refused in four test names. A write of the region row with another version was called refused like a connection that proves an instance gone; it is a conflict now (on_write_conflict). mark_refused is also called for requests that were not sent and is discard_dispatch. A candidate write, a running key and the two meanings of lookup are explained; placement says which strategy uses grants. Inherited slots can belong to several earlier owners.

--- a/packages/core/src/sassafrasway_core/__init__.py
+++ b/packages/core/src/sassafrasway_core/__init__.py
@@ -1,6 +1,7 @@
 """Data model and decision logic of sassafrasway, without network or disk access.
 
-The entry package does the I/O for these modules. By subject:
+The entry package does the I/O for these modules; other packages use single ones, such as
+``errors``. By subject:
 
 - Policies: ``model`` has the data classes, ``documents`` parses and changes policies with
   ``policy_schema`` and ``policy_checks``, and ``config_log`` keeps the current policy.
--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -78,7 +78,7 @@
     """Progress of a key.
 
     Attributes:
-        STARTED: The key may be dispatched; ``mark_refused`` discarded its last dispatch, if any.
+        STARTED: The key may be dispatched; its last dispatch, if any, was discarded.
         DISPATCHED: The request was sent to a backend server or pool owner, or is about to be.
         FINISHED: The outcome is recorded.
     """
@@ -95,8 +95,7 @@
     Attributes:
         outcome: Result passed to ``finish``; None while the key is running.
         updated_s: Monotonic time of the start, dispatch or finish of the key, whichever was last.
-        dispatches: Number of dispatches without those that ``mark_refused`` discarded; above 0, the
-            request may have run.
+        dispatches: Number of dispatches that were not discarded; above 0, the request may have run.
     """
 
     key: str
@@ -109,6 +108,8 @@
 class KeyRegistry:
     """Keys that this incarnation is running or has run.
 
+    A key stands for the request that it identifies: it starts, runs and is finished.
+
     Args:
         me: The incarnation that owns the registry.
         clock: Time source. The wall clock is read only at construction, so that setting it back
@@ -207,7 +208,7 @@
         record.state = KeyState.DISPATCHED
         record.updated_s = self._clock.monotonic()
 
-    def mark_refused(self, key: str) -> None:
+    def discard_dispatch(self, key: str) -> None:
         """Discards the dispatch of a key, because it was not sent or was definitely refused.
 
         Raises:
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -18,7 +18,7 @@
 # While the table lease lasts, new members get no grants until they are recorded, so a changed row
 # is written before the next renewal is due.
 CHANGED_ROW_INTERVAL_S = 0.2
-# Minimum interval between reads of the row after a write was refused or its result was lost.
+# Minimum interval between reads of the row after a write had no effect or its result was lost.
 READ_RETRY_S = 0.5
 
 
@@ -199,7 +199,7 @@
         self._pending_write = None
         self._confirm_row(row, version)
 
-    def on_write_refused(self) -> None:
+    def on_write_conflict(self) -> None:
         """Processes a write whose version did not match."""
         self._pending_write = None
         self._must_read_row = True
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -1,4 +1,7 @@
-"""Maps client IP addresses to regions by the blocks that contain them."""
+"""Maps client IP addresses to regions by the blocks that contain them.
+
+Lookups of instances, which callers send, are handled by ``caller_api`` of the entry package.
+"""
 
 import abc
 import array
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -18,7 +18,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _PendingWrite:
-    """A write of the region row to become coordinator, whose result is not known yet.
+    """A candidate write whose result is not known yet.
+
+    A candidate write is a write of the region row with which an instance becomes coordinator.
 
     If it takes effect, its fields become those of ``authority.WonElection``.
     """
@@ -187,7 +189,7 @@
             self._pending = None
             self._record_won_election(pending, version)
 
-    def on_write_refused(self, command: region.WriteRow) -> None:
+    def on_write_conflict(self, command: region.WriteRow) -> None:
         """Processes a candidate write whose version did not match."""
         if self._pending is not None and self._pending.command is command:
             self._pending = None
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -1,4 +1,8 @@
-"""Placement strategies: which instance may use which slots of a pool's servers."""
+"""Placement strategies: which instance may use which slots of a pool's servers.
+
+Only ``pool_owner``, the default, uses the ownership of pools that ``region`` describes. With the
+other strategies, every instance uses all pools and ignores its grants.
+"""
 
 import abc
 import dataclasses
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -283,7 +283,7 @@
         return waiter_leases
 
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
-        """Counts slots as in use on which requests of the previous owner still run.
+        """Counts slots as in use on which requests of earlier owners still run.
 
         Args:
             counts: Slots in use by server name.
--- a/packages/core/src/sassafrasway_core/pool_inherited.py
+++ b/packages/core/src/sassafrasway_core/pool_inherited.py
@@ -1,4 +1,4 @@
-"""Slots that the previous owner of a pool still uses."""
+"""Slots that earlier owners of a pool still use."""
 
 import dataclasses
 import math
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -58,7 +58,7 @@
         slots: Slots of the server as configured in the policy.
         limit: Slots usable now under the share and the ramp-up.
         in_use: Slots held by leases of this pool, without the inherited ones.
-        inherited: Slots that a previous owner still uses.
+        inherited: Slots that earlier owners still use.
         reported_load: Slots in use as last reported by the server; None without a recent report.
     """
 
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -4,6 +4,7 @@
 owner of the pool, to which the other instances forward their requests. The owner may use the slots
 only after the coordinator has granted it parts of the pool in the replies to its heartbeats. An
 instance with such a part is a holder: while a pool moves, the previous owner may still hold parts.
+Only the placement ``pool_owner`` uses this (see ``placement``).
 
 An instance becomes coordinator by writing the region row, a row in the platform's table service,
 with a higher epoch. The instances that the row names are called recorded members. Every instance of
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -147,13 +147,13 @@
             self.inbox.append((self, "written", issuer, command, self._write(command)))
 
     def _write(self, command):
-        """Returns the new version of the row, ``"refused"`` or ``"unknown"``."""
+        """Returns the new version of the row, ``"conflict"`` or ``"unknown"``."""
         if self.table_mode == "delayed":
             self.world.table.delayed.append(command)
         if self.table_mode in ("ok", "lost"):
             ok = self.world.table.write(command)
             if self.table_mode == "ok":
-                return self.world.table.version if ok else "refused"
+                return self.world.table.version if ok else "conflict"
         return "unknown"
 
     def _handle(self, source, kind, *content):
@@ -166,8 +166,8 @@
         arguments = (command,) if issuer is self.member else ()
         if result == "unknown":
             issuer.on_write_unknown(*arguments)
-        elif result == "refused":
-            issuer.on_write_refused(*arguments)
+        elif result == "conflict":
+            issuer.on_write_conflict(*arguments)
         else:
             issuer.on_write_ok(*arguments, result)
 
--- a/packages/core/tests/test_at_most_once.py
+++ b/packages/core/tests/test_at_most_once.py
@@ -97,7 +97,7 @@
         key = self.fixture.mint_key()
         self.registry.begin(key)
         self.registry.mark_dispatched(key)
-        self.registry.mark_refused(key)
+        self.registry.discard_dispatch(key)
         self.registry.finish(key, "shed", not_run=True)
         self.assertIs(self.registry.begin(key), at_most_once.BeginResult.DONE)
 
--- a/packages/core/tests/test_documents.py
+++ b/packages/core/tests/test_documents.py
@@ -95,7 +95,7 @@
             documents.parse_policy(document, revision=1)
         self.assertEqual(len(caught.exception.message.splitlines()), 3)
 
-    def test_malformed_json_is_refused(self):
+    def test_malformed_json_is_rejected(self):
         """Guards against duplicate names, of which json.loads silently keeps only the last."""
         duplicate = '{"servers": {"crew-1": {}, "crew-1": {}}}'
         for text in (duplicate, '{"a": NaN}', "{", "", b"\xff", "[" * 100_000):
@@ -152,7 +152,7 @@
         self.assertEqual(documents.patch(result, undo, revision=1), self.policy)
         self.assertEqual(documents.difference(self.policy, result), change.sections)
 
-    def test_invalid_results_are_refused(self):
+    def test_invalid_results_are_rejected(self):
         """Guards against accepting a well-formed change whose result is inconsistent."""
         cases = [
             (_change(regions={"bkk": None}), "unknown region 'bkk'"),
@@ -167,7 +167,7 @@
         with self.assertRaises(errors.ConflictError):
             documents.apply_change(self.policy, _change(base=2))
 
-    def test_malformed_changes_are_refused(self):
+    def test_malformed_changes_are_rejected(self):
         """Guards against accepting an invalid change.
 
         Its base revision, id or author may be invalid, a cap below zero or a key unknown.
--- a/packages/core/tests/test_lookup.py
+++ b/packages/core/tests/test_lookup.py
@@ -86,7 +86,7 @@
         self.assertEqual(table.region_of("::ffff:10.1.2.3"), "bkk")
         self.assertIsNone(table.region_of("::1"))
 
-    def test_invalid_blocks_and_addresses_are_refused(self):
+    def test_invalid_blocks_and_addresses_are_rejected(self):
         """Guards against accepting two notations of one block, and against untyped exceptions."""
         for cidr in (
             "10.0.0.1/8",
--- a/packages/core/tests/test_window.py
+++ b/packages/core/tests/test_window.py
@@ -74,7 +74,7 @@
         time.advance(0.26)
         self.assertTrue(limiter.try_take(100))
 
-    def test_infinite_limit_admits_everything_and_invalid_numbers_are_refused(self):
+    def test_infinite_limit_admits_everything_and_invalid_numbers_are_rejected(self):
         """Guards against refusals in a region without a cap, and against negative amounts."""
         limiter = window.SlidingWindow(limit=math.inf, clock=clock.ManualClock(), start_full=True)
         self.assertTrue(limiter.try_take(10**9))
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -260,7 +260,7 @@
         try:
             version = await self._region_row.write(command)
         except table_lib.PreconditionFailed:
-            state.authority.on_write_refused()
+            state.authority.on_write_conflict()
         except errors.SassafraswayError as error:
             self._set_table_error(error)
             state.authority.on_write_unknown()
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -193,7 +193,7 @@
             response = messages.unknown(502, messages.Reason.INTERNAL)
         not_run = response.outcome is messages.Outcome.NOT_RUN
         if not_run:
-            self._registry.mark_refused(key)
+            self._registry.discard_dispatch(key)
         self._registry.finish(key, response, not_run=not_run)
         ticket = at_most_once.Ticket.parse(key)
         if ticket is not None:
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -405,7 +405,7 @@
         try:
             version = await self._region_row.write(command)
         except table_lib.PreconditionFailed:
-            self._state.on_write_refused(command)
+            self._state.on_write_conflict(command)
         except errors.SassafraswayError as error:
             self._log.warning("outcome of the election write is unknown", reason=error.message)
             self._state.on_write_unknown(command)
