--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -1,4 +1,8 @@
-"""The pools that this instance owns: their grants, admission, queues and caps."""
+"""The pools that this instance owns: their grants, admission, queues and caps.
+
+Here, an instance owns a pool as long as it has a grant of the pool, even if the coordinator has
+assigned the pool to another instance in the meantime.
+"""
 
 import asyncio
 import itertools
@@ -193,7 +197,7 @@
         }
 
     def owns(self, key: model.PoolKey) -> bool:
-        """Returns whether this instance owns the pool, even with only the offline share."""
+        """Returns whether this instance has a grant of the pool, even only of the offline share."""
         return key in self._pools
 
     async def execute(
