Name the tasks that execute commands and what a grant state holds

region named no task that executes the commands; the grants of an instance include shares of caps; a leaving server is not the only one that gets no new requests, because ejected ones get none either.

--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -26,7 +26,7 @@
 
 
 class GrantState:
-    """Pools that this instance may use, according to its own clock.
+    """Pools and shares of caps that this instance may use, according to its own clock.
 
     The right to use the main part of a pool ends when its grant expires. The offline third is kept
     until a reply of the coordinator omits it, so it is kept while the coordinator is unreachable.
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -63,7 +63,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether the server must not get new requests."""
+        """Whether the server is leaving or was removed, and so gets no new requests."""
         return (
             self.removed
             or self.reported_leaving
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -11,7 +11,7 @@
 the region is a member; the coordinator sends heartbeats to itself, too.
 
 The decision modules ``member``, ``coordinator`` and ``authority`` do no I/O: they return commands
-for a task to execute.
+that ``member_task`` and ``coordinator_task`` of the entry package execute.
 """
 
 import dataclasses
