--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,5 +1,8 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
+While a coordinator has authority, no other instance can have become coordinator, so none grants the
+same slots. A new coordinator may have been elected once authority has ended.
+
 A member that sends a promise does not become coordinator for ``region.PROMISE_S``, unless the
 current coordinator is known to be gone or there is no region row.
 """
@@ -15,7 +18,7 @@
 # While the table lease lasts, new members get no grants until they are recorded, so a changed row
 # is written before the next renewal is due.
 CHANGED_ROW_INTERVAL_S = 0.2
-# Minimum interval between reads of the row after a write was refused or its result was lost.
+# Minimum interval between reads of the row after a write had no effect or its result was lost.
 READ_RETRY_S = 0.5
 
 
@@ -39,7 +42,7 @@
 
 
 class Authority:
-    """Decides until when a coordinator may grant the main parts of pools.
+    """Decides until when a coordinator may grant parts of pools and shares of caps.
 
     Authority lasts while either of these holds: the table lease, for ``region.TABLE_LEASE_S`` after
     a successful write was sent; or the promises, while the latest promise of every required member
@@ -196,7 +199,7 @@
         self._pending_write = None
         self._confirm_row(row, version)
 
-    def on_write_refused(self) -> None:
+    def on_write_conflict(self) -> None:
         """Processes a write whose version did not match."""
         self._pending_write = None
         self._must_read_row = True
