--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -228,7 +228,7 @@
         self._invariants.check(
             invariants_lib.Rule.EPOCH_NEVER_DECREASES,
             row.epoch >= self._epoch,
-            f"row has epoch {row.epoch} after {self._epoch}",
+            f"region row has epoch {row.epoch}, but this coordinator has epoch {self._epoch}",
         )
         if row.epoch != self._epoch or row.coordinator.id != self._me.id:
             self.depose()
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -150,7 +150,7 @@
         self._invariants.check(
             invariants_lib.Rule.EPOCH_NEVER_DECREASES,
             epoch >= self._epoch,
-            f"epoch {epoch} after {self._epoch}",
+            f"epoch {epoch} would replace the higher epoch {self._epoch}",
         )
         self._epoch = epoch
         self._applied_seq = 0
--- a/packages/ctl/src/sassafrasway_ctl/commands.py
+++ b/packages/ctl/src/sassafrasway_ctl/commands.py
@@ -104,9 +104,19 @@
 )
 @click.option("--target", "--to", "target", required=True, help="Region that receives them.")
 @click.option("--cap-rps", type=float, required=True, help="Maximum shifted rate, requests/s.")
-@click.option("--fraction", type=float, default=1.0, show_default=True, help="Final share, 0 to 1.")
 @click.option(
-    "--pace-per-s", type=float, default=0.1, show_default=True, help="Growth of the share, 1/s."
+    "--fraction",
+    type=float,
+    default=1.0,
+    show_default=True,
+    help="Final share of the requests that is shifted, 0 to 1.",
+)
+@click.option(
+    "--pace-per-s",
+    type=float,
+    default=0.1,
+    show_default=True,
+    help="Growth of the shifted share, 1/s.",
 )
 @click.pass_obj
 def shift_start(
--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -27,7 +27,10 @@
             break
         await asyncio.sleep(FLUSH_INTERVAL_S)
     else:
-        log.warning("outcomes not written", pending=outcomes.pending)
+        log.warning(
+            "outcomes or claim updates not written; stopping without the closed marker",
+            pending=outcomes.pending,
+        )
         return
     try:
         await outcomes.close(me)
