Complete the Raises sections of entry and core

Public functions did not name errors that reach their callers: a missing RPC argument, an unknown share in a pool report or grant, a malformed or missing configuration row, a client that is not an IP address, an address in use, a write that the table service rejects, and violated cap invariants. Only docstrings change (syntax trees without docstrings are equal).

--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -170,6 +170,10 @@
             keeps_offline: Whether the holder may use the offline part after a share has expired;
                 False for an instance that is not recorded in the table, because a later
                 coordinator could not account for its share.
+
+        Raises:
+            errors.InvariantViolation: With the new shares, all shares of a cap add up to more than
+                the cap (only if ``invariants`` raises).
         """
         if (
             _UNRECORDED_HOLDERS in self._unreported_holders
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -168,6 +168,10 @@
 
         The reply is not accepted and grants nothing if this coordinator is deposed, the sender does
         not follow its epoch yet, or the sender is known to be gone.
+
+        Raises:
+            errors.InvariantViolation: The shares of a cap add up to more than the cap (only if
+                ``invariants`` raises).
         """
         sender = heartbeat.sender.id
         self._refresh()
--- a/packages/entry/src/sassafrasway_entry/admin_api.py
+++ b/packages/entry/src/sassafrasway_entry/admin_api.py
@@ -31,7 +31,11 @@
         self._runner: web.AppRunner | None = None
 
     async def start(self, address: str) -> None:
-        """Starts listening on ``host:port``."""
+        """Starts listening on ``host:port``.
+
+        Raises:
+            OSError: The address is invalid or in use.
+        """
         app = web.Application()
         app.router.add_get("/healthz", self._get_health)
         app.router.add_get("/metrics", self._get_metrics)
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -194,6 +194,7 @@
             errors.ValidationError: The result would be invalid.
             errors.UnavailableError: The table service is unavailable; the change may or may not
                 have been accepted, and it is safe to send it again.
+            errors.SassafraswayError: A row is malformed or missing.
         """
         async with self._apply_lock:
             head = await self._sync()
@@ -221,6 +222,7 @@
         Raises:
             errors.UnavailableError: The table service is unavailable and the change is not in the
                 log of this instance.
+            errors.SassafraswayError: A row is malformed or missing.
         """
         known = self._config_log.find(change_id)
         return known if known is not None else (await self._sync()).change_ids.get(change_id)
@@ -234,6 +236,7 @@
 
         Raises:
             errors.UnavailableError: The table service is unavailable.
+            errors.SassafraswayError: A row is malformed or missing.
         """
         newest = (await self._sync()).revision
         last = min(newest, before - 1) if before else newest
@@ -246,6 +249,7 @@
         Raises:
             errors.NotFoundError: There is no such revision.
             errors.UnavailableError: The table service is unavailable, or no policy is known yet.
+            errors.SassafraswayError: A row is malformed or missing.
         """
         current = self._require_policy()
         if revision == current.revision:
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -55,7 +55,11 @@
 
 
 def from_report(message) -> region.PoolReport:
-    """Returns the pool report of a Thrift message."""
+    """Returns the pool report of a Thrift message.
+
+    Raises:
+        ValueError: The share is unknown.
+    """
     return region.PoolReport(
         share=share.Share(message.share),
         in_use=dict(message.in_use or {}),
@@ -95,7 +99,11 @@
 
 
 def from_heartbeat(message) -> region.Heartbeat:
-    """Returns the heartbeat of a Thrift message."""
+    """Returns the heartbeat of a Thrift message.
+
+    Raises:
+        ValueError: The share in a pool report is unknown.
+    """
     return region.Heartbeat(
         sender=from_instance(message.sender),
         epoch=message.epoch or 0,
@@ -139,7 +147,11 @@
 
 
 def from_heartbeat_reply(message) -> region.HeartbeatReply:
-    """Returns the heartbeat reply of a Thrift message."""
+    """Returns the heartbeat reply of a Thrift message.
+
+    Raises:
+        ValueError: The share in a grant is unknown.
+    """
     return region.HeartbeatReply(
         epoch=message.epoch,
         coordinator=from_instance(message.coordinator),
@@ -218,7 +230,11 @@
 
 
 def from_follow_reply(message) -> region.FollowReply:
-    """Returns the follow reply of a Thrift message."""
+    """Returns the follow reply of a Thrift message.
+
+    Raises:
+        ValueError: The share in a pool report is unknown.
+    """
     return region.FollowReply(
         sender=from_instance(message.sender),
         epoch=message.epoch or 0,
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -42,13 +42,19 @@
         """Returns the reply to a member's heartbeat.
 
         Raises:
+            errors.ValidationError: A required argument is missing.
             errors.UnavailableError: This instance is not the coordinator and follows none.
+            ValueError: The share in a pool report is unknown.
         """
         _require_arguments(request is not None and request.sender is not None, "heartbeat")
         return self._member.on_heartbeat(request)
 
     async def follow(self, epoch: int | None, coordinator: Any) -> Any:
-        """Follows a coordinator unless its epoch is lower; returns what this instance holds."""
+        """Follows a coordinator unless its epoch is lower; returns what this instance holds.
+
+        Raises:
+            errors.ValidationError: A required argument is missing.
+        """
         _require_arguments(epoch is not None and coordinator is not None, "follow")
         reply = self._member.on_follow(
             epoch=epoch, coordinator=control_conversion.from_instance(coordinator)
@@ -56,7 +62,12 @@
         return control_conversion.to_follow_reply(reply)
 
     async def handover(self, sender: Any, report: Any) -> None:
-        """Receives the previous owner's report about the slots of a pool that are still in use."""
+        """Receives the previous owner's report about the slots of a pool that are still in use.
+
+        Raises:
+            errors.ValidationError: A required argument is missing.
+            ValueError: The share in the report is unknown.
+        """
         _require_arguments(sender is not None and report is not None, "handover")
         self._on_handover(
             control_conversion.from_instance(sender),
@@ -65,7 +76,11 @@
         )
 
     async def release_slots(self, pool: Any, server: str | None, slots: int | None) -> None:
-        """Frees slots that requests of the previous owner have released."""
+        """Frees slots that requests of the previous owner have released.
+
+        Raises:
+            errors.ValidationError: A required argument is missing.
+        """
         _require_arguments(pool is not None and server is not None, "release_slots")
         self._on_release(control_conversion.from_pool(pool), server, slots or 0)
 
@@ -85,7 +100,11 @@
         return [control_conversion.to_directory(entry) for entry in newer]
 
     async def suspect(self, instance: Any) -> None:
-        """Checks whether an instance is gone, if this one is the coordinator of its region."""
+        """Checks whether an instance is gone, if this one is the coordinator of its region.
+
+        Raises:
+            errors.ValidationError: A required argument is missing.
+        """
         _require_arguments(instance is not None, "suspect")
         self._member.on_suspect(control_conversion.from_instance(instance).id)
 
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -151,6 +151,9 @@
         """Returns the reply to a heartbeat; both are Thrift messages.
 
         May be called only while ``state`` is not None.
+
+        Raises:
+            ValueError: The share in a pool report is unknown.
         """
         heartbeat = control_conversion.from_heartbeat(message)
         reply = self._state.on_heartbeat(heartbeat)
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -143,7 +143,11 @@
         return await self.run_held(request)
 
     async def run_held(self, request: messages.Request) -> messages.Response:
-        """Runs a request whose key this incarnation holds, or waits for its earlier attempt."""
+        """Runs a request whose key this incarnation holds, or waits for its earlier attempt.
+
+        Raises:
+            errors.ValidationError: The key is a ticket of another incarnation.
+        """
         key = request.key
         if self._closed and self._registry.record(key) is None:
             # Other instances may run the request under a claim row once they find the closed
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -274,6 +274,7 @@
 
         Raises:
             errors.UnavailableError: This instance is not the coordinator and follows none.
+            ValueError: The share in a pool report is unknown.
         """
         if self._coordinator.state is not None:
             reply = self._coordinator.heartbeat(message)
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -91,6 +91,7 @@
 
         Raises:
             errors.ValidationError: ``limit`` is not in the range of 1 to ``MAX_HISTORY``.
+            errors.UnavailableError: The table service is unavailable.
         """
         limit = DEFAULT_HISTORY if limit is None else limit
         if not 1 <= limit <= MAX_HISTORY:
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -162,6 +162,8 @@
 
         Raises:
             errors.UnavailableError: The table service is unavailable.
+            KeyError: A field of the stored outcome is missing.
+            ValueError: A row of the segment is not JSON, or the stored outcome is invalid.
         """
         # The closed marker is read first, because no batch is written after it.
         closed = await self._table.get(closed_row_key(ticket.holder)) is not None
--- a/packages/entry/src/sassafrasway_entry/region_table.py
+++ b/packages/entry/src/sassafrasway_entry/region_table.py
@@ -26,7 +26,8 @@
 
         Raises:
             table.StoreUnavailable: The table service is unavailable.
-            errors.ValidationError: The value is not a region row.
+            errors.ValidationError: The value is not a region row, or the table service rejected the
+                read.
         """
         try:
             async with asyncio.timeout(CALL_TIMEOUT_S):
@@ -44,6 +45,7 @@
         """Writes the row if its version is still ``if_version`` and returns the new version.
 
         Raises:
+            errors.ValidationError: The table service rejected the write; nothing was written.
             table.PreconditionFailed: The row has another version; nothing was written.
             table.StoreUnavailable: The table service is unavailable; the row may or may not have
                 been written.
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -62,7 +62,11 @@
         }
 
     def region_of(self, client: str) -> str | None:
-        """Returns the home region of a client address, or None when it is in no client block."""
+        """Returns the home region of a client address, or None when it is in no client block.
+
+        Raises:
+            errors.ValidationError: ``client`` is neither empty nor an IP address.
+        """
         return self._blocks.region_of(client) if client else None
 
     def route(self, *, service: str, client: str, hash_key: str) -> Route:
@@ -73,6 +77,9 @@
             client: Address of the client, or empty.
             hash_key: Hashed with the client address to choose the shard, and to decide whether a
                 shift that moves a fraction of the requests applies.
+
+        Raises:
+            errors.ValidationError: ``client`` is neither empty nor an IP address.
         """
         home = self.region_of(client) or self._region
         position = xxhash.xxh32_intdigest(f"{client}|{hash_key}".encode()) / _HASH_RANGE
