--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -131,7 +131,12 @@
         return self._stats | current | {"leaving": self._behaviour.leaving}
 
     async def start(self) -> None:
-        """Starts listening."""
+        """Starts listening.
+
+        Raises:
+            ValueError: The port of the address is missing or not a number.
+            OSError: The address is invalid or in use.
+        """
         host, port = network.split_address(self._settings.address)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -114,6 +114,7 @@
                 replaces did not stop gracefully.
             aiohttp.ClientError: A request of the fault or the launcher to a process failed.
             TimeoutError: Such a request was not answered in time.
+            history.HistoryError: A complete line of a record file is invalid.
         """
         shutil.rmtree(self._directory, ignore_errors=True)
         self._directory.mkdir(parents=True)
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -142,7 +142,7 @@
         """Returns a cached route or a prefetched ticket, or else the result of a lookup.
 
         Raises:
-            LookupFailedError: No instance answered the lookup.
+            LookupFailedError: No instance that was asked returned a usable lookup response.
         """
         if self._services[arrival.service].idempotent:
             route = self._routes.get(arrival.service)
@@ -182,7 +182,7 @@
         """Asks up to two random instances of the caller's region, then one of any region.
 
         Raises:
-            LookupFailedError: None of them answered.
+            LookupFailedError: None of them returned a usable response.
         """
         local_entries = [entry for entry in self._entries if entry.region == self._region]
         candidates = self._rng.sample(local_entries, min(2, len(local_entries)))
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -75,6 +75,7 @@
             processes.ProcessError: An instance, load process or command failed.
             aiohttp.ClientError: A lookup or control request failed.
             TimeoutError: A lookup or control request was not answered in time.
+            history.HistoryError: A complete line of a record file is invalid.
         """
         await self._apply_policy()
         plan = self._make_plan()
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -84,8 +84,8 @@
         A permanent fault (see the subclasses) goes on after the recorded end.
 
         Raises:
-            RuntimeError: No instance answered the lookup of a pool owner, or an instance did not
-                stop gracefully.
+            RuntimeError: All running instances answered the lookup of a pool owner with an error
+                status, or an instance did not stop gracefully.
             processes.ProcessError: An instance did not start, become ready or end in time.
             aiohttp.ClientError: The connection to an instance or a stand-in failed.
             TimeoutError: An instance or a stand-in did not answer in time.
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -340,6 +340,7 @@
     A last line without a newline is skipped: its writer was killed before it was complete.
 
     Raises:
+        OSError: A file cannot be opened.
         HistoryError: A complete line is invalid.
     """
     for path in paths:
--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -47,7 +47,11 @@
         self._watchers: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
-        """Starts listening for all pairs."""
+        """Starts listening for all pairs.
+
+        Raises:
+            OSError: The address of a pair is invalid or in use.
+        """
         for pair in self._pairs:
             await pair.listen(True)
         for address, pairs in self._by_target.items():
--- a/packages/standins/src/sassafrasway_standins/link_pair.py
+++ b/packages/standins/src/sassafrasway_standins/link_pair.py
@@ -306,7 +306,11 @@
         return len(self._connections)
 
     async def listen(self, is_listening: bool) -> None:
-        """Opens or closes the listening socket."""
+        """Opens or closes the listening socket.
+
+        Raises:
+            OSError: The address is invalid or in use.
+        """
         if is_listening and self._server is None:
             loop = asyncio.get_running_loop()
             host, port = self._listen
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -70,7 +70,12 @@
 
     @classmethod
     def parse(cls, data: Mapping[str, Any]) -> "Plan":
-        """Returns the plan from data that ``dump`` returned."""
+        """Returns the plan from data that ``dump`` returned.
+
+        Raises:
+            KeyError: ``entries`` or ``services`` is missing.
+            TypeError: Another field is missing, or a field is unknown.
+        """
         fields = dict(data)
         fields["entries"] = [exchanges.EntryPoint(**entry) for entry in data["entries"]]
         fields["services"] = {
@@ -247,7 +252,7 @@
     type=click.Path(exists=True, path_type=pathlib.Path),
     help="JSON file with the plan, as written by bench; replaces the trace options.",
 )
-@click.option("--part", default=0, show_default=True, help="Number of this load process.")
+@click.option("--part", default=0, show_default=True, help="Index of this load process, from 0.")
 @click.option("--parts", default=1, show_default=True, help="Number of load processes.")
 @click.option("--layout", type=click.Choice(sorted(layouts.LAYOUTS)), default="demo")
 @click.option("--block", default=0, show_default=True, help="Address block of the running cluster.")
--- a/packages/standins/src/sassafrasway_standins/network.py
+++ b/packages/standins/src/sassafrasway_standins/network.py
@@ -26,7 +26,12 @@
 
     @classmethod
     def parse(cls, data: Mapping[str, Any]) -> "Delays":
-        """Parses a JSON or TOML table whose keys are the names of the attributes."""
+        """Parses a JSON or TOML table whose keys are the names of the attributes.
+
+        Raises:
+            TypeError: A delay is neither a number nor a string.
+            ValueError: A delay is a string that is not a number.
+        """
         return cls(
             domain_ms=float(data.get("domain_ms", 0.0)), region_ms=float(data.get("region_ms", 0.0))
         )
