--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -61,7 +61,8 @@
         dialect: Names and formats used by the platform.
         store: Client of the platform's store.
         gateway_metrics: Metrics of the process.
-        load_settings: Loads the current settings; called on each reload.
+        load_settings: Loads the current settings; called on each reload. If it raises ``OSError``
+            or ``errors.ValidationError``, the settings in force stay.
     """
 
     def __init__(
