--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -26,13 +26,8 @@
     """Returns an owner for every pool, or no owners if there are no members.
 
     A pool stays with its current owner if that is one of the members. Any other pool goes to the
-    member with the highest rendezvous weight among those that own the fewest pools.
-
-    Args:
-        pools: Pools to assign.
-        members: Instances that may own pools.
-        current: Current owner of each pool.
-        moves: Maximum number of pools to move between members to even out their numbers.
+    member with the highest rendezvous weight among those that own the fewest pools. At most
+    ``moves`` pools then move between members to even out their numbers.
     """
     keys = sorted(pools)
     candidates = sorted(set(members))
@@ -70,11 +65,7 @@
 
 
 def _move_pool(owners: dict, counts: collections.Counter) -> bool:
-    """Moves a pool from a member with the most pools to one with the fewest.
-
-    Returns:
-        False when the numbers are even already, so that nothing was moved.
-    """
+    """Moves a pool from a member with the most to one with the fewest; False if already even."""
     min_count = min(counts.values())
     max_count = max(counts.values())
     # Moving a pool at a difference of one only swaps the two counts and would repeat forever.
--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -33,8 +33,6 @@
     """Idempotency key that binds a request to one incarnation.
 
     Attributes:
-        holder: The incarnation that may run the request; after it has stopped as planned, another
-            one may run the request under a claim.
         issued_s: Time of issue in whole seconds since the Unix epoch.
         nonce: Random hexadecimal digits that distinguish tickets issued in the same second.
     """
@@ -108,15 +106,15 @@
 class KeyRegistry:
     """Keys that this incarnation is running or has run.
 
-    A key stands for the request that it identifies: it starts, runs and is finished.
+    A key stands for the request that it identifies: it starts, runs and is finished. A method that
+    changes a started key raises ``errors.NotFoundError`` if there is no record of the key.
 
     Args:
-        me: The incarnation that owns the registry.
-        clock: Time source. The wall clock is read only at construction, so that setting it back
-            cannot make an expired ticket valid again.
+        clock: The wall clock is read only at construction, so that setting it back cannot make an
+            expired ticket valid again.
         invariants: Checks that a key is dispatched at most once, and that a dispatched key is not
-            reported as not run.
-        retention_s: Minimum time for which finished keys are kept, in seconds.
+            reported as not run. A discarded dispatch does not count.
+        retention_s: Minimum time for which finished keys are kept.
     """
 
     def __init__(
@@ -190,13 +188,7 @@
         return True
 
     def mark_dispatched(self, key: str) -> None:
-        """Records that the request is about to be sent to a backend server or pool owner.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key already has a dispatch that was not discarded, or
-                is finished (only if ``invariants`` raises).
-        """
+        """Records that the request is about to be sent to a backend server or pool owner."""
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.ONE_DISPATCH_PER_KEY,
@@ -209,27 +201,15 @@
         record.updated_s = self._clock.monotonic()
 
     def discard_dispatch(self, key: str) -> None:
-        """Discards the dispatch of a key, because it was not sent or was definitely refused.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-        """
+        """Discards the dispatch of a key, because it was not sent or was definitely refused."""
         record = self._get_record(key)
         record.dispatches = 0
         record.state = KeyState.STARTED
 
     def finish(self, key: str, outcome: Any, *, not_run: bool) -> None:
-        """Records the outcome of a key.
-
-        Args:
-            key: The key.
-            outcome: Outcome to return to later attempts with the key.
-            not_run: Whether the outcome says that the request was not run.
+        """Records the outcome of a key, which later attempts with the key get.
 
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: ``not_run`` is set for a key with a dispatch that was not
-                discarded (only if ``invariants`` raises).
+        ``not_run`` states whether the outcome says that the request was not run.
         """
         record = self._get_record(key)
         self._invariants.check(
@@ -243,13 +223,7 @@
         self._finished[key] = record.updated_s
 
     def abandon(self, key: str) -> None:
-        """Removes a key that was not dispatched, so that it can start again later.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key has a dispatch that was not discarded (only if
-                ``invariants`` raises).
-        """
+        """Removes a key that was not dispatched, so that it can start again later."""
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
@@ -259,11 +233,7 @@
         del self._records[key]
 
     def startable_until_s(self, *, issued_before_s: float) -> float:
-        """Returns the monotonic time after which no ticket issued before a wall time can start.
-
-        Args:
-            issued_before_s: Wall time in seconds since the Unix epoch.
-        """
+        """Returns the monotonic time after which no ticket issued before a wall time can start."""
         limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
         return limit_wall_s - self._wall_offset_s
 
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,10 +1,7 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
 While a coordinator has authority, no other instance can have become coordinator, so none grants the
-same slots. A new coordinator may have been elected once authority has ended.
-
-A member that sends a promise does not become coordinator for ``region.PROMISE_S``, unless the
-current coordinator is known to be gone or there is no region row.
+same slots. ``region.PROMISE_S`` states what a member promises.
 """
 
 import dataclasses
@@ -27,7 +24,6 @@
     """A write of the region row that made this instance coordinator.
 
     Attributes:
-        row: The row that was written.
         version: Version of the row, as returned by the write or by a later read.
         sent_s: When the write was sent.
         previous: Coordinator named by the replaced row; None when there was no row.
@@ -44,21 +40,14 @@
 class Authority:
     """Decides until when a coordinator may grant parts of pools and shares of caps.
 
-    Authority lasts while either of these holds: the table lease, for ``region.TABLE_LEASE_S`` after
-    a successful write was sent; or the promises, while the latest promise of every required member
-    is less than ``region.PROMISE_S`` old. The required members are all others that a written row
-    may name.
+    Either of two things gives authority: the table lease, for ``region.TABLE_LEASE_S`` after a
+    successful write was sent; or the promises, while the latest promise of every required member is
+    less than ``region.PROMISE_S`` old. The required members are all others that a written row may
+    name.
 
     A required member that is known to be gone is dropped only while authority lasts. Once authority
     has lapsed, that member may have taken over before it ended, and only a successful write of the
     row proves that it has not.
-
-    Args:
-        me: This instance.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases.
-        members: Liveness of the region's instances.
-        won_election: The write of the region row that made this instance coordinator.
     """
 
     def __init__(
@@ -170,9 +159,7 @@
     ) -> list[region.Command]:
         """Returns the read or the write of the row that is due, or an empty list.
 
-        Args:
-            members: Members to record, in addition to those that are recorded already.
-            owners: Pool owners to record.
+        A write records ``members``, in addition to those that are recorded already, and ``owners``.
         """
         now = self._clock.monotonic()
         if self._deposed or self._pending_write is not None:
@@ -212,19 +199,10 @@
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
     ) -> None:
-        """Processes the region row that was read.
-
-        A read is ignored if a write is pending or was sent after the read had started, because the
-        read may not show the result of that write. A missing row is ignored, too.
-
-        Args:
-            row: The row, or None when there is none.
-            version: Version of the row, or None when there is none.
-            started_s: When the read was started, by the coordinator's clock.
+        """Processes the region row that was read; a missing row is ignored.
 
-        Raises:
-            errors.InvariantViolation: The epoch of the row is lower than that of this coordinator
-                (only if ``invariants`` raises).
+        A read is also ignored if a write is pending or was sent after the read had started
+        (``started_s``): the read may not show the result of that write.
         """
         if row is None or self._pending_write is not None or started_s < self._last_write_s:
             return
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -51,7 +51,6 @@
     """A holder's demand for one cap and its current share.
 
     Attributes:
-        name: Name of the cap.
         demand: What the holder would use in one second if it could, refused requests included, in
             the unit of the cap.
         sequence: Sequence of the last share, or 0 when there is none.
@@ -113,9 +112,6 @@
     """Divides all caps of a region among its instances, for one epoch of the coordinator.
 
     Args:
-        clock: Time source.
-        invariants: Checks that shares in force never add up to more than a cap.
-        epoch: Epoch of the coordinator.
         holders: Recorded instances that may hold shares of an earlier coordinator; None when there
             was no earlier coordinator.
         holders_recorded: Whether only recorded instances can hold such shares.
@@ -170,16 +166,9 @@
     ) -> dict[str, caps.CapShare]:
         """Returns the next share of each reported cap that is divided, by cap name.
 
-        Args:
-            holder: Sender of the heartbeat.
-            reports: Its reports.
-            keeps_offline: Whether the holder may use the offline part after a share has expired;
-                False for an instance that is not recorded in the table, because a later
-                coordinator could not account for its share.
-
-        Raises:
-            errors.InvariantViolation: With the new shares, all shares of a cap add up to more than
-                the cap (only if ``invariants`` raises).
+        With ``keeps_offline``, the holder may use the offline part after a share has expired. It is
+        False for an instance that is not recorded in the table, because a later coordinator could
+        not account for its share.
         """
         if (
             _UNRECORDED_HOLDERS in self._unreported_holders
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -45,10 +45,7 @@
         return self.ends_s if now_s <= self.ends_s else self.offline_ends_s
 
     def covers(self, older: "_GrantedShare") -> bool:
-        """Returns whether ``older`` can be dropped.
-
-        It can if this share counts at least as much and at least as long.
-        """
+        """Returns whether this later share counts at least as much and as long as ``older``."""
         return (
             older.sequence < self.sequence
             and older.amount <= self.amount
@@ -60,10 +57,8 @@
 class _Holder:
     """Shares of one holder. Any of them may be in force, so the largest one counts.
 
-    Attributes:
-        reserved: Amount that counts for the holder as of the last ``refresh``.
-        offline: Offline part that counts for the holder as of the last ``refresh``.
-        check_s: Time of the next scheduled ``refresh``; infinite when none is scheduled.
+    ``reserved`` and ``offline`` are what counts as of the last ``refresh``; ``check_s`` is the time
+    of the next one, infinite when none is scheduled.
     """
 
     __slots__ = ("_newest_sequence", "_shares", "check_s", "offline", "reserved")
@@ -119,7 +114,8 @@
 
     A share counts for ``window.WINDOW_S`` after it expired or the holder confirmed a later one,
     because what was admitted under it is still in the holder's current window. The offline part of
-    an expired share counts until the holder is gone or confirms a later share.
+    an expired share counts until the holder is gone or confirms a later share. ``expire`` brings
+    all results up to date.
     """
 
     def __init__(self):
@@ -134,21 +130,21 @@
 
     @property
     def total(self) -> float:
-        """Sum over all holders; ``expire`` brings it up to date."""
+        """Sum over all holders."""
         return self._total
 
     @property
     def offline(self) -> float:
-        """Sum of the offline parts over all holders; ``expire`` brings it up to date."""
+        """Sum of the offline parts over all holders."""
         return self._offline
 
     def of(self, holder: Hashable) -> float:
-        """Returns the reservation of one holder; ``expire`` brings it up to date."""
+        """Returns the reservation of one holder."""
         record = self._holders.get(holder)
         return record.reserved if record else 0.0
 
     def offline_of(self, holder: Hashable) -> float:
-        """Returns the offline part of one holder; ``expire`` brings it up to date."""
+        """Returns the offline part of one holder."""
         record = self._holders.get(holder)
         return record.offline if record else 0.0
 
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -57,8 +57,7 @@
 class HeldShare:
     """A holder's share of a cap and the limit that is in force by the holder's own clock.
 
-    The holder sets the limit of its ``SlidingWindow`` to ``amount()`` before it takes from the
-    window.
+    The holder sets the limit of its ``SlidingWindow`` to ``amount()`` before each take.
     """
 
     def __init__(self, *, clock: clock_lib.Clock):
@@ -129,20 +128,15 @@
     """Divides a cap by demand so that the holders together never exceed it in any second.
 
     The division is max-min fair: small demands are met in full, and the large ones share the rest
-    evenly. What no holder demands is divided evenly among all of them. A part that is taken from a
-    holder is given to others one window (``window.WINDOW_S``) after the holder has confirmed its
-    smaller share, or one window after the larger share has expired.
+    evenly. What no holder demands is divided evenly among all of them. ``cap_reserve`` states when
+    a part that is taken from a holder can go to others.
 
-    The offline part of an expired share stays reserved until the holder confirms a new share or is
-    removed. It is a third of the share, or less where the offline parts of all holders would add up
-    to more than a third of the cap: while silent holders keep their offline parts, the holders that
-    replace them get none.
+    The offline part is a third of a share, or less where the offline parts of all holders would add
+    up to more than a third of the cap: while silent holders keep their offline parts, the holders
+    that replace them get none.
 
     Args:
         cap: Limit for the sum over all holders in one second.
-        clock: Time source.
-        invariants: Checks that shares in force never add up to more than the cap.
-        share_s: Seconds for which a share is valid.
         offline_fraction: Part of a share, and of the cap, that stays in force after expiry.
         first_sequence: Sequence of the first share; it must be higher than all sequences of an
             earlier coordinator.
@@ -187,11 +181,7 @@
         return self._reservations.of(holder)
 
     def set_cap(self, cap: float) -> None:
-        """Changes the cap.
-
-        A lower cap is in force only when every holder has confirmed a smaller share or its larger
-        share has expired.
-        """
+        """Changes the cap; a lower one takes effect as larger shares are replaced or expire."""
         self._cap = cap
         self._level = dataclasses.replace(self._level, at_s=-math.inf)
 
@@ -211,8 +201,6 @@
 
         Raises:
             ValueError: The sequence is not higher than those of all earlier shares.
-            errors.InvariantViolation: With the new share, all shares add up to more than the cap
-                (only if ``invariants`` raises).
         """
         now_s = self._clock.monotonic()
         self._reservations.expire(now_s)
@@ -227,10 +215,7 @@
         return share
 
     def is_met(self, holder: Hashable, amount: float) -> bool:
-        """Returns whether ``amount`` is close to the target for the holder's last demand.
-
-        Returns False for a holder without a recent demand.
-        """
+        """Returns whether ``amount`` is close to the target for the holder's last recent demand."""
         record = self._demands.get(holder)
         return record is not None and amount >= MET_FRACTION * self._level.target(record.amount)
 
@@ -245,14 +230,11 @@
     def take_over(self, holders: Iterable[Hashable]) -> None:
         """Reserves the shares of an earlier coordinator, which must hand out no more shares.
 
-        The holders of that coordinator may have the whole cap in force until their shares expire,
-        and the offline part of the cap until each of them was passed to ``adopt_share``, has
-        confirmed a new share or was removed. Until then, holders keep what they have, and none gets
-        more. Without any holders, the whole cap stays reserved for one window, because it is
-        unknown what was admitted under shares that ended just before.
-
-        Args:
-            holders: All holders that may have a share of the earlier coordinator.
+        ``holders`` are all that may have such a share. They may have the whole cap in force until
+        their shares expire, and the offline part of the cap until each of them was passed to
+        ``adopt_share``, has confirmed a new share or was removed. Until then, holders keep what
+        they have, and none gets more. Without any holders, the whole cap stays reserved for one
+        window, because it is unknown what was admitted under shares that ended just before.
         """
         now_s = self._clock.monotonic()
         self._earlier_shares_end_s = now_s + self._share_s
@@ -272,13 +254,8 @@
 
         The report was requested after ``take_over``, and the holder accepts no more shares of the
         earlier coordinator. Of a share that expired more than one window ago, only the offline part
-        is reserved: the earlier coordinator may have given the rest to others.
-
-        Args:
-            holder: Identifies the holder.
-            share: Its last share, even if that has expired.
-            remaining_s: Seconds until that share expires, as the holder reported; negative
-                when it has expired.
+        is reserved: the earlier coordinator may have given the rest to others. ``remaining_s`` is
+        the reported time until ``share`` expires, negative when it has expired.
         """
         now_s = self._clock.monotonic()
         # A report that was delayed on the network must not revive a share that has expired since.
@@ -385,10 +362,9 @@
 
 
 def _divide_fairly(demands: list[float], amount: float) -> tuple[float, float]:
-    """Divides ``amount`` max-min fairly among the demands, which are sorted in ascending order.
+    """Divides ``amount`` max-min fairly among the demands, which are in ascending order.
 
-    Returns:
-        The level up to which each demand is met, and the amount that is left over.
+    Returns the level up to which each demand is met, and the amount that is left over.
     """
     for met_count, demand in enumerate(demands):
         even_part = amount / (len(demands) - met_count)
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -16,7 +16,6 @@
     Revision 0 stands for the empty policy before the first change.
 
     Args:
-        invariants: Checks that the revision never decreases.
         keep: Number of recent changes, and of change ids, that are kept.
     """
 
@@ -46,13 +45,7 @@
     def install(self, policy: model.Policy, *, change_ids: Mapping[str, int] | None = None) -> bool:
         """Replaces the current policy; returns False when the given one is not newer.
 
-        Args:
-            policy: The complete policy.
-            change_ids: Revisions by the ids of the changes that led to the policy, oldest first.
-
-        Raises:
-            errors.InvariantViolation: The policy is older than the current one (only if
-                ``invariants`` raises).
+        ``change_ids`` are the revisions by the ids of recent changes, oldest first.
         """
         if not self._may_follow(policy.revision):
             return False
@@ -92,7 +85,6 @@
         return self._revisions.get(change_id)
 
     def _may_follow(self, revision: int) -> bool:
-        """Checks and returns whether a revision is not older than the current one."""
         holds = revision >= self.revision
         self._invariants.check(
             invariants.Rule.REVISION_NEVER_DECREASES,
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -40,15 +40,7 @@
 
 
 class CoordinatorState:
-    """Decisions of a region's coordinator for one epoch.
-
-    Args:
-        me: This instance, the coordinator of the epoch.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases and that shares never exceed a cap.
-        members: Liveness of the region's instances.
-        won_election: The write of the region row that made this instance coordinator.
-    """
+    """Decisions of a region's coordinator, this instance ``me``, for one epoch."""
 
     def __init__(
         self,
@@ -169,10 +161,6 @@
 
         The reply is not accepted and grants nothing if this coordinator is deposed, the sender does
         not follow its epoch yet, or the sender is known to be gone.
-
-        Raises:
-            errors.InvariantViolation: The shares of a cap add up to more than the cap (only if
-                ``invariants`` raises).
         """
         sender = heartbeat.sender.id
         self._refresh()
@@ -222,7 +210,6 @@
         ]
 
     def _refresh(self) -> None:
-        """Processes the instances that were found to be gone since the last event."""
         self._authority.refresh()
         if self._members.gone_count == self._gone_count:
             return
@@ -243,10 +230,7 @@
         return self._started_s + region.GRANT_S
 
     def _reassign(self) -> None:
-        """Assigns owners to pools without an eligible one, and moves a pool if a move is due.
-
-        A move only evens out the numbers of pools per instance.
-        """
+        """Assigns owners to pools without an eligible one, and moves a pool if a move is due."""
         now = self._clock.monotonic()
         if self._won_election.previous is None and now < self._started_s + REGION_FORMATION_S:
             return
@@ -293,11 +277,9 @@
     def _able_to_serve(self, members: list[model.InstanceId]) -> list[model.InstanceId]:
         """Returns the members that own a pool or have their share of the region's cap in force.
 
-        Returns all members if the region has no cap or none of its pools has an owner.
-
-        An instance that just joined gets its share of the cap only after the others have confirmed
-        smaller shares and their use has left the one-second window, which takes about two seconds.
-        If it were assigned a pool earlier, it would refuse all requests of that pool until then.
+        A new instance gets its share about two seconds after it joins: the others must confirm
+        smaller shares first, and their use must leave the one-second window. With a pool but no
+        share, it would refuse all requests of the pool.
         """
         owners = set(self.owners().values())
         if not self._region_is_capped or not owners:
@@ -309,7 +291,6 @@
     def _record_region_share(
         self, member: model.InstanceId, reports: Iterable[cap_grants.CapReport]
     ) -> None:
-        """Records whether a member has its share of the region's cap in force."""
         in_force = sum(
             report.amount
             for report in reports
@@ -339,7 +320,6 @@
         return permitted
 
     def _grant(self, member: model.InstanceId) -> region.HeartbeatReply:
-        """Grants the member its permitted shares; returns the reply that carries the grants."""
         self._seq += 1
         permitted = self._permitted_shares(member)
         if any(pool_share.has_main for pool_share in permitted.values()):
@@ -375,10 +355,9 @@
     def _may_grant(self, now: float, *, recorded: bool) -> bool:
         """Returns whether a member may be granted main parts and shares of caps.
 
-        A recorded member may then also be granted offline thirds that are free.
-
-        While the table lease lasts, an instance must be recorded first, so that the next
-        coordinator finds all holders in the row.
+        A recorded member may then also be granted free offline thirds. While the table lease lasts,
+        an instance must be recorded first, so that the next coordinator finds all holders in the
+        row.
         """
         return now < self._authority.until_s() and (
             recorded or now >= self._authority.table_until_s
--- a/packages/core/src/sassafrasway_core/documents.py
+++ b/packages/core/src/sassafrasway_core/documents.py
@@ -1,8 +1,8 @@
 """Parsing, serialisation and comparison of policy documents and policy changes.
 
 A policy document is a JSON object of sections; each section maps names to objects. A change
-adds, replaces or deletes whole objects. Parsing reports the problems of a document in one error,
-which lists at most ``policy_checks.MAX_REPORTED_PROBLEMS`` of them.
+adds, replaces or deletes whole objects. Invalid input raises one ``errors.ValidationError``, whose
+message lists at most ``policy_checks.MAX_REPORTED_PROBLEMS`` problems.
 """
 
 import dataclasses
@@ -25,10 +25,8 @@
     """A change of a policy.
 
     Attributes:
-        base_revision: Revision that the change applies to.
         change_id: Chosen by the operator. A change with the id of a recent change is not applied
             again, so that an operator can repeat a request whose reply was lost.
-        author: Who made the change.
         sections: New model objects by section and name; None deletes the object.
     """
 
@@ -48,10 +46,6 @@
 
     A number that is too large for a float, such as 1e999, becomes infinite. The schema of policy
     documents rejects it.
-
-    Raises:
-        errors.ValidationError: The text is malformed, an object has a duplicate key, or a value is
-            NaN, Infinity or -Infinity.
     """
     try:
         return json.loads(
@@ -64,11 +58,7 @@
 
 
 def parse_policy(data: Any, *, revision: int) -> model.Policy:
-    """Validates a parsed policy document and returns the policy.
-
-    Raises:
-        errors.ValidationError: The document is invalid; the message lists the problems.
-    """
+    """Validates a parsed policy document and returns the policy."""
     problems: list[policy_checks.Problem] = []
     sections = _parse_sections(data, problems, may_delete=False)
     complete = {name: sections.get(name, {}) for name in policy_schema.SECTIONS}
@@ -89,11 +79,7 @@
 
 
 def parse_change(data: Any) -> Change:
-    """Validates a parsed change document and returns the change.
-
-    Raises:
-        errors.ValidationError: The document is invalid; the message lists the problems.
-    """
+    """Validates a parsed change document and returns the change."""
     problems: list[policy_checks.Problem] = []
     header = None
     try:
@@ -123,11 +109,7 @@
 
 
 def parse_sections(data: Any) -> Sections:
-    """Validates the parsed sections of a change and returns their model objects.
-
-    Raises:
-        errors.ValidationError: The sections are invalid.
-    """
+    """Validates the parsed sections of a change and returns their model objects."""
     problems: list[policy_checks.Problem] = []
     sections = _parse_sections(data, problems, may_delete=True)
     policy_checks.raise_problems(problems, step="documents.parse_sections")
@@ -152,7 +134,7 @@
 
     Raises:
         errors.ConflictError: The change is based on another revision.
-        errors.ValidationError: The result would be invalid; the message lists the problems.
+        errors.ValidationError: The result would be invalid.
     """
     step = "documents.apply_change"
     if change.base_revision != policy.revision:
--- a/packages/core/src/sassafrasway_core/health.py
+++ b/packages/core/src/sassafrasway_core/health.py
@@ -35,9 +35,8 @@
         failures: Consecutive failed requests.
         backoff_exponent: Exponent of 2 in the next ejection time; grows with each ejection and
             failed probe.
-        ejected: Whether the server is ejected.
-        ejected_until_s: Monotonic time from which the server is due for a probe that can end the
-            ejection; after a successful probe, the time of that probe.
+        ejected_until_s: When the next probe of an ejected server is due; after a successful probe,
+            the time of that probe.
     """
 
     failures: int = 0
@@ -47,17 +46,12 @@
 
 
 class ServerHealth:
-    """Ejects servers that fail repeatedly and determines when to probe them.
+    """Ejects servers after ``failures_to_eject`` consecutive failures and decides when to probe.
 
     Only this instance's own requests and probes count. At most a third of the servers, rounded
     down, is ejected at a time, so a pool of one or two servers keeps all of them. An ejected server
     returns when a probe after its ejection time succeeds; a failed probe doubles its ejection time,
-    up to ``MAX_EJECTION_S``.
-
-    Args:
-        clock: Time source.
-        rng: Random source for the jitter of ejection times.
-        failures_to_eject: Consecutive failures after which a server is ejected.
+    up to ``MAX_EJECTION_S``. ``rng`` is used for the jitter of ejection times.
     """
 
     def __init__(
@@ -144,7 +138,6 @@
             record.backoff_exponent = 0
 
     def _eject(self, record: _Record) -> None:
-        """Ejects a server unless the maximum number of servers is ejected already."""
         if len(self.ejected()) < self._max_ejected():
             record.ejected = True
             self._start_ejection(record)
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -16,7 +16,6 @@
     """Owner of a pool, and the holders or possible holders of its two parts.
 
     Attributes:
-        assigned_owner: Instance that the pool is assigned to.
         possible_offline_holders: Instances of which one may hold the offline third; empty when it
             is free.
         offline_seq: Number of the latest reply that granted the offline third.
@@ -50,8 +49,7 @@
     ) -> tuple[dict[str, int], model.InstanceId | None]:
         """Returns the slots that other instances use, by server, and the last of these instances.
 
-        The last one is the instance that was the last to begin to report slots in use. It is None
-        if no other instance uses slots.
+        The last one is the last to begin to report slots in use; None if there is none.
         """
         inherited: dict[str, int] = {}
         previous = None
@@ -68,8 +66,6 @@
     """Holders of the parts of all pools.
 
     Args:
-        clock: Time source.
-        members: Liveness of the region's instances.
         unanswered: Recorded members that may hold parts from earlier coordinators.
         earlier_grants_until_s: End of all grants of earlier coordinators, by ``clock``.
         holders_recorded: Whether only recorded members can hold such grants.
@@ -111,7 +107,7 @@
         return self._change_count
 
     def keys(self) -> frozenset[model.PoolKey]:
-        """Returns all pools that were added."""
+        """Returns the keys of all pools."""
         return frozenset(self._pools)
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
@@ -156,7 +152,7 @@
         return pool
 
     def assign(self, key: model.PoolKey, owner: model.InstanceId) -> None:
-        """Assigns an owner to a pool."""
+        """Assigns a pool to an owner; adds the pool if it is new."""
         self.add(key).assigned_owner = owner
         self._pools_by_owner = None
         self._change_count += 1
--- a/packages/core/src/sassafrasway_core/invariants.py
+++ b/packages/core/src/sassafrasway_core/invariants.py
@@ -1,7 +1,8 @@
 """Runtime checks of rules that must always hold.
 
 Most tests use the mode ``raise``. In production, violations are only counted, because stopping an
-instance would fail more requests than the violation itself.
+instance would fail more requests than the violation itself. With the mode ``raise``, any method of
+an object that was given an ``Invariants`` can raise ``errors.InvariantViolation``.
 """
 
 import collections
@@ -36,9 +37,7 @@
 class Invariants:
     """Checks rules and either raises or counts violations.
 
-    Args:
-        mode: Whether a violation raises an error or is only counted.
-        on_violation: Called with the rule and a detail text on every violation.
+    ``on_violation`` is called with the rule and a detail text on every violation, in both modes.
     """
 
     def __init__(
@@ -57,11 +56,7 @@
         return dict(self._violations)
 
     def check(self, rule: Rule, holds: bool, detail: str) -> None:
-        """Records a violation when ``holds`` is false.
-
-        Raises:
-            errors.InvariantViolation: The rule does not hold and the mode is ``RAISE``.
-        """
+        """Records a violation when ``holds`` is false."""
         if holds:
             return
         self._violations[rule] += 1
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -1,6 +1,7 @@
 """Maps client IP addresses to regions by the blocks that contain them.
 
-Lookups of instances, which callers send, are handled by ``caller_api`` of the entry package.
+``caller_api`` of the entry package handles the lookups of instances that callers send. Functions
+and methods raise ``errors.ValidationError`` for a CIDR or an address that they cannot parse.
 """
 
 import abc
@@ -43,9 +44,6 @@
     Other notations are rejected, because the CIDR is the name of the block in the policy and has
     to be unique. The functions of the socket module are about ten times as fast as ``ipaddress``,
     which matters because a table of 250,000 blocks is built while the process serves requests.
-
-    Raises:
-        errors.ValidationError: The text is not a CIDR block in canonical notation.
     """
     text, _, length_text = cidr.partition("/")
     version, address = _parse_ip(text)
@@ -68,9 +66,6 @@
     """Returns the IP version and the integer value of an address.
 
     An IPv4-mapped IPv6 address becomes an IPv4 address.
-
-    Raises:
-        errors.ValidationError: The text is not an IP address.
     """
     version, address = _parse_ip(text)
     if version == 6 and address >> 32 == _MAPPED_PREFIX >> 32:
@@ -103,8 +98,7 @@
         blocks: Client blocks, each with a different CIDR.
 
     Raises:
-        errors.ValidationError: A CIDR is not in canonical notation, or there are more than 65536
-            regions.
+        errors.ValidationError: A CIDR is invalid, or there are more than 65536 regions.
     """
 
     def __init__(self, *, blocks: Iterable[model.ClientBlock]):
@@ -132,11 +126,7 @@
         return sum(prefixes.size_bytes for prefixes in self._prefix_arrays())
 
     def region_of(self, address: str) -> str | None:
-        """Returns the region of the longest block that contains the address, or None.
-
-        Raises:
-            errors.ValidationError: The text is not an IP address.
-        """
+        """Returns the region of the longest block that contains the address, or None."""
         version, value = parse_address(address)
         bits = _FAMILIES[version][1]
         for length, prefixes in self._prefixes[version].items():
@@ -148,12 +138,8 @@
     def updated(self, changes: Mapping[str, model.ClientBlock | None]) -> "BlockTable":
         """Returns a new table with the given changes by CIDR; None removes a block.
 
-        Copies only the arrays of the changed prefix lengths, which is fast enough to run between
-        requests.
-
-        Raises:
-            errors.ValidationError: A CIDR is not in canonical notation, or there are more than
-                65536 regions, including those of blocks that earlier updates removed.
+        This is fast enough to run between requests. The regions of removed blocks still count
+        towards the 65536 regions.
         """
         table = BlockTable(blocks=())
         table._regions = list(self._regions)
@@ -167,10 +153,7 @@
         return table
 
     def _apply_change(self, cidr: str, region: str | None, copied: set[tuple[int, int]]) -> None:
-        """Sets or removes a block in place.
-
-        ``copied`` collects the IP versions and prefix lengths whose arrays were copied before.
-        """
+        """Sets or removes a block; ``copied`` collects the arrays that were copied already."""
         version, length, key = parse_network(cidr)
         by_length = self._prefixes[version]
         if (version, length) not in copied:
@@ -211,12 +194,10 @@
 
     @property
     def size_bytes(self) -> int:
-        """Memory of the arrays in bytes."""
         arrays = (self._region_numbers, *self._key_arrays())
         return sum(len(values) * values.itemsize for values in arrays)
 
     def find(self, key: int) -> int | None:
-        """Returns the region number of a key, or None."""
         index, found = self._position(key)
         return self._region_numbers[index] if found else None
 
@@ -227,7 +208,6 @@
             self._region_numbers.append(number)
 
     def set(self, key: int, number: int) -> None:
-        """Sets the region number of a key."""
         index, found = self._position(key)
         if found:
             self._region_numbers[index] = number
@@ -236,7 +216,6 @@
             self._region_numbers.insert(index, number)
 
     def remove(self, key: int) -> None:
-        """Removes a key if it exists."""
         index, found = self._position(key)
         if found:
             for values in (self._region_numbers, *self._key_arrays()):
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -18,9 +18,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _PendingWrite:
-    """A candidate write whose result is not known yet.
-
-    A candidate write is a write of the region row with which an instance becomes coordinator.
+    """A write of the region row to become coordinator (candidate write) with an unknown result.
 
     If it takes effect, its fields become those of ``authority.WonElection``.
     """
@@ -42,12 +40,6 @@
 
     An instance that a coordinator declared gone never takes over. A leaving instance does so only
     if there is no row or if every other recorded member is leaving or gone.
-
-    Args:
-        me: This instance.
-        clock: Time source.
-        members: Liveness of the region's instances.
-        grants: Grants received and epoch followed.
     """
 
     def __init__(
@@ -114,9 +106,8 @@
     ) -> list[region.Command]:
         """Updates the state to the current time and returns the commands to execute now.
 
-        Args:
-            reports: Returns the pool reports; called when a heartbeat is due.
-            cap_demand: Returns the demand by cap name; called when a heartbeat is due.
+        When a heartbeat is due, this calls ``reports`` for the pool reports and ``cap_demand`` for
+        the demand by cap name.
         """
         commands: list[region.Command] = []
         coordinator = self._grants.coordinator
@@ -157,13 +148,9 @@
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
     ) -> None:
-        """Processes the region row that was read.
+        """Processes the region row that was read; ``row`` and ``version`` are None without a row.
 
-        Args:
-            row: The row, or None when there is none.
-            version: Version of the row, or None when there is none.
-            started_s: When the read was started. A read that started before the candidate write
-                may not show the result of that write.
+        A read that started (``started_s``) before the candidate write may not show its result.
         """
         pending = self._pending
         if pending is not None:
@@ -228,7 +215,6 @@
         return region.SendHeartbeat(target=coordinator, heartbeat=heartbeat, sent_s=now)
 
     def _search(self) -> list[region.Command]:
-        """Returns the commands that find the current coordinator or detect that it is gone."""
         if not self._due("search", SEARCH_RETRY_S):
             return []
         commands: list[region.Command] = [region.ReadRow()]
@@ -241,7 +227,6 @@
         return commands
 
     def _may_take_over(self) -> bool:
-        """Returns whether this instance may write the row to become coordinator."""
         if self.in_contact or self._pending is not None or not self._row_known:
             return False
         if self._declared_gone:
@@ -273,7 +258,6 @@
         )
 
     def _candidate_write(self) -> region.WriteRow:
-        """Returns the write of the row that makes this instance coordinator of the next epoch."""
         now = self._clock.monotonic()
         row = self._row
         recorded = () if row is None else row.members
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -1,7 +1,7 @@
 """Liveness of the instances of a region: live, leaving, silent or gone.
 
-The difference that matters is that between silent and gone: a silent instance may still use what it
-was granted, and only a gone one certainly does not.
+A silent instance may be paused or partitioned and still use what it was granted; a gone one
+certainly does not.
 """
 
 import dataclasses
@@ -24,7 +24,6 @@
     """Liveness of an instance, as observed by this process.
 
     Attributes:
-        LIVE: It sends messages.
         LEAVING: It sends messages and is about to stop.
         SILENT: It has not sent a message recently but is not proved to be gone.
         GONE: This run of the instance is proved to have ended.
@@ -40,11 +39,8 @@
 class _Entry:
     """An instance that is not gone.
 
-    Attributes:
-        instance: Data from its last message, or from the source that named it.
-        first_known_s: When the instance was added.
-        last_contact_s: When its last message was received.
-        listed: Whether the platform's list named this run of the instance.
+    ``instance`` is from its last message or the source that named it. ``listed`` is true once the
+    platform's list has named this run.
     """
 
     instance: region.Instance
@@ -58,12 +54,8 @@
 
     An instance is gone only when the platform's list of running instances named this run and no
     longer does, when its port refuses connections, or when another incarnation answers at its
-    address. Silence proves nothing: a silent instance may be paused or partitioned and still use
-    its grants.
-
-    Args:
-        clock: Time source.
-        silent_after_s: An instance that sent no message for this long is silent.
+    address. An instance that sent no message for ``silent_after_s`` is silent, which proves
+    nothing.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, silent_after_s: float = region.GRANT_S):
@@ -101,10 +93,7 @@
             self._mark_gone(instance)
 
     def record_identity(self, expected: model.InstanceId, *, incarnation: str) -> None:
-        """Records which incarnation answered at the address of ``expected``.
-
-        Another incarnation proves that ``expected`` is gone.
-        """
+        """Records which incarnation answered at the address of ``expected``."""
         if incarnation != expected.incarnation:
             self._mark_gone(expected)
 
@@ -145,11 +134,7 @@
         return instance in self._gone
 
     def since_contact_s(self, instance: model.InstanceId) -> float:
-        """Returns the seconds since the last message from the instance.
-
-        Raises:
-            KeyError: The instance is unknown or gone.
-        """
+        """Returns the seconds since the last message; KeyError if it is unknown or gone."""
         return self._clock.monotonic() - self._entries[instance].last_contact_s
 
     def instance(self, instance: model.InstanceId) -> region.Instance | None:
@@ -158,10 +143,7 @@
         return None if entry is None else entry.instance
 
     def instances(self, *states: State) -> list[region.Instance]:
-        """Returns the instances in any of the states, sorted by id.
-
-        Without states, it returns all instances that are not gone.
-        """
+        """Returns the instances in any of the states (default: all but gone), sorted by id."""
         wanted = states or (State.LIVE, State.LEAVING, State.SILENT)
         return [
             self._entries[instance].instance
@@ -174,7 +156,6 @@
         return list(self._gone)
 
     def _mark_gone(self, instance: model.InstanceId) -> None:
-        """Marks an instance as gone and drops the oldest ones beyond the limits ``GONE_KEEP_*``."""
         now = self._clock.monotonic()
         self._entries.pop(instance, None)
         if instance not in self._gone:
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -9,11 +9,9 @@
 
 
 class AtMostOnceMode(enum.Enum):
-    """Kind of idempotency keys that a policy states for a service.
+    """Kind of idempotency keys that a policy states for a service (see ``at_most_once``).
 
-    The value is only stored. Requests are accepted with both kinds of keys in both modes: tickets,
-    which an instance issues, and keys chosen by the caller, for which the instance that runs the
-    request writes a claim to the platform's table (see ``at_most_once``).
+    The value is only stored: requests with either kind of key are accepted in both modes.
     """
 
     TICKET = "ticket"
@@ -31,9 +29,7 @@
 class InstanceId:
     """Identifies one run of an entry instance, which is also called an incarnation.
 
-    Attributes:
-        name: Name of the instance, which stays the same after a restart.
-        incarnation: Distinguishes the runs of one instance name.
+    The name stays the same after a restart; ``incarnation`` distinguishes the runs.
     """
 
     name: str
@@ -47,10 +43,8 @@
 class PoolKey:
     """Identifies a pool: backend servers of a service in a region that have the same owner.
 
-    The owner is the instance that sends requests to these servers (see ``region``).
-
-    Attributes:
-        shard: Index of the pool among the pools of the service in the region, from 0.
+    The owner is the instance that sends requests to these servers (see ``region``). ``shard`` is
+    the index among the pools of the service in the region, from 0.
     """
 
     service: str
@@ -65,9 +59,7 @@
 class Region:
     """A region, to which backend servers and blocks of client addresses belong.
 
-    Attributes:
-        cap_rps: Maximum rate of requests that its servers may receive, requests/s; None for no
-            cap.
+    Its servers together receive at most ``cap_rps`` requests/s; None for no cap.
     """
 
     name: str
@@ -76,11 +68,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Link:
-    """The network link between two regions; the cap applies to each direction.
+    """The network link between two regions.
 
-    Attributes:
-        cap_mbit_s: Maximum data rate in one direction, Mbit/s.
-        delay_ms: One-way delay.
+    The cap applies to each direction separately, and the delay is one-way.
     """
 
     source: str
@@ -115,7 +105,7 @@
 
     Attributes:
         url: Base URL, ``http://IP:port``.
-        slots: Number of requests that the server runs at a time; each of them uses one slot.
+        slots: Number of requests that the server runs at a time.
         connections: Number of connections that the server accepts; also the limit of each
             connection pool that an instance has for this server.
     """
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -13,12 +13,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _HeldPool:
-    """A granted pool.
-
-    Attributes:
-        offline: Whether the offline third is granted.
-        main_until_s: When the grant of the main part expires; in the past when it is not granted.
-    """
+    """A granted pool; ``main_until_s`` is in the past when the main part is not granted."""
 
     grant: region.PoolGrant
     offline: bool
@@ -30,10 +25,6 @@
 
     The right to use the main part of a pool ends when its grant expires. The offline third is kept
     until a reply of the coordinator omits it, so it is kept while the coordinator is unreachable.
-
-    Args:
-        clock: Time source; grants expire by its monotonic time.
-        invariants: Checks that the epoch never decreases.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, invariants: invariants_lib.Invariants):
@@ -103,9 +94,8 @@
     ) -> dict[model.PoolKey, region.PoolReport]:
         """Returns the pool reports of a heartbeat, with the shares now in force.
 
-        Args:
-            details: Reports of the pools with more to report than the share, whose ``share`` is
-                ignored. Pools that are granted but missing here are reported, too.
+        ``details`` has the pools with more to report than the share; its ``share`` is ignored.
+        Granted pools that it lacks are reported, too.
         """
         empty = region.PoolReport(share=share.Share.NONE)
         reports = {}
@@ -115,11 +105,7 @@
         return reports
 
     def follow(self, *, epoch: int, coordinator: region.Instance) -> bool:
-        """Follows a coordinator unless its epoch is lower than the current one.
-
-        Returns:
-            Whether this instance follows that coordinator now.
-        """
+        """Follows a coordinator unless its epoch is lower; returns whether it is followed now."""
         if epoch < self._epoch:
             return False
         if epoch > self._epoch:
@@ -130,8 +116,7 @@
     def apply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
         """Applies the reply to the heartbeat sent at ``sent_s``.
 
-        Returns:
-            False when the reply is stale or not accepted; the grants then stay as they are.
+        A stale or unaccepted reply leaves the grants as they are; the result is then False.
         """
         if not self.follow(epoch=reply.epoch, coordinator=reply.coordinator):
             return False
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -24,8 +24,7 @@
             receives a request dispatches it itself and pools have no owner.
         ranks_by_reports: Value of ``SlotPool``'s ``rank_by_reports``.
         retries_after_shed: How many other servers a request may try after a server shed it, before
-            it overflows to other regions, if this is part of the strategy; 0 selects the limit that
-            applies to the other strategies, ``MAX_SHED_RETRIES`` of the entry package.
+            it overflows to other regions; 0 selects ``MAX_SHED_RETRIES`` of the entry package.
     """
 
     name: str
@@ -44,11 +43,9 @@
 
         Args:
             servers: All servers of one pool, as configured in the policy.
-            index: Index of the instance among all live instances, sorted by name, from 0.
+            index: Index of the instance among all live instances, sorted by name, from 0 to
+                ``count - 1``; any other value raises ``ValueError``.
             count: Number of live instances.
-
-        Raises:
-            ValueError: ``index`` is not from 0 to ``count - 1``.
         """
 
 
@@ -127,7 +124,6 @@
 
 
 def _first_index(servers: Sequence[model.BackendServer], count: int) -> int:
-    """Returns the index of the instance with which the round-robin of a pool starts."""
     if not servers:
         return 0
     name = f"{servers[0].service}/{servers[0].region}"
--- a/packages/core/src/sassafrasway_core/policy_checks.py
+++ b/packages/core/src/sassafrasway_core/policy_checks.py
@@ -28,8 +28,6 @@
     """A problem in a document; attributes that do not apply are empty.
 
     Attributes:
-        section: Key of the section.
-        name: Name of the object in the section.
         key: Field of the object or of a change document.
         detail: What is wrong and what was expected.
     """
@@ -49,12 +47,9 @@
 
 
 def raise_problems(problems: Iterable[Problem], *, step: str) -> None:
-    """Raises one error that lists the problems; does nothing when there are none.
+    """Raises one ``errors.ValidationError`` for all problems; does nothing when there are none.
 
     The message lists the first ``MAX_REPORTED_PROBLEMS`` problems and counts the others.
-
-    Raises:
-        errors.ValidationError: There is a problem.
     """
     texts = [str(problem) for problem in problems]
     if not texts:
--- a/packages/core/src/sassafrasway_core/policy_schema.py
+++ b/packages/core/src/sassafrasway_core/policy_schema.py
@@ -25,8 +25,7 @@
 def _canonical_url(url: str) -> str:
     """Returns the canonical form ``http://IP:port``, in which duplicate URLs compare equal.
 
-    Raises:
-        ValueError: The URL has another form; pydantic turns it into a validation error.
+    pydantic turns a ``ValueError`` into a validation error.
     """
     parts = urllib.parse.urlsplit(url)
     unsupported_parts = (parts.path.strip("/"), parts.query, parts.fragment, parts.username)
@@ -139,12 +138,7 @@
     """Converts the objects of one section between JSON documents and model objects.
 
     Subclasses override how the name of an object is checked and which fields it sets.
-
-    Attributes:
-        section_key: Key of the section in a policy document.
-        document_type: pydantic model of the objects.
-        model_type: Class of the model objects.
-        enum_types: Enum classes by the key of the field that holds a value of the enum.
+    ``enum_types`` maps keys of fields to the enum of their values.
     """
 
     section_key: str
@@ -182,7 +176,6 @@
         return {"name": name}
 
     def _name_problems(self, name: str) -> Iterator[policy_checks.Problem]:
-        """Yields a problem if the name of an object is invalid in this section."""
         if not _NAME.fullmatch(name):
             yield self._name_problem(name, f"invalid name; expected {_NAME_EXPECTED}")
 
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -45,18 +45,15 @@
     leases, so the caller has to call ``lease_to_waiting`` regularly while requests wait.
 
     Args:
-        key: Key of the pool.
         servers: The pool's servers, including leaving ones.
-        clock: Time source.
         rng: Random source for server selection and for the jitter of ejection times.
         invariants: Checks every new lease.
         queue_limit: Maximum number of waiting requests; 0 for services whose requests may not
             wait.
         ramp_s: Seconds over which the slots of a new or long-idle server become usable.
-        rank_by_reports: Whether load reports limit the estimate of a server's free slots. To be
-            set only for placements in which other instances dispatch to the same servers. If it is
-            not set, servers are ranked by the pool's own count of free slots, and load reports only
-            break ties.
+        rank_by_reports: Whether load reports limit the estimate of a server's free slots. Set it
+            only for placements in which other instances dispatch to the same servers. Otherwise,
+            the pool ranks servers by its own count of free slots, and reports only break ties.
     """
 
     def __init__(
@@ -125,11 +122,7 @@
         return len(self._queue)
 
     def servers_to_probe(self) -> list[model.BackendServer]:
-        """Returns the servers that are due for a probe.
-
-        These are ejected servers whose ejection time has passed, and servers that reported that
-        they are leaving and may have returned.
-        """
+        """Returns the ejected servers due for a probe, and leaving ones that may have returned."""
         now_s = self._clock.monotonic()
         due = [self._servers[name].server for name in self._health.probes_due()]
         due += [
@@ -164,7 +157,7 @@
             slots.set_share(share)
 
     def set_leaving(self, server_name: str, leaving: bool) -> None:
-        """Applies the leaving state that a server reported, for example in response to a probe."""
+        """Applies the leaving state that a server reported."""
         slots = self._servers.get(server_name)
         if slots is None or slots.reported_leaving == leaving:
             return
@@ -179,11 +172,8 @@
     ) -> None:
         """Records the result of a probe; a server that returns to service is ramped up.
 
-        Args:
-            server_name: Name of the probed server.
-            succeeded: Whether the server reported that it is healthy.
-            leaving: Whether the server reported that it is leaving; None if unknown. Only a
-                successful probe with False withdraws an earlier report.
+        ``leaving`` is what the server reported, None if unknown. Only a successful probe with False
+        withdraws an earlier report.
         """
         slots = self._servers.get(server_name)
         if slots is None:
@@ -210,11 +200,7 @@
         ``SHED_PAUSE_S`` or whose last result was a failure are used only if no other server
         appears to have a free slot.
 
-        Args:
-            exclude: Names of servers not to use, for example because they shed this request.
-
-        Raises:
-            errors.InvariantViolation: The lease breaks a rule (only if ``invariants`` raises).
+        Servers in ``exclude``, for example those that shed this request, are not used at all.
         """
         now_s = self._expire_inherited()
         slots = self._select(exclude, now_s)
@@ -224,9 +210,6 @@
         """Releases a slot and leases free slots to waiting requests.
 
         A lease that was already released is ignored.
-
-        Raises:
-            errors.InvariantViolation: A new lease breaks a rule (only if ``invariants`` raises).
         """
         slots = self._leases.pop(lease.lease_id, None)
         if slots is None:
@@ -242,9 +225,7 @@
 
         The caller tries ``try_acquire`` just before, unless other requests are already waiting.
 
-        Args:
-            waiter_id: Identifier of the request, unique among the waiting requests.
-            expires_s: Monotonic time at which the request no longer needs a slot.
+        The request no longer needs a slot at the monotonic time ``expires_s``.
 
         Returns:
             False when the queue is full or the deadline has passed.
@@ -263,11 +244,7 @@
         return self._queue.take_expired(now_s=self._clock.monotonic())
 
     def lease_to_waiting(self) -> list[WaiterLease]:
-        """Leases free slots to the longest-waiting requests whose deadline has not passed.
-
-        Raises:
-            errors.InvariantViolation: A new lease breaks a rule (only if ``invariants`` raises).
-        """
+        """Leases free slots to the longest-waiting requests whose deadline has not passed."""
         waiter_leases = []
         now_s = self._expire_inherited()
         while len(self._queue):
@@ -285,18 +262,12 @@
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
         """Counts slots as in use on which requests of earlier owners still run.
 
-        Args:
-            counts: Slots in use by server name.
-            expires_s: Monotonic time by which all of these requests have ended.
+        All of these requests have ended by the monotonic time ``expires_s``.
         """
         self._inherited.add(counts, expires_s=expires_s)
 
     def release_inherited(self, server_name: str, count: int) -> list[WaiterLease]:
-        """Releases inherited slots and leases free slots to waiting requests.
-
-        Raises:
-            errors.InvariantViolation: A new lease breaks a rule (only if ``invariants`` raises).
-        """
+        """Releases inherited slots and leases free slots to waiting requests."""
         self._inherited.release(server_name, count)
         return self.lease_to_waiting()
 
--- a/packages/core/src/sassafrasway_core/pool_inherited.py
+++ b/packages/core/src/sassafrasway_core/pool_inherited.py
@@ -14,7 +14,10 @@
 
 
 class InheritedSlots:
-    """Counts inherited slots per server until they are released or their deadline passes."""
+    """Counts inherited slots per server until they are released or their deadline passes.
+
+    Slots whose deadline has passed count until ``expire`` removes them.
+    """
 
     def __init__(self):
         self._batches: dict[str, list[_Batch]] = {}
@@ -22,11 +25,11 @@
         self._next_expiry_s = math.inf
 
     def count(self, server_name: str) -> int:
-        """Returns the inherited slots of a server, including those ``expire`` would remove."""
+        """Returns the inherited slots of a server."""
         return self._totals.get(server_name, 0)
 
     def counts(self) -> dict[str, int]:
-        """Returns the inherited slots by server name, including those ``expire`` would remove."""
+        """Returns the inherited slots by server name."""
         return dict(self._totals)
 
     def add(self, counts: Mapping[str, int], *, expires_s: float) -> None:
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -21,7 +21,6 @@
     """Counts the leases of one server and computes how many are allowed.
 
     Attributes:
-        name: Name of the server.
         lease_count: Slots held by leases; slots inherited from another owner are not included.
         share_limit: Slots allowed by the share, regardless of ramp-up.
         removed: Whether the policy no longer lists the server.
@@ -29,10 +28,7 @@
         probed_s: Monotonic time of the last probe or change of ``reported_leaving``.
 
     Args:
-        server: The server as configured in the policy.
-        share: Share of the slots that may be used.
         ramp_s: Seconds over which the slots of a cold server become usable.
-        now_s: Current monotonic time.
         cold: Whether the server is new, so that its first request starts the ramp-up.
     """
 
@@ -132,7 +128,7 @@
         self._load_reported_s = now_s
 
     def _ramp_limit(self, now_s: float) -> int:
-        """Returns the slots that the ramp-up allows: one at first, then growing linearly."""
+        # One slot at first, then growing linearly.
         slots = self.server.slots
         if self._starts_cold(now_s):
             return min(1, slots)
@@ -142,5 +138,4 @@
         return min(slots, max(1, int(slots * elapsed_s / self._ramp_s)))
 
     def _starts_cold(self, now_s: float) -> bool:
-        """Returns whether a lease that begins now would start the ramp-up."""
         return self._cold or (self.lease_count == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
--- a/packages/core/src/sassafrasway_core/quarantine.py
+++ b/packages/core/src/sassafrasway_core/quarantine.py
@@ -32,12 +32,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Entry:
-    """A request on which servers crashed.
-
-    Attributes:
-        servers: Names of the distinct servers that crashed.
-        remaining_s: Seconds until the entry expires.
-    """
+    """A request on which ``servers`` crashed; the entry expires in ``remaining_s``."""
 
     fingerprint: str
     servers: frozenset[str]
@@ -54,9 +49,7 @@
     """Records which servers crashed on which request and decides which requests to refuse.
 
     Args:
-        clock: Time source.
-        rng: Random source that shortens the lifetime of each entry by up to a tenth; None for no
-            jitter.
+        rng: Random source of the jitter of lifetimes; None for no jitter.
         limit: Number of distinct crashed servers at which a request is refused.
         ttl_s: Seconds from the last crash until the entry of a request expires.
     """
@@ -107,7 +100,6 @@
         return len(servers)
 
     def _prune(self) -> None:
-        """Deletes the oldest records while there are too many or the oldest has expired."""
         now_s = self._clock.monotonic()
         while len(self._records) > MAX_ENTRIES or self._is_oldest_expired(now_s):
             self._records.popitem(last=False)
--- a/packages/core/src/sassafrasway_core/retry.py
+++ b/packages/core/src/sassafrasway_core/retry.py
@@ -14,10 +14,8 @@
     ``minimum_per_s`` times the length of the period, plus ``max_tokens``.
 
     Args:
-        clock: Time source.
         ratio: Tokens added by each request; a retry takes one token.
-        minimum_per_s: Tokens added per second, 1/s.
-        max_tokens: Maximum number of tokens.
+        minimum_per_s: Tokens added per second.
 
     Raises:
         ValueError: ``ratio`` or ``minimum_per_s`` is negative.
@@ -66,12 +64,7 @@
 
 
 class Deadline:
-    """Point in time after which the response to a request is no longer useful.
-
-    Args:
-        clock: Time source.
-        remaining_s: Seconds until the deadline, as set by the caller or the policy.
-    """
+    """Point in time after which the response to a request is no longer useful."""
 
     def __init__(self, *, clock: clock_lib.Clock, remaining_s: float):
         self._clock = clock
--- a/packages/core/src/sassafrasway_core/share.py
+++ b/packages/core/src/sassafrasway_core/share.py
@@ -48,5 +48,5 @@
 
     @property
     def has_main(self) -> bool:
-        """Whether the main part, all slots except the offline third, is included."""
+        """Whether the main part is included."""
         return self in (Share.REDUCED, Share.FULL)
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -33,10 +33,6 @@
 
     The moved fraction of a shift grows from 0 at the shift's pace, starting when this process first
     applies the shift. The caps of shifts are enforced by the owner of the target pool, not here.
-
-    Args:
-        clock: Time source.
-        rng: Random source for requests without a position.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, rng: random.Random):
@@ -55,14 +51,11 @@
     ) -> ShiftDecision:
         """Returns the first region to try for a request after applying the shifts.
 
-        Args:
-            service: Name of the service.
-            region: Home region of the request, which shifts do not change.
-            request_position: Position in [0, 1), for example a hash of the client address; the
-                positions below the moved fraction are moved. While the fractions grow, a position
-                that was moved stays moved, but with several shifts its target can change. The
-                lookups and the requests of a client go to the same region only if both are passed
-                with the same position. None draws a random position.
+        ``region`` is the home region of the request, which shifts do not change.
+        ``request_position`` is in [0, 1), for example a hash of the client address; None draws a
+        random one. Positions below the moved fraction are moved. While the fractions grow, a moved
+        position stays moved, but with several shifts its target can change. Pass the same position
+        for the lookups and the requests of a client, so that they go to the same region.
         """
         source_shifts = self._by_source.get((service, region))
         if not source_shifts:
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -29,14 +29,14 @@
 
     Args:
         limit: Maximum sum in one second; ``math.inf`` for no limit.
-        clock: Time source.
         sub_window_count: Number of sub-windows per ``WINDOW_S``. More of them make the limit more
             precise but take more time and memory.
         start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
             of the limit may have used all of it just before; ignored while there is no limit.
 
     Raises:
-        ValueError: ``limit`` is negative or NaN, or ``sub_window_count`` is less than 1.
+        ValueError: ``limit`` is negative or NaN, or ``sub_window_count`` is less than 1. Later
+            limits and amounts are checked in the same way.
     """
 
     def __init__(
@@ -69,10 +69,7 @@
         return self._sum_in_window(now_s)
 
     def retry_after_s(self, amount: float) -> float:
-        """Returns the seconds until ``amount`` fits if nothing else is taken until then.
-
-        Returns ``math.inf`` if it can never fit.
-        """
+        """Returns the seconds until ``amount`` fits if nothing else is taken; inf if never."""
         if amount > self._limit:
             return math.inf
         now_s = self._clock.monotonic()
@@ -87,19 +84,11 @@
         return wait_s
 
     def set_limit(self, limit: float) -> None:
-        """Changes the limit; amounts taken before still count.
-
-        Raises:
-            ValueError: ``limit`` is negative or NaN.
-        """
+        """Changes the limit; amounts taken before still count."""
         self._limit = _require_non_negative("limit", limit)
 
     def try_take(self, amount: float) -> bool:
-        """Takes ``amount`` and returns True, or returns False if it does not fit.
-
-        Raises:
-            ValueError: ``amount`` is negative or NaN.
-        """
+        """Takes ``amount`` and returns True, or returns False if it does not fit."""
         _require_non_negative("amount", amount)
         now_s = self._clock.monotonic()
         self._drop_expired(now_s)
@@ -144,14 +133,7 @@
     server between admission and response, so the limit holds for any network delay. Limiting the
     admissions per second would not suffice if one request is delayed and the next is not.
 
-    Args:
-        limit: Maximum number of starts in one second.
-        clock: Time source.
-        start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
-            of the limit may have used all of it just before.
-
-    Raises:
-        ValueError: ``limit`` is negative or NaN.
+    ``start_full`` is as for ``SlidingWindow``. A negative or NaN limit raises ``ValueError``.
     """
 
     def __init__(self, *, limit: float, clock: clock_lib.Clock, start_full: bool = False):
@@ -168,11 +150,7 @@
         return self._limit
 
     def set_limit(self, limit: float) -> None:
-        """Changes the limit; requests admitted before still count.
-
-        Raises:
-            ValueError: ``limit`` is negative or NaN.
-        """
+        """Changes the limit; requests admitted before still count."""
         self._limit = _require_non_negative("limit", limit)
 
     def used(self) -> int:
