--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -2,10 +2,9 @@
 
 A ticket is an idempotency key that names its holder, the incarnation that may run the request.
 The registry of that incarnation decides whether a key may start, using only its own memory and
-clock. The holder of a key chosen by the caller is the incarnation that has created the claim of the
-key, a row in the platform's table. When the holder of a ticket has stopped as planned, a request
-that it has not run may run elsewhere, under a claim, too. ``gatekeeper`` of the entry package
-handles both kinds of keys.
+clock. The holder of a key chosen by the caller is the incarnation that has created its claim, a row
+in the platform's table. If the holder of a ticket stops as planned before it runs the request, the
+request may run elsewhere under a claim. ``gatekeeper`` of the entry package handles all keys.
 """
 
 import dataclasses
@@ -78,7 +77,6 @@
     Attributes:
         STARTED: The key may be dispatched; its last dispatch, if any, was discarded.
         DISPATCHED: The request was sent to a backend server or pool owner, or is about to be.
-        FINISHED: The outcome is recorded.
     """
 
     STARTED = "started"
@@ -92,7 +90,7 @@
 
     Attributes:
         outcome: Result passed to ``finish``; None while the key is running.
-        updated_s: Monotonic time of the start, dispatch or finish of the key, whichever was last.
+        updated_s: Monotonic time of the last start, dispatch or finish.
         dispatches: Number of dispatches that were not discarded; above 0, the request may have run.
     """
 
@@ -243,7 +241,6 @@
         )
 
     def _check_ticket(self, ticket: Ticket) -> BeginResult | None:
-        """Returns why a ticket without a record may not start, or None if it may."""
         if ticket.holder != self._me:
             raise errors.ValidationError(
                 f"the ticket may only be used on its holder {ticket.holder}",
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -25,7 +25,6 @@
 
     Attributes:
         version: Version of the row, as returned by the write or by a later read.
-        sent_s: When the write was sent.
         previous: Coordinator named by the replaced row; None when there was no row.
         holders_recorded: Whether only recorded members can hold grants of earlier coordinators.
     """
@@ -115,17 +114,13 @@
     def is_recorded(self, member: model.InstanceId) -> bool:
         """Returns whether the last row that is known to be in the table names the member.
 
-        A later write may have taken effect already. As writes drop only members that are gone, the
-        row in the table certainly names the member unless it is gone.
+        A later write may have taken effect already, but writes drop only members that are gone.
         """
         return member in self._recorded
 
     @property
     def is_transferable(self) -> bool:
-        """Whether another instance could take over now, which requires a working table.
-
-        The table is assumed to work while the table lease lasts.
-        """
+        """Whether others could take over: while its lease lasts, the table is assumed to work."""
         return self._clock.monotonic() < self._table_until_s
 
     def depose(self) -> None:
@@ -217,7 +212,7 @@
         self._confirm_row(row, version)
 
     def _confirm_row(self, row: region.RegionRow, version: str) -> None:
-        """Processes the row that is in the table; the lease starts at the sending of its write."""
+        # The lease starts at the sending of the write.
         self._version = version
         self._confirmed_row = row
         self._must_read_row = False
@@ -235,7 +230,6 @@
         members: Mapping[model.InstanceId, region.Instance],
         owners: Mapping[model.PoolKey, model.InstanceId],
     ) -> region.RegionRow:
-        """Returns the row to write next, with all recorded and given members that are not gone."""
         merged = {**self._recorded, **members}
         kept = [merged[member] for member in sorted(merged) if not self._members.is_gone(member)]
         return region.RegionRow(
@@ -247,7 +241,6 @@
         )
 
     def _interval_s(self, row: region.RegionRow) -> float:
-        """Returns the minimum time between the last write and the write of ``row``."""
         changed = (
             row.members != self._confirmed_row.members or row.owners != self._confirmed_row.owners
         )
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -54,7 +54,7 @@
         demand: What the holder would use in one second if it could, refused requests included, in
             the unit of the cap.
         sequence: Sequence of the last share, or 0 when there is none.
-        amount: Amount of the last share, even if it has expired.
+        amount: Amount of that share, even if it has expired.
         offline: Part of that share that stays in force after it has expired.
         remaining_s: Time until that share expires; negative when it has expired.
     """
@@ -166,9 +166,8 @@
     ) -> dict[str, caps.CapShare]:
         """Returns the next share of each reported cap that is divided, by cap name.
 
-        With ``keeps_offline``, the holder may use the offline part after a share has expired. It is
-        False for an instance that is not recorded in the table, because a later coordinator could
-        not account for its share.
+        ``keeps_offline`` grants an offline part. It is False for an instance that is not recorded
+        in the table, because a later coordinator could not account for its share.
         """
         if (
             _UNRECORDED_HOLDERS in self._unreported_holders
@@ -199,7 +198,6 @@
             divider.remove(holder)
 
     def _new_divider(self, name: str, limit: float) -> caps.CapDivider:
-        """Returns a divider that accounts for the shares of an earlier coordinator."""
         divider = caps.CapDivider(
             cap=limit,
             clock=self._clock,
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -16,11 +16,7 @@
 class _GrantedShare:
     """A share that a holder may have in force.
 
-    Attributes:
-        ends_s: Until when the full amount counts: one window after it expired or was replaced.
-        offline: Part of the amount that stays in force after the share has expired.
-        offline_ends_s: Until when the offline part counts; infinite until a later share is
-            confirmed or the holder is gone.
+    The full amount counts until ``ends_s``, and the offline part until ``offline_ends_s``.
     """
 
     sequence: int
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -2,9 +2,8 @@
 
 A cap limits what all instances together use in any second, but each instance admits requests alone.
 The coordinator therefore divides the cap by demand into shares, and each instance, the holder of
-its share, stays within that (``window.SlidingWindow``). A larger share stays reserved for its
-holder (``cap_reserve``) until the holder has confirmed a smaller one or the larger one has expired;
-after an expiry, its offline part stays reserved.
+its share, stays within that (``window.SlidingWindow``). ``cap_reserve`` states how long a share
+that was reduced or has expired stays reserved for its holder.
 """
 
 import dataclasses
@@ -88,8 +87,7 @@
     def apply(self, share: CapShare, *, sent_s: float) -> bool:
         """Applies a share from the reply to the heartbeat sent at ``sent_s``.
 
-        Returns:
-            False when this or a later share was applied before.
+        Returns False when this or a later share was applied before.
         """
         if share.sequence <= self._share.sequence:
             return False
@@ -128,8 +126,7 @@
     """Divides a cap by demand so that the holders together never exceed it in any second.
 
     The division is max-min fair: small demands are met in full, and the large ones share the rest
-    evenly. What no holder demands is divided evenly among all of them. ``cap_reserve`` states when
-    a part that is taken from a holder can go to others.
+    evenly. What no holder demands is divided evenly among all of them.
 
     The offline part is a third of a share, or less where the offline parts of all holders would add
     up to more than a third of the cap: while silent holders keep their offline parts, the holders
@@ -190,8 +187,7 @@
     ) -> CapShare:
         """Returns the next share of a holder, for the reply to its heartbeat.
 
-        The caller must not pass holders that were removed: a share of such a holder would stay
-        reserved.
+        The caller must not pass removed holders, because their shares would stay reserved.
 
         Args:
             holder: Identifies the holder; must differ after a restart of the holder.
@@ -215,7 +211,7 @@
         return share
 
     def is_met(self, holder: Hashable, amount: float) -> bool:
-        """Returns whether ``amount`` is close to the target for the holder's last recent demand."""
+        """Returns whether ``amount`` is close to the target; False without a recent demand."""
         record = self._demands.get(holder)
         return record is not None and amount >= MET_FRACTION * self._level.target(record.amount)
 
@@ -255,7 +251,7 @@
         The report was requested after ``take_over``, and the holder accepts no more shares of the
         earlier coordinator. Of a share that expired more than one window ago, only the offline part
         is reserved: the earlier coordinator may have given the rest to others. ``remaining_s`` is
-        the reported time until ``share`` expires, negative when it has expired.
+        the reported time until ``share`` expires, negative after that.
         """
         now_s = self._clock.monotonic()
         # A report that was delayed on the network must not revive a share that has expired since.
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -11,12 +11,9 @@
 
 
 class ConfigLog:
-    """Keeps the current policy, whose revision never decreases.
+    """Keeps the current policy and the last ``keep`` changes and change ids.
 
-    Revision 0 stands for the empty policy before the first change.
-
-    Args:
-        keep: Number of recent changes, and of change ids, that are kept.
+    The revision never decreases; 0 stands for the empty policy before the first change.
     """
 
     def __init__(self, *, invariants: invariants.Invariants, keep: int = 256):
@@ -59,8 +56,7 @@
     def append(self, change: documents.Change) -> bool:
         """Applies a change; returns False when its base is not the current revision.
 
-        Raises:
-            errors.ValidationError: The result would be invalid.
+        An invalid result raises ``errors.ValidationError``.
         """
         if change.base_revision != self.revision:
             return False
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -302,7 +302,6 @@
             self._region_share_holders.discard(member)
 
     def _permitted_shares(self, member: model.InstanceId) -> dict[model.PoolKey, share.Share]:
-        """Returns the share that the member may have now of each of the pools assigned to it."""
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(member)
         may_grant = self._may_grant(now, recorded=recorded)
@@ -340,10 +339,7 @@
             self._unrecorded_grants_until_s = self._clock.monotonic() + region.GRANT_S
 
     def _cap_shares(self, heartbeat: region.Heartbeat) -> Mapping[str, caps.CapShare]:
-        """Returns the sender's new shares of caps, or none if it may not be granted any.
-
-        Without new shares, the current ones expire.
-        """
+        """Returns the sender's new shares of caps; without any, the current ones expire."""
         sender = heartbeat.sender.id
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(sender)
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -20,8 +20,7 @@
             is free.
         offline_seq: Number of the latest reply that granted the offline third.
         main_holder: Instance with the main part; None when it is free or the holder is unknown.
-        main_until_s: When every grant of the main part so far has expired, by the coordinator's
-            clock.
+        main_until_s: When every grant of the main part has expired, by the coordinator's clock.
         main_seq: Number of the latest reply that granted the main part.
         in_use: Last reported slots in use by instance and server.
         busy_until_s: When the deadlines of all requests in the reported slots have passed.
@@ -138,10 +137,7 @@
         return self._holders_recorded and not self._unanswered
 
     def add(self, key: model.PoolKey) -> PoolHolders:
-        """Returns the holders of a pool, and adds the pool if it is new.
-
-        Any unanswered member may hold parts of a new pool.
-        """
+        """Returns the holders of a pool; any unanswered member may hold parts of a new pool."""
         pool = self._pools.get(key)
         if pool is None:
             pool = PoolHolders(
@@ -238,10 +234,7 @@
     def grant(
         self, key: model.PoolKey, granted: share.Share, *, member: model.InstanceId, seq: int
     ) -> region.PoolGrant:
-        """Grants a share of a pool to a member with reply ``seq`` and returns the grant.
-
-        A grant of the main part names the slots that requests of other instances still use.
-        """
+        """Grants a share of a pool to a member with reply ``seq`` and returns the grant."""
         pool = self._pools[key]
         if granted.has_offline:
             pool.possible_offline_holders = {member}
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -117,7 +117,6 @@
             self._prefixes[version][length].fill(sorted(entries[version, length]))
 
     def __len__(self) -> int:
-        """Number of blocks."""
         return sum(len(prefixes) for prefixes in self._prefix_arrays())
 
     @property
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _PendingWrite:
-    """A write of the region row to become coordinator (candidate write) with an unknown result.
+    """A candidate write, with which the instance becomes coordinator, without a known result.
 
     If it takes effect, its fields become those of ``authority.WonElection``.
     """
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -134,7 +134,7 @@
         return instance in self._gone
 
     def since_contact_s(self, instance: model.InstanceId) -> float:
-        """Returns the seconds since the last message; KeyError if it is unknown or gone."""
+        """Returns the seconds since its last message; KeyError if it is unknown or gone."""
         return self._clock.monotonic() - self._entries[instance].last_contact_s
 
     def instance(self, instance: model.InstanceId) -> region.Instance | None:
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -198,9 +198,7 @@
         The slot is one of the server with the most free slots or, with ``rank_by_reports``, of a
         random server weighted by its estimated free slots. Servers that shed a request in the last
         ``SHED_PAUSE_S`` or whose last result was a failure are used only if no other server
-        appears to have a free slot.
-
-        Servers in ``exclude``, for example those that shed this request, are not used at all.
+        appears to have a free slot; those in ``exclude`` are never used.
         """
         now_s = self._expire_inherited()
         slots = self._select(exclude, now_s)
@@ -225,10 +223,9 @@
 
         The caller tries ``try_acquire`` just before, unless other requests are already waiting.
 
-        The request no longer needs a slot at the monotonic time ``expires_s``.
-
         Returns:
-            False when the queue is full or the deadline has passed.
+            False when the queue is full or the deadline, the monotonic time ``expires_s``, has
+            passed.
 
         Raises:
             ValueError: ``waiter_id`` is already in the queue.
--- a/packages/core/src/sassafrasway_core/pool_queue.py
+++ b/packages/core/src/sassafrasway_core/pool_queue.py
@@ -17,8 +17,7 @@
         self._deadline_heap: list[tuple[float, int, Hashable]] = []
         # Breaks ties in the heap, because waiter ids need not be comparable.
         self._sequence = itertools.count()
-        # Expired requests that take_expired() has not returned yet. The dict is used as an ordered
-        # set: it preserves the order and allows removal of an abandoned request.
+        # Expired requests that take_expired() has not returned yet, as an ordered set.
         self._expired: dict[Hashable, None] = {}
 
     def __len__(self) -> int:
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -9,8 +9,7 @@
 # a pool with little traffic, so that low traffic does not throttle the pool.
 IDLE_AFTER_S = 300.0
 
-# Interval of the probes of a server that reported that it is leaving. They detect its return, for
-# example after a restart.
+# Interval of the probes that detect the return of a server that reported that it is leaving.
 LEAVING_PROBE_S = 5.0
 
 # Requests hold a slot for a few hundred milliseconds, so older load reports are meaningless.
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -31,11 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SlotLease:
-    """The right to run one request on a server until the lease is released.
-
-    Attributes:
-        started_s: Monotonic time at which the lease was created.
-    """
+    """The right to run one request on a server, from monotonic time ``started_s`` to release."""
 
     server: model.BackendServer
     lease_id: int
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -195,11 +195,10 @@
     """The coordinator's reply to a heartbeat.
 
     Attributes:
-        accepted: False when nothing is granted, because the member has to follow ``epoch`` and send
-            a new heartbeat first, the replier is not the coordinator, or ``gone`` is true. Unless
-            ``gone`` is true, the member's grants then stay as they are.
-        gone: Whether the coordinator regards the sender as gone, so that others may use all that
-            it held.
+        accepted: False when nothing is granted: the member must first follow ``epoch`` and send a
+            new heartbeat, the replier is not the coordinator, or ``gone`` is true. Unless ``gone``
+            is true, the member keeps its grants.
+        gone: Whether the sender is regarded as gone, so that others may use all that it held.
         seq: Number of the reply within the epoch.
         stamp_s: Time of the reply by the coordinator's clock.
         grants: All pools that the member may use; the member drops every other pool.
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -54,8 +54,8 @@
         ``region`` is the home region of the request, which shifts do not change.
         ``request_position`` is in [0, 1), for example a hash of the client address; None draws a
         random one. Positions below the moved fraction are moved. While the fractions grow, a moved
-        position stays moved, but with several shifts its target can change. Pass the same position
-        for the lookups and the requests of a client, so that they go to the same region.
+        position stays moved, but with several shifts its target can change. The lookups and the
+        requests of a client go to the same region only with the same position.
         """
         source_shifts = self._by_source.get((service, region))
         if not source_shifts:
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -133,7 +133,8 @@
     server between admission and response, so the limit holds for any network delay. Limiting the
     admissions per second would not suffice if one request is delayed and the next is not.
 
-    ``start_full`` is as for ``SlidingWindow``. A negative or NaN limit raises ``ValueError``.
+    ``SlidingWindow`` explains ``start_full``, which here applies even without a limit. A limit that
+    is negative or NaN raises ``ValueError``.
     """
 
     def __init__(self, *, limit: float, clock: clock_lib.Clock, start_full: bool = False):
@@ -169,11 +170,7 @@
         return True
 
     def end(self) -> None:
-        """Records that an admitted request got its response or can no longer start.
-
-        Raises:
-            ValueError: More requests ended than were admitted.
-        """
+        """Records that an admitted request got its response or can no longer start."""
         if self._running < 1:
             raise ValueError("end() was called without an admitted request")
         self._running -= 1
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -287,15 +287,10 @@
                         self.check()
 
     def shares(self, pool):
-        """Returns the share of a pool that each process may use now, by name."""
         return {name: process.grants.share(pool) for name, process in self.live.items()}
 
     def check(self):
-        """Checks that the processes together cannot use more slots, or more of the cap, than exist.
-
-        Raises:
-            AssertionError: The shares add up to more than the slots of a server or the cap.
-        """
+        """Raises ``AssertionError`` if the shares exceed the slots of a server or the cap."""
         for pool in POOLS:
             shares = self.shares(pool)
             usable = sum(pool_share.slots(SLOTS) for pool_share in shares.values())
--- a/packages/core/tests/random_runs.py
+++ b/packages/core/tests/random_runs.py
@@ -6,18 +6,11 @@
 
 
 def repeat(scenario):
-    """Calls ``scenario(seed)`` until the duration has passed.
+    """Calls ``scenario(seed)`` until the duration has passed; returns the sum of the results.
 
-    The first seed is random, and each further run uses the next integer.
-
-    ``SASSAFRASWAY_SOAK_SECONDS`` sets the duration in seconds (default 10). With
+    The first seed is random, and each further run uses the next integer. The error of a failed run
+    names its seed. ``SASSAFRASWAY_SOAK_SECONDS`` sets the duration (default 10). With
     ``SASSAFRASWAY_SOAK_SEED``, the scenario is called only once, with that seed.
-
-    Returns:
-        The sum of the results.
-
-    Raises:
-        AssertionError: A run failed; the message names its seed.
     """
     fixed_seed = os.environ.get("SASSAFRASWAY_SOAK_SEED")
     end_s = time.monotonic() + float(os.environ.get("SASSAFRASWAY_SOAK_SECONDS", "10"))
--- a/packages/core/tests/soak_ownership.py
+++ b/packages/core/tests/soak_ownership.py
@@ -19,10 +19,9 @@
         self._world = ownership_sim.World(NAMES)
 
     def run(self):
-        """Runs faults and the recovery; returns the number of pools, which all have full owners.
+        """Runs faults and the recovery; returns the number of pools.
 
-        Raises:
-            AssertionError: A pool has no full owner again after all faults have ended.
+        Fails if a pool has no full owner again after all faults have ended.
         """
         self._world.step(self._rng.choice((5, 40)))
         faults = (self._impair_links, self._kill, self._pause, self._fail_table, self._leave)
--- a/packages/core/tests/test_ownership_rules.py
+++ b/packages/core/tests/test_ownership_rules.py
@@ -19,11 +19,7 @@
 class _Simulation:
     """The simulated region of three instances that a scenario starts from.
 
-    Attributes:
-        live: Running process by name.
-        coordinator: Name of the coordinator at the start of the scenario.
-        a: Name of one of the other members.
-        b: Name of the other one.
+    ``coordinator`` is the name of the first coordinator; ``a`` and ``b`` name the other members.
     """
 
     def __init__(self):
