--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -137,7 +137,10 @@
         return self._holders_recorded and not self._unanswered
 
     def add(self, key: model.PoolKey) -> PoolHolders:
-        """Returns the holders of a pool; any unanswered member may hold parts of a new pool."""
+        """Returns the holders of a pool, and adds the pool if it is new.
+
+        Any unanswered member may hold parts of a new pool.
+        """
         pool = self._pools.get(key)
         if pool is None:
             pool = PoolHolders(
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -18,9 +18,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _PendingWrite:
-    """A candidate write, with which the instance becomes coordinator, without a known result.
+    """A candidate write whose result is not known yet.
 
-    If it takes effect, its fields become those of ``authority.WonElection``.
+    A candidate write of the region row makes the instance coordinator if it takes effect. Its
+    fields then become those of ``authority.WonElection``.
     """
 
     command: region.WriteRow
--- a/packages/core/src/sassafrasway_core/membership.py
+++ b/packages/core/src/sassafrasway_core/membership.py
@@ -54,8 +54,7 @@
 
     An instance is gone only when the platform's list of running instances named this run and no
     longer does, when its port refuses connections, or when another incarnation answers at its
-    address. An instance that sent no message for ``silent_after_s`` is silent, which proves
-    nothing.
+    address. An instance that sent no message for ``silent_after_s`` is only silent.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, silent_after_s: float = region.GRANT_S):
@@ -134,7 +133,11 @@
         return instance in self._gone
 
     def since_contact_s(self, instance: model.InstanceId) -> float:
-        """Returns the seconds since its last message; KeyError if it is unknown or gone."""
+        """Returns the seconds since the last message from the instance.
+
+        Raises:
+            KeyError: The instance is unknown or gone.
+        """
         return self._clock.monotonic() - self._entries[instance].last_contact_s
 
     def instance(self, instance: model.InstanceId) -> region.Instance | None:
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -59,7 +59,7 @@
 class Region:
     """A region, to which backend servers and blocks of client addresses belong.
 
-    Its servers together receive at most ``cap_rps`` requests/s; None for no cap.
+    Its servers together receive at most ``cap_rps`` requests/s; None means no cap.
     """
 
     name: str
