Restore facts and Args, Returns and Raises sections in docstrings of core

The shortened docstrings had lost a few facts: when a lower cap is in force, when the parts of a reserved share end, what None and infinity mean, that only servers which reported that they leave are probed for a return, and why a block table update is fast. Some sentences joined two facts and were hard to read. The classes that take an Invariants say again what it checks and name errors.InvariantViolation.

--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -65,7 +65,11 @@
 
 
 def _move_pool(owners: dict, counts: collections.Counter) -> bool:
-    """Moves a pool from a member with the most to one with the fewest; False if already even."""
+    """Moves a pool from a member with the most pools to one with the fewest.
+
+    Returns:
+        False when the numbers are even already, so that nothing was moved.
+    """
     min_count = min(counts.values())
     max_count = max(counts.values())
     # Moving a pool at a difference of one only swaps the two counts and would repeat forever.
--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -2,9 +2,10 @@
 
 A ticket is an idempotency key that names its holder, the incarnation that may run the request.
 The registry of that incarnation decides whether a key may start, using only its own memory and
-clock. The holder of a key chosen by the caller is the incarnation that has created its claim, a row
-in the platform's table. If the holder of a ticket stops as planned before it runs the request, the
-request may run elsewhere under a claim. ``gatekeeper`` of the entry package handles all keys.
+clock. The holder of a key chosen by the caller is the incarnation that has created the claim of the
+key, a row in the platform's table. If the holder of a ticket stops as planned before it runs the
+request, the request may run elsewhere, under a claim, too. ``gatekeeper`` of the entry package
+handles both kinds of keys.
 """
 
 import dataclasses
@@ -111,7 +112,8 @@
         clock: The wall clock is read only at construction, so that setting it back cannot make an
             expired ticket valid again.
         invariants: Checks that a key is dispatched at most once, and that a dispatched key is not
-            reported as not run. A discarded dispatch does not count.
+            reported as not run; may raise ``errors.InvariantViolation``. A discarded dispatch does
+            not count.
         retention_s: Minimum time for which finished keys are kept.
     """
 
@@ -205,7 +207,7 @@
         record.state = KeyState.STARTED
 
     def finish(self, key: str, outcome: Any, *, not_run: bool) -> None:
-        """Records the outcome of a key, which later attempts with the key get.
+        """Records the outcome of a key, which is returned to later attempts with the key.
 
         ``not_run`` states whether the outcome says that the request was not run.
         """
@@ -231,7 +233,10 @@
         del self._records[key]
 
     def startable_until_s(self, *, issued_before_s: float) -> float:
-        """Returns the monotonic time after which no ticket issued before a wall time can start."""
+        """Returns the monotonic time after which no ticket issued before a wall time can start.
+
+        ``issued_before_s`` is that wall time in seconds since the Unix epoch.
+        """
         limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
         return limit_wall_s - self._wall_offset_s
 
@@ -241,6 +246,7 @@
         )
 
     def _check_ticket(self, ticket: Ticket) -> BeginResult | None:
+        """Returns why a ticket without a record may not start, or None if it may."""
         if ticket.holder != self._me:
             raise errors.ValidationError(
                 f"the ticket may only be used on its holder {ticket.holder}",
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -47,6 +47,9 @@
     A required member that is known to be gone is dropped only while authority lasts. Once authority
     has lapsed, that member may have taken over before it ended, and only a successful write of the
     row proves that it has not.
+
+    Args:
+        invariants: Checks that the epoch never decreases; may raise ``errors.InvariantViolation``.
     """
 
     def __init__(
@@ -120,7 +123,10 @@
 
     @property
     def is_transferable(self) -> bool:
-        """Whether others could take over: while its lease lasts, the table is assumed to work."""
+        """Whether another instance could take over now, which requires a working table.
+
+        The table is assumed to work while the table lease lasts.
+        """
         return self._clock.monotonic() < self._table_until_s
 
     def depose(self) -> None:
@@ -212,7 +218,7 @@
         self._confirm_row(row, version)
 
     def _confirm_row(self, row: region.RegionRow, version: str) -> None:
-        # The lease starts at the sending of the write.
+        """Processes the row that is in the table; the lease starts at the sending of its write."""
         self._version = version
         self._confirmed_row = row
         self._must_read_row = False
--- a/packages/core/src/sassafrasway_core/cap_grants.py
+++ b/packages/core/src/sassafrasway_core/cap_grants.py
@@ -112,6 +112,8 @@
     """Divides all caps of a region among its instances, for one epoch of the coordinator.
 
     Args:
+        invariants: Checks that shares in force never add up to more than a cap; may raise
+            ``errors.InvariantViolation``.
         holders: Recorded instances that may hold shares of an earlier coordinator; None when there
             was no earlier coordinator.
         holders_recorded: Whether only recorded instances can hold such shares.
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -16,7 +16,11 @@
 class _GrantedShare:
     """A share that a holder may have in force.
 
-    The full amount counts until ``ends_s``, and the offline part until ``offline_ends_s``.
+    Attributes:
+        ends_s: Until when the full amount counts: one window after it expired or was replaced.
+        offline: Part of the amount that stays in force after the share has expired.
+        offline_ends_s: Until when the offline part counts; infinite until a later share is
+            confirmed or the holder is gone.
     """
 
     sequence: int
@@ -53,8 +57,10 @@
 class _Holder:
     """Shares of one holder. Any of them may be in force, so the largest one counts.
 
-    ``reserved`` and ``offline`` are what counts as of the last ``refresh``; ``check_s`` is the time
-    of the next one, infinite when none is scheduled.
+    Attributes:
+        reserved: Amount that counts for the holder as of the last ``refresh``.
+        offline: Offline part that counts for the holder as of the last ``refresh``.
+        check_s: Time of the next scheduled ``refresh``; infinite when none is scheduled.
     """
 
     __slots__ = ("_newest_sequence", "_shares", "check_s", "offline", "reserved")
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -134,6 +134,8 @@
 
     Args:
         cap: Limit for the sum over all holders in one second.
+        invariants: Checks that shares in force never add up to more than the cap; may raise
+            ``errors.InvariantViolation``.
         offline_fraction: Part of a share, and of the cap, that stays in force after expiry.
         first_sequence: Sequence of the first share; it must be higher than all sequences of an
             earlier coordinator.
@@ -178,7 +180,11 @@
         return self._reservations.of(holder)
 
     def set_cap(self, cap: float) -> None:
-        """Changes the cap; a lower one takes effect as larger shares are replaced or expire."""
+        """Changes the cap.
+
+        A lower cap is in force only when every holder has confirmed a smaller share or its larger
+        share has expired.
+        """
         self._cap = cap
         self._level = dataclasses.replace(self._level, at_s=-math.inf)
 
@@ -211,7 +217,10 @@
         return share
 
     def is_met(self, holder: Hashable, amount: float) -> bool:
-        """Returns whether ``amount`` is close to the target; False without a recent demand."""
+        """Returns whether ``amount`` is close to the target for the holder's last demand.
+
+        Returns False for a holder without a recent demand.
+        """
         record = self._demands.get(holder)
         return record is not None and amount >= MET_FRACTION * self._level.target(record.amount)
 
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -11,9 +11,14 @@
 
 
 class ConfigLog:
-    """Keeps the current policy and the last ``keep`` changes and change ids.
+    """Keeps the current policy, whose revision never decreases, and the recent changes.
 
-    The revision never decreases; 0 stands for the empty policy before the first change.
+    Revision 0 stands for the empty policy before the first change.
+
+    Args:
+        invariants: Checks that the revision never decreases; may raise
+            ``errors.InvariantViolation``.
+        keep: Number of recent changes, and of change ids, that are kept.
     """
 
     def __init__(self, *, invariants: invariants.Invariants, keep: int = 256):
@@ -42,7 +47,8 @@
     def install(self, policy: model.Policy, *, change_ids: Mapping[str, int] | None = None) -> bool:
         """Replaces the current policy; returns False when the given one is not newer.
 
-        ``change_ids`` are the revisions by the ids of recent changes, oldest first.
+        ``change_ids`` maps the ids of the changes that led to the policy, oldest first, to their
+        revisions.
         """
         if not self._may_follow(policy.revision):
             return False
@@ -56,7 +62,8 @@
     def append(self, change: documents.Change) -> bool:
         """Applies a change; returns False when its base is not the current revision.
 
-        An invalid result raises ``errors.ValidationError``.
+        Raises:
+            errors.ValidationError: The result would be invalid.
         """
         if change.base_revision != self.revision:
             return False
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -40,7 +40,13 @@
 
 
 class CoordinatorState:
-    """Decisions of a region's coordinator, this instance ``me``, for one epoch."""
+    """Decisions of a region's coordinator for one epoch.
+
+    Args:
+        me: This instance, the coordinator of the epoch.
+        invariants: Checks that the epoch never decreases and that shares never exceed a cap; may
+            raise ``errors.InvariantViolation``.
+    """
 
     def __init__(
         self,
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -48,7 +48,8 @@
     ) -> tuple[dict[str, int], model.InstanceId | None]:
         """Returns the slots that other instances use, by server, and the last of these instances.
 
-        The last one is the last to begin to report slots in use; None if there is none.
+        The last one is the instance that was the last to begin to report slots in use. It is None
+        if no other instance uses slots.
         """
         inherited: dict[str, int] = {}
         previous = None
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -137,8 +137,12 @@
     def updated(self, changes: Mapping[str, model.ClientBlock | None]) -> "BlockTable":
         """Returns a new table with the given changes by CIDR; None removes a block.
 
-        This is fast enough to run between requests. The regions of removed blocks still count
-        towards the 65536 regions.
+        Copies only the arrays of the changed prefix lengths, which is fast enough to run between
+        requests.
+
+        Raises:
+            errors.ValidationError: A CIDR is invalid, or there are more than 65536 regions,
+                including those of blocks that earlier updates removed.
         """
         table = BlockTable(blocks=())
         table._regions = list(self._regions)
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -25,6 +25,10 @@
 
     The right to use the main part of a pool ends when its grant expires. The offline third is kept
     until a reply of the coordinator omits it, so it is kept while the coordinator is unreachable.
+
+    Args:
+        clock: Time source; grants expire by its monotonic time.
+        invariants: Checks that the epoch never decreases; may raise ``errors.InvariantViolation``.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, invariants: invariants_lib.Invariants):
@@ -94,8 +98,8 @@
     ) -> dict[model.PoolKey, region.PoolReport]:
         """Returns the pool reports of a heartbeat, with the shares now in force.
 
-        ``details`` has the pools with more to report than the share; its ``share`` is ignored.
-        Granted pools that it lacks are reported, too.
+        ``details`` holds the reports of the pools with more to report than the share; the ``share``
+        in these reports is ignored. Pools that are granted but missing there are reported, too.
         """
         empty = region.PoolReport(share=share.Share.NONE)
         reports = {}
@@ -105,7 +109,11 @@
         return reports
 
     def follow(self, *, epoch: int, coordinator: region.Instance) -> bool:
-        """Follows a coordinator unless its epoch is lower; returns whether it is followed now."""
+        """Follows a coordinator unless its epoch is lower than the current one.
+
+        Returns:
+            Whether this instance follows that coordinator now.
+        """
         if epoch < self._epoch:
             return False
         if epoch > self._epoch:
@@ -116,7 +124,8 @@
     def apply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
         """Applies the reply to the heartbeat sent at ``sent_s``.
 
-        A stale or unaccepted reply leaves the grants as they are; the result is then False.
+        Returns:
+            False when the reply is stale or not accepted; the grants then stay as they are.
         """
         if not self.follow(epoch=reply.epoch, coordinator=reply.coordinator):
             return False
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -43,9 +43,11 @@
 
         Args:
             servers: All servers of one pool, as configured in the policy.
-            index: Index of the instance among all live instances, sorted by name, from 0 to
-                ``count - 1``; any other value raises ``ValueError``.
+            index: Index of the instance among all live instances, sorted by name, from 0.
             count: Number of live instances.
+
+        Raises:
+            ValueError: ``index`` is not from 0 to ``count - 1``.
         """
 
 
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -47,7 +47,7 @@
     Args:
         servers: The pool's servers, including leaving ones.
         rng: Random source for server selection and for the jitter of ejection times.
-        invariants: Checks every new lease.
+        invariants: Checks every new lease; may raise ``errors.InvariantViolation``.
         queue_limit: Maximum number of waiting requests; 0 for services whose requests may not
             wait.
         ramp_s: Seconds over which the slots of a new or long-idle server become usable.
@@ -122,7 +122,11 @@
         return len(self._queue)
 
     def servers_to_probe(self) -> list[model.BackendServer]:
-        """Returns the ejected servers due for a probe, and leaving ones that may have returned."""
+        """Returns the servers that are due for a probe.
+
+        These are ejected servers whose ejection time has passed, and servers that reported that
+        they are leaving and may have returned.
+        """
         now_s = self._clock.monotonic()
         due = [self._servers[name].server for name in self._health.probes_due()]
         due += [
@@ -259,7 +263,8 @@
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
         """Counts slots as in use on which requests of earlier owners still run.
 
-        All of these requests have ended by the monotonic time ``expires_s``.
+        ``counts`` holds the slots in use by server name. All of these requests have ended by the
+        monotonic time ``expires_s``.
         """
         self._inherited.add(counts, expires_s=expires_s)
 
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -137,4 +137,5 @@
         return min(slots, max(1, int(slots * elapsed_s / self._ramp_s)))
 
     def _starts_cold(self, now_s: float) -> bool:
+        """Returns whether a lease that begins now would start the ramp-up."""
         return self._cold or (self.lease_count == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -96,7 +96,11 @@
 
     @classmethod
     def decode(cls, value: bytes) -> "RegionRow":
-        """Returns the row in a table value, or raises ``errors.ValidationError``."""
+        """Returns the row that a table value encodes.
+
+        Raises:
+            errors.ValidationError: The value is not a region row.
+        """
         try:
             document = json.loads(value)
             return cls(
--- a/packages/core/src/sassafrasway_core/share.py
+++ b/packages/core/src/sassafrasway_core/share.py
@@ -1,9 +1,9 @@
 """Shares of a pool's slots that an instance may use.
 
 A pool is granted in two parts. The main part expires unless heartbeats renew its grant, so that the
-coordinator can grant it to another instance when the holder is silent. The offline third of each
-server's slots does not expire, so that the holder can run requests while it cannot reach the
-coordinator. ``coordinator`` states when each part becomes free.
+coordinator can grant it to another instance when the holder is silent. The other part, the offline
+third of each server's slots, does not expire, so that the holder can go on running requests while
+it cannot reach the coordinator. ``coordinator`` states when each part becomes free.
 """
 
 import enum
--- a/packages/core/src/sassafrasway_core/shift.py
+++ b/packages/core/src/sassafrasway_core/shift.py
@@ -55,7 +55,7 @@
         ``request_position`` is in [0, 1), for example a hash of the client address; None draws a
         random one. Positions below the moved fraction are moved. While the fractions grow, a moved
         position stays moved, but with several shifts its target can change. The lookups and the
-        requests of a client go to the same region only with the same position.
+        requests of a client go to the same region only if both are passed with the same position.
         """
         source_shifts = self._by_source.get((service, region))
         if not source_shifts:
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -35,8 +35,8 @@
             of the limit may have used all of it just before; ignored while there is no limit.
 
     Raises:
-        ValueError: ``limit`` is negative or NaN, or ``sub_window_count`` is less than 1. Later
-            limits and amounts are checked in the same way.
+        ValueError: ``limit`` is negative or NaN, or ``sub_window_count`` is less than 1.
+            ``set_limit`` and ``try_take`` raise it, too, if their argument is negative or NaN.
     """
 
     def __init__(
@@ -69,7 +69,10 @@
         return self._sum_in_window(now_s)
 
     def retry_after_s(self, amount: float) -> float:
-        """Returns the seconds until ``amount`` fits if nothing else is taken; inf if never."""
+        """Returns the seconds until ``amount`` fits if nothing else is taken until then.
+
+        Returns ``math.inf`` if it can never fit.
+        """
         if amount > self._limit:
             return math.inf
         now_s = self._clock.monotonic()
@@ -133,8 +136,13 @@
     server between admission and response, so the limit holds for any network delay. Limiting the
     admissions per second would not suffice if one request is delayed and the next is not.
 
-    ``SlidingWindow`` explains ``start_full``, which here applies even without a limit. A limit that
-    is negative or NaN raises ``ValueError``.
+    Args:
+        limit: Maximum number of starts in one second.
+        start_full: Whether to admit nothing for the first ``WINDOW_S``, even without a limit,
+            because the previous holder of the limit may have used all of it just before.
+
+    Raises:
+        ValueError: ``limit`` is negative or NaN, here or in ``set_limit``.
     """
 
     def __init__(self, *, limit: float, clock: clock_lib.Clock, start_full: bool = False):
@@ -170,7 +178,11 @@
         return True
 
     def end(self) -> None:
-        """Records that an admitted request got its response or can no longer start."""
+        """Records that an admitted request got its response or can no longer start.
+
+        Raises:
+            ValueError: More requests ended than were admitted.
+        """
         if self._running < 1:
             raise ValueError("end() was called without an admitted request")
         self._running -= 1
--- a/packages/core/tests/random_runs.py
+++ b/packages/core/tests/random_runs.py
@@ -9,7 +9,7 @@
     """Calls ``scenario(seed)`` until the duration has passed; returns the sum of the results.
 
     The first seed is random, and each further run uses the next integer. The error of a failed run
-    names its seed. ``SASSAFRASWAY_SOAK_SECONDS`` sets the duration (default 10). With
+    names its seed. ``SASSAFRASWAY_SOAK_SECONDS`` sets the duration in seconds (default 10). With
     ``SASSAFRASWAY_SOAK_SEED``, the scenario is called only once, with that seed.
     """
     fixed_seed = os.environ.get("SASSAFRASWAY_SOAK_SEED")
