--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -3,8 +3,8 @@
 A ticket is an idempotency key that names its holder, the incarnation that may run the request.
 The registry of that incarnation decides whether a key may start, using only its own memory and
 clock. The holder of a key chosen by the caller is the incarnation that has created the claim of the
-key, a row in the platform's table. When the holder of a ticket has stopped as planned, a request
-that it has not run may run elsewhere, under a claim, too. ``gatekeeper`` of the entry package
+key, a row in the platform's table. If the holder of a ticket stops as planned before it runs the
+request, the request may run elsewhere, under a claim, too. ``gatekeeper`` of the entry package
 handles both kinds of keys.
 """
 
@@ -33,8 +33,6 @@
     """Idempotency key that binds a request to one incarnation.
 
     Attributes:
-        holder: The incarnation that may run the request; after it has stopped as planned, another
-            one may run the request under a claim.
         issued_s: Time of issue in whole seconds since the Unix epoch.
         nonce: Random hexadecimal digits that distinguish tickets issued in the same second.
     """
@@ -80,7 +78,6 @@
     Attributes:
         STARTED: The key may be dispatched; its last dispatch, if any, was discarded.
         DISPATCHED: The request was sent to a backend server or pool owner, or is about to be.
-        FINISHED: The outcome is recorded.
     """
 
     STARTED = "started"
@@ -94,7 +91,7 @@
 
     Attributes:
         outcome: Result passed to ``finish``; None while the key is running.
-        updated_s: Monotonic time of the start, dispatch or finish of the key, whichever was last.
+        updated_s: Monotonic time of the last start, dispatch or finish.
         dispatches: Number of dispatches that were not discarded; above 0, the request may have run.
     """
 
@@ -108,15 +105,16 @@
 class KeyRegistry:
     """Keys that this incarnation is running or has run.
 
-    A key stands for the request that it identifies: it starts, runs and is finished.
+    A key stands for the request that it identifies: it starts, runs and is finished. A method that
+    changes a started key raises ``errors.NotFoundError`` if there is no record of the key.
 
     Args:
-        me: The incarnation that owns the registry.
-        clock: Time source. The wall clock is read only at construction, so that setting it back
-            cannot make an expired ticket valid again.
+        clock: The wall clock is read only at construction, so that setting it back cannot make an
+            expired ticket valid again.
         invariants: Checks that a key is dispatched at most once, and that a dispatched key is not
-            reported as not run.
-        retention_s: Minimum time for which finished keys are kept, in seconds.
+            reported as not run; may raise ``errors.InvariantViolation``. A discarded dispatch does
+            not count.
+        retention_s: Minimum time for which finished keys are kept.
     """
 
     def __init__(
@@ -190,13 +188,7 @@
         return True
 
     def mark_dispatched(self, key: str) -> None:
-        """Records that the request is about to be sent to a backend server or pool owner.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key already has a dispatch that was not discarded, or
-                is finished (only if ``invariants`` raises).
-        """
+        """Records that the request is about to be sent to a backend server or pool owner."""
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.ONE_DISPATCH_PER_KEY,
@@ -209,27 +201,15 @@
         record.updated_s = self._clock.monotonic()
 
     def discard_dispatch(self, key: str) -> None:
-        """Discards the dispatch of a key, because it was not sent or was definitely refused.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-        """
+        """Discards the dispatch of a key, because it was not sent or was definitely refused."""
         record = self._get_record(key)
         record.dispatches = 0
         record.state = KeyState.STARTED
 
     def finish(self, key: str, outcome: Any, *, not_run: bool) -> None:
-        """Records the outcome of a key.
+        """Records the outcome of a key, which is returned to later attempts with the key.
 
-        Args:
-            key: The key.
-            outcome: Outcome to return to later attempts with the key.
-            not_run: Whether the outcome says that the request was not run.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: ``not_run`` is set for a key with a dispatch that was not
-                discarded (only if ``invariants`` raises).
+        ``not_run`` states whether the outcome says that the request was not run.
         """
         record = self._get_record(key)
         self._invariants.check(
@@ -243,13 +223,7 @@
         self._finished[key] = record.updated_s
 
     def abandon(self, key: str) -> None:
-        """Removes a key that was not dispatched, so that it can start again later.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key has a dispatch that was not discarded (only if
-                ``invariants`` raises).
-        """
+        """Removes a key that was not dispatched, so that it can start again later."""
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
@@ -261,8 +235,7 @@
     def startable_until_s(self, *, issued_before_s: float) -> float:
         """Returns the monotonic time after which no ticket issued before a wall time can start.
 
-        Args:
-            issued_before_s: Wall time in seconds since the Unix epoch.
+        ``issued_before_s`` is that wall time in seconds since the Unix epoch.
         """
         limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
         return limit_wall_s - self._wall_offset_s
--- a/packages/core/src/sassafrasway_core/cap_reserve.py
+++ b/packages/core/src/sassafrasway_core/cap_reserve.py
@@ -45,10 +45,7 @@
         return self.ends_s if now_s <= self.ends_s else self.offline_ends_s
 
     def covers(self, older: "_GrantedShare") -> bool:
-        """Returns whether ``older`` can be dropped.
-
-        It can if this share counts at least as much and at least as long.
-        """
+        """Returns whether this later share counts at least as much and as long as ``older``."""
         return (
             older.sequence < self.sequence
             and older.amount <= self.amount
@@ -119,7 +116,8 @@
 
     A share counts for ``window.WINDOW_S`` after it expired or the holder confirmed a later one,
     because what was admitted under it is still in the holder's current window. The offline part of
-    an expired share counts until the holder is gone or confirms a later share.
+    an expired share counts until the holder is gone or confirms a later share. ``expire`` brings
+    all results up to date.
     """
 
     def __init__(self):
@@ -134,21 +132,21 @@
 
     @property
     def total(self) -> float:
-        """Sum over all holders; ``expire`` brings it up to date."""
+        """Sum over all holders."""
         return self._total
 
     @property
     def offline(self) -> float:
-        """Sum of the offline parts over all holders; ``expire`` brings it up to date."""
+        """Sum of the offline parts over all holders."""
         return self._offline
 
     def of(self, holder: Hashable) -> float:
-        """Returns the reservation of one holder; ``expire`` brings it up to date."""
+        """Returns the reservation of one holder."""
         record = self._holders.get(holder)
         return record.reserved if record else 0.0
 
     def offline_of(self, holder: Hashable) -> float:
-        """Returns the offline part of one holder; ``expire`` brings it up to date."""
+        """Returns the offline part of one holder."""
         record = self._holders.get(holder)
         return record.offline if record else 0.0
 
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -2,9 +2,8 @@
 
 A cap limits what all instances together use in any second, but each instance admits requests alone.
 The coordinator therefore divides the cap by demand into shares, and each instance, the holder of
-its share, stays within that (``window.SlidingWindow``). A larger share stays reserved for its
-holder (``cap_reserve``) until the holder has confirmed a smaller one or the larger one has expired;
-after an expiry, its offline part stays reserved.
+its share, stays within that (``window.SlidingWindow``). ``cap_reserve`` states how long a share
+that was reduced or has expired stays reserved for its holder.
 """
 
 import dataclasses
@@ -57,8 +56,7 @@
 class HeldShare:
     """A holder's share of a cap and the limit that is in force by the holder's own clock.
 
-    The holder sets the limit of its ``SlidingWindow`` to ``amount()`` before it takes from the
-    window.
+    The holder sets the limit of its ``SlidingWindow`` to ``amount()`` before each take.
     """
 
     def __init__(self, *, clock: clock_lib.Clock):
@@ -89,8 +87,7 @@
     def apply(self, share: CapShare, *, sent_s: float) -> bool:
         """Applies a share from the reply to the heartbeat sent at ``sent_s``.
 
-        Returns:
-            False when this or a later share was applied before.
+        Returns False when this or a later share was applied before.
         """
         if share.sequence <= self._share.sequence:
             return False
@@ -129,20 +126,16 @@
     """Divides a cap by demand so that the holders together never exceed it in any second.
 
     The division is max-min fair: small demands are met in full, and the large ones share the rest
-    evenly. What no holder demands is divided evenly among all of them. A part that is taken from a
-    holder is given to others one window (``window.WINDOW_S``) after the holder has confirmed its
-    smaller share, or one window after the larger share has expired.
+    evenly. What no holder demands is divided evenly among all of them.
 
-    The offline part of an expired share stays reserved until the holder confirms a new share or is
-    removed. It is a third of the share, or less where the offline parts of all holders would add up
-    to more than a third of the cap: while silent holders keep their offline parts, the holders that
-    replace them get none.
+    The offline part is a third of a share, or less where the offline parts of all holders would add
+    up to more than a third of the cap: while silent holders keep their offline parts, the holders
+    that replace them get none.
 
     Args:
         cap: Limit for the sum over all holders in one second.
-        clock: Time source.
-        invariants: Checks that shares in force never add up to more than the cap.
-        share_s: Seconds for which a share is valid.
+        invariants: Checks that shares in force never add up to more than the cap; may raise
+            ``errors.InvariantViolation``.
         offline_fraction: Part of a share, and of the cap, that stays in force after expiry.
         first_sequence: Sequence of the first share; it must be higher than all sequences of an
             earlier coordinator.
@@ -200,8 +193,7 @@
     ) -> CapShare:
         """Returns the next share of a holder, for the reply to its heartbeat.
 
-        The caller must not pass holders that were removed: a share of such a holder would stay
-        reserved.
+        The caller must not pass removed holders, because their shares would stay reserved.
 
         Args:
             holder: Identifies the holder; must differ after a restart of the holder.
@@ -211,8 +203,6 @@
 
         Raises:
             ValueError: The sequence is not higher than those of all earlier shares.
-            errors.InvariantViolation: With the new share, all shares add up to more than the cap
-                (only if ``invariants`` raises).
         """
         now_s = self._clock.monotonic()
         self._reservations.expire(now_s)
@@ -245,14 +235,11 @@
     def take_over(self, holders: Iterable[Hashable]) -> None:
         """Reserves the shares of an earlier coordinator, which must hand out no more shares.
 
-        The holders of that coordinator may have the whole cap in force until their shares expire,
-        and the offline part of the cap until each of them was passed to ``adopt_share``, has
-        confirmed a new share or was removed. Until then, holders keep what they have, and none gets
-        more. Without any holders, the whole cap stays reserved for one window, because it is
-        unknown what was admitted under shares that ended just before.
-
-        Args:
-            holders: All holders that may have a share of the earlier coordinator.
+        ``holders`` are all that may have such a share. They may have the whole cap in force until
+        their shares expire, and the offline part of the cap until each of them was passed to
+        ``adopt_share``, has confirmed a new share or was removed. Until then, holders keep what
+        they have, and none gets more. Without any holders, the whole cap stays reserved for one
+        window, because it is unknown what was admitted under shares that ended just before.
         """
         now_s = self._clock.monotonic()
         self._earlier_shares_end_s = now_s + self._share_s
@@ -272,13 +259,8 @@
 
         The report was requested after ``take_over``, and the holder accepts no more shares of the
         earlier coordinator. Of a share that expired more than one window ago, only the offline part
-        is reserved: the earlier coordinator may have given the rest to others.
-
-        Args:
-            holder: Identifies the holder.
-            share: Its last share, even if that has expired.
-            remaining_s: Seconds until that share expires, as the holder reported; negative
-                when it has expired.
+        is reserved: the earlier coordinator may have given the rest to others. ``remaining_s`` is
+        the reported time until ``share`` expires, negative after that.
         """
         now_s = self._clock.monotonic()
         # A report that was delayed on the network must not revive a share that has expired since.
@@ -385,10 +367,9 @@
 
 
 def _divide_fairly(demands: list[float], amount: float) -> tuple[float, float]:
-    """Divides ``amount`` max-min fairly among the demands, which are sorted in ascending order.
+    """Divides ``amount`` max-min fairly among the demands, which are in ascending order.
 
-    Returns:
-        The level up to which each demand is met, and the amount that is left over.
+    Returns the level up to which each demand is met, and the amount that is left over.
     """
     for met_count, demand in enumerate(demands):
         even_part = amount / (len(demands) - met_count)
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -16,13 +16,11 @@
     """Owner of a pool, and the holders or possible holders of its two parts.
 
     Attributes:
-        assigned_owner: Instance that the pool is assigned to.
         possible_offline_holders: Instances of which one may hold the offline third; empty when it
             is free.
         offline_seq: Number of the latest reply that granted the offline third.
         main_holder: Instance with the main part; None when it is free or the holder is unknown.
-        main_until_s: When every grant of the main part so far has expired, by the coordinator's
-            clock.
+        main_until_s: When every grant of the main part has expired, by the coordinator's clock.
         main_seq: Number of the latest reply that granted the main part.
         in_use: Last reported slots in use by instance and server.
         busy_until_s: When the deadlines of all requests in the reported slots have passed.
@@ -68,8 +66,6 @@
     """Holders of the parts of all pools.
 
     Args:
-        clock: Time source.
-        members: Liveness of the region's instances.
         unanswered: Recorded members that may hold parts from earlier coordinators.
         earlier_grants_until_s: End of all grants of earlier coordinators, by ``clock``.
         holders_recorded: Whether only recorded members can hold such grants.
@@ -111,7 +107,7 @@
         return self._change_count
 
     def keys(self) -> frozenset[model.PoolKey]:
-        """Returns all pools that were added."""
+        """Returns the keys of all pools."""
         return frozenset(self._pools)
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
@@ -156,7 +152,7 @@
         return pool
 
     def assign(self, key: model.PoolKey, owner: model.InstanceId) -> None:
-        """Assigns an owner to a pool."""
+        """Assigns a pool to an owner; adds the pool if it is new."""
         self.add(key).assigned_owner = owner
         self._pools_by_owner = None
         self._change_count += 1
@@ -242,10 +238,7 @@
     def grant(
         self, key: model.PoolKey, granted: share.Share, *, member: model.InstanceId, seq: int
     ) -> region.PoolGrant:
-        """Grants a share of a pool to a member with reply ``seq`` and returns the grant.
-
-        A grant of the main part names the slots that requests of other instances still use.
-        """
+        """Grants a share of a pool to a member with reply ``seq`` and returns the grant."""
         pool = self._pools[key]
         if granted.has_offline:
             pool.possible_offline_holders = {member}
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -13,12 +13,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _HeldPool:
-    """A granted pool.
-
-    Attributes:
-        offline: Whether the offline third is granted.
-        main_until_s: When the grant of the main part expires; in the past when it is not granted.
-    """
+    """A granted pool; ``main_until_s`` is in the past when the main part is not granted."""
 
     grant: region.PoolGrant
     offline: bool
@@ -33,7 +28,7 @@
 
     Args:
         clock: Time source; grants expire by its monotonic time.
-        invariants: Checks that the epoch never decreases.
+        invariants: Checks that the epoch never decreases; may raise ``errors.InvariantViolation``.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, invariants: invariants_lib.Invariants):
@@ -103,9 +98,8 @@
     ) -> dict[model.PoolKey, region.PoolReport]:
         """Returns the pool reports of a heartbeat, with the shares now in force.
 
-        Args:
-            details: Reports of the pools with more to report than the share, whose ``share`` is
-                ignored. Pools that are granted but missing here are reported, too.
+        ``details`` holds the reports of the pools with more to report than the share; the ``share``
+        in these reports is ignored. Pools that are granted but missing there are reported, too.
         """
         empty = region.PoolReport(share=share.Share.NONE)
         reports = {}
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -9,8 +9,7 @@
 # a pool with little traffic, so that low traffic does not throttle the pool.
 IDLE_AFTER_S = 300.0
 
-# Interval of the probes of a server that reported that it is leaving. They detect its return, for
-# example after a restart.
+# Interval of the probes that detect the return of a server that reported that it is leaving.
 LEAVING_PROBE_S = 5.0
 
 # Requests hold a slot for a few hundred milliseconds, so older load reports are meaningless.
@@ -21,7 +20,6 @@
     """Counts the leases of one server and computes how many are allowed.
 
     Attributes:
-        name: Name of the server.
         lease_count: Slots held by leases; slots inherited from another owner are not included.
         share_limit: Slots allowed by the share, regardless of ramp-up.
         removed: Whether the policy no longer lists the server.
@@ -29,10 +27,7 @@
         probed_s: Monotonic time of the last probe or change of ``reported_leaving``.
 
     Args:
-        server: The server as configured in the policy.
-        share: Share of the slots that may be used.
         ramp_s: Seconds over which the slots of a cold server become usable.
-        now_s: Current monotonic time.
         cold: Whether the server is new, so that its first request starts the ramp-up.
     """
 
@@ -132,7 +127,7 @@
         self._load_reported_s = now_s
 
     def _ramp_limit(self, now_s: float) -> int:
-        """Returns the slots that the ramp-up allows: one at first, then growing linearly."""
+        # One slot at first, then growing linearly.
         slots = self.server.slots
         if self._starts_cold(now_s):
             return min(1, slots)
