Shorten docstrings of the entry that repeat signatures and errors

Args lists repeated names and types of the signature, and Raises sections repeated the same errors in several methods of a class. Errors that the methods of a class share are now stated once in its docstring. Only docstrings change; the AST without them is equal.

--- a/packages/entry/src/sassafrasway_entry/admin_api.py
+++ b/packages/entry/src/sassafrasway_entry/admin_api.py
@@ -13,7 +13,6 @@
     """Serves ``/healthz``, ``/metrics`` and ``/dump``.
 
     Args:
-        metrics: Metrics to scrape.
         dump: Returns the state of the process as JSON-serializable data.
         health: Returns the lifecycle state and whether the instance is ready.
     """
--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -63,10 +63,8 @@
     """Result of a call.
 
     Attributes:
-        result: How the call ended.
         status: Status code; set when the result is ``OK`` or ``SHED``.
         headers: Headers of the response that are passed on to the caller.
-        body: Body of the response.
         load: Number of slots in use that the server reported, or None.
         leaving: Whether the server reported that it is leaving.
         detail: Description of a failure; empty when the result is ``OK`` or ``SHED``.
@@ -85,9 +83,8 @@
 class Probe:
     """Result of a health check.
 
-    Attributes:
-        healthy: Whether the server responded in time with status 200.
-        leaving: Whether the server reported that it is leaving.
+    ``healthy`` means that the server responded in time with status 200, and ``leaving`` that it
+    reported that it is leaving.
     """
 
     healthy: bool
@@ -99,9 +96,7 @@
 
     Idempotent requests reuse connections. Every non-idempotent request opens a new connection,
     because a reused one may have been closed or gone silent, which makes the outcome unknown.
-
-    Args:
-        local_host: IP address to connect from.
+    Connections are opened from the IP address ``local_host``.
     """
 
     def __init__(self, *, local_host: str):
@@ -130,15 +125,10 @@
         """Sends a request and returns the complete response.
 
         A failed call raises no exception; ``result`` of the returned response tells how it ended.
-        The deadline that is sent to the server is the timeout of this attempt, so that the server
-        stops work on a request that was given up and may be retried on another server.
-
-        Args:
-            server: Server to call.
-            request: The request.
-            idempotent: Whether the service is idempotent, so that a connection may be reused and
-                the time is limited further, see ``RESPONSE_TIMEOUT_S``.
-            timeout_s: Seconds until the deadline of the request.
+        ``timeout_s`` is the time until the deadline of the request. An attempt at an idempotent
+        request gets less of it, see ``RESPONSE_TIMEOUT_S``. The server receives the timeout of the
+        attempt as its deadline, so that it stops work on a request that was given up and may be
+        retried on another server.
         """
         session = self._session(server, reuse=idempotent)
         started_s = time.monotonic()
--- a/packages/entry/src/sassafrasway_entry/caller_api.py
+++ b/packages/entry/src/sassafrasway_entry/caller_api.py
@@ -55,16 +55,9 @@
     """Serves callers over HTTP.
 
     Args:
-        me: This incarnation.
-        clock: Time source.
         rng: Random source for tickets and alternate instances.
-        limits: Maximum sizes of headers and body, and the validity of lookup responses.
-        steering: Selects the pools of a request according to the policy.
-        directory: Other instances.
         dispatcher: Runs idempotent requests.
         gatekeeper: Runs non-idempotent requests.
-        metrics: Metric instruments.
-        record: Record of responses.
         names_owners: Whether lookup responses list the owners of pools first.
         ready: Returns whether this instance may serve requests.
     """
--- a/packages/entry/src/sassafrasway_entry/caller_requests.py
+++ b/packages/entry/src/sassafrasway_entry/caller_requests.py
@@ -25,12 +25,6 @@
 ) -> messages.Request | messages.Response:
     """Returns the request, or a refusal if it is invalid.
 
-    Args:
-        http_request: HTTP request of the caller.
-        service: Service that the request names.
-        request_id: Id to give to the request.
-        clock: Time source of the deadline.
-
     Raises:
         web.HTTPRequestEntityTooLarge: The body is larger than the application allows.
     """
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -51,12 +51,10 @@
     the messages from this region to another one, in Mbit/s. Each instance of this region may use
     the share of a cap that the coordinator of the region grants it.
 
-    The limit of a window is set to the share in force whenever something is taken from it, so that
-    the expiry of a share takes effect without a message.
+    Each use of a window first sets its limit to the share in force, so that the expiry of a share
+    takes effect without a message.
 
     Args:
-        region: Region of this instance.
-        clock: Time source.
         amount: Returns the amount of the share in force, by name of the cap.
         epoch: Returns the epoch of the coordinator that this instance follows.
     """
@@ -130,9 +128,7 @@
         """Takes a message to the region ``target`` from the link's cap.
 
         Returns:
-            0 if the message was taken or the link has no cap, otherwise the seconds after which to
-            try again. These are infinite while the share of this instance is smaller than the
-            message.
+            As for ``take_region``.
         """
         name = cap_grants.link_cap_name(self._region, target)
         return self._take_from_cap(name, message_mbit(size_bytes), request_id)
@@ -142,8 +138,7 @@
     ) -> bool:
         """Takes a message as ``take_link`` does, waiting up to ``limit_s`` if necessary.
 
-        Returns:
-            Whether the message was taken. False is returned as soon as the wait would be longer.
+        Returns whether the message was taken; False as soon as the wait would be longer.
         """
         until_s = self._clock.monotonic() + limit_s
         wait_s = self.take_link(target, size_bytes, request_id)
--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -16,12 +16,8 @@
 ) -> None:
     """Writes all outcomes, then the closed marker, which says that no more will follow.
 
-    If the table service is unavailable, this is logged and the marker is not written.
-
-    Args:
-        me: Incarnation that stops.
-        outcomes: Outcomes of the incarnation.
-        gatekeeper: Gatekeeper of the incarnation; all of its requests have ended.
+    May be called only when all requests of the gatekeeper have ended. While the table service is
+    unavailable, the marker is not written and this is logged.
     """
     log = structlog.get_logger("process")
     for _ in range(MAX_FLUSHES):
--- a/packages/entry/src/sassafrasway_entry/config_store.py
+++ b/packages/entry/src/sassafrasway_entry/config_store.py
@@ -89,11 +89,7 @@
         self._table = table
 
     async def read_head(self, *, known: Head | None = None) -> Head:
-        """Returns the current head.
-
-        Args:
-            known: The head as last read; returned itself when it has not changed.
-        """
+        """Returns the current head: ``known``, the head as last read, if it has not changed."""
         known_row = known.row if known else None
         row = await self._table.get(HEAD_KEY, known=known_row)
         if row is None:
@@ -134,15 +130,10 @@
         return policy
 
     async def accept(self, *, head: Head, record: Record, policy: model.Policy) -> Head:
-        """Writes a change as the newest revision, on condition that ``head`` is still current.
-
-        Args:
-            head: The head that the change is based on.
-            record: The change.
-            policy: The policy after the change.
+        """Writes a change as the newest revision and returns the new head.
 
-        Returns:
-            The new head.
+        The write is conditional on ``head`` being still current; ``policy`` is the policy after the
+        change.
 
         Raises:
             table.PreconditionFailed: Another change was accepted; nothing was written.
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -61,15 +61,13 @@
     """Maintains the policy in force on one entry instance.
 
     Changes come from operators (``apply``), from peers (``receive``, ``pull``) and from the table
-    service (``refresh``). Whatever the source, a policy is never replaced by an older one. Methods
-    that read the table service also raise ``errors.SassafraswayError`` when a row is malformed or
-    missing.
+    service (``refresh``). Whatever the source, a policy is never replaced by an older one.
+
+    Methods that read the table service raise ``errors.UnavailableError`` while it is unavailable,
+    and another ``errors.SassafraswayError`` when a row is malformed or missing. Methods that return
+    changes or policies raise ``errors.UnavailableError`` while no policy is known.
 
     Args:
-        me: Name and incarnation of this instance.
-        clock: Time source.
-        invariants: Checks that the revision never decreases.
-        table: Table service.
         push_targets: Returns the RPC addresses to push an accepted change to: the coordinators of
             all regions.
         call_peer: ``await call_peer(address, method, timeout_s=..., **arguments)`` calls a peer.
@@ -80,7 +78,6 @@
             unavailable; the push targets by default.
         own_address: Returns the RPC address of this instance. Pushes carry it, so that a peer that
             lacks earlier changes can request them from this instance.
-        rng: Random source for poll times and the choice of peers.
         poll_interval_s: Mean time between polls of the table service.
     """
 
@@ -165,9 +162,7 @@
     def observe_revision(self, revision: int, *, source: str) -> None:
         """Schedules a fetch when a peer has a newer revision.
 
-        Args:
-            revision: Revision that the peer has.
-            source: RPC address of the peer; when it is empty, only ``refresh`` is scheduled.
+        ``source`` is the RPC address of the peer; when it is empty, only ``refresh`` is scheduled.
         """
         if revision > self.revision:
             self._inbox.put_nowait(_NewerRevision(revision=revision, source=source))
@@ -175,10 +170,7 @@
     async def refresh(self) -> None:
         """Puts the newest revision that the table service has in force.
 
-        While the table service is unavailable, asks peers instead; their failures are logged.
-
-        Raises:
-            errors.SassafraswayError: A row is malformed or missing.
+        While the table service is unavailable, asks peers instead and logs their failures.
         """
         try:
             await self._sync()
@@ -194,7 +186,6 @@
             errors.ValidationError: The result would be invalid.
             errors.UnavailableError: The table service is unavailable; the change may or may not
                 have been accepted, and it is safe to send it again.
-            errors.SassafraswayError: A row is malformed or missing.
         """
         async with self._apply_lock:
             head = await self._sync()
@@ -219,24 +210,15 @@
     async def find_change(self, change_id: str) -> int | None:
         """Returns the revision that a recent change produced, or None.
 
-        Raises:
-            errors.UnavailableError: The table service is unavailable and the change is not in the
-                log of this instance.
-            errors.SassafraswayError: A row is malformed or missing.
+        The table service is read only if the change is not in the log of this instance.
         """
         known = self._config_log.find(change_id)
         return known if known is not None else (await self._sync()).change_ids.get(change_id)
 
     async def records(self, *, limit: int, before: int = 0) -> list[config_store.Record]:
-        """Returns accepted changes, newest first.
-
-        Args:
-            limit: Maximum number of changes.
-            before: Only changes with a lower revision are returned; 0 for no bound.
+        """Returns up to ``limit`` accepted changes, newest first.
 
-        Raises:
-            errors.UnavailableError: The table service is unavailable.
-            errors.SassafraswayError: A row is malformed or missing.
+        Only changes with a revision lower than ``before`` are returned; 0 sets no bound.
         """
         newest = (await self._sync()).revision
         last = min(newest, before - 1) if before else newest
@@ -248,8 +230,6 @@
 
         Raises:
             errors.NotFoundError: There is no such revision.
-            errors.UnavailableError: The table service is unavailable, or no policy is known yet.
-            errors.SassafraswayError: A row is malformed or missing.
         """
         current = self._require_policy()
         if revision == current.revision:
@@ -264,10 +244,8 @@
     async def receive(self, change: documents.Change, *, sender: str) -> int:
         """Processes a change that a peer pushed and returns the revision in force afterwards.
 
-        Args:
-            change: The change.
-            sender: RPC address of the peer, from which earlier changes are fetched if they are
-                missing; empty when it is unknown.
+        Missing earlier changes are fetched from ``sender``, the RPC address of the peer or empty
+        when it is unknown.
 
         Raises:
             errors.ValidationError: The policy would be invalid after the change.
@@ -299,20 +277,12 @@
             self._adopt(documents.parse_change(documents.parse_json(text)))
 
     def changes_since(self, revision: int) -> list[documents.Change] | None:
-        """Returns the changes after a revision, or None when the log does not reach back to it.
-
-        Raises:
-            errors.UnavailableError: No policy is known yet.
-        """
+        """Returns the changes after a revision, or None when the log does not reach back to it."""
         self._require_policy()
         return self._config_log.since(revision)
 
     async def full_policy(self) -> tuple[int, str, dict[str, int]]:
-        """Returns revision, JSON document and recent change ids of the policy in force.
-
-        Raises:
-            errors.UnavailableError: No policy is known yet.
-        """
+        """Returns revision, JSON document and recent change ids of the policy in force."""
         policy = self._require_policy()
         change_ids = self._config_log.change_ids
         if self._document_cache[0] != policy.revision:
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -1,4 +1,7 @@
-"""Conversion between the control messages of ``sassafrasway_core`` and Thrift messages."""
+"""Conversion between the control messages of ``sassafrasway_core`` and Thrift messages.
+
+Reading a Thrift message raises ``ValueError`` when it contains an unknown share.
+"""
 
 import dataclasses
 from collections.abc import Iterable, Mapping
@@ -55,11 +58,7 @@
 
 
 def from_report(message) -> region.PoolReport:
-    """Returns the pool report of a Thrift message.
-
-    Raises:
-        ValueError: The share is unknown.
-    """
+    """Returns the pool report of a Thrift message."""
     return region.PoolReport(
         share=share.Share(message.share),
         in_use=dict(message.in_use or {}),
@@ -80,10 +79,8 @@
 def to_heartbeat(heartbeat: region.Heartbeat, *, directory_mark: int, revision: int):
     """Returns the Thrift message of a heartbeat.
 
-    Args:
-        heartbeat: The heartbeat.
-        directory_mark: Directory mark of the latest reply of the same epoch; 0 before the first.
-        revision: Revision of the policy in force at the sender.
+    ``directory_mark`` is that of the latest reply of the same epoch, or 0 before the first.
+    ``revision`` is that of the policy in force at the sender.
     """
     return schema.control.HeartbeatRequest(
         sender=to_instance(heartbeat.sender),
@@ -99,11 +96,7 @@
 
 
 def from_heartbeat(message) -> region.Heartbeat:
-    """Returns the heartbeat of a Thrift message.
-
-    Raises:
-        ValueError: The share in a pool report is unknown.
-    """
+    """Returns the heartbeat of a Thrift message."""
     return region.Heartbeat(
         sender=from_instance(message.sender),
         epoch=message.epoch or 0,
@@ -124,11 +117,8 @@
 ):
     """Returns the Thrift message of a heartbeat reply.
 
-    Args:
-        reply: The reply.
-        directories: Directories that changed since the mark in the heartbeat.
-        directory_mark: Current mark of the coordinator's directories.
-        revision: Revision of the policy in force at the replying instance.
+    ``directories`` are those that changed since the mark in the heartbeat, and ``directory_mark``
+    is their current mark. ``revision`` is that of the policy in force at the replying instance.
     """
     return schema.control.HeartbeatReply(
         epoch=reply.epoch,
@@ -147,11 +137,7 @@
 
 
 def from_heartbeat_reply(message) -> region.HeartbeatReply:
-    """Returns the heartbeat reply of a Thrift message.
-
-    Raises:
-        ValueError: The share in a grant is unknown.
-    """
+    """Returns the heartbeat reply of a Thrift message."""
     return region.HeartbeatReply(
         epoch=message.epoch,
         coordinator=from_instance(message.coordinator),
@@ -230,11 +216,7 @@
 
 
 def from_follow_reply(message) -> region.FollowReply:
-    """Returns the follow reply of a Thrift message.
-
-    Raises:
-        ValueError: The share in a pool report is unknown.
-    """
+    """Returns the follow reply of a Thrift message."""
     return region.FollowReply(
         sender=from_instance(message.sender),
         epoch=message.epoch or 0,
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -16,11 +16,11 @@
     """Handles the Control calls of members, coordinators and pool owners.
 
     The calls are described in ``control.thrift``; arguments and results of type ``Any`` are Thrift
-    messages. A method raises ``errors.ValidationError`` when a required argument is not set. The
-    RPC server returns errors to the caller unless the call is oneway.
+    messages. A method raises ``errors.ValidationError`` when a required argument is not set, and
+    ``ValueError`` when a share in a pool report is unknown. The RPC server returns errors to the
+    caller unless the call is oneway.
 
     Args:
-        member: Member role of this instance.
         on_handover: Called with the previous owner of a pool, the pool, and its report about the
             slots that are still in use.
         on_release: Called with a pool, a server name and the number of its slots that requests of
@@ -42,19 +42,13 @@
         """Returns the reply to a member's heartbeat.
 
         Raises:
-            errors.ValidationError: A required argument is missing.
             errors.UnavailableError: This instance is not the coordinator and follows none.
-            ValueError: The share in a pool report is unknown.
         """
         _require_arguments(request is not None and request.sender is not None, "heartbeat")
         return self._member.on_heartbeat(request)
 
     async def follow(self, epoch: int | None, coordinator: Any) -> Any:
-        """Follows a coordinator unless its epoch is lower; returns what this instance holds.
-
-        Raises:
-            errors.ValidationError: A required argument is missing.
-        """
+        """Follows a coordinator unless its epoch is lower; returns what this instance holds."""
         _require_arguments(epoch is not None and coordinator is not None, "follow")
         reply = self._member.on_follow(
             epoch=epoch, coordinator=control_conversion.from_instance(coordinator)
@@ -62,12 +56,7 @@
         return control_conversion.to_follow_reply(reply)
 
     async def handover(self, sender: Any, report: Any) -> None:
-        """Receives the previous owner's report about the slots of a pool that are still in use.
-
-        Raises:
-            errors.ValidationError: A required argument is missing.
-            ValueError: The share in the report is unknown.
-        """
+        """Receives the previous owner's report about the slots of a pool that are still in use."""
         _require_arguments(sender is not None and report is not None, "handover")
         self._on_handover(
             control_conversion.from_instance(sender),
@@ -76,21 +65,15 @@
         )
 
     async def release_slots(self, pool: Any, server: str | None, slots: int | None) -> None:
-        """Frees slots that requests of the previous owner have released.
-
-        Raises:
-            errors.ValidationError: A required argument is missing.
-        """
+        """Frees slots that requests of the previous owner have released."""
         _require_arguments(pool is not None and server is not None, "release_slots")
         self._on_release(control_conversion.from_pool(pool), server, slots or 0)
 
     async def directory(self, directories: list | None, known: list | None) -> list:
         """Stores newer directories and returns those that are newer than the sender's.
 
-        Args:
-            directories: Thrift messages of directories to store.
-            known: Thrift messages of the directory versions that the sender has. Other regions are
-                left out of the reply, unless ``known`` is empty, which requests all directories.
+        ``known`` lists the versions that the sender has. The reply leaves out other regions, unless
+        ``known`` is empty, which requests all directories.
         """
         own_directory = self._member.directory
         own_directory.update(
@@ -100,11 +83,7 @@
         return [control_conversion.to_directory(entry) for entry in newer]
 
     async def suspect(self, instance: Any) -> None:
-        """Checks whether an instance is gone, if this one is the coordinator of its region.
-
-        Raises:
-            errors.ValidationError: A required argument is missing.
-        """
+        """Checks whether an instance is gone, if this one is the coordinator of its region."""
         _require_arguments(instance is not None, "suspect")
         self._member.on_suspect(control_conversion.from_instance(instance).id)
 
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -44,21 +44,15 @@
     """Executes the commands of ``CoordinatorState`` while this instance is the coordinator.
 
     Args:
-        me: This instance.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases.
-        table: Table service.
-        instance_list: The platform's list of instances.
-        peers: ``peers.Peers``, or a fake, which calls other instances.
+        peers: A ``peers.Peers``.
         members: Liveness of the region's instances.
         directory: Directories of all regions; this task writes the one of its own region.
-        policy_source: Returns the policy in force, or None.
+        policy_source: Returns the policy in force.
         revision_source: Returns the revision of the policy in force.
         seeds: RPC addresses to ask about regions whose instances are unknown.
         on_revision: Called with a newer revision and the RPC address of an instance that has it.
         follow_self: Delivers a follow request of this coordinator to its own member role.
         wake: Makes the member task call ``tick`` immediately.
-        rng: Random source for the choice of peers.
     """
 
     def __init__(
@@ -139,8 +133,7 @@
     def depose(self, epoch: int) -> None:
         """Ends the role when another coordinator has a higher epoch.
 
-        Args:
-            epoch: Epoch of another coordinator, or 0 to check only whether the state is deposed.
+        An ``epoch`` of 0 checks only whether the state is deposed.
         """
         if self._state is not None and (self._state.deposed or epoch > self._state.epoch):
             self._state.depose()
@@ -151,9 +144,6 @@
         """Returns the reply to a heartbeat; both are Thrift messages.
 
         May be called only while ``state`` is not None.
-
-        Raises:
-            ValueError: The share in a pool report is unknown.
         """
         heartbeat = control_conversion.from_heartbeat(message)
         reply = self._state.on_heartbeat(heartbeat)
@@ -330,8 +320,8 @@
     async def _exchange(self, region_name: str, own_directory: directory.RegionDirectory) -> None:
         """Exchanges directories with another region.
 
-        The peer is the coordinator of that region or, while its address is uncertain, any instance
-        that may have the region's directory.
+        While the address of its coordinator is uncertain, the peer is any instance that may have
+        the region's directory.
         """
         address = await self._exchange_address(region_name)
         if address is None:
@@ -359,12 +349,10 @@
     async def _exchange_address(self, region_name: str) -> str | None:
         """Returns the RPC address to ask about a region, or None when none is known.
 
-        After a successful exchange this is the known coordinator of the region. Otherwise the
-        coordinator may have changed, so only half of the attempts use the known one. The others use
-        the coordinator in the region's row in the table, or a random instance of the region when
-        the row cannot be read or names no later coordinator. When no directory of the region is
-        known, every attempt uses the row, or a random seed when the row is missing or cannot be
-        read.
+        This is the known coordinator after a successful exchange. Otherwise the coordinator may
+        have changed, so only half of the attempts use the known one. The others use a later
+        coordinator from the region's row in the table, else a random known instance of the region,
+        else a random seed.
         """
         known = self._directory.region(region_name)
         if known is not None and (
@@ -399,13 +387,7 @@
     *,
     clock: clock_lib.Clock,
 ) -> Any:
-    """Asks an instance for its identity and records whether it is gone.
-
-    Args:
-        peers: ``peers.Peers``, or a fake, which calls other instances.
-        members: Liveness of the region's instances; receives the result.
-        target: The instance.
-        clock: Time source.
+    """Asks an instance for its identity and records in ``members`` whether it is gone.
 
     Returns:
         The Thrift message ``Identity``, or None when the instance did not answer.
@@ -435,11 +417,8 @@
 ) -> list[directory.RegionDirectory]:
     """Sends directories to a peer and returns those that are newer there.
 
-    Args:
-        peers: ``peers.Peers``, or a fake, which calls other instances.
-        address: RPC address of the peer.
-        sent: Directories to send.
-        known: Epoch and version that are known here, by region; empty to ask for all regions.
+    ``known`` has the epoch and version that are known here, by region; it is empty to ask for all
+    regions.
 
     Raises:
         errors.SassafraswayError: The peer did not answer or reported an error.
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -93,29 +93,13 @@
     """Calls to other entry instances."""
 
     async def call(self, address: str, method: str, *, timeout_s: float, **arguments: Any) -> Any:
-        """Calls a method of a peer.
-
-        Raises:
-            rpc_client.ConnectionRefusedByPeerError: No process listens at the address.
-            rpc_client.CallNotSentError: The peer was not reached; it has not received the call.
-            errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
-                call; it may have received the call.
-            errors.SassafraswayError: The peer reported an error.
-        """
+        """Calls a method of a peer; ``peers.Peers.call`` lists the errors."""
 
 
 class Dispatcher:
     """Selects a pool for each request and runs the request there.
 
     Args:
-        me: This incarnation.
-        clock: Time source.
-        region: Region of this instance.
-        limits: This instance's shares of the caps of links between regions.
-        steering: Selects the pools of a request according to the policy.
-        pools: Pools that this instance owns.
-        directory: Owners of the other pools.
-        peers: Calls other instances.
         placement: Strategy that decides whether requests are forwarded to the owner of their pool.
         budget: Limits the retries of idempotent requests after a peer did not respond.
     """
@@ -212,12 +196,7 @@
         """Runs a request on one pool, on this instance or on the owner of the pool.
 
         If the receiver is no longer the owner and names another one, the request is forwarded to
-        that one; this happens only once.
-
-        Args:
-            pool_key: Pool to use.
-            request: The request.
-            may_queue: Whether the request may wait for a slot.
+        that one; this happens only once. With ``may_queue``, the request may wait for a slot.
         """
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
@@ -261,12 +240,9 @@
         A request to another region counts against the cap of the link, and is refused when that is
         used up. If the calling task is cancelled, the peer is told to cancel the request as well.
 
-        Args:
-            peer: Directory record of the receiving instance.
-            request: The request.
-            stage: Value of the Thrift enum ``Stage``: what the peer does with the request.
-            pool_key: Pool to use, for ``Stage.EXECUTE``.
-            may_queue: Whether the request may wait for a slot.
+        ``peer`` is the directory record of the receiving instance. ``stage``, a value of the Thrift
+        enum ``Stage``, tells the peer what to do with the request; only ``EXECUTE`` uses
+        ``pool_key`` and ``may_queue``.
         """
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
--- a/packages/entry/src/sassafrasway_entry/forward_service.py
+++ b/packages/entry/src/sassafrasway_entry/forward_service.py
@@ -35,15 +35,7 @@
 class ForwardService:
     """Serves the Thrift service ``Forward``.
 
-    Args:
-        me: This incarnation.
-        region: Region of this instance.
-        clock: Time source.
-        limits: This instance's shares of the caps of links between regions.
-        pools: Pools that this instance owns.
-        gatekeeper: Runs requests whose keys this incarnation holds.
-        directory: Regions of senders, and owners of pools; a sender whose directory is outdated
-            receives the owner.
+    A sender whose directory is outdated receives the name of the pool's owner.
     """
 
     def __init__(
@@ -73,17 +65,11 @@
         return len(self._running)
 
     async def forward(self, request):
-        """Runs a forwarded request and returns the reply once the link's cap admits it.
+        """Runs a ``ForwardRequest`` and returns the ``ForwardReply`` once the link's cap admits it.
 
         A response that the cap does not admit in time is replaced by an unknown outcome, unless the
         request did not run.
 
-        Args:
-            request: Thrift message ``ForwardRequest``.
-
-        Returns:
-            Thrift message ``ForwardReply``.
-
         Raises:
             errors.ValidationError: The stage of the request is not supported.
         """
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -67,13 +67,8 @@
 class Gatekeeper:
     """Runs non-idempotent requests at most once.
 
-    Args:
-        me: This incarnation.
-        registry: Keys whose requests this incarnation has handled.
-        dispatcher: Runs requests on pools.
-        directory: Other instances.
-        store: Stores the outcomes of tickets in the table.
-        claims: Table service for claim rows.
+    ``registry`` has the keys whose requests this incarnation has handled. ``store`` holds the
+    outcomes of tickets, and ``claims`` is the table service for claim rows.
     """
 
     def __init__(
--- a/packages/entry/src/sassafrasway_entry/joining.py
+++ b/packages/entry/src/sassafrasway_entry/joining.py
@@ -18,12 +18,9 @@
     """Asks other instances for the directory of the region of this instance.
 
     Args:
-        me: This instance.
-        peers: ``peers.Peers``, or a fake, which calls other instances.
+        peers: A ``peers.Peers``.
         directory: Receives the directories that peers return.
-        instance_list: The platform's list of instances.
         seeds: RPC addresses of instances to join through.
-        rng: Random source for the choice of peers.
     """
 
     def __init__(
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -52,26 +52,18 @@
     """Runs the member role in a region: follows the coordinator or becomes coordinator itself.
 
     Args:
-        me: This instance.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases.
-        table: Table service.
-        instance_list: The platform's list of instances.
-        peers: ``peers.Peers``, or a fake, which calls other instances.
-        policy_source: Returns the policy in force, or None.
+        peers: A ``peers.Peers``.
+        policy_source: Returns the policy in force.
         on_grants: Called with all grants of this instance whenever one of them changes.
-        pool_reports: Returns the report of each pool that this instance uses: share, slots in use,
-            time until the deadlines of their requests, and queue length. Pools that it may no
-            longer use but whose requests are still running are included.
+        pool_reports: Returns the reports of the pools that this instance uses, including those
+            that it may no longer use but whose requests are still running.
         revision_source: Returns the revision of the policy in force.
         cap_demand: Returns the demand, including refused demand, by cap name (see ``cap_grants``)
-            and in the unit of the cap. The first share of a cap is requested only if its name is
-            included.
+            and in the unit of the cap. A cap that is not included gets no first share.
         seeds: RPC addresses of instances to join through.
         on_revision: Called with a newer revision and the RPC address of an instance that has it.
         on_declared_gone: Called when a coordinator declared this instance gone and may have granted
             its pools to others. It must restart with a new incarnation to get grants again.
-        rng: Random source for the choice of peers.
     """
 
     def __init__(
@@ -309,10 +301,10 @@
         return self.me, self._grants.epoch, self._grants.coordinator
 
     def _on_refused(self, address: str) -> None:
-        """Starts a check whether an instance whose port refused a connection is gone.
+        """Checks whether an instance whose port refused a connection is gone.
 
-        The coordinator that this instance follows is checked by a heartbeat that is sent
-        immediately; other instances are reported to the coordinator of their region.
+        An immediate heartbeat checks the coordinator that this instance follows. Other instances
+        are reported to the coordinator of their region.
         """
         coordinator = self._grants.coordinator
         if coordinator is not None and coordinator.rpc_address == address:
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -101,7 +101,7 @@
 ) -> Response:
     """Returns a response that says that the request did not run.
 
-    The default of ``detail`` is the text of ``reason``.
+    An empty ``detail`` is replaced by the text of ``reason``.
     """
     return Response(
         outcome=Outcome.NOT_RUN,
@@ -114,10 +114,7 @@
 
 
 def unknown(status: int, reason: Reason, detail: str = "") -> Response:
-    """Returns a response that says that the request may have run.
-
-    The default of ``detail`` is the text of ``reason``.
-    """
+    """Returns a response that says that the request may have run; ``detail`` as in ``not_run``."""
     return Response(
         outcome=Outcome.UNKNOWN,
         status=status,
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -28,14 +28,14 @@
     """Handles the calls of operators, which are described in ``config.thrift``.
 
     Arguments and results of type ``Any`` are Thrift messages; ``meta`` is a ``ChangeMeta``. The RPC
-    server returns the errors that the methods raise to the operator. Methods that change the policy
-    raise ``errors.ValidationError`` when the change, or the policy after it, is invalid,
-    ``errors.ConflictError`` when it is not based on the current revision, and
-    ``errors.UnavailableError`` when the table service is unavailable.
+    server returns errors to the operator, among them:
+
+    - ``errors.ValidationError``: An argument, the change or the policy after it is invalid.
+    - ``errors.NotFoundError``: There is no such revision, shift, server or instance.
+    - ``errors.ConflictError``: The change is not based on the current revision.
+    - ``errors.UnavailableError``: The table service is unavailable, or no policy is known yet.
 
     Args:
-        me: Name and incarnation of this instance.
-        config: Configuration task of this instance.
         call_peer: ``await call_peer(address, method, **arguments)`` calls a peer.
         find_instance: Returns the RPC address of an instance by name, or None.
         leave: Starts the graceful stop of this instance.
@@ -64,12 +64,7 @@
         self._log = structlog.get_logger("operator").bind(instance=str(me))
 
     async def get_policy(self, revision: int | None) -> Any:
-        """Returns a revision of the policy; the one in force when ``revision`` is None or 0.
-
-        Raises:
-            errors.NotFoundError: There is no such revision.
-            errors.UnavailableError: The table service is unavailable, or no policy is known yet.
-        """
+        """Returns a revision of the policy; the one in force when ``revision`` is None or 0."""
         if not revision:
             revision, document_json, _ = await self._config.full_policy()
             return schema.config.PolicyReply(revision=revision, document_json=document_json)
@@ -86,12 +81,8 @@
         """Returns accepted changes, newest first.
 
         Args:
-            limit: Maximum number of changes; ``DEFAULT_HISTORY`` when None.
+            limit: Maximum number of changes, 1 to ``MAX_HISTORY``; ``DEFAULT_HISTORY`` when None.
             before: Only changes with a lower revision are returned; None or 0 for no bound.
-
-        Raises:
-            errors.ValidationError: ``limit`` is not in the range of 1 to ``MAX_HISTORY``.
-            errors.UnavailableError: The table service is unavailable.
         """
         limit = DEFAULT_HISTORY if limit is None else limit
         if not 1 <= limit <= MAX_HISTORY:
@@ -102,12 +93,7 @@
         return [_history_entry(record) for record in records]
 
     async def rollback(self, revision: int | None, meta: Any) -> Any:
-        """Creates a new revision with the content of an older one.
-
-        Raises:
-            errors.ValidationError: ``revision`` is missing.
-            errors.NotFoundError: There is no such revision.
-        """
+        """Creates a new revision with the content of an older one."""
         if revision is None:
             raise errors.ValidationError("revision is missing", step="operator.rollback")
         old = await self._config.policy_at(revision)
@@ -122,11 +108,7 @@
         return await self._submit(meta, lambda policy: {"shifts": {name or "": document}})
 
     async def stop_shift(self, name: str | None, meta: Any) -> Any:
-        """Deletes a shift.
-
-        Raises:
-            errors.NotFoundError: There is no shift of this name.
-        """
+        """Deletes a shift."""
 
         def make_sections(policy: model.Policy) -> Mapping[str, Mapping[str, Any]]:
             _find_object(policy.shifts, name, "shift")
@@ -137,9 +119,7 @@
     async def drain(self, kind: int | None, name: str | None, meta: Any, cancel: bool) -> Any:
         """Drains a backend server or an entry instance, or cancels the drain of a server.
 
-        Raises:
-            errors.ValidationError: ``kind`` is unknown, or ``cancel`` is set for an instance.
-            errors.NotFoundError: There is no server or instance of this name.
+        The drain of an instance cannot be cancelled.
         """
         if kind == schema.config.DrainKind.SERVER:
             return await self._drain_server(name, meta, bool(cancel))
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -83,11 +83,7 @@
 
 
 class OutcomeStore:
-    """Reads outcomes, and queues new ones to write them in batches.
-
-    Args:
-        service: The platform's table service.
-    """
+    """Reads outcomes, and queues new ones to write them in batches."""
 
     def __init__(self, *, service: table.TableService):
         self._table = service
--- a/packages/entry/src/sassafrasway_entry/owner_messages.py
+++ b/packages/entry/src/sassafrasway_entry/owner_messages.py
@@ -15,12 +15,8 @@
 class OwnerMessages:
     """Sends messages to the instances that own other pools.
 
-    Args:
-        me: This incarnation.
-        directory: Owners of the pools.
-        peers: Calls other instances.
-        policy_source: Returns the policy in force, or None.
-        spawn: Starts a coroutine as a named task of the process.
+    ``policy_source`` returns the policy in force; ``spawn`` starts a coroutine as a named task of
+    the process.
     """
 
     def __init__(
@@ -42,10 +38,7 @@
     async def report_crash(self, service: str, fingerprint: str, server: str) -> None:
         """Reports a crash to the owners of the service's other pools before a retry.
 
-        Args:
-            service: Name of the service.
-            fingerprint: Fingerprint of the request that crashed the server.
-            server: Name of the server.
+        ``fingerprint`` is that of the request that crashed the server.
         """
         policy = self._policy_source()
         owners = {
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -12,11 +12,7 @@
 
 
 def _merge(*services: Any) -> types.SimpleNamespace:
-    """Combines the methods of several Thrift services in one object, so that they share a client.
-
-    Raises:
-        ValueError: Two services have a method of the same name.
-    """
+    """Combines the methods of several Thrift services in one object, for a shared client."""
     merged: dict[str, Any] = {}
     for service in services:
         for method in service.thrift_services:
@@ -52,11 +48,7 @@
     ) -> Any:
         """Calls a method of the Control, Forward or Config service of a peer.
 
-        Args:
-            address: RPC address that the peer advertises, ``host:port``.
-            method: Name of the method.
-            timeout_s: Limit in seconds of the wait for the reply.
-            **arguments: Arguments of the method.
+        ``address`` is the RPC address that the peer advertises, ``host:port``.
 
         Raises:
             client.ConnectionRefusedByPeerError: No process listens at the address.
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -45,16 +45,11 @@
     """Runs requests on the servers of the pools that this instance owns.
 
     Args:
-        clock: Time source.
         rng: Random source for server selection and for the jitter of ejection times.
-        invariants: Checks every lease of a slot.
-        client: Client for backend servers.
-        record: Record of dispatches.
         report_crash: Notifies the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
         share_of: Returns the share of a pool that this instance may use now.
         placement: Strategy that decides which slots an instance may use.
-        limits: This instance's share of the cap of the region.
         on_slot_released: Called with pool and server name when a request releases its slot after
             this instance has released the pool.
         queue_limit: Maximum number of waiting requests in a pool.
@@ -203,13 +198,7 @@
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
     ) -> messages.Response:
-        """Runs a request on one of the pool's servers.
-
-        Args:
-            key: Pool to use.
-            request: The request.
-            may_queue: Whether the request may wait for a slot.
-        """
+        """Runs a request on one of the pool's servers; ``may_queue`` lets it wait for a slot."""
         owned = self._pools.get(key)
         if owned is None or self._policy is None:
             return messages.not_run(503, messages.Reason.NOT_OWNER)
@@ -238,10 +227,7 @@
             await self.probe_pools()
 
     async def probe_pools(self) -> None:
-        """Probes the servers that are due, in all pools of this instance.
-
-        These are ejected servers and servers that reported that they are leaving.
-        """
+        """Probes the ejected servers, and those that reported that they are leaving, if due."""
         for owned in list(self._pools.values()):
             await self._probe_pool(owned)
 
@@ -358,8 +344,8 @@
     ) -> pool.SlotLease | None:
         """Leases a slot; waits for one if ``may_queue``, behind the requests that wait already.
 
-        Returns None if no slot is free, or while waiting the deadline passed or the pool was
-        released.
+        Returns None if no slot is free, or if the wait ended by the deadline or the release of the
+        pool.
         """
         if not may_queue or owned.slots.queue_length() == 0:
             lease = owned.slots.try_acquire()
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -51,11 +51,7 @@
 
 
 class EntryProcess:
-    """One entry instance.
-
-    Args:
-        settings: Validated settings.
-    """
+    """One entry instance."""
 
     def __init__(self, *, settings: settings.Settings):
         self._settings = settings
@@ -103,10 +99,6 @@
         """Creates the components of the process.
 
         A component that needs another one that is created later gets it through a lambda.
-
-        Args:
-            session: HTTP session for calls to the platform.
-            local_host: IP address from which to connect to backend servers.
         """
         self._build_platform(session)
         self._build_membership()
--- a/packages/entry/src/sassafrasway_entry/recorder.py
+++ b/packages/entry/src/sassafrasway_entry/recorder.py
@@ -9,12 +9,8 @@
 class Recorder:
     """Appends events as JSON lines to a file; does nothing without a file.
 
-    Every event has ``kind``, ``instance`` and ``t``, the monotonic time in seconds, by which events
-    of all processes of one machine can be ordered.
-
-    Args:
-        path: File to append to, or None.
-        instance: Name and incarnation of this instance.
+    Every event has ``kind``, ``instance`` (name and incarnation) and ``t``, the monotonic time in
+    seconds, by which events of all processes of one machine can be ordered.
 
     Raises:
         OSError: The file cannot be opened.
--- a/packages/entry/src/sassafrasway_entry/region_table.py
+++ b/packages/entry/src/sassafrasway_entry/region_table.py
@@ -9,12 +9,7 @@
 
 
 class RegionTable:
-    """Reads and conditionally writes the row ``region/<region>``.
-
-    Args:
-        table: Table service.
-        region_name: Name of the region.
-    """
+    """Reads and conditionally writes the row ``region/<region>``."""
 
     def __init__(self, *, table: table_lib.TableService, region_name: str):
         self._table = table
--- a/packages/entry/src/sassafrasway_entry/request_runner.py
+++ b/packages/entry/src/sassafrasway_entry/request_runner.py
@@ -17,13 +17,8 @@
     """Sends a request to the server of its slot, and to other servers when it may be retried.
 
     Args:
-        clock: Time source.
-        client: Client for backend servers.
-        record: Record of dispatches.
         quarantine: Record of requests that crashed servers.
-        report_crash: Notifies the owners of the service's other pools that a request crashed a
-            server; arguments are service, fingerprint and server.
-        placement: Strategy that decides which slots an instance may use.
+        report_crash: See ``pools.PoolManager``.
         count_against_caps: Counts a request against the caps; returns None, or the refusal when a
             cap is used up.
         release: Releases the slot of a lease and records the result of its use.
@@ -65,13 +60,8 @@
         """Runs a request on the server of its slot, or on other servers of the pool by retries.
 
         A request that a server may have run is retried only if the service is idempotent. The slot
-        of every attempt is released.
-
-        Args:
-            owned: The pool.
-            lease: Slot of the first attempt.
-            request: The request, already counted against the caps.
-            service: Service of the request.
+        of every attempt, first that of ``lease``, is released. The caller has counted the request
+        against the caps.
         """
         budget = self._budget(request.service)
         budget.on_request()
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -19,7 +19,6 @@
         pools: Pools to try, one in each region that has servers of the service: the home pool
             first, then the others by distance from the home region. If a shift moves the request,
             the home pool is that of the shift's target region.
-        home_region: Home region of the client.
         shift: Name of the shift that moves the request to another region, or empty.
     """
 
@@ -31,10 +30,9 @@
 class Steering:
     """Chooses the pools for requests by the current policy.
 
-    Args:
-        region: Region of this instance, the home region of clients that are in no client block.
-        clock: Time source.
-        rng: Random source of the shift controller.
+    ``region``, that of this instance, is the home region of clients that are in no client block.
+    Methods that take a client address raise ``errors.ValidationError`` when it is neither empty nor
+    an IP address.
     """
 
     def __init__(self, *, region: str, clock: clock_lib.Clock, rng: random.Random):
@@ -63,24 +61,14 @@
         }
 
     def region_of(self, client: str) -> str | None:
-        """Returns the home region of a client address, or None when it is in no client block.
-
-        Raises:
-            errors.ValidationError: ``client`` is neither empty nor an IP address.
-        """
+        """Returns the home region of a client address, or None when it is in no client block."""
         return self._blocks.region_of(client) if client else None
 
     def route(self, *, service: str, client: str, hash_key: str) -> Route:
         """Returns the pools to try for a request.
 
-        Args:
-            service: Name of the service.
-            client: Address of the client, or empty.
-            hash_key: Hashed with the client address to choose the shard, and to decide whether a
-                shift that moves a fraction of the requests applies.
-
-        Raises:
-            errors.ValidationError: ``client`` is neither empty nor an IP address.
+        The hash of client address and ``hash_key`` chooses the shard, and decides whether a shift
+        that moves a fraction of the requests applies.
         """
         home = self.region_of(client) or self._region
         # At least 0 and less than 1.
--- a/packages/entry/src/sassafrasway_entry/suspicions.py
+++ b/packages/entry/src/sassafrasway_entry/suspicions.py
@@ -17,11 +17,7 @@
     """Reports instances that may be gone, each address at most once per ``REPORT_INTERVAL_S``.
 
     Args:
-        me: This instance.
-        clock: Time source.
-        directory: Directories of all regions.
-        peers: ``peers.Peers``, or a fake, which calls other instances.
-        background: Runs the calls that send reports.
+        peers: A ``peers.Peers``.
         suspect_here: Called instead of sending a report when this instance is the coordinator.
     """
 
--- a/packages/entry/src/sassafrasway_entry/telemetry.py
+++ b/packages/entry/src/sassafrasway_entry/telemetry.py
@@ -40,11 +40,7 @@
 
 
 class Metrics:
-    """Metric instruments of an entry instance.
-
-    Args:
-        instance: Name of the instance, which becomes a resource attribute of all metrics.
-        section: Settings of the export.
+    """Metric instruments of an entry instance, whose name is a resource attribute of all metrics.
 
     Attributes:
         requests: Requests of callers; attributes ``service``, empty when unknown, and ``outcome``.
@@ -88,10 +84,7 @@
     def observe(self, name: str, *, description: str, query) -> None:
         """Registers a gauge.
 
-        Args:
-            name: Name of the metric.
-            description: Description of the metric.
-            query: Returns the current values as pairs of a number and a mapping of attributes.
+        ``query`` returns the current values as pairs of a number and a mapping of attributes.
         """
 
         def callback(options: metrics.CallbackOptions):
