Shorten comments and test docstrings of the entry

Removed attribute entries and test docstrings that only repeat a name, and split sentences with several conditions. Only docstrings and comments change; the AST without docstrings is equal.

--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -11,12 +11,12 @@
 MESSAGE_OVERHEAD_BYTES = 256  # Thrift frame, field headers and TCP/IP headers of a small message
 # Minimum interval between measurements of the demand.
 DEMAND_INTERVAL_S = 0.4
-# The demand is also measured after this time when no heartbeat asks for it. Otherwise the record
-# of refused requests would grow for as long as there is no coordinator.
+# Without a coordinator no heartbeat asks for the demand. It is measured after this time anyway, as
+# the record of refused requests would grow otherwise.
 MAX_DEMAND_INTERVAL_S = 2.0
 # Time after a change of the coordinator until shares follow the demand again. The new coordinator
-# increases no share until those of the earlier one have expired and what was taken under them has
-# left all windows; then it takes up to a second until the next heartbeats bring new shares.
+# increases no share until the earlier ones have expired and what was taken under them has left all
+# windows. The next heartbeats bring new shares up to a second later.
 TAKEOVER_S = caps.SHARE_S + window.WINDOW_S + 1.0
 
 
--- a/packages/entry/src/sassafrasway_entry/config_service.py
+++ b/packages/entry/src/sassafrasway_entry/config_service.py
@@ -15,12 +15,7 @@
     """Handles the Config calls of peers, which are described in ``config.thrift``.
 
     Results of type ``Any`` are Thrift messages. The RPC server returns the errors that the methods
-    raise to the peer.
-
-    Args:
-        me: Name and incarnation of this instance.
-        config: Configuration task of this instance.
-        leave: Starts the graceful stop of this instance.
+    raise to the peer. ``leave`` starts the graceful stop of this instance.
     """
 
     def __init__(
--- a/packages/entry/src/sassafrasway_entry/directory.py
+++ b/packages/entry/src/sassafrasway_entry/directory.py
@@ -14,13 +14,10 @@
     """Instances and pool owners of one region.
 
     Attributes:
-        region: Name of the region.
         epoch: Epoch of the coordinator that wrote this directory.
         version: Increases within an epoch.
-        coordinator: The coordinator of the epoch.
         instances: Instances of the region, including those that are leaving or silent: without a
             recent message, but not proved to be gone.
-        owners: Owners of the region's pools.
         gone: Incarnations that were found to have ended; only the latest of them.
     """
 
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -13,10 +13,10 @@
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
-# Limits of the time allowed for the response of a peer to an idempotent request that may not queue,
-# in seconds and as a fraction of the remaining time; the lower one applies. They keep a connection
-# that went silent from using up the whole deadline. They are above RESPONSE_TIMEOUT_S and
-# RESPONSE_FRACTION of backend_client, because the peer calls a server within this time.
+# Limits of the wait for a peer's response to an idempotent request that may not queue, in seconds
+# and as a fraction of the remaining time; the lower one applies. A silent connection must not use
+# up the whole deadline. The limits exceed RESPONSE_TIMEOUT_S and RESPONSE_FRACTION of
+# backend_client, because the peer calls a server within this time.
 PEER_RESPONSE_TIMEOUT_S = 2.5
 PEER_RESPONSE_FRACTION = 0.8
 
@@ -61,9 +61,8 @@
 class _PassResult:
     """Result of one pass over the pools.
 
-    Attributes:
-        in_handover: Whether a pool refused the request for one of ``_HANDOVER_REASONS``, so that
-            another pass may succeed. False if the request ran or may have run.
+    ``in_handover`` is true if a pool refused the request for one of ``_HANDOVER_REASONS``, so that
+    another pass may succeed. It is false if the request ran or may have run.
     """
 
     response: messages.Response
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -105,8 +105,7 @@
     def close(self) -> None:
         """From now on, starts requests with new tickets only under a claim row.
 
-        This must precede the closed marker (see ``outcomes``), which allows other instances to run
-        such requests under a claim row.
+        Must precede the closed marker (see ``outcomes``), which lets other instances do the same.
         """
         self._closed = True
 
@@ -167,11 +166,11 @@
         task.add_done_callback(lambda _: self._running.pop(request.key, None))
 
     async def _wait_for_outcome(self, key: str, request: messages.Request) -> messages.Response:
-        """Returns the outcome of a key, or "unknown" if its run goes on after the deadline.
+        """Returns the outcome of a key, or "unknown" if its run outlasts the request's deadline.
 
-        The deadline is that of ``request``. The wait ends 0.05 s after it, so that the response of
-        a run with the same deadline normally comes first. The run has the deadline of the attempt
-        that started it, and is not cancelled.
+        The wait ends 0.05 s after the deadline, so that the response of a run with the same
+        deadline normally comes first. The run is not cancelled; its deadline is that of the attempt
+        that started it.
         """
         task = self._running.get(key)
         if task is None:
@@ -206,8 +205,8 @@
         """Returns the stored outcome of a ticket.
 
         It is needed if the holder cannot be reached or may have deleted its record of the ticket.
-        If the closed marker of the holder exists, a missing outcome proves that the holder did not
-        run the request, so that it may run here under a claim unless the ticket has expired.
+        If the holder has a closed marker, a missing outcome proves that it did not run the request.
+        The request may then run here under a claim, unless the ticket has expired.
         """
         try:
             stored = await asyncio.wait_for(
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -77,7 +77,6 @@
     """The response to a request of a caller.
 
     Attributes:
-        status: HTTP status code.
         reason: Why no backend server responded; ``NONE`` for the response of a server.
         detail: Human-readable reason; empty for the response of a server.
         server: Name of the backend server that responded; empty when none did.
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -14,8 +14,8 @@
 # Number of changes that ``history`` returns when the operator sets no limit, and the maximum.
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 1000
-# Maximum number of attempts for a change without a base revision. When another change is accepted
-# in the meantime, the change is rebuilt on the new policy.
+# Maximum number of attempts for a change without a base revision, which is rebuilt on the new
+# policy when another change was accepted in the meantime.
 CONFLICT_ATTEMPTS = 5
 
 # Returns the sections of a change to the given policy.
@@ -166,8 +166,8 @@
     async def _submit(self, meta: Any, make_sections: _SectionsBuilder) -> Any:
         """Builds a change to the current policy and applies it.
 
-        The change id is looked up first: when a call is repeated, its change may be invalid for the
-        policy that the first call produced.
+        The change id is looked up first, because a repeated change may be invalid for the policy
+        that the first call produced.
         """
         base_revision = getattr(meta, "base_revision", None)
         change_id = getattr(meta, "change_id", None)
--- a/packages/entry/src/sassafrasway_entry/outcomes.py
+++ b/packages/entry/src/sassafrasway_entry/outcomes.py
@@ -73,7 +73,6 @@
     """Contents of the table for a ticket.
 
     Attributes:
-        response: The stored outcome, or None.
         closed: Whether the ticket's holder has ended after writing all of its outcomes, so that a
             missing outcome proves that the holder did not run the request.
     """
