Shorten further docstrings of the entry

Removed entries that repeat a typed parameter, and split two sentences on waits and slots. Only docstrings change; the AST without docstrings is equal.

--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -128,7 +128,7 @@
         """Takes a message to the region ``target`` from the link's cap.
 
         Returns:
-            As for ``take_region``.
+            As for ``take_region``, with the message in place of the request.
         """
         name = cap_grants.link_cap_name(self._region, target)
         return self._take_from_cap(name, message_mbit(size_bytes), request_id)
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -260,8 +260,8 @@
         """Fetches the missing changes, or the full policy, from a peer.
 
         Raises:
-            errors.SassafraswayError: The peer does not respond or reports an error, or its response
-                is invalid.
+            errors.SassafraswayError: The peer did not answer, reported an error or sent an invalid
+                response.
         """
         timeout_s = FULL_PULL_TIMEOUT_S if self.policy is None else PULL_TIMEOUT_S
         reply = await self._call_peer(
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -47,7 +47,6 @@
         peers: A ``peers.Peers``.
         members: Liveness of the region's instances.
         directory: Directories of all regions; this task writes the one of its own region.
-        policy_source: Returns the policy in force.
         revision_source: Returns the revision of the policy in force.
         seeds: RPC addresses to ask about regions whose instances are unknown.
         on_revision: Called with a newer revision and the RPC address of an instance that has it.
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -53,7 +53,6 @@
 
     Args:
         peers: A ``peers.Peers``.
-        policy_source: Returns the policy in force.
         on_grants: Called with all grants of this instance whenever one of them changes.
         pool_reports: Returns the reports of the pools that this instance uses, including those
             that it may no longer use but whose requests are still running.
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -36,7 +36,6 @@
     - ``errors.UnavailableError``: The table service is unavailable, or no policy is known yet.
 
     Args:
-        call_peer: ``await call_peer(address, method, **arguments)`` calls a peer.
         find_instance: Returns the RPC address of an instance by name, or None.
         leave: Starts the graceful stop of this instance.
         status_source: Returns a summary of the state of this instance as a JSON-serializable dict.
--- a/packages/entry/src/sassafrasway_entry/owned_pool.py
+++ b/packages/entry/src/sassafrasway_entry/owned_pool.py
@@ -11,7 +11,6 @@
     """State of a pool that this instance owns, or has released while its requests still run.
 
     Attributes:
-        grant: Latest grant of the pool.
         slots: Slots of the pool's servers, their leases and the wait queue.
         shift_windows: Windows that enforce the caps of shifts into this pool, by source region.
         waiters: Futures of the waiting requests, by waiter id. The result is a lease, or None when
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -227,7 +227,7 @@
             await self.probe_pools()
 
     async def probe_pools(self) -> None:
-        """Probes the ejected servers, and those that reported that they are leaving, if due."""
+        """Probes the servers that are due: ejected ones and those that reported to be leaving."""
         for owned in list(self._pools.values()):
             await self._probe_pool(owned)
 
@@ -344,8 +344,8 @@
     ) -> pool.SlotLease | None:
         """Leases a slot; waits for one if ``may_queue``, behind the requests that wait already.
 
-        Returns None if no slot is free, or if the wait ended by the deadline or the release of the
-        pool.
+        Returns None if no slot is free, or if the deadline passes or the pool is released during
+        the wait.
         """
         if not may_queue or owned.slots.queue_length() == 0:
             lease = owned.slots.try_acquire()
--- a/packages/entry/src/sassafrasway_entry/request_runner.py
+++ b/packages/entry/src/sassafrasway_entry/request_runner.py
@@ -59,9 +59,9 @@
     ) -> messages.Response:
         """Runs a request on the server of its slot, or on other servers of the pool by retries.
 
-        A request that a server may have run is retried only if the service is idempotent. The slot
-        of every attempt, first that of ``lease``, is released. The caller has counted the request
-        against the caps.
+        A request that a server may have run is retried only if the service is idempotent. ``lease``
+        is the slot of the first attempt; the slot of every attempt is released. The caller must
+        have counted the request against the caps.
         """
         budget = self._budget(request.service)
         budget.on_request()
