Restore facts, Args lists and errors in docstrings of the entry

Shortened docstrings had lost the meaning of 0 and infinity of take_link, the errors of Peers.call and CoordinatorTask.heartbeat, and Args lists with three or more informative parameters; some sentences had unclear references. The class docstring of ConfigTask named errors that records and refresh do not raise; it now names the methods.

--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -128,7 +128,9 @@
         """Takes a message to the region ``target`` from the link's cap.
 
         Returns:
-            As for ``take_region``, with the message in place of the request.
+            0 if the message was taken or the link has no cap, otherwise the seconds after which to
+            try again. These are infinite while the share of this instance is smaller than the
+            message.
         """
         name = cap_grants.link_cap_name(self._region, target)
         return self._take_from_cap(name, message_mbit(size_bytes), request_id)
@@ -138,7 +140,8 @@
     ) -> bool:
         """Takes a message as ``take_link`` does, waiting up to ``limit_s`` if necessary.
 
-        Returns whether the message was taken; False as soon as the wait would be longer.
+        Returns:
+            Whether the message was taken. False is returned as soon as the wait would be longer.
         """
         until_s = self._clock.monotonic() + limit_s
         wait_s = self.take_link(target, size_bytes, request_id)
--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -16,8 +16,8 @@
 ) -> None:
     """Writes all outcomes, then the closed marker, which says that no more will follow.
 
-    May be called only when all requests of the gatekeeper have ended. While the table service is
-    unavailable, the marker is not written and this is logged.
+    May be called only when all requests of the gatekeeper have ended. If the table service is
+    unavailable, this is logged and the marker is not written.
     """
     log = structlog.get_logger("process")
     for _ in range(MAX_FLUSHES):
--- a/packages/entry/src/sassafrasway_entry/config_store.py
+++ b/packages/entry/src/sassafrasway_entry/config_store.py
@@ -89,7 +89,10 @@
         self._table = table
 
     async def read_head(self, *, known: Head | None = None) -> Head:
-        """Returns the current head: ``known``, the head as last read, if it has not changed."""
+        """Returns the current head.
+
+        ``known`` is the head as last read; it is returned itself when it has not changed.
+        """
         known_row = known.row if known else None
         row = await self._table.get(HEAD_KEY, known=known_row)
         if row is None:
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -63,9 +63,11 @@
     Changes come from operators (``apply``), from peers (``receive``, ``pull``) and from the table
     service (``refresh``). Whatever the source, a policy is never replaced by an older one.
 
-    Methods that read the table service raise ``errors.UnavailableError`` while it is unavailable,
-    and another ``errors.SassafraswayError`` when a row is malformed or missing. Methods that return
-    changes or policies raise ``errors.UnavailableError`` while no policy is known.
+    ``refresh``, ``apply``, ``find_change``, ``records`` and ``policy_at`` read the table service.
+    They raise ``errors.SassafraswayError`` when a row is malformed or missing and, apart from
+    ``refresh``, ``errors.UnavailableError`` while the table service is unavailable. While no policy
+    is known, ``policy_at``, ``changes_since`` and ``full_policy`` raise
+    ``errors.UnavailableError``.
 
     Args:
         push_targets: Returns the RPC addresses to push an accepted change to: the coordinators of
@@ -244,8 +246,8 @@
     async def receive(self, change: documents.Change, *, sender: str) -> int:
         """Processes a change that a peer pushed and returns the revision in force afterwards.
 
-        Missing earlier changes are fetched from ``sender``, the RPC address of the peer or empty
-        when it is unknown.
+        ``sender`` is the RPC address of the peer, from which earlier changes are fetched if they
+        are missing; it is empty when the address is unknown.
 
         Raises:
             errors.ValidationError: The policy would be invalid after the change.
--- a/packages/entry/src/sassafrasway_entry/control_conversion.py
+++ b/packages/entry/src/sassafrasway_entry/control_conversion.py
@@ -79,8 +79,8 @@
 def to_heartbeat(heartbeat: region.Heartbeat, *, directory_mark: int, revision: int):
     """Returns the Thrift message of a heartbeat.
 
-    ``directory_mark`` is that of the latest reply of the same epoch, or 0 before the first.
-    ``revision`` is that of the policy in force at the sender.
+    ``directory_mark`` is the directory mark of the latest reply of the same epoch, or 0 before the
+    first. ``revision`` is the revision of the policy in force at the sender.
     """
     return schema.control.HeartbeatRequest(
         sender=to_instance(heartbeat.sender),
@@ -117,8 +117,11 @@
 ):
     """Returns the Thrift message of a heartbeat reply.
 
-    ``directories`` are those that changed since the mark in the heartbeat, and ``directory_mark``
-    is their current mark. ``revision`` is that of the policy in force at the replying instance.
+    Args:
+        reply: The reply.
+        directories: Directories that changed since the mark in the heartbeat.
+        directory_mark: Current mark of the coordinator's directories.
+        revision: Revision of the policy in force at the replying instance.
     """
     return schema.control.HeartbeatReply(
         epoch=reply.epoch,
--- a/packages/entry/src/sassafrasway_entry/conversion.py
+++ b/packages/entry/src/sassafrasway_entry/conversion.py
@@ -32,9 +32,14 @@
 ):
     """Returns the Thrift message that forwards a request to a peer.
 
-    ``sender`` and ``receiver`` are name and incarnation of this instance and of the peer. The peer
-    runs the request only once for each ``attempt_id``. ``stage``, ``pool_key`` and ``may_queue``
-    are those of ``dispatcher.Dispatcher.forward``.
+    Args:
+        request: The request.
+        stage: Value of the Thrift enum ``Stage``.
+        pool_key: Pool on which the peer runs the request, or None.
+        may_queue: Whether the request may wait for a slot.
+        sender: Name and incarnation of this instance.
+        attempt_id: Id under which the peer runs the request only once.
+        receiver: Name and incarnation of the peer.
     """
     return schema.forward.ForwardRequest(
         request_id=request.request_id,
--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -44,7 +44,7 @@
     """Executes the commands of ``CoordinatorState`` while this instance is the coordinator.
 
     Args:
-        peers: A ``peers.Peers``.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         members: Liveness of the region's instances.
         directory: Directories of all regions; this task writes the one of its own region.
         revision_source: Returns the revision of the policy in force.
@@ -143,6 +143,9 @@
         """Returns the reply to a heartbeat; both are Thrift messages.
 
         May be called only while ``state`` is not None.
+
+        Raises:
+            ValueError: The share in a pool report is unknown.
         """
         heartbeat = control_conversion.from_heartbeat(message)
         reply = self._state.on_heartbeat(heartbeat)
@@ -319,8 +322,8 @@
     async def _exchange(self, region_name: str, own_directory: directory.RegionDirectory) -> None:
         """Exchanges directories with another region.
 
-        While the address of its coordinator is uncertain, the peer is any instance that may have
-        the region's directory.
+        The peer is the coordinator of that region or, while its address is uncertain, any instance
+        that may have the region's directory.
         """
         address = await self._exchange_address(region_name)
         if address is None:
@@ -348,10 +351,12 @@
     async def _exchange_address(self, region_name: str) -> str | None:
         """Returns the RPC address to ask about a region, or None when none is known.
 
-        This is the known coordinator after a successful exchange. Otherwise the coordinator may
-        have changed, so only half of the attempts use the known one. The others use a later
-        coordinator from the region's row in the table, else a random known instance of the region,
-        else a random seed.
+        After a successful exchange this is the known coordinator of the region. Otherwise the
+        coordinator may have changed, so only half of the attempts use the known one. The others use
+        the coordinator in the region's row in the table, or a random instance of the region when
+        the row cannot be read or names no later coordinator. When no directory of the region is
+        known, every attempt uses the row, or a random seed when the row is missing or cannot be
+        read.
         """
         known = self._directory.region(region_name)
         if known is not None and (
@@ -416,8 +421,11 @@
 ) -> list[directory.RegionDirectory]:
     """Sends directories to a peer and returns those that are newer there.
 
-    ``known`` has the epoch and version that are known here, by region; it is empty to ask for all
-    regions.
+    Args:
+        peers: ``peers.Peers``, or a fake, which calls other instances.
+        address: RPC address of the peer.
+        sent: Directories to send.
+        known: Epoch and version that are known here, by region; empty to ask for all regions.
 
     Raises:
         errors.SassafraswayError: The peer did not answer or reported an error.
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -92,7 +92,15 @@
     """Calls to other entry instances."""
 
     async def call(self, address: str, method: str, *, timeout_s: float, **arguments: Any) -> Any:
-        """Calls a method of a peer; ``peers.Peers.call`` lists the errors."""
+        """Calls a method of a peer.
+
+        Raises:
+            rpc_client.ConnectionRefusedByPeerError: No process listens at the address.
+            rpc_client.CallNotSentError: The peer was not reached; it has not received the call.
+            errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
+                call; it may have received the call.
+            errors.SassafraswayError: The peer reported an error.
+        """
 
 
 class Dispatcher:
@@ -239,9 +247,12 @@
         A request to another region counts against the cap of the link, and is refused when that is
         used up. If the calling task is cancelled, the peer is told to cancel the request as well.
 
-        ``peer`` is the directory record of the receiving instance. ``stage``, a value of the Thrift
-        enum ``Stage``, tells the peer what to do with the request; only ``EXECUTE`` uses
-        ``pool_key`` and ``may_queue``.
+        Args:
+            peer: Directory record of the receiving instance.
+            request: The request.
+            stage: Value of the Thrift enum ``Stage``: what the peer does with the request.
+            pool_key: Pool to use, for ``Stage.EXECUTE``.
+            may_queue: Whether the request may wait for a slot.
         """
         policy = self._steering.policy
         idempotent = policy is not None and policy.services[request.service].idempotent
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -67,8 +67,10 @@
 class Gatekeeper:
     """Runs non-idempotent requests at most once.
 
-    ``registry`` has the keys whose requests this incarnation has handled. ``store`` holds the
-    outcomes of tickets, and ``claims`` is the table service for claim rows.
+    Args:
+        registry: Keys whose requests this incarnation has handled.
+        store: Stores the outcomes of tickets in the table.
+        claims: Table service for claim rows.
     """
 
     def __init__(
@@ -105,7 +107,8 @@
     def close(self) -> None:
         """From now on, starts requests with new tickets only under a claim row.
 
-        Must precede the closed marker (see ``outcomes``), which lets other instances do the same.
+        This must precede the closed marker (see ``outcomes``), which allows other instances to run
+        such requests under a claim row.
         """
         self._closed = True
 
--- a/packages/entry/src/sassafrasway_entry/joining.py
+++ b/packages/entry/src/sassafrasway_entry/joining.py
@@ -18,7 +18,7 @@
     """Asks other instances for the directory of the region of this instance.
 
     Args:
-        peers: A ``peers.Peers``.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         directory: Receives the directories that peers return.
         seeds: RPC addresses of instances to join through.
     """
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -52,7 +52,7 @@
     """Runs the member role in a region: follows the coordinator or becomes coordinator itself.
 
     Args:
-        peers: A ``peers.Peers``.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         on_grants: Called with all grants of this instance whenever one of them changes.
         pool_reports: Returns the reports of the pools that this instance uses, including those
             that it may no longer use but whose requests are still running.
@@ -300,7 +300,7 @@
         return self.me, self._grants.epoch, self._grants.coordinator
 
     def _on_refused(self, address: str) -> None:
-        """Checks whether an instance whose port refused a connection is gone.
+        """Starts a check whether an instance whose port refused a connection is gone.
 
         An immediate heartbeat checks the coordinator that this instance follows. Other instances
         are reported to the coordinator of their region.
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -113,7 +113,10 @@
 
 
 def unknown(status: int, reason: Reason, detail: str = "") -> Response:
-    """Returns a response that says that the request may have run; ``detail`` as in ``not_run``."""
+    """Returns a response that says that the request may have run.
+
+    An empty ``detail`` is replaced by the text of ``reason``.
+    """
     return Response(
         outcome=Outcome.UNKNOWN,
         status=status,
--- a/packages/entry/src/sassafrasway_entry/operator_service.py
+++ b/packages/entry/src/sassafrasway_entry/operator_service.py
@@ -14,8 +14,8 @@
 # Number of changes that ``history`` returns when the operator sets no limit, and the maximum.
 DEFAULT_HISTORY = 20
 MAX_HISTORY = 1000
-# Maximum number of attempts for a change without a base revision, which is rebuilt on the new
-# policy when another change was accepted in the meantime.
+# Maximum number of attempts for a change without a base revision. When another change is accepted
+# in the meantime, the change is rebuilt on the new policy.
 CONFLICT_ATTEMPTS = 5
 
 # Returns the sections of a change to the given policy.
@@ -36,6 +36,7 @@
     - ``errors.UnavailableError``: The table service is unavailable, or no policy is known yet.
 
     Args:
+        call_peer: ``await call_peer(address, method, **arguments)`` calls a peer.
         find_instance: Returns the RPC address of an instance by name, or None.
         leave: Starts the graceful stop of this instance.
         status_source: Returns a summary of the state of this instance as a JSON-serializable dict.
--- a/packages/entry/src/sassafrasway_entry/owner_messages.py
+++ b/packages/entry/src/sassafrasway_entry/owner_messages.py
@@ -15,8 +15,8 @@
 class OwnerMessages:
     """Sends messages to the instances that own other pools.
 
-    ``policy_source`` returns the policy in force; ``spawn`` starts a coroutine as a named task of
-    the process.
+    ``policy_source`` returns the policy in force, or None. ``spawn`` starts a coroutine as a named
+    task of the process.
     """
 
     def __init__(
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -227,7 +227,10 @@
             await self.probe_pools()
 
     async def probe_pools(self) -> None:
-        """Probes the servers that are due: ejected ones and those that reported to be leaving."""
+        """Probes the servers that are due, in all pools of this instance.
+
+        These are ejected servers and servers that reported that they are leaving.
+        """
         for owned in list(self._pools.values()):
             await self._probe_pool(owned)
 
--- a/packages/entry/src/sassafrasway_entry/request_runner.py
+++ b/packages/entry/src/sassafrasway_entry/request_runner.py
@@ -18,7 +18,8 @@
 
     Args:
         quarantine: Record of requests that crashed servers.
-        report_crash: See ``pools.PoolManager``.
+        report_crash: Notifies the owners of the service's other pools that a request crashed a
+            server; arguments are service, fingerprint and server.
         count_against_caps: Counts a request against the caps; returns None, or the refusal when a
             cap is used up.
         release: Releases the slot of a lease and records the result of its use.
--- a/packages/entry/src/sassafrasway_entry/steering.py
+++ b/packages/entry/src/sassafrasway_entry/steering.py
@@ -30,9 +30,9 @@
 class Steering:
     """Chooses the pools for requests by the current policy.
 
-    ``region``, that of this instance, is the home region of clients that are in no client block.
-    Methods that take a client address raise ``errors.ValidationError`` when it is neither empty nor
-    an IP address.
+    ``region`` is the region of this instance and the home region of clients that are in no client
+    block. Methods that take a client address raise ``errors.ValidationError`` when it is neither
+    empty nor an IP address.
     """
 
     def __init__(self, *, region: str, clock: clock_lib.Clock, rng: random.Random):
--- a/packages/entry/src/sassafrasway_entry/suspicions.py
+++ b/packages/entry/src/sassafrasway_entry/suspicions.py
@@ -17,7 +17,7 @@
     """Reports instances that may be gone, each address at most once per ``REPORT_INTERVAL_S``.
 
     Args:
-        peers: A ``peers.Peers``.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         suspect_here: Called instead of sending a report when this instance is the coordinator.
     """
 
