Restore which failures the tests of the entry guard against

Tests had lost the line that says which failure they guard against, and the fake pool manager had lost its Args list.

--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -170,8 +170,14 @@
 ):
     """Returns a pool manager that owns the policy's pools in bkk.
 
-    ``policy_`` is by default that of ``policy()``, and ``region_cap_rps`` is the share of the cap
-    of the region. The list ``crashes`` receives the arguments of crash reports.
+    Args:
+        backend: Client for backend servers.
+        clock_source: Time source.
+        crashes: List that receives the arguments of crash reports.
+        share_value: Share of every pool.
+        policy_: Policy; by default the one of ``policy()``.
+        region_cap_rps: Share of the cap of the region.
+        epoch: Returns the epoch of the coordinator.
     """
 
     async def report_crash(service, fingerprint, server_name):
--- a/packages/entry/tests/test_backend_client.py
+++ b/packages/entry/tests/test_backend_client.py
@@ -82,6 +82,7 @@
         )
 
     async def test_complete_response_has_body_and_load(self):
+        """Guards against losing the body or the reported load of a complete response."""
         response = await self._call()
         self.assertEqual((response.result, response.body, response.load), (_Result.OK, b"data", 2))
 
@@ -114,7 +115,10 @@
         self.assertIs(response.result, _Result.NOT_SENT)
 
     async def test_deadline_cancels_the_call_at_the_server(self):
-        """Guards against work that continues on the server after the deadline."""
+        """Guards against work that continues on the server after the deadline.
+
+        The client closes the connection, which cancels the handler of the server.
+        """
         self.behaviour = "hang"
         response = await self._call(timeout_s=0.1)
         self.assertIs(response.result, _Result.TIMEOUT)
@@ -142,7 +146,11 @@
         await asyncio.wait_for(self.cancelled.wait(), 5)
 
     async def test_non_idempotent_requests_use_new_connections(self):
-        """Guards against an unknown outcome because a reused connection has gone silent."""
+        """Guards against sending a non-idempotent request on a reused connection.
+
+        A reused connection may have gone silent while it was idle, which would make the outcome
+        unknown.
+        """
         for _ in range(3):
             await self._call(idempotent=True)
         self.assertEqual(len(self.connections), 1)
--- a/packages/entry/tests/test_caller_api.py
+++ b/packages/entry/tests/test_caller_api.py
@@ -139,6 +139,7 @@
                 await self._assert_refused(bad, 400, "bad_request")
 
     async def test_request_with_an_expired_deadline_is_refused(self):
+        """Guards against running a request whose deadline has already passed."""
         for value in ("0", "-5"):
             response = await self.client.post(
                 "/v1/services/quote-archive/x", headers={"Sassafras-Deadline-Ms": value}
@@ -146,6 +147,7 @@
             await self._assert_refused(response, 504, "deadline")
 
     async def test_response_to_an_unknown_path_has_an_outcome(self):
+        """Guards against an error response without an outcome."""
         response = await self.client.get("/elsewhere")
         await self._assert_refused(response, 404, "bad_request")
 
--- a/packages/entry/tests/test_dispatcher.py
+++ b/packages/entry/tests/test_dispatcher.py
@@ -86,6 +86,7 @@
         self.assertEqual(addresses, ["cnx-a-1:7000", "hkt-a-1:7000"])
 
     async def test_all_pools_full_is_not_run(self):
+        """Guards against an outcome other than "not run" after every pool refused the request."""
         subject = self._make_dispatcher()
         self.pools.script = [_FULL]
         self.replies = [_FULL, _FULL]
--- a/packages/entry/tests/test_pools.py
+++ b/packages/entry/tests/test_pools.py
@@ -29,6 +29,7 @@
         return fakes.request(clock_source=self.clock, **options)
 
     async def test_slot_is_released_after_a_response(self):
+        """Guards against slots that are not released after a response."""
         manager = self._manager()
         for number in range(10):
             response = await manager.execute(
@@ -93,6 +94,7 @@
         self.assertEqual(manager.owned[fakes.POOL].slots.in_use(), {})
 
     async def test_released_slot_is_given_to_a_waiting_request(self):
+        """Guards against a waiting request that is not given a released slot."""
         servers = [fakes.server(service="katalog", slots=1)]
         key = model.PoolKey(service="katalog", region="bkk")
         manager = self._manager(policy_=fakes.policy(servers=servers))
--- a/packages/entry/tests/test_region_tasks.py
+++ b/packages/entry/tests/test_region_tasks.py
@@ -249,6 +249,7 @@
         self.assertEqual(len(self.fleet.owners()), 3)
 
     async def test_newer_revision_is_reported(self):
+        """Guards against an instance that is not notified of a newer policy revision."""
         self.fleet.start("s", revision=6)
         await self.fleet.run(2)
         self.assertIn(("s", 7, self.fleet.coordinator()), self.fleet.newer_revisions)
--- a/packages/entry/tests/test_settings.py
+++ b/packages/entry/tests/test_settings.py
@@ -35,6 +35,7 @@
         self.path.write_text(text, encoding="utf-8")
 
     def test_optional_settings_may_be_left_out(self):
+        """Guards against rejecting a file that leaves out all optional settings."""
         self._write(_VALID)
         self.assertEqual(settings.load(self.path).platform.timeout_ms, 1000)
 
