--- a/packages/entry/src/sassafrasway_entry/coordinator_task.py
+++ b/packages/entry/src/sassafrasway_entry/coordinator_task.py
@@ -44,21 +44,14 @@
     """Executes the commands of ``CoordinatorState`` while this instance is the coordinator.
 
     Args:
-        me: This instance.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases.
-        table: Table service.
-        instance_list: The platform's list of instances.
         peers: ``peers.Peers``, or a fake, which calls other instances.
         members: Liveness of the region's instances.
         directory: Directories of all regions; this task writes the one of its own region.
-        policy_source: Returns the policy in force, or None.
         revision_source: Returns the revision of the policy in force.
         seeds: RPC addresses to ask about regions whose instances are unknown.
         on_revision: Called with a newer revision and the RPC address of an instance that has it.
         follow_self: Delivers a follow request of this coordinator to its own member role.
         wake: Makes the member task call ``tick`` immediately.
-        rng: Random source for the choice of peers.
     """
 
     def __init__(
@@ -139,8 +132,7 @@
     def depose(self, epoch: int) -> None:
         """Ends the role when another coordinator has a higher epoch.
 
-        Args:
-            epoch: Epoch of another coordinator, or 0 to check only whether the state is deposed.
+        An ``epoch`` of 0 checks only whether the state is deposed.
         """
         if self._state is not None and (self._state.deposed or epoch > self._state.epoch):
             self._state.depose()
@@ -399,13 +391,7 @@
     *,
     clock: clock_lib.Clock,
 ) -> Any:
-    """Asks an instance for its identity and records whether it is gone.
-
-    Args:
-        peers: ``peers.Peers``, or a fake, which calls other instances.
-        members: Liveness of the region's instances; receives the result.
-        target: The instance.
-        clock: Time source.
+    """Asks an instance for its identity and records in ``members`` whether it is gone.
 
     Returns:
         The Thrift message ``Identity``, or None when the instance did not answer.
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -13,10 +13,10 @@
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
-# Limits of the time allowed for the response of a peer to an idempotent request that may not queue,
-# in seconds and as a fraction of the remaining time; the lower one applies. They keep a connection
-# that went silent from using up the whole deadline. They are above RESPONSE_TIMEOUT_S and
-# RESPONSE_FRACTION of backend_client, because the peer calls a server within this time.
+# Limits of the wait for a peer's response to an idempotent request that may not queue, in seconds
+# and as a fraction of the remaining time; the lower one applies. A silent connection must not use
+# up the whole deadline. The limits exceed RESPONSE_TIMEOUT_S and RESPONSE_FRACTION of
+# backend_client, because the peer calls a server within this time.
 PEER_RESPONSE_TIMEOUT_S = 2.5
 PEER_RESPONSE_FRACTION = 0.8
 
@@ -61,9 +61,8 @@
 class _PassResult:
     """Result of one pass over the pools.
 
-    Attributes:
-        in_handover: Whether a pool refused the request for one of ``_HANDOVER_REASONS``, so that
-            another pass may succeed. False if the request ran or may have run.
+    ``in_handover`` is true if a pool refused the request for one of ``_HANDOVER_REASONS``, so that
+    another pass may succeed. It is false if the request ran or may have run.
     """
 
     response: messages.Response
@@ -108,14 +107,6 @@
     """Selects a pool for each request and runs the request there.
 
     Args:
-        me: This incarnation.
-        clock: Time source.
-        region: Region of this instance.
-        limits: This instance's shares of the caps of links between regions.
-        steering: Selects the pools of a request according to the policy.
-        pools: Pools that this instance owns.
-        directory: Owners of the other pools.
-        peers: Calls other instances.
         placement: Strategy that decides whether requests are forwarded to the owner of their pool.
         budget: Limits the retries of idempotent requests after a peer did not respond.
     """
@@ -212,12 +203,7 @@
         """Runs a request on one pool, on this instance or on the owner of the pool.
 
         If the receiver is no longer the owner and names another one, the request is forwarded to
-        that one; this happens only once.
-
-        Args:
-            pool_key: Pool to use.
-            request: The request.
-            may_queue: Whether the request may wait for a slot.
+        that one; this happens only once. With ``may_queue``, the request may wait for a slot.
         """
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
--- a/packages/entry/src/sassafrasway_entry/messages.py
+++ b/packages/entry/src/sassafrasway_entry/messages.py
@@ -77,7 +77,6 @@
     """The response to a request of a caller.
 
     Attributes:
-        status: HTTP status code.
         reason: Why no backend server responded; ``NONE`` for the response of a server.
         detail: Human-readable reason; empty for the response of a server.
         server: Name of the backend server that responded; empty when none did.
@@ -101,7 +100,7 @@
 ) -> Response:
     """Returns a response that says that the request did not run.
 
-    The default of ``detail`` is the text of ``reason``.
+    An empty ``detail`` is replaced by the text of ``reason``.
     """
     return Response(
         outcome=Outcome.NOT_RUN,
@@ -116,7 +115,7 @@
 def unknown(status: int, reason: Reason, detail: str = "") -> Response:
     """Returns a response that says that the request may have run.
 
-    The default of ``detail`` is the text of ``reason``.
+    An empty ``detail`` is replaced by the text of ``reason``.
     """
     return Response(
         outcome=Outcome.UNKNOWN,
