Shorten the docstrings of the stand-ins

Docstrings repeated signatures, class docstrings and field names, and listed the same errors for each method. Errors common to a class are now stated once at the class. Apart from docstrings and comments the AST is unchanged.

--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -73,11 +73,9 @@
 
 
 class Recorder:
-    """Writes records as JSON lines.
+    """Writes records as JSON lines; discards them if there is no stream.
 
-    Args:
-        stream: Stream that flushes after each line, so that no record is lost when the process is
-            killed; None discards the records.
+    The stream must flush after each line, so that no record is lost when the process is killed.
     """
 
     def __init__(self, *, stream: TextIO | None):
@@ -153,14 +151,12 @@
         await self._http_server.shutdown(0)
 
     def change(self, data: Mapping[str, Any]) -> None:
-        """Applies one control request.
+        """Applies one control request: values of attributes of ``Behaviour`` by name.
 
-        Args:
-            data: Values of attributes of ``Behaviour``. The name ``crash`` crashes the server and
-                ``silent`` makes its open connections silent, both with any value.
+        ``crash``, with any value, crashes the server; ``silent`` makes its open connections silent.
 
         Raises:
-            ValueError: A name is none of these. The names before it have been applied.
+            ValueError: A name is unknown. The names before it have been applied.
         """
         for name, value in data.items():
             if name == "crash":
@@ -179,10 +175,7 @@
             self._leaving_since_s = time.monotonic()
 
     def crash(self) -> None:
-        """Aborts all connections and stops listening for ``restart_s``.
-
-        Does nothing if the server has not restarted after an earlier crash yet.
-        """
+        """Aborts all connections and stops listening for ``restart_s``, unless it is restarting."""
         if self._restarting is not None:
             return
         self._crashes += 1
@@ -288,12 +281,7 @@
         return True
 
     def _service_time_s(self, requested_s: float | None) -> float:
-        """Returns the service time of a request.
-
-        Args:
-            requested_s: Service time on a warm server that the request asks for; None draws it
-                from the distribution of the server.
-        """
+        """Returns the service time; ``requested_s`` is that on a warm server, None draws it."""
         now_s = time.monotonic()
         if (
             self._warm_up_start_s is None
@@ -319,11 +307,7 @@
 class _Run:
     """One request at a server, from the receipt of its body until its record is written.
 
-    Args:
-        server: Server that received the request.
-        request: The request.
-        body: Body of the request.
-        in_use: Number of slots in use when the body had been received.
+    ``in_use`` is the number of slots in use when the body had been received.
     """
 
     def __init__(
--- a/packages/standins/src/sassafrasway_standins/backend_connections.py
+++ b/packages/standins/src/sassafrasway_standins/backend_connections.py
@@ -67,7 +67,6 @@
     def _make_request(
         self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
     ) -> web.BaseRequest:
-        """Creates a request whose body may have up to ``MAX_BODY_BYTES`` bytes."""
         loop = asyncio.get_running_loop()
         return web.BaseRequest(
             message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
--- a/packages/standins/src/sassafrasway_standins/backend_process.py
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -73,21 +73,13 @@
 def build_servers(
     data: Mapping[str, Any], *, recorder: backend.Recorder
 ) -> dict[str, backend.BackendServer]:
-    """Builds the servers of a settings file.
+    """Returns the servers of a settings file by name; none is listening yet.
 
-    Args:
-        data: Contents of the file: ``servers`` (tables with the fields of
-            ``backend.ServerSettings``), and optionally ``delays`` and ``seed``.
-        recorder: Receives the records of all servers.
-
-    Returns:
-        The servers by name; none is listening yet.
+    ``data`` holds ``servers`` (tables with the fields of ``backend.ServerSettings``), and
+    optionally ``delays`` and ``seed``.
 
     Raises:
-        KeyError: The list of servers, or the name of a server, is missing.
-        TypeError: Another required field of a server is missing, a field is unknown, or a delay or
-            the seed is neither a number nor a string.
-        ValueError: A delay or the seed is a string that is not a number.
+        KeyError, TypeError, ValueError: The contents are incomplete or invalid.
     """
     delays = network.Delays.parse(data.get("delays", {}))
     seeds = itertools.count(int(data.get("seed", 0)))
--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -37,8 +37,7 @@
 POLICY_TIMEOUT_S = 30.0
 OWNERS_TIMEOUT_S = 30.0
 POLL_S = 0.2
-# Time for the load processes to start and to generate the trace before its first arrivals are due.
-LOAD_START_S = 5.0
+LOAD_START_S = 5.0  # time for the load processes to start and to generate the trace
 # Start and length of the fault as fractions of the measured part of the trace.
 FAULT_START_FRACTION = 0.3
 FAULT_LENGTH_FRACTION = 0.3
@@ -55,18 +54,14 @@
     """Options of one run, as on the command line.
 
     Attributes:
-        layout: Name of the layout in ``layouts.LAYOUTS``.
         load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
-        fault: Name of the fault in ``faults.FAULTS``.
         seed: Seed of arrivals and service times.
         duration_s: Length of the measured part of the trace, s.
         warm_up_s: Length of the part before it, which is left out of the results, s: in the first
             seconds, the slots of servers that were idle are still being ramped up.
         placement: How instances share the slots of a pool, see ``layouts.Site.entry_settings``.
         instances: Number of entry instances.
-        mean_ms: Mean service time, ms.
         deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
-        load_processes: Number of load processes.
     """
 
     layout: str
@@ -93,9 +88,7 @@
 class Bench:
     """One benchmark run, from the start of the processes to the report.
 
-    Args:
-        options: Options of the run.
-        directory: Directory for settings, logs and records of the run; deleted first if it exists.
+    ``directory`` receives settings, logs and records; it is deleted first if it exists.
     """
 
     def __init__(self, *, options: Options, directory: pathlib.Path):
@@ -112,8 +105,8 @@
             errors.SassafraswayError: The policy could not be applied.
             RuntimeError: No pool owner was found for the fault, or an instance that the fault
                 replaces did not stop gracefully.
-            aiohttp.ClientError: A request of the fault or the launcher to a process failed.
-            TimeoutError: Such a request was not answered in time.
+            aiohttp.ClientError, TimeoutError: A request to a process failed or was not answered in
+                time.
             history.HistoryError: A complete line of a record file is invalid.
         """
         shutil.rmtree(self._directory, ignore_errors=True)
@@ -143,11 +136,7 @@
         return self._build_report(machine_stats)
 
     async def _run_load(self, cluster: launcher.Cluster) -> None:
-        """Runs the load processes and injects the fault; returns when all requests have ended.
-
-        Raises:
-            processes.ProcessError: A load process failed.
-        """
+        """Runs the load processes and injects the fault; returns when all requests have ended."""
         self._plan = load.plan_for(
             cluster.site,
             load=self._options.load,
@@ -175,7 +164,6 @@
             await asyncio.gather(*(child.kill() for child in children))
 
     def _load_process(self, plan: pathlib.Path, part: int, parts: int) -> processes.ChildProcess:
-        """Returns a load process, which is not yet started, for one part of the trace."""
         records = self._directory / "records" / f"load-{part}.jsonl"
         command = [*processes.script("sassafrasway-standins"), "load", "--plan", str(plan)]
         command += ["--records", str(records), "--part", str(part), "--parts", str(parts)]
@@ -233,11 +221,10 @@
 async def wait_for_owners(cluster: launcher.Cluster) -> None:
     """Waits until the pools of all services have owners in their regions.
 
-    Lookups name the owner of a pool first. For each service and client block, the function waits
-    until lookups at all entry instances name an instance of the block's region first.
+    Lookups name the owner of a pool first; at all instances, it must be in the client's region.
 
     Raises:
-        processes.ProcessError: Some lookups do not yet do so after ``OWNERS_TIMEOUT_S``.
+        processes.ProcessError: Some owners are missing after ``OWNERS_TIMEOUT_S``.
     """
     site = cluster.site
     pending = {
@@ -277,10 +264,7 @@
 
 
 def read_records(directory: pathlib.Path) -> list[history.Record]:
-    """Returns all records of a run, including those of the entry instances.
-
-    Args:
-        directory: Directory of the run; the records are in its subdirectory ``records``.
+    """Returns all records of the run in ``directory``, including those of entry instances.
 
     Raises:
         history.HistoryError: A complete line of a record file is invalid.
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -12,8 +12,7 @@
 from sassafrasway_standins import arrivals, exchanges, history, network
 
 # A request must start within 5 s of the issue of its ticket, and may first wait in a queue for its
-# whole deadline of 2 s. An older ticket could expire during that wait; the age leaves a margin of
-# 0.5 s.
+# whole deadline of 2 s. That leaves a margin of 0.5 s.
 TICKET_MAX_AGE_S = 2.5
 PREFETCHED_TICKETS = 2  # of each service
 LOOKUP_TIMEOUT_S = 1.0
@@ -30,13 +29,9 @@
     """One client program in a region; its requests share a lookup cache and connections.
 
     Args:
-        session: HTTP session that holds the connections of the process.
-        region: Home region of the client.
         entries: Entry instances in the configuration of the client.
-        services: Services by name.
         client_ms: One-way delay between the client and its region, ms.
         region_ms: One-way delay between regions, ms.
-        rng: Source of all random choices.
         record: Receives each record of the history.
     """
 
@@ -74,10 +69,8 @@
     async def send(self, arrival: arrivals.Arrival, *, intended_s: float) -> history.Verdict:
         """Sends one request with retries; records its intent, every attempt and the verdict.
 
-        Args:
-            arrival: The request.
-            intended_s: Monotonic time at which the request was due, s; its deadline counts from
-                this time.
+        ``intended_s`` is the monotonic time at which it was due; the deadline counts from that
+        time.
         """
         pending = exchanges.PendingRequest(
             arrival=arrival, intended_s=intended_s, service=self._services[arrival.service]
@@ -139,11 +132,7 @@
         return result
 
     async def _find_route(self, arrival: arrivals.Arrival) -> exchanges.Route:
-        """Returns a cached route or a prefetched ticket, or else the result of a lookup.
-
-        Raises:
-            LookupFailedError: No instance that was asked returned a usable lookup response.
-        """
+        """Returns a cached route or a prefetched ticket, or else the result of a lookup."""
         if self._services[arrival.service].idempotent:
             route = self._routes.get(arrival.service)
             if route is None or route.expires_s <= time.monotonic():
@@ -155,10 +144,7 @@
         return route or await self._lookup(arrival.service, arrival.client)
 
     def _take_ticket(self, service: str) -> exchanges.Route | None:
-        """Removes and returns the newest ticket; None if there is none or all are too old.
-
-        Tickets that are too old are discarded.
-        """
+        """Removes and returns the newest ticket; discards tickets that are too old."""
         tickets = self._tickets[service]
         while tickets:
             route = tickets.pop()
@@ -167,7 +153,6 @@
         return None
 
     def _prefetch(self, service: str, client: str) -> None:
-        """Starts the lookup of one ticket in the background unless enough tickets are left."""
         if len(self._tickets[service]) < PREFETCHED_TICKETS:
             task = asyncio.create_task(self._fetch_ticket(service, client))
             self._background.add(task)
@@ -179,11 +164,7 @@
             self._tickets[service].append(route)
 
     async def _lookup(self, service: str, client: str) -> exchanges.Route:
-        """Asks up to two random instances of the caller's region, then one of any region.
-
-        Raises:
-            LookupFailedError: None of them returned a usable response.
-        """
+        """Asks up to two random instances of the caller's region, then one of any region."""
         local_entries = [entry for entry in self._entries if entry.region == self._region]
         candidates = self._rng.sample(local_entries, min(2, len(local_entries)))
         candidates += self._rng.sample(self._entries, 1)
--- a/packages/standins/src/sassafrasway_standins/cap_rules.py
+++ b/packages/standins/src/sassafrasway_standins/cap_rules.py
@@ -16,8 +16,7 @@
 class WindowRule(checked_history.Rule):
     """A sum stays at or below a limit in every one-second window (P1, P2).
 
-    Attributes:
-        unit: Unit of the sum in the texts of violations.
+    ``unit`` is the unit of the sum in the texts of violations.
     """
 
     unit = ""
@@ -58,10 +57,8 @@
 def window_sums(amounts: list[tuple[float, float]]) -> Iterator[tuple[float, float]]:
     """Yields, for each event, its time and the sum over the one-second window that ends there.
 
-    A window leaves out events that are exactly one second earlier than its end.
-
-    Args:
-        amounts: Pairs of the time of an event, s, and its amount, in order of time.
+    A window leaves out events that are exactly one second earlier than its end. ``amounts`` are
+    pairs of the time of an event, s, and its amount, in order of time.
     """
     window: collections.deque[tuple[float, float]] = collections.deque()
     total = 0.0
--- a/packages/standins/src/sassafrasway_standins/capacity.py
+++ b/packages/standins/src/sassafrasway_standins/capacity.py
@@ -40,11 +40,8 @@
     """Measured values of one cost, and the line fitted to them.
 
     Attributes:
-        name: Name of the cost.
-        unit: Unit of the values.
         per: What the sizes count.
         sizes: Sizes at which the cost was measured.
-        values: Measured cost at each size.
         slope: Growth of the cost for each unit of size.
         intercept: Value of the line at size 0.
         residual: Largest distance of a value from the line, relative to the largest value.
@@ -65,10 +62,7 @@
 
 
 class Measure(abc.ABC):
-    """A cost that is measured at several sizes.
-
-    The attributes are described in ``LinearFit``.
-    """
+    """A cost that is measured at several sizes; see ``LinearFit`` for the attributes."""
 
     name = ""
     unit = "bytes"
--- a/packages/standins/src/sassafrasway_standins/capacity_fleet.py
+++ b/packages/standins/src/sassafrasway_standins/capacity_fleet.py
@@ -30,7 +30,6 @@
     """Cost of an idle fleet.
 
     Attributes:
-        instances: Number of instances of the fleet.
         members_of_region: Mean number of instances for each coordinator, that is, for each region.
         member_cpu: Median CPU use of instances that are not coordinators, cores.
         coordinator_cpu: Median CPU use of coordinators, cores.
@@ -82,7 +81,6 @@
 
 
 async def _idle_cost(cluster: launcher.Cluster) -> FleetCost:
-    """Measures a fleet without requests for ``IDLE_S``."""
     names = cluster.entry_names
     pids = {name: cluster.process(name).pid for name in names}
     dumps = {name: await cluster.dump(name) for name in names}
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -75,7 +75,6 @@
         index: int,
         runs: list[history.Run],
     ) -> Iterator[checked_history.Violation]:
-        """Yields a violation for each run that contradicts the "not run" of one attempt."""
         attempt = attempts[index]
         retried_s = attempts[index + 1].at_s if index + 1 < len(attempts) else math.inf
         earlier_may_have_run = any(_may_have_run(earlier) for earlier in attempts[:index])
@@ -150,11 +149,8 @@
     ) -> Iterator[checked_history.Violation]:
         """Yields the first time at which more requests run than the server has slots.
 
-        Args:
-            server: Name of the server.
-            changes: Pairs of a time, s, and +1 for a start or -1 for an end, sorted; at equal
-                times, ends thus count before starts.
-            slots: Number of slots; infinity if no policy names the server.
+        ``changes`` are sorted pairs of a time and +1 for a start or -1 for an end; at equal times,
+        ends thus count before starts.
         """
         in_use = 0
         for at_s, change in changes:
--- a/packages/standins/src/sassafrasway_standins/checked_history.py
+++ b/packages/standins/src/sassafrasway_standins/checked_history.py
@@ -17,13 +17,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Violation:
-    """One violation of a rule.
+    """One violation of a rule at monotonic time ``at_s``.
 
-    Attributes:
-        rule: Name of the rule.
-        subject: The request, key, server, link, region, shift or instance that violates it.
-        at_s: Monotonic time of the violation, s.
-        detail: Human-readable description of the violation.
+    ``subject`` is the request, key, server, link, region, shift or instance that violates it.
     """
 
     rule: str
@@ -38,12 +34,10 @@
 class History:
     """Records of one benchmark, test or demo, grouped and sorted by time for the rules.
 
+    ``intents``, ``attempts``, ``verdicts`` and ``runs_by_request`` are keyed by request ID.
+
     Attributes:
-        intents: Intents by request ID.
-        attempts: Attempts by request ID.
-        verdicts: Verdicts by request ID.
         runs: Runs, without the requests that a server rejected without starting them.
-        runs_by_request: ``runs`` by request ID.
         leaving_since_s: Monotonic time at which a leaving server began to leave, s, by server.
         link_bytes: Records of link traffic by ``source>target``, the regions of the link.
         revisions: Policy revisions reported by entry instances, by ``instance/incarnation``.
@@ -92,28 +86,22 @@
     ) -> float:
         """Returns the highest limit among the policies that may apply to a window.
 
-        These are the policies in force during the window and during the ``POLICY_SETTLE_S``
-        before it.
+        These are the policies in force during the window and during the ``POLICY_SETTLE_S`` before
+        it. A policy without a limit counts as infinity.
 
         Args:
             limit_of: Extracts the limit from a policy document; None if there is no limit.
             end_s: End of the window of ``WINDOW_S``, s.
-
-        Returns:
-            The limit; infinity if one of the policies sets none.
         """
         documents = self._documents(end_s - WINDOW_S - POLICY_SETTLE_S, end_s)
         limits = [limit_of(document) for document in documents]
         return max((math.inf if limit is None else limit for limit in limits), default=math.inf)
 
     def _leaving_since_s(self, drains: Iterable[history.Leaving]) -> dict[str, float]:
-        """Returns the time, s, at which each leaving server began to leave.
+        """Returns when each leaving server began to leave.
 
         This is the earlier of the start of its last drain by an operator and the earliest time that
-        the server reported in a run.
-
-        Args:
-            drains: Drains by an operator, in order of time.
+        the server reported in a run. ``drains`` are in order of time.
         """
         since_s: dict[str, float] = {drain.server: drain.at_s for drain in drains}
         for run in self.runs:
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -50,10 +50,7 @@
 class AttemptResult:
     """Result of one attempt: the response of an entry instance, or the failure to get one.
 
-    All attributes except ``body`` are described in ``history.Attempt``.
-
-    Attributes:
-        body: Body of the response.
+    ``history.Attempt`` describes all attributes except the ``body`` of the response.
     """
 
     outcome: str
@@ -93,10 +90,7 @@
 class PendingRequest:
     """State of one request across its attempts.
 
-    Args:
-        arrival: The request.
-        intended_s: Monotonic time at which the request was due, s.
-        service: Properties of the service of the request.
+    ``intended_s`` is the monotonic time at which the request was due, s.
     """
 
     def __init__(self, *, arrival: arrivals.Arrival, intended_s: float, service: CalledService):
@@ -145,9 +139,8 @@
         """Whether the next attempt needs a lookup first.
 
         A non-idempotent request that may have run keeps its key. One that certainly did not run
-        takes a new ticket, because the instance that holds the first one may be gone. An
-        idempotent request goes through the instances of a lookup up to the last one before it looks
-        up again.
+        takes a new ticket, because the instance that holds the first one may be gone. An idempotent
+        request tries all instances of a lookup before it looks up again.
         """
         if self._route is None:
             return True
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -22,10 +22,8 @@
 class FaultContext:
     """Cluster and parameters of a fault.
 
-    Attributes:
-        cluster: Cluster that the fault is injected into.
-        length_s: Duration in seconds of faults that do not end by themselves; pauses and region
-            cuts last at least ``MIN_LENGTH_S``.
+    ``length_s`` is the duration of faults that do not end by themselves; pauses and region cuts
+    last at least ``MIN_LENGTH_S``.
     """
 
     cluster: launcher.Cluster
@@ -41,8 +39,8 @@
 
         Raises:
             RuntimeError: All running instances answered the lookup with an error status.
-            aiohttp.ClientError: The connection to an instance failed.
-            TimeoutError: An instance did not answer within ``LOOKUP_TIMEOUT_S``.
+            aiohttp.ClientError, TimeoutError: An instance could not be reached or did not answer in
+                time.
         """
         site = self.cluster.site
         service = next(
@@ -70,11 +68,7 @@
 
 
 class Fault(abc.ABC):
-    """A fault that can be injected into a cluster.
-
-    Attributes:
-        name: Name of the fault on the command line and in the records.
-    """
+    """A fault; ``name`` identifies it on the command line and in the records."""
 
     name = ""
 
@@ -84,11 +78,10 @@
         A permanent fault (see the subclasses) goes on after the recorded end.
 
         Raises:
-            RuntimeError: All running instances answered the lookup of a pool owner with an error
-                status, or an instance did not stop gracefully.
+            RuntimeError: No pool owner was found, or an instance did not stop gracefully.
             processes.ProcessError: An instance did not start, become ready or end in time.
-            aiohttp.ClientError: The connection to an instance or a stand-in failed.
-            TimeoutError: An instance or a stand-in did not answer in time.
+            aiohttp.ClientError, TimeoutError: A request to a process failed or was not answered in
+                time.
         """
         context.record_phase(self.name, history.INJECTED)
         await self._inject(context)
@@ -114,7 +107,6 @@
     name = "kill-entry"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         owner = await context.pool_owner()
         await context.cluster.kill_entry(owner)
         await asyncio.sleep(context.length_s)
@@ -127,7 +119,6 @@
     name = "pause-entry"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         owner = await context.pool_owner()
         context.cluster.pause_entry(owner)
         await asyncio.sleep(max(context.length_s, MIN_LENGTH_S))
@@ -140,7 +131,6 @@
     name = "store-down"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         await context.cluster.set_store_faults(down="refuse", instances_down=True)
         await asyncio.sleep(context.length_s)
         await context.cluster.set_store_faults(down="", instances_down=False)
@@ -152,7 +142,6 @@
     name = "replace-all"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         for batch in self._batches(context.cluster):
             await asyncio.gather(*(self._replace(context, name) for name in batch))
 
@@ -185,7 +174,6 @@
     name = "silent-connection"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         await context.cluster.set_backends(silent=True)
         await context.cluster.set_links("silent", context.regions[0], context.regions[1])
 
@@ -196,7 +184,6 @@
     name = "drain-server"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         names = [f"{service.name}-1" for service in context.cluster.site.layout.services]
         await context.cluster.set_backends(names, leaving=True)
         await asyncio.sleep(context.length_s)
@@ -211,7 +198,6 @@
     name = "region-cut"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         region = context.regions[-1]
         others = [other for other in context.regions if other != region]
         prefix = self._address_prefix(context.cluster, region)
@@ -224,7 +210,6 @@
             await context.cluster.set_links("heal", region, other)
 
     def _address_prefix(self, cluster: launcher.Cluster, region: str) -> str:
-        """Returns the common prefix of the addresses of a region."""
         hosts = [
             instance.host
             for instance in cluster.site.instances.values()
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -36,11 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Record:
-    """Base of all records.
-
-    Attributes:
-        at_s: Monotonic time of the event, s.
-    """
+    """Base of all records; ``at_s`` is the time of the event."""
 
     kind: ClassVar[str] = ""
     at_s: float
@@ -172,12 +168,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LinkBytes(Record):
-    """The relays of a link forwarded bytes; ``at_s`` is the start of an interval of 0.1 s.
+    """The relays forwarded ``bytes`` bytes from region ``source`` to region ``target``.
 
-    Attributes:
-        source: Region that sent the bytes.
-        target: Region that received them.
-        bytes: Number of bytes in the interval.
+    ``at_s`` is the start of an interval of 0.1 s.
     """
 
     kind: ClassVar[str] = "link_bytes"
@@ -200,9 +193,7 @@
 class InvariantBroken(Record):
     """An entry instance found one of its own invariants violated.
 
-    Attributes:
-        instance: Name and incarnation of the instance, ``name/incarnation``.
-        rule: Name of the invariant.
+    ``instance`` is ``name/incarnation``, ``rule`` the name of the invariant.
     """
 
     kind: ClassVar[str] = "invariant"
--- a/packages/standins/src/sassafrasway_standins/ideal.py
+++ b/packages/standins/src/sassafrasway_standins/ideal.py
@@ -45,9 +45,7 @@
 def erlang_b(*, slots: int, offered: float) -> float:
     """Returns the refusal probability of a loss system with Poisson arrivals.
 
-    Args:
-        slots: Number of slots.
-        offered: Offered traffic, arrival rate times mean service time, erlangs.
+    ``offered`` is the traffic in erlangs, arrival rate times mean service time.
     """
     # Erlang B recursion over the number of slots, starting at 0 slots.
     refusal = 1.0
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -30,14 +30,12 @@
 class Options:
     """Options of a cluster.
 
+    ``invariants`` and ``placement`` are described in ``layouts.Site.entry_settings``.
+
     Attributes:
         entries: Number of entry instances; None uses the number of the layout.
         block: Address block; None selects a free one.
-        backend_processes: Number of processes that run the backend servers.
-        link_processes: Number of processes that run the relays.
         seed: Seed of the service times.
-        invariants: See ``layouts.Site.entry_settings``.
-        placement: See ``layouts.Site.entry_settings``.
         list_lag_s: Time until the platform's instance list shows a change, s.
         entry_command: Command that runs an entry instance; ``run --config FILE`` is appended.
     """
@@ -56,14 +54,10 @@
 class Cluster:
     """A cluster of running processes; created by ``running``.
 
-    Methods that send requests to a process raise ``aiohttp.ClientError`` if this fails and
-    ``TimeoutError`` if the process does not answer in time, unless stated otherwise.
-
-    Args:
-        site: Layout with addresses.
-        directory: Existing directory for settings, logs and records.
-        options: Options of the cluster.
-        session: HTTP session for control endpoints.
+    Methods that start, stop or wait for processes raise ``processes.ProcessError`` if one ends
+    unexpectedly, or does not answer or end in time. Requests to a process raise
+    ``aiohttp.ClientError`` if they fail and ``TimeoutError`` if it does not answer in time. The
+    ``set_`` methods raise ``ValueError`` if a process rejects the change.
     """
 
     def __init__(
@@ -107,11 +101,7 @@
         return self._children[name]
 
     async def start(self) -> None:
-        """Starts all processes and waits until each answers health requests.
-
-        Raises:
-            processes.ProcessError: A process ended or did not answer in time.
-        """
+        """Starts all processes and waits until each answers health requests."""
         for name in ("records", "settings", "logs"):
             (self.directory / name).mkdir(exist_ok=True)
         await self._start_stand_ins()
@@ -126,11 +116,7 @@
     async def wait_ready(self, names: Iterable[str] | None = None) -> None:
         """Waits until entry instances are ready to serve, which requires a policy.
 
-        Args:
-            names: Names of the instances; None for all that are running.
-
-        Raises:
-            processes.ProcessError: An instance ended or did not become ready in time.
+        Without ``names``, it waits for all that are running.
         """
         names = self.entry_names if names is None else names
         await _gather_or_cancel(
@@ -138,11 +124,7 @@
         )
 
     async def start_entry(self, name: str) -> None:
-        """Starts an entry instance, waits until it answers, and lists it as ``live``.
-
-        Raises:
-            processes.ProcessError: The instance ended or did not answer in time.
-        """
+        """Starts an entry instance, waits until it answers, and lists it as ``live``."""
         number = self._start_counts[name] = self._start_counts.get(name, 0) + 1
         record_file = self.records / f"{name}.{number}.jsonl"
         settings = self.site.entry_settings(
@@ -176,11 +158,7 @@
         self._record_fault("pause", "end", name)
 
     async def stop_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
-        """Stops an entry instance gracefully (SIGTERM) and returns its exit code.
-
-        Raises:
-            processes.ProcessError: The instance did not end in time.
-        """
+        """Stops an entry instance gracefully (SIGTERM) and returns its exit code."""
         self._record_fault("stop", history.STOP_ORDERED, name)
         self._children[name].send_signal(signal.SIGTERM)
         await self._set_listed_state(name, "leaving")
@@ -194,21 +172,13 @@
 
         Returns:
             The exit code of the old instance.
-
-        Raises:
-            processes.ProcessError: The old instance did not end in time, or the new one ended or
-                did not answer in time.
         """
         code = await self.stop_entry(name, timeout_s=timeout_s)
         await self.start_entry(name)
         return code
 
     async def set_store_faults(self, **faults: Any) -> None:
-        """Sets faults of the store, see ``store.Faults``.
-
-        Raises:
-            ValueError: The store rejected the faults.
-        """
+        """Sets faults of the store, see ``store.Faults``."""
         await self._post(f"http://{self.site.store}/control", faults)
 
     async def store_stats(self) -> dict[str, Any]:
@@ -216,16 +186,7 @@
         return await self._get(f"http://{self.site.store}/control/stats")
 
     async def set_backends(self, servers: Iterable[str] | None = None, **behaviour: Any) -> None:
-        """Changes the behaviour of backend servers, see ``backend.BackendServer.change``.
-
-        Args:
-            servers: Names of the servers; None for all servers.
-            **behaviour: ``leaving``, ``slow``, ``load_report``, ``blocked_sources``, ``crash``,
-                ``silent``.
-
-        Raises:
-            ValueError: A backend process rejected the change.
-        """
+        """Changes the behaviour of the named servers or all, see ``backend.BackendServer.change``."""
         selected = None if servers is None else set(servers)
         for control, names in self._backend_controls.items():
             process_servers = [name for name in names if selected is None or name in selected]
@@ -248,11 +209,7 @@
         return max(stall["longest_ms"] for stall in stalls)
 
     async def set_links(self, action: str, source: str, target: str) -> None:
-        """Applies an action to the relays between entry instances, see ``link.Relay.change``.
-
-        Raises:
-            ValueError: A relay process rejected the action.
-        """
+        """Applies an action to the relays between entry instances, see ``link.Relay.change``."""
         for control in self._link_controls:
             data = {"action": action, "from": source, "to": target}
             await self._post(f"http://{control}/control", data)
@@ -331,11 +288,7 @@
         await child.start()
 
     async def _wait_for_status(self, name: str, url: str, statuses: tuple[int, ...]) -> None:
-        """Waits until a process answers a health request with one of ``statuses``.
-
-        The timeout is ``START_TIMEOUT_S`` if 503 is one of them, so that the process need not be
-        ready, and otherwise ``READY_TIMEOUT_S``.
-        """
+        """Waits for one of ``statuses``; with 503 among them, the process need not be ready."""
         child = self._children[name]
         deadline_s = time.monotonic() + (START_TIMEOUT_S if 503 in statuses else READY_TIMEOUT_S)
         status = 0
@@ -399,13 +352,8 @@
 def _address_block(requested: int | None) -> Iterator[int]:
     """Reserves an address block that no other launcher on this machine uses.
 
-    A socket that stays bound while the block is in use serves as a lock between launchers.
-
-    Args:
-        requested: The only block to try; None tries all.
-
-    Raises:
-        processes.ProcessError: No block is free.
+    ``requested`` is the only block to try; None tries all. A socket that stays bound while the
+    block is in use serves as a lock between launchers.
     """
     blocks = range(layouts.ADDRESS_BLOCKS) if requested is None else (requested,)
     for block in blocks:
@@ -429,10 +377,7 @@
 ) -> AsyncIterator[Cluster]:
     """Runs a cluster; all its processes are killed at the end, also after an exception.
 
-    Args:
-        layout: Layout of the cluster.
-        directory: Existing directory for settings, logs and records.
-        options: Options of the cluster.
+    ``directory`` must exist; it receives settings, logs and records.
 
     Raises:
         processes.ProcessError: No address block is free, or a process ended or did not answer in
--- a/packages/standins/src/sassafrasway_standins/layouts.py
+++ b/packages/standins/src/sassafrasway_standins/layouts.py
@@ -193,12 +193,10 @@
     """A layout with the addresses of all its processes.
 
     Args:
-        layout: The deployment.
         block: Address block, 0 to ``ADDRESS_BLOCKS`` - 1.
         entries: Number of entry instances; None uses the number of the layout.
 
     Attributes:
-        layout: The deployment.
         instances: Entry instances by name.
 
     Raises:
@@ -255,10 +253,8 @@
     def backend_files(self, *, processes: int, records: str, seed: int) -> list[dict[str, Any]]:
         """Returns the settings of the backend processes; servers are assigned round-robin.
 
-        Args:
-            processes: Number of processes.
-            records: Path of the record files, with ``{}`` in place of the process number.
-            seed: Seed of the service times.
+        ``records`` is the path of the record files, with ``{}`` in place of the process number;
+        ``seed`` is the seed of the service times.
         """
         layout = self.layout
         servers = [self._backend_server(server) for server in self._servers()]
--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -145,9 +145,7 @@
 async def _watch_target(address: str, pairs: list[link_pair.Pair]) -> None:
     """Closes the listening sockets of a target while it refuses connections.
 
-    Args:
-        address: ``host:port`` of the target.
-        pairs: All pairs with this target; they share one ``target_refuses`` event.
+    All ``pairs`` have this target and share one ``target_refuses`` event.
     """
     refused = asyncio.Event()
     for pair in pairs:
--- a/packages/standins/src/sassafrasway_standins/link_pair.py
+++ b/packages/standins/src/sassafrasway_standins/link_pair.py
@@ -50,10 +50,7 @@
         buckets[int(time.monotonic() / BUCKET_S)] += count
 
     def as_json(self) -> dict[str, list[tuple[float, int]]]:
-        """Returns (start of the interval in monotonic seconds, bytes) pairs by link.
-
-        The link from region ``a`` to region ``b`` has the name ``a>b``.
-        """
+        """Returns (interval start in monotonic seconds, bytes) pairs by link, ``source>target``."""
         return {
             link: [(index * BUCKET_S, count) for index, count in sorted(buckets.items())]
             for link, buckets in self._buckets.items()
@@ -82,12 +79,10 @@
         self._source = source
 
     def set_sink(self, sink: asyncio.Transport) -> None:
-        """Sets the transport that the chunks are written to."""
         self._sink = sink
         self.flush()
 
     def set_sink_full(self, is_full: bool) -> None:
-        """Pauses or resumes delivery depending on the write buffer of the sink."""
         self._sink_is_full = is_full
         self.flush()
 
@@ -137,13 +132,7 @@
 
 
 class _RelayProtocol(asyncio.Protocol):
-    """Protocol of one of the two sockets of a relayed connection.
-
-    Args:
-        connection: The relayed connection.
-        outgoing: Direction whose chunks are read from this socket.
-        incoming: Direction whose chunks are written to this socket.
-    """
+    """Protocol of one socket, which is the source of ``outgoing`` and the sink of ``incoming``."""
 
     def __init__(self, *, connection: "_Connection", outgoing: _Direction, incoming: _Direction):
         self._connection = connection
@@ -185,7 +174,6 @@
         self.apply_cuts()
 
     def accept(self) -> asyncio.Protocol:
-        """Returns the protocol of the accepted socket."""
         return _RelayProtocol(connection=self, outgoing=self._forward, incoming=self._backward)
 
     def socket_opened(self, transport: asyncio.Transport) -> None:
@@ -204,7 +192,6 @@
         direction.push(chunk)
 
     def socket_closed(self) -> None:
-        """Handles the end of one socket."""
         self._open_sockets -= 1
         self._discard_if_closed()
 
@@ -215,14 +202,12 @@
         self._backward.stop()
 
     def abort(self) -> None:
-        """Resets both sockets."""
         if self._connecting is not None:
             self._connecting.cancel()
         for transport in self._transports:
             transport.abort()
 
     def apply_cuts(self) -> None:
-        """Applies the current cuts of the pair to both directions."""
         if self._is_silent:
             return
         self._forward.is_cut = self._pair.forward_cut
@@ -235,10 +220,7 @@
         self._backward.flush()
 
     async def _connect(self) -> None:
-        """Connects to the target after one network delay and the end of all cuts of the pair.
-
-        Resets the accepted socket if the target cannot be reached.
-        """
+        """Connects once the delay and all cuts are over; a failure resets the accepted socket."""
         await asyncio.sleep(self._delay_s)
         await self._healed.wait()
         try:
@@ -264,9 +246,6 @@
     Args:
         data: Entry of the settings file: ``source`` and ``target`` (name, region, failure_domain),
             ``listen`` and ``connect`` (``host:port``).
-        delays: Network delays.
-        counter: Receives the number of bytes in each direction.
-        rng: Random numbers for the rounding of delays.
 
     Attributes:
         target_refuses: Set when the target refuses a connection; pairs with the same target may
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -32,14 +32,11 @@
 
     Attributes:
         entries: Entry instances in the configuration of callers.
-        services: Services by name.
         blocks: A client block (CIDR) for each region.
         client_ms: One-way delay between a client and its region, ms.
         region_ms: One-way delay between regions, ms.
         load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
-        mean_service_s: Mean service time, s.
         duration_s: Length of the trace, s.
-        seed: Seed of the trace.
         start_s: Monotonic time of the start of the trace, s.
     """
 
@@ -73,8 +70,7 @@
         """Returns the plan from data that ``dump`` returned.
 
         Raises:
-            KeyError: ``entries`` or ``services`` is missing.
-            TypeError: Another field is missing, or a field is unknown.
+            KeyError, TypeError: A field is missing or unknown.
         """
         fields = dict(data)
         fields["entries"] = [exchanges.EntryPoint(**entry) for entry in data["entries"]]
@@ -85,13 +81,7 @@
 
 
 class LoadTool:
-    """Sends the arrivals of one load process.
-
-    Args:
-        plan: Settings of the load.
-        writer: Receives the records.
-        part: Number of this process; the seed of its random choices depends on it.
-    """
+    """Sends the arrivals of load process ``part``, whose random choices depend on its number."""
 
     def __init__(self, *, plan: Plan, writer: history.Writer, part: int):
         self._plan = plan
@@ -161,11 +151,7 @@
 def run_part(plan: Plan, *, records: pathlib.Path, part: int, parts: int) -> latency.Latencies:
     """Sends one part of the plan's trace in this process and returns the latencies.
 
-    Args:
-        plan: Settings of the load.
-        records: File that the records are appended to.
-        part: Number of this process, from 0 to ``parts`` - 1.
-        parts: Number of load processes among which the trace is partitioned.
+    ``part`` counts from 0. The records are appended to the file ``records``.
     """
     trace = arrivals.partition(plan.arrivals(), parts=parts)[part]
     # Keeps garbage collections during the run from traversing the trace and the imported modules.
@@ -190,14 +176,7 @@
 ) -> Plan:
     """Returns the plan that loads all services of a site.
 
-    Args:
-        site: Layout with the addresses of the entry instances.
-        load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
-        mean_ms: Mean service time, ms.
-        deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
-        duration_s: Length of the trace, s.
-        seed: Seed of the trace.
-        start_s: Monotonic time of the start of the trace, s.
+    ``deadline_ms`` 0 uses the deadline of each service; see ``Plan`` for the other parameters.
     """
     layout = site.layout
     blocks: dict[str, str] = {}
--- a/packages/standins/src/sassafrasway_standins/network.py
+++ b/packages/standins/src/sassafrasway_standins/network.py
@@ -14,12 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Delays:
-    """One-way delays between locations, in milliseconds.
-
-    Attributes:
-        domain_ms: Delay between failure domains of one region.
-        region_ms: Delay between regions.
-    """
+    """One-way delays between failure domains of one region, and between regions."""
 
     domain_ms: float = 0.0
     region_ms: float = 0.0
@@ -29,8 +24,7 @@
         """Parses a JSON or TOML table whose keys are the names of the attributes.
 
         Raises:
-            TypeError: A delay is neither a number nor a string.
-            ValueError: A delay is a string that is not a number.
+            TypeError, ValueError: A delay is not a number.
         """
         return cls(
             domain_ms=float(data.get("domain_ms", 0.0)), region_ms=float(data.get("region_ms", 0.0))
--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -10,55 +10,38 @@
 
 
 class Operator:
-    """Runs ``sassafrasctl`` against an entry instance of a running cluster."""
+    """Runs ``sassafrasctl`` against an entry instance of a running cluster.
+
+    All methods raise ``processes.ProcessError`` if the command fails or times out; for a failure
+    the message has its output.
+    """
 
     def __init__(self, *, cluster: launcher.Cluster):
         self._cluster = cluster
         self._document: dict[str, Any] = {}
 
     async def apply(self, document: dict[str, Any]) -> None:
-        """Applies a whole policy document.
-
-        Raises:
-            processes.ProcessError: See ``run``.
-        """
+        """Applies a whole policy document."""
         path = self._cluster.directory / "settings" / "policy.json"
         path.write_text(json.dumps(document, indent=2), encoding="utf-8")
         await self.run("apply", str(path))
         self._record_accepted(document)
 
     async def start_shift(self, name: str, **fields: Any) -> None:
-        """Starts a shift; ``apply`` must have been called before.
-
-        Args:
-            name: Name of the shift.
-            **fields: Fields of the shift in the policy document.
-
-        Raises:
-            processes.ProcessError: See ``run``.
-        """
+        """Starts a shift with fields as in the policy; ``apply`` must have been called before."""
         options = [f"--{key.replace('_', '-')}={value}" for key, value in fields.items()]
         await self.run("shift", "start", name, *options)
         shifts = self._document["shifts"] | {name: {"fraction": 1.0} | fields}
         self._record_accepted(self._document | {"shifts": shifts})
 
     async def stop_shift(self, name: str) -> None:
-        """Stops a shift; ``apply`` must have been called before.
-
-        Raises:
-            processes.ProcessError: See ``run``.
-        """
+        """Stops a shift; ``apply`` must have been called before."""
         await self.run("shift", "stop", name)
         shifts = {key: value for key, value in self._document["shifts"].items() if key != name}
         self._record_accepted(self._document | {"shifts": shifts})
 
     async def run(self, *arguments: str) -> str:
-        """Runs a subcommand and returns its output.
-
-        Raises:
-            processes.ProcessError: The command failed or timed out; for a failure the message has
-                its output.
-        """
+        """Runs a subcommand and returns its output."""
         name = self._cluster.entry_names[0]
         address = self._cluster.site.instances[name].rpc
         command = [*processes.script("sassafrasctl"), "--address", address, *arguments]
--- a/packages/standins/src/sassafrasway_standins/processes.py
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -20,12 +20,9 @@
 
 
 class ChildProcess:
-    """One child process with its log file.
+    """One child process; its output is appended to the file ``log``.
 
-    Args:
-        name: Name of the process in error messages.
-        command: Program and arguments.
-        log: File that standard output and standard error are appended to.
+    ``pid``, ``exit_code`` and ``wait`` raise ``ProcessError`` if the process was not started.
     """
 
     def __init__(self, *, name: str, command: Sequence[str], log: pathlib.Path):
@@ -42,11 +39,7 @@
 
     @property
     def pid(self) -> int:
-        """Process ID.
-
-        Raises:
-            ProcessError: The process was not started.
-        """
+        """Process ID."""
         return self._started_process().pid
 
     @property
@@ -56,11 +49,7 @@
 
     @property
     def exit_code(self) -> int | None:
-        """Exit code, or the negated number of the signal that ended it; None while it runs.
-
-        Raises:
-            ProcessError: The process was not started.
-        """
+        """Exit code, or the negated number of the signal that ended it; None while it runs."""
         return self._started_process().returncode
 
     async def start(self) -> None:
@@ -88,7 +77,7 @@
         """Waits until the process ends and returns its exit code.
 
         Raises:
-            ProcessError: The process has not ended within ``timeout_s``, or was not started.
+            ProcessError: The process has not ended within ``timeout_s``.
         """
         try:
             code = await asyncio.wait_for(self._started_process().wait(), timeout_s)
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -23,7 +23,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceReport:
-    """Results of one service, without the warm-up.
+    """Results of one service, without the warm-up; ``ideal_`` values are those of the ideal pool.
 
     Attributes:
         arrivals: Requests of the trace.
@@ -33,12 +33,10 @@
         retries: Attempts after the first one of each request.
         refused_attempts: Attempts answered "not run"; the caller may have retried afterwards.
         refusal_rate: Refused requests divided by arrivals.
-        ideal_refusal_rate: Refusal rate of the ideal pool on the same arrivals.
         refusal_ratio: Refusal rate divided by the ideal one; None if the ideal pool refuses none.
         latency: Time from the intended arrival to the verdict, of requests that ran.
-        ideal_latency: Latency of the ideal pool with the same network delay to the client.
+        ideal_latency: Includes the same network delay to the client.
         wait: Latency minus service time and network delay to the client, of requests that ran.
-        ideal_wait: Waiting time in the ideal pool.
         p99_ratio: p99 latency divided by that of the ideal pool; None if either is missing.
         reasons: Counts of the most frequent results other than success, by outcome, status and
             reason.
@@ -68,7 +66,6 @@
 
     Attributes:
         settings: Options of the benchmark, and the CPU use and load average of the machine.
-        services: Results by service.
         sheds: Times that servers rejected a request because all their slots were in use.
         ran_twice: Violations of the at-most-once rule.
         lost: Requests without a verdict, summed over the services.
@@ -82,7 +79,6 @@
         late_start_s: 99th percentile of the delay of first attempts after the intended time, s; it
             includes the lookup that some of them need.
         violations: Number of violations by rule.
-        first_violations: Texts of the first violations.
     """
 
     settings: Mapping[str, Any]
@@ -120,15 +116,8 @@
     """Returns the report of a benchmark.
 
     The results of the services, and so the sum of lost requests, leave out arrivals before
-    ``warm_up_s``; the other results are those of the whole benchmark.
-
-    Args:
-        settings: Copied into the report, see ``RunReport``.
-        trace: Arrivals that the load tool sent.
-        services: Services by name.
-        client_ms: One-way delay to clients, ms.
-        warm_up_s: Length of the first part of the trace, which is left out, s.
-        records: Records of callers, servers, links and instances.
+    ``warm_up_s``; the other results are those of the whole benchmark. ``client_ms`` is the one-way
+    delay to clients. ``records`` are those of callers, servers, links and instances.
     """
     run_history = checked_history.History(records)
     violations = check.check(records)
@@ -168,13 +157,6 @@
     """Returns the report of one service.
 
     The ideal pool also serves the arrivals of the warm-up, as they may occupy slots beyond its end.
-
-    Args:
-        run_history: Records of the whole benchmark.
-        all_arrivals: Arrivals of the service, including the warm-up.
-        service: Properties of the service.
-        client_ms: One-way delay to clients, ms.
-        warm_up_s: Length of the warm-up, s.
     """
     warm_up_count = sum(arrival.at_s < warm_up_s for arrival in all_arrivals)
     measured_arrivals = all_arrivals[warm_up_count:]
@@ -263,10 +245,7 @@
 
 
 def _reasons(verdicts: Iterable[history.Verdict]) -> dict[str, int]:
-    """Returns how often the most frequent results other than success occurred.
-
-    The keys consist of outcome, status and reason.
-    """
+    """Counts the most frequent results other than success by outcome, status and reason."""
     return dict(
         collections.Counter(
             f"{verdict.outcome} {verdict.status} {verdict.reason[:80]}".strip()
@@ -279,7 +258,6 @@
 def _fault_s(
     run_history: checked_history.History, records: Iterable[history.Record]
 ) -> list[float]:
-    """Returns the times, s after the first arrival, at which the fault began and ended."""
     started_s = min((intent.at_s for intent in run_history.intents.values()), default=0.0)
     phases = (history.INJECTED, history.ENDED)
     events = [event for event in records if isinstance(event, history.FaultEvent)]
@@ -289,7 +267,6 @@
 def _drain_s(
     run_history: checked_history.History, records: Iterable[history.Record]
 ) -> dict[str, float]:
-    """Returns the drain times, s, by leaving server and by stopped instance."""
     durations_s: dict[str, float] = {}
     for server, leaving_since_s in run_history.leaving_since_s.items():
         ends = [run.ended_s for run in run_history.runs if run.server == server]
@@ -306,7 +283,6 @@
 def _server_overhead_s(
     run_history: checked_history.History, trace: Iterable[arrivals.Arrival]
 ) -> float:
-    """Returns the mean time of completed runs beyond the requested service time, s."""
     requested_s = {arrival.request: arrival.service_s for arrival in trace}
     excess_s = [
         run.ended_s - run.at_s - requested_s[run.request]
@@ -371,5 +347,4 @@
 
 
 def _number(value: float | None, width: int, digits: int = 1) -> str:
-    """Formats a number right-aligned; None as a dash."""
     return f"{'-':>{width}}" if value is None else f"{value:>{width}.{digits}f}"
--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -46,9 +46,7 @@
 class Write:
     """A write with an optional condition.
 
-    Attributes:
-        if_version: Version that the row must have; None for no condition on the version.
-        if_absent: Whether the row must not exist yet.
+    The row must have version ``if_version``, if given, and with ``if_absent`` must not exist yet.
     """
 
     key: str
@@ -73,10 +71,7 @@
         return [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
 
     def write(self, writes: Sequence[Write]) -> list[Row]:
-        """Applies all writes atomically.
-
-        Returns:
-            The written rows with their new versions, in the order of the writes.
+        """Applies all writes atomically and returns the written rows in the order of the writes.
 
         Raises:
             PreconditionFailedError: A condition does not hold; nothing was written.
@@ -126,12 +121,10 @@
     def change(self, data: Mapping[str, Any]) -> None:
         """Sets the faults given in ``data``; other faults keep their values.
 
-        ``down`` may also be true (``"refuse"``), false or null (both ``""``), and ``lose_answers``
-        may be true (all writes) or false (none).
+        ``down`` and ``lose_answers`` also accept booleans; true means ``"refuse"`` or all writes.
 
         Raises:
-            ValueError: The name of a fault or the value of ``down`` is unknown. The faults before
-                it in ``data`` have been set.
+            ValueError: A name or a value of ``down`` is unknown; earlier ones have been applied.
         """
         for name, value in data.items():
             if name not in self.__slots__:
@@ -163,8 +156,8 @@
     def set(self, entries: list[dict[str, str]], *, visible_at_s: float) -> None:
         """Sets the contents that readers see from ``visible_at_s`` (event loop time) on.
 
-        Changes become visible in the order in which they were set: an earlier change that is not
-        visible yet keeps its time, and delays this one if that time is later.
+        Changes become visible in the order in which they were set: an earlier change with a later
+        time delays this one.
         """
         self._pending.append((visible_at_s, entries))
 
@@ -176,12 +169,7 @@
 
 
 class Store:
-    """HTTP server of the stand-in.
-
-    Args:
-        address: IP address of the server, used to determine the delay of each source address.
-        delays: Network delays added to requests and responses.
-    """
+    """HTTP server of the stand-in; its IP address determines the delay from each source."""
 
     def __init__(self, *, address: str = "127.0.0.1", delays: network.Delays | None = None):
         self._address = address
@@ -241,7 +229,6 @@
         return response
 
     async def _wait_for_outage_end(self, source: str) -> None:
-        """Waits until the outage for a source address is over."""
         self._counts["held"] += 1
         while self._faults.is_down_for(source):
             await self._faults_changed.wait()
@@ -345,8 +332,7 @@
 def _parse_write(data: Mapping[str, Any]) -> Write:
     """Parses a write of a transaction.
 
-    If ``if_version`` is null, the row must not exist yet. If it is missing, the write is
-    unconditional.
+    A null ``if_version`` means that the row must not exist yet, a missing one no condition.
     """
     version = data.get("if_version")
     return Write(
--- a/packages/standins/src/sassafrasway_standins/tally.py
+++ b/packages/standins/src/sassafrasway_standins/tally.py
@@ -20,8 +20,6 @@
         repeated: Requests of an idempotent service that ran more than once, which is allowed.
         lost: Requests without a verdict, or with the outcome "ran" although no server ran them.
         late: Requests that ran but were answered after the deadline.
-        not_run: Requests with the outcome "not run".
-        unknown: Requests with the outcome "unknown".
         latency: Latency of the requests that ran; None if there are none.
     """
 
@@ -42,10 +40,6 @@
 ) -> list[Tally]:
     """Returns the tally of each service, and that of all services together as the last.
 
-    Args:
-        records: Records of callers and backend servers.
-        services: Services by name.
-
     Raises:
         KeyError: A request is for a service that ``services`` does not contain.
     """
--- a/packages/standins/tests/real_cluster.py
+++ b/packages/standins/tests/real_cluster.py
@@ -35,12 +35,7 @@
 
 
 class Result:
-    """Records of the requests of one scenario.
-
-    Args:
-        records: Records of all scenarios so far.
-        seeds: Seeds of the load of the scenario; request IDs contain the seed.
-        services: Called services by name.
+    """Records of the requests of one scenario, selected by the seeds that their IDs contain.
 
     Attributes:
         records: Records of all scenarios so far.
@@ -223,9 +218,6 @@
 
 
 def ticket_holder(attempt):
-    """Returns the name of the instance that holds the ticket of an attempt.
-
-    Returns None if the key of the attempt is not a ticket.
-    """
+    """Returns the instance that holds the ticket of an attempt; None if its key is no ticket."""
     ticket = at_most_once.Ticket.parse(attempt.key)
     return None if ticket is None else ticket.holder.name
