--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -186,7 +186,7 @@
         return await self._get(f"http://{self.site.store}/control/stats")
 
     async def set_backends(self, servers: Iterable[str] | None = None, **behaviour: Any) -> None:
-        """Changes the behaviour of the named servers or all, see ``backend.BackendServer.change``."""
+        """Changes the behaviour of the named servers or all; see ``backend.BackendServer``."""
         selected = None if servers is None else set(servers)
         for control, names in self._backend_controls.items():
             process_servers = [name for name in names if selected is None or name in selected]
