Restore units, errors and field meanings in docstrings of the stand-ins

The shortened docstrings had lost facts that the code doesn't show: which error stands for which defect of a settings file, the meaning of None, null and infinity, the monotonic clock of records, the requests that the runs by request leave out, and where layout and fault names come from. Several errors in one entry of a Raises section are listed one by one again, and functions with three or more informative parameters have an Args section again.

--- a/packages/standins/src/sassafrasway_standins/arrivals.py
+++ b/packages/standins/src/sassafrasway_standins/arrivals.py
@@ -57,8 +57,11 @@
 ) -> list[Stream]:
     """Returns one stream per service and region, with equal rates in all regions.
 
-    ``slots`` are by service, summed over all regions; ``blocks`` holds a client block (CIDR) for
-    each region. At ``load`` 1.0, arrival rate times mean service time equals the slots.
+    Args:
+        slots: Number of slots of each service, summed over all regions.
+        blocks: A client block (CIDR) for each region.
+        load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
+        mean_service_s: Mean service time, s.
 
     Raises:
         ValueError: ``load`` or ``mean_service_s`` is not positive.
--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -153,7 +153,8 @@
     def change(self, data: Mapping[str, Any]) -> None:
         """Applies one control request: values of attributes of ``Behaviour`` by name.
 
-        ``crash``, with any value, crashes the server; ``silent`` makes its open connections silent.
+        With any value, ``crash`` crashes the server and ``silent`` makes its open connections
+        silent.
 
         Raises:
             ValueError: A name is unknown. The names before it have been applied.
@@ -281,7 +282,11 @@
         return True
 
     def _service_time_s(self, requested_s: float | None) -> float:
-        """Returns the service time; ``requested_s`` is that on a warm server, None draws it."""
+        """Returns the service time of a request.
+
+        ``requested_s`` is the service time that the request asks for on a warm server; None draws
+        it from the server's distribution.
+        """
         now_s = time.monotonic()
         if (
             self._warm_up_start_s is None
--- a/packages/standins/src/sassafrasway_standins/backend_process.py
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -79,7 +79,10 @@
     optionally ``delays`` and ``seed``.
 
     Raises:
-        KeyError, TypeError, ValueError: The contents are incomplete or invalid.
+        KeyError: The list of servers, or the name of a server, is missing.
+        TypeError: Another required field of a server is missing, a field is unknown, or a delay or
+            the seed is neither a number nor a string.
+        ValueError: A delay or the seed is a string that is not a number.
     """
     delays = network.Delays.parse(data.get("delays", {}))
     seeds = itertools.count(int(data.get("seed", 0)))
--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -54,13 +54,16 @@
     """Options of one run, as on the command line.
 
     Attributes:
+        layout: Name of the layout in ``layouts.LAYOUTS``.
         load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
+        fault: Name of the fault in ``faults.FAULTS``.
         seed: Seed of arrivals and service times.
         duration_s: Length of the measured part of the trace, s.
         warm_up_s: Length of the part before it, which is left out of the results, s: in the first
             seconds, the slots of servers that were idle are still being ramped up.
         placement: How instances share the slots of a pool, see ``layouts.Site.entry_settings``.
         instances: Number of entry instances.
+        mean_ms: Mean service time, ms.
         deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
     """
 
@@ -105,8 +108,8 @@
             errors.SassafraswayError: The policy could not be applied.
             RuntimeError: No pool owner was found for the fault, or an instance that the fault
                 replaces did not stop gracefully.
-            aiohttp.ClientError, TimeoutError: A request to a process failed or was not answered in
-                time.
+            aiohttp.ClientError: A request of the fault or the launcher to a process failed.
+            TimeoutError: Such a request was not answered in time.
             history.HistoryError: A complete line of a record file is invalid.
         """
         shutil.rmtree(self._directory, ignore_errors=True)
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -12,7 +12,8 @@
 from sassafrasway_standins import arrivals, exchanges, history, network
 
 # A request must start within 5 s of the issue of its ticket, and may first wait in a queue for its
-# whole deadline of 2 s. That leaves a margin of 0.5 s.
+# whole deadline of 2 s. An older ticket could expire during that wait; the age leaves a margin of
+# 0.5 s.
 TICKET_MAX_AGE_S = 2.5
 PREFETCHED_TICKETS = 2  # of each service
 LOOKUP_TIMEOUT_S = 1.0
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -149,8 +149,11 @@
     ) -> Iterator[checked_history.Violation]:
         """Yields the first time at which more requests run than the server has slots.
 
-        ``changes`` are sorted pairs of a time and +1 for a start or -1 for an end; at equal times,
-        ends thus count before starts.
+        Args:
+            server: Name of the server.
+            changes: Pairs of a time, s, and +1 for a start or -1 for an end, sorted; at equal
+                times, ends thus count before starts.
+            slots: Number of slots; infinity if no policy names the server.
         """
         in_use = 0
         for at_s, change in changes:
--- a/packages/standins/src/sassafrasway_standins/checked_history.py
+++ b/packages/standins/src/sassafrasway_standins/checked_history.py
@@ -34,10 +34,11 @@
 class History:
     """Records of one benchmark, test or demo, grouped and sorted by time for the rules.
 
-    ``intents``, ``attempts``, ``verdicts`` and ``runs_by_request`` are keyed by request ID.
+    ``intents``, ``attempts`` and ``verdicts`` are keyed by request ID.
 
     Attributes:
         runs: Runs, without the requests that a server rejected without starting them.
+        runs_by_request: ``runs`` by request ID.
         leaving_since_s: Monotonic time at which a leaving server began to leave, s, by server.
         link_bytes: Records of link traffic by ``source>target``, the regions of the link.
         revisions: Policy revisions reported by entry instances, by ``instance/incarnation``.
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -70,8 +70,8 @@
 
         Raises:
             processes.ProcessError: An instance, load process or command failed.
-            aiohttp.ClientError, TimeoutError: A request to a process failed or was not answered in
-                time.
+            aiohttp.ClientError: A lookup or control request failed.
+            TimeoutError: A lookup or control request was not answered in time.
             history.HistoryError: A complete line of a record file is invalid.
         """
         await self._apply_policy()
@@ -197,7 +197,10 @@
         await self._operator.stop_shift("demo")
 
     async def _pool_owner(self, region: str) -> str:
-        """Returns the owner of the pool of ``SERVICE``, which lookups in its region name first."""
+        """Returns the owner of the pool of ``SERVICE`` in a region.
+
+        Lookups by clients of the region name the owner first.
+        """
         blocks = self._cluster.site.client_blocks
         client = next(cidr for cidr, home in blocks.items() if home == region).partition("/")[0]
         instances = [
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -39,8 +39,8 @@
 
         Raises:
             RuntimeError: All running instances answered the lookup with an error status.
-            aiohttp.ClientError, TimeoutError: An instance could not be reached or did not answer in
-                time.
+            aiohttp.ClientError: The connection to an instance failed.
+            TimeoutError: An instance did not answer within ``LOOKUP_TIMEOUT_S``.
         """
         site = self.cluster.site
         service = next(
@@ -80,8 +80,8 @@
         Raises:
             RuntimeError: No pool owner was found, or an instance did not stop gracefully.
             processes.ProcessError: An instance did not start, become ready or end in time.
-            aiohttp.ClientError, TimeoutError: A request to a process failed or was not answered in
-                time.
+            aiohttp.ClientError: The connection to an instance or a stand-in failed.
+            TimeoutError: An instance or a stand-in did not answer in time.
         """
         context.record_phase(self.name, history.INJECTED)
         await self._inject(context)
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Record:
-    """Base of all records; ``at_s`` is the time of the event."""
+    """Base of all records; ``at_s`` is the monotonic time of the event."""
 
     kind: ClassVar[str] = ""
     at_s: float
@@ -168,9 +168,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LinkBytes(Record):
-    """The relays forwarded ``bytes`` bytes from region ``source`` to region ``target``.
+    """The relays of a link forwarded bytes; ``at_s`` is the start of an interval of 0.1 s.
 
-    ``at_s`` is the start of an interval of 0.1 s.
+    Attributes:
+        source: Region that sent the bytes.
+        target: Region that received them.
+        bytes: Number of bytes in the interval.
     """
 
     kind: ClassVar[str] = "link_bytes"
--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -54,10 +54,11 @@
 class Cluster:
     """A cluster of running processes; created by ``running``.
 
-    Methods that start, stop or wait for processes raise ``processes.ProcessError`` if one ends
-    unexpectedly, or does not answer or end in time. Requests to a process raise
-    ``aiohttp.ClientError`` if they fail and ``TimeoutError`` if it does not answer in time. The
-    ``set_`` methods raise ``ValueError`` if a process rejects the change.
+    Methods that send requests to a process raise ``aiohttp.ClientError`` if this fails and
+    ``TimeoutError`` if the process does not answer in time, unless stated otherwise. The ``set_``
+    methods raise ``ValueError`` if the process rejects the change. Methods that start, stop or wait
+    for processes raise ``processes.ProcessError`` if one ends unexpectedly, or does not answer
+    health requests or end in time.
     """
 
     def __init__(
@@ -186,7 +187,10 @@
         return await self._get(f"http://{self.site.store}/control/stats")
 
     async def set_backends(self, servers: Iterable[str] | None = None, **behaviour: Any) -> None:
-        """Changes the behaviour of the named servers or all; see ``backend.BackendServer``."""
+        """Changes the behaviour of backend servers, see ``backend.BackendServer.change``.
+
+        ``servers`` are the names of the servers; None changes all of them.
+        """
         selected = None if servers is None else set(servers)
         for control, names in self._backend_controls.items():
             process_servers = [name for name in names if selected is None or name in selected]
@@ -288,7 +292,11 @@
         await child.start()
 
     async def _wait_for_status(self, name: str, url: str, statuses: tuple[int, ...]) -> None:
-        """Waits for one of ``statuses``; with 503 among them, the process need not be ready."""
+        """Waits until a process answers a health request with one of ``statuses``.
+
+        The timeout is ``START_TIMEOUT_S`` if 503 is one of them, so that the process need not be
+        ready, and otherwise ``READY_TIMEOUT_S``.
+        """
         child = self._children[name]
         deadline_s = time.monotonic() + (START_TIMEOUT_S if 503 in statuses else READY_TIMEOUT_S)
         status = 0
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -70,7 +70,8 @@
         """Returns the plan from data that ``dump`` returned.
 
         Raises:
-            KeyError, TypeError: A field is missing or unknown.
+            KeyError: ``entries`` or ``services`` is missing.
+            TypeError: Another field is missing, or a field is unknown.
         """
         fields = dict(data)
         fields["entries"] = [exchanges.EntryPoint(**entry) for entry in data["entries"]]
@@ -151,7 +152,11 @@
 def run_part(plan: Plan, *, records: pathlib.Path, part: int, parts: int) -> latency.Latencies:
     """Sends one part of the plan's trace in this process and returns the latencies.
 
-    ``part`` counts from 0. The records are appended to the file ``records``.
+    Args:
+        plan: Settings of the load.
+        records: File that the records are appended to.
+        part: Number of this process, from 0 to ``parts`` - 1.
+        parts: Number of load processes among which the trace is partitioned.
     """
     trace = arrivals.partition(plan.arrivals(), parts=parts)[part]
     # Keeps garbage collections during the run from traversing the trace and the imported modules.
@@ -176,7 +181,14 @@
 ) -> Plan:
     """Returns the plan that loads all services of a site.
 
-    ``deadline_ms`` 0 uses the deadline of each service; see ``Plan`` for the other parameters.
+    Args:
+        site: Layout with the addresses of the entry instances.
+        load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
+        mean_ms: Mean service time, ms.
+        deadline_ms: Deadline of requests, ms; 0 uses the deadline of each service.
+        duration_s: Length of the trace, s.
+        seed: Seed of the trace.
+        start_s: Monotonic time of the start of the trace, s.
     """
     layout = site.layout
     blocks: dict[str, str] = {}
--- a/packages/standins/src/sassafrasway_standins/network.py
+++ b/packages/standins/src/sassafrasway_standins/network.py
@@ -24,7 +24,8 @@
         """Parses a JSON or TOML table whose keys are the names of the attributes.
 
         Raises:
-            TypeError, ValueError: A delay is not a number.
+            TypeError: A delay is neither a number nor a string.
+            ValueError: A delay is a string that is not a number.
         """
         return cls(
             domain_ms=float(data.get("domain_ms", 0.0)), region_ms=float(data.get("region_ms", 0.0))
--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -28,7 +28,10 @@
         self._record_accepted(document)
 
     async def start_shift(self, name: str, **fields: Any) -> None:
-        """Starts a shift with fields as in the policy; ``apply`` must have been called before."""
+        """Starts a shift; ``apply`` must have been called before.
+
+        ``fields`` are the fields of the shift in the policy document.
+        """
         options = [f"--{key.replace('_', '-')}={value}" for key, value in fields.items()]
         await self.run("shift", "start", name, *options)
         shifts = self._document["shifts"] | {name: {"fraction": 1.0} | fields}
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -23,7 +23,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ServiceReport:
-    """Results of one service, without the warm-up; ``ideal_`` values are those of the ideal pool.
+    """Results of one service, without the warm-up.
+
+    Fields that begin with ``ideal_`` are results of the ideal pool on the same arrivals.
 
     Attributes:
         arrivals: Requests of the trace.
@@ -35,7 +37,7 @@
         refusal_rate: Refused requests divided by arrivals.
         refusal_ratio: Refusal rate divided by the ideal one; None if the ideal pool refuses none.
         latency: Time from the intended arrival to the verdict, of requests that ran.
-        ideal_latency: Includes the same network delay to the client.
+        ideal_latency: Latency of the ideal pool with the same network delay to the client.
         wait: Latency minus service time and network delay to the client, of requests that ran.
         p99_ratio: p99 latency divided by that of the ideal pool; None if either is missing.
         reasons: Counts of the most frequent results other than success, by outcome, status and
@@ -116,8 +118,15 @@
     """Returns the report of a benchmark.
 
     The results of the services, and so the sum of lost requests, leave out arrivals before
-    ``warm_up_s``; the other results are those of the whole benchmark. ``client_ms`` is the one-way
-    delay to clients. ``records`` are those of callers, servers, links and instances.
+    ``warm_up_s``; the other results are those of the whole benchmark.
+
+    Args:
+        settings: Copied into the report, see ``RunReport``.
+        trace: Arrivals that the load tool sent.
+        services: Services by name.
+        client_ms: One-way delay to clients, ms.
+        warm_up_s: Length of the first part of the trace, which is left out, s.
+        records: Records of callers, servers, links and instances.
     """
     run_history = checked_history.History(records)
     violations = check.check(records)
--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -46,7 +46,9 @@
 class Write:
     """A write with an optional condition.
 
-    The row must have version ``if_version``, if given, and with ``if_absent`` must not exist yet.
+    Attributes:
+        if_version: Version that the row must have; None for no condition on the version.
+        if_absent: Whether the row must not exist yet.
     """
 
     key: str
@@ -121,10 +123,12 @@
     def change(self, data: Mapping[str, Any]) -> None:
         """Sets the faults given in ``data``; other faults keep their values.
 
-        ``down`` and ``lose_answers`` also accept booleans; true means ``"refuse"`` or all writes.
+        ``down`` may also be true (``"refuse"``), false or null (both ``""``), and ``lose_answers``
+        may be true (all writes) or false (none).
 
         Raises:
-            ValueError: A name or a value of ``down`` is unknown; earlier ones have been applied.
+            ValueError: The name of a fault or the value of ``down`` is unknown. The faults before
+                it in ``data`` have been set.
         """
         for name, value in data.items():
             if name not in self.__slots__:
@@ -169,7 +173,12 @@
 
 
 class Store:
-    """HTTP server of the stand-in; its IP address determines the delay from each source."""
+    """HTTP server of the stand-in.
+
+    Args:
+        address: IP address of the server, used to determine the delay of each source address.
+        delays: Network delays added to requests and responses.
+    """
 
     def __init__(self, *, address: str = "127.0.0.1", delays: network.Delays | None = None):
         self._address = address
@@ -332,7 +341,8 @@
 def _parse_write(data: Mapping[str, Any]) -> Write:
     """Parses a write of a transaction.
 
-    A null ``if_version`` means that the row must not exist yet, a missing one no condition.
+    If ``if_version`` is null, the row must not exist yet. If it is missing, the write is
+    unconditional.
     """
     version = data.get("if_version")
     return Write(
--- a/packages/standins/tests/test_check.py
+++ b/packages/standins/tests/test_check.py
@@ -39,8 +39,14 @@
 ):
     """Returns the records of one request that its caller sent once.
 
-    ``outcome`` is that of the attempt and of the verdict, ``starts`` the number of times that the
-    server runs the request, ``length_s`` the time from the attempt to the verdict.
+    Args:
+        request: ID of the request.
+        at_s: Time of the attempt, s.
+        server: Server that runs the request.
+        region: Region of the caller.
+        outcome: Outcome of the attempt and of the verdict.
+        starts: Number of times that the server runs the request.
+        length_s: Time from the attempt to the verdict, s.
     """
     records = [
         history.Intent(at_s=at_s, request=request, service="any", region=region),
