--- a/packages/standins/src/sassafrasway_standins/backend_process.py
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -73,15 +73,10 @@
 def build_servers(
     data: Mapping[str, Any], *, recorder: backend.Recorder
 ) -> dict[str, backend.BackendServer]:
-    """Builds the servers of a settings file.
+    """Returns the servers of a settings file by name; none is listening yet.
 
-    Args:
-        data: Contents of the file: ``servers`` (tables with the fields of
-            ``backend.ServerSettings``), and optionally ``delays`` and ``seed``.
-        recorder: Receives the records of all servers.
-
-    Returns:
-        The servers by name; none is listening yet.
+    ``data`` holds ``servers`` (tables with the fields of ``backend.ServerSettings``), and
+    optionally ``delays`` and ``seed``.
 
     Raises:
         KeyError: The list of servers, or the name of a server, is missing.
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -75,7 +75,6 @@
         index: int,
         runs: list[history.Run],
     ) -> Iterator[checked_history.Violation]:
-        """Yields a violation for each run that contradicts the "not run" of one attempt."""
         attempt = attempts[index]
         retried_s = attempts[index + 1].at_s if index + 1 < len(attempts) else math.inf
         earlier_may_have_run = any(_may_have_run(earlier) for earlier in attempts[:index])
--- a/packages/standins/src/sassafrasway_standins/demo.py
+++ b/packages/standins/src/sassafrasway_standins/demo.py
@@ -48,10 +48,7 @@
 class Demo:
     """The steps of the demonstration on a running cluster.
 
-    Args:
-        cluster: The running cluster.
-        load_factor: Offered load; 1.0 occupies all slots.
-        seed: Seed of the arrivals.
+    ``load_factor`` is the offered load; 1.0 occupies all slots.
     """
 
     def __init__(self, *, cluster: launcher.Cluster, load_factor: float, seed: int):
--- a/packages/standins/src/sassafrasway_standins/history.py
+++ b/packages/standins/src/sassafrasway_standins/history.py
@@ -36,11 +36,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Record:
-    """Base of all records.
-
-    Attributes:
-        at_s: Monotonic time of the event, s.
-    """
+    """Base of all records; ``at_s`` is the monotonic time of the event."""
 
     kind: ClassVar[str] = ""
     at_s: float
@@ -200,9 +196,7 @@
 class InvariantBroken(Record):
     """An entry instance found one of its own invariants violated.
 
-    Attributes:
-        instance: Name and incarnation of the instance, ``name/incarnation``.
-        rule: Name of the invariant.
+    ``instance`` is ``name/incarnation``, ``rule`` the name of the invariant.
     """
 
     kind: ClassVar[str] = "invariant"
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -32,14 +32,11 @@
 
     Attributes:
         entries: Entry instances in the configuration of callers.
-        services: Services by name.
         blocks: A client block (CIDR) for each region.
         client_ms: One-way delay between a client and its region, ms.
         region_ms: One-way delay between regions, ms.
         load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
-        mean_service_s: Mean service time, s.
         duration_s: Length of the trace, s.
-        seed: Seed of the trace.
         start_s: Monotonic time of the start of the trace, s.
     """
 
@@ -85,13 +82,7 @@
 
 
 class LoadTool:
-    """Sends the arrivals of one load process.
-
-    Args:
-        plan: Settings of the load.
-        writer: Receives the records.
-        part: Number of this process; the seed of its random choices depends on it.
-    """
+    """Sends the arrivals of load process ``part``, whose random choices depend on its number."""
 
     def __init__(self, *, plan: Plan, writer: history.Writer, part: int):
         self._plan = plan
--- a/packages/standins/src/sassafrasway_standins/network.py
+++ b/packages/standins/src/sassafrasway_standins/network.py
@@ -14,12 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Delays:
-    """One-way delays between locations, in milliseconds.
-
-    Attributes:
-        domain_ms: Delay between failure domains of one region.
-        region_ms: Delay between regions.
-    """
+    """One-way delays between failure domains of one region, and between regions."""
 
     domain_ms: float = 0.0
     region_ms: float = 0.0
