Shorten the docstrings of the gateway

Argument and attribute lists repeated names and types, and several modules explained the same fact. They now state only what the signature doesn't show. The AST without docstrings is unchanged.

--- a/packages/gateway/src/sassafrasway_gateway/admin.py
+++ b/packages/gateway/src/sassafrasway_gateway/admin.py
@@ -9,12 +9,7 @@
 
 
 class ReadinessHandler(http_server.Handler):
-    """Answers the platform's readiness probes.
-
-    Args:
-        path: URL path of the probe.
-        ready: Returns whether the instance serves callers.
-    """
+    """Answers the platform's readiness probes."""
 
     def __init__(self, *, path: str, ready: Callable[[], bool]):
         self._path = path
@@ -30,12 +25,7 @@
 
 
 class AdminHandler(http_server.Handler):
-    """Serves the metrics at ``/metrics`` and the state of the process, as JSON, at ``/state``.
-
-    Args:
-        metrics: Metrics of the process.
-        dump: Returns the state of the process as plain data.
-    """
+    """Serves the metrics at ``/metrics`` and the state of the process, as JSON, at ``/state``."""
 
     def __init__(self, *, metrics: metrics_lib.GatewayMetrics, dump: Callable[[], dict]):
         self._metrics = metrics
--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -28,10 +28,6 @@
     that region allow. If a region has fewer slots than its share of the callers requires, a fixed
     share of its objects goes to the regions with spare slots, independent of the current load. A
     region's share of the callers is taken to be its share of the failure domains.
-
-    Args:
-        servers: Servers of the service that may be used.
-        region_of: Region of each failure domain.
     """
 
     def __init__(
@@ -67,11 +63,8 @@
     def ranked(self, key: str, region: str, *, kept_share: float = 1.0) -> tuple[str, ...]:
         """Returns the ids of all servers, the preferred one for the object first.
 
-        Args:
-            key: Key of the object.
-            region: Region of the instance that forwards the request.
-            kept_share: Share of the objects that stay in the region for now, of those that its
-                servers run without overload.
+        ``region`` is that of the instance that forwards the request. ``kept_share`` is the share of
+        the objects that stay in the region for now, of those that its servers run without overload.
         """
         prefers_local = _unit_hash(key, region, "local") < self.local_share(region) * kept_share
         cache_key = (key, region, prefers_local)
--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -16,11 +16,6 @@
     does so immediately when it has a new version, and when it can no longer read one of them, so
     that other instances take over. An instance that does not read the store announces versions that
     it has received from elsewhere once, if the readers of its region do not have them yet.
-
-    Args:
-        followers: Followers of the tables, by table name.
-        role: Tracks the announcements of the region's readers and selects the recipients.
-        send: Sends versions by table name to the given instances.
     """
 
     def __init__(
--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -41,7 +41,6 @@
 
     Attributes:
         response: Response of the server, if one could be parsed.
-        elapsed_s: Duration of the attempt.
         reason: Cause of an outcome other than ``ANSWERED``.
     """
 
@@ -53,13 +52,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
-    """Load that a server reports in a response header.
-
-    Attributes:
-        running: Number of requests that the server is running.
-        waiting: Number of requests in its queue.
-        slots: Number of requests that it runs at a time.
-    """
+    """Numbers of running and queued requests, and of slots, that a server reports in a header."""
 
     running: int
     waiting: int
@@ -67,10 +60,7 @@
 
 
 def parse_load(value: bytes | None) -> LoadReport | None:
-    """Parses the value of a load header, ``running,waiting,slots``.
-
-    Returns None if the header is missing or invalid.
-    """
+    """Parses a load header, ``running,waiting,slots``; returns None if missing or invalid."""
     if value is None:
         return None
     parts = value.split(b",")
@@ -81,12 +71,7 @@
 
 
 class AttemptRunner:
-    """Sends requests to backend servers.
-
-    Args:
-        pool: Connections to backend servers.
-        names: Header names.
-    """
+    """Sends requests to backend servers."""
 
     def __init__(self, *, pool: http_client.ConnectionPool, names: messages.HeaderNames):
         self._pool = pool
@@ -102,11 +87,8 @@
     ) -> AttemptResult:
         """Sends the request to the server and classifies the outcome.
 
-        Args:
-            request: Request of the caller.
-            state: The selected server.
-            deadline_s: Monotonic time by which the server has to finish; sent as the time left.
-            idempotent: Whether the request may run twice.
+        ``deadline_s`` is the monotonic time by which the server has to finish; it is sent as the
+        time left.
         """
         started_s = time.monotonic()
         server = state.server
@@ -147,7 +129,6 @@
         self._pool.drop(state.server.host, state.server.port)
 
     def _echo(self, request: messages.Request) -> http_client.EchoedId | None:
-        """Returns the id by which the response is matched; None if the request has none."""
         value = request.header(self._names.request_id)
         if value is None:
             return None
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -70,7 +70,6 @@
 
     Attributes:
         state: The selected server; None if the request was refused.
-        refusal: Why no server was selected; None if one was.
         retry_after_s: Time after which the caller of a refused request may retry.
         load: Estimated number of requests running or waiting at the selected server.
         load_age_s: Age of the load report that the estimate is based on; -1 without a report.
@@ -97,7 +96,6 @@
         object_key: Key of the object; see ``jobs.Job``.
         region: Region of this instance.
         remaining_s: Time until the deadline of the request.
-        excluded_servers: Ids of the servers that must not be selected.
     """
 
     route: model.Route
@@ -139,13 +137,7 @@
         return self._mean_s.get(route, DEFAULT_SERVICE_S)
 
     def add(self, route: str, service_s: float, *, warm: bool) -> None:
-        """Adds a measured service time.
-
-        Args:
-            route: Name of the route.
-            service_s: Measured service time.
-            warm: Whether the object was known to be warm on the server.
-        """
+        """Adds a measured service time; ``warm`` is whether the object was known to be warm."""
         self._update_average(self._mean_s, route, service_s)
         if warm:
             self._update_average(self._warm_s, route, service_s)
@@ -182,15 +174,7 @@
 
 
 class Balancer:
-    """Selects the server with the lowest expected cost among the top of an object's ranking.
-
-    Args:
-        clock: Time source.
-        registry: Servers and their state.
-        service_times: Estimated service times of the routes.
-        cold_limit: Decides which cold servers this instance may use.
-        overflow: Decides which share of the objects moves out of an overloaded region.
-    """
+    """Selects the server with the lowest expected cost among the top of an object's ranking."""
 
     def __init__(
         self,
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -29,13 +29,7 @@
     below the bound even when the lists of live instances differ by a few names. At least one is
     selected, so a bound below one request per second is exceeded.
 
-    Args:
-        clock: Time source.
-        instance: Name of this instance.
-        fleet: Source of the names of the live instances.
-        factor: Permitted multiple of the request rate that a cold server tolerates. It bounds the
-            requests of all instances together to each cold server.
-        slack: Requests per second to each cold server permitted in addition to that.
+    ``factor`` and ``slack`` are ``cold_factor`` and ``cold_slack`` of ``settings.Bounds``.
     """
 
     def __init__(
@@ -54,11 +48,9 @@
         self._slack = slack
 
     def set_rates(self, rate_per_s: dict[str, float]) -> None:
-        """Replaces the tolerated request rates.
+        """Replaces the requests per second that each cold server tolerates, by service.
 
-        Args:
-            rate_per_s: Requests per second that each cold server of a service tolerates from all
-                instances together, by service.
+        They are the sum over all instances.
         """
         self._rate_per_s = dict(rate_per_s)
 
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -29,22 +29,16 @@
 
 
 class CrashRegister:
-    """Records which servers crashed while they were running which request.
-
-    Args:
-        clock: Time source.
-    """
+    """Records which servers crashed while they were running which request."""
 
     def __init__(self, *, clock: clock_lib.Clock):
         self._clock = clock
         self._crashes: dict[str, dict[str, float]] = {}
 
     def add(self, fingerprint_: str, server: str) -> bool:
-        """Records a crash and returns whether it is new.
+        """Records a crash during a request and returns whether it is new.
 
-        Args:
-            fingerprint_: Fingerprint of a request that the server was running.
-            server: Server that crashed: its id and the time of its start, as ``id/started_ms``.
+        ``server`` is the id of the server and the time of its start, as ``id/started_ms``.
         """
         now_s = self._clock.monotonic()
         self._make_room(now_s)
--- a/packages/gateway/src/sassafrasway_gateway/dialect.py
+++ b/packages/gateway/src/sassafrasway_gateway/dialect.py
@@ -10,14 +10,10 @@
     """Platform-specific names and formats of the gateway's external interfaces.
 
     Attributes:
-        headers: Names of HTTP headers.
-        lookups: Format of lookup requests and responses.
         readiness_path: URL path of the platform's readiness probe.
-        policy_table: Name of the table with the policy and the evacuated failure domains, whose
-            servers get no request.
-        server_table: Name of the table with the backend servers.
-        member_table: Name of the table in which the instances register.
-        decoder: Decodes the rows of these tables.
+        policy_table: Table with the policy and the evacuated failure domains.
+        server_table: Table with the backend servers.
+        member_table: Table in which the instances register.
     """
 
     headers: messages.HeaderNames
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -71,13 +71,7 @@
 
 
 class FleetView:
-    """Members and their liveness as this instance sees them.
-
-    Args:
-        clock: Time source.
-        own: Description of this instance.
-        rng: Random source for the choice of ping targets.
-    """
+    """Members and their liveness as this instance sees them."""
 
     def __init__(self, *, clock: clock_lib.Clock, own: Member, rng: random.Random):
         self._clock = clock
@@ -136,15 +130,10 @@
             entry.member = member
 
     def on_message(self, member: Member, *, contact_s: float = 0.0) -> bool:
-        """Records a message from the member itself; an outdated one is ignored.
+        """Records a message from the member itself and returns whether the member became live.
 
-        Args:
-            member: Description in the message.
-            contact_s: How long the member has received the changes of the platform's store without
-                an outage, s; 0 during an outage.
-
-        Returns:
-            Whether the member became live.
+        An outdated message is ignored. ``contact_s`` is how long the member has received the
+        changes of the platform's store without an outage; 0 during an outage.
         """
         if member.name == self._own.name:
             return False
@@ -166,9 +155,8 @@
     def suspect(self, name: str, incarnation: int) -> Member | None:
         """Starts the verification of a member that another instance could not reach.
 
-        Returns:
-            The member to ping, or None if the suspicion concerns an unknown or dead member or an
-            earlier incarnation.
+        Returns the member to ping, or None if the suspicion concerns an unknown or dead member or
+        an earlier incarnation.
         """
         entry = self._entries.get(name)
         if entry is None or not entry.alive or entry.member.incarnation > incarnation:
@@ -179,14 +167,11 @@
         return entry.member
 
     def store_answered_peers(self, outage_s: float) -> bool:
-        """Whether another instance kept receiving the store's changes during an outage.
-
-        It must have received them since before the outage began, and its last message must have
-        arrived more than ``MAX_TICK_GAP_S`` after that, because an earlier message does not show
-        that it was unaffected.
+        """Whether another instance kept receiving the store's changes in an outage that ends now.
 
-        Args:
-            outage_s: Duration of the outage, which ends now, s.
+        It must have received them since before the outage began. Its last message must have arrived
+        more than ``MAX_TICK_GAP_S`` after the beginning, because an earlier one does not show that
+        it was unaffected.
         """
         began_s = self._clock.monotonic() - outage_s
         return any(
@@ -199,8 +184,7 @@
     def tick(self) -> tuple[list[Member], list[Member]]:
         """Advances the failure detector; called every ``PING_INTERVAL_S``.
 
-        Returns:
-            The members to ping now, and those that were just declared dead.
+        Returns the members to ping now, and those that were just declared dead.
         """
         now_s = self._clock.monotonic()
         paused = now_s - self._last_tick_s > MAX_TICK_GAP_S
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -35,25 +35,11 @@
 
     @abc.abstractmethod
     def on_regained(self, outage_s: float) -> None:
-        """Called when changes arrive again after an outage.
-
-        Args:
-            outage_s: Duration of the outage as seen by this instance, s.
-        """
+        """Called when changes arrive again after an outage, as seen by this instance."""
 
 
 class TableFollower:
-    """Reads a table, then receives its changes from polls of the store or from other instances.
-
-    Args:
-        store: Client of the store.
-        table_name: Table to follow.
-        listener: Receives the rows and changes.
-        cache: Holds the rows that are served to other instances.
-        role: Decides whether to read the store or to fetch from another instance.
-        relay_client: Fetches rows from other instances.
-        rng: Random source for the jitter of polls and retries.
-    """
+    """Reads a table, then receives its changes from polls of the store or from other instances."""
 
     def __init__(
         self,
@@ -110,12 +96,9 @@
     def on_reported_version(self, version: int) -> None:
         """Cancels a stalled poll if another instance has a newer version than this one.
 
-        A connection can stall without being reset, in which case the poll would wait for its
-        timeout. The poll is cancelled once it has lagged for more than ``LAG_TOLERANCE_S``; `run`
-        then polls again or fetches from another instance.
-
-        Args:
-            version: Version reported by another instance, which may also be an older one.
+        A connection can stall without being reset; the poll would then wait for its timeout. Once
+        it has lagged for more than ``LAG_TOLERANCE_S``, it is cancelled, and `run` polls again or
+        fetches from another instance.
         """
         if version <= self.version or self._poll is None or self.version < 0:
             return
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -36,19 +36,10 @@
     """Finds the route of each request, selects servers for it and retries failed attempts.
 
     Args:
-        policy_state: Policy in force.
-        registry: Backend servers.
-        chooser: Selects servers.
-        runner: Runs single attempts.
-        learner: Updates the state of servers from responses and timeouts.
-        cold_limit: Limits the requests to cold servers.
-        crash_register: Record of the crashes that happened during each request.
         budget_of: Returns the retry budget of a service.
         on_crash: Called for each new crash with the fingerprint of the request and the server, as
             ``id/started_ms``.
-        names: Header names.
         region: Region of this instance.
-        metrics: Metrics of the process.
     """
 
     def __init__(
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -66,11 +66,7 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection to a server; used by a single exchange at a time.
-
-    Args:
-        peer: Address of the server as ``host:port``, for error messages.
-    """
+    """One connection to a server; used by a single exchange at a time."""
 
     def __init__(self, *, peer: str):
         self._peer = peer
@@ -95,9 +91,7 @@
     def reusable(self, max_idle_s: float | None = None) -> bool:
         """Whether the connection is open, idle, and not about to be closed by the server.
 
-        Args:
-            max_idle_s: Longest time for which the connection may have been idle; None for the
-                server's limit only.
+        ``max_idle_s`` limits the idle time further.
         """
         if self._closed or self._waiter is not None:
             return False
@@ -122,13 +116,10 @@
     ) -> messages.Response:
         """Sends a request and returns the complete response.
 
+        The method adds the framing headers, so the request must not contain any. Responses with
+        another value of the ``echo`` header are skipped; one without the header is accepted.
         Cancelling the call aborts the connection.
 
-        Args:
-            request: Request with its final headers, without framing headers.
-            echo: Header that identifies the response; responses with another value are skipped, but
-                one without the header is accepted.
-
         Raises:
             ExchangeError: The request was sent, but no valid response arrived.
         """
@@ -250,11 +241,7 @@
         return value is not None and value != self._echo.value
 
     def _skip_response(self) -> bool:
-        """Discards a late response to an earlier request.
-
-        Returns:
-            Whether the response to the current request can still be read.
-        """
+        """Discards a late response to an earlier request; returns whether reading can continue."""
         trailing_bytes, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE:
             self._fail("a response to another request ends the connection", closed=False)
@@ -292,17 +279,10 @@
 async def connect(
     host: str, port: int, *, timeout_s: float = CONNECT_TIMEOUT_S, local_host: str = ""
 ) -> Connection:
-    """Opens a connection.
-
-    Args:
-        host: Address of the server.
-        port: Its port.
-        timeout_s: Timeout for opening the connection.
-        local_host: Local address to connect from; empty to let the system choose it.
+    """Opens a connection from ``local_host``; if this is empty, the system chooses the address.
 
     Raises:
-        ConnectError: The connection failed, for example because the server refused it, or was not
-            open in time.
+        ConnectError: The connection failed or was not open in time.
     """
     loop = asyncio.get_running_loop()
     peer = f"{host}:{port}"
@@ -320,11 +300,7 @@
 
 
 class ConnectionPool:
-    """Pool of idle connections by address.
-
-    Args:
-        local_host: Local address to connect from; empty to let the system choose it.
-    """
+    """Pool of idle connections by address; see `connect` for ``local_host``."""
 
     def __init__(self, *, local_host: str = ""):
         self._idle: dict[tuple[str, int], collections.deque[Connection]] = {}
@@ -338,14 +314,9 @@
         max_idle_s: float | None = None,
         timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> Connection:
-        """Returns an idle connection, or opens one.
-
-        Args:
-            host: Address of the server.
-            port: Its port.
-            max_idle_s: Longest time for which a reused connection may have been idle; None for the
-                server's limit only.
-            timeout_s: Timeout for opening a connection.
+        """Returns an idle connection, or opens one within ``timeout_s``.
+
+        ``max_idle_s`` is as in `Connection.reusable`.
 
         Raises:
             ConnectError: No connection could be opened.
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -24,7 +24,7 @@
     async def handle(self, request: messages.Request) -> messages.Response:
         """Returns the response.
 
-        The call is cancelled if the client closes the connection, also if only for sending.
+        The call is cancelled when the client closes the connection or its sending side.
         """
 
     @property
@@ -47,12 +47,7 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection from a client.
-
-    Args:
-        handler: Handler of the requests.
-        server: Server that accepted the connection.
-    """
+    """One connection from a client."""
 
     def __init__(self, *, handler: Handler, server: "HttpServer"):
         self._handler = handler
@@ -260,13 +255,7 @@
 
 
 class HttpServer:
-    """Listens on one address.
-
-    Args:
-        host: Address to listen on.
-        port: Port to listen on.
-        handler: Handler of all requests.
-    """
+    """Listens on one address and passes all requests to one handler."""
 
     def __init__(self, *, host: str, port: int, handler: Handler):
         self._host = host
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -23,10 +23,7 @@
     """Description of one attempt in the log line of its request.
 
     The text contains ``known`` if the object was known to be warm on the server, otherwise ``new``.
-
-    Attributes:
-        choice: The server selection that led to the attempt.
-        result: Outcome of the attempt; empty until it is known.
+    ``result`` is empty until the outcome is known.
     """
 
     choice: balancer.Choice
@@ -51,7 +48,6 @@
         fingerprint: Digest that is the same when the caller sends the request again.
         deadline_s: Monotonic time after which no attempt is started.
         server_deadline_s: Monotonic time by which a server has to finish the request.
-        excluded_servers: Ids of the servers that must not be selected for a further attempt.
         may_have_run: Whether it is possible that an attempt ran the request.
         sent_attempts: Number of finished attempts that had a connection, new or reused.
     """
@@ -74,11 +70,7 @@
 class NotAdmitted(errors.NotRunError):
     """The gateway refuses the request without sending it to a server.
 
-    Attributes:
-        request_id: Id of the request.
-        status: HTTP status of the response.
-        retry_after_s: Time after which the caller may retry; None if a retry is of no use, and no
-            Retry-After header is sent.
+    ``retry_after_s`` is None if a retry is of no use; no Retry-After header is sent then.
     """
 
     def __init__(
@@ -91,12 +83,7 @@
 
 
 class Admission:
-    """Creates the jobs of requests according to the policy in force.
-
-    Args:
-        policy_state: Policy in force.
-        names: Header names.
-    """
+    """Creates the jobs of requests according to the policy in force."""
 
     def __init__(self, *, policy_state: state.PolicyState, names: messages.HeaderNames):
         self._policy_state = policy_state
--- a/packages/gateway/src/sassafrasway_gateway/learning.py
+++ b/packages/gateway/src/sassafrasway_gateway/learning.py
@@ -6,13 +6,7 @@
 
 
 class OutcomeLearner:
-    """Updates the registry, the service time estimates and the record of recent runs.
-
-    Args:
-        registry: Backend servers.
-        chooser: Balancer, which records the servers that ran each object.
-        service_times: Estimated service times of the routes.
-    """
+    """Updates the registry, the service time estimates and the balancer's record of recent runs."""
 
     def __init__(
         self,
@@ -34,15 +28,7 @@
         status: int,
         elapsed_s: float,
     ) -> None:
-        """Processes a response of the server itself.
-
-        Args:
-            choice: The server selection that led to the attempt.
-            route: Name of the route.
-            object_key: Object of the request.
-            status: HTTP status of the response.
-            elapsed_s: Duration of the attempt.
-        """
+        """Processes a response of the server itself; ``elapsed_s`` is the attempt's duration."""
         chosen = choice.state
         self._registry.on_response(chosen)
         if status == STATUS_TIMEOUT and not choice.warm:
--- a/packages/gateway/src/sassafrasway_gateway/logs.py
+++ b/packages/gateway/src/sassafrasway_gateway/logs.py
@@ -13,14 +13,10 @@
 
 
 class BoundedWriter:
-    """Writes lines to a file descriptor without blocking.
+    """Writes lines to a file descriptor, which it makes non-blocking.
 
     Lines are dropped and counted when they exceed the rate limit or when the reader is too slow.
     The number of dropped lines is written before the next line.
-
-    Args:
-        descriptor: File descriptor to write to; it is made non-blocking.
-        metrics: Metrics with the counter of dropped lines.
     """
 
     def __init__(self, *, descriptor: int, metrics: metrics_lib.GatewayMetrics):
@@ -88,10 +84,8 @@
 def configure(writer: BoundedWriter, *, instance: str, level: int = 20) -> None:
     """Configures structlog to write events as JSON lines.
 
-    Args:
-        writer: Receives the lines.
-        instance: Name of this instance, which is added to each event.
-        level: Lowest level that is logged, as a number of the `logging` module.
+    Each event contains the name of the instance. ``level`` is the lowest level that is logged, as a
+    number of the `logging` module.
     """
     encoder = msgspec.json.Encoder(enc_hook=str)
 
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -33,25 +33,14 @@
     ttl = "ttl"
 
     def encode(self, addresses: list[str], ttl_s: float) -> bytes:
-        """Returns the body of a response.
-
-        Args:
-            addresses: Addresses of the instances to use, as ``host:port``.
-            ttl_s: Time for which the response may be cached.
-        """
+        """Returns the body of a response with addresses as ``host:port``."""
         return msgspec.json.encode({self.addresses: addresses, self.ttl: f"{ttl_s}s"})
 
 
 def choose_instances(
     members: list[fleet.Member], *, region: str, failure_domain: str
 ) -> list[fleet.Member]:
-    """Returns the instances nearest to a caller, at most ``MAX_ADDRESSES``.
-
-    Args:
-        members: The ready instances.
-        region: Region of the caller.
-        failure_domain: Failure domain of the caller.
-    """
+    """Returns the ready instances nearest to a caller, at most ``MAX_ADDRESSES``."""
     same_domain = [member for member in members if member.failure_domain == failure_domain]
     if len(same_domain) >= MIN_LOCAL_INSTANCES:
         return same_domain[:MAX_ADDRESSES]
@@ -60,13 +49,7 @@
 
 
 class LookupHandler(http_server.Handler):
-    """Answers lookups from the fleet view.
-
-    Args:
-        view: Fleet as seen by this instance.
-        lookup_format: Format of lookup requests and responses.
-        ttl_s: Longest time for which a response may be cached.
-    """
+    """Answers lookups from the fleet view; ``ttl_s`` limits how long callers may cache them."""
 
     def __init__(self, *, view: fleet.FleetView, lookup_format: LookupFormat, ttl_s: float):
         self._view = view
--- a/packages/gateway/src/sassafrasway_gateway/messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/messages.py
@@ -70,11 +70,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Response:
-    """A complete response.
-
-    Attributes:
-        reusable: Whether the connection may carry another request.
-    """
+    """A complete response; ``reusable`` is whether its connection may carry another request."""
 
     status: int
     headers: Headers
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -12,13 +12,7 @@
 
 
 class Counter:
-    """Counter with labels.
-
-    Args:
-        name: Name of the metric.
-        help_text: Description in the exposition format.
-        labels: Names of the labels.
-    """
+    """Counter with labels."""
 
     def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
@@ -39,13 +33,7 @@
 
 
 class Histogram:
-    """Histogram of durations in seconds, with labels.
-
-    Args:
-        name: Name of the metric.
-        help_text: Description in the exposition format.
-        labels: Names of the labels.
-    """
+    """Histogram of durations in seconds, with labels."""
 
     def __init__(self, *, name: str, help_text: str, labels: Sequence[str] = ()):
         self._name = name
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -6,11 +6,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WeightedService:
-    """A service of a route.
-
-    Attributes:
-        weight: Share of the route's requests, relative to the weights of the other services.
-    """
+    """A service of a route; it gets requests in proportion to its weight."""
 
     service: str
     weight: float
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -32,9 +32,7 @@
 class _Share:
     """Share of the objects of one service that stay in the region.
 
-    Attributes:
-        kept: The share, as a fraction of the share that the slots of the region allow.
-        updated_s: Monotonic time of the last update.
+    ``kept`` is a fraction of the share that the slots of the region allow.
     """
 
     kept: float = 1.0
@@ -47,11 +45,6 @@
     Each instance decides by the load reports that it receives. The reports come from the same
     servers, so the shares of the instances of a region differ little. An object that two instances
     place differently is warm on both servers.
-
-    Args:
-        clock: Time source.
-        registry: Servers and their reported load.
-        region: Region of this instance.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, registry: servers.ServerRegistry, region: str):
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -84,15 +84,7 @@
 def hello(
     member: fleet.Member, *, reply: bool, versions: dict[str, int], contact_s: float = 0.0
 ) -> Hello:
-    """Builds the hello message of a member.
-
-    Args:
-        member: Member to describe, which is the sender.
-        reply: Whether the receiver should reply.
-        versions: Newest version of each followed table that the sender has.
-        contact_s: How long the sender has received the store's changes without an outage, s; 0
-            during an outage.
-    """
+    """Builds the hello message of the sending member; see `Hello` for the other arguments."""
     return Hello(
         member.name,
         member.incarnation,
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -40,13 +40,10 @@
 from sassafrasway_gateway import dialect as dialect_lib
 from sassafrasway_platform import feed
 
-# Interval of the maintenance, which removes servers whose grace period has ended, closes idle
-# connections that have expired, and updates the shares of the overflow control.
 MAINTENANCE_INTERVAL_S = 0.5
 READY_CHECK_INTERVAL_S = 0.05
-# Time from the start of the shutdown until the instance stops accepting connections. Until then,
-# callers may still use a lookup that lists this instance. The value is greater than the lifetime of
-# a lookup (`lookup.LOOKUP_TTL_S`), because callers may keep one for longer.
+# Time from the start of the shutdown until the instance stops accepting connections. It exceeds the
+# lifetime of a lookup (`lookup.LOOKUP_TTL_S`) because callers may keep one for longer.
 STOP_LISTENING_AFTER_S = 2.4
 # Time at the end of the stop grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.4
@@ -56,13 +53,8 @@
 class GatewayProcess:
     """Owns all components and tasks of a gateway.
 
-    Args:
-        config: Settings of the process.
-        dialect: Names and formats used by the platform.
-        store: Client of the platform's store.
-        gateway_metrics: Metrics of the process.
-        load_settings: Loads the current settings; called on each reload. If it raises ``OSError``
-            or ``errors.ValidationError``, the settings in force stay.
+    Each reload calls ``load_settings``. If it raises ``OSError`` or ``errors.ValidationError``, the
+    settings in force stay.
     """
 
     def __init__(
@@ -335,10 +327,10 @@
                 self._followers[table_name].on_reported_version(version)
 
     def _on_reload(self) -> None:
-        """Applies new bounds and failure domains; other settings need a restart.
+        """Applies new bounds and failure domains.
 
-        The lifetime of lookups (``lookup_ttl_s``) needs a restart too. The log line names all
-        settings that differ from those in force, also those that need a restart.
+        All other settings and the bound ``lookup_ttl_s`` need a restart. The log line names them
+        too if they differ from those in force.
         """
         try:
             config = self._load_settings()
--- a/packages/gateway/src/sassafrasway_gateway/registration.py
+++ b/packages/gateway/src/sassafrasway_gateway/registration.py
@@ -14,14 +14,7 @@
 
 
 class Registration:
-    """Maintains the row of this instance in the table of members.
-
-    Args:
-        store: Client of the platform's store.
-        table_name: Name of the table of members.
-        view: Fleet view, to which the listed members are added.
-        rng: Random source for the jitter of retries.
-    """
+    """Maintains the row of this instance in the table of members."""
 
     def __init__(
         self,
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -62,11 +62,7 @@
 
 
 class RelayedTable(msgspec.Struct, array_like=True, frozen=True):
-    """Wire format of the rows of a table.
-
-    Attributes:
-        full: Whether these are all rows of the table, as opposed to changes only.
-    """
+    """Wire format of the rows of a table: all rows if ``full``, otherwise only changes."""
 
     rows: list[RelayedRow]
     version: int
@@ -77,16 +73,12 @@
 
 
 class RelayHandler(http_server.Handler):
-    """Serves the cached tables to other instances.
-
-    Args:
-        caches: Caches of the followed tables, by table name.
-    """
+    """Serves the cached tables, given by name, to other instances."""
 
     def __init__(self, *, caches: dict[str, table_cache.TableCache]):
         self._caches = caches
-        # Encoded response bodies by path, version to start from and version of the table. All
-        # instances of a region usually request the same changes at about the same time.
+        # Bodies by path, start version and version of the table. All instances of a region usually
+        # request the same changes at about the same time.
         self._encoded: dict[tuple[str, int, int], bytes] = {}
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -128,11 +120,7 @@
 
 
 class RelayClient:
-    """Fetches tables from other instances.
-
-    Args:
-        port: Port on which all instances serve their tables.
-    """
+    """Fetches tables from other instances, which all serve them on the same port."""
 
     def __init__(self, *, port: int):
         self._port = port
@@ -142,10 +130,7 @@
     async def fetch(self, host: str, table_name: str, *, after: int) -> RelayedTable:
         """Returns the changes after a version, or the whole table if they are unavailable.
 
-        Args:
-            host: Address of the instance to fetch from.
-            table_name: Table to fetch.
-            after: Version of the rows that this instance has; -1 to fetch the whole table.
+        With -1 for ``after``, the result is the whole table.
 
         Raises:
             table.StoreUnavailable: The instance returned no valid response.
@@ -190,12 +175,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PollTimes:
-    """Timing of a long poll of the store.
-
-    Attributes:
-        wait_s: Longest time for which the store waits for a change, s.
-        margin_s: Time allowed for the response to arrive after that, s.
-    """
+    """Timing of a long poll of the store; see ``POLL_WAIT_S`` and ``POLL_MARGIN_S``."""
 
     wait_s: float
     margin_s: float
@@ -212,10 +192,9 @@
     """Latest table versions announced by an instance.
 
     Attributes:
-        received_s: Monotonic time at which the latest announcement was received.
-        first_announced_s: Monotonic time at which the current version of each table was first
-            announced. A hint is used only after a delay, as the readers of this region may soon
-            announce the same version.
+        received_s: Monotonic time of the latest announcement.
+        first_announced_s: Monotonic time of the first announcement of each table's current version;
+            the start of ``HINT_DELAY_S``.
     """
 
     host: str
@@ -225,12 +204,7 @@
 
 
 class RelayRole:
-    """Decides whether this instance reads the store or fetches rows from another instance.
-
-    Args:
-        view: Fleet as seen by this instance.
-        rng: Random source for the choice among instances with the same version.
-    """
+    """Decides whether this instance reads the store or fetches rows from another instance."""
 
     def __init__(self, *, view: fleet.FleetView, rng: random.Random):
         self._view = view
@@ -239,8 +213,7 @@
         self._hints: dict[str, _Announcement] = {}
         self._started_s = time.monotonic()
         self._last_announced_s: dict[str, float] = {}
-        # Monotonic time at which the last reader of a table announced that it can no longer read
-        # it.
+        # Monotonic time at which the last reader of a table announced that it had lost the table.
         self._readers_lost_s: dict[str, float] = {}
         self._announcement_received = asyncio.Event()
 
@@ -268,14 +241,8 @@
     def on_beacon(self, name: str, host: str, region: str, versions: dict[str, int]) -> None:
         """Records an announcement by another instance.
 
-        An announcement from another region counts as a hint only.
-
-        Args:
-            name: Name of the instance.
-            host: Address on which it serves its tables.
-            region: Its region.
-            versions: Versions of the tables that it can serve. A table that was announced before
-                and is missing now can no longer be read by the instance.
+        An announcement from another region counts as a hint only. If a table that the instance
+        announced before is missing from ``versions``, the instance can no longer read it.
         """
         if region != self._view.own.region:
             self.on_hint(name, host, versions)
@@ -302,13 +269,9 @@
     def choose_source(self, table_name: str, version: int) -> str | None:
         """Returns the host of an instance with the newest version of a table, or None.
 
-        Hints are considered only if no announcement of this region has a newer version than this
-        instance. The choice among instances with the same version is random, which spreads the load
+        Only versions newer than ``version`` count, and hints only if no announcement of this region
+        has one. The choice among instances with the same version is random, which spreads the load
         of a region over them.
-
-        Args:
-            table_name: Table to fetch.
-            version: Version that this instance has; only newer ones are considered.
         """
         now_s = time.monotonic()
         for announcements, max_age_s, min_age_s in (
@@ -365,9 +328,8 @@
     def recipients(self, *, changed: bool) -> list[fleet.Member]:
         """Returns the instances to which an announcement is sent: all live ones of this region.
 
-        Args:
-            changed: Whether it contains a new version, which is then also sent to
-                ``RECIPIENTS_PER_REMOTE_REGION`` instances of each other region.
+        If it contains a new version (``changed``), ``RECIPIENTS_PER_REMOTE_REGION`` instances of
+        each other region are added.
         """
         region = self._view.own.region
         live = self._view.live_members()
@@ -384,7 +346,6 @@
         return self._last_announced_s.get(table_name, self._started_s) + BEACON_LIFETIME_S
 
     def _is_announced(self, table_name: str, now_s: float) -> bool:
-        """Whether the latest announcement of any instance is recent and contains the table."""
         return any(
             table_name in announcement.versions
             and now_s - announcement.received_s < BEACON_LIFETIME_S
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -13,11 +13,6 @@
     """Divides the additional retries of the fleet among its live instances.
 
     The retries permitted per request need no division: each instance counts its own requests.
-
-    Args:
-        clock: Time source.
-        view: Fleet as seen by this instance.
-        bounds: Bounds of the whole fleet.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, view: fleet.FleetView, bounds: settings.Bounds):
--- a/packages/gateway/src/sassafrasway_gateway/routing.py
+++ b/packages/gateway/src/sassafrasway_gateway/routing.py
@@ -19,9 +19,7 @@
     def match(self, host: str, target: str) -> model.Route | None:
         """Returns the route with the longest prefix of the path, or None.
 
-        Args:
-            host: Value of the Host header, with or without a port.
-            target: Request target: path and query.
+        ``host`` may contain a port, and ``target`` a query.
         """
         path = target.partition("?")[0]
         for route in self._by_host.get(host.partition(":")[0].lower(), ()):
@@ -41,9 +39,6 @@
     are random, and credits are kept when the policy changes. Otherwise the first requests of all
     instances, and all requests between policy changes in quick succession, would go to the service
     with the highest weight.
-
-    Args:
-        rng: Random source of the initial credits.
     """
 
     def __init__(self, *, rng: random.Random):
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -69,12 +69,9 @@
     def add_latency(self, service_s: float, expected_s: float, *, warm: bool) -> None:
         """Updates the latency ratio with the service time of one request.
 
-        Args:
-            service_s: Time until the response, or until the attempt timed out, without the
-                estimated time in the queue of the server.
-            expected_s: Usual service time of a warm object, or of a cold run.
-            warm: Whether the object was known to be warm on the server. If not, the sample only
-                counts when it is slow even for a cold run.
+        ``service_s`` is the time until the response or timeout, without the estimated time in the
+        server's queue. ``expected_s`` is the usual time of a warm object, or of a cold run if the
+        object is not known to be warm; only a sample that is slow even for a cold run counts then.
         """
         if expected_s <= 0 or (not warm and service_s <= expected_s):
             return
@@ -92,10 +89,6 @@
 
     Contains the listed servers, and those whose listing expired during an outage of the store until
     their grace period ends.
-
-    Args:
-        clock: Time source.
-        region_of: Region of each failure domain.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, region_of: Mapping[str, str]):
@@ -210,25 +203,13 @@
         self._rankings.clear()
 
     def mark_cold(self, state: ServerState, now_s: float, left_s: float | None = None) -> None:
-        """Marks a server as cold.
-
-        Args:
-            state: The server.
-            now_s: Current monotonic time.
-            left_s: Time for which it remains cold; None for the warm-up time of its service.
-        """
+        """Marks a server as cold for ``left_s``, by default the warm-up time of its service."""
         if left_s is None:
             left_s = self._warmup_s.get(state.server.service, 0.0)
         state.cold_until_s = max(state.cold_until_s, now_s + left_s)
 
     def on_load(self, state: ServerState, running: int, waiting: int) -> None:
-        """Records a load report.
-
-        Args:
-            state: The server.
-            running: Number of requests that the server is running, from all instances.
-            waiting: Number of requests in its queue, from all instances.
-        """
+        """Records a load report; it counts the requests of all instances."""
         state.others_outstanding = max(0.0, running + waiting - state.outstanding)
         state.reported_load_per_slot = (running + waiting) / max(1, state.server.slots)
         state.reported_at_s = self._clock.monotonic()
@@ -244,10 +225,8 @@
     def on_rejected(self, state: ServerState, *, misdirected: bool) -> None:
         """Records that a server rejected a request without running it.
 
-        Args:
-            state: The server.
-            misdirected: Whether another server now has the address of this one, which is then
-                ejected for ``MAX_EJECTION_S``.
+        ``misdirected`` means that another server now has the address of this one; this one is then
+        ejected for ``MAX_EJECTION_S``.
         """
         state.add_outcome(failed=True)
         if misdirected:
@@ -256,11 +235,8 @@
     def on_failure(self, state: ServerState, *, unreachable: bool) -> None:
         """Records a failed attempt or check and ejects the server with exponential backoff.
 
-        The first failure ejects the server only if it is unreachable.
-
-        Args:
-            state: The server.
-            unreachable: Whether no connection could be opened; the server is then on trial.
+        ``unreachable`` means that no connection could be opened; the server is then on trial. If
+        it is not set, the first failure does not eject the server.
         """
         state.failures += 1
         state.add_outcome(failed=True)
@@ -272,7 +248,6 @@
 
     @staticmethod
     def _same_ranking(old: model.BackendServer, new: model.BackendServer) -> bool:
-        """Whether two listings of a server lead to the same ranking."""
         return (old.service, old.failure_domain, old.slots, old.draining) == (
             new.service,
             new.failure_domain,
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -19,23 +19,18 @@
 
 
 class RowDecoder(abc.ABC):
-    """Decodes rows of the platform into the types of the gateway."""
+    """Decodes rows of the platform into the types of the gateway.
+
+    ``policy`` and ``backend_server`` raise ``errors.ValidationError`` for an invalid row.
+    """
 
     @abc.abstractmethod
     def policy(self, value: bytes) -> model.Policy:
-        """Decodes a policy.
-
-        Raises:
-            errors.ValidationError: The row is not a valid policy.
-        """
+        """Decodes a policy."""
 
     @abc.abstractmethod
     def backend_server(self, key: str, value: bytes) -> model.BackendServer:
-        """Decodes the listing of a backend server.
-
-        Raises:
-            errors.ValidationError: The row is not a valid listing.
-        """
+        """Decodes the listing of a backend server."""
 
     @abc.abstractmethod
     def is_policy(self, key: str) -> bool:
@@ -49,12 +44,8 @@
 class PolicyState(follower.Listener):
     """The policy in force and the evacuated failure domains, whose servers get no request.
 
-    A policy stays in force when its row is removed.
-
-    Args:
-        decoder: Decodes rows.
-        registry: Servers; receives the evacuated failure domains and the warm-up times.
-        on_policy: Called after a new policy is in force.
+    A policy stays in force when its row is removed. ``on_policy`` is called after a new policy is
+    in force.
     """
 
     def __init__(
@@ -141,9 +132,6 @@
     """Updates the registry from the listings in the table of backend servers.
 
     Args:
-        clock: Time source.
-        decoder: Decodes rows.
-        registry: Servers.
         local_outage: Returns whether the store answered other instances during an outage that
             lasted the given number of seconds and has just ended. If so, the servers could renew
             their listings, and none expired because of the outage.
--- a/packages/gateway/tests/load_simulation.py
+++ b/packages/gateway/tests/load_simulation.py
@@ -51,11 +51,8 @@
     """Sends requests for objects through instances to simulated servers.
 
     Args:
-        listed: Servers.
         regions: Region of each instance.
         rate_per_s: Returns the requests per second of a region at a given time.
-        objects_per_region: Number of objects of each region.
-        seed: Seed of the random numbers.
     """
 
     def __init__(self, *, listed, regions, rate_per_s, objects_per_region, seed):
