--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -1,8 +1,7 @@
 """Ranks the servers of a service for an object, in the same order on every instance.
 
-A backend server runs a request several times faster if it recently ran one for the same object,
-which a cookie of the request names. All instances must therefore send the requests for an object to
-the same few servers, without coordination.
+All instances must send the requests for an object to the same few servers, without coordination,
+because these servers have it in their caches. The module ``balancer`` explains objects.
 """
 
 import hashlib
--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -13,9 +13,8 @@
     """Decides when table versions are announced, and to which instances.
 
     An instance that reads the store announces the tables that it reads at regular intervals. It
-    does so immediately when it has a new version, and when it can no longer read one of them, so
-    that other instances take over. An instance that does not read the store announces versions that
-    it has received from elsewhere once, if the readers of its region do not have them yet.
+    also does so as soon as it has a new version, or can no longer read a table and others must take
+    over. Any other instance announces a new version once if the region's readers lack it.
     """
 
     def __init__(
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -17,9 +17,8 @@
 from sassafrasway_gateway import model, servers
 from sassafrasway_gateway import overflow as overflow_lib
 
-# Number of servers that are compared: the top of an object's ranking, without the servers that may
-# not be used now. The first one has usually run the object already, unless the object is new; on
-# every other one the first run is a cold run.
+# Number of usable servers at the top of an object's ranking that are compared. The first one has
+# usually run the object already; on every other one the first run is a cold run.
 MAX_COMPARED_SERVERS = 4
 # Service time of a cold run divided by that of a warm object, assumed while only one of the two has
 # been measured.
@@ -33,8 +32,8 @@
 WARM_FOR_S = 15.0
 # Number of pairs of server and object whose last run is recorded; bounds the memory.
 MAX_RECENT_RUNS = 4000
-# The queue of a server counts as full if a further request would make more requests per slot wait
-# than this; the server is expected to reject that request.
+# The queue of a server is full if one more request would make more than this wait per slot. The
+# server is expected to reject that request.
 MAX_WAITING_PER_SLOT = 2.0
 # Assumed service time of a route before the first measurement.
 DEFAULT_SERVICE_S = 0.2
@@ -109,9 +108,9 @@
 class ServiceTimeEstimate:
     """Moving averages of the service time of each route: warm objects, cold runs and all runs.
 
-    This instance does not see the requests that other instances send to a server, so an object that
-    is not known to be warm there may be warm all the same. Of the runs of such objects, only the
-    slow ones are therefore counted as cold runs, once the service time of warm objects is known.
+    An object that is not known to be warm may be warm all the same, because another instance sent a
+    request for it. Once the service time of warm objects is known, only the slow runs of such
+    objects count as cold runs.
     """
 
     def __init__(self):
@@ -281,10 +280,7 @@
 
     @staticmethod
     def _queue_per_slot(state: servers.ServerState, now_s: float) -> float:
-        """Returns the number of requests that would wait if one more arrived, per slot.
-
-        The result is 0 only if the server has a free slot for the new request.
-        """
+        """Returns the requests per slot that wait if one more arrives; 0 if a slot is free."""
         slots = max(1, state.server.slots)
         return max(0.0, state.load(now_s) + 1.0 - slots) / slots
 
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -210,9 +210,9 @@
     def _targets(self) -> list[Member]:
         """Returns the members to ping.
 
-        These are the next live member in a ring that is ordered by region and failure domain, one
-        random member, live or not, and all live members that have not answered yet. The random one
-        is of this region or, in every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
+        These are the next live member in a ring ordered by region and failure domain, all live
+        members that have not answered yet, and one random member, live or not. The random one is of
+        this region or, in every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
         """
         targets = {}
         live = [entry.member for entry in self._entries.values() if entry.alive]
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -186,9 +186,8 @@
 
     async def _poll_store(self) -> None:
         times = self._role.poll_times()
-        # The first poll of an instance that has not read the store itself, and the next one after a
-        # failed or cancelled poll, do not wait for changes, so that they show immediately whether
-        # the store responds.
+        # A poll waits for changes only if the store responded to the previous call. Otherwise it
+        # shows immediately whether the store responds.
         wait_s = times.wait_s * self._rng.uniform(0.8, 1.0) if self._store_responds else 0.0
         call = self._store.changes(
             self._table, after=self.version, wait_s=wait_s, timeout_s=wait_s + times.margin_s
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -48,7 +48,6 @@
         fingerprint: Digest that is the same when the caller sends the request again.
         deadline_s: Monotonic time after which no attempt is started.
         server_deadline_s: Monotonic time by which a server has to finish the request.
-        may_have_run: Whether it is possible that an attempt ran the request.
         sent_attempts: Number of finished attempts that had a connection, new or reused.
     """
 
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -16,16 +16,16 @@
 class Route:
     """Routing rule for the requests to one host and path prefix.
 
+    The gateway does not use the target latency and the priority.
+
     Attributes:
         idempotent: Whether a request may run more than once.
         timeout_s: Time from the arrival of a request until which attempts may start; None for the
             default of the gateway. A running attempt gets ``jobs.ROUTE_TIMEOUT_GRACE_S`` more.
-        target_latency_s: Time after which a response is worth less to the caller. Not used by the
-            gateway.
-        priority: Rank among the routes of a service; 0 is the most urgent. Not used by the gateway.
+        target_latency_s: Time after which a response is worth less to the caller.
+        priority: Rank among the routes of a service; 0 is the most urgent.
         max_attempts: Largest number of attempts; those that could not connect do not count.
-        sticky: Whether requests are assigned to servers by the object named in a cookie; see
-            ``balancer`` for objects.
+        sticky: Whether requests are assigned to servers by the object named in a cookie.
         home_regions: Regions whose servers may be used; empty allows all.
     """
 
@@ -46,10 +46,11 @@
 class Service:
     """Settings of one service.
 
+    The gateway does not use the health check and the connection limit.
+
     Attributes:
-        health_path: URL path of the health check of a server. Not used by the gateway.
-        max_connections: Connections that a server accepts from all callers together. Not used by
-            the gateway.
+        health_path: URL path of the health check of a server.
+        max_connections: Connections that a server accepts from all callers together.
         warmup_s: Time after its start for which a server is cold: slow, with empty caches.
         warmup_per_s: Requests per second that a cold server tolerates.
     """
@@ -67,7 +68,6 @@
 
     Attributes:
         header_bytes: Largest size of the head of a request.
-        body_bytes: Largest size of the body of a request.
         header_timeout_s: Time from the first byte of a request until its head must be complete.
         idle_timeout_s: Longest time without data between requests or within a body.
     """
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -18,8 +18,7 @@
         port: UDP port used by all instances.
         versions: Returns the newest version of each followed table that this instance has.
         contact_s: Returns the value of ``Hello.contact_ms`` for this instance, but in s.
-        on_versions: Called with the name, host and table versions of another instance for each
-            message that contains them.
+        on_versions: Called with the name, host and table versions in a message.
         on_crash: Called with the request fingerprint and the server of a reported crash.
         on_beacon: Called with the name, host, region and table versions in an announcement.
     """
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -225,9 +225,9 @@
     def has_recent_announcement(self, table_name: str) -> bool:
         """Whether an instance of the region has recently announced a version of the table.
 
-        This stays true for ``BEACON_LIFETIME_S`` after the last announcement, even if the readers
-        have lost the table since, so that the next instance can take over before the loss counts as
-        an outage. Before the first announcement, the time counts from the start of this instance.
+        An announcement is recent for ``BEACON_LIFETIME_S``, even if the readers have lost the table
+        since. The next instance can then take over before the loss counts as an outage. Until the
+        first announcement, the time counts from the start of this instance.
         """
         return time.monotonic() < self._announcement_expiry_s(table_name)
 
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -87,8 +87,7 @@
 class ServerRegistry:
     """Backend servers with their state, and the affinity ranking of each service.
 
-    Contains the listed servers, and those whose listing expired during an outage of the store until
-    their grace period ends.
+    A server whose listing expired during an outage of the store stays until its grace period ends.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, region_of: Mapping[str, str]):
@@ -191,8 +190,8 @@
     def set_evacuated(self, failure_domains: Iterable[str]) -> None:
         """Replaces the set of evacuated failure domains.
 
-        The servers of a failure domain that is no longer evacuated are treated as cold: they were
-        idle long enough to lose their caches, but their listings need not state that they are cold.
+        Servers of a failure domain that is no longer evacuated are marked as cold. They were idle
+        long enough to lose their caches, but their listings need not say so.
         """
         evacuated = frozenset(failure_domains)
         now_s = self._clock.monotonic()
--- a/packages/gateway/src/sassafrasway_gateway/settings.py
+++ b/packages/gateway/src/sassafrasway_gateway/settings.py
@@ -44,13 +44,12 @@
     """Identity, addresses and bounds of one gateway process.
 
     Attributes:
-        front: Address on which requests of callers are served.
-        readiness: Address on which readiness probes of the platform are served.
-        lookup: Address on which lookups of callers are served.
+        front: Address for requests of callers.
+        readiness: Address for readiness probes of the platform.
+        lookup: Address for lookups of callers.
         peer: UDP address for datagrams of other instances.
         relay: Address from which other instances fetch rows of the platform's store.
-        metrics: Address on which the metrics and a dump of the process's state are served; None to
-            serve neither.
+        metrics: Address for the metrics and a dump of the process's state; None to serve neither.
         region_of: Region of each failure domain.
     """
 
--- a/packages/gateway/tests/test_cold_limit.py
+++ b/packages/gateway/tests/test_cold_limit.py
@@ -24,11 +24,7 @@
     def run_fleet(self, views, rate_per_s, slack_per_s, seconds=10):
         """Returns the maximum number of requests to the server in one second, and their total.
 
-        Args:
-            views: Names of the live instances as seen by each instance.
-            rate_per_s: Requests per second that the server tolerates while it is cold.
-            slack_per_s: Requests per second permitted in addition.
-            seconds: Duration of the run, s.
+        ``views`` holds, for each instance, the names of the live instances as it sees them.
         """
         clock = clock_lib.ManualClock()
         server = gateway_fakes.make_server("s")
