Restore units, conditions and reasons in the gateway's docstrings

The shortened docstrings had lost the fields of a load report, the meaning of None for the idle limit, the reason for the stop delay and for the delay of hints, what the maintenance does, and the condition on ranked servers. Some sentences were hard to read. Three or more parameters are listed under Args again, and Returns sections come back.

--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -1,7 +1,8 @@
 """Ranks the servers of a service for an object, in the same order on every instance.
 
-All instances must send the requests for an object to the same few servers, without coordination,
-because these servers have it in their caches. The module ``balancer`` explains objects.
+A backend server runs a request several times faster if it recently ran one for the same object; the
+module ``balancer`` explains objects. All instances must therefore send the requests for an object
+to the same few servers, without coordination.
 """
 
 import hashlib
@@ -21,7 +22,7 @@
 
 
 class AffinityRanking:
-    """Orders the servers of one service by weighted rendezvous hashing.
+    """Orders the usable servers of one service by weighted rendezvous hashing.
 
     The servers of the forwarding instance's region come first for as many objects as the slots of
     that region allow. If a region has fewer slots than its share of the callers requires, a fixed
@@ -62,8 +63,11 @@
     def ranked(self, key: str, region: str, *, kept_share: float = 1.0) -> tuple[str, ...]:
         """Returns the ids of all servers, the preferred one for the object first.
 
-        ``region`` is that of the instance that forwards the request. ``kept_share`` is the share of
-        the objects that stay in the region for now, of those that its servers run without overload.
+        Args:
+            key: Key of the object.
+            region: Region of the instance that forwards the request.
+            kept_share: Share of the objects that stay in the region for now, of those that its
+                servers run without overload.
         """
         prefers_local = _unit_hash(key, region, "local") < self.local_share(region) * kept_share
         cache_key = (key, region, prefers_local)
--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -52,7 +52,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadReport:
-    """Numbers of running and queued requests, and of slots, that a server reports in a header."""
+    """Load that a server reports in a response header.
+
+    Attributes:
+        running: Number of requests that the server is running.
+        waiting: Number of requests in its queue.
+        slots: Number of requests that it runs at a time.
+    """
 
     running: int
     waiting: int
@@ -60,7 +66,7 @@
 
 
 def parse_load(value: bytes | None) -> LoadReport | None:
-    """Parses a load header, ``running,waiting,slots``; returns None if missing or invalid."""
+    """Parses a load header, ``running,waiting,slots``; returns None if it is missing or invalid."""
     if value is None:
         return None
     parts = value.split(b",")
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -32,8 +32,8 @@
 WARM_FOR_S = 15.0
 # Number of pairs of server and object whose last run is recorded; bounds the memory.
 MAX_RECENT_RUNS = 4000
-# The queue of a server is full if one more request would make more than this wait per slot. The
-# server is expected to reject that request.
+# The queue of a server counts as full if a further request would make more requests per slot wait
+# than this; the server is expected to reject that request.
 MAX_WAITING_PER_SLOT = 2.0
 # Assumed service time of a route before the first measurement.
 DEFAULT_SERVICE_S = 0.2
@@ -108,9 +108,9 @@
 class ServiceTimeEstimate:
     """Moving averages of the service time of each route: warm objects, cold runs and all runs.
 
-    An object that is not known to be warm may be warm all the same, because another instance sent a
-    request for it. Once the service time of warm objects is known, only the slow runs of such
-    objects count as cold runs.
+    An object that is not known to be warm on a server may be warm all the same, because another
+    instance sent the server a request for it. Once the service time of warm objects is known, only
+    the slow runs of such objects count as cold runs.
     """
 
     def __init__(self):
@@ -280,7 +280,10 @@
 
     @staticmethod
     def _queue_per_slot(state: servers.ServerState, now_s: float) -> float:
-        """Returns the requests per slot that wait if one more arrives; 0 if a slot is free."""
+        """Returns the number of requests that would wait if one more arrived, per slot.
+
+        The result is 0 only if the server has a free slot for the new request.
+        """
         slots = max(1, state.server.slots)
         return max(0.0, state.load(now_s) + 1.0 - slots) / slots
 
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -50,7 +50,7 @@
     def set_rates(self, rate_per_s: dict[str, float]) -> None:
         """Replaces the requests per second that each cold server tolerates, by service.
 
-        They are the sum over all instances.
+        A rate counts the requests of all instances together.
         """
         self._rate_per_s = dict(rate_per_s)
 
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -155,8 +155,9 @@
     def suspect(self, name: str, incarnation: int) -> Member | None:
         """Starts the verification of a member that another instance could not reach.
 
-        Returns the member to ping, or None if the suspicion concerns an unknown or dead member or
-        an earlier incarnation.
+        Returns:
+            The member to ping, or None if the suspicion concerns an unknown or dead member or an
+            earlier incarnation.
         """
         entry = self._entries.get(name)
         if entry is None or not entry.alive or entry.member.incarnation > incarnation:
@@ -184,7 +185,8 @@
     def tick(self) -> tuple[list[Member], list[Member]]:
         """Advances the failure detector; called every ``PING_INTERVAL_S``.
 
-        Returns the members to ping now, and those that were just declared dead.
+        Returns:
+            The members to ping now, and those that were just declared dead.
         """
         now_s = self._clock.monotonic()
         paused = now_s - self._last_tick_s > MAX_TICK_GAP_S
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -35,7 +35,7 @@
 
     @abc.abstractmethod
     def on_regained(self, outage_s: float) -> None:
-        """Called when changes arrive again after an outage, as seen by this instance."""
+        """Called when changes arrive again; for this instance, the outage lasted ``outage_s``."""
 
 
 class TableFollower:
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -91,7 +91,8 @@
     def reusable(self, max_idle_s: float | None = None) -> bool:
         """Whether the connection is open, idle, and not about to be closed by the server.
 
-        ``max_idle_s`` limits the idle time further.
+        ``max_idle_s`` is the longest time for which the connection may have been idle; with None,
+        only the server's limit applies.
         """
         if self._closed or self._waiter is not None:
             return False
--- a/packages/gateway/src/sassafrasway_gateway/lookup.py
+++ b/packages/gateway/src/sassafrasway_gateway/lookup.py
@@ -49,7 +49,10 @@
 
 
 class LookupHandler(http_server.Handler):
-    """Answers lookups from the fleet view; ``ttl_s`` limits how long callers may cache them."""
+    """Answers lookups from the fleet view.
+
+    ``ttl_s`` is the longest time for which a response may be cached.
+    """
 
     def __init__(self, *, view: fleet.FleetView, lookup_format: LookupFormat, ttl_s: float):
         self._view = view
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -16,7 +16,7 @@
 class Route:
     """Routing rule for the requests to one host and path prefix.
 
-    The gateway does not use the target latency and the priority.
+    The gateway uses neither the target latency nor the priority.
 
     Attributes:
         idempotent: Whether a request may run more than once.
@@ -25,7 +25,8 @@
         target_latency_s: Time after which a response is worth less to the caller.
         priority: Rank among the routes of a service; 0 is the most urgent.
         max_attempts: Largest number of attempts; those that could not connect do not count.
-        sticky: Whether requests are assigned to servers by the object named in a cookie.
+        sticky: Whether requests are assigned to servers by the object named in a cookie; see
+            ``balancer`` for objects.
         home_regions: Regions whose servers may be used; empty allows all.
     """
 
@@ -46,7 +47,7 @@
 class Service:
     """Settings of one service.
 
-    The gateway does not use the health check and the connection limit.
+    The gateway uses neither the health check nor the connection limit.
 
     Attributes:
         health_path: URL path of the health check of a server.
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -44,8 +44,9 @@
 class Crashed(msgspec.Struct, array_like=True, tag="c", frozen=True):
     """Reports that a server crashed while it ran a request.
 
-    ``fingerprint`` is that of the request. ``server`` is the id of the server and the Unix time of
-    its start in ms, separated by a slash.
+    Attributes:
+        fingerprint: Digest of the request.
+        server: Id of the server and the Unix time of its start in ms, separated by a slash.
     """
 
     fingerprint: str
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -17,8 +17,10 @@
     Args:
         port: UDP port used by all instances.
         versions: Returns the newest version of each followed table that this instance has.
-        contact_s: Returns the value of ``Hello.contact_ms`` for this instance, but in s.
-        on_versions: Called with the name, host and table versions in a message.
+        contact_s: Returns how long this instance has received the store's changes without an
+            outage, s; 0 during an outage.
+        on_versions: Called with the name, host and table versions of another instance for each
+            message that contains them.
         on_crash: Called with the request fingerprint and the server of a reported crash.
         on_beacon: Called with the name, host, region and table versions in an announcement.
     """
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -40,10 +40,13 @@
 from sassafrasway_gateway import dialect as dialect_lib
 from sassafrasway_platform import feed
 
+# Interval of the maintenance, which removes servers whose grace period has ended, closes idle
+# connections that have expired, and updates the shares of the overflow control.
 MAINTENANCE_INTERVAL_S = 0.5
 READY_CHECK_INTERVAL_S = 0.05
-# Time from the start of the shutdown until the instance stops accepting connections. It exceeds the
-# lifetime of a lookup (`lookup.LOOKUP_TTL_S`) because callers may keep one for longer.
+# Time from the start of the shutdown until the instance stops accepting connections. Until then,
+# callers may still use a lookup that lists this instance. The value is greater than the lifetime of
+# a lookup (`lookup.LOOKUP_TTL_S`), because callers may keep one for longer.
 STOP_LISTENING_AFTER_S = 2.4
 # Time at the end of the stop grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.4
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -77,8 +77,8 @@
 
     def __init__(self, *, caches: dict[str, table_cache.TableCache]):
         self._caches = caches
-        # Bodies by path, start version and version of the table. All instances of a region usually
-        # request the same changes at about the same time.
+        # Encoded response bodies by path, version to start from and version of the table. All
+        # instances of a region usually request the same changes at about the same time.
         self._encoded: dict[tuple[str, int, int], bytes] = {}
 
     async def handle(self, request: messages.Request) -> messages.Response:
@@ -193,8 +193,9 @@
 
     Attributes:
         received_s: Monotonic time of the latest announcement.
-        first_announced_s: Monotonic time of the first announcement of each table's current version;
-            the start of ``HINT_DELAY_S``.
+        first_announced_s: Monotonic time of the first announcement of each table's current version.
+            A hint is used only after a delay, as the readers of this region may soon announce the
+            same version.
     """
 
     host: str
@@ -269,9 +270,9 @@
     def choose_source(self, table_name: str, version: int) -> str | None:
         """Returns the host of an instance with the newest version of a table, or None.
 
-        Only versions newer than ``version`` count, and hints only if no announcement of this region
-        has one. The choice among instances with the same version is random, which spreads the load
-        of a region over them.
+        Only versions newer than ``version``, which this instance has, are considered. Hints are
+        considered only if no announcement of this region has a newer version. The choice among
+        instances with the same version is random, which spreads the load of a region over them.
         """
         now_s = time.monotonic()
         for announcements, max_age_s, min_age_s in (
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -69,9 +69,12 @@
     def add_latency(self, service_s: float, expected_s: float, *, warm: bool) -> None:
         """Updates the latency ratio with the service time of one request.
 
-        ``service_s`` is the time until the response or timeout, without the estimated time in the
-        server's queue. ``expected_s`` is the usual time of a warm object, or of a cold run if the
-        object is not known to be warm; only a sample that is slow even for a cold run counts then.
+        Args:
+            service_s: Time until the response, or until the attempt timed out, without the
+                estimated time in the queue of the server.
+            expected_s: Usual service time of a warm object, or of a cold run.
+            warm: Whether the object was known to be warm on the server. If not, the sample only
+                counts when it is slow even for a cold run.
         """
         if expected_s <= 0 or (not warm and service_s <= expected_s):
             return
@@ -191,7 +194,7 @@
         """Replaces the set of evacuated failure domains.
 
         Servers of a failure domain that is no longer evacuated are marked as cold. They were idle
-        long enough to lose their caches, but their listings need not say so.
+        long enough to lose their caches, but their listings need not state that they are cold.
         """
         evacuated = frozenset(failure_domains)
         now_s = self._clock.monotonic()
--- a/packages/gateway/src/sassafrasway_gateway/table_cache.py
+++ b/packages/gateway/src/sassafrasway_gateway/table_cache.py
@@ -25,9 +25,10 @@
     def replace(self, changes: feed.Changes) -> None:
         """Replaces the whole table.
 
-        The differences from the previous rows are recorded as changes. After the store has lost its
-        change history, the other instances then need not all fetch the whole table at the same
-        time. If the version went back, the recent changes are discarded.
+        Differences from the previous rows are recorded as changes. After the store has lost its
+        change history, the other instances can then fetch a few rows each; otherwise all of them
+        would fetch the whole table at the same time. If the version went back, the recent changes
+        are discarded.
         """
         rows = {row.key: row for row in changes.rows}
         if self._version < 0 or changes.version < self._version:
--- a/packages/gateway/tests/gateway_fakes.py
+++ b/packages/gateway/tests/gateway_fakes.py
@@ -153,8 +153,13 @@
 def answer(status=200, body=b"ok", *, signed=True, request_id=None, extra=b"", headers=b""):
     """Returns a script entry with a response like that of a backend server.
 
-    ``request_id`` is the id that the response repeats, by default that of the request; ``extra``
-    follows the response; ``headers`` are further header lines, each with its line end.
+    Args:
+        status: Status of the response.
+        body: Body of the response.
+        signed: Whether the response has the signature header.
+        request_id: Id that the response repeats; None for the id of the request.
+        extra: Bytes sent after the response.
+        headers: Further header lines, each with its line end.
     """
 
     def build(head):
