State the address format and the result of skipping a late response

The docstring of Connection had lost the format of the peer address, and "reading can continue" did not say what is read. Only docstrings change.

--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -66,7 +66,10 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection to a server; used by a single exchange at a time."""
+    """One connection to a server; used by a single exchange at a time.
+
+    ``peer`` is the address of the server as ``host:port``, for error messages.
+    """
 
     def __init__(self, *, peer: str):
         self._peer = peer
@@ -242,7 +245,11 @@
         return value is not None and value != self._echo.value
 
     def _skip_response(self) -> bool:
-        """Discards a late response to an earlier request; returns whether reading can continue."""
+        """Discards a late response to an earlier request.
+
+        Returns:
+            Whether the response to the current request can still be read.
+        """
         trailing_bytes, _ = self._parser.trailing_data
         if self._parser.their_state is not h11.DONE:
             self._fail("a response to another request ends the connection", closed=False)
