--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -17,9 +17,8 @@
 from sassafrasway_gateway import model, servers
 from sassafrasway_gateway import overflow as overflow_lib
 
-# Number of servers that are compared: the top of an object's ranking, without the servers that may
-# not be used now. The first one has usually run the object already, unless the object is new; on
-# every other one the first run is a cold run.
+# Number of usable servers at the top of an object's ranking that are compared. The first one has
+# usually run the object already; on every other one the first run is a cold run.
 MAX_COMPARED_SERVERS = 4
 # Service time of a cold run divided by that of a warm object, assumed while only one of the two has
 # been measured.
@@ -70,7 +69,6 @@
 
     Attributes:
         state: The selected server; None if the request was refused.
-        refusal: Why no server was selected; None if one was.
         retry_after_s: Time after which the caller of a refused request may retry.
         load: Estimated number of requests running or waiting at the selected server.
         load_age_s: Age of the load report that the estimate is based on; -1 without a report.
@@ -97,7 +95,6 @@
         object_key: Key of the object; see ``jobs.Job``.
         region: Region of this instance.
         remaining_s: Time until the deadline of the request.
-        excluded_servers: Ids of the servers that must not be selected.
     """
 
     route: model.Route
@@ -111,9 +108,9 @@
 class ServiceTimeEstimate:
     """Moving averages of the service time of each route: warm objects, cold runs and all runs.
 
-    This instance does not see the requests that other instances send to a server, so an object that
-    is not known to be warm there may be warm all the same. Of the runs of such objects, only the
-    slow ones are therefore counted as cold runs, once the service time of warm objects is known.
+    An object that is not known to be warm on a server may be warm all the same, because another
+    instance sent the server a request for it. Once the service time of warm objects is known, only
+    the slow runs of such objects count as cold runs.
     """
 
     def __init__(self):
@@ -139,13 +136,7 @@
         return self._mean_s.get(route, DEFAULT_SERVICE_S)
 
     def add(self, route: str, service_s: float, *, warm: bool) -> None:
-        """Adds a measured service time.
-
-        Args:
-            route: Name of the route.
-            service_s: Measured service time.
-            warm: Whether the object was known to be warm on the server.
-        """
+        """Adds a measured service time; ``warm`` is whether the object was known to be warm."""
         self._update_average(self._mean_s, route, service_s)
         if warm:
             self._update_average(self._warm_s, route, service_s)
@@ -182,15 +173,7 @@
 
 
 class Balancer:
-    """Selects the server with the lowest expected cost among the top of an object's ranking.
-
-    Args:
-        clock: Time source.
-        registry: Servers and their state.
-        service_times: Estimated service times of the routes.
-        cold_limit: Decides which cold servers this instance may use.
-        overflow: Decides which share of the objects moves out of an overloaded region.
-    """
+    """Selects the server with the lowest expected cost among the top of an object's ranking."""
 
     def __init__(
         self,
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -71,13 +71,7 @@
 
 
 class FleetView:
-    """Members and their liveness as this instance sees them.
-
-    Args:
-        clock: Time source.
-        own: Description of this instance.
-        rng: Random source for the choice of ping targets.
-    """
+    """Members and their liveness as this instance sees them."""
 
     def __init__(self, *, clock: clock_lib.Clock, own: Member, rng: random.Random):
         self._clock = clock
@@ -136,15 +130,10 @@
             entry.member = member
 
     def on_message(self, member: Member, *, contact_s: float = 0.0) -> bool:
-        """Records a message from the member itself; an outdated one is ignored.
-
-        Args:
-            member: Description in the message.
-            contact_s: How long the member has received the changes of the platform's store without
-                an outage, s; 0 during an outage.
+        """Records a message from the member itself and returns whether the member became live.
 
-        Returns:
-            Whether the member became live.
+        An outdated message is ignored. ``contact_s`` is how long the member has received the
+        changes of the platform's store without an outage; 0 during an outage.
         """
         if member.name == self._own.name:
             return False
@@ -179,14 +168,11 @@
         return entry.member
 
     def store_answered_peers(self, outage_s: float) -> bool:
-        """Whether another instance kept receiving the store's changes during an outage.
-
-        It must have received them since before the outage began, and its last message must have
-        arrived more than ``MAX_TICK_GAP_S`` after that, because an earlier message does not show
-        that it was unaffected.
+        """Whether another instance kept receiving the store's changes in an outage that ends now.
 
-        Args:
-            outage_s: Duration of the outage, which ends now, s.
+        It must have received them since before the outage began. Its last message must have arrived
+        more than ``MAX_TICK_GAP_S`` after the beginning, because an earlier one does not show that
+        it was unaffected.
         """
         began_s = self._clock.monotonic() - outage_s
         return any(
@@ -226,9 +212,9 @@
     def _targets(self) -> list[Member]:
         """Returns the members to ping.
 
-        These are the next live member in a ring that is ordered by region and failure domain, one
-        random member, live or not, and all live members that have not answered yet. The random one
-        is of this region or, in every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
+        These are the next live member in a ring ordered by region and failure domain, all live
+        members that have not answered yet, and one random member, live or not. The random one is of
+        this region or, in every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
         """
         targets = {}
         live = [entry.member for entry in self._entries.values() if entry.alive]
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -90,12 +90,7 @@
 class ServerRegistry:
     """Backend servers with their state, and the affinity ranking of each service.
 
-    Contains the listed servers, and those whose listing expired during an outage of the store until
-    their grace period ends.
-
-    Args:
-        clock: Time source.
-        region_of: Region of each failure domain.
+    A server whose listing expired during an outage of the store stays until its grace period ends.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, region_of: Mapping[str, str]):
@@ -198,8 +193,8 @@
     def set_evacuated(self, failure_domains: Iterable[str]) -> None:
         """Replaces the set of evacuated failure domains.
 
-        The servers of a failure domain that is no longer evacuated are treated as cold: they were
-        idle long enough to lose their caches, but their listings need not state that they are cold.
+        Servers of a failure domain that is no longer evacuated are marked as cold. They were idle
+        long enough to lose their caches, but their listings need not state that they are cold.
         """
         evacuated = frozenset(failure_domains)
         now_s = self._clock.monotonic()
@@ -210,25 +205,13 @@
         self._rankings.clear()
 
     def mark_cold(self, state: ServerState, now_s: float, left_s: float | None = None) -> None:
-        """Marks a server as cold.
-
-        Args:
-            state: The server.
-            now_s: Current monotonic time.
-            left_s: Time for which it remains cold; None for the warm-up time of its service.
-        """
+        """Marks a server as cold for ``left_s``, by default the warm-up time of its service."""
         if left_s is None:
             left_s = self._warmup_s.get(state.server.service, 0.0)
         state.cold_until_s = max(state.cold_until_s, now_s + left_s)
 
     def on_load(self, state: ServerState, running: int, waiting: int) -> None:
-        """Records a load report.
-
-        Args:
-            state: The server.
-            running: Number of requests that the server is running, from all instances.
-            waiting: Number of requests in its queue, from all instances.
-        """
+        """Records a load report; it counts the requests of all instances."""
         state.others_outstanding = max(0.0, running + waiting - state.outstanding)
         state.reported_load_per_slot = (running + waiting) / max(1, state.server.slots)
         state.reported_at_s = self._clock.monotonic()
@@ -244,10 +227,8 @@
     def on_rejected(self, state: ServerState, *, misdirected: bool) -> None:
         """Records that a server rejected a request without running it.
 
-        Args:
-            state: The server.
-            misdirected: Whether another server now has the address of this one, which is then
-                ejected for ``MAX_EJECTION_S``.
+        ``misdirected`` means that another server now has the address of this one; this one is then
+        ejected for ``MAX_EJECTION_S``.
         """
         state.add_outcome(failed=True)
         if misdirected:
@@ -256,11 +237,8 @@
     def on_failure(self, state: ServerState, *, unreachable: bool) -> None:
         """Records a failed attempt or check and ejects the server with exponential backoff.
 
-        The first failure ejects the server only if it is unreachable.
-
-        Args:
-            state: The server.
-            unreachable: Whether no connection could be opened; the server is then on trial.
+        ``unreachable`` means that no connection could be opened; the server is then on trial. If
+        it is not set, the first failure does not eject the server.
         """
         state.failures += 1
         state.add_outcome(failed=True)
@@ -272,7 +250,6 @@
 
     @staticmethod
     def _same_ranking(old: model.BackendServer, new: model.BackendServer) -> bool:
-        """Whether two listings of a server lead to the same ranking."""
         return (old.service, old.failure_domain, old.slots, old.draining) == (
             new.service,
             new.failure_domain,
--- a/packages/gateway/tests/gateway_fakes.py
+++ b/packages/gateway/tests/gateway_fakes.py
@@ -157,7 +157,7 @@
         status: Status of the response.
         body: Body of the response.
         signed: Whether the response has the signature header.
-        request_id: Id that the response repeats; None for that of the request.
+        request_id: Id that the response repeats; None for the id of the request.
         extra: Bytes sent after the response.
         headers: Further header lines, each with its line end.
     """
