--- a/packages/core/src/sassafrasway_core/assignment.py
+++ b/packages/core/src/sassafrasway_core/assignment.py
@@ -1,4 +1,7 @@
-"""Assignment of pools to instances: rendezvous hashing with few moves and an even spread."""
+"""Assignment of pools to their owners: rendezvous hashing with few moves and an even spread.
+
+The coordinator of a region uses it when its pools or its instances have changed.
+"""
 
 import collections
 from collections.abc import Iterable, Mapping
@@ -23,13 +26,8 @@
     """Returns an owner for every pool, or no owners if there are no members.
 
     A pool stays with its current owner if that is one of the members. Any other pool goes to the
-    member with the highest rendezvous weight among those that own the fewest pools.
-
-    Args:
-        pools: Pools to assign.
-        members: Instances that may own pools.
-        current: Current owner of each pool.
-        moves: Maximum number of pools to move between members to even out their numbers.
+    member with the highest rendezvous weight among those that own the fewest pools. At most
+    ``moves`` pools then move between members to even out their numbers.
     """
     keys = sorted(pools)
     candidates = sorted(set(members))
--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -1,7 +1,11 @@
 """At-most-once execution: tickets, and the registry of keys that an incarnation has started.
 
-A ticket is an idempotency key that names the only incarnation allowed to run the request. The
-registry of that incarnation decides whether a key may start, using only its own memory and clock.
+A ticket is an idempotency key that names its holder, the incarnation that may run the request.
+The registry of that incarnation decides whether a key may start, using only its own memory and
+clock. The holder of a key chosen by the caller is the incarnation that has created the claim of the
+key, a row in the platform's table. If the holder of a ticket stops as planned before it runs the
+request, the request may run elsewhere, under a claim, too. ``gatekeeper`` of the entry package
+handles both kinds of keys.
 """
 
 import dataclasses
@@ -29,7 +33,6 @@
     """Idempotency key that binds a request to one incarnation.
 
     Attributes:
-        holder: The incarnation that may run the request.
         issued_s: Time of issue in whole seconds since the Unix epoch.
         nonce: Random hexadecimal digits that distinguish tickets issued in the same second.
     """
@@ -70,7 +73,12 @@
 
 
 class KeyState(enum.Enum):
-    """Progress of a key."""
+    """Progress of a key.
+
+    Attributes:
+        STARTED: The key may be dispatched; its last dispatch, if any, was discarded.
+        DISPATCHED: The request was sent to a backend server or pool owner, or is about to be.
+    """
 
     STARTED = "started"
     DISPATCHED = "dispatched"
@@ -83,27 +91,30 @@
 
     Attributes:
         outcome: Result passed to ``finish``; None while the key is running.
-        updated_s: Monotonic time of the start, dispatch or finish of the key, whichever was last.
-        attempts: Number of dispatches that were not refused, so that the request may have run.
+        updated_s: Monotonic time of the last start, dispatch or finish.
+        dispatches: Number of dispatches that were not discarded; above 0, the request may have run.
     """
 
     key: str
     state: KeyState
     updated_s: float
     outcome: Any = None
-    attempts: int = 0
+    dispatches: int = 0
 
 
 class KeyRegistry:
     """Keys that this incarnation is running or has run.
 
+    A key stands for the request that it identifies: it starts, runs and is finished. A method that
+    changes a started key raises ``errors.NotFoundError`` if there is no record of the key.
+
     Args:
-        me: The incarnation that owns the registry.
-        clock: Time source. The wall clock is read only at construction, so that setting it back
-            cannot make an expired ticket valid again.
+        clock: The wall clock is read only at construction, so that setting it back cannot make an
+            expired ticket valid again.
         invariants: Checks that a key is dispatched at most once, and that a dispatched key is not
-            reported as not run.
-        retention_s: Minimum time for which finished keys are kept, in seconds.
+            reported as not run; may raise ``errors.InvariantViolation``. A discarded dispatch does
+            not count.
+        retention_s: Minimum time for which finished keys are kept.
     """
 
     def __init__(
@@ -118,7 +129,7 @@
         self._clock = clock
         self._invariants = invariants
         self._retention_s = retention_s
-        self._epoch_offset_s = clock.wall() - clock.monotonic()  # wall time at monotonic time 0
+        self._wall_offset_s = clock.wall() - clock.monotonic()  # wall time at monotonic time 0
         self._started_wall_s = clock.wall()
         self._records: dict[str, KeyRecord] = {}
         # Monotonic times of finish() by key, oldest first.
@@ -164,8 +175,8 @@
     def begin_claimed(self, key: str) -> bool:
         """Marks a key as started without checking a ticket.
 
-        This incarnation must have claimed the key in the table before the key may run. A key whose
-        claim was given up is marked only to record it as not run.
+        Before the key may run, this incarnation must have written a claim for it to the platform's
+        table. A key whose claim was given up is marked only to record it as not run.
 
         Returns:
             False if the key is already known and must not start again.
@@ -177,50 +188,33 @@
         return True
 
     def mark_dispatched(self, key: str) -> None:
-        """Records that the request is about to be sent to a backend server or pool owner.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key already has a dispatch that was not refused, or is
-                finished (only if ``invariants`` raises).
-        """
+        """Records that the request is about to be sent to a backend server or pool owner."""
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.ONE_DISPATCH_PER_KEY,
-            record.attempts == 0 and record.state is KeyState.STARTED,
-            f"{key} is dispatched again: {record.attempts} dispatches, state {record.state.value}",
+            record.dispatches == 0 and record.state is KeyState.STARTED,
+            f"{key} is dispatched again: {record.dispatches} dispatches,"
+            f" state {record.state.value}",
         )
-        record.attempts += 1
+        record.dispatches += 1
         record.state = KeyState.DISPATCHED
         record.updated_s = self._clock.monotonic()
 
-    def mark_refused(self, key: str) -> None:
-        """Discards the dispatch of a key after a definite refusal by the receiver.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-        """
+    def discard_dispatch(self, key: str) -> None:
+        """Discards the dispatch of a key, because it was not sent or was definitely refused."""
         record = self._get_record(key)
-        record.attempts = 0
+        record.dispatches = 0
         record.state = KeyState.STARTED
 
     def finish(self, key: str, outcome: Any, *, not_run: bool) -> None:
-        """Records the outcome of a key.
+        """Records the outcome of a key, which is returned to later attempts with the key.
 
-        Args:
-            key: The key.
-            outcome: Outcome to return to later attempts with the key.
-            not_run: Whether the outcome says that the request was not run.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: ``not_run`` is set for a key with a dispatch that was not
-                refused (only if ``invariants`` raises).
+        ``not_run`` states whether the outcome says that the request was not run.
         """
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
-            not (not_run and record.attempts),
+            not (not_run and record.dispatches),
             f"{key} is reported as not run after a dispatch",
         )
         record.state = KeyState.FINISHED
@@ -229,17 +223,11 @@
         self._finished[key] = record.updated_s
 
     def abandon(self, key: str) -> None:
-        """Removes a key that was not dispatched, so that it can start again later.
-
-        Raises:
-            errors.NotFoundError: The registry has no record of the key.
-            errors.InvariantViolation: The key has a dispatch that was not refused (only if
-                ``invariants`` raises).
-        """
+        """Removes a key that was not dispatched, so that it can start again later."""
         record = self._get_record(key)
         self._invariants.check(
             invariants.Rule.NOT_RUN_NEVER_AFTER_DISPATCH,
-            record.attempts == 0,
+            record.dispatches == 0,
             f"{key} is abandoned after a dispatch",
         )
         del self._records[key]
@@ -247,11 +235,10 @@
     def startable_until_s(self, *, issued_before_s: float) -> float:
         """Returns the monotonic time after which no ticket issued before a wall time can start.
 
-        Args:
-            issued_before_s: Wall time in seconds since the Unix epoch.
+        ``issued_before_s`` is that wall time in seconds since the Unix epoch.
         """
         limit_wall_s = issued_before_s + TICKET_START_S + TICKET_SKEW_S
-        return limit_wall_s - self._epoch_offset_s
+        return limit_wall_s - self._wall_offset_s
 
     def _add(self, key: str) -> None:
         self._records[key] = KeyRecord(
@@ -271,7 +258,7 @@
         return None if self.may_start(ticket) else BeginResult.EXPIRED
 
     def _now_wall_s(self) -> float:
-        return self._clock.monotonic() + self._epoch_offset_s
+        return self._clock.monotonic() + self._wall_offset_s
 
     def _get_record(self, key: str) -> KeyRecord:
         record = self._records.get(key)
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,7 +1,7 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
-A member that sends a promise does not become coordinator for ``region.PROMISE_S``, unless the
-current coordinator is known to be gone or there is no region row.
+While a coordinator has authority, no other instance can have become coordinator, so none grants the
+same slots. ``region.PROMISE_S`` states what a member promises.
 """
 
 import dataclasses
@@ -15,7 +15,7 @@
 # While the table lease lasts, new members get no grants until they are recorded, so a changed row
 # is written before the next renewal is due.
 CHANGED_ROW_INTERVAL_S = 0.2
-# Minimum interval between reads of the row after a write was refused or its result was lost.
+# Minimum interval between reads of the row after a write had no effect or its result was lost.
 READ_RETRY_S = 0.5
 
 
@@ -24,9 +24,7 @@
     """A write of the region row that made this instance coordinator.
 
     Attributes:
-        row: The row that was written.
         version: Version of the row, as returned by the write or by a later read.
-        sent_s: When the write was sent.
         previous: Coordinator named by the replaced row; None when there was no row.
         holders_recorded: Whether only recorded members can hold grants of earlier coordinators.
     """
@@ -39,23 +37,19 @@
 
 
 class Authority:
-    """Decides until when a coordinator may grant the main parts of pools.
+    """Decides until when a coordinator may grant parts of pools and shares of caps.
 
-    Authority lasts while either of these holds: the table lease, for ``region.TABLE_LEASE_S`` after
-    a successful write was sent; or the promises, while the latest promise of every required member
-    is less than ``region.PROMISE_S`` old. The required members are all others that a written row
-    may name.
+    Either of two things gives authority: the table lease, for ``region.TABLE_LEASE_S`` after a
+    successful write was sent; or the promises, while the latest promise of every required member is
+    less than ``region.PROMISE_S`` old. The required members are all others that a written row may
+    name.
 
     A required member that is known to be gone is dropped only while authority lasts. Once authority
     has lapsed, that member may have taken over before it ended, and only a successful write of the
     row proves that it has not.
 
     Args:
-        me: This instance.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases.
-        members: Liveness of the region's instances.
-        won_election: The write of the region row that made this instance coordinator.
+        invariants: Checks that the epoch never decreases; may raise ``errors.InvariantViolation``.
     """
 
     def __init__(
@@ -75,18 +69,20 @@
         self._version = won_election.version
         self._recorded = {member.id: member for member in won_election.row.members}
         self._required_members = set(self._recorded) - {me.id}
+        # Start of each member's latest promise.
         self._promised_s: dict[model.InstanceId, float] = {}
+        # End of the promises of all required members; None until it is recomputed.
         self._promised_until_s: float | None = None
         # -1 makes the first refresh process the instances that are already gone.
         self._gone_count = -1
         self._table_until_s = won_election.sent_s + region.TABLE_LEASE_S
         self._serial = won_election.row.serial
         self._write_sent_s = {won_election.row.serial: won_election.sent_s}
-        self._last_row = won_election.row
+        self._confirmed_row = won_election.row
         self._last_write_s = won_election.sent_s
         self._last_read_s = -math.inf
         self._pending_write: region.WriteRow | None = None
-        self._resync = False
+        self._must_read_row = False
         self._deposed = False
 
     @property
@@ -105,7 +101,10 @@
         return self._table_until_s
 
     def until_s(self) -> float:
-        """Returns the end of the authority by the coordinator's clock."""
+        """Returns the end of the authority by the coordinator's clock.
+
+        It is infinite when no other member is required, and negative infinity after ``depose``.
+        """
         if self._deposed:
             return -math.inf
         if self._promised_until_s is None:
@@ -118,8 +117,7 @@
     def is_recorded(self, member: model.InstanceId) -> bool:
         """Returns whether the last row that is known to be in the table names the member.
 
-        A later write may have taken effect already. As writes drop only members that are gone, the
-        row in the table certainly names the member unless it is gone.
+        A later write may have taken effect already, but writes drop only members that are gone.
         """
         return member in self._recorded
 
@@ -162,14 +160,12 @@
     ) -> list[region.Command]:
         """Returns the read or the write of the row that is due, or an empty list.
 
-        Args:
-            members: Members to record, in addition to those that are recorded already.
-            owners: Pool owners to record.
+        A write records ``members``, in addition to those that are recorded already, and ``owners``.
         """
         now = self._clock.monotonic()
         if self._deposed or self._pending_write is not None:
             return []
-        if self._resync:
+        if self._must_read_row:
             if now < self._last_read_s + READ_RETRY_S:
                 return []
             self._last_read_s = now
@@ -191,34 +187,30 @@
         self._pending_write = None
         self._confirm_row(row, version)
 
-    def on_write_refused(self) -> None:
+    def on_write_conflict(self) -> None:
         """Processes a write whose version did not match."""
         self._pending_write = None
-        self._resync = True
+        self._must_read_row = True
 
     def on_write_unknown(self) -> None:
         """Processes a write that may or may not take effect, now or later."""
         self._pending_write = None
-        self._resync = True
+        self._must_read_row = True
 
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
     ) -> None:
-        """Processes the region row that was read.
+        """Processes the region row that was read; a missing row is ignored.
 
-        A read is ignored if a write is pending or was sent after the read had started, because the
-        read may not show the result of that write. A missing row is ignored, too.
-
-        Raises:
-            errors.InvariantViolation: The epoch of the row is lower than that of this coordinator
-                (only if ``invariants`` raises).
+        A read is also ignored if a write is pending or was sent after the read had started
+        (``started_s``): the read may not show the result of that write.
         """
         if row is None or self._pending_write is not None or started_s < self._last_write_s:
             return
         self._invariants.check(
             invariants_lib.Rule.EPOCH_NEVER_DECREASES,
             row.epoch >= self._epoch,
-            f"row has epoch {row.epoch} after {self._epoch}",
+            f"region row has epoch {row.epoch}, but this coordinator has epoch {self._epoch}",
         )
         if row.epoch != self._epoch or row.coordinator.id != self._me.id:
             self.depose()
@@ -228,8 +220,8 @@
     def _confirm_row(self, row: region.RegionRow, version: str) -> None:
         """Processes the row that is in the table; the lease starts at the sending of its write."""
         self._version = version
-        self._last_row = row
-        self._resync = False
+        self._confirmed_row = row
+        self._must_read_row = False
         self._recorded = {member.id: member for member in row.members}
         sent_s = self._write_sent_s.get(row.serial, -math.inf)
         self._table_until_s = max(self._table_until_s, sent_s + region.TABLE_LEASE_S)
@@ -244,7 +236,6 @@
         members: Mapping[model.InstanceId, region.Instance],
         owners: Mapping[model.PoolKey, model.InstanceId],
     ) -> region.RegionRow:
-        """Returns the row to write next, with all recorded and given members that are not gone."""
         merged = {**self._recorded, **members}
         kept = [merged[member] for member in sorted(merged) if not self._members.is_gone(member)]
         return region.RegionRow(
@@ -256,6 +247,7 @@
         )
 
     def _interval_s(self, row: region.RegionRow) -> float:
-        """Returns the minimum time between the last write and the write of ``row``."""
-        changed = row.members != self._last_row.members or row.owners != self._last_row.owners
+        changed = (
+            row.members != self._confirmed_row.members or row.owners != self._confirmed_row.owners
+        )
         return CHANGED_ROW_INTERVAL_S if changed else region.RENEW_S
--- a/packages/core/src/sassafrasway_core/caps.py
+++ b/packages/core/src/sassafrasway_core/caps.py
@@ -1,4 +1,10 @@
-"""Division of the cap of a region or a link into shares of the instances that use it."""
+"""Division of the cap of a region or a link into shares of the instances that use it.
+
+A cap limits what all instances together use in any second, but each instance admits requests alone.
+The coordinator therefore divides the cap by demand into shares, and each instance, the holder of
+its share, stays within that (``window.SlidingWindow``). ``cap_reserve`` states how long a share
+that was reduced or has expired stays reserved for its holder.
+"""
 
 import dataclasses
 import math
@@ -9,7 +15,8 @@
 
 # Validity of a share.
 SHARE_S = 2.0
-# Part of a share, and of the cap, that stays in force when shares expire without a new one.
+# Part of a share, and of the cap, that stays in force when shares expire without a new one, so that
+# an instance that cannot reach the coordinator still admits some requests.
 OFFLINE_FRACTION = 1 / 3
 
 # Part of the cap that is divided evenly, so that an idle holder can admit its first requests.
@@ -24,8 +31,8 @@
 # every demand.
 MET_FRACTION = 0.8
 
-# Interval of recomputations, from all demands, of the level up to which demands are met. It keeps
-# the cost of a heartbeat constant. A new or removed holder and a changed cap do not wait for it.
+# Interval of recomputations of ``_Level`` from all demands. It keeps the cost of a heartbeat
+# constant. A new or removed holder and a changed cap do not wait for it.
 LEVEL_INTERVAL_S = 0.25
 
 
@@ -49,8 +56,7 @@
 class HeldShare:
     """A holder's share of a cap and the limit that is in force by the holder's own clock.
 
-    The holder sets the limit of its ``SlidingWindow`` to ``amount()`` before it takes from the
-    window.
+    The holder sets the limit of its ``SlidingWindow`` to ``amount()`` before each take.
     """
 
     def __init__(self, *, clock: clock_lib.Clock):
@@ -81,8 +87,7 @@
     def apply(self, share: CapShare, *, sent_s: float) -> bool:
         """Applies a share from the reply to the heartbeat sent at ``sent_s``.
 
-        Returns:
-            False when this or a later share was applied before.
+        Returns False when this or a later share was applied before.
         """
         if share.sequence <= self._share.sequence:
             return False
@@ -101,10 +106,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Level:
-    """Level up to which demands are met.
+    """Result of the last division: how much a holder with a given demand should have.
 
     Attributes:
-        demand_limit: Highest part of any demand that is met.
+        demand_limit: Demands are met up to this amount; infinite when all are met in full.
         even_extra: Amount that each holder gets in addition, whatever its demand.
         at_s: When the level was computed.
     """
@@ -121,20 +126,16 @@
     """Divides a cap by demand so that the holders together never exceed it in any second.
 
     The division is max-min fair: small demands are met in full, and the large ones share the rest
-    evenly. What no holder demands is divided evenly among all of them. A part that is taken from a
-    holder is given to others one window (``window.WINDOW_S``) after the holder has confirmed its
-    smaller share, or one window after the larger share has expired.
+    evenly. What no holder demands is divided evenly among all of them.
 
-    The offline part of an expired share stays reserved until the holder confirms a new share or is
-    removed. It is a third of the share, or less where the offline parts of all holders would add up
-    to more than a third of the cap: while silent holders keep their offline parts, the holders that
-    replace them get none.
+    The offline part is a third of a share, or less where the offline parts of all holders would add
+    up to more than a third of the cap: while silent holders keep their offline parts, the holders
+    that replace them get none.
 
     Args:
         cap: Limit for the sum over all holders in one second.
-        clock: Time source.
-        invariants: Checks that shares in force never add up to more than the cap.
-        share_s: Seconds for which a share is valid.
+        invariants: Checks that shares in force never add up to more than the cap; may raise
+            ``errors.InvariantViolation``.
         offline_fraction: Part of a share, and of the cap, that stays in force after expiry.
         first_sequence: Sequence of the first share; it must be higher than all sequences of an
             earlier coordinator.
@@ -192,19 +193,16 @@
     ) -> CapShare:
         """Returns the next share of a holder, for the reply to its heartbeat.
 
-        The caller must not pass holders that were removed: a share of such a holder would stay
-        reserved.
+        The caller must not pass removed holders, because their shares would stay reserved.
 
         Args:
-            holder: Name of the holder; a holder that restarts needs a new name.
+            holder: Identifies the holder; must differ after a restart of the holder.
             demand: What the holder would use in one second if it could, refused requests included.
-            confirmed: Sequence of the share that the holder has in force.
+            confirmed: Sequence of the last share that the holder applied, even if it has expired.
             sequence: Sequence of the new share; by default the next number.
 
         Raises:
             ValueError: The sequence is not higher than those of all earlier shares.
-            errors.InvariantViolation: With the new share, all shares add up to more than the cap
-                (only if ``invariants`` raises).
         """
         now_s = self._clock.monotonic()
         self._reservations.expire(now_s)
@@ -237,14 +235,11 @@
     def take_over(self, holders: Iterable[Hashable]) -> None:
         """Reserves the shares of an earlier coordinator, which must hand out no more shares.
 
-        The holders of that coordinator may have the whole cap in force until their shares expire,
-        and the offline part of the cap until each of them was passed to ``adopt_share``, has
-        confirmed a new share or was removed. Until then, holders keep what they have, and none gets
-        more. Without any holders, the whole cap stays reserved for one window, because it is
-        unknown what was admitted under shares that ended just before.
-
-        Args:
-            holders: All holders that may have a share of the earlier coordinator.
+        ``holders`` are all that may have such a share. They may have the whole cap in force until
+        their shares expire, and the offline part of the cap until each of them was passed to
+        ``adopt_share``, has confirmed a new share or was removed. Until then, holders keep what
+        they have, and none gets more. Without any holders, the whole cap stays reserved for one
+        window, because it is unknown what was admitted under shares that ended just before.
         """
         now_s = self._clock.monotonic()
         self._earlier_shares_end_s = now_s + self._share_s
@@ -264,13 +259,8 @@
 
         The report was requested after ``take_over``, and the holder accepts no more shares of the
         earlier coordinator. Of a share that expired more than one window ago, only the offline part
-        is reserved: the earlier coordinator may have given the rest to others.
-
-        Args:
-            holder: Name of the holder.
-            share: Its last share, even if that has expired.
-            remaining_s: Seconds until that share expires, as the holder reported; negative
-                when it has expired.
+        is reserved: the earlier coordinator may have given the rest to others. ``remaining_s`` is
+        the reported time until ``share`` expires, negative after that.
         """
         now_s = self._clock.monotonic()
         # A report that was delayed on the network must not revive a share that has expired since.
@@ -304,7 +294,7 @@
     def _discard_unknown(self, holder: Hashable, now_s: float) -> None:
         """Marks a holder's share of the earlier coordinator as known or ended.
 
-        After the last holder, the reservation for unknown shares ends.
+        When no share of that coordinator is unknown any more, the reservation for them ends.
         """
         if holder in self._unknown_holders:
             self._unknown_holders.remove(holder)
@@ -338,6 +328,7 @@
         return self._level.target(record.amount)
 
     def _update_level(self, now_s: float) -> None:
+        """Drops the demands that are no longer recent and recomputes the level from the others."""
         demand_max_age_s = self._share_s + window.WINDOW_S
         for holder, record in list(self._demands.items()):
             if now_s - record.reported_s > demand_max_age_s:
@@ -355,8 +346,8 @@
         """Returns what is reserved for holders that have not reported a demand recently."""
         demanding = math.fsum(self._reservations.of(holder) for holder in self._demands)
         unknown = self._reservations.of(_UNKNOWN_HOLDERS)
-        # Of the unknown shares, only the offline part is subtracted: the rest expires soon, so no
-        # holder is reduced for it.
+        # Of the unknown shares, only the offline part is counted: the rest expires soon, so no
+        # holder's share is reduced for it.
         offline = min(unknown, self._cap * self._offline_fraction)
         return self._reservations.total - unknown - demanding + offline
 
@@ -376,10 +367,9 @@
 
 
 def _divide_fairly(demands: list[float], amount: float) -> tuple[float, float]:
-    """Divides ``amount`` max-min fairly among the demands, which are sorted in ascending order.
+    """Divides ``amount`` max-min fairly among the demands, which are in ascending order.
 
-    Returns:
-        The level up to which each demand is met, and the amount that is left over.
+    Returns the level up to which each demand is met, and the amount that is left over.
     """
     for met_count, demand in enumerate(demands):
         even_part = amount / (len(demands) - met_count)
--- a/packages/core/src/sassafrasway_core/config_log.py
+++ b/packages/core/src/sassafrasway_core/config_log.py
@@ -1,4 +1,8 @@
-"""The current policy and the recent changes that led to it."""
+"""The current policy and the recent changes that led to it.
+
+Instances that are a few revisions behind fetch the changes instead of the whole policy. The ids of
+recent changes show that a repeated request of an operator has been applied already.
+"""
 
 import collections
 from collections.abc import Mapping
@@ -7,12 +11,13 @@
 
 
 class ConfigLog:
-    """Keeps the current policy, whose revision never decreases.
+    """Keeps the current policy, whose revision never decreases, and the recent changes.
 
     Revision 0 stands for the empty policy before the first change.
 
     Args:
-        invariants: Checks that the revision never decreases.
+        invariants: Checks that the revision never decreases; may raise
+            ``errors.InvariantViolation``.
         keep: Number of recent changes, and of change ids, that are kept.
     """
 
@@ -42,13 +47,8 @@
     def install(self, policy: model.Policy, *, change_ids: Mapping[str, int] | None = None) -> bool:
         """Replaces the current policy; returns False when the given one is not newer.
 
-        Args:
-            policy: The complete policy.
-            change_ids: Revisions by the ids of the changes that led to the policy, oldest first.
-
-        Raises:
-            errors.InvariantViolation: The policy is older than the current one (only if
-                ``invariants`` raises).
+        ``change_ids`` maps the ids of the changes that led to the policy, oldest first, to their
+        revisions.
         """
         if not self._may_follow(policy.revision):
             return False
@@ -88,7 +88,6 @@
         return self._revisions.get(change_id)
 
     def _may_follow(self, revision: int) -> bool:
-        """Checks and returns whether a revision is not older than the current one."""
         holds = revision >= self.revision
         self._invariants.check(
             invariants.Rule.REVISION_NEVER_DECREASES,
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -1,9 +1,10 @@
 """Coordinator side of pool ownership: authority, takeover, pool assignment and grants.
 
-A pool has two parts that are granted separately. The offline third of each server's slots has at
-most one holder and no expiry; it becomes free when the holder confirms its release or is known to
-be gone. The main part has at most one holder until its grant expires. A FULL share is both parts.
-Only a coordinator with authority grants a part to an instance that does not hold it yet.
+A pool has two parts that are granted separately (see ``share``), each to one holder at a time. The
+offline third of each server's slots becomes free when the holder confirms its release or is known
+to be gone; the main part also when its grant expires. A FULL share is both parts. Without
+authority (see ``authority``), a coordinator lets owners keep the offline thirds that they hold,
+but grants and renews nothing else.
 """
 
 import dataclasses
@@ -43,10 +44,8 @@
 
     Args:
         me: This instance, the coordinator of the epoch.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases and that shares never exceed a cap.
-        members: Liveness of the region's instances.
-        won_election: The write of the region row that made this instance coordinator.
+        invariants: Checks that the epoch never decreases and that shares never exceed a cap; may
+            raise ``errors.InvariantViolation``.
     """
 
     def __init__(
@@ -76,7 +75,7 @@
             invariants=invariants,
             epoch=won_election.row.epoch,
             holders=earlier_holders,
-            holders_complete=won_election.holders_recorded,
+            holders_recorded=won_election.holders_recorded,
         )
         self._removed_from_caps: set[model.InstanceId] = set()
         # -1 makes the first refresh process the instances that are already gone.
@@ -84,7 +83,7 @@
         self._assignment_inputs: tuple = ()
         self._seq = 0
         self._policy_pools: frozenset[model.PoolKey] | None = None
-        self._region_cap = cap_grants.region_cap(me.region)
+        self._region_cap_name = cap_grants.region_cap_name(me.region)
         self._region_is_capped = False
         self._region_share_holders: set[model.InstanceId] = set()
         self._heartbeat_senders: dict[model.InstanceId, region.Instance] = {}
@@ -125,7 +124,7 @@
 
     @property
     def has_authority(self) -> bool:
-        """Whether the main parts of pools may be granted now."""
+        """Whether parts of pools and shares of caps may be granted now."""
         return self._clock.monotonic() < self._authority.until_s()
 
     @property
@@ -135,7 +134,10 @@
 
     @property
     def urgent(self) -> bool:
-        """Whether the next tick has work that members wait for and should run immediately."""
+        """Whether ``tick`` should run immediately.
+
+        True when members wait for its results or another coordinator has a higher epoch.
+        """
         return self._holdings.change_count != self._changes_processed or self.deposed
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
@@ -143,14 +145,17 @@
         return self._holdings.owners()
 
     def set_pools(self, pools: Iterable[model.PoolKey]) -> None:
-        """Sets the pools of the region according to the current policy."""
+        """Sets the pools of the region according to the current policy.
+
+        A pool that is no longer among them is not reassigned, and its owner keeps its grants.
+        """
         self._policy_pools = frozenset(pools)
         for key in self._policy_pools:
             self._holdings.add(key)
 
     def set_caps(self, limits: Mapping[str, float]) -> None:
         """Sets the limits of the caps that the region's instances share, by cap name."""
-        self._region_is_capped = self._region_cap in limits
+        self._region_is_capped = self._region_cap_name in limits
         self._caps.set_caps(limits)
 
     def depose(self) -> None:
@@ -211,7 +216,6 @@
         ]
 
     def _refresh(self) -> None:
-        """Processes the instances that were found to be gone since the last event."""
         self._authority.refresh()
         if self._members.gone_count == self._gone_count:
             return
@@ -232,10 +236,7 @@
         return self._started_s + region.GRANT_S
 
     def _reassign(self) -> None:
-        """Assigns owners to pools without an eligible one, and moves a pool if a move is due.
-
-        A move only evens out the numbers of pools per instance.
-        """
+        """Assigns owners to pools without an eligible one, and moves a pool if a move is due."""
         now = self._clock.monotonic()
         if self._won_election.previous is None and now < self._started_s + REGION_FORMATION_S:
             return
@@ -282,11 +283,9 @@
     def _able_to_serve(self, members: list[model.InstanceId]) -> list[model.InstanceId]:
         """Returns the members that own a pool or have their share of the region's cap in force.
 
-        Returns all members if the region has no cap or none of its pools has an owner.
-
-        An instance that just joined gets its share of the cap only after the others have confirmed
-        smaller shares and their use has left the one-second window, which takes about two seconds.
-        If it were assigned a pool earlier, it would refuse all requests of that pool until then.
+        A new instance gets its share about two seconds after it joins: the others must confirm
+        smaller shares first, and their use must leave the one-second window. With a pool but no
+        share, it would refuse all requests of the pool.
         """
         owners = set(self.owners().values())
         if not self._region_is_capped or not owners:
@@ -298,43 +297,38 @@
     def _record_region_share(
         self, member: model.InstanceId, reports: Iterable[cap_grants.CapReport]
     ) -> None:
-        """Records whether a member has its share of the region's cap in force."""
         in_force = sum(
             report.amount
             for report in reports
-            if report.name == self._region_cap and report.remaining_s > 0
+            if report.name == self._region_cap_name and report.remaining_s > 0
         )
-        if self._caps.is_met(self._region_cap, member, in_force):
+        if self._caps.is_met(self._region_cap_name, member, in_force):
             self._region_share_holders.add(member)
         else:
             self._region_share_holders.discard(member)
 
     def _permitted_shares(self, member: model.InstanceId) -> dict[model.PoolKey, share.Share]:
-        """Returns the share that the member may have now of each of the pools assigned to it."""
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(member)
-        may_grant_main = self._may_grant(now, recorded=recorded)
+        may_grant = self._may_grant(now, recorded=recorded)
         permitted = {}
         for key, pool in self._holdings.assigned_to(member).items():
             # Without authority, a free part is not granted: a later coordinator may have granted it
             # to another member.
             offline = pool.possible_offline_holders == {member}
             if not pool.possible_offline_holders:
-                offline = recorded and may_grant_main
-            main = may_grant_main and (
-                pool.main_holder == member or self._holdings.main_is_free(pool)
-            )
+                offline = recorded and may_grant
+            main = may_grant and (pool.main_holder == member or self._holdings.main_is_free(pool))
             pool_share = share.Share.of(offline=offline, main=main)
             if pool_share is not share.Share.NONE:
                 permitted[key] = pool_share
         return permitted
 
     def _grant(self, member: model.InstanceId) -> region.HeartbeatReply:
-        """Grants the member its permitted shares; returns the reply that carries the grants."""
         self._seq += 1
         permitted = self._permitted_shares(member)
         if any(pool_share.has_main for pool_share in permitted.values()):
-            self._record_recipient(member)
+            self._record_unrecorded_grant(member)
         grants = tuple(
             self._holdings.grant(key, pool_share, member=member, seq=self._seq)
             for key, pool_share in permitted.items()
@@ -342,29 +336,30 @@
         self._sent_shares[member] = permitted
         return self._reply(accepted=True, grants=grants)
 
-    def _record_recipient(self, member: model.InstanceId) -> None:
-        """Records until when an instance that is not recorded in the table may hold a grant."""
+    def _record_unrecorded_grant(self, member: model.InstanceId) -> None:
+        """Records until when a member may hold grants, if the table does not record the member.
+
+        Its shares of caps expire no later, because ``caps.SHARE_S`` equals ``region.GRANT_S``.
+        """
         if not self._authority.is_recorded(member):
             self._unrecorded_grants_until_s = self._clock.monotonic() + region.GRANT_S
 
     def _cap_shares(self, heartbeat: region.Heartbeat) -> Mapping[str, caps.CapShare]:
-        """Returns the sender's new shares of caps, or none if it may not be granted any.
-
-        Without new shares, the current ones expire.
-        """
+        """Returns the sender's new shares of caps; without any, the current ones expire."""
         sender = heartbeat.sender.id
         now = self._clock.monotonic()
         recorded = self._authority.is_recorded(sender)
         if not self._may_grant(now, recorded=recorded):
             return {}
-        self._record_recipient(sender)
+        self._record_unrecorded_grant(sender)
         return self._caps.renew(sender, heartbeat.caps, keeps_offline=recorded)
 
     def _may_grant(self, now: float, *, recorded: bool) -> bool:
         """Returns whether a member may be granted main parts and shares of caps.
 
-        While the table lease lasts, an instance must be recorded first, so that the next
-        coordinator finds all holders in the row.
+        A recorded member may then also be granted free offline thirds. While the table lease lasts,
+        an instance must be recorded first, so that the next coordinator finds all holders in the
+        row.
         """
         return now < self._authority.until_s() and (
             recorded or now >= self._authority.table_until_s
--- a/packages/core/src/sassafrasway_core/holdings.py
+++ b/packages/core/src/sassafrasway_core/holdings.py
@@ -1,6 +1,6 @@
 """Holders of the two parts of each pool of a region, as tracked by its coordinator.
 
-The parts are described in ``coordinator``.
+``coordinator`` and ``share`` describe the parts.
 """
 
 import dataclasses
@@ -12,17 +12,15 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class Pool:
-    """Holders, or possible holders, of the two parts of a pool.
+class PoolHolders:
+    """Owner of a pool, and the holders or possible holders of its two parts.
 
     Attributes:
-        assigned_owner: Instance that the pool is assigned to.
         possible_offline_holders: Instances of which one may hold the offline third; empty when it
             is free.
         offline_seq: Number of the latest reply that granted the offline third.
         main_holder: Instance with the main part; None when it is free or the holder is unknown.
-        main_until_s: When every grant of the main part so far has expired, by the coordinator's
-            clock.
+        main_until_s: When every grant of the main part has expired, by the coordinator's clock.
         main_seq: Number of the latest reply that granted the main part.
         in_use: Last reported slots in use by instance and server.
         busy_until_s: When the deadlines of all requests in the reported slots have passed.
@@ -68,8 +66,6 @@
     """Holders of the parts of all pools.
 
     Args:
-        clock: Time source.
-        members: Liveness of the region's instances.
         unanswered: Recorded members that may hold parts from earlier coordinators.
         earlier_grants_until_s: End of all grants of earlier coordinators, by ``clock``.
         holders_recorded: Whether only recorded members can hold such grants.
@@ -89,12 +85,12 @@
         self._unanswered = set(unanswered)
         self._earlier_grants_until_s = earlier_grants_until_s
         self._holders_recorded = holders_recorded
-        self._pools: dict[model.PoolKey, Pool] = {}
+        self._pools: dict[model.PoolKey, PoolHolders] = {}
         # Pools of which a member holds a part or uses slots. A heartbeat is checked against these
         # only, not against all pools of the region.
         self._pools_by_member: dict[model.InstanceId, set[model.PoolKey]] = {}
         # Pools by assigned owner; None until they are grouped again after an assignment.
-        self._pools_by_owner: dict[model.InstanceId, dict[model.PoolKey, Pool]] | None = None
+        self._pools_by_owner: dict[model.InstanceId, dict[model.PoolKey, PoolHolders]] | None = None
         self._change_count = 0
 
     @property
@@ -111,7 +107,7 @@
         return self._change_count
 
     def keys(self) -> frozenset[model.PoolKey]:
-        """Returns all pools that were added."""
+        """Returns the keys of all pools."""
         return frozenset(self._pools)
 
     def owners(self) -> dict[model.PoolKey, model.InstanceId]:
@@ -122,7 +118,7 @@
             if pool.assigned_owner is not None
         }
 
-    def assigned_to(self, member: model.InstanceId) -> Mapping[model.PoolKey, Pool]:
+    def assigned_to(self, member: model.InstanceId) -> Mapping[model.PoolKey, PoolHolders]:
         """Returns the pools assigned to a member."""
         if self._pools_by_owner is None:
             self._pools_by_owner = {}
@@ -131,7 +127,7 @@
                     self._pools_by_owner.setdefault(pool.assigned_owner, {})[key] = pool
         return self._pools_by_owner.get(member, {})
 
-    def main_is_free(self, pool: Pool) -> bool:
+    def main_is_free(self, pool: PoolHolders) -> bool:
         """Returns whether no instance can use the main part of a pool."""
         if self._clock.monotonic() >= pool.main_until_s:
             return True
@@ -141,14 +137,14 @@
         # and each of them has reported or is gone.
         return self._holders_recorded and not self._unanswered
 
-    def add(self, key: model.PoolKey) -> Pool:
-        """Returns the state of a pool, and adds the pool if it is new.
+    def add(self, key: model.PoolKey) -> PoolHolders:
+        """Returns the holders of a pool, and adds the pool if it is new.
 
         Any unanswered member may hold parts of a new pool.
         """
         pool = self._pools.get(key)
         if pool is None:
-            pool = Pool(
+            pool = PoolHolders(
                 possible_offline_holders=set(self._unanswered),
                 main_until_s=self._earlier_grants_until_s,
             )
@@ -156,7 +152,7 @@
         return pool
 
     def assign(self, key: model.PoolKey, owner: model.InstanceId) -> None:
-        """Assigns an owner to a pool."""
+        """Assigns a pool to an owner; adds the pool if it is new."""
         self.add(key).assigned_owner = owner
         self._pools_by_owner = None
         self._change_count += 1
@@ -242,10 +238,7 @@
     def grant(
         self, key: model.PoolKey, granted: share.Share, *, member: model.InstanceId, seq: int
     ) -> region.PoolGrant:
-        """Grants a share of a pool to a member with reply ``seq`` and returns the grant.
-
-        A grant of the main part names the slots that requests of other instances still use.
-        """
+        """Grants a share of a pool to a member with reply ``seq`` and returns the grant."""
         pool = self._pools[key]
         if granted.has_offline:
             pool.possible_offline_holders = {member}
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -18,7 +18,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _PendingWrite:
-    """A write of the region row to become coordinator, whose result is not known yet."""
+    """A candidate write whose result is not known yet.
+
+    A candidate write of the region row makes the instance coordinator if it takes effect. Its
+    fields then become those of ``authority.WonElection``.
+    """
 
     command: region.WriteRow
     sent_s: float
@@ -35,11 +39,8 @@
     promise has ended. In the last case the old coordinator's authority has ended too, because it
     needs either the table or the promise of this instance.
 
-    Args:
-        me: This instance.
-        clock: Time source.
-        members: Liveness of the region's instances.
-        grants: Grants received and epoch followed.
+    An instance that a coordinator declared gone never takes over. A leaving instance does so only
+    if there is no row or if every other recorded member is leaving or gone.
     """
 
     def __init__(
@@ -61,7 +62,7 @@
         self._row: region.RegionRow | None = None
         self._version: str | None = None
         self._version_first_read_s = -math.inf
-        self._row_read = False
+        self._row_known = False
         self._pending: _PendingWrite | None = None
         self._won_election: authority.WonElection | None = None
         self._declared_gone = False
@@ -106,9 +107,8 @@
     ) -> list[region.Command]:
         """Updates the state to the current time and returns the commands to execute now.
 
-        Args:
-            reports: Returns the pool reports; called when a heartbeat is due.
-            cap_demand: Returns the demand by cap name; called when a heartbeat is due.
+        When a heartbeat is due, this calls ``reports`` for the pool reports and ``cap_demand`` for
+        the demand by cap name.
         """
         commands: list[region.Command] = []
         coordinator = self._grants.coordinator
@@ -149,13 +149,9 @@
     def on_row_read(
         self, row: region.RegionRow | None, version: str | None, *, started_s: float
     ) -> None:
-        """Processes the region row that was read.
+        """Processes the region row that was read; ``row`` and ``version`` are None without a row.
 
-        Args:
-            row: The row, or None when there is none.
-            version: Version of the row, or None when there is none.
-            started_s: When the read was started. A read that started before the candidate write
-                may not show the result of that write.
+        A read that started (``started_s``) before the candidate write may not show its result.
         """
         pending = self._pending
         if pending is not None:
@@ -166,9 +162,9 @@
             if row is not None and row.coordinator.id == self._me.id:
                 self._record_won_election(pending, version)
                 return
-        if not self._row_read or version != self._version:
+        if not self._row_known or version != self._version:
             self._version_first_read_s = self._clock.monotonic()
-        self._row_read = True
+        self._row_known = True
         self._row = row
         self._version = version
         if row is not None and row.coordinator.id != self._me.id:
@@ -181,11 +177,11 @@
             self._pending = None
             self._record_won_election(pending, version)
 
-    def on_write_refused(self, command: region.WriteRow) -> None:
+    def on_write_conflict(self, command: region.WriteRow) -> None:
         """Processes a candidate write whose version did not match."""
         if self._pending is not None and self._pending.command is command:
             self._pending = None
-            self._row_read = False
+            self._row_known = False
 
     def on_write_unknown(self, command: region.WriteRow) -> None:
         """Processes a candidate write that may take effect now or later.
@@ -220,7 +216,6 @@
         return region.SendHeartbeat(target=coordinator, heartbeat=heartbeat, sent_s=now)
 
     def _search(self) -> list[region.Command]:
-        """Returns the commands that find the current coordinator or detect that it is gone."""
         if not self._due("search", SEARCH_RETRY_S):
             return []
         commands: list[region.Command] = [region.ReadRow()]
@@ -233,14 +228,14 @@
         return commands
 
     def _may_take_over(self) -> bool:
-        """Returns whether this instance may write the row to become coordinator."""
-        if self.in_contact or self._pending is not None or not self._row_read:
+        if self.in_contact or self._pending is not None or not self._row_known:
             return False
         if self._declared_gone:
             return False
         row = self._row
         if row is None:
             return True
+        # The row is outdated, or it already names this instance as coordinator.
         if row.epoch < self._grants.epoch or row.coordinator.id == self._me.id:
             return False
         if self._me.state == region.LEAVING and self._others_remain(row):
@@ -264,7 +259,6 @@
         )
 
     def _candidate_write(self) -> region.WriteRow:
-        """Returns the write of the row that makes this instance coordinator of the next epoch."""
         now = self._clock.monotonic()
         row = self._row
         recorded = () if row is None else row.members
@@ -299,7 +293,7 @@
             previous=pending.previous,
             holders_recorded=pending.holders_recorded,
         )
-        self._row_read = False
+        self._row_known = False
         self._grants.follow(epoch=row.epoch, coordinator=self._me)
         self._heartbeat_requested = True
 
--- a/packages/core/src/sassafrasway_core/model.py
+++ b/packages/core/src/sassafrasway_core/model.py
@@ -9,10 +9,9 @@
 
 
 class AtMostOnceMode(enum.Enum):
-    """Kind of idempotency keys that a policy states for a service.
+    """Kind of idempotency keys that a policy states for a service (see ``at_most_once``).
 
-    The value is only stored. Requests are accepted with tickets and with keys chosen by the caller,
-    which need a claim, in both modes.
+    The value is only stored: requests with either kind of key are accepted in both modes.
     """
 
     TICKET = "ticket"
@@ -28,7 +27,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True, order=True)
 class InstanceId:
-    """Identifies one run of an entry instance; a restart has a new incarnation."""
+    """Identifies one run of an entry instance, which is also called an incarnation.
+
+    The name stays the same after a restart; ``incarnation`` distinguishes the runs.
+    """
 
     name: str
     incarnation: str
@@ -41,8 +43,8 @@
 class PoolKey:
     """Identifies a pool: backend servers of a service in a region that have the same owner.
 
-    Attributes:
-        shard: Index of the pool among the pools of the service in the region, from 0.
+    The owner is the instance that sends requests to these servers (see ``region``). ``shard`` is
+    the index among the pools of the service in the region, from 0.
     """
 
     service: str
@@ -55,11 +57,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Region:
-    """A region.
+    """A region, to which backend servers and blocks of client addresses belong.
 
-    Attributes:
-        cap_rps: Maximum rate of requests that its servers may receive, requests/s; None for no
-            cap.
+    Its servers together receive at most ``cap_rps`` requests/s; None means no cap.
     """
 
     name: str
@@ -68,11 +68,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Link:
-    """The network link between two regions; the cap applies to each direction.
+    """The network link between two regions.
 
-    Attributes:
-        cap_mbit_s: Maximum data rate in one direction, Mbit/s.
-        delay_ms: One-way delay.
+    The cap applies to each direction separately, and the delay is one-way.
     """
 
     source: str
@@ -103,10 +101,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class BackendServer:
-    """A server that runs requests of one service, at most ``slots`` at a time.
+    """A server that runs requests of one service.
 
     Attributes:
         url: Base URL, ``http://IP:port``.
+        slots: Number of requests that the server runs at a time.
         connections: Number of connections that the server accepts; also the limit of each
             connection pool that an instance has for this server.
     """
--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -1,4 +1,7 @@
-"""Member side of pool ownership: the grants received and the epoch that the member follows."""
+"""Member side of pool ownership: the grants received and the epoch that the member follows.
+
+``member`` keeps this state up to date, and the entry package reads from it what it may use now.
+"""
 
 import dataclasses
 from collections.abc import Mapping
@@ -10,12 +13,7 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _HeldPool:
-    """A granted pool.
-
-    Attributes:
-        offline: Whether the offline third is granted.
-        main_until_s: When the grant of the main part expires; in the past when it is not granted.
-    """
+    """A granted pool; ``main_until_s`` is in the past when the main part is not granted."""
 
     grant: region.PoolGrant
     offline: bool
@@ -23,14 +21,14 @@
 
 
 class GrantState:
-    """Pools that this instance may use, according to its own clock.
+    """Pools and shares of caps that this instance may use, according to its own clock.
 
     The right to use the main part of a pool ends when its grant expires. The offline third is kept
     until a reply of the coordinator omits it, so it is kept while the coordinator is unreachable.
 
     Args:
         clock: Time source; grants expire by its monotonic time.
-        invariants: Checks that the epoch never decreases.
+        invariants: Checks that the epoch never decreases; may raise ``errors.InvariantViolation``.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, invariants: invariants_lib.Invariants):
@@ -76,7 +74,7 @@
 
     @property
     def pools(self) -> frozenset[model.PoolKey]:
-        """Pools in the latest reply that was applied."""
+        """Pools in the latest reply that was applied; empty after ``revoke``."""
         return frozenset(self._held)
 
     def share(self, pool: model.PoolKey) -> share.Share:
@@ -98,7 +96,11 @@
     def reports(
         self, details: Mapping[model.PoolKey, region.PoolReport]
     ) -> dict[model.PoolKey, region.PoolReport]:
-        """Returns the pool reports of a heartbeat: ``details`` with the shares now in force."""
+        """Returns the pool reports of a heartbeat, with the shares now in force.
+
+        ``details`` holds the reports of the pools with more to report than the share; the ``share``
+        in these reports is ignored. Pools that are granted but missing there are reported, too.
+        """
         empty = region.PoolReport(share=share.Share.NONE)
         reports = {}
         for pool in {*self._held, *details}:
@@ -137,7 +139,7 @@
         return True
 
     def revoke(self) -> None:
-        """Drops every share, because other instances may have been granted them."""
+        """Drops all pools and shares of caps, because they may have been granted to others."""
         self._held = {}
         self._caps.revoke()
 
@@ -145,7 +147,7 @@
         self._invariants.check(
             invariants_lib.Rule.EPOCH_NEVER_DECREASES,
             epoch >= self._epoch,
-            f"epoch {epoch} after {self._epoch}",
+            f"epoch {epoch} would replace the higher epoch {self._epoch}",
         )
         self._epoch = epoch
         self._applied_seq = 0
--- a/packages/core/src/sassafrasway_core/placement.py
+++ b/packages/core/src/sassafrasway_core/placement.py
@@ -1,4 +1,8 @@
-"""Placement strategies: which instance may use which slots of a pool's servers."""
+"""Placement strategies: which instance may use which slots of a pool's servers.
+
+Only ``pool_owner``, the default, uses the ownership of pools that ``region`` describes. With the
+other strategies, every instance uses all pools and ignores its grants.
+"""
 
 import abc
 import dataclasses
@@ -12,16 +16,15 @@
 class Placement(abc.ABC):
     """Decides which slots an instance may use and whether it forwards requests to pool owners.
 
-    The dispatcher builds the ``SlotPool`` of a pool from ``usable_servers`` and uses the
-    attributes as follows.
+    The servers of an instance's ``SlotPool`` are those that ``usable_servers`` returns.
 
     Attributes:
         name: Name in the settings.
         forwards: Whether a request goes to the owner of its pool. If not, the instance that
             receives a request dispatches it itself and pools have no owner.
         ranks_by_reports: Value of ``SlotPool``'s ``rank_by_reports``.
-        retries_after_shed: How many other servers a request may try after a server shed it. These
-            retries are part of the strategy and come before overflow to other regions.
+        retries_after_shed: How many other servers a request may try after a server shed it, before
+            it overflows to other regions; 0 selects ``MAX_SHED_RETRIES`` of the entry package.
     """
 
     name: str
@@ -33,7 +36,7 @@
     def usable_servers(
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
-        """Returns the servers that an instance may use, with ``slots`` set to its share.
+        """Returns the servers that an instance may use, with ``slots`` set to what it may use.
 
         Servers on which the instance has no slot are left out. Leaving servers are treated like
         the others, so that a drain does not change the assignment of slots.
@@ -57,15 +60,16 @@
     def usable_servers(
         self, servers: Iterable[model.BackendServer], *, index: int, count: int
     ) -> list[model.BackendServer]:
-        """See base class; called only by the owner, so it returns all servers."""
+        """See base class; returns all servers, because only the owner dispatches to them."""
         _check_index(index, count)
         return list(servers)
 
 
 class EvenSplit(Placement):
-    """Assigns every slot to one instance; instances differ by at most one slot in each pool.
+    """Assigns each slot of a pool to exactly one instance.
 
-    The assignment changes only with the servers, their slots or the live instances.
+    In each pool, the numbers of slots of two instances differ by at most one. The assignment
+    changes only with the servers, their slots or the live instances.
     """
 
     name = "even_split"
@@ -122,7 +126,6 @@
 
 
 def _first_index(servers: Sequence[model.BackendServer], count: int) -> int:
-    """Returns the index of the instance with which the round-robin of a pool starts."""
     if not servers:
         return 0
     name = f"{servers[0].service}/{servers[0].region}"
--- a/packages/core/src/sassafrasway_core/pool.py
+++ b/packages/core/src/sassafrasway_core/pool.py
@@ -1,4 +1,8 @@
-"""Slot accounting of one pool: admission, server selection and the wait queue."""
+"""Slot accounting of one pool: admission, server selection and the wait queue.
+
+An instance has a ``SlotPool`` for each pool that it may use. A request that is sent to a server
+holds a lease of one of the server's slots until it has ended.
+"""
 
 import itertools
 import random
@@ -16,7 +20,8 @@
 )
 from sassafrasway_core import share as shares
 
-Grant = pool_types.Grant
+# Types in the interface of SlotPool, so that its callers need to import only this module.
+WaiterLease = pool_types.WaiterLease
 PoolSnapshot = pool_types.PoolSnapshot
 ServerResult = pool_types.ServerResult
 ServerSnapshot = pool_types.ServerSnapshot
@@ -37,21 +42,18 @@
 
     Slots also become free as time passes (ramp-up, expiry of inherited slots) and by
     ``set_servers``, ``set_share``, ``set_leaving`` and ``record_probe``. None of these returns
-    grants, so the owner must call ``grant_waiting`` after them and whenever it calls ``expire``.
+    leases, so the caller has to call ``lease_to_waiting`` regularly while requests wait.
 
     Args:
-        key: Key of the pool.
         servers: The pool's servers, including leaving ones.
-        clock: Time source.
         rng: Random source for server selection and for the jitter of ejection times.
-        invariants: Checks every new lease.
+        invariants: Checks every new lease; may raise ``errors.InvariantViolation``.
         queue_limit: Maximum number of waiting requests; 0 for services whose requests may not
             wait.
         ramp_s: Seconds over which the slots of a new or long-idle server become usable.
-        rank_by_reports: Whether load reports limit the estimate of a server's free slots. To be
-            set only for placements in which other instances dispatch to the same servers. If it is
-            not set, servers are ranked by the pool's own count of free slots, and load reports only
-            break ties.
+        rank_by_reports: Whether load reports limit the estimate of a server's free slots. Set it
+            only for placements in which other instances dispatch to the same servers. Otherwise,
+            the pool ranks servers by its own count of free slots, and reports only break ties.
     """
 
     def __init__(
@@ -111,8 +113,8 @@
         self._expire_inherited()
         counts = self._inherited.counts()
         for name, slots in self._servers.items():
-            if slots.in_use:
-                counts[name] = counts.get(name, 0) + slots.in_use
+            if slots.lease_count:
+                counts[name] = counts.get(name, 0) + slots.lease_count
         return counts
 
     def queue_length(self) -> int:
@@ -159,7 +161,7 @@
             slots.set_share(share)
 
     def set_leaving(self, server_name: str, leaving: bool) -> None:
-        """Applies the leaving state that a server reported, for example in response to a probe."""
+        """Applies the leaving state that a server reported."""
         slots = self._servers.get(server_name)
         if slots is None or slots.reported_leaving == leaving:
             return
@@ -174,11 +176,8 @@
     ) -> None:
         """Records the result of a probe; a server that returns to service is ramped up.
 
-        Args:
-            server_name: Name of the probed server.
-            succeeded: Whether the server reported that it is healthy.
-            leaving: Whether the server reported that it is leaving; None if unknown. Only a
-                successful probe with False withdraws an earlier report.
+        ``leaving`` is what the server reported, None if unknown. Only a successful probe with False
+        withdraws an earlier report.
         """
         slots = self._servers.get(server_name)
         if slots is None:
@@ -203,26 +202,16 @@
         The slot is one of the server with the most free slots or, with ``rank_by_reports``, of a
         random server weighted by its estimated free slots. Servers that shed a request in the last
         ``SHED_PAUSE_S`` or whose last result was a failure are used only if no other server
-        appears to have a free slot.
-
-        Args:
-            exclude: Names of servers not to use, for example because they shed this request.
-
-        Raises:
-            errors.InvariantViolation: The lease breaks a rule (only if ``invariants`` raises).
+        appears to have a free slot; those in ``exclude`` are never used.
         """
         now_s = self._expire_inherited()
         slots = self._select(exclude, now_s)
         return self._create_lease(slots, now_s) if slots is not None else None
 
-    def release(self, lease: SlotLease, result: ServerResult) -> list[Grant]:
-        """Releases a slot and grants free slots to waiting requests.
+    def release(self, lease: SlotLease, result: ServerResult) -> list[WaiterLease]:
+        """Releases a slot and leases free slots to waiting requests.
 
         A lease that was already released is ignored.
-
-        Raises:
-            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
-                raises).
         """
         slots = self._leases.pop(lease.lease_id, None)
         if slots is None:
@@ -231,19 +220,16 @@
         slots.end_lease(now_s)
         self._apply_result(slots, result, now_s)
         self._delete_if_unused(slots.name)
-        return self.grant_waiting()
+        return self.lease_to_waiting()
 
     def enqueue(self, waiter_id: Hashable, *, expires_s: float) -> bool:
-        """Adds a request to the wait queue, without granting a slot.
+        """Adds a request to the wait queue, without leasing a slot.
 
         The caller tries ``try_acquire`` just before, unless other requests are already waiting.
 
-        Args:
-            waiter_id: Identifier of the request, unique among the waiting requests.
-            expires_s: Monotonic time at which the request no longer needs a slot.
-
         Returns:
-            False when the queue is full or the deadline has passed.
+            False when the queue is full or the deadline, the monotonic time ``expires_s``, has
+            passed.
 
         Raises:
             ValueError: ``waiter_id`` is already in the queue.
@@ -258,14 +244,9 @@
         """Removes expired requests from the queue; returns the id of each of them exactly once."""
         return self._queue.take_expired(now_s=self._clock.monotonic())
 
-    def grant_waiting(self) -> list[Grant]:
-        """Grants free slots to the longest-waiting requests whose deadline has not passed.
-
-        Raises:
-            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
-                raises).
-        """
-        grants = []
+    def lease_to_waiting(self) -> list[WaiterLease]:
+        """Leases free slots to the longest-waiting requests whose deadline has not passed."""
+        waiter_leases = []
         now_s = self._expire_inherited()
         while len(self._queue):
             slots = self._select(frozenset(), now_s)
@@ -274,27 +255,23 @@
             waiter_id = self._queue.pop(now_s=now_s)
             if waiter_id is None:
                 break
-            grants.append(Grant(waiter_id=waiter_id, lease=self._create_lease(slots, now_s)))
-        return grants
+            waiter_leases.append(
+                WaiterLease(waiter_id=waiter_id, lease=self._create_lease(slots, now_s))
+            )
+        return waiter_leases
 
     def inherit(self, counts: Mapping[str, int], *, expires_s: float) -> None:
-        """Counts slots as in use on which requests of the previous owner still run.
+        """Counts slots as in use on which requests of earlier owners still run.
 
-        Args:
-            counts: Slots in use by server name.
-            expires_s: Monotonic time by which all of these requests have ended.
+        ``counts`` holds the slots in use by server name. All of these requests have ended by the
+        monotonic time ``expires_s``.
         """
         self._inherited.add(counts, expires_s=expires_s)
 
-    def release_inherited(self, server_name: str, count: int) -> list[Grant]:
-        """Releases inherited slots and grants free slots to waiting requests.
-
-        Raises:
-            errors.InvariantViolation: A granted lease breaks a rule (only if ``invariants``
-                raises).
-        """
+    def release_inherited(self, server_name: str, count: int) -> list[WaiterLease]:
+        """Releases inherited slots and leases free slots to waiting requests."""
         self._inherited.release(server_name, count)
-        return self.grant_waiting()
+        return self.lease_to_waiting()
 
     def _add_servers(self, servers: Iterable[model.BackendServer], *, cold: bool) -> None:
         now_s = self._clock.monotonic()
@@ -314,7 +291,7 @@
 
     def _delete_if_unused(self, name: str) -> None:
         slots = self._servers.get(name)
-        if slots is not None and slots.removed and not slots.in_use:
+        if slots is not None and slots.removed and not slots.lease_count:
             del self._servers[name]
 
     def _expire_inherited(self) -> float:
@@ -334,7 +311,7 @@
             self._health.record(slots.name, result)
 
     def _free(self, slots: pool_server.ServerSlots, now_s: float) -> int:
-        return slots.limit(now_s) - slots.in_use - self._inherited.count(slots.name)
+        return slots.limit(now_s) - slots.lease_count - self._inherited.count(slots.name)
 
     def _select(self, exclude: frozenset[str], now_s: float) -> pool_server.ServerSlots | None:
         excluded = self._health.ejected() | exclude
@@ -345,7 +322,7 @@
         # A rank is (not a last resort, free slots, negated reported load).
         best_rank = (False, 0, 0)
         for slots in self._active:
-            max_free = slots.share_limit - slots.in_use
+            max_free = slots.share_limit - slots.lease_count
             # This cheap check rejects most servers, which keeps selection fast in large pools.
             if (
                 max_free <= 0
@@ -407,7 +384,7 @@
         return lease
 
     def _check_lease(self, slots: pool_server.ServerSlots) -> None:
-        used = slots.in_use + self._inherited.count(slots.name)
+        used = slots.lease_count + self._inherited.count(slots.name)
         share_limit = self._share.slots(slots.server.slots)
         # Every request passes through here, so the detail text is built only on a violation.
         if used > share_limit:
@@ -428,7 +405,7 @@
             name=name,
             slots=slots.server.slots,
             limit=slots.limit(now_s),
-            in_use=slots.in_use,
+            in_use=slots.lease_count,
             inherited=self._inherited.count(name),
             leaving=slots.leaving,
             ejected=self._health.is_ejected(name),
--- a/packages/core/src/sassafrasway_core/pool_server.py
+++ b/packages/core/src/sassafrasway_core/pool_server.py
@@ -9,8 +9,7 @@
 # a pool with little traffic, so that low traffic does not throttle the pool.
 IDLE_AFTER_S = 300.0
 
-# Interval of the probes of a server that reported that it is leaving. They detect its return, for
-# example after a restart.
+# Interval of the probes that detect the return of a server that reported that it is leaving.
 LEAVING_PROBE_S = 5.0
 
 # Requests hold a slot for a few hundred milliseconds, so older load reports are meaningless.
@@ -21,18 +20,14 @@
     """Counts the leases of one server and computes how many are allowed.
 
     Attributes:
-        name: Name of the server.
-        in_use: Slots held by leases.
+        lease_count: Slots held by leases; slots inherited from another owner are not included.
         share_limit: Slots allowed by the share, regardless of ramp-up.
         removed: Whether the policy no longer lists the server.
         reported_leaving: Whether the server itself reported that it is leaving.
         probed_s: Monotonic time of the last probe or change of ``reported_leaving``.
 
     Args:
-        server: The server as configured in the policy.
-        share: Share of the slots that may be used.
         ramp_s: Seconds over which the slots of a cold server become usable.
-        now_s: Current monotonic time.
         cold: Whether the server is new, so that its first request starts the ramp-up.
     """
 
@@ -51,7 +46,7 @@
         self.reported_leaving = False
         self.probed_s = now_s
         # Plain attributes, because server selection reads them for every server.
-        self.in_use = 0
+        self.lease_count = 0
         self.share_limit = share.slots(server.slots)
         self._share = share
         self._ramp_s = ramp_s
@@ -63,7 +58,7 @@
 
     @property
     def leaving(self) -> bool:
-        """Whether the server must not get new requests."""
+        """Whether the server is leaving or was removed, and so gets no new requests."""
         return (
             self.removed
             or self.reported_leaving
@@ -114,12 +109,12 @@
         if self._starts_cold(now_s):
             self._ramp_started_s = now_s
             self._cold = False
-        self.in_use += 1
+        self.lease_count += 1
         self._last_used_s = now_s
 
     def end_lease(self, now_s: float) -> None:
         """Counts the end of a lease."""
-        self.in_use -= 1
+        self.lease_count -= 1
         self._last_used_s = now_s
 
     def restart_ramp(self) -> None:
@@ -132,7 +127,7 @@
         self._load_reported_s = now_s
 
     def _ramp_limit(self, now_s: float) -> int:
-        """Returns the slots that the ramp-up allows: one at first, then growing linearly."""
+        # One slot at first, then growing linearly.
         slots = self.server.slots
         if self._starts_cold(now_s):
             return min(1, slots)
@@ -143,4 +138,4 @@
 
     def _starts_cold(self, now_s: float) -> bool:
         """Returns whether a lease that begins now would start the ramp-up."""
-        return self._cold or (self.in_use == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
+        return self._cold or (self.lease_count == 0 and now_s - self._last_used_s > IDLE_AFTER_S)
--- a/packages/core/src/sassafrasway_core/pool_types.py
+++ b/packages/core/src/sassafrasway_core/pool_types.py
@@ -13,9 +13,9 @@
     Attributes:
         OK: The response arrived.
         SHED: The server refused the request because of its load.
-        FAILED: The request was not sent, because the connection failed.
+        FAILED: The request was not sent, because the connection failed or was not ready in time.
         TIMEOUT: The request was sent, but the response was not complete in time.
-        CRASHED: The connection was lost before the response was complete.
+        CRASHED: The response is incomplete: the connection was lost, or the body was too large.
         CANCELLED: This instance ended the dispatch, or released the slot without a dispatch.
         LEAVING: The server reported in its response that it is leaving.
     """
@@ -31,11 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SlotLease:
-    """The right to run one request on a server until the lease is released.
-
-    Attributes:
-        started_s: Monotonic time at which the lease was created.
-    """
+    """The right to run one request on a server, from monotonic time ``started_s`` to release."""
 
     server: model.BackendServer
     lease_id: int
@@ -43,8 +39,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Grant:
-    """A lease granted to a request in the wait queue."""
+class WaiterLease:
+    """A lease that was created for a request in the wait queue."""
 
     waiter_id: object
     lease: SlotLease
@@ -57,8 +53,8 @@
     Attributes:
         slots: Slots of the server as configured in the policy.
         limit: Slots usable now under the share and the ramp-up.
-        in_use: Slots held by leases of this pool.
-        inherited: Slots that a previous owner still uses.
+        in_use: Slots held by leases of this pool, without the inherited ones.
+        inherited: Slots that earlier owners still use.
         reported_load: Slots in use as last reported by the server; None without a recent report.
     """
 
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -1,4 +1,18 @@
-"""Messages, commands and table row with which a region's instances agree on pool ownership."""
+"""Messages, commands and table row with which a region's instances agree on pool ownership.
+
+One instance of a region is its coordinator. It assigns each pool of the region to an instance, the
+owner of the pool, to which the other instances forward their requests. The owner may use the slots
+only after the coordinator has granted it parts of the pool in the replies to its heartbeats. An
+instance with such a part is a holder: while a pool moves, the previous owner may still hold parts.
+Only the placement ``pool_owner`` uses this (see ``placement``).
+
+An instance becomes coordinator by writing the region row, a row in the platform's table service,
+with a higher epoch. The instances that the row names are called recorded members. Every instance of
+the region is a member; the coordinator sends heartbeats to itself, too.
+
+The decision modules ``member``, ``coordinator`` and ``authority`` do no I/O: they return commands
+that ``member_task`` and ``coordinator_task`` of the entry package execute.
+"""
 
 import dataclasses
 import json
@@ -15,7 +29,7 @@
 PROMISE_S = 3.0
 # Time for which a successful write of the region row gives the coordinator authority.
 TABLE_LEASE_S = 3.0
-# Interval at which the coordinator writes an unchanged row to renew its lease.
+# Interval at which the coordinator writes an unchanged row to renew its table lease.
 RENEW_S = 1.0
 
 LIVE = "live"
@@ -122,9 +136,11 @@
 
     Attributes:
         share: Share in force when the report was made.
-        in_use: Slots in use by server name.
+        in_use: Slots in use by server name, including inherited ones.
         busy_s: Time until the deadlines of the requests in these slots have passed.
-        rate_per_s: Requests received for the pool, 1/s.
+        rate_per_s: Requests received for the pool, 1/s; entry instances do not measure it and send
+            0.
+        queue_length: Number of requests that wait for a slot.
     """
 
     share: share.Share
@@ -144,7 +160,8 @@
             counts them as used until they are released or the request deadlines pass.
         inherited_s: Time until the deadlines of the requests in those slots have passed.
         previous: Of the instances that use those slots, the last to begin to report them, or None.
-        expires_s: End of the main part by the receiver's monotonic clock; set by ``GrantState``.
+        expires_s: When the grant of the main part expires, by the receiver's monotonic clock; in
+            the past when it is not granted. It is not sent: the receiver sets it.
     """
 
     pool: model.PoolKey
@@ -182,10 +199,10 @@
     """The coordinator's reply to a heartbeat.
 
     Attributes:
-        accepted: False when the member has to follow ``epoch`` and send a new heartbeat first;
-            its grants then stay as they are, unless ``gone`` is true.
-        gone: Whether the coordinator regards the sender as gone, so that others may use all that
-            it held.
+        accepted: False when nothing is granted: the member must first follow ``epoch`` and send a
+            new heartbeat, the replier is not the coordinator, or ``gone`` is true. Unless ``gone``
+            is true, the member keeps its grants.
+        gone: Whether the sender is regarded as gone, so that others may use all that it held.
         seq: Number of the reply within the epoch.
         stamp_s: Time of the reply by the coordinator's clock.
         grants: All pools that the member may use; the member drops every other pool.
@@ -216,7 +233,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Command:
-    """An action that a decision module asks the I/O task to execute."""
+    """An action that a decision module asks its I/O task to execute."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/core/src/sassafrasway_core/window.py
+++ b/packages/core/src/sassafrasway_core/window.py
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _SubWindow:
-    """Sum of the amounts taken between two monotonic times, in seconds."""
+    """Sum of the amounts taken from ``first_s`` to ``last_s``, both monotonic times."""
 
     first_s: float
     last_s: float
@@ -29,7 +29,6 @@
 
     Args:
         limit: Maximum sum in one second; ``math.inf`` for no limit.
-        clock: Time source.
         sub_window_count: Number of sub-windows per ``WINDOW_S``. More of them make the limit more
             precise but take more time and memory.
         start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
@@ -37,6 +36,7 @@
 
     Raises:
         ValueError: ``limit`` is negative or NaN, or ``sub_window_count`` is less than 1.
+            ``set_limit`` and ``try_take`` raise it, too, if their argument is negative or NaN.
     """
 
     def __init__(
@@ -87,19 +87,11 @@
         return wait_s
 
     def set_limit(self, limit: float) -> None:
-        """Changes the limit; amounts taken before still count.
-
-        Raises:
-            ValueError: ``limit`` is negative or NaN.
-        """
+        """Changes the limit; amounts taken before still count."""
         self._limit = _require_non_negative("limit", limit)
 
     def try_take(self, amount: float) -> bool:
-        """Takes ``amount`` and returns True, or returns False if it does not fit.
-
-        Raises:
-            ValueError: ``amount`` is negative or NaN.
-        """
+        """Takes ``amount`` and returns True, or returns False if it does not fit."""
         _require_non_negative("amount", amount)
         now_s = self._clock.monotonic()
         self._drop_expired(now_s)
@@ -146,12 +138,11 @@
 
     Args:
         limit: Maximum number of starts in one second.
-        clock: Time source.
-        start_full: Whether to admit nothing for the first ``WINDOW_S``, because the previous holder
-            of the limit may have used all of it just before.
+        start_full: Whether to admit nothing for the first ``WINDOW_S``, even without a limit,
+            because the previous holder of the limit may have used all of it just before.
 
     Raises:
-        ValueError: ``limit`` is negative or NaN.
+        ValueError: ``limit`` is negative or NaN, here or in ``set_limit``.
     """
 
     def __init__(self, *, limit: float, clock: clock_lib.Clock, start_full: bool = False):
@@ -168,11 +159,7 @@
         return self._limit
 
     def set_limit(self, limit: float) -> None:
-        """Changes the limit; requests admitted before still count.
-
-        Raises:
-            ValueError: ``limit`` is negative or NaN.
-        """
+        """Changes the limit; requests admitted before still count."""
         self._limit = _require_non_negative("limit", limit)
 
     def used(self) -> int:
--- a/packages/core/tests/ownership_sim.py
+++ b/packages/core/tests/ownership_sim.py
@@ -125,7 +125,7 @@
             for command in self.coordinator.tick():
                 self._execute(command, self.coordinator.authority)
 
-    def fetch_list(self):
+    def fetch_list_if_due(self):
         """Counts a step; a coordinator fetches the platform's list when that is due."""
         self.steps += 1
         if self.coordinator is not None and self.steps % LIST_FETCH_STEPS == 0:
@@ -147,13 +147,13 @@
             self.inbox.append((self, "written", issuer, command, self._write(command)))
 
     def _write(self, command):
-        """Returns the new version of the row, ``"refused"`` or ``"unknown"``."""
+        """Returns the new version of the row, ``"conflict"`` or ``"unknown"``."""
         if self.table_mode == "delayed":
             self.world.table.delayed.append(command)
         if self.table_mode in ("ok", "lost"):
             ok = self.world.table.write(command)
             if self.table_mode == "ok":
-                return self.world.table.version if ok else "refused"
+                return self.world.table.version if ok else "conflict"
         return "unknown"
 
     def _handle(self, source, kind, *content):
@@ -166,8 +166,8 @@
         arguments = (command,) if issuer is self.member else ()
         if result == "unknown":
             issuer.on_write_unknown(*arguments)
-        elif result == "refused":
-            issuer.on_write_refused(*arguments)
+        elif result == "conflict":
+            issuer.on_write_conflict(*arguments)
         else:
             issuer.on_write_ok(*arguments, result)
 
@@ -214,6 +214,8 @@
         links: Mode of each direction between two names: ``"cut"`` drops messages, ``"hold"`` keeps
             them in ``held_messages`` until ``release_held``; a missing entry means ``"ok"``.
         list_lag_steps: By how many steps the platform's list lags behind.
+        member_table: Class of each process's ``members``; a test replaces it with a faulty one.
+        coordinator_state: Class of each process's ``coordinator``.
     """
 
     member_table = membership.MemberTable
@@ -276,7 +278,7 @@
             self._snapshots.append(tuple(self.live))
             for process in list(self.live.values()):
                 if not process.paused:
-                    process.fetch_list()
+                    process.fetch_list_if_due()
             running = [process for process in self.live.values() if not process.paused]
             for round_number in range(ROUNDS):
                 for process in running:
@@ -285,15 +287,10 @@
                         self.check()
 
     def shares(self, pool):
-        """Returns the share of a pool that each process may use now, by name."""
         return {name: process.grants.share(pool) for name, process in self.live.items()}
 
     def check(self):
-        """Checks that the processes together cannot use more slots, or more of the cap, than exist.
-
-        Raises:
-            AssertionError: The shares add up to more than the slots of a server or the cap.
-        """
+        """Raises ``AssertionError`` if the shares exceed the slots of a server or the cap."""
         for pool in POOLS:
             shares = self.shares(pool)
             usable = sum(pool_share.slots(SLOTS) for pool_share in shares.values())
--- a/packages/core/tests/test_at_most_once.py
+++ b/packages/core/tests/test_at_most_once.py
@@ -97,7 +97,7 @@
         key = self.fixture.mint_key()
         self.registry.begin(key)
         self.registry.mark_dispatched(key)
-        self.registry.mark_refused(key)
+        self.registry.discard_dispatch(key)
         self.registry.finish(key, "shed", not_run=True)
         self.assertIs(self.registry.begin(key), at_most_once.BeginResult.DONE)
 
@@ -113,7 +113,7 @@
 )
 
 
-class RandomisedTest(unittest.TestCase):
+class DuplicateRequestsTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, max_examples=300, deadline=None)
     @hypothesis.given(steps=_STEPS)
     def test_every_key_starts_at_most_once(self, steps):
--- a/packages/entry/src/sassafrasway_entry/backend_client.py
+++ b/packages/entry/src/sassafrasway_entry/backend_client.py
@@ -15,9 +15,9 @@
 IDLE_TIMEOUT_S = 5.0
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 # Limits of the time for one attempt at an idempotent request, in seconds and as a fraction of the
-# remaining time; the lower one applies. After it, the connection counts as silent, and there is
-# time left for another attempt. Other requests cannot be retried and are limited by their deadline
-# only.
+# remaining time; the lower one applies. After it, the connection counts as silent: open, but
+# without any data from the server. Time is left for another attempt. Other requests cannot be
+# retried after a timeout and are limited by their deadline only.
 RESPONSE_TIMEOUT_S = 2.0
 RESPONSE_FRACTION = 0.6
 
@@ -63,13 +63,11 @@
     """Result of a call.
 
     Attributes:
-        result: How the call ended.
         status: Status code; set when the result is ``OK`` or ``SHED``.
         headers: Headers of the response that are passed on to the caller.
-        body: Body of the response.
-        load: Load that the server reported, or None.
+        load: Number of slots in use that the server reported, or None.
         leaving: Whether the server reported that it is leaving.
-        detail: Cause of a failure, for debugging.
+        detail: Description of a failure; empty when the result is ``OK`` or ``SHED``.
     """
 
     result: CallResult
@@ -85,9 +83,8 @@
 class Probe:
     """Result of a health check.
 
-    Attributes:
-        healthy: Whether the server responded in time with status 200.
-        leaving: Whether the server reported that it is leaving.
+    ``healthy`` means that the server responded in time with status 200, and ``leaving`` that it
+    reported that it is leaving.
     """
 
     healthy: bool
@@ -99,9 +96,7 @@
 
     Idempotent requests reuse connections. Every non-idempotent request opens a new connection,
     because a reused one may have been closed or gone silent, which makes the outcome unknown.
-
-    Args:
-        local_host: IP address to connect from.
+    Connections are opened from the IP address ``local_host``.
     """
 
     def __init__(self, *, local_host: str):
@@ -129,15 +124,11 @@
     ) -> BackendResponse:
         """Sends a request and returns the complete response.
 
-        The deadline that is sent to the server is the timeout of this attempt, so that the server
-        stops work on a request that was given up and may be retried on another server.
-
-        Args:
-            server: Server to call.
-            request: The request.
-            idempotent: Whether the service is idempotent, so that a connection may be reused and
-                the time is limited further, see ``RESPONSE_TIMEOUT_S``.
-            timeout_s: Seconds until the deadline of the request.
+        A failed call raises no exception; ``result`` of the returned response tells how it ended.
+        ``timeout_s`` is the time until the deadline of the request. An attempt at an idempotent
+        request gets less of it, see ``RESPONSE_TIMEOUT_S``. The server receives the timeout of the
+        attempt as its deadline, so that it stops work on a request that was given up and may be
+        retried on another server.
         """
         session = self._session(server, reuse=idempotent)
         started_s = time.monotonic()
--- a/packages/entry/src/sassafrasway_entry/caller_requests.py
+++ b/packages/entry/src/sassafrasway_entry/caller_requests.py
@@ -14,7 +14,7 @@
 MAX_KEY_CHARS = 255
 MAX_DEADLINE_MS = 600_000
 
-# Headers that are addressed to the entry. All but the idempotency key are not passed on.
+# Headers that are addressed to the entry. Of these, only the idempotency key is passed on.
 _ENTRY_HEADERS = frozenset(
     name.lower() for name in (KEY_HEADER, DEADLINE_HEADER, CLIENT_HEADER, "Host")
 )
@@ -25,12 +25,6 @@
 ) -> messages.Request | messages.Response:
     """Returns the request, or a refusal if it is invalid.
 
-    Args:
-        http_request: HTTP request of the caller.
-        service: Service that the request names.
-        request_id: Id to give to the request.
-        clock: Time source of the deadline.
-
     Raises:
         web.HTTPRequestEntityTooLarge: The body is larger than the application allows.
     """
--- a/packages/entry/src/sassafrasway_entry/cap_limits.py
+++ b/packages/entry/src/sassafrasway_entry/cap_limits.py
@@ -11,12 +11,12 @@
 MESSAGE_OVERHEAD_BYTES = 256  # Thrift frame, field headers and TCP/IP headers of a small message
 # Minimum interval between measurements of the demand.
 DEMAND_INTERVAL_S = 0.4
-# The demand is also measured after this time when no heartbeat asks for it. Otherwise the record
-# of refused requests would grow for as long as there is no coordinator.
+# Without a coordinator no heartbeat asks for the demand. It is measured after this time anyway, as
+# the record of refused requests would grow otherwise.
 MAX_DEMAND_INTERVAL_S = 2.0
 # Time after a change of the coordinator until shares follow the demand again. The new coordinator
-# increases no share until those of the earlier one have expired and left all windows; then it takes
-# up to a second until the next heartbeats bring new shares.
+# increases no share until the earlier ones have expired and what was taken under them has left all
+# windows. The next heartbeats bring new shares up to a second later.
 TAKEOVER_S = caps.SHARE_S + window.WINDOW_S + 1.0
 
 
@@ -26,9 +26,9 @@
 
     Attributes:
         window: Limits what is taken in any one-second window.
-        taken: Amount taken since ``since_s``.
+        taken: Amount taken since ``since_s``, in requests or Mbit.
         refused: Amounts refused since ``since_s`` and not taken later, by request id.
-        since_s: Start of the current measurement.
+        since_s: Monotonic time of the start of the current measurement.
         demand: Result of the previous measurement: amount taken and refused per second.
     """
 
@@ -47,12 +47,14 @@
 class CapLimits:
     """Keeps this instance within its shares of caps and measures its demand for them.
 
-    The limit of a window is set to the share in force whenever something is taken from it, so that
-    the expiry of a share takes effect without a message.
+    The cap of a region limits the requests to its servers, in requests/s; the cap of a link limits
+    the messages from this region to another one, in Mbit/s. Each instance of this region may use
+    the share of a cap that the coordinator of the region grants it.
+
+    Each use of a window first sets its limit to the share in force, so that the expiry of a share
+    takes effect without a message.
 
     Args:
-        region: Region of this instance.
-        clock: Time source.
         amount: Returns the amount of the share in force, by name of the cap.
         epoch: Returns the epoch of the coordinator that this instance follows.
     """
@@ -103,12 +105,12 @@
         The first share of a new instance can be smaller than any message. It consists of what the
         other instances left unused; more becomes free once they have confirmed smaller shares.
         """
-        name = cap_grants.link_cap(self._region, target)
+        name = cap_grants.link_cap_name(self._region, target)
         return name not in self._caps or self._amount(name) >= message_mbit(size_bytes)
 
     def has_all_link_shares(self) -> bool:
         """Returns whether the share of every link's cap is large enough for an empty message."""
-        region_cap_name = cap_grants.region_cap(self._region)
+        region_cap_name = cap_grants.region_cap_name(self._region)
         smallest = message_mbit(0)
         return all(self._amount(name) >= smallest for name in self._caps if name != region_cap_name)
 
@@ -120,7 +122,7 @@
             to try again. These are infinite while the share of this instance is smaller than one
             request.
         """
-        return self._take_from_cap(cap_grants.region_cap(self._region), 1.0, request_id)
+        return self._take_from_cap(cap_grants.region_cap_name(self._region), 1.0, request_id)
 
     def take_link(self, target: str, size_bytes: int, request_id: str) -> float:
         """Takes a message to the region ``target`` from the link's cap.
@@ -130,7 +132,7 @@
             try again. These are infinite while the share of this instance is smaller than the
             message.
         """
-        name = cap_grants.link_cap(self._region, target)
+        name = cap_grants.link_cap_name(self._region, target)
         return self._take_from_cap(name, message_mbit(size_bytes), request_id)
 
     async def wait_link(
@@ -173,7 +175,7 @@
         )
 
     def _check_epoch(self) -> None:
-        """Starts the time of ``TAKEOVER_S`` when this instance follows another coordinator."""
+        """Makes ``settling`` true for ``TAKEOVER_S`` when the coordinator has changed."""
         epoch = self._epoch()
         if epoch != self._last_epoch:
             self._last_epoch = epoch
--- a/packages/entry/src/sassafrasway_entry/closing.py
+++ b/packages/entry/src/sassafrasway_entry/closing.py
@@ -16,10 +16,8 @@
 ) -> None:
     """Writes all outcomes, then the closed marker, which says that no more will follow.
 
-    Args:
-        me: Incarnation that stops.
-        outcomes: Outcomes of the incarnation.
-        gatekeeper: Gatekeeper of the incarnation; all of its requests have ended.
+    May be called only when all requests of the gatekeeper have ended. If the table service is
+    unavailable, this is logged and the marker is not written.
     """
     log = structlog.get_logger("process")
     for _ in range(MAX_FLUSHES):
@@ -27,7 +25,10 @@
             break
         await asyncio.sleep(FLUSH_INTERVAL_S)
     else:
-        log.warning("outcomes not written", pending=outcomes.pending)
+        log.warning(
+            "outcomes or claim updates not written; stopping without the closed marker",
+            pending=outcomes.pending,
+        )
         return
     try:
         await outcomes.close(me)
--- a/packages/entry/src/sassafrasway_entry/config_service.py
+++ b/packages/entry/src/sassafrasway_entry/config_service.py
@@ -14,12 +14,8 @@
 class ConfigService:
     """Handles the Config calls of peers, which are described in ``config.thrift``.
 
-    The RPC server returns the errors that the methods raise to the peer.
-
-    Args:
-        me: This incarnation.
-        config: Configuration task of this instance.
-        leave: Starts the graceful stop of this instance.
+    Results of type ``Any`` are Thrift messages. The RPC server returns the errors that the methods
+    raise to the peer. ``leave`` starts the graceful stop of this instance.
     """
 
     def __init__(
@@ -32,7 +28,7 @@
         self._me = me
         self._config = config
         self._leave = leave
-        self._logger = structlog.get_logger("config.peers").bind(instance=str(me))
+        self._log = structlog.get_logger("config.peers").bind(instance=str(me))
 
     async def push_change(self, change_json: str | None, sender_address: str | None) -> int:
         """Processes a pushed change and returns the revision in force afterwards.
@@ -44,7 +40,7 @@
         return await self._config.receive(change, sender=sender_address or "")
 
     async def changes_since(self, revision: int | None) -> Any:
-        """Returns the changes after a revision, or the full policy when the log lacks some.
+        """Returns the changes after a revision, or the full policy when the log lacks any of them.
 
         Raises:
             errors.UnavailableError: No policy is known yet.
@@ -71,5 +67,5 @@
                 f"this instance is {self._me.name!r}, not {instance_name!r}",
                 step="config.drain_instance",
             )
-        self._logger.info("drain requested", author=author)
+        self._log.info("drain requested", author=author)
         self._leave()
--- a/packages/entry/src/sassafrasway_entry/control_service.py
+++ b/packages/entry/src/sassafrasway_entry/control_service.py
@@ -15,12 +15,12 @@
 class ControlService:
     """Handles the Control calls of members, coordinators and pool owners.
 
-    The calls are described in ``control.thrift``. A method raises ``errors.ValidationError`` when a
-    required argument is not set. The RPC server returns errors to the caller unless the call is
-    oneway.
+    The calls are described in ``control.thrift``; arguments and results of type ``Any`` are Thrift
+    messages. A method raises ``errors.ValidationError`` when a required argument is not set, and
+    ``ValueError`` when a share in a pool report is unknown. The RPC server returns errors to the
+    caller unless the call is oneway.
 
     Args:
-        member: Member role of this instance.
         on_handover: Called with the previous owner of a pool, the pool, and its report about the
             slots that are still in use.
         on_release: Called with a pool, a server name and the number of its slots that requests of
@@ -48,7 +48,7 @@
         return self._member.on_heartbeat(request)
 
     async def follow(self, epoch: int | None, coordinator: Any) -> Any:
-        """Follows a coordinator unless its epoch is lower."""
+        """Follows a coordinator unless its epoch is lower; returns what this instance holds."""
         _require_arguments(epoch is not None and coordinator is not None, "follow")
         reply = self._member.on_follow(
             epoch=epoch, coordinator=control_conversion.from_instance(coordinator)
@@ -70,7 +70,11 @@
         self._on_release(control_conversion.from_pool(pool), server, slots or 0)
 
     async def directory(self, directories: list | None, known: list | None) -> list:
-        """Stores newer directories and returns those that are newer than the sender's."""
+        """Stores newer directories and returns those that are newer than the sender's.
+
+        ``known`` lists the versions that the sender has. The reply leaves out other regions, unless
+        ``known`` is empty, which requests all directories.
+        """
         own_directory = self._member.directory
         own_directory.update(
             control_conversion.from_directory(received) for received in directories or ()
@@ -79,7 +83,7 @@
         return [control_conversion.to_directory(entry) for entry in newer]
 
     async def suspect(self, instance: Any) -> None:
-        """Checks whether an instance that a peer could not connect to is gone."""
+        """Checks whether an instance is gone, if this one is the coordinator of its region."""
         _require_arguments(instance is not None, "suspect")
         self._member.on_suspect(control_conversion.from_instance(instance).id)
 
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -13,10 +13,10 @@
 from sassafrasway_rpc import client as rpc_client
 from sassafrasway_rpc import schema
 
-# Limits of the time allowed for the response of a peer to an idempotent request that may not queue,
-# in seconds and as a fraction of the remaining time; the lower one applies. They keep a connection
-# that went silent from using up the whole deadline. They are above RESPONSE_TIMEOUT_S and
-# RESPONSE_FRACTION of backend_client, because the peer calls a server within this time.
+# Limits of the wait for a peer's response to an idempotent request that may not queue, in seconds
+# and as a fraction of the remaining time; the lower one applies. A silent connection must not use
+# up the whole deadline. The limits exceed RESPONSE_TIMEOUT_S and RESPONSE_FRACTION of
+# backend_client, because the peer calls a server within this time.
 PEER_RESPONSE_TIMEOUT_S = 2.5
 PEER_RESPONSE_FRACTION = 0.8
 
@@ -61,9 +61,8 @@
 class _PassResult:
     """Result of one pass over the pools.
 
-    Attributes:
-        in_handover: Whether a pool refused the request for one of ``_HANDOVER_REASONS``, so that
-            another pass may succeed. False if the request ran or may have run.
+    ``in_handover`` is true if a pool refused the request for one of ``_HANDOVER_REASONS``, so that
+    another pass may succeed. It is false if the request ran or may have run.
     """
 
     response: messages.Response
@@ -98,7 +97,8 @@
         Raises:
             rpc_client.ConnectionRefusedByPeerError: No process listens at the address.
             rpc_client.CallNotSentError: The peer was not reached; it has not received the call.
-            errors.UnavailableError: The peer did not answer; it may have received the call.
+            errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
+                call; it may have received the call.
             errors.SassafraswayError: The peer reported an error.
         """
 
@@ -107,14 +107,6 @@
     """Selects a pool for each request and runs the request there.
 
     Args:
-        me: This incarnation.
-        clock: Time source.
-        region: Region of this instance.
-        limits: This instance's shares of the caps of links between regions.
-        steering: Selects the pools of a request according to the policy.
-        pools: Pools that this instance owns.
-        directory: Owners of the other pools.
-        peers: Calls other instances.
         placement: Strategy that decides whether requests are forwarded to the owner of their pool.
         budget: Limits the retries of idempotent requests after a peer did not respond.
     """
@@ -186,8 +178,8 @@
         response = messages.not_run(503, messages.Reason.NO_SERVER, retry_after_ms=1000)
         possibly_ran: messages.Response | None = None
         in_handover = False
-        for key in route.pools:
-            response = await self.execute(key, request, may_queue=False)
+        for pool_key in route.pools:
+            response = await self.execute(pool_key, request, may_queue=False)
             if response.outcome is messages.Outcome.UNKNOWN and self._may_retry(service, response):
                 possibly_ran = response
                 continue
@@ -206,29 +198,28 @@
         )
 
     async def execute(
-        self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
+        self, pool_key: model.PoolKey, request: messages.Request, *, may_queue: bool
     ) -> messages.Response:
         """Runs a request on one pool, on this instance or on the owner of the pool.
 
         If the receiver is no longer the owner and names another one, the request is forwarded to
-        that one; this happens only once.
-
-        Args:
-            key: Pool to use.
-            request: The request.
-            may_queue: Whether the request may wait for a slot.
+        that one; this happens only once. With ``may_queue``, the request may wait for a slot.
         """
         if request.deadline.expired:
             return messages.not_run(504, messages.Reason.DEADLINE)
         if not self._placement.forwards:
-            return await self._pools.execute(key, request, may_queue=may_queue)
-        owner = self._directory.owner(key)
-        if owner is None or (owner.name == self._me.name and not self._pools.owns(key)):
+            return await self._pools.execute(pool_key, request, may_queue=may_queue)
+        owner = self._directory.owner(pool_key)
+        if owner is None or (owner.name == self._me.name and not self._pools.owns(pool_key)):
             return messages.not_run(503, messages.Reason.NOT_READY, retry_after_ms=200)
         if owner.name == self._me.name:
-            return await self._pools.execute(key, request, may_queue=may_queue)
+            return await self._pools.execute(pool_key, request, may_queue=may_queue)
         response = await self.forward(
-            owner, request, stage=schema.forward.Stage.EXECUTE, key=key, may_queue=may_queue
+            owner,
+            request,
+            stage=schema.forward.Stage.EXECUTE,
+            pool_key=pool_key,
+            may_queue=may_queue,
         )
         if response.reason is messages.Reason.NOT_OWNER and response.owner:
             current = self._directory.instance(response.owner)
@@ -237,7 +228,7 @@
                     current,
                     request,
                     stage=schema.forward.Stage.EXECUTE,
-                    key=key,
+                    pool_key=pool_key,
                     may_queue=may_queue,
                 )
         return response
@@ -248,7 +239,7 @@
         request: messages.Request,
         *,
         stage: int,
-        key: model.PoolKey | None = None,
+        pool_key: model.PoolKey | None = None,
         may_queue: bool = False,
     ) -> messages.Response:
         """Sends a request to another instance and returns its response.
@@ -260,7 +251,7 @@
             peer: Directory record of the receiving instance.
             request: The request.
             stage: Value of the Thrift enum ``Stage``: what the peer does with the request.
-            key: Pool to use, for ``Stage.EXECUTE``.
+            pool_key: Pool to use, for ``Stage.EXECUTE``.
             may_queue: Whether the request may wait for a slot.
         """
         policy = self._steering.policy
@@ -278,7 +269,7 @@
         message = conversion.to_forward(
             request,
             stage=stage,
-            key=key,
+            pool_key=pool_key,
             may_queue=may_queue,
             sender=str(self._me),
             attempt_id=f"{self._me}/{next(self._attempt_ids)}",
@@ -297,7 +288,7 @@
     async def _send_attempt(
         self, peer: Any, request: messages.Request, message: Any, until_s: float
     ) -> messages.Response:
-        """Sends an attempt, and sends it again on a new connection when the reply is lost.
+        """Sends an attempt, and sends it again when the peer does not answer.
 
         The receiver runs each attempt id only once, so sending it again returns the outcome of the
         first send.
@@ -338,8 +329,8 @@
         """
         response = messages.not_run(429, messages.Reason.NO_SLOT, retry_after_ms=100)
         in_handover = False
-        for key in route.pools:
-            response = await self.execute(key, request, may_queue=True)
+        for pool_key in route.pools:
+            response = await self.execute(pool_key, request, may_queue=True)
             if response.outcome is not messages.Outcome.NOT_RUN or request.deadline.expired:
                 return _PassResult(response=response)
             in_handover = in_handover or response.reason in _HANDOVER_REASONS
--- a/packages/entry/src/sassafrasway_entry/gatekeeper.py
+++ b/packages/entry/src/sassafrasway_entry/gatekeeper.py
@@ -28,7 +28,7 @@
 
     Attributes:
         holder: Incarnation that holds the key.
-        attempt: Request id of the attempt that created the row.
+        attempt: Request id of the attempt that created the row; empty in a row with an outcome.
         response: Outcome of the request; None while it runs.
     """
 
@@ -48,7 +48,7 @@
         """Returns the claim that a row holds.
 
         Raises:
-            ValueError: The value is not JSON, or its outcome or reason is unknown.
+            ValueError: The value is not JSON, or its outcome cannot be decoded.
             KeyError: A field is missing.
         """
         data = json.loads(value)
@@ -68,10 +68,7 @@
     """Runs non-idempotent requests at most once.
 
     Args:
-        me: This incarnation.
         registry: Keys whose requests this incarnation has handled.
-        dispatcher: Runs requests on pools.
-        directory: Other instances.
         store: Stores the outcomes of tickets in the table.
         claims: Table service for claim rows.
     """
@@ -116,7 +113,7 @@
         self._closed = True
 
     async def handle(self, request: messages.Request) -> messages.Response:
-        """Runs a request that a caller sent to this instance."""
+        """Runs a request that a caller sent to this instance, here or at the holder of its key."""
         ticket = at_most_once.Ticket.parse(request.key)
         if ticket is None:
             return await self._handle_claim(request)
@@ -143,7 +140,11 @@
         return await self.run_held(request)
 
     async def run_held(self, request: messages.Request) -> messages.Response:
-        """Runs a request whose key this incarnation holds, or waits for its earlier attempt."""
+        """Runs a request whose key this incarnation holds, or waits for its earlier attempt.
+
+        Raises:
+            errors.ValidationError: The key is a ticket of another incarnation.
+        """
         key = request.key
         if self._closed and self._registry.record(key) is None:
             # Other instances may run the request under a claim row once they find the closed
@@ -168,10 +169,11 @@
         task.add_done_callback(lambda _: self._running.pop(request.key, None))
 
     async def _wait_for_outcome(self, key: str, request: messages.Request) -> messages.Response:
-        """Returns the outcome of a key, or "unknown" if its run goes on after the deadline.
+        """Returns the outcome of a key, or "unknown" if its run outlasts the request's deadline.
 
-        The deadline is that of ``request``. The run has the deadline of the attempt that started
-        it, and is not cancelled.
+        The wait ends 0.05 s after the deadline, so that the response of a run with the same
+        deadline normally comes first. The run is not cancelled; its deadline is that of the attempt
+        that started it.
         """
         task = self._running.get(key)
         if task is None:
@@ -193,7 +195,7 @@
             response = messages.unknown(502, messages.Reason.INTERNAL)
         not_run = response.outcome is messages.Outcome.NOT_RUN
         if not_run:
-            self._registry.mark_refused(key)
+            self._registry.discard_dispatch(key)
         self._registry.finish(key, response, not_run=not_run)
         ticket = at_most_once.Ticket.parse(key)
         if ticket is not None:
@@ -206,8 +208,8 @@
         """Returns the stored outcome of a ticket.
 
         It is needed if the holder cannot be reached or may have deleted its record of the ticket.
-        If the closed marker of the holder exists, a missing outcome proves that the request did not
-        run, so that it may run here under a claim unless the ticket has expired.
+        If the holder has a closed marker, a missing outcome proves that it did not run the request.
+        The request may then run here under a claim, unless the ticket has expired.
         """
         try:
             stored = await asyncio.wait_for(
@@ -224,7 +226,7 @@
         return messages.unknown(503, messages.Reason.TICKET_HOLDER_GONE)
 
     async def _handle_claim(self, request: messages.Request) -> messages.Response:
-        """Runs a request if it can create the claim row, or returns the outcome of an earlier one.
+        """Runs a request if it can create the claim row, or returns the outcome of its earlier run.
 
         While the table service is unavailable, the write is repeated until the deadline.
         """
--- a/packages/entry/src/sassafrasway_entry/member_task.py
+++ b/packages/entry/src/sassafrasway_entry/member_task.py
@@ -32,6 +32,7 @@
 from sassafrasway_platform import table as table_lib
 from sassafrasway_rpc import client as rpc_client
 
+# Interval of updates of the member's state when no event requires one immediately.
 TICK_S = 0.1
 HEARTBEAT_TIMEOUT_S = 0.5
 JOIN_RETRY_S = 0.5
@@ -51,26 +52,17 @@
     """Runs the member role in a region: follows the coordinator or becomes coordinator itself.
 
     Args:
-        me: This instance.
-        clock: Time source.
-        invariants: Checks that the epoch never decreases.
-        table: Table service.
-        instance_list: The platform's list of instances.
-        peers: Calls other instances.
-        policy_source: Returns the policy in force, or None.
+        peers: ``peers.Peers``, or a fake, which calls other instances.
         on_grants: Called with all grants of this instance whenever one of them changes.
-        pool_reports: Returns the report of each pool that this instance uses: share, slots in use,
-            time until the deadlines of their requests, and queue length. Pools that it may no
-            longer use but whose requests are still running are included.
+        pool_reports: Returns the reports of the pools that this instance uses, including those
+            that it may no longer use but whose requests are still running.
         revision_source: Returns the revision of the policy in force.
         cap_demand: Returns the demand, including refused demand, by cap name (see ``cap_grants``)
-            and in the unit of the cap. The first share of a cap is requested only if its name is
-            included.
+            and in the unit of the cap. A cap that is not included gets no first share.
         seeds: RPC addresses of instances to join through.
         on_revision: Called with a newer revision and the RPC address of an instance that has it.
         on_declared_gone: Called when a coordinator declared this instance gone and may have granted
             its pools to others. It must restart with a new incarnation to get grants again.
-        rng: Random source for the choice of peers.
     """
 
     def __init__(
@@ -135,13 +127,14 @@
             seeds=seeds,
             rng=self._rng,
         )
+        # Epoch of the last election after which the coordinator role was started.
         self._won_epoch = 0
         self._published_grants: list[region.PoolGrant] = []
         self._table_failed = False
         self._declared_gone = False
         self._join_started_s = float("-inf")
         self._wake = asyncio.Event()
-        self._background = background.Background(name="member")
+        self._background = background.BackgroundTasks(name="member")
         self._suspicions = suspicions.SuspicionReporter(
             me=me,
             clock=clock,
@@ -186,7 +179,7 @@
 
     @property
     def in_contact(self) -> bool:
-        """Whether the coordinator answered a heartbeat recently."""
+        """Whether the coordinator answered a heartbeat recently and is not known to be gone."""
         return self._state.in_contact
 
     def share(self, pool: model.PoolKey) -> share.Share:
@@ -194,11 +187,14 @@
         return self._grants.share(pool)
 
     def cap_amount(self, name: str) -> float:
-        """Returns the current limit of this instance for a cap; 0 without a share."""
+        """Returns the current limit of this instance for a cap, in the unit of the cap.
+
+        It is 0 without a share, and the offline limit of a share that has expired.
+        """
         return self._grants.caps.amount(name)
 
     def coordinator_addresses(self) -> list[str]:
-        """Returns the RPC addresses of the coordinators of all regions."""
+        """Returns the RPC addresses of the coordinators of all known regions."""
         return [known.coordinator.rpc_address for known in self._directory.regions()]
 
     def relay_addresses(self) -> list[str]:
@@ -248,10 +244,10 @@
         """Updates the state to the current time and starts the calls that are due."""
         for command in self._state.tick(reports=self._pool_reports, cap_demand=self._cap_demand):
             self._background.start(self._execute(command))
-        won = self._state.won_election
-        if won is not None and won.row.epoch > self._won_epoch:
-            self._won_epoch = won.row.epoch
-            self._coordinator.start(won)
+        won_election = self._state.won_election
+        if won_election is not None and won_election.row.epoch > self._won_epoch:
+            self._won_epoch = won_election.row.epoch
+            self._coordinator.start(won_election)
         self._coordinator.tick()
         self._publish_grants()
         if self._table_failed and not self.in_contact:
@@ -269,6 +265,7 @@
 
         Raises:
             errors.UnavailableError: This instance is not the coordinator and follows none.
+            ValueError: The share in a pool report is unknown.
         """
         if self._coordinator.state is not None:
             reply = self._coordinator.heartbeat(message)
@@ -305,8 +302,8 @@
     def _on_refused(self, address: str) -> None:
         """Starts a check whether an instance whose port refused a connection is gone.
 
-        The coordinator that this instance follows is checked by a heartbeat that is sent
-        immediately; other instances are reported to the coordinator of their region.
+        An immediate heartbeat checks the coordinator that this instance follows. Other instances
+        are reported to the coordinator of their region.
         """
         coordinator = self._grants.coordinator
         if coordinator is not None and coordinator.rpc_address == address:
@@ -400,7 +397,7 @@
         try:
             version = await self._region_row.write(command)
         except table_lib.PreconditionFailed:
-            self._state.on_write_refused(command)
+            self._state.on_write_conflict(command)
         except errors.SassafraswayError as error:
             self._log.warning("outcome of the election write is unknown", reason=error.message)
             self._state.on_write_unknown(command)
--- a/packages/entry/src/sassafrasway_entry/peers.py
+++ b/packages/entry/src/sassafrasway_entry/peers.py
@@ -12,11 +12,7 @@
 
 
 def _merge(*services: Any) -> types.SimpleNamespace:
-    """Combines the methods of several Thrift services in one object, so that they share a client.
-
-    Raises:
-        ValueError: Two services have a method of the same name.
-    """
+    """Combines the methods of several Thrift services in one object, for a shared client."""
     merged: dict[str, Any] = {}
     for service in services:
         for method in service.thrift_services:
@@ -52,10 +48,13 @@
     ) -> Any:
         """Calls a method of the Control, Forward or Config service of a peer.
 
+        ``address`` is the RPC address that the peer advertises, ``host:port``.
+
         Raises:
             client.ConnectionRefusedByPeerError: No process listens at the address.
             client.CallNotSentError: The peer was not reached; it has not received the call.
-            errors.UnavailableError: The peer did not answer; it may have received the call.
+            errors.UnavailableError: The peer did not answer, or reported that it cannot serve the
+                call; it may have received the call.
             errors.SassafraswayError: The peer reported an error.
         """
         # Inserting the client again at the end keeps the clients in order of their last use.
--- a/packages/entry/src/sassafrasway_entry/pools.py
+++ b/packages/entry/src/sassafrasway_entry/pools.py
@@ -1,4 +1,8 @@
-"""The pools that this instance owns: their grants, admission, queues and caps."""
+"""The pools that this instance owns: their grants, admission, queues and caps.
+
+Here, an instance owns a pool as long as it has a grant of the pool, even if the coordinator has
+assigned the pool to another instance in the meantime.
+"""
 
 import asyncio
 import itertools
@@ -31,7 +35,7 @@
 RAMP_S = 2.0  # time in which a new or idle server reaches all of its slots
 PROBE_TIMEOUT_S = 1.0
 PROBE_INTERVAL_S = 0.5
-WAKE_INTERVAL_S = 0.02
+WAKE_INTERVAL_S = 0.02  # interval of checks for free slots while requests wait
 # For this long after its acquisition, a pool may still lack slots or caps that its previous owner
 # uses. A refusal in this time is "not ready", so that the dispatcher retries the request.
 HANDOVER_SETTLE_S = cap_limits.TAKEOVER_S
@@ -41,18 +45,13 @@
     """Runs requests on the servers of the pools that this instance owns.
 
     Args:
-        clock: Time source.
         rng: Random source for server selection and for the jitter of ejection times.
-        invariants: Checks every lease of a slot.
-        client: Client for backend servers.
-        record: Record of dispatches.
         report_crash: Notifies the owners of the service's other pools that a request crashed a
             server; arguments are service, fingerprint and server.
         share_of: Returns the share of a pool that this instance may use now.
         placement: Strategy that decides which slots an instance may use.
-        limits: This instance's share of the cap of the region.
-        on_slot_released: Called with pool and server name when a request ends after the owner of
-            its pool has changed.
+        on_slot_released: Called with pool and server name when a request releases its slot after
+            this instance has released the pool.
         queue_limit: Maximum number of waiting requests in a pool.
     """
 
@@ -165,8 +164,8 @@
                 self._pools[key] = owned
                 owned.acquired_s = self._clock.monotonic()
                 self._log.info("pool acquired", pool=str(key), share=grant.share.value)
-            # Every heartbeat repeats the inherited slots; they are counted once for each previous
-            # owner.
+            # Every heartbeat reply repeats the inherited slots; they are counted once for each
+            # previous owner.
             if grant.inherited and (is_new or owned.grant.previous != grant.previous):
                 expires_s = self._clock.monotonic() + grant.inherited_s
                 owned.slots.inherit(grant.inherited, expires_s=expires_s)
@@ -193,19 +192,13 @@
         }
 
     def owns(self, key: model.PoolKey) -> bool:
-        """Returns whether this instance owns the pool, even with only the offline share."""
+        """Returns whether this instance has a grant of the pool, even only of the offline share."""
         return key in self._pools
 
     async def execute(
         self, key: model.PoolKey, request: messages.Request, *, may_queue: bool
     ) -> messages.Response:
-        """Runs a request on one of the pool's servers.
-
-        Args:
-            key: Pool to use.
-            request: The request.
-            may_queue: Whether the request may wait for a slot.
-        """
+        """Runs a request on one of the pool's servers; ``may_queue`` lets it wait for a slot."""
         owned = self._pools.get(key)
         if owned is None or self._policy is None:
             return messages.not_run(503, messages.Reason.NOT_OWNER)
@@ -234,7 +227,7 @@
             await self.probe_pools()
 
     async def probe_pools(self) -> None:
-        """Probes the servers of all pools that are due.
+        """Probes the servers that are due, in all pools of this instance.
 
         These are ejected servers and servers that reported that they are leaving.
         """
@@ -251,7 +244,7 @@
                     self._has_waiting.set()
                     self._apply_share(owned)
                     owned.slots.expire()
-                    self._wake_waiters(owned, owned.slots.grant_waiting())
+                    self._wake_waiters(owned, owned.slots.lease_to_waiting())
             await asyncio.sleep(WAKE_INTERVAL_S)
 
     async def _probe_pool(self, owned: owned_pool.OwnedPool) -> None:
@@ -282,7 +275,7 @@
         self._log.info("pool released", pool=str(key), in_use=owned.slots.in_use())
 
     def _update_shift_windows(self, owned: owned_pool.OwnedPool) -> None:
-        """Applies the caps of the policy's shifts into the pool; usage of kept windows stays."""
+        """Applies the caps of the policy's shifts into the pool; kept windows keep their counts."""
         if self._policy is None:
             return
         key = owned.grant.pool
@@ -354,8 +347,8 @@
     ) -> pool.SlotLease | None:
         """Leases a slot; waits for one if ``may_queue``, behind the requests that wait already.
 
-        Returns None if no slot is free, or while waiting the deadline passed or the pool was
-        released.
+        Returns None if no slot is free, or if the deadline passes or the pool is released during
+        the wait.
         """
         if not may_queue or owned.slots.queue_length() == 0:
             lease = owned.slots.try_acquire()
@@ -387,11 +380,13 @@
                 self._draining.pop(key, None)
             self._on_slot_released(key, lease.server.name)
 
-    def _wake_waiters(self, owned: owned_pool.OwnedPool, grants: Iterable[pool.Grant]) -> None:
+    def _wake_waiters(
+        self, owned: owned_pool.OwnedPool, waiter_leases: Iterable[pool.WaiterLease]
+    ) -> None:
         """Hands leases to waiting requests; releases those whose request no longer waits."""
-        for grant in grants:
-            future = owned.waiters.get(grant.waiter_id)
+        for waiter_lease in waiter_leases:
+            future = owned.waiters.get(waiter_lease.waiter_id)
             if future is not None and not future.done():
-                future.set_result(grant.lease)
+                future.set_result(waiter_lease.lease)
             else:
-                self._release_slot(owned, grant.lease, pool.ServerResult.CANCELLED)
+                self._release_slot(owned, waiter_lease.lease, pool.ServerResult.CANCELLED)
--- a/packages/entry/src/sassafrasway_entry/process.py
+++ b/packages/entry/src/sassafrasway_entry/process.py
@@ -41,9 +41,9 @@
 from sassafrasway_rpc import schema, server
 
 INCARNATION_BYTES = 6
-PROPAGATION_S = 3.0  # time until the directories of all instances show this one as leaving
+PROPAGATION_S = 3.0  # maximum time until all instances' directories show this one as leaving
 READY_POLL_S = 0.05
-# Maximum time to wait for shares of the links' caps before this instance reports itself as healthy.
+# Maximum time to wait for shares of the links' caps before this instance reports itself as ready.
 # Other instances free these shares within about 2 s. Without a coordinator no share arrives, and an
 # instance without shares can still answer lookups and serve its own region.
 LINK_SHARES_TIMEOUT_S = 4.0
@@ -51,11 +51,7 @@
 
 
 class EntryProcess:
-    """One entry instance.
-
-    Args:
-        settings: Validated settings.
-    """
+    """One entry instance."""
 
     def __init__(self, *, settings: settings.Settings):
         self._settings = settings
@@ -80,7 +76,7 @@
         self._invariants = invariants.Invariants(
             mode=invariants.Mode(settings.behaviour.invariants), on_violation=self._on_violation
         )
-        self._record = recorder.Recorder(
+        self._recorder = recorder.Recorder(
             path=settings.behaviour.record_file, instance=str(self._me.id)
         )
 
@@ -89,21 +85,24 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop_requested.set)
-        host = self._settings.listen.caller.rpartition(":")[0]
-        connector = aiohttp.TCPConnector(local_addr=(host, 0))
+        local_host = self._settings.listen.caller.rpartition(":")[0]
+        connector = aiohttp.TCPConnector(local_addr=(local_host, 0))
         async with aiohttp.ClientSession(connector=connector) as session:
-            self._build(session, host)
+            self._build(session, local_host)
             await self._start()
             await self._stop_requested.wait()
             await self._leave()
             await self._shut_down()
         self._log.info("stopped")
 
-    def _build(self, session: aiohttp.ClientSession, host: str) -> None:
-        """Creates the components of the process."""
+    def _build(self, session: aiohttp.ClientSession, local_host: str) -> None:
+        """Creates the components of the process.
+
+        A component that needs another one that is created later gets it through a lambda.
+        """
         self._build_platform(session)
         self._build_membership()
-        self._build_request_handling(host)
+        self._build_request_handling(local_host)
         self._build_servers()
         self._build_rpc()
 
@@ -169,9 +168,9 @@
         if self._me.name in names:
             self._pools.set_position(index=names.index(self._me.name), count=len(names))
 
-    def _build_request_handling(self, host: str) -> None:
+    def _build_request_handling(self, local_host: str) -> None:
         me = self._me.id
-        self._client = backend_client.BackendClient(local_host=host)
+        self._client = backend_client.BackendClient(local_host=local_host)
         self._owner_messages = owner_messages.OwnerMessages(
             me=me,
             directory=self._directory,
@@ -184,7 +183,7 @@
             rng=self._rng,
             invariants=self._invariants,
             client=self._client,
-            record=self._record,
+            record=self._recorder,
             report_crash=self._owner_messages.report_crash,
             share_of=self._member.share,
             placement=self._placement,
@@ -228,7 +227,7 @@
             dispatcher=self._dispatcher,
             gatekeeper=self._gatekeeper,
             metrics=self._metrics,
-            record=self._record,
+            record=self._recorder,
             names_owners=self._placement.forwards,
             ready=lambda: self._lifecycle.serving,
         )
@@ -248,7 +247,7 @@
     def _on_violation(self, rule: invariants.Rule, detail: str) -> None:
         self._metrics.violations.add(1, {"rule": rule.value})
         self._log.error("invariant violated", rule=rule.value, detail=detail)
-        self._record.record("violation", rule=rule.value, detail=detail)
+        self._recorder.record("violation", rule=rule.value, detail=detail)
 
     def _build_rpc(self) -> None:
         host, _, port = self._settings.listen.rpc.rpartition(":")
@@ -286,7 +285,7 @@
         self._steering.set_policy(policy, self._config.blocks)
         self._pools.set_policy(policy)
         self._limits.set_policy(policy)
-        self._record.record("revision", revision=policy.revision)
+        self._recorder.record("revision", revision=policy.revision)
         self._log.info("policy in force", revision=policy.revision)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, None], name: str) -> None:
@@ -335,7 +334,8 @@
         self._member.leave()
         started_s = self._clock.monotonic()
         # Other instances name this one in lookup responses until their directories show that it is
-        # leaving. Callers may use such a response or its ticket until it expires.
+        # leaving. Callers may use such a response or its ticket until it expires. As the time of
+        # issue in a ticket is rounded down to whole seconds, one more second is allowed for it.
         cached_s = max(self._settings.limits.lookup_ttl_s, at_most_once.TICKET_START_S + 1.0)
         until_s = started_s + PROPAGATION_S + cached_s
         while self._clock.monotonic() < until_s or self._busy or self._member.must_stay:
@@ -368,7 +368,7 @@
         await self._peers.close()
         await self._client.close()
         self._metrics.shutdown()
-        self._record.close()
+        self._recorder.close()
 
     def _health(self) -> tuple[str, bool]:
         # When instances are replaced one by one, the platform stops the next one as soon as this
@@ -400,6 +400,8 @@
             "pools": dump.pools_dump(self._pools),
             "forwarded_in_flight": self._forward_service.running,
             "at_most_once": dump.at_most_once_dump(self._gatekeeper, self._outcomes),
-            "quarantine": dump.to_json(self._pools.quarantine.entries()),
-            "invariants": {rule.value: n for rule, n in self._invariants.violations.items()},
+            "quarantine": dump.to_jsonable(self._pools.quarantine.entries()),
+            "invariants": {
+                rule.value: count for rule, count in self._invariants.violations.items()
+            },
         }
--- a/packages/entry/src/sassafrasway_entry/telemetry.py
+++ b/packages/entry/src/sassafrasway_entry/telemetry.py
@@ -40,11 +40,13 @@
 
 
 class Metrics:
-    """Metric instruments of an entry instance.
+    """Metric instruments of an entry instance, whose name is a resource attribute of all metrics.
 
-    Args:
-        instance: Name of the instance, which becomes a resource attribute of all metrics.
-        section: Settings of the export.
+    Attributes:
+        requests: Requests of callers; attributes ``service``, empty when unknown, and ``outcome``.
+        latency: Seconds until the response to a caller; the same attributes.
+        lookups: Lookups; attribute ``status``.
+        violations: Violated invariants; attribute ``rule``.
     """
 
     def __init__(self, *, instance: str, section: settings_lib.TelemetrySection):
@@ -82,10 +84,7 @@
     def observe(self, name: str, *, description: str, query) -> None:
         """Registers a gauge.
 
-        Args:
-            name: Name of the metric.
-            description: Description of the metric.
-            query: Returns the current values as pairs of a number and a mapping of attributes.
+        ``query`` returns the current values as pairs of a number and a mapping of attributes.
         """
 
         def callback(options: metrics.CallbackOptions):
--- a/packages/entry/tests/entry_fakes.py
+++ b/packages/entry/tests/entry_fakes.py
@@ -83,7 +83,10 @@
 
 
 class FakeBackend:
-    """Backend client with scripted results; ``gate`` delays calls until it is set."""
+    """Backend client whose next calls have the results in ``script``, and later ones OK.
+
+    ``gate`` is None or an event that delays calls until it is set.
+    """
 
     def __init__(self):
         self.calls = []
@@ -140,7 +143,7 @@
         return result
 
 
-def limits(clock_source, current, share_amount=1e9, region_name="bkk", epoch=lambda: 1):
+def limits(clock_source, policy_, share_amount=1e9, region_name="bkk", epoch=lambda: 1):
     """Returns the limits of an instance whose share of every cap is ``share_amount``.
 
     The unit is that of the cap: requests/s for the cap of a region and Mbit/s for that of a link.
@@ -151,7 +154,7 @@
         amount=lambda name: share_amount,
         epoch=epoch,
     )
-    result.set_policy(current)
+    result.set_policy(policy_)
     return result
 
 
--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -1,7 +1,8 @@
 """Ranks the servers of a service for an object, in the same order on every instance.
 
-A backend server is several times faster on an object that it ran recently. All instances must
-therefore send an object to the same few servers, without coordination.
+A backend server runs a request several times faster if it recently ran one for the same object; the
+module ``balancer`` explains objects. All instances must therefore send the requests for an object
+to the same few servers, without coordination.
 """
 
 import hashlib
@@ -15,22 +16,18 @@
 
 
 def _unit_hash(*parts: str) -> float:
-    """Returns a stable number in (0, 1) for the given strings."""
+    """Returns a number in (0, 1] that depends only on the given strings."""
     digest = hashlib.blake2b("\0".join(parts).encode(), digest_size=8).digest()
     return (int.from_bytes(digest, "big") + 0.5) / HASH_RANGE
 
 
 class AffinityRanking:
-    """Orders the servers of one service by weighted rendezvous hashing.
+    """Orders the usable servers of one service by weighted rendezvous hashing.
 
     The servers of the forwarding instance's region come first for as many objects as the slots of
-    that region allow. A region that has fewer slots than its share of the callers requires hands
-    over a fixed share of its objects to the regions with spare slots, independent of the current
-    load. A region's share of the callers is taken to be its share of the failure domains.
-
-    Args:
-        servers: Servers of the service that may be used.
-        region_of: Region of each failure domain.
+    that region allow. If a region has fewer slots than its share of the callers requires, a fixed
+    share of its objects goes to the regions with spare slots, independent of the current load. A
+    region's share of the callers is taken to be its share of the failure domains.
     """
 
     def __init__(
--- a/packages/gateway/src/sassafrasway_gateway/cold_limit.py
+++ b/packages/gateway/src/sassafrasway_gateway/cold_limit.py
@@ -1,4 +1,7 @@
-"""Limits the request rate of all instances together to each cold server, without coordination."""
+"""Limits the request rate of all instances together to each cold server, without coordination.
+
+A cold server has just started, or was out of use, and is slow because its caches are empty.
+"""
 
 import hashlib
 import typing
@@ -15,7 +18,7 @@
     """Source of the names of the live instances."""
 
     def live_names(self) -> list[str]:
-        """Returns the names of all live instances, this one included."""
+        """Returns the names of the live instances that are not leaving, and of this one."""
 
 
 class ColdLimit:
@@ -23,15 +26,10 @@
 
     For each cold server, all instances select the same few instances by rendezvous hashing. Each
     selected one sends at most one request per second. Few enough are selected that the sum stays
-    below the bound even when the lists of live instances differ by a few names.
-
-    Args:
-        clock: Time source.
-        instance: Name of this instance.
-        fleet: Source of the names of the live instances.
-        factor: Permitted multiple of the request rate that a cold server tolerates. It bounds the
-            requests of all instances together to each cold server.
-        slack: Requests per second to each cold server permitted in addition to that.
+    below the bound even when the lists of live instances differ by a few names. At least one is
+    selected, so a bound below one request per second is exceeded.
+
+    ``factor`` and ``slack`` are ``cold_factor`` and ``cold_slack`` of ``settings.Bounds``.
     """
 
     def __init__(
@@ -50,11 +48,9 @@
         self._slack = slack
 
     def set_rates(self, rate_per_s: dict[str, float]) -> None:
-        """Replaces the tolerated request rates.
+        """Replaces the requests per second that each cold server tolerates, by service.
 
-        Args:
-            rate_per_s: Requests per second that each cold server of a service tolerates from all
-                instances together, by service.
+        A rate counts the requests of all instances together.
         """
         self._rate_per_s = dict(rate_per_s)
 
--- a/packages/gateway/src/sassafrasway_gateway/crashes.py
+++ b/packages/gateway/src/sassafrasway_gateway/crashes.py
@@ -29,25 +29,19 @@
 
 
 class CrashRegister:
-    """Records which servers crashed while they were running which request.
-
-    Args:
-        clock: Time source.
-    """
+    """Records which servers crashed while they were running which request."""
 
     def __init__(self, *, clock: clock_lib.Clock):
         self._clock = clock
         self._crashes: dict[str, dict[str, float]] = {}
 
     def add(self, fingerprint_: str, server: str) -> bool:
-        """Records a crash and returns whether it is new.
+        """Records a crash during a request and returns whether it is new.
 
-        Args:
-            fingerprint_: Fingerprint of a request that the server was running.
-            server: Start of the server that crashed, as ``id/started_ms``.
+        ``server`` is the id of the server and the time of its start, as ``id/started_ms``.
         """
         now_s = self._clock.monotonic()
-        self._drop_old(now_s)
+        self._make_room(now_s)
         crash_times_s = self._crashes.setdefault(fingerprint_, {})
         if server in crash_times_s:
             return False
@@ -72,8 +66,11 @@
         """Whether the request must not be sent to another server."""
         return self.crash_event_count(fingerprint_) >= CRASHES_TO_REFUSE
 
-    def _drop_old(self, now_s: float) -> None:
-        """Makes room for another fingerprint, if necessary by dropping recent crashes too."""
+    def _make_room(self, now_s: float) -> None:
+        """Drops fingerprints if the register is full, even that of the crash to be recorded.
+
+        Those with only old crashes are dropped first, then those that were recorded first.
+        """
         if len(self._crashes) < MAX_FINGERPRINTS:
             return
         for key in list(self._crashes):
--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -9,7 +9,8 @@
 PING_INTERVAL_S = 0.5
 # Number of ping intervals within which a member must answer a ping.
 MISSED_PINGS = 3
-# Time in which a member must answer after another instance has reported it as unreachable.
+# Time in which a member must answer after another instance has reported it as unreachable, or after
+# a pause of this process.
 SUSPECT_TIMEOUT_S = 1.0
 # A message with a lower incarnation is ignored for this long after the last accepted message of the
 # member, because it may be a late datagram from before a restart.
@@ -70,13 +71,7 @@
 
 
 class FleetView:
-    """Members and their liveness as this instance sees them.
-
-    Args:
-        clock: Time source.
-        own: Description of this instance.
-        rng: Random source for the choice of ping targets.
-    """
+    """Members and their liveness as this instance sees them."""
 
     def __init__(self, *, clock: clock_lib.Clock, own: Member, rng: random.Random):
         self._clock = clock
@@ -135,15 +130,10 @@
             entry.member = member
 
     def on_message(self, member: Member, *, contact_s: float = 0.0) -> bool:
-        """Records a message from the member itself.
-
-        Args:
-            member: Description in the message.
-            contact_s: How long the member has received the changes of the platform's store without
-                an outage, s; 0 during an outage.
+        """Records a message from the member itself and returns whether the member became live.
 
-        Returns:
-            Whether the member became live.
+        An outdated message is ignored. ``contact_s`` is how long the member has received the
+        changes of the platform's store without an outage; 0 during an outage.
         """
         if member.name == self._own.name:
             return False
@@ -178,13 +168,11 @@
         return entry.member
 
     def store_answered_peers(self, outage_s: float) -> bool:
-        """Whether another instance received the store's changes throughout an outage.
-
-        A member's last message counts only if it arrived clearly after the outage began, because an
-        earlier one does not show that the member was unaffected.
+        """Whether another instance kept receiving the store's changes in an outage that ends now.
 
-        Args:
-            outage_s: Duration of the outage, which ends now, s.
+        It must have received them since before the outage began. Its last message must have arrived
+        more than ``MAX_TICK_GAP_S`` after the beginning, because an earlier one does not show that
+        it was unaffected.
         """
         began_s = self._clock.monotonic() - outage_s
         return any(
@@ -224,8 +212,9 @@
     def _targets(self) -> list[Member]:
         """Returns the members to ping.
 
-        These are the next live member in a ring that is ordered by region and failure domain, one
-        random member, live or not, and all live members that have not answered yet.
+        These are the next live member in a ring ordered by region and failure domain, all live
+        members that have not answered yet, and one random member, live or not. The random one is of
+        this region or, in every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
         """
         targets = {}
         live = [entry.member for entry in self._entries.values() if entry.alive]
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -29,26 +29,17 @@
 # Retry-After of a request that is refused because it crashes servers.
 CRASH_RETRY_AFTER_S = 5.0
 # Delay of the check whether a server is still reachable after a broken connection or a timeout.
-CRASH_CHECK_DELAY_S = 0.05
+REACHABILITY_CHECK_DELAY_S = 0.05
 
 
 class Forwarder(http_server.Handler):
     """Finds the route of each request, selects servers for it and retries failed attempts.
 
     Args:
-        policy_state: Policy in force.
-        registry: Backend servers.
-        chooser: Selects servers.
-        runner: Runs single attempts.
-        learner: Updates the state of servers from responses and timeouts.
-        cold_limit: Limits the requests to cold servers.
-        crash_register: Record of the crashes that happened during each request.
         budget_of: Returns the retry budget of a service.
-        on_crash: Called for each new crash with the fingerprint of the request and the start of
-            the server, as ``id/started_ms``.
-        names: Header names.
+        on_crash: Called for each new crash with the fingerprint of the request and the server, as
+            ``id/started_ms``.
         region: Region of this instance.
-        metrics: Counters.
     """
 
     def __init__(
@@ -149,7 +140,10 @@
     async def _attempt(
         self, job: jobs.Job, choice: balancer.Choice
     ) -> attempt.AttemptResult | None:
-        """Runs one attempt; returns None if it does not finish by the server's deadline."""
+        """Runs one attempt; returns None if it does not finish by the server's deadline.
+
+        If the caller disconnects, the attempt is cancelled only if the request is idempotent.
+        """
         chosen = choice.state
         now_s = time.monotonic()
         if chosen.cold_until_s > now_s or chosen.on_trial:
@@ -225,7 +219,7 @@
         self._record_result(job, log_entry.choice, result)
 
     def _on_attempt_timeout(self, job: jobs.Job, choice: balancer.Choice, elapsed_s: float) -> None:
-        """Records a slow response and checks whether the server still accepts connections."""
+        """Records the timeout and checks whether the server still accepts connections."""
         chosen = choice.state
         self._learner.on_timeout(choice, route=job.route.name, elapsed_s=elapsed_s)
         self._runner.close_idle_connections(chosen)
@@ -271,7 +265,7 @@
 
     async def _check_reachable(self, job: jobs.Job, chosen: servers.ServerState) -> bool:
         """Returns whether the server accepts connections; ejects it if not."""
-        await asyncio.sleep(CRASH_CHECK_DELAY_S)
+        await asyncio.sleep(REACHABILITY_CHECK_DELAY_S)
         if await self._runner.probe(chosen):
             return True
         self._registry.on_failure(chosen, unreachable=True)
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -1,4 +1,7 @@
-"""HTTP/1.1 server that reads complete requests and writes complete responses."""
+"""HTTP/1.1 server that reads complete requests and writes complete responses.
+
+Its clients are callers, the platform's probes and other instances.
+"""
 
 import abc
 import asyncio
@@ -10,7 +13,7 @@
 
 # Reading pauses when more bytes than this arrive while a request is being handled.
 MAX_PIPELINED_BYTES = 256 * 1024
-# Time after which a closing connection is aborted if the caller does not read its last bytes.
+# Time after which a closing connection is aborted if the client does not read its last bytes.
 LINGER_S = 2.0
 
 
@@ -19,7 +22,10 @@
 
     @abc.abstractmethod
     async def handle(self, request: messages.Request) -> messages.Response:
-        """Returns the response; the call is cancelled if the caller disconnects."""
+        """Returns the response.
+
+        The call is cancelled when the client closes the connection or its sending side.
+        """
 
     @property
     def limits(self) -> model.Limits:
@@ -30,7 +36,10 @@
 def text_response(
     status: int, text: str = "", *, retry_after_s: float | None = None
 ) -> messages.Response:
-    """Builds a plain text response, with a Retry-After header if ``retry_after_s`` is given."""
+    """Builds a plain text response, with a Retry-After header if ``retry_after_s`` is given.
+
+    The header has fractions of a second, unlike the whole seconds of RFC 9110.
+    """
     headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
     if retry_after_s is not None:
         headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
@@ -38,12 +47,7 @@
 
 
 class ServerConnection(asyncio.Protocol):
-    """One connection from a caller.
-
-    Args:
-        handler: Handler of the requests.
-        server: Server that accepted the connection.
-    """
+    """One connection from a client."""
 
     def __init__(self, *, handler: Handler, server: "HttpServer"):
         self._handler = handler
@@ -55,7 +59,8 @@
         self._head: h11.Request | None = None
         self._chunks: list[bytes] = []
         self._body_bytes = 0
-        # Monotonic time of the first byte of the request that is being read; 0 if there is none.
+        # Monotonic time of the first byte of the request that is being read, or of the end of the
+        # previous response if the byte arrived before that; 0 if no request is being read.
         self._started_s = 0.0
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -250,13 +255,7 @@
 
 
 class HttpServer:
-    """Listens on one address.
-
-    Args:
-        host: Address to listen on.
-        port: Port to listen on.
-        handler: Handler of all requests.
-    """
+    """Listens on one address and passes all requests to one handler."""
 
     def __init__(self, *, host: str, port: int, handler: Handler):
         self._host = host
@@ -268,7 +267,7 @@
 
     @property
     def draining(self) -> bool:
-        """Whether responses ask callers to close their connections."""
+        """Whether responses ask clients to close their connections."""
         return self._draining
 
     @property
@@ -297,7 +296,7 @@
         )
 
     def drain(self) -> None:
-        """Asks callers in all further responses to close their connections."""
+        """Asks clients in all further responses to close their connections."""
         self._draining = True
 
     def stop_listening(self) -> None:
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -22,9 +22,8 @@
 class AttemptLogEntry:
     """Description of one attempt in the log line of its request.
 
-    Attributes:
-        choice: The server selection that led to the attempt.
-        result: Outcome of the attempt; empty until it is known.
+    The text contains ``known`` if the object was known to be warm on the server, otherwise ``new``.
+    ``result`` is empty until the outcome is known.
     """
 
     choice: balancer.Choice
@@ -49,8 +48,6 @@
         fingerprint: Digest that is the same when the caller sends the request again.
         deadline_s: Monotonic time after which no attempt is started.
         server_deadline_s: Monotonic time by which a server has to finish the request.
-        excluded_servers: Ids of the servers that must not be selected for a further attempt.
-        may_have_run: Whether it is possible that an attempt ran the request.
         sent_attempts: Number of finished attempts that had a connection, new or reused.
     """
 
@@ -70,13 +67,9 @@
 
 
 class NotAdmitted(errors.NotRunError):
-    """The gateway rejects the request without sending it to a server.
+    """The gateway refuses the request without sending it to a server.
 
-    Attributes:
-        request_id: Id of the request.
-        status: HTTP status of the response.
-        retry_after_s: Time after which the caller may retry; None if a retry is of no use, and no
-            Retry-After header is sent.
+    ``retry_after_s`` is None if a retry is of no use; no Retry-After header is sent then.
     """
 
     def __init__(
@@ -89,12 +82,7 @@
 
 
 class Admission:
-    """Creates the jobs of requests according to the policy in force.
-
-    Args:
-        policy_state: Policy in force.
-        names: Header names.
-    """
+    """Creates the jobs of requests according to the policy in force."""
 
     def __init__(self, *, policy_state: state.PolicyState, names: messages.HeaderNames):
         self._policy_state = policy_state
@@ -151,9 +139,10 @@
         )
 
     def _caller_remaining_s(self, request: messages.Request) -> float | None:
-        """Returns the time until the caller stops waiting, or None if its header is invalid.
+        """Returns how long the caller waits for a response, or None if its header is invalid.
 
-        A caller without the header is assumed to wait without limit.
+        The time counts from the arrival of the request. A caller without the header is assumed to
+        wait without limit.
         """
         value = request.header(self._names.time_left_ms)
         if value is None:
--- a/packages/gateway/src/sassafrasway_gateway/overflow.py
+++ b/packages/gateway/src/sassafrasway_gateway/overflow.py
@@ -1,5 +1,6 @@
 """Moves a share of a region's objects to other regions while its own servers are overloaded.
 
+The objects of a region are those for which its instances receive requests; see ``balancer``.
 Daily peaks and bursts of load reach one region at a time. Its servers then queue and reject
 requests while those of other regions have free slots. The moved share changes slowly: a large step
 would overload the other regions, and objects run slower until they are warm on their new servers.
@@ -24,16 +25,14 @@
 # Longest interval that one update accounts for; bounds the step after a pause of the process.
 MAX_STEP_INTERVAL_S = 0.5
 # Lower bound of the share of objects that stay, relative to the share without overload.
-MIN_LOCAL_SHARE = 0.3
+MIN_KEPT_SHARE = 0.3
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Share:
     """Share of the objects of one service that stay in the region.
 
-    Attributes:
-        kept: The share, as a fraction of the share that the slots of the region allow.
-        updated_s: Monotonic time of the last update.
+    ``kept`` is a fraction of the share that the slots of the region allow.
     """
 
     kept: float = 1.0
@@ -46,11 +45,6 @@
     Each instance decides by the load reports that it receives. The reports come from the same
     servers, so the shares of the instances of a region differ little. An object that two instances
     place differently is warm on both servers.
-
-    Args:
-        clock: Time source.
-        registry: Servers and their reported load.
-        region: Region of this instance.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, registry: servers.ServerRegistry, region: str):
@@ -101,7 +95,7 @@
             local_load > OVERLOAD_THRESHOLD
             and min(other_loads, default=0.0) < local_load - MIN_LOAD_DIFFERENCE
         ):
-            share.kept = max(MIN_LOCAL_SHARE, share.kept - step)
+            share.kept = max(MIN_KEPT_SHARE, share.kept - step)
         elif local_load < RELIEF_THRESHOLD:
             share.kept = min(1.0, share.kept + step)
         return share.kept
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -12,14 +12,13 @@
 
 
 class PeerTask(asyncio.DatagramProtocol):
-    """Pings members, answers pings, and sends and receives announcements and reports.
+    """Pings members, answers pings, and exchanges announcements of table versions and reports.
 
     Args:
-        view: Fleet as seen by this instance.
         port: UDP port used by all instances.
         versions: Returns the newest version of each followed table that this instance has.
         contact_s: Returns how long this instance has received the store's changes without an
-            outage, s.
+            outage, s; 0 during an outage.
         on_versions: Called with the name, host and table versions of another instance for each
             message that contains them.
         on_crash: Called with the request fingerprint and the server of a reported crash.
@@ -67,7 +66,7 @@
             for member in targets:
                 self._send_hello(member, reply=True)
 
-    def announce(self) -> None:
+    def announce_phase(self) -> None:
         """Sends the current phase of this instance to all known members."""
         for member in self._view.members():
             self._send_hello(member, reply=True)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -56,12 +56,8 @@
 class GatewayProcess:
     """Owns all components and tasks of a gateway.
 
-    Args:
-        config: Settings of the process.
-        dialect: Names and formats used by the platform.
-        store: Client of the platform's store.
-        gateway_metrics: Metrics of the process.
-        load_settings: Loads the current settings; called on each reload.
+    Each reload calls ``load_settings``. If it raises ``OSError`` or ``errors.ValidationError``, the
+    settings in force stay.
     """
 
     def __init__(
@@ -99,7 +95,7 @@
         self._policy_state = state.PolicyState(
             decoder=dialect.decoder, registry=self._registry, on_policy=self._on_policy
         )
-        self._listing = state.ServerListing(
+        self._server_listener = state.ServerTableListener(
             clock=clock,
             decoder=dialect.decoder,
             registry=self._registry,
@@ -113,7 +109,7 @@
         }
         self._followers = {
             dialect.policy_table: self._make_follower(dialect.policy_table, self._policy_state),
-            dialect.server_table: self._make_follower(dialect.server_table, self._listing),
+            dialect.server_table: self._make_follower(dialect.server_table, self._server_listener),
         }
         self._cold_limit = cold_limit.ColdLimit(
             clock=clock,
@@ -299,12 +295,12 @@
 
     async def _register(self) -> None:
         await self._registration.register()
-        self._peers.announce()
+        self._peers.announce_phase()
 
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
-            self._listing.sweep()
+            self._server_listener.sweep()
             self._overflow.update()
             self._pool.close_expired()
 
@@ -317,7 +313,7 @@
             return
         self._view.set_phase(fleet.Phase.READY)
         self._log.info("gateway ready", policy=self._policy_state.policy.version)
-        self._peers.announce()
+        self._peers.announce_phase()
 
     def _on_policy(self, policy: model.Policy) -> None:
         self._cold_limit.set_rates(
@@ -334,9 +330,10 @@
                 self._followers[table_name].on_reported_version(version)
 
     def _on_reload(self) -> None:
-        """Applies new bounds and failure domains; other settings need a restart.
+        """Applies new bounds and failure domains.
 
-        The lifetime of lookups (``lookup_ttl_s``) needs a restart too.
+        All other settings and the bound ``lookup_ttl_s`` need a restart. The log line names them
+        too if they differ from those in force.
         """
         try:
             config = self._load_settings()
@@ -365,7 +362,7 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         self._log.info("gateway stopping", busy=self._front_server.busy)
         self._view.set_phase(fleet.Phase.LEAVING)
-        self._peers.announce()
+        self._peers.announce_phase()
         self._front_server.drain()
         deregister = asyncio.get_running_loop().create_task(self._registration.deregister())
         await asyncio.sleep(STOP_LISTENING_AFTER_S)
--- a/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
+++ b/packages/gateway/src/sassafrasway_gateway/retry_budgets.py
@@ -13,11 +13,6 @@
     """Divides the additional retries of the fleet among its live instances.
 
     The retries permitted per request need no division: each instance counts its own requests.
-
-    Args:
-        clock: Time source.
-        view: Fleet as seen by this instance.
-        bounds: Bounds of the whole fleet.
     """
 
     def __init__(self, *, clock: clock_lib.Clock, view: fleet.FleetView, bounds: settings.Bounds):
@@ -36,7 +31,8 @@
         """Returns the budget of a service.
 
         The maximum number of tokens is adjusted to the current number of live instances. The
-        minimum rate is not: it depends on their number when the budget was created.
+        minimum rate is not: it depends on their number when the budget was created. If the fleet
+        grows afterwards, its instances together may exceed the bound.
         """
         bounds = self._bounds
         instances = max(1, len(self._view.live_names()))
--- a/packages/gateway/src/sassafrasway_gateway/routing.py
+++ b/packages/gateway/src/sassafrasway_gateway/routing.py
@@ -19,9 +19,7 @@
     def match(self, host: str, target: str) -> model.Route | None:
         """Returns the route with the longest prefix of the path, or None.
 
-        Args:
-            host: Value of the Host header, with or without a port.
-            target: Request target: path and query.
+        ``host`` may contain a port, and ``target`` a query.
         """
         path = target.partition("?")[0]
         for route in self._by_host.get(host.partition(":")[0].lower(), ()):
@@ -36,14 +34,11 @@
     Each request adds the weight of every service to that service's credit. The service with the
     highest credit gets the request, and the sum of the weights is deducted from its credit.
 
-    On each instance the share of each service stays within one request of its weight; a random
-    choice would need many requests to get that close. The initial credits are random, and credits
-    are kept when the policy changes. Otherwise the first requests of all instances, and all
-    requests between policy changes in quick succession, would go to the service with the highest
-    weight.
-
-    Args:
-        rng: Random source of the initial credits.
+    On each instance the number of requests to each service stays within two of the number that its
+    weight requires; a random choice would need many requests to get that close. The initial credits
+    are random, and credits are kept when the policy changes. Otherwise the first requests of all
+    instances, and all requests between policy changes in quick succession, would go to the service
+    with the highest weight.
     """
 
     def __init__(self, *, rng: random.Random):
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -19,23 +19,18 @@
 
 
 class RowDecoder(abc.ABC):
-    """Decodes rows of the platform into the types of the gateway."""
+    """Decodes rows of the platform into the types of the gateway.
+
+    ``policy`` and ``backend_server`` raise ``errors.ValidationError`` for an invalid row.
+    """
 
     @abc.abstractmethod
     def policy(self, value: bytes) -> model.Policy:
-        """Decodes a policy.
-
-        Raises:
-            errors.ValidationError: The row is not a valid policy.
-        """
+        """Decodes a policy."""
 
     @abc.abstractmethod
     def backend_server(self, key: str, value: bytes) -> model.BackendServer:
-        """Decodes the listing of a backend server.
-
-        Raises:
-            errors.ValidationError: The row is not a valid listing.
-        """
+        """Decodes the listing of a backend server."""
 
     @abc.abstractmethod
     def is_policy(self, key: str) -> bool:
@@ -47,12 +42,10 @@
 
 
 class PolicyState(follower.Listener):
-    """The policy in force and the evacuated failure domains.
+    """The policy in force and the evacuated failure domains, whose servers get no request.
 
-    Args:
-        decoder: Decodes rows.
-        registry: Servers; receives the evacuated failure domains and the warm-up times.
-        on_policy: Called after a new policy is in force.
+    A policy stays in force when its row is removed. ``on_policy`` is called after a new policy is
+    in force.
     """
 
     def __init__(
@@ -135,13 +128,10 @@
         self._registry.set_evacuated(evacuated)
 
 
-class ServerListing(follower.Listener):
-    """Updates the registry from the platform's list of backend servers.
+class ServerTableListener(follower.Listener):
+    """Updates the registry from the listings in the table of backend servers.
 
     Args:
-        clock: Time source.
-        decoder: Decodes rows.
-        registry: Servers.
         local_outage: Returns whether the store answered other instances during an outage that
             lasted the given number of seconds and has just ended. If so, the servers could renew
             their listings, and none expired because of the outage.
@@ -164,12 +154,12 @@
 
     def on_rows(self, changes: feed.Changes) -> None:
         """See base class."""
-        is_first_read = not len(self._registry)
+        registry_was_empty = not len(self._registry)
         listed = set()
         for change in changes.rows:
-            if self._upsert(change, log=not is_first_read):
+            if self._upsert(change, log=not registry_was_empty):
                 listed.add(change.key)
-        if is_first_read:
+        if registry_was_empty:
             counts = collections.Counter(state.server.service for state in self._registry)
             self._log.info("server list read", row_version=changes.version, counts=dict(counts))
         for state in list(self._registry):
--- a/packages/gateway/tests/test_affinity.py
+++ b/packages/gateway/tests/test_affinity.py
@@ -21,7 +21,7 @@
             for index, domain in enumerate(["a-1", "a-1", "a-2", "a-2", "a-2", "a-2", "b-1"])
         ]
 
-    def test_order_of_the_listing_does_not_matter(self):
+    def test_order_of_the_servers_does_not_change_the_ranking(self):
         ranking = make_ranking(self.listed)
         reordered = make_ranking(self.listed[::-1])
         for key in map(str, range(50)):
@@ -58,6 +58,7 @@
         }
         self.assertTrue(60 < len(moved) < 140, len(moved))
         reordered = make_ranking(self.listed[::-1])
+        # An instance with a smaller share moves these objects too; one with the share 1 keeps them.
         for key in moved:
             self.assertEqual(reordered.ranked(key, "north", kept_share=0.5)[0], "s6")
             self.assertEqual(reordered.ranked(key, "north")[0] == "s6", False)
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -32,21 +32,23 @@
   13: string shift           // name of the shift that moved the request, or empty
   14: bool may_queue         // whether the request may wait for a slot, for EXECUTE
   15: string sender          // name/incarnation of the sending instance
-  16: string fingerprint     // identifies the same request when it is sent again
+  16: string fingerprint     // hash of service, method, path and body, by which requests that crash
+                             // backend servers are recognised when a caller sends them again
   17: string client          // address of the client on whose behalf the caller sent the request
-  18: string attempt_id      // one for each forward; the receiver runs an attempt only once
+  18: string attempt_id      // one for each forward; a repeated attempt is not run again, unless it
+                             // arrives more than 60 s after the first one
   19: string receiver        // name/incarnation that the attempt is meant for
   20: bool resent            // this attempt was sent before, and its reply did not arrive
 }
 
 struct ForwardReply {
   1: Outcome outcome
-  2: i32 status
+  2: i32 status              // HTTP status for the caller
   3: list<common.Header> headers
   4: binary body
   5: string reason           // machine-readable cause when outcome is not RAN
-  6: string owner            // name of the current pool owner when reason is not_owner
-  7: string server           // backend server that ran the request
+  6: string owner            // with reason not_owner: name of the pool's owner; empty if not known
+  7: string server           // backend server that responded; empty when none did
   8: i32 retry_after_ms      // suggested delay before a retry; 0 for no suggestion
   9: string detail           // human-readable reason
 }
--- a/packages/rpc/src/sassafrasway_rpc/server.py
+++ b/packages/rpc/src/sassafrasway_rpc/server.py
@@ -66,16 +66,20 @@
 
     @property
     def methods(self) -> Mapping[str, tuple[Any, Any]]:
-        """Thrift service and bound handler of every method."""
+        """Thrift service and handler method by method name."""
         return self._methods
 
     async def start(self) -> None:
-        """Starts listening."""
+        """Starts listening.
+
+        Raises:
+            OSError: The address is not available.
+        """
         self._server = await asyncio.start_server(self._accept, self._host, self._port)
         self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        """Stops listening and closes all connections."""
+        """Stops listening, closes all connections and cancels their running calls."""
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections):
@@ -195,7 +199,7 @@
 
 
 async def read_frame(reader: asyncio.StreamReader, *, peer: str) -> bytes | None:
-    """Returns the body of the next frame, or None when the peer closed the connection.
+    """Returns the body of the next frame, or None when the connection was closed or lost.
 
     Raises:
         errors.ValidationError: The frame is empty or larger than ``codec.MAX_FRAME_BYTES``.
--- a/packages/standins/src/sassafrasway_standins/backend.py
+++ b/packages/standins/src/sassafrasway_standins/backend.py
@@ -73,7 +73,10 @@
 
 
 class Recorder:
-    """Writes records as JSON lines; the stream is expected to flush after each line."""
+    """Writes records as JSON lines; discards them if there is no stream.
+
+    The stream must flush after each line, so that no record is lost when the process is killed.
+    """
 
     def __init__(self, *, stream: TextIO | None):
         self._stream = stream
@@ -104,7 +107,7 @@
         self._crashes = 0
         self._in_use = 0
         self._busy_until_s = 0.0
-        self._warm_since_s: float | None = None
+        self._warm_up_start_s: float | None = None
         self._last_request_s = 0.0
         self._stats = dict.fromkeys(
             ("runs", "sheds", "probes", "accepted", "refused_connections", "max_in_use"), 0
@@ -126,7 +129,12 @@
         return self._stats | current | {"leaving": self._behaviour.leaving}
 
     async def start(self) -> None:
-        """Starts listening."""
+        """Starts listening.
+
+        Raises:
+            ValueError: The port of the address is missing or not a number.
+            OSError: The address is invalid or in use.
+        """
         host, port = network.split_address(self._settings.address)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -143,14 +151,13 @@
         await self._http_server.shutdown(0)
 
     def change(self, data: Mapping[str, Any]) -> None:
-        """Applies one control request.
+        """Applies one control request: values of attributes of ``Behaviour`` by name.
 
-        Args:
-            data: Values of attributes of ``Behaviour``. The name ``crash`` crashes the server and
-                ``silent`` makes its open connections silent, both with any value.
+        With any value, ``crash`` crashes the server and ``silent`` makes its open connections
+        silent.
 
         Raises:
-            ValueError: A name is none of these. The names before it have been applied.
+            ValueError: A name is unknown. The names before it have been applied.
         """
         for name, value in data.items():
             if name == "crash":
@@ -169,7 +176,7 @@
             self._leaving_since_s = time.monotonic()
 
     def crash(self) -> None:
-        """Aborts all connections and stops listening for ``restart_s``."""
+        """Aborts all connections and stops listening for ``restart_s``, unless it is restarting."""
         if self._restarting is not None:
             return
         self._crashes += 1
@@ -179,7 +186,7 @@
 
     async def _restart(self) -> None:
         await asyncio.sleep(self._settings.restart_s)
-        self._warm_since_s = None
+        self._warm_up_start_s = None
         self._restarting = None
         await self.start()
 
@@ -277,18 +284,20 @@
     def _service_time_s(self, requested_s: float | None) -> float:
         """Returns the service time of a request.
 
-        Args:
-            requested_s: Service time on a warm server that the request asks for; None draws it
-                from the distribution of the server.
+        ``requested_s`` is the service time that the request asks for on a warm server; None draws
+        it from the server's distribution.
         """
         now_s = time.monotonic()
-        if self._warm_since_s is None or now_s - self._last_request_s > self._settings.idle_cold_s:
-            self._warm_since_s = now_s
+        if (
+            self._warm_up_start_s is None
+            or now_s - self._last_request_s > self._settings.idle_cold_s
+        ):
+            self._warm_up_start_s = now_s
         self._last_request_s = now_s
         service_s = self._settings.mean_ms / 1000 if requested_s is None else requested_s
         if requested_s is None and self._settings.distribution == "exponential" and service_s > 0:
             service_s = self._rng.expovariate(1 / service_s)
-        warm_fraction = min(1.0, (now_s - self._warm_since_s) / max(self._settings.cold_s, 1e-9))
+        warm_fraction = min(1.0, (now_s - self._warm_up_start_s) / max(self._settings.cold_s, 1e-9))
         cold_factor = 1 + (self._settings.cold_factor - 1) * (1 - warm_fraction)
         return service_s * cold_factor * self._behaviour.slow
 
@@ -301,13 +310,9 @@
 
 
 class _Run:
-    """One request at a server, from its arrival until its record is written.
+    """One request at a server, from the receipt of its body until its record is written.
 
-    Args:
-        server: Server that received the request.
-        request: The request.
-        body: Body of the request.
-        in_use: Number of slots in use when the request arrived.
+    ``in_use`` is the number of slots in use when the body had been received.
     """
 
     def __init__(
@@ -329,7 +334,13 @@
         return None if value is None else float(value) / 1000
 
     def record(self, outcome: str) -> None:
-        """Writes the record of the request; only the first call has an effect."""
+        """Writes the record of the request; only the first call has an effect.
+
+        Args:
+            outcome: ``ok``, ``deadline`` (the deadline passed while the request ran), ``cancelled``
+                (its connection was closed), ``crashed``, or without having run ``shed`` (no slot
+                was free) or ``expired`` (the deadline had passed on arrival).
+        """
         if self._is_recorded:
             return
         self._is_recorded = True
@@ -354,7 +365,7 @@
         )
 
     def response(self, headers: dict[str, str]) -> web.Response:
-        """Returns the response, padded to the ``size`` that the query asks for."""
+        """Returns the response, padded to the ``size`` in bytes that the query asks for."""
         content = {
             "digest": self._digest,
             "request_id": self._request.headers.get("Sassafras-Request-Id", ""),
--- a/packages/standins/src/sassafrasway_standins/backend_connections.py
+++ b/packages/standins/src/sassafrasway_standins/backend_connections.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-KEEPALIVE_S = 600.0
+KEEPALIVE_S = 600.0  # entry instances close idle connections earlier, after 5 s
 
 
 class RefusingProtocol(asyncio.Protocol):
@@ -21,7 +21,8 @@
 class HttpServer(web.Server):
     """aiohttp server that tracks new and silent connections.
 
-    A silent connection stays open, but its requests are never answered.
+    A silent connection stays open, but its requests are never answered. Methods take a connection
+    as its aiohttp protocol object, ``request.protocol``.
     """
 
     def __init__(self, handler: Callable[[web.BaseRequest], Any]):
@@ -66,7 +67,6 @@
     def _make_request(
         self, message: Any, payload: Any, protocol: Any, writer: Any, task: Any
     ) -> web.BaseRequest:
-        """Creates a request whose body may have up to ``MAX_BODY_BYTES`` bytes."""
         loop = asyncio.get_running_loop()
         return web.BaseRequest(
             message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -12,9 +12,10 @@
 from sassafrasway_standins import arrivals, exchanges, history, network
 
 # A request must start within 5 s of the issue of its ticket, and may first wait in a queue for its
-# whole deadline of 2 s. An older ticket could expire during that wait.
+# whole deadline of 2 s. An older ticket could expire during that wait; the age leaves a margin of
+# 0.5 s.
 TICKET_MAX_AGE_S = 2.5
-PREFETCHED_TICKETS = 2
+PREFETCHED_TICKETS = 2  # of each service
 LOOKUP_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.5
 # Time after the deadline for the instance's own 504 response to arrive.
@@ -29,13 +30,9 @@
     """One client program in a region; its requests share a lookup cache and connections.
 
     Args:
-        session: HTTP session that holds the connections of the process.
-        region: Home region of the client.
         entries: Entry instances in the configuration of the client.
-        services: Services by name.
         client_ms: One-way delay between the client and its region, ms.
         region_ms: One-way delay between regions, ms.
-        rng: Source of all random choices.
         record: Receives each record of the history.
     """
 
@@ -54,7 +51,7 @@
         self._session = session
         self._region = region
         self._entries = list(entries)
-        self._regions = {entry.url: entry.region for entry in entries}
+        self._region_by_url = {entry.url: entry.region for entry in entries}
         self._services = services
         self._client_ms = client_ms
         self._region_ms = region_ms
@@ -71,7 +68,11 @@
         await asyncio.gather(*self._background, return_exceptions=True)
 
     async def send(self, arrival: arrivals.Arrival, *, intended_s: float) -> history.Verdict:
-        """Sends one request with retries; records its intent, every attempt and the verdict."""
+        """Sends one request with retries; records its intent, every attempt and the verdict.
+
+        ``intended_s`` is the monotonic time at which it was due; the deadline counts from that
+        time.
+        """
         pending = exchanges.PendingRequest(
             arrival=arrival, intended_s=intended_s, service=self._services[arrival.service]
         )
@@ -105,7 +106,11 @@
     async def _send_once(
         self, url: str, pending: exchanges.PendingRequest
     ) -> exchanges.AttemptResult:
-        """Sends the request once, with the simulated network delay in both directions."""
+        """Sends the request once, with the simulated network delay in both directions.
+
+        The outcome is empty if no connection was made; it is unknown after any other failure, as
+        the instance may have received the request.
+        """
         delay_ms = self._delay_ms(url)
         await network.pause(delay_ms, self._rng)
         timeout = aiohttp.ClientTimeout(
@@ -128,11 +133,7 @@
         return result
 
     async def _find_route(self, arrival: arrivals.Arrival) -> exchanges.Route:
-        """Returns a cached route or a prefetched ticket, or else the result of a lookup.
-
-        Raises:
-            LookupFailedError: No instance answered the lookup.
-        """
+        """Returns a cached route or a prefetched ticket, or else the result of a lookup."""
         if self._services[arrival.service].idempotent:
             route = self._routes.get(arrival.service)
             if route is None or route.expires_s <= time.monotonic():
@@ -144,10 +145,7 @@
         return route or await self._lookup(arrival.service, arrival.client)
 
     def _take_ticket(self, service: str) -> exchanges.Route | None:
-        """Removes and returns the newest ticket; None if there is none or all are too old.
-
-        Tickets that are too old are discarded.
-        """
+        """Removes and returns the newest ticket; discards tickets that are too old."""
         tickets = self._tickets[service]
         while tickets:
             route = tickets.pop()
@@ -156,7 +154,6 @@
         return None
 
     def _prefetch(self, service: str, client: str) -> None:
-        """Starts the lookup of one ticket in the background unless enough tickets are left."""
         if len(self._tickets[service]) < PREFETCHED_TICKETS:
             task = asyncio.create_task(self._fetch_ticket(service, client))
             self._background.add(task)
@@ -168,11 +165,7 @@
             self._tickets[service].append(route)
 
     async def _lookup(self, service: str, client: str) -> exchanges.Route:
-        """Asks up to two random instances of the caller's region, then one of any region.
-
-        Raises:
-            LookupFailedError: None of them answered.
-        """
+        """Asks up to two random instances of the caller's region, then one of any region."""
         local_entries = [entry for entry in self._entries if entry.region == self._region]
         candidates = self._rng.sample(local_entries, min(2, len(local_entries)))
         candidates += self._rng.sample(self._entries, 1)
@@ -213,5 +206,5 @@
 
     def _delay_ms(self, url: str) -> float:
         """Returns the one-way delay to an instance, ms; unknown URLs count as the own region's."""
-        is_local = self._regions.get(url, self._region) == self._region
+        is_local = self._region_by_url.get(url, self._region) == self._region
         return self._client_ms if is_local else self._client_ms + self._region_ms
--- a/packages/standins/src/sassafrasway_standins/check.py
+++ b/packages/standins/src/sassafrasway_standins/check.py
@@ -1,4 +1,4 @@
-"""Checks the recorded history of a run against the guarantees P1 to P8.
+"""Checks the recorded history of a benchmark, test or demo against the guarantees P1 to P8.
 
 The docstrings of the rules state the guarantees.
 
@@ -75,7 +75,6 @@
         index: int,
         runs: list[history.Run],
     ) -> Iterator[checked_history.Violation]:
-        """Yields a violation for each run that contradicts the "not run" of one attempt."""
         attempt = attempts[index]
         retried_s = attempts[index + 1].at_s if index + 1 < len(attempts) else math.inf
         earlier_may_have_run = any(_may_have_run(earlier) for earlier in attempts[:index])
--- a/packages/standins/src/sassafrasway_standins/exchanges.py
+++ b/packages/standins/src/sassafrasway_standins/exchanges.py
@@ -15,7 +15,7 @@
 REQUEST_BYTES = 256
 RESPONSE_BYTES = 1024
 HTTP_OK = 200
-HTTP_QUARANTINED = 422
+HTTP_QUARANTINED = 422  # the request has crashed several backend servers
 HTTP_UNAVAILABLE = 503
 
 
@@ -35,7 +35,8 @@
     Attributes:
         idempotent: Whether a request may run more than once.
         deadline_ms: Deadline of a request, counted from its intended time, ms.
-        slots: Slots of all servers of the service; sets the rate of the load.
+        slots: Slots of all servers of the service; determines the rate of the load and the size of
+            the ideal pool.
         may_wait: Whether requests wait in a queue for a slot instead of being refused.
     """
 
@@ -49,13 +50,7 @@
 class AttemptResult:
     """Result of one attempt: the response of an entry instance, or the failure to get one.
 
-    Attributes:
-        outcome: As in ``history.Attempt``.
-        status: As in ``history.Attempt``.
-        reason: As in ``history.Attempt``.
-        served_by: As in ``history.Attempt``.
-        error: As in ``history.Attempt``.
-        body: Body of the response.
+    ``history.Attempt`` describes all attributes except the ``body`` of the response.
     """
 
     outcome: str
@@ -93,7 +88,10 @@
 
 
 class PendingRequest:
-    """State of one request across its attempts."""
+    """State of one request across its attempts.
+
+    ``intended_s`` is the monotonic time at which the request was due, s.
+    """
 
     def __init__(self, *, arrival: arrivals.Arrival, intended_s: float, service: CalledService):
         self.arrival = arrival
@@ -141,8 +139,8 @@
         """Whether the next attempt needs a lookup first.
 
         A non-idempotent request that may have run keeps its key. One that certainly did not run
-        takes a new ticket, because the instance that holds the first one may be gone. An
-        idempotent request tries all instances of a lookup before it looks up again.
+        takes a new ticket, because the instance that holds the first one may be gone. An idempotent
+        request tries all instances of a lookup before it looks up again.
         """
         if self._route is None:
             return True
@@ -155,7 +153,7 @@
         return any(result.outcome in (history.RAN, history.UNKNOWN) for result in self._results)
 
     def use_route(self, route: Route) -> None:
-        """Sets the route of the next attempts."""
+        """Sets the route of the next attempts and selects the instance to start with."""
         avoids_first = self._results[-1].outcome == "" if self._results else False
         if route.ticket:
             # The first instance holds the ticket. Another instance may not be able to tell whether
@@ -266,7 +264,7 @@
 
 
 def read_response(response: aiohttp.ClientResponse, body: bytes) -> AttemptResult:
-    """Returns the result of an attempt from the response of an instance."""
+    """Returns the result of an attempt; its outcome is unknown if the response states none."""
     headers = response.headers
     return AttemptResult(
         outcome=headers.get("Sassafras-Outcome", history.UNKNOWN),
--- a/packages/standins/src/sassafrasway_standins/faults.py
+++ b/packages/standins/src/sassafrasway_standins/faults.py
@@ -12,7 +12,8 @@
 # An instance that stops keeps serving until cached lookups and tickets have expired and no request
 # is in flight.
 REPLACE_TIMEOUT_S = 60.0
-# Longer than the lease of a coordinator (3 s) and the validity of grants (2 s).
+# Minimum duration of pauses and region cuts; longer than the lease of a coordinator (3 s) and the
+# validity of grants (2 s).
 MIN_LENGTH_S = 6.0
 LOOKUP_TIMEOUT_S = 2.0
 
@@ -21,9 +22,8 @@
 class FaultContext:
     """Cluster and parameters of a fault.
 
-    Attributes:
-        cluster: Cluster that the fault is injected into.
-        length_s: Duration in seconds of faults that do not end by themselves.
+    ``length_s`` is the duration of faults that do not end by themselves; pauses and region cuts
+    last at least ``MIN_LENGTH_S``.
     """
 
     cluster: launcher.Cluster
@@ -68,7 +68,7 @@
 
 
 class Fault(abc.ABC):
-    """A fault that can be injected into a cluster."""
+    """A fault; ``name`` identifies it on the command line and in the records."""
 
     name = ""
 
@@ -76,6 +76,12 @@
         """Records the injection of the fault, runs the fault and records its end.
 
         A permanent fault (see the subclasses) goes on after the recorded end.
+
+        Raises:
+            RuntimeError: No pool owner was found, or an instance did not stop gracefully.
+            processes.ProcessError: An instance did not start, become ready or end in time.
+            aiohttp.ClientError: The connection to an instance or a stand-in failed.
+            TimeoutError: An instance or a stand-in did not answer in time.
         """
         context.record_phase(self.name, history.INJECTED)
         await self._inject(context)
@@ -101,7 +107,6 @@
     name = "kill-entry"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         owner = await context.pool_owner()
         await context.cluster.kill_entry(owner)
         await asyncio.sleep(context.length_s)
@@ -114,7 +119,6 @@
     name = "pause-entry"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         owner = await context.pool_owner()
         context.cluster.pause_entry(owner)
         await asyncio.sleep(max(context.length_s, MIN_LENGTH_S))
@@ -127,7 +131,6 @@
     name = "store-down"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         await context.cluster.set_store_faults(down="refuse", instances_down=True)
         await asyncio.sleep(context.length_s)
         await context.cluster.set_store_faults(down="", instances_down=False)
@@ -139,7 +142,6 @@
     name = "replace-all"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         for batch in self._batches(context.cluster):
             await asyncio.gather(*(self._replace(context, name) for name in batch))
 
@@ -172,7 +174,6 @@
     name = "silent-connection"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         await context.cluster.set_backends(silent=True)
         await context.cluster.set_links("silent", context.regions[0], context.regions[1])
 
@@ -183,7 +184,6 @@
     name = "drain-server"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         names = [f"{service.name}-1" for service in context.cluster.site.layout.services]
         await context.cluster.set_backends(names, leaving=True)
         await asyncio.sleep(context.length_s)
@@ -198,7 +198,6 @@
     name = "region-cut"
 
     async def _inject(self, context: FaultContext) -> None:
-        """See base class."""
         region = context.regions[-1]
         others = [other for other in context.regions if other != region]
         prefix = self._address_prefix(context.cluster, region)
@@ -211,7 +210,6 @@
             await context.cluster.set_links("heal", region, other)
 
     def _address_prefix(self, cluster: launcher.Cluster, region: str) -> str:
-        """Returns the common prefix of the addresses of a region."""
         hosts = [
             instance.host
             for instance in cluster.site.instances.values()
