--- a/packages/standins/src/sassafrasway_standins/launcher.py
+++ b/packages/standins/src/sassafrasway_standins/launcher.py
@@ -18,7 +18,7 @@
 
 from sassafrasway_standins import history, layouts, processes
 
-POLL_S = 0.05
+HEALTH_POLL_S = 0.05
 START_TIMEOUT_S = 60.0  # starting 16 instances takes 16 s on a busy machine
 READY_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 60.0
@@ -30,14 +30,12 @@
 class Options:
     """Options of a cluster.
 
+    ``invariants`` and ``placement`` are described in ``layouts.Site.entry_settings``.
+
     Attributes:
         entries: Number of entry instances; None uses the number of the layout.
         block: Address block; None selects a free one.
-        backend_processes: Number of processes that run the backend servers.
-        link_processes: Number of processes that run the relays.
         seed: Seed of the service times.
-        invariants: See ``layouts.Site.entry_settings``.
-        placement: See ``layouts.Site.entry_settings``.
         list_lag_s: Time until the platform's instance list shows a change, s.
         entry_command: Command that runs an entry instance; ``run --config FILE`` is appended.
     """
@@ -56,11 +54,11 @@
 class Cluster:
     """A cluster of running processes; created by ``running``.
 
-    Args:
-        site: Layout with addresses.
-        directory: Existing directory for settings, logs and records.
-        options: Options of the cluster.
-        session: HTTP session for control endpoints.
+    Methods that send requests to a process raise ``aiohttp.ClientError`` if this fails and
+    ``TimeoutError`` if the process does not answer in time, unless stated otherwise. The ``set_``
+    methods raise ``ValueError`` if the process rejects the change. Methods that start, stop or wait
+    for processes raise ``processes.ProcessError`` if one ends unexpectedly, or does not answer
+    health requests or end in time.
     """
 
     def __init__(
@@ -76,7 +74,7 @@
         self._options = options
         self._session = session
         self._children: dict[str, processes.ChildProcess] = {}
-        self._starts: dict[str, int] = {}
+        self._start_counts: dict[str, int] = {}
         self._listed_states: dict[str, str] = {}
         self._backend_controls: dict[str, list[str]] = {}
         self._link_controls: list[str] = []
@@ -104,18 +102,14 @@
         return self._children[name]
 
     async def start(self) -> None:
-        """Starts all processes and waits until each answers health requests.
-
-        Raises:
-            processes.ProcessError: A process ended or did not answer in time.
-        """
+        """Starts all processes and waits until each answers health requests."""
         for name in ("records", "settings", "logs"):
             (self.directory / name).mkdir(exist_ok=True)
         await self._start_stand_ins()
         await _gather_or_cancel(self.start_entry(name) for name in self.site.instances)
 
     async def stop(self) -> None:
-        """Collects the byte counts of the links and kills all processes."""
+        """Collects the byte counts of the links, if possible, and kills all processes."""
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
             await self.collect_link_bytes()
         await asyncio.gather(*(child.kill() for child in self._children.values()))
@@ -123,8 +117,7 @@
     async def wait_ready(self, names: Iterable[str] | None = None) -> None:
         """Waits until entry instances are ready to serve, which requires a policy.
 
-        Raises:
-            processes.ProcessError: An instance ended or did not become ready in time.
+        Without ``names``, it waits for all that are running.
         """
         names = self.entry_names if names is None else names
         await _gather_or_cancel(
@@ -132,12 +125,8 @@
         )
 
     async def start_entry(self, name: str) -> None:
-        """Starts an entry instance, waits until it answers, and lists it as ``live``.
-
-        Raises:
-            processes.ProcessError: The instance ended or did not answer in time.
-        """
-        number = self._starts[name] = self._starts.get(name, 0) + 1
+        """Starts an entry instance, waits until it answers, and lists it as ``live``."""
+        number = self._start_counts[name] = self._start_counts.get(name, 0) + 1
         record_file = self.records / f"{name}.{number}.jsonl"
         settings = self.site.entry_settings(
             name,
@@ -170,11 +159,7 @@
         self._record_fault("pause", "end", name)
 
     async def stop_entry(self, name: str, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
-        """Stops an entry instance gracefully (SIGTERM) and returns its exit code.
-
-        Raises:
-            processes.ProcessError: The instance did not end in time.
-        """
+        """Stops an entry instance gracefully (SIGTERM) and returns its exit code."""
         self._record_fault("stop", history.STOP_ORDERED, name)
         self._children[name].send_signal(signal.SIGTERM)
         await self._set_listed_state(name, "leaving")
@@ -188,21 +173,13 @@
 
         Returns:
             The exit code of the old instance.
-
-        Raises:
-            processes.ProcessError: The old instance did not end in time, or the new one ended or
-                did not answer in time.
         """
         code = await self.stop_entry(name, timeout_s=timeout_s)
         await self.start_entry(name)
         return code
 
     async def set_store_faults(self, **faults: Any) -> None:
-        """Sets faults of the store, see ``store.Faults``.
-
-        Raises:
-            ValueError: The store rejected the faults.
-        """
+        """Sets faults of the store, see ``store.Faults``."""
         await self._post(f"http://{self.site.store}/control", faults)
 
     async def store_stats(self) -> dict[str, Any]:
@@ -212,13 +189,7 @@
     async def set_backends(self, servers: Iterable[str] | None = None, **behaviour: Any) -> None:
         """Changes the behaviour of backend servers, see ``backend.BackendServer.change``.
 
-        Args:
-            servers: Names of the servers; None for all servers.
-            **behaviour: ``leaving``, ``slow``, ``load_report``, ``blocked_sources``, ``crash``,
-                ``silent``.
-
-        Raises:
-            ValueError: A backend process rejected the change.
+        ``servers`` are the names of the servers; None changes all of them.
         """
         selected = None if servers is None else set(servers)
         for control, names in self._backend_controls.items():
@@ -229,7 +200,7 @@
                 )
 
     async def backend_stats(self) -> dict[str, dict[str, Any]]:
-        """Returns the counters of each backend server."""
+        """Returns counters and state by server name, see ``backend.BackendServer.stats``."""
         stats = {}
         for control in self._backend_controls:
             stats.update(await self._get(f"http://{control}/control/stats"))
@@ -242,11 +213,7 @@
         return max(stall["longest_ms"] for stall in stalls)
 
     async def set_links(self, action: str, source: str, target: str) -> None:
-        """Applies an action to the relays between entry instances, see ``link.Relay.change``.
-
-        Raises:
-            ValueError: A relay process rejected the action.
-        """
+        """Applies an action to the relays between entry instances, see ``link.Relay.change``."""
         for control in self._link_controls:
             data = {"action": action, "from": source, "to": target}
             await self._post(f"http://{control}/control", data)
@@ -256,7 +223,7 @@
         return await self._get(f"http://{self.site.instances[name].admin}/dump")
 
     async def collect_link_bytes(self) -> None:
-        """Writes the number of bytes sent between regions so far to the records."""
+        """Writes the bytes sent between regions so far to the records, replacing earlier counts."""
         totals: dict[tuple[str, float], int] = {}
         for control in self._link_controls:
             for link, buckets in (await self._get(f"http://{control}/control/bytes")).items():
@@ -327,7 +294,8 @@
     async def _wait_for_status(self, name: str, url: str, statuses: tuple[int, ...]) -> None:
         """Waits until a process answers a health request with one of ``statuses``.
 
-        Status 503 among them means that the process has only to run, which selects the timeout.
+        The timeout is ``START_TIMEOUT_S`` if 503 is one of them, so that the process need not be
+        ready, and otherwise ``READY_TIMEOUT_S``.
         """
         child = self._children[name]
         deadline_s = time.monotonic() + (START_TIMEOUT_S if 503 in statuses else READY_TIMEOUT_S)
@@ -342,7 +310,7 @@
                     status = response.status
                 if status in statuses:
                     return
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(HEALTH_POLL_S)
         raise processes.ProcessError(
             f"{name} did not answer its health requests with an expected status in time; "
             f"last status {status} (0: no response):\n{child.tail()}"
@@ -392,20 +360,16 @@
 def _address_block(requested: int | None) -> Iterator[int]:
     """Reserves an address block that no other launcher on this machine uses.
 
-    A socket that stays bound while the block is in use serves as a lock between launchers.
-
-    Args:
-        requested: The only block to try; None tries all.
-
-    Raises:
-        processes.ProcessError: No block is free.
+    ``requested`` is the only block to try; None tries all. A socket that stays bound while the
+    block is in use serves as a lock between launchers.
     """
     blocks = range(layouts.ADDRESS_BLOCKS) if requested is None else (requested,)
     for block in blocks:
-        last_region = layouts.REGIONS_IN_BLOCK * (block + 1) - 1
+        # The lock is bound to an address of the block that no process uses.
+        region_number = layouts.REGIONS_IN_BLOCK * (block + 1) - 1
         with socket.socket() as lock:
             try:
-                lock.bind((f"127.{last_region}.255.254", _LOCK_PORT))
+                lock.bind((f"127.{region_number}.255.254", _LOCK_PORT))
             except OSError:
                 continue
             yield block
@@ -421,10 +385,7 @@
 ) -> AsyncIterator[Cluster]:
     """Runs a cluster; all its processes are killed at the end, also after an exception.
 
-    Args:
-        layout: Layout of the cluster.
-        directory: Existing directory for settings, logs and records.
-        options: Options of the cluster.
+    ``directory`` must exist; it receives settings, logs and records.
 
     Raises:
         processes.ProcessError: No address block is free, or a process ended or did not answer in
--- a/packages/standins/src/sassafrasway_standins/link.py
+++ b/packages/standins/src/sassafrasway_standins/link.py
@@ -22,11 +22,15 @@
 
 from sassafrasway_standins import link_pair, network
 
-PROBE_INTERVAL_S = 0.02
+CONNECT_RETRY_INTERVAL_S = 0.02
 
 
 class Relay:
-    """All pairs of a settings file and the cuts between instances."""
+    """All pairs of a settings file and the cuts between instances.
+
+    Args:
+        data: Contents of the file: ``pairs`` (see ``link_pair.Pair``) and optionally ``delays``.
+    """
 
     def __init__(self, *, data: Mapping[str, Any]):
         delays = network.Delays.parse(data.get("delays", {}))
@@ -43,7 +47,11 @@
         self._watchers: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
-        """Starts listening for all pairs."""
+        """Starts listening for all pairs.
+
+        Raises:
+            OSError: The address of a pair is invalid or in use.
+        """
         for pair in self._pairs:
             await pair.listen(True)
         for address, pairs in self._by_target.items():
@@ -137,9 +145,7 @@
 async def _watch_target(address: str, pairs: list[link_pair.Pair]) -> None:
     """Closes the listening sockets of a target while it refuses connections.
 
-    Args:
-        address: ``host:port`` of the target.
-        pairs: All pairs with this target; they share one ``target_refuses`` event.
+    All ``pairs`` have this target and share one ``target_refuses`` event.
     """
     refused = asyncio.Event()
     for pair in pairs:
@@ -152,7 +158,7 @@
         try:
             _, writer = await asyncio.open_connection(host, port)
         except OSError:
-            await asyncio.sleep(PROBE_INTERVAL_S)
+            await asyncio.sleep(CONNECT_RETRY_INTERVAL_S)
             continue
         writer.close()
         refused.clear()
--- a/packages/standins/src/sassafrasway_standins/load.py
+++ b/packages/standins/src/sassafrasway_standins/load.py
@@ -21,25 +21,22 @@
 
 from sassafrasway_standins import arrivals, caller, exchanges, history, latency, layouts
 
-CALLERS_PER_REGION = 4
+CALLERS_PER_REGION = 4  # in each load process
 KEEPALIVE_S = 30.0
 START_DELAY_S = 2.0  # time for generating the trace
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Plan:
-    """Settings of the load; all load processes of a run read the same plan from a JSON file.
+    """Settings of the load; load processes that share a trace read the same plan from a JSON file.
 
     Attributes:
         entries: Entry instances in the configuration of callers.
-        services: Services by name.
         blocks: A client block (CIDR) for each region.
         client_ms: One-way delay between a client and its region, ms.
         region_ms: One-way delay between regions, ms.
         load: Offered load; at 1.0, arrival rate times mean service time equals the slots.
-        mean_service_s: Mean service time, s.
         duration_s: Length of the trace, s.
-        seed: Seed of the trace.
         start_s: Monotonic time of the start of the trace, s.
     """
 
@@ -70,7 +67,12 @@
 
     @classmethod
     def parse(cls, data: Mapping[str, Any]) -> "Plan":
-        """Returns the plan from data that ``dump`` returned."""
+        """Returns the plan from data that ``dump`` returned.
+
+        Raises:
+            KeyError: ``entries`` or ``services`` is missing.
+            TypeError: Another field is missing, or a field is unknown.
+        """
         fields = dict(data)
         fields["entries"] = [exchanges.EntryPoint(**entry) for entry in data["entries"]]
         fields["services"] = {
@@ -80,13 +82,7 @@
 
 
 class LoadTool:
-    """Sends the arrivals of one load process.
-
-    Args:
-        plan: Settings of the load.
-        writer: Receives the records.
-        part: Number of this process; part of the seed of its random choices.
-    """
+    """Sends the arrivals of load process ``part``, whose random choices depend on its number."""
 
     def __init__(self, *, plan: Plan, writer: history.Writer, part: int):
         self._plan = plan
@@ -247,7 +243,7 @@
     type=click.Path(exists=True, path_type=pathlib.Path),
     help="JSON file with the plan, as written by bench; replaces the trace options.",
 )
-@click.option("--part", default=0, show_default=True, help="Number of this load process.")
+@click.option("--part", default=0, show_default=True, help="Index of this load process, from 0.")
 @click.option("--parts", default=1, show_default=True, help="Number of load processes.")
 @click.option("--layout", type=click.Choice(sorted(layouts.LAYOUTS)), default="demo")
 @click.option("--block", default=0, show_default=True, help="Address block of the running cluster.")
--- a/packages/standins/src/sassafrasway_standins/operator_tool.py
+++ b/packages/standins/src/sassafrasway_standins/operator_tool.py
@@ -10,18 +10,18 @@
 
 
 class Operator:
-    """Runs ``sassafrasctl`` against an entry instance of a running cluster."""
+    """Runs ``sassafrasctl`` against an entry instance of a running cluster.
+
+    All methods raise ``processes.ProcessError`` if the command fails or times out; for a failure
+    the message has its output.
+    """
 
     def __init__(self, *, cluster: launcher.Cluster):
         self._cluster = cluster
         self._document: dict[str, Any] = {}
 
     async def apply(self, document: dict[str, Any]) -> None:
-        """Applies a whole policy document.
-
-        Raises:
-            processes.ProcessError: See ``run``.
-        """
+        """Applies a whole policy document."""
         path = self._cluster.directory / "settings" / "policy.json"
         path.write_text(json.dumps(document, indent=2), encoding="utf-8")
         await self.run("apply", str(path))
@@ -30,12 +30,7 @@
     async def start_shift(self, name: str, **fields: Any) -> None:
         """Starts a shift; ``apply`` must have been called before.
 
-        Args:
-            name: Name of the shift.
-            **fields: Fields of the shift in the policy document.
-
-        Raises:
-            processes.ProcessError: See ``run``.
+        ``fields`` are the fields of the shift in the policy document.
         """
         options = [f"--{key.replace('_', '-')}={value}" for key, value in fields.items()]
         await self.run("shift", "start", name, *options)
@@ -43,22 +38,13 @@
         self._record_accepted(self._document | {"shifts": shifts})
 
     async def stop_shift(self, name: str) -> None:
-        """Stops a shift; ``apply`` must have been called before.
-
-        Raises:
-            processes.ProcessError: See ``run``.
-        """
+        """Stops a shift; ``apply`` must have been called before."""
         await self.run("shift", "stop", name)
         shifts = {key: value for key, value in self._document["shifts"].items() if key != name}
         self._record_accepted(self._document | {"shifts": shifts})
 
     async def run(self, *arguments: str) -> str:
-        """Runs a subcommand and returns its output.
-
-        Raises:
-            processes.ProcessError: The command failed or timed out; for a failure the message has
-                its output.
-        """
+        """Runs a subcommand and returns its output."""
         name = self._cluster.entry_names[0]
         address = self._cluster.site.instances[name].rpc
         command = [*processes.script("sassafrasctl"), "--address", address, *arguments]
@@ -71,7 +57,7 @@
             child.kill()
             await child.wait()
             raise processes.ProcessError(
-                f"{arguments[0]}: sassafrasctl did not end within its timeout"
+                f"sassafrasctl {arguments[0]} did not end within {COMMAND_TIMEOUT_S:g} s"
             ) from None
         text = output.decode(errors="replace")
         if child.returncode != 0:
--- a/packages/standins/src/sassafrasway_standins/processes.py
+++ b/packages/standins/src/sassafrasway_standins/processes.py
@@ -11,7 +11,7 @@
 from collections.abc import Sequence
 from typing import IO
 
-PR_SET_PDEATHSIG = 1
+PR_SET_PDEATHSIG = 1  # value in <linux/prctl.h>
 _LIBC = ctypes.CDLL(None, use_errno=True)
 
 
@@ -20,12 +20,9 @@
 
 
 class ChildProcess:
-    """One child process with its log file.
+    """One child process; its output is appended to the file ``log``.
 
-    Args:
-        name: Name of the process in error messages.
-        command: Program and arguments.
-        log: File that standard output and standard error are appended to.
+    ``pid``, ``exit_code`` and ``wait`` raise ``ProcessError`` if the process was not started.
     """
 
     def __init__(self, *, name: str, command: Sequence[str], log: pathlib.Path):
@@ -42,11 +39,7 @@
 
     @property
     def pid(self) -> int:
-        """Process ID.
-
-        Raises:
-            ProcessError: The process was not started.
-        """
+        """Process ID."""
         return self._started_process().pid
 
     @property
@@ -56,11 +49,7 @@
 
     @property
     def exit_code(self) -> int | None:
-        """Exit code, or the negated number of the signal that ended it; None while it runs.
-
-        Raises:
-            ProcessError: The process was not started.
-        """
+        """Exit code, or the negated number of the signal that ended it; None while it runs."""
         return self._started_process().returncode
 
     async def start(self) -> None:
@@ -88,7 +77,7 @@
         """Waits until the process ends and returns its exit code.
 
         Raises:
-            ProcessError: The process has not ended within ``timeout_s``, or was not started.
+            ProcessError: The process has not ended within ``timeout_s``.
         """
         try:
             code = await asyncio.wait_for(self._started_process().wait(), timeout_s)
@@ -144,7 +133,10 @@
 
 
 def _kill_with_parent(parent_pid: int) -> None:
-    """Makes the kernel kill this process when its parent ends for any reason."""
+    """Makes the kernel kill this process when its parent ends for any reason.
+
+    The kernel regards the thread that started this process as its parent.
+    """
     _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     if os.getppid() != parent_pid:  # the parent ended before prctl took effect
         os._exit(1)
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -1,4 +1,4 @@
-"""Results of one run, compared with an ideal pool on the same arrivals, as data and as text."""
+"""Results of a benchmark, compared with an ideal pool on the same arrivals, as data and text."""
 
 import collections
 import dataclasses
@@ -17,7 +17,7 @@
 )
 
 MS_PER_S = 1000
-# A load tool that starts requests later than this lacks CPU time, and so do the instances.
+# A load tool that starts 1% of its requests later than this lacks CPU time; so do the instances.
 MAX_TOOL_DELAY_S = 0.05
 
 
@@ -25,6 +25,8 @@
 class ServiceReport:
     """Results of one service, without the warm-up.
 
+    Fields that begin with ``ideal_`` are results of the ideal pool on the same arrivals.
+
     Attributes:
         arrivals: Requests of the trace.
         ran: Requests with the final outcome "ran"; ``refused`` and ``unknown`` count the requests
@@ -33,14 +35,13 @@
         retries: Attempts after the first one of each request.
         refused_attempts: Attempts answered "not run"; the caller may have retried afterwards.
         refusal_rate: Refused requests divided by arrivals.
-        ideal_refusal_rate: Refusal rate of the ideal pool on the same arrivals.
         refusal_ratio: Refusal rate divided by the ideal one; None if the ideal pool refuses none.
         latency: Time from the intended arrival to the verdict, of requests that ran.
         ideal_latency: Latency of the ideal pool with the same network delay to the client.
         wait: Latency minus service time and network delay to the client, of requests that ran.
-        ideal_wait: Waiting time in the ideal pool.
-        p99_ratio: p99 latency divided by that of the ideal pool.
-        reasons: Counts of the most frequent results other than success.
+        p99_ratio: p99 latency divided by that of the ideal pool; None if either is missing.
+        reasons: Counts of the most frequent results other than success, by outcome, status and
+            reason.
     """
 
     arrivals: int
@@ -63,12 +64,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RunReport:
-    """Results of one run.
+    """Results of one benchmark. Below, a run is the execution of one request on a server.
 
     Attributes:
-        settings: Options of the run.
-        services: Results by service.
-        sheds: Requests that servers rejected because of load.
+        settings: Options of the benchmark, and the CPU use and load average of the machine.
+        sheds: Times that servers rejected a request because all their slots were in use.
         ran_twice: Violations of the at-most-once rule.
         lost: Requests without a verdict, summed over the services.
         fault_s: When the fault began and ended, s after the first arrival; the load covers the
@@ -76,12 +76,11 @@
         drain_s: Time from the start of a drain until the last run of the server ended, or from the
             stop order of an instance until it stopped, by server or instance, s.
         server_s: Mean time of completed requests at the servers beyond the service time that they
-            requested, s; shows how much the loaded machine distorts the run.
+            requested, s; shows how much the load of the machine distorts the results.
         tool_late_s: 99th percentile of the delay with which the load tool started requests, s.
         late_start_s: 99th percentile of the delay of first attempts after the intended time, s; it
             includes the lookup that some of them need.
         violations: Number of violations by rule.
-        first_violations: Texts of the first violations.
     """
 
     settings: Mapping[str, Any]
@@ -116,13 +115,13 @@
     warm_up_s: float,
     records: Sequence[history.Record],
 ) -> RunReport:
-    """Returns the report of a run.
+    """Returns the report of a benchmark.
 
     The results of the services, and so the sum of lost requests, leave out arrivals before
-    ``warm_up_s``; the other results are those of the whole run.
+    ``warm_up_s``; the other results are those of the whole benchmark.
 
     Args:
-        settings: Options of the run, copied into the report.
+        settings: Copied into the report, see ``RunReport``.
         trace: Arrivals that the load tool sent.
         services: Services by name.
         client_ms: One-way delay to clients, ms.
@@ -167,13 +166,6 @@
     """Returns the report of one service.
 
     The ideal pool also serves the arrivals of the warm-up, as they may occupy slots beyond its end.
-
-    Args:
-        run_history: Records of the whole run.
-        all_arrivals: Arrivals of the service, including the warm-up.
-        service: Properties of the service.
-        client_ms: One-way delay to clients, ms.
-        warm_up_s: Length of the warm-up, s.
     """
     warm_up_count = sum(arrival.at_s < warm_up_s for arrival in all_arrivals)
     measured_arrivals = all_arrivals[warm_up_count:]
@@ -262,10 +254,7 @@
 
 
 def _reasons(verdicts: Iterable[history.Verdict]) -> dict[str, int]:
-    """Returns how often the most frequent results other than success occurred.
-
-    The keys consist of outcome, status and reason.
-    """
+    """Counts the most frequent results other than success by outcome, status and reason."""
     return dict(
         collections.Counter(
             f"{verdict.outcome} {verdict.status} {verdict.reason[:80]}".strip()
@@ -278,7 +267,6 @@
 def _fault_s(
     run_history: checked_history.History, records: Iterable[history.Record]
 ) -> list[float]:
-    """Returns the times, s after the first arrival, at which the fault began and ended."""
     started_s = min((intent.at_s for intent in run_history.intents.values()), default=0.0)
     phases = (history.INJECTED, history.ENDED)
     events = [event for event in records if isinstance(event, history.FaultEvent)]
@@ -288,7 +276,6 @@
 def _drain_s(
     run_history: checked_history.History, records: Iterable[history.Record]
 ) -> dict[str, float]:
-    """Returns the drain times, s, by leaving server and by stopped instance."""
     durations_s: dict[str, float] = {}
     for server, leaving_since_s in run_history.leaving_since_s.items():
         ends = [run.ended_s for run in run_history.runs if run.server == server]
@@ -305,7 +292,6 @@
 def _server_overhead_s(
     run_history: checked_history.History, trace: Iterable[arrivals.Arrival]
 ) -> float:
-    """Returns the mean time of completed runs beyond the requested service time, s."""
     requested_s = {arrival.request: arrival.service_s for arrival in trace}
     excess_s = [
         run.ended_s - run.at_s - requested_s[run.request]
@@ -370,5 +356,4 @@
 
 
 def _number(value: float | None, width: int, digits: int = 1) -> str:
-    """Formats a number right-aligned; None as a dash."""
     return f"{'-':>{width}}" if value is None else f"{value:>{width}.{digits}f}"
--- a/packages/standins/src/sassafrasway_standins/store.py
+++ b/packages/standins/src/sassafrasway_standins/store.py
@@ -73,10 +73,7 @@
         return [self._rows[key] for key in sorted(self._rows) if key.startswith(prefix)]
 
     def write(self, writes: Sequence[Write]) -> list[Row]:
-        """Applies all writes atomically.
-
-        Returns:
-            The written rows with their new versions, in the order of the writes.
+        """Applies all writes atomically and returns the written rows in the order of the writes.
 
         Raises:
             PreconditionFailedError: A condition does not hold; nothing was written.
@@ -163,7 +160,8 @@
     def set(self, entries: list[dict[str, str]], *, visible_at_s: float) -> None:
         """Sets the contents that readers see from ``visible_at_s`` (event loop time) on.
 
-        Earlier changes that are not visible yet still become visible at their own times.
+        Changes become visible in the order in which they were set: an earlier change with a later
+        time delays this one.
         """
         self._pending.append((visible_at_s, entries))
 
@@ -240,13 +238,12 @@
         return response
 
     async def _wait_for_outage_end(self, source: str) -> None:
-        """Waits until the outage for a source address is over."""
         self._counts["held"] += 1
         while self._faults.is_down_for(source):
             await self._faults_changed.wait()
 
     async def _handle_with_faults(self, request: web.Request, handler: Any) -> web.StreamResponse:
-        """Runs a handler; converts its errors to responses and drops responses as injected."""
+        """Runs a handler; converts its errors to responses and applies ``lose_answers``."""
         try:
             response = await handler(request)
         except PreconditionFailedError as error:
--- a/packages/standins/src/sassafrasway_standins/tally.py
+++ b/packages/standins/src/sassafrasway_standins/tally.py
@@ -20,8 +20,6 @@
         repeated: Requests of an idempotent service that ran more than once, which is allowed.
         lost: Requests without a verdict, or with the outcome "ran" although no server ran them.
         late: Requests that ran but were answered after the deadline.
-        not_run: Requests with the outcome "not run".
-        unknown: Requests with the outcome "unknown".
         latency: Latency of the requests that ran; None if there are none.
     """
 
@@ -40,13 +38,20 @@
 def count(
     records: Iterable[history.Record], services: Mapping[str, exchanges.CalledService]
 ) -> list[Tally]:
-    """Returns the tally of each service, and that of all services together as the last."""
+    """Returns the tally of each service, and that of all services together as the last.
+
+    Raises:
+        KeyError: A request is for a service that ``services`` does not contain.
+    """
     run_history = checked_history.History(records)
-    groups: dict[str, list[str]] = {name: [] for name in sorted(services)}
+    requests_by_service: dict[str, list[str]] = {name: [] for name in sorted(services)}
     for request, intent in run_history.intents.items():
-        groups[intent.service].append(request)
-    tallies = [_tally(run_history, name, group, services) for name, group in groups.items()]
-    all_requests = [request for group in groups.values() for request in group]
+        requests_by_service[intent.service].append(request)
+    tallies = [
+        _tally(run_history, name, requests, services)
+        for name, requests in requests_by_service.items()
+    ]
+    all_requests = [request for requests in requests_by_service.values() for request in requests]
     return [*tallies, _tally(run_history, TOTAL, all_requests, services)]
 
 
