Restore two conditions and correct two statements in docstrings of core

_able_to_serve did not say that it returns all members without a region cap or without owners; _canonical_url did not say when it raises; the copied arguments of BlockTable._apply_change holds versions and lengths, not arrays; authority left out the case of a deleted region row. Two sentences in at_most_once and lookup were ambiguous.

--- a/packages/core/src/sassafrasway_core/at_most_once.py
+++ b/packages/core/src/sassafrasway_core/at_most_once.py
@@ -3,8 +3,8 @@
 A ticket is an idempotency key that names its holder, the incarnation that may run the request.
 The registry of that incarnation decides whether a key may start, using only its own memory and
 clock. The holder of a key chosen by the caller is the incarnation that has created the claim of the
-key, a row in the platform's table. If the holder of a ticket stops as planned before it runs the
-request, the request may run elsewhere, under a claim, too. ``gatekeeper`` of the entry package
+key, a row in the platform's table. If the holder of a ticket stops as planned without having run
+the request, another incarnation may run it under a claim. ``gatekeeper`` of the entry package
 handles both kinds of keys.
 """
 
--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,7 +1,8 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
-While a coordinator has authority, no other instance can have become coordinator, so none grants the
-same slots. ``region.PROMISE_S`` states what a member promises.
+While a coordinator has authority, no other instance can have become coordinator, unless the region
+row was deleted. So no other instance grants the same slots. ``region.PROMISE_S`` states what a
+member promises.
 """
 
 import dataclasses
--- a/packages/core/src/sassafrasway_core/coordinator.py
+++ b/packages/core/src/sassafrasway_core/coordinator.py
@@ -283,9 +283,10 @@
     def _able_to_serve(self, members: list[model.InstanceId]) -> list[model.InstanceId]:
         """Returns the members that own a pool or have their share of the region's cap in force.
 
-        A new instance gets its share about two seconds after it joins: the others must confirm
-        smaller shares first, and their use must leave the one-second window. With a pool but no
-        share, it would refuse all requests of the pool.
+        Returns all members if the region has no cap or none of its pools has an owner. A new
+        instance gets its share about two seconds after it joins: the others must confirm smaller
+        shares first, and their use must leave the one-second window. With a pool but no share, it
+        would refuse all requests of the pool.
         """
         owners = set(self.owners().values())
         if not self._region_is_capped or not owners:
--- a/packages/core/src/sassafrasway_core/lookup.py
+++ b/packages/core/src/sassafrasway_core/lookup.py
@@ -1,6 +1,6 @@
 """Maps client IP addresses to regions by the blocks that contain them.
 
-``caller_api`` of the entry package handles the lookups of instances that callers send. Functions
+``caller_api`` of the entry package handles the lookups by which callers find an instance. Functions
 and methods raise ``errors.ValidationError`` for a CIDR or an address that they cannot parse.
 """
 
@@ -156,7 +156,7 @@
         return table
 
     def _apply_change(self, cidr: str, region: str | None, copied: set[tuple[int, int]]) -> None:
-        """Sets or removes a block; ``copied`` collects the arrays that were copied already."""
+        """Sets or removes a block; ``copied`` has the (version, length) of copied arrays."""
         version, length, key = parse_network(cidr)
         by_length = self._prefixes[version]
         if (version, length) not in copied:
--- a/packages/core/src/sassafrasway_core/policy_schema.py
+++ b/packages/core/src/sassafrasway_core/policy_schema.py
@@ -25,7 +25,7 @@
 def _canonical_url(url: str) -> str:
     """Returns the canonical form ``http://IP:port``, in which duplicate URLs compare equal.
 
-    pydantic turns a ``ValueError`` into a validation error.
+    Raises ``ValueError`` for other URLs, which pydantic turns into a validation error.
     """
     parts = urllib.parse.urlsplit(url)
     unsupported_parts = (parts.path.strip("/"), parts.query, parts.fragment, parts.username)
