Clarify two docstrings on winning and keeping the coordinator role

The exception of a deleted region row was attached to the wrong half of the sentence in authority; in _PendingWrite it was unclear whose fields become those of WonElection.

--- a/packages/core/src/sassafrasway_core/authority.py
+++ b/packages/core/src/sassafrasway_core/authority.py
@@ -1,8 +1,7 @@
 """Authority of a coordinator to grant pools: its table lease and the promises of members.
 
-While a coordinator has authority, no other instance can have become coordinator, unless the region
-row was deleted. So no other instance grants the same slots. ``region.PROMISE_S`` states what a
-member promises.
+Unless the region row is deleted, no other instance can become coordinator, and grant the same
+slots, while a coordinator has authority. ``region.PROMISE_S`` states what a member promises.
 """
 
 import dataclasses
--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -20,8 +20,8 @@
 class _PendingWrite:
     """A candidate write whose result is not known yet.
 
-    A candidate write of the region row makes the instance coordinator if it takes effect. Its
-    fields then become those of ``authority.WonElection``.
+    A candidate write of the region row makes the instance coordinator if it takes effect. An
+    ``authority.WonElection`` is then created from the fields of this class.
     """
 
     command: region.WriteRow
