Correct statements on reloads, compared servers and cold runs

The reload docstring said that the log line names changed settings that need a restart, but lookup_ttl_s appears there as bounds and only once. The cold run factor is also used while neither service time has been measured, and the compared servers are those that may be used now, not the "usable" ones of the ranking. The HTTP server has a collector of metrics as a client too.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -17,11 +17,12 @@
 from sassafrasway_gateway import model, servers
 from sassafrasway_gateway import overflow as overflow_lib
 
-# Number of usable servers at the top of an object's ranking that are compared. The first one has
-# usually run the object already; on every other one the first run is a cold run.
+# Number of servers that are compared: the first ones of the object's ranking that may be used now.
+# The first of them has usually run the object already; on every other one the first run is a cold
+# run.
 MAX_COMPARED_SERVERS = 4
-# Service time of a cold run divided by that of a warm object, assumed while only one of the two has
-# been measured.
+# Service time of a cold run divided by that of a warm object, assumed until both have been
+# measured.
 COLD_RUN_FACTOR = 3.0
 # Cost of running an object where it is not known to be warm, by rank of the server, as a multiple
 # of the service time of a warm object. A cold run occupies a slot three times as long and delays
@@ -95,6 +96,7 @@
         object_key: Key of the object; see ``jobs.Job``.
         region: Region of this instance.
         remaining_s: Time until the deadline of the request.
+        excluded_servers: Ids of the servers that must not be selected.
     """
 
     route: model.Route
--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 server that reads complete requests and writes complete responses.
 
-Its clients are callers, the platform's probes and other instances.
+Its clients are callers, the platform's probes, other instances and the collector of the metrics.
 """
 
 import abc
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -84,7 +84,10 @@
 def hello(
     member: fleet.Member, *, reply: bool, versions: dict[str, int], contact_s: float = 0.0
 ) -> Hello:
-    """Builds the hello message of the sending member; see `Hello` for the other arguments."""
+    """Builds the hello message of the sending member; see `Hello` for the other arguments.
+
+    ``contact_s`` is the value of ``contact_ms`` in seconds.
+    """
     return Hello(
         member.name,
         member.incarnation,
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -332,8 +332,9 @@
     def _on_reload(self) -> None:
         """Applies new bounds and failure domains.
 
-        All other settings and the bound ``lookup_ttl_s`` need a restart. The log line names them
-        too if they differ from those in force.
+        All other settings and the bound ``lookup_ttl_s`` need a restart. The log line names the
+        changed fields of ``GatewaySettings``, also those that need a restart; a change of
+        ``lookup_ttl_s`` is logged as ``bounds``, and only by the reload that first reads it.
         """
         try:
             config = self._load_settings()
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -244,6 +244,7 @@
 
         An announcement from another region counts as a hint only. If a table that the instance
         announced before is missing from ``versions``, the instance can no longer read it.
+        ``host`` is the address on which the instance serves its tables.
         """
         if region != self._view.own.region:
             self.on_hint(name, host, versions)
