Correct statements on retries, revisions and errors in entry, rpc and ctl

The docstring of refresh could be read in two ways; policy_at and OperatorClient.call named too few conditions; in_handover, the repeated send of an attempt, the 60 s of an attempt id and the revision in a heartbeat reply were stated differently from the code.

--- a/packages/ctl/src/sassafrasway_ctl/client.py
+++ b/packages/ctl/src/sassafrasway_ctl/client.py
@@ -19,7 +19,8 @@
     """Calls methods of the Operator service, trying several entry instances in turn.
 
     A call is repeated at the next instance even when the first one may have accepted its change.
-    This is safe because every change carries a change id, which is applied only once.
+    This is safe because every change of the policy carries a change id, under which it is applied
+    only once.
 
     Args:
         addresses: ``host:port`` of the instances in order of preference.
@@ -35,7 +36,8 @@
 
         Raises:
             errors.UnavailableError: Every instance failed to answer, or reported that it has no
-                policy yet or cannot reach the table service; a change may have been accepted.
+                policy yet or cannot reach the table service or the instance to drain; a change may
+                have been accepted.
             errors.SassafraswayError: An instance answered with another error.
         """
         return asyncio.run(self._call(method, arguments))
--- a/packages/entry/src/sassafrasway_entry/config_task.py
+++ b/packages/entry/src/sassafrasway_entry/config_task.py
@@ -170,7 +170,7 @@
             self._inbox.put_nowait(_NewerRevision(revision=revision, source=source))
 
     async def refresh(self) -> None:
-        """Puts the newest revision that the table service has in force.
+        """Reads the newest revision from the table service and puts it in force.
 
         While the table service is unavailable, asks peers instead and logs their failures.
         """
@@ -230,6 +230,8 @@
     async def policy_at(self, revision: int) -> model.Policy:
         """Returns the policy of a revision.
 
+        The table service is read only if the revision is not the one in force.
+
         Raises:
             errors.NotFoundError: There is no such revision.
         """
--- a/packages/entry/src/sassafrasway_entry/dispatcher.py
+++ b/packages/entry/src/sassafrasway_entry/dispatcher.py
@@ -62,7 +62,8 @@
     """Result of one pass over the pools.
 
     ``in_handover`` is true if a pool refused the request for one of ``_HANDOVER_REASONS``, so that
-    another pass may succeed. It is false if the request ran or may have run.
+    another pass may succeed. It is false if the request ran or may have run, or if a later refusal,
+    such as an expired deadline, rules out another pass.
     """
 
     response: messages.Response
@@ -288,10 +289,10 @@
     async def _send_attempt(
         self, peer: Any, request: messages.Request, message: Any, until_s: float
     ) -> messages.Response:
-        """Sends an attempt, and sends it again when the peer does not answer.
+        """Sends an attempt, and sends it again when the outcome of the call is unknown.
 
-        The receiver runs each attempt id only once, so sending it again returns the outcome of the
-        first send.
+        The receiver runs each attempt id only once (see ``ATTEMPT_RETENTION_S`` of
+        ``forward_service``), so sending it again returns the outcome of the first send.
         """
         response = messages.unknown(504, messages.Reason.PEER_UNREACHABLE)
         for _ in range(MAX_SENDS):
--- a/packages/rpc/src/sassafrasway_rpc/control.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/control.thrift
@@ -112,7 +112,7 @@
   8: list<CapShare> cap_shares
   9: list<RegionDirectory> directories // those that changed since the request's directory_mark
   10: i64 directory_mark     // the sender returns it in its next heartbeat
-  11: i64 revision           // policy revision of the coordinator
+  11: i64 revision           // policy revision in force at the replying instance
   12: bool gone              // the sender was declared gone and must release all that it holds
 }
 
--- a/packages/rpc/src/sassafrasway_rpc/forward.thrift
+++ b/packages/rpc/src/sassafrasway_rpc/forward.thrift
@@ -36,7 +36,7 @@
                              // backend servers are recognised when a caller sends them again
   17: string client          // address of the client on whose behalf the caller sent the request
   18: string attempt_id      // one for each forward; a repeated attempt is not run again, unless it
-                             // arrives more than 60 s after the first one
+                             // arrives more than 60 s after the first one and that one has ended
   19: string receiver        // name/incarnation that the attempt is meant for
   20: bool resent            // this attempt was sent before, and its reply did not arrive
 }
