Correct docstrings of the stand-ins on errors, settings and shared sessions

build_servers claimed a KeyError for a server without a name; it raises TypeError. The report's CPU use is that of the benchmark's child processes, not of the machine, and its load average is taken before the benchmark. SETTLE_S also follows a fault that outlasts the load. Callers of a process share one HTTP session; the result of _take_ticket without a usable ticket is stated again.

The whole suite of the package was not run.

--- a/packages/standins/src/sassafrasway_standins/backend_process.py
+++ b/packages/standins/src/sassafrasway_standins/backend_process.py
@@ -79,9 +79,9 @@
     optionally ``delays`` and ``seed``.
 
     Raises:
-        KeyError: The list of servers, or the name of a server, is missing.
-        TypeError: Another required field of a server is missing, a field is unknown, or a delay or
-            the seed is neither a number nor a string.
+        KeyError: The list of servers is missing.
+        TypeError: A required field of a server is missing, a field is unknown, or a delay or the
+            seed is neither a number nor a string.
         ValueError: A delay or the seed is a string that is not a number.
     """
     delays = network.Delays.parse(data.get("delays", {}))
--- a/packages/standins/src/sassafrasway_standins/bench.py
+++ b/packages/standins/src/sassafrasway_standins/bench.py
@@ -44,8 +44,9 @@
 # Longest time from the end of the trace until every request has a verdict and the load processes
 # have ended.
 VERDICT_TIMEOUT_S = 30.0
-# Time from the last verdict to the end of the processes. Requests that callers have given up may
-# run at the backend servers until their deadline, which is 2 s unless --deadline-ms sets another.
+# Time from the last verdict, or the end of a fault that lasts longer, to the end of the processes.
+# Requests that callers have given up may run at the backend servers until their deadline, which is
+# 2 s unless --deadline-ms sets another.
 SETTLE_S = 2.5
 
 
--- a/packages/standins/src/sassafrasway_standins/caller.py
+++ b/packages/standins/src/sassafrasway_standins/caller.py
@@ -27,9 +27,10 @@
 
 
 class Caller:
-    """One client program in a region; its requests share a lookup cache and connections.
+    """One client program in a region; its requests share a lookup cache.
 
     Args:
+        session: HTTP session; all callers of a process share it and its connections.
         entries: Entry instances in the configuration of the client.
         client_ms: One-way delay between the client and its region, ms.
         region_ms: One-way delay between regions, ms.
@@ -145,7 +146,7 @@
         return route or await self._lookup(arrival.service, arrival.client)
 
     def _take_ticket(self, service: str) -> exchanges.Route | None:
-        """Removes and returns the newest ticket; discards tickets that are too old."""
+        """Removes and returns the newest ticket, discarding too old ones; None if none is left."""
         tickets = self._tickets[service]
         while tickets:
             route = tickets.pop()
--- a/packages/standins/src/sassafrasway_standins/report.py
+++ b/packages/standins/src/sassafrasway_standins/report.py
@@ -67,7 +67,8 @@
     """Results of one benchmark. Below, a run is the execution of one request on a server.
 
     Attributes:
-        settings: Options of the benchmark, and the CPU use and load average of the machine.
+        settings: Options of the benchmark, the mean CPU use of its child processes, cores, and the
+            load average of the machine before it.
         sheds: Times that servers rejected a request because all their slots were in use.
         ran_twice: Violations of the at-most-once rule.
         lost: Requests without a verdict, summed over the services.
