--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -32,13 +32,15 @@
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         hosts = machines.free_hosts(gateways + 1)
         self._platform_host = hosts[0]
-        port = machines.free_port(self._platform_host)
-        self.store = store_lib.Store(host=self._platform_host, port=port)
+        self._ports = machines.Ports(hosts=hosts)
+        self.store = store_lib.Store(host=self._platform_host, port=self._ports.store)
         self.upstreams: list[upstream_lib.Upstream] = []
-        ports = machines.Ports(host=hosts[1])
         self.gateways = [
             machines.Gateway(
-                name=f"front-{number}", host=host, ports=ports, store_address=self.store.address
+                name=f"front-{number}",
+                host=host,
+                ports=self._ports,
+                store_address=self.store.address,
             )
             for number, host in enumerate(hosts[1:], 1)
         ]
@@ -51,7 +53,7 @@
                 service=service,
                 zone=machines.ZONE,
                 host=self._platform_host,
-                port=machines.free_port(self._platform_host),
+                port=self._ports.first_upstream + len(self.upstreams) + number,
                 store=self.store,
                 record=self.record,
                 **options,
@@ -69,7 +71,7 @@
             await upstream.start()
         for gateway in self.gateways:
             await gateway.start()
-        ready = [await gateway.wait_ready() for gateway in self.gateways]
+        ready = await asyncio.gather(*(gateway.wait_ready() for gateway in self.gateways))
         self.record.add("started", ready=ready, trouble=self.trouble)
         await asyncio.sleep(SETTLE_S)
         return all(ready)
--- a/review/standins/machines.py
+++ b/review/machines.py
@@ -12,7 +12,7 @@
 
 import http1
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 8.0
 ZONE = "bkk-a"
@@ -84,17 +84,45 @@
     return [f"{network}.{number}" for number in range(10, 10 + count)]
 
 
-def free_port(host: str) -> int:
-    """Returns a free TCP port of an address."""
+def _is_free(host: str, port: int) -> bool:
     with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
+class Ports:
+    """Ports of a deployment, the same on all machines and free on the given addresses.
+
+    They are different from each other and below the range from which the system takes the ports of
+    outgoing connections.
+    """
+
+    LOWEST = 20_000
+    HIGHEST = 29_000
+    COUNT = 100
+
+    def __init__(self, *, hosts: list[str]):
+        while True:
+            first = random.randrange(self.LOWEST, self.HIGHEST)
+            ports = range(first, first + self.COUNT)
+            if all(_is_free(host, port) for host in hosts for port in ports):
+                break
+        self.front = first
+        self.readiness = first + 1
+        self.directory = first + 2
+        self.internal = first + 10
+        self.store = first + 40
+        self.first_upstream = first + 50
 
 
 class Gateway:
     """One machine with one gateway process."""
 
-    def __init__(self, *, name: str, host: str, ports: "Ports", store_address: str):
+    def __init__(self, *, name: str, host: str, ports: Ports, store_address: str):
         self.name = name
         self.host = host
         self.front = ports.front
@@ -171,16 +199,6 @@
         return answer is not None and answer.status == 200
 
 
-class Ports:
-    """Ports that all machines of a deployment share, free on the given addresses."""
-
-    def __init__(self, *, host: str):
-        self.front = free_port(host)
-        self.readiness = free_port(host)
-        self.directory = free_port(host)
-        self.internal = random.randint(20_000, 29_000)
-
-
 def config(
     *, version: int, routes: list[dict], services: list[str], timeout: str | None = None
 ) -> dict:
--- a/review/standins/store.py
+++ b/review/store.py
@@ -32,7 +32,8 @@
 
     async def stop(self) -> None:
         """Ends all connections."""
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/review/standins/upstream.py
+++ b/review/upstream.py
@@ -62,6 +62,7 @@
         self._born_ms = 0
         self._sequence = 0
         self._server: asyncio.Server | None = None
+        self._beat_task: asyncio.Task | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
@@ -92,8 +93,9 @@
 
     async def stop(self) -> None:
         """Ends the heartbeats and all connections."""
-        self._beat_task.cancel()
-        self.refuse_connections()
+        if self._beat_task is not None:
+            self._beat_task.cancel()
+            self.refuse_connections()
         # Gives the tasks of the connections time to end.
         await asyncio.sleep(0)
 
