Move the selection of readers out of the transfer of rows

relay.py had two jobs in 411 lines: which instances read the store, and how rows travel between instances. The first one moves to relay_role.py with its tests; no behaviour changes.

--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_gateway import fleet, follower, relay
+from sassafrasway_gateway import fleet, follower, relay_role
 
 CHECK_INTERVAL_S = 0.05
 
@@ -21,7 +21,7 @@
         self,
         *,
         followers: Mapping[str, follower.TableFollower],
-        role: relay.RelayRole,
+        role: relay_role.RelayRole,
         send: Callable[[list[fleet.Member], dict[str, int]], None],
     ):
         self._followers = followers
@@ -60,7 +60,7 @@
         )
         self._last_read_versions = read_versions
         now_s = clock_lib.elapsed_s()
-        due = now_s - self._last_sent_s >= relay.BEACON_INTERVAL_S
+        due = now_s - self._last_sent_s >= relay_role.BEACON_INTERVAL_S
         if lost or (read_versions and (changed or due)):
             self._send(self._role.recipients(changed=changed), read_versions)
             self._last_sent_s = now_s
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -7,7 +7,7 @@
 import structlog
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_gateway import relay, table_cache
+from sassafrasway_gateway import relay, relay_role, table_cache
 from sassafrasway_platform import feed, table
 
 # Delay after each call that returned rows, so that the next call returns all changes made in quick
@@ -48,7 +48,7 @@
         table_name: str,
         listener: Listener,
         cache: table_cache.TableCache,
-        role: relay.RelayRole,
+        role: relay_role.RelayRole,
         relay_client: relay.RelayClient,
         rng: random.Random,
     ):
@@ -163,7 +163,7 @@
             self._on_outage("no announcements from the readers of this region")
         self._role.announcement_received.clear()
         try:
-            async with asyncio.timeout(relay.BEACON_INTERVAL_S):
+            async with asyncio.timeout(relay_role.BEACON_INTERVAL_S):
                 await self._role.announcement_received.wait()
         except TimeoutError:
             pass
@@ -174,7 +174,7 @@
         if changes.version <= self.version:
             # The source announced a version that it cannot serve; asking again at once would keep
             # both instances busy.
-            await asyncio.sleep(relay.BEACON_INTERVAL_S)
+            await asyncio.sleep(relay_role.BEACON_INTERVAL_S)
             return
         if relayed.full:
             self._replace_all(changes)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -32,6 +32,7 @@
     peer_task,
     registration,
     relay,
+    relay_role,
     request_handler,
     retry_budgets,
     servers,
@@ -105,7 +106,7 @@
             registry=self._registry,
             local_outage=self._view.store_answered_peers,
         )
-        self._relay_role = relay.RelayRole(view=self._view, rng=self._rng)
+        self._relay_role = relay_role.RelayRole(view=self._view, rng=self._rng)
         self._memory = memory_budget.MemoryBudget.for_process(config.memory_bytes)
         self._relay_client = relay.RelayClient(port=config.relay.port, budget=self._memory)
         self._caches = {
--- a/packages/gateway/src/sassafrasway_gateway/relay.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay.py
@@ -1,26 +1,13 @@
-"""Selects the instances of a region that read the platform's store and relay rows to the others.
-
-Calls to the store are limited and billed for the whole fleet. All instances of a region are
-ranked by a hash of their names. The first ones of the ranking, the readers, read the store. They
-announce the table versions that they have, and the other instances fetch new rows from them over
-HTTP. When the announcements stop, the next instances of the ranking start to read one after the
-other, without coordination.
-"""
+"""Transfers rows of followed tables between instances, over HTTP."""
 
 import asyncio
-import collections
-import dataclasses
-import hashlib
-import random
 import urllib.parse
 import zlib
 
 import msgspec
 
-from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors
 from sassafrasway_gateway import (
-    fleet,
     http_client,
     memory_budget,
     messages,
@@ -30,24 +17,6 @@
 )
 from sassafrasway_platform import feed, table
 
-READERS_PER_REGION = 2
-# Interval of the announcements of table versions, which are sent as beacons.
-BEACON_INTERVAL_S = 0.25
-# Older announcements from this region are ignored.
-BEACON_LIFETIME_S = 0.8
-# Delay between the takeovers of two instances that follow each other in the ranking.
-TAKEOVER_INTERVAL_S = 0.25
-# Longest time that the store holds a poll open, and the margin after which its connection is
-# considered stalled.
-POLL_WAIT_S = 4.0
-POLL_MARGIN_S = 1.5
-# The same for a fleet with a single region. No other region can report newer versions there, so if
-# the connections of all readers stall, only the timeout of their polls reveals it.
-SINGLE_REGION_POLL_WAIT_S = 0.6
-SINGLE_REGION_POLL_MARGIN_S = 0.8
-# Instances further down in the ranking never take over: when this many cannot read the store, the
-# store itself is unavailable.
-MAX_TAKEOVERS = 6
 # An aborted transfer wastes the bandwidth of a slow link, so each timeout doubles the next one.
 INITIAL_FETCH_TIMEOUT_S = 0.8
 MAX_FETCH_TIMEOUT_S = 2.0
@@ -55,13 +24,6 @@
 MAX_TABLE_BYTES = 8 * 1024 * 1024
 # Number of encoded responses kept for other instances that ask for the same changes.
 MAX_ENCODED_RESPONSES = 8
-# Number of instances in each other region to which a new version is announced directly.
-RECIPIENTS_PER_REMOTE_REGION = 3
-# Time for which the readers of this region may lag behind a version that any other instance
-# reports (a hint) before rows are fetched from that instance. Hints older than the lifetime are
-# ignored.
-HINT_DELAY_S = 0.4
-HINT_LIFETIME_S = 3.0
 
 
 class RelayedRow(msgspec.Struct, array_like=True, frozen=True):
@@ -197,215 +159,3 @@
     """Converts relayed rows to changes of the table."""
     rows = [feed.Change(key=row.key, value=row.value, version=row.version) for row in relayed.rows]
     return feed.Changes(rows=rows, version=relayed.version)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PollTimes:
-    """Timing of a long poll of the store; see ``POLL_WAIT_S`` and ``POLL_MARGIN_S``."""
-
-    wait_s: float
-    margin_s: float
-
-
-_POLL_TIMES = PollTimes(wait_s=POLL_WAIT_S, margin_s=POLL_MARGIN_S)
-_SINGLE_REGION_POLL_TIMES = PollTimes(
-    wait_s=SINGLE_REGION_POLL_WAIT_S, margin_s=SINGLE_REGION_POLL_MARGIN_S
-)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Announcement:
-    """Latest table versions announced by an instance.
-
-    Attributes:
-        received_s: Monotonic time of the latest announcement.
-        first_announced_s: Monotonic time of the first announcement of each table's current version.
-            A hint is used only after a delay, as the readers of this region may soon announce the
-            same version.
-    """
-
-    host: str
-    versions: dict[str, int]
-    received_s: float
-    first_announced_s: dict[str, float]
-
-
-class RelayRole:
-    """Decides whether this instance reads the store or fetches rows from another instance."""
-
-    def __init__(self, *, view: fleet.FleetView, rng: random.Random):
-        self._view = view
-        self._rng = rng
-        self._beacons: dict[str, _Announcement] = {}
-        self._hints: dict[str, _Announcement] = {}
-        self._started_s = clock_lib.elapsed_s()
-        self._last_announced_s: dict[str, float] = {}
-        # Monotonic time at which the last reader of a table announced that it had lost the table.
-        self._readers_lost_s: dict[str, float] = {}
-        self._announcement_received = asyncio.Event()
-
-    @property
-    def announcement_received(self) -> asyncio.Event:
-        """Event that is set when an announcement from this region arrives."""
-        return self._announcement_received
-
-    def has_recent_announcement(self, table_name: str) -> bool:
-        """Whether an instance of the region has recently announced a version of the table.
-
-        An announcement is recent for ``BEACON_LIFETIME_S``, even if the readers have lost the table
-        since. The next instance can then take over before the loss counts as an outage. Until the
-        first announcement, the time counts from the start of this instance.
-        """
-        return clock_lib.elapsed_s() < self._announcement_expiry_s(table_name)
-
-    def poll_times(self) -> PollTimes:
-        """Returns the timing of the next poll."""
-        region = self._view.own.region
-        if any(member.region != region for member in self._view.live_members()):
-            return _POLL_TIMES
-        return _SINGLE_REGION_POLL_TIMES
-
-    def on_beacon(self, name: str, host: str, region: str, versions: dict[str, int]) -> None:
-        """Records an announcement by another instance.
-
-        An announcement from another region counts as a hint only. If a table that the instance
-        announced before is missing from ``versions``, the instance can no longer read it.
-        ``host`` is the address on which the instance serves its tables.
-        """
-        if region != self._view.own.region:
-            self.on_hint(name, host, versions)
-            return
-        old = self._beacons.get(name)
-        self._record_versions(self._beacons, name, host, versions)
-        now_s = clock_lib.elapsed_s()
-        for table_name in versions:
-            self._last_announced_s[table_name] = now_s
-            self._readers_lost_s.pop(table_name, None)
-        for table_name in () if old is None else old.versions.keys() - versions.keys():
-            if not self._is_announced(table_name, now_s):
-                self._readers_lost_s[table_name] = now_s
-        self._announcement_received.set()
-
-    def on_hint(self, name: str, host: str, versions: dict[str, int]) -> None:
-        """Records table versions reported by any instance.
-
-        They are used only if the readers of this region do not announce them within
-        ``HINT_DELAY_S``; the connections of those readers to the store may have stalled.
-        """
-        self._record_versions(self._hints, name, host, versions)
-
-    def choose_source(self, table_name: str, version: int) -> str | None:
-        """Returns the host of an instance with the newest version of a table, or None.
-
-        Only versions newer than ``version``, which this instance has, are considered. Hints are
-        considered only if no announcement of this region has a newer version. The choice among
-        instances with the same version is random, which spreads the load of a region over them.
-        """
-        now_s = clock_lib.elapsed_s()
-        for announcements, max_age_s, min_age_s in (
-            (self._beacons, BEACON_LIFETIME_S, 0.0),
-            (self._hints, HINT_LIFETIME_S, HINT_DELAY_S),
-        ):
-            sources: list[str] = []
-            newest_version = version
-            for announcement in announcements.values():
-                announced_version = announcement.versions.get(table_name, -1)
-                fresh = now_s - announcement.received_s < max_age_s
-                since_s = announcement.first_announced_s.get(table_name, now_s)
-                if not fresh or announced_version <= version or now_s - since_s < min_age_s:
-                    continue
-                if announced_version > newest_version:
-                    sources.clear()
-                    newest_version = announced_version
-                if announced_version == newest_version:
-                    sources.append(announcement.host)
-            if sources:
-                return self._rng.choice(sources)
-        return None
-
-    def is_ahead_of_readers(self, versions: dict[str, int]) -> bool:
-        """Whether any version is newer than what the region's readers have announced.
-
-        False when no reader has announced anything recently.
-        """
-        now_s = clock_lib.elapsed_s()
-        announced: dict[str, int] = {}
-        for announcement in self._beacons.values():
-            if now_s - announcement.received_s < BEACON_LIFETIME_S:
-                for table_name, version in announcement.versions.items():
-                    announced[table_name] = max(version, announced.get(table_name, -1))
-        return bool(announced) and any(
-            version > announced.get(table_name, -1) for table_name, version in versions.items()
-        )
-
-    def is_reader(self, table_name: str) -> bool:
-        """Whether this instance should read the table from the store itself.
-
-        The first ``READERS_PER_REGION`` instances of the ranking always do. The next ones take over
-        one after the other once the table is no longer announced in the region.
-        """
-        rank = self._rank()
-        if rank < READERS_PER_REGION:
-            return True
-        if rank >= READERS_PER_REGION + MAX_TAKEOVERS:
-            return False
-        takeover_delay_s = TAKEOVER_INTERVAL_S * (rank - READERS_PER_REGION)
-        expiry_s = self._announcement_expiry_s(table_name)
-        return (
-            clock_lib.elapsed_s()
-            > self._readers_lost_s.get(table_name, expiry_s) + takeover_delay_s
-        )
-
-    def recipients(self, *, changed: bool) -> list[fleet.Member]:
-        """Returns the instances to which an announcement is sent: all live ones of this region.
-
-        If it contains a new version (``changed``), ``RECIPIENTS_PER_REMOTE_REGION`` instances of
-        each other region are added.
-        """
-        region = self._view.own.region
-        live = self._view.live_members()
-        recipients = [member for member in live if member.region == region]
-        if changed:
-            counts: collections.Counter[str] = collections.Counter()
-            for member in sorted(live, key=lambda candidate: self._score(candidate.name)):
-                if member.region != region and counts[member.region] < RECIPIENTS_PER_REMOTE_REGION:
-                    counts[member.region] += 1
-                    recipients.append(member)
-        return recipients
-
-    def _announcement_expiry_s(self, table_name: str) -> float:
-        return self._last_announced_s.get(table_name, self._started_s) + BEACON_LIFETIME_S
-
-    def _is_announced(self, table_name: str, now_s: float) -> bool:
-        return any(
-            table_name in announcement.versions
-            and now_s - announcement.received_s < BEACON_LIFETIME_S
-            for announcement in self._beacons.values()
-        )
-
-    def _rank(self) -> int:
-        """Returns the position of this instance in the ranking of its region, from 0."""
-        own = self._view.own
-        own_score = self._score(own.name)
-        same_region = self.recipients(changed=False)
-        return sum(1 for member in same_region if self._score(member.name) < own_score)
-
-    @staticmethod
-    def _record_versions(
-        announcements: dict[str, _Announcement], name: str, host: str, versions: dict[str, int]
-    ) -> None:
-        now_s = clock_lib.elapsed_s()
-        old = announcements.get(name)
-        first_announced_s = {}
-        for table_name, version in versions.items():
-            unchanged = old is not None and old.versions.get(table_name) == version
-            first_announced_s[table_name] = (
-                old.first_announced_s[table_name] if unchanged else now_s
-            )
-        announcements[name] = _Announcement(
-            host=host, versions=versions, received_s=now_s, first_announced_s=first_announced_s
-        )
-
-    @staticmethod
-    def _score(name: str) -> bytes:
-        return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/packages/gateway/tests/test_announcer.py
+++ b/packages/gateway/tests/test_announcer.py
@@ -8,7 +8,7 @@
 import test_fleet
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_gateway import announcer, fleet, relay
+from sassafrasway_gateway import announcer, fleet, relay_role
 
 
 def make_follower(version):
@@ -26,7 +26,7 @@
             rng=random.Random(1),
         )
         view.on_message(test_fleet.make_member("i1"))
-        self.role = relay.RelayRole(view=view, rng=random.Random(1))
+        self.role = relay_role.RelayRole(view=view, rng=random.Random(1))
         self.followers = {"op": make_follower(5), "servers": make_follower(7)}
         self.sent = []
         patched = mock.patch.object(announcer.clock_lib, "elapsed_s", return_value=100.0)
@@ -42,7 +42,7 @@
     def test_reader_announces_at_regular_intervals(self):
         self.announcer.update()
         self.assertEqual(self.sent, [{"op": 5, "servers": 7}])
-        self.now.return_value += relay.BEACON_INTERVAL_S
+        self.now.return_value += relay_role.BEACON_INTERVAL_S
         self.announcer.update()
         self.assertEqual(len(self.sent), 2)
 
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest import mock
 
-from sassafrasway_gateway import follower, relay, table_cache
+from sassafrasway_gateway import follower, relay, relay_role, table_cache
 from sassafrasway_platform import feed, table
 
 
@@ -64,7 +64,7 @@
         return False
 
     def poll_times(self):
-        return relay.PollTimes(wait_s=1.0, margin_s=0.5)
+        return relay_role.PollTimes(wait_s=1.0, margin_s=0.5)
 
     def is_reader(self, table_name):
         return self.reads_store
--- a/packages/gateway/tests/test_relay.py
+++ b/packages/gateway/tests/test_relay.py
@@ -1,159 +1,18 @@
-"""Tests of the selection of the instances that read the store, and of the relayed rows.
+"""Tests of the relayed rows.
 
 Comments cite runs of the users' benchmark by site, simulated day and seed, with the rules that they
-broke: CONFIG (a new policy is in force in time), DRAIN (no request to a server that has left),
-DENIED (a valid request gets no client error) and HOME (a request stays in its home regions).
+broke: CONFIG (a new policy is in force in time), DENIED (a valid request gets no client error) and
+HOME (a request stays in its home regions).
 """
 
 import asyncio
-import random
 import unittest
 from unittest import mock
 
 import gateway_fakes
-import test_fleet
-
-from sassafrasway_core import clock as clock_lib
-from sassafrasway_gateway import (
-    fleet,
-    follower,
-    http_client,
-    http_server,
-    messages,
-    relay,
-    table_cache,
-)
-from sassafrasway_platform import feed, table
-
 
-def make_roles(count):
-    """Returns the roles of the instances of a region that all see each other as live."""
-    names = [f"i{index}" for index in range(count)]
-    roles = []
-    for name in names:
-        view = fleet.FleetView(
-            clock=clock_lib.ManualClock(),
-            own=test_fleet.make_member(name),
-            rng=random.Random(1),
-        )
-        for other in names:
-            view.on_message(test_fleet.make_member(other))
-        roles.append(relay.RelayRole(view=view, rng=random.Random(1)))
-    return roles
-
-
-class RelayRoleTest(unittest.TestCase):
-    """Guards against a region in which every instance reads the store, or none does."""
-
-    def test_only_a_few_instances_of_a_region_read_the_store(self):
-        for count in (1, 2, 16, 124):
-            with self.subTest(count=count):
-                reading = sum(role.is_reader("op") for role in make_roles(count))
-                self.assertEqual(reading, min(count, relay.READERS_PER_REGION))
-
-    def test_next_instances_take_over_one_by_one_when_announcements_stop(self):
-        roles = make_roles(40)
-        with mock.patch.object(relay.clock_lib, "elapsed_s") as now:
-            now.return_value = 100.0
-            for role in roles:
-                role.on_beacon("i0", "i0", "north", {"op": 1})
-            counts = []
-            for silent_s in (0.5, 0.9, 1.2, 30.0):
-                now.return_value = 100.0 + silent_s
-                counts.append(sum(role.is_reader("op") for role in roles))
-        self.assertEqual(counts[0], relay.READERS_PER_REGION)
-        self.assertEqual(counts[1], relay.READERS_PER_REGION + 1)
-        self.assertEqual(counts[2], relay.READERS_PER_REGION + 2)
-        self.assertEqual(counts[3], relay.READERS_PER_REGION + relay.MAX_TAKEOVERS)
-
-    def test_another_instance_takes_over_a_table_that_its_readers_lost(self):
-        # Benchmark run of a site with one region, trouble-1 --seed 427345455261, broke CONFIG: both
-        # readers were cut off from the store. Their polls of one table had timed out, but they kept
-        # announcing both tables until the polls of the other table timed out too, so no instance
-        # took over.
-        roles = make_roles(6)
-        with mock.patch.object(relay.clock_lib, "elapsed_s") as now:
-            now.return_value = 100.0
-            for role in roles:
-                for name in ("i0", "i1"):
-                    role.on_beacon(name, name, "north", {"op": 1, "servers": 1})
-            now.return_value = 100.1
-            for role in roles:
-                role.on_beacon("i0", "i0", "north", {"servers": 1})
-            self.assertTrue(all(role.has_recent_announcement("op") for role in roles))
-            for role in roles:
-                role.on_beacon("i1", "i1", "north", {"servers": 1})
-            self.assertTrue(all(role.has_recent_announcement("servers") for role in roles))
-            now.return_value = 100.2
-            # Benchmark run trakia-arhiv hunt-edd6-15 broke DRAIN: the outage was counted from the
-            # moment of the loss, so a change of readers lasted long enough for removed servers to
-            # be kept.
-            self.assertTrue(all(role.has_recent_announcement("op") for role in roles))
-            reading = {
-                name: sum(role.is_reader(name) for role in roles) for name in ("op", "servers")
-            }
-            now.return_value = 100.0 + relay.BEACON_LIFETIME_S
-            self.assertFalse(any(role.has_recent_announcement("op") for role in roles))
-        expected = {"op": relay.READERS_PER_REGION + 1, "servers": relay.READERS_PER_REGION}
-        self.assertEqual(reading, expected)
-
-    def test_polls_are_short_in_a_fleet_with_a_single_region(self):
-        # Benchmark run of a site with one region, trouble-1 --seed 427345455261, broke CONFIG: the
-        # readers noticed after 1.7 s that they were cut off from the store, and could have taken up
-        # to 5.5 s, but a policy must be in force 2.5 s after its acknowledgement.
-        role = make_roles(3)[0]
-        single_region_times = role.poll_times()
-        longest_s = (
-            single_region_times.wait_s
-            + single_region_times.margin_s
-            + relay.TAKEOVER_INTERVAL_S
-            + follower.BATCH_INTERVAL_S
-        )
-        self.assertLess(longest_s, 2.5)
-        role._view.on_message(test_fleet.make_member("far", region="south"))
-        self.assertGreater(role.poll_times().wait_s, single_region_times.wait_s)
-
-    def test_source_is_the_instance_with_the_newest_version(self):
-        role = make_roles(3)[0]
-        role.on_beacon("i1", "host1", "north", {"op": 5})
-        role.on_beacon("i2", "host2", "north", {"op": 7})
-        self.assertEqual(role.choose_source("op", 4), "host2")
-        self.assertIsNone(role.choose_source("op", 7))
-
-    def test_sources_with_the_same_version_share_the_fetches(self):
-        # Benchmark run trakia-arhiv-grown scale-1 --seed 130896731222: all instances of a region
-        # fetched from the same small instance.
-        role = make_roles(3)[0]
-        role.on_beacon("i1", "host1", "north", {"op": 7})
-        role.on_beacon("i2", "host2", "north", {"op": 7})
-        self.assertEqual({role.choose_source("op", 4) for _ in range(50)}, {"host1", "host2"})
-
-    def test_hint_of_another_region_is_used_when_the_readers_of_this_region_lag(self):
-        # Incident inc-37d1 broke CONFIG: the connections of both readers of a region to the store
-        # had stalled. They kept announcing an old version, and the region served an outdated
-        # policy.
-        role = make_roles(3)[0]
-        with mock.patch.object(relay.clock_lib, "elapsed_s") as now:
-            now.return_value = 100.0
-            role.on_beacon("i1", "host1", "north", {"op": 5})
-            role.on_beacon("far", "host2", "south", {"op": 7})
-            self.assertIsNone(role.choose_source("op", 5))
-            now.return_value = 100.0 + relay.HINT_DELAY_S
-            role.on_beacon("i1", "host1", "north", {"op": 5})
-            self.assertEqual(role.choose_source("op", 5), "host2")
-
-    def test_instance_with_a_newer_version_than_announced_is_ahead_of_the_readers(self):
-        role = make_roles(3)[0]
-        role.on_beacon("i1", "host1", "north", {"op": 5})
-        self.assertTrue(role.is_ahead_of_readers({"op": 7}))
-        self.assertFalse(role.is_ahead_of_readers({"op": 5}))
-
-    def test_new_versions_are_announced_to_a_few_instances_of_each_other_region(self):
-        role = make_roles(3)[0]
-        for index in range(10):
-            role._view.on_message(test_fleet.make_member(f"s{index}", region="south"))
-        self.assertEqual(len(role.recipients(changed=True)), 2 + relay.RECIPIENTS_PER_REMOTE_REGION)
-        self.assertEqual(len(role.recipients(changed=False)), 2)
+from sassafrasway_gateway import http_client, http_server, messages, relay, table_cache
+from sassafrasway_platform import feed, table
 
 
 class RelayTransferTest(unittest.IsolatedAsyncioTestCase):
