Let any instance take over the reading of the store within half a second

Cause: only the first eight of the ranking of a region ever read the store, and the ranking counts members that are dead but not found dead. An instance of a lower rank follows nothing until enough of the dead ones are detected. By reading, a second path leads to the same: an instance that had announced a version and was then lost was asked for it again and again, with timeouts of 0.8, 1.6 and 2 s, for as long as its hint counted (3 s).

Change: without announcements for 0.8 s, every instance takes over within 0.5 s, by a delay that grows with the logarithm of its rank. It holds back only if eight live instances of a better rank tell that the store does not answer them; of those that hold back a few explore. A reader that took over yields to a better ranked one only, so two of them don't end each other. The beacon says whether its sender reads and which tables stay unanswered. A version that cannot be fetched is forgotten until it is announced again. A follower waits no longer than until its takeover, and a response to an earlier term as a reader no longer counts as one of the store now.

Why it works: the time until a survivor reads depends on the expiry of the last announcement and on a fixed window, not on ranks or on detection.

--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -12,9 +12,13 @@
 class VersionAnnouncer:
     """Decides when table versions are announced, and to which instances.
 
-    An instance that reads the store announces the tables that it reads at regular intervals. It
-    also does so as soon as it has a new version, or can no longer read a table and others must take
-    over. Any other instance announces a new version once if the region's readers lack it.
+    An instance that reads the store announces the tables that it reads at regular intervals, and
+    those that it tries to read without an answer. It also does so as soon as it has a new version,
+    begins to try, or can no longer read a table and others must take over. Any other instance
+    announces a new version once if the region's readers lack it.
+
+    ``send`` gets the recipients, the versions, whether this instance reads them from the store, and
+    the tables for which the store does not answer.
     """
 
     def __init__(
@@ -22,7 +26,7 @@
         *,
         followers: Mapping[str, follower.TableFollower],
         role: relay_role.RelayRole,
-        send: Callable[[list[fleet.Member], dict[str, int]], None],
+        send: Callable[[list[fleet.Member], dict[str, int], bool, tuple[str, ...]], None],
     ):
         self._followers = followers
         self._role = role
@@ -30,6 +34,7 @@
         self._last_versions = self.versions()
         # Versions of the tables that this instance read from the store at the last update.
         self._last_read_versions: dict[str, int] = {}
+        self._last_unanswered: tuple[str, ...] = ()
         self._last_sent_s = 0.0
 
     def versions(self) -> dict[str, int]:
@@ -59,10 +64,15 @@
             for name in self._last_read_versions
         )
         self._last_read_versions = read_versions
+        unanswered = tuple(
+            name for name, table_follower in self._followers.items() if table_follower.unanswered
+        )
+        begins = bool(set(unanswered) - set(self._last_unanswered))
+        self._last_unanswered = unanswered
         now_s = clock_lib.elapsed_s()
         due = now_s - self._last_sent_s >= relay_role.BEACON_INTERVAL_S
-        if lost or (read_versions and (changed or due)):
-            self._send(self._role.recipients(changed=changed), read_versions)
+        if lost or begins or (read_versions and (changed or due)) or (unanswered and due):
+            self._send(self._role.recipients(changed=changed), read_versions, True, unanswered)
             self._last_sent_s = now_s
         elif not read_versions and changed and self._role.is_ahead_of_readers(versions):
-            self._send(self._role.recipients(changed=False), versions)
+            self._send(self._role.recipients(changed=False), versions, False, unanswered)
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -67,6 +67,8 @@
         self._polling_since_s = 0.0
         self._lagging_since_s = 0.0
         self._is_reader = False
+        # Whether the store has not responded yet since this instance became a reader.
+        self._awaits_first_response = False
         self._needs_full_read = True
         self._store_responds = False
         self._log = structlog.get_logger("store")
@@ -86,6 +88,12 @@
         """Whether this instance reads the table from the store and the store responds."""
         return self._is_reader and self._store_responds and self.version >= 0
 
+    @property
+    def unanswered(self) -> bool:
+        """Whether this instance tries to read the table and the store does not respond."""
+        tries = self._is_reader and not self._store_responds and self.version >= 0
+        return tries and (self.in_outage or self._awaits_first_response)
+
     @property
     def contact_s(self) -> float:
         """How long this instance has received changes without an outage; 0 during an outage."""
@@ -149,7 +157,7 @@
         source = self._role.choose_source(self._table, self.version)
         if source is not None:
             await self._fetch(source)
-        elif self._role.is_reader(self._table):
+        elif self._role.is_reader(self._table, reading=self.reading):
             self._set_reader(True)
             await self._read_or_poll()
         else:
@@ -162,14 +170,22 @@
         elif self._contact_since_s is not None:
             self._on_outage("no announcements from the readers of this region")
         self._role.announcement_received.clear()
+        wait_s = relay_role.BEACON_INTERVAL_S
+        takeover_wait_s = self._role.takeover_wait_s(self._table)
+        if takeover_wait_s > 0:
+            wait_s = min(wait_s, takeover_wait_s)
         try:
-            async with asyncio.timeout(relay_role.BEACON_INTERVAL_S):
+            async with asyncio.timeout(wait_s):
                 await self._role.announcement_received.wait()
         except TimeoutError:
             pass
 
     async def _fetch(self, source: str) -> None:
-        relayed = await self._relay_client.fetch(source, self._table, after=self.version)
+        try:
+            relayed = await self._relay_client.fetch(source, self._table, after=self.version)
+        except table.StoreUnavailable:
+            self._role.on_fetch_failed(source, self._table)
+            raise
         changes = relay.to_changes(relayed)
         if changes.version <= self.version:
             # The source announced a version that it cannot serve; asking again at once would keep
@@ -190,7 +206,7 @@
 
     async def _read_store(self) -> None:
         changes = await self._store.read(self._table)
-        self._store_responds = True
+        self._on_response()
         self._on_contact()
         self._replace_all(changes)
         # Gives the other instances time to answer the first message of this one. Until then, they
@@ -219,12 +235,16 @@
         finally:
             self._poll.cancel()
             self._poll = None
-        self._store_responds = True
+        self._on_response()
         self._on_contact()
         self._apply_changes(changes)
         if changes.rows:
             await asyncio.sleep(BATCH_INTERVAL_S)
 
+    def _on_response(self) -> None:
+        self._store_responds = True
+        self._awaits_first_response = False
+
     def _replace_all(self, changes: feed.Changes) -> None:
         self._needs_full_read = False
         self._cache.replace(changes)
@@ -244,6 +264,9 @@
     def _set_reader(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
             self._is_reader = is_reader
+            # A response to an earlier term as a reader says nothing about the store now.
+            self._store_responds = False
+            self._awaits_first_response = is_reader
             self._log.info("store reader role changed", table=self._table, reads=is_reader)
 
     def _on_outage(self, error: object) -> None:
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -66,12 +66,19 @@
 
 
 class Beacon(msgspec.Struct, array_like=True, tag="b", frozen=True):
-    """Announces table versions that the sender can serve to other instances."""
+    """Announces table versions that the sender can serve to other instances.
+
+    Attributes:
+        reads: Whether the sender reads these tables from the store.
+        unanswered: Tables that the sender tries to read; the store has not answered it yet.
+    """
 
     name: _Name
     peer_host: _Name
     region: _Name
     versions: _Versions
+    reads: bool = True
+    unanswered: Annotated[tuple[_Name, ...], msgspec.Meta(max_length=MAX_TABLES)] = ()
 
 
 Message = Beacon | Hello | Suspect | Crashed
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -26,7 +26,8 @@
         on_versions: Called with the name, host and table versions of another instance for each
             message that contains them.
         on_crash: Called with the request fingerprint and the server of a reported crash.
-        on_beacon: Called with the name, host, region and table versions in an announcement.
+        on_beacon: Called with the name, host, region and table versions in an announcement, and its
+            fields ``reads`` and ``unanswered``.
     """
 
     def __init__(
@@ -38,7 +39,7 @@
         contact_s: Callable[[], float],
         on_versions: Callable[[str, str, dict[str, int]], None],
         on_crash: Callable[[str, str], None],
-        on_beacon: Callable[[str, str, str, dict[str, int]], None],
+        on_beacon: Callable[..., None],
     ):
         self._view = view
         self._port = port
@@ -87,10 +88,18 @@
         for member in self._view.members():
             self._send_hello(member, reply=True)
 
-    def send_beacon(self, recipients: list[fleet.Member], versions: dict[str, int]) -> None:
-        """Announces table versions of this instance to the given members."""
+    def send_beacon(
+        self,
+        recipients: list[fleet.Member],
+        versions: dict[str, int],
+        reads: bool,
+        unanswered: tuple[str, ...],
+    ) -> None:
+        """Announces table versions to the given members; see `peer_messages.Beacon`."""
         own = self._view.own
-        beacon = peer_messages.Beacon(own.name, own.peer_host, own.region, versions)
+        beacon = peer_messages.Beacon(
+            own.name, own.peer_host, own.region, versions, reads, unanswered
+        )
         for member in recipients:
             self._send(beacon, member)
 
@@ -118,7 +127,14 @@
             if member is not None:
                 self._send_hello(member, reply=True)
         elif isinstance(message, peer_messages.Beacon):
-            self._on_beacon(message.name, message.peer_host, message.region, message.versions)
+            self._on_beacon(
+                message.name,
+                message.peer_host,
+                message.region,
+                message.versions,
+                reads=message.reads,
+                unanswered=message.unanswered,
+            )
             self._on_versions(message.name, message.peer_host, message.versions)
         elif isinstance(message, peer_messages.Crashed):
             self._on_crash(message.fingerprint, message.server)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -138,7 +138,7 @@
         self._announcer = announcer.VersionAnnouncer(
             followers=self._followers,
             role=self._relay_role,
-            send=lambda recipients, versions: self._peers.send_beacon(recipients, versions),
+            send=lambda *announcement: self._peers.send_beacon(*announcement),
         )
         self._peers = peer_task.PeerTask(
             view=self._view,
--- a/packages/gateway/src/sassafrasway_gateway/relay_role.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay_role.py
@@ -3,15 +3,19 @@
 Calls to the store are limited and billed for the whole fleet. All instances of a region are
 ranked by a hash of their names. The first ones of the ranking, the readers, read the store. They
 announce the table versions that they have, and the other instances fetch new rows from them over
-HTTP. When the announcements stop, the next instances of the ranking start to read one after the
-other, without coordination.
+HTTP. When the announcements stop, every other instance takes over within `TAKEOVER_WINDOW_S`,
+whatever its rank and however many instances were lost, unless it hears of another one that reads
+or of enough live ones that the store does not answer.
 """
 
 import asyncio
 import collections
 import dataclasses
+import functools
 import hashlib
+import math
 import random
+from collections.abc import Collection
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import fleet
@@ -21,8 +25,9 @@
 BEACON_INTERVAL_S = 0.25
 # Older announcements from this region are ignored.
 BEACON_LIFETIME_S = 0.8
-# Delay between the takeovers of two instances that follow each other in the ranking.
-TAKEOVER_INTERVAL_S = 0.25
+# Time within which all instances that hear of no reader take over, from the expiry of the last
+# announcement.
+TAKEOVER_WINDOW_S = 0.5
 # Longest time that the store holds a poll open, and the margin after which its connection is
 # considered stalled.
 POLL_WAIT_S = 4.0
@@ -31,9 +36,13 @@
 # the connections of all readers stall, only the timeout of their polls reveals it.
 SINGLE_REGION_POLL_WAIT_S = 0.6
 SINGLE_REGION_POLL_MARGIN_S = 0.8
-# Instances further down in the ranking never take over: when this many cannot read the store, the
-# store itself is unavailable.
-MAX_TAKEOVERS = 6
+# When the store answers none of this many live instances, it is probably unavailable, and the
+# others stop trying.
+MAX_UNANSWERED = READERS_PER_REGION + 6
+# The store may also reject single instances. Of the instances that stopped trying, this many of a
+# region, on average, try once in each interval.
+EXPLORERS = 4
+EXPLORATION_INTERVAL_S = 0.8
 # Number of instances in each other region to which a new version is announced directly.
 RECIPIENTS_PER_REMOTE_REGION = 3
 # Time for which the readers of this region may lag behind a version that any other instance
@@ -62,6 +71,8 @@
     """Latest table versions announced by an instance.
 
     Attributes:
+        reads: Whether the instance reads the tables from the store.
+        unanswered: Tables that the instance tries to read without an answer of the store.
         received_s: Monotonic time of the latest announcement.
         first_announced_s: Monotonic time of the first announcement of each table's current version.
             A hint is used only after a delay, as the readers of this region may soon announce the
@@ -70,9 +81,15 @@
 
     host: str
     versions: dict[str, int]
+    reads: bool
+    unanswered: Collection[str]
     received_s: float
     first_announced_s: dict[str, float]
 
+    def is_fresh(self, now_s: float) -> bool:
+        """Whether it was received within ``BEACON_LIFETIME_S``."""
+        return now_s - self.received_s < BEACON_LIFETIME_S
+
 
 class RelayRole:
     """Decides whether this instance reads the store or fetches rows from another instance."""
@@ -86,6 +103,8 @@
         self._last_announced_s: dict[str, float] = {}
         # Monotonic time at which the last reader of a table announced that it had lost the table.
         self._readers_lost_s: dict[str, float] = {}
+        # Monotonic time before which this instance does not explore a table again.
+        self._next_exploration_s: dict[str, float] = {}
         self._announcement_received = asyncio.Event()
 
     @property
@@ -109,25 +128,39 @@
             return _POLL_TIMES
         return _SINGLE_REGION_POLL_TIMES
 
-    def on_beacon(self, name: str, host: str, region: str, versions: dict[str, int]) -> None:
+    def on_beacon(
+        self,
+        name: str,
+        host: str,
+        region: str,
+        versions: dict[str, int],
+        *,
+        reads: bool = True,
+        unanswered: Collection[str] = (),
+    ) -> None:
         """Records an announcement by another instance.
 
         An announcement from another region counts as a hint only. If a table that the instance
-        announced before is missing from ``versions``, the instance can no longer read it.
-        ``host`` is the address on which the instance serves its tables.
+        read before is missing from ``versions``, the instance can no longer read it. ``host`` is
+        the address on which the instance serves its tables; see ``peer_messages.Beacon`` for
+        ``reads`` and ``unanswered``.
         """
         if region != self._view.own.region:
             self.on_hint(name, host, versions)
             return
         old = self._beacons.get(name)
-        self._record_versions(self._beacons, name, host, versions)
+        self._record_versions(
+            self._beacons, name, host, versions, reads=reads, unanswered=unanswered
+        )
         now_s = clock_lib.elapsed_s()
-        for table_name in versions:
-            self._last_announced_s[table_name] = now_s
-            self._readers_lost_s.pop(table_name, None)
-        for table_name in () if old is None else old.versions.keys() - versions.keys():
-            if not self._is_announced(table_name, now_s):
-                self._readers_lost_s[table_name] = now_s
+        if reads:
+            for table_name in versions:
+                self._last_announced_s[table_name] = now_s
+                self._readers_lost_s.pop(table_name, None)
+        if old is not None and old.reads:
+            for table_name in old.versions.keys() - versions.keys():
+                if not self._is_announced(table_name, now_s):
+                    self._readers_lost_s[table_name] = now_s
         self._announcement_received.set()
 
     def on_hint(self, name: str, host: str, versions: dict[str, int]) -> None:
@@ -138,6 +171,16 @@
         """
         self._record_versions(self._hints, name, host, versions)
 
+    def on_fetch_failed(self, host: str, table_name: str) -> None:
+        """Forgets a version that an instance announced, as it could not be fetched.
+
+        An instance that is still live announces it again. One that was lost would be asked again
+        and again, for as long as its announcements count.
+        """
+        for announcement in (*self._beacons.values(), *self._hints.values()):
+            if announcement.host == host:
+                announcement.versions.pop(table_name, None)
+
     def choose_source(self, table_name: str, version: int) -> str | None:
         """Returns the host of an instance with the newest version of a table, or None.
 
@@ -175,30 +218,56 @@
         now_s = clock_lib.elapsed_s()
         announced: dict[str, int] = {}
         for announcement in self._beacons.values():
-            if now_s - announcement.received_s < BEACON_LIFETIME_S:
+            if announcement.is_fresh(now_s):
                 for table_name, version in announcement.versions.items():
                     announced[table_name] = max(version, announced.get(table_name, -1))
         return bool(announced) and any(
             version > announced.get(table_name, -1) for table_name, version in versions.items()
         )
 
-    def is_reader(self, table_name: str) -> bool:
+    def is_reader(self, table_name: str, *, reading: bool = False) -> bool:
         """Whether this instance should read the table from the store itself.
 
-        The first ``READERS_PER_REGION`` instances of the ranking always do. The next ones take over
-        one after the other once the table is no longer announced in the region.
+        The first ``READERS_PER_REGION`` instances of the ranking always do. The others take over
+        once the table is no longer announced in the region. One that has taken over (``reading``)
+        goes on until an instance with a better rank announces the table.
         """
-        rank = self._rank()
-        if rank < READERS_PER_REGION:
+        if self._rank() < READERS_PER_REGION:
             return True
-        if rank >= READERS_PER_REGION + MAX_TAKEOVERS:
+        now_s = clock_lib.elapsed_s()
+        if reading:
+            return not self._is_announced(table_name, now_s, better_ranked=True)
+        if self.takeover_wait_s(table_name) > 0:
             return False
-        takeover_delay_s = TAKEOVER_INTERVAL_S * (rank - READERS_PER_REGION)
+        return not self.is_held(table_name) or self._explores(table_name, now_s)
+
+    def takeover_wait_s(self, table_name: str) -> float:
+        """Returns the time until this instance takes over a table unless it is announced, s.
+
+        The delay grows with the logarithm of the rank, up to ``TAKEOVER_WINDOW_S`` for the last
+        rank. However many of the first instances are lost, the rest of them then starts with a few
+        instances at a time, and each has time to hear of those that started before.
+        """
+        position = self._rank() - READERS_PER_REGION + 1
+        last_position = self._region_size() - READERS_PER_REGION
+        delay_s = 0.0
+        if position > 1:
+            delay_s = TAKEOVER_WINDOW_S * min(1.0, math.log(position) / math.log(last_position))
         expiry_s = self._announcement_expiry_s(table_name)
-        return (
-            clock_lib.elapsed_s()
-            > self._readers_lost_s.get(table_name, expiry_s) + takeover_delay_s
+        silent_since_s = self._readers_lost_s.get(table_name, expiry_s)
+        return silent_since_s + delay_s - clock_lib.elapsed_s()
+
+    def is_held(self, table_name: str) -> bool:
+        """Whether enough live instances with a better rank are without an answer of the store."""
+        now_s = clock_lib.elapsed_s()
+        own_score = self._score(self._view.own.name)
+        unanswered = sum(
+            announcement.is_fresh(now_s)
+            and table_name in announcement.unanswered
+            and self._score(name) < own_score
+            for name, announcement in self._beacons.items()
         )
+        return unanswered >= MAX_UNANSWERED
 
     def recipients(self, *, changed: bool) -> list[fleet.Member]:
         """Returns the instances to which an announcement is sent: all live ones of this region.
@@ -220,13 +289,27 @@
     def _announcement_expiry_s(self, table_name: str) -> float:
         return self._last_announced_s.get(table_name, self._started_s) + BEACON_LIFETIME_S
 
-    def _is_announced(self, table_name: str, now_s: float) -> bool:
+    def _is_announced(self, table_name: str, now_s: float, *, better_ranked: bool = False) -> bool:
+        """Whether another instance, or only one with a better rank, reads the table."""
+        own_score = self._score(self._view.own.name)
         return any(
-            table_name in announcement.versions
-            and now_s - announcement.received_s < BEACON_LIFETIME_S
-            for announcement in self._beacons.values()
+            announcement.reads
+            and table_name in announcement.versions
+            and announcement.is_fresh(now_s)
+            and not (better_ranked and self._score(name) > own_score)
+            for name, announcement in self._beacons.items()
         )
 
+    def _explores(self, table_name: str, now_s: float) -> bool:
+        """Whether this instance tries to read the table once although it is held."""
+        if now_s < self._next_exploration_s.get(table_name, 0.0):
+            return False
+        self._next_exploration_s[table_name] = now_s + EXPLORATION_INTERVAL_S
+        return self._rng.random() < EXPLORERS / self._region_size()
+
+    def _region_size(self) -> int:
+        return len(self.recipients(changed=False)) + 1
+
     def _rank(self) -> int:
         """Returns the position of this instance in the ranking of its region, from 0."""
         own = self._view.own
@@ -236,7 +319,13 @@
 
     @staticmethod
     def _record_versions(
-        announcements: dict[str, _Announcement], name: str, host: str, versions: dict[str, int]
+        announcements: dict[str, _Announcement],
+        name: str,
+        host: str,
+        versions: dict[str, int],
+        *,
+        reads: bool = False,
+        unanswered: Collection[str] = (),
     ) -> None:
         now_s = clock_lib.elapsed_s()
         old = announcements.get(name)
@@ -247,9 +336,15 @@
                 old.first_announced_s[table_name] if unchanged else now_s
             )
         announcements[name] = _Announcement(
-            host=host, versions=versions, received_s=now_s, first_announced_s=first_announced_s
+            host=host,
+            versions=dict(versions),
+            reads=reads,
+            unanswered=unanswered,
+            received_s=now_s,
+            first_announced_s=first_announced_s,
         )
 
     @staticmethod
+    @functools.lru_cache(maxsize=4096)
     def _score(name: str) -> bytes:
         return hashlib.blake2b(name.encode(), digest_size=8).digest()
