Find a gap of lost instances from both sides, and agree on it by reports

Cause: an instance pings one neighbour and one random member at each step, so the members of a gap in the ring are found dead one after the other. Each death is broadcast, and each receiver pings the member three times: the pings grow with the square of the fleet.

Unreachable members are reported in batches, twice, to all and to themselves. Two reporters and 1 s of silence make a member dead without a ping; a single report is verified, at most 16 at a time. The second and third ping are sent twice, so lost datagrams make no death. A live instance that hears that it was reported tells all members; before, a paused one was learnt of only by random pings.

Ruled out: growing by the number of silent members wherever they are, which is quadratic when half of the fleet is lost; gossip on pings alone, which at 2,000 members does not carry the names in time.

The two tests of FleetView.suspect are replaced by those of reports, which ask for the same (a reported member that answers stays live, earlier runs are ignored).

--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -1,10 +1,17 @@
-"""Fleet membership with a failure detector based on pings and on reports of other instances."""
+"""Fleet membership with a failure detector based on pings and on reports of other instances.
+
+A member is dead once it has not answered several pings of this instance, or once two others report
+that it has not answered theirs. So each lost member is pinged by a few instances only, however many
+are lost at once.
+"""
 
 import dataclasses
 import enum
 import random
+from collections.abc import Iterable
 
 from sassafrasway_core import clock as clock_lib
+from sassafrasway_gateway import ring_probe
 
 PING_INTERVAL_S = 0.5
 # Number of ping intervals within which a member must answer a ping.
@@ -12,6 +19,14 @@
 # Time in which a member must answer after another instance has reported it as unreachable, or after
 # a pause of this process.
 SUSPECT_TIMEOUT_S = 1.0
+# Number of instances whose reports make a member dead without a ping of this one.
+MIN_REPORTERS = 2
+# Number of members with a single report that this instance pings at the same time.
+MAX_VERIFIED = 16
+# Reports of a member that was heard of more recently are ignored.
+HEARD_S = 1.0
+# A predecessor that pings this instance at each interval is silent after this time.
+PREDECESSOR_TIMEOUT_S = 0.8
 # A message with a lower incarnation is ignored for this long after the last accepted message of the
 # member, because it may be a late datagram from before a restart.
 MAX_DATAGRAM_DELAY_S = 1.0
@@ -59,15 +74,21 @@
             first one.
         listed_s: Monotonic time at which the member was found in the table of members; 0 if it was
             not.
+        probed_s: Monotonic time of the first ping since the last message; None without any.
         deadline_s: Monotonic time at which the member is declared dead unless a message from it
             arrives; None while no answer is expected.
+        reported_s: Monotonic time of the first report since the last message; None without any.
+        reporters: Names of the instances that have reported it since the last message.
     """
 
     member: Member
     alive: bool
     last_message_s: float
     listed_s: float = 0.0
+    probed_s: float | None = None
     deadline_s: float | None = None
+    reported_s: float | None = None
+    reporters: set[str] = dataclasses.field(default_factory=set)
 
 
 class FleetView:
@@ -80,7 +101,8 @@
         self._entries: dict[str, _Entry] = {}
         self._has_list = False
         self._ticks = 0
-        self._last_tick_s = clock.monotonic()
+        self._started_s = clock.monotonic()
+        self._last_tick_s = self._started_s
 
     @property
     def own(self) -> Member:
@@ -176,29 +198,33 @@
         entry.member = member
         entry.alive = True
         entry.last_message_s = now_s
+        entry.probed_s = None
         entry.deadline_s = None
+        entry.reported_s = None
+        entry.reporters.clear()
         return became_live
 
-    def suspect(self, name: str, incarnation: int) -> Member | None:
-        """Starts the verification of a member that another instance could not reach.
+    def on_report(self, reporter: str, name: str, incarnation: int) -> None:
+        """Records that another instance could not reach a member.
 
-        Returns:
-            The member to ping, or None if the suspicion concerns an unknown or dead member or an
-            earlier incarnation.
+        A report of an unknown or dead member, of an earlier incarnation, or of a member that was
+        heard of in the meantime, is ignored.
         """
         entry = self._entries.get(name)
         if entry is None or not entry.alive or entry.member.incarnation > incarnation:
-            return None
+            return
         now_s = self._clock.monotonic()
-        if entry.deadline_s is None:
-            entry.deadline_s = now_s + SUSPECT_TIMEOUT_S
-        return entry.member
+        if reporter == name or now_s - entry.last_message_s < HEARD_S:
+            return
+        entry.reporters.add(reporter)
+        if entry.reported_s is None:
+            entry.reported_s = now_s
 
     def tick(self) -> tuple[list[Member], list[Member]]:
         """Advances the failure detector; called every ``PING_INTERVAL_S``.
 
         Returns:
-            The members to ping now, and those that were just declared dead.
+            The members to ping now, and those that this instance has just found dead by pings.
         """
         now_s = self._clock.monotonic()
         paused = now_s - self._last_tick_s > MAX_TICK_GAP_S
@@ -206,47 +232,95 @@
         self._ticks += 1
         dead = []
         for entry in self._entries.values():
-            if entry.deadline_s is None or not entry.alive:
+            if not entry.alive:
                 continue
             if paused:
-                entry.deadline_s = now_s + SUSPECT_TIMEOUT_S
-            elif now_s >= entry.deadline_s:
+                self._extend(entry, now_s)
+            elif entry.deadline_s is not None and now_s >= entry.deadline_s:
                 entry.alive = False
-                entry.deadline_s = None
                 dead.append(entry.member)
-        targets = self._targets()
+            elif self._is_reported_dead(entry, now_s):
+                entry.alive = False
+        targets = self._targets(now_s)
         for member in targets:
             entry = self._entries[member.name]
             if entry.alive and entry.deadline_s is None:
+                entry.probed_s = now_s
                 entry.deadline_s = now_s + PING_INTERVAL_S * MISSED_PINGS
         return targets, dead
 
-    def _targets(self) -> list[Member]:
+    def is_silent(self, name: str) -> bool:
+        """Whether a member has not answered a ping of an earlier tick."""
+        probed_s = self._entries[name].probed_s
+        return probed_s is not None and probed_s < self._last_tick_s
+
+    @staticmethod
+    def _extend(entry: _Entry, now_s: float) -> None:
+        """Gives a member time to answer after a pause of this process."""
+        if entry.deadline_s is not None:
+            entry.deadline_s = now_s + SUSPECT_TIMEOUT_S
+        if entry.reported_s is not None:
+            entry.reported_s = now_s
+
+    @staticmethod
+    def _is_reported_dead(entry: _Entry, now_s: float) -> bool:
+        return (
+            len(entry.reporters) >= MIN_REPORTERS and now_s - entry.reported_s >= SUSPECT_TIMEOUT_S
+        )
+
+    def _targets(self, now_s: float) -> list[Member]:
         """Returns the members to ping.
 
-        These are the next live member in a ring ordered by region and failure domain, all live
-        members that have not answered yet, and one random member, live or not. The random one is of
-        this region or, in every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
+        These are members next to this one in a ring ordered by region and failure domain (see
+        `ring_probe`), all live members that have not answered yet, some that were reported by one
+        instance only, and one random member, live or not. The random one is of this region or, in
+        every ``CROSS_REGION_PING_TICKS``-th tick, of any region.
         """
-        targets = {}
-        live = [entry.member for entry in self._entries.values() if entry.alive]
-        if live:
-            ordered = sorted([*live, self._own], key=self._ring_key)
-            successor = ordered[(ordered.index(self._own) + 1) % len(ordered)]
-            targets[successor.name] = successor
+        names = dict.fromkeys(self._ring_targets(now_s))
         cross_region = self._ticks % CROSS_REGION_PING_TICKS == 0
         others = [
-            entry.member
-            for entry in self._entries.values()
+            name
+            for name, entry in self._entries.items()
             if cross_region or entry.member.region == self._own.region
         ]
         if others:
-            member = self._rng.choice(others)
-            targets[member.name] = member
-        for entry in self._entries.values():
-            if entry.alive and entry.deadline_s is not None:
-                targets[entry.member.name] = entry.member
-        return list(targets.values())
+            names[self._rng.choice(others)] = None
+        verified = 0
+        for name, entry in self._entries.items():
+            if not entry.alive:
+                continue
+            if entry.deadline_s is not None:
+                names[name] = None
+            elif (
+                entry.reported_s is not None
+                and now_s - entry.reported_s >= SUSPECT_TIMEOUT_S
+                and verified < MAX_VERIFIED
+            ):
+                verified += 1
+                names[name] = None
+        return [self._entries[name].member for name in names]
+
+    def _ring_targets(self, now_s: float) -> Iterable[str]:
+        """Returns the members to ping because of their place in the ring."""
+        live = [entry.member for entry in self._entries.values() if entry.alive]
+        if not live:
+            return []
+        ordered = sorted([*live, self._own], key=self._ring_key)
+        place = ordered.index(self._own)
+        following = [member.name for member in (*ordered[place + 1 :], *ordered[:place])]
+        targets = self._probe(following, now_s)
+        predecessor = self._entries[following[-1]]
+        heard_s = max(predecessor.last_message_s, self._started_s)
+        if now_s - heard_s > PREDECESSOR_TIMEOUT_S:
+            targets += self._probe(following[::-1], now_s)
+        return targets
+
+    def _probe(self, neighbours: list[str], now_s: float) -> list[str]:
+        return ring_probe.targets(
+            neighbours,
+            is_silent=self.is_silent,
+            is_heard=lambda name: now_s - self._entries[name].last_message_s <= PING_INTERVAL_S,
+        )
 
     @staticmethod
     def _ring_key(member: Member) -> tuple[str, str, str]:
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -13,6 +13,8 @@
 
 # More table versions than any instance follows; larger messages are invalid.
 MAX_TABLES = 16
+# Most members in one report; their names usually fit into one datagram.
+MAX_REPORTED = 20
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 _Number = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
@@ -43,11 +45,15 @@
     versions: _Versions
 
 
-class Suspect(msgspec.Struct, array_like=True, tag="s", frozen=True):
-    """Asks the receiver to verify a member that the sender could not reach."""
+class Unreachable(msgspec.Struct, array_like=True, tag="u", frozen=True):
+    """Reports members that did not answer the pings of the sender.
 
-    name: _Name
-    incarnation: _Number
+    Attributes:
+        members: Name and incarnation of each.
+    """
+
+    reporter: _Name
+    members: Annotated[tuple[tuple[_Name, _Number], ...], msgspec.Meta(max_length=MAX_REPORTED)]
 
 
 class Crashed(msgspec.Struct, array_like=True, tag="c", frozen=True):
@@ -81,7 +87,7 @@
     call_age_ms: Annotated[int, msgspec.Meta(ge=-1, le=2**53)] = -1
 
 
-Message = Beacon | Hello | Suspect | Crashed
+Message = Beacon | Hello | Unreachable | Crashed
 
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -13,6 +13,8 @@
 MAX_DATAGRAM_BYTES = 1200
 # Interval of the log lines about invalid datagrams, which anyone can send in any number.
 INVALID_LOG_INTERVAL_S = 1.0
+# Shortest interval between two messages to all members that this instance is live.
+REFUTE_INTERVAL_S = 1.0
 
 
 class PeerTask(asyncio.DatagramProtocol):
@@ -52,6 +54,9 @@
         self._host = ""
         self._invalid = 0
         self._invalid_logged_s = 0.0
+        # Members that the previous step reported.
+        self._reported: list[fleet.Member] = []
+        self._refuted_s = float("-inf")
         self._log = structlog.get_logger("peers")
 
     async def start(self, host: str) -> None:
@@ -79,9 +84,14 @@
             targets, dead = self._view.tick()
             for member in dead:
                 self._log.warning("instance unreachable", peer=member.name)
-                self._broadcast(peer_messages.Suspect(member.name, member.incarnation))
+            # Each report is sent twice, as datagrams may be lost.
+            self._report(self._reported)
+            self._report(dead)
+            self._reported = dead
             for member in targets:
                 self._send_hello(member, reply=True)
+                if self._view.is_silent(member.name):
+                    self._send_hello(member, reply=True)
 
     def announce_phase(self) -> None:
         """Sends the current phase of this instance to all known members."""
@@ -124,10 +134,8 @@
             return
         if isinstance(message, peer_messages.Hello):
             self._on_hello(message)
-        elif isinstance(message, peer_messages.Suspect):
-            member = self._view.suspect(message.name, message.incarnation)
-            if member is not None:
-                self._send_hello(member, reply=True)
+        elif isinstance(message, peer_messages.Unreachable):
+            self._on_report(message)
         elif isinstance(message, peer_messages.Beacon):
             self._on_beacon(
                 message.name,
@@ -169,6 +177,35 @@
             self._send_hello(member, reply=False)
         self._on_versions(message.name, message.peer_host, message.versions)
 
+    def _on_report(self, message: peer_messages.Unreachable) -> None:
+        own = self._view.own
+        for name, incarnation in message.members:
+            if name == own.name and incarnation == own.incarnation:
+                self._refute(message.reporter)
+            else:
+                self._view.on_report(message.reporter, name, incarnation)
+
+    def _refute(self, reporter: str) -> None:
+        """Tells all members that this instance is live, which was reported as unreachable."""
+        now_s = clock_lib.elapsed_s()
+        if now_s - self._refuted_s < REFUTE_INTERVAL_S:
+            return
+        self._refuted_s = now_s
+        self._log.warning("reported as unreachable; telling all members", reporter=reporter)
+        self.announce_phase()
+
+    def _report(self, members: list[fleet.Member]) -> None:
+        """Reports unreachable members to all live ones, and to themselves."""
+        for start in range(0, len(members), peer_messages.MAX_REPORTED):
+            reported = members[start : start + peer_messages.MAX_REPORTED]
+            message = peer_messages.Unreachable(
+                self._view.own.name,
+                tuple((member.name, member.incarnation) for member in reported),
+            )
+            self._broadcast(message)
+            for member in reported:
+                self._send(message, member)
+
     def _send_hello(self, member: fleet.Member, *, reply: bool) -> None:
         message = peer_messages.hello(self._view.own, reply=reply, versions=self._versions())
         self._send(message, member)
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import fleet
@@ -56,15 +57,61 @@
         self.clock.advance(10.0)
         self.assertEqual(self.view.tick()[1], [])
 
-    def test_suspected_member_that_answers_stays_live(self):
+    def live_others(self, *answering):
+        """Makes a few members live that answer at each step from now on."""
+        for name in answering:
+            self.view.on_message(make_member(name))
+
+    def report(self, *reporters, incarnation=1):
+        for reporter in reporters:
+            self.view.on_report(reporter, "other", incarnation)
+
+    def test_reported_member_that_answers_stays_live(self):
         self.view.on_message(make_member("other"))
-        self.assertEqual(self.view.suspect("other", 1).name, "other")
+        self.clock.advance(fleet.HEARD_S)
+        self.report("a", "b")
         self.view.on_message(make_member("other"))
         self.assertEqual(self.tick(2), [])
+        self.assertIn("other", self.view.live_names())
+
+    def test_member_with_two_reports_is_dead_without_a_ping(self):
+        # With a ping of each instance to each reported member, the pings after a loss of half of
+        # the fleet grow with the square of its size.
+        # "n" is the successor of this instance and "b" its predecessor, which it may ping.
+        self.live_others("a", "b", "n", "other")
+        pinged = set()
+        for step in range(4):
+            self.clock.advance(fleet.PING_INTERVAL_S)
+            self.live_others("a", "b", "n")
+            if step == 2:
+                self.report("a", "b")
+            with mock.patch.object(self.view._rng, "choice", return_value="a"):
+                pinged |= {member.name for member in self.view.tick()[0]}
+        self.assertIn("other", self.view.live_names())
+        self.clock.advance(fleet.PING_INTERVAL_S)
+        self.live_others("a", "b", "n")
+        self.view.tick()
+        self.assertNotIn("other", self.view.live_names())
+        self.assertNotIn("other", pinged)
+
+    def test_member_with_one_report_is_verified(self):
+        # A reporter may itself be cut off.
+        self.view.on_message(make_member("other"))
+        self.clock.advance(fleet.HEARD_S)
+        self.report("a", "a", "a")
+        self.clock.advance(fleet.SUSPECT_TIMEOUT_S)
+        targets, dead = self.view.tick()
+        self.assertEqual([member.name for member in targets], ["other"])
+        self.assertEqual(dead, [])
+        self.view.on_message(make_member("other"))
+        self.assertEqual(self.tick(1), [])
 
-    def test_suspicion_of_an_earlier_incarnation_is_ignored(self):
+    def test_report_of_an_earlier_incarnation_or_of_one_just_heard_is_ignored(self):
         self.view.on_message(make_member("other", incarnation=2))
-        self.assertIsNone(self.view.suspect("other", 1))
+        self.report("a", "b", incarnation=2)
+        self.clock.advance(fleet.HEARD_S)
+        self.report("a", "b", incarnation=1)
+        self.assertIsNone(self.view._entries["other"].reported_s)
 
     def test_message_of_an_earlier_incarnation_is_ignored(self):
         self.view.on_message(make_member("other", incarnation=2, phase=fleet.Phase.STARTING))
