End the trial of an unreachable server when it accepts connections again

Cause: a server that could not be reached is on trial until it answers a request, and on trial it gets idempotent requests only, from the instances that the cold limit selects. A service without idempotent routes has no request that ends the trial; in a fleet larger than the limit's choice most instances have none either.

Change: the balancer names the servers that it passes over for this reason, and the forwarder checks in the background whether they accept connections, one check at a time for each server, at most as often as the ejection's backoff allows. A server that does is no longer on trial and counts as cold.

Ruled out: sending a non-idempotent request to a server on trial, as it would be lost with the server; a request to its health path, which takes a slot and is billed; checks without a request, which after the loss of a domain are many and needless.

Tests: test_forwarder.TrialTest (both tests fail before), test_balancer.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -81,6 +81,8 @@
         rank: Position of the server in the object's ranking, from 0.
         warm: Whether the server has recently run the object for this instance.
         queue_factor: Expected response time as a multiple of the service time.
+        unproven: Servers that were passed over because they were unreachable, and that may be
+            checked now.
     """
 
     state: servers.ServerState | None = None
@@ -91,6 +93,7 @@
     rank: int = 0
     warm: bool = False
     queue_factor: float = 1.0
+    unproven: Collection[servers.ServerState] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -207,9 +210,20 @@
     def choose(self, criteria: SelectionCriteria) -> Choice:
         """Returns the server to use, or the reason why there is none."""
         now_s = self._clock.monotonic()
-        candidates = self._candidates(criteria, now_s)
-        if not candidates:
-            return self._refuse_without_candidates(criteria, now_s)
+        unproven: list[servers.ServerState] = []
+        candidates = self._candidates(criteria, now_s, unproven)
+        if candidates:
+            choice = self._choose_among(candidates, criteria, now_s)
+        else:
+            choice = self._refuse_without_candidates(criteria, now_s)
+        return dataclasses.replace(choice, unproven=unproven) if unproven else choice
+
+    def _choose_among(
+        self,
+        candidates: list[tuple[int, servers.ServerState]],
+        criteria: SelectionCriteria,
+        now_s: float,
+    ) -> Choice:
         compared = candidates[:MAX_COMPARED_SERVERS]
         best = min(
             compared, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
@@ -265,9 +279,15 @@
         ]
 
     def _candidates(
-        self, criteria: SelectionCriteria, now_s: float
+        self,
+        criteria: SelectionCriteria,
+        now_s: float,
+        unproven: list[servers.ServerState],
     ) -> list[tuple[int, servers.ServerState]]:
-        """Returns the servers that may be used now, with their ranks, best rank first."""
+        """Returns the servers that may be used now, with their ranks, best rank first.
+
+        Those that are passed over because they are on trial are added to ``unproven``.
+        """
         ranking = self._registry.ranking(criteria.service)
         candidates = []
         ranked = ranking.ranked(
@@ -286,10 +306,12 @@
                 continue
             if state.ejected_until_s > now_s or (state.on_trial and state.outstanding):
                 continue
-            if state.on_trial and not criteria.route.idempotent:
-                continue
             cold = state.cold_until_s > now_s or state.on_trial
-            if cold and not self._cold_limit.allows(state, now_s):
+            if (state.on_trial and not criteria.route.idempotent) or (
+                cold and not self._cold_limit.allows(state, now_s)
+            ):
+                if state.on_trial:
+                    unproven.append(state)
                 continue
             candidates.append((rank, state))
         return candidates
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -131,6 +131,10 @@
                     excluded_servers=job.excluded_servers,
                 )
             )
+            for unproven in choice.unproven:
+                if not unproven.checked:
+                    unproven.checked = True
+                    self._start_background_task(self._check_trial(job, unproven))
             if choice.state is None:
                 return self._refuse(job, choice.refusal.value, choice.retry_after_s)
             result = await self._attempt(job, choice)
@@ -309,6 +313,23 @@
         )
         return False
 
+    async def _check_trial(self, job: jobs.Job, unproven: servers.ServerState) -> None:
+        """Ends the trial of a server that accepts connections again.
+
+        No request can end it if the policy sends only non-idempotent ones to the service, or if the
+        cold limit selects other instances for the server.
+        """
+        try:
+            if await self._check_reachable(job, unproven):
+                self._registry.on_reachable(unproven)
+                self._log.info(
+                    "server reachable again",
+                    request=job.request_id,
+                    server=unproven.server.server_id,
+                )
+        finally:
+            unproven.checked = False
+
     async def _check_crash(self, job: jobs.Job, chosen: servers.ServerState) -> None:
         """Records a crash if the server is unreachable after its connection broke."""
         if await self._check_reachable(job, chosen):
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -42,8 +42,10 @@
         ejected_until_s: Monotonic time until which the server gets no request.
         failures: Failed attempts and reachability checks since the last valid response other than
             a rejection.
-        on_trial: Whether the server was unreachable and has sent no such response since. It then
-            gets one request at a time, and only idempotent ones.
+        on_trial: Whether the server was unreachable, and has neither sent such a response nor
+            accepted a connection since. It then gets one request at a time, and only idempotent
+            ones.
+        checked: Whether a check is under way whether the server accepts connections.
         latency_ratio: Moving average of the service time divided by the expected one.
         error_rate: Moving average of the share of requests that failed or were rejected.
         leaving: Whether the server has said in a response that it leaves.
@@ -62,6 +64,7 @@
     ejected_until_s: float = 0.0
     failures: int = 0
     on_trial: bool = False
+    checked: bool = False
     latency_ratio: float = 1.0
     error_rate: float = 0.0
     leaving: bool = False
@@ -260,12 +263,16 @@
         state.rest_until_s = max(state.rest_until_s, self._clock.monotonic() + rest_s)
 
     def on_response(self, state: ServerState) -> None:
-        """Records that a server responded; one that was unreachable before is marked as cold."""
+        """Records that a server responded."""
+        self.on_reachable(state)
+        state.failures = 0
+        state.ejected_until_s = 0.0
+
+    def on_reachable(self, state: ServerState) -> None:
+        """Records that a server accepts connections; one that was on trial is marked as cold."""
         if state.on_trial:
             self.mark_cold(state, self._clock.monotonic())
-        state.failures = 0
         state.on_trial = False
-        state.ejected_until_s = 0.0
 
     def on_rejected(self, state: ServerState, *, misdirected: bool) -> None:
         """Records that a server rejected a request without running it.
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -85,7 +85,18 @@
     def test_non_idempotent_request_avoids_a_server_on_trial(self):
         self.state(0).on_trial = True
         route = gateway_fakes.make_route(idempotent=False)
-        self.assertIs(self.choose(route=route).state, self.state(1))
+        choice = self.choose(route=route)
+        self.assertIs(choice.state, self.state(1))
+        self.assertEqual(choice.unproven, [self.state(0)])
+
+    def test_server_on_trial_is_named_when_the_cold_limit_selects_other_instances(self):
+        # Review case 3: in a fleet that is larger than the limit's choice, most instances could
+        # never end the trial of a server.
+        self.state(0).on_trial = True
+        self.cold_limit.allowed = False
+        self.assertEqual(self.choose().unproven, [self.state(0)])
+        self.state(0).ejected_until_s = self.clock.monotonic() + 1.0
+        self.assertEqual(self.choose().unproven, ())
 
     def test_server_that_rejects_its_requests_is_not_selected(self):
         for _ in range(20):
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -108,6 +108,45 @@
         return sum(len(server.requests) for server in self.servers)
 
 
+class TrialTest(ForwarderFixture):
+    """Guards against servers that get no request for good after they were unreachable.
+
+    Review case 3: after its servers had refused connections for 3 s, a service that only
+    non-idempotent routes use refused all requests until it was restarted.
+    """
+
+    async def make_unreachable(self, *, idempotent):
+        await self.start([gateway_fakes.answer()], idempotent=idempotent)
+        self.state = self.registry.get("s0")
+        self.registry.on_failure(self.state, unreachable=True)
+        self.state.ejected_until_s = 0.0
+
+    async def finish_checks(self):
+        async with asyncio.timeout(5):
+            while self.forwarder.running:
+                await asyncio.sleep(0.01)
+
+    async def test_server_that_accepts_connections_again_gets_non_idempotent_requests(self):
+        await self.make_unreachable(idempotent=False)
+        self.assertEqual((await self.handle()).status, 503)
+        await self.finish_checks()
+        self.assertFalse(self.state.on_trial)
+        self.assertGreater(self.state.cold_until_s, clock_lib.elapsed_s())
+        self.assertEqual((await self.handle()).status, 200)
+        self.assertEqual(self.received_count(), 1)
+
+    async def test_server_that_refuses_connections_stays_on_trial(self):
+        await self.make_unreachable(idempotent=False)
+        await self.servers[0].stop()
+        for _ in range(3):
+            self.assertEqual((await self.handle()).status, 503)
+        await self.finish_checks()
+        self.assertTrue(self.state.on_trial)
+        self.assertGreater(self.state.ejected_until_s, clock_lib.elapsed_s())
+        # One check at a time, however many requests pass the server over.
+        self.assertEqual(self.state.failures, 2)
+
+
 class ForwarderTest(ForwarderFixture):
     """Guards against non-idempotent requests that run twice and against false 503 responses.
 
