Count a connection as busy until its response is sent

Cause: a connection was no longer busy once its response was in the transport's buffer, and the shutdown waits for busy connections only. Besides, a closing connection was aborted after 2 s, read or not.

Change: unsent bytes make a connection busy; a closing one is aborted only when its client has read nothing for 2 s; connections that become idle during the shutdown are closed then, as they are not when it begins.

Tests: two in test_pipelining, both fail before ("False is not true", "True is not false"); test_pipelining, test_http_server and test_process pass (46).

--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -46,7 +46,7 @@
 
     @property
     def busy(self) -> int:
-        """Number of connections with a request that is being read or handled."""
+        """Number of connections with a request or a response that is not complete."""
         return sum(1 for connection in self._connections if connection.busy)
 
     async def start(self) -> None:
@@ -84,6 +84,10 @@
         """Stops accepting connections and closes the idle ones."""
         if self._server is not None:
             self._server.close()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request; others may have become idle since."""
         for connection in list(self._connections):
             connection.close_when_idle()
 
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -404,6 +404,7 @@
             clock_lib.elapsed_s() < deadline_s and self._front_server.busy + self._forwarder.running
         ):
             await asyncio.sleep(EXIT_CHECK_INTERVAL_S)
+            self._front_server.close_idle()
         self._log.info(
             "gateway stopped", busy=self._front_server.busy, attempts=self._forwarder.running
         )
--- a/packages/gateway/src/sassafrasway_gateway/server_connection.py
+++ b/packages/gateway/src/sassafrasway_gateway/server_connection.py
@@ -25,7 +25,7 @@
 MAX_PIPELINED_BYTES = 256 * 1024
 # A larger body is written separately from its head, so that it is not copied.
 MAX_JOINED_BYTES = 64 * 1024
-# Time after which a closing connection is aborted if the client does not close it.
+# Time after which a closing connection is aborted if the client neither closes it nor reads on.
 LINGER_S = 2.0
 # Time that a client has to send its first request on a connection that is accepted just before the
 # server stops.
@@ -35,7 +35,11 @@
 
 
 class Server(typing.Protocol):
-    """What a connection needs to know of its server."""
+    """What a connection needs to know of its server.
+
+    Attributes:
+        draining: Whether responses ask clients to close their connections.
+    """
 
     draining: bool
     budget: memory_budget.MemoryBudget | None
@@ -114,15 +118,25 @@
         self._closing = False
         self._awaits_first_request = False
         self._had_request = False
+        # Bytes that the client had not read yet when the connection began to close, or when it was
+        # last checked.
+        self._closing_unsent = 0
         # Memory of the responses that the system has not accepted yet.
         self._unsent: memory_budget.Reservation | None = None
         self._log = structlog.get_logger("http")
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or handled, or may still arrive."""
+        """Whether a request is read or handled, may still arrive, or a response is not sent."""
         reading = self._reader.started_s > 0.0 and not self._closing
-        return bool(self._exchanges) or reading or self._awaits_first_request
+        return bool(self._exchanges or reading or self._awaits_first_request or self._unsent_bytes)
+
+    @property
+    def _unsent_bytes(self) -> int:
+        """Bytes of responses that the system has not accepted yet."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return self._transport.get_write_buffer_size()
 
     def close_when_idle(self) -> None:
         """Closes the connection unless a request is being read or handled, or has arrived.
@@ -401,6 +415,7 @@
             return
         self._transport.resume_reading()
         self._transport.write_eof()
+        self._closing_unsent = self._unsent_bytes
         self._start_timer(LINGER_S)
 
     def _reject(self, status: int, reason: str, *, retry_after_s: float | None = None) -> None:
@@ -430,7 +445,11 @@
 
     def _on_timeout(self) -> None:
         self._timer = None
-        if self._closing:
+        if self._closing and self._unsent_bytes < self._closing_unsent:
+            # The client still reads its response.
+            self._closing_unsent = self._unsent_bytes
+            self._start_timer(LINGER_S)
+        elif self._closing:
             self._transport.abort()
         elif self._has_unread_bytes():
             # The event loop was late: the bytes that the client owed have arrived.
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -355,6 +355,33 @@
         await asyncio.sleep(server_connection.FIRST_REQUEST_S + 0.1)
         self.assertFalse(self.connection.busy)
 
+    async def test_connection_is_busy_until_the_system_has_its_response(self):
+        # Review case 2: after SIGTERM, an instance exited while clients still read their responses,
+        # and dropped the rest of them.
+        self.handler.gate("/1").set()
+        self.transport.unsent = 900
+        await self.receive(get("/1"))
+        self.assertTrue(self.connection.busy)
+        self.connection.close_when_idle()
+        self.assertFalse(self.transport.ended)
+        self.transport.unsent = 0
+        self.assertFalse(self.connection.busy)
+        self.connection.close_when_idle()
+        self.assertTrue(self.transport.ended)
+
+    async def test_closing_connection_waits_for_a_client_that_reads_slowly(self):
+        self.handler.gate("/1").set()
+        self.transport.unsent = 900
+        with mock.patch.object(server_connection, "LINGER_S", 0.05):
+            await self.receive(get("/1", b"Connection: close\r\n"))
+            for _ in range(4):
+                self.transport.unsent -= 200
+                await asyncio.sleep(0.06)
+                self.assertFalse(self.transport.aborted)
+            # It reads no more.
+            await asyncio.sleep(0.15)
+        self.assertTrue(self.transport.aborted)
+
     async def test_bytes_after_the_last_response_are_discarded(self):
         self.handler.gate("/1").set()
         await self.receive(get("/1", b"Connection: close\r\n"))
