Refuse requests that could only be cut off at the end of a planned stop

Here: connections are closed once idle, so only a client that pipelines behind a running request can do it. Shown by test_request_late_in_a_planned_stop_is_refused_as_not_run, which fails before ("[200, 200] != [200, 503]").

Change: from 3 s after SIGTERM on, a request that has not been started is refused with 503 and Retry-After, in its turn, and logged.

Package gateway passes (298 tests).

--- a/packages/gateway/src/sassafrasway_gateway/http_server.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_server.py
@@ -33,12 +33,18 @@
         self._server: asyncio.Server | None = None
         self._connections: set[server_connection.ServerConnection] = set()
         self._draining = False
+        self._refuses_new = False
 
     @property
     def draining(self) -> bool:
         """Whether responses ask clients to close their connections."""
         return self._draining
 
+    @property
+    def refuses_new(self) -> bool:
+        """Whether requests that have not been started are refused."""
+        return self._refuses_new
+
     @property
     def port(self) -> int:
         """Port in use, also if it was chosen by the system."""
@@ -86,6 +92,10 @@
             self._server.close()
         self.close_idle()
 
+    def refuse_new(self) -> None:
+        """Refuses all requests from now on that have not been started."""
+        self._refuses_new = True
+
     def close_idle(self) -> None:
         """Closes the connections without a request; others may have become idle since."""
         for connection in list(self._connections):
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -51,6 +51,10 @@
 # callers may still use a lookup that lists this instance. The value is greater than the lifetime of
 # a lookup (`lookup.LOOKUP_TTL_S`), because callers may keep one for longer.
 STOP_LISTENING_AFTER_S = 2.4
+# Time from the start of the shutdown until requests that have not been started are refused, because
+# they might be cut off at the end of the grace period. Connections that were accepted last may be
+# used until then.
+REFUSE_NEW_AFTER_S = 3.0
 # Time at the end of the stop grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 0.4
 EXIT_CHECK_INTERVAL_S = 0.05
@@ -403,6 +407,8 @@
         while (
             clock_lib.elapsed_s() < deadline_s and self._front_server.busy + self._forwarder.running
         ):
+            if clock_lib.elapsed_s() - started_s >= REFUSE_NEW_AFTER_S:
+                self._front_server.refuse_new()
             await asyncio.sleep(EXIT_CHECK_INTERVAL_S)
             self._front_server.close_idle()
         self._log.info(
--- a/packages/gateway/src/sassafrasway_gateway/server_connection.py
+++ b/packages/gateway/src/sassafrasway_gateway/server_connection.py
@@ -32,6 +32,8 @@
 FIRST_REQUEST_S = 0.3
 # Retry-After of a request whose body found no memory.
 MEMORY_RETRY_AFTER_S = 0.5
+# Retry-After of a request that comes too late in a planned stop.
+STOP_RETRY_AFTER_S = 0.1
 
 
 class Server(typing.Protocol):
@@ -39,9 +41,11 @@
 
     Attributes:
         draining: Whether responses ask clients to close their connections.
+        refuses_new: Whether requests that have not been started are refused.
     """
 
     draining: bool
+    refuses_new: bool
     budget: memory_budget.MemoryBudget | None
 
     def on_open(self, connection: "ServerConnection") -> None:
@@ -302,7 +306,23 @@
         if trailing_bytes and not self._ending:
             self._reader.parser.receive_data(trailing_bytes)
             self._begin_request()
-        self._dispatch()
+        if self._server.refuses_new:
+            self._write_responses()
+        else:
+            self._dispatch()
+
+    def _refuse_waiting(self) -> None:
+        """Refuses the requests that have not been started; the instance would end before them."""
+        for exchange in self._exchanges:
+            if exchange.task is None and exchange.response is None:
+                self._log.info(
+                    "request refused, the instance stops",
+                    peer=self._peer,
+                    target=exchange.request.target.decode("latin-1"),
+                )
+                exchange.response = request_handler.text_response(
+                    503, "instance stops", retry_after_s=STOP_RETRY_AFTER_S
+                )
 
     def _dispatch(self) -> None:
         """Starts the requests that may run now."""
@@ -335,6 +355,8 @@
 
     def _write_responses(self) -> None:
         """Writes the responses whose turn has come, and continues with what waited for them."""
+        if self._server.refuses_new:
+            self._refuse_waiting()
         while self._exchanges and self._exchanges[0].response is not None:
             if self._transport.is_closing():
                 return
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -80,6 +80,7 @@
 
     def __init__(self, budget=None):
         self.draining = False
+        self.refuses_new = False
         self.budget = budget
 
     def on_open(self, connection):
@@ -382,6 +383,18 @@
             await asyncio.sleep(0.15)
         self.assertTrue(self.transport.aborted)
 
+    async def test_request_late_in_a_planned_stop_is_refused_as_not_run(self):
+        # Other operators: requests that came late in the grace were taken, and cut at its end.
+        await self.receive(get("/1"))
+        self.server.draining = True
+        self.server.refuses_new = True
+        await self.receive(get("/once"))
+        await self.open("/1", "/once")
+        self.assertEqual(self.statuses(), [200, 503])
+        self.assertEqual(self.handler.started, ["/1"])
+        self.assertIn(b"Retry-After", self.transport.written)
+        self.assertTrue(self.transport.ended)
+
     async def test_bytes_after_the_last_response_are_discarded(self):
         self.handler.gate("/1").set()
         await self.receive(get("/1", b"Connection: close\r\n"))
