Leave a closing connection alone when idle connections are closed again

One without a request counted as busy for 0.3 s more and was aborted then; another one had its linger restarted each time.

Tests: two in test_pipelining, both fail before ("True is not false", "False is not true"). Package gateway passes.

--- a/packages/gateway/src/sassafrasway_gateway/server_connection.py
+++ b/packages/gateway/src/sassafrasway_gateway/server_connection.py
@@ -147,7 +147,7 @@
 
         A client that has just connected gets ``FIRST_REQUEST_S`` to send its request.
         """
-        if self.busy or self._transport is None or self._transport.is_closing():
+        if self.busy or self._closing or self._transport is None or self._transport.is_closing():
             return
         if not self._had_request:
             self._awaits_first_request = True
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -355,6 +355,18 @@
         self.connection.close_when_idle()
         await asyncio.sleep(server_connection.FIRST_REQUEST_S + 0.1)
         self.assertFalse(self.connection.busy)
+        # The shutdown closes idle connections again and again.
+        self.connection.close_when_idle()
+        self.assertFalse(self.connection.busy)
+
+    async def test_closing_connection_is_aborted_in_time_although_it_is_closed_again(self):
+        self.handler.gate("/1").set()
+        with mock.patch.object(server_connection, "LINGER_S", 0.1):
+            await self.receive(get("/1", b"Connection: close\r\n"))
+            for _ in range(8):
+                self.connection.close_when_idle()
+                await asyncio.sleep(0.02)
+        self.assertTrue(self.transport.aborted)
 
     async def test_connection_is_busy_until_the_system_has_its_response(self):
         # Review case 2: after SIGTERM, an instance exited while clients still read their responses,
