Let a member stop using a grant before the coordinator may grant it again

Cause, traced: q was granted the main part of the pool with a heartbeat sent at 22.8 s, so until 24.8 s. At 24.8 s the coordinator r took the grant for expired and took the part itself; q's own clock, whose offset rounds differently, said that a sum of the same two numbers lay ahead by less than a billionth of a second. Real clocks differ by more: they run at different rates.

Change: a member stops 10 ms before the grant expires. Ruled out: a tolerance in the checker, as the overlap is real.

--- a/packages/core/src/sassafrasway_core/ownership.py
+++ b/packages/core/src/sassafrasway_core/ownership.py
@@ -156,5 +156,7 @@
 
 
 def _to_held_pool(grant: region.PoolGrant, sent_s: float) -> _HeldPool:
-    main_until_s = sent_s + region.GRANT_S if grant.share.has_main else float("-inf")
+    main_until_s = float("-inf")
+    if grant.share.has_main:
+        main_until_s = sent_s + region.GRANT_S - region.GRANT_MARGIN_S
     return _HeldPool(grant=grant, offline=grant.share.has_offline, main_until_s=main_until_s)
--- a/packages/core/src/sassafrasway_core/region.py
+++ b/packages/core/src/sassafrasway_core/region.py
@@ -24,6 +24,9 @@
 HEARTBEAT_S = 0.5
 # Validity of a grant of a pool's main part.
 GRANT_S = 2.0
+# Time by which a member stops using a grant before it expires. The clocks of two instances may run
+# at different rates, and the times of both are rounded.
+GRANT_MARGIN_S = 0.01
 # Time for which a member promises not to become coordinator, unless the current one is known to be
 # gone or there is no region row.
 PROMISE_S = 3.0
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -337,6 +337,31 @@
         self.assertFalse(grants.apply(reply, sent_s=1000.0))
         self.assertEqual((grants.epoch, grants.share(pool)), (2, share.Share.NONE))
 
+    def test_grant_ends_before_the_coordinator_gives_it_to_another_member(self):
+        """Guards against slots used twice because two clocks round or run differently.
+
+        Soak seed 127073849: a member used the main part of a pool in the very moment in which the
+        coordinator had granted it to another one.
+        """
+        clock = ownership_sim.clock_lib.ManualClock()
+        grants = ownership.GrantState(
+            clock=clock, invariants=invariants.Invariants(mode=invariants.Mode.RAISE)
+        )
+        pool = ownership_sim.POOLS[0]
+        reply = region.HeartbeatReply(
+            epoch=1,
+            coordinator=region.Instance(name="o", incarnation="1", rpc_address="o"),
+            accepted=True,
+            seq=1,
+            stamp_s=0.0,
+            grants=(region.PoolGrant(pool=pool, share=share.Share.FULL),),
+        )
+        self.assertTrue(grants.apply(reply, sent_s=clock.monotonic()))
+        clock.advance(region.GRANT_S - 2 * region.GRANT_MARGIN_S)
+        self.assertIs(grants.share(pool), share.Share.FULL)
+        clock.advance(region.GRANT_MARGIN_S * 1.5)
+        self.assertIs(grants.share(pool), share.Share.OFFLINE)
+
 
 if __name__ == "__main__":
     unittest.main()
