Send a candidate write again when its result is unknown

Played for 100 s more, the regions stay without a coordinator.

Cause, traced: the coordinator is gone, and the candidate writes of all instances that may take over were lost with an unknown result. Each keeps its write pending until a read shows another version of the row, as the write may still take effect; nobody else writes, so the version never changes.

Change: without contact to a coordinator, a pending write with an unknown result is sent again every 0.5 s. All copies have the same condition, so at most one takes effect; a conflict of a later copy leaves the question to the next read, which shows whose write it was. The lease counts from the first copy.

--- a/packages/core/src/sassafrasway_core/member.py
+++ b/packages/core/src/sassafrasway_core/member.py
@@ -16,18 +16,23 @@
 CLOCK_MARGIN_S = 0.05
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class _PendingWrite:
     """A candidate write whose result is not known yet.
 
     A candidate write of the region row makes the instance coordinator if it takes effect. An
     ``authority.WonElection`` is then created from the fields of this class.
+
+    Attributes:
+        sent_s: Time at which it was sent first.
+        unknown: Whether it has been sent without a result and may have taken effect.
     """
 
     command: region.WriteRow
     sent_s: float
     previous: region.Instance | None
     holders_recorded: bool
+    unknown: bool = False
 
 
 class MemberState:
@@ -121,6 +126,13 @@
             commands.extend(self._search())
         if self._may_take_over():
             commands.append(self._candidate_write())
+        elif (
+            self._pending is not None
+            and self._pending.unknown
+            and not self.in_contact
+            and self._due("candidate write", SEARCH_RETRY_S)
+        ):
+            commands.append(self._pending.command)
         return commands
 
     def on_reply(self, reply: region.HeartbeatReply, *, sent_s: float) -> bool:
@@ -179,7 +191,12 @@
 
     def on_write_conflict(self, command: region.WriteRow) -> None:
         """Processes a candidate write whose version did not match."""
-        if self._pending is not None and self._pending.command is command:
+        pending = self._pending
+        if pending is None or pending.command is not command:
+            return
+        # If it was sent before with an unknown result, that may be what has changed the row; then
+        # the next read shows the result.
+        if not pending.unknown:
             self._pending = None
             self._row_known = False
 
@@ -187,8 +204,13 @@
         """Processes a candidate write that may take effect now or later.
 
         The write stays pending, and heartbeats carry no promise, until a read shows another version
-        of the row.
+        of the row. If it was lost, and there is no coordinator, no other write may ever come, so it
+        is sent again: as both have the same condition, at most one takes effect.
         """
+        pending = self._pending
+        if pending is not None and pending.command is command and not pending.unknown:
+            pending.unknown = True
+            self._last_sent_s["candidate write"] = self._clock.monotonic()
 
     def _heartbeat(
         self,
--- a/packages/core/tests/test_ownership.py
+++ b/packages/core/tests/test_ownership.py
@@ -1,6 +1,7 @@
 """Tests of pool ownership under random combinations of faults and under single faults."""
 
 import collections
+import contextlib
 import unittest
 from unittest import mock
 
@@ -166,6 +167,33 @@
         for process in self.world.live.values():
             process.table_mode = "down"
 
+    def test_region_recovers_after_lost_candidate_writes(self):
+        """Guards against a region that stays without a coordinator for good.
+
+        Soak seeds 77887077, 546306236 and 792752127: the candidate writes of all instances were
+        lost with an unknown result, and each waited for the row to change.
+        """
+        self.world.kill(self._coordinator_name())
+        with contextlib.ExitStack() as lost:
+            for process in self.world.live.values():
+                lost.enter_context(mock.patch.object(process, "_write", lambda command: "unknown"))
+            self.world.step(100)
+            pending = [process.member._pending for process in self.world.live.values()]
+            self.assertNotIn(None, pending)
+        self.world.step(120)
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
+    def test_lost_result_of_a_candidate_write_is_found_by_reading(self):
+        """Guards against a coordinator that takes its own first write for that of another one."""
+        for process in self.world.live.values():
+            process.table_mode = "lost"
+        self.world.kill(self._coordinator_name())
+        self.world.step(100)
+        for process in self.world.live.values():
+            process.table_mode = "ok"
+        self.world.step(120)
+        self.assertEqual(len(self.world.full_owners()), len(ownership_sim.POOLS))
+
     def test_pools_are_spread_evenly(self):
         """Guards against the instance that starts first keeping all pools."""
         counts = collections.Counter(self.owners.values())
