--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -100,6 +100,7 @@
         self._rng = rng
         self._entries: dict[str, _Entry] = {}
         self._has_list = False
+        self._dead_by_report: list[Member] = []
         self._ticks = 0
         self._started_s = clock.monotonic()
         self._last_tick_s = self._started_s
@@ -109,6 +110,11 @@
         """Description of this instance."""
         return self._own
 
+    @property
+    def dead_by_report(self) -> list[Member]:
+        """Members that the last tick found dead by the reports of others."""
+        return self._dead_by_report
+
     @property
     def has_list(self) -> bool:
         """Whether the table of members has been read since the start."""
@@ -231,6 +237,7 @@
         self._last_tick_s = now_s
         self._ticks += 1
         dead = []
+        self._dead_by_report = []
         for entry in self._entries.values():
             if not entry.alive:
                 continue
@@ -241,6 +248,7 @@
                 dead.append(entry.member)
             elif self._is_reported_dead(entry, now_s):
                 entry.alive = False
+                self._dead_by_report.append(entry.member)
         targets = self._targets(now_s)
         for member in targets:
             entry = self._entries[member.name]
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -84,6 +84,8 @@
             targets, dead = self._view.tick()
             for member in dead:
                 self._log.warning("instance unreachable", peer=member.name)
+            for member in self._view.dead_by_report:
+                self._log.warning("instance reported as unreachable", peer=member.name)
             # Each report is sent twice, as datagrams may be lost.
             self._report(self._reported)
             self._report(dead)
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -91,6 +91,7 @@
         self.clock.advance(fleet.PING_INTERVAL_S)
         self.live_others("a", "b", "n")
         self.view.tick()
+        self.assertEqual([member.name for member in self.view.dead_by_report], ["other"])
         self.assertNotIn("other", self.view.live_names())
         self.assertNotIn("other", pinged)
 
