Rank the region and order the ring only when the live members change

Change: FleetView counts the changes of its live members and of their places; the rank, the size of the region and the ring are computed again only when that count has changed. Behaviour is the same.

Test: test_ranking_follows_each_change_of_the_live_members (join, move, restart, death). The modules of the fleet and the roles pass (52 tests).

--- a/packages/gateway/src/sassafrasway_gateway/fleet.py
+++ b/packages/gateway/src/sassafrasway_gateway/fleet.py
@@ -5,6 +5,7 @@
 are lost at once.
 """
 
+import bisect
 import dataclasses
 import enum
 import random
@@ -101,6 +102,11 @@
         self._entries: dict[str, _Entry] = {}
         self._has_list = False
         self._dead_by_report: list[Member] = []
+        self._live_version = 0
+        # Names of the other live members in the order of the ring, from the successor on, and the
+        # version for which they were computed.
+        self._following: list[str] = []
+        self._following_version = -1
         self._ticks = 0
         self._started_s = clock.monotonic()
         self._last_tick_s = self._started_s
@@ -115,6 +121,11 @@
         """Members that the last tick found dead by the reports of others."""
         return self._dead_by_report
 
+    @property
+    def live_version(self) -> int:
+        """Number that changes whenever the live members, or their places, change."""
+        return self._live_version
+
     @property
     def has_list(self) -> bool:
         """Whether the table of members has been read since the start."""
@@ -185,6 +196,7 @@
             )
         elif member.incarnation > entry.member.incarnation:
             entry.member = member
+            self._live_version += 1
 
     def on_message(self, member: Member) -> bool:
         """Records a message from the member itself and returns whether the member became live.
@@ -201,6 +213,8 @@
         elif self._is_outdated(member, entry, now_s):
             return False
         became_live = not entry.alive
+        if became_live or self._ring_key(member) != self._ring_key(entry.member):
+            self._live_version += 1
         entry.member = member
         entry.alive = True
         entry.last_message_s = now_s
@@ -244,10 +258,10 @@
             if paused:
                 self._extend(entry, now_s)
             elif entry.deadline_s is not None and now_s >= entry.deadline_s:
-                entry.alive = False
+                self._set_dead(entry)
                 dead.append(entry.member)
             elif self._is_reported_dead(entry, now_s):
-                entry.alive = False
+                self._set_dead(entry)
                 self._dead_by_report.append(entry.member)
         targets = self._targets(now_s)
         for member in targets:
@@ -262,6 +276,10 @@
         probed_s = self._entries[name].probed_s
         return probed_s is not None and probed_s < self._last_tick_s
 
+    def _set_dead(self, entry: _Entry) -> None:
+        entry.alive = False
+        self._live_version += 1
+
     @staticmethod
     def _extend(entry: _Entry, now_s: float) -> None:
         """Gives a member time to answer after a pause of this process."""
@@ -310,12 +328,9 @@
 
     def _ring_targets(self, now_s: float) -> Iterable[str]:
         """Returns the members to ping because of their place in the ring."""
-        live = [entry.member for entry in self._entries.values() if entry.alive]
-        if not live:
+        following = self._ring()
+        if not following:
             return []
-        ordered = sorted([*live, self._own], key=self._ring_key)
-        place = ordered.index(self._own)
-        following = [member.name for member in (*ordered[place + 1 :], *ordered[:place])]
         targets = self._probe(following, now_s)
         predecessor = self._entries[following[-1]]
         heard_s = max(predecessor.last_message_s, self._started_s)
@@ -323,6 +338,18 @@
             targets += self._probe(following[::-1], now_s)
         return targets
 
+    def _ring(self) -> list[str]:
+        """Returns the names of the other live members, from the successor on."""
+        if self._following_version != self._live_version:
+            own_key = self._ring_key(self._own)
+            keys = sorted(
+                self._ring_key(entry.member) for entry in self._entries.values() if entry.alive
+            )
+            place = bisect.bisect(keys, own_key)
+            self._following = [name for _, _, name in (*keys[place:], *keys[:place])]
+            self._following_version = self._live_version
+        return self._following
+
     def _probe(self, neighbours: list[str], now_s: float) -> list[str]:
         return ring_probe.targets(
             neighbours,
--- a/packages/gateway/src/sassafrasway_gateway/relay_role.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay_role.py
@@ -106,6 +106,11 @@
         # Monotonic time before which this instance does not explore a table again.
         self._next_exploration_s: dict[str, float] = {}
         self._announcement_received = asyncio.Event()
+        # Rank of this instance and number of live instances of its region, and the version of the
+        # live members for which they were computed.
+        self._rank = 0
+        self._region_size = 1
+        self._ranked_version = -1
 
     @property
     def announcement_received(self) -> asyncio.Event:
@@ -232,7 +237,8 @@
         once the table is no longer announced in the region. One that has taken over (``reading``)
         goes on until an instance with a better rank announces the table.
         """
-        if self._rank() < READERS_PER_REGION:
+        self._update_rank()
+        if self._rank < READERS_PER_REGION:
             return True
         now_s = clock_lib.elapsed_s()
         if reading:
@@ -248,8 +254,9 @@
         rank. However many of the first instances are lost, the rest of them then starts with a few
         instances at a time, and each has time to hear of those that started before.
         """
-        position = self._rank() - READERS_PER_REGION + 1
-        last_position = self._region_size() - READERS_PER_REGION
+        self._update_rank()
+        position = self._rank - READERS_PER_REGION + 1
+        last_position = self._region_size - READERS_PER_REGION
         delay_s = 0.0
         if position > 1:
             delay_s = TAKEOVER_WINDOW_S * min(1.0, math.log(position) / math.log(last_position))
@@ -305,17 +312,17 @@
         if now_s < self._next_exploration_s.get(table_name, 0.0):
             return False
         self._next_exploration_s[table_name] = now_s + EXPLORATION_INTERVAL_S
-        return self._rng.random() < EXPLORERS / self._region_size()
+        return self._rng.random() < EXPLORERS / self._region_size
 
-    def _region_size(self) -> int:
-        return len(self.recipients(changed=False)) + 1
-
-    def _rank(self) -> int:
-        """Returns the position of this instance in the ranking of its region, from 0."""
-        own = self._view.own
-        own_score = self._score(own.name)
+    def _update_rank(self) -> None:
+        """Ranks the live instances of the region again if they have changed."""
+        if self._ranked_version == self._view.live_version:
+            return
+        self._ranked_version = self._view.live_version
+        own_score = self._score(self._view.own.name)
         same_region = self.recipients(changed=False)
-        return sum(1 for member in same_region if self._score(member.name) < own_score)
+        self._rank = sum(self._score(member.name) < own_score for member in same_region)
+        self._region_size = len(same_region) + 1
 
     @staticmethod
     def _record_versions(
--- a/packages/gateway/tests/test_relay_role.py
+++ b/packages/gateway/tests/test_relay_role.py
@@ -39,6 +39,28 @@
                 reading = sum(role.is_reader("op") for role in make_roles(count))
                 self.assertEqual(reading, min(count, relay_role.READERS_PER_REGION))
 
+    def test_ranking_follows_each_change_of_the_live_members(self):
+        # The ranking is kept until the live members change.
+        clock = clock_lib.ManualClock()
+        view = fleet.FleetView(clock=clock, own=test_fleet.make_member("i0"), rng=random.Random(1))
+        role = relay_role.RelayRole(view=view, rng=random.Random(1))
+        score = relay_role.RelayRole._score
+        better = [f"i{index}" for index in range(1, 40) if score(f"i{index}") < score("i0")][:3]
+        self.assertTrue(role.is_reader("op"))
+        for count, name in enumerate(better, 1):
+            view.on_message(test_fleet.make_member(name))
+            self.assertEqual(role.is_reader("op"), count < relay_role.READERS_PER_REGION)
+        view.on_message(test_fleet.make_member(better[0], region="south", incarnation=2))
+        view.on_message(test_fleet.make_member(better[1], region="south", incarnation=2))
+        self.assertTrue(role.is_reader("op"))
+        view.on_message(test_fleet.make_member(better[0], incarnation=3))
+        self.assertFalse(role.is_reader("op"))
+        for _ in range(12):
+            clock.advance(fleet.PING_INTERVAL_S)
+            view.tick()
+        self.assertEqual(view.live_names(), ["i0"])
+        self.assertTrue(role.is_reader("op"))
+
     def test_a_few_instances_at_a_time_take_over_when_announcements_stop(self):
         roles = make_roles(40)
         with mock.patch.object(relay_role.clock_lib, "elapsed_s") as now:
