Pass an announcement as one value

The announcer handed five positional values through a lambda to the task that sends them; a reader could not tell them apart. They are the fields of relay_role.Announcement now.

--- a/packages/gateway/src/sassafrasway_gateway/announcer.py
+++ b/packages/gateway/src/sassafrasway_gateway/announcer.py
@@ -17,9 +17,6 @@
     begins to try, or can no longer read a table and others must take over. Any other instance
     announces a new version once if the region's readers lack it.
 
-    ``send`` gets the recipients, the versions, whether this instance reads them from the store, the
-    tables for which the store does not answer, and the time in seconds since this instance began
-    the last call that the store answered, or None without any.
     """
 
     def __init__(
@@ -27,9 +24,7 @@
         *,
         followers: Mapping[str, follower.TableFollower],
         role: relay_role.RelayRole,
-        send: Callable[
-            [list[fleet.Member], dict[str, int], bool, tuple[str, ...], float | None], None
-        ],
+        send: Callable[[list[fleet.Member], relay_role.Announcement], None],
     ):
         self._followers = followers
         self._role = role
@@ -75,12 +70,17 @@
         now_s = clock_lib.elapsed_s()
         due = now_s - self._last_sent_s >= relay_role.BEACON_INTERVAL_S
         if lost or begins or (read_versions and (changed or due)) or (unanswered and due):
-            recipients = self._role.recipients(changed=changed)
-            self._send(recipients, read_versions, True, unanswered, self._call_age_s(now_s))
+            announcement = relay_role.Announcement(
+                versions=read_versions,
+                reads=True,
+                unanswered=unanswered,
+                call_age_s=self._call_age_s(now_s),
+            )
+            self._send(self._role.recipients(changed=changed), announcement)
             self._last_sent_s = now_s
         elif not read_versions and changed and self._role.is_ahead_of_readers(versions):
-            recipients = self._role.recipients(changed=False)
-            self._send(recipients, versions, False, unanswered, self._call_age_s(now_s))
+            announcement = relay_role.Announcement(versions=versions, reads=False)
+            self._send(self._role.recipients(changed=False), announcement)
 
     def _call_age_s(self, now_s: float) -> float | None:
         """Returns the time since this instance began the last call that the store answered."""
--- a/packages/gateway/src/sassafrasway_gateway/peer_task.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_task.py
@@ -7,7 +7,7 @@
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors
-from sassafrasway_gateway import fleet, peer_messages
+from sassafrasway_gateway import fleet, peer_messages, relay_role
 
 # No message of an instance is larger.
 MAX_DATAGRAM_BYTES = 1200
@@ -101,18 +101,19 @@
             self._send_hello(member, reply=True)
 
     def send_beacon(
-        self,
-        recipients: list[fleet.Member],
-        versions: dict[str, int],
-        reads: bool,
-        unanswered: tuple[str, ...],
-        call_age_s: float | None,
+        self, recipients: list[fleet.Member], announcement: relay_role.Announcement
     ) -> None:
-        """Announces table versions to the given members; see `peer_messages.Beacon`."""
+        """Sends an announcement of this instance to the given members."""
         own = self._view.own
-        call_age_ms = -1 if call_age_s is None else int(call_age_s * 1000.0)
+        call_age_s = announcement.call_age_s
         beacon = peer_messages.Beacon(
-            own.name, own.peer_host, own.region, versions, reads, unanswered, call_age_ms
+            own.name,
+            own.peer_host,
+            own.region,
+            announcement.versions,
+            announcement.reads,
+            tuple(announcement.unanswered),
+            -1 if call_age_s is None else int(call_age_s * 1000.0),
         )
         for member in recipients:
             self._send(beacon, member)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -139,7 +139,7 @@
         self._announcer = announcer.VersionAnnouncer(
             followers=self._followers,
             role=self._relay_role,
-            send=lambda *announcement: self._peers.send_beacon(*announcement),
+            send=lambda recipients, announcement: self._peers.send_beacon(recipients, announcement),
         )
         self._peers = peer_task.PeerTask(
             view=self._view,
--- a/packages/gateway/src/sassafrasway_gateway/relay_role.py
+++ b/packages/gateway/src/sassafrasway_gateway/relay_role.py
@@ -66,9 +66,26 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Announcement:
+    """What this instance announces.
+
+    Attributes:
+        versions: Table versions that it can serve.
+        reads: Whether it reads these tables from the store.
+        unanswered: Tables that it tries to read without an answer of the store.
+        call_age_s: Time since it began the last call that the store answered, s; None without any.
+    """
+
+    versions: dict[str, int]
+    reads: bool
+    unanswered: Collection[str] = ()
+    call_age_s: float | None = None
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
-class _Announcement:
-    """Latest table versions announced by an instance.
+class _Received:
+    """Latest announcement received from an instance.
 
     Attributes:
         reads: Whether the instance reads the tables from the store.
@@ -97,8 +114,8 @@
     def __init__(self, *, view: fleet.FleetView, rng: random.Random):
         self._view = view
         self._rng = rng
-        self._beacons: dict[str, _Announcement] = {}
-        self._hints: dict[str, _Announcement] = {}
+        self._beacons: dict[str, _Received] = {}
+        self._hints: dict[str, _Received] = {}
         self._started_s = clock_lib.elapsed_s()
         self._last_announced_s: dict[str, float] = {}
         # Monotonic time at which the last reader of a table announced that it had lost the table.
@@ -326,7 +343,7 @@
 
     @staticmethod
     def _record_versions(
-        announcements: dict[str, _Announcement],
+        announcements: dict[str, _Received],
         name: str,
         host: str,
         versions: dict[str, int],
@@ -342,7 +359,7 @@
             first_announced_s[table_name] = (
                 old.first_announced_s[table_name] if unchanged else now_s
             )
-        announcements[name] = _Announcement(
+        announcements[name] = _Received(
             host=host,
             versions=dict(versions),
             reads=reads,
--- a/packages/gateway/tests/test_announcer.py
+++ b/packages/gateway/tests/test_announcer.py
@@ -41,7 +41,7 @@
         self.announcer = announcer.VersionAnnouncer(
             followers=self.followers,
             role=self.role,
-            send=lambda recipients, versions, *rest: self.sent.append(versions),
+            send=lambda recipients, announcement: self.sent.append(announcement.versions),
         )
         self.announcer.update()
 
