--- a/packages/gateway/src/sassafrasway_gateway/server_connection.py
+++ b/packages/gateway/src/sassafrasway_gateway/server_connection.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections
-import dataclasses
 import select
 import typing
 
@@ -17,7 +16,13 @@
 import structlog
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_gateway import http_client, memory_budget, messages, request_handler
+from sassafrasway_gateway import (
+    exchanges,
+    http_client,
+    memory_budget,
+    messages,
+    request_handler,
+)
 
 # Requests of one connection that are waiting, running, or waiting to be answered.
 MAX_PIPELINED_REQUESTS = 8
@@ -62,48 +67,6 @@
     return bool(poller.poll(0))
 
 
-@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
-class _Exchange:
-    """A request that was read, or rejected while it was read, until its response is written.
-
-    Attributes:
-        parser: Parser that has read the request and encodes the response.
-        may_overlap: Whether it may run while others of the connection run.
-        closes: Whether the connection ends with the response.
-    """
-
-    parser: h11.Connection
-    request: messages.Request | None = None
-    may_overlap: bool = False
-    task: asyncio.Task | None = None
-    response: messages.Response | None = None
-    closes: bool = False
-
-    def release(self) -> None:
-        """Gives the memory of the request and the response back."""
-        for message in (self.request, self.response):
-            if message is not None and message.reservation is not None:
-                message.reservation.release()
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes of the bodies of the request and the response."""
-        size = 0 if self.request is None else len(self.request.body)
-        return size if self.response is None else size + len(self.response.body)
-
-
-class _RequestReader:
-    """The request that is being read; ``started_s`` is 0 until its first byte has arrived."""
-
-    def __init__(self, *, parser: h11.Connection):
-        self.parser = parser
-        self.started_s = 0.0
-        self.head: h11.Request | None = None
-        self.body = bytearray()
-        self.chunk_limit = messages.ChunkLimit()
-        self.reservation: memory_budget.Reservation | None = None
-
-
 class ServerConnection(asyncio.Protocol):
     """One connection from a client."""
 
@@ -112,8 +75,8 @@
         self._server = server
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._reader = _RequestReader(parser=self._make_parser())
-        self._exchanges: collections.deque[_Exchange] = collections.deque()
+        self._reader = exchanges.RequestReader(parser=self._make_parser())
+        self._exchanges: collections.deque[exchanges.Exchange] = collections.deque()
         self._timer: asyncio.TimerHandle | None = None
         self._peer = ""
         # No further request is read: the connection closes after the responses that are due.
@@ -292,7 +255,7 @@
             peer=self._peer,
             reservation=reader.reservation,
         )
-        exchange = _Exchange(
+        exchange = exchanges.Exchange(
             parser=reader.parser,
             request=request,
             may_overlap=self._handler.may_overlap(request),
@@ -302,7 +265,7 @@
         if exchange.closes:
             self._ending = True
         trailing_bytes, _ = reader.parser.trailing_data
-        self._reader = _RequestReader(parser=self._make_parser())
+        self._reader = exchanges.RequestReader(parser=self._make_parser())
         if trailing_bytes and not self._ending:
             self._reader.parser.receive_data(trailing_bytes)
             self._begin_request()
@@ -334,7 +297,7 @@
             if not exchange.may_overlap:
                 return
 
-    async def _run(self, exchange: _Exchange) -> None:
+    async def _run(self, exchange: exchanges.Exchange) -> None:
         try:
             response = await self._handler.handle(exchange.request)
         except asyncio.CancelledError:
@@ -385,7 +348,7 @@
                 self._start_timer(self._handler.limits.header_timeout_s)
             self._read()
 
-    def _write(self, exchange: _Exchange) -> bool:
+    def _write(self, exchange: exchanges.Exchange) -> bool:
         """Writes one response and returns whether the connection can carry another request."""
         response = exchange.response
         method = b"" if exchange.request is None else exchange.request.method
@@ -432,7 +395,7 @@
         self._ending = True
         self._closing = True
         self._awaits_first_request = False
-        self._reader = _RequestReader(parser=self._reader.parser)
+        self._reader = exchanges.RequestReader(parser=self._reader.parser)
         if self._transport.is_closing():
             return
         self._transport.resume_reading()
@@ -445,10 +408,12 @@
         self._cancel_timer()
         self._ending = True
         parser = self._reader.parser
-        self._reader = _RequestReader(parser=self._make_parser())
+        self._reader = exchanges.RequestReader(parser=self._make_parser())
         if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             response = request_handler.text_response(status, reason, retry_after_s=retry_after_s)
-            self._exchanges.append(_Exchange(parser=parser, response=response, closes=True))
+            self._exchanges.append(
+                exchanges.Exchange(parser=parser, response=response, closes=True)
+            )
             self._write_responses()
         elif not self._exchanges:
             self._close()
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -4,185 +4,27 @@
 """
 
 import asyncio
-import os
 import unittest
 from unittest import mock
 
+import connection_fixture
 import hypothesis
 from hypothesis import strategies
 
 from sassafrasway_gateway import (
     memory_budget,
     messages,
-    model,
-    request_handler,
     server_connection,
 )
 
-LIMITS = model.Limits(header_bytes=2048, body_bytes=1000, header_timeout_s=0.1, idle_timeout_s=0.2)
+get = connection_fixture.get
+put = connection_fixture.put
+LIMITS = connection_fixture.LIMITS
 
 
-class FakeTransport(asyncio.Transport):
-    """Transport that records the bytes written to it."""
-
-    def __init__(self):
-        super().__init__()
-        self._input, self._output = os.pipe()
-        self.written = b""
-        self.reading = True
-        self.aborted = False
-        self.ended = False
-        self.unsent = 0
-
-    def dispose(self):
-        os.close(self._input)
-        os.close(self._output)
-
-    def add_unread_byte(self):
-        os.write(self._output, b"x")
-
-    def get_extra_info(self, name, default=None):
-        return self if name == "socket" else default
-
-    def setsockopt(self, *args):
-        pass
-
-    def fileno(self):
-        return self._input
-
-    def write(self, data):
-        self.written += data
-
-    def write_eof(self):
-        self.ended = True
-
-    def get_write_buffer_size(self):
-        return self.unsent
-
-    def pause_reading(self):
-        self.reading = False
-
-    def resume_reading(self):
-        self.reading = True
-
-    def is_closing(self):
-        return self.aborted
-
-    def close(self):
-        self.aborted = True
-
-    def abort(self):
-        self.aborted = True
-
-
-class FakeServer:
-    """Server of one connection."""
-
-    def __init__(self, budget=None):
-        self.draining = False
-        self.refuses_new = False
-        self.budget = budget
-
-    def on_open(self, connection):
-        pass
-
-    def on_close(self, connection):
-        pass
-
-
-class GatedHandler(request_handler.Handler):
-    """Answers each request with its path once the gate of that path is open.
-
-    Paths that begin with ``/once`` must not be repeated.
-    """
-
-    def __init__(self):
-        self.gates = {}
-        self.started = []
-        self.cancelled = []
-        self.statuses = {}
-
-    @property
-    def limits(self):
-        return LIMITS
-
-    def may_overlap(self, request):
-        return not request.target.startswith(b"/once")
-
-    def gate(self, path):
-        return self.gates.setdefault(path, asyncio.Event())
-
-    async def handle(self, request):
-        path = request.target.decode()
-        self.started.append(path)
-        try:
-            await self.gate(path).wait()
-        except asyncio.CancelledError:
-            self.cancelled.append(path)
-            raise
-        status = self.statuses.get(path, 200)
-        if status == "error":
-            raise RuntimeError("unexpected")
-        return messages.Response(status=status, headers=[], body=path.encode())
-
-
-def get(path, headers=b""):
-    """Returns the bytes of a request without a body."""
-    return b"GET " + path.encode() + b" HTTP/1.1\r\nHost: h\r\n" + headers + b"\r\n"
-
-
-def put(path, body):
-    """Returns the bytes of a request with a body."""
-    length = b"Content-Length: %d\r\n" % len(body)
-    return b"PUT " + path.encode() + b" HTTP/1.1\r\nHost: h\r\n" + length + b"\r\n" + body
-
-
-class PipeliningTest(unittest.IsolatedAsyncioTestCase):
+class PipeliningTest(connection_fixture.ConnectionFixture):
     """Guards against pipelined requests that wait for each other, or get each other's response."""
 
-    async def asyncSetUp(self):
-        self.handler = GatedHandler()
-        self.server = FakeServer()
-        self.connect()
-
-    def connect(self):
-        self.transport = FakeTransport()
-        self.addCleanup(self.transport.dispose)
-        self.connection = server_connection.ServerConnection(
-            handler=self.handler, server=self.server
-        )
-        self.connection.connection_made(self.transport)
-
-    async def asyncTearDown(self):
-        self.connection.connection_lost(None)
-        await asyncio.sleep(0)
-
-    async def receive(self, *parts):
-        for part in parts:
-            self.connection.data_received(part)
-        await self.settle()
-
-    async def settle(self):
-        for _ in range(5):
-            await asyncio.sleep(0)
-
-    async def open(self, *paths):
-        for path in paths:
-            self.handler.gate(path).set()
-            await self.settle()
-
-    def statuses(self):
-        return [
-            int(part[:3]) for part in self.transport.written.split(b"HTTP/1.1 ")[1:] if part[:3]
-        ]
-
-    def answered(self):
-        """Returns the paths in the bodies of the responses, in order."""
-        found = []
-        for part in self.transport.written.split(b"HTTP/1.1 ")[1:]:
-            found.append(part.partition(b"\r\n\r\n")[2].decode())
-        return found
-
     async def test_second_request_does_not_wait_for_the_first(self):
         # The second of two lookups took two run times, 1.28 s against a goal of 0.4 s.
         await self.receive(get("/1") + get("/2"))
@@ -198,7 +40,7 @@
     async def test_requests_split_at_any_byte_are_read(self):
         data = get("/1") + put("/2", b"ab") + get("/3")
         for position in range(1, len(data)):
-            self.handler = GatedHandler()
+            self.handler = connection_fixture.GatedHandler()
             self.connect()
             await self.receive(data[:position], data[position:])
             await self.open("/1", "/2", "/3")
@@ -262,26 +104,6 @@
         self.assertEqual(self.handler.cancelled, ["/1", "/2"])
         self.assertNotIn("/once", self.handler.started)
 
-    async def test_planned_stop_answers_all_that_was_read_and_closes_with_the_last(self):
-        await self.receive(get("/1") + get("/2"))
-        self.server.draining = True
-        self.connection.close_when_idle()
-        await self.open("/1")
-        self.assertNotIn(b"connection: close", self.transport.written.lower())
-        await self.open("/2")
-        self.assertEqual(self.answered(), ["/1", "/2"])
-        self.assertIn(b"connection: close", self.transport.written.lower())
-        self.assertTrue(self.transport.ended)
-
-    async def test_planned_stop_answers_a_request_that_was_partly_read(self):
-        await self.receive(get("/1") + get("/2")[:10])
-        self.server.draining = True
-        await self.open("/1")
-        self.assertFalse(self.transport.ended)
-        await self.receive(get("/2")[10:])
-        await self.open("/2")
-        self.assertEqual(self.answered(), ["/1", "/2"])
-
     async def test_refused_request_does_not_affect_those_behind(self):
         self.handler.statuses["/1"] = 503
         await self.receive(get("/1") + get("/2"))
@@ -333,80 +155,6 @@
         await self.open("/2")
         self.assertEqual(self.statuses(), [200, 100, 200])
 
-    async def test_connection_with_unread_bytes_is_not_closed_as_idle(self):
-        # The bytes of a request that was not read yet were lost in the reset of the connection.
-        self.handler.gate("/1").set()
-        await self.receive(get("/1"))
-        self.transport.add_unread_byte()
-        self.connection.close_when_idle()
-        self.assertFalse(self.transport.ended)
-        self.assertFalse(self.transport.aborted)
-
-    async def test_new_connection_may_send_its_first_request_while_the_server_stops(self):
-        self.connection.close_when_idle()
-        self.assertTrue(self.connection.busy)
-        self.server.draining = True
-        await self.receive(get("/1"))
-        await self.open("/1")
-        self.assertEqual(self.answered(), ["/1"])
-        self.assertTrue(self.transport.ended)
-
-    async def test_new_connection_without_a_request_does_not_hold_up_the_stop(self):
-        self.connection.close_when_idle()
-        await asyncio.sleep(server_connection.FIRST_REQUEST_S + 0.1)
-        self.assertFalse(self.connection.busy)
-        # The shutdown closes idle connections again and again.
-        self.connection.close_when_idle()
-        self.assertFalse(self.connection.busy)
-
-    async def test_closing_connection_is_aborted_in_time_although_it_is_closed_again(self):
-        self.handler.gate("/1").set()
-        with mock.patch.object(server_connection, "LINGER_S", 0.1):
-            await self.receive(get("/1", b"Connection: close\r\n"))
-            for _ in range(8):
-                self.connection.close_when_idle()
-                await asyncio.sleep(0.02)
-        self.assertTrue(self.transport.aborted)
-
-    async def test_connection_is_busy_until_the_system_has_its_response(self):
-        # Review case 2: after SIGTERM, an instance exited while clients still read their responses,
-        # and dropped the rest of them.
-        self.handler.gate("/1").set()
-        self.transport.unsent = 900
-        await self.receive(get("/1"))
-        self.assertTrue(self.connection.busy)
-        self.connection.close_when_idle()
-        self.assertFalse(self.transport.ended)
-        self.transport.unsent = 0
-        self.assertFalse(self.connection.busy)
-        self.connection.close_when_idle()
-        self.assertTrue(self.transport.ended)
-
-    async def test_closing_connection_waits_for_a_client_that_reads_slowly(self):
-        self.handler.gate("/1").set()
-        self.transport.unsent = 900
-        with mock.patch.object(server_connection, "LINGER_S", 0.05):
-            await self.receive(get("/1", b"Connection: close\r\n"))
-            for _ in range(4):
-                self.transport.unsent -= 200
-                await asyncio.sleep(0.06)
-                self.assertFalse(self.transport.aborted)
-            # It reads no more.
-            await asyncio.sleep(0.15)
-        self.assertTrue(self.transport.aborted)
-
-    async def test_request_late_in_a_planned_stop_is_refused_as_not_run(self):
-        # Other operators: requests that came late in the grace were taken, and cut at its end.
-        await self.receive(get("/1"))
-        self.server.draining = True
-        self.server.refuses_new = True
-        await self.receive(get("/once"))
-        await self.open("/1", "/once")
-        self.assertEqual(self.statuses(), [200, 503])
-        self.assertEqual(self.handler.started, ["/1"])
-        self.assertIn(b"Retry-After", self.transport.written)
-        self.assertTrue(self.transport.ended)
-
     async def test_bytes_after_the_last_response_are_discarded(self):
         self.handler.gate("/1").set()
         await self.receive(get("/1", b"Connection: close\r\n"))
@@ -449,9 +197,11 @@
         budget = None
         if budget_bytes is not None:
             budget = memory_budget.MemoryBudget(capacity_bytes=budget_bytes)
-        handler = GatedHandler()
-        transport = FakeTransport()
-        connection = server_connection.ServerConnection(handler=handler, server=FakeServer(budget))
+        handler = connection_fixture.GatedHandler()
+        transport = connection_fixture.FakeTransport()
+        connection = server_connection.ServerConnection(
+            handler=handler, server=connection_fixture.FakeServer(budget)
+        )
         connection.connection_made(transport)
         start = 0
         for end in [*cuts, len(data)]:
@@ -477,10 +227,12 @@
     """Guards against a body in tiny chunks that blocks the event loop: 256 KiB took 0.7 s."""
 
     async def test_body_in_too_many_chunks_is_rejected(self):
-        transport = FakeTransport()
+        transport = connection_fixture.FakeTransport()
         self.addCleanup(transport.dispose)
-        handler = GatedHandler()
-        connection = server_connection.ServerConnection(handler=handler, server=FakeServer())
+        handler = connection_fixture.GatedHandler()
+        connection = server_connection.ServerConnection(
+            handler=handler, server=connection_fixture.FakeServer()
+        )
         connection.connection_made(transport)
         head = b"PUT / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
         with mock.patch.object(messages.ChunkLimit, "FREE_CHUNKS", 100):
@@ -495,10 +247,12 @@
 
     async def test_body_without_memory_is_refused_as_not_run(self):
         budget = memory_budget.MemoryBudget(capacity_bytes=500)
-        handler = GatedHandler()
-        transport = FakeTransport()
+        handler = connection_fixture.GatedHandler()
+        transport = connection_fixture.FakeTransport()
         self.addCleanup(transport.dispose)
-        connection = server_connection.ServerConnection(handler=handler, server=FakeServer(budget))
+        connection = server_connection.ServerConnection(
+            handler=handler, server=connection_fixture.FakeServer(budget)
+        )
         connection.connection_made(transport)
         connection.data_received(put("/1", b"b" * 900)[:-10])
         self.assertTrue(transport.written.startswith(b"HTTP/1.1 503"))
@@ -509,12 +263,14 @@
 
     async def test_client_that_does_not_read_is_disconnected_when_memory_is_short(self):
         budget = memory_budget.MemoryBudget(capacity_bytes=500)
-        handler = GatedHandler()
+        handler = connection_fixture.GatedHandler()
         handler.gate("/1").set()
-        transport = FakeTransport()
+        transport = connection_fixture.FakeTransport()
         self.addCleanup(transport.dispose)
         transport.unsent = 900
-        connection = server_connection.ServerConnection(handler=handler, server=FakeServer(budget))
+        connection = server_connection.ServerConnection(
+            handler=handler, server=connection_fixture.FakeServer(budget)
+        )
         connection.connection_made(transport)
         connection.data_received(get("/1"))
         for _ in range(5):
