--- a/packages/gateway/tests/test_mass_loss.py
+++ b/packages/gateway/tests/test_mass_loss.py
@@ -8,8 +8,7 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import fleet, ring_probe
 
-# Time within which the directory must not name a lost instance any more: 3 s after the shortest
-# ``Contact`` of the users' deployments.
+# Time after a loss from which look-ups must not name a lost instance any more.
 CLEAN_S = 6.0
 
 
@@ -30,9 +29,7 @@
         self.pings = 0
         self.reports = 0
         self.members = {
-            f"front-{index}": test_fleet.make_member(
-                f"front-{index}", region=f"region-{index % regions}"
-            )
+            f"i{index}": test_fleet.make_member(f"i{index}", region=f"region-{index % regions}")
             for index in range(members)
         }
         self.views = {}
@@ -105,9 +102,9 @@
 
 
 class MassLossTest(unittest.TestCase):
-    """Guards against a directory that names lost instances, and against needless work.
+    """Guards against look-ups that name lost instances, and against needless work.
 
-    Issue 26: after the loss of 18 of 20 instances every answer from 6 s to 10 s after it named a
+    Issue 26: after the loss of 18 of 20 instances every look-up from 6 s to 10 s after it named a
     dead one, as each instance found them dead two at a time.
     """
 
@@ -155,10 +152,10 @@
     def test_pause_of_an_instance_makes_no_other_dead(self):
         played = Fleet(members=20, regions=1, left=20, seed=1)
         played.run(3.0)
-        played.paused = {"front-3"}
+        played.paused = {"i3"}
         played.run(4.0)
         played.paused = set()
         played.run(0.6)
         dead = {other for name, other in played.missing()}
-        self.assertLessEqual(dead, {"front-3"})
-        self.assertNotIn("front-3", {name for name, other in played.missing()})
+        self.assertLessEqual(dead, {"i3"})
+        self.assertNotIn("i3", {name for name, other in played.missing()})
--- a/packages/gateway/tests/test_pipelining.py
+++ b/packages/gateway/tests/test_pipelining.py
@@ -83,7 +83,7 @@
         self.assertTrue(self.transport.ended)
 
     async def test_last_request_of_a_connection_is_run_after_those_before_it(self):
-        # Review case 1: a booking with "Connection: close" behind a running look-up was never
+        # Review case 1: a last request with "Connection: close" behind a running one was never
         # started and never answered.
         await self.receive(get("/1") + get("/once", b"Connection: close\r\n"))
         self.assertEqual(self.handler.started, ["/1"])
--- a/packages/gateway/tests/test_reader_takeover.py
+++ b/packages/gateway/tests/test_reader_takeover.py
@@ -48,7 +48,7 @@
 
     def __init__(self, size, rng):
         self.rng = rng
-        self.names = [f"front-{index}" for index in range(size)]
+        self.names = [f"i{index}" for index in range(size)]
         self.now_s = 100.0
         self.survivors = []
         self.most_calls = 0
