Identify organisations by keys, and decode what was rejected whole

Each request is checked for the key of an organisation (401 with a known policy, 503 before); the key is removed and the organisation's name is set. Home regions and priority of organisations are decoded; both homes bind.

--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -19,7 +19,11 @@
 # Longest time for which a server can keep requests away.
 MAX_REST_S = 3600.0
 _REST = re.compile(rb"\s*([0-9]{1,9}(?:\.[0-9]{1,9})?)\s*")
-_LOAD = re.compile(rb"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*")
+# Figures after the fourth are unknown and ignored.
+_LOAD = re.compile(
+    rb"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*(?:,\s*([0-9]{1,6})?\s*(?:,.*)?)?"
+)
+MAX_SLOWDOWN = 100.0
 
 
 class Outcome(enum.Enum):
@@ -67,22 +71,30 @@
         running: Number of requests that the server is running.
         waiting: Number of requests in its queue.
         slots: Number of requests that it runs at a time.
+        slowdown: How long work takes on its machine now, as a multiple of the usual time.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 def parse_load(value: bytes | None) -> LoadReport | None:
-    """Parses a load header, ``running,waiting,slots``; returns None if it is missing or invalid."""
+    """Parses a load header; returns None if it is missing or invalid.
+
+    The header is ``running,waiting,slots``. A fourth figure states how long work takes now, in per
+    cent of the usual time.
+    """
     if value is None:
         return None
     match = _LOAD.fullmatch(value)
     if match is None:
         return None
-    running, waiting, slots = (int(part) for part in match.groups())
-    return LoadReport(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots = (int(part) for part in match.groups()[:3])
+    percent = int(match.group(4) or 0)
+    slowdown = min(MAX_SLOWDOWN, percent / 100.0) if percent else 1.0
+    return LoadReport(running=running, waiting=waiting, slots=slots, slowdown=slowdown)
 
 
 def parse_rest_s(response: messages.Response) -> float:
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -105,6 +105,7 @@
         region: Region of this instance.
         remaining_s: Time until the deadline of the request.
         excluded_servers: Ids of the servers that must not be selected.
+        allowed_regions: Regions whose servers may be selected; None allows all.
     """
 
     route: model.Route
@@ -113,6 +114,7 @@
     region: str
     remaining_s: float
     excluded_servers: Collection[str] = ()
+    allowed_regions: frozenset[str] | None = None
 
 
 class ServiceTimeEstimate:
@@ -269,15 +271,18 @@
 
     def _permitted(self, criteria: SelectionCriteria) -> list[servers.ServerState]:
         """Returns the usable servers to which the policy allows the request to go."""
-        homes = criteria.route.home_regions
         return [
             state
             for state in self._registry
             if state.server.service == criteria.service
             and self._registry.usable(state)
-            and (not homes or self._registry.region_of(state) in homes)
+            and self._in_allowed_region(state, criteria)
         ]
 
+    def _in_allowed_region(self, state: servers.ServerState, criteria: SelectionCriteria) -> bool:
+        allowed = criteria.allowed_regions
+        return allowed is None or self._registry.region_of(state) in allowed
+
     def _candidates(
         self,
         criteria: SelectionCriteria,
@@ -299,8 +304,7 @@
             state = self._registry.get(server_id)
             if state is None or server_id in criteria.excluded_servers:
                 continue
-            home_regions = criteria.route.home_regions
-            if home_regions and self._registry.region_of(state) not in home_regions:
+            if not self._in_allowed_region(state, criteria):
                 continue
             if state.rest_until_s > now_s:
                 continue
--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -90,6 +90,11 @@
         """Whether changes of the table have stopped arriving."""
         return self._in_contact is False
 
+    @property
+    def interrupted_for_s(self) -> float:
+        """Time since changes of the table have stopped arriving, s; 0 while they arrive."""
+        return clock_lib.elapsed_s() - self._interrupted_s if self.interrupted else 0.0
+
     @property
     def judgement(self) -> outage.Judgement | None:
         """Conclusion about the last interruption; None before the first one."""
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -43,6 +43,7 @@
         on_crash: Called for each new crash with the fingerprint of the request and the server, as
             ``id/started_ms``.
         region: Region of this instance.
+        keys_expired: Returns whether the policy is too old for its keys to be accepted.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         names: messages.HeaderNames,
         region: str,
         metrics: metrics_lib.GatewayMetrics,
+        keys_expired: Callable[[], bool] = lambda: False,
     ):
         self._policy_state = policy_state
         self._registry = registry
@@ -73,7 +75,9 @@
         self._names = names
         self._region = region
         self._metrics = metrics
-        self._admission = jobs.Admission(policy_state=policy_state, names=names)
+        self._admission = jobs.Admission(
+            policy_state=policy_state, names=names, keys_expired=keys_expired
+        )
         self._background: set[asyncio.Task] = set()
         self._log = structlog.get_logger("requests")
 
@@ -129,6 +133,7 @@
                     region=self._region,
                     remaining_s=remaining_s,
                     excluded_servers=job.excluded_servers,
+                    allowed_regions=job.allowed_regions,
                 )
             )
             for unproven in choice.unproven:
@@ -401,6 +406,7 @@
             "request",
             request=job.request_id,
             route=job.route.name,
+            organisation=None if job.organisation is None else job.organisation.name,
             service=job.service,
             object=job.object_key,
             policy=job.policy_version,
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -4,15 +4,26 @@
 import math
 import random
 import re
+from collections.abc import Callable
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors
-from sassafrasway_gateway import balancer, crashes, messages, model, routing, state
+from sassafrasway_gateway import (
+    balancer,
+    crashes,
+    messages,
+    model,
+    organisations,
+    routing,
+    state,
+)
 
 # Timeout of a route that does not set one.
 DEFAULT_TIMEOUT_S = 30.0
 # Retry-After of requests that arrive before the first policy.
 NO_POLICY_RETRY_AFTER_S = 0.5
+# Retry-After of requests whose keys cannot be checked against a current policy.
+KEYS_EXPIRED_RETRY_AFTER_S = 0.5
 # Extra time after the timeout of the route for a server to finish a request that it is running. A
 # late response is more useful to the caller than a timeout, which leaves open whether a
 # non-idempotent request ran.
@@ -45,6 +56,10 @@
     """An admitted request and the state of its attempts.
 
     Attributes:
+        request: Request as it is forwarded, without the key of the caller.
+        organisation: Organisation of the caller; None if the request needs no key.
+        priority: Rank of the request among those for its service; 0 is the most urgent.
+        allowed_regions: Regions whose servers may be used; None allows all.
         object_key: Object named in the cookie of a request to a sticky route; otherwise the id of
             the request.
         fingerprint: Digest that is the same when the caller sends the request again.
@@ -62,6 +77,9 @@
     deadline_s: float
     server_deadline_s: float
     policy_version: int
+    organisation: model.Organisation | None = None
+    priority: int = 0
+    allowed_regions: frozenset[str] | None = None
     excluded_servers: list[str] = dataclasses.field(default_factory=list)
     attempts: list[AttemptLogEntry] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
@@ -84,11 +102,21 @@
 
 
 class Admission:
-    """Creates the jobs of requests according to the policy in force."""
+    """Creates the jobs of requests according to the policy in force.
 
-    def __init__(self, *, policy_state: state.PolicyState, names: messages.HeaderNames):
+    ``keys_expired`` returns whether the policy is too old for its keys to be accepted.
+    """
+
+    def __init__(
+        self,
+        *,
+        policy_state: state.PolicyState,
+        names: messages.HeaderNames,
+        keys_expired: Callable[[], bool] = lambda: False,
+    ):
         self._policy_state = policy_state
         self._names = names
+        self._keys_expired = keys_expired
         self._split_picker = routing.SplitPicker(rng=random.Random())
 
     def admit(self, request: messages.Request) -> Job:
@@ -111,6 +139,7 @@
             host = (request.header(b"host") or b"").decode("latin-1")
             target = request.target.decode("latin-1")
             raise NotAdmitted(f"no route for {host}{target}", request_id=request_id, status=404)
+        organisation = self._authenticate(request, route, request_id)
         caller_remaining_s = self._caller_remaining_s(request)
         if caller_remaining_s is None:
             raise NotAdmitted(
@@ -128,6 +157,14 @@
         object_key = ""
         if route.sticky:
             object_key = messages.cookie(request.headers, self._names.object_cookie) or ""
+        priority = route.priority
+        if organisation is not None and organisation.priority is not None:
+            priority = organisation.priority
+        if policy.organisations:
+            request = dataclasses.replace(
+                request,
+                headers=organisations.forwarded_headers(request.headers, self._names, organisation),
+            )
         return Job(
             request=request,
             request_id=request_id,
@@ -138,8 +175,34 @@
             deadline_s=deadline_s,
             server_deadline_s=server_deadline_s,
             policy_version=policy.version,
+            organisation=organisation,
+            priority=priority,
+            allowed_regions=_allowed_regions(route, organisation),
         )
 
+    def _authenticate(
+        self, request: messages.Request, route: model.Route, request_id: str
+    ) -> model.Organisation | None:
+        """Returns the organisation of the caller; None if the request needs no key.
+
+        Raises:
+            NotAdmitted: The request lacks a valid key, or keys cannot be checked now.
+        """
+        if not self._policy_state.policy.organisations or route.anonymous:
+            return None
+        if self._keys_expired():
+            raise NotAdmitted(
+                "keys cannot be checked: no current policy",
+                request_id=request_id,
+                status=503,
+                retry_after_s=KEYS_EXPIRED_RETRY_AFTER_S,
+            )
+        keys = self._policy_state.keys
+        organisation = keys.organisation_of(request.headers, self._names.key)
+        if organisation is None:
+            raise NotAdmitted("no valid key", request_id=request_id, status=401)
+        return organisation
+
     def route_of(self, request: messages.Request) -> model.Route | None:
         """Returns the route of a request; None without a policy or if no route matches."""
         routes = self._policy_state.routes
@@ -160,3 +223,16 @@
         if _TIME_LEFT_MS.fullmatch(value) is None:
             return None
         return int(value) / 1000.0
+
+
+def _allowed_regions(
+    route: model.Route, organisation: model.Organisation | None
+) -> frozenset[str] | None:
+    """Returns the regions that the homes of the route and of the organisation have in common.
+
+    None stands for all regions; the set is empty if no region is a home of both.
+    """
+    allowed = route.home_regions or None
+    if organisation is None or not organisation.home_regions:
+        return allowed
+    return organisation.home_regions if allowed is None else allowed & organisation.home_regions
--- a/packages/gateway/src/sassafrasway_gateway/messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/messages.py
@@ -39,6 +39,8 @@
         server_load: Header with the load of the server that responds.
         not_run: Header that marks the response to a request that the server did not run.
         leaving: Header with the value ``1`` in the responses of a server that leaves.
+        key: Header with the key of a caller's organisation.
+        organisation: Header with the name of that organisation, which the gateway sets for servers.
     """
 
     request_id: bytes = b"sassafras-request-id"
@@ -49,6 +51,8 @@
     server_load: bytes = b"sassafras-load"
     not_run: bytes = b"sassafras-not-run"
     leaving: bytes = b"sassafras-leaving"
+    key: bytes = b"sassafras-key"
+    organisation: bytes = b"sassafras-organisation"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -16,7 +16,7 @@
 class Route:
     """Routing rule for the requests to one host and path prefix.
 
-    The gateway uses neither the target latency nor the priority.
+    The gateway does not use the target latency.
 
     Attributes:
         idempotent: Whether a request may run more than once.
@@ -28,6 +28,7 @@
         sticky: Whether requests are assigned to servers by the object named in a cookie; see
             ``balancer`` for objects.
         home_regions: Regions whose servers may be used; empty allows all.
+        anonymous: Whether requests need no key although the policy has organisations.
     """
 
     name: str
@@ -41,6 +42,26 @@
     max_attempts: int = 1
     sticky: bool = False
     home_regions: frozenset[str] = frozenset()
+    anonymous: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Organisation:
+    """A customer whose callers identify themselves with keys.
+
+    Attributes:
+        priority: Rank of its requests, which replaces that of the route; None to keep that.
+        rate_per_s: Requests per second that all instances together may pass on; 0 for no limit.
+        burst: Requests that they may pass on in addition.
+        home_regions: Regions whose servers may be used; empty allows all.
+    """
+
+    name: str
+    keys: frozenset[str] = dataclasses.field(default=frozenset(), repr=False)
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    home_regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -81,12 +102,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Policy:
-    """One version of the operator's policy."""
+    """One version of the operator's policy.
+
+    Attributes:
+        organisations: Organisations whose callers need keys, by name; if there are none, no request
+            needs a key.
+        problems: Parts that are not known, and how they are treated.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: Limits
+    organisations: Mapping[str, Organisation] = dataclasses.field(default_factory=dict)
+    problems: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -189,6 +189,7 @@
             "instance": self._config.instance,
             "phase": self._view.own.phase.name,
             "policy_version": policy.version if policy else None,
+            "organisations": len(policy.organisations) if policy else 0,
             "table_versions": self._announcer.versions(),
             "interruptions": {
                 name: {
@@ -275,8 +276,14 @@
             names=self._dialect.headers,
             region=self._config.region,
             metrics=self._metrics,
+            keys_expired=self._keys_expired,
         )
 
+    def _keys_expired(self) -> bool:
+        bounds = self._config.bounds
+        policy_follower = self._followers[self._dialect.policy_table]
+        return bounds.strict_keys and policy_follower.interrupted_for_s > bounds.key_lifetime_s
+
     def _make_follower(
         self, table_name: str, listener: follower.Listener
     ) -> follower.TableFollower:
--- a/packages/gateway/src/sassafrasway_gateway/settings.py
+++ b/packages/gateway/src/sassafrasway_gateway/settings.py
@@ -28,6 +28,11 @@
             the requests of all instances together to each cold server.
         cold_slack: Requests per second to each cold server permitted in addition to that.
         lookup_ttl_s: Longest time for which callers may cache a lookup, s.
+        quota_window_s: Length of the window of the rate limits of organisations, s.
+        quota_factor: Permitted multiple of an organisation's limit in each window.
+        quota_slack: Requests of an organisation permitted in addition in each window.
+        strict_keys: Whether an instance without current policy refuses requests with keys.
+        key_lifetime_s: Time without current policy after which it does so, s.
     """
 
     stop_grace_s: float = 6.0
@@ -37,6 +42,11 @@
     cold_factor: float = 1.5
     cold_slack: float = 5.0
     lookup_ttl_s: float = 5.0
+    quota_window_s: float = 5.0
+    quota_factor: float = 1.1
+    quota_slack: float = 20.0
+    strict_keys: bool = False
+    key_lifetime_s: float = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -10,7 +10,7 @@
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors
-from sassafrasway_gateway import follower, model, routing, servers
+from sassafrasway_gateway import follower, model, organisations, routing, servers
 from sassafrasway_platform import feed
 
 
@@ -80,6 +80,7 @@
         self._on_policy = on_policy
         self._policy: model.Policy | None = None
         self._routes: routing.RouteTable | None = None
+        self._keys = organisations.OrganisationKeys(())
         self._evacuated: set[str] = set()
         self._rejected = RejectedRows()
         self._log = structlog.get_logger("policy")
@@ -94,6 +95,11 @@
         """Routes of the policy in force; None before the first one."""
         return self._routes
 
+    @property
+    def keys(self) -> organisations.OrganisationKeys:
+        """Keys of the organisations of the policy in force."""
+        return self._keys
+
     def on_rows(self, changes: feed.Changes) -> None:
         """See base class."""
         evacuated = set()
@@ -138,8 +144,16 @@
             return
         self._policy = policy
         self._routes = routing.RouteTable(routes=policy.routes)
+        self._keys = organisations.OrganisationKeys(policy.organisations.values())
         self._registry.set_warmup(policy.services.values())
-        self._log.info("policy in force", version=policy.version, row_version=change.version)
+        for problem in policy.problems:
+            self._log.warning("part of the policy not understood", problem=problem)
+        self._log.info(
+            "policy in force",
+            version=policy.version,
+            row_version=change.version,
+            organisations=len(policy.organisations),
+        )
         self._on_policy(policy)
 
     def _set_evacuated(self, evacuated: set[str]) -> None:
--- a/packages/gateway/tests/gateway_fakes.py
+++ b/packages/gateway/tests/gateway_fakes.py
@@ -77,7 +77,9 @@
 def make_criteria(route=None, **fields):
     """Returns selection criteria for the object ``o`` and the region ``north``."""
     defaults = {"object_key": "o", "region": "north", "remaining_s": 2.0, "service": "desk"}
-    return balancer.SelectionCriteria(route=route or make_route(), **{**defaults, **fields})
+    route = route or make_route()
+    defaults["allowed_regions"] = route.home_regions or None
+    return balancer.SelectionCriteria(route=route, **{**defaults, **fields})
 
 
 class ScriptedServer:
