Wait for the run instead of 10 ms in the tests of the gatekeeper

Cause: test_expired_ticket_is_not_reported_as_not_run_while_a_claim_of_it_runs took a sleep of 10 ms for the writing of the claim. If the event loop stands still for that long, the ticket expires before the claim is written; the late request then writes its refusal as the claim, which is correct: the first instance finds it and does not run the request either. The gatekeeper is right in both orders, the test asserted the outcome of one.

Change: three tests wait until the dispatcher runs the request. A new test forces the other order by holding the write of the claim, and asserts that both are refused and nothing runs.

--- a/packages/entry/tests/test_gatekeeper.py
+++ b/packages/entry/tests/test_gatekeeper.py
@@ -13,20 +13,27 @@
 from sassafrasway_platform import memory, table
 from sassafrasway_rpc import client as rpc_client
 
+EVENT_TIMEOUT_S = 4.0
+
 _RAN = messages.Response(outcome=messages.Outcome.RAN, status=200, body=b"booked")
 
 
 class _Dispatcher:
-    """Counts runs; responses can be scripted, and ``gate`` delays them until it is set."""
+    """Counts runs; responses can be scripted, and ``gate`` delays them until it is set.
+
+    ``started`` is set by the first run; a run under a claim starts after the claim was written.
+    """
 
     def __init__(self, peers):
         self.runs = []
+        self.started = asyncio.Event()
         self.script = []
         self.gate = None
         self._peers = peers
 
     async def run(self, request):
         self.runs.append(request.key)
+        self.started.set()
         if self.gate is not None:
             await self.gate.wait()
         return self.script.pop(0) if self.script else _RAN
@@ -54,6 +61,23 @@
         raise table.StoreUnavailable("down", step="test", peer="memory")
 
 
+class _HeldWrites:
+    """Table whose writes wait for ``release``; ``reached`` is set when one waits."""
+
+    def __init__(self, rows):
+        self.reached = asyncio.Event()
+        self.release = asyncio.Event()
+        self._rows = rows
+
+    async def put(self, key, value, *, if_version):
+        self.reached.set()
+        await self.release.wait()
+        return await self._rows.put(key, value, if_version=if_version)
+
+    async def get(self, key):
+        return await self._rows.get(key)
+
+
 class _Node:
     """A gatekeeper with its own registry on a shared table."""
 
@@ -248,7 +272,7 @@
         self.down.add("a")
         self.b.dispatcher.gate = asyncio.Event()
         running = asyncio.create_task(self.b.keeper.handle(self._request(key, 1, 5)))
-        await asyncio.sleep(0.01)
+        await asyncio.wait_for(self.b.dispatcher.started.wait(), EVENT_TIMEOUT_S)
         self.clock.advance(at_most_once.TICKET_START_S + 2)
         c = self._add("c")
         late = await c.keeper.handle(self._request(key, 2))
@@ -257,6 +281,23 @@
         self.assertEqual((await running).body, b"booked")
         self.assertEqual(self._runs(), 1)
 
+    async def test_expired_ticket_that_is_refused_before_its_claim_is_written_does_not_run(self):
+        """Guards against a run after "not run", by an instance that is about to write its claim."""
+        key = self._ticket(self.a)
+        self.a.keeper.close()
+        await self.a.store.flush()
+        await self.a.store.close(self.a.me)
+        self.down.add("a")
+        held = self.b.keeper._claims = _HeldWrites(self.table)
+        about_to_run = asyncio.create_task(self.b.keeper.handle(self._request(key, 1, 5)))
+        await asyncio.wait_for(held.reached.wait(), EVENT_TIMEOUT_S)
+        self.clock.advance(at_most_once.TICKET_START_S + 2)
+        late = await self._add("c").keeper.handle(self._request(key, 2))
+        held.release.set()
+        refused = await about_to_run
+        self.assertEqual((late.outcome, refused.outcome), (messages.Outcome.NOT_RUN,) * 2)
+        self.assertEqual(self._runs(), 0)
+
     async def test_ticket_refused_as_expired_cannot_start_where_the_clock_is_behind(self):
         """Guards against a run after "not run", by an instance to which the ticket seems fresh."""
         key = self._ticket(self.a)
@@ -349,7 +390,7 @@
         """Guards against a second run after the holder of the claim crashed during the first."""
         self.a.dispatcher.gate = asyncio.Event()
         task = asyncio.create_task(self.a.keeper.handle(self._request("invoice-10", 1, 5)))
-        await asyncio.sleep(0.01)
+        await asyncio.wait_for(self.a.dispatcher.started.wait(), EVENT_TIMEOUT_S)
         self.down.add("a")
         response = await self.b.keeper.handle(self._request("invoice-10", 2))
         self.assertIs(response.outcome, messages.Outcome.UNKNOWN)
@@ -373,7 +414,7 @@
         key = self._ticket(self.a)
         self.a.dispatcher.gate = asyncio.Event()
         task = asyncio.create_task(self.a.keeper.handle(self._request(key, 1, 5)))
-        await asyncio.sleep(0.01)
+        await asyncio.wait_for(self.a.dispatcher.started.wait(), EVENT_TIMEOUT_S)
         task.cancel()
         self.a.dispatcher.gate.set()
         response = await self.b.keeper.handle(self._request(key, 2, 5))
