Let less urgent requests queue less while a service is short of room

Cause: under overload all requests for a service were refused alike, whatever their priority, and callers refused at one moment came back at one moment.

Change: admission.py counts the outcomes of the last seconds by priority, route and organisation for each service whose requests differ in priority. Retry-After is drawn at random from the time that the queue needs, within a third of the caller's time.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -46,6 +46,8 @@
 SERVICE_WEIGHT_UP = 0.05
 SERVICE_WEIGHT_DOWN = 0.1
 MIN_RETRY_AFTER_S = 0.1
+# Share of its remaining time for which a caller waits at most before it retries.
+RETRY_WAIT_SHARE = 1.0 / 3.0
 # Time over which callers return when servers accept requests again.
 RETURN_SPREAD_S = 0.3
 # Bounds the expected number of attempts at a server that fails most requests.
@@ -75,12 +77,14 @@
 
     Attributes:
         state: The selected server; None if the request was refused.
-        retry_after_s: Time after which the caller of a refused request may retry.
+        retry_after_s: Time after which the caller may retry if the request is refused, also if the
+            selected server rejects it.
         load: Estimated number of requests running or waiting at the selected server.
         load_age_s: Age of the load report that the estimate is based on; -1 without a report.
         rank: Position of the server in the object's ranking, from 0.
         warm: Whether the server has recently run the object for this instance.
-        queue_factor: Expected response time as a multiple of the service time.
+        queue_factor: Expected response time as a multiple of the service time; above 1 if the
+            request has to wait for others, also if it is refused for that.
         unproven: Servers that were passed over because they were unreachable, and that may be
             checked now.
     """
@@ -95,6 +99,12 @@
     queue_factor: float = 1.0
     unproven: Collection[servers.ServerState] = ()
 
+    @property
+    def refused_for_overload(self) -> bool:
+        """Whether the request was refused because too many others wait."""
+        too_late = self.refusal is Refusal.TOO_LATE and self.queue_factor > 1.0
+        return too_late or self.refusal is Refusal.OVERLOADED
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SelectionCriteria:
@@ -106,6 +116,8 @@
         remaining_s: Time until the deadline of the request.
         excluded_servers: Ids of the servers that must not be selected.
         allowed_regions: Regions whose servers may be selected; None allows all.
+        max_waiting_per_slot: Number of waiting requests per slot up to which the request may queue
+            at a server.
     """
 
     route: model.Route
@@ -115,6 +127,7 @@
     remaining_s: float
     excluded_servers: Collection[str] = ()
     allowed_regions: frozenset[str] | None = None
+    max_waiting_per_slot: float = MAX_WAITING_PER_SLOT
 
 
 class ServiceTimeEstimate:
@@ -230,7 +243,7 @@
         best = min(
             compared, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
         )
-        if self._is_full(best[1], now_s):
+        if self._queue_per_slot(best[1], now_s) > criteria.max_waiting_per_slot:
             # Objects move from a full server only to one with a free slot. On a server without one,
             # their cold runs would delay the requests that wait there.
             free = [
@@ -245,17 +258,22 @@
             )
         rank, state = best
         response_s = self._min_response_s(state, criteria, now_s)
+        queue_per_slot = self._queue_per_slot(state, now_s)
         if response_s >= criteria.remaining_s:
+            spread_s = self._rng.uniform(0.0, self._wait_s(state, criteria, now_s))
             return Choice(
-                refusal=Refusal.TOO_LATE, retry_after_s=max(response_s, MIN_RETRY_AFTER_S)
+                refusal=Refusal.TOO_LATE,
+                retry_after_s=max(response_s + spread_s, MIN_RETRY_AFTER_S),
+                queue_factor=1.0 + queue_per_slot,
             )
         return Choice(
             state=state,
+            retry_after_s=self._retry_after_s(state, criteria, now_s),
             load=state.load(now_s),
             load_age_s=now_s - state.reported_at_s if state.reported_at_s else -1.0,
             rank=rank,
             warm=self._recent_runs.is_warm(state.server.server_id, criteria.object_key, now_s),
-            queue_factor=1.0 + self._queue_per_slot(state, now_s),
+            queue_factor=1.0 + queue_per_slot,
         )
 
     def _refuse_without_candidates(self, criteria: SelectionCriteria, now_s: float) -> Choice:
@@ -346,20 +364,39 @@
         slots = max(1, state.server.slots)
         return max(0.0, state.load(now_s) + 1.0 - slots) / slots
 
-    def _is_full(self, state: servers.ServerState, now_s: float) -> bool:
-        return self._queue_per_slot(state, now_s) > MAX_WAITING_PER_SLOT
+    def _wait_s(
+        self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
+    ) -> float:
+        """Returns the time that the queue of a server needs to drain."""
+        mean_s = self._service_times.mean_s(criteria.route.name)
+        return self._queue_per_slot(state, now_s) * mean_s
 
     def _min_response_s(
         self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
     ) -> float:
         """Returns the shortest time after which a response can be expected."""
-        route = criteria.route.name
-        wait_s = self._queue_per_slot(state, now_s) * self._service_times.mean_s(route)
-        return wait_s + MIN_SERVICE_SHARE * self._service_times.warm_s(route)
+        warm_s = self._service_times.warm_s(criteria.route.name)
+        return self._wait_s(state, criteria, now_s) + MIN_SERVICE_SHARE * warm_s
+
+    def _retry_after_s(
+        self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
+    ) -> float:
+        """Returns a random time while the queue of a server drains.
+
+        Callers that are refused at the same moment then return one after the other. They wait for a
+        part of their remaining time at most, so a longer time would make them return together.
+        """
+        longest_s = min(
+            self._wait_s(state, criteria, now_s), criteria.remaining_s * RETRY_WAIT_SHARE
+        )
+        return self._rng.uniform(MIN_RETRY_AFTER_S, max(longest_s, MIN_RETRY_AFTER_S * 2.0))
 
     def _refuse_overload(
         self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
     ) -> Choice:
-        """Refuses a request; allows a retry after half the shortest expected response time."""
-        retry_after_s = max(MIN_RETRY_AFTER_S, self._min_response_s(state, criteria, now_s) / 2.0)
-        return Choice(refusal=Refusal.OVERLOADED, retry_after_s=retry_after_s)
+        """Refuses a request because the queue of a server is full."""
+        return Choice(
+            refusal=Refusal.OVERLOADED,
+            retry_after_s=self._retry_after_s(state, criteria, now_s),
+            queue_factor=1.0 + self._queue_per_slot(state, now_s),
+        )
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -7,6 +7,7 @@
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import (
+    admission,
     attempt,
     balancer,
     crashes,
@@ -33,6 +34,19 @@
 # Time from the selection of a server until the request must have been sent to it. What the
 # selection was based on, such as the share of a cold server's requests, may have changed later.
 MAX_SELECTION_AGE_S = 0.6
+# Outcome of a request whose response comes from a server.
+ANSWERED = "answered"
+# Statuses with which a server responds when it has no room for a request or no time left.
+OVERLOAD_STATUSES = (503, 504)
+REASON_CRASHES = "request ends servers"
+REASON_NO_RETRY = "retry budget used up"
+REASON_NO_TIME = "no time left"
+# Label of all refusals whose reason is the outcome of an attempt.
+REASON_ATTEMPTS = "attempts failed"
+# Reasons that are labels of metrics. Those of attempts contain what servers have sent.
+REFUSAL_REASONS = frozenset(
+    (REASON_CRASHES, REASON_NO_RETRY, REASON_NO_TIME, *(entry.value for entry in balancer.Refusal))
+)
 
 
 class Forwarder(request_handler.Handler):
@@ -55,6 +69,7 @@
         runner: attempt.AttemptRunner,
         learner: learning.OutcomeLearner,
         cold_limit: cold_limit_lib.ColdLimit,
+        admission_control: admission.AdmissionControl,
         crash_register: crashes.CrashRegister,
         budget_of: Callable[[str], retry_budgets.RetryLimit],
         on_crash: Callable[[str, str], None],
@@ -69,6 +84,7 @@
         self._runner = runner
         self._learner = learner
         self._cold_limit = cold_limit
+        self._admission_control = admission_control
         self._crashes = crash_register
         self._budget_of = budget_of
         self._on_crash = on_crash
@@ -118,13 +134,13 @@
         budget = self._budget_of(job.service)
         budget.on_request()
         if self._crashes.should_refuse(job.fingerprint):
-            return self._refuse(job, "request ends servers", CRASH_RETRY_AFTER_S)
+            return self._refuse(job, REASON_CRASHES, CRASH_RETRY_AFTER_S)
         while True:
             if job.sent_attempts and not budget.try_retry():
-                return self._fail(job, "retry budget used up")
+                return self._fail(job, REASON_NO_RETRY)
             remaining_s = job.deadline_s - clock_lib.elapsed_s()
             if remaining_s < MIN_ATTEMPT_S:
-                return self._fail(job, "no time left")
+                return self._fail(job, REASON_NO_TIME)
             choice = self._chooser.choose(
                 balancer.SelectionCriteria(
                     route=job.route,
@@ -134,6 +150,9 @@
                     remaining_s=remaining_s,
                     excluded_servers=job.excluded_servers,
                     allowed_regions=job.allowed_regions,
+                    max_waiting_per_slot=self._admission_control.max_waiting_per_slot(
+                        job.request_class
+                    ),
                 )
             )
             for unproven in choice.unproven:
@@ -141,6 +160,8 @@
                     unproven.checked = True
                     self._start_background_task(self._check_trial(job, unproven))
             if choice.state is None:
+                if choice.refused_for_overload:
+                    self._admission_control.on_overloaded(job.request_class)
                 return self._refuse(job, choice.refusal.value, choice.retry_after_s)
             result = await self._attempt(job, choice)
             if result is None:
@@ -274,6 +295,8 @@
             )
         elif result.outcome is attempt.Outcome.REJECTED:
             misdirected = result.response.status == attempt.STATUS_MISDIRECTED
+            if not misdirected and not self._rejected_with_free_slots(chosen, result):
+                self._admission_control.on_overloaded(job.request_class)
             self._registry.on_rejected(chosen, misdirected=misdirected)
         else:
             unreachable = result.outcome is attempt.Outcome.UNREACHABLE
@@ -364,20 +387,25 @@
         return job.sent_attempts < max(1, job.route.max_attempts)
 
     def _return_response(self, job: jobs.Job, result: attempt.AttemptResult) -> messages.Response:
-        self._finish(job, "answered", result.response.status)
+        self._finish(job, ANSWERED, result.response.status)
         return result.response
 
     def _refuse(self, job: jobs.Job, reason: str, retry_after_s: float) -> messages.Response:
         """Responds that the request did not run (503), unless an attempt may have run it."""
         if job.may_have_run:
             return self._fail(job, reason)
+        label = reason if reason in REFUSAL_REASONS else REASON_ATTEMPTS
+        self._metrics.refusals.add(job.service, label, str(job.priority))
         self._finish(job, f"refused: {reason}", 503)
         return request_handler.text_response(503, reason, retry_after_s=retry_after_s)
 
     def _fail(self, job: jobs.Job, reason: str) -> messages.Response:
         """Responds that the request may have run (502), or refuses it if it certainly did not."""
         if not job.may_have_run:
-            return self._refuse(job, reason, balancer.MIN_RETRY_AFTER_S)
+            retry_after_s = balancer.MIN_RETRY_AFTER_S
+            if job.attempts:
+                retry_after_s = job.attempts[-1].choice.retry_after_s
+            return self._refuse(job, reason, retry_after_s)
         self._finish(job, f"failed: {reason}", 502)
         return request_handler.text_response(502, reason)
 
@@ -402,6 +430,9 @@
         elapsed_s = clock_lib.elapsed_s() - job.request.received_s
         self._metrics.requests.add(job.route.name, str(status))
         self._metrics.latency.observe(elapsed_s, job.route.name)
+        if status:
+            served = outcome == ANSWERED and status not in OVERLOAD_STATUSES
+            self._admission_control.on_finished(job.request_class, served=served)
         self._log.info(
             "request",
             request=job.request_id,
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -9,6 +9,7 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import errors
 from sassafrasway_gateway import (
+    admission,
     balancer,
     crashes,
     messages,
@@ -85,6 +86,16 @@
     may_have_run: bool = False
     sent_attempts: int = 0
 
+    @property
+    def request_class(self) -> admission.RequestClass:
+        """What admission control distinguishes the request by."""
+        return admission.RequestClass(
+            service=self.service,
+            route=self.route.name,
+            priority=self.priority,
+            organisation=None if self.organisation is None else self.organisation.name,
+        )
+
 
 class NotAdmitted(errors.NotRunError):
     """The gateway refuses the request without sending it to a server.
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -81,6 +81,11 @@
             help_text="Attempts at backend servers by service and outcome.",
             labels=("service", "outcome"),
         )
+        self.refusals = Counter(
+            name="sassafrasway_refusals_total",
+            help_text="Requests that were refused and not run, by service, reason and priority.",
+            labels=("service", "reason", "priority"),
+        )
         self.latency = Histogram(
             name="sassafrasway_request_seconds",
             help_text="Time from the first byte of a request to its answer.",
@@ -94,7 +99,13 @@
     def render(self) -> str:
         """Returns all metrics in the exposition format."""
         lines = []
-        for metric in (self.requests, self.attempts, self.latency, self.log_lines_dropped):
+        for metric in (
+            self.requests,
+            self.attempts,
+            self.refusals,
+            self.latency,
+            self.log_lines_dropped,
+        ):
             lines.extend(metric.render())
         return "\n".join(lines) + "\n"
 
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -13,6 +13,7 @@
 from sassafrasway_core import errors
 from sassafrasway_gateway import (
     admin,
+    admission,
     announcer,
     attempt,
     balancer,
@@ -44,7 +45,8 @@
 from sassafrasway_platform import feed
 
 # Interval of the maintenance, which removes servers whose grace period has ended, closes idle
-# connections that have expired, and updates the shares of the overflow control.
+# connections that have expired, updates the shares of the overflow control, and logs changes of the
+# admission control.
 MAINTENANCE_INTERVAL_S = 0.5
 READY_CHECK_INTERVAL_S = 0.05
 # Time from the start of the shutdown until the instance stops accepting connections. Until then,
@@ -128,6 +130,7 @@
         self._overflow = overflow.OverflowControl(
             clock=clock, registry=self._registry, region=config.region
         )
+        self._admission_control = admission.AdmissionControl(clock=clock)
         self._crashes = crashes.CrashRegister(clock=clock)
         self._budgets = retry_budgets.RetryBudgets(
             clock=clock, view=self._view, bounds=config.bounds
@@ -202,6 +205,7 @@
             "evacuated": sorted(self._registry.evacuated),
             "live_instances": sorted(self._view.live_names()),
             "kept_shares": self._overflow.kept_shares(),
+            "shedding": self._admission_control.shedding(),
             "servers": [
                 {
                     "id": server_state.server.server_id,
@@ -270,6 +274,7 @@
                 registry=self._registry, chooser=chooser, service_times=service_times
             ),
             cold_limit=self._cold_limit,
+            admission_control=self._admission_control,
             crash_register=self._crashes,
             budget_of=self._budgets.budget_of,
             on_crash=self._peers.report_crash,
@@ -341,6 +346,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._server_listener.sweep()
             self._overflow.update()
+            self._admission_control.update()
             self._pool.close_expired()
 
     async def _become_ready(self) -> None:
@@ -358,6 +364,7 @@
         self._cold_limit.set_rates(
             {service.name: service.warmup_per_s for service in policy.services.values()}
         )
+        self._admission_control.set_policy(policy)
 
     def _on_answer_told(self, name: str, age_s: float) -> None:
         called_s = self._clock.monotonic() - age_s
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -8,6 +8,7 @@
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_core import retry
 from sassafrasway_gateway import (
+    admission,
     attempt,
     balancer,
     crashes,
@@ -63,6 +64,7 @@
             clock=clock, ratio=0.0, minimum_per_s=retry_tokens, max_tokens=retry_tokens
         )
         self.reported_crashes = []
+        self.admission_control = admission.AdmissionControl(clock=clock)
         self.crash_register = crashes.CrashRegister(clock=clock)
         cold_limit = gateway_fakes.FixedColdLimit()
         chooser = gateway_fakes.make_balancer(
@@ -77,6 +79,7 @@
                 registry=self.registry, chooser=chooser, service_times=service_times
             ),
             cold_limit=cold_limit,
+            admission_control=self.admission_control,
             crash_register=self.crash_register,
             budget_of=lambda service: self.budget,
             on_crash=lambda *crash: self.reported_crashes.append(crash),
