--- a/packages/gateway/src/sassafrasway_gateway/admission.py
+++ b/packages/gateway/src/sassafrasway_gateway/admission.py
@@ -112,6 +112,11 @@
         """Priorities of the requests for the service, the most urgent first."""
         return self._priorities
 
+    @property
+    def group_count(self) -> int:
+        """Number of groups whose outcomes are counted."""
+        return len(self._groups)
+
     @property
     def behind(self) -> list[str]:
         """Groups that have fallen behind, in the form ``kind name``."""
@@ -211,6 +216,11 @@
         self._services: dict[str, _Service] = {}
         self._log = structlog.get_logger("admission")
 
+    @property
+    def group_count(self) -> int:
+        """Number of groups of all services whose outcomes are counted."""
+        return sum(service.group_count for service in self._services.values())
+
     def set_policy(self, policy: model.Policy) -> None:
         """Replaces the priorities of all services with those of a policy."""
         now_s = self._clock.monotonic()
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -439,6 +439,7 @@
             route=job.route.name,
             organisation=None if job.organisation is None else job.organisation.name,
             service=job.service,
+            priority=job.priority,
             object=job.object_key,
             policy=job.policy_version,
             attempts=[str(log_entry) for log_entry in job.attempts],
--- a/packages/gateway/tests/load_simulation.py
+++ b/packages/gateway/tests/load_simulation.py
@@ -30,7 +30,7 @@
 class SimulatedInstance:
     """Gateway instance: the state that it keeps of the servers, and its balancer."""
 
-    def __init__(self, *, clock, listed, region):
+    def __init__(self, *, clock, listed, region, seed):
         self.region = region
         self.registry = gateway_fakes.make_registry(listed, clock=clock)
         service_times = balancer.ServiceTimeEstimate()
@@ -41,6 +41,7 @@
             service_times=service_times,
             cold_limit=gateway_fakes.FixedColdLimit(),
             overflow=self.overflow,
+            rng=random.Random(seed),
         )
         self.learner = learning.OutcomeLearner(
             registry=self.registry, chooser=self.chooser, service_times=service_times
@@ -60,7 +61,10 @@
         self.rng = random.Random(seed)
         self.servers = {server.server_id: SimulatedServer(server.slots) for server in listed}
         self.instances = [
-            SimulatedInstance(clock=self.clock, listed=listed, region=region) for region in regions
+            SimulatedInstance(
+                clock=self.clock, listed=listed, region=region, seed=f"{seed} {index}"
+            )
+            for index, region in enumerate(regions)
         ]
         # End, latency and region of each request; the latency is None without a response.
         self.results = []
--- a/packages/gateway/tests/overload_simulation.py
+++ b/packages/gateway/tests/overload_simulation.py
@@ -1,6 +1,7 @@
 """Simulation of overload: kinds of requests that differ in priority, and callers that retry."""
 
 import dataclasses
+import random
 from collections.abc import Callable
 
 import gateway_fakes
@@ -12,6 +13,8 @@
 # Part of its remaining time for which a caller waits at most before it retries.
 CALLER_WAIT_SHARE = 1.0 / 3.0
 GATEWAY_ATTEMPTS = 2
+# Interval at which a kind without requests looks whether it has some now.
+IDLE_STEP_S = 0.1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -55,39 +58,48 @@
 class OverloadSimulation(load_simulation.LoadSimulation):
     """Simulation in which kinds of requests differ in priority.
 
+    The callers send the same requests at the same times whatever the instances do, apart from
+    retries.
+
     Args:
         by_priority: Whether instances know the priorities; otherwise all requests queue alike.
     """
 
-    def __init__(self, *, kinds, by_priority, **fields):
+    def __init__(self, *, kinds, by_priority, seed, **fields):
         self._kinds = kinds
-        # End, kind, and whether the request was served in time, for each request of a caller.
+        self._kind_rngs = {
+            kind: random.Random(f"{seed} {kind.region} {kind.name}") for kind in kinds
+        }
+        # Arrival, end and kind of each request of a caller, and whether it was served in time.
         self.outcomes = []
-        super().__init__(rate_per_s=None, **fields)
+        super().__init__(rate_per_s=None, seed=seed, **fields)
         for instance in self.instances:
             instance.admission = admission.AdmissionControl(clock=self.clock)
             if by_priority:
                 instance.admission.set_policy(_policy(kinds))
 
-    def served_share(self, from_s, to_s, **attributes):
-        """Returns the share of requests served, of those that arrived in the given period.
+    def served_share(self, from_s, to_s, kind=None):
+        """Returns the share of requests that were served, of those that arrived in a period.
 
         Args:
             from_s: Start of the period.
             to_s: End of the period.
-            **attributes: Values of attributes of the kinds that are counted.
+            kind: Kind of the requests; None for all.
         """
         served = [
             was_served
-            for arrived_s, kind, was_served in self.outcomes
-            if from_s <= arrived_s < to_s
-            and all(getattr(kind, name) == value for name, value in attributes.items())
+            for arrived_s, _, request_kind, was_served in self.outcomes
+            if from_s <= arrived_s < to_s and kind in (None, request_kind)
         ]
         return sum(served) / len(served)
 
+    def served_count(self, from_s, to_s):
+        """Returns the number of requests that were served in a period, whenever they arrived."""
+        return sum(served for _, ended_s, _, served in self.outcomes if from_s <= ended_s < to_s)
+
     def send(self, kind):
         """Sends one request of a caller."""
-        key = f"{kind.region}{self.rng.randrange(self._objects_per_region)}"
+        key = f"{kind.region}{self._kind_rngs[kind].randrange(self._objects_per_region)}"
         self._call(Request(kind=kind, object_key=key, arrived_s=self.clock.monotonic()))
 
     def _arrive(self, region):
@@ -101,7 +113,8 @@
         if rate_per_s > 0.0:
             self.send(kind)
         rate_per_s = kind.rate_per_s(now_s)
-        delay_s = self.rng.expovariate(rate_per_s) if rate_per_s > 0.0 else 0.1
+        rng = self._kind_rngs[kind]
+        delay_s = rng.expovariate(rate_per_s) if rate_per_s > 0.0 else IDLE_STEP_S
         self.at(now_s + delay_s, self._arrive_of_kind, kind, rate_per_s)
 
     def _call(self, request):
@@ -160,7 +173,7 @@
         now_s = self.clock.monotonic()
         remaining_s = request.arrived_s + CALLER_TIME_S - now_s
         if request.caller_attempts > request.kind.max_retries or remaining_s <= 0.1:
-            self.outcomes.append((request.arrived_s, request.kind, False))
+            self._record(request, served=False)
             return
         self.at(now_s + min(retry_after_s, remaining_s * CALLER_WAIT_SHARE), self._call, request)
 
@@ -197,7 +210,11 @@
 
     def _end(self, request, instance, *, served):
         instance.admission.on_finished(_request_class(request.kind), served=served)
-        self.outcomes.append((request.arrived_s, request.kind, served))
+        self._record(request, served=served)
+
+    def _record(self, request, *, served):
+        ended_s = self.clock.monotonic()
+        self.outcomes.append((request.arrived_s, ended_s, request.kind, served))
 
 
 def _request_class(kind):
@@ -207,8 +224,15 @@
 
 
 def _policy(kinds):
-    """Returns a policy whose routes have the priorities of the kinds."""
+    """Returns a policy whose routes and organisations have the priorities of the kinds."""
     routes = tuple(
         gateway_fakes.make_route(name=kind.name, priority=kind.priority) for kind in kinds
     )
-    return model.Policy(version=1, routes=routes, services={}, limits=model.Limits())
+    listed = {
+        kind.organisation: model.Organisation(name=kind.organisation, priority=kind.priority)
+        for kind in kinds
+        if kind.organisation is not None
+    }
+    return model.Policy(
+        version=1, routes=routes, services={}, limits=model.Limits(), organisations=listed
+    )
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -74,6 +74,33 @@
             self.state(rank).outstanding = 7
         self.assertIs(self.choose(remaining_s=0.1).refusal, balancer.Refusal.TOO_LATE)
 
+    def test_request_queues_only_up_to_its_own_bound(self):
+        """Guards against less urgent requests that take room reserved for more urgent ones."""
+        for rank in range(5):
+            self.state(rank).outstanding = 7
+        self.assertIsNotNone(self.choose().state)
+        choice = self.choose(max_waiting_per_slot=1.0)
+        self.assertIs(choice.refusal, balancer.Refusal.OVERLOADED)
+        self.assertTrue(choice.refused_for_overload)
+
+    def test_retries_of_refused_requests_are_spread_while_the_queue_drains(self):
+        """Guards against callers that were refused at one moment and come back at one moment."""
+        for rank in range(5):
+            self.state(rank).outstanding = 12
+        drained_s = 10.0 / 3.0 * balancer.DEFAULT_SERVICE_S
+        for remaining_s, longest_s in ((9.0, drained_s), (0.9, 0.3), (0.75, 0.25)):
+            with self.subTest(remaining_s=remaining_s):
+                times_s = [self.choose(remaining_s=remaining_s).retry_after_s for _ in range(200)]
+                self.assertLessEqual(max(times_s), longest_s)
+                self.assertGreaterEqual(min(times_s), balancer.MIN_RETRY_AFTER_S)
+                self.assertGreater(max(times_s) - min(times_s), 0.8 * (longest_s - 0.1))
+
+    def test_short_time_limit_alone_is_no_overload(self):
+        """Guards against shedding because callers have little time while servers are idle."""
+        choice = self.choose(remaining_s=0.01)
+        self.assertIs(choice.refusal, balancer.Refusal.TOO_LATE)
+        self.assertFalse(choice.refused_for_overload)
+
     def test_excluded_server_is_not_selected(self):
         self.assertIs(self.choose(excluded_servers=[self.ranked[0]]).state, self.state(1))
 
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -63,6 +63,7 @@
         self.budget = retry.RetryBudget(
             clock=clock, ratio=0.0, minimum_per_s=retry_tokens, max_tokens=retry_tokens
         )
+        self.metrics = metrics.GatewayMetrics()
         self.reported_crashes = []
         self.admission_control = admission.AdmissionControl(clock=clock)
         self.crash_register = crashes.CrashRegister(clock=clock)
@@ -85,7 +86,7 @@
             on_crash=lambda *crash: self.reported_crashes.append(crash),
             names=NAMES,
             region="north",
-            metrics=metrics.GatewayMetrics(),
+            metrics=self.metrics,
         )
 
     def request(self, *, target=b"/p/1", time_left_ms=b"1000", host=b"h.example"):
@@ -187,6 +188,31 @@
         self.assertEqual(response.status, 503)
         self.assertIsNotNone(response.header(b"retry-after"))
 
+    async def test_rejections_of_full_servers_alone_show_overload(self):
+        """Guards against shedding by priority for rejections that are not due to load."""
+        for load, shedding in ((b"3,9,3", {"desk": []}), (b"0,0,3", {})):
+            with self.subTest(load=load):
+                headers = b"%s: 1\r\n%s: %s\r\n" % (NAMES.not_run, NAMES.server_load, load)
+                rejection = gateway_fakes.answer(503, b"", signed=False, headers=headers)
+                await self.start([rejection])
+                routes = tuple(gateway_fakes.make_route(priority=rank) for rank in range(2))
+                self.admission_control.set_policy(
+                    model.Policy(version=1, routes=routes, services={}, limits=model.Limits())
+                )
+                self.assertEqual((await self.handle()).status, 503)
+                self.assertEqual(self.admission_control.shedding(), shedding)
+
+    async def test_refusals_are_counted_by_service_reason_and_priority(self):
+        """Guards against refusals that no metric shows, and labels that servers make up."""
+        await self.start([gateway_fakes.rejection()], idempotent=False, priority=4)
+        await self.handle()
+        self.registry.remove("s0")
+        await self.handle()
+        lines = self.metrics.refusals.render()
+        for reason in ("attempts failed", "no_server"):
+            labels = f'{{service="desk",reason="{reason}",priority="4"}}'
+            self.assertIn(f"sassafrasway_refusals_total{labels} 1", lines)
+
     async def test_server_that_rejects_with_free_slots_gets_the_retry(self):
         script = [gateway_fakes.rejection(), gateway_fakes.answer()]
         await self.start(script, [gateway_fakes.answer(500, b"")], idempotent=False)
