--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -81,6 +81,11 @@
             help_text="Attempts at backend servers by service and outcome.",
             labels=("service", "outcome"),
         )
+        self.refusals = Counter(
+            name="sassafrasway_refusals_total",
+            help_text="Requests that were refused and not run, by service, reason and priority.",
+            labels=("service", "reason", "priority"),
+        )
         self.latency = Histogram(
             name="sassafrasway_request_seconds",
             help_text="Time from the first byte of a request to its answer.",
@@ -107,6 +112,7 @@
         for metric in (
             self.requests,
             self.attempts,
+            self.refusals,
             self.latency,
             self.quota_results,
             self.quota_messages,
