Let servers with new reports compete for requests without an object

Cause: with 143 instances the reports of a drawn server are seconds old, and its load and speed are as good as unknown.

Change: the eight servers that reported last, within 0.3 s, are candidates beside the drawn ones, if they belong to the same region.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -41,12 +41,15 @@
 LOAD_BOUND = 1.5
 # Number of servers that are drawn for a request without an object. A few suffice to avoid the
 # busiest ones; with many, all instances would select the same least loaded one.
-DRAWN_SERVERS = 5
+DRAWN_SERVERS = 4
+# Age up to which the report of a server makes it a further candidate for such a request. In a large
+# fleet the reports of most servers are too old to tell a busy server from an idle one.
+NEW_REPORT_S = 0.3
 # Weight of a drawn server, as powers of its free share of slots and of its expected response time.
-FREE_SHARE_EXPONENT = 2.0
+FREE_SHARE_EXPONENT = 3.0
 RESPONSE_TIME_EXPONENT = 2.0
 # Free share that is assumed at least: the load is an estimate.
-MIN_FREE_SHARE = 0.05
+MIN_FREE_SHARE = 0.02
 # Assumed service time of a route before the first measurement.
 DEFAULT_SERVICE_S = 0.2
 # A run of an object that is not known to be warm counts as a cold run if it takes longer than this
@@ -202,9 +205,10 @@
     A request for an object gets the one with the lowest cost among the top of the object's ranking.
     The object moves away from there only when the load of that server exceeds a bound.
 
-    A request without an object gets one of a few servers that are drawn for it, at random with
-    weights by free slots and expected response time. If all instances took the least loaded one,
-    they would overload it before a report told them so.
+    A request without an object gets one of a few servers, at random with weights by free slots and
+    expected response time. If all instances took the least loaded one, they would overload it
+    before a report told them so. The few are servers drawn for the request and those of the region
+    that reported their load last.
     """
 
     def __init__(
@@ -380,15 +384,30 @@
         now_s: float,
         unproven: list[servers.ServerState],
     ) -> list[tuple[int, servers.ServerState]]:
-        """Returns servers drawn for a request without an object that may be used now."""
+        """Returns a few servers for a request without an object that may be used now."""
         drawn = self._registry.ranking(criteria.service).drawn(
             criteria.region,
             rng=self._rng,
             count=DRAWN_SERVERS,
             kept_share=self._overflow.kept_share(criteria.service),
         )
+        drawn = self._with_reporters(drawn, criteria)
         return self._usable_now(drawn, criteria, now_s, unproven)
 
+    def _with_reporters(self, drawn: list[str], criteria: SelectionCriteria) -> list[str]:
+        """Adds the servers with the newest reports, if the drawn ones are of this region."""
+        if not drawn:
+            return drawn
+        first = self._registry.get(drawn[0])
+        if first is None or self._registry.region_of(first) != criteria.region:
+            return drawn
+        reporters = [
+            state.server.server_id
+            for state in self._registry.last_reporters(criteria.service, NEW_REPORT_S)
+            if self._registry.region_of(state) == criteria.region
+        ]
+        return list(dict.fromkeys([*drawn, *reporters]))
+
     def _usable_now(
         self,
         server_ids: Collection[str],
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -18,6 +18,8 @@
 ERROR_WEIGHT = 0.2
 # Upper bound on the ratio that one sample contributes.
 MAX_LATENCY_RATIO = 20.0
+# Number of servers of each service that are kept as those that reported last.
+MAX_REPORTERS = 8
 # Number of removed servers whose state is kept, in case the same start is listed again.
 MAX_DEPARTED = 2000
 
@@ -122,6 +124,8 @@
         self._rankings: dict[str, affinity.AffinityRanking] = {}
         self._warmup_s: dict[str, float] = {}
         self._levels = load_estimate.LoadLevels()
+        # Ids of the servers of each service that reported last, the newest report at the end.
+        self._reporters: dict[str, dict[str, None]] = {}
 
     def __len__(self) -> int:
         return len(self._states)
@@ -260,9 +264,26 @@
         """Records a load report; it counts the requests of all instances."""
         now_s = self._clock.monotonic()
         state.known_load.on_report(running=running, waiting=waiting, slowdown=slowdown, now_s=now_s)
+        self._add_reporter(state)
         if self._levels.is_due(now_s):
             self._update_levels(now_s)
 
+    def last_reporters(self, service: str, max_age_s: float) -> list[ServerState]:
+        """Returns the usable servers of a service that reported their load last, in that order.
+
+        ``max_age_s`` is the largest age of their reports.
+        """
+        oldest_s = self._clock.monotonic() - max_age_s
+        states = (self._states.get(server_id) for server_id in self._reporters.get(service, ()))
+        return [
+            state
+            for state in states
+            if state is not None
+            and state.known_load.reported_at_s >= oldest_s
+            and state.server.service == service
+            and self.usable(state)
+        ]
+
     def slowdown(self, state: ServerState) -> float:
         """Returns how long work is expected to take on a server now; see ``ServerState``."""
         return state.slowdown(self._clock.monotonic())
@@ -275,6 +296,13 @@
         """Adds the measured service time of a request to the mean of its service."""
         self._levels.add_service_time(state.server.service, service_s)
 
+    def _add_reporter(self, state: ServerState) -> None:
+        reporters = self._reporters.setdefault(state.server.service, {})
+        reporters.pop(state.server.server_id, None)
+        reporters[state.server.server_id] = None
+        if len(reporters) > MAX_REPORTERS:
+            del reporters[next(iter(reporters))]
+
     def _update_levels(self, now_s: float) -> None:
         self._levels.update(
             (
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -175,7 +175,32 @@
         self.assertGreater(counts["n0"], 2 * counts["n1"])
         self.assertLess(counts["n0"], 2400)
 
+    def test_server_that_just_reported_free_slots_gets_more_requests_for_a_short_time(self):
+        # With 143 instances, a request drawn among old reports finds an idle server by chance only.
+        for state in self.registry:
+            self.registry.on_load(state, 3, 0)
+        self.clock.advance(load_estimate.LEVEL_INTERVAL_S)
+        self.registry.on_load(self.registry.get("n5"), 0, 0)
+        first = self.counts()["n5"]
+        self.clock.advance(balancer.NEW_REPORT_S + 0.01)
+        later = self.counts()["n5"]
+        self.assertGreater(first, 2400)
+        # All servers share the level again; n5 still seems somewhat less loaded.
+        self.assertLess(later, first * 0.6)
+
+    def test_server_that_just_reported_is_not_selected_when_it_is_full_or_leaving(self):
+        self.registry.on_load(self.registry.get("n0"), 3, 7)
+        self.registry.on_load(self.registry.get("n1"), 0, 0)
+        self.registry.on_leaving(self.registry.get("n1"))
+        self.assertFalse({"n0", "n1"} & set(self.counts(draws=300)))
+
+    def test_report_of_another_region_does_not_change_the_shares_of_the_regions(self):
+        self.registry.on_load(self.registry.get("s0"), 0, 0)
+        self.assertNotIn("s0", self.counts(draws=300))
+
     def test_slow_server_gets_fewer_requests(self):
+        for state in self.registry:
+            self.registry.on_load(state, 0, 0)
         self.registry.on_load(self.registry.get("n0"), 0, 0, slowdown=2.5)
         counts = self.counts()
         self.assertLess(counts["n0"], counts["n1"] / 3)
