--- a/packages/gateway/src/sassafrasway_gateway/load_estimate.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_estimate.py
@@ -34,12 +34,12 @@
 LEVEL_TIME_S = 2.0
 # Number of servers with a report that a level needs; a single one shows nothing of the others.
 MIN_LEVEL_REPORTS = 2
-# Largest level, in requests per slot. It is below that of a full queue: if all servers were full at
+# Largest level towards which loads converge, in requests per slot. If all servers were full at
 # their last reports, requests must still be sent to learn when that ends.
-MAX_LEVEL = 1.0 + MAX_WAITING_PER_SLOT / 2.0
+MAX_LEVEL = 1.0
 # Lowest rate at which a queue is assumed to shorten, as a share of the rate of completions. Other
 # instances see the queue too and avoid the server.
-MIN_DRAIN_SHARE = 0.15
+MIN_DRAIN_SHARE = 0.4
 # Mean service time that is assumed until one has been measured.
 DEFAULT_SERVICE_S = 0.2
 # Weight of a new sample in the mean service time of a service.
--- a/packages/gateway/tests/stale_report_simulation.py
+++ b/packages/gateway/tests/stale_report_simulation.py
@@ -177,7 +177,7 @@
         self.busiest = []
         self.latencies_s = []
         self.counts = dict.fromkeys(
-            ("requests", "named", "attempts", "rejections", "again", "failed", "cold"), 0
+            ("requests", "in_time", "named", "attempts", "rejections", "again", "failed", "cold"), 0
         )
         self.at(WARM_UP_S, self._sample)
 
@@ -195,6 +195,7 @@
             "worst_queue": sum(self.busiest) / len(self.busiest) / self._offered,
             "p50_ms": 1000 * self.latencies_s[len(self.latencies_s) // 2],
             "p99_ms": 1000 * self.latencies_s[int(len(self.latencies_s) * 0.99)],
+            "in_time": counts["in_time"] / max(1, counts["requests"]),
             "rejected": counts["rejections"] / max(1, counts["attempts"]),
             "again": counts["again"],
             "failed": counts["failed"] / max(1, counts["requests"]),
@@ -358,6 +359,8 @@
         state.outstanding -= 1
         if self._measuring:
             self.latencies_s.append(now_s - request.arrived_s)
+            if now_s - request.arrived_s <= load_simulation.TARGET_LATENCY_S:
+                self._count("in_time")
         self.at(
             now_s + self._report_delay_s, self._report, request, report, state.outstanding, now_s
         )
@@ -397,7 +400,7 @@
     options = parser.parse_args()
     print(
         "instances selection  idle while waiting  queue p99  worst   p50 ms  p99 ms"
-        "  rejected  again  failed    cold"
+        "  in time  rejected  again  failed    cold"
     )
     for instances in options.instances:
         for selection in options.selections.split(","):
@@ -415,8 +418,8 @@
             print(
                 f"{instances:9} {selection:9} {row['idle_while_waiting']:18.2%}"
                 f" {row['p99_queue']:10.2f} {row['worst_queue']:6.2f} {row['p50_ms']:8.0f}"
-                f" {row['p99_ms']:7.0f} {row['rejected']:9.2%} {row['again']:6}"
-                f" {row['failed']:7.2%} {row['cold']:7.2%}",
+                f" {row['p99_ms']:7.0f} {row['in_time']:8.1%} {row['rejected']:9.2%}"
+                f" {row['again']:6} {row['failed']:7.2%} {row['cold']:7.2%}",
                 flush=True,
             )
 
