Refuse requests for large responses before they run when memory is short, and let slow callers finish

Cause: 60 requests for 540 KB by callers that read nothing need 32 MB of a budget of 19 MB; 24 of them were ended after they had run. A caller that read 20 KB/s with a small receive buffer was reset after 73 KB: the kernel's user timeout of 3 s also counts the time for which a receive buffer is full. The idle timeout ended connections whose caller was still reading. A rest of less than the high-water mark of the transport stayed reserved in the budget until the next response.

The user timeout for callers is 120 s.

--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -15,6 +15,7 @@
     messages,
     model,
     request_handler,
+    response_gate,
     retry_budgets,
     servers,
     state,
@@ -22,6 +23,8 @@
 from sassafrasway_gateway import cold_limit as cold_limit_lib
 from sassafrasway_gateway import metrics as metrics_lib
 
+# Responses with this status or a higher one do not show the size of the others of their route.
+STATUS_REDIRECT = 300
 # Time allowed for a response that the server sent at the deadline to arrive.
 RESPONSE_SLACK_S = 0.06
 # No attempt is started with less time left, because the server could not finish the request.
@@ -44,6 +47,7 @@
             ``id/started_ms``.
         region: Region of this instance.
         keys_expired: Returns whether the policy is too old for its keys to be accepted.
+        gate: Refuses requests for whose large responses there is no memory; None admits all.
     """
 
     def __init__(
@@ -62,6 +66,7 @@
         region: str,
         metrics: metrics_lib.GatewayMetrics,
         keys_expired: Callable[[], bool] = lambda: False,
+        gate: response_gate.ResponseGate | None = None,
     ):
         self._policy_state = policy_state
         self._registry = registry
@@ -73,6 +78,7 @@
         self._budget_of = budget_of
         self._on_crash = on_crash
         self._names = names
+        self._gate = gate
         self._region = region
         self._metrics = metrics
         self._admission = jobs.Admission(
@@ -104,7 +110,7 @@
         except jobs.NotAdmitted as error:
             return self._respond_not_admitted(error)
         try:
-            return await self._process(job)
+            return await self._process_within_memory(job)
         except asyncio.CancelledError:
             self._finish(job, "caller left", 0)
             raise
@@ -113,6 +119,18 @@
             self._finish(job, "failed: internal error", 500)
             return request_handler.text_response(500, "internal error")
 
+    async def _process_within_memory(self, job: jobs.Job) -> messages.Response:
+        """Processes a request unless there is too little memory for the response to it."""
+        if self._gate is None:
+            return await self._process(job)
+        promise = self._gate.admit(job.route)
+        if promise is None:
+            return self._refuse(job, "no memory for the response", self._gate.retry_after_s())
+        try:
+            return await self._process(job)
+        finally:
+            promise.release()
+
     async def _process(self, job: jobs.Job) -> messages.Response:
         """Attempts a request until a response may be returned or no further attempt is allowed."""
         budget = self._budget_of(job.service)
@@ -364,6 +382,8 @@
         return job.sent_attempts < max(1, job.route.max_attempts)
 
     def _return_response(self, job: jobs.Job, result: attempt.AttemptResult) -> messages.Response:
+        if self._gate is not None and result.response.status < STATUS_REDIRECT:
+            self._gate.on_response(job.route, len(result.response.body))
         self._finish(job, "answered", result.response.status)
         return result.response
 
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -62,14 +62,18 @@
     value: bytes
 
 
-def configure_socket(sock: socket.socket) -> None:
-    """Disables Nagle's algorithm and makes the kernel detect unresponsive peers."""
+def configure_socket(sock: socket.socket, *, user_timeout_ms: int = USER_TIMEOUT_MS) -> None:
+    """Disables Nagle's algorithm and makes the kernel detect unresponsive peers.
+
+    A peer that acknowledges nothing for ``user_timeout_ms``, or reads nothing while its receive
+    buffer is full, loses the connection.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 class Connection(asyncio.Protocol):
--- a/packages/gateway/src/sassafrasway_gateway/memory_budget.py
+++ b/packages/gateway/src/sassafrasway_gateway/memory_budget.py
@@ -21,16 +21,19 @@
     Attributes:
         open_ended: Whether the sender has not stated the size of the message. Such messages are
             ended first.
+        stalled: Whether the receiver of the message has read nothing for a while. Such messages are
+            ended first, too.
         on_exceeded: Called to end the message when the budget is exceeded; None if it must not be
             ended, for example because a request is already running.
     """
 
-    __slots__ = ("__weakref__", "_budget", "_size", "on_exceeded", "open_ended")
+    __slots__ = ("__weakref__", "_budget", "_size", "on_exceeded", "open_ended", "stalled")
 
     def __init__(self, *, budget: "MemoryBudget", on_exceeded: Callable[[], None] | None):
         self._budget = budget
         self._size = 0
         self.open_ended = False
+        self.stalled = False
         self.on_exceeded = on_exceeded
 
     def __del__(self):
@@ -98,10 +101,35 @@
             victim = self._largest_endable()
             if victim is None:
                 return
-            end_message, victim.on_exceeded = victim.on_exceeded, None
-            end_message()
-            victim.release()
+            self._end(victim)
+
+    def end_stalled(self, size: float) -> int:
+        """Ends stalled messages, the largest first, until ``size`` bytes are free of them.
+
+        Returns:
+            The number of bytes that were given back.
+        """
+        stalled = [
+            holder for holder in self._holders if holder.stalled and holder.on_exceeded is not None
+        ]
+        freed = 0
+        for holder in sorted(stalled, key=lambda holder: holder.size, reverse=True):
+            if freed >= size:
+                break
+            freed += holder.size
+            self._end(holder)
+        return freed
+
+    @staticmethod
+    def _end(victim: Reservation) -> None:
+        end_message, victim.on_exceeded = victim.on_exceeded, None
+        end_message()
+        victim.release()
 
     def _largest_endable(self) -> Reservation | None:
         endable = [holder for holder in self._holders if holder.on_exceeded is not None]
-        return max(endable, key=lambda holder: (holder.open_ended, holder.size), default=None)
+        return max(
+            endable,
+            key=lambda holder: (holder.open_ended or holder.stalled, holder.size),
+            default=None,
+        )
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -29,6 +29,8 @@
             ``balancer`` for objects.
         home_regions: Regions whose servers may be used; empty allows all.
         anonymous: Whether requests need no key although the policy has organisations.
+        expected_response_bytes: Usual size of the body of a response, as long as no response was
+            measured; 0 if it is not known.
     """
 
     name: str
@@ -43,6 +45,7 @@
     sticky: bool = False
     home_regions: frozenset[str] = frozenset()
     anonymous: bool = False
+    expected_response_bytes: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -34,6 +34,7 @@
     relay,
     relay_role,
     request_handler,
+    response_gate,
     retry_budgets,
     servers,
     settings,
@@ -135,6 +136,7 @@
         self._registration = registration.Registration(
             store=store, table_name=dialect.member_table, view=self._view, rng=self._rng
         )
+        self._gate = response_gate.ResponseGate(budget=self._memory)
         self._pool = http_client.ConnectionPool(budget=self._memory)
         self._announcer = announcer.VersionAnnouncer(
             followers=self._followers,
@@ -201,6 +203,7 @@
             },
             "evacuated": sorted(self._registry.evacuated),
             "live_instances": sorted(self._view.live_names()),
+            "response_memory": self._gate.state(),
             "kept_shares": self._overflow.kept_shares(),
             "servers": [
                 {
@@ -277,6 +280,7 @@
             region=self._config.region,
             metrics=self._metrics,
             keys_expired=self._keys_expired,
+            gate=self._gate,
         )
 
     def _keys_expired(self) -> bool:
--- /dev/null
+++ b/packages/gateway/src/sassafrasway_gateway/response_gate.py
@@ -0,0 +1,105 @@
+"""Keeps requests for large responses away while the memory for buffered bodies is nearly used up.
+
+A response that finds no memory is ended although its request has run. Such a request is refused
+before it is sent instead. The size of a response is only known when it arrives, so the memory that
+the requests under way will need is estimated from the responses of their routes.
+"""
+
+import random
+
+from sassafrasway_gateway import memory_budget, model
+
+# Routes whose mean response is smaller are not held back.
+LARGE_BYTES = 32 * 1024
+# Share of the budget that expected and buffered bodies may use together. The rest is a margin for
+# responses that are larger than the mean of their route.
+USED_SHARE = 0.75
+# Largest part of the budget that one request may be promised. Larger responses would never be
+# admitted beside others.
+MAX_PROMISE_SHARE = USED_SHARE / 2
+# Weight of a new sample in the moving average of the sizes of a route.
+SIZE_WEIGHT = 0.1
+MIN_RETRY_AFTER_S = 0.5
+# Time over which the refused callers return.
+RETURN_SPREAD_S = 0.5
+
+
+class Promise:
+    """Memory that the response to a request under way is expected to need."""
+
+    __slots__ = ("_gate", "_size")
+
+    def __init__(self, *, gate: "ResponseGate", size: float):
+        self._gate = gate
+        self._size = size
+
+    def release(self) -> None:
+        """Ends the promise; the body that has arrived is counted by the budget itself."""
+        size, self._size = self._size, 0.0
+        self._gate.on_released(size)
+
+
+class ResponseGate:
+    """Admits requests to routes with large responses as long as there is memory for these."""
+
+    def __init__(self, *, budget: memory_budget.MemoryBudget, rng: random.Random | None = None):
+        self._budget = budget
+        self._rng = rng or random.Random()
+        self._mean_bytes: dict[str, float] = {}
+        self._promised = 0.0
+        self._refused = 0
+
+    @property
+    def promised_bytes(self) -> int:
+        """Bytes that the responses to the requests under way are expected to need."""
+        return round(self._promised)
+
+    @property
+    def refused(self) -> int:
+        """Number of requests that were refused."""
+        return self._refused
+
+    def expected_bytes(self, route: model.Route) -> float:
+        """Returns the memory to promise for a response of a route; 0 if its responses are small."""
+        mean_bytes = self._mean_bytes.get(route.name, float(route.expected_response_bytes))
+        if mean_bytes < LARGE_BYTES:
+            return 0.0
+        return min(mean_bytes, self._budget.capacity * MAX_PROMISE_SHARE)
+
+    def on_response(self, route: model.Route, size: int) -> None:
+        """Learns the size of the body of a response."""
+        old = self._mean_bytes.get(route.name, float(route.expected_response_bytes or size))
+        self._mean_bytes[route.name] = old + SIZE_WEIGHT * (size - old)
+
+    def admit(self, route: model.Route) -> Promise | None:
+        """Promises memory for the response to a request; returns None if there is too little.
+
+        Callers that have stopped reading lose their connections before a request is refused.
+        """
+        size = self.expected_bytes(route)
+        if size:
+            free = self._budget.capacity * USED_SHARE - self._budget.used - self._promised
+            if free < size:
+                free += self._budget.end_stalled(size - free)
+            if free < size:
+                self._refused += 1
+                return None
+        self._promised += size
+        return Promise(gate=self, size=size)
+
+    def retry_after_s(self) -> float:
+        """Returns a time after which the caller of a refused request may retry."""
+        return MIN_RETRY_AFTER_S + self._rng.uniform(0.0, RETURN_SPREAD_S)
+
+    def on_released(self, size: float) -> None:
+        """Ends a promise."""
+        self._promised -= size
+
+    def state(self) -> dict:
+        """Returns the row of the state dump."""
+        return {
+            "capacity": self._budget.capacity,
+            "used": self._budget.used,
+            "promised": self.promised_bytes,
+            "refused": self._refused,
+        }
--- a/packages/gateway/src/sassafrasway_gateway/server_connection.py
+++ b/packages/gateway/src/sassafrasway_gateway/server_connection.py
@@ -22,6 +22,7 @@
     memory_budget,
     messages,
     request_handler,
+    unsent_responses,
 )
 
 # Requests of one connection that are waiting, running, or waiting to be answered.
@@ -30,6 +31,9 @@
 MAX_PIPELINED_BYTES = 256 * 1024
 # A larger body is written separately from its head, so that it is not copied.
 MAX_JOINED_BYTES = 64 * 1024
+# Longest time for which a client acknowledges nothing. The kernel also counts the time in which the
+# receive buffer of a slow reader has less room than one segment.
+CLIENT_USER_TIMEOUT_MS = 120_000
 # Time after which a closing connection is aborted if the client neither closes it nor reads on.
 LINGER_S = 2.0
 # Time that a client has to send its first request on a connection that is accepted just before the
@@ -87,9 +91,8 @@
         self._had_request = False
         # Bytes that the client had not read yet when the connection began to close, or when it was
         # last checked.
-        self._closing_unsent = 0
-        # Memory of the responses that the system has not accepted yet.
-        self._unsent: memory_budget.Reservation | None = None
+        self._closing_unread = 0
+        self._unsent: unsent_responses.UnsentResponses | None = None
         self._log = structlog.get_logger("http")
 
     @property
@@ -101,9 +104,7 @@
     @property
     def _unsent_bytes(self) -> int:
         """Bytes of responses that the system has not accepted yet."""
-        if self._transport is None or self._transport.is_closing():
-            return 0
-        return self._transport.get_write_buffer_size()
+        return 0 if self._unsent is None else self._unsent.size
 
     def close_when_idle(self) -> None:
         """Closes the connection unless a request is being read or handled, or has arrived.
@@ -121,7 +122,12 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See base class."""
         self._transport = transport
-        http_client.configure_socket(transport.get_extra_info("socket"))
+        self._unsent = unsent_responses.UnsentResponses(
+            transport=transport, budget=self._server.budget
+        )
+        http_client.configure_socket(
+            transport.get_extra_info("socket"), user_timeout_ms=CLIENT_USER_TIMEOUT_MS
+        )
         peer = transport.get_extra_info("peername")
         self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         self._server.on_open(self)
@@ -148,13 +154,13 @@
         self._awaits_first_request = False
         self._cancel_timer()
         self._cancel_exchanges()
-        self._unsent = None
+        self._unsent.close()
         self._reader.reservation = None
         self._server.on_close(self)
 
     def resume_writing(self) -> None:
         """See base class."""
-        self._unsent = None
+        self._unsent.on_drained()
 
     def _make_parser(self) -> h11.Connection:
         return h11.Connection(
@@ -374,18 +380,9 @@
             self._transport.write(data)
             self._transport.write(body)
         exchange.release()
-        self._reserve_unsent()
+        self._unsent.on_written(len(body))
         return parser.our_state is h11.DONE and parser.their_state is h11.DONE
 
-    def _reserve_unsent(self) -> None:
-        """Reserves memory for what a slow client has not read yet."""
-        size = self._transport.get_write_buffer_size()
-        if self._server.budget is None or not size:
-            return
-        if self._unsent is None:
-            self._unsent = self._server.budget.reserve(self._transport.abort)
-        self._unsent.resize(size)
-
     def _close(self) -> None:
         """Ends the connection, after the client has had time to read the last response.
 
@@ -400,7 +397,7 @@
             return
         self._transport.resume_reading()
         self._transport.write_eof()
-        self._closing_unsent = self._unsent_bytes
+        self._closing_unread = self._unsent.unread_bytes
         self._start_timer(LINGER_S)
 
     def _reject(self, status: int, reason: str, *, retry_after_s: float | None = None) -> None:
@@ -432,9 +429,10 @@
 
     def _on_timeout(self) -> None:
         self._timer = None
-        if self._closing and self._unsent_bytes < self._closing_unsent:
+        unread_bytes = self._unsent.unread_bytes if self._closing else 0
+        if self._closing and unread_bytes < self._closing_unread:
             # The client still reads its response.
-            self._closing_unsent = self._unsent_bytes
+            self._closing_unread = unread_bytes
             self._start_timer(LINGER_S)
         elif self._closing:
             self._transport.abort()
@@ -443,5 +441,8 @@
             self._start_timer(FIRST_REQUEST_S)
         elif self._reader.started_s > 0.0:
             self._reject(408, "request not complete in time")
+        elif not self._exchanges and self._unsent.unread_bytes:
+            # The client still reads; it is ended if it no longer does.
+            self._start_timer(self._handler.limits.idle_timeout_s)
         elif not self._exchanges:
             self._close()
--- a/packages/gateway/tests/connection_fixture.py
+++ b/packages/gateway/tests/connection_fixture.py
@@ -43,6 +43,9 @@
     def write_eof(self):
         self.ended = True
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
     def get_write_buffer_size(self):
         return self.unsent
 
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -38,7 +38,10 @@
 
 
 class ForwarderFixture(unittest.IsolatedAsyncioTestCase):
-    """Starts a forwarder with scripted servers."""
+    """Starts a forwarder with scripted servers; ``memory`` and ``gate`` may be set before."""
+
+    memory = None
+    gate = None
 
     async def start(self, *scripts, idempotent=True, retry_tokens=10.0, **route_fields):
         self.servers = []
@@ -57,7 +60,7 @@
         clock = clock_lib.ElapsedClock()
         self.registry = gateway_fakes.make_registry(listed, clock=clock)
         service_times = balancer.ServiceTimeEstimate()
-        pool = http_client.ConnectionPool()
+        pool = http_client.ConnectionPool(budget=self.memory)
         self.addCleanup(pool.close)
         self.budget = retry.RetryBudget(
             clock=clock, ratio=0.0, minimum_per_s=retry_tokens, max_tokens=retry_tokens
@@ -83,6 +86,7 @@
             names=NAMES,
             region="north",
             metrics=metrics.GatewayMetrics(),
+            gate=self.gate,
         )
 
     def request(self, *, target=b"/p/1", time_left_ms=b"1000", host=b"h.example"):
