--- a/packages/gateway/tests/test_memory_budget.py
+++ b/packages/gateway/tests/test_memory_budget.py
@@ -31,6 +31,19 @@
         self.assertEqual(self.ended, ["endless"])
         self.assertEqual(held[0].size, 70)
 
+    def test_stalled_message_is_ended_before_a_larger_one(self):
+        held = [self.reserve("stalled", 30), self.reserve("large", 60)]
+        held[0].stalled = True
+        held.append(self.reserve("new", 20))
+        self.assertEqual(self.ended, ["stalled"])
+
+    def test_memory_is_taken_from_stalled_messages_only(self):
+        held = [self.reserve(name, 30) for name in ("a", "b", "reading")]
+        held[0].stalled = held[1].stalled = True
+        self.assertEqual(self.budget.end_stalled(20), 30)
+        self.assertEqual(self.budget.end_stalled(90), 30)
+        self.assertEqual((sorted(self.ended), self.budget.used), (["a", "b"], 30))
+
     def test_running_request_is_not_ended(self):
         held = [self.reserve("running", 90, endable=False), self.reserve("new", 20)]
         self.assertEqual(self.ended, ["new"])
