--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -125,6 +125,7 @@
             return await self._process(job)
         promise = self._gate.admit(job.route)
         if promise is None:
+            self._metrics.memory_refusals.add(job.route.name)
             return self._refuse(job, "no memory for the response", self._gate.retry_after_s())
         try:
             return await self._process(job)
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -86,6 +86,11 @@
             help_text="Time from the first byte of a request to its answer.",
             labels=("route",),
         )
+        self.memory_refusals = Counter(
+            name="sassafrasway_memory_refusals_total",
+            help_text="Requests refused as there was no memory for their responses, by route.",
+            labels=("route",),
+        )
         self.log_lines_dropped = Counter(
             name="sassafrasway_log_lines_dropped_total",
             help_text="Log lines left out because of their rate or a reader that is too slow.",
@@ -94,7 +99,14 @@
     def render(self) -> str:
         """Returns all metrics in the exposition format."""
         lines = []
-        for metric in (self.requests, self.attempts, self.latency, self.log_lines_dropped):
+        metrics = (
+            self.requests,
+            self.attempts,
+            self.latency,
+            self.memory_refusals,
+            self.log_lines_dropped,
+        )
+        for metric in metrics:
             lines.extend(metric.render())
         return "\n".join(lines) + "\n"
 
--- a/packages/gateway/tests/test_large_responses.py
+++ b/packages/gateway/tests/test_large_responses.py
@@ -182,6 +182,8 @@
         ]
         refused = [head for status, head in heads if status == 503]
         self.assertEqual(len(admitted) + len(refused), 60)
+        counted = self.forwarder._metrics.memory_refusals.render()[-1]
+        self.assertEqual(counted.split()[-1], str(len(refused)))
         self.assertGreaterEqual(len(admitted), 13)
         self.assertGreater(len(refused), 0)
         self.assertTrue(all(gateway_fakes.header_of(head, b"retry-after") for head in refused))
