--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -101,6 +101,11 @@
             help_text="Messages about rate limits by kind and direction.",
             labels=("kind", "direction"),
         )
+        self.memory_refusals = Counter(
+            name="sassafrasway_memory_refusals_total",
+            help_text="Requests refused as there was no memory for their responses, by route.",
+            labels=("route",),
+        )
         self.log_lines_dropped = Counter(
             name="sassafrasway_log_lines_dropped_total",
             help_text="Log lines left out because of their rate or a reader that is too slow.",
@@ -109,15 +114,17 @@
     def render(self) -> str:
         """Returns all metrics in the exposition format."""
         lines = []
-        for metric in (
+        metrics = (
             self.requests,
             self.attempts,
             self.refusals,
             self.latency,
             self.quota_results,
             self.quota_messages,
+            self.memory_refusals,
             self.log_lines_dropped,
-        ):
+        )
+        for metric in metrics:
             lines.extend(metric.render())
         return "\n".join(lines) + "\n"
 
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -136,6 +136,7 @@
         dump = json.loads((await self.send_request(self.config.metrics, b"/state")).body)
         self.assertEqual((dump["phase"], dump["policy_version"]), ("READY", 1))
         self.assertEqual(dump["shedding"], {})
+        self.assertEqual(dump["response_memory"]["promised"], 0)
         await self.stop()
 
     async def test_graceful_shutdown_completes_running_requests(self):
