Follow a store that is replaced by an older copy of itself

Cause: the store may lose its last seconds of acknowledged writes. Its versions go back and are given out again, so followers, announcements and caches took new rows for old ones, missing servers and evacuations were dropped at once, and an old listing reinstated a server that had left.

Followers tell their listeners of a new era before its first row and end polls held open in the old one. Evacuations and servers that the copy lacks stay for 2 s. Listings that are older than what is known of the same start, or are of an earlier start, change nothing. The table cache no longer serves changes to instances that received rows which were lost. Each instance writes its own row again once, within 3 s at a random moment.

--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import random
+from collections.abc import Callable
 
 import structlog
 
@@ -40,9 +41,20 @@
         Rows that are missing may be back within ``grace_s``.
         """
 
+    @abc.abstractmethod
+    def on_new_era(self, grace_s: float) -> None:
+        """Called when an older copy has replaced the store, before any rows of the new era.
+
+        Rows may be missing or older than known; they are written again within ``grace_s``.
+        """
+
 
 class TableFollower:
-    """Reads a table, then receives its changes from polls of the store or from other instances."""
+    """Reads a table, then receives its changes from polls of the store or from other instances.
+
+    ``on_era`` is called with the era of the store when the first rows are received, and when an
+    older copy has replaced the store.
+    """
 
     def __init__(
         self,
@@ -54,6 +66,7 @@
         role: relay_role.RelayRole,
         relay_client: relay.RelayClient,
         rng: random.Random,
+        on_era: Callable[[int], None] = lambda era: None,
     ):
         self._store = store
         self._table = table_name
@@ -62,6 +75,9 @@
         self._role = role
         self._relay_client = relay_client
         self._rng = rng
+        self._on_era = on_era
+        # Era of the rows received so far; None before the first ones.
+        self._era: int | None = None
         self._backoff_s = INITIAL_BACKOFF_S
         self._poll: asyncio.Task | None = None
         # Whether changes of the table arrive; None before the first ones.
@@ -152,16 +168,22 @@
             )
             self._poll.cancel()
 
+    def on_era_told(self, era: int) -> None:
+        """Cancels a poll that waits for changes of an era that has ended."""
+        if self._poll is not None and self._era is not None and self._era < era:
+            self._poll.cancel()
+
     async def run(self) -> None:
         """Follows the table until cancelled."""
         while True:
             try:
                 await self._step()
-            except feed.HistoryLost:
+            except feed.HistoryLost as error:
                 self._log.warning(
                     "change history no longer available; reading the whole table",
                     table=self._table,
                     version=self.version,
+                    reason=error.message,
                 )
                 self._needs_full_read = True
             except table.StoreUnavailable as error:
@@ -237,6 +259,8 @@
         started_s = clock_lib.elapsed_s()
         try:
             changes = await self._store.read(self._table)
+            if self._era is not None and self._store.era(changes.version) < self._era:
+                raise table.StoreUnavailable("rows of an era that has ended", step="follower.read")
         except table.StoreUnavailable:
             self._on_failed_call(started_s=started_s, failed_s=started_s)
             raise
@@ -291,11 +315,15 @@
 
     def _replace_all(self, changes: feed.Changes) -> None:
         self._needs_full_read = False
-        self._cache.replace(changes)
+        new_era = self._note_era(changes.version)
+        self._cache.replace(changes, new_era=new_era)
         self._listener.on_rows(changes)
 
     def _apply_changes(self, changes: feed.Changes) -> None:
+        new_era = False
         for change in changes.rows:
+            # Changes of another instance may be of the era before, too.
+            new_era |= self._note_era(change.version)
             try:
                 self._listener.on_change(change)
             except Exception as error:
@@ -303,7 +331,27 @@
                 self._log.exception(
                     "change not applied", table=self._table, key=change.key, error=repr(error)
                 )
-        self._cache.apply(changes)
+        new_era |= self._note_era(changes.version)
+        self._cache.apply(changes, new_era=new_era)
+
+    def _note_era(self, version: int) -> bool:
+        """Returns whether a version is the first one of a new era; announces the era then."""
+        era, before = self._store.era(version), self._era
+        if before is not None and era <= before:
+            return False
+        self._era = era
+        if before is not None:
+            self._log.warning(
+                "store replaced by an older copy",
+                table=self._table,
+                era=era,
+                before=before,
+                version=self.version,
+                grace_s=outage.RELIST_GRACE_S,
+            )
+            self._listener.on_new_era(outage.RELIST_GRACE_S)
+        self._on_era(era)
+        return before is not None
 
     def _set_reader(self, is_reader: bool) -> None:
         if is_reader != self._is_reader:
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -102,7 +102,10 @@
         )
         self._registry = servers.ServerRegistry(clock=clock, region_of=config.region_of)
         self._policy_state = state.PolicyState(
-            decoder=dialect.decoder, registry=self._registry, on_policy=self._on_policy
+            clock=clock,
+            decoder=dialect.decoder,
+            registry=self._registry,
+            on_policy=self._on_policy,
         )
         self._server_listener = state.ServerTableListener(
             clock=clock, decoder=dialect.decoder, registry=self._registry
@@ -191,6 +194,10 @@
             "policy_version": policy.version if policy else None,
             "organisations": len(policy.organisations) if policy else 0,
             "table_versions": self._announcer.versions(),
+            "store_eras": {
+                name: self._store.era(version)
+                for name, version in self._announcer.versions().items()
+            },
             "interruptions": {
                 name: {
                     **table_follower.judgement.fields(),
@@ -295,6 +302,7 @@
             role=self._relay_role,
             relay_client=self._relay_client,
             rng=self._rng,
+            on_era=self._on_era,
         )
 
     def _make_server(
@@ -335,11 +343,13 @@
     async def _register(self) -> None:
         await self._registration.register()
         self._peers.announce_phase()
+        await self._registration.renew()
 
     async def _run_maintenance(self) -> None:
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._server_listener.sweep()
+            self._policy_state.sweep()
             self._overflow.update()
             self._pool.close_expired()
 
@@ -364,6 +374,11 @@
         for table_follower in self._followers.values():
             table_follower.on_answer_told(name, called_s)
 
+    def _on_era(self, era: int) -> None:
+        self._registration.on_era(era)
+        for table_follower in self._followers.values():
+            table_follower.on_era_told(era)
+
     def _on_versions(self, name: str, host: str, versions: dict[str, int]) -> None:
         self._relay_role.on_hint(name, host, versions)
         for table_name, version in versions.items():
--- a/packages/gateway/src/sassafrasway_gateway/registration.py
+++ b/packages/gateway/src/sassafrasway_gateway/registration.py
@@ -11,6 +11,8 @@
 from sassafrasway_platform import feed, table
 
 BACKOFF_S = 0.5
+# Time over which the instances of a fleet spread the writes of their rows in a new era.
+RENEWAL_WINDOW_S = 3.0
 
 
 class Registration:
@@ -28,6 +30,13 @@
         self._table = table_name
         self._view = view
         self._rng = rng
+        # Era in which the row of this instance was last known to be in the store, and the newest
+        # one that is known.
+        self._row_era = 0
+        self._era = 0
+        self._era_changed = asyncio.Event()
+        self._leaving = False
+        self._writing = asyncio.Lock()
         self._log = structlog.get_logger("process")
 
     async def register(self) -> None:
@@ -37,16 +46,17 @@
         other. Retries until the store responds.
         """
         own = self._view.own
-        row = peer_messages.encode(peer_messages.hello(own, reply=True, versions={}))
         while True:
             try:
-                await self._store.write(self._table, own.name, row)
+                await self._write_row()
                 listed = await self._store.read(self._table)
-            except table.StoreUnavailable as error:
+            except (table.StoreUnavailable, feed.HistoryLost) as error:
                 self._log.warning("registration failed; retrying", error=str(error))
                 await asyncio.sleep(BACKOFF_S * self._rng.uniform(0.5, 1.5))
                 continue
             break
+        if any(change.key == own.name for change in listed.rows):
+            self._row_era = self._store.era(listed.version)
         for change in listed.rows:
             self._add_listed(change)
         self._view.set_has_list()
@@ -56,8 +66,48 @@
 
         An unavailable store is ignored, as the other instances detect the exit by themselves.
         """
-        with contextlib.suppress(table.StoreUnavailable):
-            await self._store.write(self._table, self._view.own.name, None)
+        self._leaving = True
+        with contextlib.suppress(table.StoreUnavailable, feed.HistoryLost):
+            async with self._writing:
+                await self._store.write(self._table, self._view.own.name, None)
+
+    def on_era(self, era: int) -> None:
+        """Records the era of the store; `renew` writes the row again if it is a new one."""
+        if era > self._era:
+            self._era = era
+            self._era_changed.set()
+
+    async def renew(self) -> None:
+        """Writes the row of this instance again once in each new era, until cancelled.
+
+        An older copy of the store may lack the row. Each instance waits for a random part of
+        ``RENEWAL_WINDOW_S`` first.
+        """
+        while True:
+            self._era_changed.clear()
+            if self._era <= self._row_era:
+                await self._era_changed.wait()
+                continue
+            await asyncio.sleep(RENEWAL_WINDOW_S * self._rng.random())
+            if self._leaving:
+                return
+            era = self._era
+            try:
+                await self._write_row()
+            except (table.StoreUnavailable, feed.HistoryLost) as error:
+                self._log.warning("row not written again; retrying", era=era, error=str(error))
+                await asyncio.sleep(BACKOFF_S * self._rng.uniform(0.5, 1.5))
+                continue
+            self._row_era = era
+            self._log.info("row written again in a new era of the store", era=era)
+
+    async def _write_row(self) -> None:
+        async with self._writing:
+            if self._leaving:
+                return
+            own = self._view.own
+            row = peer_messages.encode(peer_messages.hello(own, reply=True, versions={}))
+            await self._store.write(self._table, own.name, row)
 
     def _add_listed(self, change: feed.Change) -> None:
         try:
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -25,6 +25,8 @@
 MAX_LATENCY_RATIO = 20.0
 # Number of removed servers whose state is kept, in case the same start is listed again.
 MAX_DEPARTED = 2000
+# Number of earlier starts of a server that are remembered.
+MAX_ENDED_STARTS = 4
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -52,6 +54,8 @@
         rest_until_s: Monotonic time until which the server wants no request of this instance.
         remove_at_s: Monotonic time at which the server is removed unless it is listed again; None
             while it is listed.
+        ended_starts: Unix times in ms of the last starts before the current one.
+        left_in_earlier_era: Whether the server was removed before an older copy replaced the store.
     """
 
     server: model.BackendServer
@@ -70,6 +74,8 @@
     leaving: bool = False
     rest_until_s: float = 0.0
     remove_at_s: float | None = None
+    ended_starts: tuple[int, ...] = ()
+    left_in_earlier_era: bool = False
 
     def add_outcome(self, *, failed: bool) -> None:
         """Updates the error rate with the outcome of one request."""
@@ -112,6 +118,8 @@
         self._evacuated: frozenset[str] = frozenset()
         self._rankings: dict[str, affinity.AffinityRanking] = {}
         self._warmup_s: dict[str, float] = {}
+        # Whether the store was replaced by an older copy since this process started.
+        self._has_new_era = False
 
     def __len__(self) -> int:
         return len(self._states)
@@ -200,13 +208,18 @@
             if departed is not None and not self._restarted(departed.server, server):
                 state = departed
             else:
+                earlier = state or departed
                 state = ServerState(server=server)
+                if earlier is not None:
+                    starts = (*earlier.ended_starts, earlier.server.started_ms)
+                    state.ended_starts = starts[-MAX_ENDED_STARTS:]
             self._states[server.server_id] = state
             self._rankings.pop(server.service, None)
         elif not self._same_ranking(state.server, server):
             self._rankings.pop(server.service, None)
         state.server = server
         state.remove_at_s = None
+        state.left_in_earlier_era = False
         if server.cold_left_s > 0:
             state.cold_until_s = max(state.cold_until_s, now_s + server.cold_left_s)
         return state
@@ -221,6 +234,27 @@
         if len(self._departed) > MAX_DEPARTED:
             self._departed.pop(next(iter(self._departed)))
 
+    def on_new_era(self) -> None:
+        """Records that an older copy has replaced the store, and old listings may come back."""
+        self._has_new_era = True
+        for state in self._departed.values():
+            state.left_in_earlier_era = True
+
+    def is_outdated(self, server: model.BackendServer) -> bool:
+        """Whether a listing comes from an older copy of the store and is older than what is known.
+
+        A listing of the current start is older if its sequence number is lower than the last one,
+        and also if it equals the last one and the server was removed before the copy came.
+        Without a start time, an older listing cannot be told from that of a new start.
+        """
+        known = self._states.get(server.server_id) or self._departed.get(server.server_id)
+        if not self._has_new_era or known is None or not server.started_ms:
+            return False
+        if server.started_ms != known.server.started_ms:
+            return server.started_ms in known.ended_starts
+        newest = known.server.sequence
+        return server.sequence < newest + known.left_in_earlier_era
+
     def set_evacuated(self, failure_domains: Iterable[str]) -> None:
         """Replaces the set of evacuated failure domains.
 
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -65,19 +65,26 @@
     """The policy in force and the evacuated failure domains, whose servers get no request.
 
     A policy stays in force when its row is removed. ``on_policy`` is called after a new policy is
-    in force.
+    in force. If an older copy replaces the store, evacuations that are missing from it stay for a
+    grace period.
     """
 
     def __init__(
         self,
         *,
+        clock: clock_lib.Clock,
         decoder: RowDecoder,
         registry: servers.ServerRegistry,
         on_policy: Callable[[model.Policy], None],
     ):
+        self._clock = clock
         self._decoder = decoder
         self._registry = registry
         self._on_policy = on_policy
+        # Failure domains that the store lists as evacuated. Within the grace period, others that
+        # were evacuated before stay so.
+        self._listed_evacuated: set[str] = set()
+        self._grace_until_s = 0.0
         self._policy: model.Policy | None = None
         self._routes: routing.RouteTable | None = None
         self._keys = organisations.OrganisationKeys(())
@@ -117,7 +124,7 @@
         """See base class."""
         domain = self._decoder.evacuated_domain(change.key)
         if domain is not None:
-            others = self._evacuated - {domain}
+            others = self._listed_evacuated - {domain}
             self._set_evacuated(others if change.value is None else others | {domain})
         elif self._decoder.is_policy(change.key) and change.value is not None:
             self._apply(change)
@@ -125,6 +132,14 @@
     def on_store_returned(self, grace_s: float) -> None:
         """Does nothing: policies do not expire."""
 
+    def on_new_era(self, grace_s: float) -> None:
+        """Starts the grace period for evacuations that an older copy of the store lacks."""
+        self._grace_until_s = self._clock.monotonic() + grace_s
+
+    def sweep(self) -> None:
+        """Ends the evacuations that were not listed again within the grace period."""
+        self._set_evacuated(self._listed_evacuated)
+
     def _apply(self, change: feed.Change) -> None:
         """Applies a policy row unless it is invalid or not newer than the policy in force."""
         try:
@@ -156,7 +171,10 @@
         )
         self._on_policy(policy)
 
-    def _set_evacuated(self, evacuated: set[str]) -> None:
+    def _set_evacuated(self, listed: set[str]) -> None:
+        self._listed_evacuated = listed
+        in_grace = self._clock.monotonic() < self._grace_until_s
+        evacuated = listed | self._evacuated if in_grace else listed
         if evacuated == self._evacuated:
             return
         self._log.info(
@@ -212,6 +230,11 @@
         """Starts the grace period for listings that expired while the store was away."""
         self._grace_until_s = max(self._grace_until_s, self._clock.monotonic() + grace_s)
 
+    def on_new_era(self, grace_s: float) -> None:
+        """Starts the grace period for listings that an older copy of the store lacks."""
+        self.on_store_returned(grace_s)
+        self._registry.on_new_era()
+
     def sweep(self) -> None:
         """Removes the servers that were not listed again within the grace period."""
         now_s = self._clock.monotonic()
@@ -230,6 +253,9 @@
             return False
         self._rejected.discard(change.key)
         state = self._registry.get(change.key)
+        if self._registry.is_outdated(server):
+            self._ignore_outdated(server, state, change.version)
+            return True
         if state is not None and state.remove_at_s is None:
             # Repeated listings that differ only in the sequence number would flood the log.
             log = (
@@ -247,6 +273,24 @@
             )
         return True
 
+    def _ignore_outdated(
+        self, server: model.BackendServer, state: servers.ServerState | None, row_version: int
+    ) -> None:
+        """Leaves a server as it is, and a removed one removed."""
+        if state is not None:
+            state.remove_at_s = None
+            # Most listings of an older copy differ only in the sequence number.
+            if dataclasses.replace(server, sequence=state.server.sequence) == state.server:
+                return
+        self._log.info(
+            "outdated server listing ignored",
+            server=server.server_id,
+            draining=server.draining,
+            sequence=server.sequence,
+            removed=state is None,
+            row_version=row_version,
+        )
+
     def _remove(self, server_id: str) -> None:
         """Removes a server, or marks it for removal if the grace period covers it."""
         state = self._registry.get(server_id)
--- a/packages/gateway/src/sassafrasway_gateway/table_cache.py
+++ b/packages/gateway/src/sassafrasway_gateway/table_cache.py
@@ -16,20 +16,25 @@
         self._version = -1
         # Oldest version after which all changes are available.
         self._complete_after = -1
+        # Versions before and after the store was last replaced by an older copy. What other
+        # instances received between them may be lost, and is not among the changes.
+        self._lost_between = (-1, -1)
 
     @property
     def version(self) -> int:
         """Version of the cached rows; -1 before the first read."""
         return self._version
 
-    def replace(self, changes: feed.Changes) -> None:
+    def replace(self, changes: feed.Changes, *, new_era: bool = False) -> None:
         """Replaces the whole table.
 
         Differences from the previous rows are recorded as changes. After the store has lost its
         change history, the other instances can then fetch a few rows each; otherwise all of them
         would fetch the whole table at the same time. If the version went back, the recent changes
-        are discarded.
+        are discarded. ``new_era`` is as in `apply`.
         """
+        if new_era:
+            self._on_new_era(changes.version)
         rows = {row.key: row for row in changes.rows}
         if self._version < 0 or changes.version < self._version:
             self._recent.clear()
@@ -39,8 +44,13 @@
         self._rows = rows
         self._version = changes.version
 
-    def apply(self, changes: feed.Changes) -> None:
-        """Applies changes made after the current version."""
+    def apply(self, changes: feed.Changes, *, new_era: bool = False) -> None:
+        """Applies changes made after the current version.
+
+        ``new_era`` states that the store was replaced by an older copy in between.
+        """
+        if new_era:
+            self._on_new_era(changes.version)
         for row in changes.rows:
             if row.value is None:
                 self._rows.pop(row.key, None)
@@ -55,11 +65,17 @@
 
     def since(self, version: int) -> feed.Changes | None:
         """Returns the changes after a version, or None if not all of them are available."""
-        if version < self._complete_after:
+        lost_after, lost_until = self._lost_between
+        if version < self._complete_after or lost_after < version < lost_until:
             return None
         rows = [row for row in self._recent if row.version > version]
         return feed.Changes(rows=rows, version=self._version)
 
+    def _on_new_era(self, version: int) -> None:
+        # Instances that are behind the last but one era read the whole table.
+        self._complete_after = max(self._complete_after, self._lost_between[1])
+        self._lost_between = (self._version, version)
+
     def _differences(self, rows: dict[str, feed.Change], version: int) -> list[feed.Change]:
         """Returns the changes that turn the current rows into the given ones."""
         differences = [
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -51,6 +51,9 @@
     def on_store_returned(self, grace_s):
         self.events.append(("returned", grace_s))
 
+    def on_new_era(self, grace_s):
+        self.events.append(("era", grace_s))
+
 
 class FakeRole:
     """Role with a fixed choice of reading the store or fetching from another instance."""
--- a/packages/gateway/tests/test_odd_input.py
+++ b/packages/gateway/tests/test_odd_input.py
@@ -270,7 +270,10 @@
 
     def test_removed_rows_in_a_whole_table_name_nothing(self):
         policies = state.PolicyState(
-            decoder=test_state.Decoder(), registry=self.registry, on_policy=lambda policy: None
+            clock=clock_lib.ManualClock(),
+            decoder=test_state.Decoder(),
+            registry=self.registry,
+            on_policy=lambda policy: None,
         )
         policies.on_rows(feed.Changes(rows=[test_state.change("evacuate/a-1", None)], version=1))
         self.assertEqual(self.registry.evacuated, frozenset())
--- a/packages/gateway/tests/test_state.py
+++ b/packages/gateway/tests/test_state.py
@@ -50,8 +50,12 @@
     def setUp(self):
         self.applied = []
         self.registry = gateway_fakes.make_registry([gateway_fakes.make_server("s")])
+        self.clock = clock_lib.ManualClock()
         self.state = state.PolicyState(
-            decoder=Decoder(), registry=self.registry, on_policy=self.applied.append
+            clock=self.clock,
+            decoder=Decoder(),
+            registry=self.registry,
+            on_policy=self.applied.append,
         )
 
     def test_older_version_is_ignored(self):
--- a/packages/platform/src/sassafrasway_platform/feed.py
+++ b/packages/platform/src/sassafrasway_platform/feed.py
@@ -38,7 +38,15 @@
 
 
 class FollowedStore(abc.ABC):
-    """Store whose tables every instance follows, and in which it writes its own rows."""
+    """Store whose tables every instance follows, and in which it writes its own rows.
+
+    If the store is replaced by an older copy of itself, it loses acknowledged writes and a new era
+    begins. Versions of a later era are always greater.
+    """
+
+    def era(self, version: int) -> int:
+        """Returns the era to which a version belongs; 0 for a store that has no eras."""
+        return 0
 
     @abc.abstractmethod
     async def read(self, table_name: str) -> Changes:
@@ -48,6 +56,7 @@
         delivers all of them.
 
         Raises:
+            HistoryLost: A new era began during the read.
             table.StoreUnavailable: The store gave no usable answer.
         """
 
@@ -66,7 +75,7 @@
             timeout_s: Time after which the store counts as unavailable, s.
 
         Raises:
-            HistoryLost: The store has discarded changes since ``after``.
+            HistoryLost: The store has discarded changes since ``after``, or is in a newer era.
             table.StoreUnavailable: The store gave no usable answer.
         """
 
