--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -22,6 +22,8 @@
 MAX_REPORTERS = 8
 # Number of removed servers whose state is kept, in case the same start is listed again.
 MAX_DEPARTED = 2000
+# Number of earlier starts of a server that are remembered.
+MAX_ENDED_STARTS = 4
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -46,6 +48,8 @@
         rest_until_s: Monotonic time until which the server wants no request of this instance.
         remove_at_s: Monotonic time at which the server is removed unless it is listed again; None
             while it is listed.
+        ended_starts: Unix times in ms of the last starts before the current one.
+        left_in_earlier_era: Whether the server was removed before an older copy replaced the store.
     """
 
     server: model.BackendServer
@@ -61,6 +65,8 @@
     leaving: bool = False
     rest_until_s: float = 0.0
     remove_at_s: float | None = None
+    ended_starts: tuple[int, ...] = ()
+    left_in_earlier_era: bool = False
 
     def __post_init__(self):
         self.known_load = load_estimate.ServerLoad(slots=max(1, self.server.slots))
@@ -127,6 +133,8 @@
         # Ids of the servers of each service that reported last, the newest report at the end.
         self._reporters: dict[str, dict[str, None]] = {}
         self._speeds_vary = False
+        # Whether the store was replaced by an older copy since this process started.
+        self._has_new_era = False
 
     def __len__(self) -> int:
         return len(self._states)
@@ -222,7 +230,11 @@
             if departed is not None and not self._restarted(departed.server, server):
                 state = departed
             else:
+                earlier = state or departed
                 state = ServerState(server=server)
+                if earlier is not None:
+                    starts = (*earlier.ended_starts, earlier.server.started_ms)
+                    state.ended_starts = starts[-MAX_ENDED_STARTS:]
             self._states[server.server_id] = state
             self._rankings.pop(server.service, None)
         elif not self._same_ranking(state.server, server):
@@ -230,6 +242,7 @@
         state.server = server
         state.known_load.slots = max(1, server.slots)
         state.remove_at_s = None
+        state.left_in_earlier_era = False
         if server.cold_left_s > 0:
             state.cold_until_s = max(state.cold_until_s, now_s + server.cold_left_s)
         return state
@@ -244,6 +257,27 @@
         if len(self._departed) > MAX_DEPARTED:
             self._departed.pop(next(iter(self._departed)))
 
+    def on_new_era(self) -> None:
+        """Records that an older copy has replaced the store, and old listings may come back."""
+        self._has_new_era = True
+        for state in self._departed.values():
+            state.left_in_earlier_era = True
+
+    def is_outdated(self, server: model.BackendServer) -> bool:
+        """Whether a listing comes from an older copy of the store and is older than what is known.
+
+        A listing of the current start is older if its sequence number is lower than the last one,
+        and also if it equals the last one and the server was removed before the copy came.
+        Without a start time, an older listing cannot be told from that of a new start.
+        """
+        known = self._states.get(server.server_id) or self._departed.get(server.server_id)
+        if not self._has_new_era or known is None or not server.started_ms:
+            return False
+        if server.started_ms != known.server.started_ms:
+            return server.started_ms in known.ended_starts
+        newest = known.server.sequence
+        return server.sequence < newest + known.left_in_earlier_era
+
     def set_evacuated(self, failure_domains: Iterable[str]) -> None:
         """Replaces the set of evacuated failure domains.
 
