Test the rate limits under faults, and grant nothing before the fleet is known

Cause: an instance that starts knows few others and would own every shard.

Change: only ready instances own shards; before an instance knows the others it serves only what they ask of it. A changed limit restarts running token requests, which raised KeyError when the number of shards fell.

--- a/packages/gateway/src/sassafrasway_gateway/hash_ring.py
+++ b/packages/gateway/src/sassafrasway_gateway/hash_ring.py
@@ -6,7 +6,7 @@
 from collections.abc import Collection
 
 # Points of each name; more make the shares of the names more even.
-POINTS = 16
+POINTS = 8
 # Twice the number of instances of the largest fleet.
 MAX_CACHED_NAMES = 4096
 
@@ -26,15 +26,26 @@
     """Ring of names; the owner of a key is the name of the next point."""
 
     def __init__(self, names: Collection[str] = ()):
-        pairs = sorted((point, name) for name in names for point in _points_of(name))
-        self._points = [point for point, _ in pairs]
-        self._names = [name for _, name in pairs]
+        self._members = frozenset(names)
+        self._pairs = sorted((point, name) for name in names for point in _points_of(name))
+        self._points = [point for point, _ in self._pairs]
+
+    def replaced(self, names: Collection[str]) -> "HashRing":
+        """Returns a ring of other names, which costs less than a new one if most are the same."""
+        ring = HashRing()
+        ring._members = frozenset(names)
+        added = HashRing(ring._members - self._members)
+        ring._pairs = [pair for pair in self._pairs if pair[1] in ring._members]
+        ring._pairs += added._pairs
+        ring._pairs.sort()
+        ring._points = [point for point, _ in ring._pairs]
+        return ring
 
     def owner(self, key: int, *, without: str = "") -> str | None:
         """Returns the owner of a key if ``without`` were not in the ring; None without any."""
         start = bisect.bisect(self._points, key)
-        for offset in range(len(self._names)):
-            name = self._names[(start + offset) % len(self._names)]
+        for offset in range(len(self._pairs)):
+            _, name = self._pairs[(start + offset) % len(self._pairs)]
             if name != without:
                 return name
         return None
--- a/packages/gateway/src/sassafrasway_gateway/quota_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_client.py
@@ -136,6 +136,7 @@
     """
 
     account: "_Account"
+    limit: quota_limits.Limit
     organisation: str
     covered: int
     spare: int
@@ -399,6 +400,7 @@
             return
         ask = _Ask(
             account=account,
+            limit=account.limit,
             organisation=account.limit.organisation,
             covered=min(peer_messages.MAX_TOKENS // 2, missing),
             spare=min(peer_messages.MAX_TOKENS // 2, int(account.rate_per_s * PREFETCH_S)),
@@ -409,6 +411,11 @@
     def _ask_next(self, account: _Account, ask: _Ask) -> None:
         """Asks another shard, or ends the wait of the requests that the token request covers."""
         now_s = self._clock.monotonic()
+        if ask.limit is not account.limit:
+            # The shards that were asked may not exist any more.
+            ask.limit = account.limit
+            ask.limited.clear()
+            ask.failed.clear()
         shard = None
         if account.rejected_until_s > now_s:
             # Another token request has found that the limit is reached.
@@ -423,7 +430,7 @@
                 self._reject(account, ask, now_s)
             return
         ask.shard = shard
-        ask.owner = self._directory.owner(account.limit.keys[shard])
+        ask.owner = self._owner_of(account.limit.keys[shard])
         ask.host = self._directory.host(ask.owner)
         ask.sent_s = now_s
         ask.request_id = next(self._ids)
@@ -437,6 +444,11 @@
         request_id = ask.request_id
         self._call_later(ANSWER_TIMEOUT_S, lambda: self._on_unanswered(request_id))
 
+    def _owner_of(self, key: int) -> str | None:
+        """Returns the instance to ask; others know better while this one does not know them."""
+        directory = self._directory
+        return directory.owner(key, without="" if directory.knows_fleet else directory.own_name)
+
     def _wait_for_token(self, account: _Account, ask: _Ask, now_s: float) -> bool:
         """Asks again later if a shard has tokens soon; returns whether it will."""
         if ask.failed or not ask.limited or ask.waits >= MAX_WAITS or self._directory.isolated:
@@ -462,7 +474,7 @@
                 ask.limited.add(shard)
             if shard in ask.limited:
                 continue
-            owner = self._directory.owner(key)
+            owner = self._owner_of(key)
             if owner is None or self._directory.host(owner) is None:
                 continue
             # The own shards were tried before, except while they are taken over.
@@ -605,7 +617,7 @@
         if account.share_version != version:
             account.share_version = version
             account.share = 0
-            if directory.knows_fleet and directory.recent_names:
+            if directory.knows_fleet and directory.own_name in directory.recent_names:
                 account.share = quota_limits.whole_share(
                     account.limit.emergency,
                     directory.recent_names,
--- a/packages/gateway/src/sassafrasway_gateway/quota_directory.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_directory.py
@@ -5,12 +5,14 @@
 
 # Interval after which the members are read again; phases and listed members change without a new
 # version of the view.
-REFRESH_INTERVAL_S = 0.25
+REFRESH_INTERVAL_S = 0.5
 # Shortest interval between two rings: after a loss of many instances, the view changes often.
 MIN_REFRESH_INTERVAL_S = 0.1
 # Time for which a member counts after its last message. Members that are only unreachable for a
 # while go on granting tokens.
 MEMBER_LIFETIME_S = 30.0
+# Time after the list of members was read until which they have answered this instance.
+SETTLE_S = 0.3
 # Without a message of another instance for this long, this one may be cut off.
 ISOLATED_AFTER_S = 1.0
 
@@ -27,6 +29,8 @@
         self._recent: list[str] = []
         self._version = 0
         self._view_version = -1
+        self._own_phase = view.own.phase
+        self._listed_s: float | None = None
         self._refreshed_s = float("-inf")
         self._heard_s = clock.monotonic()
 
@@ -40,7 +44,10 @@
         """Number that changes with the live or recent members; reads them again if it is time."""
         now_s = self._clock.monotonic()
         age_s = now_s - self._refreshed_s
-        changed = self._view.live_version != self._view_version
+        changed = (
+            self._view.live_version != self._view_version
+            or self._view.own.phase is not self._own_phase
+        )
         if age_s >= REFRESH_INTERVAL_S or (changed and age_s >= MIN_REFRESH_INTERVAL_S):
             self._refresh(now_s)
         return self._version
@@ -52,8 +59,11 @@
 
     @property
     def knows_fleet(self) -> bool:
-        """Whether the list of members has been read."""
-        return self._view.has_list
+        """Whether this instance knows the others, so that it can tell which shards it owns."""
+        if self._listed_s is None:
+            return False
+        alone = self._recent == [self.own_name]
+        return alone or self._clock.monotonic() - self._listed_s >= SETTLE_S
 
     @property
     def isolated(self) -> bool:
@@ -85,35 +95,36 @@
 
     def host(self, name: str) -> str | None:
         """Returns the address of an instance; None if it is not live."""
-        if name == self.own_name:
-            return self._view.own.peer_host
         member = self._members.get(name)
         return None if member is None else member.peer_host
 
     def is_near(self, name: str) -> bool:
         """Whether an instance is in the region of this one."""
-        if name == self.own_name:
-            return True
         member = self._members.get(name)
         return member is not None and member.region == self._view.own.region
 
     def _refresh(self, now_s: float) -> None:
         self._refreshed_s = now_s
         self._view_version = self._view.live_version
-        leaving = {
-            member.name
-            for member in (*self._view.members(), self._view.own)
-            if member.phase == fleet.Phase.LEAVING
-        }
-        live = frozenset(name for name in self._view.live_names() if name not in leaving)
-        self._members = {member.name: member for member in self._view.live_members()}
-        recent = [
-            name for name in self._view.recent_names(MEMBER_LIFETIME_S) if name not in leaving
-        ]
+        self._own_phase = self._view.own.phase
+        if self._listed_s is None and self._view.has_list:
+            self._listed_s = now_s
+        live_members = [*self._view.live_members(), self._view.own]
+        self._members = {member.name: member for member in live_members}
+        # Instances that start may not know the limits yet. The rows of members never show a later
+        # phase, so it counts only if the member itself has stated it.
+        live = frozenset(
+            member.name for member in live_members if member.phase == fleet.Phase.READY
+        )
+        absent = {member.name for member in live_members if member.name not in live}
+        absent.update(
+            member.name for member in self._view.members() if member.phase == fleet.Phase.LEAVING
+        )
+        recent = [name for name in self._view.recent_names(MEMBER_LIFETIME_S) if name not in absent]
         if recent != self._recent:
             self._recent = recent
             self._version += 1
         if live != self._live:
             self._live = live
-            self._ring = hash_ring.HashRing(live)
+            self._ring = self._ring.replaced(live)
             self._version += 1
--- a/packages/gateway/src/sassafrasway_gateway/quota_owner.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_owner.py
@@ -196,11 +196,9 @@
 
     def take(self, organisation: str, index: int, count: int) -> Decision:
         """Takes tokens for a request of this instance; see `owns`."""
-        self.update()
-        shard = self._shards.get((organisation, index))
-        if shard is None or shard.phase is not ShardPhase.OWNED or not self._may_grant:
+        if not self.owns(organisation, index) or not self._may_grant:
             return UNKNOWN
-        return self._take(shard, count)
+        return self._take(self._shards[organisation, index], count)
 
     def give_back(self, organisation: str, index: int, count: int) -> None:
         """Takes back tokens that this instance has taken and not used."""
@@ -209,8 +207,10 @@
             shard.bucket.give_back(count, self._clock.monotonic())
 
     def owns(self, organisation: str, index: int) -> bool:
-        """Whether this instance owns a shard and grants its tokens."""
+        """Whether this instance owns a shard and may use its tokens itself."""
         self.update()
+        if not self._directory.knows_fleet:
+            return False
         shard = self._shards.get((organisation, index))
         return shard is not None and shard.phase is ShardPhase.OWNED
 
@@ -220,6 +220,11 @@
         reply_host = request.reply_host or host
         shard = self._shards.get((request.organisation, request.shard))
         now_s = self._clock.monotonic()
+        limit = self._limits.get(request.organisation)
+        if shard is None and limit is not None and request.shard < len(limit.keys):
+            # The others know of this instance before it knows all of them.
+            self._own(limit, request.shard, now_s)
+            shard = self._shards.get((request.organisation, request.shard))
         if shard is None or shard.phase is ShardPhase.RELEASED:
             self._pass_on(request, shard, reply_host, now_s)
         elif shard.phase is ShardPhase.STARTING:
@@ -322,7 +327,7 @@
         previous = self._directory.owner(shard.limit.keys[shard.index], without=own_name)
         host = None if previous is None else self._directory.host(previous)
         if host is None:
-            self._start(shard, shard.limit.start)
+            self._start(shard, shard.limit.start if self._directory.knows_fleet else 0.0)
             return
         if shard.tries >= HANDOVER_TRIES:
             self._start(shard, 0.0)
--- a/packages/gateway/tests/quota_simulation.py
+++ b/packages/gateway/tests/quota_simulation.py
@@ -6,6 +6,7 @@
 
 import bisect
 import collections
+import dataclasses
 import heapq
 import itertools
 import random
@@ -14,6 +15,7 @@
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import (
+    fleet,
     hash_ring,
     metrics,
     model,
@@ -24,6 +26,7 @@
 )
 
 BOUNDS = settings.Bounds()
+WINDOW_S = BOUNDS.quota_window_s
 # Bytes of the headers of IP and UDP.
 HEADER_BYTES = 28
 MAX_LATENCY_S = 0.04
@@ -32,6 +35,8 @@
 JOIN_DELAY_S = (0.0, 0.6)
 PING_INTERVAL_S = 0.5
 TICK_INTERVAL_S = 0.5
+# Number of steps in which an instance notices that many others are lost.
+PARTS = 5
 # Policy changes reach all instances within this time.
 POLICY_DELAY_S = 1.5
 REGIONS = ("north", "south", "east")
@@ -42,19 +47,17 @@
 
     def __init__(self):
         self._rings = {}
+        self._replaced = hash_ring.HashRing.replaced
 
-    def __call__(self, names=()):
+    def replaced(self, ring, names):
         key = frozenset(names)
         if key not in self._rings:
             if len(self._rings) > 200:
                 self._rings.clear()
-            self._rings[key] = hash_ring_class(key)
+            self._rings[key] = self._replaced(ring, key)
         return self._rings[key]
 
 
-hash_ring_class = hash_ring.HashRing
-
-
 class SteppedClock(clock_lib.ManualClock):
     """Clock whose wall time is stepped; the time that never decreases is not."""
 
@@ -69,63 +72,79 @@
 class SimulatedView:
     """What one instance knows of the fleet."""
 
-    def __init__(self, own, simulation):
+    def __init__(self, own, simulation, base):
         self.own = own
         self.has_list = True
         self.live_version = 0
         self._simulation = simulation
-        self.others = {}
-        self.seen_s = {}
-
-    def set_live(self, name, live):
-        if live == (name in self.others):
-            return
-        if live:
-            self.others[name] = self._simulation.instances[name].member
-        else:
-            del self.others[name]
-            self.seen_s[name] = self._simulation.now_s
-        self.live_version += 1
-
-    def live_names(self):
-        return [*self.others, self.own.name]
+        # Members that were live at the start, shared by all views, and the differences from them.
+        self._base = base
+        self._added = {}
+        self._lost_s = {}
+
+    def is_live(self, name):
+        return (name in self._base or name in self._added) and name not in self._lost_s
+
+    def set_live(self, names, live):
+        changed = [name for name in names if name != self.own.name and self.is_live(name) != live]
+        for name in changed:
+            if not live:
+                self._lost_s[name] = self._simulation.now_s
+                continue
+            self._lost_s.pop(name, None)
+            if name not in self._base:
+                self._added[name] = self._simulation.instances[name].member
+        self.live_version += bool(changed)
 
     def members(self):
-        return list(self.others.values())
+        return []
 
     def live_members(self):
-        return list(self.others.values())
+        return [
+            member
+            for members in (self._base, self._added)
+            for name, member in members.items()
+            if name not in self._lost_s and name != self.own.name
+        ]
 
     def recent_names(self, lifetime_s):
         oldest_s = self._simulation.now_s - lifetime_s
-        lost = [
+        dropped = {
             name
-            for name, seen_s in self.seen_s.items()
-            if seen_s >= oldest_s and name not in self.others
+            for name, lost_s in self._lost_s.items()
+            if lost_s < oldest_s or self._simulation.instances[name].leaving
+        }
+        dropped.add(self.own.name)
+        names = [
+            name for members in (self._base, self._added) for name in members if name not in dropped
         ]
-        return [*self.others, *lost, self.own.name]
+        return [*names, self.own.name]
 
 
 class Instance:
     """One instance with its rate limiter and its requests."""
 
-    def __init__(self, simulation, name, region):
+    def __init__(self, simulation, member, base):
         self.simulation = simulation
-        self.member = test_fleet.make_member(name, region=region)
-        self.name = name
+        self.member = member
+        self.name = member.name
         self.alive = True
+        self.leaving = False
         self.frozen_until_s = 0.0
         self.group = 0
-        self.view = SimulatedView(self.member, simulation)
+        self.view = SimulatedView(member, simulation, base)
         self.sent_bytes = 0
         self.received_bytes = 0
-        self.limiter = rate_limits.RateLimiter(
-            clock=simulation.clock,
+        self.limiter = self.make_limiter()
+
+    def make_limiter(self):
+        return rate_limits.RateLimiter(
+            clock=self.simulation.clock,
             view=self.view,
             bounds=BOUNDS,
             send=self.send,
             call_later=self.call_later,
-            rng=random.Random(simulation.rng.random()),
+            rng=random.Random(self.simulation.rng.random()),
             metrics=metrics.GatewayMetrics(),
         )
 
@@ -157,10 +176,10 @@
 
     def ping(self):
         simulation = self.simulation
-        names = list(self.view.others)
-        if names:
-            other = simulation.instances[simulation.rng.choice(names)]
-            reachable = other.alive and other.group == self.group
+        # Half of the instances that this one pings may be dead.
+        for name in simulation.rng.choices(list(simulation.instances), k=4):
+            other = simulation.instances[name]
+            reachable = other is not self and other.alive and other.group == self.group
             if reachable and other.frozen_until_s <= simulation.now_s:
                 self.limiter.on_heard()
         self.call_later(PING_INTERVAL_S, self.ping)
@@ -187,13 +206,13 @@
         self._events = []
         self._numbers = itertools.count()
         names = [f"instance-{index:04}" for index in range(count)]
-        for index, name in enumerate(names):
-            self.instances[name] = Instance(self, name, REGIONS[index % len(REGIONS)])
-        for instance in self.instances.values():
-            instance.view.others = {
-                name: other.member for name, other in self.instances.items() if other != instance
-            }
-            self._start(instance)
+        base = {
+            name: test_fleet.make_member(name, region=REGIONS[index % len(REGIONS)])
+            for index, name in enumerate(names)
+        }
+        for name, member in base.items():
+            self.instances[name] = Instance(self, member, base)
+            self._start(self.instances[name])
         self.set_organisations(organisations, delay_s=0.0)
 
     @property
@@ -239,22 +258,30 @@
             if other is not instance:
                 delay_s = self.rng.uniform(*LOSS_DELAY_S)
                 if delay_s < duration_s:
-                    self._set_live_later(other, instance, False, delay_s)
+                    self._set_live_later(other, [instance], False, delay_s)
                     back_s = duration_s + self.rng.uniform(*JOIN_DELAY_S)
-                    self._set_live_later(other, instance, True, back_s)
+                    self._set_live_later(other, [instance], True, back_s)
+
+    def kill(self, killed):
+        for instance in killed:
+            instance.alive = False
+        for other in self.live():
+            self._set_live_in_parts(other, killed, False, LOSS_DELAY_S)
 
-    def kill(self, instance):
-        instance.alive = False
+    def leave(self, instance):
+        """Stops an instance as planned: it announces that it leaves, and takes no new requests."""
+        instance.view.own = dataclasses.replace(instance.member, phase=fleet.Phase.LEAVING)
+        instance.leaving = True
         for other in self.live():
-            self._set_live_later(other, instance, False, self.rng.uniform(*LOSS_DELAY_S))
+            self._set_live_later(other, [instance], False, self.rng.uniform(0.0, 0.05))
 
     def add(self, name):
-        instance = Instance(self, name, self.rng.choice(REGIONS))
+        member = test_fleet.make_member(name, region=self.rng.choice(REGIONS))
         known = self.live()
+        instance = Instance(self, member, {other.name: other.member for other in known})
         self.instances[name] = instance
         for other in known:
-            self._set_live_later(other, instance, True, self.rng.uniform(0.0, 0.2))
-            instance.view.others[other.name] = other.member
+            self._set_live_later(other, [instance], True, self.rng.uniform(0.0, 0.2))
         instance.limiter.set_organisations(dict(self.organisations))
         self._start(instance)
 
@@ -264,17 +291,20 @@
         for instance in self.live():
             instance.group = group_of(instance)
         for instance in self.live():
-            for other in self.live():
-                if instance is other:
-                    continue
-                connected = instance.group == other.group
-                if connected != (before[instance.name] == before[other.name]):
-                    bounds = JOIN_DELAY_S if connected else LOSS_DELAY_S
-                    self._set_live_later(instance, other, connected, self.rng.uniform(*bounds))
+            for connected, bounds_s in ((True, JOIN_DELAY_S), (False, LOSS_DELAY_S)):
+                changed = [
+                    other
+                    for other in self.live()
+                    if (instance.group == other.group) is connected
+                    and (before[instance.name] == before[other.name]) is not connected
+                ]
+                self._set_live_in_parts(instance, changed, connected, bounds_s)
 
     def offer(self, organisation, rate_per_s, duration_s, weights=None, *, spread=False):
-        """Schedules requests at the given rate, evenly in time or at random."""
+        """Schedules requests, evenly in time or at random, with weights of the first instances."""
         names = list(self.instances)
+        if weights is not None:
+            names = names[: len(weights)]
         count = int(rate_per_s * duration_s)
         chosen = self.rng.choices(names, weights, k=count)
         for index, name in enumerate(chosen):
@@ -286,7 +316,7 @@
         times_s = sorted(time_s for time_s in self.uses[organisation] if from_s <= time_s <= to_s)
         return max(
             (
-                bisect.bisect_left(times_s, start_s + BOUNDS.quota_window_s) - index
+                bisect.bisect_left(times_s, start_s + WINDOW_S) - index
                 for index, start_s in enumerate(times_s)
             ),
             default=0,
@@ -296,20 +326,35 @@
         self.schedule(self.rng.uniform(0.0, TICK_INTERVAL_S), instance.tick, instance)
         self.schedule(self.rng.uniform(0.0, PING_INTERVAL_S), instance.ping, instance)
 
-    def _set_live_later(self, observer, instance, live, delay_s):
+    def _set_live_in_parts(self, observer, instances, live, bounds_s):
+        """Lets an instance notice changes of others, a few of them at a time."""
+        for part in range(PARTS):
+            changed = instances[part::PARTS]
+            if changed:
+                self._set_live_later(observer, changed, live, self.rng.uniform(*bounds_s))
+
+    def _set_live_later(self, observer, instances, live, delay_s):
         def apply():
-            connected = observer.group == instance.group and instance.alive
-            frozen = instance.frozen_until_s > self.now_s
-            if live == (connected and not frozen):
-                observer.view.set_live(instance.name, live)
+            names = [
+                instance.name
+                for instance in instances
+                if live
+                == (
+                    observer.group == instance.group
+                    and instance.alive
+                    and not instance.leaving
+                    and instance.frozen_until_s <= self.now_s
+                )
+            ]
+            observer.view.set_live(names, live)
 
         self.schedule(delay_s, apply, observer)
 
     def _arrive(self, organisation, name):
         instance = self.instances[name]
-        if not instance.alive:
+        if not instance.alive or instance.leaving:
             # The caller uses another instance.
-            instance = self.rng.choice(self.live())
+            instance = self.rng.choice([one for one in self.live() if not one.leaving])
         self.schedule(0.0, lambda: self._request(organisation, instance, 3), instance)
 
     def _request(self, organisation, instance, tries):
@@ -346,7 +391,7 @@
 
 def bound(organisation):
     """Returns the largest number of requests that may be passed on in a window."""
-    limit = organisation.rate_per_s * BOUNDS.quota_window_s + organisation.burst
+    limit = organisation.rate_per_s * WINDOW_S + organisation.burst
     return limit * BOUNDS.quota_factor + BOUNDS.quota_slack
 
 
--- a/packages/gateway/tests/test_peer_task.py
+++ b/packages/gateway/tests/test_peer_task.py
@@ -18,8 +18,8 @@
     return dataclasses.replace(test_fleet.make_member(name), peer_host=HOSTS[name])
 
 
-class ReportTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against instances that stay given up although they were silent for a moment only."""
+class PeerFixture(unittest.IsolatedAsyncioTestCase):
+    """Builds the peer task of an instance that knows three others, and records what it sends."""
 
     def setUp(self):
         self.clock = clock_lib.ManualClock()
@@ -45,6 +45,10 @@
     def receive(self, message):
         self.peers.datagram_received(peer_messages.encode(message), ("127.0.0.1", 1))
 
+
+class ReportTest(PeerFixture):
+    """Guards against instances that stay given up although they were silent for a moment only."""
+
     def test_reported_instance_tells_all_members_that_it_is_live(self):
         # After a pause, the others learned of it only by random pings, which takes a minute in a
         # fleet of 195.
@@ -77,3 +81,55 @@
             self.clock.advance(fleet.SUSPECT_TIMEOUT_S / 2)
             self.view.tick()
         self.assertNotIn("c", self.view.live_names())
+
+
+class QuotaMessageTest(PeerFixture):
+    """Guards against messages about rate limits that are lost, or accepted with invalid fields."""
+
+    def setUp(self):
+        super().setUp()
+        self.received = []
+        self.heard = 0
+        self.peers._on_quota = lambda message, host: self.received.append((message, host))
+        self.peers._on_heard = self.count_heard
+
+    def count_heard(self):
+        self.heard += 1
+
+    def test_messages_arrive_with_the_address_of_the_sender(self):
+        """Guards against grants sent to the wrong instance."""
+        quota_messages = [
+            peer_messages.TokenRequest("org", 1, 2, 3, 4, "10.0.0.3"),
+            peer_messages.TokenGrant(4, peer_messages.GrantState.GRANTED, 2, 15, 0),
+            peer_messages.TokenReturn("org", 1, 2, 4),
+            peer_messages.ShardRequest("org", 1),
+            peer_messages.ShardHandover("org", 1, -0.5),
+            peer_messages.ShardHandover("org", 1, None),
+        ]
+        for message in quota_messages:
+            self.receive(message)
+        self.assertEqual(self.received, [(message, "127.0.0.1") for message in quota_messages])
+        self.assertEqual(self.heard, len(quota_messages))
+
+    def test_fields_beyond_their_limits_are_rejected(self):
+        """Guards against datagrams that anyone can send to grant or take any number of tokens."""
+        quota_messages = [
+            peer_messages.TokenRequest("org", 1, peer_messages.MAX_TOKENS + 1, 0, 4),
+            peer_messages.TokenRequest("org", 1, 0, 0, 4),
+            peer_messages.TokenRequest("org", 1, 1, 0, 4, "not an address"),
+            peer_messages.TokenRequest("", 1, 1, 0, 4),
+            peer_messages.TokenGrant(4, 0, 1, peer_messages.MAX_TOKEN_WAIT_MS + 1),
+            peer_messages.TokenGrant(4, 7),
+            peer_messages.TokenReturn("org", peer_messages.MAX_SHARD + 1, 1, 4),
+            peer_messages.ShardHandover("org", 1, float("inf")),
+            peer_messages.ShardHandover("org", 1, float("nan")),
+        ]
+        for message in quota_messages:
+            self.receive(message)
+        self.assertEqual((self.received, self.heard), ([], 0))
+
+    def test_own_messages_do_not_count_as_those_of_others(self):
+        """Guards against an isolated instance that grants because it hears itself."""
+        message = peer_messages.encode(peer_messages.ShardRequest("org", 1))
+        self.peers.datagram_received(message, (HOSTS["me"], 1))
+        self.assertEqual(self.heard, 0)
--- a/packages/gateway/tests/test_rate_limits.py
+++ b/packages/gateway/tests/test_rate_limits.py
@@ -1,6 +1,7 @@
 """Tests of the rate limits of organisations: owners, clients and changes of the owner."""
 
 import asyncio
+import dataclasses
 import random
 import unittest
 from unittest import mock
@@ -9,7 +10,7 @@
 import structlog
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_gateway import metrics, peer_messages, quota_client, rate_limits
+from sassafrasway_gateway import fleet, metrics, peer_messages, quota_client, rate_limits
 
 ORGANISATION = quota_simulation.make_organisation()
 SMALL = quota_simulation.make_organisation("small", rate_per_s=3.0, burst=10.0)
@@ -22,7 +23,11 @@
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
         self.addCleanup(structlog.reset_defaults)
         rings = quota_simulation.CachedRings()
-        patcher = mock.patch.object(quota_simulation.hash_ring, "HashRing", rings)
+        patcher = mock.patch.object(
+            quota_simulation.hash_ring.HashRing,
+            "replaced",
+            lambda ring, names: rings.replaced(ring, names),
+        )
         patcher.start()
         self.addCleanup(patcher.stop)
 
@@ -124,6 +129,30 @@
         simulation.run(4.0)
         self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
 
+    def test_instance_without_list_of_members_serves_the_others_only(self):
+        """Guards against shards without owner, or with several, while the store is away."""
+        simulation = self.simulate(6, SMALL)
+        owner = self.owner_of(simulation)
+        client = self.other_than(simulation, owner)
+        owner.view.has_list = False
+        owner.limiter = owner.make_limiter()
+        owner.limiter.set_organisations({SMALL.name: SMALL})
+        results = []
+        for _ in range(40):
+            results.append(self.request(client))
+            simulation.run(0.05)
+        granted = [result for result in results if isinstance(result[0], quota_client.Permit)]
+        self.assertGreaterEqual(len(granted), 6)
+        self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
+
+    def test_instance_that_starts_owns_nothing(self):
+        """Guards against a fleet that starts together and grants the limit at each instance."""
+        simulation = self.simulate(6, SMALL)
+        owner = self.owner_of(simulation)
+        owner.view.own = dataclasses.replace(owner.member, phase=fleet.Phase.STARTING)
+        simulation.run(1.0)
+        self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
+
     def test_late_or_repeated_return_is_ignored(self):
         """Guards against tokens that are returned twice, or after the window."""
         simulation = self.simulate(6, SMALL)
@@ -238,7 +267,7 @@
         """Guards against rejections in a fleet of one."""
         clock = clock_lib.ManualClock()
         view = quota_simulation.SimulatedView(
-            quota_simulation.test_fleet.make_member("me"), mock.Mock(now_s=clock.monotonic())
+            quota_simulation.test_fleet.make_member("me"), mock.Mock(now_s=clock.monotonic()), {}
         )
         limiter = rate_limits.RateLimiter(
             clock=clock,
