Show loads in dump and metrics, and draw servers in home regions

Cause: a server without any report seemed idle, so that in a large fleet all instances would prefer the same servers; requests bound to home regions that are not drawn fell back to the first server of a ranking.

Change: a server without a report counts as loaded like the others. Such requests draw from the top of their ranking. The dump has the age of the report, the slowdown and the levels; a counter has the selections by result.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -237,19 +237,13 @@
         """Returns the server to use, or the reason why there is none."""
         now_s = self._clock.monotonic()
         unproven: list[servers.ServerState] = []
-        candidates = []
-        if not criteria.names_object:
-            candidates = self._drawn_candidates(criteria, now_s, unproven)
-        if candidates:
-            choice = self._choose_by_weight(candidates, criteria, now_s)
+        candidates = self._candidates(criteria, now_s, unproven)
+        if not candidates:
+            choice = self._refuse_without_candidates(criteria, now_s)
+        elif criteria.names_object:
+            choice = self._choose_among(candidates, criteria, now_s)
         else:
-            unproven.clear()
-            candidates = self._candidates(criteria, now_s, unproven)
-            choice = (
-                self._choose_among(candidates, criteria, now_s)
-                if candidates
-                else self._refuse_without_candidates(criteria, now_s)
-            )
+            choice = self._choose_by_weight(candidates, criteria, now_s)
         return dataclasses.replace(choice, unproven=unproven) if unproven else choice
 
     def _choose_among(
@@ -367,10 +361,31 @@
         now_s: float,
         unproven: list[servers.ServerState],
     ) -> list[tuple[int, servers.ServerState]]:
-        """Returns the servers that may be used now, with their ranks, best rank first.
+        """Returns the servers to select from that may be used now, with their ranks.
 
         Those that are passed over because they are on trial are added to ``unproven``.
         """
+        if criteria.names_object:
+            return self._ranked_candidates(criteria, now_s, unproven)
+        drawn = self._drawn_candidates(criteria, now_s, unproven)
+        if drawn:
+            return drawn
+        unproven.clear()
+        ranked = self._ranked_candidates(criteria, now_s, unproven)
+        # The regions keep their shares.
+        return [
+            candidate
+            for candidate in ranked[:DRAWN_SERVERS]
+            if self._registry.region_of(candidate[1]) == self._registry.region_of(ranked[0][1])
+        ]
+
+    def _ranked_candidates(
+        self,
+        criteria: SelectionCriteria,
+        now_s: float,
+        unproven: list[servers.ServerState],
+    ) -> list[tuple[int, servers.ServerState]]:
+        """Returns the usable servers of the object's ranking, best rank first."""
         ranked = self._registry.ranking(criteria.service).ranked(
             criteria.object_key,
             criteria.region,
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -139,6 +139,7 @@
                     allowed_regions=job.allowed_regions,
                 )
             )
+            self._metrics.selections.add(job.service, self._selection_result(job, choice))
             for unproven in choice.unproven:
                 if not unproven.checked:
                     unproven.checked = True
@@ -208,6 +209,15 @@
             job.may_have_run = True
         return result
 
+    @staticmethod
+    def _selection_result(job: jobs.Job, choice: balancer.Choice) -> str:
+        """Returns the label of a selection in the metrics."""
+        if choice.state is None:
+            return choice.refusal.value
+        if not job.names_object:
+            return "no_object"
+        return "object_moved" if choice.rank else "object_first"
+
     def _may_send(self, chosen: servers.ServerState, selected_s: float) -> bool:
         """Whether a server that was selected at ``selected_s`` may still get the request."""
         age_s = clock_lib.elapsed_s() - selected_s
--- a/packages/gateway/src/sassafrasway_gateway/load_estimate.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_estimate.py
@@ -137,12 +137,13 @@
     def _others(self, age_s: float, now_s: float) -> float:
         """Returns the estimated number of requests of other instances at the server."""
         before = self.others_outstanding
-        if not self.observed_at_s:
-            return 0.0
         level = self.level
         if not level.known:
             return before * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
         target = self.slots * level.others_target(now_s)
+        if not self.observed_at_s:
+            # It is as busy as the others, unless it is new; the cold limit applies then.
+            return target
         # Above the slots and the target, requests wait and the queue shortens linearly.
         queue_end = max(float(self.slots), target)
         if before > queue_end:
@@ -168,6 +169,14 @@
         old_s = self._service_s.get(service, service_s)
         self._service_s[service] = old_s + SERVICE_WEIGHT * (service_s - old_s)
 
+    def per_slot(self) -> dict[str, dict[str, float]]:
+        """Returns the known levels by service and region, in requests per slot."""
+        levels: dict[str, dict[str, float]] = {}
+        for (service, region), level in self._levels.items():
+            if level.known:
+                levels.setdefault(service, {})[region] = round(level.per_slot, 2)
+        return levels
+
     def is_due(self, now_s: float) -> bool:
         """Whether the levels are older than their interval."""
         return now_s - self._computed_s >= LEVEL_INTERVAL_S
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -81,6 +81,11 @@
             help_text="Attempts at backend servers by service and outcome.",
             labels=("service", "outcome"),
         )
+        self.selections = Counter(
+            name="sassafrasway_selections_total",
+            help_text="Selections of a server by service and result.",
+            labels=("service", "result"),
+        )
         self.latency = Histogram(
             name="sassafrasway_request_seconds",
             help_text="Time from the first byte of a request to its answer.",
@@ -94,7 +99,13 @@
     def render(self) -> str:
         """Returns all metrics in the exposition format."""
         lines = []
-        for metric in (self.requests, self.attempts, self.latency, self.log_lines_dropped):
+        for metric in (
+            self.requests,
+            self.attempts,
+            self.selections,
+            self.latency,
+            self.log_lines_dropped,
+        ):
             lines.extend(metric.render())
         return "\n".join(lines) + "\n"
 
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -202,6 +202,7 @@
             "evacuated": sorted(self._registry.evacuated),
             "live_instances": sorted(self._view.live_names()),
             "kept_shares": self._overflow.kept_shares(),
+            "load_levels": self._registry.load_levels(),
             "servers": [
                 {
                     "id": server_state.server.server_id,
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -268,6 +268,10 @@
         if self._levels.is_due(now_s):
             self._update_levels(now_s)
 
+    def load_levels(self) -> dict[str, dict[str, float]]:
+        """Returns the mean load per slot by service and region, for the state dump."""
+        return self._levels.per_slot()
+
     def last_reporters(self, service: str, max_age_s: float) -> list[ServerState]:
         """Returns the usable servers of a service that reported their load last, in that order.
 
--- a/packages/gateway/tests/stale_report_simulation.py
+++ b/packages/gateway/tests/stale_report_simulation.py
@@ -68,13 +68,14 @@
 class FormerBalancer(balancer.Balancer):
     """Selection by loads that decay to 0; each request has an object of its own or a named one."""
 
+    def _with_reporters(self, drawn, criteria):
+        return drawn
+
     def choose(self, criteria):
         """See base class."""
         now_s = self._clock.monotonic()
-        if criteria.names_object:
-            candidates = self._candidates(criteria, now_s, [])
-        else:
-            candidates = self._drawn_candidates(criteria, now_s, [])
+        # Drawn servers are in the order of the ranking of a random object.
+        candidates = self._candidates(criteria, now_s, [])
         if not candidates:
             return self._refuse_without_candidates(criteria, now_s)
         return self._choose_among(candidates, criteria, now_s)
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -225,6 +225,11 @@
             self.registry.get(server_id).ejected_until_s = self.clock.monotonic() + 1.0
         self.assertEqual(set(self.counts(draws=50)), {"s2"})
 
+    def test_home_region_that_is_never_drawn_shares_the_requests(self):
+        counts = self.counts(allowed_regions=frozenset({"south"}))
+        self.assertEqual(set(counts), {"s0", "s1", "s2"})
+        self.assertLess(max(counts.values()), 2 * min(counts.values()))
+
     def test_server_on_trial_is_named_for_a_check(self):
         for state in self.registry:
             state.on_trial = True
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -223,6 +223,15 @@
         await self.handle()
         self.assertEqual(self.registry.get("s0").others_outstanding, 0)
 
+    async def test_selections_are_counted_by_their_result(self):
+        await self.start([gateway_fakes.answer()])
+        await self.handle()
+        self.registry.get("s0").outstanding = 9
+        await self.handle()
+        lines = "\n".join(self.forwarder._metrics.selections.render())
+        self.assertIn('{service="desk",result="object_first"} 1', lines)
+        self.assertIn('{service="desk",result="overloaded"} 1', lines)
+
     async def test_reported_slowdown_is_recorded(self):
         load = NAMES.server_load + b": 1,0,3,250\r\n"
         await self.start([gateway_fakes.answer(headers=load)])
--- a/packages/gateway/tests/test_load_estimate.py
+++ b/packages/gateway/tests/test_load_estimate.py
@@ -109,6 +109,22 @@
         self.clock.advance(load_estimate.LEVEL_INTERVAL_S)
         self.registry.on_load(self.state, 6, 0)
         self.assertAlmostEqual(self.state.known_load.level.per_slot, 0.6)
+        self.assertEqual(self.registry.load_levels(), {"desk": {"north": 0.6}})
+
+    def test_server_without_a_report_is_taken_as_busy_as_the_others(self):
+        # In a fleet of 2,000 instances most servers have not responded to a given one, and all
+        # instances would send their requests to the same servers.
+        self.show_level(6)
+        self.assertAlmostEqual(self.load_after(0.0), 6.0)
+
+    def test_server_that_has_restarted_starts_without_a_load(self):
+        self.show_level(6)
+        self.registry.on_load(self.state, 9, 9, slowdown=2.5)
+        self.registry.upsert(gateway_fakes.make_server("s0", slots=SLOTS, started_ms=5, port=2))
+        restarted = self.registry.get("s0")
+        self.assertEqual(restarted.load(self.clock.monotonic()), 0.0)
+        self.assertEqual(self.registry.slowdown(restarted), 1.0)
+        self.assertEqual(restarted.known_load.report_age_s(self.clock.monotonic()), -1.0)
 
 
 if __name__ == "__main__":
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -135,6 +135,9 @@
         self.assertIn(b'sassafrasway_requests_total{route="r",outcome="200"} 1', text)
         dump = json.loads((await self.send_request(self.config.metrics, b"/state")).body)
         self.assertEqual((dump["phase"], dump["policy_version"]), ("READY", 1))
+        self.assertEqual(dump["load_levels"], {})
+        server = dump["servers"][0]
+        self.assertEqual((server["load"], server["load_age_s"], server["slowdown"]), (0, -1, 1))
         await self.stop()
 
     async def test_graceful_shutdown_completes_running_requests(self):
