--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -192,6 +192,7 @@
                     ),
                 )
             )
+            self._metrics.selections.add(job.service, self._selection_result(job, choice))
             for unproven in choice.unproven:
                 if not unproven.checked:
                     unproven.checked = True
@@ -266,6 +267,15 @@
             job.may_have_run = True
         return result
 
+    @staticmethod
+    def _selection_result(job: jobs.Job, choice: balancer.Choice) -> str:
+        """Returns the label of a selection in the metrics."""
+        if choice.state is None:
+            return choice.refusal.value
+        if not job.names_object:
+            return "no_object"
+        return "object_moved" if choice.rank else "object_first"
+
     def _needs_permit(self, job: jobs.Job) -> bool:
         """Whether the request must not be sent before a permit has been acquired."""
         organisation = job.organisation
--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -86,6 +86,11 @@
             help_text="Requests that were refused and not run, by service, reason and priority.",
             labels=("service", "reason", "priority"),
         )
+        self.selections = Counter(
+            name="sassafrasway_selections_total",
+            help_text="Selections of a server by service and result.",
+            labels=("service", "result"),
+        )
         self.latency = Histogram(
             name="sassafrasway_request_seconds",
             help_text="Time from the first byte of a request to its answer.",
@@ -117,6 +122,7 @@
         metrics = (
             self.requests,
             self.attempts,
+            self.selections,
             self.refusals,
             self.latency,
             self.quota_results,
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -236,6 +236,7 @@
             "kept_shares": self._overflow.kept_shares(),
             "shedding": self._admission_control.shedding(),
             "shared_reports": self._load_sharing.counts,
+            "load_levels": self._registry.load_levels(),
             "servers": [
                 {
                     "id": server_state.server.server_id,
--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -137,6 +137,9 @@
         self.assertEqual((dump["phase"], dump["policy_version"]), ("READY", 1))
         self.assertEqual(dump["shedding"], {})
         self.assertEqual(dump["response_memory"]["promised"], 0)
+        self.assertEqual(dump["load_levels"], {})
+        server = dump["servers"][0]
+        self.assertEqual((server["load"], server["load_age_s"], server["slowdown"]), (0, -1, 1))
         await self.stop()
 
     async def test_graceful_shutdown_completes_running_requests(self):
