Average the tests of shedding over four seeds

Cause: the total of one run varies by 1 in 100, so that unrelated changes of the selection turned the test red, and the restart had a wider bound for that. Change: each load runs with four seeds; one bound of 1 in 100 holds for all loads.

--- a/packages/gateway/tests/test_overload.py
+++ b/packages/gateway/tests/test_overload.py
@@ -4,6 +4,7 @@
 and organisations that are hardly served at all, and against a service that serves less in total.
 """
 
+import statistics
 import unittest
 
 import gateway_fakes
@@ -19,13 +20,10 @@
 SHARES = (0.3, 0.3, 0.4)
 OVERLOAD_FROM_S = 3.0
 END_S = 12.0
-SEED = 5
+# The total of a single run varies by about 1 in 100 with the service times that are drawn.
+SEEDS = (5, 6, 7, 8)
 SHARE_TOLERANCE = 0.05
-# Part of the total that the spread of service times accounts for.
 TOTAL_TOLERANCE = 0.01
-# After a restart, room that is reserved at some servers stays free while the objects of others are
-# refused. Over 12 seeds this costs 0.8 in 100 of the requests served in the first 5 s.
-RESTART_TOTAL_TOLERANCE = 0.02
 
 
 def rising(rate_per_s, factor):
@@ -50,7 +48,7 @@
 class OverloadTest(unittest.TestCase):
     """Compares what is served with and without regard to priorities, for the same callers."""
 
-    def simulate(self, kinds, *, by_priority, domains=("a-1",), prepare=None):
+    def simulate(self, kinds, *, by_priority, seed, domains=("a-1",), prepare=None):
         """Returns a finished simulation; ``prepare`` is called with it before it runs."""
         simulation = overload_simulation.OverloadSimulation(
             kinds=kinds,
@@ -66,45 +64,37 @@
                 for index in range(INSTANCE_COUNT)
             ],
             objects_per_region=OBJECTS_PER_REGION,
-            seed=SEED,
+            seed=seed,
         )
         if prepare is not None:
             prepare(simulation)
         simulation.run(END_S + overload_simulation.CALLER_TIME_S)
         return simulation
 
-    def check(
-        self,
-        kinds,
-        *,
-        from_s=OVERLOAD_FROM_S + 1.0,
-        to_s=END_S,
-        total_tolerance=TOTAL_TOLERANCE,
-        **fields,
-    ):
-        """Checks the order by priority, the least share of a kind, and the total.
+    def check(self, kinds, *, from_s=OVERLOAD_FROM_S + 1.0, to_s=END_S, **fields):
+        """Checks the order by priority, the least share of a kind, and the total, over all seeds.
 
         Returns:
             The served share of the most urgent kind, with and without regard to priorities.
         """
-        result = self.simulate(kinds, by_priority=True, **fields)
-        alike = self.simulate(kinds, by_priority=False, **fields)
-        shares = {
-            kind: result.served_share(from_s, to_s, kind)
-            for kind in kinds
-            if kind.rate_per_s(to_s) > 0.0
-        }
+        by_priority = [self.simulate(kinds, by_priority=True, seed=s, **fields) for s in SEEDS]
+        alike = [self.simulate(kinds, by_priority=False, seed=s, **fields) for s in SEEDS]
+
+        def mean_share(runs, kind=None):
+            return statistics.fmean(run.served_share(from_s, to_s, kind) for run in runs)
+
+        shares = {kind: mean_share(by_priority, kind) for kind in kinds if kind.rate_per_s(to_s)}
         for kind, share in shares.items():
-            self.assertGreater(share, result.served_share(from_s, to_s) / 4.0, kind)
+            self.assertGreater(share, mean_share(by_priority) / 4.0, kind)
             for other, other_share in shares.items():
                 if kind.priority < other.priority:
                     self.assertGreater(share, other_share - SHARE_TOLERANCE, (kind, other))
         self.assertGreater(
-            result.served_count(from_s, to_s),
-            alike.served_count(from_s, to_s) * (1.0 - total_tolerance),
+            sum(run.served_count(from_s, to_s) for run in by_priority),
+            sum(run.served_count(from_s, to_s) for run in alike) * (1.0 - TOTAL_TOLERANCE),
         )
         most_urgent = min(shares, key=lambda kind: kind.priority)
-        return shares[most_urgent], alike.served_share(from_s, to_s, most_urgent)
+        return shares[most_urgent], mean_share(alike, most_urgent)
 
     def test_burst_of_one_kind(self):
         """Load: one kind of request bursts to 2.6 times.
@@ -166,13 +156,7 @@
                 for _ in range(round(3.0 * share * USUAL_PER_S)):
                     simulation.at(0.1, simulation.send, kind)
 
-        self.check(
-            kinds,
-            from_s=0.0,
-            to_s=5.0,
-            total_tolerance=RESTART_TOTAL_TOLERANCE,
-            prepare=send_backlog,
-        )
+        self.check(kinds, from_s=0.0, to_s=5.0, prepare=send_backlog)
 
 
 if __name__ == "__main__":
