--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -91,10 +91,21 @@
             help_text="Log lines left out because of their rate or a reader that is too slow.",
         )
 
+        self.store_eras = Counter(
+            name="sassafrasway_store_eras_total",
+            help_text="Times that the store was found replaced by an older copy of itself.",
+        )
+
     def render(self) -> str:
         """Returns all metrics in the exposition format."""
         lines = []
-        for metric in (self.requests, self.attempts, self.latency, self.log_lines_dropped):
+        for metric in (
+            self.requests,
+            self.attempts,
+            self.latency,
+            self.log_lines_dropped,
+            self.store_eras,
+        ):
             lines.extend(metric.render())
         return "\n".join(lines) + "\n"
 
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -176,6 +176,8 @@
             self._admin_server = self._make_server(
                 config.metrics, admin.AdminHandler(metrics=gateway_metrics, dump=self.dump)
             )
+        # Newest era of the store; None before the first rows.
+        self._store_era: int | None = None
         self._stopping = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
 
@@ -343,7 +345,9 @@
     async def _register(self) -> None:
         await self._registration.register()
         self._peers.announce_phase()
-        await self._registration.renew()
+        self._spawn("renew registration", self._registration.renew)
+        if await self._registration.complete_list():
+            self._peers.announce_phase()
 
     async def _run_maintenance(self) -> None:
         while True:
@@ -375,6 +379,9 @@
             table_follower.on_answer_told(name, called_s)
 
     def _on_era(self, era: int) -> None:
+        if self._store_era is not None and era > self._store_era:
+            self._metrics.store_eras.add()
+        self._store_era = max(era, self._store_era or 0)
         self._registration.on_era(era)
         for table_follower in self._followers.values():
             table_follower.on_era_told(era)
--- a/packages/gateway/src/sassafrasway_gateway/registration.py
+++ b/packages/gateway/src/sassafrasway_gateway/registration.py
@@ -7,12 +7,15 @@
 import structlog
 
 from sassafrasway_core import errors
-from sassafrasway_gateway import fleet, peer_messages
+from sassafrasway_gateway import fleet, peer_messages, relay_role
 from sassafrasway_platform import feed, table
 
 BACKOFF_S = 0.5
 # Time over which the instances of a fleet spread the writes of their rows in a new era.
 RENEWAL_WINDOW_S = 3.0
+# Time after a start until all instances have written their rows again, if a new era began just
+# before: they learn of it with the end of a poll at the latest.
+RELIST_DELAY_S = relay_role.POLL_WAIT_S + relay_role.POLL_MARGIN_S + RENEWAL_WINDOW_S
 
 
 class Registration:
@@ -34,6 +37,7 @@
         # one that is known.
         self._row_era = 0
         self._era = 0
+        self._registered_era = 0
         self._era_changed = asyncio.Event()
         self._leaving = False
         self._writing = asyncio.Lock()
@@ -57,10 +61,28 @@
             break
         if any(change.key == own.name for change in listed.rows):
             self._row_era = self._store.era(listed.version)
-        for change in listed.rows:
-            self._add_listed(change)
+        self._registered_era = self._store.era(listed.version)
+        self._add_all(listed)
         self._view.set_has_list()
 
+    async def complete_list(self) -> bool:
+        """Reads the listed members a second time unless the store is in its first era.
+
+        Those whose rows an older copy lacked at the start of this instance are found then.
+
+        Returns:
+            Whether they were read.
+        """
+        if not self._registered_era:
+            return False
+        await asyncio.sleep(RELIST_DELAY_S)
+        try:
+            self._add_all(await self._store.read(self._table))
+        except (table.StoreUnavailable, feed.HistoryLost) as error:
+            self._log.warning("list of members not read a second time", error=str(error))
+            return False
+        return True
+
     async def deregister(self) -> None:
         """Removes the row of this instance.
 
@@ -109,6 +131,10 @@
             row = peer_messages.encode(peer_messages.hello(own, reply=True, versions={}))
             await self._store.write(self._table, own.name, row)
 
+    def _add_all(self, listed: feed.Changes) -> None:
+        for change in listed.rows:
+            self._add_listed(change)
+
     def _add_listed(self, change: feed.Change) -> None:
         try:
             message = peer_messages.decode(change.value)
--- a/packages/gateway/tests/test_store_eras.py
+++ b/packages/gateway/tests/test_store_eras.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import random
 import unittest
 from unittest import mock
@@ -16,6 +17,7 @@
     fleet,
     follower,
     outage,
+    peer_messages,
     registration,
     relay,
     relay_role,
@@ -401,6 +403,21 @@
         await self.settle()
         self.assertEqual(len(store.writes), 2)
 
+    @mock.patch.object(registration, "RELIST_DELAY_S", 0.0)
+    async def test_instance_started_after_a_new_era_finds_the_members_that_were_missing(self):
+        """Guards against two instances that never learn of each other."""
+        store = MemberStore()
+        await self.start(store)
+        self.assertFalse(await self.registration.complete_list())
+        store.current_era = 1
+        await self.registration.register()
+        other = dataclasses.replace(test_fleet.make_member("late"), peer_host="127.0.0.1")
+        hello = peer_messages.hello(other, reply=True, versions={})
+        store.rows["late"] = peer_messages.encode(hello)
+        self.assertTrue(await self.registration.complete_list())
+        names = [member.name for member in self.registration._view.members()]
+        self.assertEqual(names, ["late"])
+
     async def test_instance_that_stops_does_not_write_its_row_again(self):
         """Guards against a row of an instance that has left."""
         store = MemberStore()
