--- a/packages/gateway/src/sassafrasway_gateway/metrics.py
+++ b/packages/gateway/src/sassafrasway_gateway/metrics.py
@@ -116,6 +116,11 @@
             help_text="Log lines left out because of their rate or a reader that is too slow.",
         )
 
+        self.store_eras = Counter(
+            name="sassafrasway_store_eras_total",
+            help_text="Times that the store was found replaced by an older copy of itself.",
+        )
+
     def render(self) -> str:
         """Returns all metrics in the exposition format."""
         lines = []
@@ -129,6 +134,7 @@
             self.quota_messages,
             self.memory_refusals,
             self.log_lines_dropped,
+            self.store_eras,
         )
         for metric in metrics:
             lines.extend(metric.render())
