Pass a shard between owners whose views of the fleet differ

Change: it asks the instance to which it has handed the shard over, and shard requests are passed on to the instance that may hold the shard.

--- a/packages/gateway/src/sassafrasway_gateway/hash_ring.py
+++ b/packages/gateway/src/sassafrasway_gateway/hash_ring.py
@@ -41,11 +41,11 @@
         ring._points = [point for point, _ in ring._pairs]
         return ring
 
-    def owner(self, key: int, *, without: str = "") -> str | None:
-        """Returns the owner of a key if ``without`` were not in the ring; None without any."""
+    def owner(self, key: int, *, without: Collection[str] = ()) -> str | None:
+        """Returns the owner of a key if some names were not in the ring; None without any."""
         start = bisect.bisect(self._points, key)
         for offset in range(len(self._pairs)):
             _, name = self._pairs[(start + offset) % len(self._pairs)]
-            if name != without:
+            if name not in without:
                 return name
         return None
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -19,6 +19,8 @@
 # Most tokens in one message, and most shards of a limit.
 MAX_TOKENS = 1000
 MAX_SHARD = 63
+# Most times that a shard request is passed on, among instances that do not know of each other.
+MAX_SHARD_REQUEST_HOPS = 3
 # Longest time stated for a token, ms.
 MAX_TOKEN_WAIT_MS = 60_000
 
@@ -158,10 +160,18 @@
 
 
 class ShardRequest(msgspec.Struct, array_like=True, tag="s", frozen=True):
-    """Asks the previous owner of a shard to stop granting, and for the tokens that it has left."""
+    """Asks the previous owner of a shard to stop granting, and for the tokens that it has left.
+
+    Attributes:
+        reply_host: Address for the answer if another instance passed the message on; otherwise
+            empty.
+        hops: Number of times that it was passed on.
+    """
 
     organisation: _Name
     shard: _Shard
+    reply_host: _Host = ""
+    hops: Annotated[int, msgspec.Meta(ge=0, le=MAX_SHARD_REQUEST_HOPS)] = 0
 
 
 class ShardHandover(msgspec.Struct, array_like=True, tag="v", frozen=True):
@@ -198,7 +208,7 @@
         if isinstance(message, Beacon | Hello):
             # A datagram to anything but an address would close the socket.
             ipaddress.IPv4Address(message.peer_host)
-        elif isinstance(message, TokenRequest) and message.reply_host:
+        elif isinstance(message, TokenRequest | ShardRequest) and message.reply_host:
             ipaddress.IPv4Address(message.reply_host)
     except (msgspec.DecodeError, ValueError, TypeError, RecursionError) as error:
         raise errors.ValidationError(str(error), step="peer.decode") from error
--- a/packages/gateway/src/sassafrasway_gateway/quota_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_client.py
@@ -447,7 +447,7 @@
     def _owner_of(self, key: int) -> str | None:
         """Returns the instance to ask; others know better while this one does not know them."""
         directory = self._directory
-        return directory.owner(key, without="" if directory.knows_fleet else directory.own_name)
+        return directory.owner(key, without=() if directory.knows_fleet else (directory.own_name,))
 
     def _wait_for_token(self, account: _Account, ask: _Ask, now_s: float) -> bool:
         """Asks again later if a shard has tokens soon; returns whether it will."""
--- a/packages/gateway/src/sassafrasway_gateway/quota_directory.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_directory.py
@@ -1,5 +1,7 @@
 """What the rate limits need to know of the fleet: shard owners, addresses and the live fraction."""
 
+from collections.abc import Collection
+
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import fleet, hash_ring
 
@@ -89,7 +91,7 @@
         self._heard_s = self._clock.monotonic()
         return was_isolated
 
-    def owner(self, key: int, *, without: str = "") -> str | None:
+    def owner(self, key: int, *, without: Collection[str] = ()) -> str | None:
         """Returns the owner of a shard; see `hash_ring.HashRing.owner`."""
         return self._ring.owner(key, without=without)
 
@@ -98,6 +100,12 @@
         member = self._members.get(name)
         return None if member is None else member.peer_host
 
+    def name_of(self, host: str) -> str:
+        """Returns the name of the instance with an address; empty if it is not live."""
+        return next(
+            (name for name, member in self._members.items() if member.peer_host == host), ""
+        )
+
     def is_near(self, name: str) -> bool:
         """Whether an instance is in the region of this one."""
         member = self._members.get(name)
--- a/packages/gateway/src/sassafrasway_gateway/quota_owner.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_owner.py
@@ -12,13 +12,17 @@
 # Longest time that a request waits for a token that has not accrued yet. Without it, requests that
 # arrive together are rejected although the limit is not reached.
 MAX_GRANT_DELAY_S = 0.1
-# Interval after which a shard request is repeated, and the number of shard requests. Then a shard
-# starts without tokens. Quota clients wait a little longer for their grants.
+# Interval after which a shard request is repeated, and the number of shard requests, also of those
+# to an instance that is known to have owned the shard. Then the shard starts without tokens, and
+# the previous owner may not know of it.
 HANDOVER_RETRY_S = 0.05
-HANDOVER_TRIES = 2
+HANDOVER_TRIES = 3
+KNOWN_HANDOVER_TRIES = 5
 # Time for which an owner that has handed a shard over passes its token requests on, although it may
 # not have noticed the new owner yet.
 RELEASED_FOR_S = 1.0
+# Time after that for which it remembers the new owner.
+REMEMBERED_S = 10.0
 # A process that did nothing for longer may have lost its shards to other instances.
 MAX_PAUSE_S = 1.0
 # Time after a grant for which its tokens may be returned.
@@ -111,6 +115,8 @@
     """A shard that this instance owns, or has owned.
 
     Attributes:
+        previous_host: Address of the instance to which this one has handed the shard over before;
+            while their views differ, the shard passes between them. Otherwise empty.
         tries: Number of shard requests sent.
         waiting: Token requests that arrived before the previous owner's answer, with the address
             for the grant.
@@ -123,6 +129,7 @@
     index: int
     bucket: token_bucket.TokenBucket
     phase: ShardPhase = ShardPhase.STARTING
+    previous_host: str = ""
     tries: int = 0
     waiting: list[tuple[peer_messages.TokenRequest, str]] = dataclasses.field(default_factory=list)
     grants: collections.OrderedDict[tuple[str, int], tuple[float, int]] = dataclasses.field(
@@ -246,22 +253,25 @@
             shard.bucket.give_back(min(count, message.count), now_s)
 
     def on_shard_request(self, message: peer_messages.ShardRequest, host: str) -> None:
-        """Hands a shard over to the instance with the given address, which owns it now."""
+        """Hands a shard over to the instance with the given address, which owns it now.
+
+        If several instances that do not know of each other ask for it, the last one gets it.
+        """
         self.update()
         now_s = self._clock.monotonic()
-        shard = self._shards.get((message.organisation, message.shard))
+        host = message.reply_host or host
+        key = (message.organisation, message.shard)
+        shard = self._shards.get(key)
         level = None
+        if shard is not None and self._has_tokens(shard, host, now_s):
+            level = shard.bucket.level(now_s)
+        holder = None if level is not None else self._holder(key, shard, host)
         if shard is not None:
-            # A shard that was released earlier may have had another owner since.
-            just_released = (
-                shard.phase is ShardPhase.RELEASED
-                and now_s < shard.released_until_s
-                and shard.successor in ("", host)
-            )
-            if shard.phase is ShardPhase.OWNED or just_released:
-                level = shard.bucket.level(now_s)
             self._release(shard, host, now_s)
-        self._send(host, peer_messages.ShardHandover(message.organisation, message.shard, level))
+        if holder in (None, host) or message.hops >= peer_messages.MAX_SHARD_REQUEST_HOPS:
+            self._send(host, peer_messages.ShardHandover(*key, level))
+        else:
+            self._send(holder, peer_messages.ShardRequest(*key, host, message.hops + 1))
 
     def on_handover(self, message: peer_messages.ShardHandover) -> None:
         """Starts to grant the tokens of a shard that the previous owner has handed over."""
@@ -271,6 +281,35 @@
         level = shard.limit.start if message.level is None else message.level
         self._start(shard, level)
 
+    @staticmethod
+    def _has_tokens(shard: _Shard, host: str, now_s: float) -> bool:
+        """Whether no other instance than the one with the given address can have used the tokens.
+
+        A shard that was released earlier may have had another owner since.
+        """
+        if shard.phase is ShardPhase.RELEASED:
+            return shard.successor in ("", host) and now_s < shard.released_until_s
+        return shard.phase is ShardPhase.OWNED
+
+    def _holder(self, key: tuple[str, int], shard: _Shard | None, host: str) -> str | None:
+        """Returns the address of another instance that may own a shard; None for none.
+
+        If this instance owns it by its view but does not hold it, that is the instance that would
+        own it without this one and the one with the given address, which asks.
+        """
+        if shard is not None and shard.successor:
+            return shard.successor
+        limit = self._limits.get(key[0])
+        if limit is None or key[1] >= len(limit.keys):
+            return None
+        ring_key = limit.keys[key[1]]
+        owner = self._directory.owner(ring_key)
+        own_name = self._directory.own_name
+        if owner == own_name:
+            without = (own_name, self._directory.name_of(host))
+            owner = self._directory.owner(ring_key, without=without)
+        return None if owner is None else self._directory.host(owner)
+
     @property
     def _may_grant(self) -> bool:
         return not self._directory.isolated
@@ -288,7 +327,7 @@
         if self._directory.owner(limit.keys[index]) == self._directory.own_name:
             return
         if shard.phase is ShardPhase.RELEASED:
-            if now_s >= shard.released_until_s:
+            if now_s >= shard.released_until_s + REMEMBERED_S:
                 del self._shards[key]
         else:
             self._release(shard, "", now_s)
@@ -314,28 +353,33 @@
         bucket = token_bucket.TokenBucket(
             rate_per_s=rate_per_s, capacity=capacity, level=0.0, now_s=now_s
         )
-        shard = _Shard(limit=limit, index=index, bucket=bucket)
+        previous_host = "" if shard is None else shard.successor
+        shard = _Shard(limit=limit, index=index, bucket=bucket, previous_host=previous_host)
         self._shards[key] = shard
         self._request_handover(shard)
 
     def _request_handover(self, shard: _Shard) -> None:
-        """Asks the previous owner, which owns the shard without this instance, for its tokens."""
+        """Asks the previous owner for the tokens that it has left."""
         key = (shard.limit.organisation, shard.index)
         if self._shards.get(key) is not shard or shard.phase is not ShardPhase.STARTING:
             return
-        own_name = self._directory.own_name
-        previous = self._directory.owner(shard.limit.keys[shard.index], without=own_name)
-        host = None if previous is None else self._directory.host(previous)
+        host = shard.previous_host or self._previous_host(shard)
         if host is None:
             self._start(shard, shard.limit.start if self._directory.knows_fleet else 0.0)
             return
-        if shard.tries >= HANDOVER_TRIES:
+        if shard.tries >= (KNOWN_HANDOVER_TRIES if shard.previous_host else HANDOVER_TRIES):
             self._start(shard, 0.0)
             return
         shard.tries += 1
         self._send(host, peer_messages.ShardRequest(*key))
         self._call_later(HANDOVER_RETRY_S, lambda: self._request_handover(shard))
 
+    def _previous_host(self, shard: _Shard) -> str | None:
+        """Returns the address of the owner of a shard if this instance were not there."""
+        key = shard.limit.keys[shard.index]
+        previous = self._directory.owner(key, without=(self._directory.own_name,))
+        return None if previous is None else self._directory.host(previous)
+
     def _start(self, shard: _Shard, level: float) -> None:
         now_s = self._clock.monotonic()
         rate_per_s, capacity = self._scaled(shard.limit)
@@ -364,13 +408,9 @@
         now_s: float,
     ) -> None:
         """Sends a token request to the owner, once, because the requesting view is outdated."""
-        limit = self._limits.get(request.organisation)
-        host = None
-        if shard is not None and shard.successor and now_s < shard.released_until_s:
-            host = shard.successor
-        elif limit is not None and request.shard < len(limit.keys):
-            owner = self._directory.owner(limit.keys[request.shard])
-            host = None if owner is None else self._directory.host(owner)
+        key = (request.organisation, request.shard)
+        handed_over = shard is not None and now_s < shard.released_until_s
+        host = self._holder(key, shard if handed_over else None, reply_host)
         if host is None or request.reply_host:
             self._reply(reply_host, request, UNKNOWN)
             return
--- a/packages/gateway/tests/quota_simulation.py
+++ b/packages/gateway/tests/quota_simulation.py
@@ -275,13 +275,17 @@
         for other in self.live():
             self._set_live_later(other, [instance], False, self.rng.uniform(0.0, 0.05))
 
-    def add(self, name):
+    def add(self, name, *, missed=0.0):
+        """Adds an instance; others miss its announcement with the given probability."""
         member = test_fleet.make_member(name, region=self.rng.choice(REGIONS))
         known = self.live()
         instance = Instance(self, member, {other.name: other.member for other in known})
         self.instances[name] = instance
         for other in known:
-            self._set_live_later(other, [instance], True, self.rng.uniform(0.0, 0.2))
+            delay_s = self.rng.uniform(0.0, 0.2)
+            if self.rng.random() < missed:
+                delay_s = self.rng.uniform(3.0, 10.0)
+            self._set_live_later(other, [instance], True, delay_s)
         instance.limiter.set_organisations(dict(self.organisations))
         self._start(instance)
 
--- a/packages/gateway/tests/test_rate_limits_faults.py
+++ b/packages/gateway/tests/test_rate_limits_faults.py
@@ -84,6 +84,10 @@
             if self.rng.random() < 0.1:
                 self.simulation.run(self.rng.uniform(0.0, 0.3))
 
+    def add_unnoticed(self):
+        for index in range(len(self.simulation.instances)):
+            self.simulation.add(f"new-{index:04}", missed=0.2)
+
     def replace_one_by_one(self):
         for index in range(5):
             self.simulation.add(f"new-{index:04}")
@@ -106,6 +110,7 @@
     Scenario.divide,
     Scenario.divide_repeatedly,
     Scenario.add,
+    Scenario.add_unnoticed,
     Scenario.replace_one_by_one,
 )
 
