--- a/packages/gateway/src/sassafrasway_gateway/quota_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_client.py
@@ -21,7 +21,7 @@
 ANSWER_TIMEOUT_S = 0.15
 # Numbers of shards that may leave a token request unanswered, and that may state that their limit
 # is reached, before a request is rejected. The shards of a limit are used unevenly.
-MAX_UNANSWERED = 2
+MAX_UNANSWERED = 5
 MAX_LIMITED = 3
 # Number of times that requests wait for a shard that will have tokens soon, and the longest wait.
 # The bursts of requests that a limit allows are longer than those that each of its shards allows.
