--- a/packages/gateway/src/sassafrasway_gateway/quota_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_client.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable, Mapping
 
 from sassafrasway_core import clock as clock_lib
-from sassafrasway_core import errors
 from sassafrasway_gateway import (
     peer_messages,
     quota_directory,
     quota_limits,
     quota_owner,
+    quota_permits,
     retry_budgets,
 )
 
@@ -44,83 +44,6 @@
 UNKNOWN_RETRY_AFTER_S = 0.5
 
 
-class QuotaError(errors.NotRunError):
-    """No token: the limit is reached (429), or it is not known whether it is (503).
-
-    Attributes:
-        retry_after_s: Time after which the caller may retry.
-    """
-
-    def __init__(self, message: str, *, status: int, retry_after_s: float):
-        super().__init__(message, step="quota.acquire")
-        self.status = status
-        self.retry_after_s = retry_after_s
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Source:
-    """Where a token came from; the request id is None if this instance owns the shard."""
-
-    organisation: str
-    shard: int
-    host: str = ""
-    request_id: int | None = None
-
-
-class Permit:
-    """A token for one request."""
-
-    def __init__(
-        self,
-        *,
-        source: _Source | None,
-        valid_until_s: float,
-        on_give_back: Callable[["Permit"], None],
-    ):
-        self.source = source
-        self.valid_until_s = valid_until_s
-        self._on_give_back = on_give_back
-        self._open = True
-
-    def valid(self, now_s: float) -> bool:
-        """Whether the request may be sent to a server now."""
-        return self._open and now_s < self.valid_until_s
-
-    def use(self) -> None:
-        """Records that the request is sent, so that the token can't be given back."""
-        self._open = False
-
-    def give_back(self) -> None:
-        """Returns the token unless it was used or given back; it is not valid any more."""
-        if self._open:
-            self._open = False
-            self._on_give_back(self)
-
-
-class Waiter:
-    """A request that waits for a token.
-
-    Args:
-        on_done: Called once with a permit or an error, unless the waiter is cancelled before.
-    """
-
-    def __init__(self, *, on_done: Callable[[Permit | QuotaError], None]):
-        self._on_done = on_done
-        self.done = False
-
-    def cancel(self) -> None:
-        """Ends the wait; a permit that arrives later is not delivered."""
-        self.done = True
-
-    def deliver(self, result: Permit | QuotaError) -> None:
-        """Ends the wait with a result; gives a permit back if the wait has ended before."""
-        if not self.done:
-            self.done = True
-            self._on_done(result)
-        elif isinstance(result, Permit):
-            result.give_back()
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Ask:
     """Token request that asks one shard after the other.
@@ -169,8 +92,12 @@
 
     limit: quota_limits.Limit
     emergency: retry_budgets.SlidingCount
-    spare: collections.deque[Permit] = dataclasses.field(default_factory=collections.deque)
-    waiters: collections.deque[Waiter] = dataclasses.field(default_factory=collections.deque)
+    spare: collections.deque[quota_permits.Permit] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    waiters: collections.deque[quota_permits.Waiter] = dataclasses.field(
+        default_factory=collections.deque
+    )
     asked: int = 0
     promised: int = 0
     limited_until_s: dict[int, tuple[float, float]] = dataclasses.field(default_factory=dict)
@@ -212,9 +139,11 @@
         self._accounts: dict[str, _Account] = {}
         self._asks: dict[int, _Ask] = {}
         # Token requests that timed out: what was asked, and when.
-        self._late: collections.OrderedDict[int, tuple[_Source, float]] = collections.OrderedDict()
+        self._late: collections.OrderedDict[int, tuple[quota_permits.Source, float]] = (
+            collections.OrderedDict()
+        )
         # Ids differ from those before a restart, to which late grants may still arrive.
-        self._ids = itertools.count(rng.randrange(2**52))
+        self._ids = itertools.count(rng.randrange(2**31))
         self._avoided_until_s: dict[str, float] = {}
 
     def set_limits(self, limits: Mapping[str, quota_limits.Limit]) -> None:
@@ -236,7 +165,7 @@
             for waiter in account.waiters:
                 waiter.deliver(self._unlimited())
 
-    def request(self, organisation: str, waiter: Waiter) -> None:
+    def request(self, organisation: str, waiter: quota_permits.Waiter) -> None:
         """Delivers a token or an error to the waiter, at once if possible."""
         account = self._accounts.get(organisation)
         if account is None:
@@ -263,7 +192,7 @@
             if source is not None and grant.count:
                 self._add_tokens(source, grant.count, sent_s, grant.wait_ms / 1000.0)
             return
-        source = _Source(
+        source = quota_permits.Source(
             organisation=ask.organisation,
             shard=ask.shard,
             host=ask.host,
@@ -305,17 +234,25 @@
         account.rate_per_s = decayed + 1.0 / RATE_TIME_S
         account.rate_updated_s = now_s
 
-    def _unlimited(self) -> Permit:
-        return Permit(source=None, valid_until_s=math.inf, on_give_back=lambda permit: None)
+    def _unlimited(self) -> quota_permits.Permit:
+        return quota_permits.Permit(
+            source=None, valid_until_s=math.inf, on_give_back=lambda permit: None
+        )
 
-    def _make_permit(self, source: _Source, valid_until_s: float) -> Permit:
-        return Permit(source=source, valid_until_s=valid_until_s, on_give_back=self._on_give_back)
+    def _make_permit(
+        self, source: quota_permits.Source, valid_until_s: float
+    ) -> quota_permits.Permit:
+        return quota_permits.Permit(
+            source=source, valid_until_s=valid_until_s, on_give_back=self._on_give_back
+        )
 
-    def _deliver(self, account: _Account, waiter: Waiter, permit: Permit) -> None:
+    def _deliver(
+        self, account: _Account, waiter: quota_permits.Waiter, permit: quota_permits.Permit
+    ) -> None:
         self._on_result(account.limit.organisation, "granted")
         waiter.deliver(permit)
 
-    def _on_give_back(self, permit: Permit) -> None:
+    def _on_give_back(self, permit: quota_permits.Permit) -> None:
         """Keeps a token for another request, or returns it to the owner of the shard."""
         source = permit.source
         now_s = self._clock.monotonic()
@@ -328,13 +265,13 @@
         else:
             self._return(source, 1)
 
-    def _return(self, source: _Source, count: int) -> None:
+    def _return(self, source: quota_permits.Source, count: int) -> None:
         message = peer_messages.TokenReturn(
             source.organisation, source.shard, count, source.request_id
         )
         self._send(source.host, message)
 
-    def _add_permit(self, account: _Account, permit: Permit) -> None:
+    def _add_permit(self, account: _Account, permit: quota_permits.Permit) -> None:
         """Gives a token to a waiting request, or keeps it for the next one."""
         while account.waiters:
             waiter = account.waiters.popleft()
@@ -346,7 +283,7 @@
     def _drop_expired(self, account: _Account) -> None:
         """Returns the tokens that are too old to be used."""
         now_s = self._clock.monotonic()
-        expired: collections.Counter[_Source] = collections.Counter()
+        expired: collections.Counter[quota_permits.Source] = collections.Counter()
         kept = collections.deque()
         for permit in account.spare:
             if permit.valid_until_s - now_s > MIN_REMAINING_S:
@@ -357,7 +294,7 @@
         for source, count in expired.items():
             self._return(source, count)
 
-    def _take_spare(self, account: _Account, now_s: float) -> Permit | None:
+    def _take_spare(self, account: _Account, now_s: float) -> quota_permits.Permit | None:
         while account.spare:
             permit = account.spare.popleft()
             if permit.valid_until_s - now_s > MIN_REMAINING_S:
@@ -365,7 +302,7 @@
             self._return(permit.source, 1)
         return None
 
-    def _take_own(self, account: _Account, waiter: Waiter, now_s: float) -> bool:
+    def _take_own(self, account: _Account, waiter: quota_permits.Waiter, now_s: float) -> bool:
         """Takes a token of a shard that this instance owns; returns whether there was one."""
         organisation = account.limit.organisation
         for shard in range(len(account.limit.keys)):
@@ -374,7 +311,7 @@
             decision = self._owner.take(organisation, shard, 1)
             if decision.count:
                 permit = self._make_permit(
-                    _Source(organisation=organisation, shard=shard),
+                    quota_permits.Source(organisation=organisation, shard=shard),
                     now_s + decision.delay_s + quota_limits.TOKEN_LIFETIME_S,
                 )
                 self._deliver_later(account, waiter, permit, decision.delay_s)
@@ -384,7 +321,11 @@
         return False
 
     def _deliver_later(
-        self, account: _Account, waiter: Waiter, permit: Permit, delay_s: float
+        self,
+        account: _Account,
+        waiter: quota_permits.Waiter,
+        permit: quota_permits.Permit,
+        delay_s: float,
     ) -> None:
         if delay_s > 0.0:
             self._call_later(delay_s, lambda: self._deliver(account, waiter, permit))
@@ -491,7 +432,9 @@
                 best, best_rank = shard, rank
         return best
 
-    def _add_tokens(self, source: _Source, count: int, sent_s: float, delay_s: float = 0.0) -> None:
+    def _add_tokens(
+        self, source: quota_permits.Source, count: int, sent_s: float, delay_s: float = 0.0
+    ) -> None:
         """Gives tokens to waiting requests as soon as they may be used."""
         account = self._accounts.get(source.organisation)
         if account is None:
@@ -513,7 +456,9 @@
         if account.spare:
             self._call_later(valid_until_s - now_s, lambda: self._drop_expired(account))
 
-    def _on_accrued(self, account: _Account, source: _Source, count: int, from_s: float) -> None:
+    def _on_accrued(
+        self, account: _Account, source: quota_permits.Source, count: int, from_s: float
+    ) -> None:
         """Gives promised tokens to waiting requests; their lifetime counts from ``from_s``."""
         account.promised -= count
         self._add_tokens(source, count, from_s)
@@ -538,7 +483,7 @@
         ask = self._asks.pop(request_id, None)
         if ask is None:
             return
-        source = _Source(
+        source = quota_permits.Source(
             organisation=ask.organisation, shard=ask.shard, host=ask.host, request_id=request_id
         )
         self._late[request_id] = (source, ask.sent_s)
@@ -580,21 +525,25 @@
             else:
                 self._use_emergency(account, waiter, now_s)
 
-    def _reject_limited(self, account: _Account, waiter: Waiter, retry_s: float) -> None:
+    def _reject_limited(
+        self, account: _Account, waiter: quota_permits.Waiter, retry_s: float
+    ) -> None:
         # The later half of the time spreads out callers that were rejected together.
         retry_after_s = retry_s * self._rng.uniform(1.0, 1.5)
         self._on_result(account.limit.organisation, "limited")
         waiter.deliver(
-            QuotaError("limit of the organisation reached", status=429, retry_after_s=retry_after_s)
+            quota_permits.QuotaError(
+                "limit of the organisation reached", status=429, retry_after_s=retry_after_s
+            )
         )
 
-    def _use_emergency(self, account: _Account, waiter: Waiter, now_s: float) -> None:
+    def _use_emergency(self, account: _Account, waiter: quota_permits.Waiter, now_s: float) -> None:
         """Lets a request pass without token if the emergency quota allows it."""
         limit = account.limit
         if account.emergency.total(now_s) < self._emergency_share(account):
             account.emergency.add(now_s)
             self._on_result(limit.organisation, "emergency")
-            permit = Permit(
+            permit = quota_permits.Permit(
                 source=None,
                 valid_until_s=now_s + quota_limits.TOKEN_LIFETIME_S,
                 on_give_back=lambda permit: None,
@@ -603,7 +552,7 @@
             return
         self._on_result(limit.organisation, "unknown")
         waiter.deliver(
-            QuotaError(
+            quota_permits.QuotaError(
                 "limit of the organisation cannot be checked",
                 status=503,
                 retry_after_s=UNKNOWN_RETRY_AFTER_S * self._rng.uniform(1.0, 1.5),
--- a/packages/gateway/src/sassafrasway_gateway/quota_owner.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_owner.py
@@ -37,9 +37,11 @@
 MIN_WAIT_S = 0.02
 MAX_WAIT_S = 2.0
 MAX_RETRY_S = 10.0
-# Rejected instances ask again at half the rate at which tokens accrue: each of them has several
-# shards to ask, and a request for nothing costs two messages.
-INSTANCES_FACTOR = 2.0
+# Rejected instances wait for this multiple of the time in which each of them could get a token:
+# each has several shards to ask, and a request in vain costs two messages.
+INSTANCES_FACTOR = 4.0
+# Part of the rate that must have been rejected for that; a shorter shortage is over sooner.
+SHORTAGE = 0.5
 # Time over which rejected requests are counted.
 REJECTED_WINDOW_S = 1.0
 
@@ -447,10 +449,12 @@
         shard.rejected.add(host, count, now_s)
         rate_per_s, _ = self._scaled(shard.limit)
         wait_s = shard.bucket.wait_s(max_delay_s=MAX_GRANT_DELAY_S, now_s=now_s)
-        # Instances that were rejected in the last second ask again before this one, and so do
-        # callers.
-        instances_s = INSTANCES_FACTOR * (shard.rejected.hosts(now_s) - 1) / rate_per_s
+        # Callers whose requests were rejected in the last second return before this one, and so do
+        # instances. A shortage for a moment only is not worth that wait.
         callers_s = shard.rejected.tokens(now_s) / rate_per_s
+        instances_s = 0.0
+        if callers_s > SHORTAGE * REJECTED_WINDOW_S:
+            instances_s = INSTANCES_FACTOR * (shard.rejected.hosts(now_s) - 1) / rate_per_s
         return Decision(
             state=peer_messages.GrantState.LIMITED,
             wait_s=min(MAX_WAIT_S, max(MIN_WAIT_S, wait_s + instances_s)),
--- a/packages/gateway/src/sassafrasway_gateway/rate_limits.py
+++ b/packages/gateway/src/sassafrasway_gateway/rate_limits.py
@@ -21,6 +21,7 @@
     quota_directory,
     quota_limits,
     quota_owner,
+    quota_permits,
     settings,
 )
 from sassafrasway_gateway import metrics as metrics_lib
@@ -29,8 +30,8 @@
 # it causes at most one pair of log lines in that time.
 LIMITED_LOG_S = 5.0
 
-Permit = quota_client.Permit
-QuotaError = quota_client.QuotaError
+Permit = quota_permits.Permit
+QuotaError = quota_permits.QuotaError
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -99,7 +100,7 @@
         """Whether requests of an organisation need a token."""
         return organisation in self._limits
 
-    def request(self, organisation: str, waiter: quota_client.Waiter) -> None:
+    def request(self, organisation: str, waiter: quota_permits.Waiter) -> None:
         """Delivers a permit or a `QuotaError` to the waiter, at once if possible."""
         self._client.request(organisation, waiter)
 
@@ -117,7 +118,7 @@
             elif isinstance(result, Permit):
                 result.give_back()
 
-        waiter = quota_client.Waiter(on_done=on_done)
+        waiter = quota_permits.Waiter(on_done=on_done)
         self.request(organisation, waiter)
         try:
             result = await future
--- a/packages/gateway/tests/quota_simulation.py
+++ b/packages/gateway/tests/quota_simulation.py
@@ -10,6 +10,7 @@
 import heapq
 import itertools
 import random
+from unittest import mock
 
 import test_fleet
 
@@ -20,7 +21,7 @@
     metrics,
     model,
     peer_messages,
-    quota_client,
+    quota_permits,
     rate_limits,
     settings,
 )
@@ -42,20 +43,19 @@
 REGIONS = ("north", "south", "east")
 
 
-class CachedRings:
-    """Builds each ring once, as all instances of a simulation run in one process."""
+def share_rings(test_case):
+    """Builds each ring once for the duration of a test, as all instances run in one process."""
+    replaced = hash_ring.HashRing.replaced
+    rings = {}
 
-    def __init__(self):
-        self._rings = {}
-        self._replaced = hash_ring.HashRing.replaced
+    def replaced_once(ring, names):
+        if names not in rings:
+            rings[names] = replaced(ring, names)
+        return rings[names]
 
-    def replaced(self, ring, names):
-        key = frozenset(names)
-        if key not in self._rings:
-            if len(self._rings) > 200:
-                self._rings.clear()
-            self._rings[key] = self._replaced(ring, key)
-        return self._rings[key]
+    patcher = mock.patch.object(hash_ring.HashRing, "replaced", replaced_once)
+    patcher.start()
+    test_case.addCleanup(patcher.stop)
 
 
 class SteppedClock(clock_lib.ManualClock):
@@ -82,19 +82,15 @@
         self._added = {}
         self._lost_s = {}
 
-    def is_live(self, name):
-        return (name in self._base or name in self._added) and name not in self._lost_s
-
-    def set_live(self, names, live):
-        changed = [name for name in names if name != self.own.name and self.is_live(name) != live]
-        for name in changed:
-            if not live:
-                self._lost_s[name] = self._simulation.now_s
-                continue
-            self._lost_s.pop(name, None)
-            if name not in self._base:
-                self._added[name] = self._simulation.instances[name].member
-        self.live_version += bool(changed)
+    def set_live(self, instances, live):
+        self.live_version += 1
+        for instance in instances:
+            if live:
+                self._lost_s.pop(instance.name, None)
+                if instance.name not in self._base:
+                    self._added[instance.name] = instance.member
+            elif instance.name in self._base or instance.name in self._added:
+                self._lost_s.setdefault(instance.name, self._simulation.now_s)
 
     def members(self):
         return []
@@ -109,16 +105,11 @@
 
     def recent_names(self, lifetime_s):
         oldest_s = self._simulation.now_s - lifetime_s
-        dropped = {
-            name
-            for name, lost_s in self._lost_s.items()
-            if lost_s < oldest_s or self._simulation.instances[name].leaving
-        }
+        dropped = {name for name, lost_s in self._lost_s.items() if lost_s < oldest_s}
         dropped.add(self.own.name)
-        names = [
-            name for members in (self._base, self._added) for name in members if name not in dropped
-        ]
-        return [*names, self.own.name]
+        dropped.update(self._simulation.left)
+        known = (*self._base, *self._added)
+        return [*(name for name in known if name not in dropped), self.own.name]
 
 
 class Instance:
@@ -129,7 +120,6 @@
         self.member = member
         self.name = member.name
         self.alive = True
-        self.leaving = False
         self.frozen_until_s = 0.0
         self.group = 0
         self.view = SimulatedView(member, simulation, base)
@@ -159,9 +149,7 @@
         if target is None or simulation.rng.random() < simulation.loss:
             return
         latency_s = simulation.rng.uniform(0.0005, MAX_LATENCY_S)
-        simulation.schedule(
-            latency_s, lambda: target.receive(self, message, size), target, sender=self
-        )
+        simulation.schedule(latency_s, lambda: target.receive(self, message, size), target)
 
     def receive(self, sender, message, size):
         if self.group != sender.group:
@@ -179,8 +167,7 @@
         # Half of the instances that this one pings may be dead.
         for name in simulation.rng.choices(list(simulation.instances), k=4):
             other = simulation.instances[name]
-            reachable = other is not self and other.alive and other.group == self.group
-            if reachable and other.frozen_until_s <= simulation.now_s:
+            if other is not self and simulation._reaches(self, other):
                 self.limiter.on_heard()
         self.call_later(PING_INTERVAL_S, self.ping)
 
@@ -201,15 +188,15 @@
         self.organisations = {}
         self.uses = collections.defaultdict(list)
         self.results = collections.Counter()
-        self.rejected_s = collections.defaultdict(list)
-        self.stale = 0
+        # Names of the instances that have left as planned.
+        self.left = set()
         self._events = []
         self._numbers = itertools.count()
-        names = [f"instance-{index:04}" for index in range(count)]
-        base = {
-            name: test_fleet.make_member(name, region=REGIONS[index % len(REGIONS)])
-            for index, name in enumerate(names)
-        }
+        members = [
+            test_fleet.make_member(f"instance-{index:04}", region=REGIONS[index % len(REGIONS)])
+            for index in range(count)
+        ]
+        base = {member.name: member for member in members}
         for name, member in base.items():
             self.instances[name] = Instance(self, member, base)
             self._start(self.instances[name])
@@ -220,9 +207,14 @@
         return self.clock.monotonic()
 
     def live(self):
-        return [instance for instance in self.instances.values() if instance.alive]
+        """Returns the instances that serve callers."""
+        return [
+            instance
+            for instance in self.instances.values()
+            if instance.alive and instance.name not in self.left
+        ]
 
-    def schedule(self, delay_s, call, instance=None, sender=None):
+    def schedule(self, delay_s, call, instance=None):
         entry = (self.now_s + delay_s, next(self._numbers), call, instance)
         heapq.heappush(self._events, entry)
 
@@ -231,15 +223,11 @@
         while self._events and self._events[0][0] <= end_s:
             time_s, _, call, instance = heapq.heappop(self._events)
             self.clock.advance(max(0.0, time_s - self.now_s))
-            if instance is not None:
-                if not instance.alive:
-                    continue
-                if instance.frozen_until_s > self.now_s:
-                    # The order of what waits is kept.
-                    entry = (instance.frozen_until_s, next(self._numbers), call, instance)
-                    heapq.heappush(self._events, entry)
-                    continue
-            call()
+            if instance is not None and instance.frozen_until_s > self.now_s:
+                # The order of what waits is kept.
+                self.schedule(instance.frozen_until_s - self.now_s, call, instance)
+            elif instance is None or instance.alive:
+                call()
         self.clock.advance(max(0.0, end_s - self.now_s))
 
     def set_organisations(self, organisations, *, delay_s=POLICY_DELAY_S):
@@ -255,12 +243,11 @@
     def freeze(self, instance, duration_s):
         instance.frozen_until_s = self.now_s + duration_s
         for other in self.live():
-            if other is not instance:
-                delay_s = self.rng.uniform(*LOSS_DELAY_S)
-                if delay_s < duration_s:
-                    self._set_live_later(other, [instance], False, delay_s)
-                    back_s = duration_s + self.rng.uniform(*JOIN_DELAY_S)
-                    self._set_live_later(other, [instance], True, back_s)
+            delay_s = self.rng.uniform(*LOSS_DELAY_S)
+            if other is not instance and delay_s < duration_s:
+                self._set_live_later(other, [instance], False, delay_s)
+                back_s = duration_s + self.rng.uniform(*JOIN_DELAY_S)
+                self._set_live_later(other, [instance], True, back_s)
 
     def kill(self, killed):
         for instance in killed:
@@ -271,7 +258,7 @@
     def leave(self, instance):
         """Stops an instance as planned: it announces that it leaves, and takes no new requests."""
         instance.view.own = dataclasses.replace(instance.member, phase=fleet.Phase.LEAVING)
-        instance.leaving = True
+        self.left.add(instance.name)
         for other in self.live():
             self._set_live_later(other, [instance], False, self.rng.uniform(0.0, 0.05))
 
@@ -315,9 +302,9 @@
             at_s = self.rng.uniform(0.0, duration_s) if spread else index / rate_per_s
             self.schedule(at_s, lambda name=name: self._arrive(organisation, name))
 
-    def max_window(self, organisation, *, from_s=0.0, to_s=float("inf")):
+    def max_window(self, organisation, *, from_s=0.0):
         """Returns the largest number of uses in any window."""
-        times_s = sorted(time_s for time_s in self.uses[organisation] if from_s <= time_s <= to_s)
+        times_s = sorted(time_s for time_s in self.uses[organisation] if from_s <= time_s)
         return max(
             (
                 bisect.bisect_left(times_s, start_s + WINDOW_S) - index
@@ -339,33 +326,27 @@
 
     def _set_live_later(self, observer, instances, live, delay_s):
         def apply():
-            names = [
-                instance.name
-                for instance in instances
-                if live
-                == (
-                    observer.group == instance.group
-                    and instance.alive
-                    and not instance.leaving
-                    and instance.frozen_until_s <= self.now_s
-                )
-            ]
-            observer.view.set_live(names, live)
+            changed = [one for one in instances if live == self._reaches(observer, one)]
+            observer.view.set_live(changed, live)
 
         self.schedule(delay_s, apply, observer)
 
+    def _reaches(self, observer, instance):
+        answers = instance.alive and instance.name not in self.left
+        answers = answers and instance.frozen_until_s <= self.now_s
+        return answers and observer.group == instance.group
+
     def _arrive(self, organisation, name):
         instance = self.instances[name]
-        if not instance.alive or instance.leaving:
+        if not instance.alive or name in self.left:
             # The caller uses another instance.
-            instance = self.rng.choice([one for one in self.live() if not one.leaving])
+            instance = self.rng.choice(self.live())
         self.schedule(0.0, lambda: self._request(organisation, instance, 3), instance)
 
     def _request(self, organisation, instance, tries):
         def on_done(result):
-            if isinstance(result, quota_client.QuotaError):
+            if isinstance(result, quota_permits.QuotaError):
                 self.results[organisation, result.status] += 1
-                self.rejected_s[organisation].append((self.now_s, result))
                 return
             slow = self.rng.random() < 0.02
             connect_s = self.rng.uniform(0.0, 0.5 if slow else 0.01)
@@ -373,7 +354,7 @@
                 connect_s, lambda: self._send(organisation, instance, result, tries), instance
             )
 
-        waiter = quota_client.Waiter(on_done=on_done)
+        waiter = quota_permits.Waiter(on_done=on_done)
         instance.limiter.request(organisation, waiter)
 
     def _send(self, organisation, instance, permit, tries):
@@ -382,7 +363,6 @@
             self.uses[organisation].append(self.now_s)
             self.results[organisation, 0] += 1
             return
-        self.stale += 1
         permit.give_back()
         if tries:
             self._request(organisation, instance, tries - 1)
--- a/packages/gateway/tests/test_rate_limits.py
+++ b/packages/gateway/tests/test_rate_limits.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import dataclasses
-import random
 import unittest
-from unittest import mock
 
 import quota_simulation
 import structlog
 
-from sassafrasway_core import clock as clock_lib
-from sassafrasway_gateway import fleet, metrics, peer_messages, quota_client, rate_limits
+from sassafrasway_gateway import fleet, peer_messages, quota_permits
 
 ORGANISATION = quota_simulation.make_organisation()
 SMALL = quota_simulation.make_organisation("small", rate_per_s=3.0, burst=10.0)
@@ -22,14 +19,7 @@
     def setUp(self):
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
         self.addCleanup(structlog.reset_defaults)
-        rings = quota_simulation.CachedRings()
-        patcher = mock.patch.object(
-            quota_simulation.hash_ring.HashRing,
-            "replaced",
-            lambda ring, names: rings.replaced(ring, names),
-        )
-        patcher.start()
-        self.addCleanup(patcher.stop)
+        quota_simulation.share_rings(self)
 
     def simulate(self, count, *organisations, seed=1, **fields):
         simulation = quota_simulation.Simulation(
@@ -53,7 +43,7 @@
 
     def request(self, instance, organisation=SMALL):
         results = []
-        instance.limiter.request(organisation.name, quota_client.Waiter(on_done=results.append))
+        instance.limiter.request(organisation.name, quota_permits.Waiter(on_done=results.append))
         return results
 
 
@@ -62,6 +52,8 @@
 
     def test_owner_pays_no_message_and_others_pay_two(self):
         """Guards against messages for what an instance can decide itself."""
+        simulation = self.simulate(1, SMALL)
+        self.assertTrue(self.request(self.owner_of(simulation))[0].valid(simulation.now_s))
         simulation = self.simulate(6, SMALL)
         owner = self.owner_of(simulation)
         before = owner.sent_bytes
@@ -88,9 +80,9 @@
         simulation.run(1.6)
         emergency = owner.limiter._limits[SMALL.name].emergency
         results = [self.request(owner)[0] for _ in range(20)]
-        granted = [result for result in results if isinstance(result, quota_client.Permit)]
+        granted = [result for result in results if isinstance(result, quota_permits.Permit)]
         self.assertLessEqual(len(granted), emergency)
-        errors = [result for result in results if isinstance(result, quota_client.QuotaError)]
+        errors = [result for result in results if isinstance(result, quota_permits.QuotaError)]
         self.assertEqual({error.status for error in errors}, {503})
         self.assertTrue(all(error.retry_after_s > 0.0 for error in errors))
 
@@ -130,10 +122,14 @@
         self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
 
     def test_instance_without_list_of_members_serves_the_others_only(self):
-        """Guards against shards without owner, or with several, while the store is away."""
+        """Guards against several owners while instances start or the store is away, or none."""
         simulation = self.simulate(6, SMALL)
         owner = self.owner_of(simulation)
         client = self.other_than(simulation, owner)
+        owner.view.own = dataclasses.replace(owner.member, phase=fleet.Phase.STARTING)
+        simulation.run(1.0)
+        self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
+        owner.view.own = owner.member
         owner.view.has_list = False
         owner.limiter = owner.make_limiter()
         owner.limiter.set_organisations({SMALL.name: SMALL})
@@ -141,18 +137,10 @@
         for _ in range(40):
             results.append(self.request(client))
             simulation.run(0.05)
-        granted = [result for result in results if isinstance(result[0], quota_client.Permit)]
+        granted = [result for result in results if isinstance(result[0], quota_permits.Permit)]
         self.assertGreaterEqual(len(granted), 6)
         self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
 
-    def test_instance_that_starts_owns_nothing(self):
-        """Guards against a fleet that starts together and grants the limit at each instance."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
-        owner.view.own = dataclasses.replace(owner.member, phase=fleet.Phase.STARTING)
-        simulation.run(1.0)
-        self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
-
     def test_late_or_repeated_return_is_ignored(self):
         """Guards against tokens that are returned twice, or after the window."""
         simulation = self.simulate(6, SMALL)
@@ -191,13 +179,13 @@
             simulation.run(0.1)
             results[0].give_back()
             self.assertFalse(results[0].valid(simulation.now_s))
-        self.assertEqual(sum(isinstance(r, quota_client.QuotaError) for r in results), 0)
+        self.assertEqual(sum(isinstance(r, quota_permits.QuotaError) for r in results), 0)
 
     def test_token_for_a_caller_that_left_is_used_by_another_request(self):
         """Guards against tokens that leak when callers disconnect."""
         simulation = self.simulate(6, SMALL)
         client = self.other_than(simulation, self.owner_of(simulation))
-        left = quota_client.Waiter(on_done=self.fail)
+        left = quota_permits.Waiter(on_done=self.fail)
         client.limiter.request(SMALL.name, left)
         left.cancel()
         simulation.run(0.1)
@@ -211,7 +199,7 @@
         while not errors:
             results = self.request(client)
             simulation.run(0.25)
-            errors = [r for r in results if isinstance(r, quota_client.QuotaError)]
+            errors = [r for r in results if isinstance(r, quota_permits.QuotaError)]
         self.assertEqual(errors[0].status, 429)
         self.assertTrue(0.05 < errors[0].retry_after_s < 2.0)
 
@@ -227,10 +215,10 @@
         ]
         simulation.run(0.4)
         self.assertTrue(all(results))
-        passed = sum(isinstance(result[0], quota_client.Permit) for result in results)
+        passed = sum(isinstance(result[0], quota_permits.Permit) for result in results)
         self.assertTrue(0 < passed <= owner.limiter._limits[SMALL.name].emergency)
         self.assertEqual(
-            {r[0].status for r in results if isinstance(r[0], quota_client.QuotaError)}, {503}
+            {r[0].status for r in results if isinstance(r[0], quota_permits.QuotaError)}, {503}
         )
 
     def test_removed_limit_ends_the_wait(self):
@@ -242,7 +230,7 @@
         self.assertTrue(results[0].valid(simulation.now_s))
 
 
-class LoopbackTest(unittest.IsolatedAsyncioTestCase):
+class CancelTest(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that leak when the task that waits is cancelled."""
 
     async def test_cancelled_wait_leaves_no_waiter(self):
@@ -262,25 +250,3 @@
         simulation.run(0.1)
         account = client.limiter._client._accounts[SMALL.name]
         self.assertEqual((len(account.waiters), len(account.spare), account.asked), (0, 1, 0))
-
-    async def test_single_instance_decides_alone(self):
-        """Guards against rejections in a fleet of one."""
-        clock = clock_lib.ManualClock()
-        view = quota_simulation.SimulatedView(
-            quota_simulation.test_fleet.make_member("me"), mock.Mock(now_s=clock.monotonic()), {}
-        )
-        limiter = rate_limits.RateLimiter(
-            clock=clock,
-            view=view,
-            bounds=quota_simulation.BOUNDS,
-            send=mock.Mock(side_effect=AssertionError),
-            call_later=lambda delay_s, call: None,
-            rng=random.Random(1),
-            metrics=metrics.GatewayMetrics(),
-        )
-        limiter.set_organisations({SMALL.name: SMALL})
-        self.assertTrue((await limiter.acquire(SMALL.name)).valid(clock.monotonic()))
-
-
-if __name__ == "__main__":
-    unittest.main()
--- a/packages/gateway/tests/test_token_bucket.py
+++ b/packages/gateway/tests/test_token_bucket.py
@@ -71,7 +71,3 @@
             names = [str(index) for index in range(count)]
             shares = [quota_limits.whole_share(14, names, name, "a") for name in names]
             self.assertEqual(sum(shares), 14)
-
-
-if __name__ == "__main__":
-    unittest.main()
