Keep a live start when a copy of the store lists an unknown earlier one

An instance that had started after a server's second start took the first start from the copy for a new one. It then counted the second start as ended and ignored all its later listings, drains included.

Change: a listing of an ended start counts again if its sequence number has risen. Within the grace period of a copy, an earlier start than the known one is outdated; later it may belong to a clock that was set back.

--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -54,7 +54,8 @@
         rest_until_s: Monotonic time until which the server wants no request of this instance.
         remove_at_s: Monotonic time at which the server is removed unless it is listed again; None
             while it is listed.
-        ended_starts: Unix times in ms of the last starts before the current one.
+        ended_starts: Last sequence number of the starts before the current one, by the Unix time of
+            the start in ms.
         left_in_earlier_era: Whether the server was removed before an older copy replaced the store.
     """
 
@@ -74,7 +75,7 @@
     leaving: bool = False
     rest_until_s: float = 0.0
     remove_at_s: float | None = None
-    ended_starts: tuple[int, ...] = ()
+    ended_starts: dict[int, int] = dataclasses.field(default_factory=dict)
     left_in_earlier_era: bool = False
 
     def add_outcome(self, *, failed: bool) -> None:
@@ -118,8 +119,10 @@
         self._evacuated: frozenset[str] = frozenset()
         self._rankings: dict[str, affinity.AffinityRanking] = {}
         self._warmup_s: dict[str, float] = {}
-        # Whether the store was replaced by an older copy since this process started.
+        # Whether the store was replaced by an older copy since this process started, and the time
+        # until which what the last copy lacks is written again.
         self._has_new_era = False
+        self._rewritten_s = 0.0
 
     def __len__(self) -> int:
         return len(self._states)
@@ -211,8 +214,9 @@
                 earlier = state or departed
                 state = ServerState(server=server)
                 if earlier is not None:
-                    starts = (*earlier.ended_starts, earlier.server.started_ms)
-                    state.ended_starts = starts[-MAX_ENDED_STARTS:]
+                    last = {earlier.server.started_ms: earlier.server.sequence}
+                    starts = (earlier.ended_starts | last).items()
+                    state.ended_starts = dict(list(starts)[-MAX_ENDED_STARTS:])
             self._states[server.server_id] = state
             self._rankings.pop(server.service, None)
         elif not self._same_ranking(state.server, server):
@@ -234,9 +238,13 @@
         if len(self._departed) > MAX_DEPARTED:
             self._departed.pop(next(iter(self._departed)))
 
-    def on_new_era(self) -> None:
-        """Records that an older copy has replaced the store, and old listings may come back."""
+    def on_new_era(self, grace_s: float) -> None:
+        """Records that an older copy has replaced the store, and old listings may come back.
+
+        What the copy lacks is written again within ``grace_s``.
+        """
         self._has_new_era = True
+        self._rewritten_s = self._clock.monotonic() + grace_s
         for state in self._departed.values():
             state.left_in_earlier_era = True
 
@@ -245,13 +253,19 @@
 
         A listing of the current start is older if its sequence number is lower than the last one,
         and also if it equals the last one and the server was removed before the copy came.
-        Without a start time, an older listing cannot be told from that of a new start.
+        A listing of an ended start is older unless its sequence number shows that the start goes
+        on. An earlier start that is not known counts as ended until the copy is up to date; later
+        it may be a new one of a server whose clock was set back. Without a start time, an older
+        listing cannot be told from that of a new start.
         """
         known = self._states.get(server.server_id) or self._departed.get(server.server_id)
         if not self._has_new_era or known is None or not server.started_ms:
             return False
         if server.started_ms != known.server.started_ms:
-            return server.started_ms in known.ended_starts
+            if server.started_ms in known.ended_starts:
+                return server.sequence <= known.ended_starts[server.started_ms]
+            earlier = server.started_ms < known.server.started_ms
+            return earlier and self._clock.monotonic() < self._rewritten_s
         newest = known.server.sequence
         return server.sequence < newest + known.left_in_earlier_era
 
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -233,7 +233,7 @@
     def on_new_era(self, grace_s: float) -> None:
         """Starts the grace period for listings that an older copy of the store lacks."""
         self.on_store_returned(grace_s)
-        self._registry.on_new_era()
+        self._registry.on_new_era(grace_s)
 
     def sweep(self) -> None:
         """Removes the servers that were not listed again within the grace period."""
--- a/packages/gateway/tests/test_store_eras.py
+++ b/packages/gateway/tests/test_store_eras.py
@@ -315,6 +315,25 @@
         self.list("s", "3 1 ready")
         self.assertTrue(self.usable("s"))
 
+    def test_earlier_start_that_is_not_known_is_not_taken_for_a_new_one(self):
+        """Guards against a copy that hides a live start, whose later listings then count as old.
+
+        Soak seed 1561748: an instance that had started after the server knew only its second start.
+        It took the first one from the copy, and ignored all later listings of the second one.
+        """
+        self.list("s", "2 5 draining")
+        self.begin_era(s="1 9 ready")
+        self.assertFalse(self.usable("s"))
+        self.list("s", "2 6 ready")
+        self.assertEqual(self.registry.get("s").server.sequence, 6)
+        self.end_grace()
+        self.list("s", "1 1 ready")
+        self.assertEqual(self.registry.get("s").server.started_ms, 1, "clock set back")
+        self.list("s", "2 6 ready")
+        self.assertEqual(self.registry.get("s").server.started_ms, 1, "ended start")
+        self.list("s", "2 7 ready")
+        self.assertEqual(self.registry.get("s").server.started_ms, 2, "start that goes on")
+
     def test_listing_of_a_live_server_keeps_what_is_known(self):
         """Guards against a lower sequence number that resets load, or hides later listings."""
         self.list("s", "1 9 ready")
