Move rejected objects to free slots only, and keep queues out of levels

The queues of a few servers raised the level, so that others seemed to have no free slot.

Change: a request that a full server rejected is sent to a server with a free slot or refused, as one whose server is known to be full. The level counts at most one request per slot of each report. Drawn servers are of one region, which is drawn with the shares of the regions.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -48,6 +48,8 @@
 # Weight of a drawn server, as powers of its free share of slots and of its expected response time.
 FREE_SHARE_EXPONENT = 3.0
 RESPONSE_TIME_EXPONENT = 2.0
+# Bounds the weight of a route whose requests take no measurable time.
+MIN_RESPONSE_S = 0.001
 # Free share that is assumed at least: the load is an estimate.
 MIN_FREE_SHARE = 0.02
 # Assumed service time of a route before the first measurement.
@@ -119,6 +121,7 @@
         region: Region of this instance.
         remaining_s: Time until the deadline of the request.
         excluded_servers: Ids of the servers that must not be selected.
+        displaced: Whether one of them rejected the request because its queue was full.
         allowed_regions: Regions whose servers may be selected; None allows all.
     """
 
@@ -130,6 +133,7 @@
     excluded_servers: Collection[str] = ()
     allowed_regions: frozenset[str] | None = None
     names_object: bool = True
+    displaced: bool = False
 
 
 class ServiceTimeEstimate:
@@ -257,8 +261,8 @@
         best = min(
             compared, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
         )
-        full = self._is_full(best[1], now_s)
-        if full or self._exceeds_bound(best[1], now_s):
+        must_move = criteria.displaced or self._is_full(best[1], now_s)
+        if must_move or self._exceeds_bound(best[1], now_s):
             # Objects move only to a server with a free slot. On a server without one, their cold
             # runs would delay the requests that wait there.
             free = [
@@ -270,7 +274,7 @@
                 best = min(
                     free, key=lambda candidate: self._expected_cost_s(criteria, candidate, now_s)
                 )
-            elif full:
+            elif must_move:
                 return self._refuse_overload(best[1], criteria, now_s)
         return self._choice(best, criteria, now_s)
 
@@ -305,7 +309,7 @@
     ) -> float:
         free_share = max(MIN_FREE_SHARE, 1.0 - state.load(now_s) / max(1, state.server.slots))
         run_s = self._service_times.mean_s(criteria.route.name)
-        response_s = self._expected_response_s(criteria, state, run_s, now_s)
+        response_s = max(MIN_RESPONSE_S, self._expected_response_s(criteria, state, run_s, now_s))
         return free_share**FREE_SHARE_EXPONENT * response_s**-RESPONSE_TIME_EXPONENT
 
     def _choice(
@@ -406,20 +410,24 @@
             count=DRAWN_SERVERS,
             kept_share=self._overflow.kept_share(criteria.service),
         )
-        drawn = self._with_reporters(drawn, criteria)
+        if not drawn:
+            return []
+        # The region of the first one is drawn with the shares of the regions.
+        region = self._region_of(drawn[0])
+        drawn = [server_id for server_id in drawn if self._region_of(server_id) == region]
+        drawn = self._with_reporters(drawn, criteria.service, region)
         return self._usable_now(drawn, criteria, now_s, unproven)
 
-    def _with_reporters(self, drawn: list[str], criteria: SelectionCriteria) -> list[str]:
-        """Adds the servers with the newest reports, if the drawn ones are of this region."""
-        if not drawn:
-            return drawn
-        first = self._registry.get(drawn[0])
-        if first is None or self._registry.region_of(first) != criteria.region:
-            return drawn
+    def _region_of(self, server_id: str) -> str:
+        state = self._registry.get(server_id)
+        return "" if state is None else self._registry.region_of(state)
+
+    def _with_reporters(self, drawn: list[str], service: str, region: str) -> list[str]:
+        """Adds the servers of the region with the newest reports."""
         reporters = [
             state.server.server_id
-            for state in self._registry.last_reporters(criteria.service, NEW_REPORT_S)
-            if self._registry.region_of(state) == criteria.region
+            for state in self._registry.last_reporters(service, NEW_REPORT_S)
+            if self._registry.region_of(state) == region
         ]
         return list(dict.fromkeys([*drawn, *reporters]))
 
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -136,6 +136,7 @@
                     region=self._region,
                     remaining_s=remaining_s,
                     excluded_servers=job.excluded_servers,
+                    displaced=job.displaced,
                     allowed_regions=job.allowed_regions,
                 )
             )
@@ -205,6 +206,7 @@
             job.rejected_by = server_id
         else:
             job.excluded_servers.append(server_id)
+            job.displaced |= self._rejected_by_full_queue(result)
         if not result.outcome.not_run:
             job.may_have_run = True
         return result
@@ -234,6 +236,22 @@
         report = self._load_report(result)
         return report is not None and report.running + report.waiting < report.slots
 
+    def _rejected_by_full_queue(self, result: attempt.AttemptResult) -> bool:
+        """Whether the server rejected the request for want of slots, as far as its response tells.
+
+        A misdirected request, or one to a server that rests or leaves, was rejected for another
+        reason.
+        """
+        if result.outcome is not attempt.Outcome.REJECTED:
+            return False
+        response = result.response
+        return not (
+            response.status == attempt.STATUS_MISDIRECTED
+            or attempt.parse_rest_s(response) > 0
+            or response.header(self._names.leaving) == b"1"
+            or self._rejected_with_free_slots(result)
+        )
+
     def _load_report(self, result: attempt.AttemptResult) -> attempt.LoadReport | None:
         """Returns the load that the selected server reports; None without a valid report.
 
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -66,6 +66,7 @@
         fingerprint: Digest that is the same when the caller sends the request again.
         deadline_s: Monotonic time after which no attempt is started.
         server_deadline_s: Monotonic time by which a server has to finish the request.
+        displaced: Whether a server rejected the request because its queue was full.
         rejected_by: Id of the server that rejected the last attempt while it had free slots; empty
             if there was none.
         sent_attempts: Number of finished attempts that had a connection, new or reused.
@@ -87,6 +88,7 @@
     excluded_servers: list[str] = dataclasses.field(default_factory=list)
     attempts: list[AttemptLogEntry] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
+    displaced: bool = False
     rejected_by: str = ""
     sent_attempts: int = 0
 
--- a/packages/gateway/src/sassafrasway_gateway/load_estimate.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_estimate.py
@@ -34,14 +34,16 @@
 LEVEL_TIME_S = 2.0
 # Number of servers with a report that a level needs; a single one shows nothing of the others.
 MIN_LEVEL_REPORTS = 2
-# Largest level towards which loads converge, in requests per slot. If all servers were full at
-# their last reports, requests must still be sent to learn when that ends.
+# Requests per slot that a report adds at most to the level towards which loads converge. A queue
+# says nothing of the other servers, and after all servers were full, requests must be sent to learn
+# when that ends.
 MAX_LEVEL = 1.0
 # Lowest rate at which a queue is assumed to shorten, as a share of the rate of completions. Other
 # instances see the queue too and avoid the server.
 MIN_DRAIN_SHARE = 0.4
 # Mean service time that is assumed until one has been measured.
 DEFAULT_SERVICE_S = 0.2
+MIN_SERVICE_S = 0.001
 # Weight of a new sample in the mean service time of a service.
 SERVICE_WEIGHT = 0.05
 
@@ -52,7 +54,7 @@
 
     Attributes:
         per_slot: Requests running or waiting per slot; 0 while ``known`` is false.
-        others_per_slot: The same without the requests of this instance.
+        others_per_slot: The same without the requests of this instance and without queues.
         known: Whether enough servers have reported.
         newest_s: Monotonic time of the newest report that was used.
         service_s: Mean service time.
@@ -70,7 +72,7 @@
         Without new reports it falls to 0, so that an instance that refuses all requests sends one
         again.
         """
-        target = min(MAX_LEVEL, self.others_per_slot)
+        target = self.others_per_slot
         silent_s = now_s - self.newest_s - REPORT_LIFETIME_S
         return target * 0.5 ** (silent_s / LOAD_HALF_LIFE_S) if silent_s > 0 else target
 
@@ -195,7 +197,7 @@
         self._levels = {key: self._levels.get(key, LoadLevel()) for key in groups}
         for (service, region), group in groups.items():
             level = self._levels[service, region]
-            level.service_s = self._service_s.get(service, DEFAULT_SERVICE_S)
+            level.service_s = max(MIN_SERVICE_S, self._service_s.get(service, DEFAULT_SERVICE_S))
             self._update_level(level, group, now_s)
             for load in group:
                 load.level = level
@@ -210,7 +212,7 @@
             weight = math.exp((load.reported_at_s - now_s) / LEVEL_TIME_S)
             total_weight += weight
             per_slot += weight * load.reported_per_slot
-            others_per_slot += weight * load.reported_others_per_slot
+            others_per_slot += weight * min(MAX_LEVEL, load.reported_others_per_slot)
             newest_s = max(newest_s, load.reported_at_s)
             reports += 1
         # The weights of very old reports add up to 0.
--- a/packages/gateway/tests/stale_report_simulation.py
+++ b/packages/gateway/tests/stale_report_simulation.py
@@ -68,7 +68,7 @@
 class FormerBalancer(balancer.Balancer):
     """Selection by loads that decay to 0; each request has an object of its own or a named one."""
 
-    def _with_reporters(self, drawn, criteria):
+    def _with_reporters(self, drawn, service, region):
         return drawn
 
     def choose(self, criteria):
@@ -120,7 +120,9 @@
     Args:
         load: Mean share of slots in use if all objects are warm.
         named_share: Share of the requests that name an object.
+        objects: Number of objects; a server caches twice its share of them.
         report_delay_s: Extra time until an instance gets a load report.
+        reports_speed: Whether load reports have a fourth figure.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         named_share=0.5,
         objects=1500,
         report_delay_s=0.0,
+        reports_speed=True,
         end_s=10.0,
         seed=1,
     ):
@@ -153,10 +156,14 @@
         self._selection = selection
         self._named_share = named_share
         self._report_delay_s = report_delay_s
+        self._reports_speed = reports_speed and selection != "former"
         self._end_s = end_s
         # Work, objects and speeds are the same for all selections.
         self._work_rng = random.Random(f"work {seed}")
         self._objects = objects
+        self._cached_objects = 2 * objects // servers_count
+        for server in self.servers.values():
+            server.warm_objects = {}
         self._ranking = affinity.AffinityRanking(servers=listed, region_of=gateway_fakes.REGION_OF)
         for instance in self.instances:
             instance.registry._rankings[SERVICE] = self._ranking
@@ -271,6 +278,7 @@
                 object_key=request.key,
                 names_object=request.named,
                 excluded_servers=request.excluded,
+                displaced=bool(request.excluded) and self._selection == "new",
             )
             return request.instance.chooser.choose(criteria)
         if request.named:
@@ -338,11 +346,18 @@
             self._count("named")
             if request.key not in server.warm_objects:
                 work_s *= COLD_RUN_FACTOR
-                server.warm_objects.add(request.key)
                 self._count("cold")
+            self._keep_warm(server, request.key)
         end_s = self._speeds[server_id].end_of(work_s, self.clock.monotonic())
         self.at(end_s, self._end, server, request)
 
+    def _keep_warm(self, server, key):
+        """Marks an object as the last one that the server has run."""
+        server.warm_objects.pop(key, None)
+        server.warm_objects[key] = None
+        if len(server.warm_objects) > self._cached_objects:
+            del server.warm_objects[next(iter(server.warm_objects))]
+
     def _end(self, server, request):
         self._change(running=-1)
         server.running -= 1
@@ -378,7 +393,7 @@
         """Gives a load report to the instance, which knows its age."""
         running, waiting, speed = report
         registry, state = request.instance.registry, request.choice.state
-        if self._selection == "former":
+        if not self._reports_speed:
             speed = 1.0
         now_outstanding, state.outstanding = state.outstanding, outstanding
         registry.on_load(state, running, waiting, slowdown=speed)
@@ -392,6 +407,7 @@
     parser.add_argument("instances", type=int, nargs="+")
     parser.add_argument("--selections", default="former,random,new,ideal")
     parser.add_argument("--report-delay", type=float, default=0.0)
+    parser.add_argument("--three-figures", action="store_true")
     parser.add_argument("--load", type=float, default=0.7)
     parser.add_argument("--named-share", type=float, default=0.5)
     parser.add_argument("--servers", type=int, default=128)
@@ -413,6 +429,7 @@
                 load=options.load,
                 named_share=options.named_share,
                 report_delay_s=options.report_delay,
+                reports_speed=not options.three_figures,
                 end_s=WARM_UP_S + options.seconds,
                 seed=options.seed,
             ).figures()
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -123,6 +123,19 @@
         self.report(0, 6)
         self.assertIsNot(self.choose().state, self.state(0))
 
+    def test_rejected_object_moves_to_a_free_server_only(self):
+        # Seen in stale_report_simulation with three slots: after rejections, objects waited for
+        # their cold runs at other busy servers, and these rejected requests too.
+        self.state(1).outstanding = 3
+        self.state(2).outstanding = 2
+        rejected = {"excluded_servers": [self.ranked[0]], "displaced": True}
+        self.assertIs(self.choose(**rejected).state, self.state(2))
+        for rank in (2, 3, 4):
+            self.state(rank).outstanding = 3
+        self.assertIs(self.choose(**rejected).refusal, balancer.Refusal.OVERLOADED)
+        # After another failure the request may wait.
+        self.assertIs(self.choose(excluded_servers=[self.ranked[0]]).state, self.state(1))
+
     def test_object_stays_above_the_bound_while_no_slot_is_free(self):
         for rank in (4, 3, 2, 1, 0):
             self.report(rank, 3)
@@ -194,6 +207,15 @@
         self.registry.on_leaving(self.registry.get("n1"))
         self.assertFalse({"n0", "n1"} & set(self.counts(draws=300)))
 
+    def test_reports_do_not_change_the_shares_of_other_regions(self):
+        # The instance's region has no servers, so its requests go to both others.
+        idle = self.counts(region="west")
+        for index in range(6):
+            self.registry.on_load(self.registry.get(f"n{index}"), 2, 0)
+        busy = self.counts(region="west")
+        share = [sum(counts[f"s{index}"] for index in range(3)) for counts in (idle, busy)]
+        self.assertAlmostEqual(share[0] / 3000, share[1] / 3000, delta=0.04)
+
     def test_report_of_another_region_does_not_change_the_shares_of_the_regions(self):
         self.registry.on_load(self.registry.get("s0"), 0, 0)
         self.assertNotIn("s0", self.counts(draws=300))
@@ -225,6 +247,14 @@
             self.registry.get(server_id).ejected_until_s = self.clock.monotonic() + 1.0
         self.assertEqual(set(self.counts(draws=50)), {"s2"})
 
+    def test_route_without_a_measurable_service_time_is_served(self):
+        times = balancer.ServiceTimeEstimate()
+        times.add("r", 0.0, warm=True)
+        self.balancer = gateway_fakes.make_balancer(
+            self.registry, clock=self.clock, service_times=times
+        )
+        self.assertEqual(len(self.counts(draws=100)), 6)
+
     def test_home_region_that_is_never_drawn_shares_the_requests(self):
         counts = self.counts(allowed_regions=frozenset({"south"}))
         self.assertEqual(set(counts), {"s0", "s1", "s2"})
--- a/packages/gateway/tests/test_forwarder.py
+++ b/packages/gateway/tests/test_forwarder.py
@@ -201,6 +201,25 @@
             self.assertEqual((await self.handle()).status, 200)
             self.assertEqual(len(self.servers_by_rank[0].requests), 1)
 
+    async def test_request_rejected_by_a_full_server_is_refused_while_no_other_slot_is_free(self):
+        rejects = [gateway_fakes.rejection(load=b"3,6,3")]
+        await self.start(rejects, [gateway_fakes.answer()], idempotent=False)
+        self.servers_by_rank[0]._script = iter(rejects)
+        other = self.registry.get(self.registry.ranking("desk").ranked("o", "north")[1])
+        other.outstanding = 3
+        self.assertEqual((await self.handle()).status, 503)
+        self.assertEqual(self.received_count(), 1)
+
+    async def test_request_rejected_by_a_resting_server_may_wait_at_another(self):
+        headers = gateway_fakes.NAMES.not_run + b": 1\r\nRetry-After: 9\r\n"
+        rests = [gateway_fakes.answer(503, b"", signed=False, headers=headers)]
+        await self.start(rests, [gateway_fakes.answer()], idempotent=False)
+        self.servers_by_rank[0]._script = iter(rests)
+        self.servers_by_rank[1]._script = iter([gateway_fakes.answer()])
+        other = self.registry.get(self.registry.ranking("desk").ranked("o", "north")[1])
+        other.outstanding = 3
+        self.assertEqual((await self.handle()).status, 200)
+
     async def test_server_that_rejects_with_free_slots_is_asked_twice_at_most_and_not_at_once(self):
         rejects = [gateway_fakes.rejection(load=b"0,0,3")] * 2
         await self.start(rejects, [gateway_fakes.answer()], idempotent=False, max_attempts=3)
