Prefer new reports of free slots to old reports

Cause: with queues kept out of the level, drawn servers with old reports seemed as good as ones that had just reported free slots.

Change: the weights of drawn servers use an estimate that converges to the level with queues; whether a slot is free uses the one without them.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -307,7 +307,9 @@
     def _weight(
         self, criteria: SelectionCriteria, state: servers.ServerState, now_s: float
     ) -> float:
-        free_share = max(MIN_FREE_SHARE, 1.0 - state.load(now_s) / max(1, state.server.slots))
+        known_load = state.known_load
+        load_per_slot = known_load.load_with_queues(now_s) / known_load.slots
+        free_share = max(MIN_FREE_SHARE, 1.0 - load_per_slot)
         run_s = self._service_times.mean_s(criteria.route.name)
         response_s = max(MIN_RESPONSE_S, self._expected_response_s(criteria, state, run_s, now_s))
         return free_share**FREE_SHARE_EXPONENT * response_s**-RESPONSE_TIME_EXPONENT
--- a/packages/gateway/src/sassafrasway_gateway/load_estimate.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_estimate.py
@@ -55,6 +55,7 @@
     Attributes:
         per_slot: Requests running or waiting per slot; 0 while ``known`` is false.
         others_per_slot: The same without the requests of this instance and without queues.
+        queueing_per_slot: The same as ``others_per_slot`` with queues, at most ``MAX_LEVEL``.
         known: Whether enough servers have reported.
         newest_s: Monotonic time of the newest report that was used.
         service_s: Mean service time.
@@ -62,19 +63,19 @@
 
     per_slot: float = 0.0
     others_per_slot: float = 0.0
+    queueing_per_slot: float = 0.0
     known: bool = False
     newest_s: float = 0.0
     service_s: float = DEFAULT_SERVICE_S
 
-    def others_target(self, now_s: float) -> float:
-        """Returns the load per slot towards which the requests of others converge.
+    def fading(self, per_slot: float, now_s: float) -> float:
+        """Returns a level as far as the newest reports still show it.
 
         Without new reports it falls to 0, so that an instance that refuses all requests sends one
         again.
         """
-        target = self.others_per_slot
         silent_s = now_s - self.newest_s - REPORT_LIFETIME_S
-        return target * 0.5 ** (silent_s / LOAD_HALF_LIFE_S) if silent_s > 0 else target
+        return per_slot * 0.5 ** (silent_s / LOAD_HALF_LIFE_S) if silent_s > 0 else per_slot
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -123,7 +124,15 @@
 
     def load(self, now_s: float) -> float:
         """Returns the estimated number of requests running or waiting at the server."""
-        return self.outstanding + self._others(max(0.0, now_s - self.observed_at_s), now_s)
+        return self.outstanding + self._others(self.level.others_per_slot, now_s)
+
+    def load_with_queues(self, now_s: float) -> float:
+        """Returns the same estimate with the risk that the server has a queue.
+
+        Among servers that are compared, one with a new report of free slots is preferred to one
+        whose report is old.
+        """
+        return self.outstanding + self._others(self.level.queueing_per_slot, now_s)
 
     def report_age_s(self, now_s: float) -> float:
         """Returns the age of the last load report; -1 without one."""
@@ -136,13 +145,17 @@
         confidence = math.exp(min(0.0, self.reported_at_s - now_s) / SLOWDOWN_TIME_S)
         return 1.0 + (self.reported_slowdown - 1.0) * confidence
 
-    def _others(self, age_s: float, now_s: float) -> float:
-        """Returns the estimated number of requests of other instances at the server."""
+    def _others(self, level_per_slot: float, now_s: float) -> float:
+        """Returns the estimated number of requests of other instances at the server.
+
+        ``level_per_slot`` is the load per slot towards which it converges.
+        """
         before = self.others_outstanding
+        age_s = max(0.0, now_s - self.observed_at_s)
         level = self.level
         if not level.known:
             return before * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
-        target = self.slots * level.others_target(now_s)
+        target = self.slots * level.fading(level_per_slot, now_s)
         if not self.observed_at_s:
             # It is as busy as the others, unless it is new; the cold limit applies then.
             return target
@@ -204,7 +217,7 @@
 
     @staticmethod
     def _update_level(level: LoadLevel, group: list[ServerLoad], now_s: float) -> None:
-        total_weight = per_slot = others_per_slot = newest_s = 0.0
+        total_weight = per_slot = others_per_slot = queueing_per_slot = newest_s = 0.0
         reports = 0
         for load in group:
             if not load.reported_at_s:
@@ -213,6 +226,7 @@
             total_weight += weight
             per_slot += weight * load.reported_per_slot
             others_per_slot += weight * min(MAX_LEVEL, load.reported_others_per_slot)
+            queueing_per_slot += weight * load.reported_others_per_slot
             newest_s = max(newest_s, load.reported_at_s)
             reports += 1
         # The weights of very old reports add up to 0.
@@ -220,4 +234,5 @@
         if level.known:
             level.per_slot = per_slot / total_weight
             level.others_per_slot = others_per_slot / total_weight
+            level.queueing_per_slot = min(MAX_LEVEL, queueing_per_slot / total_weight)
             level.newest_s = newest_s
--- a/packages/gateway/tests/test_load_estimate.py
+++ b/packages/gateway/tests/test_load_estimate.py
@@ -111,6 +111,16 @@
         self.assertAlmostEqual(self.state.known_load.level.per_slot, 0.6)
         self.assertEqual(self.registry.load_levels(), {"desk": {"north": 0.6}})
 
+    def test_queues_of_others_count_for_an_old_report_only_as_a_risk(self):
+        # They made all servers seem to be without a free slot, so that requests were refused.
+        for server_id, total in (("s1", 4), ("s2", 4), ("s3", 25)):
+            self.registry.on_load(self.registry.get(server_id), total, 0)
+        self.clock.advance(load_estimate.LEVEL_INTERVAL_S)
+        self.registry.on_load(self.registry.get("s3"), 25, 0)
+        known_load, now_s = self.state.known_load, self.clock.monotonic()
+        self.assertLess(known_load.load(now_s), 7.0)
+        self.assertAlmostEqual(known_load.load_with_queues(now_s), 10.0)
+
     def test_server_without_a_report_is_taken_as_busy_as_the_others(self):
         # In a fleet of 2,000 instances most servers have not responded to a given one, and all
         # instances would send their requests to the same servers.
