--- a/packages/gateway/tests/test_process.py
+++ b/packages/gateway/tests/test_process.py
@@ -78,6 +78,25 @@
     return settings.GatewaySettings(**{**fields, **defaults, **changes})
 
 
+def make_gateway(config, store, decoder, load_settings):
+    """Returns a gateway that follows the given store."""
+    return process.GatewayProcess(
+        config=config,
+        dialect=dialect.Dialect(
+            headers=gateway_fakes.NAMES,
+            lookups=lookup.LookupFormat(),
+            readiness_path="/ready",
+            policy_table="policy",
+            server_table="servers",
+            member_table="members",
+            decoder=decoder,
+        ),
+        store=store,
+        gateway_metrics=metrics.GatewayMetrics(),
+        load_settings=load_settings,
+    )
+
+
 class GatewayProcessTest(unittest.IsolatedAsyncioTestCase):
     """Guards against requests that are lost on a graceful shutdown or a reload."""
 
@@ -89,21 +108,7 @@
         )
         self.config = make_settings()
         self.reloaded_config = self.config
-        self.gateway = process.GatewayProcess(
-            config=self.config,
-            dialect=dialect.Dialect(
-                headers=gateway_fakes.NAMES,
-                lookups=lookup.LookupFormat(),
-                readiness_path="/ready",
-                policy_table="policy",
-                server_table="servers",
-                member_table="members",
-                decoder=Decoder(),
-            ),
-            store=self.store,
-            gateway_metrics=metrics.GatewayMetrics(),
-            load_settings=self.load_settings,
-        )
+        self.gateway = make_gateway(self.config, self.store, Decoder(), self.load_settings)
         self.run_task = asyncio.create_task(self.gateway.run())
         async with asyncio.timeout(5):
             while not self.gateway.ready:
--- a/packages/gateway/tests/test_process_limits.py
+++ b/packages/gateway/tests/test_process_limits.py
@@ -10,13 +10,9 @@
 import test_process
 
 from sassafrasway_gateway import (
-    dialect,
     http_client,
-    lookup,
     messages,
-    metrics,
     model,
-    process,
     settings,
 )
 
@@ -47,37 +43,18 @@
     """Guards against limits that each instance applies by itself, or not at all."""
 
     async def start(self, hosts):
-        backend = await gateway_fakes.ScriptedServer([gateway_fakes.answer()]).start()
-        self.addAsyncCleanup(backend.stop)
-        self.backend = backend
+        self.backend = await gateway_fakes.ScriptedServer([gateway_fakes.answer()]).start()
+        self.addAsyncCleanup(self.backend.stop)
         store = SharedStore(
-            {"policy": {"policy": b"1"}, "servers": {"s": str(backend.port).encode()}}
+            {"policy": {"policy": b"1"}, "servers": {"s": str(self.backend.port).encode()}}
         )
-        ports = {
-            name: test_process.free_port()
-            for name in ("front", "readiness", "lookup", "peer", "relay", "metrics")
-        }
+        names = ("front", "readiness", "lookup", "peer", "relay", "metrics")
+        ports = {name: test_process.free_port() for name in names}
         self.gateways = []
         for host in hosts:
-            addresses = {
-                name: settings.Address(host=host, port=port) for name, port in ports.items()
-            }
+            addresses = {name: settings.Address(host=host, port=ports[name]) for name in names}
             config = test_process.make_settings(instance=host, **addresses)
-            gateway = process.GatewayProcess(
-                config=config,
-                dialect=dialect.Dialect(
-                    headers=gateway_fakes.NAMES,
-                    lookups=lookup.LookupFormat(),
-                    readiness_path="/ready",
-                    policy_table="policy",
-                    server_table="servers",
-                    member_table="members",
-                    decoder=Decoder(),
-                ),
-                store=store,
-                gateway_metrics=metrics.GatewayMetrics(),
-                load_settings=lambda config=config: config,
-            )
+            gateway = test_process.make_gateway(config, store, Decoder(), lambda: None)
             task = asyncio.create_task(gateway.run())
             self.addAsyncCleanup(self.end, task)
             self.gateways.append((gateway, config))
--- a/packages/gateway/tests/test_rate_limits.py
+++ b/packages/gateway/tests/test_rate_limits.py
@@ -38,8 +38,11 @@
         self.assertEqual(len(owners), 1)
         return owners[0]
 
-    def other_than(self, simulation, *instances):
-        return next(other for other in simulation.live() if other not in instances)
+    def start(self):
+        """Returns a fleet, the owner of the only shard, and another instance."""
+        simulation = self.simulate(6, SMALL)
+        owner = self.owner_of(simulation)
+        return simulation, owner, next(one for one in simulation.live() if one is not owner)
 
     def request(self, instance, organisation=SMALL):
         results = []
@@ -54,12 +57,11 @@
         """Guards against messages for what an instance can decide itself."""
         simulation = self.simulate(1, SMALL)
         self.assertTrue(self.request(self.owner_of(simulation))[0].valid(simulation.now_s))
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
+        simulation, owner, client = self.start()
         before = owner.sent_bytes
         self.assertTrue(self.request(owner)[0].valid(simulation.now_s))
         self.assertEqual(owner.sent_bytes, before)
-        results = self.request(self.other_than(simulation, owner))
+        results = self.request(client)
         self.assertEqual(results, [])
         simulation.run(0.1)
         self.assertTrue(results[0].valid(simulation.now_s))
@@ -74,8 +76,7 @@
 
     def test_isolated_owner_stops_granting(self):
         """Guards against an owner that grants although another one has replaced it."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
+        simulation, owner, _ = self.start()
         simulation.partition(lambda instance: int(instance is owner))
         simulation.run(1.6)
         emergency = owner.limiter._limits[SMALL.name].emergency
@@ -102,8 +103,7 @@
 
     def test_previous_owner_hands_its_tokens_over(self):
         """Guards against requests rejected by each change of the owner."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
+        simulation, owner, _ = self.start()
         level = owner.limiter._owner._shards[SMALL.name, 0].bucket.level(simulation.now_s)
         index = 0
         while self.owner_of(simulation) is owner:
@@ -115,17 +115,14 @@
 
     def test_owner_forgets_its_tokens_after_a_pause(self):
         """Guards against an owner that was frozen, replaced, and goes on with its bucket."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
+        simulation, owner, _ = self.start()
         simulation.freeze(owner, 5.0)
         simulation.run(4.0)
         self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
 
     def test_instance_without_list_of_members_serves_the_others_only(self):
         """Guards against several owners while instances start or the store is away, or none."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
-        client = self.other_than(simulation, owner)
+        simulation, owner, client = self.start()
         owner.view.own = dataclasses.replace(owner.member, phase=fleet.Phase.STARTING)
         simulation.run(1.0)
         self.assertFalse(owner.limiter._owner.owns(SMALL.name, 0))
@@ -143,9 +140,7 @@
 
     def test_late_or_repeated_return_is_ignored(self):
         """Guards against tokens that are returned twice, or after the window."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
-        client = self.other_than(simulation, owner)
+        simulation, owner, client = self.start()
         request = peer_messages.TokenRequest(SMALL.name, 0, 5, 0, 7)
         bucket = owner.limiter._owner._shards[SMALL.name, 0].bucket
         owner.limiter.on_message(request, client.name)
@@ -161,8 +156,7 @@
 
     def test_frozen_client_does_not_use_its_tokens(self):
         """Guards against requests sent after a pause with tokens of another window."""
-        simulation = self.simulate(6, SMALL)
-        client = self.other_than(simulation, self.owner_of(simulation))
+        simulation, _, client = self.start()
         permit = self.request(client)
         simulation.run(0.1)
         simulation.freeze(client, 3.0)
@@ -171,9 +165,7 @@
 
     def test_unused_token_is_returned(self):
         """Guards against rejected requests that use up the limit."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
-        client = self.other_than(simulation, owner)
+        simulation, _, client = self.start()
         for _ in range(60):
             results = self.request(client)
             simulation.run(0.1)
@@ -183,8 +175,7 @@
 
     def test_token_for_a_caller_that_left_is_used_by_another_request(self):
         """Guards against tokens that leak when callers disconnect."""
-        simulation = self.simulate(6, SMALL)
-        client = self.other_than(simulation, self.owner_of(simulation))
+        simulation, _, client = self.start()
         left = quota_permits.Waiter(on_done=self.fail)
         client.limiter.request(SMALL.name, left)
         left.cancel()
@@ -193,8 +184,7 @@
 
     def test_rejection_states_when_tokens_accrue(self):
         """Guards against callers that retry at once, or much too late."""
-        simulation = self.simulate(6, SMALL)
-        client = self.other_than(simulation, self.owner_of(simulation))
+        simulation, _, client = self.start()
         errors = []
         while not errors:
             results = self.request(client)
@@ -205,8 +195,7 @@
 
     def test_unanswered_owner_leads_to_the_emergency_quota_and_503(self):
         """Guards against requests that wait for a dead owner, or pass without limit."""
-        simulation = self.simulate(6, SMALL)
-        owner = self.owner_of(simulation)
+        simulation, owner, _ = self.start()
         owner.alive = False
         results = [
             result
@@ -223,30 +212,23 @@
 
     def test_removed_limit_ends_the_wait(self):
         """Guards against requests that wait for ever for a limit that is gone."""
-        simulation = self.simulate(6, SMALL)
-        client = self.other_than(simulation, self.owner_of(simulation))
+        simulation, _, client = self.start()
         results = self.request(client)
         client.limiter.set_organisations({})
         self.assertTrue(results[0].valid(simulation.now_s))
 
+    def test_cancelled_wait_leaves_no_waiter(self):
+        """Guards against requests that leak when the task that waits is cancelled."""
+        simulation, _, client = self.start()
 
-class CancelTest(unittest.IsolatedAsyncioTestCase):
-    """Guards against requests that leak when the task that waits is cancelled."""
+        async def cancel():
+            task = asyncio.create_task(client.limiter.acquire(SMALL.name))
+            await asyncio.sleep(0)
+            task.cancel()
+            with self.assertRaises(asyncio.CancelledError):
+                await task
 
-    async def test_cancelled_wait_leaves_no_waiter(self):
-        """Guards against a token delivered to a request whose caller has left."""
-        simulation = quota_simulation.Simulation(count=6, organisations=[SMALL], seed=1)
-        simulation.run(1.0)
-        client = next(
-            instance
-            for instance in simulation.live()
-            if not instance.limiter._owner.owns(SMALL.name, 0)
-        )
-        task = asyncio.create_task(client.limiter.acquire(SMALL.name))
-        await asyncio.sleep(0)
-        task.cancel()
-        with self.assertRaises(asyncio.CancelledError):
-            await task
+        asyncio.run(cancel())
         simulation.run(0.1)
         account = client.limiter._client._accounts[SMALL.name]
         self.assertEqual((len(account.waiters), len(account.spare), account.asked), (0, 1, 0))
