Explain routing decisions on the operators' address and in sassafrasctl

Cause: an operator could see only after a request where it went, and not which servers were compared or why others were left out.

Change: GET /explain on the admin address and `sassafrasctl explain` show route, organisation, limits, compared servers and the decision. The balancer previews a selection with a copy of its random generator and its own functions; admission control previews on a copy of a service's outcomes; the rate limiter and the response gate have previews that take nothing.

--- a/packages/ctl/src/sassafrasway_ctl/main.py
+++ b/packages/ctl/src/sassafrasway_ctl/main.py
@@ -5,7 +5,7 @@
 import click
 
 from sassafrasway_core import errors
-from sassafrasway_ctl import commands, options, output, trace
+from sassafrasway_ctl import commands, explain, options, output, trace
 
 
 class _ErrorReportingGroup(click.Group):
@@ -32,7 +32,7 @@
     """
 
 
-for _command in (*commands.ALL, trace.trace):
+for _command in (*commands.ALL, explain.explain, trace.trace):
     cli.add_command(_command)
 
 if __name__ == "__main__":
--- a/packages/ctl/src/sassafrasway_ctl/options.py
+++ b/packages/ctl/src/sassafrasway_ctl/options.py
@@ -19,6 +19,18 @@
 MAX_REVISION = 2**63 - 1  # revisions are Thrift i64 values
 
 
+def parse_address(address: str) -> tuple[str, int]:
+    """Returns the host and the port of an address.
+
+    Raises:
+        click.UsageError: The address is not ``HOST:PORT``.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise click.UsageError(f"address {address!r} is not HOST:PORT")
+    return host, int(port)
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Options:
     """Values of the options that ``shared`` adds.
@@ -43,9 +55,7 @@
         if not addresses:
             raise click.UsageError(f"no instance given: use --address or set {ADDRESS_VARIABLE}")
         for address in addresses:
-            host, _, port = address.rpartition(":")
-            if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
-                raise click.UsageError(f"address {address!r} is not HOST:PORT")
+            parse_address(address)
         return client.OperatorClient(addresses=addresses, timeout_s=self.timeout_s)
 
 
@@ -76,6 +86,21 @@
     Their values are stored in the ``Options`` of the context. A value after the name of the command
     replaces one before it.
     """
+    add_address = click.option(
+        "--address",
+        "addresses",
+        multiple=True,
+        metavar="HOST:PORT",
+        expose_value=False,
+        callback=_store_value,
+        help="RPC address of an entry instance; repeat the option for instances to try next."
+        f" [env: {ADDRESS_VARIABLE}, separated by spaces]",
+    )
+    return add_address(shared_without_address(command))
+
+
+def shared_without_address(command: Callable) -> Callable:
+    """Adds the shared options of a command that uses no RPC address; see ``shared``."""
     add_json = click.option(
         "--json",
         "as_json",
@@ -94,17 +119,7 @@
         callback=_store_value,
         help=f"Timeout of each attempt. [default: {client.DEFAULT_TIMEOUT_S:g}]",
     )
-    add_address = click.option(
-        "--address",
-        "addresses",
-        multiple=True,
-        metavar="HOST:PORT",
-        expose_value=False,
-        callback=_store_value,
-        help="RPC address of an entry instance; repeat the option for instances to try next."
-        f" [env: {ADDRESS_VARIABLE}, separated by spaces]",
-    )
-    return add_address(add_timeout(add_json(command)))
+    return add_timeout(add_json(command))
 
 
 def change(command: Callable) -> Callable:
--- a/packages/gateway/src/sassafrasway_gateway/admission.py
+++ b/packages/gateway/src/sassafrasway_gateway/admission.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import copy
 import dataclasses
 import math
 from collections.abc import Collection, Mapping
@@ -49,6 +50,21 @@
     organisation: str | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueueBound:
+    """Decision of admission control on one request.
+
+    Attributes:
+        max_waiting_per_slot: See ``AdmissionControl.max_waiting_per_slot``.
+        shedding: Whether less urgent requests for the service may queue less.
+        behind: Groups of the service that count as the most urgent because they have fallen behind.
+    """
+
+    max_waiting_per_slot: float = balancer.MAX_WAITING_PER_SLOT
+    shedding: bool = False
+    behind: tuple[str, ...] = ()
+
+
 class _Outcomes:
     """Number of recent requests and of the served ones among them, both decaying with time."""
 
@@ -239,6 +255,18 @@
             return balancer.MAX_WAITING_PER_SLOT
         return service.max_waiting_per_slot(request, self._clock.monotonic())
 
+    def preview(self, request: RequestClass) -> QueueBound:
+        """Returns the decision on a request without changing any state."""
+        service = copy.deepcopy(self._services.get(request.service))
+        if service is None:
+            return QueueBound()
+        now_s = self._clock.monotonic()
+        return QueueBound(
+            max_waiting_per_slot=service.max_waiting_per_slot(request, now_s),
+            shedding=service.is_short(now_s),
+            behind=tuple(service.behind),
+        )
+
     def on_overloaded(self, request: RequestClass) -> None:
         """Records that a request was refused, or rejected by a server, for overload."""
         service = self._services.get(request.service)
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -8,10 +8,12 @@
 run. A cold server has just started, or was out of use, and has lost its caches.
 """
 
+import collections
+import copy
 import dataclasses
 import enum
 import random
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from sassafrasway_core import clock as clock_lib
 from sassafrasway_gateway import cold_limit as cold_limit_lib
@@ -84,6 +86,27 @@
     TOO_LATE = "too_late"
 
 
+class Exclusion(enum.Enum):
+    """Reason why a server is not compared with others."""
+
+    LEAVING = "leaving"
+    DRAINING = "draining"
+    EVACUATED = "evacuated"
+    # The request was sent to it before.
+    ATTEMPTED = "attempted"
+    OTHER_REGION = "other_region"
+    RESTING = "resting"
+    EJECTED = "ejected"
+    # It is on trial, and its only request is under way.
+    TRIAL_UNDER_WAY = "trial_under_way"
+    # It is on trial, and this request or this instance may not end the trial.
+    ON_TRIAL = "on_trial"
+    # It is cold, and the cold limit does not allow a request now.
+    COLD = "cold"
+    # It has a lower rank than the compared servers, or was not drawn.
+    NOT_COMPARED = "not_compared"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Choice:
     """Result of a server selection.
@@ -145,6 +168,41 @@
     names_object: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ComparedServer:
+    """A server that is compared with others for a request.
+
+    Attributes:
+        rank: Position of the server in the object's ranking or among the drawn servers, from 0.
+        queue_per_slot: Number of requests per slot that would wait if one more arrived.
+        full: Whether the request may not join its queue.
+        cost_s: Expected cost; for a request without an object, the expected response time.
+        weight: Weight in the draw for a request without an object; 0 if it names one.
+    """
+
+    state: servers.ServerState
+    rank: int
+    warm: bool
+    queue_per_slot: float
+    full: bool
+    cost_s: float
+    weight: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Preview:
+    """What a selection would compare and return.
+
+    Attributes:
+        compared: The compared servers in the order of their ranks.
+        excluded: Numbers of the other servers of the service, by reason.
+    """
+
+    choice: Choice
+    compared: tuple[ComparedServer, ...]
+    excluded: Mapping[Exclusion, int]
+
+
 class ServiceTimeEstimate:
     """Moving averages of the service time of each route: warm objects, cold runs and all runs.
 
@@ -251,14 +309,66 @@
         now_s = self._clock.monotonic()
         unproven: list[servers.ServerState] = []
         candidates = self._candidates(criteria, now_s, unproven)
-        if not candidates:
-            choice = self._refuse_without_candidates(criteria, now_s)
-        elif criteria.names_object:
-            choice = self._choose_among(candidates, criteria, now_s)
-        else:
-            choice = self._choose_by_weight(candidates, criteria, now_s)
+        choice = self._choose_from(candidates, criteria, now_s)
         return dataclasses.replace(choice, unproven=unproven) if unproven else choice
 
+    def preview(self, criteria: SelectionCriteria) -> Preview:
+        """Returns what ``choose`` would return now and why, without changing any state."""
+        now_s = self._clock.monotonic()
+        # The copy draws the numbers that the next selection would draw.
+        chooser = copy.copy(self)
+        chooser._rng = copy.copy(self._rng)
+        candidates = chooser._candidates(criteria, now_s, [])
+        choice = chooser._choose_from(candidates, criteria, now_s)
+        if criteria.names_object:
+            candidates = candidates[:MAX_COMPARED_SERVERS]
+        compared_ids = {state.server.server_id for _, state in candidates}
+        excluded = collections.Counter(
+            self._exclusion(state, criteria, now_s) or Exclusion.NOT_COMPARED
+            for state in self._registry
+            if state.server.service == criteria.service
+            and state.server.server_id not in compared_ids
+        )
+        compared = tuple(self._compared(candidate, criteria, now_s) for candidate in candidates)
+        return Preview(choice=choice, compared=compared, excluded=excluded)
+
+    def _compared(
+        self,
+        candidate: tuple[int, servers.ServerState],
+        criteria: SelectionCriteria,
+        now_s: float,
+    ) -> ComparedServer:
+        rank, state = candidate
+        full = self._is_full(state, criteria, now_s)
+        if criteria.names_object:
+            cost_s, weight = self._expected_cost_s(criteria, candidate, now_s), 0.0
+        else:
+            run_s = self._service_times.mean_s(criteria.route.name)
+            cost_s = self._expected_response_s(criteria, state, run_s, now_s)
+            weight = 0.0 if full else self._weight(criteria, state, now_s)
+        return ComparedServer(
+            state=state,
+            rank=rank,
+            warm=criteria.names_object
+            and self._recent_runs.is_warm(state.server.server_id, criteria.object_key, now_s),
+            queue_per_slot=self._queue_per_slot(state, now_s),
+            full=full,
+            cost_s=cost_s,
+            weight=weight,
+        )
+
+    def _choose_from(
+        self,
+        candidates: list[tuple[int, servers.ServerState]],
+        criteria: SelectionCriteria,
+        now_s: float,
+    ) -> Choice:
+        if not candidates:
+            return self._refuse_without_candidates(criteria, now_s)
+        if criteria.names_object:
+            return self._choose_among(candidates, criteria, now_s)
+        return self._choose_by_weight(candidates, criteria, now_s)
+
     def _choose_among(
         self,
         candidates: list[tuple[int, servers.ServerState]],
@@ -454,24 +564,46 @@
         candidates = []
         for rank, server_id in enumerate(server_ids):
             state = self._registry.get(server_id)
-            if state is None or server_id in criteria.excluded_servers:
-                continue
-            if not self._in_allowed_region(state, criteria):
+            if state is None:
                 continue
-            if state.rest_until_s > now_s:
-                continue
-            if state.ejected_until_s > now_s or (state.on_trial and state.outstanding):
-                continue
-            cold = state.cold_until_s > now_s or state.on_trial
-            if (state.on_trial and not criteria.route.idempotent) or (
-                cold and not self._cold_limit.allows(state, now_s)
-            ):
-                if state.on_trial:
-                    unproven.append(state)
-                continue
-            candidates.append((rank, state))
+            exclusion = self._temporary_exclusion(state, criteria, now_s)
+            if exclusion is None:
+                candidates.append((rank, state))
+            elif exclusion is Exclusion.ON_TRIAL:
+                unproven.append(state)
         return candidates
 
+    def _exclusion(
+        self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
+    ) -> Exclusion | None:
+        """Returns why a server of the service may not be used now; None if it may."""
+        if not self._registry.usable(state):
+            if state.leaving:
+                return Exclusion.LEAVING
+            return Exclusion.DRAINING if state.server.draining else Exclusion.EVACUATED
+        return self._temporary_exclusion(state, criteria, now_s)
+
+    def _temporary_exclusion(
+        self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
+    ) -> Exclusion | None:
+        """Returns why a server of the ranking may not be used now; None if it may."""
+        if state.server.server_id in criteria.excluded_servers:
+            return Exclusion.ATTEMPTED
+        if not self._in_allowed_region(state, criteria):
+            return Exclusion.OTHER_REGION
+        if state.rest_until_s > now_s:
+            return Exclusion.RESTING
+        if state.ejected_until_s > now_s:
+            return Exclusion.EJECTED
+        if state.on_trial and state.outstanding:
+            return Exclusion.TRIAL_UNDER_WAY
+        if state.on_trial and not criteria.route.idempotent:
+            return Exclusion.ON_TRIAL
+        cold = state.cold_until_s > now_s or state.on_trial
+        if cold and not self._cold_limit.allows(state, now_s):
+            return Exclusion.ON_TRIAL if state.on_trial else Exclusion.COLD
+        return None
+
     def _expected_cost_s(
         self, criteria: SelectionCriteria, candidate: tuple[int, servers.ServerState], now_s: float
     ) -> float:
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -169,7 +169,7 @@
                 request_id=request_id,
                 status=400,
             )
-        timeout_s = route.timeout_s if route.timeout_s is not None else DEFAULT_TIMEOUT_S
+        timeout_s = timeout_of(route)
         deadline_s = request.received_s + min(caller_remaining_s, timeout_s)
         server_deadline_s = request.received_s + min(
             caller_remaining_s, timeout_s + ROUTE_TIMEOUT_GRACE_S
@@ -179,9 +179,6 @@
         object_key = ""
         if route.sticky:
             object_key = messages.cookie(request.headers, self._names.object_cookie) or ""
-        priority = route.priority
-        if organisation is not None and organisation.priority is not None:
-            priority = organisation.priority
         if policy.organisations:
             request = dataclasses.replace(
                 request,
@@ -199,8 +196,8 @@
             server_deadline_s=server_deadline_s,
             policy_version=policy.version,
             organisation=organisation,
-            priority=priority,
-            allowed_regions=_allowed_regions(route, organisation),
+            priority=priority_of(route, organisation),
+            allowed_regions=allowed_regions(route, organisation),
         )
 
     def _authenticate(
@@ -248,7 +245,19 @@
         return int(value) / 1000.0
 
 
-def _allowed_regions(
+def timeout_of(route: model.Route) -> float:
+    """Returns the time from the arrival of a request until which attempts may start, s."""
+    return route.timeout_s if route.timeout_s is not None else DEFAULT_TIMEOUT_S
+
+
+def priority_of(route: model.Route, organisation: model.Organisation | None) -> int:
+    """Returns the priority of a request; that of the organisation takes precedence."""
+    if organisation is not None and organisation.priority is not None:
+        return organisation.priority
+    return route.priority
+
+
+def allowed_regions(
     route: model.Route, organisation: model.Organisation | None
 ) -> frozenset[str] | None:
     """Returns the regions that the homes of the route and of the organisation have in common.
--- a/packages/gateway/src/sassafrasway_gateway/memory_budget.py
+++ b/packages/gateway/src/sassafrasway_gateway/memory_budget.py
@@ -86,6 +86,11 @@
         """Bytes that all reservations hold now."""
         return self._used
 
+    @property
+    def stalled(self) -> int:
+        """Bytes of the stalled messages that may be ended."""
+        return sum(holder.size for holder in self._stalled_holders())
+
     def reserve(self, on_exceeded: Callable[[], None] | None = None) -> Reservation:
         """Returns an empty reservation; see `Reservation` for ``on_exceeded``."""
         return Reservation(budget=self, on_exceeded=on_exceeded)
@@ -109,9 +114,7 @@
         Returns:
             The number of bytes that were given back.
         """
-        stalled = [
-            holder for holder in self._holders if holder.stalled and holder.on_exceeded is not None
-        ]
+        stalled = self._stalled_holders()
         freed = 0
         for holder in sorted(stalled, key=lambda holder: holder.size, reverse=True):
             if freed >= size:
@@ -120,6 +123,11 @@
             self._end(holder)
         return freed
 
+    def _stalled_holders(self) -> list[Reservation]:
+        return [
+            holder for holder in self._holders if holder.stalled and holder.on_exceeded is not None
+        ]
+
     @staticmethod
     def _end(victim: Reservation) -> None:
         end_message, victim.on_exceeded = victim.on_exceeded, None
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -19,6 +19,7 @@
     balancer,
     cold_limit,
     crashes,
+    explain,
     fleet,
     follower,
     forwarder,
@@ -176,7 +177,15 @@
             loads=self._load_sharing.encode,
             on_loads=self._load_sharing.apply,
         )
-        self._forwarder = self._build_forwarder()
+        service_times = balancer.ServiceTimeEstimate()
+        chooser = balancer.Balancer(
+            clock=clock,
+            registry=self._registry,
+            service_times=service_times,
+            cold_limit=self._cold_limit,
+            overflow=self._overflow,
+        )
+        self._forwarder = self._build_forwarder(chooser, service_times)
         self._front_server = self._make_server(config.front, self._forwarder)
         self._lookup_server = self._make_server(
             config.lookup,
@@ -197,7 +206,12 @@
         self._admin_server = None
         if config.metrics is not None:
             self._admin_server = self._make_server(
-                config.metrics, admin.AdminHandler(metrics=gateway_metrics, dump=self.dump)
+                config.metrics,
+                admin.AdminHandler(
+                    metrics=gateway_metrics,
+                    dump=self.dump,
+                    explainer=self._build_explainer(chooser),
+                ),
             )
         # Newest era of the store; None before the first rows.
         self._store_era: int | None = None
@@ -291,15 +305,9 @@
         await self._stopping.wait()
         await self._shut_down()
 
-    def _build_forwarder(self) -> forwarder.Forwarder:
-        service_times = balancer.ServiceTimeEstimate()
-        chooser = balancer.Balancer(
-            clock=self._clock,
-            registry=self._registry,
-            service_times=service_times,
-            cold_limit=self._cold_limit,
-            overflow=self._overflow,
-        )
+    def _build_forwarder(
+        self, chooser: balancer.Balancer, service_times: balancer.ServiceTimeEstimate
+    ) -> forwarder.Forwarder:
         return forwarder.Forwarder(
             policy_state=self._policy_state,
             registry=self._registry,
@@ -321,6 +329,20 @@
             gate=self._gate,
         )
 
+    def _build_explainer(self, chooser: balancer.Balancer) -> explain.Explainer:
+        return explain.Explainer(
+            clock=self._clock,
+            instance=self._config.instance,
+            region=self._config.region,
+            policy_state=self._policy_state,
+            registry=self._registry,
+            chooser=chooser,
+            admission_control=self._admission_control,
+            keys_expired=self._keys_expired,
+            rate_limiter=self._rate_limiter,
+            gate=self._gate,
+        )
+
     def _keys_expired(self) -> bool:
         bounds = self._config.bounds
         policy_follower = self._followers[self._dialect.policy_table]
--- a/packages/gateway/src/sassafrasway_gateway/quota_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_client.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 import itertools
 import math
 import random
@@ -97,6 +98,28 @@
             self._on_give_back(self)
 
 
+class Outlook(enum.Enum):
+    """What a request of an organisation would get now, as far as this instance knows."""
+
+    UNLIMITED = "unlimited"
+    # This instance has a token, or owns a shard that has one.
+    TOKEN = "token"
+    # Other instances must be asked.
+    ASKS = "asks_other_instances"
+    # No token, and the shards that this instance knows of have none either.
+    LIMITED = "limited"
+    # No other instance is heard, so that only the emergency quota applies.
+    EMERGENCY = "emergency_quota"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Preview:
+    """Outlook of a request; ``retry_after_s`` is the shortest Retry-After if it is rejected."""
+
+    outlook: Outlook
+    retry_after_s: float | None = None
+
+
 class Waiter:
     """A request that waits for a token.
 
@@ -254,6 +277,26 @@
             account.waiters.append(waiter)
         self._ask(account)
 
+    def preview(self, organisation: str) -> Preview:
+        """Returns what a request would get now, without taking or requesting a token."""
+        account = self._accounts.get(organisation)
+        if account is None:
+            return Preview(outlook=Outlook.UNLIMITED)
+        now_s = self._clock.monotonic()
+        if any(permit.valid_until_s - now_s > MIN_REMAINING_S for permit in account.spare):
+            return Preview(outlook=Outlook.TOKEN)
+        shards = range(len(account.limit.keys))
+        waits_s = [self._owner.preview_wait_s(organisation, shard) for shard in shards]
+        if 0.0 in waits_s:
+            return Preview(outlook=Outlook.TOKEN)
+        if account.rejected_until_s > now_s:
+            return Preview(outlook=Outlook.LIMITED, retry_after_s=account.retry_s)
+        if None not in waits_s:
+            return Preview(outlook=Outlook.LIMITED, retry_after_s=min(waits_s))
+        if self._directory.isolated:
+            return Preview(outlook=Outlook.EMERGENCY)
+        return Preview(outlook=Outlook.ASKS)
+
     def on_grant(self, grant: peer_messages.TokenGrant) -> None:
         """Uses a grant for the requests that wait for it, or returns its tokens."""
         ask = self._asks.pop(grant.request_id, None)
--- a/packages/gateway/src/sassafrasway_gateway/quota_owner.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_owner.py
@@ -1,6 +1,7 @@
 """Grants tokens for the shards of rate limits that this instance owns."""
 
 import collections
+import copy
 import dataclasses
 import enum
 import math
@@ -207,6 +208,19 @@
             return UNKNOWN
         return self._take(self._shards[organisation, index], count)
 
+    def preview_wait_s(self, organisation: str, index: int) -> float | None:
+        """Returns the time until `take` returns a token, s; changes no state.
+
+        None if this instance does not own the shard or may not grant tokens.
+        """
+        shard = self._shards.get((organisation, index))
+        if shard is None or shard.phase is not ShardPhase.OWNED:
+            return None
+        if not self._may_grant or not self._directory.knows_fleet:
+            return None
+        bucket = copy.copy(shard.bucket)
+        return bucket.wait_s(max_delay_s=MAX_GRANT_DELAY_S, now_s=self._clock.monotonic())
+
     def give_back(self, organisation: str, index: int, count: int) -> None:
         """Takes back tokens that this instance has taken and not used."""
         shard = self._shards.get((organisation, index))
--- a/packages/gateway/src/sassafrasway_gateway/rate_limits.py
+++ b/packages/gateway/src/sassafrasway_gateway/rate_limits.py
@@ -99,6 +99,10 @@
         """Whether requests of an organisation need a token."""
         return organisation in self._limits
 
+    def preview(self, organisation: str) -> quota_client.Preview:
+        """Returns what a request would get now, without taking or requesting a token."""
+        return self._client.preview(organisation)
+
     def request(self, organisation: str, waiter: quota_client.Waiter) -> None:
         """Delivers a permit or a `QuotaError` to the waiter, at once if possible."""
         self._client.request(organisation, waiter)
--- a/packages/gateway/src/sassafrasway_gateway/response_gate.py
+++ b/packages/gateway/src/sassafrasway_gateway/response_gate.py
@@ -78,7 +78,7 @@
         """
         size = self.expected_bytes(route)
         if size:
-            free = self._budget.capacity * USED_SHARE - self._budget.used - self._promised
+            free = self._free_bytes()
             if free < size:
                 free += self._budget.end_stalled(size - free)
             if free < size:
@@ -87,6 +87,11 @@
         self._promised += size
         return Promise(gate=self, size=size)
 
+    def would_admit(self, route: model.Route) -> bool:
+        """Whether ``admit`` would promise memory now; ends no connection."""
+        size = self.expected_bytes(route)
+        return not size or self._free_bytes() + self._budget.stalled >= size
+
     def retry_after_s(self) -> float:
         """Returns a time after which the caller of a refused request may retry."""
         return MIN_RETRY_AFTER_S + self._rng.uniform(0.0, RETURN_SPREAD_S)
@@ -95,6 +100,9 @@
         """Ends a promise."""
         self._promised -= size
 
+    def _free_bytes(self) -> float:
+        return self._budget.capacity * USED_SHARE - self._budget.used - self._promised
+
     def state(self) -> dict:
         """Returns the row of the state dump."""
         return {
--- a/packages/gateway/tests/test_process_limits.py
+++ b/packages/gateway/tests/test_process_limits.py
@@ -115,6 +115,19 @@
         connection.abort()
         return response
 
+    async def test_explanation_comes_from_the_state_of_the_instance(self):
+        """Guards against explanations that the process does not connect with its own state."""
+        await self.start(["127.0.0.2"])
+        _, config = self.gateways[0]
+        target = b"/explain?host=h.example&target=/p/1&organisation=org"
+        value = json.loads((await self.send(config, 1, target)).body)
+        self.assertEqual((value["instance"], value["decision"]["server"]), ("127.0.0.2", "s"))
+        while (await self.send(config, 2)).status == 200:
+            pass
+        value = json.loads((await self.send(config, 3, target)).body)
+        self.assertEqual(value["decision"]["status"], 429)
+        self.assertEqual((await self.send(config, 4, b"/explain?host=h.example")).status, 400)
+
     async def test_all_instances_together_obey_one_limit(self):
         """Guards against datagrams about limits that do not reach the right instance."""
         await self.start(["127.0.0.2", "127.0.0.3", "127.0.0.4"])
