Estimate loads only where organisations or varying speeds call for it

Cause: deployments without organisations whose servers report three figures were to be served as before. Change: the registry estimates loads, and the balancer draws servers, bounds loads and moves rejected objects, if the policy has organisations or a server has reported that its speed varies. Otherwise loads fade after each report and every request follows its ranking, as before.

--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -324,7 +324,7 @@
         chooser._rng = copy.copy(self._rng)
         candidates = chooser._candidates(criteria, now_s, [])
         choice = chooser._choose_from(candidates, criteria, now_s)
-        if criteria.names_object:
+        if self._follows_ranking(criteria):
             candidates = candidates[:MAX_COMPARED_SERVERS]
         compared_ids = {state.server.server_id for _, state in candidates}
         excluded = collections.Counter(
@@ -344,7 +344,7 @@
     ) -> ComparedServer:
         rank, state = candidate
         full = self._is_full(state, criteria, now_s)
-        if criteria.names_object:
+        if self._follows_ranking(criteria):
             cost_s, weight = self._expected_cost_s(criteria, candidate, now_s), 0.0
         else:
             run_s = self._service_times.mean_s(criteria.route.name)
@@ -353,7 +353,7 @@
         return ComparedServer(
             state=state,
             rank=rank,
-            warm=criteria.names_object
+            warm=self._follows_ranking(criteria)
             and self._recent_runs.is_warm(state.server.server_id, criteria.object_key, now_s),
             queue_per_slot=self._queue_per_slot(state, now_s),
             full=full,
@@ -361,6 +361,10 @@
             weight=weight,
         )
 
+    def _follows_ranking(self, criteria: SelectionCriteria) -> bool:
+        """Whether the server is selected by the ranking of an object."""
+        return criteria.names_object or not self._registry.estimates_loads
+
     def _choose_from(
         self,
         candidates: list[tuple[int, servers.ServerState]],
@@ -369,7 +373,7 @@
     ) -> Choice:
         if not candidates:
             return self._refuse_without_candidates(criteria, now_s)
-        if criteria.names_object:
+        if self._follows_ranking(criteria):
             return self._choose_among(candidates, criteria, now_s)
         return self._choose_by_weight(candidates, criteria, now_s)
 
@@ -501,7 +505,7 @@
 
         Those that are passed over because they are on trial are added to ``unproven``.
         """
-        if criteria.names_object:
+        if self._follows_ranking(criteria):
             return self._ranked_candidates(criteria, now_s, unproven)
         drawn = self._drawn_candidates(criteria, now_s, unproven)
         if drawn:
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -260,11 +260,12 @@
             result.outcome is attempt.Outcome.WITHDRAWN and self._needs_permit(job)
         )
         server_id = chosen.server.server_id
-        if self._rejected_with_free_slots(result) and job.rejected_by != server_id:
-            job.rejected_by = server_id
+        if self._rejected_with_free_slots(chosen, result) and job.rejected_by != server_id:
+            if self._registry.estimates_loads:
+                job.rejected_by = server_id
         elif not withdrawn_without_permit:
             job.excluded_servers.append(server_id)
-            job.displaced |= self._rejected_by_full_queue(result)
+            job.displaced |= self._rejected_by_full_queue(chosen, result)
         if not result.outcome.not_run:
             job.may_have_run = True
         return result
@@ -321,31 +322,40 @@
             job.permit.use()
         return True
 
-    def _rejected_with_free_slots(self, result: attempt.AttemptResult) -> bool:
-        """Whether the server rejected the request although the rejection reports free slots.
+    def _rejected_with_free_slots(
+        self, chosen: servers.ServerState, result: attempt.AttemptResult
+    ) -> bool:
+        """Whether the server rejected the request although it has free slots.
+
+        Where loads are estimated, the rejection must report them.
 
         Such a rejection is assumed to be random, so the server may accept the request at the next
         attempt. It remains a candidate because on another server the request would be a cold run.
         """
         if result.outcome is not attempt.Outcome.REJECTED:
             return False
+        if not self._registry.estimates_loads:
+            misdirected = result.response.status == attempt.STATUS_MISDIRECTED
+            return not misdirected and chosen.load(clock_lib.elapsed_s()) < chosen.server.slots
         report = self._load_report(result)
         return report is not None and report.running + report.waiting < report.slots
 
-    def _rejected_by_full_queue(self, result: attempt.AttemptResult) -> bool:
+    def _rejected_by_full_queue(
+        self, chosen: servers.ServerState, result: attempt.AttemptResult
+    ) -> bool:
         """Whether the server rejected the request for want of slots, as far as its response tells.
 
         A misdirected request, or one to a server that rests or leaves, was rejected for another
         reason.
         """
-        if result.outcome is not attempt.Outcome.REJECTED:
+        if result.outcome is not attempt.Outcome.REJECTED or not self._registry.estimates_loads:
             return False
         response = result.response
         return not (
             response.status == attempt.STATUS_MISDIRECTED
             or attempt.parse_rest_s(response) > 0
             or response.header(self._names.leaving) == b"1"
-            or self._rejected_with_free_slots(result)
+            or self._rejected_with_free_slots(chosen, result)
         )
 
     def _load_report(self, result: attempt.AttemptResult) -> attempt.LoadReport | None:
@@ -414,7 +424,7 @@
             )
         elif result.outcome is attempt.Outcome.REJECTED:
             misdirected = result.response.status == attempt.STATUS_MISDIRECTED
-            if not misdirected and not self._rejected_with_free_slots(result):
+            if not misdirected and not self._rejected_with_free_slots(chosen, result):
                 self._admission_control.on_overloaded(job.request_class)
             self._registry.on_rejected(chosen, misdirected=misdirected)
             if not misdirected and report is None:
--- a/packages/gateway/src/sassafrasway_gateway/load_sharing.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_sharing.py
@@ -5,8 +5,7 @@
 therefore carries some of the newest reports that its sender has, its own and those of others, so
 that the reports spread without a message of their own.
 
-Reports are exchanged where the load of servers changes quickly or unevenly: if the policy has
-organisations, or if servers report that the speed of their machines varies.
+Reports are exchanged where loads are estimated; see `servers.ServerRegistry.estimates_loads`.
 """
 
 import collections
@@ -45,24 +44,19 @@
         self._clock = clock
         self._registry = registry
         self._rng = rng
-        self._has_organisations = False
         self._digests: dict[int, servers.ServerState] = {}
         self._counts: collections.Counter[str] = collections.Counter()
 
     @property
     def enabled(self) -> bool:
         """Whether reports are exchanged."""
-        return self._has_organisations or self._registry.speeds_vary
+        return self._registry.estimates_loads
 
     @property
     def counts(self) -> dict[str, int]:
         """Numbers of reports sent, received and newer than what was known, for the state dump."""
         return dict(self._counts)
 
-    def set_has_organisations(self, has_organisations: bool) -> None:
-        """Records whether the policy has organisations."""
-        self._has_organisations = has_organisations
-
     def encode(self) -> bytes:
         """Returns reports for a message: half of them the newest, the others drawn at random."""
         if not self.enabled:
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -107,6 +107,7 @@
             rng=self._rng,
         )
         self._registry = servers.ServerRegistry(clock=clock, region_of=config.region_of)
+        self._registry.set_estimation_required(False)
         self._policy_state = state.PolicyState(
             clock=clock,
             decoder=dialect.decoder,
@@ -427,7 +428,8 @@
         self._peers.announce_phase()
 
     def _on_policy(self, policy: model.Policy) -> None:
-        self._load_sharing.set_has_organisations(bool(policy.organisations))
+        # Organisations that send many times their usual load the servers unevenly.
+        self._registry.set_estimation_required(bool(policy.organisations))
         self._cold_limit.set_rates(
             {service.name: service.warmup_per_s for service in policy.services.values()}
         )
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -134,6 +134,7 @@
         # Ids of the servers of each service that reported last, the newest report at the end.
         self._reporters: dict[str, dict[str, None]] = {}
         self._speeds_vary = False
+        self._estimation_required = True
         # Whether the store was replaced by an older copy since this process started, and the time
         # until which what the last copy lacks is written again.
         self._has_new_era = False
@@ -146,9 +147,13 @@
         return iter(self._states.values())
 
     @property
-    def speeds_vary(self) -> bool:
-        """Whether a server has reported that its machine is slower than usual."""
-        return self._speeds_vary
+    def estimates_loads(self) -> bool:
+        """Whether loads are estimated and compared as the module ``load_estimate`` describes.
+
+        If not, the load that others put on a server fades after each report, and every request
+        follows the ranking of its object.
+        """
+        return self._estimation_required or self._speeds_vary
 
     @property
     def evacuated(self) -> frozenset[str]:
@@ -209,6 +214,10 @@
             for service, service_loads in loads.items()
         }
 
+    def set_estimation_required(self, required: bool) -> None:
+        """Sets whether loads are estimated although no server reports that its speed varies."""
+        self._estimation_required = required
+
     def set_regions(self, region_of: Mapping[str, str]) -> None:
         """Replaces the mapping of failure domains to regions."""
         if region_of != self._region_of:
@@ -320,7 +329,7 @@
         state.known_load.on_report(running=running, waiting=waiting, slowdown=slowdown, now_s=now_s)
         self._add_reporter(state)
         self._speeds_vary |= slowdown != 1.0
-        if self._levels.is_due(now_s):
+        if self.estimates_loads and self._levels.is_due(now_s):
             self._update_levels(now_s)
 
     def load_levels(self) -> dict[str, dict[str, float]]:
@@ -349,7 +358,8 @@
 
     def on_queue_full(self, state: ServerState) -> None:
         """Records that a server rejected a request and did not report its load."""
-        state.known_load.on_queue_full(self._clock.monotonic())
+        if self.estimates_loads:
+            state.known_load.on_queue_full(self._clock.monotonic())
 
     def add_service_time(self, state: ServerState, service_s: float) -> None:
         """Adds the measured service time of a request to the mean of its service."""
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -194,6 +194,18 @@
             counts[choice.state and choice.state.server.server_id] += 1
         return counts
 
+    def test_request_follows_the_ranking_unless_loads_are_estimated(self):
+        # Deployments whose servers report no speed and that have no organisations stay as they are.
+        self.registry.set_estimation_required(False)
+        self.registry.on_load(self.registry.get("n0"), 3, 6)
+        self.clock.advance(load_estimate.LEVEL_INTERVAL_S)
+        self.registry.on_load(self.registry.get("n1"), 3, 0)
+        self.assertEqual(self.registry.get("n2").load(self.clock.monotonic()), 0.0)
+        ranked = self.registry.ranking("desk").ranked("o", "north")
+        self.assertEqual(set(self.counts(draws=50)), {ranked[0]})
+        self.registry.on_load(self.registry.get("n1"), 3, 0, slowdown=2.0)
+        self.assertGreater(len(self.counts(draws=50)), 1)
+
     def test_idle_servers_of_the_region_share_the_requests(self):
         counts = self.counts()
         self.assertEqual(len(counts), 6)
--- a/packages/gateway/tests/test_load_sharing.py
+++ b/packages/gateway/tests/test_load_sharing.py
@@ -26,7 +26,7 @@
         sharing = load_sharing.LoadSharing(
             clock=self.clock, registry=registry, rng=random.Random(3)
         )
-        sharing.set_has_organisations(enabled)
+        registry.set_estimation_required(enabled)
         sharing.refresh()
         self.registries = {**getattr(self, "registries", {}), id(sharing): registry}
         return sharing
@@ -74,7 +74,7 @@
         for index in range(59, 59 - load_sharing.MAX_REPORTS // 2, -1):
             self.assertGreater(self.state(self.receiver, f"s{index}").known_load.observed_at_s, 0.0)
 
-    def test_nothing_is_sent_without_organisations_at_usual_speed(self):
+    def test_nothing_is_sent_unless_loads_are_estimated(self):
         sender = self.make(count=3, enabled=False)
         self.report(sender, "s1", 9)
         self.assertEqual(sender.encode(), b"")
