Clarify wording of the quota, store era and memory modules

Cause: some comments, docstrings and private names of these modules were unclear, figurative or left the reason open. Change: comments, docstrings and private names only. The syntax trees without docstrings are the same as before except for the renamed identifiers.

--- a/packages/gateway/src/sassafrasway_gateway/follower.py
+++ b/packages/gateway/src/sassafrasway_gateway/follower.py
@@ -169,7 +169,7 @@
             self._poll.cancel()
 
     def on_era_told(self, era: int) -> None:
-        """Cancels a poll that waits for changes of an era that has ended."""
+        """Cancels a poll that waits for changes of an earlier era."""
         if self._poll is not None and self._era is not None and self._era < era:
             self._poll.cancel()
 
@@ -322,7 +322,7 @@
     def _apply_changes(self, changes: feed.Changes) -> None:
         new_era = False
         for change in changes.rows:
-            # Changes of another instance may be of the era before, too.
+            # Changes from another instance may span two eras.
             new_era |= self._note_era(change.version)
             try:
                 self._listener.on_change(change)
@@ -335,7 +335,11 @@
         self._cache.apply(changes, new_era=new_era)
 
     def _note_era(self, version: int) -> bool:
-        """Returns whether a version is the first one of a new era; announces the era then."""
+        """Records the era of a version, and reports it if it is new.
+
+        Returns:
+            Whether an older copy has replaced the store.
+        """
         era, before = self._store.era(version), self._era
         if before is not None and era <= before:
             return False
--- a/packages/gateway/src/sassafrasway_gateway/hash_ring.py
+++ b/packages/gateway/src/sassafrasway_gateway/hash_ring.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Collection
 
-# Points of each name; more make the shares of the names more even.
+# Number of points of each name; more points give more even shares.
 POINTS = 8
 # Twice the number of instances of the largest fleet.
 MAX_CACHED_NAMES = 4096
@@ -31,7 +31,7 @@
         self._points = [point for point, _ in self._pairs]
 
     def replaced(self, names: Collection[str]) -> "HashRing":
-        """Returns a ring of other names, which costs less than a new one if most are the same."""
+        """Returns a ring of the given names; faster than a new ring if most names are the same."""
         ring = HashRing()
         ring._members = frozenset(names)
         added = HashRing(ring._members - self._members)
@@ -42,7 +42,7 @@
         return ring
 
     def owner(self, key: int, *, without: Collection[str] = ()) -> str | None:
-        """Returns the owner of a key if some names were not in the ring; None without any."""
+        """Returns the owner of a key among the names not in ``without``; None if there is none."""
         start = bisect.bisect(self._points, key)
         for offset in range(len(self._pairs)):
             _, name = self._pairs[(start + offset) % len(self._pairs)]
--- a/packages/gateway/src/sassafrasway_gateway/http_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/http_client.py
@@ -29,7 +29,7 @@
 KEEPALIVE_PROBES = 2
 USER_TIMEOUT_MS = 3000
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
-# Greatest valid status of a response; the parser accepts all numbers of three digits from 200.
+# Largest valid status of a response; the parser also accepts larger numbers of three digits.
 MAX_STATUS = 599
 # More interim responses (1xx) than this before the final one are an error of the server.
 MAX_INTERIM_RESPONSES = 16
@@ -199,7 +199,7 @@
                 self._parser.receive_data(b"")
                 self._read_events()
             except h11.RemoteProtocolError:
-                # Also raised if not a single byte of a response has arrived.
+                # Also raised if no byte of a response has arrived.
                 unread_bytes, _ = self._parser.trailing_data
                 begun = self._response is not None or unread_bytes
                 when = "within" if begun else "before"
--- a/packages/gateway/src/sassafrasway_gateway/memory_budget.py
+++ b/packages/gateway/src/sassafrasway_gateway/memory_budget.py
@@ -22,7 +22,7 @@
         open_ended: Whether the sender has not stated the size of the message. Such messages are
             ended first.
         stalled: Whether the receiver of the message has read nothing for a while. Such messages are
-            ended first, too.
+            also ended first.
         on_exceeded: Called to end the message when the budget is exceeded; None if it must not be
             ended, for example because a request is already running.
     """
@@ -109,10 +109,10 @@
             self._end(victim)
 
     def end_stalled(self, size: float) -> int:
-        """Ends stalled messages, the largest first, until ``size`` bytes are free of them.
+        """Ends stalled messages, the largest first, until they have freed ``size`` bytes.
 
         Returns:
-            The number of bytes that were given back.
+            The number of bytes that were freed.
         """
         stalled = self._stalled_holders()
         freed = 0
--- a/packages/gateway/src/sassafrasway_gateway/peer_messages.py
+++ b/packages/gateway/src/sassafrasway_gateway/peer_messages.py
@@ -16,12 +16,13 @@
 MAX_TABLES = 16
 # Most members in one report; their names usually fit into one datagram.
 MAX_REPORTED = 20
-# Most tokens in one message, and most shards of a limit.
+# Largest number of tokens in one message, and largest index of a shard.
 MAX_TOKENS = 1000
 MAX_SHARD = 63
-# Most times that a shard request is passed on, among instances that do not know of each other.
+# Largest number of times that a shard request is passed on; instances whose views differ could
+# otherwise pass it on without end.
 MAX_SHARD_REQUEST_HOPS = 3
-# Longest time stated for a token, ms.
+# Longest time stated in a grant.
 MAX_TOKEN_WAIT_MS = 60_000
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -128,7 +129,7 @@
     GRANTED = 0
     # The limit of the shard is reached.
     LIMITED = 1
-    # The sender cannot say, for example because it does not own the shard.
+    # The sender does not know, for example because it does not own the shard.
     UNKNOWN = 2
 
 
--- a/packages/gateway/src/sassafrasway_gateway/quota_client.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_client.py
@@ -1,4 +1,4 @@
-"""Gets the tokens that the requests of this instance need, from the owners of the shards."""
+"""Requests tokens from the owners of the shards for the requests of this instance."""
 
 import collections
 import dataclasses
@@ -18,30 +18,30 @@
     retry_budgets,
 )
 
-# Time in which an owner answers; after it, another shard is asked.
+# Time-out of a token request; after it, another shard is asked.
 ANSWER_TIMEOUT_S = 0.15
-# Numbers of shards that may leave a token request unanswered, and that may state that their limit
-# is reached, before a request is rejected. The shards of a limit are used unevenly.
+# Numbers of token requests without answer, and of answers that a limit is reached, after which a
+# request is rejected. More than one shard is asked because shards are used unevenly.
 MAX_UNANSWERED = 5
 MAX_LIMITED = 3
 # Number of times that requests wait for a shard that will have tokens soon, and the longest wait.
-# The bursts of requests that a limit allows are longer than those that each of its shards allows.
+# A limit allows larger bursts than each of its shards.
 MAX_WAITS = 3
 MAX_WAIT_S = 0.06
-# Time for which shards of an owner that did not answer are asked last.
+# Time for which the shards of an owner that did not answer are asked after all others.
 AVOID_OWNER_S = 1.0
-# Tokens are requested in advance for this long, if that is at least one. It is shorter than the
-# lifetime of a token.
+# Period for whose expected requests tokens are requested in advance; shorter than the lifetime of a
+# token.
 PREFETCH_S = 0.15
 # Time constant of the estimated rate of requests.
 RATE_TIME_S = 1.0
 # Least time that a token must remain valid to be given to a request.
 MIN_REMAINING_S = 0.02
-# Time for which other shards are preferred to one that had no token at once.
+# Time for which other shards are preferred to one that had no token available immediately.
 LOW_S = 0.5
-# Time for which late grants are recognised.
+# Time after a token request that timed out in which its grant is still accepted.
 LATE_GRANT_S = 2.0
-# Retry-After while owners do not answer: they are replaced after about a second.
+# Shortest Retry-After while owners do not answer; they are replaced after about a second.
 UNKNOWN_RETRY_AFTER_S = 0.5
 
 
@@ -55,7 +55,7 @@
     ASKS = "asks_other_instances"
     # No token, and the shards that this instance knows of have none either.
     LIMITED = "limited"
-    # No other instance is heard, so that only the emergency quota applies.
+    # No messages arrive from other instances, so that only the emergency quota applies.
     EMERGENCY = "emergency_quota"
 
 
@@ -68,16 +68,16 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class _Ask:
-    """Token request that asks one shard after the other.
+class _PendingRequest:
+    """Request for tokens that is sent to one shard after the other.
 
     Attributes:
-        covered: Number of waiting requests for which it asks.
-        spare: Number of tokens that it asks for in advance.
-        limited: Shards that have stated that their limit is reached.
-        refusals: Number of answers that stated so.
+        covered: Number of waiting requests for which it was made.
+        spare: Number of tokens requested in advance.
+        limited: Shards whose limit is reached.
+        refusals: Number of answers that stated that a limit is reached.
         waits: Number of times that it waited for tokens.
-        failed: Shards whose owner did not answer, or did not know.
+        failed: Shards whose owner did not answer, or answered `UNKNOWN`.
         retry_s: Shortest Retry-After that a shard has stated.
     """
 
@@ -100,15 +100,15 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Account:
-    """What the client has of one organisation.
+    """State of the quota client for one organisation.
 
     Attributes:
-        spare: Tokens that no request needs yet, the oldest first.
+        spare: Tokens for later requests, the oldest first.
         asked: Number of waiting requests for which token requests are under way.
         promised: Number of tokens that were granted and have not accrued yet.
         limited_until_s: Time until which a shard is not asked, and its Retry-After, by shard.
-        rejected_until_s: Time until which requests are rejected without asking any shard.
-        retry_s: Retry-After until then.
+        rejected_until_s: Time until which requests are rejected without a token request.
+        retry_s: Shortest Retry-After of these rejections.
         low_until_s: Time until which other shards are preferred, by shard.
         share: This instance's part of the emergency quota, for the ``share_version`` of the fleet.
     """
@@ -160,12 +160,13 @@
         self._rng = rng
         self._on_result = on_result
         self._accounts: dict[str, _Account] = {}
-        self._asks: dict[int, _Ask] = {}
-        # Token requests that timed out: what was asked, and when.
+        self._pending: dict[int, _PendingRequest] = {}
+        # Token requests that timed out: source of the tokens and time of the request, by id.
         self._late: collections.OrderedDict[int, tuple[quota_permits.Source, float]] = (
             collections.OrderedDict()
         )
-        # Ids differ from those before a restart, to which late grants may still arrive.
+        # A random start distinguishes these ids from those before a restart, for which grants may
+        # still arrive.
         self._ids = itertools.count(rng.randrange(2**31))
         self._avoided_until_s: dict[str, float] = {}
 
@@ -204,7 +205,7 @@
                 self._reject_limited(account, waiter, account.retry_s)
                 return
             account.waiters.append(waiter)
-        self._ask(account)
+        self._request_missing(account)
 
     def preview(self, organisation: str) -> Preview:
         """Returns what a request would get now, without taking or requesting a token."""
@@ -228,43 +229,45 @@
 
     def on_grant(self, grant: peer_messages.TokenGrant) -> None:
         """Uses a grant for the requests that wait for it, or returns its tokens."""
-        ask = self._asks.pop(grant.request_id, None)
+        pending = self._pending.pop(grant.request_id, None)
         now_s = self._clock.monotonic()
-        if ask is None:
+        if pending is None:
             source, sent_s = self._late.pop(grant.request_id, (None, 0.0))
             if source is not None and grant.count:
                 self._add_tokens(source, grant.count, sent_s, grant.wait_ms / 1000.0)
             return
         source = quota_permits.Source(
-            organisation=ask.organisation,
-            shard=ask.shard,
-            host=ask.host,
-            request_id=ask.request_id,
+            organisation=pending.organisation,
+            shard=pending.shard,
+            host=pending.host,
+            request_id=pending.request_id,
         )
-        account = self._accounts.get(ask.organisation)
-        if account is not ask.account:
+        account = self._accounts.get(pending.organisation)
+        if account is not pending.account:
             if grant.count:
                 self._return(source, grant.count)
             return
         if grant.count:
-            covered = min(ask.covered, grant.count)
+            covered = min(pending.covered, grant.count)
             account.asked -= covered
-            ask.covered -= covered
-            ask.spare = 0
+            pending.covered -= covered
+            pending.spare = 0
             if grant.wait_ms:
-                account.low_until_s[ask.shard] = now_s + LOW_S
-            self._add_tokens(source, grant.count, ask.sent_s, grant.wait_ms / 1000.0)
+                account.low_until_s[pending.shard] = now_s + LOW_S
+            self._add_tokens(source, grant.count, pending.sent_s, grant.wait_ms / 1000.0)
         elif grant.state is peer_messages.GrantState.LIMITED:
-            self._on_limited(account, ask, grant.wait_ms / 1000.0, grant.retry_ms / 1000.0, now_s)
+            self._on_limited(
+                account, pending, grant.wait_ms / 1000.0, grant.retry_ms / 1000.0, now_s
+            )
         else:
-            ask.failed.append(ask.shard)
-        self._continue(account, ask)
+            pending.failed.append(pending.shard)
+        self._continue(account, pending)
 
     def tick(self) -> None:
-        """Returns expired tokens and forgets what is outdated; called regularly."""
+        """Returns expired tokens and removes outdated records; called regularly."""
         now_s = self._clock.monotonic()
         for account in self._accounts.values():
-            self._drop_expired(account)
+            self._return_expired(account)
         while self._late and next(iter(self._late.values()))[1] < now_s - LATE_GRANT_S:
             self._late.popitem(last=False)
         self._avoided_until_s = {
@@ -304,7 +307,7 @@
             self._owner.give_back(source.organisation, source.shard, 1)
         elif account is not None and permit.valid_until_s - now_s > MIN_REMAINING_S:
             self._add_permit(account, self._make_permit(source, permit.valid_until_s))
-            self._call_later(permit.valid_until_s - now_s, lambda: self._drop_expired(account))
+            self._call_later(permit.valid_until_s - now_s, lambda: self._return_expired(account))
         else:
             self._return(source, 1)
 
@@ -323,7 +326,7 @@
                 return
         account.spare.append(permit)
 
-    def _drop_expired(self, account: _Account) -> None:
+    def _return_expired(self, account: _Account) -> None:
         """Returns the tokens that are too old to be used."""
         now_s = self._clock.monotonic()
         expired: collections.Counter[quota_permits.Source] = collections.Counter()
@@ -375,100 +378,109 @@
         else:
             self._deliver(account, waiter, permit)
 
-    def _ask(self, account: _Account) -> None:
+    def _request_missing(self, account: _Account) -> None:
         """Sends a token request for the waiting requests for which there is none."""
         while account.waiters and account.waiters[0].done:
             account.waiters.popleft()
         missing = len(account.waiters) - account.asked - account.promised
         if missing <= 0:
             return
-        ask = _Ask(
+        pending = _PendingRequest(
             account=account,
             limit=account.limit,
             organisation=account.limit.organisation,
             covered=min(peer_messages.MAX_TOKENS // 2, missing),
             spare=min(peer_messages.MAX_TOKENS // 2, int(account.rate_per_s * PREFETCH_S)),
         )
-        account.asked += ask.covered
-        self._ask_next(account, ask)
+        account.asked += pending.covered
+        self._ask_next_shard(account, pending)
 
-    def _ask_next(self, account: _Account, ask: _Ask) -> None:
-        """Asks another shard, or ends the wait of the requests that the token request covers."""
+    def _ask_next_shard(self, account: _Account, pending: _PendingRequest) -> None:
+        """Sends the request to another shard, or ends the wait of the requests that it covers."""
         now_s = self._clock.monotonic()
-        if ask.limit is not account.limit:
-            # The shards that were asked may not exist any more.
-            ask.limit = account.limit
-            ask.limited.clear()
-            ask.failed.clear()
+        if pending.limit is not account.limit:
+            # The shards asked so far may no longer exist.
+            pending.limit = account.limit
+            pending.limited.clear()
+            pending.failed.clear()
         shard = None
         if account.rejected_until_s > now_s:
             # Another token request has found that the limit is reached.
-            ask.limited.update(account.limited_until_s)
-            self._reject(account, ask, now_s)
+            pending.limited.update(account.limited_until_s)
+            self._reject(account, pending, now_s)
             return
-        may_ask = len(ask.failed) < MAX_UNANSWERED and ask.refusals < MAX_LIMITED
+        may_ask = len(pending.failed) < MAX_UNANSWERED and pending.refusals < MAX_LIMITED
         if may_ask and not self._directory.isolated:
-            shard = self._pick_shard(account, ask, now_s)
+            shard = self._pick_shard(account, pending, now_s)
         if shard is None:
-            if not self._wait_for_token(account, ask, now_s):
-                self._reject(account, ask, now_s)
+            if not self._wait_for_token(account, pending, now_s):
+                self._reject(account, pending, now_s)
             return
-        ask.shard = shard
-        ask.owner = self._owner_of(account.limit.keys[shard])
-        ask.host = self._directory.host(ask.owner)
-        ask.sent_s = now_s
-        ask.request_id = next(self._ids)
-        self._asks[ask.request_id] = ask
+        pending.shard = shard
+        pending.owner = self._owner_of(account.limit.keys[shard])
+        pending.host = self._directory.host(pending.owner)
+        pending.sent_s = now_s
+        pending.request_id = next(self._ids)
+        self._pending[pending.request_id] = pending
         self._send(
-            ask.host,
+            pending.host,
             peer_messages.TokenRequest(
-                ask.organisation, shard, ask.covered, ask.spare, ask.request_id
+                pending.organisation, shard, pending.covered, pending.spare, pending.request_id
             ),
         )
-        request_id = ask.request_id
+        request_id = pending.request_id
         self._call_later(ANSWER_TIMEOUT_S, lambda: self._on_unanswered(request_id))
 
     def _owner_of(self, key: int) -> str | None:
-        """Returns the instance to ask; others know better while this one does not know them."""
+        """Returns the owner of a ring key.
+
+        While this instance does not know the fleet, another one is asked, which passes the request
+        on to the owner.
+        """
         directory = self._directory
         return directory.owner(key, without=() if directory.knows_fleet else (directory.own_name,))
 
-    def _wait_for_token(self, account: _Account, ask: _Ask, now_s: float) -> bool:
-        """Asks again later if a shard has tokens soon; returns whether it will."""
-        if ask.failed or not ask.limited or ask.waits >= MAX_WAITS or self._directory.isolated:
+    def _wait_for_token(self, account: _Account, pending: _PendingRequest, now_s: float) -> bool:
+        """Repeats the request later if a shard will have tokens soon; returns whether it does."""
+        if (
+            pending.failed
+            or not pending.limited
+            or pending.waits >= MAX_WAITS
+            or self._directory.isolated
+        ):
             return False
-        until_s = min(account.limited_until_s[shard][0] for shard in ask.limited)
+        until_s = min(account.limited_until_s[shard][0] for shard in pending.limited)
         wait_s = max(0.0, until_s - now_s)
         if wait_s > MAX_WAIT_S:
             return False
-        ask.waits += 1
-        ask.refusals = 0
-        ask.limited.clear()
-        self._call_later(wait_s, lambda: self._continue(account, ask))
+        pending.waits += 1
+        pending.refusals = 0
+        pending.limited.clear()
+        self._call_later(wait_s, lambda: self._continue(account, pending))
         return True
 
-    def _pick_shard(self, account: _Account, ask: _Ask, now_s: float) -> int | None:
-        """Returns the shard to ask: one that has tokens, and is near, if possible."""
+    def _pick_shard(self, account: _Account, pending: _PendingRequest, now_s: float) -> int | None:
+        """Returns the shard to ask, preferably one that has tokens and an owner in this region."""
         own_name = self._directory.own_name
         best, best_rank = None, None
         for shard, key in enumerate(account.limit.keys):
             until_s, retry_s = account.limited_until_s.get(shard, (0.0, math.inf))
             if until_s > now_s:
-                ask.retry_s = min(ask.retry_s, retry_s)
-                ask.limited.add(shard)
-            if shard in ask.limited:
+                pending.retry_s = min(pending.retry_s, retry_s)
+                pending.limited.add(shard)
+            if shard in pending.limited:
                 continue
             owner = self._owner_of(key)
             if owner is None or self._directory.host(owner) is None:
                 continue
-            # The own shards were tried before, except while they are taken over.
-            if owner == own_name and self._owner.owns(ask.organisation, shard):
+            # Shards that this instance owns were tried before, unless their takeover is under way.
+            if owner == own_name and self._owner.owns(pending.organisation, shard):
                 continue
             rank = (
-                shard in ask.failed,
+                shard in pending.failed,
                 self._avoided_until_s.get(owner, 0.0) > now_s,
                 account.low_until_s.get(shard, 0.0) > now_s,
-                ask.refusals == 0 and not self._directory.is_near(owner),
+                pending.refusals == 0 and not self._directory.is_near(owner),
                 self._rng.random(),
             )
             if best_rank is None or rank < best_rank:
@@ -497,7 +509,7 @@
         for _ in range(count):
             self._add_permit(account, self._make_permit(source, valid_until_s))
         if account.spare:
-            self._call_later(valid_until_s - now_s, lambda: self._drop_expired(account))
+            self._call_later(valid_until_s - now_s, lambda: self._return_expired(account))
 
     def _on_accrued(
         self, account: _Account, source: quota_permits.Source, count: int, from_s: float
@@ -505,15 +517,20 @@
         """Gives promised tokens to waiting requests; their lifetime counts from ``from_s``."""
         account.promised -= count
         self._add_tokens(source, count, from_s)
-        self._ask(account)
+        self._request_missing(account)
 
     def _on_limited(
-        self, account: _Account, ask: _Ask, wait_s: float, retry_s: float, now_s: float
+        self,
+        account: _Account,
+        pending: _PendingRequest,
+        wait_s: float,
+        retry_s: float,
+        now_s: float,
     ) -> None:
-        ask.limited.add(ask.shard)
-        ask.refusals += 1
-        ask.retry_s = min(ask.retry_s, retry_s)
-        self._set_limited(account, ask.shard, wait_s, retry_s, now_s)
+        pending.limited.add(pending.shard)
+        pending.refusals += 1
+        pending.retry_s = min(pending.retry_s, retry_s)
+        self._set_limited(account, pending.shard, wait_s, retry_s, now_s)
 
     @staticmethod
     def _set_limited(
@@ -523,40 +540,43 @@
         account.low_until_s[shard] = now_s + LOW_S
 
     def _on_unanswered(self, request_id: int) -> None:
-        ask = self._asks.pop(request_id, None)
-        if ask is None:
+        pending = self._pending.pop(request_id, None)
+        if pending is None:
             return
         source = quota_permits.Source(
-            organisation=ask.organisation, shard=ask.shard, host=ask.host, request_id=request_id
+            organisation=pending.organisation,
+            shard=pending.shard,
+            host=pending.host,
+            request_id=request_id,
         )
-        self._late[request_id] = (source, ask.sent_s)
-        self._avoided_until_s[ask.owner] = self._clock.monotonic() + AVOID_OWNER_S
-        account = self._accounts.get(ask.organisation)
-        if account is not ask.account:
+        self._late[request_id] = (source, pending.sent_s)
+        self._avoided_until_s[pending.owner] = self._clock.monotonic() + AVOID_OWNER_S
+        account = self._accounts.get(pending.organisation)
+        if account is not pending.account:
             return
-        ask.failed.append(ask.shard)
-        self._continue(account, ask)
+        pending.failed.append(pending.shard)
+        self._continue(account, pending)
 
-    def _continue(self, account: _Account, ask: _Ask) -> None:
+    def _continue(self, account: _Account, pending: _PendingRequest) -> None:
         """Asks another shard for the requests that still wait."""
         waiting = sum(not waiter.done for waiter in account.waiters)
-        if ask.covered and waiting:
-            self._ask_next(account, ask)
+        if pending.covered and waiting:
+            self._ask_next_shard(account, pending)
             return
-        account.asked -= ask.covered
-        ask.covered = 0
+        account.asked -= pending.covered
+        pending.covered = 0
         if not waiting:
             account.waiters.clear()
-        self._ask(account)
+        self._request_missing(account)
 
-    def _reject(self, account: _Account, ask: _Ask, now_s: float) -> None:
+    def _reject(self, account: _Account, pending: _PendingRequest, now_s: float) -> None:
         """Ends the wait of the covered requests, by the emergency quota or an error."""
-        limited = ask.limited and not ask.failed and not self._directory.isolated
+        limited = pending.limited and not pending.failed and not self._directory.isolated
         if limited and account.rejected_until_s <= now_s:
-            until_s = min(account.limited_until_s[shard][0] for shard in ask.limited)
+            until_s = min(account.limited_until_s[shard][0] for shard in pending.limited)
             account.rejected_until_s = until_s
-            account.retry_s = ask.retry_s
-        covered, ask.covered = ask.covered, 0
+            account.retry_s = pending.retry_s
+        covered, pending.covered = pending.covered, 0
         account.asked -= covered
         while covered and account.waiters:
             waiter = account.waiters.popleft()
@@ -571,7 +591,7 @@
     def _reject_limited(
         self, account: _Account, waiter: quota_permits.Waiter, retry_s: float
     ) -> None:
-        # The later half of the time spreads out callers that were rejected together.
+        # The random part spreads out the retries of callers that were rejected together.
         retry_after_s = retry_s * self._rng.uniform(1.0, 1.5)
         self._on_result(account.limit.organisation, "limited")
         waiter.deliver(
--- a/packages/gateway/src/sassafrasway_gateway/quota_directory.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_directory.py
@@ -1,4 +1,4 @@
-"""What the rate limits need to know of the fleet: shard owners, addresses and the live fraction."""
+"""View of the fleet for the rate limits: shard owners, addresses and the live fraction."""
 
 from collections.abc import Collection
 
@@ -8,14 +8,14 @@
 # Interval after which the members are read again; phases and listed members change without a new
 # version of the view.
 REFRESH_INTERVAL_S = 0.5
-# Shortest interval between two rings: after a loss of many instances, the view changes often.
+# Shortest interval between two reads; the view changes often after a loss of many instances.
 MIN_REFRESH_INTERVAL_S = 0.1
-# Time for which a member counts after its last message. Members that are only unreachable for a
-# while go on granting tokens.
+# Time after its last message for which a member counts as recent. Members that are unreachable only
+# for a while continue to grant tokens.
 MEMBER_LIFETIME_S = 30.0
-# Time after the list of members was read until which they have answered this instance.
+# Time after the list of members was read within which the listed members answer this instance.
 SETTLE_S = 0.3
-# Without a message of another instance for this long, this one may be cut off.
+# Time without a message from another instance after which this one may be cut off.
 ISOLATED_AFTER_S = 1.0
 
 
@@ -119,8 +119,8 @@
             self._listed_s = now_s
         live_members = [*self._view.live_members(), self._view.own]
         self._members = {member.name: member for member in live_members}
-        # Instances that start may not know the limits yet. The rows of members never show a later
-        # phase, so it counts only if the member itself has stated it.
+        # Only ready instances own shards; others may not know the limits yet. A member that is not
+        # live still counts as recent if it was starting when last seen: it may be ready by now.
         live = frozenset(
             member.name for member in live_members if member.phase == fleet.Phase.READY
         )
--- a/packages/gateway/src/sassafrasway_gateway/quota_limits.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_limits.py
@@ -15,8 +15,8 @@
 
 # Time for which a token may be used, from the moment it was requested.
 TOKEN_LIFETIME_S = 0.3
-# Rate above which a limit is divided further, and the largest number of shards: an owner answers
-# one message for nearly each request of its shard.
+# Largest rate of a shard, and the largest number of shards. They limit the load of an owner, which
+# answers one message for nearly each request of its shard.
 SHARD_RATE_PER_S = 20.0
 MAX_SHARDS = 8
 # Shares of the tolerance on the rate (window x rate x (factor - 1)) that cover the lifetime of
@@ -29,7 +29,8 @@
 # Emergency quota: shares of the tolerance on the burst and of the slack.
 EMERGENCY_BURST_SHARE = 0.4
 EMERGENCY_SLACK_SHARE = 0.2
-# Tokens with which the buckets of an organisation start together if nobody hands tokens over.
+# Share of the slack with which the buckets of an organisation together start if no previous owner
+# hands tokens over.
 START_SLACK_SHARE = 0.2
 
 
@@ -41,7 +42,7 @@
         keys: Ring key of each shard.
         rate_per_s: Refill rate of each shard.
         capacity: Capacity of each shard.
-        start: Tokens with which a shard starts if nobody hands tokens over.
+        start: Tokens with which a shard starts if no previous owner hands tokens over.
         emergency: Requests that the fleet may pass on in a window without tokens.
         window_s: Length of the window, s.
     """
--- a/packages/gateway/src/sassafrasway_gateway/quota_owner.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_owner.py
@@ -13,35 +13,36 @@
 # Longest time that a request waits for a token that has not accrued yet. Without it, requests that
 # arrive together are rejected although the limit is not reached.
 MAX_GRANT_DELAY_S = 0.1
-# Interval after which a shard request is repeated, and the number of shard requests, also of those
-# to an instance that is known to have owned the shard. Then the shard starts without tokens, and
-# the previous owner may not know of it.
+# Interval after which a shard request is repeated, and the number of attempts. There are more if
+# the other instance is known to have owned the shard. After the last one, the shard starts without
+# tokens, because the previous owner may still grant them.
 HANDOVER_RETRY_S = 0.05
 HANDOVER_TRIES = 3
 KNOWN_HANDOVER_TRIES = 5
-# Time for which an owner that has handed a shard over passes its token requests on, although it may
-# not have noticed the new owner yet.
+# Time for which an instance that has handed a shard over passes token requests on to the new owner,
+# even while its own view does not name that one yet.
 RELEASED_FOR_S = 1.0
-# Time after that for which it remembers the new owner.
+# Additional time for which the record of a released shard is kept.
 REMEMBERED_S = 10.0
-# A process that did nothing for longer may have lost its shards to other instances.
+# After a longer pause of the process, other instances may have taken its shards over.
 MAX_PAUSE_S = 1.0
 # Time after a grant for which its tokens may be returned.
 RETURN_WITHIN_S = 1.0
-# Part of the capacity that is kept for requests that wait; tokens in advance come from the rest.
+# Part of the capacity that is reserved for waiting requests; tokens in advance come from the rest.
 PLENTY_SHARE = 0.5
-# Most grants and waiting token requests that are recorded of a shard; bounds the memory.
+# Largest numbers of recorded grants and waiting token requests of a shard, to bound the memory.
 MAX_GRANTS = 500
 MAX_WAITING = 100
-# Shortest time for which a rejected instance does not ask again, and the longest ones for that and
-# for callers.
+# Bounds of the times stated in a rejection: the shortest one, the longest one after which the
+# instance may request tokens again, and the longest Retry-After of callers.
 MIN_WAIT_S = 0.02
 MAX_WAIT_S = 2.0
 MAX_RETRY_S = 10.0
-# Rejected instances wait for this multiple of the time in which each of them could get a token:
-# each has several shards to ask, and a request in vain costs two messages.
+# Rejected instances wait for this multiple of the time in which each of them could get a token,
+# because each can ask several shards, and a rejected token request costs two messages.
 INSTANCES_FACTOR = 4.0
-# Part of the rate that must have been rejected for that; a shorter shortage is over sooner.
+# Part of the rate that must have been rejected for that additional wait. Smaller shortages end by
+# themselves.
 SHORTAGE = 0.5
 # Time over which rejected requests are counted.
 REJECTED_WINDOW_S = 1.0
@@ -53,7 +54,7 @@
 class ShardPhase(enum.Enum):
     """State of a shard at an instance."""
 
-    # Asks the previous owner to hand the shard over.
+    # The previous owner is being asked to hand the shard over.
     STARTING = "starting"
     OWNED = "owned"
     # Another instance owns the shard now.
@@ -80,8 +81,11 @@
 UNKNOWN = Decision(state=peer_messages.GrantState.UNKNOWN)
 
 
-class _Rejected:
-    """Tokens requested in vain in the last second, and by whom, in two half windows."""
+class _RejectedTokens:
+    """Tokens that were rejected in the last second, by requesting instance.
+
+    The window consists of two halves.
+    """
 
     def __init__(self):
         self._started_s = 0.0
@@ -118,14 +122,14 @@
     """A shard that this instance owns, or has owned.
 
     Attributes:
-        previous_host: Address of the instance to which this one has handed the shard over before;
-            while their views differ, the shard passes between them. Otherwise empty.
+        previous_host: Address of the instance to which this one last handed the shard over; empty
+            if there was none. The shard may pass back and forth while their views differ.
         tries: Number of shard requests sent.
         waiting: Token requests that arrived before the previous owner's answer, with the address
             for the grant.
         grants: Time and number of the tokens granted to each token request, oldest first.
-        successor: Address of the instance that has asked for the shard.
-        released_until_s: Time until which that one owns the shard, whatever the view says.
+        successor: Address of the instance that has asked for the shard; otherwise empty.
+        released_until_s: Time until which the successor counts as owner, whatever the view says.
     """
 
     limit: quota_limits.Limit
@@ -138,7 +142,7 @@
     grants: collections.OrderedDict[tuple[str, int], tuple[float, int]] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
-    rejected: _Rejected = dataclasses.field(default_factory=_Rejected)
+    rejected: _RejectedTokens = dataclasses.field(default_factory=_RejectedTokens)
     successor: str = ""
     released_until_s: float = 0.0
 
@@ -192,15 +196,15 @@
         for key, shard in list(self._shards.items()):
             self._update_shard(key, shard, now_s)
         if not self._directory.knows_fleet:
-            # Each of several instances that start together would own everything.
+            # Otherwise each of several instances that start together would own all shards.
             self._version = -1
             return
         for limit in self._limits.values():
             for index in range(len(limit.keys)):
-                self._own(limit, index, now_s)
+                self._begin_takeover(limit, index, now_s)
 
     def reset(self) -> None:
-        """Forgets all tokens, because other instances may have owned the shards meanwhile."""
+        """Removes all shards, because other instances may have owned them in the meantime."""
         self._shards.clear()
         self._version = -1
 
@@ -245,8 +249,8 @@
         now_s = self._clock.monotonic()
         limit = self._limits.get(request.organisation)
         if shard is None and limit is not None and request.shard < len(limit.keys):
-            # The others know of this instance before it knows all of them.
-            self._own(limit, request.shard, now_s)
+            # Other instances may know of this one before it knows all of them.
+            self._begin_takeover(limit, request.shard, now_s)
             shard = self._shards.get((request.organisation, request.shard))
         if shard is None or shard.phase is ShardPhase.RELEASED:
             self._pass_on(request, shard, reply_host, now_s)
@@ -299,7 +303,7 @@
 
     @staticmethod
     def _has_tokens(shard: _Shard, host: str, now_s: float) -> bool:
-        """Whether no other instance than the one with the given address can have used the tokens.
+        """Whether only this instance and the one with the given address can have used the tokens.
 
         A shard that was released earlier may have had another owner since.
         """
@@ -308,10 +312,10 @@
         return shard.phase is ShardPhase.OWNED
 
     def _holder(self, key: tuple[str, int], shard: _Shard | None, host: str) -> str | None:
-        """Returns the address of another instance that may own a shard; None for none.
+        """Returns the address of another instance that may own a shard; None if there is none.
 
-        If this instance owns it by its view but does not hold it, that is the instance that would
-        own it without this one and the one with the given address, which asks.
+        If the view names this instance as owner, the result is the instance that would own the
+        shard without this one and without the requesting one, whose address is ``host``.
         """
         if shard is not None and shard.successor:
             return shard.successor
@@ -352,7 +356,7 @@
         fraction = self._directory.live_fraction
         return limit.rate_per_s * fraction, max(1.0, limit.capacity * fraction)
 
-    def _own(self, limit: quota_limits.Limit, index: int, now_s: float) -> None:
+    def _begin_takeover(self, limit: quota_limits.Limit, index: int, now_s: float) -> None:
         """Begins to take a shard over if this instance owns it."""
         key = (limit.organisation, index)
         own_name = self._directory.own_name
@@ -362,7 +366,7 @@
         if self._directory.owner(limit.keys[index]) != own_name:
             return
         if shard is not None and now_s < shard.released_until_s:
-            # The view may be late; the shard is looked at again with the next update.
+            # The view may be outdated; the next update checks the shard again.
             self._version = -1
             return
         rate_per_s, capacity = self._scaled(limit)
@@ -391,7 +395,7 @@
         self._call_later(HANDOVER_RETRY_S, lambda: self._request_handover(shard))
 
     def _previous_host(self, shard: _Shard) -> str | None:
-        """Returns the address of the owner of a shard if this instance were not there."""
+        """Returns the address of the instance that would own a shard without this one."""
         key = shard.limit.keys[shard.index]
         previous = self._directory.owner(key, without=(self._directory.own_name,))
         return None if previous is None else self._directory.host(previous)
@@ -453,18 +457,18 @@
         self._reply(reply_host, request, decision)
 
     def _take(self, shard: _Shard, count: int, spare: int = 0, *, host: str = "") -> Decision:
-        """Takes tokens for requests that wait, and some in advance while there are plenty."""
+        """Takes tokens for waiting requests, and some in advance if the bucket is well filled."""
         now_s = self._clock.monotonic()
-        plenty = shard.bucket.level(now_s) - count - self._scaled(shard.limit)[1] * PLENTY_SHARE
-        count += max(0, min(spare, int(plenty)))
+        surplus = shard.bucket.level(now_s) - count - self._scaled(shard.limit)[1] * PLENTY_SHARE
+        count += max(0, min(spare, int(surplus)))
         taken, delay_s = shard.bucket.take(count, max_delay_s=MAX_GRANT_DELAY_S, now_s=now_s)
         if taken:
             return Decision(state=peer_messages.GrantState.GRANTED, count=taken, delay_s=delay_s)
         shard.rejected.add(host, count, now_s)
         rate_per_s, _ = self._scaled(shard.limit)
         wait_s = shard.bucket.wait_s(max_delay_s=MAX_GRANT_DELAY_S, now_s=now_s)
-        # Callers whose requests were rejected in the last second return before this one, and so do
-        # instances. A shortage for a moment only is not worth that wait.
+        # The callers and instances that were rejected in the last second retry before this one.
+        # Instances wait for each other only if the shortage is not a short one.
         callers_s = shard.rejected.tokens(now_s) / rate_per_s
         instances_s = 0.0
         if callers_s > SHORTAGE * REJECTED_WINDOW_S:
--- a/packages/gateway/src/sassafrasway_gateway/quota_permits.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_permits.py
@@ -1,4 +1,4 @@
-"""Permits that allow one request of a limited organisation, and the requests that wait for them."""
+"""Permits for single requests of limited organisations, and the requests that wait for them."""
 
 import dataclasses
 from collections.abc import Callable
@@ -7,7 +7,7 @@
 
 
 class QuotaError(errors.NotRunError):
-    """No token: the limit is reached (429), or it is not known whether it is (503).
+    """Rejection: the limit is reached (429), or it is unknown whether it is (503).
 
     Attributes:
         retry_after_s: Time after which the caller may retry.
@@ -53,7 +53,7 @@
         self._open = False
 
     def give_back(self) -> None:
-        """Returns the token unless it was used or given back; it is not valid any more."""
+        """Gives the token back and makes it invalid, unless it was used or given back before."""
         if self._open:
             self._open = False
             self._on_give_back(self)
--- a/packages/gateway/src/sassafrasway_gateway/rate_limits.py
+++ b/packages/gateway/src/sassafrasway_gateway/rate_limits.py
@@ -26,8 +26,8 @@
 )
 from sassafrasway_gateway import metrics as metrics_lib
 
-# An organisation counts as limited until no request of it has been rejected for this long, so that
-# it causes at most one pair of log lines in that time.
+# Time without a rejection after which an organisation no longer counts as rejected. It limits the
+# log to one pair of lines for each organisation and reason in that time.
 LIMITED_LOG_S = 5.0
 
 Permit = quota_permits.Permit
@@ -156,7 +156,7 @@
             self._owner.on_handover(message)
 
     def tick(self) -> None:
-        """Adapts to the live instances and forgets what is outdated; called regularly."""
+        """Adapts to the live instances and removes outdated records; called regularly."""
         if not self._limits:
             return
         self._owner.update()
@@ -196,7 +196,7 @@
 
     def _send(self, host: str, message: peer_messages.QuotaMessage) -> None:
         if host == self._view.own.peer_host:
-            # Not delivered at once, because the sender has not finished its work.
+            # Delivered later, because the sender may not have updated its state yet.
             self._call_later(0.0, lambda: self.on_message(message, host))
             return
         self._metrics.quota_messages.add(type(message).__name__, "sent")
--- a/packages/gateway/src/sassafrasway_gateway/registration.py
+++ b/packages/gateway/src/sassafrasway_gateway/registration.py
@@ -13,8 +13,8 @@
 BACKOFF_S = 0.5
 # Time over which the instances of a fleet spread the writes of their rows in a new era.
 RENEWAL_WINDOW_S = 3.0
-# Time after a start until all instances have written their rows again, if a new era began just
-# before: they learn of it with the end of a poll at the latest.
+# Time within which all instances write their rows again in a new era. They learn of it when a poll
+# ends at the latest.
 RELIST_DELAY_S = relay_role.POLL_WAIT_S + relay_role.POLL_MARGIN_S + RENEWAL_WINDOW_S
 
 
@@ -33,8 +33,8 @@
         self._table = table_name
         self._view = view
         self._rng = rng
-        # Era in which the row of this instance was last known to be in the store, and the newest
-        # one that is known.
+        # Newest era in which the store had the row of this instance, newest known era, and era at
+        # registration.
         self._row_era = 0
         self._era = 0
         self._registered_era = 0
@@ -68,7 +68,7 @@
     async def complete_list(self) -> bool:
         """Reads the listed members a second time unless the store is in its first era.
 
-        Those whose rows an older copy lacked at the start of this instance are found then.
+        An older copy of the store may have lacked rows of members when this instance registered.
 
         Returns:
             Whether they were read.
--- a/packages/gateway/src/sassafrasway_gateway/response_gate.py
+++ b/packages/gateway/src/sassafrasway_gateway/response_gate.py
@@ -1,26 +1,26 @@
-"""Keeps requests for large responses away while the memory for buffered bodies is nearly used up.
+"""Refuses requests for large responses while the memory for buffered bodies is nearly used up.
 
-A response that finds no memory is ended although its request has run. Such a request is refused
-before it is sent instead. The size of a response is only known when it arrives, so the memory that
-the requests under way will need is estimated from the responses of their routes.
+Otherwise a response for which no memory is left is ended although its request has run. The size of
+a response is known only when it arrives, so the memory for the requests under way is estimated from
+the mean size of the responses of each route.
 """
 
 import random
 
 from sassafrasway_gateway import memory_budget, model
 
-# Routes whose mean response is smaller are not held back.
+# Requests to routes whose mean response is smaller are always admitted.
 LARGE_BYTES = 32 * 1024
 # Share of the budget that expected and buffered bodies may use together. The rest is a margin for
 # responses that are larger than the mean of their route.
 USED_SHARE = 0.75
-# Largest part of the budget that one request may be promised. Larger responses would never be
-# admitted beside others.
+# Largest part of the budget that is reserved for one request, so that at least two requests for
+# large responses can be admitted at the same time.
 MAX_PROMISE_SHARE = USED_SHARE / 2
 # Weight of a new sample in the moving average of the sizes of a route.
 SIZE_WEIGHT = 0.1
 MIN_RETRY_AFTER_S = 0.5
-# Time over which the refused callers return.
+# Time over which the retries of refused callers are spread.
 RETURN_SPREAD_S = 0.5
 
 
@@ -67,7 +67,7 @@
         return min(mean_bytes, self._budget.capacity * MAX_PROMISE_SHARE)
 
     def on_response(self, route: model.Route, size: int) -> None:
-        """Learns the size of the body of a response."""
+        """Updates the mean size of the responses of a route."""
         old = self._mean_bytes.get(route.name, float(route.expected_response_bytes or size))
         self._mean_bytes[route.name] = old + SIZE_WEIGHT * (size - old)
 
--- a/packages/gateway/src/sassafrasway_gateway/server_connection.py
+++ b/packages/gateway/src/sassafrasway_gateway/server_connection.py
@@ -31,8 +31,8 @@
 MAX_PIPELINED_BYTES = 256 * 1024
 # A larger body is written separately from its head, so that it is not copied.
 MAX_JOINED_BYTES = 64 * 1024
-# Longest time for which a client acknowledges nothing. The kernel also counts the time in which the
-# receive buffer of a slow reader has less room than one segment.
+# Longest time without an acknowledgement by a client. It is long because the kernel also counts the
+# time in which the receive buffer of a slow reader has less room than one segment.
 CLIENT_USER_TIMEOUT_MS = 120_000
 # Time after which a closing connection is aborted if the client neither closes it nor reads on.
 LINGER_S = 2.0
@@ -43,8 +43,8 @@
 MEMORY_RETRY_AFTER_S = 0.5
 # Retry-After of a request that comes too late in a planned stop.
 STOP_RETRY_AFTER_S = 0.1
-# What is wrong with a request that the parser rejects, by the status of the response.
-_INVALID_REQUESTS = {431: "request head too large", 501: "transfer coding not supported"}
+# Reasons for which the parser rejects a request, by the status of the response.
+_REJECTION_REASONS = {431: "request head too large", 501: "transfer coding not supported"}
 
 
 class Server(typing.Protocol):
@@ -204,7 +204,7 @@
                     return
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint
-            self._reject(status, _INVALID_REQUESTS.get(status, "malformed request"))
+            self._reject(status, _REJECTION_REASONS.get(status, "malformed request"))
 
     def _is_full(self) -> bool:
         if len(self._exchanges) >= MAX_PIPELINED_REQUESTS:
@@ -449,7 +449,8 @@
         elif self._reader.started_s > 0.0:
             self._reject(408, "request not complete in time")
         elif not self._exchanges and self._unsent.unread_bytes:
-            # The client still reads; it is ended if it no longer does.
+            # The client has not read its last response yet. If it stops reading, `UnsentResponses`
+            # or the kernel ends the connection.
             self._start_timer(self._handler.limits.idle_timeout_s)
         elif not self._exchanges:
             self._close()
--- a/packages/gateway/src/sassafrasway_gateway/state.py
+++ b/packages/gateway/src/sassafrasway_gateway/state.py
@@ -81,8 +81,8 @@
         self._decoder = decoder
         self._registry = registry
         self._on_policy = on_policy
-        # Failure domains that the store lists as evacuated. Within the grace period, others that
-        # were evacuated before stay so.
+        # Failure domains that the store lists as evacuated. Within the grace period, those that are
+        # no longer listed stay evacuated.
         self._listed_evacuated: set[str] = set()
         self._grace_until_s = 0.0
         self._policy: model.Policy | None = None
@@ -276,7 +276,7 @@
     def _ignore_outdated(
         self, server: model.BackendServer, state: servers.ServerState | None, row_version: int
     ) -> None:
-        """Leaves a server as it is, and a removed one removed."""
+        """Ignores a listing that is older than the known state; a removed server stays removed."""
         if state is not None:
             state.remove_at_s = None
             # Most listings of an older copy differ only in the sequence number.
--- a/packages/gateway/src/sassafrasway_gateway/table_cache.py
+++ b/packages/gateway/src/sassafrasway_gateway/table_cache.py
@@ -16,8 +16,8 @@
         self._version = -1
         # Oldest version after which all changes are available.
         self._complete_after = -1
-        # Versions before and after the store was last replaced by an older copy. What other
-        # instances received between them may be lost, and is not among the changes.
+        # Versions before and after the store was last replaced by an older copy. Changes that other
+        # instances received between them may have been lost and are not recorded.
         self._lost_between = (-1, -1)
 
     @property
@@ -72,7 +72,8 @@
         return feed.Changes(rows=rows, version=self._version)
 
     def _on_new_era(self, version: int) -> None:
-        # Instances that are behind the last but one era read the whole table.
+        # Only the last replacement is recorded, so instances with a version from before an earlier
+        # one have to read the whole table.
         self._complete_after = max(self._complete_after, self._lost_between[1])
         self._lost_between = (self._version, version)
 
--- a/packages/gateway/src/sassafrasway_gateway/token_bucket.py
+++ b/packages/gateway/src/sassafrasway_gateway/token_bucket.py
@@ -1,4 +1,4 @@
-"""Token bucket whose tokens may be promised a short time ahead."""
+"""Token bucket that may grant tokens a short time before they accrue."""
 
 # Tolerance for rounding errors of the level, which is a sum of many fractions.
 LEVEL_TOLERANCE = 1e-6
@@ -7,7 +7,7 @@
 class TokenBucket:
     """Tokens that accrue at a rate, up to a capacity.
 
-    The level is negative while tokens are promised that have not accrued yet.
+    The level is negative while granted tokens have not accrued yet.
     """
 
     def __init__(self, *, rate_per_s: float, capacity: float, level: float, now_s: float):
--- a/packages/gateway/src/sassafrasway_gateway/unsent_responses.py
+++ b/packages/gateway/src/sassafrasway_gateway/unsent_responses.py
@@ -1,7 +1,7 @@
-"""What a caller has not read yet of the responses on its connection.
+"""Tracks the bytes of responses that a caller has not read yet.
 
-The memory for it is reserved in the budget of the process. A caller that has read nothing for a
-while is marked as stalled: its connection is the first to be ended when memory is needed.
+Their memory is reserved in the budget of the process. A caller that has read nothing for a while
+counts as stalled; its connection is among the first to be ended when memory is needed.
 """
 
 import asyncio
@@ -18,7 +18,7 @@
 # Time without reading after which a caller loses its connection. The window of a slow reader opens
 # in steps of up to half its receive buffer, so some seconds pass between two steps.
 READ_TIMEOUT_S = 30.0
-# Smaller responses are not watched: the system accepts them whole.
+# Smaller responses are not watched, because the socket buffer of the system holds them.
 MIN_WATCHED_BYTES = 16 * 1024
 
 
@@ -82,7 +82,7 @@
         self._timer = asyncio.get_running_loop().call_later(CHECK_INTERVAL_S, self._check)
 
     def _check(self) -> None:
-        """Finds out whether the caller still reads, and gives back the memory of what it read."""
+        """Checks whether the caller still reads, and releases the memory of what it has read."""
         self._timer = None
         unread_bytes = self.unread_bytes
         if not unread_bytes:
