--- a/packages/gateway/src/sassafrasway_gateway/quota_owner.py
+++ b/packages/gateway/src/sassafrasway_gateway/quota_owner.py
@@ -122,6 +122,7 @@
     """A shard that this instance owns, or has owned.
 
     Attributes:
+        was_owned: Whether this instance has granted its tokens since it began to take it over.
         previous_host: Address of the instance to which this one last handed the shard over; empty
             if there was none. The shard may pass back and forth while their views differ.
         tries: Number of shard requests sent.
@@ -136,6 +137,7 @@
     index: int
     bucket: token_bucket.TokenBucket
     phase: ShardPhase = ShardPhase.STARTING
+    was_owned: bool = False
     previous_host: str = ""
     tries: int = 0
     waiting: list[tuple[peer_messages.TokenRequest, str]] = dataclasses.field(default_factory=list)
@@ -308,7 +310,8 @@
         A shard that was released earlier may have had another owner since.
         """
         if shard.phase is ShardPhase.RELEASED:
-            return shard.successor in ("", host) and now_s < shard.released_until_s
+            kept = shard.successor in ("", host) and now_s < shard.released_until_s
+            return shard.was_owned and kept
         return shard.phase is ShardPhase.OWNED
 
     def _holder(self, key: tuple[str, int], shard: _Shard | None, host: str) -> str | None:
@@ -407,6 +410,7 @@
             rate_per_s=rate_per_s, capacity=capacity, level=level, now_s=now_s
         )
         shard.phase = ShardPhase.OWNED
+        shard.was_owned = True
         waiting, shard.waiting = shard.waiting, []
         for request, reply_host in waiting:
             self._grant(shard, request, reply_host, now_s)
