--- a/packages/ctl/src/sassafrasway_ctl/explain.py
+++ b/packages/ctl/src/sassafrasway_ctl/explain.py
@@ -12,7 +12,7 @@
 from sassafrasway_ctl import options, output
 
 ADMIN_VARIABLE = "SASSAFRASCTL_ADMIN_ADDRESS"
-# An instance lists a bounded number of servers; a longer answer comes from something else.
+# Explanations list a bounded number of servers; a longer response is not an explanation.
 MAX_ANSWER_BYTES = 256 * 1024
 # Longest error text of an instance that is shown.
 MAX_ERROR_LENGTH = 300
--- a/packages/gateway/src/sassafrasway_gateway/admin.py
+++ b/packages/gateway/src/sassafrasway_gateway/admin.py
@@ -1,4 +1,4 @@
-"""HTTP handlers for readiness probes, metrics, the state of the instance and its decisions."""
+"""HTTP handlers for readiness probes, metrics, the state dump and routing explanations."""
 
 from collections.abc import Callable
 
@@ -8,7 +8,7 @@
 from sassafrasway_gateway import explain, messages, request_handler
 from sassafrasway_gateway import metrics as metrics_lib
 
-# Statuses of errors in an explanation.
+# HTTP statuses of the errors that an explanation may raise.
 _ERROR_STATUSES = (
     (errors.ValidationError, 400),
     (errors.NotFoundError, 404),
@@ -33,10 +33,10 @@
 
 
 class AdminHandler(request_handler.Handler):
-    """Serves metrics at ``/metrics``, the state at ``/state`` and decisions at ``/explain``.
+    """Serves the metrics, the state dump and routing explanations.
 
-    State and decisions are JSON. ``/explain`` takes the request to explain as parameters; see
-    ``explain.parse_query``.
+    The paths are ``/metrics``, ``/state`` and ``/explain``; the last two return JSON. ``/explain``
+    takes the request to explain as parameters; see ``explain.parse_query``.
     """
 
     def __init__(
--- a/packages/gateway/src/sassafrasway_gateway/admission.py
+++ b/packages/gateway/src/sassafrasway_gateway/admission.py
@@ -1,4 +1,4 @@
-"""Reserves room in the queues of servers for the more urgent requests while a service is short.
+"""Reserves room in the queues of servers for the more urgent requests when room is short.
 
 A service is short of room for a priority while requests of a more urgent one were recently refused
 or rejected for overload. Only then may its requests fill the queue of a server less than the most
@@ -27,16 +27,15 @@
 OUTCOME_LIFETIME_S = 3.0
 # Weight of outcomes below which the share of a group that is served is not known well enough.
 MIN_OUTCOMES = 8.0
-# A group falls behind when it is served less often than this share of the mean of its service, and
-# has caught up when it is served more often than the other. The distance prevents that a group
-# changes between the two with each request.
+# Served shares, relative to the mean of the service, below which a group falls behind and from
+# which it has caught up. The hysteresis keeps a group from changing state with each request.
 BEHIND_SHARE = 0.5
 CAUGHT_UP_SHARE = 0.75
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RequestClass:
-    """What admission control distinguishes requests by.
+    """Properties of a request that admission control depends on.
 
     Attributes:
         route: Name of the route.
--- a/packages/gateway/src/sassafrasway_gateway/affinity.py
+++ b/packages/gateway/src/sassafrasway_gateway/affinity.py
@@ -99,8 +99,8 @@
     ) -> list[str]:
         """Returns up to ``count`` different servers, drawn at random with their ranking weights.
 
-        They are for a request without an object and belong all to the region or all to others. A
-        server is as often the first of them as the preferred one of a random object.
+        They are for a request without an object. Either all of them are in the region, or none is.
+        The first one is distributed like the preferred server of a random object.
 
         Args:
             region: Region of the instance that forwards the request.
--- a/packages/gateway/src/sassafrasway_gateway/balancer.py
+++ b/packages/gateway/src/sassafrasway_gateway/balancer.py
@@ -44,15 +44,16 @@
 # Number of servers that are drawn for a request without an object. A few suffice to avoid the
 # busiest ones; with many, all instances would select the same least loaded one.
 DRAWN_SERVERS = 4
-# Age up to which the report of a server makes it a further candidate for such a request. In a large
-# fleet the reports of most servers are too old to tell a busy server from an idle one.
+# Servers whose load report is not older are further candidates for such a request. In a large fleet
+# the reports of most servers are too old to tell a busy server from an idle one.
 NEW_REPORT_S = 0.3
 # Weight of a drawn server, as powers of its free share of slots and of its expected response time.
 FREE_SHARE_EXPONENT = 3.0
 RESPONSE_TIME_EXPONENT = 2.0
 # Bounds the weight of a route whose requests take no measurable time.
 MIN_RESPONSE_S = 0.001
-# Free share that is assumed at least: the load is an estimate.
+# Lower bound of the free share in a weight. The load is an estimate, so a server that seems full
+# keeps a small weight.
 MIN_FREE_SHARE = 0.02
 # Assumed service time of a route before the first measurement.
 DEFAULT_SERVICE_S = 0.2
@@ -687,7 +688,7 @@
     def _retry_after_s(
         self, state: servers.ServerState, criteria: SelectionCriteria, now_s: float
     ) -> float:
-        """Returns a random time while the queue of a server drains.
+        """Returns a random part of the time in which the queue of a server drains.
 
         Callers that are refused at the same moment then return one after the other. They wait for a
         part of their remaining time at most, so a longer time would make them return together.
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -35,7 +35,7 @@
 CRASH_RETRY_AFTER_S = 5.0
 # Delay of the check whether a server is still reachable after a broken connection or a timeout.
 REACHABILITY_CHECK_DELAY_S = 0.05
-# Delay before the same server gets a request again that it rejected.
+# Delay before a request is sent again to the server that rejected it.
 SAME_SERVER_RETRY_DELAY_S = 0.01
 # Time from the selection of a server until the request must have been sent to it. What the
 # selection was based on, such as the share of a cold server's requests, may have changed later.
@@ -343,10 +343,10 @@
     def _rejected_by_full_queue(
         self, chosen: servers.ServerState, result: attempt.AttemptResult
     ) -> bool:
-        """Whether the server rejected the request for want of slots, as far as its response tells.
+        """Whether the server probably rejected the request because its queue was full.
 
-        A misdirected request, or one to a server that rests or leaves, was rejected for another
-        reason.
+        Responses that say that the request was misdirected, or that the server rests or leaves,
+        state another reason.
         """
         if result.outcome is not attempt.Outcome.REJECTED or not self._registry.estimates_loads:
             return False
@@ -408,7 +408,7 @@
         if result.outcome is attempt.Outcome.WITHDRAWN:
             return
         if result.response is not None:
-            self._obey(job, chosen, result)
+            self._record_leave_or_rest(job, chosen, result)
             report = self._load_report(result)
             if report is not None:
                 self._registry.on_load(
@@ -443,7 +443,7 @@
         if result.outcome is attempt.Outcome.BROKEN:
             self._start_background_task(self._check_crash(job, chosen))
 
-    def _obey(
+    def _record_leave_or_rest(
         self, job: jobs.Job, chosen: servers.ServerState, result: attempt.AttemptResult
     ) -> None:
         """Records whether the server leaves or wants no requests, as its response says."""
@@ -571,7 +571,7 @@
         elapsed_s = clock_lib.elapsed_s() - job.request.received_s
         self._metrics.requests.add(job.route.name, str(status))
         self._metrics.latency.observe(elapsed_s, job.route.name)
-        # An organisation above its limit must not count as one that the service does not serve.
+        # Requests above a rate limit say nothing about the capacity of the service.
         if status and status != STATUS_RATE_LIMITED:
             served = outcome == ANSWERED and status not in OVERLOAD_STATUSES
             self._admission_control.on_finished(job.request_class, served=served)
--- a/packages/gateway/src/sassafrasway_gateway/jobs.py
+++ b/packages/gateway/src/sassafrasway_gateway/jobs.py
@@ -101,7 +101,7 @@
 
     @property
     def request_class(self) -> admission.RequestClass:
-        """What admission control distinguishes the request by."""
+        """Properties of the request that admission control depends on."""
         return admission.RequestClass(
             service=self.service,
             route=self.route.name,
--- a/packages/gateway/src/sassafrasway_gateway/load_estimate.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_estimate.py
@@ -32,11 +32,11 @@
 LEVEL_INTERVAL_S = 0.5
 # Time constant of the weight of a report in the level of its service.
 LEVEL_TIME_S = 2.0
-# Number of servers with a report that a level needs; a single one shows nothing of the others.
+# Number of servers with a report that a level needs; a single report says nothing about the others.
 MIN_LEVEL_REPORTS = 2
-# Requests per slot that a report adds at most to the level towards which loads converge. A queue
-# says nothing of the other servers, and after all servers were full, requests must be sent to learn
-# when that ends.
+# Upper bound, in requests per slot, of a report in the level towards which loads converge. A queue
+# at one server says nothing about the others, and a level above the bound would stop all requests,
+# so that no response could report that servers have free slots again.
 MAX_LEVEL = 1.0
 # Lowest rate at which a queue is assumed to shorten, as a share of the rate of completions. Other
 # instances see the queue too and avoid the server.
@@ -69,10 +69,10 @@
     service_s: float = DEFAULT_SERVICE_S
 
     def fading(self, per_slot: float, now_s: float) -> float:
-        """Returns a level as far as the newest reports still show it.
+        """Returns a level of this object, reduced if the newest report is outdated.
 
-        Without new reports it falls to 0, so that an instance that refuses all requests sends one
-        again.
+        Without new reports it falls to 0. An instance that refuses all requests gets no reports,
+        and must send requests again to learn the load.
         """
         silent_s = now_s - self.newest_s - REPORT_LIFETIME_S
         return per_slot * 0.5 ** (silent_s / LOAD_HALF_LIFE_S) if silent_s > 0 else per_slot
@@ -157,7 +157,8 @@
             return before * 0.5 ** (age_s / LOAD_HALF_LIFE_S)
         target = self.slots * level.fading(level_per_slot, now_s)
         if not self.observed_at_s:
-            # It is as busy as the others, unless it is new; the cold limit applies then.
+            # Assumed to be as busy as the others. A new server is not, but the cold limit bounds
+            # its requests anyway.
             return target
         # Above the slots and the target, requests wait and the queue shortens linearly.
         queue_end = max(float(self.slots), target)
--- a/packages/gateway/src/sassafrasway_gateway/load_sharing.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_sharing.py
@@ -1,9 +1,9 @@
-"""Exchanges load reports with other instances, in messages that are sent anyway.
+"""Exchanges load reports with other instances, in pings and their replies.
 
-A server tells its load only in its responses. In a large fleet, each instance sends so few requests
-to each server that it mostly knows nothing of the server that it selects. Each ping and reply
-therefore carries some of the newest reports that its sender has, its own and those of others, so
-that the reports spread without a message of their own.
+A server reports its load only in its responses. In a large fleet, an instance sends so few requests
+to each server that it mostly has no recent report of the server that it selects. Each ping and
+reply therefore carries some of the recent reports that its sender has received, from servers or
+from other instances. No additional messages are needed.
 
 Reports are exchanged where loads are estimated; see `servers.ServerRegistry.estimates_loads`.
 """
@@ -20,7 +20,7 @@
 MAX_REPORTS = 24
 # Older reports are not passed on.
 MAX_AGE_S = 2.0
-# Time that a datagram takes; added to the age of the reports in it.
+# Assumed transfer time of a datagram; added to the age of the reports in it.
 TRANSFER_S = 0.01
 # Digest of a server, load, slowdown in tenths, and age in units of ``AGE_UNIT_S``.
 _REPORT = struct.Struct(">IBBB")
@@ -30,7 +30,7 @@
 
 
 def _digest(state: servers.ServerState) -> int:
-    """Returns a number for a start of a server that is the same on all instances."""
+    """Returns a digest of one start of a server, the same on all instances."""
     text = f"{state.server.server_id}/{state.server.started_ms}"
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=4).digest(), "big")
 
--- a/packages/gateway/src/sassafrasway_gateway/model.py
+++ b/packages/gateway/src/sassafrasway_gateway/model.py
@@ -55,7 +55,7 @@
     Attributes:
         priority: Rank of its requests, which replaces that of the route; None to keep that.
         rate_per_s: Requests per second that all instances together may pass on; 0 for no limit.
-        burst: Requests that they may pass on in addition.
+        burst: Requests that they may pass on in addition in each window.
         home_regions: Regions whose servers may be used; empty allows all.
     """
 
@@ -110,7 +110,7 @@
     Attributes:
         organisations: Organisations whose callers need keys, by name; if there are none, no request
             needs a key.
-        problems: Parts that are not known, and how they are treated.
+        problems: Messages about unknown parts, with how they are treated.
     """
 
     version: int
--- a/packages/gateway/src/sassafrasway_gateway/process.py
+++ b/packages/gateway/src/sassafrasway_gateway/process.py
@@ -428,7 +428,8 @@
         self._peers.announce_phase()
 
     def _on_policy(self, policy: model.Policy) -> None:
-        # Organisations that send many times their usual load the servers unevenly.
+        # A single organisation may send several times its usual rate, which loads some servers more
+        # than others.
         self._registry.set_estimation_required(bool(policy.organisations))
         self._cold_limit.set_rates(
             {service.name: service.warmup_per_s for service in policy.services.values()}
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -18,7 +18,7 @@
 ERROR_WEIGHT = 0.2
 # Upper bound on the ratio that one sample contributes.
 MAX_LATENCY_RATIO = 20.0
-# Number of servers of each service that are kept as those that reported last.
+# Number of the most recent reporters that are recorded for each service.
 MAX_REPORTERS = 8
 # Number of removed servers whose state is kept, in case the same start is listed again.
 MAX_DEPARTED = 2000
@@ -136,9 +136,9 @@
         self._speeds_vary = False
         self._estimation_required = True
         # Whether the store was replaced by an older copy since this process started, and the time
-        # until which what the last copy lacks is written again.
+        # by which the writes that the last copy lacks have been repeated.
         self._has_new_era = False
-        self._rewritten_s = 0.0
+        self._rewrites_end_s = 0.0
 
     def __len__(self) -> int:
         return len(self._states)
@@ -150,8 +150,8 @@
     def estimates_loads(self) -> bool:
         """Whether loads are estimated and compared as the module ``load_estimate`` describes.
 
-        If not, the load that others put on a server fades after each report, and every request
-        follows the ranking of its object.
+        If not, the load of other instances decays after each report, and every request follows the
+        ranking of its object.
         """
         return self._estimation_required or self._speeds_vary
 
@@ -276,7 +276,7 @@
         What the copy lacks is written again within ``grace_s``.
         """
         self._has_new_era = True
-        self._rewritten_s = self._clock.monotonic() + grace_s
+        self._rewrites_end_s = self._clock.monotonic() + grace_s
         for state in self._departed.values():
             state.left_in_earlier_era = True
 
@@ -297,7 +297,7 @@
             if server.started_ms in known.ended_starts:
                 return server.sequence <= known.ended_starts[server.started_ms]
             earlier = server.started_ms < known.server.started_ms
-            return earlier and self._clock.monotonic() < self._rewritten_s
+            return earlier and self._clock.monotonic() < self._rewrites_end_s
         newest = known.server.sequence
         return server.sequence < newest + known.left_in_earlier_era
 
--- a/packages/gateway/src/sassafrasway_gateway/settings.py
+++ b/packages/gateway/src/sassafrasway_gateway/settings.py
@@ -31,8 +31,8 @@
         quota_window_s: Length of the window of the rate limits of organisations, s.
         quota_factor: Permitted multiple of an organisation's limit in each window.
         quota_slack: Requests of an organisation permitted in addition in each window.
-        strict_keys: Whether an instance without current policy refuses requests with keys.
-        key_lifetime_s: Time without current policy after which it does so, s.
+        strict_keys: Whether an instance without a current policy refuses requests that need a key.
+        key_lifetime_s: Time without a current policy after which it does so, s.
     """
 
     stop_grace_s: float = 6.0
