Mend faults that a reading of the change found

Cause, each shown by a probe or by reading: a report that another instance sends back seemed newer and then hid own requests (an estimate of 8 fell to 4.99); levels were kept when a policy without organisations came into force; a fourth figure that is no whole number made a load report unreadable; rejections by resting or leaving servers counted as overload; refusals for lack of memory had the label of failed attempts. Change: a margin for the rounding of ages, levels are reset, the load header keeps its first three figures whatever follows, one condition for full queues, a label of their own.

--- a/packages/gateway/src/sassafrasway_gateway/attempt.py
+++ b/packages/gateway/src/sassafrasway_gateway/attempt.py
@@ -19,9 +19,11 @@
 # Longest time for which a server can keep requests away.
 MAX_REST_S = 3600.0
 _REST = re.compile(rb"\s*([0-9]{1,9}(?:\.[0-9]{1,9})?)\s*")
-# Figures after the fourth are unknown and ignored.
+# What follows the first three figures must not make them unreadable: the fourth is used if it is a
+# whole number, all others are unknown.
 _LOAD = re.compile(
-    rb"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*(?:,\s*([0-9]{1,6})?\s*(?:,.*)?)?"
+    rb"\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*,\s*([0-9]{1,6})\s*"
+    rb"(?:,(?:\s*([0-9]{1,6})\s*(?:,.*)?|.*))?"
 )
 MAX_SLOWDOWN = 100.0
 
--- a/packages/gateway/src/sassafrasway_gateway/forwarder.py
+++ b/packages/gateway/src/sassafrasway_gateway/forwarder.py
@@ -49,11 +49,18 @@
 REASON_NO_RETRY = "retry budget used up"
 REASON_NO_TIME = "no time left"
 REASON_RATE_LIMIT = "rate limit"
+REASON_NO_MEMORY = "no memory for the response"
 # Label of all refusals whose reason is the outcome of an attempt.
 REASON_ATTEMPTS = "attempts failed"
 # Reasons that are labels of metrics. Those of attempts contain what servers have sent.
 REFUSAL_REASONS = frozenset(
-    (REASON_CRASHES, REASON_NO_RETRY, REASON_NO_TIME, *(entry.value for entry in balancer.Refusal))
+    (
+        REASON_CRASHES,
+        REASON_NO_RETRY,
+        REASON_NO_TIME,
+        REASON_NO_MEMORY,
+        *(entry.value for entry in balancer.Refusal),
+    )
 )
 
 
@@ -153,7 +160,7 @@
         promise = self._gate.admit(job.route)
         if promise is None:
             self._metrics.memory_refusals.add(job.route.name)
-            return self._refuse(job, "no memory for the response", self._gate.retry_after_s())
+            return self._refuse(job, REASON_NO_MEMORY, self._gate.retry_after_s())
         try:
             return await self._process(job)
         finally:
@@ -265,7 +272,8 @@
                 job.rejected_by = server_id
         elif not withdrawn_without_permit:
             job.excluded_servers.append(server_id)
-            job.displaced |= self._rejected_by_full_queue(chosen, result)
+            if self._registry.estimates_loads:
+                job.displaced |= self._rejected_by_full_queue(chosen, result)
         if not result.outcome.not_run:
             job.may_have_run = True
         return result
@@ -348,7 +356,7 @@
         Responses that say that the request was misdirected, or that the server rests or leaves,
         state another reason.
         """
-        if result.outcome is not attempt.Outcome.REJECTED or not self._registry.estimates_loads:
+        if result.outcome is not attempt.Outcome.REJECTED:
             return False
         response = result.response
         return not (
@@ -424,10 +432,11 @@
             )
         elif result.outcome is attempt.Outcome.REJECTED:
             misdirected = result.response.status == attempt.STATUS_MISDIRECTED
-            if not misdirected and not self._rejected_with_free_slots(chosen, result):
+            full = self._rejected_by_full_queue(chosen, result)
+            if full:
                 self._admission_control.on_overloaded(job.request_class)
             self._registry.on_rejected(chosen, misdirected=misdirected)
-            if not misdirected and report is None:
+            if full and report is None:
                 self._registry.on_queue_full(chosen)
         else:
             unreachable = result.outcome is attempt.Outcome.UNREACHABLE
--- a/packages/gateway/src/sassafrasway_gateway/load_sharing.py
+++ b/packages/gateway/src/sassafrasway_gateway/load_sharing.py
@@ -27,6 +27,8 @@
 MAX_BYTES = MAX_REPORTS * _REPORT.size
 AGE_UNIT_S = 0.02
 MAX_BYTE = 255
+# A known report that another instance sends back may seem newer by this much.
+ROUNDING_S = AGE_UNIT_S + TRANSFER_S
 
 
 def _digest(state: servers.ServerState) -> int:
@@ -87,7 +89,7 @@
             if state is None:
                 continue
             reported_at_s = now_s - age * AGE_UNIT_S - TRANSFER_S
-            if reported_at_s <= state.known_load.observed_at_s:
+            if reported_at_s <= state.known_load.observed_at_s + ROUNDING_S:
                 continue
             self._counts["newer"] += 1
             state.known_load.on_report(
--- a/packages/gateway/src/sassafrasway_gateway/servers.py
+++ b/packages/gateway/src/sassafrasway_gateway/servers.py
@@ -217,6 +217,10 @@
     def set_estimation_required(self, required: bool) -> None:
         """Sets whether loads are estimated although no server reports that its speed varies."""
         self._estimation_required = required
+        if not self.estimates_loads:
+            self._levels = load_estimate.LoadLevels()
+            for state in self._states.values():
+                state.known_load.level = load_estimate.LoadLevel()
 
     def set_regions(self, region_of: Mapping[str, str]) -> None:
         """Replaces the mapping of failure domains to regions."""
--- a/packages/gateway/tests/test_balancer.py
+++ b/packages/gateway/tests/test_balancer.py
@@ -206,6 +206,15 @@
         self.registry.on_load(self.registry.get("n1"), 3, 0, slowdown=2.0)
         self.assertGreater(len(self.counts(draws=50)), 1)
 
+    def test_levels_are_forgotten_when_loads_are_no_longer_estimated(self):
+        for state in self.registry:
+            self.registry.on_load(state, 3, 0)
+        self.clock.advance(load_estimate.LEVEL_INTERVAL_S)
+        self.registry.on_load(self.registry.get("n1"), 3, 0)
+        self.assertTrue(self.registry.get("n0").known_load.level.known)
+        self.registry.set_estimation_required(False)
+        self.assertFalse(self.registry.get("n0").known_load.level.known)
+
     def test_idle_servers_of_the_region_share_the_requests(self):
         counts = self.counts()
         self.assertEqual(len(counts), 6)
--- a/packages/gateway/tests/test_load_sharing.py
+++ b/packages/gateway/tests/test_load_sharing.py
@@ -53,6 +53,17 @@
         self.receiver.apply(self.sender.encode())
         self.assertEqual(self.state(self.receiver, "s1").known_load.others_outstanding, 2.0)
 
+    def test_report_that_is_sent_back_changes_nothing(self):
+        self.report(self.sender, "s1", 8)
+        self.clock.advance(0.013)
+        self.receiver.apply(self.sender.encode())
+        state = self.state(self.sender, "s1")
+        state.outstanding = 3
+        observed_at_s = state.known_load.observed_at_s
+        self.clock.advance(0.013)
+        self.sender.apply(self.receiver.encode())
+        self.assertEqual(state.known_load.observed_at_s, observed_at_s)
+
     def test_report_of_another_start_is_ignored(self):
         other = self.make(count=60, started_ms=7)
         self.report(other, "s1", 9)
