--- a/packages/gateway/tests/gateway_fakes.py
+++ b/packages/gateway/tests/gateway_fakes.py
@@ -9,6 +9,8 @@
 REGION_OF = {"a-1": "north", "a-2": "north", "b-1": "south"}
 NAMES = messages.HeaderNames()
 EVENT_TIMEOUT_S = 10.0
+# Time for a client of a test to connect; the event loop may stand still while the machine is busy.
+CONNECT_TIMEOUT_S = 10.0
 
 
 class FixedColdLimit:
